--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+# SPDX-License-Identifier: BSD-3-Clause
+# Every target sets up what it needs in .venv, pinned by constraints.txt.
+
+PYTHON ?= python3
+CFG ?= examples/kijani.jsonc
+BIN := .venv/bin
+READY := .venv/.ready
+
+.PHONY: demo test lint format generate docs clean
+
+$(READY): constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
+	test -x $(BIN)/python || $(PYTHON) -m venv .venv
+	$(BIN)/python -m pip install --quiet -c constraints.txt -r requirements-dev.txt
+	touch $(READY)
+
+demo: $(READY)
+	$(BIN)/python tools/demo.py $(CFG)
+
+test: $(READY)
+	$(BIN)/python -m pytest
+
+lint: $(READY)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+format: $(READY)
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+clean:
+	rm -rf .venv
--- /dev/null
+++ b/packages/lanedock-cli/lanedock_cli/render.py
@@ -0,0 +1,190 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""What people read: tables and texts; and the same for machines, as JSON."""
+
+import json
+from datetime import datetime
+
+from lanedock.config import Difference
+from lanedock.findings import Finding
+from lanedock.wire import messages
+from rich.console import Console
+from rich.table import Table
+
+__all__ = [
+    "ANSWER_NAMES",
+    "answer_value",
+    "history_value",
+    "print_differences",
+    "print_findings",
+    "print_history",
+    "print_json",
+    "print_status",
+    "status_value",
+]
+
+ANSWER_NAMES = {
+    messages.ANSWER_APPLIED: "applied",
+    messages.ANSWER_NOT_RUN: "not run",
+    messages.ANSWER_NOT_KNOWN: "not known",
+    messages.ANSWER_ACCEPTED: "accepted, not yet everywhere",
+}
+_OUTCOME_NAMES = {
+    messages.OUTCOME_STAGING: "staging",
+    messages.OUTCOME_ACCEPTED: "accepted",
+    messages.OUTCOME_ABORTED: "aborted",
+}
+
+
+def print_json(value: object) -> None:
+    """Print a value for machines, on one line."""
+    print(json.dumps(value, sort_keys=True))
+
+
+def _finding_value(code: str, message: str, file: str, line: int, column: int, path: str) -> dict:
+    return {"code": code, "message": message, "file": file, "line": line, "column": column, "path": path}
+
+
+def print_findings(findings: list[Finding], as_json: bool) -> None:
+    """Print findings, a line each."""
+    if as_json:
+        values = []
+        for finding in findings:
+            place = finding.place
+            values.append(
+                _finding_value(finding.code.code, finding.message, place.file, place.line, place.column, place.path)
+            )
+        print_json({"findings": values})
+        return
+    for finding in findings:
+        print(finding)
+
+
+def answer_value(reply: messages.SubmitReply) -> dict:
+    """Return an answer for machines."""
+    return {
+        "answer": ANSWER_NAMES[reply.answer],
+        "code": reply.code,
+        "message": reply.message,
+        "version": reply.version,
+        "digest": reply.digest.hex(),
+        "required": reply.required,
+        "staged": reply.staged,
+        "in_force": reply.in_force,
+        "lagging": list(reply.lagging),
+        "stage_ms": round(reply.stage_ms, 1),
+        "converge_ms": round(reply.converge_ms, 1),
+        "findings": [
+            _finding_value(item.code, item.message, item.file, item.line, item.column, item.path)
+            for item in reply.findings
+        ],
+    }
+
+
+def status_value(reply: messages.StatusReply) -> dict:
+    """Return a status for machines."""
+    daemons = []
+    for state in reply.daemons:
+        daemons.append(
+            {
+                "daemon": state.daemon,
+                "zone": state.zone,
+                "role": "entry" if state.role == messages.ROLE_ENTRY else "upstream",
+                "service": state.service,
+                "in_force": state.in_force_version,
+                "staged": state.staged_version,
+                "behind": state.in_force_version < reply.accepted_version,
+                "draining": state.draining,
+                "relay": state.parent,
+            }
+        )
+    return {
+        "accepted_version": reply.accepted_version,
+        "accepted_digest": reply.accepted_digest.hex(),
+        "candidate_version": reply.candidate_version,
+        "confirmed": reply.confirmed,
+        "answered_by": reply.answered_by,
+        "term": reply.term,
+        "daemons": daemons,
+        "missing": list(reply.missing),
+        "replicas": [
+            {"replica": item.replica, "leader": item.leader, "reachable": item.reachable} for item in reply.replicas
+        ],
+    }
+
+
+def print_status(reply: messages.StatusReply, console: Console) -> None:
+    """Print which version is in force where, by zone."""
+    confirmed = "" if reply.confirmed else "  (no leader: what this instance last knew)"
+    console.print(f"accepted version {reply.accepted_version}{confirmed}", highlight=False)
+    if reply.candidate_version:
+        console.print(f"staging version {reply.candidate_version}", highlight=False)
+    replicas = []
+    for item in reply.replicas:
+        told = "leader" if item.leader else "reachable" if item.reachable else "silent"
+        replicas.append(f"{item.replica} {told}")
+    console.print("control: " + ", ".join(replicas), highlight=False)
+    table = Table("zone", "daemon", "service", "in force", "staged", "note", box=None, header_style="bold")
+    for state in reply.daemons:
+        table.add_row(
+            state.zone,
+            state.daemon,
+            state.service or "(entry)",
+            str(state.in_force_version or "-"),
+            str(state.staged_version or "-"),
+            _note(state, reply.accepted_version),
+        )
+    console.print(table)
+    if reply.missing:
+        console.print("listed by the platform, not connected: " + ", ".join(reply.missing), highlight=False)
+
+
+def _note(state: messages.DaemonState, accepted: int) -> str:
+    notes = []
+    if state.in_force_version < accepted:
+        notes.append("behind")
+    if state.draining:
+        notes.append("draining")
+    if state.parent:
+        notes.append(f"by {state.parent}")
+    return ", ".join(notes)
+
+
+def history_value(reply: messages.HistoryReply) -> list[dict]:
+    """Return a history for machines, the newest first."""
+    values = []
+    for record in reply.records:
+        values.append(
+            {
+                "version": record.version,
+                "digest": record.digest.hex(),
+                "outcome": _OUTCOME_NAMES[record.outcome],
+                "reason": record.reason,
+                "operator": record.operator,
+                "submitted_at": record.submitted_at,
+                "accepted_at": record.accepted_at,
+                "findings": [item.message for item in record.findings],
+            }
+        )
+    return values
+
+
+def print_history(reply: messages.HistoryReply, console: Console) -> None:
+    """Print the versions and what became of them, the newest first."""
+    table = Table("version", "digest", "outcome", "submitted", "by", "why", box=None, header_style="bold")
+    for value in history_value(reply):
+        submitted = datetime.fromtimestamp(value["submitted_at"]).strftime("%Y-%m-%d %H:%M:%S")
+        why = "; ".join([value["reason"], *value["findings"]]).strip("; ")
+        table.add_row(str(value["version"]), value["digest"][:12], value["outcome"], submitted, value["operator"], why)
+    console.print(table)
+
+
+def print_differences(differences: list[Difference], console: Console) -> None:
+    """Print differences, a line each."""
+    if not differences:
+        console.print("no difference")
+    marks = {"added": "+", "removed": "-", "changed": "~"}
+    for item in differences:
+        told = f"{marks[item.kind]} {item.path}"
+        if item.kind == "changed":
+            told += f": {json.dumps(item.before)} -> {json.dumps(item.after)}"
+        console.print(told, highlight=False, markup=False)
--- /dev/null
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/board.py
@@ -0,0 +1,136 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""What the agent publishes to the request path."""
+
+import random
+import time
+
+from lanedock.config import MeshConfig
+from lanedock.limits import RetryBudget
+from lanedock.rollout import Held, VersionHolder
+from lanedock.routing import Balancer, BalancerPolicy, RouteTable
+from lanedock.wire import messages
+
+__all__ = ["Binding", "Board"]
+
+
+class Binding:
+    """A version with its routes ready for matching. Never changed once made.
+
+    Parameters
+    ----------
+    held : Held
+    """
+
+    __slots__ = ("config", "number", "table")
+
+    def __init__(self, held: Held):
+        self.config: MeshConfig = held.config
+        self.number: int = held.version.number
+        self.table = RouteTable(held.config)
+
+    def __repr__(self) -> str:
+        return f"<Binding version={self.number}>"
+
+
+class Board:
+    """The current binding, balancers and readiness of one process.
+
+    The agent's task writes; the request path reads. A request takes the
+    binding once and keeps it to its end, so a swap is one assignment.
+
+    Parameters
+    ----------
+    zone : str
+    stall_limit : float
+        Standstill, in seconds, after which nothing is served until the
+        version is confirmed again.
+    """
+
+    def __init__(self, zone: str, stall_limit: float):
+        self.holder = VersionHolder()
+        self.is_draining = False
+        self._binding: Binding | None = None
+        self._zone = zone
+        self._stall_limit = stall_limit
+        self._alive_at = time.monotonic()
+        self._rng = random.Random()
+        self._endpoints: dict[str, messages.Endpoint] = {}
+        self._balancers: dict[str, Balancer] = {}
+        self._budgets: dict[str, RetryBudget] = {}
+
+    def __repr__(self) -> str:
+        return f"<Board {self.holder!r}>"
+
+    # ------------------------------------------------------ for the request path
+
+    def bind(self) -> Binding | None:
+        """Return the binding for a request, or None where nothing may be served."""
+        if self._has_stalled() or not self.holder.is_ready:
+            return None
+        return self._binding
+
+    def balancer(self, service: str) -> Balancer:
+        """Return the balancer of a service."""
+        balancer = self._balancers.get(service)
+        if balancer is None:
+            balancer = self._balancers[service] = Balancer(self._zone, self._rng, BalancerPolicy())
+            self._fill(service, balancer)
+        return balancer
+
+    def budget(self, service: str) -> RetryBudget:
+        """Return the retry budget towards a service."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = RetryBudget()
+        return budget
+
+    # -------------------------------------------------------------- for the agent
+
+    def publish(self) -> None:
+        """Bind requests from now on to the version in force."""
+        held = self.holder.in_force
+        if held is not None:
+            self._binding = Binding(held)
+
+    def note_alive(self) -> bool:
+        """Note that the process runs.
+
+        Returns
+        -------
+        bool
+            False where it stood still for too long: the holder is suspended.
+        """
+        stalled = self._has_stalled()
+        if stalled:
+            self.holder.suspend()
+        self._alive_at = time.monotonic()
+        return not stalled
+
+    def _has_stalled(self) -> bool:
+        return time.monotonic() - self._alive_at > self._stall_limit
+
+    def take_endpoints(self, update: messages.EndpointUpdate) -> None:
+        """Take in a change of endpoints."""
+        touched = set()
+        if update.whole:
+            touched = {endpoint.service for endpoint in self._endpoints.values()}
+            self._endpoints = {}
+        for name in update.gone:
+            gone = self._endpoints.pop(name, None)
+            if gone is not None:
+                touched.add(gone.service)
+        for endpoint in update.changed:
+            self._endpoints[endpoint.instance] = endpoint
+            touched.add(endpoint.service)
+        for service in touched:
+            balancer = self._balancers.get(service)
+            if balancer is not None:
+                self._fill(service, balancer)
+
+    def all_endpoints(self) -> list[messages.Endpoint]:
+        """Return all endpoints, to pass them on."""
+        return list(self._endpoints.values())
+
+    def _fill(self, service: str, balancer: Balancer) -> None:
+        mine = [endpoint for endpoint in self._endpoints.values() if endpoint.service == service]
+        balancer.set_endpoints(mine, time.monotonic())
--- /dev/null
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/search.py
@@ -0,0 +1,77 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Which source a daemon tries next, and when. Pure."""
+
+from random import Random
+
+from lanedock.settings import Address
+
+__all__ = ["SourceSearch"]
+
+BACKOFF_MIN = 0.1
+BACKOFF_MAX = 5.0
+RELAY_MEMORY = 30.0
+
+
+class SourceSearch:
+    """The search for a source: control instances in turn, and relays they name.
+
+    Waits grow exponentially with full jitter, so that daemons which lost their
+    source together come back spread out.
+
+    Parameters
+    ----------
+    control : list of Address
+        The own zone's first.
+    rng : random.Random
+    """
+
+    def __init__(self, control: list[Address], rng: Random):
+        self._control = control
+        self._rng = rng
+        self._position = 0
+        self._failures = 0
+        self._relay: tuple[str, Address] | None = None
+        self._failed_relays: dict[str, float] = {}
+
+    def __repr__(self) -> str:
+        return f"<SourceSearch failures={self._failures} relay={self._relay}>"
+
+    def address(self) -> Address:
+        """Return the address to try now."""
+        if self._relay is not None:
+            return self._relay[1]
+        return self._control[self._position % len(self._control)]
+
+    def relay_name(self) -> str:
+        """Return the name of the relay to try; empty where it is a control instance."""
+        return self._relay[0] if self._relay else ""
+
+    def failed_relays(self, now: float) -> list[str]:
+        """Return the relays that failed lately."""
+        self._failed_relays = {name: until for name, until in self._failed_relays.items() if until > now}
+        return sorted(self._failed_relays)
+
+    def note_success(self) -> None:
+        """Note that the source serves."""
+        self._failures = 0
+
+    def note_redirect(self, relay: str, address: Address) -> float:
+        """Note that a control instance refers to a relay; returns the wait in seconds."""
+        self._relay = (relay, address)
+        return 0.0
+
+    def note_refusal(self, retry_after: float) -> float:
+        """Note that the source named a time to come back; returns the wait in seconds."""
+        return retry_after * self._rng.uniform(1.0, 1.1)
+
+    def note_failure(self, now: float) -> float:
+        """Note that the source failed; returns the wait in seconds."""
+        if self._relay is not None:
+            # A relay takes its daemons along when it goes: they spread out too.
+            self._failed_relays[self._relay[0]] = now + RELAY_MEMORY
+            self._relay = None
+        else:
+            self._position += 1
+        self._failures += 1
+        longest = min(BACKOFF_MAX, BACKOFF_MIN * 2 ** min(self._failures, 16))
+        return self._rng.uniform(0, longest)
--- /dev/null
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/service.py
@@ -0,0 +1,309 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""The agent's task."""
+
+import random
+import time
+
+from lanedock.kernel import Kernel, TaskService
+from lanedock.rollout import Distributor
+from lanedock.settings import Address, Settings
+from lanedock.telemetry import Event, EventLogger, Metric, Metrics
+from lanedock.wire import messages
+
+from lanedock_daemon.agent.attest import AttestationsMade, Attester
+from lanedock_daemon.agent.board import Board
+from lanedock_daemon.agent.relay import RelayDesk
+from lanedock_daemon.agent.search import SourceSearch
+from lanedock_daemon.agent.watch import SourceEnded, SourceStream, SourceTold
+from lanedock_daemon.network import make_client_context, make_server_context, start_server
+from lanedock_daemon.sessions import ChildArrived, ChildLeft, ChildTold, DistributionServer
+
+__all__ = ["AgentService", "DrainAsked"]
+
+TICK = 0.25
+HEARTBEAT_INTERVAL = 2.0
+# Silence, and staleness that a source admits, after which another is looked for.
+SILENCE_LIMIT = 7.0
+STALENESS_LIMIT = 5.0
+
+
+class DrainAsked:
+    """The instance is to take no new work."""
+
+    __slots__ = ()
+
+
+class AgentService(TaskService):
+    """Takes versions and endpoints from a source, and publishes them.
+
+    Parameters
+    ----------
+    settings : Settings
+        With a daemon section.
+    board : Board
+    events : EventLogger
+    metrics : Metrics
+    """
+
+    name = "agent"
+
+    def __init__(self, settings: Settings, board: Board, events: EventLogger, metrics: Metrics):
+        super().__init__(TICK)
+        self._settings = settings
+        self._board = board
+        self._holder = board.holder
+        self._events = events
+        self._metrics = metrics
+        self._search = SourceSearch(settings.daemon.control, random.Random())
+        self._relay = RelayDesk(Distributor(), metrics) if settings.daemon.relay else None
+        self._stream: SourceStream | None = None
+        self._connect_at = 0.0
+        self._heartbeat_at = 0.0
+        self._staleness = 0.0
+        self._floor_token = 0
+        self._is_floor_asked = False
+        self._attestations: list[messages.Attestation] = []
+        self._state = self._make_state()
+        self._handlers = {
+            SourceTold: self._on_source_told,
+            SourceEnded: self._on_source_ended,
+            DrainAsked: self._on_drain,
+            AttestationsMade: lambda mail: self._attestations.extend(mail.attestations),
+            ChildArrived: self._on_child_arrived,
+            ChildTold: lambda mail: self._relay.tell(mail.session, mail.message),
+            ChildLeft: lambda mail: self._relay.leave(mail.session),
+        }
+
+    # ------------------------------------------------------------------- start
+
+    def on_start(self, kernel: Kernel) -> None:
+        self._loop = kernel.find("loop")
+        self._context = make_client_context(self._settings.tls)
+        self._attester = Attester(self, self._settings.name)
+        self._server = None
+        address = self._settings.daemon.relay
+        if address is not None:
+            handlers = [DistributionServer(self, self._loop)]
+            self._server = self._loop.wait(start_server(handlers, address, make_server_context(self._settings.tls)))
+
+    def on_stop(self) -> None:
+        if self._server is not None:
+            self._loop.call(self._server.close)
+        if self._stream is not None:
+            self._stream.close()
+
+    def _make_state(self) -> messages.DaemonState:
+        settings = self._settings
+        state = messages.DaemonState(
+            daemon=settings.name,
+            zone=settings.zone,
+            role=messages.ROLE_ENTRY if settings.entry else messages.ROLE_UPSTREAM,
+            service=settings.upstream.service if settings.upstream else "",
+            # Without a disk, the wall clock tells an earlier start from a later.
+            incarnation=time.time_ns() // 1_000_000,
+        )
+        if settings.daemon.relay:
+            state.relay_host = settings.daemon.relay.host
+            state.relay_port = settings.daemon.relay.port
+        return state
+
+    # ---------------------------------------------------------------- messages
+
+    def on_messages(self, batch: list[object]) -> None:
+        for mail in batch:
+            self._handlers[type(mail)](mail)
+        self._advance()
+
+    def on_tick(self) -> None:
+        now = time.monotonic()
+        if not self._board.note_alive():
+            self._events.emit(Event.SUSPENDED, version=self._holder.in_force_version.number)
+            self._is_floor_asked = False
+        if self._stream is None:
+            if now >= self._connect_at:
+                self._connect(now)
+        elif now - self._stream.heard_at > SILENCE_LIMIT:
+            self._leave_source("silent")
+        elif self._staleness > STALENESS_LIMIT:
+            self._leave_source("stale")
+        self._advance()
+
+    def _connect(self, now: float) -> None:
+        self._stream = SourceStream(self, self._loop, self._search.address(), self._context)
+        self._stream.heard_at = now
+        self._staleness = 0.0
+        self._is_floor_asked = False
+        first = self._make_message(with_state=True)
+        first.failed_relays.extend(self._search.failed_relays(now))
+        if self._relay is not None:
+            first.fleet_report.CopyFrom(self._relay.distributor.take_report(whole=True))
+        self._heartbeat_at = now + HEARTBEAT_INTERVAL
+        self._stream.open(first)
+
+    def _make_message(self, with_state: bool) -> messages.DaemonMessage:
+        message = messages.DaemonMessage()
+        if with_state:
+            self._refresh_state()
+            message.state.CopyFrom(self._state)
+        if not self._is_floor_asked and self._wants_floor():
+            self._floor_token += 1
+            self._is_floor_asked = True
+            message.floor_token = self._floor_token
+        message.attestations.extend(self._attestations)
+        self._attestations = []
+        return message
+
+    def _wants_floor(self) -> bool:
+        is_confirmed = self._holder.is_floor_confirmed
+        return not is_confirmed or (self._relay is not None and self._relay.wants_floor())
+
+    def _leave_source(self, reason: str) -> None:
+        """Look for another source. What is held stays in force."""
+        stream, self._stream = self._stream, None
+        stream.close()
+        now = time.monotonic()
+        self._connect_at = now + self._search.note_failure(now)
+        self._events.emit(Event.SOURCE_LOST, address=stream.address, reason=reason)
+
+    def _on_source_ended(self, mail: SourceEnded) -> None:
+        if mail.stream is self._stream:
+            self._leave_source(mail.reason)
+
+    def _on_source_told(self, mail: SourceTold) -> None:
+        if mail.stream is not self._stream:
+            return
+        now = time.monotonic()
+        mail.stream.heard_at = now
+        message = mail.message
+        body = message.WhichOneof("body")
+        if body == "in_force":
+            self._swap(lambda: self._holder.put_in_force(message.in_force))
+        elif body == "activate":
+            self._swap(lambda: self._holder.activate(message.activate.version, message.activate.digest))
+        elif body == "stage":
+            self._stage(message.stage)
+        elif body == "discard":
+            self._holder.discard(message.discard.version, message.discard.digest)
+        elif body == "endpoints":
+            self._on_endpoints(message.endpoints)
+        elif body == "floor":
+            self._on_floor(message.floor)
+        elif body == "heartbeat":
+            self._staleness = message.heartbeat.staleness_ms / 1000
+        elif body == "attest":
+            self._attester.ask(list(message.attest.instances))
+        else:
+            self._on_referral(message, now)
+
+    def _on_referral(self, message: messages.ControlMessage, now: float) -> None:
+        """Go where the source refers to, or come back when it says."""
+        stream, self._stream = self._stream, None
+        stream.close()
+        if message.HasField("redirect"):
+            redirect = message.redirect
+            wait = self._search.note_redirect(redirect.relay, Address(redirect.host, redirect.port))
+        else:
+            wait = self._search.note_refusal(message.refusal.retry_after_ms / 1000)
+        self._connect_at = now + wait
+        if wait == 0:
+            self._connect(now)
+
+    def _swap(self, change) -> None:
+        before = self._holder.in_force
+        dropped = self._holder.dropped
+        change()
+        self._metrics.count(Metric.DROPPED, self._holder.dropped - dropped)
+        if self._holder.in_force is not before:
+            self._board.publish()
+            number = self._holder.in_force_version.number
+            self._metrics.gauge(Metric.VERSION, number)
+            self._events.emit(Event.IN_FORCE, version=number)
+
+    def _stage(self, push: messages.ConfigPush) -> None:
+        refused = self._holder.refused
+        self._holder.stage(push)
+        if self._holder.refused != refused:
+            first = self._holder.findings[0]
+            self._events.emit(Event.REFUSED, version=push.version, code=first.code, finding=first.message)
+
+    def _on_endpoints(self, update: messages.EndpointUpdate) -> None:
+        self._board.take_endpoints(update)
+        if self._relay is not None:
+            self._relay.pass_endpoints(update)
+
+    def _on_floor(self, floor: messages.Floor) -> None:
+        if floor.token != self._floor_token:
+            return
+        self._is_floor_asked = False
+        was_ready = self._holder.is_ready
+        self._holder.confirm_floor(floor.version)
+        self._search.note_success()
+        if not was_ready:
+            self._events.emit(Event.FLOOR_CONFIRMED, version=floor.version)
+        if self._relay is not None:
+            self._refresh_source()
+            self._relay.confirm_floors(floor.version)
+
+    def _on_drain(self, mail: DrainAsked) -> None:
+        self._board.is_draining = True
+        self._events.emit(Event.DRAINING, instance=self._settings.name)
+
+    def _on_child_arrived(self, mail: ChildArrived) -> None:
+        self._refresh_source()
+        self._relay.arrive(mail.session, mail.message, self._board.all_endpoints())
+
+    # ----------------------------------------------------------------- advance
+
+    def _advance(self) -> None:
+        """Tell the source what has changed, and the daemons below what they lack."""
+        now = time.monotonic()
+        if self._relay is not None:
+            self._refresh_source()
+            self._relay.advance(now, self._holder.in_force_version.number, self._staleness_now(now))
+        if self._stream is None:
+            return
+        is_changed = self._refresh_state()
+        needs_floor = not self._is_floor_asked and self._wants_floor()
+        has_report = self._relay is not None and self._relay.distributor.is_report_due()
+        if not (is_changed or needs_floor or has_report or self._attestations or now >= self._heartbeat_at):
+            return
+        self._heartbeat_at = now + HEARTBEAT_INTERVAL
+        message = self._make_message(with_state=is_changed)
+        if has_report:
+            message.fleet_report.CopyFrom(self._relay.distributor.take_report(whole=False))
+        self._stream.send(message)
+
+    def _staleness_now(self, now: float) -> float:
+        if self._stream is None:
+            return now - self._connect_at + STALENESS_LIMIT
+        return self._staleness
+
+    def _refresh_state(self) -> bool:
+        """Bring the state that is told up to date; tells whether it has changed."""
+        holder = self._holder
+        state = self._state
+        fresh = messages.DaemonState()
+        fresh.CopyFrom(state)
+        fresh.in_force_version = holder.in_force_version.number
+        fresh.in_force_digest = holder.in_force_version.digest
+        fresh.staged_version = holder.staged_version.number
+        fresh.staged_digest = holder.staged_version.digest
+        fresh.refused_version = holder.refused.number
+        fresh.refused_digest = holder.refused.digest
+        del fresh.findings[:]
+        fresh.findings.extend(holder.findings)
+        fresh.want_whole = holder.wants_whole
+        fresh.draining = self._board.is_draining
+        fresh.parent = self._search.relay_name()
+        if fresh == state:
+            return False
+        fresh.sequence += 1
+        self._state = fresh
+        return True
+
+    def _refresh_source(self) -> None:
+        """Let the relay pass on what this daemon holds."""
+        holder = self._holder
+        accepted = holder.in_force.tree if holder.in_force else None
+        staged = holder.staged.tree if holder.staged else None
+        self._relay.set_source(accepted, staged)
--- /dev/null
+++ b/packages/lanedock-daemon/lanedock_daemon/control/distribution.py
@@ -0,0 +1,239 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""The control instance's desk for daemons: sessions, admission, relays."""
+
+import hashlib
+import time
+
+from lanedock.limits import Admission
+from lanedock.rollout import Distributor, VersionSource
+from lanedock.settings import ControlSettings
+from lanedock.telemetry import Metric, Metrics
+from lanedock.wire import messages
+
+from lanedock_daemon.sessions import Session
+
+__all__ = ["DistributionDesk"]
+
+ADMISSION_BURST = 64
+HEARTBEAT_INTERVAL = 2.0
+SILENCE_LIMIT = 7.0
+ATTEST_INTERVAL = 1.0
+ATTESTERS = 3
+
+
+class DistributionDesk:
+    """The daemons that take versions from this control instance.
+
+    Parameters
+    ----------
+    cfg : ControlSettings
+    metrics : Metrics
+    """
+
+    def __init__(self, cfg: ControlSettings, metrics: Metrics):
+        self.distributor = Distributor(cfg.whole_files)
+        self._cfg = cfg
+        self._metrics = metrics
+        self._sessions: dict[Session, None] = {}
+        self._admission = Admission(cfg.admissions_per_second, ADMISSION_BURST)
+        self._floors_wanted: list[tuple[Session, int]] = []
+        self._floors_asked: dict[int, list[tuple[Session, int]]] = {}
+        self._read_token = 0
+        self._attestations: list[messages.Attestation] = []
+        self._heartbeat_at = 0.0
+        self._attest_at = 0.0
+
+    def __repr__(self) -> str:
+        return f"<DistributionDesk sessions={len(self._sessions)} {self.distributor!r}>"
+
+    # ---------------------------------------------------------------- sessions
+
+    def arrive(self, session: Session, message: messages.DaemonMessage, endpoints) -> None:
+        """Admit a daemon, refer it to a relay, or tell it when to come back."""
+        now = time.monotonic()
+        wait = self._admission.ask(now)
+        if wait > 0:
+            refusal = messages.ControlMessage()
+            refusal.refusal.retry_after_ms = int(wait * 1000) + 1
+            self._send(session, [refusal])
+            session.close()
+            return
+        redirect = self._choose_relay(message)
+        if redirect is not None:
+            self._send(session, [redirect])
+            session.close()
+            return
+        session.heard_at = now
+        session.child = self.distributor.connect(message.state)
+        self._sessions[session] = None
+        first = messages.ControlMessage()
+        first.endpoints.CopyFrom(endpoints)
+        self._send(session, [first])
+        self._take(session, message)
+
+    def tell(self, session: Session, message: messages.DaemonMessage) -> None:
+        """Take in a daemon's message."""
+        if session.child is None:
+            return
+        session.heard_at = time.monotonic()
+        if message.HasField("state"):
+            self.distributor.update(session.child, message.state)
+        self._take(session, message)
+
+    def _take(self, session: Session, message: messages.DaemonMessage) -> None:
+        if message.HasField("fleet_report"):
+            self.distributor.take_relayed(session.child, message.fleet_report)
+        if message.floor_token:
+            self._floors_wanted.append((session, message.floor_token))
+        self._attestations.extend(message.attestations)
+
+    def leave(self, session: Session) -> None:
+        """Forget a session that has ended."""
+        if session.child is not None:
+            self.distributor.disconnect(session.child)
+            session.child = None
+        self._sessions.pop(session, None)
+
+    def close(self) -> None:
+        """End all sessions."""
+        for session in list(self._sessions):
+            session.close()
+
+    def _send(self, session: Session, batch: list[messages.ControlMessage]) -> None:
+        if batch:
+            self._metrics.count(Metric.CONTROL_BYTES, sum(message.ByteSize() for message in batch))
+            session.send(batch)
+
+    # ------------------------------------------------------------------ relays
+
+    def _choose_relay(self, message: messages.DaemonMessage) -> messages.ControlMessage | None:
+        """Refer a daemon to a relay of its zone, where the zone has enough daemons.
+
+        The relays of a zone are the first of its directly connected daemons by
+        rendezvous hash, so they need no election and change little.
+        """
+        state = message.state
+        direct = [child.state for child in self.distributor.children.values() if child.state.zone == state.zone]
+        if not self._cfg.relays_per_zone or len(direct) < self._cfg.relay_threshold:
+            return None
+        capable = [
+            other for other in direct if other.relay_port and not other.draining and other.daemon != state.daemon
+        ]
+        ranked = sorted(
+            [*capable, state] if state.relay_port else capable, key=lambda item: _rank(item.zone, item.daemon)
+        )
+        relays = ranked[: self._cfg.relays_per_zone]
+        if state in relays:
+            return None
+        usable = [relay for relay in relays if relay.daemon not in message.failed_relays]
+        if not usable:
+            return None
+        relay = min(usable, key=lambda item: _rank(state.daemon, item.daemon))
+        redirect = messages.ControlMessage()
+        redirect.redirect.relay = relay.daemon
+        redirect.redirect.host = relay.relay_host
+        redirect.redirect.port = relay.relay_port
+        return redirect
+
+    # ----------------------------------------------------------------- outputs
+
+    def set_source(self, source: VersionSource) -> None:
+        """Replace what is known of the versions."""
+        self.distributor.set_source(source)
+
+    def flush(self) -> None:
+        """Send every daemon what it lacks."""
+        for session in self._sessions:
+            self._send(session, self.distributor.due(session.child))
+
+    def broadcast_endpoints(self, update: messages.EndpointUpdate) -> None:
+        """Send a change of endpoints to all daemons."""
+        message = messages.ControlMessage()
+        message.endpoints.CopyFrom(update)
+        for session in self._sessions:
+            self._send(session, [message])
+
+    def tick(self, now: float, accepted: int, staleness: float) -> None:
+        """Send heartbeats, and end silent sessions."""
+        if now < self._heartbeat_at:
+            return
+        self._heartbeat_at = now + HEARTBEAT_INTERVAL
+        self._metrics.gauge(Metric.CHILDREN, len(self._sessions))
+        message = messages.ControlMessage()
+        message.heartbeat.accepted_version = accepted
+        message.heartbeat.staleness_ms = min(int(staleness * 1000), 2**31)
+        for session in list(self._sessions):
+            if now - session.heard_at > SILENCE_LIMIT:
+                session.close()
+                self.leave(session)
+            else:
+                self._send(session, [message])
+
+    # ------------------------------------------------------------------ floors
+
+    def next_read(self) -> int | None:
+        """Return the token of a read that confirms all floors wanted, if any."""
+        if not self._floors_wanted:
+            return None
+        self._read_token += 1
+        self._floors_asked[self._read_token] = self._floors_wanted
+        self._floors_wanted = []
+        return self._read_token
+
+    def confirm_read(self, token: int, accepted: int) -> bool:
+        """Answer the floors that a read has confirmed, after all versions due."""
+        asked = self._floors_asked.pop(token, None)
+        if asked is None:
+            return False
+        for session, floor_token in asked:
+            if session in self._sessions:
+                floor = messages.ControlMessage()
+                floor.floor.token = floor_token
+                floor.floor.version = accepted
+                self._send(session, [*self.distributor.due(session.child), floor])
+        return True
+
+    def fail_read(self, token: int) -> bool:
+        """Ask again for the floors of a read that failed."""
+        asked = self._floors_asked.pop(token, None)
+        if asked is None:
+            return False
+        self._floors_wanted += [(session, floor) for session, floor in asked if session in self._sessions]
+        return True
+
+    # ------------------------------------------------------------ attestations
+
+    def ask_attestations(self, unconnected: list[messages.Endpoint], now: float) -> None:
+        """Have daemons try to reach others of their zone that are not connected here."""
+        if now < self._attest_at:
+            return
+        self._attest_at = now + ATTEST_INTERVAL
+        for session in self._choose_attesters(unconnected):
+            zone = session.child.state.zone
+            message = messages.ControlMessage()
+            message.attest.instances.extend(endpoint for endpoint in unconnected if endpoint.zone == zone)
+            self._send(session, [message])
+
+    def _choose_attesters(self, unconnected: list[messages.Endpoint]) -> list[Session]:
+        zones = {endpoint.zone for endpoint in unconnected}
+        chosen: dict[str, list[Session]] = {zone: [] for zone in zones}
+        for session in sorted(self._sessions, key=lambda item: item.child.state.daemon):
+            voices = chosen.get(session.child.state.zone)
+            if voices is not None and len(voices) < ATTESTERS:
+                voices.append(session)
+        return [session for voices in chosen.values() for session in voices]
+
+    def take_report(self, whole: bool) -> messages.FleetReport:
+        """Return what to tell the leader of the daemons."""
+        report = self.distributor.take_report(whole)
+        report.attestations.extend(self._attestations)
+        self._attestations = []
+        return report
+
+    def is_report_due(self) -> bool:
+        """Tell whether there is something new to tell the leader."""
+        return bool(self._attestations) or self.distributor.is_report_due()
+
+
+def _rank(key: str, name: str) -> bytes:
+    return hashlib.sha256(f"{key}/{name}".encode()).digest()
--- /dev/null
+++ b/packages/lanedock-daemon/lanedock_daemon/control/peers.py
@@ -0,0 +1,104 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Links to the other control replicas."""
+
+import asyncio
+import random
+import time
+
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+from lanedock.consensus.core import replica_name
+from lanedock.kernel import LoopService
+from lanedock.settings import Address
+from lanedock.wire import messages
+from lanedock.wire.lanedock_grpc import ReplicationStub
+
+from lanedock_daemon.network import make_channel
+
+__all__ = ["PeerLinks"]
+
+MAX_QUEUE = 512
+RECONNECT_MIN = 0.05
+RECONNECT_MAX = 1.0
+# A link is opened anew when the peer is silent for this long, in seconds: its
+# connection may have been cut without a sign.
+SILENCE_LIMIT = 3.0
+
+
+class _Link:
+    """The link to one replica: a queue and the stream that empties it."""
+
+    def __init__(self, address: Address, context):
+        self.address = address
+        self.context = context
+        self.queue: asyncio.Queue = asyncio.Queue(MAX_QUEUE)
+        self.heard_at = time.monotonic()
+
+    def put(self, message: messages.PeerMessage) -> None:
+        """Queue a message; the protocol bears the loss of the oldest."""
+        if self.queue.full():
+            self.queue.get_nowait()
+        self.queue.put_nowait(message)
+
+    async def run(self) -> None:
+        delay = RECONNECT_MIN
+        while True:
+            opened_at = time.monotonic()
+            try:
+                await self._stream()
+            except (TimeoutError, OSError, GRPCError, StreamTerminatedError):
+                pass
+            delay = RECONNECT_MIN if time.monotonic() - opened_at > RECONNECT_MAX else min(delay * 2, RECONNECT_MAX)
+            await asyncio.sleep(random.uniform(0, delay))
+
+    async def _stream(self) -> None:
+        channel = make_channel(self.address, self.context)
+        opened_at = time.monotonic()
+        try:
+            async with ReplicationStub(channel).Deliver.open() as stream:
+                while True:
+                    message = await self.queue.get()
+                    await asyncio.wait_for(stream.send_message(message), SILENCE_LIMIT)
+                    now = time.monotonic()
+                    if now - max(self.heard_at, opened_at) > SILENCE_LIMIT:
+                        await stream.cancel()
+                        return
+        finally:
+            channel.close()
+
+
+class PeerLinks:
+    """Links to all other replicas, by name.
+
+    Parameters
+    ----------
+    loop : LoopService
+    addresses : dict of str to Address
+        The other replicas.
+    context : ssl.SSLContext or None
+    """
+
+    def __init__(self, loop: LoopService, addresses: dict[str, Address], context):
+        self._loop = loop
+        self._links = {name: _Link(address, context) for name, address in addresses.items()}
+
+    def start(self) -> None:
+        """Start to connect."""
+        for link in self._links.values():
+            self._loop.spawn(link.run())
+
+    def send(self, batch: list[messages.PeerMessage]) -> None:
+        """Send messages, soon; from any greenlet."""
+        if batch:
+            self._loop.call(self._enqueue, batch)
+
+    def _enqueue(self, batch: list[messages.PeerMessage]) -> None:
+        for message in batch:
+            link = self._links.get(replica_name(message.receiver))
+            if link is not None:
+                link.put(message)
+
+    def note_heard(self, sender: str, now: float) -> None:
+        """Note that a replica was heard from."""
+        link = self._links.get(replica_name(sender))
+        if link is not None:
+            link.heard_at = now
--- /dev/null
+++ b/packages/lanedock-daemon/lanedock_daemon/control/server.py
@@ -0,0 +1,88 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""The control instance's gRPC handlers; they only turn calls into messages."""
+
+from lanedock.config import check_document
+from lanedock.findings import FindingsError, read_text
+from lanedock.kernel import LoopService, TaskService
+from lanedock.wire import messages
+from lanedock.wire.lanedock_grpc import OperatorsBase, ReplicationBase
+
+from lanedock_daemon.control.mail import Call, HistoryAsked, PeerTold, ShowAsked, StatusAsked, SubmitAsked
+
+__all__ = ["OperatorsServer", "ReplicationServer"]
+
+
+class ReplicationServer(ReplicationBase):
+    """Takes messages from other replicas.
+
+    Parameters
+    ----------
+    task : TaskService
+    """
+
+    def __init__(self, task: TaskService):
+        self._task = task
+
+    async def Deliver(self, stream) -> None:
+        async for message in stream:
+            self._task.post(PeerTold(message))
+        await stream.send_message(messages.PeerAck())
+
+
+class OperatorsServer(OperatorsBase):
+    """Takes operators' calls.
+
+    Parameters
+    ----------
+    task : TaskService
+    loop : LoopService
+    """
+
+    def __init__(self, task: TaskService, loop: LoopService):
+        self._task = task
+        self._loop = loop
+
+    async def Submit(self, stream) -> None:
+        request = await stream.recv_message()
+        try:
+            tree = check_document(read_text(request.content.decode(errors="replace"), request.file or "submission"))
+        except FindingsError as exc:
+            await stream.send_message(_make_refusal(exc))
+            return
+        call = Call(self._loop)
+        self._task.post(SubmitAsked(call, request, tree))
+        try:
+            while (reply := await call.next_reply()) is not None:
+                await stream.send_message(reply)
+        finally:
+            call.is_abandoned = True
+
+    async def Status(self, stream) -> None:
+        await self._ask(stream, StatusAsked)
+
+    async def History(self, stream) -> None:
+        await self._ask(stream, HistoryAsked)
+
+    async def Show(self, stream) -> None:
+        await self._ask(stream, ShowAsked)
+
+    async def _ask(self, stream, kind) -> None:
+        request = await stream.recv_message()
+        call = Call(self._loop)
+        self._task.post(kind(call, request))
+        await stream.send_message(await call.next_reply())
+
+
+def _make_refusal(exc: FindingsError) -> messages.SubmitReply:
+    reply = messages.SubmitReply(answer=messages.ANSWER_NOT_RUN, code=exc.code.code, message=str(exc))
+    for finding in exc.findings:
+        place = finding.place
+        reply.findings.add(
+            code=finding.code.code,
+            message=finding.message,
+            file=place.file,
+            line=place.line,
+            column=place.column,
+            path=place.path,
+        )
+    return reply
--- /dev/null
+++ b/packages/lanedock-daemon/lanedock_daemon/control/service.py
@@ -0,0 +1,385 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""The control task: it owns the replica, the fleet's view and all desks."""
+
+import random
+import time
+
+from lanedock.consensus import FileStorage, RaftReplica, StorageError, Timing
+from lanedock.consensus.core import replica_name
+from lanedock.errors import ErrorCode
+from lanedock.kernel import Kernel, TaskService
+from lanedock.membership import Directory, make_platform_list
+from lanedock.rollout import FleetView, RolloutCoordinator, RolloutPolicy, Verdict, VersionSource
+from lanedock.settings import Settings
+from lanedock.telemetry import Event, EventLogger, Metric, Metrics
+from lanedock.wire import messages
+
+from lanedock_daemon.control.distribution import DistributionDesk
+from lanedock_daemon.control.log import AppliedEntry, ReplicatedLog, open_storage
+from lanedock_daemon.control.mail import HistoryAsked, ListRead, PeerTold, ShowAsked, StatusAsked, SubmitAsked
+from lanedock_daemon.control.peers import PeerLinks
+from lanedock_daemon.control.platform import PlatformReader
+from lanedock_daemon.control.queries import QueryDesk
+from lanedock_daemon.control.server import OperatorsServer, ReplicationServer
+from lanedock_daemon.control.submissions import Submission, SubmissionDesk
+from lanedock_daemon.network import make_client_context, make_server_context, start_server
+from lanedock_daemon.sessions import ChildArrived, ChildLeft, ChildTold, DistributionServer
+
+__all__ = ["ControlService"]
+
+TICK = 0.02
+REPORT_INTERVAL = 0.01
+KEEPALIVE_INTERVAL = 1.0
+SILENT_AFTER = 3.0
+DEFAULT_ENDPOINT_WINDOW = 0.05
+
+
+class ControlService(TaskService):
+    """One control instance.
+
+    Parameters
+    ----------
+    settings : Settings
+        With a control section.
+    initial : bool
+        Whether a new data folder may take part from the start.
+    events : EventLogger
+    metrics : Metrics
+    """
+
+    name = "control"
+
+    def __init__(self, settings: Settings, initial: bool, events: EventLogger, metrics: Metrics):
+        super().__init__(TICK)
+        self._settings = settings
+        self._cfg = settings.control
+        self._initial = initial
+        self._events = events
+        self._metrics = metrics
+        self._policy = RolloutPolicy(self._cfg.stage_timeout_ms / 1000, self._cfg.dead_after_ms / 1000)
+        self._desk = DistributionDesk(self._cfg, metrics)
+        self._submissions = SubmissionDesk()
+        self._queries = QueryDesk(self._cfg.replicas, settings.name)
+        self._directory = Directory(DEFAULT_ENDPOINT_WINDOW)
+        self._instances = []
+        self._is_list_read = False
+        self._fleet: FleetView | None = None
+        self._coordinator: RolloutCoordinator | None = None
+        self._reported_to = ("", 0)
+        self._report_at = 0.0
+        self._keepalive_at = 0.0
+        self._source_versions = None
+        self._storage: FileStorage | None = None
+        self._handlers = {
+            PeerTold: self._on_peer,
+            ChildArrived: self._on_child_arrived,
+            ChildTold: self._on_child_told,
+            ChildLeft: lambda mail: self._desk.leave(mail.session),
+            ListRead: self._on_list,
+            SubmitAsked: self._on_submit,
+            StatusAsked: lambda mail: self._queries.ask(mail),
+            HistoryAsked: lambda mail: self._queries.ask(mail),
+            ShowAsked: lambda mail: self._queries.ask(mail),
+        }
+
+    # ------------------------------------------------------------------- start
+
+    def on_start(self, kernel: Kernel) -> None:
+        cfg = self._cfg
+        loop = kernel.find("loop")
+        self._storage = FileStorage(cfg.data_folder)
+        replica_id = open_storage(self._storage, self._settings.name, list(cfg.replicas), self._initial, self._events)
+        restored = self._storage.restore()
+        if restored.cut_bytes:
+            self._events.emit(Event.TAIL_CUT, bytes=restored.cut_bytes)
+        others = {name: address for name, address in cfg.replicas.items() if name != self._settings.name}
+        hard_state = restored.hard_state
+        replica = RaftReplica(
+            replica_id,
+            restored.log,
+            hard_state.term,
+            hard_state.voted_for,
+            Timing(),
+            random.Random(),
+            time.monotonic(),
+            tuple(others),
+        )
+        client_context = make_client_context(self._settings.tls)
+        self._links = PeerLinks(loop, others, client_context)
+        self._log = ReplicatedLog(
+            replica, self._storage, self._links.send, self._events, self._metrics, cfg.compact_bytes
+        )
+        self._log.pump()
+        self._refresh_source()
+        handlers = [ReplicationServer(self), DistributionServer(self, loop), OperatorsServer(self, loop)]
+        self._loop = loop
+        self._server = loop.wait(start_server(handlers, cfg.listen, make_server_context(self._settings.tls)))
+        self._links.start()
+        interval = cfg.platform_interval_ms / 1000
+        self._reader = PlatformReader(make_platform_list(cfg.platform_list), self, interval, self._events)
+        self._reader.start(kernel)
+
+    def on_stop(self) -> None:
+        self._reader.stop()
+        self._submissions.abandon_all()
+        self._desk.close()
+        self._loop.call(self._server.close)
+        self._storage.close()
+
+    # ---------------------------------------------------------------- messages
+
+    def on_messages(self, batch: list[object]) -> None:
+        if self._log.is_broken:
+            return
+        for mail in batch:
+            self._handlers[type(mail)](mail)
+        self._advance()
+
+    def on_tick(self) -> None:
+        if self._log.is_broken:
+            return
+        now = time.monotonic()
+        self._log.replica.tick(now)
+        self._desk.tick(now, self._log.state.accepted_version.number, self._log.replica.silence(now))
+        self._ask_attestations(now)
+        self._advance()
+
+    def _on_peer(self, mail: PeerTold) -> None:
+        message = mail.message
+        now = time.monotonic()
+        self._links.note_heard(message.sender, now)
+        body = message.WhichOneof("body")
+        if body == "fleet_report":
+            self._on_fleet_report(message, now)
+        elif body == "fleet_request":
+            self._reported_to = ("", 0)
+        elif body == "drain_notice":
+            for name, incarnation in zip(
+                message.drain_notice.instances, message.drain_notice.incarnations, strict=True
+            ):
+                self._directory.drain(name, incarnation, now)
+        else:
+            self._log.replica.step(message, now)
+
+    def _on_fleet_report(self, message, now: float) -> None:
+        if self._fleet is None or message.term != self._log.replica.term:
+            return
+        if not self._fleet.take_report(message.sender, message.fleet_report, now):
+            request = self._peer_message(message.sender)
+            request.fleet_request.SetInParent()
+            self._links.send([request])
+
+    def _on_child_arrived(self, mail: ChildArrived) -> None:
+        self._desk.arrive(mail.session, mail.message, self._directory.whole_update())
+        self._note_drain(mail.message)
+
+    def _on_child_told(self, mail: ChildTold) -> None:
+        self._desk.tell(mail.session, mail.message)
+        self._note_drain(mail.message)
+
+    def _note_drain(self, message: messages.DaemonMessage) -> None:
+        """Tell everybody at once when a daemon, or one behind it, drains."""
+        states = list(message.fleet_report.changed)
+        if message.HasField("state"):
+            states.append(message.state)
+        notice = messages.DrainNotice()
+        for state in states:
+            if not state.draining:
+                self._directory.revive(state.daemon, state.incarnation)
+            elif self._directory.drain(state.daemon, state.incarnation, time.monotonic()):
+                notice.instances.append(state.daemon)
+                notice.incarnations.append(state.incarnation)
+                self._events.emit(Event.DRAINING, instance=state.daemon)
+        if not notice.instances:
+            return
+        for name in self._cfg.replicas:
+            if name != self._settings.name:
+                told = self._peer_message(name)
+                told.drain_notice.CopyFrom(notice)
+                self._links.send([told])
+
+    def _on_list(self, mail: ListRead) -> None:
+        now = time.monotonic()
+        self._instances = mail.instances
+        self._is_list_read = True
+        self._directory.take_list(mail.instances, now)
+        if self._fleet is not None:
+            self._fleet.take_list(mail.instances, now)
+
+    def _on_submit(self, mail: SubmitAsked) -> None:
+        version = mail.tree.version
+        submission = Submission(mail.call, mail.request, version, time.monotonic())
+        if not self._log.is_current_leader:
+            reply = submission.reply(messages.ANSWER_NOT_KNOWN, ErrorCode.NOT_LEADER)
+            reply.leader_address = self._leader_address()
+            mail.call.reply(reply)
+            mail.call.reply(None)
+            return
+        result = self._log.state.judge(version)
+        if result.verdict is Verdict.KNOWN:
+            self._submissions.wait_for_outcome(submission)
+            return
+        # Whatever the verdict is, the log decides: a refusal, too, must be
+        # that of a leader that a quorum still follows.
+        command = messages.Command()
+        submit = command.submit
+        submit.version = version.number
+        submit.digest = version.digest
+        submit.content = mail.tree.pack()
+        submit.allow_cut_off.extend(mail.request.allow_cut_off)
+        submit.operator = mail.request.operator
+        submit.submitted_at = time.time()
+        index = self._log.propose(command)
+        if index is not None:
+            self._submissions.wait_for_entry(submission, index)
+
+    # ----------------------------------------------------------------- advance
+
+    def _advance(self) -> None:
+        """Carry everything on as far as it goes now."""
+        try:
+            self._pump()
+        except StorageError as exc:
+            self._break(exc)
+            return
+        now = time.monotonic()
+        update = self._directory.take_update(now)
+        if update is not None:
+            self._desk.broadcast_endpoints(update)
+        self._desk.flush()
+        self._report(now)
+        self._lead(now)
+        self._queries.advance(self._log, self._fleet, now)
+
+    def _pump(self) -> None:
+        token = self._desk.next_read()
+        if token is not None:
+            self._log.replica.request_read(token, time.monotonic())
+        for entry in self._log.pump():
+            self._on_applied(entry)
+        self._refresh_source()
+        self._answer_reads()
+
+    def _answer_reads(self) -> None:
+        accepted = self._log.state.accepted_version.number
+        confirmed, self._log.confirmed_reads = self._log.confirmed_reads, []
+        failed, self._log.failed_reads = self._log.failed_reads, []
+        for token in confirmed:
+            self._desk.confirm_read(token, accepted)
+        for token in failed:
+            self._desk.fail_read(token)
+
+    def _on_applied(self, entry: AppliedEntry) -> None:
+        body = entry.command.WhichOneof("body")
+        if body == "submit":
+            self._submissions.settle(entry.index, entry.result)
+            if entry.result.verdict is Verdict.STAGING:
+                self._events.emit(Event.SUBMITTED, version=entry.command.submit.version)
+        elif body == "accept":
+            self._submissions.settle(entry.index, None)
+            self._events.emit(Event.ACCEPTED, version=entry.command.accept.version)
+        elif body == "abort":
+            self._submissions.settle(entry.index, None)
+            abort = entry.command.abort
+            self._events.emit(Event.ABORTED, version=abort.version, reason=abort.reason)
+
+    def _refresh_source(self) -> None:
+        """Tell the desk when there is another accepted or staged version."""
+        state = self._log.state
+        versions = (state.accepted_version, state.candidate_version)
+        if versions == self._source_versions:
+            return
+        self._source_versions = versions
+        accepted, candidate = (state.tree(version.number) for version in versions)
+        bases = {}
+        for number, record in state.records.items():
+            if record.content and record.outcome == messages.OUTCOME_ACCEPTED:
+                bases[record.digest] = state.tree(number)
+        self._desk.set_source(VersionSource(accepted, candidate, bases))
+        if accepted is not None:
+            window = accepted.group("").get("endpoint_window_ms")
+            if window is not None:
+                self._directory.window = window / 1000
+        self._metrics.gauge(Metric.VERSION, state.accepted_version.number)
+
+    def _report(self, now: float) -> None:
+        """Tell the leader of the daemons that are connected here."""
+        replica = self._log.replica
+        target = (replica.leader, replica.term)
+        if not replica.leader or now < self._report_at:
+            return
+        is_new = target != self._reported_to
+        if not (is_new or self._desk.is_report_due() or now >= self._keepalive_at):
+            return
+        self._reported_to = target
+        self._report_at = now + REPORT_INTERVAL
+        self._keepalive_at = now + KEEPALIVE_INTERVAL
+        report = self._desk.take_report(whole=is_new)
+        if replica.leader == replica.me:
+            if self._fleet is None:
+                self._start_to_lead(now)
+            self._fleet.take_report(replica.me, report, now)
+        else:
+            message = self._peer_message(replica.leader)
+            message.fleet_report.CopyFrom(report)
+            self._links.send([message])
+
+    def _peer_message(self, receiver: str) -> messages.PeerMessage:
+        replica = self._log.replica
+        return messages.PeerMessage(sender=replica.me, receiver=receiver, term=replica.term)
+
+    # -------------------------------------------------------------------- lead
+
+    def _start_to_lead(self, now: float) -> None:
+        self._fleet = FleetView(self._policy.dead_after, SILENT_AFTER)
+        if self._is_list_read:
+            self._fleet.take_list(self._instances, now)
+        self._coordinator = RolloutCoordinator(self._log.state, self._fleet, self._policy)
+
+    def _lead(self, now: float) -> None:
+        """Decide on the candidate and answer operators, as leader."""
+        if not self._log.is_current_leader:
+            if self._log.replica.leader != self._log.replica.me:
+                self._fleet = self._coordinator = None
+                if not self._submissions.is_empty():
+                    self._submissions.abandon_all()
+            return
+        if self._fleet is None:
+            self._start_to_lead(now)
+        self._fleet.drop_silent(now)
+        command = self._coordinator.decide(now, time.time())
+        if command is not None and self._log.propose(command) is None:
+            self._coordinator.retry()
+        if command is not None:
+            try:
+                self._pump()
+            except StorageError as exc:
+                self._break(exc)
+                return
+            self._desk.flush()
+        if not self._submissions.is_empty():
+            self._submissions.advance(self._log.state.records, self._look_up)
+
+    def _look_up(self, version: int, allowed_zones: set[str]):
+        progress = self._coordinator.progress(version, allowed_zones, time.monotonic())
+        cut_off = [name for name in self._fleet.missing() if self._fleet.zone_of(name) in allowed_zones]
+        return progress, cut_off
+
+    def _ask_attestations(self, now: float) -> None:
+        known = self._desk.distributor.known_daemons()
+        unconnected = [endpoint for endpoint in self._directory.endpoints() if endpoint.instance not in known]
+        if unconnected:
+            self._desk.ask_attestations(unconnected, now)
+
+    def _leader_address(self) -> str:
+        address = self._cfg.replicas.get(replica_name(self._log.replica.leader))
+        return str(address) if address else ""
+
+    def _break(self, exc: StorageError) -> None:
+        """Take no part any more: what is on the disk is not known."""
+        self._log.is_broken = True
+        event = Event.LOG_CORRUPT if exc.code is ErrorCode.LOG_CORRUPT else Event.DISK_FAILED
+        self._events.emit(event, error=exc)
+        self._submissions.abandon_all()
+        self._queries.abandon_all()
+        self._desk.close()
--- /dev/null
+++ b/packages/lanedock-daemon/lanedock_daemon/control/submissions.py
@@ -0,0 +1,193 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""The desk for operators who wait for the outcome of a submission."""
+
+import time
+
+from lanedock.config import Version
+from lanedock.errors import ErrorCode
+from lanedock.rollout import RolloutProgress, SubmitResult, Verdict
+from lanedock.wire import messages
+
+from lanedock_daemon.control.mail import Call
+
+__all__ = ["Submission", "SubmissionDesk"]
+
+PROGRESS_INTERVAL = 0.1
+DEFAULT_TIMEOUT = 10.0
+
+
+class Submission:
+    """One operator's wait for one version.
+
+    Parameters
+    ----------
+    call : Call
+    request : SubmitRequest
+    version : Version
+    now : float
+        Monotonic, seconds.
+    """
+
+    __slots__ = ("accepted_at", "allowed_zones", "call", "deadline", "index", "started_at", "told_at", "version")
+
+    def __init__(self, call: Call, request: messages.SubmitRequest, version: Version, now: float):
+        self.call = call
+        self.version = version
+        self.started_at = now
+        self.deadline = now + (request.timeout_ms / 1000 if request.timeout_ms else DEFAULT_TIMEOUT)
+        self.allowed_zones = set(request.allow_cut_off)
+        self.index = 0
+        self.told_at = 0.0
+        self.accepted_at = None
+
+    def reply(self, answer: int, code: ErrorCode | None = None, message: str = "") -> messages.SubmitReply:
+        """Make a reply for this submission."""
+        return messages.SubmitReply(
+            answer=answer,
+            code=code.code if code else "",
+            message=message or (code.meaning if code else ""),
+            version=self.version.number,
+            digest=self.version.digest,
+        )
+
+
+class SubmissionDesk:
+    """All operators who wait.
+
+    A submission waits first for its entry to be applied, then for the
+    version's outcome, then for it to be in force everywhere.
+    """
+
+    def __init__(self):
+        self._proposed: dict[int, Submission] = {}
+        self._waiting: list[Submission] = []
+
+    def __repr__(self) -> str:
+        return f"<SubmissionDesk proposed={len(self._proposed)} waiting={len(self._waiting)}>"
+
+    def wait_for_entry(self, submission: Submission, index: int) -> None:
+        """Wait for a proposed entry."""
+        submission.index = index
+        self._proposed[index] = submission
+
+    def wait_for_outcome(self, submission: Submission) -> None:
+        """Wait for the outcome of a version that is known already."""
+        self._waiting.append(submission)
+
+    def settle(self, index: int, result: SubmitResult | None) -> None:
+        """Note that the entry at an index was applied."""
+        submission = self._proposed.pop(index, None)
+        if submission is None:
+            return
+        # Another leader's entry may have taken the index.
+        record = result.record if result else None
+        if result is None or (record is not None and record.digest != submission.version.digest):
+            self._finish(submission, submission.reply(messages.ANSWER_NOT_KNOWN, ErrorCode.OUTCOME_NOT_KNOWN))
+        elif result.verdict in (Verdict.STAGING, Verdict.KNOWN):
+            self._waiting.append(submission)
+        else:
+            self._finish(submission, submission.reply(messages.ANSWER_NOT_RUN, result.code))
+
+    def abandon_all(self) -> None:
+        """Tell everybody that the outcome is not known here any more."""
+        for submission in [*self._proposed.values(), *self._waiting]:
+            self._finish(submission, submission.reply(messages.ANSWER_NOT_KNOWN, ErrorCode.OUTCOME_NOT_KNOWN))
+        self._proposed = {}
+        self._waiting = []
+
+    def is_empty(self) -> bool:
+        """Tell whether nobody waits."""
+        return not self._proposed and not self._waiting
+
+    def advance(self, records: dict, look_up) -> None:
+        """Tell those who wait how far their version has come.
+
+        Parameters
+        ----------
+        records : dict of int to VersionRecord
+        look_up : callable
+            Takes a version's number and the allowed zones, returns a
+            RolloutProgress and the names of instances missing in those zones.
+        """
+        now = time.monotonic()
+        for index, submission in list(self._proposed.items()):
+            if now >= submission.deadline:
+                del self._proposed[index]
+                self._finish(submission, submission.reply(messages.ANSWER_NOT_KNOWN, ErrorCode.OUTCOME_NOT_KNOWN))
+        waiting = []
+        for submission in self._waiting:
+            if submission.call.is_abandoned:
+                continue
+            reply = self._judge(submission, records, look_up, now)
+            if reply is None:
+                waiting.append(submission)
+            else:
+                self._finish(submission, reply)
+        self._waiting = waiting
+
+    def _judge(self, submission: Submission, records: dict, look_up, now: float) -> messages.SubmitReply | None:
+        """Return the final reply, or None where it has to wait on."""
+        record = records.get(submission.version.number)
+        if record is None:
+            return submission.reply(messages.ANSWER_NOT_KNOWN, ErrorCode.OUTCOME_NOT_KNOWN)
+        if record.outcome == messages.OUTCOME_ABORTED:
+            return _make_abort_reply(submission, record)
+        allowed = submission.allowed_zones | set(record.allow_cut_off)
+        progress, cut_off = look_up(submission.version.number, allowed)
+        is_accepted = record.outcome == messages.OUTCOME_ACCEPTED
+        if is_accepted and submission.accepted_at is None:
+            submission.accepted_at = now
+        if is_accepted and not progress.lagging:
+            return self._make_final(submission, progress, cut_off, now)
+        if now >= submission.deadline:
+            return self._make_late(submission, progress, is_accepted, now)
+        self._tell_progress(submission, progress, is_accepted, now)
+        return None
+
+    def _make_final(self, submission, progress, cut_off: list[str], now: float) -> messages.SubmitReply:
+        if cut_off:
+            message = "accepted for good; not in force yet in the zones that were allowed to be cut off"
+            reply = submission.reply(messages.ANSWER_ACCEPTED, ErrorCode.IN_FORCE_LATE, message)
+            reply.lagging.extend(cut_off)
+        else:
+            reply = submission.reply(messages.ANSWER_APPLIED, message="in force everywhere")
+        return _fill(reply, submission, progress, now)
+
+    def _make_late(self, submission, progress, is_accepted: bool, now: float) -> messages.SubmitReply:
+        if is_accepted:
+            reply = submission.reply(messages.ANSWER_ACCEPTED, ErrorCode.IN_FORCE_LATE)
+            reply.lagging.extend(progress.lagging)
+        else:
+            reply = submission.reply(messages.ANSWER_NOT_KNOWN, ErrorCode.OUTCOME_NOT_KNOWN)
+        return _fill(reply, submission, progress, now)
+
+    def _tell_progress(self, submission, progress, is_accepted: bool, now: float) -> None:
+        if now - submission.told_at < PROGRESS_INTERVAL:
+            return
+        submission.told_at = now
+        reply = submission.reply(messages.ANSWER_IN_PROGRESS, message="in force" if is_accepted else "staging")
+        submission.call.reply(_fill(reply, submission, progress, now))
+
+    def _finish(self, submission: Submission, reply: messages.SubmitReply) -> None:
+        submission.call.reply(reply)
+        submission.call.reply(None)
+
+
+def _make_abort_reply(submission: Submission, record) -> messages.SubmitReply:
+    code = ErrorCode.STAGING_TIMEOUT
+    for known in ErrorCode:
+        if known.code == record.reason:
+            code = known
+    reply = submission.reply(messages.ANSWER_NOT_RUN, code)
+    reply.findings.extend(record.findings)
+    return reply
+
+
+def _fill(reply: messages.SubmitReply, submission: Submission, progress: RolloutProgress, now: float):
+    reply.required = progress.required
+    reply.staged = progress.staged
+    reply.in_force = progress.in_force
+    accepted_at = submission.accepted_at if submission.accepted_at is not None else now
+    reply.stage_ms = (accepted_at - submission.started_at) * 1000
+    reply.converge_ms = (now - accepted_at) * 1000
+    return reply
--- /dev/null
+++ b/packages/lanedock-daemon/lanedock_daemon/path/__init__.py
@@ -0,0 +1,2 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""The request path: from callers through daemons to upstreams."""
--- /dev/null
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller.py
@@ -0,0 +1,236 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""The caller's side of the path: match, choose, send, and retry."""
+
+import time
+from collections.abc import Iterator
+
+from geventhttpclient.response import HTTPParseError
+from lanedock.config import Route
+from lanedock.errors import ErrorCode
+from lanedock.telemetry import Event, EventLogger, Metric, Metrics, Tracer
+
+from lanedock_daemon.agent.board import Binding, Board
+from lanedock_daemon.path.http import (
+    ATTEMPT_HEADER,
+    CLASS_HEADER,
+    CODE_HEADER,
+    DEADLINE_HEADER,
+    HOP_HEADERS,
+    LEAVING_HEADER,
+    LOAD_HEADER,
+    OUTCOME_HEADER,
+    PRIVATE_PREFIX,
+    SERVICE_HEADER,
+    TRACE_HEADER,
+    VERSION_HEADER,
+    Answer,
+    Outcome,
+    Request,
+    make_refusal,
+)
+from lanedock_daemon.path.pool import CHUNK, ConnectionPool, ExchangeError, exchange
+
+__all__ = ["CallerSide"]
+
+MAX_TRIES = 3
+# What callers are told to wait where nothing better is known, in seconds.
+RETRY_AFTER = 1.0
+# Added to what an upstream's daemon is given, so that its refusal arrives
+# before the caller's side gives up on it.
+GRACE = 0.05
+
+
+class CallerSide:
+    """Leads callers' requests to upstreams.
+
+    Parameters
+    ----------
+    board : Board
+    pool : ConnectionPool
+    events : EventLogger
+    metrics : Metrics
+    tracer : Tracer
+    """
+
+    def __init__(self, board: Board, pool: ConnectionPool, events: EventLogger, metrics: Metrics, tracer: Tracer):
+        self._board = board
+        self._pool = pool
+        self._events = events
+        self._metrics = metrics
+        self._tracer = tracer
+
+    def handle(self, request: Request) -> Answer:
+        """Answer a request."""
+        self._metrics.count(Metric.REQUESTS)
+        started = time.monotonic()
+        span = self._tracer.start(f"{request.method} caller", request.header(TRACE_HEADER))
+        answer = self._route(request, span, started)
+        self._metrics.time(Metric.LATENCY, time.monotonic() - started)
+        span.end(**{"http.status_code": answer.status, "http.target": request.path})
+        return answer
+
+    def _route(self, request: Request, span, started: float) -> Answer:
+        binding = self._board.bind()
+        if binding is None:
+            return self._refuse(ErrorCode.NOT_READY, RETRY_AFTER)
+        if "/../" in request.path or request.path.endswith("/..") or not request.path.startswith("/"):
+            return self._refuse(ErrorCode.BAD_REQUEST)
+        route = binding.table.match(request.host, request.path, request.method)
+        if route is None:
+            return self._refuse(ErrorCode.NO_ROUTE)
+        deadline = started + _read_deadline(request, route) / 1000
+        return self._send(request, binding, route, deadline, span)
+
+    def _refuse(self, code: ErrorCode, retry_after: float = 0.0, detail: str = "") -> Answer:
+        self._metrics.count(Metric.NOT_RUN)
+        return make_refusal(code, Outcome.NOT_RUN, retry_after, detail)
+
+    # ------------------------------------------------------------------- tries
+
+    def _send(self, request: Request, binding: Binding, route: Route, deadline: float, span) -> Answer:
+        """Try upstreams until one answers, or trying again would be wrong."""
+        service = binding.config.services[route.service]
+        balancer = self._board.balancer(service.name)
+        budget = self._board.budget(service.name)
+        budget.note_first_try()
+        # A retry that a hop before has made must not be multiplied here.
+        may_retry = request.header(ATTEMPT_HEADER) in ("", "1")
+        headers = _make_headers(request, binding, route, span)
+        tried: set[str] = set()
+        failure = None
+        for attempt in range(1, MAX_TRIES + 1):
+            now = time.monotonic()
+            if now >= deadline:
+                return failure or self._refuse(ErrorCode.DEADLINE)
+            stats = balancer.choose(service.slots, now, frozenset(tried))
+            if stats is None:
+                return failure or self._refuse(ErrorCode.NO_UPSTREAM, RETRY_AFTER)
+            tried.add(stats.endpoint.instance)
+            answer, is_final = self._try(request, headers, route, balancer, stats, attempt, deadline)
+            if is_final:
+                return answer
+            failure = answer
+            if not may_retry or request.body.was_read or not budget.spend():
+                return failure
+            self._metrics.count(Metric.RETRIES)
+        return failure
+
+    def _try(self, request, headers, route, balancer, stats, attempt: int, deadline: float) -> tuple[Answer, bool]:
+        """Send a request to one upstream.
+
+        Returns
+        -------
+        Answer
+        bool
+            Whether it stands; False where another upstream may be tried.
+        """
+        left = deadline - time.monotonic()
+        sent = [
+            *headers,
+            (ATTEMPT_HEADER, str(attempt)),
+            (DEADLINE_HEADER, str(max(1, int(left * 1000)))),
+        ]
+        balancer.begin(stats)
+        try:
+            response = exchange(self._pool, stats.address, request, sent, left + GRACE)
+        except ExchangeError as exc:
+            self._note_end(balancer, stats, failed=True)
+            return self._on_lost(exc, stats, route, request)
+        except BaseException:
+            balancer.end(stats, False, time.monotonic())
+            raise
+        told = _read_int(response.get(LOAD_HEADER))
+        if response.get(LEAVING_HEADER):
+            balancer.note_leaving(stats.endpoint.instance)
+            self._pool.forget(stats.address)
+        if response.get(OUTCOME_HEADER) == Outcome.NOT_RUN:
+            return self._on_refused(response, balancer, stats, told)
+        is_shed = response.status_code == 503
+        if is_shed and route.repeatable:
+            answer = Answer(response.status_code, _reason(response), _strip(response), [response.read()])
+            self._note_end(balancer, stats, failed=True, told=told)
+            return answer, False
+        return self._make_answer(response, balancer, stats, told), True
+
+    def _on_lost(self, exc: ExchangeError, stats, route: Route, request: Request) -> tuple[Answer, bool]:
+        if exc.outcome == Outcome.NOT_RUN:
+            return make_refusal(exc.code, Outcome.NOT_RUN, RETRY_AFTER, str(exc)), False
+        self._metrics.count(Metric.UNKNOWN)
+        self._events.emit(Event.ANSWER_LOST, upstream=stats.endpoint.instance, target=request.path, error=exc)
+        answer = make_refusal(exc.code, Outcome.UNKNOWN, 0.0, str(exc))
+        return answer, not route.repeatable
+
+    def _on_refused(self, response, balancer, stats, told) -> tuple[Answer, bool]:
+        """The upstream's daemon refused: the request has not run."""
+        body = response.read()
+        code = response.get(CODE_HEADER)
+        is_fault = code not in (ErrorCode.OVERLOADED.code, ErrorCode.DRAINING.code, ErrorCode.DEADLINE.code)
+        self._note_end(balancer, stats, failed=is_fault, told=told)
+        self._metrics.count(Metric.NOT_RUN)
+        answer = Answer(response.status_code, _reason(response), _strip(response), [body])
+        return answer, code == ErrorCode.DEADLINE.code
+
+    def _note_end(self, balancer, stats, failed: bool, told: int | None = None) -> None:
+        if balancer.end(stats, failed, time.monotonic(), told):
+            self._events.emit(Event.EJECTED, upstream=stats.endpoint.instance)
+
+    def _make_answer(self, response, balancer, stats, told) -> Answer:
+        if response.message_complete:
+            self._note_end(balancer, stats, failed=False, told=told)
+            return Answer(response.status_code, _reason(response), _strip(response), [response.read()])
+        pieces = self._stream(response, balancer, stats, told)
+        return Answer(response.status_code, _reason(response), _strip(response), pieces)
+
+    def _stream(self, response, balancer, stats, told) -> Iterator[bytes]:
+        failed = True
+        try:
+            while piece := response.read(CHUNK):
+                yield piece
+            failed = False
+        except (OSError, HTTPParseError) as exc:
+            self._events.emit(Event.ANSWER_LOST, upstream=stats.endpoint.instance, error=repr(exc))
+            raise ConnectionError("the upstream's answer broke off") from exc
+        finally:
+            response.release()
+            self._note_end(balancer, stats, failed=failed, told=told)
+
+
+def _read_deadline(request: Request, route: Route) -> float:
+    """Return the time left, in milliseconds: the route's, or less if told."""
+    told = _read_int(request.header(DEADLINE_HEADER))
+    if told is None:
+        return route.deadline_ms
+    return min(route.deadline_ms, told)
+
+
+def _read_int(text) -> int | None:
+    if isinstance(text, str) and text.isascii() and text.isdigit():
+        return int(text)
+    return None
+
+
+def _make_headers(request: Request, binding: Binding, route: Route, span) -> list[tuple[str, str]]:
+    headers = []
+    for name, value in request.headers:
+        if not name.startswith(PRIVATE_PREFIX) and name not in (DEADLINE_HEADER, TRACE_HEADER):
+            headers.append((name, value))
+    headers.append((SERVICE_HEADER, route.service))
+    headers.append((CLASS_HEADER, route.traffic_class))
+    headers.append((VERSION_HEADER, str(binding.number)))
+    if span.traceparent:
+        headers.append((TRACE_HEADER, span.traceparent))
+    return headers
+
+
+def _strip(response) -> list[tuple[str, str]]:
+    """Return an answer's headers without those between daemons or of one connection."""
+    headers = []
+    for name, value in response.items():
+        name = name.lower()
+        if name not in HOP_HEADERS and not name.startswith(PRIVATE_PREFIX):
+            headers.append((name, value))
+    return headers
+
+
+def _reason(response) -> str:
+    return response.status_message or "OK"
--- /dev/null
+++ b/packages/lanedock/lanedock/config/load.py
@@ -0,0 +1,156 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""From the operators' file to a `ConfigTree`, and from a tree to a `MeshConfig`."""
+
+from lanedock.config.core import DEFAULT_ENDPOINT_WINDOW_MS, MeshConfig, Route, Service, TrafficClass, Version
+from lanedock.config.tree import ConfigTree, split_config
+from lanedock.errors import ErrorCode
+from lanedock.findings import Document, Finding, FindingsError, Place, read_document
+
+__all__ = ["check_document", "decode_config", "load_config"]
+
+SHARE_TOLERANCE = 1e-9
+
+
+def load_config(path: str) -> ConfigTree:
+    """Read and check an operators' file.
+
+    Returns
+    -------
+    ConfigTree
+
+    Raises
+    ------
+    FindingsError
+        With every finding.
+    """
+    return check_document(read_document(path))
+
+
+def check_document(document: Document) -> ConfigTree:
+    """Check a parsed file against the schema and for its references.
+
+    Raises
+    ------
+    FindingsError
+        With every finding.
+    """
+    from lanedock.findings.schema import check_schema, load_schema
+
+    findings = check_schema(document, load_schema("lanedock.config", "schema.json"))
+    if findings:
+        raise FindingsError(findings)
+    findings = _check_references(document)
+    if findings:
+        raise FindingsError(findings)
+    return split_config(document.value)
+
+
+def decode_config(tree: ConfigTree) -> MeshConfig:
+    """Check the held groups of a version and build the model.
+
+    A daemon runs this on what it is sent, so it does without the schema
+    library: types were checked before the version was proposed, and here a
+    wrong one fails just the same.
+
+    Raises
+    ------
+    FindingsError
+        Where references among what is held do not hold.
+    """
+    source = f"version {tree.number}"
+    try:
+        document = Document(source, tree.value(), "")
+        findings = _check_references(document, partial=len(tree.contents) < len(tree.digests))
+        if findings:
+            raise FindingsError(findings)
+        return _build(document.value, tree.version)
+    except (KeyError, TypeError, AttributeError, ValueError) as exc:
+        finding = Finding(ErrorCode.SCHEMA, f"malformed content: {exc!r}", Place(source))
+        raise FindingsError([finding]) from exc
+
+
+def _build(value: dict, version: Version) -> MeshConfig:
+    classes = {item["name"]: TrafficClass(**item) for item in value["traffic_classes"]}
+    services = {item["name"]: Service(**item) for item in value["services"]}
+    routes = [Route(**item) for item in value["routes"]]
+    window = value.get("endpoint_window_ms", DEFAULT_ENDPOINT_WINDOW_MS)
+    return MeshConfig(value["mesh"], version, value["zones"], classes, services, routes, window)
+
+
+def _check_references(document: Document, partial: bool = False) -> list[Finding]:
+    """Check names and references.
+
+    A slice holds a called service without what that one calls in turn, so
+    `partial` leaves the calls out.
+    """
+    value = document.value
+    findings = []
+    findings += _check_names(document, "traffic_classes")
+    findings += _check_names(document, "services")
+    findings += _check_names(document, "routes")
+    findings += _check_shares(document)
+    services = {item["name"] for item in value["services"]}
+    for number, item in enumerate(value["services"]):
+        findings += _check_members(
+            document, item["zones"], set(value["zones"]), ErrorCode.UNKNOWN_ZONE, f"/services/{number}/zones"
+        )
+        if partial:
+            continue
+        findings += _check_members(
+            document, item.get("calls", ()), services, ErrorCode.UNKNOWN_SERVICE, f"/services/{number}/calls"
+        )
+    classes = {item["name"] for item in value["traffic_classes"]}
+    for number, item in enumerate(value["routes"]):
+        path = f"/routes/{number}"
+        if item["service"] not in services:
+            message = f"route {item['name']!r} leads to the unknown service {item['service']!r}"
+            findings.append(Finding(ErrorCode.UNKNOWN_SERVICE, message, document.place(path + "/service")))
+        if item["traffic_class"] not in classes:
+            message = f"route {item['name']!r} has the unknown class {item['traffic_class']!r}"
+            findings.append(Finding(ErrorCode.UNKNOWN_CLASS, message, document.place(path + "/traffic_class")))
+    return findings + _check_shadows(document)
+
+
+def _check_names(document: Document, key: str) -> list[Finding]:
+    findings = []
+    seen = set()
+    for number, item in enumerate(document.value[key]):
+        name = item["name"]
+        if name in seen:
+            place = document.place(f"/{key}/{number}/name")
+            findings.append(Finding(ErrorCode.DUPLICATE_NAME, f"the name {name!r} stands twice in {key}", place))
+        seen.add(name)
+    return findings
+
+
+def _check_members(document, names, known, code, path) -> list[Finding]:
+    findings = []
+    for number, name in enumerate(names):
+        if name not in known:
+            findings.append(Finding(code, f"unknown name {name!r}", document.place(f"{path}/{number}")))
+    return findings
+
+
+def _check_shares(document: Document) -> list[Finding]:
+    total = sum(item["share"] for item in document.value["traffic_classes"])
+    if total <= 1 + SHARE_TOLERANCE:
+        return []
+    message = f"the shares add up to {total:g}"
+    return [Finding(ErrorCode.SHARES_EXCEED_ONE, message, document.place("/traffic_classes"))]
+
+
+def _check_shadows(document: Document) -> list[Finding]:
+    """Find routes whose whole match an equal host and path covers already."""
+    findings = []
+    taken = {}
+    for number, item in enumerate(document.value["routes"]):
+        key = (item.get("host", "*"), item["path"].rstrip("/"))
+        methods = set(item.get("methods", ())) or {"*"}
+        for other_name, other_methods in taken.get(key, ()):
+            overlap = ("*" in methods and "*" in other_methods) or methods & other_methods
+            if overlap:
+                message = f"route {item['name']!r} matches what {other_name!r} matches already"
+                findings.append(Finding(ErrorCode.SHADOWED_ROUTE, message, document.place(f"/routes/{number}")))
+                break
+        taken.setdefault(key, []).append((item["name"], methods))
+    return findings
--- /dev/null
+++ b/packages/lanedock/lanedock/config/tree.py
@@ -0,0 +1,250 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""A version as a set of digested groups, its slices and its deltas.
+
+A version is split into one group for each service (the service and the routes
+that lead to it) and one for what holds for the whole mesh. The version's
+digest covers its number and every group's digest, a hash tree of two levels
+(Merkle, "A Digital Signature Based on a Conventional Encryption Function",
+1987). A daemon that holds only the groups it needs can so still verify that
+they belong to the whole version.
+"""
+
+import hashlib
+import json
+import struct
+import zlib
+
+from lanedock.config.core import Version
+from lanedock.errors import ErrorCode, LanedockError
+from lanedock.wire import messages
+
+__all__ = ["MESH_GROUP", "ConfigTree", "needed_groups", "pack_groups", "split_config", "unpack_groups"]
+
+MESH_GROUP = ""
+# A content that unpacks to more than this is refused, not unpacked.
+MAX_CONTENT_BYTES = 16 * 1024 * 1024
+_MESH_KEYS = ("mesh", "zones", "traffic_classes", "endpoint_window_ms")
+
+
+class ConfigTree:
+    """The groups of one version; some may be known by digest only.
+
+    Parameters
+    ----------
+    number : int
+        The version's number.
+    digests : dict of str to bytes
+        Each group's SHA-256, 32 bytes.
+    contents : dict of str to bytes
+        Canonical JSON of the groups held.
+    """
+
+    __slots__ = ("contents", "digests", "number", "version")
+
+    def __init__(self, number: int, digests: dict[str, bytes], contents: dict[str, bytes]):
+        self.number = number
+        self.digests = digests
+        self.contents = contents
+        self.version = Version(number, _digest_root(number, digests))
+
+    def __repr__(self) -> str:
+        return f"<ConfigTree {self.version} held={len(self.contents)}/{len(self.digests)}>"
+
+    def group(self, name: str) -> dict:
+        """Parse a held group."""
+        return json.loads(self.contents[name])
+
+    def value(self) -> dict:
+        """Join the held groups to a parsed file.
+
+        Returns
+        -------
+        dict
+            With `version`; services and routes are ordered by name.
+        """
+        value = dict(self.group(MESH_GROUP))
+        value["version"] = self.number
+        groups = [self.group(name) for name in sorted(self.contents) if name != MESH_GROUP]
+        value["services"] = [group["service"] for group in groups]
+        value["routes"] = [route for group in groups for route in group["routes"]]
+        return value
+
+    def slice(self, names: set[str]) -> "ConfigTree":
+        """Return the same version with only the named groups held."""
+        contents = {name: self.contents[name] for name in names if name in self.contents}
+        return ConfigTree(self.number, self.digests, contents)
+
+    def pack(self) -> bytes:
+        """Serialize the held groups, as `from_packed` reads them."""
+        return pack_groups(self._groups(self.contents, set(self.contents)))
+
+    @classmethod
+    def from_packed(cls, number: int, packed: bytes) -> "ConfigTree":
+        """Make a whole version's tree from what `pack` returned.
+
+        Raises
+        ------
+        LanedockError
+            `ErrorCode.DIGEST_MISMATCH`: these are not packed groups.
+        """
+        contents = {group.name: group.content for group in unpack_groups(packed)}
+        digests = {name: hashlib.sha256(content).digest() for name, content in contents.items()}
+        return cls(number, digests, contents)
+
+    def whole_push(self, names: set[str]) -> messages.ConfigPush:
+        """Make a message that carries the named groups and all digests."""
+        push = messages.ConfigPush(version=self.number, digest=self.version.digest)
+        push.groups = pack_groups(self._groups(self.digests, names))
+        return push
+
+    def delta_push(self, names: set[str], base: "ConfigTree", base_names: set[str]) -> messages.ConfigPush:
+        """Make a message that leads from a base to this version.
+
+        Parameters
+        ----------
+        names : set of str
+            Groups that the daemon needs of this version.
+        base : ConfigTree
+            What the daemon holds.
+        base_names : set of str
+            Groups that it holds of the base.
+        """
+        changed = {name for name, digest in self.digests.items() if base.digests.get(name) != digest}
+        fresh = names - base_names
+        push = messages.ConfigPush(version=self.number, digest=self.version.digest)
+        push.base_digest = base.version.digest
+        push.groups = pack_groups(self._groups(sorted(changed | fresh), names))
+        push.removed.extend(sorted(base.digests.keys() - self.digests.keys()))
+        return push
+
+    def _groups(self, told, names: set[str]) -> list:
+        groups = []
+        for name in sorted(told):
+            content = self.contents.get(name, b"") if name in names else b""
+            # A content carries its digest in itself, so it isn't sent twice.
+            digest = b"" if content else self.digests[name]
+            groups.append(messages.Group(name=name, digest=digest, content=content))
+        return groups
+
+    @classmethod
+    def from_push(cls, push: messages.ConfigPush, bases: list["ConfigTree"]) -> "ConfigTree":
+        """Verify a push and apply it to its base.
+
+        Parameters
+        ----------
+        push : ConfigPush
+        bases : list of ConfigTree
+            What the receiver holds.
+
+        Raises
+        ------
+        LanedockError
+            `ErrorCode.DIGEST_MISMATCH`: the base is unknown, or the result is
+            not the version that the push names.
+        """
+        digests, contents = {}, {}
+        if push.base_digest:
+            base = _find_base(bases, push.base_digest)
+            digests.update(base.digests)
+            contents.update(base.contents)
+        for name in push.removed:
+            digests.pop(name, None)
+            contents.pop(name, None)
+        for group in unpack_groups(push.groups):
+            contents.pop(group.name, None)
+            if group.content:
+                contents[group.name] = group.content
+                digests[group.name] = hashlib.sha256(group.content).digest()
+            else:
+                digests[group.name] = group.digest
+        tree = cls(push.version, digests, contents)
+        if tree.version.digest != push.digest:
+            raise LanedockError(ErrorCode.DIGEST_MISMATCH, f"version {push.version} came with another content")
+        return tree
+
+
+def _find_base(bases: list, digest: bytes) -> ConfigTree:
+    for base in bases:
+        if base is not None and base.version.digest == digest:
+            return base
+    raise LanedockError(ErrorCode.DIGEST_MISMATCH, "the base of a delta is not held")
+
+
+def _digest_root(number: int, digests: dict[str, bytes]) -> bytes:
+    root = hashlib.sha256(struct.pack(">Q", number))
+    for name in sorted(digests):
+        encoded = name.encode()
+        root.update(struct.pack(">H", len(encoded)) + encoded + digests[name])
+    return root.digest()
+
+
+def split_config(value: dict) -> ConfigTree:
+    """Split a checked, parsed file into its groups.
+
+    Parameters
+    ----------
+    value : dict
+        As `check_document` accepts it.
+    """
+    parts = {MESH_GROUP: {key: value[key] for key in _MESH_KEYS if key in value}}
+    for service in value["services"]:
+        parts[service["name"]] = {"service": service, "routes": []}
+    for route in sorted(value["routes"], key=lambda item: item["name"]):
+        parts[route["service"]]["routes"].append(route)
+    contents = {name: _canonical(part) for name, part in parts.items()}
+    digests = {name: hashlib.sha256(content).digest() for name, content in contents.items()}
+    return ConfigTree(value["version"], digests, contents)
+
+
+def _canonical(value: dict) -> bytes:
+    return json.dumps(value, sort_keys=True, separators=(",", ":"), ensure_ascii=False).encode()
+
+
+def needed_groups(tree: ConfigTree, is_entry: bool, service: str) -> set[str]:
+    """Tell which groups a daemon needs.
+
+    Parameters
+    ----------
+    tree : ConfigTree
+        Whole.
+    is_entry : bool
+        An entry daemon takes requests for any service.
+    service : str
+        The service of the daemon's upstream; empty for an entry daemon.
+
+    Returns
+    -------
+    set of str
+        For an upstream's daemon: its own service and those it may call.
+    """
+    if is_entry:
+        return set(tree.digests)
+    needed = {MESH_GROUP}
+    if service in tree.contents:
+        needed.add(service)
+        needed.update(tree.group(service)["service"].get("calls", ()))
+    return needed
+
+
+def pack_groups(groups: list) -> bytes:
+    """Serialize and compress groups."""
+    return zlib.compress(messages.ConfigContent(groups=groups).SerializeToString(), 6)
+
+
+def unpack_groups(packed: bytes) -> list:
+    """Take packed groups apart.
+
+    Raises
+    ------
+    LanedockError
+        `ErrorCode.DIGEST_MISMATCH`: not packed groups, or far too large.
+    """
+    unpacker = zlib.decompressobj()
+    try:
+        data = unpacker.decompress(packed, MAX_CONTENT_BYTES)
+        groups = list(messages.ConfigContent.FromString(data).groups)
+    except Exception as exc:  # zlib.error or protobuf's DecodeError, both mean the same here
+        raise LanedockError(ErrorCode.DIGEST_MISMATCH, f"content can't be unpacked: {exc}") from exc
+    if unpacker.unconsumed_tail:
+        raise LanedockError(ErrorCode.DIGEST_MISMATCH, f"content unpacks to over {MAX_CONTENT_BYTES} bytes")
+    return groups
--- /dev/null
+++ b/packages/lanedock/lanedock/consensus/__init__.py
@@ -0,0 +1,21 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""A replicated log: pure consensus core and its durable storage."""
+
+from lanedock.consensus.core import Ready, ReplicaRole, Timing
+from lanedock.consensus.log import LogSnapshot, RaftLog
+from lanedock.consensus.replica import RaftReplica
+from lanedock.consensus.storage import FileStorage, HardState, LogStorage, Restored, StorageError
+
+__all__ = [
+    "FileStorage",
+    "HardState",
+    "LogSnapshot",
+    "LogStorage",
+    "RaftLog",
+    "RaftReplica",
+    "Ready",
+    "ReplicaRole",
+    "Restored",
+    "StorageError",
+    "Timing",
+]
--- /dev/null
+++ b/packages/lanedock/lanedock/consensus/replica.py
@@ -0,0 +1,627 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""The consensus core of one replica: no I/O, no clock, no randomness of its own.
+
+The algorithm is Raft with pre-votes, leader leases, read confirmation and
+changes of one voter at a time.
+
+References
+----------
+D. Ongaro and J. Ousterhout, "In Search of an Understandable Consensus
+Algorithm", USENIX ATC 2014; D. Ongaro, "Consensus: Bridging Theory and
+Practice", Stanford 2014, sections 4.2 (learners), 6.4 (reads), 9.6 (pre-vote).
+"""
+
+from random import Random
+
+from lanedock.consensus.core import Progress, Ready, ReplicaRole, Timing, replica_name
+from lanedock.consensus.log import LogSnapshot, RaftLog
+from lanedock.wire import messages
+
+__all__ = ["RaftReplica"]
+
+MAX_ENTRIES_PER_MESSAGE = 64
+
+
+class RaftReplica:
+    """One replica of the log.
+
+    Parameters
+    ----------
+    me : str
+        Id, ``name@incarnation``: a replica that lost its disk comes back under
+        another incarnation, so nothing sent to its old self reaches it.
+    log : RaftLog
+        As restored from disk.
+    term : int
+    voted_for : str
+        Empty where no vote was given in this term.
+    timing : Timing
+    rng : random.Random
+        For election timeouts.
+    now : float
+        Monotonic clock, seconds; every later call passes its own.
+    contacts : tuple of str
+        Names of the replicas that a newcomer asks to be taken in.
+    """
+
+    def __init__(
+        self,
+        me: str,
+        log: RaftLog,
+        term: int,
+        voted_for: str,
+        timing: Timing,
+        rng: Random,
+        now: float,
+        contacts: tuple[str, ...] = (),
+    ):
+        self.me = me
+        self.contacts = contacts
+        self.log = log
+        self.term = term
+        self.voted_for = voted_for
+        self.role = ReplicaRole.FOLLOWER
+        self.leader = ""
+        self.commit_index = log.snapshot.index
+        self._timing = timing
+        self._rng = rng
+        self._delivered = log.snapshot.index
+        self._persisted = log.last_index
+        self._membership = log.membership()
+        # A replica that has just started may have supported a leader right
+        # before: it waits a whole election timeout, and supports no other.
+        self._heard_at = now
+        self._election_at = 0.0
+        self._stood_at = now
+        self._heartbeat_at = 0.0
+        self._votes: set[str] = set()
+        self._progress: dict[str, Progress] = {}
+        self._probe = 0
+        self._probe_sent_at: dict[int, float] = {}
+        self._lease_until = float("-inf")
+        self._term_start = 0
+        self._reads: list[tuple[int, str, int, int]] = []
+        self._forwarded_reads: set[int] = set()
+        self._joiners: dict[str, float] = {}
+        self._ready = Ready()
+        self._reset_election(now)
+
+    def __repr__(self) -> str:
+        return f"<RaftReplica {self.me} {self.role.value} term={self.term} commit={self.commit_index} {self.log!r}>"
+
+    # ------------------------------------------------------------- for drivers
+
+    @property
+    def membership(self) -> messages.Membership:
+        """The replicas that take part at the moment."""
+        return self._membership
+
+    def is_leader(self, now: float) -> bool:
+        """Tell whether this replica leads and its lease still runs."""
+        return self.role is ReplicaRole.LEADER and now < self._lease_until
+
+    def has_own_commit(self, applied: int) -> bool:
+        """Tell whether an entry of the leader's own term is applied.
+
+        Everything committed before the term began is applied then, too.
+        """
+        return self.role is ReplicaRole.LEADER and applied >= self._term_start
+
+    def silence(self, now: float) -> float:
+        """Return for how long no leader was heard from, in seconds."""
+        if self.is_leader(now):
+            return 0.0
+        return now - self._heard_at
+
+    def can_vote(self) -> bool:
+        """Tell whether this replica is a voter."""
+        return self.me in self._membership.voters
+
+    def take_ready(self) -> Ready:
+        """Return what there is to do, and start a new list."""
+        ready = self._ready
+        if self.commit_index > self._delivered and ready.snapshot is None:
+            # Entries that this replica has not synced itself are never applied.
+            last = min(self.commit_index, self.log.last_index)
+            ready.committed = self.log.between(self._delivered + 1, last)
+            self._delivered = last
+        self._ready = Ready()
+        return ready
+
+    def persisted(self, index: int, now: float) -> None:
+        """Note that all entries up to `index` are synced to disk."""
+        self._persisted = min(index, self.log.last_index)
+        if self.role is ReplicaRole.LEADER:
+            self._advance_commit(now)
+
+    def tick(self, now: float) -> None:
+        """Act on the time: heartbeats, elections, the end of a lease."""
+        if self.role is ReplicaRole.LEADER:
+            self._tick_leader(now)
+        elif now >= self._election_at:
+            if self.can_vote():
+                self._start_election(now, trial=True)
+            else:
+                self._ask_to_join(now)
+
+    def propose(self, payload: bytes, now: float) -> int | None:
+        """Append an entry, as leader.
+
+        Returns
+        -------
+        int or None
+            The entry's index, or None where this replica does not lead.
+        """
+        if not self.is_leader(now):
+            return None
+        return self._append(messages.LogEntry(payload=payload), now)
+
+    def request_read(self, token: int, now: float) -> None:
+        """Ask for an index that is at least as new as any committed before.
+
+        The answer comes as `Ready.reads` or `Ready.failed_reads`.
+        """
+        if self.role is ReplicaRole.LEADER:
+            self._confirm_read(token, self.me, now)
+        elif self.leader:
+            self._forwarded_reads.add(token)
+            message = self._message(self.leader)
+            message.read_index_request.token = token
+            self._ready.late.append(message)
+        else:
+            self._ready.failed_reads.append(token)
+
+    def compact(self, snapshot: LogSnapshot) -> None:
+        """Drop the entries that a saved snapshot stands for."""
+        self.log.compact(snapshot)
+
+    def step(self, message: messages.PeerMessage, now: float) -> None:
+        """Take in a message from another replica."""
+        body = message.WhichOneof("body")
+        if body == "join_request":
+            # A newcomer knows names only, not incarnations.
+            self._joiners[message.sender] = now
+            return
+        if message.receiver != self.me or body is None:
+            return
+        if message.term > self.term and not self._raise_term(message, body, now):
+            return
+        if message.term < self.term:
+            self._answer_old_term(message, body)
+            return
+        handler = getattr(self, "_on_" + body, None)
+        if handler is not None:
+            handler(message, getattr(message, body), now)
+
+    # ------------------------------------------------------------------- terms
+
+    def _raise_term(self, message, body: str, now: float) -> bool:
+        """Go along with a higher term; False where the message is to be dropped."""
+        if body == "vote_request":
+            if self._supports_leader(now):
+                return False
+            if message.vote_request.trial:
+                granted = self.can_vote() and self._is_up_to_date(message.vote_request)
+                self._reply_vote(message, granted, trial=True)
+                return False
+        if body == "vote_reply" and message.vote_reply.trial and message.vote_reply.granted:
+            if message.term == self.term + 1:
+                self._count_vote(message.sender, trial=True, now=now)
+            return False
+        leader = message.sender if body in ("append_request", "snapshot_request") else ""
+        self._become_follower(message.term, leader, now)
+        return True
+
+    def _supports_leader(self, now: float) -> bool:
+        return now < self._heard_at + self._timing.election_min
+
+    def _answer_old_term(self, message, body: str) -> None:
+        """Let a deposed leader or a late candidate learn the term."""
+        if body in ("append_request", "snapshot_request"):
+            reply = self._message(message.sender)
+            reply.append_reply.accepted = False
+            self._ready.late.append(reply)
+        elif body == "vote_request":
+            self._reply_vote(message, False, message.vote_request.trial)
+
+    def _become_follower(self, term: int, leader: str, now: float) -> None:
+        if term > self.term:
+            self.term = term
+            self.voted_for = ""
+            self._ready.hard_state_changed = True
+        self.role = ReplicaRole.FOLLOWER
+        self.leader = leader
+        self._lease_until = float("-inf")
+        self._drop_reads()
+        self._reset_election(now)
+
+    def _reset_election(self, now: float) -> None:
+        self._election_at = now + self._rng.uniform(self._timing.election_min, self._timing.election_max)
+
+    def _drop_reads(self) -> None:
+        own = [token for token, origin, _, _ in self._reads if origin == self.me]
+        self._ready.failed_reads.extend(own)
+        self._ready.failed_reads.extend(self._forwarded_reads)
+        self._reads = []
+        self._forwarded_reads = set()
+
+    # --------------------------------------------------------------- elections
+
+    def _start_election(self, now: float, trial: bool) -> None:
+        self.leader = ""
+        self._drop_reads()
+        self._reset_election(now)
+        self._votes = set()
+        if trial:
+            self.role = ReplicaRole.PRE_CANDIDATE
+        else:
+            self.role = ReplicaRole.CANDIDATE
+            self._stood_at = now
+            self._heard_at = now
+            self.term += 1
+            self.voted_for = self.me
+            self._ready.hard_state_changed = True
+        for peer in self._membership.voters:
+            if peer == self.me:
+                continue
+            message = self._message(peer)
+            if trial:
+                message.term = self.term + 1
+            message.vote_request.last_index = self.log.last_index
+            message.vote_request.last_term = self.log.last_term
+            message.vote_request.trial = trial
+            self._ready.late.append(message)
+        self._count_vote(self.me, trial, now)
+
+    def _count_vote(self, voter: str, trial: bool, now: float) -> None:
+        expected = ReplicaRole.PRE_CANDIDATE if trial else ReplicaRole.CANDIDATE
+        if self.role is not expected:
+            return
+        self._votes.add(voter)
+        if not self._is_quorum(self._votes):
+            return
+        if trial:
+            self._start_election(now, trial=False)
+        else:
+            self._become_leader(now)
+
+    def _is_quorum(self, replicas) -> bool:
+        voters = self._membership.voters
+        return len([voter for voter in voters if voter in replicas]) > len(voters) // 2
+
+    def _is_up_to_date(self, request) -> bool:
+        return (request.last_term, request.last_index) >= (self.log.last_term, self.log.last_index)
+
+    def _on_vote_request(self, message, request, now: float) -> None:
+        if request.trial:
+            granted = self.can_vote() and not self._supports_leader(now) and self._is_up_to_date(request)
+            self._reply_vote(message, granted, trial=True)
+            return
+        granted = self.voted_for in ("", message.sender) and self._is_up_to_date(request) and self.can_vote()
+        if granted:
+            self.voted_for = message.sender
+            self._ready.hard_state_changed = True
+            # A vote supports the candidate as a heartbeat does, so that its
+            # first lease excludes another leader.
+            self._heard_at = now
+            self._reset_election(now)
+        self._reply_vote(message, granted, trial=False)
+
+    def _reply_vote(self, message, granted: bool, trial: bool) -> None:
+        reply = self._message(message.sender)
+        if trial and granted:
+            reply.term = message.term
+        reply.vote_reply.granted = granted
+        reply.vote_reply.trial = trial
+        self._ready.late.append(reply)
+
+    def _on_vote_reply(self, message, reply, now: float) -> None:
+        if reply.granted:
+            self._count_vote(message.sender, reply.trial, now)
+
+    def _ask_to_join(self, now: float) -> None:
+        """A replica that votes nowhere asks everybody to be taken in."""
+        self._reset_election(now)
+        if self.me in self._membership.learners:
+            return
+        for name in self.contacts:
+            message = self._message(name)
+            message.join_request.SetInParent()
+            self._ready.late.append(message)
+
+    # ------------------------------------------------------------------ leader
+
+    def _become_leader(self, now: float) -> None:
+        self.role = ReplicaRole.LEADER
+        self.leader = self.me
+        self._progress = {}
+        self._probe_sent_at = {}
+        # The votes came after the election began, and each supports no other
+        # leader for `election_min`.
+        self._lease_until = self._stood_at + self._timing.election_min * self._timing.lease_part
+        self._term_start = self.log.last_index + 1
+        self._append(messages.LogEntry(), now)
+
+    def _append(self, entry: messages.LogEntry, now: float) -> int:
+        entry.term = self.term
+        entry.index = self.log.last_index + 1
+        self.log.append(entry)
+        self._ready.entries.append(entry)
+        if entry.HasField("membership"):
+            self._membership = self.log.membership()
+        self._broadcast(now)
+        return entry.index
+
+    def _others(self) -> list[str]:
+        replicas = [*self._membership.voters, *self._membership.learners]
+        return [replica for replica in replicas if replica != self.me]
+
+    def _broadcast(self, now: float) -> None:
+        """Send every other replica what it misses, with a fresh probe."""
+        self._probe += 1
+        self._probe_sent_at[self._probe] = now
+        self._heartbeat_at = now + self._timing.heartbeat
+        for peer in self._others():
+            self._send_append(peer)
+        self._advance_probe(now)
+
+    def _send_append(self, peer: str) -> None:
+        progress = self._progress.setdefault(peer, Progress(self.log.last_index + 1))
+        previous_term = self.log.term_at(progress.next_index - 1)
+        if previous_term is None:
+            self._send_snapshot(peer)
+            return
+        message = self._message(peer)
+        request = message.append_request
+        request.previous_index = progress.next_index - 1
+        request.previous_term = previous_term
+        request.commit_index = self.commit_index
+        request.probe = self._probe
+        last = progress.next_index + MAX_ENTRIES_PER_MESSAGE - 1
+        entries = self.log.between(progress.next_index, last)
+        request.entries.extend(entries)
+        # Sent entries are taken to arrive. Where they don't, the next
+        # heartbeat is refused and the refusal sets this back.
+        progress.next_index += len(entries)
+        self._ready.early.append(message)
+
+    def _send_snapshot(self, peer: str) -> None:
+        snapshot = self.log.snapshot
+        message = self._message(peer)
+        request = message.snapshot_request
+        request.last_index = snapshot.index
+        request.last_term = snapshot.term
+        request.state = snapshot.state
+        request.membership.CopyFrom(snapshot.membership)
+        request.probe = self._probe
+        self._progress[peer].next_index = snapshot.index + 1
+        self._ready.early.append(message)
+
+    def _on_append_reply(self, message, reply, now: float) -> None:
+        if self.role is not ReplicaRole.LEADER:
+            return
+        progress = self._progress.get(message.sender)
+        if progress is None:
+            return
+        progress.acked_at = now
+        progress.probe = max(progress.probe, reply.probe)
+        if reply.accepted:
+            progress.match_index = max(progress.match_index, reply.match_index)
+            progress.next_index = max(progress.next_index, progress.match_index + 1)
+            if progress.next_index <= self.log.last_index:
+                self._send_append(message.sender)
+        else:
+            progress.next_index = max(1, min(reply.match_index + 1, self.log.last_index + 1))
+            self._send_append(message.sender)
+        self._advance_probe(now)
+        self._advance_commit(now)
+
+    def _advance_commit(self, now: float) -> None:
+        matches = sorted((self._match_of(voter) for voter in self._membership.voters), reverse=True)
+        if not matches:
+            return
+        index = matches[len(matches) // 2]
+        # Only entries of the own term are committed by counting (Raft, 5.4.2).
+        if index > self.commit_index and self.log.term_at(index) == self.term:
+            self.commit_index = index
+            self._broadcast(now)
+            if self.me not in self._membership.voters and self.log.membership_index() <= index:
+                self._become_follower(self.term, "", now)
+
+    def _match_of(self, replica: str) -> int:
+        if replica == self.me:
+            return self._persisted
+        progress = self._progress.get(replica)
+        return progress.match_index if progress else 0
+
+    def _advance_probe(self, now: float) -> None:
+        """Find the newest probe that a quorum has answered."""
+        probes = sorted((self._probe_of(voter) for voter in self._membership.voters), reverse=True)
+        confirmed = probes[len(probes) // 2] if probes else 0
+        sent_at = self._probe_sent_at.get(confirmed)
+        if sent_at is not None:
+            lease = sent_at + self._timing.election_min * self._timing.lease_part
+            self._lease_until = max(self._lease_until, lease)
+            for probe in [probe for probe in self._probe_sent_at if probe < confirmed]:
+                del self._probe_sent_at[probe]
+        self._answer_reads(confirmed)
+
+    def _probe_of(self, replica: str) -> int:
+        if replica == self.me:
+            return self._probe
+        progress = self._progress.get(replica)
+        return progress.probe if progress else 0
+
+    def _tick_leader(self, now: float) -> None:
+        if now >= self._lease_until:
+            self._become_follower(self.term, "", now)
+            return
+        if now >= self._heartbeat_at:
+            self._broadcast(now)
+            self._advance_membership(now)
+
+    # ------------------------------------------------------------------- reads
+
+    def _confirm_read(self, token: int, origin: str, now: float) -> None:
+        # A new leader does not know the newest commit before an entry of its
+        # own term is committed (Ongaro 2014, 6.4).
+        if self.commit_index < self._term_start:
+            self._finish_read(token, origin, 0, confirmed=False)
+            return
+        self._reads.append((token, origin, self.commit_index, self._probe + 1))
+        self._broadcast(now)
+
+    def _answer_reads(self, confirmed: int) -> None:
+        waiting = []
+        for token, origin, index, probe in self._reads:
+            if probe <= confirmed:
+                self._finish_read(token, origin, index, confirmed=True)
+            else:
+                waiting.append((token, origin, index, probe))
+        self._reads = waiting
+
+    def _finish_read(self, token: int, origin: str, index: int, confirmed: bool) -> None:
+        if origin != self.me:
+            message = self._message(origin)
+            message.read_index_reply.token = token
+            message.read_index_reply.index = index
+            message.read_index_reply.confirmed = confirmed
+            self._ready.late.append(message)
+        elif confirmed:
+            self._ready.reads.append((token, index))
+        else:
+            self._ready.failed_reads.append(token)
+
+    def _on_read_index_request(self, message, request, now: float) -> None:
+        if self.role is ReplicaRole.LEADER:
+            self._confirm_read(request.token, message.sender, now)
+        else:
+            self._finish_read(request.token, message.sender, 0, confirmed=False)
+
+    def _on_read_index_reply(self, message, reply, now: float) -> None:
+        if reply.token not in self._forwarded_reads:
+            return
+        self._forwarded_reads.discard(reply.token)
+        if reply.confirmed:
+            self._ready.reads.append((reply.token, reply.index))
+        else:
+            self._ready.failed_reads.append(reply.token)
+
+    # ---------------------------------------------------------------- follower
+
+    def _follow(self, message, now: float) -> None:
+        if self.role is not ReplicaRole.FOLLOWER or self.leader != message.sender:
+            self.role = ReplicaRole.FOLLOWER
+            self.leader = message.sender
+        self._heard_at = now
+        self._reset_election(now)
+
+    def _on_append_request(self, message, request, now: float) -> None:
+        self._follow(message, now)
+        reply = self._message(message.sender)
+        reply.append_reply.probe = request.probe
+        self._ready.late.append(reply)
+        previous = request.previous_index
+        if previous > self.log.last_index:
+            reply.append_reply.match_index = self.log.last_index
+            return
+        known = self.log.term_at(previous)
+        if known is None:
+            # Before the snapshot, so committed here: start behind it.
+            reply.append_reply.match_index = self.commit_index
+            return
+        if known != request.previous_term:
+            reply.append_reply.match_index = max(self.log.snapshot.index, previous - 1)
+            return
+        for entry in request.entries:
+            self._take_entry(entry)
+        last = previous + len(request.entries)
+        self.commit_index = max(self.commit_index, min(request.commit_index, last))
+        reply.append_reply.accepted = True
+        reply.append_reply.match_index = last
+
+    def _take_entry(self, entry: messages.LogEntry) -> None:
+        if self.log.term_at(entry.index) == entry.term:
+            return
+        if entry.index <= self.commit_index:
+            raise AssertionError(f"committed entry {entry.index} would be replaced")
+        self.log.append(entry)
+        self._persisted = min(self._persisted, entry.index - 1)
+        self._ready.entries.append(entry)
+        self._membership = self.log.membership()
+
+    def _on_snapshot_request(self, message, request, now: float) -> None:
+        self._follow(message, now)
+        reply = self._message(message.sender)
+        reply.append_reply.accepted = True
+        reply.append_reply.probe = request.probe
+        if request.last_index > self.commit_index:
+            snapshot = LogSnapshot(request.last_index, request.last_term, request.membership, request.state)
+            self.log.reset(snapshot)
+            self.commit_index = snapshot.index
+            self._delivered = snapshot.index
+            self._persisted = snapshot.index
+            self._membership = snapshot.membership
+            # Entries gathered before are overtaken by the snapshot.
+            self._ready.entries = []
+            self._ready.snapshot = snapshot
+        reply.append_reply.match_index = self.commit_index
+        self._ready.late.append(reply)
+
+    # -------------------------------------------------------------- membership
+
+    def _advance_membership(self, now: float) -> None:
+        """Take the next step of replacing a replica, one change at a time."""
+        if self.commit_index < max(self._term_start, self.log.membership_index()):
+            return
+        for learner in self._membership.learners:
+            if self._has_caught_up(learner, now):
+                self._change_membership([*self._membership.voters, learner], learner, now)
+                return
+        for joiner, asked_at in list(self._joiners.items()):
+            del self._joiners[joiner]
+            known = [*self._membership.voters, *self._membership.learners]
+            if joiner in known or now - asked_at > self._timing.election_max:
+                continue
+            if self._admit(joiner, now):
+                return
+
+    def _has_caught_up(self, learner: str, now: float) -> bool:
+        progress = self._progress.get(learner)
+        if progress is None or now - progress.acked_at > self._timing.election_min:
+            return False
+        return progress.match_index >= self.commit_index
+
+    def _change_membership(self, voters: list[str], promoted: str, now: float) -> None:
+        entry = messages.LogEntry()
+        entry.membership.voters.extend(voters)
+        learners = [learner for learner in self._membership.learners if learner != promoted]
+        entry.membership.learners.extend(learners)
+        self._append(entry, now)
+
+    def _admit(self, joiner: str, now: float) -> bool:
+        """Replace the joiner's old self by the joiner as a learner.
+
+        Returns
+        -------
+        bool
+            False where the remaining voters could not carry the change.
+        """
+        name = replica_name(joiner)
+        voters = [voter for voter in self._membership.voters if replica_name(voter) != name]
+        recent = [voter for voter in voters if voter == self.me or self._is_recent(voter, now)]
+        if len(recent) <= len(voters) // 2:
+            return False
+        entry = messages.LogEntry()
+        entry.membership.voters.extend(voters)
+        kept = [learner for learner in self._membership.learners if replica_name(learner) != name]
+        entry.membership.learners.extend([*kept, joiner])
+        self._append(entry, now)
+        return True
+
+    def _is_recent(self, replica: str, now: float) -> bool:
+        progress = self._progress.get(replica)
+        return progress is not None and now - progress.acked_at < self._timing.election_min
+
+    def _message(self, receiver: str) -> messages.PeerMessage:
+        return messages.PeerMessage(sender=self.me, receiver=receiver, term=self.term)
--- /dev/null
+++ b/packages/lanedock/lanedock/errors.py
@@ -0,0 +1,202 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Error codes and the root of lanedock's exceptions.
+
+Every failure that a caller or an operator can see carries one `ErrorCode`.
+The catalogue in ``docs/errors.md`` is generated from this module.
+"""
+
+from enum import Enum
+
+__all__ = ["ErrorCode", "LanedockError"]
+
+
+class ErrorCode(Enum):
+    """A code, what it means, and what to do about it.
+
+    Codes 1xxx concern files, 2xxx submissions, 3xxx requests, 4xxx the
+    replicated log, 5xxx a process and its surroundings.
+    """
+
+    FILE_UNREADABLE = ("LD1001", "The file cannot be read.", "Check the path and its permissions.")
+    NOT_JSON = ("LD1002", "The text is not JSON with comments.", "Mend the syntax at the place named.")
+    DUPLICATE_KEY = ("LD1003", "A key stands twice in one object.", "Remove one of the two.")
+    SCHEMA = ("LD1004", "A value does not fit the schema.", "Compare with the published schema.")
+    UNKNOWN_SERVICE = (
+        "LD1005",
+        "A route or call names a service that the file does not describe.",
+        "Describe the service, or remove the reference.",
+    )
+    UNKNOWN_ZONE = (
+        "LD1006",
+        "A service names an availability zone that the file does not list.",
+        "Add the zone to `zones`, or remove the reference.",
+    )
+    UNKNOWN_CLASS = (
+        "LD1007",
+        "A route names a traffic class that the file does not list.",
+        "Add the class to `traffic_classes`, or name another.",
+    )
+    DUPLICATE_NAME = ("LD1008", "Two items of one list share a name.", "Rename one of the two.")
+    SHADOWED_ROUTE = (
+        "LD1009",
+        "A route matches exactly what another one matches already.",
+        "Remove one of the two, or tell them apart by host, path or method.",
+    )
+    SHARES_EXCEED_ONE = (
+        "LD1010",
+        "The guaranteed shares of the traffic classes add up to more than 1.",
+        "Lower the shares.",
+    )
+    DIGEST_MISMATCH = (
+        "LD1011",
+        "A configuration's content does not match its digest.",
+        "None: the content is dropped and asked for again.",
+    )
+
+    VERSION_STALE = (
+        "LD2001",
+        "The version number is not above the accepted one. Not run.",
+        "Raise the version number above the accepted one and submit again.",
+    )
+    VERSION_CONFLICT = (
+        "LD2002",
+        "Another content was submitted under this version number. Not run.",
+        "Compare with `lanedock history`, take a new number and submit again.",
+    )
+    SUBMISSION_BUSY = (
+        "LD2003",
+        "Another version is being staged. Not run.",
+        "Wait for its outcome, then submit again.",
+    )
+    STAGING_REFUSED = (
+        "LD2004",
+        "A daemon refused the version; it was aborted everywhere. Not run.",
+        "Mend the findings, take a new version number and submit again.",
+    )
+    STAGING_TIMEOUT = (
+        "LD2005",
+        "Not every daemon staged the version in time; it was aborted everywhere. Not run.",
+        "Look at `lanedock status` for the daemons named, then submit a new version.",
+    )
+    OUTCOME_NOT_KNOWN = (
+        "LD2006",
+        "The outcome is not known yet.",
+        "Submit the same file again: the answer will be that of the first submission.",
+    )
+    NOT_LEADER = (
+        "LD2007",
+        "This control instance does not lead.",
+        "None: the command line asks the leader by itself.",
+    )
+    NO_LEADER = (
+        "LD2008",
+        "No control instance that could be reached leads.",
+        "Check that a majority of control instances runs and can reach each other.",
+    )
+    IN_FORCE_LATE = (
+        "LD2009",
+        "The version is accepted for good but not yet in force on every daemon.",
+        "Watch `lanedock status`; submitting the same file again waits on.",
+    )
+    VERSION_UNKNOWN = (
+        "LD2010",
+        "No version of that number is known.",
+        "List the versions with `lanedock history`.",
+    )
+
+    NO_ROUTE = ("LD3001", "No route of the version in force matches the request.", "Check the request or the routes.")
+    NO_UPSTREAM = (
+        "LD3002",
+        "No upstream of the service can take the request.",
+        "Retry after the told time; check the service's upstreams.",
+    )
+    NOT_READY = (
+        "LD3003",
+        "The daemon does not hold a confirmed configuration yet.",
+        "Retry after the told time, at another instance if there is one.",
+    )
+    DRAINING = ("LD3004", "The instance is leaving and takes no new work.", "Retry at another instance.")
+    OVERLOADED = ("LD3005", "The limit on requests in progress is reached.", "Retry after the told time.")
+    DEADLINE = ("LD3006", "The request's deadline has passed.", "Retry with a longer deadline.")
+    CONNECT_FAILED = ("LD3007", "No connection to the upstream could be made.", "Retry after the told time.")
+    ANSWER_LOST = (
+        "LD3008",
+        "The connection broke after the request was sent; it may have run.",
+        "Find out whether it ran before sending it again.",
+    )
+    ANSWER_TIMEOUT = (
+        "LD3009",
+        "No answer came before the deadline; the request may have run.",
+        "Find out whether it ran before sending it again.",
+    )
+    BAD_REQUEST = ("LD3010", "The request is malformed and was not passed on.", "Mend the request.")
+    NOT_HELD = (
+        "LD3011",
+        "The daemon's version does not hold the service that the request names.",
+        "Retry; if it stays, compare `lanedock status` of both instances.",
+    )
+    RETRY_REFUSED = (
+        "LD3012",
+        "The retry budget is spent; the last failure stands.",
+        "Retry after the told time.",
+    )
+
+    LOG_CORRUPT = (
+        "LD4001",
+        "The replicated log holds a record that fails its checksum.",
+        "Replace the control instance: its disk can't be trusted.",
+    )
+    DISK_FAILED = (
+        "LD4002",
+        "Writing or syncing the log failed.",
+        "Free or replace the disk, then restart the control instance.",
+    )
+    FOREIGN_FOLDER = (
+        "LD4003",
+        "The data folder belongs to another control instance.",
+        "Point `data_folder` at this instance's own folder.",
+    )
+
+    ADDRESS_TAKEN = (
+        "LD5001",
+        "A listening address cannot be bound.",
+        "Check the settings and what else listens there.",
+    )
+    PLATFORM_UNREADABLE = (
+        "LD5002",
+        "The platform's list of instances cannot be read; the last one stays in use.",
+        "Check the list's address or file.",
+    )
+    SERVICE_MISSING = ("LD5003", "A service of the kernel is asked for but not there.", "Report it: this is a bug.")
+    NOT_AUTHENTIC = (
+        "LD5004",
+        "The peer did not prove that it holds the shared key.",
+        "Check `shared_key_file` of both processes.",
+    )
+
+    def __init__(self, code: str, meaning: str, remedy: str):
+        self.code = code
+        self.meaning = meaning
+        self.remedy = remedy
+
+    def __repr__(self) -> str:
+        return f"<ErrorCode {self.code} {self.name}>"
+
+
+class LanedockError(Exception):
+    """Root of all exceptions that lanedock raises on purpose.
+
+    Parameters
+    ----------
+    code : ErrorCode
+        What went wrong.
+    message : str, optional
+        The particulars; the code's meaning where it is left out.
+    """
+
+    def __init__(self, code: ErrorCode, message: str = ""):
+        super().__init__(message or code.meaning)
+        self.code = code
+
+    def __str__(self) -> str:
+        return f"{self.code.code}: {super().__str__()}"
--- /dev/null
+++ b/packages/lanedock/lanedock/limits/__init__.py
@@ -0,0 +1,8 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Limits on work: slots with shares, retry budgets, admission."""
+
+from lanedock.limits.admission import Admission
+from lanedock.limits.retries import RetryBudget
+from lanedock.limits.slots import Refused, SlotLimiter, Waiter
+
+__all__ = ["Admission", "Refused", "RetryBudget", "SlotLimiter", "Waiter"]
--- /dev/null
+++ b/packages/lanedock/lanedock/limits/slots.py
@@ -0,0 +1,230 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""The limit on one upstream's work: slots, shares for classes, a short queue.
+
+An upstream's daemon is the only way in, so it knows the slots in use exactly.
+It refuses early: a request that would wait past its deadline is told so before
+it waits.
+"""
+
+import math
+
+from lanedock.config import TrafficClass
+from lanedock.errors import ErrorCode
+
+__all__ = ["Refused", "SlotLimiter", "Waiter"]
+
+# Weight of the newest service time in the moving average.
+_SMOOTHING = 0.1
+_FIRST_ESTIMATE = 0.005
+# A class whose requests take longer than this, in seconds, borrows no slots of
+# other classes' shares: they would not be back soon.
+_LENDING_LIMIT = 0.25
+# Time constant, in seconds, by which a class's highest use is forgotten.
+_PEAK_AGE = 5.0
+# Highest use below which a class counts as not seen lately.
+_SEEN_LATELY = 0.2
+
+
+class Refused:
+    """A request was refused; it did not run.
+
+    Parameters
+    ----------
+    code : ErrorCode
+    retry_after : float
+        Seconds after which it is worth asking again.
+    """
+
+    __slots__ = ("code", "retry_after")
+
+    def __init__(self, code: ErrorCode, retry_after: float):
+        self.code = code
+        self.retry_after = retry_after
+
+    def __repr__(self) -> str:
+        return f"<Refused {self.code.code} retry_after={self.retry_after:.3f}>"
+
+
+class Waiter:
+    """A request that waits for a slot.
+
+    Attributes
+    ----------
+    traffic_class : str
+    deadline : float
+        Monotonic, seconds.
+    granted : object
+        Called without arguments once the slot is the waiter's.
+    """
+
+    __slots__ = ("deadline", "granted", "traffic_class")
+
+    def __init__(self, traffic_class: str, deadline: float, granted):
+        self.traffic_class = traffic_class
+        self.deadline = deadline
+        self.granted = granted
+
+    def __repr__(self) -> str:
+        return f"<Waiter {self.traffic_class} deadline={self.deadline:.3f}>"
+
+
+class SlotLimiter:
+    """Slots of one upstream, shared among traffic classes.
+
+    A class may use slots beyond its own share as long as what is free covers
+    what is kept for the other classes. For a class of long requests that is
+    the whole of their unused shares. A class of short requests gives a slot
+    back soon, so for it only as much is kept as the others have used lately,
+    and one more.
+
+    Parameters
+    ----------
+    slots : int
+    queue : int
+        Requests that may wait.
+    classes : dict of str to TrafficClass
+    """
+
+    def __init__(self, slots: int, queue: int, classes: dict[str, TrafficClass]):
+        self._in_use: dict[str, int] = {}
+        self._waiting: dict[str, list[Waiter]] = {}
+        self._service_time = _FIRST_ESTIMATE
+        self._class_times: dict[str, float] = {}
+        self._peaks: dict[str, tuple[float, float]] = {}
+        self.in_use = 0
+        self.waiting = 0
+        self.configure(slots, queue, classes)
+
+    def __repr__(self) -> str:
+        return f"<SlotLimiter {self.in_use}/{self.slots} waiting={self.waiting}/{self.queue}>"
+
+    def configure(self, slots: int, queue: int, classes: dict[str, TrafficClass]) -> None:
+        """Take over another version's numbers; work in progress is kept."""
+        self.slots = slots
+        self.queue = queue
+        self._shares = {name: int(item.share * slots) for name, item in classes.items()}
+        self._queue_shares = {name: int(item.share * queue) for name, item in classes.items()}
+        # Strictly by priority; the name breaks ties the same way everywhere.
+        self._order = sorted(classes, key=lambda name: (classes[name].priority, name))
+
+    def acquire(self, traffic_class: str, deadline: float, now: float, granted) -> Waiter | Refused | None:
+        """Ask for a slot.
+
+        Parameters
+        ----------
+        traffic_class : str
+        deadline, now : float
+            Monotonic, seconds.
+        granted : callable
+            Called once a slot is free, where the answer is a Waiter.
+
+        Returns
+        -------
+        None
+            The slot is the caller's.
+        Waiter
+            It has to wait.
+        Refused
+            It can't be served in time.
+        """
+        if now >= deadline:
+            return Refused(ErrorCode.DEADLINE, 0.0)
+        if self._has_room(traffic_class, now):
+            self._take(traffic_class, now)
+            return None
+        wait = self._estimate_wait(traffic_class)
+        if not self._has_queue_room(traffic_class) or now + wait >= deadline:
+            return Refused(ErrorCode.OVERLOADED, max(wait, self._service_time))
+        waiter = Waiter(traffic_class, deadline, granted)
+        self._waiting.setdefault(traffic_class, []).append(waiter)
+        self.waiting += 1
+        return waiter
+
+    def release(self, traffic_class: str, duration: float, now: float) -> None:
+        """Give a slot back, which may go to a waiter.
+
+        Parameters
+        ----------
+        duration : float
+            How long the slot was used, seconds.
+        """
+        self._service_time += _SMOOTHING * (duration - self._service_time)
+        known = self._class_times.get(traffic_class, duration)
+        self._class_times[traffic_class] = known + _SMOOTHING * (duration - known)
+        self._in_use[traffic_class] -= 1
+        self.in_use -= 1
+        self._grant(now)
+
+    def cancel(self, waiter: Waiter) -> bool:
+        """Stop waiting; False where the slot was granted already."""
+        queue = self._waiting.get(waiter.traffic_class, [])
+        if waiter not in queue:
+            return False
+        queue.remove(waiter)
+        self.waiting -= 1
+        return True
+
+    def _take(self, traffic_class: str, now: float) -> None:
+        used = self._in_use.get(traffic_class, 0) + 1
+        self._in_use[traffic_class] = used
+        self.in_use += 1
+        if used >= self._peak(traffic_class, now):
+            self._peaks[traffic_class] = (used, now)
+
+    def _peak(self, traffic_class: str, now: float) -> float:
+        value, seen_at = self._peaks.get(traffic_class, (0.0, now))
+        return value * math.exp((seen_at - now) / _PEAK_AGE)
+
+    def _has_room(self, traffic_class: str, now: float) -> bool:
+        if self.in_use >= self.slots:
+            return False
+        if self._in_use.get(traffic_class, 0) < self._shares.get(traffic_class, 0):
+            return True
+        return self.slots - self.in_use > self._kept_for_others(traffic_class, now)
+
+    def _kept_for_others(self, traffic_class: str, now: float) -> int:
+        is_short = self._class_times.get(traffic_class, 0.0) <= _LENDING_LIMIT
+        kept = 0
+        for name, share in self._shares.items():
+            if name == traffic_class:
+                continue
+            if is_short:
+                peak = self._peak(name, now)
+                share = min(share, math.ceil(peak) + 1) if peak >= _SEEN_LATELY else 0
+            kept += max(0, share - self._in_use.get(name, 0))
+        return kept
+
+    def _has_queue_room(self, traffic_class: str) -> bool:
+        if self.waiting >= self.queue:
+            return False
+        lengths = {name: len(queue) for name, queue in self._waiting.items()}
+        if lengths.get(traffic_class, 0) < self._queue_shares.get(traffic_class, 0):
+            return True
+        unused = 0
+        for name, share in self._queue_shares.items():
+            if name != traffic_class:
+                unused += max(0, share - lengths.get(name, 0))
+        return self.queue - self.waiting > unused
+
+    def _estimate_wait(self, traffic_class: str) -> float:
+        """Estimate the wait from the requests that would be served before."""
+        ahead = 1
+        for name in self._order:
+            ahead += len(self._waiting.get(name, ()))
+            if name == traffic_class:
+                break
+        return ahead * self._service_time / self.slots
+
+    def _grant(self, now: float) -> None:
+        for name in [*self._order, *(set(self._waiting) - set(self._order))]:
+            queue = self._waiting.get(name)
+            while queue and self._has_room(name, now):
+                waiter = self._pop_next(queue)
+                self._take(name, now)
+                waiter.granted()
+
+    def _pop_next(self, queue: list[Waiter]) -> Waiter:
+        """Take the waiter with the nearest deadline."""
+        position = min(range(len(queue)), key=lambda number: queue[number].deadline)
+        self.waiting -= 1
+        return queue.pop(position)
--- /dev/null
+++ b/packages/lanedock/lanedock/membership/__init__.py
@@ -0,0 +1,17 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Which instances there are: the platform's list, and what is made of it."""
+
+from lanedock.membership.core import Instance, InstanceState, PlatformList, parse_instances
+from lanedock.membership.directory import Directory
+from lanedock.membership.sources import FilePlatformList, HttpPlatformList, make_platform_list
+
+__all__ = [
+    "Directory",
+    "FilePlatformList",
+    "HttpPlatformList",
+    "Instance",
+    "InstanceState",
+    "PlatformList",
+    "make_platform_list",
+    "parse_instances",
+]
--- /dev/null
+++ b/packages/lanedock/lanedock/membership/directory.py
@@ -0,0 +1,133 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""The directory of endpoints: what is told to daemons, and when.
+
+The platform's list lags, so it alone is not believed: once any source (the
+list or the instance's own daemon) said that an instance leaves, it leaves until
+it is replaced or its daemon is started anew.
+"""
+
+from lanedock.membership.core import Instance, InstanceState
+from lanedock.wire import messages
+
+__all__ = ["Directory"]
+
+
+class Directory:
+    """Endpoints by instance, with their changes gathered in a window.
+
+    Parameters
+    ----------
+    window : float
+        Seconds that changes are gathered; an instance that leaves is told at once.
+    """
+
+    def __init__(self, window: float):
+        self.window = window
+        self.sequence = 0
+        self._endpoints: dict[str, messages.Endpoint] = {}
+        self._drained: dict[str, int] = {}
+        # A list that lags may show a leaving instance as live again.
+        self._listed_leaving: dict[str, int] = {}
+        self._pending: dict[str, messages.Endpoint | None] = {}
+        self._due_at: float | None = None
+
+    def __repr__(self) -> str:
+        return f"<Directory endpoints={len(self._endpoints)} pending={len(self._pending)}>"
+
+    def endpoints(self) -> list[messages.Endpoint]:
+        """Return all endpoints as last told."""
+        return list(self._endpoints.values())
+
+    def take_list(self, instances: list[Instance], now: float) -> None:
+        """Take in the platform's list."""
+        listed = set()
+        for instance in instances:
+            listed.add(instance.name)
+            self._offer(self._make(instance), now)
+        for name in list(self._endpoints):
+            if name not in listed:
+                self._change(name, None, now)
+
+    def drain(self, name: str, incarnation: int, now: float) -> bool:
+        """Note that an instance leaves.
+
+        Parameters
+        ----------
+        name : str
+        incarnation : int
+            Of its daemon.
+        now : float
+            Monotonic, seconds.
+
+        Returns
+        -------
+        bool
+            Whether that is news.
+        """
+        if self._drained.get(name, -1) >= incarnation:
+            return False
+        self._drained[name] = incarnation
+        current = self._pending.get(name) or self._endpoints.get(name)
+        if current is not None and not current.leaving:
+            leaving = messages.Endpoint()
+            leaving.CopyFrom(current)
+            leaving.leaving = True
+            self._change(name, leaving, now)
+        return True
+
+    def revive(self, name: str, incarnation: int) -> None:
+        """Note that an instance's daemon was started anew and takes work."""
+        if self._drained.get(name, incarnation) < incarnation:
+            del self._drained[name]
+
+    def _make(self, instance: Instance) -> messages.Endpoint:
+        drained = instance.name in self._drained
+        return messages.Endpoint(
+            instance=instance.name,
+            service=instance.service,
+            zone=instance.zone,
+            host=instance.host,
+            port=instance.port,
+            leaving=drained or instance.state is InstanceState.LEAVING,
+            incarnation=instance.incarnation,
+        )
+
+    def _offer(self, endpoint: messages.Endpoint, now: float) -> None:
+        if endpoint.leaving and endpoint.instance not in self._drained:
+            self._listed_leaving[endpoint.instance] = endpoint.incarnation
+        current = self._pending.get(endpoint.instance) or self._endpoints.get(endpoint.instance)
+        if current is not None:
+            if endpoint.incarnation < current.incarnation:
+                return
+            if self._listed_leaving.get(endpoint.instance) == endpoint.incarnation:
+                endpoint.leaving = True
+        if current != endpoint:
+            self._change(endpoint.instance, endpoint, now)
+
+    def _change(self, name: str, endpoint: messages.Endpoint | None, now: float) -> None:
+        self._pending[name] = endpoint
+        due_at = now if endpoint is None or endpoint.leaving else now + self.window
+        self._due_at = due_at if self._due_at is None else min(self._due_at, due_at)
+
+    def take_update(self, now: float) -> messages.EndpointUpdate | None:
+        """Return the gathered changes once their window is over."""
+        if self._due_at is None or now < self._due_at:
+            return None
+        self.sequence += 1
+        update = messages.EndpointUpdate(sequence=self.sequence)
+        for name, endpoint in self._pending.items():
+            if endpoint is None:
+                self._endpoints.pop(name, None)
+                update.gone.append(name)
+            else:
+                self._endpoints[name] = endpoint
+                update.changed.append(endpoint)
+        self._pending = {}
+        self._due_at = None
+        return update
+
+    def whole_update(self) -> messages.EndpointUpdate:
+        """Return all endpoints, for a daemon that has just connected."""
+        update = messages.EndpointUpdate(sequence=self.sequence, whole=True)
+        update.changed.extend(self._endpoints.values())
+        return update
--- /dev/null
+++ b/packages/lanedock/lanedock/membership/sources.py
@@ -0,0 +1,78 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Platform lists read from a file or over HTTP."""
+
+from pathlib import Path
+
+from lanedock.errors import ErrorCode, LanedockError
+from lanedock.membership.core import Instance, PlatformList, parse_instances
+
+__all__ = ["FilePlatformList", "HttpPlatformList", "make_platform_list"]
+
+DEFAULT_TIMEOUT = 2.0
+
+
+class FilePlatformList(PlatformList):
+    """A list in a file that the platform rewrites.
+
+    Parameters
+    ----------
+    path : str
+    """
+
+    def __init__(self, path: str):
+        self._path = Path(path)
+
+    def __repr__(self) -> str:
+        return f"<FilePlatformList {self._path}>"
+
+    def read(self) -> list[Instance]:
+        try:
+            text = self._path.read_text(encoding="utf-8")
+        except (OSError, UnicodeDecodeError) as exc:
+            raise LanedockError(ErrorCode.PLATFORM_UNREADABLE, str(exc)) from exc
+        return parse_instances(text, str(self._path))
+
+
+class HttpPlatformList(PlatformList):
+    """A list that the platform serves as JSON over HTTP.
+
+    Parameters
+    ----------
+    url : str
+        With an IP number for a host.
+    timeout : float
+        Seconds.
+    """
+
+    def __init__(self, url: str, timeout: float = DEFAULT_TIMEOUT):
+        self._url = url
+        self._timeout = timeout
+
+    def __repr__(self) -> str:
+        return f"<HttpPlatformList {self._url}>"
+
+    def read(self) -> list[Instance]:
+        from geventhttpclient import HTTPClient
+        from geventhttpclient.url import URL
+
+        url = URL(self._url)
+        client = HTTPClient.from_url(url, connection_timeout=self._timeout, network_timeout=self._timeout)
+        try:
+            answer = client.get(url.request_uri)
+            if answer.status_code != 200:
+                raise LanedockError(ErrorCode.PLATFORM_UNREADABLE, f"{self._url} answers {answer.status_code}")
+            text = bytes(answer.read()).decode()
+        except LanedockError:
+            raise
+        except Exception as exc:  # the client raises its parser's and the socket's errors
+            raise LanedockError(ErrorCode.PLATFORM_UNREADABLE, f"{self._url}: {exc!r}") from exc
+        finally:
+            client.close()
+        return parse_instances(text, self._url)
+
+
+def make_platform_list(address: str) -> PlatformList:
+    """Make the list for an address: an ``http://`` URL or a file's path."""
+    if address.startswith("http://"):
+        return HttpPlatformList(address)
+    return FilePlatformList(address)
--- /dev/null
+++ b/packages/lanedock/lanedock/rollout/__init__.py
@@ -0,0 +1,23 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""A version's life: submitted, staged, accepted, in force."""
+
+from lanedock.rollout.coordinator import RolloutCoordinator, RolloutPolicy, RolloutProgress
+from lanedock.rollout.distributor import Child, Distributor, VersionSource
+from lanedock.rollout.fleet import FleetView
+from lanedock.rollout.holder import Held, VersionHolder
+from lanedock.rollout.state import MeshState, SubmitResult, Verdict
+
+__all__ = [
+    "Child",
+    "Distributor",
+    "FleetView",
+    "Held",
+    "MeshState",
+    "RolloutCoordinator",
+    "RolloutPolicy",
+    "RolloutProgress",
+    "SubmitResult",
+    "Verdict",
+    "VersionHolder",
+    "VersionSource",
+]
--- /dev/null
+++ b/packages/lanedock/lanedock/rollout/coordinator.py
@@ -0,0 +1,180 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""The leader's decisions on a version that is being staged."""
+
+from lanedock.errors import ErrorCode
+from lanedock.rollout.fleet import FleetView
+from lanedock.rollout.state import MeshState
+from lanedock.wire import messages
+
+__all__ = ["RolloutCoordinator", "RolloutPolicy", "RolloutProgress"]
+
+
+class RolloutPolicy:
+    """Durations of a rollout, in seconds.
+
+    Parameters
+    ----------
+    stage_timeout : float
+        Time to stage before a version is aborted.
+    dead_after : float
+        Seconds without a connection before an instance may count as dead.
+    """
+
+    __slots__ = ("dead_after", "stage_timeout")
+
+    def __init__(self, stage_timeout: float = 2.0, dead_after: float = 2.0):
+        self.stage_timeout = stage_timeout
+        self.dead_after = dead_after
+
+    def __repr__(self) -> str:
+        return f"<RolloutPolicy stage_timeout={self.stage_timeout} dead_after={self.dead_after}>"
+
+
+class RolloutProgress:
+    """How far a version has come.
+
+    Attributes
+    ----------
+    required, staged, in_force : int
+        Numbers of daemons.
+    lagging : list of str
+        Daemons that have not staged it, or, once it is accepted, don't use it.
+    """
+
+    __slots__ = ("in_force", "lagging", "required", "staged")
+
+    def __init__(self, required: int, staged: int, in_force: int, lagging: list[str]):
+        self.required = required
+        self.staged = staged
+        self.in_force = in_force
+        self.lagging = lagging
+
+    def __repr__(self) -> str:
+        return f"<RolloutProgress staged={self.staged} in_force={self.in_force} of {self.required}>"
+
+
+class RolloutCoordinator:
+    """Decides when a staged version is accepted or aborted.
+
+    It may propose only; what a proposal comes to is decided when it is
+    applied. A new leader starts a new coordinator, which finishes or aborts
+    the candidate it finds.
+
+    Parameters
+    ----------
+    state : MeshState
+    fleet : FleetView
+    policy : RolloutPolicy
+    """
+
+    def __init__(self, state: MeshState, fleet: FleetView, policy: RolloutPolicy):
+        self._state = state
+        self._fleet = fleet
+        self._policy = policy
+        self._candidate = 0
+        self._started_at = 0.0
+        self._decided = False
+
+    def __repr__(self) -> str:
+        return f"<RolloutCoordinator candidate={self._candidate} decided={self._decided}>"
+
+    def decide(self, now: float, wall: float) -> messages.Command | None:
+        """Return a command to propose, once for each candidate.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic, seconds.
+        wall : float
+            Wall clock, seconds; for people only.
+        """
+        candidate = self._state.candidate
+        if candidate is None:
+            self._candidate = 0
+            return None
+        if candidate.version != self._candidate:
+            self._candidate = candidate.version
+            self._started_at = now
+            self._decided = False
+        if self._decided:
+            return None
+        command = self._judge(candidate, now, wall)
+        self._decided = command is not None
+        return command
+
+    def retry(self) -> None:
+        """Decide again: the proposal could not be made."""
+        self._decided = False
+
+    def _judge(self, candidate, now: float, wall: float) -> messages.Command | None:
+        connected = self._fleet.daemons()
+        refusals = [state for state in connected.values() if _has_refused(state, candidate)]
+        if refusals:
+            return _abort(candidate, ErrorCode.STAGING_REFUSED, _refusal_findings(refusals))
+        staged = {name for name, state in connected.items() if _has_staged(state, candidate)}
+        required = self._fleet.required(set(candidate.allow_cut_off), now)
+        # Without the list nobody knows whom the version has to reach.
+        if self._fleet.is_list_known and required <= staged:
+            command = messages.Command()
+            command.accept.version = candidate.version
+            command.accept.digest = candidate.digest
+            command.accept.accepted_at = wall
+            return command
+        if now - self._started_at < self._policy.stage_timeout:
+            return None
+        return _abort(candidate, ErrorCode.STAGING_TIMEOUT, self._timeout_findings(required - staged, connected))
+
+    def _timeout_findings(self, laggards: set[str], connected: dict) -> list[messages.FindingRecord]:
+        if not self._fleet.is_list_known:
+            code = ErrorCode.PLATFORM_UNREADABLE
+            return [messages.FindingRecord(code=code.code, message="the platform's list was never read")]
+        findings = []
+        for name in sorted(laggards):
+            where = connected[name].zone if name in connected else self._fleet.zone_of(name)
+            what = "has not staged it in time" if name in connected else "is not connected"
+            message = f"daemon {name} in {where or 'an unknown zone'} {what}"
+            findings.append(messages.FindingRecord(code=ErrorCode.STAGING_TIMEOUT.code, message=message))
+        return findings
+
+    def progress(self, version: int, allowed_zones: set[str], now: float) -> RolloutProgress:
+        """Tell how far a version has come."""
+        connected = self._fleet.daemons()
+        required = self._fleet.required(allowed_zones, now)
+        is_accepted = self._state.accepted_version.number >= version
+        in_force = {name for name, state in connected.items() if state.in_force_version >= version}
+        staged = {name for name, state in connected.items() if state.staged_version == version} | in_force
+        done = in_force if is_accepted else staged
+        return RolloutProgress(
+            required=len(required),
+            staged=len(required & staged),
+            in_force=len(required & in_force),
+            lagging=sorted(required - done),
+        )
+
+
+def _has_staged(state: messages.DaemonState, candidate) -> bool:
+    return state.staged_version == candidate.version and state.staged_digest == candidate.digest
+
+
+def _has_refused(state: messages.DaemonState, candidate) -> bool:
+    return state.refused_version == candidate.version and state.refused_digest == candidate.digest
+
+
+def _abort(candidate, code: ErrorCode, findings: list) -> messages.Command:
+    command = messages.Command()
+    command.abort.version = candidate.version
+    command.abort.digest = candidate.digest
+    command.abort.reason = code.code
+    command.abort.findings.extend(findings)
+    return command
+
+
+def _refusal_findings(refusals: list[messages.DaemonState]) -> list[messages.FindingRecord]:
+    findings = []
+    for state in sorted(refusals, key=lambda item: item.daemon):
+        for finding in state.findings:
+            named = messages.FindingRecord()
+            named.CopyFrom(finding)
+            named.message = f"daemon {state.daemon}: {finding.message}"
+            findings.append(named)
+    return findings
--- /dev/null
+++ b/packages/lanedock/lanedock/rollout/state.py
@@ -0,0 +1,211 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""The replicated state machine: which versions there are and what became of them.
+
+Every decision that must be the same everywhere is made when an entry is
+applied, never when it is proposed, so operators who race each other are put
+in order by the log.
+"""
+
+from enum import Enum
+
+from lanedock.config import ConfigTree, Version
+from lanedock.errors import ErrorCode
+from lanedock.wire import messages
+
+__all__ = ["MeshState", "SubmitResult", "Verdict"]
+
+# Outcomes of this many versions are remembered, for operators who resend; the
+# contents of this many accepted ones are kept, as bases of deltas.
+MAX_RECORDS = 1000
+MAX_CONTENTS = 8
+
+
+class Verdict(Enum):
+    """What applying a submission decided."""
+
+    STAGING = "staging"
+    KNOWN = "known"
+    STALE = "stale"
+    CONFLICT = "conflict"
+    BUSY = "busy"
+
+
+class SubmitResult:
+    """The verdict on a submission.
+
+    Parameters
+    ----------
+    verdict : Verdict
+    record : VersionRecord or None
+        The version's record, where the verdict is STAGING or KNOWN.
+    code : ErrorCode or None
+        Why it was refused.
+    """
+
+    __slots__ = ("code", "record", "verdict")
+
+    def __init__(self, verdict: Verdict, record=None, code: ErrorCode | None = None):
+        self.verdict = verdict
+        self.record = record
+        self.code = code
+
+    def __repr__(self) -> str:
+        return f"<SubmitResult {self.verdict.value}>"
+
+
+class MeshState:
+    """All versions that are remembered.
+
+    Attributes
+    ----------
+    accepted : VersionRecord or None
+        The newest accepted version.
+    candidate : VersionRecord or None
+        The version that is being staged.
+    """
+
+    def __init__(self):
+        self.records: dict[int, messages.VersionRecord] = {}
+        self.accepted: messages.VersionRecord | None = None
+        self.candidate: messages.VersionRecord | None = None
+        self._trees: dict[int, ConfigTree] = {}
+        self._forgotten = 0
+
+    def __repr__(self) -> str:
+        accepted = self.accepted.version if self.accepted else 0
+        candidate = self.candidate.version if self.candidate else 0
+        return f"<MeshState accepted={accepted} candidate={candidate} records={len(self.records)}>"
+
+    @property
+    def accepted_version(self) -> Version:
+        """The newest accepted version; number 0 where there is none."""
+        return Version(self.accepted.version, self.accepted.digest) if self.accepted else Version()
+
+    @property
+    def candidate_version(self) -> Version:
+        """The version that is being staged; number 0 where there is none."""
+        return Version(self.candidate.version, self.candidate.digest) if self.candidate else Version()
+
+    def tree(self, number: int) -> ConfigTree | None:
+        """Return a version's tree, or None where its content isn't kept."""
+        tree = self._trees.get(number)
+        record = self.records.get(number)
+        if tree is None and record is not None and record.content:
+            tree = ConfigTree.from_packed(number, record.content)
+            self._trees[number] = tree
+        return tree
+
+    def judge(self, version: Version) -> SubmitResult:
+        """Tell what a submission of this version would come to now."""
+        record = self.records.get(version.number)
+        if record is not None:
+            if record.digest == version.digest:
+                return SubmitResult(Verdict.KNOWN, record)
+            return SubmitResult(Verdict.CONFLICT, code=ErrorCode.VERSION_CONFLICT)
+        if version.number <= self._floor():
+            return SubmitResult(Verdict.STALE, code=ErrorCode.VERSION_STALE)
+        if self.candidate is not None:
+            return SubmitResult(Verdict.BUSY, code=ErrorCode.SUBMISSION_BUSY)
+        return SubmitResult(Verdict.STAGING)
+
+    def _floor(self) -> int:
+        """Return the number that a new version must exceed.
+
+        Aborted versions count where their records were forgotten, so that no
+        number is ever used twice.
+        """
+        return max(self.accepted_version.number, self._forgotten)
+
+    def apply(self, command: messages.Command) -> SubmitResult | None:
+        """Apply a committed command.
+
+        Returns
+        -------
+        SubmitResult or None
+            For a submission: what became of it.
+        """
+        body = command.WhichOneof("body")
+        if body == "submit":
+            return self._submit(command.submit)
+        if body == "accept":
+            self._accept(command.accept)
+        elif body == "abort":
+            self._abort(command.abort)
+        return None
+
+    def _submit(self, command: messages.SubmitCommand) -> SubmitResult:
+        result = self.judge(Version(command.version, command.digest))
+        if result.verdict is not Verdict.STAGING:
+            return result
+        record = messages.VersionRecord(
+            version=command.version,
+            digest=command.digest,
+            content=command.content,
+            outcome=messages.OUTCOME_STAGING,
+            operator=command.operator,
+            submitted_at=command.submitted_at,
+        )
+        record.allow_cut_off.extend(command.allow_cut_off)
+        self.records[command.version] = record
+        self.candidate = record
+        result.record = record
+        return result
+
+    def _is_candidate(self, version: int, digest: bytes) -> bool:
+        candidate = self.candidate
+        return candidate is not None and candidate.version == version and candidate.digest == digest
+
+    def _accept(self, command: messages.AcceptCommand) -> None:
+        if not self._is_candidate(command.version, command.digest):
+            return
+        record = self.candidate
+        record.outcome = messages.OUTCOME_ACCEPTED
+        record.accepted_at = command.accepted_at
+        self.accepted = record
+        self.candidate = None
+        self._forget()
+
+    def _abort(self, command: messages.AbortCommand) -> None:
+        if not self._is_candidate(command.version, command.digest):
+            return
+        record = self.candidate
+        record.outcome = messages.OUTCOME_ABORTED
+        record.reason = command.reason
+        record.findings.extend(command.findings)
+        record.content = b""
+        self._trees.pop(record.version, None)
+        self.candidate = None
+        self._forget()
+
+    def _forget(self) -> None:
+        """Drop old contents, and the oldest records."""
+        accepted = [number for number, record in self.records.items() if record.content]
+        for number in sorted(accepted)[:-MAX_CONTENTS]:
+            self.records[number].content = b""
+            self._trees.pop(number, None)
+        for number in sorted(self.records)[:-MAX_RECORDS]:
+            del self.records[number]
+            self._forgotten = max(self._forgotten, number)
+
+    # --------------------------------------------------------------- snapshots
+
+    def snapshot(self) -> bytes:
+        """Serialize the whole state."""
+        snapshot = messages.StateSnapshot(
+            accepted_version=self.accepted_version.number,
+            candidate_version=self.candidate_version.number,
+            forgotten=self._forgotten,
+        )
+        snapshot.records.extend(self.records[number] for number in sorted(self.records))
+        return snapshot.SerializeToString()
+
+    @classmethod
+    def restore(cls, data: bytes) -> "MeshState":
+        """Make the state that a snapshot holds."""
+        snapshot = messages.StateSnapshot.FromString(data)
+        state = cls()
+        state.records = {record.version: record for record in snapshot.records}
+        state.accepted = state.records.get(snapshot.accepted_version)
+        state.candidate = state.records.get(snapshot.candidate_version)
+        state._forgotten = snapshot.forgotten
+        return state
--- /dev/null
+++ b/packages/lanedock/lanedock/routing/__init__.py
@@ -0,0 +1,7 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Where a request goes: route tables and the choice of an upstream."""
+
+from lanedock.routing.balancer import Balancer, BalancerPolicy, UpstreamStats
+from lanedock.routing.table import RouteTable
+
+__all__ = ["Balancer", "BalancerPolicy", "RouteTable", "UpstreamStats"]
--- /dev/null
+++ b/packages/lanedock/lanedock/routing/balancer.py
@@ -0,0 +1,277 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""The choice of an upstream instance for a request.
+
+The better of two random candidates, by requests in progress (Mitzenmacher,
+"The Power of Two Choices in Randomized Load Balancing", 2001). What counts is
+what this caller sees itself: its own requests in progress and their outcomes,
+and the count that an upstream's daemon puts on each answer, which fades with
+age. An upstream's own load report, which may lag or mislead, is not used.
+"""
+
+import math
+from random import Random
+
+from lanedock.wire import messages
+
+__all__ = ["Balancer", "BalancerPolicy", "UpstreamStats"]
+
+# Score of an upstream at whose door a trial request stands already.
+_UNWANTED = 1e6
+
+
+class BalancerPolicy:
+    """Tuning of the choice. Durations are in seconds.
+
+    Parameters
+    ----------
+    load_age : float
+        Time constant by which a told count fades.
+    slow_start : float
+        Time over which a new upstream is brought to its full share.
+    cold_weight : float
+        Its weight at the beginning, 0 to 1.
+    eject_failures : int
+        Failures in a row that eject an upstream.
+    eject_min, eject_max : float
+        First and longest ejection; doubled each time in between.
+    max_ejected : float
+        Part of a service's upstreams that may be ejected at once.
+    spill : float
+        Part of the slots in use, locally, at which other zones are weighed.
+    zone_penalty : float
+        How much emptier, in parts of the slots, another zone's upstream has to be.
+    """
+
+    __slots__ = (
+        "cold_weight",
+        "eject_failures",
+        "eject_max",
+        "eject_min",
+        "load_age",
+        "max_ejected",
+        "slow_start",
+        "spill",
+        "zone_penalty",
+    )
+
+    def __init__(
+        self,
+        load_age=1.0,
+        slow_start=10.0,
+        cold_weight=0.1,
+        eject_failures=3,
+        eject_min=1.0,
+        eject_max=30.0,
+        max_ejected=0.5,
+        spill=0.8,
+        zone_penalty=0.25,
+    ):
+        self.load_age = load_age
+        self.slow_start = slow_start
+        self.cold_weight = cold_weight
+        self.eject_failures = eject_failures
+        self.eject_min = eject_min
+        self.eject_max = eject_max
+        self.max_ejected = max_ejected
+        self.spill = spill
+        self.zone_penalty = zone_penalty
+
+    def __repr__(self) -> str:
+        return f"<BalancerPolicy spill={self.spill} eject_failures={self.eject_failures}>"
+
+
+class UpstreamStats:
+    """What a caller knows of one upstream.
+
+    Attributes
+    ----------
+    endpoint : Endpoint
+    in_progress : int
+        This caller's requests there.
+    """
+
+    __slots__ = (
+        "cold_since",
+        "ejected_until",
+        "ejections",
+        "endpoint",
+        "failures",
+        "in_progress",
+        "is_on_trial",
+        "others",
+        "told_at",
+    )
+
+    def __init__(self, endpoint: messages.Endpoint, cold_since: float | None):
+        self.endpoint = endpoint
+        self.in_progress = 0
+        self.others = 0
+        self.told_at = 0.0
+        self.failures = 0
+        self.ejections = 0
+        self.ejected_until = 0.0
+        self.is_on_trial = False
+        self.cold_since = cold_since
+
+    def __repr__(self) -> str:
+        return f"<UpstreamStats {self.endpoint.instance} in_progress={self.in_progress} others={self.others}>"
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Where its daemon takes requests."""
+        return (self.endpoint.host, self.endpoint.port)
+
+
+class Balancer:
+    """The upstreams of one service, as one caller sees them.
+
+    Parameters
+    ----------
+    zone : str
+        The caller's own.
+    rng : random.Random
+    policy : BalancerPolicy
+    """
+
+    def __init__(self, zone: str, rng: Random, policy: BalancerPolicy):
+        self._zone = zone
+        self._rng = rng
+        self._policy = policy
+        self._upstreams: dict[str, UpstreamStats] = {}
+        self._local: list[UpstreamStats] = []
+        self._remote: list[UpstreamStats] = []
+
+    def __repr__(self) -> str:
+        return f"<Balancer {self._zone} local={len(self._local)} remote={len(self._remote)}>"
+
+    def set_endpoints(self, endpoints: list[messages.Endpoint], now: float) -> None:
+        """Replace the list of upstreams; what is known of those that stay is kept."""
+        is_first = not self._upstreams
+        kept = {}
+        for endpoint in endpoints:
+            known = self._upstreams.get(endpoint.instance)
+            if known is None or known.endpoint.incarnation < endpoint.incarnation:
+                # Who was there before this caller is taken to be warm.
+                known = UpstreamStats(endpoint, None if is_first else now)
+            known.endpoint = endpoint
+            kept[endpoint.instance] = known
+        self._upstreams = kept
+        takes = [stats for stats in kept.values() if not stats.endpoint.leaving]
+        self._local = [stats for stats in takes if stats.endpoint.zone == self._zone]
+        self._remote = [stats for stats in takes if stats.endpoint.zone != self._zone]
+
+    def note_leaving(self, instance: str) -> None:
+        """Give an upstream no new work; its daemon has said that it leaves."""
+        stats = self._upstreams.get(instance)
+        if stats is not None:
+            self._local = [other for other in self._local if other is not stats]
+            self._remote = [other for other in self._remote if other is not stats]
+
+    # ------------------------------------------------------------------ choice
+
+    def choose(self, slots: int, now: float, excluded: frozenset = frozenset()) -> UpstreamStats | None:
+        """Choose an upstream; the caller then calls `begin`.
+
+        Parameters
+        ----------
+        slots : int
+            Requests that one upstream works on at once.
+        now : float
+            Monotonic, seconds.
+        excluded : frozenset of str
+            Instances that were tried already.
+
+        Returns
+        -------
+        UpstreamStats or None
+            None where no upstream takes work.
+        """
+        local = self._pick(self._usable(self._local, excluded, now), now)
+        if local is not None and self._score(local, now) < self._policy.spill * slots:
+            return local
+        remote = self._pick(self._usable(self._remote, excluded, now), now)
+        if remote is None or local is None:
+            return local or remote
+        margin = self._policy.zone_penalty * slots
+        if self._score(remote, now) + margin < self._score(local, now):
+            return remote
+        return local
+
+    def _usable(self, pool: list[UpstreamStats], excluded: frozenset, now: float) -> list[UpstreamStats]:
+        usable = [stats for stats in pool if stats.ejected_until <= now and stats.endpoint.instance not in excluded]
+        if usable or excluded:
+            return usable
+        # All are ejected: a wrong guess is better than an empty service.
+        return pool
+
+    def _pick(self, usable: list[UpstreamStats], now: float) -> UpstreamStats | None:
+        if not usable:
+            return None
+        if len(usable) == 1:
+            return usable[0]
+        first, second = self._rng.sample(usable, 2)
+        return first if self._score(first, now) <= self._score(second, now) else second
+
+    def _score(self, stats: UpstreamStats, now: float) -> float:
+        """Estimate the requests in progress, scaled up while it is cold."""
+        if stats.is_on_trial and stats.in_progress:
+            return _UNWANTED
+        load = stats.in_progress
+        if stats.others:
+            load += stats.others * math.exp((stats.told_at - now) / self._policy.load_age)
+        if stats.cold_since is None:
+            return load
+        warm = (now - stats.cold_since) / self._policy.slow_start
+        if warm >= 1:
+            stats.cold_since = None
+            return load
+        return (load + 1) / max(self._policy.cold_weight, warm) - 1
+
+    # ---------------------------------------------------------------- outcomes
+
+    def begin(self, stats: UpstreamStats) -> None:
+        """Note that a request is sent to an upstream."""
+        stats.in_progress += 1
+
+    def end(self, stats: UpstreamStats, failed: bool, now: float, told: int | None = None) -> bool:
+        """Note a request's end.
+
+        Parameters
+        ----------
+        stats : UpstreamStats
+        failed : bool
+            Whether the upstream was at fault.
+        now : float
+        told : int, optional
+            Requests in progress that its daemon put on the answer, this one included.
+
+        Returns
+        -------
+        bool
+            Whether the upstream was ejected for it.
+        """
+        if told is not None:
+            stats.others = max(0, told - stats.in_progress)
+            stats.told_at = now
+        stats.in_progress -= 1
+        if not failed:
+            stats.failures = 0
+            stats.is_on_trial = False
+            stats.ejections = max(0, stats.ejections - 1)
+            return False
+        stats.failures += 1
+        if stats.failures < self._policy.eject_failures and not stats.is_on_trial:
+            return False
+        return self._eject(stats, now)
+
+    def _eject(self, stats: UpstreamStats, now: float) -> bool:
+        out = [other for other in self._upstreams.values() if other.ejected_until > now and other is not stats]
+        if len(out) + 1 > self._policy.max_ejected * len(self._upstreams):
+            return False
+        duration = min(self._policy.eject_min * 2**stats.ejections, self._policy.eject_max)
+        stats.ejected_until = now + duration * self._rng.uniform(0.75, 1.25)
+        stats.ejections += 1
+        stats.failures = 0
+        # It comes back with one request at a time until one succeeds.
+        stats.is_on_trial = True
+        return True
--- /dev/null
+++ b/packages/lanedock/lanedock/settings/__init__.py
@@ -0,0 +1,26 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""A process's settings, read from JSON with comments."""
+
+from lanedock.settings.core import (
+    Address,
+    ControlSettings,
+    DaemonSettings,
+    EntrySettings,
+    Settings,
+    TlsSettings,
+    TraceSettings,
+    UpstreamSettings,
+)
+from lanedock.settings.load import load_settings
+
+__all__ = [
+    "Address",
+    "ControlSettings",
+    "DaemonSettings",
+    "EntrySettings",
+    "Settings",
+    "TlsSettings",
+    "TraceSettings",
+    "UpstreamSettings",
+    "load_settings",
+]
--- /dev/null
+++ b/packages/lanedock/lanedock/settings/core.py
@@ -0,0 +1,131 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""The model of a process's settings: plain data with defaults filled in."""
+
+__all__ = [
+    "Address",
+    "ControlSettings",
+    "DaemonSettings",
+    "EntrySettings",
+    "Settings",
+    "TlsSettings",
+    "TraceSettings",
+    "UpstreamSettings",
+]
+
+
+class Address:
+    """An IP number and a port.
+
+    Parameters
+    ----------
+    host : str
+    port : int
+    """
+
+    __slots__ = ("host", "port")
+
+    def __init__(self, host: str, port: int):
+        self.host = host
+        self.port = port
+
+    @classmethod
+    def parse(cls, text: str) -> "Address":
+        """Make an address of ``host:port`` or ``[host]:port``."""
+        host, _, port = text.rpartition(":")
+        return cls(host.strip("[]"), int(port))
+
+    def __str__(self) -> str:
+        host = f"[{self.host}]" if ":" in self.host else self.host
+        return f"{host}:{self.port}"
+
+    def __repr__(self) -> str:
+        return f"<Address {self}>"
+
+    def __eq__(self, other: object) -> bool:
+        return isinstance(other, Address) and (self.host, self.port) == (other.host, other.port)
+
+    def __hash__(self) -> int:
+        return hash((self.host, self.port))
+
+
+class _Section:
+    """Takes its values by keyword, all of them named in `__slots__`."""
+
+    __slots__ = ()
+
+    def __init__(self, **values):
+        for name in self.__slots__:
+            setattr(self, name, values.pop(name))
+        if values:
+            raise TypeError(f"unknown settings {sorted(values)}")
+
+    def __repr__(self) -> str:
+        told = " ".join(f"{name}={getattr(self, name)}" for name in self.__slots__)
+        return f"<{type(self).__name__} {told}>"
+
+
+class TraceSettings(_Section):
+    """Traces: `file` (str), `sample` (float, 0 to 1)."""
+
+    __slots__ = ("file", "sample")
+
+
+class TlsSettings(_Section):
+    """Mutual TLS: `certificate`, `key`, `authority` (paths of PEM files)."""
+
+    __slots__ = ("authority", "certificate", "key")
+
+
+class ControlSettings(_Section):
+    """A control instance; names and units as in the schema."""
+
+    __slots__ = (
+        "admissions_per_second",
+        "compact_bytes",
+        "data_folder",
+        "dead_after_ms",
+        "listen",
+        "platform_interval_ms",
+        "platform_list",
+        "relay_threshold",
+        "relays_per_zone",
+        "replicas",
+        "stage_timeout_ms",
+        "whole_files",
+    )
+
+
+class DaemonSettings(_Section):
+    """How a daemon takes versions; names and units as in the schema."""
+
+    __slots__ = ("control", "relay", "stall_limit_ms")
+
+
+class EntrySettings(_Section):
+    """An entry daemon: `listen` (Address)."""
+
+    __slots__ = ("listen",)
+
+
+class UpstreamSettings(_Section):
+    """An upstream's daemon; names and units as in the schema."""
+
+    __slots__ = ("application", "egress", "health_interval_ms", "listen", "service")
+
+
+class Settings(_Section):
+    """All settings of a process; a section that is not there is None."""
+
+    __slots__ = (
+        "control",
+        "daemon",
+        "entry",
+        "log_level",
+        "name",
+        "statsd",
+        "stop_timeout_ms",
+        "tls",
+        "trace",
+        "upstream",
+        "zone",
+    )
--- /dev/null
+++ b/packages/lanedock/lanedock/testing/__main__.py
@@ -0,0 +1,26 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Serves stand-in applications: ``python -m lanedock.testing FILE``.
+
+FILE is a JSON list of objects with name, host, port, work (seconds) and slots.
+"""
+
+import json
+import sys
+
+import gevent
+
+from lanedock.testing.upstream import StandInUpstream, UpstreamBehaviour
+
+
+def main(path: str) -> None:
+    """Serve the applications that a file lists, until the process is ended."""
+    with open(path, encoding="utf-8") as file:
+        listed = json.load(file)
+    for item in listed:
+        behaviour = UpstreamBehaviour(item.get("work", 0.0), item.get("slots", 12))
+        StandInUpstream(item["name"], (item["host"], item["port"]), behaviour).start()
+    gevent.wait()
+
+
+if __name__ == "__main__":
+    main(sys.argv[1])
--- /dev/null
+++ b/packages/lanedock/lanedock/testing/mesh.py
@@ -0,0 +1,291 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""A mesh of real processes on loopback, for demos, tests and benches."""
+
+import http.client
+import json
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+__all__ = ["LocalMesh", "MeshProcess"]
+
+HOST = "127.0.0.1"
+START_TIMEOUT = 30.0
+STOP_TIMEOUT = 30.0
+
+
+def _free_ports(count: int) -> list[int]:
+    """Find ports that nobody listens on."""
+    held = [socket.socket() for _ in range(count)]
+    try:
+        for one in held:
+            one.bind((HOST, 0))
+        return [one.getsockname()[1] for one in held]
+    finally:
+        for one in held:
+            one.close()
+
+
+class MeshProcess:
+    """One process of the mesh.
+
+    Attributes
+    ----------
+    name : str
+    settings : dict
+        As written to its settings file; change it before a restart.
+    popen : subprocess.Popen or None
+    """
+
+    def __init__(self, name: str, folder: Path, settings: dict):
+        self.name = name
+        self.settings = settings
+        self.popen: subprocess.Popen | None = None
+        self._folder = folder
+
+    def __repr__(self) -> str:
+        return f"<MeshProcess {self.name} pid={self.popen.pid if self.popen else None}>"
+
+    @property
+    def log_path(self) -> Path:
+        """Where its log goes."""
+        return self._folder / f"{self.name}.log"
+
+    def start(self, *arguments: str) -> None:
+        """Start, or start again."""
+        path = self._folder / f"{self.name}.jsonc"
+        path.write_text(json.dumps(self.settings, indent=2), encoding="utf-8")
+        line = [sys.executable, "-m", "lanedock_daemon.app", "--settings", str(path), *arguments]
+        with open(self.log_path, "ab") as log:
+            self.popen = subprocess.Popen(line, stdout=log, stderr=log)
+
+    def kill(self) -> None:
+        """End it without notice."""
+        self.popen.kill()
+        self.popen.wait()
+
+    def log(self) -> str:
+        """Return what it has logged."""
+        return self.log_path.read_text(encoding="utf-8")
+
+
+class LocalMesh:
+    """Control instances, entry daemons, upstreams and their daemons.
+
+    Parameters
+    ----------
+    folder : Path
+        For settings, logs and data folders.
+    zones : list of str
+    services : dict of str to int
+        Upstreams of each service, spread over the zones in turn.
+    control : dict, optional
+        Further settings of the control instances.
+    work : float
+        Seconds that an upstream works on a request.
+    entries : int
+        Entry daemons in each zone.
+    """
+
+    def __init__(
+        self, folder: Path, zones, services: dict[str, int], control: dict | None = None, work=0.001, entries=1
+    ):
+        self.folder = folder
+        self.zones = list(zones)
+        self.controls: dict[str, MeshProcess] = {}
+        self.entries: dict[str, MeshProcess] = {}
+        self.upstreams: dict[str, MeshProcess] = {}
+        self.applications: dict[str, tuple[str, int]] = {}
+        self._services = services
+        self._extra_control = control or {}
+        self._work = work
+        self._entries = entries
+        self._stand_ins: subprocess.Popen | None = None
+        self._instances: list[dict] = []
+        self.folder.mkdir(parents=True, exist_ok=True)
+        self._prepare()
+
+    # ----------------------------------------------------------------- prepare
+
+    def _prepare(self) -> None:
+        upstreams = sum(self._services.values())
+        entries = len(self.zones) * self._entries
+        ports = iter(_free_ports(len(self.zones) + 2 * entries + 4 * upstreams))
+        replicas = {f"control-{zone}": f"{HOST}:{next(ports)}" for zone in self.zones}
+        for zone in self.zones:
+            self._add_control(zone, replicas)
+        for zone in self.zones:
+            for number in range(self._entries):
+                self._add_entry(f"entry-{zone}-{number}", zone, replicas, ports)
+        position = 0
+        for service, count in self._services.items():
+            for number in range(count):
+                zone = self.zones[position % len(self.zones)]
+                self._add_upstream(f"{service}-{number}", service, zone, replicas, ports)
+                position += 1
+        self.write_list()
+
+    def _add_control(self, zone: str, replicas: dict[str, str]) -> None:
+        name = f"control-{zone}"
+        control = {
+            "listen": replicas[name],
+            "data_folder": str(self.folder / f"data-{name}"),
+            "replicas": replicas,
+            "platform_list": str(self.folder / "platform.json"),
+            "platform_interval_ms": 200,
+            **self._extra_control,
+        }
+        self.controls[name] = MeshProcess(name, self.folder, {"name": name, "zone": zone, "control": control})
+
+    def _daemon_section(self, zone: str, replicas: dict[str, str], port: int) -> dict:
+        own = replicas[f"control-{zone}"]
+        others = [address for address in replicas.values() if address != own]
+        return {"control": [own, *others], "relay": f"{HOST}:{port}"}
+
+    def _add_entry(self, name: str, zone: str, replicas, ports) -> None:
+        port = next(ports)
+        daemon = self._daemon_section(zone, replicas, next(ports))
+        settings = {"name": name, "zone": zone, "daemon": daemon, "entry": {"listen": f"{HOST}:{port}"}}
+        self.entries[name] = MeshProcess(name, self.folder, settings)
+        self._instances.append({"name": name, "zone": zone, "host": HOST, "port": port, "state": "live"})
+
+    def _add_upstream(self, name: str, service: str, zone: str, replicas, ports) -> None:
+        port, application, egress = next(ports), next(ports), next(ports)
+        upstream = {
+            "service": service,
+            "listen": f"{HOST}:{port}",
+            "application": f"{HOST}:{application}",
+            "egress": f"{HOST}:{egress}",
+        }
+        daemon = self._daemon_section(zone, replicas, next(ports))
+        self.upstreams[name] = MeshProcess(
+            name, self.folder, {"name": name, "zone": zone, "daemon": daemon, "upstream": upstream}
+        )
+        self.applications[name] = (HOST, application)
+        self._instances.append(
+            {"name": name, "zone": zone, "service": service, "host": HOST, "port": port, "state": "live"}
+        )
+
+    # --------------------------------------------------------------------- run
+
+    @property
+    def processes(self) -> list[MeshProcess]:
+        """All processes of lanedock, control first."""
+        return [*self.controls.values(), *self.entries.values(), *self.upstreams.values()]
+
+    @property
+    def control_addresses(self) -> str:
+        """For ``lanedock --control``."""
+        return ",".join(process.settings["control"]["listen"] for process in self.controls.values())
+
+    def __enter__(self) -> "LocalMesh":
+        return self
+
+    def __exit__(self, *exc) -> None:
+        for process in self.processes:
+            if process.popen is not None and process.popen.poll() is None:
+                process.kill()
+        if self._stand_ins is not None:
+            self._stand_ins.kill()
+            self._stand_ins.wait()
+
+    def start(self) -> None:
+        """Start everything, and wait until every address is listened on."""
+        self.start_stand_ins()
+        for process in self.controls.values():
+            process.start("--initialize")
+        for process in [*self.entries.values(), *self.upstreams.values()]:
+            process.start()
+        for process in self.processes:
+            self.wait_listening(process)
+
+    def start_stand_ins(self) -> None:
+        """Start the upstreams' applications, all in one process."""
+        listed = []
+        for name, (host, port) in self.applications.items():
+            listed.append({"name": name, "host": host, "port": port, "work": self._work})
+        path = self.folder / "applications.json"
+        path.write_text(json.dumps(listed), encoding="utf-8")
+        self._stand_ins = subprocess.Popen([sys.executable, "-m", "lanedock.testing", str(path)])
+
+    def wait_listening(self, process: MeshProcess) -> None:
+        """Wait until a process listens on its address."""
+        settings = process.settings
+        section = settings.get("control") or settings.get("entry") or settings.get("upstream")
+        host, _, port = section["listen"].rpartition(":")
+        self.wait_for(lambda: _is_listening(host, int(port)), f"{process.name} listens", process)
+
+    def wait_for(
+        self, condition, what: str, process: MeshProcess | None = None, timeout: float = START_TIMEOUT
+    ) -> None:
+        """Wait until a condition holds.
+
+        Raises
+        ------
+        TimeoutError
+            It does not within `timeout` seconds, or the process has ended.
+        """
+        until = time.monotonic() + timeout
+        while not condition():
+            if process is not None and process.popen.poll() is not None:
+                raise TimeoutError(f"{process.name} has ended:\n{process.log()}")
+            if time.monotonic() > until:
+                raise TimeoutError(f"not in {timeout} s: {what}")
+            time.sleep(0.02)
+
+    def stop(self) -> list[int]:
+        """Stop everything politely; returns the exit codes."""
+        order = [*self.entries.values(), *self.upstreams.values(), *self.controls.values()]
+        running = [process for process in order if process.popen is not None and process.popen.poll() is None]
+        for process in running:
+            process.popen.terminate()
+        return [process.popen.wait(STOP_TIMEOUT) for process in running]
+
+    # ---------------------------------------------------------------- platform
+
+    def write_list(self) -> None:
+        """Write the platform's list, replacing it at once."""
+        path = self.folder / "platform.json"
+        fresh = self.folder / "platform.json.new"
+        fresh.write_text(json.dumps({"instances": self._instances}), encoding="utf-8")
+        fresh.replace(path)
+
+    def set_state(self, name: str, state: str | None) -> None:
+        """Change an instance's state in the list; None takes it out."""
+        self._instances = [item for item in self._instances if item["name"] != name or state is not None]
+        for item in self._instances:
+            if item["name"] == name:
+                item["state"] = state
+        self.write_list()
+
+    # ----------------------------------------------------------------- requests
+
+    def request(self, method: str, path: str, body: bytes = b"", entry: int = 0, headers: dict | None = None):
+        """Send a request through an entry daemon.
+
+        Returns
+        -------
+        int
+            Status.
+        bytes
+            Body.
+        """
+        process = list(self.entries.values())[entry % len(self.entries)]
+        host, _, port = process.settings["entry"]["listen"].rpartition(":")
+        conn = http.client.HTTPConnection(host, int(port), timeout=30)
+        try:
+            conn.request(method, path, body=body or None, headers=headers or {})
+            answer = conn.getresponse()
+            return answer.status, answer.read()
+        finally:
+            conn.close()
+
+
+def _is_listening(host: str, port: int) -> bool:
+    try:
+        with socket.create_connection((host, port), timeout=1):
+            return True
+    except OSError:
+        return False
--- /dev/null
+++ b/packages/lanedock/lanedock/testing/upstream.py
@@ -0,0 +1,156 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""A stand-in for an upstream's application: a small WSGI server with faults.
+
+It counts how often each request id ran, so a test can tell whether a request
+ran more than once.
+"""
+
+import json
+import time
+
+import gevent
+from gevent import pywsgi, socket
+from gevent.lock import BoundedSemaphore
+
+__all__ = ["StandInUpstream", "UpstreamBehaviour"]
+
+ID_HEADER = "HTTP_X_REQUEST_ID"
+
+
+class UpstreamBehaviour:
+    """How a stand-in behaves; may be changed while it runs.
+
+    Attributes
+    ----------
+    work : float
+        Seconds that a request takes.
+    slots : int
+        Requests worked on at once; more of them wait.
+    cold_until : float
+        Monotonic; until then a request takes `cold_factor` times as long.
+    shed : bool
+        Answer 503 to everything.
+    draining : bool
+        Say on every answer that the upstream drains.
+    cut_after : int or None
+        Cut the connection after this many bytes of an answer's body.
+    told_load : float
+        What the load endpoint tells, whatever is true.
+    """
+
+    __slots__ = ("cold_factor", "cold_until", "cut_after", "draining", "shed", "slots", "told_load", "work")
+
+    def __init__(self, work: float = 0.0, slots: int = 12):
+        self.work = work
+        self.slots = slots
+        self.cold_until = 0.0
+        self.cold_factor = 5.0
+        self.shed = False
+        self.draining = False
+        self.cut_after: int | None = None
+        self.told_load = 0.0
+
+
+class _Handler(pywsgi.WSGIHandler):
+    def handle(self) -> None:
+        self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        super().handle()
+
+
+class StandInUpstream:
+    """An application that answers every request with what it received.
+
+    Parameters
+    ----------
+    name : str
+    address : tuple of (str, int)
+        Port 0 for any.
+    behaviour : UpstreamBehaviour, optional
+    """
+
+    def __init__(self, name: str, address=("127.0.0.1", 0), behaviour: UpstreamBehaviour | None = None):
+        self.name = name
+        self.behaviour = behaviour or UpstreamBehaviour()
+        self.runs: dict[str, int] = {}
+        self.in_progress = 0
+        self._slots = BoundedSemaphore(self.behaviour.slots)
+        self._server = pywsgi.WSGIServer(address, self._serve, handler_class=_Handler, log=None, error_log=None)
+
+    def __repr__(self) -> str:
+        return f"<StandInUpstream {self.name} {self.address} runs={sum(self.runs.values())}>"
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Where it listens."""
+        return self._server.address
+
+    def start(self) -> None:
+        """Start to serve."""
+        self._server.start()
+
+    def stop(self) -> None:
+        """Stop at once."""
+        self._server.stop(timeout=0)
+
+    def _serve(self, environ: dict, start_response):
+        path = environ["PATH_INFO"]
+        if path == "/.health":
+            start_response("200 OK", [("Content-Length", "0")])
+            return [b""]
+        if path == "/.load":
+            return self._answer(start_response, {"load": self.behaviour.told_load})
+        if path == "/.runs":
+            return self._answer(start_response, self.runs)
+        if self.behaviour.shed:
+            start_response("503 Service Unavailable", [("Content-Length", "0"), ("Retry-After", "1")])
+            return [b""]
+        with self._slots:
+            return self._work(environ, start_response)
+
+    def _work(self, environ: dict, start_response):
+        self.in_progress += 1
+        try:
+            request_id = environ.get(ID_HEADER, "")
+            self.runs[request_id] = self.runs.get(request_id, 0) + 1
+            size = 0
+            while piece := environ["wsgi.input"].read(65536):
+                size += len(piece)
+            gevent.sleep(self._work_time())
+        finally:
+            self.in_progress -= 1
+        told = {
+            "upstream": self.name,
+            "method": environ["REQUEST_METHOD"],
+            "path": environ["PATH_INFO"],
+            "id": request_id,
+            "received": size,
+            "traceparent": environ.get("HTTP_TRACEPARENT", ""),
+        }
+        wanted = environ["QUERY_STRING"].partition("size=")[2]
+        padding = int(wanted) if wanted.isdigit() else 0
+        return self._answer(start_response, told, padding)
+
+    def _work_time(self) -> float:
+        behaviour = self.behaviour
+        if time.monotonic() < behaviour.cold_until:
+            return behaviour.work * behaviour.cold_factor
+        return behaviour.work
+
+    def _answer(self, start_response, value: dict, padding: int = 0):
+        body = json.dumps(value).encode()
+        headers = [("Content-Type", "application/json"), ("Content-Length", str(len(body) + padding))]
+        if self.behaviour.draining:
+            headers.append(("X-Upstream-Draining", "1"))
+        start_response("200 OK", headers)
+        return self._stream(body, padding)
+
+    def _stream(self, body: bytes, padding: int):
+        cut_after = self.behaviour.cut_after
+        if cut_after is not None:
+            yield body[:cut_after]
+            raise ConnectionError("cut as told")
+        yield body
+        while padding > 0:
+            piece = min(padding, 65536)
+            yield b"." * piece
+            padding -= piece
--- /dev/null
+++ b/tools/generate.sh
@@ -0,0 +1,10 @@
+#!/bin/sh
+# SPDX-License-Identifier: BSD-3-Clause
+# Makes the wire modules anew; they are committed, so a build needs no generator.
+# Wants grpcio-tools and grpclib in the environment whose bin folder is $1.
+set -eu
+cd "$(dirname "$0")/.."
+bin="${1:-.venv/bin}"
+PATH="$bin:$PATH" "$bin/python" -m grpc_tools.protoc -Ipackages/lanedock \
+  --python_out=packages/lanedock --grpclib_python_out=packages/lanedock \
+  packages/lanedock/lanedock/wire/lanedock.proto
