--- a/packages/lanedock-cli/lanedock_cli/app.py
+++ b/packages/lanedock-cli/lanedock_cli/app.py
@@ -10,14 +10,14 @@
 from typing import Annotated
 
 import typer
+from rich.console import Console
+from rich.progress import BarColumn, MofNCompleteColumn, Progress, TextColumn
+
 from lanedock.config import ConfigTree, compare, load_config
 from lanedock.errors import ErrorCode, LanedockError
 from lanedock.findings import FindingsError
 from lanedock.settings import Address
 from lanedock.wire import messages
-from rich.console import Console
-from rich.progress import BarColumn, MofNCompleteColumn, Progress, TextColumn
-
 from lanedock_cli.client import ControlClient
 from lanedock_cli.render import (
     ANSWER_NAMES,
--- a/packages/lanedock-cli/lanedock_cli/client.py
+++ b/packages/lanedock-cli/lanedock_cli/client.py
@@ -7,6 +7,7 @@
 
 from grpclib.client import Channel
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+
 from lanedock.errors import ErrorCode, LanedockError
 from lanedock.settings import Address
 from lanedock.wire import messages
--- a/packages/lanedock-cli/lanedock_cli/render.py
+++ b/packages/lanedock-cli/lanedock_cli/render.py
@@ -4,11 +4,12 @@
 import json
 from datetime import datetime
 
+from rich.console import Console
+from rich.table import Table
+
 from lanedock.config import Difference
 from lanedock.findings import Finding
 from lanedock.wire import messages
-from rich.console import Console
-from rich.table import Table
 
 __all__ = [
     "ANSWER_NAMES",
--- a/packages/lanedock-cli/lanedock_cli/traces.py
+++ b/packages/lanedock-cli/lanedock_cli/traces.py
@@ -5,10 +5,11 @@
 from datetime import datetime
 from pathlib import Path
 
-from lanedock.errors import ErrorCode, LanedockError
 from rich.console import Console
 from rich.tree import Tree
 
+from lanedock.errors import ErrorCode, LanedockError
+
 __all__ = ["print_traces"]
 
 
--- a/packages/lanedock-daemon/lanedock_daemon/agent/attest.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/attest.py
@@ -3,6 +3,7 @@
 
 import gevent
 from gevent import socket
+
 from lanedock.kernel import TaskService
 from lanedock.wire import messages
 
--- a/packages/lanedock-daemon/lanedock_daemon/agent/relay.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/relay.py
@@ -6,7 +6,6 @@
 from lanedock.rollout import Distributor, VersionSource
 from lanedock.telemetry import Metric, Metrics
 from lanedock.wire import messages
-
 from lanedock_daemon.sessions import Session
 
 __all__ = ["RelayDesk"]
--- a/packages/lanedock-daemon/lanedock_daemon/agent/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/service.py
@@ -9,7 +9,6 @@
 from lanedock.settings import Address, Settings
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics
 from lanedock.wire import messages
-
 from lanedock_daemon.agent.attest import AttestationsMade, Attester
 from lanedock_daemon.agent.board import Board
 from lanedock_daemon.agent.relay import RelayDesk
--- a/packages/lanedock-daemon/lanedock_daemon/agent/watch.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/watch.py
@@ -4,11 +4,11 @@
 import asyncio
 
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+
 from lanedock.kernel import LoopService, TaskService
 from lanedock.settings import Address
 from lanedock.wire import messages
 from lanedock.wire.lanedock_grpc import DistributionStub
-
 from lanedock_daemon.network import make_channel
 
 __all__ = ["SourceEnded", "SourceStream", "SourceTold"]
--- a/packages/lanedock-daemon/lanedock_daemon/app.py
+++ b/packages/lanedock-daemon/lanedock_daemon/app.py
@@ -13,6 +13,7 @@
 
 import gevent  # noqa: E402
 from gevent.event import Event as Signal  # noqa: E402
+
 from lanedock.errors import LanedockError  # noqa: E402
 from lanedock.findings import FindingsError  # noqa: E402
 from lanedock.kernel import Kernel, LoopService  # noqa: E402
--- a/packages/lanedock-daemon/lanedock_daemon/control/distribution.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/distribution.py
@@ -9,7 +9,6 @@
 from lanedock.settings import ControlSettings
 from lanedock.telemetry import Metric, Metrics
 from lanedock.wire import messages
-
 from lanedock_daemon.sessions import Session
 
 __all__ = ["DistributionDesk"]
--- a/packages/lanedock-daemon/lanedock_daemon/control/log.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/log.py
@@ -5,6 +5,7 @@
 import time
 
 import gevent
+
 from lanedock.consensus import FileStorage, HardState, LogSnapshot, RaftReplica, ReplicaRole, StorageError
 from lanedock.errors import ErrorCode
 from lanedock.rollout import MeshState, SubmitResult
--- a/packages/lanedock-daemon/lanedock_daemon/control/peers.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/peers.py
@@ -6,12 +6,12 @@
 import time
 
 from grpclib.exceptions import GRPCError, StreamTerminatedError
+
 from lanedock.consensus.core import replica_name
 from lanedock.kernel import LoopService
 from lanedock.settings import Address
 from lanedock.wire import messages
 from lanedock.wire.lanedock_grpc import ReplicationStub
-
 from lanedock_daemon.network import make_channel
 
 __all__ = ["PeerLinks"]
--- a/packages/lanedock-daemon/lanedock_daemon/control/platform.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/platform.py
@@ -2,11 +2,11 @@
 """The task that reads the platform's list."""
 
 import gevent
+
 from lanedock.errors import LanedockError
 from lanedock.kernel import Kernel, Service, TaskService
 from lanedock.membership import PlatformList
 from lanedock.telemetry import Event, EventLogger
-
 from lanedock_daemon.control.mail import ListRead
 
 __all__ = ["PlatformReader"]
--- a/packages/lanedock-daemon/lanedock_daemon/control/queries.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/queries.py
@@ -8,7 +8,6 @@
 from lanedock.rollout import FleetView
 from lanedock.settings import Address
 from lanedock.wire import messages
-
 from lanedock_daemon.control.log import ReplicatedLog
 from lanedock_daemon.control.mail import HistoryAsked, ShowAsked
 
--- a/packages/lanedock-daemon/lanedock_daemon/control/server.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/server.py
@@ -6,7 +6,6 @@
 from lanedock.kernel import LoopService, TaskService
 from lanedock.wire import messages
 from lanedock.wire.lanedock_grpc import OperatorsBase, ReplicationBase
-
 from lanedock_daemon.control.mail import Call, HistoryAsked, PeerTold, ShowAsked, StatusAsked, SubmitAsked
 
 __all__ = ["OperatorsServer", "ReplicationServer"]
--- a/packages/lanedock-daemon/lanedock_daemon/control/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/service.py
@@ -13,7 +13,6 @@
 from lanedock.settings import Settings
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics
 from lanedock.wire import messages
-
 from lanedock_daemon.control.distribution import DistributionDesk
 from lanedock_daemon.control.log import AppliedEntry, ReplicatedLog, open_storage
 from lanedock_daemon.control.mail import HistoryAsked, ListRead, PeerTold, ShowAsked, StatusAsked, SubmitAsked
--- a/packages/lanedock-daemon/lanedock_daemon/control/submissions.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/submissions.py
@@ -7,7 +7,6 @@
 from lanedock.errors import ErrorCode
 from lanedock.rollout import RolloutProgress, SubmitResult, Verdict
 from lanedock.wire import messages
-
 from lanedock_daemon.control.mail import Call
 
 __all__ = ["Submission", "SubmissionDesk"]
--- a/packages/lanedock-daemon/lanedock_daemon/network.py
+++ b/packages/lanedock-daemon/lanedock_daemon/network.py
@@ -5,6 +5,7 @@
 
 from grpclib.client import Channel
 from grpclib.server import Server
+
 from lanedock.errors import ErrorCode, LanedockError
 from lanedock.settings import Address, TlsSettings
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/caller.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller.py
@@ -5,10 +5,10 @@
 from collections.abc import Iterator
 
 from geventhttpclient.response import HTTPParseError
+
 from lanedock.config import Route
 from lanedock.errors import ErrorCode
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics, Tracer
-
 from lanedock_daemon.agent.board import Binding, Board
 from lanedock_daemon.path.http import (
     ATTEMPT_HEADER,
--- a/packages/lanedock-daemon/lanedock_daemon/path/pool.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/pool.py
@@ -11,8 +11,8 @@
 import gevent
 from gevent import socket
 from geventhttpclient.response import HTTPParseError, HTTPSocketPoolResponse
-from lanedock.errors import ErrorCode, LanedockError
 
+from lanedock.errors import ErrorCode, LanedockError
 from lanedock_daemon.path.http import HOP_HEADERS, Outcome, Request
 
 __all__ = ["ConnectionPool", "ExchangeError", "exchange"]
--- a/packages/lanedock-daemon/lanedock_daemon/path/server.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/server.py
@@ -6,11 +6,11 @@
 import gevent
 from gevent import pywsgi, socket
 from gevent.server import StreamServer
+
 from lanedock.errors import ErrorCode, LanedockError
 from lanedock.kernel import Kernel, Service
 from lanedock.settings import Address
 from lanedock.telemetry import Event, EventLogger
-
 from lanedock_daemon.agent.attest import ALIVE_PATH
 from lanedock_daemon.path.http import HOP_HEADERS, Body, Request
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
@@ -6,10 +6,10 @@
 
 from gevent.event import Event as Signal
 from geventhttpclient.response import HTTPParseError
+
 from lanedock.errors import ErrorCode
 from lanedock.limits import Refused, SlotLimiter
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics, Tracer
-
 from lanedock_daemon.agent.board import Binding, Board
 from lanedock_daemon.path.http import (
     CLASS_HEADER,
--- a/packages/lanedock-daemon/lanedock_daemon/roles.py
+++ b/packages/lanedock-daemon/lanedock_daemon/roles.py
@@ -2,10 +2,10 @@
 """The services of the daemon roles, put together from settings."""
 
 import gevent
+
 from lanedock.kernel import Kernel, Service
 from lanedock.settings import Settings
 from lanedock.telemetry import EventLogger, Metrics, Tracer
-
 from lanedock_daemon.agent import AgentService, Board
 from lanedock_daemon.agent.service import DrainAsked
 from lanedock_daemon.path.caller import CallerSide
