Check the core protocol with spin, and that planted mistakes are found

Cause: the promises on versions need a proof beyond runs that happen to pass. Progress is checked by the walks only.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 BIN := .venv/bin
 READY := .venv/.ready
 
-.PHONY: demo test lint format generate docs clean
+.PHONY: demo test lint format model model-mutants clean
 
 $(READY): constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
 	test -x $(BIN)/python || $(PYTHON) -m venv .venv
@@ -27,5 +27,11 @@
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
 
+model:
+	$(PYTHON) tools/model.py
+
+model-mutants:
+	$(PYTHON) tools/model.py --mutants
+
 clean:
 	rm -rf .venv
--- /dev/null
+++ b/tools/model.py
@@ -0,0 +1,87 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Model checking of the core protocol with spin: ``python tools/model.py [--mutants]``.
+
+Without an option, every bounded configuration is searched exhaustively. With
+``--mutants``, the specification is given one mistake at a time, and each must
+be found. Prints one line for each search; exits 1 where one is not as expected.
+"""
+
+import argparse
+import re
+import shutil
+import subprocess
+import sys
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+MODEL = Path(__file__).parent.parent / "model" / "rollout.pml"
+WORKERS = 4
+SEARCH_TIMEOUT = 400
+EXIT_MISSING = 2
+
+# Bounds: terms, submissions, length of the log, daemons.
+CONFIGURATIONS = {
+    "one daemon, two terms": (2, 1, 4, 1),
+    "two daemons, two terms": (2, 1, 4, 2),
+    "two daemons, racing submissions": (1, 2, 6, 2),
+}
+MUTANTS = {
+    "NO_QUORUM": (2, 1, 4, 1),
+    "NO_FENCING": (2, 1, 4, 1),
+    "LEARNER_VOTES": (2, 1, 4, 1),
+    "NO_FLOOR": (2, 1, 4, 1),
+    "EARLY_ACCEPT": (1, 1, 4, 2),
+    "REUSED_NUMBER": (1, 2, 6, 1),
+    "REACHED": (2, 1, 4, 2),
+}
+
+
+def main() -> int:
+    """Run the searches; returns the exit code."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--mutants", action="store_true", help="check that planted mistakes are found")
+    is_mutants = parser.parse_args().mutants
+    missing = [tool for tool in ("spin", "gcc") if shutil.which(tool) is None]
+    if missing:
+        print(f"missing: {', '.join(missing)} (on Debian: apt-get install {' '.join(missing)})")
+        return EXIT_MISSING
+    searches = MUTANTS if is_mutants else CONFIGURATIONS
+    with ThreadPoolExecutor(WORKERS) as pool:
+        results = list(pool.map(lambda name: _search(name, searches[name], is_mutants), searches))
+    for _, line in results:
+        print(line)
+    passed = sum(good for good, _ in results)
+    print(f"{passed} passed, {len(results) - passed} failed")
+    return 0 if passed == len(results) else 1
+
+
+def _search(name: str, bounds: tuple[int, int, int, int], is_mutant: bool) -> tuple[bool, str]:
+    """Search one configuration; returns whether it came out as expected, and a line."""
+    terms, submissions, length, daemons = bounds
+    flags = [f"-DTERMS={terms}", f"-DSUBMISSIONS={submissions}", f"-DLENGTH={length}", f"-DDAEMONS={daemons}"]
+    if is_mutant:
+        flags.append(f"-D{name}")
+    with tempfile.TemporaryDirectory() as folder:
+        shutil.copy(MODEL, folder)
+        _run(["spin", "-a", *flags, MODEL.name], folder)
+        _run(["gcc", "-O2", "-DSAFETY", "-DCOLLAPSE", "-DMEMLIM=4000", "-o", "pan", "pan.c"], folder)
+        printed = _run(["./pan", "-m200000", "-w24"], folder)
+    errors = re.search(r"errors: (\d+)", printed)
+    states = re.search(r"(\d+) states, stored", printed)
+    is_complete = "Search not completed" not in printed and "max search depth too small" not in printed
+    found = errors is not None and int(errors.group(1)) > 0
+    good = found if is_mutant else errors is not None and not found and is_complete
+    what = re.search(r"assertion violated (.*) \(at depth (\d+)\)", printed)
+    told = f"found at depth {what.group(2)}: {what.group(1)}" if what else "no error"
+    count = states.group(1) if states else "?"
+    return good, f"{'ok  ' if good else 'FAIL'} {name}: {told}, {count} states"
+
+
+def _run(line: list[str], folder: str) -> str:
+    done = subprocess.run(line, cwd=folder, capture_output=True, text=True, check=False, timeout=SEARCH_TIMEOUT)
+    return done.stdout + done.stderr
+
+
+if __name__ == "__main__":
+    sys.exit(main())
