Serve the request path on raw sockets, and measure it against the WSGI server

Cause: gevent's WSGI server can't notice a caller that has gone, and unread framing errors of callers reach the application through it.

--- a/packages/lanedock-daemon/lanedock_daemon/path/caller.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller.py
@@ -2,9 +2,6 @@
 """The caller's side of the path: match, choose, send, and retry."""
 
 import time
-from collections.abc import Iterator
-
-from geventhttpclient.response import HTTPParseError
 
 from lanedock.config import Route
 from lanedock.errors import ErrorCode
@@ -28,7 +25,8 @@
     Request,
     make_refusal,
 )
-from lanedock_daemon.path.pool import CHUNK, ConnectionPool, ExchangeError, exchange
+from lanedock_daemon.path.parser import MalformedMessage, Message
+from lanedock_daemon.path.pool import AnswerPieces, ConnectionPool, ExchangeError, UpstreamAnswer, exchange
 
 __all__ = ["CallerSide"]
 
@@ -139,15 +137,15 @@
         except BaseException:
             balancer.end(stats, False, time.monotonic())
             raise
-        told = _read_int(response.get(LOAD_HEADER))
-        if response.get(LEAVING_HEADER):
+        head = response.message
+        told = _read_int(head.header(LOAD_HEADER))
+        if head.header(LEAVING_HEADER):
             balancer.note_leaving(stats.endpoint.instance)
             self._pool.forget(stats.address)
-        if response.get(OUTCOME_HEADER) == Outcome.NOT_RUN:
+        if head.header(OUTCOME_HEADER) == Outcome.NOT_RUN:
             return self._on_refused(response, balancer, stats, told)
-        is_shed = response.status_code == 503
-        if is_shed and route.repeatable:
-            answer = Answer(response.status_code, _reason(response), _strip(response), [response.read()])
+        if head.status == 503 and route.repeatable:
+            answer = Answer(head.status, head.reason, _strip(head), [self._read_refusal(response)])
             self._note_end(balancer, stats, failed=True, told=told)
             return answer, False
         return self._make_answer(response, balancer, stats, told), True
@@ -162,37 +160,40 @@
 
     def _on_refused(self, response, balancer, stats, told) -> tuple[Answer, bool]:
         """The upstream's daemon refused: the request has not run."""
-        body = response.read()
-        code = response.get(CODE_HEADER)
+        head = response.message
+        body = self._read_refusal(response)
+        code = head.header(CODE_HEADER)
         is_fault = code not in (ErrorCode.OVERLOADED.code, ErrorCode.DRAINING.code, ErrorCode.DEADLINE.code)
         self._note_end(balancer, stats, failed=is_fault, told=told)
         self._metrics.count(Metric.NOT_RUN)
-        answer = Answer(response.status_code, _reason(response), _strip(response), [body])
+        answer = Answer(head.status, head.reason, _strip(head), [body])
         return answer, code == ErrorCode.DEADLINE.code
 
     def _note_end(self, balancer, stats, failed: bool, told: int | None = None) -> None:
         if balancer.end(stats, failed, time.monotonic(), told):
             self._events.emit(Event.EJECTED, upstream=stats.endpoint.instance)
 
-    def _make_answer(self, response, balancer, stats, told) -> Answer:
-        if response.message_complete:
-            self._note_end(balancer, stats, failed=False, told=told)
-            return Answer(response.status_code, _reason(response), _strip(response), [response.read()])
-        pieces = self._stream(response, balancer, stats, told)
-        return Answer(response.status_code, _reason(response), _strip(response), pieces)
-
-    def _stream(self, response, balancer, stats, told) -> Iterator[bytes]:
-        failed = True
+    def _read_refusal(self, response: UpstreamAnswer) -> bytes:
+        """Read a refusal's short body; where it breaks off, the head says enough."""
         try:
-            while piece := response.read(CHUNK):
-                yield piece
-            failed = False
-        except (OSError, HTTPParseError) as exc:
-            self._events.emit(Event.ANSWER_LOST, upstream=stats.endpoint.instance, error=repr(exc))
-            raise ConnectionError("the upstream's answer broke off") from exc
+            return response.read_all()
+        except (OSError, MalformedMessage):
+            return b""
         finally:
-            response.release()
-            self._note_end(balancer, stats, failed=failed, told=told)
+            response.close()
+
+    def _make_answer(self, response: UpstreamAnswer, balancer, stats, told) -> Answer:
+        head = response.message
+        if head.is_complete:
+            self._note_end(balancer, stats, failed=False, told=told)
+            return Answer(head.status, head.reason, _strip(head), list(head.pieces))
+
+        def end(broke_off: bool) -> None:
+            if broke_off:
+                self._events.emit(Event.ANSWER_LOST, upstream=stats.endpoint.instance)
+            self._note_end(balancer, stats, failed=broke_off, told=told)
+
+        return Answer(head.status, head.reason, _strip(head), AnswerPieces(response, end))
 
 
 def _read_deadline(request: Request, route: Route) -> float:
@@ -222,15 +223,6 @@
     return headers
 
 
-def _strip(response) -> list[tuple[str, str]]:
+def _strip(head: Message) -> list[tuple[str, str]]:
     """Return an answer's headers without those between daemons or of one connection."""
-    headers = []
-    for name, value in response.items():
-        name = name.lower()
-        if name not in HOP_HEADERS and not name.startswith(PRIVATE_PREFIX):
-            headers.append((name, value))
-    return headers
-
-
-def _reason(response) -> str:
-    return response.status_message or "OK"
+    return [pair for pair in head.headers if pair[0] not in HOP_HEADERS and not pair[0].startswith(PRIVATE_PREFIX)]
--- a/packages/lanedock-daemon/lanedock_daemon/path/http.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http.py
@@ -41,6 +41,7 @@
 HOP_HEADERS = frozenset(
     (
         "connection",
+        "expect",
         "keep-alive",
         "proxy-authenticate",
         "proxy-connection",
--- /dev/null
+++ b/packages/lanedock-daemon/lanedock_daemon/path/parser.py
@@ -0,0 +1,248 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Reading of HTTP messages from sockets, with httptools' parser (llhttp, strict)."""
+
+from collections import deque
+
+import httptools
+
+from lanedock.errors import ErrorCode, LanedockError
+
+__all__ = ["HEAD_LIMIT", "AnswerReader", "MalformedMessage", "MessageReader", "RequestReader"]
+
+RECEIVE = 64 * 1024
+HEAD_LIMIT = 32 * 1024
+_NO_BODY = (204, 304)
+
+
+class MalformedMessage(LanedockError):
+    """What came is not a well-formed message; nothing of it is passed on."""
+
+    def __init__(self, message: str, status: int = 400):
+        super().__init__(ErrorCode.BAD_REQUEST, message)
+        self.status = status
+
+
+class Message:
+    """One message as far as it was read.
+
+    Attributes
+    ----------
+    headers : list of tuple of (str, str)
+        Names in lower case.
+    pieces : deque of bytes
+        Of the body, read but not taken yet.
+    is_complete : bool
+        Whether the body was read to its end.
+    """
+
+    __slots__ = ("headers", "is_complete", "keep_alive", "method", "pieces", "reason", "status", "target", "version")
+
+    def __init__(self):
+        self.headers: list[tuple[str, str]] = []
+        self.pieces: deque[bytes] = deque()
+        self.is_complete = False
+        self.keep_alive = True
+        self.method = ""
+        self.target = ""
+        self.status = 0
+        self.reason = ""
+        self.version = ""
+
+    def header(self, name: str) -> str:
+        """Return the first value of a header; empty where there is none."""
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return ""
+
+
+class MessageReader:
+    """Reads messages from one connection, one after the other.
+
+    Parameters
+    ----------
+    conn : socket
+    """
+
+    def __init__(self, conn):
+        self.conn = conn
+        self._parser = self._make_parser()
+        self._heads: deque[Message] = deque()
+        self._current: Message | None = None
+        self._head_bytes = 0
+        self._text = b""
+        self.is_in_head = False
+
+    def _make_parser(self):
+        raise NotImplementedError
+
+    # ---------------------------------------------------- callbacks of the parser
+
+    def on_message_begin(self) -> None:
+        self._current = Message()
+        self._head_bytes = 0
+        self._text = b""
+        self.is_in_head = True
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._head_bytes += len(name) + len(value)
+        if self._head_bytes > HEAD_LIMIT:
+            raise MalformedMessage(f"the head is longer than {HEAD_LIMIT} bytes", 431)
+        self._current.headers.append((name.decode("latin-1").lower(), value.decode("latin-1")))
+
+    def on_headers_complete(self) -> None:
+        self.is_in_head = False
+        self._current.keep_alive = self._parser.should_keep_alive()
+        self._current.version = self._parser.get_http_version()
+        self._finish_head(self._current)
+        self._heads.append(self._current)
+
+    def on_body(self, body: bytes) -> None:
+        self._current.pieces.append(body)
+
+    def on_message_complete(self) -> None:
+        self._current.is_complete = True
+
+    def _finish_head(self, message: Message) -> None:
+        """Fill in what the parser knows of the start line."""
+
+    # ------------------------------------------------------------------ reading
+
+    def next_head(self) -> Message | None:
+        """Return the next message once its head was read; None at the end.
+
+        Raises
+        ------
+        MalformedMessage
+        OSError
+            The connection broke, or timed out, or ended within a head.
+        """
+        while not self._heads:
+            if not self._receive():
+                if self.is_in_head:
+                    raise ConnectionError("the connection ended within a head")
+                return None
+            if self.is_in_head and self._head_bytes > HEAD_LIMIT:
+                raise MalformedMessage(f"the head is longer than {HEAD_LIMIT} bytes", 431)
+        return self._heads.popleft()
+
+    def has_head(self) -> bool:
+        """Tell whether a head was read ahead."""
+        return bool(self._heads)
+
+    def receive_first(self) -> bool:
+        """Wait for the first bytes of the next message; False at the end."""
+        return self._receive()
+
+    def next_piece(self, message: Message) -> bytes:
+        """Return the next piece of a body; empty at its end.
+
+        Raises
+        ------
+        MalformedMessage
+        OSError
+            The connection broke or timed out before the end.
+        """
+        while not message.pieces:
+            if message.is_complete:
+                return b""
+            if not self._receive():
+                self._end_by_close(message)
+        return message.pieces.popleft()
+
+    def _end_by_close(self, message: Message) -> None:
+        raise ConnectionError("the connection ended within a body")
+
+    def _receive(self) -> bool:
+        data = self.conn.recv(RECEIVE)
+        if not data:
+            return False
+        if self.is_in_head:
+            # What the parser holds back of a header is counted, too.
+            self._head_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade as exc:
+            raise MalformedMessage("upgrades are not supported", 501) from exc
+        except httptools.HttpParserError as exc:
+            cause = exc.__context__
+            if isinstance(cause, MalformedMessage):
+                raise cause from None
+            raise MalformedMessage(f"not HTTP: {exc}") from exc
+        return True
+
+
+class RequestReader(MessageReader):
+    """Reads requests from a caller's connection."""
+
+    def _make_parser(self):
+        return httptools.HttpRequestParser(self)
+
+    def on_url(self, url: bytes) -> None:
+        self._text += url
+        if len(self._text) > HEAD_LIMIT:
+            raise MalformedMessage("the target is too long", 414)
+
+    def _finish_head(self, message: Message) -> None:
+        message.method = self._parser.get_method().decode("latin-1")
+        message.target = self._text.decode("latin-1")
+        _check_framing(message)
+
+
+class AnswerReader(MessageReader):
+    """Reads answers from an upstream's connection.
+
+    Parameters
+    ----------
+    conn : socket
+    method : str
+        Of the request: an answer to HEAD has no body.
+    """
+
+    def __init__(self, conn, method: str):
+        super().__init__(conn)
+        self._method = method
+
+    def _make_parser(self):
+        return httptools.HttpResponseParser(self)
+
+    def on_status(self, status: bytes) -> None:
+        self._text += status
+
+    def on_headers_complete(self) -> None:
+        if self._parser.get_status_code() < 200:
+            # An interim answer; the final one follows.
+            self.is_in_head = False
+            return
+        super().on_headers_complete()
+
+    def _finish_head(self, message: Message) -> None:
+        message.status = self._parser.get_status_code()
+        message.reason = self._text.decode("latin-1")
+        if self._method == "HEAD" or message.status in _NO_BODY:
+            message.is_complete = True
+
+    def _end_by_close(self, message: Message) -> None:
+        """A body without a told length ends with its connection."""
+        if message.header("content-length") or message.header("transfer-encoding"):
+            raise ConnectionError("the connection ended within a body")
+        message.is_complete = True
+        message.keep_alive = False
+        message.pieces.append(b"")
+
+
+def _check_framing(message: Message) -> None:
+    """Refuse what two readers could take for different messages (RFC 9112, 6.3)."""
+    lengths = [value for name, value in message.headers if name == "content-length"]
+    encodings = [value for name, value in message.headers if name == "transfer-encoding"]
+    if len(lengths) > 1 or (lengths and encodings):
+        raise MalformedMessage("the body's length is told twice")
+    if encodings and [value.strip().lower() for value in encodings] != ["chunked"]:
+        raise MalformedMessage("only the transfer encoding chunked is supported", 501)
+    if lengths and not lengths[0].isdigit():
+        raise MalformedMessage("the content length is no number")
+    hosts = [value for name, value in message.headers if name == "host"]
+    if len(hosts) > 1 or (not hosts and message.version == "1.1"):
+        raise MalformedMessage("the request has to name one host")
+    if message.method == "CONNECT" or not message.target.startswith("/"):
+        raise MalformedMessage("the target has to be a path")
--- a/packages/lanedock-daemon/lanedock_daemon/path/pool.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/pool.py
@@ -1,24 +1,26 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """Connections to daemons and applications, and one exchange over one of them.
 
-geventhttpclient's own client sends a request again by itself when a pooled
+geventhttpclient's client sends a request again by itself when a pooled
 connection turns out closed, which a request that may not be repeated must not
-suffer. So its parser is used on connections that are kept here.
+suffer. So connections are kept here, and answers are read by httptools' parser.
 """
 
 import socket as plain_socket
+import time
 
-import gevent
 from gevent import socket
-from geventhttpclient.response import HTTPParseError, HTTPSocketPoolResponse
 
 from lanedock.errors import ErrorCode, LanedockError
-from lanedock_daemon.path.http import HOP_HEADERS, Outcome, Request
+from lanedock_daemon.path.http import Outcome, Request
+from lanedock_daemon.path.parser import AnswerReader, MalformedMessage, Message
 
-__all__ = ["ConnectionPool", "ExchangeError", "exchange"]
+__all__ = ["AnswerPieces", "ConnectionPool", "ExchangeError", "UpstreamAnswer", "exchange"]
 
 CONNECT_TIMEOUT = 1.0
 CHUNK = 64 * 1024
+# Longest silence within an answer's body, in seconds.
+BODY_TIMEOUT = 30.0
 
 
 class ExchangeError(LanedockError):
@@ -107,23 +109,103 @@
     return False
 
 
-class _Return:
-    """Gives a connection back to its pool once its answer was read to the end."""
+class UpstreamAnswer:
+    """An answer whose head was read.
 
-    def __init__(self, pool: ConnectionPool, address: tuple[str, int]):
+    Attributes
+    ----------
+    message : Message
+    """
+
+    __slots__ = ("_address", "_pool", "_reader", "message")
+
+    def __init__(self, reader: AnswerReader, message: Message, pool: ConnectionPool, address: tuple[str, int]):
+        self.message = message
+        self._reader = reader
         self._pool = pool
         self._address = address
+        if message.is_complete:
+            self._settle()
 
-    def return_socket(self, conn) -> None:
-        self._pool.put(self._address, conn)
+    def read(self) -> bytes:
+        """Return the next piece of the body; empty at its end.
 
-    def release_socket(self, conn) -> None:
-        conn.close()
+        Raises
+        ------
+        OSError, MalformedMessage
+            It broke off.
+        """
+        piece = self._reader.next_piece(self.message)
+        if self.message.is_complete:
+            self._settle()
+        return piece
+
+    def read_all(self) -> bytes:
+        """Return the whole body."""
+        pieces = []
+        while piece := self.read():
+            pieces.append(piece)
+        return b"".join(pieces)
+
+    def _settle(self) -> None:
+        """Give the connection back once the answer was read to its end."""
+        conn, self._reader.conn = self._reader.conn, None
+        if conn is None:
+            return
+        if self.message.keep_alive:
+            self._pool.put(self._address, conn)
+        else:
+            conn.close()
+
+    def close(self) -> None:
+        """Drop the connection, unless the answer was read to its end."""
+        conn, self._reader.conn = self._reader.conn, None
+        if conn is not None:
+            conn.close()
+
+
+class AnswerPieces:
+    """The pieces of an answer's body, as they come.
+
+    Parameters
+    ----------
+    response : UpstreamAnswer
+    on_end : callable
+        Called once, however it ends, with whether the body broke off.
+    """
+
+    def __init__(self, response: UpstreamAnswer, on_end):
+        self._response = response
+        self._on_end = on_end
+
+    def __iter__(self) -> "AnswerPieces":
+        return self
+
+    def __next__(self) -> bytes:
+        try:
+            piece = self._response.read()
+        except (OSError, MalformedMessage) as exc:
+            self._finish(True)
+            raise ConnectionError(f"the answer broke off: {exc}") from exc
+        if not piece:
+            self._finish(False)
+            raise StopIteration
+        return piece
+
+    def close(self) -> None:
+        """Read no more; the one who asked has gone, or has all."""
+        self._finish(False)
+
+    def _finish(self, broke_off: bool) -> None:
+        self._response.close()
+        on_end, self._on_end = self._on_end, None
+        if on_end is not None:
+            on_end(broke_off)
 
 
 def exchange(
     pool: ConnectionPool, address: tuple[str, int], request: Request, headers: list[tuple[str, str]], timeout: float
-) -> HTTPSocketPoolResponse:
+) -> UpstreamAnswer:
     """Send a request and read the head of its answer.
 
     Parameters
@@ -138,7 +220,7 @@
 
     Returns
     -------
-    HTTPSocketPoolResponse
+    UpstreamAnswer
         Its body is still to be read.
 
     Raises
@@ -146,22 +228,24 @@
     ExchangeError
         With what is known of the outcome.
     """
-    deadline = gevent.get_hub().loop.now() + timeout
+    deadline = time.monotonic() + timeout
     conn = pool.get(address, timeout)
-    sent = False
     try:
-        with gevent.Timeout(timeout):
-            sent = True
-            _send(conn, request, headers)
-            conn.settimeout(max(0.001, deadline - gevent.get_hub().loop.now()))
-            return HTTPSocketPoolResponse(conn, _Return(pool, address), block_size=CHUNK, method=request.method)
-    except gevent.Timeout as exc:
+        conn.settimeout(timeout)
+        _send(conn, request, headers)
+        reader = AnswerReader(conn, request.method)
+        conn.settimeout(max(0.001, deadline - time.monotonic()))
+        message = reader.next_head()
+        if message is None:
+            raise ConnectionError("the connection ended before the answer")
+        conn.settimeout(BODY_TIMEOUT)
+        return UpstreamAnswer(reader, message, pool, address)
+    except TimeoutError as exc:
         conn.close()
         raise ExchangeError(ErrorCode.ANSWER_TIMEOUT, Outcome.UNKNOWN, f"{address}: no answer in time") from exc
-    except (OSError, HTTPParseError) as exc:
+    except (OSError, MalformedMessage) as exc:
         conn.close()
-        outcome = Outcome.UNKNOWN if sent else Outcome.NOT_RUN
-        raise ExchangeError(ErrorCode.ANSWER_LOST, outcome, f"{address}: {exc!r}") from exc
+        raise ExchangeError(ErrorCode.ANSWER_LOST, Outcome.UNKNOWN, f"{address}: {exc!r}") from exc
     except BaseException:
         conn.close()
         raise
@@ -171,7 +255,7 @@
     """Write a request: its head, and a small body with it, in one piece."""
     body = request.body
     lines = [f"{request.method} {request.target} HTTP/1.1"]
-    lines += [f"{name}: {value}" for name, value in headers if name not in HOP_HEADERS and name != "content-length"]
+    lines += [f"{name}: {value}" for name, value in headers if name != "content-length"]
     if body.length is None:
         lines.append("transfer-encoding: chunked")
     elif body.length or request.method in ("POST", "PUT", "PATCH"):
--- a/packages/lanedock-daemon/lanedock_daemon/path/server.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/server.py
@@ -1,10 +1,15 @@
 # SPDX-License-Identifier: BSD-3-Clause
-"""HTTP servers of the request path, on gevent's WSGI server."""
+"""HTTP servers of the request path: gevent's sockets and httptools' parser.
 
+gevent's WSGI server stands in `lanedock_daemon.path.wsgi` as the baseline; a hop
+over it costs several times as much, and it can't notice that a caller has gone.
+"""
+
+import socket as plain_socket
 import time
 
 import gevent
-from gevent import pywsgi, socket
+from gevent import socket
 from gevent.server import StreamServer
 
 from lanedock.errors import ErrorCode, LanedockError
@@ -12,47 +17,212 @@
 from lanedock.settings import Address
 from lanedock.telemetry import Event, EventLogger
 from lanedock_daemon.agent.attest import ALIVE_PATH
-from lanedock_daemon.path.http import HOP_HEADERS, Body, Request
+from lanedock_daemon.path.http import HOP_HEADERS, Answer, Body, Outcome, Request, make_refusal
+from lanedock_daemon.path.parser import MalformedMessage, Message, RequestReader
 
-__all__ = ["PathServer"]
+__all__ = ["CallerGone", "PathServer"]
 
 IDLE_TIMEOUT = 300.0
+HEAD_TIMEOUT = 10.0
+BODY_TIMEOUT = 30.0
+BACKLOG = 1024
 POLL = 0.02
+_READ = 1
+_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+_REASONS = {
+    400: "Bad Request",
+    408: "Request Timeout",
+    414: "URI Too Long",
+    431: "Request Header Fields Too Large",
+    501: "Not Implemented",
+}
+
 
+class CallerGone(gevent.GreenletExit):
+    """The caller closed its connection; whatever it asked for is cancelled."""
 
-class _WsgiBody(Body):
-    """A body that gevent's WSGI server reads."""
 
-    def __init__(self, environ: dict):
-        length = environ.get("CONTENT_LENGTH")
-        if environ.get("HTTP_TRANSFER_ENCODING", "").lower() == "chunked":
+class _SocketBody(Body):
+    """A request's body, read from the caller's connection as it is passed on."""
+
+    def __init__(self, reader: RequestReader, message: Message):
+        self._reader = reader
+        self._message = message
+        self._rest = b""
+        self._wants_continue = message.header("expect").lower() == "100-continue"
+        length = message.header("content-length")
+        if message.header("transfer-encoding"):
             self.length = None
         else:
             self.length = int(length) if length else 0
-        self._input = environ["wsgi.input"]
         self.was_read = False
 
     def read(self, size: int) -> bytes:
-        self.was_read = True
-        return self._input.read(size)
+        if not self._rest:
+            if self._wants_continue:
+                self._wants_continue = False
+                self._reader.conn.sendall(_CONTINUE)
+            self._rest = self._reader.next_piece(self._message)
+        self.was_read = self.was_read or bool(self._rest)
+        piece, self._rest = self._rest[:size], self._rest[size:]
+        return piece
+
+
+class _Connection:
+    """One caller's connection."""
+
+    def __init__(self, server: "PathServer", conn):
+        self._server = server
+        self._conn = conn
+        self._reader = RequestReader(conn)
+        self.is_idle = True
+
+    def run(self) -> None:
+        """Answer requests until the connection ends."""
+        try:
+            while self._serve_one():
+                pass
+        except MalformedMessage as exc:
+            self._refuse(exc)
+        except TimeoutError:
+            if not self.is_idle or self._reader.is_in_head:
+                self._refuse(MalformedMessage("the request came too slowly", 408))
+        except (OSError, gevent.GreenletExit):
+            # The caller is gone, or must not take a part for the whole.
+            pass
+        finally:
+            self._conn.close()
+
+    def _serve_one(self) -> bool:
+        """Answer one request; tells whether another may follow."""
+        self.is_idle = True
+        self._conn.settimeout(HEAD_TIMEOUT if self._reader.is_in_head else IDLE_TIMEOUT)
+        message = self._next_head()
+        if message is None:
+            return False
+        self.is_idle = False
+        self._conn.settimeout(BODY_TIMEOUT)
+        if message.target == ALIVE_PATH:
+            self._conn.sendall(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
+            return message.keep_alive
+        self._server.in_progress += 1
+        try:
+            return self._answer(message)
+        finally:
+            self._server.in_progress -= 1
+
+    def _next_head(self) -> Message | None:
+        reader = self._reader
+        if reader.is_in_head or reader.has_head():
+            return reader.next_head()
+        # Nothing of the next request is here yet: it may take its time, but
+        # once it has begun it has to come soon.
+        if not reader.receive_first():
+            return None
+        self._conn.settimeout(HEAD_TIMEOUT)
+        return reader.next_head()
+
+    def _answer(self, message: Message) -> bool:
+        request = _make_request(message, _SocketBody(self._reader, message))
+        watcher = self._watch() if message.is_complete else None
+        try:
+            answer = self._server.side.handle(request)
+        finally:
+            if watcher is not None:
+                watcher.stop()
+                watcher.close()
+        keep_alive = message.keep_alive and not self._server.is_stopping
+        # A body that has not come to its end stands in the next request's way.
+        keep_alive = keep_alive and message.is_complete
+        self._write(answer, message, keep_alive)
+        return keep_alive
+
+    def _watch(self):
+        """Have this greenlet killed when the caller closes its connection."""
+        watcher = gevent.get_hub().loop.io(self._conn.fileno(), _READ)
+        watcher.start(self._on_readable, gevent.getcurrent(), watcher)
+        return watcher
+
+    def _on_readable(self, greenlet, watcher) -> None:
+        try:
+            gone = not self._conn._sock.recv(1, plain_socket.MSG_PEEK | plain_socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return
+        except OSError:
+            gone = True
+        watcher.stop()
+        if gone:
+            greenlet.kill(CallerGone, block=False)
+
+    def _write(self, answer: Answer, message: Message, keep_alive: bool) -> None:
+        """Write an answer; its head goes with the first piece of its body."""
+        lines = [f"HTTP/1.1 {answer.status} {answer.reason}"]
+        has_length = False
+        for name, value in answer.headers:
+            has_length = has_length or name == "content-length"
+            lines.append(f"{name}: {value}")
+        has_body = message.method != "HEAD" and answer.status not in (204, 304)
+        is_chunked = has_body and not has_length and message.version == "1.1"
+        if is_chunked:
+            lines.append("transfer-encoding: chunked")
+        elif not has_length and has_body:
+            keep_alive = False
+        if not keep_alive:
+            lines.append("connection: close")
+        head = ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+        pieces = iter(answer.pieces)
+        if not has_body:
+            self._conn.sendall(head)
+            _close(pieces)
+            return
+        try:
+            self._write_body(head, pieces, is_chunked)
+        finally:
+            _close(pieces)
+
+    def _write_body(self, head: bytes, pieces, is_chunked: bool) -> None:
+        pending = head
+        for piece in pieces:
+            if not piece:
+                continue
+            if is_chunked:
+                piece = b"%x\r\n%b\r\n" % (len(piece), piece)
+            self._conn.sendall(pending + piece if pending else piece)
+            pending = b""
+        if is_chunked:
+            pending += b"0\r\n\r\n"
+        if pending:
+            self._conn.sendall(pending)
 
+    def _refuse(self, exc: MalformedMessage) -> None:
+        """Answer what is malformed, and take nothing more from this connection."""
+        answer = make_refusal(exc.code, Outcome.NOT_RUN, 0.0, str(exc))
+        answer.status, answer.reason = exc.status, _REASONS[exc.status]
+        message = Message()
+        message.version = "1.1"
+        try:
+            self._conn.settimeout(1.0)
+            self._write(answer, message, keep_alive=False)
+            # What is still on its way must not turn the answer into a reset.
+            self._conn.shutdown(plain_socket.SHUT_WR)
+            while self._conn.recv(65536):
+                pass
+        except (OSError, gevent.GreenletExit):
+            pass
 
-class _Handler(pywsgi.WSGIHandler):
-    """Counts requests in progress, and closes connections politely when stopping."""
 
-    def handle(self) -> None:
-        self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        super().handle()
+def _close(pieces) -> None:
+    close = getattr(pieces, "close", None)
+    if close is not None:
+        close()
 
-    def get_environ(self) -> dict:
-        environ = super().get_environ()
-        # As sent: the unquoted path could name another resource upstream.
-        environ["lanedock.target"] = self.path
-        environ["lanedock.headers"] = [(name.lower(), value) for name, value in self.headers.items()]
-        return environ
 
-    def log_request(self) -> None:
-        pass
+def _make_request(message: Message, body: Body) -> Request:
+    listed = message.header("connection").lower()
+    dropped = {name.strip() for name in listed.split(",")} if listed else ()
+    headers = [pair for pair in message.headers if pair[0] not in HOP_HEADERS and pair[0] not in dropped]
+    host = message.header("host").rpartition(":")[0] or message.header("host")
+    return Request(message.method, message.target, host.lower(), headers, body)
 
 
 class PathServer(Service):
@@ -72,17 +242,23 @@
 
     def __init__(self, name: str, address: Address, side, stop_timeout: float, events: EventLogger):
         self.name = name
+        self.side = side
+        self.in_progress = 0
+        self.is_stopping = False
         self._address = address
-        self._side = side
         self._stop_timeout = stop_timeout
         self._events = events
-        self._in_progress = 0
-        self._is_stopping = False
-        self._server: pywsgi.WSGIServer | None = None
+        self._connections: dict[_Connection, None] = {}
+        self._server: StreamServer | None = None
+
+    @property
+    def port(self) -> int:
+        """The port that it listens on."""
+        return self._server.server_port
 
     def start(self, kernel: Kernel) -> None:
         listener = (self._address.host, self._address.port)
-        self._server = pywsgi.WSGIServer(listener, self._serve, handler_class=_Handler, log=None, error_log=None)
+        self._server = StreamServer(listener, self._accept, backlog=BACKLOG)
         try:
             self._server.start()
         except OSError as exc:
@@ -90,39 +266,20 @@
 
     def stop(self) -> None:
         """Take no new connections, and let requests in progress end."""
-        self._is_stopping = True
-        StreamServer.close(self._server)
+        self.is_stopping = True
+        self._server.close()
         deadline = time.monotonic() + self._stop_timeout
-        while self._in_progress and time.monotonic() < deadline:
+        while self.in_progress and time.monotonic() < deadline:
             gevent.sleep(POLL)
-        if self._in_progress:
-            self._events.emit(Event.CUT_SHORT, requests=self._in_progress)
+        if self.in_progress:
+            self._events.emit(Event.CUT_SHORT, requests=self.in_progress)
         self._server.stop(timeout=0)
 
-    def _serve(self, environ: dict, start_response):
-        if environ["PATH_INFO"] == ALIVE_PATH:
-            start_response("200 OK", [("Content-Length", "0")])
-            return [b""]
-        self._in_progress += 1
+    def _accept(self, conn, address) -> None:
+        conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        connection = _Connection(self, conn)
+        self._connections[connection] = None
         try:
-            answer = self._side.handle(_make_request(environ))
-            headers = list(answer.headers)
-            if self._is_stopping:
-                headers.append(("Connection", "close"))
-            start_response(f"{answer.status} {answer.reason}", headers)
-        except BaseException:
-            self._in_progress -= 1
-            raise
-        return self._stream(answer.pieces)
-
-    def _stream(self, pieces):
-        try:
-            yield from pieces
+            connection.run()
         finally:
-            self._in_progress -= 1
-
-
-def _make_request(environ: dict) -> Request:
-    headers = [pair for pair in environ["lanedock.headers"] if pair[0] not in HOP_HEADERS]
-    host = environ.get("HTTP_HOST", "").partition(":")[0].lower()
-    return Request(environ["REQUEST_METHOD"], environ["lanedock.target"], host, headers, _WsgiBody(environ))
+            del self._connections[connection]
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
@@ -2,10 +2,8 @@
 """The upstream's side of the path: the only way into an upstream's application."""
 
 import time
-from collections.abc import Iterator
 
 from gevent.event import Event as Signal
-from geventhttpclient.response import HTTPParseError
 
 from lanedock.errors import ErrorCode
 from lanedock.limits import Refused, SlotLimiter
@@ -27,13 +25,15 @@
     Request,
     make_refusal,
 )
-from lanedock_daemon.path.pool import CHUNK, ConnectionPool, ExchangeError, exchange
+from lanedock_daemon.path.parser import Message
+from lanedock_daemon.path.pool import AnswerPieces, ConnectionPool, ExchangeError, exchange
 
 __all__ = ["UpstreamSide"]
 
 RETRY_AFTER = 1.0
 # Of the application's answers that say that it drains.
 DRAIN_HEADER = "x-upstream-draining"
+_DAEMONS_ONLY = frozenset((OUTCOME_HEADER, CODE_HEADER, DRAIN_HEADER))
 
 
 class UpstreamSide:
@@ -137,15 +137,14 @@
         except BaseException:
             release()
             raise
-        if response.get(DRAIN_HEADER) and not self._board.is_draining:
+        head = response.message
+        if head.header(DRAIN_HEADER) and not self._board.is_draining:
             self._board.is_draining = True
             self._events.emit(Event.DRAINING, service=self._service)
-        headers = _strip(response)
-        reason = response.status_message or "OK"
-        if response.message_complete:
+        if head.is_complete:
             release()
-            return Answer(response.status_code, reason, headers, [response.read()])
-        return Answer(response.status_code, reason, headers, _stream(response, release))
+            return Answer(head.status, head.reason, _strip(head), list(head.pieces))
+        return Answer(head.status, head.reason, _strip(head), AnswerPieces(response, lambda broke_off: release()))
 
     def _on_lost(self, exc: ExchangeError) -> Answer:
         if exc.outcome == Outcome.NOT_RUN:
@@ -173,17 +172,6 @@
             self._limiter.release(self._traffic_class, now - self._started, now)
 
 
-def _stream(response, release: _Release) -> Iterator[bytes]:
-    try:
-        while piece := response.read(CHUNK):
-            yield piece
-    except (OSError, HTTPParseError) as exc:
-        raise ConnectionError("the application's answer broke off") from exc
-    finally:
-        response.release()
-        release()
-
-
 def _make_headers(request: Request, left: float, span) -> list[tuple[str, str]]:
     headers = []
     for name, value in request.headers:
@@ -195,12 +183,10 @@
     return headers
 
 
-def _strip(response) -> list[tuple[str, str]]:
+def _strip(head: Message) -> list[tuple[str, str]]:
     """Return an answer's headers; what only a daemon may say is taken out."""
-    headers = []
-    for name, value in response.items():
-        name = name.lower()
-        is_private = name.startswith(PRIVATE_PREFIX) or name in (OUTCOME_HEADER, CODE_HEADER, DRAIN_HEADER)
-        if name not in HOP_HEADERS and not is_private:
-            headers.append((name, value))
-    return headers
+    return [
+        pair
+        for pair in head.headers
+        if pair[0] not in HOP_HEADERS and pair[0] not in _DAEMONS_ONLY and not pair[0].startswith(PRIVATE_PREFIX)
+    ]
--- a/packages/lanedock-daemon/lanedock_daemon/roles.py
+++ b/packages/lanedock-daemon/lanedock_daemon/roles.py
@@ -12,6 +12,7 @@
 from lanedock_daemon.path.pool import ConnectionPool
 from lanedock_daemon.path.server import PathServer
 from lanedock_daemon.path.upstream import UpstreamSide
+from lanedock_daemon.path.wsgi import WsgiPathServer
 
 __all__ = ["add_daemon"]
 
@@ -42,14 +43,16 @@
     kernel.add(agent)
     pool = ConnectionPool()
     stop_timeout = settings.stop_timeout_ms / 1000
+    # Both take requests the same way; the second is the benches' baseline.
+    server = WsgiPathServer if settings.http_server == "wsgi" else PathServer
     caller = CallerSide(board, pool, events, metrics, tracer)
     if settings.entry is not None:
-        kernel.add(PathServer("entry", settings.entry.listen, caller, stop_timeout, events))
+        kernel.add(server("entry", settings.entry.listen, caller, stop_timeout, events))
     if settings.upstream is not None:
         cfg = settings.upstream
         application = (cfg.application.host, cfg.application.port)
         side = UpstreamSide(cfg.service, application, board, ConnectionPool(), events, metrics, tracer)
         if cfg.egress is not None:
-            kernel.add(PathServer("egress", cfg.egress, caller, stop_timeout, events))
-        kernel.add(PathServer("upstream", cfg.listen, side, stop_timeout, events))
+            kernel.add(server("egress", cfg.egress, caller, stop_timeout, events))
+        kernel.add(server("upstream", cfg.listen, side, stop_timeout, events))
     kernel.add(_DrainService(agent))
--- a/packages/lanedock/lanedock/settings/core.py
+++ b/packages/lanedock/lanedock/settings/core.py
@@ -120,6 +120,7 @@
         "control",
         "daemon",
         "entry",
+        "http_server",
         "log_level",
         "name",
         "statsd",
--- a/packages/lanedock/lanedock/testing/mesh.py
+++ b/packages/lanedock/lanedock/testing/mesh.py
@@ -3,6 +3,7 @@
 
 import http.client
 import json
+import os
 import socket
 import subprocess
 import sys
@@ -71,6 +72,28 @@
         return self.log_path.read_text(encoding="utf-8")
 
 
+class Usage:
+    """Processor time and memory of a process.
+
+    Attributes
+    ----------
+    cpu_seconds : float
+        User and system.
+    rss_bytes : int
+        Resident memory.
+    """
+
+    __slots__ = ("cpu_seconds", "rss_bytes")
+
+    def __init__(self, pid: int):
+        fields = Path(f"/proc/{pid}/stat").read_text(encoding="utf-8").rpartition(")")[2].split()
+        self.cpu_seconds = (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+        self.rss_bytes = int(fields[21]) * os.sysconf("SC_PAGE_SIZE")
+
+    def __repr__(self) -> str:
+        return f"<Usage cpu={self.cpu_seconds:.2f} s rss={self.rss_bytes / 1e6:.1f} MB>"
+
+
 class LocalMesh:
     """Control instances, entry daemons, upstreams and their daemons.
 
@@ -243,6 +266,10 @@
             process.popen.terminate()
         return [process.popen.wait(STOP_TIMEOUT) for process in running]
 
+    def usage(self, process: MeshProcess) -> "Usage":
+        """Return what a process has used so far, from /proc."""
+        return Usage(process.popen.pid)
+
     # ---------------------------------------------------------------- platform
 
     def write_list(self) -> None:
