Keep the promises to callers, with a test for each failure

Cause: tests of the path found three faults: an upstream lost after a request that may be repeated was final; a refusal was final for any request with a body, since the body had been sent; a connection kept after HEAD would have stalled. Ruled out: a fresh connection for each request that may not be repeated, which costs an upstream about 1 ms each; a checked pooled one is closed in time.

--- a/packages/lanedock-daemon/lanedock_daemon/path/caller.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller.py
@@ -22,6 +22,7 @@
     VERSION_HEADER,
     Answer,
     Outcome,
+    ReplayBody,
     Request,
     make_refusal,
 )
@@ -31,6 +32,8 @@
 __all__ = ["CallerSide"]
 
 MAX_TRIES = 3
+# Bodies up to this many bytes are kept until the answer, to be sent again.
+REPLAY_LIMIT = 64 * 1024
 # What callers are told to wait where nothing better is known, in seconds.
 RETRY_AFTER = 1.0
 # Added to what an upstream's daemon is given, so that its refusal arrives
@@ -94,6 +97,7 @@
         # A retry that a hop before has made must not be multiplied here.
         may_retry = request.header(ATTEMPT_HEADER) in ("", "1")
         headers = _make_headers(request, binding, route, span)
+        body = request.body = ReplayBody(request.body, REPLAY_LIMIT)
         tried: set[str] = set()
         failure = None
         for attempt in range(1, MAX_TRIES + 1):
@@ -108,8 +112,9 @@
             if is_final:
                 return answer
             failure = answer
-            if not may_retry or request.body.was_read or not budget.spend():
+            if not may_retry or not body.can_rewind or not budget.spend():
                 return failure
+            body.rewind()
             self._metrics.count(Metric.RETRIES)
         return failure
 
@@ -130,7 +135,8 @@
         ]
         balancer.begin(stats)
         try:
-            response = exchange(self._pool, stats.address, request, sent, left + GRACE)
+            ask_first = request.body.is_long
+            response = exchange(self._pool, stats.address, request, sent, left + GRACE, ask_first)
         except ExchangeError as exc:
             self._note_end(balancer, stats, failed=True)
             return self._on_lost(exc, stats, route, request)
@@ -144,11 +150,12 @@
             self._pool.forget(stats.address)
         if head.header(OUTCOME_HEADER) == Outcome.NOT_RUN:
             return self._on_refused(response, balancer, stats, told)
-        if head.status == 503 and route.repeatable:
+        is_lost = head.header(OUTCOME_HEADER) == Outcome.UNKNOWN
+        if (is_lost or head.status == 503) and route.repeatable:
             answer = Answer(head.status, head.reason, _strip(head), [self._read_refusal(response)])
             self._note_end(balancer, stats, failed=True, told=told)
             return answer, False
-        return self._make_answer(response, balancer, stats, told), True
+        return self._make_answer(response, balancer, stats, told, is_lost), True
 
     def _on_lost(self, exc: ExchangeError, stats, route: Route, request: Request) -> tuple[Answer, bool]:
         if exc.outcome == Outcome.NOT_RUN:
@@ -182,10 +189,10 @@
         finally:
             response.close()
 
-    def _make_answer(self, response: UpstreamAnswer, balancer, stats, told) -> Answer:
+    def _make_answer(self, response: UpstreamAnswer, balancer, stats, told, is_lost: bool) -> Answer:
         head = response.message
         if head.is_complete:
-            self._note_end(balancer, stats, failed=False, told=told)
+            self._note_end(balancer, stats, failed=is_lost, told=told)
             return Answer(head.status, head.reason, _strip(head), list(head.pieces))
 
         def end(broke_off: bool) -> None:
--- a/packages/lanedock-daemon/lanedock_daemon/path/http.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http.py
@@ -19,6 +19,7 @@
     "Answer",
     "Body",
     "Outcome",
+    "ReplayBody",
     "Request",
     "make_refusal",
 ]
@@ -67,12 +68,9 @@
     ----------
     length : int or None
         In bytes; None where it comes in chunks.
-    was_read : bool
-        Whether any of it was read, so that it can't be sent again.
     """
 
     length: int | None = 0
-    was_read = False
 
     @abstractmethod
     def read(self, size: int) -> bytes:
@@ -85,6 +83,45 @@
         """
 
 
+class ReplayBody(Body):
+    """A body that keeps what was read, so that it can be sent again while it is short.
+
+    Parameters
+    ----------
+    body : Body
+    limit : int
+        Bytes that are kept at most.
+    """
+
+    def __init__(self, body: Body, limit: int):
+        self.length = body.length
+        self.is_long = body.length is None or body.length > limit
+        self._body = body
+        self._kept: list[bytes] = []
+        self._position = 0
+        self._was_read = False
+
+    @property
+    def can_rewind(self) -> bool:
+        """Whether all of it can still be sent again."""
+        return not (self.is_long and self._was_read)
+
+    def rewind(self) -> None:
+        """Start again at the beginning."""
+        self._position = 0
+
+    def read(self, size: int) -> bytes:
+        if self._position < len(self._kept):
+            self._position += 1
+            return self._kept[self._position - 1]
+        piece = self._body.read(size)
+        self._was_read = True
+        if piece and not self.is_long:
+            self._kept.append(piece)
+            self._position += 1
+        return piece
+
+
 class Request:
     """A request, its target already split.
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/parser.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/parser.py
@@ -192,20 +192,34 @@
 class AnswerReader(MessageReader):
     """Reads answers from an upstream's connection.
 
-    Parameters
+    Attributes
     ----------
-    conn : socket
     method : str
-        Of the request: an answer to HEAD has no body.
+        Of the request whose answer is read: one to HEAD has no body.
+    may_continue : bool
+        Whether an interim answer asked for the request's body.
     """
 
-    def __init__(self, conn, method: str):
-        super().__init__(conn)
-        self._method = method
+    method = ""
+    may_continue = False
 
     def _make_parser(self):
         return httptools.HttpResponseParser(self)
 
+    def wait_for_consent(self) -> bool:
+        """Wait until the other side wants the body; False where it has answered without.
+
+        Raises
+        ------
+        MalformedMessage
+        OSError
+        """
+        self.may_continue = False
+        while not (self.may_continue or self.has_head()):
+            if not self._receive():
+                raise ConnectionError("the connection ended before the answer")
+        return self.may_continue
+
     def on_status(self, status: bytes) -> None:
         self._text += status
 
@@ -213,14 +227,18 @@
         if self._parser.get_status_code() < 200:
             # An interim answer; the final one follows.
             self.is_in_head = False
+            self.may_continue = True
             return
         super().on_headers_complete()
 
     def _finish_head(self, message: Message) -> None:
         message.status = self._parser.get_status_code()
         message.reason = self._text.decode("latin-1")
-        if self._method == "HEAD" or message.status in _NO_BODY:
+        if self.method == "HEAD" or message.status in _NO_BODY:
             message.is_complete = True
+            if message.status not in _NO_BODY:
+                # The parser still waits for the body that was only described.
+                message.keep_alive = False
 
     def _end_by_close(self, message: Message) -> None:
         """A body without a told length ends with its connection."""
--- a/packages/lanedock-daemon/lanedock_daemon/path/pool.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/pool.py
@@ -12,7 +12,7 @@
 from gevent import socket
 
 from lanedock.errors import ErrorCode, LanedockError
-from lanedock_daemon.path.http import Outcome, Request
+from lanedock_daemon.path.http import Body, Outcome, Request
 from lanedock_daemon.path.parser import AnswerReader, MalformedMessage, Message
 
 __all__ = ["AnswerPieces", "ConnectionPool", "ExchangeError", "UpstreamAnswer", "exchange"]
@@ -21,6 +21,7 @@
 CHUNK = 64 * 1024
 # Longest silence within an answer's body, in seconds.
 BODY_TIMEOUT = 30.0
+_WITH_BODY = ("POST", "PUT", "PATCH")
 
 
 class ExchangeError(LanedockError):
@@ -56,8 +57,8 @@
     def __repr__(self) -> str:
         return f"<ConnectionPool idle={sum(map(len, self._idle.values()))}>"
 
-    def get(self, address: tuple[str, int], timeout: float):
-        """Return a connection.
+    def get(self, address: tuple[str, int], timeout: float) -> AnswerReader:
+        """Return a connection with its reader.
 
         Raises
         ------
@@ -66,29 +67,29 @@
         """
         idle = self._idle.get(address)
         while idle:
-            conn = idle.pop()
-            if _is_clean(conn):
-                return conn
-            conn.close()
+            reader = idle.pop()
+            if _is_clean(reader.conn):
+                return reader
+            reader.conn.close()
         try:
             conn = socket.create_connection(address, timeout=min(timeout, CONNECT_TIMEOUT))
         except OSError as exc:
             raise ExchangeError(ErrorCode.CONNECT_FAILED, Outcome.NOT_RUN, f"{address}: {exc}") from exc
         conn.setsockopt(plain_socket.IPPROTO_TCP, plain_socket.TCP_NODELAY, 1)
-        return conn
+        return AnswerReader(conn)
 
-    def put(self, address: tuple[str, int], conn) -> None:
+    def put(self, address: tuple[str, int], reader: AnswerReader) -> None:
         """Take back a connection whose answer was read to its end."""
         idle = self._idle.setdefault(address, [])
         if len(idle) < self._max_idle:
-            idle.append(conn)
+            idle.append(reader)
         else:
-            conn.close()
+            reader.conn.close()
 
     def forget(self, address: tuple[str, int]) -> None:
         """Close the idle connections to an address."""
-        for conn in self._idle.pop(address, ()):
-            conn.close()
+        for reader in self._idle.pop(address, ()):
+            reader.conn.close()
 
     def close(self) -> None:
         """Close all idle connections."""
@@ -121,7 +122,7 @@
 
     def __init__(self, reader: AnswerReader, message: Message, pool: ConnectionPool, address: tuple[str, int]):
         self.message = message
-        self._reader = reader
+        self._reader: AnswerReader | None = reader
         self._pool = pool
         self._address = address
         if message.is_complete:
@@ -135,6 +136,10 @@
         OSError, MalformedMessage
             It broke off.
         """
+        if self.message.pieces:
+            return self.message.pieces.popleft()
+        if self._reader is None:
+            return b""
         piece = self._reader.next_piece(self.message)
         if self.message.is_complete:
             self._settle()
@@ -149,19 +154,19 @@
 
     def _settle(self) -> None:
         """Give the connection back once the answer was read to its end."""
-        conn, self._reader.conn = self._reader.conn, None
-        if conn is None:
+        reader, self._reader = self._reader, None
+        if reader is None:
             return
-        if self.message.keep_alive:
-            self._pool.put(self._address, conn)
+        if self.message.keep_alive and not reader.has_head():
+            self._pool.put(self._address, reader)
         else:
-            conn.close()
+            reader.conn.close()
 
     def close(self) -> None:
         """Drop the connection, unless the answer was read to its end."""
-        conn, self._reader.conn = self._reader.conn, None
-        if conn is not None:
-            conn.close()
+        reader, self._reader = self._reader, None
+        if reader is not None:
+            reader.conn.close()
 
 
 class AnswerPieces:
@@ -204,7 +209,12 @@
 
 
 def exchange(
-    pool: ConnectionPool, address: tuple[str, int], request: Request, headers: list[tuple[str, str]], timeout: float
+    pool: ConnectionPool,
+    address: tuple[str, int],
+    request: Request,
+    headers: list[tuple[str, str]],
+    timeout: float,
+    ask_first: bool = False,
 ) -> UpstreamAnswer:
     """Send a request and read the head of its answer.
 
@@ -217,6 +227,9 @@
         Sent instead of the request's own.
     timeout : float
         Seconds for everything up to the answer's head.
+    ask_first : bool
+        Send the body only once the other side wants it, so that a refusal
+        costs nothing and the body can still go elsewhere.
 
     Returns
     -------
@@ -229,11 +242,12 @@
         With what is known of the outcome.
     """
     deadline = time.monotonic() + timeout
-    conn = pool.get(address, timeout)
+    reader = pool.get(address, timeout)
+    conn = reader.conn
+    reader.method = request.method
     try:
         conn.settimeout(timeout)
-        _send(conn, request, headers)
-        reader = AnswerReader(conn, request.method)
+        _send(reader, request, headers, ask_first)
         conn.settimeout(max(0.001, deadline - time.monotonic()))
         message = reader.next_head()
         if message is None:
@@ -251,31 +265,46 @@
         raise
 
 
-def _send(conn, request: Request, headers: list[tuple[str, str]]) -> None:
+def _send(reader: AnswerReader, request: Request, headers: list[tuple[str, str]], ask_first: bool) -> None:
     """Write a request: its head, and a small body with it, in one piece."""
-    body = request.body
+    conn, body = reader.conn, request.body
     lines = [f"{request.method} {request.target} HTTP/1.1"]
     lines += [f"{name}: {value}" for name, value in headers if name != "content-length"]
     if body.length is None:
         lines.append("transfer-encoding: chunked")
-    elif body.length or request.method in ("POST", "PUT", "PATCH"):
+    elif body.length or request.method in _WITH_BODY:
         lines.append(f"content-length: {body.length}")
+    if ask_first:
+        lines.append("expect: 100-continue")
     head = ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
     if body.length == 0:
         conn.sendall(head)
         return
-    piece = body.read(CHUNK)
-    if body.length is not None:
-        conn.sendall(head + piece)
-        left = body.length - len(piece)
-        while left > 0 and (piece := body.read(min(CHUNK, left))):
-            conn.sendall(piece)
-            left -= len(piece)
-        if left:
-            raise ConnectionError("the caller went away before the end of the body")
-        return
-    conn.sendall(head)
-    while piece:
+    if ask_first:
+        conn.sendall(head)
+        if not reader.wait_for_consent():
+            return
+        head = b""
+    if body.length is None:
+        _send_chunked(conn, head, body)
+    else:
+        _send_counted(conn, head, body)
+
+
+def _send_counted(conn, head: bytes, body: Body) -> None:
+    left = body.length
+    while left > 0:
+        piece = body.read(min(CHUNK, left))
+        if not piece:
+            raise ConnectionError("the body ended too early")
+        conn.sendall(head + piece if head else piece)
+        head = b""
+        left -= len(piece)
+
+
+def _send_chunked(conn, head: bytes, body: Body) -> None:
+    if head:
+        conn.sendall(head)
+    while piece := body.read(CHUNK):
         conn.sendall(b"%x\r\n%b\r\n" % (len(piece), piece))
-        piece = body.read(CHUNK)
     conn.sendall(b"0\r\n\r\n")
--- a/packages/lanedock-daemon/lanedock_daemon/path/server.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/server.py
@@ -28,6 +28,8 @@
 BACKLOG = 1024
 POLL = 0.02
 _READ = 1
+_NEVER = float("inf")
+SWEEP_INTERVAL = 1.0
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _REASONS = {
     400: "Bad Request",
@@ -42,6 +44,10 @@
     """The caller closed its connection; whatever it asked for is cancelled."""
 
 
+class _Expired(gevent.GreenletExit):
+    """The connection's time is over."""
+
+
 class _SocketBody(Body):
     """A request's body, read from the caller's connection as it is passed on."""
 
@@ -55,7 +61,6 @@
             self.length = None
         else:
             self.length = int(length) if length else 0
-        self.was_read = False
 
     def read(self, size: int) -> bytes:
         if not self._rest:
@@ -63,19 +68,28 @@
                 self._wants_continue = False
                 self._reader.conn.sendall(_CONTINUE)
             self._rest = self._reader.next_piece(self._message)
-        self.was_read = self.was_read or bool(self._rest)
         piece, self._rest = self._rest[:size], self._rest[size:]
         return piece
 
 
 class _Connection:
-    """One caller's connection."""
+    """One caller's connection.
+
+    Attributes
+    ----------
+    expires_at : float
+        Monotonic; when the server's sweep ends it. Cheaper than a timer for
+        each wait.
+    """
 
     def __init__(self, server: "PathServer", conn):
+        self.expires_at = time.monotonic() + IDLE_TIMEOUT
         self._server = server
         self._conn = conn
         self._reader = RequestReader(conn)
-        self.is_idle = True
+        self._greenlet = gevent.getcurrent()
+        self._watcher = gevent.get_hub().loop.io(conn.fileno(), _READ)
+        self._is_reading_head = False
 
     def run(self) -> None:
         """Answer requests until the connection ends."""
@@ -84,24 +98,26 @@
                 pass
         except MalformedMessage as exc:
             self._refuse(exc)
-        except TimeoutError:
-            if not self.is_idle or self._reader.is_in_head:
+        except _Expired:
+            if self._is_reading_head:
                 self._refuse(MalformedMessage("the request came too slowly", 408))
         except (OSError, gevent.GreenletExit):
             # The caller is gone, or must not take a part for the whole.
             pass
         finally:
+            self._watcher.stop()
+            self._watcher.close()
             self._conn.close()
 
+    def expire(self) -> None:
+        """End the connection: its caller has taken too long."""
+        self._greenlet.kill(_Expired, block=False)
+
     def _serve_one(self) -> bool:
         """Answer one request; tells whether another may follow."""
-        self.is_idle = True
-        self._conn.settimeout(HEAD_TIMEOUT if self._reader.is_in_head else IDLE_TIMEOUT)
         message = self._next_head()
         if message is None:
             return False
-        self.is_idle = False
-        self._conn.settimeout(BODY_TIMEOUT)
         if message.target == ALIVE_PATH:
             self._conn.sendall(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
             return message.keep_alive
@@ -112,47 +128,49 @@
             self._server.in_progress -= 1
 
     def _next_head(self) -> Message | None:
+        """Read a head: it may be long in coming, but not slow once it has begun."""
         reader = self._reader
-        if reader.is_in_head or reader.has_head():
-            return reader.next_head()
-        # Nothing of the next request is here yet: it may take its time, but
-        # once it has begun it has to come soon.
-        if not reader.receive_first():
-            return None
-        self._conn.settimeout(HEAD_TIMEOUT)
-        return reader.next_head()
+        if not reader.has_head():
+            if not reader.is_in_head:
+                self.expires_at = time.monotonic() + IDLE_TIMEOUT
+                if not reader.receive_first():
+                    return None
+            self.expires_at = time.monotonic() + HEAD_TIMEOUT
+            self._is_reading_head = True
+        message = reader.next_head()
+        self._is_reading_head = False
+        self.expires_at = _NEVER
+        return message
 
     def _answer(self, message: Message) -> bool:
+        # The socket's own timeout bounds each wait for a piece of a body.
+        self._conn.settimeout(None if message.is_complete else BODY_TIMEOUT)
         request = _make_request(message, _SocketBody(self._reader, message))
-        watcher = self._watch() if message.is_complete else None
+        if message.is_complete:
+            self._watcher.start(self._on_readable)
         try:
             answer = self._server.side.handle(request)
         finally:
-            if watcher is not None:
-                watcher.stop()
-                watcher.close()
+            self._watcher.stop()
         keep_alive = message.keep_alive and not self._server.is_stopping
         # A body that has not come to its end stands in the next request's way.
         keep_alive = keep_alive and message.is_complete
+        self._conn.settimeout(BODY_TIMEOUT)
         self._write(answer, message, keep_alive)
+        self._conn.settimeout(None)
         return keep_alive
 
-    def _watch(self):
-        """Have this greenlet killed when the caller closes its connection."""
-        watcher = gevent.get_hub().loop.io(self._conn.fileno(), _READ)
-        watcher.start(self._on_readable, gevent.getcurrent(), watcher)
-        return watcher
-
-    def _on_readable(self, greenlet, watcher) -> None:
+    def _on_readable(self) -> None:
+        """Have the request cancelled when the caller has closed its connection."""
         try:
             gone = not self._conn._sock.recv(1, plain_socket.MSG_PEEK | plain_socket.MSG_DONTWAIT)
         except BlockingIOError:
             return
         except OSError:
             gone = True
-        watcher.stop()
+        self._watcher.stop()
         if gone:
-            greenlet.kill(CallerGone, block=False)
+            self._greenlet.kill(CallerGone, block=False)
 
     def _write(self, answer: Answer, message: Message, keep_alive: bool) -> None:
         """Write an answer; its head goes with the first piece of its body."""
@@ -263,11 +281,21 @@
             self._server.start()
         except OSError as exc:
             raise LanedockError(ErrorCode.ADDRESS_TAKEN, f"{self._address}: {exc}") from exc
+        self._sweeper = gevent.spawn(self._sweep)
+
+    def _sweep(self) -> None:
+        while True:
+            gevent.sleep(SWEEP_INTERVAL)
+            now = time.monotonic()
+            for connection in list(self._connections):
+                if connection.expires_at < now:
+                    connection.expire()
 
     def stop(self) -> None:
         """Take no new connections, and let requests in progress end."""
         self.is_stopping = True
         self._server.close()
+        self._sweeper.kill()
         deadline = time.monotonic() + self._stop_timeout
         while self.in_progress and time.monotonic() < deadline:
             gevent.sleep(POLL)
--- /dev/null
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/chain.py
@@ -0,0 +1,207 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""The request path in one process: caller's side, upstreams' sides, applications."""
+
+from collections import Counter
+
+import gevent
+from gevent import socket
+from gevent.server import StreamServer
+
+from lanedock.config import needed_groups, split_config
+from lanedock.rollout import VersionHolder
+from lanedock.settings import Address
+from lanedock.telemetry import EventLogger, NullMetrics, NullTracer
+from lanedock.wire import messages
+from lanedock_daemon.agent import Board
+from lanedock_daemon.path.caller import CallerSide
+from lanedock_daemon.path.pool import ConnectionPool
+from lanedock_daemon.path.server import PathServer
+from lanedock_daemon.path.upstream import UpstreamSide
+
+__all__ = ["Application", "Chain", "make_value", "parse_answer"]
+
+HOST = "127.0.0.1"
+
+
+def make_value(version: int = 1, **service) -> dict:
+    """Make an operators' file with one service."""
+    return {
+        "mesh": "m",
+        "version": version,
+        "zones": ["z"],
+        "traffic_classes": [{"name": "read", "share": 0.3}, {"name": "write", "share": 0.3, "priority": 0}],
+        "services": [{"name": "s", "zones": ["z"], "slots": 4, **service}],
+        "routes": [
+            {
+                "name": "get",
+                "path": "/",
+                "methods": ["GET", "HEAD"],
+                "service": "s",
+                "traffic_class": "read",
+                "repeatable": True,
+                "deadline_ms": 1000,
+            },
+            {"name": "post", "path": "/", "methods": ["POST"], "service": "s", "traffic_class": "write"},
+        ],
+    }
+
+
+class Application:
+    """An upstream's application that does as its script says, and counts runs.
+
+    The script is called with the connection and the request's head and body,
+    and returns what to send; None closes the connection without an answer.
+    """
+
+    def __init__(self, script=None):
+        self.script = script
+        self.runs: Counter = Counter()
+        self.heads: list[str] = []
+        self.connections: list = []
+        self.server = StreamServer((HOST, 0), self._serve)
+        self.server.start()
+
+    @property
+    def address(self) -> tuple[str, int]:
+        return (HOST, self.server.server_port)
+
+    def _serve(self, conn, address) -> None:
+        self.connections.append(conn)
+        try:
+            while self._serve_one(conn):
+                pass
+        except OSError:
+            pass
+        finally:
+            conn.close()
+
+    def _serve_one(self, conn) -> bool:
+        data = b""
+        while b"\r\n\r\n" not in data:
+            more = conn.recv(65536)
+            if not more:
+                return False
+            data += more
+        head, _, body = data.partition(b"\r\n\r\n")
+        text = head.decode("latin-1")
+        length = 0
+        for line in text.lower().split("\r\n"):
+            if line.startswith("content-length:"):
+                length = int(line.partition(":")[2])
+        while len(body) < length:
+            more = conn.recv(65536)
+            if not more:
+                return False
+            body += more
+        self.runs[text.split(" ")[1]] += 1
+        self.heads.append(text)
+        answer = self.script(conn, text, body) if self.script else b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+        if answer is None:
+            return False
+        conn.sendall(answer)
+        return True
+
+
+class Upstream:
+    """An upstream's daemon in front of an application."""
+
+    def __init__(self, name: str, application: Application, value: dict):
+        self.name = name
+        self.application = application
+        self.board = make_board(value, False)
+        parts = (EventLogger(name), NullMetrics(), NullTracer())
+        self.pool = ConnectionPool()
+        self.side = UpstreamSide("s", application.address, self.board, self.pool, *parts)
+        self.server = PathServer(name, Address(HOST, 0), self.side, 2.0, EventLogger(name))
+        self.server.start(None)
+
+    @property
+    def limiter(self):
+        return self.side._limiter
+
+
+def make_board(value: dict, is_entry: bool) -> Board:
+    board = Board("z", 60.0)
+    put_in_force(board, value, is_entry)
+    board.holder.confirm_floor(value["version"])
+    return board
+
+
+def put_in_force(board: Board, value: dict, is_entry: bool) -> None:
+    tree = split_config(value)
+    holder: VersionHolder = board.holder
+    holder.put_in_force(tree.whole_push(needed_groups(tree, is_entry, "s")))
+    board.publish()
+
+
+class Chain:
+    """One caller's side and some upstreams."""
+
+    def __init__(self, *scripts, value: dict | None = None):
+        self.value = value or make_value()
+        self.applications = [Application(script) for script in scripts]
+        self.upstreams = [
+            Upstream(f"u{number}", application, self.value) for number, application in enumerate(self.applications)
+        ]
+        self.board = make_board(self.value, True)
+        self.publish_endpoints()
+        self.pool = ConnectionPool()
+        caller = CallerSide(self.board, self.pool, EventLogger("caller"), NullMetrics(), NullTracer())
+        self.entry = PathServer("entry", Address(HOST, 0), caller, 2.0, EventLogger("entry"))
+        self.entry.start(None)
+
+    def publish_endpoints(self) -> None:
+        update = messages.EndpointUpdate(whole=True)
+        for upstream in self.upstreams:
+            update.changed.add(
+                instance=upstream.name, service="s", zone="z", host=HOST, port=upstream.server.port, incarnation=1
+            )
+        self.board.take_endpoints(update)
+
+    def connect(self):
+        return socket.create_connection((HOST, self.entry.port), timeout=10)
+
+    def send(self, data: bytes) -> bytes:
+        """Send bytes on a new connection; returns all that comes until it is closed."""
+        with self.connect() as conn:
+            conn.sendall(data)
+            return read_all(conn)
+
+    def request(self, method: str, path: str = "/x", body: bytes = b"", headers: str = "") -> tuple[int, str, bytes]:
+        """Send a request; returns status, head and body."""
+        head = (
+            f"{method} {path} HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: {len(body)}\r\n{headers}\r\n"
+        )
+        return parse_answer(self.send(head.encode() + body))
+
+    def runs(self, path: str = "/x") -> int:
+        return sum(application.runs[path] for application in self.applications)
+
+    def stop(self) -> None:
+        for server in [self.entry, *(upstream.server for upstream in self.upstreams)]:
+            server.stop()
+        for application in self.applications:
+            application.server.stop(timeout=0)
+
+
+def read_all(conn) -> bytes:
+    data = b""
+    try:
+        while more := conn.recv(65536):
+            data += more
+    except ConnectionResetError:
+        pass
+    return data
+
+
+def parse_answer(data: bytes) -> tuple[int, str, bytes]:
+    head, _, body = data.partition(b"\r\n\r\n")
+    text = head.decode("latin-1")
+    return (int(text.split(" ")[1]) if text else 0), text, body
+
+
+def wait_until(condition, timeout: float = 10.0) -> None:
+    """Wait until a condition holds."""
+    with gevent.Timeout(timeout):
+        while not condition():
+            gevent.sleep(0.005)
--- /dev/null
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_promises.py
@@ -0,0 +1,244 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Tests of the promises to callers: at most once, whole answers, true refusals."""
+
+import json
+
+import gevent
+import pytest
+
+from lanedock_daemon.path.tests.chain import make_value, put_in_force, wait_until
+
+OK = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+
+
+def _die_after_reading(conn, head, body):
+    return None
+
+
+def _cut(conn, head, body):
+    conn.sendall(b"HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nhalf of it")
+
+
+def _cut_chunked(conn, head, body):
+    conn.sendall(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n")
+
+
+def _be_slow(conn, head, body):
+    gevent.sleep(30)
+
+
+def _talk_nonsense(conn, head, body):
+    return b"nonsense\r\n\r\n"
+
+
+def _outcome(answer) -> str:
+    return json.loads(answer[2])["outcome"]
+
+
+def test_an_answer_is_passed_on_whole(make_chain):
+    chain = make_chain(lambda conn, head, body: b"HTTP/1.1 201 Made\r\ncontent-length: %d\r\n\r\n" % len(body) + body)
+    body = bytes(range(256)) * 4000
+    status, head, got = chain.request("POST", body=body)
+    assert (status, got) == (201, body)
+    assert "x-lanedock" not in head
+
+
+def test_a_chunked_body_is_passed_on_both_ways(make_chain):
+    chunked = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
+    chain = make_chain(lambda conn, head, body: chunked)
+    request = b"GET /x HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n"
+    assert chain.send(request).endswith(b"3\r\nabc\r\n0\r\n\r\n")
+
+
+def test_head_has_no_body_and_connections_stay_usable(make_chain):
+    chain = make_chain(
+        lambda conn, head, body: b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n" if head.startswith("HEAD") else OK
+    )
+    for method in ("HEAD", "GET", "HEAD", "GET"):
+        status, _, body = chain.request(method)
+        assert (status, body) == (200, b"" if method == "HEAD" else b"ok")
+
+
+@pytest.mark.parametrize("script", [_die_after_reading, _talk_nonsense])
+def test_a_request_that_may_not_be_repeated_runs_once_and_is_told_unknown(make_chain, script):
+    chain = make_chain(script, script, script)
+    answer = chain.request("POST", body=b"3 ibises")
+    assert answer[0] == 502
+    assert _outcome(answer) == "unknown"
+    assert chain.runs() == 1
+
+
+def test_a_request_that_may_be_repeated_is_tried_elsewhere(make_chain):
+    chain = make_chain(_die_after_reading, None)
+    for _ in range(4):
+        assert chain.request("GET")[0] == 200
+
+
+def test_what_was_refused_before_it_ran_is_tried_elsewhere(make_chain):
+    chain = make_chain(None, None)
+    chain.applications[0].server.stop()
+    for number in range(6):
+        assert chain.request("POST", f"/{number}", b"x")[0] == 200
+        assert chain.runs(f"/{number}") == 1
+
+
+def test_a_long_body_that_was_refused_goes_elsewhere_unread(make_chain):
+    chain = make_chain(None, None)
+    chain.upstreams[0].board.is_draining = True
+    body = b"." * 3_000_000
+    for number in range(4):
+        assert chain.request("POST", f"/{number}", body)[0] == 200
+    assert chain.applications[0].runs.total() == 0
+
+
+def test_nothing_there_is_told_as_not_run(make_chain):
+    chain = make_chain(None)
+    chain.upstreams[0].server.stop()
+    answer = chain.request("POST", body=b"x")
+    assert answer[0] == 503
+    assert _outcome(answer) == "not-run"
+    assert "retry-after" in answer[1]
+
+
+@pytest.mark.parametrize("script", [_cut, _cut_chunked])
+def test_a_cut_answer_reaches_the_caller_as_a_cut_one(make_chain, script):
+    chain = make_chain(script)
+    request = b"POST /x HTTP/1.1\r\nhost: h\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"
+    got = chain.send(request)
+    assert not got.endswith(b"0\r\n\r\n")
+    assert b"content-length: 100" not in got or got.endswith(b"half of it")
+    assert chain.runs() == 1
+    wait_until(lambda: chain.upstreams[0].limiter.in_use == 0)
+
+
+def test_a_connection_that_closed_while_idle_is_not_used_again(make_chain):
+    chain = make_chain(None)
+    assert chain.request("POST", "/1", b"x")[0] == 200
+    for conn in chain.applications[0].connections:
+        conn.close()
+    gevent.sleep(0.05)
+    assert chain.request("POST", "/2", b"x")[0] == 200
+    assert chain.runs("/2") == 1
+
+
+def test_a_late_answer_never_reaches_another_request(make_chain):
+    def answer(conn, head, body):
+        if "/slow" in head:
+            gevent.sleep(0.3)
+        path = head.split(" ")[1].encode()
+        return b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%b" % (len(path), path)
+
+    chain = make_chain(answer, value=_with_deadline(100))
+    late = chain.request("GET", "/slow")
+    assert late[0] in (502, 504)
+    for number in range(20):
+        assert chain.request("GET", f"/{number}")[2] == b"/%d" % number
+
+
+def _with_deadline(milliseconds: int) -> dict:
+    value = make_value()
+    for route in value["routes"]:
+        route["deadline_ms"] = milliseconds
+    return value
+
+
+def test_a_slow_upstream_is_told_unknown_at_the_deadline(make_chain):
+    chain = make_chain(_be_slow, value=_with_deadline(200))
+    answer = chain.request("POST", body=b"x")
+    assert answer[0] == 504
+    assert _outcome(answer) == "unknown"
+    assert chain.runs() == 1
+    wait_until(lambda: chain.upstreams[0].limiter.in_use == 0)
+
+
+def test_no_work_begins_past_its_deadline(make_chain):
+    chain = make_chain(None)
+    answer = chain.request("POST", body=b"x", headers="x-request-deadline-ms: 0\r\n")
+    assert _outcome(answer) == "not-run"
+    assert chain.runs() == 0
+
+
+def test_a_caller_that_goes_takes_its_request_along(make_chain):
+    chain = make_chain(_be_slow)
+    conn = chain.connect()
+    conn.sendall(b"GET /x HTTP/1.1\r\nhost: h\r\n\r\n")
+    wait_until(lambda: chain.runs() == 1)
+    conn.close()
+    wait_until(lambda: chain.upstreams[0].limiter.in_use == 0)
+    assert chain.runs() == 1
+
+
+def test_a_draining_upstream_refuses_and_another_serves(make_chain):
+    chain = make_chain(None, None)
+    chain.upstreams[0].board.is_draining = True
+    for number in range(10):
+        assert chain.request("POST", f"/{number}", b"x")[0] == 200
+    assert chain.applications[0].runs.total() == 0
+
+
+def test_a_drain_told_by_the_application_is_obeyed_at_once(make_chain):
+    chain = make_chain(lambda conn, head, body: OK.replace(b"OK\r\n", b"OK\r\nx-upstream-draining: 1\r\n"))
+    assert "x-upstream-draining" not in chain.request("GET")[1]
+    assert _outcome(chain.request("POST", "/2", b"x")) == "not-run"
+    assert chain.runs("/2") == 0
+
+
+def test_a_planned_stop_lets_requests_end(make_chain):
+    def work(conn, head, body):
+        gevent.sleep(0.3)
+        return OK
+
+    chain = make_chain(work)
+    jobs = [gevent.spawn(chain.request, "POST", f"/{number}", b"x") for number in range(4)]
+    wait_until(lambda: sum(chain.runs(f"/{number}") for number in range(4)) == 4)
+    for server in (chain.entry, chain.upstreams[0].server):
+        server.stop()
+    assert [job.get()[0] for job in jobs] == [200] * 4
+
+
+def test_a_request_keeps_its_version_to_the_end(make_chain):
+    def work(conn, head, body):
+        gevent.sleep(0.2)
+        return OK
+
+    chain = make_chain(work)
+    job = gevent.spawn(chain.request, "GET")
+    wait_until(lambda: chain.runs() == 1)
+    without = make_value(2)
+    without["services"][0]["name"] = "other"
+    for route in without["routes"]:
+        route["service"] = "other"
+    put_in_force(chain.board, without, True)
+    put_in_force(chain.upstreams[0].board, without, False)
+    assert job.get()[0] == 200
+    # The new version leads to a service that nobody runs.
+    assert _outcome(chain.request("GET")) == "not-run"
+
+
+def test_a_daemon_that_does_not_hold_the_service_refuses(make_chain):
+    chain = make_chain(None)
+    without = make_value(2)
+    without["services"][0]["name"] = "other"
+    without["routes"] = []
+    put_in_force(chain.upstreams[0].board, without, False)
+    answer = chain.request("POST", body=b"x")
+    assert (_outcome(answer), chain.runs()) == ("not-run", 0)
+
+
+def test_a_suspended_daemon_serves_nothing(make_chain):
+    chain = make_chain(None)
+    chain.board.holder.suspend()
+    answer = chain.request("GET")
+    assert (_outcome(answer), chain.runs()) == ("not-run", 0)
+    chain.board.holder.confirm_floor(1)
+    assert chain.request("GET")[0] == 200
+
+
+def test_what_only_daemons_say_is_not_believed_from_others(make_chain):
+    spoof = OK.replace(b"OK\r\n", b"OK\r\nx-request-outcome: not-run\r\nx-lanedock-leaving: 1\r\n")
+    chain = make_chain(lambda conn, head, body: spoof)
+    status, head, _ = chain.request("POST", body=b"x", headers="x-lanedock-class: none\r\nx-lanedock-attempt: 9\r\n")
+    assert status == 200
+    assert "x-request-outcome" not in head
+    assert "x-lanedock" not in chain.applications[0].heads[0].lower()
+    assert chain.request("GET")[0] == 200
--- a/packages/lanedock-daemon/lanedock_daemon/path/wsgi.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/wsgi.py
@@ -33,10 +33,8 @@
         else:
             self.length = int(length) if length else 0
         self._input = environ["wsgi.input"]
-        self.was_read = False
 
     def read(self, size: int) -> bytes:
-        self.was_read = True
         return self._input.read(size)
 
 
