Test a version's life with real processes, under kills, freezes and lost disks

A command line asked a frozen control instance for ever. A daemon that started before its zone's control instance stayed with another zone's for good, so a cut zone looked half connected. A frozen daemon held a version up for 7 s of silence. Waiting 2 s for a death to be attested raced with the 2 s for staging. Change: the command line takes 3 s of silence for a failure and asks elsewhere; daemons go back to their own zone's control instance; both ends of a stream speak every 1 s and give up after 3.5 s; 1.5 s to count as dead, 2.5 s to stage. Also reference pages made from the code, checked by a test, as is the direction of imports. Ruled out: leaving frozen daemons out at once, since they still hold old rules.

--- a/packages/lanedock-cli/lanedock_cli/client.py
+++ b/packages/lanedock-cli/lanedock_cli/client.py
@@ -144,11 +144,15 @@
                 await asyncio.wait_for(stream.send_request(), CALL_TIMEOUT)
                 was_sent = True
                 await stream.send_message(request, end=True)
-                async for reply in stream:
+                while True:
+                    # A control instance that stands still accepts connections
+                    # all the same; one that works says something in time.
+                    reply = await asyncio.wait_for(stream.recv_message(), CALL_TIMEOUT)
+                    if reply is None:
+                        return None, was_sent
                     if reply.answer != messages.ANSWER_IN_PROGRESS:
                         return reply, was_sent
                     on_progress(reply)
-            return None, was_sent
         except _BROKEN:
             return None, was_sent
         finally:
--- a/packages/lanedock-daemon/lanedock_daemon/agent/relay.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/relay.py
@@ -6,13 +6,10 @@
 from lanedock.rollout import Distributor, VersionSource
 from lanedock.telemetry import Metric, Metrics
 from lanedock.wire import messages
-from lanedock_daemon.sessions import Session
+from lanedock_daemon.sessions import HEARTBEAT_INTERVAL, SILENCE_LIMIT, Session
 
 __all__ = ["RelayDesk"]
 
-HEARTBEAT_INTERVAL = 2.0
-SILENCE_LIMIT = 7.0
-
 
 class RelayDesk:
     """The daemons behind a relay.
--- a/packages/lanedock-daemon/lanedock_daemon/agent/search.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/search.py
@@ -10,6 +10,8 @@
 BACKOFF_MIN = 0.1
 BACKOFF_MAX = 5.0
 RELAY_MEMORY = 30.0
+HOME_WAIT_MIN = 4.0
+HOME_WAIT_MAX = 300.0
 
 
 class SourceSearch:
@@ -30,6 +32,8 @@
         self._rng = rng
         self._position = 0
         self._failures = 0
+        self._home_wait = HOME_WAIT_MIN
+        self._home_at: float | None = None
         self._relay: tuple[str, Address] | None = None
         self._failed_relays: dict[str, float] = {}
 
@@ -51,9 +55,31 @@
         self._failed_relays = {name: until for name, until in self._failed_relays.items() if until > now}
         return sorted(self._failed_relays)
 
-    def note_success(self) -> None:
+    def note_success(self, now: float) -> None:
         """Note that the source serves."""
         self._failures = 0
+        if self.is_home():
+            self._home_wait = HOME_WAIT_MIN
+            self._home_at = None
+        elif self._home_at is None:
+            self._home_at = now + self._rng.uniform(0.5, 1.0) * self._home_wait
+
+    def is_home(self) -> bool:
+        """Tell whether the source is the own zone's control instance, or a relay."""
+        return self._relay is not None or self._position % len(self._control) == 0
+
+    def is_home_due(self, now: float) -> bool:
+        """Tell, once in a while, that the own zone's control instance is worth a try."""
+        if self.is_home() or self._home_at is None or now < self._home_at:
+            return False
+        self._home_wait = min(2 * self._home_wait, HOME_WAIT_MAX)
+        self._home_at = now + self._rng.uniform(0.5, 1.0) * self._home_wait
+        return True
+
+    def go_home(self) -> None:
+        """Try the own zone's control instance next."""
+        self._relay = None
+        self._position = 0
 
     def note_redirect(self, relay: str, address: Address) -> float:
         """Note that a control instance refers to a relay; returns the wait in seconds."""
--- a/packages/lanedock-daemon/lanedock_daemon/agent/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/service.py
@@ -4,6 +4,9 @@
 import random
 import time
 
+import gevent
+from gevent import socket
+
 from lanedock.kernel import Kernel, TaskService
 from lanedock.rollout import Distributor
 from lanedock.settings import Address, Settings
@@ -15,15 +18,21 @@
 from lanedock_daemon.agent.search import SourceSearch
 from lanedock_daemon.agent.watch import SourceEnded, SourceStream, SourceTold
 from lanedock_daemon.network import make_client_context, make_server_context, start_server
-from lanedock_daemon.sessions import ChildArrived, ChildLeft, ChildTold, DistributionServer
+from lanedock_daemon.sessions import (
+    HEARTBEAT_INTERVAL,
+    SILENCE_LIMIT,
+    ChildArrived,
+    ChildLeft,
+    ChildTold,
+    DistributionServer,
+)
 
 __all__ = ["AgentService", "DrainAsked"]
 
 TICK = 0.25
-HEARTBEAT_INTERVAL = 2.0
-# Silence, and staleness that a source admits, after which another is looked for.
-SILENCE_LIMIT = 7.0
+# Staleness that a source admits, in seconds, after which another is looked for.
 STALENESS_LIMIT = 5.0
+HOME_TIMEOUT = 1.0
 
 
 class DrainAsked:
@@ -32,6 +41,12 @@
     __slots__ = ()
 
 
+class _HomeFound:
+    """The control instance of the own zone can be reached again."""
+
+    __slots__ = ()
+
+
 class AgentService(TaskService):
     """Takes versions and endpoints from a source, and publishes them.
 
@@ -67,6 +82,7 @@
             SourceTold: self._on_source_told,
             SourceEnded: self._on_source_ended,
             DrainAsked: self._on_drain,
+            _HomeFound: self._on_home_found,
             AttestationsMade: lambda mail: self._attestations.extend(mail.attestations),
             ChildArrived: self._on_child_arrived,
             ChildTold: lambda mail: self._relay.tell(mail.session, mail.message),
@@ -125,8 +141,28 @@
             self._leave_source("silent")
         elif self._staleness > STALENESS_LIMIT:
             self._leave_source("stale")
+        elif self._search.is_home_due(now):
+            gevent.spawn(self._probe_home)
         self._advance()
 
+    def _probe_home(self) -> None:
+        """Try to reach the control instance of the own zone."""
+        home = self._settings.daemon.control[0]
+        try:
+            socket.create_connection((home.host, home.port), timeout=HOME_TIMEOUT).close()
+        except OSError:
+            return
+        self.post(_HomeFound())
+
+    def _on_home_found(self, mail: _HomeFound) -> None:
+        """Go back, so that a zone that is cut off keeps its daemons with its own control."""
+        if self._stream is None or self._search.is_home():
+            return
+        stream, self._stream = self._stream, None
+        stream.close()
+        self._search.go_home()
+        self._connect(time.monotonic())
+
     def _connect(self, now: float) -> None:
         self._stream = SourceStream(self, self._loop, self._search.address(), self._context)
         self._stream.heard_at = now
@@ -188,6 +224,7 @@
         elif body == "floor":
             self._on_floor(message.floor)
         elif body == "heartbeat":
+            self._search.note_success(now)
             self._staleness = message.heartbeat.staleness_ms / 1000
         elif body == "attest":
             self._attester.ask(list(message.attest.instances))
@@ -236,7 +273,6 @@
         self._is_floor_asked = False
         was_ready = self._holder.is_ready
         self._holder.confirm_floor(floor.version)
-        self._search.note_success()
         if not was_ready:
             self._events.emit(Event.FLOOR_CONFIRMED, version=floor.version)
         if self._relay is not None:
--- a/packages/lanedock-daemon/lanedock_daemon/control/distribution.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/distribution.py
@@ -9,13 +9,11 @@
 from lanedock.settings import ControlSettings
 from lanedock.telemetry import Metric, Metrics
 from lanedock.wire import messages
-from lanedock_daemon.sessions import Session
+from lanedock_daemon.sessions import HEARTBEAT_INTERVAL, SILENCE_LIMIT, Session
 
 __all__ = ["DistributionDesk"]
 
 ADMISSION_BURST = 64
-HEARTBEAT_INTERVAL = 2.0
-SILENCE_LIMIT = 7.0
 ATTEST_INTERVAL = 1.0
 ATTESTERS = 3
 
--- a/packages/lanedock-daemon/lanedock_daemon/sessions.py
+++ b/packages/lanedock-daemon/lanedock_daemon/sessions.py
@@ -7,8 +7,20 @@
 from lanedock.wire import messages
 from lanedock.wire.lanedock_grpc import DistributionBase
 
-__all__ = ["ChildArrived", "ChildLeft", "ChildTold", "DistributionServer", "Session"]
-
+__all__ = [
+    "HEARTBEAT_INTERVAL",
+    "SILENCE_LIMIT",
+    "ChildArrived",
+    "ChildLeft",
+    "ChildTold",
+    "DistributionServer",
+    "Session",
+]
+
+# Both ends of a stream send something at least this often, in seconds, and take
+# the other for lost after this silence.
+HEARTBEAT_INTERVAL = 1.0
+SILENCE_LIMIT = 3.5
 # A daemon that has not read this many messages is cut off; it comes back and
 # is then sent only what it lacks.
 MAX_BACKLOG = 256
--- a/packages/lanedock/lanedock/rollout/coordinator.py
+++ b/packages/lanedock/lanedock/rollout/coordinator.py
@@ -22,7 +22,7 @@
 
     __slots__ = ("dead_after", "stage_timeout")
 
-    def __init__(self, stage_timeout: float = 2.0, dead_after: float = 2.0):
+    def __init__(self, stage_timeout: float = 2.5, dead_after: float = 1.5):
         self.stage_timeout = stage_timeout
         self.dead_after = dead_after
 
--- /dev/null
+++ b/tests/test_documents.py
@@ -0,0 +1,75 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Tests that documents and code agree, and that imports keep their directions."""
+
+import ast
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parent.parent
+LIBRARY = ROOT / "packages" / "lanedock" / "lanedock"
+
+# What each subpackage of the library may import of it. docs/architecture.md
+# draws the same.
+ALLOWED = {
+    "config": {"errors", "findings", "wire"},
+    "consensus": {"errors", "wire"},
+    "errors": set(),
+    "findings": {"errors"},
+    "kernel": {"errors"},
+    "limits": {"config", "errors"},
+    "membership": {"errors", "findings", "wire"},
+    "rollout": {"config", "errors", "findings", "membership", "wire"},
+    "routing": {"config", "wire"},
+    "settings": {"errors", "findings"},
+    "telemetry": set(),
+    "testing": set(),
+    "wire": set(),
+}
+# Only the command line may need these: the daemon's memory is budgeted.
+COMMAND_LINE_ONLY = {"typer", "rich", "lanedock_cli"}
+
+
+def _imports(path: Path) -> set[str]:
+    names = set()
+    for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
+        if isinstance(node, ast.Import):
+            names.update(alias.name for alias in node.names)
+        elif isinstance(node, ast.ImportFrom):
+            names.add(node.module)
+    return names
+
+
+def _topic(path: Path) -> str:
+    return path.relative_to(LIBRARY).parts[0].removesuffix(".py")
+
+
+def test_pages_made_from_the_code_are_current():
+    done = subprocess.run(
+        [sys.executable, "tools/make_docs.py", "--check"], cwd=ROOT, capture_output=True, text=True, check=False
+    )
+    assert done.returncode == 0, done.stdout + done.stderr
+
+
+@pytest.mark.parametrize("topic", sorted(ALLOWED))
+def test_subpackages_import_only_what_they_may(topic):
+    paths = [path for path in LIBRARY.rglob("*.py") if _topic(path) == topic and "tests" not in path.parts]
+    assert paths
+    for path in paths:
+        for name in _imports(path):
+            package, _, rest = name.partition(".")
+            assert package != "lanedock_daemon" and package not in COMMAND_LINE_ONLY, path
+            if package == "lanedock" and rest:
+                assert rest.split(".")[0] in ALLOWED[topic] | {topic}, path
+
+
+def test_every_subpackage_has_its_rule():
+    topics = {_topic(path) for path in LIBRARY.rglob("*.py")} - {"__init__"}
+    assert topics == set(ALLOWED)
+
+
+def test_the_daemon_does_not_import_what_only_the_command_line_needs():
+    for path in (ROOT / "packages" / "lanedock-daemon").rglob("*.py"):
+        assert not {name.partition(".")[0] for name in _imports(path)} & COMMAND_LINE_ONLY, path
--- /dev/null
+++ b/tests/test_versions.py
@@ -0,0 +1,237 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""A version's life with real processes: races, resends, cuts, kills, lost disks."""
+
+import shutil
+import signal
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+EXIT_APPLIED, EXIT_FINDINGS, EXIT_NOT_RUN, EXIT_NOT_KNOWN, EXIT_ACCEPTED = 0, 2, 3, 4, 5
+
+
+def _deadline(milliseconds: int):
+    """Return a change that makes another content."""
+
+    def change(value: dict) -> None:
+        value["routes"][0]["deadline_ms"] = milliseconds
+
+    return change
+
+
+def _status(operator) -> dict:
+    code, status = operator.run("status")
+    assert code == 0
+    return status
+
+
+def _in_force(operator) -> set[int]:
+    return {item["in_force"] for item in _status(operator)["daemons"]}
+
+
+def _leader(operator):
+    (name,) = [item["replica"] for item in _status(operator)["replicas"] if item["leader"]]
+    return operator.mesh.controls[name]
+
+
+def _zone(mesh, zone: str) -> list:
+    return [process for process in mesh.processes if process.settings["zone"] == zone]
+
+
+def _send(processes, number) -> None:
+    for process in processes:
+        process.popen.send_signal(number)
+
+
+def _wait_connected(operator, count: int) -> None:
+    operator.mesh.wait_for(lambda: len(_status(operator)["daemons"]) == count, f"{count} daemons are connected")
+
+
+def test_answers_to_operators_who_race_resend_and_come_late(operator):
+    assert operator.apply(5)[0] == EXIT_APPLIED
+    first = operator.run("history")[1]
+    assert operator.apply(5)[1]["answer"] == "applied"
+    assert operator.run("history")[1] == first
+
+    code, answer = operator.apply(5, _deadline(1))
+    assert (code, answer["code"]) == (EXIT_NOT_RUN, "LD2002")
+    code, answer = operator.apply(4)
+    assert (code, answer["code"]) == (EXIT_NOT_RUN, "LD2001")
+
+    files = []
+    for number in range(4):
+        path = operator.write(6, _deadline(100 + number))
+        files.append(path.rename(path.with_name(f"race{number}.jsonc")))
+    with ThreadPoolExecutor(4) as pool:
+        results = list(pool.map(lambda path: operator.run("apply", str(path)), files))
+    codes = sorted(code for code, _ in results)
+    assert codes == [EXIT_APPLIED, EXIT_NOT_RUN, EXIT_NOT_RUN, EXIT_NOT_RUN]
+    assert {answer["code"] for _, answer in results} <= {"", "LD2002", "LD2003"}
+    (winner,) = [answer["digest"] for code, answer in results if code == EXIT_APPLIED]
+    assert _status(operator)["accepted_digest"] == winner
+    assert _in_force(operator) == {6}
+
+    path = operator.write(7, lambda value: value["routes"][0].update(service="none"))
+    code, answer = operator.run("apply", str(path))
+    assert code == EXIT_FINDINGS
+    assert [item["path"] for item in answer["findings"]] == ["/routes/0/service"]
+    code, differences = operator.run("diff", str(operator.write(8)))
+    assert {item["path"] for item in differences} == {"version", "routes/checklist-lookup/deadline_ms"}
+
+
+def test_a_frozen_daemon_blocks_a_dead_one_does_not_and_catches_up(operator):
+    mesh = operator.mesh
+    assert operator.apply(1)[0] == EXIT_APPLIED
+    frozen, dead = mesh.upstreams["checklists-1"], mesh.upstreams["checklists-0"]
+    frozen.popen.send_signal(signal.SIGSTOP)
+    code, answer = operator.apply(2)
+    frozen.popen.send_signal(signal.SIGCONT)
+    assert (code, answer["code"]) == (EXIT_NOT_RUN, "LD2005")
+    assert ["checklists-1" in item["message"] for item in answer["findings"]] == [True]
+    assert _in_force(operator) == {1}
+    # Its zone can tell that a killed one holds no rules in force.
+    dead.kill()
+    for number in range(3, 15):
+        code, answer = operator.apply(number)
+        assert (code, answer["required"]) == (EXIT_APPLIED, 8)
+    dead.start()
+    _wait_connected(operator, 9)
+    mesh.wait_for(lambda: _in_force(operator) == {14}, "the daemon jumps to the newest")
+    assert "version=14" in dead.log()
+    assert "version=5" not in dead.log()
+
+
+def test_a_leader_killed_while_a_version_is_staged_leaves_one_outcome(operator):
+    mesh = operator.mesh
+    assert operator.apply(1)[0] == EXIT_APPLIED
+    frozen = mesh.upstreams["sightings-1"]
+    frozen.popen.send_signal(signal.SIGSTOP)
+    with ThreadPoolExecutor(1) as pool:
+        job = pool.submit(operator.apply, 2)
+        mesh.wait_for(lambda: _status(operator)["candidate_version"] == 2, "version 2 is staged")
+        killed = _leader(operator)
+        killed.kill()
+        frozen.popen.send_signal(signal.SIGCONT)
+        code, _ = job.result()
+    again, same = operator.apply(2)
+    assert again in (EXIT_APPLIED, EXIT_NOT_RUN)
+    assert code in (again, EXIT_NOT_KNOWN)
+    expected = 2 if again == EXIT_APPLIED else 1
+    mesh.wait_for(lambda: _in_force(operator) == {expected}, "everybody agrees")
+    killed.start()
+    mesh.wait_for(lambda: all(item["reachable"] for item in _status(operator)["replicas"]), "all replicas are back")
+    assert operator.apply(2)[1]["answer"] == same["answer"]
+
+
+def test_a_leader_frozen_in_silence_is_followed_by_another_and_nothing_goes_back(operator):
+    mesh = operator.mesh
+    assert operator.apply(1)[0] == EXIT_APPLIED
+    old = _leader(operator)
+    old.popen.send_signal(signal.SIGSTOP)
+    # Its daemons move to other sources before everybody can be reached.
+    number = 1
+
+    def try_next() -> bool:
+        nonlocal number
+        number += 1
+        return operator.apply(number)[0] == EXIT_APPLIED
+
+    mesh.wait_for(try_next, "a version passes under another leader", timeout=60)
+    old.popen.send_signal(signal.SIGCONT)
+    mesh.wait_for(lambda: all(item["reachable"] for item in _status(operator)["replicas"]), "the old one is back")
+    assert operator.apply(number + 1)[0] == EXIT_APPLIED
+    for process in [*mesh.entries.values(), *mesh.upstreams.values()]:
+        versions = [int(line.rpartition("=")[2]) for line in process.log().splitlines() if " E304 " in line]
+        assert versions == sorted(versions)
+        assert versions[-1] == number + 1
+
+
+def test_a_zone_cut_off_blocks_unless_the_operator_names_it(operator):
+    mesh = operator.mesh
+    assert operator.apply(1)[0] == EXIT_APPLIED
+    away = "nbo-b" if _leader(operator).settings["zone"] == "nbo-c" else "nbo-c"
+    cut = _zone(mesh, away)
+    _send(cut, signal.SIGSTOP)
+    code, answer = operator.apply(2)
+    assert code == EXIT_NOT_RUN
+    assert all(away in item["message"] for item in answer["findings"])
+    code, answer = operator.apply(3, None, "--allow-cut-off", away)
+    assert code == EXIT_ACCEPTED
+    names = {process.name for process in cut if "control" not in process.settings}
+    assert set(answer["lagging"]) == names
+    _send(cut, signal.SIGCONT)
+    mesh.wait_for(lambda: _in_force(operator) == {3} and len(_status(operator)["daemons"]) == 9, "the zone catches up")
+
+
+def test_without_a_quorum_a_restarted_daemon_waits_and_the_others_serve(operator):
+    mesh = operator.mesh
+    assert operator.apply(1)[0] == EXIT_APPLIED
+    names = list(mesh.controls)
+    for name in names[1:]:
+        mesh.controls[name].kill()
+    entry = mesh.entries["entry-nbo-a-0"]
+    entry.kill()
+    entry.start()
+    mesh.wait_listening(entry)
+    assert mesh.request("GET", "/checklists/1", entry=0)[0] == 503
+    assert mesh.request("GET", "/checklists/1", entry=1)[0] == 200
+    code, answer = operator.apply(2, None, "--timeout", "3")
+    assert (code, answer["answer"]) == (EXIT_NOT_KNOWN, "not known")
+    assert mesh.request("GET", "/checklists/1", entry=0)[0] == 503
+    for name in names[1:]:
+        mesh.controls[name].start()
+    mesh.wait_for(lambda: mesh.request("GET", "/checklists/1", entry=0)[0] == 200, "the restarted one serves again")
+    assert operator.apply(2)[0] in (EXIT_APPLIED, EXIT_NOT_RUN)
+
+
+def test_a_lost_disk_is_replaced_and_a_second_loss_right_after_loses_nothing(operator):
+    mesh = operator.mesh
+    assert operator.apply(1)[0] == EXIT_APPLIED
+    first, second = [process for process in mesh.controls.values() if process is not _leader(operator)]
+    for lost in (first, second):
+        lost.kill()
+        shutil.rmtree(Path(lost.settings["control"]["data_folder"]))
+        lost.start()
+        mesh.wait_for(lambda process=lost: _is_voter(mesh, process), f"{lost.name} votes again", timeout=60)
+    history = operator.run("history")[1]
+    assert [(item["version"], item["outcome"]) for item in history] == [(1, "accepted")]
+    # Only the two new ones are left: they hold what was accepted.
+    _leader(operator).kill()
+    mesh.wait_for(lambda: _try_status(operator) == 1, "the new ones lead", timeout=60)
+    assert [item["version"] for item in operator.run("history")[1]] == [1]
+
+
+def _is_voter(mesh, process) -> bool:
+    """Tell whether a replica's newest incarnation is a voter by another's log."""
+    identity = Path(process.settings["control"]["data_folder"]) / "identity"
+    if not identity.exists():
+        return False
+    incarnation = identity.read_text(encoding="utf-8")
+    changes = [line for line in process.log().splitlines() if " E206 " in line]
+    return bool(changes) and incarnation in changes[-1].partition("learners=")[0]
+
+
+def _try_status(operator) -> int:
+    code, status = operator.run("status")
+    return status["accepted_version"] if code == 0 and status["confirmed"] else 0
+
+
+def test_a_herd_that_dies_comes_back_with_what_was_accepted(operator):
+    mesh = operator.mesh
+    assert operator.apply(3)[0] == EXIT_APPLIED
+    daemons = [*mesh.entries.values(), *mesh.upstreams.values()]
+    for process in daemons:
+        process.kill()
+    for process in daemons:
+        process.start()
+    _wait_connected(operator, 9)
+    mesh.wait_for(lambda: _in_force(operator) == {3}, "all hold version 3 again")
+    assert mesh.request("POST", "/sightings", b"x")[0] == 200
+    # Everything dies together, control as well.
+    for process in mesh.processes:
+        process.kill()
+    for process in mesh.processes:
+        process.start()
+    for process in mesh.processes:
+        mesh.wait_listening(process)
+    mesh.wait_for(lambda: _try_status(operator) == 3 and _in_force(operator) == {3}, "all are back", timeout=60)
+    assert operator.apply(4)[0] == EXIT_APPLIED
