--- /dev/null
+++ b/packages/lanedock/lanedock/rollout/tests/test_rollout.py
@@ -0,0 +1,223 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Tests of the replicated state, the leader's decisions and the fleet's view."""
+
+import pytest
+
+from lanedock.config import Version, split_config
+from lanedock.errors import ErrorCode
+from lanedock.membership import Instance, InstanceState
+from lanedock.rollout import FleetView, MeshState, RolloutCoordinator, RolloutPolicy, Verdict
+from lanedock.wire import messages
+
+
+def make_tree(version: int, slots: int = 1):
+    return split_config(
+        {
+            "mesh": "m",
+            "version": version,
+            "zones": ["z"],
+            "traffic_classes": [{"name": "c", "share": 0.5}],
+            "services": [{"name": "s", "zones": ["z"], "slots": slots}, {"name": "t", "zones": ["z"]}],
+            "routes": [],
+        }
+    )
+
+
+def submit(state: MeshState, version: int, slots: int = 1, allow: tuple = ()):
+    tree = make_tree(version, slots)
+    command = messages.Command()
+    command.submit.version = version
+    command.submit.digest = tree.version.digest
+    command.submit.content = tree.pack()
+    command.submit.allow_cut_off.extend(allow)
+    return state.apply(command)
+
+
+def finish(state: MeshState, version: int, kind: str = "accept", slots: int = 1):
+    command = messages.Command()
+    getattr(command, kind).version = version
+    getattr(command, kind).digest = make_tree(version, slots).version.digest
+    state.apply(command)
+
+
+class TestState:
+    def test_the_log_decides_who_wins(self):
+        state = MeshState()
+        assert submit(state, 2).verdict is Verdict.STAGING
+        assert submit(state, 2).verdict is Verdict.KNOWN
+        assert submit(state, 2, slots=9).code is ErrorCode.VERSION_CONFLICT
+        assert submit(state, 3).code is ErrorCode.SUBMISSION_BUSY
+        finish(state, 2)
+        assert submit(state, 2).verdict is Verdict.KNOWN
+        assert submit(state, 1).code is ErrorCode.VERSION_STALE
+        assert submit(state, 3).verdict is Verdict.STAGING
+
+    def test_an_aborted_number_is_used_up(self):
+        state = MeshState()
+        submit(state, 5)
+        finish(state, 5, "abort")
+        assert submit(state, 5).record.outcome == messages.OUTCOME_ABORTED
+        assert submit(state, 5, slots=2).code is ErrorCode.VERSION_CONFLICT
+        assert submit(state, 4).verdict is Verdict.STAGING
+
+    @pytest.mark.parametrize("slots", [1, 2])
+    def test_a_decision_on_another_content_changes_nothing(self, slots):
+        state = MeshState()
+        submit(state, 2, slots=slots)
+        finish(state, 2, "accept", slots=3)
+        finish(state, 1, "accept", slots=slots)
+        assert (state.accepted_version.number, state.candidate_version.number) == (0, 2)
+
+    def test_forgotten_numbers_stay_used_up(self, monkeypatch):
+        monkeypatch.setattr("lanedock.rollout.state.MAX_RECORDS", 3)
+        state = MeshState()
+        for number in range(1, 9):
+            submit(state, 2 * number)
+            finish(state, 2 * number, "accept" if number < 3 else "abort")
+        assert len(state.records) == 3
+        assert submit(state, 6).code is ErrorCode.VERSION_STALE
+        restored = MeshState.restore(state.snapshot())
+        assert submit(restored, 6).code is ErrorCode.VERSION_STALE
+        assert submit(restored, 17).verdict is Verdict.STAGING
+
+    def test_a_snapshot_holds_everything(self):
+        state = MeshState()
+        submit(state, 1)
+        finish(state, 1)
+        submit(state, 2)
+        restored = MeshState.restore(state.snapshot())
+        assert restored.snapshot() == state.snapshot()
+        assert restored.tree(1).version == make_tree(1).version
+        assert restored.candidate_version == make_tree(2).version
+
+    def test_only_the_last_contents_are_kept(self):
+        state = MeshState()
+        for number in range(1, 13):
+            submit(state, number)
+            finish(state, number)
+        assert [number for number in state.records if state.tree(number)] == list(range(5, 13))
+
+
+class Fleet:
+    """A coordinator with three daemons that are listed and connected."""
+
+    def __init__(self):
+        self.state = MeshState()
+        self.view = FleetView(dead_after=1.5, silent_after=3.0)
+        self.listed = [Instance(name, "z", "s", "h", 1) for name in "abc"]
+        self.view.take_list(self.listed, 0.0)
+        self.sequence = 0
+        self.coordinator = RolloutCoordinator(self.state, self.view, RolloutPolicy(2.5, 1.5))
+        self.report({name: {} for name in "abc"}, whole=True)
+
+    def report(self, changed: dict, gone=(), whole=False, attested=(), now=0.0) -> bool:
+        self.sequence += 1
+        report = messages.FleetReport(sequence=self.sequence, whole=whole)
+        for name, fields in changed.items():
+            report.changed.add(daemon=name, zone="z", **fields)
+        report.gone.extend(gone)
+        for attester, instance, reachable in attested:
+            report.attestations.add(attester=attester, instance=instance, reachable=reachable)
+        return self.view.take_report("r@1", report, now)
+
+    def stage(self, names: str, version: int, slots: int = 1):
+        digest = make_tree(version, slots).version.digest
+        self.report({name: {"staged_version": version, "staged_digest": digest} for name in names})
+
+    def decide(self, now: float) -> str | None:
+        command = self.coordinator.decide(now, 0.0)
+        return command.WhichOneof("body") if command else None
+
+
+@pytest.fixture
+def fleet():
+    made = Fleet()
+    submit(made.state, 1)
+    return made
+
+
+class TestCoordinator:
+    def test_a_version_is_accepted_once_all_have_staged_it(self, fleet):
+        fleet.stage("ab", 1)
+        assert fleet.decide(0.1) is None
+        fleet.stage("c", 1, slots=7)
+        assert fleet.decide(0.2) is None
+        fleet.stage("c", 1)
+        assert fleet.decide(0.3) == "accept"
+        assert fleet.decide(0.4) is None
+
+    def test_one_refusal_aborts_it_with_the_findings(self, fleet):
+        fleet.stage("ab", 1)
+        digest = make_tree(1).version.digest
+        finding = messages.FindingRecord(code="LD1004", message="too many")
+        fleet.report({"c": {"refused_version": 1, "refused_digest": digest, "findings": [finding]}})
+        command = fleet.coordinator.decide(0.1, 0.0)
+        assert command.abort.reason == ErrorCode.STAGING_REFUSED.code
+        assert [item.message for item in command.abort.findings] == ["daemon c: too many"]
+
+    def test_who_does_not_stage_in_time_is_named(self, fleet):
+        fleet.stage("ab", 1)
+        assert fleet.decide(0.0) is None
+        assert fleet.decide(2.4) is None
+        command = fleet.coordinator.decide(2.6, 0.0)
+        assert command.abort.reason == ErrorCode.STAGING_TIMEOUT.code
+        assert ["daemon c in z" in item.message for item in command.abort.findings] == [True]
+
+    def test_nothing_is_accepted_before_the_list_was_read(self):
+        made = Fleet()
+        made.view._instances = None
+        submit(made.state, 1)
+        made.stage("abc", 1)
+        assert made.decide(0.1) is None
+        assert made.coordinator.decide(3.0, 0.0).abort.findings[0].code == ErrorCode.PLATFORM_UNREADABLE.code
+
+    @pytest.mark.parametrize(
+        ("attested", "expected"),
+        [
+            ([], None),
+            ([("a", "c", False)], None),
+            ([("a", "c", False), ("b", "c", True)], None),
+            ([("a", "c", False), ("x", "c", False)], None),
+            ([("a", "c", False), ("b", "c", False)], "accept"),
+        ],
+    )
+    def test_a_dead_daemon_blocks_until_two_of_its_zone_say_so(self, fleet, attested, expected):
+        fleet.stage("ab", 1)
+        fleet.report({}, gone=["c"], now=1.0)
+        assert fleet.decide(1.1) is None
+        fleet.report({}, attested=attested, now=2.4)
+        assert fleet.decide(2.49) is None
+        assert fleet.decide(2.55) == expected
+
+    def test_a_zone_of_which_nobody_is_left_is_cut_off_not_dead(self, fleet):
+        fleet.report({}, gone=["a", "b", "c"], attested=[("a", "c", False), ("b", "c", False)], now=1.0)
+        assert fleet.view.required(set(), 9.0) == {"a", "b", "c"}
+        assert fleet.view.required({"z"}, 9.0) == set()
+
+    def test_a_leaving_one_that_is_gone_blocks_nothing(self, fleet):
+        fleet.listed[2].state = InstanceState.LEAVING
+        fleet.stage("ab", 1)
+        fleet.report({}, gone=["c"], now=0.0)
+        assert fleet.decide(2.0) == "accept"
+
+    def test_a_silent_control_instance_vouches_for_nobody(self, fleet):
+        fleet.stage("abc", 1)
+        fleet.view.drop_silent(3.5)
+        assert fleet.decide(3.5) is None
+
+    def test_a_gap_between_reports_is_noticed(self, fleet):
+        fleet.sequence += 1
+        assert not fleet.report({"a": {}})
+        assert fleet.report({"a": {}}, whole=True)
+
+    def test_progress_counts_to_the_end(self, fleet):
+        fleet.stage("abc", 1)
+        finish(fleet.state, 1)
+        progress = fleet.coordinator.progress(1, set(), 0.1)
+        assert (progress.staged, progress.in_force, progress.lagging) == (3, 0, ["a", "b", "c"])
+        fleet.report({name: {"in_force_version": 1} for name in "ab"})
+        assert fleet.coordinator.progress(1, set(), 0.2).lagging == ["c"]
+
+
+def test_versions_are_equal_by_number_and_digest():
+    assert Version(1, b"x") == Version(1, b"x") != Version(1, b"y")
