--- a/packages/lanedock-cli/lanedock_cli/app.py
+++ b/packages/lanedock-cli/lanedock_cli/app.py
@@ -16,9 +16,10 @@
 from lanedock.config import ConfigTree, compare, load_config
 from lanedock.errors import ErrorCode, LanedockError
 from lanedock.findings import FindingsError
-from lanedock.settings import Address
+from lanedock.settings import Address, load_settings
 from lanedock.wire import messages
 from lanedock_cli.client import ControlClient
+from lanedock_cli.doctor import examine
 from lanedock_cli.render import (
     ANSWER_NAMES,
     answer_value,
@@ -240,6 +241,28 @@
         print_history(reply, _console)
 
 
+@app.command(epilog="example: lanedock doctor --settings entry-nbo-a.jsonc")
+def doctor(
+    settings: Annotated[Path, typer.Option("--settings", help="Settings of a process.", metavar="FILE")],
+    as_json: JsonOption = False,
+) -> None:
+    """Check addresses, folder, disk, clock and peers of an instance. Exit code 2 if something is wrong."""
+    try:
+        loaded = load_settings(str(settings))
+    except FindingsError as exc:
+        print_findings(exc.findings, as_json)
+        raise typer.Exit(EXIT_FINDINGS) from exc
+    checks = examine(loaded)
+    if as_json:
+        print_json([{"what": item.what, "good": item.good, "told": item.told} for item in checks])
+    else:
+        for item in checks:
+            code = f" [{item.code.code}: {item.code.remedy}]" if item.code else ""
+            print(f"{'ok ' if item.good else 'BAD'} {item.what}: {item.told}{code}")
+    if not all(item.good for item in checks):
+        raise typer.Exit(EXIT_FINDINGS)
+
+
 @app.command(epilog="example: lanedock trace spans.jsonl")
 def trace(file: FileArgument) -> None:
     """Draw the calls of a file of spans as trees."""
--- /dev/null
+++ b/packages/lanedock-cli/lanedock_cli/doctor.py
@@ -0,0 +1,143 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Checks of an instance before its process is started, from its settings."""
+
+import os
+import socket
+import tempfile
+import time
+
+from lanedock.errors import ErrorCode, LanedockError
+from lanedock.membership import make_platform_list
+from lanedock.settings import Address, Settings
+
+__all__ = ["Check", "examine"]
+
+CONNECT_TIMEOUT = 1.0
+SLOW_SYNC = 0.1
+SYNC_ROUNDS = 5
+EARLIEST_CLOCK = 1_700_000_000
+
+
+class Check:
+    """One thing that was looked at.
+
+    Parameters
+    ----------
+    what : str
+    good : bool
+    told : str
+        What was found.
+    code : ErrorCode or None
+        Of a finding.
+    """
+
+    __slots__ = ("code", "good", "told", "what")
+
+    def __init__(self, what: str, good: bool, told: str, code: ErrorCode | None = None):
+        self.what = what
+        self.good = good
+        self.told = told
+        self.code = code
+
+    def __repr__(self) -> str:
+        return f"<Check {self.what} {'good' if self.good else 'bad'}: {self.told}>"
+
+
+def examine(settings: Settings) -> list[Check]:
+    """Look at addresses, folder, disk, clock and peers; returns all findings."""
+    checks = [_check_clock()]
+    for name, address in _listening(settings):
+        checks.append(_check_address(name, address))
+    for name, address in _peers(settings):
+        checks.append(_check_peer(name, address))
+    if settings.control is not None:
+        checks.append(_check_folder(settings.control.data_folder))
+        checks.append(_check_list(settings.control.platform_list))
+    if settings.tls is not None:
+        checks.append(_check_tls(settings))
+    return checks
+
+
+def _listening(settings: Settings) -> list[tuple[str, Address]]:
+    found = []
+    if settings.control is not None:
+        found.append(("control.listen", settings.control.listen))
+    if settings.daemon is not None and settings.daemon.relay is not None:
+        found.append(("daemon.relay", settings.daemon.relay))
+    if settings.entry is not None:
+        found.append(("entry.listen", settings.entry.listen))
+    if settings.upstream is not None:
+        found.append(("upstream.listen", settings.upstream.listen))
+        if settings.upstream.egress is not None:
+            found.append(("upstream.egress", settings.upstream.egress))
+    return found
+
+
+def _peers(settings: Settings) -> list[tuple[str, Address]]:
+    found = []
+    if settings.control is not None:
+        others = settings.control.replicas.items()
+        found += [(f"replica {name}", address) for name, address in others if name != settings.name]
+    if settings.daemon is not None:
+        found += [(f"control {number}", address) for number, address in enumerate(settings.daemon.control)]
+    if settings.upstream is not None:
+        found.append(("application", settings.upstream.application))
+    return found
+
+
+def _check_clock() -> Check:
+    now = time.time()
+    return Check("clock", now > EARLIEST_CLOCK, time.strftime("%Y-%m-%d %H:%M:%S", time.gmtime(now)) + " UTC")
+
+
+def _check_address(name: str, address: Address) -> Check:
+    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+    with socket.socket(family) as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((address.host, address.port))
+        except OSError as exc:
+            return Check(name, False, f"{address}: {exc.strerror}", ErrorCode.ADDRESS_TAKEN)
+    return Check(name, True, f"{address} is free")
+
+
+def _check_peer(name: str, address: Address) -> Check:
+    try:
+        socket.create_connection((address.host, address.port), CONNECT_TIMEOUT).close()
+    except OSError as exc:
+        return Check(name, False, f"{address}: {exc.strerror or exc}", ErrorCode.CONNECT_FAILED)
+    return Check(name, True, f"{address} can be reached")
+
+
+def _check_folder(path: str) -> Check:
+    """Write and sync a small file some times, and remove it again."""
+    try:
+        os.makedirs(path, exist_ok=True)
+        times = []
+        with tempfile.NamedTemporaryFile(dir=path) as file:
+            for _ in range(SYNC_ROUNDS):
+                started = time.monotonic()
+                file.write(b"." * 512)
+                file.flush()
+                os.fsync(file.fileno())
+                times.append(time.monotonic() - started)
+    except OSError as exc:
+        return Check("data folder", False, f"{path}: {exc.strerror}", ErrorCode.DISK_FAILED)
+    slowest = max(times)
+    told = f"{path} syncs in up to {slowest * 1000:.1f} ms"
+    return Check("data folder", slowest < SLOW_SYNC, told, None if slowest < SLOW_SYNC else ErrorCode.DISK_FAILED)
+
+
+def _check_list(address: str) -> Check:
+    try:
+        instances = make_platform_list(address).read()
+    except LanedockError as exc:
+        return Check("platform list", False, str(exc), exc.code)
+    return Check("platform list", True, f"{len(instances)} instances")
+
+
+def _check_tls(settings: Settings) -> Check:
+    for path in (settings.tls.certificate, settings.tls.key, settings.tls.authority):
+        if not os.access(path, os.R_OK):
+            return Check("tls", False, f"{path} can't be read", ErrorCode.NOT_AUTHENTIC)
+    return Check("tls", True, "the files can be read")
