Let control instances and relays share one desk, and load the mesh while it fails

Change: SessionDesk is the base of both; ports come from below the range of outgoing connections; two codes that nothing used are gone and a test holds the rest used; submissions by 8 threads while daemons stop, die, leave and versions change, each checked against its number of runs.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 BIN := .venv/bin
 READY := .venv/.ready
 
-.PHONY: demo test lint format model model-mutants clean
+.PHONY: demo test lint format model model-mutants bench-rollout bench-path clean
 
 $(READY): constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
 	test -x $(BIN)/python || $(PYTHON) -m venv .venv
@@ -33,5 +33,11 @@
 model-mutants:
 	$(PYTHON) tools/model.py --mutants
 
+bench-rollout: $(READY)
+	$(BIN)/python tools/bench_rollout.py --out docs/measurements/rollout.json
+
+bench-path: $(READY)
+	$(BIN)/python tools/bench_path.py --out docs/measurements/path.json
+
 clean:
 	rm -rf .venv
--- a/packages/lanedock-cli/lanedock_cli/client.py
+++ b/packages/lanedock-cli/lanedock_cli/client.py
@@ -39,6 +39,7 @@
         self._addresses = addresses
         self._context = context
         self._patience = patience
+        self._leader: Address | None = None
 
     async def ask(self, method: str, request):
         """Make a call that changes nothing, at the leader if there is one.
@@ -105,12 +106,12 @@
         """
         until = time.monotonic() + self._patience
         was_ambiguous = False
-        leader: Address | None = None
+        leader = self._leader
         position = 0
         reply = _make_unknown(request, ErrorCode.NO_LEADER)
         while True:
             address = leader or self._addresses[position % len(self._addresses)]
-            leader = None
+            leader = self._leader = None
             got, was_sent = await self._submit_one(address, request, on_progress)
             if got is None:
                 was_ambiguous = was_ambiguous or was_sent
@@ -122,6 +123,7 @@
                 was_ambiguous = True
                 reply = got
             else:
+                self._leader = address
                 return self._settle(request, got, was_ambiguous)
             if time.monotonic() >= until:
                 return reply
--- a/packages/lanedock-daemon/lanedock_daemon/agent/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/service.py
@@ -8,7 +8,6 @@
 from gevent import socket
 
 from lanedock.kernel import Kernel, TaskService
-from lanedock.rollout import Distributor
 from lanedock.settings import Address, Settings
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics
 from lanedock.wire import messages
@@ -69,7 +68,7 @@
         self._events = events
         self._metrics = metrics
         self._search = SourceSearch(settings.daemon.control, random.Random())
-        self._relay = RelayDesk(Distributor(), metrics) if settings.daemon.relay else None
+        self._relay = RelayDesk(metrics) if settings.daemon.relay else None
         self._stream: SourceStream | None = None
         self._connect_at = 0.0
         self._heartbeat_at = 0.0
@@ -265,7 +264,7 @@
     def _on_endpoints(self, update: messages.EndpointUpdate) -> None:
         self._board.take_endpoints(update)
         if self._relay is not None:
-            self._relay.pass_endpoints(update)
+            self._relay.broadcast_endpoints(update)
 
     def _on_floor(self, floor: messages.Floor) -> None:
         if floor.token != self._floor_token:
@@ -294,7 +293,8 @@
         now = time.monotonic()
         if self._relay is not None:
             self._refresh_source()
-            self._relay.advance(now, self._holder.in_force_version.number, self._staleness_now(now))
+            self._relay.flush()
+            self._relay.send_heartbeats(now, self._holder.in_force_version.number, self._staleness_now(now))
         if self._stream is None:
             return
         is_changed = self._refresh_state()
--- a/packages/lanedock-daemon/lanedock_daemon/control/distribution.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/distribution.py
@@ -7,9 +7,10 @@
 from lanedock.limits import Admission
 from lanedock.rollout import Distributor, VersionSource
 from lanedock.settings import ControlSettings
-from lanedock.telemetry import Metric, Metrics
+from lanedock.telemetry import Metrics
 from lanedock.wire import messages
-from lanedock_daemon.sessions import HEARTBEAT_INTERVAL, SILENCE_LIMIT, Session
+from lanedock_daemon.desk import SessionDesk
+from lanedock_daemon.sessions import Session
 
 __all__ = ["DistributionDesk"]
 
@@ -18,7 +19,7 @@
 ATTESTERS = 3
 
 
-class DistributionDesk:
+class DistributionDesk(SessionDesk):
     """The daemons that take versions from this control instance.
 
     Parameters
@@ -28,21 +29,15 @@
     """
 
     def __init__(self, cfg: ControlSettings, metrics: Metrics):
-        self.distributor = Distributor(cfg.whole_files)
+        super().__init__(Distributor(cfg.whole_files), metrics)
         self._cfg = cfg
-        self._metrics = metrics
-        self._sessions: dict[Session, None] = {}
         self._admission = Admission(cfg.admissions_per_second, ADMISSION_BURST)
         self._floors_wanted: list[tuple[Session, int]] = []
         self._floors_asked: dict[int, list[tuple[Session, int]]] = {}
         self._read_token = 0
         self._attestations: list[messages.Attestation] = []
-        self._heartbeat_at = 0.0
         self._attest_at = 0.0
 
-    def __repr__(self) -> str:
-        return f"<DistributionDesk sessions={len(self._sessions)} {self.distributor!r}>"
-
     # ---------------------------------------------------------------- sessions
 
     def arrive(self, session: Session, message: messages.DaemonMessage, endpoints) -> None:
@@ -60,22 +55,7 @@
             self._send(session, [redirect])
             session.close()
             return
-        session.heard_at = now
-        session.child = self.distributor.connect(message.state)
-        self._sessions[session] = None
-        first = messages.ControlMessage()
-        first.endpoints.CopyFrom(endpoints)
-        self._send(session, [first])
-        self._take(session, message)
-
-    def tell(self, session: Session, message: messages.DaemonMessage) -> None:
-        """Take in a daemon's message."""
-        if session.child is None:
-            return
-        session.heard_at = time.monotonic()
-        if message.HasField("state"):
-            self.distributor.update(session.child, message.state)
-        self._take(session, message)
+        self._admit(session, message, endpoints)
 
     def _take(self, session: Session, message: messages.DaemonMessage) -> None:
         if message.HasField("fleet_report"):
@@ -84,23 +64,6 @@
             self._floors_wanted.append((session, message.floor_token))
         self._attestations.extend(message.attestations)
 
-    def leave(self, session: Session) -> None:
-        """Forget a session that has ended."""
-        if session.child is not None:
-            self.distributor.disconnect(session.child)
-            session.child = None
-        self._sessions.pop(session, None)
-
-    def close(self) -> None:
-        """End all sessions."""
-        for session in list(self._sessions):
-            session.close()
-
-    def _send(self, session: Session, batch: list[messages.ControlMessage]) -> None:
-        if batch:
-            self._metrics.count(Metric.CONTROL_BYTES, sum(message.ByteSize() for message in batch))
-            session.send(batch)
-
     # ------------------------------------------------------------------ relays
 
     def _choose_relay(self, message: messages.DaemonMessage) -> messages.ControlMessage | None:
@@ -138,34 +101,6 @@
         """Replace what is known of the versions."""
         self.distributor.set_source(source)
 
-    def flush(self) -> None:
-        """Send every daemon what it lacks."""
-        for session in self._sessions:
-            self._send(session, self.distributor.due(session.child))
-
-    def broadcast_endpoints(self, update: messages.EndpointUpdate) -> None:
-        """Send a change of endpoints to all daemons."""
-        message = messages.ControlMessage()
-        message.endpoints.CopyFrom(update)
-        for session in self._sessions:
-            self._send(session, [message])
-
-    def tick(self, now: float, accepted: int, staleness: float) -> None:
-        """Send heartbeats, and end silent sessions."""
-        if now < self._heartbeat_at:
-            return
-        self._heartbeat_at = now + HEARTBEAT_INTERVAL
-        self._metrics.gauge(Metric.CHILDREN, len(self._sessions))
-        message = messages.ControlMessage()
-        message.heartbeat.accepted_version = accepted
-        message.heartbeat.staleness_ms = min(int(staleness * 1000), 2**31)
-        for session in list(self._sessions):
-            if now - session.heard_at > SILENCE_LIMIT:
-                session.close()
-                self.leave(session)
-            else:
-                self._send(session, [message])
-
     # ------------------------------------------------------------------ floors
 
     def next_read(self) -> int | None:
@@ -183,11 +118,7 @@
         if asked is None:
             return False
         for session, floor_token in asked:
-            if session in self._sessions:
-                floor = messages.ControlMessage()
-                floor.floor.token = floor_token
-                floor.floor.version = accepted
-                self._send(session, [*self.distributor.due(session.child), floor])
+            self._send_floor(session, floor_token, accepted)
         return True
 
     def fail_read(self, token: int) -> bool:
--- a/packages/lanedock-daemon/lanedock_daemon/control/server.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/server.py
@@ -43,6 +43,11 @@
 
     async def Submit(self, stream) -> None:
         request = await stream.recv_message()
+        refusal = self._task.refuse_unless_leading(request)
+        if refusal is not None:
+            # Before the check, which takes longer than all else here.
+            await stream.send_message(refusal)
+            return
         try:
             tree = check_document(read_text(request.content.decode(errors="replace"), request.file or "submission"))
         except FindingsError as exc:
--- a/packages/lanedock-daemon/lanedock_daemon/control/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/service.py
@@ -57,7 +57,7 @@
         self._metrics = metrics
         self._policy = RolloutPolicy(self._cfg.stage_timeout_ms / 1000, self._cfg.dead_after_ms / 1000)
         self._desk = DistributionDesk(self._cfg, metrics)
-        self._submissions = SubmissionDesk()
+        self._submissions = SubmissionDesk(metrics)
         self._queries = QueryDesk(self._cfg.replicas, settings.name)
         self._directory = Directory(DEFAULT_ENDPOINT_WINDOW)
         self._instances = []
@@ -139,7 +139,7 @@
             return
         now = time.monotonic()
         self._log.replica.tick(now)
-        self._desk.tick(now, self._log.state.accepted_version.number, self._log.replica.silence(now))
+        self._desk.send_heartbeats(now, self._log.state.accepted_version.number, self._log.replica.silence(now))
         self._ask_attestations(now)
         self._advance()
 
@@ -205,13 +205,24 @@
         if self._fleet is not None:
             self._fleet.take_list(mail.instances, now)
 
+    def refuse_unless_leading(self, request: messages.SubmitRequest) -> messages.SubmitReply | None:
+        """Return the reply that names the leader, or None where this one leads."""
+        if self._log.is_current_leader:
+            return None
+        return messages.SubmitReply(
+            answer=messages.ANSWER_NOT_KNOWN,
+            code=ErrorCode.NOT_LEADER.code,
+            message=ErrorCode.NOT_LEADER.meaning,
+            version=request.version,
+            leader_address=self._leader_address(),
+        )
+
     def _on_submit(self, mail: SubmitAsked) -> None:
         version = mail.tree.version
         submission = Submission(mail.call, mail.request, version, time.monotonic())
-        if not self._log.is_current_leader:
-            reply = submission.reply(messages.ANSWER_NOT_KNOWN, ErrorCode.NOT_LEADER)
-            reply.leader_address = self._leader_address()
-            mail.call.reply(reply)
+        refusal = self.refuse_unless_leading(mail.request)
+        if refusal is not None:
+            mail.call.reply(refusal)
             mail.call.reply(None)
             return
         result = self._log.state.judge(version)
--- a/packages/lanedock-daemon/lanedock_daemon/control/submissions.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/submissions.py
@@ -6,6 +6,7 @@
 from lanedock.config import Version
 from lanedock.errors import ErrorCode
 from lanedock.rollout import RolloutProgress, SubmitResult, Verdict
+from lanedock.telemetry import Metric, Metrics
 from lanedock.wire import messages
 from lanedock_daemon.control.mail import Call
 
@@ -55,9 +56,14 @@
 
     A submission waits first for its entry to be applied, then for the
     version's outcome, then for it to be in force everywhere.
+
+    Parameters
+    ----------
+    metrics : Metrics
     """
 
-    def __init__(self):
+    def __init__(self, metrics: Metrics):
+        self._metrics = metrics
         self._proposed: dict[int, Submission] = {}
         self._waiting: list[Submission] = []
 
@@ -150,6 +156,7 @@
             reply.lagging.extend(cut_off)
         else:
             reply = submission.reply(messages.ANSWER_APPLIED, message="in force everywhere")
+            self._metrics.time(Metric.CONVERGENCE, now - submission.accepted_at)
         return _fill(reply, submission, progress, now)
 
     def _make_late(self, submission, progress, is_accepted: bool, now: float) -> messages.SubmitReply:
--- /dev/null
+++ b/packages/lanedock-daemon/lanedock_daemon/desk.py
@@ -0,0 +1,117 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""The desk for daemons below, as control instances and relays have it."""
+
+import time
+from abc import ABC, abstractmethod
+
+from lanedock.rollout import Distributor
+from lanedock.telemetry import Metric, Metrics
+from lanedock.wire import messages
+from lanedock_daemon.sessions import HEARTBEAT_INTERVAL, SILENCE_LIMIT, Session
+
+__all__ = ["SessionDesk"]
+
+
+class SessionDesk(ABC):
+    """Sessions with daemons below, and what is sent to them.
+
+    Parameters
+    ----------
+    distributor : Distributor
+    metrics : Metrics
+    """
+
+    def __init__(self, distributor: Distributor, metrics: Metrics):
+        self.distributor = distributor
+        self._metrics = metrics
+        self._sessions: dict[Session, None] = {}
+        self._heartbeat_at = 0.0
+
+    def __repr__(self) -> str:
+        return f"<{type(self).__name__} sessions={len(self._sessions)} {self.distributor!r}>"
+
+    @abstractmethod
+    def _take(self, session: Session, message: messages.DaemonMessage) -> None:
+        """Take in what a daemon's message holds besides its state."""
+
+    def _admit(self, session: Session, message: messages.DaemonMessage, endpoints: messages.EndpointUpdate) -> None:
+        """Take in a daemon, and send it all endpoints."""
+        session.heard_at = time.monotonic()
+        session.child = self.distributor.connect(message.state)
+        self._sessions[session] = None
+        first = messages.ControlMessage()
+        first.endpoints.CopyFrom(endpoints)
+        self._send(session, [first])
+        self._take(session, message)
+
+    def tell(self, session: Session, message: messages.DaemonMessage) -> None:
+        """Take in a daemon's message."""
+        if session.child is None:
+            return
+        session.heard_at = time.monotonic()
+        if message.HasField("state"):
+            self.distributor.update(session.child, message.state)
+        self._take(session, message)
+
+    def leave(self, session: Session) -> None:
+        """Forget a session that has ended."""
+        if session.child is not None:
+            self.distributor.disconnect(session.child)
+            session.child = None
+        self._sessions.pop(session, None)
+
+    def close(self) -> None:
+        """End all sessions."""
+        for session in list(self._sessions):
+            session.close()
+
+    def flush(self) -> None:
+        """Send every daemon what it lacks."""
+        for session in self._sessions:
+            self._send(session, self.distributor.due(session.child))
+
+    def broadcast_endpoints(self, update: messages.EndpointUpdate) -> None:
+        """Send a change of endpoints to all daemons."""
+        message = messages.ControlMessage()
+        message.endpoints.CopyFrom(update)
+        for session in self._sessions:
+            self._send(session, [message])
+
+    def send_heartbeats(self, now: float, accepted: int, staleness: float) -> None:
+        """Send heartbeats when they are due, and end silent sessions.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic, seconds.
+        accepted : int
+            Number of the newest accepted version known here.
+        staleness : float
+            Seconds since this source has heard from the leader.
+        """
+        if now < self._heartbeat_at:
+            return
+        self._heartbeat_at = now + HEARTBEAT_INTERVAL
+        self._metrics.gauge(Metric.CHILDREN, len(self._sessions))
+        message = messages.ControlMessage()
+        message.heartbeat.accepted_version = accepted
+        message.heartbeat.staleness_ms = min(int(staleness * 1000), 2**31)
+        for session in list(self._sessions):
+            if now - session.heard_at > SILENCE_LIMIT:
+                session.close()
+                self.leave(session)
+            else:
+                self._send(session, [message])
+
+    def _send_floor(self, session: Session, token: int, accepted: int) -> None:
+        """Answer a daemon's question for the floor, after all versions due."""
+        if session in self._sessions:
+            message = messages.ControlMessage()
+            message.floor.token = token
+            message.floor.version = accepted
+            self._send(session, [*self.distributor.due(session.child), message])
+
+    def _send(self, session: Session, batch: list[messages.ControlMessage]) -> None:
+        if batch:
+            self._metrics.count(Metric.CONTROL_BYTES, sum(message.ByteSize() for message in batch))
+            session.send(batch)
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
@@ -75,7 +75,9 @@
         answer = self._admit(request, span, started)
         self._metrics.time(Metric.LATENCY, time.monotonic() - started)
         span.end(**{"http.status_code": answer.status, "http.target": request.path})
-        answer.headers.append((LOAD_HEADER, str(self._limiter.in_use + self._limiter.waiting)))
+        self._metrics.gauge(Metric.IN_PROGRESS, self._limiter.in_use)
+        self._metrics.gauge(Metric.QUEUED, self._limiter.waiting)
+        answer.headers.append((LOAD_HEADER, str(self.in_progress)))
         if self._board.is_draining:
             answer.headers.append((LEAVING_HEADER, "1"))
         return answer
--- a/packages/lanedock/lanedock/config/load.py
+++ b/packages/lanedock/lanedock/config/load.py
@@ -34,9 +34,9 @@
     FindingsError
         With every finding.
     """
-    from lanedock.findings.schema import check_schema, load_schema
+    from lanedock.findings.schema import check_schema
 
-    findings = check_schema(document, load_schema("lanedock.config", "schema.json"))
+    findings = check_schema(document, "lanedock.config")
     if findings:
         raise FindingsError(findings)
     findings = _check_references(document)
--- a/packages/lanedock/lanedock/errors.py
+++ b/packages/lanedock/lanedock/errors.py
@@ -135,11 +135,6 @@
         "The daemon's version does not hold the service that the request names.",
         "Retry; if it stays, compare `lanedock status` of both instances.",
     )
-    RETRY_REFUSED = (
-        "LD3012",
-        "The retry budget is spent; the last failure stands.",
-        "Retry after the told time.",
-    )
 
     LOG_CORRUPT = (
         "LD4001",
--- a/packages/lanedock/lanedock/findings/jsonc.py
+++ b/packages/lanedock/lanedock/findings/jsonc.py
@@ -111,6 +111,9 @@
     FindingsError
         The text is not JSON, or a key stands twice.
     """
+    plain = _try_plain(text, file)
+    if plain is not None:
+        return plain
     blanked = _TRAILING_COMMA.sub(_blank, _TOKEN.sub(_blank, text))
     try:
         value = json.loads(blanked, object_pairs_hook=_refuse_duplicates, parse_constant=_refuse_constant)
@@ -125,6 +128,15 @@
     return Document(file, value, blanked)
 
 
+def _try_plain(text: str, file: str) -> Document | None:
+    """Parse text that needs no blanking, which is most of what machines write."""
+    try:
+        value = json.loads(text, object_pairs_hook=_refuse_duplicates, parse_constant=_refuse_constant)
+    except (_DuplicateKey, ValueError, RecursionError):
+        return None
+    return Document(file, value, text)
+
+
 def _duplicate_finding(text: str, file: str, key: str) -> Finding:
     """Name the second mention of a key; the last one where depth misleads."""
     mentions = list(re.finditer(re.escape(json.dumps(key, ensure_ascii=False)) + r"\s*:", text))
--- a/packages/lanedock/lanedock/settings/load.py
+++ b/packages/lanedock/lanedock/settings/load.py
@@ -38,7 +38,7 @@
     """
     document = read_document(path)
     schema = load_schema("lanedock.settings", "schema.json")
-    findings = check_schema(document, schema) or _check_relations(document)
+    findings = check_schema(document, "lanedock.settings") or _check_relations(document)
     if findings:
         raise FindingsError(findings)
     return _build(document.value, schema)
--- a/packages/lanedock/lanedock/telemetry/events.py
+++ b/packages/lanedock/lanedock/telemetry/events.py
@@ -19,7 +19,6 @@
     STARTED = (101, logging.INFO, "The process serves.", "None.")
     STOPPING = (102, logging.INFO, "The process was asked to stop and lets requests end.", "None.")
     STOPPED = (103, logging.INFO, "The process has stopped.", "None.")
-    SETTINGS_REFUSED = (104, logging.ERROR, "The settings have findings.", "Mend them; the process has not started.")
     NO_AUTHENTICATION = (
         105,
         logging.WARNING,
--- a/packages/lanedock/lanedock/testing/mesh.py
+++ b/packages/lanedock/lanedock/testing/mesh.py
@@ -17,16 +17,33 @@
 STOP_TIMEOUT = 30.0
 
 
+# Below the range from which the kernel takes ports for outgoing connections, so
+# that no connection takes one between its choice and its use.
+_PORTS = range(10_000, 32_000)
+_taken: set[int] = set()
+
+
 def _free_ports(count: int) -> list[int]:
-    """Find ports that nobody listens on."""
-    held = [socket.socket() for _ in range(count)]
-    try:
-        for one in held:
-            one.bind((HOST, 0))
-        return [one.getsockname()[1] for one in held]
-    finally:
-        for one in held:
-            one.close()
+    """Find ports that nobody listens on, and that no mesh of this process has had."""
+    found = []
+    position = os.getpid() * 97
+    while len(found) < count:
+        port = _PORTS[position % len(_PORTS)]
+        position += 1
+        if port not in _taken and _is_free(port):
+            _taken.add(port)
+            found.append(port)
+    return found
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((HOST, port))
+        except OSError:
+            return False
+    return True
 
 
 class MeshProcess:
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -8,6 +8,9 @@
 
 import pytest
 
+from lanedock.errors import ErrorCode
+from lanedock.telemetry import Event, Metric
+
 ROOT = Path(__file__).parent.parent
 LIBRARY = ROOT / "packages" / "lanedock" / "lanedock"
 
@@ -65,6 +68,13 @@
                 assert rest.split(".")[0] in ALLOWED[topic] | {topic}, path
 
 
+def test_every_code_event_and_metric_is_used():
+    code = "".join(path.read_text(encoding="utf-8") for path in (ROOT / "packages").rglob("*.py"))
+    for kind in (ErrorCode, Event, Metric):
+        for member in kind:
+            assert f"{kind.__name__}.{member.name}" in code, f"{kind.__name__}.{member.name} is used nowhere"
+
+
 def test_every_subpackage_has_its_rule():
     topics = {_topic(path) for path in LIBRARY.rglob("*.py")} - {"__init__"}
     assert topics == set(ALLOWED)
--- /dev/null
+++ b/tests/test_load.py
@@ -0,0 +1,142 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Requests that may not be repeated, under load, while processes stop, die and change."""
+
+import http.client
+import json
+import threading
+import time
+from collections import Counter
+
+import pytest
+
+THREADS = 8
+
+
+class Volunteers:
+    """Threads that submit sightings, each with an id, and note what they were told."""
+
+    def __init__(self, mesh):
+        self.mesh = mesh
+        self.told: dict[str, str] = {}
+        self.stopping = threading.Event()
+        self.threads = [threading.Thread(target=self._run, args=(number,)) for number in range(THREADS)]
+        for thread in self.threads:
+            thread.start()
+
+    def _run(self, number: int) -> None:
+        count = 0
+        while not self.stopping.is_set():
+            count += 1
+            request_id = f"{number}-{count}"
+            self.told[request_id] = self._submit(request_id, number)
+
+    def _submit(self, request_id: str, entry: int) -> str:
+        try:
+            status, body = self.mesh.request("POST", "/sightings", b"3", entry, {"X-Request-Id": request_id})
+        except (OSError, http.client.HTTPException):
+            return "cut"
+        if status == 200:
+            return "answered" if json.loads(body)["id"] == request_id else "another's answer"
+        return json.loads(body)["outcome"]
+
+    def wait_for_more(self, count: int) -> None:
+        """Wait until so many more submissions were answered."""
+        target = Counter(self.told.values())["answered"] + count
+        self.mesh.wait_for(lambda: Counter(self.told.values())["answered"] >= target, "submissions go on")
+
+    def stop(self) -> Counter:
+        """Stop, and return how often each outcome was told."""
+        self.stopping.set()
+        for thread in self.threads:
+            thread.join()
+        return Counter(self.told.values())
+
+
+def _count_runs(mesh) -> Counter:
+    runs: Counter = Counter()
+    for name, (host, port) in mesh.applications.items():
+        if name.startswith("sightings"):
+            conn = http.client.HTTPConnection(host, port, timeout=10)
+            conn.request("GET", "/.runs")
+            runs.update(json.loads(conn.getresponse().read()))
+            conn.close()
+    return runs
+
+
+def _check(volunteers: Volunteers) -> Counter:
+    """Stop, and check each submission's runs against what its volunteer was told."""
+    outcomes = volunteers.stop()
+    runs = _count_runs(volunteers.mesh)
+    assert set(outcomes) <= {"answered", "not-run", "unknown", "cut"}
+    for request_id, told in volunteers.told.items():
+        expected = {"answered": {1}, "not-run": {0}}.get(told, {0, 1})
+        assert runs[request_id] in expected, (request_id, told, runs[request_id])
+    return outcomes
+
+
+@pytest.fixture
+def volunteers(mesh, operator):
+    assert operator.apply(1)[0] == 0
+    made = Volunteers(mesh)
+    made.wait_for_more(50)
+    yield made
+    made.stop()
+
+
+def test_planned_stops_cut_off_nothing(volunteers):
+    mesh = volunteers.mesh
+    for process in [mesh.upstreams["sightings-0"], mesh.upstreams["sightings-1"]]:
+        process.popen.terminate()
+        assert process.popen.wait(30) == 0
+        volunteers.wait_for_more(30)
+        process.start()
+        mesh.wait_listening(process)
+        # Back at work before the other one goes.
+        mesh.wait_for(lambda process=process: "E306" in process.log().rpartition("E103")[2], "it serves again")
+        time.sleep(1)
+    outcomes = _check(volunteers)
+    assert not outcomes["cut"] and not outcomes["unknown"], outcomes
+
+
+def test_killed_daemons_double_nothing(volunteers):
+    mesh = volunteers.mesh
+    for _ in range(3):
+        process = mesh.upstreams["sightings-0"]
+        process.kill()
+        volunteers.wait_for_more(30)
+        process.start()
+        mesh.wait_listening(process)
+    outcomes = _check(volunteers)
+    # One in progress on each connection may be lost with each kill.
+    assert outcomes["unknown"] + outcomes["cut"] <= 3 * THREADS
+
+
+def test_a_leaving_upstream_gets_no_new_work(volunteers):
+    mesh = volunteers.mesh
+    mesh.set_state("sightings-0", "leaving")
+    time.sleep(2)
+    before = _runs_of(mesh, "sightings-0")
+    volunteers.wait_for_more(50)
+    assert _runs_of(mesh, "sightings-0") == before
+    assert not _check(volunteers)["unknown"]
+
+
+def _runs_of(mesh, name: str) -> int:
+    host, port = mesh.applications[name]
+    conn = http.client.HTTPConnection(host, port, timeout=10)
+    conn.request("GET", "/.runs")
+    total = sum(json.loads(conn.getresponse().read()).values())
+    conn.close()
+    return total
+
+
+def test_versions_change_under_load_and_a_zone_goes_on_without_control(volunteers, operator):
+    for version in range(2, 6):
+        change = (lambda value: value["routes"].pop(0)) if version % 2 else None
+        assert operator.apply(version, change)[0] == 0
+        volunteers.wait_for_more(20)
+    for process in volunteers.mesh.controls.values():
+        process.kill()
+    volunteers.wait_for_more(100)
+    outcomes = _check(volunteers)
+    assert set(outcomes) == {"answered"}, outcomes
