Tell when a source is found, and name the settings that exist

Cause: the test that holds codes, events and metrics used failed on E401, and two remedies named settings that there are not. Change: E401 once a source has taken the daemon in; remedies corrected. Conclusion: the catalogues tell what happens.

--- a/packages/lanedock-daemon/lanedock_daemon/agent/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/service.py
@@ -223,13 +223,20 @@
         elif body == "floor":
             self._on_floor(message.floor)
         elif body == "heartbeat":
-            self._search.note_success(now)
+            self._on_heartbeat(mail.stream, now)
             self._staleness = message.heartbeat.staleness_ms / 1000
         elif body == "attest":
             self._attester.ask(list(message.attest.instances))
         else:
             self._on_referral(message, now)
 
+    def _on_heartbeat(self, stream: SourceStream, now: float) -> None:
+        self._search.note_success(now)
+        if not stream.is_serving:
+            stream.is_serving = True
+            relay = self._search.relay_name() or "none"
+            self._events.emit(Event.SOURCE_FOUND, address=stream.address, relay=relay)
+
     def _on_referral(self, message: messages.ControlMessage, now: float) -> None:
         """Go where the source refers to, or come back when it says."""
         stream, self._stream = self._stream, None
--- a/packages/lanedock-daemon/lanedock_daemon/agent/watch.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/watch.py
@@ -46,11 +46,19 @@
     loop : LoopService
     address : Address
     context : ssl.SSLContext or None
+
+    Attributes
+    ----------
+    heard_at : float
+        Monotonic; when the source last sent something.
+    is_serving : bool
+        Whether it has taken this daemon in.
     """
 
     def __init__(self, owner: TaskService, loop: LoopService, address: Address, context):
         self.address = address
         self.heard_at = 0.0
+        self.is_serving = False
         self._owner = owner
         self._loop = loop
         self._context = context
--- a/packages/lanedock/lanedock/errors.py
+++ b/packages/lanedock/lanedock/errors.py
@@ -165,8 +165,8 @@
     SERVICE_MISSING = ("LD5003", "A service of the kernel is asked for but not there.", "Report it: this is a bug.")
     NOT_AUTHENTIC = (
         "LD5004",
-        "The peer did not prove that it holds the shared key.",
-        "Check `shared_key_file` of both processes.",
+        "The files for mutual TLS cannot be used.",
+        "Check `tls` in the settings and the files that it names.",
     )
 
     def __init__(self, code: str, meaning: str, remedy: str):
--- a/packages/lanedock/lanedock/telemetry/events.py
+++ b/packages/lanedock/lanedock/telemetry/events.py
@@ -23,14 +23,14 @@
         105,
         logging.WARNING,
         "Peers are not authenticated.",
-        "Set `shared_key_file` wherever others can reach the addresses.",
+        "Set `tls` wherever others can reach the addresses.",
     )
     UNEXPECTED = (106, logging.ERROR, "A task failed in a way nobody foresaw.", "Report it: this is a bug.")
     CUT_SHORT = (
         107,
         logging.WARNING,
         "Requests were still in progress when the time to stop was over.",
-        "Raise `stop_timeout`.",
+        "Raise `stop_timeout_ms`.",
     )
 
     LEADING = (201, logging.INFO, "This control instance leads.", "None.")
