Admit everybody in a storm, and tell the next hop of retries

Cause: found by reading. Admission gave each refused daemon a turn, and took its return for another reservation, so that in a lasting storm nobody was admitted any more. The attempt was told in a header that the application never saw, so a retry was retried by the next hop. A setting for probes did nothing. Change: a token bucket admits, turns only spread the refused out; the attempt is x-request-attempt, which applications pass on; the setting is gone; requests in progress are bounded by connections, too; the stand-in refuses what can't end by its deadline. A test that a daemon which missed 300 versions jumps.

--- a/Makefile
+++ b/Makefile
@@ -35,6 +35,7 @@
 
 bench-rollout: $(READY)
 	$(BIN)/python tools/bench_rollout.py --out docs/measurements/rollout.json
+	$(BIN)/python tools/bench_rollout.py --press 500 --out docs/measurements/press.json
 
 bench-path: $(READY)
 	$(BIN)/python tools/bench_path.py --out docs/measurements/path.json
--- a/packages/lanedock-daemon/lanedock_daemon/path/caller.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller.py
@@ -32,10 +32,13 @@
 __all__ = ["CallerSide"]
 
 MAX_TRIES = 3
+# Attempt that is told for a request that some hop before has sent again.
+RETRIED = 2
 # Bodies up to this many bytes are kept until the answer, to be sent again.
 REPLAY_LIMIT = 64 * 1024
 # What callers are told to wait where nothing better is known, in seconds.
 RETRY_AFTER = 1.0
+_SET_HERE = (ATTEMPT_HEADER, DEADLINE_HEADER, TRACE_HEADER)
 # Added to what an upstream's daemon is given, so that its refusal arrives
 # before the caller's side gives up on it.
 GRACE = 0.05
@@ -108,7 +111,8 @@
             if stats is None:
                 return failure or self._refuse(ErrorCode.NO_UPSTREAM, RETRY_AFTER)
             tried.add(stats.endpoint.instance)
-            answer, is_final = self._try(request, headers, route, balancer, stats, attempt, deadline)
+            told = attempt if may_retry else RETRIED
+            answer, is_final = self._try(request, headers, route, balancer, stats, told, deadline)
             if is_final:
                 return answer
             failure = answer
@@ -220,7 +224,7 @@
 def _make_headers(request: Request, binding: Binding, route: Route, span) -> list[tuple[str, str]]:
     headers = []
     for name, value in request.headers:
-        if not name.startswith(PRIVATE_PREFIX) and name not in (DEADLINE_HEADER, TRACE_HEADER):
+        if not name.startswith(PRIVATE_PREFIX) and name not in _SET_HERE:
             headers.append((name, value))
     headers.append((SERVICE_HEADER, route.service))
     headers.append((CLASS_HEADER, route.traffic_class))
--- a/packages/lanedock-daemon/lanedock_daemon/path/http.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http.py
@@ -28,11 +28,12 @@
 PRIVATE_PREFIX = "x-lanedock-"
 SERVICE_HEADER = "x-lanedock-service"
 CLASS_HEADER = "x-lanedock-class"
-ATTEMPT_HEADER = "x-lanedock-attempt"
 VERSION_HEADER = "x-lanedock-version"
 LOAD_HEADER = "x-lanedock-load"
 LEAVING_HEADER = "x-lanedock-leaving"
-# These two are for callers and applications, too.
+# These are for callers and applications, too: an application passes the
+# deadline and the attempt on with the calls that it makes for a request.
+ATTEMPT_HEADER = "x-request-attempt"
 DEADLINE_HEADER = "x-request-deadline-ms"
 OUTCOME_HEADER = "x-request-outcome"
 CODE_HEADER = "x-request-code"
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_promises.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_promises.py
@@ -91,6 +91,20 @@
     assert chain.applications[0].runs.total() == 0
 
 
+def test_a_retry_is_not_retried_by_the_next_hop(make_chain):
+    chain = make_chain(_die_after_reading, _die_after_reading, _die_after_reading)
+    chain.request("GET", "/first")
+    assert chain.runs("/first") == 3
+    attempts = [_attempt(head) for application in chain.applications for head in application.heads]
+    assert sorted(attempts) == ["1", "2", "3"]
+    assert chain.request("GET", "/again", headers="x-request-attempt: 2\r\n")[0] == 502
+    assert chain.runs("/again") == 1
+
+
+def _attempt(head: str) -> str:
+    return head.partition("x-request-attempt: ")[2].partition("\r\n")[0]
+
+
 def test_nothing_there_is_told_as_not_run(make_chain):
     chain = make_chain(None)
     chain.upstreams[0].server.stop()
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
@@ -108,7 +108,9 @@
             return
         self._configured = binding.number
         service = binding.config.services[self._service]
-        self._limiter.configure(service.slots, service.queue, binding.config.traffic_classes)
+        # Each request in progress takes one of the application's connections.
+        slots = min(service.slots, service.connections)
+        self._limiter.configure(slots, service.queue, binding.config.traffic_classes)
 
     def _acquire(self, traffic_class: str, deadline: float) -> Refused | None:
         """Take a slot, waiting for it if need be."""
--- a/packages/lanedock/lanedock/limits/admission.py
+++ b/packages/lanedock/lanedock/limits/admission.py
@@ -5,10 +5,11 @@
 
 
 class Admission:
-    """A token bucket that tells the refused when their turn is.
+    """A token bucket that tells the refused when to come back.
 
-    Those refused are given consecutive turns, so that a storm of reconnects
-    comes back spread out instead of all at once.
+    Those refused are given consecutive turns, at the rate at which tokens come,
+    so that a storm of reconnects comes back spread out instead of all at once.
+    A turn is no token: whoever comes finds one, or is given another turn.
 
     Parameters
     ----------
@@ -18,15 +19,17 @@
         Admissions at once after a quiet time.
     """
 
-    __slots__ = ("_burst", "_rate", "_turn_at")
+    __slots__ = ("_asked_at", "_burst", "_rate", "_tokens", "_turn_at")
 
     def __init__(self, rate: float, burst: int):
         self._rate = rate
         self._burst = burst
+        self._tokens = float(burst)
+        self._asked_at = float("-inf")
         self._turn_at = float("-inf")
 
     def __repr__(self) -> str:
-        return f"<Admission rate={self._rate} burst={self._burst}>"
+        return f"<Admission rate={self._rate} tokens={self._tokens:.1f}/{self._burst}>"
 
     def ask(self, now: float) -> float:
         """Ask for admission.
@@ -36,9 +39,10 @@
         float
             0 where admitted, else seconds until it is worth asking again.
         """
-        earliest = now - self._burst / self._rate
-        turn_at = max(self._turn_at, earliest) + 1 / self._rate
-        self._turn_at = turn_at
-        if turn_at <= now:
+        self._tokens = min(self._burst, self._tokens + (now - self._asked_at) * self._rate)
+        self._asked_at = now
+        if self._tokens >= 1:
+            self._tokens -= 1
             return 0.0
-        return turn_at - now
+        self._turn_at = max(self._turn_at, now) + 1 / self._rate
+        return self._turn_at - now
--- a/packages/lanedock/lanedock/limits/tests/test_slots.py
+++ b/packages/lanedock/lanedock/limits/tests/test_slots.py
@@ -98,6 +98,23 @@
     assert [budget.spend() for _ in range(2)] == [True, False]
 
 
+def test_everybody_in_a_storm_is_admitted_at_the_rate():
+    admission = Admission(rate=100, burst=5)
+    waiting = [(0.0, number) for number in range(200)]
+    admitted = {}
+    while waiting:
+        waiting.sort()
+        now, number = waiting.pop(0)
+        wait = admission.ask(now)
+        if wait:
+            # A little late, as daemons are told to be.
+            waiting.append((now + wait * 1.05, number))
+        else:
+            admitted[number] = now
+        assert now < 10, f"{len(waiting)} are never admitted"
+    assert max(admitted.values()) < 4
+
+
 def test_a_storm_is_told_turns_that_do_not_collide():
     admission = Admission(rate=10, burst=2)
     waits = [admission.ask(5.0) for _ in range(6)]
--- a/packages/lanedock/lanedock/settings/core.py
+++ b/packages/lanedock/lanedock/settings/core.py
@@ -110,7 +110,7 @@
 class UpstreamSettings(_Section):
     """An upstream's daemon; names and units as in the schema."""
 
-    __slots__ = ("application", "egress", "health_interval_ms", "listen", "service")
+    __slots__ = ("application", "egress", "listen", "service")
 
 
 class Settings(_Section):
--- a/packages/lanedock/lanedock/testing/upstream.py
+++ b/packages/lanedock/lanedock/testing/upstream.py
@@ -15,6 +15,7 @@
 __all__ = ["StandInUpstream", "UpstreamBehaviour"]
 
 ID_HEADER = "HTTP_X_REQUEST_ID"
+DEADLINE_HEADER = "HTTP_X_REQUEST_DEADLINE_MS"
 
 
 class UpstreamBehaviour:
@@ -26,6 +27,8 @@
         Seconds that a request takes.
     slots : int
         Requests worked on at once; more of them wait.
+    connections : int
+        Connections accepted at once; more of them wait.
     cold_until : float
         Monotonic; until then a request takes `cold_factor` times as long.
     shed : bool
@@ -38,10 +41,21 @@
         What the load endpoint tells, whatever is true.
     """
 
-    __slots__ = ("cold_factor", "cold_until", "cut_after", "draining", "shed", "slots", "told_load", "work")
-
-    def __init__(self, work: float = 0.0, slots: int = 12):
+    __slots__ = (
+        "cold_factor",
+        "cold_until",
+        "connections",
+        "cut_after",
+        "draining",
+        "shed",
+        "slots",
+        "told_load",
+        "work",
+    )
+
+    def __init__(self, work: float = 0.0, slots: int = 12, connections: int = 130):
         self.work = work
+        self.connections = connections
         self.slots = slots
         self.cold_until = 0.0
         self.cold_factor = 5.0
@@ -74,7 +88,14 @@
         self.runs: dict[str, int] = {}
         self.in_progress = 0
         self._slots = BoundedSemaphore(self.behaviour.slots)
-        self._server = pywsgi.WSGIServer(address, self._serve, handler_class=_Handler, log=None, error_log=None)
+        self._server = pywsgi.WSGIServer(
+            address,
+            self._serve,
+            spawn=self.behaviour.connections,
+            handler_class=_Handler,
+            log=None,
+            error_log=None,
+        )
 
     def __repr__(self) -> str:
         return f"<StandInUpstream {self.name} {self.address} runs={sum(self.runs.values())}>"
@@ -101,12 +122,17 @@
             return self._answer(start_response, {"load": self.behaviour.told_load})
         if path == "/.runs":
             return self._answer(start_response, self.runs)
-        if self.behaviour.shed:
+        if self.behaviour.shed or self._is_hopeless(environ):
             start_response("503 Service Unavailable", [("Content-Length", "0"), ("Retry-After", "1")])
             return [b""]
         with self._slots:
             return self._work(environ, start_response)
 
+    def _is_hopeless(self, environ: dict) -> bool:
+        """Tell whether a request's deadline passes before its work is done."""
+        told = environ.get(DEADLINE_HEADER, "")
+        return told.isdigit() and int(told) / 1000 < self._work_time()
+
     def _work(self, environ: dict, start_response):
         self.in_progress += 1
         try:
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -1,11 +1,16 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """A version's life with real processes: races, resends, cuts, kills, lost disks."""
 
+import asyncio
 import shutil
 import signal
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
+from lanedock.settings import Address
+from lanedock.wire import messages
+from lanedock_cli.client import ControlClient
+
 EXIT_APPLIED, EXIT_FINDINGS, EXIT_NOT_RUN, EXIT_NOT_KNOWN, EXIT_ACCEPTED = 0, 2, 3, 4, 5
 
 
@@ -235,3 +240,22 @@
         mesh.wait_listening(process)
     mesh.wait_for(lambda: _try_status(operator) == 3 and _in_force(operator) == {3}, "all are back", timeout=60)
     assert operator.apply(4)[0] == EXIT_APPLIED
+
+
+def test_a_daemon_that_missed_300_versions_jumps_to_the_newest(operator):
+    mesh = operator.mesh
+    assert operator.apply(1)[0] == EXIT_APPLIED
+    dead = mesh.upstreams["media-0"]
+    dead.kill()
+    assert operator.apply(2)[0] == EXIT_APPLIED
+    client = ControlClient([Address.parse(text) for text in mesh.control_addresses.split(",")], None, 20.0)
+    for number in range(3, 303):
+        content = operator.write(number, _deadline(1000 + number)).read_bytes()
+        request = messages.SubmitRequest(version=number, content=content)
+        reply = asyncio.run(client.submit(request, lambda progress: None))
+        assert reply.answer == messages.ANSWER_APPLIED
+    dead.start()
+    _wait_connected(operator, 9)
+    mesh.wait_for(lambda: _in_force(operator) == {302}, "the daemon jumps to the newest")
+    put_in_force = [line for line in dead.log().splitlines() if " E304 " in line]
+    assert [line.rpartition("=")[2] for line in put_in_force] == ["1", "302"]
--- a/tools/bench_rollout.py
+++ b/tools/bench_rollout.py
@@ -28,6 +28,7 @@
 SERVICES = 66
 ROUTES_PER_SERVICE = 5
 REST = 10.0
+PRESSED_DAEMONS = 24
 
 
 class StatsdSink:
@@ -144,17 +145,54 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--daemons", default="12,24,48")
     parser.add_argument("--changes", type=int, default=15)
+    parser.add_argument("--press", type=int, default=0, help="instead: so many changes without a pause, 24 daemons")
     parser.add_argument("--out", default="")
     arguments = parser.parse_args()
     figures = []
+    if arguments.press:
+        return _finish(_measure_pressed(arguments.press), arguments.out)
     for daemons in map(int, arguments.daemons.split(",")):
         figures += _measure(daemons, arguments.changes)
+    return _finish(figures, arguments.out)
+
+
+def _finish(figures: list[dict], out: str) -> int:
     print(json.dumps(figures, indent=2))
-    if arguments.out:
-        Path(arguments.out).write_text(json.dumps(figures, indent=2) + "\n", encoding="utf-8")
+    if out:
+        Path(out).write_text(json.dumps(figures, indent=2) + "\n", encoding="utf-8")
     return 0
 
 
+def _measure_pressed(changes: int) -> list[dict]:
+    """Press changes into one run, as many as fit, and see what it costs."""
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = Fleet(Path(folder) / "delta", PRESSED_DAEMONS, False)
+        try:
+            fleet.start()
+            fleet.change()
+            time.sleep(2)
+            before, started = fleet.usage(), time.monotonic()
+            fleet.submits, fleet.converges = [], []
+            for _ in range(changes):
+                fleet.change()
+            seconds = time.monotonic() - started
+            after = fleet.usage()
+        finally:
+            fleet.mesh.__exit__()
+    figures = {
+        "daemons": PRESSED_DAEMONS,
+        "changes": changes,
+        "seconds": round(seconds, 1),
+        "submit_to_force_ms": _summary(fleet.submits),
+        "accept_to_force_ms": _summary(fleet.converges),
+        "daemon_core_percent": round(_cpu(after, before, False) / seconds * 100, 2),
+        "control_core_percent": round(_cpu(after, before, True) / seconds * 100, 1),
+        "daemon_rss_mb": [_memory(before, False), _memory(after, False)],
+        "control_rss_mb": [_memory(before, True), _memory(after, True)],
+    }
+    return [figures]
+
+
 def _measure(daemons: int, changes: int) -> list[dict]:
     """Measure both ways at one size, a change of each in turn."""
     with tempfile.TemporaryDirectory() as folder:
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -32,11 +32,13 @@
     ----------
     text : str
     folder : Path
-        With rollout.json and path.json.
+        With rollout.json, press.json and path.json.
     """
     rollout = json.loads((folder / "rollout.json").read_text(encoding="utf-8"))
     path = json.loads((folder / "path.json").read_text(encoding="utf-8"))
+    press = json.loads((folder / "press.json").read_text(encoding="utf-8"))
     tables = {
+        "press": _make_press(press[0]),
         "measured": _make_measured(rollout),
         "slopes": _make_slopes(rollout),
         "roles": _make_roles(rollout, path),
@@ -78,6 +80,23 @@
     return "\n".join(lines)
 
 
+def _make_press(press: dict) -> str:
+    converge, submit = press["accept_to_force_ms"], press["submit_to_force_ms"]
+    daemon, control = press["daemon_rss_mb"], press["control_rss_mb"]
+    return "\n".join(
+        [
+            f"{press['changes']} changes without a pause on {press['daemons']} daemons took {press['seconds']} s:",
+            "",
+            f"- submit to in force {submit['median']} ms at the median, {submit['max']} at most; accepted to in force",
+            f"  {converge['median']} and {converge['max']} ms;",
+            f"- a daemon used {press['daemon_core_percent']} % of a core, a control instance "
+            f"{press['control_core_percent']} %;",
+            f"- a daemon's memory went from {daemon[0]} to {daemon[1]} MB, a control instance's from {control[0]} "
+            f"to {control[1]}.",
+        ]
+    )
+
+
 _SLOPES = {
     "submit to in force, ms": lambda item: item["submit_to_force_ms"]["median"],
     "accepted to in force, ms": lambda item: item["accept_to_force_ms"]["median"],
