Split the leader's knowledge from the consensus core, and fill the capacity page

Change: leadership, reads and memberships are modules of their own; witnesses wait 1.4 times the stall limit; benches of pressed changes and of memory; the capacity page is made from the measurements; tests of the search for a source and of the directory of endpoints.

--- a/Makefile
+++ b/Makefile
@@ -37,6 +37,8 @@
 	$(BIN)/python tools/bench_rollout.py --out docs/measurements/rollout.json
 	$(BIN)/python tools/bench_rollout.py --press 500 --out docs/measurements/press.json
 
+	$(BIN)/python tools/bench_memory.py --out docs/measurements/memory.json
+
 bench-path: $(READY)
 	$(BIN)/python tools/bench_path.py --out docs/measurements/path.json
 
--- a/packages/lanedock-daemon/lanedock_daemon/agent/attest.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/attest.py
@@ -11,7 +11,9 @@
 
 # Answered by every daemon itself, never passed on.
 ALIVE_PATH = "/.lanedock/alive"
-TIMEOUT = 0.5
+# A daemon that stands still for less than its stall limit serves on, so it must
+# not be attested as dead: witnesses wait this much longer for its answer.
+PATIENCE = 1.4
 
 
 class AttestationsMade:
@@ -24,7 +26,7 @@
 
 
 class Attester:
-    """Tries to reach daemons, one request at a time.
+    """Tries to reach daemons, all that are asked for at once.
 
     Parameters
     ----------
@@ -32,11 +34,14 @@
         Takes AttestationsMade.
     name : str
         This daemon's.
+    stall_limit : float
+        Standstill, in seconds, after which any daemon of the mesh notices.
     """
 
-    def __init__(self, owner: TaskService, name: str):
+    def __init__(self, owner: TaskService, name: str, stall_limit: float):
         self._owner = owner
         self._name = name
+        self._timeout = PATIENCE * stall_limit
         self._task = None
 
     def ask(self, endpoints: list[messages.Endpoint]) -> None:
@@ -45,17 +50,18 @@
             self._task = gevent.spawn(self._run, endpoints)
 
     def _run(self, endpoints: list[messages.Endpoint]) -> None:
+        tries = [gevent.spawn(_is_alive, endpoint.host, endpoint.port, self._timeout) for endpoint in endpoints]
+        gevent.joinall(tries)
         made = []
-        for endpoint in endpoints:
-            reachable = _is_alive(endpoint.host, endpoint.port)
-            made.append(messages.Attestation(instance=endpoint.instance, attester=self._name, reachable=reachable))
+        for endpoint, one in zip(endpoints, tries, strict=True):
+            made.append(messages.Attestation(instance=endpoint.instance, attester=self._name, reachable=one.value))
         self._owner.post(AttestationsMade(made))
 
 
-def _is_alive(host: str, port: int) -> bool:
+def _is_alive(host: str, port: int, timeout: float) -> bool:
     """Tell whether a daemon answers. A frozen one still accepts connections."""
     try:
-        with gevent.Timeout(TIMEOUT), socket.create_connection((host, port)) as conn:
+        with gevent.Timeout(timeout), socket.create_connection((host, port)) as conn:
             conn.sendall(f"GET {ALIVE_PATH} HTTP/1.1\r\nHost: {host}\r\nConnection: close\r\n\r\n".encode())
             return conn.recv(16).startswith(b"HTTP/1.1")
     except (OSError, gevent.Timeout):
--- a/packages/lanedock-daemon/lanedock_daemon/agent/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/service.py
@@ -93,7 +93,7 @@
     def on_start(self, kernel: Kernel) -> None:
         self._loop = kernel.find("loop")
         self._context = make_client_context(self._settings.tls)
-        self._attester = Attester(self, self._settings.name)
+        self._attester = Attester(self, self._settings.name, self._settings.daemon.stall_limit_ms / 1000)
         self._server = None
         address = self._settings.daemon.relay
         if address is not None:
--- /dev/null
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/tests/test_search.py
@@ -0,0 +1,69 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Tests of the search for a source."""
+
+from itertools import pairwise
+from random import Random
+
+import pytest
+
+from lanedock.settings import Address
+from lanedock_daemon.agent.search import BACKOFF_MAX, SourceSearch
+
+CONTROL = [Address("10.0.0.1", 7000), Address("10.0.1.1", 7000), Address("10.0.2.1", 7000)]
+RELAY = Address("10.0.0.9", 7001)
+
+
+@pytest.fixture
+def search():
+    return SourceSearch(CONTROL, Random(1))
+
+
+def test_the_own_zone_is_tried_first_and_the_others_in_turn(search):
+    seen = []
+    for _ in range(4):
+        seen.append(search.address())
+        search.note_failure(0.0)
+    assert seen == [*CONTROL, CONTROL[0]]
+
+
+def test_waits_grow_and_are_spread_over_the_whole_range():
+    waits = [[] for _ in range(8)]
+    for seed in range(300):
+        one = SourceSearch(CONTROL, Random(seed))
+        for number in range(8):
+            waits[number].append(one.note_failure(0.0))
+    longest = [max(each) for each in waits]
+    # The first five lie below the cap.
+    assert longest[:5] == sorted(longest[:5])
+    assert longest[-1] <= BACKOFF_MAX
+    # Full jitter: some come back almost at once, whatever the backoff.
+    assert all(min(each) < 0.1 * top for each, top in zip(waits, longest, strict=True))
+
+
+def test_a_relay_that_fails_is_named_to_control_and_left(search):
+    assert search.note_redirect("r1", RELAY) == 0.0
+    assert (search.address(), search.relay_name()) == (RELAY, "r1")
+    search.note_failure(10.0)
+    assert search.address() == CONTROL[0]
+    assert search.failed_relays(11.0) == ["r1"]
+    assert search.failed_relays(100.0) == []
+
+
+def test_a_told_time_is_kept_and_a_little_spread(search):
+    waits = {search.note_refusal(2.0) for _ in range(20)}
+    assert all(2.0 <= wait <= 2.2 for wait in waits)
+    assert len(waits) > 10
+
+
+def test_a_daemon_away_from_home_goes_back_less_and_less_often(search):
+    search.note_failure(0.0)
+    search.note_success(0.0)
+    assert not search.is_home()
+    asked = [now for now in range(2000) if search.is_home_due(float(now))]
+    assert asked[0] <= 4
+    gaps = [after - before for before, after in pairwise(asked)]
+    assert gaps[-1] > 10 * gaps[0] - 1
+    search.go_home()
+    search.note_success(2001.0)
+    assert search.is_home()
+    assert not search.is_home_due(1e9)
--- /dev/null
+++ b/packages/lanedock/lanedock/consensus/membership.py
@@ -0,0 +1,38 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Memberships: majorities, and the steps by which a replica is replaced."""
+
+from collections.abc import Callable, Container
+
+from lanedock.consensus.core import replica_name
+from lanedock.wire import messages
+
+__all__ = ["admit_learner", "is_quorum", "promote_learner", "quorum_value"]
+
+
+def is_quorum(membership: messages.Membership, replicas: Container[str]) -> bool:
+    """Tell whether some replicas are a majority of the voters."""
+    voters = membership.voters
+    return len([voter for voter in voters if voter in replicas]) > len(voters) // 2
+
+
+def quorum_value(membership: messages.Membership, value_of: Callable[[str], int]) -> int:
+    """Return the highest value that a majority of the voters has reached; 0 without voters."""
+    values = sorted((value_of(voter) for voter in membership.voters), reverse=True)
+    return values[len(values) // 2] if values else 0
+
+
+def admit_learner(membership: messages.Membership, joiner: str) -> messages.Membership:
+    """Return the membership in which a joiner stands, as a learner, for its old self.
+
+    One voter less at most, so majorities before and after have one in common.
+    """
+    name = replica_name(joiner)
+    voters = [voter for voter in membership.voters if replica_name(voter) != name]
+    learners = [learner for learner in membership.learners if replica_name(learner) != name]
+    return messages.Membership(voters=voters, learners=[*learners, joiner])
+
+
+def promote_learner(membership: messages.Membership, learner: str) -> messages.Membership:
+    """Return the membership in which a learner votes."""
+    learners = [other for other in membership.learners if other != learner]
+    return messages.Membership(voters=[*membership.voters, learner], learners=learners)
--- a/packages/lanedock/lanedock/consensus/replica.py
+++ b/packages/lanedock/lanedock/consensus/replica.py
@@ -13,8 +13,11 @@
 
 from random import Random
 
-from lanedock.consensus.core import Progress, Ready, ReplicaRole, Timing, replica_name
+from lanedock.consensus.core import Ready, ReplicaRole, Timing
+from lanedock.consensus.leadership import Leadership
 from lanedock.consensus.log import LogSnapshot, RaftLog
+from lanedock.consensus.membership import admit_learner, is_quorum, promote_learner, quorum_value
+from lanedock.consensus.reads import PendingRead, ReadQueue
 from lanedock.wire import messages
 
 __all__ = ["RaftReplica"]
@@ -73,15 +76,9 @@
         self._heard_at = now
         self._election_at = 0.0
         self._stood_at = now
-        self._heartbeat_at = 0.0
         self._votes: set[str] = set()
-        self._progress: dict[str, Progress] = {}
-        self._probe = 0
-        self._probe_sent_at: dict[int, float] = {}
-        self._lease_until = float("-inf")
-        self._term_start = 0
-        self._reads: list[tuple[int, str, int, int]] = []
-        self._forwarded_reads: set[int] = set()
+        self._lead: Leadership | None = None
+        self._reads = ReadQueue()
         self._joiners: dict[str, float] = {}
         self._ready = Ready()
         self._reset_election(now)
@@ -98,14 +95,14 @@
 
     def is_leader(self, now: float) -> bool:
         """Tell whether this replica leads and its lease still runs."""
-        return self.role is ReplicaRole.LEADER and now < self._lease_until
+        return self._lead is not None and now < self._lead.lease_until
 
     def has_own_commit(self, applied: int) -> bool:
         """Tell whether an entry of the leader's own term is applied.
 
         Everything committed before the term began is applied then, too.
         """
-        return self.role is ReplicaRole.LEADER and applied >= self._term_start
+        return self._lead is not None and applied >= self._lead.term_start
 
     def silence(self, now: float) -> float:
         """Return for how long no leader was heard from, in seconds."""
@@ -164,7 +161,7 @@
         if self.role is ReplicaRole.LEADER:
             self._confirm_read(token, self.me, now)
         elif self.leader:
-            self._forwarded_reads.add(token)
+            self._reads.forward(token)
             message = self._message(self.leader)
             message.read_index_request.token = token
             self._ready.late.append(message)
@@ -231,7 +228,7 @@
             self._ready.hard_state_changed = True
         self.role = ReplicaRole.FOLLOWER
         self.leader = leader
-        self._lease_until = float("-inf")
+        self._lead = None
         self._drop_reads()
         self._reset_election(now)
 
@@ -239,11 +236,7 @@
         self._election_at = now + self._rng.uniform(self._timing.election_min, self._timing.election_max)
 
     def _drop_reads(self) -> None:
-        own = [token for token, origin, _, _ in self._reads if origin == self.me]
-        self._ready.failed_reads.extend(own)
-        self._ready.failed_reads.extend(self._forwarded_reads)
-        self._reads = []
-        self._forwarded_reads = set()
+        self._ready.failed_reads.extend(self._reads.drop(self.me))
 
     # --------------------------------------------------------------- elections
 
@@ -278,17 +271,13 @@
         if self.role is not expected:
             return
         self._votes.add(voter)
-        if not self._is_quorum(self._votes):
+        if not is_quorum(self._membership, self._votes):
             return
         if trial:
             self._start_election(now, trial=False)
         else:
             self._become_leader(now)
 
-    def _is_quorum(self, replicas) -> bool:
-        voters = self._membership.voters
-        return len([voter for voter in voters if voter in replicas]) > len(voters) // 2
-
     def _is_up_to_date(self, request) -> bool:
         return (request.last_term, request.last_index) >= (self.log.last_term, self.log.last_index)
 
@@ -334,12 +323,7 @@
     def _become_leader(self, now: float) -> None:
         self.role = ReplicaRole.LEADER
         self.leader = self.me
-        self._progress = {}
-        self._probe_sent_at = {}
-        # The votes came after the election began, and each supports no other
-        # leader for `election_min`.
-        self._lease_until = self._stood_at + self._timing.election_min * self._timing.lease_part
-        self._term_start = self.log.last_index + 1
+        self._lead = Leadership(self.me, self.log.last_index + 1, self._timing, self._stood_at)
         self._append(messages.LogEntry(), now)
 
     def _append(self, entry: messages.LogEntry, now: float) -> int:
@@ -358,15 +342,13 @@
 
     def _broadcast(self, now: float) -> None:
         """Send every other replica what it misses, with a fresh probe."""
-        self._probe += 1
-        self._probe_sent_at[self._probe] = now
-        self._heartbeat_at = now + self._timing.heartbeat
+        self._lead.begin_round(now)
         for peer in self._others():
             self._send_append(peer)
-        self._advance_probe(now)
+        self._advance_reads()
 
     def _send_append(self, peer: str) -> None:
-        progress = self._progress.setdefault(peer, Progress(self.log.last_index + 1))
+        progress = self._lead.progress_of(peer, self.log.last_index)
         previous_term = self.log.term_at(progress.next_index - 1)
         if previous_term is None:
             self._send_snapshot(peer)
@@ -376,7 +358,7 @@
         request.previous_index = progress.next_index - 1
         request.previous_term = previous_term
         request.commit_index = self.commit_index
-        request.probe = self._probe
+        request.probe = self._lead.probe
         last = progress.next_index + MAX_ENTRIES_PER_MESSAGE - 1
         entries = self.log.between(progress.next_index, last)
         request.entries.extend(entries)
@@ -393,14 +375,12 @@
         request.last_term = snapshot.term
         request.state = snapshot.state
         request.membership.CopyFrom(snapshot.membership)
-        request.probe = self._probe
-        self._progress[peer].next_index = snapshot.index + 1
+        request.probe = self._lead.probe
+        self._lead.progress_of(peer, self.log.last_index).next_index = snapshot.index + 1
         self._ready.early.append(message)
 
     def _on_append_reply(self, message, reply, now: float) -> None:
-        if self.role is not ReplicaRole.LEADER:
-            return
-        progress = self._progress.get(message.sender)
+        progress = self._lead.known_progress(message.sender) if self._lead is not None else None
         if progress is None:
             return
         progress.acked_at = now
@@ -413,14 +393,11 @@
         else:
             progress.next_index = max(1, min(reply.match_index + 1, self.log.last_index + 1))
             self._send_append(message.sender)
-        self._advance_probe(now)
+        self._advance_reads()
         self._advance_commit(now)
 
     def _advance_commit(self, now: float) -> None:
-        matches = sorted((self._match_of(voter) for voter in self._membership.voters), reverse=True)
-        if not matches:
-            return
-        index = matches[len(matches) // 2]
+        index = quorum_value(self._membership, self._match_of)
         # Only entries of the own term are committed by counting (Raft, 5.4.2).
         if index > self.commit_index and self.log.term_at(index) == self.term:
             self.commit_index = index
@@ -429,34 +406,18 @@
                 self._become_follower(self.term, "", now)
 
     def _match_of(self, replica: str) -> int:
-        if replica == self.me:
-            return self._persisted
-        progress = self._progress.get(replica)
-        return progress.match_index if progress else 0
-
-    def _advance_probe(self, now: float) -> None:
-        """Find the newest probe that a quorum has answered."""
-        probes = sorted((self._probe_of(voter) for voter in self._membership.voters), reverse=True)
-        confirmed = probes[len(probes) // 2] if probes else 0
-        sent_at = self._probe_sent_at.get(confirmed)
-        if sent_at is not None:
-            lease = sent_at + self._timing.election_min * self._timing.lease_part
-            self._lease_until = max(self._lease_until, lease)
-            for probe in [probe for probe in self._probe_sent_at if probe < confirmed]:
-                del self._probe_sent_at[probe]
-        self._answer_reads(confirmed)
-
-    def _probe_of(self, replica: str) -> int:
-        if replica == self.me:
-            return self._probe
-        progress = self._progress.get(replica)
-        return progress.probe if progress else 0
+        return self._persisted if replica == self.me else self._lead.match_of(replica)
+
+    def _advance_reads(self) -> None:
+        """Answer the reads that a quorum has confirmed."""
+        for read in self._reads.take_confirmed(self._lead.confirm(self._membership)):
+            self._finish_read(read.token, read.origin, read.index, confirmed=True)
 
     def _tick_leader(self, now: float) -> None:
-        if now >= self._lease_until:
+        if now >= self._lead.lease_until:
             self._become_follower(self.term, "", now)
             return
-        if now >= self._heartbeat_at:
+        if now >= self._lead.heartbeat_at:
             self._broadcast(now)
             self._advance_membership(now)
 
@@ -465,21 +426,12 @@
     def _confirm_read(self, token: int, origin: str, now: float) -> None:
         # A new leader does not know the newest commit before an entry of its
         # own term is committed (Ongaro 2014, 6.4).
-        if self.commit_index < self._term_start:
+        if self.commit_index < self._lead.term_start:
             self._finish_read(token, origin, 0, confirmed=False)
             return
-        self._reads.append((token, origin, self.commit_index, self._probe + 1))
+        self._reads.add(PendingRead(token, origin, self.commit_index, self._lead.probe + 1))
         self._broadcast(now)
 
-    def _answer_reads(self, confirmed: int) -> None:
-        waiting = []
-        for token, origin, index, probe in self._reads:
-            if probe <= confirmed:
-                self._finish_read(token, origin, index, confirmed=True)
-            else:
-                waiting.append((token, origin, index, probe))
-        self._reads = waiting
-
     def _finish_read(self, token: int, origin: str, index: int, confirmed: bool) -> None:
         if origin != self.me:
             message = self._message(origin)
@@ -499,9 +451,8 @@
             self._finish_read(request.token, message.sender, 0, confirmed=False)
 
     def _on_read_index_reply(self, message, reply, now: float) -> None:
-        if reply.token not in self._forwarded_reads:
+        if not self._reads.take_forwarded(reply.token):
             return
-        self._forwarded_reads.discard(reply.token)
         if reply.confirmed:
             self._ready.reads.append((reply.token, reply.index))
         else:
@@ -513,6 +464,7 @@
         if self.role is not ReplicaRole.FOLLOWER or self.leader != message.sender:
             self.role = ReplicaRole.FOLLOWER
             self.leader = message.sender
+            self._lead = None
         self._heard_at = now
         self._reset_election(now)
 
@@ -572,11 +524,11 @@
 
     def _advance_membership(self, now: float) -> None:
         """Take the next step of replacing a replica, one change at a time."""
-        if self.commit_index < max(self._term_start, self.log.membership_index()):
+        if self.commit_index < max(self._lead.term_start, self.log.membership_index()):
             return
         for learner in self._membership.learners:
             if self._has_caught_up(learner, now):
-                self._change_membership([*self._membership.voters, learner], learner, now)
+                self._change_membership(promote_learner(self._membership, learner), now)
                 return
         for joiner, asked_at in list(self._joiners.items()):
             del self._joiners[joiner]
@@ -587,16 +539,11 @@
                 return
 
     def _has_caught_up(self, learner: str, now: float) -> bool:
-        progress = self._progress.get(learner)
-        if progress is None or now - progress.acked_at > self._timing.election_min:
-            return False
-        return progress.match_index >= self.commit_index
+        return self._lead.is_recent(learner, now) and self._lead.match_of(learner) >= self.commit_index
 
-    def _change_membership(self, voters: list[str], promoted: str, now: float) -> None:
+    def _change_membership(self, membership: messages.Membership, now: float) -> None:
         entry = messages.LogEntry()
-        entry.membership.voters.extend(voters)
-        learners = [learner for learner in self._membership.learners if learner != promoted]
-        entry.membership.learners.extend(learners)
+        entry.membership.CopyFrom(membership)
         self._append(entry, now)
 
     def _admit(self, joiner: str, now: float) -> bool:
@@ -607,21 +554,12 @@
         bool
             False where the remaining voters could not carry the change.
         """
-        name = replica_name(joiner)
-        voters = [voter for voter in self._membership.voters if replica_name(voter) != name]
-        recent = [voter for voter in voters if voter == self.me or self._is_recent(voter, now)]
-        if len(recent) <= len(voters) // 2:
+        membership = admit_learner(self._membership, joiner)
+        recent = {voter for voter in membership.voters if voter == self.me or self._lead.is_recent(voter, now)}
+        if not is_quorum(membership, recent):
             return False
-        entry = messages.LogEntry()
-        entry.membership.voters.extend(voters)
-        kept = [learner for learner in self._membership.learners if replica_name(learner) != name]
-        entry.membership.learners.extend([*kept, joiner])
-        self._append(entry, now)
+        self._change_membership(membership, now)
         return True
 
-    def _is_recent(self, replica: str, now: float) -> bool:
-        progress = self._progress.get(replica)
-        return progress is not None and now - progress.acked_at < self._timing.election_min
-
     def _message(self, receiver: str) -> messages.PeerMessage:
         return messages.PeerMessage(sender=self.me, receiver=receiver, term=self.term)
--- /dev/null
+++ b/packages/lanedock/lanedock/membership/tests/test_directory.py
@@ -0,0 +1,88 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Tests of the directory of endpoints, and of the platform's list."""
+
+import pytest
+
+from lanedock.errors import ErrorCode, LanedockError
+from lanedock.membership import Directory, FilePlatformList, Instance, InstanceState, parse_instances
+
+WINDOW = 0.5
+
+
+def _instance(name: str, state=InstanceState.LIVE, incarnation: int = 1, port: int = 1) -> Instance:
+    return Instance(name, "z", "s", "h", port, state, incarnation)
+
+
+def _told(update) -> dict[str, bool]:
+    return {endpoint.instance: endpoint.leaving for endpoint in update.changed} if update else {}
+
+
+@pytest.fixture
+def directory():
+    made = Directory(WINDOW)
+    made.take_list([_instance("a"), _instance("b")], 0.0)
+    assert _told(made.take_update(WINDOW)) == {"a": False, "b": False}
+    return made
+
+
+def test_changes_are_gathered_in_the_window(directory):
+    directory.take_list([_instance("a"), _instance("b"), _instance("c")], 1.0)
+    directory.take_list([_instance("a", port=2), _instance("b"), _instance("c")], 1.2)
+    assert directory.take_update(1.4) is None
+    assert _told(directory.take_update(1.5)) == {"a": False, "c": False}
+    assert directory.take_update(9.0) is None
+
+
+@pytest.mark.parametrize("how", ["list", "drain", "gone"])
+def test_leaving_is_never_held_back(directory, how):
+    if how == "list":
+        directory.take_list([_instance("a", InstanceState.LEAVING), _instance("b")], 1.0)
+    elif how == "drain":
+        assert directory.drain("a", 7, 1.0)
+    else:
+        directory.take_list([_instance("b")], 1.0)
+    update = directory.take_update(1.0)
+    assert _told(update) == ({} if how == "gone" else {"a": True})
+    assert list(update.gone) == (["a"] if how == "gone" else [])
+
+
+def test_a_list_that_lags_does_not_bring_a_leaving_one_back(directory):
+    directory.take_list([_instance("a", InstanceState.LEAVING), _instance("b")], 1.0)
+    directory.take_update(1.0)
+    directory.take_list([_instance("a"), _instance("b")], 2.0)
+    assert directory.take_update(9.0) is None
+    directory.take_list([_instance("a", incarnation=2), _instance("b")], 10.0)
+    assert _told(directory.take_update(11.0)) == {"a": False}
+
+
+def test_a_drained_one_is_back_once_its_daemon_was_started_anew(directory):
+    assert directory.drain("a", 7, 1.0)
+    assert not directory.drain("a", 7, 1.0)
+    directory.take_update(1.0)
+    directory.revive("a", 7)
+    directory.take_list([_instance("a"), _instance("b")], 2.0)
+    assert directory.take_update(9.0) is None
+    directory.revive("a", 8)
+    directory.take_list([_instance("a"), _instance("b")], 10.0)
+    assert _told(directory.take_update(11.0)) == {"a": False}
+
+
+def test_a_whole_update_holds_what_was_told(directory):
+    directory.drain("b", 1, 1.0)
+    directory.take_update(1.0)
+    assert _told(directory.whole_update()) == {"a": False, "b": True}
+
+
+@pytest.mark.parametrize("text", ["", "{}", '{"instances": [{"name": "a"}]}', '{"instances": 7}', '{"instances": [7]}'])
+def test_a_bad_list_is_taken_not_at_all(tmp_path, text):
+    path = tmp_path / "list.json"
+    path.write_text(text, encoding="utf-8")
+    with pytest.raises(LanedockError) as caught:
+        FilePlatformList(str(path)).read()
+    assert caught.value.code is ErrorCode.PLATFORM_UNREADABLE
+
+
+def test_a_list_is_parsed():
+    text = '{"instances": [{"name": "a", "zone": "z", "host": "1.2.3.4", "port": 5, "state": "leaving"}]}'
+    (instance,) = parse_instances(text, "l")
+    assert (instance.service, instance.state, instance.incarnation) == ("", InstanceState.LEAVING, 1)
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -32,12 +32,14 @@
     ----------
     text : str
     folder : Path
-        With rollout.json, press.json and path.json.
+        With rollout.json, press.json, memory.json and path.json.
     """
     rollout = json.loads((folder / "rollout.json").read_text(encoding="utf-8"))
     path = json.loads((folder / "path.json").read_text(encoding="utf-8"))
     press = json.loads((folder / "press.json").read_text(encoding="utf-8"))
+    memory = json.loads((folder / "memory.json").read_text(encoding="utf-8"))
     tables = {
+        "memory": _make_memory(memory, _of(rollout, "delta")[-1]["daemon_rss_mb"]),
         "press": _make_press(press[0]),
         "measured": _make_measured(rollout),
         "slopes": _make_slopes(rollout),
@@ -97,6 +99,18 @@
     )
 
 
+def _make_memory(memory: dict[str, float], running: float) -> str:
+    lines = ["| a process that holds | resident MB | more than the line above |", "| --- | --- | --- |"]
+    before = 0.0
+    for name, size in memory.items():
+        lines.append(f"| {name} | {size} | {size - before:.1f} |")
+        before = size
+    lines.append(f"| a running daemon, at 48 daemons | {running} | {running - before:.1f} |")
+    share = running - memory["request path's parser, pool, server"]
+    lines += ["", f"Control's share over the bare request path is {share:.1f} MB, of 32 MB allowed."]
+    return "\n".join(lines)
+
+
 _SLOPES = {
     "submit to in force, ms": lambda item: item["submit_to_force_ms"]["median"],
     "accepted to in force, ms": lambda item: item["accept_to_force_ms"]["median"],
