--- /dev/null
+++ b/tests/test_demo.py
@@ -0,0 +1,20 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""The demo of both deployments, as `make demo` runs it."""
+
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parent.parent
+
+
+@pytest.mark.parametrize("name", ["kijani", "bayanihan"])
+def test_the_demo_runs_to_its_end(name):
+    line = [sys.executable, "tools/demo.py", f"examples/{name}.jsonc"]
+    done = subprocess.run(line, cwd=ROOT, capture_output=True, text=True, check=False, timeout=120)
+    assert done.returncode == 0, done.stdout + done.stderr
+    assert "version 1: applied" in done.stdout
+    assert done.stdout.count("10 of 10 answered 200") == 3
+    assert "is in force on 16 proxies; behind: none" in done.stdout
