--- a/packages/lanedock/lanedock/testing/upstream.py
+++ b/packages/lanedock/lanedock/testing/upstream.py
@@ -6,6 +6,7 @@
 """
 
 import json
+import socket as plain_socket
 import time
 
 import gevent
@@ -14,6 +15,8 @@
 
 __all__ = ["StandInUpstream", "UpstreamBehaviour"]
 
+# How often a request's work looks whether its caller is still there, in seconds.
+CANCEL_INTERVAL = 0.01
 ID_HEADER = "HTTP_X_REQUEST_ID"
 DEADLINE_HEADER = "HTTP_X_REQUEST_DEADLINE_MS"
 
@@ -70,6 +73,15 @@
         self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         super().handle()
 
+    def get_environ(self) -> dict:
+        environ = super().get_environ()
+        environ["lanedock.socket"] = self.socket
+        return environ
+
+
+class _Cancelled(Exception):
+    """The caller has closed its connection."""
+
 
 class StandInUpstream:
     """An application that answers every request with what it received.
@@ -80,6 +92,13 @@
     address : tuple of (str, int)
         Port 0 for any.
     behaviour : UpstreamBehaviour, optional
+
+    Attributes
+    ----------
+    runs : dict of str to int
+        How often each request id ran.
+    in_progress, cancelled : int
+        Requests worked on now, and given up since their callers had gone.
     """
 
     def __init__(self, name: str, address=("127.0.0.1", 0), behaviour: UpstreamBehaviour | None = None):
@@ -87,6 +106,7 @@
         self.behaviour = behaviour or UpstreamBehaviour()
         self.runs: dict[str, int] = {}
         self.in_progress = 0
+        self.cancelled = 0
         self._slots = BoundedSemaphore(self.behaviour.slots)
         self._server = pywsgi.WSGIServer(
             address,
@@ -141,7 +161,10 @@
             size = 0
             while piece := environ["wsgi.input"].read(65536):
                 size += len(piece)
-            gevent.sleep(self._work_time())
+            self._spend(self._work_time(), environ["lanedock.socket"])
+        except _Cancelled:
+            self.cancelled += 1
+            raise ConnectionError("cancelled") from None
         finally:
             self.in_progress -= 1
         told = {
@@ -156,6 +179,14 @@
         padding = int(wanted) if wanted.isdigit() else 0
         return self._answer(start_response, told, padding)
 
+    def _spend(self, seconds: float, conn) -> None:
+        """Take time, unless the caller goes away meanwhile."""
+        until = time.monotonic() + seconds
+        while (left := until - time.monotonic()) > 0:
+            gevent.sleep(min(left, CANCEL_INTERVAL))
+            if _is_closed(conn):
+                raise _Cancelled
+
     def _work_time(self) -> float:
         behaviour = self.behaviour
         if time.monotonic() < behaviour.cold_until:
@@ -180,3 +211,13 @@
             piece = min(padding, 65536)
             yield b"." * piece
             padding -= piece
+
+
+def _is_closed(conn) -> bool:
+    """Tell whether the other side has closed a connection."""
+    try:
+        return not conn._sock.recv(1, plain_socket.MSG_PEEK | plain_socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
