Take a replica with a full disk out cleanly, and test it with real processes

Cause: a replica whose disk failed still took connections, so that its daemons came back to it and stood in the way of versions for seconds; the thread pool printed a traceback beside the coded event. Change: it closes its server; failures of writes are carried over by hand. Ruled out: ending the process, which may hold other roles that serve. Conclusion: full disks and flipped bits cost one replica and nothing else.

--- a/packages/lanedock-daemon/lanedock_daemon/control/log.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/log.py
@@ -160,12 +160,10 @@
         last_index = replica.log.last_index
         hard_state = HardState(replica.term, replica.voted_for)
         started = time.monotonic()
-        # Synced in a thread of gevent's pool, so that other tasks go on.
-        pool = gevent.get_hub().threadpool
         if ready.snapshot is not None:
-            pool.apply(self._storage.replace, (ready.snapshot, hard_state, ready.entries))
+            _run_in_thread(self._storage.replace, ready.snapshot, hard_state, ready.entries)
         else:
-            pool.apply(self._storage.save, (hard_state if ready.hard_state_changed else None, ready.entries))
+            _run_in_thread(self._storage.save, hard_state if ready.hard_state_changed else None, ready.entries)
         now = time.monotonic()
         self._metrics.time(Metric.SYNC, now - started)
         replica.persisted(last_index, now)
@@ -212,5 +210,26 @@
         snapshot = LogSnapshot(self._applied, log.term_at(self._applied), log.membership(), self.state.snapshot())
         self.replica.compact(snapshot)
         hard_state = HardState(self.replica.term, self.replica.voted_for)
-        gevent.get_hub().threadpool.apply(self._storage.replace, (snapshot, hard_state, list(log.entries)))
+        _run_in_thread(self._storage.replace, snapshot, hard_state, list(log.entries))
         self._events.emit(Event.COMPACTED, index=snapshot.index, bytes=self._storage.size())
+
+
+def _run_in_thread(write, *arguments) -> None:
+    """Run a write in a thread of gevent's pool, so that other tasks go on meanwhile.
+
+    Raises
+    ------
+    StorageError
+        As the write does. It is carried over by hand: the pool would print it.
+    """
+    failure = gevent.get_hub().threadpool.apply(_catch, (write, *arguments))
+    if failure is not None:
+        raise failure
+
+
+def _catch(write, *arguments) -> StorageError | None:
+    try:
+        write(*arguments)
+    except StorageError as exc:
+        return exc
+    return None
--- a/packages/lanedock-daemon/lanedock_daemon/control/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/service.py
@@ -398,3 +398,5 @@
         self._submissions.abandon_all()
         self._queries.abandon_all()
         self._desk.close()
+        # Daemons and operators are better refused than left waiting.
+        self._loop.call(self._server.close)
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -2,6 +2,7 @@
 """A version's life with real processes: races, resends, cuts, kills, lost disks."""
 
 import asyncio
+import resource
 import shutil
 import signal
 from concurrent.futures import ThreadPoolExecutor
@@ -259,3 +260,46 @@
     mesh.wait_for(lambda: _in_force(operator) == {302}, "the daemon jumps to the newest")
     put_in_force = [line for line in dead.log().splitlines() if " E304 " in line]
     assert [line.rpartition("=")[2] for line in put_in_force] == ["1", "302"]
+
+
+def test_a_full_disk_takes_its_replica_out_and_nothing_else(operator):
+    mesh = operator.mesh
+    # The limit below holds for the process's own messages, too, so the log has
+    # to be longer than those by far.
+    for number in range(1, 11):
+        assert operator.apply(number)[0] == EXIT_APPLIED
+    full = next(process for process in mesh.controls.values() if process is not _leader(operator))
+    size = (Path(full.settings["control"]["data_folder"]) / "log").stat().st_size
+    # What the file may not grow by, the disk has no room for.
+    resource.prlimit(full.popen.pid, resource.RLIMIT_FSIZE, (size + 10, size + 10))
+
+    def try_next() -> bool:
+        nonlocal number
+        number += 1
+        return operator.apply(number)[0] == EXIT_APPLIED
+
+    mesh.wait_for(try_next, "a version passes without the replica", timeout=60)
+    assert " E204 " in full.log()
+    assert "Traceback" not in full.log()
+    assert operator.apply(number + 1)[0] == EXIT_APPLIED
+    assert _in_force(operator) == {number + 1}
+    # With room again it is started anew, with what it had synced.
+    full.kill()
+    full.start()
+    mesh.wait_for(lambda: all(item["reachable"] for item in _status(operator)["replicas"]), "it takes part again")
+    assert operator.apply(number + 2)[0] == EXIT_APPLIED
+
+
+def test_a_bit_gone_bad_keeps_a_replica_from_starting(operator):
+    mesh = operator.mesh
+    assert operator.apply(1)[0] == EXIT_APPLIED
+    bad = next(process for process in mesh.controls.values() if process is not _leader(operator))
+    bad.kill()
+    log = Path(bad.settings["control"]["data_folder"]) / "log"
+    data = bytearray(log.read_bytes())
+    data[len(data) // 2] ^= 4
+    log.write_bytes(data)
+    bad.start()
+    assert bad.popen.wait(30) == 1
+    assert "LD4001" in bad.log()
+    assert _status(operator)["accepted_version"] == 1
