Let one piece serve where the whole change had two

Cause: a last reading of the change. Two servers had their start and stop twice; both sides of the path filtered headers each their own way; the last reply to an operator, the search for a code, the leaving of a source and the TLS context stood two or three times. A refusal's end was noted after its body was read, so a caller that went away just then left the upstream's count too high for good. With the command line's own TLS code its traceback over missing files is gone, too: it tells LD5004 now, which a new test failed on before.

--- a/packages/lanedock-cli/lanedock_cli/app.py
+++ b/packages/lanedock-cli/lanedock_cli/app.py
@@ -16,7 +16,7 @@
 from lanedock.config import ConfigTree, compare, load_config
 from lanedock.errors import ErrorCode, LanedockError
 from lanedock.findings import FindingsError
-from lanedock.settings import Address, load_settings
+from lanedock.settings import Address, TlsSettings, load_settings, make_client_context
 from lanedock.wire import messages
 from lanedock_cli.client import ControlClient
 from lanedock_cli.doctor import examine
@@ -77,14 +77,8 @@
 def _make_context(folder: str):
     if not folder:
         return None
-    import ssl
-
-    context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
-    context.check_hostname = False
-    context.load_cert_chain(os.path.join(folder, "client.crt"), os.path.join(folder, "client.key"))
-    context.load_verify_locations(os.path.join(folder, "authority.crt"))
-    context.set_alpn_protocols(["h2"])
-    return context
+    paths = {"certificate": "client.crt", "key": "client.key", "authority": "authority.crt"}
+    return make_client_context(TlsSettings(**{key: os.path.join(folder, name) for key, name in paths.items()}))
 
 
 def _load(file: Path, as_json: bool) -> ConfigTree:
@@ -163,8 +157,8 @@
 
 
 def _print_answer(reply: messages.SubmitReply) -> None:
-    code = f" [{reply.code}]" if reply.code else ""
-    print(f"version {reply.version}: {ANSWER_NAMES[reply.answer]}{code}: {reply.message}")
+    told = f" [{reply.code}]" if reply.code else ""
+    print(f"version {reply.version}: {ANSWER_NAMES[reply.answer]}{told}: {reply.message}")
     if reply.answer == messages.ANSWER_APPLIED:
         print(
             f"in force on {reply.in_force} of {reply.required} daemons; staged in {reply.stage_ms:.0f} ms, "
@@ -175,16 +169,9 @@
     for item in reply.findings:
         place = f"{item.file}:{item.line}:{item.column} {item.path}: " if item.file else ""
         print(f"  {place}{item.code}: {item.message}")
-    remedy = _remedy(reply.code)
-    if remedy:
-        print(f"next: {remedy}")
-
-
-def _remedy(code: str) -> str:
-    for known in ErrorCode:
-        if known.code == code:
-            return known.remedy
-    return ""
+    code = ErrorCode.find(reply.code)
+    if code is not None:
+        print(f"next: {code.remedy}")
 
 
 @app.command(epilog="example: lanedock status --watch")
--- a/packages/lanedock-daemon/lanedock_daemon/agent/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/service.py
@@ -8,7 +8,7 @@
 from gevent import socket
 
 from lanedock.kernel import Kernel, TaskService
-from lanedock.settings import Address, Settings
+from lanedock.settings import Address, Settings, make_client_context, make_server_context
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics
 from lanedock.wire import messages
 from lanedock_daemon.agent.attest import AttestationsMade, Attester
@@ -16,7 +16,7 @@
 from lanedock_daemon.agent.relay import RelayDesk
 from lanedock_daemon.agent.search import SourceSearch
 from lanedock_daemon.agent.watch import SourceEnded, SourceStream, SourceTold
-from lanedock_daemon.network import make_client_context, make_server_context, start_server
+from lanedock_daemon.network import start_server
 from lanedock_daemon.sessions import (
     HEARTBEAT_INTERVAL,
     SILENCE_LIMIT,
@@ -157,8 +157,7 @@
         """Go back, so that a zone that is cut off keeps its daemons with its own control."""
         if self._stream is None or self._search.is_home():
             return
-        stream, self._stream = self._stream, None
-        stream.close()
+        self._drop_stream()
         self._search.go_home()
         self._connect(time.monotonic())
 
@@ -191,10 +190,14 @@
         is_confirmed = self._holder.is_floor_confirmed
         return not is_confirmed or (self._relay is not None and self._relay.wants_floor())
 
-    def _leave_source(self, reason: str) -> None:
-        """Look for another source. What is held stays in force."""
+    def _drop_stream(self) -> SourceStream:
         stream, self._stream = self._stream, None
         stream.close()
+        return stream
+
+    def _leave_source(self, reason: str) -> None:
+        """Look for another source. What is held stays in force."""
+        stream = self._drop_stream()
         now = time.monotonic()
         self._connect_at = now + self._search.note_failure(now)
         self._events.emit(Event.SOURCE_LOST, address=stream.address, reason=reason)
@@ -239,8 +242,7 @@
 
     def _on_referral(self, message: messages.ControlMessage, now: float) -> None:
         """Go where the source refers to, or come back when it says."""
-        stream, self._stream = self._stream, None
-        stream.close()
+        self._drop_stream()
         if message.HasField("redirect"):
             redirect = message.redirect
             wait = self._search.note_redirect(redirect.relay, Address(redirect.host, redirect.port))
--- a/packages/lanedock-daemon/lanedock_daemon/control/mail.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/mail.py
@@ -28,8 +28,13 @@
         """Give a reply, from any greenlet."""
         self._loop.call(self._queue.put_nowait, message)
 
+    def finish(self, message: object) -> None:
+        """Give the last reply, from any greenlet."""
+        self.reply(message)
+        self.reply(None)
+
     async def next_reply(self) -> object:
-        """Wait for the next reply, inside the loop."""
+        """Wait for the next reply, inside the loop; None after the last."""
         return await self._queue.get()
 
 
--- a/packages/lanedock-daemon/lanedock_daemon/control/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/service.py
@@ -10,7 +10,7 @@
 from lanedock.kernel import Kernel, TaskService
 from lanedock.membership import Directory, make_platform_list
 from lanedock.rollout import FleetView, RolloutCoordinator, RolloutPolicy, Verdict, VersionSource
-from lanedock.settings import Settings
+from lanedock.settings import Settings, make_client_context, make_server_context
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics
 from lanedock.wire import messages
 from lanedock_daemon.control.distribution import DistributionDesk
@@ -21,7 +21,7 @@
 from lanedock_daemon.control.queries import QueryDesk
 from lanedock_daemon.control.server import OperatorsServer, ReplicationServer
 from lanedock_daemon.control.submissions import Submission, SubmissionDesk
-from lanedock_daemon.network import make_client_context, make_server_context, start_server
+from lanedock_daemon.network import start_server
 from lanedock_daemon.sessions import ChildArrived, ChildLeft, ChildTold, DistributionServer
 
 __all__ = ["ControlService"]
@@ -222,8 +222,7 @@
         submission = Submission(mail.call, mail.request, version, time.monotonic())
         refusal = self.refuse_unless_leading(mail.request)
         if refusal is not None:
-            mail.call.reply(refusal)
-            mail.call.reply(None)
+            mail.call.finish(refusal)
             return
         result = self._log.state.judge(version)
         if result.verdict is Verdict.KNOWN:
@@ -242,8 +241,7 @@
         index = self._log.propose(command)
         if index is None:
             # The lease has ended just now.
-            mail.call.reply(submission.reply(messages.ANSWER_NOT_KNOWN, ErrorCode.OUTCOME_NOT_KNOWN))
-            mail.call.reply(None)
+            mail.call.finish(submission.reply(messages.ANSWER_NOT_KNOWN, ErrorCode.OUTCOME_NOT_KNOWN))
             return
         self._submissions.wait_for_entry(submission, index)
 
--- a/packages/lanedock-daemon/lanedock_daemon/control/submissions.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/submissions.py
@@ -87,16 +87,16 @@
         # Another leader's entry may have taken the index.
         record = result.record if result else None
         if result is None or (record is not None and record.digest != submission.version.digest):
-            self._finish(submission, submission.reply(messages.ANSWER_NOT_KNOWN, ErrorCode.OUTCOME_NOT_KNOWN))
+            submission.call.finish(submission.reply(messages.ANSWER_NOT_KNOWN, ErrorCode.OUTCOME_NOT_KNOWN))
         elif result.verdict in (Verdict.STAGING, Verdict.KNOWN):
             self._waiting.append(submission)
         else:
-            self._finish(submission, submission.reply(messages.ANSWER_NOT_RUN, result.code))
+            submission.call.finish(submission.reply(messages.ANSWER_NOT_RUN, result.code))
 
     def abandon_all(self) -> None:
         """Tell everybody that the outcome is not known here any more."""
         for submission in [*self._proposed.values(), *self._waiting]:
-            self._finish(submission, submission.reply(messages.ANSWER_NOT_KNOWN, ErrorCode.OUTCOME_NOT_KNOWN))
+            submission.call.finish(submission.reply(messages.ANSWER_NOT_KNOWN, ErrorCode.OUTCOME_NOT_KNOWN))
         self._proposed = {}
         self._waiting = []
 
@@ -118,7 +118,7 @@
         for index, submission in list(self._proposed.items()):
             if now >= submission.deadline:
                 del self._proposed[index]
-                self._finish(submission, submission.reply(messages.ANSWER_NOT_KNOWN, ErrorCode.OUTCOME_NOT_KNOWN))
+                submission.call.finish(submission.reply(messages.ANSWER_NOT_KNOWN, ErrorCode.OUTCOME_NOT_KNOWN))
         waiting = []
         for submission in self._waiting:
             if submission.call.is_abandoned:
@@ -127,7 +127,7 @@
             if reply is None:
                 waiting.append(submission)
             else:
-                self._finish(submission, reply)
+                submission.call.finish(reply)
         self._waiting = waiting
 
     def _judge(self, submission: Submission, records: dict, look_up, now: float) -> messages.SubmitReply | None:
@@ -174,16 +174,9 @@
         reply = submission.reply(messages.ANSWER_IN_PROGRESS, message="in force" if is_accepted else "staging")
         submission.call.reply(_fill(reply, submission, progress, now))
 
-    def _finish(self, submission: Submission, reply: messages.SubmitReply) -> None:
-        submission.call.reply(reply)
-        submission.call.reply(None)
-
 
 def _make_abort_reply(submission: Submission, record) -> messages.SubmitReply:
-    code = ErrorCode.STAGING_TIMEOUT
-    for known in ErrorCode:
-        if known.code == record.reason:
-            code = known
+    code = ErrorCode.find(record.reason) or ErrorCode.STAGING_TIMEOUT
     reply = submission.reply(messages.ANSWER_NOT_RUN, code)
     reply.findings.extend(record.findings)
     return reply
--- a/packages/lanedock-daemon/lanedock_daemon/path/caller.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller.py
@@ -16,7 +16,6 @@
     LEAVING_HEADER,
     LOAD_HEADER,
     OUTCOME_HEADER,
-    PRIVATE_PREFIX,
     SERVICE_HEADER,
     TRACE_HEADER,
     VERSION_HEADER,
@@ -25,6 +24,7 @@
     ReplayBody,
     Request,
     make_refusal,
+    public_headers,
 )
 from lanedock_daemon.path.parser import MalformedMessage, Message
 from lanedock_daemon.path.pool import AnswerPieces, ConnectionPool, ExchangeError, UpstreamAnswer, exchange
@@ -156,9 +156,9 @@
             return self._on_refused(response, balancer, stats, told)
         is_lost = head.header(OUTCOME_HEADER) == Outcome.UNKNOWN
         if (is_lost or head.status == 503) and route.repeatable:
-            answer = Answer(head.status, head.reason, _strip(head), [self._read_refusal(response)])
+            # Noted first: reading may end with the caller's going away.
             self._note_end(balancer, stats, failed=True, told=told)
-            return answer, False
+            return Answer(head.status, head.reason, _strip(head), [self._read_refusal(response)]), False
         return self._make_answer(response, balancer, stats, told, is_lost), True
 
     def _on_lost(self, exc: ExchangeError, stats, route: Route, request: Request) -> tuple[Answer, bool]:
@@ -172,12 +172,11 @@
     def _on_refused(self, response, balancer, stats, told) -> tuple[Answer, bool]:
         """The upstream's daemon refused: the request has not run."""
         head = response.message
-        body = self._read_refusal(response)
         code = head.header(CODE_HEADER)
         is_fault = code not in (ErrorCode.OVERLOADED.code, ErrorCode.DRAINING.code, ErrorCode.DEADLINE.code)
         self._note_end(balancer, stats, failed=is_fault, told=told)
         self._metrics.count(Metric.NOT_RUN)
-        answer = Answer(head.status, head.reason, _strip(head), [body])
+        answer = Answer(head.status, head.reason, _strip(head), [self._read_refusal(response)])
         return answer, code == ErrorCode.DEADLINE.code
 
     def _note_end(self, balancer, stats, failed: bool, told: int | None = None) -> None:
@@ -222,10 +221,7 @@
 
 
 def _make_headers(request: Request, binding: Binding, route: Route, span) -> list[tuple[str, str]]:
-    headers = []
-    for name, value in request.headers:
-        if not name.startswith(PRIVATE_PREFIX) and name not in _SET_HERE:
-            headers.append((name, value))
+    headers = public_headers(request.headers, _SET_HERE)
     headers.append((SERVICE_HEADER, route.service))
     headers.append((CLASS_HEADER, route.traffic_class))
     headers.append((VERSION_HEADER, str(binding.number)))
@@ -236,4 +232,4 @@
 
 def _strip(head: Message) -> list[tuple[str, str]]:
     """Return an answer's headers without those between daemons or of one connection."""
-    return [pair for pair in head.headers if pair[0] not in HOP_HEADERS and not pair[0].startswith(PRIVATE_PREFIX)]
+    return public_headers(head.headers, HOP_HEADERS)
--- a/packages/lanedock-daemon/lanedock_daemon/path/http.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http.py
@@ -3,7 +3,7 @@
 
 import json
 from abc import ABC, abstractmethod
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 
 from lanedock.errors import ErrorCode
 
@@ -22,6 +22,7 @@
     "ReplayBody",
     "Request",
     "make_refusal",
+    "public_headers",
 ]
 
 # Headers between lanedock's daemons; taken out of what comes from outside.
@@ -55,6 +56,11 @@
 )
 
 
+def public_headers(headers: list[tuple[str, str]], dropped: Container[str]) -> list[tuple[str, str]]:
+    """Return headers without those between daemons, and without some others."""
+    return [pair for pair in headers if pair[0] not in dropped and not pair[0].startswith(PRIVATE_PREFIX)]
+
+
 class Outcome:
     """What is known of a request that got no answer of its own."""
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/server.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/server.py
@@ -12,13 +12,13 @@
 from gevent import socket
 from gevent.server import StreamServer
 
-from lanedock.errors import ErrorCode, LanedockError
-from lanedock.kernel import Kernel, Service
+from lanedock.kernel import Kernel
 from lanedock.settings import Address
-from lanedock.telemetry import Event, EventLogger
+from lanedock.telemetry import EventLogger
 from lanedock_daemon.agent.attest import ALIVE_PATH
 from lanedock_daemon.path.http import HOP_HEADERS, Answer, Body, Outcome, Request, make_refusal
 from lanedock_daemon.path.parser import MalformedMessage, Message, RequestReader
+from lanedock_daemon.path.service import HttpService
 
 __all__ = ["CallerGone", "PathServer"]
 
@@ -26,7 +26,6 @@
 HEAD_TIMEOUT = 10.0
 BODY_TIMEOUT = 30.0
 BACKLOG = 1024
-POLL = 0.02
 _READ = 1
 _NEVER = float("inf")
 SWEEP_INTERVAL = 1.0
@@ -243,46 +242,25 @@
     return Request(message.method, message.target, host.lower(), headers, body)
 
 
-class PathServer(Service):
-    """Takes requests on an address and hands them to one side of the path.
-
-    Parameters
-    ----------
-    name : str
-        As a service.
-    address : Address
-    side : object
-        With ``handle(request) -> Answer``.
-    stop_timeout : float
-        Longest wait for requests in progress, seconds.
-    events : EventLogger
-    """
+class PathServer(HttpService):
+    """The server that runs; its parameters are those of `HttpService`."""
 
     def __init__(self, name: str, address: Address, side, stop_timeout: float, events: EventLogger):
-        self.name = name
-        self.side = side
-        self.in_progress = 0
-        self.is_stopping = False
-        self._address = address
-        self._stop_timeout = stop_timeout
-        self._events = events
+        super().__init__(name, address, side, stop_timeout, events)
         self._connections: dict[_Connection, None] = {}
-        self._server: StreamServer | None = None
+        self._sweeper = None
 
-    @property
-    def port(self) -> int:
-        """The port that it listens on."""
-        return self._server.server_port
+    def _make_server(self, listener: tuple[str, int]) -> StreamServer:
+        return StreamServer(listener, self._accept, backlog=BACKLOG)
 
     def start(self, kernel: Kernel) -> None:
-        listener = (self._address.host, self._address.port)
-        self._server = StreamServer(listener, self._accept, backlog=BACKLOG)
-        try:
-            self._server.start()
-        except OSError as exc:
-            raise LanedockError(ErrorCode.ADDRESS_TAKEN, f"{self._address}: {exc}") from exc
+        super().start(kernel)
         self._sweeper = gevent.spawn(self._sweep)
 
+    def stop(self) -> None:
+        self._sweeper.kill()
+        super().stop()
+
     def _sweep(self) -> None:
         while True:
             gevent.sleep(SWEEP_INTERVAL)
@@ -291,18 +269,6 @@
                 if connection.expires_at < now:
                     connection.expire()
 
-    def stop(self) -> None:
-        """Take no new connections, and let requests in progress end."""
-        self.is_stopping = True
-        self._server.close()
-        self._sweeper.kill()
-        deadline = time.monotonic() + self._stop_timeout
-        while self.in_progress and time.monotonic() < deadline:
-            gevent.sleep(POLL)
-        if self.in_progress:
-            self._events.emit(Event.CUT_SHORT, requests=self.in_progress)
-        self._server.stop(timeout=0)
-
     def _accept(self, conn, address) -> None:
         conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection = _Connection(self, conn)
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
@@ -17,13 +17,13 @@
     LEAVING_HEADER,
     LOAD_HEADER,
     OUTCOME_HEADER,
-    PRIVATE_PREFIX,
     SERVICE_HEADER,
     TRACE_HEADER,
     Answer,
     Outcome,
     Request,
     make_refusal,
+    public_headers,
 )
 from lanedock_daemon.path.parser import Message
 from lanedock_daemon.path.pool import AnswerPieces, ConnectionPool, ExchangeError, exchange
@@ -33,7 +33,8 @@
 RETRY_AFTER = 1.0
 # Of the application's answers that say that it drains.
 DRAIN_HEADER = "x-upstream-draining"
-_DAEMONS_ONLY = frozenset((OUTCOME_HEADER, CODE_HEADER, DRAIN_HEADER))
+_NOT_PASSED = HOP_HEADERS | {OUTCOME_HEADER, CODE_HEADER, DRAIN_HEADER}
+_SET_HERE = (DEADLINE_HEADER, TRACE_HEADER)
 
 
 class UpstreamSide:
@@ -177,10 +178,7 @@
 
 
 def _make_headers(request: Request, left: float, span) -> list[tuple[str, str]]:
-    headers = []
-    for name, value in request.headers:
-        if not name.startswith(PRIVATE_PREFIX) and name not in (DEADLINE_HEADER, TRACE_HEADER):
-            headers.append((name, value))
+    headers = public_headers(request.headers, _SET_HERE)
     headers.append((DEADLINE_HEADER, str(max(1, int(left * 1000)))))
     if span.traceparent:
         headers.append((TRACE_HEADER, span.traceparent))
@@ -189,8 +187,4 @@
 
 def _strip(head: Message) -> list[tuple[str, str]]:
     """Return an answer's headers; what only a daemon may say is taken out."""
-    return [
-        pair
-        for pair in head.headers
-        if pair[0] not in HOP_HEADERS and pair[0] not in _DAEMONS_ONLY and not pair[0].startswith(PRIVATE_PREFIX)
-    ]
+    return public_headers(head.headers, _NOT_PASSED)
--- a/packages/lanedock/lanedock/errors.py
+++ b/packages/lanedock/lanedock/errors.py
@@ -174,6 +174,11 @@
         self.meaning = meaning
         self.remedy = remedy
 
+    @classmethod
+    def find(cls, code: str) -> "ErrorCode | None":
+        """Return the member of a code such as ``LD1001``, or None."""
+        return next((member for member in cls if member.code == code), None)
+
     def __repr__(self) -> str:
         return f"<ErrorCode {self.code} {self.name}>"
 
--- a/packages/lanedock/lanedock/settings/__init__.py
+++ b/packages/lanedock/lanedock/settings/__init__.py
@@ -12,6 +12,7 @@
     UpstreamSettings,
 )
 from lanedock.settings.load import load_settings
+from lanedock.settings.tls import make_client_context, make_server_context
 
 __all__ = [
     "Address",
@@ -23,4 +24,6 @@
     "TraceSettings",
     "UpstreamSettings",
     "load_settings",
+    "make_client_context",
+    "make_server_context",
 ]
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -93,6 +93,12 @@
     assert "next:" in done.stderr
 
 
+def test_missing_tls_files_are_a_coded_error(tmp_path):
+    done = _run("status", "--control", "127.0.0.1:1", "--tls", str(tmp_path))
+    assert done.returncode == 1
+    assert "LD5004" in done.stderr
+
+
 @pytest.mark.parametrize("name", ["embed_log", "embed_rollout", "embed_limits"])
 def test_embedding_programs_run(name):
     done = subprocess.run(
