--- a/packages/lanedock-cli/lanedock_cli/app.py
+++ b/packages/lanedock-cli/lanedock_cli/app.py
@@ -16,7 +16,8 @@
 from lanedock.config import ConfigTree, compare, load_config
 from lanedock.errors import ErrorCode, LanedockError
 from lanedock.findings import FindingsError
-from lanedock.settings import Address, TlsSettings, load_settings, make_client_context
+from lanedock.settings import Address, TlsSettings, load_settings
+from lanedock.settings.tls import make_client_context
 from lanedock.wire import messages
 from lanedock_cli.client import ControlClient
 from lanedock_cli.doctor import examine
--- a/packages/lanedock-daemon/lanedock_daemon/agent/board.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/board.py
@@ -4,8 +4,8 @@
 import random
 import time
 
-from lanedock.config import MeshConfig
-from lanedock.limits import RetryBudget
+from lanedock.config import CallerLimits, MeshConfig
+from lanedock.limits import RetryBudget, SavingBudget
 from lanedock.rollout import Held, VersionHolder
 from lanedock.routing import Balancer, BalancerPolicy, RouteTable
 from lanedock.wire import messages
@@ -44,9 +44,13 @@
     stall_limit : float
         Standstill, in seconds, after which nothing is served until the
         version is confirmed again.
+    upstream : UpstreamRegistration, optional
+        Of the application beside the daemon.
     """
 
-    def __init__(self, zone: str, stall_limit: float):
+    def __init__(self, zone: str, stall_limit: float, upstream=None):
+        self.upstream = upstream
+        self._make_budget = SavingBudget
         self.holder = VersionHolder()
         self.is_draining = False
         self._binding: Binding | None = None
@@ -81,9 +85,17 @@
         """Return the retry budget towards a service."""
         budget = self._budgets.get(service)
         if budget is None:
-            budget = self._budgets[service] = RetryBudget()
+            budget = self._budgets[service] = self._make_budget()
         return budget
 
+    def caller_limits(self) -> CallerLimits | None:
+        """Return what callers may send by the version in force; None before there is one."""
+        return self._binding.config.limits if self._binding is not None else None
+
+    def set_budgets(self, make_budget) -> None:
+        """Set what makes the retry budget towards a service."""
+        self._make_budget = make_budget
+
     # -------------------------------------------------------------- for the agent
 
     def publish(self) -> None:
@@ -127,6 +139,14 @@
             if balancer is not None:
                 self._fill(service, balancer)
 
+    def is_ready(self) -> bool:
+        """Tell whether callers' requests can be served."""
+        return not self.is_draining and bool(self._endpoints) and self.bind() is not None
+
+    def daemon_count(self) -> int:
+        """Return how many daemons are known, this one included."""
+        return max(1, len(self._endpoints))
+
     def all_endpoints(self) -> list[messages.Endpoint]:
         """Return all endpoints, to pass them on."""
         return list(self._endpoints.values())
--- /dev/null
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/registration.py
@@ -0,0 +1,96 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Applications' registration over HTTP, as lanedock itself speaks it.
+
+``PUT /upstreams/ID`` with ``{"service", "sequence", "state", "slots",
+"cold_ms"}`` is a heartbeat; ``DELETE /upstreams/ID`` says that the application
+leaves. Both are answered with 204 once the daemon is bound by them.
+"""
+
+import json
+import time
+
+from lanedock.errors import ErrorCode
+from lanedock.membership import Heartbeat, UpstreamRegistration
+from lanedock.telemetry import Event, EventLogger
+from lanedock_daemon.path.http import Answer, Outcome, Request, make_refusal
+
+__all__ = ["Registrar", "RegistrationSide"]
+
+_PREFIX = "/upstreams/"
+MAX_BODY = 64 * 1024
+
+
+class Registrar:
+    """Brings what an application reports into its registration, and spreads it.
+
+    Parameters
+    ----------
+    registration : UpstreamRegistration
+    on_change : callable
+        Called without arguments when others have to learn of a change.
+    events : EventLogger
+    """
+
+    def __init__(self, registration: UpstreamRegistration, on_change, events: EventLogger):
+        self._registration = registration
+        self._on_change = on_change
+        self._events = events
+
+    def beat(self, heartbeat: Heartbeat) -> None:
+        """Take in a heartbeat."""
+        registration = self._registration
+        before, was_leaving = registration.upstream, registration.is_leaving
+        if not registration.beat(heartbeat, time.monotonic()):
+            return
+        if registration.upstream != before:
+            self._events.emit(
+                Event.UPSTREAM_REGISTERED, upstream=registration.upstream, service=registration.service, former=before
+            )
+        if registration.is_leaving and not (was_leaving and registration.upstream == before):
+            self._events.emit(Event.UPSTREAM_LEAVING, upstream=registration.upstream, sequence=heartbeat.sequence)
+        self._on_change()
+
+    def leave(self, upstream: str) -> None:
+        """Note that a life of the application leaves."""
+        if self._registration.leave(upstream):
+            self._events.emit(Event.UPSTREAM_LEAVING, upstream=upstream, sequence="-")
+            self._on_change()
+
+
+class RegistrationSide:
+    """Takes an application's heartbeats; parameters as those of `Registrar`."""
+
+    def __init__(self, registration: UpstreamRegistration, on_change, events: EventLogger):
+        self._registrar = Registrar(registration, on_change, events)
+
+    def handle(self, request: Request) -> Answer:
+        """Answer a call of the application."""
+        upstream = request.path.removeprefix(_PREFIX)
+        if not request.path.startswith(_PREFIX) or not upstream:
+            return make_refusal(ErrorCode.NO_ROUTE, Outcome.NOT_RUN)
+        if request.method == "DELETE":
+            self._registrar.leave(upstream)
+            return Answer(204, "No Content", [], [])
+        if request.method != "PUT":
+            return make_refusal(ErrorCode.BAD_REQUEST, Outcome.NOT_RUN, 0.0, f"{request.method} is not understood")
+        try:
+            heartbeat = _read_heartbeat(upstream, request.body.read(MAX_BODY))
+        except (KeyError, TypeError, ValueError) as exc:
+            return make_refusal(ErrorCode.BAD_REQUEST, Outcome.NOT_RUN, 0.0, f"malformed heartbeat: {exc!r}")
+        self._registrar.beat(heartbeat)
+        return Answer(204, "No Content", [], [])
+
+
+def _read_heartbeat(upstream: str, body: bytes) -> Heartbeat:
+    value = json.loads(body)
+    state = value.get("state", "ready")
+    if state not in ("ready", "draining"):
+        raise ValueError(f"unknown state {state!r}")
+    return Heartbeat(
+        upstream,
+        str(value["service"]),
+        int(value["sequence"]),
+        state == "draining",
+        int(value.get("slots", 0)),
+        float(value.get("cold_ms", 0)) / 1000,
+    )
--- a/packages/lanedock-daemon/lanedock_daemon/agent/relay.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/relay.py
@@ -5,7 +5,7 @@
 from lanedock.telemetry import Metrics
 from lanedock.wire import messages
 from lanedock_daemon.desk import SessionDesk
-from lanedock_daemon.sessions import Session
+from lanedock_daemon.transport import Session
 
 __all__ = ["RelayDesk"]
 
--- a/packages/lanedock-daemon/lanedock_daemon/agent/search.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/search.py
@@ -25,10 +25,15 @@
     control : list of Address
         The own zone's first.
     rng : random.Random
+    zone : str, optional
+        The daemon's own, by which members are ordered.
     """
 
-    def __init__(self, control: list[Address], rng: Random):
-        self._control = control
+    def __init__(self, control: list[Address], rng: Random, zone: str = ""):
+        self._zone = zone
+        self._seeds = list(control)
+        self._members: list[tuple[Address, str]] = []
+        self._control = list(control)
         self._rng = rng
         self._position = 0
         self._failures = 0
@@ -40,6 +45,24 @@
     def __repr__(self) -> str:
         return f"<SourceSearch failures={self._failures} relay={self._relay}>"
 
+    def set_seeds(self, seeds: list[Address]) -> None:
+        """Take over other control instances from the settings; those learned stay."""
+        self._seeds = list(seeds)
+        self._order()
+
+    def set_members(self, members: list[tuple[str, str]]) -> None:
+        """Take over the control instances, with their zones, that a source has named."""
+        self._members = [(Address.parse(address), zone) for address, zone in members]
+        self._order()
+
+    def _order(self) -> None:
+        """Put those of the own zone first, and go on from the present one."""
+        current = self._control[self._position % len(self._control)]
+        zones = dict(self._members)
+        known = list(dict.fromkeys([*(address for address, _ in self._members), *self._seeds]))
+        self._control = sorted(known, key=lambda address: zones.get(address, "") != self._zone)
+        self._position = self._control.index(current) if current in self._control else 0
+
     def address(self) -> Address:
         """Return the address to try now."""
         if self._relay is not None:
--- a/packages/lanedock-daemon/lanedock_daemon/agent/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/service.py
@@ -8,25 +8,24 @@
 from gevent import socket
 
 from lanedock.kernel import Kernel, TaskService
-from lanedock.settings import Address, Settings, make_client_context, make_server_context
+from lanedock.settings import Address, Settings
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics
 from lanedock.wire import messages
 from lanedock_daemon.agent.attest import AttestationsMade, Attester
 from lanedock_daemon.agent.board import Board
 from lanedock_daemon.agent.relay import RelayDesk
 from lanedock_daemon.agent.search import SourceSearch
-from lanedock_daemon.agent.watch import SourceEnded, SourceStream, SourceTold
-from lanedock_daemon.network import start_server
 from lanedock_daemon.sessions import (
     HEARTBEAT_INTERVAL,
     SILENCE_LIMIT,
     ChildArrived,
     ChildLeft,
     ChildTold,
-    DistributionServer,
+    SeedsChanged,
 )
+from lanedock_daemon.transport import SourceEnded, SourceStream, SourceTold
 
-__all__ = ["AgentService", "DrainAsked"]
+__all__ = ["AgentService", "DrainAsked", "RegistrationChanged"]
 
 TICK = 0.25
 # Staleness that a source admits, in seconds, after which another is looked for.
@@ -40,6 +39,12 @@
     __slots__ = ()
 
 
+class RegistrationChanged:
+    """The upstream's registration has changed; others have to learn of it."""
+
+    __slots__ = ()
+
+
 class _HomeFound:
     """The control instance of the own zone can be reached again."""
 
@@ -67,7 +72,7 @@
         self._holder = board.holder
         self._events = events
         self._metrics = metrics
-        self._search = SourceSearch(settings.daemon.control, random.Random())
+        self._search = SourceSearch(settings.daemon.control, random.Random(), settings.zone)
         self._relay = RelayDesk(metrics) if settings.daemon.relay else None
         self._stream: SourceStream | None = None
         self._connect_at = 0.0
@@ -81,6 +86,8 @@
             SourceTold: self._on_source_told,
             SourceEnded: self._on_source_ended,
             DrainAsked: self._on_drain,
+            RegistrationChanged: lambda mail: None,
+            SeedsChanged: lambda mail: self._search.set_seeds(mail.control),
             _HomeFound: self._on_home_found,
             AttestationsMade: lambda mail: self._attestations.extend(mail.attestations),
             ChildArrived: self._on_child_arrived,
@@ -91,27 +98,26 @@
     # ------------------------------------------------------------------- start
 
     def on_start(self, kernel: Kernel) -> None:
-        self._loop = kernel.find("loop")
-        self._context = make_client_context(self._settings.tls)
+        self._transport = kernel.find("transport")
         self._attester = Attester(self, self._settings.name, self._settings.daemon.stall_limit_ms / 1000)
         self._server = None
         address = self._settings.daemon.relay
         if address is not None:
-            handlers = [DistributionServer(self, self._loop)]
-            self._server = self._loop.wait(start_server(handlers, address, make_server_context(self._settings.tls)))
+            self._server = self._transport.serve_daemons(self, address)
 
     def on_stop(self) -> None:
         if self._server is not None:
-            self._loop.call(self._server.close)
+            self._server.close()
         if self._stream is not None:
             self._stream.close()
 
     def _make_state(self) -> messages.DaemonState:
         settings = self._settings
+        takes_any = settings.entry is not None or settings.daemon.any_service
         state = messages.DaemonState(
             daemon=settings.name,
             zone=settings.zone,
-            role=messages.ROLE_ENTRY if settings.entry else messages.ROLE_UPSTREAM,
+            role=messages.ROLE_ENTRY if takes_any else messages.ROLE_UPSTREAM,
             service=settings.upstream.service if settings.upstream else "",
             # Without a disk, the wall clock tells an earlier start from a later.
             incarnation=time.time_ns() // 1_000_000,
@@ -130,6 +136,8 @@
 
     def on_tick(self) -> None:
         now = time.monotonic()
+        if self._board.upstream is not None and self._board.upstream.check_silence(now):
+            self._events.emit(Event.UPSTREAM_SILENT, upstream=self._board.upstream.upstream)
         if not self._board.note_alive():
             self._events.emit(Event.SUSPENDED, version=self._holder.in_force_version.number)
             self._is_floor_asked = False
@@ -162,7 +170,7 @@
         self._connect(time.monotonic())
 
     def _connect(self, now: float) -> None:
-        self._stream = SourceStream(self, self._loop, self._search.address(), self._context)
+        self._stream = self._transport.open_source(self, self._search.address())
         self._stream.heard_at = now
         self._staleness = 0.0
         self._is_floor_asked = False
@@ -228,6 +236,8 @@
         elif body == "heartbeat":
             self._on_heartbeat(mail.stream, now)
             self._staleness = message.heartbeat.staleness_ms / 1000
+        elif body == "members":
+            self._search.set_members([(item.address, item.zone) for item in message.members.members])
         elif body == "attest":
             self._attester.ask(list(message.attest.instances))
         else:
@@ -272,9 +282,23 @@
 
     def _on_endpoints(self, update: messages.EndpointUpdate) -> None:
         self._board.take_endpoints(update)
+        for endpoint in update.changed:
+            if endpoint.instance == self._settings.name:
+                self._on_own_endpoint(endpoint)
         if self._relay is not None:
             self._relay.broadcast_endpoints(update)
 
+    def _on_own_endpoint(self, endpoint: messages.Endpoint) -> None:
+        """Learn from the mesh what this daemon knew before it was restarted."""
+        if endpoint.incarnation > self._state.incarnation:
+            # The wall clock has gone back since the former start.
+            self._state.incarnation = endpoint.incarnation + 1
+        registration = self._board.upstream
+        if registration is not None and registration.adopt(
+            endpoint.upstream, endpoint.service, endpoint.leaving, endpoint.slots, time.monotonic()
+        ):
+            self._events.emit(Event.UPSTREAM_ADOPTED, upstream=endpoint.upstream, leaving=endpoint.leaving)
+
     def _on_floor(self, floor: messages.Floor) -> None:
         if floor.token != self._floor_token:
             return
@@ -338,6 +362,7 @@
         fresh.findings.extend(holder.findings)
         fresh.want_whole = holder.wants_whole
         fresh.draining = self._board.is_draining
+        self._fill_endpoint(fresh)
         fresh.parent = self._search.relay_name()
         if fresh == state:
             return False
@@ -345,6 +370,28 @@
         self._state = fresh
         return True
 
+    def _fill_endpoint(self, state: messages.DaemonState) -> None:
+        """Fill in the upstream that this daemon speaks for, once it has registered."""
+        registration = self._board.upstream
+        if registration is None or not registration.upstream:
+            return
+        endpoint = state.endpoint
+        is_leaving = self._board.is_draining or not registration.is_taking_work()
+        revision = 2 * registration.revision + int(self._board.is_draining)
+        if endpoint.revision == revision and endpoint.incarnation == state.incarnation:
+            return
+        listen = self._settings.upstream.listen
+        endpoint.instance = self._settings.name
+        endpoint.service = registration.service
+        endpoint.zone = self._settings.zone
+        endpoint.host, endpoint.port = listen.host, listen.port
+        endpoint.leaving = is_leaving
+        endpoint.incarnation = state.incarnation
+        endpoint.upstream = registration.upstream
+        endpoint.slots = registration.slots
+        endpoint.cold_ms = int(1000 * registration.cold_left(time.monotonic()))
+        endpoint.revision = revision
+
     def _refresh_source(self) -> None:
         """Let the relay pass on what this daemon holds."""
         holder = self._holder
--- a/packages/lanedock-daemon/lanedock_daemon/control/distribution.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/distribution.py
@@ -10,7 +10,7 @@
 from lanedock.telemetry import Metrics
 from lanedock.wire import messages
 from lanedock_daemon.desk import SessionDesk
-from lanedock_daemon.sessions import Session
+from lanedock_daemon.transport import Session
 
 __all__ = ["DistributionDesk"]
 
--- a/packages/lanedock-daemon/lanedock_daemon/control/mail.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/mail.py
@@ -1,41 +1,69 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """Messages to the control task."""
 
-import asyncio
+from abc import ABC, abstractmethod
+
+from gevent.queue import Queue
 
 from lanedock.config import ConfigTree
-from lanedock.kernel import LoopService
 from lanedock.membership import Instance
 from lanedock.wire import messages
 
-__all__ = ["Call", "HistoryAsked", "ListRead", "PeerTold", "ShowAsked", "StatusAsked", "SubmitAsked"]
-
-
-class Call:
+__all__ = [
+    "Call",
+    "ConfirmedRead",
+    "GreenletCall",
+    "HistoryAsked",
+    "ListRead",
+    "PeerTold",
+    "ReadAsked",
+    "ShowAsked",
+    "StatusAsked",
+    "SubmitAsked",
+]
+
+
+class Call(ABC):
     """An operator's call that waits for replies.
 
-    Parameters
+    Attributes
     ----------
-    loop : LoopService
+    is_abandoned : bool
+        Whether nobody waits any more.
     """
 
-    def __init__(self, loop: LoopService):
-        self._loop = loop
-        self._queue: asyncio.Queue = asyncio.Queue()
+    def __init__(self):
         self.is_abandoned = False
 
+    @abstractmethod
     def reply(self, message: object) -> None:
         """Give a reply, from any greenlet."""
-        self._loop.call(self._queue.put_nowait, message)
 
     def finish(self, message: object) -> None:
         """Give the last reply, from any greenlet."""
         self.reply(message)
         self.reply(None)
 
-    async def next_reply(self) -> object:
-        """Wait for the next reply, inside the loop; None after the last."""
-        return await self._queue.get()
+
+class GreenletCall(Call):
+    """A call that a greenlet of this process waits for."""
+
+    def __init__(self):
+        super().__init__()
+        self._queue: Queue = Queue()
+
+    def reply(self, message: object) -> None:
+        self._queue.put(message)
+
+    def next_reply(self, timeout: float) -> object:
+        """Wait for the next reply; None after the last.
+
+        Raises
+        ------
+        gevent.queue.Empty
+            None came within `timeout` seconds.
+        """
+        return self._queue.get(timeout=timeout)
 
 
 class PeerTold:
@@ -85,3 +113,33 @@
 
 class ShowAsked(_Asked):
     """An operator asks for a version's content."""
+
+
+class ReadAsked:
+    """An operator asks for the newest accepted version, confirmed by a quorum.
+
+    The reply is a `ConfirmedRead`.
+    """
+
+    __slots__ = ("call",)
+
+    def __init__(self, call: Call):
+        self.call = call
+
+
+class ConfirmedRead:
+    """The newest accepted version at a moment after it was asked for.
+
+    Parameters
+    ----------
+    tree : ConfigTree or None
+        None where no version was accepted yet.
+    is_confirmed : bool
+        False where no quorum could confirm it.
+    """
+
+    __slots__ = ("is_confirmed", "tree")
+
+    def __init__(self, tree: ConfigTree | None, is_confirmed: bool):
+        self.tree = tree
+        self.is_confirmed = is_confirmed
--- a/packages/lanedock-daemon/lanedock_daemon/control/peers.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/peers.py
@@ -1,5 +1,5 @@
 # SPDX-License-Identifier: BSD-3-Clause
-"""Links to the other control replicas."""
+"""gRPC links to the other control replicas."""
 
 import asyncio
 import random
@@ -8,13 +8,14 @@
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
 from lanedock.consensus.core import replica_name
-from lanedock.kernel import LoopService
+from lanedock.kernel.loop import LoopService
 from lanedock.settings import Address
 from lanedock.wire import messages
 from lanedock.wire.lanedock_grpc import ReplicationStub
 from lanedock_daemon.network import make_channel
+from lanedock_daemon.transport import PeerLinks
 
-__all__ = ["PeerLinks"]
+__all__ = ["GrpcLinks"]
 
 MAX_QUEUE = 512
 RECONNECT_MIN = 0.05
@@ -66,7 +67,7 @@
             channel.close()
 
 
-class PeerLinks:
+class GrpcLinks(PeerLinks):
     """Links to all other replicas, by name.
 
     Parameters
@@ -82,12 +83,10 @@
         self._links = {name: _Link(address, context) for name, address in addresses.items()}
 
     def start(self) -> None:
-        """Start to connect."""
         for link in self._links.values():
             self._loop.spawn(link.run())
 
     def send(self, batch: list[messages.PeerMessage]) -> None:
-        """Send messages, soon; from any greenlet."""
         if batch:
             self._loop.call(self._enqueue, batch)
 
@@ -98,7 +97,6 @@
                 link.put(message)
 
     def note_heard(self, sender: str, now: float) -> None:
-        """Note that a replica was heard from."""
         link = self._links.get(replica_name(sender))
         if link is not None:
             link.heard_at = now
--- a/packages/lanedock-daemon/lanedock_daemon/control/queries.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/queries.py
@@ -2,6 +2,7 @@
 """The desk for operators' questions: status, history, contents."""
 
 import time
+from collections.abc import Callable
 
 from lanedock.consensus.core import replica_name
 from lanedock.errors import ErrorCode
@@ -24,13 +25,14 @@
 
     Parameters
     ----------
-    replicas : dict of str to Address
+    address_of : callable
+        Returns the address of a replica by its name.
     name : str
         This replica's.
     """
 
-    def __init__(self, replicas: dict[str, Address], name: str):
-        self._replicas = replicas
+    def __init__(self, address_of: Callable[[str], Address | None], name: str):
+        self._address_of = address_of
         self._name = name
         self._waiting: list[tuple[object, float]] = []
 
@@ -56,7 +58,7 @@
             if log.is_current_leader and fleet is not None:
                 mail.call.reply(self._answer(mail, log, fleet, confirmed=True))
             elif leader and leader != self._name:
-                mail.call.reply(_make_empty(mail, ErrorCode.NOT_LEADER, str(self._replicas.get(leader, ""))))
+                mail.call.reply(_make_empty(mail, ErrorCode.NOT_LEADER, str(self._address_of(leader) or "")))
             elif now >= patience_until:
                 mail.call.reply(self._answer(mail, log, fleet, confirmed=False))
             else:
@@ -88,7 +90,8 @@
             reply.missing.extend(fleet.missing())
             reachable = {replica_name(replica) for replica in fleet.replicas()}
         leader = replica_name(log.replica.leader)
-        for name in self._replicas:
+        membership = log.replica.membership
+        for name in sorted({replica_name(replica) for replica in (*membership.voters, *membership.learners)}):
             reply.replicas.add(replica=name, leader=name == leader, reachable=name in reachable or name == self._name)
         return reply
 
--- a/packages/lanedock-daemon/lanedock_daemon/control/server.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/server.py
@@ -1,9 +1,12 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """The control instance's gRPC handlers; they only turn calls into messages."""
 
+import asyncio
+
 from lanedock.config import check_document
 from lanedock.findings import FindingsError, read_text
-from lanedock.kernel import LoopService, TaskService
+from lanedock.kernel import TaskService
+from lanedock.kernel.loop import LoopService
 from lanedock.wire import messages
 from lanedock.wire.lanedock_grpc import OperatorsBase, ReplicationBase
 from lanedock_daemon.control.mail import Call, HistoryAsked, PeerTold, ShowAsked, StatusAsked, SubmitAsked
@@ -11,6 +14,27 @@
 __all__ = ["OperatorsServer", "ReplicationServer"]
 
 
+class GrpcCall(Call):
+    """A call that a coroutine of gRPC waits for.
+
+    Parameters
+    ----------
+    loop : LoopService
+    """
+
+    def __init__(self, loop: LoopService):
+        super().__init__()
+        self._loop = loop
+        self._queue: asyncio.Queue = asyncio.Queue()
+
+    def reply(self, message: object) -> None:
+        self._loop.call(self._queue.put_nowait, message)
+
+    async def next_reply(self) -> object:
+        """Wait for the next reply, inside the loop; None after the last."""
+        return await self._queue.get()
+
+
 class ReplicationServer(ReplicationBase):
     """Takes messages from other replicas.
 
@@ -53,7 +77,7 @@
         except FindingsError as exc:
             await stream.send_message(_make_refusal(exc))
             return
-        call = Call(self._loop)
+        call = GrpcCall(self._loop)
         self._task.post(SubmitAsked(call, request, tree))
         try:
             while (reply := await call.next_reply()) is not None:
@@ -72,7 +96,7 @@
 
     async def _ask(self, stream, kind) -> None:
         request = await stream.recv_message()
-        call = Call(self._loop)
+        call = GrpcCall(self._loop)
         self._task.post(kind(call, request))
         await stream.send_message(await call.next_reply())
 
--- a/packages/lanedock-daemon/lanedock_daemon/control/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/service.py
@@ -8,21 +8,27 @@
 from lanedock.consensus.core import replica_name
 from lanedock.errors import ErrorCode
 from lanedock.kernel import Kernel, TaskService
-from lanedock.membership import Directory, make_platform_list
+from lanedock.membership import Directory, EndpointRegistry
 from lanedock.rollout import FleetView, RolloutCoordinator, RolloutPolicy, Verdict, VersionSource
-from lanedock.settings import Settings, make_client_context, make_server_context
+from lanedock.settings import Address, Settings
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics
 from lanedock.wire import messages
 from lanedock_daemon.control.distribution import DistributionDesk
+from lanedock_daemon.control.endpoints import EndpointExchange
 from lanedock_daemon.control.log import AppliedEntry, ReplicatedLog, open_storage
-from lanedock_daemon.control.mail import HistoryAsked, ListRead, PeerTold, ShowAsked, StatusAsked, SubmitAsked
-from lanedock_daemon.control.peers import PeerLinks
-from lanedock_daemon.control.platform import PlatformReader
+from lanedock_daemon.control.mail import (
+    HistoryAsked,
+    ListRead,
+    PeerTold,
+    ReadAsked,
+    ShowAsked,
+    StatusAsked,
+    SubmitAsked,
+)
 from lanedock_daemon.control.queries import QueryDesk
-from lanedock_daemon.control.server import OperatorsServer, ReplicationServer
+from lanedock_daemon.control.reads import ReadQueue
 from lanedock_daemon.control.submissions import Submission, SubmissionDesk
-from lanedock_daemon.network import start_server
-from lanedock_daemon.sessions import ChildArrived, ChildLeft, ChildTold, DistributionServer
+from lanedock_daemon.sessions import ChildArrived, ChildLeft, ChildTold, SeedsChanged
 
 __all__ = ["ControlService"]
 
@@ -31,6 +37,10 @@
 KEEPALIVE_INTERVAL = 1.0
 SILENT_AFTER = 3.0
 DEFAULT_ENDPOINT_WINDOW = 0.05
+# An endpoint that no control instance hears of is kept for this long, in
+# seconds: its daemon may have lost control only, and callers see for themselves
+# whether it answers.
+ENDPOINT_KEEP = 12.0
 
 
 class ControlService(TaskService):
@@ -58,8 +68,17 @@
         self._policy = RolloutPolicy(self._cfg.stage_timeout_ms / 1000, self._cfg.dead_after_ms / 1000)
         self._desk = DistributionDesk(self._cfg, metrics)
         self._submissions = SubmissionDesk(metrics)
-        self._queries = QueryDesk(self._cfg.replicas, settings.name)
-        self._directory = Directory(DEFAULT_ENDPOINT_WINDOW)
+        self._is_seeded = self._cfg.seeds is not None
+        # Found by seeds, a replica is named by its address.
+        self._name = str(self._cfg.listen) if self._is_seeded else settings.name
+        self._queries = QueryDesk(self.address_of, self._name)
+        self._reads = ReadQueue()
+        self._exchange = None
+        if self._is_seeded:
+            self._directory = EndpointRegistry(DEFAULT_ENDPOINT_WINDOW, ENDPOINT_KEEP)
+            self._exchange = EndpointExchange(self._directory, settings.zone, SILENT_AFTER)
+        else:
+            self._directory = Directory(DEFAULT_ENDPOINT_WINDOW)
         self._instances = []
         self._is_list_read = False
         self._fleet: FleetView | None = None
@@ -69,29 +88,35 @@
         self._keepalive_at = 0.0
         self._source_versions = None
         self._storage: FileStorage | None = None
+        self._reader = None
+        self._told_members: list = []
         self._handlers = {
             PeerTold: self._on_peer,
             ChildArrived: self._on_child_arrived,
             ChildTold: self._on_child_told,
-            ChildLeft: lambda mail: self._desk.leave(mail.session),
+            ChildLeft: self._on_child_left,
             ListRead: self._on_list,
             SubmitAsked: self._on_submit,
             StatusAsked: lambda mail: self._queries.ask(mail),
             HistoryAsked: lambda mail: self._queries.ask(mail),
             ShowAsked: lambda mail: self._queries.ask(mail),
+            ReadAsked: lambda mail: self._reads.ask(mail.call, time.monotonic()),
+            SeedsChanged: lambda mail: self._on_seeds(mail.control),
         }
 
     # ------------------------------------------------------------------- start
 
     def on_start(self, kernel: Kernel) -> None:
         cfg = self._cfg
-        loop = kernel.find("loop")
+        transport = kernel.find("transport")
         self._storage = FileStorage(cfg.data_folder)
-        replica_id = open_storage(self._storage, self._settings.name, list(cfg.replicas), self._initial, self._events)
+        first = self._first_voters()
+        initial = self._initial or cfg.bootstrap
+        replica_id = open_storage(self._storage, self._name, first, initial and self._name in first, self._events)
         restored = self._storage.restore()
         if restored.cut_bytes:
             self._events.emit(Event.TAIL_CUT, bytes=restored.cut_bytes)
-        others = {name: address for name, address in cfg.replicas.items() if name != self._settings.name}
+        others = {name: self.address_of(name) for name in first if name != self._name}
         hard_state = restored.hard_state
         replica = RaftReplica(
             replica_id,
@@ -102,27 +127,51 @@
             random.Random(),
             time.monotonic(),
             tuple(others),
+            cfg.replace_after_ms / 1000 if self._is_seeded else None,
         )
-        client_context = make_client_context(self._settings.tls)
-        self._links = PeerLinks(loop, others, client_context)
+        self._links = transport.peer_links(others)
         self._log = ReplicatedLog(
             replica, self._storage, self._links.send, self._events, self._metrics, cfg.compact_bytes
         )
         self._log.pump()
         self._refresh_source()
-        handlers = [ReplicationServer(self), DistributionServer(self, loop), OperatorsServer(self, loop)]
-        self._loop = loop
-        self._server = loop.wait(start_server(handlers, cfg.listen, make_server_context(self._settings.tls)))
+        self._server = transport.serve_control(self, cfg.listen)
         self._links.start()
-        interval = cfg.platform_interval_ms / 1000
-        self._reader = PlatformReader(make_platform_list(cfg.platform_list), self, interval, self._events)
+        if not self._is_seeded:
+            self._start_reader(kernel)
+
+    def _start_reader(self, kernel: Kernel) -> None:
+        from lanedock.membership import make_platform_list
+        from lanedock_daemon.control.platform import PlatformReader
+
+        interval = self._cfg.platform_interval_ms / 1000
+        self._reader = PlatformReader(make_platform_list(self._cfg.platform_list), self, interval, self._events)
         self._reader.start(kernel)
 
+    def _first_voters(self) -> list[str]:
+        """Return the names of the replicas that vote from the first start."""
+        if self._is_seeded:
+            return [str(address) for address in self._cfg.seeds]
+        return list(self._cfg.replicas)
+
+    def address_of(self, name: str) -> Address | None:
+        """Return a replica's address, or None where it is not known."""
+        if not self._is_seeded:
+            return self._cfg.replicas.get(name)
+        return Address.parse(name) if name else None
+
+    def _on_seeds(self, seeds: list[Address]) -> None:
+        """Take over other seeds: where a replica without a past asks to be taken in."""
+        names = [str(address) for address in seeds if str(address) != self._name]
+        self._log.replica.contacts = tuple(names)
+        self._events.emit(Event.SEEDS_CHANGED, seeds=",".join(names))
+
     def on_stop(self) -> None:
-        self._reader.stop()
+        if self._reader is not None:
+            self._reader.stop()
         self._submissions.abandon_all()
         self._desk.close()
-        self._loop.call(self._server.close)
+        self._server.close()
         self._storage.close()
 
     # ---------------------------------------------------------------- messages
@@ -140,7 +189,10 @@
         now = time.monotonic()
         self._log.replica.tick(now)
         self._desk.send_heartbeats(now, self._log.state.accepted_version.number, self._log.replica.silence(now))
-        self._ask_attestations(now)
+        if self._is_seeded:
+            self._exchange.expire(now)
+        else:
+            self._ask_attestations(now)
         self._advance()
 
     def _on_peer(self, mail: PeerTold) -> None:
@@ -150,6 +202,9 @@
         body = message.WhichOneof("body")
         if body == "fleet_report":
             self._on_fleet_report(message, now)
+        elif body in ("endpoint_report", "endpoint_request"):
+            if self._exchange is not None:
+                self._links.send(self._exchange.take(message, now))
         elif body == "fleet_request":
             self._reported_to = ("", 0)
         elif body == "drain_notice":
@@ -170,11 +225,25 @@
 
     def _on_child_arrived(self, mail: ChildArrived) -> None:
         self._desk.arrive(mail.session, mail.message, self._directory.whole_update())
-        self._note_drain(mail.message)
+        if self._is_seeded and mail.session.child is not None:
+            self._desk.send_members([mail.session], self._told_members)
+        self._note_state(mail.session, mail.message)
 
     def _on_child_told(self, mail: ChildTold) -> None:
         self._desk.tell(mail.session, mail.message)
-        self._note_drain(mail.message)
+        self._note_state(mail.session, mail.message)
+
+    def _on_child_left(self, mail: ChildLeft) -> None:
+        self._desk.leave(mail.session)
+        if self._exchange is not None:
+            self._exchange.leave(mail.session, time.monotonic())
+
+    def _note_state(self, session, message: messages.DaemonMessage) -> None:
+        """Take in what a daemon reports of itself and of its upstream."""
+        if self._exchange is None:
+            self._note_drain(message)
+        elif session.child is not None:
+            self._exchange.register(session, message, time.monotonic())
 
     def _note_drain(self, message: messages.DaemonMessage) -> None:
         """Tell everybody at once when a daemon, or one behind it, drains."""
@@ -192,7 +261,7 @@
         if not notice.instances:
             return
         for name in self._cfg.replicas:
-            if name != self._settings.name:
+            if name != self._name:
                 told = self._peer_message(name)
                 told.drain_notice.CopyFrom(notice)
                 self._links.send([told])
@@ -217,9 +286,13 @@
             leader_address=self._leader_address(),
         )
 
+    def _settle_time(self) -> float | None:
+        settle = self._cfg.settle_ms
+        return None if settle is None else settle / 1000
+
     def _on_submit(self, mail: SubmitAsked) -> None:
         version = mail.tree.version
-        submission = Submission(mail.call, mail.request, version, time.monotonic())
+        submission = Submission(mail.call, mail.request, version, time.monotonic(), self._settle_time())
         refusal = self.refuse_unless_leading(mail.request)
         if refusal is not None:
             mail.call.finish(refusal)
@@ -238,6 +311,9 @@
         submit.allow_cut_off.extend(mail.request.allow_cut_off)
         submit.operator = mail.request.operator
         submit.submitted_at = time.time()
+        submit.has_base = mail.request.has_base
+        submit.base_version = mail.request.base_version
+        submit.direct = self._cfg.rollout == "direct"
         index = self._log.propose(command)
         if index is None:
             # The lease has ended just now.
@@ -259,15 +335,18 @@
         if update is not None:
             self._desk.broadcast_endpoints(update)
         self._desk.flush()
+        if self._exchange is not None:
+            self._links.send(self._exchange.due(self._other_replicas(), self._log.replica.me, now))
+            self._tell_members()
         self._report(now)
         self._lead(now)
         self._queries.advance(self._log, self._fleet, now)
 
     def _pump(self) -> None:
         now = time.monotonic()
-        token = self._desk.next_read(now)
-        if token is not None:
-            self._log.replica.request_read(token, now)
+        for token in (self._desk.next_read(now), self._reads.next_read(now)):
+            if token is not None:
+                self._log.replica.request_read(token, now)
         for entry in self._log.pump():
             self._on_applied(entry)
         self._refresh_source()
@@ -279,15 +358,25 @@
         failed, self._log.failed_reads = self._log.failed_reads, []
         for token in confirmed:
             self._desk.confirm_read(token, accepted)
+            self._reads.confirm(token, self._log.state)
         for token in failed:
             self._desk.fail_read(token)
+            self._reads.fail(token)
 
     def _on_applied(self, entry: AppliedEntry) -> None:
         body = entry.command.WhichOneof("body")
         if body == "submit":
             self._submissions.settle(entry.index, entry.result)
             if entry.result.verdict is Verdict.STAGING:
-                self._events.emit(Event.SUBMITTED, version=entry.command.submit.version)
+                event = Event.ACCEPTED if entry.command.submit.direct else Event.SUBMITTED
+                self._events.emit(event, version=entry.command.submit.version)
+            else:
+                self._events.emit(
+                    Event.SUBMISSION_REFUSED,
+                    version=entry.command.submit.version,
+                    verdict=entry.result.verdict.value,
+                    accepted=self._log.state.accepted_version.number,
+                )
         elif body == "accept":
             self._submissions.settle(entry.index, None)
             self._events.emit(Event.ACCEPTED, version=entry.command.accept.version)
@@ -385,9 +474,24 @@
             self._desk.ask_attestations(unconnected, now)
 
     def _leader_address(self) -> str:
-        address = self._cfg.replicas.get(replica_name(self._log.replica.leader))
+        leader = replica_name(self._log.replica.leader)
+        address = self.address_of(leader) if leader else None
         return str(address) if address else ""
 
+    def _other_replicas(self) -> list[str]:
+        """Return the ids of the other replicas that take part."""
+        membership = self._log.replica.membership
+        return [replica for replica in (*membership.voters, *membership.learners) if replica != self._log.replica.me]
+
+    def _tell_members(self) -> None:
+        """Name the control instances to the daemons, when they have changed."""
+        names = [replica_name(replica) for replica in (*self._other_replicas(), self._log.replica.me)]
+        zones = self._exchange.zones
+        members = [(name, zones.get(name, "")) for name in sorted(set(names))]
+        if members != self._told_members:
+            self._told_members = members
+            self._desk.send_members(None, members)
+
     def _break(self, exc: StorageError) -> None:
         """Take no part any more: what is on the disk is not known."""
         self._log.is_broken = True
@@ -395,6 +499,7 @@
         self._events.emit(event, error=exc)
         self._submissions.abandon_all()
         self._queries.abandon_all()
+        self._reads.abandon_all()
         self._desk.close()
         # Daemons and operators are better refused than left waiting.
-        self._loop.call(self._server.close)
+        self._server.close()
--- a/packages/lanedock-daemon/lanedock_daemon/control/submissions.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/submissions.py
@@ -26,17 +26,30 @@
     version : Version
     now : float
         Monotonic, seconds.
+    settle : float, optional
+        Longest wait after acceptance, in seconds; to the deadline where left out.
     """
 
-    __slots__ = ("accepted_at", "allowed_zones", "call", "deadline", "index", "started_at", "told_at", "version")
-
-    def __init__(self, call: Call, request: messages.SubmitRequest, version: Version, now: float):
+    __slots__ = (
+        "accepted_at",
+        "allowed_zones",
+        "call",
+        "deadline",
+        "index",
+        "settle",
+        "started_at",
+        "told_at",
+        "version",
+    )
+
+    def __init__(self, call: Call, request: messages.SubmitRequest, version: Version, now: float, settle=None):
         self.call = call
         self.version = version
         self.started_at = now
         self.deadline = now + (request.timeout_ms / 1000 if request.timeout_ms else DEFAULT_TIMEOUT)
         self.allowed_zones = set(request.allow_cut_off)
         self.index = 0
+        self.settle = settle
         self.told_at = 0.0
         self.accepted_at = None
 
@@ -144,7 +157,8 @@
             submission.accepted_at = now
         if is_accepted and not progress.lagging:
             return self._make_final(submission, progress, cut_off, now)
-        if now >= submission.deadline:
+        is_settled = is_accepted and submission.settle is not None and now - submission.accepted_at >= submission.settle
+        if is_settled or now >= submission.deadline:
             return self._make_late(submission, progress, is_accepted, now)
         self._tell_progress(submission, progress, is_accepted, now)
         return None
--- a/packages/lanedock-daemon/lanedock_daemon/desk.py
+++ b/packages/lanedock-daemon/lanedock_daemon/desk.py
@@ -7,7 +7,8 @@
 from lanedock.rollout import Distributor
 from lanedock.telemetry import Metric, Metrics
 from lanedock.wire import messages
-from lanedock_daemon.sessions import HEARTBEAT_INTERVAL, SILENCE_LIMIT, Session
+from lanedock_daemon.sessions import HEARTBEAT_INTERVAL, SILENCE_LIMIT
+from lanedock_daemon.transport import Session
 
 __all__ = ["SessionDesk"]
 
@@ -70,6 +71,15 @@
         for session in self._sessions:
             self._send(session, self.distributor.due(session.child))
 
+    def send_members(self, sessions: list[Session] | None, members: list[tuple[str, str]]) -> None:
+        """Name the control instances, with their zones, to some daemons or to all."""
+        message = messages.ControlMessage()
+        message.members.SetInParent()
+        for address, zone in members:
+            message.members.members.add(address=address, zone=zone)
+        for session in self._sessions if sessions is None else sessions:
+            self._send(session, [message])
+
     def broadcast_endpoints(self, update: messages.EndpointUpdate) -> None:
         """Send a change of endpoints to all daemons."""
         message = messages.ControlMessage()
--- a/packages/lanedock-daemon/lanedock_daemon/path/caller.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller.py
@@ -2,13 +2,18 @@
 """The caller's side of the path: match, choose, send, and retry."""
 
 import time
+from random import Random
 
 from lanedock.config import Route
 from lanedock.errors import ErrorCode
+from lanedock.routing import choose_service
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics, Tracer
 from lanedock_daemon.agent.board import Binding, Board
+from lanedock_daemon.path.dialect import Dialect, OwnDialect, RequestFacts
 from lanedock_daemon.path.http import (
+    ARRIVED_HEADER,
     ATTEMPT_HEADER,
+    CALLER_HEADER,
     CLASS_HEADER,
     CODE_HEADER,
     DEADLINE_HEADER,
@@ -18,12 +23,12 @@
     OUTCOME_HEADER,
     SERVICE_HEADER,
     TRACE_HEADER,
+    UPSTREAM_HEADER,
     VERSION_HEADER,
     Answer,
     Outcome,
     ReplayBody,
     Request,
-    make_refusal,
     public_headers,
 )
 from lanedock_daemon.path.parser import MalformedMessage, Message
@@ -31,17 +36,44 @@
 
 __all__ = ["CallerSide"]
 
-MAX_TRIES = 3
-# Attempt that is told for a request that some hop before has sent again.
+# Attempt that is sent for a request that some hop before has sent again.
 RETRIED = 2
 # Bodies up to this many bytes are kept until the answer, to be sent again.
 REPLAY_LIMIT = 64 * 1024
+# Answers up to this many bytes are read whole before they are passed on, so
+# that one that breaks off can still be asked for elsewhere.
+BUFFER_LIMIT = 64 * 1024
 # What callers are told to wait where nothing better is known, in seconds.
 RETRY_AFTER = 1.0
-_SET_HERE = (ATTEMPT_HEADER, DEADLINE_HEADER, TRACE_HEADER)
 # Added to what an upstream's daemon is given, so that its refusal arrives
 # before the caller's side gives up on it.
 GRACE = 0.05
+# Daemons that may refuse a request unseen by an application, for each attempt
+# that an application may see.
+REFUSALS_PER_ATTEMPT = 2
+_DAEMON_HEADERS = HOP_HEADERS | {OUTCOME_HEADER, CODE_HEADER}
+
+
+class _Try:
+    """What became of one try.
+
+    Parameters
+    ----------
+    answer : Answer
+    is_final : bool
+        False where another upstream may be tried.
+    has_arrived : bool
+        Whether the application may have seen the request.
+    may_have_run : bool
+    """
+
+    __slots__ = ("answer", "has_arrived", "is_final", "may_have_run")
+
+    def __init__(self, answer: Answer, is_final: bool, has_arrived: bool = True, may_have_run: bool = False):
+        self.answer = answer
+        self.is_final = is_final
+        self.has_arrived = has_arrived
+        self.may_have_run = may_have_run
 
 
 class CallerSide:
@@ -54,14 +86,28 @@
     events : EventLogger
     metrics : Metrics
     tracer : Tracer
+    dialect : Dialect, optional
+    rng : random.Random, optional
+        Divides the requests of routes that are split.
     """
 
-    def __init__(self, board: Board, pool: ConnectionPool, events: EventLogger, metrics: Metrics, tracer: Tracer):
+    def __init__(
+        self,
+        board: Board,
+        pool: ConnectionPool,
+        events: EventLogger,
+        metrics: Metrics,
+        tracer: Tracer,
+        dialect: Dialect | None = None,
+        rng: Random | None = None,
+    ):
         self._board = board
         self._pool = pool
         self._events = events
         self._metrics = metrics
         self._tracer = tracer
+        self._dialect = dialect or OwnDialect()
+        self._rng = rng or Random()
 
     def handle(self, request: Request) -> Answer:
         """Answer a request."""
@@ -82,28 +128,31 @@
         route = binding.table.match(request.host, request.path, request.method)
         if route is None:
             return self._refuse(ErrorCode.NO_ROUTE)
-        deadline = started + _read_deadline(request, route) / 1000
-        return self._send(request, binding, route, deadline, span)
+        facts = self._dialect.read_request(request.headers)
+        told = route.deadline_ms if facts.deadline_ms is None else min(route.deadline_ms, facts.deadline_ms)
+        return self._send(request, binding, route, facts, started + told / 1000, span)
 
     def _refuse(self, code: ErrorCode, retry_after: float = 0.0, detail: str = "") -> Answer:
         self._metrics.count(Metric.NOT_RUN)
-        return make_refusal(code, Outcome.NOT_RUN, retry_after, detail)
+        return self._dialect.make_refusal(code, Outcome.NOT_RUN, retry_after, detail)
 
     # ------------------------------------------------------------------- tries
 
-    def _send(self, request: Request, binding: Binding, route: Route, deadline: float, span) -> Answer:
+    def _send(self, request: Request, binding: Binding, route: Route, facts: RequestFacts, deadline, span) -> Answer:
         """Try upstreams until one answers, or trying again would be wrong."""
-        service = binding.config.services[route.service]
+        service = binding.config.services[choose_service(route, self._rng)]
         balancer = self._board.balancer(service.name)
         budget = self._board.budget(service.name)
-        budget.note_first_try()
+        budget.note_first_try(time.monotonic())
         # A retry that a hop before has made must not be multiplied here.
-        may_retry = request.header(ATTEMPT_HEADER) in ("", "1")
-        headers = _make_headers(request, binding, route, span)
+        may_retry = not facts.was_retried
+        headers = self._make_headers(request, binding, route, service.name, span)
         body = request.body = ReplayBody(request.body, REPLAY_LIMIT)
         tried: set[str] = set()
         failure = None
-        for attempt in range(1, MAX_TRIES + 1):
+        arrivals = 0
+        may_have_run = False
+        for attempt in range(1, route.max_attempts * REFUSALS_PER_ATTEMPT + 1):
             now = time.monotonic()
             if now >= deadline:
                 return failure or self._refuse(ErrorCode.DEADLINE)
@@ -112,31 +161,32 @@
                 return failure or self._refuse(ErrorCode.NO_UPSTREAM, RETRY_AFTER)
             tried.add(stats.endpoint.instance)
             told = attempt if may_retry else RETRIED
-            answer, is_final = self._try(request, headers, route, balancer, stats, told, deadline)
-            if is_final:
-                return answer
-            failure = answer
-            if not may_retry or not body.can_rewind or not budget.spend():
+            made = self._try(request, headers, route, balancer, stats, told, deadline)
+            if made.is_final:
+                return made.answer
+            may_have_run = may_have_run or made.may_have_run
+            # What was refused unseen must not hide that a try before may have run.
+            if failure is None or made.may_have_run or not may_have_run:
+                failure = made.answer
+            arrivals += made.has_arrived
+            if not may_retry or not body.can_rewind or arrivals >= route.max_attempts:
+                return failure
+            if made.has_arrived and not budget.spend(time.monotonic()):
                 return failure
             body.rewind()
             self._metrics.count(Metric.RETRIES)
         return failure
 
-    def _try(self, request, headers, route, balancer, stats, attempt: int, deadline: float) -> tuple[Answer, bool]:
-        """Send a request to one upstream.
-
-        Returns
-        -------
-        Answer
-        bool
-            Whether it stands; False where another upstream may be tried.
-        """
+    def _try(self, request, headers, route, balancer, stats, attempt: int, deadline: float) -> _Try:
+        """Send a request to one upstream."""
         left = deadline - time.monotonic()
         sent = [
             *headers,
             (ATTEMPT_HEADER, str(attempt)),
             (DEADLINE_HEADER, str(max(1, int(left * 1000)))),
         ]
+        if stats.endpoint.upstream:
+            sent.append((UPSTREAM_HEADER, stats.endpoint.upstream))
         balancer.begin(stats)
         try:
             ask_first = request.body.is_long
@@ -148,39 +198,52 @@
             balancer.end(stats, False, time.monotonic())
             raise
         head = response.message
-        told = _read_int(head.header(LOAD_HEADER))
+        load = _read_int(head.header(LOAD_HEADER))
         if head.header(LEAVING_HEADER):
             balancer.note_leaving(stats.endpoint.instance)
             self._pool.forget(stats.address)
         if head.header(OUTCOME_HEADER) == Outcome.NOT_RUN:
-            return self._on_refused(response, balancer, stats, told)
+            return self._on_refused(response, balancer, stats, load)
         is_lost = head.header(OUTCOME_HEADER) == Outcome.UNKNOWN
         if (is_lost or head.status == 503) and route.repeatable:
             # Noted first: reading may end with the caller's going away.
-            self._note_end(balancer, stats, failed=True, told=told)
-            return Answer(head.status, head.reason, _strip(head), [self._read_refusal(response)]), False
-        return self._make_answer(response, balancer, stats, told, is_lost), True
+            self._note_end(balancer, stats, failed=True, load=load)
+            answer = Answer(head.status, head.reason, _strip(head), [self._read_refusal(response)])
+            if is_lost:
+                answer = self._make_unknown(ErrorCode.find(head.header(CODE_HEADER)) or ErrorCode.ANSWER_LOST, "")
+            return _Try(answer, False, may_have_run=True)
+        return self._pass_answer(response, balancer, stats, load, is_lost, route, deadline)
 
-    def _on_lost(self, exc: ExchangeError, stats, route: Route, request: Request) -> tuple[Answer, bool]:
+    def _make_unknown(self, code: ErrorCode, detail: str) -> Answer:
+        return self._dialect.make_refusal(code, Outcome.UNKNOWN, 0.0, detail)
+
+    def _on_lost(self, exc: ExchangeError, stats, route: Route, request: Request) -> _Try:
         if exc.outcome == Outcome.NOT_RUN:
-            return make_refusal(exc.code, Outcome.NOT_RUN, RETRY_AFTER, str(exc)), False
+            answer = self._dialect.make_refusal(exc.code, Outcome.NOT_RUN, RETRY_AFTER, str(exc))
+            return _Try(answer, False, has_arrived=False)
         self._metrics.count(Metric.UNKNOWN)
         self._events.emit(Event.ANSWER_LOST, upstream=stats.endpoint.instance, target=request.path, error=exc)
-        answer = make_refusal(exc.code, Outcome.UNKNOWN, 0.0, str(exc))
-        return answer, not route.repeatable
+        answer = self._make_unknown(exc.code, str(exc))
+        return _Try(answer, not route.repeatable, may_have_run=True)
 
-    def _on_refused(self, response, balancer, stats, told) -> tuple[Answer, bool]:
+    def _on_refused(self, response, balancer, stats, load) -> _Try:
         """The upstream's daemon refused: the request has not run."""
         head = response.message
-        code = head.header(CODE_HEADER)
-        is_fault = code not in (ErrorCode.OVERLOADED.code, ErrorCode.DRAINING.code, ErrorCode.DEADLINE.code)
-        self._note_end(balancer, stats, failed=is_fault, told=told)
+        code = ErrorCode.find(head.header(CODE_HEADER)) or ErrorCode.OVERLOADED
+        is_fault = code not in (ErrorCode.OVERLOADED, ErrorCode.DRAINING, ErrorCode.DEADLINE)
+        self._note_end(balancer, stats, failed=is_fault, load=load)
+        if code is ErrorCode.NOT_HELD:
+            # The address is in other hands, or another life of the application
+            # is there: the mesh learns of it soon.
+            balancer.note_leaving(stats.endpoint.instance)
         self._metrics.count(Metric.NOT_RUN)
-        answer = Answer(head.status, head.reason, _strip(head), [self._read_refusal(response)])
-        return answer, code == ErrorCode.DEADLINE.code
+        self._read_refusal(response)
+        wait = _read_float(head.header("retry-after")) or RETRY_AFTER
+        answer = self._dialect.make_refusal(code, Outcome.NOT_RUN, 0.0 if code is ErrorCode.DEADLINE else wait)
+        return _Try(answer, code is ErrorCode.DEADLINE, has_arrived=bool(head.header(ARRIVED_HEADER)))
 
-    def _note_end(self, balancer, stats, failed: bool, told: int | None = None) -> None:
-        if balancer.end(stats, failed, time.monotonic(), told):
+    def _note_end(self, balancer, stats, failed: bool, load: int | None = None) -> None:
+        if balancer.end(stats, failed, time.monotonic(), load):
             self._events.emit(Event.EJECTED, upstream=stats.endpoint.instance)
 
     def _read_refusal(self, response: UpstreamAnswer) -> bytes:
@@ -192,26 +255,51 @@
         finally:
             response.close()
 
-    def _make_answer(self, response: UpstreamAnswer, balancer, stats, told, is_lost: bool) -> Answer:
+    def _pass_answer(self, response, balancer, stats, load, is_lost: bool, route: Route, deadline: float) -> _Try:
+        """Pass an answer on: a short one once it is whole, a long one as it comes."""
         head = response.message
+        if is_lost:
+            code = ErrorCode.find(head.header(CODE_HEADER)) or ErrorCode.ANSWER_LOST
+            self._note_end(balancer, stats, failed=True, load=load)
+            self._read_refusal(response)
+            return _Try(self._make_unknown(code, ""), True, may_have_run=True)
+        failed = head.status >= 500
+        pieces: list[bytes] = []
+        if not head.is_complete:
+            response.set_timeout(deadline - time.monotonic() + GRACE)
+            try:
+                pieces = response.read_some(BUFFER_LIMIT)
+            except (OSError, MalformedMessage) as exc:
+                response.close()
+                self._note_end(balancer, stats, failed=True, load=load)
+                self._events.emit(Event.ANSWER_LOST, upstream=stats.endpoint.instance, error=exc)
+                return _Try(self._make_unknown(ErrorCode.ANSWER_LOST, str(exc)), not route.repeatable, True, True)
+            except BaseException:
+                response.close()
+                balancer.end(stats, False, time.monotonic())
+                raise
         if head.is_complete:
-            self._note_end(balancer, stats, failed=is_lost, told=told)
-            return Answer(head.status, head.reason, _strip(head), list(head.pieces))
+            self._note_end(balancer, stats, failed=failed, load=load)
+            return _Try(Answer(head.status, head.reason, _strip(head), [*pieces, *head.pieces]), True)
 
         def end(broke_off: bool) -> None:
             if broke_off:
                 self._events.emit(Event.ANSWER_LOST, upstream=stats.endpoint.instance)
-            self._note_end(balancer, stats, failed=broke_off, told=told)
-
-        return Answer(head.status, head.reason, _strip(head), AnswerPieces(response, end))
+            self._note_end(balancer, stats, failed=failed or broke_off, load=load)
 
+        return _Try(Answer(head.status, head.reason, _strip(head), AnswerPieces(response, end, pieces)), True)
 
-def _read_deadline(request: Request, route: Route) -> float:
-    """Return the time left, in milliseconds: the route's, or less if told."""
-    told = _read_int(request.header(DEADLINE_HEADER))
-    if told is None:
-        return route.deadline_ms
-    return min(route.deadline_ms, told)
+    def _make_headers(self, request: Request, binding: Binding, route: Route, service: str, span) -> list:
+        headers = public_headers(request.headers, self._dialect.request_names)
+        headers.append((SERVICE_HEADER, service))
+        headers.append((CLASS_HEADER, route.traffic_class))
+        headers.append((VERSION_HEADER, str(binding.number)))
+        caller = self._board.upstream.service if self._board.upstream is not None else ""
+        if caller:
+            headers.append((CALLER_HEADER, caller))
+        if span.traceparent:
+            headers.append((TRACE_HEADER, span.traceparent))
+        return headers
 
 
 def _read_int(text) -> int | None:
@@ -220,16 +308,13 @@
     return None
 
 
-def _make_headers(request: Request, binding: Binding, route: Route, span) -> list[tuple[str, str]]:
-    headers = public_headers(request.headers, _SET_HERE)
-    headers.append((SERVICE_HEADER, route.service))
-    headers.append((CLASS_HEADER, route.traffic_class))
-    headers.append((VERSION_HEADER, str(binding.number)))
-    if span.traceparent:
-        headers.append((TRACE_HEADER, span.traceparent))
-    return headers
+def _read_float(text: str) -> float:
+    try:
+        return float(text)
+    except ValueError:
+        return 0.0
 
 
 def _strip(head: Message) -> list[tuple[str, str]]:
     """Return an answer's headers without those between daemons or of one connection."""
-    return public_headers(head.headers, HOP_HEADERS)
+    return public_headers(head.headers, _DAEMON_HEADERS)
--- /dev/null
+++ b/packages/lanedock-daemon/lanedock_daemon/path/dialect.py
@@ -0,0 +1,142 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""The headers by which callers and applications say what lanedock has to know.
+
+Between daemons lanedock's own headers are spoken. Towards callers and
+applications a dialect reads and writes whatever they speak; it decodes it once,
+into `RequestFacts` and `AnswerFacts`, and decides nothing.
+"""
+
+from abc import ABC, abstractmethod
+
+from lanedock.errors import ErrorCode
+from lanedock_daemon.path.http import (
+    ATTEMPT_HEADER,
+    CODE_HEADER,
+    DEADLINE_HEADER,
+    HOP_HEADERS,
+    OUTCOME_HEADER,
+    TRACE_HEADER,
+    Answer,
+    make_refusal,
+)
+
+__all__ = ["AnswerFacts", "Dialect", "OwnDialect", "RequestFacts"]
+
+# Of the application's answers that say that it drains.
+DRAIN_HEADER = "x-upstream-draining"
+
+
+class RequestFacts:
+    """What a caller says of its request.
+
+    Parameters
+    ----------
+    request_id : str
+        Empty where it has none.
+    deadline_ms : int or None
+        Time for which the caller waits, in milliseconds.
+    was_retried : bool
+        Whether a hop before has sent the request again.
+    """
+
+    __slots__ = ("deadline_ms", "request_id", "was_retried")
+
+    def __init__(self, request_id: str = "", deadline_ms: int | None = None, was_retried: bool = False):
+        self.request_id = request_id
+        self.deadline_ms = deadline_ms
+        self.was_retried = was_retried
+
+    def __repr__(self) -> str:
+        return f"<RequestFacts {self.request_id} deadline={self.deadline_ms}>"
+
+
+class AnswerFacts:
+    """What an application's answer says of its request.
+
+    Parameters
+    ----------
+    was_refused : bool
+        Whether the application has not run the request and never will.
+    is_foreign : bool
+        Whether the answer belongs to another request.
+    is_elsewhere : bool
+        Whether another life of an application has the address.
+    is_draining : bool
+        Whether the application takes no new work.
+    """
+
+    __slots__ = ("is_draining", "is_elsewhere", "is_foreign", "was_refused")
+
+    def __init__(self, was_refused=False, is_foreign=False, is_elsewhere=False, is_draining=False):
+        self.was_refused = was_refused
+        self.is_foreign = is_foreign
+        self.is_elsewhere = is_elsewhere
+        self.is_draining = is_draining
+
+    def __repr__(self) -> str:
+        return f"<AnswerFacts refused={self.was_refused} foreign={self.is_foreign}>"
+
+
+class Dialect(ABC):
+    """How callers and applications put what lanedock has to know.
+
+    Attributes
+    ----------
+    request_names : frozenset of str
+        Headers that lanedock sets itself: not passed on as they came.
+    answer_names : frozenset of str
+        Headers of applications' answers that are not passed on.
+    """
+
+    request_names: frozenset = frozenset()
+    answer_names: frozenset = frozenset()
+
+    @abstractmethod
+    def read_request(self, headers: list[tuple[str, str]]) -> RequestFacts:
+        """Read a caller's headers, their names in lower case."""
+
+    @abstractmethod
+    def read_answer(self, status: int, headers: list[tuple[str, str]], request_id: str) -> AnswerFacts:
+        """Read the headers of an application's answer."""
+
+    @abstractmethod
+    def request_headers(self, left_ms: int, upstream: str, caller: str, attempt: int) -> list[tuple[str, str]]:
+        """Make the headers for an application.
+
+        Parameters
+        ----------
+        left_ms : int
+            Time left, in milliseconds.
+        upstream : str
+            Life of the application that is meant; empty for any.
+        caller : str
+            Service where the request started; empty where none runs there.
+        attempt : int
+        """
+
+    def make_refusal(self, code: ErrorCode, outcome: str, retry_after: float = 0.0, detail: str = "") -> Answer:
+        """Make the answer to a request that lanedock answers itself."""
+        return make_refusal(code, outcome, retry_after, detail)
+
+
+class OwnDialect(Dialect):
+    """lanedock's own headers."""
+
+    request_names = frozenset((ATTEMPT_HEADER, DEADLINE_HEADER, TRACE_HEADER))
+    # What only a daemon may say is taken out.
+    answer_names = HOP_HEADERS | {OUTCOME_HEADER, CODE_HEADER, DRAIN_HEADER}
+
+    def read_request(self, headers: list[tuple[str, str]]) -> RequestFacts:
+        facts = RequestFacts()
+        for name, value in headers:
+            if name == DEADLINE_HEADER and value.isascii() and value.isdigit():
+                facts.deadline_ms = int(value)
+            elif name == ATTEMPT_HEADER:
+                facts.was_retried = value not in ("", "1")
+        return facts
+
+    def read_answer(self, status: int, headers: list[tuple[str, str]], request_id: str) -> AnswerFacts:
+        return AnswerFacts(is_draining=any(name == DRAIN_HEADER and value for name, value in headers))
+
+    def request_headers(self, left_ms: int, upstream: str, caller: str, attempt: int) -> list[tuple[str, str]]:
+        return [(ATTEMPT_HEADER, str(attempt)), (DEADLINE_HEADER, str(left_ms))]
--- a/packages/lanedock-daemon/lanedock_daemon/path/http.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http.py
@@ -8,7 +8,9 @@
 from lanedock.errors import ErrorCode
 
 __all__ = [
+    "ARRIVED_HEADER",
     "ATTEMPT_HEADER",
+    "CALLER_HEADER",
     "CLASS_HEADER",
     "DEADLINE_HEADER",
     "HOP_HEADERS",
@@ -16,6 +18,7 @@
     "OUTCOME_HEADER",
     "PRIVATE_PREFIX",
     "TRACE_HEADER",
+    "UPSTREAM_HEADER",
     "Answer",
     "Body",
     "Outcome",
@@ -32,6 +35,11 @@
 VERSION_HEADER = "x-lanedock-version"
 LOAD_HEADER = "x-lanedock-load"
 LEAVING_HEADER = "x-lanedock-leaving"
+# The life of the application that is meant, and the service that calls.
+UPSTREAM_HEADER = "x-lanedock-upstream"
+CALLER_HEADER = "x-lanedock-caller"
+# On a refusal: the request was at the application, which has refused it.
+ARRIVED_HEADER = "x-lanedock-arrived"
 # These are for callers and applications, too: an application passes the
 # deadline and the attempt on with the calls that it makes for a request.
 ATTEMPT_HEADER = "x-request-attempt"
@@ -191,6 +199,7 @@
     ErrorCode.ANSWER_TIMEOUT: (504, "Gateway Timeout"),
     ErrorCode.ANSWER_LOST: (502, "Bad Gateway"),
     ErrorCode.CONNECT_FAILED: (503, "Service Unavailable"),
+    ErrorCode.BODY_TOO_LONG: (413, "Content Too Large"),
 }
 _UNAVAILABLE = (503, "Service Unavailable")
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/parser.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/parser.py
@@ -35,7 +35,17 @@
         Whether the body was read to its end.
     """
 
-    __slots__ = ("headers", "is_complete", "keep_alive", "method", "pieces", "reason", "status", "target", "version")
+    __slots__ = (
+        "headers",
+        "is_complete",
+        "keep_alive",
+        "method",
+        "pieces",
+        "reason",
+        "status",
+        "target",
+        "version",
+    )
 
     def __init__(self):
         self.headers: list[tuple[str, str]] = []
@@ -55,6 +65,10 @@
                 return value
         return ""
 
+    def size_ahead(self) -> int:
+        """Return how many bytes of the body were read and not taken yet."""
+        return sum(len(piece) for piece in self.pieces)
+
 
 class MessageReader:
     """Reads messages from one connection, one after the other.
@@ -130,6 +144,14 @@
         """Tell whether a head was read ahead."""
         return bool(self._heads)
 
+    def has_rest(self) -> bool:
+        """Tell whether more came than the message read last."""
+        return bool(self._heads) or self.is_in_head
+
+    def drop(self) -> None:
+        """Forget what was read ahead."""
+        self._heads.clear()
+
     def receive_first(self) -> bool:
         """Wait for the first bytes of the next message; False at the end."""
         return self._receive()
@@ -153,6 +175,10 @@
     def _end_by_close(self, message: Message) -> None:
         raise ConnectionError("the connection ended within a body")
 
+    def _is_past_end(self) -> bool:
+        """Tell whether what can't be read stands behind all that is wanted."""
+        return False
+
     def _receive(self) -> bool:
         data = self.conn.recv(RECEIVE)
         if not data:
@@ -165,6 +191,8 @@
         except httptools.HttpParserUpgrade as exc:
             raise MalformedMessage("upgrades are not supported", 501) from exc
         except httptools.HttpParserError as exc:
+            if self._is_past_end():
+                return True
             cause = exc.__context__
             if isinstance(cause, MalformedMessage):
                 raise cause from None
@@ -198,10 +226,32 @@
         Of the request whose answer is read: one to HEAD has no body.
     may_continue : bool
         Whether an interim answer asked for the request's body.
+    is_body_unsent : bool
+        Whether the answer came before all of the request's body was sent.
     """
 
     method = ""
     may_continue = False
+    is_body_unsent = False
+    _is_whole = False
+    _is_spoiled = False
+
+    def begin(self, method: str) -> None:
+        """Be ready for the answer to another request."""
+        self.method = method
+        self._is_whole = False
+
+    def on_message_complete(self) -> None:
+        super().on_message_complete()
+        self._is_whole = True
+
+    def _is_past_end(self) -> bool:
+        """Bytes behind a whole answer belong to no request: they spoil the connection only."""
+        self._is_spoiled = self._is_whole
+        return self._is_spoiled
+
+    def has_rest(self) -> bool:
+        return self._is_spoiled or super().has_rest()
 
     def _make_parser(self):
         return httptools.HttpResponseParser(self)
--- a/packages/lanedock-daemon/lanedock_daemon/path/pool.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/pool.py
@@ -18,6 +18,12 @@
 __all__ = ["AnswerPieces", "ConnectionPool", "ExchangeError", "UpstreamAnswer", "exchange"]
 
 CONNECT_TIMEOUT = 1.0
+# A peer that acknowledges nothing for this long, in milliseconds, is gone or cut
+# off: several round trips between zones, and a retransmission or two.
+USER_TIMEOUT_MS = 1000
+# Whole seconds are the least that the kernel takes for its probes of silent peers.
+KEEPALIVE_S = 1
+KEEPALIVE_PROBES = 2
 CHUNK = 64 * 1024
 # Longest silence within an answer's body, in seconds.
 BODY_TIMEOUT = 30.0
@@ -48,10 +54,13 @@
     ----------
     max_idle : int
         Idle connections kept for one address.
+    connect_timeout : float
+        Seconds.
     """
 
-    def __init__(self, max_idle: int = 32):
+    def __init__(self, max_idle: int = 32, connect_timeout: float = CONNECT_TIMEOUT):
         self._max_idle = max_idle
+        self._connect_timeout = connect_timeout
         self._idle: dict[tuple[str, int], list] = {}
 
     def __repr__(self) -> str:
@@ -72,10 +81,10 @@
                 return reader
             reader.conn.close()
         try:
-            conn = socket.create_connection(address, timeout=min(timeout, CONNECT_TIMEOUT))
+            conn = socket.create_connection(address, timeout=min(timeout, self._connect_timeout))
         except OSError as exc:
             raise ExchangeError(ErrorCode.CONNECT_FAILED, Outcome.NOT_RUN, f"{address}: {exc}") from exc
-        conn.setsockopt(plain_socket.IPPROTO_TCP, plain_socket.TCP_NODELAY, 1)
+        _tune(conn)
         return AnswerReader(conn)
 
     def put(self, address: tuple[str, int], reader: AnswerReader) -> None:
@@ -97,6 +106,17 @@
             self.forget(address)
 
 
+def _tune(conn) -> None:
+    """Send at once, and notice a peer that is cut off in silence."""
+    tcp = plain_socket.IPPROTO_TCP
+    conn.setsockopt(tcp, plain_socket.TCP_NODELAY, 1)
+    conn.setsockopt(tcp, plain_socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    conn.setsockopt(plain_socket.SOL_SOCKET, plain_socket.SO_KEEPALIVE, 1)
+    conn.setsockopt(tcp, plain_socket.TCP_KEEPIDLE, KEEPALIVE_S)
+    conn.setsockopt(tcp, plain_socket.TCP_KEEPINTVL, KEEPALIVE_S)
+    conn.setsockopt(tcp, plain_socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+
+
 def _is_clean(conn) -> bool:
     """Tell whether an idle connection is open and silent."""
     try:
@@ -152,12 +172,25 @@
             pieces.append(piece)
         return b"".join(pieces)
 
+    def read_some(self, limit: int) -> list[bytes]:
+        """Return the body as far as `limit` bytes reach; the rest is still to be read."""
+        pieces, size = [], 0
+        while size <= limit and (piece := self.read()):
+            pieces.append(piece)
+            size += len(piece)
+        return pieces
+
+    def set_timeout(self, timeout: float) -> None:
+        """Set the longest wait for a piece of the body, in seconds."""
+        if self._reader is not None:
+            self._reader.conn.settimeout(max(0.001, timeout))
+
     def _settle(self) -> None:
         """Give the connection back once the answer was read to its end."""
         reader, self._reader = self._reader, None
         if reader is None:
             return
-        if self.message.keep_alive and not reader.has_head():
+        if self.message.keep_alive and not (reader.has_rest() or reader.is_body_unsent):
             self._pool.put(self._address, reader)
         else:
             reader.conn.close()
@@ -177,16 +210,21 @@
     response : UpstreamAnswer
     on_end : callable
         Called once, however it ends, with whether the body broke off.
+    first : list of bytes, optional
+        Pieces that were read already.
     """
 
-    def __init__(self, response: UpstreamAnswer, on_end):
+    def __init__(self, response: UpstreamAnswer, on_end, first: list[bytes] | None = None):
         self._response = response
         self._on_end = on_end
+        self._first = first or []
 
     def __iter__(self) -> "AnswerPieces":
         return self
 
     def __next__(self) -> bytes:
+        if self._first:
+            return self._first.pop(0)
         try:
             piece = self._response.read()
         except (OSError, MalformedMessage) as exc:
@@ -242,9 +280,11 @@
         With what is known of the outcome.
     """
     deadline = time.monotonic() + timeout
+    if timeout <= 0:
+        raise ExchangeError(ErrorCode.DEADLINE, Outcome.NOT_RUN, f"{address}: no time is left")
     reader = pool.get(address, timeout)
     conn = reader.conn
-    reader.method = request.method
+    reader.begin(request.method)
     try:
         conn.settimeout(timeout)
         _send(reader, request, headers, ask_first)
@@ -283,28 +323,38 @@
     if ask_first:
         conn.sendall(head)
         if not reader.wait_for_consent():
+            reader.is_body_unsent = True
             return
         head = b""
     if body.length is None:
-        _send_chunked(conn, head, body)
+        _send_chunked(reader, head, body)
     else:
-        _send_counted(conn, head, body)
+        _send_counted(reader, head, body)
 
 
-def _send_counted(conn, head: bytes, body: Body) -> None:
+def _send_counted(reader: AnswerReader, head: bytes, body: Body) -> None:
     left = body.length
     while left > 0:
         piece = body.read(min(CHUNK, left))
         if not piece:
             raise ConnectionError("the body ended too early")
-        conn.sendall(head + piece if head else piece)
+        if left < body.length and not _is_clean(reader.conn):
+            # An early answer: the rest is not wanted, and the connection can't
+            # be used again, for the other side may still wait for it.
+            reader.is_body_unsent = True
+            return
+        reader.conn.sendall(head + piece if head else piece)
         head = b""
         left -= len(piece)
 
 
-def _send_chunked(conn, head: bytes, body: Body) -> None:
+def _send_chunked(reader: AnswerReader, head: bytes, body: Body) -> None:
+    conn = reader.conn
     if head:
         conn.sendall(head)
     while piece := body.read(CHUNK):
+        if not _is_clean(conn):
+            reader.is_body_unsent = True
+            return
         conn.sendall(b"%x\r\n%b\r\n" % (len(piece), piece))
     conn.sendall(b"0\r\n\r\n")
--- a/packages/lanedock-daemon/lanedock_daemon/path/server.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/server.py
@@ -7,14 +7,17 @@
 
 import socket as plain_socket
 import time
+from collections import deque
 
 import gevent
 from gevent import socket
+from gevent.event import Event as Signal
 from gevent.server import StreamServer
 
+from lanedock.errors import ErrorCode
 from lanedock.kernel import Kernel
 from lanedock.settings import Address
-from lanedock.telemetry import EventLogger
+from lanedock.telemetry import Event, EventLogger
 from lanedock_daemon.agent.attest import ALIVE_PATH
 from lanedock_daemon.path.http import HOP_HEADERS, Answer, Body, Outcome, Request, make_refusal
 from lanedock_daemon.path.parser import MalformedMessage, Message, RequestReader
@@ -26,13 +29,20 @@
 HEAD_TIMEOUT = 10.0
 BODY_TIMEOUT = 30.0
 BACKLOG = 1024
-_READ = 1
 _NEVER = float("inf")
 SWEEP_INTERVAL = 1.0
+# Requests of one connection that are worked on at once; later ones wait unread.
+MAX_PIPELINED = 32
+# Bytes of a body that are read ahead of whoever takes them.
+READ_AHEAD = 256 * 1024
+# After the last answer the rest that a caller still sends is read for this
+# long, in seconds: closing with unread bytes would reset the answer, too.
+LINGER = 1.0
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _REASONS = {
     400: "Bad Request",
     408: "Request Timeout",
+    413: "Content Too Large",
     414: "URI Too Long",
     431: "Request Header Fields Too Large",
     501: "Not Implemented",
@@ -47,32 +57,69 @@
     """The connection's time is over."""
 
 
-class _SocketBody(Body):
-    """A request's body, read from the caller's connection as it is passed on."""
+class _StreamedBody(Body):
+    """A request's body, put in by the connection's reader as it comes."""
 
-    def __init__(self, reader: RequestReader, message: Message):
-        self._reader = reader
+    def __init__(self, conn, message: Message, on_taken):
+        self._conn = conn
+        self._on_taken = on_taken
         self._message = message
         self._rest = b""
-        self._wants_continue = message.header("expect").lower() == "100-continue"
+        self._arrived = None if message.is_complete else Signal()
+        self._broke_off = False
+        self._wants_continue = not message.is_complete and message.header("expect").lower() == "100-continue"
         length = message.header("content-length")
         if message.header("transfer-encoding"):
             self.length = None
         else:
             self.length = int(length) if length else 0
 
+    def wake(self) -> None:
+        """Note that more of it has come."""
+        if self._arrived is not None:
+            self._arrived.set()
+
+    def break_off(self) -> None:
+        """Note that nothing more will come."""
+        self._broke_off = True
+        self.wake()
+
     def read(self, size: int) -> bytes:
         if not self._rest:
-            if self._wants_continue:
-                self._wants_continue = False
-                self._reader.conn.sendall(_CONTINUE)
-            self._rest = self._reader.next_piece(self._message)
+            self._rest = self._next_piece()
         piece, self._rest = self._rest[:size], self._rest[size:]
         return piece
 
+    def _next_piece(self) -> bytes:
+        pieces = self._message.pieces
+        while not pieces:
+            if self._message.is_complete:
+                return b""
+            if self._broke_off:
+                raise ConnectionError("the connection ended within a body")
+            if self._wants_continue:
+                self._wants_continue = False
+                self._conn.sendall(_CONTINUE)
+            self._arrived.clear()
+            self._arrived.wait()
+        self._on_taken()
+        return pieces.popleft()
+
+
+class _Exchange:
+    """One request of a connection, and its turn to be answered."""
+
+    __slots__ = ("body", "greenlet", "message", "turn")
+
+    def __init__(self, message: Message, body: _StreamedBody):
+        self.message = message
+        self.body = body
+        self.greenlet = None
+        self.turn: Signal | None = None
+
 
 class _Connection:
-    """One caller's connection.
+    """One caller's connection: requests are worked on at once, and answered in order.
 
     Attributes
     ----------
@@ -87,89 +134,159 @@
         self._conn = conn
         self._reader = RequestReader(conn)
         self._greenlet = gevent.getcurrent()
-        self._watcher = gevent.get_hub().loop.io(conn.fileno(), _READ)
-        self._is_reading_head = False
+        self._exchanges: deque[_Exchange] = deque()
+        self._open: _Exchange | None = None
+        self._has_room = Signal()
+        self._is_closing = False
+
+    # ------------------------------------------------------------------ reading
 
     def run(self) -> None:
-        """Answer requests until the connection ends."""
+        """Read requests until the connection ends."""
         try:
-            while self._serve_one():
-                pass
+            self._read()
         except MalformedMessage as exc:
+            self._finish_exchanges()
             self._refuse(exc)
         except _Expired:
-            if self._is_reading_head:
+            if self._reader.is_in_head and not self._exchanges:
                 self._refuse(MalformedMessage("the request came too slowly", 408))
         except (OSError, gevent.GreenletExit):
             # The caller is gone, or must not take a part for the whole.
             pass
         finally:
-            self._watcher.stop()
-            self._watcher.close()
+            self._abandon()
             self._conn.close()
 
     def expire(self) -> None:
         """End the connection: its caller has taken too long."""
         self._greenlet.kill(_Expired, block=False)
 
-    def _serve_one(self) -> bool:
-        """Answer one request; tells whether another may follow."""
-        message = self._next_head()
-        if message is None:
-            return False
-        if message.target == ALIVE_PATH:
-            self._conn.sendall(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
-            return message.keep_alive
+    def end_if_idle(self) -> None:
+        """End the connection of a server that stops, unless a request is in progress."""
+        if not self._exchanges and not self._reader.is_in_head:
+            self.expire()
+
+    def _read(self) -> None:
+        reader = self._reader
+        self._note_time()
+        while reader.receive_first():
+            if self._is_closing:
+                # What comes behind the last answer was not read.
+                reader.drop()
+                continue
+            while reader.has_head():
+                self._begin(reader.next_head())
+            if self._open is not None:
+                self._open.body.wake()
+                if self._open.message.is_complete:
+                    self._open = None
+            self._note_time()
+            while not self._is_closing and self._is_full():
+                self._has_room.clear()
+                self._has_room.wait()
+        if reader.is_in_head:
+            raise ConnectionError("the connection ended within a head")
+
+    def _is_full(self) -> bool:
+        if len(self._exchanges) >= MAX_PIPELINED:
+            return True
+        # The reader goes on once the body's pieces were taken.
+        return self._open is not None and self._open.message.size_ahead() > READ_AHEAD
+
+    def _note_time(self) -> None:
+        now = time.monotonic()
+        header_timeout, idle_timeout = self._server.read_timeouts()
+        if self._open is not None:
+            self.expires_at = now + BODY_TIMEOUT
+        elif self._reader.is_in_head:
+            self.expires_at = now + header_timeout
+        elif self._exchanges:
+            self.expires_at = _NEVER
+        else:
+            self.expires_at = now + idle_timeout
+
+    def _begin(self, message: Message) -> None:
+        """Start to work on a request."""
+        exchange = _Exchange(message, _StreamedBody(self._conn, message, self._has_room.set))
+        if not message.is_complete:
+            self._open = exchange
+        self._exchanges.append(exchange)
+        exchange.greenlet = gevent.spawn(self._work, exchange)
+
+    # ---------------------------------------------------------------- answering
+
+    def _work(self, exchange: _Exchange) -> None:
+        """Find a request's answer, and write it when its turn has come."""
+        message = exchange.message
         self._server.in_progress += 1
         try:
-            return self._answer(message)
+            answer = self._find_answer(message, exchange.body)
+            if self._exchanges[0] is not exchange:
+                exchange.turn = Signal()
+                exchange.turn.wait()
+            if not self._is_closing:
+                self._write(answer, message, self._may_keep(exchange))
+            else:
+                _close(iter(answer.pieces))
+        except (OSError, gevent.GreenletExit):
+            # Nobody reads, or the answer has broken off: cut, so that no part
+            # is taken for the whole.
+            self._is_closing = True
+            self._greenlet.kill(block=False)
+        except Exception as exc:
+            self._is_closing = True
+            self._greenlet.kill(block=False)
+            self._server.report(exc)
         finally:
             self._server.in_progress -= 1
+            self._end(exchange)
 
-    def _next_head(self) -> Message | None:
-        """Read a head: it may be long in coming, but not slow once it has begun."""
-        reader = self._reader
-        if not reader.has_head():
-            if not reader.is_in_head:
-                self.expires_at = time.monotonic() + IDLE_TIMEOUT
-                if not reader.receive_first():
-                    return None
-            self.expires_at = time.monotonic() + HEAD_TIMEOUT
-            self._is_reading_head = True
-        message = reader.next_head()
-        self._is_reading_head = False
-        self.expires_at = _NEVER
-        return message
-
-    def _answer(self, message: Message) -> bool:
-        # The socket's own timeout bounds each wait for a piece of a body.
-        self._conn.settimeout(None if message.is_complete else BODY_TIMEOUT)
-        request = _make_request(message, _SocketBody(self._reader, message))
-        if message.is_complete:
-            self._watcher.start(self._on_readable)
-        try:
-            answer = self._server.side.handle(request)
-        finally:
-            self._watcher.stop()
-        keep_alive = message.keep_alive and not self._server.is_stopping
+    def _find_answer(self, message: Message, body: _StreamedBody) -> Answer:
+        if message.target == ALIVE_PATH:
+            return Answer(200, "OK", [("content-length", "0")], [])
+        limits = self._server.limits
+        if limits is not None and body.length is not None and body.length > limits.body_bytes:
+            return make_refusal(ErrorCode.BODY_TOO_LONG, Outcome.NOT_RUN)
+        return self._server.side.handle(_make_request(message, body))
+
+    def _may_keep(self, exchange: _Exchange) -> bool:
+        """Tell whether the connection stays open after a request's answer."""
+        if not exchange.message.keep_alive:
+            return False
         # A body that has not come to its end stands in the next request's way.
-        keep_alive = keep_alive and message.is_complete
-        self._conn.settimeout(BODY_TIMEOUT)
-        self._write(answer, message, keep_alive)
-        self._conn.settimeout(None)
-        return keep_alive
-
-    def _on_readable(self) -> None:
-        """Have the request cancelled when the caller has closed its connection."""
+        if not exchange.message.is_complete:
+            return False
+        # Those behind it are being worked on; the last one closes.
+        return not self._server.is_stopping or len(self._exchanges) > 1
+
+    def _end(self, exchange: _Exchange) -> None:
+        """Let the next request be answered."""
         try:
-            gone = not self._conn._sock.recv(1, plain_socket.MSG_PEEK | plain_socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            return
-        except OSError:
-            gone = True
-        self._watcher.stop()
-        if gone:
-            self._greenlet.kill(CallerGone, block=False)
+            self._exchanges.remove(exchange)
+        except ValueError:
+            return  # the connection has ended
+        if self._exchanges and self._exchanges[0].turn is not None:
+            self._exchanges[0].turn.set()
+        self._has_room.set()
+        if not self._exchanges:
+            self._note_time()
+
+    def _finish_exchanges(self) -> None:
+        """Let the requests that came before a malformed one be answered."""
+        for exchange in list(self._exchanges):
+            if exchange is not self._open:
+                exchange.greenlet.join(timeout=BODY_TIMEOUT)
+
+    def _abandon(self) -> None:
+        """Cancel what is in progress."""
+        exchanges, self._exchanges = self._exchanges, deque()
+        if self._open is not None:
+            self._open.body.break_off()
+        me = gevent.getcurrent()
+        for exchange in exchanges:
+            if exchange.greenlet is not me:
+                exchange.greenlet.kill(CallerGone, block=False)
 
     def _write(self, answer: Answer, message: Message, keep_alive: bool) -> None:
         """Write an answer; its head goes with the first piece of its body."""
@@ -188,14 +305,15 @@
             lines.append("connection: close")
         head = ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
         pieces = iter(answer.pieces)
-        if not has_body:
-            self._conn.sendall(head)
-            _close(pieces)
-            return
         try:
-            self._write_body(head, pieces, is_chunked)
+            if has_body:
+                self._write_body(head, pieces, is_chunked)
+            else:
+                self._conn.sendall(head)
         finally:
             _close(pieces)
+        if not keep_alive:
+            self._close_politely()
 
     def _write_body(self, head: bytes, pieces, is_chunked: bool) -> None:
         pending = head
@@ -211,6 +329,15 @@
         if pending:
             self._conn.sendall(pending)
 
+    def _close_politely(self) -> None:
+        """End the connection for the caller; the reader takes what is still on its way."""
+        self._is_closing = True
+        self._has_room.set()
+        self.expires_at = time.monotonic() + LINGER
+        self._conn.shutdown(plain_socket.SHUT_WR)
+        if self._open is None and self._server.is_stopping:
+            self._greenlet.kill(_Expired, block=False)
+
     def _refuse(self, exc: MalformedMessage) -> None:
         """Answer what is malformed, and take nothing more from this connection."""
         answer = make_refusal(exc.code, Outcome.NOT_RUN, 0.0, str(exc))
@@ -218,14 +345,12 @@
         message = Message()
         message.version = "1.1"
         try:
-            self._conn.settimeout(1.0)
+            self._conn.settimeout(LINGER)
             self._write(answer, message, keep_alive=False)
-            # What is still on its way must not turn the answer into a reset.
-            self._conn.shutdown(plain_socket.SHUT_WR)
             while self._conn.recv(65536):
                 pass
         except (OSError, gevent.GreenletExit):
-            pass
+            pass  # the caller has gone: nobody reads the refusal
 
 
 def _close(pieces) -> None:
@@ -243,10 +368,25 @@
 
 
 class PathServer(HttpService):
-    """The server that runs; its parameters are those of `HttpService`."""
+    """The server that runs; its first parameters are those of `HttpService`.
+
+    Parameters
+    ----------
+    limits_of : callable, optional
+        Returns the `CallerLimits` in force, or None.
 
-    def __init__(self, name: str, address: Address, side, stop_timeout: float, events: EventLogger):
+    Attributes
+    ----------
+    limits : CallerLimits or None
+        As they were in force at the last sweep.
+    """
+
+    def __init__(
+        self, name: str, address: Address, side, stop_timeout: float, events: EventLogger, limits_of=lambda: None
+    ):
         super().__init__(name, address, side, stop_timeout, events)
+        self.limits = None
+        self._limits_of = limits_of
         self._connections: dict[_Connection, None] = {}
         self._sweeper = None
 
@@ -258,16 +398,29 @@
         self._sweeper = gevent.spawn(self._sweep)
 
     def stop(self) -> None:
-        self._sweeper.kill()
         super().stop()
+        self._sweeper.kill()
+
+    def read_timeouts(self) -> tuple[float, float]:
+        """Return how long a head may take and an idle connection is kept, in seconds."""
+        if self.limits is None:
+            return HEAD_TIMEOUT, IDLE_TIMEOUT
+        return self.limits.header_timeout_ms / 1000, self.limits.idle_timeout_ms / 1000
+
+    def report(self, exc: Exception) -> None:
+        """Log a failure of the side that nobody foresaw."""
+        self._events.emit(Event.UNEXPECTED, error=repr(exc))
 
     def _sweep(self) -> None:
         while True:
             gevent.sleep(SWEEP_INTERVAL)
+            self.limits = self._limits_of()
             now = time.monotonic()
             for connection in list(self._connections):
                 if connection.expires_at < now:
                     connection.expire()
+                elif self.is_stopping:
+                    connection.end_if_idle()
 
     def _accept(self, conn, address) -> None:
         conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
@@ -7,34 +7,38 @@
 
 from lanedock.errors import ErrorCode
 from lanedock.limits import Refused, SlotLimiter
+from lanedock.membership import UpstreamRegistration
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics, Tracer
-from lanedock_daemon.agent.board import Binding, Board
+from lanedock_daemon.agent.board import Board
+from lanedock_daemon.path.dialect import Dialect, OwnDialect
 from lanedock_daemon.path.http import (
+    ARRIVED_HEADER,
+    ATTEMPT_HEADER,
+    CALLER_HEADER,
     CLASS_HEADER,
-    CODE_HEADER,
     DEADLINE_HEADER,
-    HOP_HEADERS,
     LEAVING_HEADER,
     LOAD_HEADER,
-    OUTCOME_HEADER,
     SERVICE_HEADER,
     TRACE_HEADER,
+    UPSTREAM_HEADER,
     Answer,
     Outcome,
     Request,
     make_refusal,
     public_headers,
 )
-from lanedock_daemon.path.parser import Message
+from lanedock_daemon.path.parser import MalformedMessage
 from lanedock_daemon.path.pool import AnswerPieces, ConnectionPool, ExchangeError, exchange
 
 __all__ = ["UpstreamSide"]
 
 RETRY_AFTER = 1.0
-# Of the application's answers that say that it drains.
-DRAIN_HEADER = "x-upstream-draining"
-_NOT_PASSED = HOP_HEADERS | {OUTCOME_HEADER, CODE_HEADER, DRAIN_HEADER}
-_SET_HERE = (DEADLINE_HEADER, TRACE_HEADER)
+# Classes by which an application's slots are shared before a version is held.
+NO_CLASSES: dict = {}
+# Requests that may wait for each slot where no version says how many.
+QUEUE_PER_SLOT = 2
+_SET_HERE = (ATTEMPT_HEADER, DEADLINE_HEADER, TRACE_HEADER)
 
 
 class UpstreamSide:
@@ -50,9 +54,14 @@
     events : EventLogger
     metrics : Metrics
     tracer : Tracer
+    dialect : Dialect, optional
     """
 
-    def __init__(self, service: str, application, board: Board, pool: ConnectionPool, events, metrics, tracer):
+    def __init__(
+        self, service: str, application, board: Board, pool: ConnectionPool, events, metrics, tracer, dialect=None
+    ):
+        self._dialect: Dialect = dialect or OwnDialect()
+        self._registration = board.upstream or UpstreamRegistration(service, False, 1.0)
         self._service = service
         self._application = application
         self._board = board
@@ -86,10 +95,18 @@
     def _admit(self, request: Request, span, started: float) -> Answer:
         if self._board.is_draining:
             return self._refuse(ErrorCode.DRAINING, RETRY_AFTER)
+        refusal = self._registration.judge(request.header(UPSTREAM_HEADER))
+        if refusal is not None:
+            return self._refuse(refusal, RETRY_AFTER)
         binding = self._board.bind()
-        if binding is None:
+        if self._registration.upstream:
+            # The application itself has said what it runs.
+            is_held = request.header(SERVICE_HEADER) == self._registration.service
+        elif binding is None:
             return self._refuse(ErrorCode.NOT_READY, RETRY_AFTER)
-        if request.header(SERVICE_HEADER) != self._service or self._service not in binding.config.services:
+        else:
+            is_held = request.header(SERVICE_HEADER) == self._service and self._service in binding.config.services
+        if not is_held:
             return self._refuse(ErrorCode.NOT_HELD, RETRY_AFTER)
         self._configure(binding)
         told = request.header(DEADLINE_HEADER)
@@ -98,20 +115,32 @@
         refused = self._acquire(traffic_class, deadline)
         if refused is not None:
             return self._refuse(refused.code, refused.retry_after)
+        # It may have begun to leave while the request waited.
+        refusal = self._registration.judge(request.header(UPSTREAM_HEADER))
+        if refusal is not None:
+            self._limiter.release(traffic_class, 0.0, time.monotonic())
+            return self._refuse(refusal, RETRY_AFTER)
         return self._pass_on(request, traffic_class, deadline, span)
 
     def _refuse(self, code: ErrorCode, retry_after: float = 0.0) -> Answer:
         self._metrics.count(Metric.NOT_RUN)
         return make_refusal(code, Outcome.NOT_RUN, retry_after)
 
-    def _configure(self, binding: Binding) -> None:
-        if self._configured == binding.number:
+    def _configure(self, binding) -> None:
+        """Take the limits over from the version in force and the application's own word."""
+        number = binding.number if binding is not None else 0
+        key = (number, self._registration.slots, self._registration.service)
+        if self._configured == key:
             return
-        self._configured = binding.number
-        service = binding.config.services[self._service]
+        self._configured = key
+        service = binding.config.services.get(key[2]) if binding is not None else None
+        classes = binding.config.traffic_classes if binding is not None else NO_CLASSES
+        slots = self._registration.slots or (service.slots if service else 1)
         # Each request in progress takes one of the application's connections.
-        slots = min(service.slots, service.connections)
-        self._limiter.configure(slots, service.queue, binding.config.traffic_classes)
+        if service is not None:
+            slots = min(slots, service.connections)
+        queue = service.queue if service is not None else slots * QUEUE_PER_SLOT
+        self._limiter.configure(slots, queue, classes)
 
     def _acquire(self, traffic_class: str, deadline: float) -> Refused | None:
         """Take a slot, waiting for it if need be."""
@@ -133,7 +162,8 @@
         if started >= deadline:
             release()
             return self._refuse(ErrorCode.DEADLINE)
-        headers = _make_headers(request, deadline - started, span)
+        facts = self._dialect.read_request(request.headers)
+        headers = self._make_headers(request, deadline - started, span)
         try:
             response = exchange(self._pool, self._application, request, headers, deadline - started)
         except ExchangeError as exc:
@@ -143,13 +173,23 @@
             release()
             raise
         head = response.message
-        if head.header(DRAIN_HEADER) and not self._board.is_draining:
+        said = self._dialect.read_answer(head.status, head.headers, facts.request_id)
+        if said.is_foreign:
+            response.close()
+            release()
+            return self._on_lost(ExchangeError(ErrorCode.ANSWER_LOST, Outcome.UNKNOWN, "an answer to another request"))
+        now = time.monotonic()
+        self._registration.note_answer(now)
+        if said.is_draining and not self._board.is_draining:
             self._board.is_draining = True
             self._events.emit(Event.DRAINING, service=self._service)
+        if said.was_refused:
+            return self._on_refused(response, release, said.is_elsewhere)
+        headers = public_headers(head.headers, self._dialect.answer_names)
         if head.is_complete:
             release()
-            return Answer(head.status, head.reason, _strip(head), list(head.pieces))
-        return Answer(head.status, head.reason, _strip(head), AnswerPieces(response, lambda broke_off: release()))
+            return Answer(head.status, head.reason, headers, list(head.pieces))
+        return Answer(head.status, head.reason, headers, AnswerPieces(response, lambda broke_off: release()))
 
     def _on_lost(self, exc: ExchangeError) -> Answer:
         if exc.outcome == Outcome.NOT_RUN:
@@ -158,6 +198,33 @@
         self._events.emit(Event.ANSWER_LOST, error=exc)
         return make_refusal(exc.code, Outcome.UNKNOWN)
 
+    def _on_refused(self, response, release, is_elsewhere: bool) -> Answer:
+        """The application has refused the request and will not run it."""
+        try:
+            response.read_all()
+        except (OSError, MalformedMessage):
+            pass  # the head said enough
+        finally:
+            response.close()
+            release()
+        answer = self._refuse(ErrorCode.NOT_HELD if is_elsewhere else ErrorCode.UPSTREAM_REFUSED, RETRY_AFTER)
+        answer.headers.append((ARRIVED_HEADER, "1"))
+        return answer
+
+    def _make_headers(self, request: Request, left: float, span) -> list[tuple[str, str]]:
+        headers = public_headers(request.headers, _SET_HERE)
+        left_ms = max(1, int(left * 1000))
+        attempt = request.header(ATTEMPT_HEADER)
+        headers += self._dialect.request_headers(
+            left_ms,
+            request.header(UPSTREAM_HEADER) or self._registration.upstream,
+            request.header(CALLER_HEADER),
+            int(attempt) if attempt.isdigit() else 1,
+        )
+        if span.traceparent:
+            headers.append((TRACE_HEADER, span.traceparent))
+        return headers
+
 
 class _Release:
     """Gives a slot back, once."""
@@ -175,16 +242,3 @@
             self._done = True
             now = time.monotonic()
             self._limiter.release(self._traffic_class, now - self._started, now)
-
-
-def _make_headers(request: Request, left: float, span) -> list[tuple[str, str]]:
-    headers = public_headers(request.headers, _SET_HERE)
-    headers.append((DEADLINE_HEADER, str(max(1, int(left * 1000)))))
-    if span.traceparent:
-        headers.append((TRACE_HEADER, span.traceparent))
-    return headers
-
-
-def _strip(head: Message) -> list[tuple[str, str]]:
-    """Return an answer's headers; what only a daemon may say is taken out."""
-    return public_headers(head.headers, _NOT_PASSED)
--- a/packages/lanedock-daemon/lanedock_daemon/roles.py
+++ b/packages/lanedock-daemon/lanedock_daemon/roles.py
@@ -4,55 +4,131 @@
 import gevent
 
 from lanedock.kernel import Kernel, Service
+from lanedock.limits import SavingBudget, WindowBudget
+from lanedock.membership import UpstreamRegistration
 from lanedock.settings import Settings
 from lanedock.telemetry import EventLogger, Metrics, Tracer
 from lanedock_daemon.agent import AgentService, Board
-from lanedock_daemon.agent.service import DrainAsked
+from lanedock_daemon.agent.service import DrainAsked, RegistrationChanged
+from lanedock_daemon.interface import Interface, OwnInterface
 from lanedock_daemon.path.caller import CallerSide
+from lanedock_daemon.path.http import Answer, Request
 from lanedock_daemon.path.pool import ConnectionPool
 from lanedock_daemon.path.server import PathServer
 from lanedock_daemon.path.upstream import UpstreamSide
-from lanedock_daemon.path.wsgi import WsgiPathServer
 
 __all__ = ["add_daemon"]
 
 # After a drain is told, new work may still be on its way for this long.
 DRAIN_SETTLE = 0.3
+# Part of the grace time for which callers are still served, and what is left
+# over at its end, in seconds: a slow instance takes its time to end, too.
+LINGER_PART = 0.5
+STOP_MARGIN = 0.6
 
 
 class _DrainService(Service):
-    """Tells the mesh, first of all when the process stops, that it takes no new work."""
+    """Makes known, first of all when the process stops, that it takes no new work.
+
+    Parameters
+    ----------
+    agent : AgentService
+    linger : float
+        Seconds for which callers are still served, until they have gone elsewhere.
+    """
 
     name = "drain"
 
-    def __init__(self, agent: AgentService):
+    def __init__(self, agent: AgentService, linger: float):
         self._agent = agent
+        self._linger = linger
 
     def start(self, kernel: Kernel) -> None:
         """Nothing to do."""
 
     def stop(self) -> None:
         self._agent.post(DrainAsked())
-        gevent.sleep(DRAIN_SETTLE)
+        gevent.sleep(max(DRAIN_SETTLE, self._linger))
+
+
+class _ReadySide:
+    """Answers whether the daemon takes callers' requests."""
+
+    def __init__(self, board: Board):
+        self._board = board
 
+    def handle(self, request: Request) -> Answer:
+        if self._board.is_ready():
+            return Answer(200, "OK", [("content-length", "0")], [])
+        return Answer(503, "Service Unavailable", [("content-length", "0")], [])
 
-def add_daemon(kernel: Kernel, settings: Settings, events: EventLogger, metrics: Metrics, tracer: Tracer) -> None:
+
+def add_daemon(
+    kernel: Kernel,
+    settings: Settings,
+    events: EventLogger,
+    metrics: Metrics,
+    tracer: Tracer,
+    interface: Interface | None = None,
+) -> None:
     """Add the services of an entry daemon or of an upstream's daemon."""
-    board = Board(settings.zone, settings.daemon.stall_limit_ms / 1000)
+    interface = interface or OwnInterface()
+    dialect = interface.make_dialect()
+    registration = _make_registration(settings)
+    board = Board(settings.zone, settings.daemon.stall_limit_ms / 1000, registration)
+    board.set_budgets(_budget_maker(settings, board))
     agent = AgentService(settings, board, events, metrics)
     kernel.add(agent)
-    pool = ConnectionPool()
-    stop_timeout = settings.stop_timeout_ms / 1000
-    # Both take requests the same way; the second is the benches' baseline.
-    server = WsgiPathServer if settings.http_server == "wsgi" else PathServer
-    caller = CallerSide(board, pool, events, metrics, tracer)
+    linger, stop_timeout = _stop_times(settings)
+    caller = CallerSide(board, ConnectionPool(), events, metrics, tracer, dialect)
+
+    def add_server(name: str, address, side) -> None:
+        if settings.http_server == "wsgi":
+            from lanedock_daemon.path.wsgi import WsgiPathServer
+
+            # Takes requests the same way; it is the benches' baseline.
+            kernel.add(WsgiPathServer(name, address, side, stop_timeout, events))
+        else:
+            kernel.add(PathServer(name, address, side, stop_timeout, events, board.caller_limits))
+
+    if settings.daemon.ready is not None:
+        add_server("ready", settings.daemon.ready, _ReadySide(board))
     if settings.entry is not None:
-        kernel.add(server("entry", settings.entry.listen, caller, stop_timeout, events))
+        add_server("entry", settings.entry.listen, caller)
     if settings.upstream is not None:
         cfg = settings.upstream
         application = (cfg.application.host, cfg.application.port)
-        side = UpstreamSide(cfg.service, application, board, ConnectionPool(), events, metrics, tracer)
+        side = UpstreamSide(cfg.service, application, board, ConnectionPool(), events, metrics, tracer, dialect)
+        if cfg.registration is not None:
+            changed = RegistrationChanged()
+            heartbeats = interface.make_registration_side(registration, lambda: agent.post(changed), events)
+            add_server("registration", cfg.registration, heartbeats)
         if cfg.egress is not None:
-            kernel.add(server("egress", cfg.egress, caller, stop_timeout, events))
-        kernel.add(server("upstream", cfg.listen, side, stop_timeout, events))
-    kernel.add(_DrainService(agent))
+            add_server("egress", cfg.egress, caller)
+        add_server("upstream", cfg.listen, side)
+    kernel.add(_DrainService(agent, linger))
+
+
+def _stop_times(settings: Settings) -> tuple[float, float]:
+    """Return for how long callers are still served, and how long requests may then take, in seconds."""
+    grace = settings.stop_grace_s
+    if grace is None:
+        return 0.0, settings.stop_timeout_ms / 1000
+    linger = grace * LINGER_PART
+    return linger, max(0.0, grace - linger - STOP_MARGIN)
+
+
+def _make_registration(settings: Settings) -> UpstreamRegistration | None:
+    cfg = settings.upstream
+    if cfg is None:
+        return None
+    return UpstreamRegistration(cfg.service, cfg.registration is not None, cfg.heartbeat_s)
+
+
+def _budget_maker(settings: Settings, board: Board):
+    """Return what makes the retry budget towards a service."""
+    cfg = settings.daemon
+    if cfg.retry_slack is None:
+        return lambda: SavingBudget(cfg.retry_share)
+    window = cfg.retry_window_s
+    return lambda: WindowBudget(cfg.retry_share, cfg.retry_slack, window, board.daemon_count)
--- /dev/null
+++ b/packages/lanedock-daemon/lanedock_daemon/run.py
@@ -0,0 +1,248 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""A process of lanedock: its services, its signals, its end."""
+
+import argparse
+import os
+import signal
+import sys
+from random import Random
+
+import gevent
+from gevent.event import Event as Signal
+
+from lanedock.errors import LanedockError
+from lanedock.findings import FindingsError
+from lanedock.kernel import Kernel
+from lanedock.settings import Settings, load_settings
+from lanedock.telemetry import (
+    Event,
+    EventLogger,
+    Metrics,
+    NullMetrics,
+    NullTracer,
+    OtelTracer,
+    StatsdMetrics,
+    Tracer,
+    configure_logging,
+)
+from lanedock_daemon.interface import Interface, OwnInterface
+
+__all__ = ["main"]
+
+EXIT_SETTINGS = 2
+EXIT_FAILED = 1
+METRICS_INTERVAL = 1.0
+# A settings file that changes without a signal is noticed within this time, in seconds.
+RELOAD_INTERVAL = 1.0
+
+
+def main(arguments: list[str] | None = None, interface: Interface | None = None) -> int:
+    """Run a process until SIGTERM or SIGINT.
+
+    Parameters
+    ----------
+    arguments : list of str, optional
+        Of the command line.
+    interface : Interface, optional
+        How it speaks with its surroundings; lanedock's own where left out.
+
+    Returns
+    -------
+    int
+        Exit code: 0 after a planned stop, 1 after a failure, 2 where the
+        settings have findings.
+    """
+    parsed = _parse_arguments(arguments)
+    try:
+        settings = load_settings(parsed.settings, parsed.made)
+    except FindingsError as exc:
+        for finding in exc.findings:
+            print(finding, file=sys.stderr)
+        return EXIT_SETTINGS
+    configure_logging(settings.log_level)
+    events = EventLogger(settings.name)
+    metrics = _make_metrics(settings)
+    tracer = _make_tracer(settings)
+    interface = interface or OwnInterface()
+    kernel = _make_kernel(settings, parsed.initialize, events, metrics, tracer, interface)
+    reload = _Reloader(kernel, parsed.settings, settings, events, parsed.made)
+    return _run(kernel, settings, events, metrics, tracer, reload)
+
+
+def _parse_arguments(arguments: list[str] | None) -> argparse.Namespace:
+    parser = argparse.ArgumentParser(
+        prog="lanedockd",
+        description="Runs one lanedock process; its roles follow from its settings.",
+        epilog="example: lanedockd --settings /etc/lanedock/entry-nbo-a.jsonc",
+    )
+    parser.add_argument("--settings", required=True, metavar="FILE", help="settings, JSON with comments")
+    parser.add_argument(
+        "--initialize",
+        action="store_true",
+        help="control only, once, when a mesh is set up: let an empty data folder vote from the start",
+    )
+    parser.add_argument(
+        "--made",
+        action="store_true",
+        help="the settings are made by a program: load the schema only where they can't be used",
+    )
+    return parser.parse_args(arguments)
+
+
+def _make_metrics(settings: Settings) -> Metrics:
+    if settings.statsd is None:
+        return NullMetrics()
+    prefix = f"lanedock.{settings.zone}.{settings.name}"
+    return StatsdMetrics(settings.statsd.host, settings.statsd.port, prefix)
+
+
+def _make_tracer(settings: Settings) -> Tracer:
+    if settings.trace is None:
+        return NullTracer()
+    return OtelTracer(settings.trace.file, settings.name, settings.trace.sample, Random())
+
+
+def _make_kernel(settings: Settings, initialize: bool, events, metrics, tracer, interface: Interface) -> Kernel:
+    """Put the services of the process's roles together.
+
+    Modules are imported by role: a daemon's memory is budgeted.
+    """
+    kernel = Kernel()
+    _add_transport(kernel, settings)
+    if settings.control is not None:
+        from lanedock_daemon.control import ControlService
+
+        control = ControlService(settings, initialize, events, metrics)
+        kernel.add(control)
+        _add_operators(kernel, settings, control, interface, events)
+    if settings.daemon is not None:
+        from lanedock_daemon.roles import add_daemon
+
+        add_daemon(kernel, settings, events, metrics, tracer, interface)
+    return kernel
+
+
+def _add_transport(kernel: Kernel, settings: Settings) -> None:
+    if settings.transport == "framed":
+        from lanedock_daemon.framed import FramedTransport
+
+        kernel.add(FramedTransport(settings.tls))
+        return
+    from lanedock.kernel.loop import LoopService
+    from lanedock_daemon.grpc_transport import GrpcTransport
+
+    kernel.add(LoopService())
+    kernel.add(GrpcTransport(settings.tls))
+
+
+def _add_operators(kernel: Kernel, settings: Settings, control, interface: Interface, events) -> None:
+    """Serve operators over HTTP where the surroundings call for it."""
+    address = settings.control.operators
+    if address is None:
+        return
+    from lanedock_daemon.path.server import PathServer
+
+    side = interface.make_operators_side(control, settings)
+    kernel.add(PathServer("operators", address, side, settings.stop_timeout_ms / 1000, events))
+
+
+def _run(kernel: Kernel, settings: Settings, events, metrics: Metrics, tracer: Tracer, reloader: "_Reloader") -> int:
+    stopping = Signal()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, stopping.set)
+    gevent.signal_handler(signal.SIGHUP, reloader.reload)
+    try:
+        kernel.start()
+    except LanedockError as exc:
+        events.emit(Event.UNEXPECTED, error=exc)
+        return EXIT_FAILED
+    if settings.tls is None:
+        events.emit(Event.NO_AUTHENTICATION)
+    events.emit(Event.STARTED, zone=settings.zone)
+    flusher = gevent.spawn(_flush, metrics)
+    watcher = gevent.spawn(reloader.watch)
+    failure = _wait(kernel, stopping)
+    events.emit(Event.STOPPING)
+    kernel.stop()
+    flusher.kill()
+    watcher.kill()
+    metrics.flush()
+    tracer.close()
+    if failure is not None:
+        events.emit(Event.UNEXPECTED, error=repr(failure))
+        return EXIT_FAILED
+    events.emit(Event.STOPPED)
+    return 0
+
+
+def _wait(kernel: Kernel, stopping: Signal) -> BaseException | None:
+    """Wait to be stopped, or for a service to fail; return the failure."""
+    done = gevent.wait([stopping, kernel.failed], count=1)
+    return kernel.failure if kernel.failed in done else None
+
+
+def _flush(metrics: Metrics) -> None:
+    while True:
+        gevent.sleep(METRICS_INTERVAL)
+        metrics.flush()
+
+
+class _Reloader:
+    """Takes over what may change while the process runs: the control instances named.
+
+    Parameters
+    ----------
+    kernel : Kernel
+    path : str
+        Of the settings file.
+    settings : Settings
+        As read at the start.
+    events : EventLogger
+    is_made : bool
+        Whether a program makes the file.
+    """
+
+    def __init__(self, kernel: Kernel, path: str, settings: Settings, events: EventLogger, is_made: bool):
+        self._is_made = is_made
+        self._kernel = kernel
+        self._path = path
+        self._settings = settings
+        self._events = events
+        self._stamp = self._read_stamp()
+
+    def _read_stamp(self) -> tuple[int, int]:
+        """Return what shows that the file was written anew."""
+        try:
+            status = os.stat(self._path)
+        except OSError:
+            return (0, 0)
+        return (status.st_mtime_ns, status.st_size)
+
+    def watch(self) -> None:
+        """Reload when the file has changed without a signal."""
+        while True:
+            gevent.sleep(RELOAD_INTERVAL)
+            stamp = self._read_stamp()
+            if stamp != self._stamp:
+                self.reload()
+
+    def reload(self) -> None:
+        """Read the settings again; with findings, those in use stay."""
+        self._stamp = self._read_stamp()
+        try:
+            fresh = load_settings(self._path, self._is_made)
+        except FindingsError as exc:
+            self._events.emit(Event.RELOAD_REFUSED, error=exc)
+            return
+        self._events.emit(Event.RELOADED, path=self._path)
+        old = self._settings
+        if fresh.daemon is not None and old.daemon is not None and fresh.daemon.control != old.daemon.control:
+            self._post("agent", fresh.daemon.control)
+        if fresh.control is not None and old.control is not None and fresh.control.seeds != old.control.seeds:
+            self._post("control", fresh.control.seeds)
+        self._settings = fresh
+
+    def _post(self, service: str, control: list) -> None:
+        from lanedock_daemon.sessions import SeedsChanged
+
+        self._kernel.find(service).post(SeedsChanged(control))
--- a/packages/lanedock/lanedock/config/__init__.py
+++ b/packages/lanedock/lanedock/config/__init__.py
@@ -1,21 +1,24 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """The operators' file: its model, its checks and its digest."""
 
-from lanedock.config.core import MeshConfig, Route, Service, TrafficClass, Version
+from lanedock.config.core import CallerLimits, MeshConfig, Route, Service, Split, TrafficClass, Version
 from lanedock.config.diff import Difference, compare
-from lanedock.config.load import check_document, decode_config, load_config
+from lanedock.config.load import check_document, check_value, decode_config, load_config
 from lanedock.config.tree import MESH_GROUP, ConfigTree, needed_groups, pack_groups, split_config, unpack_groups
 
 __all__ = [
     "MESH_GROUP",
+    "CallerLimits",
     "ConfigTree",
     "Difference",
     "MeshConfig",
     "Route",
     "Service",
+    "Split",
     "TrafficClass",
     "Version",
     "check_document",
+    "check_value",
     "compare",
     "decode_config",
     "load_config",
--- a/packages/lanedock/lanedock/config/core.py
+++ b/packages/lanedock/lanedock/config/core.py
@@ -1,7 +1,7 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """The model of a mesh configuration: plain data, complete and checked."""
 
-__all__ = ["MeshConfig", "Route", "Service", "TrafficClass", "Version"]
+__all__ = ["CallerLimits", "MeshConfig", "Route", "Service", "Split", "TrafficClass", "Version"]
 
 DEFAULT_SLOTS = 12
 DEFAULT_CONNECTIONS = 130
@@ -9,6 +9,11 @@
 DEFAULT_DEADLINE_MS = 5000
 DEFAULT_PRIORITY = 5
 DEFAULT_ENDPOINT_WINDOW_MS = 50
+DEFAULT_ATTEMPTS = 3
+DEFAULT_HEADER_BYTES = 32 * 1024
+DEFAULT_BODY_BYTES = 1 << 40
+DEFAULT_HEADER_TIMEOUT_MS = 10_000
+DEFAULT_IDLE_TIMEOUT_MS = 300_000
 
 
 class Version:
@@ -78,12 +83,21 @@
         Requests that may wait for a slot of one upstream.
     calls : tuple of str
         Services that it may call.
+    health_path : str
+        Where its application tells whether it is well; empty for nowhere.
     """
 
-    __slots__ = ("calls", "connections", "name", "queue", "slots", "zones")
+    __slots__ = ("calls", "connections", "health_path", "name", "queue", "slots", "zones")
 
     def __init__(
-        self, name, zones, slots=DEFAULT_SLOTS, connections=DEFAULT_CONNECTIONS, queue=DEFAULT_QUEUE, calls=()
+        self,
+        name,
+        zones,
+        slots=DEFAULT_SLOTS,
+        connections=DEFAULT_CONNECTIONS,
+        queue=DEFAULT_QUEUE,
+        calls=(),
+        health_path="",
     ):
         self.name = name
         self.zones = tuple(zones)
@@ -91,11 +105,60 @@
         self.connections = connections
         self.queue = queue
         self.calls = tuple(calls)
+        self.health_path = health_path
 
     def __repr__(self) -> str:
         return f"<Service {self.name} zones={','.join(self.zones)} slots={self.slots}>"
 
 
+class Split:
+    """One part of a route whose requests are divided.
+
+    Parameters
+    ----------
+    service : str
+    weight : float
+        Against the sum of all weights of the route.
+    """
+
+    __slots__ = ("service", "weight")
+
+    def __init__(self, service: str, weight: float):
+        self.service = service
+        self.weight = weight
+
+    def __repr__(self) -> str:
+        return f"<Split {self.service} {self.weight:g}>"
+
+
+class CallerLimits:
+    """What callers may send, and how long they may take.
+
+    Parameters
+    ----------
+    header_bytes, body_bytes : int
+    header_timeout_ms, idle_timeout_ms : int
+        In milliseconds.
+    """
+
+    __slots__ = ("body_bytes", "header_bytes", "header_timeout_ms", "idle_timeout_ms")
+
+    def __init__(
+        self,
+        header_bytes=DEFAULT_HEADER_BYTES,
+        body_bytes=DEFAULT_BODY_BYTES,
+        header_timeout_ms=DEFAULT_HEADER_TIMEOUT_MS,
+        idle_timeout_ms=DEFAULT_IDLE_TIMEOUT_MS,
+    ):
+        self.header_bytes = header_bytes
+        self.body_bytes = body_bytes
+        self.header_timeout_ms = header_timeout_ms
+        self.idle_timeout_ms = idle_timeout_ms
+
+    def __repr__(self) -> str:
+        return f"<CallerLimits header={self.header_bytes} body={self.body_bytes}>"
+
+
 class Route:
     """A rule that leads requests to a service.
 
@@ -108,34 +171,65 @@
         Prefix, matched by whole segments.
     methods : tuple of str
         Empty for any.
-    service, traffic_class : str
+    service : str
+        The only service, or that of the split's first part.
+    traffic_class : str
     repeatable : bool
         Whether a request may run more than once.
     deadline_ms : int
         Longest time a request may take, in milliseconds.
+    target_ms : int
+        Time within which an answer is wanted, in milliseconds.
+    max_attempts : int
+        Upstreams to which one request may be sent at the most.
+    upload : bool
+        Whether its requests have large bodies.
+    split : tuple of Split
+        Empty where one service takes all requests.
     """
 
-    __slots__ = ("deadline_ms", "host", "methods", "name", "path", "repeatable", "service", "traffic_class")
+    __slots__ = (
+        "deadline_ms",
+        "host",
+        "max_attempts",
+        "methods",
+        "name",
+        "path",
+        "repeatable",
+        "service",
+        "split",
+        "target_ms",
+        "traffic_class",
+        "upload",
+    )
 
     def __init__(
         self,
         name,
         path,
-        service,
-        traffic_class,
+        service="",
+        traffic_class="",
         host="*",
         methods=(),
         repeatable=False,
         deadline_ms=DEFAULT_DEADLINE_MS,
+        target_ms=None,
+        max_attempts=DEFAULT_ATTEMPTS,
+        upload=False,
+        split=(),
     ):
         self.name = name
         self.host = host
         self.path = path
         self.methods = tuple(methods)
-        self.service = service
+        self.split = tuple(Split(**part) for part in split)
+        self.service = service or self.split[0].service
         self.traffic_class = traffic_class
         self.repeatable = repeatable
         self.deadline_ms = deadline_ms
+        self.target_ms = deadline_ms if target_ms is None else target_ms
+        self.max_attempts = max_attempts
+        self.upload = upload
 
     def __repr__(self) -> str:
         return f"<Route {self.name} {self.host}{self.path} -> {self.service}>"
@@ -154,11 +248,12 @@
     routes : tuple of Route
     endpoint_window_ms : int
         How long endpoint changes are gathered, in milliseconds.
+    limits : CallerLimits
     """
 
-    __slots__ = ("endpoint_window_ms", "mesh", "routes", "services", "traffic_classes", "version", "zones")
+    __slots__ = ("endpoint_window_ms", "limits", "mesh", "routes", "services", "traffic_classes", "version", "zones")
 
-    def __init__(self, mesh, version, zones, traffic_classes, services, routes, endpoint_window_ms):
+    def __init__(self, mesh, version, zones, traffic_classes, services, routes, endpoint_window_ms, limits=None):
         self.mesh = mesh
         self.version = version
         self.zones = tuple(zones)
@@ -166,6 +261,7 @@
         self.services = services
         self.routes = tuple(routes)
         self.endpoint_window_ms = endpoint_window_ms
+        self.limits = limits or CallerLimits()
 
     def __repr__(self) -> str:
         return f"<MeshConfig {self.mesh} {self.version} services={len(self.services)} routes={len(self.routes)}>"
--- a/packages/lanedock/lanedock/config/load.py
+++ b/packages/lanedock/lanedock/config/load.py
@@ -1,12 +1,20 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """From the operators' file to a `ConfigTree`, and from a tree to a `MeshConfig`."""
 
-from lanedock.config.core import DEFAULT_ENDPOINT_WINDOW_MS, MeshConfig, Route, Service, TrafficClass, Version
+from lanedock.config.core import (
+    DEFAULT_ENDPOINT_WINDOW_MS,
+    CallerLimits,
+    MeshConfig,
+    Route,
+    Service,
+    TrafficClass,
+    Version,
+)
 from lanedock.config.tree import ConfigTree, split_config
 from lanedock.errors import ErrorCode
 from lanedock.findings import Document, Finding, FindingsError, Place, read_document
 
-__all__ = ["check_document", "decode_config", "load_config"]
+__all__ = ["check_document", "check_value", "decode_config", "load_config"]
 
 SHARE_TOLERANCE = 1e-9
 
@@ -45,6 +53,30 @@
     return split_config(document.value)
 
 
+def check_value(value: dict, source: str) -> ConfigTree:
+    """Check a version that a program has made, whose types hold already, for its references.
+
+    The schema library takes milliseconds for each route, and memory that a
+    small control instance has not.
+
+    Parameters
+    ----------
+    value : dict
+        As a parsed file.
+    source : str
+        Named in findings.
+
+    Raises
+    ------
+    FindingsError
+        With every finding.
+    """
+    findings = _check_references(Document(source, value, ""))
+    if findings:
+        raise FindingsError(findings)
+    return split_config(value)
+
+
 def decode_config(tree: ConfigTree) -> MeshConfig:
     """Check the held groups of a version and build the model.
 
@@ -74,7 +106,8 @@
     services = {item["name"]: Service(**item) for item in value["services"]}
     routes = [Route(**item) for item in value["routes"]]
     window = value.get("endpoint_window_ms", DEFAULT_ENDPOINT_WINDOW_MS)
-    return MeshConfig(value["mesh"], version, value["zones"], classes, services, routes, window)
+    limits = CallerLimits(**value.get("limits", {}))
+    return MeshConfig(value["mesh"], version, value["zones"], classes, services, routes, window, limits)
 
 
 def _check_references(document: Document, partial: bool = False) -> list[Finding]:
@@ -102,9 +135,7 @@
     classes = {item["name"] for item in value["traffic_classes"]}
     for number, item in enumerate(value["routes"]):
         path = f"/routes/{number}"
-        if item["service"] not in services:
-            message = f"route {item['name']!r} leads to the unknown service {item['service']!r}"
-            findings.append(Finding(ErrorCode.UNKNOWN_SERVICE, message, document.place(path + "/service")))
+        findings += _check_targets(document, item, services, path, partial)
         if item["traffic_class"] not in classes:
             message = f"route {item['name']!r} has the unknown class {item['traffic_class']!r}"
             findings.append(Finding(ErrorCode.UNKNOWN_CLASS, message, document.place(path + "/traffic_class")))
@@ -123,6 +154,27 @@
     return findings
 
 
+def _check_targets(document: Document, route: dict, services: set[str], path: str, partial: bool) -> list[Finding]:
+    """Check the services that a route leads to, one or a split's parts.
+
+    A slice may lack the services of a split's later parts.
+    """
+    parts = route.get("split")
+    if parts is None:
+        names = [(route["service"], f"{path}/service")]
+    else:
+        names = [(part["service"], f"{path}/split/{number}/service") for number, part in enumerate(parts)]
+    findings = []
+    for name, place in names:
+        if name not in services and not (partial and parts):
+            message = f"route {route['name']!r} leads to the unknown service {name!r}"
+            findings.append(Finding(ErrorCode.UNKNOWN_SERVICE, message, document.place(place)))
+    if parts is not None and sum(part["weight"] for part in parts) <= 0:
+        message = f"the weights of route {route['name']!r} add up to nothing"
+        findings.append(Finding(ErrorCode.NO_WEIGHT, message, document.place(f"{path}/split")))
+    return findings
+
+
 def _check_members(document, names, known, code, path) -> list[Finding]:
     findings = []
     for number, name in enumerate(names):
--- a/packages/lanedock/lanedock/config/tree.py
+++ b/packages/lanedock/lanedock/config/tree.py
@@ -23,7 +23,7 @@
 MESH_GROUP = ""
 # A content that unpacks to more than this is refused, not unpacked.
 MAX_CONTENT_BYTES = 16 * 1024 * 1024
-_MESH_KEYS = ("mesh", "zones", "traffic_classes", "endpoint_window_ms")
+_MESH_KEYS = ("mesh", "zones", "traffic_classes", "endpoint_window_ms", "limits")
 
 
 class ConfigTree:
@@ -192,12 +192,17 @@
     for service in value["services"]:
         parts[service["name"]] = {"service": service, "routes": []}
     for route in sorted(value["routes"], key=lambda item: item["name"]):
-        parts[route["service"]]["routes"].append(route)
+        parts[_first_service(route)]["routes"].append(route)
     contents = {name: _canonical(part) for name, part in parts.items()}
     digests = {name: hashlib.sha256(content).digest() for name, content in contents.items()}
     return ConfigTree(value["version"], digests, contents)
 
 
+def _first_service(route: dict) -> str:
+    """Return the service in whose group a route stands."""
+    return route["service"] if "service" in route else route["split"][0]["service"]
+
+
 def _canonical(value: dict) -> bytes:
     return json.dumps(value, sort_keys=True, separators=(",", ":"), ensure_ascii=False).encode()
 
--- a/packages/lanedock/lanedock/consensus/leadership.py
+++ b/packages/lanedock/lanedock/consensus/leadership.py
@@ -38,6 +38,7 @@
         self.heartbeat_at = stood_at
         self.lease_until = stood_at + timing.election_min * timing.lease_part
         self._me = me
+        self._started_at = stood_at
         self._timing = timing
         self._sent_at: dict[int, float] = {}
         self._progress: dict[str, Progress] = {}
@@ -69,6 +70,12 @@
         progress = self._progress.get(replica)
         return progress is not None and now - progress.acked_at < self._timing.election_min
 
+    def silence_of(self, replica: str, now: float) -> float:
+        """Return for how long a replica has answered nothing under this leader, in seconds."""
+        progress = self._progress.get(replica)
+        heard_at = progress.acked_at if progress else self._started_at
+        return now - max(heard_at, self._started_at)
+
     def confirm(self, membership: messages.Membership) -> int:
         """Return the newest round that a quorum has answered; it renews the lease."""
         confirmed = quorum_value(membership, self._probe_of)
--- a/packages/lanedock/lanedock/consensus/membership.py
+++ b/packages/lanedock/lanedock/consensus/membership.py
@@ -6,7 +6,7 @@
 from lanedock.consensus.core import replica_name
 from lanedock.wire import messages
 
-__all__ = ["admit_learner", "is_quorum", "promote_learner", "quorum_value"]
+__all__ = ["admit_learner", "drop_replica", "is_quorum", "promote_learner", "quorum_value"]
 
 
 def is_quorum(membership: messages.Membership, replicas: Container[str]) -> bool:
@@ -36,3 +36,11 @@
     """Return the membership in which a learner votes."""
     learners = [other for other in membership.learners if other != learner]
     return messages.Membership(voters=[*membership.voters, learner], learners=learners)
+
+
+def drop_replica(membership: messages.Membership, replica: str) -> messages.Membership:
+    """Return the membership in which a voter or learner takes no part any more."""
+    return messages.Membership(
+        voters=[voter for voter in membership.voters if voter != replica],
+        learners=[learner for learner in membership.learners if learner != replica],
+    )
--- a/packages/lanedock/lanedock/consensus/replica.py
+++ b/packages/lanedock/lanedock/consensus/replica.py
@@ -13,16 +13,21 @@
 
 from random import Random
 
-from lanedock.consensus.core import Ready, ReplicaRole, Timing
+from lanedock.consensus.core import Ready, ReplicaRole, Timing, replica_name
 from lanedock.consensus.leadership import Leadership
 from lanedock.consensus.log import LogSnapshot, RaftLog
-from lanedock.consensus.membership import admit_learner, is_quorum, promote_learner, quorum_value
+from lanedock.consensus.membership import admit_learner, drop_replica, is_quorum, promote_learner, quorum_value
 from lanedock.consensus.reads import PendingRead, ReadQueue
 from lanedock.wire import messages
 
 __all__ = ["RaftReplica"]
 
 MAX_ENTRIES_PER_MESSAGE = 64
+# More voters bear more losses, but every commit waits for more of them.
+MAX_VOTERS = 5
+# A learner votes nowhere and holds nothing up, so it is let go later than a
+# voter, by this factor.
+LEARNER_PATIENCE = 10
 
 
 class RaftReplica:
@@ -45,6 +50,9 @@
         Monotonic clock, seconds; every later call passes its own.
     contacts : tuple of str
         Names of the replicas that a newcomer asks to be taken in.
+    replace_after : float, optional
+        Silence, in seconds, after which a learner takes a voter's place. Left
+        out, the replicas are given, and every learner comes for its old self.
     """
 
     def __init__(
@@ -57,6 +65,7 @@
         rng: Random,
         now: float,
         contacts: tuple[str, ...] = (),
+        replace_after: float | None = None,
     ):
         self.me = me
         self.contacts = contacts
@@ -80,6 +89,7 @@
         self._lead: Leadership | None = None
         self._reads = ReadQueue()
         self._joiners: dict[str, float] = {}
+        self._replace_after = replace_after
         self._ready = Ready()
         self._reset_election(now)
 
@@ -137,6 +147,9 @@
             self._tick_leader(now)
         elif now >= self._election_at:
             if self.can_vote():
+                if self._replace_after is not None and now - self._heard_at > self._replace_after:
+                    # Others may have taken its place meanwhile.
+                    self._ask_to_join(now)
                 self._start_election(now, trial=True)
             else:
                 self._ask_to_join(now)
@@ -176,8 +189,7 @@
         """Take in a message from another replica."""
         body = message.WhichOneof("body")
         if body == "join_request":
-            # A newcomer knows names only, not incarnations.
-            self._joiners[message.sender] = now
+            self._on_join_request(message, now)
             return
         if message.receiver != self.me or body is None:
             return
@@ -313,10 +325,25 @@
         self._reset_election(now)
         if self.me in self._membership.learners:
             return
-        for name in self.contacts:
-            message = self._message(name)
-            message.join_request.SetInParent()
-            self._ready.late.append(message)
+        known = [replica_name(voter) for voter in self._membership.voters if voter != self.me]
+        for name in dict.fromkeys([*self.contacts, *known]):
+            self._send_join(name, self.me)
+
+    def _send_join(self, receiver: str, joiner: str) -> None:
+        message = self._message(receiver)
+        message.join_request.joiner = joiner
+        self._ready.late.append(message)
+
+    def _on_join_request(self, message, now: float) -> None:
+        """Note a newcomer, as leader, or pass its request on to the leader.
+
+        It knows names only, not incarnations.
+        """
+        joiner = message.join_request.joiner or message.sender
+        if self.role is ReplicaRole.LEADER:
+            self._joiners[joiner] = now
+        elif self.leader and joiner == message.sender:
+            self._send_join(self.leader, joiner)
 
     # ------------------------------------------------------------------ leader
 
@@ -526,10 +553,10 @@
         """Take the next step of replacing a replica, one change at a time."""
         if self.commit_index < max(self._lead.term_start, self.log.membership_index()):
             return
-        for learner in self._membership.learners:
-            if self._has_caught_up(learner, now):
-                self._change_membership(promote_learner(self._membership, learner), now)
-                return
+        step = self._next_step(now)
+        if step is not None:
+            self._change_membership(step, now)
+            return
         for joiner, asked_at in list(self._joiners.items()):
             del self._joiners[joiner]
             known = [*self._membership.voters, *self._membership.learners]
@@ -538,6 +565,27 @@
             if self._admit(joiner, now):
                 return
 
+    def _next_step(self, now: float) -> messages.Membership | None:
+        """Return the membership that promotes a learner or lets a silent voter go, if any."""
+        membership = self._membership
+        ready = [learner for learner in membership.learners if self._has_caught_up(learner, now)]
+        if self._replace_after is None:
+            return promote_learner(membership, ready[0]) if ready else None
+        voters = len(membership.voters)
+        silent = [voter for voter in membership.voters if self._is_silent(voter, self._replace_after, now)]
+        is_even = voters % 2 == 0
+        if silent and is_even and voters > 2:
+            return drop_replica(membership, silent[0])
+        if ready and (is_even or silent or (len(ready) > 1 and voters + 2 <= MAX_VOTERS)):
+            return promote_learner(membership, ready[0])
+        for learner in membership.learners:
+            if self._is_silent(learner, LEARNER_PATIENCE * self._replace_after, now):
+                return drop_replica(membership, learner)
+        return None
+
+    def _is_silent(self, replica: str, limit: float, now: float) -> bool:
+        return replica != self.me and self._lead.silence_of(replica, now) > limit
+
     def _has_caught_up(self, learner: str, now: float) -> bool:
         return self._lead.is_recent(learner, now) and self._lead.match_of(learner) >= self.commit_index
 
--- a/packages/lanedock/lanedock/errors.py
+++ b/packages/lanedock/lanedock/errors.py
@@ -47,6 +47,7 @@
         "The guaranteed shares of the traffic classes add up to more than 1.",
         "Lower the shares.",
     )
+    NO_WEIGHT = ("LD1012", "The weights of a split add up to nothing.", "Give a part a weight above 0.")
     DIGEST_MISMATCH = (
         "LD1011",
         "A configuration's content does not match its digest.",
@@ -104,6 +105,12 @@
         "List the versions with `lanedock history`.",
     )
 
+    BASE_OUTDATED = (
+        "LD2011",
+        "The version was made from another one than the accepted one. Not run.",
+        "Read the accepted version, make the change anew from it, and submit again.",
+    )
+
     NO_ROUTE = ("LD3001", "No route of the version in force matches the request.", "Check the request or the routes.")
     NO_UPSTREAM = (
         "LD3002",
@@ -129,6 +136,12 @@
         "No answer came before the deadline; the request may have run.",
         "Find out whether it ran before sending it again.",
     )
+    UPSTREAM_REFUSED = (
+        "LD3012",
+        "The upstream's application refused the request and did not run it.",
+        "Retry after the told time.",
+    )
+    BODY_TOO_LONG = ("LD3013", "The request's body is longer than the version in force allows.", "Send less.")
     BAD_REQUEST = ("LD3010", "The request is malformed and was not passed on.", "Mend the request.")
     NOT_HELD = (
         "LD3011",
--- a/packages/lanedock/lanedock/kernel/__init__.py
+++ b/packages/lanedock/lanedock/kernel/__init__.py
@@ -1,7 +1,9 @@
 # SPDX-License-Identifier: BSD-3-Clause
-"""A micro-kernel: services by name, started in order and stopped in reverse."""
+"""A micro-kernel: services by name, started in order and stopped in reverse.
+
+`lanedock.kernel.loop` holds the asyncio loop, which only gRPC needs.
+"""
 
 from lanedock.kernel.core import Kernel, KernelError, Service, TaskService
-from lanedock.kernel.loop import LoopService
 
-__all__ = ["Kernel", "KernelError", "LoopService", "Service", "TaskService"]
+__all__ = ["Kernel", "KernelError", "Service", "TaskService"]
--- a/packages/lanedock/lanedock/limits/tests/test_slots.py
+++ b/packages/lanedock/lanedock/limits/tests/test_slots.py
@@ -1,11 +1,13 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """Tests of the slot limiter, the retry budget and admission."""
 
+from random import Random
+
 import pytest
 
 from lanedock.config import TrafficClass
 from lanedock.errors import ErrorCode
-from lanedock.limits import Admission, Refused, RetryBudget, SlotLimiter, Waiter
+from lanedock.limits import Admission, Refused, SavingBudget, SlotLimiter, Waiter, WindowBudget
 
 CLASSES = {
     "order": TrafficClass("order", 0.4, 0),
@@ -91,11 +93,33 @@
 
 
 def test_retries_are_a_share_of_first_tries():
-    budget = RetryBudget(share=0.1, most=2)
-    assert [budget.spend() for _ in range(3)] == [True, True, False]
+    budget = SavingBudget(share=0.1, most=2)
+    assert [budget.spend(0.0) for _ in range(3)] == [True, True, False]
     for _ in range(11):
-        budget.note_first_try()
-    assert [budget.spend() for _ in range(2)] == [True, False]
+        budget.note_first_try(0.0)
+    assert [budget.spend(0.0) for _ in range(2)] == [True, False]
+
+
+@pytest.mark.parametrize("daemons", [1, 13, 76])
+def test_the_retries_of_a_whole_mesh_stay_within_its_budget_in_any_window(daemons):
+    share, slack, window = 0.2, 62, 10.0
+    budgets = [WindowBudget(share, slack, window, lambda: daemons) for _ in range(daemons)]
+    rng = Random(daemons)
+    tries, retries = [], []
+    for step in range(600):
+        now = step * 0.05
+        for budget in budgets:
+            if rng.random() < 0.5:
+                budget.note_first_try(now)
+                tries.append(now)
+            # Everybody retries as often as it may.
+            while budget.spend(now):
+                retries.append(now)
+    assert retries
+    for end in range(30):
+        spent = sum(end - window < at <= end for at in retries)
+        paid = max(sum(end - window - back < at <= end - back for at in tries) for back in (0, window / 2, window))
+        assert spent <= share * paid + slack
 
 
 def test_everybody_in_a_storm_is_admitted_at_the_rate():
--- a/packages/lanedock/lanedock/membership/__init__.py
+++ b/packages/lanedock/lanedock/membership/__init__.py
@@ -1,17 +1,24 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """Which instances there are: the platform's list, and what is made of it."""
 
+from lanedock.membership.changes import EndpointChanges
 from lanedock.membership.core import Instance, InstanceState, PlatformList, parse_instances
 from lanedock.membership.directory import Directory
+from lanedock.membership.registration import Heartbeat, UpstreamRegistration
+from lanedock.membership.registry import EndpointRegistry
 from lanedock.membership.sources import FilePlatformList, HttpPlatformList, make_platform_list
 
 __all__ = [
     "Directory",
+    "EndpointChanges",
+    "EndpointRegistry",
     "FilePlatformList",
+    "Heartbeat",
     "HttpPlatformList",
     "Instance",
     "InstanceState",
     "PlatformList",
+    "UpstreamRegistration",
     "make_platform_list",
     "parse_instances",
 ]
--- a/packages/lanedock/lanedock/membership/directory.py
+++ b/packages/lanedock/lanedock/membership/directory.py
@@ -6,13 +6,14 @@
 it is replaced or its daemon is started anew.
 """
 
+from lanedock.membership.changes import EndpointChanges
 from lanedock.membership.core import Instance, InstanceState
 from lanedock.wire import messages
 
 __all__ = ["Directory"]
 
 
-class Directory:
+class Directory(EndpointChanges):
     """Endpoints by instance, with their changes gathered in a window.
 
     Parameters
@@ -22,21 +23,10 @@
     """
 
     def __init__(self, window: float):
-        self.window = window
-        self.sequence = 0
-        self._endpoints: dict[str, messages.Endpoint] = {}
+        super().__init__(window)
         self._drained: dict[str, int] = {}
         # A list that lags may show a leaving instance as live again.
         self._listed_leaving: dict[str, int] = {}
-        self._pending: dict[str, messages.Endpoint | None] = {}
-        self._due_at: float | None = None
-
-    def __repr__(self) -> str:
-        return f"<Directory endpoints={len(self._endpoints)} pending={len(self._pending)}>"
-
-    def endpoints(self) -> list[messages.Endpoint]:
-        """Return all endpoints as last told."""
-        return list(self._endpoints.values())
 
     def take_list(self, instances: list[Instance], now: float) -> None:
         """Take in the platform's list."""
@@ -103,31 +93,3 @@
                 endpoint.leaving = True
         if current != endpoint:
             self._change(endpoint.instance, endpoint, now)
-
-    def _change(self, name: str, endpoint: messages.Endpoint | None, now: float) -> None:
-        self._pending[name] = endpoint
-        due_at = now if endpoint is None or endpoint.leaving else now + self.window
-        self._due_at = due_at if self._due_at is None else min(self._due_at, due_at)
-
-    def take_update(self, now: float) -> messages.EndpointUpdate | None:
-        """Return the gathered changes once their window is over."""
-        if self._due_at is None or now < self._due_at:
-            return None
-        self.sequence += 1
-        update = messages.EndpointUpdate(sequence=self.sequence)
-        for name, endpoint in self._pending.items():
-            if endpoint is None:
-                self._endpoints.pop(name, None)
-                update.gone.append(name)
-            else:
-                self._endpoints[name] = endpoint
-                update.changed.append(endpoint)
-        self._pending = {}
-        self._due_at = None
-        return update
-
-    def whole_update(self) -> messages.EndpointUpdate:
-        """Return all endpoints, for a daemon that has just connected."""
-        update = messages.EndpointUpdate(sequence=self.sequence, whole=True)
-        update.changed.extend(self._endpoints.values())
-        return update
--- a/packages/lanedock/lanedock/rollout/state.py
+++ b/packages/lanedock/lanedock/rollout/state.py
@@ -28,6 +28,7 @@
     STALE = "stale"
     CONFLICT = "conflict"
     BUSY = "busy"
+    OUTDATED = "outdated"
 
 
 class SubmitResult:
@@ -95,8 +96,16 @@
             self._trees[number] = tree
         return tree
 
-    def judge(self, version: Version) -> SubmitResult:
-        """Tell what a submission of this version would come to now."""
+    def judge(self, version: Version, base: int | None = None) -> SubmitResult:
+        """Tell what a submission of this version would come to now.
+
+        Parameters
+        ----------
+        version : Version
+        base : int, optional
+            Number of the version it was made from; refused unless that is the
+            accepted one.
+        """
         record = self.records.get(version.number)
         if record is not None:
             if record.digest == version.digest:
@@ -104,6 +113,8 @@
             return SubmitResult(Verdict.CONFLICT, code=ErrorCode.VERSION_CONFLICT)
         if version.number <= self._floor():
             return SubmitResult(Verdict.STALE, code=ErrorCode.VERSION_STALE)
+        if base is not None and base != self.accepted_version.number:
+            return SubmitResult(Verdict.OUTDATED, code=ErrorCode.BASE_OUTDATED)
         if self.candidate is not None:
             return SubmitResult(Verdict.BUSY, code=ErrorCode.SUBMISSION_BUSY)
         return SubmitResult(Verdict.STAGING)
@@ -134,7 +145,8 @@
         return None
 
     def _submit(self, command: messages.SubmitCommand) -> SubmitResult:
-        result = self.judge(Version(command.version, command.digest))
+        base = command.base_version if command.has_base else None
+        result = self.judge(Version(command.version, command.digest), base)
         if result.verdict is not Verdict.STAGING:
             return result
         record = messages.VersionRecord(
@@ -149,6 +161,8 @@
         self.records[command.version] = record
         self.candidate = record
         result.record = record
+        if command.direct:
+            self._accept_candidate(command.submitted_at)
         return result
 
     def _is_candidate(self, version: int, digest: bytes) -> bool:
@@ -156,11 +170,13 @@
         return candidate is not None and candidate.version == version and candidate.digest == digest
 
     def _accept(self, command: messages.AcceptCommand) -> None:
-        if not self._is_candidate(command.version, command.digest):
-            return
+        if self._is_candidate(command.version, command.digest):
+            self._accept_candidate(command.accepted_at)
+
+    def _accept_candidate(self, accepted_at: float) -> None:
         record = self.candidate
         record.outcome = messages.OUTCOME_ACCEPTED
-        record.accepted_at = command.accepted_at
+        record.accepted_at = accepted_at
         self.accepted = record
         self.candidate = None
         self._forget()
--- a/packages/lanedock/lanedock/routing/__init__.py
+++ b/packages/lanedock/lanedock/routing/__init__.py
@@ -2,6 +2,7 @@
 """Where a request goes: route tables and the choice of an upstream."""
 
 from lanedock.routing.balancer import Balancer, BalancerPolicy, UpstreamStats
+from lanedock.routing.split import choose_service
 from lanedock.routing.table import RouteTable
 
-__all__ = ["Balancer", "BalancerPolicy", "RouteTable", "UpstreamStats"]
+__all__ = ["Balancer", "BalancerPolicy", "RouteTable", "UpstreamStats", "choose_service"]
--- a/packages/lanedock/lanedock/settings/__init__.py
+++ b/packages/lanedock/lanedock/settings/__init__.py
@@ -1,5 +1,8 @@
 # SPDX-License-Identifier: BSD-3-Clause
-"""A process's settings, read from JSON with comments."""
+"""A process's settings, read from JSON with comments.
+
+`lanedock.settings.tls` makes TLS contexts; it is imported where TLS is used.
+"""
 
 from lanedock.settings.core import (
     Address,
@@ -12,7 +15,6 @@
     UpstreamSettings,
 )
 from lanedock.settings.load import load_settings
-from lanedock.settings.tls import make_client_context, make_server_context
 
 __all__ = [
     "Address",
@@ -24,6 +26,4 @@
     "TraceSettings",
     "UpstreamSettings",
     "load_settings",
-    "make_client_context",
-    "make_server_context",
 ]
--- a/packages/lanedock/lanedock/settings/core.py
+++ b/packages/lanedock/lanedock/settings/core.py
@@ -81,15 +81,21 @@
 
     __slots__ = (
         "admissions_per_second",
+        "bootstrap",
         "compact_bytes",
         "data_folder",
         "dead_after_ms",
         "listen",
+        "operators",
         "platform_interval_ms",
         "platform_list",
         "relay_threshold",
         "relays_per_zone",
+        "replace_after_ms",
         "replicas",
+        "rollout",
+        "seeds",
+        "settle_ms",
         "stage_timeout_ms",
         "whole_files",
     )
@@ -98,7 +104,16 @@
 class DaemonSettings(_Section):
     """How a daemon takes versions; names and units as in the schema."""
 
-    __slots__ = ("control", "relay", "stall_limit_ms")
+    __slots__ = (
+        "any_service",
+        "control",
+        "ready",
+        "relay",
+        "retry_share",
+        "retry_slack",
+        "retry_window_s",
+        "stall_limit_ms",
+    )
 
 
 class EntrySettings(_Section):
@@ -110,7 +125,7 @@
 class UpstreamSettings(_Section):
     """An upstream's daemon; names and units as in the schema."""
 
-    __slots__ = ("application", "egress", "listen", "service")
+    __slots__ = ("application", "egress", "heartbeat_s", "listen", "registration", "service")
 
 
 class Settings(_Section):
@@ -122,11 +137,14 @@
         "entry",
         "http_server",
         "log_level",
+        "mesh_port",
         "name",
         "statsd",
+        "stop_grace_s",
         "stop_timeout_ms",
         "tls",
         "trace",
+        "transport",
         "upstream",
         "zone",
     )
--- a/packages/lanedock/lanedock/telemetry/events.py
+++ b/packages/lanedock/lanedock/telemetry/events.py
@@ -26,6 +26,13 @@
         "Set `tls` wherever others can reach the addresses.",
     )
     UNEXPECTED = (106, logging.ERROR, "A task failed in a way nobody foresaw.", "Report it: this is a bug.")
+    RELOADED = (108, logging.INFO, "The settings were read again.", "None.")
+    RELOAD_REFUSED = (
+        109,
+        logging.ERROR,
+        "The changed settings have findings; those in use stay.",
+        "Mend the findings named.",
+    )
     CUT_SHORT = (
         107,
         logging.WARNING,
@@ -69,6 +76,12 @@
         "The daemon stood still and serves again once a quorum has confirmed the newest version.",
         "Look for an overloaded or frozen instance.",
     )
+    SUBMISSION_REFUSED = (
+        308,
+        logging.INFO,
+        "A submission was refused as it was applied, or is known already.",
+        "Compare its number and base with the accepted version.",
+    )
 
     SOURCE_FOUND = (401, logging.INFO, "The daemon takes versions from a source.", "None.")
     SOURCE_LOST = (
@@ -85,6 +98,27 @@
     )
     DRAINING = (404, logging.INFO, "An instance takes no new work any more.", "None.")
 
+    UPSTREAM_REGISTERED = (405, logging.INFO, "The application beside the daemon has registered.", "None.")
+    UPSTREAM_LEAVING = (
+        406,
+        logging.INFO,
+        "The application beside the daemon drains or leaves; nothing more is passed on to it.",
+        "None.",
+    )
+    UPSTREAM_SILENT = (
+        407,
+        logging.WARNING,
+        "The application beside the daemon sends no heartbeats, or does so again.",
+        "Look at the application.",
+    )
+    UPSTREAM_ADOPTED = (
+        408,
+        logging.INFO,
+        "After a restart the daemon has learned from the mesh which application it speaks for.",
+        "None.",
+    )
+    SEEDS_CHANGED = (409, logging.INFO, "The settings name other control instances.", "None.")
+
     ANSWER_LOST = (501, logging.WARNING, "A request's outcome is unknown.", "Look at the upstream named.")
     EJECTED = (502, logging.WARNING, "An upstream fails and gets no work for a while.", "Look at the upstream named.")
 
