Send late repeatable requests once more elsewhere; eject the unreachable at once

Change: a second try once an answer is later than nearly all of its service, within the retry budget; an upstream that answers nothing weighs more; no connection ejects at once; 0.3 s to connect.

--- a/packages/lanedock-daemon/lanedock_daemon/path/caller.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller.py
@@ -4,9 +4,11 @@
 import time
 from random import Random
 
+import gevent
+
 from lanedock.config import Route
 from lanedock.errors import ErrorCode
-from lanedock.routing import choose_service
+from lanedock.routing import Balancer, choose_service
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics, Tracer
 from lanedock_daemon.agent.board import Binding, Board
 from lanedock_daemon.path.dialect import Dialect, OwnDialect, RequestFacts
@@ -65,17 +67,38 @@
     has_arrived : bool
         Whether the application may have seen the request.
     may_have_run : bool
+
+    Attributes
+    ----------
+    arrivals : int
+        Applications that may have seen the request.
     """
 
-    __slots__ = ("answer", "has_arrived", "is_final", "may_have_run")
+    __slots__ = ("answer", "arrivals", "is_final", "may_have_run")
 
     def __init__(self, answer: Answer, is_final: bool, has_arrived: bool = True, may_have_run: bool = False):
         self.answer = answer
         self.is_final = is_final
-        self.has_arrived = has_arrived
+        self.arrivals = int(has_arrived)
         self.may_have_run = may_have_run
 
 
+class _Job:
+    """What all tries of one request have in common."""
+
+    __slots__ = ("attempt", "balancer", "deadline", "headers", "request", "route")
+
+    def __init__(
+        self, request: Request, headers: list, route: Route, balancer: Balancer, attempt: int, deadline: float
+    ):
+        self.request = request
+        self.headers = headers
+        self.route = route
+        self.balancer = balancer
+        self.attempt = attempt
+        self.deadline = deadline
+
+
 class CallerSide:
     """Leads callers' requests to upstreams.
 
@@ -161,38 +184,72 @@
                 return failure or self._refuse(ErrorCode.NO_UPSTREAM, RETRY_AFTER)
             tried.add(stats.endpoint.instance)
             told = attempt if may_retry else RETRIED
-            made = self._try(request, headers, route, balancer, stats, told, deadline)
+            job = _Job(request, headers, route, balancer, told, deadline)
+            if route.repeatable and may_retry and body.length == 0 and arrivals + 1 < route.max_attempts:
+                made = self._try_with_reserve(job, stats, service.slots, budget, tried)
+            else:
+                made = self._try(job, stats)
             if made.is_final:
                 return made.answer
             may_have_run = may_have_run or made.may_have_run
             # What was refused unseen must not hide that a try before may have run.
             if failure is None or made.may_have_run or not may_have_run:
                 failure = made.answer
-            arrivals += made.has_arrived
+            arrivals += made.arrivals
             if not may_retry or not body.can_rewind or arrivals >= route.max_attempts:
                 return failure
-            if made.has_arrived and not budget.spend(time.monotonic()):
+            if made.arrivals and not budget.spend(time.monotonic()):
                 return failure
             body.rewind()
             self._metrics.count(Metric.RETRIES)
         return failure
 
-    def _try(self, request, headers, route, balancer, stats, attempt: int, deadline: float) -> _Try:
+    def _try_with_reserve(self, job: "_Job", stats, slots: int, budget, tried: set[str]) -> _Try:
+        """Send a request, and once more elsewhere where its answer is later than nearly all others.
+
+        Whichever answers first counts; the other one is cancelled.
+        """
+        first = gevent.spawn(self._try, job, stats)
+        second = None
+        try:
+            first.join(timeout=job.balancer.late_after)
+            now = time.monotonic()
+            if first.ready() or now >= job.deadline:
+                return first.get()
+            other = job.balancer.choose(slots, now, frozenset(tried))
+            if other is None or not budget.spend(now):
+                return first.get()
+            tried.add(other.endpoint.instance)
+            self._metrics.count(Metric.RETRIES)
+            second = gevent.spawn(self._try, job, other)
+            done = gevent.wait([first, second], count=1)[0].get()
+            if not done.is_final:
+                made = (second if first.ready() else first).get()
+                done = made if made.is_final or made.may_have_run else done
+            # Both were sent: what an application may have seen counts twice.
+            done.arrivals = 2
+            return done
+        finally:
+            gevent.killall([task for task in (first, second) if task is not None], block=False)
+
+    def _try(self, job: "_Job", stats) -> _Try:
         """Send a request to one upstream."""
-        left = deadline - time.monotonic()
+        request, route, balancer, deadline = job.request, job.route, job.balancer, job.deadline
+        started = time.monotonic()
+        left = deadline - started
         sent = [
-            *headers,
-            (ATTEMPT_HEADER, str(attempt)),
+            *job.headers,
+            (ATTEMPT_HEADER, str(job.attempt)),
             (DEADLINE_HEADER, str(max(1, int(left * 1000)))),
         ]
         if stats.endpoint.upstream:
             sent.append((UPSTREAM_HEADER, stats.endpoint.upstream))
-        balancer.begin(stats)
+        balancer.begin(stats, started)
         try:
             ask_first = request.body.is_long
             response = exchange(self._pool, stats.address, request, sent, left + GRACE, ask_first)
         except ExchangeError as exc:
-            self._note_end(balancer, stats, failed=True)
+            self._note_end(balancer, stats, failed=True, unreachable=exc.code is ErrorCode.CONNECT_FAILED)
             return self._on_lost(exc, stats, route, request)
         except BaseException:
             balancer.end(stats, False, time.monotonic())
@@ -207,12 +264,12 @@
         is_lost = head.header(OUTCOME_HEADER) == Outcome.UNKNOWN
         if (is_lost or head.status == 503) and route.repeatable:
             # Noted first: reading may end with the caller's going away.
-            self._note_end(balancer, stats, failed=True, load=load)
+            self._note_end(balancer, stats, failed=True, load=load, taken=time.monotonic() - started)
             answer = Answer(head.status, head.reason, _strip(head), [self._read_refusal(response)])
             if is_lost:
                 answer = self._make_unknown(ErrorCode.find(head.header(CODE_HEADER)) or ErrorCode.ANSWER_LOST, "")
             return _Try(answer, False, may_have_run=True)
-        return self._pass_answer(response, balancer, stats, load, is_lost, route, deadline)
+        return self._pass_answer(response, job, stats, load, is_lost, started)
 
     def _make_unknown(self, code: ErrorCode, detail: str) -> Answer:
         return self._dialect.make_refusal(code, Outcome.UNKNOWN, 0.0, detail)
@@ -242,8 +299,8 @@
         answer = self._dialect.make_refusal(code, Outcome.NOT_RUN, 0.0 if code is ErrorCode.DEADLINE else wait)
         return _Try(answer, code is ErrorCode.DEADLINE, has_arrived=bool(head.header(ARRIVED_HEADER)))
 
-    def _note_end(self, balancer, stats, failed: bool, load: int | None = None) -> None:
-        if balancer.end(stats, failed, time.monotonic(), load):
+    def _note_end(self, balancer, stats, failed: bool, load=None, taken=None, unreachable: bool = False) -> None:
+        if balancer.end(stats, failed, time.monotonic(), load, taken, unreachable):
             self._events.emit(Event.EJECTED, upstream=stats.endpoint.instance)
 
     def _read_refusal(self, response: UpstreamAnswer) -> bytes:
@@ -255,9 +312,11 @@
         finally:
             response.close()
 
-    def _pass_answer(self, response, balancer, stats, load, is_lost: bool, route: Route, deadline: float) -> _Try:
+    def _pass_answer(self, response, job: "_Job", stats, load, is_lost: bool, started: float) -> _Try:
         """Pass an answer on: a short one once it is whole, a long one as it comes."""
         head = response.message
+        route, balancer, deadline = job.route, job.balancer, job.deadline
+        taken = time.monotonic() - started
         if is_lost:
             code = ErrorCode.find(head.header(CODE_HEADER)) or ErrorCode.ANSWER_LOST
             self._note_end(balancer, stats, failed=True, load=load)
@@ -279,13 +338,13 @@
                 balancer.end(stats, False, time.monotonic())
                 raise
         if head.is_complete:
-            self._note_end(balancer, stats, failed=failed, load=load)
+            self._note_end(balancer, stats, failed=failed, load=load, taken=taken)
             return _Try(Answer(head.status, head.reason, _strip(head), [*pieces, *head.pieces]), True)
 
         def end(broke_off: bool) -> None:
             if broke_off:
                 self._events.emit(Event.ANSWER_LOST, upstream=stats.endpoint.instance)
-            self._note_end(balancer, stats, failed=failed or broke_off, load=load)
+            self._note_end(balancer, stats, failed=failed or broke_off, load=load, taken=taken)
 
         return _Try(Answer(head.status, head.reason, _strip(head), AnswerPieces(response, end, pieces)), True)
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/pool.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/pool.py
@@ -17,7 +17,9 @@
 
 __all__ = ["AnswerPieces", "ConnectionPool", "ExchangeError", "UpstreamAnswer", "exchange"]
 
-CONNECT_TIMEOUT = 1.0
+# Round trips between zones take milliseconds; whoever has not answered by then
+# is gone or cut off, and there is time to go elsewhere.
+CONNECT_TIMEOUT = 0.3
 # A peer that acknowledges nothing for this long, in milliseconds, is gone or cut
 # off: several round trips between zones, and a retransmission or two.
 USER_TIMEOUT_MS = 1000
--- a/packages/lanedock/lanedock/routing/balancer.py
+++ b/packages/lanedock/lanedock/routing/balancer.py
@@ -17,6 +17,17 @@
 
 # Score of an upstream at whose door a trial request stands already.
 _UNWANTED = 1e6
+# Weight of the newest answer in the averages of time to answer.
+_SMOOTHING = 0.05
+# An answer is late once it has taken the mean and this many mean deviations: of
+# answers whose times have a long tail, a few in a hundred.
+_LATE_DEVIATIONS = 4.0
+# Least time, in seconds, after which an answer may count as late, and the time
+# assumed before any answer came.
+_LATE_MIN = 0.05
+_LATE_FIRST = 0.5
+# Requests by which an upstream that keeps silent is taken to be more loaded.
+_SILENCE_LOAD = 4
 
 
 class BalancerPolicy:
@@ -91,6 +102,8 @@
     """
 
     __slots__ = (
+        "answered_at",
+        "busy_since",
         "cold_since",
         "ejected_until",
         "ejections",
@@ -112,10 +125,18 @@
         self.ejected_until = 0.0
         self.is_on_trial = False
         self.cold_since = cold_since
+        self.busy_since = 0.0
+        self.answered_at = 0.0
 
     def __repr__(self) -> str:
         return f"<UpstreamStats {self.endpoint.instance} in_progress={self.in_progress} others={self.others}>"
 
+    def silence(self, now: float) -> float:
+        """Return for how long it has answered none of the requests it has, in seconds."""
+        if not self.in_progress or not self.busy_since:
+            return 0.0
+        return now - max(self.busy_since, self.answered_at)
+
     @property
     def address(self) -> tuple[str, int]:
         """Where its daemon takes requests."""
@@ -140,6 +161,8 @@
         self._upstreams: dict[str, UpstreamStats] = {}
         self._local: list[UpstreamStats] = []
         self._remote: list[UpstreamStats] = []
+        self._time_mean = 0.0
+        self._time_deviation = 0.0
 
     def __repr__(self) -> str:
         return f"<Balancer {self._zone} local={len(self._local)} remote={len(self._remote)}>"
@@ -160,6 +183,22 @@
         self._local = [stats for stats in takes if stats.endpoint.zone == self._zone]
         self._remote = [stats for stats in takes if stats.endpoint.zone != self._zone]
 
+    @property
+    def late_after(self) -> float:
+        """Time after which an answer is later than nearly all others, in seconds."""
+        if not self._time_mean:
+            return _LATE_FIRST
+        return max(_LATE_MIN, self._time_mean + _LATE_DEVIATIONS * self._time_deviation)
+
+    def _note_time(self, taken: float) -> None:
+        if not self._time_mean:
+            self._time_mean = taken
+            self._time_deviation = taken / 2
+            return
+        deviation = abs(taken - self._time_mean)
+        self._time_mean += _SMOOTHING * (taken - self._time_mean)
+        self._time_deviation += _SMOOTHING * (deviation - self._time_deviation)
+
     def note_leaving(self, instance: str) -> None:
         """Give an upstream no new work; its daemon has said that it leaves."""
         stats = self._upstreams.get(instance)
@@ -219,6 +258,8 @@
         load = stats.in_progress
         if stats.others:
             load += stats.others * math.exp((stats.told_at - now) / self._policy.load_age)
+        if stats.in_progress and stats.silence(now) > self.late_after:
+            load += _SILENCE_LOAD + stats.in_progress
         if stats.cold_since is None:
             return load
         warm = (now - stats.cold_since) / self._policy.slow_start
@@ -229,11 +270,21 @@
 
     # ---------------------------------------------------------------- outcomes
 
-    def begin(self, stats: UpstreamStats) -> None:
+    def begin(self, stats: UpstreamStats, now: float | None = None) -> None:
         """Note that a request is sent to an upstream."""
+        if now is not None and not stats.in_progress:
+            stats.busy_since = now
         stats.in_progress += 1
 
-    def end(self, stats: UpstreamStats, failed: bool, now: float, told: int | None = None) -> bool:
+    def end(
+        self,
+        stats: UpstreamStats,
+        failed: bool,
+        now: float,
+        told: int | None = None,
+        taken: float | None = None,
+        unreachable: bool = False,
+    ) -> bool:
         """Note a request's end.
 
         Parameters
@@ -244,6 +295,10 @@
         now : float
         told : int, optional
             Requests in progress that its daemon put on the answer, this one included.
+        taken : float, optional
+            Seconds until the answer; left out where the upstream has not answered.
+        unreachable : bool
+            Whether no connection could be made, which needs no second proof.
 
         Returns
         -------
@@ -254,13 +309,16 @@
             stats.others = max(0, told - stats.in_progress)
             stats.told_at = now
         stats.in_progress -= 1
+        if taken is not None:
+            stats.answered_at = now
+            self._note_time(taken)
         if not failed:
             stats.failures = 0
             stats.is_on_trial = False
             stats.ejections = max(0, stats.ejections - 1)
             return False
         stats.failures += 1
-        if stats.failures < self._policy.eject_failures and not stats.is_on_trial:
+        if stats.failures < self._policy.eject_failures and not (stats.is_on_trial or unreachable):
             return False
         return self._eject(stats, now)
 
