--- a/packages/lanedock-daemon/lanedock_daemon/path/caller.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller.py
@@ -24,6 +24,7 @@
     LOAD_HEADER,
     OUTCOME_HEADER,
     SERVICE_HEADER,
+    TARGET_HEADER,
     TRACE_HEADER,
     UPSTREAM_HEADER,
     VERSION_HEADER,
@@ -86,11 +87,19 @@
 class _Job:
     """What all tries of one request have in common."""
 
-    __slots__ = ("attempt", "balancer", "deadline", "headers", "request", "route")
+    __slots__ = ("attempt", "balancer", "deadline", "headers", "request", "route", "wanted_by")
 
     def __init__(
-        self, request: Request, headers: list, route: Route, balancer: Balancer, attempt: int, deadline: float
+        self,
+        request: Request,
+        headers: list,
+        route: Route,
+        balancer: Balancer,
+        attempt: int,
+        deadline: float,
+        wanted_by: float,
     ):
+        self.wanted_by = wanted_by
         self.request = request
         self.headers = headers
         self.route = route
@@ -173,6 +182,7 @@
         body = request.body = ReplayBody(request.body, REPLAY_LIMIT)
         tried: set[str] = set()
         failure = None
+        wanted_by = time.monotonic() + route.target_ms / 1000
         arrivals = 0
         may_have_run = False
         for attempt in range(1, route.max_attempts * REFUSALS_PER_ATTEMPT + 1):
@@ -184,7 +194,7 @@
                 return failure or self._refuse(ErrorCode.NO_UPSTREAM, RETRY_AFTER)
             tried.add(stats.endpoint.instance)
             told = attempt if may_retry else RETRIED
-            job = _Job(request, headers, route, balancer, told, deadline)
+            job = _Job(request, headers, route, balancer, told, deadline, wanted_by)
             if route.repeatable and may_retry and body.length == 0 and arrivals + 1 < route.max_attempts:
                 made = self._try_with_reserve(job, stats, service.slots, budget, tried)
             else:
@@ -212,7 +222,7 @@
         first = gevent.spawn(self._try, job, stats)
         second = None
         try:
-            first.join(timeout=job.balancer.late_after)
+            first.join(timeout=job.balancer.late_after(job.route.name))
             now = time.monotonic()
             if first.ready() or now >= job.deadline:
                 return first.get()
@@ -242,6 +252,8 @@
             (ATTEMPT_HEADER, str(job.attempt)),
             (DEADLINE_HEADER, str(max(1, int(left * 1000)))),
         ]
+        if job.wanted_by < deadline:
+            sent.append((TARGET_HEADER, str(max(0, int((job.wanted_by - started) * 1000)))))
         if stats.endpoint.upstream:
             sent.append((UPSTREAM_HEADER, stats.endpoint.upstream))
         balancer.begin(stats, started)
@@ -264,7 +276,7 @@
         is_lost = head.header(OUTCOME_HEADER) == Outcome.UNKNOWN
         if (is_lost or head.status == 503) and route.repeatable:
             # Noted first: reading may end with the caller's going away.
-            self._note_end(balancer, stats, failed=True, load=load, taken=time.monotonic() - started)
+            self._note_end(balancer, stats, failed=True, load=load)
             answer = Answer(head.status, head.reason, _strip(head), [self._read_refusal(response)])
             if is_lost:
                 answer = self._make_unknown(ErrorCode.find(head.header(CODE_HEADER)) or ErrorCode.ANSWER_LOST, "")
@@ -299,8 +311,10 @@
         answer = self._dialect.make_refusal(code, Outcome.NOT_RUN, 0.0 if code is ErrorCode.DEADLINE else wait)
         return _Try(answer, code is ErrorCode.DEADLINE, has_arrived=bool(head.header(ARRIVED_HEADER)))
 
-    def _note_end(self, balancer, stats, failed: bool, load=None, taken=None, unreachable: bool = False) -> None:
-        if balancer.end(stats, failed, time.monotonic(), load, taken, unreachable):
+    def _note_end(
+        self, balancer, stats, failed: bool, load=None, taken=None, unreachable: bool = False, kind: str = ""
+    ) -> None:
+        if balancer.end(stats, failed, time.monotonic(), load, taken, unreachable, kind):
             self._events.emit(Event.EJECTED, upstream=stats.endpoint.instance)
 
     def _read_refusal(self, response: UpstreamAnswer) -> bytes:
@@ -338,13 +352,15 @@
                 balancer.end(stats, False, time.monotonic())
                 raise
         if head.is_complete:
-            self._note_end(balancer, stats, failed=failed, load=load, taken=taken)
+            # A failure that comes at once must not make an upstream look quick.
+            known = None if failed else taken
+            self._note_end(balancer, stats, failed=failed, load=load, taken=known, kind=route.name)
             return _Try(Answer(head.status, head.reason, _strip(head), [*pieces, *head.pieces]), True)
 
         def end(broke_off: bool) -> None:
             if broke_off:
                 self._events.emit(Event.ANSWER_LOST, upstream=stats.endpoint.instance)
-            self._note_end(balancer, stats, failed=failed or broke_off, load=load, taken=taken)
+            self._note_end(balancer, stats, failed=failed or broke_off, load=load, taken=taken, kind=route.name)
 
         return _Try(Answer(head.status, head.reason, _strip(head), AnswerPieces(response, end, pieces)), True)
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/http.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http.py
@@ -17,6 +17,7 @@
     "LOAD_HEADER",
     "OUTCOME_HEADER",
     "PRIVATE_PREFIX",
+    "TARGET_HEADER",
     "TRACE_HEADER",
     "UPSTREAM_HEADER",
     "Answer",
@@ -37,6 +38,8 @@
 LEAVING_HEADER = "x-lanedock-leaving"
 # The life of the application that is meant, and the service that calls.
 UPSTREAM_HEADER = "x-lanedock-upstream"
+# Milliseconds within which an answer is wanted.
+TARGET_HEADER = "x-lanedock-target-ms"
 CALLER_HEADER = "x-lanedock-caller"
 # On a refusal: the request was at the application, which has refused it.
 ARRIVED_HEADER = "x-lanedock-arrived"
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
@@ -20,6 +20,7 @@
     LEAVING_HEADER,
     LOAD_HEADER,
     SERVICE_HEADER,
+    TARGET_HEADER,
     TRACE_HEADER,
     UPSTREAM_HEADER,
     Answer,
@@ -112,7 +113,9 @@
         told = request.header(DEADLINE_HEADER)
         deadline = started + (int(told) / 1000 if told.isascii() and told.isdigit() else RETRY_AFTER)
         traffic_class = request.header(CLASS_HEADER)
-        refused = self._acquire(traffic_class, deadline)
+        target = request.header(TARGET_HEADER)
+        wanted_by = started + int(target) / 1000 if target.isascii() and target.isdigit() else None
+        refused = self._acquire(traffic_class, deadline, wanted_by)
         if refused is not None:
             return self._refuse(refused.code, refused.retry_after)
         # It may have begun to leave while the request waited.
@@ -142,11 +145,11 @@
         queue = service.queue if service is not None else slots * QUEUE_PER_SLOT
         self._limiter.configure(slots, queue, classes)
 
-    def _acquire(self, traffic_class: str, deadline: float) -> Refused | None:
+    def _acquire(self, traffic_class: str, deadline: float, wanted_by: float | None) -> Refused | None:
         """Take a slot, waiting for it if need be."""
         now = time.monotonic()
         granted = Signal()
-        result = self._limiter.acquire(traffic_class, deadline, now, granted.set)
+        result = self._limiter.acquire(traffic_class, deadline, now, granted.set, wanted_by)
         if result is None or isinstance(result, Refused):
             return result
         try:
--- a/packages/lanedock/lanedock/limits/retries.py
+++ b/packages/lanedock/lanedock/limits/retries.py
@@ -8,6 +8,11 @@
 
 # Parts into which a window is divided; counts are kept for each.
 _PARTS = 10
+# Part of the limit that a caller spends itself. The rest is kept for the calls
+# of its callers' repeats: a run that is a repeat makes its calls again, and they
+# count as repeats where they arrive. Two in a run, on most of the runs, as the
+# deployments have them, take a little more than half.
+_OWN_PART = 0.4
 
 
 class RetryBudget(ABC):
@@ -59,7 +64,8 @@
     The limit is a share of the first tries in the window, and a slack that all
     daemons have together, of which each takes an equal part. Retries are
     counted over a part more than the window and first tries over a part less,
-    so that the sum over all daemons holds for any span.
+    so that the sum over all daemons holds for any span. A part is kept for calls
+    that are made again because their caller was.
 
     Parameters
     ----------
@@ -94,7 +100,7 @@
         self._tries = {at: count for at, count in self._tries.items() if part - at < _PARTS}
         self._retries = {at: count for at, count in self._retries.items() if part - at <= _PARTS}
         allowed = self._share * sum(self._tries.values()) + self._slack / self._daemons()
-        if sum(self._retries.values()) + 1 > allowed:
+        if sum(self._retries.values()) + 1 > _OWN_PART * allowed:
             return False
         self._retries[part] = self._retries.get(part, 0) + 1
         return True
--- a/packages/lanedock/lanedock/limits/slots.py
+++ b/packages/lanedock/lanedock/limits/slots.py
@@ -107,7 +107,9 @@
         # Strictly by priority; the name breaks ties the same way everywhere.
         self._order = sorted(classes, key=lambda name: (classes[name].priority, name))
 
-    def acquire(self, traffic_class: str, deadline: float, now: float, granted) -> Waiter | Refused | None:
+    def acquire(
+        self, traffic_class: str, deadline: float, now: float, granted, wanted_by: float | None = None
+    ) -> Waiter | Refused | None:
         """Ask for a slot.
 
         Parameters
@@ -117,6 +119,10 @@
             Monotonic, seconds.
         granted : callable
             Called once a slot is free, where the answer is a Waiter.
+        wanted_by : float, optional
+            Monotonic, seconds; an answer later than this is worth little, so
+            what would have to wait past it is refused while there is time to go
+            elsewhere. The deadline where left out.
 
         Returns
         -------
@@ -133,7 +139,10 @@
             self._take(traffic_class, now)
             return None
         wait = self._estimate_wait(traffic_class)
-        if not self._has_queue_room(traffic_class) or now + wait >= deadline:
+        is_late = now + wait >= deadline
+        if wanted_by is not None:
+            is_late = is_late or now + wait + self._class_times.get(traffic_class, self._service_time) >= wanted_by
+        if is_late or not self._has_queue_room(traffic_class):
             return Refused(ErrorCode.OVERLOADED, max(wait, self._service_time))
         waiter = Waiter(traffic_class, deadline, granted)
         self._waiting.setdefault(traffic_class, []).append(waiter)
--- a/packages/lanedock/lanedock/limits/tests/test_slots.py
+++ b/packages/lanedock/lanedock/limits/tests/test_slots.py
@@ -144,3 +144,16 @@
     waits = [admission.ask(5.0) for _ in range(6)]
     assert waits[:2] == [0.0, 0.0]
     assert waits[2:] == pytest.approx([0.1, 0.2, 0.3, 0.4])
+
+
+def test_what_would_come_later_than_wanted_is_refused_while_it_can_go_elsewhere():
+    limiter = _limiter(slots=1, queue=100)
+    for number in range(50):
+        limiter.acquire("order", FAR, number, None)
+        limiter.release("order", 0.1, number)
+    limiter.acquire("order", FAR, 50.0, None)
+    waiting = 0
+    while isinstance(limiter.acquire("order", FAR, 50.0, lambda: None, 50.5), Waiter):
+        waiting += 1
+    assert 2 <= waiting <= 4
+    assert isinstance(limiter.acquire("order", FAR, 50.0, lambda: None, None), Waiter)
--- a/packages/lanedock/lanedock/routing/balancer.py
+++ b/packages/lanedock/lanedock/routing/balancer.py
@@ -25,9 +25,24 @@
 # Least time, in seconds, after which an answer may count as late, and the time
 # assumed before any answer came.
 _LATE_MIN = 0.05
+# Least time to answer that is averaged, so that ratios of it have a meaning.
+_TIME_MIN = 0.001
+# Kinds of requests whose times are kept.
+_MAX_KINDS = 1024
 _LATE_FIRST = 0.5
 # Requests by which an upstream that keeps silent is taken to be more loaded.
 _SILENCE_LOAD = 4
+# Power of the slowness by which an upstream's load is scaled. With 1 all would
+# be kept equally late; more gives work to the quick while they have slots.
+_SLOWNESS_POWER = 2
+# Part of the slots in use from which more load counts steeply, and how steeply:
+# beyond it an upstream queues, or slows down.
+_NEARLY_FULL = 0.85
+_FULL_SLOPE = 8.0
+# A local upstream this much slower than the remote one is no reason to stay.
+_MUCH_SLOWER = 1.3
+# How much emptier, in requests, a much quicker remote upstream has to be.
+_QUICK_MARGIN = 1.0
 
 
 class BalancerPolicy:
@@ -99,6 +114,8 @@
     endpoint : Endpoint
     in_progress : int
         This caller's requests there.
+    slowness : float
+        Time to its answers against that of all upstreams, 1 on average.
     """
 
     __slots__ = (
@@ -112,6 +129,7 @@
         "in_progress",
         "is_on_trial",
         "others",
+        "slowness",
         "told_at",
     )
 
@@ -127,6 +145,7 @@
         self.cold_since = cold_since
         self.busy_since = 0.0
         self.answered_at = 0.0
+        self.slowness = 1.0
 
     def __repr__(self) -> str:
         return f"<UpstreamStats {self.endpoint.instance} in_progress={self.in_progress} others={self.others}>"
@@ -143,6 +162,33 @@
         return (self.endpoint.host, self.endpoint.port)
 
 
+class _AnswerTimes:
+    """Averages of the time to answer one kind of request.
+
+    Parameters
+    ----------
+    taken : float
+        Seconds, of the first answer.
+    """
+
+    __slots__ = ("deviation", "mean")
+
+    def __init__(self, taken: float):
+        self.mean = max(taken, _TIME_MIN)
+        self.deviation = self.mean / 2
+
+    @property
+    def late_after(self) -> float:
+        """Time after which an answer is later than nearly all others, in seconds."""
+        return max(_LATE_MIN, self.mean + _LATE_DEVIATIONS * self.deviation)
+
+    def note(self, taken: float) -> None:
+        """Take in another answer's time."""
+        deviation = abs(taken - self.mean)
+        self.mean = max(_TIME_MIN, self.mean + _SMOOTHING * (taken - self.mean))
+        self.deviation += _SMOOTHING * (deviation - self.deviation)
+
+
 class Balancer:
     """The upstreams of one service, as one caller sees them.
 
@@ -161,8 +207,7 @@
         self._upstreams: dict[str, UpstreamStats] = {}
         self._local: list[UpstreamStats] = []
         self._remote: list[UpstreamStats] = []
-        self._time_mean = 0.0
-        self._time_deviation = 0.0
+        self._times: dict[str, _AnswerTimes] = {}
 
     def __repr__(self) -> str:
         return f"<Balancer {self._zone} local={len(self._local)} remote={len(self._remote)}>"
@@ -183,21 +228,19 @@
         self._local = [stats for stats in takes if stats.endpoint.zone == self._zone]
         self._remote = [stats for stats in takes if stats.endpoint.zone != self._zone]
 
-    @property
-    def late_after(self) -> float:
-        """Time after which an answer is later than nearly all others, in seconds."""
-        if not self._time_mean:
-            return _LATE_FIRST
-        return max(_LATE_MIN, self._time_mean + _LATE_DEVIATIONS * self._time_deviation)
+    def late_after(self, kind: str) -> float:
+        """Return the time after which an answer is later than nearly all of its kind, in seconds."""
+        times = self._times.get(kind)
+        return times.late_after if times is not None else _LATE_FIRST
 
-    def _note_time(self, taken: float) -> None:
-        if not self._time_mean:
-            self._time_mean = taken
-            self._time_deviation = taken / 2
-            return
-        deviation = abs(taken - self._time_mean)
-        self._time_mean += _SMOOTHING * (taken - self._time_mean)
-        self._time_deviation += _SMOOTHING * (deviation - self._time_deviation)
+    def _note_time(self, stats: UpstreamStats, kind: str, taken: float) -> None:
+        times = self._times.get(kind)
+        if times is None:
+            if len(self._times) >= _MAX_KINDS:
+                self._times.clear()
+            times = self._times[kind] = _AnswerTimes(taken)
+        stats.slowness += _SMOOTHING * (taken / times.mean - stats.slowness)
+        times.note(taken)
 
     def note_leaving(self, instance: str) -> None:
         """Give an upstream no new work; its daemon has said that it leaves."""
@@ -225,14 +268,17 @@
         UpstreamStats or None
             None where no upstream takes work.
         """
-        local = self._pick(self._usable(self._local, excluded, now), now)
-        if local is not None and self._score(local, now) < self._policy.spill * slots:
-            return local
-        remote = self._pick(self._usable(self._remote, excluded, now), now)
+        local = self._pick(self._usable(self._local, excluded, now), slots, now)
+        remote = self._pick(self._usable(self._remote, excluded, now), slots, now)
         if remote is None or local is None:
             return local or remote
+        local_score = self._score(local, slots, now)
         margin = self._policy.zone_penalty * slots
-        if self._score(remote, now) + margin < self._score(local, now):
+        if local.slowness > _MUCH_SLOWER * remote.slowness:
+            margin = min(margin, _QUICK_MARGIN)
+        elif local_score < self._policy.spill * slots:
+            return local
+        if self._score(remote, slots, now) + margin < local_score:
             return remote
         return local
 
@@ -243,23 +289,28 @@
         # All are ejected: a wrong guess is better than an empty service.
         return pool
 
-    def _pick(self, usable: list[UpstreamStats], now: float) -> UpstreamStats | None:
+    def _pick(self, usable: list[UpstreamStats], slots: int, now: float) -> UpstreamStats | None:
         if not usable:
             return None
         if len(usable) == 1:
             return usable[0]
         first, second = self._rng.sample(usable, 2)
-        return first if self._score(first, now) <= self._score(second, now) else second
+        return first if self._score(first, slots, now) <= self._score(second, slots, now) else second
 
-    def _score(self, stats: UpstreamStats, now: float) -> float:
-        """Estimate the requests in progress, scaled up while it is cold."""
+    def _score(self, stats: UpstreamStats, slots: int, now: float) -> float:
+        """Estimate the requests in progress, scaled up while it is cold and where it is slow."""
         if stats.is_on_trial and stats.in_progress:
             return _UNWANTED
         load = stats.in_progress
         if stats.others:
             load += stats.others * math.exp((stats.told_at - now) / self._policy.load_age)
-        if stats.in_progress and stats.silence(now) > self.late_after:
+        if stats.in_progress and stats.silence(now) > self._silence_limit():
             load += _SILENCE_LOAD + stats.in_progress
+        over = load / (stats.endpoint.slots or slots) - _NEARLY_FULL
+        if over > 0:
+            load *= 1 + _FULL_SLOPE * over
+        if stats.slowness != 1.0:
+            load = (load + 1) * stats.slowness**_SLOWNESS_POWER - 1
         if stats.cold_since is None:
             return load
         warm = (now - stats.cold_since) / self._policy.slow_start
@@ -268,6 +319,12 @@
             return load
         return (load + 1) / max(self._policy.cold_weight, warm) - 1
 
+    def _silence_limit(self) -> float:
+        """Return the silence, in seconds, that no kind of request explains."""
+        if not self._times:
+            return _LATE_FIRST
+        return max(times.late_after for times in self._times.values())
+
     # ---------------------------------------------------------------- outcomes
 
     def begin(self, stats: UpstreamStats, now: float | None = None) -> None:
@@ -284,6 +341,7 @@
         told: int | None = None,
         taken: float | None = None,
         unreachable: bool = False,
+        kind: str = "",
     ) -> bool:
         """Note a request's end.
 
@@ -299,6 +357,8 @@
             Seconds until the answer; left out where the upstream has not answered.
         unreachable : bool
             Whether no connection could be made, which needs no second proof.
+        kind : str
+            Of the request, such as its route's name: times are compared within one.
 
         Returns
         -------
@@ -311,7 +371,7 @@
         stats.in_progress -= 1
         if taken is not None:
             stats.answered_at = now
-            self._note_time(taken)
+            self._note_time(stats, kind, taken)
         if not failed:
             stats.failures = 0
             stats.is_on_trial = False
--- a/packages/lanedock/lanedock/routing/tests/test_balancer.py
+++ b/packages/lanedock/lanedock/routing/tests/test_balancer.py
@@ -123,3 +123,35 @@
         balancer.set_endpoints([_endpoint("a", incarnation=2), _endpoint("new", incarnation=2)], now - 100)
     assert shares[0] < 40
     assert 80 < shares[1] < 120
+
+
+def test_a_quick_upstream_gets_more_than_a_slow_one_until_it_is_nearly_full():
+    balancer = _balancer(_endpoint("quick"), _endpoint("slow"))
+    rng = Random(3)
+    chosen = Counter()
+    running = []
+    for step in range(4000):
+        now = step * 0.02
+        for ends_at, stats, taken in [item for item in running if item[0] <= now]:
+            running.remove((ends_at, stats, taken))
+            balancer.end(stats, False, now, taken=taken, kind="read")
+        stats = balancer.choose(12, now)
+        taken = rng.uniform(0.05, 0.15) * (1 if stats.endpoint.instance == "quick" else 3)
+        balancer.begin(stats, now)
+        running.append((now + taken, stats, taken))
+        chosen[stats.endpoint.instance] += step > 1000
+    assert chosen["quick"] > 4 * chosen["slow"] > 0
+
+
+def test_a_silent_upstream_gets_less():
+    balancer = _balancer(_endpoint("a"), _endpoint("b"))
+    for _ in range(50):
+        for stats in list(balancer._upstreams.values()):
+            balancer.begin(stats, 0.0)
+            balancer.end(stats, False, 0.1, taken=0.1, kind="read")
+    silent = balancer.choose(12, 1.0)
+    balancer.begin(silent, 1.0)
+    other = next(stats for stats in balancer._upstreams.values() if stats is not silent)
+    for _ in range(3):
+        balancer.begin(other, 5.0)
+    assert balancer.choose(12, 5.0) is other
