Lead from a request's id to its cause: lanedock explain, and the operations page

Change: explain gathers a request's lines over several processes in the order of the decisions, with what its codes mean, what the processes believed around it, and what is missing; docs/OPERATIONS.md has three worked kinds.

--- a/packages/lanedock-cli/lanedock_cli/app.py
+++ b/packages/lanedock-cli/lanedock_cli/app.py
@@ -21,6 +21,7 @@
 from lanedock.wire import messages
 from lanedock_cli.client import ControlClient
 from lanedock_cli.doctor import examine
+from lanedock_cli.explain import gather, print_account
 from lanedock_cli.render import (
     ANSWER_NAMES,
     answer_value,
@@ -257,6 +258,18 @@
     print_traces(file, _console)
 
 
+@app.command(epilog="example: lanedock explain 9c41d07be2a35f68 logs/*.log")
+def explain(
+    request: Annotated[str, typer.Argument(help="The request's id, from the caller's report.", metavar="ID")],
+    files: Annotated[list[Path], typer.Argument(help="Logs of the processes it may have met.", metavar="FILE...")],
+) -> None:
+    """Gather what several processes' logs say of one request."""
+    account = gather(request, files)
+    print_account(account, _console)
+    if not account.lines:
+        raise typer.Exit(EXIT_FAILED)
+
+
 def main() -> None:
     """Run the command line."""
     try:
--- a/packages/lanedock-daemon/lanedock_daemon/path/dialect.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/dialect.py
@@ -15,6 +15,7 @@
     DEADLINE_HEADER,
     HOP_HEADERS,
     OUTCOME_HEADER,
+    REQUEST_ID_HEADER,
     TRACE_HEADER,
     Answer,
     make_refusal,
@@ -158,6 +159,8 @@
         for name, value in headers:
             if name == DEADLINE_HEADER and value.isascii() and value.isdigit():
                 facts.deadline_ms = int(value)
+            elif name == REQUEST_ID_HEADER:
+                facts.request_id = value
             elif name == ATTEMPT_HEADER:
                 facts.was_retried = value not in ("", "1")
         return facts
--- a/packages/lanedock-daemon/lanedock_daemon/path/http.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http.py
@@ -17,6 +17,7 @@
     "LOAD_HEADER",
     "OUTCOME_HEADER",
     "PRIVATE_PREFIX",
+    "REQUEST_ID_HEADER",
     "ROUTE_HEADER",
     "TARGET_HEADER",
     "TRACE_HEADER",
@@ -53,6 +54,8 @@
 OUTCOME_HEADER = "x-request-outcome"
 CODE_HEADER = "x-request-code"
 TRACE_HEADER = "traceparent"
+# By which a request is found in the logs; passed on as it came.
+REQUEST_ID_HEADER = "x-request-id"
 
 # Headers of one connection, never passed on (RFC 9110, 7.6.1).
 HOP_HEADERS = frozenset(
