--- a/packages/lanedock/lanedock/limits/slots.py
+++ b/packages/lanedock/lanedock/limits/slots.py
@@ -7,6 +7,7 @@
 """
 
 import math
+from random import Random
 
 from lanedock.config import TrafficClass
 from lanedock.errors import ErrorCode
@@ -23,6 +24,10 @@
 _PEAK_AGE = 5.0
 # Highest use below which a class counts as not seen lately.
 _SEEN_LATELY = 0.2
+# Part of the time within which an answer is wanted after which a refused
+# request may come back, and the longest such time, in seconds.
+_RETURN_PART = 0.4
+_RETURN_MAX = 1.0
 # Kinds of requests whose times are kept.
 _MAX_KINDS = 1024
 
@@ -72,6 +77,22 @@
         return f"<Waiter {self.traffic_class} rank={self.rank:.3f}>"
 
 
+class _KindTime:
+    """Averages of the time that requests of a kind take, in seconds."""
+
+    __slots__ = ("deviation", "mean")
+
+    def __init__(self, duration: float):
+        self.mean = duration
+        self.deviation = duration / 2
+
+    def note(self, duration: float) -> None:
+        """Take in another duration."""
+        deviation = abs(duration - self.mean)
+        self.mean += _SMOOTHING * (duration - self.mean)
+        self.deviation += _SMOOTHING * (deviation - self.deviation)
+
+
 class SlotLimiter:
     """Slots of one upstream, shared among traffic classes.
 
@@ -87,14 +108,17 @@
     queue : int
         Requests that may wait.
     classes : dict of str to TrafficClass
+    rng : random.Random, optional
+        Spreads the times to come back.
     """
 
-    def __init__(self, slots: int, queue: int, classes: dict[str, TrafficClass]):
+    def __init__(self, slots: int, queue: int, classes: dict[str, TrafficClass], rng: Random | None = None):
+        self._rng = rng or Random()
         self._in_use: dict[str, int] = {}
         self._waiting: dict[str, list[Waiter]] = {}
         self._service_time = _FIRST_ESTIMATE
         self._class_times: dict[str, float] = {}
-        self._kind_times: dict[str, float] = {}
+        self._kind_times: dict[str, _KindTime] = {}
         self._peaks: dict[str, tuple[float, float]] = {}
         self.in_use = 0
         self.waiting = 0
@@ -150,9 +174,9 @@
         wait = self._estimate_wait(traffic_class, rank)
         is_late = now + wait >= deadline
         if wanted_by is not None:
-            is_late = is_late or now + wait + self._kind_times.get(kind, self._service_time) >= wanted_by
+            is_late = is_late or now + wait + self._time_of(kind) >= wanted_by
         if is_late or not self._has_queue_room(traffic_class):
-            return Refused(ErrorCode.OVERLOADED, max(wait, self._service_time))
+            return Refused(ErrorCode.OVERLOADED, self._return_after(wait, now, rank))
         waiter = Waiter(traffic_class, rank, granted)
         self._waiting.setdefault(traffic_class, []).append(waiter)
         self.waiting += 1
@@ -170,14 +194,20 @@
         known = self._class_times.get(traffic_class, duration)
         self._class_times[traffic_class] = known + _SMOOTHING * (duration - known)
         if kind:
-            if len(self._kind_times) >= _MAX_KINDS:
-                self._kind_times.clear()
-            known = self._kind_times.get(kind, duration)
-            self._kind_times[kind] = known + _SMOOTHING * (duration - known)
+            self._note_kind(kind, duration)
         self._in_use[traffic_class] -= 1
         self.in_use -= 1
         self._grant(now)
 
+    def _note_kind(self, kind: str, duration: float) -> None:
+        known = self._kind_times.get(kind)
+        if known is not None:
+            known.note(duration)
+            return
+        if len(self._kind_times) >= _MAX_KINDS:
+            self._kind_times.clear()
+        self._kind_times[kind] = _KindTime(duration)
+
     def cancel(self, waiter: Waiter) -> bool:
         """Stop waiting; False where the slot was granted already."""
         queue = self._waiting.get(waiter.traffic_class, [])
@@ -229,6 +259,21 @@
                 unused += max(0, share - lengths.get(name, 0))
         return self.queue - self.waiting > unused
 
+    def _time_of(self, kind: str) -> float:
+        """Return the time that a request of a kind takes, longer than most of them."""
+        known = self._kind_times.get(kind)
+        return known.mean + known.deviation if known is not None else self._service_time
+
+    def _return_after(self, wait: float, now: float, rank: float) -> float:
+        """Return when a refused request may come back, in seconds.
+
+        Those that come back at once meet the same load; a part of the time
+        within which their answer is wanted lets a burst pass, and its spread
+        keeps them from coming together.
+        """
+        part = _RETURN_PART * (rank - now) * self._rng.uniform(0.5, 1.5)
+        return max(wait, self._service_time, min(part, _RETURN_MAX))
+
     def _estimate_wait(self, traffic_class: str, rank: float) -> float:
         """Estimate the wait from the requests that would be served before."""
         ahead = 1
