--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -3,11 +3,11 @@
 set -euo pipefail
 digest() { cat "$@" | sha256sum | cut -c1-16; }
 
-deps=target/.deps-$(digest constraints.txt deploy/requirements.txt)
+deps=target/.deps-$(digest constraints.txt deploy/requirements.txt deploy/build.sh)
 if [ ! -e "$deps" ]; then
   rm -rf target/deps target/.deps-*
   python3 -m pip install -q -c constraints.txt -r deploy/requirements.txt --target target/deps
-  python3 -m compileall -q target/deps
+  python3 -m compileall -q -o 2 target/deps
   touch "$deps"
 fi
 
@@ -26,6 +26,6 @@
   mkdir -p "target/app.new/$(dirname "$kept")"
   cp "$source" "target/app.new/$kept"
 done
-python3 -m compileall -q target/app.new
+python3 -m compileall -q -o 2 target/app.new
 mv target/app.new target/app
 touch "$app"
