Take an upstream back after its daemon's planned stop

A daemon that stops marks its endpoint as leaving; the registry took that for the end of its application's life and kept it from coming back. Change: the endpoint says apart that the life has ended for good. Tests: of the registry, and with real processes; both fail before.

--- a/packages/lanedock-daemon/lanedock_daemon/agent/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/service.py
@@ -304,9 +304,9 @@
             self._state.incarnation = endpoint.incarnation + 1
         registration = self._board.upstream
         if registration is not None and registration.adopt(
-            endpoint.upstream, endpoint.service, endpoint.leaving, endpoint.slots, time.monotonic()
+            endpoint.upstream, endpoint.service, endpoint.ended, endpoint.slots, time.monotonic()
         ):
-            self._events.emit(Event.UPSTREAM_ADOPTED, upstream=endpoint.upstream, leaving=endpoint.leaving)
+            self._events.emit(Event.UPSTREAM_ADOPTED, upstream=endpoint.upstream, leaving=endpoint.ended)
 
     def _on_floor(self, floor: messages.Floor) -> None:
         if floor.token != self._floor_token:
@@ -395,6 +395,7 @@
         endpoint.zone = self._settings.zone
         endpoint.host, endpoint.port = listen.host, listen.port
         endpoint.leaving = is_leaving
+        endpoint.ended = registration.is_leaving
         endpoint.incarnation = state.incarnation
         endpoint.upstream = registration.upstream
         endpoint.slots = registration.slots
--- a/packages/lanedock/lanedock/membership/registry.py
+++ b/packages/lanedock/lanedock/membership/registry.py
@@ -4,7 +4,8 @@
 Nobody lists the instances: an upstream registers itself at its daemon, the
 daemon reports it to its control instance, and the control instances report to
 each other. What is freshest by the daemon's incarnation and revision counts;
-an upstream that leaves does so for good, whatever comes later under its id.
+an application that leaves does so for good, whatever comes later under its id. A
+daemon that stops makes its upstream leave, too, but comes back with it.
 """
 
 from lanedock.membership.changes import EndpointChanges
@@ -168,12 +169,12 @@
         """Keep an upstream that has left from coming back under its id."""
         if not endpoint.upstream:
             return
-        if endpoint.leaving:
+        if endpoint.ended:
             self._left[endpoint.upstream] = None
             while len(self._left) > MAX_LEFT:
                 del self._left[next(iter(self._left))]
         elif endpoint.upstream in self._left:
-            endpoint.leaving = True
+            endpoint.ended = endpoint.leaving = True
 
 
 def _freshness(endpoint: messages.Endpoint) -> tuple[int, int]:
--- a/packages/lanedock/lanedock/membership/tests/test_registry.py
+++ b/packages/lanedock/lanedock/membership/tests/test_registry.py
@@ -10,9 +10,15 @@
 KEEP = 10.0
 
 
-def _endpoint(name="a", incarnation=1, revision=1, upstream="life-1", leaving=False):
+def _endpoint(name="a", incarnation=1, revision=1, upstream="life-1", leaving=False, ended=False):
     return messages.Endpoint(
-        instance=name, service="s", upstream=upstream, leaving=leaving, incarnation=incarnation, revision=revision
+        instance=name,
+        service="s",
+        upstream=upstream,
+        leaving=leaving or ended,
+        ended=ended,
+        incarnation=incarnation,
+        revision=revision,
     )
 
 
@@ -58,15 +64,28 @@
 
 def test_a_life_that_has_left_never_comes_back_under_a_restarted_daemon():
     registry = _registry()
-    registry.register(_endpoint(leaving=True), 0.0)
+    registry.register(_endpoint(ended=True), 0.0)
     _known(registry)
     registry.unregister("a", 1.0)
     registry.register(_endpoint(incarnation=2), 1.1)
     assert _known(registry, 1.1)["a"].leaving
+    assert _known(registry, 1.1)["a"].ended
     registry.register(_endpoint(incarnation=2, revision=2, upstream="life-2"), 1.2)
     assert not _known(registry, 1.2)["a"].leaving
 
 
+def test_an_upstream_comes_back_after_a_planned_stop_of_its_daemon():
+    # Found on the platform: after rolling restarts of daemons half of a service
+    # got no work any more, as the stop was taken for its applications' end.
+    registry = _registry()
+    registry.register(_endpoint(), 0.0)
+    registry.register(_endpoint(revision=2, leaving=True), 1.0)
+    assert _known(registry, 1.0)["a"].leaving
+    registry.unregister("a", 4.0)
+    registry.register(_endpoint(incarnation=2), 5.0)
+    assert not _known(registry, 5.0)["a"].leaving
+
+
 def test_an_endpoint_that_nobody_reports_is_kept_for_a_while():
     registry = _registry()
     registry.register(_endpoint(), 0.0)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -296,3 +296,21 @@
     for number in range(10):
         platform.request(leaving, f"again-{number}")
     assert len(application.seen) == before
+
+
+def test_an_upstream_comes_back_after_a_planned_stop_of_its_daemon(platform):
+    assert platform.put(make_configuration(4, 0)) == 200
+    for ip in platform.daemons:
+        platform.wait_ready(ip)
+    stopped, other = platform.daemons
+    platform.processes[stopped].terminate()
+    assert platform.processes[stopped].wait(TIMEOUT) == 0
+    platform.start_process(stopped, platform._fill("daemon", stopped, False))
+    platform.wait_ready(stopped)
+    lives = {platform.applications[ip].life for ip in platform.daemons}
+
+    def is_shared() -> bool:
+        stamps = {platform.request(other, f"back-{number}")[1].get("x-server-stamp") for number in range(20)}
+        return lives <= stamps
+
+    wait_for(is_shared)
