Try two overloaded upstreams at the most

Change: two refusals for load end the search; other refusals as before. Ruled out: fewer tries for every refusal (a drain in progress would then refuse callers that others could serve).

--- a/packages/lanedock-daemon/lanedock_daemon/path/caller.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller.py
@@ -55,6 +55,9 @@
 # Daemons that may refuse a request unseen by an application, for each attempt
 # that an application may see.
 REFUSALS_PER_ATTEMPT = 2
+# Upstreams that may refuse a request for their load. Two chosen as the less loaded
+# ones say that the others are full, too; more tries only add to the load.
+MAX_OVERLOADS = 2
 _DAEMON_HEADERS = HOP_HEADERS | {OUTCOME_HEADER, CODE_HEADER}
 
 
@@ -69,6 +72,8 @@
     has_arrived : bool
         Whether the application may have seen the request.
     may_have_run : bool
+    code : ErrorCode, optional
+        Why the upstream's daemon refused.
 
     Attributes
     ----------
@@ -76,10 +81,18 @@
         Applications that may have seen the request.
     """
 
-    __slots__ = ("answer", "arrivals", "is_final", "may_have_run")
+    __slots__ = ("answer", "arrivals", "code", "is_final", "may_have_run")
 
-    def __init__(self, answer: Answer, is_final: bool, has_arrived: bool = True, may_have_run: bool = False):
+    def __init__(
+        self,
+        answer: Answer,
+        is_final: bool,
+        has_arrived: bool = True,
+        may_have_run: bool = False,
+        code: ErrorCode | None = None,
+    ):
         self.answer = answer
+        self.code = code
         self.is_final = is_final
         self.arrivals = int(has_arrived)
         self.may_have_run = may_have_run
@@ -217,7 +230,7 @@
         tried: set[str] = set()
         failure = None
         wanted_by = time.monotonic() + route.target_ms / 1000
-        arrivals = 0
+        arrivals = overloads = 0
         may_have_run = False
         for attempt in range(1, route.max_attempts * REFUSALS_PER_ATTEMPT + 1):
             now = time.monotonic()
@@ -241,7 +254,8 @@
             if failure is None or made.may_have_run or not may_have_run:
                 failure = made.answer
             arrivals += made.arrivals
-            if not may_retry or not body.can_rewind or arrivals >= route.max_attempts:
+            overloads += made.code is ErrorCode.OVERLOADED
+            if not may_retry or not body.can_rewind or arrivals >= route.max_attempts or overloads >= MAX_OVERLOADS:
                 return failure
             may_spend = not made.arrivals or budget.spend(time.monotonic())
             left_over = budget.left(time.monotonic())
@@ -380,7 +394,7 @@
         self._read_refusal(response)
         wait = _read_float(head.header("retry-after")) or RETRY_AFTER
         answer = self._dialect.make_refusal(code, Outcome.NOT_RUN, 0.0 if code is ErrorCode.DEADLINE else wait)
-        return _Try(answer, code is ErrorCode.DEADLINE, has_arrived=bool(head.header(ARRIVED_HEADER)))
+        return _Try(answer, code is ErrorCode.DEADLINE, bool(head.header(ARRIVED_HEADER)), code=code)
 
     def _note_end(
         self, balancer, stats, failed: bool, load=None, taken=None, unreachable: bool = False, kind: str = ""
