--- a/packages/lanedock-daemon/lanedock_daemon/agent/discovery.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/discovery.py
@@ -13,7 +13,7 @@
 from lanedock.kernel import Kernel, Service
 from lanedock.membership import UpstreamRegistration
 from lanedock.telemetry import Event, EventLogger
-from lanedock_daemon.agent.board import Board
+from lanedock_daemon.agent.view import LocalView
 from lanedock_daemon.path.dialect import Dialect
 from lanedock_daemon.path.http import EmptyBody, Request
 from lanedock_daemon.path.parser import MalformedMessage
@@ -34,7 +34,7 @@
 
     Parameters
     ----------
-    board : Board
+    view : LocalView
         With the registration of the application.
     application : tuple of (str, int)
     dialect : Dialect
@@ -45,8 +45,8 @@
 
     name = "discovery"
 
-    def __init__(self, board: Board, application, dialect: Dialect, on_change, events: EventLogger):
-        self._board = board
+    def __init__(self, view: LocalView, application, dialect: Dialect, on_change, events: EventLogger):
+        self._view = view
         self._application = application
         self._dialect = dialect
         self._on_change = on_change
@@ -63,7 +63,7 @@
         pool = ConnectionPool()
         attempts = 0
         while attempts < ATTEMPTS and not self._registration.upstream:
-            path = self._board.health_path(self._registration.service)
+            path = self._view.health_path(self._registration.service)
             if path:
                 attempts += 1
                 self._ask(pool, path)
@@ -72,7 +72,7 @@
 
     @property
     def _registration(self) -> UpstreamRegistration:
-        return self._board.upstream
+        return self._view.upstream
 
     def _ask(self, pool: ConnectionPool, path: str) -> None:
         request = Request("GET", path, self._application[0], [], EmptyBody())
--- a/packages/lanedock-daemon/lanedock_daemon/agent/relay.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/relay.py
@@ -1,19 +1,19 @@
 # SPDX-License-Identifier: BSD-3-Clause
-"""A daemon's desk for daemons that take versions from it."""
+"""A relay's sessions with the daemons downstream of it."""
 
 from lanedock.rollout import Distributor, VersionSource
 from lanedock.telemetry import Metrics
 from lanedock.wire import messages
-from lanedock_daemon.desk import SessionDesk
+from lanedock_daemon.session_registry import SessionRegistry
 from lanedock_daemon.transport import Session
 
-__all__ = ["RelayDesk"]
+__all__ = ["RelaySessions"]
 
 # Older accepted versions that are kept as bases of deltas.
 MAX_BASES = 4
 
 
-class RelayDesk(SessionDesk):
+class RelaySessions(SessionRegistry):
     """The daemons behind a relay.
 
     Parameters
--- a/packages/lanedock-daemon/lanedock_daemon/agent/search.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/search.py
@@ -101,7 +101,7 @@
         self._home_at = now + self._rng.uniform(0.5, 1.0) * self._home_wait
         return True
 
-    def go_home(self) -> None:
+    def fail_back(self) -> None:
         """Try the own zone's control instance next."""
         self._relay = None
         self._position = 0
--- a/packages/lanedock-daemon/lanedock_daemon/agent/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/service.py
@@ -12,20 +12,20 @@
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics
 from lanedock.wire import messages
 from lanedock_daemon.agent.attest import AttestationsMade, Attester
-from lanedock_daemon.agent.board import Board
-from lanedock_daemon.agent.relay import RelayDesk
+from lanedock_daemon.agent.relay import RelaySessions
 from lanedock_daemon.agent.search import SourceSearch
+from lanedock_daemon.agent.view import LocalView
 from lanedock_daemon.sessions import (
     HEARTBEAT_INTERVAL,
     SILENCE_LIMIT,
     ChildArrived,
     ChildLeft,
-    ChildTold,
+    ChildReported,
     SeedsChanged,
 )
-from lanedock_daemon.transport import SourceEnded, SourceStream, SourceTold
+from lanedock_daemon.transport import SourceEnded, SourceSent, SourceStream
 
-__all__ = ["AgentService", "DrainAsked", "RegistrationChanged"]
+__all__ = ["AgentService", "DrainRequested", "RegistrationChanged"]
 
 TICK = 0.25
 # Staleness that a source admits, in seconds, after which another is looked for.
@@ -33,7 +33,7 @@
 HOME_TIMEOUT = 1.0
 
 
-class DrainAsked:
+class DrainRequested:
     """The instance is to take no new work."""
 
     __slots__ = ()
@@ -45,7 +45,7 @@
     __slots__ = ()
 
 
-class _HomeFound:
+class _HomeReachable:
     """The control instance of the own zone can be reached again."""
 
     __slots__ = ()
@@ -58,22 +58,22 @@
     ----------
     settings : Settings
         With a daemon section.
-    board : Board
+    view : LocalView
     events : EventLogger
     metrics : Metrics
     """
 
     name = "agent"
 
-    def __init__(self, settings: Settings, board: Board, events: EventLogger, metrics: Metrics):
+    def __init__(self, settings: Settings, view: LocalView, events: EventLogger, metrics: Metrics):
         super().__init__(TICK)
         self._settings = settings
-        self._board = board
-        self._holder = board.holder
+        self._view = view
+        self._holder = view.holder
         self._events = events
         self._metrics = metrics
         self._search = SourceSearch(settings.daemon.control, random.Random(), settings.zone)
-        self._relay = RelayDesk(metrics) if settings.daemon.relay else None
+        self._relay = RelaySessions(metrics) if settings.daemon.relay else None
         self._stream: SourceStream | None = None
         self._connect_at = 0.0
         self._heartbeat_at = 0.0
@@ -83,16 +83,16 @@
         self._attestations: list[messages.Attestation] = []
         self._state = self._make_state()
         self._handlers = {
-            SourceTold: self._on_source_told,
+            SourceSent: self._on_source_sent,
             SourceEnded: self._on_source_ended,
-            DrainAsked: self._on_drain,
-            RegistrationChanged: lambda mail: None,
-            SeedsChanged: lambda mail: self._search.set_seeds(mail.control),
-            _HomeFound: self._on_home_found,
-            AttestationsMade: lambda mail: self._attestations.extend(mail.attestations),
+            DrainRequested: self._on_drain,
+            RegistrationChanged: lambda item: None,
+            SeedsChanged: lambda item: self._search.set_seeds(item.control),
+            _HomeReachable: self._on_home_reachable,
+            AttestationsMade: lambda item: self._attestations.extend(item.attestations),
             ChildArrived: self._on_child_arrived,
-            ChildTold: lambda mail: self._relay.tell(mail.session, mail.message),
-            ChildLeft: lambda mail: self._relay.leave(mail.session),
+            ChildReported: lambda item: self._relay.tell(item.session, item.message),
+            ChildLeft: lambda item: self._relay.leave(item.session),
         }
 
     # ------------------------------------------------------------------- start
@@ -130,15 +130,15 @@
     # ---------------------------------------------------------------- messages
 
     def on_messages(self, batch: list[object]) -> None:
-        for mail in batch:
-            self._handlers[type(mail)](mail)
+        for item in batch:
+            self._handlers[type(item)](item)
         self._advance()
 
     def on_tick(self) -> None:
         now = time.monotonic()
-        if self._board.upstream is not None and self._board.upstream.check_silence(now):
-            self._events.emit(Event.UPSTREAM_SILENT, upstream=self._board.upstream.upstream)
-        if not self._board.note_alive():
+        if self._view.upstream is not None and self._view.upstream.check_silence(now):
+            self._events.emit(Event.UPSTREAM_SILENT, upstream=self._view.upstream.upstream)
+        if not self._view.note_alive():
             self._events.emit(Event.SUSPENDED, version=self._holder.in_force_version.number)
             self._is_floor_asked = False
         self._measure(now)
@@ -158,7 +158,7 @@
         heard_at = self._stream.heard_at if self._stream is not None else self._connect_at
         self._metrics.gauge(Metric.SOURCE_AGE, max(0.0, now - heard_at))
         self._metrics.gauge(Metric.STALENESS, self._staleness_now(now))
-        for zone, count in self._board.count_endpoints().items():
+        for zone, count in self._view.count_endpoints().items():
             self._metrics.gauge(Metric.ENDPOINTS, count, (zone,))
 
     def _probe_home(self) -> None:
@@ -168,14 +168,14 @@
             socket.create_connection((home.host, home.port), timeout=HOME_TIMEOUT).close()
         except OSError:
             return
-        self.post(_HomeFound())
+        self.post(_HomeReachable())
 
-    def _on_home_found(self, mail: _HomeFound) -> None:
+    def _on_home_reachable(self, item: _HomeReachable) -> None:
         """Go back, so that a zone that is cut off keeps its daemons with its own control."""
         if self._stream is None or self._search.is_home():
             return
         self._drop_stream()
-        self._search.go_home()
+        self._search.fail_back()
         self._connect(time.monotonic())
 
     def _connect(self, now: float) -> None:
@@ -219,16 +219,16 @@
         self._connect_at = now + self._search.note_failure(now)
         self._events.emit(Event.SOURCE_LOST, address=stream.address, reason=reason)
 
-    def _on_source_ended(self, mail: SourceEnded) -> None:
-        if mail.stream is self._stream:
-            self._leave_source(mail.reason)
+    def _on_source_ended(self, item: SourceEnded) -> None:
+        if item.stream is self._stream:
+            self._leave_source(item.reason)
 
-    def _on_source_told(self, mail: SourceTold) -> None:
-        if mail.stream is not self._stream:
+    def _on_source_sent(self, item: SourceSent) -> None:
+        if item.stream is not self._stream:
             return
         now = time.monotonic()
-        mail.stream.heard_at = now
-        message = mail.message
+        item.stream.heard_at = now
+        message = item.message
         body = message.WhichOneof("body")
         if body == "in_force":
             self._swap(lambda: self._holder.put_in_force(message.in_force))
@@ -243,7 +243,7 @@
         elif body == "floor":
             self._on_floor(message.floor)
         elif body == "heartbeat":
-            self._on_heartbeat(mail.stream, now)
+            self._on_heartbeat(item.stream, now)
             self._staleness = message.heartbeat.staleness_ms / 1000
         elif body == "members":
             self._search.set_members([(item.address, item.zone) for item in message.members.members])
@@ -277,7 +277,7 @@
         change()
         self._metrics.count(Metric.DROPPED, self._holder.dropped - dropped)
         if self._holder.in_force is not before:
-            self._board.publish()
+            self._view.publish()
             number = self._holder.in_force_version.number
             self._metrics.gauge(Metric.VERSION, number)
             self._events.emit(Event.IN_FORCE, version=number)
@@ -290,7 +290,7 @@
             self._events.emit(Event.REFUSED, version=push.version, code=first.code, finding=first.message)
 
     def _on_endpoints(self, update: messages.EndpointUpdate) -> None:
-        self._board.take_endpoints(update)
+        self._view.take_endpoints(update)
         for endpoint in update.changed:
             if endpoint.instance == self._settings.name:
                 self._on_own_endpoint(endpoint)
@@ -302,7 +302,7 @@
         if endpoint.incarnation > self._state.incarnation:
             # The wall clock has gone back since the former start.
             self._state.incarnation = endpoint.incarnation + 1
-        registration = self._board.upstream
+        registration = self._view.upstream
         if registration is not None and registration.adopt(
             endpoint.upstream, endpoint.service, endpoint.ended, endpoint.slots, time.monotonic()
         ):
@@ -320,13 +320,13 @@
             self._refresh_source()
             self._relay.confirm_floors(floor.version)
 
-    def _on_drain(self, mail: DrainAsked) -> None:
-        self._board.is_draining = True
+    def _on_drain(self, item: DrainRequested) -> None:
+        self._view.is_draining = True
         self._events.emit(Event.DRAINING, instance=self._settings.name)
 
-    def _on_child_arrived(self, mail: ChildArrived) -> None:
+    def _on_child_arrived(self, item: ChildArrived) -> None:
         self._refresh_source()
-        self._relay.arrive(mail.session, mail.message, self._board.all_endpoints())
+        self._relay.arrive(item.session, item.message, self._view.all_endpoints())
 
     # ----------------------------------------------------------------- advance
 
@@ -370,7 +370,7 @@
         del fresh.findings[:]
         fresh.findings.extend(holder.findings)
         fresh.want_whole = holder.wants_whole
-        fresh.draining = self._board.is_draining
+        fresh.draining = self._view.is_draining
         self._fill_endpoint(fresh)
         fresh.parent = self._search.relay_name()
         if fresh == state:
@@ -381,12 +381,12 @@
 
     def _fill_endpoint(self, state: messages.DaemonState) -> None:
         """Fill in the upstream that this daemon speaks for, once it has registered."""
-        registration = self._board.upstream
+        registration = self._view.upstream
         if registration is None or not registration.upstream:
             return
         endpoint = state.endpoint
-        is_leaving = self._board.is_draining or not registration.is_taking_work()
-        revision = 2 * registration.revision + int(self._board.is_draining)
+        is_leaving = self._view.is_draining or not registration.is_taking_work()
+        revision = 2 * registration.revision + int(self._view.is_draining)
         if endpoint.revision == revision and endpoint.incarnation == state.incarnation:
             return
         listen = self._settings.upstream.listen
--- a/packages/lanedock-daemon/lanedock_daemon/agent/tests/test_search.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/tests/test_search.py
@@ -63,7 +63,7 @@
     assert asked[0] <= 4
     gaps = [after - before for before, after in pairwise(asked)]
     assert gaps[-1] > 10 * gaps[0] - 1
-    search.go_home()
+    search.fail_back()
     search.note_success(2001.0)
     assert search.is_home()
     assert not search.is_home_due(1e9)
--- a/packages/lanedock-daemon/lanedock_daemon/agent/board.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/view.py
@@ -10,7 +10,7 @@
 from lanedock.routing import Balancer, BalancerPolicy, RouteTable
 from lanedock.wire import messages
 
-__all__ = ["Binding", "Board"]
+__all__ = ["Binding", "LocalView"]
 
 
 class Binding:
@@ -32,7 +32,7 @@
         return f"<Binding version={self.number}>"
 
 
-class Board:
+class LocalView:
     """The current binding, balancers and readiness of one process.
 
     The agent's task writes; the request path reads. A request takes the
@@ -63,7 +63,7 @@
         self._budgets: dict[str, RetryBudget] = {}
 
     def __repr__(self) -> str:
-        return f"<Board {self.holder!r}>"
+        return f"<LocalView {self.holder!r}>"
 
     # ------------------------------------------------------ for the request path
 
--- a/packages/lanedock-daemon/lanedock_daemon/agent/watch.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/watch.py
@@ -11,7 +11,7 @@
 from lanedock.wire import messages
 from lanedock.wire.lanedock_grpc import DistributionStub
 from lanedock_daemon.network import make_channel
-from lanedock_daemon.transport import SourceEnded, SourceStream, SourceTold
+from lanedock_daemon.transport import SourceEnded, SourceSent, SourceStream
 
 __all__ = ["GrpcSource"]
 
@@ -74,7 +74,7 @@
 
     async def _read(self, stream) -> None:
         async for message in stream:
-            self._owner.post(SourceTold(self, message))
+            self._owner.post(SourceSent(self, message))
 
     async def _write(self, stream) -> None:
         while (message := await self._queue.get()) is not None:
--- a/packages/lanedock-daemon/lanedock_daemon/control/distribution.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/distribution.py
@@ -1,5 +1,5 @@
 # SPDX-License-Identifier: BSD-3-Clause
-"""The control instance's desk for daemons: sessions, admission, relays."""
+"""A control instance's sessions with daemons: admission, relays, floors."""
 
 import hashlib
 import time
@@ -9,10 +9,10 @@
 from lanedock.settings import ControlSettings
 from lanedock.telemetry import Metrics
 from lanedock.wire import messages
-from lanedock_daemon.desk import SessionDesk
+from lanedock_daemon.session_registry import SessionRegistry
 from lanedock_daemon.transport import Session
 
-__all__ = ["DistributionDesk"]
+__all__ = ["DaemonSessions"]
 
 ADMISSION_BURST = 64
 ATTEST_INTERVAL = 1.0
@@ -21,7 +21,7 @@
 READ_PATIENCE = 1.0
 
 
-class _AskedFloors:
+class _FloorRead:
     """Floors that one read is to confirm."""
 
     __slots__ = ("asked_at", "floors")
@@ -31,7 +31,7 @@
         self.floors = floors
 
 
-class DistributionDesk(SessionDesk):
+class DaemonSessions(SessionRegistry):
     """The daemons that take versions from this control instance.
 
     Parameters
@@ -45,7 +45,7 @@
         self._cfg = cfg
         self._admission = Admission(cfg.admissions_per_second, ADMISSION_BURST)
         self._floors_wanted: list[tuple[Session, int]] = []
-        self._floors_asked: dict[int, _AskedFloors] = {}
+        self._floors_asked: dict[int, _FloorRead] = {}
         self._read_token = 0
         self._attestations: list[messages.Attestation] = []
         self._attest_at = 0.0
@@ -127,7 +127,7 @@
         if not self._floors_wanted:
             return None
         self._read_token += 1
-        self._floors_asked[self._read_token] = _AskedFloors(now, self._floors_wanted)
+        self._floors_asked[self._read_token] = _FloorRead(now, self._floors_wanted)
         self._floors_wanted = []
         return self._read_token
 
--- a/packages/lanedock-daemon/lanedock_daemon/control/platform.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/platform.py
@@ -7,7 +7,7 @@
 from lanedock.kernel import Kernel, Service, TaskService
 from lanedock.membership import PlatformList
 from lanedock.telemetry import Event, EventLogger
-from lanedock_daemon.control.mail import ListRead
+from lanedock_daemon.control.requests import ListRead
 
 __all__ = ["PlatformReader"]
 
--- a/packages/lanedock-daemon/lanedock_daemon/control/queries.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/queries.py
@@ -1,5 +1,5 @@
 # SPDX-License-Identifier: BSD-3-Clause
-"""The desk for operators' questions: status, history, contents."""
+"""Operators' questions that wait for their answer: status, history, contents."""
 
 import time
 from collections.abc import Callable
@@ -10,9 +10,9 @@
 from lanedock.settings import Address
 from lanedock.wire import messages
 from lanedock_daemon.control.log import ReplicatedLog
-from lanedock_daemon.control.mail import HistoryAsked, ShowAsked
+from lanedock_daemon.control.requests import HistoryRequested, ShowRequested
 
-__all__ = ["QueryDesk"]
+__all__ = ["QueryQueue"]
 
 DEFAULT_LIMIT = 20
 # Wait for a leader to be there, in seconds, before a question is answered by
@@ -20,7 +20,7 @@
 PATIENCE = 1.5
 
 
-class QueryDesk:
+class QueryQueue:
     """Questions that wait for their answer.
 
     Parameters
@@ -36,14 +36,14 @@
         self._name = name
         self._waiting: list[tuple[object, float]] = []
 
-    def ask(self, mail) -> None:
+    def ask(self, item) -> None:
         """Take in a question."""
-        self._waiting.append((mail, time.monotonic() + PATIENCE))
+        self._waiting.append((item, time.monotonic() + PATIENCE))
 
     def abandon_all(self) -> None:
         """Answer all questions without knowledge."""
-        for mail, _ in self._waiting:
-            mail.call.reply(_make_empty(mail, ErrorCode.NO_LEADER, ""))
+        for item, _ in self._waiting:
+            item.call.reply(_make_empty(item, ErrorCode.NO_LEADER, ""))
         self._waiting = []
 
     def advance(self, log: ReplicatedLog, fleet: FleetView | None, now: float) -> None:
@@ -53,24 +53,24 @@
         moment between question and answer.
         """
         waiting = []
-        for mail, patience_until in self._waiting:
+        for item, patience_until in self._waiting:
             leader = replica_name(log.replica.leader)
             if log.is_current_leader and fleet is not None:
-                mail.call.reply(self._answer(mail, log, fleet, confirmed=True))
+                item.call.reply(self._answer(item, log, fleet, confirmed=True))
             elif leader and leader != self._name:
-                mail.call.reply(_make_empty(mail, ErrorCode.NOT_LEADER, str(self._address_of(leader) or "")))
+                item.call.reply(_make_empty(item, ErrorCode.NOT_LEADER, str(self._address_of(leader) or "")))
             elif now >= patience_until:
-                mail.call.reply(self._answer(mail, log, fleet, confirmed=False))
+                item.call.reply(self._answer(item, log, fleet, confirmed=False))
             else:
-                waiting.append((mail, patience_until))
+                waiting.append((item, patience_until))
         self._waiting = waiting
 
-    def _answer(self, mail, log: ReplicatedLog, fleet: FleetView | None, confirmed: bool):
+    def _answer(self, item, log: ReplicatedLog, fleet: FleetView | None, confirmed: bool):
         code = "" if confirmed else ErrorCode.NO_LEADER.code
-        if isinstance(mail, HistoryAsked):
-            return _make_history(mail, log, code)
-        if isinstance(mail, ShowAsked):
-            return _make_show(mail, log, code)
+        if isinstance(item, HistoryRequested):
+            return _make_history(item, log, code)
+        if isinstance(item, ShowRequested):
+            return _make_show(item, log, code)
         return self._make_status(log, fleet, code, confirmed)
 
     def _make_status(self, log: ReplicatedLog, fleet: FleetView | None, code: str, confirmed: bool):
@@ -96,10 +96,10 @@
         return reply
 
 
-def _make_history(mail, log: ReplicatedLog, code: str) -> messages.HistoryReply:
+def _make_history(item, log: ReplicatedLog, code: str) -> messages.HistoryReply:
     reply = messages.HistoryReply(code=code)
     numbers = sorted(log.state.records, reverse=True)
-    for number in numbers[: mail.request.limit or DEFAULT_LIMIT]:
+    for number in numbers[: item.request.limit or DEFAULT_LIMIT]:
         record = messages.VersionRecord()
         record.CopyFrom(log.state.records[number])
         record.content = b""
@@ -107,15 +107,15 @@
     return reply
 
 
-def _make_show(mail, log: ReplicatedLog, code: str) -> messages.ShowReply:
-    number = mail.request.version or log.state.accepted_version.number
+def _make_show(item, log: ReplicatedLog, code: str) -> messages.ShowReply:
+    number = item.request.version or log.state.accepted_version.number
     record = log.state.records.get(number)
     if record is None or not record.content:
         return messages.ShowReply(version=number, code=code or ErrorCode.VERSION_UNKNOWN.code)
     return messages.ShowReply(version=number, content=record.content, code=code)
 
 
-def _make_empty(mail, code: ErrorCode, leader_address: str):
-    kinds = {HistoryAsked: messages.HistoryReply, ShowAsked: messages.ShowReply}
-    kind = kinds.get(type(mail), messages.StatusReply)
+def _make_empty(item, code: ErrorCode, leader_address: str):
+    kinds = {HistoryRequested: messages.HistoryReply, ShowRequested: messages.ShowReply}
+    kind = kinds.get(type(item), messages.StatusReply)
     return kind(code=code.code, leader_address=leader_address)
--- a/packages/lanedock-daemon/lanedock_daemon/control/reads.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/reads.py
@@ -2,7 +2,7 @@
 """Operators' reads of the newest accepted version, each confirmed by a quorum."""
 
 from lanedock.rollout import MeshState
-from lanedock_daemon.control.mail import Call, ConfirmedRead
+from lanedock_daemon.control.requests import Call, ConfirmedRead
 
 __all__ = ["ReadQueue"]
 
--- a/packages/lanedock-daemon/lanedock_daemon/control/mail.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/requests.py
@@ -13,13 +13,13 @@
     "Call",
     "ConfirmedRead",
     "GreenletCall",
-    "HistoryAsked",
+    "HistoryRequested",
     "ListRead",
-    "PeerTold",
-    "ReadAsked",
-    "ShowAsked",
-    "StatusAsked",
-    "SubmitAsked",
+    "PeerMessageArrived",
+    "ReadRequested",
+    "ShowRequested",
+    "StatusRequested",
+    "SubmitRequested",
 ]
 
 
@@ -66,7 +66,7 @@
         return self._queue.get(timeout=timeout)
 
 
-class PeerTold:
+class PeerMessageArrived:
     """Another replica sent a message."""
 
     __slots__ = ("message",)
@@ -84,7 +84,7 @@
         self.instances = instances
 
 
-class SubmitAsked:
+class SubmitRequested:
     """An operator submits a checked version."""
 
     __slots__ = ("call", "request", "tree")
@@ -95,7 +95,7 @@
         self.tree = tree
 
 
-class _Asked:
+class _Requested:
     __slots__ = ("call", "request")
 
     def __init__(self, call: Call, request):
@@ -103,19 +103,19 @@
         self.request = request
 
 
-class StatusAsked(_Asked):
+class StatusRequested(_Requested):
     """An operator asks for the status."""
 
 
-class HistoryAsked(_Asked):
+class HistoryRequested(_Requested):
     """An operator asks for the history."""
 
 
-class ShowAsked(_Asked):
+class ShowRequested(_Requested):
     """An operator asks for a version's content."""
 
 
-class ReadAsked:
+class ReadRequested:
     """An operator asks for the newest accepted version, confirmed by a quorum.
 
     The reply is a `ConfirmedRead`.
--- a/packages/lanedock-daemon/lanedock_daemon/control/server.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/server.py
@@ -9,7 +9,14 @@
 from lanedock.kernel.loop import LoopService
 from lanedock.wire import messages
 from lanedock.wire.lanedock_grpc import OperatorsBase, ReplicationBase
-from lanedock_daemon.control.mail import Call, HistoryAsked, PeerTold, ShowAsked, StatusAsked, SubmitAsked
+from lanedock_daemon.control.requests import (
+    Call,
+    HistoryRequested,
+    PeerMessageArrived,
+    ShowRequested,
+    StatusRequested,
+    SubmitRequested,
+)
 
 __all__ = ["OperatorsServer", "ReplicationServer"]
 
@@ -48,7 +55,7 @@
 
     async def Deliver(self, stream) -> None:
         async for message in stream:
-            self._task.post(PeerTold(message))
+            self._task.post(PeerMessageArrived(message))
         await stream.send_message(messages.PeerAck())
 
 
@@ -78,7 +85,7 @@
             await stream.send_message(_make_refusal(exc))
             return
         call = GrpcCall(self._loop)
-        self._task.post(SubmitAsked(call, request, tree))
+        self._task.post(SubmitRequested(call, request, tree))
         try:
             while (reply := await call.next_reply()) is not None:
                 await stream.send_message(reply)
@@ -86,13 +93,13 @@
             call.is_abandoned = True
 
     async def Status(self, stream) -> None:
-        await self._ask(stream, StatusAsked)
+        await self._ask(stream, StatusRequested)
 
     async def History(self, stream) -> None:
-        await self._ask(stream, HistoryAsked)
+        await self._ask(stream, HistoryRequested)
 
     async def Show(self, stream) -> None:
-        await self._ask(stream, ShowAsked)
+        await self._ask(stream, ShowRequested)
 
     async def _ask(self, stream, kind) -> None:
         request = await stream.recv_message()
--- a/packages/lanedock-daemon/lanedock_daemon/control/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/service.py
@@ -13,22 +13,22 @@
 from lanedock.settings import Address, Settings
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics
 from lanedock.wire import messages
-from lanedock_daemon.control.distribution import DistributionDesk
+from lanedock_daemon.control.distribution import DaemonSessions
 from lanedock_daemon.control.endpoints import EndpointExchange
 from lanedock_daemon.control.log import AppliedEntry, ReplicatedLog, open_storage
-from lanedock_daemon.control.mail import (
-    HistoryAsked,
+from lanedock_daemon.control.queries import QueryQueue
+from lanedock_daemon.control.reads import ReadQueue
+from lanedock_daemon.control.requests import (
+    HistoryRequested,
     ListRead,
-    PeerTold,
-    ReadAsked,
-    ShowAsked,
-    StatusAsked,
-    SubmitAsked,
+    PeerMessageArrived,
+    ReadRequested,
+    ShowRequested,
+    StatusRequested,
+    SubmitRequested,
 )
-from lanedock_daemon.control.queries import QueryDesk
-from lanedock_daemon.control.reads import ReadQueue
-from lanedock_daemon.control.submissions import Submission, SubmissionDesk
-from lanedock_daemon.sessions import ChildArrived, ChildLeft, ChildTold, SeedsChanged
+from lanedock_daemon.control.submissions import Submission, SubmissionQueue
+from lanedock_daemon.sessions import ChildArrived, ChildLeft, ChildReported, SeedsChanged
 
 __all__ = ["ControlService"]
 
@@ -66,12 +66,12 @@
         self._events = events
         self._metrics = metrics
         self._policy = RolloutPolicy(self._cfg.stage_timeout_ms / 1000, self._cfg.dead_after_ms / 1000)
-        self._desk = DistributionDesk(self._cfg, metrics)
-        self._submissions = SubmissionDesk(metrics)
+        self._sessions = DaemonSessions(self._cfg, metrics)
+        self._submissions = SubmissionQueue(metrics)
         self._is_seeded = self._cfg.seeds is not None
         # Found by seeds, a replica is named by its address.
         self._name = str(self._cfg.listen) if self._is_seeded else settings.name
-        self._queries = QueryDesk(self.address_of, self._name)
+        self._queries = QueryQueue(self.address_of, self._name)
         self._reads = ReadQueue()
         self._exchange = None
         if self._is_seeded:
@@ -89,19 +89,19 @@
         self._source_versions = None
         self._storage: FileStorage | None = None
         self._reader = None
-        self._told_members: list = []
+        self._sent_members: list = []
         self._handlers = {
-            PeerTold: self._on_peer,
+            PeerMessageArrived: self._on_peer,
             ChildArrived: self._on_child_arrived,
-            ChildTold: self._on_child_told,
+            ChildReported: self._on_child_reported,
             ChildLeft: self._on_child_left,
             ListRead: self._on_list,
-            SubmitAsked: self._on_submit,
-            StatusAsked: lambda mail: self._queries.ask(mail),
-            HistoryAsked: lambda mail: self._queries.ask(mail),
-            ShowAsked: lambda mail: self._queries.ask(mail),
-            ReadAsked: lambda mail: self._reads.ask(mail.call, time.monotonic()),
-            SeedsChanged: lambda mail: self._on_seeds(mail.control),
+            SubmitRequested: self._on_submit,
+            StatusRequested: lambda item: self._queries.ask(item),
+            HistoryRequested: lambda item: self._queries.ask(item),
+            ShowRequested: lambda item: self._queries.ask(item),
+            ReadRequested: lambda item: self._reads.ask(item.call, time.monotonic()),
+            SeedsChanged: lambda item: self._on_seeds(item.control),
         }
 
     # ------------------------------------------------------------------- start
@@ -170,7 +170,7 @@
         if self._reader is not None:
             self._reader.stop()
         self._submissions.abandon_all()
-        self._desk.close()
+        self._sessions.close()
         self._server.close()
         self._storage.close()
 
@@ -179,8 +179,8 @@
     def on_messages(self, batch: list[object]) -> None:
         if self._log.is_broken:
             return
-        for mail in batch:
-            self._handlers[type(mail)](mail)
+        for item in batch:
+            self._handlers[type(item)](item)
         self._advance()
 
     def on_tick(self) -> None:
@@ -188,15 +188,15 @@
             return
         now = time.monotonic()
         self._log.replica.tick(now)
-        self._desk.send_heartbeats(now, self._log.state.accepted_version.number, self._log.replica.silence(now))
+        self._sessions.send_heartbeats(now, self._log.state.accepted_version.number, self._log.replica.silence(now))
         if self._is_seeded:
             self._exchange.expire(now)
         else:
             self._ask_attestations(now)
         self._advance()
 
-    def _on_peer(self, mail: PeerTold) -> None:
-        message = mail.message
+    def _on_peer(self, item: PeerMessageArrived) -> None:
+        message = item.message
         now = time.monotonic()
         self._links.note_heard(message.sender, now)
         body = message.WhichOneof("body")
@@ -223,20 +223,20 @@
             request.fleet_request.SetInParent()
             self._links.send([request])
 
-    def _on_child_arrived(self, mail: ChildArrived) -> None:
-        self._desk.arrive(mail.session, mail.message, self._directory.whole_update())
-        if self._is_seeded and mail.session.child is not None:
-            self._desk.send_members([mail.session], self._told_members)
-        self._note_state(mail.session, mail.message)
+    def _on_child_arrived(self, item: ChildArrived) -> None:
+        self._sessions.arrive(item.session, item.message, self._directory.whole_update())
+        if self._is_seeded and item.session.child is not None:
+            self._sessions.send_members([item.session], self._sent_members)
+        self._note_state(item.session, item.message)
 
-    def _on_child_told(self, mail: ChildTold) -> None:
-        self._desk.tell(mail.session, mail.message)
-        self._note_state(mail.session, mail.message)
+    def _on_child_reported(self, item: ChildReported) -> None:
+        self._sessions.tell(item.session, item.message)
+        self._note_state(item.session, item.message)
 
-    def _on_child_left(self, mail: ChildLeft) -> None:
-        self._desk.leave(mail.session)
+    def _on_child_left(self, item: ChildLeft) -> None:
+        self._sessions.leave(item.session)
         if self._exchange is not None:
-            self._exchange.leave(mail.session, time.monotonic())
+            self._exchange.leave(item.session, time.monotonic())
 
     def _note_state(self, session, message: messages.DaemonMessage) -> None:
         """Take in what a daemon reports of itself and of its upstream."""
@@ -266,13 +266,13 @@
                 told.drain_notice.CopyFrom(notice)
                 self._links.send([told])
 
-    def _on_list(self, mail: ListRead) -> None:
+    def _on_list(self, item: ListRead) -> None:
         now = time.monotonic()
-        self._instances = mail.instances
+        self._instances = item.instances
         self._is_list_read = True
-        self._directory.take_list(mail.instances, now)
+        self._directory.take_list(item.instances, now)
         if self._fleet is not None:
-            self._fleet.take_list(mail.instances, now)
+            self._fleet.take_list(item.instances, now)
 
     def refuse_unless_leading(self, request: messages.SubmitRequest) -> messages.SubmitReply | None:
         """Return the reply that names the leader, or None where this one leads."""
@@ -290,12 +290,12 @@
         settle = self._cfg.settle_ms
         return None if settle is None else settle / 1000
 
-    def _on_submit(self, mail: SubmitAsked) -> None:
-        version = mail.tree.version
-        submission = Submission(mail.call, mail.request, version, time.monotonic(), self._settle_time())
-        refusal = self.refuse_unless_leading(mail.request)
+    def _on_submit(self, item: SubmitRequested) -> None:
+        version = item.tree.version
+        submission = Submission(item.call, item.request, version, time.monotonic(), self._settle_time())
+        refusal = self.refuse_unless_leading(item.request)
         if refusal is not None:
-            mail.call.finish(refusal)
+            item.call.finish(refusal)
             return
         result = self._log.state.judge(version)
         if result.verdict is Verdict.KNOWN:
@@ -307,17 +307,17 @@
         submit = command.submit
         submit.version = version.number
         submit.digest = version.digest
-        submit.content = mail.tree.pack()
-        submit.allow_cut_off.extend(mail.request.allow_cut_off)
-        submit.operator = mail.request.operator
+        submit.content = item.tree.pack()
+        submit.allow_cut_off.extend(item.request.allow_cut_off)
+        submit.operator = item.request.operator
         submit.submitted_at = time.time()
-        submit.has_base = mail.request.has_base
-        submit.base_version = mail.request.base_version
+        submit.has_base = item.request.has_base
+        submit.base_version = item.request.base_version
         submit.direct = self._cfg.rollout == "direct"
         index = self._log.propose(command)
         if index is None:
             # The lease has ended just now.
-            mail.call.finish(submission.reply(messages.ANSWER_NOT_KNOWN, ErrorCode.OUTCOME_NOT_KNOWN))
+            item.call.finish(submission.reply(messages.ANSWER_NOT_KNOWN, ErrorCode.OUTCOME_NOT_KNOWN))
             return
         self._submissions.wait_for_entry(submission, index)
 
@@ -333,18 +333,18 @@
         now = time.monotonic()
         update = self._directory.take_update(now)
         if update is not None:
-            self._desk.broadcast_endpoints(update)
-        self._desk.flush()
+            self._sessions.broadcast_endpoints(update)
+        self._sessions.flush()
         if self._exchange is not None:
             self._links.send(self._exchange.due(self._other_replicas(), self._log.replica.me, now))
-            self._tell_members()
+            self._send_members()
         self._report(now)
         self._lead(now)
         self._queries.advance(self._log, self._fleet, now)
 
     def _pump(self) -> None:
         now = time.monotonic()
-        for token in (self._desk.next_read(now), self._reads.next_read(now)):
+        for token in (self._sessions.next_read(now), self._reads.next_read(now)):
             if token is not None:
                 self._log.replica.request_read(token, now)
         for entry in self._log.pump():
@@ -357,10 +357,10 @@
         confirmed, self._log.confirmed_reads = self._log.confirmed_reads, []
         failed, self._log.failed_reads = self._log.failed_reads, []
         for token in confirmed:
-            self._desk.confirm_read(token, accepted)
+            self._sessions.confirm_read(token, accepted)
             self._reads.confirm(token, self._log.state)
         for token in failed:
-            self._desk.fail_read(token)
+            self._sessions.fail_read(token)
             self._reads.fail(token)
 
     def _on_applied(self, entry: AppliedEntry) -> None:
@@ -386,7 +386,7 @@
             self._events.emit(Event.ABORTED, version=abort.version, reason=abort.reason)
 
     def _refresh_source(self) -> None:
-        """Tell the desk when there is another accepted or staged version."""
+        """Replace what daemons are sent when another version is accepted or staged."""
         state = self._log.state
         versions = (state.accepted_version, state.candidate_version)
         if versions == self._source_versions:
@@ -397,7 +397,7 @@
         for number, record in state.records.items():
             if record.content and record.outcome == messages.OUTCOME_ACCEPTED:
                 bases[record.digest] = state.tree(number)
-        self._desk.set_source(VersionSource(accepted, candidate, bases))
+        self._sessions.set_source(VersionSource(accepted, candidate, bases))
         if accepted is not None:
             window = accepted.group("").get("endpoint_window_ms")
             if window is not None:
@@ -411,12 +411,12 @@
         if not replica.leader or now < self._report_at:
             return
         is_new = target != self._reported_to
-        if not (is_new or self._desk.is_report_due() or now >= self._keepalive_at):
+        if not (is_new or self._sessions.is_report_due() or now >= self._keepalive_at):
             return
         self._reported_to = target
         self._report_at = now + REPORT_INTERVAL
         self._keepalive_at = now + KEEPALIVE_INTERVAL
-        report = self._desk.take_report(whole=is_new)
+        report = self._sessions.take_report(whole=is_new)
         if replica.leader == replica.me:
             if self._fleet is None:
                 self._start_to_lead(now)
@@ -458,7 +458,7 @@
             except StorageError as exc:
                 self._break(exc)
                 return
-            self._desk.flush()
+            self._sessions.flush()
         if not self._submissions.is_empty():
             self._submissions.advance(self._log.state.records, self._look_up)
 
@@ -468,10 +468,10 @@
         return progress, cut_off
 
     def _ask_attestations(self, now: float) -> None:
-        known = self._desk.distributor.known_daemons()
+        known = self._sessions.distributor.known_daemons()
         unconnected = [endpoint for endpoint in self._directory.endpoints() if endpoint.instance not in known]
         if unconnected:
-            self._desk.ask_attestations(unconnected, now)
+            self._sessions.ask_attestations(unconnected, now)
 
     def _leader_address(self) -> str:
         leader = replica_name(self._log.replica.leader)
@@ -483,14 +483,14 @@
         membership = self._log.replica.membership
         return [replica for replica in (*membership.voters, *membership.learners) if replica != self._log.replica.me]
 
-    def _tell_members(self) -> None:
+    def _send_members(self) -> None:
         """Name the control instances to the daemons, when they have changed."""
         names = [replica_name(replica) for replica in (*self._other_replicas(), self._log.replica.me)]
         zones = self._exchange.zones
         members = [(name, zones.get(name, "")) for name in sorted(set(names))]
-        if members != self._told_members:
-            self._told_members = members
-            self._desk.send_members(None, members)
+        if members != self._sent_members:
+            self._sent_members = members
+            self._sessions.send_members(None, members)
 
     def _break(self, exc: StorageError) -> None:
         """Take no part any more: what is on the disk is not known."""
@@ -500,6 +500,6 @@
         self._submissions.abandon_all()
         self._queries.abandon_all()
         self._reads.abandon_all()
-        self._desk.close()
+        self._sessions.close()
         # Daemons and operators are better refused than left waiting.
         self._server.close()
--- a/packages/lanedock-daemon/lanedock_daemon/control/submissions.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/submissions.py
@@ -1,5 +1,5 @@
 # SPDX-License-Identifier: BSD-3-Clause
-"""The desk for operators who wait for the outcome of a submission."""
+"""Operators who wait for the outcome of their submission."""
 
 import time
 
@@ -8,9 +8,9 @@
 from lanedock.rollout import RolloutProgress, SubmitResult, Verdict
 from lanedock.telemetry import Metric, Metrics
 from lanedock.wire import messages
-from lanedock_daemon.control.mail import Call
+from lanedock_daemon.control.requests import Call
 
-__all__ = ["Submission", "SubmissionDesk"]
+__all__ = ["Submission", "SubmissionQueue"]
 
 PROGRESS_INTERVAL = 0.1
 DEFAULT_TIMEOUT = 10.0
@@ -64,7 +64,7 @@
         )
 
 
-class SubmissionDesk:
+class SubmissionQueue:
     """All operators who wait.
 
     A submission waits first for its entry to be applied, then for the
@@ -81,7 +81,7 @@
         self._waiting: list[Submission] = []
 
     def __repr__(self) -> str:
-        return f"<SubmissionDesk proposed={len(self._proposed)} waiting={len(self._waiting)}>"
+        return f"<SubmissionQueue proposed={len(self._proposed)} waiting={len(self._waiting)}>"
 
     def wait_for_entry(self, submission: Submission, index: int) -> None:
         """Wait for a proposed entry."""
--- a/packages/lanedock-daemon/lanedock_daemon/framed.py
+++ b/packages/lanedock-daemon/lanedock_daemon/framed.py
@@ -20,9 +20,9 @@
 from lanedock.kernel import Kernel, TaskService
 from lanedock.settings import Address
 from lanedock.wire import messages
-from lanedock_daemon.control.mail import PeerTold
-from lanedock_daemon.sessions import ChildArrived, ChildLeft, ChildTold
-from lanedock_daemon.transport import Listener, PeerLinks, Session, SourceEnded, SourceStream, SourceTold, Transport
+from lanedock_daemon.control.requests import PeerMessageArrived
+from lanedock_daemon.sessions import ChildArrived, ChildLeft, ChildReported
+from lanedock_daemon.transport import Listener, PeerLinks, Session, SourceEnded, SourceSent, SourceStream, Transport
 
 __all__ = ["FramedTransport"]
 
@@ -171,7 +171,7 @@
         self._owner.post(SourceEnded(self, reason))
 
     def _take(self, data: bytes) -> None:
-        self._owner.post(SourceTold(self, messages.ControlMessage.FromString(data)))
+        self._owner.post(SourceSent(self, messages.ControlMessage.FromString(data)))
 
     def send(self, message: messages.DaemonMessage) -> None:
         # What is sent before the connection is there comes with its first message.
@@ -386,7 +386,7 @@
     def take(data: bytes) -> None:
         nonlocal has_arrived
         message = messages.DaemonMessage.FromString(data)
-        owner.post(ChildTold(session, message) if has_arrived else ChildArrived(session, message))
+        owner.post(ChildReported(session, message) if has_arrived else ChildArrived(session, message))
         has_arrived = True
 
     try:
@@ -398,4 +398,4 @@
 
 def _serve_replica(owner: TaskService, conn) -> None:
     """Turn a replica's stream into messages to the control task."""
-    _read_frames(conn, lambda data: owner.post(PeerTold(messages.PeerMessage.FromString(data))))
+    _read_frames(conn, lambda data: owner.post(PeerMessageArrived(messages.PeerMessage.FromString(data))))
--- a/packages/lanedock-daemon/lanedock_daemon/grpc_sessions.py
+++ b/packages/lanedock-daemon/lanedock_daemon/grpc_sessions.py
@@ -7,7 +7,7 @@
 from lanedock.kernel.loop import LoopService
 from lanedock.wire import messages
 from lanedock.wire.lanedock_grpc import DistributionBase
-from lanedock_daemon.sessions import ChildArrived, ChildLeft, ChildTold
+from lanedock_daemon.sessions import ChildArrived, ChildLeft, ChildReported
 from lanedock_daemon.transport import Session
 
 __all__ = ["DistributionServer", "GrpcSession"]
@@ -60,7 +60,7 @@
     Parameters
     ----------
     task : TaskService
-        Takes ChildArrived, ChildTold and ChildLeft.
+        Takes ChildArrived, ChildReported and ChildLeft.
     loop : LoopService
     """
 
@@ -86,4 +86,4 @@
 
     async def _read(self, stream, session: GrpcSession) -> None:
         async for message in stream:
-            self._task.post(ChildTold(session, message))
+            self._task.post(ChildReported(session, message))
--- a/packages/lanedock-daemon/lanedock_daemon/path/caller.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller.py
@@ -10,7 +10,7 @@
 from lanedock.errors import ErrorCode
 from lanedock.routing import Balancer, choose_service
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics, RequestLog, RequestLogger, Tracer
-from lanedock_daemon.agent.board import Binding, Board
+from lanedock_daemon.agent.view import Binding, LocalView
 from lanedock_daemon.path.dialect import Dialect, OwnDialect, RequestFacts
 from lanedock_daemon.path.http import (
     ARRIVED_HEADER,
@@ -129,7 +129,7 @@
 
     Parameters
     ----------
-    board : Board
+    view : LocalView
     pool : ConnectionPool
     events : EventLogger
     metrics : Metrics
@@ -143,7 +143,7 @@
 
     def __init__(
         self,
-        board: Board,
+        view: LocalView,
         pool: ConnectionPool,
         events: EventLogger,
         metrics: Metrics,
@@ -153,7 +153,7 @@
         requests: RequestLogger | None = None,
     ):
         self._requests = requests or RequestLogger(events, 0)
-        self._board = board
+        self._view = view
         self._pool = pool
         self._events = events
         self._metrics = metrics
@@ -185,9 +185,9 @@
         return answer
 
     def _route(self, request: Request, facts: RequestFacts, span, started: float, log: RequestLog) -> Answer:
-        binding = self._board.bind()
+        binding = self._view.bind()
         if binding is None:
-            log.note(Event.REQUEST_ROUTED, target=request.path, reason="no confirmed version", **self._board.age())
+            log.note(Event.REQUEST_ROUTED, target=request.path, reason="no confirmed version", **self._view.age())
             return self._refuse(ErrorCode.NOT_READY, RETRY_AFTER)
         if "/../" in request.path or request.path.endswith("/..") or not request.path.startswith("/"):
             return self._refuse(ErrorCode.BAD_REQUEST)
@@ -220,8 +220,8 @@
     ) -> Answer:
         """Try upstreams until one answers, or trying again would be wrong."""
         service = binding.config.services[choose_service(route, self._rng)]
-        balancer = self._board.balancer(service.name)
-        budget = self._board.budget(service.name)
+        balancer = self._view.balancer(service.name)
+        budget = self._view.budget(service.name)
         budget.note_first_try(time.monotonic())
         # A retry that a hop before has made must not be multiplied here.
         may_retry = not facts.was_retried
@@ -464,7 +464,7 @@
         headers.append((CLASS_HEADER, route.traffic_class))
         headers.append((ROUTE_HEADER, route.name))
         headers.append((VERSION_HEADER, str(binding.number)))
-        caller = self._board.upstream.service if self._board.upstream is not None else ""
+        caller = self._view.upstream.service if self._view.upstream is not None else ""
         if caller:
             headers.append((CALLER_HEADER, caller))
         if span.traceparent:
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/chain.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/chain.py
@@ -12,7 +12,7 @@
 from lanedock.settings import Address
 from lanedock.telemetry import EventLogger, NullMetrics, NullTracer
 from lanedock.wire import messages
-from lanedock_daemon.agent import Board
+from lanedock_daemon.agent import LocalView
 from lanedock_daemon.path.caller import CallerSide
 from lanedock_daemon.path.pool import ConnectionPool
 from lanedock_daemon.path.server import PathServer
@@ -108,10 +108,10 @@
     def __init__(self, name: str, application: Application, value: dict):
         self.name = name
         self.application = application
-        self.board = make_board(value, False)
+        self.view = make_view(value, False)
         parts = (EventLogger(name), NullMetrics(), NullTracer())
         self.pool = ConnectionPool()
-        self.side = UpstreamSide("s", application.address, self.board, self.pool, *parts)
+        self.side = UpstreamSide("s", application.address, self.view, self.pool, *parts)
         self.server = PathServer(name, Address(HOST, 0), self.side, 2.0, EventLogger(name))
         self.server.start(None)
 
@@ -120,18 +120,18 @@
         return self.side._limiter
 
 
-def make_board(value: dict, is_entry: bool) -> Board:
-    board = Board("z", 60.0)
-    put_in_force(board, value, is_entry)
-    board.holder.confirm_floor(value["version"])
-    return board
+def make_view(value: dict, is_entry: bool) -> LocalView:
+    view = LocalView("z", 60.0)
+    put_in_force(view, value, is_entry)
+    view.holder.confirm_floor(value["version"])
+    return view
 
 
-def put_in_force(board: Board, value: dict, is_entry: bool) -> None:
+def put_in_force(view: LocalView, value: dict, is_entry: bool) -> None:
     tree = split_config(value)
-    holder: VersionHolder = board.holder
+    holder: VersionHolder = view.holder
     holder.put_in_force(tree.whole_push(needed_groups(tree, is_entry, "s")))
-    board.publish()
+    view.publish()
 
 
 class Chain:
@@ -143,10 +143,10 @@
         self.upstreams = [
             Upstream(f"u{number}", application, self.value) for number, application in enumerate(self.applications)
         ]
-        self.board = make_board(self.value, True)
+        self.view = make_view(self.value, True)
         self.publish_endpoints()
         self.pool = ConnectionPool()
-        caller = CallerSide(self.board, self.pool, EventLogger("caller"), NullMetrics(), NullTracer())
+        caller = CallerSide(self.view, self.pool, EventLogger("caller"), NullMetrics(), NullTracer())
         self.entry = PathServer("entry", Address(HOST, 0), caller, 2.0, EventLogger("entry"))
         self.entry.start(None)
 
@@ -156,7 +156,7 @@
             update.changed.add(
                 instance=upstream.name, service="s", zone="z", host=HOST, port=upstream.server.port, incarnation=1
             )
-        self.board.take_endpoints(update)
+        self.view.take_endpoints(update)
 
     def connect(self):
         return socket.create_connection((HOST, self.entry.port), timeout=10)
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_promises.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_promises.py
@@ -85,7 +85,7 @@
 
 def test_a_long_body_that_was_refused_goes_elsewhere_unread(make_chain):
     chain = make_chain(None, None)
-    chain.upstreams[0].board.is_draining = True
+    chain.upstreams[0].view.is_draining = True
     body = b"." * 3_000_000
     for number in range(4):
         assert chain.request("POST", f"/{number}", body)[0] == 200
@@ -185,7 +185,7 @@
 
 def test_a_draining_upstream_refuses_and_another_serves(make_chain):
     chain = make_chain(None, None)
-    chain.upstreams[0].board.is_draining = True
+    chain.upstreams[0].view.is_draining = True
     for number in range(10):
         assert chain.request("POST", f"/{number}", b"x")[0] == 200
     assert chain.applications[0].runs.total() == 0
@@ -223,8 +223,8 @@
     without["services"][0]["name"] = "other"
     for route in without["routes"]:
         route["service"] = "other"
-    put_in_force(chain.board, without, True)
-    put_in_force(chain.upstreams[0].board, without, False)
+    put_in_force(chain.view, without, True)
+    put_in_force(chain.upstreams[0].view, without, False)
     assert job.get()[0] == 200
     # The new version leads to a service that nobody runs.
     assert _outcome(chain.request("GET")) == "not-run"
@@ -235,17 +235,17 @@
     without = make_value(2)
     without["services"][0]["name"] = "other"
     without["routes"] = []
-    put_in_force(chain.upstreams[0].board, without, False)
+    put_in_force(chain.upstreams[0].view, without, False)
     answer = chain.request("POST", body=b"x")
     assert (_outcome(answer), chain.runs()) == ("not-run", 0)
 
 
 def test_a_suspended_daemon_serves_nothing(make_chain):
     chain = make_chain(None)
-    chain.board.holder.suspend()
+    chain.view.holder.suspend()
     answer = chain.request("GET")
     assert (_outcome(answer), chain.runs()) == ("not-run", 0)
-    chain.board.holder.confirm_floor(1)
+    chain.view.holder.confirm_floor(1)
     assert chain.request("GET")[0] == 200
 
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
@@ -9,7 +9,7 @@
 from lanedock.limits import Refused, SlotLimiter
 from lanedock.membership import UpstreamRegistration
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics, RequestLog, RequestLogger, Tracer
-from lanedock_daemon.agent.board import Board
+from lanedock_daemon.agent.view import LocalView
 from lanedock_daemon.path.dialect import Dialect, OwnDialect
 from lanedock_daemon.path.http import (
     ARRIVED_HEADER,
@@ -51,7 +51,7 @@
     service : str
         The upstream's.
     application : tuple of (str, int)
-    board : Board
+    view : LocalView
     pool : ConnectionPool
     events : EventLogger
     metrics : Metrics
@@ -65,7 +65,7 @@
         self,
         service: str,
         application,
-        board: Board,
+        view: LocalView,
         pool: ConnectionPool,
         events,
         metrics,
@@ -75,10 +75,10 @@
     ):
         self._requests: RequestLogger = requests or RequestLogger(events, 0)
         self._dialect: Dialect = dialect or OwnDialect()
-        self._registration = board.upstream or UpstreamRegistration(service, False, 1.0)
+        self._registration = view.upstream or UpstreamRegistration(service, False, 1.0)
         self._service = service
         self._application = application
-        self._board = board
+        self._view = view
         self._pool = pool
         self._events: EventLogger = events
         self._metrics: Metrics = metrics
@@ -110,23 +110,23 @@
         self._metrics.gauge(Metric.IN_PROGRESS, self._limiter.in_use)
         self._metrics.gauge(Metric.QUEUED, self._limiter.waiting)
         answer.headers.append((LOAD_HEADER, str(self.in_progress)))
-        if self._board.is_draining:
+        if self._view.is_draining:
             answer.headers.append((LEAVING_HEADER, "1"))
         return answer
 
     def _admit(self, request: Request, span, started: float, log: RequestLog) -> Answer:
-        if self._board.is_draining:
+        if self._view.is_draining:
             return self._refuse(ErrorCode.DRAINING, RETRY_AFTER, log, reason="the daemon drains")
         meant = request.header(UPSTREAM_HEADER)
         refusal = self._registration.judge(meant)
         if refusal is not None:
             return self._refuse(refusal, RETRY_AFTER, log, meant=meant, life=self._registration.upstream)
-        binding = self._board.bind()
+        binding = self._view.bind()
         if self._registration.upstream:
             # The application itself has said what it runs.
             is_held = request.header(SERVICE_HEADER) == self._registration.service
         elif binding is None:
-            return self._refuse(ErrorCode.NOT_READY, RETRY_AFTER, log, **self._board.age())
+            return self._refuse(ErrorCode.NOT_READY, RETRY_AFTER, log, **self._view.age())
         else:
             is_held = request.header(SERVICE_HEADER) == self._service and self._service in binding.config.services
         if not is_held:
@@ -225,8 +225,8 @@
             return self._on_lost(foreign, log)
         now = time.monotonic()
         self._registration.note_answer(now)
-        if said.is_draining and not self._board.is_draining:
-            self._board.is_draining = True
+        if said.is_draining and not self._view.is_draining:
+            self._view.is_draining = True
             self._events.emit(Event.DRAINING, service=self._service)
         if said.was_refused:
             return self._on_refused(response, release, said.is_elsewhere, log)
--- a/packages/lanedock-daemon/lanedock_daemon/roles.py
+++ b/packages/lanedock-daemon/lanedock_daemon/roles.py
@@ -8,9 +8,9 @@
 from lanedock.membership import UpstreamRegistration
 from lanedock.settings import Settings
 from lanedock.telemetry import EventLogger, Metrics, RequestLogger, Tracer
-from lanedock_daemon.agent import AgentService, Board
+from lanedock_daemon.agent import AgentService, LocalView
 from lanedock_daemon.agent.discovery import ApplicationDiscovery
-from lanedock_daemon.agent.service import DrainAsked, RegistrationChanged
+from lanedock_daemon.agent.service import DrainRequested, RegistrationChanged
 from lanedock_daemon.interface import Interface, OwnInterface
 from lanedock_daemon.path.caller import CallerSide
 from lanedock_daemon.path.http import Answer, Request
@@ -51,18 +51,18 @@
         """Nothing to do."""
 
     def stop(self) -> None:
-        self._agent.post(DrainAsked())
+        self._agent.post(DrainRequested())
         gevent.sleep(max(DRAIN_SETTLE, self._linger))
 
 
 class _ReadySide:
     """Answers whether the daemon takes callers' requests."""
 
-    def __init__(self, board: Board):
-        self._board = board
+    def __init__(self, view: LocalView):
+        self._view = view
 
     def handle(self, request: Request) -> Answer:
-        if self._board.is_ready():
+        if self._view.is_ready():
             return Answer(200, "OK", [("content-length", "0")], [])
         return Answer(503, "Service Unavailable", [("content-length", "0")], [])
 
@@ -79,13 +79,13 @@
     interface = interface or OwnInterface()
     dialect = interface.make_dialect()
     registration = _make_registration(settings)
-    board = Board(settings.zone, settings.daemon.stall_limit_ms / 1000, registration)
-    board.set_budgets(_budget_maker(settings, board))
-    agent = AgentService(settings, board, events, metrics)
+    view = LocalView(settings.zone, settings.daemon.stall_limit_ms / 1000, registration)
+    view.set_budgets(_budget_maker(settings, view))
+    agent = AgentService(settings, view, events, metrics)
     kernel.add(agent)
     linger, stop_timeout = _stop_times(settings)
     requests = RequestLogger(events, settings.log_sample)
-    caller = CallerSide(board, ConnectionPool(), events, metrics, tracer, dialect, requests=requests)
+    caller = CallerSide(view, ConnectionPool(), events, metrics, tracer, dialect, requests=requests)
 
     max_kept = settings.max_descriptors // KEPT_PART if settings.max_descriptors else None
 
@@ -96,22 +96,22 @@
             # Takes requests the same way; it is the benches' baseline.
             kernel.add(WsgiPathServer(name, address, side, stop_timeout, events))
         else:
-            kernel.add(PathServer(name, address, side, stop_timeout, events, board.caller_limits, max_kept))
+            kernel.add(PathServer(name, address, side, stop_timeout, events, view.caller_limits, max_kept))
 
     if settings.daemon.ready is not None:
-        add_server("ready", settings.daemon.ready, _ReadySide(board))
+        add_server("ready", settings.daemon.ready, _ReadySide(view))
     if settings.entry is not None:
         add_server("entry", settings.entry.listen, caller)
     if settings.upstream is not None:
         cfg = settings.upstream
         application = (cfg.application.host, cfg.application.port)
         parts = (events, metrics, tracer, dialect, requests)
-        side = UpstreamSide(cfg.service, application, board, ConnectionPool(), *parts)
+        side = UpstreamSide(cfg.service, application, view, ConnectionPool(), *parts)
         if cfg.registration is not None:
             changed = RegistrationChanged()
             heartbeats = interface.make_registration_side(registration, lambda: agent.post(changed), events)
             add_server("registration", cfg.registration, heartbeats)
-            kernel.add(ApplicationDiscovery(board, application, dialect, lambda: agent.post(changed), events))
+            kernel.add(ApplicationDiscovery(view, application, dialect, lambda: agent.post(changed), events))
         if cfg.egress is not None:
             add_server("egress", cfg.egress, caller)
         add_server("upstream", cfg.listen, side)
@@ -134,10 +134,10 @@
     return UpstreamRegistration(cfg.service, cfg.registration is not None, cfg.heartbeat_s)
 
 
-def _budget_maker(settings: Settings, board: Board):
+def _budget_maker(settings: Settings, view: LocalView):
     """Return what makes the retry budget towards a service."""
     cfg = settings.daemon
     if cfg.retry_slack is None:
         return lambda: SavingBudget(cfg.retry_share)
     window = cfg.retry_window_s
-    return lambda: WindowBudget(cfg.retry_share, cfg.retry_slack, window, board.daemon_count)
+    return lambda: WindowBudget(cfg.retry_share, cfg.retry_slack, window, view.daemon_count)
--- a/packages/lanedock-daemon/lanedock_daemon/desk.py
+++ b/packages/lanedock-daemon/lanedock_daemon/session_registry.py
@@ -1,5 +1,5 @@
 # SPDX-License-Identifier: BSD-3-Clause
-"""The desk for daemons below, as control instances and relays have it."""
+"""Sessions with the daemons downstream, as control instances and relays have them."""
 
 import time
 from abc import ABC, abstractmethod
@@ -10,10 +10,10 @@
 from lanedock_daemon.sessions import HEARTBEAT_INTERVAL, SILENCE_LIMIT
 from lanedock_daemon.transport import Session
 
-__all__ = ["SessionDesk"]
+__all__ = ["SessionRegistry"]
 
 
-class SessionDesk(ABC):
+class SessionRegistry(ABC):
     """Sessions with daemons below, and what is sent to them.
 
     Parameters
--- a/packages/lanedock-daemon/lanedock_daemon/sessions.py
+++ b/packages/lanedock-daemon/lanedock_daemon/sessions.py
@@ -5,7 +5,7 @@
 from lanedock.wire import messages
 from lanedock_daemon.transport import Session
 
-__all__ = ["HEARTBEAT_INTERVAL", "SILENCE_LIMIT", "ChildArrived", "ChildLeft", "ChildTold", "SeedsChanged"]
+__all__ = ["HEARTBEAT_INTERVAL", "SILENCE_LIMIT", "ChildArrived", "ChildLeft", "ChildReported", "SeedsChanged"]
 
 # Both ends of a stream send something at least this often, in seconds, and take
 # the other for lost after this silence.
@@ -25,7 +25,7 @@
     """A daemon has connected, with its first message."""
 
 
-class ChildTold(_SessionMessage):
+class ChildReported(_SessionMessage):
     """A connected daemon sent a message."""
 
 
--- a/packages/lanedock-daemon/lanedock_daemon/transport.py
+++ b/packages/lanedock-daemon/lanedock_daemon/transport.py
@@ -12,10 +12,10 @@
 from lanedock.settings import Address
 from lanedock.wire import messages
 
-__all__ = ["Listener", "PeerLinks", "Session", "SourceEnded", "SourceStream", "SourceTold", "Transport"]
+__all__ = ["Listener", "PeerLinks", "Session", "SourceEnded", "SourceSent", "SourceStream", "Transport"]
 
 
-class SourceTold:
+class SourceSent:
     """The source sent a message."""
 
     __slots__ = ("message", "stream")
@@ -41,7 +41,7 @@
     Parameters
     ----------
     owner : TaskService
-        Takes SourceTold and SourceEnded.
+        Takes SourceSent and SourceEnded.
     address : Address
 
     Attributes
--- a/packages/lanedock/lanedock/consensus/membership.py
+++ b/packages/lanedock/lanedock/consensus/membership.py
@@ -6,7 +6,10 @@
 from lanedock.consensus.core import replica_name
 from lanedock.wire import messages
 
-__all__ = ["admit_learner", "drop_replica", "is_quorum", "promote_learner", "quorum_value"]
+__all__ = ["admit_learner", "drop_replica", "is_quorum", "next_membership", "promote_learner", "quorum_value"]
+
+# More voters bear more losses, but every commit waits for more of them.
+MAX_VOTERS = 5
 
 
 def is_quorum(membership: messages.Membership, replicas: Container[str]) -> bool:
@@ -44,3 +47,35 @@
         voters=[voter for voter in membership.voters if voter != replica],
         learners=[learner for learner in membership.learners if learner != replica],
     )
+
+
+def next_membership(
+    membership: messages.Membership, ready: list[str], silent: list[str], stale: list[str]
+) -> messages.Membership | None:
+    """Return the next step, one replica at a time, towards an odd number of voters that all answer.
+
+    A learner is promoted before the silent voter whose place it takes is let go,
+    so that the silent one's copy counts until the new one's does.
+
+    Parameters
+    ----------
+    membership : Membership
+    ready : list of str
+        Learners that have caught up.
+    silent : list of str
+        Voters that have been silent for too long.
+    stale : list of str
+        Learners that have been silent for much too long.
+
+    Returns
+    -------
+    Membership or None
+        None where nothing is to be done.
+    """
+    voters = len(membership.voters)
+    is_even = voters % 2 == 0
+    if silent and is_even and voters > 2:
+        return drop_replica(membership, silent[0])
+    if ready and (is_even or silent or (len(ready) > 1 and voters + 2 <= MAX_VOTERS)):
+        return promote_learner(membership, ready[0])
+    return drop_replica(membership, stale[0]) if stale else None
--- a/packages/lanedock/lanedock/consensus/replica.py
+++ b/packages/lanedock/lanedock/consensus/replica.py
@@ -16,15 +16,19 @@
 from lanedock.consensus.core import Ready, ReplicaRole, Timing, replica_name
 from lanedock.consensus.leadership import Leadership
 from lanedock.consensus.log import LogSnapshot, RaftLog
-from lanedock.consensus.membership import admit_learner, drop_replica, is_quorum, promote_learner, quorum_value
+from lanedock.consensus.membership import (
+    admit_learner,
+    is_quorum,
+    next_membership,
+    promote_learner,
+    quorum_value,
+)
 from lanedock.consensus.reads import PendingRead, ReadQueue
 from lanedock.wire import messages
 
 __all__ = ["RaftReplica"]
 
 MAX_ENTRIES_PER_MESSAGE = 64
-# More voters bear more losses, but every commit waits for more of them.
-MAX_VOTERS = 5
 # A learner votes nowhere and holds nothing up, so it is let go later than a
 # voter, by this factor.
 LEARNER_PATIENCE = 10
@@ -566,22 +570,15 @@
                 return
 
     def _next_step(self, now: float) -> messages.Membership | None:
-        """Return the membership that promotes a learner or lets a silent voter go, if any."""
+        """Return the membership that promotes a learner or lets a replica go, if any."""
         membership = self._membership
         ready = [learner for learner in membership.learners if self._has_caught_up(learner, now)]
         if self._replace_after is None:
             return promote_learner(membership, ready[0]) if ready else None
-        voters = len(membership.voters)
         silent = [voter for voter in membership.voters if self._is_silent(voter, self._replace_after, now)]
-        is_even = voters % 2 == 0
-        if silent and is_even and voters > 2:
-            return drop_replica(membership, silent[0])
-        if ready and (is_even or silent or (len(ready) > 1 and voters + 2 <= MAX_VOTERS)):
-            return promote_learner(membership, ready[0])
-        for learner in membership.learners:
-            if self._is_silent(learner, LEARNER_PATIENCE * self._replace_after, now):
-                return drop_replica(membership, learner)
-        return None
+        limit = LEARNER_PATIENCE * self._replace_after
+        stale = [learner for learner in membership.learners if self._is_silent(learner, limit, now)]
+        return next_membership(membership, ready, silent, stale)
 
     def _is_silent(self, replica: str, limit: float, now: float) -> bool:
         return replica != self.me and self._lead.silence_of(replica, now) > limit
