Write lines on what a process believes at once

Change: only lines on requests wait for one another. Ruled out: that the daemon lacked the version (lanedock status had it at 3).

--- a/packages/lanedock/lanedock/telemetry/log.py
+++ b/packages/lanedock/lanedock/telemetry/log.py
@@ -108,7 +108,9 @@
             self._left_out += 1
         # A line that a pipe would not take at once is cut, so that none waits.
         self._waiting.append(line if len(line) <= ATOMIC_BYTES else line[: ATOMIC_BYTES - 2] + b"\n")
-        if record.levelno >= logging.WARNING or len(self._waiting) >= MAX_WAITING // 4:
+        # Lines on requests come in numbers and may wait for one another.
+        is_on_request = isinstance(record.msg, dict) and "request" in record.msg
+        if not is_on_request or record.levelno >= logging.WARNING or len(self._waiting) >= MAX_WAITING // 4:
             self.flush()
 
     def flush(self) -> None:
