Take out what the change left unused, and read a request's headers once less

Cause: a reading of the whole change: two methods of the framed transport and two of the registry had no caller; an upstream's daemon read the dialect's facts twice for each request passed on. Change: removed, and the id that the request's log has is used. Behaviour is as before.

--- a/packages/lanedock-daemon/lanedock_daemon/framed.py
+++ b/packages/lanedock-daemon/lanedock_daemon/framed.py
@@ -178,11 +178,6 @@
         if self._writer is not None:
             self._writer.put(message.SerializeToString())
 
-    @property
-    def is_connected(self) -> bool:
-        """Whether messages can be sent."""
-        return self._writer is not None
-
     def close(self) -> None:
         self._is_closed = True
         if self._writer is not None:
@@ -304,11 +299,6 @@
         if link is not None:
             link.heard_at = now
 
-    def forget(self, names: set[str]) -> None:
-        """End the links to all but the named replicas."""
-        for name in set(self._links) - names:
-            self._links.pop(name).task.kill(block=False)
-
 
 class _FramedListener(Listener):
     def __init__(self, server: StreamServer):
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
@@ -206,7 +206,6 @@
         if started >= deadline:
             release()
             return self._refuse(ErrorCode.DEADLINE, 0.0, log)
-        facts = self._dialect.read_request(request.headers)
         headers = self._make_headers(request, deadline - started, span)
         try:
             response = exchange(self._pool, self._application, request, headers, deadline - started)
@@ -217,7 +216,7 @@
             release()
             raise
         head = response.message
-        said = self._dialect.read_answer(head.status, head.headers, facts.request_id)
+        said = self._dialect.read_answer(head.status, head.headers, log.request_id)
         if said.is_foreign:
             response.close()
             release()
--- a/packages/lanedock/lanedock/membership/registry.py
+++ b/packages/lanedock/lanedock/membership/registry.py
@@ -133,16 +133,6 @@
         report.changed.extend(self._own[name] for name in sorted(self._own))
         return report
 
-    def is_sequence_known(self, replica: str, sequence: int) -> bool:
-        """Tell whether all reports of a control instance up to a number have come."""
-        source = self._sources.get(replica)
-        return source is not None and source.sequence >= sequence
-
-    @property
-    def report_sequence(self) -> int:
-        """Number of the last report made here."""
-        return self._report_sequence
-
     # ----------------------------------------------------------------- merging
 
     def _merge(self, name: str, now: float) -> None:
