Let a slow or shortly paused daemon serve on where versions are rolled out directly

That limit fences daemons that others went on without, which only a staged rollout does. Now it is the time after which the platform takes an instance for out of touch.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -7,6 +7,7 @@
 import http.client
 import json
 import os
+import signal
 import subprocess
 import sys
 import threading
@@ -122,6 +123,7 @@
             "limits.maxFds": 4100,
             "bootstrap": str(bootstrap).lower(),
             "dataDir": self.folder / f"data-{ip}",
+            "bounds.contactS": 3,
             "bounds.graceS": 3,
             "bounds.retryBudgetRatio": 0.2,
             "bounds.retrySlack": 62,
@@ -314,3 +316,18 @@
         return lives <= stamps
 
     wait_for(is_shared)
+
+
+def test_a_daemon_that_was_paused_shortly_serves_on_without_control(platform):
+    assert platform.put(make_configuration(4, 0)) == 200
+    for ip in platform.daemons:
+        platform.wait_ready(ip)
+    for ip in platform.controls:
+        platform.processes[ip].kill()
+        platform.processes[ip].wait()
+    paused = platform.processes[platform.daemons[0]]
+    paused.send_signal(signal.SIGSTOP)
+    # Longer than a tick that is late on a slow instance, and within what counts as in touch.
+    time.sleep(1.5)
+    paused.send_signal(signal.SIGCONT)
+    assert platform.request(platform.daemons[0], "id-paused")[0] == 200
