Take the repeats of applications' own failures back

An application that fails a request fails it again; the repeat costs its slot and its calls, and budget that late requests have a better use for.

--- a/packages/lanedock-daemon/lanedock_daemon/path/caller.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller.py
@@ -381,7 +381,7 @@
             self._note_try(job, stats, Outcome.NOT_RUN, ErrorCode.find(head.header(CODE_HEADER)))
             return self._on_refused(response, balancer, stats, load)
         is_lost = outcome == Outcome.UNKNOWN
-        if route.repeatable and (is_lost or head.status == 503 or self._is_worth_repeating(job, head.status)):
+        if (is_lost or head.status == 503) and route.repeatable:
             # Noted first: reading may end with the caller's going away.
             self._note_end(balancer, stats, failed=True, load=load)
             self._note_try(job, stats, Outcome.UNKNOWN, ErrorCode.find(head.header(CODE_HEADER)), head.status)
@@ -391,13 +391,6 @@
             return _Try(answer, False, may_have_run=True)
         return self._pass_answer(response, job, stats, load, is_lost, started)
 
-    def _is_worth_repeating(self, job: "_Job", status: int) -> bool:
-        """Tell whether an application's own failure leaves time for another's answer while that is wanted.
-
-        Where answers take longer than that, more tries would only add to the load.
-        """
-        return status == 500 and time.monotonic() + job.balancer.expected_time(job.route.name) < job.wanted_by
-
     def _note_try(self, job: "_Job", stats, outcome: str, code: ErrorCode | None, status: int = 0) -> None:
         """Note a try whose answer does not stand."""
         job.log.note(
--- a/packages/lanedock/lanedock/routing/balancer.py
+++ b/packages/lanedock/lanedock/routing/balancer.py
@@ -244,11 +244,6 @@
         times = self._times.get(kind)
         return times.late_after if times is not None else _LATE_FIRST
 
-    def expected_time(self, kind: str) -> float:
-        """Return the mean time to an answer of a kind, in seconds."""
-        times = self._times.get(kind)
-        return times.mean if times is not None else _LATE_FIRST
-
     def _note_time(self, stats: UpstreamStats, kind: str, taken: float) -> None:
         times = self._times.get(kind)
         if times is None:
