Serve new requests before those that come back, and refuse waiters that would be late

A request is worth most to a caller who has not waited yet.

Change: a route's callers begin with the same time to wait; one that says less has come back. Within a class those wait behind new ones, and make room in a full queue. A waiter is refused once a slot would come too late for it.

Tests: limits (order, eviction, expiry, ages of mixed callers and under overload).

--- a/packages/lanedock-daemon/lanedock_daemon/path/caller.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller.py
@@ -8,11 +8,13 @@
 
 from lanedock.config import Route
 from lanedock.errors import ErrorCode
+from lanedock.limits import RequestAges
 from lanedock.routing import Balancer, choose_service
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics, RequestLog, RequestLogger, Tracer
 from lanedock_daemon.agent.view import Binding, LocalView
 from lanedock_daemon.path.dialect import Dialect, OwnDialect, RequestFacts
 from lanedock_daemon.path.http import (
+    AGE_HEADER,
     ARRIVED_HEADER,
     ATTEMPT_HEADER,
     CALLER_HEADER,
@@ -169,6 +171,7 @@
         self._tracer = tracer
         self._dialect = dialect or OwnDialect()
         self._rng = rng or Random()
+        self._ages = RequestAges()
 
     def handle(self, request: Request) -> Answer:
         """Answer a request."""
@@ -208,6 +211,7 @@
             return self._refuse(ErrorCode.NO_ROUTE)
         log.route = route.name
         told = route.deadline_ms if facts.deadline_ms is None else min(route.deadline_ms, facts.deadline_ms)
+        age = self._ages.note(route.name, facts.deadline_ms)
         log.note(
             Event.REQUEST_ROUTED,
             target=request.path,
@@ -215,8 +219,10 @@
             version=binding.number,
             deadline_ms=told,
             target_ms=route.target_ms,
+            caller_waits_ms=facts.deadline_ms,
+            age_ms=age,
         )
-        return self._send(request, binding, route, facts, started + told / 1000, span, log)
+        return self._send(request, binding, route, facts, started + told / 1000, age, span, log)
 
     def _refuse(self, code: ErrorCode, retry_after: float = 0.0, detail: str = "") -> Answer:
         self._metrics.count(Metric.NOT_RUN)
@@ -225,7 +231,15 @@
     # ------------------------------------------------------------------- tries
 
     def _send(
-        self, request: Request, binding: Binding, route: Route, facts: RequestFacts, deadline: float, span, log
+        self,
+        request: Request,
+        binding: Binding,
+        route: Route,
+        facts: RequestFacts,
+        deadline: float,
+        age: int,
+        span,
+        log,
     ) -> Answer:
         """Try upstreams until one answers, or trying again would be wrong."""
         service = binding.config.services[choose_service(route, self._rng)]
@@ -235,6 +249,8 @@
         # A retry that a hop before has made must not be multiplied here.
         may_retry = not facts.was_retried
         headers = self._make_headers(request, binding, route, service.name, span)
+        if age:
+            headers.append((AGE_HEADER, str(age)))
         body = request.body = ReplayBody(request.body, REPLAY_LIMIT)
         tried: set[str] = set()
         failure = None
--- a/packages/lanedock-daemon/lanedock_daemon/path/http.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http.py
@@ -8,6 +8,7 @@
 from lanedock.errors import ErrorCode
 
 __all__ = [
+    "AGE_HEADER",
     "ARRIVED_HEADER",
     "ATTEMPT_HEADER",
     "CALLER_HEADER",
@@ -43,6 +44,8 @@
 UPSTREAM_HEADER = "x-lanedock-upstream"
 # Milliseconds within which an answer is wanted.
 TARGET_HEADER = "x-lanedock-target-ms"
+# Milliseconds since the caller first made the request, where it came back.
+AGE_HEADER = "x-lanedock-age-ms"
 ROUTE_HEADER = "x-lanedock-route"
 CALLER_HEADER = "x-lanedock-caller"
 # On a refusal: the request was at the application, which has refused it.
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
@@ -12,6 +12,7 @@
 from lanedock_daemon.agent.view import LocalView
 from lanedock_daemon.path.dialect import Dialect, OwnDialect
 from lanedock_daemon.path.http import (
+    AGE_HEADER,
     ARRIVED_HEADER,
     ATTEMPT_HEADER,
     CALLER_HEADER,
@@ -138,7 +139,7 @@
         target = request.header(TARGET_HEADER)
         wanted_by = started + int(target) / 1000 if target.isascii() and target.isdigit() else None
         kind = request.header(ROUTE_HEADER)
-        refused = self._acquire(traffic_class, deadline, wanted_by, kind)
+        refused = self._acquire(traffic_class, deadline, wanted_by, kind, bool(request.header(AGE_HEADER)))
         if refused is not None:
             return self._refuse(refused.code, refused.retry_after, log, **self._load())
         # It may have begun to leave while the request waited.
@@ -178,15 +179,17 @@
         queue = service.queue if service is not None else slots * QUEUE_PER_SLOT
         self._limiter.configure(slots, queue, classes)
 
-    def _acquire(self, traffic_class: str, deadline: float, wanted_by: float | None, kind: str) -> Refused | None:
+    def _acquire(
+        self, traffic_class: str, deadline: float, wanted_by: float | None, kind: str, is_returning: bool
+    ) -> Refused | None:
         """Take a slot, waiting for it if need be."""
         now = time.monotonic()
         granted = Signal()
-        result = self._limiter.acquire(traffic_class, deadline, now, granted.set, wanted_by, kind)
+        result = self._limiter.acquire(traffic_class, deadline, now, granted.set, wanted_by, kind, is_returning)
         if result is None or isinstance(result, Refused):
             return result
         try:
-            is_granted = granted.wait(timeout=deadline - now)
+            is_granted = granted.wait(timeout=result.expires_at - now)
         except BaseException:
             # The caller has gone: its place, or the slot it was just given,
             # must not stay taken.
@@ -197,7 +200,7 @@
             return Refused(ErrorCode.OVERLOADED, self._limiter.return_after(result.rank, time.monotonic()))
         if is_granted or not self._limiter.cancel(result):
             return None
-        return Refused(ErrorCode.OVERLOADED, RETRY_AFTER)
+        return Refused(ErrorCode.OVERLOADED, self._limiter.return_after(result.rank, time.monotonic()))
 
     def _pass_on(self, request: Request, traffic_class: str, deadline: float, span, log: RequestLog) -> Answer:
         """Send a request to the application; the slot is held to the answer's end."""
--- a/packages/lanedock/lanedock/limits/__init__.py
+++ b/packages/lanedock/lanedock/limits/__init__.py
@@ -2,7 +2,17 @@
 """Limits on work: slots with shares, retry budgets, admission."""
 
 from lanedock.limits.admission import Admission
+from lanedock.limits.ages import RequestAges
 from lanedock.limits.retries import RetryBudget, SavingBudget, WindowBudget
 from lanedock.limits.slots import Refused, SlotLimiter, Waiter
 
-__all__ = ["Admission", "Refused", "RetryBudget", "SavingBudget", "SlotLimiter", "Waiter", "WindowBudget"]
+__all__ = [
+    "Admission",
+    "Refused",
+    "RequestAges",
+    "RetryBudget",
+    "SavingBudget",
+    "SlotLimiter",
+    "Waiter",
+    "WindowBudget",
+]
--- /dev/null
+++ b/packages/lanedock/lanedock/limits/ages.py
@@ -0,0 +1,83 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""How long ago callers made their requests first, estimated from the time that they still wait.
+
+A caller whose request was refused comes back with what is left of its time. An
+answer to it is worth less than one to a request that was just made, and where
+there is not work for both, the new one goes first; otherwise each refused
+request that comes back makes another one late.
+"""
+
+__all__ = ["RequestAges"]
+
+# Times to wait that are kept for a kind of request.
+_MAX_VALUES = 64
+# Requests of a kind after which counts are halved, so that old ones fade.
+_HALVING = 512
+# Part of a kind's requests that have to say the same time for it to be one that
+# callers begin with. What is left of it after a refusal is different each time.
+_FREQUENT = 1 / 16
+# Kinds of requests that are kept.
+_MAX_KINDS = 1024
+
+
+class _Times:
+    """The times to wait that requests of one kind have said, in milliseconds."""
+
+    __slots__ = ("counts", "total")
+
+    def __init__(self):
+        self.counts: dict[int, int] = {}
+        self.total = 0
+
+    def note(self, told_ms: int) -> None:
+        """Count one."""
+        self.total += 1
+        self.counts[told_ms] = self.counts.get(told_ms, 0) + 1
+        if self.total >= _HALVING or len(self.counts) > _MAX_VALUES:
+            self._fade()
+
+    def _fade(self) -> None:
+        self.counts = {told: count // 2 for told, count in self.counts.items() if count > 1}
+        self.total = sum(self.counts.values())
+
+    def first_at_least(self, told_ms: int) -> int | None:
+        """Return the least time that callers begin with and that is no less than one said."""
+        least = self.total * _FREQUENT
+        return min((told for told, count in self.counts.items() if told >= told_ms and count >= least), default=None)
+
+
+class RequestAges:
+    """Estimates ages by kind of request. Pure."""
+
+    def __init__(self):
+        self._times: dict[str, _Times] = {}
+
+    def __repr__(self) -> str:
+        return f"<RequestAges kinds={len(self._times)}>"
+
+    def note(self, kind: str, told_ms: int | None) -> int:
+        """Take in a request, and return its age.
+
+        Parameters
+        ----------
+        kind : str
+            Of the request, such as its route's name.
+        told_ms : int or None
+            Time for which its caller waits, in milliseconds.
+
+        Returns
+        -------
+        int
+            Milliseconds since its caller made it first; 0 where nothing shows
+            that it did so before.
+        """
+        if told_ms is None:
+            return 0
+        times = self._times.get(kind)
+        if times is None:
+            if len(self._times) >= _MAX_KINDS:
+                self._times.clear()
+            times = self._times[kind] = _Times()
+        times.note(told_ms)
+        first = times.first_at_least(told_ms)
+        return 0 if first is None else first - told_ms
--- a/packages/lanedock/lanedock/limits/slots.py
+++ b/packages/lanedock/lanedock/limits/slots.py
@@ -66,16 +66,28 @@
         Called without arguments once the slot is the waiter's, or once it has
         been evicted.
     is_evicted : bool
-        Whether it had to make room for one that is wanted sooner.
+        Whether it had to make room for one that goes before it.
+    is_returning : bool
+        Whether it was refused before; within a class those that were not go first.
+    expires_at : float
+        Monotonic, seconds; with a slot later than this its answer would come
+        later than wanted.
     """
 
-    __slots__ = ("granted", "is_evicted", "rank", "traffic_class")
+    __slots__ = ("expires_at", "granted", "is_evicted", "is_returning", "rank", "traffic_class")
 
-    def __init__(self, traffic_class: str, rank: float, granted):
+    def __init__(self, traffic_class: str, rank: float, granted, is_returning: bool, expires_at: float):
         self.is_evicted = False
         self.traffic_class = traffic_class
         self.rank = rank
         self.granted = granted
+        self.is_returning = is_returning
+        self.expires_at = expires_at
+
+    @property
+    def order(self) -> tuple[bool, float]:
+        """Its place within its class; the least goes first."""
+        return (self.is_returning, self.rank)
 
     def __repr__(self) -> str:
         return f"<Waiter {self.traffic_class} rank={self.rank:.3f}>"
@@ -141,7 +153,14 @@
         self._order = sorted(classes, key=lambda name: (classes[name].priority, name))
 
     def acquire(
-        self, traffic_class: str, deadline: float, now: float, granted, wanted_by: float | None = None, kind: str = ""
+        self,
+        traffic_class: str,
+        deadline: float,
+        now: float,
+        granted,
+        wanted_by: float | None = None,
+        kind: str = "",
+        is_returning: bool = False,
     ) -> Waiter | Refused | None:
         """Ask for a slot.
 
@@ -159,6 +178,8 @@
         kind : str
             Of the request, such as its route's name: its own time is estimated by
             that of others of its kind.
+        is_returning : bool
+            Whether it was refused before, here or elsewhere.
 
         Returns
         -------
@@ -175,13 +196,12 @@
             self._take(traffic_class, now)
             return None
         rank = deadline if wanted_by is None else wanted_by
-        wait = self._estimate_wait(traffic_class, rank)
-        is_late = now + wait >= deadline
-        if wanted_by is not None:
-            is_late = is_late or now + wait + self._time_of(kind) >= wanted_by
-        if is_late or not (self._has_queue_room(traffic_class) or self._evict_for(traffic_class, rank)):
+        wait = self._estimate_wait(traffic_class, (is_returning, rank))
+        expires_at = deadline if wanted_by is None else min(deadline, wanted_by - self._time_of(kind))
+        is_late = now + wait >= expires_at
+        if is_late or not (self._has_queue_room(traffic_class) or self._evict_for(traffic_class, (is_returning, rank))):
             return Refused(ErrorCode.OVERLOADED, max(wait, self.return_after(rank, now)))
-        waiter = Waiter(traffic_class, rank, granted)
+        waiter = Waiter(traffic_class, rank, granted, is_returning, expires_at)
         self._waiting.setdefault(traffic_class, []).append(waiter)
         self.waiting += 1
         return waiter
@@ -278,7 +298,7 @@
         part = _RETURN_PART * (rank - now) * self._rng.uniform(0.5, 1.5)
         return max(self._service_time, min(part, _RETURN_MAX))
 
-    def _evict_for(self, traffic_class: str, rank: float) -> bool:
+    def _evict_for(self, traffic_class: str, order: tuple[bool, float]) -> bool:
         """Make room in a full queue for a request that goes before the last one of its class.
 
         Long requests that wait must not keep out the short calls that requests
@@ -287,8 +307,8 @@
         queue = self._waiting.get(traffic_class)
         if not queue:
             return False
-        last = max(queue, key=lambda waiter: waiter.rank)
-        if last.rank <= rank:
+        last = max(queue, key=lambda waiter: waiter.order)
+        if last.order <= order:
             return False
         queue.remove(last)
         self.waiting -= 1
@@ -296,14 +316,14 @@
         last.granted()
         return True
 
-    def _estimate_wait(self, traffic_class: str, rank: float) -> float:
+    def _estimate_wait(self, traffic_class: str, order: tuple[bool, float]) -> float:
         """Estimate the wait from the requests that would be served before."""
         ahead = 1
         for name in self._order:
             if name == traffic_class:
                 break
             ahead += len(self._waiting.get(name, ()))
-        ahead += sum(waiter.rank <= rank for waiter in self._waiting.get(traffic_class, ()))
+        ahead += sum(waiter.order <= order for waiter in self._waiting.get(traffic_class, ()))
         return ahead * self._service_time / self.slots
 
     def _grant(self, now: float) -> None:
@@ -316,6 +336,6 @@
 
     def _pop_next(self, queue: list[Waiter]) -> Waiter:
         """Take the waiter that is wanted first."""
-        position = min(range(len(queue)), key=lambda number: queue[number].rank)
+        position = min(range(len(queue)), key=lambda number: queue[number].order)
         self.waiting -= 1
         return queue.pop(position)
--- a/packages/lanedock/lanedock/limits/tests/test_slots.py
+++ b/packages/lanedock/lanedock/limits/tests/test_slots.py
@@ -7,7 +7,7 @@
 
 from lanedock.config import TrafficClass
 from lanedock.errors import ErrorCode
-from lanedock.limits import Admission, Refused, SavingBudget, SlotLimiter, Waiter, WindowBudget
+from lanedock.limits import Admission, Refused, RequestAges, SavingBudget, SlotLimiter, Waiter, WindowBudget
 
 CLASSES = {
     "order": TrafficClass("order", 0.4, 0),
@@ -178,3 +178,55 @@
     # One that is wanted later than all others makes nobody go.
     limiter.acquire("order", FAR, 0.1, lambda: None, 10.5)
     assert isinstance(limiter.acquire("order", FAR, 0.1, None, 50.0), Refused)
+
+
+def test_what_was_refused_before_goes_behind_what_was_not():
+    limiter = SlotLimiter(1, 2, {})
+    served = []
+    limiter.acquire("c", FAR, 0.0, None)
+    returning = limiter.acquire("c", FAR, 0.0, lambda: served.append("returning"), 1.0, is_returning=True)
+    assert isinstance(returning, Waiter)
+    # Wanted later, yet new.
+    limiter.acquire("c", FAR, 0.0, lambda: served.append("new"), 2.0)
+    limiter.release("c", 0.01, 0.1)
+    assert served == ["new"]
+    # A full queue makes room for what is new.
+    limiter.acquire("c", FAR, 0.1, lambda: served.append("newer"), 2.0)
+    assert isinstance(limiter.acquire("c", FAR, 0.1, lambda: None, 3.0), Waiter)
+    assert returning.is_evicted
+
+
+def test_a_waiter_expires_when_a_slot_would_come_too_late_for_it():
+    limiter = SlotLimiter(1, 10, {})
+    for _ in range(50):
+        limiter.acquire("c", FAR, 0.0, None)
+        limiter.release("c", 0.2, 0.0, "read")
+    limiter.acquire("c", FAR, 0.0, None)
+    waiter = limiter.acquire("c", FAR, 0.0, lambda: None, 0.5, "read")
+    assert isinstance(waiter, Waiter)
+    assert 0.0 < waiter.expires_at <= 0.3
+
+
+def test_a_caller_that_comes_back_is_known_by_the_time_it_has_left():
+    ages = RequestAges()
+    # Two kinds of callers, each beginning with its own time.
+    for number in range(600):
+        ages.note("read", 2500 if number % 3 else 1000)
+    assert ages.note("read", 2500) == ages.note("read", 1000) == 0
+    assert ages.note("read", 2321) == 179
+    assert ages.note("read", 960) == 40
+    # Longer than any before: nothing shows that it is old.
+    assert ages.note("read", 9000) == 0
+    assert ages.note("other", 960) == 0
+    assert ages.note("read", None) == 0
+
+
+def test_times_that_are_left_over_never_pass_for_one_to_begin_with():
+    ages = RequestAges()
+    rng = Random(7)
+    for _ in range(3000):
+        ages.note("read", 2500)
+        # Under overload most of what comes has come before.
+        for _ in range(3):
+            ages.note("read", rng.randrange(1, 2490))
+    assert ages.note("read", 2400) == 100
