Take an upstream that was not heard of for long to be as loaded as others

Change: with age a report fades into the average of the reports.

Test: routing, an upstream not heard of for long is not taken for an empty one.

--- a/packages/lanedock-daemon/lanedock_daemon/path/caller.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller.py
@@ -359,7 +359,7 @@
             zone=stats.endpoint.zone,
             own_in_progress=stats.in_progress,
             others=stats.others,
-            others_age_ms=round(1000 * (started - stats.told_at)) if stats.told_at else None,
+            others_age_ms=round(1000 * (started - stats.told_at)) if stats.told_at is not None else None,
             slowness=round(stats.slowness, 2),
         )
         balancer.begin(stats, started)
--- a/packages/lanedock/lanedock/routing/balancer.py
+++ b/packages/lanedock/lanedock/routing/balancer.py
@@ -4,8 +4,9 @@
 The better of two random candidates, by requests in progress (Mitzenmacher,
 "The Power of Two Choices in Randomized Load Balancing", 2001). What counts is
 what this caller sees itself: its own requests in progress and their outcomes,
-and the count that an upstream's daemon puts on each answer, which fades with
-age. An upstream's own load report, which may lag or mislead, is not used.
+and the count that an upstream's daemon puts on each answer. With age that fades
+into what upstreams report on average: one that was not heard of for long is no
+emptier for that. An upstream's own load report, which may lag or mislead, is not used.
 """
 
 import math
@@ -143,7 +144,7 @@
         self.endpoint = endpoint
         self.in_progress = 0
         self.others = 0
-        self.told_at = 0.0
+        self.told_at: float | None = None
         self.failures = 0
         self.ejections = 0
         self.ejected_until = 0.0
@@ -216,6 +217,8 @@
         self._local: list[UpstreamStats] = []
         self._remote: list[UpstreamStats] = []
         self._times: dict[str, _AnswerTimes] = {}
+        # Requests of others in progress at one upstream, on average.
+        self._typical_others = 0.0
 
     def __repr__(self) -> str:
         return f"<Balancer {self._zone} local={len(self._local)} remote={len(self._remote)}>"
@@ -317,9 +320,7 @@
         """Estimate the requests in progress, scaled up while it is cold and where it is slow."""
         if stats.is_on_trial and stats.in_progress:
             return _UNWANTED
-        load = stats.in_progress
-        if stats.others:
-            load += stats.others * math.exp((stats.told_at - now) / self._policy.load_age)
+        load = stats.in_progress + self._others(stats, now)
         if stats.in_progress and stats.silence(now) > self._silence_limit():
             load += _SILENCE_LOAD + stats.in_progress
         over = load / (stats.endpoint.slots or slots) - _NEARLY_FULL
@@ -335,6 +336,14 @@
             return load
         return (load + 1) / max(self._policy.cold_weight, warm) - 1
 
+    def _others(self, stats: UpstreamStats, now: float) -> float:
+        """Estimate the requests that other callers have in progress there."""
+        typical = self._typical_others
+        if stats.told_at is None:
+            return typical
+        weight = math.exp((stats.told_at - now) / self._policy.load_age)
+        return typical + weight * (stats.others - typical)
+
     def _silence_limit(self) -> float:
         """Return the silence, in seconds, that no kind of request explains."""
         if not self._times:
@@ -385,6 +394,7 @@
         if told is not None:
             stats.others = max(0, told - stats.in_progress)
             stats.told_at = now
+            self._typical_others += _SMOOTHING * (stats.others - self._typical_others)
         stats.in_progress -= 1
         if taken is not None:
             stats.answered_at = now
