--- a/packages/lanedock-daemon/lanedock_daemon/control/requests.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/requests.py
@@ -15,7 +15,6 @@
     "GreenletCall",
     "HistoryRequested",
     "ListRead",
-    "PeerMessageArrived",
     "ReadRequested",
     "ShowRequested",
     "StatusRequested",
@@ -66,15 +65,6 @@
         return self._queue.get(timeout=timeout)
 
 
-class PeerMessageArrived:
-    """Another replica sent a message."""
-
-    __slots__ = ("message",)
-
-    def __init__(self, message: messages.PeerMessage):
-        self.message = message
-
-
 class ListRead:
     """The platform's list was read."""
 
--- a/packages/lanedock-daemon/lanedock_daemon/control/server.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/server.py
@@ -12,11 +12,11 @@
 from lanedock_daemon.control.requests import (
     Call,
     HistoryRequested,
-    PeerMessageArrived,
     ShowRequested,
     StatusRequested,
     SubmitRequested,
 )
+from lanedock_daemon.transport import PeerMessageArrived
 
 __all__ = ["OperatorsServer", "ReplicationServer"]
 
--- a/packages/lanedock-daemon/lanedock_daemon/control/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/service.py
@@ -21,7 +21,6 @@
 from lanedock_daemon.control.requests import (
     HistoryRequested,
     ListRead,
-    PeerMessageArrived,
     ReadRequested,
     ShowRequested,
     StatusRequested,
@@ -29,6 +28,7 @@
 )
 from lanedock_daemon.control.submissions import Submission, SubmissionQueue
 from lanedock_daemon.sessions import ChildArrived, ChildLeft, ChildReported, SeedsChanged
+from lanedock_daemon.transport import PeerMessageArrived
 
 __all__ = ["ControlService"]
 
--- a/packages/lanedock-daemon/lanedock_daemon/framed.py
+++ b/packages/lanedock-daemon/lanedock_daemon/framed.py
@@ -20,9 +20,17 @@
 from lanedock.kernel import Kernel, TaskService
 from lanedock.settings import Address
 from lanedock.wire import messages
-from lanedock_daemon.control.requests import PeerMessageArrived
 from lanedock_daemon.sessions import ChildArrived, ChildLeft, ChildReported
-from lanedock_daemon.transport import Listener, PeerLinks, Session, SourceEnded, SourceSent, SourceStream, Transport
+from lanedock_daemon.transport import (
+    Listener,
+    PeerLinks,
+    PeerMessageArrived,
+    Session,
+    SourceEnded,
+    SourceSent,
+    SourceStream,
+    Transport,
+)
 
 __all__ = ["FramedTransport"]
 
--- a/packages/lanedock-daemon/lanedock_daemon/transport.py
+++ b/packages/lanedock-daemon/lanedock_daemon/transport.py
@@ -12,7 +12,25 @@
 from lanedock.settings import Address
 from lanedock.wire import messages
 
-__all__ = ["Listener", "PeerLinks", "Session", "SourceEnded", "SourceSent", "SourceStream", "Transport"]
+__all__ = [
+    "Listener",
+    "PeerLinks",
+    "PeerMessageArrived",
+    "Session",
+    "SourceEnded",
+    "SourceSent",
+    "SourceStream",
+    "Transport",
+]
+
+
+class PeerMessageArrived:
+    """Another replica sent a message."""
+
+    __slots__ = ("message",)
+
+    def __init__(self, message: messages.PeerMessage):
+        self.message = message
 
 
 class SourceSent:
