Let the former leader stand again at once after a restart

Change: entries name the leader of their term. A replica that led its term stands at once, and again with each heartbeat's interval while the others start; one that followed it votes for it, and for nobody else, within that time.

--- a/packages/lanedock/lanedock/consensus/log.py
+++ b/packages/lanedock/lanedock/consensus/log.py
@@ -60,6 +60,12 @@
         """Term of the last entry."""
         return self.entries[-1].term if self.entries else self.snapshot.term
 
+    def leader_of(self, term: int) -> str:
+        """Return who leads a term, by its newest entry; empty where there is none of it."""
+        if self.entries and self.entries[-1].term == term:
+            return self.entries[-1].leader
+        return ""
+
     def term_at(self, index: int) -> int | None:
         """Return an entry's term, or None where the entry is not held."""
         if index == self.snapshot.index:
--- a/packages/lanedock/lanedock/consensus/replica.py
+++ b/packages/lanedock/lanedock/consensus/replica.py
@@ -87,6 +87,11 @@
         # A replica that has just started may have supported a leader right
         # before: it waits a whole election timeout, and supports no other.
         self._heard_at = now
+        # Whose lease may rest on this replica; empty where that is not known.
+        self._supported = log.leader_of(term)
+        # Until then a replica that led before it was started stands again without
+        # waiting: its own lease has ended with its former life.
+        self._returns_until = now + timing.election_min if self._supported == me else now
         self._election_at = 0.0
         self._stood_at = now
         self._votes: set[str] = set()
@@ -96,6 +101,8 @@
         self._replace_after = replace_after
         self._ready = Ready()
         self._reset_election(now)
+        if now < self._returns_until:
+            self._election_at = now
 
     def __repr__(self) -> str:
         return f"<RaftReplica {self.me} {self.role.value} term={self.term} commit={self.commit_index} {self.log!r}>"
@@ -211,7 +218,7 @@
     def _raise_term(self, message, body: str, now: float) -> bool:
         """Go along with a higher term; False where the message is to be dropped."""
         if body == "vote_request":
-            if self._supports_leader(now):
+            if self._supports_other(message.sender, now):
                 return False
             if message.vote_request.trial:
                 granted = self.can_vote() and self._is_up_to_date(message.vote_request)
@@ -225,8 +232,12 @@
         self._become_follower(message.term, leader, now)
         return True
 
-    def _supports_leader(self, now: float) -> bool:
-        return now < self._heard_at + self._timing.election_min
+    def _supports_other(self, candidate: str, now: float) -> bool:
+        """Tell whether another leader's lease may rest on this replica.
+
+        One that stands for a higher term leads no more, so its own lease does not count.
+        """
+        return now < self._heard_at + self._timing.election_min and candidate != self._supported
 
     def _answer_old_term(self, message, body: str) -> None:
         """Let a deposed leader or a late candidate learn the term."""
@@ -249,6 +260,10 @@
         self._reset_election(now)
 
     def _reset_election(self, now: float) -> None:
+        if now < self._returns_until and self.role is not ReplicaRole.CANDIDATE:
+            # The others may still be starting: asked again with each heartbeat's interval.
+            self._election_at = now + self._timing.heartbeat
+            return
         self._election_at = now + self._rng.uniform(self._timing.election_min, self._timing.election_max)
 
     def _drop_reads(self) -> None:
@@ -259,14 +274,13 @@
     def _start_election(self, now: float, trial: bool) -> None:
         self.leader = ""
         self._drop_reads()
-        self._reset_election(now)
         self._votes = set()
-        if trial:
-            self.role = ReplicaRole.PRE_CANDIDATE
-        else:
-            self.role = ReplicaRole.CANDIDATE
+        self.role = ReplicaRole.PRE_CANDIDATE if trial else ReplicaRole.CANDIDATE
+        self._reset_election(now)
+        if not trial:
             self._stood_at = now
             self._heard_at = now
+            self._supported = self.me
             self.term += 1
             self.voted_for = self.me
             self._ready.hard_state_changed = True
@@ -299,7 +313,8 @@
 
     def _on_vote_request(self, message, request, now: float) -> None:
         if request.trial:
-            granted = self.can_vote() and not self._supports_leader(now) and self._is_up_to_date(request)
+            is_free = not self._supports_other(message.sender, now)
+            granted = self.can_vote() and is_free and self._is_up_to_date(request)
             self._reply_vote(message, granted, trial=True)
             return
         granted = self.voted_for in ("", message.sender) and self._is_up_to_date(request) and self.can_vote()
@@ -309,6 +324,7 @@
             # A vote supports the candidate as a heartbeat does, so that its
             # first lease excludes another leader.
             self._heard_at = now
+            self._supported = message.sender
             self._reset_election(now)
         self._reply_vote(message, granted, trial=False)
 
@@ -359,6 +375,7 @@
 
     def _append(self, entry: messages.LogEntry, now: float) -> int:
         entry.term = self.term
+        entry.leader = self.me
         entry.index = self.log.last_index + 1
         self.log.append(entry)
         self._ready.entries.append(entry)
@@ -497,6 +514,8 @@
             self.leader = message.sender
             self._lead = None
         self._heard_at = now
+        self._supported = message.sender
+        self._returns_until = now
         self._reset_election(now)
 
     def _on_append_request(self, message, request, now: float) -> None:
--- a/packages/lanedock/lanedock/consensus/tests/test_replica.py
+++ b/packages/lanedock/lanedock/consensus/tests/test_replica.py
@@ -46,6 +46,37 @@
     assert cluster.propose(old, b"lost") is None
 
 
+def test_the_former_leader_leads_again_at_once_when_all_were_killed():
+    cluster = Cluster(NAMES, seed=2)
+    old = _elect(cluster)
+    cluster.propose(old, b"x")
+    cluster.run(1)
+    for node in cluster.nodes.values():
+        node.crash()
+    for node in cluster.nodes.values():
+        node.start()
+    # Long before the least time after which a follower would support another leader.
+    cluster.run(0.2)
+    assert [node.id for node in cluster.leaders()] == [old.id]
+
+
+def test_a_follower_that_was_killed_supports_nobody_but_the_leader_it_followed():
+    cluster = Cluster(NAMES, seed=2)
+    old = _elect(cluster)
+    cluster.propose(old, b"x")
+    cluster.run(1)
+    others = [node for node in cluster.nodes.values() if node is not old]
+    cluster.isolate(old.id[0])
+    others[0].crash()
+    others[0].start()
+    cluster.run(0.2)
+    # The leader that is cut off may still act by its lease.
+    others[1].replica._start_election(cluster.now, trial=True)
+    others[1].pump()
+    cluster.run(0.1)
+    assert [node.id for node in cluster.leaders()] in ([old.id], [])
+
+
 def test_what_a_cut_off_leader_took_last_gives_way():
     cluster = Cluster(NAMES, seed=3)
     old = _elect(cluster)
--- a/packages/lanedock/lanedock/consensus/tests/test_walk.py
+++ b/packages/lanedock/lanedock/consensus/tests/test_walk.py
@@ -32,6 +32,7 @@
             self.crash: 1.0,
             self.crash_before_sync: 1.0,
             self.restart: 3,
+            self.restart_all: 0.4,
             self.isolate: 0.8,
             self.heal: 1.2,
             self.jump: 0.5,
@@ -97,6 +98,15 @@
             if node.replica is None:
                 node.start()
 
+    def restart_all(self) -> None:
+        """Kill all at once; a former leader may stand again before the others are back."""
+        nodes = list(self.cluster.nodes.values())
+        for node in nodes:
+            node.crash()
+        self.rng.shuffle(nodes)
+        for node in nodes[: self.rng.randrange(1, 4)]:
+            node.start()
+
     def isolate(self) -> None:
         self.cluster.isolate(self.rng.choice(NAMES))
 
