Let requests whose callers do not come back wait to their deadline

Change: whether refused requests of a route come back shows in the time that callers say they still wait. Where they do not, a late answer is better than a refusal: they keep their place by when they are wanted, and wait to the deadline.

Tests: limits (a patient request waits, it shows whether callers come back).

--- a/packages/lanedock-daemon/lanedock_daemon/path/caller.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller.py
@@ -25,6 +25,7 @@
     LEAVING_HEADER,
     LOAD_HEADER,
     OUTCOME_HEADER,
+    PATIENT_HEADER,
     ROUTE_HEADER,
     SERVICE_HEADER,
     TARGET_HEADER,
@@ -191,6 +192,8 @@
         self._metrics.time(Metric.LATENCY, taken)
         span.end(**{"http.status_code": answer.status, "http.target": request.path})
         outcome = _outcome(answer)
+        if outcome == Outcome.NOT_RUN and log.route:
+            self._ages.note_refusal(log.route)
         log.note(Event.REQUEST_ANSWERED, outcome=outcome, status=answer.status, code=_header(answer, CODE_HEADER))
         self._metrics.count(Metric.OUTCOMES, 1, (log.route, outcome))
         self._requests.end(log, answer.status >= 400)
@@ -251,6 +254,8 @@
         headers = self._make_headers(request, binding, route, service.name, span)
         if age:
             headers.append((AGE_HEADER, str(age)))
+        if not self._ages.do_callers_return(route.name):
+            headers.append((PATIENT_HEADER, "1"))
         body = request.body = ReplayBody(request.body, REPLAY_LIMIT)
         tried: set[str] = set()
         failure = None
--- a/packages/lanedock-daemon/lanedock_daemon/path/http.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http.py
@@ -17,6 +17,7 @@
     "HOP_HEADERS",
     "LOAD_HEADER",
     "OUTCOME_HEADER",
+    "PATIENT_HEADER",
     "PRIVATE_PREFIX",
     "REQUEST_ID_HEADER",
     "ROUTE_HEADER",
@@ -46,6 +47,8 @@
 TARGET_HEADER = "x-lanedock-target-ms"
 # Milliseconds since the caller first made the request, where it came back.
 AGE_HEADER = "x-lanedock-age-ms"
+# The caller waits to the deadline: it would not come back after a refusal.
+PATIENT_HEADER = "x-lanedock-patient"
 ROUTE_HEADER = "x-lanedock-route"
 CALLER_HEADER = "x-lanedock-caller"
 # On a refusal: the request was at the application, which has refused it.
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_promises.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_promises.py
@@ -311,9 +311,11 @@
     lost.server.stop()
     chain.pool.close()
     balancer = chain.view.balancer("s")
-    for _ in range(20):
-        assert chain.request("GET")[0] == 200
     stats = balancer._upstreams["u0"]
+    while not stats.is_unreachable:
+        tasks = [gevent.spawn(chain.request, "GET") for _ in range(4)]
+        gevent.joinall(tasks)
+        assert {task.value[0] for task in tasks} == {200}
     wait_until(lambda: stats.is_unreachable and stats.failed_probes)
     lost.server = PathServer("u0", address, lost.side, 2.0, EventLogger("u0"))
     lost.server.start(None)
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
@@ -6,7 +6,7 @@
 from gevent.event import Event as Signal
 
 from lanedock.errors import ErrorCode
-from lanedock.limits import Refused, SlotLimiter
+from lanedock.limits import Refused, SlotLimiter, Wish
 from lanedock.membership import UpstreamRegistration
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics, RequestLog, RequestLogger, Tracer
 from lanedock_daemon.agent.view import LocalView
@@ -20,6 +20,7 @@
     DEADLINE_HEADER,
     LEAVING_HEADER,
     LOAD_HEADER,
+    PATIENT_HEADER,
     ROUTE_HEADER,
     SERVICE_HEADER,
     TARGET_HEADER,
@@ -139,7 +140,8 @@
         target = request.header(TARGET_HEADER)
         wanted_by = started + int(target) / 1000 if target.isascii() and target.isdigit() else None
         kind = request.header(ROUTE_HEADER)
-        refused = self._acquire(traffic_class, deadline, wanted_by, kind, bool(request.header(AGE_HEADER)))
+        wish = Wish(deadline, wanted_by, kind, bool(request.header(AGE_HEADER)), bool(request.header(PATIENT_HEADER)))
+        refused = self._acquire(traffic_class, wish)
         if refused is not None:
             return self._refuse(refused.code, refused.retry_after, log, **self._load())
         # It may have begun to leave while the request waited.
@@ -179,13 +181,11 @@
         queue = service.queue if service is not None else slots * QUEUE_PER_SLOT
         self._limiter.configure(slots, queue, classes)
 
-    def _acquire(
-        self, traffic_class: str, deadline: float, wanted_by: float | None, kind: str, is_returning: bool
-    ) -> Refused | None:
+    def _acquire(self, traffic_class: str, wish: Wish) -> Refused | None:
         """Take a slot, waiting for it if need be."""
         now = time.monotonic()
         granted = Signal()
-        result = self._limiter.acquire(traffic_class, deadline, now, granted.set, wanted_by, kind, is_returning)
+        result = self._limiter.acquire(traffic_class, wish, now, granted.set)
         if result is None or isinstance(result, Refused):
             return result
         try:
@@ -197,10 +197,10 @@
                 self._limiter.release(traffic_class, 0.0, time.monotonic())
             raise
         if result.is_evicted:
-            return Refused(ErrorCode.OVERLOADED, self._limiter.return_after(result.rank, time.monotonic()))
+            return Refused(ErrorCode.OVERLOADED, self._limiter.return_after(result.wish.rank, time.monotonic()))
         if is_granted or not self._limiter.cancel(result):
             return None
-        return Refused(ErrorCode.OVERLOADED, self._limiter.return_after(result.rank, time.monotonic()))
+        return Refused(ErrorCode.OVERLOADED, self._limiter.return_after(result.wish.rank, time.monotonic()))
 
     def _pass_on(self, request: Request, traffic_class: str, deadline: float, span, log: RequestLog) -> Answer:
         """Send a request to the application; the slot is held to the answer's end."""
--- a/packages/lanedock/lanedock/limits/__init__.py
+++ b/packages/lanedock/lanedock/limits/__init__.py
@@ -4,7 +4,7 @@
 from lanedock.limits.admission import Admission
 from lanedock.limits.ages import RequestAges
 from lanedock.limits.retries import RetryBudget, SavingBudget, WindowBudget
-from lanedock.limits.slots import Refused, SlotLimiter, Waiter
+from lanedock.limits.slots import Refused, SlotLimiter, Waiter, Wish
 
 __all__ = [
     "Admission",
@@ -15,4 +15,5 @@
     "SlotLimiter",
     "Waiter",
     "WindowBudget",
+    "Wish",
 ]
--- a/packages/lanedock/lanedock/limits/slots.py
+++ b/packages/lanedock/lanedock/limits/slots.py
@@ -12,7 +12,7 @@
 from lanedock.config import TrafficClass
 from lanedock.errors import ErrorCode
 
-__all__ = ["Refused", "SlotLimiter", "Waiter"]
+__all__ = ["Refused", "SlotLimiter", "Waiter", "Wish"]
 
 # Weight of the newest service time in the moving average.
 _SMOOTHING = 0.1
@@ -52,45 +52,87 @@
         return f"<Refused {self.code.code} retry_after={self.retry_after:.3f}>"
 
 
+class Wish:
+    """By when a request has to be answered, and what a refusal would mean to it.
+
+    Parameters
+    ----------
+    deadline : float
+        Monotonic, seconds.
+    wanted_by : float, optional
+        Monotonic, seconds; an answer later than this is worth little, so what
+        would have to wait past it is refused while there is time to go
+        elsewhere. The deadline where left out.
+    kind : str
+        Of the request, such as its route's name: its own time is estimated by
+        that of others of its kind.
+    is_returning : bool
+        Whether it was refused before, here or elsewhere.
+    is_patient : bool
+        Whether a late answer is better for it than a refusal.
+    """
+
+    __slots__ = ("deadline", "is_patient", "is_returning", "kind", "wanted_by")
+
+    def __init__(
+        self,
+        deadline: float,
+        wanted_by: float | None = None,
+        kind: str = "",
+        is_returning: bool = False,
+        is_patient: bool = False,
+    ):
+        self.deadline = deadline
+        self.wanted_by = wanted_by
+        self.kind = kind
+        self.is_returning = is_returning
+        self.is_patient = is_patient
+
+    def __repr__(self) -> str:
+        return f"<Wish {self.kind} deadline={self.deadline:.3f} wanted_by={self.wanted_by}>"
+
+    @property
+    def rank(self) -> float:
+        """By when its answer is wanted, monotonic, seconds."""
+        return self.deadline if self.wanted_by is None else self.wanted_by
+
+    @property
+    def order(self) -> tuple[bool, float]:
+        """Its place within its class; the least goes first."""
+        return (self.is_returning, self.rank)
+
+
 class Waiter:
     """A request that waits for a slot.
 
     Attributes
     ----------
     traffic_class : str
-    rank : float
-        When its answer is wanted, monotonic, seconds; within a class the
-        earliest goes first, so that a short call that a request in progress
-        waits for isn't held up by long ones.
+    wish : Wish
+        Within a class what was not refused before goes first, and of that what
+        is wanted first, so that a short call that a request in progress waits
+        for isn't held up by long ones.
     granted : object
         Called without arguments once the slot is the waiter's, or once it has
         been evicted.
     is_evicted : bool
         Whether it had to make room for one that goes before it.
-    is_returning : bool
-        Whether it was refused before; within a class those that were not go first.
     expires_at : float
         Monotonic, seconds; with a slot later than this its answer would come
-        later than wanted.
+        later than it is of use.
     """
 
-    __slots__ = ("expires_at", "granted", "is_evicted", "is_returning", "rank", "traffic_class")
+    __slots__ = ("expires_at", "granted", "is_evicted", "traffic_class", "wish")
 
-    def __init__(self, traffic_class: str, rank: float, granted, is_returning: bool, expires_at: float):
+    def __init__(self, traffic_class: str, wish: Wish, granted, expires_at: float):
         self.is_evicted = False
         self.traffic_class = traffic_class
-        self.rank = rank
+        self.wish = wish
         self.granted = granted
-        self.is_returning = is_returning
         self.expires_at = expires_at
 
-    @property
-    def order(self) -> tuple[bool, float]:
-        """Its place within its class; the least goes first."""
-        return (self.is_returning, self.rank)
-
     def __repr__(self) -> str:
-        return f"<Waiter {self.traffic_class} rank={self.rank:.3f}>"
+        return f"<Waiter {self.traffic_class} {self.wish!r}>"
 
 
 class _KindTime:
@@ -152,34 +194,17 @@
         # Strictly by priority; the name breaks ties the same way everywhere.
         self._order = sorted(classes, key=lambda name: (classes[name].priority, name))
 
-    def acquire(
-        self,
-        traffic_class: str,
-        deadline: float,
-        now: float,
-        granted,
-        wanted_by: float | None = None,
-        kind: str = "",
-        is_returning: bool = False,
-    ) -> Waiter | Refused | None:
+    def acquire(self, traffic_class: str, wish: Wish, now: float, granted) -> Waiter | Refused | None:
         """Ask for a slot.
 
         Parameters
         ----------
         traffic_class : str
-        deadline, now : float
+        wish : Wish
+        now : float
             Monotonic, seconds.
         granted : callable
             Called once a slot is free, where the answer is a Waiter.
-        wanted_by : float, optional
-            Monotonic, seconds; an answer later than this is worth little, so
-            what would have to wait past it is refused while there is time to go
-            elsewhere. The deadline where left out.
-        kind : str
-            Of the request, such as its route's name: its own time is estimated by
-            that of others of its kind.
-        is_returning : bool
-            Whether it was refused before, here or elsewhere.
 
         Returns
         -------
@@ -190,18 +215,19 @@
         Refused
             It can't be served in time.
         """
-        if now >= deadline:
+        if now >= wish.deadline:
             return Refused(ErrorCode.DEADLINE, 0.0)
         if self._has_room(traffic_class, now):
             self._take(traffic_class, now)
             return None
-        rank = deadline if wanted_by is None else wanted_by
-        wait = self._estimate_wait(traffic_class, (is_returning, rank))
-        expires_at = deadline if wanted_by is None else min(deadline, wanted_by - self._time_of(kind))
+        wait = self._estimate_wait(traffic_class, wish.order)
+        expires_at = wish.deadline
+        if wish.wanted_by is not None and not wish.is_patient:
+            expires_at = min(expires_at, wish.wanted_by - self._time_of(wish.kind))
         is_late = now + wait >= expires_at
-        if is_late or not (self._has_queue_room(traffic_class) or self._evict_for(traffic_class, (is_returning, rank))):
-            return Refused(ErrorCode.OVERLOADED, max(wait, self.return_after(rank, now)))
-        waiter = Waiter(traffic_class, rank, granted, is_returning, expires_at)
+        if is_late or not (self._has_queue_room(traffic_class) or self._evict_for(traffic_class, wish.order)):
+            return Refused(ErrorCode.OVERLOADED, max(wait, self.return_after(wish.rank, now)))
+        waiter = Waiter(traffic_class, wish, granted, expires_at)
         self._waiting.setdefault(traffic_class, []).append(waiter)
         self.waiting += 1
         return waiter
@@ -307,8 +333,8 @@
         queue = self._waiting.get(traffic_class)
         if not queue:
             return False
-        last = max(queue, key=lambda waiter: waiter.order)
-        if last.order <= order:
+        last = max(queue, key=lambda waiter: waiter.wish.order)
+        if last.wish.order <= order:
             return False
         queue.remove(last)
         self.waiting -= 1
@@ -323,7 +349,7 @@
             if name == traffic_class:
                 break
             ahead += len(self._waiting.get(name, ()))
-        ahead += sum(waiter.order <= order for waiter in self._waiting.get(traffic_class, ()))
+        ahead += sum(waiter.wish.order <= order for waiter in self._waiting.get(traffic_class, ()))
         return ahead * self._service_time / self.slots
 
     def _grant(self, now: float) -> None:
@@ -336,6 +362,6 @@
 
     def _pop_next(self, queue: list[Waiter]) -> Waiter:
         """Take the waiter that is wanted first."""
-        position = min(range(len(queue)), key=lambda number: queue[number].order)
+        position = min(range(len(queue)), key=lambda number: queue[number].wish.order)
         self.waiting -= 1
         return queue.pop(position)
--- a/packages/lanedock/lanedock/limits/tests/test_slots.py
+++ b/packages/lanedock/lanedock/limits/tests/test_slots.py
@@ -7,7 +7,7 @@
 
 from lanedock.config import TrafficClass
 from lanedock.errors import ErrorCode
-from lanedock.limits import Admission, Refused, RequestAges, SavingBudget, SlotLimiter, Waiter, WindowBudget
+from lanedock.limits import Admission, Refused, RequestAges, SavingBudget, SlotLimiter, Waiter, WindowBudget, Wish
 
 CLASSES = {
     "order": TrafficClass("order", 0.4, 0),
@@ -21,10 +21,14 @@
     return SlotLimiter(slots, queue, CLASSES)
 
 
+def _ask(limiter, name, deadline, now, granted, wanted_by=None, kind="", **more):
+    return limiter.acquire(name, Wish(deadline, wanted_by, kind, **more), now, granted)
+
+
 def _fill(limiter, name, now=0.0):
     """Take slots until one is refused; returns how many there were."""
     count = 0
-    while limiter.acquire(name, FAR, now, lambda: None) is None:
+    while _ask(limiter, name, FAR, now, lambda: None) is None:
         count += 1
     return count
 
@@ -35,7 +39,7 @@
 
 def test_a_class_of_long_requests_never_borrows_shares():
     limiter = _limiter()
-    limiter.acquire("photo", FAR, 0.0, None)
+    _ask(limiter, "photo", FAR, 0.0, None)
     limiter.release("photo", 30.0, 0.0)
     # 10 slots less 4 kept for orders and 3 for browsing.
     assert _fill(limiter, "photo") == 3
@@ -45,19 +49,19 @@
 def test_what_others_used_lately_is_kept_for_them():
     limiter = _limiter()
     for _ in range(2):
-        limiter.acquire("order", FAR, 0.0, None)
+        _ask(limiter, "order", FAR, 0.0, None)
     for _ in range(2):
         limiter.release("order", 0.01, 0.0)
     assert _fill(limiter, "browse", now=0.1) == 7
-    assert limiter.acquire("order", FAR, 0.1, None) is None
+    assert _ask(limiter, "order", FAR, 0.1, None) is None
 
 
 def test_waiters_are_served_by_priority_and_then_by_deadline():
     limiter = _limiter(slots=1)
     served = []
-    limiter.acquire("browse", FAR, 0.0, None)
+    _ask(limiter, "browse", FAR, 0.0, None)
     for name, deadline in [("photo", 1.0), ("browse", 9.0), ("browse", 2.0), ("order", 9.0)]:
-        waiter = limiter.acquire(name, deadline, 0.0, lambda key=(name, deadline): served.append(key))
+        waiter = _ask(limiter, name, deadline, 0.0, lambda key=(name, deadline): served.append(key))
         assert isinstance(waiter, Waiter)
     for name in ("browse", "order", "browse", "browse"):
         limiter.release(name, 0.01, 0.0)
@@ -67,26 +71,26 @@
 def test_a_flood_of_one_class_leaves_queue_room_for_another():
     limiter = _limiter()
     _fill(limiter, "browse")
-    while isinstance(limiter.acquire("browse", FAR, 0.0, lambda: None), Waiter):
+    while isinstance(_ask(limiter, "browse", FAR, 0.0, lambda: None), Waiter):
         pass
-    assert isinstance(limiter.acquire("order", FAR, 0.0, lambda: None), Waiter)
+    assert isinstance(_ask(limiter, "order", FAR, 0.0, lambda: None), Waiter)
 
 
 @pytest.mark.parametrize(("deadline", "code"), [(0.0, ErrorCode.DEADLINE), (0.001, ErrorCode.OVERLOADED)])
 def test_a_request_that_would_wait_too_long_is_refused_at_once(deadline, code):
     limiter = _limiter(slots=1)
-    limiter.acquire("order", FAR, 0.0, None)
+    _ask(limiter, "order", FAR, 0.0, None)
     limiter.release("order", 5.0, 0.0)
-    limiter.acquire("order", FAR, 0.0, None)
-    refused = limiter.acquire("order", deadline, 0.0, None)
+    _ask(limiter, "order", FAR, 0.0, None)
+    refused = _ask(limiter, "order", deadline, 0.0, None)
     assert isinstance(refused, Refused)
     assert refused.code is code
 
 
 def test_a_cancelled_waiter_gets_no_slot():
     limiter = _limiter(slots=1)
-    limiter.acquire("order", FAR, 0.0, None)
-    waiter = limiter.acquire("order", FAR, 0.0, lambda: pytest.fail("granted"))
+    _ask(limiter, "order", FAR, 0.0, None)
+    waiter = _ask(limiter, "order", FAR, 0.0, lambda: pytest.fail("granted"))
     assert limiter.cancel(waiter)
     limiter.release("order", 0.01, 0.0)
     assert (limiter.in_use, limiter.waiting) == (0, 0)
@@ -149,60 +153,60 @@
 def test_what_would_come_later_than_wanted_is_refused_while_it_can_go_elsewhere():
     limiter = _limiter(slots=1, queue=100)
     for number in range(50):
-        limiter.acquire("order", FAR, number, None)
+        _ask(limiter, "order", FAR, number, None)
         limiter.release("order", 0.1, number)
-    limiter.acquire("order", FAR, 50.0, None)
+    _ask(limiter, "order", FAR, 50.0, None)
     waiting = 0
-    while isinstance(limiter.acquire("order", FAR, 50.0, lambda: None, 50.5), Waiter):
+    while isinstance(_ask(limiter, "order", FAR, 50.0, lambda: None, 50.5), Waiter):
         waiting += 1
     assert 2 <= waiting <= 4
-    assert isinstance(limiter.acquire("order", FAR, 50.0, lambda: None, None), Waiter)
+    assert isinstance(_ask(limiter, "order", FAR, 50.0, lambda: None, None), Waiter)
 
 
 def test_a_short_call_finds_room_in_a_queue_full_of_long_requests():
     # Found on the platform at 1.5 times the usual load: calls that requests in
     # progress waited for were refused, and half of their callers' work was lost.
     limiter = _limiter(slots=1, queue=3)
-    limiter.acquire("order", FAR, 0.0, None)
+    _ask(limiter, "order", FAR, 0.0, None)
     woken = []
     waiters = [
-        limiter.acquire("order", FAR, 0.0, lambda number=number: woken.append(number), 10.0 + number)
+        _ask(limiter, "order", FAR, 0.0, lambda number=number: woken.append(number), 10.0 + number)
         for number in range(3)
     ]
-    call = limiter.acquire("order", FAR, 0.0, lambda: woken.append("call"), 1.0)
+    call = _ask(limiter, "order", FAR, 0.0, lambda: woken.append("call"), 1.0)
     assert isinstance(call, Waiter)
     assert [waiter.is_evicted for waiter in waiters] == [False, False, True]
     assert woken == [2]
     limiter.release("order", 0.01, 0.1)
     assert woken == [2, "call"]
     # One that is wanted later than all others makes nobody go.
-    limiter.acquire("order", FAR, 0.1, lambda: None, 10.5)
-    assert isinstance(limiter.acquire("order", FAR, 0.1, None, 50.0), Refused)
+    _ask(limiter, "order", FAR, 0.1, lambda: None, 10.5)
+    assert isinstance(_ask(limiter, "order", FAR, 0.1, None, 50.0), Refused)
 
 
 def test_what_was_refused_before_goes_behind_what_was_not():
     limiter = SlotLimiter(1, 2, {})
     served = []
-    limiter.acquire("c", FAR, 0.0, None)
-    returning = limiter.acquire("c", FAR, 0.0, lambda: served.append("returning"), 1.0, is_returning=True)
+    _ask(limiter, "c", FAR, 0.0, None)
+    returning = _ask(limiter, "c", FAR, 0.0, lambda: served.append("returning"), 1.0, is_returning=True)
     assert isinstance(returning, Waiter)
     # Wanted later, yet new.
-    limiter.acquire("c", FAR, 0.0, lambda: served.append("new"), 2.0)
+    _ask(limiter, "c", FAR, 0.0, lambda: served.append("new"), 2.0)
     limiter.release("c", 0.01, 0.1)
     assert served == ["new"]
     # A full queue makes room for what is new.
-    limiter.acquire("c", FAR, 0.1, lambda: served.append("newer"), 2.0)
-    assert isinstance(limiter.acquire("c", FAR, 0.1, lambda: None, 3.0), Waiter)
+    _ask(limiter, "c", FAR, 0.1, lambda: served.append("newer"), 2.0)
+    assert isinstance(_ask(limiter, "c", FAR, 0.1, lambda: None, 3.0), Waiter)
     assert returning.is_evicted
 
 
 def test_a_waiter_expires_when_a_slot_would_come_too_late_for_it():
     limiter = SlotLimiter(1, 10, {})
     for _ in range(50):
-        limiter.acquire("c", FAR, 0.0, None)
+        _ask(limiter, "c", FAR, 0.0, None)
         limiter.release("c", 0.2, 0.0, "read")
-    limiter.acquire("c", FAR, 0.0, None)
-    waiter = limiter.acquire("c", FAR, 0.0, lambda: None, 0.5, "read")
+    _ask(limiter, "c", FAR, 0.0, None)
+    waiter = _ask(limiter, "c", FAR, 0.0, lambda: None, 0.5, "read")
     assert isinstance(waiter, Waiter)
     assert 0.0 < waiter.expires_at <= 0.3
 
@@ -230,3 +234,31 @@
         for _ in range(3):
             ages.note("read", rng.randrange(1, 2490))
     assert ages.note("read", 2400) == 100
+
+
+def test_a_request_whose_caller_would_not_come_back_waits_to_its_deadline():
+    limiter = SlotLimiter(1, 10, {})
+    for _ in range(50):
+        _ask(limiter, "c", FAR, 0.0, None)
+        limiter.release("c", 0.1, 0.0, "call")
+    _ask(limiter, "c", FAR, 0.0, None)
+    assert isinstance(_ask(limiter, "c", 0.4, 0.0, None, 0.12, "call"), Refused)
+    patient = _ask(limiter, "c", 0.4, 0.0, None, 0.12, "call", is_patient=True)
+    assert isinstance(patient, Waiter) and patient.expires_at == 0.4
+
+
+def test_it_shows_whether_callers_come_back_after_a_refusal():
+    ages = RequestAges()
+    for number in range(64):
+        for kind in ("read", "call"):
+            ages.note(kind, 1000)
+            ages.note_refusal(kind)
+        # Some of those who were refused meet another daemon.
+        if number % 2:
+            ages.note("read", 800 - number)
+        # A call for a request that is old itself has less time, too.
+        if number % 16 == 0:
+            ages.note("call", 800 - number)
+    assert ages.do_callers_return("read")
+    assert not ages.do_callers_return("call")
+    assert ages.do_callers_return("unknown")
