Leave the own zone by the slots that upstreams say they have, and later with long bodies

Change: the upstream's own slots count, also for the length of its queue; the own zone is used until it is nearly full, by long bodies until it is full.

Tests: routing, own slots and long bodies.

--- a/packages/lanedock-daemon/lanedock_daemon/path/caller.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller.py
@@ -269,7 +269,7 @@
             now = time.monotonic()
             if now >= deadline:
                 return failure or self._refuse(ErrorCode.DEADLINE)
-            stats = balancer.choose(service.slots, now, frozenset(tried))
+            stats = balancer.choose(service.slots, now, frozenset(tried), body.is_long)
             if stats is None:
                 log.note(Event.REQUEST_TRY_ENDED, service=service.name, reason="no upstream left", known=len(balancer))
                 return failure or self._refuse(ErrorCode.NO_UPSTREAM, RETRY_AFTER)
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
@@ -40,7 +40,8 @@
 RETRY_AFTER = 1.0
 # Classes by which an application's slots are shared before a version is held.
 NO_CLASSES: dict = {}
-# Requests that may wait for each slot where no version says how many.
+# Requests that may wait for each slot where the application says how many it has,
+# or no version does.
 QUEUE_PER_SLOT = 2
 _SET_HERE = (ATTEMPT_HEADER, DEADLINE_HEADER, TRACE_HEADER)
 
@@ -178,7 +179,9 @@
         # Each request in progress takes one of the application's connections.
         if service is not None:
             slots = min(slots, service.connections)
-        queue = service.queue if service is not None else slots * QUEUE_PER_SLOT
+        # An application that says how many slots it has says how long its queue may be.
+        is_told = service is None or self._registration.slots
+        queue = slots * QUEUE_PER_SLOT if is_told else service.queue
         self._limiter.configure(slots, queue, classes)
 
     def _acquire(self, traffic_class: str, wish: Wish) -> Refused | None:
--- a/packages/lanedock/lanedock/routing/balancer.py
+++ b/packages/lanedock/lanedock/routing/balancer.py
@@ -41,7 +41,7 @@
 _NEARLY_FULL = 0.85
 _FULL_SLOPE = 8.0
 # A local upstream this much slower than the remote one is no reason to stay.
-_MUCH_SLOWER = 1.3
+_MUCH_SLOWER = 1.6
 # How much emptier, in requests, a much quicker remote upstream has to be.
 _QUICK_MARGIN = 1.0
 
@@ -64,9 +64,12 @@
     max_ejected : float
         Part of a service's upstreams that may be ejected at once.
     spill : float
-        Part of the slots in use, locally, at which other zones are weighed.
+        Part of the slots, as loads are scored, at which other zones are weighed.
     zone_penalty : float
         How much emptier, in parts of the slots, another zone's upstream has to be.
+    long_spill, long_zone_penalty : float
+        The same for requests with long bodies, whose bytes between zones are
+        worth some waiting.
     """
 
     __slots__ = (
@@ -75,6 +78,8 @@
         "eject_max",
         "eject_min",
         "load_age",
+        "long_spill",
+        "long_zone_penalty",
         "max_ejected",
         "slow_start",
         "spill",
@@ -90,8 +95,10 @@
         eject_min=1.0,
         eject_max=30.0,
         max_ejected=0.5,
-        spill=0.8,
+        spill=1.0,
         zone_penalty=0.25,
+        long_spill=2.25,
+        long_zone_penalty=0.75,
     ):
         self.load_age = load_age
         self.slow_start = slow_start
@@ -102,6 +109,8 @@
         self.max_ejected = max_ejected
         self.spill = spill
         self.zone_penalty = zone_penalty
+        self.long_spill = long_spill
+        self.long_zone_penalty = long_zone_penalty
 
     def __repr__(self) -> str:
         return f"<BalancerPolicy spill={self.spill} eject_failures={self.eject_failures}>"
@@ -265,17 +274,21 @@
 
     # ------------------------------------------------------------------ choice
 
-    def choose(self, slots: int, now: float, excluded: frozenset = frozenset()) -> UpstreamStats | None:
+    def choose(
+        self, slots: int, now: float, excluded: frozenset = frozenset(), is_long: bool = False
+    ) -> UpstreamStats | None:
         """Choose an upstream; the caller then calls `begin`.
 
         Parameters
         ----------
         slots : int
-            Requests that one upstream works on at once.
+            Requests that an upstream works on at once that has not said itself.
         now : float
             Monotonic, seconds.
         excluded : frozenset of str
             Instances that were tried already.
+        is_long : bool
+            Whether the request has a long body.
 
         Returns
         -------
@@ -287,10 +300,15 @@
         if remote is None or local is None:
             return local or remote
         local_score = self._score(local, slots, now)
-        margin = self._policy.zone_penalty * slots
-        if local.slowness > _MUCH_SLOWER * remote.slowness:
+        policy = self._policy
+        spill, penalty = policy.spill, policy.zone_penalty
+        if is_long:
+            spill, penalty = policy.long_spill, policy.long_zone_penalty
+        slots = local.endpoint.slots or slots
+        margin = penalty * slots
+        if not is_long and local.slowness > _MUCH_SLOWER * remote.slowness:
             margin = min(margin, _QUICK_MARGIN)
-        elif local_score < self._policy.spill * slots:
+        elif local_score < spill * slots:
             return local
         if self._score(remote, slots, now) + margin < local_score:
             return remote
--- a/packages/lanedock/lanedock/routing/tests/test_balancer.py
+++ b/packages/lanedock/lanedock/routing/tests/test_balancer.py
@@ -36,8 +36,10 @@
     assert table.match(host, path, method).name == name
 
 
-def _endpoint(name, zone="here", leaving=False, incarnation=1):
-    return messages.Endpoint(instance=name, zone=zone, leaving=leaving, incarnation=incarnation, host="h", port=1)
+def _endpoint(name, zone="here", leaving=False, incarnation=1, slots=0):
+    return messages.Endpoint(
+        instance=name, zone=zone, leaving=leaving, incarnation=incarnation, host="h", port=1, slots=slots
+    )
 
 
 def _balancer(*endpoints, **policy):
@@ -189,3 +191,23 @@
         balancer.begin(near)
         balancer.end(near, False, step * 0.05, told=12)
     assert all(balancer.choose(12, 10.0) is near for _ in range(10))
+
+
+@pytest.mark.parametrize("slots", [6, 18])
+def test_the_own_zone_is_used_as_far_as_its_upstream_says_that_it_has_slots(slots):
+    balancer = _balancer(_endpoint("a", slots=slots), _endpoint("far", zone="there", slots=slots))
+    chosen = Counter()
+    for _ in range(2 * slots):
+        # What the version says counts only for an upstream that says nothing.
+        stats = balancer.choose(12, 0.0)
+        balancer.begin(stats)
+        chosen[stats.endpoint.instance] += 1
+    assert slots <= chosen["a"] <= 1.5 * slots
+
+
+def test_a_long_body_leaves_the_zone_later_than_others():
+    balancer = _balancer(_endpoint("a"), _endpoint("far", zone="there"))
+    for _ in range(12):
+        balancer.begin(balancer._upstreams["a"])
+    assert balancer.choose(12, 0.0).endpoint.instance == "far"
+    assert balancer.choose(12, 0.0, is_long=True).endpoint.instance == "a"
