Let reported loads fade to nothing again

The average is that of the upstreams that are heard of most, which are the fullest; others were taken for as full and never tried. That what is not heard of seems empty is how room is found.

--- a/packages/lanedock/lanedock/routing/balancer.py
+++ b/packages/lanedock/lanedock/routing/balancer.py
@@ -4,9 +4,8 @@
 The better of two random candidates, by requests in progress (Mitzenmacher,
 "The Power of Two Choices in Randomized Load Balancing", 2001). What counts is
 what this caller sees itself: its own requests in progress and their outcomes,
-and the count that an upstream's daemon puts on each answer. With age that fades
-into what upstreams report on average: one that was not heard of for long is no
-emptier for that. An upstream's own load report, which may lag or mislead, is not used.
+and the count that an upstream's daemon puts on each answer, which fades with
+age: one that was not heard of for long is worth a try. An upstream's own load report, which may lag or mislead, is not used.
 """
 
 import math
@@ -226,8 +225,6 @@
         self._local: list[UpstreamStats] = []
         self._remote: list[UpstreamStats] = []
         self._times: dict[str, _AnswerTimes] = {}
-        # Requests of others in progress at one upstream, on average.
-        self._typical_others = 0.0
 
     def __repr__(self) -> str:
         return f"<Balancer {self._zone} local={len(self._local)} remote={len(self._remote)}>"
@@ -356,11 +353,9 @@
 
     def _others(self, stats: UpstreamStats, now: float) -> float:
         """Estimate the requests that other callers have in progress there."""
-        typical = self._typical_others
         if stats.told_at is None:
-            return typical
-        weight = math.exp((stats.told_at - now) / self._policy.load_age)
-        return typical + weight * (stats.others - typical)
+            return 0.0
+        return stats.others * math.exp((stats.told_at - now) / self._policy.load_age)
 
     def _silence_limit(self) -> float:
         """Return the silence, in seconds, that no kind of request explains."""
@@ -412,7 +407,6 @@
         if told is not None:
             stats.others = max(0, told - stats.in_progress)
             stats.told_at = now
-            self._typical_others += _SMOOTHING * (stats.others - self._typical_others)
         stats.in_progress -= 1
         if taken is not None:
             stats.answered_at = now
