Take in no more after a start than may be in time

Change: before any request has ended one is taken to need half of the time in which its answer is wanted.

Test: limits, a limiter that has seen nothing yet.

--- a/packages/lanedock/lanedock/limits/slots.py
+++ b/packages/lanedock/lanedock/limits/slots.py
@@ -16,7 +16,10 @@
 
 # Weight of the newest service time in the moving average.
 _SMOOTHING = 0.1
+# Time that a request is taken to need before any has ended, in seconds, where
+# nothing says when its answer is wanted; else this part of that time.
 _FIRST_ESTIMATE = 0.005
+_FIRST_PART = 0.5
 # A class whose requests take longer than this, in seconds, borrows no slots of
 # other classes' shares: they would not be back soon.
 _LENDING_LIMIT = 0.25
@@ -178,7 +181,7 @@
         self._rng = rng or Random()
         self._in_use: dict[str, int] = {}
         self._waiting: dict[str, list[Waiter]] = {}
-        self._service_time = _FIRST_ESTIMATE
+        self._service_time: float | None = None
         self._class_times: dict[str, float] = {}
         self._kind_times: dict[str, _KindTime] = {}
         self._peaks: dict[str, tuple[float, float]] = {}
@@ -224,10 +227,11 @@
         if self._has_room(traffic_class, now):
             self._take(traffic_class, now)
             return None
-        wait = self._estimate_wait(traffic_class, wish.order)
+        first_estimate = self._first_estimate(wish, now)
+        wait = self._estimate_wait(traffic_class, wish.order, first_estimate)
         expires_at = wish.deadline
         if wish.wanted_by is not None and not wish.is_patient:
-            expires_at = min(expires_at, wish.wanted_by - self._time_of(wish.kind))
+            expires_at = min(expires_at, wish.wanted_by - self._time_of(wish.kind, first_estimate))
             if wish.is_returning:
                 expires_at = min(expires_at, now + _RETURNING_WAIT_PART * (wish.wanted_by - now))
         is_late = now + wait >= expires_at
@@ -246,6 +250,8 @@
         duration : float
             How long the slot was used, seconds.
         """
+        if self._service_time is None:
+            self._service_time = duration
         self._service_time += _SMOOTHING * (duration - self._service_time)
         known = self._class_times.get(traffic_class, duration)
         self._class_times[traffic_class] = known + _SMOOTHING * (duration - known)
@@ -315,10 +321,20 @@
                 unused += max(0, share - lengths.get(name, 0))
         return self.queue - self.waiting > unused
 
-    def _time_of(self, kind: str) -> float:
+    def _first_estimate(self, wish: Wish, now: float) -> float:
+        """Estimate what a request takes before any has ended.
+
+        Callers want answers within a few times what they take; to take in more
+        would make a whole queue late after a start under load.
+        """
+        return _FIRST_ESTIMATE if wish.wanted_by is None else _FIRST_PART * max(0.0, wish.wanted_by - now)
+
+    def _time_of(self, kind: str, first_estimate: float) -> float:
         """Return the time that a request of a kind takes, longer than most of them."""
         known = self._kind_times.get(kind)
-        return known.mean + known.deviation if known is not None else self._service_time
+        if known is not None:
+            return known.mean + known.deviation
+        return first_estimate if self._service_time is None else self._service_time
 
     def return_after(self, rank: float, now: float) -> float:
         """Return when a refused request may come back, in seconds.
@@ -328,7 +344,7 @@
         keeps them from coming together.
         """
         part = _RETURN_PART * (rank - now) * self._rng.uniform(0.5, 1.5)
-        return max(self._service_time, min(part, _RETURN_MAX))
+        return max(self._service_time or _FIRST_ESTIMATE, min(part, _RETURN_MAX))
 
     def _evict_for(self, traffic_class: str, order: tuple[bool, float]) -> bool:
         """Make room in a full queue for a request that goes before the last one of its class.
@@ -348,7 +364,7 @@
         last.granted()
         return True
 
-    def _estimate_wait(self, traffic_class: str, order: tuple[bool, float]) -> float:
+    def _estimate_wait(self, traffic_class: str, order: tuple[bool, float], first_estimate: float) -> float:
         """Estimate the wait from the requests that would be served before."""
         ahead = 1
         for name in self._order:
@@ -356,7 +372,8 @@
                 break
             ahead += len(self._waiting.get(name, ()))
         ahead += sum(waiter.wish.order <= order for waiter in self._waiting.get(traffic_class, ()))
-        return ahead * self._service_time / self.slots
+        service_time = first_estimate if self._service_time is None else self._service_time
+        return ahead * service_time / self.slots
 
     def _grant(self, now: float) -> None:
         for name in [*self._order, *(set(self._waiting) - set(self._order))]:
--- a/packages/lanedock/lanedock/limits/tests/test_slots.py
+++ b/packages/lanedock/lanedock/limits/tests/test_slots.py
@@ -25,6 +25,12 @@
     return limiter.acquire(name, Wish(deadline, wanted_by, kind, **more), now, granted)
 
 
+def _warm(limiter, name, duration=0.005):
+    """Let a request end, so that the limiter knows how long one takes."""
+    _ask(limiter, name, FAR, 0.0, None)
+    limiter.release(name, duration, 0.0)
+
+
 def _fill(limiter, name, now=0.0):
     """Take slots until one is refused; returns how many there were."""
     count = 0
@@ -167,6 +173,7 @@
     # Found on the platform at 1.5 times the usual load: calls that requests in
     # progress waited for were refused, and half of their callers' work was lost.
     limiter = _limiter(slots=1, queue=3)
+    _warm(limiter, "order")
     _ask(limiter, "order", FAR, 0.0, None)
     woken = []
     waiters = [
@@ -186,6 +193,7 @@
 
 def test_what_was_refused_before_goes_behind_what_was_not():
     limiter = SlotLimiter(1, 2, {})
+    _warm(limiter, "c")
     served = []
     _ask(limiter, "c", FAR, 0.0, None)
     returning = _ask(limiter, "c", FAR, 0.0, lambda: served.append("returning"), 1.0, is_returning=True)
@@ -238,6 +246,7 @@
 
 def test_what_comes_back_does_not_wait_for_long():
     limiter = SlotLimiter(1, 10, {})
+    _warm(limiter, "c")
     _ask(limiter, "c", FAR, 0.0, None)
     assert _ask(limiter, "c", FAR, 0.0, None, 0.4, is_returning=True).expires_at == pytest.approx(0.1)
     assert _ask(limiter, "c", FAR, 0.0, None, 0.4).expires_at > 0.3
@@ -269,3 +278,11 @@
     assert ages.do_callers_return("read")
     assert not ages.do_callers_return("call")
     assert ages.do_callers_return("unknown")
+
+
+def test_a_limiter_that_has_seen_nothing_yet_takes_no_more_in_than_may_be_in_time():
+    limiter = SlotLimiter(12, 24, {})
+    taken = [_ask(limiter, "c", FAR, 0.0, lambda: None, 0.4) for _ in range(40)]
+    waiting = sum(isinstance(each, Waiter) for each in taken)
+    # One round of the slots behind those in use; a queue of two would be late.
+    assert 6 <= waiting <= 12
