--- a/packages/lanedock/lanedock/routing/balancer.py
+++ b/packages/lanedock/lanedock/routing/balancer.py
@@ -5,7 +5,8 @@
 "The Power of Two Choices in Randomized Load Balancing", 2001). What counts is
 what this caller sees itself: its own requests in progress and their outcomes,
 and the count that an upstream's daemon puts on each answer, which fades with
-age: one that was not heard of for long is worth a try. An upstream's own load report, which may lag or mislead, is not used.
+age: one that was not heard of for long is worth a try. An upstream's own load
+report, which may lag or mislead, is not used.
 """
 
 import math
