Let what would be late anyway wait behind what would not

By reading: a patient request past its time kept its place by when it was wanted, before all newer ones; under a lasting load of callers that never come back every answer would be late by the whole deadline. Its turn now comes when nobody else's would be missed for it.

Test: limits, what would be late anyway makes no other late.

--- a/packages/lanedock/lanedock/limits/slots.py
+++ b/packages/lanedock/lanedock/limits/slots.py
@@ -124,20 +124,31 @@
         been evicted.
     is_evicted : bool
         Whether it had to make room for one that goes before it.
-    expires_at : float
+    start_by : float
         Monotonic, seconds; with a slot later than this its answer would come
-        later than it is of use.
+        later than wanted.
+    expires_at : float
+        Monotonic, seconds; until then it waits.
     """
 
-    __slots__ = ("expires_at", "granted", "is_evicted", "traffic_class", "wish")
+    __slots__ = ("expires_at", "granted", "is_evicted", "start_by", "traffic_class", "wish")
 
-    def __init__(self, traffic_class: str, wish: Wish, granted, expires_at: float):
+    def __init__(self, traffic_class: str, wish: Wish, granted, start_by: float, expires_at: float):
         self.is_evicted = False
         self.traffic_class = traffic_class
         self.wish = wish
         self.granted = granted
+        self.start_by = start_by
         self.expires_at = expires_at
 
+    def order(self, now: float) -> tuple[bool, float]:
+        """Return its place within its class; the least goes first.
+
+        One that would be late anyway makes no other one late.
+        """
+        is_last, rank = self.wish.order
+        return (is_last or now > self.start_by, rank)
+
     def __repr__(self) -> str:
         return f"<Waiter {self.traffic_class} {self.wish!r}>"
 
@@ -228,16 +239,15 @@
             self._take(traffic_class, now)
             return None
         first_estimate = self._first_estimate(wish, now)
-        wait = self._estimate_wait(traffic_class, wish.order, first_estimate)
-        expires_at = wish.deadline
-        if wish.wanted_by is not None and not wish.is_patient:
-            expires_at = min(expires_at, wish.wanted_by - self._time_of(wish.kind, first_estimate))
-            if wish.is_returning:
-                expires_at = min(expires_at, now + _RETURNING_WAIT_PART * (wish.wanted_by - now))
+        wait = self._estimate_wait(traffic_class, wish.order, first_estimate, now)
+        start_by = expires_at = wish.deadline
+        if wish.wanted_by is not None:
+            start_by = min(start_by, wish.wanted_by - self._time_of(wish.kind, first_estimate))
+            expires_at = self._expiry(wish, start_by, now)
         is_late = now + wait >= expires_at
-        if is_late or not (self._has_queue_room(traffic_class) or self._evict_for(traffic_class, wish.order)):
+        if is_late or not (self._has_queue_room(traffic_class) or self._evict_for(traffic_class, wish.order, now)):
             return Refused(ErrorCode.OVERLOADED, max(wait, self.return_after(wish.rank, now)))
-        waiter = Waiter(traffic_class, wish, granted, expires_at)
+        waiter = Waiter(traffic_class, wish, granted, start_by, expires_at)
         self._waiting.setdefault(traffic_class, []).append(waiter)
         self.waiting += 1
         return waiter
@@ -321,6 +331,14 @@
                 unused += max(0, share - lengths.get(name, 0))
         return self.queue - self.waiting > unused
 
+    def _expiry(self, wish: Wish, start_by: float, now: float) -> float:
+        """Return until when a request waits whose answer is wanted by some time."""
+        if wish.is_patient:
+            return wish.deadline
+        if wish.is_returning:
+            return min(start_by, now + _RETURNING_WAIT_PART * (wish.wanted_by - now))
+        return start_by
+
     def _first_estimate(self, wish: Wish, now: float) -> float:
         """Estimate what a request takes before any has ended.
 
@@ -346,7 +364,7 @@
         part = _RETURN_PART * (rank - now) * self._rng.uniform(0.5, 1.5)
         return max(self._service_time or _FIRST_ESTIMATE, min(part, _RETURN_MAX))
 
-    def _evict_for(self, traffic_class: str, order: tuple[bool, float]) -> bool:
+    def _evict_for(self, traffic_class: str, order: tuple[bool, float], now: float) -> bool:
         """Make room in a full queue for a request that goes before the last one of its class.
 
         Long requests that wait must not keep out the short calls that requests
@@ -355,8 +373,8 @@
         queue = self._waiting.get(traffic_class)
         if not queue:
             return False
-        last = max(queue, key=lambda waiter: waiter.wish.order)
-        if last.wish.order <= order:
+        last = max(queue, key=lambda waiter: waiter.order(now))
+        if last.order(now) <= order:
             return False
         queue.remove(last)
         self.waiting -= 1
@@ -364,14 +382,14 @@
         last.granted()
         return True
 
-    def _estimate_wait(self, traffic_class: str, order: tuple[bool, float], first_estimate: float) -> float:
+    def _estimate_wait(self, traffic_class: str, order: tuple[bool, float], first_estimate: float, now: float) -> float:
         """Estimate the wait from the requests that would be served before."""
         ahead = 1
         for name in self._order:
             if name == traffic_class:
                 break
             ahead += len(self._waiting.get(name, ()))
-        ahead += sum(waiter.wish.order <= order for waiter in self._waiting.get(traffic_class, ()))
+        ahead += sum(waiter.order(now) <= order for waiter in self._waiting.get(traffic_class, ()))
         service_time = first_estimate if self._service_time is None else self._service_time
         return ahead * service_time / self.slots
 
@@ -379,12 +397,12 @@
         for name in [*self._order, *(set(self._waiting) - set(self._order))]:
             queue = self._waiting.get(name)
             while queue and self._has_room(name, now):
-                waiter = self._pop_next(queue)
+                waiter = self._pop_next(queue, now)
                 self._take(name, now)
                 waiter.granted()
 
-    def _pop_next(self, queue: list[Waiter]) -> Waiter:
+    def _pop_next(self, queue: list[Waiter], now: float) -> Waiter:
         """Take the waiter that is wanted first."""
-        position = min(range(len(queue)), key=lambda number: queue[number].wish.order)
+        position = min(range(len(queue)), key=lambda number: queue[number].order(now))
         self.waiting -= 1
         return queue.pop(position)
--- a/packages/lanedock/lanedock/limits/tests/test_slots.py
+++ b/packages/lanedock/lanedock/limits/tests/test_slots.py
@@ -286,3 +286,15 @@
     waiting = sum(isinstance(each, Waiter) for each in taken)
     # One round of the slots behind those in use; a queue of two would be late.
     assert 6 <= waiting <= 12
+
+
+def test_what_would_be_late_anyway_makes_no_other_late():
+    limiter = SlotLimiter(1, 10, {})
+    _warm(limiter, "c")
+    served = []
+    _ask(limiter, "c", FAR, 0.0, None)
+    _ask(limiter, "c", 1.0, 0.0, lambda: served.append("patient"), 0.1, is_patient=True)
+    _ask(limiter, "c", 1.0, 0.2, lambda: served.append("new"), 0.5)
+    limiter.release("c", 0.005, 0.2)
+    limiter.release("c", 0.005, 0.3)
+    assert served == ["new", "patient"]
