--- a/packages/lanedock/lanedock/limits/ages.py
+++ b/packages/lanedock/lanedock/limits/ages.py
@@ -16,6 +16,8 @@
 # Part of a kind's requests that have to say the same time for it to be one that
 # callers begin with. What is left of it after a refusal is different each time.
 _FREQUENT = 1 / 16
+# Requests that have to say it at the least, so that no first one counts by itself.
+_FREQUENT_MIN = 3
 # Refusals of a kind after which it shows whether its callers come back, and the
 # part of them that has to have come back for its callers to be ones that do. Not
 # all is wanted: a caller may have no time left, or meet another daemon.
@@ -36,21 +38,21 @@
         self.refused = 0
         self.returned = 0
 
-    def note(self, told_ms: int) -> None:
+    def note(self, wait_ms: int) -> None:
         """Count one."""
         self.total += 1
-        self.counts[told_ms] = self.counts.get(told_ms, 0) + 1
+        self.counts[wait_ms] = self.counts.get(wait_ms, 0) + 1
         if self.total >= _HALVING or len(self.counts) > _MAX_VALUES:
             self._fade()
 
     def _fade(self) -> None:
-        self.counts = {told: count // 2 for told, count in self.counts.items() if count > 1}
-        self.total = sum(self.counts.values())
+        self.counts = {wait: count // 2 for wait, count in self.counts.items() if count > 1}
+        self.total //= 2
 
-    def first_at_least(self, told_ms: int) -> int | None:
+    def first_at_least(self, wait_ms: int) -> int | None:
         """Return the least time that callers begin with and that is no less than one said."""
-        least = self.total * _FREQUENT
-        return min((told for told, count in self.counts.items() if told >= told_ms and count >= least), default=None)
+        least = max(_FREQUENT_MIN, self.total * _FREQUENT)
+        return min((wait for wait, count in self.counts.items() if wait >= wait_ms and count >= least), default=None)
 
 
 class RequestAges:
@@ -62,14 +64,14 @@
     def __repr__(self) -> str:
         return f"<RequestAges kinds={len(self._times)}>"
 
-    def note(self, kind: str, told_ms: int | None) -> int:
+    def note(self, kind: str, wait_ms: int | None) -> int:
         """Take in a request, and return its age.
 
         Parameters
         ----------
         kind : str
             Of the request, such as its route's name.
-        told_ms : int or None
+        wait_ms : int or None
             Time for which its caller waits, in milliseconds.
 
         Returns
@@ -78,19 +80,19 @@
             Milliseconds since its caller made it first; 0 where nothing shows
             that it did so before.
         """
-        if told_ms is None:
+        if wait_ms is None:
             return 0
         times = self._times.get(kind)
         if times is None:
             if len(self._times) >= _MAX_KINDS:
                 self._times.clear()
             times = self._times[kind] = _Times()
-        times.note(told_ms)
-        first = times.first_at_least(told_ms)
-        if first is None or first == told_ms:
+        times.note(wait_ms)
+        first = times.first_at_least(wait_ms)
+        if first is None or first == wait_ms:
             return 0
         times.returned += 1
-        return first - told_ms
+        return first - wait_ms
 
     def note_refusal(self, kind: str) -> None:
         """Note that a request was refused, which its caller may make again."""
--- a/packages/lanedock/lanedock/limits/tests/test_slots.py
+++ b/packages/lanedock/lanedock/limits/tests/test_slots.py
@@ -236,12 +236,14 @@
 def test_times_that_are_left_over_never_pass_for_one_to_begin_with():
     ages = RequestAges()
     rng = Random(7)
-    for _ in range(3000):
-        ages.note("read", 2500)
+    wrong = 0
+    for number in range(3000):
+        wrong += ages.note("read", 2500) != 0
         # Under overload most of what comes has come before.
         for _ in range(3):
-            ages.note("read", rng.randrange(1, 2490))
-    assert ages.note("read", 2400) == 100
+            wait = rng.randrange(1, 2490)
+            wrong += number >= 3 and ages.note("read", wait) != 2500 - wait
+    assert wrong == 0
 
 
 def test_what_comes_back_does_not_wait_for_long():
