--- a/packages/lanedock/lanedock/limits/slots.py
+++ b/packages/lanedock/lanedock/limits/slots.py
@@ -35,6 +35,10 @@
 # refused before waits at the most: it may soon be overtaken for good, and sooner
 # told to come back it has more time left.
 _RETURNING_WAIT_PART = 0.25
+# Estimated waits are means, and what goes first comes in between: a request waits
+# where this many times the estimate is in time. Callers are better refused at once
+# than after they have waited in vain.
+_WAIT_MARGIN = 1.5
 # Kinds of requests whose times are kept.
 _MAX_KINDS = 1024
 
@@ -244,7 +248,7 @@
         if wish.wanted_by is not None:
             start_by = min(start_by, wish.wanted_by - self._time_of(wish.kind, first_estimate))
             expires_at = self._expiry(wish, start_by, now)
-        is_late = now + wait >= expires_at
+        is_late = now + _WAIT_MARGIN * wait >= expires_at
         if is_late or not (self._has_queue_room(traffic_class) or self._evict_for(traffic_class, wish.order, now)):
             return Refused(ErrorCode.OVERLOADED, max(wait, self.return_after(wish.rank, now)))
         waiter = Waiter(traffic_class, wish, granted, start_by, expires_at)
