--- a/packages/lanedock/lanedock/routing/balancer.py
+++ b/packages/lanedock/lanedock/routing/balancer.py
@@ -54,7 +54,8 @@
     load_age : float
         Time constant by which a told count fades.
     slow_start : float
-        Time over which a new upstream is brought to its full share.
+        Time over which a new upstream is brought to its full share that does
+        not say for how long it is slow.
     cold_weight : float
         Its weight at the beginning, 0 to 1.
     eject_failures : int
@@ -135,6 +136,7 @@
     __slots__ = (
         "answered_at",
         "busy_since",
+        "cold_for",
         "cold_since",
         "ejected_until",
         "ejections",
@@ -149,8 +151,9 @@
         "told_at",
     )
 
-    def __init__(self, endpoint: messages.Endpoint, cold_since: float | None):
+    def __init__(self, endpoint: messages.Endpoint, cold_since: float | None, cold_for: float):
         self.endpoint = endpoint
+        self.cold_for = cold_for
         self.in_progress = 0
         self.others = 0
         self.told_at: float | None = None
@@ -240,8 +243,7 @@
         for endpoint in endpoints:
             known = self._upstreams.get(endpoint.instance)
             if known is None or known.endpoint.incarnation < endpoint.incarnation:
-                # Who was there before this caller is taken to be warm.
-                known = UpstreamStats(endpoint, None if is_first else now)
+                known = self._make_stats(endpoint, known, is_first, now)
             known.endpoint = endpoint
             kept[endpoint.instance] = known
         self._upstreams = kept
@@ -249,6 +251,25 @@
         self._local = [stats for stats in takes if stats.endpoint.zone == self._zone]
         self._remote = [stats for stats in takes if stats.endpoint.zone != self._zone]
 
+    def _make_stats(
+        self, endpoint: messages.Endpoint, former: UpstreamStats | None, is_first: bool, now: float
+    ) -> UpstreamStats:
+        """Begin to keep what is known of an upstream that is new, or whose daemon is."""
+        lives_on = former is not None and endpoint.upstream and former.endpoint.upstream == endpoint.upstream
+        if is_first or lives_on:
+            # Who was there before this caller is taken to be warm, and so is an
+            # application that lives on while its daemon is restarted.
+            cold_for = 0.0
+        elif endpoint.upstream:
+            # Its application has said itself for how long it is still slow.
+            cold_for = endpoint.cold_ms / 1000
+        else:
+            cold_for = self._policy.slow_start
+        stats = UpstreamStats(endpoint, now if cold_for else None, cold_for)
+        if former is not None:
+            stats.slowness = former.slowness
+        return stats
+
     def late_after(self, kind: str) -> float:
         """Return the time after which an answer is later than nearly all of its kind, in seconds."""
         times = self._times.get(kind)
@@ -346,7 +367,7 @@
             load = (load + 1) * stats.slowness**_SLOWNESS_POWER - 1
         if stats.cold_since is None:
             return load
-        warm = (now - stats.cold_since) / self._policy.slow_start
+        warm = (now - stats.cold_since) / stats.cold_for
         if warm >= 1:
             stats.cold_since = None
             return load
--- a/packages/lanedock/lanedock/routing/tests/test_balancer.py
+++ b/packages/lanedock/lanedock/routing/tests/test_balancer.py
@@ -199,3 +199,37 @@
         balancer.begin(balancer._upstreams["a"])
     assert balancer.choose(12, 0.0).endpoint.instance == "far"
     assert balancer.choose(12, 0.0, is_long=True).endpoint.instance == "a"
+
+
+def _shares(balancer, now):
+    """Return how many of 200 requests at once each upstream gets."""
+    chosen = Counter()
+    for _ in range(200):
+        stats = balancer.choose(1000, now)
+        balancer.begin(stats)
+        chosen[stats.endpoint.instance] += 1
+    return chosen
+
+
+def test_an_application_that_lives_on_is_warm_though_its_daemon_was_restarted():
+    first = [_endpoint("a"), _endpoint("b")]
+    for number, endpoint in enumerate(first):
+        endpoint.upstream = f"i-{number}"
+    balancer = _balancer(*first)
+    restarted = _endpoint("b", incarnation=2)
+    restarted.upstream = "i-1"
+    balancer.set_endpoints([first[0], restarted], 10.0)
+    assert 80 < _shares(balancer, 10.1)["b"] < 120
+
+
+def test_a_new_application_is_cold_for_as_long_as_it_says():
+    old = _endpoint("a")
+    old.upstream = "i-0"
+    balancer = _balancer(old)
+    new = _endpoint("b")
+    new.upstream, new.cold_ms = "i-1", 3000
+    balancer.set_endpoints([old, new], 10.0)
+    assert _shares(balancer, 10.1)["b"] < 60
+    for stats in balancer._upstreams.values():
+        stats.in_progress = 0
+    assert 80 < _shares(balancer, 13.1)["b"] < 120
