--- a/packages/lanedock-daemon/lanedock_daemon/path/pool.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/pool.py
@@ -269,15 +269,21 @@
     reader : AnswerReader
     deadline : float
         Monotonic, seconds: for the answer's head.
+
+    Attributes
+    ----------
+    is_being_read : bool
+        Whether `read` was called, which closes the connection where it fails.
     """
 
-    __slots__ = ("_address", "_deadline", "_pool", "_reader")
+    __slots__ = ("_address", "_deadline", "_pool", "_reader", "is_being_read")
 
     def __init__(self, pool: ConnectionPool, address: tuple[str, int], reader: AnswerReader, deadline: float):
         self._pool = pool
         self._address = address
         self._reader = reader
         self._deadline = deadline
+        self.is_being_read = False
 
     def wait(self, timeout: float) -> bool:
         """Wait for the answer's first bytes; False where none came within `timeout` seconds."""
@@ -295,6 +301,7 @@
         ExchangeError
         """
         reader, address = self._reader, self._address
+        self.is_being_read = True
         with _OutcomeKnown(reader.conn, address):
             reader.conn.settimeout(max(0.001, self._deadline - time.monotonic()))
             message = reader.next_head()
@@ -303,6 +310,10 @@
             reader.conn.settimeout(BODY_TIMEOUT)
             return UpstreamAnswer(reader, message, self._pool, address)
 
+    def close(self) -> None:
+        """Drop the request: nobody waits for its answer any more."""
+        self._reader.conn.close()
+
 
 class _OutcomeKnown:
     """Closes a connection on which an exchange fails, and says what is known of the outcome."""
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_promises.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_promises.py
@@ -324,3 +324,23 @@
     gevent.joinall(tasks)
     assert {task.value[0] for task in tasks} == {200}
     assert lost.application.runs.total() > 0
+
+
+def test_a_caller_that_goes_just_as_its_answer_is_found_late_leaves_nothing_behind(make_chain):
+    chain = make_chain(_be_slow, _be_slow)
+    balancer = chain.view.balancer("s")
+    choose, calls = balancer.choose, []
+
+    def choose_once(*arguments):
+        calls.append(arguments)
+        if len(calls) > 1:
+            # The task that waits for the first answer was made, and has not run yet.
+            raise gevent.GreenletExit
+        return choose(*arguments)
+
+    balancer.choose = choose_once
+    chain.send(b"GET /x HTTP/1.1\r\nhost: h\r\n\r\n")
+    assert len(calls) == 2
+    assert [stats.in_progress for stats in balancer._upstreams.values()] == [0, 0]
+    for upstream in chain.upstreams:
+        wait_until(lambda upstream=upstream: upstream.limiter.in_use == 0)
