End links to replicas that were replaced

Each tried to connect once a second until its process ended. A link that nothing was sent over for 30 s ends, and is made anew should it be wanted again.

Test: framed, a link to a replica that was replaced ends.

--- a/packages/lanedock-daemon/lanedock_daemon/framed.py
+++ b/packages/lanedock-daemon/lanedock_daemon/framed.py
@@ -51,6 +51,9 @@
 # A link is opened anew when the peer is silent for this long, in seconds: its
 # connection may have been cut without a sign. Leaders speak every 0.15 s.
 SILENCE_LIMIT = 1.5
+# A link that nothing was sent over for this long, in seconds, is to a replica that
+# was replaced: those that take part are sent something every second.
+UNUSED_LIMIT = 30.0
 # Messages to a replica that can't be reached now; older ones are dropped.
 MAX_QUEUED = 256
 
@@ -238,9 +241,9 @@
         del self._queue[:-MAX_QUEUED]
 
     def run(self) -> None:
-        """Keep a connection, and open it anew when it breaks."""
+        """Keep a connection, and open it anew when it breaks; ends where the link is not used any more."""
         delay = RECONNECT_MIN
-        while True:
+        while time.monotonic() - self.used_at < UNUSED_LIMIT:
             opened_at = time.monotonic()
             try:
                 self._exchange(opened_at)
@@ -299,6 +302,8 @@
                 return None
         link = self._links[name] = _Link(address, self._context)
         link.task = gevent.spawn(link.run)
+        # One that has ended is made anew should it be wanted again.
+        link.task.link(lambda task: self._links.pop(name, None))
         return link
 
     def send(self, batch: list[messages.PeerMessage]) -> None:
--- a/packages/lanedock-daemon/lanedock_daemon/tests/test_framed.py
+++ b/packages/lanedock-daemon/lanedock_daemon/tests/test_framed.py
@@ -7,6 +7,7 @@
 from lanedock.kernel import TaskService
 from lanedock.settings import Address
 from lanedock.wire import messages
+from lanedock_daemon import framed
 from lanedock_daemon.framed import FramedTransport
 from lanedock_daemon.sessions import ChildArrived, ChildReported
 
@@ -50,3 +51,18 @@
     first, second = server.posted[:2]
     assert isinstance(first, ChildArrived) and first.message.floor_token == 1
     assert isinstance(second, ChildReported) and second.message.floor_token == 2
+
+
+def test_a_link_to_a_replica_that_was_replaced_ends(monkeypatch):
+    monkeypatch.setattr(framed, "UNUSED_LIMIT", 0.1)
+    monkeypatch.setattr(framed, "RECONNECT_MAX", 0.05)
+    links = FramedTransport(None).peer_links({})
+    gone = f"127.0.0.1:{_free_port()}"
+    links.send([messages.PeerMessage(sender="me", receiver=gone)])
+    assert list(links._links) == [gone]
+    with gevent.Timeout(5):
+        while links._links:
+            gevent.sleep(0.01)
+    # Should it take part again, it has a link again.
+    links.send([messages.PeerMessage(sender="me", receiver=gone)])
+    assert list(links._links) == [gone]
