--- a/packages/lanedock-daemon/lanedock_daemon/path/caller.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller.py
@@ -200,7 +200,7 @@
         request.body = ReplayBody(request.body, REPLAY_LIMIT)
         wanted_by = now + route.target_ms / 1000
         balancer = self._view.balancer(service.name)
-        return Job(request, headers, route, balancer, service.slots, budget, deadline, wanted_by, log)
+        return Job(request, headers, route, service, balancer, budget, deadline, wanted_by, log)
 
     def _send(self, job: Job, progress: _Progress, may_retry: bool) -> Answer:
         """Try upstreams until one answers, or trying again would be wrong."""
@@ -211,7 +211,8 @@
                 return progress.failure or self._refuse(ErrorCode.DEADLINE)
             stats = job.choose(now)
             if stats is None:
-                job.log.note(Event.REQUEST_TRY_ENDED, reason="no upstream left", known=len(job.balancer))
+                known = len(job.balancer)
+                job.log.note(Event.REQUEST_TRY_ENDED, service=job.service.name, reason="no upstream left", known=known)
                 return progress.failure or self._refuse(ErrorCode.NO_UPSTREAM, RETRY_AFTER)
             if may_retry and route.repeatable and body.length == 0 and progress.arrivals + 1 < route.max_attempts:
                 made = self._tries.send_with_reserve(job, stats, attempt)
@@ -222,19 +223,19 @@
             progress.take(made)
             if not may_retry or not body.can_rewind or progress.is_exhausted():
                 return progress.failure
-            if not self._may_send_again(job, bool(made.arrivals), stats.endpoint.service):
+            if not self._may_send_again(job, bool(made.arrivals)):
                 return progress.failure
             body.rewind()
             self._metrics.count(Metric.RETRIES)
         return progress.failure
 
-    def _may_send_again(self, job: Job, is_charged: bool, service: str) -> bool:
+    def _may_send_again(self, job: Job, is_charged: bool) -> bool:
         """Tell whether the budget allows another try; one that no application has seen costs nothing."""
         now = time.monotonic()
         may_spend = not is_charged or job.budget.spend(now)
         left = job.budget.left(now)
         job.log.note(Event.REQUEST_SENT_AGAIN, sent=may_spend, charged=is_charged, budget=round(left, 1))
-        self._metrics.gauge(Metric.RETRY_BUDGET, left, (service,))
+        self._metrics.gauge(Metric.RETRY_BUDGET, left, (job.service.name,))
         return may_spend
 
     def _make_headers(
--- a/packages/lanedock-daemon/lanedock_daemon/path/tries.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tries.py
@@ -5,7 +5,7 @@
 
 import gevent
 
-from lanedock.config import Route
+from lanedock.config import Route, Service
 from lanedock.errors import ErrorCode
 from lanedock.limits import RetryBudget
 from lanedock.routing import Balancer, UpstreamStats
@@ -98,10 +98,10 @@
     headers : list of tuple of (str, str)
         That go with every try.
     route : Route
+    service : Service
+        Where the request goes to.
     balancer : Balancer
-        Of the service that the request goes to.
-    slots : int
-        Requests that an upstream works on at once that has not said itself.
+        Of the service.
     budget : RetryBudget
         Towards the service.
     deadline, wanted_by : float
@@ -122,7 +122,7 @@
         "log",
         "request",
         "route",
-        "slots",
+        "service",
         "tried",
         "wanted_by",
     )
@@ -132,8 +132,8 @@
         request: Request,
         headers: list[tuple[str, str]],
         route: Route,
+        service: Service,
         balancer: Balancer,
-        slots: int,
         budget: RetryBudget,
         deadline: float,
         wanted_by: float,
@@ -142,8 +142,8 @@
         self.request = request
         self.headers = headers
         self.route = route
+        self.service = service
         self.balancer = balancer
-        self.slots = slots
         self.budget = budget
         self.deadline = deadline
         self.wanted_by = wanted_by
@@ -152,7 +152,7 @@
 
     def choose(self, now: float) -> UpstreamStats | None:
         """Choose an upstream that was not tried yet, and note it as tried; None where there is none."""
-        stats = self.balancer.choose(self.slots, now, frozenset(self.tried), self.request.body.is_long)
+        stats = self.balancer.choose(self.service.slots, now, frozenset(self.tried), self.request.body.is_long)
         if stats is not None:
             self.tried.add(stats.endpoint.instance)
         return stats
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
@@ -144,7 +144,9 @@
         wish = Wish(deadline, wanted_by, kind, bool(request.header(AGE_HEADER)), bool(request.header(PATIENT_HEADER)))
         refused = self._acquire(traffic_class, wish)
         if refused is not None:
-            return self._refuse(refused.code, refused.retry_after, log, **self._load())
+            why = {"waited_ms": round(1000 * (time.monotonic() - started), 1), **self._load()}
+            why.update(returning=wish.is_returning, patient=wish.is_patient)
+            return self._refuse(refused.code, refused.retry_after, log, **why)
         # It may have begun to leave while the request waited.
         refusal = self._registration.judge(meant)
         if refusal is not None:
