--- a/packages/lanedock/lanedock/consensus/replica.py
+++ b/packages/lanedock/lanedock/consensus/replica.py
@@ -14,6 +14,7 @@
 from random import Random
 
 from lanedock.consensus.core import Ready, ReplicaRole, Timing, replica_name
+from lanedock.consensus.election import ElectionState
 from lanedock.consensus.leadership import Leadership
 from lanedock.consensus.log import LogSnapshot, RaftLog
 from lanedock.consensus.membership import (
@@ -80,29 +81,15 @@
         self.leader = ""
         self.commit_index = log.snapshot.index
         self._timing = timing
-        self._rng = rng
         self._delivered = log.snapshot.index
         self._persisted = log.last_index
         self._membership = log.membership()
-        # A replica that has just started may have supported a leader right
-        # before: it waits a whole election timeout, and supports no other.
-        self._heard_at = now
-        # Whose lease may rest on this replica; empty where that is not known.
-        self._supported = log.leader_of(term)
-        # Until then a replica that led before it was started stands again without
-        # waiting: its own lease has ended with its former life.
-        self._returns_until = now + timing.election_min if self._supported == me else now
-        self._election_at = 0.0
-        self._stood_at = now
-        self._votes: set[str] = set()
+        self._election = ElectionState(me, log.leader_of(term), timing, rng, now)
         self._lead: Leadership | None = None
         self._reads = ReadQueue()
         self._joiners: dict[str, float] = {}
         self._replace_after = replace_after
         self._ready = Ready()
-        self._reset_election(now)
-        if now < self._returns_until:
-            self._election_at = now
 
     def __repr__(self) -> str:
         return f"<RaftReplica {self.me} {self.role.value} term={self.term} commit={self.commit_index} {self.log!r}>"
@@ -129,7 +116,7 @@
         """Return for how long no leader was heard from, in seconds."""
         if self.is_leader(now):
             return 0.0
-        return now - self._heard_at
+        return now - self._election.heard_at
 
     def can_vote(self) -> bool:
         """Tell whether this replica is a voter."""
@@ -156,9 +143,9 @@
         """Act on the time: heartbeats, elections, the end of a lease."""
         if self.role is ReplicaRole.LEADER:
             self._tick_leader(now)
-        elif now >= self._election_at:
+        elif now >= self._election.due_at:
             if self.can_vote():
-                if self._replace_after is not None and now - self._heard_at > self._replace_after:
+                if self._replace_after is not None and now - self._election.heard_at > self._replace_after:
                     # Others may have taken its place meanwhile.
                     self._ask_to_join(now)
                 self._start_election(now, trial=True)
@@ -218,7 +205,7 @@
     def _raise_term(self, message, body: str, now: float) -> bool:
         """Go along with a higher term; False where the message is to be dropped."""
         if body == "vote_request":
-            if self._supports_other(message.sender, now):
+            if self._election.supports_other(message.sender, now):
                 return False
             if message.vote_request.trial:
                 granted = self.can_vote() and self._is_up_to_date(message.vote_request)
@@ -232,13 +219,6 @@
         self._become_follower(message.term, leader, now)
         return True
 
-    def _supports_other(self, candidate: str, now: float) -> bool:
-        """Tell whether another leader's lease may rest on this replica.
-
-        One that stands for a higher term leads no more, so its own lease does not count.
-        """
-        return now < self._heard_at + self._timing.election_min and candidate != self._supported
-
     def _answer_old_term(self, message, body: str) -> None:
         """Let a deposed leader or a late candidate learn the term."""
         if body in ("append_request", "snapshot_request"):
@@ -257,14 +237,7 @@
         self.leader = leader
         self._lead = None
         self._drop_reads()
-        self._reset_election(now)
-
-    def _reset_election(self, now: float) -> None:
-        if now < self._returns_until and self.role is not ReplicaRole.CANDIDATE:
-            # The others may still be starting: asked again with each heartbeat's interval.
-            self._election_at = now + self._timing.heartbeat
-            return
-        self._election_at = now + self._rng.uniform(self._timing.election_min, self._timing.election_max)
+        self._election.reset(now)
 
     def _drop_reads(self) -> None:
         self._ready.failed_reads.extend(self._reads.drop(self.me))
@@ -274,13 +247,11 @@
     def _start_election(self, now: float, trial: bool) -> None:
         self.leader = ""
         self._drop_reads()
-        self._votes = set()
+        self._election.votes = set()
         self.role = ReplicaRole.PRE_CANDIDATE if trial else ReplicaRole.CANDIDATE
-        self._reset_election(now)
+        self._election.reset(now, is_candidate=not trial)
         if not trial:
-            self._stood_at = now
-            self._heard_at = now
-            self._supported = self.me
+            self._election.stand(self.me, now)
             self.term += 1
             self.voted_for = self.me
             self._ready.hard_state_changed = True
@@ -300,8 +271,8 @@
         expected = ReplicaRole.PRE_CANDIDATE if trial else ReplicaRole.CANDIDATE
         if self.role is not expected:
             return
-        self._votes.add(voter)
-        if not is_quorum(self._membership, self._votes):
+        self._election.votes.add(voter)
+        if not is_quorum(self._membership, self._election.votes):
             return
         if trial:
             self._start_election(now, trial=False)
@@ -313,7 +284,7 @@
 
     def _on_vote_request(self, message, request, now: float) -> None:
         if request.trial:
-            is_free = not self._supports_other(message.sender, now)
+            is_free = not self._election.supports_other(message.sender, now)
             granted = self.can_vote() and is_free and self._is_up_to_date(request)
             self._reply_vote(message, granted, trial=True)
             return
@@ -321,11 +292,9 @@
         if granted:
             self.voted_for = message.sender
             self._ready.hard_state_changed = True
-            # A vote supports the candidate as a heartbeat does, so that its
-            # first lease excludes another leader.
-            self._heard_at = now
-            self._supported = message.sender
-            self._reset_election(now)
+            # So that the candidate's first lease excludes another leader.
+            self._election.support(message.sender, now)
+            self._election.reset(now)
         self._reply_vote(message, granted, trial=False)
 
     def _reply_vote(self, message, granted: bool, trial: bool) -> None:
@@ -342,7 +311,7 @@
 
     def _ask_to_join(self, now: float) -> None:
         """A replica that votes nowhere asks everybody to be taken in."""
-        self._reset_election(now)
+        self._election.reset(now)
         if self.me in self._membership.learners:
             return
         known = [replica_name(voter) for voter in self._membership.voters if voter != self.me]
@@ -370,7 +339,7 @@
     def _become_leader(self, now: float) -> None:
         self.role = ReplicaRole.LEADER
         self.leader = self.me
-        self._lead = Leadership(self.me, self.log.last_index + 1, self._timing, self._stood_at)
+        self._lead = Leadership(self.me, self.log.last_index + 1, self._timing, self._election.stood_at)
         self._append(messages.LogEntry(), now)
 
     def _append(self, entry: messages.LogEntry, now: float) -> int:
@@ -513,10 +482,7 @@
             self.role = ReplicaRole.FOLLOWER
             self.leader = message.sender
             self._lead = None
-        self._heard_at = now
-        self._supported = message.sender
-        self._returns_until = now
-        self._reset_election(now)
+        self._election.follow(message.sender, now)
 
     def _on_append_request(self, message, request, now: float) -> None:
         self._follow(message, now)
