--- a/packages/lanedock-daemon/lanedock_daemon/run.py
+++ b/packages/lanedock-daemon/lanedock_daemon/run.py
@@ -1,7 +1,6 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """A process of lanedock: its services, its signals, its end."""
 
-import argparse
 import os
 import signal
 import sys
@@ -31,7 +30,7 @@
 from lanedock_daemon.interface import Interface, OwnInterface
 from lanedock_daemon.path.http import Answer
 
-__all__ = ["main"]
+__all__ = ["run_process"]
 
 EXIT_SETTINGS = 2
 EXIT_FAILED = 1
@@ -42,25 +41,29 @@
 RELOAD_INTERVAL = 1.0
 
 
-def main(arguments: list[str] | None = None, interface: Interface | None = None) -> int:
+def run_process(path: str, initialize: bool = False, is_made: bool = False, interface: Interface | None = None) -> int:
     """Run a process until SIGTERM or SIGINT.
 
     Parameters
     ----------
-    arguments : list of str, optional
-        Of the command line.
+    path : str
+        Of its settings file.
+    initialize : bool
+        Control only, once, when a mesh is set up: let an empty data folder vote
+        from the start.
+    is_made : bool
+        Whether a program makes the settings: the schema is loaded only where they
+        can't be used.
     interface : Interface, optional
         How it speaks with its surroundings; lanedock's own where left out.
 
     Returns
     -------
     int
-        Exit code: 0 after a planned stop, 1 after a failure, 2 where the
-        settings have findings.
+        The exit code.
     """
-    parsed = _parse_arguments(arguments)
     try:
-        settings = load_settings(parsed.settings, parsed.made)
+        settings = load_settings(path, is_made)
     except FindingsError as exc:
         for finding in exc.findings:
             print(finding, file=sys.stderr)
@@ -71,8 +74,8 @@
     metrics = _make_metrics(settings, text)
     tracer = _make_tracer(settings)
     interface = interface or OwnInterface()
-    kernel = _make_kernel(settings, parsed.initialize, events, metrics, tracer, interface)
-    reload = _Reloader(kernel, parsed.settings, settings, events, parsed.made)
+    kernel = _make_kernel(settings, initialize, events, metrics, tracer, interface)
+    reload = _Reloader(kernel, path, settings, events, is_made)
     if text is not None:
         _add_metrics(kernel, settings, text, events)
     try:
@@ -81,26 +84,6 @@
         writer.flush()
 
 
-def _parse_arguments(arguments: list[str] | None) -> argparse.Namespace:
-    parser = argparse.ArgumentParser(
-        prog="lanedockd",
-        description="Runs one lanedock process; its roles follow from its settings.",
-        epilog="example: lanedockd --settings /etc/lanedock/entry-nbo-a.jsonc",
-    )
-    parser.add_argument("--settings", required=True, metavar="FILE", help="settings, JSON with comments")
-    parser.add_argument(
-        "--initialize",
-        action="store_true",
-        help="control only, once, when a mesh is set up: let an empty data folder vote from the start",
-    )
-    parser.add_argument(
-        "--made",
-        action="store_true",
-        help="the settings are made by a program: load the schema only where they can't be used",
-    )
-    return parser.parse_args(arguments)
-
-
 def _make_metrics(settings: Settings, text: TextMetrics | None) -> Metrics:
     members: list[Metrics] = [text] if text is not None else []
     if settings.statsd is not None:
