--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_promises.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_promises.py
@@ -2,6 +2,8 @@
 """Tests of the promises to callers: at most once, whole answers, true refusals."""
 
 import json
+from collections import Counter
+from random import Random
 
 import gevent
 import gevent.event
@@ -344,3 +346,17 @@
     assert [stats.in_progress for stats in balancer._upstreams.values()] == [0, 0]
     for upstream in chain.upstreams:
         wait_until(lambda upstream=upstream: upstream.limiter.in_use == 0)
+
+
+def test_what_does_not_fit_into_its_part_of_a_split_is_refused_and_not_moved(make_chain):
+    value = make_value()
+    value["services"].append({"name": "full", "zones": ["z"], "slots": 4})
+    route = next(route for route in value["routes"] if route["name"] == "get")
+    del route["service"]
+    route["split"] = [{"service": "s", "weight": 50}, {"service": "full", "weight": 50}]
+    chain = make_chain(None, value=value)
+    chain.entry.side._rng = Random(3)
+    # The other part has no upstream at all; its share must not go to this one.
+    statuses = Counter(chain.request("GET")[0] for _ in range(100))
+    assert statuses.keys() == {200, 503}
+    assert 35 <= statuses[200] <= 65
