Let the former leader ask for longer, and links come back sooner

Its links to them waited up to 0.4 s between attempts by then, and its 0.3 s of asking were over; another was elected at 43.80 s by the usual timeouts.

Change: it asks until four election timeouts are over, or another leads; links try again every 0.2 s at the most.

Test: consensus, the former leader leads again though the others start after it; failed before.

--- a/packages/lanedock-daemon/lanedock_daemon/framed.py
+++ b/packages/lanedock-daemon/lanedock_daemon/framed.py
@@ -47,7 +47,9 @@
 MAX_BACKLOG = 8 * 1024 * 1024
 BACKLOG = 1024
 RECONNECT_MIN = 0.05
-RECONNECT_MAX = 1.0
+# Replicas that were killed together come back within tenths of a second of each
+# other; there are seven of them at the most.
+RECONNECT_MAX = 0.2
 # A link is opened anew when the peer is silent for this long, in seconds: its
 # connection may have been cut without a sign. Leaders speak every 0.15 s.
 SILENCE_LIMIT = 1.5
--- a/packages/lanedock/lanedock/consensus/election.py
+++ b/packages/lanedock/lanedock/consensus/election.py
@@ -7,6 +7,10 @@
 
 __all__ = ["ElectionState"]
 
+# Election timeouts for which a replica that led before it was started asks again
+# with each heartbeat's interval: the others may start later than it.
+RETURN_TIMEOUTS = 4
+
 
 class ElectionState:
     """What a replica knows of leaders' leases, and its own candidacy. Pure.
@@ -49,7 +53,7 @@
         self._supported = leader
         # Until then a replica that led before it was started stands again without
         # waiting: its own lease has ended with its former life.
-        self._returns_until = now + timing.election_min if leader == me else now
+        self._returns_until = now + RETURN_TIMEOUTS * timing.election_max if leader == me else now
         self.due_at = now
         if leader != me:
             self.reset(now)
--- a/packages/lanedock/lanedock/consensus/tests/test_replica.py
+++ b/packages/lanedock/lanedock/consensus/tests/test_replica.py
@@ -60,6 +60,23 @@
     assert [node.id for node in cluster.leaders()] == [old.id]
 
 
+def test_the_former_leader_leads_again_though_the_others_start_after_it():
+    # Found in an incident: its 0.3 s were over before the others could be reached.
+    cluster = Cluster(NAMES, seed=2)
+    old = _elect(cluster)
+    cluster.propose(old, b"x")
+    cluster.run(1)
+    for node in cluster.nodes.values():
+        node.crash()
+    old.start()
+    cluster.run(1.5)
+    for node in cluster.nodes.values():
+        if node is not old:
+            node.start()
+    cluster.run(0.4)
+    assert [node.id for node in cluster.leaders()] == [old.id]
+
+
 def test_a_follower_that_was_killed_supports_nobody_but_the_leader_it_followed():
     cluster = Cluster(NAMES, seed=2)
     old = _elect(cluster)
