--- a/packages/lanedock-daemon/lanedock_daemon/path/channel.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/channel.py
@@ -67,10 +67,6 @@
         """Set the longest wait of one read or write, in seconds; None for any."""
         self._timeout = timeout
 
-    def setsockopt(self, *option) -> None:
-        """Set an option, as a socket's own method does."""
-        self._sock.setsockopt(*option)
-
     def shutdown(self, how: int) -> None:
         """End one direction, as a socket's own method does."""
         self._sock.shutdown(how)
