Look headers up by name in one place, and keep one time to come back

Cause (reading the change): Request and Message had each been given the same look-up by a dict; the time that callers are told where nothing better is known stood in the caller's tries and in the upstream's side; two new consensus tests began with the same seven lines; run_process had lost what its exit codes mean.

No behaviour changes, and no assertion.

--- a/packages/lanedock-daemon/lanedock_daemon/path/caller.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller.py
@@ -18,6 +18,7 @@
     CODE_HEADER,
     OUTCOME_HEADER,
     PATIENT_HEADER,
+    RETRY_AFTER,
     ROUTE_HEADER,
     SERVICE_HEADER,
     TRACE_HEADER,
@@ -29,7 +30,7 @@
     public_headers,
 )
 from lanedock_daemon.path.pool import ConnectionPool
-from lanedock_daemon.path.tries import RETRY_AFTER, Job, Tries, Try
+from lanedock_daemon.path.tries import Job, Tries, Try
 
 __all__ = ["CallerSide"]
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/http.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http.py
@@ -20,6 +20,7 @@
     "PATIENT_HEADER",
     "PRIVATE_PREFIX",
     "REQUEST_ID_HEADER",
+    "RETRY_AFTER",
     "ROUTE_HEADER",
     "TARGET_HEADER",
     "TRACE_HEADER",
@@ -27,6 +28,7 @@
     "Answer",
     "Body",
     "EmptyBody",
+    "HeadersByName",
     "Outcome",
     "ReplayBody",
     "Request",
@@ -34,6 +36,9 @@
     "public_headers",
 ]
 
+# What callers are told to wait where nothing better is known, in seconds.
+RETRY_AFTER = 1.0
+
 # Headers between lanedock's daemons; taken out of what comes from outside.
 PRIVATE_PREFIX = "x-lanedock-"
 SERVICE_HEADER = "x-lanedock-service"
@@ -159,7 +164,29 @@
         return piece
 
 
-class Request:
+class HeadersByName:
+    """Finds headers by their names, which are in lower case.
+
+    Attributes
+    ----------
+    headers : list of tuple of (str, str)
+        Complete before the first look-up.
+    """
+
+    __slots__ = ("_by_name", "headers")
+
+    def __init__(self, headers: list[tuple[str, str]]):
+        self.headers = headers
+        self._by_name: dict[str, str] | None = None
+
+    def header(self, name: str) -> str:
+        """Return the first value of a header; empty where there is none."""
+        if self._by_name is None:
+            self._by_name = dict(reversed(self.headers))
+        return self._by_name.get(name, "")
+
+
+class Request(HeadersByName):
     """A request, its target already split.
 
     Attributes
@@ -168,26 +195,19 @@
         Names in lower case; without those of one connection.
     """
 
-    __slots__ = ("_by_name", "body", "headers", "host", "method", "path", "target")
+    __slots__ = ("body", "host", "method", "path", "target")
 
     def __init__(self, method: str, target: str, host: str, headers: list[tuple[str, str]], body: Body):
+        super().__init__(headers)
         self.method = method
         self.target = target
         self.path = target.partition("?")[0]
         self.host = host
-        self.headers = headers
-        self._by_name: dict[str, str] | None = None
         self.body = body
 
     def __repr__(self) -> str:
         return f"<Request {self.method} {self.target}>"
 
-    def header(self, name: str) -> str:
-        """Return the first value of a header; empty where there is none."""
-        if self._by_name is None:
-            self._by_name = dict(reversed(self.headers))
-        return self._by_name.get(name, "")
-
 
 class Answer:
     """An answer; its body is read piece by piece.
--- a/packages/lanedock-daemon/lanedock_daemon/path/parser.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/parser.py
@@ -6,6 +6,7 @@
 import httptools
 
 from lanedock.errors import ErrorCode, LanedockError
+from lanedock_daemon.path.http import HeadersByName
 
 __all__ = ["HEAD_LIMIT", "AnswerReader", "MalformedMessage", "MessageReader", "RequestReader"]
 
@@ -32,7 +33,7 @@
         self.status = status
 
 
-class Message:
+class Message(HeadersByName):
     """One message as far as it was read.
 
     Attributes
@@ -46,8 +47,6 @@
     """
 
     __slots__ = (
-        "_by_name",
-        "headers",
         "is_complete",
         "keep_alive",
         "method",
@@ -59,8 +58,7 @@
     )
 
     def __init__(self):
-        self.headers: list[tuple[str, str]] = []
-        self._by_name: dict[str, str] | None = None
+        super().__init__([])
         self.pieces: deque[bytes] = deque()
         self.is_complete = False
         self.keep_alive = True
@@ -70,12 +68,6 @@
         self.reason = ""
         self.version = ""
 
-    def header(self, name: str) -> str:
-        """Return the first value of a header; empty where there is none. Of a head that was read whole."""
-        if self._by_name is None:
-            self._by_name = dict(reversed(self.headers))
-        return self._by_name.get(name, "")
-
     def size_ahead(self) -> int:
         """Return how many bytes of the body were read and not taken yet."""
         return sum(len(piece) for piece in self.pieces)
--- a/packages/lanedock-daemon/lanedock_daemon/path/tries.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tries.py
@@ -20,6 +20,7 @@
     LEAVING_HEADER,
     LOAD_HEADER,
     OUTCOME_HEADER,
+    RETRY_AFTER,
     TARGET_HEADER,
     UPSTREAM_HEADER,
     Answer,
@@ -38,13 +39,11 @@
 )
 from lanedock_daemon.path.prober import UpstreamProber
 
-__all__ = ["RETRY_AFTER", "Job", "Tries", "Try"]
+__all__ = ["Job", "Tries", "Try"]
 
 # Answers up to this many bytes are read whole before they are passed on, so
 # that one that breaks off can still be asked for elsewhere.
 BUFFER_LIMIT = 64 * 1024
-# What callers are told to wait where nothing better is known, in seconds.
-RETRY_AFTER = 1.0
 # Added to what an upstream's daemon is given, so that its refusal arrives
 # before the caller's side gives up on it.
 GRACE = 0.05
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
@@ -21,6 +21,7 @@
     LEAVING_HEADER,
     LOAD_HEADER,
     PATIENT_HEADER,
+    RETRY_AFTER,
     ROUTE_HEADER,
     SERVICE_HEADER,
     TARGET_HEADER,
@@ -37,7 +38,6 @@
 
 __all__ = ["UpstreamSide"]
 
-RETRY_AFTER = 1.0
 # Classes by which an application's slots are shared before a version is held.
 NO_CLASSES: dict = {}
 # Requests that may wait for each slot where the application says how many it has,
--- a/packages/lanedock-daemon/lanedock_daemon/run.py
+++ b/packages/lanedock-daemon/lanedock_daemon/run.py
@@ -60,7 +60,8 @@
     Returns
     -------
     int
-        The exit code.
+        Exit code: 0 after a planned stop, 1 after a failure, 2 where the
+        settings have findings.
     """
     try:
         settings = load_settings(path, is_made)
--- a/packages/lanedock/lanedock/consensus/tests/test_replica.py
+++ b/packages/lanedock/lanedock/consensus/tests/test_replica.py
@@ -21,6 +21,16 @@
     return leader
 
 
+def _lead_and_crash_all(cluster: Cluster):
+    """Have an entry applied, and crash all; returns who led."""
+    leader = _elect(cluster)
+    cluster.propose(leader, b"x")
+    cluster.run(1)
+    for node in cluster.nodes.values():
+        node.crash()
+    return leader
+
+
 @pytest.mark.parametrize("names", [("a",), NAMES, ("a", "b", "c", "d", "e")])
 def test_a_proposal_is_applied_everywhere(names):
     cluster = Cluster(names, seed=1)
@@ -48,11 +58,7 @@
 
 def test_the_former_leader_leads_again_at_once_when_all_were_killed():
     cluster = Cluster(NAMES, seed=2)
-    old = _elect(cluster)
-    cluster.propose(old, b"x")
-    cluster.run(1)
-    for node in cluster.nodes.values():
-        node.crash()
+    old = _lead_and_crash_all(cluster)
     for node in cluster.nodes.values():
         node.start()
     # Long before the least time after which a follower would support another leader.
@@ -63,11 +69,7 @@
 def test_the_former_leader_leads_again_though_the_others_start_after_it():
     # Found in an incident: its 0.3 s were over before the others could be reached.
     cluster = Cluster(NAMES, seed=2)
-    old = _elect(cluster)
-    cluster.propose(old, b"x")
-    cluster.run(1)
-    for node in cluster.nodes.values():
-        node.crash()
+    old = _lead_and_crash_all(cluster)
     old.start()
     cluster.run(1.5)
     for node in cluster.nodes.values():
