--- a/packages/lanedock/lanedock/config/core.py
+++ b/packages/lanedock/lanedock/config/core.py
@@ -184,12 +184,15 @@
         Upstreams to which one request may be sent at the most.
     upload : bool
         Whether its requests have large bodies.
+    download : bool
+        Whether its answers have large bodies.
     split : tuple of Split
         Empty where one service takes all requests.
     """
 
     __slots__ = (
         "deadline_ms",
+        "download",
         "host",
         "max_attempts",
         "methods",
@@ -216,6 +219,7 @@
         target_ms=None,
         max_attempts=DEFAULT_ATTEMPTS,
         upload=False,
+        download=False,
         split=(),
     ):
         self.name = name
@@ -230,6 +234,7 @@
         self.target_ms = deadline_ms if target_ms is None else target_ms
         self.max_attempts = max_attempts
         self.upload = upload
+        self.download = download
 
     def __repr__(self) -> str:
         return f"<Route {self.name} {self.host}{self.path} -> {self.service}>"
