Let the application decide between two incarnations, and keep the fresher endpoint

Cause: after a restart a daemon adopted the incarnation 'new' from the mesh; a heartbeat of 'old' that a cut had held back then counted as the newest, 'new' became a former one, and all its later heartbeats were ignored: every request meant for it was answered 'not held', for good. A caller's daemon that went to a control instance which was behind took the older endpoint back as well.

Change: a heartbeat of another incarnation than the one that takes work names a rival; the application is asked over loopback (its health check names it), and decides. Where it can't be asked, a rival that still sends newer heartbeats a second after its first takes over. The mesh's word after a restart is checked the same way. Callers' daemons keep the fresher endpoint by daemon's incarnation and revision.

Ruled out: sequence numbers (each incarnation counts by itself), the time slow after a start (0 for both), a memory of former incarnations in the mesh alone (it may be the part that is behind).

--- a/packages/lanedock-daemon/lanedock_daemon/agent/discovery.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/discovery.py
@@ -1,20 +1,22 @@
 # SPDX-License-Identifier: BSD-3-Clause
-"""Learning which application a daemon speaks for, before its next heartbeat.
+"""Learning from the application itself which incarnation a daemon speaks for.
 
 A daemon that was restarted knows nothing of the application beside it until
 that sends a heartbeat, a second or more later. Its health check says at once
-who it is, and that it is neither leaving nor unwell.
+which incarnation it is, and that it is neither leaving nor unwell. And where
+heartbeats of two incarnations cross, it says which of them runs.
 """
 
 import time
 
 import gevent
+from gevent.event import Event as Signal
 
 from lanedock.kernel import Kernel, Service
 from lanedock.membership import UpstreamRegistration
 from lanedock.telemetry import Event, EventLogger
 from lanedock_daemon.agent.view import LocalView
-from lanedock_daemon.path.dialect import Dialect
+from lanedock_daemon.path.dialect import Dialect, HealthFacts
 from lanedock_daemon.path.http import EmptyBody, Request
 from lanedock_daemon.path.parser import MalformedMessage
 from lanedock_daemon.path.pool import ConnectionPool, ExchangeError, exchange
@@ -30,7 +32,7 @@
 
 
 class ApplicationDiscovery(Service):
-    """Asks the application once, unless a heartbeat is first.
+    """Asks the application at the start, unless a heartbeat is first, and whenever it has a rival.
 
     Parameters
     ----------
@@ -52,6 +54,7 @@
         self._on_change = on_change
         self._events = events
         self._task = None
+        self._has_rival = Signal()
 
     def start(self, kernel: Kernel) -> None:
         self._task = gevent.spawn(self._run)
@@ -59,10 +62,22 @@
     def stop(self) -> None:
         self._task.kill()
 
+    def resolve_rival(self) -> None:
+        """Have the application asked which of two incarnations it is."""
+        self._has_rival.set()
+
     def _run(self) -> None:
         pool = ConnectionPool()
+        self._repeat(pool, lambda: not self._registration.upstream)
+        while True:
+            self._has_rival.wait()
+            self._has_rival.clear()
+            self._repeat(pool, lambda: self._registration.rival is not None)
+
+    def _repeat(self, pool: ConnectionPool, is_wanted) -> None:
+        """Ask, a few times at most, as long as the answer is wanted."""
         attempts = 0
-        while attempts < ATTEMPTS and not self._registration.upstream:
+        while attempts < ATTEMPTS and is_wanted():
             path = self._view.health_path(self._registration.service)
             if path:
                 attempts += 1
@@ -85,9 +100,22 @@
             self._events.emit(Event.DISCOVERY_FAILED, error=exc)
             return
         facts = self._dialect.read_health(answer.message.status, answer.message.headers)
+        self._take(facts)
+
+    def _take(self, facts: HealthFacts) -> None:
+        """Take over which incarnation the application says it is."""
         registration = self._registration
-        if not facts.is_well or not facts.upstream or registration.upstream:
+        now = time.monotonic()
+        if registration.rival is not None:
+            is_changed = registration.settle(facts.upstream, now)
+            self._events.emit(
+                Event.RIVAL_SETTLED, upstream=registration.upstream, answered=facts.upstream, changed=is_changed
+            )
+        elif facts.is_well and facts.upstream and not registration.upstream:
+            is_changed = registration.adopt(facts.upstream, registration.service, False, facts.slots, now)
+            if is_changed:
+                self._events.emit(Event.UPSTREAM_ADOPTED, upstream=facts.upstream, leaving=False, source="health check")
+        else:
             return
-        if registration.adopt(facts.upstream, registration.service, False, facts.slots, time.monotonic()):
-            self._events.emit(Event.UPSTREAM_ADOPTED, upstream=facts.upstream, leaving=False, source="health check")
+        if is_changed:
             self._on_change()
--- a/packages/lanedock-daemon/lanedock_daemon/agent/registration.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/registration.py
@@ -28,19 +28,26 @@
     registration : UpstreamRegistration
     on_change : callable
         Called without arguments when others have to learn of a change.
+    on_rival : callable
+        Called without arguments when a heartbeat of another incarnation came.
     events : EventLogger
     """
 
-    def __init__(self, registration: UpstreamRegistration, on_change, events: EventLogger):
+    def __init__(self, registration: UpstreamRegistration, on_change, on_rival, events: EventLogger):
         self._registration = registration
         self._on_change = on_change
+        self._on_rival = on_rival
         self._events = events
 
     def beat(self, heartbeat: Heartbeat) -> None:
         """Take in a heartbeat."""
         registration = self._registration
         before, was_leaving = registration.upstream, registration.is_leaving
-        if not registration.beat(heartbeat, time.monotonic()):
+        is_changed = registration.beat(heartbeat, time.monotonic())
+        if registration.rival is heartbeat:
+            self._events.emit(Event.RIVAL_HEARD, upstream=before, rival=heartbeat.upstream, sequence=heartbeat.sequence)
+            self._on_rival()
+        if not is_changed:
             return
         if registration.upstream != before:
             self._events.emit(
@@ -60,8 +67,8 @@
 class RegistrationSide:
     """Takes an application's heartbeats; parameters as those of `Registrar`."""
 
-    def __init__(self, registration: UpstreamRegistration, on_change, events: EventLogger):
-        self._registrar = Registrar(registration, on_change, events)
+    def __init__(self, registration: UpstreamRegistration, on_change, on_rival, events: EventLogger):
+        self._registrar = Registrar(registration, on_change, on_rival, events)
 
     def handle(self, request: Request) -> Answer:
         """Answer a call of the application."""
--- a/packages/lanedock-daemon/lanedock_daemon/agent/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/service.py
@@ -81,6 +81,7 @@
         self._floor_token = 0
         self._is_floor_asked = False
         self._attestations: list[messages.Attestation] = []
+        self._on_rival = lambda: None
         self._state = self._make_state()
         self._handlers = {
             SourceSent: self._on_source_sent,
@@ -95,6 +96,10 @@
             ChildLeft: lambda item: self._relay.leave(item.session),
         }
 
+    def set_on_rival(self, on_rival) -> None:
+        """Set what is called without arguments when the mesh names another incarnation of the application."""
+        self._on_rival = on_rival
+
     # ------------------------------------------------------------------- start
 
     def on_start(self, kernel: Kernel) -> None:
@@ -303,10 +308,14 @@
             # The wall clock has gone back since the former start.
             self._state.incarnation = endpoint.incarnation + 1
         registration = self._view.upstream
-        if registration is not None and registration.adopt(
-            endpoint.upstream, endpoint.service, endpoint.ended, endpoint.slots, time.monotonic()
-        ):
+        if registration is None:
+            return
+        rival = registration.rival
+        if registration.adopt(endpoint.upstream, endpoint.service, endpoint.ended, endpoint.slots, time.monotonic()):
             self._events.emit(Event.UPSTREAM_ADOPTED, upstream=endpoint.upstream, leaving=endpoint.ended)
+        if registration.rival is not rival:
+            self._events.emit(Event.RIVAL_HEARD, upstream=registration.upstream, rival=endpoint.upstream, sequence="-")
+            self._on_rival()
 
     def _on_floor(self, floor: messages.Floor) -> None:
         if floor.token != self._floor_token:
--- a/packages/lanedock-daemon/lanedock_daemon/agent/view.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/view.py
@@ -6,6 +6,7 @@
 
 from lanedock.config import CallerLimits, MeshConfig
 from lanedock.limits import RetryBudget, SavingBudget
+from lanedock.membership import freshness
 from lanedock.rollout import Held, VersionHolder
 from lanedock.routing import Balancer, BalancerPolicy, RouteTable
 from lanedock.wire import messages
@@ -131,14 +132,20 @@
     def take_endpoints(self, update: messages.EndpointUpdate) -> None:
         """Take in a change of endpoints."""
         touched = set()
+        former = self._endpoints
         if update.whole:
-            touched = {endpoint.service for endpoint in self._endpoints.values()}
+            touched = {endpoint.service for endpoint in former.values()}
             self._endpoints = {}
         for name in update.gone:
             gone = self._endpoints.pop(name, None)
             if gone is not None:
                 touched.add(gone.service)
         for endpoint in update.changed:
+            known = former.get(endpoint.instance)
+            if known is not None and freshness(known) > freshness(endpoint):
+                # Another source, which has not heard of the newer one yet: with the
+                # older, requests would name an incarnation that has ended.
+                endpoint = known
             self._endpoints[endpoint.instance] = endpoint
             touched.add(endpoint.service)
         for service in touched:
--- a/packages/lanedock-daemon/lanedock_daemon/interface.py
+++ b/packages/lanedock-daemon/lanedock_daemon/interface.py
@@ -23,7 +23,7 @@
         """Make the reader and writer of callers' and applications' headers."""
 
     @abstractmethod
-    def make_registration_side(self, registration: UpstreamRegistration, on_change, events):
+    def make_registration_side(self, registration: UpstreamRegistration, on_change, on_rival, events):
         """Make what takes an application's heartbeats.
 
         Parameters
@@ -31,6 +31,8 @@
         registration : UpstreamRegistration
         on_change : callable
             Called without arguments when others have to learn of a change.
+        on_rival : callable
+            Called without arguments when a heartbeat of another incarnation came.
         events : EventLogger
 
         Returns
@@ -50,10 +52,10 @@
     def make_dialect(self) -> Dialect:
         return OwnDialect()
 
-    def make_registration_side(self, registration: UpstreamRegistration, on_change, events):
+    def make_registration_side(self, registration: UpstreamRegistration, on_change, on_rival, events):
         from lanedock_daemon.agent.registration import RegistrationSide
 
-        return RegistrationSide(registration, on_change, events)
+        return RegistrationSide(registration, on_change, on_rival, events)
 
     def make_operators_side(self, control, settings: Settings):
         raise LanedockError(ErrorCode.SERVICE_MISSING, "operators are served by gRPC only; leave out `operators`")
--- a/packages/lanedock-daemon/lanedock_daemon/roles.py
+++ b/packages/lanedock-daemon/lanedock_daemon/roles.py
@@ -109,9 +109,13 @@
         side = UpstreamSide(cfg.service, application, view, ConnectionPool(), *parts)
         if cfg.registration is not None:
             changed = RegistrationChanged()
-            heartbeats = interface.make_registration_side(registration, lambda: agent.post(changed), events)
+            discovery = ApplicationDiscovery(view, application, dialect, lambda: agent.post(changed), events)
+            agent.set_on_rival(discovery.resolve_rival)
+            heartbeats = interface.make_registration_side(
+                registration, lambda: agent.post(changed), discovery.resolve_rival, events
+            )
             add_server("registration", cfg.registration, heartbeats)
-            kernel.add(ApplicationDiscovery(view, application, dialect, lambda: agent.post(changed), events))
+            kernel.add(discovery)
         if cfg.egress is not None:
             add_server("egress", cfg.egress, caller)
         add_server("upstream", cfg.listen, side)
--- a/packages/lanedock/lanedock/membership/__init__.py
+++ b/packages/lanedock/lanedock/membership/__init__.py
@@ -5,7 +5,7 @@
 from lanedock.membership.core import Instance, InstanceState, PlatformList, parse_instances
 from lanedock.membership.directory import Directory
 from lanedock.membership.registration import Heartbeat, UpstreamRegistration
-from lanedock.membership.registry import EndpointRegistry
+from lanedock.membership.registry import EndpointRegistry, freshness
 from lanedock.membership.sources import FilePlatformList, HttpPlatformList, make_platform_list
 
 __all__ = [
@@ -19,6 +19,7 @@
     "InstanceState",
     "PlatformList",
     "UpstreamRegistration",
+    "freshness",
     "make_platform_list",
     "parse_instances",
 ]
--- a/packages/lanedock/lanedock/membership/registration.py
+++ b/packages/lanedock/lanedock/membership/registration.py
@@ -3,6 +3,12 @@
 
 The daemon is the only way in to the application, so what it knows here binds
 at once: from the moment a drain is noted, no request is passed on.
+
+Which of two incarnations is the later one can't be read off their heartbeats: a
+cut may hold one back until after its sender has crashed, and a daemon that was
+restarted remembers no former ones. So a heartbeat of another incarnation than the
+one that is held names a rival only, and the application itself, which is asked
+over loopback, decides between them.
 """
 
 from lanedock.errors import ErrorCode
@@ -72,6 +78,9 @@
     slots : int
     cold_until : float
         Monotonic, seconds.
+    rival : Heartbeat or None
+        The newest heartbeat of another incarnation than the one that is held,
+        until `settle` decides between the two.
     """
 
     def __init__(self, service: str, is_required: bool, interval: float):
@@ -81,6 +90,8 @@
         self.is_leaving = False
         self.slots = 0
         self.cold_until = 0.0
+        self.rival: Heartbeat | None = None
+        self._rival_heard_at = 0.0
         self._is_required = is_required
         self._silence_limit = MISSED_BEATS * interval + LATENESS
         self._sequence = -1
@@ -96,6 +107,8 @@
     def beat(self, heartbeat: Heartbeat, now: float) -> bool:
         """Take in a heartbeat.
 
+        One of another incarnation than that which takes work becomes its rival.
+
         Returns
         -------
         bool
@@ -104,9 +117,17 @@
         if heartbeat.upstream in self._former:
             return False
         if heartbeat.upstream != self.upstream:
+            if self.is_taking_work() and not self._outlives(heartbeat, now):
+                return False
             self._begin(heartbeat.upstream)
-        elif heartbeat.sequence <= self._sequence:
+            self._apply(heartbeat, now)
+            return True
+        if heartbeat.sequence <= self._sequence:
             return False
+        return self._apply(heartbeat, now)
+
+    def _apply(self, heartbeat: Heartbeat, now: float) -> bool:
+        """Take over what the incarnation that is held reports of itself."""
         self._sequence = heartbeat.sequence
         self._heard_at = now
         self.cold_until = now + heartbeat.cold_left
@@ -121,12 +142,59 @@
             self.revision += 1
         return is_changed
 
+    def _outlives(self, heartbeat: Heartbeat, now: float) -> bool:
+        """Note a rival; tell whether its heartbeats alone prove it to be the later one.
+
+        They do where the application can't be asked: a former incarnation's late
+        heartbeats all arrive when the cut that held them back ends, and then no
+        more; so what still sends newer ones a lateness after the first is alive.
+        """
+        rival = self.rival
+        if rival is None or rival.upstream != heartbeat.upstream:
+            self._rival_heard_at = now
+        elif heartbeat.sequence <= rival.sequence:
+            return False
+        elif now - self._rival_heard_at >= LATENESS:
+            return True
+        self.rival = heartbeat
+        return False
+
+    def settle(self, upstream: str, now: float) -> bool:
+        """Decide between the incarnation that is held and its rival.
+
+        Parameters
+        ----------
+        upstream : str
+            Which incarnation the application says it is; empty where it can't be asked.
+        now : float
+
+        Returns
+        -------
+        bool
+            Whether others have to learn of a change.
+        """
+        rival = self.rival
+        if rival is None or upstream not in (self.upstream, rival.upstream):
+            return False
+        self.rival = None
+        if upstream == self.upstream:
+            self._forget(rival.upstream)
+            return False
+        self._begin(upstream)
+        self._apply(rival, now)
+        return True
+
+    def _forget(self, upstream: str) -> None:
+        """Note that an incarnation has ended."""
+        self._former[upstream] = None
+        while len(self._former) > MAX_FORMER:
+            del self._former[next(iter(self._former))]
+
     def _begin(self, upstream: str) -> None:
-        """Begin with another life of the application."""
+        """Begin with another incarnation of the application."""
         if self.upstream:
-            self._former[self.upstream] = None
-            while len(self._former) > MAX_FORMER:
-                del self._former[next(iter(self._former))]
+            self._forget(self.upstream)
+        self.rival = None
         self.upstream = upstream
         self.is_leaving = False
         self._sequence = -1
@@ -135,7 +203,9 @@
     def leave(self, upstream: str) -> bool:
         """Note that a life of the application leaves; returns whether that is news."""
         if upstream != self.upstream:
-            self._former[upstream] = None
+            self._forget(upstream)
+            if self.rival is not None and self.rival.upstream == upstream:
+                self.rival = None
             return False
         if self.is_leaving:
             return False
@@ -154,6 +224,11 @@
         if not upstream or upstream in self._former:
             return False
         if self.upstream and self.upstream != upstream:
+            if self.rival is None:
+                # The one that is held may be the former: its heartbeat came late,
+                # and first after this daemon's restart.
+                self.rival = Heartbeat(upstream, service, -1, is_leaving, slots, 0.0)
+                self._rival_heard_at = now
             return False
         if self.upstream == upstream and (self.is_leaving or not is_leaving):
             return False
--- a/packages/lanedock/lanedock/membership/registry.py
+++ b/packages/lanedock/lanedock/membership/registry.py
@@ -11,7 +11,7 @@
 from lanedock.membership.changes import EndpointChanges
 from lanedock.wire import messages
 
-__all__ = ["EndpointRegistry"]
+__all__ = ["EndpointRegistry", "freshness"]
 
 # Lives of applications that have left, remembered for late reports.
 MAX_LEFT = 4096
@@ -56,7 +56,7 @@
         """Take in what a daemon connected here registers."""
         name = endpoint.instance
         known = self._own.get(name)
-        if known is not None and _freshness(endpoint) < _freshness(known):
+        if known is not None and freshness(endpoint) < freshness(known):
             return
         if known == endpoint:
             return
@@ -146,8 +146,8 @@
                 self._missing_since.setdefault(name, now)
             return
         self._missing_since.pop(name, None)
-        best = max(reported, key=_freshness)
-        if current is not None and _freshness(best) < _freshness(current):
+        best = max(reported, key=freshness)
+        if current is not None and freshness(best) < freshness(current):
             return
         merged = messages.Endpoint()
         merged.CopyFrom(best)
@@ -167,5 +167,6 @@
             endpoint.ended = endpoint.leaving = True
 
 
-def _freshness(endpoint: messages.Endpoint) -> tuple[int, int]:
+def freshness(endpoint: messages.Endpoint) -> tuple[int, int]:
+    """Return what grows with every change of an endpoint: its daemon's incarnation, and the revision under it."""
     return (endpoint.incarnation, endpoint.revision)
--- a/packages/lanedock/lanedock/telemetry/events.py
+++ b/packages/lanedock/lanedock/telemetry/events.py
@@ -127,6 +127,18 @@
         "The application beside the daemon did not say who it is; its heartbeat will.",
         "None.",
     )
+    RIVAL_HEARD = (
+        411,
+        logging.INFO,
+        "Another incarnation of the application than the one that is held was heard of; the application is asked.",
+        "None.",
+    )
+    RIVAL_SETTLED = (
+        412,
+        logging.INFO,
+        "The application was asked which of two incarnations it is.",
+        "Empty in `answered` means that it didn't say; its next heartbeats decide.",
+    )
     SEEDS_CHANGED = (409, logging.INFO, "The settings name other control instances.", "None.")
 
     ANSWER_LOST = (501, logging.WARNING, "A request's outcome is unknown.", "Look at the upstream named.")
