--- a/packages/lanedock-daemon/lanedock_daemon/path/tries.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tries.py
@@ -151,7 +151,10 @@
 
     def choose(self, now: float) -> UpstreamStats | None:
         """Choose an upstream that was not tried yet, and note it as tried; None where there is none."""
-        stats = self.balancer.choose(self.service.slots, now, frozenset(self.tried), self.request.body.is_long)
+        # Downloads stay in their zone as long bodies do: their answers are most of the
+        # bytes that go between zones where routes have them.
+        is_long = self.route.download or self.request.body.is_long
+        stats = self.balancer.choose(self.service.slots, now, frozenset(self.tried), is_long)
         if stats is not None:
             self.tried.add(stats.endpoint.instance)
         return stats
