Find a source within a fraction of a second after power has come back

Cause: seen second by second after a loss of power of all machines: control had a leader 0.64 s after the first daemon had started, but daemons had sent their opening packets while its machine was dark; the kernel sends the next one a second later, so they had no version for 0.43 to 0.88 s more (LD3003 until then), and then waited up to 0.4 s before they tried elsewhere.

Change: a connection of the framed transport has 0.2 s to be made (the handshake a second), and a daemon that can't serve yet waits 0.25 s at most between tries.

Test: tests/test_framed.py fills a listener's queue, which drops opening packets as a dark machine does; it fails on the code before (no end within 0.8 s).

--- a/packages/lanedock-daemon/lanedock_daemon/agent/search.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/search.py
@@ -11,6 +11,10 @@
 # 760 daemons that look for a source at random within this time, in seconds, knock
 # 760 times a second, which costs less than a second more without a source.
 BACKOFF_MAX = 1.0
+# The same for a daemon that can't serve before it has found one, in seconds: each
+# knock is one packet that is dropped or refused as long as nobody is there, and
+# 760 daemons at 7 control instances send each of them 870 a second.
+URGENT_BACKOFF_MAX = 0.25
 RELAY_MEMORY = 30.0
 HOME_WAIT_MIN = 4.0
 HOME_WAIT_MAX = 300.0
@@ -115,8 +119,21 @@
         """Note that the source named a time to come back; returns the wait in seconds."""
         return retry_after * self._rng.uniform(1.0, 1.1)
 
-    def note_failure(self, now: float) -> float:
-        """Note that the source failed; returns the wait in seconds."""
+    def note_failure(self, now: float, is_urgent: bool = False) -> float:
+        """Note that the source failed.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic, seconds.
+        is_urgent : bool
+            Whether nothing can be served before a source is found.
+
+        Returns
+        -------
+        float
+            How long to wait, in seconds.
+        """
         if self._relay is not None:
             # A relay takes its daemons along when it goes: they spread out too.
             self._failed_relays[self._relay[0]] = now + RELAY_MEMORY
@@ -124,5 +141,6 @@
         else:
             self._position += 1
         self._failures += 1
-        longest = min(BACKOFF_MAX, BACKOFF_MIN * 2 ** min(self._failures, 16))
+        most = URGENT_BACKOFF_MAX if is_urgent else BACKOFF_MAX
+        longest = min(most, BACKOFF_MIN * 2 ** min(self._failures, 16))
         return self._rng.uniform(0, longest)
--- a/packages/lanedock-daemon/lanedock_daemon/agent/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/service.py
@@ -221,7 +221,7 @@
         """Look for another source. What is held stays in force."""
         stream = self._drop_stream()
         now = time.monotonic()
-        self._connect_at = now + self._search.note_failure(now)
+        self._connect_at = now + self._search.note_failure(now, self._view.bind() is None)
         self._events.emit(Event.SOURCE_LOST, address=stream.address, reason=reason)
 
     def _on_source_ended(self, item: SourceEnded) -> None:
--- a/packages/lanedock-daemon/lanedock_daemon/agent/tests/test_search.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/tests/test_search.py
@@ -7,7 +7,7 @@
 import pytest
 
 from lanedock.settings import Address
-from lanedock_daemon.agent.search import BACKOFF_MAX, SourceSearch
+from lanedock_daemon.agent.search import BACKOFF_MAX, URGENT_BACKOFF_MAX, SourceSearch
 
 CONTROL = [Address("10.0.0.1", 7000), Address("10.0.1.1", 7000), Address("10.0.2.1", 7000)]
 RELAY = Address("10.0.0.9", 7001)
@@ -40,6 +40,15 @@
     assert all(min(each) < 0.1 * top for each, top in zip(waits, longest, strict=True))
 
 
+def test_a_daemon_that_cannot_serve_waits_for_less():
+    waits = []
+    for seed in range(300):
+        one = SourceSearch(CONTROL, Random(seed))
+        waits += [one.note_failure(0.0, is_urgent=True) for _ in range(8)]
+    assert 0.9 * URGENT_BACKOFF_MAX < max(waits) <= URGENT_BACKOFF_MAX
+    assert min(waits) < 0.1 * URGENT_BACKOFF_MAX
+
+
 def test_a_relay_that_fails_is_named_to_control_and_left(search):
     assert search.note_redirect("r1", RELAY) == 0.0
     assert (search.address(), search.relay_name()) == (RELAY, "r1")
--- a/packages/lanedock-daemon/lanedock_daemon/framed.py
+++ b/packages/lanedock-daemon/lanedock_daemon/framed.py
@@ -40,8 +40,14 @@
 # A longer frame is no message of lanedock's: versions are at most 16 MB.
 MAX_FRAME = 64 * 1024 * 1024
 RECEIVE = 64 * 1024
-# A connection within a mesh takes a round trip, tens of milliseconds at the most.
-CONNECT_TIMEOUT = 1.0
+# Seconds in which a connection has to be made. A machine without power drops the
+# opening packet, which the kernel sends again after a second: without this limit a
+# herd that came back waited up to 0.8 s longer for control that had a leader again.
+# A round trip takes tens of milliseconds at the most, between regions too.
+CONNECT_TIMEOUT = 0.2
+# Seconds for a connection's first messages, of which TLS has several: both sides
+# may be starting, on a part of a core.
+HANDSHAKE_TIMEOUT = 1.0
 # A reader that has not taken this many bytes is cut off; it comes back and is
 # then sent only what it lacks.
 MAX_BACKLOG = 8 * 1024 * 1024
@@ -147,6 +153,7 @@
     """
     conn = socket.create_connection((address.host, address.port), timeout=CONNECT_TIMEOUT)
     try:
+        conn.settimeout(HANDSHAKE_TIMEOUT)
         conn.setsockopt(plain_socket.IPPROTO_TCP, plain_socket.TCP_NODELAY, 1)
         if context is not None:
             conn = context.wrap_socket(conn)
--- a/packages/lanedock-daemon/lanedock_daemon/tests/test_framed.py
+++ b/packages/lanedock-daemon/lanedock_daemon/tests/test_framed.py
@@ -10,6 +10,7 @@
 from lanedock_daemon import framed
 from lanedock_daemon.framed import FramedTransport
 from lanedock_daemon.sessions import ChildArrived, ChildReported
+from lanedock_daemon.transport import SourceEnded
 
 
 class _Owner(TaskService):
@@ -66,3 +67,33 @@
     # Should it take part again, it has a link again.
     links.send([messages.PeerMessage(sender="me", receiver=gone)])
     assert list(links._links) == [gone]
+
+
+def _fill_queue(address: Address) -> list:
+    """Connect until a listener's queue takes no more connections."""
+    queued = []
+    while True:
+        try:
+            queued.append(socket.create_connection((address.host, address.port), timeout=0.3))
+        except TimeoutError:
+            return queued
+
+
+def test_a_stream_to_a_machine_that_drops_opening_packets_ends_soon():
+    """A listener whose queue of new connections is full drops them, as a machine without power does."""
+    with socket.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(0)
+        address = Address(*listener.getsockname())
+        queued = _fill_queue(address)
+        owner = _Owner()
+        stream = FramedTransport(None).open_source(owner, address)
+        stream.open(messages.DaemonMessage(floor_token=1))
+        # The kernel sends its second packet after a second.
+        with gevent.Timeout(0.8):
+            while not owner.posted:
+                gevent.sleep(0.01)
+        ended = owner.posted[0]
+        assert isinstance(ended, SourceEnded) and "timed out" in ended.reason
+        for conn in queued:
+            conn.close()
