Carry the time to come back between daemons in milliseconds

Cause: an upstream's daemon computed 20 to 120 ms for a refused request, but the answer to the caller's daemon carried it in whole seconds, at least 1. Every refused caller was so asked for a second; seen in the logs of an overload: of the requests that came back 90 % did so after more than 400 ms (a third of their time), when only the smaller credit was left.

Change: a header between daemons carries milliseconds.

Test: path/tests/test_promises.py, fails on the code before (1000 ms).

--- a/packages/lanedock-daemon/lanedock_daemon/path/http.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http.py
@@ -21,6 +21,7 @@
     "PRIVATE_PREFIX",
     "REQUEST_ID_HEADER",
     "RETRY_AFTER",
+    "RETURN_HEADER",
     "ROUTE_HEADER",
     "TARGET_HEADER",
     "TRACE_HEADER",
@@ -56,6 +57,8 @@
 PATIENT_HEADER = "x-lanedock-patient"
 ROUTE_HEADER = "x-lanedock-route"
 CALLER_HEADER = "x-lanedock-caller"
+# On a refusal: milliseconds after which the request may come back.
+RETURN_HEADER = "x-lanedock-retry-after-ms"
 # On a refusal: the request was at the application, which has refused it.
 ARRIVED_HEADER = "x-lanedock-arrived"
 # These are for callers and applications, too: an application passes the
@@ -270,6 +273,7 @@
         (CODE_HEADER, code.code),
     ]
     if retry_after > 0:
+        headers.append((RETURN_HEADER, str(text["retry_after_ms"])))
         # Whole seconds are all that this header can say (RFC 9110, 10.2.3).
         headers.append(("retry-after", str(max(1, round(retry_after)))))
     return Answer(status, reason, headers, [body])
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_promises.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_promises.py
@@ -9,6 +9,7 @@
 import gevent.event
 import pytest
 
+from lanedock.limits import Wish
 from lanedock.settings import Address
 from lanedock.telemetry import EventLogger
 from lanedock_daemon.path.server import PathServer
@@ -360,3 +361,24 @@
     statuses = Counter(chain.request("GET")[0] for _ in range(100))
     assert statuses.keys() == {200, 503}
     assert 35 <= statuses[200] <= 65
+
+
+def test_a_time_to_come_back_under_a_second_reaches_the_caller(make_chain):
+    gate = gevent.event.Event()
+
+    def work(conn, head, body):
+        gate.wait(10)
+        return OK
+
+    chain = make_chain(work, value=make_value(slots=1, queue=0))
+    limiter = chain.upstreams[0].limiter
+    # What the limiter has seen take 20 ms asks nobody to wait for a second.
+    limiter.acquire("read", Wish(1e9), 0.0, None)
+    limiter.release("read", 0.02, 0.0)
+    first = chain.connect()
+    first.sendall(b"GET /first HTTP/1.1\r\nhost: h\r\n\r\n")
+    wait_until(lambda: limiter.in_use == 1)
+    status, _, body = chain.request("GET", "/second")
+    gate.set()
+    assert status == 503
+    assert 0 < json.loads(body)["retry_after_ms"] < 700
--- a/packages/lanedock-daemon/lanedock_daemon/path/tries.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tries.py
@@ -21,6 +21,7 @@
     LOAD_HEADER,
     OUTCOME_HEADER,
     RETRY_AFTER,
+    RETURN_HEADER,
     TARGET_HEADER,
     UPSTREAM_HEADER,
     Answer,
@@ -333,7 +334,8 @@
             balancer.note_leaving(stats.endpoint.instance)
         self._metrics.count(Metric.NOT_RUN)
         self._read_refusal(response)
-        wait = _read_float(head.header("retry-after")) or RETRY_AFTER
+        wait_ms = _read_int(head.header(RETURN_HEADER))
+        wait = wait_ms / 1000 if wait_ms is not None else RETRY_AFTER
         answer = self._dialect.make_refusal(code, Outcome.NOT_RUN, 0.0 if code is ErrorCode.DEADLINE else wait)
         return Try(answer, code is ErrorCode.DEADLINE, bool(head.header(ARRIVED_HEADER)), code=code)
 
@@ -420,13 +422,6 @@
     return None
 
 
-def _read_float(text: str) -> float:
-    try:
-        return float(text)
-    except ValueError:
-        return 0.0
-
-
 def _strip(head: Message) -> list[tuple[str, str]]:
     """Return an answer's headers without those between daemons or of one connection."""
     return public_headers(head.headers, _DAEMON_HEADERS)
