Derive who waits and who returns from what is observed; shed less urgent requests first

Changes: a queue makes room by the least urgent class beyond its share; calls wait as long as they can be in time, like all requests; a retry's target time counts from the caller's first attempt; what is late already takes a free slot and doesn't wait; a refused request that can still be in time comes back while it can, others after as long as the overload has lasted. The two fixed parts, the header of callers that do not retry and the estimate behind it are gone. The limiter is split into service times, shares, queue and the limiter, with the field's terms.

--- a/packages/lanedock-daemon/lanedock_daemon/path/caller.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller.py
@@ -12,12 +12,10 @@
 from lanedock_daemon.agent.view import Binding, LocalView
 from lanedock_daemon.path.dialect import Dialect, OwnDialect, RequestFacts
 from lanedock_daemon.path.http import (
-    AGE_HEADER,
     CALLER_HEADER,
     CLASS_HEADER,
     CODE_HEADER,
     OUTCOME_HEADER,
-    PATIENT_HEADER,
     RETRY_AFTER,
     ROUTE_HEADER,
     SERVICE_HEADER,
@@ -146,8 +144,6 @@
         span.end(**{"http.status_code": answer.status, "http.target": request.path})
         outcome = _outcome(answer)
         self._requests.totals.note("caller", log.route, _describe(answer, outcome, taken, log), taken)
-        if outcome == Outcome.NOT_RUN and log.route:
-            self._ages.note_refusal(log.route)
         log.note(Event.REQUEST_ANSWERED, outcome=outcome, status=answer.status, code=_header(answer, CODE_HEADER))
         self._metrics.count(Metric.OUTCOMES, 1, (log.route, outcome))
         self._requests.end(log, answer.status >= 400)
@@ -180,8 +176,8 @@
             caller_waits_ms=facts.deadline_ms,
             age_ms=age,
         )
-        headers = self._make_headers(request, binding, route, age, span)
-        job = self._make_job(request, binding, route, headers, started + told / 1000, log)
+        headers = self._make_headers(request, binding, route, span)
+        job = self._make_job(request, binding, route, headers, started + told / 1000, age / 1000, log)
         max_overloads = MAX_OVERLOADS_RETURNING if age else MAX_OVERLOADS
         # A retry that a hop before has made must not be multiplied here.
         return self._send(job, _Progress(route, max_overloads), may_retry=not facts.was_retried)
@@ -193,18 +189,25 @@
     # ------------------------------------------------------------------- tries
 
     def _make_job(
-        self, request: Request, binding: Binding, route: Route, headers: list, deadline: float, log: RequestLog
+        self,
+        request: Request,
+        binding: Binding,
+        route: Route,
+        headers: list,
+        deadline: float,
+        age: float,
+        log: RequestLog,
     ) -> Job:
-        """Choose a service of the route, and gather what the tries of a request need."""
+        """Choose a service of the route, and gather what the tries of a request need; times in seconds."""
         service = binding.config.services[choose_service(route, self._rng)]
         headers.append((SERVICE_HEADER, service.name))
         now = time.monotonic()
         budget = self._view.budget(service.name)
         budget.note_first_try(now)
         request.body = ReplayBody(request.body, REPLAY_LIMIT)
-        wanted_by = now + route.target_ms / 1000
+        target_time = now + route.target_ms / 1000 - age
         balancer = self._view.balancer(service.name)
-        return Job(request, headers, route, service, balancer, budget, deadline, wanted_by, log)
+        return Job(request, headers, route, service, balancer, budget, deadline, target_time, log)
 
     def _send(self, job: Job, progress: _Progress, may_retry: bool) -> Answer:
         """Try upstreams until one answers, or trying again would be wrong."""
@@ -242,9 +245,7 @@
         self._metrics.gauge(Metric.RETRY_BUDGET, left, (job.service.name,))
         return may_spend
 
-    def _make_headers(
-        self, request: Request, binding: Binding, route: Route, age: int, span: Span
-    ) -> list[tuple[str, str]]:
+    def _make_headers(self, request: Request, binding: Binding, route: Route, span: Span) -> list[tuple[str, str]]:
         """Make the headers that go with every try."""
         headers = public_headers(request.headers, self._dialect.request_names)
         headers.append((CLASS_HEADER, route.traffic_class))
@@ -255,10 +256,6 @@
             headers.append((CALLER_HEADER, caller))
         if span.traceparent:
             headers.append((TRACE_HEADER, span.traceparent))
-        if age:
-            headers.append((AGE_HEADER, str(age)))
-        if not self._ages.do_callers_return(route.name):
-            headers.append((PATIENT_HEADER, "1"))
         return headers
 
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/http.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http.py
@@ -8,7 +8,6 @@
 from lanedock.errors import ErrorCode
 
 __all__ = [
-    "AGE_HEADER",
     "ARRIVED_HEADER",
     "ATTEMPT_HEADER",
     "CALLER_HEADER",
@@ -17,7 +16,6 @@
     "HOP_HEADERS",
     "LOAD_HEADER",
     "OUTCOME_HEADER",
-    "PATIENT_HEADER",
     "PRIVATE_PREFIX",
     "REQUEST_ID_HEADER",
     "RETRY_AFTER",
@@ -49,12 +47,9 @@
 LEAVING_HEADER = "x-lanedock-leaving"
 # The life of the application that is meant, and the service that calls.
 UPSTREAM_HEADER = "x-lanedock-upstream"
-# Milliseconds within which an answer is wanted.
+# Milliseconds left to the target time, counted from the caller's first attempt; 0
+# where it has passed.
 TARGET_HEADER = "x-lanedock-target-ms"
-# Milliseconds since the caller first made the request, where it came back.
-AGE_HEADER = "x-lanedock-age-ms"
-# The caller waits to the deadline: it would not come back after a refusal.
-PATIENT_HEADER = "x-lanedock-patient"
 ROUTE_HEADER = "x-lanedock-route"
 CALLER_HEADER = "x-lanedock-caller"
 # On a refusal: milliseconds after which the request may come back.
--- a/packages/lanedock-daemon/lanedock_daemon/path/tries.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tries.py
@@ -104,7 +104,7 @@
         Of the service.
     budget : RetryBudget
         Towards the service.
-    deadline, wanted_by : float
+    deadline, target_time : float
         Monotonic, seconds.
     log : RequestLog
 
@@ -123,8 +123,8 @@
         "request",
         "route",
         "service",
+        "target_time",
         "tried",
-        "wanted_by",
     )
 
     def __init__(
@@ -136,7 +136,7 @@
         balancer: Balancer,
         budget: RetryBudget,
         deadline: float,
-        wanted_by: float,
+        target_time: float,
         log: RequestLog,
     ):
         self.request = request
@@ -146,7 +146,7 @@
         self.balancer = balancer
         self.budget = budget
         self.deadline = deadline
-        self.wanted_by = wanted_by
+        self.target_time = target_time
         self.log = log
         self.tried: set[str] = set()
 
@@ -233,8 +233,8 @@
             (ATTEMPT_HEADER, str(attempt)),
             (DEADLINE_HEADER, str(max(1, int(left * 1000)))),
         ]
-        if job.wanted_by < job.deadline:
-            sent.append((TARGET_HEADER, str(max(0, int((job.wanted_by - started) * 1000)))))
+        if job.target_time < job.deadline:
+            sent.append((TARGET_HEADER, str(max(0, int((job.target_time - started) * 1000)))))
         if stats.endpoint.upstream:
             sent.append((UPSTREAM_HEADER, stats.endpoint.upstream))
         job.log.note(
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
@@ -6,13 +6,12 @@
 from gevent.event import Event as Signal
 
 from lanedock.errors import ErrorCode
-from lanedock.limits import Refused, SlotLimiter, Wish
+from lanedock.limits import AdmissionRequest, Refused, SlotLimiter
 from lanedock.membership import UpstreamRegistration
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics, RequestLog, RequestLogger, Tracer
 from lanedock_daemon.agent.view import LocalView
 from lanedock_daemon.path.dialect import Dialect, OwnDialect
 from lanedock_daemon.path.http import (
-    AGE_HEADER,
     ARRIVED_HEADER,
     ATTEMPT_HEADER,
     CALLER_HEADER,
@@ -22,7 +21,6 @@
     LEAVING_HEADER,
     LOAD_HEADER,
     OUTCOME_HEADER,
-    PATIENT_HEADER,
     RETRY_AFTER,
     ROUTE_HEADER,
     SERVICE_HEADER,
@@ -144,14 +142,14 @@
         deadline = started + (int(told) / 1000 if told.isascii() and told.isdigit() else RETRY_AFTER)
         traffic_class = request.header(CLASS_HEADER)
         target = request.header(TARGET_HEADER)
-        wanted_by = started + int(target) / 1000 if target.isascii() and target.isdigit() else None
-        kind = log.route = request.header(ROUTE_HEADER)
-        wish = Wish(deadline, wanted_by, kind, bool(request.header(AGE_HEADER)), bool(request.header(PATIENT_HEADER)))
-        refused = self._acquire(traffic_class, wish)
+        target_time = started + int(target) / 1000 if target.isascii() and target.isdigit() else None
+        log.route = request.header(ROUTE_HEADER)
+        wanted = AdmissionRequest(deadline, target_time, log.route, is_late=target == "0")
+        refused = self._acquire(traffic_class, wanted)
         log.waited = time.monotonic() - started
         if refused is not None:
             why = {"waited_ms": round(1000 * (time.monotonic() - started), 1), **self._load()}
-            why.update(returning=wish.is_returning, patient=wish.is_patient)
+            why.update(late=wanted.is_late)
             return self._refuse(refused.code, refused.retry_after, log, **why)
         # It may have begun to leave while the request waited.
         refusal = self._registration.judge(meant)
@@ -192,26 +190,24 @@
         queue = slots * QUEUE_PER_SLOT if is_told else service.queue
         self._limiter.configure(slots, queue, classes)
 
-    def _acquire(self, traffic_class: str, wish: Wish) -> Refused | None:
+    def _acquire(self, traffic_class: str, wanted: AdmissionRequest) -> Refused | None:
         """Take a slot, waiting for it if need be."""
         now = time.monotonic()
-        granted = Signal()
-        result = self._limiter.acquire(traffic_class, wish, now, granted.set)
+        admitted = Signal()
+        result = self._limiter.acquire(traffic_class, wanted, now, admitted.set)
         if result is None or isinstance(result, Refused):
             return result
         try:
-            is_granted = granted.wait(timeout=result.expires_at - now)
+            is_admitted = admitted.wait(timeout=result.expires_at - now)
         except BaseException:
             # The caller has gone: its place, or the slot it was just given,
             # must not stay taken.
             if not (result.is_evicted or self._limiter.cancel(result)):
                 self._limiter.release(traffic_class, 0.0, time.monotonic())
             raise
-        if result.is_evicted:
-            return Refused(ErrorCode.OVERLOADED, self._limiter.return_after(result.wish.rank, time.monotonic()))
-        if is_granted or not self._limiter.cancel(result):
+        if not result.is_evicted and (is_admitted or not self._limiter.cancel(result)):
             return None
-        return Refused(ErrorCode.OVERLOADED, self._limiter.return_after(result.wish.rank, time.monotonic()))
+        return Refused(ErrorCode.OVERLOADED, self._limiter.return_after(wanted, time.monotonic()))
 
     def _pass_on(self, request: Request, traffic_class: str, deadline: float, span, log: RequestLog) -> Answer:
         """Send a request to the application; the slot is held to the answer's end."""
--- a/packages/lanedock/lanedock/limits/__init__.py
+++ b/packages/lanedock/lanedock/limits/__init__.py
@@ -3,17 +3,18 @@
 
 from lanedock.limits.admission import Admission
 from lanedock.limits.ages import RequestAges
+from lanedock.limits.queue import AdmissionRequest, QueuedRequest
 from lanedock.limits.retries import RetryBudget, SavingBudget, WindowBudget
-from lanedock.limits.slots import Refused, SlotLimiter, Waiter, Wish
+from lanedock.limits.slots import Refused, SlotLimiter
 
 __all__ = [
     "Admission",
+    "AdmissionRequest",
+    "QueuedRequest",
     "Refused",
     "RequestAges",
     "RetryBudget",
     "SavingBudget",
     "SlotLimiter",
-    "Waiter",
     "WindowBudget",
-    "Wish",
 ]
--- a/packages/lanedock/lanedock/limits/ages.py
+++ b/packages/lanedock/lanedock/limits/ages.py
@@ -18,11 +18,6 @@
 _FREQUENT = 1 / 16
 # Requests that have to say it at the least, so that no first one counts by itself.
 _FREQUENT_MIN = 3
-# Refusals of a kind after which it shows whether its callers come back, and the
-# part of them that has to have come back for its callers to be ones that do. Not
-# all is wanted: a caller may have no time left, or meet another daemon.
-_REFUSALS_KNOWN = 8
-_RETURNING = 1 / 4
 # Kinds of requests that are kept.
 _MAX_KINDS = 1024
 
@@ -30,13 +25,11 @@
 class _Times:
     """The times to wait that requests of one kind have said, in milliseconds."""
 
-    __slots__ = ("counts", "refused", "returned", "total")
+    __slots__ = ("counts", "total")
 
     def __init__(self):
         self.counts: dict[int, int] = {}
         self.total = 0
-        self.refused = 0
-        self.returned = 0
 
     def note(self, wait_ms: int) -> None:
         """Count one."""
@@ -91,26 +84,4 @@
         first = times.first_at_least(wait_ms)
         if first is None or first == wait_ms:
             return 0
-        times.returned += 1
         return first - wait_ms
-
-    def note_refusal(self, kind: str) -> None:
-        """Note that a request was refused, which its caller may make again."""
-        times = self._times.get(kind)
-        if times is None:
-            return
-        times.refused += 1
-        if times.refused >= _HALVING:
-            times.refused //= 2
-            times.returned //= 2
-
-    def do_callers_return(self, kind: str) -> bool:
-        """Tell whether refused requests of a kind come back, as far as is known.
-
-        Where they don't, such as calls that an application makes for a request
-        in progress, an answer that is late is better than a refusal.
-        """
-        times = self._times.get(kind)
-        if times is None or times.refused < _REFUSALS_KNOWN:
-            return True
-        return times.returned >= _RETURNING * times.refused
