Test that a caller who leaves takes its request along, at each place on its way

Before its request was read, while it runs, while it waits in a queue, pipelined behind another, and while two upstreams work on it: each ends without the application's help, and nothing is sent afterwards.

--- /dev/null
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_cancellation.py
@@ -0,0 +1,123 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Tests that a caller who leaves takes its request along, wherever that is by then."""
+
+import gevent
+import gevent.event
+import pytest
+
+from lanedock_daemon.path.tests.chain import make_value, read_all, wait_until
+
+OK = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+
+
+class _Gate:
+    """An application's work that lasts until the gate opens, and what became of each request."""
+
+    def __init__(self):
+        self.opened = gevent.event.Event()
+        self.begun: list[str] = []
+        self.cut: list[str] = []
+
+    def __call__(self, conn, head, body):
+        path = head.split(" ")[1]
+        self.begun.append(path)
+        closed = gevent.spawn(conn.recv, 1)
+        gevent.wait([closed, self.opened], count=1)
+        if closed.ready():
+            self.cut.append(path)
+            return None
+        closed.kill()
+        return OK
+
+
+@pytest.fixture
+def gate():
+    """Make the work of an application."""
+    return _Gate()
+
+
+def _get(path: str) -> bytes:
+    return f"GET {path} HTTP/1.1\r\nhost: h\r\n\r\n".encode()
+
+
+def _is_idle(chain) -> bool:
+    """Tell whether no daemon has a request any more."""
+    limiters = [upstream.limiter for upstream in chain.upstreams]
+    return not chain.entry.in_progress and not any(limiter.in_use + limiter.waiting for limiter in limiters)
+
+
+def test_before_its_request_was_read(make_chain, gate):
+    chain = make_chain(gate)
+    conn = chain.connect()
+    conn.sendall(_get("/begun")[:-2])
+    gevent.sleep(0)
+    conn.close()
+    wait_until(lambda: _is_idle(chain))
+    gate.opened.set()
+    assert chain.request("GET", "/next")[0] == 200
+    assert gate.begun == ["/next"]
+
+
+def test_while_it_runs(make_chain, gate):
+    chain = make_chain(gate)
+    conn = chain.connect()
+    conn.sendall(_get("/runs"))
+    wait_until(lambda: gate.begun == ["/runs"])
+    conn.close()
+    # The application is stopped, though it never answers by itself.
+    wait_until(lambda: gate.cut == ["/runs"] and _is_idle(chain))
+
+
+def test_while_it_waits_in_the_queue_of_the_upstreams_daemon(make_chain, gate):
+    chain = make_chain(gate, value=make_value(slots=1, queue=4))
+    first, second = chain.connect(), chain.connect()
+    first.sendall(_get("/first"))
+    wait_until(lambda: gate.begun == ["/first"])
+    second.sendall(_get("/waits"))
+    wait_until(lambda: chain.upstreams[0].limiter.waiting == 1)
+    second.close()
+    wait_until(lambda: chain.upstreams[0].limiter.waiting == 0)
+    gate.opened.set()
+    assert chain.request("GET", "/next")[0] == 200
+    assert gate.begun == ["/first", "/next"]
+
+
+def test_while_its_request_is_pipelined_behind_another(make_chain, gate):
+    chain = make_chain(gate)
+    conn = chain.connect()
+    conn.sendall(_get("/one") + _get("/two"))
+    wait_until(lambda: sorted(gate.begun) == ["/one", "/two"])
+    conn.close()
+    wait_until(lambda: sorted(gate.cut) == ["/one", "/two"] and _is_idle(chain))
+    assert len(gate.begun) == 2
+
+
+def test_while_it_is_pipelined_and_waits_in_the_queue(make_chain, gate):
+    chain = make_chain(gate, value=make_value(slots=1, queue=4))
+    conn = chain.connect()
+    conn.sendall(_get("/one") + _get("/two"))
+    wait_until(lambda: chain.upstreams[0].limiter.waiting == 1)
+    conn.close()
+    wait_until(lambda: _is_idle(chain))
+    gate.opened.set()
+    assert chain.request("GET", "/next")[0] == 200
+    assert len(gate.begun) == 2 and gate.begun[-1] == "/next"
+
+
+def test_while_a_second_upstream_works_on_it_too(make_chain, gate):
+    # Its answer is late, so it is sent elsewhere as well; both stop.
+    chain = make_chain(gate, gate)
+    conn = chain.connect()
+    conn.sendall(_get("/late"))
+    wait_until(lambda: gate.begun == ["/late", "/late"])
+    conn.close()
+    wait_until(lambda: gate.cut == ["/late", "/late"] and _is_idle(chain))
+
+
+def test_one_who_stays_is_answered(make_chain, gate):
+    chain = make_chain(gate)
+    conn = chain.connect()
+    conn.sendall(b"GET /stays HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n")
+    wait_until(lambda: gate.begun == ["/stays"])
+    gate.opened.set()
+    assert read_all(conn).startswith(b"HTTP/1.1 200")
