Notice connections that have fallen silent without a reset, and use new ones

Cause: idle connections are checked for a close or unasked bytes only; where a link swallows what is sent while new connections work, each kept connection was found out by a request of its own, which waited to its deadline. Kernel keep-alives see it after seconds, if at all.

Change: a request whose answer is later than nearly all others of its kind (mean and four mean deviations, observed) asks whether anything was heard from that address since it was sent; if not, the idle connections to it are closed. What may not be repeated stays unknown and is not sent again.

Tests: path/tests/test_silence.py with a loopback proxy that swallows both ways; one request notices, the next ones go over new connections, runs are counted.

--- a/packages/lanedock-daemon/lanedock_daemon/path/pool.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/pool.py
@@ -64,7 +64,8 @@
     """Idle connections by address.
 
     A connection is checked before it is used again: one that the other side
-    has closed, or on which something unasked came, is dropped.
+    has closed, or on which something unasked came, is dropped. One that has
+    fallen silent without a reset can't be told by that; `note_late` finds it.
 
     Parameters
     ----------
@@ -78,6 +79,7 @@
         self._max_idle = max_idle
         self._connect_timeout = connect_timeout
         self._idle: dict[tuple[str, int], list] = {}
+        self._heard_at: dict[tuple[str, int], float] = {}
 
     def __repr__(self) -> str:
         return f"<ConnectionPool idle={sum(map(len, self._idle.values()))}>"
@@ -121,6 +123,34 @@
         else:
             reader.conn.close()
 
+    def note_heard(self, address: tuple[str, int], now: float) -> None:
+        """Note that an answer has begun on a connection to an address."""
+        self._heard_at[address] = now
+
+    def note_late(self, address: tuple[str, int], sent_at: float) -> bool:
+        """Note that an answer is later than nearly all others.
+
+        Where nothing at all was heard from the address since the request was sent,
+        its connections may have fallen silent: the idle ones are closed, so that the
+        next request goes over a new one. An address that is merely busy answers others
+        meanwhile.
+
+        Parameters
+        ----------
+        address : tuple of (str, int)
+        sent_at : float
+            Monotonic, seconds: of the request.
+
+        Returns
+        -------
+        bool
+            Whether idle connections were closed.
+        """
+        if self._heard_at.get(address, float("-inf")) >= sent_at or not self._idle.get(address):
+            return False
+        self.forget(address)
+        return True
+
     def forget(self, address: tuple[str, int]) -> None:
         """Close the idle connections to an address."""
         for reader in self._idle.pop(address, ()):
@@ -307,6 +337,7 @@
             message = reader.next_head()
             if message is None:
                 raise ConnectionError("the connection ended before the answer")
+            self._pool.note_heard(address, time.monotonic())
             reader.conn.settimeout(BODY_TIMEOUT)
             return UpstreamAnswer(reader, message, self._pool, address)
 
--- /dev/null
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_silence.py
@@ -0,0 +1,111 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Tests of connections that fall silent without a reset while new ones work."""
+
+import gevent
+import pytest
+from gevent import socket
+from gevent.server import StreamServer
+
+from lanedock.wire import messages
+from lanedock_daemon.path.tests.chain import HOST, wait_until
+
+
+class _Proxy:
+    """Passes connections on, and swallows both directions of those it has, when it is asked to."""
+
+    def __init__(self, target: tuple[str, int]):
+        self._target = target
+        self._era = 0
+        self.accepted = 0
+        self.server = StreamServer((HOST, 0), self._serve)
+        self.server.start()
+
+    @property
+    def address(self) -> tuple[str, int]:
+        return (HOST, self.server.server_port)
+
+    def silence(self) -> None:
+        """Swallow what comes on the connections there are; new ones work."""
+        self._era += 1
+
+    def _serve(self, conn, address) -> None:
+        self.accepted += 1
+        with socket.create_connection(self._target) as other:
+            era = self._era
+            gevent.joinall([gevent.spawn(self._pass, conn, other, era), gevent.spawn(self._pass, other, conn, era)])
+
+    def _pass(self, source, target, era: int) -> None:
+        try:
+            while data := source.recv(65536):
+                if era == self._era:
+                    target.sendall(data)
+            target.shutdown(socket.SHUT_WR)
+        except OSError:
+            pass
+
+
+@pytest.fixture
+def through_proxy(make_chain):
+    """Make a chain with a proxy on one of its links, over which several connections are kept."""
+    proxies = []
+
+    def make(link: str):
+        chain = make_chain(None)
+        upstream = chain.upstreams[0]
+        if link == "daemons":
+            proxy = _Proxy((HOST, upstream.server.port))
+            update = messages.EndpointUpdate(whole=True)
+            update.changed.add(
+                instance=upstream.name, service="s", zone="z", host=HOST, port=proxy.address[1], incarnation=2
+            )
+            chain.view.take_endpoints(update)
+        else:
+            proxy = _Proxy(upstream.application.address)
+            upstream.side._application = proxy.address
+        proxies.append(proxy)
+        asked = [gevent.spawn(chain.request, "GET", f"/warm{number}") for number in range(3)]
+        assert [task.get()[0] for task in asked] == [200] * 3
+        assert proxy.accepted > 1
+        return chain, proxy
+
+    yield make
+    for proxy in proxies:
+        proxy.server.stop(timeout=0)
+
+
+@pytest.mark.parametrize("link", ["daemons", "application"])
+def test_one_request_notices_and_the_next_goes_over_a_new_connection(through_proxy, link):
+    chain, proxy = through_proxy(link)
+    proxy.silence()
+    # It may have run: its outcome isn't known, and the connection isn't blamed on it alone.
+    status, head, _ = chain.request("GET", "/first")
+    assert status == 504 and "x-request-outcome: unknown" in head.lower()
+    assert chain.request("GET", "/second")[0] == 200
+    assert chain.runs("/second") == 1
+
+
+@pytest.mark.parametrize("link", ["daemons", "application"])
+def test_what_may_not_be_repeated_is_neither_lost_in_silence_nor_doubled(through_proxy, link):
+    chain, proxy = through_proxy(link)
+    proxy.silence()
+    headers = "x-request-deadline-ms: 900\r\n"
+    status, head, _ = chain.request("POST", "/first", b"x", headers)
+    assert status == 504 and "x-request-outcome: unknown" in head.lower()
+    assert chain.runs("/first") == 0
+    for number in range(4):
+        assert chain.request("POST", f"/{number}", b"x", headers)[0] == 200
+        assert chain.runs(f"/{number}") == 1
+
+
+def test_an_address_that_answers_others_keeps_its_connections(make_chain):
+    chain = make_chain(None)
+    pool = chain.pool
+    address = (HOST, chain.upstreams[0].server.port)
+    asked = [gevent.spawn(chain.request, "GET", f"/warm{number}") for number in range(3)]
+    gevent.joinall(asked)
+    wait_until(lambda: len(pool._idle[address]) > 1)
+    sent_at = pool._heard_at[address] - 0.001
+    assert not pool.note_late(address, sent_at)
+    assert len(pool._idle[address]) > 1
+    assert pool.note_late(address, pool._heard_at[address] + 0.001)
+    assert not pool._idle.get(address)
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
@@ -34,7 +34,7 @@
     public_headers,
 )
 from lanedock_daemon.path.parser import MalformedMessage
-from lanedock_daemon.path.pool import AnswerPieces, ConnectionPool, ExchangeError, exchange
+from lanedock_daemon.path.pool import AnswerPieces, ConnectionPool, ExchangeError, send_request
 
 __all__ = ["UpstreamSide"]
 
@@ -218,7 +218,11 @@
             return self._refuse(ErrorCode.DEADLINE, 0.0, log)
         headers = self._make_headers(request, deadline - started, span)
         try:
-            response = exchange(self._pool, self._application, request, headers, deadline - started)
+            pending = send_request(self._pool, self._application, request, headers, deadline - started)
+            late_after = min(self._limiter.late_after(log.route), deadline - started)
+            if not pending.wait(late_after) and self._pool.note_late(self._application, started):
+                self._events.emit(Event.CONNECTIONS_SILENT, upstream=self._registration.upstream)
+            response = pending.read()
         except ExchangeError as exc:
             release()
             return self._on_lost(exc, log)
--- a/packages/lanedock/lanedock/limits/service_times.py
+++ b/packages/lanedock/lanedock/limits/service_times.py
@@ -6,6 +6,10 @@
 # Weight of the newest time in the moving averages: a change of pace, such as that
 # of an application that has just started, is followed within ten requests.
 _SMOOTHING = 0.1
+# Mean deviations above the mean that a few in a hundred of times with a long tail
+# exceed, and the time assumed before any has been seen, in seconds.
+_LATE_DEVIATIONS = 4.0
+_LATE_FIRST = 0.5
 # Kinds of requests whose times are kept; a bound on memory, not a tuning.
 _MAX_KINDS = 1024
 
@@ -66,6 +70,11 @@
         """Return the mean time of a class's requests, in seconds; 0 where none has ended."""
         return self._classes.get(traffic_class, 0.0)
 
+    def late_after(self, kind: str) -> float:
+        """Return the time that a few in a hundred requests of a kind exceed, in seconds."""
+        known = self._kinds.get(kind)
+        return _LATE_FIRST if known is None else known.mean + _LATE_DEVIATIONS * known.deviation
+
     def upper(self, kind: str) -> float | None:
         """Return a time that most requests of a kind don't exceed, in seconds; None where nothing is known."""
         known = self._kinds.get(kind)
--- a/packages/lanedock/lanedock/limits/slots.py
+++ b/packages/lanedock/lanedock/limits/slots.py
@@ -183,6 +183,10 @@
         # Whoever comes back later has no time left.
         return min(estimate * self._rng.uniform(*_SPREAD), max(0.0, request.deadline - now))
 
+    def late_after(self, kind: str) -> float:
+        """Return the time in a slot that hardly a request of a kind exceeds, in seconds."""
+        return self._times.late_after(kind)
+
     def _has_room(self, traffic_class: str, now: float) -> bool:
         return self._shares.has_room(traffic_class, self._times.class_mean(traffic_class), now)
 
--- a/packages/lanedock/lanedock/telemetry/events.py
+++ b/packages/lanedock/lanedock/telemetry/events.py
@@ -144,6 +144,12 @@
     ANSWER_LOST = (501, logging.WARNING, "A request's outcome is unknown.", "Look at the upstream named.")
     EJECTED = (502, logging.WARNING, "An upstream fails and gets no work for a while.", "Look at the upstream named.")
 
+    CONNECTIONS_SILENT = (
+        504,
+        logging.INFO,
+        "Nothing came back on the connections to an address, which may have fallen silent; idle ones were closed.",
+        "Look at the upstream named, and at what lies between.",
+    )
     REACHED = (503, logging.INFO, "An upstream that could not be reached can be again.", "None.")
 
     REQUEST_ROUTED = (
