Answer a request that is read just as its connection is ended by a stop

A kept connection that was idle was ended with the server, or by an expiry that had been scheduled, while it read a request.

Change: an expiry lets requests that were read whole be answered; a stop ends idle connections one by one and the server only when none is left.

Test: path/tests/test_promises.py: an expiry that comes with a request in progress (fails 3 of 3 on the code before), and 20 callers in a loop through a stop, whose runs equal their answers (passed before, too: the window is narrow).

--- a/packages/lanedock-daemon/lanedock_daemon/path/server.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/server.py
@@ -204,6 +204,8 @@
             self._finish_exchanges()
             self._refuse(exc)
         except _Expired:
+            # It may have read a request between being found idle and being ended.
+            self._finish_exchanges()
             if self._reader.is_in_head and not self._exchanges:
                 self._refuse(MalformedMessage("the request came too slowly", 408))
         except (OSError, gevent.GreenletExit):
@@ -333,7 +335,7 @@
             self._note_time()
 
     def _finish_exchanges(self) -> None:
-        """Let the requests that came before a malformed one be answered."""
+        """Let the requests be answered that were read whole."""
         for exchange in list(self._exchanges):
             if exchange is not self._open:
                 exchange.done = Signal()
@@ -471,6 +473,16 @@
         super().stop()
         self._sweeper.kill()
 
+    def _is_idle(self) -> bool:
+        """End idle connections; tell whether none is left.
+
+        Ended with the server they would take along a request that is just being
+        read: its caller would get no answer, though it may have been passed on.
+        """
+        for connection in list(self._connections):
+            connection.end_if_idle()
+        return not (self.in_progress or self._connections)
+
     def read_timeouts(self) -> tuple[float, float]:
         """Return how long a head may take and an idle connection is kept, in seconds."""
         if self.limits is None:
--- a/packages/lanedock-daemon/lanedock_daemon/path/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/service.py
@@ -64,12 +64,16 @@
         except OSError as exc:
             raise LanedockError(ErrorCode.ADDRESS_TAKEN, f"{self._address}: {exc}") from exc
 
+    def _is_idle(self) -> bool:
+        """Tell whether the server may be ended."""
+        return not self.in_progress
+
     def stop(self) -> None:
         """Take no new connections, and let requests in progress end."""
         self.is_stopping = True
         self._server.close()
         deadline = time.monotonic() + self._stop_timeout
-        while self.in_progress and time.monotonic() < deadline:
+        while not self._is_idle() and time.monotonic() < deadline:
             gevent.sleep(POLL)
         if self.in_progress:
             self._events.emit(Event.CUT_SHORT, requests=self.in_progress)
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_promises.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_promises.py
@@ -382,3 +382,52 @@
     gate.set()
     assert status == 503
     assert 0 < json.loads(body)["retry_after_ms"] < 700
+
+
+def test_a_request_that_is_read_just_as_its_connection_is_ended_is_answered(make_chain):
+    # Found on the platform: a stop found a kept connection idle, and ended it with the request just read.
+    gate = gevent.event.Event()
+
+    def work(conn, head, body):
+        gate.wait(10)
+        return OK
+
+    chain = make_chain(work)
+    conn = chain.connect()
+    wait_until(lambda: len(chain.entry._connections) == 1)
+    connection = next(iter(chain.entry._connections))
+    conn.sendall(b"GET /x HTTP/1.1\r\nhost: h\r\n\r\n")
+    wait_until(lambda: chain.runs("/x") == 1)
+    # What `end_if_idle` has scheduled before the request was read.
+    connection.expire()
+    gevent.sleep(0.05)
+    gate.set()
+    assert conn.recv(65536).startswith(b"HTTP/1.1 200")
+
+
+def test_a_stop_under_requests_answers_each_that_it_has_read(make_chain):
+    chain = make_chain(None)
+    outcomes = Counter()
+
+    def ask() -> None:
+        conn = chain.connect()
+        while True:
+            try:
+                conn.sendall(b"GET /x HTTP/1.1\r\nhost: h\r\n\r\n")
+                outcomes["sent"] += 1
+                head = conn.recv(65536)
+            except OSError:
+                return
+            if not head:
+                return
+            outcomes["answered"] += 1
+            if b"connection: close" in head.lower():
+                return
+
+    callers = [gevent.spawn(ask) for _ in range(20)]
+    wait_until(lambda: outcomes["answered"] > 100)
+    chain.entry.stop()
+    gevent.joinall(callers, timeout=10)
+    assert all(caller.ready() for caller in callers)
+    # Each that was passed on was answered; what was not read was not run.
+    assert chain.runs("/x") == outcomes["answered"]
