Accept new callers however many connections others keep open

Cause: from a quarter of the process's descriptors on, connections were closed after their next answer only; those that callers keep and don't use held all descriptors until they timed out (15 s on the platform, 300 s without limits), while the daemon said that it was ready.

Change: beyond the limit a new connection ends the oldest one without a request.

The summary of totals prints plain columns, whatever the width of the terminal.

--- a/packages/lanedock-cli/lanedock_cli/summary.py
+++ b/packages/lanedock-cli/lanedock_cli/summary.py
@@ -6,7 +6,6 @@
 from pathlib import Path
 
 from rich.console import Console
-from rich.table import Table
 
 from lanedock.telemetry import Event
 from lanedock_cli.explain import Line, read_log
@@ -14,6 +13,7 @@
 __all__ = ["Summary", "SummaryRow", "print_summary", "summarize"]
 
 _TOTALS = f"E{Event.REQUEST_TOTALS.number}"
+_HEADINGS = ("at", "side", "route", "outcome", "requests", "share", "mean ms", "mean wait ms")
 _PLAIN = ("time", "level", "message", "event", "process", "side", "route")
 
 
@@ -112,11 +112,11 @@
 
 def print_summary(summary: Summary, console: Console) -> None:
     """Print a row for each outcome: its share, and its means in milliseconds."""
-    table = Table("at", "side", "route", "outcome", "requests", "share", "mean ms", "mean wait ms", box=None)
-    for row in summary.rows:
-        for cells in _cells(row):
-            table.add_row(*cells)
-    console.print(table)
+    rows = [_HEADINGS, *(cells for row in summary.rows for cells in _cells(row))]
+    widths = [max(len(cells[number]) for cells in rows) for number in range(len(_HEADINGS))]
+    for cells in rows:
+        line = "  ".join(cell.ljust(width) for cell, width in zip(cells, widths, strict=True))
+        console.print(line.rstrip(), markup=False, highlight=False, soft_wrap=True)
     console.print(f"from {summary.processes} processes", highlight=False)
 
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/server.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/server.py
@@ -219,9 +219,13 @@
         """End the connection: its caller has taken too long."""
         self._greenlet.kill(_Expired, block=False)
 
+    def is_idle(self) -> bool:
+        """Tell whether no request is in progress or being read."""
+        return not (self._exchanges or self._reader.is_in_head)
+
     def end_if_idle(self) -> None:
         """End the connection of a server that stops, unless a request is in progress."""
-        if not self._exchanges and not self._reader.is_in_head:
+        if self.is_idle():
             self.expire()
 
     def _read(self) -> None:
@@ -493,6 +497,17 @@
         """Tell whether there are more connections than are to be kept."""
         return self._max_kept is not None and len(self._connections) > self._max_kept
 
+    def _end_oldest_idle(self) -> None:
+        """End the oldest connection that has no request, so that new ones can be accepted.
+
+        Without this, connections that callers keep and don't use hold all of the
+        process's descriptors until they time out, and nobody new is served.
+        """
+        for connection in self._connections:
+            if connection.is_idle():
+                connection.expire()
+                return
+
     def take_worker(self) -> _Worker:
         """Return a worker that has nothing to do."""
         return self._idle_workers.pop() if self._idle_workers else _Worker(self._idle_workers)
@@ -514,6 +529,8 @@
 
     def _accept(self, conn, address) -> None:
         conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if self.is_crowded():
+            self._end_oldest_idle()
         connection = _Connection(self, Channel(conn))
         self._connections[connection] = None
         try:
