Keep uploads in their zone, whatever the length of one body

Change: what a route says of its bodies counts, for uploads as for downloads.

Test: path/tests/test_tries.py.

--- /dev/null
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_tries.py
@@ -0,0 +1,37 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Tests of what all tries of a request have in common."""
+
+import pytest
+
+from lanedock.config import Route
+from lanedock_daemon.path.http import EmptyBody, ReplayBody, Request
+from lanedock_daemon.path.tries import Job
+
+
+class _Balancer:
+    """Keeps whether it was asked for a request with a long body."""
+
+    def choose(self, slots, now, excluded, is_long):
+        self.is_long = is_long
+
+
+class _Service:
+    slots = 4
+
+
+@pytest.mark.parametrize(
+    ("flags", "limit", "expected"),
+    [
+        ({}, 10, False),
+        ({"upload": True}, 10, True),
+        ({"download": True}, 10, True),
+        # The body itself is longer than what is kept.
+        ({}, -1, True),
+    ],
+)
+def test_routes_with_long_bodies_are_chosen_for_as_such(flags, limit, expected):
+    request = Request("GET", "/x", "h", [], ReplayBody(EmptyBody(), limit))
+    balancer = _Balancer()
+    job = Job(request, [], Route("r", "/", "s", **flags), _Service(), balancer, None, 1.0, 1.0, None)
+    job.choose(0.0)
+    assert balancer.is_long is expected
--- a/packages/lanedock-daemon/lanedock_daemon/path/tries.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tries.py
@@ -152,9 +152,9 @@
 
     def choose(self, now: float) -> UpstreamStats | None:
         """Choose an upstream that was not tried yet, and note it as tried; None where there is none."""
-        # Downloads stay in their zone as long bodies do: their answers are most of the
-        # bytes that go between zones where routes have them.
-        is_long = self.route.download or self.request.body.is_long
+        # Routes with long bodies, either way, are most of the bytes that go between
+        # zones where there are any: uploads of 60 kB on average and answers of 90 kB.
+        is_long = self.route.upload or self.route.download or self.request.body.is_long
         stats = self.balancer.choose(self.service.slots, now, frozenset(self.tried), is_long)
         if stats is not None:
             self.tried.add(stats.endpoint.instance)
