Use the field's words for reported values, and for pauses

'told' for a value that a message carries is now reported, given or the thing's own name, in code, error texts and docs ('told_at' is 'reported_at'); a daemon 'stood still' was paused; an address 'in other hands' was reassigned. No behaviour changes; the JSON that 'lanedock doctor' prints keeps its keys.

--- a/packages/lanedock-cli/lanedock_cli/app.py
+++ b/packages/lanedock-cli/lanedock_cli/app.py
@@ -160,8 +160,8 @@
 
 
 def _print_answer(reply: messages.SubmitReply) -> None:
-    told = f" [{reply.code}]" if reply.code else ""
-    print(f"version {reply.version}: {ANSWER_NAMES[reply.answer]}{told}: {reply.message}")
+    code = f" [{reply.code}]" if reply.code else ""
+    print(f"version {reply.version}: {ANSWER_NAMES[reply.answer]}{code}: {reply.message}")
     if reply.answer == messages.ANSWER_APPLIED:
         print(
             f"in force on {reply.in_force} of {reply.required} daemons; staged in {reply.stage_ms:.0f} ms, "
@@ -244,11 +244,11 @@
         raise typer.Exit(EXIT_FINDINGS) from exc
     checks = examine(loaded)
     if as_json:
-        print_json([{"what": item.what, "good": item.good, "told": item.told} for item in checks])
+        print_json([{"what": item.what, "good": item.good, "told": item.finding} for item in checks])
     else:
         for item in checks:
             code = f" [{item.code.code}: {item.code.remedy}]" if item.code else ""
-            print(f"{'ok ' if item.good else 'BAD'} {item.what}: {item.told}{code}")
+            print(f"{'ok ' if item.good else 'BAD'} {item.what}: {item.finding}{code}")
     if not all(item.good for item in checks):
         raise typer.Exit(EXIT_FINDINGS)
 
--- a/packages/lanedock-cli/lanedock_cli/doctor.py
+++ b/packages/lanedock-cli/lanedock_cli/doctor.py
@@ -25,22 +25,22 @@
     ----------
     what : str
     good : bool
-    told : str
+    finding : str
         What was found.
     code : ErrorCode or None
         Of a finding.
     """
 
-    __slots__ = ("code", "good", "told", "what")
+    __slots__ = ("code", "finding", "good", "what")
 
-    def __init__(self, what: str, good: bool, told: str, code: ErrorCode | None = None):
+    def __init__(self, what: str, good: bool, finding: str, code: ErrorCode | None = None):
         self.what = what
         self.good = good
-        self.told = told
+        self.finding = finding
         self.code = code
 
     def __repr__(self) -> str:
-        return f"<Check {self.what} {'good' if self.good else 'bad'}: {self.told}>"
+        return f"<Check {self.what} {'good' if self.good else 'bad'}: {self.finding}>"
 
 
 def examine(settings: Settings) -> list[Check]:
@@ -124,8 +124,8 @@
     except OSError as exc:
         return Check("data folder", False, f"{path}: {exc.strerror}", ErrorCode.DISK_FAILED)
     slowest = max(times)
-    told = f"{path} syncs in up to {slowest * 1000:.1f} ms"
-    return Check("data folder", slowest < SLOW_SYNC, told, None if slowest < SLOW_SYNC else ErrorCode.DISK_FAILED)
+    finding = f"{path} syncs in up to {slowest * 1000:.1f} ms"
+    return Check("data folder", slowest < SLOW_SYNC, finding, None if slowest < SLOW_SYNC else ErrorCode.DISK_FAILED)
 
 
 def _check_list(address: str) -> Check:
--- a/packages/lanedock-cli/lanedock_cli/explain.py
+++ b/packages/lanedock-cli/lanedock_cli/explain.py
@@ -43,10 +43,10 @@
 
     def text(self) -> str:
         """Return it as a person reads it."""
-        told = " ".join(f"{key}={value}" for key, value in self.fields.items() if key not in _PLAIN and value != "")
+        fields = " ".join(f"{key}={value}" for key, value in self.fields.items() if key not in _PLAIN and value != "")
         after = self.fields.get("after_ms")
         since = f"+{after:g} ms" if after is not None else ""
-        return f"{self.time:%H:%M:%S.%f}"[:-3] + f"  {self.process:<18} {since:>11}  {self.fields['message']}  {told}"
+        return f"{self.time:%H:%M:%S.%f}"[:-3] + f"  {self.process:<18} {since:>11}  {self.fields['message']}  {fields}"
 
 
 class Account:
--- a/packages/lanedock-cli/lanedock_cli/render.py
+++ b/packages/lanedock-cli/lanedock_cli/render.py
@@ -121,8 +121,8 @@
         console.print(f"staging version {reply.candidate_version}", highlight=False)
     replicas = []
     for item in reply.replicas:
-        told = "leader" if item.leader else "reachable" if item.reachable else "silent"
-        replicas.append(f"{item.replica} {told}")
+        role = "leader" if item.leader else "reachable" if item.reachable else "silent"
+        replicas.append(f"{item.replica} {role}")
     console.print("control: " + ", ".join(replicas), highlight=False)
     table = Table("zone", "daemon", "service", "in force", "staged", "note", box=None, header_style="bold")
     for state in reply.daemons:
@@ -185,7 +185,7 @@
         console.print("no difference")
     marks = {"added": "+", "removed": "-", "changed": "~"}
     for item in differences:
-        told = f"{marks[item.kind]} {item.path}"
+        line = f"{marks[item.kind]} {item.path}"
         if item.kind == "changed":
-            told += f": {json.dumps(item.before)} -> {json.dumps(item.after)}"
-        console.print(told, highlight=False, markup=False)
+            line += f": {json.dumps(item.before)} -> {json.dumps(item.after)}"
+        console.print(line, highlight=False, markup=False)
--- a/packages/lanedock-daemon/lanedock_daemon/agent/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/service.py
@@ -365,7 +365,7 @@
         return self._staleness
 
     def _refresh_state(self) -> bool:
-        """Bring the state that is told up to date; tells whether it has changed."""
+        """Bring the reported state up to date; returns whether it has changed."""
         holder = self._holder
         state = self._state
         fresh = messages.DaemonState()
--- a/packages/lanedock-daemon/lanedock_daemon/agent/view.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/view.py
@@ -142,7 +142,7 @@
         Returns
         -------
         bool
-            False where it stood still for too long: the holder is suspended.
+            False where it was paused for too long: the holder is suspended.
         """
         stalled = self._has_stalled()
         if stalled:
--- a/packages/lanedock-daemon/lanedock_daemon/control/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/service.py
@@ -262,9 +262,9 @@
             return
         for name in self._cfg.replicas:
             if name != self._name:
-                told = self._peer_message(name)
-                told.drain_notice.CopyFrom(notice)
-                self._links.send([told])
+                message = self._peer_message(name)
+                message.drain_notice.CopyFrom(notice)
+                self._links.send([message])
 
     def _on_list(self, item: ListRead) -> None:
         now = time.monotonic()
--- a/packages/lanedock-daemon/lanedock_daemon/control/submissions.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/submissions.py
@@ -36,9 +36,9 @@
         "call",
         "deadline",
         "index",
+        "reported_at",
         "settle",
         "started_at",
-        "told_at",
         "version",
     )
 
@@ -50,7 +50,7 @@
         self.allowed_zones = set(request.allow_cut_off)
         self.index = 0
         self.settle = settle
-        self.told_at = 0.0
+        self.reported_at = 0.0
         self.accepted_at = None
 
     def reply(self, answer: int, code: ErrorCode | None = None, message: str = "") -> messages.SubmitReply:
@@ -182,9 +182,9 @@
         return _fill(reply, submission, progress, now)
 
     def _tell_progress(self, submission, progress, is_accepted: bool, now: float) -> None:
-        if now - submission.told_at < PROGRESS_INTERVAL:
+        if now - submission.reported_at < PROGRESS_INTERVAL:
             return
-        submission.told_at = now
+        submission.reported_at = now
         reply = submission.reply(messages.ANSWER_IN_PROGRESS, message="in force" if is_accepted else "staging")
         submission.call.reply(_fill(reply, submission, progress, now))
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/caller.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller.py
@@ -164,7 +164,7 @@
             )
             return self._refuse(ErrorCode.NO_ROUTE)
         log.route = route.name
-        told = route.deadline_ms if facts.deadline_ms is None else min(route.deadline_ms, facts.deadline_ms)
+        deadline_ms = route.deadline_ms if facts.deadline_ms is None else min(route.deadline_ms, facts.deadline_ms)
         age = self._ages.note(route.name, facts.deadline_ms)
         log.age, log.target = age / 1000, route.target_ms / 1000
         log.note(
@@ -173,13 +173,13 @@
             route=route.name,
             traffic_class=route.traffic_class,
             version=binding.number,
-            deadline_ms=told,
+            deadline_ms=deadline_ms,
             target_ms=route.target_ms,
             caller_waits_ms=facts.deadline_ms,
             age_ms=age,
         )
         headers = self._make_headers(request, binding, route, span)
-        job = self._make_job(request, binding, route, headers, started + told / 1000, age / 1000, log)
+        job = self._make_job(request, binding, route, headers, started + deadline_ms / 1000, age / 1000, log)
         max_overloads = MAX_OVERLOADS_RETURNING if age else MAX_OVERLOADS
         # A retry that a hop before has made must not be multiplied here.
         return self._send(job, _Progress(route, max_overloads), may_retry=not facts.was_retried)
--- a/packages/lanedock-daemon/lanedock_daemon/path/http.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http.py
@@ -36,7 +36,7 @@
     "public_headers",
 ]
 
-# What callers are told to wait where nothing better is known, in seconds.
+# The time after which callers may come back where nothing better is known, in seconds.
 RETRY_AFTER = 1.0
 
 # Headers between lanedock's daemons; taken out of what comes from outside.
--- a/packages/lanedock-daemon/lanedock_daemon/path/parser.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/parser.py
@@ -294,7 +294,7 @@
                 message.keep_alive = False
 
     def _end_by_close(self, message: Message) -> None:
-        """A body without a told length ends with its connection."""
+        """A body without a length ends with its connection."""
         if message.header("content-length") or message.header("transfer-encoding"):
             raise ConnectionError("the connection ended within a body")
         message.is_complete = True
@@ -313,7 +313,7 @@
         elif name == "transfer-encoding":
             encodings.append(value)
     if len(lengths) > 1 or (lengths and encodings):
-        raise MalformedMessage("the body's length is told twice")
+        raise MalformedMessage("the body's length is given twice")
     if encodings and [value.strip().lower() for value in encodings] != ["chunked"]:
         raise MalformedMessage("only the transfer encoding chunked is supported", 501)
     if lengths and not lengths[0].isdigit():
--- a/packages/lanedock-daemon/lanedock_daemon/path/pool.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/pool.py
@@ -65,7 +65,7 @@
 
     A connection is checked before it is used again: one that the other side
     has closed, or on which something unasked came, is dropped. One that has
-    fallen silent without a reset can't be told by that; `note_late` finds it.
+    fallen silent without a reset isn't noticed so; `note_late` finds it.
 
     Parameters
     ----------
--- a/packages/lanedock-daemon/lanedock_daemon/path/tries.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tries.py
@@ -255,7 +255,7 @@
             zone=stats.endpoint.zone,
             own_in_progress=stats.in_progress,
             others=stats.others,
-            others_age_ms=round(1000 * (started - stats.told_at)) if stats.told_at is not None else None,
+            others_age_ms=round(1000 * (started - stats.reported_at)) if stats.reported_at is not None else None,
             slowness=round(stats.slowness, 2),
         )
         balancer.begin(stats, started)
@@ -340,7 +340,7 @@
         is_fault = code not in (ErrorCode.OVERLOADED, ErrorCode.DRAINING, ErrorCode.DEADLINE)
         self._note_end(balancer, stats, failed=is_fault, load=load)
         if code is ErrorCode.NOT_HELD:
-            # The address is in other hands, or another life of the application
+            # The address was reassigned, or another incarnation of the application
             # is there: the mesh learns of it soon.
             balancer.note_leaving(stats.endpoint.instance)
         self._metrics.count(Metric.NOT_RUN)
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
@@ -141,8 +141,8 @@
         if not is_held:
             return self._refuse(ErrorCode.NOT_HELD, RETRY_AFTER, log, service=request.header(SERVICE_HEADER))
         self._configure(binding)
-        told = request.header(DEADLINE_HEADER)
-        deadline = started + (int(told) / 1000 if told.isascii() and told.isdigit() else RETRY_AFTER)
+        left_ms = request.header(DEADLINE_HEADER)
+        deadline = started + (int(left_ms) / 1000 if left_ms.isascii() and left_ms.isdigit() else RETRY_AFTER)
         traffic_class = self._classify(request, binding)
         target = request.header(TARGET_HEADER)
         target_time = started + int(target) / 1000 if target.isascii() and target.isdigit() else None
--- a/packages/lanedock-daemon/lanedock_daemon/roles.py
+++ b/packages/lanedock-daemon/lanedock_daemon/roles.py
@@ -20,7 +20,7 @@
 
 __all__ = ["DrainService", "add_daemon"]
 
-# After a drain is told, new work may still be on its way for this long.
+# After a drain is announced, new work may still be on its way for this long.
 DRAIN_SETTLE = 0.3
 # Seconds at the end of a stop in which the upstream takes no new work, where callers
 # linger for longer: nearly all requests in progress end within it, and for the rest
--- a/packages/lanedock/lanedock/config/tree.py
+++ b/packages/lanedock/lanedock/config/tree.py
@@ -119,9 +119,9 @@
         push.removed.extend(sorted(base.digests.keys() - self.digests.keys()))
         return push
 
-    def _groups(self, told, names: set[str]) -> list:
+    def _groups(self, digests, names: set[str]) -> list:
         groups = []
-        for name in sorted(told):
+        for name in sorted(digests):
             content = self.contents.get(name, b"") if name in names else b""
             # A content carries its digest in itself, so it isn't sent twice.
             digest = b"" if content else self.digests[name]
--- a/packages/lanedock/lanedock/errors.py
+++ b/packages/lanedock/lanedock/errors.py
@@ -115,17 +115,17 @@
     NO_UPSTREAM = (
         "LD3002",
         "No upstream of the service can take the request.",
-        "Retry after the told time; check the service's upstreams.",
+        "Retry after the time given; check the service's upstreams.",
     )
     NOT_READY = (
         "LD3003",
         "The daemon does not hold a confirmed configuration yet.",
-        "Retry after the told time, at another instance if there is one.",
+        "Retry after the time given, at another instance if there is one.",
     )
     DRAINING = ("LD3004", "The instance is leaving and takes no new work.", "Retry at another instance.")
-    OVERLOADED = ("LD3005", "The limit on requests in progress is reached.", "Retry after the told time.")
+    OVERLOADED = ("LD3005", "The limit on requests in progress is reached.", "Retry after the time given.")
     DEADLINE = ("LD3006", "The request's deadline has passed.", "Retry with a longer deadline.")
-    CONNECT_FAILED = ("LD3007", "No connection to the upstream could be made.", "Retry after the told time.")
+    CONNECT_FAILED = ("LD3007", "No connection to the upstream could be made.", "Retry after the time given.")
     ANSWER_LOST = (
         "LD3008",
         "The connection broke after the request was sent; it may have run.",
@@ -139,7 +139,7 @@
     UPSTREAM_REFUSED = (
         "LD3012",
         "The upstream's application refused the request and did not run it.",
-        "Retry after the told time.",
+        "Retry after the time given.",
     )
     BODY_TOO_LONG = ("LD3013", "The request's body is longer than the version in force allows.", "Send less.")
     BAD_REQUEST = ("LD3010", "The request is malformed and was not passed on.", "Mend the request.")
--- a/packages/lanedock/lanedock/findings/jsonc.py
+++ b/packages/lanedock/lanedock/findings/jsonc.py
@@ -51,7 +51,7 @@
         Parameters
         ----------
         path : str
-            RFC 6901 pointer; for a missing value, its parent's place is told.
+            RFC 6901 pointer; for a missing value, its parent's place is given.
         """
         if not self.text:
             # Made by a program: there is no text to stand in.
--- a/packages/lanedock/lanedock/limits/admission.py
+++ b/packages/lanedock/lanedock/limits/admission.py
@@ -1,5 +1,5 @@
 # SPDX-License-Identifier: BSD-3-Clause
-"""Admission at a steady rate, with a told time to come back."""
+"""Admission at a steady rate, which gives a time to come back."""
 
 __all__ = ["Admission"]
 
--- a/packages/lanedock/lanedock/membership/directory.py
+++ b/packages/lanedock/lanedock/membership/directory.py
@@ -1,5 +1,5 @@
 # SPDX-License-Identifier: BSD-3-Clause
-"""The directory of endpoints: what is told to daemons, and when.
+"""The directory of endpoints: what is sent to daemons, and when.
 
 The platform's list lags, so it alone is not believed: once any source (the
 list or the instance's own daemon) said that an instance leaves, it leaves until
@@ -19,7 +19,7 @@
     Parameters
     ----------
     window : float
-        Seconds that changes are gathered; an instance that leaves is told at once.
+        Seconds that changes are gathered; an instance that leaves is reported at once.
     """
 
     def __init__(self, window: float):
--- a/packages/lanedock/lanedock/rollout/distributor.py
+++ b/packages/lanedock/lanedock/rollout/distributor.py
@@ -2,7 +2,7 @@
 """Which message each daemon gets next: the core of every source of versions.
 
 A control instance and a relay run the same core. It compares what a daemon
-told of itself with what the source knows, and sends the difference, so a lost
+reported of itself with what the source knows, and sends the difference, so a lost
 or doubled message is mended by the next comparison.
 """
 
@@ -40,7 +40,7 @@
     Attributes
     ----------
     state : DaemonState
-        As it told last.
+        As it reported last.
     sent_stage, sent_in_force, sent_discard : Version
         What was sent last, so that it isn't sent twice.
     floor_tokens : list of int
@@ -107,9 +107,9 @@
     def take_relayed(self, child: Child, report: messages.FleetReport) -> None:
         """Take in what a relay tells of the daemons behind it."""
         if report.whole:
-            told = {state.daemon for state in report.changed}
+            reported = {state.daemon for state in report.changed}
             for name, owner in list(self._owners.items()):
-                if owner is child and name not in told and name != child.state.daemon:
+                if owner is child and name not in reported and name != child.state.daemon:
                     self._note_gone(child, name)
         for state in report.changed:
             self._note_changed(child, state)
--- a/packages/lanedock/lanedock/rollout/fleet.py
+++ b/packages/lanedock/lanedock/rollout/fleet.py
@@ -12,7 +12,7 @@
 
 
 class _Report:
-    """What one control instance has told."""
+    """What one control instance has reported."""
 
     __slots__ = ("daemons", "heard_at", "sequence")
 
@@ -80,7 +80,7 @@
         return True
 
     def drop_silent(self, now: float) -> None:
-        """Forget what control instances told that are silent now."""
+        """Forget what control instances reported that are silent now."""
         for replica, report in list(self._reports.items()):
             if now - report.heard_at > self._silent_after:
                 for name in report.daemons:
@@ -154,8 +154,8 @@
         if instance.state is InstanceState.LEAVING:
             return True
         fresh = []
-        for attester, (reachable, told_at) in self._attested.get(instance.name, {}).items():
-            if attester in witnesses and now - told_at <= 2 * self._dead_after:
+        for attester, (reachable, reported_at) in self._attested.get(instance.name, {}).items():
+            if attester in witnesses and now - reported_at <= 2 * self._dead_after:
                 fresh.append(reachable)
         return len(fresh) >= min(MIN_ATTESTERS, len(witnesses)) and not any(fresh)
 
--- a/packages/lanedock/lanedock/routing/balancer.py
+++ b/packages/lanedock/lanedock/routing/balancer.py
@@ -52,7 +52,7 @@
     Parameters
     ----------
     load_age : float
-        Time constant by which a told count fades.
+        Time constant by which a reported count fades.
     slow_start : float
         Time over which a new upstream is brought to its full share that does
         not say for how long it is slow.
@@ -147,8 +147,8 @@
         "is_on_trial",
         "is_unreachable",
         "others",
+        "reported_at",
         "slowness",
-        "told_at",
     )
 
     def __init__(self, endpoint: messages.Endpoint, cold_since: float | None, cold_for: float):
@@ -156,7 +156,7 @@
         self.cold_for = cold_for
         self.in_progress = 0
         self.others = 0
-        self.told_at: float | None = None
+        self.reported_at: float | None = None
         self.failures = 0
         self.ejections = 0
         self.ejected_until = 0.0
@@ -375,9 +375,9 @@
 
     def _others(self, stats: UpstreamStats, now: float) -> float:
         """Estimate the requests that other callers have in progress there."""
-        if stats.told_at is None:
+        if stats.reported_at is None:
             return 0.0
-        return stats.others * math.exp((stats.told_at - now) / self._policy.load_age)
+        return stats.others * math.exp((stats.reported_at - now) / self._policy.load_age)
 
     def _silence_limit(self) -> float:
         """Return the silence, in seconds, that no kind of request explains."""
@@ -398,7 +398,7 @@
         stats: UpstreamStats,
         failed: bool,
         now: float,
-        told: int | None = None,
+        reported: int | None = None,
         taken: float | None = None,
         unreachable: bool = False,
         kind: str = "",
@@ -411,7 +411,7 @@
         failed : bool
             Whether the upstream was at fault.
         now : float
-        told : int, optional
+        reported : int, optional
             Requests in progress that its daemon put on the answer, this one included.
         taken : float, optional
             Seconds until the answer; left out where the upstream has not answered.
@@ -426,9 +426,9 @@
         bool
             Whether the upstream was ejected for it.
         """
-        if told is not None:
-            stats.others = max(0, told - stats.in_progress)
-            stats.told_at = now
+        if reported is not None:
+            stats.others = max(0, reported - stats.in_progress)
+            stats.reported_at = now
         stats.in_progress -= 1
         if taken is not None:
             stats.answered_at = now
--- a/packages/lanedock/lanedock/routing/tests/test_balancer.py
+++ b/packages/lanedock/lanedock/routing/tests/test_balancer.py
@@ -64,7 +64,7 @@
     balancer = _balancer(_endpoint("a"), _endpoint("b"), load_age=1.0)
     busy = balancer.choose(100, 0.0)
     balancer.begin(busy)
-    balancer.end(busy, False, 0.0, told=50)
+    balancer.end(busy, False, 0.0, reported=50)
     assert all(balancer.choose(100, 0.1) is not busy for _ in range(10))
     other = balancer.choose(100, 0.1)
     balancer.begin(other)
--- a/packages/lanedock/lanedock/settings/core.py
+++ b/packages/lanedock/lanedock/settings/core.py
@@ -60,8 +60,8 @@
             raise TypeError(f"unknown settings {sorted(values)}")
 
     def __repr__(self) -> str:
-        told = " ".join(f"{name}={getattr(self, name)}" for name in self.__slots__)
-        return f"<{type(self).__name__} {told}>"
+        fields = " ".join(f"{name}={getattr(self, name)}" for name in self.__slots__)
+        return f"<{type(self).__name__} {fields}>"
 
 
 class TraceSettings(_Section):
--- a/packages/lanedock/lanedock/telemetry/events.py
+++ b/packages/lanedock/lanedock/telemetry/events.py
@@ -77,7 +77,7 @@
     SUSPENDED = (
         307,
         logging.WARNING,
-        "The daemon stood still and serves again once a quorum has confirmed the newest version.",
+        "The daemon was paused and serves again once a quorum has confirmed the newest version.",
         "Look for an overloaded or frozen instance.",
     )
     SUBMISSION_REFUSED = (
--- a/packages/lanedock/lanedock/telemetry/log.py
+++ b/packages/lanedock/lanedock/telemetry/log.py
@@ -54,11 +54,11 @@
             self._write(event, event.level, particulars)
 
     def _write(self, event: Event, level: int, particulars: dict) -> None:
-        told = {"message": event.name, "event": f"E{event.number}", "process": self._logger.name}
+        fields = {"message": event.name, "event": f"E{event.number}", "process": self._logger.name}
         for key, value in particulars.items():
-            told[key] = value if isinstance(value, (int, float, str, bool)) or value is None else str(value)
+            fields[key] = value if isinstance(value, (int, float, str, bool)) or value is None else str(value)
         # The formatter puts a message that is a dict into the line, field by field.
-        self._logger.log(level, told)
+        self._logger.log(level, fields)
 
     def _has_room(self, event: Event, level: int) -> bool:
         second = int(time.monotonic())
--- a/packages/lanedock/lanedock/testing/upstream.py
+++ b/packages/lanedock/lanedock/testing/upstream.py
@@ -150,8 +150,8 @@
 
     def _is_hopeless(self, environ: dict) -> bool:
         """Tell whether a request's deadline passes before its work is done."""
-        told = environ.get(DEADLINE_HEADER, "")
-        return told.isdigit() and int(told) / 1000 < self._work_time()
+        left_ms = environ.get(DEADLINE_HEADER, "")
+        return left_ms.isdigit() and int(left_ms) / 1000 < self._work_time()
 
     def _work(self, environ: dict, start_response):
         self.in_progress += 1
@@ -167,7 +167,7 @@
             raise ConnectionError("cancelled") from None
         finally:
             self.in_progress -= 1
-        told = {
+        content = {
             "upstream": self.name,
             "method": environ["REQUEST_METHOD"],
             "path": environ["PATH_INFO"],
@@ -177,7 +177,7 @@
         }
         wanted = environ["QUERY_STRING"].partition("size=")[2]
         padding = int(wanted) if wanted.isdigit() else 0
-        return self._answer(start_response, told, padding)
+        return self._answer(start_response, content, padding)
 
     def _spend(self, seconds: float, conn) -> None:
         """Take time, unless the caller goes away meanwhile."""
@@ -205,7 +205,7 @@
         cut_after = self.behaviour.cut_after
         if cut_after is not None:
             yield body[:cut_after]
-            raise ConnectionError("cut as told")
+            raise ConnectionError("cut by the script")
         yield body
         while padding > 0:
             piece = min(padding, 65536)
