--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
@@ -147,12 +147,12 @@
         target = request.header(TARGET_HEADER)
         target_time = started + int(target) / 1000 if target.isascii() and target.isdigit() else None
         log.route = request.header(ROUTE_HEADER)
-        wanted = AdmissionRequest(deadline, target_time, log.route, is_late=target == "0")
+        wanted = AdmissionRequest(deadline, target_time, log.route)
         refused = self._acquire(traffic_class, wanted)
         log.waited = time.monotonic() - started
         if refused is not None:
             why = {"waited_ms": round(1000 * (time.monotonic() - started), 1), **self._load()}
-            why.update(late=wanted.is_late)
+            why.update(late=target == "0")
             return self._refuse(refused.code, refused.retry_after, log, **why)
         # It may have begun to leave while the request waited.
         refusal = self._registration.judge(meant)
--- a/packages/lanedock/lanedock/limits/queue.py
+++ b/packages/lanedock/lanedock/limits/queue.py
@@ -16,23 +16,20 @@
     target_time : float, optional
         Monotonic, seconds; an answer later than this is worth little, so what
         would have to wait past it is refused while there is time to go
-        elsewhere. Counted from the caller's first attempt. The deadline where
-        left out.
+        elsewhere. Counted from the caller's first attempt: a retry's may have
+        passed already, and then it takes a free slot but waits for none. The
+        deadline where left out.
     kind : str
         Such as its route's name: its own time is estimated by that of others of
         its kind.
-    is_late : bool
-        Whether its target time, counted from the caller's first attempt, has
-        passed already, so that its answer is worth little whenever it comes.
     """
 
-    __slots__ = ("deadline", "is_late", "kind", "target_time")
+    __slots__ = ("deadline", "kind", "target_time")
 
-    def __init__(self, deadline: float, target_time: float | None = None, kind: str = "", is_late: bool = False):
+    def __init__(self, deadline: float, target_time: float | None = None, kind: str = ""):
         self.deadline = deadline
         self.target_time = target_time
         self.kind = kind
-        self.is_late = is_late
 
     def __repr__(self) -> str:
         return f"<AdmissionRequest {self.kind} deadline={self.deadline:.3f} target_time={self.target_time}>"
@@ -162,9 +159,11 @@
         """Make room in a full queue, if a request goes before the last one there.
 
         The last one is that of the least urgent class which holds more than its
-        share of the queue. Without this, less urgent requests that wait keep out
-        more urgent ones: with a shared service at 1.5 times what it bears, 0.36 of
-        its urgent requests were refused, and 0.001 are (tools/bench_overload.py).
+        share of the queue. Without this, less urgent requests that wait keep more
+        urgent ones out of a short queue: of 4 for 13 slots, with a shared service at
+        1.5 times what it bears, 0.36 of its urgent requests are refused, with it
+        0.001 (tools/ablation.py --queue 4). In one of two for each slot it makes no
+        difference: hardly a request is expected to be in time behind so many.
         """
         for name in reversed(self.classes()):
             waiting = self._by_class.get(name, [])
--- a/packages/lanedock/lanedock/limits/slots.py
+++ b/packages/lanedock/lanedock/limits/slots.py
@@ -209,13 +209,12 @@
     def _expiry(self, request: AdmissionRequest, now: float) -> float:
         """Return until when a request waits.
 
-        One that is late already does not wait: it would take slots from requests
-        that can still be in time. With a front service at 1.5 times what it bears,
-        0.62 of its requests are in time so, and 0.38 where late ones wait, behind
-        all others, for as long as they are expected to (tools/bench_overload.py).
+        For a retry that is late already this lies before now. Were such ones to wait,
+        behind all others and as long as they are expected to, they would take slots
+        from requests that can still be in time: with a front service at 1.5 times what
+        it bears 0.62 of its requests are in time, and 0.38 were
+        (tools/bench_overload.py).
         """
-        if request.is_late:
-            return now
         if request.target_time is None:
             return request.deadline
         needed = self._times.upper(request.kind)
--- a/packages/lanedock/lanedock/limits/tests/test_slots.py
+++ b/packages/lanedock/lanedock/limits/tests/test_slots.py
@@ -277,8 +277,8 @@
 def test_what_is_late_already_takes_a_free_slot_and_does_not_wait_for_one():
     limiter = SlotLimiter(1, 10, {})
     _warm(limiter, "c", 0.1)
-    assert _ask(limiter, "c", FAR, 0.0, None, 0.0, is_late=True) is None
-    assert isinstance(_ask(limiter, "c", FAR, 0.0, None, 0.0, is_late=True), Refused)
+    assert _ask(limiter, "c", FAR, 0.0, None, 0.0) is None
+    assert isinstance(_ask(limiter, "c", FAR, 0.0, None, 0.0), Refused)
     assert isinstance(_ask(limiter, "c", FAR, 0.0, None, 0.9), QueuedRequest)
 
 
@@ -325,7 +325,7 @@
     def mean(now):
         # Its target has passed, or will have before it can be served.
         target = now if late else now + 0.01
-        return sum(_ask(limiter, "c", FAR, now, None, target, is_late=late).retry_after for _ in range(200)) / 200
+        return sum(_ask(limiter, "c", FAR, now, None, target).retry_after for _ in range(200)) / 200
 
     assert mean(1.01) == pytest.approx(0.02, rel=0.2)
     assert mean(1.5) == pytest.approx(0.5, rel=0.2)
--- a/tools/bench_overload.py
+++ b/tools/bench_overload.py
@@ -283,7 +283,7 @@
     """Say of a request what the caller's daemon says of it."""
     left = request.kind.target - request.age / 1000
     target_time = min(request.started + max(0.0, left), request.deadline)
-    return AdmissionRequest(request.deadline, target_time, request.kind.name, left <= 0)
+    return AdmissionRequest(request.deadline, target_time, request.kind.name)
 
 
 def rates_at(load: float, short: str, pace: float) -> tuple[dict[str, int], dict[str, float]]:
