Split the balancer, and keep moving averages in one place

The policy and what a caller knows of an upstream have modules of their own; the mean and mean deviation of times, which the balancer and the limiter each had, is lanedock.averages.MovingTime, a leaf that both may import (docs/architecture.md and the test of imports say so). balancer.py 471 -> 307 lines. No behaviour changes: the model's figures (tests/test_overload.py) and the tests of routing and limits pass as they were.

--- a/packages/lanedock/lanedock/limits/service_times.py
+++ b/packages/lanedock/lanedock/limits/service_times.py
@@ -1,35 +1,19 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """How long requests hold a slot, by traffic class and by kind."""
 
+from lanedock.averages import MovingTime
+
 __all__ = ["ServiceTimes"]
 
 # Weight of the newest time in the moving averages: a change of pace, such as that
 # of an application that has just started, is followed within ten requests.
 _SMOOTHING = 0.1
-# Mean deviations above the mean that a few in a hundred of times with a long tail
-# exceed, and the time assumed before any has been seen, in seconds.
-_LATE_DEVIATIONS = 4.0
+# Time assumed, before any has been seen, that hardly a request exceeds, in seconds.
 _LATE_FIRST = 0.5
 # Kinds of requests whose times are kept; a bound on memory, not a tuning.
 _MAX_KINDS = 1024
 
 
-class _KindTime:
-    """Averages of the time that requests of a kind take, in seconds."""
-
-    __slots__ = ("deviation", "mean")
-
-    def __init__(self, duration: float):
-        self.mean = duration
-        self.deviation = duration / 2
-
-    def note(self, duration: float) -> None:
-        """Take in another duration."""
-        deviation = abs(duration - self.mean)
-        self.mean += _SMOOTHING * (duration - self.mean)
-        self.deviation += _SMOOTHING * (deviation - self.deviation)
-
-
 class ServiceTimes:
     """Moving averages of the time in a slot. Pure.
 
@@ -42,7 +26,7 @@
     def __init__(self):
         self.mean: float | None = None
         self._classes: dict[str, float] = {}
-        self._kinds: dict[str, _KindTime] = {}
+        self._kinds: dict[str, MovingTime] = {}
 
     def __repr__(self) -> str:
         return f"<ServiceTimes mean={self.mean} kinds={len(self._kinds)}>"
@@ -64,7 +48,7 @@
             return
         if len(self._kinds) >= _MAX_KINDS:
             self._kinds.clear()
-        self._kinds[kind] = _KindTime(duration)
+        self._kinds[kind] = MovingTime(duration, _SMOOTHING)
 
     def class_mean(self, traffic_class: str) -> float:
         """Return the mean time of a class's requests, in seconds; 0 where none has ended."""
@@ -73,7 +57,7 @@
     def late_after(self, kind: str) -> float:
         """Return the time that a few in a hundred requests of a kind exceed, in seconds."""
         known = self._kinds.get(kind)
-        return _LATE_FIRST if known is None else known.mean + _LATE_DEVIATIONS * known.deviation
+        return _LATE_FIRST if known is None else known.late_after
 
     def typical(self, kind: str) -> float | None:
         """Return the mean time of a kind, in seconds; None where nothing is known."""
@@ -83,4 +67,4 @@
     def upper(self, kind: str) -> float | None:
         """Return a time that most requests of a kind don't exceed, in seconds; None where nothing is known."""
         known = self._kinds.get(kind)
-        return self.mean if known is None else known.mean + known.deviation
+        return self.mean if known is None else known.upper
--- a/packages/lanedock/lanedock/routing/balancer.py
+++ b/packages/lanedock/lanedock/routing/balancer.py
@@ -12,17 +12,17 @@
 import math
 from random import Random
 
+from lanedock.averages import MovingTime
+from lanedock.routing.policy import BalancerPolicy
+from lanedock.routing.upstream_stats import UpstreamStats
 from lanedock.wire import messages
 
-__all__ = ["Balancer", "BalancerPolicy", "UpstreamStats"]
+__all__ = ["Balancer"]
 
 # Score of an upstream at whose door a trial request stands already.
 _UNWANTED = 1e6
 # Weight of the newest answer in the averages of time to answer.
 _SMOOTHING = 0.05
-# An answer is late once it has taken the mean and this many mean deviations: of
-# answers whose times have a long tail, a few in a hundred.
-_LATE_DEVIATIONS = 4.0
 # Least time, in seconds, after which an answer may count as late, and the time
 # assumed before any answer came.
 _LATE_MIN = 0.05
@@ -46,170 +46,6 @@
 _QUICK_MARGIN = 1.0
 
 
-class BalancerPolicy:
-    """Tuning of the choice. Durations are in seconds.
-
-    Parameters
-    ----------
-    load_age : float
-        Time constant by which a reported count fades.
-    slow_start : float
-        Time over which a new upstream is brought to its full share that does
-        not say for how long it is slow.
-    cold_weight : float
-        Its weight at the beginning, 0 to 1.
-    eject_failures : int
-        Failures in a row that eject an upstream.
-    eject_min, eject_max : float
-        First and longest ejection; doubled each time in between.
-    max_ejected : float
-        Part of a service's upstreams that may be ejected at once.
-    spill : float
-        Part of the slots, as loads are scored, at which other zones are weighed.
-    zone_penalty : float
-        How much emptier, in parts of the slots, another zone's upstream has to be.
-    long_spill, long_zone_penalty : float
-        The same for requests with long bodies, whose bytes between zones are
-        worth some waiting.
-    """
-
-    __slots__ = (
-        "cold_weight",
-        "eject_failures",
-        "eject_max",
-        "eject_min",
-        "load_age",
-        "long_spill",
-        "long_zone_penalty",
-        "max_ejected",
-        "slow_start",
-        "spill",
-        "zone_penalty",
-    )
-
-    def __init__(
-        self,
-        load_age=1.0,
-        slow_start=10.0,
-        cold_weight=0.1,
-        eject_failures=3,
-        eject_min=1.0,
-        eject_max=30.0,
-        max_ejected=0.5,
-        spill=1.0,
-        zone_penalty=0.25,
-        long_spill=2.25,
-        long_zone_penalty=0.75,
-    ):
-        self.load_age = load_age
-        self.slow_start = slow_start
-        self.cold_weight = cold_weight
-        self.eject_failures = eject_failures
-        self.eject_min = eject_min
-        self.eject_max = eject_max
-        self.max_ejected = max_ejected
-        self.spill = spill
-        self.zone_penalty = zone_penalty
-        self.long_spill = long_spill
-        self.long_zone_penalty = long_zone_penalty
-
-    def __repr__(self) -> str:
-        return f"<BalancerPolicy spill={self.spill} eject_failures={self.eject_failures}>"
-
-
-class UpstreamStats:
-    """What a caller knows of one upstream.
-
-    Attributes
-    ----------
-    endpoint : Endpoint
-    in_progress : int
-        This caller's requests there.
-    slowness : float
-        Time to its answers against that of all upstreams, 1 on average.
-    is_unreachable : bool
-        Whether no connection to its daemon could be made, and none since.
-    failed_probes : int
-        Attempts to connect that have failed since then.
-    """
-
-    __slots__ = (
-        "answered_at",
-        "busy_since",
-        "cold_for",
-        "cold_since",
-        "ejected_until",
-        "ejections",
-        "endpoint",
-        "failed_probes",
-        "failures",
-        "in_progress",
-        "is_on_trial",
-        "is_unreachable",
-        "others",
-        "reported_at",
-        "slowness",
-    )
-
-    def __init__(self, endpoint: messages.Endpoint, cold_since: float | None, cold_for: float):
-        self.endpoint = endpoint
-        self.cold_for = cold_for
-        self.in_progress = 0
-        self.others = 0
-        self.reported_at: float | None = None
-        self.failures = 0
-        self.ejections = 0
-        self.ejected_until = 0.0
-        self.is_on_trial = False
-        self.is_unreachable = False
-        self.failed_probes = 0
-        self.cold_since = cold_since
-        self.busy_since = 0.0
-        self.answered_at = 0.0
-        self.slowness = 1.0
-
-    def __repr__(self) -> str:
-        return f"<UpstreamStats {self.endpoint.instance} in_progress={self.in_progress} others={self.others}>"
-
-    def silence(self, now: float) -> float:
-        """Return for how long it has answered none of the requests it has, in seconds."""
-        if not self.in_progress or not self.busy_since:
-            return 0.0
-        return now - max(self.busy_since, self.answered_at)
-
-    @property
-    def address(self) -> tuple[str, int]:
-        """Where its daemon takes requests."""
-        return (self.endpoint.host, self.endpoint.port)
-
-
-class _AnswerTimes:
-    """Averages of the time to answer one kind of request.
-
-    Parameters
-    ----------
-    taken : float
-        Seconds, of the first answer.
-    """
-
-    __slots__ = ("deviation", "mean")
-
-    def __init__(self, taken: float):
-        self.mean = max(taken, _TIME_MIN)
-        self.deviation = self.mean / 2
-
-    @property
-    def late_after(self) -> float:
-        """Time after which an answer is later than nearly all others, in seconds."""
-        return max(_LATE_MIN, self.mean + _LATE_DEVIATIONS * self.deviation)
-
-    def note(self, taken: float) -> None:
-        """Take in another answer's time."""
-        deviation = abs(taken - self.mean)
-        self.mean = max(_TIME_MIN, self.mean + _SMOOTHING * (taken - self.mean))
-        self.deviation += _SMOOTHING * (deviation - self.deviation)
-
-
 class Balancer:
     """The upstreams of one service, as one caller sees them.
 
@@ -228,7 +64,7 @@
         self._upstreams: dict[str, UpstreamStats] = {}
         self._local: list[UpstreamStats] = []
         self._remote: list[UpstreamStats] = []
-        self._times: dict[str, _AnswerTimes] = {}
+        self._times: dict[str, MovingTime] = {}
 
     def __repr__(self) -> str:
         return f"<Balancer {self._zone} local={len(self._local)} remote={len(self._remote)}>"
@@ -273,14 +109,14 @@
     def late_after(self, kind: str) -> float:
         """Return the time after which an answer is later than nearly all of its kind, in seconds."""
         times = self._times.get(kind)
-        return times.late_after if times is not None else _LATE_FIRST
+        return max(_LATE_MIN, times.late_after) if times is not None else _LATE_FIRST
 
     def _note_time(self, stats: UpstreamStats, kind: str, taken: float) -> None:
         times = self._times.get(kind)
         if times is None:
             if len(self._times) >= _MAX_KINDS:
                 self._times.clear()
-            times = self._times[kind] = _AnswerTimes(taken)
+            times = self._times[kind] = MovingTime(taken, _SMOOTHING, _TIME_MIN)
         stats.slowness += _SMOOTHING * (taken / times.mean - stats.slowness)
         times.note(taken)
 
@@ -383,7 +219,7 @@
         """Return the silence, in seconds, that no kind of request explains."""
         if not self._times:
             return _LATE_FIRST
-        return max(times.late_after for times in self._times.values())
+        return max(_LATE_MIN, *(times.late_after for times in self._times.values()))
 
     # ---------------------------------------------------------------- outcomes
 
--- /dev/null
+++ b/packages/lanedock/lanedock/routing/upstream_stats.py
@@ -0,0 +1,72 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""What a caller knows of one upstream."""
+
+from lanedock.wire import messages
+
+__all__ = ["UpstreamStats"]
+
+
+class UpstreamStats:
+    """What a caller knows of one upstream.
+
+    Attributes
+    ----------
+    endpoint : Endpoint
+    in_progress : int
+        This caller's requests there.
+    slowness : float
+        Time to its answers against that of all upstreams, 1 on average.
+    is_unreachable : bool
+        Whether no connection to its daemon could be made, and none since.
+    failed_probes : int
+        Attempts to connect that have failed since then.
+    """
+
+    __slots__ = (
+        "answered_at",
+        "busy_since",
+        "cold_for",
+        "cold_since",
+        "ejected_until",
+        "ejections",
+        "endpoint",
+        "failed_probes",
+        "failures",
+        "in_progress",
+        "is_on_trial",
+        "is_unreachable",
+        "others",
+        "reported_at",
+        "slowness",
+    )
+
+    def __init__(self, endpoint: messages.Endpoint, cold_since: float | None, cold_for: float):
+        self.endpoint = endpoint
+        self.cold_for = cold_for
+        self.in_progress = 0
+        self.others = 0
+        self.reported_at: float | None = None
+        self.failures = 0
+        self.ejections = 0
+        self.ejected_until = 0.0
+        self.is_on_trial = False
+        self.is_unreachable = False
+        self.failed_probes = 0
+        self.cold_since = cold_since
+        self.busy_since = 0.0
+        self.answered_at = 0.0
+        self.slowness = 1.0
+
+    def __repr__(self) -> str:
+        return f"<UpstreamStats {self.endpoint.instance} in_progress={self.in_progress} others={self.others}>"
+
+    def silence(self, now: float) -> float:
+        """Return for how long it has answered none of the requests it has, in seconds."""
+        if not self.in_progress or not self.busy_since:
+            return 0.0
+        return now - max(self.busy_since, self.answered_at)
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Where its daemon takes requests."""
+        return (self.endpoint.host, self.endpoint.port)
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -17,15 +17,16 @@
 # What each subpackage of the library may import of it. docs/architecture.md
 # draws the same.
 ALLOWED = {
+    "averages": set(),
     "config": {"errors", "findings", "wire"},
     "consensus": {"errors", "wire"},
     "errors": set(),
     "findings": {"errors"},
     "kernel": {"errors"},
-    "limits": {"config", "errors"},
+    "limits": {"config", "errors", "averages"},
     "membership": {"errors", "findings", "wire"},
     "rollout": {"config", "errors", "findings", "membership", "wire"},
-    "routing": {"config", "wire"},
+    "routing": {"config", "wire", "averages"},
     "settings": {"errors", "findings"},
     "telemetry": set(),
     "testing": set(),
