End the wait for a lease once its leader's successor is known to live

Change: a replica with an empty disk asks to be taken in at once; a follower that supports its former incarnation sends it a random token, and takes its answer for the proof that the former one, which has led before, lives no more.

Ruled out: taking the request itself for the proof (a late message of a still earlier incarnation would end a living leader's lease); shorter election timeouts (a lost packet is sent again after 0.2 s).

--- a/packages/lanedock/lanedock/consensus/election.py
+++ b/packages/lanedock/lanedock/consensus/election.py
@@ -7,8 +7,8 @@
 
 __all__ = ["ElectionState"]
 
-# Election timeouts for which a replica that led before it was started asks again
-# with each heartbeat's interval: the others may start later than it.
+# Election timeouts for which a replica that needs not wait for a lease asks again with
+# each heartbeat's interval: the others may start later than it, or learn of it later.
 RETURN_TIMEOUTS = 4
 
 
@@ -18,7 +18,8 @@
     A replica that has just started may have supported a leader right before: it
     waits a whole election timeout, and supports no other. The exception is the
     leader that it followed, and that leader itself: whoever stands for a higher
-    term leads no more, so its own lease does not count.
+    term leads no more, so its own lease does not count. A leader whose successor
+    under the same name is known to live leads no more either.
 
     Parameters
     ----------
@@ -42,15 +43,18 @@
         When its last candidacy began.
     votes : set of str
         Replicas that have granted it.
+    supported : str
+        Whose lease may rest on this replica.
     """
 
     def __init__(self, me: str, leader: str, timing: Timing, rng: Random, now: float):
         self.heard_at = now
         self.stood_at = now
         self.votes: set[str] = set()
+        self.supported = leader
+        self._has_ended = False
         self._timing = timing
         self._rng = rng
-        self._supported = leader
         # Until then a replica that led before it was started stands again without
         # waiting: its own lease has ended with its former life.
         self._returns_until = now + RETURN_TIMEOUTS * timing.election_max if leader == me else now
@@ -59,16 +63,24 @@
             self.reset(now)
 
     def __repr__(self) -> str:
-        return f"<ElectionState due_at={self.due_at:.2f} supported={self._supported or '-'} votes={len(self.votes)}>"
+        return f"<ElectionState due_at={self.due_at:.2f} supported={self.supported or '-'} votes={len(self.votes)}>"
 
     def supports_other(self, candidate: str, now: float) -> bool:
         """Tell whether the lease of a leader other than a candidate may rest on this replica."""
-        return now < self.heard_at + self._timing.election_min and candidate != self._supported
+        is_bound = now < self.heard_at + self._timing.election_min and not self._has_ended
+        return is_bound and candidate != self.supported
 
     def support(self, replica: str, now: float) -> None:
         """Note that a leader was heard from, or that a vote was given, which supports it as a heartbeat does."""
         self.heard_at = now
-        self._supported = replica
+        self.supported = replica
+        self._has_ended = False
+
+    def note_ended(self, now: float) -> None:
+        """Note that the leader that is supported lives no more: its lease has ended with it."""
+        self._has_ended = True
+        self._returns_until = now + RETURN_TIMEOUTS * self._timing.election_max
+        self.due_at = now + self._rng.uniform(0, self._timing.heartbeat)
 
     def follow(self, leader: str, now: float) -> None:
         """Note that there is a leader."""
--- a/packages/lanedock/lanedock/consensus/replica.py
+++ b/packages/lanedock/lanedock/consensus/replica.py
@@ -85,6 +85,11 @@
         self._persisted = log.last_index
         self._membership = log.membership()
         self._election = ElectionState(me, log.leader_of(term), timing, rng, now)
+        self._rng = rng
+        self._challenge: tuple[str, int, str] | None = None
+        if not self.can_vote():
+            # Others may wait for a leader whose successor this replica is.
+            self._election.due_at = now
         self._lead: Leadership | None = None
         self._reads = ReadQueue()
         self._joiners: dict[str, float] = {}
@@ -331,8 +336,35 @@
         joiner = message.join_request.joiner or message.sender
         if self.role is ReplicaRole.LEADER:
             self._joiners[joiner] = now
-        elif self.leader and joiner == message.sender:
+        elif joiner != message.sender:
+            return
+        elif self.leader:
             self._send_join(self.leader, joiner)
+        else:
+            self._challenge_successor(joiner)
+
+    def _challenge_successor(self, joiner: str) -> None:
+        """Find out whether a newcomer has taken the place of the leader that is supported.
+
+        A replica that lost its disk comes back under its name with another
+        incarnation, and two of them never run at once. The leader that is supported
+        has led before; so once another incarnation is known to live now, the leader
+        lives no more, and nobody need wait for its lease. A request with a token of
+        this replica's own is answered by the living only: a late message of a still
+        earlier incarnation proves nothing.
+        """
+        supported = self._election.supported
+        if joiner == supported or replica_name(joiner) != replica_name(supported):
+            return
+        token = self._rng.getrandbits(62)
+        self._challenge = (joiner, token, supported)
+        message = self._message(joiner)
+        message.read_index_request.token = token
+        self._ready.late.append(message)
+
+    def _is_proof(self, sender: str, token: int) -> bool:
+        """Tell whether a reply answers the challenge of the successor of the leader still supported."""
+        return self._challenge == (sender, token, self._election.supported)
 
     # ------------------------------------------------------------------ leader
 
@@ -468,6 +500,10 @@
             self._finish_read(request.token, message.sender, 0, confirmed=False)
 
     def _on_read_index_reply(self, message, reply, now: float) -> None:
+        if self._is_proof(message.sender, reply.token):
+            self._challenge = None
+            self._election.note_ended(now)
+            return
         if not self._reads.take_forwarded(reply.token):
             return
         if reply.confirmed:
--- a/packages/lanedock/lanedock/consensus/tests/test_replica.py
+++ b/packages/lanedock/lanedock/consensus/tests/test_replica.py
@@ -7,6 +7,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from lanedock.consensus.tests.replicas import Cluster
+from lanedock.wire import messages
 
 NAMES = ("a", "b", "c")
 
@@ -79,6 +80,46 @@
     assert [node.id for node in cluster.leaders()] == [old.id]
 
 
+def test_nobody_waits_for_the_lease_of_a_leader_that_came_back_without_its_disk():
+    # Found on the platform: after a loss of power with the leader's disk the others waited 0.4 s.
+    cluster = Cluster(NAMES, seed=2)
+    old = _lead_and_crash_all(cluster)
+    for node in cluster.nodes.values():
+        if node is not old:
+            node.start()
+    cluster.lose_disk(old.id[0], "2")
+    # Less than the least time after which a follower would support another leader.
+    cluster.run(0.5 * cluster.timing.election_min)
+    (new,) = cluster.leaders()
+    assert new.id != old.id
+
+
+def test_a_late_message_of_an_earlier_incarnation_does_not_end_a_lease():
+    cluster = Cluster(NAMES, seed=2)
+    old = _elect(cluster)
+    cluster.propose(old, b"x")
+    cluster.run(1)
+    name = old.id[0]
+    cluster.isolate(name)
+    others = [node for node in cluster.nodes.values() if node is not old]
+    for node in others:
+        node.crash()
+        node.start()
+        late = messages.PeerMessage(sender=f"{name}@0", receiver=node.id)
+        late.join_request.joiner = f"{name}@0"
+        node.replica.step(late, cluster.now)
+        node.pump()
+        # The answer to a challenge that it was never sent.
+        answer = messages.PeerMessage(sender=f"{name}@0", receiver=node.id, term=node.replica.term)
+        answer.read_index_reply.token = 7
+        node.replica.step(answer, cluster.now)
+        node.pump()
+    while cluster.now < 6.0 + 0.8 * cluster.timing.election_min:
+        cluster.run(0.05)
+        assert cluster.leaders() in ([old], [])
+    assert cluster.leaders() != []
+
+
 def test_a_follower_that_was_killed_supports_nobody_but_the_leader_it_followed():
     cluster = Cluster(NAMES, seed=2)
     old = _elect(cluster)
