Use the field's words for incarnations, retried requests and first attempts

The 'life' of an application is its incarnation, in code, log fields (incarnation=) and docs; what 'comes back' is retried; RequestAges, which estimates the time since the caller's first attempt, is FirstAttempts.

--- a/packages/lanedock-daemon/lanedock_daemon/agent/registration.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/registration.py
@@ -58,7 +58,7 @@
         self._on_change()
 
     def leave(self, upstream: str) -> None:
-        """Note that a life of the application leaves."""
+        """Note that an incarnation of the application leaves."""
         if self._registration.leave(upstream):
             self._events.emit(Event.UPSTREAM_LEAVING, upstream=upstream, sequence="-")
             self._on_change()
--- a/packages/lanedock-daemon/lanedock_daemon/path/caller.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller.py
@@ -6,7 +6,7 @@
 
 from lanedock.config import Route
 from lanedock.errors import ErrorCode
-from lanedock.limits import RequestAges
+from lanedock.limits import FirstAttempts
 from lanedock.routing import choose_service
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics, RequestLog, RequestLogger, Span, Tracer
 from lanedock_daemon.agent.view import Binding, LocalView
@@ -42,9 +42,9 @@
 REFUSALS_PER_ATTEMPT = 2
 # Upstreams that may refuse a request for their load. Two chosen as the less loaded
 # ones say that the others are full, too; more tries only add to the load. What
-# comes back has met such refusals already, and others go before it everywhere.
+# is retried has met such refusals already.
 MAX_OVERLOADS = 2
-MAX_OVERLOADS_RETURNING = 1
+MAX_OVERLOADS_RETRIED = 1
 
 
 class _Progress:
@@ -123,7 +123,7 @@
         self._dialect = dialect or OwnDialect()
         self._tries = Tries(pool, self._dialect, events, metrics)
         self._rng = rng or Random()
-        self._ages = RequestAges()
+        self._ages = FirstAttempts()
 
     def handle(self, request: Request) -> Answer:
         """Answer a request."""
@@ -180,7 +180,7 @@
         )
         headers = self._make_headers(request, binding, route, span)
         job = self._make_job(request, binding, route, headers, started + deadline_ms / 1000, age / 1000, log)
-        max_overloads = MAX_OVERLOADS_RETURNING if age else MAX_OVERLOADS
+        max_overloads = MAX_OVERLOADS_RETRIED if age else MAX_OVERLOADS
         # A retry that a hop before has made must not be multiplied here.
         return self._send(job, _Progress(route, max_overloads), may_retry=not facts.was_retried)
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/dialect.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/dialect.py
@@ -61,7 +61,7 @@
     is_foreign : bool
         Whether the answer belongs to another request.
     is_elsewhere : bool
-        Whether another life of an application has the address.
+        Whether another incarnation of an application has the address.
     is_draining : bool
         Whether the application takes no new work.
     """
@@ -85,7 +85,7 @@
     ----------
     is_well : bool
     upstream : str
-        Life of the application; empty where it does not say.
+        Incarnation of the application; empty where it does not say.
     slots : int
         Requests that it works on at once; 0 where it does not say.
     """
@@ -132,7 +132,7 @@
         left_ms : int
             Time left, in milliseconds.
         upstream : str
-            Life of the application that is meant; empty for any.
+            Incarnation of the application that is meant; empty for any.
         caller : str
             Service where the request started; empty where none runs there.
         attempt : int
--- a/packages/lanedock-daemon/lanedock_daemon/path/http.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http.py
@@ -46,7 +46,7 @@
 VERSION_HEADER = "x-lanedock-version"
 LOAD_HEADER = "x-lanedock-load"
 LEAVING_HEADER = "x-lanedock-leaving"
-# The life of the application that is meant, and the service that calls.
+# The incarnation of the application that is meant, and the service that calls.
 UPSTREAM_HEADER = "x-lanedock-upstream"
 # Milliseconds left to the target time, counted from the caller's first attempt; 0
 # where it has passed.
--- a/packages/lanedock-daemon/lanedock_daemon/path/tries.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tries.py
@@ -251,7 +251,7 @@
         job.log.note(
             Event.REQUEST_SENT,
             upstream=stats.endpoint.instance,
-            life=stats.endpoint.upstream,
+            incarnation=stats.endpoint.upstream,
             zone=stats.endpoint.zone,
             own_in_progress=stats.in_progress,
             others=stats.others,
@@ -308,7 +308,7 @@
         job.log.note(
             Event.REQUEST_TRY_ENDED,
             upstream=stats.endpoint.instance,
-            life=stats.endpoint.upstream,
+            incarnation=stats.endpoint.upstream,
             outcome=outcome,
             code=code.code if code else "",
             status=status,
@@ -358,7 +358,7 @@
             self._events.emit(
                 Event.EJECTED,
                 upstream=stats.endpoint.instance,
-                life=stats.endpoint.upstream,
+                incarnation=stats.endpoint.upstream,
                 ejections=stats.ejections,
                 unreachable=unreachable,
             )
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
@@ -129,7 +129,7 @@
         meant = request.header(UPSTREAM_HEADER)
         refusal = self._registration.judge(meant)
         if refusal is not None:
-            return self._refuse(refusal, RETRY_AFTER, log, meant=meant, life=self._registration.upstream)
+            return self._refuse(refusal, RETRY_AFTER, log, meant=meant, incarnation=self._registration.upstream)
         binding = self._view.bind()
         if self._registration.upstream:
             # The application itself has said what it runs.
@@ -158,10 +158,10 @@
         refusal = self._registration.judge(meant)
         if refusal is not None:
             self._limiter.release(traffic_class, 0.0, time.monotonic())
-            return self._refuse(refusal, RETRY_AFTER, log, meant=meant, life=self._registration.upstream)
+            return self._refuse(refusal, RETRY_AFTER, log, meant=meant, incarnation=self._registration.upstream)
         log.note(Event.REQUEST_ADMITTED, waited_ms=round(1000 * (time.monotonic() - started), 1), **self._load())
         answer = self._pass_on(request, traffic_class, deadline, span, log)
-        log.note(Event.REQUEST_DONE, status=answer.status, life=meant)
+        log.note(Event.REQUEST_DONE, status=answer.status, incarnation=meant)
         return answer
 
     def _classify(self, request: Request, binding: Binding | None) -> str:
--- a/packages/lanedock/lanedock/consensus/election.py
+++ b/packages/lanedock/lanedock/consensus/election.py
@@ -56,7 +56,7 @@
         self._timing = timing
         self._rng = rng
         # Until then a replica that led before it was started stands again without
-        # waiting: its own lease has ended with its former life.
+        # waiting: its own lease has ended with its former process.
         self._returns_until = now + RETURN_TIMEOUTS * timing.election_max if leader == me else now
         self.due_at = now
         if leader != me:
@@ -77,7 +77,7 @@
         self._has_ended = False
 
     def note_ended(self, now: float) -> None:
-        """Note that the leader that is supported lives no more: its lease has ended with it."""
+        """Note that the leader that is supported has ended: its lease has ended with it."""
         self._has_ended = True
         self._returns_until = now + RETURN_TIMEOUTS * self._timing.election_max
         self.due_at = now + self._rng.uniform(0, self._timing.heartbeat)
--- a/packages/lanedock/lanedock/consensus/replica.py
+++ b/packages/lanedock/lanedock/consensus/replica.py
@@ -348,9 +348,9 @@
 
         A replica that lost its disk comes back under its name with another
         incarnation, and two of them never run at once. The leader that is supported
-        has led before; so once another incarnation is known to live now, the leader
-        lives no more, and nobody need wait for its lease. A request with a token of
-        this replica's own is answered by the living only: a late message of a still
+        has led before; so once another incarnation is known to run now, the leader
+        has ended, and nobody need wait for its lease. A request with a token of
+        this replica's own is answered by one that runs now only: a late message of a still
         earlier incarnation proves nothing.
         """
         supported = self._election.supported
--- a/packages/lanedock/lanedock/limits/__init__.py
+++ b/packages/lanedock/lanedock/limits/__init__.py
@@ -2,8 +2,8 @@
 """Limits on work: slots with shares, retry budgets, admission."""
 
 from lanedock.limits.admission import Admission
-from lanedock.limits.ages import RequestAges
 from lanedock.limits.calls import CallKinds
+from lanedock.limits.first_attempts import FirstAttempts
 from lanedock.limits.queue import AdmissionRequest, QueuedRequest
 from lanedock.limits.retries import RetryBudget, SavingBudget, WindowBudget
 from lanedock.limits.slots import Refused, SlotLimiter
@@ -12,9 +12,9 @@
     "Admission",
     "AdmissionRequest",
     "CallKinds",
+    "FirstAttempts",
     "QueuedRequest",
     "Refused",
-    "RequestAges",
     "RetryBudget",
     "SavingBudget",
     "SlotLimiter",
--- a/packages/lanedock/lanedock/limits/ages.py
+++ b/packages/lanedock/lanedock/limits/first_attempts.py
@@ -1,29 +1,29 @@
 # SPDX-License-Identifier: BSD-3-Clause
-"""How long ago callers made their requests first, estimated from the time that they still wait.
+"""The time since callers' first attempts, estimated from the deadlines they have left.
 
-A caller whose request was refused comes back with what is left of its time. An
+A caller whose request was refused retries with what is left of its time. An
 answer to it is worth less than one to a request that was just made, and where
-there is not work for both, the new one goes first; otherwise each refused
-request that comes back makes another one late.
+there is not room for both, the new one goes first; otherwise each retried request
+makes another one late.
 """
 
-__all__ = ["RequestAges"]
+__all__ = ["FirstAttempts"]
 
-# Times to wait that are kept for a kind of request.
+# Deadlines that are kept for a kind of request; a bound on memory, not a tuning.
 _MAX_VALUES = 64
-# Requests of a kind after which counts are halved, so that old ones fade.
+# Requests of a kind after which counts are halved, so that old ones fade. No unit.
 _HALVING = 512
-# Part of a kind's requests that have to say the same time for it to be one that
-# callers begin with. What is left of it after a refusal is different each time.
+# Part of a kind's requests that have to have the same deadline for it to be one that
+# callers begin with. What is left of it after a refusal differs each time. No unit.
 _FREQUENT = 1 / 16
-# Requests that have to say it at the least, so that no first one counts by itself.
+# Requests that have to have it at the least, so that no first one counts by itself.
 _FREQUENT_MIN = 3
-# Kinds of requests that are kept.
+# Kinds of requests that are kept; a bound on memory, not a tuning.
 _MAX_KINDS = 1024
 
 
 class _Times:
-    """The times to wait that requests of one kind have said, in milliseconds."""
+    """The deadlines that requests of one kind had, in milliseconds from their arrival."""
 
     __slots__ = ("counts", "total")
 
@@ -43,19 +43,19 @@
         self.total //= 2
 
     def first_at_least(self, wait_ms: int) -> int | None:
-        """Return the least time that callers begin with and that is no less than one said."""
+        """Return the least deadline that callers begin with and that is no less than one received."""
         least = max(_FREQUENT_MIN, self.total * _FREQUENT)
         return min((wait for wait, count in self.counts.items() if wait >= wait_ms and count >= least), default=None)
 
 
-class RequestAges:
-    """Estimates ages by kind of request. Pure."""
+class FirstAttempts:
+    """Estimates the time since the first attempt, by kind of request. Pure."""
 
     def __init__(self):
         self._times: dict[str, _Times] = {}
 
     def __repr__(self) -> str:
-        return f"<RequestAges kinds={len(self._times)}>"
+        return f"<FirstAttempts kinds={len(self._times)}>"
 
     def note(self, kind: str, wait_ms: int | None) -> int:
         """Take in a request, and return its age.
--- a/packages/lanedock/lanedock/limits/tests/test_slots.py
+++ b/packages/lanedock/lanedock/limits/tests/test_slots.py
@@ -10,9 +10,9 @@
 from lanedock.limits import (
     Admission,
     AdmissionRequest,
+    FirstAttempts,
     QueuedRequest,
     Refused,
-    RequestAges,
     SavingBudget,
     SlotLimiter,
     WindowBudget,
@@ -228,7 +228,7 @@
 
 
 def test_a_caller_that_comes_back_is_known_by_the_time_it_has_left():
-    ages = RequestAges()
+    ages = FirstAttempts()
     # Two kinds of callers, each beginning with its own time.
     for number in range(600):
         ages.note("read", 2500 if number % 3 else 1000)
@@ -242,7 +242,7 @@
 
 
 def test_times_that_are_left_over_never_pass_for_one_to_begin_with():
-    ages = RequestAges()
+    ages = FirstAttempts()
     rng = Random(7)
     wrong = 0
     for number in range(3000):
--- a/packages/lanedock/lanedock/membership/registration.py
+++ b/packages/lanedock/lanedock/membership/registration.py
@@ -30,10 +30,10 @@
     Parameters
     ----------
     upstream : str
-        Id of this life of the application.
+        Id of this incarnation of the application.
     service : str
     sequence : int
-        Grows with each heartbeat of one life.
+        Grows with each heartbeat of one incarnation.
     is_draining : bool
     slots : int
         Requests that it works on at once; 0 where it does not say.
@@ -56,7 +56,7 @@
 
 
 class UpstreamRegistration:
-    """The life of the application that a daemon speaks for. Pure.
+    """The incarnation of the application that a daemon speaks for. Pure.
 
     Parameters
     ----------
@@ -71,7 +71,7 @@
     Attributes
     ----------
     upstream : str
-        Id of the application's life; empty before it has registered.
+        Id of the application's incarnation; empty before it has registered.
     revision : int
         Grows with every change that others have to learn.
     is_leaving : bool
@@ -134,7 +134,7 @@
         before = (self.service, self.slots, self.is_leaving, self._was_silent)
         self.service = heartbeat.service
         self.slots = heartbeat.slots
-        # Draining is for good, whatever a later heartbeat of this life says.
+        # Draining is for good, whatever a later heartbeat of this incarnation reports.
         self.is_leaving = self.is_leaving or heartbeat.is_draining
         self._was_silent = False
         is_changed = before != (self.service, self.slots, self.is_leaving, False) or self.revision == 0
@@ -201,7 +201,7 @@
         self.revision += 1
 
     def leave(self, upstream: str) -> bool:
-        """Note that a life of the application leaves; returns whether that is news."""
+        """Note that an incarnation of the application leaves; returns whether that is news."""
         if upstream != self.upstream:
             self._forget(upstream)
             if self.rival is not None and self.rival.upstream == upstream:
@@ -268,7 +268,7 @@
         Parameters
         ----------
         expected : str
-            The life of the application that the sender means; empty for any.
+            The incarnation of the application that the sender means; empty for any.
         """
         if not self._is_required:
             return ErrorCode.DRAINING if self.is_leaving else None
--- a/packages/lanedock/lanedock/rollout/__init__.py
+++ b/packages/lanedock/lanedock/rollout/__init__.py
@@ -1,5 +1,5 @@
 # SPDX-License-Identifier: BSD-3-Clause
-"""A version's life: submitted, staged, accepted, in force."""
+"""The stages of a version: submitted, staged, accepted, in force."""
 
 from lanedock.rollout.coordinator import RolloutCoordinator, RolloutPolicy, RolloutProgress
 from lanedock.rollout.distributor import Child, Distributor, VersionSource
--- a/packages/lanedock/lanedock/routing/balancer.py
+++ b/packages/lanedock/lanedock/routing/balancer.py
@@ -94,7 +94,7 @@
         lives_on = former is not None and endpoint.upstream and former.endpoint.upstream == endpoint.upstream
         if is_first or lives_on:
             # Who was there before this caller is taken to be warm, and so is an
-            # application that lives on while its daemon is restarted.
+            # application that runs on while its daemon is restarted.
             cold_for = 0.0
         elif endpoint.upstream:
             # Its application has said itself for how long it is still slow.
--- a/packages/lanedock/lanedock/telemetry/events.py
+++ b/packages/lanedock/lanedock/telemetry/events.py
@@ -161,7 +161,7 @@
     REQUEST_SENT = (
         511,
         logging.INFO,
-        "A request was sent to an upstream: which one, its life, and what was known of it.",
+        "A request was sent to an upstream: which one, its incarnation, and what was known of it.",
         "None.",
     )
     REQUEST_TRY_ENDED = (
--- a/tools/bench_overload.py
+++ b/tools/bench_overload.py
@@ -4,7 +4,7 @@
 A front service calls a shared one for most of its requests; the shared one also
 has callers of its own, more urgent ones. Callers wait for a deadline, come back
 after a refusal as it says, and value an answer by the time since their first try.
-The cores are those of production (`SlotLimiter`, `Balancer`, `RequestAges`);
+The cores are those of production (`SlotLimiter`, `Balancer`, `FirstAttempts`);
 hops, slots and callers are events of a virtual clock, so seconds of processor
 time are not counted, and a seed always gives the same figures.
 
@@ -19,7 +19,7 @@
 from types import SimpleNamespace
 
 from lanedock.config import TrafficClass
-from lanedock.limits import AdmissionRequest, Refused, RequestAges, SlotLimiter
+from lanedock.limits import AdmissionRequest, FirstAttempts, Refused, SlotLimiter
 from lanedock.routing import Balancer, BalancerPolicy
 from lanedock.wire import messages
 
@@ -161,7 +161,7 @@
 
     def __init__(self, mesh: Mesh, zone: str, name: str):
         self.mesh, self.zone, self.name = mesh, zone, name
-        self.ages = RequestAges()
+        self.ages = FirstAttempts()
         self._balancers: dict[str, Balancer] = {}
 
     def balancer(self, service: str) -> Balancer:
