Share the tests' application that works until a gate opens

Three tests, and two new files of tests, each had their own: chain.Gate is one. It also notes the requests whose connection was closed.

--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/chain.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/chain.py
@@ -4,6 +4,7 @@
 from collections import Counter
 
 import gevent
+import gevent.event
 from gevent import socket
 from gevent.server import StreamServer
 
@@ -18,7 +19,7 @@
 from lanedock_daemon.path.server import PathServer
 from lanedock_daemon.path.upstream import UpstreamSide
 
-__all__ = ["Application", "Chain", "make_value", "parse_answer"]
+__all__ = ["Application", "Chain", "Gate", "make_value", "parse_answer"]
 
 HOST = "127.0.0.1"
 
@@ -102,6 +103,32 @@
         return True
 
 
+class Gate:
+    """A script whose work lasts until the gate opens, or its connection is closed.
+
+    Attributes
+    ----------
+    begun, cut : list of str
+        Paths of the requests that came, and of those whose connection was closed.
+    """
+
+    def __init__(self):
+        self.opened = gevent.event.Event()
+        self.begun: list[str] = []
+        self.cut: list[str] = []
+
+    def __call__(self, conn, head: str, body: bytes) -> bytes | None:
+        path = head.split(" ")[1]
+        self.begun.append(path)
+        closed = gevent.spawn(conn.recv, 1)
+        gevent.wait([closed, self.opened], count=1)
+        if closed.ready():
+            self.cut.append(path)
+            return None
+        closed.kill()
+        return b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+
+
 class Upstream:
     """An upstream's daemon in front of an application."""
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_cancellation.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_cancellation.py
@@ -2,38 +2,15 @@
 """Tests that a caller who leaves takes its request along, wherever that is by then."""
 
 import gevent
-import gevent.event
 import pytest
 
-from lanedock_daemon.path.tests.chain import make_value, read_all, wait_until
-
-OK = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
-
-
-class _Gate:
-    """An application's work that lasts until the gate opens, and what became of each request."""
-
-    def __init__(self):
-        self.opened = gevent.event.Event()
-        self.begun: list[str] = []
-        self.cut: list[str] = []
-
-    def __call__(self, conn, head, body):
-        path = head.split(" ")[1]
-        self.begun.append(path)
-        closed = gevent.spawn(conn.recv, 1)
-        gevent.wait([closed, self.opened], count=1)
-        if closed.ready():
-            self.cut.append(path)
-            return None
-        closed.kill()
-        return OK
+from lanedock_daemon.path.tests.chain import Gate, make_value, read_all, wait_until
 
 
 @pytest.fixture
 def gate():
     """Make the work of an application."""
-    return _Gate()
+    return Gate()
 
 
 def _get(path: str) -> bytes:
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_promises.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_promises.py
@@ -13,7 +13,7 @@
 from lanedock.settings import Address
 from lanedock.telemetry import EventLogger
 from lanedock_daemon.path.server import PathServer
-from lanedock_daemon.path.tests.chain import make_value, put_in_force, wait_until
+from lanedock_daemon.path.tests.chain import Gate, make_value, put_in_force, wait_until
 
 OK = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
 
@@ -268,13 +268,8 @@
 def test_a_caller_that_goes_while_it_waits_gives_its_place_back(make_chain):
     # Found on the platform: slots given to callers that had gone stayed taken,
     # until the upstream refused everybody.
-    gate = gevent.event.Event()
-
-    def work(conn, head, body):
-        gate.wait(10)
-        return OK
-
-    chain = make_chain(work, value=make_value(slots=1, queue=8))
+    gate = Gate()
+    chain = make_chain(gate, value=make_value(slots=1, queue=8))
     limiter = chain.upstreams[0].limiter
     first = chain.connect()
     first.sendall(b"GET /first HTTP/1.1\r\nhost: h\r\n\r\n")
@@ -286,7 +281,7 @@
     for conn in others:
         conn.close()
     wait_until(lambda: limiter.waiting == 0)
-    gate.set()
+    gate.opened.set()
     wait_until(lambda: limiter.in_use == 0)
     assert chain.request("GET", "/next")[0] == 200
 
@@ -364,13 +359,8 @@
 
 
 def test_a_time_to_come_back_under_a_second_reaches_the_caller(make_chain):
-    gate = gevent.event.Event()
-
-    def work(conn, head, body):
-        gate.wait(10)
-        return OK
-
-    chain = make_chain(work, value=make_value(slots=1, queue=0))
+    gate = Gate()
+    chain = make_chain(gate, value=make_value(slots=1, queue=0))
     limiter = chain.upstreams[0].limiter
     # What the limiter has seen take 20 ms asks nobody to wait for a second.
     limiter.acquire("read", AdmissionRequest(1e9), 0.0, None)
@@ -379,20 +369,15 @@
     first.sendall(b"GET /first HTTP/1.1\r\nhost: h\r\n\r\n")
     wait_until(lambda: limiter.in_use == 1)
     status, _, body = chain.request("GET", "/second")
-    gate.set()
+    gate.opened.set()
     assert status == 503
     assert 0 < json.loads(body)["retry_after_ms"] < 700
 
 
 def test_a_request_that_is_read_just_as_its_connection_is_ended_is_answered(make_chain):
     # Found on the platform: a stop found a kept connection idle, and ended it with the request just read.
-    gate = gevent.event.Event()
-
-    def work(conn, head, body):
-        gate.wait(10)
-        return OK
-
-    chain = make_chain(work)
+    gate = Gate()
+    chain = make_chain(gate)
     conn = chain.connect()
     wait_until(lambda: len(chain.entry._connections) == 1)
     connection = next(iter(chain.entry._connections))
@@ -401,7 +386,7 @@
     # What `end_if_idle` has scheduled before the request was read.
     connection.expire()
     gevent.sleep(0.05)
-    gate.set()
+    gate.opened.set()
     assert conn.recv(65536).startswith(b"HTTP/1.1 200")
 
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_urgency.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_urgency.py
@@ -2,7 +2,6 @@
 """Tests that a call is as urgent as the requests for which it is made, and no more."""
 
 import gevent
-import gevent.event
 import pytest
 
 from lanedock_daemon.path.http import (
@@ -14,9 +13,8 @@
     EmptyBody,
     Request,
 )
-from lanedock_daemon.path.tests.chain import wait_until
+from lanedock_daemon.path.tests.chain import Gate, wait_until
 
-OK = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
 # In the chain's file "write" is more urgent than "read".
 URGENT, LESS_URGENT = "write", "read"
 
@@ -49,19 +47,14 @@
 
 
 def test_a_daemon_says_what_its_application_works_on(make_chain):
-    gate = gevent.event.Event()
-
-    def work(conn, head, body):
-        gate.wait(10)
-        return OK
-
-    chain = make_chain(work)
+    gate = Gate()
+    chain = make_chain(gate)
     view = chain.upstreams[0].view
     assert view.parent_class(view.bind()) == ""
     asked = [gevent.spawn(chain.request, "GET")]
     wait_until(lambda: view.parent_class(view.bind()) == LESS_URGENT)
     asked.append(gevent.spawn(chain.request, "POST"))
     wait_until(lambda: view.parent_class(view.bind()) == URGENT)
-    gate.set()
+    gate.opened.set()
     assert [task.get()[0] for task in asked] == [200, 200]
     wait_until(lambda: view.parent_class(view.bind()) == "")
