Leave a source that is cut off from its leader before it holds changes back

Change: the limit is a setting, 5 s as before and 1 s on the platform, where elections take 0.1 to 0.6 s; it doubles while no source is better, so that a mesh without any leader is not searched in circles.

Tests: agent/tests/test_search.py.

--- a/packages/lanedock-daemon/lanedock_daemon/agent/search.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/search.py
@@ -5,7 +5,7 @@
 
 from lanedock.settings import Address
 
-__all__ = ["SourceSearch"]
+__all__ = ["SourceSearch", "StalenessPatience"]
 
 BACKOFF_MIN = 0.1
 # 760 daemons that look for a source at random within this time, in seconds, knock
@@ -16,10 +16,54 @@
 # 760 daemons at 7 control instances send each of them 870 a second.
 URGENT_BACKOFF_MAX = 0.25
 RELAY_MEMORY = 30.0
+# Longest time, in seconds, that a daemon stays with a source without a leader before it
+# tries another: sent anew, the endpoints of 760 daemons are 45 kB.
+STALENESS_MAX = 30.0
 HOME_WAIT_MIN = 4.0
 HOME_WAIT_MAX = 300.0
 
 
+class StalenessPatience:
+    """How long a source may be without a leader before a daemon looks for another. Pure.
+
+    A control instance that is cut off from the others serves its daemons on, with
+    versions that grow old. Where the next source is no better there is no leader
+    anywhere, and going on from one to the next would only cost them all: so the limit
+    doubles each time, until a source has a leader.
+
+    Parameters
+    ----------
+    limit : float
+        Seconds. Longer than an election takes; and as daemons hear of it with a
+        heartbeat, a second more passes at the most before they move.
+
+    Attributes
+    ----------
+    least : float
+        The limit, before it was doubled.
+    """
+
+    def __init__(self, limit: float):
+        self.least = limit
+        self._limit = limit
+
+    def __repr__(self) -> str:
+        return f"<StalenessPatience limit={self._limit}>"
+
+    def is_over(self, staleness: float) -> bool:
+        """Tell whether a source that admits this staleness, in seconds, is to be left."""
+        return staleness > self._limit
+
+    def note(self, staleness: float) -> None:
+        """Take in the staleness that a source admits, in seconds."""
+        if staleness <= self.least:
+            self._limit = self.least
+
+    def extend(self) -> None:
+        """Note that a source was left for its staleness."""
+        self._limit = min(2 * self._limit, STALENESS_MAX)
+
+
 class SourceSearch:
     """The search for a source: control instances in turn, and relays they name.
 
--- a/packages/lanedock-daemon/lanedock_daemon/agent/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/service.py
@@ -13,7 +13,7 @@
 from lanedock.wire import messages
 from lanedock_daemon.agent.attest import AttestationsMade, Attester
 from lanedock_daemon.agent.relay import RelaySessions
-from lanedock_daemon.agent.search import SourceSearch
+from lanedock_daemon.agent.search import SourceSearch, StalenessPatience
 from lanedock_daemon.agent.view import LocalView
 from lanedock_daemon.sessions import (
     HEARTBEAT_INTERVAL,
@@ -28,8 +28,6 @@
 __all__ = ["AgentService", "DrainRequested", "RegistrationChanged"]
 
 TICK = 0.25
-# Staleness that a source admits, in seconds, after which another is looked for.
-STALENESS_LIMIT = 5.0
 HOME_TIMEOUT = 1.0
 
 
@@ -78,6 +76,7 @@
         self._connect_at = 0.0
         self._heartbeat_at = 0.0
         self._staleness = 0.0
+        self._patience = StalenessPatience(settings.daemon.staleness_limit_ms / 1000)
         self._floor_token = 0
         self._is_floor_asked = False
         self._attestations: list[messages.Attestation] = []
@@ -152,7 +151,7 @@
                 self._connect(now)
         elif now - self._stream.heard_at > SILENCE_LIMIT:
             self._leave_source("silent")
-        elif self._staleness > STALENESS_LIMIT:
+        elif self._patience.is_over(self._staleness):
             self._leave_source("stale")
         elif self._search.is_home_due(now):
             gevent.spawn(self._probe_home)
@@ -219,6 +218,8 @@
 
     def _leave_source(self, reason: str) -> None:
         """Look for another source. What is held stays in force."""
+        if reason == "stale":
+            self._patience.extend()
         stream = self._drop_stream()
         now = time.monotonic()
         self._connect_at = now + self._search.note_failure(now, self._view.bind() is None)
@@ -250,6 +251,7 @@
         elif body == "heartbeat":
             self._on_heartbeat(item.stream, now)
             self._staleness = message.heartbeat.staleness_ms / 1000
+            self._patience.note(self._staleness)
         elif body == "members":
             self._search.set_members([(item.address, item.zone) for item in message.members.members])
         elif body == "attest":
@@ -361,7 +363,7 @@
 
     def _staleness_now(self, now: float) -> float:
         if self._stream is None:
-            return now - self._connect_at + STALENESS_LIMIT
+            return now - self._connect_at + self._patience.least
         return self._staleness
 
     def _refresh_state(self) -> bool:
--- a/packages/lanedock-daemon/lanedock_daemon/agent/tests/test_search.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/tests/test_search.py
@@ -7,7 +7,7 @@
 import pytest
 
 from lanedock.settings import Address
-from lanedock_daemon.agent.search import BACKOFF_MAX, URGENT_BACKOFF_MAX, SourceSearch
+from lanedock_daemon.agent.search import BACKOFF_MAX, STALENESS_MAX, URGENT_BACKOFF_MAX, SourceSearch, StalenessPatience
 
 CONTROL = [Address("10.0.0.1", 7000), Address("10.0.1.1", 7000), Address("10.0.2.1", 7000)]
 RELAY = Address("10.0.0.9", 7001)
@@ -76,3 +76,23 @@
     search.note_success(2001.0)
     assert search.is_home()
     assert not search.is_home_due(1e9)
+
+
+def test_a_source_without_a_leader_is_left_and_the_next_ones_later_and_later():
+    patience = StalenessPatience(1.0)
+    assert not patience.is_over(0.9)
+    limits = []
+    for _ in range(8):
+        limits.append(next(limit for limit in range(1, 100) if patience.is_over(limit + 0.1)))
+        patience.note(limits[-1] + 0.1)
+        patience.extend()
+    assert limits[:5] == [1, 2, 4, 8, 16]
+    assert limits[-1] == STALENESS_MAX
+
+
+def test_a_source_with_a_leader_ends_the_patience():
+    patience = StalenessPatience(1.0)
+    for _ in range(4):
+        patience.extend()
+    patience.note(0.2)
+    assert patience.is_over(1.1)
--- a/packages/lanedock/lanedock/settings/core.py
+++ b/packages/lanedock/lanedock/settings/core.py
@@ -113,6 +113,7 @@
         "retry_share",
         "retry_slack",
         "retry_window_s",
+        "staleness_limit_ms",
         "stall_limit_ms",
     )
 
