Let tasks tick by the steady clock

A task's next tick was reckoned by the event loop's now(), which follows the time of day; after a step back it came late by as much, unless a message came: a leader sent no heartbeats, and a daemon did not note that it runs.

Change: time.monotonic(). Nothing else in the product takes durations from the time of day.

Test: kernel/tests/test_core.py, a loop whose time steps back by an hour (fails on the code before: no further tick).

--- a/packages/lanedock/lanedock/kernel/core.py
+++ b/packages/lanedock/lanedock/kernel/core.py
@@ -1,6 +1,7 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """The kernel and the base classes of its services."""
 
+import time
 from abc import ABC, abstractmethod
 
 import gevent
@@ -141,19 +142,20 @@
             raise
 
     def _run(self) -> None:
-        loop = gevent.get_hub().loop
-        next_tick = loop.now()
+        # Not the event loop's own time, which follows the time of day: a step back would
+        # hold up ticks for as long, and with them a leader's heartbeats.
+        next_tick = time.monotonic()
         while True:
             try:
-                batch = [self._mailbox.get(timeout=max(0.0, next_tick - loop.now()))]
+                batch = [self._mailbox.get(timeout=max(0.0, next_tick - time.monotonic()))]
             except Empty:
                 batch = []
             while not self._mailbox.empty():
                 batch.append(self._mailbox.get_nowait())
             if batch:
                 self.on_messages(batch)
-            if loop.now() >= next_tick:
-                next_tick = loop.now() + self._tick
+            if time.monotonic() >= next_tick:
+                next_tick = time.monotonic() + self._tick
                 self.on_tick()
 
     def on_start(self, kernel: Kernel) -> None:
--- a/packages/lanedock/lanedock/kernel/tests/test_core.py
+++ b/packages/lanedock/lanedock/kernel/tests/test_core.py
@@ -1,6 +1,8 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """Tests of the kernel and of tasks."""
 
+import time
+
 import gevent
 import pytest
 
@@ -92,6 +94,29 @@
     assert (task.total, task.ticks) == (4950, ticks)
 
 
+class _SteppingLoop:
+    """An event loop whose time, as the time of day, steps back by an hour once it has been asked a few times."""
+
+    def __init__(self):
+        self._asked = 0
+
+    def now(self) -> float:
+        self._asked += 1
+        return time.time() - (3600 if self._asked > 5 else 0)
+
+
+def test_a_step_of_the_time_of_day_does_not_hold_up_ticks(monkeypatch):
+    # Found on the platform: a leader's heartbeats stopped, and another was elected.
+    kernel, task = Kernel(), Adder()
+    hub = type("Hub", (), {"loop": _SteppingLoop()})
+    monkeypatch.setattr(gevent, "get_hub", lambda: hub)
+    kernel.add(task)
+    kernel.start()
+    for ticks in (10, 20):
+        _wait_until(lambda ticks=ticks: task.ticks > ticks)
+    kernel.stop()
+
+
 def test_a_task_that_fails_fails_its_kernel(monkeypatch):
     monkeypatch.setattr(gevent.get_hub(), "print_exception", lambda *arguments: None)
     kernel, task = Kernel(), Adder()
