--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,55 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Tests of the list of tests that are known to fail."""
+
+import shutil
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parent.parent
+# A longer list is no longer a list of exceptions.
+MAX_LISTED = 3
+
+
+def _listed() -> list[list[str]]:
+    path = ROOT / "KNOWN-RED.txt"
+    text = path.read_text(encoding="utf-8") if path.exists() else ""
+    lines = [line for line in text.splitlines() if line.strip() and not line.startswith("#")]
+    return [[part.strip() for part in line.split("|")] for line in lines]
+
+
+def test_the_list_names_few_tests_that_are_there():
+    listed = _listed()
+    assert len(listed) <= MAX_LISTED
+    for test, cause, issue in listed:
+        file, _, name = test.partition("::")
+        assert f"def {name}(" in (ROOT / file).read_text(encoding="utf-8")
+        assert cause
+        assert issue
+
+
+@pytest.mark.parametrize(
+    "listed,value,code,shown",
+    [
+        (True, 2, 0, "known red: because | issue 1"),
+        (True, 1, 1, "1 failed"),
+        (False, 2, 1, "1 failed"),
+        (False, 1, 0, "1 passed"),
+    ],
+)
+def test_a_listed_test_has_to_fail(tmp_path, listed, value, code, shown):
+    shutil.copy(ROOT / "conftest.py", tmp_path)
+    (tmp_path / "pyproject.toml").write_text("[tool.pytest.ini_options]\n", encoding="utf-8")
+    (tmp_path / "packages").mkdir()
+    (tmp_path / "packages" / "test_it.py").write_text(
+        f"import pytest\n\n@pytest.mark.parametrize('x', [{value}])\ndef test_one(x):\n    assert x == 1\n",
+        encoding="utf-8",
+    )
+    if listed:
+        (tmp_path / "KNOWN-RED.txt").write_text("packages/test_it.py::test_one | because | issue 1\n", encoding="utf-8")
+    line = [sys.executable, "-m", "pytest", "-p", "no:cacheprovider", "packages"]
+    done = subprocess.run(line, cwd=tmp_path, capture_output=True, text=True, check=False, timeout=60)
+    assert done.returncode == code, done.stdout
+    assert shown in done.stdout
