Stop a process by one deadline that its servers and requests share

Cause: every server of a process stopped after the one before, each with a limit of its own. What was in progress at the end of a limit was cut without an answer, servers behind it still accepted, and the sum of the limits exceeded the grace time.

Change: - StopPlan (lanedock.kernel): the deadline from SIGTERM on, as a pure core; made from the settings by lanedock_daemon.stops, shared by all servers, operators' included. - Kernel.stop: all services begin to stop before the first of them is waited for. Servers close then; those of the application beside the daemon (its calls, its heartbeats) and /ready stay until the upstream's requests have ended. - At the deadline (0.6 s before the grace time ends) each request without an answer gets one: not-run where no byte can have been passed on, else unknown. Applications are waited for until then. What still streams out 0.2 s later is cut. - While the process stops, a request that can't be expected to end by the deadline is refused at once as not run, with a time to come back, and its connection closed. - What is sent to another daemon during a stop says until when an application may begin on it (x-lanedock-start-by-ms); the queue there refuses it by then as not run. The application's deadline stays as it is.

Tests changed: servers are made with a plan in place of a limit; DrainService's work is in begin_stop; the kernel's tests note begin_stop, too, and check its order.

--- a/packages/lanedock-daemon/lanedock_daemon/path/caller.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller.py
@@ -6,6 +6,7 @@
 
 from lanedock.config import Route
 from lanedock.errors import ErrorCode
+from lanedock.kernel import StopPlan
 from lanedock.limits import FirstAttempts
 from lanedock.routing import choose_service
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics, RequestLog, RequestLogger, Span, Tracer
@@ -29,6 +30,7 @@
     public_headers,
 )
 from lanedock_daemon.path.pool import ConnectionPool
+from lanedock_daemon.path.service import StopTimeout
 from lanedock_daemon.path.tries import Job, Tries, Try
 
 __all__ = ["CallerSide"]
@@ -103,6 +105,8 @@
         Divides the requests of routes that are split.
     requests : RequestLogger, optional
         Writes the decisions on requests.
+    plan : StopPlan, optional
+        Of the process.
     """
 
     def __init__(
@@ -115,7 +119,9 @@
         dialect: Dialect | None = None,
         rng: Random | None = None,
         requests: RequestLogger | None = None,
+        plan: StopPlan | None = None,
     ):
+        self._plan = plan or StopPlan()
         self._requests = requests or RequestLogger(events, 0)
         self._view = view
         self._metrics = metrics
@@ -188,6 +194,15 @@
         self._metrics.count(Metric.NOT_RUN)
         return self._dialect.make_refusal(code, Outcome.NOT_RUN, retry_after, detail)
 
+    def _refuse_late(self, now: float) -> Answer:
+        """Refuse what can't be expected to end before the process does; its caller goes elsewhere.
+
+        It may come back once callers come here no more.
+        """
+        answer = self._refuse(ErrorCode.DRAINING, max(RETRY_AFTER, self._plan.linger_left(now)))
+        answer.ends_connection = True
+        return answer
+
     # ------------------------------------------------------------------- tries
 
     def _make_job(
@@ -212,12 +227,24 @@
         return Job(request, headers, route, service, balancer, budget, deadline, target_time, log)
 
     def _send(self, job: Job, progress: _Progress, may_retry: bool) -> Answer:
+        """Find the answer; where the process ends first, say what is known."""
+        try:
+            return self._try_in_turn(job, progress, may_retry)
+        except StopTimeout:
+            # It was sent: all that knows better has its own answer for this.
+            return self._dialect.make_refusal(ErrorCode.ANSWER_LOST, Outcome.UNKNOWN)
+
+    def _try_in_turn(self, job: Job, progress: _Progress, may_retry: bool) -> Answer:
         """Try upstreams until one answers, or trying again would be wrong."""
         route, body = job.route, job.request.body
         for attempt in range(1, route.max_attempts * REFUSALS_PER_ATTEMPT + 1):
             now = time.monotonic()
             if now >= job.deadline:
                 return progress.failure or self._refuse(ErrorCode.DEADLINE)
+            needed = min(job.balancer.late_after(route.name), job.deadline - now)
+            if not self._plan.allows(needed, now):
+                return progress.failure or self._refuse_late(now)
+            job.start_by = self._plan.start_by(needed)
             stats = job.choose(now)
             if stats is None:
                 known = len(job.balancer)
--- a/packages/lanedock-daemon/lanedock_daemon/path/http.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http.py
@@ -22,6 +22,7 @@
     "RETRY_AFTER",
     "RETURN_HEADER",
     "ROUTE_HEADER",
+    "START_BY_HEADER",
     "TARGET_HEADER",
     "TRACE_HEADER",
     "UPSTREAM_HEADER",
@@ -51,6 +52,9 @@
 # Milliseconds left to the target time, counted from the caller's first attempt; 0
 # where it has passed.
 TARGET_HEADER = "x-lanedock-target-ms"
+# From a daemon that stops: milliseconds in which the request may be passed on to an
+# application; later, its answer would find nobody. Its deadline stays as it is.
+START_BY_HEADER = "x-lanedock-start-by-ms"
 # The most urgent class of the requests that the caller's application works on.
 PARENT_HEADER = "x-lanedock-parent-class"
 ROUTE_HEADER = "x-lanedock-route"
@@ -221,15 +225,21 @@
     pieces : iterable of bytes
         Raises where the body broke off: the server then cuts its connection,
         so that nobody takes the part for the whole.
+
+    Attributes
+    ----------
+    ends_connection : bool
+        Whether its caller is to go elsewhere: no request follows on its connection.
     """
 
-    __slots__ = ("headers", "pieces", "reason", "status")
+    __slots__ = ("ends_connection", "headers", "pieces", "reason", "status")
 
     def __init__(self, status: int, reason: str, headers: list[tuple[str, str]], pieces: Iterable[bytes]):
         self.status = status
         self.reason = reason
         self.headers = headers
         self.pieces = pieces
+        self.ends_connection = False
 
     def __repr__(self) -> str:
         return f"<Answer {self.status}>"
--- a/packages/lanedock-daemon/lanedock_daemon/path/parser.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/parser.py
@@ -231,17 +231,21 @@
         Whether an interim answer asked for the request's body.
     is_body_unsent : bool
         Whether the answer came before all of the request's body was sent.
+    is_passed_on : bool
+        Whether any of the request was sent that the other side may pass on.
     """
 
     method = ""
     may_continue = False
     is_body_unsent = False
+    is_passed_on = False
     _is_whole = False
     _is_spoiled = False
 
     def begin(self, method: str) -> None:
         """Be ready for the answer to another request."""
         self.method = method
+        self.is_passed_on = False
         self._is_whole = False
 
     def on_message_complete(self) -> None:
--- a/packages/lanedock-daemon/lanedock_daemon/path/pool.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/pool.py
@@ -16,6 +16,7 @@
 from lanedock_daemon.path.channel import Channel
 from lanedock_daemon.path.http import Body, Outcome, Request
 from lanedock_daemon.path.parser import AnswerReader, MalformedMessage, Message
+from lanedock_daemon.path.service import StopTimeout
 
 __all__ = [
     "AnswerPieces",
@@ -332,7 +333,7 @@
         """
         reader, address = self._reader, self._address
         self.is_being_read = True
-        with _OutcomeKnown(reader.conn, address):
+        with _OutcomeKnown(reader, address):
             reader.conn.settimeout(max(0.001, self._deadline - time.monotonic()))
             message = reader.next_head()
             if message is None:
@@ -349,10 +350,10 @@
 class _OutcomeKnown:
     """Closes a connection on which an exchange fails, and says what is known of the outcome."""
 
-    __slots__ = ("_address", "_conn")
+    __slots__ = ("_address", "_reader")
 
-    def __init__(self, conn: Channel, address: tuple[str, int]):
-        self._conn = conn
+    def __init__(self, reader: AnswerReader, address: tuple[str, int]):
+        self._reader = reader
         self._address = address
 
     def __enter__(self) -> None:
@@ -361,7 +362,9 @@
     def __exit__(self, kind, exc, trace) -> None:
         if exc is None:
             return
-        self._conn.close()
+        self._reader.conn.close()
+        if isinstance(exc, StopTimeout):
+            raise _stopped(self._address, self._reader.is_passed_on) from exc
         # The kernel's own time-out: nothing that was sent has been acknowledged.
         is_cut_off = isinstance(exc, OSError) and exc.errno in (ETIMEDOUT, EHOSTUNREACH, ENETUNREACH)
         if isinstance(exc, TimeoutError) and not is_cut_off:
@@ -372,6 +375,13 @@
             raise ExchangeError(ErrorCode.ANSWER_LOST, Outcome.UNKNOWN, message, is_cut_off) from exc
 
 
+def _stopped(address: tuple[str, int], is_passed_on: bool) -> ExchangeError:
+    """Make the end of an exchange that the process's own end cuts short."""
+    if is_passed_on:
+        return ExchangeError(ErrorCode.ANSWER_LOST, Outcome.UNKNOWN, f"{address}: no answer before the stop")
+    return ExchangeError(ErrorCode.DRAINING, Outcome.NOT_RUN, f"{address}: not passed on before the stop")
+
+
 def send_request(
     pool: ConnectionPool,
     address: tuple[str, int],
@@ -403,9 +413,12 @@
     deadline = time.monotonic() + timeout
     if timeout <= 0:
         raise ExchangeError(ErrorCode.DEADLINE, Outcome.NOT_RUN, f"{address}: no time is left")
-    reader = pool.get(address, timeout)
+    try:
+        reader = pool.get(address, timeout)
+    except StopTimeout as exc:
+        raise _stopped(address, False) from exc
     reader.begin(request.method)
-    with _OutcomeKnown(reader.conn, address):
+    with _OutcomeKnown(reader, address):
         reader.conn.settimeout(timeout)
         _send(reader, request, headers, ask_first)
     return PendingAnswer(pool, address, reader, deadline)
@@ -437,6 +450,7 @@
         lines.append("expect: 100-continue")
     head = ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
     if body.length == 0:
+        reader.is_passed_on = True
         conn.sendall(head)
         return
     if ask_first:
@@ -462,6 +476,7 @@
             # be used again, for the other side may still wait for it.
             reader.is_body_unsent = True
             return
+        reader.is_passed_on = True
         reader.conn.sendall(head + piece if head else piece)
         head = b""
         left -= len(piece)
@@ -470,10 +485,12 @@
 def _send_chunked(reader: AnswerReader, head: bytes, body: Body) -> None:
     conn = reader.conn
     if head:
+        reader.is_passed_on = True
         conn.sendall(head)
     while piece := body.read(CHUNK):
         if not conn.is_clean():
             reader.is_body_unsent = True
             return
+        reader.is_passed_on = True
         conn.sendall(b"%x\r\n%b\r\n" % (len(piece), piece))
     conn.sendall(b"0\r\n\r\n")
--- a/packages/lanedock-daemon/lanedock_daemon/path/server.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/server.py
@@ -15,14 +15,14 @@
 from gevent.server import StreamServer
 
 from lanedock.errors import ErrorCode
-from lanedock.kernel import Kernel
+from lanedock.kernel import Kernel, StopPlan
 from lanedock.settings import Address
 from lanedock.telemetry import Event, EventLogger
 from lanedock_daemon.agent.attest import ALIVE_PATH
 from lanedock_daemon.path.channel import Channel
 from lanedock_daemon.path.http import HOP_HEADERS, Answer, Body, Outcome, Request, make_refusal
 from lanedock_daemon.path.parser import MalformedMessage, Message, RequestReader
-from lanedock_daemon.path.service import HttpService
+from lanedock_daemon.path.service import HttpService, StopTimeout
 
 __all__ = ["CallerGone", "PathServer"]
 
@@ -112,7 +112,7 @@
 class _Exchange:
     """One request of a connection, and its turn to be answered."""
 
-    __slots__ = ("body", "connection", "done", "message", "turn", "worker")
+    __slots__ = ("body", "connection", "done", "is_answered", "message", "turn", "worker")
 
     def __init__(self, connection: "_Connection", message: Message, body: _StreamedBody):
         self.connection = connection
@@ -121,16 +121,22 @@
         self.worker: _Worker | None = None
         self.turn: Signal | None = None
         self.done: Signal | None = None
+        self.is_answered = False
 
     def cancel(self) -> None:
         """End the work on it soon, unless it is over by then."""
         if self.worker is not getcurrent():
-            get_hub().loop.run_callback(self._throw)
+            get_hub().loop.run_callback(self._throw, CallerGone)
 
-    def _throw(self) -> None:
-        # The worker may have gone on to another request meanwhile.
-        if self.worker is not None:
-            self.worker.throw(CallerGone)
+    def end_wait(self) -> None:
+        """Have its final answer made now, unless there is one."""
+        if not self.is_answered:
+            get_hub().loop.run_callback(self._throw, StopTimeout)
+
+    def _throw(self, kind: type[BaseException]) -> None:
+        # The worker may have gone on to another request meanwhile, or found an answer.
+        if self.worker is not None and not (kind is StopTimeout and self.is_answered):
+            self.worker.throw(kind)
 
 
 class _Worker(gevent.Greenlet):
@@ -228,6 +234,13 @@
         if self.is_idle():
             self.expire()
 
+    def answer_all(self) -> int:
+        """Have all requests answered that have no answer yet; return how many."""
+        waiting = [exchange for exchange in self._exchanges if not exchange.is_answered]
+        for exchange in waiting:
+            exchange.end_wait()
+        return len(waiting)
+
     def _read(self) -> None:
         reader = self._reader
         self._note_time()
@@ -284,12 +297,13 @@
         answer = None
         try:
             answer = self._find_answer(message, exchange.body)
+            exchange.is_answered = True
             if self._exchanges and self._exchanges[0] is not exchange:
                 exchange.turn = Signal()
                 exchange.turn.wait()
             # The connection may have ended meanwhile.
             if self._exchanges and not self._is_closing:
-                self._write(answer, message, self._may_keep(exchange))
+                self._write(answer, message, self._may_keep(exchange, answer))
         except (OSError, gevent.GreenletExit):
             # Nobody reads, or the answer has broken off: cut, so that no part
             # is taken for the whole.
@@ -314,9 +328,13 @@
         limits = self._server.limits
         if limits is not None and body.length is not None and body.length > limits.body_bytes:
             return make_refusal(ErrorCode.BODY_TOO_LONG, Outcome.NOT_RUN)
-        return self._server.side.handle(_make_request(message, body))
+        try:
+            return self._server.side.handle(_make_request(message, body))
+        except StopTimeout:
+            # The side doesn't say what it has come to: it may have run.
+            return make_refusal(ErrorCode.ANSWER_LOST, Outcome.UNKNOWN)
 
-    def _may_keep(self, exchange: _Exchange) -> bool:
+    def _may_keep(self, exchange: _Exchange, answer: Answer) -> bool:
         """Tell whether the connection stays open after a request's answer."""
         if not exchange.message.keep_alive:
             return False
@@ -324,7 +342,8 @@
         if not exchange.message.is_complete:
             return False
         # Those behind it are being worked on; the last one closes.
-        return not (self._server.is_stopping or self._server.is_crowded()) or len(self._exchanges) > 1
+        ends = answer.ends_connection or self._server.is_stopping or self._server.is_crowded()
+        return not ends or len(self._exchanges) > 1
 
     def _end(self, exchange: _Exchange) -> None:
         """Let the next request be answered."""
@@ -453,13 +472,14 @@
         name: str,
         address: Address,
         side,
-        stop_timeout: float,
+        plan: StopPlan,
         events: EventLogger,
         limits_of=lambda: None,
         max_kept=None,
+        closes_last: bool = False,
     ):
         self._max_kept = max_kept
-        super().__init__(name, address, side, stop_timeout, events)
+        super().__init__(name, address, side, plan, events, closes_last)
         self.limits = None
         self._limits_of = limits_of
         self._connections: dict[_Connection, None] = {}
@@ -477,6 +497,16 @@
         super().stop()
         self._sweeper.kill()
 
+    def _answer_rest(self) -> None:
+        """Have everything answered that has no answer yet.
+
+        Cut with the process, a request that was read would leave its caller without
+        a word on whether it ran.
+        """
+        count = sum(connection.answer_all() for connection in list(self._connections))
+        if count:
+            self._events.emit(Event.CUT_SHORT, requests=count)
+
     def _is_idle(self) -> bool:
         """End idle connections; tell whether none is left.
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/service.py
@@ -8,15 +8,20 @@
 from gevent.server import StreamServer
 
 from lanedock.errors import ErrorCode, LanedockError
-from lanedock.kernel import Kernel, Service
+from lanedock.kernel import Kernel, Service, StopPlan
 from lanedock.settings import Address
 from lanedock.telemetry import Event, EventLogger
 
-__all__ = ["HttpService"]
+__all__ = ["HttpService", "StopTimeout"]
 
+# Seconds between two looks whether a server that stops has nothing left to do.
 POLL = 0.02
 
 
+class StopTimeout(gevent.GreenletExit):
+    """The process ends: what works on a request has to give its final answer now."""
+
+
 class HttpService(Service):
     """Takes requests on an address and hands them to one side of the path.
 
@@ -27,9 +32,12 @@
     address : Address
     side : object
         With ``handle(request) -> Answer``.
-    stop_timeout : float
-        Longest wait for requests in progress, seconds.
+    plan : StopPlan
+        The process's. At its deadline all that is in progress is answered.
     events : EventLogger
+    closes_last : bool
+        Whether it accepts requests until it is stopped, rather than until all
+        services begin to stop.
 
     Attributes
     ----------
@@ -38,14 +46,18 @@
         Whether connections are to be closed after their next answer.
     """
 
-    def __init__(self, name: str, address: Address, side, stop_timeout: float, events: EventLogger):
+    def __init__(
+        self, name: str, address: Address, side, plan: StopPlan, events: EventLogger, closes_last: bool = False
+    ):
         self.name = name
         self.side = side
         self.in_progress = 0
         self.is_stopping = False
         self._address = address
-        self._stop_timeout = stop_timeout
+        self._plan = plan
         self._events = events
+        self._closes_last = closes_last
+        self._final: gevent.Greenlet | None = None
         self._server: StreamServer | None = None
 
     @abstractmethod
@@ -68,13 +80,30 @@
         """Tell whether the server may be ended."""
         return not self.in_progress
 
-    def stop(self) -> None:
-        """Take no new connections, and let requests in progress end."""
+    def begin_stop(self) -> None:
+        """Set when the final answers are given, and take no new connections."""
+        if self._final is None:
+            now = time.monotonic()
+            self._plan.begin(now)
+            self._final = gevent.spawn_later(max(0.0, self._plan.deadline - now), self._answer_rest)
+        if not self._closes_last:
+            self._close()
+
+    def _close(self) -> None:
+        """Take no new connections; those there are close after their next answer."""
         self.is_stopping = True
         self._server.close()
-        deadline = time.monotonic() + self._stop_timeout
-        while not self._is_idle() and time.monotonic() < deadline:
+
+    def _answer_rest(self) -> None:
+        """Have everything answered that has no answer yet, where the server can do so."""
+
+    def stop(self) -> None:
+        """Take no new connections, and let requests in progress end."""
+        self.begin_stop()
+        self._close()
+        while not self._is_idle() and time.monotonic() < self._plan.cut_at:
             gevent.sleep(POLL)
+        self._final.kill()
         if self.in_progress:
             self._events.emit(Event.CUT_SHORT, requests=self.in_progress)
         self._server.stop(timeout=0)
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/chain.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/chain.py
@@ -9,6 +9,7 @@
 from gevent.server import StreamServer
 
 from lanedock.config import needed_groups, split_config
+from lanedock.kernel import StopPlan
 from lanedock.rollout import VersionHolder
 from lanedock.settings import Address
 from lanedock.telemetry import EventLogger, NullMetrics, NullTracer
@@ -139,7 +140,7 @@
         parts = (EventLogger(name), NullMetrics(), NullTracer())
         self.pool = ConnectionPool()
         self.side = UpstreamSide("s", application.address, self.view, self.pool, *parts)
-        self.server = PathServer(name, Address(HOST, 0), self.side, 2.0, EventLogger(name))
+        self.server = PathServer(name, Address(HOST, 0), self.side, StopPlan(0.0, 2.0), EventLogger(name))
         self.server.start(None)
 
     @property
@@ -174,7 +175,7 @@
         self.publish_endpoints()
         self.pool = ConnectionPool()
         caller = CallerSide(self.view, self.pool, EventLogger("caller"), NullMetrics(), NullTracer())
-        self.entry = PathServer("entry", Address(HOST, 0), caller, 2.0, EventLogger("entry"))
+        self.entry = PathServer("entry", Address(HOST, 0), caller, StopPlan(0.0, 2.0), EventLogger("entry"))
         self.entry.start(None)
 
     def publish_endpoints(self) -> None:
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_crowds.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_crowds.py
@@ -8,6 +8,7 @@
 import pytest
 from gevent import socket
 
+from lanedock.kernel import StopPlan
 from lanedock.settings import Address
 from lanedock.telemetry import EventLogger
 from lanedock_daemon.path.http import Answer
@@ -28,7 +29,7 @@
 @pytest.fixture
 def server():
     """Start a server that keeps a few connections only."""
-    made = PathServer("s", Address(HOST, 0), _Side(), 1.0, EventLogger("s"), max_kept=KEPT)
+    made = PathServer("s", Address(HOST, 0), _Side(), StopPlan(0.0, 1.0), EventLogger("s"), max_kept=KEPT)
     made.start(None)
     yield made
     made.stop()
@@ -62,11 +63,12 @@
 import resource, sys
 resource.setrlimit(resource.RLIMIT_NOFILE, (64, 64))
 import gevent
+from lanedock.kernel import StopPlan
 from lanedock.settings import Address
 from lanedock.telemetry import EventLogger
 from lanedock_daemon.path.server import PathServer
 from lanedock_daemon.path.tests.test_crowds import _Side
-server = PathServer("s", Address("127.0.0.1", 0), _Side(), 1.0, EventLogger("s"), max_kept=16)
+server = PathServer("s", Address("127.0.0.1", 0), _Side(), StopPlan(0.0, 1.0), EventLogger("s"), max_kept=16)
 server.start(None)
 print(server.port, flush=True)
 gevent.sleep(60)
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_promises.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_promises.py
@@ -9,6 +9,7 @@
 import gevent.event
 import pytest
 
+from lanedock.kernel import StopPlan
 from lanedock.limits import AdmissionRequest
 from lanedock.settings import Address
 from lanedock.telemetry import EventLogger
@@ -315,7 +316,7 @@
         gevent.joinall(tasks)
         assert {task.value[0] for task in tasks} == {200}
     wait_until(lambda: stats.is_unreachable and stats.failed_probes)
-    lost.server = PathServer("u0", address, lost.side, 2.0, EventLogger("u0"))
+    lost.server = PathServer("u0", address, lost.side, StopPlan(0.0, 2.0), EventLogger("u0"))
     lost.server.start(None)
     wait_until(lambda: not stats.is_unreachable)
     tasks = [gevent.spawn(chain.request, "GET") for _ in range(20)]
--- a/packages/lanedock-daemon/lanedock_daemon/path/tries.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tries.py
@@ -22,6 +22,7 @@
     OUTCOME_HEADER,
     RETRY_AFTER,
     RETURN_HEADER,
+    START_BY_HEADER,
     TARGET_HEADER,
     UPSTREAM_HEADER,
     Answer,
@@ -110,6 +111,9 @@
 
     Attributes
     ----------
+    start_by : float or None
+        Monotonic, seconds: until when an application may begin on it, where the
+        process stops.
     tried : set of str
         Instances that were tried.
     """
@@ -123,6 +127,7 @@
         "request",
         "route",
         "service",
+        "start_by",
         "target_time",
         "tried",
     )
@@ -148,6 +153,7 @@
         self.deadline = deadline
         self.target_time = target_time
         self.log = log
+        self.start_by: float | None = None
         self.tried: set[str] = set()
 
     def choose(self, now: float) -> UpstreamStats | None:
@@ -246,6 +252,8 @@
         ]
         if job.target_time < job.deadline:
             sent.append((TARGET_HEADER, str(max(0, int((job.target_time - started) * 1000)))))
+        if job.start_by is not None:
+            sent.append((START_BY_HEADER, str(max(0, int((job.start_by - started) * 1000)))))
         if stats.endpoint.upstream:
             sent.append((UPSTREAM_HEADER, stats.endpoint.upstream))
         job.log.note(
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
@@ -6,7 +6,7 @@
 from gevent.event import Event as Signal
 
 from lanedock.errors import ErrorCode
-from lanedock.limits import AdmissionRequest, CallKinds, Refused, SlotLimiter
+from lanedock.limits import AdmissionRequest, CallKinds, QueuedRequest, Refused, SlotLimiter
 from lanedock.membership import UpstreamRegistration
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics, RequestLog, RequestLogger, Tracer
 from lanedock_daemon.agent.view import Binding, LocalView
@@ -25,6 +25,7 @@
     RETRY_AFTER,
     ROUTE_HEADER,
     SERVICE_HEADER,
+    START_BY_HEADER,
     TARGET_HEADER,
     TRACE_HEADER,
     UPSTREAM_HEADER,
@@ -36,6 +37,7 @@
 )
 from lanedock_daemon.path.parser import MalformedMessage
 from lanedock_daemon.path.pool import AnswerPieces, ConnectionPool, ExchangeError, send_request
+from lanedock_daemon.path.service import StopTimeout
 
 __all__ = ["UpstreamSide"]
 
@@ -147,7 +149,9 @@
         target = request.header(TARGET_HEADER)
         target_time = started + int(target) / 1000 if target.isascii() and target.isdigit() else None
         log.route = request.header(ROUTE_HEADER)
-        wanted = AdmissionRequest(deadline, target_time, log.route)
+        left_to_start = request.header(START_BY_HEADER)
+        start_by = started + int(left_to_start) / 1000 if left_to_start.isascii() and left_to_start.isdigit() else None
+        wanted = AdmissionRequest(deadline, target_time, log.route, start_by)
         refused = self._acquire(traffic_class, wanted)
         log.waited = time.monotonic() - started
         if refused is not None:
@@ -222,16 +226,23 @@
             return result
         try:
             is_admitted = admitted.wait(timeout=result.expires_at - now)
+        except StopTimeout:
+            self._leave_queue(result, traffic_class)
+            return Refused(ErrorCode.DRAINING, RETRY_AFTER)
         except BaseException:
             # The caller has gone: its place, or the slot it was just given,
             # must not stay taken.
-            if not (result.is_evicted or self._limiter.cancel(result)):
-                self._limiter.release(traffic_class, 0.0, time.monotonic())
+            self._leave_queue(result, traffic_class)
             raise
         if not result.is_evicted and (is_admitted or not self._limiter.cancel(result)):
             return None
         return Refused(ErrorCode.OVERLOADED, self._limiter.return_after(wanted, time.monotonic()))
 
+    def _leave_queue(self, queued: QueuedRequest, traffic_class: str) -> None:
+        """Give up a request's place in the queue, or the slot it was just given."""
+        if not (queued.is_evicted or self._limiter.cancel(queued)):
+            self._limiter.release(traffic_class, 0.0, time.monotonic())
+
     def _pass_on(self, request: Request, traffic_class: str, deadline: float, span, log: RequestLog) -> Answer:
         """Send a request to the application; the slot is held to the answer's end."""
         started = time.monotonic()
@@ -249,6 +260,11 @@
         except ExchangeError as exc:
             release()
             return self._on_lost(exc, log)
+        except StopTimeout:
+            # While it waited for the application's first bytes.
+            release()
+            lost = ExchangeError(ErrorCode.ANSWER_LOST, Outcome.UNKNOWN, "no answer before the stop")
+            return self._on_lost(lost, log)
         except BaseException:
             release()
             raise
--- a/packages/lanedock-daemon/lanedock_daemon/roles.py
+++ b/packages/lanedock-daemon/lanedock_daemon/roles.py
@@ -1,9 +1,11 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """The services of the daemon roles, put together from settings."""
 
+import time
+
 import gevent
 
-from lanedock.kernel import Kernel, Service
+from lanedock.kernel import Kernel, Service, StopPlan
 from lanedock.limits import SavingBudget, WindowBudget
 from lanedock.membership import UpstreamRegistration
 from lanedock.settings import Settings
@@ -17,23 +19,22 @@
 from lanedock_daemon.path.pool import ConnectionPool
 from lanedock_daemon.path.server import PathServer
 from lanedock_daemon.path.upstream import UpstreamSide
+from lanedock_daemon.stops import DRAIN_SETTLE, make_stop_plan
 
 __all__ = ["DrainService", "add_daemon"]
 
-# After a drain is announced, new work may still be on its way for this long.
-DRAIN_SETTLE = 0.3
 # Seconds at the end of a stop in which the upstream takes no new work, where callers
 # linger for longer: nearly all requests in progress end within it, and for the rest
 # the server waits. Were it the whole time that callers linger (3 s of 6 s of grace),
 # an upstream would be away for 3.9 s of a restart instead of 1.9 s.
 UPSTREAM_DRAIN = 1.0
-# Part of the grace time for which callers are still served, and what is left
-# over at its end, in seconds: a slow instance takes its time to end, too.
-LINGER_PART = 0.5
 # Callers' connections are kept up to one in so many of the process's descriptors:
 # each request in progress takes two more.
 KEPT_PART = 4
-STOP_MARGIN = 0.6
+# Servers that accept until what they serve has ended: the application goes on with what
+# it works on, makes calls for it and says how it is, and whoever asks is told that
+# callers are not taken. All others close when callers have gone elsewhere.
+CLOSE_LAST = ("ready", "egress", "registration")
 # Between two lines of totals of requests, in seconds: what an operator looks at
 # beside a fault. A daemon with six routes writes some ten lines each time.
 TOTALS_INTERVAL = 1.0
@@ -50,25 +51,31 @@
     ----------
     agent : AgentService
     view : LocalView
-    linger : float
-        Seconds for which callers are still served, until they have gone elsewhere.
+    plan : StopPlan
+        Its `linger`: callers are still served, until they have gone elsewhere.
     """
 
     name = "drain"
 
-    def __init__(self, agent: AgentService, view: LocalView, linger: float):
+    def __init__(self, agent: AgentService, view: LocalView, plan: StopPlan):
         self._agent = agent
         self._view = view
-        self._linger = linger
+        self._plan = plan
 
     def start(self, kernel: Kernel) -> None:
         """Nothing to do."""
 
-    def stop(self) -> None:
+    def begin_stop(self) -> None:
+        """Send callers elsewhere; the servers begin to stop when they have gone."""
+        self._plan.begin(time.monotonic())
         self._view.is_stopping = True
-        gevent.sleep(max(0.0, self._linger - UPSTREAM_DRAIN))
+        linger = self._plan.linger
+        gevent.sleep(max(0.0, linger - UPSTREAM_DRAIN))
         self._agent.post(DrainRequested())
-        gevent.sleep(max(DRAIN_SETTLE, min(self._linger, UPSTREAM_DRAIN)))
+        gevent.sleep(max(DRAIN_SETTLE, min(linger, UPSTREAM_DRAIN)))
+
+    def stop(self) -> None:
+        """Nothing is left to do."""
 
 
 class _TotalsService(Service):
@@ -117,8 +124,13 @@
     metrics: Metrics,
     tracer: Tracer,
     interface: Interface | None = None,
+    plan: StopPlan | None = None,
 ) -> None:
-    """Add the services of an entry daemon or of an upstream's daemon."""
+    """Add the services of an entry daemon or of an upstream's daemon.
+
+    All of its servers, and the requests themselves, share the plan of the process's stop.
+    """
+    plan = plan or make_stop_plan(settings)
     interface = interface or OwnInterface()
     dialect = interface.make_dialect()
     registration = _make_registration(settings)
@@ -126,21 +138,21 @@
     view.set_budgets(_budget_maker(settings, view))
     agent = AgentService(settings, view, events, metrics)
     kernel.add(agent)
-    linger, stop_timeout = _stop_times(settings)
     requests = RequestLogger(events, settings.log_sample)
     kernel.add(_TotalsService(requests))
-    caller = CallerSide(view, ConnectionPool(), events, metrics, tracer, dialect, requests=requests)
+    caller = CallerSide(view, ConnectionPool(), events, metrics, tracer, dialect, requests=requests, plan=plan)
 
     max_kept = settings.max_descriptors // KEPT_PART if settings.max_descriptors else None
 
     def add_server(name: str, address, side) -> None:
+        closes_last = name in CLOSE_LAST
         if settings.http_server == "wsgi":
             from lanedock_daemon.path.wsgi import WsgiPathServer
 
             # Takes requests the same way; it is the benches' baseline.
-            kernel.add(WsgiPathServer(name, address, side, stop_timeout, events))
+            kernel.add(WsgiPathServer(name, address, side, plan, events, closes_last))
         else:
-            kernel.add(PathServer(name, address, side, stop_timeout, events, view.caller_limits, max_kept))
+            kernel.add(PathServer(name, address, side, plan, events, view.caller_limits, max_kept, closes_last))
 
     if settings.daemon.ready is not None:
         add_server("ready", settings.daemon.ready, _ReadySide(view))
@@ -163,16 +175,7 @@
         if cfg.egress is not None:
             add_server("egress", cfg.egress, caller)
         add_server("upstream", cfg.listen, side)
-    kernel.add(DrainService(agent, view, linger))
-
-
-def _stop_times(settings: Settings) -> tuple[float, float]:
-    """Return for how long callers are still served, and how long requests may then take, in seconds."""
-    grace = settings.stop_grace_s
-    if grace is None:
-        return 0.0, settings.stop_timeout_ms / 1000
-    linger = grace * LINGER_PART
-    return linger, max(0.0, grace - linger - STOP_MARGIN)
+    kernel.add(DrainService(agent, view, plan))
 
 
 def _make_registration(settings: Settings) -> UpstreamRegistration | None:
--- a/packages/lanedock-daemon/lanedock_daemon/run.py
+++ b/packages/lanedock-daemon/lanedock_daemon/run.py
@@ -11,7 +11,7 @@
 
 from lanedock.errors import LanedockError
 from lanedock.findings import FindingsError
-from lanedock.kernel import Kernel
+from lanedock.kernel import Kernel, StopPlan
 from lanedock.settings import Settings, load_settings
 from lanedock.telemetry import (
     Event,
@@ -29,6 +29,7 @@
 from lanedock.telemetry.log import LineWriter
 from lanedock_daemon.interface import Interface, OwnInterface
 from lanedock_daemon.path.http import Answer
+from lanedock_daemon.stops import make_stop_plan
 
 __all__ = ["run_process"]
 
@@ -111,7 +112,8 @@
 def _add_metrics(kernel: Kernel, settings: Settings, metrics: TextMetrics, events: EventLogger) -> None:
     from lanedock_daemon.path.server import PathServer
 
-    kernel.add(PathServer("metrics", settings.metrics, _MetricsSide(metrics), 0.0, events))
+    # Of its own, with no time: nobody's request waits for it.
+    kernel.add(PathServer("metrics", settings.metrics, _MetricsSide(metrics), StopPlan(), events))
 
 
 def _make_tracer(settings: Settings) -> Tracer:
@@ -126,17 +128,18 @@
     Modules are imported by role: a daemon's memory is budgeted.
     """
     kernel = Kernel()
+    plan = make_stop_plan(settings)
     _add_transport(kernel, settings)
     if settings.control is not None:
         from lanedock_daemon.control import ControlService
 
         control = ControlService(settings, initialize, events, metrics)
         kernel.add(control)
-        _add_operators(kernel, settings, control, interface, events)
+        _add_operators(kernel, settings, control, interface, events, plan)
     if settings.daemon is not None:
         from lanedock_daemon.roles import add_daemon
 
-        add_daemon(kernel, settings, events, metrics, tracer, interface)
+        add_daemon(kernel, settings, events, metrics, tracer, interface, plan)
     return kernel
 
 
@@ -153,7 +156,7 @@
     kernel.add(GrpcTransport(settings.tls))
 
 
-def _add_operators(kernel: Kernel, settings: Settings, control, interface: Interface, events) -> None:
+def _add_operators(kernel: Kernel, settings: Settings, control, interface: Interface, events, plan) -> None:
     """Serve operators over HTTP where the surroundings call for it."""
     address = settings.control.operators
     if address is None:
@@ -161,7 +164,7 @@
     from lanedock_daemon.path.server import PathServer
 
     side = interface.make_operators_side(control, settings)
-    kernel.add(PathServer("operators", address, side, settings.stop_timeout_ms / 1000, events))
+    kernel.add(PathServer("operators", address, side, plan, events))
 
 
 def _run(
--- a/packages/lanedock-daemon/lanedock_daemon/tests/test_roles.py
+++ b/packages/lanedock-daemon/lanedock_daemon/tests/test_roles.py
@@ -4,6 +4,7 @@
 import gevent
 import pytest
 
+from lanedock.kernel import StopPlan
 from lanedock_daemon.agent import LocalView
 from lanedock_daemon.agent.service import DrainRequested
 from lanedock_daemon.path.tests.chain import Chain
@@ -27,7 +28,7 @@
 def test_callers_are_sent_elsewhere_before_the_upstream_takes_no_more_work(linger):
     view = LocalView("z", 10.0)
     agent = _Agent(view)
-    stopping = gevent.spawn(DrainService(agent, view, linger).stop)
+    stopping = gevent.spawn(DrainService(agent, view, StopPlan(linger, linger)).begin_stop)
     gevent.sleep(0.01)
     assert view.is_stopping
     assert bool(agent.posted) is (linger == 0.0)
--- a/packages/lanedock-daemon/lanedock_daemon/tests/test_stops.py
+++ b/packages/lanedock-daemon/lanedock_daemon/tests/test_stops.py
@@ -16,16 +16,20 @@
 """
 
 import json
+import signal
+import subprocess
+import sys
 
 import gevent
 import pytest
 from gevent import socket
 
-from lanedock.kernel import Kernel
-from lanedock.settings import load_settings
+from lanedock.kernel import Kernel, StopPlan
+from lanedock.settings import Address, load_settings
 from lanedock.telemetry import EventLogger, NullMetrics, NullTracer
 from lanedock.wire import messages
 from lanedock_daemon.framed import FramedTransport
+from lanedock_daemon.path.server import PathServer
 from lanedock_daemon.path.tests.chain import (
     HOST,
     Application,
@@ -65,6 +69,10 @@
         self._conn.sendall(data)
         self.start()
 
+    def send_more(self, data: bytes) -> None:
+        """Send more on the connection."""
+        self._conn.sendall(data)
+
     def _run(self) -> None:
         with self._conn as conn:
             while more := conn.recv(65536):
@@ -80,6 +88,8 @@
         For its settings.
     is_entry : bool
         Whether it is an entry daemon, else that of an upstream.
+    other : Gate, optional
+        What the application behind another daemon does.
 
     Attributes
     ----------
@@ -87,11 +97,11 @@
         What the application beside it does, and the one behind another daemon.
     """
 
-    def __init__(self, folder, is_entry: bool = False, **settings):
+    def __init__(self, folder, is_entry: bool = False, other=None, **settings):
         value = make_value(slots=1)
         for route in value["routes"]:
             route["deadline_ms"] = int(LONG * 1000)
-        self.own, self.other = Gate(), Gate()
+        self.own, self.other = Gate(), other or Gate()
         self.application = Application(self.own)
         self.upstream = Upstream("u0", Application(self.other), value)
         self.ports = dict(zip(("entry", "egress", "upstream", "ready"), _free_ports(4), strict=True))
@@ -146,6 +156,13 @@
         assert answer.startswith(b"HTTP/1.1 200")
         self.other.opened.clear()
 
+    def note_time(self, taken: float) -> None:
+        """Let the daemon see a request that takes so many seconds."""
+        balancer = self.view.balancer("s")
+        stats = balancer.choose(1, 0.0, frozenset(), False)
+        balancer.begin(stats, 0.0)
+        balancer.end(stats, False, 0.0, None, taken, False, "post")
+
     def stop(self) -> None:
         """Begin a stop; returns once callers are sent elsewhere."""
         self.stopping = gevent.spawn(self.kernel.stop)
@@ -238,6 +255,8 @@
 def test_a_request_that_was_read_has_its_answer_before_the_process_ends(make_daemon, standing):
     server, outcomes = _STANDING[standing]
     daemon = make_daemon(is_entry=server == "entry")
+    # What is sent during the stop has to begin well before the deadline then.
+    daemon.note_time(GRACE / 10)
     if server != "upstream":
         daemon.learn_times(server)
     sent = _send_where(daemon, standing, server)
@@ -250,10 +269,7 @@
 @pytest.mark.parametrize("server", ["entry", "egress"])
 def test_what_cannot_end_before_the_process_does_is_refused_at_once(make_daemon, server):
     daemon = make_daemon(is_entry=server == "entry")
-    balancer = daemon.view.balancer("s")
-    stats = balancer.choose(1, 0.0, frozenset(), False)
-    balancer.begin(stats, 0.0)
-    balancer.end(stats, False, 0.0, None, 2 * GRACE, False, "post")
+    daemon.note_time(2 * GRACE)
     daemon.stop()
     answer = daemon.read(daemon.begin(server, _request("/x", SHORT_BODY)))
     assert not daemon.stopping.ready()
@@ -292,3 +308,123 @@
     except OSError:
         return False
     return True
+
+
+def test_calls_of_the_application_are_served_while_it_works(make_daemon):
+    daemon = make_daemon()
+    daemon.other.opened.set()
+    sent = daemon.begin("upstream", _from_daemon("/own"))
+    wait_until(lambda: daemon.own.begun)
+    daemon.stop()
+    wait_until(lambda: not _is_listening(daemon.ports["upstream"]))
+    call = daemon.begin("egress", _request("/call", close=True))
+    assert daemon.read(call).startswith(b"HTTP/1.1 200")
+    daemon.own.opened.set()
+    assert daemon.read(sent).startswith(b"HTTP/1.1 200")
+
+
+class _Stream(Gate):
+    """Sends half of a long answer, and the rest when the gate opens."""
+
+    half = b"." * 100_000
+
+    def __call__(self, conn, head: str, body: bytes) -> bytes:
+        conn.sendall(b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % (2 * len(self.half)) + self.half)
+        self.opened.wait()
+        return self.half
+
+
+def test_an_answer_goes_on_while_the_daemon_stops(make_daemon):
+    daemon = make_daemon(is_entry=True, other=_Stream())
+    sent = daemon.begin("entry", _request("/x"))
+    wait_until(lambda: sent.received)
+    daemon.stop()
+    wait_until(lambda: not _is_listening(daemon.ports["entry"]))
+    daemon.other.opened.set()
+    assert daemon.read(sent).endswith(b"\r\n\r\n" + 2 * _Stream.half)
+
+
+@pytest.mark.parametrize("taken,status,outcome", [(0.01, b"200", ""), (GRACE, b"503", "not-run")])
+def test_what_comes_on_a_kept_connection_after_callers_have_gone_is_the_last(make_daemon, taken, status, outcome):
+    daemon = make_daemon(is_entry=True)
+    daemon.other.opened.set()
+    daemon.note_time(taken)
+    request = _request("/x")
+    sent = daemon.begin("entry", request[:20])
+    wait_until(lambda: any(not one.is_idle() for one in daemon.kernel.find("entry")._connections))
+    daemon.stop()
+    wait_until(lambda: not _is_listening(daemon.ports["entry"]))
+    sent.send_more(request[20:])
+    answer = daemon.read(sent)
+    assert answer.startswith(b"HTTP/1.1 " + status)
+    assert _outcomes(answer) == [outcome]
+    assert b"\r\nconnection: close\r\n" in answer
+    assert daemon.other.begun == ([] if outcome else ["/x"])
+
+
+def test_the_application_keeps_its_own_deadline(make_daemon):
+    daemon = make_daemon(is_entry=True)
+    daemon.other.opened.set()
+    daemon.stop()
+    assert daemon.read(daemon.begin("entry", _request("/x", close=True))).startswith(b"HTTP/1.1 200")
+    head = daemon.upstream.application.heads[0]
+    assert int(head.partition("x-request-deadline-ms: ")[2].partition("\r\n")[0]) > 1000 * GRACE
+    assert "x-lanedock" not in head
+
+
+def test_a_daemon_does_not_begin_on_what_its_sender_cannot_wait_for(make_daemon):
+    daemon = make_daemon()
+    request = _from_daemon("/x").replace(
+        b"content-length", b"x-lanedock-start-by-ms: 0\r\nconnection: close\r\ncontent-length"
+    )
+    answer = daemon.read(daemon.begin("upstream", request))
+    assert answer.startswith(b"HTTP/1.1 503")
+    assert _outcomes(answer) == ["not-run"]
+    assert not daemon.own.begun
+
+
+class _Silent:
+    """A side that never answers."""
+
+    def __init__(self):
+        self.requests = 0
+
+    def handle(self, request):
+        self.requests += 1
+        gevent.sleep(10 * LONG)
+
+
+def test_a_request_whose_side_knows_nothing_of_stops_is_told_unknown():
+    side = _Silent()
+    server = PathServer("operators", Address(HOST, 0), side, StopPlan(), EventLogger("c"))
+    server.start(None)
+    sent = _Sent((HOST, server.port), _request("/x"))
+    wait_until(lambda: side.requests)
+    server.stop()
+    sent.join(timeout=LONG)
+    assert _outcomes(sent.received) == ["unknown"]
+
+
+def test_signals_that_come_while_a_process_stops_change_nothing(tmp_path):
+    ready, entry = _free_ports(2)
+    limits = {"control": [f"{HOST}:1"], "ready": f"{HOST}:{ready}"}
+    settings = {"name": "d", "zone": "z", "transport": "framed", "stop_grace_s": GRACE, "daemon": limits}
+    path = tmp_path / "d.jsonc"
+    path.write_text(json.dumps({**settings, "entry": {"listen": f"{HOST}:{entry}"}}), encoding="utf-8")
+    process = subprocess.Popen(
+        [sys.executable, "-m", "lanedock_daemon.app", "--settings", str(path)], stdout=subprocess.PIPE
+    )
+    try:
+        wait_until(lambda: _is_listening(entry))
+        # A request that never comes to its end: the process has to stop without it.
+        held = _Sent((HOST, entry), b"POST /x HTTP/1.1\r\n")
+        process.send_signal(signal.SIGTERM)
+        process.send_signal(signal.SIGHUP)
+        process.send_signal(signal.SIGTERM)
+        output = process.communicate(timeout=GRACE)[0].decode()
+    finally:
+        process.kill()
+        process.wait()
+    assert process.returncode == 0
+    assert [output.count(f'"{event}"') for event in ("STOPPING", "RELOADED", "STOPPED")] == [1, 1, 1]
+    held.join(timeout=LONG)
--- a/packages/lanedock/lanedock/kernel/__init__.py
+++ b/packages/lanedock/lanedock/kernel/__init__.py
@@ -5,5 +5,6 @@
 """
 
 from lanedock.kernel.core import Kernel, KernelError, Service, TaskService
+from lanedock.kernel.stop_plan import StopPlan
 
-__all__ = ["Kernel", "KernelError", "Service", "TaskService"]
+__all__ = ["Kernel", "KernelError", "Service", "StopPlan", "TaskService"]
--- a/packages/lanedock/lanedock/kernel/core.py
+++ b/packages/lanedock/lanedock/kernel/core.py
@@ -32,6 +32,9 @@
     def start(self, kernel: "Kernel") -> None:
         """Start; services added before are running already."""
 
+    def begin_stop(self) -> None:
+        """Begin to stop; all services do before the first of them stops."""
+
     @abstractmethod
     def stop(self) -> None:
         """Stop, and return when nothing of it runs any more."""
@@ -100,7 +103,13 @@
             self.failed.set()
 
     def stop(self) -> None:
-        """Stop all started services in reverse order."""
+        """Stop all started services in reverse order.
+
+        All begin to stop first: were one waited for before the next one begins, the
+        later ones would take up work that they have no time left for.
+        """
+        for service in reversed(self._started):
+            service.begin_stop()
         while self._started:
             self._started.pop().stop()
 
--- a/packages/lanedock/lanedock/kernel/tests/test_core.py
+++ b/packages/lanedock/lanedock/kernel/tests/test_core.py
@@ -11,7 +11,7 @@
 
 
 class Recorder(Service):
-    """Notes when it is started and stopped."""
+    """Notes when it is started, begins to stop, and stops."""
 
     def __init__(self, name: str, notes: list, fails: bool = False):
         self.name = name
@@ -23,6 +23,9 @@
             raise OSError("taken")
         self.notes.append(f"+{self.name}")
 
+    def begin_stop(self) -> None:
+        self.notes.append(f"~{self.name}")
+
     def stop(self) -> None:
         self.notes.append(f"-{self.name}")
 
@@ -50,7 +53,7 @@
             gevent.sleep(0.002)
 
 
-def test_services_start_in_order_and_stop_in_reverse():
+def test_services_start_in_order_and_all_begin_to_stop_before_one_stops():
     notes, kernel = [], Kernel()
     for name in ("a", "b", "c"):
         kernel.add(Recorder(name, notes))
@@ -58,7 +61,7 @@
     assert kernel.find("b").name == "b"
     kernel.stop()
     kernel.stop()
-    assert notes == ["+a", "+b", "+c", "-c", "-b", "-a"]
+    assert notes == ["+a", "+b", "+c", "~c", "~b", "~a", "-c", "-b", "-a"]
 
 
 def test_what_has_started_is_stopped_when_another_fails():
@@ -67,7 +70,7 @@
         kernel.add(Recorder(name, notes, fails=name == "c"))
     with pytest.raises(OSError, match="taken"):
         kernel.start()
-    assert notes == ["+a", "+b", "-b", "-a"]
+    assert notes == ["+a", "+b", "~b", "~a", "-b", "-a"]
 
 
 def test_names_are_unique_and_must_be_there():
--- a/packages/lanedock/lanedock/limits/queue.py
+++ b/packages/lanedock/lanedock/limits/queue.py
@@ -22,11 +22,17 @@
     kind : str
         Such as its route's name: its own time is estimated by that of others of
         its kind.
+    start_by : float, optional
+        Monotonic, seconds; not admitted later, for whoever has sent it has ended when
+        its answer comes. The deadline where left out.
     """
 
-    __slots__ = ("deadline", "kind", "target_time")
+    __slots__ = ("deadline", "kind", "start_by", "target_time")
 
-    def __init__(self, deadline: float, target_time: float | None = None, kind: str = ""):
+    def __init__(
+        self, deadline: float, target_time: float | None = None, kind: str = "", start_by: float | None = None
+    ):
+        self.start_by = deadline if start_by is None else min(start_by, deadline)
         self.deadline = deadline
         self.target_time = target_time
         self.kind = kind
--- a/packages/lanedock/lanedock/limits/slots.py
+++ b/packages/lanedock/lanedock/limits/slots.py
@@ -136,6 +136,8 @@
         """
         if now >= request.deadline:
             return Refused(ErrorCode.DEADLINE, 0.0)
+        if now >= request.start_by:
+            return Refused(ErrorCode.OVERLOADED, self.return_after(request, now))
         if self._has_room(traffic_class, now):
             self._take(traffic_class, now)
             return None
@@ -216,7 +218,7 @@
         (tools/bench_overload.py).
         """
         if request.target_time is None:
-            return request.deadline
+            return request.start_by
         needed = self._times.upper(request.kind)
         if needed is None:
             start_by = request.target_time - self._first_estimate(request, now)
@@ -224,7 +226,7 @@
             next_slots = now + _NEXT_SLOTS * self._times.mean / self.slots
             latest = request.target_time - self._times.typical(request.kind)
             start_by = max(request.target_time - needed, min(next_slots, latest))
-        return min(request.deadline, start_by)
+        return min(request.start_by, start_by)
 
     def _estimate_wait(self, traffic_class: str, request: AdmissionRequest, now: float) -> float:
         """Estimate the wait from the queued requests that would be admitted before, in seconds."""
--- a/packages/lanedock/lanedock/limits/tests/test_slots.py
+++ b/packages/lanedock/lanedock/limits/tests/test_slots.py
@@ -341,3 +341,18 @@
     _warm(limiter, "c", 0.02)
     _ask(limiter, "c", FAR, 0.0, None)
     assert all(_ask(limiter, "c", 50.4, 50.0, None).retry_after <= 0.4 + 1e-9 for _ in range(50))
+
+
+@pytest.mark.parametrize("start_by,is_admitted", [(2.0, True), (1.0, False), (0.5, False)])
+def test_a_free_slot_is_not_given_after_the_time_to_start(start_by, is_admitted):
+    result = _ask(_limiter(), "order", FAR, 1.0, None, start_by=start_by)
+    assert (result is None) is is_admitted
+    assert is_admitted or result.code is ErrorCode.OVERLOADED
+
+
+@pytest.mark.parametrize("target_time", [None, 50.0])
+def test_a_request_waits_no_longer_than_it_may_start(target_time):
+    limiter = _limiter(slots=1)
+    _warm(limiter, "order")
+    assert _ask(limiter, "order", FAR, 1.0, None) is None
+    assert _ask(limiter, "order", FAR, 1.0, None, target_time, start_by=3.0).expires_at == 3.0
--- a/packages/lanedock/lanedock/telemetry/events.py
+++ b/packages/lanedock/lanedock/telemetry/events.py
@@ -40,8 +40,8 @@
     CUT_SHORT = (
         107,
         logging.WARNING,
-        "Requests were still in progress when the time to stop was over.",
-        "Raise `stop_timeout_ms`.",
+        "Requests were still in progress when the time to stop was over: they got a final answer, or were cut.",
+        "Raise `stop_timeout_ms`, or `stop_grace_s` with the platform's grace time.",
     )
 
     LEADING = (201, logging.INFO, "This control instance leads.", "None.")
