Refuse what a server reads after the final answers of a stop

Cause: a request whose head came to its end between the deadline and the cut would have waited for an answer that nobody makes any more. Change: it is refused as not run. Deadlines that follow from the settings have a test. Measured: test_stops.py and the path's tests, 104 passed.

--- a/packages/lanedock-daemon/lanedock_daemon/path/server.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/server.py
@@ -20,7 +20,7 @@
 from lanedock.telemetry import Event, EventLogger
 from lanedock_daemon.agent.attest import ALIVE_PATH
 from lanedock_daemon.path.channel import Channel
-from lanedock_daemon.path.http import HOP_HEADERS, Answer, Body, Outcome, Request, make_refusal
+from lanedock_daemon.path.http import HOP_HEADERS, RETRY_AFTER, Answer, Body, Outcome, Request, make_refusal
 from lanedock_daemon.path.parser import MalformedMessage, Message, RequestReader
 from lanedock_daemon.path.service import HttpService, StopTimeout
 
@@ -328,6 +328,9 @@
         limits = self._server.limits
         if limits is not None and body.length is not None and body.length > limits.body_bytes:
             return make_refusal(ErrorCode.BODY_TOO_LONG, Outcome.NOT_RUN)
+        if self._server.is_over():
+            # Read after the final answers were given: none would come any more.
+            return make_refusal(ErrorCode.DRAINING, Outcome.NOT_RUN, RETRY_AFTER)
         try:
             return self._server.side.handle(_make_request(message, body))
         except StopTimeout:
@@ -538,6 +541,10 @@
                 connection.expire()
                 return
 
+    def is_over(self) -> bool:
+        """Tell whether the process stops, and its final answers have been given."""
+        return self._plan.is_begun and time.monotonic() >= self._plan.deadline
+
     def take_worker(self) -> _Worker:
         """Return a worker that has nothing to do."""
         return self._idle_workers.pop() if self._idle_workers else _Worker(self._idle_workers)
--- a/packages/lanedock-daemon/lanedock_daemon/tests/test_stops.py
+++ b/packages/lanedock-daemon/lanedock_daemon/tests/test_stops.py
@@ -19,6 +19,7 @@
 import signal
 import subprocess
 import sys
+from types import SimpleNamespace
 
 import gevent
 import pytest
@@ -40,6 +41,7 @@
     wait_until,
 )
 from lanedock_daemon.roles import add_daemon
+from lanedock_daemon.stops import make_stop_plan
 
 # Seconds; half of it is for callers to go elsewhere.
 GRACE = 3.0
@@ -394,6 +396,29 @@
         gevent.sleep(10 * LONG)
 
 
+def test_a_request_that_comes_after_the_final_answers_is_told_that_it_has_not_run():
+    side, plan = _Silent(), StopPlan()
+    server = PathServer("operators", Address(HOST, 0), side, plan, EventLogger("c"))
+    server.start(None)
+    plan.begin(0.0)
+    sent = _Sent((HOST, server.port), _request("/x", close=True))
+    sent.join(timeout=LONG)
+    assert _outcomes(sent.received) == ["not-run"]
+    assert not side.requests
+    server.stop()
+
+
+@pytest.mark.parametrize(
+    "grace,is_daemon,linger,deadline",
+    [(6.0, True, 3.0, 5.4), (None, True, 0.0, 2.3), (None, False, 0.0, 2.0)],
+)
+def test_the_deadline_follows_from_the_settings(grace, is_daemon, linger, deadline):
+    daemon = object() if is_daemon else None
+    plan = make_stop_plan(SimpleNamespace(stop_grace_s=grace, stop_timeout_ms=2000, daemon=daemon))
+    plan.begin(0.0)
+    assert (plan.linger, plan.deadline) == pytest.approx((linger, deadline))
+
+
 def test_a_request_whose_side_knows_nothing_of_stops_is_told_unknown():
     side = _Silent()
     server = PathServer("operators", Address(HOST, 0), side, StopPlan(), EventLogger("c"))
