Test how long a version takes to be in force after its source was lost

Cause: a daemon leaves a lost source later than a version may take to be in force. Change: a test in virtual time, red on the code as it is and listed: three or five control instances, the source or two of them silent, paused, ended or without a leader, an outage of all leaders, a zone that is cut off for long; 40 seeds each.

--- /dev/null
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/tests/sources.py
@@ -0,0 +1,262 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Control instances and a daemon's agent in virtual time, for tests of sources that are lost."""
+
+import heapq
+from itertools import count
+from random import Random
+
+from lanedock.config import split_config
+from lanedock.rollout import Child, Distributor, VersionSource
+from lanedock.settings import Address, load_settings
+from lanedock.telemetry import EventLogger, NullMetrics
+from lanedock.wire import messages
+from lanedock_daemon.agent import AgentService, LocalView
+from lanedock_daemon.agent import service as service_module
+from lanedock_daemon.agent import view as view_module
+from lanedock_daemon.framed import CONNECT_TIMEOUT
+from lanedock_daemon.sessions import HEARTBEAT_INTERVAL
+from lanedock_daemon.transport import SourceEnded, SourceSent, SourceStream
+
+__all__ = ["ControlInstance", "VirtualMesh", "make_value"]
+
+# One way between availability zones, in seconds.
+_DELAY = 0.002
+_SETTINGS = """{
+  "name": "d", "zone": "z0", "transport": "framed",
+  "daemon": {"control": [%s], "staleness_limit_ms": 1000, "stall_limit_ms": 3000},
+  "upstream": {"service": "s", "listen": "10.0.0.9:1", "application": "10.0.0.9:2"}
+}"""
+
+
+def make_value(version: int) -> dict:
+    """Make an operators' file with one service."""
+    return {
+        "mesh": "m",
+        "version": version,
+        "zones": ["z0"],
+        "traffic_classes": [{"name": "c", "share": 0.5}],
+        "services": [{"name": "s", "zones": ["z0"], "slots": version}],
+        "routes": [],
+    }
+
+
+class _Clock:
+    """Stands in for the module `time`."""
+
+    def __init__(self):
+        self.now = 1000.0
+
+    def monotonic(self) -> float:
+        return self.now
+
+    def time_ns(self) -> int:
+        return int(self.now * 1e9)
+
+
+class ControlInstance:
+    """A source of versions, and in which way it is lost.
+
+    Attributes
+    ----------
+    is_dark : bool
+        What is sent to it, and what it sends, is swallowed.
+    is_paused : bool
+        Connections are made by its machine, and nothing is answered.
+    is_refusing : bool
+        Its process has ended: connections are refused.
+    led_until : float or None
+        Since when it is cut off from the leader; what is accepted after it is not known here.
+    """
+
+    def __init__(self, mesh: "VirtualMesh", address: Address, phase: float):
+        self.mesh = mesh
+        self.address = address
+        self.is_dark = self.is_paused = self.is_refusing = False
+        self.led_until: float | None = None
+        self.distributor = Distributor()
+        self.sessions: dict[_VirtualStream, Child] = {}
+        mesh.at(mesh.clock.now + phase, self._beat)
+
+    def answers(self) -> bool:
+        """Tell whether its process runs and can be reached."""
+        return not (self.is_dark or self.is_paused or self.is_refusing)
+
+    def end_sessions(self) -> None:
+        """Reset all streams, as a process does that ends."""
+        for stream in list(self.sessions):
+            del self.sessions[stream]
+            self.mesh.post(SourceEnded(stream, "reset"))
+
+    def set_accepted(self, tree) -> None:
+        """Learn of an accepted version, unless cut off from the leader."""
+        if self.led_until is None:
+            self.distributor.set_source(VersionSource(tree))
+            self.flush()
+
+    def catch_up(self) -> None:
+        """Learn of the newest accepted version, as one does that has found its leader again."""
+        if self.mesh.accepted is not None:
+            self.set_accepted(self.mesh.accepted)
+
+    def flush(self) -> None:
+        """Send every daemon what it lacks."""
+        for stream, child in self.sessions.items():
+            self.send(stream, self.distributor.due(child))
+
+    def send(self, stream: "_VirtualStream", batch: list[messages.ControlMessage]) -> None:
+        for message in batch:
+            if self.answers():
+                self.mesh.at(self.mesh.clock.now + _DELAY, self._deliver, stream, message)
+
+    def _deliver(self, stream: "_VirtualStream", message: messages.ControlMessage) -> None:
+        if not self.is_dark:
+            self.mesh.post(SourceSent(stream, message))
+
+    def receive(self, stream: "_VirtualStream", message: messages.DaemonMessage) -> None:
+        if stream.is_closed or not self.answers():
+            return
+        child = self.sessions.get(stream)
+        if child is None:
+            child = self.sessions[stream] = self.distributor.connect(message.state)
+            first = messages.ControlMessage()
+            first.endpoints.whole = True
+            self.send(stream, [first])
+        elif message.HasField("state"):
+            self.distributor.update(child, message.state)
+        self.send(stream, self.distributor.due(child))
+        if message.floor_token and self.led_until is None:
+            floor = messages.ControlMessage()
+            floor.floor.token = message.floor_token
+            floor.floor.version = self.distributor.source.accepted.number
+            self.send(stream, [floor])
+
+    def _beat(self) -> None:
+        message = messages.ControlMessage()
+        accepted = self.distributor.source.accepted
+        message.heartbeat.accepted_version = accepted.number if accepted else 0
+        if self.led_until is not None:
+            message.heartbeat.staleness_ms = int(1000 * (self.mesh.clock.now - self.led_until))
+        for stream in self.sessions:
+            self.send(stream, [message])
+        self.mesh.at(self.mesh.clock.now + HEARTBEAT_INTERVAL, self._beat)
+
+
+class _VirtualStream(SourceStream):
+    """The daemon's end of a stream."""
+
+    def __init__(self, owner, address: Address, mesh: "VirtualMesh"):
+        super().__init__(owner, address)
+        self._mesh = mesh
+        self.is_closed = False
+
+    def open(self, first: messages.DaemonMessage) -> None:
+        control = self._mesh.instances[self.address]
+        if control.is_dark:
+            self._mesh.at(self._mesh.clock.now + CONNECT_TIMEOUT, self._end)
+        elif control.is_refusing:
+            self._mesh.at(self._mesh.clock.now + 2 * _DELAY, self._end)
+        else:
+            self.send(first)
+
+    def send(self, message: messages.DaemonMessage) -> None:
+        control = self._mesh.instances[self.address]
+        self._mesh.at(self._mesh.clock.now + 2 * _DELAY, control.receive, self, message)
+
+    def close(self) -> None:
+        self.is_closed = True
+        self._mesh.instances[self.address].sessions.pop(self, None)
+
+    def _end(self) -> None:
+        self._mesh.post(SourceEnded(self, "not reached"))
+
+
+class VirtualMesh:
+    """Control instances and one daemon. Nothing waits: the clock jumps.
+
+    Parameters
+    ----------
+    monkeypatch : pytest.MonkeyPatch
+    folder : pathlib.Path
+        For the daemon's settings.
+    seed : int
+    size : int
+        Number of control instances, each of another availability zone.
+
+    Attributes
+    ----------
+    phase : float
+        Seconds, another with each seed, by which tests shift their events.
+    accepted : ConfigTree or None
+        The newest accepted version.
+    """
+
+    def __init__(self, monkeypatch, folder, seed: int, size: int = 3):
+        rng = Random(seed)
+        self.clock = _Clock()
+        for module in (service_module, view_module):
+            monkeypatch.setattr(module, "time", self.clock)
+        self.phase = rng.uniform(0, 5.0)
+        self.accepted = None
+        self._order = count()
+        self._queue: list = []
+        addresses = [Address(f"10.0.{number}.1", 7000) for number in range(size)]
+        self.instances = {
+            address: ControlInstance(self, address, rng.uniform(0, HEARTBEAT_INTERVAL)) for address in addresses
+        }
+        path = folder / "settings.json"
+        path.write_text(_SETTINGS % ",".join(f'"{address}"' for address in addresses), encoding="utf-8")
+        settings = load_settings(str(path))
+        self.view = LocalView("z0", 3.0)
+        self.agent = AgentService(settings, self.view, EventLogger("d"), NullMetrics())
+        self.agent._search._rng = rng
+        self.agent.on_start(self)
+        self.at(self.clock.now + rng.uniform(0, service_module.TICK), self._tick)
+
+    # ------------------------------------------- what the agent finds around it
+
+    def find(self, name: str) -> "VirtualMesh":
+        """Stand in for the kernel: everything is found here."""
+        return self
+
+    def open_source(self, owner, address: Address) -> _VirtualStream:
+        """Stand in for the transport."""
+        return _VirtualStream(owner, address, self)
+
+    # ----------------------------------------------------------------- the time
+
+    def at(self, when: float, function, *arguments) -> None:
+        heapq.heappush(self._queue, (when, next(self._order), function, arguments))
+
+    def post(self, message: object) -> None:
+        self.agent.on_messages([message])
+
+    def _tick(self) -> None:
+        self.agent.on_tick()
+        self.at(self.clock.now + service_module.TICK, self._tick)
+
+    def run(self, seconds: float, until=lambda: False) -> float:
+        """Let time pass until a condition holds; returns how long it took, in seconds."""
+        started = self.clock.now
+        while self._queue and self._queue[0][0] <= started + seconds and not until():
+            when, _, function, arguments = heapq.heappop(self._queue)
+            self.clock.now = max(self.clock.now, when)
+            function(*arguments)
+        if not until():
+            self.clock.now = started + seconds
+        return self.clock.now - started
+
+    # ------------------------------------------------------------- what happens
+
+    def source(self) -> ControlInstance:
+        """Return the instance from which the daemon takes versions."""
+        return self.instances[self.agent._stream.address]
+
+    def accept(self, version: int) -> None:
+        """Accept a version: all instances that the leader reaches learn of it."""
+        self.accepted = tree = split_config(make_value(version))
+        for instance in self.instances.values():
+            instance.set_accepted(tree)
+
+    def in_force(self) -> int:
+        """Return the number of the version by which the daemon serves."""
+        return self.view.holder.in_force_version.number
--- /dev/null
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/tests/test_source_loss.py
@@ -0,0 +1,132 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""A daemon whose source of versions is lost while operators apply changes.
+
+What users saw: an operator applied a change and was answered that it is accepted. More
+than two seconds later one entry still answered 404 for a route that the change had added.
+
+Order of events: the control instance of an availability zone was cut off from the
+others, which its daemons could reach all the while. The leader answered the operator
+after its short wait for daemons that had not reported the version. The daemon stayed
+with the instance that was cut off.
+
+Cause: the limits by which a daemon notices that its source is lost were chosen one by
+one: 3.5 s of silence, or 1 s without a leader and a heartbeat's interval of 1 s, then a
+search with growing waits. Their sum was longer than the time within which an accepted
+version has to be in force. After a long time without any leader, patience with a source
+that has none had doubled up to 16 s. And a daemon that had moved away went back to its
+own zone's instance as soon as it accepted connections, with or without a leader.
+
+Evidence: in virtual time, with those limits and 40 seeds, a version was in force up to
+3.95 s after its acceptance where the source had fallen silent, 2.45 s where it had lost
+its leader, 8.0 s where the source and the next instance were paused, and 11.0 s after an
+outage of all leaders. In the record the daemons of the zone that was cut off still held
+the older version when the operator had been answered, and what they had last heard was
+younger than all of these limits.
+"""
+
+import pytest
+
+from lanedock_daemon.agent.tests.sources import ControlInstance, VirtualMesh
+
+# Seconds after its acceptance in which a version has to be in force on every daemon
+# that can reach a control instance with a leader.
+IN_FORCE_LIMIT = 2.0
+# Seconds of it that are kept for what virtual time doesn't show: slow instances and
+# full links.
+MARGIN = 0.4
+SEEDS = range(40)
+
+
+def _go_silent(source: ControlInstance) -> None:
+    source.is_dark = True
+
+
+def _pause(source: ControlInstance) -> None:
+    source.is_paused = True
+
+
+def _end(source: ControlInstance) -> None:
+    source.is_refusing = True
+    source.end_sessions()
+
+
+def _cut_off(source: ControlInstance) -> None:
+    source.led_until = source.mesh.clock.now
+
+
+def _rejoin(source: ControlInstance) -> None:
+    source.led_until = None
+    source.catch_up()
+
+
+def _settle(mesh: VirtualMesh) -> None:
+    mesh.accept(1)
+    mesh.run(7.0)
+    assert mesh.in_force() == 1
+
+
+def _time_to(mesh: VirtualMesh, version: int) -> float:
+    """Accept a version; return how long it takes to be in force, in seconds."""
+    mesh.accept(version)
+    return mesh.run(60.0, until=lambda: mesh.in_force() >= version)
+
+
+def _lose_source(mesh: VirtualMesh, lose) -> float:
+    _settle(mesh)
+    lose(mesh.source())
+    return _time_to(mesh, 2)
+
+
+def _lose_source_and_next(mesh: VirtualMesh, lose) -> float:
+    """Lose the source, and be kept from the instance that is tried after it."""
+    _settle(mesh)
+    instances = list(mesh.instances.values())
+    position = instances.index(mesh.source())
+    for number in (position, position + 1):
+        lose(instances[number % len(instances)])
+    return _time_to(mesh, 2)
+
+
+def _lose_all_leaders(mesh: VirtualMesh, lose) -> float:
+    """Be without any leader for a long time; then all but the present source have one again."""
+    _settle(mesh)
+    for instance in mesh.instances.values():
+        lose(instance)
+    mesh.run(20.0 + mesh.phase)
+    present = mesh.source()
+    for instance in mesh.instances.values():
+        if instance is not present:
+            _rejoin(instance)
+    return _time_to(mesh, 2)
+
+
+def _lose_home_for_long(mesh: VirtualMesh, lose) -> float:
+    """Be away from the own zone's instance, which accepts connections and has no leader."""
+    _settle(mesh)
+    lose(mesh.source())
+    mesh.run(3.0)
+    longest = 0.0
+    for version in range(2, 40):
+        longest = max(longest, _time_to(mesh, version))
+        mesh.run(0.9)
+    return longest
+
+
+@pytest.mark.parametrize(
+    ("happen", "lose", "size"),
+    [
+        (_lose_source, _go_silent, 3),
+        (_lose_source, _pause, 3),
+        (_lose_source, _end, 3),
+        (_lose_source, _cut_off, 3),
+        (_lose_source_and_next, _go_silent, 5),
+        (_lose_source_and_next, _pause, 5),
+        (_lose_source_and_next, _end, 5),
+        (_lose_source_and_next, _cut_off, 5),
+        (_lose_all_leaders, _cut_off, 3),
+        (_lose_home_for_long, _cut_off, 3),
+    ],
+)
+def test_an_accepted_version_is_in_force_in_time(happen, lose, size, monkeypatch, tmp_path):
+    longest = max(happen(VirtualMesh(monkeypatch, tmp_path, seed, size), lose) for seed in SEEDS)
+    assert longest <= IN_FORCE_LIMIT - MARGIN
