Move to a control instance that has a leader within the time of an acknowledged version

Cause: a daemon whose source was cut off, silent or paused left it only after 3.5 s of silence, or at the second heartbeat without a leader (patience doubling up to 30 s), then searched; an accepted version has to be in force within 2 s. A daemon away from home went back as soon as home accepted connections. Change: sources say every 0.3 s how long ago they heard the leader, and what was heard ages; past staleness_limit_ms (0.8 s as deployed) the daemon keeps its source and asks the others with one-message probes, and moves to one that has a leader; home is asked the same way. The agent's report has a module of its own.

--- /dev/null
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/report.py
@@ -0,0 +1,102 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""What a daemon reports of itself to its source."""
+
+import time
+
+from lanedock.settings import Settings
+from lanedock.wire import messages
+from lanedock_daemon.agent.view import LocalView
+
+__all__ = ["StateReport"]
+
+
+class StateReport:
+    """The daemon's state, as it was reported last.
+
+    Parameters
+    ----------
+    settings : Settings
+        With a daemon section.
+    view : LocalView
+
+    Attributes
+    ----------
+    state : DaemonState
+    """
+
+    def __init__(self, settings: Settings, view: LocalView):
+        self._settings = settings
+        self._view = view
+        takes_any = settings.entry is not None or settings.daemon.any_service
+        self.state = messages.DaemonState(
+            daemon=settings.name,
+            zone=settings.zone,
+            role=messages.ROLE_ENTRY if takes_any else messages.ROLE_UPSTREAM,
+            service=settings.upstream.service if settings.upstream else "",
+            # Without a disk, the wall clock tells an earlier start from a later.
+            incarnation=time.time_ns() // 1_000_000,
+        )
+        if settings.daemon.relay:
+            self.state.relay_host = settings.daemon.relay.host
+            self.state.relay_port = settings.daemon.relay.port
+
+    def __repr__(self) -> str:
+        return f"<StateReport {self.state.daemon} sequence={self.state.sequence}>"
+
+    def outlive(self, incarnation: int) -> None:
+        """Make sure that this start counts as later than one that the mesh knows of."""
+        if incarnation > self.state.incarnation:
+            # The wall clock has gone back since the former start.
+            self.state.incarnation = incarnation + 1
+
+    def refresh(self, parent: str) -> bool:
+        """Bring the state up to date; returns whether it has changed.
+
+        Parameters
+        ----------
+        parent : str
+            Name of the relay that is the source; empty where it is a control instance.
+        """
+        holder = self._view.holder
+        fresh = messages.DaemonState()
+        fresh.CopyFrom(self.state)
+        fresh.in_force_version = holder.in_force_version.number
+        fresh.in_force_digest = holder.in_force_version.digest
+        fresh.staged_version = holder.staged_version.number
+        fresh.staged_digest = holder.staged_version.digest
+        fresh.refused_version = holder.refused.number
+        fresh.refused_digest = holder.refused.digest
+        del fresh.findings[:]
+        fresh.findings.extend(holder.findings)
+        fresh.want_whole = holder.wants_whole
+        fresh.draining = self._view.is_draining
+        self._fill_endpoint(fresh)
+        fresh.parent = parent
+        if fresh == self.state:
+            return False
+        fresh.sequence += 1
+        self.state = fresh
+        return True
+
+    def _fill_endpoint(self, state: messages.DaemonState) -> None:
+        """Fill in the upstream that this daemon speaks for, once it has registered."""
+        registration = self._view.upstream
+        if registration is None or not registration.upstream:
+            return
+        endpoint = state.endpoint
+        is_leaving = self._view.is_draining or not registration.is_taking_work()
+        revision = 2 * registration.revision + int(self._view.is_draining)
+        if endpoint.revision == revision and endpoint.incarnation == state.incarnation:
+            return
+        listen = self._settings.upstream.listen
+        endpoint.instance = self._settings.name
+        endpoint.service = registration.service
+        endpoint.zone = self._settings.zone
+        endpoint.host, endpoint.port = listen.host, listen.port
+        endpoint.leaving = is_leaving
+        endpoint.ended = registration.is_leaving
+        endpoint.incarnation = state.incarnation
+        endpoint.upstream = registration.upstream
+        endpoint.slots = registration.slots
+        endpoint.cold_ms = int(1000 * registration.cold_left(time.monotonic()))
+        endpoint.revision = revision
--- /dev/null
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/scouting.py
@@ -0,0 +1,123 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""When a daemon looks for a fresher source than the one it has, and whom it asks. Pure.
+
+A source that can't be reached by the leader serves its daemons on, with versions that
+grow old. A daemon stays with it and asks the other control instances, one after the
+other, how fresh they are; it moves once one of them has a leader. So nothing is lost
+where no instance is better, and a daemon can look for one early.
+"""
+
+from random import Random
+
+from lanedock.settings import Address
+from lanedock_daemon.transport import SourceStream
+
+__all__ = ["Scout", "ScoutRounds", "SourceFreshness"]
+
+# Seconds in which an instance has to say how fresh it is, its connection included: many
+# round trips between regions, and a lost packet's first retransmission (200 ms).
+SCOUT_LIMIT = 0.25
+# Longest wait between two rounds in which no instance had a leader, in seconds. 760
+# daemons ask each of 7 instances 110 times a second so, at 0.2 kB an answer.
+ROUND_WAIT_MIN = 0.25
+ROUND_WAIT_MAX = 1.0
+
+
+class SourceFreshness:
+    """How long ago a leader was heard, as far as sources have reported.
+
+    It grows between two reports: a source that has fallen silent reports nothing.
+
+    Parameters
+    ----------
+    limit : float
+        Seconds after which a fresher source is looked for. Longer than an election
+        takes, and by so much shorter than the time within which a version has to be in
+        force that a daemon can find a source, connect and catch up.
+    now : float
+        Monotonic, seconds.
+    """
+
+    def __init__(self, limit: float, now: float):
+        self.limit = limit
+        self._led_at = now
+
+    def __repr__(self) -> str:
+        return f"<SourceFreshness limit={self.limit} led_at={self._led_at:.2f}>"
+
+    def note(self, staleness: float, now: float) -> None:
+        """Take over what a source reports: for how long it has heard no leader, in seconds."""
+        self._led_at = now - staleness
+
+    def age(self, now: float) -> float:
+        """Return for how long no leader is known to have been heard, in seconds."""
+        return max(0.0, now - self._led_at)
+
+    def is_over(self, now: float) -> bool:
+        """Tell whether a fresher source is to be looked for."""
+        return self.age(now) > self.limit
+
+
+class Scout:
+    """One instance that is being asked how fresh it is.
+
+    Attributes
+    ----------
+    stream : SourceStream
+    address : Address
+    is_home : bool
+        Whether it is asked because it is the own zone's, and not because the present
+        source is too old.
+    """
+
+    __slots__ = ("_started_at", "address", "is_home", "stream")
+
+    def __init__(self, stream: SourceStream, address: Address, is_home: bool, now: float):
+        self.stream = stream
+        self.address = address
+        self.is_home = is_home
+        self._started_at = now
+
+    def __repr__(self) -> str:
+        return f"<Scout {self.address} is_home={self.is_home}>"
+
+    def is_over(self, now: float) -> bool:
+        """Tell whether it has taken too long."""
+        return now - self._started_at > SCOUT_LIMIT
+
+
+class ScoutRounds:
+    """Whom to ask next, and when: all instances in turn, then a wait that grows.
+
+    Parameters
+    ----------
+    rng : random.Random
+    """
+
+    def __init__(self, rng: Random):
+        self._rng = rng
+        self._asked = 0
+        self._rounds = 0
+        self._due_at = 0.0
+
+    def __repr__(self) -> str:
+        return f"<ScoutRounds rounds={self._rounds} asked={self._asked}>"
+
+    def reset(self) -> None:
+        """Begin anew: the present source is fresh enough."""
+        self._asked = self._rounds = 0
+        self._due_at = 0.0
+
+    def choose(self, candidates: list[Address], now: float) -> Address | None:
+        """Return whom to ask now; None where nobody is to be asked yet."""
+        if now < self._due_at or not candidates:
+            return None
+        if self._asked < len(candidates):
+            self._asked += 1
+            return candidates[self._asked - 1]
+        self._asked = 0
+        longest = min(ROUND_WAIT_MAX, ROUND_WAIT_MIN * 2**self._rounds)
+        self._rounds += 1
+        # Those that lost the same source together come back spread out.
+        self._due_at = now + self._rng.uniform(0.5, 1.0) * longest
+        return None
--- a/packages/lanedock-daemon/lanedock_daemon/agent/search.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/search.py
@@ -5,7 +5,7 @@
 
 from lanedock.settings import Address
 
-__all__ = ["SourceSearch", "StalenessPatience"]
+__all__ = ["SourceSearch"]
 
 BACKOFF_MIN = 0.1
 # 760 daemons that look for a source at random within this time, in seconds, knock
@@ -16,54 +16,10 @@
 # 760 daemons at 7 control instances send each of them 870 a second.
 URGENT_BACKOFF_MAX = 0.25
 RELAY_MEMORY = 30.0
-# Longest time, in seconds, that a daemon stays with a source without a leader before it
-# tries another: sent anew, the endpoints of 760 daemons are 45 kB.
-STALENESS_MAX = 30.0
 HOME_WAIT_MIN = 4.0
 HOME_WAIT_MAX = 300.0
 
 
-class StalenessPatience:
-    """How long a source may be without a leader before a daemon looks for another. Pure.
-
-    A control instance that is cut off from the others serves its daemons on, with
-    versions that grow old. Where the next source is no better there is no leader
-    anywhere, and going on from one to the next would only cost them all: so the limit
-    doubles each time, until a source has a leader.
-
-    Parameters
-    ----------
-    limit : float
-        Seconds. Longer than an election takes; and as daemons hear of it with a
-        heartbeat, a second more passes at the most before they move.
-
-    Attributes
-    ----------
-    least : float
-        The limit, before it was doubled.
-    """
-
-    def __init__(self, limit: float):
-        self.least = limit
-        self._limit = limit
-
-    def __repr__(self) -> str:
-        return f"<StalenessPatience limit={self._limit}>"
-
-    def is_over(self, staleness: float) -> bool:
-        """Tell whether a source that admits this staleness, in seconds, is to be left."""
-        return staleness > self._limit
-
-    def note(self, staleness: float) -> None:
-        """Take in the staleness that a source admits, in seconds."""
-        if staleness <= self.least:
-            self._limit = self.least
-
-    def extend(self) -> None:
-        """Note that a source was left for its staleness."""
-        self._limit = min(2 * self._limit, STALENESS_MAX)
-
-
 class SourceSearch:
     """The search for a source: control instances in turn, and relays they name.
 
@@ -119,6 +75,22 @@
             return self._relay[1]
         return self._control[self._position % len(self._control)]
 
+    def home(self) -> Address:
+        """Return the address of the own zone's control instance."""
+        return self._control[0]
+
+    def others(self) -> list[Address]:
+        """Return the control instances other than the present source, the next ones first."""
+        if self._relay is not None:
+            return list(self._control)
+        position = self._position % len(self._control)
+        return self._control[position + 1 :] + self._control[:position]
+
+    @property
+    def failures(self) -> int:
+        """How many sources have failed since one served."""
+        return self._failures
+
     def relay_name(self) -> str:
         """Return the name of the relay to try; empty where it is a control instance."""
         return self._relay[0] if self._relay else ""
@@ -149,10 +121,12 @@
         self._home_at = now + self._rng.uniform(0.5, 1.0) * self._home_wait
         return True
 
-    def fail_back(self) -> None:
-        """Try the own zone's control instance next."""
-        self._relay = None
-        self._position = 0
+    def move_to(self, address: Address, now: float) -> None:
+        """Take versions from this control instance next; a relay that is left for it counts as failed."""
+        if self._relay is not None:
+            self._failed_relays[self._relay[0]] = now + RELAY_MEMORY
+            self._relay = None
+        self._position = self._control.index(address) if address in self._control else 0
 
     def note_redirect(self, relay: str, address: Address) -> float:
         """Note that a control instance refers to a relay; returns the wait in seconds."""
--- a/packages/lanedock-daemon/lanedock_daemon/agent/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/service.py
@@ -4,19 +4,18 @@
 import random
 import time
 
-import gevent
-from gevent import socket
-
 from lanedock.kernel import Kernel, TaskService
 from lanedock.settings import Address, Settings
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics
 from lanedock.wire import messages
 from lanedock_daemon.agent.attest import AttestationsMade, Attester
 from lanedock_daemon.agent.relay import RelaySessions
-from lanedock_daemon.agent.search import SourceSearch, StalenessPatience
+from lanedock_daemon.agent.report import StateReport
+from lanedock_daemon.agent.scouting import Scout, ScoutRounds, SourceFreshness
+from lanedock_daemon.agent.search import SourceSearch
 from lanedock_daemon.agent.view import LocalView
 from lanedock_daemon.sessions import (
-    HEARTBEAT_INTERVAL,
+    REPORT_INTERVAL,
     SILENCE_LIMIT,
     ChildArrived,
     ChildLeft,
@@ -27,8 +26,12 @@
 
 __all__ = ["AgentService", "DrainRequested", "RegistrationChanged"]
 
-TICK = 0.25
-HOME_TIMEOUT = 1.0
+# Seconds between two looks at the source, by which it is noticed later that it is lost.
+TICK = 0.1
+# Seconds in which a source that has just been connected to has to say how fresh it is:
+# control instances that start, on a part of a core, take tenths of a second. Doubled
+# with each source that failed, for where all are as slow.
+FIRST_ANSWER_LIMIT = 0.5
 
 
 class DrainRequested:
@@ -43,12 +46,6 @@
     __slots__ = ()
 
 
-class _HomeReachable:
-    """The control instance of the own zone can be reached again."""
-
-    __slots__ = ()
-
-
 class AgentService(TaskService):
     """Takes versions and endpoints from a source, and publishes them.
 
@@ -70,25 +67,27 @@
         self._holder = view.holder
         self._events = events
         self._metrics = metrics
-        self._search = SourceSearch(settings.daemon.control, random.Random(), settings.zone)
+        rng = random.Random()
+        self._search = SourceSearch(settings.daemon.control, rng, settings.zone)
+        self._freshness = SourceFreshness(settings.daemon.staleness_limit_ms / 1000, time.monotonic())
+        self._scout: Scout | None = None
+        self._rounds = ScoutRounds(rng)
         self._relay = RelaySessions(metrics) if settings.daemon.relay else None
         self._stream: SourceStream | None = None
         self._connect_at = 0.0
-        self._heartbeat_at = 0.0
-        self._staleness = 0.0
-        self._patience = StalenessPatience(settings.daemon.staleness_limit_ms / 1000)
+        self._opened_at = 0.0
+        self._report_at = 0.0
         self._floor_token = 0
         self._is_floor_asked = False
         self._attestations: list[messages.Attestation] = []
         self._on_rival = lambda: None
-        self._state = self._make_state()
+        self._report = StateReport(settings, view)
         self._handlers = {
             SourceSent: self._on_source_sent,
             SourceEnded: self._on_source_ended,
             DrainRequested: self._on_drain,
             RegistrationChanged: lambda item: None,
             SeedsChanged: lambda item: self._search.set_seeds(item.control),
-            _HomeReachable: self._on_home_reachable,
             AttestationsMade: lambda item: self._attestations.extend(item.attestations),
             ChildArrived: self._on_child_arrived,
             ChildReported: lambda item: self._relay.tell(item.session, item.message),
@@ -114,22 +113,8 @@
             self._server.close()
         if self._stream is not None:
             self._stream.close()
-
-    def _make_state(self) -> messages.DaemonState:
-        settings = self._settings
-        takes_any = settings.entry is not None or settings.daemon.any_service
-        state = messages.DaemonState(
-            daemon=settings.name,
-            zone=settings.zone,
-            role=messages.ROLE_ENTRY if takes_any else messages.ROLE_UPSTREAM,
-            service=settings.upstream.service if settings.upstream else "",
-            # Without a disk, the wall clock tells an earlier start from a later.
-            incarnation=time.time_ns() // 1_000_000,
-        )
-        if settings.daemon.relay:
-            state.relay_host = settings.daemon.relay.host
-            state.relay_port = settings.daemon.relay.port
-        return state
+        if self._scout is not None:
+            self._scout.stream.close()
 
     # ---------------------------------------------------------------- messages
 
@@ -149,56 +134,89 @@
         if self._stream is None:
             if now >= self._connect_at:
                 self._connect(now)
-        elif now - self._stream.heard_at > SILENCE_LIMIT:
+        elif self._is_silent(now):
             self._leave_source("silent")
-        elif self._patience.is_over(self._staleness):
-            self._leave_source("stale")
-        elif self._search.is_home_due(now):
-            gevent.spawn(self._probe_home)
+        else:
+            self._look_around(now)
         self._advance()
 
     def _measure(self, now: float) -> None:
         """Measure how old what is known is."""
         heard_at = self._stream.heard_at if self._stream is not None else self._connect_at
         self._metrics.gauge(Metric.SOURCE_AGE, max(0.0, now - heard_at))
-        self._metrics.gauge(Metric.STALENESS, self._staleness_now(now))
+        self._metrics.gauge(Metric.STALENESS, self._freshness.age(now))
         for zone, count in self._view.count_endpoints().items():
             self._metrics.gauge(Metric.ENDPOINTS, count, (zone,))
 
-    def _probe_home(self) -> None:
-        """Try to reach the control instance of the own zone."""
-        home = self._settings.daemon.control[0]
-        try:
-            socket.create_connection((home.host, home.port), timeout=HOME_TIMEOUT).close()
-        except OSError:
+    def _is_silent(self, now: float) -> bool:
+        """Tell whether the source has said nothing for so long that it counts as lost."""
+        if now - self._stream.heard_at > SILENCE_LIMIT:
+            return True
+        limit = FIRST_ANSWER_LIMIT * 2 ** min(self._search.failures, 3)
+        return not self._stream.is_serving and now - self._opened_at > limit
+
+    # ---------------------------------------------------------------- scouting
+
+    def _look_around(self, now: float) -> None:
+        """Ask other instances how fresh they are, where that may lead to a better source."""
+        is_old = self._freshness.is_over(now) and self._stream.is_serving
+        if not is_old:
+            self._rounds.reset()
+        if self._scout is not None:
+            if self._scout.is_over(now):
+                self._end_scout()
+        elif is_old:
+            address = self._rounds.choose(self._search.others(), now)
+            if address is not None:
+                self._send_scout(address, False, now)
+        elif self._search.is_home_due(now):
+            self._send_scout(self._search.home(), True, now)
+
+    def _send_scout(self, address: Address, is_home: bool, now: float) -> None:
+        stream = self._transport.open_source(self, address)
+        self._scout = Scout(stream, address, is_home, now)
+        message = messages.DaemonMessage(probe=True)
+        message.state.daemon = self._settings.name
+        stream.open(message)
+
+    def _end_scout(self) -> None:
+        scout, self._scout = self._scout, None
+        if scout is not None:
+            scout.stream.close()
+
+    def _on_scout_answer(self, message: messages.ControlMessage, now: float) -> None:
+        """Move to an instance that has a leader; one that has none is no better than the present one."""
+        if not message.HasField("heartbeat"):
             return
-        self.post(_HomeReachable())
-
-    def _on_home_reachable(self, item: _HomeReachable) -> None:
-        """Go back, so that a zone that is cut off keeps its daemons with its own control."""
-        if self._stream is None or self._search.is_home():
+        scout = self._scout
+        self._end_scout()
+        heartbeat = message.heartbeat
+        is_fresh = heartbeat.staleness_ms <= 1000 * self._freshness.limit
+        if self._stream is None or not is_fresh:
             return
-        self._drop_stream()
-        self._search.fail_back()
-        self._connect(time.monotonic())
+        if heartbeat.accepted_version < self._holder.in_force_version.number:
+            return
+        stream = self._drop_stream()
+        self._events.emit(Event.SOURCE_LOST, address=stream.address, reason="home" if scout.is_home else "stale")
+        self._search.move_to(scout.address, now)
+        self._connect(now)
 
     def _connect(self, now: float) -> None:
         self._stream = self._transport.open_source(self, self._search.address())
-        self._stream.heard_at = now
-        self._staleness = 0.0
+        self._stream.heard_at = self._opened_at = now
         self._is_floor_asked = False
         first = self._make_message(with_state=True)
         first.failed_relays.extend(self._search.failed_relays(now))
         if self._relay is not None:
             first.fleet_report.CopyFrom(self._relay.distributor.take_report(whole=True))
-        self._heartbeat_at = now + HEARTBEAT_INTERVAL
+        self._report_at = now + REPORT_INTERVAL
         self._stream.open(first)
 
     def _make_message(self, with_state: bool) -> messages.DaemonMessage:
         message = messages.DaemonMessage()
         if with_state:
-            self._refresh_state()
-            message.state.CopyFrom(self._state)
+            self._report.refresh(self._search.relay_name())
+            message.state.CopyFrom(self._report.state)
         if not self._is_floor_asked and self._wants_floor():
             self._floor_token += 1
             self._is_floor_asked = True
@@ -218,9 +236,8 @@
 
     def _leave_source(self, reason: str) -> None:
         """Look for another source. What is held stays in force."""
-        if reason == "stale":
-            self._patience.extend()
         stream = self._drop_stream()
+        self._end_scout()
         now = time.monotonic()
         self._connect_at = now + self._search.note_failure(now, self._view.bind() is None)
         self._events.emit(Event.SOURCE_LOST, address=stream.address, reason=reason)
@@ -228,11 +245,16 @@
     def _on_source_ended(self, item: SourceEnded) -> None:
         if item.stream is self._stream:
             self._leave_source(item.reason)
+        elif self._scout is not None and item.stream is self._scout.stream:
+            self._end_scout()
 
     def _on_source_sent(self, item: SourceSent) -> None:
+        now = time.monotonic()
+        if self._scout is not None and item.stream is self._scout.stream:
+            self._on_scout_answer(item.message, now)
+            return
         if item.stream is not self._stream:
             return
-        now = time.monotonic()
         item.stream.heard_at = now
         message = item.message
         body = message.WhichOneof("body")
@@ -250,8 +272,7 @@
             self._on_floor(message.floor)
         elif body == "heartbeat":
             self._on_heartbeat(item.stream, now)
-            self._staleness = message.heartbeat.staleness_ms / 1000
-            self._patience.note(self._staleness)
+            self._freshness.note(message.heartbeat.staleness_ms / 1000, now)
         elif body == "members":
             self._search.set_members([(item.address, item.zone) for item in message.members.members])
         elif body == "attest":
@@ -306,9 +327,7 @@
 
     def _on_own_endpoint(self, endpoint: messages.Endpoint) -> None:
         """Learn from the mesh what this daemon knew before it was restarted."""
-        if endpoint.incarnation > self._state.incarnation:
-            # The wall clock has gone back since the former start.
-            self._state.incarnation = endpoint.incarnation + 1
+        self._report.outlive(endpoint.incarnation)
         registration = self._view.upstream
         if registration is None:
             return
@@ -336,8 +355,13 @@
         self._events.emit(Event.DRAINING, instance=self._settings.name)
 
     def _on_child_arrived(self, item: ChildArrived) -> None:
+        freshness = self._relayed_freshness(time.monotonic())
+        if item.message.probe:
+            self._relay.answer_probe(item.session, *freshness)
+            return
         self._refresh_source()
         self._relay.arrive(item.session, item.message, self._view.all_endpoints())
+        self._relay.send_heartbeat(item.session, *freshness)
 
     # ----------------------------------------------------------------- advance
 
@@ -347,71 +371,23 @@
         if self._relay is not None:
             self._refresh_source()
             self._relay.flush()
-            self._relay.send_heartbeats(now, self._holder.in_force_version.number, self._staleness_now(now))
+            self._relay.send_heartbeats(now, *self._relayed_freshness(now))
         if self._stream is None:
             return
-        is_changed = self._refresh_state()
+        is_changed = self._report.refresh(self._search.relay_name())
         needs_floor = not self._is_floor_asked and self._wants_floor()
         has_report = self._relay is not None and self._relay.distributor.is_report_due()
-        if not (is_changed or needs_floor or has_report or self._attestations or now >= self._heartbeat_at):
+        if not (is_changed or needs_floor or has_report or self._attestations or now >= self._report_at):
             return
-        self._heartbeat_at = now + HEARTBEAT_INTERVAL
+        self._report_at = now + REPORT_INTERVAL
         message = self._make_message(with_state=is_changed)
         if has_report:
             message.fleet_report.CopyFrom(self._relay.distributor.take_report(whole=False))
         self._stream.send(message)
 
-    def _staleness_now(self, now: float) -> float:
-        if self._stream is None:
-            return now - self._connect_at + self._patience.least
-        return self._staleness
-
-    def _refresh_state(self) -> bool:
-        """Bring the reported state up to date; returns whether it has changed."""
-        holder = self._holder
-        state = self._state
-        fresh = messages.DaemonState()
-        fresh.CopyFrom(state)
-        fresh.in_force_version = holder.in_force_version.number
-        fresh.in_force_digest = holder.in_force_version.digest
-        fresh.staged_version = holder.staged_version.number
-        fresh.staged_digest = holder.staged_version.digest
-        fresh.refused_version = holder.refused.number
-        fresh.refused_digest = holder.refused.digest
-        del fresh.findings[:]
-        fresh.findings.extend(holder.findings)
-        fresh.want_whole = holder.wants_whole
-        fresh.draining = self._view.is_draining
-        self._fill_endpoint(fresh)
-        fresh.parent = self._search.relay_name()
-        if fresh == state:
-            return False
-        fresh.sequence += 1
-        self._state = fresh
-        return True
-
-    def _fill_endpoint(self, state: messages.DaemonState) -> None:
-        """Fill in the upstream that this daemon speaks for, once it has registered."""
-        registration = self._view.upstream
-        if registration is None or not registration.upstream:
-            return
-        endpoint = state.endpoint
-        is_leaving = self._view.is_draining or not registration.is_taking_work()
-        revision = 2 * registration.revision + int(self._view.is_draining)
-        if endpoint.revision == revision and endpoint.incarnation == state.incarnation:
-            return
-        listen = self._settings.upstream.listen
-        endpoint.instance = self._settings.name
-        endpoint.service = registration.service
-        endpoint.zone = self._settings.zone
-        endpoint.host, endpoint.port = listen.host, listen.port
-        endpoint.leaving = is_leaving
-        endpoint.ended = registration.is_leaving
-        endpoint.incarnation = state.incarnation
-        endpoint.upstream = registration.upstream
-        endpoint.slots = registration.slots
-        endpoint.cold_ms = int(1000 * registration.cold_left(time.monotonic()))
-        endpoint.revision = revision
+    def _relayed_freshness(self, now: float) -> tuple[int, float]:
+        """Return what daemons behind this one are told of its freshness; see `SessionRegistry.send_heartbeats`."""
+        return self._holder.in_force_version.number, self._freshness.age(now)
 
     def _refresh_source(self) -> None:
         """Let the relay pass on what this daemon holds."""
--- a/packages/lanedock-daemon/lanedock_daemon/agent/tests/sources.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/tests/sources.py
@@ -115,12 +115,15 @@
     def receive(self, stream: "_VirtualStream", message: messages.DaemonMessage) -> None:
         if stream.is_closed or not self.answers():
             return
+        if message.probe:
+            self.send(stream, [self._make_heartbeat()])
+            return
         child = self.sessions.get(stream)
         if child is None:
             child = self.sessions[stream] = self.distributor.connect(message.state)
             first = messages.ControlMessage()
             first.endpoints.whole = True
-            self.send(stream, [first])
+            self.send(stream, [first, self._make_heartbeat()])
         elif message.HasField("state"):
             self.distributor.update(child, message.state)
         self.send(stream, self.distributor.due(child))
@@ -130,12 +133,16 @@
             floor.floor.version = self.distributor.source.accepted.number
             self.send(stream, [floor])
 
-    def _beat(self) -> None:
+    def _make_heartbeat(self) -> messages.ControlMessage:
         message = messages.ControlMessage()
         accepted = self.distributor.source.accepted
         message.heartbeat.accepted_version = accepted.number if accepted else 0
         if self.led_until is not None:
             message.heartbeat.staleness_ms = int(1000 * (self.mesh.clock.now - self.led_until))
+        return message
+
+    def _beat(self) -> None:
+        message = self._make_heartbeat()
         for stream in self.sessions:
             self.send(stream, [message])
         self.mesh.at(self.mesh.clock.now + HEARTBEAT_INTERVAL, self._beat)
--- a/packages/lanedock-daemon/lanedock_daemon/agent/tests/test_search.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/tests/test_search.py
@@ -7,7 +7,7 @@
 import pytest
 
 from lanedock.settings import Address
-from lanedock_daemon.agent.search import BACKOFF_MAX, STALENESS_MAX, URGENT_BACKOFF_MAX, SourceSearch, StalenessPatience
+from lanedock_daemon.agent.search import BACKOFF_MAX, URGENT_BACKOFF_MAX, SourceSearch
 
 CONTROL = [Address("10.0.0.1", 7000), Address("10.0.1.1", 7000), Address("10.0.2.1", 7000)]
 RELAY = Address("10.0.0.9", 7001)
@@ -72,27 +72,21 @@
     assert asked[0] <= 4
     gaps = [after - before for before, after in pairwise(asked)]
     assert gaps[-1] > 10 * gaps[0] - 1
-    search.fail_back()
+    search.move_to(search.home(), 2000.0)
     search.note_success(2001.0)
     assert search.is_home()
     assert not search.is_home_due(1e9)
 
 
-def test_a_source_without_a_leader_is_left_and_the_next_ones_later_and_later():
-    patience = StalenessPatience(1.0)
-    assert not patience.is_over(0.9)
-    limits = []
-    for _ in range(8):
-        limits.append(next(limit for limit in range(1, 100) if patience.is_over(limit + 0.1)))
-        patience.note(limits[-1] + 0.1)
-        patience.extend()
-    assert limits[:5] == [1, 2, 4, 8, 16]
-    assert limits[-1] == STALENESS_MAX
+def test_the_others_are_asked_in_turn_from_the_present_one_on(search):
+    assert search.others() == CONTROL[1:]
+    search.note_failure(0.0)
+    assert search.others() == [CONTROL[2], CONTROL[0]]
 
 
-def test_a_source_with_a_leader_ends_the_patience():
-    patience = StalenessPatience(1.0)
-    for _ in range(4):
-        patience.extend()
-    patience.note(0.2)
-    assert patience.is_over(1.1)
+def test_a_relay_that_is_left_for_a_fresher_source_is_named_to_control(search):
+    search.note_redirect("r1", RELAY)
+    assert search.others() == CONTROL
+    search.move_to(CONTROL[1], 10.0)
+    assert (search.address(), search.relay_name()) == (CONTROL[1], "")
+    assert search.failed_relays(11.0) == ["r1"]
--- a/packages/lanedock-daemon/lanedock_daemon/control/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/service.py
@@ -188,7 +188,7 @@
             return
         now = time.monotonic()
         self._log.replica.tick(now)
-        self._sessions.send_heartbeats(now, self._log.state.accepted_version.number, self._log.replica.silence(now))
+        self._sessions.send_heartbeats(now, *self._freshness(now))
         if self._is_seeded:
             self._exchange.expire(now)
         else:
@@ -223,10 +223,21 @@
             request.fleet_request.SetInParent()
             self._links.send([request])
 
+    def _freshness(self, now: float) -> tuple[int, float]:
+        """Return the newest accepted version known here, and for how long no leader was heard, in seconds."""
+        return self._log.state.accepted_version.number, self._log.replica.silence(now)
+
     def _on_child_arrived(self, item: ChildArrived) -> None:
+        freshness = self._freshness(time.monotonic())
+        if item.message.probe:
+            self._sessions.answer_probe(item.session, *freshness)
+            return
         self._sessions.arrive(item.session, item.message, self._directory.whole_update())
-        if self._is_seeded and item.session.child is not None:
-            self._sessions.send_members([item.session], self._sent_members)
+        if item.session.child is not None:
+            # At once: a daemon that came to a source without a leader goes on.
+            self._sessions.send_heartbeat(item.session, *freshness)
+            if self._is_seeded:
+                self._sessions.send_members([item.session], self._sent_members)
         self._note_state(item.session, item.message)
 
     def _on_child_reported(self, item: ChildReported) -> None:
--- a/packages/lanedock-daemon/lanedock_daemon/session_registry.py
+++ b/packages/lanedock-daemon/lanedock_daemon/session_registry.py
@@ -103,9 +103,7 @@
             return
         self._heartbeat_at = now + HEARTBEAT_INTERVAL
         self._metrics.gauge(Metric.CHILDREN, len(self._sessions))
-        message = messages.ControlMessage()
-        message.heartbeat.accepted_version = accepted
-        message.heartbeat.staleness_ms = min(int(staleness * 1000), 2**31)
+        message = _make_heartbeat(accepted, staleness)
         for session in list(self._sessions):
             if now - session.heard_at > SILENCE_LIMIT:
                 session.close()
@@ -113,6 +111,15 @@
             else:
                 self._send(session, [message])
 
+    def send_heartbeat(self, session: Session, accepted: int, staleness: float) -> None:
+        """Send one daemon a heartbeat at once, to which it may act; see `send_heartbeats`."""
+        self._send(session, [_make_heartbeat(accepted, staleness)])
+
+    def answer_probe(self, session: Session, accepted: int, staleness: float) -> None:
+        """Answer a daemon that only asks how fresh this source is; see `send_heartbeats`."""
+        self.send_heartbeat(session, accepted, staleness)
+        session.close()
+
     def _send_floor(self, session: Session, token: int, accepted: int) -> None:
         """Answer a daemon's question for the floor, after all versions due."""
         if session in self._sessions:
@@ -125,3 +132,10 @@
         if batch:
             self._metrics.count(Metric.CONTROL_BYTES, sum(message.ByteSize() for message in batch))
             session.send(batch)
+
+
+def _make_heartbeat(accepted: int, staleness: float) -> messages.ControlMessage:
+    message = messages.ControlMessage()
+    message.heartbeat.accepted_version = accepted
+    message.heartbeat.staleness_ms = min(int(staleness * 1000), 2**31)
+    return message
--- a/packages/lanedock-daemon/lanedock_daemon/sessions.py
+++ b/packages/lanedock-daemon/lanedock_daemon/sessions.py
@@ -5,11 +5,24 @@
 from lanedock.wire import messages
 from lanedock_daemon.transport import Session
 
-__all__ = ["HEARTBEAT_INTERVAL", "SILENCE_LIMIT", "ChildArrived", "ChildLeft", "ChildReported", "SeedsChanged"]
-
-# Both ends of a stream send something at least this often, in seconds, and take
-# the other for lost after this silence.
-HEARTBEAT_INTERVAL = 1.0
+__all__ = [
+    "HEARTBEAT_INTERVAL",
+    "REPORT_INTERVAL",
+    "SILENCE_LIMIT",
+    "ChildArrived",
+    "ChildLeft",
+    "ChildReported",
+    "SeedsChanged",
+]
+
+# A source sends something at least this often, in seconds. Each heartbeat is some 60
+# bytes with its packet's headers, 0.2 kB a second for each daemon; what a daemon knows
+# of its source is this much older at the most than it could be.
+HEARTBEAT_INTERVAL = 0.3
+# A daemon reports at least this often, in seconds.
+REPORT_INTERVAL = 1.0
+# Each end takes the other for lost after this silence, in seconds. Versions don't wait
+# for it: a daemon looks for a fresher source long before.
 SILENCE_LIMIT = 3.5
 
 
