Ask the present source anew, too, when it proves no leader

Cause: a stream may fall silent while new ones work; with one control instance, or where the others can't be reached, the daemon waited for 3.5 s of silence. After a change of seeds the present source may be none of the known instances, and one of them was never asked. Change: all known instances are asked, the present one last.

--- a/packages/lanedock-daemon/lanedock_daemon/agent/search.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/search.py
@@ -79,12 +79,15 @@
         """Return the address of the own zone's control instance."""
         return self._control[0]
 
-    def others(self) -> list[Address]:
-        """Return the control instances other than the present source, the next ones first."""
-        if self._relay is not None:
+    def scouted(self, present: Address) -> list[Address]:
+        """Return the control instances to ask for a fresher source, the ones after the present source first.
+
+        The present one comes last: its stream may have fallen silent while new ones work.
+        """
+        if present not in self._control:
             return list(self._control)
-        position = self._position % len(self._control)
-        return self._control[position + 1 :] + self._control[:position]
+        position = self._control.index(present)
+        return self._control[position + 1 :] + self._control[: position + 1]
 
     @property
     def failures(self) -> int:
--- a/packages/lanedock-daemon/lanedock_daemon/agent/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/service.py
@@ -166,7 +166,7 @@
             if self._scout.is_over(now):
                 self._end_scout()
         elif is_old:
-            address = self._rounds.choose(self._search.others(), now)
+            address = self._rounds.choose(self._search.scouted(self._stream.address), now)
             if address is not None:
                 self._send_scout(address, False, now)
         elif self._search.is_home_due(now):
--- a/packages/lanedock-daemon/lanedock_daemon/agent/tests/test_source_loss.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/tests/test_source_loss.py
@@ -54,6 +54,10 @@
     source.led_until = source.mesh.clock.now
 
 
+def _silence_streams(source: ControlInstance) -> None:
+    source.silence_streams()
+
+
 def _rejoin(source: ControlInstance) -> None:
     source.led_until = None
     source.catch_up()
@@ -119,6 +123,8 @@
         (_lose_source, _pause, 3),
         (_lose_source, _end, 3),
         (_lose_source, _cut_off, 3),
+        (_lose_source, _silence_streams, 3),
+        (_lose_source, _silence_streams, 1),
         (_lose_source_and_next, _go_silent, 5),
         (_lose_source_and_next, _pause, 5),
         (_lose_source_and_next, _end, 5),
