Test that a silent link between control instances is noticed

Cause: a link counts as heard when its peer is heard over the peer's own link. A follower whose leader's link has fallen silent calls for votes several times a second, so the leader never opens that link anew, and the follower stays without a leader.

--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_silence.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_silence.py
@@ -3,45 +3,10 @@
 
 import gevent
 import pytest
-from gevent import socket
-from gevent.server import StreamServer
 
 from lanedock.wire import messages
 from lanedock_daemon.path.tests.chain import HOST, wait_until
-
-
-class _Proxy:
-    """Passes connections on, and swallows both directions of those it has, when it is asked to."""
-
-    def __init__(self, target: tuple[str, int]):
-        self._target = target
-        self._era = 0
-        self.accepted = 0
-        self.server = StreamServer((HOST, 0), self._serve)
-        self.server.start()
-
-    @property
-    def address(self) -> tuple[str, int]:
-        return (HOST, self.server.server_port)
-
-    def silence(self) -> None:
-        """Swallow what comes on the connections there are; new ones work."""
-        self._era += 1
-
-    def _serve(self, conn, address) -> None:
-        self.accepted += 1
-        with socket.create_connection(self._target) as other:
-            era = self._era
-            gevent.joinall([gevent.spawn(self._pass, conn, other, era), gevent.spawn(self._pass, other, conn, era)])
-
-    def _pass(self, source, target, era: int) -> None:
-        try:
-            while data := source.recv(65536):
-                if era == self._era:
-                    target.sendall(data)
-            target.shutdown(socket.SHUT_WR)
-        except OSError:
-            pass
+from lanedock_daemon.tests.proxies import SilencingProxy
 
 
 @pytest.fixture
@@ -53,14 +18,14 @@
         chain = make_chain(None)
         upstream = chain.upstreams[0]
         if link == "daemons":
-            proxy = _Proxy((HOST, upstream.server.port))
+            proxy = SilencingProxy((HOST, upstream.server.port))
             update = messages.EndpointUpdate(whole=True)
             update.changed.add(
                 instance=upstream.name, service="s", zone="z", host=HOST, port=proxy.address[1], incarnation=2
             )
             chain.view.take_endpoints(update)
         else:
-            proxy = _Proxy(upstream.application.address)
+            proxy = SilencingProxy(upstream.application.address)
             upstream.side._application = proxy.address
         proxies.append(proxy)
         asked = [gevent.spawn(chain.request, "GET", f"/warm{number}") for number in range(3)]
--- /dev/null
+++ b/packages/lanedock-daemon/lanedock_daemon/tests/proxies.py
@@ -0,0 +1,44 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Proxies on loopback that do to connections what networks do."""
+
+import gevent
+from gevent import socket
+from gevent.server import StreamServer
+
+__all__ = ["SilencingProxy"]
+
+HOST = "127.0.0.1"
+
+
+class SilencingProxy:
+    """Passes connections on, and swallows both directions of those it has, when it is asked to."""
+
+    def __init__(self, target: tuple[str, int]):
+        self._target = target
+        self._era = 0
+        self.accepted = 0
+        self.server = StreamServer((HOST, 0), self._serve)
+        self.server.start()
+
+    @property
+    def address(self) -> tuple[str, int]:
+        return (HOST, self.server.server_port)
+
+    def silence(self) -> None:
+        """Swallow what comes on the connections there are; new ones work."""
+        self._era += 1
+
+    def _serve(self, conn, address) -> None:
+        self.accepted += 1
+        with socket.create_connection(self._target) as other:
+            era = self._era
+            gevent.joinall([gevent.spawn(self._pass, conn, other, era), gevent.spawn(self._pass, other, conn, era)])
+
+    def _pass(self, source, target, era: int) -> None:
+        try:
+            while data := source.recv(65536):
+                if era == self._era:
+                    target.sendall(data)
+            target.shutdown(socket.SHUT_WR)
+        except OSError:
+            pass
--- a/packages/lanedock-daemon/lanedock_daemon/tests/test_framed.py
+++ b/packages/lanedock-daemon/lanedock_daemon/tests/test_framed.py
@@ -1,6 +1,8 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """Tests of the framed transport."""
 
+import time
+
 import gevent
 from gevent import socket
 
@@ -10,6 +12,7 @@
 from lanedock_daemon import framed
 from lanedock_daemon.framed import FramedTransport
 from lanedock_daemon.sessions import ChildArrived, ChildReported
+from lanedock_daemon.tests.proxies import SilencingProxy
 from lanedock_daemon.transport import SourceEnded
 
 
@@ -97,3 +100,36 @@
         assert isinstance(ended, SourceEnded) and "timed out" in ended.reason
         for conn in queued:
             conn.close()
+
+
+def test_a_silent_link_is_opened_anew_though_its_peer_is_heard_otherwise(monkeypatch):
+    """A follower that hears its leader no more calls for votes, over its own link, and so is heard."""
+    monkeypatch.setattr(framed, "SILENCE_LIMIT", 0.2)
+    transport = FramedTransport(None)
+    peer, target = _Owner(), Address("127.0.0.1", _free_port())
+    listener = transport.serve_control(peer, target)
+    proxy = SilencingProxy((target.host, target.port))
+    name = f"127.0.0.1:{proxy.address[1]}"
+    links = transport.peer_links({})
+
+    def send() -> int:
+        """Send, with the peer heard just before; returns how many messages have come."""
+        links.note_heard(name, time.monotonic())
+        links.send([messages.PeerMessage(sender="me", receiver=name)])
+        gevent.sleep(0.02)
+        return len(peer.posted)
+
+    with gevent.Timeout(10):
+        while not send():
+            pass
+        # The link is busy for longer than its limit, and stays open.
+        for _ in range(30):
+            send()
+        assert proxy.accepted == 1
+        proxy.silence()
+        before = send()
+        while send() <= before + 1:
+            pass
+    assert proxy.accepted == 2
+    listener.close()
+    proxy.server.stop(timeout=0)
