--- a/packages/lanedock-daemon/lanedock_daemon/agent/tests/sources.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/tests/sources.py
@@ -13,7 +13,7 @@
 from lanedock_daemon.agent import AgentService, LocalView
 from lanedock_daemon.agent import service as service_module
 from lanedock_daemon.agent import view as view_module
-from lanedock_daemon.framed import CONNECT_TIMEOUT
+from lanedock_daemon.frames import CONNECT_TIMEOUT
 from lanedock_daemon.sessions import HEARTBEAT_INTERVAL
 from lanedock_daemon.transport import SourceEnded, SourceSent, SourceStream
 
--- a/packages/lanedock-daemon/lanedock_daemon/tests/test_framed.py
+++ b/packages/lanedock-daemon/lanedock_daemon/tests/test_framed.py
@@ -9,7 +9,7 @@
 from lanedock.kernel import TaskService
 from lanedock.settings import Address
 from lanedock.wire import messages
-from lanedock_daemon import framed
+from lanedock_daemon import framed_links
 from lanedock_daemon.framed import FramedTransport
 from lanedock_daemon.sessions import ChildArrived, ChildReported
 from lanedock_daemon.tests.proxies import SilencingProxy
@@ -58,8 +58,8 @@
 
 
 def test_a_link_to_a_replica_that_was_replaced_ends(monkeypatch):
-    monkeypatch.setattr(framed, "UNUSED_LIMIT", 0.1)
-    monkeypatch.setattr(framed, "RECONNECT_MAX", 0.05)
+    monkeypatch.setattr(framed_links, "UNUSED_LIMIT", 0.1)
+    monkeypatch.setattr(framed_links, "RECONNECT_MAX", 0.05)
     links = FramedTransport(None).peer_links({})
     gone = f"127.0.0.1:{_free_port()}"
     links.send([messages.PeerMessage(sender="me", receiver=gone)])
@@ -104,7 +104,7 @@
 
 def test_a_silent_link_is_opened_anew_though_its_peer_is_heard_otherwise(monkeypatch):
     """A follower that hears its leader no more calls for votes, over its own link, and so is heard."""
-    monkeypatch.setattr(framed, "SILENCE_LIMIT", 0.2)
+    monkeypatch.setattr(framed_links, "SILENCE_LIMIT", 0.2)
     transport = FramedTransport(None)
     peer, target = _Owner(), Address("127.0.0.1", _free_port())
     listener = transport.serve_control(peer, target)
