Move the exchange over a pooled connection to a module of its own

Change: path/exchange.py holds send_request, exchange, PendingAnswer, UpstreamAnswer and AnswerPieces; pool.py keeps ConnectionPool and ExchangeError, which a failed connect raises. Code unchanged; imports elsewhere follow.

--- a/packages/lanedock-daemon/lanedock_daemon/agent/discovery.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/discovery.py
@@ -17,9 +17,10 @@
 from lanedock.telemetry import Event, EventLogger
 from lanedock_daemon.agent.view import LocalView
 from lanedock_daemon.path.dialect import Dialect, HealthFacts
+from lanedock_daemon.path.exchange import exchange
 from lanedock_daemon.path.http import EmptyBody, Request
 from lanedock_daemon.path.parser import MalformedMessage
-from lanedock_daemon.path.pool import ConnectionPool, ExchangeError, exchange
+from lanedock_daemon.path.pool import ConnectionPool, ExchangeError
 
 __all__ = ["ApplicationDiscovery"]
 
--- /dev/null
+++ b/packages/lanedock-daemon/lanedock_daemon/path/exchange.py
@@ -0,0 +1,324 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""One exchange over a pooled connection: a request is sent, its answer is read by httptools' parser."""
+
+import time
+from errno import EHOSTUNREACH, ENETUNREACH, ETIMEDOUT
+
+from lanedock.errors import ErrorCode
+from lanedock_daemon.path.channel import Channel
+from lanedock_daemon.path.http import Body, Outcome, Request
+from lanedock_daemon.path.parser import AnswerReader, MalformedMessage, Message
+from lanedock_daemon.path.pool import ConnectionPool, ExchangeError
+
+__all__ = ["AnswerPieces", "PendingAnswer", "UpstreamAnswer", "exchange", "send_request"]
+
+CHUNK = 64 * 1024
+# Longest silence within an answer's body, in seconds.
+BODY_TIMEOUT = 30.0
+_WITH_BODY = ("POST", "PUT", "PATCH")
+
+
+class UpstreamAnswer:
+    """An answer whose head was read.
+
+    Attributes
+    ----------
+    message : Message
+    """
+
+    __slots__ = ("_address", "_pool", "_reader", "message")
+
+    def __init__(self, reader: AnswerReader, message: Message, pool: ConnectionPool, address: tuple[str, int]):
+        self.message = message
+        self._reader: AnswerReader | None = reader
+        self._pool = pool
+        self._address = address
+        if message.is_complete:
+            self._settle()
+
+    def read(self) -> bytes:
+        """Return the next piece of the body; empty at its end.
+
+        Raises
+        ------
+        OSError, MalformedMessage
+            It broke off.
+        """
+        if self.message.pieces:
+            return self.message.pieces.popleft()
+        if self._reader is None:
+            return b""
+        piece = self._reader.next_piece(self.message)
+        if self.message.is_complete:
+            self._settle()
+        return piece
+
+    def read_all(self) -> bytes:
+        """Return the whole body."""
+        pieces = []
+        while piece := self.read():
+            pieces.append(piece)
+        return b"".join(pieces)
+
+    def read_some(self, limit: int) -> list[bytes]:
+        """Return the body as far as `limit` bytes reach; the rest is still to be read."""
+        pieces, size = [], 0
+        while size <= limit and (piece := self.read()):
+            pieces.append(piece)
+            size += len(piece)
+        return pieces
+
+    def set_timeout(self, timeout: float) -> None:
+        """Set the longest wait for a piece of the body, in seconds."""
+        if self._reader is not None:
+            self._reader.conn.settimeout(max(0.001, timeout))
+
+    def _settle(self) -> None:
+        """Give the connection back once the answer was read to its end."""
+        reader, self._reader = self._reader, None
+        if reader is None:
+            return
+        if self.message.keep_alive and not (reader.has_rest() or reader.is_body_unsent):
+            self._pool.put(self._address, reader)
+        else:
+            reader.conn.close()
+
+    def close(self) -> None:
+        """Drop the connection, unless the answer was read to its end."""
+        reader, self._reader = self._reader, None
+        if reader is not None:
+            reader.conn.close()
+
+
+class AnswerPieces:
+    """The pieces of an answer's body, as they come.
+
+    Parameters
+    ----------
+    response : UpstreamAnswer
+    on_end : callable
+        Called once, however it ends, with whether the body broke off.
+    first : list of bytes, optional
+        Pieces that were read already.
+    """
+
+    def __init__(self, response: UpstreamAnswer, on_end, first: list[bytes] | None = None):
+        self._response = response
+        self._on_end = on_end
+        self._first = first or []
+
+    def __iter__(self) -> "AnswerPieces":
+        return self
+
+    def __next__(self) -> bytes:
+        if self._first:
+            return self._first.pop(0)
+        try:
+            piece = self._response.read()
+        except (OSError, MalformedMessage) as exc:
+            self._finish(True)
+            raise ConnectionError(f"the answer broke off: {exc}") from exc
+        if not piece:
+            self._finish(False)
+            raise StopIteration
+        return piece
+
+    def close(self) -> None:
+        """Read no more; the one who asked has gone, or has all."""
+        self._finish(False)
+
+    def _finish(self, broke_off: bool) -> None:
+        self._response.close()
+        on_end, self._on_end = self._on_end, None
+        if on_end is not None:
+            on_end(broke_off)
+
+
+class PendingAnswer:
+    """A request that was sent, and whose answer is still to come.
+
+    Parameters
+    ----------
+    pool : ConnectionPool
+    address : tuple of (str, int)
+    reader : AnswerReader
+    deadline : float
+        Monotonic, seconds: for the answer's head.
+
+    Attributes
+    ----------
+    is_being_read : bool
+        Whether `read` was called, which closes the connection where it fails.
+    """
+
+    __slots__ = ("_address", "_deadline", "_pool", "_reader", "is_being_read")
+
+    def __init__(self, pool: ConnectionPool, address: tuple[str, int], reader: AnswerReader, deadline: float):
+        self._pool = pool
+        self._address = address
+        self._reader = reader
+        self._deadline = deadline
+        self.is_being_read = False
+
+    def wait(self, timeout: float) -> bool:
+        """Wait for the answer's first bytes; False where none came within `timeout` seconds."""
+        try:
+            return self._reader.has_head() or self._reader.conn.wait(timeout)
+        except BaseException:
+            self._reader.conn.close()
+            raise
+
+    def read(self) -> UpstreamAnswer:
+        """Wait for the answer's head.
+
+        Raises
+        ------
+        ExchangeError
+        """
+        reader, address = self._reader, self._address
+        self.is_being_read = True
+        with _OutcomeKnown(reader.conn, address):
+            reader.conn.settimeout(max(0.001, self._deadline - time.monotonic()))
+            message = reader.next_head()
+            if message is None:
+                raise ConnectionError("the connection ended before the answer")
+            self._pool.note_heard(address, time.monotonic())
+            reader.conn.settimeout(BODY_TIMEOUT)
+            return UpstreamAnswer(reader, message, self._pool, address)
+
+    def close(self) -> None:
+        """Drop the request: nobody waits for its answer any more."""
+        self._reader.conn.close()
+
+
+class _OutcomeKnown:
+    """Closes a connection on which an exchange fails, and says what is known of the outcome."""
+
+    __slots__ = ("_address", "_conn")
+
+    def __init__(self, conn: Channel, address: tuple[str, int]):
+        self._conn = conn
+        self._address = address
+
+    def __enter__(self) -> None:
+        pass
+
+    def __exit__(self, kind, exc, trace) -> None:
+        if exc is None:
+            return
+        self._conn.close()
+        # The kernel's own time-out: nothing that was sent has been acknowledged.
+        is_cut_off = isinstance(exc, OSError) and exc.errno in (ETIMEDOUT, EHOSTUNREACH, ENETUNREACH)
+        if isinstance(exc, TimeoutError) and not is_cut_off:
+            message = f"{self._address}: no answer in time"
+            raise ExchangeError(ErrorCode.ANSWER_TIMEOUT, Outcome.UNKNOWN, message) from exc
+        if isinstance(exc, (OSError, MalformedMessage)):
+            message = f"{self._address}: {exc!r}"
+            raise ExchangeError(ErrorCode.ANSWER_LOST, Outcome.UNKNOWN, message, is_cut_off) from exc
+
+
+def send_request(
+    pool: ConnectionPool,
+    address: tuple[str, int],
+    request: Request,
+    headers: list[tuple[str, str]],
+    timeout: float,
+    ask_first: bool = False,
+) -> PendingAnswer:
+    """Send a request.
+
+    Parameters
+    ----------
+    pool : ConnectionPool
+    address : tuple of (str, int)
+    request : Request
+    headers : list of tuple of (str, str)
+        Sent instead of the request's own.
+    timeout : float
+        Seconds for everything up to the answer's head.
+    ask_first : bool
+        Send the body only once the other side wants it, so that a refusal
+        costs nothing and the body can still go elsewhere.
+
+    Raises
+    ------
+    ExchangeError
+        With what is known of the outcome.
+    """
+    deadline = time.monotonic() + timeout
+    if timeout <= 0:
+        raise ExchangeError(ErrorCode.DEADLINE, Outcome.NOT_RUN, f"{address}: no time is left")
+    reader = pool.get(address, timeout)
+    reader.begin(request.method)
+    with _OutcomeKnown(reader.conn, address):
+        reader.conn.settimeout(timeout)
+        _send(reader, request, headers, ask_first)
+    return PendingAnswer(pool, address, reader, deadline)
+
+
+def exchange(
+    pool: ConnectionPool, address: tuple[str, int], request: Request, headers: list[tuple[str, str]], timeout: float
+) -> UpstreamAnswer:
+    """Send a request and read the head of its answer; see `send_request`.
+
+    Returns
+    -------
+    UpstreamAnswer
+        Its body is still to be read.
+    """
+    return send_request(pool, address, request, headers, timeout).read()
+
+
+def _send(reader: AnswerReader, request: Request, headers: list[tuple[str, str]], ask_first: bool) -> None:
+    """Write a request: its head, and a small body with it, in one piece."""
+    conn, body = reader.conn, request.body
+    lines = [f"{request.method} {request.target} HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in headers if name != "content-length"]
+    if body.length is None:
+        lines.append("transfer-encoding: chunked")
+    elif body.length or request.method in _WITH_BODY:
+        lines.append(f"content-length: {body.length}")
+    if ask_first:
+        lines.append("expect: 100-continue")
+    head = ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+    if body.length == 0:
+        conn.sendall(head)
+        return
+    if ask_first:
+        conn.sendall(head)
+        if not reader.wait_for_consent():
+            reader.is_body_unsent = True
+            return
+        head = b""
+    if body.length is None:
+        _send_chunked(reader, head, body)
+    else:
+        _send_counted(reader, head, body)
+
+
+def _send_counted(reader: AnswerReader, head: bytes, body: Body) -> None:
+    left = body.length
+    while left > 0:
+        piece = body.read(min(CHUNK, left))
+        if not piece:
+            raise ConnectionError("the body ended too early")
+        if left < body.length and not reader.conn.is_clean():
+            # An early answer: the rest is not wanted, and the connection can't
+            # be used again, for the other side may still wait for it.
+            reader.is_body_unsent = True
+            return
+        reader.conn.sendall(head + piece if head else piece)
+        head = b""
+        left -= len(piece)
+
+
+def _send_chunked(reader: AnswerReader, head: bytes, body: Body) -> None:
+    conn = reader.conn
+    if head:
+        conn.sendall(head)
+    while piece := body.read(CHUNK):
+        if not conn.is_clean():
+            reader.is_body_unsent = True
+            return
+        conn.sendall(b"%x\r\n%b\r\n" % (len(piece), piece))
+    conn.sendall(b"0\r\n\r\n")
--- a/packages/lanedock-daemon/lanedock_daemon/path/tries.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tries.py
@@ -11,6 +11,7 @@
 from lanedock.routing import Balancer, UpstreamStats
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics, RequestLog
 from lanedock_daemon.path.dialect import Dialect
+from lanedock_daemon.path.exchange import AnswerPieces, PendingAnswer, UpstreamAnswer, send_request
 from lanedock_daemon.path.http import (
     ARRIVED_HEADER,
     ATTEMPT_HEADER,
@@ -30,14 +31,7 @@
     public_headers,
 )
 from lanedock_daemon.path.parser import MalformedMessage, Message
-from lanedock_daemon.path.pool import (
-    AnswerPieces,
-    ConnectionPool,
-    ExchangeError,
-    PendingAnswer,
-    UpstreamAnswer,
-    send_request,
-)
+from lanedock_daemon.path.pool import ConnectionPool, ExchangeError
 from lanedock_daemon.path.prober import UpstreamProber
 
 __all__ = ["Job", "Tries", "Try"]
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
@@ -11,6 +11,7 @@
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics, RequestLog, RequestLogger, Tracer
 from lanedock_daemon.agent.view import Binding, LocalView
 from lanedock_daemon.path.dialect import Dialect, OwnDialect
+from lanedock_daemon.path.exchange import AnswerPieces, send_request
 from lanedock_daemon.path.http import (
     ARRIVED_HEADER,
     ATTEMPT_HEADER,
@@ -35,7 +36,7 @@
     public_headers,
 )
 from lanedock_daemon.path.parser import MalformedMessage
-from lanedock_daemon.path.pool import AnswerPieces, ConnectionPool, ExchangeError, send_request
+from lanedock_daemon.path.pool import ConnectionPool, ExchangeError
 
 __all__ = ["UpstreamSide"]
 
