Name reported values as reported

Cause: docstrings had processes and messages say and tell things. Change: the words are reports, recognizes and raises; comments and docstrings only.

--- a/packages/lanedock-daemon/lanedock_daemon/path/exchange.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/exchange.py
@@ -192,7 +192,7 @@
 
 
 class _OutcomeKnown:
-    """Closes a connection on which an exchange fails, and says what is known of the outcome."""
+    """Closes a connection on which an exchange fails, and raises what is known of the outcome."""
 
     __slots__ = ("_address", "_conn")
 
--- a/packages/lanedock/lanedock/limits/calls.py
+++ b/packages/lanedock/lanedock/limits/calls.py
@@ -13,7 +13,7 @@
 
 
 class CallKinds:
-    """Tells kinds of requests that only other services' applications make. Pure.
+    """Recognizes kinds of requests that only other services' applications make. Pure.
 
     Callers send all kinds of requests from beside the upstreams of every service,
     the own one among them. A call that another service's application makes comes
--- a/packages/lanedock/lanedock/membership/core.py
+++ b/packages/lanedock/lanedock/membership/core.py
@@ -11,7 +11,7 @@
 
 
 class InstanceState(Enum):
-    """What the platform says of an instance."""
+    """What the platform reports of an instance."""
 
     LIVE = "live"
     LEAVING = "leaving"
--- a/packages/lanedock/lanedock/membership/directory.py
+++ b/packages/lanedock/lanedock/membership/directory.py
@@ -2,8 +2,8 @@
 """The directory of endpoints: what is sent to daemons, and when.
 
 The platform's list lags, so it alone is not believed: once any source (the
-list or the instance's own daemon) said that an instance leaves, it leaves until
-it is replaced or its daemon is started anew.
+list or the instance's own daemon) has reported that an instance leaves, it leaves
+until it is replaced or its daemon is started anew.
 """
 
 from lanedock.membership.changes import EndpointChanges
--- a/packages/lanedock/lanedock/membership/registration.py
+++ b/packages/lanedock/lanedock/membership/registration.py
@@ -36,7 +36,7 @@
         Grows with each heartbeat of one incarnation.
     is_draining : bool
     slots : int
-        Requests that it works on at once; 0 where it does not say.
+        Requests that it works on at once; 0 where it does not report them.
     cold_left : float
         Seconds for which it is still slow.
     """
@@ -61,7 +61,7 @@
     Parameters
     ----------
     service : str
-        As settings have it, until the application says another.
+        As settings have it, until the application reports another.
     is_required : bool
         Whether requests wait for a registration. Without one an application
         counts as there from the start.
@@ -165,7 +165,7 @@
         Parameters
         ----------
         upstream : str
-            Which incarnation the application says it is; empty where it can't be asked.
+            Which incarnation the application reports to be; empty where it can't be asked.
         now : float
 
         Returns
--- a/packages/lanedock/lanedock/rollout/distributor.py
+++ b/packages/lanedock/lanedock/rollout/distributor.py
@@ -98,14 +98,14 @@
         return child
 
     def update(self, child: Child, state: messages.DaemonState) -> None:
-        """Take in what a daemon tells of itself."""
+        """Take in what a daemon reports of itself."""
         if state.want_whole:
             child.sent_stage = child.sent_in_force = Version()
         child.state = state
         self._note_changed(child, state)
 
     def take_relayed(self, child: Child, report: messages.FleetReport) -> None:
-        """Take in what a relay tells of the daemons behind it."""
+        """Take in what a relay reports of the daemons behind it."""
         if report.whole:
             reported = {state.daemon for state in report.changed}
             for name, owner in list(self._owners.items()):
--- a/packages/lanedock/lanedock/routing/balancer.py
+++ b/packages/lanedock/lanedock/routing/balancer.py
@@ -97,7 +97,7 @@
             # application that runs on while its daemon is restarted.
             cold_for = 0.0
         elif endpoint.upstream:
-            # Its application has said itself for how long it is still slow.
+            # Its application reports for how long it is still slow.
             cold_for = endpoint.cold_ms / 1000
         else:
             cold_for = self._policy.slow_start
@@ -121,7 +121,7 @@
         times.note(taken)
 
     def note_leaving(self, instance: str) -> None:
-        """Give an upstream no new work; its daemon has said that it leaves."""
+        """Give an upstream no new work; its daemon has reported that it leaves."""
         stats = self._upstreams.get(instance)
         if stats is not None:
             self._local = [other for other in self._local if other is not stats]
@@ -137,7 +137,7 @@
         Parameters
         ----------
         slots : int
-            Requests that an upstream works on at once that has not said itself.
+            Requests that an upstream works on at once that reports no number itself.
         now : float
             Monotonic, seconds.
         excluded : frozenset of str
--- a/packages/lanedock/lanedock/routing/policy.py
+++ b/packages/lanedock/lanedock/routing/policy.py
@@ -13,7 +13,7 @@
         Time constant by which a reported count fades.
     slow_start : float
         Time over which a new upstream is brought to its full share that does
-        not say for how long it is slow.
+        not report for how long it is slow.
     cold_weight : float
         Its weight at the beginning, 0 to 1.
     eject_failures : int
