Name accepting, subscribing and downstream daemons by these terms

Cause: docstrings had state machines take in messages, and daemons stand behind or below a relay. Change: accept, count or note, by what the method does; subscribes to; downstream; comments and docstrings only.

--- a/packages/lanedock/lanedock/limits/calls.py
+++ b/packages/lanedock/lanedock/limits/calls.py
@@ -27,7 +27,7 @@
         return f"<CallKinds known={sum(count >= _KNOWN for count in self._foreign.values())}>"
 
     def note(self, kind: str, is_from_own_service: bool) -> bool:
-        """Take in a request.
+        """Count a request.
 
         Parameters
         ----------
--- a/packages/lanedock/lanedock/limits/first_attempts.py
+++ b/packages/lanedock/lanedock/limits/first_attempts.py
@@ -58,7 +58,7 @@
         return f"<FirstAttempts kinds={len(self._times)}>"
 
     def note(self, kind: str, wait_ms: int | None) -> int:
-        """Take in a request, and return its age.
+        """Count a request, and return the time since its first attempt.
 
         Parameters
         ----------
--- a/packages/lanedock/lanedock/limits/service_times.py
+++ b/packages/lanedock/lanedock/limits/service_times.py
@@ -32,7 +32,7 @@
         return f"<ServiceTimes mean={self.mean} kinds={len(self._kinds)}>"
 
     def note(self, traffic_class: str, kind: str, duration: float) -> None:
-        """Take in the time that a request held its slot, in seconds."""
+        """Note the time that a request held its slot, in seconds."""
         if self.mean is None:
             self.mean = duration
         self.mean += _SMOOTHING * (duration - self.mean)
--- a/packages/lanedock/lanedock/membership/directory.py
+++ b/packages/lanedock/lanedock/membership/directory.py
@@ -29,7 +29,7 @@
         self._listed_leaving: dict[str, int] = {}
 
     def take_list(self, instances: list[Instance], now: float) -> None:
-        """Take in the platform's list."""
+        """Accept the platform's list."""
         listed = set()
         for instance in instances:
             listed.add(instance.name)
--- a/packages/lanedock/lanedock/membership/registration.py
+++ b/packages/lanedock/lanedock/membership/registration.py
@@ -105,7 +105,7 @@
     # ------------------------------------------------------------------ inputs
 
     def beat(self, heartbeat: Heartbeat, now: float) -> bool:
-        """Take in a heartbeat.
+        """Accept a heartbeat.
 
         One of another incarnation than that which takes work becomes its rival.
 
--- a/packages/lanedock/lanedock/membership/registry.py
+++ b/packages/lanedock/lanedock/membership/registry.py
@@ -53,7 +53,7 @@
     # ------------------------------------------------------------------ inputs
 
     def register(self, endpoint: messages.Endpoint, now: float) -> None:
-        """Take in what a daemon connected here registers."""
+        """Accept what a daemon connected here registers."""
         name = endpoint.instance
         known = self._own.get(name)
         if known is not None and freshness(endpoint) < freshness(known):
@@ -73,7 +73,7 @@
             self._merge(name, now)
 
     def take_report(self, replica: str, report: messages.EndpointReport, now: float) -> bool:
-        """Take in another control instance's report.
+        """Accept another control instance's report.
 
         Returns
         -------
--- a/packages/lanedock/lanedock/rollout/distributor.py
+++ b/packages/lanedock/lanedock/rollout/distributor.py
@@ -35,7 +35,7 @@
 
 
 class Child:
-    """A daemon that takes versions from this source.
+    """A daemon that subscribes to this source.
 
     Attributes
     ----------
@@ -91,21 +91,21 @@
         self._cache = {}
 
     def connect(self, state: messages.DaemonState) -> Child:
-        """Take in a daemon that has just connected."""
+        """Accept a daemon that has just connected."""
         child = Child(state)
         self.children[state.daemon] = child
         self._note_changed(child, state)
         return child
 
     def update(self, child: Child, state: messages.DaemonState) -> None:
-        """Take in what a daemon reports of itself."""
+        """Accept what a daemon reports of itself."""
         if state.want_whole:
             child.sent_stage = child.sent_in_force = Version()
         child.state = state
         self._note_changed(child, state)
 
     def take_relayed(self, child: Child, report: messages.FleetReport) -> None:
-        """Take in what a relay reports of the daemons behind it."""
+        """Accept what a relay reports of the daemons downstream of it."""
         if report.whole:
             reported = {state.daemon for state in report.changed}
             for name, owner in list(self._owners.items()):
@@ -117,7 +117,7 @@
             self._note_gone(child, name)
 
     def disconnect(self, child: Child) -> None:
-        """Forget a daemon and those behind it, unless they are back meanwhile."""
+        """Forget a daemon and those downstream of it, unless they have connected again meanwhile."""
         name = child.state.daemon
         if self.children.get(name) is child:
             del self.children[name]
@@ -213,7 +213,7 @@
         return self.source.bases.get(state.in_force_digest)
 
     def known_daemons(self) -> set[str]:
-        """Return the daemons connected here or to a relay below."""
+        """Return the daemons connected here or to a relay downstream."""
         return set(self._known)
 
     def is_report_due(self) -> bool:
