Name incarnations of applications as such

Cause: the registration spoke of lives, _outlives and lives_on. Change: _is_proven_later, is_same_incarnation, and the comments about former incarnations; all names are private or local.

--- a/packages/lanedock/lanedock/membership/registration.py
+++ b/packages/lanedock/lanedock/membership/registration.py
@@ -19,8 +19,8 @@
 # time, in seconds, by which a heartbeat may be late on its way.
 MISSED_BEATS = 3
 LATENESS = 1.0
-# Lives of applications that are remembered, so that a late heartbeat of a
-# former one changes nothing.
+# Former incarnations of the application that are remembered, so that a late
+# heartbeat of one changes nothing.
 MAX_FORMER = 64
 
 
@@ -117,7 +117,7 @@
         if heartbeat.upstream in self._former:
             return False
         if heartbeat.upstream != self.upstream:
-            if self.is_taking_work() and not self._outlives(heartbeat, now):
+            if self.is_taking_work() and not self._is_proven_later(heartbeat, now):
                 return False
             self._begin(heartbeat.upstream)
             self._apply(heartbeat, now)
@@ -142,7 +142,7 @@
             self.revision += 1
         return is_changed
 
-    def _outlives(self, heartbeat: Heartbeat, now: float) -> bool:
+    def _is_proven_later(self, heartbeat: Heartbeat, now: float) -> bool:
         """Note a rival; tell whether its heartbeats alone prove it to be the later one.
 
         They do where the application can't be asked: a former incarnation's late
--- a/packages/lanedock/lanedock/membership/registry.py
+++ b/packages/lanedock/lanedock/membership/registry.py
@@ -5,7 +5,7 @@
 daemon reports it to its control instance, and the control instances report to
 each other. What is freshest by the daemon's incarnation and revision counts;
 an application that leaves does so for good, whatever comes later under its id. A
-daemon that stops makes its upstream leave, too, but comes back with it.
+daemon that stops makes its upstream leave, too, until it is started again.
 """
 
 from lanedock.membership.changes import EndpointChanges
@@ -13,7 +13,7 @@
 
 __all__ = ["EndpointRegistry", "freshness"]
 
-# Lives of applications that have left, remembered for late reports.
+# Incarnations of applications that have left, remembered for late reports.
 MAX_LEFT = 4096
 
 
--- a/packages/lanedock/lanedock/routing/balancer.py
+++ b/packages/lanedock/lanedock/routing/balancer.py
@@ -91,8 +91,8 @@
         self, endpoint: messages.Endpoint, former: UpstreamStats | None, is_first: bool, now: float
     ) -> UpstreamStats:
         """Begin to keep what is known of an upstream that is new, or whose daemon is."""
-        lives_on = former is not None and endpoint.upstream and former.endpoint.upstream == endpoint.upstream
-        if is_first or lives_on:
+        is_same_incarnation = former is not None and endpoint.upstream and former.endpoint.upstream == endpoint.upstream
+        if is_first or is_same_incarnation:
             # Who was there before this caller is taken to be warm, and so is an
             # application that runs on while its daemon is restarted.
             cold_for = 0.0
