Name the score of an upstream on trial

Cause: _UNWANTED and a request at an upstream's door named no term. Change: _ON_TRIAL_SCORE; an ejected upstream is readmitted.

--- a/packages/lanedock/lanedock/routing/balancer.py
+++ b/packages/lanedock/lanedock/routing/balancer.py
@@ -19,8 +19,8 @@
 
 __all__ = ["Balancer"]
 
-# Score of an upstream at whose door a trial request stands already.
-_UNWANTED = 1e6
+# Score of an upstream that has a trial request in progress already.
+_ON_TRIAL_SCORE = 1e6
 # Weight of the newest answer in the averages of time to answer.
 _SMOOTHING = 0.05
 # Least time, in seconds, after which an answer may count as late, and the time
@@ -192,7 +192,7 @@
     def _score(self, stats: UpstreamStats, slots: int, now: float) -> float:
         """Estimate the requests in progress, scaled up while it is cold and where it is slow."""
         if stats.is_on_trial and stats.in_progress:
-            return _UNWANTED
+            return _ON_TRIAL_SCORE
         load = stats.in_progress + self._others(stats, now)
         if stats.in_progress and stats.silence(now) > self._silence_limit():
             load += _SILENCE_LOAD + stats.in_progress
@@ -302,6 +302,6 @@
         stats.ejected_until = now + duration * self._rng.uniform(0.75, 1.25)
         stats.ejections += 1
         stats.failures = 0
-        # It comes back with one request at a time until one succeeds.
+        # It is readmitted with one request at a time until one succeeds.
         stats.is_on_trial = True
         return True
