Name retries and retry delays as such in the limits

Cause: comments had refused requests come back, and shares kept for repeats. Change: retried, retry delay, reserved; comments and docstrings only, the method return_after keeps its name.

--- a/packages/lanedock/lanedock/limits/admission.py
+++ b/packages/lanedock/lanedock/limits/admission.py
@@ -1,14 +1,14 @@
 # SPDX-License-Identifier: BSD-3-Clause
-"""Admission at a steady rate, which gives a time to come back."""
+"""Admission at a steady rate, which gives a retry delay."""
 
 __all__ = ["Admission"]
 
 
 class Admission:
-    """A token bucket that tells the refused when to come back.
+    """A token bucket that returns a retry delay to those it refuses.
 
     Those refused are given consecutive turns, at the rate at which tokens come,
-    so that a storm of reconnects comes back spread out instead of all at once.
+    so that a storm of reconnects is spread out instead of retried all at once.
     A turn is no token: whoever comes finds one, or is given another turn.
 
     Parameters
--- a/packages/lanedock/lanedock/limits/retries.py
+++ b/packages/lanedock/lanedock/limits/retries.py
@@ -8,9 +8,9 @@
 
 # Parts into which a window is divided; counts are kept for each.
 _PARTS = 10
-# Part of the limit that a caller spends itself. The rest is kept for the calls
-# of its callers' repeats: a run that is a repeat makes its calls again, and they
-# count as repeats where they arrive. Two in a run, on most of the runs, as the
+# Part of the limit that a caller spends itself. The rest is reserved for the calls
+# of its callers' retries: a run that is a retry makes its calls again, and they
+# count as retries where they arrive. Two in a run, on most of the runs, as the
 # deployments have them, take a little more than half.
 _OWN_PART = 0.4
 
@@ -71,8 +71,8 @@
     The limit is a share of the first tries in the window, and a slack that all
     daemons have together, of which each takes an equal part. Retries are
     counted over a part more than the window and first tries over a part less,
-    so that the sum over all daemons holds for any span. A part is kept for calls
-    that are made again because their caller was.
+    so that the sum over all daemons holds for any span. A part is reserved for calls
+    that are made again because their caller's request was retried.
 
     Parameters
     ----------
--- a/packages/lanedock/lanedock/limits/slots.py
+++ b/packages/lanedock/lanedock/limits/slots.py
@@ -33,8 +33,8 @@
 # times the load 0.68 of the credit is earned so, 0.62 without
 # (tools/bench_overload.py --pace 0.6 --short front --load 1.2).
 _NEXT_SLOTS = 1.6
-# Spread of the times to come back, as parts of the estimate, so that callers that
-# were refused together don't return together.
+# Spread of the retry delays, as parts of the estimate, so that callers that were
+# refused together don't retry together.
 _SPREAD = (0.5, 1.5)
 
 
@@ -68,7 +68,7 @@
         Requests that may wait.
     classes : dict of str to TrafficClass
     rng : random.Random, optional
-        Spreads the times to come back.
+        Spreads the retry delays.
     """
 
     def __init__(self, slots: int, queue: int, classes: dict[str, TrafficClass], rng: Random | None = None):
@@ -171,9 +171,9 @@
         return self._queue.remove(queued)
 
     def return_after(self, request: AdmissionRequest, now: float, wait: float = 0.0) -> float:
-        """Return when a refused request may come back, in seconds.
+        """Return the delay after which a refused request may be retried, in seconds.
 
-        One that can still be answered in time comes back while it can. For the
+        One that can still be answered in time is retried while it can. For the
         others it counts only that the overload is over: how long it goes on isn't
         known, and one that has lasted for some time is expected to last for as long
         again.
@@ -191,7 +191,7 @@
             return self._rng.uniform(wait, slack)
         full_for = now - self._full_since if self._full_since is not None else 0.0
         estimate = max(wait, self._times.mean or _FIRST_ESTIMATE, full_for)
-        # Whoever comes back later has no time left.
+        # Whoever retries later has no time left.
         return min(estimate * self._rng.uniform(*_SPREAD), max(0.0, request.deadline - now))
 
     def late_after(self, kind: str) -> float:
