Name detection and removal of replicas in the consensus core

Cause: comments had replicas find out, vote nowhere and be let go. Change: detect, does not vote, removed; comments and docstrings only.

--- a/packages/lanedock/lanedock/consensus/joining.py
+++ b/packages/lanedock/lanedock/consensus/joining.py
@@ -58,7 +58,7 @@
             self._challenge_successor(joiner)
 
     def _challenge_successor(self, joiner: str) -> None:
-        """Find out whether a newcomer has taken the place of the leader that is supported.
+        """Detect whether a newcomer has replaced the leader that is supported.
 
         A replica that lost its disk comes back under its name with another
         incarnation, and two of them never run at once. The leader that is supported
--- a/packages/lanedock/lanedock/consensus/replacement.py
+++ b/packages/lanedock/lanedock/consensus/replacement.py
@@ -9,7 +9,7 @@
 
 __all__ = ["MembershipChanges"]
 
-# A learner votes nowhere and holds nothing up, so it is let go later than a
+# A learner does not vote and delays no commit, so it is removed later than a
 # voter, by this factor.
 LEARNER_PATIENCE = 10
 
@@ -48,7 +48,7 @@
         return step if step is not None else self._admit_next(lead, now)
 
     def _next_step(self, lead: Leadership, now: float) -> messages.Membership | None:
-        """Return the membership that promotes a learner or lets a replica go, if any."""
+        """Return the membership that promotes a learner or removes a replica, if any."""
         membership = self._state.membership
         ready = [learner for learner in membership.learners if self._has_caught_up(learner, lead, now)]
         if self.replace_after is None:
