--- a/packages/lanedock/lanedock/membership/registry.py
+++ b/packages/lanedock/lanedock/membership/registry.py
@@ -5,7 +5,7 @@
 daemon reports it to its control instance, and the control instances report to
 each other. What is freshest by the daemon's incarnation and revision counts;
 an application that leaves does so for good, whatever comes later under its id. A
-daemon that stops makes its upstream leave, too, but comes back with it.
+daemon that stops makes its upstream leave, too, until it is started again.
 """
 
 from lanedock.membership.changes import EndpointChanges
@@ -13,7 +13,7 @@
 
 __all__ = ["EndpointRegistry", "freshness"]
 
-# Lives of applications that have left, remembered for late reports.
+# Incarnations of applications that have left, remembered for late reports.
 MAX_LEFT = 4096
 
 
@@ -53,7 +53,7 @@
     # ------------------------------------------------------------------ inputs
 
     def register(self, endpoint: messages.Endpoint, now: float) -> None:
-        """Take in what a daemon connected here registers."""
+        """Accept what a daemon connected here registers."""
         name = endpoint.instance
         known = self._own.get(name)
         if known is not None and freshness(endpoint) < freshness(known):
@@ -73,7 +73,7 @@
             self._merge(name, now)
 
     def take_report(self, replica: str, report: messages.EndpointReport, now: float) -> bool:
-        """Take in another control instance's report.
+        """Accept another control instance's report.
 
         Returns
         -------
