Read only warnings in the test of versions that wait

Cause: other tests set the level of the log, and then lines of what goes well are there, too. Change: the test goes by warnings and worse.

--- a/packages/lanedock-daemon/lanedock_daemon/agent/tests/test_source_loss.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/tests/test_source_loss.py
@@ -24,6 +24,8 @@
 younger than all of these limits.
 """
 
+import logging
+
 import pytest
 
 from lanedock_daemon.agent.tests.sources import ControlInstance, VirtualMesh
@@ -160,7 +162,7 @@
     mesh.accept(2)
     mesh.view.note_version(2)
     mesh.run(2.0)
-    lines = [record.msg for record in caplog.records]
+    lines = [record.msg for record in caplog.records if record.levelno >= logging.WARNING]
     assert [line["message"] for line in lines] == ["VERSION_BEHIND"]
     # Fresh, and it has the version: what is missing is on its way.
     assert lines[0]["source_version"] == lines[0]["newer"] == 2
