--- a/packages/lanedock-daemon/lanedock_daemon/path/caller.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller.py
@@ -243,6 +243,7 @@
                 return progress.failure or self._refuse(ErrorCode.DEADLINE)
             needed = min(job.balancer.late_after(route.name), job.deadline - now)
             if not self._plan.allows(needed, now):
+                job.log.note(Event.REQUEST_TRY_ENDED, service=job.service.name, reason="the process stops")
                 return progress.failure or self._refuse_late(now)
             job.start_by = self._plan.start_by(needed)
             stats = job.choose(now)
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
@@ -11,6 +11,7 @@
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics, RequestLog, RequestLogger, Tracer
 from lanedock_daemon.agent.view import Binding, LocalView
 from lanedock_daemon.path.dialect import Dialect, OwnDialect
+from lanedock_daemon.path.exchange import AnswerPieces, send_request
 from lanedock_daemon.path.http import (
     ARRIVED_HEADER,
     ATTEMPT_HEADER,
@@ -29,6 +30,7 @@
     TARGET_HEADER,
     TRACE_HEADER,
     UPSTREAM_HEADER,
+    VERSION_HEADER,
     Answer,
     Outcome,
     Request,
@@ -36,7 +38,7 @@
     public_headers,
 )
 from lanedock_daemon.path.parser import MalformedMessage
-from lanedock_daemon.path.pool import AnswerPieces, ConnectionPool, ExchangeError, send_request
+from lanedock_daemon.path.pool import ConnectionPool, ExchangeError
 from lanedock_daemon.path.service import StopTimeout
 
 __all__ = ["UpstreamSide"]
@@ -133,6 +135,9 @@
         if refusal is not None:
             return self._refuse(refusal, RETRY_AFTER, log, meant=meant, incarnation=self._registration.upstream)
         binding = self._view.bind()
+        version = request.header(VERSION_HEADER)
+        if version.isascii() and version.isdigit():
+            self._view.note_version(int(version))
         if self._registration.upstream:
             # The application itself has said what it runs.
             is_held = request.header(SERVICE_HEADER) == self._registration.service
--- a/packages/lanedock/lanedock/limits/calls.py
+++ b/packages/lanedock/lanedock/limits/calls.py
@@ -13,7 +13,7 @@
 
 
 class CallKinds:
-    """Tells kinds of requests that only other services' applications make. Pure.
+    """Recognizes kinds of requests that only other services' applications make. Pure.
 
     Callers send all kinds of requests from beside the upstreams of every service,
     the own one among them. A call that another service's application makes comes
@@ -27,7 +27,7 @@
         return f"<CallKinds known={sum(count >= _KNOWN for count in self._foreign.values())}>"
 
     def note(self, kind: str, is_from_own_service: bool) -> bool:
-        """Take in a request.
+        """Count a request.
 
         Parameters
         ----------
