Admit bodies by the rate at which a daemon's link brings them

Cause: bodies up to 64 KB went to an upstream's daemon unasked, longer ones as many at once as it has slots; all else that comes to it waits behind them on its link. Change: callers' sides ask before they send a body over 8 kB; the upstream's daemon lets one come while what is on its way takes less than 0.1 s by the rate observed, in the order of the queue for slots, and refuses at once what can't come in time. Bodies wait for the link without a slot. Slow senders are found by what comes past them.

--- a/packages/lanedock-daemon/lanedock_daemon/path/http.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http.py
@@ -9,6 +9,7 @@
 
 __all__ = [
     "ARRIVED_HEADER",
+    "ASK_LIMIT",
     "ATTEMPT_HEADER",
     "CALLER_HEADER",
     "CLASS_HEADER",
@@ -36,6 +37,10 @@
     "public_headers",
 ]
 
+# Bodies over this many bytes are sent between daemons only once the other side wants
+# them. They take 16 ms of a link of 4 Mbit/s, more than a round trip between zones; for
+# shorter ones asking costs more than the bytes.
+ASK_LIMIT = 8 * 1024
 # The time after which callers may come back where nothing better is known, in seconds.
 RETRY_AFTER = 1.0
 
@@ -108,6 +113,11 @@
 
     length: int | None = 0
 
+    @property
+    def is_asked_for(self) -> bool:
+        """Whether it is sent between daemons only once the other side wants it."""
+        return self.length is None or self.length > ASK_LIMIT
+
     @abstractmethod
     def read(self, size: int) -> bytes:
         """Return up to `size` bytes; empty at the end.
--- a/packages/lanedock-daemon/lanedock_daemon/path/tries.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tries.py
@@ -260,7 +260,7 @@
         )
         balancer.begin(stats, started)
         try:
-            return send_request(self._pool, stats.address, request, sent, left + GRACE, request.body.is_long)
+            return send_request(self._pool, stats.address, request, sent, left + GRACE, request.body.is_asked_for)
         except ExchangeError as exc:
             return self._on_failed(job, stats, exc)
         except BaseException:
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
@@ -10,6 +10,7 @@
 from lanedock.membership import UpstreamRegistration
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics, RequestLog, RequestLogger, Tracer
 from lanedock_daemon.agent.view import Binding, LocalView
+from lanedock_daemon.path.body_gate import BodyGate
 from lanedock_daemon.path.dialect import Dialect, OwnDialect
 from lanedock_daemon.path.http import (
     ARRIVED_HEADER,
@@ -88,6 +89,7 @@
         self._metrics: Metrics = metrics
         self._tracer: Tracer = tracer
         self._limiter = SlotLimiter(1, 0, {})
+        self._bodies = BodyGate(self._limiter, metrics)
         self._calls = CallKinds()
         view.set_work(self._limiter)
         self._configured = 0
@@ -95,7 +97,7 @@
     @property
     def in_progress(self) -> int:
         """Requests in progress or waiting."""
-        return self._limiter.in_use + self._limiter.waiting
+        return self._limiter.in_use + self._limiter.waiting + self._bodies.waiting
 
     def handle(self, request: Request) -> Answer:
         """Answer a request that another daemon has sent."""
@@ -111,6 +113,8 @@
             log.note(Event.REQUEST_DONE, outcome="cancelled", reason=type(exc).__name__)
             self._requests.end(log, True)
             raise
+        finally:
+            self._bodies.leave(request)
         self._requests.end(log, answer.status >= 400)
         taken = time.monotonic() - started
         self._metrics.time(Metric.LATENCY, taken)
@@ -148,11 +152,13 @@
         target_time = started + int(target) / 1000 if target.isascii() and target.isdigit() else None
         log.route = request.header(ROUTE_HEADER)
         wanted = AdmissionRequest(deadline, target_time, log.route)
-        refused = self._acquire(traffic_class, wanted)
+        # The link first: a slot must not be held while other bodies come. The body is
+        # asked for when it is first read, with both at hand.
+        refused = self._bodies.enter(request, traffic_class, wanted) or self._acquire(traffic_class, wanted)
         log.waited = time.monotonic() - started
         if refused is not None:
             why = {"waited_ms": round(1000 * (time.monotonic() - started), 1), **self._load()}
-            why.update(late=target == "0")
+            why.update(late=target == "0", limit=refused.limit, **self._bodies.load())
             return self._refuse(refused.code, refused.retry_after, log, **why)
         # It may have begun to leave while the request waited.
         refusal = self._registration.judge(meant)
@@ -212,6 +218,7 @@
         is_told = service is None or self._registration.slots
         queue = slots * QUEUE_PER_SLOT if is_told else service.queue
         self._limiter.configure(slots, queue, classes)
+        self._bodies.configure(queue, classes)
 
     def _acquire(self, traffic_class: str, wanted: AdmissionRequest) -> Refused | None:
         """Take a slot, waiting for it if need be."""
--- a/packages/lanedock/lanedock/limits/__init__.py
+++ b/packages/lanedock/lanedock/limits/__init__.py
@@ -1,7 +1,8 @@
 # SPDX-License-Identifier: BSD-3-Clause
-"""Limits on work: slots with shares, retry budgets, admission."""
+"""Limits on work: slots with shares, bodies on their way, retry budgets, admission."""
 
 from lanedock.limits.admission import Admission
+from lanedock.limits.bodies import QUEUE_TIME, BodyAdmission, BodyTransfer
 from lanedock.limits.calls import CallKinds
 from lanedock.limits.first_attempts import FirstAttempts
 from lanedock.limits.queue import AdmissionRequest, QueuedRequest
@@ -9,8 +10,11 @@
 from lanedock.limits.slots import Refused, SlotLimiter
 
 __all__ = [
+    "QUEUE_TIME",
     "Admission",
     "AdmissionRequest",
+    "BodyAdmission",
+    "BodyTransfer",
     "CallKinds",
     "FirstAttempts",
     "QueuedRequest",
--- /dev/null
+++ b/packages/lanedock/lanedock/limits/bodies.py
@@ -0,0 +1,286 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""The limit on the bodies that are on their way to one daemon.
+
+All that comes to a daemon goes through one link: versions, endpoints, heartbeats and
+short calls wait behind the bodies that stand there. So the receiver, who alone sees all
+senders, says when each may send its body, and lets only as much onto the link as it
+brings in a short time.
+"""
+
+from lanedock.config import TrafficClass
+from lanedock.errors import ErrorCode
+from lanedock.limits.delivery_rate import DeliveryRate
+from lanedock.limits.queue import AdmissionQueue, AdmissionRequest, QueuedRequest
+from lanedock.limits.slots import Refused
+
+__all__ = ["QUEUE_TIME", "BodyAdmission", "BodyTransfer"]
+
+# Time that the bodies on their way should take, in seconds: several round trips between
+# zones, so that a link never waits for a consent, and half of what the shortest calls
+# may take (0.2 s).
+QUEUE_TIME = 0.1
+# Bytes on their way at most before a rate was observed. A link of 1 Gbit/s brings them in
+# 1 ms, about as long as a consent takes, so it is hardly held up; one of 4 Mbit/s in 0.26 s.
+_FIRST_BYTES = 128 * 1024
+# Rate that a link is taken to have in any case, in bytes a second (2 Mbit/s). Senders that
+# are slow themselves look like a narrow link; this bounds what they can hold up.
+_LEAST_RATE = 250_000.0
+# Bodies on their way in any case, so that one slow sender can't hold up all others.
+_LEAST_BODIES = 2
+# Part of the observed rate at which a body counts as received, however slowly it comes:
+# whoever sends slowly doesn't fill the link. Less than what else comes over a link leaves
+# to bodies, or they would be let in faster than they come.
+_SLOW_PART = 0.5
+# Where a body begins to come within this time, in seconds, only a short queue stands on
+# the link: half of what may stand there.
+_CLEAR_TIME = QUEUE_TIME / 2
+# Part of what a slow sender brings in `QUEUE_TIME` by which its body counts: under 1, so
+# that slow senders are let in until they fill the link, as BBR's windows of twice the
+# product of rate and delay find more of it.
+_PROBE_PART = 0.5
+# Estimated waits are means, as for slots; no unit.
+_WAIT_MARGIN = 1.5
+# Size that a body is taken to have where its sender doesn't say, in bytes.
+_UNKNOWN_SIZE = 64 * 1024
+
+
+class BodyTransfer(QueuedRequest):
+    """A body that is to come, or on its way.
+
+    Attributes
+    ----------
+    size : int
+        In bytes.
+    left : int
+        Bytes that haven't come yet.
+    is_admitted : bool
+        Whether its sender may be asked to send it.
+    begun_at : float or None
+        When its sender was asked; None before.
+    is_overtaken : bool
+        Whether another body, asked for later, has come past it: what is left of it
+        isn't on the link, then, but with its sender.
+    """
+
+    __slots__ = ("_has_size", "_late_from", "begun_at", "is_admitted", "is_overtaken", "left", "size")
+
+    def __init__(self, traffic_class: str, request: AdmissionRequest, on_admitted, expires_at: float, size: int | None):
+        super().__init__(traffic_class, request, on_admitted, expires_at)
+        self._has_size = size is not None
+        self.size = self.left = _UNKNOWN_SIZE if size is None else size
+        self.is_admitted = False
+        self.begun_at: float | None = None
+        self.is_overtaken = False
+        self._late_from = 0.0
+
+    def __repr__(self) -> str:
+        return f"<BodyTransfer {self.left}/{self.size} is_admitted={self.is_admitted} {self.request!r}>"
+
+    @property
+    def is_begun(self) -> bool:
+        """Whether its sender was asked to send it."""
+        return self.begun_at is not None
+
+    @property
+    def has_come(self) -> bool:
+        """Whether some of it has come."""
+        return self.left < self.size
+
+    @property
+    def is_received(self) -> bool:
+        """Whether all of it is known to have come."""
+        return self._has_size and self.left == 0
+
+    def admit(self, now: float) -> None:
+        """Let it come."""
+        self.is_admitted = True
+        self._late_from = now + QUEUE_TIME
+
+    def begin(self, now: float, wait: float) -> None:
+        """Note that its sender is asked now, behind bytes that take `wait` seconds."""
+        self.begun_at = now
+        self._late_from = now + wait + QUEUE_TIME
+
+    def count(self, now: float, rate: float) -> float:
+        """Return the bytes by which it counts as on its way.
+
+        One whose request still waits for a slot holds up no others: it counts for
+        a moment only until its sender is asked.
+        """
+        if self.is_overtaken:
+            own_rate = (self.size - self.left) / max(now - self.begun_at, QUEUE_TIME)
+            return min(self.left, _PROBE_PART * own_rate * QUEUE_TIME)
+        late = now - self._late_from
+        if late < 0:
+            return self.left
+        if self.begun_at is None:
+            return 0.0
+        return max(0.0, min(self.left, self.size - _SLOW_PART * rate * late))
+
+
+class BodyAdmission:
+    """Says when bodies may be sent to one daemon. Pure; times are monotonic seconds.
+
+    Bodies wait in the order of the requests that wait for slots: by class, then by target
+    time.
+
+    Parameters
+    ----------
+    queue : int
+        Bodies that may wait.
+    classes : dict of str to TrafficClass
+    """
+
+    def __init__(self, queue: int, classes: dict[str, TrafficClass]):
+        self._queue = AdmissionQueue(queue, classes)
+        self._coming: dict[BodyTransfer, None] = {}
+        self._rate = DeliveryRate()
+
+    def __repr__(self) -> str:
+        return f"<BodyAdmission outstanding={self.outstanding} waiting={self.waiting} {self._rate!r}>"
+
+    @property
+    def outstanding(self) -> int:
+        """Bytes that may be on their way."""
+        return sum(transfer.left for transfer in self._coming)
+
+    @property
+    def waiting(self) -> int:
+        """Bodies that wait."""
+        return len(self._queue)
+
+    @property
+    def rate(self) -> float | None:
+        """The observed rate, in bytes a second; None before there is one."""
+        return self._rate.value
+
+    def configure(self, queue: int, classes: dict[str, TrafficClass]) -> None:
+        """Take over another version's numbers; what waits or comes stays."""
+        self._queue.configure(queue, classes)
+
+    def acquire(
+        self,
+        traffic_class: str,
+        request: AdmissionRequest,
+        size: int | None,
+        expires_at: float,
+        now: float,
+        on_admitted,
+    ) -> BodyTransfer | Refused:
+        """Ask whether a body may be sent.
+
+        Parameters
+        ----------
+        traffic_class : str
+        request : AdmissionRequest
+        size : int or None
+            In bytes; None where it isn't known.
+        expires_at : float
+            Until when it may wait.
+        now : float
+        on_admitted : callable
+            Called without arguments once it may, where it has to wait.
+
+        Returns
+        -------
+        BodyTransfer
+            It has to wait where `is_admitted` is false. To be ended by `end`.
+        Refused
+            It can't come in time; with the estimated wait.
+        """
+        transfer = BodyTransfer(traffic_class, request, on_admitted, expires_at, size)
+        rate = self._assumed_rate()
+        standing = self._count(now, rate)
+        is_first = not (standing or self.waiting)
+        # Where nothing else comes, a body shows the rate, however slow it seemed before.
+        if is_first:
+            self._admit(transfer, now)
+            return transfer
+        ahead = standing + sum(other.size for other in self._queue.list_ahead(traffic_class, request))
+        # Before a rate was observed any body may be in time.
+        seconds_per_byte = 0.0 if self.rate is None else 1 / rate
+        arrival = now + (ahead + transfer.size) * seconds_per_byte
+        if not self.waiting and self._has_room(now) and arrival <= request.deadline:
+            self._admit(transfer, now)
+            return transfer
+        wait = max(0.0, ahead - self._limit()) * seconds_per_byte
+        is_hopeless = now + _WAIT_MARGIN * wait > expires_at or arrival > request.queue_priority
+        if is_hopeless or not (self._queue.has_room(traffic_class) or self._queue.evict_for(traffic_class, request)):
+            return Refused(ErrorCode.OVERLOADED, wait, "link")
+        self._queue.add(transfer)
+        self.update(now)
+        return transfer
+
+    def begin(self, transfer: BodyTransfer, now: float) -> None:
+        """Note that an admitted body's sender is asked for it."""
+        rate = self._assumed_rate()
+        self._coming.pop(transfer, None)
+        transfer.begin(now, self._count(now, rate) / rate)
+        self._coming[transfer] = None
+        self._rate.begin(now)
+
+    def note(self, transfer: BodyTransfer, size: int, now: float) -> None:
+        """Take in that bytes of a body have come."""
+        if transfer not in self._coming:
+            return
+        if size and not transfer.has_come and now - transfer.begun_at <= _CLEAR_TIME:
+            self._note_overtaken(transfer)
+        transfer.left = max(0, transfer.left - size)
+        self._rate.note(size, now)
+        if transfer.is_received:
+            self.end(transfer, now)
+        else:
+            self.update(now)
+
+    def _note_overtaken(self, transfer: BodyTransfer) -> None:
+        """Note which bodies one has come past: those asked for before, whose rest isn't there yet.
+
+        A link is one queue. So what is left of them wasn't sent when this one was,
+        and it isn't the link that they wait for.
+        """
+        for other in self._coming:
+            if other.is_begun and other.begun_at < transfer.begun_at:
+                other.is_overtaken = True
+
+    def end(self, transfer: BodyTransfer, now: float) -> None:
+        """Note that nothing more of a body will come, or that it isn't wanted; again without effect."""
+        self._queue.remove(transfer)
+        if transfer in self._coming:
+            del self._coming[transfer]
+            if not any(other.is_begun for other in self._coming):
+                self._rate.pause(now)
+        self.update(now)
+
+    def update(self, now: float) -> None:
+        """Let bodies come that wait, as far as there is room.
+
+        To be called every `QUEUE_TIME` while any wait: those on their way may have
+        turned out to be slow.
+        """
+        for name in self._queue.classes():
+            while self._queue.has_any(name):
+                if not self._has_room(now):
+                    return
+                transfer = self._queue.pop_first(name)
+                self._admit(transfer, now)
+                transfer.on_admitted()
+
+    def _admit(self, transfer: BodyTransfer, now: float) -> None:
+        transfer.admit(now)
+        self._coming[transfer] = None
+
+    def _has_room(self, now: float) -> bool:
+        rate = self._assumed_rate()
+        counts = [transfer.count(now, rate) for transfer in self._coming]
+        quick = sum(not transfer.is_overtaken and bool(transfer.count(now, rate)) for transfer in self._coming)
+        return quick < _LEAST_BODIES or sum(counts) < self._limit()
+
+    def _count(self, now: float, rate: float) -> float:
+        return sum(transfer.count(now, rate) for transfer in self._coming)
+
+    def _limit(self) -> float:
+        """Return the bytes from which on no other body is let in."""
+        return _FIRST_BYTES if self.rate is None else self._assumed_rate() * QUEUE_TIME
+
+    def _assumed_rate(self) -> float:
+        return max(_LEAST_RATE, self.rate or 0.0)
--- /dev/null
+++ b/packages/lanedock/lanedock/limits/delivery_rate.py
@@ -0,0 +1,61 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""How fast bodies come in, as observed: a windowed maximum of the delivery rate.
+
+References
+----------
+N. Cardwell, Y. Cheng, C. S. Gunn, S. H. Yeganeh, V. Jacobson: BBR, congestion-based
+congestion control. ACM Queue 14 (5), 2016. Its filter for the bottleneck's bandwidth is
+the maximum of the delivery rates of the last ten round trips.
+"""
+
+from collections import deque
+
+__all__ = ["DeliveryRate"]
+
+# Time with a body on its way that makes a sample, in seconds. What a daemon finds in its
+# sockets after a pause of its own comes at once; in 0.25 s, two and a half times what may
+# stand on the link, that can't make a sample more than about twice the link's rate.
+_SAMPLE_TIME = 0.25
+# Samples of which the maximum counts: 10 s with a body on its way. Long enough to hold one
+# taken while the senders did not hold it down; a link that has become slower is known by then.
+_SAMPLES = 40
+
+
+class DeliveryRate:
+    """Bytes a second that come in while any are expected. Pure; times are monotonic seconds."""
+
+    __slots__ = ("_busy", "_bytes", "_samples", "_since")
+
+    def __init__(self):
+        self._busy = 0.0
+        self._bytes = 0
+        self._since: float | None = None
+        self._samples: deque[float] = deque(maxlen=_SAMPLES)
+
+    def __repr__(self) -> str:
+        return f"<DeliveryRate {self.value}>"
+
+    @property
+    def value(self) -> float | None:
+        """The rate in bytes a second; None before it was observed."""
+        return max(self._samples, default=None)
+
+    def begin(self, now: float) -> None:
+        """Note that bytes are expected from now on."""
+        if self._since is None:
+            self._since = now
+
+    def pause(self, now: float) -> None:
+        """Note that none are expected for the time being."""
+        if self._since is not None:
+            self._busy += now - self._since
+            self._since = None
+
+    def note(self, size: int, now: float) -> None:
+        """Take in that some bytes have come."""
+        self.begin(now)
+        self._bytes += size
+        busy = self._busy + now - self._since
+        if busy >= _SAMPLE_TIME:
+            self._samples.append(self._bytes / busy)
+            self._busy, self._bytes, self._since = 0.0, 0, now
--- a/packages/lanedock/lanedock/limits/queue.py
+++ b/packages/lanedock/lanedock/limits/queue.py
@@ -130,17 +130,20 @@
         self._length -= 1
         return waiting.pop(position)
 
-    def count_ahead(self, traffic_class: str, request: AdmissionRequest) -> int:
-        """Count the queued requests that would be admitted before another one."""
-        ahead = 0
+    def list_ahead(self, traffic_class: str, request: AdmissionRequest) -> list[QueuedRequest]:
+        """Return the queued requests that would be admitted before another one, in no order."""
+        ahead: list[QueuedRequest] = []
         for name in self._order:
             if name == traffic_class:
                 break
-            ahead += len(self._by_class.get(name, ()))
+            ahead += self._by_class.get(name, ())
         priority = request.queue_priority
-        return ahead + sum(
-            queued.request.queue_priority <= priority for queued in self._by_class.get(traffic_class, ())
-        )
+        same_class = self._by_class.get(traffic_class, ())
+        return ahead + [queued for queued in same_class if queued.request.queue_priority <= priority]
+
+    def count_ahead(self, traffic_class: str, request: AdmissionRequest) -> int:
+        """Count the queued requests that would be admitted before another one."""
+        return len(self.list_ahead(traffic_class, request))
 
     def has_room(self, traffic_class: str) -> bool:
         """Tell whether another request of a class may wait."""
--- a/packages/lanedock/lanedock/limits/slots.py
+++ b/packages/lanedock/lanedock/limits/slots.py
@@ -46,12 +46,15 @@
     code : ErrorCode
     retry_after : float
         Seconds after which it is worth asking again.
+    limit : str, optional
+        By which it was refused: "slots" or "link".
     """
 
-    __slots__ = ("code", "retry_after")
+    __slots__ = ("code", "limit", "retry_after")
 
-    def __init__(self, code: ErrorCode, retry_after: float):
+    def __init__(self, code: ErrorCode, retry_after: float, limit: str = "slots"):
         self.code = code
+        self.limit = limit
         self.retry_after = retry_after
 
     def __repr__(self) -> str:
@@ -134,20 +137,30 @@
         Refused
             It can't be served in time.
         """
-        if now >= request.deadline:
-            return Refused(ErrorCode.DEADLINE, 0.0)
-        if self._has_room(traffic_class, now):
+        if now < request.deadline and self._has_room(traffic_class, now):
             self._take(traffic_class, now)
             return None
-        wait = self._estimate_wait(traffic_class, request, now)
-        expires_at = self._expiry(request, now)
-        is_hopeless = now + _WAIT_MARGIN * wait > expires_at
-        if is_hopeless or not (self._queue.has_room(traffic_class) or self._queue.evict_for(traffic_class, request)):
+        refused = self.judge(traffic_class, request, now)
+        if refused is not None:
+            return refused
+        if not (self._queue.has_room(traffic_class) or self._queue.evict_for(traffic_class, request)):
+            wait = self._estimate_wait(traffic_class, request, now)
             return Refused(ErrorCode.OVERLOADED, self.return_after(request, now, wait))
-        queued = QueuedRequest(traffic_class, request, on_admitted, expires_at)
+        queued = QueuedRequest(traffic_class, request, on_admitted, self._expiry(request, now))
         self._queue.add(queued)
         return queued
 
+    def judge(self, traffic_class: str, request: AdmissionRequest, now: float) -> Refused | None:
+        """Return why a request can't get a slot in time; None where it may."""
+        if now >= request.deadline:
+            return Refused(ErrorCode.DEADLINE, 0.0)
+        if self._has_room(traffic_class, now):
+            return None
+        wait = self._estimate_wait(traffic_class, request, now)
+        if now + _WAIT_MARGIN * wait <= self._expiry(request, now):
+            return None
+        return Refused(ErrorCode.OVERLOADED, self.return_after(request, now, wait))
+
     def release(self, traffic_class: str, duration: float, now: float, kind: str = "") -> None:
         """Give a slot back, which may go to a queued request.
 
@@ -194,6 +207,10 @@
         # Whoever comes back later has no time left.
         return min(estimate * self._rng.uniform(*_SPREAD), max(0.0, request.deadline - now))
 
+    def latest_start(self, request: AdmissionRequest, now: float) -> float:
+        """Return until when a request may wait, for what else it needs; before now where it may not."""
+        return self._expiry(request, now)
+
     def late_after(self, kind: str) -> float:
         """Return the time in a slot that hardly a request of a kind exceeds, in seconds."""
         return self._times.late_after(kind)
--- /dev/null
+++ b/packages/lanedock/lanedock/limits/tests/test_bodies.py
@@ -0,0 +1,297 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Tests of the limit on bodies on their way, with a link in virtual time."""
+
+import heapq
+from itertools import count
+from random import Random
+
+import pytest
+
+from lanedock.config import TrafficClass
+from lanedock.errors import ErrorCode
+from lanedock.limits import QUEUE_TIME, AdmissionRequest, BodyAdmission, Refused
+
+CLASSES = {"urgent": TrafficClass("urgent", 0.5, 0), "bulk": TrafficClass("bulk", 0.5, 5)}
+FAR = 1000.0
+# Bytes a second: of a link of 3.9 Mbit/s, and of one of 1 Gbit/s.
+NARROW, WIDE = 487_500.0, 125_000_000.0
+# Longest time that a body, which was asked for, may take to begin to come, in seconds.
+ROUND_TRIP = 0.002
+PACKET = 1460
+BODY = 60_000
+
+
+class Link:
+    """A link to a daemon that asks for bodies by `BodyAdmission`: one queue, in virtual time.
+
+    Attributes
+    ----------
+    waits : list of float
+        How long a short message would have waited behind bodies, at each body's coming
+        onto the link, in seconds.
+    received_at : list of float
+        When each body had come whole.
+    sizes : list of int
+        Of those bodies, in bytes.
+    taken : list of float
+        How long after their requests they had come, in seconds.
+    """
+
+    def __init__(self, bodies: BodyAdmission, rate: float, sender_rate: float = float("inf")):
+        self.bodies = bodies
+        self.now = 0.0
+        self.waits: list[float] = []
+        self.received_at: list[float] = []
+        self.sizes: list[int] = []
+        self.taken: list[float] = []
+        self.refused = 0
+        self._rate = rate
+        self._sender_rate = sender_rate
+        self._free_at = 0.0
+        self._events: list = []
+        self._number = count()
+
+    def at(self, moment: float, act, *args) -> None:
+        heapq.heappush(self._events, (moment, next(self._number), act, args))
+
+    def upload(self, size: int = BODY, traffic_class: str = "bulk", target: float = FAR) -> None:
+        """Ask for a body, from a sender of its own."""
+        request = AdmissionRequest(FAR, target)
+        made, asked_at = [], self.now
+        transfer = self.bodies.acquire(
+            traffic_class, request, size, target, self.now, lambda: self._begin(made[0], size, asked_at)
+        )
+        if isinstance(transfer, Refused):
+            self.refused += 1
+            return
+        made.append(transfer)
+        if transfer.is_admitted:
+            self._begin(transfer, size, asked_at)
+
+    def _begin(self, transfer, size: int, asked_at: float) -> None:
+        self.bodies.begin(transfer, self.now)
+        self.at(self.now + ROUND_TRIP, self._send, transfer, size, asked_at)
+
+    def _send(self, transfer, left: int, asked_at: float) -> None:
+        """Put a part of a body onto the link, and the next one once the sender has it."""
+        part = min(left, PACKET)
+        if self._sender_rate == float("inf"):
+            part = left
+        self._free_at = max(self._free_at, self.now)
+        self.waits.append(self._free_at - self.now)
+        for start in range(0, part, PACKET):
+            size = min(PACKET, part - start)
+            self._free_at += size / self._rate
+            self.at(self._free_at, self._receive, transfer, size, asked_at)
+        if left > part:
+            self.at(self.now + part / self._sender_rate, self._send, transfer, left - part, asked_at)
+
+    def _receive(self, transfer, size: int, asked_at: float) -> None:
+        self.bodies.note(transfer, size, self.now)
+        if transfer.is_received:
+            self.received_at.append(self.now)
+            self.sizes.append(transfer.size)
+            self.taken.append(self.now - asked_at)
+
+    def run(self, until: float = FAR) -> None:
+        ticks = 0
+        while self._events and self._events[0][0] <= until:
+            self.now, _, act, args = heapq.heappop(self._events)
+            act(*args)
+            # Whoever waits looks again from time to time.
+            while ticks * QUEUE_TIME < self.now:
+                ticks += 1
+                self.bodies.update(self.now)
+
+
+def _bodies(queue: int = 1000) -> BodyAdmission:
+    return BodyAdmission(queue, CLASSES)
+
+
+def test_short_messages_wait_shortly_on_a_narrow_link_that_stays_full():
+    link = Link(_bodies(), NARROW)
+    for _ in range(200):
+        link.at(0.0, link.upload)
+    link.run()
+    assert len(link.received_at) == 200
+    # The first ones come before the rate is known.
+    assert max(link.waits) <= 0.4
+    assert sorted(link.waits)[len(link.waits) // 2] <= 0.15
+    # No time of the link is lost.
+    assert max(link.received_at) <= 1.03 * 200 * BODY / NARROW
+    assert link.bodies.rate == pytest.approx(NARROW, rel=0.05)
+
+
+def test_a_narrow_link_is_learned_within_a_few_bodies():
+    link = Link(_bodies(), NARROW)
+    for _ in range(200):
+        link.at(0.0, link.upload)
+    link.run(until=5 * BODY / NARROW)
+    assert link.bodies.rate == pytest.approx(NARROW, rel=0.05)
+
+
+def test_long_bodies_come_one_or_two_at_a_time():
+    link = Link(_bodies(), NARROW)
+    for number in range(60):
+        link.at(0.05 * number, link.upload, 360_000 if number % 6 == 0 else BODY)
+    link.run()
+    assert len(link.received_at) == 60
+    # Two of the longest, of 0.74 s each.
+    assert max(link.waits) <= 2 * 360_000 / NARROW
+
+
+@pytest.mark.parametrize("uploads", [1, 12, 200])
+def test_a_wide_link_is_not_held_up(uploads):
+    """All of a burst come as fast as if none had to wait, but for the consents."""
+    link = Link(_bodies(), WIDE)
+    for _ in range(uploads):
+        link.at(0.0, link.upload)
+    link.run()
+    assert len(link.received_at) == uploads
+    bodies_at_once = 2
+    assert max(link.received_at) <= uploads * BODY / WIDE + ROUND_TRIP * (1 + uploads / bodies_at_once)
+
+
+def test_a_wide_link_is_full_once_it_is_known():
+    link = Link(_bodies(), WIDE)
+    for number in range(2000):
+        link.at(0.0005 * number, link.upload)
+    link.run()
+    # They come as they are sent: each takes a round trip, and 0.5 ms of the link.
+    assert max(link.received_at) <= 2000 * 0.0005 + 0.1
+    assert link.refused == 0
+
+
+@pytest.mark.parametrize("sender_rate", [NARROW / 20, NARROW / 4])
+def test_slow_senders_do_not_hold_up_each_other_on_a_wide_link(sender_rate):
+    link = Link(_bodies(), WIDE, sender_rate)
+    uploads, interval = 300, 0.02
+    for number in range(uploads):
+        link.at(number * interval, link.upload, BODY, "bulk", number * interval + 5.0)
+    link.run()
+    assert link.refused == 0
+    assert len(link.received_at) == uploads
+    assert max(link.received_at) <= uploads * interval + BODY / sender_rate + QUEUE_TIME
+
+
+@pytest.mark.parametrize("part", [0.1, 0.3, 1, 4])
+def test_a_narrow_link_is_full_and_its_queue_short_whatever_the_senders_rate(part):
+    """Bodies of 1.3 times what the link bears; many are refused, none for nothing."""
+    rng = Random(1)
+    link = Link(_bodies(24), NARROW, part * NARROW)
+    now = 0.0
+    for _ in range(2000):
+        now += rng.expovariate(1.3 * NARROW / BODY)
+        size = int(min(360_000, max(9_000, rng.expovariate(1 / BODY))))
+        link.at(now, link.upload, size, "bulk", now + 3.0)
+    link.run()
+    assert len(link.received_at) + link.refused == 2000
+    assert sum(link.sizes) >= 0.95 * NARROW * max(link.received_at)
+    waits = sorted(link.waits)
+    assert waits[len(waits) // 2] <= 2 * QUEUE_TIME
+    assert waits[int(0.99 * len(waits))] <= 0.75
+    assert max(link.taken) <= 3.0 + 2 * 360_000 / (min(1, part) * NARROW)
+
+
+def test_a_slow_sender_counts_as_if_it_sent_at_half_of_the_rate():
+    link = Link(_bodies(), NARROW)
+    for _ in range(40):
+        link.at(0.0, link.upload)
+    link.run()
+    bodies, now = link.bodies, link.now
+    stuck = [_admitted(bodies, now) for _ in range(2)]
+    waiting = bodies.acquire("bulk", AdmissionRequest(FAR), BODY, FAR, now, lambda: None)
+    assert not waiting.is_admitted
+    bodies.update(now + QUEUE_TIME + BODY / NARROW)
+    assert not waiting.is_admitted
+    bodies.update(now + 2 * QUEUE_TIME + 3 * BODY / NARROW)
+    assert waiting.is_admitted
+    assert bodies.outstanding == sum(transfer.left for transfer in (*stuck, waiting))
+
+
+def _admitted(bodies: BodyAdmission, now: float, size: int = BODY):
+    transfer = bodies.acquire("bulk", AdmissionRequest(FAR), size, FAR, now, None)
+    assert transfer.is_admitted
+    bodies.begin(transfer, now)
+    return transfer
+
+
+def _full(size: int = 100_000) -> BodyAdmission:
+    """Return an admission that lets nothing more in, of an unknown rate."""
+    bodies = _bodies()
+    for _ in range(2):
+        _admitted(bodies, 0.0, size)
+    return bodies
+
+
+def test_the_more_urgent_class_and_the_earlier_target_come_first():
+    bodies, order = _full(), []
+    for name, target in (("bulk", 50.0), ("bulk", 40.0), ("urgent", 60.0)):
+        request = AdmissionRequest(FAR, target)
+        bodies.acquire(name, request, BODY, target, 0.0, lambda name=name, target=target: order.append((name, target)))
+    for moment in range(1, 20):
+        bodies.update(float(moment))
+    assert order == [("urgent", 60.0), ("bulk", 40.0), ("bulk", 50.0)]
+
+
+def test_a_body_that_cannot_come_in_time_is_refused_at_once():
+    link = Link(_bodies(), NARROW)
+    for _ in range(40):
+        link.at(0.0, link.upload, BODY, "bulk", 5.5)
+    link.run(until=1.0)
+    refused = link.bodies.acquire("bulk", AdmissionRequest(FAR, 5.5), BODY, 5.5, 1.0, None)
+    assert isinstance(refused, Refused)
+    assert (refused.code, refused.limit) == (ErrorCode.OVERLOADED, "link")
+    assert refused.retry_after > 1.0
+    for name, target in (("urgent", 5.5), ("bulk", 2.0)):
+        sooner = link.bodies.acquire(name, AdmissionRequest(FAR, target), BODY, target, 1.0, lambda: None)
+        assert not isinstance(sooner, Refused)
+
+
+def test_a_late_retry_comes_over_a_free_link_and_waits_for_none():
+    late = AdmissionRequest(FAR, -1.0)
+    assert _bodies().acquire("bulk", late, BODY, -1.5, 0.0, None).is_admitted
+    assert isinstance(_full().acquire("bulk", late, BODY, -1.5, 0.0, None), Refused)
+
+
+def test_a_body_whose_request_waits_for_a_slot_holds_up_others_for_a_moment_only():
+    bodies = _bodies()
+    for _ in range(2):
+        assert bodies.acquire("bulk", AdmissionRequest(FAR), 100_000, FAR, 0.0, None).is_admitted
+    waiting = bodies.acquire("urgent", AdmissionRequest(FAR), BODY, FAR, 0.0, lambda: None)
+    assert not waiting.is_admitted
+    bodies.update(QUEUE_TIME)
+    assert waiting.is_admitted
+
+
+def test_what_is_ended_makes_room_and_is_gone():
+    bodies = _bodies()
+    first = [_admitted(bodies, 0.0, 100_000) for _ in range(2)]
+    waiting = [bodies.acquire("bulk", AdmissionRequest(FAR), 100_000, FAR, 0.0, lambda: None) for _ in range(2)]
+    bodies.end(waiting[0], 0.0)
+    bodies.end(waiting[0], 0.0)
+    assert (bodies.waiting, waiting[1].is_admitted) == (1, False)
+    bodies.end(first[0], 0.0)
+    assert (bodies.waiting, waiting[1].is_admitted) == (0, True)
+    for transfer in (first[1], waiting[1]):
+        bodies.end(transfer, 0.0)
+    assert bodies.outstanding == 0
+
+
+def test_a_body_without_a_length_counts_until_it_is_ended():
+    bodies = _bodies()
+    transfer = bodies.acquire("bulk", AdmissionRequest(FAR), None, FAR, 0.0, None)
+    bodies.begin(transfer, 0.0)
+    assert bodies.outstanding > 0
+    bodies.note(transfer, 10_000_000, 0.1)
+    assert (bodies.outstanding, transfer.is_received) == (0, False)
+    bodies.end(transfer, 0.1)
+
+
+def test_a_full_queue_refuses():
+    bodies = BodyAdmission(1, CLASSES)
+    for _ in range(2):
+        _admitted(bodies, 0.0, 100_000)
+    request = AdmissionRequest(FAR)
+    assert not isinstance(bodies.acquire("urgent", request, BODY, FAR, 0.0, lambda: None), Refused)
+    assert isinstance(bodies.acquire("urgent", request, BODY, FAR, 0.0, lambda: None), Refused)
--- a/packages/lanedock/lanedock/telemetry/events.py
+++ b/packages/lanedock/lanedock/telemetry/events.py
@@ -191,8 +191,8 @@
     REQUEST_REFUSED = (
         521,
         logging.INFO,
-        "An upstream's daemon refused a request unseen: by which limit, and the load against it.",
-        "Add upstreams where it is the load.",
+        "An upstream's daemon refused a request unseen: by which limit (slots, or its link), and the load against it.",
+        "Add upstreams where it is the load; where it is the link, a wider one helps, too.",
     )
     REQUEST_TOTALS = (
         530,
--- a/packages/lanedock/lanedock/telemetry/metrics.py
+++ b/packages/lanedock/lanedock/telemetry/metrics.py
@@ -30,6 +30,7 @@
     LATENCY = ("requests.latency", "ms", "Time from request to answer's head.")
     IN_PROGRESS = ("requests.in_progress", "g", "Requests in progress.")
     QUEUED = ("requests.queued", "g", "Requests waiting for a slot.")
+    BODY_BYTES = ("requests.body_bytes", "g", "Bytes of bodies that were let in and have not come yet.")
     VERSION = ("config.version", "g", "Number of the version in force.")
     CONTROL_BYTES = ("config.bytes", "c", "Bytes of versions and endpoints sent to daemons.")
     CHILDREN = ("config.children", "g", "Daemons that take versions from here.")
