--- a/packages/lanedock-daemon/lanedock_daemon/path/exchange.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/exchange.py
@@ -327,14 +327,18 @@
 
 
 def _send_chunked(reader: AnswerReader, head: bytes, body: Body) -> None:
+    """Write a body in chunks; its head goes with the first.
+
+    Sent before, the head could have an application begin on a request whose sender
+    was never asked for its body, and says that it was not run.
+    """
     conn = reader.conn
-    if head:
-        reader.is_passed_on = True
-        conn.sendall(head)
     while piece := body.read(CHUNK):
-        if not conn.is_clean():
+        if not head and not conn.is_clean():
             reader.is_body_unsent = True
             return
         reader.is_passed_on = True
-        conn.sendall(b"%x\r\n%b\r\n" % (len(piece), piece))
-    conn.sendall(b"0\r\n\r\n")
+        conn.sendall(b"%b%x\r\n%b\r\n" % (head, len(piece), piece))
+        head = b""
+    reader.is_passed_on = True
+    conn.sendall(head + b"0\r\n\r\n")
