Test that an application sees nothing of a request whose body never came

Cause: a request with a body in chunks had its head passed on before the first piece, while its sender, never asked for the body, calls it not run. Change: a test with a body that never comes. Result: red with the head sent first, green with it sent behind the first piece.

--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_body_gate.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_body_gate.py
@@ -231,3 +231,15 @@
     is_small = length <= ASK_LIMIT
     assert [b"expect: 100-continue" not in head for head in scripted.heads] == [is_small] * 2
     assert scripted.bodies == ([body, body] if is_small else [body])
+
+
+def test_an_application_sees_nothing_of_a_request_whose_body_never_came(make_chain):
+    """Its sender calls it not run, for it has sent nothing of the body."""
+    chain = make_chain(None)
+    upstream = chain.upstreams[0]
+    lines = ["POST /x HTTP/1.1", "Host: h", "Transfer-Encoding: chunked", "X-Lanedock-Service: s"]
+    with socket.create_connection((HOST, upstream.server.port)) as conn:
+        conn.sendall("\r\n".join([*lines, "X-Lanedock-Class: write", "", ""]).encode())
+        wait_until(lambda: upstream.limiter.in_use == 1)
+    wait_until(lambda: not upstream.limiter.in_use)
+    assert not upstream.application.runs
