--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_body_gate.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_body_gate.py
@@ -231,3 +231,19 @@
     is_small = length <= ASK_LIMIT
     assert [b"expect: 100-continue" not in head for head in scripted.heads] == [is_small] * 2
     assert scripted.bodies == ([body, body] if is_small else [body])
+
+
+def test_what_waits_for_the_link_when_the_process_ends_is_refused_unseen(make_upstream):
+    upstream = make_upstream(slots=8)
+    senders = _fill(upstream)
+    last = Sender(upstream, path="/last")
+    wait_until(lambda: upstream.side._bodies.waiting == 1)
+    for connection in list(upstream.server._connections):
+        connection.answer_all()
+    answer = last.read_answer()
+    assert f"{OUTCOME_HEADER}: {Outcome.NOT_RUN}" in answer
+    assert f"{CODE_HEADER}: {ErrorCode.DRAINING.code}" in answer
+    wait_until(lambda: upstream.side._bodies.load()["body_bytes"] == 0)
+    assert (upstream.side._bodies.waiting, upstream.limiter.in_use) == (0, 0)
+    assert all(f"{OUTCOME_HEADER}: " in sender.read_answer() for sender in senders)
+    assert not upstream.application.runs
--- a/packages/lanedock/lanedock/limits/slots.py
+++ b/packages/lanedock/lanedock/limits/slots.py
@@ -33,8 +33,8 @@
 # times the load 0.68 of the credit is earned so, 0.62 without
 # (tools/bench_overload.py --pace 0.6 --short front --load 1.2).
 _NEXT_SLOTS = 1.6
-# Spread of the times to come back, as parts of the estimate, so that callers that
-# were refused together don't return together.
+# Spread of the retry delays, as parts of the estimate, so that callers that were
+# refused together don't retry together.
 _SPREAD = (0.5, 1.5)
 
 
@@ -71,7 +71,7 @@
         Requests that may wait.
     classes : dict of str to TrafficClass
     rng : random.Random, optional
-        Spreads the times to come back.
+        Spreads the retry delays.
     """
 
     def __init__(self, slots: int, queue: int, classes: dict[str, TrafficClass], rng: Random | None = None):
@@ -137,7 +137,7 @@
         Refused
             It can't be served in time.
         """
-        if now < request.deadline and self._has_room(traffic_class, now):
+        if now < request.start_by and self._has_room(traffic_class, now):
             self._take(traffic_class, now)
             return None
         refused = self.judge(traffic_class, request, now)
@@ -154,6 +154,8 @@
         """Return why a request can't get a slot in time; None where it may."""
         if now >= request.deadline:
             return Refused(ErrorCode.DEADLINE, 0.0)
+        if now >= request.start_by:
+            return Refused(ErrorCode.OVERLOADED, self.return_after(request, now))
         if self._has_room(traffic_class, now):
             return None
         wait = self._estimate_wait(traffic_class, request, now)
@@ -184,9 +186,9 @@
         return self._queue.remove(queued)
 
     def return_after(self, request: AdmissionRequest, now: float, wait: float = 0.0) -> float:
-        """Return when a refused request may come back, in seconds.
+        """Return the delay after which a refused request may be retried, in seconds.
 
-        One that can still be answered in time comes back while it can. For the
+        One that can still be answered in time is retried while it can. For the
         others it counts only that the overload is over: how long it goes on isn't
         known, and one that has lasted for some time is expected to last for as long
         again.
@@ -204,7 +206,7 @@
             return self._rng.uniform(wait, slack)
         full_for = now - self._full_since if self._full_since is not None else 0.0
         estimate = max(wait, self._times.mean or _FIRST_ESTIMATE, full_for)
-        # Whoever comes back later has no time left.
+        # Whoever retries later has no time left.
         return min(estimate * self._rng.uniform(*_SPREAD), max(0.0, request.deadline - now))
 
     def latest_start(self, request: AdmissionRequest, now: float) -> float:
@@ -233,7 +235,7 @@
         (tools/bench_overload.py).
         """
         if request.target_time is None:
-            return request.deadline
+            return request.start_by
         needed = self._times.upper(request.kind)
         if needed is None:
             start_by = request.target_time - self._first_estimate(request, now)
@@ -241,7 +243,7 @@
             next_slots = now + _NEXT_SLOTS * self._times.mean / self.slots
             latest = request.target_time - self._times.typical(request.kind)
             start_by = max(request.target_time - needed, min(next_slots, latest))
-        return min(request.deadline, start_by)
+        return min(request.start_by, start_by)
 
     def _estimate_wait(self, traffic_class: str, request: AdmissionRequest, now: float) -> float:
         """Estimate the wait from the queued requests that would be admitted before, in seconds."""
--- a/packages/lanedock/lanedock/routing/balancer.py
+++ b/packages/lanedock/lanedock/routing/balancer.py
@@ -19,8 +19,8 @@
 
 __all__ = ["Balancer"]
 
-# Score of an upstream at whose door a trial request stands already.
-_UNWANTED = 1e6
+# Score of an upstream that has a trial request in progress already.
+_ON_TRIAL_SCORE = 1e6
 # Weight of the newest answer in the averages of time to answer.
 _SMOOTHING = 0.05
 # Least time, in seconds, after which an answer may count as late, and the time
@@ -91,13 +91,13 @@
         self, endpoint: messages.Endpoint, former: UpstreamStats | None, is_first: bool, now: float
     ) -> UpstreamStats:
         """Begin to keep what is known of an upstream that is new, or whose daemon is."""
-        lives_on = former is not None and endpoint.upstream and former.endpoint.upstream == endpoint.upstream
-        if is_first or lives_on:
+        is_same_incarnation = former is not None and endpoint.upstream and former.endpoint.upstream == endpoint.upstream
+        if is_first or is_same_incarnation:
             # Who was there before this caller is taken to be warm, and so is an
             # application that runs on while its daemon is restarted.
             cold_for = 0.0
         elif endpoint.upstream:
-            # Its application has said itself for how long it is still slow.
+            # Its application reports for how long it is still slow.
             cold_for = endpoint.cold_ms / 1000
         else:
             cold_for = self._policy.slow_start
@@ -121,7 +121,7 @@
         times.note(taken)
 
     def note_leaving(self, instance: str) -> None:
-        """Give an upstream no new work; its daemon has said that it leaves."""
+        """Give an upstream no new work; its daemon has reported that it leaves."""
         stats = self._upstreams.get(instance)
         if stats is not None:
             self._local = [other for other in self._local if other is not stats]
@@ -137,7 +137,7 @@
         Parameters
         ----------
         slots : int
-            Requests that an upstream works on at once that has not said itself.
+            Requests that an upstream works on at once that reports no number itself.
         now : float
             Monotonic, seconds.
         excluded : frozenset of str
@@ -192,7 +192,7 @@
     def _score(self, stats: UpstreamStats, slots: int, now: float) -> float:
         """Estimate the requests in progress, scaled up while it is cold and where it is slow."""
         if stats.is_on_trial and stats.in_progress:
-            return _UNWANTED
+            return _ON_TRIAL_SCORE
         load = stats.in_progress + self._others(stats, now)
         if stats.in_progress and stats.silence(now) > self._silence_limit():
             load += _SILENCE_LOAD + stats.in_progress
@@ -302,6 +302,6 @@
         stats.ejected_until = now + duration * self._rng.uniform(0.75, 1.25)
         stats.ejections += 1
         stats.failures = 0
-        # It comes back with one request at a time until one succeeds.
+        # It is readmitted with one request at a time until one succeeds.
         stats.is_on_trial = True
         return True
--- a/packages/lanedock/lanedock/telemetry/events.py
+++ b/packages/lanedock/lanedock/telemetry/events.py
@@ -40,8 +40,8 @@
     CUT_SHORT = (
         107,
         logging.WARNING,
-        "Requests were still in progress when the time to stop was over.",
-        "Raise `stop_timeout_ms`.",
+        "Requests were still in progress when the time to stop was over: they got a final answer, or were cut.",
+        "Raise `stop_timeout_ms`, or `stop_grace_s` with the platform's grace time.",
     )
 
     LEADING = (201, logging.INFO, "This control instance leads.", "None.")
@@ -127,6 +127,12 @@
         "The application beside the daemon did not say who it is; its heartbeat will.",
         "None.",
     )
+    VERSION_BEHIND = (
+        413,
+        logging.WARNING,
+        "Other daemons send requests by a newer version, which has not come here yet.",
+        "With a source that is young and not stale, look at the link of this instance: versions wait on it.",
+    )
     RIVAL_HEARD = (
         411,
         logging.INFO,
