--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_body_gate.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_body_gate.py
@@ -247,3 +247,15 @@
     assert (upstream.side._bodies.waiting, upstream.limiter.in_use) == (0, 0)
     assert all(f"{OUTCOME_HEADER}: " in sender.read_answer() for sender in senders)
     assert not upstream.application.runs
+
+
+def test_an_application_sees_nothing_of_a_request_whose_body_never_came(make_chain):
+    """Its sender calls it not run, for it has sent nothing of the body."""
+    chain = make_chain(None)
+    upstream = chain.upstreams[0]
+    lines = ["POST /x HTTP/1.1", "Host: h", "Transfer-Encoding: chunked", "X-Lanedock-Service: s"]
+    with socket.create_connection((HOST, upstream.server.port)) as conn:
+        conn.sendall("\r\n".join([*lines, "X-Lanedock-Class: write", "", ""]).encode())
+        wait_until(lambda: upstream.limiter.in_use == 1)
+    wait_until(lambda: not upstream.limiter.in_use)
+    assert not upstream.application.runs
--- a/packages/lanedock/lanedock/limits/slots.py
+++ b/packages/lanedock/lanedock/limits/slots.py
@@ -137,7 +137,7 @@
         Refused
             It can't be served in time.
         """
-        if now < request.start_by and self._has_room(traffic_class, now):
+        if now < min(request.deadline, request.start_by) and self._has_room(traffic_class, now):
             self._take(traffic_class, now)
             return None
         refused = self.judge(traffic_class, request, now)
