Call what breaks off before its body was asked for not run

Cause: a request whose body the other daemon had not asked for yet was unknown to its caller when that daemon ended, though no daemon passes it on without a piece of its body; such requests could not go elsewhere. Change: without any byte of the body sent, the end of an exchange says not run.

--- a/packages/lanedock-daemon/lanedock_daemon/path/exchange.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/exchange.py
@@ -211,12 +211,17 @@
             raise _stopped(self._address, self._reader.is_passed_on) from exc
         # The kernel's own time-out: nothing that was sent has been acknowledged.
         is_cut_off = isinstance(exc, OSError) and exc.errno in (ETIMEDOUT, EHOSTUNREACH, ENETUNREACH)
+        if not isinstance(exc, (OSError, MalformedMessage)):
+            return
+        if not self._reader.is_passed_on:
+            # Without any of its body no daemon passes a request on that it was to ask for.
+            message = f"{self._address}: {exc!r} before its body was asked for"
+            raise ExchangeError(ErrorCode.CONNECT_FAILED, Outcome.NOT_RUN, message, is_cut_off) from exc
         if isinstance(exc, TimeoutError) and not is_cut_off:
             message = f"{self._address}: no answer in time"
             raise ExchangeError(ErrorCode.ANSWER_TIMEOUT, Outcome.UNKNOWN, message) from exc
-        if isinstance(exc, (OSError, MalformedMessage)):
-            message = f"{self._address}: {exc!r}"
-            raise ExchangeError(ErrorCode.ANSWER_LOST, Outcome.UNKNOWN, message, is_cut_off) from exc
+        message = f"{self._address}: {exc!r}"
+        raise ExchangeError(ErrorCode.ANSWER_LOST, Outcome.UNKNOWN, message, is_cut_off) from exc
 
 
 def _stopped(address: tuple[str, int], is_passed_on: bool) -> ExchangeError:
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_body_gate.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_body_gate.py
@@ -259,3 +259,19 @@
     assert (upstream.side._bodies.waiting, upstream.limiter.in_use) == (0, 0)
     assert all(f"{OUTCOME_HEADER}: " in sender.read_answer() for sender in senders)
     assert not upstream.application.runs
+
+
+def test_what_breaks_off_before_its_body_was_asked_for_goes_elsewhere(make_chain):
+    """A daemon that ends with requests in its queue: not run, also where they may not be repeated."""
+    chain = make_chain(None)
+    ended = StreamServer((HOST, 0), lambda conn, address: conn.recv(65536))
+    ended.start()
+    update = messages.EndpointUpdate(whole=True)
+    for name, port in (("ended", ended.server_port), ("u0", chain.upstreams[0].server.port)):
+        update.changed.add(instance=name, service="s", zone="z", host=HOST, port=port, incarnation=1)
+    chain.view.take_endpoints(update)
+    try:
+        assert [chain.request("POST", body=bytes(LONG))[0] for _ in range(8)] == [200] * 8
+    finally:
+        ended.stop(timeout=0)
+    assert chain.runs() == 8
