--- a/packages/lanedock-daemon/lanedock_daemon/path/body_gate.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/body_gate.py
@@ -8,7 +8,8 @@
 from lanedock.errors import ErrorCode
 from lanedock.limits import QUEUE_TIME, AdmissionRequest, BodyAdmission, BodyTransfer, Refused, SlotLimiter
 from lanedock.telemetry import Metric, Metrics
-from lanedock_daemon.path.http import Body, Request
+from lanedock_daemon.path.http import RETRY_AFTER, Body, Request
+from lanedock_daemon.path.service import StopTimeout
 
 __all__ = ["BodyGate"]
 
@@ -73,7 +74,8 @@
         Returns
         -------
         Refused or None
-            The body can't come in time, or the request would get no slot then.
+            The body can't come in time, the request would get no slot then, or the
+            process ends.
         """
         body = request.body
         if not body.is_asked_for:
@@ -89,10 +91,14 @@
         if isinstance(transfer, Refused):
             return Refused(transfer.code, self._limiter.return_after(wanted, now, transfer.retry_after), transfer.limit)
         request.body = _CountedBody(body, self._bodies, transfer)
-        while not (transfer.is_admitted or transfer.is_evicted) and now < expires_at:
-            admitted.wait(min(QUEUE_TIME, expires_at - now))
-            now = time.monotonic()
-            self._bodies.update(now)
+        try:
+            while not (transfer.is_admitted or transfer.is_evicted) and now < expires_at:
+                admitted.wait(min(QUEUE_TIME, expires_at - now))
+                now = time.monotonic()
+                self._bodies.update(now)
+        except StopTimeout:
+            self._bodies.end(transfer, now)
+            return Refused(ErrorCode.DRAINING, RETRY_AFTER, "link")
         self._metrics.gauge(Metric.BODY_BYTES, self._bodies.outstanding)
         if transfer.is_admitted:
             return None
--- a/packages/lanedock-daemon/lanedock_daemon/tests/test_stops.py
+++ b/packages/lanedock-daemon/lanedock_daemon/tests/test_stops.py
@@ -48,9 +48,9 @@
 GRACE = 3.0
 # Longer than any part of a stop, in seconds.
 LONG = 20.0
-# Sent with its head, kept to be sent again but asked for, and asked for and not kept.
-SHORT_BODY = ASK_LIMIT
-MIDDLING_BODY = 60_000
+# Sent with its head; the longer ones are sent once the other daemon wants them.
+SMALL_BODY = ASK_LIMIT
+SHORT_BODY = 60_000
 LONG_BODY = 100_000
 
 
@@ -223,8 +223,8 @@
     "at the application of another daemon": ("egress", ["unknown"]),
     "in the queue of another daemon": ("entry", ["unknown"]),
     "in the queue of another daemon, sent while the daemon stops": ("entry", ["not-run"]),
-    "its middling body not yet wanted": ("entry", ["not-run"]),
     "its long body not yet wanted": ("egress", ["not-run"]),
+    "its short body not yet wanted": ("entry", ["not-run"]),
     "its body still to come": ("entry", ["not-run"]),
     "behind another on its connection": ("egress", ["unknown", "unknown"]),
     "at the application beside the daemon": ("upstream", ["unknown"]),
@@ -237,7 +237,7 @@
         sent = daemon.begin(server, _from_daemon("/x"))
         wait_until(lambda: daemon.own.begun)
     elif standing == "its body still to come":
-        sent = daemon.begin(server, _request("/x", MIDDLING_BODY, sent=0))
+        sent = daemon.begin(server, _request("/x", SHORT_BODY, sent=0))
         wait_until(lambda: daemon.kernel.find(server).in_progress)
     elif standing == "at the application of another daemon":
         sent = daemon.begin(server, _request("/x", SHORT_BODY))
@@ -249,8 +249,7 @@
         wait_until(lambda: daemon.other.begun[1:])
         if "while the daemon stops" in standing:
             daemon.stop()
-        lengths = {"its middling": MIDDLING_BODY, "its long": LONG_BODY}
-        length = next((size for name, size in lengths.items() if standing.startswith(name)), SHORT_BODY)
+        length = {"its long": LONG_BODY, "its short": SHORT_BODY}.get(standing.partition(" body")[0], SMALL_BODY)
         sent = before or daemon.begin(server, _request("/x", length))
         wait_until(lambda: _is_waiting(daemon))
     if daemon.stopping is None:
--- a/packages/lanedock/lanedock/limits/bodies.py
+++ b/packages/lanedock/lanedock/limits/bodies.py
@@ -200,7 +200,7 @@
         # Before a rate was observed any body may be in time.
         seconds_per_byte = 0.0 if self.rate is None else 1 / rate
         arrival = now + (ahead + transfer.size) * seconds_per_byte
-        if not self.waiting and self._has_room(now) and arrival <= request.deadline:
+        if not self.waiting and self._has_room(now) and arrival <= request.start_by:
             self._admit(transfer, now)
             return transfer
         wait = max(0.0, ahead - self._limit()) * seconds_per_byte
