Keep a source that has a leader again, and count its silence from a leader's last sign

A leader whose lease lapses reported its whole term as silence, and a vote, a candidacy or a start counted as hearing a leader. A link between control instances whose socket's buffer is full was never opened anew: its writer did not see that it was closed. An older instance would take a probe's state for the daemon's own. Change: a move waits for the next tick, and is dropped where the source is fresh by then; instances send heartbeats at once when a leader is found; silence counts from a leader's message or the end of the own lease; daemons behind a relay give it 0.5 s to find a source; a silent link's connection is shut, and a peer that acknowledges nothing for 10 s is let go; probes carry no state.

--- a/packages/lanedock-daemon/lanedock_daemon/agent/scouting.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/scouting.py
@@ -17,8 +17,9 @@
 # Seconds in which an instance has to say how fresh it is, its connection included: many
 # round trips between regions, and a lost packet's first retransmission (200 ms).
 SCOUT_LIMIT = 0.25
-# Longest wait between two rounds in which no instance had a leader, in seconds. 760
-# daemons ask each of 7 instances 110 times a second so, at 0.2 kB an answer.
+# Waits between two rounds in which no instance had a leader, in seconds. While there is
+# none anywhere, 760 daemons ask each of 7 instances some 600 times a second so (virtual
+# time), at 0.2 kB an answer and 0.36 ms of a core.
 ROUND_WAIT_MIN = 0.25
 ROUND_WAIT_MAX = 1.0
 
--- a/packages/lanedock-daemon/lanedock_daemon/agent/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/service.py
@@ -34,6 +34,9 @@
 FIRST_ANSWER_LIMIT = 0.5
 
 
+# A relay that has lost its source finds another within this time, in seconds; those
+# behind it wait for that, or all of them would leave it at the moment at which it moves.
+RELAY_PATIENCE = 0.5
 # A version that others use and that has not come for this long, in seconds, is worth a
 # line; versions come within 0.2 s to 99 in 100 daemons under load.
 BEHIND_LIMIT = 0.5
@@ -77,6 +80,7 @@
         self._search = SourceSearch(settings.daemon.control, rng, settings.zone)
         self._freshness = SourceFreshness(settings.daemon.staleness_limit_ms / 1000, time.monotonic())
         self._scout: Scout | None = None
+        self._better: Address | None = None
         self._rounds = ScoutRounds(rng)
         self._relay = RelaySessions(metrics) if settings.daemon.relay else None
         self._stream: SourceStream | None = None
@@ -192,9 +196,13 @@
 
     def _look_around(self, now: float) -> None:
         """Ask other instances how fresh they are, where that may lead to a better source."""
-        is_old = self._stream.is_serving and (self._freshness.is_over(now) or self._is_behind(now))
+        is_old = self._stream.is_serving and (self._is_too_old(now) or self._is_behind(now))
+        better, self._better = self._better, None
         if not is_old:
             self._rounds.reset()
+        elif better is not None:
+            self._move(better, "stale", now)
+            return
         if self._scout is not None:
             if self._scout.is_over(now):
                 self._end_scout()
@@ -205,12 +213,16 @@
         elif self._search.is_home_due(now):
             self._send_scout(self._search.home(), True, now)
 
+    def _is_too_old(self, now: float) -> bool:
+        """Tell whether the source proves no leader for too long; a relay has time to find another one itself."""
+        patience = RELAY_PATIENCE if self._search.relay_name() else 0.0
+        return self._freshness.age(now) > self._freshness.limit + patience
+
     def _send_scout(self, address: Address, is_home: bool, now: float) -> None:
         stream = self._transport.open_source(self, address)
         self._scout = Scout(stream, address, is_home, now)
-        message = messages.DaemonMessage(probe=True)
-        message.state.daemon = self._settings.name
-        stream.open(message)
+        # Without a state: it is none of the daemons there.
+        stream.open(messages.DaemonMessage(probe=True))
 
     def _end_scout(self) -> None:
         scout, self._scout = self._scout, None
@@ -218,7 +230,12 @@
             scout.stream.close()
 
     def _on_scout_answer(self, message: messages.ControlMessage, now: float) -> None:
-        """Move to an instance that has a leader; one that has none is no better than the present one."""
+        """Note an instance that has a leader; one that has none is no better than the present one.
+
+        Where it is not the own zone's, the move waits for the next tick: instances hear
+        of a new leader within a few milliseconds of each other, and a herd that moved
+        then would leave sources that are as good.
+        """
         if not message.HasField("heartbeat"):
             return
         scout = self._scout
@@ -230,9 +247,16 @@
         newest, _ = self._view.newer_version(now)
         if heartbeat.accepted_version < max(newest, self._holder.in_force_version.number):
             return
+        if scout.is_home:
+            self._move(scout.address, "home", now)
+        else:
+            self._better = scout.address
+
+    def _move(self, address: Address, reason: str, now: float) -> None:
+        """Take versions from another control instance."""
         stream = self._drop_stream()
-        self._events.emit(Event.SOURCE_LOST, address=stream.address, reason="home" if scout.is_home else "stale")
-        self._search.move_to(scout.address, now)
+        self._events.emit(Event.SOURCE_LOST, address=stream.address, reason=reason)
+        self._search.move_to(address, now)
         self._connect(now)
 
     def _connect(self, now: float) -> None:
--- a/packages/lanedock-daemon/lanedock_daemon/agent/tests/sources.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/tests/sources.py
@@ -107,6 +107,11 @@
         if self.mesh.accepted is not None:
             self.set_accepted(self.mesh.accepted)
 
+    def say_fresh(self) -> None:
+        """Send a heartbeat at once, as one does that has heard of a new leader."""
+        for stream in self.sessions:
+            self.send(stream, [self._make_heartbeat()])
+
     def flush(self) -> None:
         """Send every daemon what it lacks."""
         for stream, child in self.sessions.items():
--- a/packages/lanedock-daemon/lanedock_daemon/agent/tests/test_source_loss.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/tests/test_source_loss.py
@@ -13,8 +13,8 @@
 one: 3.5 s of silence, or 1 s without a leader and a heartbeat's interval of 1 s, then a
 search with growing waits. Their sum was longer than the time within which an accepted
 version has to be in force. After a long time without any leader, patience with a source
-that has none had doubled up to 16 s. And a daemon that had moved away went back to its
-own zone's instance as soon as it accepted connections, with or without a leader.
+that has none had doubled up to 16 s. By reading, not shown by a test: a daemon that had
+moved away went back to its own zone's instance with or without a leader there.
 
 Evidence: in virtual time, with those limits and 40 seeds, a version was in force up to
 3.95 s after its acceptance where the source had fallen silent, 2.45 s where it had lost
@@ -63,6 +63,7 @@
 def _rejoin(source: ControlInstance) -> None:
     source.led_until = None
     source.catch_up()
+    source.say_fresh()
 
 
 def _settle(mesh: VirtualMesh) -> None:
@@ -168,3 +169,44 @@
     assert lines[0]["source_version"] == lines[0]["newer"] == 2
     assert lines[0]["staleness_ms"] < 1000
     assert mesh.source() is source
+
+
+def _count_moves(caplog) -> int:
+    return sum(record.msg["message"] == "SOURCE_LOST" for record in caplog.records)
+
+
+def test_nobody_moves_while_no_instance_is_better(monkeypatch, tmp_path, caplog):
+    for seed in SEEDS:
+        mesh = VirtualMesh(monkeypatch, tmp_path, seed)
+        _settle(mesh)
+        for instance in mesh.instances.values():
+            _cut_off(instance)
+        mesh.run(10.0)
+    assert not _count_moves(caplog)
+
+
+@pytest.mark.parametrize("seconds", [0.6, 0.8, 1.0, 1.5])
+def test_nobody_moves_once_the_present_source_has_a_leader_again(seconds, monkeypatch, tmp_path, caplog):
+    """A herd that went to whoever heard of the new leader first would only come back later."""
+    for seed in SEEDS:
+        mesh = VirtualMesh(monkeypatch, tmp_path, seed)
+        _settle(mesh)
+        for instance in mesh.instances.values():
+            _cut_off(instance)
+        mesh.run(seconds)
+        for instance in mesh.instances.values():
+            mesh.at(mesh.clock.now + 0.01 * len(mesh.instances), _rejoin, instance)
+        mesh.run(3.0)
+    assert not _count_moves(caplog)
+
+
+def test_nobody_moves_to_an_instance_that_lacks_the_version_in_force(monkeypatch, tmp_path, caplog):
+    mesh = VirtualMesh(monkeypatch, tmp_path, 1)
+    _settle(mesh)
+    present = mesh.source()
+    for instance in mesh.instances.values():
+        instance.is_lagging = instance is not present
+    assert _time_to(mesh, 2) < 1.0
+    _cut_off(present)
+    mesh.run(10.0)
+    assert not _count_moves(caplog)
--- a/packages/lanedock-daemon/lanedock_daemon/control/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/service.py
@@ -83,6 +83,7 @@
         self._is_list_read = False
         self._fleet: FleetView | None = None
         self._coordinator: RolloutCoordinator | None = None
+        self._known_leader = ""
         self._reported_to = ("", 0)
         self._report_at = 0.0
         self._keepalive_at = 0.0
@@ -188,6 +189,7 @@
             return
         now = time.monotonic()
         self._log.replica.tick(now)
+        self._note_leader()
         self._sessions.send_heartbeats(now, *self._freshness(now))
         if self._is_seeded:
             self._exchange.expire(now)
@@ -223,6 +225,13 @@
             request.fleet_request.SetInParent()
             self._links.send([request])
 
+    def _note_leader(self) -> None:
+        """Let daemons know at once of a new leader: until then they look for a source that has one."""
+        leader = self._log.replica.leader
+        if leader and leader != self._known_leader:
+            self._sessions.expedite_heartbeats()
+        self._known_leader = leader
+
     def _freshness(self, now: float) -> tuple[int, float]:
         """Return the newest accepted version known here, and for how long no leader was heard, in seconds."""
         return self._log.state.accepted_version.number, self._log.replica.silence(now)
--- a/packages/lanedock-daemon/lanedock_daemon/framed.py
+++ b/packages/lanedock-daemon/lanedock_daemon/framed.py
@@ -4,8 +4,6 @@
 A connection begins with one byte that says what it is for; frames follow.
 """
 
-import socket as plain_socket
-
 import gevent
 from gevent.server import StreamServer
 
@@ -14,7 +12,7 @@
 from lanedock.settings import Address
 from lanedock.wire import messages
 from lanedock_daemon.framed_links import FOR_REPLICAS, FramedLinks, serve_replica
-from lanedock_daemon.frames import FrameWriter, connect, run_both
+from lanedock_daemon.frames import FrameWriter, connect, run_both, tune
 from lanedock_daemon.sessions import ChildArrived, ChildLeft, ChildReported
 from lanedock_daemon.transport import (
     Listener,
@@ -144,7 +142,7 @@
 
         def accept(conn, peer) -> None:
             try:
-                conn.setsockopt(plain_socket.IPPROTO_TCP, plain_socket.TCP_NODELAY, 1)
+                tune(conn)
                 if context is not None:
                     conn = context.wrap_socket(conn, server_side=True)
                 handler = handlers.get(conn.recv(1))
--- a/packages/lanedock-daemon/lanedock_daemon/framed_links.py
+++ b/packages/lanedock-daemon/lanedock_daemon/framed_links.py
@@ -10,7 +10,7 @@
 from lanedock.kernel import TaskService
 from lanedock.settings import Address
 from lanedock.wire import messages
-from lanedock_daemon.frames import EMPTY_FRAME, FrameWriter, connect, read_frames, run_both
+from lanedock_daemon.frames import EMPTY_FRAME, FrameWriter, connect, end_connection, read_frames, run_both
 from lanedock_daemon.transport import PeerLinks, PeerMessageArrived
 
 __all__ = ["FOR_REPLICAS", "FramedLinks", "serve_replica"]
@@ -76,7 +76,7 @@
             writer.put(data)
         self._queue = []
         self._writer = writer
-        watching = gevent.spawn(self._watch, writer, opened_at)
+        watching = gevent.spawn(self._watch, conn, opened_at)
         try:
             run_both(conn, writer, self._note_confirmed)
         finally:
@@ -87,7 +87,7 @@
         """Note that the peer receives what is sent over this connection."""
         self._confirmed_at = time.monotonic()
 
-    def _watch(self, writer: FrameWriter, opened_at: float) -> None:
+    def _watch(self, conn, opened_at: float) -> None:
         """End the connection when it is used and nothing is heard from the peer.
 
         A peer that confirms counts as heard by that alone: what it sends over its own
@@ -99,7 +99,8 @@
             heard_at = self.heard_at if self._confirmed_at is None else self._confirmed_at
             silent = now - max(heard_at, opened_at) > SILENCE_LIMIT
             if silent and now - self.used_at < SILENCE_LIMIT:
-                writer.close()
+                # A writer that waits for room in the socket would not see that it is closed.
+                end_connection(conn)
                 return
 
 
--- a/packages/lanedock-daemon/lanedock_daemon/frames.py
+++ b/packages/lanedock-daemon/lanedock_daemon/frames.py
@@ -13,7 +13,16 @@
 
 from lanedock.settings import Address
 
-__all__ = ["CONNECT_TIMEOUT", "EMPTY_FRAME", "FrameWriter", "connect", "read_frames", "run_both"]
+__all__ = [
+    "CONNECT_TIMEOUT",
+    "EMPTY_FRAME",
+    "FrameWriter",
+    "connect",
+    "end_connection",
+    "read_frames",
+    "run_both",
+    "tune",
+]
 
 _LENGTH = struct.Struct(">I")
 EMPTY_FRAME = _LENGTH.pack(0)
@@ -31,6 +40,9 @@
 # A reader that has not taken this many bytes is cut off; it comes back and is
 # then sent only what it lacks.
 MAX_BACKLOG = 8 * 1024 * 1024
+# A peer that acknowledges nothing for this long, in milliseconds, is gone: what waits to
+# be written to it, up to `MAX_BACKLOG`, is let go. The kernel's own limit is a quarter of an hour.
+USER_TIMEOUT_MS = 10_000
 
 
 class FrameWriter:
@@ -101,6 +113,14 @@
         conn.close()
 
 
+def end_connection(conn) -> None:
+    """End a connection for whoever reads from it or writes to it."""
+    try:
+        conn.shutdown(plain_socket.SHUT_RDWR)
+    except OSError:
+        pass  # it has ended by itself
+
+
 def _guarded(function, *arguments) -> str:
     try:
         function(*arguments)
@@ -111,6 +131,12 @@
     return "closed"
 
 
+def tune(conn) -> None:
+    """Send frames at once, and let go of a peer that is gone."""
+    conn.setsockopt(plain_socket.IPPROTO_TCP, plain_socket.TCP_NODELAY, 1)
+    conn.setsockopt(plain_socket.IPPROTO_TCP, plain_socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+
+
 def connect(address: Address, purpose: bytes, context):
     """Connect, and say what for.
 
@@ -121,7 +147,7 @@
     conn = socket.create_connection((address.host, address.port), timeout=CONNECT_TIMEOUT)
     try:
         conn.settimeout(HANDSHAKE_TIMEOUT)
-        conn.setsockopt(plain_socket.IPPROTO_TCP, plain_socket.TCP_NODELAY, 1)
+        tune(conn)
         if context is not None:
             conn = context.wrap_socket(conn)
         conn.settimeout(None)
--- a/packages/lanedock-daemon/lanedock_daemon/session_registry.py
+++ b/packages/lanedock-daemon/lanedock_daemon/session_registry.py
@@ -111,6 +111,10 @@
             else:
                 self._send(session, [message])
 
+    def expedite_heartbeats(self) -> None:
+        """Have heartbeats sent with the next `send_heartbeats`, because what they report has changed."""
+        self._heartbeat_at = 0.0
+
     def send_heartbeat(self, session: Session, accepted: int, staleness: float) -> None:
         """Send one daemon a heartbeat at once, to which it may act; see `send_heartbeats`."""
         self._send(session, [_make_heartbeat(accepted, staleness)])
--- a/packages/lanedock-daemon/lanedock_daemon/tests/proxies.py
+++ b/packages/lanedock-daemon/lanedock_daemon/tests/proxies.py
@@ -16,6 +16,7 @@
     def __init__(self, target: tuple[str, int]):
         self._target = target
         self._era = 0
+        self._paused_before = 0
         self.accepted = 0
         self.server = StreamServer((HOST, 0), self._serve)
         self.server.start()
@@ -28,15 +29,27 @@
         """Swallow what comes on the connections there are; new ones work."""
         self._era += 1
 
+    def stop_reading(self) -> None:
+        """Read nothing more from the connections there are: what is sent there fills the sender's buffer."""
+        self._paused_before = self.accepted
+
     def _serve(self, conn, address) -> None:
         self.accepted += 1
+        number = self.accepted
         with socket.create_connection(self._target) as other:
             era = self._era
-            gevent.joinall([gevent.spawn(self._pass, conn, other, era), gevent.spawn(self._pass, other, conn, era)])
-
-    def _pass(self, source, target, era: int) -> None:
+            gevent.joinall(
+                [
+                    gevent.spawn(self._pass, conn, other, era, number),
+                    gevent.spawn(self._pass, other, conn, era, number),
+                ]
+            )
+
+    def _pass(self, source, target, era: int, number: int) -> None:
         try:
             while data := source.recv(65536):
+                while number <= self._paused_before:
+                    gevent.sleep(0.01)
                 if era == self._era:
                     target.sendall(data)
             target.shutdown(socket.SHUT_WR)
--- a/packages/lanedock-daemon/lanedock_daemon/tests/test_framed.py
+++ b/packages/lanedock-daemon/lanedock_daemon/tests/test_framed.py
@@ -133,3 +133,31 @@
     assert proxy.accepted == 2
     listener.close()
     proxy.server.stop(timeout=0)
+
+
+def test_a_silent_link_is_opened_anew_though_more_waits_than_its_socket_takes(monkeypatch):
+    monkeypatch.setattr(framed_links, "SILENCE_LIMIT", 0.2)
+    transport = FramedTransport(None)
+    peer, target = _Owner(), Address("127.0.0.1", _free_port())
+    listener = transport.serve_control(peer, target)
+    proxy = SilencingProxy((target.host, target.port))
+    name = f"127.0.0.1:{proxy.address[1]}"
+    links = transport.peer_links({})
+
+    def send(size: int) -> int:
+        message = messages.PeerMessage(sender="me", receiver=name)
+        message.snapshot_request.state = bytes(size)
+        links.send([message])
+        gevent.sleep(0.02)
+        return len(peer.posted)
+
+    with gevent.Timeout(20):
+        while not send(1):
+            pass
+        proxy.stop_reading()
+        before = send(6 * 1024 * 1024)
+        while send(1) <= before:
+            pass
+    assert proxy.accepted > 1
+    listener.close()
+    proxy.server.stop(timeout=0)
--- a/packages/lanedock/lanedock/consensus/replica.py
+++ b/packages/lanedock/lanedock/consensus/replica.py
@@ -24,7 +24,10 @@
 from lanedock.consensus.state import ReplicaState
 from lanedock.wire import messages
 
-__all__ = ["RaftReplica"]
+__all__ = ["NEVER_LED", "RaftReplica"]
+
+# Reported where no leader was ever heard, in seconds: longer than anybody waits for one.
+NEVER_LED = 3600.0
 
 
 class RaftReplica:
@@ -71,6 +74,7 @@
         self._joining = Joining(self._state, self._election, contacts, rng)
         self._changes = MembershipChanges(self._state, timing, replace_after)
         self._replication: LogReplication | None = None
+        self._led_until: float | None = None
         if not self.can_vote():
             # Others may wait for a leader whose successor this replica is.
             self._election.due_at = now
@@ -141,10 +145,14 @@
         return self._replication is not None and applied >= self._replication.lead.term_start
 
     def silence(self, now: float) -> float:
-        """Return for how long no leader was heard from, in seconds."""
+        """Return for how long no leader is known to have led, in seconds.
+
+        Counted from a leader's last message, or from the end of this one's own lease: a
+        vote or a candidacy is no sign of a leader, nor is a start.
+        """
         if self.is_leader(now):
             return 0.0
-        return now - self._election.heard_at
+        return now - self._led_until if self._led_until is not None else NEVER_LED
 
     def can_vote(self) -> bool:
         """Tell whether this replica is a voter."""
@@ -267,7 +275,7 @@
             state.ready.hard_state_changed = True
         state.role = ReplicaRole.FOLLOWER
         state.leader = leader
-        self._replication = None
+        self._end_lead(now)
         state.drop_reads()
         self._election.reset(now)
 
@@ -278,9 +286,16 @@
         if self.role is not ReplicaRole.FOLLOWER or self.leader != message.sender:
             self._state.role = ReplicaRole.FOLLOWER
             self._state.leader = message.sender
-            self._replication = None
+            self._end_lead(now)
+        self._led_until = now
         self._election.follow(message.sender, now)
 
+    def _end_lead(self, now: float) -> None:
+        """Lead no more, if this replica did."""
+        if self._replication is not None:
+            self._led_until = min(now, self._replication.lead.lease_until)
+            self._replication = None
+
     def _become_leader(self, now: float) -> None:
         self._state.role = ReplicaRole.LEADER
         self._state.leader = self.me
--- a/packages/lanedock/lanedock/consensus/tests/test_replica.py
+++ b/packages/lanedock/lanedock/consensus/tests/test_replica.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
+from lanedock.consensus.replica import NEVER_LED
 from lanedock.consensus.tests.replicas import Cluster
 from lanedock.wire import messages
 
@@ -57,6 +58,25 @@
     assert cluster.propose(old, b"lost") is None
 
 
+def test_silence_counts_from_the_last_sign_of_a_leader():
+    cluster = Cluster(NAMES, seed=2)
+    assert all(node.replica.silence(cluster.now) == NEVER_LED for node in cluster.nodes.values())
+    old = _elect(cluster)
+    # Long after its election a leader that is cut off counts from the end of its lease.
+    cluster.run(60)
+    cluster.isolate(old.id[0])
+    cluster.run(1)
+    assert old.replica.silence(cluster.now) < 1.0
+    # Votes and candidacies of those that can't elect anybody are no sign of a leader.
+    follower = next(node for node in cluster.nodes.values() if node is not old)
+    cluster.run(5)
+    assert follower.replica.silence(cluster.now) < 1.0
+    for node in cluster.nodes.values():
+        cluster.isolate(node.id[0])
+    cluster.run(30)
+    assert all(29.0 < node.replica.silence(cluster.now) < 40.0 for node in cluster.nodes.values())
+
+
 def test_the_former_leader_leads_again_at_once_when_all_were_killed():
     cluster = Cluster(NAMES, seed=2)
     old = _lead_and_crash_all(cluster)
