Ask for a body behind the answers before it, and judge again once it begins to come

An upstream that began to leave after a body was asked for still got the request when the body came, seconds later perhaps. No test held that a chunked request which an application works on is unknown, not not-run, at the end of a stop. Change: it is asked for when the answers before it are over; whether the upstream takes work is judged again when the first piece is here.

--- a/packages/lanedock-daemon/lanedock_daemon/path/body_gate.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/body_gate.py
@@ -13,6 +13,9 @@
 
 __all__ = ["BodyGate"]
 
+# Bytes of a body that are taken at once before it is passed on: no more than a piece.
+FETCH = 64 * 1024
+
 
 class _CountedBody(Body):
     """A body whose bytes are counted as they are read; reading it asks its sender for it."""
@@ -22,8 +25,16 @@
         self.transfer = transfer
         self._body = body
         self._bodies = bodies
+        self._fetched = b""
+
+    def fetch(self) -> None:
+        """Wait for its first piece, and keep it."""
+        self._fetched = self.read(FETCH)
 
     def read(self, size: int) -> bytes:
+        if self._fetched:
+            piece, self._fetched = self._fetched[:size], self._fetched[size:]
+            return piece
         if not self.transfer.is_begun:
             self._bodies.begin(self.transfer, time.monotonic())
         piece = self._body.read(size)
@@ -105,6 +116,17 @@
         self._bodies.end(transfer, now)
         return Refused(ErrorCode.OVERLOADED, self._limiter.return_after(wanted, now), "link")
 
+    def fetch(self, request: Request) -> None:
+        """Wait until a body that had to be asked for begins to come.
+
+        Raises
+        ------
+        OSError
+            Its sender went away.
+        """
+        if isinstance(request.body, _CountedBody):
+            request.body.fetch()
+
     def leave(self, request: Request) -> None:
         """Note that a request is over: what hasn't come of its body won't."""
         if isinstance(request.body, _CountedBody):
--- a/packages/lanedock-daemon/lanedock_daemon/path/server.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/server.py
@@ -61,11 +61,19 @@
 
 
 class _StreamedBody(Body):
-    """A request's body, put in by the connection's reader as it comes."""
+    """A request's body, put in by the connection's reader as it comes.
 
-    def __init__(self, conn, message: Message, on_taken):
-        self._conn = conn
+    Parameters
+    ----------
+    message : Message
+    on_taken, on_wanted : callable
+        Called without arguments when a piece was taken, and once when the sender
+        waits to be asked for the body.
+    """
+
+    def __init__(self, message: Message, on_taken, on_wanted):
         self._on_taken = on_taken
+        self._on_wanted = on_wanted
         self._message = message
         self._rest = b""
         self._arrived = None if message.is_complete else Signal()
@@ -102,7 +110,7 @@
                 raise ConnectionError("the connection ended within a body")
             if self._wants_continue:
                 self._wants_continue = False
-                self._conn.sendall(_CONTINUE)
+                self._on_wanted()
             self._arrived.clear()
             self._arrived.wait()
         self._on_taken()
@@ -112,17 +120,22 @@
 class _Exchange:
     """One request of a connection, and its turn to be answered."""
 
-    __slots__ = ("body", "connection", "done", "is_answered", "message", "turn", "worker")
+    __slots__ = ("body", "connection", "done", "is_answered", "message", "turn", "wants_body", "worker")
 
-    def __init__(self, connection: "_Connection", message: Message, body: _StreamedBody):
+    def __init__(self, connection: "_Connection", message: Message):
         self.connection = connection
         self.message = message
-        self.body = body
+        self.body = _StreamedBody(message, connection.note_taken, self._ask_for_body)
+        self.wants_body = False
         self.worker: _Worker | None = None
         self.turn: Signal | None = None
         self.done: Signal | None = None
         self.is_answered = False
 
+    def _ask_for_body(self) -> None:
+        self.wants_body = True
+        self.connection.ask_for_body()
+
     def cancel(self) -> None:
         """End the work on it soon, unless it is over by then."""
         if self.worker is not getcurrent():
@@ -282,12 +295,25 @@
 
     def _begin(self, message: Message) -> None:
         """Start to work on a request."""
-        exchange = _Exchange(self, message, _StreamedBody(self._conn, message, self._has_room.set))
+        exchange = _Exchange(self, message)
         if not message.is_complete:
             self._open = exchange
         self._exchanges.append(exchange)
         self._server.take_worker().assign(exchange)
 
+    def note_taken(self) -> None:
+        """Note that a piece of a body was taken: there is room for more."""
+        self._has_room.set()
+
+    def ask_for_body(self) -> None:
+        """Ask for the body of the request whose turn it is, if it is wanted.
+
+        Earlier, the line would stand within the answer to a request before it.
+        """
+        if self._exchanges and self._exchanges[0].wants_body:
+            self._exchanges[0].wants_body = False
+            self._conn.sendall(_CONTINUE)
+
     # ---------------------------------------------------------------- answering
 
     def work(self, exchange: _Exchange) -> None:
@@ -357,6 +383,10 @@
         if self._exchanges and self._exchanges[0].turn is not None:
             self._exchanges[0].turn.set()
         self._has_room.set()
+        try:
+            self.ask_for_body()
+        except OSError:
+            pass  # the caller is gone, as the connection's reader finds, too
         if not self._exchanges:
             self._note_time()
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_body_gate.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_body_gate.py
@@ -275,3 +275,16 @@
     finally:
         ended.stop(timeout=0)
     assert chain.runs() == 8
+
+
+def test_an_upstream_that_begins_to_leave_while_a_body_comes_does_not_get_it(make_upstream):
+    upstream = make_upstream(slots=8)
+    sender = Sender(upstream, path="/x")
+    sender.read_consent()
+    upstream.side._registration.leave("")
+    sender.send()
+    answer = sender.read_answer()
+    assert f"{OUTCOME_HEADER}: {Outcome.NOT_RUN}" in answer
+    assert f"{CODE_HEADER}: {ErrorCode.DRAINING.code}" in answer
+    wait_until(lambda: not (upstream.limiter.in_use or upstream.side._bodies.load()["body_bytes"]))
+    assert not upstream.application.runs
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_framing.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_framing.py
@@ -2,12 +2,13 @@
 """Tests of malformed requests: a clear refusal, and nothing passed on."""
 
 import gevent
+import gevent.event
 import pytest
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
 from lanedock_daemon.path import server
-from lanedock_daemon.path.tests.chain import parse_answer
+from lanedock_daemon.path.tests.chain import parse_answer, wait_until
 
 HOST_LINE = b"Host: h\r\n"
 
@@ -122,3 +123,33 @@
         _chains.clear()
         _chains[make_chain] = make_chain(None)
     return _chains[make_chain]
+
+
+def test_a_body_is_asked_for_behind_the_answers_before_it(make_chain):
+    """Asked for at once, the line would be taken for a part of the answer that still comes."""
+    half = b"." * 200_000
+    rest = gevent.event.Event()
+
+    def script(conn, head, body):
+        if not head.startswith("GET"):
+            return b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+        conn.sendall(b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % (2 * len(half)) + half)
+        rest.wait()
+        return half
+
+    chain = make_chain(script)
+    with chain.connect() as conn:
+        conn.sendall(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+        received = b""
+        while len(received) < len(half):
+            received += conn.recv(65536)
+        conn.sendall(b"POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\nExpect: 100-continue\r\n\r\n")
+        wait_until(lambda: chain.entry.in_progress == 2)
+        gevent.sleep(0.05)
+        rest.set()
+        while b"100 Continue\r\n\r\n" not in received:
+            received += conn.recv(65536)
+        _, _, behind = received.partition(b"\r\n\r\n")
+        assert behind == 2 * half + b"HTTP/1.1 100 Continue\r\n\r\n"
+        conn.sendall(b"hi")
+        assert b"200 OK" in conn.recv(65536)
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
@@ -169,8 +169,9 @@
             why = {"waited_ms": round(1000 * (time.monotonic() - started), 1), **self._load()}
             why.update(late=target == "0", limit=refused.limit, **self._bodies.load())
             return self._refuse(refused.code, refused.retry_after, log, **why)
-        # It may have begun to leave while the request waited.
-        refusal = self._registration.judge(meant)
+        # It may have begun to leave while the request waited, or while its body was on its
+        # way: until the first piece is here nothing of it is passed on.
+        refusal = self._fetch(request, traffic_class) or self._registration.judge(meant)
         if refusal is not None:
             self._limiter.release(traffic_class, 0.0, time.monotonic())
             return self._refuse(refusal, RETRY_AFTER, log, meant=meant, incarnation=self._registration.upstream)
@@ -255,6 +256,17 @@
         if not (queued.is_evicted or self._limiter.cancel(queued)):
             self._limiter.release(traffic_class, 0.0, time.monotonic())
 
+    def _fetch(self, request: Request, traffic_class: str) -> ErrorCode | None:
+        """Wait until the body begins to come; return why it doesn't, where the process ends first."""
+        try:
+            self._bodies.fetch(request)
+        except StopTimeout:
+            return ErrorCode.DRAINING
+        except BaseException:
+            self._limiter.release(traffic_class, 0.0, time.monotonic())
+            raise
+        return None
+
     def _pass_on(self, request: Request, traffic_class: str, deadline: float, span, log: RequestLog) -> Answer:
         """Send a request to the application; the slot is held to the answer's end."""
         started = time.monotonic()
--- a/packages/lanedock-daemon/lanedock_daemon/tests/test_stops.py
+++ b/packages/lanedock-daemon/lanedock_daemon/tests/test_stops.py
@@ -221,6 +221,7 @@
 # known of it in the end.
 _STANDING = {
     "at the application of another daemon": ("egress", ["unknown"]),
+    "in chunks at the application of another daemon": ("egress", ["unknown"]),
     "in the queue of another daemon": ("entry", ["unknown"]),
     "in the queue of another daemon, sent while the daemon stops": ("entry", ["not-run"]),
     "its long body not yet wanted": ("egress", ["not-run"]),
@@ -239,6 +240,10 @@
     elif standing == "its body still to come":
         sent = daemon.begin(server, _request("/x", SHORT_BODY, sent=0))
         wait_until(lambda: daemon.kernel.find(server).in_progress)
+    elif standing == "in chunks at the application of another daemon":
+        head = b"POST /x HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n"
+        sent = daemon.begin(server, head, b"5\r\nhello\r\n0\r\n\r\n")
+        wait_until(lambda: "/x" in daemon.other.begun)
     elif standing == "at the application of another daemon":
         sent = daemon.begin(server, _request("/x", SHORT_BODY))
         wait_until(lambda: "/x" in daemon.other.begun)
