Forget a better source with the one it was better than

Cause: an instance noted as better was kept when its daemon lost its source meanwhile; a method stood beside its twin. Change: it is forgotten with the stream; relays' patience is an argument of the one method.

--- a/packages/lanedock-daemon/lanedock_daemon/agent/scouting.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/scouting.py
@@ -54,9 +54,9 @@
         """Return for how long no leader is known to have been heard, in seconds."""
         return max(0.0, now - self._led_at)
 
-    def is_over(self, now: float) -> bool:
-        """Tell whether a fresher source is to be looked for."""
-        return self.age(now) > self.limit
+    def is_over(self, now: float, patience: float = 0.0) -> bool:
+        """Tell whether a fresher source is to be looked for, `patience` seconds past the limit."""
+        return self.age(now) > self.limit + patience
 
 
 class Scout:
--- a/packages/lanedock-daemon/lanedock_daemon/agent/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/service.py
@@ -216,7 +216,7 @@
     def _is_too_old(self, now: float) -> bool:
         """Tell whether the source proves no leader for too long; a relay has time to find another one itself."""
         patience = RELAY_PATIENCE if self._search.relay_name() else 0.0
-        return self._freshness.age(now) > self._freshness.limit + patience
+        return self._freshness.is_over(now, patience)
 
     def _send_scout(self, address: Address, is_home: bool, now: float) -> None:
         stream = self._transport.open_source(self, address)
@@ -290,6 +290,7 @@
 
     def _drop_stream(self) -> SourceStream:
         stream, self._stream = self._stream, None
+        self._better = None
         stream.close()
         return stream
 
