--- a/packages/lanedock-daemon/lanedock_daemon/path/server.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/server.py
@@ -5,483 +5,25 @@
 over it costs several times as much, and it can't notice that a caller has gone.
 """
 
-import socket as plain_socket
 import time
-from collections import deque
 
 import gevent
-from gevent import get_hub, getcurrent, socket
-from gevent.event import Event as Signal
+from gevent import socket
 from gevent.server import StreamServer
 
-from lanedock.errors import ErrorCode
 from lanedock.kernel import Kernel, StopPlan
 from lanedock.settings import Address
 from lanedock.telemetry import Event, EventLogger
-from lanedock_daemon.agent.attest import ALIVE_PATH
 from lanedock_daemon.path.channel import Channel
-from lanedock_daemon.path.http import HOP_HEADERS, RETRY_AFTER, Answer, Body, Outcome, Request, make_refusal
-from lanedock_daemon.path.parser import MalformedMessage, Message, RequestReader
-from lanedock_daemon.path.service import HttpService, StopTimeout
+from lanedock_daemon.path.connection import IDLE_TIMEOUT, Connection
+from lanedock_daemon.path.incoming import Worker
+from lanedock_daemon.path.service import HttpService
 
-__all__ = ["CallerGone", "PathServer"]
+__all__ = ["PathServer"]
 
-IDLE_TIMEOUT = 300.0
 HEAD_TIMEOUT = 10.0
-BODY_TIMEOUT = 30.0
 BACKLOG = 1024
-_NEVER = float("inf")
 SWEEP_INTERVAL = 1.0
-# Requests of one connection that are worked on at once; later ones wait unread.
-MAX_PIPELINED = 32
-# Bytes of a body that are read ahead of whoever takes them.
-READ_AHEAD = 256 * 1024
-# Workers kept without a request: for the requests that end while others begin.
-MAX_IDLE_WORKERS = 32
-# After the last answer the rest that a caller still sends is read for this
-# long, in seconds: closing with unread bytes would reset the answer, too.
-LINGER = 1.0
-_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
-_REASONS = {
-    400: "Bad Request",
-    408: "Request Timeout",
-    413: "Content Too Large",
-    414: "URI Too Long",
-    431: "Request Header Fields Too Large",
-    501: "Not Implemented",
-}
-
-
-class CallerGone(gevent.GreenletExit):
-    """The caller closed its connection; whatever it asked for is cancelled."""
-
-
-class _Expired(gevent.GreenletExit):
-    """The connection's time is over."""
-
-
-class _StreamedBody(Body):
-    """A request's body, put in by the connection's reader as it comes.
-
-    Parameters
-    ----------
-    message : Message
-    on_taken, on_wanted : callable
-        Called without arguments when a piece was taken, and once when the sender
-        waits to be asked for the body.
-    """
-
-    def __init__(self, message: Message, on_taken, on_wanted):
-        self._on_taken = on_taken
-        self._on_wanted = on_wanted
-        self._message = message
-        self._rest = b""
-        self._arrived = None if message.is_complete else Signal()
-        self._broke_off = False
-        self._wants_continue = not message.is_complete and message.header("expect").lower() == "100-continue"
-        length = message.header("content-length")
-        if message.header("transfer-encoding"):
-            self.length = None
-        else:
-            self.length = int(length) if length else 0
-
-    def wake(self) -> None:
-        """Note that more of it has come."""
-        if self._arrived is not None:
-            self._arrived.set()
-
-    def break_off(self) -> None:
-        """Note that nothing more will come."""
-        self._broke_off = True
-        self.wake()
-
-    def read(self, size: int) -> bytes:
-        if not self._rest:
-            self._rest = self._next_piece()
-        piece, self._rest = self._rest[:size], self._rest[size:]
-        return piece
-
-    def _next_piece(self) -> bytes:
-        pieces = self._message.pieces
-        while not pieces:
-            if self._message.is_complete:
-                return b""
-            if self._broke_off:
-                raise ConnectionError("the connection ended within a body")
-            if self._wants_continue:
-                self._wants_continue = False
-                self._on_wanted()
-            self._arrived.clear()
-            self._arrived.wait()
-        self._on_taken()
-        return pieces.popleft()
-
-
-class _Exchange:
-    """One request of a connection, and its turn to be answered."""
-
-    __slots__ = ("body", "connection", "done", "is_answered", "message", "turn", "wants_body", "worker")
-
-    def __init__(self, connection: "_Connection", message: Message):
-        self.connection = connection
-        self.message = message
-        self.body = _StreamedBody(message, connection.note_taken, self._ask_for_body)
-        self.wants_body = False
-        self.worker: _Worker | None = None
-        self.turn: Signal | None = None
-        self.done: Signal | None = None
-        self.is_answered = False
-
-    def _ask_for_body(self) -> None:
-        self.wants_body = True
-        self.connection.ask_for_body()
-
-    def cancel(self) -> None:
-        """End the work on it soon, unless it is over by then."""
-        if self.worker is not getcurrent():
-            get_hub().loop.run_callback(self._throw, CallerGone)
-
-    def end_wait(self) -> None:
-        """Have its final answer made now, unless there is one."""
-        if not self.is_answered:
-            get_hub().loop.run_callback(self._throw, StopTimeout)
-
-    def _throw(self, kind: type[BaseException]) -> None:
-        # The worker may have gone on to another request meanwhile, or found an answer.
-        if self.worker is not None and not (kind is StopTimeout and self.is_answered):
-            self.worker.throw(kind)
-
-
-class _Worker(gevent.Greenlet):
-    """Works on requests, one after the other.
-
-    A new greenlet for each would cost two system calls and the pages of its stack.
-
-    Parameters
-    ----------
-    idle : list of _Worker
-        Where it waits for the next request.
-    """
-
-    def __init__(self, idle: list):
-        super().__init__()
-        self._idle = idle
-        self._exchange: _Exchange | None = None
-
-    def assign(self, exchange: _Exchange) -> None:
-        """Have it work on a request."""
-        exchange.worker = self
-        self._exchange = exchange
-        if self.started:
-            get_hub().loop.run_callback(self.switch)
-        else:
-            self.start()
-
-    def _run(self) -> None:
-        hub = get_hub()
-        while True:
-            exchange, self._exchange = self._exchange, None
-            exchange.connection.work(exchange)
-            exchange.worker = None
-            if len(self._idle) >= MAX_IDLE_WORKERS:
-                return
-            self._idle.append(self)
-            exchange = None
-            # Woken by `assign` only; a wake-up from an earlier wait has no word.
-            while self._exchange is None:
-                hub.switch()
-
-
-class _Connection:
-    """One caller's connection: requests are worked on at once, and answered in order.
-
-    Attributes
-    ----------
-    expires_at : float
-        Monotonic; when the server's sweep ends it. Cheaper than a timer for
-        each wait.
-    """
-
-    def __init__(self, server: "PathServer", conn):
-        self.expires_at = time.monotonic() + IDLE_TIMEOUT
-        self._server = server
-        self._conn = conn
-        self._reader = RequestReader(conn)
-        self._greenlet = getcurrent()
-        self._exchanges: deque[_Exchange] = deque()
-        self._open: _Exchange | None = None
-        self._has_room = Signal()
-        self._is_closing = False
-
-    # ------------------------------------------------------------------ reading
-
-    def run(self) -> None:
-        """Read requests until the connection ends."""
-        try:
-            self._read()
-        except MalformedMessage as exc:
-            self._finish_exchanges()
-            self._refuse(exc)
-        except _Expired:
-            # It may have read a request between being found idle and being ended.
-            self._finish_exchanges()
-            if self._reader.is_in_head and not self._exchanges:
-                self._refuse(MalformedMessage("the request came too slowly", 408))
-        except (OSError, gevent.GreenletExit):
-            # The caller is gone, or must not take a part for the whole.
-            pass
-        finally:
-            self._abandon()
-            self._conn.close()
-
-    def expire(self) -> None:
-        """End the connection: its caller has taken too long."""
-        self._greenlet.kill(_Expired, block=False)
-
-    def is_idle(self) -> bool:
-        """Tell whether no request is in progress or being read."""
-        return not (self._exchanges or self._reader.is_in_head)
-
-    def end_if_idle(self) -> None:
-        """End the connection of a server that stops, unless a request is in progress."""
-        if self.is_idle():
-            self.expire()
-
-    def answer_all(self) -> int:
-        """Have all requests answered that have no answer yet; return how many."""
-        waiting = [exchange for exchange in self._exchanges if not exchange.is_answered]
-        for exchange in waiting:
-            exchange.end_wait()
-        return len(waiting)
-
-    def _read(self) -> None:
-        reader = self._reader
-        self._note_time()
-        while reader.receive_first():
-            if self._is_closing:
-                # What comes behind the last answer was not read.
-                reader.drop()
-                continue
-            while reader.has_head():
-                self._begin(reader.next_head())
-            if self._open is not None:
-                self._open.body.wake()
-                if self._open.message.is_complete:
-                    self._open = None
-            self._note_time()
-            while not self._is_closing and self._is_full():
-                self._has_room.clear()
-                self._has_room.wait()
-        if reader.is_in_head:
-            raise ConnectionError("the connection ended within a head")
-
-    def _is_full(self) -> bool:
-        if len(self._exchanges) >= MAX_PIPELINED:
-            return True
-        # The reader goes on once the body's pieces were taken.
-        return self._open is not None and self._open.message.size_ahead() > READ_AHEAD
-
-    def _note_time(self) -> None:
-        now = time.monotonic()
-        header_timeout, idle_timeout = self._server.read_timeouts()
-        if self._open is not None:
-            self.expires_at = now + BODY_TIMEOUT
-        elif self._reader.is_in_head:
-            self.expires_at = now + header_timeout
-        elif self._exchanges:
-            self.expires_at = _NEVER
-        else:
-            self.expires_at = now + idle_timeout
-
-    def _begin(self, message: Message) -> None:
-        """Start to work on a request."""
-        exchange = _Exchange(self, message)
-        if not message.is_complete:
-            self._open = exchange
-        self._exchanges.append(exchange)
-        self._server.take_worker().assign(exchange)
-
-    def note_taken(self) -> None:
-        """Note that a piece of a body was taken: there is room for more."""
-        self._has_room.set()
-
-    def ask_for_body(self) -> None:
-        """Ask for the body of the request whose turn it is, if it is wanted.
-
-        Earlier, the line would stand within the answer to a request before it.
-        """
-        if self._exchanges and self._exchanges[0].wants_body:
-            self._exchanges[0].wants_body = False
-            self._conn.sendall(_CONTINUE)
-
-    # ---------------------------------------------------------------- answering
-
-    def work(self, exchange: _Exchange) -> None:
-        """Find a request's answer, and write it when its turn has come."""
-        message = exchange.message
-        self._server.in_progress += 1
-        answer = None
-        try:
-            answer = self._find_answer(message, exchange.body)
-            exchange.is_answered = True
-            if self._exchanges and self._exchanges[0] is not exchange:
-                exchange.turn = Signal()
-                exchange.turn.wait()
-            # The connection may have ended meanwhile.
-            if self._exchanges and not self._is_closing:
-                self._write(answer, message, self._may_keep(exchange, answer))
-        except (OSError, gevent.GreenletExit):
-            # Nobody reads, or the answer has broken off: cut, so that no part
-            # is taken for the whole.
-            self._is_closing = True
-            self._greenlet.kill(block=False)
-        except Exception as exc:
-            self._is_closing = True
-            self._greenlet.kill(block=False)
-            self._server.report(exc)
-        finally:
-            if answer is not None:
-                # Also where its turn never came: what its body holds is let go.
-                _close(answer.pieces)
-            self._server.in_progress -= 1
-            self._end(exchange)
-            if exchange.done is not None:
-                exchange.done.set()
-
-    def _find_answer(self, message: Message, body: _StreamedBody) -> Answer:
-        if message.target == ALIVE_PATH:
-            return Answer(200, "OK", [("content-length", "0")], [])
-        limits = self._server.limits
-        if limits is not None and body.length is not None and body.length > limits.body_bytes:
-            return make_refusal(ErrorCode.BODY_TOO_LONG, Outcome.NOT_RUN)
-        if self._server.is_over():
-            # Read after the final answers were given: none would come any more.
-            return make_refusal(ErrorCode.DRAINING, Outcome.NOT_RUN, RETRY_AFTER)
-        try:
-            return self._server.side.handle(_make_request(message, body))
-        except StopTimeout:
-            # The side doesn't say what it has come to: it may have run.
-            return make_refusal(ErrorCode.ANSWER_LOST, Outcome.UNKNOWN)
-
-    def _may_keep(self, exchange: _Exchange, answer: Answer) -> bool:
-        """Tell whether the connection stays open after a request's answer."""
-        if not exchange.message.keep_alive:
-            return False
-        # A body that has not come to its end stands in the next request's way.
-        if not exchange.message.is_complete:
-            return False
-        # Those behind it are being worked on; the last one closes.
-        ends = answer.ends_connection or self._server.is_stopping or self._server.is_crowded()
-        return not ends or len(self._exchanges) > 1
-
-    def _end(self, exchange: _Exchange) -> None:
-        """Let the next request be answered."""
-        try:
-            self._exchanges.remove(exchange)
-        except ValueError:
-            return  # the connection has ended
-        if self._exchanges and self._exchanges[0].turn is not None:
-            self._exchanges[0].turn.set()
-        self._has_room.set()
-        try:
-            self.ask_for_body()
-        except OSError:
-            pass  # the caller is gone, as the connection's reader finds, too
-        if not self._exchanges:
-            self._note_time()
-
-    def _finish_exchanges(self) -> None:
-        """Let the requests be answered that were read whole."""
-        for exchange in list(self._exchanges):
-            if exchange is not self._open:
-                exchange.done = Signal()
-                exchange.done.wait(timeout=BODY_TIMEOUT)
-
-    def _abandon(self) -> None:
-        """Cancel what is in progress."""
-        exchanges, self._exchanges = self._exchanges, deque()
-        if self._open is not None:
-            self._open.body.break_off()
-        for exchange in exchanges:
-            exchange.cancel()
-
-    def _write(self, answer: Answer, message: Message, keep_alive: bool) -> None:
-        """Write an answer; its head goes with the first piece of its body."""
-        lines = [f"HTTP/1.1 {answer.status} {answer.reason}"]
-        has_length = False
-        for name, value in answer.headers:
-            has_length = has_length or name == "content-length"
-            lines.append(f"{name}: {value}")
-        has_body = message.method != "HEAD" and answer.status not in (204, 304)
-        is_chunked = has_body and not has_length and message.version == "1.1"
-        if is_chunked:
-            lines.append("transfer-encoding: chunked")
-        elif not has_length and has_body:
-            keep_alive = False
-        if not keep_alive:
-            lines.append("connection: close")
-        head = ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
-        pieces = iter(answer.pieces)
-        try:
-            if has_body:
-                self._write_body(head, pieces, is_chunked)
-            else:
-                self._conn.sendall(head)
-        finally:
-            _close(pieces)
-        if not keep_alive:
-            self._close_politely()
-
-    def _write_body(self, head: bytes, pieces, is_chunked: bool) -> None:
-        pending = head
-        for piece in pieces:
-            if not piece:
-                continue
-            if is_chunked:
-                piece = b"%x\r\n%b\r\n" % (len(piece), piece)
-            self._conn.sendall(pending + piece if pending else piece)
-            pending = b""
-        if is_chunked:
-            pending += b"0\r\n\r\n"
-        if pending:
-            self._conn.sendall(pending)
-
-    def _close_politely(self) -> None:
-        """End the connection for the caller; the reader takes what is still on its way."""
-        self._is_closing = True
-        self._has_room.set()
-        self.expires_at = time.monotonic() + LINGER
-        self._conn.shutdown(plain_socket.SHUT_WR)
-        if self._open is None and (self._server.is_stopping or self._server.is_crowded()):
-            self._greenlet.kill(_Expired, block=False)
-
-    def _refuse(self, exc: MalformedMessage) -> None:
-        """Answer what is malformed, and take nothing more from this connection."""
-        answer = make_refusal(exc.code, Outcome.NOT_RUN, 0.0, str(exc))
-        answer.status, answer.reason = exc.status, _REASONS[exc.status]
-        message = Message()
-        message.version = "1.1"
-        try:
-            self._conn.settimeout(LINGER)
-            self._write(answer, message, keep_alive=False)
-            while self._conn.recv(65536):
-                pass
-        except (OSError, gevent.GreenletExit):
-            pass  # the caller has gone: nobody reads the refusal
-
-
-def _close(pieces) -> None:
-    close = getattr(pieces, "close", None)
-    if close is not None:
-        close()
-
-
-def _make_request(message: Message, body: Body) -> Request:
-    listed = message.header("connection").lower()
-    dropped = {name.strip() for name in listed.split(",")} if listed else ()
-    headers = [pair for pair in message.headers if pair[0] not in HOP_HEADERS and pair[0] not in dropped]
-    host = message.header("host").rpartition(":")[0] or message.header("host")
-    return Request(message.method, message.target, host.lower(), headers, body)
 
 
 class PathServer(HttpService):
@@ -515,9 +57,9 @@
         super().__init__(name, address, side, plan, events, closes_last)
         self.limits = None
         self._limits_of = limits_of
-        self._connections: dict[_Connection, None] = {}
+        self._connections: dict[Connection, None] = {}
         self._sweeper = None
-        self._idle_workers: list[_Worker] = []
+        self._idle_workers: list[Worker] = []
 
     def _make_server(self, listener: tuple[str, int]) -> StreamServer:
         return StreamServer(listener, self._accept, backlog=BACKLOG)
@@ -575,9 +117,9 @@
         """Tell whether the process stops, and its final answers have been given."""
         return self._plan.is_begun and time.monotonic() >= self._plan.deadline
 
-    def take_worker(self) -> _Worker:
+    def take_worker(self) -> Worker:
         """Return a worker that has nothing to do."""
-        return self._idle_workers.pop() if self._idle_workers else _Worker(self._idle_workers)
+        return self._idle_workers.pop() if self._idle_workers else Worker(self._idle_workers)
 
     def report(self, exc: Exception) -> None:
         """Log a failure of the side that nobody foresaw."""
@@ -598,7 +140,7 @@
         conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         if self.is_crowded():
             self._end_oldest_idle()
-        connection = _Connection(self, Channel(conn))
+        connection = Connection(self, Channel(conn))
         self._connections[connection] = None
         try:
             connection.run()
