--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -23,6 +23,8 @@
 DAEMONS = UPSTREAMS + ENTRIES
 PER_CONTROL = DAEMONS / CONTROLS
 SECONDS_PER_DAY = 86_400
+# Heartbeats of a source to each daemon, a second (`HEARTBEAT_INTERVAL`).
+SOURCE_BEATS = 1 / 0.3
 
 
 def fill_tables(text: str, folder: Path) -> str:
@@ -162,7 +164,7 @@
         (
             "control instance (leader or not)",
             f"{PER_CONTROL:.0f} daemons, {RELAYS * 2} relays, 8 contents, the log",
-            f"{PER_CONTROL:.0f} heartbeats/s at most",
+            f"{PER_CONTROL * SOURCE_BEATS:.0f} heartbeats/s out and {PER_CONTROL:.0f} in, at most",
             f"{control_core + control_change * per_day / 10:.1f} %",
             f"{control_memory:.0f} MB",
             "relays, group commit, one message for equal needs",
@@ -170,7 +172,7 @@
         (
             "relay daemon",
             f"{children:.0f} daemons behind it, whole versions",
-            f"{children:.0f} heartbeats/s, {leaf_bytes * children / 1000:.1f} KB/s out",
+            f"{children * SOURCE_BEATS:.0f} heartbeats/s, {leaf_bytes * children / 1000:.1f} KB/s out",
             f"{daemon_core * (1 + children / 10):.1f} % (assumed: a tenth of a daemon's own for each)",
             f"{leaf['daemon_rss_mb']:.0f} MB",
             "rendezvous hash, the same distributor",
@@ -178,7 +180,7 @@
         (
             "leaf daemon, control's share",
             "a slice, digests of 67 groups, endpoints it may call",
-            f"1 heartbeat/s, {leaf_bytes / 1000:.2f} KB/s in",
+            f"{SOURCE_BEATS:.1f} heartbeats/s, {leaf_bytes / 1000:.2f} KB/s in",
             f"{daemon_core + daemon_change * per_day / 10:.2f} %",
             f"{leaf['daemon_rss_mb']:.0f} MB in all",
             "deltas by digest, activation without content",
