--- a/packages/lanedock-daemon/lanedock_daemon/agent/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/service.py
@@ -32,14 +32,13 @@
 # control instances that start, on a part of a core, take tenths of a second. Doubled
 # with each source that failed, for where all are as slow.
 FIRST_ANSWER_LIMIT = 0.5
-
-
 # A relay that has lost its source finds another within this time, in seconds; those
 # behind it wait for that, or all of them would leave it at the moment at which it moves.
 RELAY_PATIENCE = 0.5
-# A version that others use and that has not come for this long, in seconds, is worth a
-# line; versions come within 0.2 s to 99 in 100 daemons under load.
+# A version that others use and that has not come for this long, in seconds, is logged;
+# versions come within 0.2 s to 99 in 100 daemons under load.
 BEHIND_LIMIT = 0.5
+# Seconds between two looks at what only metrics show; endpoints are counted for it.
 MEASURE_INTERVAL = 0.5
 
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/http.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http.py
@@ -36,6 +36,7 @@
     "Request",
     "make_refusal",
     "public_headers",
+    "read_int",
 ]
 
 # Bodies over this many bytes are sent between daemons only once the other side wants
@@ -94,6 +95,11 @@
 )
 
 
+def read_int(text: str) -> int | None:
+    """Return the number that a header's value is; None where it is none, or negative."""
+    return int(text) if text.isascii() and text.isdigit() else None
+
+
 def public_headers(headers: list[tuple[str, str]], dropped: Container[str]) -> list[tuple[str, str]]:
     """Return headers without those between daemons, and without some others."""
     return [pair for pair in headers if pair[0] not in dropped and not pair[0].startswith(PRIVATE_PREFIX)]
--- a/packages/lanedock-daemon/lanedock_daemon/path/tries.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tries.py
@@ -30,6 +30,7 @@
     Outcome,
     Request,
     public_headers,
+    read_int,
 )
 from lanedock_daemon.path.parser import MalformedMessage, Message
 from lanedock_daemon.path.pool import ConnectionPool, ExchangeError
@@ -286,7 +287,7 @@
             balancer.end(stats, False, time.monotonic())
             raise
         head = response.message
-        load = _read_int(head.header(LOAD_HEADER))
+        load = read_int(head.header(LOAD_HEADER))
         if head.header(LEAVING_HEADER):
             balancer.note_leaving(stats.endpoint.instance)
             self._pool.forget(stats.address)
@@ -347,7 +348,7 @@
             balancer.note_leaving(stats.endpoint.instance)
         self._metrics.count(Metric.NOT_RUN)
         self._read_refusal(response)
-        wait_ms = _read_int(head.header(RETURN_HEADER))
+        wait_ms = read_int(head.header(RETURN_HEADER))
         wait = wait_ms / 1000 if wait_ms is not None else RETRY_AFTER
         answer = self._dialect.make_refusal(code, Outcome.NOT_RUN, 0.0 if code is ErrorCode.DEADLINE else wait)
         return Try(answer, code is ErrorCode.DEADLINE, bool(head.header(ARRIVED_HEADER)), code=code)
@@ -429,12 +430,6 @@
     return done
 
 
-def _read_int(text) -> int | None:
-    if isinstance(text, str) and text.isascii() and text.isdigit():
-        return int(text)
-    return None
-
-
 def _strip(head: Message) -> list[tuple[str, str]]:
     """Return an answer's headers without those between daemons or of one connection."""
     return public_headers(head.headers, _DAEMON_HEADERS)
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
@@ -37,6 +37,7 @@
     Request,
     make_refusal,
     public_headers,
+    read_int,
 )
 from lanedock_daemon.path.parser import MalformedMessage
 from lanedock_daemon.path.pool import ConnectionPool, ExchangeError
@@ -139,9 +140,9 @@
         if refusal is not None:
             return self._refuse(refusal, RETRY_AFTER, log, meant=meant, incarnation=self._registration.upstream)
         binding = self._view.bind()
-        version = request.header(VERSION_HEADER)
-        if version.isascii() and version.isdigit():
-            self._view.note_version(int(version))
+        version = read_int(request.header(VERSION_HEADER))
+        if version is not None:
+            self._view.note_version(version)
         if self._registration.upstream:
             # The application itself has said what it runs.
             is_held = request.header(SERVICE_HEADER) == self._registration.service
@@ -152,14 +153,13 @@
         if not is_held:
             return self._refuse(ErrorCode.NOT_HELD, RETRY_AFTER, log, service=request.header(SERVICE_HEADER))
         self._configure(binding)
-        left_ms = request.header(DEADLINE_HEADER)
-        deadline = started + (int(left_ms) / 1000 if left_ms.isascii() and left_ms.isdigit() else RETRY_AFTER)
+        deadline = _read_time(request, DEADLINE_HEADER, started)
+        if deadline is None:
+            deadline = started + RETRY_AFTER
         traffic_class = self._classify(request, binding)
-        target = request.header(TARGET_HEADER)
-        target_time = started + int(target) / 1000 if target.isascii() and target.isdigit() else None
+        target_time = _read_time(request, TARGET_HEADER, started)
         log.route = request.header(ROUTE_HEADER)
-        left_to_start = request.header(START_BY_HEADER)
-        start_by = started + int(left_to_start) / 1000 if left_to_start.isascii() and left_to_start.isdigit() else None
+        start_by = _read_time(request, START_BY_HEADER, started)
         wanted = AdmissionRequest(deadline, target_time, log.route, start_by)
         # The link first: a slot must not be held while other bodies come. The body is
         # asked for when it is first read, with both at hand.
@@ -167,7 +167,7 @@
         log.waited = time.monotonic() - started
         if refused is not None:
             why = {"waited_ms": round(1000 * (time.monotonic() - started), 1), **self._load()}
-            why.update(late=target == "0", limit=refused.limit, **self._bodies.load())
+            why.update(late=request.header(TARGET_HEADER) == "0", limit=refused.limit, **self._bodies.load())
             return self._refuse(refused.code, refused.retry_after, log, **why)
         # It may have begun to leave while the request waited, or while its body was on its
         # way: until the first piece is here nothing of it is passed on.
@@ -348,6 +348,12 @@
         return headers
 
 
+def _read_time(request: Request, name: str, started: float) -> float | None:
+    """Return the time, monotonic seconds, that a header gives in milliseconds from the start; None where it doesn't."""
+    left_ms = read_int(request.header(name))
+    return None if left_ms is None else started + left_ms / 1000
+
+
 def _describe(answer: Answer) -> str:
     """Return what became of a request, as totals count it."""
     named = {name: value for name, value in answer.headers if name in (OUTCOME_HEADER, CODE_HEADER)}
--- a/packages/lanedock-daemon/lanedock_daemon/tests/test_framed.py
+++ b/packages/lanedock-daemon/lanedock_daemon/tests/test_framed.py
@@ -4,6 +4,7 @@
 import time
 
 import gevent
+import pytest
 from gevent import socket
 
 from lanedock.kernel import TaskService
@@ -102,15 +103,22 @@
             conn.close()
 
 
-def test_a_silent_link_is_opened_anew_though_its_peer_is_heard_otherwise(monkeypatch):
-    """A follower that hears its leader no more calls for votes, over its own link, and so is heard."""
+@pytest.fixture
+def proxied_link(monkeypatch):
+    """Make a link through a proxy; yields the links, the peer's name, what it is sent, and the proxy."""
     monkeypatch.setattr(framed_links, "SILENCE_LIMIT", 0.2)
     transport = FramedTransport(None)
     peer, target = _Owner(), Address("127.0.0.1", _free_port())
     listener = transport.serve_control(peer, target)
     proxy = SilencingProxy((target.host, target.port))
-    name = f"127.0.0.1:{proxy.address[1]}"
-    links = transport.peer_links({})
+    yield transport.peer_links({}), f"127.0.0.1:{proxy.address[1]}", peer, proxy
+    listener.close()
+    proxy.server.stop(timeout=0)
+
+
+def test_a_silent_link_is_opened_anew_though_its_peer_is_heard_otherwise(proxied_link):
+    """A follower that hears its leader no more calls for votes, over its own link, and so is heard."""
+    links, name, peer, proxy = proxied_link
 
     def send() -> int:
         """Send, with the peer heard just before; returns how many messages have come."""
@@ -131,18 +139,10 @@
         while send() <= before + 1:
             pass
     assert proxy.accepted == 2
-    listener.close()
-    proxy.server.stop(timeout=0)
 
 
-def test_a_silent_link_is_opened_anew_though_more_waits_than_its_socket_takes(monkeypatch):
-    monkeypatch.setattr(framed_links, "SILENCE_LIMIT", 0.2)
-    transport = FramedTransport(None)
-    peer, target = _Owner(), Address("127.0.0.1", _free_port())
-    listener = transport.serve_control(peer, target)
-    proxy = SilencingProxy((target.host, target.port))
-    name = f"127.0.0.1:{proxy.address[1]}"
-    links = transport.peer_links({})
+def test_a_silent_link_is_opened_anew_though_more_waits_than_its_socket_takes(proxied_link):
+    links, name, peer, proxy = proxied_link
 
     def send(size: int) -> int:
         message = messages.PeerMessage(sender="me", receiver=name)
@@ -159,5 +159,3 @@
         while send(1) <= before:
             pass
     assert proxy.accepted > 1
-    listener.close()
-    proxy.server.stop(timeout=0)
--- a/packages/lanedock/lanedock/limits/bodies.py
+++ b/packages/lanedock/lanedock/limits/bodies.py
@@ -290,9 +290,9 @@
 
     def _has_room(self, now: float) -> bool:
         rate = self._assumed_rate()
-        counts = [transfer.count(now, rate) for transfer in self._coming]
-        quick = sum(not transfer.is_overtaken and bool(transfer.count(now, rate)) for transfer in self._coming)
-        return quick < _LEAST_BODIES or sum(counts) < self._limit()
+        counts = {transfer: transfer.count(now, rate) for transfer in self._coming}
+        quick = sum(bool(count) and not transfer.is_overtaken for transfer, count in counts.items())
+        return quick < _LEAST_BODIES or sum(counts.values()) < self._limit()
 
     def _count(self, now: float, rate: float) -> float:
         return sum(transfer.count(now, rate) for transfer in self._coming)
