Keep room on a daemon's link for bodies that were asked for and don't come

Cause: a body that was late counted as received at half of the observed rate, each for itself, whether it came or not. So while a link brought little, as it was cut off or as other traffic filled it, more and more were asked for, and all of them stood on the link at once. Change: what was asked for keeps its place until it comes. Whether late bodies wait for the link or for their senders is found out by one more, let in after 0.1 s and then ever more rarely while none begins to come; after one that has come, when what stood before it is through. A body's own time on its way counts before it is late. The test that a slow sender counts as if it sent at half of the rate described the fault and is replaced by two: how often probes go, and that one which comes past the others lets all in.

--- a/packages/lanedock/lanedock/limits/bodies.py
+++ b/packages/lanedock/lanedock/limits/bodies.py
@@ -27,15 +27,22 @@
 _LEAST_RATE = 250_000.0
 # Bodies on their way in any case, so that one slow sender can't hold up all others.
 _LEAST_BODIES = 2
-# Part of the observed rate at which a body counts as received, however slowly it comes:
-# whoever sends slowly doesn't fill the link. Less than what else comes over a link leaves
-# to bodies, or they would be let in faster than they come.
-_SLOW_PART = 0.5
+# Bodies that don't come keep their place on the link: they may come at any moment, all at
+# once. One more is let in from time to time only to see whether they wait for the link or
+# for their senders: after `QUEUE_TIME`, and then, while none begins to come, after
+# _PROBE_GROWTH times as long each time, up to _MAX_PROBE_INTERVAL, in seconds. A link of
+# 6 Mbit/s that brings nothing for 5.5 s has 0.4 s of bodies on it then; when each that was
+# late counted as received at half of the rate it had 2.7 s (tests/test_body_surges.py).
+_PROBE_GROWTH = 4
+_MAX_PROBE_INTERVAL = 2.0
 # Where a body begins to come within this time of the least that was seen, in seconds,
 # only a short queue stands on the link: half of what may stand there. Without the least
 # time, here and in `_limit`, senders of 20 kB/s that are 60 ms away look like a narrow link:
 # 1,108 of 1,200 bodies are refused on one of 1 Gbit/s, with it 13 (tests/test_bodies.py).
 _CLEAR_TIME = QUEUE_TIME / 2
+# Part of the observed rate: whoever brings less of a body may be slow. Half, as other
+# bodies that come meanwhile take their part.
+_SLOW_PART = 0.5
 # Part of what a slow sender brings in `QUEUE_TIME` by which its body counts: under 1, so
 # that slow senders are let in until they fill the link, as BBR's windows of twice the
 # product of rate and delay find more of it.
@@ -99,25 +106,28 @@
         self._late_from = now + QUEUE_TIME
 
     def begin(self, now: float, wait: float) -> None:
-        """Note that its sender is asked now, behind bytes that take `wait` seconds."""
+        """Note that its sender is asked now, and that it should begin to come within `wait` seconds."""
         self.begun_at = now
         self._late_from = now + wait + QUEUE_TIME
 
-    def count(self, now: float, rate: float) -> float:
+    def is_slow(self, now: float, rate: float) -> bool:
+        """Tell whether it comes at less than half of a rate, from when it should begin to come."""
+        late = now - self._late_from
+        return late >= 0 and self.size - self.left <= _SLOW_PART * rate * late
+
+    def count(self, now: float) -> float:
         """Return the bytes by which it counts as on its way.
 
-        One whose request still waits for a slot holds up no others: it counts for
-        a moment only until its sender is asked.
+        However late it is, it may stand on the link or come onto it at any moment. One
+        whose request still waits for a slot holds up no others: it counts for a moment
+        only until its sender is asked.
         """
         if self.is_overtaken:
             own_rate = (self.size - self.left) / max(now - self.begun_at, QUEUE_TIME)
             return min(self.left, _PROBE_PART * own_rate * QUEUE_TIME)
-        late = now - self._late_from
-        if late < 0:
-            return self.left
-        if self.begun_at is None:
+        if not self.is_begun and now >= self._late_from:
             return 0.0
-        return max(0.0, min(self.left, self.size - _SLOW_PART * rate * late))
+        return self.left
 
 
 class BodyAdmission:
@@ -141,6 +151,9 @@
         # `QUEUE_TIME`, so that an application that is late with the first body, or a full
         # link, isn't taken for a long way.
         self._least_delay = QUEUE_TIME
+        # When the next body may be let in as a probe, and how long after it another one.
+        self._probe_at = 0.0
+        self._probe_interval = QUEUE_TIME
 
     def __repr__(self) -> str:
         return f"<BodyAdmission outstanding={self.outstanding} waiting={self.waiting} {self._rate!r}>"
@@ -196,7 +209,7 @@
         """
         transfer = BodyTransfer(traffic_class, request, on_admitted, expires_at, size)
         rate = self._assumed_rate()
-        standing = self._count(now, rate)
+        standing = self._count(now)
         is_first = not (standing or self.waiting)
         # Where nothing else comes, a body shows the rate, however slow it seemed before.
         if is_first:
@@ -205,9 +218,9 @@
         ahead = standing + sum(other.size for other in self._queue.list_ahead(traffic_class, request))
         # Before a rate was observed any body may be in time.
         seconds_per_byte = 0.0 if self.rate is None else 1 / rate
-        shared = self._count_before(transfer.size, now, rate)
+        shared = self._count_before(transfer.size, now)
         may_come = now + (shared + transfer.size) * seconds_per_byte <= request.start_by
-        if not self.waiting and self._has_room(now) and may_come:
+        if not self.waiting and may_come and self._may_admit(now):
             self._admit(transfer, now)
             return transfer
         arrival = now + (ahead + transfer.size) * seconds_per_byte
@@ -224,7 +237,7 @@
         """Note that an admitted body's sender is asked for it."""
         rate = self._assumed_rate()
         self._coming.pop(transfer, None)
-        transfer.begin(now, self._count(now, rate) / rate)
+        transfer.begin(now, self._least_delay + self._count(now) / rate)
         self._coming[transfer] = None
         self._rate.begin(now)
 
@@ -233,7 +246,7 @@
         if transfer not in self._coming:
             return
         if size and not transfer.has_come:
-            self._note_first_bytes(transfer, now - transfer.begun_at)
+            self._note_first_bytes(transfer, now - transfer.begun_at, now)
         transfer.left = max(0, transfer.left - size)
         self._rate.note(size, now)
         if transfer.is_received:
@@ -241,9 +254,12 @@
         else:
             self.update(now)
 
-    def _note_first_bytes(self, transfer: BodyTransfer, delay: float) -> None:
+    def _note_first_bytes(self, transfer: BodyTransfer, delay: float, now: float) -> None:
         """Take in that a body begins to come, `delay` seconds after its sender was asked."""
         self._least_delay = min(self._least_delay, delay)
+        # What stood on the link before it is through after as long again.
+        self._probe_at = now + delay - self._least_delay
+        self._probe_interval = QUEUE_TIME
         if delay <= self._least_delay + _CLEAR_TIME:
             self._note_overtaken(transfer)
         else:
@@ -278,32 +294,48 @@
             self._rate.mark_limited()
         for name in self._queue.classes():
             while self._queue.has_any(name):
-                if not self._has_room(now):
+                if not self._may_admit(now):
                     return
                 transfer = self._queue.pop_first(name)
                 self._admit(transfer, now)
                 transfer.on_admitted()
 
     def _admit(self, transfer: BodyTransfer, now: float) -> None:
+        if not self._has_room(now):
+            self._probe_at = now + self._probe_interval
+            self._probe_interval = min(_MAX_PROBE_INTERVAL, _PROBE_GROWTH * self._probe_interval)
         transfer.admit(now)
         self._coming[transfer] = None
 
+    def _may_admit(self, now: float) -> bool:
+        return self._has_room(now) or self._is_probe_due(now)
+
     def _has_room(self, now: float) -> bool:
-        rate = self._assumed_rate()
-        counts = {transfer: transfer.count(now, rate) for transfer in self._coming}
+        counts = {transfer: transfer.count(now) for transfer in self._coming}
         quick = sum(bool(count) and not transfer.is_overtaken for transfer, count in counts.items())
         return quick < _LEAST_BODIES or sum(counts.values()) < self._limit()
 
-    def _count(self, now: float, rate: float) -> float:
-        return sum(transfer.count(now, rate) for transfer in self._coming)
+    def _is_probe_due(self, now: float) -> bool:
+        """Tell whether a body may be let in to see what those that are late wait for.
+
+        If it begins to come soon, they wait for their senders and not for the link: see
+        `_note_overtaken`.
+        """
+        if now < self._probe_at:
+            return False
+        rate = self._assumed_rate()
+        return any(other.is_begun and not other.is_overtaken and other.is_slow(now, rate) for other in self._coming)
+
+    def _count(self, now: float) -> float:
+        return sum(transfer.count(now) for transfer in self._coming)
 
-    def _count_before(self, size: int, now: float, rate: float) -> float:
+    def _count_before(self, size: int, now: float) -> float:
         """Return the bytes on their way that come before the last of a body of `size`, if it is let in now.
 
         Bodies that come together share the link: of each, at most as much comes meanwhile.
         With all that is left of them, one slow large body has all others refused.
         """
-        return sum(min(size, transfer.count(now, rate)) for transfer in self._coming)
+        return sum(min(size, transfer.count(now)) for transfer in self._coming)
 
     def _limit(self) -> float:
         """Return the bytes from which on no other body is let in."""
--- a/packages/lanedock/lanedock/limits/tests/test_bodies.py
+++ b/packages/lanedock/lanedock/limits/tests/test_bodies.py
@@ -1,13 +1,14 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """Tests of the limit on bodies on their way, with a link in virtual time."""
 
+from itertools import pairwise
 from random import Random
 
 import pytest
 
 from lanedock.errors import ErrorCode
 from lanedock.limits import QUEUE_TIME, AdmissionRequest, BodyAdmission, Refused
-from lanedock.limits.tests.link import BODY, CLASSES, FAR, NARROW, ROUND_TRIP, WIDE, Link
+from lanedock.limits.tests.link import BODY, CLASSES, FAR, NARROW, PACKET, ROUND_TRIP, WIDE, Link
 
 
 def _bodies(queue: int = 1000) -> BodyAdmission:
@@ -161,20 +162,45 @@
     assert link.bodies.rate == pytest.approx(NARROW, rel=0.05)
 
 
-def test_a_slow_sender_counts_as_if_it_sent_at_half_of_the_rate():
+def test_bodies_that_do_not_come_are_probed_less_and_less_often():
+    """One more after what a body may take to begin, then after four times as long each time."""
     link = Link(_bodies(), NARROW)
     for _ in range(40):
         link.at(0.0, link.upload)
     link.run()
     bodies, now = link.bodies, link.now
     stuck = [_admitted(bodies, now) for _ in range(2)]
-    waiting = bodies.acquire("bulk", AdmissionRequest(FAR), BODY, FAR, now, lambda: None)
-    assert not waiting.is_admitted
-    bodies.update(now + QUEUE_TIME + BODY / NARROW)
-    assert not waiting.is_admitted
-    bodies.update(now + 2 * QUEUE_TIME + 3 * BODY / NARROW)
-    assert waiting.is_admitted
-    assert bodies.outstanding == sum(transfer.left for transfer in (*stuck, waiting))
+    waiting = [bodies.acquire("bulk", AdmissionRequest(FAR), BODY, FAR, now, lambda: None) for _ in range(6)]
+    admitted_at = []
+    for step in range(1, 450):
+        moment = now + step * QUEUE_TIME / 10
+        bodies.update(moment)
+        for transfer in waiting:
+            if transfer.is_admitted and not transfer.is_begun:
+                bodies.begin(transfer, moment)
+                admitted_at.append(moment - now)
+    gaps = [later - earlier for earlier, later in pairwise(admitted_at)]
+    assert admitted_at[0] == pytest.approx(ROUND_TRIP + QUEUE_TIME, abs=QUEUE_TIME / 5)
+    assert gaps[:4] == pytest.approx([0.1, 0.4, 1.6, 2.0], abs=QUEUE_TIME / 5)
+    # What they hold up doesn't become less meanwhile.
+    assert bodies.outstanding == sum(transfer.left for transfer in (*stuck, *waiting) if transfer.is_admitted)
+
+
+def test_bodies_that_do_not_come_hold_up_no_others_once_one_has_come_past_them():
+    link = Link(_bodies(), NARROW)
+    for _ in range(40):
+        link.at(0.0, link.upload)
+    link.run()
+    bodies, now = link.bodies, link.now
+    for _ in range(2):
+        _admitted(bodies, now)
+    probe, other = (bodies.acquire("bulk", AdmissionRequest(FAR), BODY, FAR, now, lambda: None) for _ in range(2))
+    moment = now + ROUND_TRIP + 1.1 * QUEUE_TIME
+    bodies.update(moment)
+    assert (probe.is_admitted, other.is_admitted) == (True, False)
+    bodies.begin(probe, moment)
+    bodies.note(probe, PACKET, moment + ROUND_TRIP)
+    assert other.is_admitted
 
 
 def _admitted(bodies: BodyAdmission, now: float, size: int = BODY):
