Test three more ways in which bodies fill a daemon's link

Whether the link has room is judged before a request waits for a slot, and not again; a body without a length counts for its first 64 kB only; an observed rate never ends while nothing fills the link.

--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_body_gate.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_body_gate.py
@@ -126,6 +126,38 @@
     assert last.read_answer().startswith("HTTP/1.1 200")
 
 
+def test_bodies_whose_requests_waited_for_slots_are_not_all_asked_for_at_once(make_upstream):
+    """What users saw: after a cut versions were in force late on daemons beside uploads.
+
+    Order of events: an application hangs, and requests with bodies wait for its slots.
+    Their place on the link is free for others meanwhile, who then wait for slots, too. The
+    slots come free together, and all those bodies are asked for at once.
+
+    Cause: whether the link has room was judged before the wait for a slot, and not again.
+    Evidence: in a model 18 bodies of 60 kB, 2.2 s of a link of 500 kB/s.
+    """
+    slots, gate = 6, Gate()
+    upstream = make_upstream(gate, slots=slots, queue=24)
+    held = [Sender(upstream, 0, path=f"/held/{number}") for number in range(slots)]
+    wait_until(lambda: len(gate.begun) == slots)
+    senders = [Sender(upstream, path=f"/{number}") for number in range(slots)]
+    wait_until(lambda: upstream.limiter.waiting == slots)
+    gate.opened.set()
+    for sender in held:
+        assert sender.read_answer().startswith("HTTP/1.1 200")
+    wait_until(lambda: upstream.side._bodies.waiting == slots - FULL)
+    assert upstream.limiter.in_use == FULL
+    for _ in range(slots):
+        wait_until(lambda: not all(sender.has_silence() for sender in senders))
+        asked = [sender for sender in senders if not sender.has_silence()]
+        assert len(asked) <= FULL
+        asked[0].read_consent()
+        asked[0].send()
+        assert asked[0].read_answer().startswith("HTTP/1.1 200")
+        senders.remove(asked[0])
+    wait_until(lambda: (upstream.limiter.in_use, upstream.side._bodies.load()["body_bytes"]) == (0, 0))
+
+
 def test_requests_without_a_body_and_with_a_small_one_pass_a_full_link(make_upstream):
     upstream = make_upstream(slots=8)
     senders = _fill(upstream)
--- a/packages/lanedock/lanedock/limits/tests/test_bodies.py
+++ b/packages/lanedock/lanedock/limits/tests/test_bodies.py
@@ -203,7 +203,7 @@
     assert other.is_admitted
 
 
-def _admitted(bodies: BodyAdmission, now: float, size: int = BODY):
+def _admitted(bodies: BodyAdmission, now: float, size: int | None = BODY):
     transfer = bodies.acquire("bulk", AdmissionRequest(FAR), size, FAR, now, None)
     assert transfer.is_admitted
     bodies.begin(transfer, now)
@@ -282,6 +282,24 @@
     bodies.end(transfer, 0.1)
 
 
+def test_long_bodies_without_a_length_keep_others_from_the_link():
+    """What they still bring isn't known, so they count as long as they come."""
+    link = Link(_bodies(), NARROW)
+    for _ in range(40):
+        link.at(0.0, link.upload)
+    link.run()
+    bodies, now = link.bodies, link.now
+    long = [_admitted(bodies, now, None) for _ in range(2)]
+    for step in range(1, 101):
+        for transfer in long:
+            bodies.note(transfer, 1_000, now + step * ROUND_TRIP)
+    now += 100 * ROUND_TRIP
+    next_one = bodies.acquire("bulk", AdmissionRequest(FAR), None, FAR, now, lambda: None)
+    assert not next_one.is_admitted
+    bodies.end(long[0], now)
+    assert next_one.is_admitted
+
+
 def test_a_full_queue_refuses():
     bodies = BodyAdmission(1, CLASSES)
     for _ in range(2):
--- a/packages/lanedock/lanedock/limits/tests/test_body_surges.py
+++ b/packages/lanedock/lanedock/limits/tests/test_body_surges.py
@@ -63,3 +63,20 @@
 def test_bodies_that_were_held_up_do_not_come_all_at_once(seconds, seed):
     link = _play(seed, lambda link: link.cut(CALM, CALM + seconds))
     assert _longest_standing(link) <= MAX_STANDING
+
+
+def test_a_link_that_became_narrow_while_nothing_filled_it_is_not_filled_by_a_surge():
+    """A minute in which bodies come one by one says less than what came before, but that is over."""
+    link = Link(BodyAdmission(36, CLASSES), 12_500_000.0)
+    for number in range(400):
+        link.at(number * BODY / link.rate, link.upload)
+    link.run(until=CALM)
+    link.rate = RATE
+    calm = 100
+    for number in range(calm):
+        link.at(CALM + number, link.upload)
+    surge = CALM + calm
+    for _ in range(24):
+        link.at(surge, link.upload, BODY, "bulk", surge + 3.0)
+    link.run()
+    assert _longest_standing(link) <= MAX_STANDING
