Give each run of the platform's tests its own loopback network

Cause: the addresses were fixed, so two runs at once on a machine took each other's ports: all tests of one of them ended with EADDRINUSE, or its requests reached the other's daemons. Change: a platform claims a network 127.A.B.0 of its own, sought from the process's id on, by binding a port on an address that nobody else uses, and holds it to its end.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,13 +1,15 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """The platform's program as real processes: seeds, direct rollout, registration, the path.
 
-Each instance has a loopback address of its own, as they share ports otherwise.
+Each instance has a loopback address of its own, as they share ports otherwise, and each
+platform a network, so that several runs on a machine don't meet.
 """
 
 import http.client
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 import threading
@@ -25,6 +27,19 @@
 TIMEOUT = 30.0
 
 
+def _claim_network() -> tuple[socket.socket, str]:
+    """Find a loopback network that no other run has; it is ours until the socket is closed."""
+    for number in range(os.getpid(), os.getpid() + 1000):
+        network = f"127.{1 + number // 256 % 254}.{number % 256}"
+        claim = socket.socket()
+        try:
+            claim.bind((f"{network}.254", APP_PORT))
+            return claim, network
+        except OSError:
+            claim.close()
+    raise OSError("no loopback network is free")
+
+
 class _Application(ThreadingHTTPServer):
     """A backend: it answers, keeps what it was sent, and heartbeats."""
 
@@ -80,8 +95,9 @@
 
     def __init__(self, folder: Path):
         self.folder = folder
-        self.controls = ["127.0.7.1", "127.0.7.2", "127.0.7.3"]
-        self.daemons = ["127.0.7.11", "127.0.7.12"]
+        self._claim, network = _claim_network()
+        self.controls = [f"{network}.{number}" for number in (1, 2, 3)]
+        self.daemons = [f"{network}.{number}" for number in (11, 12)]
         self.processes: dict[str, subprocess.Popen] = {}
         self.applications: dict[str, _Application] = {}
         self._stopped = threading.Event()
@@ -156,6 +172,7 @@
         for application in self.applications.values():
             application.shutdown()
             application.server_close()
+        self._claim.close()
 
     def put(self, value: dict) -> int:
         """Send a configuration as the operator does: to any, along redirects, until it is answered."""
