--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,13 +1,15 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """The platform's program as real processes: seeds, direct rollout, registration, the path.
 
-Each instance has a loopback address of its own, as they share ports otherwise.
+Each instance has a loopback address of its own, as they share ports otherwise, and each
+platform a network, so that several runs on a machine don't meet.
 """
 
 import http.client
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 import threading
@@ -25,6 +27,19 @@
 TIMEOUT = 30.0
 
 
+def _claim_network() -> tuple[socket.socket, str]:
+    """Find a loopback network that no other run has; it is ours until the socket is closed."""
+    for number in range(os.getpid(), os.getpid() + 1000):
+        network = f"127.{1 + number // 256 % 254}.{number % 256}"
+        claim = socket.socket()
+        try:
+            claim.bind((f"{network}.254", APP_PORT))
+            return claim, network
+        except OSError:
+            claim.close()
+    raise OSError("no loopback network is free")
+
+
 class _Application(ThreadingHTTPServer):
     """A backend: it answers, keeps what it was sent, and heartbeats."""
 
@@ -80,8 +95,9 @@
 
     def __init__(self, folder: Path):
         self.folder = folder
-        self.controls = ["127.0.7.1", "127.0.7.2", "127.0.7.3"]
-        self.daemons = ["127.0.7.11", "127.0.7.12"]
+        self._claim, network = _claim_network()
+        self.controls = [f"{network}.{number}" for number in (1, 2, 3)]
+        self.daemons = [f"{network}.{number}" for number in (11, 12)]
         self.processes: dict[str, subprocess.Popen] = {}
         self.applications: dict[str, _Application] = {}
         self._stopped = threading.Event()
@@ -156,6 +172,7 @@
         for application in self.applications.values():
             application.shutdown()
             application.server_close()
+        self._claim.close()
 
     def put(self, value: dict) -> int:
         """Send a configuration as the operator does: to any, along redirects, until it is answered."""
@@ -221,8 +238,8 @@
     assert got["routes"] == first["routes"] and got["version"] == "00000004"
     for ip in platform.daemons:
         platform.wait_ready(ip)
-    status, headers, body = platform.request(platform.daemons[0], "id-1", {"X-Caller-Service": "forged"})
-    assert (status, body, headers["x-request-id"]) == (200, b"3 ibises", "id-1")
+    answer = status, headers, body = platform.request(platform.daemons[0], "id-1", {"X-Caller-Service": "forged"})
+    assert (status, body, headers["x-request-id"]) == (200, b"3 ibises", "id-1"), answer
     (seen,) = [head for app in platform.applications.values() for head in app.seen]
     assert seen["x-caller-service"] == "s1"
     assert seen["x-expect-instance"] == headers["x-server-stamp"]
@@ -284,13 +301,17 @@
     for ip in platform.daemons:
         platform.wait_ready(ip)
     leaving, other = platform.daemons
+    life = platform.applications[other].life
+    # A daemon is ready once it knows any upstream, which may be the one beside it; the other
+    # application may register later, and until then nothing else can take the requests.
+    wait_for(lambda: platform.request(leaving, "before")[1].get("x-server-stamp") == life)
     application = platform.applications[leaving]
     platform.draining = frozenset((application.life,))
     assert application.beat("draining") == 200
     before = len(application.seen)
     for number in range(10):
-        status, headers, _ = platform.request(leaving, f"drain-{number}")
-        assert (status, headers["x-server-stamp"]) == (200, platform.applications[other].life)
+        answer = status, headers, _ = platform.request(leaving, f"drain-{number}")
+        assert (status, headers.get("x-server-stamp")) == (200, life), answer
     # The daemon is killed, and a heartbeat from before the drain comes late.
     platform.draining = frozenset()
     platform.restart(leaving)
@@ -330,4 +351,5 @@
     # Longer than a tick that is late on a slow instance, and within what counts as in touch.
     time.sleep(1.5)
     paused.send_signal(signal.SIGCONT)
-    assert platform.request(platform.daemons[0], "id-paused")[0] == 200
+    answer = platform.request(platform.daemons[0], "id-paused")
+    assert answer[0] == 200, answer
