Wait for a control instance to start before its disk is lost

Cause: test_a_lost_disk_comes_back_as_a_new_replica took the disk of an instance that may not have started, for the other two are enough to accept a version: FileNotFoundError in 1 of 10 runs beside load. Change: it waits for the instance's STARTED line; what follows is as strict as before.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -292,6 +292,8 @@
 def test_a_lost_disk_comes_back_as_a_new_replica(platform):
     assert platform.put(make_configuration(4, 0)) == 200
     lost = platform.controls[0]
+    # The other two are enough to accept a version; what hasn't started has no disk to lose.
+    wait_for(lambda: '"E101"' in (platform.folder / f"{lost}.log").read_text(encoding="utf-8"))
     platform.processes[lost].kill()
     platform.processes[lost].wait()
     for path in (platform.folder / f"data-{lost}").iterdir():
