Split the tests of stops by what stands and what arrives

Change: tests/stopping.py holds the daemon that is stopped and its requests, conftest.py its fixture; test_stops.py keeps what was read before a stop, test_stop_arrivals.py has what arrives during one. No test, parameter or assertion changed.

--- /dev/null
+++ b/packages/lanedock-daemon/lanedock_daemon/tests/test_stop_arrivals.py
@@ -0,0 +1,101 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Tests of requests that arrive while a daemon stops: which are served, and which refused."""
+
+import pytest
+
+from lanedock.kernel import StopPlan
+from lanedock.settings import Address
+from lanedock.telemetry import EventLogger
+from lanedock_daemon.path.server import PathServer
+from lanedock_daemon.path.tests.chain import HOST, wait_until
+from lanedock_daemon.tests.stopping import (
+    GRACE,
+    LONG,
+    SHORT_BODY,
+    SentRequests,
+    SilentSide,
+    is_listening,
+    make_daemon_request,
+    make_request,
+    read_outcomes,
+)
+
+
+@pytest.mark.parametrize("server", ["entry", "egress"])
+def test_what_cannot_end_before_the_process_does_is_refused_at_once(make_daemon, server):
+    daemon = make_daemon(is_entry=server == "entry")
+    daemon.note_time(2 * GRACE)
+    daemon.stop()
+    answer = daemon.read(daemon.begin(server, make_request("/x", SHORT_BODY)))
+    assert not daemon.stopping.ready()
+    assert answer.startswith(b"HTTP/1.1 503")
+    assert read_outcomes(answer) == ["not-run"]
+    assert b"\r\nretry-after: " in answer
+    assert b"\r\nconnection: close\r\n" in answer
+    assert not daemon.other.begun
+
+
+def test_calls_of_the_application_are_served_while_it_works(make_daemon):
+    daemon = make_daemon()
+    # Calls of a route that is known to be quick: what may take long has no time left.
+    daemon.note_time(GRACE / 60)
+    daemon.other.opened.set()
+    sent = daemon.begin("upstream", make_daemon_request("/own"))
+    wait_until(lambda: daemon.own.begun)
+    daemon.stop()
+    wait_until(lambda: not is_listening(daemon.ports["upstream"]))
+    call = daemon.begin("egress", make_request("/call", close=True))
+    assert daemon.read(call).startswith(b"HTTP/1.1 200")
+    daemon.own.opened.set()
+    assert daemon.read(sent).startswith(b"HTTP/1.1 200")
+
+
+@pytest.mark.parametrize("taken,status,outcome", [(0.01, b"200", ""), (GRACE, b"503", "not-run")])
+def test_what_comes_on_a_kept_connection_after_callers_have_gone_is_the_last(make_daemon, taken, status, outcome):
+    daemon = make_daemon(is_entry=True)
+    daemon.other.opened.set()
+    daemon.note_time(taken)
+    request = make_request("/x")
+    sent = daemon.begin("entry", request[:20])
+    wait_until(lambda: any(not one.is_idle() for one in daemon.kernel.find("entry")._connections))
+    daemon.stop()
+    wait_until(lambda: not is_listening(daemon.ports["entry"]))
+    sent.send_more(request[20:])
+    answer = daemon.read(sent)
+    assert answer.startswith(b"HTTP/1.1 " + status)
+    assert read_outcomes(answer) == [outcome]
+    assert b"\r\nconnection: close\r\n" in answer
+    assert daemon.other.begun == ([] if outcome else ["/x"])
+
+
+def test_the_application_keeps_its_own_deadline(make_daemon):
+    daemon = make_daemon(is_entry=True)
+    daemon.other.opened.set()
+    daemon.stop()
+    assert daemon.read(daemon.begin("entry", make_request("/x", close=True))).startswith(b"HTTP/1.1 200")
+    head = daemon.upstream.application.heads[0]
+    assert int(head.partition("x-request-deadline-ms: ")[2].partition("\r\n")[0]) > 1000 * GRACE
+    assert "x-lanedock" not in head
+
+
+def test_a_daemon_does_not_begin_on_what_its_sender_cannot_wait_for(make_daemon):
+    daemon = make_daemon()
+    request = make_daemon_request("/x").replace(
+        b"content-length", b"x-lanedock-start-by-ms: 0\r\nconnection: close\r\ncontent-length"
+    )
+    answer = daemon.read(daemon.begin("upstream", request))
+    assert answer.startswith(b"HTTP/1.1 503")
+    assert read_outcomes(answer) == ["not-run"]
+    assert not daemon.own.begun
+
+
+def test_a_request_that_comes_after_the_final_answers_is_told_that_it_has_not_run():
+    side, plan = SilentSide(), StopPlan()
+    server = PathServer("operators", Address(HOST, 0), side, plan, EventLogger("c"))
+    server.start(None)
+    plan.begin(0.0)
+    sent = SentRequests((HOST, server.port), make_request("/x", close=True))
+    sent.join(timeout=LONG)
+    assert read_outcomes(sent.received) == ["not-run"]
+    assert not side.requests
+    server.stop()
