--- a/packages/lanedock-daemon/lanedock_daemon/path/caller.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller.py
@@ -29,9 +29,10 @@
     Request,
     public_headers,
 )
+from lanedock_daemon.path.job import Job, Try
 from lanedock_daemon.path.pool import ConnectionPool
 from lanedock_daemon.path.service import StopTimeout
-from lanedock_daemon.path.tries import Job, Tries, Try
+from lanedock_daemon.path.tries import Tries
 
 __all__ = ["CallerSide"]
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_job.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_job.py
@@ -5,7 +5,7 @@
 
 from lanedock.config import Route
 from lanedock_daemon.path.http import EmptyBody, ReplayBody, Request
-from lanedock_daemon.path.tries import Job
+from lanedock_daemon.path.job import Job
 
 
 class _Balancer:
--- a/packages/lanedock-daemon/lanedock_daemon/path/tries.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tries.py
@@ -1,15 +1,14 @@
 # SPDX-License-Identifier: BSD-3-Clause
-"""One try of a request at one upstream: what is sent, and what its end says."""
+"""One try of a request at one upstream: what is sent, and what its end shows."""
 
 import time
 
 import gevent
 
-from lanedock.config import Route, Service
+from lanedock.config import Route
 from lanedock.errors import ErrorCode
-from lanedock.limits import RetryBudget
-from lanedock.routing import Balancer, UpstreamStats
-from lanedock.telemetry import Event, EventLogger, Metric, Metrics, RequestLog
+from lanedock.routing import UpstreamStats
+from lanedock.telemetry import Event, EventLogger, Metric, Metrics
 from lanedock_daemon.path.dialect import Dialect
 from lanedock_daemon.path.exchange import AnswerPieces, PendingAnswer, UpstreamAnswer, send_request
 from lanedock_daemon.path.http import (
@@ -32,11 +31,12 @@
     public_headers,
     read_int,
 )
+from lanedock_daemon.path.job import Job, Try
 from lanedock_daemon.path.parser import MalformedMessage, Message
 from lanedock_daemon.path.pool import ConnectionPool, ExchangeError
 from lanedock_daemon.path.prober import UpstreamProber
 
-__all__ = ["Job", "Tries", "Try"]
+__all__ = ["Tries"]
 
 # Answers up to this many bytes are read whole before they are passed on, so
 # that one that breaks off can still be asked for elsewhere.
@@ -47,121 +47,6 @@
 _DAEMON_HEADERS = HOP_HEADERS | {OUTCOME_HEADER, CODE_HEADER}
 
 
-class Try:
-    """What became of one try.
-
-    Parameters
-    ----------
-    answer : Answer
-    is_final : bool
-        False where another upstream may be tried.
-    has_arrived : bool
-        Whether the application may have seen the request.
-    may_have_run : bool
-    code : ErrorCode, optional
-        Why the upstream's daemon refused.
-
-    Attributes
-    ----------
-    arrivals : int
-        Applications that may have seen the request.
-    """
-
-    __slots__ = ("answer", "arrivals", "code", "is_final", "may_have_run")
-
-    def __init__(
-        self,
-        answer: Answer,
-        is_final: bool,
-        has_arrived: bool = True,
-        may_have_run: bool = False,
-        code: ErrorCode | None = None,
-    ):
-        self.answer = answer
-        self.code = code
-        self.is_final = is_final
-        self.arrivals = int(has_arrived)
-        self.may_have_run = may_have_run
-
-
-class Job:
-    """What all tries of one request have in common.
-
-    Parameters
-    ----------
-    request : Request
-        With a body that can be read again, as far as it is short.
-    headers : list of tuple of (str, str)
-        That go with every try.
-    route : Route
-    service : Service
-        Where the request goes to.
-    balancer : Balancer
-        Of the service.
-    budget : RetryBudget
-        Towards the service.
-    deadline, target_time : float
-        Monotonic, seconds.
-    log : RequestLog
-
-    Attributes
-    ----------
-    start_by : float or None
-        Monotonic, seconds: until when an application may begin on it, where the
-        process stops.
-    tried : set of str
-        Instances that were tried.
-    """
-
-    __slots__ = (
-        "balancer",
-        "budget",
-        "deadline",
-        "headers",
-        "log",
-        "request",
-        "route",
-        "service",
-        "start_by",
-        "target_time",
-        "tried",
-    )
-
-    def __init__(
-        self,
-        request: Request,
-        headers: list[tuple[str, str]],
-        route: Route,
-        service: Service,
-        balancer: Balancer,
-        budget: RetryBudget,
-        deadline: float,
-        target_time: float,
-        log: RequestLog,
-    ):
-        self.request = request
-        self.headers = headers
-        self.route = route
-        self.service = service
-        self.balancer = balancer
-        self.budget = budget
-        self.deadline = deadline
-        self.target_time = target_time
-        self.log = log
-        self.start_by: float | None = None
-        self.tried: set[str] = set()
-
-    def choose(self, now: float) -> UpstreamStats | None:
-        """Choose an upstream that was not tried yet, and note it as tried; None where there is none."""
-        # Routes with long bodies, either way, are most of the bytes that go between
-        # zones where there are any: uploads of 60 kB on average and answers of 90 kB.
-        is_long = self.route.upload or self.route.download or self.request.body.is_long
-        stats = self.balancer.choose(self.service.slots, now, frozenset(self.tried), is_long)
-        if stats is not None:
-            self.tried.add(stats.endpoint.instance)
-        return stats
-
-
 class Tries:
     """Sends requests to upstreams.
 
