Split the reception of versions from the agent's task

Change: agent/versions.py puts versions into the holder and notes how far the daemon is behind others. Behaviour unchanged. Result: lanedock_daemon's tests pass.

--- a/packages/lanedock-daemon/lanedock_daemon/agent/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/service.py
@@ -13,6 +13,7 @@
 from lanedock_daemon.agent.report import StateReport
 from lanedock_daemon.agent.scouting import Scout, ScoutRounds, SourceFreshness
 from lanedock_daemon.agent.search import SourceSearch
+from lanedock_daemon.agent.versions import VersionLag, VersionReceiver
 from lanedock_daemon.agent.view import LocalView
 from lanedock_daemon.sessions import (
     REPORT_INTERVAL,
@@ -35,9 +36,6 @@
 # A relay that has lost its source finds another within this time, in seconds; those
 # behind it wait for that, or all of them would leave it at the moment at which it moves.
 RELAY_PATIENCE = 0.5
-# A version that others use and that has not come for this long, in seconds, is logged;
-# versions come within 0.2 s to 99 in 100 daemons under load.
-BEHIND_LIMIT = 0.5
 # Seconds between two looks at what only metrics show; endpoints are counted for it.
 MEASURE_INTERVAL = 0.5
 
@@ -87,8 +85,8 @@
         self._opened_at = 0.0
         self._report_at = 0.0
         self._measure_at = 0.0
-        self._source_version = 0
-        self._reported_behind = 0
+        self._versions = VersionReceiver(view, events, metrics)
+        self._lag = VersionLag(view, events, metrics)
         self._floor_token = 0
         self._is_floor_asked = False
         self._attestations: list[messages.Attestation] = []
@@ -142,7 +140,8 @@
         if not self._view.note_alive():
             self._events.emit(Event.SUSPENDED, version=self._holder.in_force_version.number)
             self._is_floor_asked = False
-        self._note_behind(now)
+        heard_at = self._stream.heard_at if self._stream is not None else None
+        self._lag.note(now, heard_at, self._freshness.age(now))
         if now >= self._measure_at:
             self._measure_at = now + MEASURE_INTERVAL
             self._measure(now)
@@ -163,27 +162,6 @@
         for zone, count in self._view.count_endpoints().items():
             self._metrics.gauge(Metric.ENDPOINTS, count, (zone,))
 
-    def _note_behind(self, now: float) -> None:
-        """Say once of each version that others use and that does not come."""
-        newer, seconds = self._view.newer_version(now)
-        self._metrics.gauge(Metric.BEHIND, seconds)
-        if seconds <= BEHIND_LIMIT or newer <= self._reported_behind:
-            return
-        self._reported_behind = newer
-        self._events.emit(
-            Event.VERSION_BEHIND,
-            newer=newer,
-            in_force=self._holder.in_force_version.number,
-            source_version=self._source_version,
-            source_age_ms=round(1000 * (now - self._stream.heard_at)) if self._stream is not None else None,
-            staleness_ms=round(1000 * self._freshness.age(now)),
-        )
-
-    def _is_behind(self, now: float) -> bool:
-        """Tell whether the source itself lacks a version that others use: a fresh one may, whose log lags."""
-        newer, seconds = self._view.newer_version(now)
-        return seconds > BEHIND_LIMIT and self._source_version < newer
-
     def _is_silent(self, now: float) -> bool:
         """Tell whether the source has said nothing for so long that it counts as lost."""
         if now - self._stream.heard_at > SILENCE_LIMIT:
@@ -195,7 +173,7 @@
 
     def _look_around(self, now: float) -> None:
         """Ask other instances how fresh they are, where that may lead to a better source."""
-        is_old = self._stream.is_serving and (self._is_too_old(now) or self._is_behind(now))
+        is_old = self._stream.is_serving and (self._is_too_old(now) or self._lag.is_at_source(now))
         better, self._better = self._better, None
         if not is_old:
             self._rounds.reset()
@@ -261,7 +239,7 @@
     def _connect(self, now: float) -> None:
         self._stream = self._transport.open_source(self, self._search.address())
         self._stream.heard_at = self._opened_at = now
-        self._source_version = 0
+        self._lag.source_version = 0
         self._is_floor_asked = False
         first = self._make_message(with_state=True)
         first.failed_relays.extend(self._search.failed_relays(now))
@@ -316,23 +294,17 @@
             return
         item.stream.heard_at = now
         message = item.message
+        if self._versions.receive(message):
+            return
         body = message.WhichOneof("body")
-        if body == "in_force":
-            self._swap(lambda: self._holder.put_in_force(message.in_force))
-        elif body == "activate":
-            self._swap(lambda: self._holder.activate(message.activate.version, message.activate.digest))
-        elif body == "stage":
-            self._stage(message.stage)
-        elif body == "discard":
-            self._holder.discard(message.discard.version, message.discard.digest)
-        elif body == "endpoints":
+        if body == "endpoints":
             self._on_endpoints(message.endpoints)
         elif body == "floor":
             self._on_floor(message.floor)
         elif body == "heartbeat":
             self._on_heartbeat(item.stream, now)
             self._freshness.note(message.heartbeat.staleness_ms / 1000, now)
-            self._source_version = message.heartbeat.accepted_version
+            self._lag.source_version = message.heartbeat.accepted_version
         elif body == "members":
             self._search.set_members([(item.address, item.zone) for item in message.members.members])
         elif body == "attest":
@@ -359,24 +331,6 @@
         if wait == 0:
             self._connect(now)
 
-    def _swap(self, change) -> None:
-        before = self._holder.in_force
-        dropped = self._holder.dropped
-        change()
-        self._metrics.count(Metric.DROPPED, self._holder.dropped - dropped)
-        if self._holder.in_force is not before:
-            self._view.publish()
-            number = self._holder.in_force_version.number
-            self._metrics.gauge(Metric.VERSION, number)
-            self._events.emit(Event.IN_FORCE, version=number)
-
-    def _stage(self, push: messages.ConfigPush) -> None:
-        refused = self._holder.refused
-        self._holder.stage(push)
-        if self._holder.refused != refused:
-            first = self._holder.findings[0]
-            self._events.emit(Event.REFUSED, version=push.version, code=first.code, finding=first.message)
-
     def _on_endpoints(self, update: messages.EndpointUpdate) -> None:
         self._view.take_endpoints(update)
         for endpoint in update.changed:
