Let one registrar learn of an application's incarnations

Cause: heartbeats and the mesh name another incarnation of the application; the registrar logged and passed on the first, the agent the second, each with a callback of its own. Change: Registrar has `adopt` for what the mesh knows; one registrar is made for each upstream and given to the agent and to the side that takes heartbeats, so the interface's maker takes it instead of four parts.

--- a/packages/lanedock-daemon/lanedock_daemon/agent/registration.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/registration.py
@@ -12,6 +12,7 @@
 from lanedock.errors import ErrorCode
 from lanedock.membership import Heartbeat, UpstreamRegistration
 from lanedock.telemetry import Event, EventLogger
+from lanedock.wire import messages
 from lanedock_daemon.path.http import Answer, Outcome, Request, make_refusal
 
 __all__ = ["Registrar", "RegistrationSide"]
@@ -21,7 +22,7 @@
 
 
 class Registrar:
-    """Brings what an application reports into its registration, and spreads it.
+    """Brings what an application reports, and what the mesh knows of it, into its registration.
 
     Parameters
     ----------
@@ -29,7 +30,7 @@
     on_change : callable
         Called without arguments when others have to learn of a change.
     on_rival : callable
-        Called without arguments when a heartbeat of another incarnation came.
+        Called without arguments when a heartbeat or the mesh names another incarnation.
     events : EventLogger
     """
 
@@ -63,12 +64,27 @@
             self._events.emit(Event.UPSTREAM_LEAVING, upstream=upstream, sequence="-")
             self._on_change()
 
+    def adopt(self, endpoint: messages.Endpoint) -> None:
+        """Learn from the mesh what this daemon knew before it was restarted; the mesh knows any change."""
+        registration = self._registration
+        rival = registration.rival
+        if registration.adopt(endpoint.upstream, endpoint.service, endpoint.ended, endpoint.slots, time.monotonic()):
+            self._events.emit(Event.UPSTREAM_ADOPTED, upstream=endpoint.upstream, leaving=endpoint.ended)
+        if registration.rival is not rival:
+            self._events.emit(Event.RIVAL_HEARD, upstream=registration.upstream, rival=endpoint.upstream, sequence="-")
+            self._on_rival()
+
 
 class RegistrationSide:
-    """Takes an application's heartbeats; parameters as those of `Registrar`."""
+    """Takes an application's heartbeats.
 
-    def __init__(self, registration: UpstreamRegistration, on_change, on_rival, events: EventLogger):
-        self._registrar = Registrar(registration, on_change, on_rival, events)
+    Parameters
+    ----------
+    registrar : Registrar
+    """
+
+    def __init__(self, registrar: Registrar):
+        self._registrar = registrar
 
     def handle(self, request: Request) -> Answer:
         """Answer a call of the application."""
--- a/packages/lanedock-daemon/lanedock_daemon/agent/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/service.py
@@ -9,6 +9,7 @@
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics
 from lanedock.wire import messages
 from lanedock_daemon.agent.attest import AttestationsMade, Attester
+from lanedock_daemon.agent.registration import Registrar
 from lanedock_daemon.agent.relay import RelaySessions
 from lanedock_daemon.agent.report import StateReport
 from lanedock_daemon.agent.scouting import Scout, ScoutRounds, SourceFreshness
@@ -90,7 +91,7 @@
         self._floor_token = 0
         self._is_floor_asked = False
         self._attestations: list[messages.Attestation] = []
-        self._on_rival = lambda: None
+        self._registrar: Registrar | None = None
         self._report = StateReport(settings, view)
         self._handlers = {
             SourceSent: self._on_source_sent,
@@ -104,9 +105,9 @@
             ChildLeft: lambda item: self._relay.leave(item.session),
         }
 
-    def set_on_rival(self, on_rival) -> None:
-        """Set what is called without arguments when the mesh names another incarnation of the application."""
-        self._on_rival = on_rival
+    def set_registrar(self, registrar: Registrar) -> None:
+        """Set what learns what the mesh knows of the application beside this daemon."""
+        self._registrar = registrar
 
     # ------------------------------------------------------------------- start
 
@@ -335,23 +336,12 @@
         self._view.take_endpoints(update)
         for endpoint in update.changed:
             if endpoint.instance == self._settings.name:
-                self._on_own_endpoint(endpoint)
+                self._report.outlive(endpoint.incarnation)
+                if self._registrar is not None:
+                    self._registrar.adopt(endpoint)
         if self._relay is not None:
             self._relay.broadcast_endpoints(update)
 
-    def _on_own_endpoint(self, endpoint: messages.Endpoint) -> None:
-        """Learn from the mesh what this daemon knew before it was restarted."""
-        self._report.outlive(endpoint.incarnation)
-        registration = self._view.upstream
-        if registration is None:
-            return
-        rival = registration.rival
-        if registration.adopt(endpoint.upstream, endpoint.service, endpoint.ended, endpoint.slots, time.monotonic()):
-            self._events.emit(Event.UPSTREAM_ADOPTED, upstream=endpoint.upstream, leaving=endpoint.ended)
-        if registration.rival is not rival:
-            self._events.emit(Event.RIVAL_HEARD, upstream=registration.upstream, rival=endpoint.upstream, sequence="-")
-            self._on_rival()
-
     def _on_floor(self, floor: messages.Floor) -> None:
         if floor.token != self._floor_token:
             return
--- a/packages/lanedock-daemon/lanedock_daemon/interface.py
+++ b/packages/lanedock-daemon/lanedock_daemon/interface.py
@@ -8,7 +8,6 @@
 from abc import ABC, abstractmethod
 
 from lanedock.errors import ErrorCode, LanedockError
-from lanedock.membership import UpstreamRegistration
 from lanedock.settings import Settings
 from lanedock_daemon.path.dialect import Dialect, OwnDialect
 
@@ -23,17 +22,12 @@
         """Make the reader and writer of callers' and applications' headers."""
 
     @abstractmethod
-    def make_registration_side(self, registration: UpstreamRegistration, on_change, on_rival, events):
+    def make_registration_side(self, registrar):
         """Make what takes an application's heartbeats.
 
         Parameters
         ----------
-        registration : UpstreamRegistration
-        on_change : callable
-            Called without arguments when others have to learn of a change.
-        on_rival : callable
-            Called without arguments when a heartbeat of another incarnation came.
-        events : EventLogger
+        registrar : Registrar
 
         Returns
         -------
@@ -52,10 +46,10 @@
     def make_dialect(self) -> Dialect:
         return OwnDialect()
 
-    def make_registration_side(self, registration: UpstreamRegistration, on_change, on_rival, events):
+    def make_registration_side(self, registrar):
         from lanedock_daemon.agent.registration import RegistrationSide
 
-        return RegistrationSide(registration, on_change, on_rival, events)
+        return RegistrationSide(registrar)
 
     def make_operators_side(self, control, settings: Settings):
         raise LanedockError(ErrorCode.SERVICE_MISSING, "operators are served by gRPC only; leave out `operators`")
--- a/packages/lanedock-daemon/lanedock_daemon/roles.py
+++ b/packages/lanedock-daemon/lanedock_daemon/roles.py
@@ -12,6 +12,7 @@
 from lanedock.telemetry import EventLogger, Metrics, RequestLogger, Tracer
 from lanedock_daemon.agent import AgentService, LocalView
 from lanedock_daemon.agent.discovery import ApplicationDiscovery
+from lanedock_daemon.agent.registration import Registrar
 from lanedock_daemon.agent.service import DrainRequested, RegistrationChanged
 from lanedock_daemon.interface import Interface, OwnInterface
 from lanedock_daemon.path.caller import CallerSide
@@ -166,12 +167,12 @@
         if cfg.registration is not None:
             changed = RegistrationChanged()
             discovery = ApplicationDiscovery(view, application, dialect, lambda: agent.post(changed), events)
-            agent.set_on_rival(discovery.resolve_rival)
-            heartbeats = interface.make_registration_side(
-                registration, lambda: agent.post(changed), discovery.resolve_rival, events
-            )
-            add_server("registration", cfg.registration, heartbeats)
+            registrar = Registrar(registration, lambda: agent.post(changed), discovery.resolve_rival, events)
+            add_server("registration", cfg.registration, interface.make_registration_side(registrar))
             kernel.add(discovery)
+        else:
+            registrar = Registrar(registration, lambda: None, lambda: None, events)
+        agent.set_registrar(registrar)
         if cfg.egress is not None:
             add_server("egress", cfg.egress, caller)
         add_server("upstream", cfg.listen, side)
