Answer an arriving daemon in one place

Cause: the agent, as a relay, and the control task answered probes and newcomers alike, each in its own words. Change: SessionRegistry.greet admits or answers; both call it. Endpoints for a newcomer are an EndpointUpdate on both sides. Behaviour unchanged: what a probe's message carries changes no state. Result: lanedock_daemon's tests pass.

--- a/packages/lanedock-daemon/lanedock_daemon/agent/relay.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/relay.py
@@ -28,9 +28,9 @@
         self._versions = None
         self._bases: list = []
 
-    def arrive(self, session: Session, message: messages.DaemonMessage, endpoints: list[messages.Endpoint]) -> None:
-        """Take in a daemon."""
-        self._admit(session, message, messages.EndpointUpdate(whole=True, changed=endpoints))
+    def arrive(self, session: Session, message: messages.DaemonMessage, endpoints: messages.EndpointUpdate) -> None:
+        """Admit a daemon."""
+        self._admit(session, message, endpoints)
 
     def _take(self, session: Session, message: messages.DaemonMessage) -> None:
         if message.floor_token:
--- a/packages/lanedock-daemon/lanedock_daemon/agent/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/service.py
@@ -359,13 +359,9 @@
         self._events.emit(Event.DRAINING, instance=self._settings.name)
 
     def _on_child_arrived(self, item: ChildArrived) -> None:
-        freshness = self._relayed_freshness(time.monotonic())
-        if item.message.probe:
-            self._relay.answer_probe(item.session, *freshness)
-            return
         self._refresh_source()
-        self._relay.arrive(item.session, item.message, self._view.all_endpoints())
-        self._relay.send_heartbeat(item.session, *freshness)
+        freshness = self._relayed_freshness(time.monotonic())
+        self._relay.greet(item.session, item.message, self._view.whole_update, *freshness)
 
     # ----------------------------------------------------------------- advance
 
--- a/packages/lanedock-daemon/lanedock_daemon/agent/view.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/view.py
@@ -219,9 +219,9 @@
             counts[endpoint.zone] = counts.get(endpoint.zone, 0) + (not endpoint.leaving)
         return counts
 
-    def all_endpoints(self) -> list[messages.Endpoint]:
-        """Return all endpoints, to pass them on."""
-        return list(self._endpoints.values())
+    def whole_update(self) -> messages.EndpointUpdate:
+        """Return all endpoints, for a daemon that has just connected."""
+        return messages.EndpointUpdate(whole=True, changed=self._endpoints.values())
 
     def _fill(self, service: str, balancer: Balancer) -> None:
         mine = [endpoint for endpoint in self._endpoints.values() if endpoint.service == service]
--- a/packages/lanedock-daemon/lanedock_daemon/control/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/service.py
@@ -238,15 +238,9 @@
 
     def _on_child_arrived(self, item: ChildArrived) -> None:
         freshness = self._freshness(time.monotonic())
-        if item.message.probe:
-            self._sessions.answer_probe(item.session, *freshness)
-            return
-        self._sessions.arrive(item.session, item.message, self._directory.whole_update())
-        if item.session.child is not None:
-            # At once: a daemon that came to a source without a leader goes on.
-            self._sessions.send_heartbeat(item.session, *freshness)
-            if self._is_seeded:
-                self._sessions.send_members([item.session], self._sent_members)
+        is_admitted = self._sessions.greet(item.session, item.message, self._directory.whole_update, *freshness)
+        if is_admitted and self._is_seeded:
+            self._sessions.send_members([item.session], self._sent_members)
         self._note_state(item.session, item.message)
 
     def _on_child_reported(self, item: ChildReported) -> None:
--- a/packages/lanedock-daemon/lanedock_daemon/session_registry.py
+++ b/packages/lanedock-daemon/lanedock_daemon/session_registry.py
@@ -35,6 +35,41 @@
     def _take(self, session: Session, message: messages.DaemonMessage) -> None:
         """Take in what a daemon's message holds besides its state."""
 
+    @abstractmethod
+    def arrive(self, session: Session, message: messages.DaemonMessage, endpoints: messages.EndpointUpdate) -> None:
+        """Admit a daemon with all endpoints, or send it elsewhere."""
+
+    def greet(
+        self, session: Session, message: messages.DaemonMessage, make_endpoints, accepted: int, staleness: float
+    ) -> bool:
+        """Answer a daemon that has connected, or that only asks how fresh this source is.
+
+        Parameters
+        ----------
+        session : Session
+        message : DaemonMessage
+            Its first.
+        make_endpoints : callable
+            Returns the EndpointUpdate with all endpoints.
+        accepted, staleness : int, float
+            See `send_heartbeats`.
+
+        Returns
+        -------
+        bool
+            Whether the daemon was admitted.
+        """
+        if message.probe:
+            self._send_heartbeat(session, accepted, staleness)
+            session.close()
+            return False
+        self.arrive(session, message, make_endpoints())
+        if session.child is None:
+            return False
+        # At once: a daemon that came to a source without a leader goes on.
+        self._send_heartbeat(session, accepted, staleness)
+        return True
+
     def _admit(self, session: Session, message: messages.DaemonMessage, endpoints: messages.EndpointUpdate) -> None:
         """Take in a daemon, and send it all endpoints."""
         session.heard_at = time.monotonic()
@@ -115,15 +150,9 @@
         """Have heartbeats sent with the next `send_heartbeats`, because what they report has changed."""
         self._heartbeat_at = 0.0
 
-    def send_heartbeat(self, session: Session, accepted: int, staleness: float) -> None:
-        """Send one daemon a heartbeat at once, to which it may act; see `send_heartbeats`."""
+    def _send_heartbeat(self, session: Session, accepted: int, staleness: float) -> None:
         self._send(session, [_make_heartbeat(accepted, staleness)])
 
-    def answer_probe(self, session: Session, accepted: int, staleness: float) -> None:
-        """Answer a daemon that only asks how fresh this source is; see `send_heartbeats`."""
-        self.send_heartbeat(session, accepted, staleness)
-        session.close()
-
     def _send_floor(self, session: Session, token: int, accepted: int) -> None:
         """Answer a daemon's question for the floor, after all versions due."""
         if session in self._sessions:
