Split the leader's part from the control task

Change: control/leader.py holds FleetReporter, which decides when a report is due, and RolloutLeader, which gathers reports, decides and answers; submissions.py makes the command of a submission. Behaviour unchanged.

--- a/packages/lanedock-daemon/lanedock_daemon/control/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/service.py
@@ -9,12 +9,13 @@
 from lanedock.errors import ErrorCode
 from lanedock.kernel import Kernel, TaskService
 from lanedock.membership import Directory, EndpointRegistry
-from lanedock.rollout import FleetView, RolloutCoordinator, RolloutPolicy, Verdict, VersionSource
+from lanedock.rollout import RolloutPolicy, Verdict, VersionSource
 from lanedock.settings import Address, Settings
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics
 from lanedock.wire import messages
 from lanedock_daemon.control.distribution import DaemonSessions
 from lanedock_daemon.control.endpoints import EndpointExchange
+from lanedock_daemon.control.leader import SILENT_AFTER, FleetReporter, RolloutLeader
 from lanedock_daemon.control.log import AppliedEntry, ReplicatedLog, open_storage
 from lanedock_daemon.control.queries import QueryQueue
 from lanedock_daemon.control.reads import ReadQueue
@@ -26,16 +27,13 @@
     StatusRequested,
     SubmitRequested,
 )
-from lanedock_daemon.control.submissions import Submission, SubmissionQueue
+from lanedock_daemon.control.submissions import Submission, SubmissionQueue, make_submit_command
 from lanedock_daemon.sessions import ChildArrived, ChildLeft, ChildReported, SeedsChanged
 from lanedock_daemon.transport import PeerMessageArrived
 
 __all__ = ["ControlService"]
 
 TICK = 0.02
-REPORT_INTERVAL = 0.01
-KEEPALIVE_INTERVAL = 1.0
-SILENT_AFTER = 3.0
 DEFAULT_ENDPOINT_WINDOW = 0.05
 # An endpoint that no control instance hears of is kept for this long, in
 # seconds: its daemon may have lost control only, and callers see for themselves
@@ -79,14 +77,8 @@
             self._exchange = EndpointExchange(self._directory, settings.zone, SILENT_AFTER)
         else:
             self._directory = Directory(DEFAULT_ENDPOINT_WINDOW)
-        self._instances = []
-        self._is_list_read = False
-        self._fleet: FleetView | None = None
-        self._coordinator: RolloutCoordinator | None = None
+        self._reporter = FleetReporter()
         self._known_leader = ""
-        self._reported_to = ("", 0)
-        self._report_at = 0.0
-        self._keepalive_at = 0.0
         self._source_versions = None
         self._storage: FileStorage | None = None
         self._reader = None
@@ -134,6 +126,7 @@
         self._log = ReplicatedLog(
             replica, self._storage, self._links.send, self._events, self._metrics, cfg.compact_bytes
         )
+        self._leader = RolloutLeader(self._log, self._policy, self._submissions)
         self._log.pump()
         self._refresh_source()
         self._server = transport.serve_control(self, cfg.listen)
@@ -208,7 +201,7 @@
             if self._exchange is not None:
                 self._links.send(self._exchange.take(message, now))
         elif body == "fleet_request":
-            self._reported_to = ("", 0)
+            self._reporter.restart()
         elif body == "drain_notice":
             for name, incarnation in zip(
                 message.drain_notice.instances, message.drain_notice.incarnations, strict=True
@@ -218,9 +211,7 @@
             self._log.replica.step(message, now)
 
     def _on_fleet_report(self, message, now: float) -> None:
-        if self._fleet is None or message.term != self._log.replica.term:
-            return
-        if not self._fleet.take_report(message.sender, message.fleet_report, now):
+        if not self._leader.take_report(message, now):
             request = self._peer_message(message.sender)
             request.fleet_request.SetInParent()
             self._links.send([request])
@@ -282,11 +273,8 @@
 
     def _on_list(self, item: ListRead) -> None:
         now = time.monotonic()
-        self._instances = item.instances
-        self._is_list_read = True
         self._directory.take_list(item.instances, now)
-        if self._fleet is not None:
-            self._fleet.take_list(item.instances, now)
+        self._leader.take_list(item.instances, now)
 
     def refuse_unless_leading(self, request: messages.SubmitRequest) -> messages.SubmitReply | None:
         """Return the reply that names the leader, or None where this one leads."""
@@ -317,17 +305,7 @@
             return
         # Whatever the verdict is, the log decides: a refusal, too, must be
         # that of a leader that a quorum still follows.
-        command = messages.Command()
-        submit = command.submit
-        submit.version = version.number
-        submit.digest = version.digest
-        submit.content = item.tree.pack()
-        submit.allow_cut_off.extend(item.request.allow_cut_off)
-        submit.operator = item.request.operator
-        submit.submitted_at = time.time()
-        submit.has_base = item.request.has_base
-        submit.base_version = item.request.base_version
-        submit.direct = self._cfg.rollout == "direct"
+        command = make_submit_command(item, self._cfg.rollout == "direct")
         index = self._log.propose(command)
         if index is None:
             # The lease has ended just now.
@@ -354,7 +332,7 @@
             self._send_members()
         self._report(now)
         self._lead(now)
-        self._queries.advance(self._log, self._fleet, now)
+        self._queries.advance(self._log, self._leader.fleet, now)
 
     def _pump(self) -> None:
         now = time.monotonic()
@@ -419,26 +397,17 @@
         self._metrics.gauge(Metric.VERSION, state.accepted_version.number)
 
     def _report(self, now: float) -> None:
-        """Tell the leader of the daemons that are connected here."""
+        """Report to the leader which daemons are connected here, and in which state."""
         replica = self._log.replica
-        target = (replica.leader, replica.term)
-        if not replica.leader or now < self._report_at:
-            return
-        is_new = target != self._reported_to
-        if not (is_new or self._sessions.is_report_due() or now >= self._keepalive_at):
+        report = self._reporter.take_due(self._sessions, replica, now)
+        if report is None:
             return
-        self._reported_to = target
-        self._report_at = now + REPORT_INTERVAL
-        self._keepalive_at = now + KEEPALIVE_INTERVAL
-        report = self._sessions.take_report(whole=is_new)
         if replica.leader == replica.me:
-            if self._fleet is None:
-                self._start_to_lead(now)
-            self._fleet.take_report(replica.me, report, now)
-        else:
-            message = self._peer_message(replica.leader)
-            message.fleet_report.CopyFrom(report)
-            self._links.send([message])
+            self._leader.take_own_report(report, now)
+            return
+        message = self._peer_message(replica.leader)
+        message.fleet_report.CopyFrom(report)
+        self._links.send([message])
 
     def _peer_message(self, receiver: str) -> messages.PeerMessage:
         replica = self._log.replica
@@ -446,40 +415,18 @@
 
     # -------------------------------------------------------------------- lead
 
-    def _start_to_lead(self, now: float) -> None:
-        self._fleet = FleetView(self._policy.dead_after, SILENT_AFTER)
-        if self._is_list_read:
-            self._fleet.take_list(self._instances, now)
-        self._coordinator = RolloutCoordinator(self._log.state, self._fleet, self._policy)
-
     def _lead(self, now: float) -> None:
         """Decide on the candidate and answer operators, as leader."""
-        if not self._log.is_current_leader:
-            if self._log.replica.leader != self._log.replica.me:
-                self._fleet = self._coordinator = None
-                if not self._submissions.is_empty():
-                    self._submissions.abandon_all()
+        if not self._leader.refresh(now):
             return
-        if self._fleet is None:
-            self._start_to_lead(now)
-        self._fleet.drop_silent(now)
-        command = self._coordinator.decide(now, time.time())
-        if command is not None and self._log.propose(command) is None:
-            self._coordinator.retry()
-        if command is not None:
+        if self._leader.decide(now):
             try:
                 self._pump()
             except StorageError as exc:
                 self._break(exc)
                 return
             self._sessions.flush()
-        if not self._submissions.is_empty():
-            self._submissions.advance(self._log.state.records, self._look_up)
-
-    def _look_up(self, version: int, allowed_zones: set[str]):
-        progress = self._coordinator.progress(version, allowed_zones, time.monotonic())
-        cut_off = [name for name in self._fleet.missing() if self._fleet.zone_of(name) in allowed_zones]
-        return progress, cut_off
+        self._leader.answer()
 
     def _ask_attestations(self, now: float) -> None:
         known = self._sessions.distributor.known_daemons()
--- a/packages/lanedock-daemon/lanedock_daemon/control/submissions.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/submissions.py
@@ -8,14 +8,31 @@
 from lanedock.rollout import RolloutProgress, SubmitResult, Verdict
 from lanedock.telemetry import Metric, Metrics
 from lanedock.wire import messages
-from lanedock_daemon.control.requests import Call
+from lanedock_daemon.control.requests import Call, SubmitRequested
 
-__all__ = ["Submission", "SubmissionQueue"]
+__all__ = ["Submission", "SubmissionQueue", "make_submit_command"]
 
 PROGRESS_INTERVAL = 0.1
 DEFAULT_TIMEOUT = 10.0
 
 
+def make_submit_command(item: SubmitRequested, is_direct: bool) -> messages.Command:
+    """Make the command that has a submitted version judged, and staged or accepted at once."""
+    version, request = item.tree.version, item.request
+    command = messages.Command()
+    submit = command.submit
+    submit.version = version.number
+    submit.digest = version.digest
+    submit.content = item.tree.pack()
+    submit.allow_cut_off.extend(request.allow_cut_off)
+    submit.operator = request.operator
+    submit.submitted_at = time.time()
+    submit.has_base = request.has_base
+    submit.base_version = request.base_version
+    submit.direct = is_direct
+    return command
+
+
 class Submission:
     """One operator's wait for one version.
 
