Split endpoints by the list from endpoints by registration

Cause: the control task asked at nine places which of the two it has. Change: control/directories.py holds ControlDirectory with one class for each; the task calls it. A drain notice that comes where daemons register, which no instance sends there, is passed over instead of raising. Else unchanged. Result: lanedock_daemon's tests pass, and tests/test_versions.py and test_operators.py.

--- a/packages/lanedock-daemon/lanedock_daemon/control/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/service.py
@@ -1,5 +1,5 @@
 # SPDX-License-Identifier: BSD-3-Clause
-"""The control task: it owns the replica, the fleet's view and all desks."""
+"""The control task: it owns the replica, and all that acts on what the log holds."""
 
 import random
 import time
@@ -8,14 +8,13 @@
 from lanedock.consensus.core import replica_name
 from lanedock.errors import ErrorCode
 from lanedock.kernel import Kernel, TaskService
-from lanedock.membership import Directory, EndpointRegistry
 from lanedock.rollout import RolloutPolicy, Verdict, VersionSource
 from lanedock.settings import Address, Settings
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics
 from lanedock.wire import messages
+from lanedock_daemon.control.directories import ControlDirectory, ListedDirectory, RegisteredDirectory
 from lanedock_daemon.control.distribution import DaemonSessions
-from lanedock_daemon.control.endpoints import EndpointExchange
-from lanedock_daemon.control.leader import SILENT_AFTER, FleetReporter, RolloutLeader
+from lanedock_daemon.control.leader import FleetReporter, RolloutLeader
 from lanedock_daemon.control.log import AppliedEntry, ReplicatedLog, open_storage
 from lanedock_daemon.control.queries import QueryQueue
 from lanedock_daemon.control.reads import ReadQueue
@@ -33,12 +32,8 @@
 
 __all__ = ["ControlService"]
 
+# Seconds between two looks at the replica's timers, which are tenths of seconds.
 TICK = 0.02
-DEFAULT_ENDPOINT_WINDOW = 0.05
-# An endpoint that no control instance hears of is kept for this long, in
-# seconds: its daemon may have lost control only, and callers see for themselves
-# whether it answers.
-ENDPOINT_KEEP = 12.0
 
 
 class ControlService(TaskService):
@@ -71,18 +66,10 @@
         self._name = str(self._cfg.listen) if self._is_seeded else settings.name
         self._queries = QueryQueue(self.address_of, self._name)
         self._reads = ReadQueue()
-        self._exchange = None
-        if self._is_seeded:
-            self._directory = EndpointRegistry(DEFAULT_ENDPOINT_WINDOW, ENDPOINT_KEEP)
-            self._exchange = EndpointExchange(self._directory, settings.zone, SILENT_AFTER)
-        else:
-            self._directory = Directory(DEFAULT_ENDPOINT_WINDOW)
         self._reporter = FleetReporter()
         self._known_leader = ""
         self._source_versions = None
         self._storage: FileStorage | None = None
-        self._reader = None
-        self._sent_members: list = []
         self._handlers = {
             PeerMessageArrived: self._on_peer,
             ChildArrived: self._on_child_arrived,
@@ -126,21 +113,18 @@
         self._log = ReplicatedLog(
             replica, self._storage, self._links.send, self._events, self._metrics, cfg.compact_bytes
         )
+        self._directory = self._make_directory()
         self._leader = RolloutLeader(self._log, self._policy, self._submissions)
         self._log.pump()
         self._refresh_source()
         self._server = transport.serve_control(self, cfg.listen)
         self._links.start()
-        if not self._is_seeded:
-            self._start_reader(kernel)
+        self._directory.start(kernel)
 
-    def _start_reader(self, kernel: Kernel) -> None:
-        from lanedock.membership import make_platform_list
-        from lanedock_daemon.control.platform import PlatformReader
-
-        interval = self._cfg.platform_interval_ms / 1000
-        self._reader = PlatformReader(make_platform_list(self._cfg.platform_list), self, interval, self._events)
-        self._reader.start(kernel)
+    def _make_directory(self) -> ControlDirectory:
+        if self._is_seeded:
+            return RegisteredDirectory(self._settings.zone, self._sessions, self._links, self._log)
+        return ListedDirectory(self._cfg, self._name, self, self._sessions, self._links, self._log, self._events)
 
     def _first_voters(self) -> list[str]:
         """Return the names of the replicas that vote from the first start."""
@@ -161,8 +145,7 @@
         self._events.emit(Event.SEEDS_CHANGED, seeds=",".join(names))
 
     def on_stop(self) -> None:
-        if self._reader is not None:
-            self._reader.stop()
+        self._directory.stop()
         self._submissions.abandon_all()
         self._sessions.close()
         self._server.close()
@@ -184,10 +167,7 @@
         self._log.replica.tick(now)
         self._note_leader()
         self._sessions.send_heartbeats(now, *self._freshness(now))
-        if self._is_seeded:
-            self._exchange.expire(now)
-        else:
-            self._ask_attestations(now)
+        self._directory.tick(now)
         self._advance()
 
     def _on_peer(self, item: PeerMessageArrived) -> None:
@@ -197,16 +177,10 @@
         body = message.WhichOneof("body")
         if body == "fleet_report":
             self._on_fleet_report(message, now)
-        elif body in ("endpoint_report", "endpoint_request"):
-            if self._exchange is not None:
-                self._links.send(self._exchange.take(message, now))
+        elif body in ("endpoint_report", "endpoint_request", "drain_notice"):
+            self._directory.receive(message, now)
         elif body == "fleet_request":
             self._reporter.restart()
-        elif body == "drain_notice":
-            for name, incarnation in zip(
-                message.drain_notice.instances, message.drain_notice.incarnations, strict=True
-            ):
-                self._directory.drain(name, incarnation, now)
         else:
             self._log.replica.step(message, now)
 
@@ -230,46 +204,17 @@
     def _on_child_arrived(self, item: ChildArrived) -> None:
         freshness = self._freshness(time.monotonic())
         is_admitted = self._sessions.greet(item.session, item.message, self._directory.whole_update, *freshness)
-        if is_admitted and self._is_seeded:
-            self._sessions.send_members([item.session], self._sent_members)
-        self._note_state(item.session, item.message)
+        if is_admitted:
+            self._directory.greet(item.session)
+        self._directory.note_state(item.session, item.message, time.monotonic())
 
     def _on_child_reported(self, item: ChildReported) -> None:
         self._sessions.tell(item.session, item.message)
-        self._note_state(item.session, item.message)
+        self._directory.note_state(item.session, item.message, time.monotonic())
 
     def _on_child_left(self, item: ChildLeft) -> None:
         self._sessions.leave(item.session)
-        if self._exchange is not None:
-            self._exchange.leave(item.session, time.monotonic())
-
-    def _note_state(self, session, message: messages.DaemonMessage) -> None:
-        """Take in what a daemon reports of itself and of its upstream."""
-        if self._exchange is None:
-            self._note_drain(message)
-        elif session.child is not None:
-            self._exchange.register(session, message, time.monotonic())
-
-    def _note_drain(self, message: messages.DaemonMessage) -> None:
-        """Tell everybody at once when a daemon, or one behind it, drains."""
-        states = list(message.fleet_report.changed)
-        if message.HasField("state"):
-            states.append(message.state)
-        notice = messages.DrainNotice()
-        for state in states:
-            if not state.draining:
-                self._directory.revive(state.daemon, state.incarnation)
-            elif self._directory.drain(state.daemon, state.incarnation, time.monotonic()):
-                notice.instances.append(state.daemon)
-                notice.incarnations.append(state.incarnation)
-                self._events.emit(Event.DRAINING, instance=state.daemon)
-        if not notice.instances:
-            return
-        for name in self._cfg.replicas:
-            if name != self._name:
-                message = self._peer_message(name)
-                message.drain_notice.CopyFrom(notice)
-                self._links.send([message])
+        self._directory.leave(item.session, time.monotonic())
 
     def _on_list(self, item: ListRead) -> None:
         now = time.monotonic()
@@ -323,13 +268,9 @@
             self._break(exc)
             return
         now = time.monotonic()
-        update = self._directory.take_update(now)
-        if update is not None:
-            self._sessions.broadcast_endpoints(update)
+        self._directory.broadcast(now)
         self._sessions.flush()
-        if self._exchange is not None:
-            self._links.send(self._exchange.due(self._other_replicas(), self._log.replica.me, now))
-            self._send_members()
+        self._directory.advance(now)
         self._report(now)
         self._lead(now)
         self._queries.advance(self._log, self._leader.fleet, now)
@@ -393,7 +334,7 @@
         if accepted is not None:
             window = accepted.group("").get("endpoint_window_ms")
             if window is not None:
-                self._directory.window = window / 1000
+                self._directory.set_window(window / 1000)
         self._metrics.gauge(Metric.VERSION, state.accepted_version.number)
 
     def _report(self, now: float) -> None:
@@ -428,31 +369,11 @@
             self._sessions.flush()
         self._leader.answer()
 
-    def _ask_attestations(self, now: float) -> None:
-        known = self._sessions.distributor.known_daemons()
-        unconnected = [endpoint for endpoint in self._directory.endpoints() if endpoint.instance not in known]
-        if unconnected:
-            self._sessions.ask_attestations(unconnected, now)
-
     def _leader_address(self) -> str:
         leader = replica_name(self._log.replica.leader)
         address = self.address_of(leader) if leader else None
         return str(address) if address else ""
 
-    def _other_replicas(self) -> list[str]:
-        """Return the ids of the other replicas that take part."""
-        membership = self._log.replica.membership
-        return [replica for replica in (*membership.voters, *membership.learners) if replica != self._log.replica.me]
-
-    def _send_members(self) -> None:
-        """Name the control instances to the daemons, when they have changed."""
-        names = [replica_name(replica) for replica in (*self._other_replicas(), self._log.replica.me)]
-        zones = self._exchange.zones
-        members = [(name, zones.get(name, "")) for name in sorted(set(names))]
-        if members != self._sent_members:
-            self._sent_members = members
-            self._sessions.send_members(None, members)
-
     def _break(self, exc: StorageError) -> None:
         """Take no part any more: what is on the disk is not known."""
         self._log.is_broken = True
