Decide in one place whether a failed exchange has not run

Cause: path/exchange.py asked is_passed_on for failures and for the process's end apart. Change: _make_failure makes the error of both. Codes, outcomes and messages as they were.

--- a/packages/lanedock-daemon/lanedock_daemon/path/exchange.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/exchange.py
@@ -207,28 +207,26 @@
         if exc is None:
             return
         self._reader.conn.close()
-        if isinstance(exc, StopTimeout):
-            raise _stopped(self._address, self._reader.is_passed_on) from exc
-        # The kernel's own time-out: nothing that was sent has been acknowledged.
-        is_cut_off = isinstance(exc, OSError) and exc.errno in (ETIMEDOUT, EHOSTUNREACH, ENETUNREACH)
-        if not isinstance(exc, (OSError, MalformedMessage)):
-            return
-        if not self._reader.is_passed_on:
-            # Without any of its body no daemon passes a request on that it was to ask for.
-            message = f"{self._address}: {exc!r} before its body was asked for"
-            raise ExchangeError(ErrorCode.CONNECT_FAILED, Outcome.NOT_RUN, message, is_cut_off) from exc
-        if isinstance(exc, TimeoutError) and not is_cut_off:
-            message = f"{self._address}: no answer in time"
-            raise ExchangeError(ErrorCode.ANSWER_TIMEOUT, Outcome.UNKNOWN, message) from exc
-        message = f"{self._address}: {exc!r}"
-        raise ExchangeError(ErrorCode.ANSWER_LOST, Outcome.UNKNOWN, message, is_cut_off) from exc
-
-
-def _stopped(address: tuple[str, int], is_passed_on: bool) -> ExchangeError:
-    """Make the end of an exchange that the process's own end cuts short."""
-    if is_passed_on:
-        return ExchangeError(ErrorCode.ANSWER_LOST, Outcome.UNKNOWN, f"{address}: no answer before the stop")
-    return ExchangeError(ErrorCode.DRAINING, Outcome.NOT_RUN, f"{address}: not passed on before the stop")
+        if isinstance(exc, (StopTimeout, OSError, MalformedMessage)):
+            raise _make_failure(self._address, exc, self._reader.is_passed_on) from exc
+
+
+def _make_failure(address: tuple[str, int], exc: BaseException, is_passed_on: bool) -> ExchangeError:
+    """Make what is known of an exchange that has failed, or that the process's own end cuts short."""
+    is_stop = isinstance(exc, StopTimeout)
+    # The kernel's own time-out: nothing that was sent has been acknowledged.
+    is_cut_off = isinstance(exc, OSError) and exc.errno in (ETIMEDOUT, EHOSTUNREACH, ENETUNREACH)
+    if not is_passed_on:
+        # Without any of its body no daemon passes a request on that it was to ask for.
+        code = ErrorCode.DRAINING if is_stop else ErrorCode.CONNECT_FAILED
+        reason = "not passed on before the stop" if is_stop else f"{exc!r} before its body was asked for"
+        return ExchangeError(code, Outcome.NOT_RUN, f"{address}: {reason}", is_cut_off)
+    code, reason = ErrorCode.ANSWER_LOST, repr(exc)
+    if is_stop:
+        reason = "no answer before the stop"
+    elif isinstance(exc, TimeoutError) and not is_cut_off:
+        code, reason = ErrorCode.ANSWER_TIMEOUT, "no answer in time"
+    return ExchangeError(code, Outcome.UNKNOWN, f"{address}: {reason}", is_cut_off)
 
 
 def send_request(
@@ -265,7 +263,7 @@
     try:
         reader = pool.get(address, timeout)
     except StopTimeout as exc:
-        raise _stopped(address, False) from exc
+        raise _make_failure(address, exc, False) from exc
     reader.begin(request.method)
     with _OutcomeKnown(reader, address):
         reader.conn.settimeout(timeout)
