Note a late answer at the pending answer

Cause: the caller's and the upstream's side each asked the pool whether connections have fallen silent, and logged it. Change: PendingAnswer.note_late does both. It is called where an answer is late only, as before.

--- a/packages/lanedock-daemon/lanedock_daemon/path/exchange.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/exchange.py
@@ -5,6 +5,7 @@
 from errno import EHOSTUNREACH, ENETUNREACH, ETIMEDOUT
 
 from lanedock.errors import ErrorCode
+from lanedock.telemetry import Event, EventLogger
 from lanedock_daemon.path.http import Body, Outcome, Request
 from lanedock_daemon.path.parser import AnswerReader, MalformedMessage, Message
 from lanedock_daemon.path.pool import ConnectionPool, ExchangeError
@@ -168,6 +169,20 @@
             self._reader.conn.close()
             raise
 
+    def note_late(self, sent_at: float, events: EventLogger, upstream: str) -> None:
+        """Note that the answer is late: its connection may have fallen silent, and others with it.
+
+        Parameters
+        ----------
+        sent_at : float
+            Monotonic, seconds: of the request.
+        events : EventLogger
+        upstream : str
+            Whose connections they are, for a log line.
+        """
+        if self._pool.note_late(self._address, sent_at):
+            events.emit(Event.CONNECTIONS_SILENT, upstream=upstream)
+
     def read(self) -> UpstreamAnswer:
         """Wait for the answer's head.
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/tries.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tries.py
@@ -77,7 +77,7 @@
         late_after = started + job.balancer.late_after(job.route.name) - time.monotonic()
         if self._is_answering(job, stats, pending, late_after) or time.monotonic() >= job.deadline:
             return self._end(job, stats, pending, started)
-        self._note_late(stats, started)
+        pending.note_late(started, self._events, stats.endpoint.instance)
         first = second = None
         try:
             first = gevent.spawn(self._end, job, stats, pending, started)
@@ -105,11 +105,6 @@
             job.balancer.end(stats, False, time.monotonic())
             raise
 
-    def _note_late(self, stats: UpstreamStats, sent_at: float) -> None:
-        """Note that an answer is late: its connection may have fallen silent, and others with it."""
-        if self._pool.note_late(stats.address, sent_at):
-            self._events.emit(Event.CONNECTIONS_SILENT, upstream=stats.endpoint.instance)
-
     def send(self, job: Job, stats: UpstreamStats, attempt: int) -> Try:
         """Send a request to one upstream, and wait for its answer."""
         started = time.monotonic()
@@ -118,7 +113,7 @@
             return pending
         late_after = started + job.balancer.late_after(job.route.name) - time.monotonic()
         if not self._is_answering(job, stats, pending, min(late_after, job.deadline - time.monotonic())):
-            self._note_late(stats, started)
+            pending.note_late(started, self._events, stats.endpoint.instance)
         return self._end(job, stats, pending, started)
 
     def _begin(self, job: Job, stats: UpstreamStats, attempt: int, started: float) -> PendingAnswer | Try:
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
@@ -278,8 +278,8 @@
         try:
             pending = send_request(self._pool, self._application, request, headers, deadline - started)
             late_after = min(self._limiter.late_after(log.route), deadline - started)
-            if not pending.wait(late_after) and self._pool.note_late(self._application, started):
-                self._events.emit(Event.CONNECTIONS_SILENT, upstream=self._registration.upstream)
+            if not pending.wait(late_after):
+                pending.note_late(started, self._events, self._registration.upstream)
             response = pending.read()
         except ExchangeError as exc:
             release()
