Describe the end of a request in one place

Cause: the caller's and the upstream's side each put outcome and code together for their totals; the upstream's side reckoned how long a refused request had waited once more for the log line. Change: describe_end in path/http.py; the line of a refusal takes the wait that the totals have. That of an admission keeps its own: it holds the wait for the body, too. Result: lanedock_daemon's tests pass.

--- a/packages/lanedock-daemon/lanedock_daemon/path/caller.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller.py
@@ -27,6 +27,7 @@
     Outcome,
     ReplayBody,
     Request,
+    describe_end,
     public_headers,
 )
 from lanedock_daemon.path.job import Job, Try
@@ -151,7 +152,7 @@
         self._metrics.time(Metric.LATENCY, taken)
         span.end(**{"http.status_code": answer.status, "http.target": request.path})
         outcome = _outcome(answer)
-        self._requests.totals.note("caller", log.route, _describe(answer, outcome, taken, log), taken)
+        self._requests.totals.note("caller", log.route, _describe(answer, taken, log), taken)
         log.note(Event.REQUEST_ANSWERED, outcome=outcome, status=answer.status, code=_header(answer, CODE_HEADER))
         self._metrics.count(Metric.OUTCOMES, 1, (log.route, outcome))
         self._requests.end(log, answer.status >= 400)
@@ -298,14 +299,9 @@
     return _header(answer, OUTCOME_HEADER) or "answered"
 
 
-def _describe(answer: Answer, outcome: str, taken: float, log: RequestLog) -> str:
+def _describe(answer: Answer, taken: float, log: RequestLog) -> str:
     """Return how a request ended for its caller, as totals count it."""
-    if outcome != "answered":
-        ended = f"{outcome}_{_header(answer, CODE_HEADER)}"
-    elif answer.status >= 500:
-        ended = "failed"
-    else:
-        ended = "timely" if log.age + taken <= log.target else "late"
+    ended = describe_end(answer, "timely" if log.age + taken <= log.target else "late")
     return f"retried_{ended}" if log.age else ended
 
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/http.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http.py
@@ -34,6 +34,7 @@
     "Outcome",
     "ReplayBody",
     "Request",
+    "describe_end",
     "make_refusal",
     "public_headers",
     "read_int",
@@ -273,6 +274,21 @@
 _UNAVAILABLE = (503, "Service Unavailable")
 
 
+def describe_end(answer: Answer, answered: str) -> str:
+    """Return how a request ended, as totals count it.
+
+    Parameters
+    ----------
+    answer : Answer
+    answered : str
+        What counts where it is neither a refusal nor a failure.
+    """
+    named = {name: value for name, value in answer.headers if name in (OUTCOME_HEADER, CODE_HEADER)}
+    if named:
+        return "_".join(named.values())
+    return "failed" if answer.status >= 500 else answered
+
+
 def make_refusal(code: ErrorCode, outcome: str, retry_after: float = 0.0, detail: str = "") -> Answer:
     """Make the answer to a request that lanedock answers itself.
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
@@ -18,11 +18,9 @@
     ATTEMPT_HEADER,
     CALLER_HEADER,
     CLASS_HEADER,
-    CODE_HEADER,
     DEADLINE_HEADER,
     LEAVING_HEADER,
     LOAD_HEADER,
-    OUTCOME_HEADER,
     PARENT_HEADER,
     RETRY_AFTER,
     ROUTE_HEADER,
@@ -35,6 +33,7 @@
     Answer,
     Outcome,
     Request,
+    describe_end,
     make_refusal,
     public_headers,
     read_int,
@@ -123,7 +122,7 @@
         self._requests.end(log, answer.status >= 400)
         taken = time.monotonic() - started
         self._metrics.time(Metric.LATENCY, taken)
-        self._requests.totals.note("upstream", log.route, _describe(answer), taken, log.waited)
+        self._requests.totals.note("upstream", log.route, describe_end(answer, "done"), taken, log.waited)
         span.end(**{"http.status_code": answer.status, "http.target": request.path})
         self._metrics.gauge(Metric.IN_PROGRESS, self._limiter.in_use)
         self._metrics.gauge(Metric.QUEUED, self._limiter.waiting)
@@ -166,7 +165,7 @@
         refused = self._bodies.enter(request, traffic_class, wanted) or self._acquire(traffic_class, wanted)
         log.waited = time.monotonic() - started
         if refused is not None:
-            why = {"waited_ms": round(1000 * (time.monotonic() - started), 1), **self._load()}
+            why = {"waited_ms": round(1000 * log.waited, 1), **self._load()}
             why.update(late=request.header(TARGET_HEADER) == "0", limit=refused.limit, **self._bodies.load())
             return self._refuse(refused.code, refused.retry_after, log, **why)
         # It may have begun to leave while the request waited, or while its body was on its
@@ -354,14 +353,6 @@
     return None if left_ms is None else started + left_ms / 1000
 
 
-def _describe(answer: Answer) -> str:
-    """Return what became of a request, as totals count it."""
-    named = {name: value for name, value in answer.headers if name in (OUTCOME_HEADER, CODE_HEADER)}
-    if named:
-        return "_".join(named.values())
-    return "failed" if answer.status >= 500 else "done"
-
-
 class _Release:
     """Gives a slot back, once."""
 
