Name hedged requests and their delay as such

Cause: `send_with_reserve` and `late_after` are no terms of the field. Change: `send_hedged`; the balancer has a `hedge_delay`; averages and the limiter, which hedge nothing, call that time the `tail` of a kind's times. Behaviour unchanged.

--- a/packages/lanedock-daemon/lanedock_daemon/path/caller.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller.py
@@ -243,7 +243,7 @@
             now = time.monotonic()
             if now >= job.deadline:
                 return progress.failure or self._refuse(ErrorCode.DEADLINE)
-            needed = min(job.balancer.late_after(route.name), job.deadline - now)
+            needed = min(job.balancer.hedge_delay(route.name), job.deadline - now)
             if not self._plan.allows(needed, now):
                 job.log.note(Event.REQUEST_TRY_ENDED, service=job.service.name, reason="the process stops")
                 return progress.failure or self._refuse_late(now)
@@ -254,7 +254,7 @@
                 job.log.note(Event.REQUEST_TRY_ENDED, service=job.service.name, reason="no upstream left", known=known)
                 return progress.failure or self._refuse(ErrorCode.NO_UPSTREAM, RETRY_AFTER)
             if may_retry and route.repeatable and body.length == 0 and progress.arrivals + 1 < route.max_attempts:
-                made = self._tries.send_with_reserve(job, stats, attempt)
+                made = self._tries.send_hedged(job, stats, attempt)
             else:
                 made = self._tries.send(job, stats, attempt if may_retry else RETRIED)
             if made.is_final:
--- a/packages/lanedock-daemon/lanedock_daemon/path/tries.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tries.py
@@ -65,8 +65,8 @@
         self._metrics = metrics
         self._prober = UpstreamProber(pool, events)
 
-    def send_with_reserve(self, job: Job, stats: UpstreamStats, attempt: int) -> Try:
-        """Send a request, and once more elsewhere where its answer is later than nearly all others.
+    def send_hedged(self, job: Job, stats: UpstreamStats, attempt: int) -> Try:
+        """Send a request, and hedge it by sending it elsewhere, too, where its answer is later than nearly all others.
 
         Whichever answers first counts; the other one is cancelled.
         """
@@ -74,8 +74,8 @@
         pending = self._begin(job, stats, attempt, started)
         if isinstance(pending, Try):
             return pending
-        late_after = started + job.balancer.late_after(job.route.name) - time.monotonic()
-        if self._is_answering(job, stats, pending, late_after) or time.monotonic() >= job.deadline:
+        hedge_delay = started + job.balancer.hedge_delay(job.route.name) - time.monotonic()
+        if self._is_answering(job, stats, pending, hedge_delay) or time.monotonic() >= job.deadline:
             return self._end(job, stats, pending, started)
         pending.note_late(started, self._events, stats.endpoint.instance)
         first = second = None
@@ -111,8 +111,8 @@
         pending = self._begin(job, stats, attempt, started)
         if isinstance(pending, Try):
             return pending
-        late_after = started + job.balancer.late_after(job.route.name) - time.monotonic()
-        if not self._is_answering(job, stats, pending, min(late_after, job.deadline - time.monotonic())):
+        timeout = started + job.balancer.hedge_delay(job.route.name) - time.monotonic()
+        if not self._is_answering(job, stats, pending, min(timeout, job.deadline - time.monotonic())):
             pending.note_late(started, self._events, stats.endpoint.instance)
         return self._end(job, stats, pending, started)
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
@@ -276,8 +276,8 @@
         headers = self._make_headers(request, deadline - started, span)
         try:
             pending = send_request(self._pool, self._application, request, headers, deadline - started)
-            late_after = min(self._limiter.late_after(log.route), deadline - started)
-            if not pending.wait(late_after):
+            tail = min(self._limiter.tail(log.route), deadline - started)
+            if not pending.wait(tail):
                 pending.note_late(started, self._events, self._registration.upstream)
             response = pending.read()
         except ExchangeError as exc:
--- a/packages/lanedock/lanedock/averages.py
+++ b/packages/lanedock/lanedock/averages.py
@@ -1,11 +1,11 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """A moving average with its mean deviation: what is known of times that vary."""
 
-__all__ = ["LATE_DEVIATIONS", "MovingTime"]
+__all__ = ["TAIL_DEVIATIONS", "MovingTime"]
 
 # Mean deviations above the mean that a few in a hundred of times with a long tail
 # exceed; what takes longer counts as late. Has no unit.
-LATE_DEVIATIONS = 4.0
+TAIL_DEVIATIONS = 4.0
 
 
 class MovingTime:
@@ -38,9 +38,9 @@
         return self.mean + self.deviation
 
     @property
-    def late_after(self) -> float:
+    def tail(self) -> float:
         """The time that a few in a hundred exceed."""
-        return self.mean + LATE_DEVIATIONS * self.deviation
+        return self.mean + TAIL_DEVIATIONS * self.deviation
 
     def note(self, taken: float) -> None:
         """Take in another time."""
--- a/packages/lanedock/lanedock/limits/service_times.py
+++ b/packages/lanedock/lanedock/limits/service_times.py
@@ -9,7 +9,7 @@
 # of an application that has just started, is followed within ten requests.
 _SMOOTHING = 0.1
 # Time assumed, before any has been seen, that hardly a request exceeds, in seconds.
-_LATE_FIRST = 0.5
+_TAIL_FIRST = 0.5
 # Kinds of requests whose times are kept; a bound on memory, not a tuning.
 _MAX_KINDS = 1024
 
@@ -54,10 +54,10 @@
         """Return the mean time of a class's requests, in seconds; 0 where none has ended."""
         return self._classes.get(traffic_class, 0.0)
 
-    def late_after(self, kind: str) -> float:
+    def tail(self, kind: str) -> float:
         """Return the time that a few in a hundred requests of a kind exceed, in seconds."""
         known = self._kinds.get(kind)
-        return _LATE_FIRST if known is None else known.late_after
+        return _TAIL_FIRST if known is None else known.tail
 
     def typical(self, kind: str) -> float | None:
         """Return the mean time of a kind, in seconds; None where nothing is known."""
--- a/packages/lanedock/lanedock/limits/slots.py
+++ b/packages/lanedock/lanedock/limits/slots.py
@@ -213,9 +213,9 @@
         """Return until when a request may wait, for what else it needs; before now where it may not."""
         return self._expiry(request, now)
 
-    def late_after(self, kind: str) -> float:
+    def tail(self, kind: str) -> float:
         """Return the time in a slot that hardly a request of a kind exceeds, in seconds."""
-        return self._times.late_after(kind)
+        return self._times.tail(kind)
 
     def _has_room(self, traffic_class: str, now: float) -> bool:
         return self._shares.has_room(traffic_class, self._times.class_mean(traffic_class), now)
--- a/packages/lanedock/lanedock/routing/balancer.py
+++ b/packages/lanedock/lanedock/routing/balancer.py
@@ -23,14 +23,14 @@
 _ON_TRIAL_SCORE = 1e6
 # Weight of the newest answer in the averages of time to answer.
 _SMOOTHING = 0.05
-# Least time, in seconds, after which an answer may count as late, and the time
-# assumed before any answer came.
-_LATE_MIN = 0.05
+# Least time, in seconds, after which an answer may count as late, and that before any
+# answer came.
+_HEDGE_DELAY_MIN = 0.05
+_HEDGE_DELAY_FIRST = 0.5
 # Least time to answer that is averaged, so that ratios of it have a meaning.
 _TIME_MIN = 0.001
 # Kinds of requests whose times are kept.
 _MAX_KINDS = 1024
-_LATE_FIRST = 0.5
 # Requests by which an upstream that keeps silent is taken to be more loaded.
 _SILENCE_LOAD = 4
 # Power of the slowness by which an upstream's load is scaled. With 1 all would
@@ -106,10 +106,10 @@
             stats.slowness = former.slowness
         return stats
 
-    def late_after(self, kind: str) -> float:
+    def hedge_delay(self, kind: str) -> float:
         """Return the time after which an answer is later than nearly all of its kind, in seconds."""
         times = self._times.get(kind)
-        return max(_LATE_MIN, times.late_after) if times is not None else _LATE_FIRST
+        return max(_HEDGE_DELAY_MIN, times.tail) if times is not None else _HEDGE_DELAY_FIRST
 
     def _note_time(self, stats: UpstreamStats, kind: str, taken: float) -> None:
         times = self._times.get(kind)
@@ -218,8 +218,8 @@
     def _silence_limit(self) -> float:
         """Return the silence, in seconds, that no kind of request explains."""
         if not self._times:
-            return _LATE_FIRST
-        return max(_LATE_MIN, *(times.late_after for times in self._times.values()))
+            return _HEDGE_DELAY_FIRST
+        return max(_HEDGE_DELAY_MIN, *(times.tail for times in self._times.values()))
 
     # ---------------------------------------------------------------- outcomes
 
