Name what sends or accepts a report by that

Cause: `tell` was a method that accepts a daemon's message in one place and one that reports in others. Change: SessionRegistry.receive, _report_role, _report_progress; `report` and `show` where a test's daemon and the command line do that; docstrings alike. Behaviour unchanged.

--- a/packages/lanedock-cli/lanedock_cli/app.py
+++ b/packages/lanedock-cli/lanedock_cli/app.py
@@ -152,11 +152,11 @@
     with Progress(*columns, console=Console(stderr=True), transient=True) as progress:
         task = progress.add_task("submitting", total=None)
 
-        def tell(reply: messages.SubmitReply) -> None:
+        def show(reply: messages.SubmitReply) -> None:
             done = reply.in_force if reply.message == "in force" else reply.staged
             progress.update(task, description=reply.message, completed=done, total=reply.required)
 
-        return asyncio.run(client.submit(request, tell))
+        return asyncio.run(client.submit(request, show))
 
 
 def _print_answer(reply: messages.SubmitReply) -> None:
--- a/packages/lanedock-cli/lanedock_cli/client.py
+++ b/packages/lanedock-cli/lanedock_cli/client.py
@@ -138,7 +138,7 @@
         return reply
 
     async def _submit_one(self, address: Address, request, on_progress) -> tuple[messages.SubmitReply | None, bool]:
-        """Submit to one instance; tells also whether the request may have arrived."""
+        """Submit to one instance; returns also whether the request may have arrived."""
         channel = Channel(address.host, address.port, ssl=self._context)
         was_sent = False
         try:
--- a/packages/lanedock-daemon/lanedock_daemon/agent/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/service.py
@@ -101,7 +101,7 @@
             SeedsChanged: lambda item: self._search.set_seeds(item.control),
             AttestationsMade: lambda item: self._attestations.extend(item.attestations),
             ChildArrived: self._on_child_arrived,
-            ChildReported: lambda item: self._relay.tell(item.session, item.message),
+            ChildReported: lambda item: self._relay.receive(item.session, item.message),
             ChildLeft: lambda item: self._relay.leave(item.session),
         }
 
@@ -366,7 +366,7 @@
     # ----------------------------------------------------------------- advance
 
     def _advance(self) -> None:
-        """Tell the source what has changed, and the daemons below what they lack."""
+        """Report to the source what has changed, and send daemons downstream what they lack."""
         now = time.monotonic()
         if self._relay is not None:
             self._refresh_source()
@@ -386,7 +386,7 @@
         self._stream.send(message)
 
     def _relayed_freshness(self, now: float) -> tuple[int, float]:
-        """Return what daemons behind this one are told of its freshness; see `SessionRegistry.send_heartbeats`."""
+        """Return the freshness that is reported to daemons downstream; see `SessionRegistry.send_heartbeats`."""
         return self._holder.in_force_version.number, self._freshness.age(now)
 
     def _refresh_source(self) -> None:
--- a/packages/lanedock-daemon/lanedock_daemon/control/distribution.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/distribution.py
@@ -53,7 +53,7 @@
     # ---------------------------------------------------------------- sessions
 
     def arrive(self, session: Session, message: messages.DaemonMessage, endpoints) -> None:
-        """Admit a daemon, refer it to a relay, or tell it when to come back."""
+        """Admit a daemon, refer it to a relay, or refuse it with a time to try again."""
         now = time.monotonic()
         wait = self._admission.ask(now)
         if wait > 0:
@@ -168,14 +168,14 @@
         return [session for voices in chosen.values() for session in voices]
 
     def take_report(self, whole: bool) -> messages.FleetReport:
-        """Return what to tell the leader of the daemons."""
+        """Return what to report to the leader of the daemons."""
         report = self.distributor.take_report(whole)
         report.attestations.extend(self._attestations)
         self._attestations = []
         return report
 
     def is_report_due(self) -> bool:
-        """Tell whether there is something new to tell the leader."""
+        """Tell whether there is something new to report to the leader."""
         return bool(self._attestations) or self.distributor.is_report_due()
 
 
--- a/packages/lanedock-daemon/lanedock_daemon/control/log.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/log.py
@@ -151,7 +151,7 @@
             if not (ready.early or ready.late or ready.committed or ready.must_sync()):
                 break
         self._release_reads()
-        self._tell_role()
+        self._report_role()
         self._compact()
         return [entry for entry in applied if entry is not None]
 
@@ -184,7 +184,7 @@
                 waiting.append((token, index))
         self._waiting_reads = waiting
 
-    def _tell_role(self) -> None:
+    def _report_role(self) -> None:
         replica = self.replica
         is_leader = replica.role is ReplicaRole.LEADER
         if is_leader != self._was_leader:
--- a/packages/lanedock-daemon/lanedock_daemon/control/platform.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/platform.py
@@ -13,7 +13,7 @@
 
 
 class PlatformReader(Service):
-    """Reads the list at intervals and tells a task.
+    """Reads the list at intervals and posts it to a task.
 
     Parameters
     ----------
--- a/packages/lanedock-daemon/lanedock_daemon/control/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/service.py
@@ -209,7 +209,7 @@
         self._directory.note_state(item.session, item.message, time.monotonic())
 
     def _on_child_reported(self, item: ChildReported) -> None:
-        self._sessions.tell(item.session, item.message)
+        self._sessions.receive(item.session, item.message)
         self._directory.note_state(item.session, item.message, time.monotonic())
 
     def _on_child_left(self, item: ChildLeft) -> None:
--- a/packages/lanedock-daemon/lanedock_daemon/control/submissions.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/submissions.py
@@ -124,7 +124,7 @@
             submission.call.finish(submission.reply(messages.ANSWER_NOT_RUN, result.code))
 
     def abandon_all(self) -> None:
-        """Tell everybody that the outcome is not known here any more."""
+        """Answer everybody that the outcome is not known here any more."""
         for submission in [*self._proposed.values(), *self._waiting]:
             submission.call.finish(submission.reply(messages.ANSWER_NOT_KNOWN, ErrorCode.OUTCOME_NOT_KNOWN))
         self._proposed = {}
@@ -135,7 +135,7 @@
         return not self._proposed and not self._waiting
 
     def advance(self, records: dict, look_up) -> None:
-        """Tell those who wait how far their version has come.
+        """Report to those who wait how far their version has come.
 
         Parameters
         ----------
@@ -177,7 +177,7 @@
         is_settled = is_accepted and submission.settle is not None and now - submission.accepted_at >= submission.settle
         if is_settled or now >= submission.deadline:
             return self._make_late(submission, progress, is_accepted, now)
-        self._tell_progress(submission, progress, is_accepted, now)
+        self._report_progress(submission, progress, is_accepted, now)
         return None
 
     def _make_final(self, submission, progress, cut_off: list[str], now: float) -> messages.SubmitReply:
@@ -198,7 +198,7 @@
             reply = submission.reply(messages.ANSWER_NOT_KNOWN, ErrorCode.OUTCOME_NOT_KNOWN)
         return _fill(reply, submission, progress, now)
 
-    def _tell_progress(self, submission, progress, is_accepted: bool, now: float) -> None:
+    def _report_progress(self, submission, progress, is_accepted: bool, now: float) -> None:
         if now - submission.reported_at < PROGRESS_INTERVAL:
             return
         submission.reported_at = now
--- a/packages/lanedock-daemon/lanedock_daemon/session_registry.py
+++ b/packages/lanedock-daemon/lanedock_daemon/session_registry.py
@@ -80,8 +80,8 @@
         self._send(session, [first])
         self._take(session, message)
 
-    def tell(self, session: Session, message: messages.DaemonMessage) -> None:
-        """Take in a daemon's message."""
+    def receive(self, session: Session, message: messages.DaemonMessage) -> None:
+        """Accept a daemon's message."""
         if session.child is None:
             return
         session.heard_at = time.monotonic()
--- a/packages/lanedock/lanedock/config/core.py
+++ b/packages/lanedock/lanedock/config/core.py
@@ -84,7 +84,7 @@
     calls : tuple of str
         Services that it may call.
     health_path : str
-        Where its application tells whether it is well; empty for nowhere.
+        Where its application reports whether it is well; empty for nowhere.
     """
 
     __slots__ = ("calls", "connections", "health_path", "name", "queue", "slots", "zones")
--- a/packages/lanedock/lanedock/consensus/storage.py
+++ b/packages/lanedock/lanedock/consensus/storage.py
@@ -6,7 +6,7 @@
 - ``identity`` names the replica whose folder it is;
 - ``log`` holds records: entries, hard states, and after compaction a snapshot
   in front; it is replaced as a whole by writing ``log.new`` and renaming;
-- ``synced`` tells how much of ``log`` was synced for certain, so that a torn
+- ``synced`` records how much of ``log`` was synced for certain, so that a torn
   tail, which is cut off, differs from a synced record gone bad, which is not.
 """
 
--- a/packages/lanedock/lanedock/kernel/core.py
+++ b/packages/lanedock/lanedock/kernel/core.py
@@ -46,7 +46,7 @@
     Attributes
     ----------
     failed : gevent.event.Event
-        Set once a service has failed; `failure` then tells how.
+        Set once a service has failed; `failure` then holds why.
     """
 
     def __init__(self):
--- a/packages/lanedock/lanedock/rollout/tests/test_distribution.py
+++ b/packages/lanedock/lanedock/rollout/tests/test_distribution.py
@@ -42,7 +42,7 @@
         self.source = source
         self.child = source.connect(self.state())
 
-    def tell(self) -> None:
+    def report(self) -> None:
         self.source.update(self.child, self.state())
 
     def pull(self) -> None:
@@ -72,7 +72,7 @@
 
 def _settle(daemon: Daemon) -> None:
     for _ in range(6):
-        daemon.tell()
+        daemon.report()
         daemon.pull()
         while daemon.inbox:
             daemon.take(daemon.inbox.pop(0))
@@ -86,7 +86,7 @@
     assert daemon.holder.staged_version == make_tree(1).version
     assert daemon.holder.in_force is None
     source.set_source(VersionSource(make_tree(1)))
-    daemon.tell()
+    daemon.report()
     (message,) = source.due(daemon.child)
     assert message.HasField("activate")
     assert source.due(daemon.child) == []
@@ -185,7 +185,7 @@
         elif action < 0.32:
             daemon.connect(rng.choice(sources))
         elif action < 0.5:
-            daemon.tell()
+            daemon.report()
         elif action < 0.7:
             daemon.pull()
         elif daemon.inbox:
--- a/packages/lanedock/lanedock/testing/load.py
+++ b/packages/lanedock/lanedock/testing/load.py
@@ -135,7 +135,7 @@
 
 
 def read_answer(conn) -> tuple[int, bool]:
-    """Read an answer that tells its length; returns status and whether to keep the connection."""
+    """Read an answer with its length in the head; returns status and whether to keep the connection."""
     data = b""
     while b"\r\n\r\n" not in data:
         more = conn.recv(65536)
--- a/packages/lanedock/lanedock/testing/upstream.py
+++ b/packages/lanedock/lanedock/testing/upstream.py
@@ -41,7 +41,7 @@
     cut_after : int or None
         Cut the connection after this many bytes of an answer's body.
     told_load : float
-        What the load endpoint tells, whatever is true.
+        What the load endpoint reports, whatever is true.
     """
 
     __slots__ = (
