Name values that were received or reported as such

Cause: `told` and `said` stood for values that a message carries, and for what a test found. Names of the wire and of the command line's JSON stay. No assertion changed.

--- a/examples/embed_limits.py
+++ b/examples/embed_limits.py
@@ -19,17 +19,17 @@
     endpoints = [messages.Endpoint(instance=name, zone="here", incarnation=1) for name in ("a", "b")]
     balancer.set_endpoints(endpoints, now=0.0)
     limiters = {name: SlotLimiter(SLOTS, 2, CLASSES) for name in ("a", "b")}
-    told: Counter = Counter()
+    results: Counter = Counter()
     for traffic_class in ["order"] * 2 + ["browse"] * 12 + ["order"] * 2:
         stats = balancer.choose(SLOTS, now=0.0)
         balancer.begin(stats)
         result = limiters[stats.endpoint.instance].acquire(
             traffic_class, AdmissionRequest(deadline=1.0), 0.0, lambda: None
         )
-        told[traffic_class, "refused" if isinstance(result, Refused) else "waits" if result else "runs"] += 1
+        results[traffic_class, "refused" if isinstance(result, Refused) else "waits" if result else "runs"] += 1
         if isinstance(result, Refused):
             balancer.end(stats, False, 0.0)
-    for (traffic_class, outcome), count in sorted(told.items()):
+    for (traffic_class, outcome), count in sorted(results.items()):
         print(f"{traffic_class} {outcome}: {count}")
 
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/dialect.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/dialect.py
@@ -23,12 +23,12 @@
 
 __all__ = ["AnswerFacts", "Dialect", "HealthFacts", "OwnDialect", "RequestFacts"]
 
-# Of the application's answers that say that it drains.
+# Of the answers by which an application reports that it drains.
 DRAIN_HEADER = "x-upstream-draining"
 
 
 class RequestFacts:
-    """What a caller says of its request.
+    """What a caller's headers state of its request.
 
     Parameters
     ----------
@@ -52,7 +52,7 @@
 
 
 class AnswerFacts:
-    """What an application's answer says of its request.
+    """What an application's answer states of its request.
 
     Parameters
     ----------
@@ -79,15 +79,15 @@
 
 
 class HealthFacts:
-    """What an application's health check says.
+    """What an application's health check reports.
 
     Parameters
     ----------
     is_well : bool
     upstream : str
-        Incarnation of the application; empty where it does not say.
+        Incarnation of the application; empty where it is not reported.
     slots : int
-        Requests that it works on at once; 0 where it does not say.
+        Requests that it works on at once; 0 where it is not reported.
     """
 
     __slots__ = ("is_well", "slots", "upstream")
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
@@ -46,7 +46,7 @@
 
 # Classes by which an application's slots are shared before a version is held.
 NO_CLASSES: dict = {}
-# Requests that may wait for each slot where the application says how many it has,
+# Requests that may wait for each slot where the application reports how many it has,
 # or no version does.
 QUEUE_PER_SLOT = 2
 _SET_HERE = (ATTEMPT_HEADER, DEADLINE_HEADER, TRACE_HEADER)
@@ -143,7 +143,7 @@
         if version is not None:
             self._view.note_version(version)
         if self._registration.upstream:
-            # The application itself has said what it runs.
+            # The application itself has reported what it runs.
             is_held = request.header(SERVICE_HEADER) == self._registration.service
         elif binding is None:
             return self._refuse(ErrorCode.NOT_READY, RETRY_AFTER, log, **self._view.age())
@@ -223,9 +223,9 @@
         # Each request in progress takes one of the application's connections.
         if service is not None:
             slots = min(slots, service.connections)
-        # An application that says how many slots it has says how long its queue may be.
-        is_told = service is None or self._registration.slots
-        queue = slots * QUEUE_PER_SLOT if is_told else service.queue
+        # An application that reports its slots sets the length of its queue by that.
+        is_reported = service is None or self._registration.slots
+        queue = slots * QUEUE_PER_SLOT if is_reported else service.queue
         self._limiter.configure(slots, queue, classes)
         self._bodies.configure(queue, classes)
 
@@ -292,19 +292,19 @@
             release()
             raise
         head = response.message
-        said = self._dialect.read_answer(head.status, head.headers, log.request_id)
-        if said.is_foreign:
+        facts = self._dialect.read_answer(head.status, head.headers, log.request_id)
+        if facts.is_foreign:
             response.close()
             release()
             foreign = ExchangeError(ErrorCode.ANSWER_LOST, Outcome.UNKNOWN, "an answer to another request")
             return self._on_lost(foreign, log)
         now = time.monotonic()
         self._registration.note_answer(now)
-        if said.is_draining and not self._view.is_draining:
+        if facts.is_draining and not self._view.is_draining:
             self._view.is_draining = True
             self._events.emit(Event.DRAINING, service=self._service)
-        if said.was_refused:
-            return self._on_refused(response, release, said.is_elsewhere, log)
+        if facts.was_refused:
+            return self._on_refused(response, release, facts.is_elsewhere, log)
         headers = public_headers(head.headers, self._dialect.answer_names)
         if head.is_complete:
             release()
@@ -323,7 +323,7 @@
         try:
             response.read_all()
         except (OSError, MalformedMessage):
-            pass  # the head said enough
+            pass  # the head was enough
         finally:
             response.close()
             release()
--- a/packages/lanedock-daemon/lanedock_daemon/roles.py
+++ b/packages/lanedock-daemon/lanedock_daemon/roles.py
@@ -33,8 +33,8 @@
 # each request in progress takes two more.
 KEPT_PART = 4
 # Servers that accept until what they serve has ended: the application goes on with what
-# it works on, makes calls for it and says how it is, and whoever asks is told that
-# callers are not taken. All others close when callers have gone elsewhere.
+# it works on, makes calls for it and reports how it is, and whoever asks learns that
+# callers are not accepted. All others close when callers have gone elsewhere.
 CLOSE_LAST = ("ready", "egress", "registration")
 # Between two lines of totals of requests, in seconds: what an operator looks at
 # beside a fault. A daemon with six routes writes some ten lines each time.
--- a/packages/lanedock/lanedock/config/tests/test_load.py
+++ b/packages/lanedock/lanedock/config/tests/test_load.py
@@ -144,8 +144,8 @@
     del after["services"][2]
     after["services"].append({"name": "four", "zones": ["z1"]})
     after["services"].reverse()
-    told = {(item.kind, item.path) for item in compare(VALUE, after)}
-    assert told == {
+    differences = {(item.kind, item.path) for item in compare(VALUE, after)}
+    assert differences == {
         ("changed", "routes/r1/deadline_ms"),
         ("removed", "services/three"),
         ("added", "services/four"),
--- a/packages/lanedock/lanedock/consensus/tests/replicas.py
+++ b/packages/lanedock/lanedock/consensus/tests/replicas.py
@@ -93,7 +93,7 @@
 
 
 class Cluster:
-    """Replicas that share a clock and a network that loses what it is told to lose."""
+    """Replicas that share a clock and a network that loses what it is set to lose."""
 
     def __init__(self, names: tuple[str, ...], seed: int):
         self.names = names
--- a/packages/lanedock/lanedock/limits/tests/test_calls.py
+++ b/packages/lanedock/lanedock/limits/tests/test_calls.py
@@ -10,10 +10,10 @@
 
 def test_a_kind_that_only_other_services_send_is_a_call():
     calls = CallKinds()
-    told = [calls.note("check", False) for _ in range(100)]
+    noted = [calls.note("check", False) for _ in range(100)]
     # It takes some to know.
-    assert not any(told[:50])
-    assert told[-1]
+    assert not any(noted[:50])
+    assert noted[-1]
 
 
 @pytest.mark.parametrize("share", [0.1, 0.3])
--- a/packages/lanedock/lanedock/limits/tests/test_slots.py
+++ b/packages/lanedock/lanedock/limits/tests/test_slots.py
@@ -150,7 +150,7 @@
         now, number = waiting.pop(0)
         wait = admission.ask(now)
         if wait:
-            # A little late, as daemons are told to be.
+            # A little late, as daemons are asked to be.
             waiting.append((now + wait * 1.05, number))
         else:
             admitted[number] = now
--- a/packages/lanedock/lanedock/testing/tests/test_upstream.py
+++ b/packages/lanedock/lanedock/testing/tests/test_upstream.py
@@ -1,5 +1,5 @@
 # SPDX-License-Identifier: BSD-3-Clause
-"""Tests of the stand-in upstream: it has to fail as it is told."""
+"""Tests of the stand-in upstream: it has to fail as it is set to."""
 
 import json
 import time
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -13,11 +13,11 @@
 
 
 class Volunteers:
-    """Threads that submit sightings, each with an id, and note what they were told."""
+    """Threads that submit sightings, each with an id, and note what they received."""
 
     def __init__(self, mesh):
         self.mesh = mesh
-        self.told: dict[str, str] = {}
+        self.outcomes: dict[str, str] = {}
         self.stopping = threading.Event()
         self.threads = [threading.Thread(target=self._run, args=(number,)) for number in range(THREADS)]
         for thread in self.threads:
@@ -28,7 +28,7 @@
         while not self.stopping.is_set():
             count += 1
             request_id = f"{number}-{count}"
-            self.told[request_id] = self._submit(request_id, number)
+            self.outcomes[request_id] = self._submit(request_id, number)
 
     def _submit(self, request_id: str, entry: int) -> str:
         try:
@@ -41,15 +41,15 @@
 
     def wait_for_more(self, count: int) -> None:
         """Wait until so many more submissions were answered."""
-        target = Counter(self.told.values())["answered"] + count
-        self.mesh.wait_for(lambda: Counter(self.told.values())["answered"] >= target, "submissions go on")
+        target = Counter(self.outcomes.values())["answered"] + count
+        self.mesh.wait_for(lambda: Counter(self.outcomes.values())["answered"] >= target, "submissions go on")
 
     def stop(self) -> Counter:
-        """Stop, and return how often each outcome was told."""
+        """Stop, and return how often each outcome was received."""
         self.stopping.set()
         for thread in self.threads:
             thread.join()
-        return Counter(self.told.values())
+        return Counter(self.outcomes.values())
 
 
 def _count_runs(mesh) -> Counter:
@@ -64,13 +64,13 @@
 
 
 def _check(volunteers: Volunteers) -> Counter:
-    """Stop, and check each submission's runs against what its volunteer was told."""
+    """Stop, and check each submission's runs against the outcome that its volunteer received."""
     outcomes = volunteers.stop()
     runs = _count_runs(volunteers.mesh)
     assert set(outcomes) <= {"answered", "not-run", "unknown", "cut"}
-    for request_id, told in volunteers.told.items():
-        expected = {"answered": {1}, "not-run": {0}}.get(told, {0, 1})
-        assert runs[request_id] in expected, (request_id, told, runs[request_id])
+    for request_id, outcome in volunteers.outcomes.items():
+        expected = {"answered": {1}, "not-run": {0}}.get(outcome, {0, 1})
+        assert runs[request_id] in expected, (request_id, outcome, runs[request_id])
     return outcomes
 
 
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -160,8 +160,8 @@
     """Serve a folder over HTTP, as a platform would its list; returns the process and its port."""
     line = [sys.executable, "-u", "-m", "http.server", "--bind", "127.0.0.1", "0", "--directory", str(folder)]
     process = subprocess.Popen(line, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, text=True)
-    told = process.stdout.readline()
-    return process, int(told.partition(" port ")[2].split(" ")[0])
+    printed = process.stdout.readline()
+    return process, int(printed.partition(" port ")[2].split(" ")[0])
 
 
 def _check_tls_mesh(mesh: LocalMesh, tmp_path: Path) -> None:
--- a/tools/bench_rollout.py
+++ b/tools/bench_rollout.py
@@ -2,7 +2,7 @@
 """Convergence time and control bytes of a change of one route.
 
 ``python tools/bench_rollout.py [--daemons 12,24,48] [--changes N] [--out FILE]``:
-3 control instances and as many daemons as told, with a file of 66 services.
+3 control instances and as many daemons as asked for, with a file of 66 services.
 For each size, the present way (slices, deltas, relays) and the baseline (the
 source sends the whole file to every daemon), with changes taken in turn.
 Medians and maxima over the changes.
--- a/tools/model.py
+++ b/tools/model.py
@@ -73,9 +73,9 @@
     found = errors is not None and int(errors.group(1)) > 0
     good = found if is_mutant else errors is not None and not found and is_complete
     what = re.search(r"assertion violated (.*) \(at depth (\d+)\)", printed)
-    told = f"found at depth {what.group(2)}: {what.group(1)}" if what else "no error"
+    finding = f"found at depth {what.group(2)}: {what.group(1)}" if what else "no error"
     count = states.group(1) if states else "?"
-    return good, f"{'ok  ' if good else 'FAIL'} {name}: {told}, {count} states"
+    return good, f"{'ok  ' if good else 'FAIL'} {name}: {finding}, {count} states"
 
 
 def _run(line: list[str], folder: str) -> str:
