--- a/packages/lanedock-daemon/lanedock_daemon/agent/registration.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/registration.py
@@ -41,7 +41,7 @@
         self._events = events
 
     def beat(self, heartbeat: Heartbeat) -> None:
-        """Take in a heartbeat."""
+        """Accept a heartbeat."""
         registration = self._registration
         before, was_leaving = registration.upstream, registration.is_leaving
         is_changed = registration.beat(heartbeat, time.monotonic())
--- a/packages/lanedock-daemon/lanedock_daemon/agent/view.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/view.py
@@ -173,7 +173,7 @@
         return time.monotonic() - self._alive_at > self._stall_limit
 
     def take_endpoints(self, update: messages.EndpointUpdate) -> None:
-        """Take in a change of endpoints."""
+        """Accept a change of endpoints."""
         touched = set()
         former = self._endpoints
         if update.whole:
--- a/packages/lanedock-daemon/lanedock_daemon/control/endpoints.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/endpoints.py
@@ -47,7 +47,7 @@
     # ----------------------------------------------------------------- daemons
 
     def register(self, session, message: messages.DaemonMessage, now: float) -> None:
-        """Take in what a connected daemon reports of itself and of those behind it."""
+        """Accept what a connected daemon reports of itself and of those behind it."""
         states = list(message.fleet_report.changed)
         if message.HasField("state"):
             states.append(message.state)
@@ -72,7 +72,7 @@
     # ---------------------------------------------------------------- replicas
 
     def take(self, message: messages.PeerMessage, now: float) -> list[messages.PeerMessage]:
-        """Take in another control instance's message; returns what to send it."""
+        """Accept another control instance's message; returns what to send it."""
         sender = replica_name(message.sender)
         if message.HasField("endpoint_request"):
             reply = messages.PeerMessage(sender=message.receiver, receiver=message.sender)
--- a/packages/lanedock-daemon/lanedock_daemon/control/queries.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/queries.py
@@ -37,7 +37,7 @@
         self._waiting: list[tuple[object, float]] = []
 
     def ask(self, item) -> None:
-        """Take in a question."""
+        """Accept a question."""
         self._waiting.append((item, time.monotonic() + PATIENCE))
 
     def abandon_all(self) -> None:
--- a/packages/lanedock-daemon/lanedock_daemon/control/reads.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/reads.py
@@ -37,7 +37,7 @@
         return f"<ReadQueue waiting={len(self._waiting)} asked={len(self._asked)}>"
 
     def ask(self, call: Call, now: float) -> None:
-        """Take in a read."""
+        """Accept a read."""
         self._waiting.append((call, now + DEADLINE))
 
     def next_read(self, now: float) -> int | None:
--- a/packages/lanedock-daemon/lanedock_daemon/control/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/service.py
@@ -139,7 +139,7 @@
         return Address.parse(name) if name else None
 
     def _on_seeds(self, seeds: list[Address]) -> None:
-        """Take over other seeds: where a replica without a past asks to be taken in."""
+        """Take over other seeds: where a replica without a past asks to join."""
         names = [str(address) for address in seeds if str(address) != self._name]
         self._log.replica.contacts = tuple(names)
         self._events.emit(Event.SEEDS_CHANGED, seeds=",".join(names))
--- a/packages/lanedock-daemon/lanedock_daemon/path/caller.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller.py
@@ -79,7 +79,7 @@
         self._max_overloads = max_overloads
 
     def take(self, made: Try) -> None:
-        """Take in a try that is not final."""
+        """Note a try that is not final."""
         self._may_have_run = self._may_have_run or made.may_have_run
         # What was refused unseen must not hide that a try before may have run.
         if self.failure is None or made.may_have_run or not self._may_have_run:
--- a/packages/lanedock-daemon/lanedock_daemon/session_registry.py
+++ b/packages/lanedock-daemon/lanedock_daemon/session_registry.py
@@ -33,7 +33,7 @@
 
     @abstractmethod
     def _take(self, session: Session, message: messages.DaemonMessage) -> None:
-        """Take in what a daemon's message holds besides its state."""
+        """Accept what a daemon's message holds besides its state."""
 
     @abstractmethod
     def arrive(self, session: Session, message: messages.DaemonMessage, endpoints: messages.EndpointUpdate) -> None:
@@ -71,7 +71,7 @@
         return True
 
     def _admit(self, session: Session, message: messages.DaemonMessage, endpoints: messages.EndpointUpdate) -> None:
-        """Take in a daemon, and send it all endpoints."""
+        """Admit a daemon, and send it all endpoints."""
         session.heard_at = time.monotonic()
         session.child = self.distributor.connect(message.state)
         self._sessions[session] = None
--- a/packages/lanedock/lanedock/averages.py
+++ b/packages/lanedock/lanedock/averages.py
@@ -43,7 +43,7 @@
         return self.mean + TAIL_DEVIATIONS * self.deviation
 
     def note(self, taken: float) -> None:
-        """Take in another time."""
+        """Note another time."""
         deviation = abs(taken - self.mean)
         self.mean = max(self._least, self.mean + self._smoothing * (taken - self.mean))
         self.deviation += self._smoothing * (deviation - self.deviation)
--- a/packages/lanedock/lanedock/consensus/storage.py
+++ b/packages/lanedock/lanedock/consensus/storage.py
@@ -170,7 +170,7 @@
         replica : str
             Id, ``name@incarnation``.
         membership : Membership
-            The first voters, or empty for a replica that asks to be taken in.
+            The first voters, or empty for a replica that asks to join.
         """
         self._folder.mkdir(parents=True, exist_ok=True)
         self.replace(LogSnapshot(0, 0, membership, b""), HardState(), [])
--- a/packages/lanedock/lanedock/rollout/fleet.py
+++ b/packages/lanedock/lanedock/rollout/fleet.py
@@ -48,13 +48,13 @@
     # ------------------------------------------------------------------ inputs
 
     def take_list(self, instances: list[Instance], now: float) -> None:
-        """Take in the platform's list."""
+        """Accept the platform's list."""
         self._instances = {instance.name: instance for instance in instances}
         for name in self._instances:
             self._last_seen.setdefault(name, now)
 
     def take_report(self, replica: str, report: messages.FleetReport, now: float) -> bool:
-        """Take in a report.
+        """Accept a report.
 
         Returns
         -------
--- a/packages/lanedock/lanedock/rollout/holder.py
+++ b/packages/lanedock/lanedock/rollout/holder.py
@@ -91,7 +91,7 @@
         return self._floor is not None
 
     def confirm_floor(self, number: int) -> None:
-        """Take in the newest accepted version's number, confirmed by a quorum."""
+        """Accept the newest accepted version's number, confirmed by a quorum."""
         self._floor = max(number, self._floor or 0)
 
     def suspend(self) -> None:
--- a/packages/lanedock/lanedock/telemetry/events.py
+++ b/packages/lanedock/lanedock/telemetry/events.py
@@ -63,7 +63,7 @@
     JOINING = (
         207,
         logging.WARNING,
-        "An empty data folder: the replica asks to be taken in under a new incarnation.",
+        "An empty data folder: the replica asks to join under a new incarnation.",
         "None.",
     )
     COMPACTED = (208, logging.INFO, "The log was compacted into a snapshot.", "None.")
