Name the return to the own zone's control instance fail-back

Cause: `home` is a metaphor. Change: failback_target, is_failback_due, is_preferred, FAILBACK_WAIT_*; SOURCE_LOST has `reason=failback` where it had `home`, which no page, test or tool names. Behaviour unchanged. Result: the agent's tests pass.

--- a/packages/lanedock-daemon/lanedock_daemon/agent/scouting.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/scouting.py
@@ -66,21 +66,21 @@
     ----------
     stream : SourceStream
     address : Address
-    is_home : bool
+    is_failback : bool
         Whether it is asked because it is the own zone's, and not because the present
         source is too old.
     """
 
-    __slots__ = ("_started_at", "address", "is_home", "stream")
+    __slots__ = ("_started_at", "address", "is_failback", "stream")
 
-    def __init__(self, stream: SourceStream, address: Address, is_home: bool, now: float):
+    def __init__(self, stream: SourceStream, address: Address, is_failback: bool, now: float):
         self.stream = stream
         self.address = address
-        self.is_home = is_home
+        self.is_failback = is_failback
         self._started_at = now
 
     def __repr__(self) -> str:
-        return f"<Scout {self.address} is_home={self.is_home}>"
+        return f"<Scout {self.address} is_failback={self.is_failback}>"
 
     def is_over(self, now: float) -> bool:
         """Tell whether it has taken too long."""
--- a/packages/lanedock-daemon/lanedock_daemon/agent/search.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/search.py
@@ -16,8 +16,8 @@
 # 760 daemons at 7 control instances send each of them 870 a second.
 URGENT_BACKOFF_MAX = 0.25
 RELAY_MEMORY = 30.0
-HOME_WAIT_MIN = 4.0
-HOME_WAIT_MAX = 300.0
+FAILBACK_WAIT_MIN = 4.0
+FAILBACK_WAIT_MAX = 300.0
 
 
 class SourceSearch:
@@ -43,8 +43,8 @@
         self._rng = rng
         self._position = 0
         self._failures = 0
-        self._home_wait = HOME_WAIT_MIN
-        self._home_at: float | None = None
+        self._failback_wait = FAILBACK_WAIT_MIN
+        self._failback_at: float | None = None
         self._relay: tuple[str, Address] | None = None
         self._failed_relays: dict[str, float] = {}
 
@@ -75,7 +75,7 @@
             return self._relay[1]
         return self._control[self._position % len(self._control)]
 
-    def home(self) -> Address:
+    def failback_target(self) -> Address:
         """Return the address of the own zone's control instance."""
         return self._control[0]
 
@@ -106,22 +106,22 @@
     def note_success(self, now: float) -> None:
         """Note that the source serves."""
         self._failures = 0
-        if self.is_home():
-            self._home_wait = HOME_WAIT_MIN
-            self._home_at = None
-        elif self._home_at is None:
-            self._home_at = now + self._rng.uniform(0.5, 1.0) * self._home_wait
+        if self.is_preferred():
+            self._failback_wait = FAILBACK_WAIT_MIN
+            self._failback_at = None
+        elif self._failback_at is None:
+            self._failback_at = now + self._rng.uniform(0.5, 1.0) * self._failback_wait
 
-    def is_home(self) -> bool:
+    def is_preferred(self) -> bool:
         """Tell whether the source is the own zone's control instance, or a relay."""
         return self._relay is not None or self._position % len(self._control) == 0
 
-    def is_home_due(self, now: float) -> bool:
+    def is_failback_due(self, now: float) -> bool:
         """Tell, once in a while, that the own zone's control instance is worth a try."""
-        if self.is_home() or self._home_at is None or now < self._home_at:
+        if self.is_preferred() or self._failback_at is None or now < self._failback_at:
             return False
-        self._home_wait = min(2 * self._home_wait, HOME_WAIT_MAX)
-        self._home_at = now + self._rng.uniform(0.5, 1.0) * self._home_wait
+        self._failback_wait = min(2 * self._failback_wait, FAILBACK_WAIT_MAX)
+        self._failback_at = now + self._rng.uniform(0.5, 1.0) * self._failback_wait
         return True
 
     def move_to(self, address: Address, now: float) -> None:
--- a/packages/lanedock-daemon/lanedock_daemon/agent/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/service.py
@@ -188,17 +188,17 @@
             address = self._rounds.choose(self._search.scouted(self._stream.address), now)
             if address is not None:
                 self._send_scout(address, False, now)
-        elif self._search.is_home_due(now):
-            self._send_scout(self._search.home(), True, now)
+        elif self._search.is_failback_due(now):
+            self._send_scout(self._search.failback_target(), True, now)
 
     def _is_too_old(self, now: float) -> bool:
         """Tell whether the source proves no leader for too long; a relay has time to find another one itself."""
         patience = RELAY_PATIENCE if self._search.relay_name() else 0.0
         return self._freshness.is_over(now, patience)
 
-    def _send_scout(self, address: Address, is_home: bool, now: float) -> None:
+    def _send_scout(self, address: Address, is_failback: bool, now: float) -> None:
         stream = self._transport.open_source(self, address)
-        self._scout = Scout(stream, address, is_home, now)
+        self._scout = Scout(stream, address, is_failback, now)
         # Without a state: it is none of the daemons there.
         stream.open(messages.DaemonMessage(probe=True))
 
@@ -225,8 +225,8 @@
         newest, _ = self._view.newer_version(now)
         if heartbeat.accepted_version < max(newest, self._holder.in_force_version.number):
             return
-        if scout.is_home:
-            self._move(scout.address, "home", now)
+        if scout.is_failback:
+            self._move(scout.address, "failback", now)
         else:
             self._better = scout.address
 
--- a/packages/lanedock-daemon/lanedock_daemon/agent/tests/test_search.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/tests/test_search.py
@@ -67,15 +67,15 @@
 def test_a_daemon_away_from_home_goes_back_less_and_less_often(search):
     search.note_failure(0.0)
     search.note_success(0.0)
-    assert not search.is_home()
-    asked = [now for now in range(2000) if search.is_home_due(float(now))]
+    assert not search.is_preferred()
+    asked = [now for now in range(2000) if search.is_failback_due(float(now))]
     assert asked[0] <= 4
     gaps = [after - before for before, after in pairwise(asked)]
     assert gaps[-1] > 10 * gaps[0] - 1
-    search.move_to(search.home(), 2000.0)
+    search.move_to(search.failback_target(), 2000.0)
     search.note_success(2001.0)
-    assert search.is_home()
-    assert not search.is_home_due(1e9)
+    assert search.is_preferred()
+    assert not search.is_failback_due(1e9)
 
 
 def test_the_others_are_asked_before_the_present_source(search):
--- a/packages/lanedock-daemon/lanedock_daemon/agent/tests/test_source_loss.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/tests/test_source_loss.py
@@ -120,7 +120,7 @@
     return _time_to(mesh, 2)
 
 
-def _lose_home_for_long(mesh: VirtualMesh, lose) -> float:
+def _lose_preferred_for_long(mesh: VirtualMesh, lose) -> float:
     """Be away from the own zone's instance, which accepts connections and has no leader."""
     _settle(mesh)
     lose(mesh.source())
@@ -146,7 +146,7 @@
         (_lose_source_and_next, _end, 5),
         (_lose_source_and_next, _cut_off, 5),
         (_lose_all_leaders, _cut_off, 3),
-        (_lose_home_for_long, _cut_off, 3),
+        (_lose_preferred_for_long, _cut_off, 3),
         (_lag_behind_others, _lag, 3),
     ],
 )
--- a/tools/bench_rollout.py
+++ b/tools/bench_rollout.py
@@ -213,7 +213,7 @@
 
 
 def _compare(fleets: dict[str, Fleet], daemons: int, changes: int) -> list[dict]:
-    # Daemons that started before their control instance go home meanwhile.
+    # Daemons that started before their control instance fail back meanwhile.
     time.sleep(SETTLE)
     at_rest = {way: fleet.usage() for way, fleet in fleets.items()}
     bytes_at_rest = {way: fleet.sink.bytes_by_process() for way, fleet in fleets.items()}
