--- a/packages/lanedock-daemon/lanedock_daemon/agent/relay.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/relay.py
@@ -14,7 +14,7 @@
 
 
 class RelaySessions(SessionRegistry):
-    """The daemons behind a relay.
+    """The daemons downstream of a relay.
 
     Parameters
     ----------
--- a/packages/lanedock-daemon/lanedock_daemon/agent/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/service.py
@@ -35,7 +35,7 @@
 # with each source that failed, for where all are as slow.
 FIRST_ANSWER_LIMIT = 0.5
 # A relay that has lost its source finds another within this time, in seconds; those
-# behind it wait for that, or all of them would leave it at the moment at which it moves.
+# downstream wait for that, or all of them would leave it at the moment at which it moves.
 RELAY_PATIENCE = 0.5
 # Seconds between two looks at what only metrics show; endpoints are counted for it.
 MEASURE_INTERVAL = 0.5
--- a/packages/lanedock-daemon/lanedock_daemon/control/directories.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/directories.py
@@ -74,7 +74,7 @@
 
     @abstractmethod
     def note_state(self, session: Session, message: messages.DaemonMessage, now: float) -> None:
-        """Accept what a daemon reports of itself, of its upstream, and of daemons behind it."""
+        """Accept what a daemon reports of itself, of its upstream, and of daemons downstream."""
 
     def leave(self, session: Session, now: float) -> None:
         """Note that a daemon's stream has ended."""
@@ -141,7 +141,7 @@
         self._directory.take_list(instances, now)
 
     def note_state(self, session: Session, message: messages.DaemonMessage, now: float) -> None:
-        """Let everybody know at once when a daemon, or one behind it, drains."""
+        """Let everybody know at once when a daemon, or one downstream of it, drains."""
         states = list(message.fleet_report.changed)
         if message.HasField("state"):
             states.append(message.state)
--- a/packages/lanedock-daemon/lanedock_daemon/control/endpoints.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/endpoints.py
@@ -47,7 +47,7 @@
     # ----------------------------------------------------------------- daemons
 
     def register(self, session, message: messages.DaemonMessage, now: float) -> None:
-        """Accept what a connected daemon reports of itself and of those behind it."""
+        """Accept what a connected daemon reports of itself and of those downstream."""
         states = list(message.fleet_report.changed)
         if message.HasField("state"):
             states.append(message.state)
--- a/packages/lanedock-daemon/lanedock_daemon/session_registry.py
+++ b/packages/lanedock-daemon/lanedock_daemon/session_registry.py
@@ -14,7 +14,7 @@
 
 
 class SessionRegistry(ABC):
-    """Sessions with daemons below, and what is sent to them.
+    """Sessions with daemons downstream, and what is sent to them.
 
     Parameters
     ----------
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -171,7 +171,7 @@
         ),
         (
             "relay daemon",
-            f"{children:.0f} daemons behind it, whole versions",
+            f"{children:.0f} daemons downstream, whole versions",
             f"{children * SOURCE_BEATS:.0f} heartbeats/s, {leaf_bytes * children / 1000:.1f} KB/s out",
             f"{daemon_core * (1 + children / 10):.1f} % (assumed: a tenth of a daemon's own for each)",
             f"{leaf['daemon_rss_mb']:.0f} MB",
