--- a/packages/lanedock-cli/lanedock_cli/client.py
+++ b/packages/lanedock-cli/lanedock_cli/client.py
@@ -147,8 +147,8 @@
                 was_sent = True
                 await stream.send_message(request, end=True)
                 while True:
-                    # A control instance that stands still accepts connections
-                    # all the same; one that works says something in time.
+                    # A control instance that is paused accepts connections
+                    # all the same; one that works replies in time.
                     reply = await asyncio.wait_for(stream.recv_message(), CALL_TIMEOUT)
                     if reply is None:
                         return None, was_sent
--- a/packages/lanedock-daemon/lanedock_daemon/agent/attest.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/attest.py
@@ -11,8 +11,8 @@
 
 # Answered by every daemon itself, never passed on.
 ALIVE_PATH = "/.lanedock/alive"
-# A daemon that stands still for less than its stall limit serves on, so it must
-# not be attested as dead: witnesses wait this much longer for its answer.
+# A daemon that is paused for less than its stall limit serves on, so it must
+# not be confirmed as unreachable: witnesses wait this much longer for its answer.
 PATIENCE = 1.4
 
 
