Name queued requests as such in a test and a tool

Cause: both said `waiter` and `granted`. Change: queued, admitted; three tests are named so, too. No assertion changed.

--- a/packages/lanedock/lanedock/limits/tests/test_slots.py
+++ b/packages/lanedock/lanedock/limits/tests/test_slots.py
@@ -71,13 +71,13 @@
     assert _ask(limiter, "order", FAR, 0.1, None) is None
 
 
-def test_waiters_are_served_by_priority_and_then_by_deadline():
+def test_queued_requests_are_served_by_priority_and_then_by_deadline():
     limiter = _limiter(slots=1)
     served = []
     _ask(limiter, "browse", FAR, 0.0, None)
     for name, deadline in [("photo", 1.0), ("browse", 9.0), ("browse", 2.0), ("order", 9.0)]:
-        waiter = _ask(limiter, name, deadline, 0.0, lambda key=(name, deadline): served.append(key))
-        assert isinstance(waiter, QueuedRequest)
+        queued = _ask(limiter, name, deadline, 0.0, lambda key=(name, deadline): served.append(key))
+        assert isinstance(queued, QueuedRequest)
     for name in ("browse", "order", "browse", "browse"):
         limiter.release(name, 0.01, 0.0)
     assert served == [("order", 9.0), ("browse", 2.0), ("browse", 9.0), ("photo", 1.0)]
@@ -102,11 +102,11 @@
     assert refused.code is code
 
 
-def test_a_cancelled_waiter_gets_no_slot():
+def test_a_cancelled_queued_request_gets_no_slot():
     limiter = _limiter(slots=1)
     _ask(limiter, "order", FAR, 0.0, None)
-    waiter = _ask(limiter, "order", FAR, 0.0, lambda: pytest.fail("granted"))
-    assert limiter.cancel(waiter)
+    queued = _ask(limiter, "order", FAR, 0.0, lambda: pytest.fail("admitted"))
+    assert limiter.cancel(queued)
     limiter.release("order", 0.01, 0.0)
     assert (limiter.in_use, limiter.waiting) == (0, 0)
 
@@ -185,13 +185,13 @@
     _warm(limiter, "order")
     _ask(limiter, "order", FAR, 0.0, None)
     woken = []
-    waiters = [
+    queued = [
         _ask(limiter, "order", FAR, 0.0, lambda number=number: woken.append(number), 10.0 + number)
         for number in range(3)
     ]
     call = _ask(limiter, "order", FAR, 0.0, lambda: woken.append("call"), 1.0)
     assert isinstance(call, QueuedRequest)
-    assert [waiter.is_evicted for waiter in waiters] == [False, False, True]
+    assert [one.is_evicted for one in queued] == [False, False, True]
     assert woken == [2]
     limiter.release("order", 0.01, 0.1)
     assert woken == [2, "call"]
@@ -200,7 +200,7 @@
     assert isinstance(_ask(limiter, "order", FAR, 0.1, None, 50.0), Refused)
 
 
-def test_a_waiter_expires_when_a_slot_would_come_too_late_for_it():
+def test_a_queued_request_expires_when_a_slot_would_come_too_late_for_it():
     limiter = SlotLimiter(1, 10, {})
     for _ in range(50):
         _ask(limiter, "c", FAR, 0.0, None)
@@ -208,9 +208,9 @@
     _ask(limiter, "c", FAR, 0.0, None)
     # It would wait for 0.2 s, give or take, and then need 0.2 s itself.
     assert isinstance(_ask(limiter, "c", FAR, 0.0, lambda: None, 0.45, "read"), Refused)
-    waiter = _ask(limiter, "c", FAR, 0.0, lambda: None, 0.6, "read")
-    assert isinstance(waiter, QueuedRequest)
-    assert 0.0 < waiter.expires_at <= 0.4
+    queued = _ask(limiter, "c", FAR, 0.0, lambda: None, 0.6, "read")
+    assert isinstance(queued, QueuedRequest)
+    assert 0.0 < queued.expires_at <= 0.4
 
 
 def test_a_request_that_takes_nearly_all_its_time_waits_for_the_next_slots():
--- a/tools/bench_overload.py
+++ b/tools/bench_overload.py
@@ -199,24 +199,24 @@
     def _reach(self) -> None:
         mesh, kind = self.mesh, self.kind
         self.wanted = make_request(self)
-        result = self.upstream.limiter.acquire(kind.traffic_class, self.wanted, mesh.now, self._granted)
+        result = self.upstream.limiter.acquire(kind.traffic_class, self.wanted, mesh.now, self._admitted)
         if result is None:
-            self.waiter = None
+            self.queued = None
             self._work()
         elif isinstance(result, Refused):
             mesh.at(self.hop, self._refused, result.retry_after)
         else:
-            self.waiter = result
+            self.queued = result
             mesh.at(max(0.0, result.expires_at - mesh.now), self._expire, result)
 
-    def _granted(self) -> None:
-        if self.waiter.is_evicted:
+    def _admitted(self) -> None:
+        if self.queued.is_evicted:
             self.mesh.at(self.hop, self._refused, self._return_after())
         else:
             self.mesh.at(0.0, self._work)
 
-    def _expire(self, waiter) -> None:
-        if self.upstream.limiter.cancel(waiter):
+    def _expire(self, queued) -> None:
+        if self.upstream.limiter.cancel(queued):
             self.mesh.at(self.hop, self._refused, self._return_after())
 
     def _return_after(self) -> float:
