Say what the constants of the search, of sessions and submissions are for

Cause: eleven numeric constants of agent, control and exchange had no reason above them. Change: comments; no value.

--- a/packages/lanedock-daemon/lanedock_daemon/agent/registration.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/registration.py
@@ -18,6 +18,7 @@
 __all__ = ["Registrar", "RegistrationSide"]
 
 _PREFIX = "/upstreams/"
+# Bytes of a heartbeat that are read: bounds memory; its five fields are far shorter.
 MAX_BODY = 64 * 1024
 
 
--- a/packages/lanedock-daemon/lanedock_daemon/agent/search.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/search.py
@@ -15,7 +15,13 @@
 # knock is one packet that is dropped or refused as long as nobody is there, and
 # 760 daemons at 7 control instances send each of them 870 a second.
 URGENT_BACKOFF_MAX = 0.25
+# Seconds for which a relay that failed is named to control instances, which then refer to
+# another: a daemon is restarted in seconds, and being wrong costs the other relay one
+# session.
 RELAY_MEMORY = 30.0
+# Seconds between two looks whether the own zone's control instance has a leader again,
+# doubled with each: not before one that was restarted can have caught up, and at the
+# longest, 760 daemons away from their zones ask 2.5 times a second together (760 / 300).
 FAILBACK_WAIT_MIN = 4.0
 FAILBACK_WAIT_MAX = 300.0
 
--- a/packages/lanedock-daemon/lanedock_daemon/control/distribution.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/distribution.py
@@ -14,8 +14,13 @@
 
 __all__ = ["DaemonSessions"]
 
+# Daemons that are admitted at once before the limit of admissions in a second holds: a
+# zone's restarted daemons, while a herd of hundreds is spread.
 ADMISSION_BURST = 64
+# Seconds between two questions to daemons whether others can be reached: each has some of
+# them try to connect, and it is asked only while a listed daemon is connected nowhere.
 ATTEST_INTERVAL = 1.0
+# Daemons of a zone that are asked: one or two of them may be cut off or paused themselves.
 ATTESTERS = 3
 # Wait for a read's confirmation, in seconds, before it is asked again.
 READ_PATIENCE = 1.0
--- a/packages/lanedock-daemon/lanedock_daemon/control/queries.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/queries.py
@@ -14,6 +14,7 @@
 
 __all__ = ["QueryQueue"]
 
+# Versions in a reply where the operator names no number: what fits on a screen.
 DEFAULT_LIMIT = 20
 # Wait for a leader to be there, in seconds, before a question is answered by
 # what this replica knows itself.
--- a/packages/lanedock-daemon/lanedock_daemon/control/submissions.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/submissions.py
@@ -12,7 +12,10 @@
 
 __all__ = ["Submission", "SubmissionQueue", "make_submit_command"]
 
+# Seconds between two reports of progress to one operator: as often as a person sees.
 PROGRESS_INTERVAL = 0.1
+# Seconds that an operator waits where the request names no time: several times the 3 s
+# within which a version has to be in force everywhere.
 DEFAULT_TIMEOUT = 10.0
 
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/exchange.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/exchange.py
@@ -13,6 +13,7 @@
 
 __all__ = ["AnswerPieces", "PendingAnswer", "UpstreamAnswer", "exchange", "send_request"]
 
+# Bytes of a body that are read and sent in one piece.
 CHUNK = 64 * 1024
 # Longest silence within an answer's body, in seconds.
 BODY_TIMEOUT = 30.0
