Make the record of a finding in one place

Cause: the holder and the control instance's handlers filled in its fields alike. Change: rollout.record_finding serves both. Result: the tests of rollout, documents and operators pass.

--- a/packages/lanedock/lanedock/rollout/__init__.py
+++ b/packages/lanedock/lanedock/rollout/__init__.py
@@ -4,7 +4,7 @@
 from lanedock.rollout.coordinator import RolloutCoordinator, RolloutPolicy, RolloutProgress
 from lanedock.rollout.distributor import Child, Distributor, VersionSource
 from lanedock.rollout.fleet import FleetView
-from lanedock.rollout.holder import Held, VersionHolder
+from lanedock.rollout.holder import Held, VersionHolder, record_finding
 from lanedock.rollout.state import MeshState, SubmitResult, Verdict
 
 __all__ = [
@@ -20,4 +20,5 @@
     "Verdict",
     "VersionHolder",
     "VersionSource",
+    "record_finding",
 ]
--- a/packages/lanedock/lanedock/rollout/holder.py
+++ b/packages/lanedock/lanedock/rollout/holder.py
@@ -7,10 +7,10 @@
 
 from lanedock.config import ConfigTree, MeshConfig, Version, decode_config
 from lanedock.errors import LanedockError
-from lanedock.findings import FindingsError
+from lanedock.findings import Finding, FindingsError
 from lanedock.wire import messages
 
-__all__ = ["Held", "VersionHolder"]
+__all__ = ["Held", "VersionHolder", "record_finding"]
 
 
 class Held:
@@ -177,12 +177,13 @@
         try:
             return Held(tree, decode_config(tree))
         except FindingsError as exc:
-            self.findings = [_record(finding) for finding in exc.findings]
+            self.findings = [record_finding(finding) for finding in exc.findings]
         self.refused = Version(push.version, push.digest)
         return None
 
 
-def _record(finding) -> messages.FindingRecord:
+def record_finding(finding: Finding) -> messages.FindingRecord:
+    """Make the message that carries a finding with its place."""
     place = finding.place
     return messages.FindingRecord(
         code=finding.code.code,
