--- a/packages/lanedock-cli/lanedock_cli/client.py
+++ b/packages/lanedock-cli/lanedock_cli/client.py
@@ -138,7 +138,7 @@
         return reply
 
     async def _submit_one(self, address: Address, request, on_progress) -> tuple[messages.SubmitReply | None, bool]:
-        """Submit to one instance; tells also whether the request may have arrived."""
+        """Submit to one instance; returns also whether the request may have arrived."""
         channel = Channel(address.host, address.port, ssl=self._context)
         was_sent = False
         try:
@@ -147,8 +147,8 @@
                 was_sent = True
                 await stream.send_message(request, end=True)
                 while True:
-                    # A control instance that stands still accepts connections
-                    # all the same; one that works says something in time.
+                    # A control instance that is paused accepts connections
+                    # all the same; one that works replies in time.
                     reply = await asyncio.wait_for(stream.recv_message(), CALL_TIMEOUT)
                     if reply is None:
                         return None, was_sent
--- a/packages/lanedock-daemon/lanedock_daemon/agent/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/service.py
@@ -9,10 +9,12 @@
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics
 from lanedock.wire import messages
 from lanedock_daemon.agent.attest import AttestationsMade, Attester
+from lanedock_daemon.agent.registration import Registrar
 from lanedock_daemon.agent.relay import RelaySessions
 from lanedock_daemon.agent.report import StateReport
 from lanedock_daemon.agent.scouting import Scout, ScoutRounds, SourceFreshness
 from lanedock_daemon.agent.search import SourceSearch
+from lanedock_daemon.agent.versions import VersionLag, VersionReceiver
 from lanedock_daemon.agent.view import LocalView
 from lanedock_daemon.sessions import (
     REPORT_INTERVAL,
@@ -33,11 +35,8 @@
 # with each source that failed, for where all are as slow.
 FIRST_ANSWER_LIMIT = 0.5
 # A relay that has lost its source finds another within this time, in seconds; those
-# behind it wait for that, or all of them would leave it at the moment at which it moves.
+# downstream wait for that, or all of them would leave it at the moment at which it moves.
 RELAY_PATIENCE = 0.5
-# A version that others use and that has not come for this long, in seconds, is logged;
-# versions come within 0.2 s to 99 in 100 daemons under load.
-BEHIND_LIMIT = 0.5
 # Seconds between two looks at what only metrics show; endpoints are counted for it.
 MEASURE_INTERVAL = 0.5
 
@@ -87,12 +86,12 @@
         self._opened_at = 0.0
         self._report_at = 0.0
         self._measure_at = 0.0
-        self._source_version = 0
-        self._reported_behind = 0
+        self._versions = VersionReceiver(view, events, metrics)
+        self._lag = VersionLag(view, events, metrics)
         self._floor_token = 0
         self._is_floor_asked = False
         self._attestations: list[messages.Attestation] = []
-        self._on_rival = lambda: None
+        self._registrar: Registrar | None = None
         self._report = StateReport(settings, view)
         self._handlers = {
             SourceSent: self._on_source_sent,
@@ -102,13 +101,13 @@
             SeedsChanged: lambda item: self._search.set_seeds(item.control),
             AttestationsMade: lambda item: self._attestations.extend(item.attestations),
             ChildArrived: self._on_child_arrived,
-            ChildReported: lambda item: self._relay.tell(item.session, item.message),
+            ChildReported: lambda item: self._relay.receive(item.session, item.message),
             ChildLeft: lambda item: self._relay.leave(item.session),
         }
 
-    def set_on_rival(self, on_rival) -> None:
-        """Set what is called without arguments when the mesh names another incarnation of the application."""
-        self._on_rival = on_rival
+    def set_registrar(self, registrar: Registrar) -> None:
+        """Set what learns what the mesh knows of the application beside this daemon."""
+        self._registrar = registrar
 
     # ------------------------------------------------------------------- start
 
@@ -142,7 +141,8 @@
         if not self._view.note_alive():
             self._events.emit(Event.SUSPENDED, version=self._holder.in_force_version.number)
             self._is_floor_asked = False
-        self._note_behind(now)
+        heard_at = self._stream.heard_at if self._stream is not None else None
+        self._lag.note(now, heard_at, self._freshness.age(now))
         if now >= self._measure_at:
             self._measure_at = now + MEASURE_INTERVAL
             self._measure(now)
@@ -163,27 +163,6 @@
         for zone, count in self._view.count_endpoints().items():
             self._metrics.gauge(Metric.ENDPOINTS, count, (zone,))
 
-    def _note_behind(self, now: float) -> None:
-        """Say once of each version that others use and that does not come."""
-        newer, seconds = self._view.newer_version(now)
-        self._metrics.gauge(Metric.BEHIND, seconds)
-        if seconds <= BEHIND_LIMIT or newer <= self._reported_behind:
-            return
-        self._reported_behind = newer
-        self._events.emit(
-            Event.VERSION_BEHIND,
-            newer=newer,
-            in_force=self._holder.in_force_version.number,
-            source_version=self._source_version,
-            source_age_ms=round(1000 * (now - self._stream.heard_at)) if self._stream is not None else None,
-            staleness_ms=round(1000 * self._freshness.age(now)),
-        )
-
-    def _is_behind(self, now: float) -> bool:
-        """Tell whether the source itself lacks a version that others use: a fresh one may, whose log lags."""
-        newer, seconds = self._view.newer_version(now)
-        return seconds > BEHIND_LIMIT and self._source_version < newer
-
     def _is_silent(self, now: float) -> bool:
         """Tell whether the source has said nothing for so long that it counts as lost."""
         if now - self._stream.heard_at > SILENCE_LIMIT:
@@ -195,7 +174,7 @@
 
     def _look_around(self, now: float) -> None:
         """Ask other instances how fresh they are, where that may lead to a better source."""
-        is_old = self._stream.is_serving and (self._is_too_old(now) or self._is_behind(now))
+        is_old = self._stream.is_serving and (self._is_too_old(now) or self._lag.is_at_source(now))
         better, self._better = self._better, None
         if not is_old:
             self._rounds.reset()
@@ -209,17 +188,17 @@
             address = self._rounds.choose(self._search.scouted(self._stream.address), now)
             if address is not None:
                 self._send_scout(address, False, now)
-        elif self._search.is_home_due(now):
-            self._send_scout(self._search.home(), True, now)
+        elif self._search.is_failback_due(now):
+            self._send_scout(self._search.failback_target(), True, now)
 
     def _is_too_old(self, now: float) -> bool:
         """Tell whether the source proves no leader for too long; a relay has time to find another one itself."""
         patience = RELAY_PATIENCE if self._search.relay_name() else 0.0
         return self._freshness.is_over(now, patience)
 
-    def _send_scout(self, address: Address, is_home: bool, now: float) -> None:
+    def _send_scout(self, address: Address, is_failback: bool, now: float) -> None:
         stream = self._transport.open_source(self, address)
-        self._scout = Scout(stream, address, is_home, now)
+        self._scout = Scout(stream, address, is_failback, now)
         # Without a state: it is none of the daemons there.
         stream.open(messages.DaemonMessage(probe=True))
 
@@ -246,8 +225,8 @@
         newest, _ = self._view.newer_version(now)
         if heartbeat.accepted_version < max(newest, self._holder.in_force_version.number):
             return
-        if scout.is_home:
-            self._move(scout.address, "home", now)
+        if scout.is_failback:
+            self._move(scout.address, "failback", now)
         else:
             self._better = scout.address
 
@@ -261,7 +240,7 @@
     def _connect(self, now: float) -> None:
         self._stream = self._transport.open_source(self, self._search.address())
         self._stream.heard_at = self._opened_at = now
-        self._source_version = 0
+        self._lag.source_version = 0
         self._is_floor_asked = False
         first = self._make_message(with_state=True)
         first.failed_relays.extend(self._search.failed_relays(now))
@@ -316,23 +295,17 @@
             return
         item.stream.heard_at = now
         message = item.message
+        if self._versions.receive(message):
+            return
         body = message.WhichOneof("body")
-        if body == "in_force":
-            self._swap(lambda: self._holder.put_in_force(message.in_force))
-        elif body == "activate":
-            self._swap(lambda: self._holder.activate(message.activate.version, message.activate.digest))
-        elif body == "stage":
-            self._stage(message.stage)
-        elif body == "discard":
-            self._holder.discard(message.discard.version, message.discard.digest)
-        elif body == "endpoints":
+        if body == "endpoints":
             self._on_endpoints(message.endpoints)
         elif body == "floor":
             self._on_floor(message.floor)
         elif body == "heartbeat":
             self._on_heartbeat(item.stream, now)
             self._freshness.note(message.heartbeat.staleness_ms / 1000, now)
-            self._source_version = message.heartbeat.accepted_version
+            self._lag.source_version = message.heartbeat.accepted_version
         elif body == "members":
             self._search.set_members([(item.address, item.zone) for item in message.members.members])
         elif body == "attest":
@@ -359,45 +332,16 @@
         if wait == 0:
             self._connect(now)
 
-    def _swap(self, change) -> None:
-        before = self._holder.in_force
-        dropped = self._holder.dropped
-        change()
-        self._metrics.count(Metric.DROPPED, self._holder.dropped - dropped)
-        if self._holder.in_force is not before:
-            self._view.publish()
-            number = self._holder.in_force_version.number
-            self._metrics.gauge(Metric.VERSION, number)
-            self._events.emit(Event.IN_FORCE, version=number)
-
-    def _stage(self, push: messages.ConfigPush) -> None:
-        refused = self._holder.refused
-        self._holder.stage(push)
-        if self._holder.refused != refused:
-            first = self._holder.findings[0]
-            self._events.emit(Event.REFUSED, version=push.version, code=first.code, finding=first.message)
-
     def _on_endpoints(self, update: messages.EndpointUpdate) -> None:
         self._view.take_endpoints(update)
         for endpoint in update.changed:
             if endpoint.instance == self._settings.name:
-                self._on_own_endpoint(endpoint)
+                self._report.outlive(endpoint.incarnation)
+                if self._registrar is not None:
+                    self._registrar.adopt(endpoint)
         if self._relay is not None:
             self._relay.broadcast_endpoints(update)
 
-    def _on_own_endpoint(self, endpoint: messages.Endpoint) -> None:
-        """Learn from the mesh what this daemon knew before it was restarted."""
-        self._report.outlive(endpoint.incarnation)
-        registration = self._view.upstream
-        if registration is None:
-            return
-        rival = registration.rival
-        if registration.adopt(endpoint.upstream, endpoint.service, endpoint.ended, endpoint.slots, time.monotonic()):
-            self._events.emit(Event.UPSTREAM_ADOPTED, upstream=endpoint.upstream, leaving=endpoint.ended)
-        if registration.rival is not rival:
-            self._events.emit(Event.RIVAL_HEARD, upstream=registration.upstream, rival=endpoint.upstream, sequence="-")
-            self._on_rival()
-
     def _on_floor(self, floor: messages.Floor) -> None:
         if floor.token != self._floor_token:
             return
@@ -415,18 +359,14 @@
         self._events.emit(Event.DRAINING, instance=self._settings.name)
 
     def _on_child_arrived(self, item: ChildArrived) -> None:
-        freshness = self._relayed_freshness(time.monotonic())
-        if item.message.probe:
-            self._relay.answer_probe(item.session, *freshness)
-            return
         self._refresh_source()
-        self._relay.arrive(item.session, item.message, self._view.all_endpoints())
-        self._relay.send_heartbeat(item.session, *freshness)
+        freshness = self._relayed_freshness(time.monotonic())
+        self._relay.greet(item.session, item.message, self._view.whole_update, *freshness)
 
     # ----------------------------------------------------------------- advance
 
     def _advance(self) -> None:
-        """Tell the source what has changed, and the daemons below what they lack."""
+        """Report to the source what has changed, and send daemons downstream what they lack."""
         now = time.monotonic()
         if self._relay is not None:
             self._refresh_source()
@@ -446,7 +386,7 @@
         self._stream.send(message)
 
     def _relayed_freshness(self, now: float) -> tuple[int, float]:
-        """Return what daemons behind this one are told of its freshness; see `SessionRegistry.send_heartbeats`."""
+        """Return the freshness that is reported to daemons downstream; see `SessionRegistry.send_heartbeats`."""
         return self._holder.in_force_version.number, self._freshness.age(now)
 
     def _refresh_source(self) -> None:
--- a/packages/lanedock-daemon/lanedock_daemon/control/queries.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/queries.py
@@ -14,6 +14,7 @@
 
 __all__ = ["QueryQueue"]
 
+# Versions in a reply where the operator names no number: what fits on a screen.
 DEFAULT_LIMIT = 20
 # Wait for a leader to be there, in seconds, before a question is answered by
 # what this replica knows itself.
@@ -37,7 +38,7 @@
         self._waiting: list[tuple[object, float]] = []
 
     def ask(self, item) -> None:
-        """Take in a question."""
+        """Accept a question."""
         self._waiting.append((item, time.monotonic() + PATIENCE))
 
     def abandon_all(self) -> None:
--- a/packages/lanedock-daemon/lanedock_daemon/control/submissions.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/submissions.py
@@ -8,14 +8,34 @@
 from lanedock.rollout import RolloutProgress, SubmitResult, Verdict
 from lanedock.telemetry import Metric, Metrics
 from lanedock.wire import messages
-from lanedock_daemon.control.requests import Call
+from lanedock_daemon.control.requests import Call, SubmitRequested
 
-__all__ = ["Submission", "SubmissionQueue"]
+__all__ = ["Submission", "SubmissionQueue", "make_submit_command"]
 
+# Seconds between two reports of progress to one operator: as often as a person sees.
 PROGRESS_INTERVAL = 0.1
+# Seconds that an operator waits where the request names no time: several times the 3 s
+# within which a version has to be in force everywhere.
 DEFAULT_TIMEOUT = 10.0
 
 
+def make_submit_command(item: SubmitRequested, is_direct: bool) -> messages.Command:
+    """Make the command that has a submitted version judged, and staged or accepted at once."""
+    version, request = item.tree.version, item.request
+    command = messages.Command()
+    submit = command.submit
+    submit.version = version.number
+    submit.digest = version.digest
+    submit.content = item.tree.pack()
+    submit.allow_cut_off.extend(request.allow_cut_off)
+    submit.operator = request.operator
+    submit.submitted_at = time.time()
+    submit.has_base = request.has_base
+    submit.base_version = request.base_version
+    submit.direct = is_direct
+    return command
+
+
 class Submission:
     """One operator's wait for one version.
 
@@ -107,7 +127,7 @@
             submission.call.finish(submission.reply(messages.ANSWER_NOT_RUN, result.code))
 
     def abandon_all(self) -> None:
-        """Tell everybody that the outcome is not known here any more."""
+        """Answer everybody that the outcome is not known here any more."""
         for submission in [*self._proposed.values(), *self._waiting]:
             submission.call.finish(submission.reply(messages.ANSWER_NOT_KNOWN, ErrorCode.OUTCOME_NOT_KNOWN))
         self._proposed = {}
@@ -118,7 +138,7 @@
         return not self._proposed and not self._waiting
 
     def advance(self, records: dict, look_up) -> None:
-        """Tell those who wait how far their version has come.
+        """Report to those who wait how far their version has come.
 
         Parameters
         ----------
@@ -160,7 +180,7 @@
         is_settled = is_accepted and submission.settle is not None and now - submission.accepted_at >= submission.settle
         if is_settled or now >= submission.deadline:
             return self._make_late(submission, progress, is_accepted, now)
-        self._tell_progress(submission, progress, is_accepted, now)
+        self._report_progress(submission, progress, is_accepted, now)
         return None
 
     def _make_final(self, submission, progress, cut_off: list[str], now: float) -> messages.SubmitReply:
@@ -181,7 +201,7 @@
             reply = submission.reply(messages.ANSWER_NOT_KNOWN, ErrorCode.OUTCOME_NOT_KNOWN)
         return _fill(reply, submission, progress, now)
 
-    def _tell_progress(self, submission, progress, is_accepted: bool, now: float) -> None:
+    def _report_progress(self, submission, progress, is_accepted: bool, now: float) -> None:
         if now - submission.reported_at < PROGRESS_INTERVAL:
             return
         submission.reported_at = now
--- a/packages/lanedock-daemon/lanedock_daemon/path/caller.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller.py
@@ -27,11 +27,13 @@
     Outcome,
     ReplayBody,
     Request,
+    describe_end,
     public_headers,
 )
+from lanedock_daemon.path.job import Job, Try
 from lanedock_daemon.path.pool import ConnectionPool
 from lanedock_daemon.path.service import StopTimeout
-from lanedock_daemon.path.tries import Job, Tries, Try
+from lanedock_daemon.path.tries import Tries
 
 __all__ = ["CallerSide"]
 
@@ -77,7 +79,7 @@
         self._max_overloads = max_overloads
 
     def take(self, made: Try) -> None:
-        """Take in a try that is not final."""
+        """Note a try that is not final."""
         self._may_have_run = self._may_have_run or made.may_have_run
         # What was refused unseen must not hide that a try before may have run.
         if self.failure is None or made.may_have_run or not self._may_have_run:
@@ -150,7 +152,7 @@
         self._metrics.time(Metric.LATENCY, taken)
         span.end(**{"http.status_code": answer.status, "http.target": request.path})
         outcome = _outcome(answer)
-        self._requests.totals.note("caller", log.route, _describe(answer, outcome, taken, log), taken)
+        self._requests.totals.note("caller", log.route, _describe(answer, taken, log), taken)
         log.note(Event.REQUEST_ANSWERED, outcome=outcome, status=answer.status, code=_header(answer, CODE_HEADER))
         self._metrics.count(Metric.OUTCOMES, 1, (log.route, outcome))
         self._requests.end(log, answer.status >= 400)
@@ -241,7 +243,7 @@
             now = time.monotonic()
             if now >= job.deadline:
                 return progress.failure or self._refuse(ErrorCode.DEADLINE)
-            needed = min(job.balancer.late_after(route.name), job.deadline - now)
+            needed = min(job.balancer.hedge_delay(route.name), job.deadline - now)
             if not self._plan.allows(needed, now):
                 job.log.note(Event.REQUEST_TRY_ENDED, service=job.service.name, reason="the process stops")
                 return progress.failure or self._refuse_late(now)
@@ -252,7 +254,7 @@
                 job.log.note(Event.REQUEST_TRY_ENDED, service=job.service.name, reason="no upstream left", known=known)
                 return progress.failure or self._refuse(ErrorCode.NO_UPSTREAM, RETRY_AFTER)
             if may_retry and route.repeatable and body.length == 0 and progress.arrivals + 1 < route.max_attempts:
-                made = self._tries.send_with_reserve(job, stats, attempt)
+                made = self._tries.send_hedged(job, stats, attempt)
             else:
                 made = self._tries.send(job, stats, attempt if may_retry else RETRIED)
             if made.is_final:
@@ -297,14 +299,9 @@
     return _header(answer, OUTCOME_HEADER) or "answered"
 
 
-def _describe(answer: Answer, outcome: str, taken: float, log: RequestLog) -> str:
+def _describe(answer: Answer, taken: float, log: RequestLog) -> str:
     """Return how a request ended for its caller, as totals count it."""
-    if outcome != "answered":
-        ended = f"{outcome}_{_header(answer, CODE_HEADER)}"
-    elif answer.status >= 500:
-        ended = "failed"
-    else:
-        ended = "timely" if log.age + taken <= log.target else "late"
+    ended = describe_end(answer, "timely" if log.age + taken <= log.target else "late")
     return f"retried_{ended}" if log.age else ended
 
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
@@ -18,11 +18,9 @@
     ATTEMPT_HEADER,
     CALLER_HEADER,
     CLASS_HEADER,
-    CODE_HEADER,
     DEADLINE_HEADER,
     LEAVING_HEADER,
     LOAD_HEADER,
-    OUTCOME_HEADER,
     PARENT_HEADER,
     RETRY_AFTER,
     ROUTE_HEADER,
@@ -35,6 +33,7 @@
     Answer,
     Outcome,
     Request,
+    describe_end,
     make_refusal,
     public_headers,
     read_int,
@@ -47,7 +46,7 @@
 
 # Classes by which an application's slots are shared before a version is held.
 NO_CLASSES: dict = {}
-# Requests that may wait for each slot where the application says how many it has,
+# Requests that may wait for each slot where the application reports how many it has,
 # or no version does.
 QUEUE_PER_SLOT = 2
 _SET_HERE = (ATTEMPT_HEADER, DEADLINE_HEADER, TRACE_HEADER)
@@ -123,7 +122,7 @@
         self._requests.end(log, answer.status >= 400)
         taken = time.monotonic() - started
         self._metrics.time(Metric.LATENCY, taken)
-        self._requests.totals.note("upstream", log.route, _describe(answer), taken, log.waited)
+        self._requests.totals.note("upstream", log.route, describe_end(answer, "done"), taken, log.waited)
         span.end(**{"http.status_code": answer.status, "http.target": request.path})
         self._metrics.gauge(Metric.IN_PROGRESS, self._limiter.in_use)
         self._metrics.gauge(Metric.QUEUED, self._limiter.waiting)
@@ -144,7 +143,7 @@
         if version is not None:
             self._view.note_version(version)
         if self._registration.upstream:
-            # The application itself has said what it runs.
+            # The application itself has reported what it runs.
             is_held = request.header(SERVICE_HEADER) == self._registration.service
         elif binding is None:
             return self._refuse(ErrorCode.NOT_READY, RETRY_AFTER, log, **self._view.age())
@@ -164,7 +163,7 @@
         refused = self._reserve(request, traffic_class, wanted)
         log.waited = time.monotonic() - started
         if refused is not None:
-            why = {"waited_ms": round(1000 * (time.monotonic() - started), 1), **self._load()}
+            why = {"waited_ms": round(1000 * log.waited, 1), **self._load()}
             why.update(late=request.header(TARGET_HEADER) == "0", limit=refused.limit, **self._bodies.load())
             return self._refuse(refused.code, refused.retry_after, log, **why)
         # It may have begun to leave while the request waited, or while its body was on its
@@ -222,9 +221,9 @@
         # Each request in progress takes one of the application's connections.
         if service is not None:
             slots = min(slots, service.connections)
-        # An application that says how many slots it has says how long its queue may be.
-        is_told = service is None or self._registration.slots
-        queue = slots * QUEUE_PER_SLOT if is_told else service.queue
+        # An application that reports its slots sets the length of its queue by that.
+        is_reported = service is None or self._registration.slots
+        queue = slots * QUEUE_PER_SLOT if is_reported else service.queue
         self._limiter.configure(slots, queue, classes)
         self._bodies.configure(queue, classes)
 
@@ -288,9 +287,9 @@
         headers = self._make_headers(request, deadline - started, span)
         try:
             pending = send_request(self._pool, self._application, request, headers, deadline - started)
-            late_after = min(self._limiter.late_after(log.route), deadline - started)
-            if not pending.wait(late_after) and self._pool.note_late(self._application, started):
-                self._events.emit(Event.CONNECTIONS_SILENT, upstream=self._registration.upstream)
+            tail = min(self._limiter.tail(log.route), deadline - started)
+            if not pending.wait(tail):
+                pending.note_late(started, self._events, self._registration.upstream)
             response = pending.read()
         except ExchangeError as exc:
             release()
@@ -304,19 +303,19 @@
             release()
             raise
         head = response.message
-        said = self._dialect.read_answer(head.status, head.headers, log.request_id)
-        if said.is_foreign:
+        facts = self._dialect.read_answer(head.status, head.headers, log.request_id)
+        if facts.is_foreign:
             response.close()
             release()
             foreign = ExchangeError(ErrorCode.ANSWER_LOST, Outcome.UNKNOWN, "an answer to another request")
             return self._on_lost(foreign, log)
         now = time.monotonic()
         self._registration.note_answer(now)
-        if said.is_draining and not self._view.is_draining:
+        if facts.is_draining and not self._view.is_draining:
             self._view.is_draining = True
             self._events.emit(Event.DRAINING, service=self._service)
-        if said.was_refused:
-            return self._on_refused(response, release, said.is_elsewhere, log)
+        if facts.was_refused:
+            return self._on_refused(response, release, facts.is_elsewhere, log)
         headers = public_headers(head.headers, self._dialect.answer_names)
         if head.is_complete:
             release()
@@ -335,7 +334,7 @@
         try:
             response.read_all()
         except (OSError, MalformedMessage):
-            pass  # the head said enough
+            pass  # the head was enough
         finally:
             response.close()
             release()
@@ -365,14 +364,6 @@
     return None if left_ms is None else started + left_ms / 1000
 
 
-def _describe(answer: Answer) -> str:
-    """Return what became of a request, as totals count it."""
-    named = {name: value for name, value in answer.headers if name in (OUTCOME_HEADER, CODE_HEADER)}
-    if named:
-        return "_".join(named.values())
-    return "failed" if answer.status >= 500 else "done"
-
-
 class _Release:
     """Gives a slot back, once."""
 
--- a/packages/lanedock-daemon/lanedock_daemon/roles.py
+++ b/packages/lanedock-daemon/lanedock_daemon/roles.py
@@ -12,6 +12,7 @@
 from lanedock.telemetry import EventLogger, Metrics, RequestLogger, Tracer
 from lanedock_daemon.agent import AgentService, LocalView
 from lanedock_daemon.agent.discovery import ApplicationDiscovery
+from lanedock_daemon.agent.registration import Registrar
 from lanedock_daemon.agent.service import DrainRequested, RegistrationChanged
 from lanedock_daemon.interface import Interface, OwnInterface
 from lanedock_daemon.path.caller import CallerSide
@@ -32,8 +33,8 @@
 # each request in progress takes two more.
 KEPT_PART = 4
 # Servers that accept until what they serve has ended: the application goes on with what
-# it works on, makes calls for it and says how it is, and whoever asks is told that
-# callers are not taken. All others close when callers have gone elsewhere.
+# it works on, makes calls for it and reports how it is, and whoever asks learns that
+# callers are not accepted. All others close when callers have gone elsewhere.
 CLOSE_LAST = ("ready", "egress", "registration")
 # Between two lines of totals of requests, in seconds: what an operator looks at
 # beside a fault. A daemon with six routes writes some ten lines each time.
@@ -166,12 +167,12 @@
         if cfg.registration is not None:
             changed = RegistrationChanged()
             discovery = ApplicationDiscovery(view, application, dialect, lambda: agent.post(changed), events)
-            agent.set_on_rival(discovery.resolve_rival)
-            heartbeats = interface.make_registration_side(
-                registration, lambda: agent.post(changed), discovery.resolve_rival, events
-            )
-            add_server("registration", cfg.registration, heartbeats)
+            registrar = Registrar(registration, lambda: agent.post(changed), discovery.resolve_rival, events)
+            add_server("registration", cfg.registration, interface.make_registration_side(registrar))
             kernel.add(discovery)
+        else:
+            registrar = Registrar(registration, lambda: None, lambda: None, events)
+        agent.set_registrar(registrar)
         if cfg.egress is not None:
             add_server("egress", cfg.egress, caller)
         add_server("upstream", cfg.listen, side)
--- a/tools/bench_rollout.py
+++ b/tools/bench_rollout.py
@@ -2,7 +2,7 @@
 """Convergence time and control bytes of a change of one route.
 
 ``python tools/bench_rollout.py [--daemons 12,24,48] [--changes N] [--out FILE]``:
-3 control instances and as many daemons as told, with a file of 66 services.
+3 control instances and as many daemons as asked for, with a file of 66 services.
 For each size, the present way (slices, deltas, relays) and the baseline (the
 source sends the whole file to every daemon), with changes taken in turn.
 Medians and maxima over the changes.
@@ -213,7 +213,7 @@
 
 
 def _compare(fleets: dict[str, Fleet], daemons: int, changes: int) -> list[dict]:
-    # Daemons that started before their control instance go home meanwhile.
+    # Daemons that started before their control instance fail back meanwhile.
     time.sleep(SETTLE)
     at_rest = {way: fleet.usage() for way, fleet in fleets.items()}
     bytes_at_rest = {way: fleet.sink.bytes_by_process() for way, fleet in fleets.items()}
