Test that a narrow link between control instances is not taken for silent

Cause: a replica confirms what comes over a framed link once a message has come whole. While a message takes longer than the limit of 1.5 s, on a link of 2 Mbit/s one of 400 kB, nothing is confirmed: the link counts as silent and is ended in the message's middle, whose rest is lost where kernels don't hold it. Found by reading. Change: a proxy passes on at a rate; both transports have a message of four limits' length sent over a narrow link.

--- a/packages/lanedock-daemon/lanedock_daemon/tests/links.py
+++ b/packages/lanedock-daemon/lanedock_daemon/tests/links.py
@@ -11,7 +11,19 @@
 from lanedock_daemon.tests.proxies import SilencingProxy
 from lanedock_daemon.transport import PeerLinks
 
-__all__ = ["Owner", "check_a_full_link_is_opened_anew", "check_a_silent_link_is_opened_anew", "free_port"]
+__all__ = [
+    "NARROW_RATE",
+    "NARROW_SILENCE_LIMIT",
+    "Owner",
+    "check_a_full_link_is_opened_anew",
+    "check_a_narrow_link_brings_a_long_message",
+    "check_a_silent_link_is_opened_anew",
+    "free_port",
+]
+
+# Bytes a second of a narrow link, and the silence after which it is opened anew, in seconds.
+NARROW_RATE = 500_000
+NARROW_SILENCE_LIMIT = 1.0
 
 
 class Owner(TaskService):
@@ -92,3 +104,28 @@
         while send(1) <= before:
             pass
     assert proxy.accepted > 1
+
+
+def check_a_narrow_link_brings_a_long_message(links: PeerLinks, name: str, peer: Owner, proxy: SilencingProxy) -> None:
+    """Check that a link isn't taken for silent while a message takes several limits to come; see above.
+
+    Its messages would be lost with it, and the long one with all that kernels don't hold of it: a
+    replica without a past would wait for its snapshot without end.
+    """
+    short = messages.PeerMessage(sender="me", receiver=name)
+    long = messages.PeerMessage(sender="me", receiver=name)
+    long.snapshot_request.state = bytes(int(4 * NARROW_SILENCE_LIMIT * NARROW_RATE))
+
+    def send(message: messages.PeerMessage) -> None:
+        links.note_heard(name, time.monotonic())
+        links.send([message])
+        gevent.sleep(0.05)
+
+    with gevent.Timeout(20):
+        while not peer.posted:
+            send(short)
+        send(long)
+        # Beside it what leaders send all the while.
+        while not any(item.message == long for item in peer.posted):
+            send(short)
+    assert proxy.accepted == 1
--- a/packages/lanedock-daemon/lanedock_daemon/tests/proxies.py
+++ b/packages/lanedock-daemon/lanedock_daemon/tests/proxies.py
@@ -8,13 +8,23 @@
 __all__ = ["SilencingProxy"]
 
 HOST = "127.0.0.1"
+# Bytes that are passed on at once at the most.
+CHUNK = 16 * 1024
 
 
 class SilencingProxy:
-    """Passes connections on, and swallows both directions of those it has, when it is asked to."""
+    """Passes connections on, and swallows both directions of those it has, when it is asked to.
 
-    def __init__(self, target: tuple[str, int]):
+    Parameters
+    ----------
+    target : tuple of (str, int)
+    rate : float, optional
+        Bytes a second that it passes on, in each direction of each connection.
+    """
+
+    def __init__(self, target: tuple[str, int], rate: float = float("inf")):
         self._target = target
+        self._rate = rate
         self._era = 0
         self._paused_before = 0
         self.accepted = 0
@@ -47,7 +57,8 @@
 
     def _pass(self, source, target, era: int, number: int) -> None:
         try:
-            while data := source.recv(65536):
+            while data := source.recv(CHUNK):
+                gevent.sleep(len(data) / self._rate)
                 while number <= self._paused_before:
                     gevent.sleep(0.01)
                 if era == self._era:
--- a/packages/lanedock-daemon/lanedock_daemon/tests/test_framed.py
+++ b/packages/lanedock-daemon/lanedock_daemon/tests/test_framed.py
@@ -11,8 +11,11 @@
 from lanedock_daemon.framed import FramedTransport
 from lanedock_daemon.sessions import ChildArrived, ChildReported
 from lanedock_daemon.tests.links import (
+    NARROW_RATE,
+    NARROW_SILENCE_LIMIT,
     Owner,
     check_a_full_link_is_opened_anew,
+    check_a_narrow_link_brings_a_long_message,
     check_a_silent_link_is_opened_anew,
     free_port,
 )
@@ -84,22 +87,41 @@
             conn.close()
 
 
-@pytest.fixture
-def proxied_link(monkeypatch):
+def _make_link(rate: float = float("inf")):
     """Make a link through a proxy; yields the links, the peer's name, what it is sent, and the proxy."""
-    monkeypatch.setattr(framed_links, "SILENCE_LIMIT", 0.2)
     transport = FramedTransport(None)
     peer, target = Owner(), Address("127.0.0.1", free_port())
     listener = transport.serve_control(peer, target)
-    proxy = SilencingProxy((target.host, target.port))
+    proxy = SilencingProxy((target.host, target.port), rate)
     yield transport.peer_links({}), f"127.0.0.1:{proxy.address[1]}", peer, proxy
     listener.close()
     proxy.server.stop(timeout=0)
 
 
+@pytest.fixture
+def proxied_link(monkeypatch):
+    monkeypatch.setattr(framed_links, "SILENCE_LIMIT", 0.2)
+    yield from _make_link()
+
+
+@pytest.fixture
+def narrow_link(monkeypatch):
+    monkeypatch.setattr(framed_links, "SILENCE_LIMIT", NARROW_SILENCE_LIMIT)
+    yield from _make_link(NARROW_RATE)
+
+
 def test_a_silent_link_is_opened_anew_though_its_peer_is_heard_otherwise(proxied_link):
     check_a_silent_link_is_opened_anew(*proxied_link)
 
 
 def test_a_silent_link_is_opened_anew_though_more_waits_than_its_socket_takes(proxied_link):
     check_a_full_link_is_opened_anew(*proxied_link)
+
+
+def test_a_narrow_link_is_not_taken_for_silent_while_a_long_message_comes(narrow_link):
+    """Found by reading: a peer that confirms whole messages only is silent while a long one comes.
+
+    A replica whose disk was lost is sent appends first, which it confirms, and then its snapshot.
+    On a link of 2 Mbit/s one of 400 kB takes longer than the limit, and the link is ended in its middle.
+    """
+    check_a_narrow_link_brings_a_long_message(*narrow_link)
--- a/packages/lanedock-daemon/lanedock_daemon/tests/test_grpc.py
+++ b/packages/lanedock-daemon/lanedock_daemon/tests/test_grpc.py
@@ -18,8 +18,11 @@
 from lanedock_daemon.control import peers
 from lanedock_daemon.grpc_transport import GrpcTransport
 from lanedock_daemon.tests.links import (
+    NARROW_RATE,
+    NARROW_SILENCE_LIMIT,
     Owner,
     check_a_full_link_is_opened_anew,
+    check_a_narrow_link_brings_a_long_message,
     check_a_silent_link_is_opened_anew,
     free_port,
 )
@@ -59,13 +62,11 @@
     loop.stop()
 
 
-@pytest.fixture
-def proxied_link(monkeypatch, transport):
+def _make_link(transport, rate: float = float("inf")):
     """Make a link through a proxy; yields the links, the peer's name, what it is sent, and the proxy."""
-    monkeypatch.setattr(peers, "SILENCE_LIMIT", 0.2)
     peer, target = Owner(), Address("127.0.0.1", free_port())
     listener = transport.serve_control(peer, target)
-    proxy = SilencingProxy((target.host, target.port))
+    proxy = SilencingProxy((target.host, target.port), rate)
     links = transport.peer_links({"peer": Address(*proxy.address)})
     links.start()
     yield links, "peer", peer, proxy
@@ -73,9 +74,25 @@
     proxy.server.stop(timeout=0)
 
 
+@pytest.fixture
+def proxied_link(monkeypatch, transport):
+    monkeypatch.setattr(peers, "SILENCE_LIMIT", 0.2)
+    yield from _make_link(transport)
+
+
+@pytest.fixture
+def narrow_link(monkeypatch, transport):
+    monkeypatch.setattr(peers, "SILENCE_LIMIT", NARROW_SILENCE_LIMIT)
+    yield from _make_link(transport, NARROW_RATE)
+
+
 def test_a_silent_link_is_opened_anew_though_its_peer_is_heard_otherwise(proxied_link):
     check_a_silent_link_is_opened_anew(*proxied_link)
 
 
 def test_a_silent_link_is_opened_anew_though_more_waits_than_its_socket_takes(proxied_link):
     check_a_full_link_is_opened_anew(*proxied_link)
+
+
+def test_a_narrow_link_is_not_taken_for_silent_while_a_long_message_comes(narrow_link):
+    check_a_narrow_link_brings_a_long_message(*narrow_link)
