Confirm what comes over links between control instances by its bytes

Cause: only whole messages were confirmed, so a long one on a narrow link had its link ended as silent. Change: a replica confirms whenever bytes come, as often as before at the most (five times in 1.5 s). The limit and the number of confirmations stand with the transport's interface, for both transports.

--- a/packages/lanedock-daemon/lanedock_daemon/framed_links.py
+++ b/packages/lanedock-daemon/lanedock_daemon/framed_links.py
@@ -11,7 +11,7 @@
 from lanedock.settings import Address
 from lanedock.wire import messages
 from lanedock_daemon.frames import EMPTY_FRAME, FrameWriter, connect, end_connection, read_frames, run_both
-from lanedock_daemon.transport import PeerLinks, PeerMessageArrived
+from lanedock_daemon.transport import CONFIRMATIONS, SILENCE_LIMIT, PeerLinks, PeerMessageArrived
 
 __all__ = ["FOR_REPLICAS", "FramedLinks", "serve_replica"]
 
@@ -21,12 +21,6 @@
 # Replicas that were killed together come back within tenths of a second of each
 # other; there are seven of them at the most.
 RECONNECT_MAX = 0.2
-# A link is opened anew when the peer is silent for this long, in seconds: its
-# connection may have been cut without a sign. Leaders speak every 0.15 s.
-SILENCE_LIMIT = 1.5
-# A replica that receives over a link confirms it so many times within the limit above at
-# the most, for 60 bytes each.
-CONFIRMATIONS = 5
 # A link that nothing was sent over for this long, in seconds, is to a replica that
 # was replaced: those that take part are sent something every second.
 UNUSED_LIMIT = 30.0
@@ -145,15 +139,21 @@
 
 
 def serve_replica(owner: TaskService, conn) -> None:
-    """Turn a replica's stream into messages to the control task, and confirm that they come."""
+    """Turn a replica's stream into messages to the control task, and confirm that they come.
+
+    Bytes are confirmed, not messages: a snapshot takes longer than the limit to come over a
+    narrow link, which would be opened anew in the middle of each.
+    """
     confirmed_at = float("-inf")
 
     def take(data: bytes) -> None:
-        nonlocal confirmed_at
         owner.post(PeerMessageArrived(messages.PeerMessage.FromString(data)))
+
+    def confirm() -> None:
+        nonlocal confirmed_at
         now = time.monotonic()
         if now - confirmed_at >= SILENCE_LIMIT / CONFIRMATIONS:
             confirmed_at = now
             conn.sendall(EMPTY_FRAME)
 
-    read_frames(conn, take)
+    read_frames(conn, take, confirm)
--- a/packages/lanedock-daemon/lanedock_daemon/frames.py
+++ b/packages/lanedock-daemon/lanedock_daemon/frames.py
@@ -82,10 +82,21 @@
             self._conn.sendall(b"".join(batch))
 
 
-def read_frames(conn, take) -> None:
-    """Read frames until the connection ends, and hand each to `take`."""
+def read_frames(conn, take, note_received=None) -> None:
+    """Read frames until the connection ends, and hand each to `take`.
+
+    Parameters
+    ----------
+    conn : socket
+    take : callable
+        Takes a message's bytes.
+    note_received : callable, optional
+        Called without arguments whenever bytes have come, also of a frame that hasn't ended.
+    """
     buffer = bytearray()
     while data := conn.recv(RECEIVE):
+        if note_received is not None:
+            note_received()
         buffer += data
         start = 0
         while len(buffer) - start >= _LENGTH.size:
--- a/packages/lanedock-daemon/lanedock_daemon/transport.py
+++ b/packages/lanedock-daemon/lanedock_daemon/transport.py
@@ -13,6 +13,8 @@
 from lanedock.wire import messages
 
 __all__ = [
+    "CONFIRMATIONS",
+    "SILENCE_LIMIT",
     "Listener",
     "PeerLinks",
     "PeerMessageArrived",
@@ -23,6 +25,14 @@
     "Transport",
 ]
 
+# A link between control instances is opened anew when the peer confirms nothing over it for
+# this long, in seconds: its connection may have been cut without a sign. Leaders speak every
+# 0.15 s.
+SILENCE_LIMIT = 1.5
+# What comes over a link is confirmed so many times within the limit above at the most, for 60
+# bytes each; in gRPC, whose confirmations are asked for, for as many more.
+CONFIRMATIONS = 5
+
 
 class PeerMessageArrived:
     """Another replica sent a message."""
