Notice a silent gRPC link between control instances by pings over itself

Cause: a gRPC link counted as heard by whatever its peer sent over another connection, so one that had fallen silent was kept while a follower called for votes. It is confirmed by answers to pings of HTTP/2, grpclib's keepalive, which older peers answer, too; a stream of acknowledgements would have changed the wire format. Making a link has a limit of its own; handing over a message has 60 s instead of 3, for the pings end a link that is silent. Ruled out: pings with the usual window. A message of 2 MB over a link of 500 kB/s then has its link taken for silent (limit 1 s).

--- a/packages/lanedock-daemon/lanedock_daemon/control/peers.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/peers.py
@@ -13,16 +13,19 @@
 from lanedock.wire import messages
 from lanedock.wire.lanedock_grpc import ReplicationStub
 from lanedock_daemon.network import make_channel
-from lanedock_daemon.transport import PeerLinks
+from lanedock_daemon.transport import CONFIRMATIONS, SILENCE_LIMIT, PeerLinks
 
 __all__ = ["GrpcLinks"]
 
 MAX_QUEUE = 512
 RECONNECT_MIN = 0.05
 RECONNECT_MAX = 1.0
-# A link is opened anew when the peer is silent for this long, in seconds: its
-# connection may have been cut without a sign.
-SILENCE_LIMIT = 3.0
+# Seconds in which a link has to be made.
+CONNECT_LIMIT = 3.0
+# Seconds in which a message has to be handed to the connection, for a peer with so large a
+# window that the socket fills, which hides its end: the largest version, 16 MB, takes a minute
+# on a link of 2 Mbit/s.
+SEND_LIMIT = 60.0
 
 
 class _Link:
@@ -32,7 +35,6 @@
         self.address = address
         self.context = context
         self.queue: asyncio.Queue = asyncio.Queue(MAX_QUEUE)
-        self.heard_at = time.monotonic()
 
     def put(self, message: messages.PeerMessage) -> None:
         """Queue a message; the protocol bears the loss of the oldest."""
@@ -52,17 +54,15 @@
             await asyncio.sleep(random.uniform(0, delay))
 
     async def _stream(self) -> None:
-        channel = make_channel(self.address, self.context)
-        opened_at = time.monotonic()
+        # Only what the peer confirms over this connection counts: what it sends over its own
+        # link, such as calls for votes since it hears no leader, says nothing of this one.
+        channel = make_channel(self.address, self.context, SILENCE_LIMIT, CONFIRMATIONS)
         try:
             async with ReplicationStub(channel).Deliver.open() as stream:
+                await asyncio.wait_for(stream.send_request(), CONNECT_LIMIT)
                 while True:
                     message = await self.queue.get()
-                    await asyncio.wait_for(stream.send_message(message), SILENCE_LIMIT)
-                    now = time.monotonic()
-                    if now - max(self.heard_at, opened_at) > SILENCE_LIMIT:
-                        await stream.cancel()
-                        return
+                    await asyncio.wait_for(stream.send_message(message), SEND_LIMIT)
         finally:
             channel.close()
 
@@ -97,6 +97,4 @@
                 link.put(message)
 
     def note_heard(self, sender: str, now: float) -> None:
-        link = self._links.get(replica_name(sender))
-        if link is not None:
-            link.heard_at = now
+        """Nothing to note: every peer confirms over the link itself."""
