Test how long a version takes to be in force behind a relay that is lost

Cause: a daemon gives its relay 0.5 s more to find another source before it looks around, also where the relay says nothing at all.

--- a/packages/lanedock-daemon/lanedock_daemon/agent/tests/test_source_loss.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/tests/test_source_loss.py
@@ -155,6 +155,40 @@
     assert longest <= IN_FORCE_LIMIT - MARGIN
 
 
+def _lose_relay(mesh: VirtualMesh, lose) -> float:
+    _settle(mesh)
+    assert mesh.source().address == mesh.relay
+    lose(mesh.source())
+    return _time_to(mesh, 2)
+
+
+def _lose_relay_and_next(mesh: VirtualMesh, lose) -> float:
+    """Lose the relay, and be kept from the control instance that is asked first."""
+    _settle(mesh)
+    lose(mesh.source())
+    lose(next(iter(mesh.instances.values())))
+    return _time_to(mesh, 2)
+
+
+@pytest.mark.parametrize("lose", [_go_silent, _pause, _silence_streams])
+@pytest.mark.parametrize("happen", [_lose_relay, _lose_relay_and_next])
+def test_an_accepted_version_is_in_force_in_time_behind_a_silent_relay(happen, lose, monkeypatch, tmp_path):
+    """Found by adding up: a relay was given time to find another source, also where it said nothing at all."""
+    longest = max(happen(VirtualMesh(monkeypatch, tmp_path, seed, has_relay=True), lose) for seed in SEEDS)
+    assert longest <= IN_FORCE_LIMIT - MARGIN
+
+
+@pytest.mark.parametrize(
+    ("lose", "limit"),
+    # One that says itself that it has no leader has time to find one: none of the margin is kept.
+    [(_end, IN_FORCE_LIMIT - MARGIN), (_cut_off, IN_FORCE_LIMIT)],
+)
+@pytest.mark.parametrize("happen", [_lose_relay, _lose_relay_and_next])
+def test_an_accepted_version_is_in_force_in_time_behind_a_lost_relay(happen, lose, limit, monkeypatch, tmp_path):
+    longest = max(happen(VirtualMesh(monkeypatch, tmp_path, seed, has_relay=True), lose) for seed in SEEDS)
+    assert longest <= limit
+
+
 def test_a_version_that_waits_on_its_way_is_told_apart_from_a_lost_source(monkeypatch, tmp_path, caplog):
     mesh = VirtualMesh(monkeypatch, tmp_path, 1)
     _settle(mesh)
