Give only a relay that still speaks time to find another source

Cause: a daemon waited 0.5 s longer for a relay that proved no leader, also for one that was silent and so would find none. Change: the time is given while the relay was heard within the limit itself.

--- a/packages/lanedock-daemon/lanedock_daemon/agent/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/service.py
@@ -213,8 +213,14 @@
             self._send_scout(self._search.home(), True, now)
 
     def _is_too_old(self, now: float) -> bool:
-        """Tell whether the source proves no leader for too long; a relay has time to find another one itself."""
-        patience = RELAY_PATIENCE if self._search.relay_name() else 0.0
+        """Tell whether the source proves no leader for too long; a relay has time to find another one itself.
+
+        One that says nothing finds none: with that time on top a version is in force 2.1 s after
+        its acceptance at most, instead of 1.6 s, where the instance asked first is paused, too
+        (virtual time).
+        """
+        is_heard = now - self._stream.heard_at <= self._freshness.limit
+        patience = RELAY_PATIENCE if self._search.relay_name() and is_heard else 0.0
         return self._freshness.is_over(now, patience)
 
     def _send_scout(self, address: Address, is_home: bool, now: float) -> None:
