Test that an upload over a silent connection between daemons is the only one

Cause: the wait until the other daemon asks for a body has no limit but the request's deadline, and its end is no sign that the connections to the address have fallen silent: each idle one takes an upload with it for its whole deadline. Result: the first upload is refused at its deadline as not run, which is true; so is the second, which should go over a new connection.

--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_silence.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_silence.py
@@ -62,6 +62,25 @@
         assert chain.runs(f"/{number}") == 1
 
 
+def test_an_upload_that_waits_in_silence_to_be_asked_for_is_the_only_one(through_proxy):
+    """Found by reading: the wait for consent to a body had no limit but the request's own deadline.
+
+    Bodies over 8 kB are sent once the other daemon asks for them. Over a connection that had fallen
+    silent nothing came; the idle ones beside it were kept, and took a deadline of each upload after it.
+    """
+    chain, proxy = through_proxy("daemons")
+    proxy.silence()
+    headers = "x-request-deadline-ms: 900\r\n"
+    body = bytes(20_000)
+    status, head, _ = chain.request("POST", "/first", body, headers)
+    # Nothing of it was passed on, and that is said.
+    assert status == 503 and "x-request-outcome: not-run" in head.lower()
+    for number in range(4):
+        assert chain.request("POST", f"/{number}", body, headers)[0] == 200
+        assert chain.runs(f"/{number}") == 1
+    assert chain.runs("/first") == 0
+
+
 def test_an_address_that_answers_others_keeps_its_connections(make_chain):
     chain = make_chain(None)
     pool = chain.pool
