Look at idle connections when an upload is asked for late

Cause: only a late answer had the idle connections to an address looked at; the wait until a body is asked for, which comes before it, lasted to the request's deadline without any sign. Change: consent that is later than nearly all answers of the route counts like a late answer: where nothing was heard from the address since, its idle connections are closed. The wait itself goes on, for the body may be queued at the other daemon.

--- a/packages/lanedock-daemon/lanedock_daemon/path/exchange.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/exchange.py
@@ -10,7 +10,7 @@
 from lanedock_daemon.path.pool import ConnectionPool, ExchangeError
 from lanedock_daemon.path.service import StopTimeout
 
-__all__ = ["AnswerPieces", "PendingAnswer", "UpstreamAnswer", "exchange", "send_request"]
+__all__ = ["AnswerPieces", "Consent", "PendingAnswer", "UpstreamAnswer", "exchange", "send_request"]
 
 CHUNK = 64 * 1024
 # Longest silence within an answer's body, in seconds.
@@ -90,6 +90,33 @@
             reader.conn.close()
 
 
+class Consent:
+    """That a body is sent only once the other side wants it.
+
+    A refusal costs nothing then, and the body can still go elsewhere.
+
+    Parameters
+    ----------
+    late_after : float
+        Seconds after which consent is late.
+    on_late : callable
+        Called without arguments where it is: the connection may have fallen silent, and others
+        with it, each of which would cost the next body its whole deadline. The wait goes on.
+    """
+
+    __slots__ = ("_late_after", "_on_late")
+
+    def __init__(self, late_after: float, on_late):
+        self._late_after = late_after
+        self._on_late = on_late
+
+    def wait(self, reader: AnswerReader) -> bool:
+        """Wait until the body is wanted; see `AnswerReader.wait_for_consent`."""
+        if not reader.conn.wait(self._late_after):
+            self._on_late()
+        return reader.wait_for_consent()
+
+
 class AnswerPieces:
     """The pieces of an answer's body, as they come.
 
@@ -237,7 +264,7 @@
     request: Request,
     headers: list[tuple[str, str]],
     timeout: float,
-    ask_first: bool = False,
+    consent: Consent | None = None,
 ) -> PendingAnswer:
     """Send a request.
 
@@ -250,9 +277,8 @@
         Sent instead of the request's own.
     timeout : float
         Seconds for everything up to the answer's head.
-    ask_first : bool
-        Send the body only once the other side wants it, so that a refusal
-        costs nothing and the body can still go elsewhere.
+    consent : Consent, optional
+        Where the body is sent only once the other side wants it.
 
     Raises
     ------
@@ -269,7 +295,7 @@
     reader.begin(request.method)
     with _OutcomeKnown(reader, address):
         reader.conn.settimeout(timeout)
-        _send(reader, request, headers, ask_first)
+        _send(reader, request, headers, consent)
     return PendingAnswer(pool, address, reader, deadline)
 
 
@@ -286,7 +312,7 @@
     return send_request(pool, address, request, headers, timeout).read()
 
 
-def _send(reader: AnswerReader, request: Request, headers: list[tuple[str, str]], ask_first: bool) -> None:
+def _send(reader: AnswerReader, request: Request, headers: list[tuple[str, str]], consent: Consent | None) -> None:
     """Write a request: its head, and a small body with it, in one piece."""
     conn, body = reader.conn, request.body
     lines = [f"{request.method} {request.target} HTTP/1.1"]
@@ -295,16 +321,16 @@
         lines.append("transfer-encoding: chunked")
     elif body.length or request.method in _WITH_BODY:
         lines.append(f"content-length: {body.length}")
-    if ask_first:
+    if consent is not None:
         lines.append("expect: 100-continue")
     head = ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
     if body.length == 0:
         reader.is_passed_on = True
         conn.sendall(head)
         return
-    if ask_first:
+    if consent is not None:
         conn.sendall(head)
-        if not reader.wait_for_consent():
+        if not consent.wait(reader):
             reader.is_body_unsent = True
             return
         head = b""
--- a/packages/lanedock-daemon/lanedock_daemon/path/tries.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tries.py
@@ -11,7 +11,7 @@
 from lanedock.routing import Balancer, UpstreamStats
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics, RequestLog
 from lanedock_daemon.path.dialect import Dialect
-from lanedock_daemon.path.exchange import AnswerPieces, PendingAnswer, UpstreamAnswer, send_request
+from lanedock_daemon.path.exchange import AnswerPieces, Consent, PendingAnswer, UpstreamAnswer, send_request
 from lanedock_daemon.path.http import (
     ARRIVED_HEADER,
     ATTEMPT_HEADER,
@@ -261,9 +261,13 @@
             others_age_ms=round(1000 * (started - stats.reported_at)) if stats.reported_at is not None else None,
             slowness=round(stats.slowness, 2),
         )
+        consent = None
+        if request.body.is_asked_for:
+            late_after = min(balancer.late_after(job.route.name), left)
+            consent = Consent(late_after, lambda: self._note_late(stats, started))
         balancer.begin(stats, started)
         try:
-            return send_request(self._pool, stats.address, request, sent, left + GRACE, request.body.is_asked_for)
+            return send_request(self._pool, stats.address, request, sent, left + GRACE, consent)
         except ExchangeError as exc:
             return self._on_failed(job, stats, exc)
         except BaseException:
