Test that control ends a daemon's silent stream and reports it gone

Cause: nothing showed that a control instance notices a stream over which its daemon is silent, nor that the daemon is kept where it has come back over another one meanwhile. Change: two tests, green on the code as it was.

--- a/packages/lanedock-daemon/lanedock_daemon/control/tests/test_distribution.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/tests/test_distribution.py
@@ -1,12 +1,15 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """Tests of a control instance's sessions with daemons."""
 
+import time
+
 import pytest
 
 from lanedock.settings import ControlSettings
 from lanedock.telemetry import NullMetrics
 from lanedock.wire import messages
 from lanedock_daemon.control.distribution import READ_PATIENCE, DaemonSessions
+from lanedock_daemon.sessions import HEARTBEAT_INTERVAL, SILENCE_LIMIT
 
 
 class FakeSession:
@@ -111,3 +114,30 @@
     refused = [session.sent[-1].refusal.retry_after_ms for session in sessions if session.is_closed]
     assert len(refused) == 6
     assert refused == sorted(refused)
+
+
+def test_a_silent_daemon_is_reported_gone():
+    """Its stream may go on swallowing what is sent: the leader must not wait for it."""
+    sessions = _make_sessions()
+    silent, other = _arrive(sessions, "silent"), _arrive(sessions, "other")
+    sessions.take_report(whole=True)
+    arrived = time.monotonic()
+    sessions.send_heartbeats(arrived + SILENCE_LIMIT - HEARTBEAT_INTERVAL, 1, 0.0)
+    assert not (silent.is_closed or sessions.is_report_due())
+    other.heard_at = arrived + SILENCE_LIMIT
+    sessions.send_heartbeats(arrived + SILENCE_LIMIT + HEARTBEAT_INTERVAL, 1, 0.0)
+    assert silent.is_closed and not other.is_closed
+    assert sessions.is_report_due()
+    assert list(sessions.take_report(whole=False).gone) == ["silent"]
+
+
+def test_a_daemon_that_has_come_back_outlives_its_silent_stream():
+    sessions = _make_sessions()
+    silent = _arrive(sessions, "d")
+    again = _arrive(sessions, "d")
+    arrived = time.monotonic()
+    again.heard_at = arrived + SILENCE_LIMIT
+    sessions.send_heartbeats(arrived + SILENCE_LIMIT + HEARTBEAT_INTERVAL, 1, 0.0)
+    assert silent.is_closed and not again.is_closed
+    report = sessions.take_report(whole=False)
+    assert [state.daemon for state in report.changed] == ["d"] and not report.gone
