Look at links between control instances as often as they are confirmed

Cause: a framed link was looked at every 0.75 s for a silence of 1.5 s, so it could stay in use for half as long again. Change: it is looked at every 0.3 s.

--- a/packages/lanedock-daemon/lanedock_daemon/framed_links.py
+++ b/packages/lanedock-daemon/lanedock_daemon/framed_links.py
@@ -88,7 +88,9 @@
         link, such as calls for votes since it hears no leader, says nothing of this one.
         """
         while True:
-            gevent.sleep(SILENCE_LIMIT / 2)
+            # As often as confirmations come: looked at twice within the limit, links were opened
+            # anew up to 2.3 s after they had fallen silent instead of 1.8 s (40 on loopback).
+            gevent.sleep(SILENCE_LIMIT / CONFIRMATIONS)
             now = time.monotonic()
             heard_at = self.heard_at if self._confirmed_at is None else self._confirmed_at
             silent = now - max(heard_at, opened_at) > SILENCE_LIMIT
