Test that an answer that falls silent in its body is not passed off as whole

Cause: silence was tested before an answer's head only. Change: four cases, green on the code as it was: a short answer is unknown to its caller, a long one is cut, over either link.

--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_silence.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_silence.py
@@ -6,6 +6,7 @@
 
 from lanedock.wire import messages
 from lanedock_daemon.path.tests.chain import HOST, wait_until
+from lanedock_daemon.path.tries import BUFFER_LIMIT
 from lanedock_daemon.tests.proxies import SilencingProxy
 
 
@@ -62,6 +63,31 @@
         assert chain.runs(f"/{number}") == 1
 
 
+@pytest.mark.parametrize("link", ["daemons", "application"])
+@pytest.mark.parametrize("size", [2_000, 200_000])
+def test_an_answer_that_falls_silent_in_its_body_is_not_passed_off_as_whole(through_proxy, link, size):
+    """A short one is kept back until it is whole, and is unknown then; a long one is cut."""
+    chain, proxy = through_proxy(link)
+
+    def script(conn, head: str, body: bytes) -> bytes:
+        before = proxy.passed
+        conn.sendall(b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % size + bytes(size // 2))
+        wait_until(lambda: proxy.passed >= before + size // 2)
+        proxy.silence()
+        return bytes(size - size // 2)
+
+    chain.applications[0].script = script
+    status, head, body = chain.request("GET", "/first")
+    if size < BUFFER_LIMIT:
+        assert status == 502 and "x-request-outcome: unknown" in head.lower()
+    else:
+        assert status == 200 and len(body) < size
+    chain.applications[0].script = None
+    statuses = [chain.request("GET", f"/{number}")[0] for number in range(2)]
+    # One request may notice that the idle connections are silent, too.
+    assert statuses[-1] == 200
+
+
 def test_an_upload_that_waits_in_silence_to_be_asked_for_is_the_only_one(through_proxy):
     """Found by reading: the wait for consent to a body had no limit but the request's own deadline.
 
--- a/packages/lanedock-daemon/lanedock_daemon/tests/proxies.py
+++ b/packages/lanedock-daemon/lanedock_daemon/tests/proxies.py
@@ -20,6 +20,13 @@
     target : tuple of (str, int)
     rate : float, optional
         Bytes a second that it passes on, in each direction of each connection.
+
+    Attributes
+    ----------
+    accepted : int
+        Connections so far.
+    passed : int
+        Bytes passed on so far, of both directions.
     """
 
     def __init__(self, target: tuple[str, int], rate: float = float("inf")):
@@ -28,6 +35,7 @@
         self._era = 0
         self._paused_before = 0
         self.accepted = 0
+        self.passed = 0
         self.server = StreamServer((HOST, 0), self._serve)
         self.server.start()
 
@@ -63,6 +71,7 @@
                     gevent.sleep(0.01)
                 if era == self._era:
                     target.sendall(data)
+                    self.passed += len(data)
             target.shutdown(socket.SHUT_WR)
         except OSError:
             pass
