--- a/packages/lanedock-daemon/lanedock_daemon/tests/proxies.py
+++ b/packages/lanedock-daemon/lanedock_daemon/tests/proxies.py
@@ -8,16 +8,34 @@
 __all__ = ["SilencingProxy"]
 
 HOST = "127.0.0.1"
+# Bytes that are passed on at once at the most.
+CHUNK = 16 * 1024
 
 
 class SilencingProxy:
-    """Passes connections on, and swallows both directions of those it has, when it is asked to."""
+    """Passes connections on, and swallows both directions of those it has, when it is asked to.
 
-    def __init__(self, target: tuple[str, int]):
+    Parameters
+    ----------
+    target : tuple of (str, int)
+    rate : float, optional
+        Bytes a second that it passes on, in each direction of each connection.
+
+    Attributes
+    ----------
+    accepted : int
+        Connections so far.
+    passed : int
+        Bytes passed on so far, of both directions.
+    """
+
+    def __init__(self, target: tuple[str, int], rate: float = float("inf")):
         self._target = target
+        self._rate = rate
         self._era = 0
         self._paused_before = 0
         self.accepted = 0
+        self.passed = 0
         self.server = StreamServer((HOST, 0), self._serve)
         self.server.start()
 
@@ -47,11 +65,13 @@
 
     def _pass(self, source, target, era: int, number: int) -> None:
         try:
-            while data := source.recv(65536):
+            while data := source.recv(CHUNK):
+                gevent.sleep(len(data) / self._rate)
                 while number <= self._paused_before:
                     gevent.sleep(0.01)
                 if era == self._era:
                     target.sendall(data)
+                    self.passed += len(data)
             target.shutdown(socket.SHUT_WR)
         except OSError:
             pass
