--- a/packages/lanedock/lanedock/config/core.py
+++ b/packages/lanedock/lanedock/config/core.py
@@ -227,7 +227,7 @@
         self.path = path
         self.methods = tuple(methods)
         self.split = tuple(Split(**part) for part in split)
-        self.service = service or self.split[0].service
+        self.service = self.split[0].service if self.split else service
         self.traffic_class = traffic_class
         self.repeatable = repeatable
         self.deadline_ms = deadline_ms
--- a/packages/lanedock/lanedock/config/load.py
+++ b/packages/lanedock/lanedock/config/load.py
@@ -17,6 +17,8 @@
 __all__ = ["check_document", "check_value", "decode_config", "load_config"]
 
 SHARE_TOLERANCE = 1e-9
+# As the schema has it: each JSON reader keeps such a number whole (RFC 8259, section 6).
+MAX_VERSION = 2**53 - 1
 
 
 def load_config(path: str) -> ConfigTree:
@@ -71,7 +73,8 @@
     FindingsError
         With every finding.
     """
-    findings = _check_references(Document(source, value, ""))
+    document = Document(source, value, "")
+    findings = _check_version(document) + _check_references(document)
     if findings:
         raise FindingsError(findings)
     return split_config(value)
@@ -142,6 +145,14 @@
     return findings + _check_shadows(document)
 
 
+def _check_version(document: Document) -> list[Finding]:
+    number = document.value["version"]
+    if 1 <= number <= MAX_VERSION:
+        return []
+    message = f"a version's number is from 1 to {MAX_VERSION}, not {number}"
+    return [Finding(ErrorCode.SCHEMA, message, document.place("/version"))]
+
+
 def _check_names(document: Document, key: str) -> list[Finding]:
     findings = []
     seen = set()
@@ -155,15 +166,13 @@
 
 
 def _check_targets(document: Document, route: dict, services: set[str], path: str, partial: bool) -> list[Finding]:
-    """Check the services that a route leads to, one or a split's parts.
+    """Check the services that a route names, its own and those of a split's parts.
 
-    A slice may lack the services of a split's later parts.
+    A slice may lack the services of a split's later parts, and the one named beside it.
     """
     parts = route.get("split")
-    if parts is None:
-        names = [(route["service"], f"{path}/service")]
-    else:
-        names = [(part["service"], f"{path}/split/{number}/service") for number, part in enumerate(parts)]
+    names = [(route["service"], f"{path}/service")] if "service" in route else []
+    names += [(part["service"], f"{path}/split/{number}/service") for number, part in enumerate(parts or ())]
     findings = []
     for name, place in names:
         if name not in services and not (partial and parts):
--- a/packages/lanedock/lanedock/config/tests/test_load.py
+++ b/packages/lanedock/lanedock/config/tests/test_load.py
@@ -8,7 +8,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from lanedock.config import ConfigTree, check_document, compare, decode_config, needed_groups, split_config
+from lanedock.config import ConfigTree, check_document, check_value, compare, decode_config, needed_groups, split_config
 from lanedock.errors import ErrorCode, LanedockError
 from lanedock.findings import Document, FindingsError, read_text
 from lanedock.wire import messages
@@ -68,6 +68,25 @@
     assert all(finding.place.line == 1 for finding in findings)
 
 
+@pytest.mark.parametrize(
+    ("path", "new", "place"),
+    [
+        ("version", 0, "/version"),
+        ("version", 2**64, "/version"),
+        ("routes/0/split", [{"service": "none", "weight": 1}], "/routes/0/split/0/service"),
+        (
+            "routes/0",
+            {**VALUE["routes"][0], "service": "none", "split": [{"service": "two", "weight": 1}]},
+            "/routes/0/service",
+        ),
+    ],
+)
+def test_what_a_program_has_made_is_checked_without_the_schema(path, new, place):
+    with pytest.raises(FindingsError) as caught:
+        check_value(_changed(path, new), "f")
+    assert [finding.place.path for finding in caught.value.findings] == [place]
+
+
 def test_all_findings_come_at_once():
     value = _changed("routes/0/service", "none")
     value["routes"][1]["traffic_class"] = "none"
--- a/packages/lanedock/lanedock/config/tree.py
+++ b/packages/lanedock/lanedock/config/tree.py
@@ -200,7 +200,7 @@
 
 def _first_service(route: dict) -> str:
     """Return the service in whose group a route stands."""
-    return route["service"] if "service" in route else route["split"][0]["service"]
+    return route["split"][0]["service"] if "split" in route else route["service"]
 
 
 def _canonical(value: dict) -> bytes:
