Answer an order by the verdict on itself only

Cause: a refusal carries no record, by which alone a verdict was compared with the order that waits at its index. Change: a verdict names the version it is on and what that was made from. A refusal answers the order for which both are the same; a version that is taken is waited for whatever it was made from.

--- a/packages/lanedock-daemon/lanedock_daemon/control/submissions.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/submissions.py
@@ -14,6 +14,7 @@
 
 PROGRESS_INTERVAL = 0.1
 DEFAULT_TIMEOUT = 10.0
+_TAKEN = (Verdict.STAGING, Verdict.KNOWN)
 
 
 class Submission:
@@ -33,6 +34,7 @@
     __slots__ = (
         "accepted_at",
         "allowed_zones",
+        "base",
         "call",
         "deadline",
         "index",
@@ -45,6 +47,7 @@
     def __init__(self, call: Call, request: messages.SubmitRequest, version: Version, now: float, settle=None):
         self.call = call
         self.version = version
+        self.base = request.base_version if request.has_base else None
         self.started_at = now
         self.deadline = now + (request.timeout_ms / 1000 if request.timeout_ms else DEFAULT_TIMEOUT)
         self.allowed_zones = set(request.allow_cut_off)
@@ -97,11 +100,10 @@
         submission = self._proposed.pop(index, None)
         if submission is None:
             return
-        # Another leader's entry may have taken the index.
-        record = result.record if result else None
-        if result is None or (record is not None and record.digest != submission.version.digest):
+        # Another leader's entry may have taken the index: then nothing is known of this order.
+        if result is None or not _is_verdict_on(submission, result):
             submission.call.finish(submission.reply(messages.ANSWER_NOT_KNOWN, ErrorCode.OUTCOME_NOT_KNOWN))
-        elif result.verdict in (Verdict.STAGING, Verdict.KNOWN):
+        elif result.verdict in _TAKEN:
             self._waiting.append(submission)
         else:
             submission.call.finish(submission.reply(messages.ANSWER_NOT_RUN, result.code))
@@ -189,6 +191,13 @@
         submission.call.reply(_fill(reply, submission, progress, now))
 
 
+def _is_verdict_on(submission: Submission, result: SubmitResult) -> bool:
+    """Tell whether a verdict is on this order; once a version is taken, whatever it was made from."""
+    if result.version != submission.version:
+        return False
+    return result.verdict in _TAKEN or result.base == submission.base
+
+
 def _make_abort_reply(submission: Submission, record) -> messages.SubmitReply:
     code = ErrorCode.find(record.reason) or ErrorCode.STAGING_TIMEOUT
     reply = submission.reply(messages.ANSWER_NOT_RUN, code)
--- a/packages/lanedock/lanedock/rollout/state.py
+++ b/packages/lanedock/lanedock/rollout/state.py
@@ -37,16 +37,24 @@
     Parameters
     ----------
     verdict : Verdict
+    version : Version
+        On which it is.
+    base : int or None
+        Number of the version that this one was made from, where one was named.
     record : VersionRecord or None
         The version's record, where the verdict is STAGING or KNOWN.
     code : ErrorCode or None
         Why it was refused.
     """
 
-    __slots__ = ("code", "record", "verdict")
+    __slots__ = ("base", "code", "record", "verdict", "version")
 
-    def __init__(self, verdict: Verdict, record=None, code: ErrorCode | None = None):
+    def __init__(
+        self, verdict: Verdict, version: Version, base: int | None, record=None, code: ErrorCode | None = None
+    ):
         self.verdict = verdict
+        self.version = version
+        self.base = base
         self.record = record
         self.code = code
 
@@ -109,15 +117,15 @@
         record = self.records.get(version.number)
         if record is not None:
             if record.digest == version.digest:
-                return SubmitResult(Verdict.KNOWN, record)
-            return SubmitResult(Verdict.CONFLICT, code=ErrorCode.VERSION_CONFLICT)
+                return SubmitResult(Verdict.KNOWN, version, base, record)
+            return SubmitResult(Verdict.CONFLICT, version, base, code=ErrorCode.VERSION_CONFLICT)
         if version.number <= self._floor():
-            return SubmitResult(Verdict.STALE, code=ErrorCode.VERSION_STALE)
+            return SubmitResult(Verdict.STALE, version, base, code=ErrorCode.VERSION_STALE)
         if base is not None and base != self.accepted_version.number:
-            return SubmitResult(Verdict.OUTDATED, code=ErrorCode.BASE_OUTDATED)
+            return SubmitResult(Verdict.OUTDATED, version, base, code=ErrorCode.BASE_OUTDATED)
         if self.candidate is not None:
-            return SubmitResult(Verdict.BUSY, code=ErrorCode.SUBMISSION_BUSY)
-        return SubmitResult(Verdict.STAGING)
+            return SubmitResult(Verdict.BUSY, version, base, code=ErrorCode.SUBMISSION_BUSY)
+        return SubmitResult(Verdict.STAGING, version, base)
 
     def _floor(self) -> int:
         """Return the number that a new version must exceed.
