Catch signals from a program's first line on

Cause: SIGHUP and SIGTERM were caught only behind imports, settings and services; the state of the settings file was taken after its reading. What came early is acted on once it can be: SIGTERM ends the process before its services start, SIGHUP has the settings read again once they run. Signals are ignored once the process has stopped, for the interpreter's end lets go of handlers. The file's state is taken before it is read. Ruled out: waiting for the start to end before signals are let through by a mask, which threads and libraries started meanwhile would inherit.

--- a/packages/lanedock-daemon/lanedock_daemon/app.py
+++ b/packages/lanedock-daemon/lanedock_daemon/app.py
@@ -1,24 +1,27 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """The binary ``lanedockd``."""
 
-# Patched before anything else is imported, so that all sockets are gevent's:
-# asyncio, which gRPC runs on, knows the standard ones only.
-from gevent import monkey
+import argparse
+import sys
 
-monkey.patch_all()
-
-import argparse  # noqa: E402
-import sys  # noqa: E402
-
-from lanedock_daemon.run import run_process  # noqa: E402
+from lanedock_daemon.signals import EarlySignals
 
 __all__ = ["main"]
 
 
 def main(arguments: list[str] | None = None) -> int:
     """Run the process that the command line describes."""
+    early = EarlySignals()
+    # Patched before all else is imported, so that all sockets are gevent's: asyncio,
+    # which gRPC runs on, knows the standard ones only.
+    from gevent import monkey
+
+    monkey.patch_all()
+
+    from lanedock_daemon.run import run_process
+
     parsed = _parse_arguments(arguments)
-    return run_process(parsed.settings, parsed.initialize, parsed.made)
+    return run_process(parsed.settings, parsed.initialize, parsed.made, early=early)
 
 
 def _parse_arguments(arguments: list[str] | None) -> argparse.Namespace:
--- a/packages/lanedock-daemon/lanedock_daemon/run.py
+++ b/packages/lanedock-daemon/lanedock_daemon/run.py
@@ -29,6 +29,7 @@
 from lanedock.telemetry.log import LineWriter
 from lanedock_daemon.interface import Interface, OwnInterface
 from lanedock_daemon.path.http import Answer
+from lanedock_daemon.signals import EarlySignals
 from lanedock_daemon.stops import make_stop_plan
 
 __all__ = ["run_process"]
@@ -42,7 +43,13 @@
 RELOAD_INTERVAL = 1.0
 
 
-def run_process(path: str, initialize: bool = False, is_made: bool = False, interface: Interface | None = None) -> int:
+def run_process(
+    path: str,
+    initialize: bool = False,
+    is_made: bool = False,
+    interface: Interface | None = None,
+    early: EarlySignals | None = None,
+) -> int:
     """Run a process until SIGTERM or SIGINT.
 
     Parameters
@@ -57,6 +64,8 @@
         can't be used.
     interface : Interface, optional
         How it speaks with its surroundings; lanedock's own where left out.
+    early : EarlySignals, optional
+        What has come since the process began; caught from here on where left out.
 
     Returns
     -------
@@ -64,6 +73,9 @@
         Exit code: 0 after a planned stop, 1 after a failure, 2 where the
         settings have findings.
     """
+    early = early or EarlySignals()
+    # What is written while the file is read differs from it, and shows.
+    stamp = _read_stamp(path)
     try:
         settings = load_settings(path, is_made)
     except FindingsError as exc:
@@ -77,15 +89,25 @@
     tracer = _make_tracer(settings)
     interface = interface or OwnInterface()
     kernel = _make_kernel(settings, initialize, events, metrics, tracer, interface)
-    reload = _Reloader(kernel, path, settings, events, is_made)
+    reloader = _Reloader(kernel, path, stamp, settings, events, is_made)
     if text is not None:
         _add_metrics(kernel, settings, text, events)
     try:
-        return _run(kernel, settings, events, metrics, tracer, reload, writer)
+        return _run(kernel, settings, events, metrics, tracer, reloader, writer, early)
     finally:
+        early.ignore_late()
         writer.flush()
 
 
+def _read_stamp(path: str) -> tuple[int, int]:
+    """Return what shows that a file was written anew: when, in nanoseconds, and its size."""
+    try:
+        status = os.stat(path)
+    except OSError:
+        return (0, 0)
+    return (status.st_mtime_ns, status.st_size)
+
+
 def _make_metrics(settings: Settings, text: TextMetrics | None) -> Metrics:
     members: list[Metrics] = [text] if text is not None else []
     if settings.statsd is not None:
@@ -168,12 +190,22 @@
 
 
 def _run(
-    kernel: Kernel, settings: Settings, events, metrics: Metrics, tracer: Tracer, reloader: "_Reloader", writer
+    kernel: Kernel,
+    settings: Settings,
+    events,
+    metrics: Metrics,
+    tracer: Tracer,
+    reloader: "_Reloader",
+    writer,
+    early: EarlySignals,
 ) -> int:
     stopping = Signal()
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, stopping.set)
     gevent.signal_handler(signal.SIGHUP, reloader.reload)
+    if early.must_stop:
+        events.emit(Event.STOPPED)
+        return 0
     try:
         kernel.start()
     except LanedockError as exc:
@@ -182,6 +214,8 @@
     if settings.tls is None:
         events.emit(Event.NO_AUTHENTICATION)
     events.emit(Event.STARTED, zone=settings.zone)
+    if early.must_reload:
+        reloader.reload()
     flusher = gevent.spawn(_flush, metrics, writer)
     watcher = gevent.spawn(reloader.watch)
     failure = _wait(kernel, stopping)
@@ -221,6 +255,8 @@
     kernel : Kernel
     path : str
         Of the settings file.
+    stamp : tuple of int
+        That of the file before it was read, as `_read_stamp` returns it.
     settings : Settings
         As read at the start.
     events : EventLogger
@@ -228,33 +264,24 @@
         Whether a program makes the file.
     """
 
-    def __init__(self, kernel: Kernel, path: str, settings: Settings, events: EventLogger, is_made: bool):
+    def __init__(self, kernel: Kernel, path: str, stamp: tuple, settings: Settings, events: EventLogger, is_made: bool):
         self._is_made = is_made
         self._kernel = kernel
         self._path = path
         self._settings = settings
         self._events = events
-        self._stamp = self._read_stamp()
-
-    def _read_stamp(self) -> tuple[int, int]:
-        """Return what shows that the file was written anew."""
-        try:
-            status = os.stat(self._path)
-        except OSError:
-            return (0, 0)
-        return (status.st_mtime_ns, status.st_size)
+        self._stamp = stamp
 
     def watch(self) -> None:
         """Reload when the file has changed without a signal."""
         while True:
             gevent.sleep(RELOAD_INTERVAL)
-            stamp = self._read_stamp()
-            if stamp != self._stamp:
+            if _read_stamp(self._path) != self._stamp:
                 self.reload()
 
     def reload(self) -> None:
         """Read the settings again; with findings, those in use stay."""
-        self._stamp = self._read_stamp()
+        self._stamp = _read_stamp(self._path)
         try:
             fresh = load_settings(self._path, self._is_made)
         except FindingsError as exc:
