--- a/packages/lanedock-daemon/lanedock_daemon/agent/registration.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/registration.py
@@ -9,10 +9,10 @@
 import json
 import time
 
-from lanedock.errors import ErrorCode
+from lanedock.errors import ErrorCode, LanedockError
 from lanedock.membership import Heartbeat, UpstreamRegistration
 from lanedock.telemetry import Event, EventLogger
-from lanedock_daemon.path.http import Answer, Outcome, Request, make_refusal
+from lanedock_daemon.path.http import Answer, Outcome, Request, make_refusal, read_whole
 
 __all__ = ["Registrar", "RegistrationSide"]
 
@@ -81,7 +81,9 @@
         if request.method != "PUT":
             return make_refusal(ErrorCode.BAD_REQUEST, Outcome.NOT_RUN, 0.0, f"{request.method} is not understood")
         try:
-            heartbeat = _read_heartbeat(upstream, request.body.read(MAX_BODY))
+            heartbeat = _read_heartbeat(upstream, read_whole(request.body, MAX_BODY))
+        except LanedockError as exc:
+            return make_refusal(exc.code, Outcome.NOT_RUN, 0.0, str(exc))
         except (KeyError, TypeError, ValueError) as exc:
             return make_refusal(ErrorCode.BAD_REQUEST, Outcome.NOT_RUN, 0.0, f"malformed heartbeat: {exc!r}")
         self._registrar.beat(heartbeat)
--- a/packages/lanedock-daemon/lanedock_daemon/agent/tests/test_registration.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/tests/test_registration.py
@@ -17,6 +17,7 @@
 from lanedock.settings import Address
 from lanedock.telemetry import EventLogger
 from lanedock_daemon.agent.registration import RegistrationSide
+from lanedock_daemon.path.http import Body, Request
 from lanedock_daemon.path.server import PathServer
 
 HOST = "127.0.0.1"
@@ -25,11 +26,14 @@
 PAUSE = 0.05
 
 
+def _make_side() -> RegistrationSide:
+    return RegistrationSide(UpstreamRegistration("s", True, 1.0), lambda: None, lambda: None, EventLogger("d"))
+
+
 @pytest.fixture
 def answer():
     """Return what sends a heartbeat in pieces, and returns its answer's first line."""
-    side = RegistrationSide(UpstreamRegistration("s", True, 1.0), lambda: None, lambda: None, EventLogger("d"))
-    server = PathServer("registration", Address(HOST, 0), side, StopPlan(), EventLogger("d"))
+    server = PathServer("registration", Address(HOST, 0), _make_side(), StopPlan(), EventLogger("d"))
     server.start(None)
 
     def send(framing: str, *pieces: bytes) -> bytes:
@@ -62,3 +66,14 @@
 )
 def test_a_heartbeat_in_pieces_is_acknowledged(answer, framing, pieces):
     assert answer(framing, *pieces) == b"HTTP/1.1 204 No Content"
+
+
+class _Endless(Body):
+    length = None
+
+    def read(self, size: int) -> bytes:
+        return b" " * size
+
+
+def test_a_heartbeat_without_end_is_refused():
+    assert _make_side().handle(Request("PUT", "/upstreams/i-1", "h", [], _Endless())).status == 413
--- a/packages/lanedock-daemon/lanedock_daemon/path/exchange.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/exchange.py
@@ -5,14 +5,13 @@
 from errno import EHOSTUNREACH, ENETUNREACH, ETIMEDOUT
 
 from lanedock.errors import ErrorCode
-from lanedock_daemon.path.http import Body, Outcome, Request
+from lanedock_daemon.path.http import CHUNK, Body, Outcome, Request
 from lanedock_daemon.path.parser import AnswerReader, MalformedMessage, Message
 from lanedock_daemon.path.pool import ConnectionPool, ExchangeError
 from lanedock_daemon.path.service import StopTimeout
 
 __all__ = ["AnswerPieces", "PendingAnswer", "UpstreamAnswer", "exchange", "send_request"]
 
-CHUNK = 64 * 1024
 # Longest silence within an answer's body, in seconds.
 BODY_TIMEOUT = 30.0
 _WITH_BODY = ("POST", "PUT", "PATCH")
--- a/packages/lanedock-daemon/lanedock_daemon/path/http.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http.py
@@ -5,13 +5,14 @@
 from abc import ABC, abstractmethod
 from collections.abc import Container, Iterable
 
-from lanedock.errors import ErrorCode
+from lanedock.errors import ErrorCode, LanedockError
 
 __all__ = [
     "ARRIVED_HEADER",
     "ASK_LIMIT",
     "ATTEMPT_HEADER",
     "CALLER_HEADER",
+    "CHUNK",
     "CLASS_HEADER",
     "DEADLINE_HEADER",
     "HOP_HEADERS",
@@ -37,8 +38,12 @@
     "make_refusal",
     "public_headers",
     "read_int",
+    "read_whole",
 ]
 
+# Bytes of a body that are read at once.
+CHUNK = 64 * 1024
+
 # Bodies over this many bytes are sent between daemons only once the other side wants
 # them. They take 16 ms of a link of 4 Mbit/s, more than a round trip between zones; for
 # shorter ones asking costs more than the bytes.
@@ -146,6 +151,31 @@
         return b""
 
 
+def read_whole(body: Body, limit: int) -> bytes:
+    """Read a body to its end, in however many pieces it comes.
+
+    Parameters
+    ----------
+    body : Body
+    limit : int
+        Bytes that it may have.
+
+    Raises
+    ------
+    LanedockError
+        `ErrorCode.BODY_TOO_LONG`.
+    OSError
+        The caller went away before the end.
+    """
+    pieces, size = [], 0
+    while piece := body.read(CHUNK):
+        pieces.append(piece)
+        size += len(piece)
+        if size > limit:
+            raise LanedockError(ErrorCode.BODY_TOO_LONG, f"the body has more than {limit} bytes")
+    return b"".join(pieces)
+
+
 class ReplayBody(Body):
     """A body that keeps what was read, so that it can be sent again while it is short.
 
