Quote names in headers between daemons, and refuse control characters in them

Cause: names of routes, services and classes that a program submits had no alphabet, and went into heads as they were: letters outside Latin-1 failed there, at each request, and a line's end would have begun a header of its own. Ruled out: refusing all but the schema's names, which would refuse versions that can be served.

--- a/packages/lanedock-daemon/lanedock_daemon/agent/discovery.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/discovery.py
@@ -7,7 +7,9 @@
 heartbeats of two incarnations cross, it says which of them runs.
 """
 
+import string
 import time
+from urllib.parse import quote
 
 import gevent
 from gevent.event import Event as Signal
@@ -91,7 +93,7 @@
         return self._view.upstream
 
     def _ask(self, pool: ConnectionPool, path: str) -> None:
-        request = Request("GET", path, self._application[0], [], EmptyBody())
+        request = Request("GET", quote(path, safe=string.punctuation), self._application[0], [], EmptyBody())
         headers = [("host", self._application[0])]
         try:
             answer = exchange(pool, self._application, request, headers, TIMEOUT)
--- a/packages/lanedock-daemon/lanedock_daemon/path/caller.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller.py
@@ -28,6 +28,7 @@
     ReplayBody,
     Request,
     public_headers,
+    write_name,
 )
 from lanedock_daemon.path.pool import ConnectionPool
 from lanedock_daemon.path.service import StopTimeout
@@ -217,7 +218,7 @@
     ) -> Job:
         """Choose a service of the route, and gather what the tries of a request need; times in seconds."""
         service = binding.config.services[choose_service(route, self._rng)]
-        headers.append((SERVICE_HEADER, service.name))
+        headers.append((SERVICE_HEADER, write_name(service.name)))
         now = time.monotonic()
         budget = self._view.budget(service.name)
         budget.note_first_try(now)
@@ -278,15 +279,15 @@
     def _make_headers(self, request: Request, binding: Binding, route: Route, span: Span) -> list[tuple[str, str]]:
         """Make the headers that go with every try."""
         headers = public_headers(request.headers, self._dialect.request_names)
-        headers.append((CLASS_HEADER, route.traffic_class))
-        headers.append((ROUTE_HEADER, route.name))
+        headers.append((CLASS_HEADER, write_name(route.traffic_class)))
+        headers.append((ROUTE_HEADER, write_name(route.name)))
         headers.append((VERSION_HEADER, str(binding.number)))
         caller = self._view.upstream.service if self._view.upstream is not None else ""
         if caller:
-            headers.append((CALLER_HEADER, caller))
+            headers.append((CALLER_HEADER, write_name(caller)))
         parent = self._view.parent_class(binding)
         if parent:
-            headers.append((PARENT_HEADER, parent))
+            headers.append((PARENT_HEADER, write_name(parent)))
         if span.traceparent:
             headers.append((TRACE_HEADER, span.traceparent))
         return headers
--- a/packages/lanedock-daemon/lanedock_daemon/path/http.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http.py
@@ -2,8 +2,10 @@
 """Requests and answers as the request path sees them, whatever server reads them."""
 
 import json
+import re
 from abc import ABC, abstractmethod
 from collections.abc import Container, Iterable
+from urllib.parse import quote, unquote
 
 from lanedock.errors import ErrorCode, LanedockError
 
@@ -38,7 +40,9 @@
     "make_refusal",
     "public_headers",
     "read_int",
+    "read_name",
     "read_whole",
+    "write_name",
 ]
 
 # Bytes of a body that are read at once.
@@ -51,6 +55,9 @@
 # The time after which callers may come back where nothing better is known, in seconds.
 RETRY_AFTER = 1.0
 
+# Visible ASCII but for the sign of quoting: written as it is.
+_PLAIN_NAME = re.compile(r"[!-$&-~]*")
+
 # Headers between lanedock's daemons; taken out of what comes from outside.
 PRIVATE_PREFIX = "x-lanedock-"
 SERVICE_HEADER = "x-lanedock-service"
@@ -105,6 +112,16 @@
     return int(text) if text.isascii() and text.isdigit() else None
 
 
+def write_name(name: str) -> str:
+    """Return a name as the value of a header between daemons; what a header can't carry is quoted (RFC 3986, 2.1)."""
+    return name if _PLAIN_NAME.fullmatch(name) else quote(name, safe="")
+
+
+def read_name(value: str) -> str:
+    """Return the name that `write_name` wrote."""
+    return unquote(value) if "%" in value else value
+
+
 def public_headers(headers: list[tuple[str, str]], dropped: Container[str]) -> list[tuple[str, str]]:
     """Return headers without those between daemons, and without some others."""
     return [pair for pair in headers if pair[0] not in dropped and not pair[0].startswith(PRIVATE_PREFIX)]
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/chain.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/chain.py
@@ -134,12 +134,13 @@
     """An upstream's daemon in front of an application."""
 
     def __init__(self, name: str, application: Application, value: dict):
+        service = value["services"][0]["name"]
         self.name = name
         self.application = application
         self.view = make_view(value, False)
         parts = (EventLogger(name), NullMetrics(), NullTracer())
         self.pool = ConnectionPool()
-        self.side = UpstreamSide("s", application.address, self.view, self.pool, *parts)
+        self.side = UpstreamSide(service, application.address, self.view, self.pool, *parts)
         self.server = PathServer(name, Address(HOST, 0), self.side, StopPlan(0.0, 2.0), EventLogger(name))
         self.server.start(None)
 
@@ -158,7 +159,7 @@
 def put_in_force(view: LocalView, value: dict, is_entry: bool) -> None:
     tree = split_config(value)
     holder: VersionHolder = view.holder
-    holder.put_in_force(tree.whole_push(needed_groups(tree, is_entry, "s")))
+    holder.put_in_force(tree.whole_push(needed_groups(tree, is_entry, value["services"][0]["name"])))
     view.publish()
 
 
@@ -180,9 +181,10 @@
 
     def publish_endpoints(self) -> None:
         update = messages.EndpointUpdate(whole=True)
+        service = self.value["services"][0]["name"]
         for upstream in self.upstreams:
             update.changed.add(
-                instance=upstream.name, service="s", zone="z", host=HOST, port=upstream.server.port, incarnation=1
+                instance=upstream.name, service=service, zone="z", host=HOST, port=upstream.server.port, incarnation=1
             )
         self.view.take_endpoints(update)
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
@@ -38,6 +38,7 @@
     make_refusal,
     public_headers,
     read_int,
+    read_name,
 )
 from lanedock_daemon.path.parser import MalformedMessage
 from lanedock_daemon.path.pool import ConnectionPool, ExchangeError
@@ -143,22 +144,23 @@
         version = read_int(request.header(VERSION_HEADER))
         if version is not None:
             self._view.note_version(version)
+        service = read_name(request.header(SERVICE_HEADER))
         if self._registration.upstream:
             # The application itself has said what it runs.
-            is_held = request.header(SERVICE_HEADER) == self._registration.service
+            is_held = service == self._registration.service
         elif binding is None:
             return self._refuse(ErrorCode.NOT_READY, RETRY_AFTER, log, **self._view.age())
         else:
-            is_held = request.header(SERVICE_HEADER) == self._service and self._service in binding.config.services
+            is_held = service == self._service and self._service in binding.config.services
         if not is_held:
-            return self._refuse(ErrorCode.NOT_HELD, RETRY_AFTER, log, service=request.header(SERVICE_HEADER))
+            return self._refuse(ErrorCode.NOT_HELD, RETRY_AFTER, log, service=service)
         self._configure(binding)
         deadline = _read_time(request, DEADLINE_HEADER, started)
         if deadline is None:
             deadline = started + RETRY_AFTER
         traffic_class = self._classify(request, binding)
         target_time = _read_time(request, TARGET_HEADER, started)
-        log.route = request.header(ROUTE_HEADER)
+        log.route = read_name(request.header(ROUTE_HEADER))
         start_by = _read_time(request, START_BY_HEADER, started)
         wanted = AdmissionRequest(deadline, target_time, log.route, start_by)
         # The link first: a slot must not be held while other bodies come. The body is
@@ -189,13 +191,13 @@
         which want their answers later: at 1.5 times what it bears 0.30 of those were
         answered in time, and 0.98 are (tools/bench_overload.py).
         """
-        own = request.header(CLASS_HEADER)
+        own = read_name(request.header(CLASS_HEADER))
         is_own = request.header(CALLER_HEADER) == request.header(SERVICE_HEADER)
         is_call = self._calls.note(request.header(ROUTE_HEADER), is_own)
         if not is_call or binding is None:
             return own
         classes = binding.config.traffic_classes
-        parent = classes.get(request.header(PARENT_HEADER))
+        parent = classes.get(read_name(request.header(PARENT_HEADER)))
         if parent is None or own not in classes or parent.priority <= classes[own].priority:
             return own
         return parent.name
@@ -270,7 +272,7 @@
     def _pass_on(self, request: Request, traffic_class: str, deadline: float, span, log: RequestLog) -> Answer:
         """Send a request to the application; the slot is held to the answer's end."""
         started = time.monotonic()
-        release = _Release(self._limiter, traffic_class, request.header(ROUTE_HEADER), started)
+        release = _Release(self._limiter, traffic_class, log.route, started)
         if started >= deadline:
             release()
             return self._refuse(ErrorCode.DEADLINE, 0.0, log)
@@ -340,7 +342,7 @@
         headers += self._dialect.request_headers(
             left_ms,
             request.header(UPSTREAM_HEADER) or self._registration.upstream,
-            request.header(CALLER_HEADER),
+            read_name(request.header(CALLER_HEADER)),
             int(attempt) if attempt.isdigit() else 1,
         )
         if span.traceparent:
--- a/packages/lanedock/lanedock/config/load.py
+++ b/packages/lanedock/lanedock/config/load.py
@@ -1,6 +1,8 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """From the operators' file to a `ConfigTree`, and from a tree to a `MeshConfig`."""
 
+import re
+
 from lanedock.config.core import (
     DEFAULT_ENDPOINT_WINDOW_MS,
     CallerLimits,
@@ -19,6 +21,13 @@
 SHARE_TOLERANCE = 1e-9
 # As the schema has it: each JSON reader keeps such a number whole (RFC 8259, section 6).
 MAX_VERSION = 2**53 - 1
+# Bytes of a name in UTF-8. Quoted they take three times as many, and up to five names go
+# with a request between daemons, whose heads may have 32 KB: half is for the caller's own.
+MAX_NAME_BYTES = 1024
+# Control characters (category Cc) would end a head's line; a lone surrogate can't be sent.
+_CONTROLS = r"\x00-\x1f\x7f-\x9f\ud800-\udfff"
+_NAME = re.compile(f"[^{_CONTROLS}]+")
+_HEALTH_PATH = re.compile(rf"[^{_CONTROLS}\s]*")
 
 
 def load_config(path: str) -> ConfigTree:
@@ -74,7 +83,7 @@
         With every finding.
     """
     document = Document(source, value, "")
-    findings = _check_version(document) + _check_references(document)
+    findings = _check_version(document) + _check_texts(document) + _check_references(document)
     if findings:
         raise FindingsError(findings)
     return split_config(value)
@@ -153,6 +162,20 @@
     return [Finding(ErrorCode.SCHEMA, message, document.place("/version"))]
 
 
+def _check_texts(document: Document) -> list[Finding]:
+    """Check the texts that daemons send on in heads and hold against each other."""
+    findings = []
+    for key in ("traffic_classes", "services", "routes"):
+        for number, item in enumerate(document.value[key]):
+            if not _NAME.fullmatch(item["name"]) or len(item["name"].encode()) > MAX_NAME_BYTES:
+                message = f"a name has 1 to {MAX_NAME_BYTES} bytes and no control characters: {item['name'][:80]!r}"
+                findings.append(Finding(ErrorCode.SCHEMA, message, document.place(f"/{key}/{number}/name")))
+            if not _HEALTH_PATH.fullmatch(item.get("health_path", "")):
+                message = f"a health path has no blanks and no control characters, unlike {item['health_path'][:80]!r}"
+                findings.append(Finding(ErrorCode.SCHEMA, message, document.place(f"/{key}/{number}/health_path")))
+    return findings
+
+
 def _check_names(document: Document, key: str) -> list[Finding]:
     findings = []
     seen = set()
--- a/packages/lanedock/lanedock/config/tests/test_load.py
+++ b/packages/lanedock/lanedock/config/tests/test_load.py
@@ -73,6 +73,12 @@
     [
         ("version", 0, "/version"),
         ("version", 2**64, "/version"),
+        ("routes/0/name", "r\r\nx-evil: 1", "/routes/0/name"),
+        ("routes/0/name", "r" * 1025, "/routes/0/name"),
+        ("routes/0/name", "\ud800", "/routes/0/name"),
+        ("routes/0/name", "", "/routes/0/name"),
+        ("services/2/name", "s\x85", "/services/2/name"),
+        ("services/2/health_path", "/health HTTP/1.1\r\n", "/services/2/health_path"),
         ("routes/0/split", [{"service": "none", "weight": 1}], "/routes/0/split/0/service"),
         (
             "routes/0",
@@ -87,6 +93,11 @@
     assert [finding.place.path for finding in caught.value.findings] == [place]
 
 
+@pytest.mark.parametrize("name", ["řeka", " r 1/2%", "R:" + 511 * "ř"])
+def test_names_of_programs_may_have_any_signs(name):
+    assert check_value(_changed("routes/0/name", name), "f").value()["routes"][0]["name"] == name
+
+
 def test_all_findings_come_at_once():
     value = _changed("routes/0/service", "none")
     value["routes"][1]["traffic_class"] = "none"
