--- a/packages/lanedock/lanedock/config/core.py
+++ b/packages/lanedock/lanedock/config/core.py
@@ -137,7 +137,7 @@
     Parameters
     ----------
     header_bytes, body_bytes : int
-    header_timeout_ms, idle_timeout_ms : int
+    header_timeout_ms, idle_timeout_ms : float
         In milliseconds.
     """
 
@@ -166,7 +166,7 @@
     ----------
     name : str
     host : str
-        ``*`` for any.
+        ``*`` for any; kept in lower case.
     path : str
         Prefix, matched by whole segments.
     methods : tuple of str
@@ -176,9 +176,9 @@
     traffic_class : str
     repeatable : bool
         Whether a request may run more than once.
-    deadline_ms : int
+    deadline_ms : float
         Longest time a request may take, in milliseconds.
-    target_ms : int
+    target_ms : float
         Time within which an answer is wanted, in milliseconds.
     max_attempts : int
         Upstreams to which one request may be sent at the most.
@@ -223,7 +223,7 @@
         split=(),
     ):
         self.name = name
-        self.host = host
+        self.host = host.lower()
         self.path = path
         self.methods = tuple(methods)
         self.split = tuple(Split(**part) for part in split)
--- a/packages/lanedock/lanedock/config/load.py
+++ b/packages/lanedock/lanedock/config/load.py
@@ -228,7 +228,7 @@
     findings = []
     taken = {}
     for number, item in enumerate(document.value["routes"]):
-        key = (item.get("host", "*"), item["path"].rstrip("/"))
+        key = (item.get("host", "*").lower(), item["path"].rstrip("/"))
         methods = set(item.get("methods", ())) or {"*"}
         for other_name, other_methods in taken.get(key, ()):
             overlap = ("*" in methods and "*" in other_methods) or methods & other_methods
