--- a/packages/lanedock-daemon/lanedock_daemon/control/submissions.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/submissions.py
@@ -17,6 +17,7 @@
 # Seconds that an operator waits where the request names no time: several times the 3 s
 # within which a version has to be in force everywhere.
 DEFAULT_TIMEOUT = 10.0
+_TAKEN = (Verdict.STAGING, Verdict.KNOWN)
 
 
 def make_submit_command(item: SubmitRequested, is_direct: bool) -> messages.Command:
@@ -53,6 +54,7 @@
     __slots__ = (
         "accepted_at",
         "allowed_zones",
+        "base",
         "call",
         "deadline",
         "index",
@@ -65,6 +67,7 @@
     def __init__(self, call: Call, request: messages.SubmitRequest, version: Version, now: float, settle=None):
         self.call = call
         self.version = version
+        self.base = request.base_version if request.has_base else None
         self.started_at = now
         self.deadline = now + (request.timeout_ms / 1000 if request.timeout_ms else DEFAULT_TIMEOUT)
         self.allowed_zones = set(request.allow_cut_off)
@@ -117,11 +120,10 @@
         submission = self._proposed.pop(index, None)
         if submission is None:
             return
-        # Another leader's entry may have taken the index.
-        record = result.record if result else None
-        if result is None or (record is not None and record.digest != submission.version.digest):
+        # Another leader's entry may have taken the index: then nothing is known of this order.
+        if result is None or not _is_verdict_on(submission, result):
             submission.call.finish(submission.reply(messages.ANSWER_NOT_KNOWN, ErrorCode.OUTCOME_NOT_KNOWN))
-        elif result.verdict in (Verdict.STAGING, Verdict.KNOWN):
+        elif result.verdict in _TAKEN:
             self._waiting.append(submission)
         else:
             submission.call.finish(submission.reply(messages.ANSWER_NOT_RUN, result.code))
@@ -209,6 +211,13 @@
         submission.call.reply(_fill(reply, submission, progress, now))
 
 
+def _is_verdict_on(submission: Submission, result: SubmitResult) -> bool:
+    """Tell whether a verdict is on this order; once a version is taken, whatever it was made from."""
+    if result.version != submission.version:
+        return False
+    return result.verdict in _TAKEN or result.base == submission.base
+
+
 def _make_abort_reply(submission: Submission, record) -> messages.SubmitReply:
     code = ErrorCode.find(record.reason) or ErrorCode.STAGING_TIMEOUT
     reply = submission.reply(messages.ANSWER_NOT_RUN, code)
--- a/packages/lanedock-daemon/lanedock_daemon/path/exchange.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/exchange.py
@@ -6,15 +6,13 @@
 
 from lanedock.errors import ErrorCode
 from lanedock.telemetry import Event, EventLogger
-from lanedock_daemon.path.http import Body, Outcome, Request
+from lanedock_daemon.path.http import CHUNK, Body, Outcome, Request
 from lanedock_daemon.path.parser import AnswerReader, MalformedMessage, Message
 from lanedock_daemon.path.pool import ConnectionPool, ExchangeError
 from lanedock_daemon.path.service import StopTimeout
 
 __all__ = ["AnswerPieces", "Consent", "PendingAnswer", "UpstreamAnswer", "exchange", "send_request"]
 
-# Bytes of a body that are read and sent in one piece.
-CHUNK = 64 * 1024
 # Longest silence within an answer's body, in seconds.
 BODY_TIMEOUT = 30.0
 _WITH_BODY = ("POST", "PUT", "PATCH")
--- a/packages/lanedock-daemon/lanedock_daemon/path/http.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http.py
@@ -2,16 +2,19 @@
 """Requests and answers as the request path sees them, whatever server reads them."""
 
 import json
+import re
 from abc import ABC, abstractmethod
 from collections.abc import Container, Iterable
+from urllib.parse import quote, unquote
 
-from lanedock.errors import ErrorCode
+from lanedock.errors import ErrorCode, LanedockError
 
 __all__ = [
     "ARRIVED_HEADER",
     "ASK_LIMIT",
     "ATTEMPT_HEADER",
     "CALLER_HEADER",
+    "CHUNK",
     "CLASS_HEADER",
     "DEADLINE_HEADER",
     "HOP_HEADERS",
@@ -38,8 +41,14 @@
     "make_refusal",
     "public_headers",
     "read_int",
+    "read_name",
+    "read_whole",
+    "write_name",
 ]
 
+# Bytes of a body that are read at once.
+CHUNK = 64 * 1024
+
 # Bodies over this many bytes are sent between daemons only once the other side wants
 # them. They take 16 ms of a link of 4 Mbit/s, more than a round trip between zones; for
 # shorter ones asking costs more than the bytes.
@@ -47,6 +56,9 @@
 # The time after which callers may come back where nothing better is known, in seconds.
 RETRY_AFTER = 1.0
 
+# Visible ASCII but for the sign of quoting: written as it is.
+_PLAIN_NAME = re.compile(r"[!-$&-~]*")
+
 # Headers between lanedock's daemons; taken out of what comes from outside.
 PRIVATE_PREFIX = "x-lanedock-"
 SERVICE_HEADER = "x-lanedock-service"
@@ -101,6 +113,16 @@
     return int(text) if text.isascii() and text.isdigit() else None
 
 
+def write_name(name: str) -> str:
+    """Return a name as the value of a header between daemons; what a header can't carry is quoted (RFC 3986, 2.1)."""
+    return name if _PLAIN_NAME.fullmatch(name) else quote(name, safe="")
+
+
+def read_name(value: str) -> str:
+    """Return the name that `write_name` wrote."""
+    return unquote(value) if "%" in value else value
+
+
 def public_headers(headers: list[tuple[str, str]], dropped: Container[str]) -> list[tuple[str, str]]:
     """Return headers without those between daemons, and without some others."""
     return [pair for pair in headers if pair[0] not in dropped and not pair[0].startswith(PRIVATE_PREFIX)]
@@ -147,6 +169,31 @@
         return b""
 
 
+def read_whole(body: Body, limit: int) -> bytes:
+    """Read a body to its end, in however many pieces it comes.
+
+    Parameters
+    ----------
+    body : Body
+    limit : int
+        Bytes that it may have.
+
+    Raises
+    ------
+    LanedockError
+        `ErrorCode.BODY_TOO_LONG`.
+    OSError
+        The caller went away before the end.
+    """
+    pieces, size = [], 0
+    while piece := body.read(CHUNK):
+        pieces.append(piece)
+        size += len(piece)
+        if size > limit:
+            raise LanedockError(ErrorCode.BODY_TOO_LONG, f"the body has more than {limit} bytes")
+    return b"".join(pieces)
+
+
 class ReplayBody(Body):
     """A body that keeps what was read, so that it can be sent again while it is short.
 
