Begin nothing behind an answer that says it is the last

Cause: a connection noted that it closes only once its last answer had ended. While that one streamed, requests were read, begun and passed on; the connection then closed and their answers were dropped. In a stop the same could happen behind an answer that goes on until the process ends. Change: from the head that says so on, nothing new is begun; what comes counts as not read, and the open body is still fed. While the process stops, pipelined requests are begun one after the other, so that none is run whose answer stands behind one that may be cut. A connection with a head that was read and not begun isn't idle. Not covered: what was pipelined and begun before the stop, behind an answer that is cut at its end.

--- a/packages/lanedock-daemon/lanedock_daemon/path/connection.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/connection.py
@@ -67,6 +67,8 @@
         self._exchanges: deque[Exchange] = deque()
         self._open: Exchange | None = None
         self._has_room = Signal()
+        # An answer has said in its head that it is the last one.
+        self._is_ending = False
         self._is_closing = False
 
     # ------------------------------------------------------------------ reading
@@ -80,6 +82,7 @@
             self._refuse(exc)
         except _Expired:
             # It may have read a request between being found idle and being ended.
+            self._begin_whole()
             self._finish_exchanges()
             if self._reader.is_in_head and not self._exchanges:
                 self._refuse(MalformedMessage("the request came too slowly", 408))
@@ -96,7 +99,7 @@
 
     def is_idle(self) -> bool:
         """Tell whether no request is in progress or being read."""
-        return not (self._exchanges or self._reader.is_in_head)
+        return not (self._exchanges or self._reader.is_in_head or self._reader.has_head())
 
     def end_if_idle(self) -> None:
         """End the connection of a server that stops, unless a request is in progress."""
@@ -115,11 +118,9 @@
         self._note_time()
         while reader.receive_first():
             if self._is_closing:
-                # What comes behind the last answer was not read.
-                reader.drop()
+                self._drop_rest()
                 continue
-            while reader.has_head():
-                self._begin(reader.next_head())
+            self._begin_read()
             if self._open is not None:
                 self._open.body.wake()
                 if self._open.message.is_complete:
@@ -128,11 +129,41 @@
             while not self._is_closing and self._is_full():
                 self._has_room.clear()
                 self._has_room.wait()
+                self._begin_read()
+                self._note_time()
         if reader.is_in_head:
             raise ConnectionError("the connection ended within a head")
 
+    def _begin_read(self) -> None:
+        """Begin the requests whose heads were read, as far as they may begin."""
+        reader = self._reader
+        while reader.has_head() and self._may_begin():
+            self._begin(reader.next_head())
+        if self._is_ending:
+            self._drop_rest()
+
+    def _drop_rest(self) -> None:
+        """Forget what came behind the last answer: it counts as not read.
+
+        Begun, it would be run and never answered.
+        """
+        self._reader.drop(self._open.message if self._open is not None else None)
+
+    def _may_begin(self) -> bool:
+        if self._is_ending:
+            return False
+        # The answer before it may be cut when the process ends, and its own with it.
+        return not (self._exchanges and self._server.is_in_stop)
+
+    def _begin_whole(self) -> None:
+        """Begin the requests that were read whole, of a connection on which no more is read."""
+        while self._reader.has_head() and not self._is_ending:
+            message = self._reader.next_head()
+            if message.is_complete:
+                self._begin(message)
+
     def _is_full(self) -> bool:
-        if len(self._exchanges) >= MAX_PIPELINED:
+        if len(self._exchanges) >= MAX_PIPELINED or self._reader.has_head():
             return True
         # The reader goes on once the body's pieces were taken.
         return self._open is not None and self._open.message.size_ahead() > READ_AHEAD
@@ -275,6 +306,7 @@
         elif not has_length and has_body:
             keep_alive = False
         if not keep_alive:
+            self._is_ending = True
             lines.append("connection: close")
         head = ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
         pieces = iter(answer.pieces)
--- a/packages/lanedock-daemon/lanedock_daemon/path/parser.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/parser.py
@@ -151,9 +151,11 @@
         """Tell whether more came than the message read last."""
         return bool(self._heads) or self.is_in_head
 
-    def drop(self) -> None:
-        """Forget what was read ahead."""
+    def drop(self, kept: Message | None = None) -> None:
+        """Forget what was read ahead, but for the body of one message."""
         self._heads.clear()
+        if self._current is not None and self._current is not kept:
+            self._current.pieces.clear()
 
     def receive_first(self) -> bool:
         """Wait for the first bytes of the next message; False at the end."""
--- a/packages/lanedock-daemon/lanedock_daemon/path/server.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/server.py
@@ -113,6 +113,11 @@
                 connection.expire()
                 return
 
+    @property
+    def is_in_stop(self) -> bool:
+        """Whether the process stops: answers that stream out then may be cut."""
+        return self._plan.is_begun
+
     def is_over(self) -> bool:
         """Tell whether the process stops, and its final answers have been given."""
         return self._plan.is_begun and time.monotonic() >= self._plan.deadline
