Count an answer's body in the time that a stop takes requests to need

Cause: the time noted for a kind of request ends with its answer's head; the stop's plan trusted it, also for what is sent to other daemons (x-lanedock-start-by-ms), and began on answers that were cut. Change: a second time per kind, from the head until the last byte was passed on; the plan counts the sum. Kept from the head on and not from the request's beginning: a request's own deadline bounds only the first part. The head's time alone still decides on hedges, slowness and silence.

--- a/packages/lanedock-daemon/lanedock_daemon/path/caller.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller.py
@@ -241,7 +241,9 @@
             now = time.monotonic()
             if now >= job.deadline:
                 return progress.failure or self._refuse(ErrorCode.DEADLINE)
+            # The deadline bounds the time to the answer's head; its body may go on beyond it.
             needed = min(job.balancer.late_after(route.name), job.deadline - now)
+            needed += job.balancer.body_late_after(route.name)
             if not self._plan.allows(needed, now):
                 job.log.note(Event.REQUEST_TRY_ENDED, service=job.service.name, reason="the process stops")
                 return progress.failure or self._refuse_late(now)
--- a/packages/lanedock-daemon/lanedock_daemon/path/tries.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tries.py
@@ -354,9 +354,17 @@
         return Try(answer, code is ErrorCode.DEADLINE, bool(head.header(ARRIVED_HEADER)), code=code)
 
     def _note_end(
-        self, balancer, stats, failed: bool, load=None, taken=None, unreachable: bool = False, kind: str = ""
+        self,
+        balancer,
+        stats,
+        failed: bool,
+        load=None,
+        taken=None,
+        unreachable: bool = False,
+        kind: str = "",
+        body_taken=None,
     ) -> None:
-        if balancer.end(stats, failed, time.monotonic(), load, taken, unreachable, kind):
+        if balancer.end(stats, failed, time.monotonic(), load, taken, unreachable, kind, body_taken):
             self._metrics.count(Metric.EJECTED)
             self._events.emit(
                 Event.EJECTED,
@@ -392,6 +400,7 @@
         failed = head.status >= 500
         self._metrics.count(Metric.TRIES, 1, (stats.endpoint.service, "failed" if failed else "answered"))
         pieces: list[bytes] = []
+        body_taken = 0.0
         if not head.is_complete:
             response.set_timeout(deadline - time.monotonic() + GRACE)
             try:
@@ -405,16 +414,29 @@
                 response.close()
                 balancer.end(stats, False, time.monotonic())
                 raise
+            body_taken = time.monotonic() - started - taken
         if head.is_complete:
             # A failure that comes at once must not make an upstream look quick.
-            known = None if failed else taken
-            self._note_end(balancer, stats, failed=failed, load=load, taken=known, kind=route.name)
+            known, body_known = (None, None) if failed else (taken, body_taken)
+            self._note_end(
+                balancer, stats, failed=failed, load=load, taken=known, kind=route.name, body_taken=body_known
+            )
             return Try(Answer(head.status, head.reason, _strip(head), [*pieces, *head.pieces]), True)
 
         def end(broke_off: bool) -> None:
             if broke_off:
                 self._events.emit(Event.ANSWER_LOST, upstream=stats.endpoint.instance)
-            self._note_end(balancer, stats, failed=failed or broke_off, load=load, taken=taken, kind=route.name)
+            is_whole = head.is_complete and not (failed or broke_off)
+            body_known = time.monotonic() - started - taken if is_whole else None
+            self._note_end(
+                balancer,
+                stats,
+                failed=failed or broke_off,
+                load=load,
+                taken=taken,
+                kind=route.name,
+                body_taken=body_known,
+            )
 
         return Try(Answer(head.status, head.reason, _strip(head), AnswerPieces(response, end, pieces)), True)
 
--- a/packages/lanedock/lanedock/routing/balancer.py
+++ b/packages/lanedock/lanedock/routing/balancer.py
@@ -65,6 +65,7 @@
         self._local: list[UpstreamStats] = []
         self._remote: list[UpstreamStats] = []
         self._times: dict[str, MovingTime] = {}
+        self._body_times: dict[str, MovingTime] = {}
 
     def __repr__(self) -> str:
         return f"<Balancer {self._zone} local={len(self._local)} remote={len(self._remote)}>"
@@ -111,6 +112,20 @@
         times = self._times.get(kind)
         return max(_LATE_MIN, times.late_after) if times is not None else _LATE_FIRST
 
+    def body_late_after(self, kind: str) -> float:
+        """Return the time from an answer's head to its last byte that hardly one of its kind exceeds, in seconds."""
+        times = self._body_times.get(kind)
+        return times.late_after if times is not None else 0.0
+
+    def _note_body_time(self, kind: str, taken: float) -> None:
+        times = self._body_times.get(kind)
+        if times is not None:
+            times.note(taken)
+        elif taken:
+            if len(self._body_times) >= _MAX_KINDS:
+                self._body_times.clear()
+            self._body_times[kind] = MovingTime(taken, _SMOOTHING)
+
     def _note_time(self, stats: UpstreamStats, kind: str, taken: float) -> None:
         times = self._times.get(kind)
         if times is None:
@@ -238,6 +253,7 @@
         taken: float | None = None,
         unreachable: bool = False,
         kind: str = "",
+        body_taken: float | None = None,
     ) -> bool:
         """Note a request's end.
 
@@ -256,6 +272,10 @@
             has reached it. However many are unreachable, none of them is a choice.
         kind : str
             Of the request, such as its route's name: times are compared within one.
+        body_taken : float, optional
+            Seconds from the answer's head until its last byte was passed on; left out
+            where it has not come to its end. Kept apart: an upstream isn't slow, nor an
+            answer late, because its body is long or its caller reads slowly.
 
         Returns
         -------
@@ -269,6 +289,8 @@
         if taken is not None:
             stats.answered_at = now
             self._note_time(stats, kind, taken)
+        if body_taken is not None:
+            self._note_body_time(kind, body_taken)
         if not failed:
             stats.failures = 0
             stats.is_on_trial = False
--- a/packages/lanedock/lanedock/routing/tests/test_balancer.py
+++ b/packages/lanedock/lanedock/routing/tests/test_balancer.py
@@ -145,6 +145,19 @@
     assert chosen["quick"] > 4 * chosen["slow"] > 0
 
 
+def test_the_time_that_bodies_take_is_kept_apart():
+    balancer = _balancer(_endpoint("a"))
+    stats = balancer.choose(12, 0.0)
+    before = balancer.body_late_after("read")
+    for _ in range(50):
+        balancer.begin(stats, 0.0)
+        balancer.end(stats, False, 1.1, taken=0.1, kind="read", body_taken=1.0)
+    assert before == balancer.body_late_after("write") == 0.0
+    assert balancer.body_late_after("read") >= 1.0
+    assert balancer.late_after("read") < 1.0
+    assert stats.slowness == pytest.approx(1.0)
+
+
 def test_a_silent_upstream_gets_less():
     balancer = _balancer(_endpoint("a"), _endpoint("b"))
     for _ in range(50):
