Let closing connections linger while a server stops, and keep nothing of them

Cause: a connection whose last answer was written counted as idle, so that a stop closed it within 0.02 s, or at once: what its caller still sent met a closed socket, and the reset took the refusal, or the rest of the last answer, along. At any time the end of the exchange set the connection's end anew, to 30 s or the idle timeout where 1 s is meant, and the pieces of the refused body were kept. Change: a closing connection isn't idle; it reads on and drops until its caller closes or LINGER is over, also while the server stops, and a stop doesn't wait for it past its own end. Nothing puts its end off, and its open body is dropped. A malformed request behind the last answer gets no answer into it. Where there are more connections than are kept, those with nothing open are ended at once, as before. No system call, timer or greenlet more for a request.

--- a/packages/lanedock-daemon/lanedock_daemon/path/connection.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/connection.py
@@ -26,7 +26,8 @@
 # Bytes of a body that are read ahead of whoever takes them.
 READ_AHEAD = 256 * 1024
 # After the last answer the rest that a caller still sends is read for this
-# long, in seconds: closing with unread bytes would reset the answer, too.
+# long, in seconds: what comes to a closed socket would reset the answer, too. 40 kB
+# sent after a refusal met a broken pipe without it.
 LINGER = 1.0
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _REASONS = {
@@ -84,7 +85,7 @@
             # It may have read a request between being found idle and being ended.
             self._begin_whole()
             self._finish_exchanges()
-            if self._reader.is_in_head and not self._exchanges:
+            if self._reader.is_in_head and not (self._exchanges or self._is_closing):
                 self._refuse(MalformedMessage("the request came too slowly", 408))
         except (OSError, gevent.GreenletExit):
             # The caller is gone, or must not take a part for the whole.
@@ -98,12 +99,12 @@
         self._greenlet.kill(_Expired, block=False)
 
     def is_idle(self) -> bool:
-        """Tell whether no request is in progress or being read."""
-        return not (self._exchanges or self._reader.is_in_head or self._reader.has_head())
+        """Tell whether no request is in progress or being read, and no last answer on its way."""
+        return not (self._exchanges or self._reader.is_in_head or self._reader.has_head() or self._is_closing)
 
     def end_if_idle(self) -> None:
         """End the connection of a server that stops, unless a request is in progress."""
-        if self.is_idle():
+        if self.is_idle() or (self._is_closing and self.expires_at <= time.monotonic()):
             self.expire()
 
     def answer_all(self) -> int:
@@ -145,9 +146,11 @@
     def _drop_rest(self) -> None:
         """Forget what came behind the last answer: it counts as not read.
 
-        Begun, it would be run and never answered.
+        Begun, it would be run and never answered. The open body is still taken until
+        the answer has ended.
         """
-        self._reader.drop(self._open.message if self._open is not None else None)
+        is_taken = self._open is not None and not self._is_closing
+        self._reader.drop(self._open.message if is_taken else None)
 
     def _may_begin(self) -> bool:
         if self._is_ending:
@@ -169,6 +172,8 @@
         return self._open is not None and self._open.message.size_ahead() > READ_AHEAD
 
     def _note_time(self) -> None:
+        if self._is_closing:
+            return  # it lingers for a set time
         now = time.monotonic()
         header_timeout, idle_timeout = self._server.read_timeouts()
         if self._open is not None:
@@ -335,12 +340,16 @@
             self._conn.sendall(pending)
 
     def _close_politely(self) -> None:
-        """End the connection for the caller; the reader takes what is still on its way."""
+        """End the connection for the caller; the reader takes what is still on its way.
+
+        It ends when the caller has closed its side, or has taken too long.
+        """
         self._is_closing = True
         self._has_room.set()
         self.expires_at = time.monotonic() + LINGER
         self._conn.shutdown(plain_socket.SHUT_WR)
-        if self._open is None and (self._server.is_stopping or self._server.is_crowded()):
+        if self._open is None and self._server.is_crowded():
+            # Its place is wanted, and hardly anything is on its way.
             self._greenlet.kill(_Expired, block=False)
 
     def _refuse(self, exc: MalformedMessage) -> None:
@@ -351,7 +360,8 @@
         message.version = "1.1"
         try:
             self._conn.settimeout(LINGER)
-            self._write(answer, message, keep_alive=False)
+            if not self._is_ending:
+                self._write(answer, message, keep_alive=False)
             while self._conn.recv(65536):
                 pass
         except (OSError, gevent.GreenletExit):
