Answer a request that came whole before a malformed one

Cause: a malformed request's error left the reader before the heads that were parsed with it were begun, and before the end of a body that came with it was passed on: the one caller's request got the other's 400, as not run. Change: what was read whole is begun, and answered, before the malformed one is refused. Not begun is what the error itself stands in.

--- a/packages/lanedock-daemon/lanedock_daemon/path/connection.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/connection.py
@@ -79,6 +79,8 @@
         try:
             self._read()
         except MalformedMessage as exc:
+            # What came before it, maybe in the same packet, has answers of its own.
+            self._begin_whole()
             self._finish_exchanges()
             self._refuse(exc)
         except _Expired:
@@ -123,9 +125,7 @@
                 continue
             self._begin_read()
             if self._open is not None:
-                self._open.body.wake()
-                if self._open.message.is_complete:
-                    self._open = None
+                self._note_body()
             self._note_time()
             while not self._is_closing and self._is_full():
                 self._has_room.clear()
@@ -158,8 +158,16 @@
         # The answer before it may be cut when the process ends, and its own with it.
         return not (self._exchanges and self._server.is_in_stop)
 
+    def _note_body(self) -> None:
+        """Note that more of the open body may have come."""
+        self._open.body.wake()
+        if self._open.message.is_complete:
+            self._open = None
+
     def _begin_whole(self) -> None:
         """Begin the requests that were read whole, of a connection on which no more is read."""
+        if self._open is not None:
+            self._note_body()
         while self._reader.has_head() and not self._is_ending:
             message = self._reader.next_head()
             if message.is_complete:
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_closing.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_closing.py
@@ -45,6 +45,7 @@
 HALF = b"." * 10_000
 UPLOAD_LENGTH = 20_000_000
 UPLOAD = b"POST /x HTTP/1.1\r\nhost: h\r\ncontent-length: %d\r\n\r\n" % UPLOAD_LENGTH
+UPLOAD_OF_4 = b"POST /x HTTP/1.1\r\nhost: h\r\ncontent-length: 4\r\n\r\n"
 # Seconds that a server waits for its requests when it stops.
 LIMIT = 5.0
 
@@ -96,6 +97,18 @@
         return make_refusal(ErrorCode.OVERLOADED, Outcome.NOT_RUN)
 
 
+class _Reading:
+    """Reads bodies, and answers when they have come to their end."""
+
+    def __init__(self):
+        self.received = b""
+
+    def handle(self, request) -> Answer:
+        while piece := request.body.read(100):
+            self.received += piece
+        return Answer(200, "OK", [("content-length", "0")], [])
+
+
 def _request(path: str) -> bytes:
     return f"GET {path} HTTP/1.1\r\nhost: h\r\n\r\n".encode()
 
@@ -210,3 +223,29 @@
         answers = read_all(conn).split(b"HTTP/1.1 ")[1:]
     assert [answer[:3] for answer in answers] == [b"200", b"400"]
     assert side.begun == ["/a"]
+
+
+# What stands in the packet that brings a body's end, what follows, and the answers.
+_BEHIND = {
+    "a malformed request": (b"no HTTP\r\n\r\n", b"", [b"200", b"400"]),
+}
+
+
+@pytest.mark.parametrize("behind", _BEHIND)
+def test_a_body_that_ends_in_the_packet_of_another_request_is_received(make_server, behind):
+    head, rest, statuses = _BEHIND[behind]
+    side = _Reading()
+    server = make_server(side)
+    with socket.create_connection((HOST, server.port), timeout=LIMIT) as conn:
+        conn.sendall(UPLOAD_OF_4 + b"bo")
+        wait_until(lambda: side.received == b"bo")
+        conn.sendall(b"dy" + head)
+        wait_until(lambda: side.received == b"body")
+        conn.sendall(rest)
+        got = b""
+        while got.count(b"HTTP/1.1 ") < 2:
+            more = conn.recv(65536)
+            assert more, got
+            got += more
+    assert [answer[:3] for answer in got.split(b"HTTP/1.1 ")[1:]] == statuses
+    assert side.received == b"body" + rest
