Pass on the end of a body that comes with the next request's head

Where a packet brought the end of one body and the head of a request whose body was still to come, the new request took the place of the open one, which was never woken: its caller, and all behind it on the connection, got no answer. Change: what came of the open body is noted before heads are begun.

--- a/packages/lanedock-daemon/lanedock_daemon/path/connection.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/connection.py
@@ -123,9 +123,10 @@
             if self._is_closing:
                 self._drop_rest()
                 continue
-            self._begin_read()
+            # First, for the next request may have a body that is to come, too.
             if self._open is not None:
                 self._note_body()
+            self._begin_read()
             self._note_time()
             while not self._is_closing and self._is_full():
                 self._has_room.clear()
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_closing.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_closing.py
@@ -228,6 +228,7 @@
 # What stands in the packet that brings a body's end, what follows, and the answers.
 _BEHIND = {
     "a malformed request": (b"no HTTP\r\n\r\n", b"", [b"200", b"400"]),
+    "a request whose body is to come": (UPLOAD_OF_4, b"body", [b"200", b"200"]),
 }
 
 
