--- a/packages/lanedock-daemon/lanedock_daemon/path/connection.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/connection.py
@@ -357,8 +357,8 @@
         self._has_room.set()
         self.expires_at = time.monotonic() + LINGER
         self._conn.shutdown(plain_socket.SHUT_WR)
-        if self._open is None and self._server.is_crowded():
-            # Its place is wanted, and hardly anything is on its way.
+        if self._open is None and self._server.is_crowded() and not self._server.is_stopping:
+            # Its place is wanted for another caller, and hardly anything is on its way.
             self._greenlet.kill(_Expired, block=False)
 
     def _refuse(self, exc: MalformedMessage) -> None:
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_closing.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_closing.py
@@ -168,19 +168,27 @@
     assert got.count(b"HTTP/1.1 200 OK") == 2
 
 
-def test_a_refusal_reaches_a_caller_that_still_sends_while_the_server_stops(make_server, monkeypatch):
+@pytest.mark.parametrize("max_kept", [None, 0])
+@pytest.mark.parametrize(
+    "head,more", [(UPLOAD, b"." * 10_000), (_request("/x"), 100 * _request("/y")), (_request("/x"), b"no HTTP\r\n\r\n")]
+)
+def test_a_refusal_reaches_a_caller_that_still_sends_while_the_server_stops(
+    make_server, monkeypatch, head, more, max_kept
+):
     monkeypatch.setattr(connection, "LINGER", LIMIT)
-    server = make_server(_Refusing())
+    server = make_server(_Refusing(), max_kept=max_kept)
     with socket.create_connection((HOST, server.port), timeout=LIMIT) as conn:
-        _begin_stop_within(server, conn, UPLOAD)
+        _begin_stop_within(server, conn, head)
         stopping = gevent.spawn(server.stop)
         wait_until(lambda: any(one._is_closing for one in server._connections))
         for _ in range(4):
-            conn.sendall(b"." * 10_000)
+            conn.sendall(more)
             # The stop looks whether anything is left to do.
             gevent.sleep(2 * POLL)
         assert not stopping.ready()
-        assert read_all(conn).startswith(b"HTTP/1.1 503")
+        got = read_all(conn)
+    assert got.startswith(b"HTTP/1.1 503")
+    assert got.count(b"HTTP/1.1 ") == 1
     stopping.get(timeout=LIMIT)
 
 
