Say unknown of a request whose body turns out malformed

Cause: found by reading. Malformed bytes were refused as not run, also within a chunked body of which a part had been passed on. Change: with a body open the refusal says unknown.

--- a/packages/lanedock-daemon/lanedock_daemon/path/connection.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/connection.py
@@ -363,7 +363,9 @@
 
     def _refuse(self, exc: MalformedMessage) -> None:
         """Answer what is malformed, and take nothing more from this connection."""
-        answer = make_refusal(exc.code, Outcome.NOT_RUN, 0.0, str(exc))
+        # Of an open body a part may have been passed on.
+        outcome = Outcome.NOT_RUN if self._open is None else Outcome.UNKNOWN
+        answer = make_refusal(exc.code, outcome, 0.0, str(exc))
         answer.status, answer.reason = exc.status, _REASONS[exc.status]
         message = Message()
         message.version = "1.1"
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_closing.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_closing.py
@@ -258,3 +258,15 @@
             got += more
     assert [answer[:3] for answer in got.split(b"HTTP/1.1 ")[1:]] == statuses
     assert side.received == b"body" + rest
+
+
+def test_a_body_that_turns_out_malformed_leaves_it_unknown_whether_its_request_has_run(make_server):
+    side = _Reading()
+    server = make_server(side)
+    with socket.create_connection((HOST, server.port), timeout=LIMIT) as conn:
+        conn.sendall(b"POST /x HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n4\r\nbody\r\n")
+        wait_until(lambda: side.received == b"body")
+        conn.sendall(b"no length\r\n")
+        answer = read_all(conn)
+    assert answer.startswith(b"HTTP/1.1 400")
+    assert b"\r\nx-request-outcome: unknown\r\n" in answer
