--- a/packages/lanedock-daemon/lanedock_daemon/path/http.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http.py
@@ -19,6 +19,7 @@
     "DEADLINE_HEADER",
     "HOP_HEADERS",
     "LOAD_HEADER",
+    "NEVER",
     "OUTCOME_HEADER",
     "PARENT_HEADER",
     "PRIVATE_PREFIX",
@@ -32,6 +33,7 @@
     "UPSTREAM_HEADER",
     "Answer",
     "Body",
+    "BodyTimeout",
     "EmptyBody",
     "HeadersByName",
     "Outcome",
@@ -56,6 +58,8 @@
 # The time after which callers may come back where nothing better is known, in seconds.
 RETRY_AFTER = 1.0
 
+# A deadline, monotonic seconds, for none.
+NEVER = float("inf")
 # Visible ASCII but for the sign of quoting: written as it is.
 _PLAIN_NAME = re.compile(r"[!-$&-~]*")
 
@@ -135,6 +139,10 @@
     UNKNOWN = "unknown"
 
 
+class BodyTimeout(TimeoutError):
+    """A request's body has not come by its deadline: whoever sends it is slow, not who is to have it."""
+
+
 class Body(ABC):
     """A request's body, read once.
 
@@ -152,11 +160,18 @@
         return self.length is None or self.length > ASK_LIMIT
 
     @abstractmethod
-    def read(self, size: int) -> bytes:
+    def read(self, size: int, deadline: float = NEVER) -> bytes:
         """Return up to `size` bytes; empty at the end.
 
+        Parameters
+        ----------
+        size : int
+        deadline : float
+            Monotonic, seconds: until when they are waited for.
+
         Raises
         ------
+        BodyTimeout
         OSError
             The caller went away before the end.
         """
@@ -165,7 +180,7 @@
 class EmptyBody(Body):
     """A body of no bytes."""
 
-    def read(self, size: int) -> bytes:
+    def read(self, size: int, deadline: float = NEVER) -> bytes:
         return b""
 
 
@@ -221,11 +236,11 @@
         """Start again at the beginning."""
         self._position = 0
 
-    def read(self, size: int) -> bytes:
+    def read(self, size: int, deadline: float = NEVER) -> bytes:
         if self._position < len(self._kept):
             self._position += 1
             return self._kept[self._position - 1]
-        piece = self._body.read(size)
+        piece = self._body.read(size, deadline)
         self._was_read = True
         if piece and not self.is_long:
             self._kept.append(piece)
--- a/packages/lanedock/lanedock/routing/balancer.py
+++ b/packages/lanedock/lanedock/routing/balancer.py
@@ -115,7 +115,7 @@
     def body_late_after(self, kind: str) -> float:
         """Return the time from an answer's head to its last byte that hardly one of its kind exceeds, in seconds."""
         times = self._body_times.get(kind)
-        return times.late_after if times is not None else 0.0
+        return times.tail if times is not None else 0.0
 
     def _note_body_time(self, kind: str, taken: float) -> None:
         times = self._body_times.get(kind)
--- a/packages/lanedock/lanedock/routing/tests/test_balancer.py
+++ b/packages/lanedock/lanedock/routing/tests/test_balancer.py
@@ -154,7 +154,7 @@
         balancer.end(stats, False, 1.1, taken=0.1, kind="read", body_taken=1.0)
     assert before == balancer.body_late_after("write") == 0.0
     assert balancer.body_late_after("read") >= 1.0
-    assert balancer.late_after("read") < 1.0
+    assert balancer.hedge_delay("read") < 1.0
     assert stats.slowness == pytest.approx(1.0)
 
 
