End all tasks of the loop in tests of gRPC links

Cause: tasks that were left when a test's loop closed were collected in the middle of another test, with a warning there (one in 573 tests). Change: the loop ends them all first.

--- a/packages/lanedock-daemon/lanedock_daemon/tests/test_grpc.py
+++ b/packages/lanedock-daemon/lanedock_daemon/tests/test_grpc.py
@@ -41,6 +41,19 @@
     def wait(self, coroutine, timeout: float | None = None):
         return asyncio.run_coroutine_threadsafe(coroutine, self._loop).result(timeout)
 
+    def stop(self) -> None:
+        self.wait(self._end_all(), 10)
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._task.join(10)
+
+    async def _end_all(self) -> None:
+        """End all tasks, those of servers, too: what is left would be collected in the middle of other tests."""
+        while tasks := asyncio.all_tasks() - {asyncio.current_task()}:
+            for task in tasks:
+                task.cancel()
+            # Again: grpclib may turn a cancellation into its own error, after which a link goes on.
+            await asyncio.wait(tasks, timeout=0.1)
+
 
 class _Kernel:
     """Finds the loop."""
