--- a/packages/lanedock-daemon/lanedock_daemon/path/exchange.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/exchange.py
@@ -11,10 +11,13 @@
 from lanedock_daemon.path.pool import ConnectionPool, ExchangeError
 from lanedock_daemon.path.service import StopTimeout
 
-__all__ = ["AnswerPieces", "Consent", "PendingAnswer", "UpstreamAnswer", "exchange", "send_request"]
+__all__ = ["AnswerPieces", "Consent", "PendingAnswer", "UpstreamAnswer", "exchange", "note_late", "send_request"]
 
-# Longest silence within an answer's body, in seconds, once its head was passed on.
-BODY_TIMEOUT = 30.0
+# Least time, in seconds, after which an answer whose head was passed on counts as broken off
+# while nothing more of it comes: packets that were lost are sent again by then. Else it is the
+# time that the request had. With 30 s, connections that fall silent within answers kept
+# slots for as long.
+MIN_SILENCE = 1.0
 _WITH_BODY = ("POST", "PUT", "PATCH")
 
 
@@ -80,10 +83,10 @@
             size += len(piece)
         return pieces
 
-    def lift_deadline(self) -> None:
-        """Let the body take its time from now on, unless it falls silent."""
+    def lift_deadline(self, silence: float) -> None:
+        """Let the body take its time from now on, unless nothing of it comes for some seconds."""
         if self._reader is not None:
-            self._reader.conn.settimeout(BODY_TIMEOUT)
+            self._reader.conn.settimeout(max(MIN_SILENCE, silence))
 
     def _settle(self) -> None:
         """Give the connection back once the answer was read to its end."""
@@ -142,10 +145,12 @@
         Called once, however it ends, with whether the body broke off.
     first : list of bytes
         Pieces that were read already.
+    silence : float
+        Seconds without a piece after which it counts as broken off.
     """
 
-    def __init__(self, response: UpstreamAnswer, on_end, first: list[bytes]):
-        response.lift_deadline()
+    def __init__(self, response: UpstreamAnswer, on_end, first: list[bytes], silence: float):
+        response.lift_deadline(silence)
         self._response = response
         self._on_end = on_end
         self._first = first
@@ -212,18 +217,8 @@
             raise
 
     def note_late(self, sent_at: float, events: EventLogger, upstream: str) -> None:
-        """Note that the answer is late: its connection may have fallen silent, and others with it.
-
-        Parameters
-        ----------
-        sent_at : float
-            Monotonic, seconds: of the request.
-        events : EventLogger
-        upstream : str
-            Whose connections they are, for a log line.
-        """
-        if self._pool.note_late(self._address, sent_at):
-            events.emit(Event.CONNECTIONS_SILENT, upstream=upstream)
+        """Note that the answer is late; see the function."""
+        note_late(self._pool, self._address, sent_at, events, upstream)
 
     def read(self) -> UpstreamAnswer:
         """Wait for the answer's head.
@@ -247,6 +242,25 @@
         self._reader.conn.close()
 
 
+def note_late(
+    pool: ConnectionPool, address: tuple[str, int], sent_at: float, events: EventLogger, upstream: str
+) -> None:
+    """Note that what a request waits for is late: its connection may have fallen silent, and others with it.
+
+    Parameters
+    ----------
+    pool : ConnectionPool
+    address : tuple of (str, int)
+    sent_at : float
+        Monotonic, seconds: of the request.
+    events : EventLogger
+    upstream : str
+        Whose connections they are, for a log line.
+    """
+    if pool.note_late(address, sent_at):
+        events.emit(Event.CONNECTIONS_SILENT, upstream=upstream)
+
+
 class _OutcomeKnown:
     """Closes a connection on which an exchange fails, and raises what is known of the outcome."""
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/tries.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tries.py
@@ -10,7 +10,7 @@
 from lanedock.routing import UpstreamStats
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics
 from lanedock_daemon.path.dialect import Dialect
-from lanedock_daemon.path.exchange import AnswerPieces, Consent, PendingAnswer, UpstreamAnswer, send_request
+from lanedock_daemon.path.exchange import AnswerPieces, Consent, PendingAnswer, UpstreamAnswer, note_late, send_request
 from lanedock_daemon.path.http import (
     ARRIVED_HEADER,
     ATTEMPT_HEADER,
@@ -144,7 +144,10 @@
         consent = None
         if request.body.is_asked_for:
             late_after = min(balancer.hedge_delay(job.route.name), left)
-            consent = Consent(late_after, lambda: self._note_late(stats, started))
+            consent = Consent(
+                late_after,
+                lambda: note_late(self._pool, stats.address, started, self._events, stats.endpoint.instance),
+            )
         balancer.begin(stats, started)
         try:
             return send_request(self._pool, stats.address, request, sent, job.deadline + GRACE, consent)
@@ -331,7 +334,8 @@
                 body_taken=body_known,
             )
 
-        return Try(Answer(head.status, head.reason, _strip(head), AnswerPieces(response, end, pieces)), True)
+        rest = AnswerPieces(response, end, pieces, job.deadline - started)
+        return Try(Answer(head.status, head.reason, _strip(head), rest), True)
 
 
 def _first_of(first: gevent.Greenlet, second: gevent.Greenlet) -> Try:
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
@@ -334,7 +334,8 @@
         if head.is_complete:
             release()
             return Answer(head.status, head.reason, headers, [*first, *head.pieces])
-        return Answer(head.status, head.reason, headers, AnswerPieces(response, lambda broke_off: release(), first))
+        rest = AnswerPieces(response, lambda broke_off: release(), first, deadline - started)
+        return Answer(head.status, head.reason, headers, rest)
 
     def _on_lost(self, exc: ExchangeError, log: RequestLog) -> Answer:
         if exc.outcome == Outcome.NOT_RUN:
