--- a/packages/lanedock-daemon/lanedock_daemon/agent/registration.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/registration.py
@@ -9,19 +9,21 @@
 import json
 import time
 
-from lanedock.errors import ErrorCode
+from lanedock.errors import ErrorCode, LanedockError
 from lanedock.membership import Heartbeat, UpstreamRegistration
 from lanedock.telemetry import Event, EventLogger
-from lanedock_daemon.path.http import Answer, Outcome, Request, make_refusal
+from lanedock.wire import messages
+from lanedock_daemon.path.http import Answer, Outcome, Request, make_refusal, read_whole
 
 __all__ = ["Registrar", "RegistrationSide"]
 
 _PREFIX = "/upstreams/"
+# Bytes of a heartbeat that are read: bounds memory; its five fields are far shorter.
 MAX_BODY = 64 * 1024
 
 
 class Registrar:
-    """Brings what an application reports into its registration, and spreads it.
+    """Brings what an application reports, and what the mesh knows of it, into its registration.
 
     Parameters
     ----------
@@ -29,7 +31,7 @@
     on_change : callable
         Called without arguments when others have to learn of a change.
     on_rival : callable
-        Called without arguments when a heartbeat of another incarnation came.
+        Called without arguments when a heartbeat or the mesh names another incarnation.
     events : EventLogger
     """
 
@@ -40,7 +42,7 @@
         self._events = events
 
     def beat(self, heartbeat: Heartbeat) -> None:
-        """Take in a heartbeat."""
+        """Accept a heartbeat."""
         registration = self._registration
         before, was_leaving = registration.upstream, registration.is_leaving
         is_changed = registration.beat(heartbeat, time.monotonic())
@@ -63,12 +65,27 @@
             self._events.emit(Event.UPSTREAM_LEAVING, upstream=upstream, sequence="-")
             self._on_change()
 
+    def adopt(self, endpoint: messages.Endpoint) -> None:
+        """Learn from the mesh what this daemon knew before it was restarted; the mesh knows any change."""
+        registration = self._registration
+        rival = registration.rival
+        if registration.adopt(endpoint.upstream, endpoint.service, endpoint.ended, endpoint.slots, time.monotonic()):
+            self._events.emit(Event.UPSTREAM_ADOPTED, upstream=endpoint.upstream, leaving=endpoint.ended)
+        if registration.rival is not rival:
+            self._events.emit(Event.RIVAL_HEARD, upstream=registration.upstream, rival=endpoint.upstream, sequence="-")
+            self._on_rival()
+
 
 class RegistrationSide:
-    """Takes an application's heartbeats; parameters as those of `Registrar`."""
+    """Takes an application's heartbeats.
 
-    def __init__(self, registration: UpstreamRegistration, on_change, on_rival, events: EventLogger):
-        self._registrar = Registrar(registration, on_change, on_rival, events)
+    Parameters
+    ----------
+    registrar : Registrar
+    """
+
+    def __init__(self, registrar: Registrar):
+        self._registrar = registrar
 
     def handle(self, request: Request) -> Answer:
         """Answer a call of the application."""
@@ -81,7 +98,9 @@
         if request.method != "PUT":
             return make_refusal(ErrorCode.BAD_REQUEST, Outcome.NOT_RUN, 0.0, f"{request.method} is not understood")
         try:
-            heartbeat = _read_heartbeat(upstream, request.body.read(MAX_BODY))
+            heartbeat = _read_heartbeat(upstream, read_whole(request.body, MAX_BODY))
+        except LanedockError as exc:
+            return make_refusal(exc.code, Outcome.NOT_RUN, 0.0, str(exc))
         except (KeyError, TypeError, ValueError) as exc:
             return make_refusal(ErrorCode.BAD_REQUEST, Outcome.NOT_RUN, 0.0, f"malformed heartbeat: {exc!r}")
         self._registrar.beat(heartbeat)
--- a/packages/lanedock-daemon/lanedock_daemon/control/distribution.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/distribution.py
@@ -14,8 +14,13 @@
 
 __all__ = ["DaemonSessions"]
 
+# Daemons that are admitted at once before the limit of admissions in a second holds: a
+# zone's restarted daemons, while a herd of hundreds is spread.
 ADMISSION_BURST = 64
+# Seconds between two questions to daemons whether others can be reached: each has some of
+# them try to connect, and it is asked only while a listed daemon is connected nowhere.
 ATTEST_INTERVAL = 1.0
+# Daemons of a zone that are asked: one or two of them may be cut off or paused themselves.
 ATTESTERS = 3
 # Wait for a read's confirmation, in seconds, before it is asked again.
 READ_PATIENCE = 1.0
@@ -53,7 +58,7 @@
     # ---------------------------------------------------------------- sessions
 
     def arrive(self, session: Session, message: messages.DaemonMessage, endpoints) -> None:
-        """Admit a daemon, refer it to a relay, or tell it when to come back."""
+        """Admit a daemon, refer it to a relay, or refuse it with a time to try again."""
         now = time.monotonic()
         wait = self._admission.ask(now)
         if wait > 0:
@@ -168,14 +173,14 @@
         return [session for voices in chosen.values() for session in voices]
 
     def take_report(self, whole: bool) -> messages.FleetReport:
-        """Return what to tell the leader of the daemons."""
+        """Return what to report to the leader of the daemons."""
         report = self.distributor.take_report(whole)
         report.attestations.extend(self._attestations)
         self._attestations = []
         return report
 
     def is_report_due(self) -> bool:
-        """Tell whether there is something new to tell the leader."""
+        """Tell whether there is something new to report to the leader."""
         return bool(self._attestations) or self.distributor.is_report_due()
 
 
--- a/packages/lanedock-daemon/lanedock_daemon/control/submissions.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/submissions.py
@@ -8,12 +8,33 @@
 from lanedock.rollout import RolloutProgress, SubmitResult, Verdict
 from lanedock.telemetry import Metric, Metrics
 from lanedock.wire import messages
-from lanedock_daemon.control.requests import Call
+from lanedock_daemon.control.requests import Call, SubmitRequested
 
-__all__ = ["Submission", "SubmissionQueue"]
+__all__ = ["Submission", "SubmissionQueue", "make_submit_command"]
 
+# Seconds between two reports of progress to one operator: as often as a person sees.
 PROGRESS_INTERVAL = 0.1
+# Seconds that an operator waits where the request names no time: several times the 3 s
+# within which a version has to be in force everywhere.
 DEFAULT_TIMEOUT = 10.0
+_TAKEN = (Verdict.STAGING, Verdict.KNOWN)
+
+
+def make_submit_command(item: SubmitRequested, is_direct: bool) -> messages.Command:
+    """Make the command that has a submitted version judged, and staged or accepted at once."""
+    version, request = item.tree.version, item.request
+    command = messages.Command()
+    submit = command.submit
+    submit.version = version.number
+    submit.digest = version.digest
+    submit.content = item.tree.pack()
+    submit.allow_cut_off.extend(request.allow_cut_off)
+    submit.operator = request.operator
+    submit.submitted_at = time.time()
+    submit.has_base = request.has_base
+    submit.base_version = request.base_version
+    submit.direct = is_direct
+    return command
 
 
 class Submission:
@@ -33,6 +54,7 @@
     __slots__ = (
         "accepted_at",
         "allowed_zones",
+        "base",
         "call",
         "deadline",
         "index",
@@ -45,6 +67,7 @@
     def __init__(self, call: Call, request: messages.SubmitRequest, version: Version, now: float, settle=None):
         self.call = call
         self.version = version
+        self.base = request.base_version if request.has_base else None
         self.started_at = now
         self.deadline = now + (request.timeout_ms / 1000 if request.timeout_ms else DEFAULT_TIMEOUT)
         self.allowed_zones = set(request.allow_cut_off)
@@ -97,17 +120,16 @@
         submission = self._proposed.pop(index, None)
         if submission is None:
             return
-        # Another leader's entry may have taken the index.
-        record = result.record if result else None
-        if result is None or (record is not None and record.digest != submission.version.digest):
+        # Another leader's entry may have taken the index: then nothing is known of this order.
+        if result is None or not _is_verdict_on(submission, result):
             submission.call.finish(submission.reply(messages.ANSWER_NOT_KNOWN, ErrorCode.OUTCOME_NOT_KNOWN))
-        elif result.verdict in (Verdict.STAGING, Verdict.KNOWN):
+        elif result.verdict in _TAKEN:
             self._waiting.append(submission)
         else:
             submission.call.finish(submission.reply(messages.ANSWER_NOT_RUN, result.code))
 
     def abandon_all(self) -> None:
-        """Tell everybody that the outcome is not known here any more."""
+        """Answer everybody that the outcome is not known here any more."""
         for submission in [*self._proposed.values(), *self._waiting]:
             submission.call.finish(submission.reply(messages.ANSWER_NOT_KNOWN, ErrorCode.OUTCOME_NOT_KNOWN))
         self._proposed = {}
@@ -118,7 +140,7 @@
         return not self._proposed and not self._waiting
 
     def advance(self, records: dict, look_up) -> None:
-        """Tell those who wait how far their version has come.
+        """Report to those who wait how far their version has come.
 
         Parameters
         ----------
@@ -160,7 +182,7 @@
         is_settled = is_accepted and submission.settle is not None and now - submission.accepted_at >= submission.settle
         if is_settled or now >= submission.deadline:
             return self._make_late(submission, progress, is_accepted, now)
-        self._tell_progress(submission, progress, is_accepted, now)
+        self._report_progress(submission, progress, is_accepted, now)
         return None
 
     def _make_final(self, submission, progress, cut_off: list[str], now: float) -> messages.SubmitReply:
@@ -181,7 +203,7 @@
             reply = submission.reply(messages.ANSWER_NOT_KNOWN, ErrorCode.OUTCOME_NOT_KNOWN)
         return _fill(reply, submission, progress, now)
 
-    def _tell_progress(self, submission, progress, is_accepted: bool, now: float) -> None:
+    def _report_progress(self, submission, progress, is_accepted: bool, now: float) -> None:
         if now - submission.reported_at < PROGRESS_INTERVAL:
             return
         submission.reported_at = now
@@ -189,6 +211,13 @@
         submission.call.reply(_fill(reply, submission, progress, now))
 
 
+def _is_verdict_on(submission: Submission, result: SubmitResult) -> bool:
+    """Tell whether a verdict is on this order; once a version is taken, whatever it was made from."""
+    if result.version != submission.version:
+        return False
+    return result.verdict in _TAKEN or result.base == submission.base
+
+
 def _make_abort_reply(submission: Submission, record) -> messages.SubmitReply:
     code = ErrorCode.find(record.reason) or ErrorCode.STAGING_TIMEOUT
     reply = submission.reply(messages.ANSWER_NOT_RUN, code)
--- a/packages/lanedock-daemon/lanedock_daemon/path/connection.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/connection.py
@@ -26,7 +26,8 @@
 # Bytes of a body that are read ahead of whoever takes them.
 READ_AHEAD = 256 * 1024
 # After the last answer the rest that a caller still sends is read for this
-# long, in seconds: closing with unread bytes would reset the answer, too.
+# long, in seconds: what comes to a closed socket would reset the answer, too. 40 kB
+# sent after a refusal met a broken pipe without it.
 LINGER = 1.0
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _REASONS = {
@@ -67,6 +68,8 @@
         self._exchanges: deque[Exchange] = deque()
         self._open: Exchange | None = None
         self._has_room = Signal()
+        # An answer has said in its head that it is the last one.
+        self._is_ending = False
         self._is_closing = False
 
     # ------------------------------------------------------------------ reading
@@ -76,12 +79,15 @@
         try:
             self._read()
         except MalformedMessage as exc:
+            # What came before it, maybe in the same packet, has answers of its own.
+            self._begin_whole()
             self._finish_exchanges()
             self._refuse(exc)
         except _Expired:
             # It may have read a request between being found idle and being ended.
+            self._begin_whole()
             self._finish_exchanges()
-            if self._reader.is_in_head and not self._exchanges:
+            if self._reader.is_in_head and not (self._exchanges or self._is_closing):
                 self._refuse(MalformedMessage("the request came too slowly", 408))
         except (OSError, gevent.GreenletExit):
             # The caller is gone, or must not take a part for the whole.
@@ -95,12 +101,12 @@
         self._greenlet.kill(_Expired, block=False)
 
     def is_idle(self) -> bool:
-        """Tell whether no request is in progress or being read."""
-        return not (self._exchanges or self._reader.is_in_head)
+        """Tell whether no request is in progress or being read, and no last answer on its way."""
+        return not (self._exchanges or self._reader.is_in_head or self._reader.has_head() or self._is_closing)
 
     def end_if_idle(self) -> None:
         """End the connection of a server that stops, unless a request is in progress."""
-        if self.is_idle():
+        if self.is_idle() or (self._is_closing and self.expires_at <= time.monotonic()):
             self.expire()
 
     def answer_all(self) -> int:
@@ -115,29 +121,68 @@
         self._note_time()
         while reader.receive_first():
             if self._is_closing:
-                # What comes behind the last answer was not read.
-                reader.drop()
+                self._drop_rest()
                 continue
-            while reader.has_head():
-                self._begin(reader.next_head())
+            # First, for the next request may have a body that is to come, too.
             if self._open is not None:
-                self._open.body.wake()
-                if self._open.message.is_complete:
-                    self._open = None
+                self._note_body()
+            self._begin_read()
             self._note_time()
             while not self._is_closing and self._is_full():
                 self._has_room.clear()
                 self._has_room.wait()
+                self._begin_read()
+                self._note_time()
         if reader.is_in_head:
             raise ConnectionError("the connection ended within a head")
 
+    def _begin_read(self) -> None:
+        """Begin the requests whose heads were read, as far as they may begin."""
+        reader = self._reader
+        while reader.has_head() and self._may_begin():
+            self._begin(reader.next_head())
+        if self._is_ending:
+            self._drop_rest()
+
+    def _drop_rest(self) -> None:
+        """Forget what came behind the last answer: it counts as not read.
+
+        Begun, it would be run and never answered. The open body is still taken until
+        the answer has ended.
+        """
+        is_taken = self._open is not None and not self._is_closing
+        self._reader.drop(self._open.message if is_taken else None)
+
+    def _may_begin(self) -> bool:
+        if self._is_ending:
+            return False
+        # The answer before it may be cut when the process ends, and its own with it.
+        return not (self._exchanges and self._server.is_in_stop)
+
+    def _note_body(self) -> None:
+        """Note that more of the open body may have come."""
+        self._open.body.wake()
+        if self._open.message.is_complete:
+            self._open = None
+
+    def _begin_whole(self) -> None:
+        """Begin the requests that were read whole, of a connection on which no more is read."""
+        if self._open is not None:
+            self._note_body()
+        while self._reader.has_head() and not self._is_ending:
+            message = self._reader.next_head()
+            if message.is_complete:
+                self._begin(message)
+
     def _is_full(self) -> bool:
-        if len(self._exchanges) >= MAX_PIPELINED:
+        if len(self._exchanges) >= MAX_PIPELINED or self._reader.has_head():
             return True
         # The reader goes on once the body's pieces were taken.
         return self._open is not None and self._open.message.size_ahead() > READ_AHEAD
 
     def _note_time(self) -> None:
+        if self._is_closing:
+            return  # it lingers for a set time
         now = time.monotonic()
         header_timeout, idle_timeout = self._server.read_timeouts()
         if self._open is not None:
@@ -275,6 +320,7 @@
         elif not has_length and has_body:
             keep_alive = False
         if not keep_alive:
+            self._is_ending = True
             lines.append("connection: close")
         head = ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
         pieces = iter(answer.pieces)
@@ -303,23 +349,30 @@
             self._conn.sendall(pending)
 
     def _close_politely(self) -> None:
-        """End the connection for the caller; the reader takes what is still on its way."""
+        """End the connection for the caller; the reader takes what is still on its way.
+
+        It ends when the caller has closed its side, or has taken too long.
+        """
         self._is_closing = True
         self._has_room.set()
         self.expires_at = time.monotonic() + LINGER
         self._conn.shutdown(plain_socket.SHUT_WR)
-        if self._open is None and (self._server.is_stopping or self._server.is_crowded()):
+        if self._open is None and self._server.is_crowded() and not self._server.is_stopping:
+            # Its place is wanted for another caller, and hardly anything is on its way.
             self._greenlet.kill(_Expired, block=False)
 
     def _refuse(self, exc: MalformedMessage) -> None:
         """Answer what is malformed, and take nothing more from this connection."""
-        answer = make_refusal(exc.code, Outcome.NOT_RUN, 0.0, str(exc))
+        # Of an open body a part may have been passed on.
+        outcome = Outcome.NOT_RUN if self._open is None else Outcome.UNKNOWN
+        answer = make_refusal(exc.code, outcome, 0.0, str(exc))
         answer.status, answer.reason = exc.status, _REASONS[exc.status]
         message = Message()
         message.version = "1.1"
         try:
             self._conn.settimeout(LINGER)
-            self._write(answer, message, keep_alive=False)
+            if not self._is_ending:
+                self._write(answer, message, keep_alive=False)
             while self._conn.recv(65536):
                 pass
         except (OSError, gevent.GreenletExit):
--- a/packages/lanedock-daemon/lanedock_daemon/path/exchange.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/exchange.py
@@ -5,16 +5,19 @@
 from errno import EHOSTUNREACH, ENETUNREACH, ETIMEDOUT
 
 from lanedock.errors import ErrorCode
-from lanedock_daemon.path.http import Body, Outcome, Request
+from lanedock.telemetry import Event, EventLogger
+from lanedock_daemon.path.http import CHUNK, Body, BodyTimeout, Outcome, Request
 from lanedock_daemon.path.parser import AnswerReader, MalformedMessage, Message
 from lanedock_daemon.path.pool import ConnectionPool, ExchangeError
 from lanedock_daemon.path.service import StopTimeout
 
-__all__ = ["AnswerPieces", "PendingAnswer", "UpstreamAnswer", "exchange", "send_request"]
+__all__ = ["AnswerPieces", "Consent", "PendingAnswer", "UpstreamAnswer", "exchange", "note_late", "send_request"]
 
-CHUNK = 64 * 1024
-# Longest silence within an answer's body, in seconds.
-BODY_TIMEOUT = 30.0
+# Least time, in seconds, after which an answer whose head was passed on counts as broken off
+# while nothing more of it comes: packets that were lost are sent again by then. Else it is the
+# time that the request had. With 30 s, connections that fall silent within answers kept
+# slots for as long.
+MIN_SILENCE = 1.0
 _WITH_BODY = ("POST", "PUT", "PATCH")
 
 
@@ -53,6 +56,18 @@
             self._settle()
         return piece
 
+    def read_first(self) -> list[bytes]:
+        """Wait for the first piece of the body, with which the head is passed on; none where all is read.
+
+        Raises
+        ------
+        ExchangeError
+        """
+        if self._reader is None:
+            return []
+        with _OutcomeKnown(self._reader, self._address):
+            return [self.read()]
+
     def read_all(self) -> bytes:
         """Return the whole body."""
         pieces = []
@@ -68,10 +83,10 @@
             size += len(piece)
         return pieces
 
-    def set_timeout(self, timeout: float) -> None:
-        """Set the longest wait for a piece of the body, in seconds."""
+    def lift_deadline(self, silence: float) -> None:
+        """Let the body take its time from now on, unless nothing of it comes for some seconds."""
         if self._reader is not None:
-            self._reader.conn.settimeout(max(0.001, timeout))
+            self._reader.conn.settimeout(max(MIN_SILENCE, silence))
 
     def _settle(self) -> None:
         """Give the connection back once the answer was read to its end."""
@@ -90,22 +105,55 @@
             reader.conn.close()
 
 
+class Consent:
+    """That a body is sent only once the other side wants it.
+
+    A refusal costs nothing then, and the body can still go elsewhere.
+
+    Parameters
+    ----------
+    late_after : float
+        Seconds after which consent is late.
+    on_late : callable
+        Called without arguments where it is: the connection may have fallen silent, and others
+        with it, each of which would cost the next body its whole deadline. The wait goes on.
+    """
+
+    __slots__ = ("_late_after", "_on_late")
+
+    def __init__(self, late_after: float, on_late):
+        self._late_after = late_after
+        self._on_late = on_late
+
+    def wait(self, reader: AnswerReader) -> bool:
+        """Wait until the body is wanted; see `AnswerReader.wait_for_consent`."""
+        if not reader.conn.wait(self._late_after):
+            self._on_late()
+        return reader.wait_for_consent()
+
+
 class AnswerPieces:
     """The pieces of an answer's body, as they come.
 
+    Its head is passed on with the first of them, which was read by the request's
+    deadline; from then on it must not be cut for the time that it takes.
+
     Parameters
     ----------
     response : UpstreamAnswer
     on_end : callable
         Called once, however it ends, with whether the body broke off.
-    first : list of bytes, optional
+    first : list of bytes
         Pieces that were read already.
+    silence : float
+        Seconds without a piece after which it counts as broken off.
     """
 
-    def __init__(self, response: UpstreamAnswer, on_end, first: list[bytes] | None = None):
+    def __init__(self, response: UpstreamAnswer, on_end, first: list[bytes], silence: float):
+        response.lift_deadline(silence)
         self._response = response
         self._on_end = on_end
-        self._first = first or []
+        self._first = first
 
     def __iter__(self) -> "AnswerPieces":
         return self
@@ -143,7 +191,7 @@
     address : tuple of (str, int)
     reader : AnswerReader
     deadline : float
-        Monotonic, seconds: for the answer's head.
+        Monotonic, seconds: for the answer as far as it is not passed on yet.
 
     Attributes
     ----------
@@ -168,6 +216,10 @@
             self._reader.conn.close()
             raise
 
+    def note_late(self, sent_at: float, events: EventLogger, upstream: str) -> None:
+        """Note that the answer is late; see the function."""
+        note_late(self._pool, self._address, sent_at, events, upstream)
+
     def read(self) -> UpstreamAnswer:
         """Wait for the answer's head.
 
@@ -178,12 +230,11 @@
         reader, address = self._reader, self._address
         self.is_being_read = True
         with _OutcomeKnown(reader, address):
-            reader.conn.settimeout(max(0.001, self._deadline - time.monotonic()))
+            reader.conn.set_deadline(self._deadline)
             message = reader.next_head()
             if message is None:
                 raise ConnectionError("the connection ended before the answer")
             self._pool.note_heard(address, time.monotonic())
-            reader.conn.settimeout(BODY_TIMEOUT)
             return UpstreamAnswer(reader, message, self._pool, address)
 
     def close(self) -> None:
@@ -191,6 +242,25 @@
         self._reader.conn.close()
 
 
+def note_late(
+    pool: ConnectionPool, address: tuple[str, int], sent_at: float, events: EventLogger, upstream: str
+) -> None:
+    """Note that what a request waits for is late: its connection may have fallen silent, and others with it.
+
+    Parameters
+    ----------
+    pool : ConnectionPool
+    address : tuple of (str, int)
+    sent_at : float
+        Monotonic, seconds: of the request.
+    events : EventLogger
+    upstream : str
+        Whose connections they are, for a log line.
+    """
+    if pool.note_late(address, sent_at):
+        events.emit(Event.CONNECTIONS_SILENT, upstream=upstream)
+
+
 class _OutcomeKnown:
     """Closes a connection on which an exchange fails, and raises what is known of the outcome."""
 
@@ -207,28 +277,31 @@
         if exc is None:
             return
         self._reader.conn.close()
-        if isinstance(exc, StopTimeout):
-            raise _stopped(self._address, self._reader.is_passed_on) from exc
-        # The kernel's own time-out: nothing that was sent has been acknowledged.
-        is_cut_off = isinstance(exc, OSError) and exc.errno in (ETIMEDOUT, EHOSTUNREACH, ENETUNREACH)
-        if not isinstance(exc, (OSError, MalformedMessage)):
-            return
-        if not self._reader.is_passed_on:
-            # Without any of its body no daemon passes a request on that it was to ask for.
-            message = f"{self._address}: {exc!r} before its body was asked for"
-            raise ExchangeError(ErrorCode.CONNECT_FAILED, Outcome.NOT_RUN, message, is_cut_off) from exc
-        if isinstance(exc, TimeoutError) and not is_cut_off:
-            message = f"{self._address}: no answer in time"
-            raise ExchangeError(ErrorCode.ANSWER_TIMEOUT, Outcome.UNKNOWN, message) from exc
-        message = f"{self._address}: {exc!r}"
-        raise ExchangeError(ErrorCode.ANSWER_LOST, Outcome.UNKNOWN, message, is_cut_off) from exc
-
-
-def _stopped(address: tuple[str, int], is_passed_on: bool) -> ExchangeError:
-    """Make the end of an exchange that the process's own end cuts short."""
-    if is_passed_on:
-        return ExchangeError(ErrorCode.ANSWER_LOST, Outcome.UNKNOWN, f"{address}: no answer before the stop")
-    return ExchangeError(ErrorCode.DRAINING, Outcome.NOT_RUN, f"{address}: not passed on before the stop")
+        if isinstance(exc, (StopTimeout, OSError, MalformedMessage)):
+            raise _make_failure(self._address, exc, self._reader.is_passed_on) from exc
+
+
+def _make_failure(address: tuple[str, int], exc: BaseException, is_passed_on: bool) -> ExchangeError:
+    """Make what is known of an exchange that has failed, or that the process's own end cuts short."""
+    is_stop = isinstance(exc, StopTimeout)
+    # The kernel's own time-out: nothing that was sent has been acknowledged.
+    is_cut_off = isinstance(exc, OSError) and exc.errno in (ETIMEDOUT, EHOSTUNREACH, ENETUNREACH)
+    is_late = isinstance(exc, TimeoutError) and not is_cut_off
+    is_body_late = isinstance(exc, BodyTimeout)
+    if not is_passed_on:
+        # Without any of its body no daemon passes a request on that it was to ask for.
+        code, reason = ErrorCode.CONNECT_FAILED, f"{exc!r} before its body was asked for"
+        if is_stop:
+            code, reason = ErrorCode.DRAINING, "not passed on before the stop"
+        elif is_late:
+            code, reason = ErrorCode.DEADLINE, "not passed on in time"
+        return ExchangeError(code, Outcome.NOT_RUN, f"{address}: {reason}", is_cut_off, is_body_late)
+    code, reason = ErrorCode.ANSWER_LOST, repr(exc)
+    if is_stop:
+        reason = "no answer before the stop"
+    elif is_late:
+        code, reason = ErrorCode.ANSWER_TIMEOUT, "no answer in time"
+    return ExchangeError(code, Outcome.UNKNOWN, f"{address}: {reason}", is_cut_off, is_body_late)
 
 
 def send_request(
@@ -236,8 +309,8 @@
     address: tuple[str, int],
     request: Request,
     headers: list[tuple[str, str]],
-    timeout: float,
-    ask_first: bool = False,
+    deadline: float,
+    consent: Consent | None = None,
 ) -> PendingAnswer:
     """Send a request.
 
@@ -248,28 +321,27 @@
     request : Request
     headers : list of tuple of (str, str)
         Sent instead of the request's own.
-    timeout : float
-        Seconds for everything up to the answer's head.
-    ask_first : bool
-        Send the body only once the other side wants it, so that a refusal
-        costs nothing and the body can still go elsewhere.
+    deadline : float
+        Monotonic, seconds: for all up to the answer, as far as it is not passed on yet.
+    consent : Consent, optional
+        Where the body is sent only once the other side wants it.
 
     Raises
     ------
     ExchangeError
         With what is known of the outcome.
     """
-    deadline = time.monotonic() + timeout
+    timeout = deadline - time.monotonic()
     if timeout <= 0:
         raise ExchangeError(ErrorCode.DEADLINE, Outcome.NOT_RUN, f"{address}: no time is left")
     try:
         reader = pool.get(address, timeout)
     except StopTimeout as exc:
-        raise _stopped(address, False) from exc
+        raise _make_failure(address, exc, False) from exc
     reader.begin(request.method)
     with _OutcomeKnown(reader, address):
-        reader.conn.settimeout(timeout)
-        _send(reader, request, headers, ask_first)
+        reader.conn.set_deadline(deadline)
+        _send(reader, request, headers, deadline, consent)
     return PendingAnswer(pool, address, reader, deadline)
 
 
@@ -278,15 +350,22 @@
 ) -> UpstreamAnswer:
     """Send a request and read the head of its answer; see `send_request`.
 
+    Parameters
+    ----------
+    timeout : float
+        Seconds for all, the answer's body included.
+
     Returns
     -------
     UpstreamAnswer
         Its body is still to be read.
     """
-    return send_request(pool, address, request, headers, timeout).read()
+    return send_request(pool, address, request, headers, time.monotonic() + timeout).read()
 
 
-def _send(reader: AnswerReader, request: Request, headers: list[tuple[str, str]], ask_first: bool) -> None:
+def _send(
+    reader: AnswerReader, request: Request, headers: list[tuple[str, str]], deadline: float, consent: Consent | None
+) -> None:
     """Write a request: its head, and a small body with it, in one piece."""
     conn, body = reader.conn, request.body
     lines = [f"{request.method} {request.target} HTTP/1.1"]
@@ -295,29 +374,37 @@
         lines.append("transfer-encoding: chunked")
     elif body.length or request.method in _WITH_BODY:
         lines.append(f"content-length: {body.length}")
-    if ask_first:
+    if consent is not None:
         lines.append("expect: 100-continue")
     head = ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
     if body.length == 0:
         reader.is_passed_on = True
         conn.sendall(head)
         return
-    if ask_first:
+    if consent is not None:
         conn.sendall(head)
-        if not reader.wait_for_consent():
+        if not consent.wait(reader):
             reader.is_body_unsent = True
             return
         head = b""
     if body.length is None:
-        _send_chunked(reader, head, body)
+        _send_chunked(reader, head, body, deadline)
     else:
-        _send_counted(reader, head, body)
+        _send_counted(reader, head, body, deadline)
+
+
+def _read_piece(body: Body, size: int, deadline: float) -> bytes:
+    """Return the next piece of a body; past the deadline nothing more of it is passed on."""
+    piece = body.read(size, deadline)
+    if time.monotonic() >= deadline:
+        raise BodyTimeout("the body was not passed on in time")
+    return piece
 
 
-def _send_counted(reader: AnswerReader, head: bytes, body: Body) -> None:
+def _send_counted(reader: AnswerReader, head: bytes, body: Body, deadline: float) -> None:
     left = body.length
     while left > 0:
-        piece = body.read(min(CHUNK, left))
+        piece = _read_piece(body, min(CHUNK, left), deadline)
         if not piece:
             raise ConnectionError("the body ended too early")
         if left < body.length and not reader.conn.is_clean():
@@ -331,14 +418,14 @@
         left -= len(piece)
 
 
-def _send_chunked(reader: AnswerReader, head: bytes, body: Body) -> None:
+def _send_chunked(reader: AnswerReader, head: bytes, body: Body, deadline: float) -> None:
     """Write a body in chunks; its head goes with the first.
 
     Sent before, the head could have an application begin on a request whose sender
     was never asked for its body, and says that it was not run.
     """
     conn = reader.conn
-    while piece := body.read(CHUNK):
+    while piece := _read_piece(body, CHUNK, deadline):
         if not head and not conn.is_clean():
             reader.is_body_unsent = True
             return
--- a/packages/lanedock-daemon/lanedock_daemon/path/http.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http.py
@@ -2,20 +2,24 @@
 """Requests and answers as the request path sees them, whatever server reads them."""
 
 import json
+import re
 from abc import ABC, abstractmethod
 from collections.abc import Container, Iterable
+from urllib.parse import quote, unquote
 
-from lanedock.errors import ErrorCode
+from lanedock.errors import ErrorCode, LanedockError
 
 __all__ = [
     "ARRIVED_HEADER",
     "ASK_LIMIT",
     "ATTEMPT_HEADER",
     "CALLER_HEADER",
+    "CHUNK",
     "CLASS_HEADER",
     "DEADLINE_HEADER",
     "HOP_HEADERS",
     "LOAD_HEADER",
+    "NEVER",
     "OUTCOME_HEADER",
     "PARENT_HEADER",
     "PRIVATE_PREFIX",
@@ -29,16 +33,24 @@
     "UPSTREAM_HEADER",
     "Answer",
     "Body",
+    "BodyTimeout",
     "EmptyBody",
     "HeadersByName",
     "Outcome",
     "ReplayBody",
     "Request",
+    "describe_end",
     "make_refusal",
     "public_headers",
     "read_int",
+    "read_name",
+    "read_whole",
+    "write_name",
 ]
 
+# Bytes of a body that are read at once.
+CHUNK = 64 * 1024
+
 # Bodies over this many bytes are sent between daemons only once the other side wants
 # them. They take 16 ms of a link of 4 Mbit/s, more than a round trip between zones; for
 # shorter ones asking costs more than the bytes.
@@ -46,6 +58,11 @@
 # The time after which callers may come back where nothing better is known, in seconds.
 RETRY_AFTER = 1.0
 
+# A deadline, monotonic seconds, for none.
+NEVER = float("inf")
+# Visible ASCII but for the sign of quoting: written as it is.
+_PLAIN_NAME = re.compile(r"[!-$&-~]*")
+
 # Headers between lanedock's daemons; taken out of what comes from outside.
 PRIVATE_PREFIX = "x-lanedock-"
 SERVICE_HEADER = "x-lanedock-service"
@@ -100,6 +117,16 @@
     return int(text) if text.isascii() and text.isdigit() else None
 
 
+def write_name(name: str) -> str:
+    """Return a name as the value of a header between daemons; what a header can't carry is quoted (RFC 3986, 2.1)."""
+    return name if _PLAIN_NAME.fullmatch(name) else quote(name, safe="")
+
+
+def read_name(value: str) -> str:
+    """Return the name that `write_name` wrote."""
+    return unquote(value) if "%" in value else value
+
+
 def public_headers(headers: list[tuple[str, str]], dropped: Container[str]) -> list[tuple[str, str]]:
     """Return headers without those between daemons, and without some others."""
     return [pair for pair in headers if pair[0] not in dropped and not pair[0].startswith(PRIVATE_PREFIX)]
@@ -112,6 +139,10 @@
     UNKNOWN = "unknown"
 
 
+class BodyTimeout(TimeoutError):
+    """A request's body has not come by its deadline: whoever sends it is slow, not who is to have it."""
+
+
 class Body(ABC):
     """A request's body, read once.
 
@@ -129,11 +160,18 @@
         return self.length is None or self.length > ASK_LIMIT
 
     @abstractmethod
-    def read(self, size: int) -> bytes:
+    def read(self, size: int, deadline: float = NEVER) -> bytes:
         """Return up to `size` bytes; empty at the end.
 
+        Parameters
+        ----------
+        size : int
+        deadline : float
+            Monotonic, seconds: until when they are waited for.
+
         Raises
         ------
+        BodyTimeout
         OSError
             The caller went away before the end.
         """
@@ -142,10 +180,35 @@
 class EmptyBody(Body):
     """A body of no bytes."""
 
-    def read(self, size: int) -> bytes:
+    def read(self, size: int, deadline: float = NEVER) -> bytes:
         return b""
 
 
+def read_whole(body: Body, limit: int) -> bytes:
+    """Read a body to its end, in however many pieces it comes.
+
+    Parameters
+    ----------
+    body : Body
+    limit : int
+        Bytes that it may have.
+
+    Raises
+    ------
+    LanedockError
+        `ErrorCode.BODY_TOO_LONG`.
+    OSError
+        The caller went away before the end.
+    """
+    pieces, size = [], 0
+    while piece := body.read(CHUNK):
+        pieces.append(piece)
+        size += len(piece)
+        if size > limit:
+            raise LanedockError(ErrorCode.BODY_TOO_LONG, f"the body has more than {limit} bytes")
+    return b"".join(pieces)
+
+
 class ReplayBody(Body):
     """A body that keeps what was read, so that it can be sent again while it is short.
 
@@ -173,11 +236,11 @@
         """Start again at the beginning."""
         self._position = 0
 
-    def read(self, size: int) -> bytes:
+    def read(self, size: int, deadline: float = NEVER) -> bytes:
         if self._position < len(self._kept):
             self._position += 1
             return self._kept[self._position - 1]
-        piece = self._body.read(size)
+        piece = self._body.read(size, deadline)
         self._was_read = True
         if piece and not self.is_long:
             self._kept.append(piece)
@@ -273,6 +336,21 @@
 _UNAVAILABLE = (503, "Service Unavailable")
 
 
+def describe_end(answer: Answer, answered: str) -> str:
+    """Return how a request ended, as totals count it.
+
+    Parameters
+    ----------
+    answer : Answer
+    answered : str
+        What counts where it is neither a refusal nor a failure.
+    """
+    named = {name: value for name, value in answer.headers if name in (OUTCOME_HEADER, CODE_HEADER)}
+    if named:
+        return "_".join(named.values())
+    return "failed" if answer.status >= 500 else answered
+
+
 def make_refusal(code: ErrorCode, outcome: str, retry_after: float = 0.0, detail: str = "") -> Answer:
     """Make the answer to a request that lanedock answers itself.
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/tries.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tries.py
@@ -1,17 +1,16 @@
 # SPDX-License-Identifier: BSD-3-Clause
-"""One try of a request at one upstream: what is sent, and what its end says."""
+"""One try of a request at one upstream: what is sent, and what its end shows."""
 
 import time
 
 import gevent
 
-from lanedock.config import Route, Service
+from lanedock.config import Route
 from lanedock.errors import ErrorCode
-from lanedock.limits import RetryBudget
-from lanedock.routing import Balancer, UpstreamStats
-from lanedock.telemetry import Event, EventLogger, Metric, Metrics, RequestLog
+from lanedock.routing import UpstreamStats
+from lanedock.telemetry import Event, EventLogger, Metric, Metrics
 from lanedock_daemon.path.dialect import Dialect
-from lanedock_daemon.path.exchange import AnswerPieces, PendingAnswer, UpstreamAnswer, send_request
+from lanedock_daemon.path.exchange import AnswerPieces, Consent, PendingAnswer, UpstreamAnswer, note_late, send_request
 from lanedock_daemon.path.http import (
     ARRIVED_HEADER,
     ATTEMPT_HEADER,
@@ -32,11 +31,12 @@
     public_headers,
     read_int,
 )
+from lanedock_daemon.path.job import Job, Try
 from lanedock_daemon.path.parser import MalformedMessage, Message
 from lanedock_daemon.path.pool import ConnectionPool, ExchangeError
 from lanedock_daemon.path.prober import UpstreamProber
 
-__all__ = ["Job", "Tries", "Try"]
+__all__ = ["Tries"]
 
 # Answers up to this many bytes are read whole before they are passed on, so
 # that one that breaks off can still be asked for elsewhere.
@@ -47,121 +47,6 @@
 _DAEMON_HEADERS = HOP_HEADERS | {OUTCOME_HEADER, CODE_HEADER}
 
 
-class Try:
-    """What became of one try.
-
-    Parameters
-    ----------
-    answer : Answer
-    is_final : bool
-        False where another upstream may be tried.
-    has_arrived : bool
-        Whether the application may have seen the request.
-    may_have_run : bool
-    code : ErrorCode, optional
-        Why the upstream's daemon refused.
-
-    Attributes
-    ----------
-    arrivals : int
-        Applications that may have seen the request.
-    """
-
-    __slots__ = ("answer", "arrivals", "code", "is_final", "may_have_run")
-
-    def __init__(
-        self,
-        answer: Answer,
-        is_final: bool,
-        has_arrived: bool = True,
-        may_have_run: bool = False,
-        code: ErrorCode | None = None,
-    ):
-        self.answer = answer
-        self.code = code
-        self.is_final = is_final
-        self.arrivals = int(has_arrived)
-        self.may_have_run = may_have_run
-
-
-class Job:
-    """What all tries of one request have in common.
-
-    Parameters
-    ----------
-    request : Request
-        With a body that can be read again, as far as it is short.
-    headers : list of tuple of (str, str)
-        That go with every try.
-    route : Route
-    service : Service
-        Where the request goes to.
-    balancer : Balancer
-        Of the service.
-    budget : RetryBudget
-        Towards the service.
-    deadline, target_time : float
-        Monotonic, seconds.
-    log : RequestLog
-
-    Attributes
-    ----------
-    start_by : float or None
-        Monotonic, seconds: until when an application may begin on it, where the
-        process stops.
-    tried : set of str
-        Instances that were tried.
-    """
-
-    __slots__ = (
-        "balancer",
-        "budget",
-        "deadline",
-        "headers",
-        "log",
-        "request",
-        "route",
-        "service",
-        "start_by",
-        "target_time",
-        "tried",
-    )
-
-    def __init__(
-        self,
-        request: Request,
-        headers: list[tuple[str, str]],
-        route: Route,
-        service: Service,
-        balancer: Balancer,
-        budget: RetryBudget,
-        deadline: float,
-        target_time: float,
-        log: RequestLog,
-    ):
-        self.request = request
-        self.headers = headers
-        self.route = route
-        self.service = service
-        self.balancer = balancer
-        self.budget = budget
-        self.deadline = deadline
-        self.target_time = target_time
-        self.log = log
-        self.start_by: float | None = None
-        self.tried: set[str] = set()
-
-    def choose(self, now: float) -> UpstreamStats | None:
-        """Choose an upstream that was not tried yet, and note it as tried; None where there is none."""
-        # Routes with long bodies, either way, are most of the bytes that go between
-        # zones where there are any: uploads of 60 kB on average and answers of 90 kB.
-        is_long = self.route.upload or self.route.download or self.request.body.is_long
-        stats = self.balancer.choose(self.service.slots, now, frozenset(self.tried), is_long)
-        if stats is not None:
-            self.tried.add(stats.endpoint.instance)
-        return stats
-
-
 class Tries:
     """Sends requests to upstreams.
 
@@ -180,8 +65,8 @@
         self._metrics = metrics
         self._prober = UpstreamProber(pool, events)
 
-    def send_with_reserve(self, job: Job, stats: UpstreamStats, attempt: int) -> Try:
-        """Send a request, and once more elsewhere where its answer is later than nearly all others.
+    def send_hedged(self, job: Job, stats: UpstreamStats, attempt: int) -> Try:
+        """Send a request, and hedge it by sending it elsewhere, too, where its answer is later than nearly all others.
 
         Whichever answers first counts; the other one is cancelled.
         """
@@ -189,10 +74,10 @@
         pending = self._begin(job, stats, attempt, started)
         if isinstance(pending, Try):
             return pending
-        late_after = started + job.balancer.late_after(job.route.name) - time.monotonic()
-        if self._is_answering(job, stats, pending, late_after) or time.monotonic() >= job.deadline:
+        hedge_delay = started + job.balancer.hedge_delay(job.route.name) - time.monotonic()
+        if self._is_answering(job, stats, pending, hedge_delay) or time.monotonic() >= job.deadline:
             return self._end(job, stats, pending, started)
-        self._note_late(stats, started)
+        pending.note_late(started, self._events, stats.endpoint.instance)
         first = second = None
         try:
             first = gevent.spawn(self._end, job, stats, pending, started)
@@ -220,20 +105,15 @@
             job.balancer.end(stats, False, time.monotonic())
             raise
 
-    def _note_late(self, stats: UpstreamStats, sent_at: float) -> None:
-        """Note that an answer is late: its connection may have fallen silent, and others with it."""
-        if self._pool.note_late(stats.address, sent_at):
-            self._events.emit(Event.CONNECTIONS_SILENT, upstream=stats.endpoint.instance)
-
     def send(self, job: Job, stats: UpstreamStats, attempt: int) -> Try:
         """Send a request to one upstream, and wait for its answer."""
         started = time.monotonic()
         pending = self._begin(job, stats, attempt, started)
         if isinstance(pending, Try):
             return pending
-        late_after = started + job.balancer.late_after(job.route.name) - time.monotonic()
-        if not self._is_answering(job, stats, pending, min(late_after, job.deadline - time.monotonic())):
-            self._note_late(stats, started)
+        timeout = started + job.balancer.hedge_delay(job.route.name) - time.monotonic()
+        if not self._is_answering(job, stats, pending, min(timeout, job.deadline - time.monotonic())):
+            pending.note_late(started, self._events, stats.endpoint.instance)
         return self._end(job, stats, pending, started)
 
     def _begin(self, job: Job, stats: UpstreamStats, attempt: int, started: float) -> PendingAnswer | Try:
@@ -261,9 +141,16 @@
             others_age_ms=round(1000 * (started - stats.reported_at)) if stats.reported_at is not None else None,
             slowness=round(stats.slowness, 2),
         )
+        consent = None
+        if request.body.is_asked_for:
+            late_after = min(balancer.hedge_delay(job.route.name), left)
+            consent = Consent(
+                late_after,
+                lambda: note_late(self._pool, stats.address, started, self._events, stats.endpoint.instance),
+            )
         balancer.begin(stats, started)
         try:
-            return send_request(self._pool, stats.address, request, sent, left + GRACE, request.body.is_asked_for)
+            return send_request(self._pool, stats.address, request, sent, job.deadline + GRACE, consent)
         except ExchangeError as exc:
             return self._on_failed(job, stats, exc)
         except BaseException:
@@ -272,7 +159,7 @@
 
     def _on_failed(self, job: Job, stats, exc: ExchangeError) -> Try:
         """No answer has come to a try."""
-        self._note_end(job.balancer, stats, failed=True, unreachable=exc.is_unreachable)
+        self._note_end(job.balancer, stats, failed=not exc.is_body_late, unreachable=exc.is_unreachable)
         self._note_try(job, stats, exc.outcome, exc.code)
         return self._on_lost(exc, stats, job.route, job.request)
 
@@ -323,7 +210,8 @@
 
     def _on_lost(self, exc: ExchangeError, stats, route: Route, request: Request) -> Try:
         if exc.outcome == Outcome.NOT_RUN:
-            answer = self._dialect.make_refusal(exc.code, Outcome.NOT_RUN, RETRY_AFTER, str(exc))
+            wait = 0.0 if exc.code is ErrorCode.DEADLINE else RETRY_AFTER
+            answer = self._dialect.make_refusal(exc.code, Outcome.NOT_RUN, wait, str(exc))
             return Try(answer, False, has_arrived=False)
         self._metrics.count(Metric.UNKNOWN)
         self._events.emit(
@@ -354,9 +242,17 @@
         return Try(answer, code is ErrorCode.DEADLINE, bool(head.header(ARRIVED_HEADER)), code=code)
 
     def _note_end(
-        self, balancer, stats, failed: bool, load=None, taken=None, unreachable: bool = False, kind: str = ""
+        self,
+        balancer,
+        stats,
+        failed: bool,
+        load=None,
+        taken=None,
+        unreachable: bool = False,
+        kind: str = "",
+        body_taken=None,
     ) -> None:
-        if balancer.end(stats, failed, time.monotonic(), load, taken, unreachable, kind):
+        if balancer.end(stats, failed, time.monotonic(), load, taken, unreachable, kind, body_taken):
             self._metrics.count(Metric.EJECTED)
             self._events.emit(
                 Event.EJECTED,
@@ -379,9 +275,13 @@
             response.close()
 
     def _pass_answer(self, response, job: Job, stats, load, is_lost: bool, started: float) -> Try:
-        """Pass an answer on: a short one once it is whole, a long one as it comes."""
+        """Pass an answer on: a short one once it is whole, a long one as it comes.
+
+        One that is neither whole nor long by the deadline is unknown: begun then, it would
+        end later still, and its caller would be held past the time that the route allows.
+        """
         head = response.message
-        route, balancer, deadline = job.route, job.balancer, job.deadline
+        route, balancer = job.route, job.balancer
         taken = time.monotonic() - started
         if is_lost:
             code = ErrorCode.find(head.header(CODE_HEADER)) or ErrorCode.ANSWER_LOST
@@ -392,31 +292,50 @@
         failed = head.status >= 500
         self._metrics.count(Metric.TRIES, 1, (stats.endpoint.service, "failed" if failed else "answered"))
         pieces: list[bytes] = []
+        body_taken = 0.0
         if not head.is_complete:
-            response.set_timeout(deadline - time.monotonic() + GRACE)
             try:
                 pieces = response.read_some(BUFFER_LIMIT)
             except (OSError, MalformedMessage) as exc:
                 response.close()
-                self._note_end(balancer, stats, failed=True, load=load)
-                self._note_try(job, stats, Outcome.UNKNOWN, ErrorCode.ANSWER_LOST)
-                return Try(self._make_unknown(ErrorCode.ANSWER_LOST, str(exc)), not route.repeatable, True, True)
+                # A late one is not the upstream's fault: it answered in time, and links may be narrow.
+                is_late = time.monotonic() >= job.deadline
+                code = ErrorCode.ANSWER_TIMEOUT if is_late else ErrorCode.ANSWER_LOST
+                self._note_end(
+                    balancer, stats, failed or not is_late, load, taken if is_late else None, kind=route.name
+                )
+                self._note_try(job, stats, Outcome.UNKNOWN, code)
+                return Try(self._make_unknown(code, str(exc)), not route.repeatable, True, True)
             except BaseException:
                 response.close()
                 balancer.end(stats, False, time.monotonic())
                 raise
+            body_taken = time.monotonic() - started - taken
         if head.is_complete:
             # A failure that comes at once must not make an upstream look quick.
-            known = None if failed else taken
-            self._note_end(balancer, stats, failed=failed, load=load, taken=known, kind=route.name)
+            known, body_known = (None, None) if failed else (taken, body_taken)
+            self._note_end(
+                balancer, stats, failed=failed, load=load, taken=known, kind=route.name, body_taken=body_known
+            )
             return Try(Answer(head.status, head.reason, _strip(head), [*pieces, *head.pieces]), True)
 
         def end(broke_off: bool) -> None:
             if broke_off:
                 self._events.emit(Event.ANSWER_LOST, upstream=stats.endpoint.instance)
-            self._note_end(balancer, stats, failed=failed or broke_off, load=load, taken=taken, kind=route.name)
+            is_whole = head.is_complete and not (failed or broke_off)
+            body_known = time.monotonic() - started - taken if is_whole else None
+            self._note_end(
+                balancer,
+                stats,
+                failed=failed or broke_off,
+                load=load,
+                taken=taken,
+                kind=route.name,
+                body_taken=body_known,
+            )
 
-        return Try(Answer(head.status, head.reason, _strip(head), AnswerPieces(response, end, pieces)), True)
+        rest = AnswerPieces(response, end, pieces, job.deadline - started)
+        return Try(Answer(head.status, head.reason, _strip(head), rest), True)
 
 
 def _first_of(first: gevent.Greenlet, second: gevent.Greenlet) -> Try:
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
@@ -18,11 +18,9 @@
     ATTEMPT_HEADER,
     CALLER_HEADER,
     CLASS_HEADER,
-    CODE_HEADER,
     DEADLINE_HEADER,
     LEAVING_HEADER,
     LOAD_HEADER,
-    OUTCOME_HEADER,
     PARENT_HEADER,
     RETRY_AFTER,
     ROUTE_HEADER,
@@ -33,11 +31,14 @@
     UPSTREAM_HEADER,
     VERSION_HEADER,
     Answer,
+    BodyTimeout,
     Outcome,
     Request,
+    describe_end,
     make_refusal,
     public_headers,
     read_int,
+    read_name,
 )
 from lanedock_daemon.path.parser import MalformedMessage
 from lanedock_daemon.path.pool import ConnectionPool, ExchangeError
@@ -47,7 +48,7 @@
 
 # Classes by which an application's slots are shared before a version is held.
 NO_CLASSES: dict = {}
-# Requests that may wait for each slot where the application says how many it has,
+# Requests that may wait for each slot where the application reports how many it has,
 # or no version does.
 QUEUE_PER_SLOT = 2
 _SET_HERE = (ATTEMPT_HEADER, DEADLINE_HEADER, TRACE_HEADER)
@@ -123,7 +124,7 @@
         self._requests.end(log, answer.status >= 400)
         taken = time.monotonic() - started
         self._metrics.time(Metric.LATENCY, taken)
-        self._requests.totals.note("upstream", log.route, _describe(answer), taken, log.waited)
+        self._requests.totals.note("upstream", log.route, describe_end(answer, "done"), taken, log.waited)
         span.end(**{"http.status_code": answer.status, "http.target": request.path})
         self._metrics.gauge(Metric.IN_PROGRESS, self._limiter.in_use)
         self._metrics.gauge(Metric.QUEUED, self._limiter.waiting)
@@ -143,36 +144,38 @@
         version = read_int(request.header(VERSION_HEADER))
         if version is not None:
             self._view.note_version(version)
+        service = read_name(request.header(SERVICE_HEADER))
         if self._registration.upstream:
-            # The application itself has said what it runs.
-            is_held = request.header(SERVICE_HEADER) == self._registration.service
+            # The application itself has reported what it runs.
+            is_held = service == self._registration.service
         elif binding is None:
             return self._refuse(ErrorCode.NOT_READY, RETRY_AFTER, log, **self._view.age())
         else:
-            is_held = request.header(SERVICE_HEADER) == self._service and self._service in binding.config.services
+            is_held = service == self._service and self._service in binding.config.services
         if not is_held:
-            return self._refuse(ErrorCode.NOT_HELD, RETRY_AFTER, log, service=request.header(SERVICE_HEADER))
+            return self._refuse(ErrorCode.NOT_HELD, RETRY_AFTER, log, service=service)
         self._configure(binding)
         deadline = _read_time(request, DEADLINE_HEADER, started)
         if deadline is None:
             deadline = started + RETRY_AFTER
         traffic_class = self._classify(request, binding)
         target_time = _read_time(request, TARGET_HEADER, started)
-        log.route = request.header(ROUTE_HEADER)
+        log.route = read_name(request.header(ROUTE_HEADER))
         start_by = _read_time(request, START_BY_HEADER, started)
         wanted = AdmissionRequest(deadline, target_time, log.route, start_by)
         refused = self._reserve(request, traffic_class, wanted)
         log.waited = time.monotonic() - started
         if refused is not None:
-            why = {"waited_ms": round(1000 * (time.monotonic() - started), 1), **self._load()}
+            why = {"waited_ms": round(1000 * log.waited, 1), **self._load()}
             why.update(late=request.header(TARGET_HEADER) == "0", limit=refused.limit, **self._bodies.load())
             return self._refuse(refused.code, refused.retry_after, log, **why)
         # It may have begun to leave while the request waited, or while its body was on its
         # way: until the first piece is here nothing of it is passed on.
-        refusal = self._fetch(request, traffic_class) or self._registration.judge(meant)
+        refusal = self._fetch(request, traffic_class, deadline) or self._registration.judge(meant)
         if refusal is not None:
             self._limiter.release(traffic_class, None, time.monotonic())
-            return self._refuse(refusal, RETRY_AFTER, log, meant=meant, incarnation=self._registration.upstream)
+            wait = 0.0 if refusal is ErrorCode.DEADLINE else RETRY_AFTER
+            return self._refuse(refusal, wait, log, meant=meant, incarnation=self._registration.upstream)
         log.note(Event.REQUEST_ADMITTED, waited_ms=round(1000 * (time.monotonic() - started), 1), **self._load())
         answer = self._pass_on(request, traffic_class, deadline, span, log)
         log.note(Event.REQUEST_DONE, status=answer.status, incarnation=meant)
@@ -187,13 +190,13 @@
         which want their answers later: at 1.5 times what it bears 0.30 of those were
         answered in time, and 0.98 are (tools/bench_overload.py).
         """
-        own = request.header(CLASS_HEADER)
+        own = read_name(request.header(CLASS_HEADER))
         is_own = request.header(CALLER_HEADER) == request.header(SERVICE_HEADER)
         is_call = self._calls.note(request.header(ROUTE_HEADER), is_own)
         if not is_call or binding is None:
             return own
         classes = binding.config.traffic_classes
-        parent = classes.get(request.header(PARENT_HEADER))
+        parent = classes.get(read_name(request.header(PARENT_HEADER)))
         if parent is None or own not in classes or parent.priority <= classes[own].priority:
             return own
         return parent.name
@@ -222,9 +225,9 @@
         # Each request in progress takes one of the application's connections.
         if service is not None:
             slots = min(slots, service.connections)
-        # An application that says how many slots it has says how long its queue may be.
-        is_told = service is None or self._registration.slots
-        queue = slots * QUEUE_PER_SLOT if is_told else service.queue
+        # An application that reports its slots sets the length of its queue by that.
+        is_reported = service is None or self._registration.slots
+        queue = slots * QUEUE_PER_SLOT if is_reported else service.queue
         self._limiter.configure(slots, queue, classes)
         self._bodies.configure(queue, classes)
 
@@ -267,12 +270,14 @@
         if not (queued.is_evicted or self._limiter.cancel(queued)):
             self._limiter.release(traffic_class, None, time.monotonic())
 
-    def _fetch(self, request: Request, traffic_class: str) -> ErrorCode | None:
-        """Wait until the body begins to come; return why it doesn't, where the process ends first."""
+    def _fetch(self, request: Request, traffic_class: str, deadline: float) -> ErrorCode | None:
+        """Wait until the body begins to come; return why it doesn't, where the time is over first."""
         try:
-            self._bodies.fetch(request)
+            self._bodies.fetch(request, deadline)
         except StopTimeout:
             return ErrorCode.DRAINING
+        except BodyTimeout:
+            return ErrorCode.DEADLINE
         except BaseException:
             self._limiter.release(traffic_class, None, time.monotonic())
             raise
@@ -281,16 +286,16 @@
     def _pass_on(self, request: Request, traffic_class: str, deadline: float, span, log: RequestLog) -> Answer:
         """Send a request to the application; the slot is held to the answer's end."""
         started = time.monotonic()
-        release = _Release(self._limiter, traffic_class, request.header(ROUTE_HEADER), started)
+        release = _Release(self._limiter, traffic_class, log.route, started)
         if started >= deadline:
             release()
             return self._refuse(ErrorCode.DEADLINE, 0.0, log)
         headers = self._make_headers(request, deadline - started, span)
         try:
-            pending = send_request(self._pool, self._application, request, headers, deadline - started)
-            late_after = min(self._limiter.late_after(log.route), deadline - started)
-            if not pending.wait(late_after) and self._pool.note_late(self._application, started):
-                self._events.emit(Event.CONNECTIONS_SILENT, upstream=self._registration.upstream)
+            pending = send_request(self._pool, self._application, request, headers, deadline)
+            tail = min(self._limiter.tail(log.route), deadline - started)
+            if not pending.wait(tail):
+                pending.note_late(started, self._events, self._registration.upstream)
             response = pending.read()
         except ExchangeError as exc:
             release()
@@ -304,28 +309,38 @@
             release()
             raise
         head = response.message
-        said = self._dialect.read_answer(head.status, head.headers, log.request_id)
-        if said.is_foreign:
+        facts = self._dialect.read_answer(head.status, head.headers, log.request_id)
+        if facts.is_foreign:
             response.close()
             release()
             foreign = ExchangeError(ErrorCode.ANSWER_LOST, Outcome.UNKNOWN, "an answer to another request")
             return self._on_lost(foreign, log)
         now = time.monotonic()
         self._registration.note_answer(now)
-        if said.is_draining and not self._view.is_draining:
+        if facts.is_draining and not self._view.is_draining:
             self._view.is_draining = True
             self._events.emit(Event.DRAINING, service=self._service)
-        if said.was_refused:
-            return self._on_refused(response, release, said.is_elsewhere, log)
+        if facts.was_refused:
+            return self._on_refused(response, release, facts.is_elsewhere, log)
         headers = public_headers(head.headers, self._dialect.answer_names)
+        try:
+            first = response.read_first()
+        except ExchangeError as exc:
+            release()
+            return self._on_lost(exc, log)
+        except BaseException:
+            release()
+            raise
         if head.is_complete:
             release()
-            return Answer(head.status, head.reason, headers, list(head.pieces))
-        return Answer(head.status, head.reason, headers, AnswerPieces(response, lambda broke_off: release()))
+            return Answer(head.status, head.reason, headers, [*first, *head.pieces])
+        rest = AnswerPieces(response, lambda broke_off: release(), first, deadline - started)
+        return Answer(head.status, head.reason, headers, rest)
 
     def _on_lost(self, exc: ExchangeError, log: RequestLog) -> Answer:
         if exc.outcome == Outcome.NOT_RUN:
-            return self._refuse(exc.code, RETRY_AFTER, log, error=exc)
+            wait = 0.0 if exc.code is ErrorCode.DEADLINE else RETRY_AFTER
+            return self._refuse(exc.code, wait, log, error=exc)
         self._metrics.count(Metric.UNKNOWN)
         self._events.emit(Event.ANSWER_LOST, request=log.request_id, error=exc)
         return make_refusal(exc.code, Outcome.UNKNOWN)
@@ -335,7 +350,7 @@
         try:
             response.read_all()
         except (OSError, MalformedMessage):
-            pass  # the head said enough
+            pass  # the head was enough
         finally:
             response.close()
             release()
@@ -351,7 +366,7 @@
         headers += self._dialect.request_headers(
             left_ms,
             request.header(UPSTREAM_HEADER) or self._registration.upstream,
-            request.header(CALLER_HEADER),
+            read_name(request.header(CALLER_HEADER)),
             int(attempt) if attempt.isdigit() else 1,
         )
         if span.traceparent:
@@ -365,14 +380,6 @@
     return None if left_ms is None else started + left_ms / 1000
 
 
-def _describe(answer: Answer) -> str:
-    """Return what became of a request, as totals count it."""
-    named = {name: value for name, value in answer.headers if name in (OUTCOME_HEADER, CODE_HEADER)}
-    if named:
-        return "_".join(named.values())
-    return "failed" if answer.status >= 500 else "done"
-
-
 class _Release:
     """Gives a slot back, once."""
 
