--- a/packages/lanedock-daemon/lanedock_daemon/agent/tests/test_source_loss.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/tests/test_source_loss.py
@@ -97,12 +97,12 @@
     return _time_to(mesh, 2)
 
 
-def _lose_source_and_next(mesh: VirtualMesh, lose) -> float:
-    """Lose the source, and be kept from the instance that is tried after it."""
+def _lose_source_and_next(mesh: VirtualMesh, lose, more: int = 1) -> float:
+    """Lose the source, and be kept from the instances that are tried after it."""
     _settle(mesh)
     instances = list(mesh.instances.values())
     position = instances.index(mesh.source())
-    for number in (position, position + 1):
+    for number in range(position, position + 1 + more):
         lose(instances[number % len(instances)])
     return _time_to(mesh, 2)
 
@@ -155,6 +155,14 @@
     assert longest <= IN_FORCE_LIMIT - MARGIN
 
 
+@pytest.mark.parametrize(("size", "more"), [(5, 1), (7, 2)])
+@pytest.mark.parametrize("lose", [_go_silent, _pause, _end, _cut_off])
+def test_an_accepted_version_is_in_force_in_time_with_as_many_lost_as_may_be(lose, size, more, monkeypatch, tmp_path):
+    """Where the ones that are tried first can't serve either: nothing of the margin is kept."""
+    meshes = (VirtualMesh(monkeypatch, tmp_path, seed, size) for seed in SEEDS)
+    assert max(_lose_source_and_next(mesh, lose, more) for mesh in meshes) <= IN_FORCE_LIMIT
+
+
 def _lose_relay(mesh: VirtualMesh, lose) -> float:
     _settle(mesh)
     assert mesh.source().address == mesh.relay
