Give one answer to a request, and let none that was cut look whole

Cause: what begins heads that were read whole before a malformed one (new) also began a request for an upgrade, which the parser reports after its head counts as read; the body of a 503 that breaks off, or is late by the request's one deadline, was taken for an empty one beside its whole length; an answer without a length that breaks off ended its connection as a whole one does. Change: an upgrade is refused before the head counts as read; a 503 whose body can't be read is unknown (502); a connection that ends within an answer without a length is reset.

--- a/packages/lanedock-daemon/lanedock_daemon/path/channel.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/channel.py
@@ -9,6 +9,7 @@
 """
 
 import _socket
+import struct
 import time
 
 from gevent import get_hub, getcurrent
@@ -19,6 +20,8 @@
 __all__ = ["Channel"]
 
 _READ = 1
+# For SO_LINGER: on, for no time.
+_RESET = struct.pack("ii", 1, 0)
 _READY = object()
 _EXPIRED = object()
 _CLOSED = object()
@@ -79,6 +82,10 @@
         self._timeout = None
         self._deadline = deadline
 
+    def reset_on_close(self) -> None:
+        """Have `close` reset the connection, so that nobody takes its end for the end of a message."""
+        self._sock.setsockopt(_socket.SOL_SOCKET, _socket.SO_LINGER, _RESET)
+
     def shutdown(self, how: int) -> None:
         """End one direction, as a socket's own method does."""
         self._sock.shutdown(how)
--- a/packages/lanedock-daemon/lanedock_daemon/path/connection.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/connection.py
@@ -71,6 +71,8 @@
         # An answer has said in its head that it is the last one.
         self._is_ending = False
         self._is_closing = False
+        # An answer is being written that ends with the connection.
+        self._ends_by_close = False
 
     # ------------------------------------------------------------------ reading
 
@@ -93,6 +95,8 @@
             # The caller is gone, or must not take a part for the whole.
             pass
         finally:
+            if self._ends_by_close:
+                self._conn.reset_on_close()
             self._abandon()
             self._conn.close()
 
@@ -319,6 +323,7 @@
             lines.append("transfer-encoding: chunked")
         elif not has_length and has_body:
             keep_alive = False
+            self._ends_by_close = True
         if not keep_alive:
             self._is_ending = True
             lines.append("connection: close")
@@ -331,6 +336,7 @@
                 self._conn.sendall(head)
         finally:
             _close(pieces)
+        self._ends_by_close = False
         if not keep_alive:
             self._close_politely()
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/parser.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/parser.py
@@ -220,6 +220,9 @@
         message.method = self._parser.get_method().decode("latin-1")
         message.target = self._text.decode("latin-1")
         _check_framing(message)
+        if self._parser.should_upgrade():
+            # Before its head counts as read: else it is begun, and refused behind its answer.
+            raise MalformedMessage("upgrades are not supported", 501)
 
 
 class AnswerReader(MessageReader):
--- a/packages/lanedock-daemon/lanedock_daemon/path/tries.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tries.py
@@ -187,8 +187,9 @@
             # Noted first: reading may end with the caller's going away.
             self._note_end(balancer, stats, failed=True, load=load)
             self._note_try(job, stats, Outcome.UNKNOWN, ErrorCode.find(head.header(CODE_HEADER)), head.status)
-            answer = Answer(head.status, head.reason, _strip(head), [self._read_refusal(response)])
-            if is_lost:
+            body = self._read_refusal(response)
+            answer = Answer(head.status, head.reason, _strip(head), [body or b""])
+            if is_lost or body is None:
                 answer = self._make_unknown(ErrorCode.find(head.header(CODE_HEADER)) or ErrorCode.ANSWER_LOST, "")
             return Try(answer, False, may_have_run=True)
         return self._pass_answer(response, job, stats, load, is_lost, started)
@@ -265,12 +266,12 @@
                 self._pool.forget(stats.address)
                 gevent.spawn(self._prober.run, balancer, stats)
 
-    def _read_refusal(self, response: UpstreamAnswer) -> bytes:
-        """Read a refusal's short body; where it breaks off, the head says enough."""
+    def _read_refusal(self, response: UpstreamAnswer) -> bytes | None:
+        """Read a refusal's short body; None where it breaks off: of a daemon's own the head says enough."""
         try:
             return response.read_all()
         except (OSError, MalformedMessage):
-            return b""
+            return None
         finally:
             response.close()
 
