--- a/packages/lanedock/lanedock/limits/tests/link.py
+++ b/packages/lanedock/lanedock/limits/tests/link.py
@@ -71,24 +71,32 @@
         target: float = FAR,
         deadline: float = FAR,
         sender_rate: float | None = None,
+        round_trip: float | None = None,
     ) -> None:
-        """Ask for a body, from a sender of its own."""
+        """Ask for a body, from a sender of its own; one without a rate (0) sends nothing."""
         request = AdmissionRequest(deadline, target)
         sender_rate = self._sender_rate if sender_rate is None else sender_rate
+        round_trip = self._round_trip if round_trip is None else round_trip
         made, asked_at = [], self.now
         transfer = self.bodies.acquire(
-            traffic_class, request, size, target, self.now, lambda: self._begin(made[0], size, asked_at, sender_rate)
+            traffic_class,
+            request,
+            size,
+            target,
+            self.now,
+            lambda: self._begin(made[0], size, asked_at, sender_rate, round_trip),
         )
         if isinstance(transfer, Refused):
             self.refused += 1
             return
         made.append(transfer)
         if transfer.is_admitted:
-            self._begin(transfer, size, asked_at, sender_rate)
+            self._begin(transfer, size, asked_at, sender_rate, round_trip)
 
-    def _begin(self, transfer, size: int, asked_at: float, sender_rate: float) -> None:
+    def _begin(self, transfer, size: int, asked_at: float, sender_rate: float, round_trip: float) -> None:
         self.bodies.begin(transfer, self.now)
-        self.at(self.now + self._round_trip, self._send, transfer, size, asked_at, sender_rate)
+        if sender_rate:
+            self.at(self.now + round_trip, self._send, transfer, size, asked_at, sender_rate)
 
     def _send(self, transfer, left: int, asked_at: float, sender_rate: float) -> None:
         """Put a part of a body onto the link, and the next one once the sender has it."""
--- a/packages/lanedock/lanedock/limits/tests/test_bodies.py
+++ b/packages/lanedock/lanedock/limits/tests/test_bodies.py
@@ -127,6 +127,25 @@
     assert len(link.received_at) + link.refused == 1200
 
 
+@pytest.mark.parametrize(("rate", "interval"), [(750_000.0, 0.16), (WIDE, 0.02)])
+def test_senders_that_are_gone_do_not_hold_up_those_that_are_far_away(rate, interval):
+    """Found by a cold review: what comes from far comes late, and was taken for a full link.
+
+    Six daemons go after they were asked for bodies. Of the others one in ten is near.
+    """
+    link = Link(_bodies(36), rate)
+    uploads = round(20 / interval)
+    for number in range(uploads):
+        moment = number * interval
+        round_trip = ROUND_TRIP if number % 10 == 0 else 0.065
+        link.at(moment, link.upload, BODY, "bulk", moment + 1.5, moment + 6.0, None, round_trip)
+    for _ in range(6):
+        link.at(5.0, link.upload, 200_000, "bulk", FAR, FAR, 0.0)
+    link.run()
+    assert link.refused <= 0.01 * uploads
+    assert max(link.taken) <= 1.5
+
+
 def test_slow_applications_do_not_make_a_link_seem_narrow():
     """Bodies without a length, that count until their application has answered after 0.4 s.
 
