Note the end of each try, and tell senders that are gone from a full link

Cause: a body that broke off counted as a failure of its upstream; a hedged try that ended in the same turn as the chosen one was not killed and its answer never closed; a body that came late because its sender is far away was taken for a sign that the link is full, so bodies of senders that are gone kept their place. Change: a body that breaks off is told apart; the answer of the try that was not chosen is closed however it ends; a body that comes late shows that those asked for earlier by as much, and of which nothing has come, are with their senders.

--- a/packages/lanedock-daemon/lanedock_daemon/path/exchange.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/exchange.py
@@ -6,7 +6,7 @@
 
 from lanedock.errors import ErrorCode
 from lanedock.telemetry import Event, EventLogger
-from lanedock_daemon.path.http import CHUNK, Body, BodyTimeout, Outcome, Request
+from lanedock_daemon.path.http import CHUNK, Body, BodyBroken, BodyTimeout, Outcome, Request
 from lanedock_daemon.path.parser import AnswerReader, MalformedMessage, Message
 from lanedock_daemon.path.pool import ConnectionPool, ExchangeError
 from lanedock_daemon.path.service import StopTimeout
@@ -287,7 +287,7 @@
     # The kernel's own time-out: nothing that was sent has been acknowledged.
     is_cut_off = isinstance(exc, OSError) and exc.errno in (ETIMEDOUT, EHOSTUNREACH, ENETUNREACH)
     is_late = isinstance(exc, TimeoutError) and not is_cut_off
-    is_body_late = isinstance(exc, BodyTimeout)
+    is_body_late = isinstance(exc, (BodyTimeout, BodyBroken))
     if not is_passed_on:
         # Without any of its body no daemon passes a request on that it was to ask for.
         code, reason = ErrorCode.CONNECT_FAILED, f"{exc!r} before its body was asked for"
--- a/packages/lanedock-daemon/lanedock_daemon/path/http.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http.py
@@ -33,6 +33,7 @@
     "UPSTREAM_HEADER",
     "Answer",
     "Body",
+    "BodyBroken",
     "BodyTimeout",
     "EmptyBody",
     "HeadersByName",
@@ -143,6 +144,10 @@
     """A request's body has not come by its deadline: whoever sends it is slow, not who is to have it."""
 
 
+class BodyBroken(ConnectionError):
+    """A request's body broke off: whoever sends it has gone, which is not the fault of who is to have it."""
+
+
 class Body(ABC):
     """A request's body, read once.
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/incoming.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/incoming.py
@@ -7,7 +7,7 @@
 from gevent import get_hub, getcurrent
 from gevent.event import Event as Signal
 
-from lanedock_daemon.path.http import NEVER, Body, BodyTimeout
+from lanedock_daemon.path.http import NEVER, Body, BodyBroken, BodyTimeout
 from lanedock_daemon.path.parser import Message
 from lanedock_daemon.path.service import StopTimeout
 
@@ -68,7 +68,7 @@
             if self._message.is_complete:
                 return b""
             if self._broke_off:
-                raise ConnectionError("the connection ended within a body")
+                raise BodyBroken("the connection ended within a body")
             if self._wants_continue:
                 self._wants_continue = False
                 self._on_wanted()
--- a/packages/lanedock-daemon/lanedock_daemon/path/pool.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/pool.py
@@ -40,7 +40,7 @@
     is_unreachable : bool
         Whether the other side can't be reached, as far as that is known.
     is_body_late : bool
-        Whether the request's own body did not come in time: the other side is not at fault.
+        Whether the request's own body did not come in time, or broke off: the other side is not at fault.
     """
 
     def __init__(
--- a/packages/lanedock-daemon/lanedock_daemon/path/tries.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tries.py
@@ -78,20 +78,26 @@
         if self._is_answering(job, stats, pending, hedge_delay) or time.monotonic() >= job.deadline:
             return self._end(job, stats, pending, started)
         pending.note_late(started, self._events, stats.endpoint.instance)
-        first = second = None
+        first = second = made = None
         try:
             first = gevent.spawn(self._end, job, stats, pending, started)
             now = time.monotonic()
             other = job.choose(now) if job.budget.left(now) >= 1 else None
             if other is None:
-                return first.get()
+                made = first.get()
+                return made
             job.budget.spend(now)
             job.log.note(Event.REQUEST_SENT_AGAIN, sent=True, reason="late", budget=round(job.budget.left(now), 1))
             self._metrics.count(Metric.RETRIES)
             second = gevent.spawn(self.send, job, other, attempt + 1)
-            return _first_of(first, second)
+            made = _first_of(first, second)
+            return made
         finally:
-            gevent.killall([task for task in (first, second) if task is not None], block=False)
+            for task in (first, second):
+                if task is not None:
+                    # It may end with an answer before it is killed, as the chosen one did.
+                    task.link_value(lambda ended: _drop(ended.value, made))
+                    task.kill(block=False)
             if not pending.is_being_read:
                 # The task that was to read it has never run.
                 pending.close()
@@ -350,6 +356,14 @@
     return done
 
 
+def _drop(outcome: Try | BaseException, chosen: Try | None) -> None:
+    """Close the answer that a try has come to, unless it is the chosen one."""
+    if isinstance(outcome, Try) and outcome is not chosen:
+        close = getattr(outcome.answer.pieces, "close", None)
+        if close is not None:
+            close()
+
+
 def _strip(head: Message) -> list[tuple[str, str]]:
     """Return an answer's headers without those between daemons or of one connection."""
     return public_headers(head.headers, _DAEMON_HEADERS)
--- a/packages/lanedock/lanedock/limits/bodies.py
+++ b/packages/lanedock/lanedock/limits/bodies.py
@@ -286,24 +286,39 @@
         """Take in that a body begins to come, `delay` seconds after its sender was asked."""
         self._least_delay = min(self._least_delay, delay)
         self._probe_interval = QUEUE_TIME
-        if delay <= self._least_delay + _CLEAR_TIME:
+        is_clear = delay <= self._least_delay + _CLEAR_TIME
+        if self._note_overtaken(transfer, is_clear, delay) or is_clear:
             self._probe_at = now
-            self._note_overtaken(transfer)
             return
         # The link is full: it needs as long again, and what still comes takes a part of it.
         coming = _COMING_PART * self.outstanding / self._assumed_rate()
         self._probe_at = now + max(delay - self._least_delay, min(_MAX_PROBE_INTERVAL, coming))
         self._rate.mark_limited()
 
-    def _note_overtaken(self, transfer: BodyTransfer) -> None:
+    def _note_overtaken(self, transfer: BodyTransfer, is_clear: bool, delay: float) -> bool:
         """Note which bodies one has come past: those asked for before, whose rest isn't there yet.
 
         A link is one queue. So what is left of them wasn't sent when this one was,
-        and it isn't the link that they wait for.
+        and it isn't the link that they wait for. Where this one itself comes late, by the
+        link or from far, that is known of those only that were asked for earlier by as
+        much, and of which nothing has come.
+
+        Returns
+        -------
+        bool
+            Whether there are any that weren't known.
         """
+        is_any = False
         for other in self._coming:
-            if other.is_begun and other.begun_at < transfer.begun_at:
-                other.is_overtaken = True
+            if not other.is_begun or other.is_overtaken or other is transfer:
+                continue
+            if is_clear:
+                is_past = other.begun_at < transfer.begun_at
+            else:
+                is_past = not other.has_come and other.begun_at + delay < transfer.begun_at
+            if is_past:
+                is_any = other.is_overtaken = True
+        return is_any
 
     def end(self, transfer: BodyTransfer, now: float) -> None:
         """Note that nothing more of a body will come, or that it isn't wanted; again without effect."""
