--- a/packages/lanedock/lanedock/limits/tests/test_bodies.py
+++ b/packages/lanedock/lanedock/limits/tests/test_bodies.py
@@ -15,6 +15,15 @@
     return BodyAdmission(queue, CLASSES)
 
 
+def _learn_narrow() -> tuple[BodyAdmission, float]:
+    """Return the admission of a narrow link whose rate is known and on which nothing stands, and the time."""
+    link = Link(_bodies(), NARROW)
+    for _ in range(40):
+        link.at(0.0, link.upload)
+    link.run()
+    return link.bodies, link.now
+
+
 def test_short_messages_wait_shortly_on_a_narrow_link_that_stays_full():
     link = Link(_bodies(), NARROW)
     for _ in range(200):
@@ -183,11 +192,7 @@
 
 def test_bodies_that_do_not_come_are_probed_less_and_less_often():
     """One more after what a body may take to begin, then after four times as long each time."""
-    link = Link(_bodies(), NARROW)
-    for _ in range(40):
-        link.at(0.0, link.upload)
-    link.run()
-    bodies, now = link.bodies, link.now
+    bodies, now = _learn_narrow()
     stuck = [_admitted(bodies, now) for _ in range(2)]
     waiting = [bodies.acquire("bulk", AdmissionRequest(FAR), BODY, FAR, now, lambda: None) for _ in range(6)]
     admitted_at = []
@@ -206,11 +211,7 @@
 
 
 def test_bodies_that_do_not_come_hold_up_no_others_once_one_has_come_past_them():
-    link = Link(_bodies(), NARROW)
-    for _ in range(40):
-        link.at(0.0, link.upload)
-    link.run()
-    bodies, now = link.bodies, link.now
+    bodies, now = _learn_narrow()
     for _ in range(2):
         _admitted(bodies, now)
     probe, other = (bodies.acquire("bulk", AdmissionRequest(FAR), BODY, FAR, now, lambda: None) for _ in range(2))
@@ -305,11 +306,7 @@
 
 def test_long_bodies_without_a_length_keep_others_from_the_link():
     """What they still bring isn't known, so they count as long as they come."""
-    link = Link(_bodies(), NARROW)
-    for _ in range(40):
-        link.at(0.0, link.upload)
-    link.run()
-    bodies, now = link.bodies, link.now
+    bodies, now = _learn_narrow()
     long = [_admitted(bodies, now, None) for _ in range(2)]
     for step in range(1, 101):
         for transfer in long:
