Ask the next control instance without giving up the one before

Cause: an instance that was asked how fresh it is had 0.25 s to answer and 0.2 s for its connection, whatever the daemon's link needs. Over a link on which bodies stand for longer than that none ever answered in time, so the daemon stayed with a source that was cut off. Change: after 0.25 s the next instance is asked beside the ones before, each of which has a second; the connection to one that has answered has twice the time that its answer took, and connections after failures longer and longer ones.

--- a/packages/lanedock-daemon/lanedock_daemon/agent/scouting.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/scouting.py
@@ -12,11 +12,15 @@
 from lanedock.settings import Address
 from lanedock_daemon.transport import SourceStream
 
-__all__ = ["Scout", "ScoutRounds", "SourceFreshness"]
+__all__ = ["SCOUT_LIFETIME", "Scout", "ScoutRounds", "Scouts", "SourceFreshness"]
 
-# Seconds in which an instance has to say how fresh it is, its connection included: many
-# round trips between regions, and a lost packet's first retransmission (200 ms).
+# Seconds after which the next instance is asked how fresh it is, beside the one before:
+# many round trips between regions, and a lost packet's first retransmission (200 ms).
 SCOUT_LIMIT = 0.25
+# Seconds in which an instance may answer, its connection included. What it sends may wait
+# behind bodies on the daemon's link; given up after 0.25 s, none ever answered over one on
+# which 0.35 s of them stood (agent/tests/test_source_loss.py).
+SCOUT_LIFETIME = 1.0
 # Waits between two rounds in which no instance had a leader, in seconds. While there is
 # none anywhere, 760 daemons ask each of 7 instances some 600 times a second so (virtual
 # time), at 0.2 kB an answer and 0.36 ms of a core.
@@ -69,22 +73,59 @@
     is_failback : bool
         Whether it is asked because it is the own zone's, and not because the present
         source is too old.
+    started_at : float
+        Monotonic, seconds.
     """
 
-    __slots__ = ("_started_at", "address", "is_failback", "stream")
+    __slots__ = ("address", "is_failback", "started_at", "stream")
 
     def __init__(self, stream: SourceStream, address: Address, is_failback: bool, now: float):
         self.stream = stream
         self.address = address
         self.is_failback = is_failback
-        self._started_at = now
+        self.started_at = now
 
     def __repr__(self) -> str:
         return f"<Scout {self.address} is_failback={self.is_failback}>"
 
-    def is_over(self, now: float) -> bool:
-        """Tell whether it has taken too long."""
-        return now - self._started_at > SCOUT_LIMIT
+
+class Scouts:
+    """The instances that are being asked."""
+
+    def __init__(self):
+        self._scouts: list[Scout] = []
+
+    def __repr__(self) -> str:
+        return f"<Scouts {self._scouts}>"
+
+    def add(self, scout: Scout) -> None:
+        """Note one more."""
+        self._scouts.append(scout)
+
+    def find(self, stream: SourceStream) -> Scout | None:
+        """Return the one that a stream belongs to, if any."""
+        return next((scout for scout in self._scouts if scout.stream is stream), None)
+
+    def end(self, scout: Scout) -> None:
+        """Give one up."""
+        self._scouts.remove(scout)
+        scout.stream.close()
+
+    def end_all(self) -> None:
+        """Give all up."""
+        for scout in list(self._scouts):
+            self.end(scout)
+
+    def may_add(self, now: float, is_failback: bool) -> bool:
+        """Tell whether another instance may be asked; those that have taken too long are given up.
+
+        Nobody waits for a return to the own zone: it is asked while no other is.
+        """
+        for scout in [scout for scout in self._scouts if now - scout.started_at > SCOUT_LIFETIME]:
+            self.end(scout)
+        if is_failback:
+            return not self._scouts
+        return all(now - scout.started_at > SCOUT_LIMIT for scout in self._scouts)
 
 
 class ScoutRounds:
--- a/packages/lanedock-daemon/lanedock_daemon/agent/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/service.py
@@ -12,7 +12,7 @@
 from lanedock_daemon.agent.registration import Registrar
 from lanedock_daemon.agent.relay import RelaySessions
 from lanedock_daemon.agent.report import StateReport
-from lanedock_daemon.agent.scouting import Scout, ScoutRounds, SourceFreshness
+from lanedock_daemon.agent.scouting import SCOUT_LIFETIME, Scout, ScoutRounds, Scouts, SourceFreshness
 from lanedock_daemon.agent.search import SourceSearch
 from lanedock_daemon.agent.versions import VersionLag, VersionReceiver
 from lanedock_daemon.agent.view import LocalView
@@ -24,7 +24,7 @@
     ChildReported,
     SeedsChanged,
 )
-from lanedock_daemon.transport import SourceEnded, SourceSent, SourceStream
+from lanedock_daemon.transport import CONNECT_TIMEOUT, SourceEnded, SourceSent, SourceStream
 
 __all__ = ["AgentService", "DrainRequested", "RegistrationChanged"]
 
@@ -77,8 +77,9 @@
         rng = random.Random()
         self._search = SourceSearch(settings.daemon.control, rng, settings.zone)
         self._freshness = SourceFreshness(settings.daemon.staleness_limit_ms / 1000, time.monotonic())
-        self._scout: Scout | None = None
+        self._scouts = Scouts()
         self._better: Address | None = None
+        self._answered_in = 0.0
         self._rounds = ScoutRounds(rng)
         self._relay = RelaySessions(metrics) if settings.daemon.relay else None
         self._stream: SourceStream | None = None
@@ -124,8 +125,7 @@
             self._server.close()
         if self._stream is not None:
             self._stream.close()
-        if self._scout is not None:
-            self._scout.stream.close()
+        self._scouts.end_all()
 
     # ---------------------------------------------------------------- messages
 
@@ -167,9 +167,13 @@
         """Tell whether the source has said nothing for so long that it counts as lost."""
         if now - self._stream.heard_at > SILENCE_LIMIT:
             return True
-        limit = FIRST_ANSWER_LIMIT * 2 ** min(self._search.failures, 3)
+        limit = max(FIRST_ANSWER_LIMIT * self._doubled(), 2 * self._answered_in)
         return not self._stream.is_serving and now - self._opened_at > limit
 
+    def _doubled(self) -> int:
+        """Return how many times as long as at first a source has, after as many that failed."""
+        return 2 ** min(self._search.failures, 3)
+
     # ---------------------------------------------------------------- scouting
 
     def _look_around(self, now: float) -> None:
@@ -181,10 +185,9 @@
         elif better is not None:
             self._move(better, "stale", now)
             return
-        if self._scout is not None:
-            if self._scout.is_over(now):
-                self._end_scout()
-        elif is_old:
+        if not self._scouts.may_add(now, not is_old):
+            return
+        if is_old:
             address = self._rounds.choose(self._search.scouted(self._stream.address), now)
             if address is not None:
                 self._send_scout(address, False, now)
@@ -204,16 +207,12 @@
 
     def _send_scout(self, address: Address, is_failback: bool, now: float) -> None:
         stream = self._transport.open_source(self, address)
-        self._scout = Scout(stream, address, is_failback, now)
+        stream.connect_limit = SCOUT_LIFETIME
+        self._scouts.add(Scout(stream, address, is_failback, now))
         # Without a state: it is none of the daemons there.
         stream.open(messages.DaemonMessage(probe=True))
 
-    def _end_scout(self) -> None:
-        scout, self._scout = self._scout, None
-        if scout is not None:
-            scout.stream.close()
-
-    def _on_scout_answer(self, message: messages.ControlMessage, now: float) -> None:
+    def _on_scout_answer(self, scout: Scout, message: messages.ControlMessage, now: float) -> None:
         """Note an instance that has a leader; one that has none is no better than the present one.
 
         Where it is not the own zone's, the move waits for the next tick: instances hear
@@ -222,8 +221,7 @@
         """
         if not message.HasField("heartbeat"):
             return
-        scout = self._scout
-        self._end_scout()
+        self._scouts.end(scout)
         heartbeat = message.heartbeat
         is_fresh = heartbeat.staleness_ms <= 1000 * self._freshness.limit
         if self._stream is None or not is_fresh:
@@ -231,6 +229,7 @@
         newest, _ = self._view.newer_version(now)
         if heartbeat.accepted_version < max(newest, self._holder.in_force_version.number):
             return
+        self._answered_in = now - scout.started_at
         if scout.is_failback:
             self._move(scout.address, "failback", now)
         else:
@@ -239,12 +238,14 @@
     def _move(self, address: Address, reason: str, now: float) -> None:
         """Take versions from another control instance."""
         stream = self._drop_stream()
+        self._scouts.end_all()
         self._events.emit(Event.SOURCE_LOST, address=stream.address, reason=reason)
         self._search.move_to(address, now)
         self._connect(now)
 
     def _connect(self, now: float) -> None:
         self._stream = self._transport.open_source(self, self._search.address())
+        self._stream.connect_limit = max(CONNECT_TIMEOUT * self._doubled(), 2 * self._answered_in)
         self._stream.heard_at = self._opened_at = now
         self._lag.source_version = 0
         self._is_floor_asked = False
@@ -281,7 +282,8 @@
     def _leave_source(self, reason: str) -> None:
         """Look for another source. What is held stays in force."""
         stream = self._drop_stream()
-        self._end_scout()
+        self._scouts.end_all()
+        self._answered_in = 0.0
         now = time.monotonic()
         self._connect_at = now + self._search.note_failure(now, self._view.bind() is None)
         self._events.emit(Event.SOURCE_LOST, address=stream.address, reason=reason)
@@ -289,13 +291,14 @@
     def _on_source_ended(self, item: SourceEnded) -> None:
         if item.stream is self._stream:
             self._leave_source(item.reason)
-        elif self._scout is not None and item.stream is self._scout.stream:
-            self._end_scout()
+        elif (scout := self._scouts.find(item.stream)) is not None:
+            self._scouts.end(scout)
 
     def _on_source_sent(self, item: SourceSent) -> None:
         now = time.monotonic()
-        if self._scout is not None and item.stream is self._scout.stream:
-            self._on_scout_answer(item.message, now)
+        scout = self._scouts.find(item.stream)
+        if scout is not None:
+            self._on_scout_answer(scout, item.message, now)
             return
         if item.stream is not self._stream:
             return
--- a/packages/lanedock-daemon/lanedock_daemon/agent/tests/sources.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/tests/sources.py
@@ -13,7 +13,6 @@
 from lanedock_daemon.agent import AgentService, LocalView
 from lanedock_daemon.agent import service as service_module
 from lanedock_daemon.agent import view as view_module
-from lanedock_daemon.frames import CONNECT_TIMEOUT
 from lanedock_daemon.sessions import HEARTBEAT_INTERVAL
 from lanedock_daemon.transport import SourceEnded, SourceSent, SourceStream
 
@@ -193,7 +192,7 @@
     def open(self, first: messages.DaemonMessage) -> None:
         control = self._mesh.instances[self.address]
         if control.is_dark:
-            self._mesh.at(self._mesh.clock.now + CONNECT_TIMEOUT, self._end)
+            self._mesh.at(self._mesh.clock.now + self.connect_limit, self._end)
         elif control.is_refusing:
             self._mesh.at(self._mesh.clock.now + 2 * _DELAY, self._end)
         else:
--- a/packages/lanedock-daemon/lanedock_daemon/framed.py
+++ b/packages/lanedock-daemon/lanedock_daemon/framed.py
@@ -48,7 +48,7 @@
     def _run(self, first: bytes) -> None:
         reason = "closed"
         try:
-            conn = connect(self.address, _FOR_DAEMONS, self._context)
+            conn = connect(self.address, _FOR_DAEMONS, self._context, self.connect_limit)
             self._writer = FrameWriter(conn)
             for data in (first, *self._early):
                 self._writer.put(data)
--- a/packages/lanedock-daemon/lanedock_daemon/frames.py
+++ b/packages/lanedock-daemon/lanedock_daemon/frames.py
@@ -12,9 +12,9 @@
 from gevent.event import Event as Signal
 
 from lanedock.settings import Address
+from lanedock_daemon.transport import CONNECT_TIMEOUT
 
 __all__ = [
-    "CONNECT_TIMEOUT",
     "EMPTY_FRAME",
     "FrameWriter",
     "connect",
@@ -29,11 +29,6 @@
 # A longer frame is no message of lanedock's: versions are at most 16 MB.
 MAX_FRAME = 64 * 1024 * 1024
 RECEIVE = 64 * 1024
-# Seconds in which a connection has to be made. A machine without power drops the
-# opening packet, which the kernel sends again after a second: without this limit a
-# herd that came back waited up to 0.8 s longer for control that had a leader again.
-# A round trip takes tens of milliseconds at the most, between regions too.
-CONNECT_TIMEOUT = 0.2
 # Seconds for a connection's first messages, of which TLS has several: both sides
 # may be starting, on a part of a core.
 HANDSHAKE_TIMEOUT = 1.0
@@ -148,14 +143,14 @@
     conn.setsockopt(plain_socket.IPPROTO_TCP, plain_socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
 
-def connect(address: Address, purpose: bytes, context):
-    """Connect, and say what for.
+def connect(address: Address, purpose: bytes, context, limit: float = CONNECT_TIMEOUT):
+    """Connect within `limit` seconds, and say what for.
 
     Raises
     ------
     OSError
     """
-    conn = socket.create_connection((address.host, address.port), timeout=CONNECT_TIMEOUT)
+    conn = socket.create_connection((address.host, address.port), timeout=limit)
     try:
         conn.settimeout(HANDSHAKE_TIMEOUT)
         tune(conn)
--- a/packages/lanedock-daemon/lanedock_daemon/transport.py
+++ b/packages/lanedock-daemon/lanedock_daemon/transport.py
@@ -14,6 +14,7 @@
 
 __all__ = [
     "CONFIRMATIONS",
+    "CONNECT_TIMEOUT",
     "SILENCE_LIMIT",
     "Listener",
     "PeerLinks",
@@ -32,6 +33,11 @@
 # What comes over a link is confirmed so many times within the limit above at the most, for 60
 # bytes each; in gRPC, whose confirmations are asked for, for as many more.
 CONFIRMATIONS = 5
+# Seconds in which a connection has to be made, where nothing is known of its way. A machine
+# without power drops the opening packet, which the kernel sends again after a second:
+# without this limit a herd that came back waited up to 0.8 s longer for control that had a
+# leader again. A round trip takes tens of milliseconds at the most, between regions too.
+CONNECT_TIMEOUT = 0.2
 
 
 class PeerMessageArrived:
@@ -74,6 +80,8 @@
 
     Attributes
     ----------
+    connect_limit : float
+        Seconds in which its connection has to be made, by the framed transport.
     heard_at : float
         Monotonic; when the source last sent something.
     is_serving : bool
@@ -82,6 +90,7 @@
 
     def __init__(self, owner: TaskService, address: Address):
         self.address = address
+        self.connect_limit = CONNECT_TIMEOUT
         self.heard_at = 0.0
         self.is_serving = False
         self._owner = owner
