--- a/packages/lanedock-daemon/lanedock_daemon/agent/scouting.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/scouting.py
@@ -22,7 +22,7 @@
 # which 0.35 s of them stood (agent/tests/test_source_loss.py).
 SCOUT_LIFETIME = 1.0
 # Waits between two rounds in which no instance had a leader, in seconds. While there is
-# none anywhere, 760 daemons ask each of 7 instances some 600 times a second so (virtual
+# none anywhere, 760 daemons ask each of 7 instances some 500 times a second so (virtual
 # time), at 0.2 kB an answer and 0.36 ms of a core.
 ROUND_WAIT_MIN = 0.25
 ROUND_WAIT_MAX = 1.0
