Send, log and decode changes by the route, and count what control sends

Cause: a change of one route sent all routes of its service to each daemon (6 to 14 KB at 2,400 routes), an entry of the log carried the whole version to each control instance, and each daemon decoded all of it (29 ms of a core). The test of a full disk writes versions that have nothing in common, as its log is to be longer than the process's messages; it now checks that it is.

--- a/packages/lanedock-daemon/lanedock_daemon/agent/tests/test_view.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/tests/test_view.py
@@ -3,6 +3,7 @@
 
 import pytest
 
+from lanedock.config import split_config
 from lanedock.wire import messages
 from lanedock_daemon.agent.view import LocalView
 
@@ -39,3 +40,13 @@
     view.take_endpoints(_update("new", 2, 3))
     view.take_endpoints(messages.EndpointUpdate(whole=True))
     assert balancer.choose(12, 0.0) is None
+
+
+def test_services_of_the_version_are_known_though_its_slice_lacks_them():
+    view = LocalView("z", 10.0)
+    assert view.may_have_service("any")
+    services = [{"name": name, "zones": ["z"]} for name in ("mine", "other")]
+    value = {"mesh": "m", "version": 1, "zones": ["z"], "traffic_classes": [], "services": services, "routes": []}
+    view.holder.put_in_force(split_config(value).whole_push({"", "mine"}))
+    assert view.holder.in_force.config.services.keys() == {"mine"}
+    assert [view.may_have_service(name) for name in ("mine", "other", "none", "")] == [True, True, False, False]
--- a/packages/lanedock-daemon/lanedock_daemon/agent/view.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/view.py
@@ -4,7 +4,7 @@
 import random
 import time
 
-from lanedock.config import CallerLimits, MeshConfig
+from lanedock.config import CallerLimits, MeshConfig, is_service_group
 from lanedock.limits import RetryBudget, SavingBudget, SlotLimiter
 from lanedock.membership import freshness
 from lanedock.rollout import Held, VersionHolder
@@ -20,14 +20,16 @@
     Parameters
     ----------
     held : Held
+    former : Binding, optional
+        Of the version before: what both have in common is shared.
     """
 
     __slots__ = ("config", "number", "table")
 
-    def __init__(self, held: Held):
+    def __init__(self, held: Held, former: "Binding | None" = None):
         self.config: MeshConfig = held.config
         self.number: int = held.version.number
-        self.table = RouteTable(held.config)
+        self.table = former.table.evolve(held.config) if former is not None else RouteTable(held.config)
 
     def __repr__(self) -> str:
         return f"<Binding version={self.number}>"
@@ -107,6 +109,11 @@
         known = self._binding.config.services.get(service)
         return known.health_path if known is not None else ""
 
+    def may_have_service(self, name: str) -> bool:
+        """Tell whether the version in force has a service, held here or not; any, before there is one."""
+        held = self.holder.in_force
+        return held is None or (is_service_group(name) and name in held.tree.digests)
+
     def caller_limits(self) -> CallerLimits | None:
         """Return what callers may send by the version in force; None before there is one."""
         return self._binding.config.limits if self._binding is not None else None
@@ -144,7 +151,7 @@
         """Bind requests from now on to the version in force."""
         held = self.holder.in_force
         if held is not None:
-            self._binding = Binding(held)
+            self._binding = Binding(held, self._binding)
 
     def newer_version(self, now: float) -> tuple[int, float]:
         """Return the newest version that other daemons use and this one lacks, and for how long, in seconds.
--- a/packages/lanedock-daemon/lanedock_daemon/control/directories.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/directories.py
@@ -46,6 +46,11 @@
     def __repr__(self) -> str:
         return f"<{type(self).__name__} {self._endpoints!r}>"
 
+    @property
+    def zones(self) -> dict[str, str]:
+        """Zones of control instances by name, as far as they are known."""
+        return {}
+
     def start(self, kernel: Kernel) -> None:
         """Begin to learn of endpoints."""
 
@@ -192,6 +197,10 @@
         self._exchange = EndpointExchange(registry, zone, SILENT_AFTER)
         self._sent_members: list[tuple[str, str]] = []
 
+    @property
+    def zones(self) -> dict[str, str]:
+        return self._exchange.zones
+
     def greet(self, session: Session) -> None:
         self._sessions.send_members([session], self._sent_members)
 
--- a/packages/lanedock-daemon/lanedock_daemon/control/distribution.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/distribution.py
@@ -9,6 +9,7 @@
 from lanedock.settings import ControlSettings
 from lanedock.telemetry import Metrics
 from lanedock.wire import messages
+from lanedock_daemon.control.traffic import ControlTraffic
 from lanedock_daemon.session_registry import SessionRegistry
 from lanedock_daemon.transport import Session
 
@@ -43,10 +44,12 @@
     ----------
     cfg : ControlSettings
     metrics : Metrics
+    traffic : ControlTraffic, optional
     """
 
-    def __init__(self, cfg: ControlSettings, metrics: Metrics):
+    def __init__(self, cfg: ControlSettings, metrics: Metrics, traffic: ControlTraffic | None = None):
         super().__init__(Distributor(cfg.whole_files), metrics)
+        self._traffic = traffic
         self._cfg = cfg
         self._admission = Admission(cfg.admissions_per_second, ADMISSION_BURST)
         self._floors_wanted: list[tuple[Session, int]] = []
@@ -74,6 +77,12 @@
             return
         self._admit(session, message, endpoints)
 
+    def _send(self, session: Session, batch: list[messages.ControlMessage]) -> None:
+        if self._traffic is not None:
+            for message in batch:
+                self._traffic.note_daemon(session, message)
+        super()._send(session, batch)
+
     def _take(self, session: Session, message: messages.DaemonMessage) -> None:
         if message.HasField("fleet_report"):
             self.distributor.take_relayed(session.child, message.fleet_report)
--- a/packages/lanedock-daemon/lanedock_daemon/control/queries.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/queries.py
@@ -110,10 +110,10 @@
 
 def _make_show(item, log: ReplicatedLog, code: str) -> messages.ShowReply:
     number = item.request.version or log.state.accepted_version.number
-    record = log.state.records.get(number)
-    if record is None or not record.content:
+    tree = log.state.tree(number)
+    if tree is None:
         return messages.ShowReply(version=number, code=code or ErrorCode.VERSION_UNKNOWN.code)
-    return messages.ShowReply(version=number, content=record.content, code=code)
+    return messages.ShowReply(version=number, content=tree.pack(), code=code)
 
 
 def _make_empty(item, code: ErrorCode, leader_address: str):
--- a/packages/lanedock-daemon/lanedock_daemon/control/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/service.py
@@ -27,6 +27,7 @@
     SubmitRequested,
 )
 from lanedock_daemon.control.submissions import Submission, SubmissionQueue, make_submit_command
+from lanedock_daemon.control.traffic import ControlTraffic, MeteredLinks
 from lanedock_daemon.sessions import ChildArrived, ChildLeft, ChildReported, SeedsChanged
 from lanedock_daemon.transport import PeerMessageArrived
 
@@ -59,7 +60,8 @@
         self._events = events
         self._metrics = metrics
         self._policy = RolloutPolicy(self._cfg.stage_timeout_ms / 1000, self._cfg.dead_after_ms / 1000)
-        self._sessions = DaemonSessions(self._cfg, metrics)
+        self._traffic = ControlTraffic(settings.zone, self._zone_of, events, metrics)
+        self._sessions = DaemonSessions(self._cfg, metrics, self._traffic)
         self._submissions = SubmissionQueue(metrics)
         self._is_seeded = self._cfg.seeds is not None
         # Found by seeds, a replica is named by its address.
@@ -109,7 +111,7 @@
             tuple(others),
             cfg.replace_after_ms / 1000 if self._is_seeded else None,
         )
-        self._links = transport.peer_links(others)
+        self._links = MeteredLinks(transport.peer_links(others), self._traffic)
         self._log = ReplicatedLog(
             replica, self._storage, self._links.send, self._events, self._metrics, cfg.compact_bytes
         )
@@ -138,6 +140,10 @@
             return self._cfg.replicas.get(name)
         return Address.parse(name) if name else None
 
+    def _zone_of(self, name: str) -> str:
+        """Return another control instance's zone; empty where it is not known."""
+        return self._directory.zones.get(name, "")
+
     def _on_seeds(self, seeds: list[Address]) -> None:
         """Take over other seeds: where a replica without a past asks to join."""
         names = [str(address) for address in seeds if str(address) != self._name]
@@ -168,6 +174,7 @@
         self._note_leader()
         self._sessions.send_heartbeats(now, *self._freshness(now))
         self._directory.tick(now)
+        self._traffic.emit(now)
         self._advance()
 
     def _on_peer(self, item: PeerMessageArrived) -> None:
@@ -250,7 +257,8 @@
             return
         # Whatever the verdict is, the log decides: a refusal, too, must be
         # that of a leader that a quorum still follows.
-        command = make_submit_command(item, self._cfg.rollout == "direct")
+        base = self._log.state.tree(self._log.state.accepted_version.number)
+        command = make_submit_command(item, self._cfg.rollout == "direct", base)
         index = self._log.propose(command)
         if index is None:
             # The lease has ended just now.
@@ -327,8 +335,9 @@
         self._source_versions = versions
         accepted, candidate = (state.tree(version.number) for version in versions)
         bases = {}
-        for number, record in state.records.items():
-            if record.content and record.outcome == messages.OUTCOME_ACCEPTED:
+        for number in state.kept_versions():
+            record = state.records[number]
+            if record.outcome == messages.OUTCOME_ACCEPTED:
                 bases[record.digest] = state.tree(number)
         self._sessions.set_source(VersionSource(accepted, candidate, bases))
         if accepted is not None:
--- a/packages/lanedock-daemon/lanedock_daemon/control/submissions.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/submissions.py
@@ -3,9 +3,9 @@
 
 import time
 
-from lanedock.config import Version
+from lanedock.config import ConfigTree, Version
 from lanedock.errors import ErrorCode
-from lanedock.rollout import RolloutProgress, SubmitResult, Verdict
+from lanedock.rollout import RolloutProgress, SubmitResult, Verdict, fill_content
 from lanedock.telemetry import Metric, Metrics
 from lanedock.wire import messages
 from lanedock_daemon.control.requests import Call, SubmitRequested
@@ -20,14 +20,22 @@
 _TAKEN = (Verdict.STAGING, Verdict.KNOWN)
 
 
-def make_submit_command(item: SubmitRequested, is_direct: bool) -> messages.Command:
-    """Make the command that has a submitted version judged, and staged or accepted at once."""
+def make_submit_command(item: SubmitRequested, is_direct: bool, base: ConfigTree | None) -> messages.Command:
+    """Make the command that has a submitted version judged, and staged or accepted at once.
+
+    Parameters
+    ----------
+    item : SubmitRequested
+    is_direct : bool
+    base : ConfigTree or None
+        The accepted version: what it lacks is sent.
+    """
     version, request = item.tree.version, item.request
     command = messages.Command()
     submit = command.submit
     submit.version = version.number
     submit.digest = version.digest
-    submit.content = item.tree.pack()
+    fill_content(submit, item.tree, base)
     submit.allow_cut_off.extend(request.allow_cut_off)
     submit.operator = request.operator
     submit.submitted_at = time.time()
--- a/packages/lanedock/lanedock/config/__init__.py
+++ b/packages/lanedock/lanedock/config/__init__.py
@@ -4,7 +4,15 @@
 from lanedock.config.core import CallerLimits, MeshConfig, Route, Service, Split, TrafficClass, Version
 from lanedock.config.diff import Difference, compare
 from lanedock.config.load import check_document, check_value, decode_config, load_config
-from lanedock.config.tree import MESH_GROUP, ConfigTree, needed_groups, pack_groups, split_config, unpack_groups
+from lanedock.config.tree import (
+    MESH_GROUP,
+    ConfigTree,
+    is_service_group,
+    needed_groups,
+    pack_groups,
+    split_config,
+    unpack_groups,
+)
 
 __all__ = [
     "MESH_GROUP",
@@ -21,6 +29,7 @@
     "check_value",
     "compare",
     "decode_config",
+    "is_service_group",
     "load_config",
     "needed_groups",
     "pack_groups",
--- a/packages/lanedock/lanedock/config/core.py
+++ b/packages/lanedock/lanedock/config/core.py
@@ -1,6 +1,9 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """The model of a mesh configuration: plain data, complete and checked."""
 
+from itertools import chain
+from sys import intern
+
 __all__ = ["CallerLimits", "MeshConfig", "Route", "Service", "Split", "TrafficClass", "Version"]
 
 DEFAULT_SLOTS = 12
@@ -223,12 +226,13 @@
         split=(),
     ):
         self.name = name
-        self.host = host.lower()
+        # Many routes have these in common.
+        self.host = intern(host.lower())
         self.path = path
         self.methods = tuple(methods)
         self.split = tuple(Split(**part) for part in split)
-        self.service = self.split[0].service if self.split else service
-        self.traffic_class = traffic_class
+        self.service = intern(self.split[0].service if self.split else service)
+        self.traffic_class = intern(traffic_class)
         self.repeatable = repeatable
         self.deadline_ms = deadline_ms
         self.target_ms = deadline_ms if target_ms is None else target_ms
@@ -250,23 +254,53 @@
     zones : tuple of str
     traffic_classes, services : dict
         `TrafficClass` and `Service` objects by name.
-    routes : tuple of Route
+    route_groups : dict of str to tuple of Route
+        All routes, by the group of the version's content in which they stand. Versions
+        that have a group in common share its routes.
     endpoint_window_ms : int
         How long endpoint changes are gathered, in milliseconds.
     limits : CallerLimits
+
+    Attributes
+    ----------
+    routes : tuple of Route
     """
 
-    __slots__ = ("endpoint_window_ms", "limits", "mesh", "routes", "services", "traffic_classes", "version", "zones")
+    __slots__ = (
+        "endpoint_window_ms",
+        "limits",
+        "mesh",
+        "route_groups",
+        "routes",
+        "services",
+        "traffic_classes",
+        "version",
+        "zones",
+    )
 
-    def __init__(self, mesh, version, zones, traffic_classes, services, routes, endpoint_window_ms, limits=None):
+    def __init__(self, mesh, version, zones, traffic_classes, services, route_groups, endpoint_window_ms, limits=None):
         self.mesh = mesh
         self.version = version
         self.zones = tuple(zones)
         self.traffic_classes = traffic_classes
         self.services = services
-        self.routes = tuple(routes)
+        self.route_groups = route_groups
+        self.routes = tuple(chain.from_iterable(route_groups.values()))
         self.endpoint_window_ms = endpoint_window_ms
         self.limits = limits or CallerLimits()
 
+    def with_routes(self, version: Version, route_groups: dict[str, tuple[Route, ...]]) -> "MeshConfig":
+        """Return another version that differs in its routes alone."""
+        return MeshConfig(
+            self.mesh,
+            version,
+            self.zones,
+            self.traffic_classes,
+            self.services,
+            route_groups,
+            self.endpoint_window_ms,
+            self.limits,
+        )
+
     def __repr__(self) -> str:
         return f"<MeshConfig {self.mesh} {self.version} services={len(self.services)} routes={len(self.routes)}>"
--- a/packages/lanedock/lanedock/config/load.py
+++ b/packages/lanedock/lanedock/config/load.py
@@ -10,9 +10,8 @@
     Route,
     Service,
     TrafficClass,
-    Version,
 )
-from lanedock.config.tree import ConfigTree, split_config
+from lanedock.config.tree import MESH_GROUP, ConfigTree, is_service_group, split_config
 from lanedock.errors import ErrorCode
 from lanedock.findings import Document, Finding, FindingsError, Place, read_document
 
@@ -89,13 +88,21 @@
     return split_config(value)
 
 
-def decode_config(tree: ConfigTree) -> MeshConfig:
+def decode_config(tree: ConfigTree, base=None) -> MeshConfig:
     """Check the held groups of a version and build the model.
 
     A daemon runs this on what it is sent, so it does without the schema
     library: types were checked before the version was proposed, and here a
     wrong one fails just the same.
 
+    Parameters
+    ----------
+    tree : ConfigTree
+    base : Held, optional
+        With `tree` and `config`: a version that was decoded before. The routes of groups
+        that both have are taken over from it, so one route of 5,560 is decoded
+        and checked in 2 ms instead of 55 (tools/bench_changes.py).
+
     Raises
     ------
     FindingsError
@@ -103,23 +110,105 @@
     """
     source = f"version {tree.number}"
     try:
-        document = Document(source, tree.value(), "")
-        findings = _check_references(document, partial=len(tree.contents) < len(tree.digests))
-        if findings:
-            raise FindingsError(findings)
-        return _build(document.value, tree.version)
+        config = _decode(tree, base)
+        if config is not None:
+            return config
+        # Checked once more on the file, whose places the findings name.
+        findings = _check_references(Document(source, tree.value(), ""), tree.is_partial)
+        findings = findings or [Finding(ErrorCode.SCHEMA, "the content does not hold", Place(source))]
     except (KeyError, TypeError, AttributeError, ValueError) as exc:
         finding = Finding(ErrorCode.SCHEMA, f"malformed content: {exc!r}", Place(source))
         raise FindingsError([finding]) from exc
-
-
-def _build(value: dict, version: Version) -> MeshConfig:
-    classes = {item["name"]: TrafficClass(**item) for item in value["traffic_classes"]}
-    services = {item["name"]: Service(**item) for item in value["services"]}
-    routes = [Route(**item) for item in value["routes"]]
-    window = value.get("endpoint_window_ms", DEFAULT_ENDPOINT_WINDOW_MS)
-    limits = CallerLimits(**value.get("limits", {}))
-    return MeshConfig(value["mesh"], version, value["zones"], classes, services, routes, window, limits)
+    raise FindingsError(findings)
+
+
+def _decode(tree: ConfigTree, base) -> MeshConfig | None:
+    """Build the model, from a base's as far as both have groups in common; None where it does not hold."""
+    groups = dict.fromkeys(tree.contents)
+    config = None
+    if base is not None and tree.is_partial == base.tree.is_partial:
+        changed, dropped = tree.held_changes(base.tree)
+        if _has_same_services(tree, base.tree, changed | dropped):
+            groups, config = dict.fromkeys(changed), base.config
+    if config is None:
+        config = _build_without_routes(tree)
+        if config is None:
+            return None
+    route_groups = {name: routes for name, routes in config.route_groups.items() if name in tree.contents}
+    # One group at a time: parsed, all of them take several times the memory of the model.
+    for name in sorted(groups):
+        if name == MESH_GROUP:
+            continue
+        items = tree.group(name)["routes"]
+        if not _has_targets(config, items, tree.is_partial):
+            return None
+        route_groups[name] = groups[name] = tuple(Route(**item) for item in items)
+    config = config.with_routes(tree.version, route_groups)
+    added = [route for routes in groups.values() if routes for route in routes]
+    return config if _is_unambiguous(config, added) else None
+
+
+def _has_same_services(tree: ConfigTree, base: ConfigTree, names: set[str]) -> bool:
+    """Tell whether routes alone differ between two versions, in the groups named."""
+    if MESH_GROUP in names:
+        return False
+    for name in filter(is_service_group, names):
+        ours = tree.group(name).get("service") if name in tree.contents else None
+        theirs = base.group(name).get("service") if name in base.contents else None
+        if ours != theirs:
+            return False
+    return True
+
+
+def _build_without_routes(tree: ConfigTree) -> MeshConfig | None:
+    """Build the model of everything but the routes; None where that does not hold."""
+    value = tree.group(MESH_GROUP)
+    services = [tree.group(name)["service"] for name in sorted(tree.contents) if is_service_group(name)]
+    value = {**value, "version": tree.number, "services": services, "routes": []}
+    if _check_references(Document("", value, ""), tree.is_partial):
+        return None
+    return MeshConfig(
+        value["mesh"],
+        tree.version,
+        value["zones"],
+        {item["name"]: TrafficClass(**item) for item in value["traffic_classes"]},
+        {item["name"]: Service(**item) for item in services},
+        {},
+        value.get("endpoint_window_ms", DEFAULT_ENDPOINT_WINDOW_MS),
+        CallerLimits(**value.get("limits", {})),
+    )
+
+
+def _has_targets(config: MeshConfig, items: list[dict], is_partial: bool) -> bool:
+    """Tell whether the classes and services that routes name are known; see `_check_references`."""
+    document = Document("", {}, "")
+    services = config.services.keys()
+    for item in items:
+        if item["traffic_class"] not in config.traffic_classes:
+            return False
+        if _check_targets(document, item, services, "", is_partial):
+            return False
+    return True
+
+
+def _is_unambiguous(config: MeshConfig, added: list[Route]) -> bool:
+    """Tell whether no route has the name of another, and none of those added the match of another."""
+    if len({route.name for route in config.routes}) < len(config.routes):
+        return False
+    hosts = {route.host for route in added}
+    keys = {(route.host, route.path.rstrip("/")) for route in added}
+    taken = set()
+    for route in config.routes:
+        if route.host not in hosts:
+            continue
+        key = (route.host, route.path.rstrip("/"))
+        if key not in keys:
+            continue
+        for method in set(route.methods) or {"*"}:
+            if (*key, method) in taken:
+                return False
+            taken.add((*key, method))
+    return True
 
 
 def _check_references(document: Document, partial: bool = False) -> list[Finding]:
--- a/packages/lanedock/lanedock/config/tests/test_load.py
+++ b/packages/lanedock/lanedock/config/tests/test_load.py
@@ -9,8 +9,10 @@
 from hypothesis import strategies as st
 
 from lanedock.config import ConfigTree, check_document, check_value, compare, decode_config, needed_groups, split_config
+from lanedock.config.tree import MAX_GROUP_ROUTES
 from lanedock.errors import ErrorCode, LanedockError
 from lanedock.findings import Document, FindingsError, read_text
+from lanedock.routing import RouteTable
 from lanedock.wire import messages
 
 VALUE = {
@@ -127,6 +129,129 @@
     assert caught.value.code is ErrorCode.DIGEST_MISMATCH
 
 
+def _make_routes(names: list, path: str = "/", service: str = "one") -> list[dict]:
+    return [
+        {"name": f"r{name}", "path": f"{path}{name}", "service": service, "traffic_class": "fast"} for name in names
+    ]
+
+
+def test_a_service_with_many_routes_has_them_in_groups_of_few():
+    whole = split_config({**VALUE, "routes": _make_routes(range(1000))})
+    sizes = [len(whole.group(name)["routes"]) for name in whole.contents if name]
+    assert max(sizes) <= MAX_GROUP_ROUTES
+    assert sum(sizes) == 1000
+    assert len(sizes) < 3 * 1000 / MAX_GROUP_ROUTES
+    assert whole.value()["routes"] == sorted(_make_routes(range(1000)), key=lambda route: route["name"])
+    # A daemon of the service, and one of a service that calls it, need them all.
+    assert needed_groups(whole, False, "one") == set(whole.contents) - {"three"}
+    assert needed_groups(whole, False, "two") == {"", "two"}
+
+
+def test_a_change_of_one_route_of_many_changes_one_group():
+    routes = _make_routes(range(1000))
+    before = split_config({**VALUE, "routes": routes})
+    after = split_config({**VALUE, "version": 4, "routes": [{**routes[0], "path": "/else"}, *routes[1:]]})
+    (changed,), dropped = (set(part) for part in after.held_changes(before))
+    assert changed.startswith("one") and not dropped
+    push = after.delta_push(set(after.digests), before, set(before.digests))
+    assert len(push.SerializeToString()) < 1024
+    assert len(push.SerializeToString()) < len(before.pack()) / 20
+
+
+def test_the_groups_do_not_depend_on_the_order_in_which_routes_came():
+    grown = split_config({**VALUE, "routes": _make_routes(range(100))})
+    shrunk = split_config({**VALUE, "routes": _make_routes(reversed(range(100)))})
+    assert grown.version == shrunk.version
+
+
+class _Decoded:
+    def __init__(self, tree: ConfigTree, base=None):
+        self.tree = tree
+        self.config = decode_config(tree, base)
+
+
+def _routes_of(config) -> dict[str, tuple]:
+    return {
+        route.name: tuple(getattr(route, name) for name in route.__slots__ if name != "split")
+        for route in config.routes
+    }
+
+
+@settings(max_examples=60, deadline=None, derandomize=True)
+@given(data=st.data())
+def test_a_version_decoded_from_another_is_the_version(data):
+    """Routes of two services come, go and change; a table of routes follows them."""
+    held = table = None
+    routes = {}
+    for number in range(1, 5):
+        for service in ("one", "two"):
+            first, last = sorted(data.draw(st.tuples(st.integers(0, 60), st.integers(0, 60))))
+            path = data.draw(st.sampled_from(["/a", "/b"]))
+            for route in _make_routes(range(first, last), f"/{service}{path}", service):
+                name = service + route["name"]
+                if data.draw(st.booleans(), label="kept") or name not in routes:
+                    routes[name] = {**route, "name": name}
+                else:
+                    del routes[name]
+        slots = data.draw(st.integers(1, 2))
+        services = [{**service, "slots": slots} for service in VALUE["services"]]
+        tree = split_config({**VALUE, "version": number, "services": services, "routes": list(routes.values())})
+        if held is not None:
+            push = tree.delta_push(set(tree.digests), held.tree, set(held.tree.digests))
+            tree = ConfigTree.from_push(push, [held.tree])
+        whole = decode_config(tree)
+        held = _Decoded(tree, held)
+        assert _routes_of(held.config) == _routes_of(whole)
+        assert held.config.services["one"].slots == slots
+        table = RouteTable(held.config) if table is None else table.evolve(held.config)
+        for route in routes.values():
+            assert (
+                table.match("h", route["path"], "GET").name == RouteTable(whole).match("h", route["path"], "GET").name
+            )
+        for name in range(60):
+            for path in ("/one/a", "/one/b", "/two/a", "/two/b"):
+                found, due = (
+                    table.match("h", f"{path}{name}", "GET"),
+                    RouteTable(whole).match("h", f"{path}{name}", "GET"),
+                )
+                assert (found and found.name) == (due and due.name)
+
+
+@pytest.mark.parametrize(
+    ("change", "code"),
+    [
+        ({"service": "none"}, ErrorCode.UNKNOWN_SERVICE),
+        ({"traffic_class": "none"}, ErrorCode.UNKNOWN_CLASS),
+        ({"name": "r7"}, ErrorCode.DUPLICATE_NAME),
+        ({"path": "/7"}, ErrorCode.SHADOWED_ROUTE),
+        ({"path": "/7/", "methods": ["GET", "GET"], "service": "two"}, None),
+        ({"split": [{"service": "one", "weight": 0}]}, ErrorCode.NO_WEIGHT),
+        ({"deadline": 1}, ErrorCode.SCHEMA),
+    ],
+)
+def test_a_change_that_does_not_hold_is_found_by_a_daemon_too(change, code):
+    routes = _make_routes(range(100))
+    held = _Decoded(split_config({**VALUE, "routes": routes}))
+    changed = {**routes[0], **change}
+    names = {"one", "two", "three"}
+    services = VALUE["services"]
+    if changed["service"] not in names:
+        # Only a source that does not check sends such a one.
+        services = [*services, {"name": changed["service"], "zones": ["z1"]}]
+    tree = split_config({**VALUE, "version": 4, "services": services, "routes": [changed, *routes[1:]]})
+    if services is not VALUE["services"]:
+        contents = {name: content for name, content in tree.contents.items() if name != "none"}
+        group = json.dumps({"routes": [changed]}).encode()
+        tree = ConfigTree(4, {**held.tree.digests, "one\x1fx": b"x"}, {**contents, "one\x1fx": group})
+        tree.digests = dict.fromkeys(tree.contents, b"")
+    if code is None:
+        assert len(decode_config(tree, held).routes) == 100
+        return
+    with pytest.raises(FindingsError) as caught:
+        decode_config(tree, held)
+    assert caught.value.findings[0].code is code
+
+
 @settings(max_examples=100, deadline=None, derandomize=True)
 @given(data=st.data())
 def test_a_delta_leads_from_any_slice_to_any_other(data):
--- a/packages/lanedock/lanedock/config/tree.py
+++ b/packages/lanedock/lanedock/config/tree.py
@@ -2,7 +2,10 @@
 """A version as a set of digested groups, its slices and its deltas.
 
 A version is split into one group for each service (the service and the routes
-that lead to it) and one for what holds for the whole mesh. The version's
+that lead to it) and one for what holds for the whole mesh. Where many routes lead to a
+service, they stand in groups of their own, of a few routes each: which of them a route
+stands in follows from the hash of its name, so a change of one route changes one group,
+however many others there are. The version's
 digest covers its number and every group's digest, a hash tree of two levels
 (Merkle, "A Digital Signature Based on a Conventional Encryption Function",
 1987). A daemon that holds only the groups it needs can so still verify that
@@ -13,14 +16,33 @@
 import json
 import struct
 import zlib
+from bisect import bisect_left
+from operator import itemgetter
 
 from lanedock.config.core import Version
 from lanedock.errors import ErrorCode, LanedockError
 from lanedock.wire import messages
 
-__all__ = ["MESH_GROUP", "ConfigTree", "needed_groups", "pack_groups", "split_config", "unpack_groups"]
+__all__ = [
+    "MESH_GROUP",
+    "ConfigTree",
+    "is_service_group",
+    "needed_groups",
+    "pack_groups",
+    "split_config",
+    "unpack_groups",
+]
 
 MESH_GROUP = ""
+# Between a service's name and the bits of its routes' hashes in the name of a group of
+# routes; no service's name has a control character.
+_ROUTES_MARK = "\x1f"
+# Routes in one group. A change of a route sends those of its group: with fewer, the digests
+# that each version is made of and compared by grow, and with them the work on any change.
+MAX_GROUP_ROUTES = 16
+_ENCODER = json.JSONEncoder(sort_keys=True, separators=(",", ":"), ensure_ascii=False)
+# Bits of a route's hash: enough to tell millions of names apart.
+_HASH_BITS = 64
 # A content that unpacks to more than this is refused, not unpacked.
 MAX_CONTENT_BYTES = 16 * 1024 * 1024
 _MESH_KEYS = ("mesh", "zones", "traffic_classes", "endpoint_window_ms", "limits")
@@ -50,6 +72,11 @@
     def __repr__(self) -> str:
         return f"<ConfigTree {self.version} held={len(self.contents)}/{len(self.digests)}>"
 
+    @property
+    def is_partial(self) -> bool:
+        """Whether some groups are known by digest only."""
+        return len(self.contents) < len(self.digests)
+
     def group(self, name: str) -> dict:
         """Parse a held group."""
         return json.loads(self.contents[name])
@@ -60,15 +87,29 @@
         Returns
         -------
         dict
-            With `version`; services and routes are ordered by name.
+            With `version`; services are ordered by name, routes by their service and name.
         """
         value = dict(self.group(MESH_GROUP))
         value["version"] = self.number
         groups = [self.group(name) for name in sorted(self.contents) if name != MESH_GROUP]
-        value["services"] = [group["service"] for group in groups]
-        value["routes"] = [route for group in groups for route in group["routes"]]
+        value["services"] = [group["service"] for group in groups if "service" in group]
+        routes = [route for group in groups for route in group["routes"]]
+        value["routes"] = sorted(routes, key=lambda route: (_first_service(route), route["name"]))
         return value
 
+    def held_changes(self, base: "ConfigTree") -> tuple[set[str], set[str]]:
+        """Compare the groups that are held here with those that a base holds.
+
+        Returns
+        -------
+        changed : set of str
+            Held here, and not with this content there.
+        dropped : set of str
+            Held there, and not here.
+        """
+        changed = {name for name, content in self.contents.items() if base.contents.get(name) != content}
+        return changed, base.contents.keys() - self.contents.keys()
+
     def slice(self, names: set[str]) -> "ConfigTree":
         """Return the same version with only the named groups held."""
         contents = {name: self.contents[name] for name in names if name in self.contents}
@@ -189,22 +230,61 @@
         As `check_document` accepts it.
     """
     parts = {MESH_GROUP: {key: value[key] for key in _MESH_KEYS if key in value}}
-    for service in value["services"]:
-        parts[service["name"]] = {"service": service, "routes": []}
+    routes: dict[str, list[dict]] = {service["name"]: [] for service in value["services"]}
     for route in sorted(value["routes"], key=lambda item: item["name"]):
-        parts[_first_service(route)]["routes"].append(route)
+        routes[_first_service(route)].append(route)
+    for service in value["services"]:
+        name = service["name"]
+        own, groups = _group_routes(name, routes[name])
+        parts[name] = {"service": service, "routes": own}
+        parts.update(groups)
     contents = {name: _canonical(part) for name, part in parts.items()}
     digests = {name: hashlib.sha256(content).digest() for name, content in contents.items()}
     return ConfigTree(value["version"], digests, contents)
 
 
+def _group_routes(service: str, routes: list[dict]) -> tuple[list[dict], dict[str, dict]]:
+    """Divide a service's routes into those of its own group and further groups of them.
+
+    A binary trie over the hashes of their names: what a group holds depends on the routes
+    alone, not on the order in which they were added.
+    """
+    if len(routes) <= MAX_GROUP_ROUTES:
+        return routes, {}
+    members = sorted(((_hash_name(route["name"]), route) for route in routes), key=itemgetter(0))
+    hashes = [digest for digest, _ in members]
+    groups: dict[str, dict] = {}
+    # Bits of the prefix, and the members that begin with them.
+    pending = [(0, 0, 0, len(members))]
+    while pending:
+        depth, prefix, first, last = pending.pop()
+        if depth and (last - first <= MAX_GROUP_ROUTES or depth == _HASH_BITS):
+            if last > first:
+                own = sorted((route for _, route in members[first:last]), key=itemgetter("name"))
+                groups[f"{service}{_ROUTES_MARK}{prefix:0{depth}b}"] = {"routes": own}
+            continue
+        middle = bisect_left(hashes, (2 * prefix + 1) << (_HASH_BITS - depth - 1), first, last)
+        pending.append((depth + 1, 2 * prefix, first, middle))
+        pending.append((depth + 1, 2 * prefix + 1, middle, last))
+    return [], groups
+
+
+def _hash_name(name: str) -> int:
+    return int.from_bytes(hashlib.sha256(name.encode()).digest()[: _HASH_BITS // 8])
+
+
+def is_service_group(name: str) -> bool:
+    """Tell whether a group is a service's own: neither the mesh's nor one of routes alone."""
+    return name != MESH_GROUP and _ROUTES_MARK not in name
+
+
 def _first_service(route: dict) -> str:
     """Return the service in whose group a route stands."""
     return route["split"][0]["service"] if "split" in route else route["service"]
 
 
 def _canonical(value: dict) -> bytes:
-    return json.dumps(value, sort_keys=True, separators=(",", ":"), ensure_ascii=False).encode()
+    return _ENCODER.encode(value).encode()
 
 
 def needed_groups(tree: ConfigTree, is_entry: bool, service: str) -> set[str]:
@@ -226,11 +306,12 @@
     """
     if is_entry:
         return set(tree.digests)
-    needed = {MESH_GROUP}
-    if service in tree.contents:
-        needed.add(service)
-        needed.update(tree.group(service)["service"].get("calls", ()))
-    return needed
+    if service not in tree.contents:
+        return {MESH_GROUP}
+    services = {service, *tree.group(service)["service"].get("calls", ())}
+    needed = {name for name in tree.digests if name.partition(_ROUTES_MARK)[0] in services}
+    # A called service that there is not is a finding of the receiver's own check.
+    return {MESH_GROUP, *services, *needed}
 
 
 def pack_groups(groups: list) -> bytes:
--- a/packages/lanedock/lanedock/rollout/__init__.py
+++ b/packages/lanedock/lanedock/rollout/__init__.py
@@ -5,7 +5,7 @@
 from lanedock.rollout.distributor import Child, Distributor, VersionSource
 from lanedock.rollout.fleet import FleetView
 from lanedock.rollout.holder import Held, VersionHolder, record_finding
-from lanedock.rollout.state import MeshState, SubmitResult, Verdict
+from lanedock.rollout.state import MeshState, SubmitResult, Verdict, fill_content
 
 __all__ = [
     "Child",
@@ -20,5 +20,6 @@
     "Verdict",
     "VersionHolder",
     "VersionSource",
+    "fill_content",
     "record_finding",
 ]
--- a/packages/lanedock/lanedock/rollout/holder.py
+++ b/packages/lanedock/lanedock/rollout/holder.py
@@ -175,12 +175,19 @@
             return None
         self.wants_whole = False
         try:
-            return Held(tree, decode_config(tree))
+            return Held(tree, decode_config(tree, self._find_decoded(push)))
         except FindingsError as exc:
             self.findings = [record_finding(finding) for finding in exc.findings]
         self.refused = Version(push.version, push.digest)
         return None
 
+    def _find_decoded(self, push: messages.ConfigPush) -> Held | None:
+        """Return what is held of the push's base, or of the version in force."""
+        for held in (self.in_force, self.staged):
+            if held is not None and held.version.digest == push.base_digest:
+                return held
+        return self.in_force
+
 
 def record_finding(finding: Finding) -> messages.FindingRecord:
     """Make the message that carries a finding with its place."""
--- a/packages/lanedock/lanedock/rollout/state.py
+++ b/packages/lanedock/lanedock/rollout/state.py
@@ -4,15 +4,18 @@
 Every decision that must be the same everywhere is made when an entry is
 applied, never when it is proposed, so operators who race each other are put
 in order by the log.
+
+A submission carries what the accepted version lacks of it, and every replica
+makes the whole from the contents that it keeps, which are the same everywhere.
 """
 
 from enum import Enum
 
 from lanedock.config import ConfigTree, Version
-from lanedock.errors import ErrorCode
+from lanedock.errors import ErrorCode, LanedockError
 from lanedock.wire import messages
 
-__all__ = ["MeshState", "SubmitResult", "Verdict"]
+__all__ = ["MeshState", "SubmitResult", "Verdict", "fill_content"]
 
 # Outcomes of this many versions are remembered, for operators who resend; the
 # contents of this many accepted ones are kept, as bases of deltas.
@@ -104,6 +107,25 @@
             self._trees[number] = tree
         return tree
 
+    def kept_versions(self) -> list[int]:
+        """Return the numbers of the versions whose content is kept, in order."""
+        return sorted(number for number, record in self.records.items() if record.content or number in self._trees)
+
+    def _make_tree(self, message: messages.SubmitCommand | messages.VersionRecord) -> ConfigTree:
+        """Make a version from the delta that a message carries.
+
+        Raises
+        ------
+        LanedockError
+            `ErrorCode.DIGEST_MISMATCH`: its base isn't kept, or it isn't the version that it names.
+        """
+        push = messages.ConfigPush(
+            version=message.version, digest=message.digest, base_digest=message.base_digest, groups=message.delta
+        )
+        push.removed.extend(message.removed)
+        kept = [number for number in self.kept_versions() if self.records[number].digest == push.base_digest]
+        return ConfigTree.from_push(push, [self.tree(number) for number in kept])
+
     def judge(self, version: Version, base: int | None = None) -> SubmitResult:
         """Tell what a submission of this version would come to now.
 
@@ -157,6 +179,12 @@
         result = self.judge(Version(command.version, command.digest), base)
         if result.verdict is not Verdict.STAGING:
             return result
+        if command.base_digest:
+            try:
+                self._trees[command.version] = self._make_tree(command)
+            except LanedockError:
+                # It was proposed on a version that many others have followed since.
+                return SubmitResult(Verdict.BUSY, result.version, base, code=ErrorCode.SUBMISSION_BUSY)
         record = messages.VersionRecord(
             version=command.version,
             digest=command.digest,
@@ -203,8 +231,7 @@
 
     def _forget(self) -> None:
         """Drop old contents, and the oldest records."""
-        accepted = [number for number, record in self.records.items() if record.content]
-        for number in sorted(accepted)[:-MAX_CONTENTS]:
+        for number in self.kept_versions()[:-MAX_CONTENTS]:
             self.records[number].content = b""
             self._trees.pop(number, None)
         for number in sorted(self.records)[:-MAX_RECORDS]:
@@ -214,13 +241,19 @@
     # --------------------------------------------------------------- snapshots
 
     def snapshot(self) -> bytes:
-        """Serialize the whole state."""
+        """Serialize the whole state: the oldest content whole, of each later one what it changes."""
         snapshot = messages.StateSnapshot(
             accepted_version=self.accepted_version.number,
             candidate_version=self.candidate_version.number,
             forgotten=self._forgotten,
         )
         snapshot.records.extend(self.records[number] for number in sorted(self.records))
+        base = None
+        by_number = {record.version: record for record in snapshot.records}
+        for number in self.kept_versions():
+            tree = self.tree(number)
+            fill_content(by_number[number], tree, base)
+            base = tree
         return snapshot.SerializeToString()
 
     @classmethod
@@ -232,4 +265,26 @@
         state.accepted = state.records.get(snapshot.accepted_version)
         state.candidate = state.records.get(snapshot.candidate_version)
         state._forgotten = snapshot.forgotten
+        for record in snapshot.records:
+            if record.base_digest:
+                state._trees[record.version] = state._make_tree(record)
+                record.delta = record.base_digest = b""
+                del record.removed[:]
         return state
+
+
+def fill_content(
+    message: messages.SubmitCommand | messages.VersionRecord, tree: ConfigTree, base: ConfigTree | None
+) -> None:
+    """Put a version's content into a message: what a base lacks of it, or all of it.
+
+    One route of 5,560 takes 0.6 KB instead of 111 KB (tools/bench_changes.py).
+    """
+    if base is None:
+        message.content = tree.pack()
+        return
+    push = tree.delta_push(set(tree.digests), base, set(base.digests))
+    message.content = b""
+    message.delta = push.groups
+    message.base_digest = push.base_digest
+    message.removed.extend(push.removed)
--- a/packages/lanedock/lanedock/rollout/tests/test_rollout.py
+++ b/packages/lanedock/lanedock/rollout/tests/test_rollout.py
@@ -6,11 +6,12 @@
 from lanedock.config import Version, split_config
 from lanedock.errors import ErrorCode
 from lanedock.membership import Instance, InstanceState
-from lanedock.rollout import FleetView, MeshState, RolloutCoordinator, RolloutPolicy, Verdict
+from lanedock.rollout import FleetView, MeshState, RolloutCoordinator, RolloutPolicy, Verdict, fill_content
 from lanedock.wire import messages
 
 
-def make_tree(version: int, slots: int = 1):
+def make_tree(version: int, slots: int = 1, routes: int = 0):
+    """Make a version; where it has routes, it differs from others in one of them."""
     return split_config(
         {
             "mesh": "m",
@@ -18,11 +19,24 @@
             "zones": ["z"],
             "traffic_classes": [{"name": "c", "share": 0.5}],
             "services": [{"name": "s", "zones": ["z"], "slots": slots}, {"name": "t", "zones": ["z"]}],
-            "routes": [],
+            "routes": [make_route(number, version if number == 7 else 0) for number in range(routes)],
         }
     )
 
 
+def make_route(number: int, variant: int) -> dict:
+    return {"name": f"r{number}", "path": f"/{number}/{variant}", "service": "s", "traffic_class": "c"}
+
+
+def make_command(tree, base=None) -> messages.Command:
+    """Make the command that submits a version as a delta to another one."""
+    command = messages.Command()
+    command.submit.version = tree.number
+    command.submit.digest = tree.version.digest
+    fill_content(command.submit, tree, base)
+    return command
+
+
 def submit(state: MeshState, version: int, slots: int = 1, allow: tuple = ()):
     tree = make_tree(version, slots)
     command = messages.Command()
@@ -33,10 +47,10 @@
     return state.apply(command)
 
 
-def finish(state: MeshState, version: int, kind: str = "accept", slots: int = 1):
+def finish(state: MeshState, version: int, kind: str = "accept", slots: int = 1, routes: int = 0):
     command = messages.Command()
     getattr(command, kind).version = version
-    getattr(command, kind).digest = make_tree(version, slots).version.digest
+    getattr(command, kind).digest = make_tree(version, slots, routes).version.digest
     state.apply(command)
 
 
@@ -90,6 +104,59 @@
         assert restored.tree(1).version == make_tree(1).version
         assert restored.candidate_version == make_tree(2).version
 
+    def test_a_delta_is_made_whole_by_each_replica(self):
+        state, other = MeshState(), MeshState()
+        base = None
+        for number in range(1, 12):
+            tree = make_tree(number, slots=number)
+            command = make_command(tree, base)
+            for replica in (state, other):
+                assert replica.apply(command).verdict is Verdict.STAGING
+                finish(replica, number, slots=number)
+                assert replica.tree(number).version == tree.version
+                assert replica.tree(number).contents == tree.contents
+            base = tree
+            # It may start again at any time, from a snapshot.
+            other = MeshState.restore(other.snapshot())
+            assert other.snapshot() == state.snapshot()
+        assert state.kept_versions() == list(range(4, 12))
+
+    def test_a_delta_whose_base_is_not_kept_is_not_run(self):
+        state = MeshState()
+        assert submit(state, 1).verdict is Verdict.STAGING
+        finish(state, 1)
+        late = make_command(make_tree(100), state.tree(1))
+        for number in range(2, 12):
+            submit(state, number)
+            finish(state, number)
+        before = state.snapshot()
+        result = state.apply(late)
+        assert (result.verdict, result.code) == (Verdict.BUSY, ErrorCode.SUBMISSION_BUSY)
+        assert state.snapshot() == before
+
+    def test_a_delta_that_is_not_the_version_that_it_names_is_not_run(self):
+        state = MeshState()
+        submit(state, 1)
+        finish(state, 1)
+        forged = make_command(make_tree(2, slots=2), state.tree(1))
+        forged.submit.digest = make_tree(2, slots=3).version.digest
+        assert state.apply(forged).verdict is Verdict.BUSY
+        assert state.candidate is None and state.tree(2) is None
+
+    def test_a_change_of_one_route_of_many_takes_little_of_the_log_and_of_snapshots(self):
+        state = MeshState()
+        base = None
+        for number in range(1, 9):
+            tree = make_tree(number, routes=2000)
+            command = make_command(tree, base)
+            if base is not None:
+                assert len(command.SerializeToString()) < 2048
+            state.apply(command)
+            finish(state, number, routes=2000)
+            base = tree
+        # Eight whole contents were 8 times as long.
+        assert len(state.snapshot()) < 1.5 * len(base.pack())
+
     def test_only_the_last_contents_are_kept(self):
         state = MeshState()
         for number in range(1, 13):
--- a/packages/lanedock/lanedock/routing/table.py
+++ b/packages/lanedock/lanedock/routing/table.py
@@ -21,14 +21,33 @@
 
     def __init__(self, config: MeshConfig):
         self._hosts: dict[str, dict[str, dict[str, Route]]] = {}
-        self._size = len(config.routes)
+        self._routes = config.routes
         for route in config.routes:
-            methods = self._hosts.setdefault(route.host, {}).setdefault(route.path.rstrip("/"), {})
-            for method in route.methods or (ANY,):
-                methods[method] = route
+            _add(self._hosts.setdefault(route.host, {}), route)
 
     def __repr__(self) -> str:
-        return f"<RouteTable routes={self._size} hosts={len(self._hosts)}>"
+        return f"<RouteTable routes={len(self._routes)} hosts={len(self._hosts)}>"
+
+    def evolve(self, config: MeshConfig) -> "RouteTable":
+        """Return the table of another version; what both have in common is shared.
+
+        One route of 5,560 costs 1 ms instead of 8 (tools/bench_changes.py).
+        """
+        before, after = set(self._routes), set(config.routes)
+        added, removed = after - before, before - after
+        if len(added) + len(removed) >= len(after):
+            return RouteTable(config)
+        table = RouteTable.__new__(RouteTable)
+        table._routes = config.routes
+        hosts = table._hosts = dict(self._hosts)
+        for host in {route.host for route in added | removed}:
+            # A request that runs may still look into the former one.
+            hosts[host] = dict(hosts.get(host, {}))
+        for route in removed:
+            _remove(hosts[route.host], route)
+        for route in added:
+            _add(hosts[route.host], route)
+        return table
 
     def match(self, host: str, path: str, method: str) -> Route | None:
         """Return the route of a request, or None.
@@ -51,6 +70,20 @@
         return None
 
 
+def _add(paths: dict[str, dict[str, Route]], route: Route) -> None:
+    prefix = route.path.rstrip("/")
+    paths[prefix] = {**paths.get(prefix, {}), **dict.fromkeys(route.methods or (ANY,), route)}
+
+
+def _remove(paths: dict[str, dict[str, Route]], route: Route) -> None:
+    prefix = route.path.rstrip("/")
+    left = {method: other for method, other in paths[prefix].items() if other is not route}
+    if left:
+        paths[prefix] = left
+    else:
+        del paths[prefix]
+
+
 def _match_path(paths: dict, path: str, method: str) -> Route | None:
     prefix = path.rstrip("/")
     while True:
--- a/packages/lanedock/lanedock/routing/tests/test_balancer.py
+++ b/packages/lanedock/lanedock/routing/tests/test_balancer.py
@@ -32,7 +32,7 @@
     ],
 )
 def test_the_most_particular_route_matches(host, path, method, name):
-    table = RouteTable(MeshConfig("m", Version(), (), {}, {}, ROUTES, 0))
+    table = RouteTable(MeshConfig("m", Version(), (), {}, {}, {"": ROUTES}, 0))
     assert table.match(host, path, method).name == name
 
 
@@ -246,3 +246,33 @@
     for stats in balancer._upstreams.values():
         stats.in_progress = 0
     assert 80 < _shares(balancer, 13.1)["b"] < 120
+
+
+def test_what_was_learned_of_a_former_start_is_not_held_against_the_next():
+    # 0 of 200 requests went to it for the 0.75 to 1.25 s and more of its ejection.
+    first = [_endpoint("a"), _endpoint("b")]
+    for endpoint in first:
+        endpoint.upstream, endpoint.upstream_started = f"i-{endpoint.instance}", 100
+    balancer = _balancer(*first, eject_failures=1, max_ejected=1.0)
+    crashed = balancer._upstreams["b"]
+    assert _fail(balancer, crashed)
+    assert _shares(balancer, 0.1)["b"] == 0
+    restarted = messages.Endpoint()
+    restarted.CopyFrom(first[1])
+    restarted.upstream_started = 200
+    balancer.set_endpoints([first[0], restarted], 0.2)
+    for stats in balancer._upstreams.values():
+        stats.in_progress = 0
+    assert 80 < _shares(balancer, 0.3)["b"] < 120
+
+
+def test_a_start_that_becomes_known_is_no_other_one():
+    endpoint = _endpoint("a")
+    endpoint.upstream = "i-a"
+    balancer = _balancer(endpoint)
+    balancer.begin(balancer.choose(12, 0.0))
+    known = messages.Endpoint()
+    known.CopyFrom(endpoint)
+    known.upstream_started = 100
+    balancer.set_endpoints([known], 0.1)
+    assert balancer.choose(12, 0.1).in_progress == 1
--- a/packages/lanedock/lanedock/telemetry/events.py
+++ b/packages/lanedock/lanedock/telemetry/events.py
@@ -100,6 +100,12 @@
         "The platform's list can't be read; the last one stays in use.",
         "Check it.",
     )
+    PLATFORM_ENTRIES_REFUSED = (
+        414,
+        logging.WARNING,
+        "Entries of the platform's list can't be read and name no instance; the others are in use.",
+        "Find out who writes them: `first` names the place of the first.",
+    )
     DRAINING = (404, logging.INFO, "An instance takes no new work any more.", "None.")
 
     UPSTREAM_REGISTERED = (405, logging.INFO, "The application beside the daemon has registered.", "None.")
@@ -206,6 +212,12 @@
         "All requests of a route in the last second, by outcome: their number, and the sums of their times.",
         "`lanedock summary` adds them up.",
     )
+    CONTROL_TRAFFIC = (
+        531,
+        logging.INFO,
+        "Bytes that a control instance has sent since its start: what they carry, near or far (to another zone).",
+        "Look at the largest.",
+    )
     REQUEST_DONE = (522, logging.INFO, "The application answered, refused, or its answer was lost.", "None.")
 
     def __init__(self, number: int, level: int, meaning: str, remedy: str):
--- a/packages/lanedock/lanedock/telemetry/metrics.py
+++ b/packages/lanedock/lanedock/telemetry/metrics.py
@@ -33,6 +33,12 @@
     BODY_BYTES = ("requests.body_bytes", "g", "Bytes of bodies that were let in and have not come yet.")
     VERSION = ("config.version", "g", "Number of the version in force.")
     CONTROL_BYTES = ("config.bytes", "c", "Bytes of versions and endpoints sent to daemons.")
+    TRAFFIC = (
+        "control.bytes",
+        "c",
+        "Bytes sent by a control instance: what they carry, and near or far (to another zone).",
+        ("purpose", "reach"),
+    )
     CHILDREN = ("config.children", "g", "Daemons that take versions from here.")
     CONVERGENCE = ("config.convergence", "ms", "From acceptance to in force everywhere.")
     DROPPED = ("config.dropped", "c", "Outdated version messages that changed nothing.")
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -2,6 +2,7 @@
 """A version's life with real processes: races, resends, cuts, kills, lost disks."""
 
 import asyncio
+import hashlib
 import json
 import resource
 import shutil
@@ -25,6 +26,13 @@
     return change
 
 
+def _other_routes(value: dict) -> None:
+    """Add routes that no other version has: an entry of the log holds what has changed."""
+    for number in range(300):
+        path = hashlib.sha256(f"{value['version']}/{number}".encode()).hexdigest()
+        value["routes"].append({**value["routes"][0], "name": f"other-{number}", "path": f"/{path}"})
+
+
 def _status(operator) -> dict:
     code, status = operator.run("status")
     assert code == 0
@@ -286,9 +294,10 @@
     # The limit below holds for the process's own messages, too, so the log has
     # to be longer than those by far.
     for number in range(1, 11):
-        assert operator.apply(number)[0] == EXIT_APPLIED
+        assert operator.apply(number, _other_routes)[0] == EXIT_APPLIED
     full = next(process for process in mesh.controls.values() if process is not _leader(operator))
     size = (Path(full.settings["control"]["data_folder"]) / "log").stat().st_size
+    assert size > 5 * full.log_path.stat().st_size
     # What the file may not grow by, the disk has no room for.
     resource.prlimit(full.popen.pid, resource.RLIMIT_FSIZE, (size + 10, size + 10))
 
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -34,13 +34,15 @@
     ----------
     text : str
     folder : Path
-        With rollout.json, press.json, memory.json and path.json.
+        With rollout.json, press.json, memory.json, changes.json and path.json.
     """
     rollout = json.loads((folder / "rollout.json").read_text(encoding="utf-8"))
     path = json.loads((folder / "path.json").read_text(encoding="utf-8"))
     press = json.loads((folder / "press.json").read_text(encoding="utf-8"))
     memory = json.loads((folder / "memory.json").read_text(encoding="utf-8"))
+    changes = json.loads((folder / "changes.json").read_text(encoding="utf-8"))
     tables = {
+        "changes": _make_changes(changes),
         "memory": _make_memory(memory, _of(rollout, "delta")[-1]["daemon_rss_mb"]),
         "press": _make_press(press[0]),
         "measured": _make_measured(rollout),
@@ -84,6 +86,22 @@
     return "\n".join(lines)
 
 
+def _make_changes(changes: list[dict]) -> str:
+    lines = [
+        "| routes | added | groups | delta to a daemon, bytes | whole, bytes | entry, bytes "
+        "| check of the file, ms | daemon, ms |",
+        "| --- | --- | --- | --- | --- | --- | --- | --- |",
+    ]
+    for item in changes:
+        daemon = item["verify_ms"] + item["decode_ms"] + item["table_ms"]
+        lines.append(
+            f"| {item['routes']} | {item['added']} | {item['groups']} | {item['delta_bytes']} "
+            f"| {item['whole_bytes']} | {item['entry_bytes']} | {item['check_ms']} "
+            f"| {daemon:.2f} ({item['decode_whole_ms']}) |"
+        )
+    return "\n".join(lines)
+
+
 def _make_press(press: dict) -> str:
     converge, submit = press["accept_to_force_ms"], press["submit_to_force_ms"]
     daemon, control = press["daemon_rss_mb"], press["control_rss_mb"]
