Take an application that starts again under its id, and no heartbeat of another writer

And heartbeats with numbers beyond 32 bits or half a surrogate pair were acknowledged, and then ended the daemon's process. Change: an incarnation is the id and the start; registration, rivals, drains, the mesh's memory of who has left, what a restarted daemon adopts and what callers have learned compare both. Heartbeats are read field by field, within bounds, by a reader that is the product's now; entries of the platform's list that can't be read name no instance.

--- a/packages/lanedock-daemon/lanedock_daemon/agent/registration.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/registration.py
@@ -3,23 +3,36 @@
 
 ``PUT /upstreams/ID`` with ``{"service", "sequence", "state", "slots",
 "cold_ms"}`` is a heartbeat; ``DELETE /upstreams/ID`` says that the application
-leaves. Both are answered with 204 once the daemon is bound by them.
+leaves. Both are answered with 204 once the daemon is bound by them. A heartbeat may
+carry ``started``, the Unix milliseconds of the application's start: it may then start
+again under its id.
 """
 
-import json
+import re
 import time
 
 from lanedock.errors import ErrorCode, LanedockError
+from lanedock.findings import FieldReader, Finding, FindingsError, Place
 from lanedock.membership import Heartbeat, UpstreamRegistration
 from lanedock.telemetry import Event, EventLogger
 from lanedock.wire import messages
 from lanedock_daemon.path.http import Answer, Outcome, Request, make_refusal, read_whole
 
-__all__ = ["Registrar", "RegistrationSide"]
+__all__ = ["MAX_BODY", "MAX_COLD", "MAX_SLOTS", "Registrar", "RegistrationSide", "check_upstream_id"]
 
 _PREFIX = "/upstreams/"
 # Bytes of a heartbeat that are read: bounds memory; its five fields are far shorter.
 MAX_BODY = 64 * 1024
+# Most slots, and longest time in seconds for which it is still slow, that an application may
+# report: what an endpoint carries to callers (32 bits, the time in milliseconds).
+MAX_SLOTS = 2**32 - 1
+MAX_COLD = MAX_SLOTS / 1000
+# An id goes into heads and logs: printable ASCII without a slash, of a length that leaves
+# room for the other headers of a request.
+_ID = re.compile(r"[!-.0-~]{1,256}")
+# Whether an application drains in each state.
+_STATES = {"ready": False, "draining": True}
+SOURCE = "heartbeat"
 
 
 class Registrar:
@@ -33,35 +46,58 @@
     on_rival : callable
         Called without arguments when a heartbeat or the mesh names another incarnation.
     events : EventLogger
+    has_service : callable, optional
+        Called with a name; returns whether the version in force may have such a service.
     """
 
-    def __init__(self, registration: UpstreamRegistration, on_change, on_rival, events: EventLogger):
+    def __init__(self, registration: UpstreamRegistration, on_change, on_rival, events: EventLogger, has_service=None):
+        self._has_service = has_service
         self._registration = registration
         self._on_change = on_change
         self._on_rival = on_rival
         self._events = events
 
     def beat(self, heartbeat: Heartbeat) -> None:
-        """Accept a heartbeat."""
+        """Accept a heartbeat.
+
+        Raises
+        ------
+        LanedockError
+            `ErrorCode.BAD_REQUEST`: it is not the application's that it names.
+        """
         registration = self._registration
-        before, was_leaving = registration.upstream, registration.is_leaving
+        before, was_leaving = registration.incarnation, registration.is_leaving
         is_changed = registration.beat(heartbeat, time.monotonic())
+        if registration.lacks_start(heartbeat):
+            raise LanedockError(ErrorCode.BAD_REQUEST, f"{heartbeat!r}: its start is due")
         if registration.rival is heartbeat:
-            self._events.emit(Event.RIVAL_HEARD, upstream=before, rival=heartbeat.upstream, sequence=heartbeat.sequence)
+            self._events.emit(
+                Event.RIVAL_HEARD, upstream=before.upstream, rival=heartbeat.upstream, sequence=heartbeat.sequence
+            )
             self._on_rival()
         if not is_changed:
             return
-        if registration.upstream != before:
+        is_other = not registration.incarnation.may_be(before)
+        if is_other:
             self._events.emit(
-                Event.UPSTREAM_REGISTERED, upstream=registration.upstream, service=registration.service, former=before
+                Event.UPSTREAM_REGISTERED,
+                upstream=registration.upstream,
+                started=registration.incarnation.started,
+                service=registration.service,
+                former=before.upstream,
+                former_started=before.started,
             )
-        if registration.is_leaving and not (was_leaving and registration.upstream == before):
+        if registration.is_leaving and (is_other or not was_leaving):
             self._events.emit(Event.UPSTREAM_LEAVING, upstream=registration.upstream, sequence=heartbeat.sequence)
         self._on_change()
 
-    def leave(self, upstream: str) -> None:
-        """Note that an incarnation of the application leaves."""
-        if self._registration.leave(upstream):
+    def knows_service(self, name: str) -> bool:
+        """Tell whether an application may be of a service: of its own as ever, or of the version's in force."""
+        return name == self._registration.service or self._has_service is None or self._has_service(name)
+
+    def leave(self, upstream: str, started: int = 0) -> None:
+        """Note that an incarnation of the application leaves; see `UpstreamRegistration.leave`."""
+        if self._registration.leave(upstream, started):
             self._events.emit(Event.UPSTREAM_LEAVING, upstream=upstream, sequence="-")
             self._on_change()
 
@@ -69,7 +105,14 @@
         """Learn from the mesh what this daemon knew before it was restarted; the mesh knows any change."""
         registration = self._registration
         rival = registration.rival
-        if registration.adopt(endpoint.upstream, endpoint.service, endpoint.ended, endpoint.slots, time.monotonic()):
+        if registration.adopt(
+            endpoint.upstream,
+            endpoint.service,
+            endpoint.ended,
+            endpoint.slots,
+            time.monotonic(),
+            endpoint.upstream_started,
+        ):
             self._events.emit(Event.UPSTREAM_ADOPTED, upstream=endpoint.upstream, leaving=endpoint.ended)
         if registration.rival is not rival:
             self._events.emit(Event.RIVAL_HEARD, upstream=registration.upstream, rival=endpoint.upstream, sequence="-")
@@ -89,34 +132,49 @@
 
     def handle(self, request: Request) -> Answer:
         """Answer a call of the application."""
-        upstream = request.path.removeprefix(_PREFIX)
-        if not request.path.startswith(_PREFIX) or not upstream:
+        if not request.path.startswith(_PREFIX):
             return make_refusal(ErrorCode.NO_ROUTE, Outcome.NOT_RUN)
-        if request.method == "DELETE":
-            self._registrar.leave(upstream)
-            return Answer(204, "No Content", [], [])
-        if request.method != "PUT":
-            return make_refusal(ErrorCode.BAD_REQUEST, Outcome.NOT_RUN, 0.0, f"{request.method} is not understood")
+        upstream = request.path.removeprefix(_PREFIX)
         try:
-            heartbeat = _read_heartbeat(upstream, read_whole(request.body, MAX_BODY))
+            return self._handle(request, upstream)
+        except FindingsError as exc:
+            return make_refusal(ErrorCode.BAD_REQUEST, Outcome.NOT_RUN, 0.0, str(exc))
         except LanedockError as exc:
             return make_refusal(exc.code, Outcome.NOT_RUN, 0.0, str(exc))
-        except (KeyError, TypeError, ValueError) as exc:
-            return make_refusal(ErrorCode.BAD_REQUEST, Outcome.NOT_RUN, 0.0, f"malformed heartbeat: {exc!r}")
-        self._registrar.beat(heartbeat)
-        return Answer(204, "No Content", [], [])
 
+    def _handle(self, request: Request, upstream: str) -> Answer:
+        check_upstream_id(SOURCE, upstream)
+        if request.method == "DELETE":
+            self._registrar.leave(upstream)
+        elif request.method == "PUT":
+            self._registrar.beat(self._read_heartbeat(upstream, read_whole(request.body, MAX_BODY)))
+        else:
+            raise LanedockError(ErrorCode.BAD_REQUEST, f"{request.method} is not understood")
+        return Answer(204, "No Content", [], [])
 
-def _read_heartbeat(upstream: str, body: bytes) -> Heartbeat:
-    value = json.loads(body)
-    state = value.get("state", "ready")
-    if state not in ("ready", "draining"):
-        raise ValueError(f"unknown state {state!r}")
-    return Heartbeat(
-        upstream,
-        str(value["service"]),
-        int(value["sequence"]),
-        state == "draining",
-        int(value.get("slots", 0)),
-        float(value.get("cold_ms", 0)) / 1000,
-    )
+    def _read_heartbeat(self, upstream: str, body: bytes) -> Heartbeat:
+        fields = FieldReader.parse(SOURCE, body)
+        heartbeat = Heartbeat(
+            upstream,
+            fields.text("service"),
+            fields.count("sequence", 0),
+            fields.word("state", _STATES, "ready"),
+            fields.count("slots", 0, MAX_SLOTS, 0),
+            fields.number("cold_ms", MAX_SLOTS, 0) / 1000,
+            fields.count("started", 0, default=0),
+        )
+        fields.check("service", self._registrar.knows_service(heartbeat.service), "a service of the version in force")
+        fields.finish()
+        return heartbeat
+
+
+def check_upstream_id(source: str, upstream: str) -> None:
+    """Check the id that a heartbeat names.
+
+    Raises
+    ------
+    FindingsError
+    """
+    if not _ID.fullmatch(upstream):
+        message = f"an id of 1 to 256 printable signs without a slash is due, not {upstream[:256]!a}"
+        raise FindingsError([Finding(ErrorCode.SCHEMA, message, Place(source))])
--- a/packages/lanedock-daemon/lanedock_daemon/agent/report.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/report.py
@@ -97,6 +97,7 @@
         endpoint.ended = registration.is_leaving
         endpoint.incarnation = state.incarnation
         endpoint.upstream = registration.upstream
+        endpoint.upstream_started = registration.incarnation.started
         endpoint.slots = registration.slots
         endpoint.cold_ms = int(1000 * registration.cold_left(time.monotonic()))
         endpoint.revision = revision
--- a/packages/lanedock-daemon/lanedock_daemon/control/platform.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/platform.py
@@ -33,6 +33,7 @@
         self._interval = interval
         self._events = events
         self._was_readable = True
+        self._refused = ""
         self._task = None
 
     def start(self, kernel: Kernel) -> None:
@@ -46,8 +47,17 @@
             try:
                 self._target.post(ListRead(self._source.read()))
                 self._was_readable = True
+                self._note_refused()
             except LanedockError as exc:
                 if self._was_readable:
                     self._events.emit(Event.PLATFORM_UNREADABLE, error=exc)
                 self._was_readable = False
             gevent.sleep(self._interval)
+
+    def _note_refused(self) -> None:
+        """Log entries that are left out, once as long as they stay the same."""
+        findings = self._source.findings
+        refused = str(findings[0]) if findings else ""
+        if refused and refused != self._refused:
+            self._events.emit(Event.PLATFORM_ENTRIES_REFUSED, count=len(findings), first=refused)
+        self._refused = refused
--- a/packages/lanedock-daemon/lanedock_daemon/roles.py
+++ b/packages/lanedock-daemon/lanedock_daemon/roles.py
@@ -167,7 +167,8 @@
         if cfg.registration is not None:
             changed = RegistrationChanged()
             discovery = ApplicationDiscovery(view, application, dialect, lambda: agent.post(changed), events)
-            registrar = Registrar(registration, lambda: agent.post(changed), discovery.resolve_rival, events)
+            on_change, on_rival = (lambda: agent.post(changed)), discovery.resolve_rival
+            registrar = Registrar(registration, on_change, on_rival, events, view.may_have_service)
             add_server("registration", cfg.registration, interface.make_registration_side(registrar))
             kernel.add(discovery)
         else:
--- a/packages/lanedock/lanedock/findings/__init__.py
+++ b/packages/lanedock/lanedock/findings/__init__.py
@@ -1,7 +1,18 @@
 # SPDX-License-Identifier: BSD-3-Clause
-"""Findings with their place, and the reading of JSON with comments."""
+"""Findings with their place, the reading of JSON with comments, and of fields that others send."""
 
 from lanedock.findings.core import Finding, FindingsError, Place
+from lanedock.findings.fields import MAX_COUNT, FieldReader, is_number
 from lanedock.findings.jsonc import Document, read_document, read_text
 
-__all__ = ["Document", "Finding", "FindingsError", "Place", "read_document", "read_text"]
+__all__ = [
+    "MAX_COUNT",
+    "Document",
+    "FieldReader",
+    "Finding",
+    "FindingsError",
+    "Place",
+    "is_number",
+    "read_document",
+    "read_text",
+]
--- a/packages/lanedock/lanedock/membership/__init__.py
+++ b/packages/lanedock/lanedock/membership/__init__.py
@@ -4,8 +4,9 @@
 from lanedock.membership.changes import EndpointChanges
 from lanedock.membership.core import Instance, InstanceState, PlatformList, parse_instances
 from lanedock.membership.directory import Directory
+from lanedock.membership.incarnation import Incarnation
 from lanedock.membership.registration import Heartbeat, UpstreamRegistration
-from lanedock.membership.registry import EndpointRegistry, freshness
+from lanedock.membership.registry import EndpointRegistry, freshness, incarnation_of
 from lanedock.membership.sources import FilePlatformList, HttpPlatformList, make_platform_list
 
 __all__ = [
@@ -15,11 +16,13 @@
     "FilePlatformList",
     "Heartbeat",
     "HttpPlatformList",
+    "Incarnation",
     "Instance",
     "InstanceState",
     "PlatformList",
     "UpstreamRegistration",
     "freshness",
+    "incarnation_of",
     "make_platform_list",
     "parse_instances",
 ]
--- a/packages/lanedock/lanedock/membership/core.py
+++ b/packages/lanedock/lanedock/membership/core.py
@@ -5,7 +5,7 @@
 from enum import Enum
 
 from lanedock.errors import ErrorCode, LanedockError
-from lanedock.findings import read_text
+from lanedock.findings import FieldReader, Finding, FindingsError, read_text
 
 __all__ = ["Instance", "InstanceState", "PlatformList", "parse_instances"]
 
@@ -17,6 +17,10 @@
     LEAVING = "leaving"
 
 
+MAX_PORT = 65535
+_STATES = {state.value: state for state in InstanceState}
+
+
 class Instance:
     """An instance with a daemon in its slot.
 
@@ -54,7 +58,16 @@
 
 
 class PlatformList(ABC):
-    """The platform's list of live and leaving instances. It lags."""
+    """The platform's list of live and leaving instances. It lags.
+
+    Attributes
+    ----------
+    findings : list of Finding
+        Of the entries that could not be read at the last read, and were left out.
+    """
+
+    def __init__(self):
+        self.findings: list[Finding] = []
 
     @abstractmethod
     def read(self) -> list[Instance]:
@@ -67,28 +80,53 @@
         """
 
 
-def parse_instances(text: str, source: str) -> list[Instance]:
+def parse_instances(text: str, source: str, findings: list[Finding] | None = None) -> list[Instance]:
     """Parse a list: ``{"instances": [{"name", "zone", "service", "host", "port", "state"}]}``.
 
+    Another writer may have written an entry: one that can't be read names no instance, and
+    the others hold.
+
+    Parameters
+    ----------
+    text : str
+    source : str
+        Named in findings.
+    findings : list of Finding, optional
+        Collects what is wrong with the entries that are left out.
+
     Raises
     ------
     LanedockError
-        `ErrorCode.PLATFORM_UNREADABLE`; a list is taken whole or not at all.
+        `ErrorCode.PLATFORM_UNREADABLE`: there is no list, or no entry of it can be read.
     """
+    refused: list[Finding] = []
     try:
-        value = read_text(text, source).value
-        return [_parse_instance(item) for item in value["instances"]]
-    except (LanedockError, KeyError, TypeError, ValueError) as exc:
+        top = FieldReader(source, read_text(text, source).value, "", [])
+        entries = top.objects("instances", is_apart=True)
+        top.finish()
+    except (LanedockError, RecursionError) as exc:
         raise LanedockError(ErrorCode.PLATFORM_UNREADABLE, f"{source}: {exc!r}") from exc
-
-
-def _parse_instance(item: dict) -> Instance:
+    instances = []
+    for entry in entries:
+        instance = _parse_instance(entry)
+        if entry.findings:
+            refused += entry.findings
+        else:
+            instances.append(instance)
+    if refused and not instances:
+        raise LanedockError(ErrorCode.PLATFORM_UNREADABLE, str(FindingsError(refused)))
+    if findings is not None:
+        findings += refused
+    return instances
+
+
+def _parse_instance(item: FieldReader) -> Instance:
     return Instance(
-        name=str(item["name"]),
-        zone=str(item["zone"]),
-        service=str(item.get("service", "")),
-        host=str(item["host"]),
-        port=int(item["port"]),
-        state=InstanceState(item.get("state", "live")),
-        incarnation=int(item.get("incarnation", 1)),
+        name=item.text("name"),
+        zone=item.text("zone"),
+        service=item.text("service", ""),
+        host=item.text("host"),
+        port=item.count("port", 1, MAX_PORT),
+        state=item.word("state", _STATES, "live"),
+        incarnation=item.count("incarnation", 0, default=1),
     )
--- a/packages/lanedock/lanedock/membership/registration.py
+++ b/packages/lanedock/lanedock/membership/registration.py
@@ -4,14 +4,21 @@
 The daemon is the only way in to the application, so what it knows here binds
 at once: from the moment a drain is noted, no request is passed on.
 
-Which of two incarnations is the later one can't be read off their heartbeats: a
+An incarnation is one start of the application: its id, and when it was started under it.
+
+Which of two ids is the later one can't be read off their heartbeats: a
 cut may hold one back until after its sender has crashed, and a daemon that was
-restarted remembers no former ones. So a heartbeat of another incarnation than the
+restarted remembers no former ones. So a heartbeat of another id than the
 one that is held names a rival only, and the application itself, which is asked
 over loopback, decides between them.
+
+Of two starts under one id the application reports the id alone when it is asked, so the
+times of its starts decide. Where a clock was set back between them, the one that goes on
+sending heartbeats while the other has stopped is the later.
 """
 
 from lanedock.errors import ErrorCode
+from lanedock.membership.incarnation import Incarnation
 
 __all__ = ["Heartbeat", "UpstreamRegistration"]
 
@@ -30,7 +37,7 @@
     Parameters
     ----------
     upstream : str
-        Id of this incarnation of the application.
+        Id of the application.
     service : str
     sequence : int
         Grows with each heartbeat of one incarnation.
@@ -39,18 +46,34 @@
         Requests that it works on at once; 0 where it does not report them.
     cold_left : float
         Seconds for which it is still slow.
+    started : int
+        Unix milliseconds of the application's start; 0 where it does not report it.
     """
 
-    __slots__ = ("cold_left", "is_draining", "sequence", "service", "slots", "upstream")
-
-    def __init__(self, upstream: str, service: str, sequence: int, is_draining: bool, slots: int, cold_left: float):
-        self.upstream = upstream
+    __slots__ = ("cold_left", "incarnation", "is_draining", "sequence", "service", "slots")
+
+    def __init__(
+        self,
+        upstream: str,
+        service: str,
+        sequence: int,
+        is_draining: bool,
+        slots: int,
+        cold_left: float,
+        started: int = 0,
+    ):
+        self.incarnation = Incarnation(upstream, started)
         self.service = service
         self.sequence = sequence
         self.is_draining = is_draining
         self.slots = slots
         self.cold_left = cold_left
 
+    @property
+    def upstream(self) -> str:
+        """Id of the application."""
+        return self.incarnation.upstream
+
     def __repr__(self) -> str:
         return f"<Heartbeat {self.upstream} #{self.sequence} draining={self.is_draining}>"
 
@@ -70,8 +93,8 @@
 
     Attributes
     ----------
-    upstream : str
-        Id of the application's incarnation; empty before it has registered.
+    incarnation : Incarnation
+        With an empty id before the application has registered.
     revision : int
         Grows with every change that others have to learn.
     is_leaving : bool
@@ -85,51 +108,89 @@
 
     def __init__(self, service: str, is_required: bool, interval: float):
         self.service = service
-        self.upstream = ""
+        self.incarnation = Incarnation("")
         self.revision = 0
         self.is_leaving = False
         self.slots = 0
         self.cold_until = 0.0
         self.rival: Heartbeat | None = None
         self._rival_heard_at = 0.0
+        self._earlier: Heartbeat | None = None
+        self._earlier_heard_at = 0.0
         self._is_required = is_required
         self._silence_limit = MISSED_BEATS * interval + LATENESS
         self._sequence = -1
+        # By heartbeats, and by heartbeats or answers.
+        self._beat_at = float("-inf")
         self._heard_at = float("-inf")
-        self._former: dict[str, None] = {}
+        self._former: dict[Incarnation, None] = {}
         self._was_silent = False
 
     def __repr__(self) -> str:
         return f"<UpstreamRegistration {self.upstream or '-'} leaving={self.is_leaving} revision={self.revision}>"
 
+    @property
+    def upstream(self) -> str:
+        """Id of the application; empty before it has registered."""
+        return self.incarnation.upstream
+
     # ------------------------------------------------------------------ inputs
 
     def beat(self, heartbeat: Heartbeat, now: float) -> bool:
         """Accept a heartbeat.
 
-        One of another incarnation than that which takes work becomes its rival.
+        One of another id than that which takes work becomes its rival.
 
         Returns
         -------
         bool
             Whether others have to learn of a change.
         """
-        if heartbeat.upstream in self._former:
+        incarnation = heartbeat.incarnation
+        if incarnation.upstream == self.upstream:
+            return self._beat_of_same_id(heartbeat, now)
+        if incarnation in self._former:
+            return False
+        if self.is_taking_work() and not self._is_proven_later(heartbeat, now):
+            return False
+        return self._begin_with(heartbeat, now)
+
+    def _beat_of_same_id(self, heartbeat: Heartbeat, now: float) -> bool:
+        """Accept a heartbeat of the start that is held, or of another one under its id."""
+        incarnation = heartbeat.incarnation
+        if self.lacks_start(heartbeat) or not incarnation.may_be(self.incarnation):
+            is_later = incarnation.is_restart_of(self.incarnation) and incarnation not in self._former
+            if is_later or self._is_restart_by_silence(heartbeat, now):
+                return self._begin_with(heartbeat, now)
             return False
-        if heartbeat.upstream != self.upstream:
-            if self.is_taking_work() and not self._is_proven_later(heartbeat, now):
-                return False
-            self._begin(heartbeat.upstream)
-            self._apply(heartbeat, now)
-            return True
         if heartbeat.sequence <= self._sequence:
             return False
-        return self._apply(heartbeat, now)
+        is_learned = incarnation != self.incarnation
+        if is_learned:
+            self.incarnation = incarnation
+            self.revision += 1
+        return self._apply(heartbeat, now) or is_learned
+
+    def _is_restart_by_silence(self, heartbeat: Heartbeat, now: float) -> bool:
+        """Note a start that does not read later than the one that is held; tell whether it is the later one.
+
+        It is where it goes on sending, while the one that is held has sent nothing for as
+        long as makes an application silent: late heartbeats of a former start come beside
+        those of the later one.
+        """
+        earlier = self._earlier
+        if earlier is None or earlier.incarnation != heartbeat.incarnation:
+            self._earlier_heard_at = now
+        elif heartbeat.sequence <= earlier.sequence:
+            return False
+        self._earlier = heartbeat
+        is_sending = now - self._earlier_heard_at >= LATENESS
+        return is_sending and now - self._beat_at > self._silence_limit
 
     def _apply(self, heartbeat: Heartbeat, now: float) -> bool:
         """Take over what the incarnation that is held reports of itself."""
         self._sequence = heartbeat.sequence
-        self._heard_at = now
+        self._beat_at = self._heard_at = now
         self.cold_until = now + heartbeat.cold_left
         before = (self.service, self.slots, self.is_leaving, self._was_silent)
         self.service = heartbeat.service
@@ -150,7 +211,7 @@
         more; so what still sends newer ones a lateness after the first is alive.
         """
         rival = self.rival
-        if rival is None or rival.upstream != heartbeat.upstream:
+        if rival is None or rival.incarnation != heartbeat.incarnation:
             self._rival_heard_at = now
         elif heartbeat.sequence <= rival.sequence:
             return False
@@ -165,7 +226,7 @@
         Parameters
         ----------
         upstream : str
-            Which incarnation the application reports to be; empty where it can't be asked.
+            Id that the application reports; empty where it can't be asked.
         now : float
 
         Returns
@@ -178,34 +239,50 @@
             return False
         self.rival = None
         if upstream == self.upstream:
-            self._forget(rival.upstream)
+            self._forget(rival.incarnation)
             return False
-        self._begin(upstream)
-        self._apply(rival, now)
-        return True
+        return self._begin_with(rival, now)
 
-    def _forget(self, upstream: str) -> None:
+    def _forget(self, incarnation: Incarnation) -> None:
         """Note that an incarnation has ended."""
-        self._former[upstream] = None
+        self._former[incarnation] = None
         while len(self._former) > MAX_FORMER:
             del self._former[next(iter(self._former))]
 
-    def _begin(self, upstream: str) -> None:
+    def _begin_with(self, heartbeat: Heartbeat, now: float) -> bool:
+        """Begin with the incarnation that a heartbeat is of; others have to learn of it."""
+        self._begin(heartbeat.incarnation)
+        self._apply(heartbeat, now)
+        return True
+
+    def _begin(self, incarnation: Incarnation) -> None:
         """Begin with another incarnation of the application."""
         if self.upstream:
-            self._forget(self.upstream)
+            self._forget(self.incarnation)
+        self._former.pop(incarnation, None)
         self.rival = None
-        self.upstream = upstream
+        self._earlier = None
+        self.incarnation = incarnation
         self.is_leaving = False
         self._sequence = -1
         self.revision += 1
 
-    def leave(self, upstream: str) -> bool:
-        """Note that an incarnation of the application leaves; returns whether that is news."""
-        if upstream != self.upstream:
-            self._forget(upstream)
-            if self.rival is not None and self.rival.upstream == upstream:
+    def leave(self, upstream: str, started: int = 0) -> bool:
+        """Note that an incarnation of the application leaves; returns whether that is news.
+
+        Parameters
+        ----------
+        upstream : str
+        started : int
+            Unix milliseconds; 0 for whichever start is held.
+        """
+        incarnation = Incarnation(upstream, started)
+        if not incarnation.may_be(self.incarnation):
+            rival = self.rival
+            if rival is not None and rival.incarnation.may_be(incarnation):
                 self.rival = None
+                incarnation = rival.incarnation
+            self._forget(incarnation)
             return False
         if self.is_leaving:
             return False
@@ -213,7 +290,7 @@
         self.revision += 1
         return True
 
-    def adopt(self, upstream: str, service: str, is_leaving: bool, slots: int, now: float) -> bool:
+    def adopt(self, upstream: str, service: str, is_leaving: bool, slots: int, now: float, started: int = 0) -> bool:
         """Take over what the mesh knows of the application, after a restart of its daemon.
 
         Returns
@@ -221,23 +298,35 @@
         bool
             Whether that is news here.
         """
-        if not upstream or upstream in self._former:
+        incarnation = Incarnation(upstream, started)
+        if not upstream or incarnation in self._former:
+            return False
+        if upstream == self.upstream and incarnation.may_be(self.incarnation):
+            return self._adopt_held(incarnation, is_leaving)
+        if upstream == self.upstream and not incarnation.is_restart_of(self.incarnation):
             return False
         if self.upstream and self.upstream != upstream:
             if self.rival is None:
                 # The one that is held may be the former: its heartbeat came late,
                 # and first after this daemon's restart.
-                self.rival = Heartbeat(upstream, service, -1, is_leaving, slots, 0.0)
+                self.rival = Heartbeat(upstream, service, -1, is_leaving, slots, 0.0, started)
                 self._rival_heard_at = now
             return False
-        if self.upstream == upstream and (self.is_leaving or not is_leaving):
-            return False
-        if not self.upstream:
-            self._begin(upstream)
-            self.service = service
-            self.slots = slots
-            self._heard_at = now
+        self._begin(incarnation)
+        self.service = service
+        self.slots = slots
+        self._beat_at = float("-inf")
+        self._heard_at = now
         self.is_leaving = is_leaving
+        return True
+
+    def _adopt_held(self, incarnation: Incarnation, is_leaving: bool) -> bool:
+        """Take over what the mesh knows of the incarnation that is held."""
+        if not self.incarnation.started:
+            self.incarnation = incarnation
+        if self.is_leaving or not is_leaving:
+            return False
+        self.is_leaving = True
         self.revision += 1
         return True
 
@@ -256,6 +345,11 @@
 
     # ----------------------------------------------------------------- outputs
 
+    def lacks_start(self, heartbeat: Heartbeat) -> bool:
+        """Tell whether a heartbeat does not give the start that its application reports: it is of another sender."""
+        held = self.incarnation
+        return heartbeat.upstream == held.upstream and held.started > 0 and not heartbeat.incarnation.started
+
     def is_taking_work(self) -> bool:
         """Tell whether requests may be passed on."""
         if not self._is_required:
@@ -268,7 +362,9 @@
         Parameters
         ----------
         expected : str
-            The incarnation of the application that the sender means; empty for any.
+            Id of the application that the sender means; empty for any. Its start isn't
+            compared: the application itself checks its id alone, and a request that comes
+            while it starts again may run on its new start, for it has run on none yet.
         """
         if not self._is_required:
             return ErrorCode.DRAINING if self.is_leaving else None
--- a/packages/lanedock/lanedock/membership/registry.py
+++ b/packages/lanedock/lanedock/membership/registry.py
@@ -4,14 +4,15 @@
 Nobody lists the instances: an upstream registers itself at its daemon, the
 daemon reports it to its control instance, and the control instances report to
 each other. What is freshest by the daemon's incarnation and revision counts;
-an application that leaves does so for good, whatever comes later under its id. A
+an incarnation of an application that leaves does so for good, whatever comes later of it. A
 daemon that stops makes its upstream leave, too, until it is started again.
 """
 
 from lanedock.membership.changes import EndpointChanges
+from lanedock.membership.incarnation import Incarnation
 from lanedock.wire import messages
 
-__all__ = ["EndpointRegistry", "freshness"]
+__all__ = ["EndpointRegistry", "freshness", "incarnation_of"]
 
 # Incarnations of applications that have left, remembered for late reports.
 MAX_LEFT = 4096
@@ -45,7 +46,7 @@
         self._own: dict[str, messages.Endpoint] = {}
         self._sources: dict[str, _Source] = {}
         self._missing_since: dict[str, float] = {}
-        self._left: dict[str, None] = {}
+        self._left: dict[Incarnation, None] = {}
         self._changed: set[str] = set()
         self._gone: set[str] = set()
         self._report_sequence = 0
@@ -156,17 +157,25 @@
             self._change(name, merged, now)
 
     def _note_left(self, endpoint: messages.Endpoint) -> None:
-        """Keep an upstream that has left from coming back under its id."""
+        """Keep an incarnation that has left from coming back; its id may, with another start."""
         if not endpoint.upstream:
             return
+        incarnation = incarnation_of(endpoint)
         if endpoint.ended:
-            self._left[endpoint.upstream] = None
+            # Its start may not be known to who reports it next: a daemon that was restarted.
+            for left in (incarnation, Incarnation(endpoint.upstream)):
+                self._left[left] = None
             while len(self._left) > MAX_LEFT:
                 del self._left[next(iter(self._left))]
-        elif endpoint.upstream in self._left:
+        elif incarnation in self._left:
             endpoint.ended = endpoint.leaving = True
 
 
+def incarnation_of(endpoint: messages.Endpoint) -> Incarnation:
+    """Return the incarnation of the application behind an endpoint."""
+    return Incarnation(endpoint.upstream, endpoint.upstream_started)
+
+
 def freshness(endpoint: messages.Endpoint) -> tuple[int, int]:
     """Return what grows with every change of an endpoint: its daemon's incarnation, and the revision under it."""
     return (endpoint.incarnation, endpoint.revision)
--- a/packages/lanedock/lanedock/membership/sources.py
+++ b/packages/lanedock/lanedock/membership/sources.py
@@ -20,6 +20,7 @@
     """
 
     def __init__(self, path: str):
+        super().__init__()
         self._path = Path(path)
 
     def __repr__(self) -> str:
@@ -30,7 +31,8 @@
             text = self._path.read_text(encoding="utf-8")
         except (OSError, UnicodeDecodeError) as exc:
             raise LanedockError(ErrorCode.PLATFORM_UNREADABLE, str(exc)) from exc
-        return parse_instances(text, str(self._path))
+        self.findings = []
+        return parse_instances(text, str(self._path), self.findings)
 
 
 class HttpPlatformList(PlatformList):
@@ -45,6 +47,7 @@
     """
 
     def __init__(self, url: str, timeout: float = DEFAULT_TIMEOUT):
+        super().__init__()
         self._url = url
         self._timeout = timeout
 
@@ -68,7 +71,8 @@
             raise LanedockError(ErrorCode.PLATFORM_UNREADABLE, f"{self._url}: {exc!r}") from exc
         finally:
             client.close()
-        return parse_instances(text, self._url)
+        self.findings = []
+        return parse_instances(text, self._url, self.findings)
 
 
 def make_platform_list(address: str) -> PlatformList:
--- a/packages/lanedock/lanedock/membership/tests/test_directory.py
+++ b/packages/lanedock/lanedock/membership/tests/test_directory.py
@@ -86,3 +86,27 @@
     text = '{"instances": [{"name": "a", "zone": "z", "host": "1.2.3.4", "port": 5, "state": "leaving"}]}'
     (instance,) = parse_instances(text, "l")
     assert (instance.service, instance.state, instance.incarnation) == ("", InstanceState.LEAVING, 1)
+
+
+@pytest.mark.parametrize(
+    "entry",
+    [
+        "7",
+        "null",
+        '{"name": "b", "zone": "z", "host": "1.2.3.4"}',
+        '{"name": "b", "zone": "z", "host": "1.2.3.4", "port": "5"}',
+        '{"name": "b", "zone": "z", "host": "1.2.3.4", "port": 70000}',
+        '{"name": 7, "zone": "z", "host": "1.2.3.4", "port": 5}',
+        '{"name": "b", "zone": "z", "host": "1.2.3.4", "port": 5, "state": "asleep"}',
+        '{"name": "b", "zone": "z", "host": "1.2.3.4", "port": 5, "incarnation": -1}',
+        '{"name": "b", "zone": "z", "host": "1.2.3.4", "port": 5, "service": []}',
+        '{"name": "b\\ud800", "zone": "z", "host": "1.2.3.4", "port": 5}',
+    ],
+)
+def test_an_entry_that_cannot_be_read_names_no_instance_and_the_others_hold(tmp_path, entry):
+    path = tmp_path / "list.json"
+    sound = '{"name": "a", "zone": "z", "host": "1.2.3.4", "port": 5}'
+    path.write_text(f'{{"instances": [{entry}, {sound}]}}', encoding="utf-8")
+    source = FilePlatformList(str(path))
+    assert [instance.name for instance in source.read()] == ["a"]
+    assert source.findings[0].place.path.startswith("/instances/0")
--- a/packages/lanedock/lanedock/membership/tests/test_registry.py
+++ b/packages/lanedock/lanedock/membership/tests/test_registry.py
@@ -7,7 +7,7 @@
 KEEP = 10.0
 
 
-def _endpoint(name="a", incarnation=1, revision=1, upstream="life-1", leaving=False, ended=False):
+def _endpoint(name="a", incarnation=1, revision=1, upstream="life-1", leaving=False, ended=False, started=0):
     return messages.Endpoint(
         instance=name,
         service="s",
@@ -16,6 +16,7 @@
         ended=ended,
         incarnation=incarnation,
         revision=revision,
+        upstream_started=started,
     )
 
 
@@ -101,3 +102,22 @@
     assert "a" in _known(registry, 5.0)
     registry.expire(6.0 + KEEP)
     assert "a" not in _known(registry, 17.0)
+
+
+def test_an_application_comes_back_under_its_id_with_another_start():
+    registry = _registry()
+    registry.register(_endpoint(ended=True, started=100), 0.0)
+    _known(registry)
+    registry.register(_endpoint(revision=2, started=200), 1.0)
+    assert not _known(registry, 1.0)["a"].leaving
+    # A restarted daemon hears a late heartbeat of the former start first.
+    registry.register(_endpoint(incarnation=2, started=100), 2.0)
+    assert _known(registry, 2.0)["a"].ended
+
+
+def test_a_start_that_is_not_known_is_taken_for_the_one_that_has_left():
+    registry = _registry()
+    registry.register(_endpoint(ended=True, started=100), 0.0)
+    _known(registry)
+    registry.register(_endpoint(incarnation=2), 1.0)
+    assert _known(registry, 1.0)["a"].ended
--- a/packages/lanedock/lanedock/routing/balancer.py
+++ b/packages/lanedock/lanedock/routing/balancer.py
@@ -13,6 +13,7 @@
 from random import Random
 
 from lanedock.averages import MovingTime
+from lanedock.membership import incarnation_of
 from lanedock.routing.policy import BalancerPolicy
 from lanedock.routing.upstream_stats import UpstreamStats
 from lanedock.wire import messages
@@ -79,7 +80,7 @@
         kept = {}
         for endpoint in endpoints:
             known = self._upstreams.get(endpoint.instance)
-            if known is None or known.endpoint.incarnation < endpoint.incarnation:
+            if known is None or _is_started_anew(known.endpoint, endpoint):
                 known = self._make_stats(endpoint, known, is_first, now)
             known.endpoint = endpoint
             kept[endpoint.instance] = known
@@ -92,8 +93,7 @@
         self, endpoint: messages.Endpoint, former: UpstreamStats | None, is_first: bool, now: float
     ) -> UpstreamStats:
         """Begin to keep what is known of an upstream that is new, or whose daemon is."""
-        is_same_incarnation = former is not None and endpoint.upstream and former.endpoint.upstream == endpoint.upstream
-        if is_first or is_same_incarnation:
+        if is_first or (former is not None and _is_same_application(former.endpoint, endpoint)):
             # Who was there before this caller is taken to be warm, and so is an
             # application that runs on while its daemon is restarted.
             cold_for = 0.0
@@ -327,3 +327,20 @@
         # It is readmitted with one request at a time until one succeeds.
         stats.is_on_trial = True
         return True
+
+
+def _is_started_anew(former: messages.Endpoint, endpoint: messages.Endpoint) -> bool:
+    """Tell whether an upstream's daemon or its application has been started since.
+
+    What was learned of an application that crashed says nothing of its next start: ejected
+    for the failures of the former, an application that was back had no request for up to
+    the longest ejection.
+    """
+    if former.incarnation < endpoint.incarnation:
+        return True
+    return bool(former.upstream) and not _is_same_application(former, endpoint)
+
+
+def _is_same_application(former: messages.Endpoint, endpoint: messages.Endpoint) -> bool:
+    """Tell whether the same start of an application is behind both, as far as is known."""
+    return bool(endpoint.upstream) and incarnation_of(former).may_be(incarnation_of(endpoint))
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -26,7 +26,7 @@
     "limits": {"config", "errors", "averages"},
     "membership": {"errors", "findings", "wire"},
     "rollout": {"config", "errors", "findings", "membership", "wire"},
-    "routing": {"config", "wire", "averages"},
+    "routing": {"config", "membership", "wire", "averages"},
     "settings": {"errors", "findings"},
     "telemetry": set(),
     "testing": set(),
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -20,6 +20,7 @@
 
 import pytest
 
+from lanedock_platform.tests.beats import make_beat
 from lanedock_platform.tests.test_translation import make_configuration
 
 ROOT = Path(__file__).parent.parent
@@ -47,6 +48,7 @@
 
     def __init__(self, ip: str, life: str):
         self.life = life
+        self.born = time.time_ns() // 1_000_000
         self.seen: list[dict] = []
         self.sequence = 0
         self._beating = threading.Lock()
@@ -57,14 +59,16 @@
         # One at a time, as an application sends them: none overtakes one with a lower sequence.
         with self._beating:
             self.sequence += 1
-            body = {
-                "address": f"{self.server_address[0]}:{APP_PORT}",
-                "info": {"service": "s1", "version": "v1", "zone": "z", "slotCount": 4},
-                "status": {"state": state, "callSeq": self.sequence, "coldLeftS": 0},
-            }
+            body = make_beat(state, self.sequence, born=self.born)
             path = f"/Instances.Heartbeat/{self.life}"
             return _call(self.server_address[0], CONTROL_PORT, "POST", path, json.dumps(body).encode())[0]
 
+    def start_again(self) -> None:
+        """Know nothing of before; requests take as little as a test waits for."""
+        with self._beating:
+            self.born += 1
+            self.sequence = 0
+
 
 class _Handler(BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
@@ -362,3 +366,45 @@
     paused.send_signal(signal.SIGCONT)
     answer = platform.request(platform.daemons[0], "id-paused")
     assert answer[0] == 200, str(answer)
+
+
+@pytest.mark.parametrize("is_daemon_restarted", [False, True])
+def test_an_application_that_drained_and_starts_again_under_its_id_gets_work(platform, is_daemon_restarted):
+    assert platform.put(make_configuration(4, 0)) == 200
+    for ip in platform.daemons:
+        platform.wait_ready(ip)
+    crashed, other = platform.daemons
+    application = platform.applications[crashed]
+
+    def is_served_there() -> bool:
+        return platform.request(other, "again")[1].get("x-server-stamp") == application.life
+
+    wait_for(is_served_there)
+    platform.draining = frozenset((application.life,))
+    assert application.beat("draining") == 200
+    wait_for(lambda: not any(is_served_there() for _ in range(10)))
+    platform.draining = frozenset()
+    if is_daemon_restarted:
+        platform.restart(crashed)
+        platform.wait_ready(crashed)
+    application.start_again()
+    wait_for(is_served_there)
+
+
+def test_heartbeats_of_another_writer_end_no_daemon(platform):
+    assert platform.put(make_configuration(4, 0)) == 200
+    for ip in platform.daemons:
+        platform.wait_ready(ip)
+    ip, other = platform.daemons
+    life = platform.applications[ip].life
+    bodies = [
+        make_beat(sequence=10**6, slots=2**70),
+        make_beat(sequence=10**6, cold_left=1e300),
+        make_beat(sequence=10**6, service="\ud800"),
+        make_beat("draining", 10**6),
+    ]
+    for body in bodies:
+        path = f"/Instances.Heartbeat/{life}"
+        assert _call(ip, CONTROL_PORT, "POST", path, json.dumps(body).encode())[0] == 400
+    wait_for(lambda: platform.request(other, "after")[1].get("x-server-stamp") == life)
+    assert platform.processes[ip].poll() is None
