Divide the tests of the platform's processes, and wait for the registration that one of them rests on

Cause: test_heartbeats_of_another_writer_end_no_daemon failed once beside a load of 18 (1,047 others passed): a daemon is ready once it knows any upstream, and the application beside it had not registered its start yet. Change: the test waits until requests reach that application; the stand-in of the platform is a module of its own, and says upstream where it said life.

--- a/packages/lanedock/lanedock/membership/core.py
+++ b/packages/lanedock/lanedock/membership/core.py
@@ -17,6 +17,7 @@
     LEAVING = "leaving"
 
 
+# Largest port that TCP has (16 bits).
 MAX_PORT = 65535
 _STATES = {state.value: state for state in InstanceState}
 
--- /dev/null
+++ b/tests/platform_processes.py
@@ -0,0 +1,227 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""The platform's program as real processes, with a stand-in for the backend beside each daemon.
+
+Each instance has a loopback address of its own, as they share ports otherwise, and each
+platform a network, so that several runs on a machine don't meet.
+"""
+
+import http.client
+import json
+import os
+import socket
+import subprocess
+import sys
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from pathlib import Path
+
+from lanedock_platform.tests.beats import make_beat
+
+ROOT = Path(__file__).parent.parent
+MESH_PORT, CONTROL_PORT, READY_PORT, IN_PORT, OUT_PORT, APP_PORT = 17600, 17620, 17625, 17624, 17629, 17628
+TIMEOUT = 30.0
+
+
+def _claim_network() -> tuple[socket.socket, str]:
+    """Find a loopback network that no other run has; it is ours until the socket is closed."""
+    for number in range(os.getpid(), os.getpid() + 1000):
+        network = f"127.{1 + number // 256 % 254}.{number % 256}"
+        claim = socket.socket()
+        try:
+            claim.bind((f"{network}.254", APP_PORT))
+            return claim, network
+        except OSError:
+            claim.close()
+    raise OSError("no loopback network is free")
+
+
+class Application(ThreadingHTTPServer):
+    """A backend: it answers, keeps what it was sent, and heartbeats."""
+
+    daemon_threads = True
+
+    def __init__(self, ip: str, upstream: str):
+        self.upstream = upstream
+        self.born = time.time_ns() // 1_000_000
+        self.seen: list[dict] = []
+        self.sequence = 0
+        self._beating = threading.Lock()
+        super().__init__((ip, APP_PORT), _Handler)
+        threading.Thread(target=self.serve_forever, daemon=True).start()
+
+    def beat(self, state: str = "ready") -> int:
+        # One at a time, as an application sends them: none overtakes one with a lower sequence.
+        with self._beating:
+            self.sequence += 1
+            body = make_beat(state, self.sequence, born=self.born)
+            path = f"/Instances.Heartbeat/{self.upstream}"
+            return call(self.server_address[0], CONTROL_PORT, "POST", path, json.dumps(body).encode())[0]
+
+    def start_again(self) -> None:
+        """Begin another incarnation under the same id: its heartbeats are numbered anew."""
+        with self._beating:
+            self.born += 1
+            self.sequence = 0
+
+
+class _Handler(BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+
+    def do_POST(self) -> None:
+        body = self.rfile.read(int(self.headers.get("content-length", 0)))
+        self.server.seen.append({name.lower(): value for name, value in self.headers.items()})
+        self.send_response(200)
+        self.send_header("X-Request-Id", self.headers["X-Request-Id"])
+        self.send_header("X-Server-Stamp", self.server.upstream)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def log_message(self, *arguments) -> None:
+        pass
+
+
+def call(ip: str, port: int, method: str, path: str, body: bytes = b"", headers: dict | None = None):
+    conn = http.client.HTTPConnection(ip, port, timeout=5)
+    try:
+        conn.request(method, path, body=body, headers=headers or {})
+        answer = conn.getresponse()
+        return answer.status, dict(answer.getheaders()), answer.read()
+    finally:
+        conn.close()
+
+
+class PlatformProcesses:
+    """Three control instances, two daemons, and a backend beside each."""
+
+    def __init__(self, folder: Path):
+        self.folder = folder
+        self._claim, network = _claim_network()
+        self.controls = [f"{network}.{number}" for number in (1, 2, 3)]
+        self.daemons = [f"{network}.{number}" for number in (11, 12)]
+        self.processes: dict[str, subprocess.Popen] = {}
+        self.applications: dict[str, Application] = {}
+        self._stopped = threading.Event()
+
+    def start(self) -> None:
+        for ip in self.controls:
+            self.start_process(ip, self.make_settings("control", ip, True))
+        for number, ip in enumerate(self.daemons):
+            self.applications[ip] = Application(ip, f"i-{number}")
+            self.start_process(ip, self.make_settings("daemon", ip, True))
+        threading.Thread(target=self._beat, daemon=True).start()
+
+    def _beat(self) -> None:
+        while not self._stopped.wait(0.3):
+            for application in list(self.applications.values()):
+                try:
+                    application.beat("draining" if application.upstream in self.draining else "ready")
+                except OSError:
+                    pass  # its daemon is not up yet, or is down
+
+    draining: frozenset = frozenset()
+
+    def make_settings(self, role: str, ip: str, bootstrap: bool) -> str:
+        text = (ROOT / "deploy" / f"{role}.jsonc").read_text(encoding="utf-8")
+        seeds = ", ".join(f'"{seed}:{CONTROL_PORT}"' for seed in self.controls)
+        text = text.replace('{{#seeds}}"{{.}}"{{,}}{{/seeds}}', seeds)
+        values = {
+            "node": f"{role}-{ip}".replace(".", "-"),
+            "zone": "z",
+            "ip": ip,
+            "portRange.0": MESH_PORT,
+            "listen.control": f"{ip}:{CONTROL_PORT}",
+            "listen.ready": f"{ip}:{READY_PORT}",
+            "listen.inbound": f"{ip}:{IN_PORT}",
+            "listen.outbound": f"{ip}:{OUT_PORT}",
+            "appAddr": f"{ip}:{APP_PORT}",
+            "service": "s1",
+            "heartbeatS": 0.3,
+            "limits.maxFds": 4100,
+            "bootstrap": str(bootstrap).lower(),
+            "dataDir": self.folder / f"data-{ip}",
+            "bounds.contactS": 3,
+            "bounds.graceS": 3,
+            "bounds.retryBudgetRatio": 0.2,
+            "bounds.retrySlack": 62,
+            "bounds.retryWindowS": 10,
+        }
+        for name, value in values.items():
+            text = text.replace("{{" + name + "}}", str(value))
+        assert "{{" not in text, text
+        return text
+
+    def start_process(self, ip: str, settings: str) -> None:
+        path = self.folder / f"{ip}.jsonc"
+        path.write_text(settings, encoding="utf-8")
+        # The packages that the tests import, not others that happen to be installed.
+        paths = os.pathsep.join([str(ROOT / "platform"), *filter(None, sys.path)])
+        env = {**os.environ, "LANEDOCK_BOOT": str(path), "PYTHONPATH": paths}
+        with open(self.folder / f"{ip}.log", "ab") as log:
+            line = [sys.executable, str(ROOT / "platform" / "start.py")]
+            self.processes[ip] = subprocess.Popen(line, env=env, stdout=log, stderr=log)
+
+    def restart(self, ip: str) -> None:
+        self.processes[ip].kill()
+        self.processes[ip].wait()
+        role = "control" if ip in self.controls else "daemon"
+        self.start_process(ip, self.make_settings(role, ip, False))
+
+    def stop(self) -> None:
+        self._stopped.set()
+        for process in self.processes.values():
+            process.kill()
+            process.wait()
+        for application in self.applications.values():
+            application.shutdown()
+            application.server_close()
+        self._claim.close()
+
+    def put(self, value: dict) -> int:
+        """Send a configuration as the operator does: to any, along redirects, until it is answered."""
+        until = time.monotonic() + TIMEOUT
+        targets = list(self.controls)
+        while time.monotonic() < until:
+            targets.append(targets.pop(0))
+            try:
+                status, headers, _ = call(targets[0], CONTROL_PORT, "POST", "/Config.Put", json.dumps(value).encode())
+                if status == 307:
+                    leader = headers["location"].partition("//")[2].partition(":")[0]
+                    status = call(leader, CONTROL_PORT, "POST", "/Config.Put", json.dumps(value).encode())[0]
+            except OSError:
+                status = 503
+            if status not in (307, 503):
+                return status
+            time.sleep(0.05)
+        raise TimeoutError("no control instance answers")
+
+    def get(self) -> dict:
+        def read():
+            for ip in self.controls:
+                status, _, body = call(ip, CONTROL_PORT, "GET", "/Config.Get")
+                if status == 200:
+                    return json.loads(body)
+            return None
+
+        return wait_for(read)
+
+    def request(self, ip: str, request_id: str, headers: dict | None = None):
+        all_headers = {"Host": "shop.example", "X-Request-Id": request_id, "X-Deadline-Ms": "3000", **(headers or {})}
+        return call(ip, OUT_PORT, "POST", "/a/b/x", b"3 ibises", all_headers)
+
+    def wait_ready(self, ip: str) -> None:
+        wait_for(lambda: call(ip, READY_PORT, "GET", "/ready")[0] == 200)
+
+
+def wait_for(condition):
+    """Wait until a condition holds; returns what it returned."""
+    until = time.monotonic() + TIMEOUT
+    while time.monotonic() < until:
+        try:
+            if result := condition():
+                return result
+        except OSError:
+            pass  # not listening yet
+        time.sleep(0.05)
+    raise TimeoutError("the condition never held")
