--- a/tests/platform_processes.py
+++ b/tests/platform_processes.py
@@ -58,6 +58,11 @@
             path = f"/Instances.Heartbeat/{self.upstream}"
             return call(self.server_address[0], CONTROL_PORT, "POST", path, json.dumps(body).encode())[0]
 
+    def stop(self) -> None:
+        """Stop serving."""
+        self.shutdown()
+        self.server_close()
+
     def start_again(self) -> None:
         """Begin another incarnation under the same id: its heartbeats are numbered anew."""
         with self._beating:
@@ -93,13 +98,13 @@
 
 
 class PlatformProcesses:
-    """Three control instances, two daemons, and a backend beside each."""
+    """Three control instances, some daemons, and a backend beside each."""
 
-    def __init__(self, folder: Path):
+    def __init__(self, folder: Path, daemons: int = 2):
         self.folder = folder
         self._claim, network = _claim_network()
         self.controls = [f"{network}.{number}" for number in (1, 2, 3)]
-        self.daemons = [f"{network}.{number}" for number in (11, 12)]
+        self.daemons = [f"{network}.{11 + number}" for number in range(daemons)]
         self.processes: dict[str, subprocess.Popen] = {}
         self.applications: dict[str, Application] = {}
         self._stopped = threading.Event()
@@ -108,8 +113,16 @@
         for ip in self.controls:
             self.start_process(ip, self.make_settings("control", ip, True))
         for number, ip in enumerate(self.daemons):
-            self.applications[ip] = Application(ip, f"i-{number}")
+            self.applications[ip] = self.make_application(ip, number)
             self.start_process(ip, self.make_settings("daemon", ip, True))
+        self.start_beats()
+
+    def make_application(self, ip: str, number: int):
+        """Start the backend beside a daemon."""
+        return Application(ip, f"i-{number}")
+
+    def start_beats(self) -> None:
+        """Send the backends' heartbeats from now on."""
         threading.Thread(target=self._beat, daemon=True).start()
 
     def _beat(self) -> None:
@@ -174,8 +187,7 @@
             process.kill()
             process.wait()
         for application in self.applications.values():
-            application.shutdown()
-            application.server_close()
+            application.stop()
         self._claim.close()
 
     def put(self, value: dict) -> int:
