Log which requests ran on an application that has ended

Cause: the logs named each broken connection by itself (ANSWER_LOST), so an application's end couldn't be told from a cut, nor the request that all ends had in common be found. Change: an upstream's daemon keeps what runs on its application, by a digest of method, host, target, customer and body. Where connections break, the application takes none and holds none, or its next start registers, UPSTREAM_CRASHED (E540) names what ran there, but for what it has lately served.

--- a/packages/lanedock-daemon/lanedock_daemon/agent/registration.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/registration.py
@@ -48,9 +48,20 @@
     events : EventLogger
     has_service : callable, optional
         Called with a name; returns whether the version in force may have such a service.
+    on_restart : callable, optional
+        Called with the incarnation that was held when another one registers, and it hadn't left.
     """
 
-    def __init__(self, registration: UpstreamRegistration, on_change, on_rival, events: EventLogger, has_service=None):
+    def __init__(
+        self,
+        registration: UpstreamRegistration,
+        on_change,
+        on_rival,
+        events: EventLogger,
+        has_service=None,
+        on_restart=None,
+    ):
+        self._on_restart = on_restart
         self._has_service = has_service
         self._registration = registration
         self._on_change = on_change
@@ -87,6 +98,8 @@
                 former=before.upstream,
                 former_started=before.started,
             )
+            if self._on_restart is not None and not was_leaving:
+                self._on_restart(before)
         if registration.is_leaving and (is_other or not was_leaving):
             self._events.emit(Event.UPSTREAM_LEAVING, upstream=registration.upstream, sequence=heartbeat.sequence)
         self._on_change()
--- a/packages/lanedock-daemon/lanedock_daemon/agent/view.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/view.py
@@ -7,6 +7,7 @@
 from lanedock.config import CallerLimits, MeshConfig, is_service_group
 from lanedock.limits import RetryBudget, SavingBudget, SlotLimiter
 from lanedock.membership import freshness
+from lanedock.quarantine import Quarantine
 from lanedock.rollout import Held, VersionHolder
 from lanedock.routing import Balancer, BalancerPolicy, RouteTable
 from lanedock.wire import messages
@@ -52,6 +53,8 @@
 
     Attributes
     ----------
+    quarantine : Quarantine
+        The requests that are suspected of ending upstreams.
     is_stopping : bool
         Whether callers are to go elsewhere; they are served while they come.
     is_draining : bool
@@ -62,6 +65,7 @@
         self.upstream = upstream
         self._make_budget = SavingBudget
         self.holder = VersionHolder()
+        self.quarantine = Quarantine()
         self.is_draining = False
         self.is_stopping = False
         self._binding: Binding | None = None
--- /dev/null
+++ b/packages/lanedock-daemon/lanedock_daemon/path/crashes.py
@@ -0,0 +1,230 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Notices that the application beside the daemon has ended, and what ran on it."""
+
+import time
+
+import gevent
+from gevent import socket
+
+from lanedock.membership import Incarnation, UpstreamRegistration
+from lanedock.quarantine import Quarantine, RecentlyServed, RequestHasher, Run, RunRegistry
+from lanedock.telemetry import Event, EventLogger, Metric, Metrics
+from lanedock_daemon.path.http import Outcome
+from lanedock_daemon.path.pool import ConnectionPool, ExchangeError
+
+__all__ = ["CrashDetector", "Work"]
+
+# Seconds in which the connections of an application that has ended are all seen to break:
+# they do at once, in the order in which the event loop looks at them.
+GATHER_TIME = 0.01
+# Waits, in seconds, before an application that still takes connections is tried again: a
+# process that ends closes its sockets one after the other, in any order.
+RETRY_WAITS = (0.02, 0.05, 0.1)
+CONNECT_TIMEOUT = 0.2
+# Seconds in which further runs of an incarnation are found lost by the same end of it. An
+# application that doesn't report its incarnations takes longer to end again.
+SAME_CRASH = 2.0
+# Suspects that a log line names.
+MAX_NAMED = 8
+
+
+class CrashDetector:
+    """Tells an application's end from a connection's, and suspects what ran on it.
+
+    A connection breaks for many reasons. An application that has ended takes no new ones,
+    has let go of the idle ones, and goes on with nothing: all three are looked at, since
+    one that is merely full may refuse connections, too.
+
+    Parameters
+    ----------
+    instance : str
+        The daemon's own.
+    application : tuple of (str, int)
+    pool : ConnectionPool
+        Holds idle connections to the application.
+    registration : UpstreamRegistration
+        Of the application.
+    quarantine : Quarantine
+    on_news : callable
+        Called without arguments when others have to learn of suspicions.
+    events : EventLogger
+    metrics : Metrics
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        application: tuple[str, int],
+        pool: ConnectionPool,
+        registration: UpstreamRegistration,
+        quarantine: Quarantine,
+        on_news,
+        events: EventLogger,
+        metrics: Metrics,
+    ):
+        self._instance = instance
+        self._application = application
+        self._pool = pool
+        self._registration = registration
+        self._quarantine = quarantine
+        self._on_news = on_news
+        self._events = events
+        self._metrics = metrics
+        self._runs = RunRegistry()
+        self._served = RecentlyServed()
+        self._check: gevent.Greenlet | None = None
+        self._crash = ""
+        self._crashed: Incarnation | None = None
+        self._crashed_at = float("-inf")
+
+    def __repr__(self) -> str:
+        return f"<CrashDetector {self._instance} {self._runs!r}>"
+
+    # -------------------------------------------------------------------- runs
+
+    def begin(self, hasher: RequestHasher) -> Run:
+        """Note that a request is passed on to the application."""
+        return self._runs.begin(hasher, time.monotonic())
+
+    def note_refused(self, run: Run) -> None:
+        """Note that the application has refused a request without running it."""
+        self._runs.end(run)
+
+    def note_served(self, run: Run) -> None:
+        """Note that the application has answered a request, which so has not ended it."""
+        self._runs.end(run)
+        fingerprint = run.hasher.fingerprint()
+        self._served.note(fingerprint, time.monotonic())
+        if self._quarantine.clear(fingerprint):
+            self._events.emit(Event.SUSPECT_CLEARED, suspect=fingerprint)
+            self._on_news()
+
+    def note_abandoned(self, run: Run) -> None:
+        """Note that nobody waits for a run any more, which may go on."""
+        self._runs.abandon(run, False, time.monotonic())
+
+    def note_lost(self, run: Run) -> int:
+        """Note that the connection of a run broke; find out whether the application has ended.
+
+        Returns
+        -------
+        int
+            Crashes that the request is suspected of; 0 where the application goes on.
+        """
+        now = time.monotonic()
+        self._runs.abandon(run, True, now)
+        if not run.is_suspected:
+            self._look()
+        return self._quarantine.count(run.hasher.fingerprint()) if run.is_suspected else 0
+
+    def note_restart(self, former: Incarnation) -> None:
+        """Note that another start of the application has registered, and that the former hadn't left."""
+        if former.upstream:
+            self._suspect(former, has_restarted=True)
+
+    # ------------------------------------------------------------------ checks
+
+    def _look(self) -> None:
+        """Find out whether the application has ended; one look serves all whose connections broke."""
+        if self._check is None or self._check.ready():
+            self._check = gevent.spawn(self._find_out, time.monotonic())
+        # A task that is killed meanwhile leaves the look to the others.
+        self._check.join(timeout=CONNECT_TIMEOUT)
+
+    def _find_out(self, lost_at: float) -> None:
+        incarnation = self._registration.incarnation
+        if self._has_ended(lost_at):
+            self._suspect(incarnation, has_restarted=False)
+        elif not self._runs.has_survivor(lost_at):
+            gevent.spawn(self._look_again, incarnation, lost_at)
+
+    def _look_again(self, incarnation: Incarnation, lost_at: float) -> None:
+        for wait in RETRY_WAITS:
+            gevent.sleep(wait)
+            if self._has_ended(lost_at):
+                self._suspect(incarnation, has_restarted=False)
+                return
+
+    def _has_ended(self, lost_at: float) -> bool:
+        if not self._is_refusing():
+            return False
+        gevent.sleep(GATHER_TIME)
+        return not (self._runs.has_survivor(lost_at) or self._pool.has_open(self._application))
+
+    def _is_refusing(self) -> bool:
+        try:
+            socket.create_connection(self._application, timeout=CONNECT_TIMEOUT).close()
+        except ConnectionRefusedError:
+            return True
+        except OSError:
+            return False  # silent or full: its next start will tell
+        return False
+
+    def _suspect(self, incarnation: Incarnation, has_restarted: bool) -> None:
+        """Suspect what ran on an application that has ended, but for what it served lately."""
+        now = time.monotonic()
+        found = self._runs.take_suspects(now, has_restarted)
+        suspects = [fingerprint for fingerprint in found if not self._served.has(fingerprint, now)]
+        if not suspects:
+            return
+        if incarnation != self._crashed or now - self._crashed_at > SAME_CRASH:
+            # By the wall clock: a daemon that is restarted begins anew.
+            self._crash = f"{self._instance}/{incarnation.upstream or '-'}/{time.time_ns() // 1_000_000}"
+            self._crashed, self._crashed_at = incarnation, now
+        fresh = self._quarantine.note_crash(self._crash, suspects, now)
+        self._metrics.count(Metric.CRASHES)
+        named = ",".join(str(fingerprint) for fingerprint in suspects[:MAX_NAMED])
+        self._events.emit(Event.UPSTREAM_CRASHED, crash=self._crash, running=len(found), suspects=named)
+        for fingerprint in fresh:
+            crashes = ",".join(self._quarantine.crashes(fingerprint))
+            self._events.emit(Event.REQUEST_QUARANTINED, suspect=fingerprint, crashes=crashes)
+        self._on_news()
+
+
+class Work:
+    """A request that the application works on: a run, and the slot that it holds. Given up once.
+
+    Parameters
+    ----------
+    crashes : CrashDetector
+    hasher : RequestHasher
+    release : callable
+        Gives the slot back; called without arguments.
+    """
+
+    __slots__ = ("_crashes", "_release", "_run")
+
+    def __init__(self, crashes: CrashDetector, hasher: RequestHasher, release):
+        self._crashes = crashes
+        self._run = crashes.begin(hasher)
+        self._release = release
+
+    def end_served(self) -> None:
+        """The whole answer has come."""
+        self._release()
+        self._crashes.note_served(self._run)
+
+    def end_refused(self) -> None:
+        """The application does not run it."""
+        self._release()
+        self._crashes.note_refused(self._run)
+
+    def end_abandoned(self) -> None:
+        """Nobody waits for it any more."""
+        self._release()
+        self._crashes.note_abandoned(self._run)
+
+    def end_lost(self) -> int:
+        """Its connection broke; returns the crashes that it is suspected of, see `CrashDetector.note_lost`."""
+        self._release()
+        return self._crashes.note_lost(self._run)
+
+    def end_failed(self, exc: ExchangeError) -> int:
+        """No answer has come; returns as `end_lost`."""
+        if exc.is_broken:
+            return self.end_lost()
+        if exc.outcome == Outcome.NOT_RUN:
+            self.end_refused()
+        else:
+            self.end_abandoned()
+        return 0
--- a/packages/lanedock-daemon/lanedock_daemon/path/dialect.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/dialect.py
@@ -25,6 +25,8 @@
 
 # Of the answers by which an application reports that it drains.
 DRAIN_HEADER = "x-upstream-draining"
+# By which callers identify themselves (RFC 9110, 11.6.2).
+CUSTOMER_HEADER = "authorization"
 
 
 class RequestFacts:
@@ -38,14 +40,19 @@
         Time for which the caller waits, in milliseconds.
     was_retried : bool
         Whether a hop before has sent the request again.
+    customer : str
+        What the caller identifies itself by; empty where it doesn't.
     """
 
-    __slots__ = ("deadline_ms", "request_id", "was_retried")
+    __slots__ = ("customer", "deadline_ms", "request_id", "was_retried")
 
-    def __init__(self, request_id: str = "", deadline_ms: int | None = None, was_retried: bool = False):
+    def __init__(
+        self, request_id: str = "", deadline_ms: int | None = None, was_retried: bool = False, customer: str = ""
+    ):
         self.request_id = request_id
         self.deadline_ms = deadline_ms
         self.was_retried = was_retried
+        self.customer = customer
 
     def __repr__(self) -> str:
         return f"<RequestFacts {self.request_id} deadline={self.deadline_ms}>"
@@ -163,6 +170,8 @@
                 facts.request_id = value
             elif name == ATTEMPT_HEADER:
                 facts.was_retried = value not in ("", "1")
+            elif name == CUSTOMER_HEADER:
+                facts.customer = value
         return facts
 
     def read_answer(self, status: int, headers: list[tuple[str, str]], request_id: str) -> AnswerFacts:
--- a/packages/lanedock-daemon/lanedock_daemon/path/exchange.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/exchange.py
@@ -301,7 +301,8 @@
         reason = "no answer before the stop"
     elif is_late:
         code, reason = ErrorCode.ANSWER_TIMEOUT, "no answer in time"
-    return ExchangeError(code, Outcome.UNKNOWN, f"{address}: {reason}", is_cut_off, is_body_late)
+    is_broken = not (is_stop or is_late or is_cut_off or is_body_late)
+    return ExchangeError(code, Outcome.UNKNOWN, f"{address}: {reason}", is_cut_off, is_body_late, is_broken)
 
 
 def send_request(
--- /dev/null
+++ b/packages/lanedock-daemon/lanedock_daemon/path/hashed_body.py
@@ -0,0 +1,65 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""A request's body that is taken into its fingerprint on its way."""
+
+from lanedock.quarantine import BODY_LIMIT, RequestHasher
+from lanedock_daemon.path.http import CHUNK, NEVER, Body, Request
+
+__all__ = ["HashedBody", "hash_body"]
+
+
+class HashedBody(Body):
+    """Takes each piece into its request's fingerprint as it is read.
+
+    Parameters
+    ----------
+    body : Body
+    hasher : RequestHasher
+        Of the request.
+    """
+
+    def __init__(self, body: Body, hasher: RequestHasher):
+        self.length = body.length
+        self._body = body
+        self._hasher = hasher
+        self._held: list[bytes] = []
+
+    def hold(self, deadline: float) -> None:
+        """Read all that counts for the fingerprint, and keep it to be passed on.
+
+        Parameters
+        ----------
+        deadline : float
+            Monotonic, seconds.
+
+        Raises
+        ------
+        BodyTimeout
+        OSError
+            Its sender went away.
+        """
+        size = 0
+        while size < BODY_LIMIT and (piece := self._read(CHUNK, deadline)):
+            self._held.append(piece)
+            size += len(piece)
+        self._held.reverse()
+
+    def read(self, size: int, deadline: float = NEVER) -> bytes:
+        if not self._held:
+            return self._read(size, deadline)
+        piece = self._held.pop()
+        if len(piece) > size:
+            self._held.append(piece[size:])
+        return piece[:size]
+
+    def _read(self, size: int, deadline: float) -> bytes:
+        piece = self._body.read(size, deadline)
+        self._hasher.update(piece)
+        return piece
+
+
+def hash_body(request: Request, hasher: RequestHasher) -> Request:
+    """Return a request whose body is taken into its fingerprint as it is read; itself where it has none."""
+    if request.body.length == 0:
+        return request
+    body = HashedBody(request.body, hasher)
+    return Request(request.method, request.target, request.host, request.headers, body)
--- a/packages/lanedock-daemon/lanedock_daemon/path/http.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http.py
@@ -16,6 +16,7 @@
     "CALLER_HEADER",
     "CHUNK",
     "CLASS_HEADER",
+    "CRASHES_HEADER",
     "DEADLINE_HEADER",
     "HOP_HEADERS",
     "LOAD_HEADER",
@@ -85,6 +86,9 @@
 CALLER_HEADER = "x-lanedock-caller"
 # On a refusal: milliseconds after which the request may come back.
 RETURN_HEADER = "x-lanedock-retry-after-ms"
+# On an answer without the application's: it ended while it ran the request, and so many ends
+# the request is suspected of by now.
+CRASHES_HEADER = "x-lanedock-crashes"
 # On a refusal: the request was at the application, which has refused it.
 ARRIVED_HEADER = "x-lanedock-arrived"
 # These are for callers and applications, too: an application passes the
@@ -335,6 +339,7 @@
     ErrorCode.DEADLINE: (504, "Gateway Timeout"),
     ErrorCode.ANSWER_TIMEOUT: (504, "Gateway Timeout"),
     ErrorCode.ANSWER_LOST: (502, "Bad Gateway"),
+    ErrorCode.UPSTREAM_CRASHED: (502, "Bad Gateway"),
     ErrorCode.CONNECT_FAILED: (503, "Service Unavailable"),
     ErrorCode.BODY_TOO_LONG: (413, "Content Too Large"),
 }
--- a/packages/lanedock-daemon/lanedock_daemon/path/pool.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/pool.py
@@ -41,6 +41,8 @@
         Whether the other side can't be reached, as far as that is known.
     is_body_late : bool
         Whether the request's own body did not come in time, or broke off: the other side is not at fault.
+    is_broken : bool
+        Whether the other side's end of the connection broke while the request may have been in progress there.
     """
 
     def __init__(
@@ -50,8 +52,10 @@
         message: str = "",
         is_unreachable: bool = False,
         is_body_late: bool = False,
+        is_broken: bool = False,
     ):
         super().__init__(code, message)
+        self.is_broken = is_broken
         self.outcome = outcome
         self.is_unreachable = is_unreachable
         self.is_body_late = is_body_late
@@ -120,6 +124,10 @@
         else:
             reader.conn.close()
 
+    def has_open(self, address: tuple[str, int]) -> bool:
+        """Tell whether an idle connection to an address is still open, as far as is known."""
+        return any(reader.conn.is_clean() for reader in self._idle.get(address, ()))
+
     def note_heard(self, address: tuple[str, int], now: float) -> None:
         """Note that an answer has begun on a connection to an address."""
         self._heard_at[address] = now
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
@@ -8,16 +8,20 @@
 from lanedock.errors import ErrorCode
 from lanedock.limits import AdmissionRequest, CallKinds, QueuedRequest, Refused, SlotLimiter
 from lanedock.membership import UpstreamRegistration
+from lanedock.quarantine import RequestHasher
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics, RequestLog, RequestLogger, Tracer
 from lanedock_daemon.agent.view import Binding, LocalView
 from lanedock_daemon.path.body_gate import BodyGate
-from lanedock_daemon.path.dialect import Dialect, OwnDialect
+from lanedock_daemon.path.crashes import CrashDetector, Work
+from lanedock_daemon.path.dialect import Dialect, OwnDialect, RequestFacts
 from lanedock_daemon.path.exchange import AnswerPieces, send_request
+from lanedock_daemon.path.hashed_body import hash_body
 from lanedock_daemon.path.http import (
     ARRIVED_HEADER,
     ATTEMPT_HEADER,
     CALLER_HEADER,
     CLASS_HEADER,
+    CRASHES_HEADER,
     DEADLINE_HEADER,
     LEAVING_HEADER,
     LOAD_HEADER,
@@ -70,6 +74,7 @@
     dialect : Dialect, optional
     requests : RequestLogger, optional
         Writes the decisions on requests.
+    crashes : CrashDetector, optional
     """
 
     def __init__(
@@ -83,6 +88,7 @@
         tracer,
         dialect=None,
         requests=None,
+        crashes=None,
     ):
         self._requests: RequestLogger = requests or RequestLogger(events, 0)
         self._dialect: Dialect = dialect or OwnDialect()
@@ -93,6 +99,9 @@
         self._pool = pool
         self._events: EventLogger = events
         self._metrics: Metrics = metrics
+        self._crashes: CrashDetector = crashes or CrashDetector(
+            service, application, pool, self._registration, view.quarantine, lambda: None, events, metrics
+        )
         self._tracer: Tracer = tracer
         self._limiter = SlotLimiter(1, 0, {})
         self._bodies = BodyGate(self._limiter, metrics)
@@ -113,7 +122,7 @@
         facts = self._dialect.read_request(request.headers)
         log = self._requests.begin(facts.request_id, started)
         try:
-            answer = self._admit(request, span, started, log)
+            answer = self._admit(request, facts, span, started, log)
         except BaseException as exc:
             self._requests.totals.note("upstream", log.route, "cancelled", time.monotonic() - started, log.waited)
             log.note(Event.REQUEST_DONE, outcome="cancelled", reason=type(exc).__name__)
@@ -133,7 +142,7 @@
             answer.headers.append((LEAVING_HEADER, "1"))
         return answer
 
-    def _admit(self, request: Request, span, started: float, log: RequestLog) -> Answer:
+    def _admit(self, request: Request, facts: RequestFacts, span, started: float, log: RequestLog) -> Answer:
         if self._view.is_draining:
             return self._refuse(ErrorCode.DRAINING, RETRY_AFTER, log, reason="the daemon drains")
         meant = request.header(UPSTREAM_HEADER)
@@ -154,6 +163,7 @@
             is_held = service == self._service and self._service in binding.config.services
         if not is_held:
             return self._refuse(ErrorCode.NOT_HELD, RETRY_AFTER, log, service=service)
+        hasher = RequestHasher(request.method, request.host, request.target, facts.customer)
         self._configure(binding)
         deadline = _read_time(request, DEADLINE_HEADER, started)
         if deadline is None:
@@ -169,15 +179,17 @@
             why = {"waited_ms": round(1000 * log.waited, 1), **self._load()}
             why.update(late=request.header(TARGET_HEADER) == "0", limit=refused.limit, **self._bodies.load())
             return self._refuse(refused.code, refused.retry_after, log, **why)
+        hashed = hash_body(request, hasher)
         # It may have begun to leave while the request waited, or while its body was on its
         # way: until the first piece is here nothing of it is passed on.
-        refusal = self._fetch(request, traffic_class, deadline) or self._registration.judge(meant)
+        refusal = self._fetch(request, traffic_class, deadline)
+        refusal = refusal or self._registration.judge(meant)
         if refusal is not None:
             self._limiter.release(traffic_class, None, time.monotonic())
             wait = 0.0 if refusal is ErrorCode.DEADLINE else RETRY_AFTER
             return self._refuse(refusal, wait, log, meant=meant, incarnation=self._registration.upstream)
         log.note(Event.REQUEST_ADMITTED, waited_ms=round(1000 * (time.monotonic() - started), 1), **self._load())
-        answer = self._pass_on(request, traffic_class, deadline, span, log)
+        answer = self._pass_on(hashed, hasher, traffic_class, deadline, span, log)
         log.note(Event.REQUEST_DONE, status=answer.status, incarnation=meant)
         return answer
 
@@ -283,7 +295,9 @@
             raise
         return None
 
-    def _pass_on(self, request: Request, traffic_class: str, deadline: float, span, log: RequestLog) -> Answer:
+    def _pass_on(
+        self, request: Request, hasher: RequestHasher, traffic_class: str, deadline: float, span, log: RequestLog
+    ) -> Answer:
         """Send a request to the application; the slot is held to the answer's end."""
         started = time.monotonic()
         release = _Release(self._limiter, traffic_class, log.route, started)
@@ -291,6 +305,7 @@
             release()
             return self._refuse(ErrorCode.DEADLINE, 0.0, log)
         headers = self._make_headers(request, deadline - started, span)
+        work = Work(self._crashes, hasher, release)
         try:
             pending = send_request(self._pool, self._application, request, headers, deadline)
             tail = min(self._limiter.tail(log.route), deadline - started)
@@ -298,21 +313,20 @@
                 pending.note_late(started, self._events, self._registration.upstream)
             response = pending.read()
         except ExchangeError as exc:
-            release()
-            return self._on_lost(exc, log)
+            return self._on_lost(exc, log, work.end_failed(exc))
         except StopTimeout:
             # While it waited for the application's first bytes.
-            release()
+            work.end_abandoned()
             lost = ExchangeError(ErrorCode.ANSWER_LOST, Outcome.UNKNOWN, "no answer before the stop")
             return self._on_lost(lost, log)
         except BaseException:
-            release()
+            work.end_abandoned()
             raise
         head = response.message
         facts = self._dialect.read_answer(head.status, head.headers, log.request_id)
         if facts.is_foreign:
             response.close()
-            release()
+            work.end_abandoned()
             foreign = ExchangeError(ErrorCode.ANSWER_LOST, Outcome.UNKNOWN, "an answer to another request")
             return self._on_lost(foreign, log)
         now = time.monotonic()
@@ -321,31 +335,44 @@
             self._view.is_draining = True
             self._events.emit(Event.DRAINING, service=self._service)
         if facts.was_refused:
-            return self._on_refused(response, release, facts.is_elsewhere, log)
+            return self._on_refused(response, work, facts.is_elsewhere, log)
         headers = public_headers(head.headers, self._dialect.answer_names)
         try:
             first = response.read_first()
         except ExchangeError as exc:
-            release()
-            return self._on_lost(exc, log)
+            return self._on_lost(exc, log, work.end_failed(exc))
         except BaseException:
-            release()
+            work.end_abandoned()
             raise
         if head.is_complete:
-            release()
+            work.end_served()
             return Answer(head.status, head.reason, headers, [*first, *head.pieces])
-        rest = AnswerPieces(response, lambda broke_off: release(), first, deadline - started)
+
+        def end(broke_off: bool) -> None:
+            if broke_off:
+                work.end_lost()
+            elif head.is_complete:
+                work.end_served()
+            else:
+                work.end_abandoned()
+
+        rest = AnswerPieces(response, end, first, deadline - started)
         return Answer(head.status, head.reason, headers, rest)
 
-    def _on_lost(self, exc: ExchangeError, log: RequestLog) -> Answer:
+    def _on_lost(self, exc: ExchangeError, log: RequestLog, crashes: int = 0) -> Answer:
+        """No answer has come of the application, which has ended where there are crashes."""
         if exc.outcome == Outcome.NOT_RUN:
             wait = 0.0 if exc.code is ErrorCode.DEADLINE else RETRY_AFTER
             return self._refuse(exc.code, wait, log, error=exc)
         self._metrics.count(Metric.UNKNOWN)
         self._events.emit(Event.ANSWER_LOST, request=log.request_id, error=exc)
-        return make_refusal(exc.code, Outcome.UNKNOWN)
+        if not crashes:
+            return make_refusal(exc.code, Outcome.UNKNOWN)
+        answer = make_refusal(ErrorCode.UPSTREAM_CRASHED, Outcome.UNKNOWN)
+        answer.headers.append((CRASHES_HEADER, str(crashes)))
+        return answer
 
-    def _on_refused(self, response, release, is_elsewhere: bool, log: RequestLog) -> Answer:
+    def _on_refused(self, response, work: Work, is_elsewhere: bool, log: RequestLog) -> Answer:
         """The application has refused the request and will not run it."""
         try:
             response.read_all()
@@ -353,7 +380,7 @@
             pass  # the head was enough
         finally:
             response.close()
-            release()
+            work.end_refused()
         code = ErrorCode.NOT_HELD if is_elsewhere else ErrorCode.UPSTREAM_REFUSED
         answer = self._refuse(code, RETRY_AFTER, log, status=response.message.status)
         answer.headers.append((ARRIVED_HEADER, "1"))
--- a/packages/lanedock-daemon/lanedock_daemon/roles.py
+++ b/packages/lanedock-daemon/lanedock_daemon/roles.py
@@ -16,6 +16,7 @@
 from lanedock_daemon.agent.service import DrainRequested, RegistrationChanged
 from lanedock_daemon.interface import Interface, OwnInterface
 from lanedock_daemon.path.caller import CallerSide
+from lanedock_daemon.path.crashes import CrashDetector
 from lanedock_daemon.path.http import Answer, Request
 from lanedock_daemon.path.pool import ConnectionPool
 from lanedock_daemon.path.server import PathServer
@@ -162,13 +163,19 @@
     if settings.upstream is not None:
         cfg = settings.upstream
         application = (cfg.application.host, cfg.application.port)
-        parts = (events, metrics, tracer, dialect, requests)
-        side = UpstreamSide(cfg.service, application, view, ConnectionPool(), *parts)
+        pool = ConnectionPool()
+        crashes = CrashDetector(
+            settings.name, application, pool, registration, view.quarantine, lambda: None, events, metrics
+        )
+        parts = (events, metrics, tracer, dialect, requests, crashes)
+        side = UpstreamSide(cfg.service, application, view, pool, *parts)
         if cfg.registration is not None:
             changed = RegistrationChanged()
             discovery = ApplicationDiscovery(view, application, dialect, lambda: agent.post(changed), events)
             on_change, on_rival = (lambda: agent.post(changed)), discovery.resolve_rival
-            registrar = Registrar(registration, on_change, on_rival, events, view.may_have_service)
+            registrar = Registrar(
+                registration, on_change, on_rival, events, view.may_have_service, crashes.note_restart
+            )
             add_server("registration", cfg.registration, interface.make_registration_side(registrar))
             kernel.add(discovery)
         else:
--- a/packages/lanedock/lanedock/errors.py
+++ b/packages/lanedock/lanedock/errors.py
@@ -143,6 +143,11 @@
     )
     BODY_TOO_LONG = ("LD3013", "The request's body is longer than the version in force allows.", "Send less.")
     BAD_REQUEST = ("LD3010", "The request is malformed and was not passed on.", "Mend the request.")
+    UPSTREAM_CRASHED = (
+        "LD3015",
+        "The upstream's application ended while it ran the request.",
+        "Find out whether it ran before sending it again.",
+    )
     NOT_HELD = (
         "LD3011",
         "The daemon's version does not hold the service that the request names.",
--- /dev/null
+++ b/packages/lanedock/lanedock/quarantine/__init__.py
@@ -0,0 +1,20 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Requests that crash the upstreams that run them: how they are told apart, and kept away."""
+
+from lanedock.quarantine.core import MAX_CRASHES, Quarantine
+from lanedock.quarantine.fingerprint import BODY_LIMIT, Fingerprint, RequestHasher
+from lanedock.quarantine.outbox import SuspicionOutbox
+from lanedock.quarantine.runs import Run, RunRegistry
+from lanedock.quarantine.served import RecentlyServed
+
+__all__ = [
+    "BODY_LIMIT",
+    "MAX_CRASHES",
+    "Fingerprint",
+    "Quarantine",
+    "RecentlyServed",
+    "RequestHasher",
+    "Run",
+    "RunRegistry",
+    "SuspicionOutbox",
+]
--- /dev/null
+++ b/packages/lanedock/lanedock/quarantine/runs.py
@@ -0,0 +1,115 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""What runs on an application, and what was running when it ended."""
+
+from lanedock.quarantine.fingerprint import Fingerprint, RequestHasher
+
+__all__ = ["Run", "RunRegistry"]
+
+# Seconds for which a run whose connection broke is a suspect, should its application turn
+# out to have ended: where that isn't seen at once, its next start shows it, and an
+# application is back within this time or not soon.
+LOST_KEPT = 10.0
+# Seconds for which a run that nobody waits for any more is one: an application that
+# minds that its caller has gone has dropped it by then.
+ABANDONED_KEPT = 0.5
+# Runs that have ended and are kept; more than an application has slots.
+MAX_ENDED = 256
+
+
+class Run:
+    """A request that was passed on to an application.
+
+    Parameters
+    ----------
+    hasher : RequestHasher
+        Has taken in as much of the body as was passed on.
+    now : float
+        Monotonic, seconds.
+
+    Attributes
+    ----------
+    ended_at : float or None
+        None while it is in progress.
+    is_lost : bool
+        Whether its connection broke before its answer was whole.
+    is_suspected : bool
+        Whether it was among those that ran when the application ended.
+    """
+
+    __slots__ = ("ended_at", "hasher", "is_lost", "is_suspected", "started_at")
+
+    def __init__(self, hasher: RequestHasher, now: float):
+        self.hasher = hasher
+        self.started_at = now
+        self.ended_at: float | None = None
+        self.is_lost = False
+        self.is_suspected = False
+
+    def is_recent(self, now: float) -> bool:
+        """Tell whether it may have been in progress until lately."""
+        if self.ended_at is None:
+            return True
+        return now - self.ended_at <= (LOST_KEPT if self.is_lost else ABANDONED_KEPT)
+
+
+class RunRegistry:
+    """The runs on one application. Pure; times are monotonic, in seconds."""
+
+    def __init__(self):
+        self._running: dict[Run, None] = {}
+        self._ended: dict[Run, None] = {}
+
+    def __repr__(self) -> str:
+        return f"<RunRegistry running={len(self._running)} ended={len(self._ended)}>"
+
+    def begin(self, hasher: RequestHasher, now: float) -> Run:
+        """Note that a request is passed on."""
+        run = Run(hasher, now)
+        self._running[run] = None
+        return run
+
+    def end(self, run: Run) -> None:
+        """Note that a run was answered, or refused by the application, which then has not ended of it."""
+        self._running.pop(run, None)
+
+    def abandon(self, run: Run, is_lost: bool, now: float) -> None:
+        """Note that no answer will come of a run.
+
+        Parameters
+        ----------
+        run : Run
+        is_lost : bool
+            Whether its connection broke; otherwise nobody waits for it any more.
+        now : float
+        """
+        if run not in self._running:
+            return
+        del self._running[run]
+        run.ended_at, run.is_lost = now, is_lost
+        if run.is_suspected:
+            return
+        self._ended[run] = None
+        if len(self._ended) > MAX_ENDED:
+            del self._ended[next(iter(self._ended))]
+
+    def has_survivor(self, since: float) -> bool:
+        """Tell whether a run that was in progress at a time still is: the application can't have ended then."""
+        return any(run.started_at < since for run in self._running)
+
+    def take_suspects(self, now: float, has_restarted: bool) -> list[Fingerprint]:
+        """Return what ran on an application when it ended; each run once.
+
+        Parameters
+        ----------
+        now : float
+        has_restarted : bool
+            Whether that was noticed by its next start only, on which other requests
+            may run already.
+        """
+        ended, self._ended = self._ended, {}
+        runs = [run for run in ended if run.is_recent(now) and (run.is_lost or not has_restarted)]
+        if not has_restarted:
+            runs += self._running
+        for run in runs:
+            run.is_suspected = True
+        return list({run.hasher.fingerprint(): None for run in runs})
--- a/packages/lanedock/lanedock/telemetry/events.py
+++ b/packages/lanedock/lanedock/telemetry/events.py
@@ -206,6 +206,25 @@
         "An upstream's daemon refused a request unseen: by which limit (slots, or its link), and the load against it.",
         "Add upstreams where it is the load; where it is the link, a wider one helps, too.",
     )
+    UPSTREAM_CRASHED = (
+        540,
+        logging.WARNING,
+        "The application beside the daemon has ended without notice: the requests that ran on it, by digest, but for "
+        "those that it had lately served.",
+        "Look at the application; where the same digest comes again, at that request.",
+    )
+    REQUEST_QUARANTINED = (
+        541,
+        logging.ERROR,
+        "Several applications have ended while they ran this request; it is not passed on any more.",
+        "See `crashes` for them; REQUEST_REFUSED with this digest and code LD3014 names the target.",
+    )
+    SUSPECT_CLEARED = (
+        542,
+        logging.INFO,
+        "A request that ran beside an application's end was served, so it was not the cause.",
+        "None.",
+    )
     REQUEST_TOTALS = (
         530,
         logging.INFO,
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -24,6 +24,7 @@
     "findings": {"errors"},
     "kernel": {"errors"},
     "limits": {"config", "errors", "averages"},
+    "quarantine": {"wire"},
     "membership": {"errors", "findings", "wire"},
     "rollout": {"config", "errors", "findings", "membership", "wire"},
     "routing": {"config", "membership", "wire", "averages"},
