--- a/packages/lanedock-daemon/lanedock_daemon/agent/discovery.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/discovery.py
@@ -8,12 +8,12 @@
 """
 
 import string
-import time
 from urllib.parse import quote
 
 import gevent
 from gevent.event import Event as Signal
 
+from lanedock.clock import awake
 from lanedock.kernel import Kernel, Service
 from lanedock.membership import UpstreamRegistration
 from lanedock.telemetry import Event, EventLogger
@@ -108,7 +108,7 @@
     def _take(self, facts: HealthFacts) -> None:
         """Take over which incarnation the application says it is."""
         registration = self._registration
-        now = time.monotonic()
+        now = awake()
         if registration.rival is not None:
             is_changed = registration.settle(facts.upstream, now)
             self._events.emit(
--- a/packages/lanedock-daemon/lanedock_daemon/agent/registration.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/registration.py
@@ -9,8 +9,8 @@
 """
 
 import re
-import time
 
+from lanedock.clock import awake
 from lanedock.errors import ErrorCode, LanedockError
 from lanedock.findings import FieldReader, Finding, FindingsError, Place
 from lanedock.membership import Heartbeat, UpstreamRegistration
@@ -78,7 +78,7 @@
         """
         registration = self._registration
         before, was_leaving = registration.incarnation, registration.is_leaving
-        is_changed = registration.beat(heartbeat, time.monotonic())
+        is_changed = registration.beat(heartbeat, awake())
         if registration.lacks_start(heartbeat):
             raise LanedockError(ErrorCode.BAD_REQUEST, f"{heartbeat!r}: its start is due")
         if registration.rival is heartbeat:
@@ -123,7 +123,7 @@
             endpoint.service,
             endpoint.ended,
             endpoint.slots,
-            time.monotonic(),
+            awake(),
             endpoint.upstream_started,
         ):
             self._events.emit(Event.UPSTREAM_ADOPTED, upstream=endpoint.upstream, leaving=endpoint.ended)
--- a/packages/lanedock-daemon/lanedock_daemon/agent/report.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/report.py
@@ -3,6 +3,7 @@
 
 import time
 
+from lanedock.clock import awake
 from lanedock.settings import Settings
 from lanedock.wire import messages
 from lanedock_daemon.agent.view import LocalView
@@ -99,5 +100,5 @@
         endpoint.upstream = registration.upstream
         endpoint.upstream_started = registration.incarnation.started
         endpoint.slots = registration.slots
-        endpoint.cold_ms = int(1000 * registration.cold_left(time.monotonic()))
+        endpoint.cold_ms = int(1000 * registration.cold_left(awake()))
         endpoint.revision = revision
--- a/packages/lanedock-daemon/lanedock_daemon/agent/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/service.py
@@ -2,8 +2,8 @@
 """The agent's task."""
 
 import random
-import time
 
+from lanedock.clock import awake, monotonic
 from lanedock.kernel import Kernel, TaskService
 from lanedock.settings import Address, Settings
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics
@@ -82,7 +82,7 @@
         self._metrics = metrics
         rng = random.Random()
         self._search = SourceSearch(settings.daemon.control, rng, settings.zone)
-        self._freshness = SourceFreshness(settings.daemon.staleness_limit_ms / 1000, time.monotonic())
+        self._freshness = SourceFreshness(settings.daemon.staleness_limit_ms / 1000, monotonic())
         self._scouts = Scouts()
         self._better: Address | None = None
         self._answered_in = 0.0
@@ -144,8 +144,8 @@
         self._advance()
 
     def on_tick(self) -> None:
-        now = time.monotonic()
-        if self._view.upstream is not None and self._view.upstream.check_silence(now):
+        now = monotonic()
+        if self._view.upstream is not None and self._view.upstream.check_silence(awake()):
             self._events.emit(Event.UPSTREAM_SILENT, upstream=self._view.upstream.upstream)
         if not self._view.note_alive():
             self._events.emit(Event.SUSPENDED, version=self._holder.in_force_version.number)
@@ -281,7 +281,7 @@
             message.floor_token = self._floor_token
         message.attestations.extend(self._attestations)
         self._attestations = []
-        message.suspicions.extend(self._quarantine.take_news(self._suspicions, time.monotonic()))
+        message.suspicions.extend(self._quarantine.take_news(self._suspicions, monotonic()))
         return message
 
     def _wants_floor(self) -> bool:
@@ -299,7 +299,7 @@
         stream = self._drop_stream()
         self._scouts.end_all()
         self._answered_in = 0.0
-        now = time.monotonic()
+        now = monotonic()
         self._connect_at = now + self._search.note_failure(now, self._view.bind() is None)
         self._events.emit(Event.SOURCE_LOST, address=stream.address, reason=reason)
 
@@ -310,7 +310,7 @@
             self._scouts.end(scout)
 
     def _on_source_sent(self, item: SourceSent) -> None:
-        now = time.monotonic()
+        now = monotonic()
         scout = self._scouts.find(item.stream)
         if scout is not None:
             self._on_scout_answer(scout, item.message, now)
@@ -386,14 +386,14 @@
 
     def _on_child_arrived(self, item: ChildArrived) -> None:
         self._refresh_source()
-        freshness = self._relayed_freshness(time.monotonic())
+        freshness = self._relayed_freshness(monotonic())
         self._relay.greet(item.session, item.message, self._view.whole_update, *freshness)
 
     # ----------------------------------------------------------------- advance
 
     def _advance(self) -> None:
         """Report to the source what has changed, and send daemons downstream what they lack."""
-        now = time.monotonic()
+        now = monotonic()
         if self._relay is not None:
             self._refresh_source()
             self._relay.flush()
--- a/packages/lanedock-daemon/lanedock_daemon/agent/tests/sources.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/tests/sources.py
@@ -42,16 +42,25 @@
 
 
 class _Clock:
-    """Stands in for the module `time`."""
+    """Stands in for `lanedock.clock`.
+
+    Attributes
+    ----------
+    now : float
+        Seconds that pass for everyone.
+    suspended : float
+        Those of them in which the daemon's instance was suspended.
+    """
 
     def __init__(self):
         self.now = 1000.0
+        self.suspended = 0.0
 
     def monotonic(self) -> float:
         return self.now
 
-    def time_ns(self) -> int:
-        return int(self.now * 1e9)
+    def awake(self) -> float:
+        return self.now - self.suspended
 
 
 class ControlInstance:
@@ -239,7 +248,9 @@
         rng = Random(seed)
         self.clock = _Clock()
         for module in (service_module, view_module):
-            monkeypatch.setattr(module, "time", self.clock)
+            monkeypatch.setattr(module, "monotonic", self.clock.monotonic)
+        monkeypatch.setattr(service_module, "awake", self.clock.awake)
+        self._resumes_at = 0.0
         self.phase = rng.uniform(0, 5.0)
         self.accepted = None
         self.link_delay = _DELAY
@@ -277,12 +288,30 @@
         heapq.heappush(self._queue, (when, next(self._order), function, arguments))
 
     def post(self, message: object) -> None:
-        self.agent.on_messages([message])
+        if self.clock.now < self._resumes_at:
+            # It lies in a socket until the daemon runs again.
+            self.at(self._resumes_at, self.post, message)
+        else:
+            self.agent.on_messages([message])
 
     def _tick(self) -> None:
+        if self.clock.now < self._resumes_at:
+            self.at(self._resumes_at, self._tick)
+            return
         self.agent.on_tick()
         self.at(self.clock.now + service_module.TICK, self._tick)
 
+    def suspend(self, seconds: float) -> None:
+        """Suspend the daemon's instance; the others run on."""
+        self._resumes_at = self.clock.now + seconds
+        started = self.clock.now
+        while self._queue and self._queue[0][0] < self._resumes_at:
+            when, _, function, arguments = heapq.heappop(self._queue)
+            self.clock.now = max(self.clock.now, when)
+            function(*arguments)
+        self.clock.now = self._resumes_at
+        self.clock.suspended += self._resumes_at - started
+
     def run(self, seconds: float, until=lambda: False) -> float:
         """Let time pass until a condition holds; returns how long it took, in seconds."""
         started = self.clock.now
--- a/packages/lanedock-daemon/lanedock_daemon/agent/view.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/view.py
@@ -2,8 +2,8 @@
 """What the agent publishes to the request path."""
 
 import random
-import time
 
+from lanedock.clock import monotonic
 from lanedock.config import CallerLimits, MeshConfig, is_service_group
 from lanedock.limits import RetryBudget, SavingBudget, SlotLimiter
 from lanedock.membership import freshness
@@ -73,7 +73,7 @@
         self._newer_since = 0.0
         self._zone = zone
         self._stall_limit = stall_limit
-        self._alive_at = time.monotonic()
+        self._alive_at = monotonic()
         self._rng = random.Random()
         self._work: SlotLimiter | None = None
         self._endpoints: dict[str, messages.Endpoint] = {}
@@ -127,7 +127,7 @@
         if number <= self.holder.in_force_version.number:
             return
         if self._newer <= self.holder.in_force_version.number:
-            self._newer_since = time.monotonic()
+            self._newer_since = monotonic()
         self._newer = max(self._newer, number)
 
     def set_work(self, limiter: SlotLimiter) -> None:
@@ -177,11 +177,11 @@
         stalled = self._has_stalled()
         if stalled:
             self.holder.suspend()
-        self._alive_at = time.monotonic()
+        self._alive_at = monotonic()
         return not stalled
 
     def _has_stalled(self) -> bool:
-        return time.monotonic() - self._alive_at > self._stall_limit
+        return monotonic() - self._alive_at > self._stall_limit
 
     def take_endpoints(self, update: messages.EndpointUpdate) -> None:
         """Accept a change of endpoints."""
@@ -236,4 +236,4 @@
 
     def _fill(self, service: str, balancer: Balancer) -> None:
         mine = [endpoint for endpoint in self._endpoints.values() if endpoint.service == service]
-        balancer.set_endpoints(mine, time.monotonic())
+        balancer.set_endpoints(mine, monotonic())
--- a/packages/lanedock-daemon/lanedock_daemon/control/distribution.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/distribution.py
@@ -2,8 +2,8 @@
 """A control instance's sessions with daemons: admission, relays, floors."""
 
 import hashlib
-import time
 
+from lanedock.clock import monotonic
 from lanedock.limits import Admission
 from lanedock.quarantine import Quarantine
 from lanedock.rollout import Distributor, VersionSource
@@ -71,7 +71,7 @@
 
     def arrive(self, session: Session, message: messages.DaemonMessage, endpoints) -> None:
         """Admit a daemon, refer it to a relay, or refuse it with a time to try again."""
-        now = time.monotonic()
+        now = monotonic()
         wait = self._admission.ask(now)
         if wait > 0:
             refusal = messages.ControlMessage()
--- a/packages/lanedock-daemon/lanedock_daemon/control/leader.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/leader.py
@@ -3,6 +3,7 @@
 
 import time
 
+from lanedock.clock import monotonic
 from lanedock.consensus import RaftReplica
 from lanedock.membership import Instance
 from lanedock.rollout import FleetView, RolloutCoordinator, RolloutPolicy
@@ -131,6 +132,6 @@
             self._submissions.advance(self._log.state.records, self._look_up)
 
     def _look_up(self, version: int, allowed_zones: set[str]):
-        progress = self._coordinator.progress(version, allowed_zones, time.monotonic())
+        progress = self._coordinator.progress(version, allowed_zones, monotonic())
         cut_off = [name for name in self.fleet.missing() if self.fleet.zone_of(name) in allowed_zones]
         return progress, cut_off
--- a/packages/lanedock-daemon/lanedock_daemon/control/log.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/log.py
@@ -2,10 +2,10 @@
 """The driver of the consensus core: disk, messages, applied state."""
 
 import secrets
-import time
 
 import gevent
 
+from lanedock.clock import monotonic
 from lanedock.consensus import FileStorage, HardState, LogSnapshot, RaftReplica, ReplicaRole, StorageError
 from lanedock.errors import ErrorCode
 from lanedock.rollout import MeshState, SubmitResult
@@ -115,11 +115,11 @@
     @property
     def is_current_leader(self) -> bool:
         """Whether this replica leads and has applied all that was accepted before."""
-        return self.replica.is_leader(time.monotonic()) and self.replica.has_own_commit(self._applied)
+        return self.replica.is_leader(monotonic()) and self.replica.has_own_commit(self._applied)
 
     def propose(self, command: messages.Command) -> int | None:
         """Propose a command; returns its index, or None where this is no leader."""
-        return self.replica.propose(command.SerializeToString(), time.monotonic())
+        return self.replica.propose(command.SerializeToString(), monotonic())
 
     def pump(self) -> list[AppliedEntry]:
         """Do what the core has gathered.
@@ -159,12 +159,12 @@
         replica = self.replica
         last_index = replica.log.last_index
         hard_state = HardState(replica.term, replica.voted_for)
-        started = time.monotonic()
+        started = monotonic()
         if ready.snapshot is not None:
             _run_in_thread(self._storage.replace, ready.snapshot, hard_state, ready.entries)
         else:
             _run_in_thread(self._storage.save, hard_state if ready.hard_state_changed else None, ready.entries)
-        now = time.monotonic()
+        now = monotonic()
         self._metrics.time(Metric.SYNC, now - started)
         replica.persisted(last_index, now)
 
--- a/packages/lanedock-daemon/lanedock_daemon/control/peers.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/peers.py
@@ -3,10 +3,10 @@
 
 import asyncio
 import random
-import time
 
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
+from lanedock.clock import monotonic
 from lanedock.consensus.core import replica_name
 from lanedock.kernel.loop import LoopService
 from lanedock.settings import Address
@@ -45,12 +45,12 @@
     async def run(self) -> None:
         delay = RECONNECT_MIN
         while True:
-            opened_at = time.monotonic()
+            opened_at = monotonic()
             try:
                 await self._stream()
             except (TimeoutError, OSError, GRPCError, StreamTerminatedError):
                 pass
-            delay = RECONNECT_MIN if time.monotonic() - opened_at > RECONNECT_MAX else min(delay * 2, RECONNECT_MAX)
+            delay = RECONNECT_MIN if monotonic() - opened_at > RECONNECT_MAX else min(delay * 2, RECONNECT_MAX)
             await asyncio.sleep(random.uniform(0, delay))
 
     async def _stream(self) -> None:
--- a/packages/lanedock-daemon/lanedock_daemon/control/queries.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/queries.py
@@ -1,9 +1,9 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """Operators' questions that wait for their answer: status, history, contents."""
 
-import time
 from collections.abc import Callable
 
+from lanedock.clock import monotonic
 from lanedock.consensus.core import replica_name
 from lanedock.errors import ErrorCode
 from lanedock.rollout import FleetView
@@ -39,7 +39,7 @@
 
     def ask(self, item) -> None:
         """Accept a question."""
-        self._waiting.append((item, time.monotonic() + PATIENCE))
+        self._waiting.append((item, monotonic() + PATIENCE))
 
     def abandon_all(self) -> None:
         """Answer all questions without knowledge."""
--- a/packages/lanedock-daemon/lanedock_daemon/control/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/service.py
@@ -2,8 +2,8 @@
 """The control task: it owns the replica, and all that acts on what the log holds."""
 
 import random
-import time
 
+from lanedock.clock import monotonic
 from lanedock.consensus import FileStorage, RaftReplica, StorageError, Timing
 from lanedock.consensus.core import replica_name
 from lanedock.errors import ErrorCode
@@ -84,7 +84,7 @@
             StatusRequested: lambda item: self._queries.ask(item),
             HistoryRequested: lambda item: self._queries.ask(item),
             ShowRequested: lambda item: self._queries.ask(item),
-            ReadRequested: lambda item: self._reads.ask(item.call, time.monotonic()),
+            ReadRequested: lambda item: self._reads.ask(item.call, monotonic()),
             SeedsChanged: lambda item: self._on_seeds(item.control),
         }
 
@@ -109,7 +109,7 @@
             hard_state.voted_for,
             Timing.for_election(cfg.election_ms / 1000),
             random.Random(),
-            time.monotonic(),
+            monotonic(),
             tuple(others),
             cfg.replace_after_ms / 1000 if self._is_seeded else None,
         )
@@ -173,7 +173,7 @@
     def on_tick(self) -> None:
         if self._log.is_broken:
             return
-        now = time.monotonic()
+        now = monotonic()
         self._log.replica.tick(now)
         self._note_leader()
         self._sessions.send_heartbeats(now, *self._freshness(now))
@@ -184,7 +184,7 @@
 
     def _on_peer(self, item: PeerMessageArrived) -> None:
         message = item.message
-        now = time.monotonic()
+        now = monotonic()
         self._links.note_heard(message.sender, now)
         body = message.WhichOneof("body")
         if body == "fleet_report":
@@ -214,22 +214,22 @@
         return self._log.state.accepted_version.number, self._log.replica.silence(now)
 
     def _on_child_arrived(self, item: ChildArrived) -> None:
-        freshness = self._freshness(time.monotonic())
+        freshness = self._freshness(monotonic())
         is_admitted = self._sessions.greet(item.session, item.message, self._directory.whole_update, *freshness)
         if is_admitted:
             self._directory.greet(item.session)
-        self._directory.note_state(item.session, item.message, time.monotonic())
+        self._directory.note_state(item.session, item.message, monotonic())
 
     def _on_child_reported(self, item: ChildReported) -> None:
         self._sessions.receive(item.session, item.message)
-        self._directory.note_state(item.session, item.message, time.monotonic())
+        self._directory.note_state(item.session, item.message, monotonic())
 
     def _on_child_left(self, item: ChildLeft) -> None:
         self._sessions.leave(item.session)
-        self._directory.leave(item.session, time.monotonic())
+        self._directory.leave(item.session, monotonic())
 
     def _on_list(self, item: ListRead) -> None:
-        now = time.monotonic()
+        now = monotonic()
         self._directory.take_list(item.instances, now)
         self._leader.take_list(item.instances, now)
 
@@ -251,7 +251,7 @@
 
     def _on_submit(self, item: SubmitRequested) -> None:
         version = item.tree.version
-        submission = Submission(item.call, item.request, version, time.monotonic(), self._settle_time())
+        submission = Submission(item.call, item.request, version, monotonic(), self._settle_time())
         refusal = self.refuse_unless_leading(item.request)
         if refusal is not None:
             item.call.finish(refusal)
@@ -280,7 +280,7 @@
         except StorageError as exc:
             self._break(exc)
             return
-        now = time.monotonic()
+        now = monotonic()
         self._directory.broadcast(now)
         self._sessions.flush()
         self._directory.advance(now)
@@ -289,7 +289,7 @@
         self._queries.advance(self._log, self._leader.fleet, now)
 
     def _pump(self) -> None:
-        now = time.monotonic()
+        now = monotonic()
         for token in (self._sessions.next_read(now), self._reads.next_read(now)):
             if token is not None:
                 self._log.replica.request_read(token, now)
--- a/packages/lanedock-daemon/lanedock_daemon/control/submissions.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/submissions.py
@@ -3,6 +3,7 @@
 
 import time
 
+from lanedock.clock import monotonic
 from lanedock.config import ConfigTree, Version
 from lanedock.errors import ErrorCode
 from lanedock.rollout import RolloutProgress, SubmitResult, Verdict, fill_content
@@ -157,7 +158,7 @@
             Takes a version's number and the allowed zones, returns a
             RolloutProgress and the names of instances missing in those zones.
         """
-        now = time.monotonic()
+        now = monotonic()
         for index, submission in list(self._proposed.items()):
             if now >= submission.deadline:
                 del self._proposed[index]
--- a/packages/lanedock-daemon/lanedock_daemon/control/tests/test_distribution.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/tests/test_distribution.py
@@ -1,10 +1,9 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """Tests of a control instance's sessions with daemons."""
 
-import time
-
 import pytest
 
+from lanedock.clock import monotonic
 from lanedock.settings import ControlSettings
 from lanedock.telemetry import NullMetrics
 from lanedock.wire import messages
@@ -121,7 +120,7 @@
     sessions = _make_sessions()
     silent, other = _arrive(sessions, "silent"), _arrive(sessions, "other")
     sessions.take_report(whole=True)
-    arrived = time.monotonic()
+    arrived = monotonic()
     sessions.send_heartbeats(arrived + SILENCE_LIMIT - HEARTBEAT_INTERVAL, 1, 0.0)
     assert not (silent.is_closed or sessions.is_report_due())
     other.heard_at = arrived + SILENCE_LIMIT
@@ -135,7 +134,7 @@
     sessions = _make_sessions()
     silent = _arrive(sessions, "d")
     again = _arrive(sessions, "d")
-    arrived = time.monotonic()
+    arrived = monotonic()
     again.heard_at = arrived + SILENCE_LIMIT
     sessions.send_heartbeats(arrived + SILENCE_LIMIT + HEARTBEAT_INTERVAL, 1, 0.0)
     assert silent.is_closed and not again.is_closed
--- a/packages/lanedock-daemon/lanedock_daemon/framed_links.py
+++ b/packages/lanedock-daemon/lanedock_daemon/framed_links.py
@@ -2,10 +2,10 @@
 """Links between control instances in the framed transport."""
 
 import random
-import time
 
 import gevent
 
+from lanedock.clock import monotonic
 from lanedock.consensus.core import replica_name
 from lanedock.kernel import TaskService
 from lanedock.settings import Address
@@ -36,14 +36,14 @@
         self._context = context
         self._queue: list[bytes] = []
         self._writer: FrameWriter | None = None
-        self.heard_at = time.monotonic()
-        self.used_at = time.monotonic()
+        self.heard_at = monotonic()
+        self.used_at = monotonic()
         self._confirmed_at: float | None = None
         self.task = None
 
     def put(self, data: bytes) -> None:
         """Send a message, or keep it; the protocol bears the loss of the oldest."""
-        self.used_at = time.monotonic()
+        self.used_at = monotonic()
         if self._writer is not None:
             self._writer.put(data)
             return
@@ -53,13 +53,13 @@
     def run(self) -> None:
         """Keep a connection, and open it anew when it breaks; ends where the link is not used any more."""
         delay = RECONNECT_MIN
-        while time.monotonic() - self.used_at < UNUSED_LIMIT:
-            opened_at = time.monotonic()
+        while monotonic() - self.used_at < UNUSED_LIMIT:
+            opened_at = monotonic()
             try:
                 self._exchange(opened_at)
             except OSError:
                 pass  # the peer is away: tried again below
-            lasted = time.monotonic() - opened_at
+            lasted = monotonic() - opened_at
             delay = RECONNECT_MIN if lasted > RECONNECT_MAX else min(delay * 2, RECONNECT_MAX)
             gevent.sleep(random.uniform(0, delay))
 
@@ -79,7 +79,7 @@
 
     def _note_confirmed(self, data: bytes) -> None:
         """Note that the peer receives what is sent over this connection."""
-        self._confirmed_at = time.monotonic()
+        self._confirmed_at = monotonic()
 
     def _watch(self, conn, opened_at: float) -> None:
         """End the connection when it is used and nothing is heard from the peer.
@@ -91,7 +91,7 @@
             # As often as confirmations come: looked at twice within the limit, links were opened
             # anew up to 2.3 s after they had fallen silent instead of 1.8 s (40 on loopback).
             gevent.sleep(SILENCE_LIMIT / CONFIRMATIONS)
-            now = time.monotonic()
+            now = monotonic()
             heard_at = self.heard_at if self._confirmed_at is None else self._confirmed_at
             silent = now - max(heard_at, opened_at) > SILENCE_LIMIT
             if silent and now - self.used_at < SILENCE_LIMIT:
@@ -153,7 +153,7 @@
 
     def confirm() -> None:
         nonlocal confirmed_at
-        now = time.monotonic()
+        now = monotonic()
         if now - confirmed_at >= SILENCE_LIMIT / CONFIRMATIONS:
             confirmed_at = now
             conn.sendall(EMPTY_FRAME)
--- a/packages/lanedock-daemon/lanedock_daemon/path/body_gate.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/body_gate.py
@@ -1,10 +1,9 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """Holds requests until their bodies may come over the daemon's link."""
 
-import time
-
 from gevent.event import Event as Signal
 
+from lanedock.clock import monotonic
 from lanedock.errors import ErrorCode
 from lanedock.limits import QUEUE_TIME, AdmissionRequest, BodyAdmission, BodyTransfer, Refused, SlotLimiter
 from lanedock.telemetry import Metric, Metrics
@@ -36,7 +35,7 @@
             piece, self._fetched = self._fetched[:size], self._fetched[size:]
             return piece
         piece = self.uncounted.read(size, deadline)
-        now = time.monotonic()
+        now = monotonic()
         if piece:
             self._bodies.note(self.transfer, len(piece), now)
         else:
@@ -93,7 +92,7 @@
         body = request.body
         if not body.is_asked_for:
             return None
-        now = time.monotonic()
+        now = monotonic()
         # Nobody waits for the link who then gets no slot in time.
         refused = self._limiter.judge(traffic_class, wanted, now)
         if refused is not None:
@@ -107,7 +106,7 @@
         try:
             while not (transfer.is_admitted or transfer.is_evicted) and now < expires_at:
                 admitted.wait(min(QUEUE_TIME, expires_at - now))
-                now = time.monotonic()
+                now = monotonic()
                 self._bodies.update(now)
         except StopTimeout:
             self._bodies.end(transfer, now)
@@ -121,7 +120,7 @@
     def begin(self, request: Request) -> bool:
         """Note that a body is asked for now, with a slot at hand; False where it has to `enter` again."""
         body = request.body
-        if not isinstance(body, _CountedBody) or self._bodies.begin(body.transfer, time.monotonic()):
+        if not isinstance(body, _CountedBody) or self._bodies.begin(body.transfer, monotonic()):
             return True
         self.leave(request)
         request.body = body.uncounted
@@ -148,5 +147,5 @@
     def leave(self, request: Request) -> None:
         """Note that a request is over: what hasn't come of its body won't."""
         if isinstance(request.body, _CountedBody):
-            self._bodies.end(request.body.transfer, time.monotonic())
+            self._bodies.end(request.body.transfer, monotonic())
             self._metrics.gauge(Metric.BODY_BYTES, self._bodies.outstanding)
--- a/packages/lanedock-daemon/lanedock_daemon/path/caller.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller.py
@@ -1,9 +1,9 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """The caller's side of the path: match, choose, send, and retry."""
 
-import time
 from random import Random
 
+from lanedock.clock import monotonic
 from lanedock.config import Route
 from lanedock.errors import ErrorCode
 from lanedock.kernel import StopPlan
@@ -138,19 +138,19 @@
     def handle(self, request: Request) -> Answer:
         """Answer a request."""
         self._metrics.count(Metric.REQUESTS)
-        started = time.monotonic()
+        started = monotonic()
         span = self._tracer.start(f"{request.method} caller", request.header(TRACE_HEADER))
         facts = self._dialect.read_request(request.headers)
         log = self._requests.begin(facts.request_id, started)
         try:
             answer = self._route(request, facts, span, started, log)
         except BaseException as exc:
-            self._requests.totals.note("caller", log.route, "cancelled", time.monotonic() - started)
+            self._requests.totals.note("caller", log.route, "cancelled", monotonic() - started)
             log.note(Event.REQUEST_ANSWERED, outcome="cancelled", reason=type(exc).__name__)
             self._metrics.count(Metric.OUTCOMES, 1, ("", "cancelled"))
             self._requests.end(log, True)
             raise
-        taken = time.monotonic() - started
+        taken = monotonic() - started
         self._metrics.time(Metric.LATENCY, taken)
         span.end(**{"http.status_code": answer.status, "http.target": request.path})
         outcome = _outcome(answer)
@@ -236,7 +236,7 @@
         """Choose a service of the route, and gather what the tries of a request need; times in seconds."""
         service = binding.config.services[choose_service(route, self._rng)]
         headers.append((SERVICE_HEADER, write_name(service.name)))
-        now = time.monotonic()
+        now = monotonic()
         budget = self._view.budget(service.name)
         budget.note_first_try(now)
         request.body = ReplayBody(request.body, REPLAY_LIMIT)
@@ -256,7 +256,7 @@
         """Try upstreams until one answers, or trying again would be wrong."""
         route, body = job.route, job.request.body
         for attempt in range(1, route.max_attempts * REFUSALS_PER_ATTEMPT + 1):
-            now = time.monotonic()
+            now = monotonic()
             if now >= job.deadline:
                 return progress.failure or self._refuse(ErrorCode.DEADLINE)
             # The deadline bounds the time to the answer's head; its body may go on beyond it.
@@ -289,7 +289,7 @@
 
     def _may_send_again(self, job: Job, is_charged: bool) -> bool:
         """Tell whether the budget allows another try; one that no application has seen costs nothing."""
-        now = time.monotonic()
+        now = monotonic()
         may_spend = not is_charged or job.budget.spend(now)
         left = job.budget.left(now)
         job.log.note(Event.REQUEST_SENT_AGAIN, sent=may_spend, charged=is_charged, budget=round(left, 1))
--- a/packages/lanedock-daemon/lanedock_daemon/path/channel.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/channel.py
@@ -10,11 +10,11 @@
 
 import _socket
 import struct
-import time
 
 from gevent import get_hub, getcurrent
 from gevent.socket import wait_write
 
+from lanedock.clock import monotonic
 from lanedock_daemon.path.http import NEVER
 
 __all__ = ["Channel"]
@@ -153,10 +153,10 @@
         if not self._watcher.active:
             self._watcher.start(self._on_readable)
         if self._timeout is not None:
-            self._arm(time.monotonic() + self._timeout)
+            self._arm(monotonic() + self._timeout)
         elif self._deadline == NEVER:
             self._expires_at = NEVER
-        elif self._deadline <= time.monotonic():
+        elif self._deadline <= monotonic():
             return False
         else:
             self._arm(self._deadline)
@@ -192,7 +192,7 @@
             if self._timer.active and self._fires_at <= expires_at:
                 return
             self._timer.close()
-        self._start_timer(max(0.0, expires_at - time.monotonic()))
+        self._start_timer(max(0.0, expires_at - monotonic()))
 
     def _start_timer(self, seconds: float) -> None:
         self._fires_at = self._expires_at
@@ -201,7 +201,7 @@
 
     def _on_timer(self) -> None:
         self._timer.stop()
-        left = self._expires_at - time.monotonic()
+        left = self._expires_at - monotonic()
         if self._reader is None or self._expires_at == NEVER:
             return
         if left <= 0:
@@ -231,7 +231,7 @@
         while rest:
             timeout = self._timeout
             if self._deadline != NEVER:
-                timeout = self._deadline - time.monotonic()
+                timeout = self._deadline - monotonic()
                 if timeout <= 0:
                     raise TimeoutError("timed out")
             wait_write(self._sock.fileno(), timeout, TimeoutError("timed out"))
--- a/packages/lanedock-daemon/lanedock_daemon/path/connection.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/connection.py
@@ -2,13 +2,13 @@
 """One caller's connection."""
 
 import socket as plain_socket
-import time
 from collections import deque
 
 import gevent
 from gevent import getcurrent
 from gevent.event import Event as Signal
 
+from lanedock.clock import monotonic
 from lanedock.errors import ErrorCode
 from lanedock_daemon.agent.attest import ALIVE_PATH
 from lanedock_daemon.path.http import HOP_HEADERS, RETRY_AFTER, Answer, Body, Outcome, Request, make_refusal
@@ -60,7 +60,7 @@
     """
 
     def __init__(self, server, conn):
-        self.expires_at = time.monotonic() + IDLE_TIMEOUT
+        self.expires_at = monotonic() + IDLE_TIMEOUT
         self._server = server
         self._conn = conn
         self._reader = RequestReader(conn)
@@ -110,7 +110,7 @@
 
     def end_if_idle(self) -> None:
         """End the connection of a server that stops, unless a request is in progress."""
-        if self.is_idle() or (self._is_closing and self.expires_at <= time.monotonic()):
+        if self.is_idle() or (self._is_closing and self.expires_at <= monotonic()):
             self.expire()
 
     def answer_all(self) -> int:
@@ -187,7 +187,7 @@
     def _note_time(self) -> None:
         if self._is_closing:
             return  # it lingers for a set time
-        now = time.monotonic()
+        now = monotonic()
         header_timeout, idle_timeout = self._server.read_timeouts()
         if self._open is not None:
             self.expires_at = now + BODY_TIMEOUT
@@ -361,7 +361,7 @@
         """
         self._is_closing = True
         self._has_room.set()
-        self.expires_at = time.monotonic() + LINGER
+        self.expires_at = monotonic() + LINGER
         self._conn.shutdown(plain_socket.SHUT_WR)
         if self._open is None and self._server.is_crowded() and not self._server.is_stopping:
             # Its place is wanted for another caller, and hardly anything is on its way.
--- a/packages/lanedock-daemon/lanedock_daemon/path/crashes.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/crashes.py
@@ -6,6 +6,7 @@
 import gevent
 from gevent import socket
 
+from lanedock.clock import monotonic
 from lanedock.membership import Incarnation, UpstreamRegistration
 from lanedock.quarantine import Fingerprint, Quarantine, RecentlyServed, RequestHasher, Run, RunRegistry
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics
@@ -84,7 +85,7 @@
 
     def begin(self, hasher: RequestHasher) -> Run:
         """Note that a request is passed on to the application."""
-        return self._runs.begin(hasher, time.monotonic())
+        return self._runs.begin(hasher, monotonic())
 
     def note_refused(self, run: Run) -> None:
         """Note that the application has refused a request without running it."""
@@ -94,14 +95,14 @@
         """Note that the application has answered a request, which so has not ended it."""
         self._runs.end(run)
         fingerprint = run.hasher.fingerprint()
-        self._served.note(fingerprint, time.monotonic())
+        self._served.note(fingerprint, monotonic())
         if self._quarantine.clear(fingerprint):
             self._events.emit(Event.SUSPECT_CLEARED, suspect=fingerprint)
             self._on_news()
 
     def note_abandoned(self, run: Run) -> None:
         """Note that nobody waits for a run any more, which may go on."""
-        self._runs.abandon(run, False, time.monotonic())
+        self._runs.abandon(run, False, monotonic())
 
     def note_lost(self, run: Run) -> Fingerprint | None:
         """Note that the connection of a run broke; find out whether the application has ended.
@@ -112,7 +113,7 @@
             Of the request, which is suspected then; None where the application goes on, as
             far as is known.
         """
-        now = time.monotonic()
+        now = monotonic()
         self._runs.abandon(run, True, now)
         if not run.is_suspected:
             self._look()
@@ -128,7 +129,7 @@
     def _look(self) -> None:
         """Find out whether the application has ended; one look serves all whose connections broke."""
         if self._check is None or self._check.ready():
-            self._check = gevent.spawn(self._find_out, time.monotonic())
+            self._check = gevent.spawn(self._find_out, monotonic())
         # A task that is killed meanwhile leaves the look to the others.
         self._check.join(timeout=CONNECT_TIMEOUT)
 
@@ -166,7 +167,7 @@
         registration = self._registration
         if registration.is_leaving and registration.incarnation == incarnation:
             return  # it has ended as it was to
-        now = time.monotonic()
+        now = monotonic()
         found = self._runs.take_suspects(now, has_restarted)
         suspects = [fingerprint for fingerprint in found if not self._served.has(fingerprint, now)]
         if not suspects:
--- a/packages/lanedock-daemon/lanedock_daemon/path/exchange.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/exchange.py
@@ -1,9 +1,9 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """One exchange over a pooled connection: a request is sent, its answer is read by httptools' parser."""
 
-import time
 from errno import EHOSTUNREACH, ENETUNREACH, ETIMEDOUT
 
+from lanedock.clock import monotonic
 from lanedock.errors import ErrorCode
 from lanedock.telemetry import Event, EventLogger
 from lanedock_daemon.path.http import CHUNK, Body, BodyBroken, BodyTimeout, Outcome, Request
@@ -234,7 +234,7 @@
             message = reader.next_head()
             if message is None:
                 raise ConnectionError("the connection ended before the answer")
-            self._pool.note_heard(address, time.monotonic())
+            self._pool.note_heard(address, monotonic())
             return UpstreamAnswer(reader, message, self._pool, address)
 
     def close(self) -> None:
@@ -332,7 +332,7 @@
     ExchangeError
         With what is known of the outcome.
     """
-    timeout = deadline - time.monotonic()
+    timeout = deadline - monotonic()
     if timeout <= 0:
         raise ExchangeError(ErrorCode.DEADLINE, Outcome.NOT_RUN, f"{address}: no time is left")
     try:
@@ -361,7 +361,7 @@
     UpstreamAnswer
         Its body is still to be read.
     """
-    return send_request(pool, address, request, headers, time.monotonic() + timeout).read()
+    return send_request(pool, address, request, headers, monotonic() + timeout).read()
 
 
 def _send(
@@ -397,7 +397,7 @@
 def _read_piece(body: Body, size: int, deadline: float) -> bytes:
     """Return the next piece of a body; past the deadline nothing more of it is passed on."""
     piece = body.read(size, deadline)
-    if time.monotonic() >= deadline:
+    if monotonic() >= deadline:
         raise BodyTimeout("the body was not passed on in time")
     return piece
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/incoming.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/incoming.py
@@ -1,12 +1,11 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """Requests that come in on a connection: their bodies, their turns, and who works on them."""
 
-import time
-
 import gevent
 from gevent import get_hub, getcurrent
 from gevent.event import Event as Signal
 
+from lanedock.clock import monotonic
 from lanedock_daemon.path.http import NEVER, Body, BodyBroken, BodyTimeout
 from lanedock_daemon.path.parser import Message
 from lanedock_daemon.path.service import StopTimeout
@@ -82,7 +81,7 @@
         if deadline == NEVER:
             self._arrived.wait()
             return
-        left = deadline - time.monotonic()
+        left = deadline - monotonic()
         if left <= 0:
             raise BodyTimeout("the body has not come in time")
         # A bare timer: the time-out of `wait` takes 5 us, this one 1.
--- a/packages/lanedock-daemon/lanedock_daemon/path/server.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/server.py
@@ -5,12 +5,11 @@
 over it costs several times as much, and it can't notice that a caller has gone.
 """
 
-import time
-
 import gevent
 from gevent import socket
 from gevent.server import StreamServer
 
+from lanedock.clock import monotonic
 from lanedock.kernel import Kernel, StopPlan
 from lanedock.settings import Address
 from lanedock.telemetry import Event, EventLogger
@@ -120,7 +119,7 @@
 
     def is_over(self) -> bool:
         """Tell whether the process stops, and its final answers have been given."""
-        return self._plan.is_begun and time.monotonic() >= self._plan.deadline
+        return self._plan.is_begun and monotonic() >= self._plan.deadline
 
     def take_worker(self) -> Worker:
         """Return a worker that has nothing to do."""
@@ -134,7 +133,7 @@
         while True:
             gevent.sleep(SWEEP_INTERVAL)
             self.limits = self._limits_of()
-            now = time.monotonic()
+            now = monotonic()
             for connection in list(self._connections):
                 if connection.expires_at < now:
                     connection.expire()
--- a/packages/lanedock-daemon/lanedock_daemon/path/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/service.py
@@ -1,12 +1,12 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """What the servers of the request path have in common: start, and a polite stop."""
 
-import time
 from abc import abstractmethod
 
 import gevent
 from gevent.server import StreamServer
 
+from lanedock.clock import monotonic
 from lanedock.errors import ErrorCode, LanedockError
 from lanedock.kernel import Kernel, Service, StopPlan
 from lanedock.settings import Address
@@ -83,7 +83,7 @@
     def begin_stop(self) -> None:
         """Set when the final answers are given, and take no new connections."""
         if self._final is None:
-            now = time.monotonic()
+            now = monotonic()
             self._plan.begin(now)
             self._final = gevent.spawn_later(max(0.0, self._plan.deadline - now), self._answer_rest)
         if not self._closes_last:
@@ -101,7 +101,7 @@
         """Take no new connections, and let requests in progress end."""
         self.begin_stop()
         self._close()
-        while not self._is_idle() and time.monotonic() < self._plan.cut_at:
+        while not self._is_idle() and monotonic() < self._plan.cut_at:
             gevent.sleep(POLL)
         self._final.kill()
         if self.in_progress:
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_closing.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_closing.py
@@ -25,13 +25,12 @@
 one in one packet: the parser's error left the reader before the first one was begun.
 """
 
-import time
-
 import gevent
 import pytest
 from gevent import socket
 from gevent.event import Event
 
+from lanedock.clock import monotonic
 from lanedock.errors import ErrorCode
 from lanedock.kernel import StopPlan
 from lanedock.settings import Address
@@ -212,7 +211,7 @@
         # More than the sockets hold.
         conn.sendall(b"." * UPLOAD_LENGTH)
         assert refused._open.message.size_ahead() <= connection.READ_AHEAD
-        assert refused.expires_at - time.monotonic() <= LIMIT
+        assert refused.expires_at - monotonic() <= LIMIT
 
 
 @pytest.mark.parametrize(
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_deadlines.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_deadlines.py
@@ -18,14 +18,13 @@
 came by itself, or came many times later.
 """
 
-import time
-
 import gevent
 import pytest
 from gevent import socket
 from gevent.event import Event
 from gevent.server import StreamServer
 
+from lanedock.clock import monotonic
 from lanedock.errors import ErrorCode
 from lanedock.wire import messages
 from lanedock_daemon.path.channel import Channel
@@ -214,13 +213,13 @@
 def test_what_has_come_by_the_deadline_is_read_after_it():
     near, far = socket.socketpair()
     channel = Channel(near)
-    channel.set_deadline(time.monotonic() - 1.0)
+    channel.set_deadline(monotonic() - 1.0)
     far.sendall(b"whole")
     assert channel.recv(100) == b"whole"
     with pytest.raises(TimeoutError):
         channel.recv(100)
     # As a connection is that is used again.
-    channel.set_deadline(time.monotonic() + PATIENCE)
+    channel.set_deadline(monotonic() + PATIENCE)
     gevent.spawn(far.sendall, b"next")
     assert channel.recv(100) == b"next"
     channel.close()
--- a/packages/lanedock-daemon/lanedock_daemon/path/tries.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tries.py
@@ -1,10 +1,9 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """One try of a request at one upstream: what is sent, and what its end shows."""
 
-import time
-
 import gevent
 
+from lanedock.clock import monotonic
 from lanedock.config import Route
 from lanedock.errors import ErrorCode
 from lanedock.quarantine import Fingerprint, Quarantine
@@ -82,18 +81,18 @@
 
         Whichever answers first counts; the other one is cancelled.
         """
-        started = time.monotonic()
+        started = monotonic()
         pending = self._begin(job, stats, attempt, started)
         if isinstance(pending, Try):
             return pending
-        hedge_delay = started + job.balancer.hedge_delay(job.route.name) - time.monotonic()
-        if self._is_answering(job, stats, pending, hedge_delay) or time.monotonic() >= job.deadline:
+        hedge_delay = started + job.balancer.hedge_delay(job.route.name) - monotonic()
+        if self._is_answering(job, stats, pending, hedge_delay) or monotonic() >= job.deadline:
             return self._end(job, stats, pending, started)
         pending.note_late(started, self._events, stats.endpoint.instance)
         first = second = made = None
         try:
             first = gevent.spawn(self._end, job, stats, pending, started)
-            now = time.monotonic()
+            now = monotonic()
             other = job.choose(now) if job.budget.left(now) >= 1 else None
             if other is None:
                 made = first.get()
@@ -113,24 +112,24 @@
             if not pending.is_being_read:
                 # The task that was to read it has never run.
                 pending.close()
-                job.balancer.end(stats, False, time.monotonic())
+                job.balancer.end(stats, False, monotonic())
 
     def _is_answering(self, job: Job, stats, pending: PendingAnswer, timeout: float) -> bool:
         """Wait for an answer's beginning; False where it is late."""
         try:
             return pending.wait(timeout)
         except BaseException:
-            job.balancer.end(stats, False, time.monotonic())
+            job.balancer.end(stats, False, monotonic())
             raise
 
     def send(self, job: Job, stats: UpstreamStats, attempt: int) -> Try:
         """Send a request to one upstream, and wait for its answer."""
-        started = time.monotonic()
+        started = monotonic()
         pending = self._begin(job, stats, attempt, started)
         if isinstance(pending, Try):
             return pending
-        timeout = started + job.balancer.hedge_delay(job.route.name) - time.monotonic()
-        if not self._is_answering(job, stats, pending, min(timeout, job.deadline - time.monotonic())):
+        timeout = started + job.balancer.hedge_delay(job.route.name) - monotonic()
+        if not self._is_answering(job, stats, pending, min(timeout, job.deadline - monotonic())):
             pending.note_late(started, self._events, stats.endpoint.instance)
         return self._end(job, stats, pending, started)
 
@@ -172,7 +171,7 @@
         except ExchangeError as exc:
             return self._on_failed(job, stats, exc)
         except BaseException:
-            balancer.end(stats, False, time.monotonic())
+            balancer.end(stats, False, monotonic())
             raise
 
     def _on_failed(self, job: Job, stats, exc: ExchangeError) -> Try:
@@ -189,7 +188,7 @@
         except ExchangeError as exc:
             return self._on_failed(job, stats, exc)
         except BaseException:
-            balancer.end(stats, False, time.monotonic())
+            balancer.end(stats, False, monotonic())
             raise
         head = response.message
         load = read_int(head.header(LOAD_HEADER))
@@ -217,7 +216,7 @@
         suspicions = read_suspicions(head)
         if not suspicions:
             return 0
-        self._quarantine.merge(suspicions, time.monotonic())
+        self._quarantine.merge(suspicions, monotonic())
         return self._quarantine.count(Fingerprint(suspicions[0].head, suspicions[0].whole))
 
     def _note_try(self, job: Job, stats, outcome: str, code: ErrorCode | None, status: int = 0) -> None:
@@ -280,7 +279,7 @@
         kind: str = "",
         body_taken=None,
     ) -> None:
-        if balancer.end(stats, failed, time.monotonic(), load, taken, unreachable, kind, body_taken):
+        if balancer.end(stats, failed, monotonic(), load, taken, unreachable, kind, body_taken):
             self._metrics.count(Metric.EJECTED)
             self._events.emit(
                 Event.EJECTED,
@@ -310,7 +309,7 @@
         """
         head = response.message
         route, balancer = job.route, job.balancer
-        taken = time.monotonic() - started
+        taken = monotonic() - started
         if is_lost:
             code = ErrorCode.find(head.header(CODE_HEADER)) or ErrorCode.ANSWER_LOST
             self._note_crashes(head)
@@ -328,7 +327,7 @@
             except (OSError, MalformedMessage) as exc:
                 response.close()
                 # A late one is not the upstream's fault: it answered in time, and links may be narrow.
-                is_late = time.monotonic() >= job.deadline
+                is_late = monotonic() >= job.deadline
                 code = ErrorCode.ANSWER_TIMEOUT if is_late else ErrorCode.ANSWER_LOST
                 self._note_end(
                     balancer, stats, failed or not is_late, load, taken if is_late else None, kind=route.name
@@ -337,9 +336,9 @@
                 return Try(self._make_unknown(code, str(exc)), not route.repeatable, True, True)
             except BaseException:
                 response.close()
-                balancer.end(stats, False, time.monotonic())
+                balancer.end(stats, False, monotonic())
                 raise
-            body_taken = time.monotonic() - started - taken
+            body_taken = monotonic() - started - taken
         if head.is_complete:
             # A failure that comes at once must not make an upstream look quick.
             known, body_known = (None, None) if failed else (taken, body_taken)
@@ -352,7 +351,7 @@
             if broke_off:
                 self._events.emit(Event.ANSWER_LOST, upstream=stats.endpoint.instance)
             is_whole = head.is_complete and not (failed or broke_off)
-            body_known = time.monotonic() - started - taken if is_whole else None
+            body_known = monotonic() - started - taken if is_whole else None
             self._note_end(
                 balancer,
                 stats,
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
@@ -1,10 +1,9 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """The upstream's side of the path: the only way into an upstream's application."""
 
-import time
-
 from gevent.event import Event as Signal
 
+from lanedock.clock import awake, monotonic
 from lanedock.errors import ErrorCode
 from lanedock.limits import AdmissionRequest, CallKinds, QueuedRequest, Refused, SlotLimiter
 from lanedock.membership import UpstreamRegistration
@@ -118,21 +117,21 @@
     def handle(self, request: Request) -> Answer:
         """Answer a request that another daemon has sent."""
         self._metrics.count(Metric.REQUESTS)
-        started = time.monotonic()
+        started = monotonic()
         span = self._tracer.start(f"{request.method} upstream", request.header(TRACE_HEADER))
         facts = self._dialect.read_request(request.headers)
         log = self._requests.begin(facts.request_id, started)
         try:
             answer = self._admit(request, facts, span, started, log)
         except BaseException as exc:
-            self._requests.totals.note("upstream", log.route, "cancelled", time.monotonic() - started, log.waited)
+            self._requests.totals.note("upstream", log.route, "cancelled", monotonic() - started, log.waited)
             log.note(Event.REQUEST_DONE, outcome="cancelled", reason=type(exc).__name__)
             self._requests.end(log, True)
             raise
         finally:
             self._bodies.leave(request)
         self._requests.end(log, answer.status >= 400)
-        taken = time.monotonic() - started
+        taken = monotonic() - started
         self._metrics.time(Metric.LATENCY, taken)
         self._requests.totals.note("upstream", log.route, describe_end(answer, "done"), taken, log.waited)
         span.end(**{"http.status_code": answer.status, "http.target": request.path})
@@ -177,7 +176,7 @@
         start_by = _read_time(request, START_BY_HEADER, started)
         wanted = AdmissionRequest(deadline, target_time, log.route, start_by)
         refused = self._reserve(request, traffic_class, wanted)
-        log.waited = time.monotonic() - started
+        log.waited = monotonic() - started
         if refused is not None:
             why = {"waited_ms": round(1000 * log.waited, 1), **self._load()}
             why.update(late=request.header(TARGET_HEADER) == "0", limit=refused.limit, **self._bodies.load())
@@ -190,9 +189,9 @@
             refusal or self._judge_body(hashed, hasher, traffic_class, deadline) or self._registration.judge(meant)
         )
         if refusal is not None:
-            self._limiter.release(traffic_class, None, time.monotonic())
+            self._limiter.release(traffic_class, None, monotonic())
             return self._refuse_admitted(refusal, hasher, log, meant)
-        log.note(Event.REQUEST_ADMITTED, waited_ms=round(1000 * (time.monotonic() - started), 1), **self._load())
+        log.note(Event.REQUEST_ADMITTED, waited_ms=round(1000 * (monotonic() - started), 1), **self._load())
         answer = self._pass_on(hashed, hasher, traffic_class, deadline, span, log)
         log.note(Event.REQUEST_DONE, status=answer.status, incarnation=meant)
         return answer
@@ -258,11 +257,11 @@
             refused = self._bodies.enter(request, traffic_class, wanted) or self._acquire(traffic_class, wanted)
             if refused is not None or self._bodies.begin(request):
                 return refused
-            self._limiter.release(traffic_class, None, time.monotonic())
+            self._limiter.release(traffic_class, None, monotonic())
 
     def _acquire(self, traffic_class: str, wanted: AdmissionRequest) -> Refused | None:
         """Take a slot, waiting for it if need be."""
-        now = time.monotonic()
+        now = monotonic()
         admitted = Signal()
         result = self._limiter.acquire(traffic_class, wanted, now, admitted.set)
         if result is None or isinstance(result, Refused):
@@ -279,12 +278,12 @@
             raise
         if not result.is_evicted and (is_admitted or not self._limiter.cancel(result)):
             return None
-        return Refused(ErrorCode.OVERLOADED, self._limiter.return_after(wanted, time.monotonic()))
+        return Refused(ErrorCode.OVERLOADED, self._limiter.return_after(wanted, monotonic()))
 
     def _leave_queue(self, queued: QueuedRequest, traffic_class: str) -> None:
         """Give up a request's place in the queue, or the slot it was just given."""
         if not (queued.is_evicted or self._limiter.cancel(queued)):
-            self._limiter.release(traffic_class, None, time.monotonic())
+            self._limiter.release(traffic_class, None, monotonic())
 
     def _fetch(self, request: Request, traffic_class: str, deadline: float) -> ErrorCode | None:
         """Wait until the body begins to come; return why it doesn't, where the time is over first."""
@@ -295,7 +294,7 @@
         except BodyTimeout:
             return ErrorCode.DEADLINE
         except BaseException:
-            self._limiter.release(traffic_class, None, time.monotonic())
+            self._limiter.release(traffic_class, None, monotonic())
             raise
         return None
 
@@ -312,16 +311,16 @@
         except BodyTimeout:
             return ErrorCode.DEADLINE
         except BaseException:
-            self._limiter.release(traffic_class, None, time.monotonic())
+            self._limiter.release(traffic_class, None, monotonic())
             raise
-        left = self._quarantine.time_left(hasher.fingerprint(), time.monotonic())
+        left = self._quarantine.time_left(hasher.fingerprint(), monotonic())
         return ErrorCode.QUARANTINED if left else None
 
     def _refuse_admitted(self, code: ErrorCode, hasher: RequestHasher, log: RequestLog, meant: str) -> Answer:
         """Refuse a request that had its slot, and of which nothing was passed on."""
         if code is ErrorCode.QUARANTINED:
             suspect = hasher.fingerprint()
-            return self._refuse(code, self._quarantine.time_left(suspect, time.monotonic()), log, suspect=suspect)
+            return self._refuse(code, self._quarantine.time_left(suspect, monotonic()), log, suspect=suspect)
         wait = 0.0 if code is ErrorCode.DEADLINE else RETRY_AFTER
         return self._refuse(code, wait, log, meant=meant, incarnation=self._registration.upstream)
 
@@ -329,7 +328,7 @@
         self, request: Request, hasher: RequestHasher, traffic_class: str, deadline: float, span, log: RequestLog
     ) -> Answer:
         """Send a request to the application; the slot is held to the answer's end."""
-        started = time.monotonic()
+        started = monotonic()
         release = _Release(self._limiter, traffic_class, log.route, started)
         if started >= deadline:
             release()
@@ -359,8 +358,7 @@
             work.end_abandoned()
             foreign = ExchangeError(ErrorCode.ANSWER_LOST, Outcome.UNKNOWN, "an answer to another request")
             return self._on_lost(foreign, log)
-        now = time.monotonic()
-        self._registration.note_answer(now)
+        self._registration.note_answer(awake())
         if facts.is_draining and not self._view.is_draining:
             self._view.is_draining = True
             self._events.emit(Event.DRAINING, service=self._service)
@@ -452,5 +450,5 @@
     def __call__(self) -> None:
         if not self._done:
             self._done = True
-            now = time.monotonic()
+            now = monotonic()
             self._limiter.release(self._traffic_class, now - self._started, now, self._kind)
--- a/packages/lanedock-daemon/lanedock_daemon/roles.py
+++ b/packages/lanedock-daemon/lanedock_daemon/roles.py
@@ -1,10 +1,9 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """The services of the daemon roles, put together from settings."""
 
-import time
-
 import gevent
 
+from lanedock.clock import monotonic
 from lanedock.kernel import Kernel, Service, StopPlan
 from lanedock.limits import SavingBudget, WindowBudget
 from lanedock.membership import UpstreamRegistration
@@ -69,7 +68,7 @@
 
     def begin_stop(self) -> None:
         """Send callers elsewhere; the servers begin to stop when they have gone."""
-        self._plan.begin(time.monotonic())
+        self._plan.begin(monotonic())
         self._view.is_stopping = True
         linger = self._plan.linger
         gevent.sleep(max(0.0, linger - UPSTREAM_DRAIN))
--- a/packages/lanedock-daemon/lanedock_daemon/session_registry.py
+++ b/packages/lanedock-daemon/lanedock_daemon/session_registry.py
@@ -1,9 +1,9 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """Sessions with the daemons downstream, as control instances and relays have them."""
 
-import time
 from abc import ABC, abstractmethod
 
+from lanedock.clock import monotonic
 from lanedock.quarantine import Quarantine
 from lanedock.rollout import Distributor
 from lanedock.telemetry import Metric, Metrics
@@ -80,7 +80,7 @@
 
         In this order: it is ready once it knows endpoints.
         """
-        now = time.monotonic()
+        now = monotonic()
         session.heard_at = now
         session.child = self.distributor.connect(message.state)
         self._sessions[session] = None
@@ -97,7 +97,7 @@
         """Accept a daemon's message."""
         if session.child is None:
             return
-        now = time.monotonic()
+        now = monotonic()
         session.heard_at = now
         if message.HasField("state"):
             self.distributor.update(session.child, message.state)
@@ -118,7 +118,7 @@
 
     def flush(self) -> None:
         """Send every daemon what it lacks."""
-        news = self._quarantine.take_news(self._suspicions, time.monotonic())
+        news = self._quarantine.take_news(self._suspicions, monotonic())
         batch = [_make_suspicions(news)] if news else []
         for session in self._sessions:
             self._send(session, [*batch, *self.distributor.due(session.child)])
--- a/packages/lanedock-daemon/lanedock_daemon/tests/links.py
+++ b/packages/lanedock-daemon/lanedock_daemon/tests/links.py
@@ -1,11 +1,10 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """What links between control instances have to bear, over any transport."""
 
-import time
-
 import gevent
 from gevent import socket
 
+from lanedock.clock import monotonic
 from lanedock.kernel import TaskService
 from lanedock.wire import messages
 from lanedock_daemon.tests.proxies import SilencingProxy
@@ -67,7 +66,7 @@
 
     def send() -> int:
         """Send, with the peer heard just before; returns how many messages have come."""
-        links.note_heard(name, time.monotonic())
+        links.note_heard(name, monotonic())
         links.send([messages.PeerMessage(sender="me", receiver=name)])
         gevent.sleep(0.02)
         return len(peer.posted)
@@ -117,7 +116,7 @@
     long.snapshot_request.state = bytes(int(4 * NARROW_SILENCE_LIMIT * NARROW_RATE))
 
     def send(message: messages.PeerMessage) -> None:
-        links.note_heard(name, time.monotonic())
+        links.note_heard(name, monotonic())
         links.send([message])
         gevent.sleep(0.05)
 
--- a/packages/lanedock/lanedock/kernel/core.py
+++ b/packages/lanedock/lanedock/kernel/core.py
@@ -1,13 +1,13 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """The kernel and the base classes of its services."""
 
-import time
 from abc import ABC, abstractmethod
 
 import gevent
 from gevent.event import Event
 from gevent.queue import Empty, Queue
 
+from lanedock.clock import monotonic
 from lanedock.errors import ErrorCode, LanedockError
 
 __all__ = ["Kernel", "KernelError", "Service", "TaskService"]
@@ -153,18 +153,18 @@
     def _run(self) -> None:
         # Not the event loop's own time, which follows the time of day: a step back would
         # hold up ticks for as long, and with them a leader's heartbeats.
-        next_tick = time.monotonic()
+        next_tick = monotonic()
         while True:
             try:
-                batch = [self._mailbox.get(timeout=max(0.0, next_tick - time.monotonic()))]
+                batch = [self._mailbox.get(timeout=max(0.0, next_tick - monotonic()))]
             except Empty:
                 batch = []
             while not self._mailbox.empty():
                 batch.append(self._mailbox.get_nowait())
             if batch:
                 self.on_messages(batch)
-            if time.monotonic() >= next_tick:
-                next_tick = time.monotonic() + self._tick
+            if monotonic() >= next_tick:
+                next_tick = monotonic() + self._tick
                 self.on_tick()
 
     def on_start(self, kernel: Kernel) -> None:
--- a/packages/lanedock/lanedock/membership/registration.py
+++ b/packages/lanedock/lanedock/membership/registration.py
@@ -12,6 +12,9 @@
 one that is held names a rival only, and the application itself, which is asked
 over loopback, decides between them.
 
+Times are those in which the instance has run (`lanedock.clock.awake`): the application is
+suspended together with its daemon, and was not silent meanwhile.
+
 Of two starts under one id the application reports the id alone when it is asked, so the
 times of its starts decide. Where a clock was set back between them, the one that goes on
 sending heartbeats while the other has stopped is the later.
@@ -100,7 +103,7 @@
     is_leaving : bool
     slots : int
     cold_until : float
-        Monotonic, seconds.
+        Seconds by `lanedock.clock.awake`.
     rival : Heartbeat or None
         The newest heartbeat of another incarnation than the one that is held,
         until `settle` decides between the two.
--- a/packages/lanedock/lanedock/telemetry/log.py
+++ b/packages/lanedock/lanedock/telemetry/log.py
@@ -5,9 +5,9 @@
 import os
 import select
 import sys
-import time
 from collections import deque
 
+from lanedock.clock import monotonic
 from lanedock.telemetry.events import Event
 
 __all__ = ["EventLogger", "LineWriter", "configure_logging"]
@@ -61,7 +61,7 @@
         self._logger.log(level, fields)
 
     def _has_room(self, event: Event, level: int) -> bool:
-        second = int(time.monotonic())
+        second = int(monotonic())
         if second != self._second:
             self._second = second
             counts, self._counts = self._counts, {}
--- a/packages/lanedock/lanedock/telemetry/requests.py
+++ b/packages/lanedock/lanedock/telemetry/requests.py
@@ -6,9 +6,9 @@
 One that fails has all its lines written.
 """
 
-import time
 import zlib
 
+from lanedock.clock import monotonic
 from lanedock.telemetry.events import Event
 from lanedock.telemetry.log import EventLogger
 from lanedock.telemetry.totals import RequestTotals
@@ -56,7 +56,7 @@
     def note(self, event: Event, **particulars: object) -> None:
         """Keep a decision with the inputs that decided it."""
         if len(self._steps) < MAX_STEPS:
-            self._steps.append((event, time.monotonic(), particulars))
+            self._steps.append((event, monotonic(), particulars))
 
     def write(self, events: EventLogger, failed: bool) -> None:
         """Write all decisions."""
--- a/packages/lanedock/lanedock/testing/tests/test_upstream.py
+++ b/packages/lanedock/lanedock/testing/tests/test_upstream.py
@@ -2,12 +2,12 @@
 """Tests of the stand-in upstream: it has to fail as it is set to."""
 
 import json
-import time
 
 import gevent
 import pytest
 from gevent import socket
 
+from lanedock.clock import monotonic
 from lanedock.testing import StandInUpstream, UpstreamBehaviour
 from lanedock.testing.load import LoadPlan, read_answer, run_load
 
@@ -74,7 +74,7 @@
     behaviour.draining = True
     with _send(upstream) as conn:
         assert b"X-Upstream-Draining: 1" in conn.recv(65536)
-    behaviour.cold_until = time.monotonic() + 60
+    behaviour.cold_until = monotonic() + 60
     behaviour.cold_factor = 3
     assert upstream._work_time() == pytest.approx(0.03)
     behaviour.cut_after = 4
--- a/tests/suspendable/sitecustomize.py
+++ b/tests/suspendable/sitecustomize.py
@@ -10,7 +10,7 @@
 
 # Seconds between two looks that are taken for a stop.
 _STOPPED = 0.7
-_steady = time.monotonic
+_steady, _gettime = time.monotonic, time.clock_gettime
 _seen_at = _steady()
 _stopped_for = 0.0
 
@@ -24,4 +24,9 @@
     return now - _stopped_for
 
 
+def _clock_gettime(clock: int) -> float:
+    return _monotonic() if clock == time.CLOCK_MONOTONIC else _gettime(clock)
+
+
 time.monotonic = _monotonic
+time.clock_gettime = _clock_gettime
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -18,18 +18,19 @@
 # draws the same.
 ALLOWED = {
     "averages": set(),
+    "clock": set(),
     "config": {"errors", "findings", "wire"},
     "consensus": {"errors", "wire"},
     "errors": set(),
     "findings": {"errors"},
-    "kernel": {"errors"},
+    "kernel": {"clock", "errors"},
     "limits": {"config", "errors", "averages"},
     "quarantine": {"wire"},
     "membership": {"errors", "findings", "wire"},
     "rollout": {"config", "errors", "findings", "membership", "wire"},
     "routing": {"config", "membership", "wire", "averages"},
     "settings": {"errors", "findings"},
-    "telemetry": set(),
+    "telemetry": {"clock"},
     "testing": set(),
     "wire": set(),
 }
--- a/tests/test_suspension.py
+++ b/tests/test_suspension.py
@@ -5,6 +5,7 @@
 `suspendable/sitecustomize.py`).
 """
 
+import json
 import os
 import signal
 import socket
@@ -13,7 +14,7 @@
 from pathlib import Path
 
 import pytest
-from platform_processes import OUT_PORT, PlatformProcesses
+from platform_processes import CONTROL_PORT, OUT_PORT, PlatformProcesses, call, wait_for
 
 from lanedock_platform.tests.test_translation import make_configuration
 
@@ -72,3 +73,40 @@
     _suspend(platform.processes[ip], SUSPENDED)
     platform.wait_ready(ip)
     assert platform.request(ip, "id-2")[0] == 200
+
+
+def test_a_control_instance_that_was_suspended_answers_no_read_with_an_older_version(platform):
+    """Each of them in turn, so that the leader is among them; the others go on without it."""
+    for number, ip in enumerate(platform.controls):
+        process = platform.processes[ip]
+        process.send_signal(signal.SIGSTOP)
+        os.waitid(os.P_PID, process.pid, os.WSTOPPED | os.WNOWAIT)
+        version = make_configuration(5 + number, 4 + number)
+        others = [other for other in platform.controls if other != ip]
+        assert _put_at(platform, others, version) == 200
+        time.sleep(SUSPENDED)
+        with socket.create_connection((ip, CONTROL_PORT), timeout=10) as conn:
+            conn.sendall(b"GET /Config.Get HTTP/1.1\r\nHost: c\r\nConnection: close\r\n\r\n")
+            process.send_signal(signal.SIGCONT)
+            answer = _read_all(conn)
+        assert b"HTTP/1.1 503" in answer or version["version"].encode() in answer, answer
+
+
+def _put_at(platform, controls: list[str], value: dict) -> int:
+    """Send a configuration to some control instances until one takes it."""
+
+    def put() -> int:
+        for ip in controls:
+            status = call(ip, CONTROL_PORT, "POST", "/Config.Put", json.dumps(value).encode())[0]
+            if status not in (307, 503):
+                return status
+        return 0
+
+    return wait_for(put)
+
+
+def _read_all(conn) -> bytes:
+    answer = b""
+    while more := conn.recv(65536):
+        answer += more
+    return answer
