Divide the upstream's side, and judge a request again once it has its slot

Change: slots and bodies are admitted by SlotGate (moved); one fetch judges all requests with their slot at hand; a look asks first what still runs and is open, and connects only then, four times within 0.18 s. Tests of the quarantine's core and of runs.

--- a/packages/lanedock-daemon/lanedock_daemon/path/crashes.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/crashes.py
@@ -12,15 +12,17 @@
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics
 from lanedock_daemon.path.http import Outcome
 from lanedock_daemon.path.pool import ConnectionPool, ExchangeError
+from lanedock_daemon.path.slot_gate import Slot
 
 __all__ = ["CrashDetector", "Work"]
 
-# Seconds in which the connections of an application that has ended are all seen to break:
-# they do at once, in the order in which the event loop looks at them.
-GATHER_TIME = 0.01
-# Waits, in seconds, before an application that still takes connections is tried again: a
-# process that ends closes its sockets one after the other, in any order.
-RETRY_WAITS = (0.02, 0.05, 0.1)
+# Waits, in seconds, before each look whether an application has ended. Its connections break
+# at once, but are seen to one after the other, and later where the processor is short; its
+# process closes them, and the one on which it listens, in any order.
+LOOK_WAITS = (0.005, 0.02, 0.05, 0.1)
+# Seconds for which an answer that is lost waits for the first looks: by then nearly all ends
+# are known, and so whether the request may be sent again.
+ANSWER_WAIT = 0.03
 CONNECT_TIMEOUT = 0.2
 # Seconds in which further runs of an incarnation are found lost by the same end of it. An
 # application that doesn't report its incarnations takes longer to end again.
@@ -32,8 +34,8 @@
 class CrashDetector:
     """Tells an application's end from a connection's, and suspects what ran on it.
 
-    A connection breaks for many reasons. An application that has ended takes no new ones,
-    has let go of the idle ones, and goes on with nothing: all three are looked at, since
+    A connection breaks for many reasons. An application that has ended goes on with nothing,
+    has let go of the idle connections, and takes no new ones: all three are looked at, since
     one that is merely full may refuse connections, too.
 
     Parameters
@@ -131,29 +133,19 @@
         if self._check is None or self._check.ready():
             self._check = gevent.spawn(self._find_out, monotonic())
         # A task that is killed meanwhile leaves the look to the others.
-        self._check.join(timeout=CONNECT_TIMEOUT)
+        self._check.join(timeout=ANSWER_WAIT)
 
     def _find_out(self, lost_at: float) -> None:
         incarnation = self._registration.incarnation
-        if self._has_ended(lost_at):
-            self._suspect(incarnation, has_restarted=False)
-        elif not self._runs.has_survivor(lost_at):
-            gevent.spawn(self._look_again, incarnation, lost_at)
-
-    def _look_again(self, incarnation: Incarnation, lost_at: float) -> None:
-        for wait in RETRY_WAITS:
+        for wait in LOOK_WAITS:
             gevent.sleep(wait)
             if self._has_ended(lost_at):
                 self._suspect(incarnation, has_restarted=False)
                 return
 
     def _has_ended(self, lost_at: float) -> bool:
-        if not self._is_refusing():
+        if self._runs.has_survivor(lost_at) or self._pool.has_open(self._application):
             return False
-        gevent.sleep(GATHER_TIME)
-        return not (self._runs.has_survivor(lost_at) or self._pool.has_open(self._application))
-
-    def _is_refusing(self) -> bool:
         try:
             socket.create_connection(self._application, timeout=CONNECT_TIMEOUT).close()
         except ConnectionRefusedError:
@@ -193,35 +185,34 @@
     ----------
     crashes : CrashDetector
     hasher : RequestHasher
-    release : callable
-        Gives the slot back; called without arguments.
+    slot : Slot
     """
 
-    __slots__ = ("_crashes", "_release", "_run")
+    __slots__ = ("_crashes", "_run", "_slot")
 
-    def __init__(self, crashes: CrashDetector, hasher: RequestHasher, release):
+    def __init__(self, crashes: CrashDetector, hasher: RequestHasher, slot: Slot):
         self._crashes = crashes
         self._run = crashes.begin(hasher)
-        self._release = release
+        self._slot = slot
 
     def end_served(self) -> None:
         """The whole answer has come."""
-        self._release()
+        self._slot.release()
         self._crashes.note_served(self._run)
 
     def end_refused(self) -> None:
         """The application does not run it."""
-        self._release()
+        self._slot.release()
         self._crashes.note_refused(self._run)
 
     def end_abandoned(self) -> None:
         """Nobody waits for it any more."""
-        self._release()
+        self._slot.release()
         self._crashes.note_abandoned(self._run)
 
     def end_lost(self) -> Fingerprint | None:
         """Its connection broke; see `CrashDetector.note_lost`."""
-        self._release()
+        self._slot.release()
         return self._crashes.note_lost(self._run)
 
     def end_failed(self, exc: ExchangeError) -> Fingerprint | None:
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/chain.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/chain.py
@@ -146,7 +146,7 @@
 
     @property
     def limiter(self):
-        return self.side._limiter
+        return self.side._gate.limiter
 
 
 def make_view(value: dict, is_entry: bool) -> LocalView:
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_body_gate.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_body_gate.py
@@ -114,7 +114,7 @@
     upstream = make_upstream(slots=8)
     senders = _fill(upstream)
     last = Sender(upstream, path="/last")
-    wait_until(lambda: upstream.side._bodies.waiting == 1)
+    wait_until(lambda: upstream.side._gate.bodies.waiting == 1)
     assert last.has_silence()
     assert upstream.limiter.in_use == FULL
     assert upstream.side.in_progress == FULL + 1
@@ -145,7 +145,7 @@
     gate.opened.set()
     for sender in held:
         assert sender.read_answer().startswith("HTTP/1.1 200")
-    wait_until(lambda: upstream.side._bodies.waiting)
+    wait_until(lambda: upstream.side._gate.bodies.waiting)
     for _ in range(slots):
         wait_until(lambda: not all(sender.has_silence() for sender in senders))
         asked = [sender for sender in senders if not sender.has_silence()]
@@ -153,7 +153,7 @@
         asked[0].send()
         assert asked[0].read_answer().startswith("HTTP/1.1 200")
         senders.remove(asked[0])
-    wait_until(lambda: (upstream.limiter.in_use, upstream.side._bodies.load()["body_bytes"]) == (0, 0))
+    wait_until(lambda: (upstream.limiter.in_use, upstream.side._gate.bodies.load()["body_bytes"]) == (0, 0))
 
 
 def test_requests_without_a_body_and_with_a_small_one_pass_a_full_link(make_upstream):
@@ -186,15 +186,15 @@
     upstream = make_upstream(slots=8)
     senders = _fill(upstream)
     waiting = [Sender(upstream, path=f"/waiting/{number}") for number in range(2)]
-    wait_until(lambda: upstream.side._bodies.waiting == len(waiting))
+    wait_until(lambda: upstream.side._gate.bodies.waiting == len(waiting))
     waiting[0].conn.close()
-    wait_until(lambda: upstream.side._bodies.waiting == 1)
+    wait_until(lambda: upstream.side._gate.bodies.waiting == 1)
     for sender in senders:
         sender.conn.close()
     waiting[1].read_consent()
     waiting[1].send()
     assert waiting[1].read_answer().startswith("HTTP/1.1 200")
-    wait_until(lambda: upstream.side._bodies.load()["body_bytes"] == 0)
+    wait_until(lambda: upstream.side._gate.bodies.load()["body_bytes"] == 0)
     wait_until(lambda: upstream.limiter.in_use == 0)
 
 
@@ -210,7 +210,7 @@
 
     sending = gevent.spawn(trickle)
     try:
-        wait_until(lambda: upstream.side._bodies.load()["bytes_per_s"] is not None)
+        wait_until(lambda: upstream.side._gate.bodies.load()["bytes_per_s"] is not None)
         for number in range(4):
             quick = Sender(upstream, 100_000, path=f"/quick/{number}", target_ms=1_000, deadline_ms=5_000)
             quick.read_consent()
@@ -304,14 +304,14 @@
     upstream = make_upstream(slots=8)
     senders = _fill(upstream)
     last = Sender(upstream, path="/last")
-    wait_until(lambda: upstream.side._bodies.waiting == 1)
+    wait_until(lambda: upstream.side._gate.bodies.waiting == 1)
     for connection in list(upstream.server._connections):
         connection.answer_all()
     answer = last.read_answer()
     assert f"{OUTCOME_HEADER}: {Outcome.NOT_RUN}" in answer
     assert f"{CODE_HEADER}: {ErrorCode.DRAINING.code}" in answer
-    wait_until(lambda: upstream.side._bodies.load()["body_bytes"] == 0)
-    assert (upstream.side._bodies.waiting, upstream.limiter.in_use) == (0, 0)
+    wait_until(lambda: upstream.side._gate.bodies.load()["body_bytes"] == 0)
+    assert (upstream.side._gate.bodies.waiting, upstream.limiter.in_use) == (0, 0)
     assert all(f"{OUTCOME_HEADER}: " in sender.read_answer() for sender in senders)
     assert not upstream.application.runs
 
@@ -341,5 +341,5 @@
     answer = sender.read_answer()
     assert f"{OUTCOME_HEADER}: {Outcome.NOT_RUN}" in answer
     assert f"{CODE_HEADER}: {ErrorCode.DRAINING.code}" in answer
-    wait_until(lambda: not (upstream.limiter.in_use or upstream.side._bodies.load()["body_bytes"]))
+    wait_until(lambda: not (upstream.limiter.in_use or upstream.side._gate.bodies.load()["body_bytes"]))
     assert not upstream.application.runs
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_deadlines.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_deadlines.py
@@ -69,7 +69,7 @@
 def _wait_until_idle(upstream) -> None:
     """Wait until no slot is taken, and no body counts as on its way."""
     wait_until(lambda: not upstream.limiter.in_use, PATIENCE)
-    wait_until(lambda: not upstream.side._bodies.load()["body_bytes"], PATIENCE)
+    wait_until(lambda: not upstream.side._gate.bodies.load()["body_bytes"], PATIENCE)
 
 
 @pytest.mark.parametrize("method", ["GET", "POST"])
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_urgency.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_urgency.py
@@ -42,8 +42,8 @@
     chain = make_chain(None)
     side, binding = chain.upstreams[0].side, chain.upstreams[0].view.bind()
     for _ in range(100):
-        side._classify(_request("check", own, parent, caller), binding)
-    assert side._classify(_request("check", own, parent, "front"), binding) == expected
+        side._gate.classify(_request("check", own, parent, caller), binding)
+    assert side._gate.classify(_request("check", own, parent, "front"), binding) == expected
 
 
 def test_a_daemon_says_what_its_application_works_on(make_chain):
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
@@ -1,16 +1,13 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """The upstream's side of the path: the only way into an upstream's application."""
 
-from gevent.event import Event as Signal
-
 from lanedock.clock import awake, monotonic
 from lanedock.errors import ErrorCode
-from lanedock.limits import AdmissionRequest, CallKinds, QueuedRequest, Refused, SlotLimiter
+from lanedock.limits import AdmissionRequest
 from lanedock.membership import UpstreamRegistration
 from lanedock.quarantine import Fingerprint, RequestHasher
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics, RequestLog, RequestLogger, Tracer
-from lanedock_daemon.agent.view import Binding, LocalView
-from lanedock_daemon.path.body_gate import BodyGate
+from lanedock_daemon.agent.view import LocalView
 from lanedock_daemon.path.crashes import CrashDetector, Work
 from lanedock_daemon.path.dialect import Dialect, OwnDialect, RequestFacts
 from lanedock_daemon.path.exchange import AnswerPieces, send_request
@@ -19,11 +16,9 @@
     ARRIVED_HEADER,
     ATTEMPT_HEADER,
     CALLER_HEADER,
-    CLASS_HEADER,
     DEADLINE_HEADER,
     LEAVING_HEADER,
     LOAD_HEADER,
-    PARENT_HEADER,
     RETRY_AFTER,
     ROUTE_HEADER,
     SERVICE_HEADER,
@@ -45,15 +40,11 @@
 from lanedock_daemon.path.parser import MalformedMessage
 from lanedock_daemon.path.pool import ConnectionPool, ExchangeError
 from lanedock_daemon.path.service import StopTimeout
+from lanedock_daemon.path.slot_gate import Slot, SlotGate
 from lanedock_daemon.path.suspicions import write_suspicions
 
 __all__ = ["UpstreamSide"]
 
-# Classes by which an application's slots are shared before a version is held.
-NO_CLASSES: dict = {}
-# Requests that may wait for each slot where the application reports how many it has,
-# or no version does.
-QUEUE_PER_SLOT = 2
 _SET_HERE = (ATTEMPT_HEADER, DEADLINE_HEADER, TRACE_HEADER)
 
 
@@ -103,16 +94,13 @@
             service, application, pool, self._registration, view.quarantine, lambda: None, events, metrics
         )
         self._tracer: Tracer = tracer
-        self._limiter = SlotLimiter(1, 0, {})
-        self._bodies = BodyGate(self._limiter, metrics)
-        self._calls = CallKinds()
-        view.set_work(self._limiter)
-        self._configured = 0
+        self._gate = SlotGate(self._registration, metrics)
+        view.set_work(self._gate.limiter)
 
     @property
     def in_progress(self) -> int:
         """Requests in progress or waiting."""
-        return self._limiter.in_use + self._limiter.waiting + self._bodies.waiting
+        return self._gate.in_progress
 
     def handle(self, request: Request) -> Answer:
         """Answer a request that another daemon has sent."""
@@ -129,14 +117,14 @@
             self._requests.end(log, True)
             raise
         finally:
-            self._bodies.leave(request)
+            self._gate.bodies.leave(request)
         self._requests.end(log, answer.status >= 400)
         taken = monotonic() - started
         self._metrics.time(Metric.LATENCY, taken)
         self._requests.totals.note("upstream", log.route, describe_end(answer, "done"), taken, log.waited)
         span.end(**{"http.status_code": answer.status, "http.target": request.path})
-        self._metrics.gauge(Metric.IN_PROGRESS, self._limiter.in_use)
-        self._metrics.gauge(Metric.QUEUED, self._limiter.waiting)
+        self._metrics.gauge(Metric.IN_PROGRESS, self._gate.limiter.in_use)
+        self._metrics.gauge(Metric.QUEUED, self._gate.limiter.waiting)
         answer.headers.append((LOAD_HEADER, str(self.in_progress)))
         if self._view.is_draining:
             answer.headers.append((LEAVING_HEADER, "1"))
@@ -166,152 +154,57 @@
         hasher = RequestHasher(request.method, request.host, request.target, facts.customer)
         if request.body.length == 0 and (left := self._quarantine.time_left(hasher.fingerprint(), started)):
             return self._refuse(ErrorCode.QUARANTINED, left, log, suspect=hasher.fingerprint())
-        self._configure(binding)
+        self._gate.configure(binding)
         deadline = _read_time(request, DEADLINE_HEADER, started)
         if deadline is None:
             deadline = started + RETRY_AFTER
-        traffic_class = self._classify(request, binding)
+        traffic_class = self._gate.classify(request, binding)
         target_time = _read_time(request, TARGET_HEADER, started)
         log.route = read_name(request.header(ROUTE_HEADER))
         start_by = _read_time(request, START_BY_HEADER, started)
         wanted = AdmissionRequest(deadline, target_time, log.route, start_by)
-        refused = self._reserve(request, traffic_class, wanted)
+        refused = self._gate.reserve(request, traffic_class, wanted)
         log.waited = monotonic() - started
         if refused is not None:
-            why = {"waited_ms": round(1000 * log.waited, 1), **self._load()}
-            why.update(late=request.header(TARGET_HEADER) == "0", limit=refused.limit, **self._bodies.load())
+            why = {"waited_ms": round(1000 * log.waited, 1), **self._gate.load()}
+            why.update(late=request.header(TARGET_HEADER) == "0", limit=refused.limit, **self._gate.bodies.load())
             return self._refuse(refused.code, refused.retry_after, log, **why)
         hashed = hash_body(request, hasher)
         # It may have begun to leave while the request waited, or while its body was on its
         # way: until the first piece is here nothing of it is passed on.
-        refusal = self._fetch(request, traffic_class, deadline)
-        refusal = (
-            refusal or self._judge_body(hashed, hasher, traffic_class, deadline) or self._registration.judge(meant)
-        )
+        refusal = self._fetch(request, hashed, hasher, traffic_class, deadline) or self._registration.judge(meant)
         if refusal is not None:
-            self._limiter.release(traffic_class, None, monotonic())
+            self._gate.limiter.release(traffic_class, None, monotonic())
             return self._refuse_admitted(refusal, hasher, log, meant)
-        log.note(Event.REQUEST_ADMITTED, waited_ms=round(1000 * (monotonic() - started), 1), **self._load())
+        log.note(Event.REQUEST_ADMITTED, waited_ms=round(1000 * (monotonic() - started), 1), **self._gate.load())
         answer = self._pass_on(hashed, hasher, traffic_class, deadline, span, log)
         log.note(Event.REQUEST_DONE, status=answer.status, incarnation=meant)
         return answer
 
-    def _classify(self, request: Request, binding: Binding | None) -> str:
-        """Return the class that a request is admitted by.
-
-        A call is as urgent as the requests for which it is made, where its own route
-        is more urgent than they are. Without this, calls for less urgent requests of
-        another service were admitted before a shared service's own urgent requests,
-        which want their answers later: at 1.5 times what it bears 0.30 of those were
-        answered in time, and 0.98 are (tools/bench_overload.py).
-        """
-        own = read_name(request.header(CLASS_HEADER))
-        is_own = request.header(CALLER_HEADER) == request.header(SERVICE_HEADER)
-        is_call = self._calls.note(request.header(ROUTE_HEADER), is_own)
-        if not is_call or binding is None:
-            return own
-        classes = binding.config.traffic_classes
-        parent = classes.get(read_name(request.header(PARENT_HEADER)))
-        if parent is None or own not in classes or parent.priority <= classes[own].priority:
-            return own
-        return parent.name
-
-    def _load(self) -> dict[str, int]:
-        """Return the load of the application, for a log line."""
-        limiter = self._limiter
-        return {"in_use": limiter.in_use, "slots": limiter.slots, "waiting": limiter.waiting, "queue": limiter.queue}
-
     def _refuse(self, code: ErrorCode, retry_after: float, log: RequestLog, **why: object) -> Answer:
         self._metrics.count(Metric.NOT_RUN)
         self._metrics.count(Metric.REFUSALS, 1, (code.code,))
         log.note(Event.REQUEST_REFUSED, code=code.code, retry_after_ms=round(1000 * retry_after), **why)
         return make_refusal(code, Outcome.NOT_RUN, retry_after)
 
-    def _configure(self, binding) -> None:
-        """Take the limits over from the version in force and the application's own word."""
-        number = binding.number if binding is not None else 0
-        key = (number, self._registration.slots, self._registration.service)
-        if self._configured == key:
-            return
-        self._configured = key
-        service = binding.config.services.get(key[2]) if binding is not None else None
-        classes = binding.config.traffic_classes if binding is not None else NO_CLASSES
-        slots = self._registration.slots or (service.slots if service else 1)
-        # Each request in progress takes one of the application's connections.
-        if service is not None:
-            slots = min(slots, service.connections)
-        # An application that reports its slots sets the length of its queue by that.
-        is_reported = service is None or self._registration.slots
-        queue = slots * QUEUE_PER_SLOT if is_reported else service.queue
-        self._limiter.configure(slots, queue, classes)
-        self._bodies.configure(queue, classes)
-
-    def _reserve(self, request: Request, traffic_class: str, wanted: AdmissionRequest) -> Refused | None:
-        """Take room on the link and a slot, waiting if need be.
+    def _fetch(
+        self, request: Request, hashed: Request, hasher: RequestHasher, traffic_class: str, deadline: float
+    ) -> ErrorCode | None:
+        """Wait until the body begins to come; return why the request may not be passed on.
 
-        The link first: a slot must not be held while other bodies come. The body is asked
-        for with both at hand; where others have come onto the link meanwhile, the slot
-        goes to someone else.
+        Where it may be a quarantined one all of the body is waited for that tells them apart.
+        It may have become one while it waited.
         """
-        while True:
-            refused = self._bodies.enter(request, traffic_class, wanted) or self._acquire(traffic_class, wanted)
-            if refused is not None or self._bodies.begin(request):
-                return refused
-            self._limiter.release(traffic_class, None, monotonic())
-
-    def _acquire(self, traffic_class: str, wanted: AdmissionRequest) -> Refused | None:
-        """Take a slot, waiting for it if need be."""
-        now = monotonic()
-        admitted = Signal()
-        result = self._limiter.acquire(traffic_class, wanted, now, admitted.set)
-        if result is None or isinstance(result, Refused):
-            return result
-        try:
-            is_admitted = admitted.wait(timeout=result.expires_at - now)
-        except StopTimeout:
-            self._leave_queue(result, traffic_class)
-            return Refused(ErrorCode.DRAINING, RETRY_AFTER)
-        except BaseException:
-            # The caller has gone: its place, or the slot it was just given,
-            # must not stay taken.
-            self._leave_queue(result, traffic_class)
-            raise
-        if not result.is_evicted and (is_admitted or not self._limiter.cancel(result)):
-            return None
-        return Refused(ErrorCode.OVERLOADED, self._limiter.return_after(wanted, monotonic()))
-
-    def _leave_queue(self, queued: QueuedRequest, traffic_class: str) -> None:
-        """Give up a request's place in the queue, or the slot it was just given."""
-        if not (queued.is_evicted or self._limiter.cancel(queued)):
-            self._limiter.release(traffic_class, None, monotonic())
-
-    def _fetch(self, request: Request, traffic_class: str, deadline: float) -> ErrorCode | None:
-        """Wait until the body begins to come; return why it doesn't, where the time is over first."""
         try:
-            self._bodies.fetch(request, deadline)
+            self._gate.bodies.fetch(request, deadline)
+            if hashed is not request and self._quarantine.has_head(hasher.head):
+                hashed.body.hold(deadline)
         except StopTimeout:
             return ErrorCode.DRAINING
         except BodyTimeout:
             return ErrorCode.DEADLINE
         except BaseException:
-            self._limiter.release(traffic_class, None, monotonic())
-            raise
-        return None
-
-    def _judge_body(
-        self, request: Request, hasher: RequestHasher, traffic_class: str, deadline: float
-    ) -> ErrorCode | None:
-        """Return why a request may not be passed on, once its body shows that it is a quarantined one."""
-        if request.body.length == 0 or not self._quarantine.has_head(hasher.head):
-            return None
-        try:
-            request.body.hold(deadline)
-        except StopTimeout:
-            return ErrorCode.DRAINING
-        except BodyTimeout:
-            return ErrorCode.DEADLINE
-        except BaseException:
-            self._limiter.release(traffic_class, None, monotonic())
+            self._gate.limiter.release(traffic_class, None, monotonic())
             raise
         left = self._quarantine.time_left(hasher.fingerprint(), monotonic())
         return ErrorCode.QUARANTINED if left else None
@@ -329,15 +222,15 @@
     ) -> Answer:
         """Send a request to the application; the slot is held to the answer's end."""
         started = monotonic()
-        release = _Release(self._limiter, traffic_class, log.route, started)
+        slot = Slot(self._gate.limiter, traffic_class, log.route, started)
         if started >= deadline:
-            release()
+            slot.release()
             return self._refuse(ErrorCode.DEADLINE, 0.0, log)
         headers = self._make_headers(request, deadline - started, span)
-        work = Work(self._crashes, hasher, release)
+        work = Work(self._crashes, hasher, slot)
         try:
             pending = send_request(self._pool, self._application, request, headers, deadline)
-            tail = min(self._limiter.tail(log.route), deadline - started)
+            tail = min(self._gate.limiter.tail(log.route), deadline - started)
             if not pending.wait(tail):
                 pending.note_late(started, self._events, self._registration.upstream)
             response = pending.read()
@@ -433,22 +326,3 @@
     """Return the time, monotonic seconds, that a header gives in milliseconds from the start; None where it doesn't."""
     left_ms = read_int(request.header(name))
     return None if left_ms is None else started + left_ms / 1000
-
-
-class _Release:
-    """Gives a slot back, once."""
-
-    __slots__ = ("_done", "_kind", "_limiter", "_started", "_traffic_class")
-
-    def __init__(self, limiter: SlotLimiter, traffic_class: str, kind: str, started: float):
-        self._kind = kind
-        self._limiter = limiter
-        self._traffic_class = traffic_class
-        self._started = started
-        self._done = False
-
-    def __call__(self) -> None:
-        if not self._done:
-            self._done = True
-            now = monotonic()
-            self._limiter.release(self._traffic_class, now - self._started, now, self._kind)
--- /dev/null
+++ b/packages/lanedock/lanedock/quarantine/tests/test_runs.py
@@ -0,0 +1,83 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Tests of what is taken to have run on an application when it ended, and of fingerprints."""
+
+import pytest
+
+from lanedock.quarantine import BODY_LIMIT, RecentlyServed, RequestHasher, RunRegistry
+from lanedock.quarantine.runs import ABANDONED_KEPT, LOST_KEPT
+from lanedock.quarantine.served import MAX_SERVED, SERVED_KEPT
+
+
+def _hasher(target: str = "/x", body: bytes = b"", customer: str = "") -> RequestHasher:
+    hasher = RequestHasher("POST", "shop.example", target, customer)
+    hasher.update(body)
+    return hasher
+
+
+def test_what_was_in_progress_is_suspected_and_what_was_answered_is_not():
+    runs = RunRegistry()
+    answered, lost, running = (runs.begin(_hasher(name), 0.0) for name in ("/a", "/b", "/c"))
+    runs.end(answered)
+    runs.abandon(lost, True, 1.0)
+    assert runs.has_survivor(1.0)
+    suspects = runs.take_suspects(1.0, False)
+    assert set(suspects) == {lost.hasher.fingerprint(), running.hasher.fingerprint()}
+    # Its connection is seen to break later: it is suspected of the same end only.
+    runs.abandon(running, True, 1.1)
+    assert runs.take_suspects(1.2, False) == []
+
+
+@pytest.mark.parametrize("is_lost, kept", [(True, LOST_KEPT), (False, ABANDONED_KEPT)])
+def test_what_has_ended_for_its_caller_is_suspected_for_a_while(is_lost, kept):
+    for later, is_suspect in ((kept, True), (kept + 0.1, False)):
+        runs = RunRegistry()
+        runs.abandon(runs.begin(_hasher(), 0.0), is_lost, 1.0)
+        assert bool(runs.take_suspects(1.0 + later, False)) is is_suspect
+
+
+def test_where_the_next_start_shows_it_only_what_was_lost_is_suspected():
+    runs = RunRegistry()
+    lost, abandoned = runs.begin(_hasher("/a"), 0.0), runs.begin(_hasher("/b"), 0.0)
+    runs.abandon(lost, True, 1.0)
+    runs.abandon(abandoned, False, 1.0)
+    runs.begin(_hasher("/c"), 1.2)
+    assert runs.take_suspects(1.3, True) == [lost.hasher.fingerprint()]
+
+
+@pytest.mark.parametrize(
+    "other",
+    [
+        RequestHasher("GET", "shop.example", "/x", ""),
+        RequestHasher("POST", "other.example", "/x", ""),
+        _hasher("/x?a=1"),
+        _hasher(customer="key"),
+        _hasher(body=b"1"),
+    ],
+)
+def test_requests_that_differ_in_anything_are_told_apart(other):
+    assert other.fingerprint() != _hasher().fingerprint()
+
+
+def test_a_body_counts_whole_in_whatever_pieces_it_comes():
+    body = bytes(60_000) + b"z"
+    pieces = _hasher()
+    for start in range(0, len(body), 1000):
+        pieces.update(body[start : start + 1000])
+    assert pieces.fingerprint() == _hasher(body=body).fingerprint()
+    assert _hasher(body=body[:-1] + b"y").fingerprint() != _hasher(body=body).fingerprint()
+    assert _hasher(body=body).fingerprint().head == _hasher().fingerprint().head
+
+
+def test_of_a_longer_body_the_first_part_counts():
+    first = bytes(BODY_LIMIT)
+    assert _hasher(body=first + b"a").fingerprint() == _hasher(body=first + b"b").fingerprint()
+
+
+def test_what_was_served_lately_is_known_and_bounded():
+    served = RecentlyServed()
+    first = _hasher("/first").fingerprint()
+    served.note(first, 0.0)
+    assert served.has(first, SERVED_KEPT) and not served.has(first, SERVED_KEPT + 0.1)
+    for number in range(MAX_SERVED):
+        served.note(_hasher(f"/{number}").fingerprint(), 1.0)
+    assert not served.has(first, 1.0)
