Know a request again of whose body only a part had come

Cause: where an application ended with part of a long body passed on, the request's digest was that of the part, which differs each time, so its ends were never counted together. Change: what counts of the body is read to its end before the answer, and the request reported then; a stop answers at once. Found by reading.

--- a/packages/lanedock-daemon/lanedock_daemon/path/crashes.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/crashes.py
@@ -10,8 +10,9 @@
 from lanedock.membership import Incarnation, UpstreamRegistration
 from lanedock.quarantine import Fingerprint, Quarantine, RecentlyServed, RequestHasher, Run, RunRegistry
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics
-from lanedock_daemon.path.http import Outcome
+from lanedock_daemon.path.http import Body, Outcome
 from lanedock_daemon.path.pool import ConnectionPool, ExchangeError
+from lanedock_daemon.path.service import StopTimeout
 from lanedock_daemon.path.slot_gate import Slot
 
 __all__ = ["CrashDetector", "Work"]
@@ -106,20 +107,24 @@
         """Note that nobody waits for a run any more, which may go on."""
         self._runs.abandon(run, False, monotonic())
 
-    def note_lost(self, run: Run) -> Fingerprint | None:
+    def note_lost(self, run: Run) -> bool:
         """Note that the connection of a run broke; find out whether the application has ended.
 
         Returns
         -------
-        Fingerprint or None
-            Of the request, which is suspected then; None where the application goes on, as
-            far as is known.
+        bool
+            Whether the request is suspected of it. It still has to be reported where its body
+            had not come to its end, see `note_body`.
         """
         now = monotonic()
         self._runs.abandon(run, True, now)
-        if not run.is_suspected:
+        if not run.crash:
             self._look()
-        return run.hasher.fingerprint() if run.is_suspected else None
+        return bool(run.crash)
+
+    def note_body(self, run: Run) -> None:
+        """Note that the body of a suspected request has come to its end: only now it is known which one it is."""
+        self._report(run.crash, [run.hasher.fingerprint()])
 
     def note_restart(self, former: Incarnation) -> None:
         """Note that another start of the application has registered, and that the former hadn't left."""
@@ -132,8 +137,10 @@
         """Find out whether the application has ended; one look serves all whose connections broke."""
         if self._check is None or self._check.ready():
             self._check = gevent.spawn(self._find_out, monotonic())
-        # A task that is killed meanwhile leaves the look to the others.
-        self._check.join(timeout=ANSWER_WAIT)
+        try:
+            self._check.join(timeout=ANSWER_WAIT)
+        except StopTimeout:
+            pass  # the answer goes out now, with what is known
 
     def _find_out(self, lost_at: float) -> None:
         incarnation = self._registration.incarnation
@@ -160,18 +167,25 @@
         if registration.is_leaving and registration.incarnation == incarnation:
             return  # it has ended as it was to
         now = monotonic()
-        found = self._runs.take_suspects(now, has_restarted)
-        suspects = [fingerprint for fingerprint in found if not self._served.has(fingerprint, now)]
-        if not suspects:
+        runs = self._runs.take_suspects(now, has_restarted)
+        if not runs:
             return
         if incarnation != self._crashed or now - self._crashed_at > SAME_CRASH:
             # By the wall clock: a daemon that is restarted begins anew.
             self._crash = f"{self._instance}/{incarnation.upstream or '-'}/{time.time_ns() // 1_000_000}"
             self._crashed, self._crashed_at = incarnation, now
-        fresh = self._quarantine.note_crash(self._crash, suspects, now)
-        self._metrics.count(Metric.CRASHES)
+            self._metrics.count(Metric.CRASHES)
+        for run in runs:
+            run.crash = self._crash
+        known = {run.hasher.fingerprint(): None for run in runs if run.hasher.is_complete}
+        self._report(self._crash, list(known), len(runs))
+
+    def _report(self, crash: str, fingerprints: list[Fingerprint], running: int = 1) -> None:
+        now = monotonic()
+        suspects = [fingerprint for fingerprint in fingerprints if not self._served.has(fingerprint, now)]
+        fresh = self._quarantine.note_crash(crash, suspects, now)
         named = ",".join(str(fingerprint) for fingerprint in suspects[:MAX_NAMED])
-        self._events.emit(Event.UPSTREAM_CRASHED, crash=self._crash, running=len(found), suspects=named)
+        self._events.emit(Event.UPSTREAM_CRASHED, crash=crash, running=running, suspects=named)
         for fingerprint in fresh:
             crashes = ",".join(self._quarantine.crashes(fingerprint))
             self._events.emit(Event.REQUEST_QUARANTINED, suspect=fingerprint, crashes=crashes)
@@ -186,11 +200,17 @@
     crashes : CrashDetector
     hasher : RequestHasher
     slot : Slot
+    body : Body
+        As it is passed on.
+    deadline : float
+        Monotonic, seconds: of the request.
     """
 
-    __slots__ = ("_crashes", "_run", "_slot")
+    __slots__ = ("_body", "_crashes", "_deadline", "_run", "_slot")
 
-    def __init__(self, crashes: CrashDetector, hasher: RequestHasher, slot: Slot):
+    def __init__(self, crashes: CrashDetector, hasher: RequestHasher, slot: Slot, body: Body, deadline: float):
+        self._body = body
+        self._deadline = deadline
         self._crashes = crashes
         self._run = crashes.begin(hasher)
         self._slot = slot
@@ -211,9 +231,18 @@
         self._crashes.note_abandoned(self._run)
 
     def end_lost(self) -> Fingerprint | None:
-        """Its connection broke; see `CrashDetector.note_lost`."""
+        """Its connection broke; returns what it is suspected under, where the application has ended."""
         self._slot.release()
-        return self._crashes.note_lost(self._run)
+        hasher = self._run.hasher
+        if not self._crashes.note_lost(self._run):
+            return None
+        if not hasher.is_complete:
+            try:
+                self._body.finish(self._deadline)
+            except (OSError, StopTimeout):
+                return None  # the rest doesn't come in time: it isn't known which request it was
+            self._crashes.note_body(self._run)
+        return hasher.fingerprint()
 
     def end_failed(self, exc: ExchangeError) -> Fingerprint | None:
         """No answer has come; returns as `end_lost`."""
--- a/packages/lanedock-daemon/lanedock_daemon/path/hashed_body.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/hashed_body.py
@@ -22,6 +22,8 @@
         self._body = body
         self._hasher = hasher
         self._held: list[bytes] = []
+        self._left = body.length
+        hasher.is_complete = False
 
     def hold(self, deadline: float) -> None:
         """Read all that counts for the fingerprint, and keep it to be passed on.
@@ -43,6 +45,11 @@
             size += len(piece)
         self._held.reverse()
 
+    def finish(self, deadline: float) -> None:
+        """Read the rest of what counts for the fingerprint, and drop it; raises as `hold`."""
+        while not self._hasher.is_complete:
+            self._read(CHUNK, deadline)
+
     def read(self, size: int, deadline: float = NEVER) -> bytes:
         if not self._held:
             return self._read(size, deadline)
@@ -54,6 +61,10 @@
     def _read(self, size: int, deadline: float) -> bytes:
         piece = self._body.read(size, deadline)
         self._hasher.update(piece)
+        if self._left is not None:
+            self._left -= len(piece)
+        if not (piece and self._left != 0):
+            self._hasher.is_complete = True
         return piece
 
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_crashes.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_crashes.py
@@ -157,18 +157,10 @@
     upstream = chain.upstreams[0]
     _quarantine(upstream.view, _fingerprint("POST", "/x", body))
 
-    def send(data: bytes) -> tuple[int, str, bytes]:
-        if not is_chunked:
-            return chain.request("POST", "/x", data)
-        head = b"POST /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
-        pieces = [data[start : start + 7000] for start in range(0, len(data), 7000)]
-        text = b"".join(b"%x\r\n%b\r\n" % (len(piece), piece) for piece in pieces)
-        return _parse(chain.send(head + text + b"0\r\n\r\n"))
-
-    status, head, _ = send(body)
+    status, head, _ = _send(chain, body, is_chunked)
     assert status == 503 and "x-request-code: LD3014" in head and "x-request-outcome: not-run" in head
     assert chain.runs() == 0
-    assert send(body[:-1] + b"z")[0] == 200
+    assert _send(chain, body[:-1] + b"z", is_chunked)[0] == 200
     assert chain.runs() == 1
     assert upstream.limiter.in_use == 0 and upstream.side._gate.bodies.load()["body_bytes"] == 0
 
@@ -198,3 +190,38 @@
         chain.view.quarantine.note_crash(f"u{number}", [_fingerprint("GET", "/x")], monotonic())
     assert chain.request("GET")[0] == 200
     assert chain.runs() == runs
+
+
+class _HeadReader(Application):
+    """Ends once it has the head of a request and the first piece of its body."""
+
+    def _serve_one(self, conn) -> bool:
+        data = conn.recv(65536)
+        if data:
+            self.runs["begun"] += 1
+            _end(self)
+        return False
+
+
+@pytest.mark.parametrize("is_chunked", [False, True])
+def test_a_body_of_which_only_a_part_had_come_is_known_again(make_chain, is_chunked):
+    """Found by reading: the digest was that of the part, which differs each time."""
+    chain = make_chain(None, None)
+    body = bytes(300_000)
+    ending = [_HeadReader(), _HeadReader()]
+    for upstream, application in zip(chain.upstreams, ending, strict=True):
+        upstream.side._application = application.address
+        upstream.side._crashes._application = application.address
+    for _ in ending:
+        assert _send(chain, body, is_chunked)[0] == 502
+    assert sum(application.runs["begun"] for application in ending) == 2
+    assert chain.view.quarantine.count(_fingerprint("POST", "/x", body)) == 2
+
+
+def _send(chain, body: bytes, is_chunked: bool) -> tuple[int, str, bytes]:
+    if not is_chunked:
+        return chain.request("POST", "/x", body)
+    head = b"POST /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
+    pieces = [body[start : start + 7000] for start in range(0, len(body), 7000)]
+    text = b"".join(b"%x\r\n%b\r\n" % (len(piece), piece) for piece in pieces)
+    return _parse(chain.send(head + text + b"0\r\n\r\n"))
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
@@ -227,7 +227,7 @@
             slot.release()
             return self._refuse(ErrorCode.DEADLINE, 0.0, log)
         headers = self._make_headers(request, deadline - started, span)
-        work = Work(self._crashes, hasher, slot)
+        work = Work(self._crashes, hasher, slot, request.body, deadline)
         try:
             pending = send_request(self._pool, self._application, request, headers, deadline)
             tail = min(self._gate.limiter.tail(log.route), deadline - started)
--- a/packages/lanedock/lanedock/quarantine/fingerprint.py
+++ b/packages/lanedock/lanedock/quarantine/fingerprint.py
@@ -61,15 +61,18 @@
     ----------
     head : bytes
         Of the fingerprint.
+    is_complete : bool
+        Whether all that counts was taken in; whoever reads the body sets it.
     """
 
-    __slots__ = ("_left", "_state", "head")
+    __slots__ = ("_left", "_state", "head", "is_complete")
 
     def __init__(self, method: str, host: str, target: str, customer: str):
         # Heads hold no NUL (RFC 9110, 5.5), so no two lists of fields read the same.
         fields = "\0".join((method, host.lower(), target, customer))
         self._state = blake2b(fields.encode("utf-8", "surrogateescape"), digest_size=_DIGEST_BYTES, person=_PURPOSE)
         self._left = BODY_LIMIT
+        self.is_complete = True
         self.head = self._state.digest()
 
     def update(self, piece: bytes) -> None:
@@ -77,6 +80,7 @@
         if self._left > 0:
             self._state.update(piece[: self._left])
             self._left -= len(piece)
+            self.is_complete = self.is_complete or self._left <= 0
 
     def fingerprint(self) -> Fingerprint:
         """Return the fingerprint by all that was taken in so far."""
--- a/packages/lanedock/lanedock/quarantine/runs.py
+++ b/packages/lanedock/lanedock/quarantine/runs.py
@@ -1,7 +1,7 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """What runs on an application, and what was running when it ended."""
 
-from lanedock.quarantine.fingerprint import Fingerprint, RequestHasher
+from lanedock.quarantine.fingerprint import RequestHasher
 
 __all__ = ["Run", "RunRegistry"]
 
@@ -32,18 +32,18 @@
         None while it is in progress.
     is_lost : bool
         Whether its connection broke before its answer was whole.
-    is_suspected : bool
-        Whether it was among those that ran when the application ended.
+    crash : str
+        The application's end that it is suspected of; empty for none.
     """
 
-    __slots__ = ("ended_at", "hasher", "is_lost", "is_suspected", "started_at")
+    __slots__ = ("crash", "ended_at", "hasher", "is_lost", "started_at")
 
     def __init__(self, hasher: RequestHasher, now: float):
         self.hasher = hasher
         self.started_at = now
         self.ended_at: float | None = None
         self.is_lost = False
-        self.is_suspected = False
+        self.crash = ""
 
     def is_recent(self, now: float) -> bool:
         """Tell whether it may have been in progress until lately."""
@@ -86,7 +86,7 @@
             return
         del self._running[run]
         run.ended_at, run.is_lost = now, is_lost
-        if run.is_suspected:
+        if run.crash:
             return
         self._ended[run] = None
         if len(self._ended) > MAX_ENDED:
@@ -96,8 +96,8 @@
         """Tell whether a run that was in progress at a time still is: the application can't have ended then."""
         return any(run.started_at < since for run in self._running)
 
-    def take_suspects(self, now: float, has_restarted: bool) -> list[Fingerprint]:
-        """Return what ran on an application when it ended; each run once.
+    def take_suspects(self, now: float, has_restarted: bool) -> list[Run]:
+        """Return what ran on an application when it ended; each run once, whose `crash` is to be set.
 
         Parameters
         ----------
@@ -110,6 +110,4 @@
         runs = [run for run in ended if run.is_recent(now) and (run.is_lost or not has_restarted)]
         if not has_restarted:
             runs += self._running
-        for run in runs:
-            run.is_suspected = True
-        return list({run.hasher.fingerprint(): None for run in runs})
+        return runs
--- a/packages/lanedock/lanedock/quarantine/tests/test_runs.py
+++ b/packages/lanedock/lanedock/quarantine/tests/test_runs.py
@@ -21,7 +21,9 @@
     runs.abandon(lost, True, 1.0)
     assert runs.has_survivor(1.0)
     suspects = runs.take_suspects(1.0, False)
-    assert set(suspects) == {lost.hasher.fingerprint(), running.hasher.fingerprint()}
+    assert set(suspects) == {lost, running}
+    for run in suspects:
+        run.crash = "u0"
     # Its connection is seen to break later: it is suspected of the same end only.
     runs.abandon(running, True, 1.1)
     assert runs.take_suspects(1.2, False) == []
@@ -41,7 +43,7 @@
     runs.abandon(lost, True, 1.0)
     runs.abandon(abandoned, False, 1.0)
     runs.begin(_hasher("/c"), 1.2)
-    assert runs.take_suspects(1.3, True) == [lost.hasher.fingerprint()]
+    assert runs.take_suspects(1.3, True) == [lost]
 
 
 @pytest.mark.parametrize(
