--- a/packages/lanedock-daemon/lanedock_daemon/path/exchange.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/exchange.py
@@ -1,110 +1,20 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """One exchange over a pooled connection: a request is sent, its answer is read by httptools' parser."""
 
-from errno import EHOSTUNREACH, ENETUNREACH, ETIMEDOUT
-
 from lanedock.clock import monotonic
 from lanedock.errors import ErrorCode
 from lanedock.telemetry import Event, EventLogger
-from lanedock_daemon.path.http import CHUNK, Body, BodyBroken, BodyTimeout, Outcome, Request
-from lanedock_daemon.path.parser import AnswerReader, MalformedMessage, Message
+from lanedock_daemon.path.answers import OutcomeKnown, UpstreamAnswer, make_failure
+from lanedock_daemon.path.http import CHUNK, Body, BodyTimeout, Outcome, Request
+from lanedock_daemon.path.parser import AnswerReader
 from lanedock_daemon.path.pool import ConnectionPool, ExchangeError
 from lanedock_daemon.path.service import StopTimeout
 
-__all__ = ["AnswerPieces", "Consent", "PendingAnswer", "UpstreamAnswer", "exchange", "note_late", "send_request"]
+__all__ = ["Consent", "PendingAnswer", "exchange", "note_late", "send_request"]
 
-# Least time, in seconds, after which an answer whose head was passed on counts as broken off
-# while nothing more of it comes: packets that were lost are sent again by then. Else it is the
-# time that the request had. With 30 s, connections that fall silent within answers kept
-# slots for as long.
-MIN_SILENCE = 1.0
 _WITH_BODY = ("POST", "PUT", "PATCH")
 
 
-class UpstreamAnswer:
-    """An answer whose head was read.
-
-    Attributes
-    ----------
-    message : Message
-    """
-
-    __slots__ = ("_address", "_pool", "_reader", "message")
-
-    def __init__(self, reader: AnswerReader, message: Message, pool: ConnectionPool, address: tuple[str, int]):
-        self.message = message
-        self._reader: AnswerReader | None = reader
-        self._pool = pool
-        self._address = address
-        if message.is_complete:
-            self._settle()
-
-    def read(self) -> bytes:
-        """Return the next piece of the body; empty at its end.
-
-        Raises
-        ------
-        OSError, MalformedMessage
-            It broke off.
-        """
-        if self.message.pieces:
-            return self.message.pieces.popleft()
-        if self._reader is None:
-            return b""
-        piece = self._reader.next_piece(self.message)
-        if self.message.is_complete:
-            self._settle()
-        return piece
-
-    def read_first(self) -> list[bytes]:
-        """Wait for the first piece of the body, with which the head is passed on; none where all is read.
-
-        Raises
-        ------
-        ExchangeError
-        """
-        if self._reader is None:
-            return []
-        with _OutcomeKnown(self._reader, self._address):
-            return [self.read()]
-
-    def read_all(self) -> bytes:
-        """Return the whole body."""
-        pieces = []
-        while piece := self.read():
-            pieces.append(piece)
-        return b"".join(pieces)
-
-    def read_some(self, limit: int) -> list[bytes]:
-        """Return the body as far as `limit` bytes reach; the rest is still to be read."""
-        pieces, size = [], 0
-        while size <= limit and (piece := self.read()):
-            pieces.append(piece)
-            size += len(piece)
-        return pieces
-
-    def lift_deadline(self, silence: float) -> None:
-        """Let the body take its time from now on, unless nothing of it comes for some seconds."""
-        if self._reader is not None:
-            self._reader.conn.settimeout(max(MIN_SILENCE, silence))
-
-    def _settle(self) -> None:
-        """Give the connection back once the answer was read to its end."""
-        reader, self._reader = self._reader, None
-        if reader is None:
-            return
-        if self.message.keep_alive and not (reader.has_rest() or reader.is_body_unsent):
-            self._pool.put(self._address, reader)
-        else:
-            reader.conn.close()
-
-    def close(self) -> None:
-        """Drop the connection, unless the answer was read to its end."""
-        reader, self._reader = self._reader, None
-        if reader is not None:
-            reader.conn.close()
-
-
 class Consent:
     """That a body is sent only once the other side wants it.
 
@@ -132,56 +42,6 @@
         return reader.wait_for_consent()
 
 
-class AnswerPieces:
-    """The pieces of an answer's body, as they come.
-
-    Its head is passed on with the first of them, which was read by the request's
-    deadline; from then on it must not be cut for the time that it takes.
-
-    Parameters
-    ----------
-    response : UpstreamAnswer
-    on_end : callable
-        Called once, however it ends, with whether the body broke off.
-    first : list of bytes
-        Pieces that were read already.
-    silence : float
-        Seconds without a piece after which it counts as broken off.
-    """
-
-    def __init__(self, response: UpstreamAnswer, on_end, first: list[bytes], silence: float):
-        response.lift_deadline(silence)
-        self._response = response
-        self._on_end = on_end
-        self._first = first
-
-    def __iter__(self) -> "AnswerPieces":
-        return self
-
-    def __next__(self) -> bytes:
-        if self._first:
-            return self._first.pop(0)
-        try:
-            piece = self._response.read()
-        except (OSError, MalformedMessage) as exc:
-            self._finish(True)
-            raise ConnectionError(f"the answer broke off: {exc}") from exc
-        if not piece:
-            self._finish(False)
-            raise StopIteration
-        return piece
-
-    def close(self) -> None:
-        """Read no more; the one who asked has gone, or has all."""
-        self._finish(False)
-
-    def _finish(self, broke_off: bool) -> None:
-        self._response.close()
-        on_end, self._on_end = self._on_end, None
-        if on_end is not None:
-            on_end(broke_off)
-
-
 class PendingAnswer:
     """A request that was sent, and whose answer is still to come.
 
@@ -229,7 +89,7 @@
         """
         reader, address = self._reader, self._address
         self.is_being_read = True
-        with _OutcomeKnown(reader, address):
+        with OutcomeKnown(reader, address):
             reader.conn.set_deadline(self._deadline)
             message = reader.next_head()
             if message is None:
@@ -261,50 +121,6 @@
         events.emit(Event.CONNECTIONS_SILENT, upstream=upstream)
 
 
-class _OutcomeKnown:
-    """Closes a connection on which an exchange fails, and raises what is known of the outcome."""
-
-    __slots__ = ("_address", "_reader")
-
-    def __init__(self, reader: AnswerReader, address: tuple[str, int]):
-        self._reader = reader
-        self._address = address
-
-    def __enter__(self) -> None:
-        pass
-
-    def __exit__(self, kind, exc, trace) -> None:
-        if exc is None:
-            return
-        self._reader.conn.close()
-        if isinstance(exc, (StopTimeout, OSError, MalformedMessage)):
-            raise _make_failure(self._address, exc, self._reader.is_passed_on) from exc
-
-
-def _make_failure(address: tuple[str, int], exc: BaseException, is_passed_on: bool) -> ExchangeError:
-    """Make what is known of an exchange that has failed, or that the process's own end cuts short."""
-    is_stop = isinstance(exc, StopTimeout)
-    # The kernel's own time-out: nothing that was sent has been acknowledged.
-    is_cut_off = isinstance(exc, OSError) and exc.errno in (ETIMEDOUT, EHOSTUNREACH, ENETUNREACH)
-    is_late = isinstance(exc, TimeoutError) and not is_cut_off
-    is_body_late = isinstance(exc, (BodyTimeout, BodyBroken))
-    if not is_passed_on:
-        # Without any of its body no daemon passes a request on that it was to ask for.
-        code, reason = ErrorCode.CONNECT_FAILED, f"{exc!r} before its body was asked for"
-        if is_stop:
-            code, reason = ErrorCode.DRAINING, "not passed on before the stop"
-        elif is_late:
-            code, reason = ErrorCode.DEADLINE, "not passed on in time"
-        return ExchangeError(code, Outcome.NOT_RUN, f"{address}: {reason}", is_cut_off, is_body_late)
-    code, reason = ErrorCode.ANSWER_LOST, repr(exc)
-    if is_stop:
-        reason = "no answer before the stop"
-    elif is_late:
-        code, reason = ErrorCode.ANSWER_TIMEOUT, "no answer in time"
-    is_broken = not (is_stop or is_late or is_cut_off or is_body_late)
-    return ExchangeError(code, Outcome.UNKNOWN, f"{address}: {reason}", is_cut_off, is_body_late, is_broken)
-
-
 def send_request(
     pool: ConnectionPool,
     address: tuple[str, int],
@@ -338,9 +154,9 @@
     try:
         reader = pool.get(address, timeout)
     except StopTimeout as exc:
-        raise _make_failure(address, exc, False) from exc
+        raise make_failure(address, exc, False) from exc
     reader.begin(request.method)
-    with _OutcomeKnown(reader, address):
+    with OutcomeKnown(reader, address):
         reader.conn.set_deadline(deadline)
         _send(reader, request, headers, deadline, consent)
     return PendingAnswer(pool, address, reader, deadline)
--- a/packages/lanedock-daemon/lanedock_daemon/path/tries.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tries.py
@@ -9,8 +9,9 @@
 from lanedock.quarantine import Fingerprint, Quarantine
 from lanedock.routing import UpstreamStats
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics
+from lanedock_daemon.path.answers import AnswerPieces, UpstreamAnswer
 from lanedock_daemon.path.dialect import Dialect
-from lanedock_daemon.path.exchange import AnswerPieces, Consent, PendingAnswer, UpstreamAnswer, note_late, send_request
+from lanedock_daemon.path.exchange import Consent, PendingAnswer, note_late, send_request
 from lanedock_daemon.path.http import (
     ARRIVED_HEADER,
     ATTEMPT_HEADER,
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
@@ -8,9 +8,10 @@
 from lanedock.quarantine import Fingerprint, RequestHasher
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics, RequestLog, RequestLogger, Tracer
 from lanedock_daemon.agent.view import LocalView
+from lanedock_daemon.path.answers import AnswerPieces
 from lanedock_daemon.path.crashes import CrashDetector, Work
 from lanedock_daemon.path.dialect import Dialect, OwnDialect, RequestFacts
-from lanedock_daemon.path.exchange import AnswerPieces, send_request
+from lanedock_daemon.path.exchange import send_request
 from lanedock_daemon.path.hashed_body import hash_body
 from lanedock_daemon.path.http import (
     ARRIVED_HEADER,
