--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
@@ -8,9 +8,10 @@
 from lanedock.quarantine import Fingerprint, RequestHasher
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics, RequestLog, RequestLogger, Tracer
 from lanedock_daemon.agent.view import LocalView
+from lanedock_daemon.path.answers import AnswerPieces
 from lanedock_daemon.path.crashes import CrashDetector, Work
 from lanedock_daemon.path.dialect import Dialect, OwnDialect, RequestFacts
-from lanedock_daemon.path.exchange import AnswerPieces, send_request
+from lanedock_daemon.path.exchange import send_request
 from lanedock_daemon.path.hashed_body import hash_body
 from lanedock_daemon.path.http import (
     ARRIVED_HEADER,
@@ -227,7 +228,7 @@
             slot.release()
             return self._refuse(ErrorCode.DEADLINE, 0.0, log)
         headers = self._make_headers(request, deadline - started, span)
-        work = Work(self._crashes, hasher, slot)
+        work = Work(self._crashes, hasher, slot, request.body, deadline)
         try:
             pending = send_request(self._pool, self._application, request, headers, deadline)
             tail = min(self._gate.limiter.tail(log.route), deadline - started)
