Move the work on a request into a module of its own, and look at expiries when one is due

Cause: control instances went through all suspicions fifty times a second; an answer that came before its body was read counted for the part of it. Change: the next expiry is kept; such an answer counts for nothing; Work moved. Measured: tests of crashes, the quarantine and documents.

--- a/packages/lanedock-daemon/lanedock_daemon/path/crashes.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/crashes.py
@@ -10,12 +10,10 @@
 from lanedock.membership import Incarnation, UpstreamRegistration
 from lanedock.quarantine import Fingerprint, Quarantine, RecentlyServed, RequestHasher, Run, RunRegistry
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics
-from lanedock_daemon.path.http import Body, Outcome
-from lanedock_daemon.path.pool import ConnectionPool, ExchangeError
+from lanedock_daemon.path.pool import ConnectionPool
 from lanedock_daemon.path.service import StopTimeout
-from lanedock_daemon.path.slot_gate import Slot
 
-__all__ = ["CrashDetector", "Work"]
+__all__ = ["CrashDetector"]
 
 # Waits, in seconds, before each look whether an application has ended. Its connections break
 # at once, but are seen to one after the other, and later where the processor is short; its
@@ -24,11 +22,12 @@
 # Seconds for which an answer that is lost waits for the first looks: by then nearly all ends
 # are known, and so whether the request may be sent again.
 ANSWER_WAIT = 0.03
+# Seconds for the connection of a look, over loopback: one that is refused is so at once.
 CONNECT_TIMEOUT = 0.2
 # Seconds in which further runs of an incarnation are found lost by the same end of it. An
 # application that doesn't report its incarnations takes longer to end again.
 SAME_CRASH = 2.0
-# Suspects that a log line names.
+# Suspects that a log line names, 32 signs each; the first come first.
 MAX_NAMED = 8
 
 
@@ -97,6 +96,8 @@
     def note_served(self, run: Run) -> None:
         """Note that the application has answered a request, which so has not ended it."""
         self._runs.end(run)
+        if not run.hasher.is_complete:
+            return  # answered before its body was read: it isn't known which request it was
         fingerprint = run.hasher.fingerprint()
         self._served.note(fingerprint, monotonic())
         if self._quarantine.clear(fingerprint):
@@ -190,66 +191,3 @@
             crashes = ",".join(self._quarantine.crashes(fingerprint))
             self._events.emit(Event.REQUEST_QUARANTINED, suspect=fingerprint, crashes=crashes)
         self._on_news()
-
-
-class Work:
-    """A request that the application works on: a run, and the slot that it holds. Given up once.
-
-    Parameters
-    ----------
-    crashes : CrashDetector
-    hasher : RequestHasher
-    slot : Slot
-    body : Body
-        As it is passed on.
-    deadline : float
-        Monotonic, seconds: of the request.
-    """
-
-    __slots__ = ("_body", "_crashes", "_deadline", "_run", "_slot")
-
-    def __init__(self, crashes: CrashDetector, hasher: RequestHasher, slot: Slot, body: Body, deadline: float):
-        self._body = body
-        self._deadline = deadline
-        self._crashes = crashes
-        self._run = crashes.begin(hasher)
-        self._slot = slot
-
-    def end_served(self) -> None:
-        """The whole answer has come."""
-        self._slot.release()
-        self._crashes.note_served(self._run)
-
-    def end_refused(self) -> None:
-        """The application does not run it."""
-        self._slot.release()
-        self._crashes.note_refused(self._run)
-
-    def end_abandoned(self) -> None:
-        """Nobody waits for it any more."""
-        self._slot.release()
-        self._crashes.note_abandoned(self._run)
-
-    def end_lost(self) -> Fingerprint | None:
-        """Its connection broke; returns what it is suspected under, where the application has ended."""
-        self._slot.release()
-        hasher = self._run.hasher
-        if not self._crashes.note_lost(self._run):
-            return None
-        if not hasher.is_complete:
-            try:
-                self._body.finish(self._deadline)
-            except (OSError, StopTimeout):
-                return None  # the rest doesn't come in time: it isn't known which request it was
-            self._crashes.note_body(self._run)
-        return hasher.fingerprint()
-
-    def end_failed(self, exc: ExchangeError) -> Fingerprint | None:
-        """No answer has come; returns as `end_lost`."""
-        if exc.is_broken:
-            return self.end_lost()
-        if exc.outcome == Outcome.NOT_RUN:
-            self.end_refused()
-        else:
-            self.end_abandoned()
-        return None
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
@@ -9,7 +9,7 @@
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics, RequestLog, RequestLogger, Tracer
 from lanedock_daemon.agent.view import LocalView
 from lanedock_daemon.path.answers import AnswerPieces
-from lanedock_daemon.path.crashes import CrashDetector, Work
+from lanedock_daemon.path.crashes import CrashDetector
 from lanedock_daemon.path.dialect import Dialect, OwnDialect, RequestFacts
 from lanedock_daemon.path.exchange import send_request
 from lanedock_daemon.path.hashed_body import hash_body
@@ -43,6 +43,7 @@
 from lanedock_daemon.path.service import StopTimeout
 from lanedock_daemon.path.slot_gate import Slot, SlotGate
 from lanedock_daemon.path.suspicions import write_suspicions
+from lanedock_daemon.path.work import Work
 
 __all__ = ["UpstreamSide"]
 
--- a/packages/lanedock/lanedock/quarantine/core.py
+++ b/packages/lanedock/lanedock/quarantine/core.py
@@ -75,6 +75,7 @@
         # Kept up to date with each change: every request is looked up here.
         self._held_until: dict[bytes, float] = {}
         self._heads: frozenset[bytes] = frozenset()
+        self._next_expiry = float("inf")
         self._outboxes: list[SuspicionOutbox] = []
 
     def __repr__(self) -> str:
@@ -183,9 +184,12 @@
         held = [item for item in self._suspects.values() if item.count() >= MAX_CRASHES - 1]
         self._held_until = {item.fingerprint.whole: item.held_until() for item in held}
         self._heads = frozenset(item.fingerprint.head for item in held)
+        self._next_expiry = min((item.expires_at for item in self._suspects.values()), default=float("inf"))
 
     def expire(self, now: float) -> None:
         """Let go of old suspicions; what was quarantined may be tried, and one more crash is enough."""
+        if now < self._next_expiry:
+            return
         for whole, suspect in list(self._suspects.items()):
             if now < suspect.expires_at:
                 continue
@@ -194,7 +198,7 @@
                 suspect.expires_at = now + QUARANTINE_TIME
             else:
                 del self._suspects[whole]
-            self._refresh()
+        self._refresh()
 
     # ----------------------------------------------------------------- outputs
 
