Count ends of a request that was cleared of others before, and reports without news for nothing

Cause: eight ends are kept of a request, also those that it was cleared of, so the next ones were left out; each report went through all suspicions. Change: one that it was cleared of makes room; a report without suspicions returns at once. Measured: the test of a request that was cleared sixteen times is red before, and passes.

--- a/packages/lanedock/lanedock/quarantine/core.py
+++ b/packages/lanedock/lanedock/quarantine/core.py
@@ -60,6 +60,16 @@
             return self.expires_at - QUARANTINE_TIME + SUSPECT_PAUSE
         return float("-inf")
 
+    def make_room(self) -> bool:
+        """Make room for a crash: by one that it was cleared of, the first; returns whether there is."""
+        if len(self.crashes) < MAX_CRASHES_KEPT:
+            return True
+        cleared = next((crash for crash, is_cleared in self.crashes.items() if is_cleared), None)
+        if cleared is None:
+            return False
+        del self.crashes[cleared]
+        return True
+
     def begin_trial(self) -> None:
         """Forget the first crashes, so that one more is enough."""
         held = [crash for crash, is_cleared in self.crashes.items() if not is_cleared]
@@ -145,6 +155,8 @@
         origin : SuspicionOutbox, optional
             Of the neighbour that has sent them, which needs them no more.
         """
+        if not suspicions:
+            return  # as with nearly all reports
         for item in suspicions:
             expires_at = now + QUARANTINE_TIME - item.age_ms / 1000
             if expires_at > now:
@@ -158,7 +170,7 @@
         if suspect is None:
             suspect = self._suspects[fingerprint.whole] = _Suspect(fingerprint, expires_at)
         known = suspect.crashes.get(crash)
-        if known is None and len(suspect.crashes) >= MAX_CRASHES_KEPT:
+        if known is None and not suspect.make_room():
             return
         if known is None or (is_cleared and not known):
             suspect.expires_at = max(suspect.expires_at, expires_at)
--- a/packages/lanedock/lanedock/quarantine/tests/test_core.py
+++ b/packages/lanedock/lanedock/quarantine/tests/test_core.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from lanedock.quarantine import MAX_CRASHES, SUSPECT_PAUSE, Fingerprint, Quarantine
+from lanedock.quarantine import MAX_CRASHES, MAX_CRASHES_KEPT, SUSPECT_PAUSE, Fingerprint, Quarantine
 from lanedock.quarantine.core import MAX_SUSPECTS, QUARANTINE_TIME
 
 
@@ -129,3 +129,15 @@
         quarantine.note_crash(f"c{number}", [_fingerprint(f"r{number}")], 1.0)
     assert quarantine.size == MAX_SUSPECTS
     assert quarantine.quarantined() == [KILLER]
+
+
+def test_a_request_that_was_cleared_often_is_still_quarantined_when_it_comes_to_that():
+    quarantine = Quarantine()
+    for number in range(2 * MAX_CRASHES_KEPT):
+        quarantine.note_crash(f"c{number}", [KILLER], 0.0)
+        quarantine.clear(KILLER)
+    _crash(quarantine, MAX_CRASHES)
+    assert quarantine.quarantined() == [KILLER]
+    for number in range(2 * MAX_CRASHES_KEPT):
+        quarantine.note_crash(f"d{number}", [KILLER], 0.0)
+    assert len(quarantine.crashes(KILLER)) == MAX_CRASHES_KEPT
