Keep a refusal from hiding that a try before may have run

Cause: a refusal that ends the tries was the answer, so a request whose first upstream had ended under it was said to be not run where the next daemon had it quarantined, or its deadline passed there. Change: the answer is what is known of the try that may have run. Measured: the test is red before (503 not-run), and passes (502 unknown).

--- a/packages/lanedock-daemon/lanedock_daemon/path/caller.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller.py
@@ -89,6 +89,11 @@
         self.arrivals += made.arrivals
         self._overloads += made.code is ErrorCode.OVERLOADED
 
+    def settle(self, made: Try) -> Answer:
+        """Return the answer where a try is final: a refusal says nothing of a try before that may have run."""
+        is_refusal = made.code is not None
+        return self.failure if is_refusal and self._may_have_run else made.answer
+
     def is_exhausted(self) -> bool:
         """Tell whether no further try is allowed, or promises anything."""
         return self.arrivals >= self._max_arrivals or self._overloads >= self._max_overloads
@@ -277,7 +282,7 @@
             else:
                 made = self._tries.send(job, stats, attempt if may_retry else RETRIED)
             if made.is_final:
-                return made.answer
+                return progress.settle(made)
             progress.take(made)
             if not may_retry or not body.can_rewind or progress.is_exhausted():
                 return progress.failure
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_crashes.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_crashes.py
@@ -225,3 +225,15 @@
     pieces = [body[start : start + 7000] for start in range(0, len(body), 7000)]
     text = b"".join(b"%x\r\n%b\r\n" % (len(piece), piece) for piece in pieces)
     return _parse(chain.send(head + text + b"0\r\n\r\n"))
+
+
+def test_what_may_have_run_is_not_said_to_be_not_run_by_a_later_refusal(make_mesh):
+    """Found by reading: a refusal that ended the tries was the answer, whatever the ones before had come to."""
+    chain = make_mesh(_is_poison)
+    first, other = chain.upstreams
+    _quarantine(other.view, _fingerprint("GET", "/poison"))
+    while not chain.runs("/poison"):
+        # Where the one that has it quarantined is chosen first it is not run, and that is said.
+        status, head, _ = chain.request("GET", "/poison")
+    assert first.application.runs["/poison"] == 1
+    assert status == 502 and "x-request-outcome: unknown" in head
