--- a/packages/lanedock/lanedock/quarantine/core.py
+++ b/packages/lanedock/lanedock/quarantine/core.py
@@ -60,6 +60,16 @@
             return self.expires_at - QUARANTINE_TIME + SUSPECT_PAUSE
         return float("-inf")
 
+    def make_room(self) -> bool:
+        """Make room for a crash: by one that it was cleared of, the first; returns whether there is."""
+        if len(self.crashes) < MAX_CRASHES_KEPT:
+            return True
+        cleared = next((crash for crash, is_cleared in self.crashes.items() if is_cleared), None)
+        if cleared is None:
+            return False
+        del self.crashes[cleared]
+        return True
+
     def begin_trial(self) -> None:
         """Forget the first crashes, so that one more is enough."""
         held = [crash for crash, is_cleared in self.crashes.items() if not is_cleared]
@@ -75,6 +85,7 @@
         # Kept up to date with each change: every request is looked up here.
         self._held_until: dict[bytes, float] = {}
         self._heads: frozenset[bytes] = frozenset()
+        self._next_expiry = float("inf")
         self._outboxes: list[SuspicionOutbox] = []
 
     def __repr__(self) -> str:
@@ -144,6 +155,8 @@
         origin : SuspicionOutbox, optional
             Of the neighbour that has sent them, which needs them no more.
         """
+        if not suspicions:
+            return  # as with nearly all reports
         for item in suspicions:
             expires_at = now + QUARANTINE_TIME - item.age_ms / 1000
             if expires_at > now:
@@ -157,7 +170,7 @@
         if suspect is None:
             suspect = self._suspects[fingerprint.whole] = _Suspect(fingerprint, expires_at)
         known = suspect.crashes.get(crash)
-        if known is None and len(suspect.crashes) >= MAX_CRASHES_KEPT:
+        if known is None and not suspect.make_room():
             return
         if known is None or (is_cleared and not known):
             suspect.expires_at = max(suspect.expires_at, expires_at)
@@ -183,9 +196,12 @@
         held = [item for item in self._suspects.values() if item.count() >= MAX_CRASHES - 1]
         self._held_until = {item.fingerprint.whole: item.held_until() for item in held}
         self._heads = frozenset(item.fingerprint.head for item in held)
+        self._next_expiry = min((item.expires_at for item in self._suspects.values()), default=float("inf"))
 
     def expire(self, now: float) -> None:
         """Let go of old suspicions; what was quarantined may be tried, and one more crash is enough."""
+        if now < self._next_expiry:
+            return
         for whole, suspect in list(self._suspects.items()):
             if now < suspect.expires_at:
                 continue
@@ -194,7 +210,7 @@
                 suspect.expires_at = now + QUARANTINE_TIME
             else:
                 del self._suspects[whole]
-            self._refresh()
+        self._refresh()
 
     # ----------------------------------------------------------------- outputs
 
