--- a/packages/lanedock/lanedock/quarantine/core.py
+++ b/packages/lanedock/lanedock/quarantine/core.py
@@ -24,7 +24,7 @@
 # Seconds for which a request isn't passed on after the crash before the last. Where nothing
 # but chance led to it, its caller comes back; where it causes them, the upstreams that have
 # ended are back and warm by then (4 and 3 s as deployed) and the mesh is whole for the last.
-# Without it one such request ended five of six upstreams within 0.5 s.
+# One such request that nothing held back ended five of six upstreams within 0.5 s.
 SUSPECT_PAUSE = 10.0
 # Seconds for which a request is quarantined, and for which a suspicion counts. Each trial
 # after it costs an upstream, so they are rare; a release that cures it is out by then.
