Keep what is known of a request's body, and of its crashes, in one place each

Cause: whether a body was read to its end was set from outside the hasher, which counted it, too; crashes that count were listed three times; two messages only woke the agent; a quarantined request was refused in two ways; a control instance's sessions could have a quarantine of their own, which had hidden a fault; each request's digest was made twice where nothing is quarantined. Change: the hasher takes the body's length; one list, one message (ReportDue), one refusal; the quarantine is given to the sessions and to the directories' base; heads are asked first. Behaviour as it was. Tests: a script without a closure in it, the chain's own parser of answers, the length.

--- a/packages/lanedock-daemon/lanedock_daemon/agent/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/service.py
@@ -26,7 +26,7 @@
 )
 from lanedock_daemon.transport import CONNECT_TIMEOUT, SourceEnded, SourceSent, SourceStream
 
-__all__ = ["AgentService", "DrainRequested", "RegistrationChanged", "SuspicionsChanged"]
+__all__ = ["AgentService", "DrainRequested", "ReportDue"]
 
 # Seconds between two looks at the source, by which it is noticed later that it is lost.
 TICK = 0.1
@@ -47,14 +47,8 @@
     __slots__ = ()
 
 
-class RegistrationChanged:
-    """The upstream's registration has changed; others have to learn of it."""
-
-    __slots__ = ()
-
-
-class SuspicionsChanged:
-    """Requests are suspected of ending upstreams, or cleared of it; others have to learn of it."""
+class ReportDue:
+    """Others have to learn of a change at once: of the upstream's registration, or of suspicions."""
 
     __slots__ = ()
 
@@ -106,8 +100,7 @@
             SourceSent: self._on_source_sent,
             SourceEnded: self._on_source_ended,
             DrainRequested: self._on_drain,
-            RegistrationChanged: lambda item: None,
-            SuspicionsChanged: lambda item: None,
+            ReportDue: lambda item: None,
             SeedsChanged: lambda item: self._search.set_seeds(item.control),
             AttestationsMade: lambda item: self._attestations.extend(item.attestations),
             ChildArrived: self._on_child_arrived,
@@ -260,17 +253,14 @@
         self._stream.heard_at = self._opened_at = now
         self._lag.source_version = 0
         self._is_floor_asked = False
-        first = self._make_message(with_state=True)
-        # This source may be new to all that former ones were sent.
-        del first.suspicions[:]
-        first.suspicions.extend(self._quarantine.whole_news(now))
+        first = self._make_message(with_state=True, is_first=True)
         first.failed_relays.extend(self._search.failed_relays(now))
         if self._relay is not None:
             first.fleet_report.CopyFrom(self._relay.distributor.take_report(whole=True))
         self._report_at = now + REPORT_INTERVAL
         self._stream.open(first)
 
-    def _make_message(self, with_state: bool) -> messages.DaemonMessage:
+    def _make_message(self, with_state: bool, is_first: bool = False) -> messages.DaemonMessage:
         message = messages.DaemonMessage()
         if with_state:
             self._report.refresh(self._search.relay_name())
@@ -281,7 +271,10 @@
             message.floor_token = self._floor_token
         message.attestations.extend(self._attestations)
         self._attestations = []
-        message.suspicions.extend(self._quarantine.take_news(self._suspicions, monotonic()))
+        now = monotonic()
+        news = self._quarantine.take_news(self._suspicions, now)
+        # A source may be new to all that former ones were sent.
+        message.suspicions.extend(self._quarantine.whole_news(now) if is_first else news)
         return message
 
     def _wants_floor(self) -> bool:
--- a/packages/lanedock-daemon/lanedock_daemon/control/directories.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/directories.py
@@ -36,9 +36,19 @@
     sessions : DaemonSessions
     links : PeerLinks
     log : ReplicatedLog
+    quarantine : Quarantine
+        Of the process; its news go to the other control instances, too.
     """
 
-    def __init__(self, endpoints: EndpointChanges, sessions: DaemonSessions, links: PeerLinks, log: ReplicatedLog):
+    def __init__(
+        self,
+        endpoints: EndpointChanges,
+        sessions: DaemonSessions,
+        links: PeerLinks,
+        log: ReplicatedLog,
+        quarantine: Quarantine,
+    ):
+        self._quarantine = quarantine
         self._endpoints = endpoints
         self._sessions = sessions
         self._links = links
@@ -107,10 +117,10 @@
         Of this replica.
     task : TaskService
         Takes ListRead.
+    events : EventLogger
     sessions : DaemonSessions
     links : PeerLinks
     log : ReplicatedLog
-    events : EventLogger
     quarantine : Quarantine
     """
 
@@ -119,16 +129,15 @@
         cfg: ControlSettings,
         name: str,
         task: TaskService,
+        events: EventLogger,
         sessions: DaemonSessions,
         links: PeerLinks,
         log: ReplicatedLog,
-        events: EventLogger,
         quarantine: Quarantine,
     ):
-        self._quarantine = quarantine
-        self._suspicions = quarantine.add_outbox()
         self._directory = Directory(DEFAULT_ENDPOINT_WINDOW)
-        super().__init__(self._directory, sessions, links, log)
+        super().__init__(self._directory, sessions, links, log, quarantine)
+        self._suspicions = quarantine.add_outbox()
         self._cfg = cfg
         self._others = [replica for replica in cfg.replicas if replica != name]
         self._task = task
@@ -210,7 +219,7 @@
         self, zone: str, sessions: DaemonSessions, links: PeerLinks, log: ReplicatedLog, quarantine: Quarantine
     ):
         registry = EndpointRegistry(DEFAULT_ENDPOINT_WINDOW, ENDPOINT_KEEP)
-        super().__init__(registry, sessions, links, log)
+        super().__init__(registry, sessions, links, log, quarantine)
         self._exchange = EndpointExchange(registry, zone, SILENT_AFTER, quarantine)
         self._sent_members: list[tuple[str, str]] = []
 
--- a/packages/lanedock-daemon/lanedock_daemon/control/distribution.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/distribution.py
@@ -45,19 +45,19 @@
     ----------
     cfg : ControlSettings
     metrics : Metrics
+    quarantine : Quarantine
+        Of the process.
     traffic : ControlTraffic, optional
-    quarantine : Quarantine, optional
-        Of the process; one of its own where left out.
     """
 
     def __init__(
         self,
         cfg: ControlSettings,
         metrics: Metrics,
+        quarantine: Quarantine,
         traffic: ControlTraffic | None = None,
-        quarantine: Quarantine | None = None,
     ):
-        super().__init__(Distributor(cfg.whole_files), metrics, quarantine if quarantine is not None else Quarantine())
+        super().__init__(Distributor(cfg.whole_files), metrics, quarantine)
         self._traffic = traffic
         self._cfg = cfg
         self._admission = Admission(cfg.admissions_per_second, ADMISSION_BURST)
--- a/packages/lanedock-daemon/lanedock_daemon/control/quarantine.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/quarantine.py
@@ -3,26 +3,25 @@
 
 from lanedock.quarantine import Quarantine
 from lanedock.wire import messages
+from lanedock_daemon.control.requests import QuarantineRequested
 
 __all__ = ["answer_operator"]
 
 
-def answer_operator(
-    request: messages.QuarantineRequest, quarantine: Quarantine, now: float
-) -> messages.QuarantineReply:
+def answer_operator(item: QuarantineRequested, quarantine: Quarantine, now: float) -> None:
     """List what is quarantined, after clearing what the operator wants cleared.
 
     Parameters
     ----------
-    request : QuarantineRequest
+    item : QuarantineRequested
     quarantine : Quarantine
     now : float
         Monotonic, seconds.
     """
     reply = messages.QuarantineReply()
-    suspect = quarantine.find(request.clear)
+    suspect = quarantine.find(item.request.clear)
     reply.cleared = suspect is not None and quarantine.clear(suspect)
     for fingerprint in quarantine.quarantined():
         left_ms = int(1000 * quarantine.time_left(fingerprint, now))
         reply.requests.add(digest=fingerprint.whole, crashes=quarantine.crashes(fingerprint), left_ms=left_ms)
-    return reply
+    item.call.reply(reply)
--- a/packages/lanedock-daemon/lanedock_daemon/control/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/service.py
@@ -65,7 +65,7 @@
         self._policy = RolloutPolicy(self._cfg.stage_timeout_ms / 1000, self._cfg.dead_after_ms / 1000)
         self._traffic = ControlTraffic(settings.zone, self._zone_of, events, metrics)
         self._quarantine = Quarantine()
-        self._sessions = DaemonSessions(self._cfg, metrics, self._traffic, self._quarantine)
+        self._sessions = DaemonSessions(self._cfg, metrics, self._quarantine, self._traffic)
         self._submissions = SubmissionQueue(metrics)
         self._is_seeded = self._cfg.seeds is not None
         # Found by seeds, a replica is named by its address.
@@ -86,7 +86,7 @@
             StatusRequested: lambda item: self._queries.ask(item),
             HistoryRequested: lambda item: self._queries.ask(item),
             ShowRequested: lambda item: self._queries.ask(item),
-            QuarantineRequested: self._on_quarantine,
+            QuarantineRequested: lambda item: answer_operator(item, self._quarantine, monotonic()),
             ReadRequested: lambda item: self._reads.ask(item.call, monotonic()),
             SeedsChanged: lambda item: self._on_seeds(item.control),
         }
@@ -129,11 +129,10 @@
         self._directory.start(kernel)
 
     def _make_directory(self) -> ControlDirectory:
+        shared = (self._sessions, self._links, self._log, self._quarantine)
         if self._is_seeded:
-            return RegisteredDirectory(self._settings.zone, self._sessions, self._links, self._log, self._quarantine)
-        return ListedDirectory(
-            self._cfg, self._name, self, self._sessions, self._links, self._log, self._events, self._quarantine
-        )
+            return RegisteredDirectory(self._settings.zone, *shared)
+        return ListedDirectory(self._cfg, self._name, self, self._events, *shared)
 
     def _first_voters(self) -> list[str]:
         """Return the names of the replicas that vote from the first start."""
@@ -231,9 +230,6 @@
         self._sessions.leave(item.session)
         self._directory.leave(item.session, monotonic())
 
-    def _on_quarantine(self, item: QuarantineRequested) -> None:
-        item.call.reply(answer_operator(item.request, self._quarantine, monotonic()))
-
     def _on_list(self, item: ListRead) -> None:
         now = monotonic()
         self._directory.take_list(item.instances, now)
--- a/packages/lanedock-daemon/lanedock_daemon/control/tests/test_distribution.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/tests/test_distribution.py
@@ -4,6 +4,7 @@
 import pytest
 
 from lanedock.clock import monotonic
+from lanedock.quarantine import Quarantine
 from lanedock.settings import ControlSettings
 from lanedock.telemetry import NullMetrics
 from lanedock.wire import messages
@@ -33,7 +34,7 @@
 def _make_sessions(**changed) -> DaemonSessions:
     values = dict.fromkeys(ControlSettings.__slots__)
     values.update(whole_files=False, relays_per_zone=2, relay_threshold=4, admissions_per_second=1000.0)
-    return DaemonSessions(ControlSettings(**{**values, **changed}), NullMetrics())
+    return DaemonSessions(ControlSettings(**{**values, **changed}), NullMetrics(), Quarantine())
 
 
 def _arrive(sessions: DaemonSessions, name: str, floor_token: int = 0, failed=(), zone: str = "z") -> FakeSession:
--- a/packages/lanedock-daemon/lanedock_daemon/path/caller.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller.py
@@ -194,11 +194,10 @@
             age_ms=age,
         )
         suspect = self._find_suspect(request, facts)
-        if suspect is not None:
-            left = self._view.quarantine.time_left(suspect, started)
-            if left:
-                log.note(Event.REQUEST_REFUSED, code=ErrorCode.QUARANTINED.code, suspect=suspect)
-                return self._refuse(ErrorCode.QUARANTINED, left)
+        left = self._view.quarantine.time_left(suspect, started) if suspect is not None else 0.0
+        if left:
+            log.note(Event.REQUEST_REFUSED, code=ErrorCode.QUARANTINED.code, suspect=suspect)
+            return self._refuse(ErrorCode.QUARANTINED, left)
         headers = self._make_headers(request, binding, route, span)
         job = self._make_job(request, binding, route, headers, started + deadline_ms / 1000, age / 1000, log)
         job.is_suspect = suspect is not None
--- a/packages/lanedock-daemon/lanedock_daemon/path/hashed_body.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/hashed_body.py
@@ -1,14 +1,14 @@
 # SPDX-License-Identifier: BSD-3-Clause
-"""A request's body that is taken into its fingerprint on its way."""
+"""A request's body that is added to its fingerprint on its way."""
 
-from lanedock.quarantine import BODY_LIMIT, RequestHasher
+from lanedock.quarantine import RequestHasher
 from lanedock_daemon.path.http import CHUNK, NEVER, Body, Request
 
 __all__ = ["HashedBody", "hash_body"]
 
 
 class HashedBody(Body):
-    """Takes each piece into its request's fingerprint as it is read.
+    """Adds each piece to its request's fingerprint as it is read.
 
     Parameters
     ----------
@@ -22,8 +22,6 @@
         self._body = body
         self._hasher = hasher
         self._held: list[bytes] = []
-        self._left = body.length
-        hasher.is_complete = False
 
     def hold(self, deadline: float) -> None:
         """Read all that counts for the fingerprint, and keep it to be passed on.
@@ -39,10 +37,9 @@
         OSError
             Its sender went away.
         """
-        size = 0
-        while size < BODY_LIMIT and (piece := self._read(CHUNK, deadline)):
-            self._held.append(piece)
-            size += len(piece)
+        while not self._hasher.is_complete:
+            self._held.append(self._read(CHUNK, deadline))
+        # Read from the end: the last of them may be empty, which is the body's end.
         self._held.reverse()
 
     def finish(self, deadline: float) -> None:
@@ -61,15 +58,11 @@
     def _read(self, size: int, deadline: float) -> bytes:
         piece = self._body.read(size, deadline)
         self._hasher.update(piece)
-        if self._left is not None:
-            self._left -= len(piece)
-        if not (piece and self._left != 0):
-            self._hasher.is_complete = True
         return piece
 
 
 def hash_body(request: Request, hasher: RequestHasher) -> Request:
-    """Return a request whose body is taken into its fingerprint as it is read; itself where it has none."""
+    """Return a request whose body is added to its fingerprint as it is read; itself where it has none."""
     if request.body.length == 0:
         return request
     body = HashedBody(request.body, hasher)
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_crashes.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_crashes.py
@@ -7,7 +7,7 @@
 from lanedock.clock import monotonic
 from lanedock.quarantine import MAX_CRASHES, Fingerprint, RequestHasher
 from lanedock_daemon.agent import LocalView
-from lanedock_daemon.path.tests.chain import Application, wait_until
+from lanedock_daemon.path.tests.chain import Application, parse_answer, wait_until
 
 OK = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
 LARGE = bytes(60_000)
@@ -26,33 +26,26 @@
         conn.close()
 
 
-def _script(application_of, is_poison):
-    """A script that ends its application under some requests."""
-
-    def run(conn, head: str, body: bytes) -> bytes | None:
-        if not is_poison(head, body):
-            return OK
-        _end(application_of())
-        return None
-
-    return run
-
-
 @pytest.fixture
 def make_mesh(make_chain):
-    """Make a chain whose applications end under some requests, given the head and the body of each."""
+    """Make a chain whose applications end under requests for `/poison`."""
 
-    def make(is_poison, count: int = 2):
+    def make(count: int = 2):
         chain = make_chain(*[None] * count)
         for application in chain.applications:
-            application.script = _script(lambda held=application: held, is_poison)
+            application.script = _end_under_poison(application)
         return chain
 
     return make
 
 
-def _is_poison(head: str, body: bytes) -> bool:
-    return " /poison " in head
+def _end_under_poison(application: Application):
+    """Make a script that ends its application under some requests."""
+
+    def script(conn, head: str, body: bytes) -> bytes | None:
+        return _end(application) if " /poison " in head else OK
+
+    return script
 
 
 def _quarantine(view: LocalView, fingerprint: Fingerprint) -> None:
@@ -66,7 +59,7 @@
 
 
 def test_a_request_under_which_two_have_ended_is_not_sent_again(make_mesh):
-    chain = make_mesh(_is_poison, 3)
+    chain = make_mesh(3)
     status, head, _ = chain.request("GET", "/poison")
     assert status == 502 and "x-request-code: LD3015" in head
     assert chain.runs("/poison") == 2
@@ -78,8 +71,7 @@
     assert chain.view.quarantine.count(_fingerprint("GET", "/poison")) == 2
 
 
-def test_what_ran_beside_it_is_served_elsewhere_and_cleared(make_mesh):
-    chain = make_mesh(_is_poison, 2)
+def test_what_ran_beside_it_is_served_elsewhere_and_cleared(make_chain):
     started = gevent.event.Event()
 
     def slow(conn, head: str, body: bytes) -> bytes | None:
@@ -87,8 +79,7 @@
         gevent.sleep(0.1)
         return OK
 
-    for application in chain.applications:
-        application.script = slow
+    chain = make_chain(slow, slow)
     beside = gevent.spawn(chain.request, "GET", "/beside")
     started.wait()
     ended = next(application for application in chain.applications if application.runs["/beside"])
@@ -132,8 +123,8 @@
     assert _suspicions(chain, _fingerprint("POST", "/x", b"1")) == [0]
 
 
-def test_an_application_that_was_leaving_has_ended_as_it_was_to(make_mesh):
-    chain = make_mesh(lambda head, body: True, 1)
+def test_an_application_that_was_leaving_has_ended_as_it_was_to(make_chain):
+    chain = make_chain(None)
     registration = chain.upstreams[0].side._registration
     chain.applications[0].script = lambda conn, head, body: (registration.leave(""), _end(chain.applications[0]))[1]
     assert chain.request("POST", "/x", b"1")[0] == 502
@@ -141,8 +132,8 @@
     assert _suspicions(chain, _fingerprint("POST", "/x", b"1")) == [0]
 
 
-def test_what_an_application_has_served_lately_is_not_suspected(make_mesh):
-    chain = make_mesh(lambda head, body: False, 1)
+def test_what_an_application_has_served_lately_is_not_suspected(make_chain):
+    chain = make_chain(None)
     assert chain.request("GET", "/popular")[0] == 200
     chain.applications[0].script = lambda conn, head, body: _end(chain.applications[0])
     assert chain.request("GET", "/popular")[0] >= 500
@@ -150,6 +141,15 @@
     assert _suspicions(chain, _fingerprint("GET", "/popular")) == [0]
 
 
+def _send(chain, body: bytes, is_chunked: bool) -> tuple[int, str, bytes]:
+    if not is_chunked:
+        return chain.request("POST", "/x", body)
+    head = b"POST /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
+    pieces = [body[start : start + 7000] for start in range(0, len(body), 7000)]
+    text = b"".join(b"%x\r\n%b\r\n" % (len(piece), piece) for piece in pieces)
+    return parse_answer(chain.send(head + text + b"0\r\n\r\n"))
+
+
 @pytest.mark.parametrize("is_chunked", [False, True])
 @pytest.mark.parametrize("body", [b"12", LARGE])
 def test_a_body_is_told_from_one_that_differs_in_its_last_byte(make_chain, body, is_chunked):
@@ -172,11 +172,6 @@
     assert chain.request("GET", headers="Authorization: b\r\n")[0] == 200
 
 
-def _parse(data: bytes) -> tuple[int, str, bytes]:
-    head, _, body = data.partition(b"\r\n\r\n")
-    return int(head.split(b" ")[1]), head.decode("latin-1"), body
-
-
 @pytest.mark.parametrize("crashes, runs", [(0, 2), (1, 1)])
 def test_a_suspect_is_not_sent_to_a_second_upstream_because_it_is_late(make_chain, crashes, runs):
     """The first answer is later than nearly all; the one that is hedged has two runs."""
@@ -218,18 +213,9 @@
     assert chain.view.quarantine.count(_fingerprint("POST", "/x", body)) == 2
 
 
-def _send(chain, body: bytes, is_chunked: bool) -> tuple[int, str, bytes]:
-    if not is_chunked:
-        return chain.request("POST", "/x", body)
-    head = b"POST /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
-    pieces = [body[start : start + 7000] for start in range(0, len(body), 7000)]
-    text = b"".join(b"%x\r\n%b\r\n" % (len(piece), piece) for piece in pieces)
-    return _parse(chain.send(head + text + b"0\r\n\r\n"))
-
-
 def test_what_may_have_run_is_not_said_to_be_not_run_by_a_later_refusal(make_mesh):
     """Found by reading: a refusal that ended the tries was the answer, whatever the ones before had come to."""
-    chain = make_mesh(_is_poison)
+    chain = make_mesh()
     first, other = chain.upstreams
     _quarantine(other.view, _fingerprint("GET", "/poison"))
     while not chain.runs("/poison"):
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
@@ -153,9 +153,9 @@
             is_held = service == self._service and self._service in binding.config.services
         if not is_held:
             return self._refuse(ErrorCode.NOT_HELD, RETRY_AFTER, log, service=service)
-        hasher = RequestHasher(request.method, request.host, request.target, facts.customer)
-        if request.body.length == 0 and (left := self._quarantine.time_left(hasher.fingerprint(), started)):
-            return self._refuse(ErrorCode.QUARANTINED, left, log, suspect=hasher.fingerprint())
+        hasher = RequestHasher(request.method, request.host, request.target, facts.customer, request.body.length)
+        if hasher.is_complete and self._is_quarantined(hasher):
+            return self._refuse_quarantined(hasher, log)
         self._gate.configure(binding)
         deadline = _read_time(request, DEADLINE_HEADER, started)
         if deadline is None:
@@ -177,7 +177,10 @@
         refusal = self._fetch(request, hashed, hasher, traffic_class, deadline) or self._registration.judge(meant)
         if refusal is not None:
             self._gate.limiter.release(traffic_class, None, monotonic())
-            return self._refuse_admitted(refusal, hasher, log, meant)
+            if refusal is ErrorCode.QUARANTINED:
+                return self._refuse_quarantined(hasher, log)
+            wait = 0.0 if refusal is ErrorCode.DEADLINE else RETRY_AFTER
+            return self._refuse(refusal, wait, log, meant=meant, incarnation=self._registration.upstream)
         log.note(Event.REQUEST_ADMITTED, waited_ms=round(1000 * (monotonic() - started), 1), **self._gate.load())
         answer = self._pass_on(hashed, hasher, traffic_class, deadline, span, log)
         log.note(Event.REQUEST_DONE, status=answer.status, incarnation=meant)
@@ -199,7 +202,7 @@
         """
         try:
             self._gate.bodies.fetch(request, deadline)
-            if hashed is not request and self._quarantine.has_head(hasher.head):
+            if not hasher.is_complete and self._quarantine.has_head(hasher.head):
                 hashed.body.hold(deadline)
         except StopTimeout:
             return ErrorCode.DRAINING
@@ -208,16 +211,20 @@
         except BaseException:
             self._gate.limiter.release(traffic_class, None, monotonic())
             raise
-        left = self._quarantine.time_left(hasher.fingerprint(), monotonic())
-        return ErrorCode.QUARANTINED if left else None
+        return ErrorCode.QUARANTINED if self._is_quarantined(hasher) else None
 
-    def _refuse_admitted(self, code: ErrorCode, hasher: RequestHasher, log: RequestLog, meant: str) -> Answer:
-        """Refuse a request that had its slot, and of which nothing was passed on."""
-        if code is ErrorCode.QUARANTINED:
-            suspect = hasher.fingerprint()
-            return self._refuse(code, self._quarantine.time_left(suspect, monotonic()), log, suspect=suspect)
-        wait = 0.0 if code is ErrorCode.DEADLINE else RETRY_AFTER
-        return self._refuse(code, wait, log, meant=meant, incarnation=self._registration.upstream)
+    def _is_quarantined(self, hasher: RequestHasher) -> bool:
+        """Tell whether a request may not be passed on, by all of it that is here."""
+        # Nearly no head is one of those: the digest is spared, 1 us.
+        if not self._quarantine.has_head(hasher.head):
+            return False
+        return self._quarantine.time_left(hasher.fingerprint(), monotonic()) > 0
+
+    def _refuse_quarantined(self, hasher: RequestHasher, log: RequestLog) -> Answer:
+        """Refuse a request of which nothing was passed on."""
+        suspect = hasher.fingerprint()
+        left = self._quarantine.time_left(suspect, monotonic())
+        return self._refuse(ErrorCode.QUARANTINED, left, log, suspect=suspect)
 
     def _pass_on(
         self, request: Request, hasher: RequestHasher, traffic_class: str, deadline: float, span, log: RequestLog
--- a/packages/lanedock-daemon/lanedock_daemon/roles.py
+++ b/packages/lanedock-daemon/lanedock_daemon/roles.py
@@ -12,7 +12,7 @@
 from lanedock_daemon.agent import AgentService, LocalView
 from lanedock_daemon.agent.discovery import ApplicationDiscovery
 from lanedock_daemon.agent.registration import Registrar
-from lanedock_daemon.agent.service import DrainRequested, RegistrationChanged, SuspicionsChanged
+from lanedock_daemon.agent.service import DrainRequested, ReportDue
 from lanedock_daemon.interface import Interface, OwnInterface
 from lanedock_daemon.path.caller import CallerSide
 from lanedock_daemon.path.crashes import CrashDetector
@@ -162,18 +162,25 @@
     if settings.upstream is not None:
         cfg = settings.upstream
         application = (cfg.application.host, cfg.application.port)
-        pool, news = ConnectionPool(), SuspicionsChanged()
+        pool = ConnectionPool()
+
+        def on_change() -> None:
+            agent.post(ReportDue())
+
         crashes = CrashDetector(
-            settings.name, application, pool, registration, view.quarantine, lambda: agent.post(news), events, metrics
+            settings.name, application, pool, registration, view.quarantine, on_change, events, metrics
         )
         parts = (events, metrics, tracer, dialect, requests, crashes)
         side = UpstreamSide(cfg.service, application, view, pool, *parts)
         if cfg.registration is not None:
-            changed = RegistrationChanged()
-            discovery = ApplicationDiscovery(view, application, dialect, lambda: agent.post(changed), events)
-            on_change, on_rival = (lambda: agent.post(changed)), discovery.resolve_rival
+            discovery = ApplicationDiscovery(view, application, dialect, on_change, events)
             registrar = Registrar(
-                registration, on_change, on_rival, events, view.may_have_service, crashes.note_restart
+                registration,
+                on_change,
+                discovery.resolve_rival,
+                events,
+                view.may_have_service,
+                crashes.note_restart,
             )
             add_server("registration", cfg.registration, interface.make_registration_side(registrar))
             kernel.add(discovery)
--- a/packages/lanedock/lanedock/quarantine/core.py
+++ b/packages/lanedock/lanedock/quarantine/core.py
@@ -22,7 +22,7 @@
 # ever beside three and is served nowhere in between.
 MAX_CRASHES = 3
 # Seconds for which a request isn't passed on after the crash before the last. Where nothing
-# but chance led to it, its caller comes back; where it causes them, the upstreams that have
+# but chance led to it, its caller retries; where it causes them, the upstreams that have
 # ended are back and warm by then (4 and 3 s as deployed) and the mesh is whole for the last.
 # One such request that nothing held back ended five of six upstreams within 0.5 s.
 SUSPECT_PAUSE = 10.0
@@ -44,9 +44,13 @@
         self.crashes: dict[str, bool] = {}
         self.expires_at = expires_at
 
+    def uncleared(self) -> list[str]:
+        """Return the crashes that it was not cleared of, the first first."""
+        return [crash for crash, is_cleared in self.crashes.items() if not is_cleared]
+
     def count(self) -> int:
-        """Return the crashes that it was not cleared of."""
-        return sum(not is_cleared for is_cleared in self.crashes.values())
+        """Return how many crashes it was not cleared of."""
+        return len(self.uncleared())
 
     def is_quarantined(self) -> bool:
         return self.count() >= MAX_CRASHES
@@ -72,8 +76,7 @@
 
     def begin_trial(self) -> None:
         """Forget the first crashes, so that one more is enough."""
-        held = [crash for crash, is_cleared in self.crashes.items() if not is_cleared]
-        for crash in held[: len(held) - MAX_CRASHES + 1]:
+        for crash in self.uncleared()[: 1 - MAX_CRASHES]:
             del self.crashes[crash]
 
 
@@ -137,13 +140,12 @@
             Whether it was suspected.
         """
         suspect = self._suspects.get(fingerprint.whole)
-        if suspect is None or not suspect.count():
-            return False
-        for crash, is_cleared in suspect.crashes.items():
-            if not is_cleared:
-                self._set(suspect, crash, True, None)
-        self._refresh()
-        return True
+        crashes = suspect.uncleared() if suspect is not None else []
+        for crash in crashes:
+            self._set(suspect, crash, True, None)
+        if crashes:
+            self._refresh()
+        return bool(crashes)
 
     def merge(self, suspicions: list[messages.Suspicion], now: float, origin: SuspicionOutbox | None = None) -> None:
         """Take over another process's suspicions.
@@ -216,8 +218,7 @@
 
     def count(self, fingerprint: Fingerprint) -> int:
         """Return how many crashes a request is suspected of."""
-        suspect = self._suspects.get(fingerprint.whole)
-        return suspect.count() if suspect is not None else 0
+        return len(self.crashes(fingerprint))
 
     def time_left(self, fingerprint: Fingerprint, now: float) -> float:
         """Return for how long a request may not be passed on, in seconds; 0 where it may."""
@@ -239,9 +240,7 @@
     def crashes(self, fingerprint: Fingerprint) -> list[str]:
         """Return the crashes that a request is suspected of."""
         suspect = self._suspects.get(fingerprint.whole)
-        if suspect is None:
-            return []
-        return [crash for crash, is_cleared in suspect.crashes.items() if not is_cleared]
+        return suspect.uncleared() if suspect is not None else []
 
     def take_news(self, outbox: SuspicionOutbox, now: float) -> list[messages.Suspicion]:
         """Return what a neighbour has not been sent yet."""
--- a/packages/lanedock/lanedock/quarantine/fingerprint.py
+++ b/packages/lanedock/lanedock/quarantine/fingerprint.py
@@ -56,32 +56,37 @@
         Target with its query.
     customer : str
         What the caller identifies itself by; empty where it doesn't.
+    length : int, optional
+        Of the body, in bytes; left out where its end alone shows it.
 
     Attributes
     ----------
     head : bytes
         Of the fingerprint.
-    is_complete : bool
-        Whether all that counts was taken in; whoever reads the body sets it.
     """
 
-    __slots__ = ("_left", "_state", "head", "is_complete")
+    __slots__ = ("_left", "_state", "head")
 
-    def __init__(self, method: str, host: str, target: str, customer: str):
+    def __init__(self, method: str, host: str, target: str, customer: str, length: int | None = None):
         # Heads hold no NUL (RFC 9110, 5.5), so no two lists of fields read the same.
         fields = "\0".join((method, host.lower(), target, customer))
         self._state = blake2b(fields.encode("utf-8", "surrogateescape"), digest_size=_DIGEST_BYTES, person=_PURPOSE)
-        self._left = BODY_LIMIT
-        self.is_complete = True
+        self._left = BODY_LIMIT if length is None else min(length, BODY_LIMIT)
         self.head = self._state.digest()
 
+    @property
+    def is_complete(self) -> bool:
+        """Whether all that counts of the request was added."""
+        return self._left <= 0
+
     def update(self, piece: bytes) -> None:
-        """Take in the next piece of the body."""
-        if self._left > 0:
+        """Add the next piece of the body; an empty one is its end."""
+        if not piece:
+            self._left = 0
+        elif self._left > 0:
             self._state.update(piece[: self._left])
             self._left -= len(piece)
-            self.is_complete = self.is_complete or self._left <= 0
 
     def fingerprint(self) -> Fingerprint:
-        """Return the fingerprint by all that was taken in so far."""
+        """Return the fingerprint by all that was added so far."""
         return Fingerprint(self.head, self._state.digest())
--- a/packages/lanedock/lanedock/quarantine/runs.py
+++ b/packages/lanedock/lanedock/quarantine/runs.py
@@ -22,35 +22,29 @@
     Parameters
     ----------
     hasher : RequestHasher
-        Has taken in as much of the body as was passed on.
+        Has what was passed on of the body.
     now : float
         Monotonic, seconds.
 
     Attributes
     ----------
-    ended_at : float or None
-        None while it is in progress.
+    kept_until : float
+        Monotonic, seconds: until when it is a suspect, once it has ended.
     is_lost : bool
         Whether its connection broke before its answer was whole.
     crash : str
         The application's end that it is suspected of; empty for none.
     """
 
-    __slots__ = ("crash", "ended_at", "hasher", "is_lost", "started_at")
+    __slots__ = ("crash", "hasher", "is_lost", "kept_until", "started_at")
 
     def __init__(self, hasher: RequestHasher, now: float):
         self.hasher = hasher
         self.started_at = now
-        self.ended_at: float | None = None
+        self.kept_until = float("inf")
         self.is_lost = False
         self.crash = ""
 
-    def is_recent(self, now: float) -> bool:
-        """Tell whether it may have been in progress until lately."""
-        if self.ended_at is None:
-            return True
-        return now - self.ended_at <= (LOST_KEPT if self.is_lost else ABANDONED_KEPT)
-
 
 class RunRegistry:
     """The runs on one application. Pure; times are monotonic, in seconds."""
@@ -85,7 +79,8 @@
         if run not in self._running:
             return
         del self._running[run]
-        run.ended_at, run.is_lost = now, is_lost
+        run.is_lost = is_lost
+        run.kept_until = now + (LOST_KEPT if is_lost else ABANDONED_KEPT)
         if run.crash:
             return
         self._ended[run] = None
@@ -107,7 +102,7 @@
             may run already.
         """
         ended, self._ended = self._ended, {}
-        runs = [run for run in ended if run.is_recent(now) and (run.is_lost or not has_restarted)]
+        runs = [run for run in ended if now <= run.kept_until and (run.is_lost or not has_restarted)]
         if not has_restarted:
             runs += self._running
         return runs
--- a/packages/lanedock/lanedock/quarantine/tests/test_runs.py
+++ b/packages/lanedock/lanedock/quarantine/tests/test_runs.py
@@ -10,7 +10,8 @@
 
 def _hasher(target: str = "/x", body: bytes = b"", customer: str = "") -> RequestHasher:
     hasher = RequestHasher("POST", "shop.example", target, customer)
-    hasher.update(body)
+    if body:
+        hasher.update(body)
     return hasher
 
 
@@ -83,3 +84,12 @@
     for number in range(MAX_SERVED):
         served.note(_hasher(f"/{number}").fingerprint(), 1.0)
     assert not served.has(first, 1.0)
+
+
+@pytest.mark.parametrize("length, pieces", [(0, []), (3, [b"ab", b"c"]), (None, [b"abc", b""])])
+def test_it_is_complete_with_the_last_piece(length, pieces):
+    hasher = RequestHasher("POST", "shop.example", "/x", "", length)
+    for piece in pieces:
+        assert not hasher.is_complete
+        hasher.update(piece)
+    assert hasher.is_complete
