Move what a daemon reports to its source, and what it is sent from, into modules of their own

Change: SourceReport makes the messages to the source; make_version_source says what daemons are sent; messages to tasks stand in sessions.py; two tests of callers that go are beside the others of that kind, word for word. Behaviour is as it was.

--- a/packages/lanedock-daemon/lanedock_daemon/agent/report.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/report.py
@@ -4,11 +4,12 @@
 import time
 
 from lanedock.clock import awake
+from lanedock.quarantine import Quarantine
 from lanedock.settings import Settings
 from lanedock.wire import messages
 from lanedock_daemon.agent.view import LocalView
 
-__all__ = ["StateReport"]
+__all__ = ["SourceReport", "StateReport"]
 
 
 class StateReport:
@@ -102,3 +103,84 @@
         endpoint.slots = registration.slots
         endpoint.cold_ms = int(1000 * registration.cold_left(awake()))
         endpoint.revision = revision
+
+
+class SourceReport:
+    """Gathers what the next message to the source carries beside the daemon's state.
+
+    Parameters
+    ----------
+    state : StateReport
+    quarantine : Quarantine
+        Of the process; its news go to the source.
+    """
+
+    def __init__(self, state: StateReport, quarantine: Quarantine):
+        self._state = state
+        self._quarantine = quarantine
+        self._suspicions = quarantine.add_outbox()
+        self._attestations: list[messages.Attestation] = []
+        self._floor_token = 0
+        self._is_floor_asked = False
+
+    def __repr__(self) -> str:
+        return f"<SourceReport attestations={len(self._attestations)} suspicions={self._suspicions!r}>"
+
+    def add_attestations(self, attestations: list[messages.Attestation]) -> None:
+        """Add what was found out about other instances."""
+        self._attestations.extend(attestations)
+
+    def ask_floor_again(self) -> None:
+        """Expect no answer any more to the last question for the floor."""
+        self._is_floor_asked = False
+
+    def answers_floor(self, floor: messages.Floor) -> bool:
+        """Tell whether a floor answers the last question for it, which then is open no more."""
+        if floor.token != self._floor_token:
+            return False
+        self._is_floor_asked = False
+        return True
+
+    def merge_suspicions(self, suspicions: list[messages.Suspicion], now: float) -> None:
+        """Take over the source's suspicions; they are not sent back to it."""
+        self._quarantine.merge(suspicions, now, self._suspicions)
+
+    def is_due(self, wants_floor: bool) -> bool:
+        """Tell whether the source has to learn of something at once, or to be asked for the floor."""
+        asks = wants_floor and not self._is_floor_asked
+        return asks or bool(self._attestations or self._suspicions)
+
+    def make(self, parent: str, wants_floor: bool, with_state: bool, is_first: bool, now: float):
+        """Make the next message.
+
+        Parameters
+        ----------
+        parent : str
+            Name of the relay that is the source; empty where it is a control instance.
+        wants_floor : bool
+            Whether it asks for the floor, unless an answer is still to come.
+        with_state : bool
+            Whether it carries the state.
+        is_first : bool
+            Whether it is the first one to this source, which may be new to all that former ones
+            were sent.
+        now : float
+            Monotonic, seconds.
+
+        Returns
+        -------
+        DaemonMessage
+        """
+        message = messages.DaemonMessage()
+        if with_state:
+            self._state.refresh(parent)
+            message.state.CopyFrom(self._state.state)
+        if wants_floor and not self._is_floor_asked:
+            self._floor_token += 1
+            self._is_floor_asked = True
+            message.floor_token = self._floor_token
+        message.attestations.extend(self._attestations)
+        self._attestations = []
+        news = self._quarantine.take_news(self._suspicions, now)
+        message.suspicions.extend(self._quarantine.whole_news(now) if is_first else news)
+        return message
--- a/packages/lanedock-daemon/lanedock_daemon/agent/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/service.py
@@ -11,7 +11,7 @@
 from lanedock_daemon.agent.attest import AttestationsMade, Attester
 from lanedock_daemon.agent.registration import Registrar
 from lanedock_daemon.agent.relay import RelaySessions
-from lanedock_daemon.agent.report import StateReport
+from lanedock_daemon.agent.report import SourceReport, StateReport
 from lanedock_daemon.agent.scouting import SCOUT_LIFETIME, Scout, ScoutRounds, Scouts, SourceFreshness
 from lanedock_daemon.agent.search import SourceSearch
 from lanedock_daemon.agent.versions import VersionLag, VersionReceiver
@@ -22,11 +22,13 @@
     ChildArrived,
     ChildLeft,
     ChildReported,
+    DrainRequested,
+    ReportDue,
     SeedsChanged,
 )
 from lanedock_daemon.transport import CONNECT_TIMEOUT, SourceEnded, SourceSent, SourceStream
 
-__all__ = ["AgentService", "DrainRequested", "ReportDue"]
+__all__ = ["AgentService"]
 
 # Seconds between two looks at the source, by which it is noticed later that it is lost.
 TICK = 0.1
@@ -41,18 +43,6 @@
 MEASURE_INTERVAL = 0.5
 
 
-class DrainRequested:
-    """The instance is to take no new work."""
-
-    __slots__ = ()
-
-
-class ReportDue:
-    """Others have to learn of a change at once: of the upstream's registration, or of suspicions."""
-
-    __slots__ = ()
-
-
 class AgentService(TaskService):
     """Takes versions and endpoints from a source, and publishes them.
 
@@ -82,7 +72,6 @@
         self._answered_in = 0.0
         self._rounds = ScoutRounds(rng)
         self._quarantine = view.quarantine
-        self._suspicions = view.quarantine.add_outbox()
         self._relay = RelaySessions(metrics, view.quarantine) if settings.daemon.relay else None
         self._stream: SourceStream | None = None
         self._connect_at = 0.0
@@ -91,18 +80,16 @@
         self._measure_at = 0.0
         self._versions = VersionReceiver(view, events, metrics)
         self._lag = VersionLag(view, events, metrics)
-        self._floor_token = 0
-        self._is_floor_asked = False
-        self._attestations: list[messages.Attestation] = []
         self._registrar: Registrar | None = None
-        self._report = StateReport(settings, view)
+        self._state = StateReport(settings, view)
+        self._report = SourceReport(self._state, view.quarantine)
         self._handlers = {
             SourceSent: self._on_source_sent,
             SourceEnded: self._on_source_ended,
             DrainRequested: self._on_drain,
             ReportDue: lambda item: None,
             SeedsChanged: lambda item: self._search.set_seeds(item.control),
-            AttestationsMade: lambda item: self._attestations.extend(item.attestations),
+            AttestationsMade: lambda item: self._report.add_attestations(item.attestations),
             ChildArrived: self._on_child_arrived,
             ChildReported: lambda item: self._relay.receive(item.session, item.message),
             ChildLeft: lambda item: self._relay.leave(item.session),
@@ -142,7 +129,7 @@
             self._events.emit(Event.UPSTREAM_SILENT, upstream=self._view.upstream.upstream)
         if not self._view.note_alive():
             self._events.emit(Event.SUSPENDED, version=self._holder.in_force_version.number)
-            self._is_floor_asked = False
+            self._report.ask_floor_again()
         heard_at = self._stream.heard_at if self._stream is not None else None
         self._lag.note(now, heard_at, self._freshness.age(now))
         if now >= self._measure_at:
@@ -252,30 +239,16 @@
         self._stream.connect_limit = max(CONNECT_TIMEOUT * self._doubled(), 2 * self._answered_in)
         self._stream.heard_at = self._opened_at = now
         self._lag.source_version = 0
-        self._is_floor_asked = False
-        first = self._make_message(with_state=True, is_first=True)
+        self._report.ask_floor_again()
+        first = self._make_message(with_state=True, is_first=True, now=now)
         first.failed_relays.extend(self._search.failed_relays(now))
         if self._relay is not None:
             first.fleet_report.CopyFrom(self._relay.distributor.take_report(whole=True))
         self._report_at = now + REPORT_INTERVAL
         self._stream.open(first)
 
-    def _make_message(self, with_state: bool, is_first: bool = False) -> messages.DaemonMessage:
-        message = messages.DaemonMessage()
-        if with_state:
-            self._report.refresh(self._search.relay_name())
-            message.state.CopyFrom(self._report.state)
-        if not self._is_floor_asked and self._wants_floor():
-            self._floor_token += 1
-            self._is_floor_asked = True
-            message.floor_token = self._floor_token
-        message.attestations.extend(self._attestations)
-        self._attestations = []
-        now = monotonic()
-        news = self._quarantine.take_news(self._suspicions, now)
-        # A source may be new to all that former ones were sent.
-        message.suspicions.extend(self._quarantine.whole_news(now) if is_first else news)
-        return message
+    def _make_message(self, with_state: bool, is_first: bool, now: float) -> messages.DaemonMessage:
+        return self._report.make(self._search.relay_name(), self._wants_floor(), with_state, is_first, now)
 
     def _wants_floor(self) -> bool:
         is_confirmed = self._holder.is_floor_confirmed
@@ -324,7 +297,7 @@
             self._freshness.note(message.heartbeat.staleness_ms / 1000, now)
             self._lag.source_version = message.heartbeat.accepted_version
         elif body == "suspicions":
-            self._quarantine.merge(message.suspicions.changed, now, self._suspicions)
+            self._report.merge_suspicions(message.suspicions.changed, now)
         elif body == "members":
             self._search.set_members([(item.address, item.zone) for item in message.members.members])
         elif body == "attest":
@@ -355,16 +328,15 @@
         self._view.take_endpoints(update)
         for endpoint in update.changed:
             if endpoint.instance == self._settings.name:
-                self._report.outlive(endpoint.incarnation)
+                self._state.outlive(endpoint.incarnation)
                 if self._registrar is not None:
                     self._registrar.adopt(endpoint)
         if self._relay is not None:
             self._relay.broadcast_endpoints(update)
 
     def _on_floor(self, floor: messages.Floor) -> None:
-        if floor.token != self._floor_token:
+        if not self._report.answers_floor(floor):
             return
-        self._is_floor_asked = False
         was_ready = self._holder.is_ready
         self._holder.confirm_floor(floor.version)
         if not was_ready:
@@ -393,14 +365,13 @@
             self._relay.send_heartbeats(now, *self._relayed_freshness(now))
         if self._stream is None:
             return
-        is_changed = self._report.refresh(self._search.relay_name())
-        needs_floor = not self._is_floor_asked and self._wants_floor()
+        is_changed = self._state.refresh(self._search.relay_name())
         has_report = self._relay is not None and self._relay.distributor.is_report_due()
-        has_news = bool(self._attestations or self._suspicions)
-        if not (is_changed or needs_floor or has_report or has_news or now >= self._report_at):
+        is_due = has_report or self._report.is_due(self._wants_floor())
+        if not (is_changed or is_due or now >= self._report_at):
             return
         self._report_at = now + REPORT_INTERVAL
-        message = self._make_message(with_state=is_changed)
+        message = self._make_message(with_state=is_changed, is_first=False, now=now)
         if has_report:
             message.fleet_report.CopyFrom(self._relay.distributor.take_report(whole=False))
         self._stream.send(message)
--- a/packages/lanedock-daemon/lanedock_daemon/control/distribution.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/distribution.py
@@ -6,7 +6,7 @@
 from lanedock.clock import monotonic
 from lanedock.limits import Admission
 from lanedock.quarantine import Quarantine
-from lanedock.rollout import Distributor, VersionSource
+from lanedock.rollout import Distributor, MeshState, VersionSource
 from lanedock.settings import ControlSettings
 from lanedock.telemetry import Metrics
 from lanedock.wire import messages
@@ -14,7 +14,7 @@
 from lanedock_daemon.session_registry import SessionRegistry
 from lanedock_daemon.transport import Session
 
-__all__ = ["DaemonSessions"]
+__all__ = ["DaemonSessions", "make_version_source"]
 
 # Daemons that are admitted at once before the limit of admissions in a second holds: a
 # zone's restarted daemons, while a herd of hundreds is spread.
@@ -203,3 +203,14 @@
 
 def _rank(key: str, name: str) -> bytes:
     return hashlib.sha256(f"{key}/{name}".encode()).digest()
+
+
+def make_version_source(state: MeshState) -> VersionSource:
+    """Return what daemons are sent: the accepted and the staged version, and the bases of deltas to them."""
+    bases = {}
+    for number in state.kept_versions():
+        record = state.records[number]
+        if record.outcome == messages.OUTCOME_ACCEPTED:
+            bases[record.digest] = state.tree(number)
+    accepted, candidate = state.tree(state.accepted_version.number), state.tree(state.candidate_version.number)
+    return VersionSource(accepted, candidate, bases)
--- a/packages/lanedock-daemon/lanedock_daemon/control/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/service.py
@@ -9,12 +9,12 @@
 from lanedock.errors import ErrorCode
 from lanedock.kernel import Kernel, TaskService
 from lanedock.quarantine import Quarantine
-from lanedock.rollout import RolloutPolicy, Verdict, VersionSource
+from lanedock.rollout import RolloutPolicy, Verdict
 from lanedock.settings import Address, Settings
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics
 from lanedock.wire import messages
 from lanedock_daemon.control.directories import ControlDirectory, ListedDirectory, RegisteredDirectory
-from lanedock_daemon.control.distribution import DaemonSessions
+from lanedock_daemon.control.distribution import DaemonSessions, make_version_source
 from lanedock_daemon.control.leader import FleetReporter, RolloutLeader
 from lanedock_daemon.control.log import AppliedEntry, ReplicatedLog, open_storage
 from lanedock_daemon.control.quarantine import answer_operator
@@ -340,15 +340,10 @@
         if versions == self._source_versions:
             return
         self._source_versions = versions
-        accepted, candidate = (state.tree(version.number) for version in versions)
-        bases = {}
-        for number in state.kept_versions():
-            record = state.records[number]
-            if record.outcome == messages.OUTCOME_ACCEPTED:
-                bases[record.digest] = state.tree(number)
-        self._sessions.set_source(VersionSource(accepted, candidate, bases))
-        if accepted is not None:
-            window = accepted.group("").get("endpoint_window_ms")
+        source = make_version_source(state)
+        self._sessions.set_source(source)
+        if source.accepted is not None:
+            window = source.accepted.group("").get("endpoint_window_ms")
             if window is not None:
                 self._directory.set_window(window / 1000)
         self._metrics.gauge(Metric.VERSION, state.accepted_version.number)
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_cancellation.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_cancellation.py
@@ -99,3 +99,40 @@
     wait_until(lambda: gate.begun == ["/stays"])
     gate.opened.set()
     assert read_all(conn).startswith(b"HTTP/1.1 200")
+
+
+def test_a_caller_that_goes_while_it_waits_gives_its_place_back(make_chain):
+    # Found on the platform: slots given to callers that had gone stayed taken,
+    # until the upstream refused everybody.
+    gate = Gate()
+    chain = make_chain(gate, value=make_value(slots=1, queue=8))
+    limiter = chain.upstreams[0].limiter
+    first = chain.connect()
+    first.sendall(b"GET /first HTTP/1.1\r\nhost: h\r\n\r\n")
+    wait_until(lambda: limiter.in_use == 1)
+    others = [chain.connect() for _ in range(4)]
+    for conn in others:
+        conn.sendall(b"GET /waits HTTP/1.1\r\nhost: h\r\n\r\n")
+    wait_until(lambda: limiter.waiting == 4)
+    for conn in others:
+        conn.close()
+    wait_until(lambda: limiter.waiting == 0)
+    gate.opened.set()
+    wait_until(lambda: limiter.in_use == 0)
+    assert chain.request("GET", "/next")[0] == 200
+
+
+def test_an_answer_whose_turn_never_comes_gives_its_slot_back(make_chain):
+    def work(conn, head, body):
+        if "/slow" in head:
+            gevent.sleep(30)
+        conn.sendall(b"HTTP/1.1 200 OK\r\ncontent-length: 1000000\r\n\r\n")
+        return b"." * 1_000_000
+
+    chain = make_chain(work)
+    limiter = chain.upstreams[0].limiter
+    conn = chain.connect()
+    conn.sendall(b"GET /slow HTTP/1.1\r\nhost: h\r\n\r\nGET /long HTTP/1.1\r\nhost: h\r\n\r\n")
+    wait_until(lambda: chain.runs("/long") == 1)
+    conn.close()
+    wait_until(lambda: limiter.in_use == 0)
--- a/packages/lanedock-daemon/lanedock_daemon/roles.py
+++ b/packages/lanedock-daemon/lanedock_daemon/roles.py
@@ -12,7 +12,6 @@
 from lanedock_daemon.agent import AgentService, LocalView
 from lanedock_daemon.agent.discovery import ApplicationDiscovery
 from lanedock_daemon.agent.registration import Registrar
-from lanedock_daemon.agent.service import DrainRequested, ReportDue
 from lanedock_daemon.interface import Interface, OwnInterface
 from lanedock_daemon.path.caller import CallerSide
 from lanedock_daemon.path.crashes import CrashDetector
@@ -20,6 +19,7 @@
 from lanedock_daemon.path.pool import ConnectionPool
 from lanedock_daemon.path.server import PathServer
 from lanedock_daemon.path.upstream import UpstreamSide
+from lanedock_daemon.sessions import DrainRequested, ReportDue
 from lanedock_daemon.stops import DRAIN_SETTLE, make_stop_plan
 
 __all__ = ["DrainService", "add_daemon"]
--- a/packages/lanedock-daemon/lanedock_daemon/sessions.py
+++ b/packages/lanedock-daemon/lanedock_daemon/sessions.py
@@ -1,5 +1,5 @@
 # SPDX-License-Identifier: BSD-3-Clause
-"""Messages on daemons' streams, to the task that owns the sessions."""
+"""Messages to the tasks that own the sessions with daemons."""
 
 from lanedock.settings import Address
 from lanedock.wire import messages
@@ -12,6 +12,8 @@
     "ChildArrived",
     "ChildLeft",
     "ChildReported",
+    "DrainRequested",
+    "ReportDue",
     "SeedsChanged",
 ]
 
@@ -53,3 +55,15 @@
 
     def __init__(self, control: list[Address]):
         self.control = control
+
+
+class DrainRequested:
+    """The instance is to take no new work."""
+
+    __slots__ = ()
+
+
+class ReportDue:
+    """Others have to learn of a change at once: of the upstream's registration, or of suspicions."""
+
+    __slots__ = ()
--- a/packages/lanedock-daemon/lanedock_daemon/tests/test_roles.py
+++ b/packages/lanedock-daemon/lanedock_daemon/tests/test_roles.py
@@ -6,9 +6,9 @@
 
 from lanedock.kernel import StopPlan
 from lanedock_daemon.agent import LocalView
-from lanedock_daemon.agent.service import DrainRequested
 from lanedock_daemon.path.tests.chain import Chain
 from lanedock_daemon.roles import UPSTREAM_DRAIN, DrainService
+from lanedock_daemon.sessions import DrainRequested
 
 
 class _Agent:
