--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_crashes.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_crashes.py
@@ -123,6 +123,38 @@
     assert _suspicions(chain, _fingerprint("POST", "/x", b"1")) == [0]
 
 
+def test_an_end_is_noticed_beside_an_upload_whose_caller_is_slow(make_mesh):
+    """Found by reading: the upload counted as still running, as nothing was read from its connection."""
+    chain = make_mesh(1)
+    conn = chain.connect()
+    conn.sendall(b"POST /upload HTTP/1.1\r\nhost: h\r\ncontent-length: 100000\r\n\r\n" + bytes(1000))
+    wait_until(lambda: chain.upstreams[0].limiter.in_use == 1 and chain.applications[0].connections)
+    # The application has the first piece of the body, and nothing more of it comes.
+    assert chain.request("GET", "/poison")[0] == 502
+    wait_until(lambda: _suspicions(chain, _fingerprint("GET", "/poison")) == [1])
+
+
+def test_an_end_is_noticed_beside_an_answer_whose_caller_is_slow(make_chain):
+    """The same of a long answer: its connection is not read from while the caller takes nothing."""
+
+    def script(conn, head: str, body: bytes) -> bytes | None:
+        if " /poison " in head:
+            return _end(chain.applications[0])
+        conn.sendall(b"HTTP/1.1 200 OK\r\ncontent-length: 50000000\r\n\r\n" + bytes(100_000))
+        begun.set()
+        conn.sendall(bytes(49_900_000))
+        return b""
+
+    begun = gevent.event.Event()
+    chain = make_chain(script)
+    conn = chain.connect()
+    conn.sendall(b"GET /long HTTP/1.1\r\nhost: h\r\n\r\n")
+    begun.wait()
+    gevent.sleep(0.2)
+    assert chain.request("GET", "/poison")[0] == 502
+    wait_until(lambda: _suspicions(chain, _fingerprint("GET", "/poison")) == [1])
+
+
 def test_an_application_that_was_leaving_has_ended_as_it_was_to(make_chain):
     chain = make_chain(None)
     registration = chain.upstreams[0].side._registration
