Look at an application's connections, not at what is in progress, for its end

Cause: a look took a run that had begun before the end, and was not over, for a sign that the application goes on. While its caller is slow nobody reads from a run's connection, so an upload or a long answer hid each end until the application's next start. Change: all connections to the application count, in use or idle, as long as they are open with nothing to be read; behind unread bytes an end can't be seen, as the kernel sends a process's last bytes after it has ended. What is in progress counts no more (Run.started_at and has_survivor are gone; that an application which refuses connections and works on has not ended is held by the test of the path). Tried and dropped: asking the kernel for POLLRDHUP, which shows nothing behind a full window.

--- a/packages/lanedock-daemon/lanedock_daemon/path/channel.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/channel.py
@@ -91,9 +91,10 @@
         self._sock.shutdown(how)
 
     def is_clean(self) -> bool:
-        """Tell whether an idle connection is open and silent.
+        """Tell whether a connection is open and silent.
 
-        A readable one is closed, or has bytes on it that nobody asked for.
+        A readable one is closed, or has bytes on it that nobody has read. Behind such bytes its
+        end can't be seen: the kernel sends a process's last bytes after it has ended.
         """
         if self._is_readable or self._is_closed:
             return False
--- a/packages/lanedock-daemon/lanedock_daemon/path/crashes.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/crashes.py
@@ -34,9 +34,11 @@
 class CrashDetector:
     """Tells an application's end from a connection's, and suspects what ran on it.
 
-    A connection breaks for many reasons. An application that has ended goes on with nothing,
-    has let go of the idle connections, and takes no new ones: all three are looked at, since
-    one that is merely full may refuse connections, too.
+    A connection breaks for many reasons. An application that has ended has let go of all its
+    connections, and takes no new ones: both are looked at, since one that is merely full may
+    refuse connections, too. That a request is still in progress shows nothing: while its caller
+    is slow nobody reads from its connection, so an upload or a long answer once hid the end
+    until the application's next start.
 
     Parameters
     ----------
@@ -44,7 +46,7 @@
         The daemon's own.
     application : tuple of (str, int)
     pool : ConnectionPool
-        Holds idle connections to the application.
+        Has made all connections to the application.
     registration : UpstreamRegistration
         Of the application.
     quarantine : Quarantine
@@ -87,7 +89,7 @@
 
     def begin(self, hasher: RequestHasher) -> Run:
         """Note that a request is passed on to the application."""
-        return self._runs.begin(hasher, monotonic())
+        return self._runs.begin(hasher)
 
     def note_refused(self, run: Run) -> None:
         """Note that the application has refused a request without running it."""
@@ -137,22 +139,22 @@
     def _look(self) -> None:
         """Find out whether the application has ended; one look serves all whose connections broke."""
         if self._check is None or self._check.ready():
-            self._check = gevent.spawn(self._find_out, monotonic())
+            self._check = gevent.spawn(self._find_out)
         try:
             self._check.join(timeout=ANSWER_WAIT)
         except StopTimeout:
             pass  # the answer goes out now, with what is known
 
-    def _find_out(self, lost_at: float) -> None:
+    def _find_out(self) -> None:
         incarnation = self._registration.incarnation
         for wait in LOOK_WAITS:
             gevent.sleep(wait)
-            if self._has_ended(lost_at):
+            if self._has_ended():
                 self._suspect(incarnation, has_restarted=False)
                 return
 
-    def _has_ended(self, lost_at: float) -> bool:
-        if self._runs.has_survivor(lost_at) or self._pool.has_open(self._application):
+    def _has_ended(self) -> bool:
+        if self._pool.has_open(self._application):
             return False
         try:
             socket.create_connection(self._application, timeout=CONNECT_TIMEOUT).close()
--- a/packages/lanedock-daemon/lanedock_daemon/path/pool.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/pool.py
@@ -8,6 +8,7 @@
 """
 
 import socket as plain_socket
+from weakref import WeakKeyDictionary
 
 from gevent import socket
 
@@ -80,6 +81,8 @@
         self._max_idle = max_idle
         self._connect_timeout = connect_timeout
         self._idle: dict[tuple[str, int], list] = {}
+        # All that are held anywhere, in use or idle.
+        self._addresses: WeakKeyDictionary[AnswerReader, tuple[str, int]] = WeakKeyDictionary()
         self._heard_at: dict[tuple[str, int], float] = {}
 
     def __repr__(self) -> str:
@@ -114,7 +117,9 @@
             message = f"{address}: {exc}"
             raise ExchangeError(ErrorCode.CONNECT_FAILED, Outcome.NOT_RUN, message, True) from exc
         _tune(conn)
-        return AnswerReader(Channel(conn))
+        reader = AnswerReader(Channel(conn))
+        self._addresses[reader] = address
+        return reader
 
     def put(self, address: tuple[str, int], reader: AnswerReader) -> None:
         """Take back a connection whose answer was read to its end."""
@@ -125,8 +130,8 @@
             reader.conn.close()
 
     def has_open(self, address: tuple[str, int]) -> bool:
-        """Tell whether an idle connection to an address is still open, as far as is known."""
-        return any(reader.conn.is_clean() for reader in self._idle.get(address, ()))
+        """Tell whether any connection to an address, in use or idle, is surely still open."""
+        return any(known == address and reader.conn.is_clean() for reader, known in self._addresses.items())
 
     def note_heard(self, address: tuple[str, int], now: float) -> None:
         """Note that an answer has begun on a connection to an address."""
--- a/packages/lanedock/lanedock/quarantine/runs.py
+++ b/packages/lanedock/lanedock/quarantine/runs.py
@@ -23,8 +23,6 @@
     ----------
     hasher : RequestHasher
         Has what was passed on of the body.
-    now : float
-        Monotonic, seconds.
 
     Attributes
     ----------
@@ -36,11 +34,10 @@
         The application's end that it is suspected of; empty for none.
     """
 
-    __slots__ = ("crash", "hasher", "is_lost", "kept_until", "started_at")
+    __slots__ = ("crash", "hasher", "is_lost", "kept_until")
 
-    def __init__(self, hasher: RequestHasher, now: float):
+    def __init__(self, hasher: RequestHasher):
         self.hasher = hasher
-        self.started_at = now
         self.kept_until = float("inf")
         self.is_lost = False
         self.crash = ""
@@ -56,9 +53,9 @@
     def __repr__(self) -> str:
         return f"<RunRegistry running={len(self._running)} ended={len(self._ended)}>"
 
-    def begin(self, hasher: RequestHasher, now: float) -> Run:
+    def begin(self, hasher: RequestHasher) -> Run:
         """Note that a request is passed on."""
-        run = Run(hasher, now)
+        run = Run(hasher)
         self._running[run] = None
         return run
 
@@ -87,10 +84,6 @@
         if len(self._ended) > MAX_ENDED:
             del self._ended[next(iter(self._ended))]
 
-    def has_survivor(self, since: float) -> bool:
-        """Tell whether a run that was in progress at a time still is: the application can't have ended then."""
-        return any(run.started_at < since for run in self._running)
-
     def take_suspects(self, now: float, has_restarted: bool) -> list[Run]:
         """Return what ran on an application when it ended; each run once, whose `crash` is to be set.
 
