--- a/packages/lanedock/lanedock/quarantine/served.py
+++ b/packages/lanedock/lanedock/quarantine/served.py
@@ -9,7 +9,7 @@
 # often runs beside every crash, and would be suspected of each; one that begins to crash
 # upstreams after it was served (new data, a new release) is suspected this much later.
 SERVED_KEPT = 30.0
-# Requests that are kept: 0.2 MB. At 500 a second, that differ all, those of two seconds.
+# Requests that are kept: 0.15 MB (tracemalloc). At 500 a second, that differ all, those of two seconds.
 MAX_SERVED = 1024
 
 
