Repeat between listed control instances which requests are not passed on

Cause, by reading: control instances that are named in the settings send each other news of suspicions once and without numbers; what was lost with a link came never, and neither did the word that a request had been cleared. Change: every 2 s each sends the others what it holds back, and answers with what was cleared meanwhile. Dropped: to tell all neighbours, in the core, whenever someone is behind; a storm of N daemons that return would have had N times N messages.

--- a/packages/lanedock-daemon/lanedock_daemon/control/directories.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/directories.py
@@ -25,6 +25,10 @@
 # seconds: its daemon may have lost control only, and callers see for themselves
 # whether it answers.
 ENDPOINT_KEEP = 12.0
+# Seconds after which control instances that are listed in the settings send again which requests
+# are not passed on: their reports have no numbers, so nobody knows that one was lost. Within 3 s
+# of a third crash all daemons are to refuse. Some 100 bytes a second for each such request.
+SUSPICION_REPEAT = 2.0
 
 
 class ControlDirectory(ABC):
@@ -138,6 +142,7 @@
         self._directory = Directory(DEFAULT_ENDPOINT_WINDOW)
         super().__init__(self._directory, sessions, links, log, quarantine)
         self._suspicions = quarantine.add_outbox()
+        self._repeat_at = 0.0
         self._cfg = cfg
         self._others = [replica for replica in cfg.replicas if replica != name]
         self._task = task
@@ -177,19 +182,29 @@
 
     def _send_to_others(self, message: messages.PeerMessage) -> None:
         """Send a message to all other control instances."""
-        replica = self._log.replica
         for name in self._others:
-            out = messages.PeerMessage(sender=replica.me, receiver=name, term=replica.term)
-            out.MergeFrom(message)
-            self._links.send([out])
+            self._send(name, message)
+
+    def _send(self, name: str, message: messages.PeerMessage) -> None:
+        replica = self._log.replica
+        out = messages.PeerMessage(sender=replica.me, receiver=name, term=replica.term)
+        out.MergeFrom(message)
+        self._links.send([out])
 
     def advance(self, now: float) -> None:
         news = self._quarantine.take_news(self._suspicions, now)
+        if now >= self._repeat_at:
+            self._repeat_at = now + SUSPICION_REPEAT
+            news += self._quarantine.held_news(now)
         if news:
-            self._send_to_others(messages.PeerMessage(endpoint_report=messages.EndpointReport(suspicions=news)))
+            self._send_to_others(_make_report(news))
 
     def receive(self, message: messages.PeerMessage, now: float) -> None:
-        self._quarantine.merge(message.endpoint_report.suspicions, now)
+        suspicions = message.endpoint_report.suspicions
+        self._quarantine.merge(suspicions, now)
+        missed = self._quarantine.missed_by(suspicions, now)
+        if missed:
+            self._send(replica_name(message.sender), _make_report(missed))
         notice = message.drain_notice
         for name, incarnation in zip(notice.instances, notice.incarnations, strict=True):
             self._directory.drain(name, incarnation, now)
@@ -261,3 +276,7 @@
         if members != self._sent_members:
             self._sent_members = members
             self._sessions.send_members(None, members)
+
+
+def _make_report(suspicions: list[messages.Suspicion]) -> messages.PeerMessage:
+    return messages.PeerMessage(endpoint_report=messages.EndpointReport(suspicions=suspicions))
--- a/packages/lanedock/lanedock/quarantine/core.py
+++ b/packages/lanedock/lanedock/quarantine/core.py
@@ -11,6 +11,8 @@
 aside after so many deliveries.
 """
 
+from collections.abc import Iterable
+
 from lanedock.quarantine.fingerprint import Fingerprint
 from lanedock.quarantine.outbox import SuspicionOutbox
 from lanedock.wire import messages
@@ -253,7 +255,25 @@
 
     def whole_news(self, now: float) -> list[messages.Suspicion]:
         """Return all suspicions, for a neighbour that has just connected."""
-        return [_make_message(suspect, crash, now) for suspect in self._suspects.values() for crash in suspect.crashes]
+        return _make_messages(self._suspects.values(), now)
+
+    def missed_by(self, suspicions: list[messages.Suspicion], now: float) -> list[messages.Suspicion]:
+        """Return which of a neighbour's suspicions were cleared here, as it has to learn."""
+        missed = []
+        for item in suspicions:
+            suspect = self._suspects.get(item.whole)
+            if suspect is not None and suspect.crashes.get(item.crash) and not item.cleared:
+                missed.append(_make_message(suspect, item.crash, now))
+        return missed
+
+    def held_news(self, now: float) -> list[messages.Suspicion]:
+        """Return the suspicions of requests that are not passed on now; hardly ever any."""
+        held = [whole for whole, until in self._held_until.items() if until > now]
+        return _make_messages([self._suspects[whole] for whole in held], now)
+
+
+def _make_messages(suspects: Iterable[_Suspect], now: float) -> list[messages.Suspicion]:
+    return [_make_message(suspect, crash, now) for suspect in suspects for crash in suspect.crashes]
 
 
 def _make_message(suspect: _Suspect, crash: str, now: float) -> messages.Suspicion:
