--- a/tests/crash_mesh.py
+++ b/tests/crash_mesh.py
@@ -27,10 +27,10 @@
 
 
 class CrashMesh(PlatformProcesses):
-    """A control instance in each of three zones, and two daemons whose applications crash of some requests."""
+    """A control instance in each of three zones, and daemons whose applications crash of some requests."""
 
-    def __init__(self, folder, crash_after: float):
-        super().__init__(folder, DAEMONS, ZONES)
+    def __init__(self, folder, crash_after: float, daemons: int = DAEMONS):
+        super().__init__(folder, daemons, ZONES)
         self._crash_after = crash_after
 
     def make_application(self, ip: str, number: int) -> CrashingApplication:
@@ -73,7 +73,7 @@
         self._mesh = mesh
         self._path = path
         self._is_stopped = threading.Event()
-        self._threads = [threading.Thread(target=self._run, args=(number,)) for number in range(DAEMONS)]
+        self._threads = [threading.Thread(target=self._run, args=(number,)) for number in range(len(mesh.daemons))]
         for thread in self._threads:
             thread.start()
 
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -52,6 +52,8 @@
     folder : Path
         For settings, logs and data.
     seed : int
+    daemons : int
+        In all, with an application each.
 
     Attributes
     ----------
@@ -59,10 +61,10 @@
         What was broken.
     """
 
-    def __init__(self, folder: Path, seed: int):
+    def __init__(self, folder: Path, seed: int, daemons: int = DAEMONS):
         self.findings: list[str] = []
         self._rng = Random(seed)
-        self._mesh = CrashMesh(folder, self._rng.choice([0.0, 0.05, 0.15]))
+        self._mesh = CrashMesh(folder, self._rng.choice([0.0, 0.05, 0.15]), daemons)
         self._is_over = threading.Event()
         self._acked: list[tuple[float, int]] = []
         self._faults = [self._suspend, self._pause, self._kill, self._stop, self._crash]
@@ -162,14 +164,14 @@
             self._poisons.append(request)
             until = time.monotonic() + rng.uniform(4.0, 25.0)
             while time.monotonic() < until and not self._is_over.wait(rng.uniform(0.02, 0.3)):
-                self._mesh.send(rng.randrange(DAEMONS), *request)
+                self._mesh.send(rng.randrange(len(self._mesh.daemons)), *request)
 
     def _send_writes(self, seed: int) -> None:
         """Send requests that may not be repeated, each once."""
         rng = Random(seed)
         while not self._is_over.wait(0.03):
             self._writes += 1
-            self._mesh.send(rng.randrange(DAEMONS), "POST", f"/a/b/write-{self._writes}", b"1")
+            self._mesh.send(rng.randrange(len(self._mesh.daemons)), "POST", f"/a/b/write-{self._writes}", b"1")
 
     def _put(self, version: int, base: int) -> bool:
         if self._mesh.put(make_routes(version, base, timeoutS=1 + version % 7 / 10)) != 200:
@@ -217,14 +219,14 @@
             self.findings.append(f"ran more than once: {twice}")
 
 
-def main(seeds: int = 1, first: int = 0, seconds: float = 60.0) -> None:
+def main(seeds: int = 1, first: int = 0, seconds: float = 60.0, daemons: int = DAEMONS) -> None:
     """Run some seeds one after the other; the exit code is 1 where one of them finds something."""
     os.environ["PYTHONPATH"] = os.pathsep.join([str(TESTS / "suspendable"), os.environ.get("PYTHONPATH", "")])
     sys.path.insert(0, str(TESTS / "suspendable"))
     failed = 0
     for seed in range(first, first + seeds):
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        findings = Soak(folder, seed).run(seconds)
+        findings = Soak(folder, seed, daemons).run(seconds)
         failed += bool(findings)
         print(f"seed {seed}: {'; '.join(findings) or 'nothing found'} ({folder})", flush=True)
     raise typer.Exit(int(failed > 0))
