Keep a measured slowness over a restart of the daemon

Cause: by the change of idle upstreams one whose daemon had been restarted counted as not measured, and its former slowness was forgotten at once. Change: when its last request ended is carried over with the slowness.

--- a/packages/lanedock/lanedock/routing/balancer.py
+++ b/packages/lanedock/lanedock/routing/balancer.py
@@ -120,6 +120,7 @@
         stats = UpstreamStats(endpoint, now if cold_for else None, cold_for)
         if former is not None:
             stats.slowness = former.slowness
+            stats.ended_at = former.ended_at
         return stats
 
     def hedge_delay(self, kind: str) -> float:
--- a/packages/lanedock/lanedock/routing/tests/test_balancer.py
+++ b/packages/lanedock/lanedock/routing/tests/test_balancer.py
@@ -186,6 +186,18 @@
     assert 0 < chosen["slow"] < chosen["quick"] / 100
 
 
+def test_a_measured_slowness_outlives_a_restart_of_the_daemon():
+    balancer = _balancer(_endpoint("a"), _endpoint("b"))
+    for _ in range(50):
+        for name, taken in (("a", 0.1), ("b", 0.5)):
+            stats = balancer._upstreams[name]
+            balancer.begin(stats, 19.0)
+            balancer.end(stats, False, 20.0, taken=taken, kind="read")
+    balancer.set_endpoints([_endpoint("a"), _endpoint("b", incarnation=2)], 20.1)
+    balancer._upstreams["b"].cold_since = None
+    assert {balancer.choose(10, 20.2).endpoint.instance for _ in range(50)} == {"a"}
+
+
 def test_an_upstream_that_has_just_failed_is_no_first_choice():
     balancer = _balancer(_endpoint("a"), _endpoint("b"))
     failing, other = balancer._upstreams["a"], balancer._upstreams["b"]
