Give each decision on a request the time at which it was made

Cause: the lines on a request are written at its end and carried the time of that, in whole milliseconds; explain reckoned back from it. Change: a decision keeps the time of the clock that the processes of an instance share, and its line has that time, in microseconds; explain sorts by it and reckons nothing.

--- a/packages/lanedock-cli/lanedock_cli/explain.py
+++ b/packages/lanedock-cli/lanedock_cli/explain.py
@@ -90,7 +90,6 @@
     """
     known = [line for path in paths for line in read_log(path)]
     lines = [line for line in known if line.request == request]
-    _place_in_time(lines)
     lines.sort(key=lambda line: line.time)
     if not lines:
         return Account([], [], [f"no line names {request}: it was answered well and not sampled, or not here"], [])
@@ -110,20 +109,6 @@
     return Account(lines, around, _find_missing(lines, around), causes)
 
 
-def _place_in_time(lines: list[Line]) -> None:
-    """Give each line the time of its decision: a process writes a request's lines at its end."""
-    ends: dict[str, tuple[datetime, float]] = {}
-    for line in lines:
-        after = line.fields.get("after_ms")
-        if after is not None and after >= ends.get(line.process, (line.time, -1.0))[1]:
-            ends[line.process] = (line.time, after)
-    for line in lines:
-        after = line.fields.get("after_ms")
-        if after is not None:
-            written_at, last = ends[line.process]
-            line.time = written_at - timedelta(milliseconds=last - after)
-
-
 def read_log(path: Path) -> list[Line]:
     """Read a log; what stands before a line's object, such as a collector's stamp, is passed over."""
     try:
--- a/packages/lanedock/lanedock/telemetry/log.py
+++ b/packages/lanedock/lanedock/telemetry/log.py
@@ -6,6 +6,7 @@
 import select
 import sys
 from collections import deque
+from datetime import datetime
 
 from lanedock.clock import monotonic
 from lanedock.telemetry.events import Event
@@ -48,17 +49,31 @@
             return
         self._write(event, event.level, particulars)
 
-    def emit_failure(self, event: Event, **particulars: object) -> None:
-        """Log an event that belongs to a failure, under the failures' bound."""
-        if self._logger.isEnabledFor(event.level) and self._has_room(event, logging.WARNING):
-            self._write(event, event.level, particulars)
-
-    def _write(self, event: Event, level: int, particulars: dict) -> None:
+    def emit_decision(self, event: Event, decided_at: float, failed: bool, particulars: dict) -> None:
+        """Log what was decided earlier on.
+
+        Parameters
+        ----------
+        event : Event
+        decided_at : float
+            Seconds since the epoch; the line has this time.
+        failed : bool
+            Whether it belongs to a failure, and stands under the failures' bound.
+        particulars : dict
+        """
+        bound = logging.WARNING if failed else event.level
+        if self._logger.isEnabledFor(event.level) and self._has_room(event, bound):
+            self._write(event, event.level, particulars, decided_at)
+
+    def _write(self, event: Event, level: int, particulars: dict, decided_at: float | None = None) -> None:
         fields = {"message": event.name, "event": f"E{event.number}", "process": self._logger.name}
         for key, value in particulars.items():
             fields[key] = value if isinstance(value, (int, float, str, bool)) or value is None else str(value)
         # The formatter puts a message that is a dict into the line, field by field.
-        self._logger.log(level, fields)
+        record = self._logger.makeRecord(self._logger.name, level, "", 0, fields, (), None)
+        if decided_at is not None:
+            record.created = decided_at
+        self._logger.handle(record)
 
     def _has_room(self, event: Event, level: int) -> bool:
         second = int(monotonic())
@@ -73,7 +88,7 @@
     def _report_limited(self, counts: dict[Event, int]) -> None:
         for event, count in counts.items():
             limit = self._limit * (FAILURE_FACTOR if event.level >= logging.WARNING else 1)
-            if count > limit:
+            if count > limit and self._logger.isEnabledFor(Event.LOG_LIMITED.level):
                 self._write(
                     Event.LOG_LIMITED, Event.LOG_LIMITED.level, {"limited": event.name, "left_out": count - limit}
                 )
@@ -150,11 +165,8 @@
     LineWriter
         To be flushed at intervals.
     """
-    from pythonjsonlogger.json import JsonFormatter
-
     writer = LineWriter(sys.stdout.fileno() if descriptor is None else descriptor)
-    fields = "%(asctime)s %(levelname)s %(message)s"
-    writer.setFormatter(JsonFormatter(fields, rename_fields={"asctime": "time", "levelname": "level"}))
+    writer.setFormatter(_make_formatter())
     root = logging.getLogger()
     root.handlers[:] = [writer]
     root.setLevel(level.upper())
@@ -162,3 +174,16 @@
     logging.getLogger("hpack").setLevel(logging.WARNING)
     logging.getLogger("grpclib").setLevel(logging.WARNING)
     return writer
+
+
+def _make_formatter() -> logging.Formatter:
+    from pythonjsonlogger.json import JsonFormatter
+
+    class LineFormatter(JsonFormatter):
+        """Formats lines of JSON with times in microseconds: several decisions fall into a millisecond."""
+
+        def formatTime(self, record: logging.LogRecord, datefmt: str | None = None) -> str:
+            return datetime.fromtimestamp(record.created).strftime("%Y-%m-%d %H:%M:%S,%f")
+
+    fields = "%(asctime)s %(levelname)s %(message)s"
+    return LineFormatter(fields, rename_fields={"asctime": "time", "levelname": "level"})
--- a/packages/lanedock/lanedock/telemetry/requests.py
+++ b/packages/lanedock/lanedock/telemetry/requests.py
@@ -7,6 +7,7 @@
 """
 
 import zlib
+from time import time
 
 from lanedock.clock import monotonic
 from lanedock.telemetry.events import Event
@@ -51,18 +52,20 @@
         self.target = 0.0
         self.waited = 0.0
         self._started = now
-        self._steps: list[tuple[Event, float, dict]] = []
+        self._steps: list[tuple[Event, float, float, dict]] = []
 
     def note(self, event: Event, **particulars: object) -> None:
         """Keep a decision with the inputs that decided it."""
         if len(self._steps) < MAX_STEPS:
-            self._steps.append((event, monotonic(), particulars))
+            # By the clock that the processes of an instance share: a refusal is told before
+            # what its receiver made of it, though both may be decided within 0.1 ms.
+            self._steps.append((event, time(), monotonic() - self._started, particulars))
 
     def write(self, events: EventLogger, failed: bool) -> None:
-        """Write all decisions."""
-        emit = events.emit_failure if failed else events.emit
-        for event, at, particulars in self._steps:
-            emit(event, request=self.request_id, after_ms=round(1000 * (at - self._started), 1), **particulars)
+        """Write all decisions, each with the time at which it was made."""
+        for event, decided_at, after, particulars in self._steps:
+            fields = {"request": self.request_id, "after_ms": round(1000 * after, 1), **particulars}
+            events.emit_decision(event, decided_at, failed, fields)
 
 
 class RequestLogger:
