--- a/tests/suspendable/sitecustomize.py
+++ b/tests/hooks/suspendable_clocks.py
@@ -8,6 +8,8 @@
 
 import time
 
+__all__ = ["install"]
+
 # Seconds between two looks that are taken for a stop.
 _STOPPED = 0.7
 _steady, _gettime = time.monotonic, time.clock_gettime
@@ -28,5 +30,7 @@
     return _monotonic() if clock == time.CLOCK_MONOTONIC else _gettime(clock)
 
 
-time.monotonic = _monotonic
-time.clock_gettime = _clock_gettime
+def install() -> None:
+    """Replace this process's clocks."""
+    time.monotonic = _monotonic
+    time.clock_gettime = _clock_gettime
