Test daemons behind a relay that is suspended

Cause: a suspended relay was shown as a source that falls silent only; what lies in its sockets when it runs again was not. Change: the virtual mesh can have a relay that is a daemon itself, with its own suspension. Two tests: a version that is accepted meanwhile, and a daemon that starts meanwhile.

--- a/packages/lanedock-daemon/lanedock_daemon/agent/tests/sources.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/tests/sources.py
@@ -7,7 +7,7 @@
 
 from lanedock.config import split_config
 from lanedock.rollout import Child, Distributor, VersionSource
-from lanedock.settings import Address, load_settings
+from lanedock.settings import Address, Settings, load_settings
 from lanedock.telemetry import EventLogger, NullMetrics
 from lanedock.wire import messages
 from lanedock_daemon.agent import AgentService, LocalView
@@ -16,7 +16,7 @@
 from lanedock_daemon.sessions import HEARTBEAT_INTERVAL
 from lanedock_daemon.transport import SourceEnded, SourceSent, SourceStream
 
-__all__ = ["ControlInstance", "VirtualMesh", "make_value"]
+__all__ = ["RELAY", "ControlInstance", "VirtualDaemon", "VirtualMesh", "make_value"]
 
 # The relay's name.
 RELAY = "r"
@@ -104,7 +104,7 @@
         """Reset all streams, as a process does that ends."""
         for stream in list(self.sessions):
             del self.sessions[stream]
-            self.mesh.post(SourceEnded(stream, "reset"))
+            stream.post(SourceEnded(stream, "reset"))
 
     def set_accepted(self, tree) -> None:
         """Learn of an accepted version, unless cut off from the leader."""
@@ -138,7 +138,7 @@
 
     def _deliver(self, stream: "_VirtualStream", message: messages.ControlMessage) -> None:
         if not (self.is_dark or stream in self.silent_streams):
-            self.mesh.post(SourceSent(stream, message))
+            stream.post(SourceSent(stream, message))
 
     def receive(self, stream: "_VirtualStream", message: messages.DaemonMessage) -> None:
         if stream.is_closed or stream in self.silent_streams or not self.answers():
@@ -166,7 +166,7 @@
     def _refer(self, stream: "_VirtualStream", message: messages.DaemonMessage) -> bool:
         """Refer a daemon to the relay, if there is one that hasn't failed it."""
         relay = self.mesh.relay
-        if relay in (None, self.address) or RELAY in message.failed_relays:
+        if relay in (None, self.address) or RELAY in (message.state.daemon, *message.failed_relays):
             return False
         redirect = messages.ControlMessage()
         redirect.redirect.relay = RELAY
@@ -193,9 +193,10 @@
 class _VirtualStream(SourceStream):
     """The daemon's end of a stream."""
 
-    def __init__(self, owner, address: Address, mesh: "VirtualMesh"):
+    def __init__(self, owner, address: Address, daemon: "VirtualDaemon"):
         super().__init__(owner, address)
-        self._mesh = mesh
+        self._mesh = daemon.mesh
+        self.post = daemon.post
         self.is_closed = False
 
     def open(self, first: messages.DaemonMessage) -> None:
@@ -216,7 +217,58 @@
         self._mesh.instances[self.address].sessions.pop(self, None)
 
     def _end(self) -> None:
-        self._mesh.post(SourceEnded(self, "not reached"))
+        self.post(SourceEnded(self, "not reached"))
+
+
+class VirtualDaemon:
+    """A daemon's agent, and what it finds around it.
+
+    Parameters
+    ----------
+    mesh : VirtualMesh
+    settings : Settings
+    rng : Random
+
+    Attributes
+    ----------
+    agent : AgentService
+    view : LocalView
+    """
+
+    def __init__(self, mesh: "VirtualMesh", settings: Settings, rng: Random):
+        self.mesh = mesh
+        self._resumes_at = 0.0
+        self.view = LocalView("z0", 3.0)
+        self.agent = AgentService(settings, self.view, EventLogger(settings.name), NullMetrics())
+        self.agent._search._rng = rng
+        self.agent.on_start(self)
+        mesh.at(mesh.clock.now + rng.uniform(0, service_module.TICK), self._tick)
+
+    def find(self, name: str) -> "VirtualDaemon":
+        """Stand in for the kernel: everything is found here."""
+        return self
+
+    def open_source(self, owner, address: Address) -> _VirtualStream:
+        """Stand in for the transport."""
+        return _VirtualStream(owner, address, self)
+
+    def suspend(self, seconds: float) -> None:
+        """Suspend its instance from now on."""
+        self._resumes_at = self.mesh.clock.now + seconds
+
+    def post(self, message: object) -> None:
+        if self.mesh.clock.now < self._resumes_at:
+            # It lies in a socket until the daemon runs again.
+            self.mesh.at(self._resumes_at, self.post, message)
+        else:
+            self.agent.on_messages([message])
+
+    def _tick(self) -> None:
+        if self.mesh.clock.now < self._resumes_at:
+            self.mesh.at(self._resumes_at, self._tick)
+            return
+        self.agent.on_tick()
+        self.mesh.at(self.mesh.clock.now + service_module.TICK, self._tick)
 
 
 class VirtualMesh:
@@ -235,6 +287,7 @@
 
     Attributes
     ----------
+    daemon : VirtualDaemon
     relay : Address or None
     phase : float
         Seconds, another with each seed, by which tests shift their events.
@@ -250,7 +303,6 @@
         for module in (service_module, view_module):
             monkeypatch.setattr(module, "monotonic", self.clock.monotonic)
         monkeypatch.setattr(service_module, "awake", self.clock.awake)
-        self._resumes_at = 0.0
         self.phase = rng.uniform(0, 5.0)
         self.accepted = None
         self.link_delay = _DELAY
@@ -265,52 +317,24 @@
             self.instances[self.relay] = ControlInstance(self, self.relay, rng.uniform(0, HEARTBEAT_INTERVAL))
         path = folder / "settings.json"
         path.write_text(_SETTINGS % ",".join(f'"{address}"' for address in addresses), encoding="utf-8")
-        settings = load_settings(str(path))
-        self.view = LocalView("z0", 3.0)
-        self.agent = AgentService(settings, self.view, EventLogger("d"), NullMetrics())
-        self.agent._search._rng = rng
-        self.agent.on_start(self)
-        self.at(self.clock.now + rng.uniform(0, service_module.TICK), self._tick)
-
-    # ------------------------------------------- what the agent finds around it
-
-    def find(self, name: str) -> "VirtualMesh":
-        """Stand in for the kernel: everything is found here."""
-        return self
-
-    def open_source(self, owner, address: Address) -> _VirtualStream:
-        """Stand in for the transport."""
-        return _VirtualStream(owner, address, self)
+        self.daemon = VirtualDaemon(self, load_settings(str(path)), rng)
+        self.view, self.agent = self.daemon.view, self.daemon.agent
 
     # ----------------------------------------------------------------- the time
 
     def at(self, when: float, function, *arguments) -> None:
         heapq.heappush(self._queue, (when, next(self._order), function, arguments))
 
-    def post(self, message: object) -> None:
-        if self.clock.now < self._resumes_at:
-            # It lies in a socket until the daemon runs again.
-            self.at(self._resumes_at, self.post, message)
-        else:
-            self.agent.on_messages([message])
-
-    def _tick(self) -> None:
-        if self.clock.now < self._resumes_at:
-            self.at(self._resumes_at, self._tick)
-            return
-        self.agent.on_tick()
-        self.at(self.clock.now + service_module.TICK, self._tick)
-
     def suspend(self, seconds: float) -> None:
-        """Suspend the daemon's instance; the others run on."""
-        self._resumes_at = self.clock.now + seconds
-        started = self.clock.now
-        while self._queue and self._queue[0][0] < self._resumes_at:
+        """Suspend the daemon's instance, and let that time pass; the others run on."""
+        resumes_at = self.clock.now + seconds
+        self.daemon.suspend(seconds)
+        while self._queue and self._queue[0][0] < resumes_at:
             when, _, function, arguments = heapq.heappop(self._queue)
             self.clock.now = max(self.clock.now, when)
             function(*arguments)
-        self.clock.now = self._resumes_at
-        self.clock.suspended += self._resumes_at - started
+        self.clock.now = resumes_at
+        self.clock.suspended += seconds
 
     def run(self, seconds: float, until=lambda: False) -> float:
         """Let time pass until a condition holds; returns how long it took, in seconds."""
--- a/packages/lanedock-daemon/lanedock_daemon/agent/tests/test_suspension.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/tests/test_suspension.py
@@ -7,10 +7,13 @@
 
 import ast
 from pathlib import Path
+from random import Random
 
 import pytest
 
+from lanedock_daemon.agent.tests.relays import RelayMesh
 from lanedock_daemon.agent.tests.sources import VirtualMesh
+from lanedock_daemon.agent.tests.test_source_loss import IN_FORCE_LIMIT, MARGIN
 
 # Seconds after which a daemon that was out of touch serves nothing until its version is
 # confirmed, as the settings of the virtual mesh have it.
@@ -61,3 +64,40 @@
     parts = [PACKAGES / "lanedock" / "lanedock", PACKAGES / "lanedock-daemon" / "lanedock_daemon"]
     paths = [path for part in parts for path in part.rglob("*.py") if not {"tests", "testing"} & set(path.parts)]
     assert [path.name for path in paths if _reads_steady_clock(path)] == ["clock.py"]
+
+
+@pytest.mark.parametrize("suspended", [0.4, 0.9, 1.4, 2.0, 3.2, 5.0])
+@pytest.mark.parametrize("seed", range(20))
+def test_an_accepted_version_is_in_force_in_time_behind_a_suspended_relay(monkeypatch, tmp_path, seed, suspended):
+    """Accepted at any moment of the suspension; what came before it lies in the relay's sockets."""
+    mesh = RelayMesh(monkeypatch, tmp_path, seed)
+    mesh.accept(1)
+    mesh.run(5.0, lambda: mesh.view.bind() is not None)
+    mesh.run(1.0)
+    assert mesh.in_force() == 1 and mesh.agent._stream.address == mesh.relay
+    mesh.suspend_relay(suspended)
+    mesh.run(suspended * Random(seed).random())
+    mesh.accept(2)
+    taken = mesh.run(10.0, lambda: mesh.in_force() == 2)
+    assert taken <= IN_FORCE_LIMIT - MARGIN
+
+
+@pytest.mark.parametrize("suspended", [0.4, 0.9, 1.4, 2.0, 3.2, 5.0])
+@pytest.mark.parametrize("seed", range(20))
+def test_a_daemon_that_starts_behind_a_suspended_relay_serves_by_no_replaced_version(
+    monkeypatch, tmp_path, seed, suspended
+):
+    """Its question for the newest version, or the answer to it, lies in the relay's sockets meanwhile."""
+    rng = Random(seed)
+    mesh = RelayMesh(monkeypatch, tmp_path, seed)
+    mesh.accept(1)
+    mesh.run(rng.uniform(0.0, 0.5))
+    mesh.suspend_relay(suspended)
+    mesh.run(suspended * rng.random())
+    mesh.accept(2)
+    mesh.run(IN_FORCE_LIMIT)
+    for _ in range(100):
+        binding = mesh.view.bind()
+        assert binding is None or binding.number == 2
+        mesh.run(0.1)
+    assert mesh.view.bind().number == 2
