Hold pieces of bodies in one place

Cause: bodies that are hashed and bodies that are counted each gave out, in the same way, pieces that they had read ahead. Change: HeldBody holds pieces and gives them out; both are one. Measured: the tests of the request path pass; no behaviour is meant to change.

--- a/packages/lanedock-daemon/lanedock_daemon/path/body_gate.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/body_gate.py
@@ -7,7 +7,8 @@
 from lanedock.errors import ErrorCode
 from lanedock.limits import QUEUE_TIME, AdmissionRequest, BodyAdmission, BodyTransfer, Refused, SlotLimiter
 from lanedock.telemetry import Metric, Metrics
-from lanedock_daemon.path.http import NEVER, RETRY_AFTER, Body, Request
+from lanedock_daemon.path.held_body import HeldBody
+from lanedock_daemon.path.http import RETRY_AFTER, Body, Request
 from lanedock_daemon.path.service import StopTimeout
 
 __all__ = ["BodyGate"]
@@ -16,24 +17,16 @@
 FETCH = 64 * 1024
 
 
-class _CountedBody(Body):
+class _CountedBody(HeldBody):
     """A body whose bytes are counted as they are read; reading it asks its sender for it."""
 
     def __init__(self, body: Body, bodies: BodyAdmission, transfer: BodyTransfer):
-        self.length = body.length
+        super().__init__(body)
         self.transfer = transfer
         self.uncounted = body
         self._bodies = bodies
-        self._fetched = b""
 
-    def fetch(self, deadline: float) -> None:
-        """Wait for its first piece, and keep it."""
-        self._fetched = self.read(FETCH, deadline)
-
-    def read(self, size: int, deadline: float = NEVER) -> bytes:
-        if self._fetched:
-            piece, self._fetched = self._fetched[:size], self._fetched[size:]
-            return piece
+    def _read_next(self, size: int, deadline: float) -> bytes:
         piece = self.uncounted.read(size, deadline)
         now = monotonic()
         if piece:
@@ -142,7 +135,7 @@
             Its sender went away.
         """
         if isinstance(request.body, _CountedBody):
-            request.body.fetch(deadline)
+            request.body.hold_piece(FETCH, deadline)
 
     def leave(self, request: Request) -> None:
         """Note that a request is over: what hasn't come of its body won't."""
--- a/packages/lanedock-daemon/lanedock_daemon/path/hashed_body.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/hashed_body.py
@@ -2,12 +2,13 @@
 """A request's body that is added to its fingerprint on its way."""
 
 from lanedock.quarantine import RequestHasher
-from lanedock_daemon.path.http import CHUNK, NEVER, Body, Request
+from lanedock_daemon.path.held_body import HeldBody
+from lanedock_daemon.path.http import CHUNK, Body, Request
 
 __all__ = ["HashedBody", "hash_body"]
 
 
-class HashedBody(Body):
+class HashedBody(HeldBody):
     """Adds each piece to its request's fingerprint as it is read.
 
     Parameters
@@ -18,10 +19,9 @@
     """
 
     def __init__(self, body: Body, hasher: RequestHasher):
-        self.length = body.length
+        super().__init__(body)
         self._body = body
         self._hasher = hasher
-        self._held: list[bytes] = []
 
     def hold(self, deadline: float) -> None:
         """Read all that counts for the fingerprint, and keep it to be passed on.
@@ -38,24 +38,14 @@
             Its sender went away.
         """
         while not self._hasher.is_complete:
-            self._held.append(self._read(CHUNK, deadline))
-        # Read from the end: the last of them may be empty, which is the body's end.
-        self._held.reverse()
+            self.hold_piece(CHUNK, deadline)
 
     def finish(self, deadline: float) -> None:
         """Read the rest of what counts for the fingerprint, and drop it; raises as `hold`."""
         while not self._hasher.is_complete:
-            self._read(CHUNK, deadline)
+            self._read_next(CHUNK, deadline)
 
-    def read(self, size: int, deadline: float = NEVER) -> bytes:
-        if not self._held:
-            return self._read(size, deadline)
-        piece = self._held.pop()
-        if len(piece) > size:
-            self._held.append(piece[size:])
-        return piece[:size]
-
-    def _read(self, size: int, deadline: float) -> bytes:
+    def _read_next(self, size: int, deadline: float) -> bytes:
         piece = self._body.read(size, deadline)
         self._hasher.update(piece)
         return piece
