--- a/packages/lanedock-daemon/lanedock_daemon/agent/attest.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/attest.py
@@ -2,10 +2,10 @@
 """Attempts to reach other daemons of the zone, on the control's request."""
 
 import gevent
-from gevent import socket
 
 from lanedock.kernel import TaskService
 from lanedock.wire import messages
+from lanedock_daemon.sockets import open_connection
 
 __all__ = ["ALIVE_PATH", "AttestationsMade", "Attester"]
 
@@ -61,7 +61,7 @@
 def _is_alive(host: str, port: int, timeout: float) -> bool:
     """Tell whether a daemon answers. A frozen one still accepts connections."""
     try:
-        with gevent.Timeout(timeout), socket.create_connection((host, port)) as conn:
+        with gevent.Timeout(timeout), open_connection((host, port)) as conn:
             conn.sendall(f"GET {ALIVE_PATH} HTTP/1.1\r\nHost: {host}\r\nConnection: close\r\n\r\n".encode())
             return conn.recv(16).startswith(b"HTTP/1.1")
     except (OSError, gevent.Timeout):
--- a/packages/lanedock-daemon/lanedock_daemon/app.py
+++ b/packages/lanedock-daemon/lanedock_daemon/app.py
@@ -4,6 +4,7 @@
 import argparse
 import sys
 
+from lanedock_daemon.digests import leave_out_openssl
 from lanedock_daemon.signals import EarlySignals
 
 __all__ = ["main"]
@@ -12,6 +13,7 @@
 def main(arguments: list[str] | None = None) -> int:
     """Run the process that the command line describes."""
     early = EarlySignals()
+    leave_out_openssl()
     # Patched before all else is imported, so that all sockets are gevent's: asyncio,
     # which gRPC runs on, knows the standard ones only.
     from gevent import monkey
--- a/packages/lanedock-daemon/lanedock_daemon/frames.py
+++ b/packages/lanedock-daemon/lanedock_daemon/frames.py
@@ -4,14 +4,14 @@
 A frame is a length of four bytes, big endian, and a message.
 """
 
-import socket as plain_socket
+import socket
 import struct
 
 import gevent
-from gevent import socket
 from gevent.event import Event as Signal
 
 from lanedock.settings import Address
+from lanedock_daemon.sockets import open_connection
 from lanedock_daemon.transport import CONNECT_TIMEOUT
 
 __all__ = [
@@ -122,7 +122,7 @@
 def end_connection(conn) -> None:
     """End a connection for whoever reads from it or writes to it."""
     try:
-        conn.shutdown(plain_socket.SHUT_RDWR)
+        conn.shutdown(socket.SHUT_RDWR)
     except OSError:
         pass  # it has ended by itself
 
@@ -139,8 +139,8 @@
 
 def tune(conn) -> None:
     """Send frames at once, and let go of a peer that is gone."""
-    conn.setsockopt(plain_socket.IPPROTO_TCP, plain_socket.TCP_NODELAY, 1)
-    conn.setsockopt(plain_socket.IPPROTO_TCP, plain_socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
 
 def connect(address: Address, purpose: bytes, context, limit: float = CONNECT_TIMEOUT):
@@ -150,7 +150,7 @@
     ------
     OSError
     """
-    conn = socket.create_connection((address.host, address.port), timeout=limit)
+    conn = open_connection((address.host, address.port), limit)
     try:
         conn.settimeout(HANDSHAKE_TIMEOUT)
         tune(conn)
--- a/packages/lanedock-daemon/lanedock_daemon/path/crashes.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/crashes.py
@@ -4,7 +4,6 @@
 import time
 
 import gevent
-from gevent import socket
 
 from lanedock.clock import monotonic
 from lanedock.membership import Incarnation, UpstreamRegistration
@@ -12,6 +11,7 @@
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics
 from lanedock_daemon.path.pool import ConnectionPool
 from lanedock_daemon.path.service import StopTimeout
+from lanedock_daemon.sockets import open_connection
 
 __all__ = ["CrashDetector"]
 
@@ -157,7 +157,7 @@
         if self._pool.has_open(self._application):
             return False
         try:
-            socket.create_connection(self._application, timeout=CONNECT_TIMEOUT).close()
+            open_connection(self._application, CONNECT_TIMEOUT).close()
         except ConnectionRefusedError:
             return True
         except OSError:
--- a/packages/lanedock-daemon/lanedock_daemon/path/pool.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/pool.py
@@ -7,15 +7,14 @@
 and reads over them.
 """
 
-import socket as plain_socket
+import socket
 from weakref import WeakKeyDictionary
 
-from gevent import socket
-
 from lanedock.errors import ErrorCode, LanedockError
 from lanedock_daemon.path.channel import Channel
 from lanedock_daemon.path.http import Outcome
 from lanedock_daemon.path.parser import AnswerReader
+from lanedock_daemon.sockets import open_connection
 
 __all__ = ["ConnectionPool", "ExchangeError"]
 
@@ -112,7 +111,7 @@
         ExchangeError
         """
         try:
-            conn = socket.create_connection(address, timeout=min(timeout, self._connect_timeout))
+            conn = open_connection(address, min(timeout, self._connect_timeout))
         except OSError as exc:
             message = f"{address}: {exc}"
             raise ExchangeError(ErrorCode.CONNECT_FAILED, Outcome.NOT_RUN, message, True) from exc
@@ -174,10 +173,10 @@
 
 def _tune(conn) -> None:
     """Send at once, and notice a peer that is cut off in silence."""
-    tcp = plain_socket.IPPROTO_TCP
-    conn.setsockopt(tcp, plain_socket.TCP_NODELAY, 1)
-    conn.setsockopt(tcp, plain_socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
-    conn.setsockopt(plain_socket.SOL_SOCKET, plain_socket.SO_KEEPALIVE, 1)
-    conn.setsockopt(tcp, plain_socket.TCP_KEEPIDLE, KEEPALIVE_S)
-    conn.setsockopt(tcp, plain_socket.TCP_KEEPINTVL, KEEPALIVE_S)
-    conn.setsockopt(tcp, plain_socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    tcp = socket.IPPROTO_TCP
+    conn.setsockopt(tcp, socket.TCP_NODELAY, 1)
+    conn.setsockopt(tcp, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    conn.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    conn.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_S)
+    conn.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_S)
+    conn.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
--- a/packages/lanedock/lanedock/findings/schema.py
+++ b/packages/lanedock/lanedock/findings/schema.py
@@ -3,7 +3,6 @@
 
 import json
 from functools import cache
-from importlib.resources import files
 
 from lanedock.errors import ErrorCode
 from lanedock.findings.core import Finding
@@ -14,6 +13,9 @@
 
 def load_schema(package: str, name: str) -> dict:
     """Load a schema that ships inside a package."""
+    # Here: with it come 0.8 MB of modules, and daemons don't look at a schema.
+    from importlib.resources import files
+
     return json.loads(files(package).joinpath(name).read_text(encoding="utf-8"))
 
 
--- a/tests/hooks/severable_links.py
+++ b/tests/hooks/severable_links.py
@@ -23,19 +23,14 @@
 
     host, _, port = os.environ[RELAY_VARIABLE].rpartition(":")
     relay, source = (host, int(port)), os.environ[SOURCE_VARIABLE]
-    connect = socket.create_connection
-
-    def connect_through(address, *args, **kwargs):
-        if address[0] == source:
-            return connect(address, *args, **kwargs)
-        conn = connect(relay, *args, **kwargs)
-        try:
-            conn.sendall(f"{source} {address[0]} {address[1]}\n".encode())
-            if conn.recv(1) != ACCEPTED:
-                raise ConnectionRefusedError(f"{address}: refused")
-        except BaseException:
-            conn.close()
-            raise
-        return conn
-
-    socket.create_connection = connect_through
+    connect = socket.socket.connect
+
+    def connect_through(conn, address):
+        if conn.family != socket.AF_INET or address[0] == source:
+            return connect(conn, address)
+        connect(conn, relay)
+        conn.sendall(f"{source} {address[0]} {address[1]}\n".encode())
+        if conn.recv(1) != ACCEPTED:
+            raise ConnectionRefusedError(f"{address}: refused")
+
+    socket.socket.connect = connect_through
