Let bodies in by the link's rate where the settings give it

Cause: a link is taken for 2 Mbit/s at least, as slow senders look like a narrow link. On one of 1.5 Mbit/s a third more bodies were let in than it brings in the time, and their arrival was estimated too early: they came late, in the place of others. Change: upstream.link_mbps, which the platform fills in, bounds the rate from above, also before one was observed. Without it nothing changes.

--- a/packages/lanedock-daemon/lanedock_daemon/path/body_gate.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/body_gate.py
@@ -46,12 +46,14 @@
     limiter : SlotLimiter
         Of the same upstream; knows until when a request may wait.
     metrics : Metrics
+    link_rate : float, optional
+        Of the daemon's link, in bytes a second, where it is known.
     """
 
-    def __init__(self, limiter: SlotLimiter, metrics: Metrics):
+    def __init__(self, limiter: SlotLimiter, metrics: Metrics, link_rate: float | None = None):
         self._limiter = limiter
         self._metrics = metrics
-        self._bodies = BodyAdmission(0, {})
+        self._bodies = BodyAdmission(0, {}, link_rate)
 
     def __repr__(self) -> str:
         return f"<BodyGate {self._bodies!r}>"
--- a/packages/lanedock-daemon/lanedock_daemon/path/slot_gate.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/slot_gate.py
@@ -39,6 +39,8 @@
     registration : UpstreamRegistration
         Of the application; knows its slots.
     metrics : Metrics
+    link_rate : float, optional
+        Of the daemon's link, in bytes a second, where it is known.
 
     Attributes
     ----------
@@ -46,9 +48,9 @@
     bodies : BodyGate
     """
 
-    def __init__(self, registration: UpstreamRegistration, metrics: Metrics):
+    def __init__(self, registration: UpstreamRegistration, metrics: Metrics, link_rate: float | None = None):
         self.limiter = SlotLimiter(1, 0, {})
-        self.bodies = BodyGate(self.limiter, metrics)
+        self.bodies = BodyGate(self.limiter, metrics, link_rate)
         self._registration = registration
         self._calls = CallKinds()
         self._configured = None
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
@@ -67,6 +67,8 @@
     requests : RequestLogger, optional
         Writes the decisions on requests.
     crashes : CrashDetector, optional
+    link_rate : float, optional
+        Of the daemon's link, in bytes a second, where it is known.
     """
 
     def __init__(
@@ -81,6 +83,7 @@
         dialect=None,
         requests=None,
         crashes=None,
+        link_rate: float | None = None,
     ):
         self._requests: RequestLogger = requests or RequestLogger(events, 0)
         self._dialect: Dialect = dialect or OwnDialect()
@@ -96,7 +99,7 @@
             service, application, pool, self._registration, view.quarantine, lambda: None, events, metrics
         )
         self._tracer: Tracer = tracer
-        self._gate = SlotGate(self._registration, metrics)
+        self._gate = SlotGate(self._registration, metrics, link_rate)
         view.set_work(self._gate.limiter)
 
     @property
--- a/packages/lanedock-daemon/lanedock_daemon/roles.py
+++ b/packages/lanedock-daemon/lanedock_daemon/roles.py
@@ -39,6 +39,8 @@
 # Between two lines of totals of requests, in seconds: what an operator looks at
 # beside a fault. A daemon with six routes writes some ten lines each time.
 TOTALS_INTERVAL = 1.0
+# Bytes a second of a link of 1 Mbit/s.
+BYTES_PER_MBIT = 125_000
 
 
 class DrainService(Service):
@@ -171,7 +173,8 @@
             settings.name, application, pool, registration, view.quarantine, on_change, events, metrics
         )
         parts = (events, metrics, tracer, dialect, requests, crashes)
-        side = UpstreamSide(cfg.service, application, view, pool, *parts)
+        link_rate = None if cfg.link_mbps is None else cfg.link_mbps * BYTES_PER_MBIT
+        side = UpstreamSide(cfg.service, application, view, pool, *parts, link_rate=link_rate)
         if cfg.registration is not None:
             discovery = ApplicationDiscovery(view, application, dialect, on_change, events)
             registrar = Registrar(
--- a/packages/lanedock/lanedock/limits/bodies.py
+++ b/packages/lanedock/lanedock/limits/bodies.py
@@ -22,8 +22,9 @@
 # Bytes on their way at most before a rate was observed. A link of 1 Gbit/s brings them in
 # 1 ms, about as long as a consent takes, so it is hardly held up; one of 4 Mbit/s in 0.26 s.
 _FIRST_BYTES = 128 * 1024
-# Rate that a link is taken to have in any case, in bytes a second (2 Mbit/s). Senders that
-# are slow themselves look like a narrow link; this bounds what they can hold up.
+# Rate that a link is taken to have in any case, in bytes a second (2 Mbit/s), where it isn't
+# known to be narrower. Senders that are slow themselves look like a narrow link; this bounds
+# what they can hold up.
 _LEAST_RATE = 250_000.0
 # Bodies on their way in any case, so that one slow sender can't hold up all others.
 _LEAST_BODIES = 2
@@ -154,10 +155,14 @@
     queue : int
         Bodies that may wait.
     classes : dict of str to TrafficClass
+    link_rate : float, optional
+        Of the link, in bytes a second, as far as it is known; what is observed is taken to be
+        at most this.
     """
 
-    def __init__(self, queue: int, classes: dict[str, TrafficClass]):
+    def __init__(self, queue: int, classes: dict[str, TrafficClass], link_rate: float | None = None):
         self._queue = AdmissionQueue(queue, classes)
+        self._link_rate = float("inf") if link_rate is None else link_rate
         self._coming: dict[BodyTransfer, None] = {}
         self._rate = DeliveryRate()
         # Least time to a body's first bytes, in seconds: of the way there and back. At most
@@ -184,7 +189,8 @@
     @property
     def rate(self) -> float | None:
         """The observed rate, in bytes a second; None before there is one."""
-        return self._rate.value
+        observed = self._rate.value
+        return None if observed is None else min(observed, self._link_rate)
 
     def configure(self, queue: int, classes: dict[str, TrafficClass]) -> None:
         """Take over another version's numbers; what waits or comes stays."""
@@ -229,8 +235,8 @@
             self._admit(transfer, now)
             return transfer
         ahead = standing + sum(other.size for other in self._queue.list_ahead(traffic_class, request))
-        # Before a rate was observed any body may be in time.
-        seconds_per_byte = 0.0 if self.rate is None else 1 / rate
+        # Before a rate was observed any body may be in time that the link itself can bring.
+        seconds_per_byte = 1 / (self._link_rate if self.rate is None else rate)
         shared = self._count_before(transfer.size, now)
         may_come = now + (shared + transfer.size) * seconds_per_byte <= request.start_by
         if not self.waiting and may_come and self._may_admit(now):
@@ -384,10 +390,11 @@
 
     def _limit(self) -> float:
         """Return the bytes from which on no other body is let in."""
-        if self.rate is None:
-            return _FIRST_BYTES
         # What is on the way to the link doesn't stand there.
-        return self._assumed_rate() * (self._least_delay + QUEUE_TIME)
+        time = self._least_delay + QUEUE_TIME
+        if self.rate is None:
+            return min(_FIRST_BYTES, self._link_rate * time)
+        return self._assumed_rate() * time
 
     def _assumed_rate(self) -> float:
-        return max(_LEAST_RATE, self.rate or 0.0)
+        return min(self._link_rate, max(_LEAST_RATE, self.rate or 0.0))
--- a/packages/lanedock/lanedock/limits/tests/test_bodies.py
+++ b/packages/lanedock/lanedock/limits/tests/test_bodies.py
@@ -109,6 +109,42 @@
     assert max(link.taken) <= 3.0 + 2 * 360_000 / (min(1, part) * NARROW)
 
 
+@pytest.mark.parametrize("load", [0.7, 1.0, 1.5])
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_link_of_a_known_rate_that_is_narrower_than_most_is_not_taken_for_wider(load, seed):
+    """A link of 1.5 Mbit/s, a tenth of it taken by other traffic; parts of what it bears, by loads.
+
+    Taken for 2 Mbit/s it let in so much that 0.84, 0.68 and 0.38 of the bodies were in time, and
+    0.11, 0.20 and 0.33 came too late; now 0.90, 0.83 and 0.68 are, and 0.03 to 0.05 come too late.
+    """
+    rate, target, other, offered = 187_500.0, 1.6, 0.1, 1500
+    rng = Random(seed)
+    link = Link(BodyAdmission(24, CLASSES, rate), rate, 600_000.0)
+    now = 0.0
+    for _ in range(offered):
+        now += rng.expovariate(load * rate / BODY)
+        size = int(min(360_000, max(9_000, rng.expovariate(1 / BODY))))
+        link.at(now, link.upload, size, "bulk", now + target)
+    link.carry(other, 0.0, now)
+    link.run()
+    timely = sum(taken <= target for taken in link.taken)
+    assert len(link.taken) - timely <= 0.06 * offered
+    assert timely >= 0.85 * offered * min(1.0, (1.0 - other) / load)
+
+
+def test_a_rate_that_is_known_holds_before_any_was_observed():
+    link = Link(BodyAdmission(1000, CLASSES, NARROW), NARROW)
+    for _ in range(20):
+        link.at(0.0, link.upload)
+    link.run()
+    assert len(link.received_at) == 20
+    # Two bodies, or what the link brings in the time of the way there and of a short queue.
+    assert max(link.waits) <= 2 * QUEUE_TIME + BODY / NARROW
+    # No sample, of what came at once after a pause, makes it wider.
+    link.bodies.update(link.now)
+    assert link.bodies.rate <= NARROW
+
+
 @pytest.mark.parametrize("slow", [1, 3])
 @pytest.mark.parametrize("sender_rate", [10_000.0, 50_000.0, 100_000.0])
 def test_slow_large_bodies_hold_up_no_others(sender_rate, slow):
--- a/packages/lanedock/lanedock/settings/core.py
+++ b/packages/lanedock/lanedock/settings/core.py
@@ -127,7 +127,7 @@
 class UpstreamSettings(_Section):
     """An upstream's daemon; names and units as in the schema."""
 
-    __slots__ = ("application", "egress", "heartbeat_s", "listen", "registration", "service")
+    __slots__ = ("application", "egress", "heartbeat_s", "link_mbps", "listen", "registration", "service")
 
 
 class Settings(_Section):
--- a/tests/platform_processes.py
+++ b/tests/platform_processes.py
@@ -173,6 +173,7 @@
             "service": "s1",
             "heartbeatS": 0.3,
             "limits.maxFds": 4100,
+            "limits.linkMbps": 1000.0,
             "bootstrap": str(bootstrap).lower(),
             "dataDir": self.folder / f"data-{ip}",
             "bounds.contactS": 3,
