--- a/packages/lanedock-cli/lanedock_cli/tests/test_explain.py
+++ b/packages/lanedock-cli/lanedock_cli/tests/test_explain.py
@@ -24,7 +24,6 @@
         self.path = directory / f"{name}.log"
         self._file = self.path.open("wb")
         self._handler = configure_logging("info", self._file.fileno())
-        self._handler.setLevel("INFO")
         logging.getLogger().handlers.clear()
         self._logger = logging.getLogger(name)
         self._logger.handlers[:] = [self._handler]
