--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -15,9 +15,9 @@
 from lanedock_platform.tests.test_translation import make_configuration
 
 
-@pytest.fixture
-def platform(tmp_path):
-    made = PlatformProcesses(tmp_path)
+@pytest.fixture(scope="module")
+def platform(tmp_path_factory):
+    made = PlatformProcesses(tmp_path_factory.mktemp("platform"))
     try:
         made.start()
         assert made.put(make_configuration(4, 0)) == 200
