Start test processes, crash three upstreams and read metrics in one place each

Cause: the tests of cuts, suspensions, memory and crashing requests and the bench of suspicions each started their processes, had a first version accepted and waited; the loop that crashes three upstreams, the order sent to some control instances, the read of a version and that of a metric stood twice. The soak still put the clocks' hooks on its path, which processes that can be severed have anyway. Writing a log line took an event's level beside the event. Change: PlatformProcesses.start_ready, wait_all_ready and put_at, read_version and read_metric; CrashMesh.crash_three and crash_three_and_settle. The path's set-up is gone, and so are the level's argument and a second import of socket. Behaviour and assertions stay.

--- a/packages/lanedock-daemon/lanedock_daemon/agent/report.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/report.py
@@ -150,7 +150,9 @@
         asks = wants_floor and not self._is_floor_asked
         return asks or bool(self._attestations or self._suspicions)
 
-    def make(self, parent: str, wants_floor: bool, with_state: bool, is_first: bool, now: float):
+    def make(
+        self, parent: str, wants_floor: bool, with_state: bool, is_first: bool, now: float
+    ) -> messages.DaemonMessage:
         """Make the next message.
 
         Parameters
--- a/packages/lanedock-daemon/lanedock_daemon/sockets.py
+++ b/packages/lanedock-daemon/lanedock_daemon/sockets.py
@@ -1,8 +1,6 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """Opening of TCP connections."""
 
-import socket as plain_socket
-
 from gevent import socket
 
 __all__ = ["open_connection"]
@@ -28,7 +26,7 @@
     family = _find_family(address[0])
     if family is None:
         return socket.create_connection(address, timeout=timeout)
-    conn = socket.socket(family, plain_socket.SOCK_STREAM)
+    conn = socket.socket(family, socket.SOCK_STREAM)
     try:
         conn.settimeout(timeout)
         conn.connect(address)
@@ -40,9 +38,9 @@
 
 def _find_family(host: str) -> int | None:
     """Return the family that a host is a number of; None where it is a name."""
-    for family in (plain_socket.AF_INET, plain_socket.AF_INET6):
+    for family in (socket.AF_INET, socket.AF_INET6):
         try:
-            plain_socket.inet_pton(family, host)
+            socket.inet_pton(family, host)
         except OSError:
             continue
         return family
--- a/packages/lanedock/lanedock/telemetry/log.py
+++ b/packages/lanedock/lanedock/telemetry/log.py
@@ -47,7 +47,7 @@
         """Log an event."""
         if not self._logger.isEnabledFor(event.level) or not self._has_room(event, event.level):
             return
-        self._write(event, event.level, particulars)
+        self._write(event, particulars)
 
     def emit_decision(self, event: Event, decided_at: float, failed: bool, particulars: dict) -> None:
         """Log what was decided earlier on.
@@ -63,14 +63,14 @@
         """
         bound = logging.WARNING if failed else event.level
         if self._logger.isEnabledFor(event.level) and self._has_room(event, bound):
-            self._write(event, event.level, particulars, decided_at)
+            self._write(event, particulars, decided_at)
 
-    def _write(self, event: Event, level: int, particulars: dict, decided_at: float | None = None) -> None:
+    def _write(self, event: Event, particulars: dict, decided_at: float | None = None) -> None:
         fields = {"message": event.name, "event": f"E{event.number}", "process": self._logger.name}
         for key, value in particulars.items():
             fields[key] = value if isinstance(value, (int, float, str, bool)) or value is None else str(value)
         # The formatter puts a message that is a dict into the line, field by field.
-        record = self._logger.makeRecord(self._logger.name, level, "", 0, fields, (), None)
+        record = self._logger.makeRecord(self._logger.name, event.level, "", 0, fields, (), None)
         if decided_at is not None:
             record.created = decided_at
         self._logger.handle(record)
@@ -89,9 +89,7 @@
         for event, count in counts.items():
             limit = self._limit * (FAILURE_FACTOR if event.level >= logging.WARNING else 1)
             if count > limit and self._logger.isEnabledFor(Event.LOG_LIMITED.level):
-                self._write(
-                    Event.LOG_LIMITED, Event.LOG_LIMITED.level, {"limited": event.name, "left_out": count - limit}
-                )
+                self._write(Event.LOG_LIMITED, {"limited": event.name, "left_out": count - limit})
 
 
 class LineWriter(logging.Handler):
--- a/tests/crash_mesh.py
+++ b/tests/crash_mesh.py
@@ -9,9 +9,11 @@
 
 from lanedock_platform.tests.test_translation import make_configuration
 
-__all__ = ["DAEMONS", "MAX_ARRIVALS", "SERVED", "SETTLE", "Background", "CrashMesh", "make_routes"]
+__all__ = ["DAEMONS", "GAP", "MAX_ARRIVALS", "SERVED", "SETTLE", "Background", "CrashMesh", "make_routes"]
 
 DAEMONS, ZONES = 6, 3
+# Seconds between two sends of a request that crashes applications.
+GAP = 0.1
 # Seconds after its third crash from which a request may reach no more than so many applications.
 SETTLE = 3.0
 MAX_ARRIVALS = 3
@@ -47,6 +49,22 @@
     def crashes(self) -> list[float]:
         return sorted(at for app in self.applications.values() for at, _ in list(app.crashes))
 
+    def crash_three(self, request: tuple, numbers: list[int] | None = None) -> float:
+        """Send a request at some daemons, or all, until three applications have ended; returns when the third had."""
+        numbers = numbers or list(range(len(self.daemons)))
+        for sent in range(400):
+            if len(self.crashes()) >= 3:
+                break
+            self.send(numbers[sent % len(numbers)], *request)
+            time.sleep(GAP)
+        return self.crashes()[2]
+
+    def crash_three_and_settle(self, request: tuple, numbers: list[int] | None = None) -> float:
+        """Do that, and wait until it may reach hardly any more; returns the time since when."""
+        third = self.crash_three(request, numbers)
+        time.sleep(max(0.0, third + SETTLE + GAP - time.monotonic()))
+        return time.monotonic()
+
     def send(self, number: int, method: str, path: str, body: bytes | list[bytes] = b"") -> int:
         """Send a request at one of the daemons; returns its status, 0 where there was no answer.
 
--- a/tests/platform_processes.py
+++ b/tests/platform_processes.py
@@ -133,6 +133,12 @@
             self.start_process(ip, self.make_settings("daemon", ip, True))
         self.start_beats()
 
+    def start_ready(self, value: dict) -> None:
+        """Start all, have a first configuration accepted, and wait until the daemons are ready."""
+        self.start()
+        assert self.put(value) == 200
+        self.wait_all_ready()
+
     def make_application(self, ip: str, number: int):
         """Start the backend beside a daemon."""
         return Application(ip, f"i-{number}")
@@ -242,6 +248,18 @@
             time.sleep(0.05)
         raise TimeoutError("no control instance answers")
 
+    def put_at(self, controls: list[str], value: dict) -> int:
+        """Send a configuration to some control instances until one takes it; returns the status."""
+
+        def put() -> int:
+            for ip in controls:
+                status = call(ip, CONTROL_PORT, "POST", "/Config.Put", json.dumps(value).encode())[0]
+                if status not in (307, 503):
+                    return status
+            return 0
+
+        return wait_for(put)
+
     def get(self) -> dict:
         def read():
             for ip in self.controls:
@@ -259,6 +277,26 @@
     def wait_ready(self, ip: str) -> None:
         wait_for(lambda: call(ip, READY_PORT, "GET", "/ready")[0] == 200)
 
+    def wait_all_ready(self) -> None:
+        for ip in self.daemons:
+            self.wait_ready(ip)
+
+
+def read_version(ip: str) -> tuple[int, int]:
+    """Read the configuration at a control instance; returns the status, 0 without an answer, and the version."""
+    try:
+        status, _, body = call(ip, CONTROL_PORT, "GET", "/Config.Get")
+    except OSError:
+        return 0, 0
+    return status, int(json.loads(body)["version"], 16) if status == 200 else 0
+
+
+def read_metric(ip: str, name: str) -> float:
+    """Read a process's metric; the sum over its labels, 0 before it has a value."""
+    text = call(ip, METRICS_PORT, "GET", "/metrics")[2].decode()
+    lines = [line.rsplit(" ", 1) for line in text.splitlines()]
+    return sum(float(value) for labelled, value in lines if labelled.partition("{")[0] == name)
+
 
 def wait_for(condition):
     """Wait until a condition holds; returns what it returned."""
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -8,8 +8,6 @@
 order; what the processes make of them differs between runs.
 """
 
-import json
-import os
 import signal
 import sys
 import tempfile
@@ -35,7 +33,7 @@
     make_routes,
 )
 from crashing_application import POISON  # noqa: E402
-from platform_processes import CONTROL_PORT, HOOKS, call  # noqa: E402
+from platform_processes import read_version  # noqa: E402
 
 __all__ = ["Soak"]
 
@@ -125,8 +123,7 @@
         try:
             mesh.start()
             self._put(4, 0)
-            for ip in mesh.daemons:
-                mesh.wait_ready(ip)
+            mesh.wait_all_ready()
             harmless = Background(mesh, "/c/harmless-{caller}-{number}")
             tasks = [
                 threading.Thread(target=task, args=(self._rng.getrandbits(32),))
@@ -248,12 +245,9 @@
         rng = Random(seed)
         while not self._is_over.wait(0.1):
             newest = max(version for at, version in self._acked if at < time.monotonic() - APPLY_LIMIT or version == 4)
-            try:
-                status, _, body = call(rng.choice(self._mesh.controls), CONTROL_PORT, "GET", "/Config.Get")
-            except OSError:
-                continue
-            if status == 200 and int(json.loads(body)["version"], 16) < newest:
-                self.findings.append(f"read {json.loads(body)['version']} where {newest} was acknowledged")
+            status, version = read_version(rng.choice(self._mesh.controls))
+            if status == 200 and version < newest:
+                self.findings.append(f"read {version} where {newest} was acknowledged")
 
     # ------------------------------------------------------------------ judging
 
@@ -281,8 +275,6 @@
 
 def main(seeds: int = 1, first: int = 0, seconds: float = 60.0, daemons: int = DAEMONS) -> None:
     """Run some seeds one after the other; the exit code is 1 where one of them finds something."""
-    os.environ["PYTHONPATH"] = os.pathsep.join([str(HOOKS), os.environ.get("PYTHONPATH", "")])
-    sys.path.insert(0, str(HOOKS))
     failed = 0
     for seed in range(first, first + seeds):
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -22,13 +22,11 @@
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
-from crash_mesh import DAEMONS, MAX_ARRIVALS, SERVED, SETTLE, Background, CrashMesh, make_routes
+from crash_mesh import DAEMONS, GAP, MAX_ARRIVALS, SERVED, Background, CrashMesh, make_routes
 from crashing_application import CALLS, POISON, CrashingApplication
-from platform_processes import METRICS_PORT, call, wait_for
+from platform_processes import read_metric, wait_for
 
 SENDS = 25
-# Seconds between two sends.
-GAP = 0.1
 
 
 @pytest.fixture
@@ -38,10 +36,7 @@
     def make(crash_after: float = 0.0) -> CrashMesh:
         mesh = CrashMesh(tmp_path, crash_after)
         made.append(mesh)
-        mesh.start()
-        assert mesh.put(make_routes(4, 0)) == 200
-        for ip in mesh.daemons:
-            mesh.wait_ready(ip)
+        mesh.start_ready(make_routes(4, 0))
         # Each application takes part.
         wait_for(lambda: all(_is_reached(mesh, app) for app in mesh.applications.values()))
         return mesh
@@ -58,16 +53,6 @@
     return bool(app.arrivals)
 
 
-def crash_three(mesh: CrashMesh, request: tuple, daemons: int = DAEMONS) -> float:
-    """Send a request at some daemons until three applications have ended under it; returns when the third had."""
-    for number in range(400):
-        if len(mesh.crashes()) >= 3:
-            break
-        mesh.send(number % daemons, *request)
-        time.sleep(GAP)
-    return mesh.crashes()[2]
-
-
 @pytest.mark.parametrize(
     "request_, crash_after",
     [
@@ -81,9 +66,7 @@
 def test_a_request_that_has_crashed_three_upstreams_reaches_hardly_any_more(make_mesh, request_, crash_after):
     mesh = make_mesh(crash_after)
     harmless = Background(mesh, "/c/harmless-{caller}-{number}")
-    third = crash_three(mesh, request_)
-    time.sleep(max(0.0, third + SETTLE + GAP - time.monotonic()))
-    since = time.monotonic()
+    since = mesh.crash_three_and_settle(request_)
     for number in range(SENDS):
         mesh.send(number, *request_)
         time.sleep(GAP)
@@ -95,9 +78,7 @@
 def test_sends_at_all_daemons_at_once_reach_hardly_any_more(make_mesh):
     mesh = make_mesh(0.1)
     request = ("GET", f"/c/{POISON}")
-    third = crash_three(mesh, request)
-    time.sleep(max(0.0, third + SETTLE + GAP - time.monotonic()))
-    since = time.monotonic()
+    since = mesh.crash_three_and_settle(request)
     with ThreadPoolExecutor(2 * DAEMONS) as pool:
         list(pool.map(lambda number: mesh.send(number, *request), range(8 * DAEMONS)))
     assert mesh.arrivals(request[1], since) <= MAX_ARRIVALS
@@ -107,9 +88,7 @@
     """The request that calls runs on, and its upstream answers that the call has failed."""
     mesh = make_mesh()
     inner, outer = f"/c/{POISON}", f"{CALLS}/c/{POISON}"
-    third = crash_three(mesh, ("GET", outer))
-    time.sleep(max(0.0, third + SETTLE + GAP - time.monotonic()))
-    since = time.monotonic()
+    since = mesh.crash_three_and_settle(("GET", outer))
     statuses = [mesh.send(number, "GET", outer) for number in range(SENDS)]
     assert statuses == [500] * SENDS
     assert mesh.arrivals(inner, since) <= MAX_ARRIVALS
@@ -134,7 +113,7 @@
 def test_daemons_that_are_started_after_it_know_of_it_once_they_are_ready(make_mesh):
     mesh = make_mesh()
     request = ("GET", f"/c/{POISON}")
-    crash_three(mesh, request)
+    mesh.crash_three(request)
     wait_for(lambda: mesh.send(0, *request) == 503)
     since = time.monotonic()
     for ip in mesh.daemons[:3]:
@@ -150,11 +129,5 @@
     """Found by a test of the operators' command: control instances kept their daemons' word to themselves."""
     mesh = make_mesh()
     # At one daemon: the others learn of it by control alone.
-    crash_three(mesh, ("GET", f"/c/{POISON}"), 1)
-    wait_for(lambda: all(_quarantined(ip) == 1 for ip in mesh.daemons))
-
-
-def _quarantined(ip: str) -> int:
-    text = call(ip, METRICS_PORT, "GET", "/metrics")[2].decode()
-    values = [line.split()[1] for line in text.splitlines() if line.startswith("lanedock_requests_quarantined ")]
-    return int(values[0]) if values else 0
+    mesh.crash_three(("GET", f"/c/{POISON}"), [0])
+    wait_for(lambda: all(read_metric(ip, "lanedock_requests_quarantined") == 1 for ip in mesh.daemons))
--- a/tests/test_cuts.py
+++ b/tests/test_cuts.py
@@ -1,15 +1,13 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """Zones that are cut off from one another, between real processes (see `links.py`)."""
 
-import json
 import time
 
 import pytest
-from crash_mesh import MAX_ARRIVALS, SERVED, SETTLE, Background, CrashMesh, make_routes
+from crash_mesh import GAP, MAX_ARRIVALS, SERVED, SETTLE, Background, CrashMesh, make_routes
 from crashing_application import POISON
-from platform_processes import CONTROL_PORT, call, wait_for
+from platform_processes import read_version, wait_for
 
-GAP = 0.1
 # Seconds after a cut or its end in which callers may notice it: links fall silent, and other
 # upstreams are found.
 NOTICED = 5.0
@@ -19,26 +17,14 @@
 def mesh(tmp_path):
     made = CrashMesh(tmp_path, 0.0, is_severable=True)
     try:
-        made.start()
-        assert made.put(make_routes(4, 0)) == 200
-        for ip in made.daemons:
-            made.wait_ready(ip)
+        made.start_ready(make_routes(4, 0))
         yield made
     finally:
         made.stop()
 
 
-def _in_zone(mesh: CrashMesh, zone: int) -> list[int]:
-    return [number for number in range(len(mesh.daemons)) if number % 3 == zone]
-
-
-def _read(ip: str) -> tuple[int, int]:
-    """Read the configuration at a control instance; returns the status, 0 without an answer, and the version."""
-    try:
-        status, _, body = call(ip, CONTROL_PORT, "GET", "/Config.Get")
-    except OSError:
-        return 0, 0
-    return status, int(json.loads(body)["version"], 16) if status == 200 else 0
+def _in_zone(mesh: CrashMesh, zone: str) -> list[int]:
+    return [number for number, ip in enumerate(mesh.daemons) if mesh.zone(ip) == zone]
 
 
 def test_two_zones_that_have_counted_one_and_two_crashes_learn_of_each_other_by_the_third(mesh):
@@ -47,14 +33,7 @@
     mesh.sever(("z0", "z1"))
     time.sleep(NOTICED)
     harmless = Background(mesh, "/c/harmless-{caller}-{number}")
-    for number in range(400):
-        if len(mesh.crashes()) >= 3:
-            break
-        mesh.send([*_in_zone(mesh, 0), *_in_zone(mesh, 1)][number % 4], *request)
-        time.sleep(GAP)
-    third = mesh.crashes()[2]
-    time.sleep(max(0.0, third + SETTLE + GAP - time.monotonic()))
-    since = time.monotonic()
+    since = mesh.crash_three_and_settle(request, [*_in_zone(mesh, "z0"), *_in_zone(mesh, "z1")])
     for number in range(4 * len(mesh.daemons)):
         mesh.send(number, *request)
         time.sleep(GAP)
@@ -68,33 +47,19 @@
     mesh.sever(("z0", "z1"), ("z0", "z2"))
     time.sleep(NOTICED)
     harmless = Background(mesh, "/c/harmless-{caller}-{number}")
-    assert _put_at(mesh, mesh.controls[1:], 5) == 200
+    assert mesh.put_at(mesh.controls[1:], make_routes(5, 4)) == 200
     acked_at = time.monotonic()
     behind_the_cut = []
     while time.monotonic() < acked_at + SETTLE:
         for ip in mesh.controls[1:]:
-            status, version = _read(ip)
+            status, version = read_version(ip)
             assert status != 200 or version == 5
-        behind_the_cut.append(_read(mesh.controls[0]))
+        behind_the_cut.append(read_version(mesh.controls[0]))
         time.sleep(GAP)
     harmless.stop()
     assert harmless.served(acked_at) >= SERVED
     # It is not told of version 5, and so answers none.
     assert not any(status == 200 for status, _ in behind_the_cut), behind_the_cut
     mesh.sever()
-    wait_for(lambda: all(_read(ip) == (200, 5) for ip in mesh.controls))
-    for ip in mesh.daemons:
-        mesh.wait_ready(ip)
-
-
-def _put_at(mesh: CrashMesh, controls: list[str], version: int) -> int:
-    body = json.dumps(make_routes(version, version - 1)).encode()
-
-    def put() -> int:
-        for ip in controls:
-            status = call(ip, CONTROL_PORT, "POST", "/Config.Put", body)[0]
-            if status not in (307, 503):
-                return status
-        return 0
-
-    return wait_for(put)
+    wait_for(lambda: all(read_version(ip) == (200, 5) for ip in mesh.controls))
+    mesh.wait_all_ready()
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -19,10 +19,7 @@
 def platform(tmp_path_factory):
     made = PlatformProcesses(tmp_path_factory.mktemp("platform"))
     try:
-        made.start()
-        assert made.put(make_configuration(4, 0)) == 200
-        for ip in made.daemons:
-            made.wait_ready(ip)
+        made.start_ready(make_configuration(4, 0))
         assert made.request(made.daemons[0], "id-1")[0] == 200
         yield made
     finally:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -28,8 +28,7 @@
     assert platform.put(first) == 200
     got = platform.get()
     assert got["routes"] == first["routes"] and got["version"] == "00000004"
-    for ip in platform.daemons:
-        platform.wait_ready(ip)
+    platform.wait_all_ready()
     answer = status, headers, body = platform.request(platform.daemons[0], "id-1", {"X-Caller-Service": "forged"})
     assert (status, body, headers.get("x-request-id")) == (200, b"3 ibises", "id-1"), str(answer)
     (seen,) = [head for app in platform.applications.values() for head in app.seen]
@@ -61,8 +60,7 @@
         platform.restart(ip)
     assert platform.get()["version"] == "00000004"
     assert platform.put(make_configuration(5, 4, timeoutS=1.1)) == 200
-    for ip in platform.daemons:
-        platform.wait_ready(ip)
+    platform.wait_all_ready()
 
 
 def _votes_anew(platform: PlatformProcesses, ip: str) -> bool:
@@ -92,8 +90,7 @@
 
 def test_a_drain_binds_when_it_is_acknowledged_also_after_a_restart(platform):
     assert platform.put(make_configuration(4, 0)) == 200
-    for ip in platform.daemons:
-        platform.wait_ready(ip)
+    platform.wait_all_ready()
     leaving, other = platform.daemons
     upstream = platform.applications[other].upstream
     # A daemon is ready once it knows any upstream, which may be the one beside it; the other
@@ -117,8 +114,7 @@
 
 def test_an_upstream_comes_back_after_a_planned_stop_of_its_daemon(platform):
     assert platform.put(make_configuration(4, 0)) == 200
-    for ip in platform.daemons:
-        platform.wait_ready(ip)
+    platform.wait_all_ready()
     stopped, other = platform.daemons
     platform.processes[stopped].terminate()
     assert platform.processes[stopped].wait(TIMEOUT) == 0
@@ -135,8 +131,7 @@
 
 def test_a_daemon_that_was_paused_shortly_serves_on_without_control(platform):
     assert platform.put(make_configuration(4, 0)) == 200
-    for ip in platform.daemons:
-        platform.wait_ready(ip)
+    platform.wait_all_ready()
     for ip in platform.controls:
         platform.processes[ip].kill()
         platform.processes[ip].wait()
@@ -152,8 +147,7 @@
 @pytest.mark.parametrize("is_daemon_restarted", [False, True])
 def test_an_application_that_drained_and_starts_again_under_its_id_gets_work(platform, is_daemon_restarted):
     assert platform.put(make_configuration(4, 0)) == 200
-    for ip in platform.daemons:
-        platform.wait_ready(ip)
+    platform.wait_all_ready()
     crashed, other = platform.daemons
     application = platform.applications[crashed]
 
@@ -174,8 +168,7 @@
 
 def test_heartbeats_of_another_writer_end_no_daemon(platform):
     assert platform.put(make_configuration(4, 0)) == 200
-    for ip in platform.daemons:
-        platform.wait_ready(ip)
+    platform.wait_all_ready()
     ip, other = platform.daemons
     upstream = platform.applications[ip].upstream
     # A daemon is ready once it knows any upstream; until the application beside it has
--- a/tests/test_suspension.py
+++ b/tests/test_suspension.py
@@ -5,7 +5,6 @@
 `hooks/suspendable_clocks.py`).
 """
 
-import json
 import os
 import signal
 import socket
@@ -14,7 +13,7 @@
 from contextlib import contextmanager
 
 import pytest
-from platform_processes import CONTROL_PORT, HOOKS, OUT_PORT, PlatformProcesses, call, wait_for
+from platform_processes import CONTROL_PORT, HOOKS, OUT_PORT, PlatformProcesses
 
 from lanedock_platform.tests.test_translation import make_configuration
 
@@ -32,10 +31,7 @@
     monkeypatch.setattr(sys, "path", [str(HOOKS), *sys.path])
     made = PlatformProcesses(tmp_path)
     try:
-        made.start()
-        assert made.put(make_configuration(4, 0)) == 200
-        for ip in made.daemons:
-            made.wait_ready(ip)
+        made.start_ready(make_configuration(4, 0))
         yield made
     finally:
         made.stop()
@@ -88,25 +84,12 @@
         others = [other for other in platform.controls if other != ip]
 
         def put(others=others, version=version) -> None:
-            assert _put_at(platform, others, version) == 200
+            assert platform.put_at(others, version) == 200
 
         answer = _ask_as_it_resumes(platform.processes[ip], (ip, CONTROL_PORT), READ, put)
         assert b"HTTP/1.1 503" in answer or version["version"].encode() in answer, answer
 
 
-def _put_at(platform, controls: list[str], value: dict) -> int:
-    """Send a configuration to some control instances until one takes it."""
-
-    def put() -> int:
-        for ip in controls:
-            status = call(ip, CONTROL_PORT, "POST", "/Config.Put", json.dumps(value).encode())[0]
-            if status not in (307, 503):
-                return status
-        return 0
-
-    return wait_for(put)
-
-
 def _read_all(conn) -> bytes:
     answer = b""
     while more := conn.recv(65536):
--- a/tools/bench_quarantine.py
+++ b/tools/bench_quarantine.py
@@ -20,7 +20,7 @@
 
 from crash_mesh import CrashMesh, make_routes  # noqa: E402
 from crashing_application import POISON  # noqa: E402
-from platform_processes import METRICS_PORT, TIMEOUT, call  # noqa: E402
+from platform_processes import TIMEOUT, read_metric  # noqa: E402
 
 # Seconds over which bytes are counted, with and without crashes.
 PERIOD = 20.0
@@ -31,14 +31,9 @@
 KILOBYTE = 1024
 
 
-def _read_metrics(ip: str, name: str) -> float:
-    text = call(ip, METRICS_PORT, "GET", "/metrics")[2].decode()
-    return sum(float(line.rsplit(" ", 1)[1]) for line in text.splitlines() if line.startswith(name))
-
-
 def _control_bytes(mesh: CrashMesh) -> float:
     """Return the bytes that all control instances have sent, to daemons and to each other."""
-    return sum(_read_metrics(ip, "lanedock_control_bytes") for ip in mesh.controls)
+    return sum(read_metric(ip, "lanedock_control_bytes_total") for ip in mesh.controls)
 
 
 def _memory(mesh: CrashMesh, ips: list[str]) -> float:
@@ -52,7 +47,7 @@
 
 def _count_quarantining(mesh: CrashMesh) -> int:
     with ThreadPoolExecutor(ASKED_AT_ONCE) as pool:
-        held = list(pool.map(lambda ip: _read_metrics(ip, "lanedock_requests_quarantined "), mesh.daemons))
+        held = list(pool.map(lambda ip: read_metric(ip, "lanedock_requests_quarantined"), mesh.daemons))
     return sum(value > 0 for value in held)
 
 
@@ -77,10 +72,7 @@
     """Print the figures."""
     mesh = CrashMesh(Path(tempfile.mkdtemp(prefix="quarantine-")), 0.0, daemons)
     try:
-        mesh.start()
-        assert mesh.put(make_routes(4, 0)) == 200
-        for ip in mesh.daemons:
-            mesh.wait_ready(ip)
+        mesh.start_ready(make_routes(4, 0))
         time.sleep(PERIOD)
         print(f"{daemons} daemons, {len(mesh.controls)} control instances")
         print(f"all refuse it {_time_to_quarantine(mesh):.2f} s after the third crash, at the latest")
