Keep canary releases in the log, and judge them by evidence

Cause: nothing here knew which software version an upstream runs. An upstream of a new version got its full share from its first heartbeat, and orders to move a service to one had no answer.

Change: the pure parts. Orders, steps and ends are entries of the replicated log; a step names the canary and the step before it. Daemons divide upstreams into pools by version and requests by counting from a random phase.

--- /dev/null
+++ b/packages/lanedock/lanedock/canary/__init__.py
@@ -0,0 +1,26 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Canary releases: the traffic of a service moves to a new software version, or back, by evidence."""
+
+from lanedock.canary.analysis import Analysis, CusumAnalysis
+from lanedock.canary.controller import CanaryController, CanaryPolicy, make_step
+from lanedock.canary.counts import CanaryCounter
+from lanedock.canary.evidence import Evidence
+from lanedock.canary.pools import CanarySplit, Pool, assign_pools, classify
+from lanedock.canary.state import CanaryState, StartResult, StartVerdict
+
+__all__ = [
+    "Analysis",
+    "CanaryController",
+    "CanaryCounter",
+    "CanaryPolicy",
+    "CanarySplit",
+    "CanaryState",
+    "CusumAnalysis",
+    "Evidence",
+    "Pool",
+    "StartResult",
+    "StartVerdict",
+    "assign_pools",
+    "classify",
+    "make_step",
+]
--- /dev/null
+++ b/packages/lanedock/lanedock/canary/evidence.py
@@ -0,0 +1,128 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""What all daemons together have seen of a canary and of the stable version, gathered by the leader.
+
+Daemons report cumulative counts, so reports that are lost, repeated or reordered change nothing.
+"""
+
+from lanedock.canary.counts import BUCKETS
+from lanedock.wire import messages
+
+__all__ = ["Evidence", "Increment"]
+
+
+class Increment:
+    """What is new of one route's requests to the stable upstreams, or to one canary upstream.
+
+    Parameters
+    ----------
+    route : str
+    upstream : str
+        The canary's instance; empty for the stable ones.
+
+    Attributes
+    ----------
+    sent, answered, failed : int
+    times : list of int
+        Answers that did not fail, by bucket of their time.
+    """
+
+    __slots__ = ("answered", "failed", "route", "sent", "times", "upstream")
+
+    def __init__(self, route: str, upstream: str):
+        self.route = route
+        self.upstream = upstream
+        self.sent = 0
+        self.answered = 0
+        self.failed = 0
+        self.times = [0] * BUCKETS
+
+    def __repr__(self) -> str:
+        return f"<Increment {self.route} {self.upstream or 'stable'} answered={self.answered} failed={self.failed}>"
+
+    def add(self, counts: messages.CanaryCounts, former: messages.CanaryCounts | None) -> None:
+        """Add what a daemon's counts have grown by."""
+        self.sent += counts.sent - (former.sent if former else 0)
+        self.answered += counts.answered - (former.answered if former else 0)
+        self.failed += counts.failed - (former.failed if former else 0)
+        for bucket, count in enumerate(counts.times[:BUCKETS]):
+            self.times[bucket] += count - (former.times[bucket] if former else 0)
+
+
+class Totals:
+    """Sums over all routes and upstreams of one version."""
+
+    __slots__ = ("answered", "failed", "sent")
+
+    def __init__(self):
+        self.sent = 0
+        self.answered = 0
+        self.failed = 0
+
+    def __repr__(self) -> str:
+        return f"<Totals sent={self.sent} answered={self.answered} failed={self.failed}>"
+
+    def add(self, increment: Increment) -> None:
+        """Add an increment."""
+        self.sent += increment.sent
+        self.answered += increment.answered
+        self.failed += increment.failed
+
+
+class Evidence:
+    """The counts of one canary.
+
+    Parameters
+    ----------
+    number : int
+        The canary's.
+
+    Attributes
+    ----------
+    stable, canary : Totals
+    """
+
+    def __init__(self, number: int):
+        self._number = number
+        self._known: dict[str, tuple[int, dict[tuple[str, str], messages.CanaryCounts]]] = {}
+        self.stable = Totals()
+        self.canary = Totals()
+
+    def __repr__(self) -> str:
+        return f"<Evidence of {self._number}: stable={self.stable!r} canary={self.canary!r}>"
+
+    def take(self, daemons: dict[str, messages.DaemonState]) -> list[Increment]:
+        """Return what has grown since the last call.
+
+        Parameters
+        ----------
+        daemons : dict of str to DaemonState
+            The freshest state of each daemon.
+        """
+        increments: dict[tuple[str, str], Increment] = {}
+        for name, state in daemons.items():
+            self._take_daemon(name, state, increments)
+        for increment in increments.values():
+            (self.canary if increment.upstream else self.stable).add(increment)
+        return list(increments.values())
+
+    def _take_daemon(self, name: str, state: messages.DaemonState, increments: dict) -> None:
+        known = self._known.get(name)
+        if known is not None and known[0] > state.incarnation:
+            return
+        rows = known[1] if known is not None and known[0] == state.incarnation else {}
+        for counts in state.canary_counts:
+            if counts.number != self._number:
+                continue
+            key = (counts.route, counts.upstream)
+            former = rows.get(key)
+            if former is not None and former.sent == counts.sent and former.answered == counts.answered:
+                continue
+            if former is not None and (former.sent > counts.sent or former.answered > counts.answered):
+                # A state older than the one that is known.
+                continue
+            increment = increments.get(key)
+            if increment is None:
+                increment = increments[key] = Increment(*key)
+            increment.add(counts, former)
+            rows[key] = counts
+        self._known[name] = (state.incarnation, rows)
--- /dev/null
+++ b/packages/lanedock/lanedock/canary/tests/test_pools.py
@@ -0,0 +1,95 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Which upstreams get what, by their versions."""
+
+import random
+
+import pytest
+
+from lanedock.canary import CanarySplit, Pool, assign_pools, classify
+from lanedock.membership import UNKNOWN_VERSION
+from lanedock.wire import messages
+
+
+def _rule(share=80, step=1, canary="v2", withheld=(), number=1) -> messages.CanaryRule:
+    return messages.CanaryRule(
+        service="s", canary=canary, share_permille=share, step=step, withheld=withheld, number=number
+    )
+
+
+def _endpoints(stable: int, canaries: int, zones: int = 3) -> list[messages.Endpoint]:
+    made = []
+    for kind, version, count in (("old", "v1", stable), ("new", "v2", canaries)):
+        for number in range(count):
+            zone = f"z{number % zones}"
+            made.append(messages.Endpoint(instance=f"{kind}{number}", service="s", zone=zone, version=version))
+    return made
+
+
+@pytest.mark.parametrize(
+    ("rule", "version", "pool"),
+    [
+        (None, "v1", Pool.STABLE),
+        (None, UNKNOWN_VERSION, Pool.STABLE),
+        (_rule(), "v1", Pool.STABLE),
+        (_rule(), "v2", Pool.CANARY),
+        (_rule(), "", Pool.STABLE),
+        (_rule(), UNKNOWN_VERSION, Pool.WITHHELD),
+        (_rule(canary="", withheld=("v2",)), "v2", Pool.WITHHELD),
+        (_rule(canary="", withheld=("v1",)), "v3", Pool.STABLE),
+    ],
+)
+def test_classes(rule, version, pool):
+    assert classify(rule, version) is pool
+
+
+def test_a_canary_upstream_carries_about_what_a_stable_one_does():
+    pools = assign_pools(_rule(share=100), _endpoints(30, 30))
+    assert sum(pool is Pool.CANARY for pool in pools.values()) == 3
+    assert sum(pool is Pool.STABLE for pool in pools.values()) == 30
+
+
+def test_each_zone_has_a_canary_upstream_and_steps_reach_all():
+    endpoints = _endpoints(30, 30)
+    seen = set()
+    for step in range(1, 11):
+        pools = assign_pools(_rule(step=step), endpoints)
+        used = [endpoint for endpoint in endpoints if pools[endpoint.instance] is Pool.CANARY]
+        assert {endpoint.zone for endpoint in used} == {"z0", "z1", "z2"}
+        seen |= {endpoint.instance for endpoint in used}
+    assert len(seen) == 30
+
+
+def test_all_of_the_load_goes_to_all_canary_upstreams():
+    pools = assign_pools(_rule(share=1000), _endpoints(6, 20))
+    assert sum(pool is Pool.CANARY for pool in pools.values()) == 20
+
+
+def test_daemons_agree_in_whatever_order_they_learned_of_upstreams():
+    endpoints = _endpoints(20, 20)
+    shuffled = endpoints[:]
+    random.Random(1).shuffle(shuffled)
+    assert assign_pools(_rule(step=4), endpoints) == assign_pools(_rule(step=4), shuffled)
+
+
+def test_a_fleet_that_sees_few_requests_each_keeps_the_share_together():
+    plan = messages.CanaryPlan(revision=1, rules=[_rule(share=50)])
+    rng = random.Random(7)
+    daemons = [CanarySplit(rng) for _ in range(92)]
+    for daemon in daemons:
+        daemon.follow(plan)
+    taken = sum(daemon.take("s") for daemon in daemons for _ in range(5))
+    # 23 of 460; were each to round up, 92.
+    assert 13 <= taken <= 33
+
+
+def test_an_older_plan_changes_nothing():
+    split = CanarySplit(random.Random(1))
+    split.follow(messages.CanaryPlan(revision=5, rules=[_rule(canary="", withheld=("v2",), share=0)]))
+    assert split.follow(messages.CanaryPlan(revision=4, rules=[_rule(share=1000)])) == set()
+    assert not split.take("s")
+    assert split.rule("s").canary == ""
+
+
+def test_without_a_canary_nothing_is_taken():
+    split = CanarySplit(random.Random(1))
+    assert not any(split.take("s") for _ in range(100))
--- a/packages/lanedock/lanedock/errors.py
+++ b/packages/lanedock/lanedock/errors.py
@@ -111,6 +111,27 @@
         "Read the accepted version, make the change anew from it, and submit again.",
     )
 
+    CANARY_RUNS = (
+        "LD2012",
+        "Another canary release of the service runs. Not run.",
+        "Wait for its end, or abort it with `lanedock canary abort`.",
+    )
+    CANARY_NOT_NEW = (
+        "LD2013",
+        "The version is the service's stable one already. Not run.",
+        "Name another version.",
+    )
+    CANARY_UNKNOWN = (
+        "LD2014",
+        "The service has no canary release to which this applies.",
+        "List them with `lanedock canary status`.",
+    )
+    SERVICE_UNKNOWN = (
+        "LD2015",
+        "The version in force has no such service. Not run.",
+        "Check the name, or apply a configuration that has the service.",
+    )
+
     NO_ROUTE = ("LD3001", "No route of the version in force matches the request.", "Check the request or the routes.")
     NO_UPSTREAM = (
         "LD3002",
--- a/packages/lanedock/lanedock/membership/__init__.py
+++ b/packages/lanedock/lanedock/membership/__init__.py
@@ -5,11 +5,12 @@
 from lanedock.membership.core import Instance, InstanceState, PlatformList, parse_instances
 from lanedock.membership.directory import Directory
 from lanedock.membership.incarnation import Incarnation
-from lanedock.membership.registration import Heartbeat, UpstreamRegistration
+from lanedock.membership.registration import UNKNOWN_VERSION, Heartbeat, UpstreamRegistration
 from lanedock.membership.registry import EndpointRegistry, freshness, incarnation_of
 from lanedock.membership.sources import FilePlatformList, HttpPlatformList, make_platform_list
 
 __all__ = [
+    "UNKNOWN_VERSION",
     "Directory",
     "EndpointChanges",
     "EndpointRegistry",
--- a/packages/lanedock/lanedock/membership/core.py
+++ b/packages/lanedock/lanedock/membership/core.py
@@ -39,11 +39,13 @@
     state : InstanceState
     incarnation : int
         Grows when the instance is replaced under the same name.
+    version : str
+        Of its application's software; empty where it isn't listed.
     """
 
-    __slots__ = ("host", "incarnation", "name", "port", "service", "state", "zone")
+    __slots__ = ("host", "incarnation", "name", "port", "service", "state", "version", "zone")
 
-    def __init__(self, name, zone, service, host, port, state=InstanceState.LIVE, incarnation=1):
+    def __init__(self, name, zone, service, host, port, state=InstanceState.LIVE, incarnation=1, version=""):
         self.name = name
         self.zone = zone
         self.service = service
@@ -51,6 +53,7 @@
         self.port = port
         self.state = state
         self.incarnation = incarnation
+        self.version = version
 
     def __repr__(self) -> str:
         return (
@@ -130,4 +133,5 @@
         port=item.count("port", 1, MAX_PORT),
         state=item.word("state", _STATES, "live"),
         incarnation=item.count("incarnation", 0, default=1),
+        version=item.text("version", ""),
     )
--- a/packages/lanedock/lanedock/membership/directory.py
+++ b/packages/lanedock/lanedock/membership/directory.py
@@ -80,6 +80,7 @@
             port=instance.port,
             leaving=drained or instance.state is InstanceState.LEAVING,
             incarnation=instance.incarnation,
+            version=instance.version,
         )
 
     def _offer(self, endpoint: messages.Endpoint, now: float) -> None:
--- a/packages/lanedock/lanedock/membership/registration.py
+++ b/packages/lanedock/lanedock/membership/registration.py
@@ -23,7 +23,7 @@
 from lanedock.errors import ErrorCode
 from lanedock.membership.incarnation import Incarnation
 
-__all__ = ["Heartbeat", "UpstreamRegistration"]
+__all__ = ["UNKNOWN_VERSION", "Heartbeat", "UpstreamRegistration"]
 
 # Heartbeats that may be missed before an application counts as silent, and the
 # time, in seconds, by which a heartbeat may be late on its way.
@@ -32,6 +32,8 @@
 # Former incarnations of the application that are remembered, so that a late
 # heartbeat of one changes nothing.
 MAX_FORMER = 64
+# Version of an application that has not reported since its daemon's start which it is.
+UNKNOWN_VERSION = "?"
 
 
 class Heartbeat:
@@ -51,9 +53,11 @@
         Seconds for which it is still slow.
     started : int
         Unix milliseconds of the application's start; 0 where it does not report it.
+    version : str
+        Of the application's software; empty where it does not report it.
     """
 
-    __slots__ = ("cold_left", "incarnation", "is_draining", "sequence", "service", "slots")
+    __slots__ = ("cold_left", "incarnation", "is_draining", "sequence", "service", "slots", "version")
 
     def __init__(
         self,
@@ -64,8 +68,10 @@
         slots: int,
         cold_left: float,
         started: int = 0,
+        version: str = "",
     ):
         self.incarnation = Incarnation(upstream, started)
+        self.version = version
         self.service = service
         self.sequence = sequence
         self.is_draining = is_draining
@@ -102,6 +108,8 @@
         Grows with every change that others have to learn.
     is_leaving : bool
     slots : int
+    version : str
+        Of the application's software; `UNKNOWN_VERSION` until it is known.
     cold_until : float
         Seconds by `lanedock.clock.awake`.
     rival : Heartbeat or None
@@ -115,6 +123,7 @@
         self.revision = 0
         self.is_leaving = False
         self.slots = 0
+        self.version = ""
         self.cold_until = 0.0
         self.rival: Heartbeat | None = None
         self._rival_heard_at = 0.0
@@ -195,13 +204,15 @@
         self._sequence = heartbeat.sequence
         self._beat_at = self._heard_at = now
         self.cold_until = now + heartbeat.cold_left
-        before = (self.service, self.slots, self.is_leaving, self._was_silent)
+        before = (self.service, self.slots, self.version, self.is_leaving, self._was_silent)
         self.service = heartbeat.service
         self.slots = heartbeat.slots
+        self.version = heartbeat.version
         # Draining is for good, whatever a later heartbeat of this incarnation reports.
         self.is_leaving = self.is_leaving or heartbeat.is_draining
         self._was_silent = False
-        is_changed = before != (self.service, self.slots, self.is_leaving, False) or self.revision == 0
+        after = (self.service, self.slots, self.version, self.is_leaving, False)
+        is_changed = before != after or self.revision == 0
         if is_changed:
             self.revision += 1
         return is_changed
@@ -293,7 +304,16 @@
         self.revision += 1
         return True
 
-    def adopt(self, upstream: str, service: str, is_leaving: bool, slots: int, now: float, started: int = 0) -> bool:
+    def adopt(
+        self,
+        upstream: str,
+        service: str,
+        is_leaving: bool,
+        slots: int,
+        now: float,
+        started: int = 0,
+        version: str = UNKNOWN_VERSION,
+    ) -> bool:
         """Take over what the mesh knows of the application, after a restart of its daemon.
 
         Returns
@@ -305,33 +325,42 @@
         if not upstream or incarnation in self._former:
             return False
         if upstream == self.upstream and incarnation.may_be(self.incarnation):
-            return self._adopt_held(incarnation, is_leaving)
+            return self._adopt_held(incarnation, is_leaving, version)
         if upstream == self.upstream and not incarnation.is_restart_of(self.incarnation):
             return False
         if self.upstream and self.upstream != upstream:
             if self.rival is None:
                 # The one that is held may be the former: its heartbeat came late,
                 # and first after this daemon's restart.
-                self.rival = Heartbeat(upstream, service, -1, is_leaving, slots, 0.0, started)
+                self.rival = Heartbeat(upstream, service, -1, is_leaving, slots, 0.0, started, version)
                 self._rival_heard_at = now
             return False
         self._begin(incarnation)
         self.service = service
         self.slots = slots
+        self.version = version
         self._beat_at = float("-inf")
         self._heard_at = now
         self.is_leaving = is_leaving
         return True
 
-    def _adopt_held(self, incarnation: Incarnation, is_leaving: bool) -> bool:
+    def _adopt_held(self, incarnation: Incarnation, is_leaving: bool, version: str) -> bool:
         """Take over what the mesh knows of the incarnation that is held."""
         if not self.incarnation.started:
             self.incarnation = incarnation
-        if self.is_leaving or not is_leaving:
-            return False
-        self.is_leaving = True
-        self.revision += 1
-        return True
+        is_learned = self.version == UNKNOWN_VERSION != version
+        if is_learned:
+            self.version = version
+        is_news = is_leaving and not self.is_leaving
+        self.is_leaving = self.is_leaving or is_leaving
+        if is_news or is_learned:
+            self.revision += 1
+        return is_news or is_learned
+
+    def learn_version(self, version: str) -> None:
+        """Take over the version that the mesh knows, where the application has reported none."""
+        if version and not self.version:
+            self.version = version
 
     def note_answer(self, now: float) -> None:
         """Note that the application has answered a request, which is better than a heartbeat."""
--- a/packages/lanedock/lanedock/rollout/state.py
+++ b/packages/lanedock/lanedock/rollout/state.py
@@ -11,7 +11,8 @@
 
 from enum import Enum
 
-from lanedock.config import ConfigTree, Version
+from lanedock.canary import CanaryState, StartResult
+from lanedock.config import ConfigTree, Version, is_service_group
 from lanedock.errors import ErrorCode, LanedockError
 from lanedock.wire import messages
 
@@ -74,9 +75,11 @@
         The newest accepted version.
     candidate : VersionRecord or None
         The version that is being staged.
+    canaries : CanaryState
     """
 
     def __init__(self):
+        self.canaries = CanaryState()
         self.records: dict[int, messages.VersionRecord] = {}
         self.accepted: messages.VersionRecord | None = None
         self.candidate: messages.VersionRecord | None = None
@@ -157,13 +160,14 @@
         """
         return max(self.accepted_version.number, self._forgotten)
 
-    def apply(self, command: messages.Command) -> SubmitResult | None:
+    def apply(self, command: messages.Command) -> SubmitResult | StartResult | bool | None:
         """Apply a committed command.
 
         Returns
         -------
-        SubmitResult or None
-            For a submission: what became of it.
+        SubmitResult, StartResult, bool or None
+            For a submission, and for a canary's start: what became of it. For a canary's
+            step: whether it was applied.
         """
         body = command.WhichOneof("body")
         if body == "submit":
@@ -172,8 +176,17 @@
             self._accept(command.accept)
         elif body == "abort":
             self._abort(command.abort)
+        elif body == "canary_start":
+            return self.canaries.start(command.canary_start)
+        elif body == "canary_step":
+            return self.canaries.step(command.canary_step)
         return None
 
+    def has_service(self, name: str) -> bool:
+        """Tell whether the accepted version has a service."""
+        tree = self.tree(self.accepted_version.number)
+        return tree is not None and is_service_group(name) and name in tree.digests
+
     def _submit(self, command: messages.SubmitCommand) -> SubmitResult:
         base = command.base_version if command.has_base else None
         result = self.judge(Version(command.version, command.digest), base)
@@ -254,6 +267,7 @@
             tree = self.tree(number)
             fill_content(by_number[number], tree, base)
             base = tree
+        self.canaries.fill_snapshot(snapshot)
         return snapshot.SerializeToString()
 
     @classmethod
@@ -265,6 +279,7 @@
         state.accepted = state.records.get(snapshot.accepted_version)
         state.candidate = state.records.get(snapshot.candidate_version)
         state._forgotten = snapshot.forgotten
+        state.canaries = CanaryState.restore(snapshot)
         for record in snapshot.records:
             if record.base_digest:
                 state._trees[record.version] = state._make_tree(record)
--- a/packages/lanedock/lanedock/routing/balancer.py
+++ b/packages/lanedock/lanedock/routing/balancer.py
@@ -13,6 +13,7 @@
 from random import Random
 
 from lanedock.averages import MovingTime
+from lanedock.canary import Pool
 from lanedock.membership import incarnation_of
 from lanedock.routing.policy import BalancerPolicy
 from lanedock.routing.upstream_stats import UpstreamStats
@@ -60,6 +61,20 @@
 _QUICK_MARGIN = 1.0
 
 
+class _Takers:
+    """The upstreams of one pool that take work, in the caller's zone and in others."""
+
+    __slots__ = ("local", "remote")
+
+    def __init__(self, takers: list[UpstreamStats], zone: str):
+        self.local = [stats for stats in takers if stats.endpoint.zone == zone]
+        self.remote = [stats for stats in takers if stats.endpoint.zone != zone]
+
+    def remove(self, stats: UpstreamStats) -> None:
+        self.local = [other for other in self.local if other is not stats]
+        self.remote = [other for other in self.remote if other is not stats]
+
+
 class Balancer:
     """The upstreams of one service, as one caller sees them.
 
@@ -76,21 +91,33 @@
         self._rng = rng
         self._policy = policy
         self._upstreams: dict[str, UpstreamStats] = {}
-        self._local: list[UpstreamStats] = []
-        self._remote: list[UpstreamStats] = []
+        self._takers = {pool: _Takers([], zone) for pool in (Pool.STABLE, Pool.CANARY)}
         self._times: dict[str, MovingTime] = {}
         self._body_times: dict[str, MovingTime] = {}
         self._limit = _HEDGE_DELAY_FIRST
         self._limit_until = float("-inf")
 
     def __repr__(self) -> str:
-        return f"<Balancer {self._zone} local={len(self._local)} remote={len(self._remote)}>"
+        stable = self._takers[Pool.STABLE]
+        return f"<Balancer {self._zone} local={len(stable.local)} remote={len(stable.remote)}>"
 
     def __len__(self) -> int:
         return len(self._upstreams)
 
-    def set_endpoints(self, endpoints: list[messages.Endpoint], now: float) -> None:
-        """Replace the list of upstreams; what is known of those that stay is kept."""
+    def set_endpoints(
+        self, endpoints: list[messages.Endpoint], now: float, pools: dict[str, Pool] | None = None
+    ) -> None:
+        """Replace the list of upstreams; what is known of those that stay is kept.
+
+        Parameters
+        ----------
+        endpoints : list of Endpoint
+        now : float
+            Monotonic, seconds.
+        pools : dict of str to Pool, optional
+            By instance; those that are left out are stable.
+        """
+        pools = pools or {}
         is_first = not self._upstreams
         kept = {}
         for endpoint in endpoints:
@@ -98,11 +125,12 @@
             if known is None or _is_started_anew(known.endpoint, endpoint):
                 known = self._make_stats(endpoint, known, is_first, now)
             known.endpoint = endpoint
+            known.pool = pools.get(endpoint.instance, Pool.STABLE)
             kept[endpoint.instance] = known
         self._upstreams = kept
         takes = [stats for stats in kept.values() if not stats.endpoint.leaving]
-        self._local = [stats for stats in takes if stats.endpoint.zone == self._zone]
-        self._remote = [stats for stats in takes if stats.endpoint.zone != self._zone]
+        for pool in self._takers:
+            self._takers[pool] = _Takers([stats for stats in takes if stats.pool is pool], self._zone)
 
     def _make_stats(
         self, endpoint: messages.Endpoint, former: UpstreamStats | None, is_first: bool, now: float
@@ -155,13 +183,18 @@
         """Give an upstream no new work; its daemon has reported that it leaves."""
         stats = self._upstreams.get(instance)
         if stats is not None:
-            self._local = [other for other in self._local if other is not stats]
-            self._remote = [other for other in self._remote if other is not stats]
+            for takers in self._takers.values():
+                takers.remove(stats)
 
     # ------------------------------------------------------------------ choice
 
     def choose(
-        self, slots: int, now: float, excluded: frozenset = frozenset(), is_long: bool = False
+        self,
+        slots: int,
+        now: float,
+        excluded: frozenset = frozenset(),
+        is_long: bool = False,
+        pool: Pool = Pool.STABLE,
     ) -> UpstreamStats | None:
         """Choose an upstream; the caller then calls `begin`.
 
@@ -175,14 +208,17 @@
             Instances that were tried already.
         is_long : bool
             Whether the request has a long body.
+        pool : Pool
+            Whose upstreams may get it.
 
         Returns
         -------
         UpstreamStats or None
             None where no upstream takes work.
         """
-        local = self._pick(self._usable(self._local, excluded, now), slots, now)
-        remote = self._pick(self._usable(self._remote, excluded, now), slots, now)
+        takers = self._takers[pool]
+        local = self._pick(self._usable(takers.local, excluded, now), slots, now)
+        remote = self._pick(self._usable(takers.remote, excluded, now), slots, now)
         if remote is None or local is None:
             return local or remote
         local_score = self._score(local, slots, now)
--- a/packages/lanedock/lanedock/routing/tests/test_balancer.py
+++ b/packages/lanedock/lanedock/routing/tests/test_balancer.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from lanedock.canary import Pool
 from lanedock.config import MeshConfig, Route, Version
 from lanedock.routing import Balancer, BalancerPolicy, RouteTable
 from lanedock.wire import messages
@@ -347,3 +348,22 @@
     known.upstream_started = 100
     balancer.set_endpoints([known], 0.1)
     assert balancer.choose(12, 0.1).in_progress == 1
+
+
+def test_each_pool_has_upstreams_of_its_own():
+    endpoints = [_endpoint("old"), _endpoint("new"), _endpoint("bad")]
+    balancer = _balancer()
+    balancer.set_endpoints(endpoints, 0.0, {"new": Pool.CANARY, "bad": Pool.WITHHELD})
+    assert {balancer.choose(10, 0.0).endpoint.instance for _ in range(20)} == {"old"}
+    assert {balancer.choose(10, 0.0, pool=Pool.CANARY).endpoint.instance for _ in range(20)} == {"new"}
+    assert balancer.choose(10, 0.0, frozenset(["new"]), pool=Pool.CANARY) is None
+
+
+def test_what_is_known_of_an_upstream_stays_when_its_pool_changes():
+    balancer = _balancer()
+    balancer.set_endpoints([_endpoint("a")], 0.0, {"a": Pool.CANARY})
+    stats = balancer.choose(10, 0.0, pool=Pool.CANARY)
+    balancer.begin(stats)
+    balancer.set_endpoints([_endpoint("a")], 1.0)
+    assert balancer.choose(10, 1.0) is stats
+    assert (stats.pool, stats.in_progress) == (Pool.STABLE, 1)
--- a/packages/lanedock/lanedock/routing/upstream_stats.py
+++ b/packages/lanedock/lanedock/routing/upstream_stats.py
@@ -1,6 +1,7 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """What a caller knows of one upstream."""
 
+from lanedock.canary import Pool
 from lanedock.wire import messages
 
 __all__ = ["UpstreamStats"]
@@ -12,6 +13,8 @@
     Attributes
     ----------
     endpoint : Endpoint
+    pool : Pool
+        The part that it has in its service's traffic.
     in_progress : int
         This caller's requests there.
     slowness : float
@@ -37,12 +40,14 @@
         "is_on_trial",
         "is_unreachable",
         "others",
+        "pool",
         "reported_at",
         "slowness",
     )
 
     def __init__(self, endpoint: messages.Endpoint, cold_since: float | None, cold_for: float):
         self.endpoint = endpoint
+        self.pool = Pool.STABLE
         self.cold_for = cold_for
         self.in_progress = 0
         self.others = 0
--- a/packages/lanedock/lanedock/settings/core.py
+++ b/packages/lanedock/lanedock/settings/core.py
@@ -82,6 +82,8 @@
     __slots__ = (
         "admissions_per_second",
         "bootstrap",
+        "canary_share",
+        "canary_slack",
         "compact_bytes",
         "data_folder",
         "dead_after_ms",
--- a/packages/lanedock/lanedock/telemetry/events.py
+++ b/packages/lanedock/lanedock/telemetry/events.py
@@ -87,6 +87,38 @@
         "Compare its number and base with the accepted version.",
     )
 
+    CANARY_STARTED = (
+        320,
+        logging.INFO,
+        "A canary release has begun: which service, version and duration.",
+        "Follow it with `lanedock canary status`.",
+    )
+    CANARY_REFUSED = (
+        321,
+        logging.INFO,
+        "An order for a canary release was refused as it was applied, or is known already.",
+        "Compare it with the one named.",
+    )
+    CANARY_STEP = (
+        322,
+        logging.INFO,
+        "The share of a canary, or which of its upstreams get it, has changed: to what, and why.",
+        "None.",
+    )
+    CANARY_COMPLETED = (
+        323,
+        logging.INFO,
+        "A canary release is completed: the former versions get nothing any more.",
+        "None.",
+    )
+    CANARY_ROLLED_BACK = (
+        324,
+        logging.WARNING,
+        "A canary release is rolled back: its version gets nothing any more. `reason` names the route and its figures.",
+        "Look at the version; where the time was too short, start it again with a longer duration.",
+    )
+    CANARY_FOLLOWED = (325, logging.INFO, "The daemon follows other rules for versions of services.", "None.")
+
     SOURCE_FOUND = (401, logging.INFO, "The daemon takes versions from a source.", "None.")
     SOURCE_LOST = (
         402,
--- a/packages/lanedock/lanedock/telemetry/metrics.py
+++ b/packages/lanedock/lanedock/telemetry/metrics.py
@@ -51,6 +51,9 @@
     ENDPOINTS = ("config.endpoints", "g", "Upstreams known, by zone.", ("zone",))
     CRASHES = ("upstream.crashes", "c", "Times that the application beside the daemon has ended without notice.")
     QUARANTINED = ("requests.quarantined", "g", "Requests that are not passed on since they end upstreams.")
+    CANARY_SHARE = ("canary.share", "g", "Share of a service's requests that its canary gets, 0 to 1.", ("service",))
+    CANARY_SENT = ("canary.sent", "c", "Requests sent while a canary runs, by part.", ("service", "part"))
+    CANARY_FAILED = ("canary.failed", "c", "Answers that failed while a canary runs, by part.", ("service", "part"))
     EJECTED = ("config.ejected", "c", "Ejections of upstreams.")
 
     def __init__(self, path: str, kind: str, meaning: str, labels: tuple = ()):
--- a/packages/lanedock/lanedock/wire/lanedock_grpc.py
+++ b/packages/lanedock/lanedock/wire/lanedock_grpc.py
@@ -90,6 +90,10 @@
     async def Quarantine(self, stream: 'grpclib.server.Stream[lanedock.wire.lanedock_pb2.QuarantineRequest, lanedock.wire.lanedock_pb2.QuarantineReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Canary(self, stream: 'grpclib.server.Stream[lanedock.wire.lanedock_pb2.CanaryRequest, lanedock.wire.lanedock_pb2.CanaryReply]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/lanedock.v1.Operators/Submit': grpclib.const.Handler(
@@ -122,6 +126,12 @@
                 lanedock.wire.lanedock_pb2.QuarantineRequest,
                 lanedock.wire.lanedock_pb2.QuarantineReply,
             ),
+            '/lanedock.v1.Operators/Canary': grpclib.const.Handler(
+                self.Canary,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                lanedock.wire.lanedock_pb2.CanaryRequest,
+                lanedock.wire.lanedock_pb2.CanaryReply,
+            ),
         }
 
 
@@ -158,3 +168,9 @@
             lanedock.wire.lanedock_pb2.QuarantineRequest,
             lanedock.wire.lanedock_pb2.QuarantineReply,
         )
+        self.Canary = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/lanedock.v1.Operators/Canary',
+            lanedock.wire.lanedock_pb2.CanaryRequest,
+            lanedock.wire.lanedock_pb2.CanaryReply,
+        )
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -18,6 +18,7 @@
 # draws the same.
 ALLOWED = {
     "averages": set(),
+    "canary": {"errors", "membership", "wire"},
     "clock": set(),
     "config": {"errors", "findings", "wire"},
     "consensus": {"errors", "wire"},
@@ -27,8 +28,8 @@
     "limits": {"config", "errors", "averages"},
     "quarantine": {"wire"},
     "membership": {"errors", "findings", "wire"},
-    "rollout": {"config", "errors", "findings", "membership", "wire"},
-    "routing": {"config", "membership", "wire", "averages"},
+    "rollout": {"canary", "config", "errors", "findings", "membership", "wire"},
+    "routing": {"canary", "config", "membership", "wire", "averages"},
     "settings": {"errors", "findings"},
     "telemetry": {"clock"},
     "testing": set(),
--- a/tools/model.py
+++ b/tools/model.py
@@ -1,5 +1,5 @@
 # SPDX-License-Identifier: BSD-3-Clause
-"""Model checking of the core protocol with spin: ``python tools/model.py [--mutants]``.
+"""Model checking of the core protocols with spin: ``python tools/model.py [--mutants]``.
 
 Without an option, every bounded configuration is searched exhaustively. With
 ``--mutants``, the specification is given one mistake at a time, and each must
@@ -15,25 +15,55 @@
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
-MODEL = Path(__file__).parent.parent / "model" / "rollout.pml"
+FOLDER = Path(__file__).parent.parent / "model"
 WORKERS = 4
 SEARCH_TIMEOUT = 400
 EXIT_MISSING = 2
 
-# Bounds: terms, submissions, length of the log, daemons.
+
+class Search:
+    """One search: a specification and its bounds.
+
+    Parameters
+    ----------
+    model : str
+        Name of its file.
+    bounds : dict of str to int
+        Macros.
+    """
+
+    __slots__ = ("bounds", "model")
+
+    def __init__(self, model: str, **bounds: int):
+        self.model = model
+        self.bounds = bounds
+
+
+def _rollout(terms: int, submissions: int, length: int, daemons: int) -> Search:
+    return Search("rollout.pml", TERMS=terms, SUBMISSIONS=submissions, LENGTH=length, DAEMONS=daemons)
+
+
 CONFIGURATIONS = {
-    "one daemon, two terms": (2, 1, 4, 1),
-    "two daemons, two terms": (2, 1, 4, 2),
-    "two daemons, racing submissions": (1, 2, 6, 2),
+    "one daemon, two terms": _rollout(2, 1, 4, 1),
+    "two daemons, two terms": _rollout(2, 1, 4, 2),
+    "two daemons, racing submissions": _rollout(1, 2, 6, 2),
+    "canary, two daemons": Search("canary.pml", DAEMONS=2, STEPS=4),
+    "canary, three daemons": Search("canary.pml", DAEMONS=3, STEPS=3),
 }
 MUTANTS = {
-    "NO_QUORUM": (2, 1, 4, 1),
-    "NO_FENCING": (2, 1, 4, 1),
-    "LEARNER_VOTES": (2, 1, 4, 1),
-    "NO_FLOOR": (2, 1, 4, 1),
-    "EARLY_ACCEPT": (1, 1, 4, 2),
-    "REUSED_NUMBER": (1, 2, 6, 1),
-    "REACHED": (2, 1, 4, 2),
+    "NO_QUORUM": _rollout(2, 1, 4, 1),
+    "NO_FENCING": _rollout(2, 1, 4, 1),
+    "LEARNER_VOTES": _rollout(2, 1, 4, 1),
+    "NO_FLOOR": _rollout(2, 1, 4, 1),
+    "EARLY_ACCEPT": _rollout(1, 1, 4, 2),
+    "REUSED_NUMBER": _rollout(1, 2, 6, 1),
+    "REACHED": _rollout(2, 1, 4, 2),
+    "canary UNCHECKED_STEP": Search("canary.pml", DAEMONS=2, STEPS=4),
+    "canary OLDER_PLAN": Search("canary.pml", DAEMONS=2, STEPS=4),
+    "canary NO_CONFIRMATION": Search("canary.pml", DAEMONS=2, STEPS=4),
+    "canary FORMER_STEP": Search("canary.pml", DAEMONS=2, STEPS=4),
+    "canary NO_FLOOR": Search("canary.pml", DAEMONS=2, STEPS=4),
+    "canary REACHED": Search("canary.pml", DAEMONS=2, STEPS=4),
 }
 
 
@@ -56,15 +86,15 @@
     return 0 if passed == len(results) else 1
 
 
-def _search(name: str, bounds: tuple[int, int, int, int], is_mutant: bool) -> tuple[bool, str]:
+def _search(name: str, search: Search, is_mutant: bool) -> tuple[bool, str]:
     """Search one configuration; returns whether it came out as expected, and a line."""
-    terms, submissions, length, daemons = bounds
-    flags = [f"-DTERMS={terms}", f"-DSUBMISSIONS={submissions}", f"-DLENGTH={length}", f"-DDAEMONS={daemons}"]
+    flags = [f"-D{macro}={value}" for macro, value in search.bounds.items()]
     if is_mutant:
-        flags.append(f"-D{name}")
+        flags.append(f"-D{name.split()[-1]}")
+    model = FOLDER / search.model
     with tempfile.TemporaryDirectory() as folder:
-        shutil.copy(MODEL, folder)
-        _run(["spin", "-a", *flags, MODEL.name], folder)
+        shutil.copy(model, folder)
+        _run(["spin", "-a", *flags, model.name], folder)
         _run(["gcc", "-O2", "-DSAFETY", "-DCOLLAPSE", "-DMEMLIM=4000", "-o", "pan", "pan.c"], folder)
         printed = _run(["./pan", "-m200000", "-w24"], folder)
     errors = re.search(r"errors: (\d+)", printed)
