Move a service's traffic to a new version, or back, on operators' order

Change: orders over the platform and over gRPC (lanedock canary start, status, history, promote, abort), acknowledged once applied; plans go to daemons before endpoints and are followed only when newer; upstreams' daemons count what their application does while a canary runs; the leader proposes steps. Heartbeats and the platform's list carry versions. The command line's connection options moved to a module of their own.

--- a/packages/lanedock-cli/lanedock_cli/app.py
+++ b/packages/lanedock-cli/lanedock_cli/app.py
@@ -3,7 +3,6 @@
 
 import asyncio
 import getpass
-import os
 import sys
 import time
 from pathlib import Path
@@ -16,10 +15,18 @@
 from lanedock.config import ConfigTree, compare, load_config
 from lanedock.errors import ErrorCode, LanedockError
 from lanedock.findings import FindingsError
-from lanedock.settings import Address, TlsSettings, load_settings
-from lanedock.settings.tls import make_client_context
+from lanedock.settings import load_settings
 from lanedock.wire import messages
+from lanedock_cli import canary
 from lanedock_cli.client import ControlClient
+from lanedock_cli.connection import (
+    CLIENT_GRACE,
+    CONTROL_VARIABLE,
+    ControlOption,
+    JsonOption,
+    TlsOption,
+    make_client,
+)
 from lanedock_cli.doctor import examine
 from lanedock_cli.explain import gather, print_account
 from lanedock_cli.render import (
@@ -47,43 +54,16 @@
 EXIT_NOT_KNOWN = 4
 EXIT_ACCEPTED = 5
 
-CONTROL_VARIABLE = "LANEDOCK_CONTROL"
-CLIENT_GRACE = 2.0
-
 app = typer.Typer(
     no_args_is_help=True,
     rich_markup_mode=None,
     help="Applies configurations to a lanedock mesh, as a whole, and tells which version is in force where.",
     epilog=f"The control instances are named by --control or by ${CONTROL_VARIABLE}.",
 )
+app.add_typer(canary.app, name="canary")
 _console = Console()
 
 FileArgument = Annotated[Path, typer.Argument(help="The operators' file, JSON with comments.", metavar="FILE")]
-ControlOption = Annotated[
-    str,
-    typer.Option("--control", envvar=CONTROL_VARIABLE, help="Control instances: IP:PORT, separated by commas."),
-]
-TlsOption = Annotated[
-    str, typer.Option("--tls", envvar="LANEDOCK_TLS", help="Folder with client.crt, client.key and authority.crt.")
-]
-JsonOption = Annotated[bool, typer.Option("--json", help="Print JSON, for machines.")]
-
-
-def _make_client(control: str, tls: str, patience: float) -> ControlClient:
-    try:
-        addresses = [Address.parse(text.strip()) for text in control.split(",") if text.strip()]
-    except ValueError as exc:
-        raise typer.BadParameter(f"{control!r} is not a list of IP:PORT", param_hint="--control") from exc
-    if not addresses:
-        raise typer.BadParameter(f"name the control instances, or set {CONTROL_VARIABLE}", param_hint="--control")
-    return ControlClient(addresses, _make_context(tls), patience)
-
-
-def _make_context(folder: str):
-    if not folder:
-        return None
-    paths = {"certificate": "client.crt", "key": "client.key", "authority": "authority.crt"}
-    return make_client_context(TlsSettings(**{key: os.path.join(folder, name) for key, name in paths.items()}))
 
 
 def _load(file: Path, as_json: bool) -> ConfigTree:
@@ -130,7 +110,7 @@
         timeout_ms=int(timeout * 1000),
     )
     request.allow_cut_off.extend(allow_cut_off)
-    client = _make_client(control, tls, timeout + CLIENT_GRACE)
+    client = make_client(control, tls, timeout + CLIENT_GRACE)
     reply = _submit(client, request, show=sys.stderr.isatty() and not as_json)
     if as_json:
         print_json(answer_value(reply))
@@ -187,7 +167,7 @@
     as_json: JsonOption = False,
 ) -> None:
     """Tell which version is in force where, by zone, and who is behind."""
-    client = _make_client(control, tls, CLIENT_GRACE)
+    client = make_client(control, tls, CLIENT_GRACE)
     while True:
         reply = asyncio.run(client.ask("Status", messages.StatusRequest()))
         if as_json:
@@ -205,7 +185,7 @@
 def diff(file: FileArgument, control: ControlOption = "", tls: TlsOption = "", as_json: JsonOption = False) -> None:
     """Tell what a file would change in the accepted version."""
     tree = _load(file, as_json)
-    client = _make_client(control, tls, CLIENT_GRACE)
+    client = make_client(control, tls, CLIENT_GRACE)
     reply = asyncio.run(client.ask("Show", messages.ShowRequest()))
     before = ConfigTree.from_packed(reply.version, reply.content).value() if reply.content else {}
     differences = compare(before, tree.value())
@@ -225,7 +205,7 @@
     as_json: JsonOption = False,
 ) -> None:
     """List the submitted versions and what became of them, the newest first."""
-    client = _make_client(control, tls, CLIENT_GRACE)
+    client = make_client(control, tls, CLIENT_GRACE)
     reply = asyncio.run(client.ask("History", messages.HistoryRequest(limit=limit)))
     if as_json:
         print_json(history_value(reply))
@@ -245,7 +225,7 @@
         digest = bytes.fromhex(clear)
     except ValueError as exc:
         raise typer.BadParameter("a digest is hexadecimal", param_hint="--clear") from exc
-    client = _make_client(control, tls, CLIENT_GRACE)
+    client = make_client(control, tls, CLIENT_GRACE)
     reply = asyncio.run(client.ask("Quarantine", messages.QuarantineRequest(clear=digest)))
     if as_json:
         print_json(quarantine_value(reply))
--- a/packages/lanedock-daemon/lanedock_daemon/agent/registration.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/registration.py
@@ -5,7 +5,7 @@
 "cold_ms"}`` is a heartbeat; ``DELETE /upstreams/ID`` says that the application
 leaves. Both are answered with 204 once the daemon is bound by them. A heartbeat may
 carry ``started``, the Unix milliseconds of the application's start: it may then start
-again under its id.
+again under its id; and ``version``, that of its software, for canary releases.
 """
 
 import re
@@ -21,7 +21,7 @@
 __all__ = ["MAX_BODY", "MAX_COLD", "MAX_SLOTS", "Registrar", "RegistrationSide", "check_upstream_id", "refuse_call"]
 
 _PREFIX = "/upstreams/"
-# Bytes of a heartbeat that are read: bounds memory; its five fields are far shorter.
+# Bytes of a heartbeat that are read: bounds memory; its fields are far shorter.
 MAX_BODY = 64 * 1024
 # Most slots, and longest time in seconds for which it is still slow, that an application may
 # report: what an endpoint carries to callers (32 bits, the time in milliseconds).
@@ -125,6 +125,7 @@
             endpoint.slots,
             awake(),
             endpoint.upstream_started,
+            endpoint.version,
         ):
             self._events.emit(Event.UPSTREAM_ADOPTED, upstream=endpoint.upstream, leaving=endpoint.ended)
         if registration.rival is not rival:
@@ -173,6 +174,7 @@
             fields.count("slots", 0, MAX_SLOTS, 0),
             fields.number("cold_ms", MAX_SLOTS, 0) / 1000,
             fields.count("started", 0, default=0),
+            fields.text("version", ""),
         )
         fields.check("service", self._registrar.knows_service(heartbeat.service), "a service of the version in force")
         fields.finish()
--- a/packages/lanedock-daemon/lanedock_daemon/agent/report.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/report.py
@@ -3,7 +3,7 @@
 
 import time
 
-from lanedock.clock import awake
+from lanedock.clock import awake, monotonic
 from lanedock.quarantine import Quarantine
 from lanedock.settings import Settings
 from lanedock.wire import messages
@@ -11,6 +11,9 @@
 
 __all__ = ["SourceReport", "StateReport"]
 
+# Seconds for which counts of a canary's requests are gathered before they are reported.
+COUNTS_INTERVAL = 0.3
+
 
 class StateReport:
     """The daemon's state, as it was reported last.
@@ -29,6 +32,7 @@
     def __init__(self, settings: Settings, view: LocalView):
         self._settings = settings
         self._view = view
+        self._counts_at = 0.0
         takes_any = settings.entry is not None or settings.daemon.any_service
         self.state = messages.DaemonState(
             daemon=settings.name,
@@ -73,6 +77,7 @@
         fresh.want_whole = holder.wants_whole
         fresh.draining = self._view.is_draining
         self._fill_endpoint(fresh)
+        self._fill_canaries(fresh)
         fresh.parent = parent
         if fresh == self.state:
             return False
@@ -80,6 +85,19 @@
         self.state = fresh
         return True
 
+    def _fill_canaries(self, state: messages.DaemonState) -> None:
+        """Fill in which plan is followed, and what was seen of the canaries that run."""
+        state.canary_revision = self._view.canaries.plan.revision
+        state.is_displaced_busy = self._view.is_displaced_busy()
+        now = monotonic()
+        if now < self._counts_at:
+            return
+        counts = self._view.canary_counter.take_changed()
+        if counts is not None:
+            self._counts_at = now + COUNTS_INTERVAL
+            del state.canary_counts[:]
+            state.canary_counts.extend(counts)
+
     def _fill_endpoint(self, state: messages.DaemonState) -> None:
         """Fill in the upstream that this daemon speaks for, once it has registered."""
         registration = self._view.upstream
@@ -101,6 +119,7 @@
         endpoint.upstream = registration.upstream
         endpoint.upstream_started = registration.incarnation.started
         endpoint.slots = registration.slots
+        endpoint.version = registration.version
         endpoint.cold_ms = int(1000 * registration.cold_left(awake()))
         endpoint.revision = revision
 
--- a/packages/lanedock-daemon/lanedock_daemon/agent/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/service.py
@@ -298,6 +298,8 @@
             self._lag.source_version = message.heartbeat.accepted_version
         elif body == "suspicions":
             self._report.merge_suspicions(message.suspicions.changed, now)
+        elif body == "canary_plan":
+            self._on_canary_plan(message.canary_plan)
         elif body == "members":
             self._search.set_members([(item.address, item.zone) for item in message.members.members])
         elif body == "attest":
@@ -329,11 +331,20 @@
         for endpoint in update.changed:
             if endpoint.instance == self._settings.name:
                 self._state.outlive(endpoint.incarnation)
+                if self._view.upstream is not None:
+                    self._view.upstream.learn_version(endpoint.version)
                 if self._registrar is not None:
                     self._registrar.adopt(endpoint)
         if self._relay is not None:
             self._relay.broadcast_endpoints(update)
 
+    def _on_canary_plan(self, plan: messages.CanaryPlan) -> None:
+        if not self._view.follow_canaries(plan):
+            return
+        self._events.emit(Event.CANARY_FOLLOWED, revision=plan.revision, services=len(plan.rules))
+        if self._relay is not None:
+            self._relay.set_canary_plan(plan)
+
     def _on_floor(self, floor: messages.Floor) -> None:
         if not self._report.answers_floor(floor):
             return
--- a/packages/lanedock-daemon/lanedock_daemon/agent/view.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/view.py
@@ -3,6 +3,7 @@
 
 import random
 
+from lanedock.canary import CanaryCounter, CanarySplit, Pool, assign_pools, classify
 from lanedock.clock import monotonic
 from lanedock.config import CallerLimits, MeshConfig, is_service_group
 from lanedock.limits import RetryBudget, SavingBudget, SlotLimiter
@@ -50,19 +51,25 @@
         version is confirmed again.
     upstream : UpstreamRegistration, optional
         Of the application beside the daemon.
+    instance : str, optional
+        Name of the daemon's instance.
 
     Attributes
     ----------
     quarantine : Quarantine
         The requests that are suspected of ending upstreams.
+    canaries : CanarySplit
+        Which requests go to upstreams of a version under trial.
+    canary_counter : CanaryCounter
     is_stopping : bool
         Whether callers are to go elsewhere; they are served while they come.
     is_draining : bool
         Whether the upstream takes no new work.
     """
 
-    def __init__(self, zone: str, stall_limit: float, upstream=None):
+    def __init__(self, zone: str, stall_limit: float, upstream=None, instance: str = ""):
         self.upstream = upstream
+        self.instance = instance
         self._make_budget = SavingBudget
         self.holder = VersionHolder()
         self.quarantine = Quarantine()
@@ -75,6 +82,8 @@
         self._stall_limit = stall_limit
         self._alive_at = monotonic()
         self._rng = random.Random()
+        self.canaries = CanarySplit(self._rng)
+        self.canary_counter = CanaryCounter()
         self._work: SlotLimiter | None = None
         self._endpoints: dict[str, messages.Endpoint] = {}
         self._balancers: dict[str, Balancer] = {}
@@ -196,16 +205,33 @@
                 touched.add(gone.service)
         for endpoint in update.changed:
             known = former.get(endpoint.instance)
+            if known is not None:
+                touched.add(known.service)
             if known is not None and freshness(known) > freshness(endpoint):
                 # Another source, which has not heard of the newer one yet: with the
                 # older, requests would name an incarnation that has ended.
                 endpoint = known
             self._endpoints[endpoint.instance] = endpoint
             touched.add(endpoint.service)
-        for service in touched:
-            balancer = self._balancers.get(service)
-            if balancer is not None:
-                self._fill(service, balancer)
+        self._refill(touched)
+
+    def follow_canaries(self, plan: messages.CanaryPlan) -> bool:
+        """Follow a plan; False where it is no newer than the one that is followed."""
+        if plan.revision <= self.canaries.plan.revision:
+            return False
+        changed = self.canaries.follow(plan)
+        self.canary_counter.follow(plan)
+        self._refill(changed)
+        return True
+
+    def is_displaced_busy(self) -> bool:
+        """Tell whether the upstream works on requests although all new ones go to a canary."""
+        if self.upstream is None or self._work is None:
+            return False
+        rule = self.canaries.running(self.upstream.service)
+        if rule is None or not self.canaries.is_whole(self.upstream.service):
+            return False
+        return classify(rule, self.upstream.version) is Pool.STABLE and self._work.in_use > 0
 
     def age(self) -> dict[str, object]:
         """Return what explains that nothing may be served, for a log line."""
@@ -234,6 +260,13 @@
         """Return all endpoints, for a daemon that has just connected."""
         return messages.EndpointUpdate(whole=True, changed=self._endpoints.values())
 
+    def _refill(self, services: set[str]) -> None:
+        for service in services:
+            balancer = self._balancers.get(service)
+            if balancer is not None:
+                self._fill(service, balancer)
+
     def _fill(self, service: str, balancer: Balancer) -> None:
+        rule = self.canaries.rule(service)
         mine = [endpoint for endpoint in self._endpoints.values() if endpoint.service == service]
-        balancer.set_endpoints(mine, monotonic())
+        balancer.set_endpoints(mine, monotonic(), assign_pools(rule, mine))
--- /dev/null
+++ b/packages/lanedock-daemon/lanedock_daemon/control/canaries.py
@@ -0,0 +1,256 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Canary releases at a control instance: operators' orders, and the leader's steps."""
+
+import time
+
+from lanedock.canary import CanaryController, CanaryPolicy, StartResult, StartVerdict, make_step
+from lanedock.clock import monotonic
+from lanedock.errors import ErrorCode
+from lanedock.rollout import FleetView
+from lanedock.telemetry import Event, EventLogger, Metric, Metrics
+from lanedock.wire import messages
+from lanedock_daemon.control.log import AppliedEntry, ReplicatedLog
+from lanedock_daemon.control.requests import CanaryRequested
+
+__all__ = ["CanaryOrders"]
+
+# Seconds after which an order that was not applied is answered as not known.
+ORDER_TIMEOUT = 3.0
+# Canaries in one reply.
+MAX_LISTED = 20
+_FULL_SHARE = 1000
+
+
+class _Order:
+    """An order that waits for its entry."""
+
+    __slots__ = ("command", "item", "until")
+
+    def __init__(self, item: CanaryRequested, command: messages.Command, until: float):
+        self.item = item
+        self.command = command
+        self.until = until
+
+
+class CanaryOrders:
+    """Answers operators on canary releases, and carries on those that run while its replica leads.
+
+    Parameters
+    ----------
+    log : ReplicatedLog
+    policy : CanaryPolicy
+    leader_address : callable
+        Returns the leader's address; empty where none is known.
+    events : EventLogger
+    metrics : Metrics
+    """
+
+    def __init__(self, log: ReplicatedLog, policy: CanaryPolicy, leader_address, events: EventLogger, metrics: Metrics):
+        self._log = log
+        self._policy = policy
+        self._leader_address = leader_address
+        self._events = events
+        self._metrics = metrics
+        self._controller: CanaryController | None = None
+        self._orders: dict[int, _Order] = {}
+
+    def __repr__(self) -> str:
+        return f"<CanaryOrders waiting={len(self._orders)} {self._controller!r}>"
+
+    @property
+    def _state(self):
+        return self._log.state.canaries
+
+    # ------------------------------------------------------------------ orders
+
+    def ask(self, item: CanaryRequested, endpoints: list[messages.Endpoint], now: float) -> None:
+        """Accept an order or a question.
+
+        Parameters
+        ----------
+        item : CanaryRequested
+        endpoints : list of Endpoint
+            That are known here.
+        now : float
+            Monotonic, seconds.
+        """
+        if not self._log.is_current_leader:
+            item.call.finish(_refuse(ErrorCode.NOT_LEADER, leader_address=self._leader_address()))
+            return
+        request = item.request
+        if request.action == messages.CANARY_LIST:
+            item.call.finish(self._list(request.service, now))
+        elif request.action == messages.CANARY_START:
+            self._start(item, endpoints, now)
+        else:
+            self._decide_by_hand(item, now)
+
+    def _list(self, service: str, now: float) -> messages.CanaryReply:
+        records = [record for record in self._state.records if not service or record.service == service]
+        reply = messages.CanaryReply()
+        for record in records[: -MAX_LISTED - 1 : -1]:
+            reply.canaries.append(self._progress(record, now))
+        return reply
+
+    def _progress(self, record: messages.CanaryRecord, now: float) -> messages.CanaryProgress:
+        if self._controller is None:
+            return messages.CanaryProgress(record=record)
+        return self._controller.progress(record, now)
+
+    def _start(self, item: CanaryRequested, endpoints: list[messages.Endpoint], now: float) -> None:
+        request = item.request
+        start = messages.CanaryStart(
+            service=request.service,
+            version=request.version,
+            duration_ms=request.duration_ms,
+            started_at=time.time(),
+            operator=request.operator,
+        )
+        result = self._state.judge(start)
+        if result.verdict is not StartVerdict.STARTED:
+            item.call.finish(self._answer_start(result, now))
+        elif not self._log.state.has_service(start.service):
+            item.call.finish(_refuse(ErrorCode.SERVICE_UNKNOWN))
+        elif _is_everywhere(start, endpoints):
+            item.call.finish(_refuse(ErrorCode.CANARY_NOT_NEW))
+        else:
+            self._propose(item, messages.Command(canary_start=start), now)
+
+    def _decide_by_hand(self, item: CanaryRequested, now: float) -> None:
+        request = item.request
+        record = self._state.newest(request.service)
+        if record is None or record.phase != messages.CANARY_RUNNING:
+            item.call.finish(_refuse(ErrorCode.CANARY_UNKNOWN))
+            return
+        who = request.operator or "an operator"
+        if request.action == messages.CANARY_PROMOTE:
+            step = make_step(record, messages.CANARY_RUNNING, _FULL_SHARE, f"promoted by {who}")
+        else:
+            step = make_step(record, messages.CANARY_ROLLED_BACK, 0, f"aborted by {who}")
+        step.decided_at = time.time()
+        self._propose(item, messages.Command(canary_step=step), now)
+
+    def _propose(self, item: CanaryRequested, command: messages.Command, now: float) -> None:
+        index = self._log.propose(command)
+        if index is None:
+            item.call.finish(_refuse(ErrorCode.OUTCOME_NOT_KNOWN))
+            return
+        self._orders[index] = _Order(item, command, now + ORDER_TIMEOUT)
+
+    def settle(self, entry: AppliedEntry, now: float) -> None:
+        """Note that an entry was applied: log what became of it, and answer who waits for it."""
+        result = entry.result
+        if isinstance(result, StartResult):
+            self._log_start(result)
+        elif entry.command.HasField("canary_step") and result:
+            self._log_step(entry.command.canary_step)
+        order = self._orders.pop(entry.index, None)
+        if order is None:
+            return
+        # Another leader's entry may have taken the index: then nothing is known of this order.
+        if order.command != entry.command:
+            order.item.call.finish(_refuse(ErrorCode.OUTCOME_NOT_KNOWN))
+        elif isinstance(result, StartResult):
+            order.item.call.finish(self._answer_start(result, now))
+        elif result:
+            order.item.call.finish(self._list(order.item.request.service, now))
+        else:
+            order.item.call.finish(_refuse(ErrorCode.CANARY_UNKNOWN))
+
+    def _answer_start(self, result: StartResult, now: float) -> messages.CanaryReply:
+        reply = _refuse(result.code) if result.code is not None else messages.CanaryReply()
+        reply.canaries.append(self._progress(result.record, now))
+        return reply
+
+    def _log_start(self, result: StartResult) -> None:
+        record = result.record
+        event = Event.CANARY_STARTED if result.verdict is StartVerdict.STARTED else Event.CANARY_REFUSED
+        self._events.emit(
+            event,
+            service=record.service,
+            software=record.version,
+            canary=record.number,
+            duration_ms=record.duration_ms,
+            verdict=result.verdict.value,
+        )
+
+    def _log_step(self, step: messages.CanaryStep) -> None:
+        record = self._state.newest(step.service)
+        by_phase = {
+            messages.CANARY_COMPLETED: Event.CANARY_COMPLETED,
+            messages.CANARY_ROLLED_BACK: Event.CANARY_ROLLED_BACK,
+        }
+        self._metrics.gauge(Metric.CANARY_SHARE, record.share_permille / _FULL_SHARE, (step.service,))
+        self._events.emit(
+            by_phase.get(step.phase, Event.CANARY_STEP),
+            service=step.service,
+            software=record.version,
+            canary=step.number,
+            step=step.step,
+            share=step.share_permille / _FULL_SHARE,
+            reason=step.reason,
+            **self._figures(record),
+        )
+
+    def _figures(self, record: messages.CanaryRecord) -> dict[str, int]:
+        """Return what was seen of a canary; nothing where another replica leads."""
+        if self._controller is None:
+            return {}
+        progress = self._controller.progress(record, monotonic())
+        return {
+            "canary_sent": progress.canary_sent,
+            "canary_failed": progress.canary_failed,
+            "stable_answered": progress.stable_answered,
+            "stable_failed": progress.stable_failed,
+        }
+
+    def abandon_all(self) -> None:
+        """Answer everybody that the outcome is not known here any more."""
+        for order in self._orders.values():
+            order.item.call.finish(_refuse(ErrorCode.OUTCOME_NOT_KNOWN))
+        self._orders = {}
+
+    # -------------------------------------------------------------------- lead
+
+    def advance(self, fleet: FleetView | None, endpoints: list[messages.Endpoint], now: float) -> bool:
+        """Decide on the canaries that run, as leader.
+
+        Parameters
+        ----------
+        fleet : FleetView or None
+            None where another replica leads.
+        endpoints : list of Endpoint
+            That are known here.
+        now : float
+            Monotonic, seconds.
+
+        Returns
+        -------
+        bool
+            Whether there are steps for the log to carry out.
+        """
+        for index, order in list(self._orders.items()):
+            if now >= order.until:
+                del self._orders[index]
+                order.item.call.finish(_refuse(ErrorCode.OUTCOME_NOT_KNOWN))
+        if fleet is None or not self._log.is_current_leader:
+            self._controller = None
+            return False
+        if self._controller is None:
+            self._controller = CanaryController(self._state, self._policy)
+        if not self._state.running():
+            return False
+        self._controller.set_state(self._state)
+        commands = self._controller.decide(fleet.daemons(), endpoints, now, time.time())
+        proposed = [self._log.propose(command) for command in commands]
+        return any(index is not None for index in proposed)
+
+
+def _refuse(code: ErrorCode, leader_address: str = "") -> messages.CanaryReply:
+    return messages.CanaryReply(code=code.code, message=code.meaning, leader_address=leader_address)
+
+
+def _is_everywhere(start: messages.CanaryStart, endpoints: list[messages.Endpoint]) -> bool:
+    """Tell whether all upstreams of a service that take work report a version already."""
+    mine = [endpoint for endpoint in endpoints if endpoint.service == start.service and not endpoint.leaving]
+    return {endpoint.version for endpoint in mine} == {start.version}
--- a/packages/lanedock-daemon/lanedock_daemon/control/directories.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/directories.py
@@ -81,6 +81,10 @@
         """Return all endpoints, for a daemon that has just connected."""
         return self._endpoints.whole_update()
 
+    def endpoints(self) -> list[messages.Endpoint]:
+        """Return all endpoints that are known here."""
+        return self._endpoints.endpoints()
+
     def broadcast(self, now: float) -> None:
         """Send all daemons the changes that are due."""
         update = self._endpoints.take_update(now)
--- a/packages/lanedock-daemon/lanedock_daemon/control/log.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/log.py
@@ -5,6 +5,7 @@
 
 import gevent
 
+from lanedock.canary import StartResult
 from lanedock.clock import monotonic
 from lanedock.consensus import FileStorage, HardState, LogSnapshot, RaftReplica, ReplicaRole, StorageError
 from lanedock.errors import ErrorCode
@@ -64,12 +65,13 @@
     ----------
     index : int
     command : Command
-    result : SubmitResult or None
+    result : SubmitResult, StartResult, bool or None
+        See `MeshState.apply`.
     """
 
     __slots__ = ("command", "index", "result")
 
-    def __init__(self, index: int, command: messages.Command, result: SubmitResult | None):
+    def __init__(self, index: int, command: messages.Command, result: SubmitResult | StartResult | bool | None):
         self.index = index
         self.command = command
         self.result = result
--- a/packages/lanedock-daemon/lanedock_daemon/control/requests.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/requests.py
@@ -11,6 +11,7 @@
 
 __all__ = [
     "Call",
+    "CanaryRequested",
     "ConfirmedRead",
     "GreenletCall",
     "HistoryRequested",
@@ -110,6 +111,10 @@
     """An operator asks which requests are quarantined, or clears one."""
 
 
+class CanaryRequested(_Requested):
+    """An operator orders something of a canary release, or asks for them; the reply is a `CanaryReply`."""
+
+
 class ReadRequested:
     """An operator asks for the newest accepted version, confirmed by a quorum.
 
--- a/packages/lanedock-daemon/lanedock_daemon/control/server.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/server.py
@@ -12,6 +12,7 @@
 from lanedock.wire.lanedock_grpc import OperatorsBase, ReplicationBase
 from lanedock_daemon.control.requests import (
     Call,
+    CanaryRequested,
     HistoryRequested,
     QuarantineRequested,
     ShowRequested,
@@ -106,6 +107,9 @@
     async def Quarantine(self, stream) -> None:
         await self._ask(stream, QuarantineRequested)
 
+    async def Canary(self, stream) -> None:
+        await self._ask(stream, CanaryRequested)
+
     async def _ask(self, stream, kind) -> None:
         request = await stream.recv_message()
         call = GrpcCall(self._loop)
--- a/packages/lanedock-daemon/lanedock_daemon/control/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/service.py
@@ -3,16 +3,18 @@
 
 import random
 
+from lanedock.canary import CanaryPolicy
 from lanedock.clock import monotonic
 from lanedock.consensus import FileStorage, RaftReplica, StorageError, Timing
 from lanedock.consensus.core import replica_name
 from lanedock.errors import ErrorCode
 from lanedock.kernel import Kernel, TaskService
 from lanedock.quarantine import Quarantine
-from lanedock.rollout import RolloutPolicy, Verdict
+from lanedock.rollout import RolloutPolicy, SubmitResult, Verdict
 from lanedock.settings import Address, Settings
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics
 from lanedock.wire import messages
+from lanedock_daemon.control.canaries import CanaryOrders
 from lanedock_daemon.control.directories import ControlDirectory, ListedDirectory, RegisteredDirectory
 from lanedock_daemon.control.distribution import DaemonSessions, make_version_source
 from lanedock_daemon.control.leader import FleetReporter, RolloutLeader
@@ -21,6 +23,7 @@
 from lanedock_daemon.control.queries import QueryQueue
 from lanedock_daemon.control.reads import ReadQueue
 from lanedock_daemon.control.requests import (
+    CanaryRequested,
     HistoryRequested,
     ListRead,
     QuarantineRequested,
@@ -29,7 +32,7 @@
     StatusRequested,
     SubmitRequested,
 )
-from lanedock_daemon.control.submissions import Submission, SubmissionQueue, make_submit_command
+from lanedock_daemon.control.submissions import Submission, SubmissionQueue, log_applied, make_submit_command
 from lanedock_daemon.control.traffic import ControlTraffic, MeteredLinks
 from lanedock_daemon.sessions import ChildArrived, ChildLeft, ChildReported, SeedsChanged
 from lanedock_daemon.transport import PeerMessageArrived
@@ -75,6 +78,7 @@
         self._reporter = FleetReporter()
         self._known_leader = ""
         self._source_versions = None
+        self._plan_revision = 0
         self._storage: FileStorage | None = None
         self._handlers = {
             PeerMessageArrived: self._on_peer,
@@ -87,6 +91,7 @@
             HistoryRequested: lambda item: self._queries.ask(item),
             ShowRequested: lambda item: self._queries.ask(item),
             QuarantineRequested: lambda item: answer_operator(item, self._quarantine, monotonic()),
+            CanaryRequested: lambda item: self._canaries.ask(item, self._directory.endpoints(), monotonic()),
             ReadRequested: lambda item: self._reads.ask(item.call, monotonic()),
             SeedsChanged: lambda item: self._on_seeds(item.control),
         }
@@ -122,6 +127,8 @@
         )
         self._directory = self._make_directory()
         self._leader = RolloutLeader(self._log, self._policy, self._submissions)
+        policy = CanaryPolicy(cfg.canary_share, cfg.canary_slack)
+        self._canaries = CanaryOrders(self._log, policy, self._leader_address, self._events, self._metrics)
         self._log.pump()
         self._refresh_source()
         self._server = transport.serve_control(self, cfg.listen)
@@ -159,6 +166,7 @@
     def on_stop(self) -> None:
         self._directory.stop()
         self._submissions.abandon_all()
+        self._canaries.abandon_all()
         self._sessions.close()
         self._server.close()
         self._storage.close()
@@ -312,30 +320,18 @@
             self._reads.fail(token)
 
     def _on_applied(self, entry: AppliedEntry) -> None:
-        body = entry.command.WhichOneof("body")
-        if body == "submit":
-            self._submissions.settle(entry.index, entry.result)
-            if entry.result.verdict is Verdict.STAGING:
-                event = Event.ACCEPTED if entry.command.submit.direct else Event.SUBMITTED
-                self._events.emit(event, version=entry.command.submit.version)
-            else:
-                self._events.emit(
-                    Event.SUBMISSION_REFUSED,
-                    version=entry.command.submit.version,
-                    verdict=entry.result.verdict.value,
-                    accepted=self._log.state.accepted_version.number,
-                )
-        elif body == "accept":
-            self._submissions.settle(entry.index, None)
-            self._events.emit(Event.ACCEPTED, version=entry.command.accept.version)
-        elif body == "abort":
-            self._submissions.settle(entry.index, None)
-            abort = entry.command.abort
-            self._events.emit(Event.ABORTED, version=abort.version, reason=abort.reason)
+        """Log what became of an entry, and answer who waits for it."""
+        log_applied(self._events, entry, self._log.state.accepted_version.number)
+        is_submission = isinstance(entry.result, SubmitResult)
+        self._submissions.settle(entry.index, entry.result if is_submission else None)
+        self._canaries.settle(entry, monotonic())
 
     def _refresh_source(self) -> None:
         """Replace what daemons are sent when another version is accepted or staged."""
         state = self._log.state
+        if state.canaries.revision > self._plan_revision:
+            self._plan_revision = state.canaries.revision
+            self._sessions.set_canary_plan(state.canaries.plan())
         versions = (state.accepted_version, state.candidate_version)
         if versions == self._source_versions:
             return
@@ -369,9 +365,12 @@
 
     def _lead(self, now: float) -> None:
         """Decide on the candidate and answer operators, as leader."""
-        if not self._leader.refresh(now):
+        is_leader = self._leader.refresh(now)
+        fleet = self._leader.fleet if is_leader else None
+        has_steps = self._canaries.advance(fleet, self._directory.endpoints(), now)
+        if not is_leader:
             return
-        if self._leader.decide(now):
+        if self._leader.decide(now) or has_steps:
             try:
                 self._pump()
             except StorageError as exc:
@@ -391,6 +390,7 @@
         event = Event.LOG_CORRUPT if exc.code is ErrorCode.LOG_CORRUPT else Event.DISK_FAILED
         self._events.emit(event, error=exc)
         self._submissions.abandon_all()
+        self._canaries.abandon_all()
         self._queries.abandon_all()
         self._reads.abandon_all()
         self._sessions.close()
--- a/packages/lanedock-daemon/lanedock_daemon/control/submissions.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/submissions.py
@@ -7,11 +7,12 @@
 from lanedock.config import ConfigTree, Version
 from lanedock.errors import ErrorCode
 from lanedock.rollout import RolloutProgress, SubmitResult, Verdict, fill_content
-from lanedock.telemetry import Metric, Metrics
+from lanedock.telemetry import Event, EventLogger, Metric, Metrics
 from lanedock.wire import messages
+from lanedock_daemon.control.log import AppliedEntry
 from lanedock_daemon.control.requests import Call, SubmitRequested
 
-__all__ = ["Submission", "SubmissionQueue", "make_submit_command"]
+__all__ = ["Submission", "SubmissionQueue", "log_applied", "make_submit_command"]
 
 # Seconds between two reports of progress to one operator: as often as a person sees.
 PROGRESS_INTERVAL = 0.1
@@ -242,3 +243,27 @@
     reply.stage_ms = (accepted_at - submission.started_at) * 1000
     reply.converge_ms = (now - accepted_at) * 1000
     return reply
+
+
+def log_applied(events: EventLogger, entry: AppliedEntry, accepted: int) -> None:
+    """Log what became of an entry on a version.
+
+    Parameters
+    ----------
+    events : EventLogger
+    entry : AppliedEntry
+    accepted : int
+        Number of the accepted version.
+    """
+    command = entry.command
+    body = command.WhichOneof("body")
+    if body == "accept":
+        events.emit(Event.ACCEPTED, version=command.accept.version)
+    elif body == "abort":
+        events.emit(Event.ABORTED, version=command.abort.version, reason=command.abort.reason)
+    elif body == "submit" and entry.result.verdict is Verdict.STAGING:
+        event = Event.ACCEPTED if command.submit.direct else Event.SUBMITTED
+        events.emit(event, version=command.submit.version)
+    elif body == "submit":
+        verdict = entry.result.verdict.value
+        events.emit(Event.SUBMISSION_REFUSED, version=command.submit.version, verdict=verdict, accepted=accepted)
--- a/packages/lanedock-daemon/lanedock_daemon/path/caller.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller.py
@@ -246,7 +246,11 @@
         request.body = ReplayBody(request.body, REPLAY_LIMIT)
         target_time = now + route.target_ms / 1000 - age
         balancer = self._view.balancer(service.name)
-        return Job(request, headers, route, service, balancer, budget, deadline, target_time, log)
+        job = Job(request, headers, route, service, balancer, budget, deadline, target_time, log)
+        if self._view.canaries.running(service.name) is not None:
+            job.goes_to_canary = self._view.canaries.take(service.name)
+            job.is_moved = self._view.canaries.is_whole(service.name)
+        return job
 
     def _send(self, job: Job, progress: _Progress, may_retry: bool) -> Answer:
         """Find the answer; where the process ends first, say what is known."""
--- /dev/null
+++ b/packages/lanedock-daemon/lanedock_daemon/path/canary_account.py
@@ -0,0 +1,46 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""What one request adds to the counts of a canary release, at the upstream's daemon."""
+
+from lanedock.canary import Pool, classify
+from lanedock.membership import UpstreamRegistration
+from lanedock.telemetry import Metric, Metrics
+from lanedock_daemon.agent.view import LocalView
+
+__all__ = ["CanaryAccount"]
+
+
+class CanaryAccount:
+    """Counts one request that is passed on to the application, while a canary of its service runs.
+
+    It is counted here and not where it comes from: waits in queues and on links, and upstreams
+    that can't be reached, say nothing of a version.
+
+    Parameters
+    ----------
+    view : LocalView
+    registration : UpstreamRegistration
+        Of the application.
+    metrics : Metrics
+    route : str
+    """
+
+    __slots__ = ("_canary", "_counter", "_metrics", "_pool", "_route", "_service")
+
+    def __init__(self, view: LocalView, registration: UpstreamRegistration, metrics: Metrics, route: str):
+        self._counter = view.canary_counter
+        self._metrics = metrics
+        self._service = registration.service
+        self._route = route
+        self._pool = classify(view.canaries.rule(self._service), registration.version)
+        self._canary = view.instance if self._pool is Pool.CANARY else ""
+
+    def note_sent(self) -> None:
+        """Note that the request is passed on."""
+        self._counter.note_sent(self._service, self._route, self._canary)
+        self._metrics.count(Metric.CANARY_SENT, 1, (self._service, self._pool.value))
+
+    def note_answer(self, failed: bool, taken: float) -> None:
+        """Note the answer, or that none had come after `taken` seconds of work."""
+        self._counter.note_answer(self._service, self._route, self._canary, failed, taken)
+        if failed:
+            self._metrics.count(Metric.CANARY_FAILED, 1, (self._service, self._pool.value))
--- a/packages/lanedock-daemon/lanedock_daemon/path/job.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/job.py
@@ -1,6 +1,7 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """What all tries of one request have in common, and what became of each."""
 
+from lanedock.canary import Pool
 from lanedock.config import Route, Service
 from lanedock.errors import ErrorCode
 from lanedock.limits import RetryBudget
@@ -77,13 +78,18 @@
         process stops.
     tried : set of str
         Instances that were tried.
+    goes_to_canary, is_moved : bool
+        Whether its first try goes to an upstream of a version under trial; whether all
+        tries do, since the service's traffic is being moved there.
     """
 
     __slots__ = (
         "balancer",
         "budget",
         "deadline",
+        "goes_to_canary",
         "headers",
+        "is_moved",
         "is_suspect",
         "log",
         "request",
@@ -118,13 +124,20 @@
         self.is_suspect = False
         self.start_by: float | None = None
         self.tried: set[str] = set()
+        self.goes_to_canary = False
+        self.is_moved = False
 
     def choose(self, now: float) -> UpstreamStats | None:
         """Choose an upstream that was not tried yet, and note it as tried; None where there is none."""
         # Routes with long bodies, either way, are most of the bytes that go between
         # zones where there are any: uploads of 60 kB on average and answers of 90 kB.
         is_long = self.route.upload or self.route.download or self.request.body.is_long
-        stats = self.balancer.choose(self.service.slots, now, frozenset(self.tried), is_long)
+        tried = frozenset(self.tried)
+        stats = None
+        if self.is_moved or (self.goes_to_canary and not tried):
+            stats = self.balancer.choose(self.service.slots, now, tried, is_long, Pool.CANARY)
+        if stats is None:
+            stats = self.balancer.choose(self.service.slots, now, tried, is_long)
         if stats is not None:
             self.tried.add(stats.endpoint.instance)
         return stats
--- a/packages/lanedock-daemon/lanedock_daemon/path/tries.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tries.py
@@ -158,6 +158,8 @@
             others=stats.others,
             others_age_ms=round(1000 * (started - stats.reported_at)) if stats.reported_at is not None else None,
             slowness=round(stats.slowness, 2),
+            software=stats.endpoint.version,
+            pool=stats.pool.value,
         )
         consent = None
         if request.body.is_asked_for:
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
@@ -9,6 +9,7 @@
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics, RequestLog, RequestLogger, Tracer
 from lanedock_daemon.agent.view import LocalView
 from lanedock_daemon.path.answers import AnswerPieces
+from lanedock_daemon.path.canary_account import CanaryAccount
 from lanedock_daemon.path.crashes import CrashDetector
 from lanedock_daemon.path.dialect import Dialect, OwnDialect, RequestFacts
 from lanedock_daemon.path.exchange import send_request
@@ -239,6 +240,9 @@
             slot.release()
             return self._refuse(ErrorCode.DEADLINE, 0.0, log)
         headers = self._make_headers(request, deadline - started, span)
+        account = self._make_account(log.route)
+        if account is not None:
+            account.note_sent()
         work = Work(self._crashes, hasher, slot, request.body, deadline)
         try:
             pending = send_request(self._pool, self._application, request, headers, deadline)
@@ -247,6 +251,8 @@
                 pending.note_late(started, self._events, self._registration.upstream)
             response = pending.read()
         except ExchangeError as exc:
+            if account is not None and exc.outcome != Outcome.NOT_RUN:
+                account.note_answer(exc.code is not ErrorCode.ANSWER_TIMEOUT, monotonic() - started)
             return self._on_lost(exc, log, work.end_failed(exc))
         except StopTimeout:
             # While it waited for the application's first bytes.
@@ -254,6 +260,10 @@
             lost = ExchangeError(ErrorCode.ANSWER_LOST, Outcome.UNKNOWN, "no answer before the stop")
             return self._on_lost(lost, log)
         except BaseException:
+            worked = monotonic() - started
+            if account is not None and worked >= self._gate.limiter.tail(log.route):
+                # Given up for being late: it would have taken longer still.
+                account.note_answer(False, worked)
             work.end_abandoned()
             raise
         head = response.message
@@ -269,6 +279,8 @@
             self._events.emit(Event.DRAINING, service=self._service)
         if facts.was_refused:
             return self._on_refused(response, work, facts.is_elsewhere, log)
+        if account is not None:
+            account.note_answer(head.status >= 500, monotonic() - started)
         headers = public_headers(head.headers, self._dialect.answer_names)
         try:
             first = response.read_first()
@@ -292,6 +304,12 @@
         rest = AnswerPieces(response, end, first, deadline - started)
         return Answer(head.status, head.reason, headers, rest)
 
+    def _make_account(self, route: str) -> CanaryAccount | None:
+        """Return what counts a request, where a canary of the service runs."""
+        if not self._view.canary_counter.is_counting(self._registration.service):
+            return None
+        return CanaryAccount(self._view, self._registration, self._metrics, route)
+
     def _on_lost(self, exc: ExchangeError, log: RequestLog, suspect: Fingerprint | None = None) -> Answer:
         """No answer has come of the application, which has ended where the request is suspected."""
         if exc.outcome == Outcome.NOT_RUN:
--- a/packages/lanedock-daemon/lanedock_daemon/roles.py
+++ b/packages/lanedock-daemon/lanedock_daemon/roles.py
@@ -137,7 +137,7 @@
     interface = interface or OwnInterface()
     dialect = interface.make_dialect()
     registration = _make_registration(settings)
-    view = LocalView(settings.zone, settings.daemon.stall_limit_ms / 1000, registration)
+    view = LocalView(settings.zone, settings.daemon.stall_limit_ms / 1000, registration, settings.name)
     view.set_budgets(_budget_maker(settings, view))
     agent = AgentService(settings, view, events, metrics)
     kernel.add(agent)
--- a/packages/lanedock-daemon/lanedock_daemon/session_registry.py
+++ b/packages/lanedock-daemon/lanedock_daemon/session_registry.py
@@ -32,6 +32,7 @@
         self._metrics = metrics
         self._sessions: dict[Session, None] = {}
         self._heartbeat_at = 0.0
+        self._plan = messages.CanaryPlan()
 
     def __repr__(self) -> str:
         return f"<{type(self).__name__} sessions={len(self._sessions)} {self.distributor!r}>"
@@ -87,6 +88,9 @@
         suspicions = self._quarantine.whole_news(now)
         if suspicions:
             self._send(session, [_make_suspicions(suspicions)])
+        if self._plan.revision:
+            # Before the endpoints: some of them may be withheld.
+            self._send(session, [messages.ControlMessage(canary_plan=self._plan)])
         first = messages.ControlMessage()
         first.endpoints.CopyFrom(endpoints)
         self._send(session, [first])
@@ -123,6 +127,13 @@
         for session in self._sessions:
             self._send(session, [*batch, *self.distributor.due(session.child)])
 
+    def set_canary_plan(self, plan: messages.CanaryPlan) -> None:
+        """Send all daemons a newer plan."""
+        self._plan = plan
+        message = messages.ControlMessage(canary_plan=plan)
+        for session in self._sessions:
+            self._send(session, [message])
+
     def send_members(self, sessions: list[Session] | None, members: list[tuple[str, str]]) -> None:
         """Name the control instances, with their zones, to some daemons or to all."""
         message = messages.ControlMessage()
--- a/packages/lanedock/lanedock/testing/__main__.py
+++ b/packages/lanedock/lanedock/testing/__main__.py
@@ -1,7 +1,8 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """Serves stand-in applications: ``python -m lanedock.testing FILE``.
 
-FILE is a JSON list of objects with name, host, port, work (seconds) and slots.
+FILE is a JSON list of objects with name, host, port, work (seconds) and slots; and with bad, an
+object with the fields of `BadVersion`, where the version is a bad one.
 """
 
 import json
@@ -9,7 +10,7 @@
 
 import gevent
 
-from lanedock.testing.upstream import StandInUpstream, UpstreamBehaviour
+from lanedock.testing.upstream import BadVersion, StandInUpstream, UpstreamBehaviour
 
 
 def main(path: str) -> None:
@@ -18,6 +19,8 @@
         listed = json.load(file)
     for item in listed:
         behaviour = UpstreamBehaviour(item.get("work", 0.0), item.get("slots", 12))
+        if item.get("bad"):
+            behaviour.bad = BadVersion(**item["bad"])
         StandInUpstream(item["name"], (item["host"], item["port"]), behaviour).start()
     gevent.wait()
 
--- a/packages/lanedock/lanedock/testing/mesh.py
+++ b/packages/lanedock/lanedock/testing/mesh.py
@@ -143,6 +143,7 @@
         self._work = work
         self._entries = entries
         self._stand_ins: subprocess.Popen | None = None
+        self._bad: dict[str, dict] = {}
         self._instances: list[dict] = []
         self.folder.mkdir(parents=True, exist_ok=True)
         self._prepare()
@@ -244,7 +245,8 @@
         """Start the upstreams' applications, all in one process."""
         listed = []
         for name, (host, port) in self.applications.items():
-            listed.append({"name": name, "host": host, "port": port, "work": self._work})
+            item = {"name": name, "host": host, "port": port, "work": self._work, "bad": self._bad.get(name)}
+            listed.append(item)
         path = self.folder / "applications.json"
         path.write_text(json.dumps(listed), encoding="utf-8")
         self._stand_ins = subprocess.Popen([sys.executable, "-m", "lanedock.testing", str(path)])
@@ -308,6 +310,21 @@
                 item["state"] = state
         self.write_list()
 
+    def set_version(self, name: str, version: str, **bad: object) -> None:
+        """Set the version of an instance's application in the list, and what is wrong with it from its next start.
+
+        Parameters
+        ----------
+        name, version : str
+        bad : dict
+            See `BadVersion`; nothing is wrong where it is left out.
+        """
+        self._bad[name] = bad
+        for item in self._instances:
+            if item["name"] == name:
+                item["version"] = version
+        self.write_list()
+
     # ----------------------------------------------------------------- requests
 
     def request(self, method: str, path: str, body: bytes = b"", entry: int = 0, headers: dict | None = None):
--- a/packages/lanedock/lanedock/testing/upstream.py
+++ b/packages/lanedock/lanedock/testing/upstream.py
@@ -6,6 +6,7 @@
 """
 
 import json
+import random
 import socket as plain_socket
 import time
 
@@ -13,7 +14,7 @@
 from gevent import pywsgi, socket
 from gevent.lock import BoundedSemaphore
 
-__all__ = ["StandInUpstream", "UpstreamBehaviour"]
+__all__ = ["BadVersion", "StandInUpstream", "UpstreamBehaviour"]
 
 # How often a request's work looks whether its caller is still there, in seconds.
 CANCEL_INTERVAL = 0.01
@@ -21,11 +22,48 @@
 DEADLINE_HEADER = "HTTP_X_REQUEST_DEADLINE_MS"
 
 
+class BadVersion:
+    """What is wrong with a version of an application.
+
+    Parameters
+    ----------
+    share : float
+        Of the requests that it is bad on, 0 to 1.
+    factor : float
+        How many times as long these take; failures where it is 0.
+    path : str
+        Beginning of the paths on which it is bad.
+    after : float
+        Seconds after its first request from which it is bad.
+    above : int
+        Requests in progress above which it is bad.
+    """
+
+    __slots__ = ("above", "after", "factor", "path", "share")
+
+    def __init__(self, share: float, factor: float = 0.0, path: str = "/", after: float = 0.0, above: int = 0):
+        self.share = share
+        self.factor = factor
+        self.path = path
+        self.after = after
+        self.above = above
+
+    def __repr__(self) -> str:
+        return f"<BadVersion share={self.share} factor={self.factor} path={self.path}>"
+
+    def hits(self, path: str, age: float, in_progress: int) -> bool:
+        """Tell whether a request meets it: `age` seconds after the first, beside others in progress."""
+        if not path.startswith(self.path) or age < self.after or in_progress <= self.above:
+            return False
+        return random.random() < self.share
+
+
 class UpstreamBehaviour:
     """How a stand-in behaves; may be changed while it runs.
 
     Attributes
     ----------
+    bad : BadVersion or None
     work : float
         Seconds that a request takes.
     slots : int
@@ -45,6 +83,7 @@
     """
 
     __slots__ = (
+        "bad",
         "cold_factor",
         "cold_until",
         "connections",
@@ -57,6 +96,7 @@
     )
 
     def __init__(self, work: float = 0.0, slots: int = 12, connections: int = 130):
+        self.bad: BadVersion | None = None
         self.work = work
         self.connections = connections
         self.slots = slots
@@ -107,6 +147,7 @@
         self.runs: dict[str, int] = {}
         self.in_progress = 0
         self.cancelled = 0
+        self._first_at: float | None = None
         self._slots = BoundedSemaphore(self.behaviour.slots)
         self._server = pywsgi.WSGIServer(
             address,
@@ -155,18 +196,23 @@
 
     def _work(self, environ: dict, start_response):
         self.in_progress += 1
+        is_bad = self._is_bad(environ["PATH_INFO"])
         try:
             request_id = environ.get(ID_HEADER, "")
             self.runs[request_id] = self.runs.get(request_id, 0) + 1
             size = 0
             while piece := environ["wsgi.input"].read(65536):
                 size += len(piece)
-            self._spend(self._work_time(), environ["lanedock.socket"])
+            factor = self.behaviour.bad.factor if is_bad else 1.0
+            self._spend((factor or 1.0) * self._work_time(), environ["lanedock.socket"])
         except _Cancelled:
             self.cancelled += 1
             raise ConnectionError("cancelled") from None
         finally:
             self.in_progress -= 1
+        if is_bad and not self.behaviour.bad.factor:
+            start_response("500 Internal Server Error", [("Content-Length", "0")])
+            return [b""]
         content = {
             "upstream": self.name,
             "method": environ["REQUEST_METHOD"],
@@ -179,6 +225,13 @@
         padding = int(wanted) if wanted.isdigit() else 0
         return self._answer(start_response, content, padding)
 
+    def _is_bad(self, path: str) -> bool:
+        now = time.monotonic()
+        if self._first_at is None:
+            self._first_at = now
+        bad = self.behaviour.bad
+        return bad is not None and bad.hits(path, now - self._first_at, self.in_progress)
+
     def _spend(self, seconds: float, conn) -> None:
         """Take time, unless the caller goes away meanwhile."""
         until = time.monotonic() + seconds
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -24,7 +24,9 @@
     def run(self, *arguments: str) -> tuple[int, object]:
         """Run a command with --json; returns its exit code and what it printed."""
         command, *rest = arguments
-        line = [sys.executable, "-m", "lanedock_cli.app", command, *rest, "--json"]
+        if command == "canary":
+            command, rest = f"{command} {rest[0]}", rest[1:]
+        line = [sys.executable, "-m", "lanedock_cli.app", *command.split(), *rest, "--json"]
         if command != "check":
             line += ["--control", self.mesh.control_addresses]
         done = subprocess.run(line, capture_output=True, text=True, check=False, timeout=60)
--- a/tests/platform_processes.py
+++ b/tests/platform_processes.py
@@ -8,6 +8,7 @@
 import http.client
 import json
 import os
+import re
 import socket
 import subprocess
 import sys
@@ -42,12 +43,23 @@
 
 
 class Application(ThreadingHTTPServer):
-    """A backend: it answers, keeps what it was sent, and heartbeats."""
+    """A backend: it answers, keeps what it was sent, and heartbeats.
+
+    Parameters
+    ----------
+    ip, upstream : str
+    version : str
+        Of its software.
+    is_failing : bool
+        Whether all its answers are failures.
+    """
 
     daemon_threads = True
 
-    def __init__(self, ip: str, upstream: str):
+    def __init__(self, ip: str, upstream: str, version: str = "v1", is_failing: bool = False):
         self.upstream = upstream
+        self.version = version
+        self.is_failing = is_failing
         self.born = time.time_ns() // 1_000_000
         self.seen: list[dict] = []
         self.sequence = 0
@@ -59,7 +71,7 @@
         # One at a time, as an application sends them: none overtakes one with a lower sequence.
         with self._beating:
             self.sequence += 1
-            body = make_beat(state, self.sequence, born=self.born)
+            body = make_beat(state, self.sequence, born=self.born, version=self.version)
             path = f"/Instances.Heartbeat/{self.upstream}"
             return call(self.server_address[0], CONTROL_PORT, "POST", path, json.dumps(body).encode())[0]
 
@@ -81,7 +93,7 @@
     def do_POST(self) -> None:
         body = self.rfile.read(int(self.headers.get("content-length", 0)))
         self.server.seen.append({name.lower(): value for name, value in self.headers.items()})
-        self.send_response(200)
+        self.send_response(500 if self.server.is_failing else 200)
         self.send_header("X-Request-Id", self.headers["X-Request-Id"])
         self.send_header("X-Server-Stamp", self.server.upstream)
         self.send_header("Content-Length", str(len(body)))
@@ -143,6 +155,19 @@
         """Start the backend beside a daemon."""
         return Application(ip, f"i-{number}")
 
+    def add_upstreams(self, count: int, version: str, is_failing: bool = False) -> list[str]:
+        """Start daemons with backends of a version; returns their addresses."""
+        added = []
+        network = self.daemons[0].rpartition(".")[0]
+        for _ in range(count):
+            number = len(self.daemons)
+            ip = f"{network}.{11 + number}"
+            self.daemons.append(ip)
+            self.applications[ip] = Application(ip, f"i-{number}", version, is_failing)
+            self.start_process(ip, self.make_settings("daemon", ip, False))
+            added.append(ip)
+        return added
+
     def start_beats(self) -> None:
         """Send the backends' heartbeats from now on."""
         threading.Thread(target=self._beat, daemon=True).start()
@@ -166,6 +191,8 @@
         text = (ROOT / "deploy" / f"{role}.jsonc").read_text(encoding="utf-8")
         seeds = ", ".join(f'"{seed}:{CONTROL_PORT}"' for seed in self.controls)
         text = text.replace('{{#seeds}}"{{.}}"{{,}}{{/seeds}}', seeds)
+        # Given by deployments that move services to new versions.
+        text = re.sub(r"\{\{#(bounds\.exposureShare)\}\}.*?\{\{/\1\}\}", "", text, flags=re.DOTALL)
         values = {
             "node": f"{role}-{ip}".replace(".", "-"),
             "zone": self.zone(ip),
@@ -260,6 +287,25 @@
 
         return wait_for(put)
 
+    def operate(self, method: str, path: str, value: dict | None = None) -> tuple[int, dict]:
+        """Call a control instance as the operator does: any, along redirects, until it is answered."""
+        body = json.dumps(value).encode() if value is not None else b""
+
+        def ask():
+            for ip in self.controls:
+                try:
+                    status, headers, answer = call(ip, CONTROL_PORT, method, path, body)
+                    if status == 307:
+                        leader = headers["location"].partition("//")[2].partition(":")[0]
+                        status, _, answer = call(leader, CONTROL_PORT, method, path, body)
+                except OSError:
+                    continue
+                if status not in (307, 503):
+                    return status, json.loads(answer)
+            return None
+
+        return wait_for(ask)
+
     def get(self) -> dict:
         def read():
             for ip in self.controls:
