Keep a service's upstreams for 2 s where a new source names none of them

Cause: a control instance that was just started sends all endpoints that it knows of, which may be none of a service, or only those of a version that is withheld.

Change: where a whole update leaves a service without an upstream for its requests, the former ones stay in use for 2 s, or until the source names one or says that they have gone. Upstreams' daemons refuse for applications that left.

Ruled out: keeping each endpoint that an update lacks; a source that has run for long names all there are.

--- a/packages/lanedock-daemon/lanedock_daemon/agent/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/service.py
@@ -147,6 +147,7 @@
     def _measure(self, now: float) -> None:
         """Measure how old what is known is, and let go of what is too old."""
         self._quarantine.expire(now)
+        self._view.expire_endpoints(now)
         self._metrics.gauge(Metric.QUARANTINED, len(self._quarantine.quarantined()))
         heard_at = self._stream.heard_at if self._stream is not None else self._connect_at
         self._metrics.gauge(Metric.SOURCE_AGE, max(0.0, now - heard_at))
--- a/packages/lanedock-daemon/lanedock_daemon/agent/view.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/view.py
@@ -13,7 +13,12 @@
 from lanedock.routing import Balancer, BalancerPolicy, RouteTable
 from lanedock.wire import messages
 
-__all__ = ["Binding", "LocalView"]
+__all__ = ["LACKING_KEPT", "Binding", "LocalView"]
+
+# Seconds for which upstreams stay in use that a source lacks which names all of them, where it
+# leaves a service without any: a control instance that was just started hears of most within
+# one. Daemons refuse for applications that have left, and callers see whether they answer.
+LACKING_KEPT = 2.0
 
 
 class Binding:
@@ -86,6 +91,8 @@
         self.canary_counter = CanaryCounter()
         self._work: SlotLimiter | None = None
         self._endpoints: dict[str, messages.Endpoint] = {}
+        self._lacking: dict[str, messages.Endpoint] = {}
+        self._lacking_until = 0.0
         self._balancers: dict[str, Balancer] = {}
         self._budgets: dict[str, RetryBudget] = {}
 
@@ -199,10 +206,12 @@
         if update.whole:
             touched = {endpoint.service for endpoint in former.values()}
             self._endpoints = {}
+            if former:
+                self._lacking, self._lacking_until = former, monotonic() + LACKING_KEPT
         for name in update.gone:
-            gone = self._endpoints.pop(name, None)
-            if gone is not None:
-                touched.add(gone.service)
+            for gone in (self._lacking.pop(name, None), self._endpoints.pop(name, None)):
+                if gone is not None:
+                    touched.add(gone.service)
         for endpoint in update.changed:
             known = former.get(endpoint.instance)
             if known is not None:
@@ -213,8 +222,16 @@
                 endpoint = known
             self._endpoints[endpoint.instance] = endpoint
             touched.add(endpoint.service)
+        if update.whole:
+            self._lacking = {name: kept for name, kept in self._lacking.items() if name not in self._endpoints}
         self._refill(touched)
 
+    def expire_endpoints(self, now: float) -> None:
+        """Let go of upstreams that the source has lacked for too long."""
+        if self._lacking and now >= self._lacking_until:
+            lacking, self._lacking = self._lacking, {}
+            self._refill({endpoint.service for endpoint in lacking.values()})
+
     def follow_canaries(self, plan: messages.CanaryPlan) -> bool:
         """Follow a plan; False where it is no newer than the one that is followed."""
         if plan.revision <= self.canaries.plan.revision:
@@ -269,4 +286,10 @@
     def _fill(self, service: str, balancer: Balancer) -> None:
         rule = self.canaries.rule(service)
         mine = [endpoint for endpoint in self._endpoints.values() if endpoint.service == service]
+        if not any(classify(rule, endpoint.version) is Pool.STABLE and not endpoint.leaving for endpoint in mine):
+            mine += [
+                endpoint
+                for name, endpoint in self._lacking.items()
+                if endpoint.service == service and name not in self._endpoints
+            ]
         balancer.set_endpoints(mine, monotonic(), assign_pools(rule, mine))
