Ask for more evidence before a version counts as slow

Change: answers that are slow have to weigh 1 in 20,000 instead of 1 in 1,000, and the stable version is known by its last second instead of two.

--- a/packages/lanedock/lanedock/canary/analysis.py
+++ b/packages/lanedock/lanedock/canary/analysis.py
@@ -21,8 +21,10 @@
 
 __all__ = ["Analysis", "CusumAnalysis"]
 
-# Log-likelihood ratio from which a version counts as bad: one in a thousand by chance.
+# Log-likelihood ratio from which a version counts as bad: one in a thousand by chance; and
+# for slow answers, which uneven upstreams explain, too, less than one in ten thousand.
 ALARM = log(1000)
+SLOW_ALARM = log(20_000)
 # Part of it that upstreams other than the worst one have to bring: one bad upstream is no
 # bad version.
 OTHERS_PART = 0.3
@@ -31,7 +33,7 @@
 TOLERANCE = 0.02
 EXCESS = 0.15
 # Time in which what is known of the stable version fades to 1/e, in seconds.
-BASELINE_MEMORY = 2.0
+BASELINE_MEMORY = 1.0
 # Answers of the stable version that give its times a meaning.
 MIN_BASELINE = 20
 # Part of the stable version's answers that take longer than what counts as slow; and how many
@@ -134,11 +136,11 @@
             self._parts = {}
             self.seen = self.bad = 0
 
-    def is_alarmed(self, is_alone: bool) -> bool:
+    def is_alarmed(self, alarm: float, is_alone: bool) -> bool:
         total = sum(self._parts.values())
-        if total < ALARM:
+        if total < alarm:
             return False
-        return is_alone or total - max(self._parts.values()) >= OTHERS_PART * ALARM
+        return is_alone or total - max(self._parts.values()) >= OTHERS_PART * alarm
 
 
 class CusumAnalysis(Analysis):
@@ -190,8 +192,8 @@
 
     def finding(self) -> str:
         is_alone = len(self._upstreams) == 1
-        for what, charts in (("failed", self._failing), ("were slow", self._slow)):
+        for what, charts, alarm in (("failed", self._failing, ALARM), ("were slow", self._slow, SLOW_ALARM)):
             for route, chart in charts.items():
-                if chart.is_alarmed(is_alone):
+                if chart.is_alarmed(alarm, is_alone):
                     return f"{chart.bad} of {chart.seen} answers of {route} {what}"
         return ""
