Send bodies one at a time and at a pace over narrow links

Two bodies of 60 kB were let onto a link of 2.31 Mbit/s at once, each sent as fast as its sender could: 0.4 s of queue before each call. Requests that wait for such a call hold a slot of the next service meanwhile (0.5 s of slot for 0.2 s of work), which then refused a third of the calls that the first service makes, and a third of that one's runs failed after their work was done.

Change: where the link's rate is known and under 10 Mbit/s, the interim answer that asks for a body says at what pace to send it (0.9 of the link), in pieces of 8 kB, and one body is asked for at a time; one that comes at less than half of its pace holds up no other.

--- a/packages/lanedock-daemon/lanedock_daemon/path/body_gate.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/body_gate.py
@@ -115,7 +115,10 @@
     def begin(self, request: Request) -> bool:
         """Note that a body is asked for now, with a slot at hand; False where it has to `enter` again."""
         body = request.body
-        if not isinstance(body, _CountedBody) or self._bodies.begin(body.transfer, monotonic()):
+        if not isinstance(body, _CountedBody):
+            return True
+        if self._bodies.begin(body.transfer, monotonic()):
+            body.uncounted.pace = body.transfer.pace
             return True
         self.leave(request)
         request.body = body.uncounted
--- a/packages/lanedock-daemon/lanedock_daemon/path/connection.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/connection.py
@@ -11,7 +11,17 @@
 from lanedock.clock import monotonic
 from lanedock.errors import ErrorCode
 from lanedock_daemon.agent.attest import ALIVE_PATH
-from lanedock_daemon.path.http import HOP_HEADERS, RETRY_AFTER, Answer, Body, Outcome, Request, make_refusal
+from lanedock_daemon.path.http import (
+    HOP_HEADERS,
+    NEVER,
+    PACE_HEADER,
+    RETRY_AFTER,
+    Answer,
+    Body,
+    Outcome,
+    Request,
+    make_refusal,
+)
 from lanedock_daemon.path.incoming import Exchange
 from lanedock_daemon.path.parser import MalformedMessage, Message, RequestReader
 from lanedock_daemon.path.service import StopTimeout
@@ -20,7 +30,6 @@
 
 IDLE_TIMEOUT = 300.0
 BODY_TIMEOUT = 30.0
-_NEVER = float("inf")
 # Requests of one connection that are worked on at once; later ones wait unread.
 MAX_PIPELINED = 32
 # Bytes of a body that are read ahead of whoever takes them.
@@ -29,7 +38,7 @@
 # long, in seconds: what comes to a closed socket would reset the answer, too. 40 kB
 # sent after a refusal met a broken pipe without it.
 LINGER = 1.0
-_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+_CONTINUE = b"HTTP/1.1 100 Continue\r\n"
 _REASONS = {
     400: "Bad Request",
     408: "Request Timeout",
@@ -194,7 +203,7 @@
         elif self._reader.is_in_head:
             self.expires_at = now + header_timeout
         elif self._exchanges:
-            self.expires_at = _NEVER
+            self.expires_at = NEVER
         else:
             self.expires_at = now + idle_timeout
 
@@ -217,7 +226,9 @@
         """
         if self._exchanges and self._exchanges[0].wants_body:
             self._exchanges[0].wants_body = False
-            self._conn.sendall(_CONTINUE)
+            pace = self._exchanges[0].body.pace
+            header = b"" if pace == NEVER else b"%b: %d\r\n" % (PACE_HEADER.encode(), pace)
+            self._conn.sendall(_CONTINUE + header + b"\r\n")
 
     # ---------------------------------------------------------------- answering
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/exchange.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/exchange.py
@@ -1,6 +1,8 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """One exchange over a pooled connection: a request is sent, its answer is read by httptools' parser."""
 
+import gevent
+
 from lanedock.clock import monotonic
 from lanedock.errors import ErrorCode
 from lanedock.telemetry import Event, EventLogger
@@ -10,8 +12,10 @@
 from lanedock_daemon.path.pool import ConnectionPool, ExchangeError
 from lanedock_daemon.path.service import StopTimeout
 
-__all__ = ["Consent", "PendingAnswer", "exchange", "note_late", "send_request"]
+__all__ = ["Consent", "Pacer", "PendingAnswer", "exchange", "note_late", "send_request"]
 
+# Bytes that a body is sent in at once at a pace: 28 ms of a link of 2.3 Mbit/s.
+PACED_PIECE = 8 * 1024
 _WITH_BODY = ("POST", "PUT", "PATCH")
 
 
@@ -42,6 +46,39 @@
         return reader.wait_for_consent()
 
 
+class Pacer:
+    """Sends a body at a pace, so that short messages find room between its pieces.
+
+    Parameters
+    ----------
+    rate : int or None
+        Bytes a second; None for any.
+    now : float
+        Monotonic, seconds.
+    """
+
+    __slots__ = ("_rate", "_sent", "_started", "piece_size")
+
+    def __init__(self, rate: int | None, now: float):
+        self._rate = rate
+        self._started = now
+        self._sent = 0
+        self.piece_size = CHUNK if rate is None else PACED_PIECE
+
+    def note_sent(self, size: int, now: float) -> float:
+        """Note that bytes were sent; returns the seconds to wait before the next ones."""
+        if not self._rate:
+            return 0.0
+        self._sent += size
+        return max(0.0, self._started + self._sent / self._rate - now)
+
+    def pause(self, size: int) -> None:
+        """Wait as is due after bytes were sent."""
+        wait = self.note_sent(size, monotonic())
+        if wait:
+            gevent.sleep(wait)
+
+
 class PendingAnswer:
     """A request that was sent, and whose answer is still to come.
 
@@ -204,10 +241,11 @@
             reader.is_body_unsent = True
             return
         head = b""
+    pacer = Pacer(reader.body_pace if consent is not None else None, monotonic())
     if body.length is None:
-        _send_chunked(reader, head, body, deadline)
+        _send_chunked(reader, head, body, deadline, pacer)
     else:
-        _send_counted(reader, head, body, deadline)
+        _send_counted(reader, head, body, deadline, pacer)
 
 
 def _read_piece(body: Body, size: int, deadline: float) -> bytes:
@@ -218,10 +256,10 @@
     return piece
 
 
-def _send_counted(reader: AnswerReader, head: bytes, body: Body, deadline: float) -> None:
+def _send_counted(reader: AnswerReader, head: bytes, body: Body, deadline: float, pacer: Pacer) -> None:
     left = body.length
     while left > 0:
-        piece = _read_piece(body, min(CHUNK, left), deadline)
+        piece = _read_piece(body, min(pacer.piece_size, left), deadline)
         if not piece:
             raise ConnectionError("the body ended too early")
         if left < body.length and not reader.conn.is_clean():
@@ -233,21 +271,24 @@
         reader.conn.sendall(head + piece if head else piece)
         head = b""
         left -= len(piece)
+        if left:
+            pacer.pause(len(piece))
 
 
-def _send_chunked(reader: AnswerReader, head: bytes, body: Body, deadline: float) -> None:
+def _send_chunked(reader: AnswerReader, head: bytes, body: Body, deadline: float, pacer: Pacer) -> None:
     """Write a body in chunks; its head goes with the first.
 
     Sent before, the head could have an application begin on a request whose sender
     was never asked for its body, and says that it was not run.
     """
     conn = reader.conn
-    while piece := _read_piece(body, CHUNK, deadline):
+    while piece := _read_piece(body, pacer.piece_size, deadline):
         if not head and not conn.is_clean():
             reader.is_body_unsent = True
             return
         reader.is_passed_on = True
         conn.sendall(b"%b%x\r\n%b\r\n" % (head, len(piece), piece))
         head = b""
+        pacer.pause(len(piece))
     reader.is_passed_on = True
     conn.sendall(head + b"0\r\n\r\n")
--- a/packages/lanedock-daemon/lanedock_daemon/path/http.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http.py
@@ -78,6 +78,8 @@
 # Milliseconds left to the target time, counted from the caller's first attempt; 0
 # where it has passed.
 TARGET_HEADER = "x-lanedock-target-ms"
+# Bytes a second at which the body is to be sent that an interim answer asks for.
+PACE_HEADER = "x-lanedock-pace"
 # From a daemon that stops: milliseconds in which the request may be passed on to an
 # application; later, its answer would find nobody. Its deadline stays as it is.
 START_BY_HEADER = "x-lanedock-start-by-ms"
@@ -161,9 +163,12 @@
     ----------
     length : int or None
         In bytes; None where it comes in chunks.
+    pace : float
+        Bytes a second at which its sender is asked to send it; infinite for any.
     """
 
     length: int | None = 0
+    pace: float = NEVER
 
     @property
     def is_asked_for(self) -> bool:
--- a/packages/lanedock-daemon/lanedock_daemon/path/parser.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/parser.py
@@ -6,7 +6,7 @@
 import httptools
 
 from lanedock.errors import ErrorCode, LanedockError
-from lanedock_daemon.path.http import HeadersByName
+from lanedock_daemon.path.http import PACE_HEADER, HeadersByName, read_int
 
 __all__ = ["HEAD_LIMIT", "AnswerReader", "MalformedMessage", "MessageReader", "RequestReader"]
 
@@ -234,6 +234,8 @@
         Of the request whose answer is read: one to HEAD has no body.
     may_continue : bool
         Whether an interim answer asked for the request's body.
+    body_pace : int or None
+        Bytes a second at which it asked for the body; None for any.
     is_body_unsent : bool
         Whether the answer came before all of the request's body was sent.
     is_passed_on : bool
@@ -242,6 +244,7 @@
 
     method = ""
     may_continue = False
+    body_pace: int | None = None
     is_body_unsent = False
     is_passed_on = False
     _is_whole = False
@@ -290,6 +293,7 @@
             # An interim answer; the final one follows.
             self.is_in_head = False
             self.may_continue = True
+            self.body_pace = read_int(self._current.header(PACE_HEADER))
             return
         super().on_headers_complete()
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/chain.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/chain.py
@@ -133,14 +133,14 @@
 class Upstream:
     """An upstream's daemon in front of an application."""
 
-    def __init__(self, name: str, application: Application, value: dict):
+    def __init__(self, name: str, application: Application, value: dict, link_rate: float | None = None):
         service = value["services"][0]["name"]
         self.name = name
         self.application = application
         self.view = make_view(value, False)
         parts = (EventLogger(name), NullMetrics(), NullTracer())
         self.pool = ConnectionPool()
-        self.side = UpstreamSide(service, application.address, self.view, self.pool, *parts)
+        self.side = UpstreamSide(service, application.address, self.view, self.pool, *parts, link_rate=link_rate)
         self.server = PathServer(name, Address(HOST, 0), self.side, StopPlan(0.0, 2.0), EventLogger(name))
         self.server.start(None)
 
@@ -166,11 +166,12 @@
 class Chain:
     """One caller's side and some upstreams."""
 
-    def __init__(self, *scripts, value: dict | None = None):
+    def __init__(self, *scripts, value: dict | None = None, link_rate: float | None = None):
         self.value = value or make_value()
         self.applications = [Application(script) for script in scripts]
         self.upstreams = [
-            Upstream(f"u{number}", application, self.value) for number, application in enumerate(self.applications)
+            Upstream(f"u{number}", application, self.value, link_rate)
+            for number, application in enumerate(self.applications)
         ]
         self.view = make_view(self.value, True)
         self.publish_endpoints()
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_narrow_link.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_narrow_link.py
@@ -109,12 +109,12 @@
     return 0
 
 
-def test_uploads_leave_room_on_the_link_of_an_upstreams_daemon():
-    """Uploads that come at once don't all stand on the link before what else it brings."""
+def _upload_at_once(link_rate: float | None = None) -> int:
+    """Have callers upload at once; returns the bytes of bodies that stood on the link at most."""
     value = make_value(slots=UPLOADS, queue=2 * UPLOADS)
     for route in value["routes"]:
         route["deadline_ms"] = route["target_ms"] = 20_000
-    chain = Chain(None, value=value)
+    chain = Chain(None, value=value, link_rate=link_rate)
     link = NarrowLink((HOST, chain.upstreams[0].server.port))
     update = messages.EndpointUpdate(whole=True)
     update.changed.add(instance="u0", service="s", zone="z", host=HOST, port=link.port, incarnation=1)
@@ -124,7 +124,17 @@
         gevent.joinall(uploads, timeout=30, raise_error=True)
         assert [upload.value[0] for upload in uploads] == [200] * UPLOADS
         assert chain.applications[0].runs == {f"/{number}": 1 for number in range(UPLOADS)}
-        assert link.peak <= MAX_STANDING
+        return link.peak
     finally:
         link.stop()
         chain.stop()
+
+
+def test_uploads_leave_room_on_the_link_of_an_upstreams_daemon():
+    """Uploads that come at once don't all stand on the link before what else it brings."""
+    assert _upload_at_once() <= MAX_STANDING
+
+
+def test_uploads_come_at_the_pace_of_a_link_whose_rate_is_known():
+    """Less than a body stands there; two did, for callers sent a body as soon as it was asked for."""
+    assert _upload_at_once(STEP_BYTES / STEP) < BODY
--- a/packages/lanedock/lanedock/limits/bodies.py
+++ b/packages/lanedock/lanedock/limits/bodies.py
@@ -54,6 +54,11 @@
 # that slow senders are let in until they fill the link, as BBR's windows of twice the
 # product of rate and delay find more of it.
 _PROBE_PART = 0.5
+# Links up to this rate, in bytes a second (10 Mbit/s), have bodies sent at a pace: a body of
+# 60 kB that is sent at once holds up short calls there for longer than they have.
+_PACED_RATE = 1_250_000.0
+# Part of such a link that paced bodies take together; short messages take the rest.
+_PACED_PART = 0.9
 # Estimated waits are means, as for slots; no unit.
 _WAIT_MARGIN = 1.5
 # Size that a body is taken to have where its sender doesn't say, in bytes.
@@ -73,12 +78,24 @@
         Whether its sender may be asked to send it.
     begun_at : float or None
         When its sender was asked; None before.
+    pace : float
+        Bytes a second at which its sender is asked to send it; infinite for any.
     is_overtaken : bool
         Whether another body, asked for later, has come past it: what is left of it
         isn't on the link, then, but with its sender.
     """
 
-    __slots__ = ("_has_size", "_late_from", "_received", "begun_at", "is_admitted", "is_overtaken", "left", "size")
+    __slots__ = (
+        "_has_size",
+        "_late_from",
+        "_received",
+        "begun_at",
+        "is_admitted",
+        "is_overtaken",
+        "left",
+        "pace",
+        "size",
+    )
 
     def __init__(self, traffic_class: str, request: AdmissionRequest, on_admitted, expires_at: float, size: int | None):
         super().__init__(traffic_class, request, on_admitted, expires_at)
@@ -87,6 +104,7 @@
         self.is_admitted = False
         self.begun_at: float | None = None
         self.is_overtaken = False
+        self.pace = float("inf")
         self._received = 0
         self._late_from = 0.0
 
@@ -127,7 +145,7 @@
     def is_slow(self, now: float, rate: float) -> bool:
         """Tell whether it comes at less than half of a rate, from when it should begin to come."""
         late = now - self._late_from
-        return late >= 0 and self._received <= _SLOW_PART * rate * late
+        return late >= 0 and self._received <= _SLOW_PART * min(rate, self.pace) * late
 
     def count(self, now: float) -> float:
         """Return the bytes by which it counts as on its way.
@@ -163,6 +181,7 @@
     def __init__(self, queue: int, classes: dict[str, TrafficClass], link_rate: float | None = None):
         self._queue = AdmissionQueue(queue, classes)
         self._link_rate = float("inf") if link_rate is None else link_rate
+        self._is_paced = self._link_rate <= _PACED_RATE
         self._coming: dict[BodyTransfer, None] = {}
         self._rate = DeliveryRate()
         # Least time to a body's first bytes, in seconds: of the way there and back. At most
@@ -272,9 +291,17 @@
         self._coming.pop(transfer, None)
         transfer.begin(now, self._least_delay + self._count(now) / rate)
         self._coming[transfer] = None
+        transfer.pace = self._choose_pace()
         self._rate.begin(now)
         return True
 
+    def _choose_pace(self) -> float:
+        """Return the pace of the body that was asked for last: its part of the link."""
+        if not self._is_paced:
+            return float("inf")
+        sending = sum(other.is_begun and not other.is_overtaken for other in self._coming)
+        return _PACED_PART * self._link_rate / sending
+
     def note(self, transfer: BodyTransfer, size: int, now: float) -> None:
         """Take in that bytes of a body have come."""
         if transfer not in self._coming:
@@ -293,7 +320,7 @@
         self._least_delay = min(self._least_delay, delay)
         self._probe_interval = QUEUE_TIME
         is_clear = delay <= self._least_delay + _CLEAR_TIME
-        if self._note_overtaken(transfer, is_clear, delay) or is_clear:
+        if self._note_overtaken(transfer, is_clear, delay, now) or is_clear:
             self._probe_at = now
             return
         # The link is full: it needs as long again, and what still comes takes a part of it.
@@ -301,13 +328,14 @@
         self._probe_at = now + max(delay - self._least_delay, min(_MAX_PROBE_INTERVAL, coming))
         self._rate.mark_limited()
 
-    def _note_overtaken(self, transfer: BodyTransfer, is_clear: bool, delay: float) -> bool:
+    def _note_overtaken(self, transfer: BodyTransfer, is_clear: bool, delay: float, now: float) -> bool:
         """Note which bodies one has come past: those asked for before, whose rest isn't there yet.
 
         A link is one queue. So what is left of them wasn't sent when this one was,
         and it isn't the link that they wait for. Where this one itself comes late, by the
         link or from far, that is known of those only that were asked for earlier by as
-        much, and of which nothing has come.
+        much, and of which nothing has come. One that is sent at a pace is with its sender
+        for the most part: it counts as overtaken where it comes slower than that.
 
         Returns
         -------
@@ -318,6 +346,8 @@
         for other in self._coming:
             if not other.is_begun or other.is_overtaken or other is transfer:
                 continue
+            if self._is_paced and not other.is_slow(now, other.pace):
+                continue
             if is_clear:
                 is_past = other.begun_at < transfer.begun_at
             else:
@@ -363,8 +393,11 @@
 
     def _has_room(self, now: float) -> bool:
         counts = {transfer: transfer.count(now) for transfer in self._coming}
-        quick = sum(bool(count) and not transfer.is_overtaken for transfer, count in counts.items())
-        return quick < _LEAST_BODIES or sum(counts.values()) < self._limit()
+        quick = [transfer for transfer, count in counts.items() if count and not transfer.is_overtaken]
+        if not self._is_paced:
+            return len(quick) < _LEAST_BODIES or sum(counts.values()) < self._limit()
+        # One at a time comes sooner than two that share the link; a slow sender holds up no others.
+        return not quick or (len(quick) < _LEAST_BODIES and quick[0].is_slow(now, quick[0].pace))
 
     def _is_probe_due(self, now: float) -> bool:
         """Tell whether a body may be let in to see what those that are late wait for.
--- a/packages/lanedock/lanedock/limits/tests/link.py
+++ b/packages/lanedock/lanedock/limits/tests/link.py
@@ -95,6 +95,7 @@
 
     def _begin(self, transfer, size: int, asked_at: float, sender_rate: float, round_trip: float) -> None:
         self.bodies.begin(transfer, self.now)
+        sender_rate = min(sender_rate, transfer.pace)
         if sender_rate:
             self.at(self.now + round_trip, self._send, transfer, size, asked_at, sender_rate)
 
