--- a/packages/lanedock-daemon/lanedock_daemon/path/slot_gate.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/slot_gate.py
@@ -91,10 +91,9 @@
         """Return the class that a request is admitted by.
 
         A call is as urgent as the requests for which it is made, where its own route
-        is more urgent than they are. Without this, calls for less urgent requests of
-        another service were admitted before a shared service's own urgent requests,
-        which want their answers later: at 1.5 times what it bears 0.30 of those were
-        answered in time, and 0.98 are (tools/bench_overload.py).
+        is more urgent than they are: else calls for less urgent requests of another
+        service would go before a shared service's own urgent requests, which want their
+        answers later.
         """
         own = read_name(request.header(CLASS_HEADER))
         is_own = request.header(CALLER_HEADER) == request.header(SERVICE_HEADER)
--- a/packages/lanedock/lanedock/limits/__init__.py
+++ b/packages/lanedock/lanedock/limits/__init__.py
@@ -2,7 +2,8 @@
 """Limits on work: slots with shares, bodies on their way, retry budgets, admission."""
 
 from lanedock.limits.admission import Admission
-from lanedock.limits.bodies import QUEUE_TIME, BodyAdmission, BodyTransfer
+from lanedock.limits.bodies import BodyAdmission
+from lanedock.limits.body_transfer import QUEUE_TIME, BodyTransfer
 from lanedock.limits.calls import CallKinds
 from lanedock.limits.first_attempts import FirstAttempts
 from lanedock.limits.queue import AdmissionRequest, QueuedRequest
--- a/packages/lanedock/lanedock/limits/bodies.py
+++ b/packages/lanedock/lanedock/limits/bodies.py
@@ -9,18 +9,15 @@
 
 from lanedock.config import TrafficClass
 from lanedock.errors import ErrorCode
+from lanedock.limits.body_transfer import QUEUE_TIME, BodyTransfer
 from lanedock.limits.delivery_rate import DeliveryRate
-from lanedock.limits.queue import AdmissionQueue, AdmissionRequest, QueuedRequest
+from lanedock.limits.queue import AdmissionQueue, AdmissionRequest
 from lanedock.limits.slots import Refused
 
-__all__ = ["QUEUE_TIME", "BodyAdmission", "BodyTransfer"]
+__all__ = ["BodyAdmission"]
 
-# Time that the bodies on their way should take, in seconds: several round trips between
-# zones, so that a link never waits for a consent, and half of what the shortest calls
-# may take (0.2 s).
-QUEUE_TIME = 0.1
-# Bytes on their way at most before a rate was observed. A link of 1 Gbit/s brings them in
-# 1 ms, about as long as a consent takes, so it is hardly held up; one of 4 Mbit/s in 0.26 s.
+# Bytes on their way at most before a rate was observed: 1 ms of a link of 1 Gbit/s, about as
+# long as a consent takes.
 _FIRST_BYTES = 128 * 1024
 # Rate that a link is taken to have in any case, in bytes a second (2 Mbit/s), where it isn't
 # known to be narrower. Senders that are slow themselves look like a narrow link; this bounds
@@ -31,29 +28,16 @@
 # Bodies that don't come keep their place on the link: they may come at any moment, all at
 # once. One more is let in from time to time only to see whether they wait for the link or
 # for their senders: after `QUEUE_TIME`, and then, while none begins to come, after
-# _PROBE_GROWTH times as long each time, up to _MAX_PROBE_INTERVAL, in seconds. A link of
-# 6 Mbit/s that brings nothing for 5.5 s has 0.4 s of bodies on it then; when each that was
-# late counted as received at half of the rate it had 2.7 s (tests/test_body_surges.py).
+# _PROBE_GROWTH times as long each time, up to _MAX_PROBE_INTERVAL, in seconds.
 _PROBE_GROWTH = 4
 _MAX_PROBE_INTERVAL = 2.0
-# Part of all bodies on their way that a full link brings before a probe is let in again.
-# Without it slow senders of bodies of 120 kB make a short message wait 1.7 s at p99 on a
-# link of 3.9 Mbit/s in place of 1.0 s; with twice as much a link that is offered 1.3 times
-# what it bears by senders of a tenth of its rate is full to 0.94 in place of 0.965 (the
-# link of limits/tests/link.py).
+# Part of all bodies on their way that a full link brings before a probe is let in again:
+# with less, short messages wait behind slow senders; with more, the link isn't used up.
 _COMING_PART = 0.25
 # Where a body begins to come within this time of the least that was seen, in seconds,
 # only a short queue stands on the link: half of what may stand there. Without the least
-# time, here and in `_limit`, senders of 20 kB/s that are 60 ms away look like a narrow link:
-# 1,108 of 1,200 bodies are refused on one of 1 Gbit/s, with it 13 (tests/test_bodies.py).
+# time, here and in `_limit`, slow senders that are far away would look like a narrow link.
 _CLEAR_TIME = QUEUE_TIME / 2
-# Part of the observed rate: whoever brings less of a body may be slow. Half, as other
-# bodies that come meanwhile take their part.
-_SLOW_PART = 0.5
-# Part of what a slow sender brings in `QUEUE_TIME` by which its body counts: under 1, so
-# that slow senders are let in until they fill the link, as BBR's windows of twice the
-# product of rate and delay find more of it.
-_PROBE_PART = 0.5
 # Links up to this rate, in bytes a second (10 Mbit/s), have bodies sent at a pace: a body of
 # 60 kB that is sent at once holds up short calls there for longer than they have.
 _PACED_RATE = 1_250_000.0
@@ -61,105 +45,6 @@
 _PACED_PART = 0.9
 # Estimated waits are means, as for slots; no unit.
 _WAIT_MARGIN = 1.5
-# Size that a body is taken to have where its sender doesn't say, in bytes.
-_UNKNOWN_SIZE = 64 * 1024
-
-
-class BodyTransfer(QueuedRequest):
-    """A body that is to come, or on its way.
-
-    Attributes
-    ----------
-    size : int
-        In bytes.
-    left : int
-        Bytes that haven't come yet; all of `size` to its end where that is a guess.
-    is_admitted : bool
-        Whether its sender may be asked to send it.
-    begun_at : float or None
-        When its sender was asked; None before.
-    pace : float
-        Bytes a second at which its sender is asked to send it; infinite for any.
-    is_overtaken : bool
-        Whether another body, asked for later, has come past it: what is left of it
-        isn't on the link, then, but with its sender.
-    """
-
-    __slots__ = (
-        "_has_size",
-        "_late_from",
-        "_received",
-        "begun_at",
-        "is_admitted",
-        "is_overtaken",
-        "left",
-        "pace",
-        "size",
-    )
-
-    def __init__(self, traffic_class: str, request: AdmissionRequest, on_admitted, expires_at: float, size: int | None):
-        super().__init__(traffic_class, request, on_admitted, expires_at)
-        self._has_size = size is not None
-        self.size = self.left = _UNKNOWN_SIZE if size is None else size
-        self.is_admitted = False
-        self.begun_at: float | None = None
-        self.is_overtaken = False
-        self.pace = float("inf")
-        self._received = 0
-        self._late_from = 0.0
-
-    def __repr__(self) -> str:
-        return f"<BodyTransfer {self.left}/{self.size} is_admitted={self.is_admitted} {self.request!r}>"
-
-    @property
-    def is_begun(self) -> bool:
-        """Whether its sender was asked to send it."""
-        return self.begun_at is not None
-
-    @property
-    def has_come(self) -> bool:
-        """Whether some of it has come."""
-        return self._received > 0
-
-    @property
-    def is_received(self) -> bool:
-        """Whether all of it is known to have come."""
-        return self._has_size and self.left == 0
-
-    def admit(self, now: float) -> None:
-        """Let it come."""
-        self.is_admitted = True
-        self._late_from = now + QUEUE_TIME
-
-    def begin(self, now: float, wait: float) -> None:
-        """Note that its sender is asked now, and that it should begin to come within `wait` seconds."""
-        self.begun_at = now
-        self._late_from = now + wait + QUEUE_TIME
-
-    def note(self, size: int) -> None:
-        """Take in that bytes of it have come; where its size isn't known as much may follow."""
-        self._received += size
-        if self._has_size:
-            self.left = max(0, self.left - size)
-
-    def is_slow(self, now: float, rate: float) -> bool:
-        """Tell whether it comes at less than half of a rate, from when it should begin to come."""
-        late = now - self._late_from
-        return late >= 0 and self._received <= _SLOW_PART * min(rate, self.pace) * late
-
-    def count(self, now: float) -> float:
-        """Return the bytes by which it counts as on its way.
-
-        However late it is, it may stand on the link or come onto it at any moment. One
-        whose request still waits for a slot holds up no others: it counts for a moment
-        only until its sender is asked.
-        """
-        if self.is_overtaken:
-            own_rate = self._received / max(now - self.begun_at, QUEUE_TIME)
-            return min(self.left, _PROBE_PART * own_rate * QUEUE_TIME)
-        if not self.is_begun and now >= self._late_from:
-            return 0.0
-        return self.left
 
 
 class BodyAdmission:
@@ -278,9 +163,7 @@
         -------
         bool
             False where others took its place on the link while its request waited for a
-            slot: then it must not be asked for, but wait for the link again. Without this
-            18 bodies of 60 kB, whose requests' slots came free at once, took 2.2 s of a
-            link of 500 kB/s.
+            slot: then it must not be asked for, but wait for the link again.
         """
         has_lapsed = not transfer.count(now)
         if has_lapsed and not self._may_admit(now):
--- a/packages/lanedock/lanedock/limits/queue.py
+++ b/packages/lanedock/lanedock/limits/queue.py
@@ -169,10 +169,7 @@
 
         The last one is that of the least urgent class which holds more than its
         share of the queue. Without this, less urgent requests that wait keep more
-        urgent ones out of a short queue: of 4 for 13 slots, with a shared service at
-        1.5 times what it bears, 0.36 of its urgent requests are refused, with it
-        0.001 (tools/ablation.py --queue 4). In one of two for each slot it makes no
-        difference: hardly a request is expected to be in time behind so many.
+        urgent ones out of a short queue.
         """
         for name in reversed(self.classes()):
             waiting = self._by_class.get(name, [])
--- a/packages/lanedock/lanedock/limits/slots.py
+++ b/packages/lanedock/lanedock/limits/slots.py
@@ -18,8 +18,7 @@
 
 # Time that a request is taken to need before any has ended, in seconds, where it
 # has no target time; else this part of the time to its target. It guards a start
-# under load, when a whole queue would be admitted that ends late: with a part of
-# 0.5 and 40 requests at once for 12 slots, 12 wait at most, and without it 24.
+# under load, when a whole queue would be admitted that ends late.
 _FIRST_ESTIMATE = 0.005
 _FIRST_PART = 0.5
 # Estimated waits are means, and requests of a higher priority come in between: a
@@ -28,10 +27,7 @@
 _WAIT_MARGIN = 1.5
 # Slots that come free while a request may wait in any case, if it is expected to be
 # in time at all: one, by the margin above. Where requests take nearly as long as callers
-# give them, on slow upstreams, nobody would wait otherwise, and retries that are late
-# take each free slot as well as others: with upstreams at 0.6 of their pace and 1.2
-# times the load 0.68 of the credit is earned so, 0.62 without
-# (tools/bench_overload.py --pace 0.6 --short front --load 1.2).
+# give them nobody would wait otherwise, and late retries would take each free slot.
 _NEXT_SLOTS = 1.6
 # Spread of the retry delays, as parts of the estimate, so that callers that were
 # refused together don't retry together.
@@ -231,9 +227,7 @@
 
         For a retry that is late already this lies before now. Were such ones to wait,
         behind all others and as long as they are expected to, they would take slots
-        from requests that can still be in time: with a front service at 1.5 times what
-        it bears 0.62 of its requests are in time, and 0.38 were
-        (tools/bench_overload.py).
+        from requests that can still be in time.
         """
         if request.target_time is None:
             return request.start_by
--- a/packages/lanedock/lanedock/membership/__init__.py
+++ b/packages/lanedock/lanedock/membership/__init__.py
@@ -4,8 +4,9 @@
 from lanedock.membership.changes import EndpointChanges
 from lanedock.membership.core import Instance, InstanceState, PlatformList, parse_instances
 from lanedock.membership.directory import Directory
+from lanedock.membership.heartbeat import UNKNOWN_VERSION, Heartbeat
 from lanedock.membership.incarnation import Incarnation
-from lanedock.membership.registration import UNKNOWN_VERSION, Heartbeat, UpstreamRegistration
+from lanedock.membership.registration import UpstreamRegistration
 from lanedock.membership.registry import EndpointRegistry, freshness, incarnation_of
 from lanedock.membership.sources import FilePlatformList, HttpPlatformList, make_platform_list
 
--- a/packages/lanedock/lanedock/rollout/distributor.py
+++ b/packages/lanedock/lanedock/rollout/distributor.py
@@ -212,10 +212,7 @@
 
         That is the last one sent, which comes before, and not the last one reported: a
         change that was accepted while the one before was on its way came with a base that
-        the daemon held no more, and it asked for the whole version. Where reports take
-        0.15 s, a storm of changes of one route of 2,400 asked for 1.3 times what a link
-        of 1.5 Mbit/s brings, and changes came up to 4.8 s late; now 0.16 s
-        (tests/test_storms.py).
+        the daemon held no more, and it asked for the whole version.
         """
         state = child.state
         digest = state.in_force_digest
--- a/packages/lanedock/lanedock/routing/balancer.py
+++ b/packages/lanedock/lanedock/routing/balancer.py
@@ -34,19 +34,15 @@
 # Kinds of requests whose times are kept.
 _MAX_KINDS = 1024
 # Seconds for which the longest silence that a request explains is kept: it is looked for
-# among all kinds of requests. Found anew for each choice, one took 11.8 us with one kind and
-# 226 with 500; now 8.4 with either (tools/bench_choice.py).
+# among all kinds of requests.
 _LIMIT_KEPT = 0.1
 # Requests by which an upstream that keeps silent is taken to be more loaded.
 _SILENCE_LOAD = 4
-# Power of the slowness by which an upstream's load is scaled. With 1 all would
-# be kept equally late; more gives work to the quick while they have slots.
+# Power of the slowness by which an upstream's load is scaled: by more than 1 the quick get
+# work while they have slots.
 _SLOWNESS_POWER = 2
-# Seconds without a request after which a measured slowness is forgotten, and the upstream is
-# due for a request. Where requests come one at a time nothing else is ever sent to one that
-# was once slow: it had 1 of 2,000 over 100 s, and nobody knew that it was as quick as the
-# others again. One that stays ten times as slow gets 1 of 200, at 20 requests a second
-# (both in routing/tests/test_balancer.py).
+# Seconds without a request after which a known slowness is forgotten, and the upstream is due
+# for a request: else nobody would learn that it is as quick as the others again.
 _SLOWNESS_KEPT = 10.0
 # Requests by which an upstream is preferred of which nothing is known: enough to be the first
 # choice among idle ones, and no reason to add to others' load.
