Read what an application states of itself in any answer, and log its rate limit

Answers to requests and health checks now yield an `UpstreamReport`; the registration of the incarnation that was asked holds the rate, E415 and E416 say when it changes or can't be read, and gauge and counter show the limit and what is passed on.

--- a/packages/lanedock-daemon/lanedock_daemon/agent/registration.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/registration.py
@@ -13,7 +13,7 @@
 from lanedock.clock import awake
 from lanedock.errors import ErrorCode, LanedockError
 from lanedock.findings import FieldReader, Finding, FindingsError, Place
-from lanedock.membership import Heartbeat, UpstreamRegistration
+from lanedock.membership import Heartbeat, Incarnation, UpstreamRegistration, UpstreamReport
 from lanedock.telemetry import Event, EventLogger
 from lanedock.wire import messages
 from lanedock_daemon.path.http import Answer, Outcome, Request, make_refusal, read_whole
@@ -33,6 +33,8 @@
 # Whether an application drains in each state.
 _STATES = {"ready": False, "draining": True}
 SOURCE = "heartbeat"
+# Seconds between two lines on a rate limit that can't be read: it stands in every answer.
+UNREADABLE_INTERVAL = 10.0
 
 
 class Registrar:
@@ -67,6 +69,7 @@
         self._on_change = on_change
         self._on_rival = on_rival
         self._events = events
+        self._unreadable_at = 0.0
 
     def beat(self, heartbeat: Heartbeat) -> None:
         """Accept a heartbeat.
@@ -114,6 +117,27 @@
             self._events.emit(Event.UPSTREAM_LEAVING, upstream=upstream, sequence="-")
             self._on_change()
 
+    def note_report(self, report: UpstreamReport, incarnation: Incarnation) -> None:
+        """Take over what an answer of the application states of it.
+
+        Parameters
+        ----------
+        report : UpstreamReport
+        incarnation : Incarnation
+            The one that was asked.
+        """
+        now = awake()
+        if report.unreadable and now >= self._unreadable_at:
+            self._unreadable_at = now + UNREADABLE_INTERVAL
+            self._events.emit(Event.RATE_LIMIT_UNREADABLE, upstream=incarnation.upstream, value=report.unreadable)
+        if self._registration.note_report(report, incarnation, now):
+            self._note_rate()
+
+    def _note_rate(self) -> None:
+        """Make another rate limit known."""
+        registration = self._registration
+        self._events.emit(Event.RATE_LIMIT_CHANGED, upstream=registration.upstream, rate=registration.advertised.rate)
+
     def adopt(self, endpoint: messages.Endpoint) -> None:
         """Learn from the mesh what this daemon knew before it was restarted; the mesh knows any change."""
         registration = self._registration
--- a/packages/lanedock-daemon/lanedock_daemon/path/dialect.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/dialect.py
@@ -9,6 +9,7 @@
 from abc import ABC, abstractmethod
 
 from lanedock.errors import ErrorCode
+from lanedock.membership import UpstreamReport
 from lanedock_daemon.path.http import (
     ATTEMPT_HEADER,
     CODE_HEADER,
@@ -25,6 +26,8 @@
 
 # Of the answers by which an application reports that it drains.
 DRAIN_HEADER = "x-upstream-draining"
+# Requests a second that an application takes from all callers together, in its answers.
+RATE_LIMIT_HEADER = "x-upstream-rate-limit"
 # By which callers identify themselves (RFC 9110, 11.6.2).
 CUSTOMER_HEADER = "authorization"
 
@@ -59,7 +62,7 @@
 
 
 class AnswerFacts:
-    """What an application's answer states of its request.
+    """What an application's answer states of its request, and of the application.
 
     Parameters
     ----------
@@ -69,17 +72,17 @@
         Whether the answer belongs to another request.
     is_elsewhere : bool
         Whether another incarnation of an application has the address.
-    is_draining : bool
-        Whether the application takes no new work.
+    report : UpstreamReport
+        What it states of the application itself.
     """
 
-    __slots__ = ("is_draining", "is_elsewhere", "is_foreign", "was_refused")
+    __slots__ = ("is_elsewhere", "is_foreign", "report", "was_refused")
 
-    def __init__(self, was_refused=False, is_foreign=False, is_elsewhere=False, is_draining=False):
+    def __init__(self, was_refused=False, is_foreign=False, is_elsewhere=False, report: UpstreamReport | None = None):
         self.was_refused = was_refused
         self.is_foreign = is_foreign
         self.is_elsewhere = is_elsewhere
-        self.is_draining = is_draining
+        self.report = report or UpstreamReport()
 
     def __repr__(self) -> str:
         return f"<AnswerFacts refused={self.was_refused} foreign={self.is_foreign}>"
@@ -95,11 +98,14 @@
         Incarnation of the application; empty where it is not reported.
     slots : int
         Requests that it works on at once; 0 where it is not reported.
+    report : UpstreamReport
+        What any answer of it states.
     """
 
-    __slots__ = ("is_well", "slots", "upstream")
+    __slots__ = ("is_well", "report", "slots", "upstream")
 
-    def __init__(self, is_well: bool, upstream: str = "", slots: int = 0):
+    def __init__(self, is_well: bool, upstream: str = "", slots: int = 0, report: UpstreamReport | None = None):
+        self.report = report or UpstreamReport()
         self.is_well = is_well
         self.upstream = upstream
         self.slots = slots
@@ -159,7 +165,7 @@
 
     request_names = frozenset((ATTEMPT_HEADER, DEADLINE_HEADER, TRACE_HEADER))
     # What only a daemon may say is taken out.
-    answer_names = HOP_HEADERS | {OUTCOME_HEADER, CODE_HEADER, DRAIN_HEADER}
+    answer_names = HOP_HEADERS | {OUTCOME_HEADER, CODE_HEADER, DRAIN_HEADER, RATE_LIMIT_HEADER}
 
     def read_request(self, headers: list[tuple[str, str]]) -> RequestFacts:
         facts = RequestFacts()
@@ -175,7 +181,19 @@
         return facts
 
     def read_answer(self, status: int, headers: list[tuple[str, str]], request_id: str) -> AnswerFacts:
-        return AnswerFacts(is_draining=any(name == DRAIN_HEADER and value for name, value in headers))
+        return AnswerFacts(report=self._read_report(headers))
+
+    def read_health(self, status: int, headers: list[tuple[str, str]]) -> HealthFacts:
+        return HealthFacts(status == 200, report=self._read_report(headers))
+
+    def _read_report(self, headers: list[tuple[str, str]]) -> UpstreamReport:
+        report = UpstreamReport()
+        for name, value in headers:
+            if name == DRAIN_HEADER:
+                report.is_draining = report.is_draining or bool(value)
+            elif name == RATE_LIMIT_HEADER:
+                report.note_rate(value)
+        return report
 
     def request_headers(self, left_ms: int, upstream: str, caller: str, attempt: int) -> list[tuple[str, str]]:
         return [(ATTEMPT_HEADER, str(attempt)), (DEADLINE_HEADER, str(left_ms))]
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
@@ -7,6 +7,7 @@
 from lanedock.membership import UpstreamRegistration
 from lanedock.quarantine import Fingerprint, RequestHasher
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics, RequestLog, RequestLogger, Tracer
+from lanedock_daemon.agent.registration import Registrar
 from lanedock_daemon.agent.view import LocalView
 from lanedock_daemon.path.answers import AnswerPieces
 from lanedock_daemon.path.canary_account import CanaryAccount
@@ -68,6 +69,8 @@
     requests : RequestLogger, optional
         Writes the decisions on requests.
     crashes : CrashDetector, optional
+    registrar : Registrar, optional
+        Learns what answers state of the application itself.
     link_rate : float, optional
         Of the daemon's link, in bytes a second, where it is known.
     """
@@ -84,11 +87,13 @@
         dialect=None,
         requests=None,
         crashes=None,
+        registrar: Registrar | None = None,
         link_rate: float | None = None,
     ):
         self._requests: RequestLogger = requests or RequestLogger(events, 0)
         self._dialect: Dialect = dialect or OwnDialect()
         self._registration = view.upstream or UpstreamRegistration(service, False, 1.0)
+        self._registrar = registrar or Registrar(self._registration, lambda: None, lambda: None, events)
         self._service = service
         self._application = application
         self._view = view
@@ -131,6 +136,7 @@
         span.end(**{"http.status_code": answer.status, "http.target": request.path})
         self._metrics.gauge(Metric.IN_PROGRESS, self._gate.limiter.in_use)
         self._metrics.gauge(Metric.QUEUED, self._gate.limiter.waiting)
+        self._metrics.gauge(Metric.RATE_LIMIT, self._registration.advertised.rate or 0.0)
         answer.headers.append((LOAD_HEADER, str(self.in_progress)))
         if self._view.is_draining:
             answer.headers.append((LEAVING_HEADER, "1"))
@@ -243,6 +249,8 @@
         account = self._make_account(log.route)
         if account is not None:
             account.note_sent()
+        self._metrics.count(Metric.PASSED_ON)
+        incarnation = self._registration.incarnation
         work = Work(self._crashes, hasher, slot, request.body, deadline)
         try:
             pending = send_request(self._pool, self._application, request, headers, deadline)
@@ -274,7 +282,9 @@
             foreign = ExchangeError(ErrorCode.ANSWER_LOST, Outcome.UNKNOWN, "an answer to another request")
             return self._on_lost(foreign, log)
         self._registration.note_answer(awake())
-        if facts.is_draining and not self._view.is_draining:
+        if not facts.is_elsewhere:
+            self._registrar.note_report(facts.report, incarnation)
+        if facts.report.is_draining and not self._view.is_draining:
             self._view.is_draining = True
             self._events.emit(Event.DRAINING, service=self._service)
         if facts.was_refused:
--- a/packages/lanedock-daemon/lanedock_daemon/roles.py
+++ b/packages/lanedock-daemon/lanedock_daemon/roles.py
@@ -174,7 +174,6 @@
         )
         parts = (events, metrics, tracer, dialect, requests, crashes)
         link_rate = None if cfg.link_mbps is None else cfg.link_mbps * BYTES_PER_MBIT
-        side = UpstreamSide(cfg.service, application, view, pool, *parts, link_rate=link_rate)
         if cfg.registration is not None:
             discovery = ApplicationDiscovery(view, application, dialect, on_change, events)
             registrar = Registrar(
@@ -190,6 +189,7 @@
         else:
             registrar = Registrar(registration, lambda: None, lambda: None, events)
         agent.set_registrar(registrar)
+        side = UpstreamSide(cfg.service, application, view, pool, *parts, registrar, link_rate)
         if cfg.egress is not None:
             add_server("egress", cfg.egress, caller)
         add_server("upstream", cfg.listen, side)
--- a/packages/lanedock/lanedock/membership/__init__.py
+++ b/packages/lanedock/lanedock/membership/__init__.py
@@ -1,6 +1,7 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """Which instances there are: the platform's list, and what is made of it."""
 
+from lanedock.membership.advertised_rate import AdvertisedRate
 from lanedock.membership.changes import EndpointChanges
 from lanedock.membership.core import Instance, InstanceState, PlatformList, parse_instances
 from lanedock.membership.directory import Directory
@@ -9,9 +10,11 @@
 from lanedock.membership.registration import UpstreamRegistration
 from lanedock.membership.registry import EndpointRegistry, freshness, incarnation_of
 from lanedock.membership.sources import FilePlatformList, HttpPlatformList, make_platform_list
+from lanedock.membership.upstream_report import UpstreamReport
 
 __all__ = [
     "UNKNOWN_VERSION",
+    "AdvertisedRate",
     "Directory",
     "EndpointChanges",
     "EndpointRegistry",
@@ -23,6 +26,7 @@
     "InstanceState",
     "PlatformList",
     "UpstreamRegistration",
+    "UpstreamReport",
     "freshness",
     "incarnation_of",
     "make_platform_list",
--- a/packages/lanedock/lanedock/membership/registration.py
+++ b/packages/lanedock/lanedock/membership/registration.py
@@ -21,8 +21,10 @@
 """
 
 from lanedock.errors import ErrorCode
+from lanedock.membership.advertised_rate import AdvertisedRate
 from lanedock.membership.heartbeat import UNKNOWN_VERSION, Heartbeat
 from lanedock.membership.incarnation import Incarnation
+from lanedock.membership.upstream_report import UpstreamReport
 
 __all__ = ["UpstreamRegistration"]
 
@@ -58,6 +60,8 @@
     slots : int
     version : str
         Of the application's software; `UNKNOWN_VERSION` until it is known.
+    advertised : AdvertisedRate
+        Of the incarnation that is held.
     cold_until : float
         Seconds by `lanedock.clock.awake`.
     rival : Heartbeat or None
@@ -72,6 +76,7 @@
         self.is_leaving = False
         self.slots = 0
         self.version = ""
+        self.advertised = AdvertisedRate()
         self.cold_until = 0.0
         self.rival: Heartbeat | None = None
         self._rival_heard_at = 0.0
@@ -226,6 +231,7 @@
         self._earlier = None
         self.incarnation = incarnation
         self.is_leaving = False
+        self.advertised = AdvertisedRate()
         self._sequence = -1
         self.revision += 1
 
@@ -314,6 +320,28 @@
         """Note that the application has answered a request, which is better than a heartbeat."""
         self._heard_at = now
 
+    def note_report(self, report: UpstreamReport, incarnation: Incarnation, now: float) -> bool:
+        """Note what an answer states of the application.
+
+        Parameters
+        ----------
+        report : UpstreamReport
+        incarnation : Incarnation
+            The one that was asked: what an earlier one has stated says nothing of the one that is held.
+        now : float
+
+        Returns
+        -------
+        bool
+            Whether the rate limit has changed.
+        """
+        if not incarnation.may_be(self.incarnation):
+            return False
+        if report.unreadable:
+            self.advertised.note_unreadable(now)
+            return False
+        return self.advertised.note(report.rate_limit, now)
+
     def check_silence(self, now: float) -> bool:
         """Tell whether the application has just fallen silent; others have to learn that."""
         is_silent = bool(self.upstream) and now - self._heard_at > self._silence_limit
--- a/packages/lanedock/lanedock/telemetry/events.py
+++ b/packages/lanedock/lanedock/telemetry/events.py
@@ -183,6 +183,20 @@
         "The application was asked which of two incarnations it is.",
         "Empty in `answered` means that it didn't say; its next heartbeats decide.",
     )
+    RATE_LIMIT_CHANGED = (
+        415,
+        logging.INFO,
+        "The application beside the daemon advertises another rate limit in its answers, or none any more (`rate` is "
+        "none): requests a second that it takes from all callers together.",
+        "None: callers are led to its siblings.",
+    )
+    RATE_LIMIT_UNREADABLE = (
+        416,
+        logging.WARNING,
+        "The application beside the daemon advertises a rate limit that is no number of 0 or more; the one before "
+        "stays.",
+        "Mend the application: `value` is what it sends, shortened.",
+    )
     SEEDS_CHANGED = (409, logging.INFO, "The settings name other control instances.", "None.")
 
     ANSWER_LOST = (501, logging.WARNING, "A request's outcome is unknown.", "Look at the upstream named.")
--- a/packages/lanedock/lanedock/telemetry/metrics.py
+++ b/packages/lanedock/lanedock/telemetry/metrics.py
@@ -51,6 +51,12 @@
     ENDPOINTS = ("config.endpoints", "g", "Upstreams known, by zone.", ("zone",))
     CRASHES = ("upstream.crashes", "c", "Times that the application beside the daemon has ended without notice.")
     QUARANTINED = ("requests.quarantined", "g", "Requests that are not passed on since they end upstreams.")
+    RATE_LIMIT = (
+        "upstream.rate_limit",
+        "g",
+        "Requests a second that the application advertises as its limit; 0: none.",
+    )
+    PASSED_ON = ("upstream.passed_on", "c", "Requests that were passed on to the application.")
     CANARY_SHARE = ("canary.share", "g", "Share of a service's requests that its canary gets, 0 to 1.", ("service",))
     CANARY_SENT = ("canary.sent", "c", "Requests sent while a canary runs, by part.", ("service", "part"))
     CANARY_FAILED = ("canary.failed", "c", "Answers that failed while a canary runs, by part.", ("service", "part"))
