Show that an advertised rate limit isn't kept, and a drain in an answer outlives its incarnation

At 80 requests a second over two upstreams the one that advertises 16 gets 46 more than that rate allows (13 are allowed); a drain that an answer states is kept by the daemon until its own restart, and not by the registration, so the next incarnation gets nothing either.

--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/chain.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/chain.py
@@ -138,12 +138,23 @@
         self.name = name
         self.application = application
         self.view = make_view(value, False)
-        parts = (EventLogger(name), NullMetrics(), NullTracer())
         self.pool = ConnectionPool()
-        self.side = UpstreamSide(service, application.address, self.view, self.pool, *parts, link_rate=link_rate)
+        self._link_rate = link_rate
+        self._service = service
+        self.side = self._make_side()
         self.server = PathServer(name, Address(HOST, 0), self.side, StopPlan(0.0, 2.0), EventLogger(name))
         self.server.start(None)
 
+    def _make_side(self) -> UpstreamSide:
+        parts = (EventLogger(self.name), NullMetrics(), NullTracer())
+        address = self.application.address
+        return UpstreamSide(self._service, address, self.view, self.pool, *parts, link_rate=self._link_rate)
+
+    def replace_registration(self, registration) -> None:
+        """Go on as a daemon whose application has registered itself."""
+        self.view.upstream = registration
+        self.side = self.server.side = self._make_side()
+
     @property
     def limiter(self):
         return self.side._gate.limiter
@@ -180,12 +191,17 @@
         self.entry = PathServer("entry", Address(HOST, 0), caller, StopPlan(0.0, 2.0), EventLogger("entry"))
         self.entry.start(None)
 
-    def publish_endpoints(self) -> None:
+    def publish_endpoints(self, incarnation: int = 1) -> None:
         update = messages.EndpointUpdate(whole=True)
         service = self.value["services"][0]["name"]
         for upstream in self.upstreams:
             update.changed.add(
-                instance=upstream.name, service=service, zone="z", host=HOST, port=upstream.server.port, incarnation=1
+                instance=upstream.name,
+                service=service,
+                zone="z",
+                host=HOST,
+                port=upstream.server.port,
+                incarnation=incarnation,
             )
         self.view.take_endpoints(update)
 
