Keep the rate limit that an upstream advertises in its answers

What callers saw: nothing; an upstream that had named 15 requests a second got 44, with the time it takes for work meant for its siblings.

Cause: what an application reports of itself had one way in, heartbeats; what it states in answers to work had none, so that the load balancing went on as if nothing was said.

Change: the upstream's own daemon, the only way in, keeps the rate as it keeps slots, with the same queue, and once more where requests arrive after their bodies. It gives each caller its next turn with the answer, so that callers go elsewhere at once; a refusal (LD3016) isn't charged, ejects nothing, and counts as none of the tries. The limit holds as long as it is stated; the mesh carries it, for a daemon that is started again; where it is under one request in two seconds the health check is asked when it ends.

--- a/packages/lanedock-daemon/lanedock_daemon/agent/discovery.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/discovery.py
@@ -15,8 +15,9 @@
 
 from lanedock.clock import awake
 from lanedock.kernel import Kernel, Service
-from lanedock.membership import UpstreamRegistration
+from lanedock.membership import Incarnation, UpstreamRegistration
 from lanedock.telemetry import Event, EventLogger
+from lanedock_daemon.agent.registration import Registrar
 from lanedock_daemon.agent.view import LocalView
 from lanedock_daemon.path.dialect import Dialect, HealthFacts
 from lanedock_daemon.path.exchange import exchange
@@ -32,6 +33,10 @@
 TIMEOUT = 0.5
 # An application that has not said who it is by then does so by heartbeat.
 ATTEMPTS = 3
+# An application that takes fewer requests a second than this gets so few that their answers
+# don't tell in time when it takes more again: its health check is asked, at this interval, in seconds.
+RARE_RATE = 0.5
+RATE_INTERVAL = 2.0
 
 
 class ApplicationDiscovery(Service):
@@ -46,16 +51,27 @@
     on_change : callable
         Called without arguments when others have to learn of a change.
     events : EventLogger
+    registrar : Registrar, optional
+        Learns what the answers state of the application.
     """
 
     name = "discovery"
 
-    def __init__(self, view: LocalView, application, dialect: Dialect, on_change, events: EventLogger):
+    def __init__(
+        self,
+        view: LocalView,
+        application,
+        dialect: Dialect,
+        on_change,
+        events: EventLogger,
+        registrar: Registrar | None = None,
+    ):
         self._view = view
         self._application = application
         self._dialect = dialect
         self._on_change = on_change
         self._events = events
+        self.registrar = registrar
         self._task = None
         self._has_rival = Signal()
 
@@ -73,14 +89,21 @@
         pool = ConnectionPool()
         self._repeat(pool, lambda: not self._registration.upstream)
         while True:
-            self._has_rival.wait()
-            self._has_rival.clear()
-            self._repeat(pool, lambda: self._registration.rival is not None)
-
-    def _repeat(self, pool: ConnectionPool, is_wanted) -> None:
+            if self._has_rival.wait(RATE_INTERVAL):
+                self._has_rival.clear()
+                self._repeat(pool, lambda: self._registration.rival is not None)
+            elif self._is_rarely_asked():
+                self._repeat(pool, self._is_rarely_asked, 1)
+
+    def _is_rarely_asked(self) -> bool:
+        """Tell whether the application limits its rate so far that hardly a request tells of a change."""
+        rate = self._registration.advertised.rate
+        return rate is not None and rate < RARE_RATE
+
+    def _repeat(self, pool: ConnectionPool, is_wanted, limit: int = ATTEMPTS) -> None:
         """Ask, a few times at most, as long as the answer is wanted."""
         attempts = 0
-        while attempts < ATTEMPTS and is_wanted():
+        while attempts < limit and is_wanted():
             path = self._view.health_path(self._registration.service)
             if path:
                 attempts += 1
@@ -109,6 +132,7 @@
         """Take over which incarnation the application says it is."""
         registration = self._registration
         now = awake()
+        asked = Incarnation(facts.upstream) if facts.upstream else registration.incarnation
         if registration.rival is not None:
             is_changed = registration.settle(facts.upstream, now)
             self._events.emit(
@@ -119,6 +143,8 @@
             if is_changed:
                 self._events.emit(Event.UPSTREAM_ADOPTED, upstream=facts.upstream, leaving=False, source="health check")
         else:
-            return
+            is_changed = False
+        if self.registrar is not None:
+            self.registrar.note_report(facts.report, asked)
         if is_changed:
             self._on_change()
--- a/packages/lanedock-daemon/lanedock_daemon/agent/registration.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/registration.py
@@ -130,18 +130,21 @@
         if report.unreadable and now >= self._unreadable_at:
             self._unreadable_at = now + UNREADABLE_INTERVAL
             self._events.emit(Event.RATE_LIMIT_UNREADABLE, upstream=incarnation.upstream, value=report.unreadable)
-        if self._registration.note_report(report, incarnation, now):
-            self._note_rate()
+        registration = self._registration
+        revision = registration.revision
+        if registration.note_report(report, incarnation, now):
+            self._emit_rate()
+        if revision != registration.revision:
+            self._on_change()
 
-    def _note_rate(self) -> None:
-        """Make another rate limit known."""
+    def _emit_rate(self) -> None:
         registration = self._registration
         self._events.emit(Event.RATE_LIMIT_CHANGED, upstream=registration.upstream, rate=registration.advertised.rate)
 
     def adopt(self, endpoint: messages.Endpoint) -> None:
         """Learn from the mesh what this daemon knew before it was restarted; the mesh knows any change."""
         registration = self._registration
-        rival = registration.rival
+        rival, rate = registration.rival, registration.advertised.rate
         if registration.adopt(
             endpoint.upstream,
             endpoint.service,
@@ -150,8 +153,11 @@
             awake(),
             endpoint.upstream_started,
             endpoint.version,
+            endpoint.rate_limit if endpoint.HasField("rate_limit") else None,
         ):
             self._events.emit(Event.UPSTREAM_ADOPTED, upstream=endpoint.upstream, leaving=endpoint.ended)
+        if registration.advertised.rate != rate:
+            self._emit_rate()
         if registration.rival is not rival:
             self._events.emit(Event.RIVAL_HEARD, upstream=registration.upstream, rival=endpoint.upstream, sequence="-")
             self._on_rival()
--- a/packages/lanedock-daemon/lanedock_daemon/agent/report.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/report.py
@@ -120,6 +120,9 @@
         endpoint.upstream_started = registration.incarnation.started
         endpoint.slots = registration.slots
         endpoint.version = registration.version
+        endpoint.ClearField("rate_limit")
+        if registration.advertised.published is not None:
+            endpoint.rate_limit = registration.advertised.published
         endpoint.cold_ms = int(1000 * registration.cold_left(awake()))
         endpoint.revision = revision
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/caller.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller.py
@@ -1,6 +1,7 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """The caller's side of the path: match, choose, send, and retry."""
 
+from itertools import count
 from random import Random
 
 from lanedock.clock import monotonic
@@ -46,6 +47,9 @@
 # Daemons that may refuse a request unseen by an application, for each attempt
 # that an application may see.
 REFUSALS_PER_ATTEMPT = 2
+# Upstreams that may refuse a request for the rate that they advertise: it says nothing of the
+# others, and the caller hears of each limit once.
+MAX_RATE_LIMITED = 4
 # Upstreams that may refuse a request for their load. Two chosen as the less loaded
 # ones say that the others are full, too; more tries only add to the load. What
 # is retried has met such refusals already.
@@ -70,13 +74,24 @@
         Applications that may have seen the request.
     """
 
-    __slots__ = ("_max_arrivals", "_max_overloads", "_may_have_run", "_overloads", "arrivals", "failure")
+    __slots__ = (
+        "_max_arrivals",
+        "_max_overloads",
+        "_may_have_run",
+        "_overloads",
+        "_rate_limited",
+        "_tries_left",
+        "arrivals",
+        "failure",
+    )
 
     def __init__(self, route: Route, max_overloads: int):
         self.failure: Answer | None = None
         self.arrivals = 0
         self._may_have_run = False
         self._overloads = 0
+        self._rate_limited = 0
+        self._tries_left = route.max_attempts * REFUSALS_PER_ATTEMPT
         self._max_arrivals = route.max_attempts
         self._max_overloads = max_overloads
 
@@ -88,6 +103,10 @@
             self.failure = made.answer
         self.arrivals += made.arrivals
         self._overloads += made.code is ErrorCode.OVERLOADED
+        if made.code is ErrorCode.RATE_LIMITED:
+            self._rate_limited += 1
+        else:
+            self._tries_left -= 1
 
     def settle(self, made: Try) -> Answer:
         """Return the answer where a try is final: a refusal says nothing of a try before that may have run."""
@@ -96,6 +115,8 @@
 
     def is_exhausted(self) -> bool:
         """Tell whether no further try is allowed, or promises anything."""
+        if self._tries_left <= 0 or self._rate_limited >= MAX_RATE_LIMITED:
+            return True
         return self.arrivals >= self._max_arrivals or self._overloads >= self._max_overloads
 
 
@@ -263,7 +284,7 @@
     def _try_in_turn(self, job: Job, progress: _Progress, may_retry: bool) -> Answer:
         """Try upstreams until one answers, or trying again would be wrong."""
         route, body = job.route, job.request.body
-        for attempt in range(1, route.max_attempts * REFUSALS_PER_ATTEMPT + 1):
+        for attempt in count(1):
             now = monotonic()
             if now >= job.deadline:
                 return progress.failure or self._refuse(ErrorCode.DEADLINE)
@@ -287,13 +308,13 @@
             if made.is_final:
                 return progress.settle(made)
             progress.take(made)
+            job.is_rate_limited = job.is_rate_limited or made.code is ErrorCode.RATE_LIMITED
             if not may_retry or not body.can_rewind or progress.is_exhausted():
                 return progress.failure
             if not self._may_send_again(job, bool(made.arrivals)):
                 return progress.failure
             body.rewind()
             self._metrics.count(Metric.RETRIES)
-        return progress.failure
 
     def _may_send_again(self, job: Job, is_charged: bool) -> bool:
         """Tell whether the budget allows another try; one that no application has seen costs nothing."""
--- a/packages/lanedock-daemon/lanedock_daemon/path/http.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http.py
@@ -32,6 +32,7 @@
     "SUSPECT_HEADER",
     "TARGET_HEADER",
     "TRACE_HEADER",
+    "TURN_HEADER",
     "UPSTREAM_HEADER",
     "Answer",
     "Body",
@@ -73,6 +74,9 @@
 VERSION_HEADER = "x-lanedock-version"
 LOAD_HEADER = "x-lanedock-load"
 LEAVING_HEADER = "x-lanedock-leaving"
+# Milliseconds until the caller's next request to an upstream that limits their rate is worth
+# sending; left out where any is.
+TURN_HEADER = "x-lanedock-turn-ms"
 # The incarnation of the application that is meant, and the service that calls.
 UPSTREAM_HEADER = "x-lanedock-upstream"
 # Milliseconds left to the target time, counted from the caller's first attempt; 0
--- a/packages/lanedock-daemon/lanedock_daemon/path/job.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/job.py
@@ -78,6 +78,8 @@
         process stops.
     tried : set of str
         Instances that were tried.
+    is_rate_limited : bool
+        Whether an upstream has refused it by the rate that it advertises: it waits for no other's.
     goes_to_canary, is_moved : bool
         Whether its first try goes to an upstream of a version under trial; whether all
         tries do, since the service's traffic is being moved there.
@@ -90,6 +92,7 @@
         "goes_to_canary",
         "headers",
         "is_moved",
+        "is_rate_limited",
         "is_suspect",
         "log",
         "request",
@@ -122,22 +125,32 @@
         self.target_time = target_time
         self.log = log
         self.is_suspect = False
+        self.is_rate_limited = False
         self.start_by: float | None = None
         self.tried: set[str] = set()
         self.goes_to_canary = False
         self.is_moved = False
 
-    def choose(self, now: float) -> UpstreamStats | None:
-        """Choose an upstream that was not tried yet, and note it as tried; None where there is none."""
+    def choose(self, now: float, may_wait: bool = True) -> UpstreamStats | None:
+        """Choose an upstream that was not tried yet, and note it as tried; None where there is none.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic, seconds.
+        may_wait : bool
+            See `Balancer.choose`.
+        """
+        may_wait = may_wait and not self.is_rate_limited
         # Routes with long bodies, either way, are most of the bytes that go between
         # zones where there are any: uploads of 60 kB on average and answers of 90 kB.
         is_long = self.route.upload or self.route.download or self.request.body.is_long
         tried = frozenset(self.tried)
         stats = None
         if self.is_moved or (self.goes_to_canary and not tried):
-            stats = self.balancer.choose(self.service.slots, now, tried, is_long, Pool.CANARY)
+            stats = self.balancer.choose(self.service.slots, now, tried, is_long, Pool.CANARY, may_wait=False)
         if stats is None:
-            stats = self.balancer.choose(self.service.slots, now, tried, is_long)
+            stats = self.balancer.choose(self.service.slots, now, tried, is_long, may_wait=may_wait)
         if stats is not None:
             self.tried.add(stats.endpoint.instance)
         return stats
--- a/packages/lanedock-daemon/lanedock_daemon/path/slot_gate.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/slot_gate.py
@@ -1,6 +1,7 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """Admits requests to an application: room on the daemon's link for the body, and a slot."""
 
+import gevent
 from gevent.event import Event as Signal
 
 from lanedock.clock import monotonic
@@ -29,6 +30,8 @@
 # Requests that may wait for each slot where the application reports how many it has,
 # or no version does.
 QUEUE_PER_SLOT = 2
+# Least and longest time between two looks whether a queued request may be admitted, in seconds.
+RATE_POLL = (0.005, 0.5)
 
 
 class SlotGate:
@@ -54,6 +57,7 @@
         self._registration = registration
         self._calls = CallKinds()
         self._configured = None
+        self._admitting: gevent.Greenlet | None = None
 
     def __repr__(self) -> str:
         return f"<SlotGate {self.limiter!r}>"
@@ -70,6 +74,7 @@
 
     def configure(self, binding: Binding | None) -> None:
         """Take the limits over from the version in force and the application's own word."""
+        self.update_rate()
         number = binding.number if binding is not None else 0
         key = (number, self._registration.slots, self._registration.service)
         if self._configured == key:
@@ -87,6 +92,26 @@
         self.limiter.configure(slots, queue, classes)
         self.bodies.configure(queue, classes)
 
+    def update_rate(self) -> None:
+        """Take over the rate limit that the application advertises."""
+        self.limiter.rate.configure(self._registration.advertised.rate, monotonic())
+
+    def _admit_by_rate(self) -> None:
+        """Admit queued requests as the rate limit allows, until none waits: nothing else ends then."""
+        least, longest = RATE_POLL
+        while self.limiter.waiting and self.limiter.rate.is_limited:
+            gevent.sleep(min(max(least, self.limiter.rate.wait(monotonic())), longest))
+            self.update_rate()
+            self.limiter.admit_queued(monotonic())
+
+    def wait_to_arrive(self, deadline: float) -> bool:
+        """Wait until an admitted request may reach the application; False where it can't by its deadline."""
+        while wait := self.limiter.rate.arrive(monotonic()):
+            if monotonic() + wait >= deadline:
+                return False
+            gevent.sleep(min(wait, RATE_POLL[1]))
+        return True
+
     def classify(self, request: Request, binding: Binding | None) -> str:
         """Return the class that a request is admitted by.
 
@@ -126,6 +151,8 @@
         result = self.limiter.acquire(traffic_class, wanted, now, admitted.set)
         if result is None or isinstance(result, Refused):
             return result
+        if self.limiter.rate.is_limited and not self._admitting:
+            self._admitting = gevent.spawn(self._admit_by_rate)
         try:
             is_admitted = admitted.wait(timeout=result.expires_at - now)
         except StopTimeout:
@@ -138,7 +165,7 @@
             raise
         if not result.is_evicted and (is_admitted or not self.limiter.cancel(result)):
             return None
-        return Refused(ErrorCode.OVERLOADED, self.limiter.return_after(wanted, monotonic()))
+        return self.limiter.refuse(traffic_class, wanted, monotonic())
 
     def _leave_queue(self, queued: QueuedRequest, traffic_class: str) -> None:
         """Give up a request's place in the queue, or the slot it was just given."""
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_job.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_job.py
@@ -11,7 +11,7 @@
 class _Balancer:
     """Keeps whether it was asked for a request with a long body."""
 
-    def choose(self, slots, now, excluded, is_long):
+    def choose(self, slots, now, excluded, is_long, may_wait=True):
         self.is_long = is_long
 
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_promises.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_promises.py
@@ -293,12 +293,12 @@
     balancer = chain.view.balancer("s")
     choose, calls = balancer.choose, []
 
-    def choose_once(*arguments):
+    def choose_once(*arguments, **more):
         calls.append(arguments)
         if len(calls) > 1:
             # The task that waits for the first answer was made, and has not run yet.
             raise gevent.GreenletExit
-        return choose(*arguments)
+        return choose(*arguments, **more)
 
     balancer.choose = choose_once
     chain.send(b"GET /x HTTP/1.1\r\nhost: h\r\n\r\n")
--- a/packages/lanedock-daemon/lanedock_daemon/path/tries.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tries.py
@@ -25,6 +25,7 @@
     RETURN_HEADER,
     START_BY_HEADER,
     TARGET_HEADER,
+    TURN_HEADER,
     UPSTREAM_HEADER,
     Answer,
     Outcome,
@@ -50,7 +51,13 @@
 # may be anything's; of what ran there, hardly anything but its cause ran beside a second.
 CRASHES_RETRIED = 2
 # Refusals that say nothing against an upstream.
-_NO_FAULTS = (ErrorCode.OVERLOADED, ErrorCode.DRAINING, ErrorCode.DEADLINE, ErrorCode.QUARANTINED)
+_NO_FAULTS = (
+    ErrorCode.OVERLOADED,
+    ErrorCode.RATE_LIMITED,
+    ErrorCode.DRAINING,
+    ErrorCode.DEADLINE,
+    ErrorCode.QUARANTINED,
+)
 _DAEMON_HEADERS = HOP_HEADERS | {OUTCOME_HEADER, CODE_HEADER}
 
 
@@ -94,7 +101,7 @@
         try:
             first = gevent.spawn(self._end, job, stats, pending, started)
             now = monotonic()
-            other = job.choose(now) if job.budget.left(now) >= 1 else None
+            other = job.choose(now, may_wait=False) if job.budget.left(now) >= 1 else None
             if other is None:
                 made = first.get()
                 return made
@@ -195,6 +202,7 @@
             raise
         head = response.message
         load = read_int(head.header(LOAD_HEADER))
+        stats.turns.note((read_int(head.header(TURN_HEADER)) or 0) / 1000, monotonic())
         if head.header(LEAVING_HEADER):
             balancer.note_leaving(stats.endpoint.instance)
             self._pool.forget(stats.address)
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
@@ -1,10 +1,12 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """The upstream's side of the path: the only way into an upstream's application."""
 
+import math
+
 from lanedock.clock import awake, monotonic
 from lanedock.errors import ErrorCode
 from lanedock.limits import AdmissionRequest
-from lanedock.membership import UpstreamRegistration
+from lanedock.membership import Incarnation, UpstreamRegistration, UpstreamReport
 from lanedock.quarantine import Fingerprint, RequestHasher
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics, RequestLog, RequestLogger, Tracer
 from lanedock_daemon.agent.registration import Registrar
@@ -28,6 +30,7 @@
     START_BY_HEADER,
     TARGET_HEADER,
     TRACE_HEADER,
+    TURN_HEADER,
     UPSTREAM_HEADER,
     VERSION_HEADER,
     Answer,
@@ -138,6 +141,9 @@
         self._metrics.gauge(Metric.QUEUED, self._gate.limiter.waiting)
         self._metrics.gauge(Metric.RATE_LIMIT, self._registration.advertised.rate or 0.0)
         answer.headers.append((LOAD_HEADER, str(self.in_progress)))
+        turn = self._gate.limiter.next_turn(monotonic())
+        if turn:
+            answer.headers.append((TURN_HEADER, str(math.ceil(1000 * turn))))
         if self._view.is_draining:
             answer.headers.append((LEAVING_HEADER, "1"))
         return answer
@@ -191,11 +197,24 @@
                 return self._refuse_quarantined(hasher, log)
             wait = 0.0 if refusal is ErrorCode.DEADLINE else RETRY_AFTER
             return self._refuse(refusal, wait, log, meant=meant, incarnation=self._registration.upstream)
+        if not self._wait_to_arrive(traffic_class, deadline):
+            return self._refuse(ErrorCode.RATE_LIMITED, RETRY_AFTER, log, limit="rate")
         log.note(Event.REQUEST_ADMITTED, waited_ms=round(1000 * (monotonic() - started), 1), **self._gate.load())
         answer = self._pass_on(hashed, hasher, traffic_class, deadline, span, log)
         log.note(Event.REQUEST_DONE, status=answer.status, incarnation=meant)
         return answer
 
+    def _wait_to_arrive(self, traffic_class: str, deadline: float) -> bool:
+        """Wait until a request may reach the application; False, with its slot given back, where it can't."""
+        try:
+            may_arrive = self._gate.wait_to_arrive(deadline)
+        except BaseException:
+            self._gate.limiter.release(traffic_class, None, monotonic())
+            raise
+        if not may_arrive:
+            self._gate.limiter.release(traffic_class, None, monotonic())
+        return may_arrive
+
     def _refuse(self, code: ErrorCode, retry_after: float, log: RequestLog, **why: object) -> Answer:
         self._metrics.count(Metric.NOT_RUN)
         self._metrics.count(Metric.REFUSALS, 1, (code.code,))
@@ -283,10 +302,7 @@
             return self._on_lost(foreign, log)
         self._registration.note_answer(awake())
         if not facts.is_elsewhere:
-            self._registrar.note_report(facts.report, incarnation)
-        if facts.report.is_draining and not self._view.is_draining:
-            self._view.is_draining = True
-            self._events.emit(Event.DRAINING, service=self._service)
+            self._note_report(facts.report, incarnation)
         if facts.was_refused:
             return self._on_refused(response, work, facts.is_elsewhere, log)
         if account is not None:
@@ -314,6 +330,14 @@
         rest = AnswerPieces(response, end, first, deadline - started)
         return Answer(head.status, head.reason, headers, rest)
 
+    def _note_report(self, report: UpstreamReport, incarnation: Incarnation) -> None:
+        """Take over what an answer states of the application; it binds from here on."""
+        self._registrar.note_report(report, incarnation)
+        self._gate.update_rate()
+        if report.is_draining and not self._view.is_draining:
+            self._view.is_draining = True
+            self._events.emit(Event.DRAINING, service=self._service)
+
     def _make_account(self, route: str) -> CanaryAccount | None:
         """Return what counts a request, where a canary of the service runs."""
         if not self._view.canary_counter.is_counting(self._registration.service):
--- a/packages/lanedock-daemon/lanedock_daemon/roles.py
+++ b/packages/lanedock-daemon/lanedock_daemon/roles.py
@@ -185,6 +185,7 @@
                 crashes.note_restart,
             )
             add_server("registration", cfg.registration, interface.make_registration_side(registrar))
+            discovery.registrar = registrar
             kernel.add(discovery)
         else:
             registrar = Registrar(registration, lambda: None, lambda: None, events)
--- a/packages/lanedock/lanedock/errors.py
+++ b/packages/lanedock/lanedock/errors.py
@@ -174,6 +174,11 @@
         "The upstream's application ended while it ran the request.",
         "Find out whether it ran before sending it again.",
     )
+    RATE_LIMITED = (
+        "LD3016",
+        "The upstream takes no more requests a second than it gets, by the rate limit that it advertises. Not run.",
+        "Retry after the time given; E415 and the status name the limit.",
+    )
     NOT_HELD = (
         "LD3011",
         "The daemon's version does not hold the service that the request names.",
--- a/packages/lanedock/lanedock/limits/__init__.py
+++ b/packages/lanedock/lanedock/limits/__init__.py
@@ -7,6 +7,7 @@
 from lanedock.limits.calls import CallKinds
 from lanedock.limits.first_attempts import FirstAttempts
 from lanedock.limits.queue import AdmissionRequest, QueuedRequest
+from lanedock.limits.rate import RateLimiter
 from lanedock.limits.retries import RetryBudget, SavingBudget, WindowBudget
 from lanedock.limits.slots import Refused, SlotLimiter
 
@@ -19,6 +20,7 @@
     "CallKinds",
     "FirstAttempts",
     "QueuedRequest",
+    "RateLimiter",
     "Refused",
     "RetryBudget",
     "SavingBudget",
--- a/packages/lanedock/lanedock/limits/slots.py
+++ b/packages/lanedock/lanedock/limits/slots.py
@@ -1,5 +1,5 @@
 # SPDX-License-Identifier: BSD-3-Clause
-"""The limit on one upstream's work: its slots, and a short queue for them.
+"""The limit on one upstream's work: its slots, the rate that it takes, and a short queue for them.
 
 An upstream's daemon is the only way in, so it knows the slots in use exactly.
 It refuses early: a request that could not be answered in time is refused before
@@ -11,6 +11,7 @@
 from lanedock.config import TrafficClass
 from lanedock.errors import ErrorCode
 from lanedock.limits.queue import AdmissionQueue, AdmissionRequest, QueuedRequest
+from lanedock.limits.rate import RateLimiter
 from lanedock.limits.service_times import ServiceTimes
 from lanedock.limits.shares import SlotShares
 
@@ -29,6 +30,8 @@
 # in time at all: one, by the margin above. Where requests take nearly as long as callers
 # give them nobody would wait otherwise, and late retries would take each free slot.
 _NEXT_SLOTS = 1.6
+# Retry delay where the application takes no requests at all, in seconds.
+_NOTHING_TAKEN = 5.0
 # Spread of the retry delays, as parts of the estimate, so that callers that were
 # refused together don't retry together.
 _SPREAD = (0.5, 1.5)
@@ -43,7 +46,7 @@
     retry_after : float
         Seconds after which it is worth asking again.
     limit : str, optional
-        By which it was refused: "slots" or "link".
+        By which it was refused: "slots", "rate" or "link".
     """
 
     __slots__ = ("code", "limit", "retry_after")
@@ -68,6 +71,11 @@
     classes : dict of str to TrafficClass
     rng : random.Random, optional
         Spreads the retry delays.
+
+    Attributes
+    ----------
+    rate : RateLimiter
+        What the application takes in a second.
     """
 
     def __init__(self, slots: int, queue: int, classes: dict[str, TrafficClass], rng: Random | None = None):
@@ -75,6 +83,7 @@
         self._shares = SlotShares(slots, classes)
         self._queue = AdmissionQueue(queue, classes)
         self._times = ServiceTimes()
+        self.rate = RateLimiter()
         self._full_since: float | None = None
 
     def __repr__(self) -> str:
@@ -133,6 +142,9 @@
         Refused
             It can't be served in time.
         """
+        if self.rate.is_limited:
+            # A token that has just come is for who waits for it.
+            self.admit_queued(now)
         if now < request.start_by and self._has_room(traffic_class, now):
             self._take(traffic_class, now)
             return None
@@ -140,8 +152,7 @@
         if refused is not None:
             return refused
         if not (self._queue.has_room(traffic_class) or self._queue.evict_for(traffic_class, request)):
-            wait = self._estimate_wait(traffic_class, request, now)
-            return Refused(ErrorCode.OVERLOADED, self.return_after(request, now, wait))
+            return self.refuse(traffic_class, request, now)
         queued = QueuedRequest(traffic_class, request, on_admitted, self._expiry(request, now))
         self._queue.add(queued)
         return queued
@@ -157,7 +168,15 @@
         wait = self._estimate_wait(traffic_class, request, now)
         if now + _WAIT_MARGIN * wait <= self._expiry(request, now):
             return None
-        return Refused(ErrorCode.OVERLOADED, self.return_after(request, now, wait))
+        return self.refuse(traffic_class, request, now)
+
+    def refuse(self, traffic_class: str, request: AdmissionRequest, now: float) -> Refused:
+        """Refuse a request that would wait too long, or has."""
+        wait = self._estimate_wait(traffic_class, request, now)
+        retry_after = self.return_after(request, now, wait)
+        if self.rate.wait(now, self.waiting) > 0:
+            return Refused(ErrorCode.RATE_LIMITED, retry_after, "rate")
+        return Refused(ErrorCode.OVERLOADED, retry_after)
 
     def release(self, traffic_class: str, duration: float | None, now: float, kind: str = "") -> None:
         """Give a slot back, which may go to a queued request.
@@ -169,14 +188,20 @@
         """
         if duration is not None:
             self._times.note(traffic_class, kind, duration)
+        else:
+            self.rate.give_back()
         self._shares.give_back(traffic_class)
+        self.admit_queued(now)
+        if self.in_use < self.slots:
+            self._full_since = None
+
+    def admit_queued(self, now: float) -> None:
+        """Admit the queued requests for which there is room."""
         for name in self._queue.classes():
             while self._queue.has_any(name) and self._has_room(name, now):
                 queued = self._queue.pop_first(name)
                 self._take(name, now)
                 queued.on_admitted()
-        if self.in_use < self.slots:
-            self._full_since = None
 
     def cancel(self, queued: QueuedRequest) -> bool:
         """Let a request wait no more; False where it was admitted already."""
@@ -198,6 +223,8 @@
         wait : float
             Estimated wait behind what is queued, in seconds.
         """
+        # An application that takes nothing at all doesn't say for how long.
+        wait = min(wait, _NOTHING_TAKEN)
         slack = self._expiry(request, now) - now
         if slack > wait and request.target_time is not None:
             return self._rng.uniform(wait, slack)
@@ -206,6 +233,10 @@
         # Whoever retries later has no time left.
         return min(estimate * self._rng.uniform(*_SPREAD), max(0.0, request.deadline - now))
 
+    def next_turn(self, now: float) -> float:
+        """Give a caller its turn; see `RateLimiter.next_turn`."""
+        return self.rate.next_turn(now, self.waiting)
+
     def latest_start(self, request: AdmissionRequest, now: float) -> float:
         """Return until when a request may wait, for what else it needs; before now where it may not."""
         return self._expiry(request, now)
@@ -215,9 +246,12 @@
         return self._times.tail(kind)
 
     def _has_room(self, traffic_class: str, now: float) -> bool:
+        if self.rate.wait(now):
+            return False
         return self._shares.has_room(traffic_class, self._times.class_mean(traffic_class), now)
 
     def _take(self, traffic_class: str, now: float) -> None:
+        self.rate.admit()
         self._shares.take(traffic_class, now)
         if self.in_use >= self.slots and self._full_since is None:
             self._full_since = now
@@ -246,7 +280,7 @@
         mean = self._times.mean
         if mean is None:
             mean = self._first_estimate(request, now)
-        return ahead * mean / self.slots
+        return max(ahead * mean / self.slots, self.rate.wait(now, ahead - 1))
 
     def _first_estimate(self, request: AdmissionRequest, now: float) -> float:
         """Estimate what a request takes before any has ended, in seconds."""
--- a/packages/lanedock/lanedock/membership/registration.py
+++ b/packages/lanedock/lanedock/membership/registration.py
@@ -267,6 +267,7 @@
         now: float,
         started: int = 0,
         version: str = UNKNOWN_VERSION,
+        rate_limit: float | None = None,
     ) -> bool:
         """Take over what the mesh knows of the application, after a restart of its daemon.
 
@@ -279,6 +280,7 @@
         if not upstream or incarnation in self._former:
             return False
         if upstream == self.upstream and incarnation.may_be(self.incarnation):
+            self.advertised.adopt(rate_limit, now)
             return self._adopt_held(incarnation, is_leaving, version)
         if upstream == self.upstream and not incarnation.is_restart_of(self.incarnation):
             return False
@@ -290,6 +292,7 @@
                 self._rival_heard_at = now
             return False
         self._begin(incarnation)
+        self.advertised.adopt(rate_limit, now)
         self.service = service
         self.slots = slots
         self.version = version
@@ -340,7 +343,10 @@
         if report.unreadable:
             self.advertised.note_unreadable(now)
             return False
-        return self.advertised.note(report.rate_limit, now)
+        is_changed = self.advertised.note(report.rate_limit, now)
+        if self.advertised.take_news():
+            self.revision += 1
+        return is_changed
 
     def check_silence(self, now: float) -> bool:
         """Tell whether the application has just fallen silent; others have to learn that."""
--- a/packages/lanedock/lanedock/routing/balancer.py
+++ b/packages/lanedock/lanedock/routing/balancer.py
@@ -14,9 +14,9 @@
 
 from lanedock.averages import MovingTime
 from lanedock.canary import Pool
-from lanedock.membership import incarnation_of
 from lanedock.routing.policy import BalancerPolicy
-from lanedock.routing.upstream_stats import UpstreamStats
+from lanedock.routing.takers import Takers
+from lanedock.routing.upstream_stats import UpstreamStats, is_same_application, is_started_anew
 from lanedock.wire import messages
 
 __all__ = ["Balancer"]
@@ -57,20 +57,6 @@
 _QUICK_MARGIN = 1.0
 
 
-class _Takers:
-    """The upstreams of one pool that take work, in the caller's zone and in others."""
-
-    __slots__ = ("local", "remote")
-
-    def __init__(self, takers: list[UpstreamStats], zone: str):
-        self.local = [stats for stats in takers if stats.endpoint.zone == zone]
-        self.remote = [stats for stats in takers if stats.endpoint.zone != zone]
-
-    def remove(self, stats: UpstreamStats) -> None:
-        self.local = [other for other in self.local if other is not stats]
-        self.remote = [other for other in self.remote if other is not stats]
-
-
 class Balancer:
     """The upstreams of one service, as one caller sees them.
 
@@ -87,7 +73,7 @@
         self._rng = rng
         self._policy = policy
         self._upstreams: dict[str, UpstreamStats] = {}
-        self._takers = {pool: _Takers([], zone) for pool in (Pool.STABLE, Pool.CANARY)}
+        self._takers = {pool: Takers([], zone) for pool in (Pool.STABLE, Pool.CANARY)}
         self._times: dict[str, MovingTime] = {}
         self._body_times: dict[str, MovingTime] = {}
         self._limit = _HEDGE_DELAY_FIRST
@@ -118,7 +104,7 @@
         kept = {}
         for endpoint in endpoints:
             known = self._upstreams.get(endpoint.instance)
-            if known is None or _is_started_anew(known.endpoint, endpoint):
+            if known is None or is_started_anew(known.endpoint, endpoint):
                 known = self._make_stats(endpoint, known, is_first, now)
             known.endpoint = endpoint
             known.pool = pools.get(endpoint.instance, Pool.STABLE)
@@ -126,13 +112,13 @@
         self._upstreams = kept
         takes = [stats for stats in kept.values() if not stats.endpoint.leaving]
         for pool in self._takers:
-            self._takers[pool] = _Takers([stats for stats in takes if stats.pool is pool], self._zone)
+            self._takers[pool] = Takers([stats for stats in takes if stats.pool is pool], self._zone)
 
     def _make_stats(
         self, endpoint: messages.Endpoint, former: UpstreamStats | None, is_first: bool, now: float
     ) -> UpstreamStats:
         """Begin to keep what is known of an upstream that is new, or whose daemon is."""
-        if is_first or (former is not None and _is_same_application(former.endpoint, endpoint)):
+        if is_first or (former is not None and is_same_application(former.endpoint, endpoint)):
             # Who was there before this caller is taken to be warm, and so is an
             # application that runs on while its daemon is restarted.
             cold_for = 0.0
@@ -191,6 +177,7 @@
         excluded: frozenset = frozenset(),
         is_long: bool = False,
         pool: Pool = Pool.STABLE,
+        may_wait: bool = True,
     ) -> UpstreamStats | None:
         """Choose an upstream; the caller then calls `begin`.
 
@@ -206,6 +193,9 @@
             Whether the request has a long body.
         pool : Pool
             Whose upstreams may get it.
+        may_wait : bool
+            Whether one may be chosen that isn't due a request by the rate that it advertises,
+            where all others aren't, either: its daemon knows whether it can wait there.
 
         Returns
         -------
@@ -213,10 +203,12 @@
             None where no upstream takes work.
         """
         takers = self._takers[pool]
-        local = self._pick(self._usable(takers.local, excluded, now), slots, now)
-        remote = self._pick(self._usable(takers.remote, excluded, now), slots, now)
+        usable = self._usable(takers.local, excluded, now), self._usable(takers.remote, excluded, now)
+        local, remote = (
+            self._pick([stats for stats in part if stats.turns.is_open(now)], slots, now) for part in usable
+        )
         if remote is None or local is None:
-            return local or remote
+            return local or remote or (_next_in_turn([*usable[0], *usable[1]]) if may_wait else None)
         local_score = self._score(local, slots, now)
         policy = self._policy
         spill, penalty = policy.spill, policy.zone_penalty
@@ -297,6 +289,8 @@
         if now is not None and not stats.in_progress:
             stats.busy_since = now
         stats.in_progress += 1
+        if now is not None:
+            stats.turns.take(now)
 
     def end(
         self,
@@ -384,18 +378,6 @@
         return True
 
 
-def _is_started_anew(former: messages.Endpoint, endpoint: messages.Endpoint) -> bool:
-    """Tell whether an upstream's daemon or its application has been started since.
-
-    What was learned of an application that crashed says nothing of its next start: ejected
-    for the failures of the former, an application that was back had no request for up to
-    the longest ejection.
-    """
-    if former.incarnation < endpoint.incarnation:
-        return True
-    return bool(former.upstream) and not _is_same_application(former, endpoint)
-
-
-def _is_same_application(former: messages.Endpoint, endpoint: messages.Endpoint) -> bool:
-    """Tell whether the same start of an application is behind both, as far as is known."""
-    return bool(endpoint.upstream) and incarnation_of(former).may_be(incarnation_of(endpoint))
+def _next_in_turn(usable: list[UpstreamStats]) -> UpstreamStats | None:
+    """Return the one that is due a request first, by the rates that they advertise."""
+    return min(usable, key=lambda stats: stats.turns.next_at(), default=None)
--- a/packages/lanedock/lanedock/routing/upstream_stats.py
+++ b/packages/lanedock/lanedock/routing/upstream_stats.py
@@ -2,9 +2,11 @@
 """What a caller knows of one upstream."""
 
 from lanedock.canary import Pool
+from lanedock.membership import incarnation_of
+from lanedock.routing.turns import Turns
 from lanedock.wire import messages
 
-__all__ = ["UpstreamStats"]
+__all__ = ["UpstreamStats", "is_same_application", "is_started_anew"]
 
 
 class UpstreamStats:
@@ -23,6 +25,8 @@
         Whether no connection to its daemon could be made, and none since.
     failed_probes : int
         Attempts to connect that have failed since then.
+    turns : Turns
+        When it may be sent requests, where it limits their rate.
     """
 
     __slots__ = (
@@ -43,6 +47,7 @@
         "pool",
         "reported_at",
         "slowness",
+        "turns",
     )
 
     def __init__(self, endpoint: messages.Endpoint, cold_since: float | None, cold_for: float):
@@ -63,6 +68,7 @@
         self.answered_at = 0.0
         self.ended_at = 0.0
         self.slowness = 1.0
+        self.turns = Turns()
 
     def __repr__(self) -> str:
         return f"<UpstreamStats {self.endpoint.instance} in_progress={self.in_progress} others={self.others}>"
@@ -81,3 +87,20 @@
     def address(self) -> tuple[str, int]:
         """Where its daemon takes requests."""
         return (self.endpoint.host, self.endpoint.port)
+
+
+def is_started_anew(former: messages.Endpoint, endpoint: messages.Endpoint) -> bool:
+    """Tell whether an upstream's daemon or its application has been started since.
+
+    What was learned of an application that crashed says nothing of its next start: ejected
+    for the failures of the former, an application that was back had no request for up to
+    the longest ejection.
+    """
+    if former.incarnation < endpoint.incarnation:
+        return True
+    return bool(former.upstream) and not is_same_application(former, endpoint)
+
+
+def is_same_application(former: messages.Endpoint, endpoint: messages.Endpoint) -> bool:
+    """Tell whether the same start of an application is behind both, as far as is known."""
+    return bool(endpoint.upstream) and incarnation_of(former).may_be(incarnation_of(endpoint))
