Bind a drain that an answer states to the incarnation, at both daemons

What callers saw: an application that says in its answers that it leaves went on being sent requests until a heartbeat said so; in the product's own dialect the drain was kept by the daemon for its life, so that the application's next start got nothing.

Cause: the same as of the rate limit, what an application states in answers had no way into its registration. Change: it leaves there, for good, whatever a later heartbeat of that incarnation says; the mesh learns it as of any drain; a health check at a daemon's start counts, too. Answers between daemons say which of the two leaves (`Leaving`), and the caller's daemon keeps it for that start of the application, also over a restart of the upstream's daemon.

--- a/packages/lanedock-daemon/lanedock_daemon/agent/discovery.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/discovery.py
@@ -133,15 +133,18 @@
         registration = self._registration
         now = awake()
         asked = Incarnation(facts.upstream) if facts.upstream else registration.incarnation
+        is_leaving = facts.report.is_draining
         if registration.rival is not None:
             is_changed = registration.settle(facts.upstream, now)
             self._events.emit(
                 Event.RIVAL_SETTLED, upstream=registration.upstream, answered=facts.upstream, changed=is_changed
             )
-        elif facts.is_well and facts.upstream and not registration.upstream:
-            is_changed = registration.adopt(facts.upstream, registration.service, False, facts.slots, now)
+        elif (facts.is_well or is_leaving) and facts.upstream and not registration.upstream:
+            is_changed = registration.adopt(facts.upstream, registration.service, is_leaving, facts.slots, now)
             if is_changed:
-                self._events.emit(Event.UPSTREAM_ADOPTED, upstream=facts.upstream, leaving=False, source="health check")
+                self._events.emit(
+                    Event.UPSTREAM_ADOPTED, upstream=facts.upstream, leaving=is_leaving, source="health check"
+                )
         else:
             is_changed = False
         if self.registrar is not None:
--- a/packages/lanedock-daemon/lanedock_daemon/agent/registration.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/registration.py
@@ -136,6 +136,8 @@
             self._emit_rate()
         if revision != registration.revision:
             self._on_change()
+        if report.is_draining and registration.upstream:
+            self.leave(incarnation.upstream, incarnation.started)
 
     def _emit_rate(self) -> None:
         registration = self._registration
--- a/packages/lanedock-daemon/lanedock_daemon/path/http.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http.py
@@ -40,6 +40,7 @@
     "BodyTimeout",
     "EmptyBody",
     "HeadersByName",
+    "Leaving",
     "Outcome",
     "ReplayBody",
     "Request",
@@ -73,6 +74,7 @@
 CLASS_HEADER = "x-lanedock-class"
 VERSION_HEADER = "x-lanedock-version"
 LOAD_HEADER = "x-lanedock-load"
+# Which of the two takes no new work: one of `Leaving`.
 LEAVING_HEADER = "x-lanedock-leaving"
 # Milliseconds until the caller's next request to an upstream that limits their rate is worth
 # sending; left out where any is.
@@ -152,6 +154,13 @@
     UNKNOWN = "unknown"
 
 
+class Leaving:
+    """Which part of an upstream takes no new work any more."""
+
+    DAEMON = "daemon"
+    APPLICATION = "application"
+
+
 class BodyTimeout(TimeoutError):
     """A request's body has not come by its deadline: whoever sends it is slow, not who is to have it."""
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/tries.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tries.py
@@ -28,6 +28,7 @@
     TURN_HEADER,
     UPSTREAM_HEADER,
     Answer,
+    Leaving,
     Outcome,
     Request,
     public_headers,
@@ -203,8 +204,9 @@
         head = response.message
         load = read_int(head.header(LOAD_HEADER))
         stats.turns.note((read_int(head.header(TURN_HEADER)) or 0) / 1000, monotonic())
-        if head.header(LEAVING_HEADER):
-            balancer.note_leaving(stats.endpoint.instance)
+        leaving = head.header(LEAVING_HEADER)
+        if leaving:
+            balancer.note_leaving(stats.endpoint.instance, leaving == Leaving.APPLICATION)
             self._pool.forget(stats.address)
         outcome = head.header(OUTCOME_HEADER)
         if outcome == Outcome.NOT_RUN:
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
@@ -35,6 +35,7 @@
     VERSION_HEADER,
     Answer,
     BodyTimeout,
+    Leaving,
     Outcome,
     Request,
     describe_end,
@@ -144,8 +145,10 @@
         turn = self._gate.limiter.next_turn(monotonic())
         if turn:
             answer.headers.append((TURN_HEADER, str(math.ceil(1000 * turn))))
-        if self._view.is_draining:
-            answer.headers.append((LEAVING_HEADER, "1"))
+        if self._registration.is_leaving:
+            answer.headers.append((LEAVING_HEADER, Leaving.APPLICATION))
+        elif self._view.is_draining:
+            answer.headers.append((LEAVING_HEADER, Leaving.DAEMON))
         return answer
 
     def _admit(self, request: Request, facts: RequestFacts, span, started: float, log: RequestLog) -> Answer:
@@ -334,7 +337,9 @@
         """Take over what an answer states of the application; it binds from here on."""
         self._registrar.note_report(report, incarnation)
         self._gate.update_rate()
-        if report.is_draining and not self._view.is_draining:
+        is_registered = bool(self._registration.upstream)
+        if report.is_draining and not (is_registered or self._view.is_draining):
+            # Without an id its next start can't be told from it: it holds for the daemon's life.
             self._view.is_draining = True
             self._events.emit(Event.DRAINING, service=self._service)
 
--- a/packages/lanedock/lanedock/routing/balancer.py
+++ b/packages/lanedock/lanedock/routing/balancer.py
@@ -110,7 +110,7 @@
             known.pool = pools.get(endpoint.instance, Pool.STABLE)
             kept[endpoint.instance] = known
         self._upstreams = kept
-        takes = [stats for stats in kept.values() if not stats.endpoint.leaving]
+        takes = [stats for stats in kept.values() if not (stats.endpoint.leaving or stats.has_left)]
         for pool in self._takers:
             self._takers[pool] = Takers([stats for stats in takes if stats.pool is pool], self._zone)
 
@@ -131,6 +131,7 @@
         if former is not None:
             stats.slowness = former.slowness
             stats.ended_at = former.ended_at
+            stats.has_left = former.has_left and is_same_application(former.endpoint, endpoint)
         return stats
 
     def hedge_delay(self, kind: str) -> float:
@@ -161,10 +162,19 @@
         stats.slowness += _SMOOTHING * (taken / times.mean - stats.slowness)
         times.note(taken)
 
-    def note_leaving(self, instance: str) -> None:
-        """Give an upstream no new work; its daemon has reported that it leaves."""
+    def note_leaving(self, instance: str, is_application: bool = False) -> None:
+        """Give an upstream no new work; its daemon has reported that it leaves.
+
+        Parameters
+        ----------
+        instance : str
+        is_application : bool
+            Whether it is the application that leaves: its start gets nothing any more,
+            whatever is heard of it later.
+        """
         stats = self._upstreams.get(instance)
         if stats is not None:
+            stats.has_left = stats.has_left or is_application
             for takers in self._takers.values():
                 takers.remove(stats)
 
--- a/packages/lanedock/lanedock/routing/upstream_stats.py
+++ b/packages/lanedock/lanedock/routing/upstream_stats.py
@@ -25,6 +25,8 @@
         Whether no connection to its daemon could be made, and none since.
     failed_probes : int
         Attempts to connect that have failed since then.
+    has_left : bool
+        Whether its application takes no new work any more, whatever else is heard of it.
     turns : Turns
         When it may be sent requests, where it limits their rate.
     """
@@ -40,6 +42,7 @@
         "endpoint",
         "failed_probes",
         "failures",
+        "has_left",
         "in_progress",
         "is_on_trial",
         "is_unreachable",
@@ -68,6 +71,7 @@
         self.answered_at = 0.0
         self.ended_at = 0.0
         self.slowness = 1.0
+        self.has_left = False
         self.turns = Turns()
 
     def __repr__(self) -> str:
