Show what holds of an advertised rate limit and of a drain in an answer, and what it costs others

What failed or was wrong by reading and is mended with them: an answer of a former start under the same id bound the next one; a queued request that expired for slots got another retry delay than before; a caller's daemon looked at turns though no upstream has given any.

`lanedock status` shows the limit.

--- a/packages/lanedock-cli/lanedock_cli/render.py
+++ b/packages/lanedock-cli/lanedock_cli/render.py
@@ -97,6 +97,7 @@
                 "staged": state.staged_version,
                 "behind": state.in_force_version < reply.accepted_version,
                 "draining": state.draining,
+                "rate_limit": state.endpoint.rate_limit if state.endpoint.HasField("rate_limit") else None,
                 "relay": state.parent,
             }
         )
@@ -147,6 +148,8 @@
         notes.append("behind")
     if state.draining:
         notes.append("draining")
+    if state.endpoint.HasField("rate_limit"):
+        notes.append(f"at most {state.endpoint.rate_limit:g}/s")
     if state.parent:
         notes.append(f"by {state.parent}")
     return ", ".join(notes)
--- a/packages/lanedock-daemon/lanedock_daemon/path/slot_gate.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/slot_gate.py
@@ -165,7 +165,7 @@
             raise
         if not result.is_evicted and (is_admitted or not self.limiter.cancel(result)):
             return None
-        return self.limiter.refuse(traffic_class, wanted, monotonic())
+        return self.limiter.refuse(wanted, monotonic())
 
     def _leave_queue(self, queued: QueuedRequest, traffic_class: str) -> None:
         """Give up a request's place in the queue, or the slot it was just given."""
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/chain.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/chain.py
@@ -111,9 +111,12 @@
     ----------
     begun, cut : list of str
         Paths of the requests that came, and of those whose connection was closed.
+    headers : str
+        Lines that its answers have beside their length.
     """
 
     def __init__(self):
+        self.headers = ""
         self.opened = gevent.event.Event()
         self.begun: list[str] = []
         self.cut: list[str] = []
@@ -127,7 +130,7 @@
             self.cut.append(path)
             return None
         closed.kill()
-        return b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+        return f"HTTP/1.1 200 OK\r\n{self.headers}content-length: 2\r\n\r\nok".encode()
 
 
 class Upstream:
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_advertised_facts.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_advertised_facts.py
@@ -6,7 +6,7 @@
 
 from lanedock.clock import monotonic
 from lanedock.membership import Heartbeat, UpstreamRegistration
-from lanedock_daemon.path.tests.chain import Chain
+from lanedock_daemon.path.tests.chain import Chain, Gate, make_value, parse_answer, wait_until
 
 RATE = 16.0
 # Requests a second that are sent, and for how long, in seconds.
@@ -96,3 +96,89 @@
     chain.publish_endpoints(incarnation=2)
     assert set(_offer(chain, OFFERED, 0.5)) == {200}
     assert len(draining.arrivals) > came
+
+
+def test_a_limit_in_refusals_and_failures_holds_as_one_in_answers(make_chain):
+    limited, free = _limited(RATE), LimitedApplication()
+    limited.status = "500 Internal Server Error"
+    chain = make_chain(limited, free)
+    _offer(chain, OFFERED, 0.3)
+    assert chain.upstreams[0].limiter.rate.rate == RATE
+
+
+def test_an_upstream_that_takes_nothing_gets_nothing_and_its_siblings_all(make_chain):
+    limited, free = _limited(0), LimitedApplication()
+    chain = make_chain(limited, free)
+    _offer(chain, OFFERED, 0.3)
+    seen = len(limited.arrivals)
+    assert set(_offer(chain, OFFERED, 1.0)) == {200}
+    # One may have been admitted as the limit came.
+    assert len(limited.arrivals) <= seen + 1
+
+
+def test_a_limit_that_is_stated_no_more_ends_and_nothing_is_refused(make_chain):
+    limited, free = _limited(2.0), LimitedApplication()
+    chain = make_chain(limited, free)
+    _offer(chain, OFFERED, 0.5)
+    assert chain.upstreams[0].limiter.rate.is_limited
+    limited.headers = []
+    statuses = _offer(chain, OFFERED, 3.0)
+    assert set(statuses) == {200}
+    assert not chain.upstreams[0].limiter.rate.is_limited
+    came = len(limited.arrivals)
+    _offer(chain, OFFERED, 0.5)
+    assert len(limited.arrivals) - came > 10
+
+
+@pytest.mark.parametrize("value", ["", "nan", "-3", "1e400", "9" * 5000])
+def test_an_answer_with_an_unreadable_limit_is_delivered_whole_and_changes_none(make_chain, value):
+    limited, free = _limited(RATE), LimitedApplication()
+    chain = make_chain(limited, free)
+    _offer(chain, OFFERED, 0.3)
+    limited.headers = [f"x-upstream-rate-limit: {value}"]
+    status, _, body = parse_answer(chain.send(b"GET /y HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n"))
+    assert (status, body) == (200, b"ok")
+    _offer(chain, OFFERED, 0.3)
+    assert chain.upstreams[0].limiter.rate.rate == RATE
+
+
+def test_where_all_upstreams_are_at_their_limits_requests_are_refused_with_a_time_to_come_back(make_chain):
+    value = make_value()
+    value["routes"][0]["target_ms"] = 200
+    limited = [_limited(2.0) for _ in range(2)]
+    chain = make_chain(*limited, value=value)
+    _offer(chain, OFFERED, 0.3)
+    answers = []
+    for _ in range(20):
+        answers.append(chain.request("GET"))
+    refused = [head.lower() for status, head, _ in answers if status == 503]
+    assert refused
+    assert all("retry-after:" in head and "not-run" in head for head in refused)
+
+
+def test_a_limit_costs_neither_retries_nor_ejections(make_chain):
+    limited, free = _limited(2.0), LimitedApplication()
+    chain = make_chain(limited, free)
+    budget = chain.view.budget("s")
+    _offer(chain, OFFERED, 1.0)
+    left = budget.left(monotonic())
+    assert set(_offer(chain, OFFERED, 1.0)) == {200}
+    assert budget.left(monotonic()) >= left
+    stats = chain.view.balancer("s")._upstreams["u0"]
+    assert not stats.ejections and not stats.failures
+
+
+def test_a_drain_in_the_answer_of_a_former_start_does_not_bind_the_next(make_chain):
+    gate = Gate()
+    chain = make_chain(gate)
+    upstream = chain.upstreams[0]
+    registration = UpstreamRegistration("s", True, 1.0)
+    registration.beat(Heartbeat("a1", "s", 1, False, 4, 0.0, started=1), monotonic())
+    upstream.replace_registration(registration)
+    task = gevent.spawn(chain.request, "GET")
+    wait_until(lambda: gate.begun)
+    registration.beat(Heartbeat("a1", "s", 1, False, 4, 0.0, started=2), monotonic())
+    gate.headers = "x-upstream-draining: 1\r\n"
+    gate.opened.set()
+    assert task.get(timeout=10)[0] == 200
+    assert not registration.is_leaving
--- a/packages/lanedock-daemon/lanedock_daemon/path/tries.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tries.py
@@ -203,7 +203,7 @@
             raise
         head = response.message
         load = read_int(head.header(LOAD_HEADER))
-        stats.turns.note((read_int(head.header(TURN_HEADER)) or 0) / 1000, monotonic())
+        balancer.note_turn(stats, (read_int(head.header(TURN_HEADER)) or 0) / 1000, monotonic())
         leaving = head.header(LEAVING_HEADER)
         if leaving:
             balancer.note_leaving(stats.endpoint.instance, leaving == Leaving.APPLICATION)
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
@@ -6,7 +6,7 @@
 from lanedock.clock import awake, monotonic
 from lanedock.errors import ErrorCode
 from lanedock.limits import AdmissionRequest
-from lanedock.membership import Incarnation, UpstreamRegistration, UpstreamReport
+from lanedock.membership import UpstreamRegistration, UpstreamReport
 from lanedock.quarantine import Fingerprint, RequestHasher
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics, RequestLog, RequestLogger, Tracer
 from lanedock_daemon.agent.registration import Registrar
@@ -272,7 +272,7 @@
         if account is not None:
             account.note_sent()
         self._metrics.count(Metric.PASSED_ON)
-        incarnation = self._registration.incarnation
+        advertised = self._registration.advertised
         work = Work(self._crashes, hasher, slot, request.body, deadline)
         try:
             pending = send_request(self._pool, self._application, request, headers, deadline)
@@ -304,8 +304,9 @@
             foreign = ExchangeError(ErrorCode.ANSWER_LOST, Outcome.UNKNOWN, "an answer to another request")
             return self._on_lost(foreign, log)
         self._registration.note_answer(awake())
-        if not facts.is_elsewhere:
-            self._note_report(facts.report, incarnation)
+        # What a former start of the application states says nothing of the one that is held.
+        if not facts.is_elsewhere and advertised is self._registration.advertised:
+            self._note_report(facts.report)
         if facts.was_refused:
             return self._on_refused(response, work, facts.is_elsewhere, log)
         if account is not None:
@@ -333,9 +334,9 @@
         rest = AnswerPieces(response, end, first, deadline - started)
         return Answer(head.status, head.reason, headers, rest)
 
-    def _note_report(self, report: UpstreamReport, incarnation: Incarnation) -> None:
+    def _note_report(self, report: UpstreamReport) -> None:
         """Take over what an answer states of the application; it binds from here on."""
-        self._registrar.note_report(report, incarnation)
+        self._registrar.note_report(report, self._registration.incarnation)
         self._gate.update_rate()
         is_registered = bool(self._registration.upstream)
         if report.is_draining and not (is_registered or self._view.is_draining):
--- a/packages/lanedock/lanedock/limits/slots.py
+++ b/packages/lanedock/lanedock/limits/slots.py
@@ -152,7 +152,7 @@
         if refused is not None:
             return refused
         if not (self._queue.has_room(traffic_class) or self._queue.evict_for(traffic_class, request)):
-            return self.refuse(traffic_class, request, now)
+            return self.refuse(request, now, self._estimate_wait(traffic_class, request, now))
         queued = QueuedRequest(traffic_class, request, on_admitted, self._expiry(request, now))
         self._queue.add(queued)
         return queued
@@ -168,11 +168,21 @@
         wait = self._estimate_wait(traffic_class, request, now)
         if now + _WAIT_MARGIN * wait <= self._expiry(request, now):
             return None
-        return self.refuse(traffic_class, request, now)
+        return self.refuse(request, now, wait)
 
-    def refuse(self, traffic_class: str, request: AdmissionRequest, now: float) -> Refused:
-        """Refuse a request that would wait too long, or has."""
-        wait = self._estimate_wait(traffic_class, request, now)
+    def refuse(self, request: AdmissionRequest, now: float, wait: float | None = None) -> Refused:
+        """Refuse a request that would wait too long, or has.
+
+        Parameters
+        ----------
+        request : AdmissionRequest
+        now : float
+            Monotonic, seconds.
+        wait : float, optional
+            Estimated, in seconds; that for the rate alone where it is left out.
+        """
+        if wait is None:
+            wait = self.rate.wait(now, self.waiting)
         retry_after = self.return_after(request, now, wait)
         if self.rate.wait(now, self.waiting) > 0:
             return Refused(ErrorCode.RATE_LIMITED, retry_after, "rate")
--- a/packages/lanedock/lanedock/routing/balancer.py
+++ b/packages/lanedock/lanedock/routing/balancer.py
@@ -78,6 +78,7 @@
         self._body_times: dict[str, MovingTime] = {}
         self._limit = _HEDGE_DELAY_FIRST
         self._limit_until = float("-inf")
+        self._turns_until = float("-inf")
 
     def __repr__(self) -> str:
         stable = self._takers[Pool.STABLE]
@@ -214,9 +215,7 @@
         """
         takers = self._takers[pool]
         usable = self._usable(takers.local, excluded, now), self._usable(takers.remote, excluded, now)
-        local, remote = (
-            self._pick([stats for stats in part if stats.turns.is_open(now)], slots, now) for part in usable
-        )
+        local, remote = (self._pick(self._due(part, now), slots, now) for part in usable)
         if remote is None or local is None:
             return local or remote or (_next_in_turn([*usable[0], *usable[1]]) if may_wait else None)
         local_score = self._score(local, slots, now)
@@ -246,6 +245,12 @@
         # what a probe has confirmed to be unreachable is no guess any more.
         return [stats for stats in pool if not stats.failed_probes]
 
+    def _due(self, usable: list[UpstreamStats], now: float) -> list[UpstreamStats]:
+        """Return those that are due a request by the rates that they advertise, if any does."""
+        if now >= self._turns_until:
+            return usable
+        return [stats for stats in usable if stats.turns.is_open(now)]
+
     def _pick(self, usable: list[UpstreamStats], slots: int, now: float) -> UpstreamStats | None:
         if not usable:
             return None
@@ -363,6 +368,11 @@
             return False
         return self._eject(stats, now)
 
+    def note_turn(self, stats: UpstreamStats, wait: float, now: float) -> None:
+        """Note when an upstream is due a request by the rate that it advertises; see `Turns.note`."""
+        stats.turns.note(wait, now)
+        self._turns_until = max(self._turns_until, stats.turns.limited_until)
+
     def note_probe(self, stats: UpstreamStats, is_reached: bool) -> None:
         """Note whether a connection to an unreachable upstream could be made."""
         if is_reached:
--- a/tools/bench_rate_limit.py
+++ b/tools/bench_rate_limit.py
@@ -68,7 +68,7 @@
     """The upstream's daemon, which gives callers their turns."""
 
     def note_answer(self, stats, limiter: SlotLimiter, now: float) -> None:
-        stats.turns.note(limiter.next_turn(now), now)
+        stats.caller.balancer.note_turn(stats, limiter.next_turn(now), now)
 
 
 class ByCallers(Keeping):
