--- a/tests/crashing_application.py
+++ b/tests/crashing_application.py
@@ -42,12 +42,20 @@
         Monotonic seconds, path and start of the application of all that it has begun to run.
     crashes : list of tuple of (float, str)
         Monotonic seconds and start of the application.
+    stated_limits : list of tuple of (float, str, float or None)
+        Monotonic seconds, start, and the rate limit that its answers state from then on.
+    left_at : dict of str to float
+        Monotonic seconds of the first answer of a start which stated that it leaves.
     """
 
     def __init__(self, ip: str, upstream: str, work: float = 0.02, crash_after: float = 0.0):
         self.arrivals: list[tuple[float, str, str]] = []
         self.crashes: list[tuple[float, str]] = []
+        self.stated_limits: list[tuple[float, str, float | None]] = []
+        self.left_at: dict[str, float] = {}
         self.crash_after = crash_after
+        self._rate_limit: float | None = None
+        self._states_drain = False
         self.work = work
         self._ip = ip
         self._name = upstream
@@ -70,7 +78,7 @@
         with self._lock:
             self._starts += 1
             self._sequence = 0
-            self._is_draining = False
+            self._is_draining = self._states_drain = False
             self._listener = socket.socket()
             self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             self._listener.bind((self._ip, APP_PORT))
@@ -82,10 +90,26 @@
         if self._end(start):
             self.crashes.append((time.monotonic(), start))
 
-    def replace(self, drain: float) -> None:
-        """Announce that the application leaves, end it after so many seconds, and start the next one."""
+    def limit(self, rate: float | None) -> None:
+        """Have all answers state a rate limit from now on; None for none."""
+        self._rate_limit = rate
+        self.stated_limits.append((time.monotonic(), self.upstream, rate))
+
+    def _stated(self, start: str) -> str:
+        """Return the lines by which an answer states what holds of the application."""
+        lines = f"Server-Limit: {self._rate_limit:g}\r\n" if self._rate_limit is not None else ""
+        if self._states_drain and start == self.upstream:
+            lines += "Server-Leaving: 1\r\n"
+            self.left_at.setdefault(start, time.monotonic())
+        return lines
+
+    def replace(self, drain: float, by_answers: bool = False) -> None:
+        """Announce that the application leaves, end it after so many seconds, and start the next one.
+
+        By its heartbeats, or by its answers alone.
+        """
         start = self.upstream
-        self._is_draining = True
+        self._is_draining, self._states_drain = not by_answers, by_answers
         if not self._is_stopped.wait(drain):
             self._end(start)
 
@@ -165,7 +189,8 @@
         path, headers = first.split(" ")[1], _read_headers(reader)
         body = _read_body(reader, headers)
         if path == HEALTH_PATH:
-            conn.sendall(f"HTTP/1.1 200 OK\r\nX-Instance-Id: {start}\r\nContent-Length: 0\r\n\r\n".encode())
+            fields = f"X-Instance-Id: {start}\r\n{self._stated(start)}Content-Length: 0"
+            conn.sendall(f"HTTP/1.1 200 OK\r\n{fields}\r\n\r\n".encode())
             return True
         if headers.get("x-expect-instance", start) != start:
             conn.sendall(b"HTTP/1.1 421 Misdirected\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
@@ -181,7 +206,7 @@
         status = "200 OK"
         if calls and self._call(path.removeprefix(CALLS), f"{request_id}-1") != 200:
             status = "500 A call has failed"
-        fields = f"X-Request-Id: {request_id}\r\nX-Server-Stamp: {start}\r\nContent-Length: 2"
+        fields = f"X-Request-Id: {request_id}\r\nX-Server-Stamp: {start}\r\n{self._stated(start)}Content-Length: 2"
         conn.sendall(f"HTTP/1.1 {status}\r\n{fields}\r\n\r\nok".encode())
         return True
 
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -1,8 +1,8 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """A soak: faults in series and overlapping, while requests, requests that crash, and changes go on.
 
-Processes are suspended, paused, killed and stopped as planned; applications crash and are replaced;
-zones are cut off.
+Processes are suspended, paused, killed and stopped as planned; applications crash, are replaced, and
+state rate limits and drains in their answers; zones are cut off.
 
 By hand, for so many seeds: ``python tests/soak.py --seeds 50``. A seed draws the faults and their
 order; what the processes make of them differs between runs.
@@ -23,6 +23,7 @@
     # As pytest has them.
     sys.path[:0] = [str(TESTS), str(TESTS.parent / "platform")]
 
+from advertised_facts import find_excess, find_late_arrivals  # noqa: E402
 from crash_mesh import (  # noqa: E402
     DAEMONS,
     MAX_ARRIVALS,
@@ -43,6 +44,8 @@
 # daemon that was killed has to start and find its application first.
 CALM = 8.0
 CALM_JUDGED = 3.0
+# Part of the applications that may limit their rate at once: the others bear the load.
+LIMITED_PART = 3
 CUT_ZONE, OTHER_ZONES = "z0", ["z1", "z2"]
 
 
@@ -110,6 +113,8 @@
         self._is_over = threading.Event()
         self._acked: list[tuple[float, int]] = []
         self._faults = [self._suspend, self._pause, self._kill, self._stop, self._crash, self._release, self._cut]
+        self._faults += [self._limit, self._leave]
+        self._limiting = threading.Semaphore(daemons // LIMITED_PART)
         self._cuts = Cuts(self._mesh)
         self._poisons: list[tuple[str, str, bytes]] = []
         self._writes = 0
@@ -201,6 +206,22 @@
         for app in rng.sample(list(self._mesh.applications.values()), rng.randint(1, 3)):
             app.replace(rng.uniform(0.5, 1.5))
 
+    def _limit(self, seed: int) -> None:
+        """Have an application limit the rate of its requests, once or twice differently."""
+        rng = Random(seed)
+        app = rng.choice(list(self._mesh.applications.values()))
+        with self._limiting:
+            for _ in range(rng.randint(1, 2)):
+                app.limit(rng.choice([0.0, rng.uniform(0.3, 2.0), rng.uniform(2.0, 8.0)]))
+                time.sleep(rng.uniform(4.0, 10.0))
+            app.limit(None)
+
+    def _leave(self, seed: int) -> None:
+        """Replace an application that states in its answers alone that it leaves."""
+        rng = Random(seed)
+        app = rng.choice(list(self._mesh.applications.values()))
+        app.replace(rng.uniform(2.5, 5.0), by_answers=True)
+
     def _cut(self, seed: int) -> None:
         rng = Random(seed)
         self._cuts.cut(rng.choice(OTHER_ZONES), rng.uniform(0.3, 6.0))
@@ -268,6 +289,8 @@
             ]
             if len(late) > MAX_ARRIVALS:
                 self.findings.append(f"{path} reached {len(late)} applications more, {len(ended)} in all")
+        for app in self._mesh.applications.values():
+            self.findings += find_excess(app, time.monotonic()) + find_late_arrivals(app)
         twice = [path for path, at in runs.items() if "/write-" in path and len(at) > 1]
         if twice:
             self.findings.append(f"ran more than once: {twice}")
