--- a/packages/lanedock/lanedock/limits/tests/test_rate.py
+++ b/packages/lanedock/lanedock/limits/tests/test_rate.py
@@ -4,7 +4,7 @@
 import math
 
 import pytest
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from lanedock.config import TrafficClass
@@ -51,6 +51,8 @@
     rate=st.floats(0.5, 50.0),
     delays=st.lists(st.floats(0.0, 3.0), min_size=1, max_size=200),
 )
+# All that was admitted in six seconds is at hand at once.
+@example(rate=20.0, delays=[6.0 - number / 20.0 for number in range(120)] + [0.0] * 80)
 def test_requests_whose_bodies_are_late_do_not_arrive_together(rate, delays):
     limiter = RateLimiter()
     limiter.configure(rate, 0.0)
--- a/packages/lanedock/lanedock/membership/tests/test_advertised_rate.py
+++ b/packages/lanedock/lanedock/membership/tests/test_advertised_rate.py
@@ -3,6 +3,7 @@
 
 import pytest
 
+from lanedock.errors import ErrorCode
 from lanedock.membership import AdvertisedRate, Heartbeat, Incarnation, UpstreamRegistration, UpstreamReport
 
 
@@ -105,3 +106,10 @@
     assert registration.revision == before + 1
     assert registration.note_report(UpstreamReport(rate_limit=16.1), Incarnation("a1"), 0.0)
     assert registration.revision == before + 1
+
+
+def test_a_drain_that_was_stated_in_an_answer_is_not_undone_by_a_ready_heartbeat():
+    registration = _registered()
+    assert registration.leave("a1")
+    registration.beat(Heartbeat("a1", "s", 9, False, 4, 0.0), 1.0)
+    assert registration.judge("a1") is ErrorCode.DRAINING
