Judge a canary's times against the stable upstreams but the slowest

What operators saw: a version three times slower, beside one stable upstream that was slowed as much for 8 s, got 337 of 750 requests and wasn't rolled back in time.

Cause: the stable version was one sum. One slow upstream of ten moves the time from which an answer counts as slow beyond that of a version as slow. Change: the baseline keeps the stable upstreams apart, as their daemons report them already, and leaves the slowest tenth out of its times where there are five or more.

--- a/packages/lanedock/lanedock/canary/analysis.py
+++ b/packages/lanedock/lanedock/canary/analysis.py
@@ -14,7 +14,7 @@
 """
 
 from abc import ABC, abstractmethod
-from math import log, sqrt
+from math import ceil, log, sqrt
 
 from lanedock.canary.counts import BUCKETS, time_bucket
 from lanedock.canary.evidence import Increment
@@ -34,6 +34,11 @@
 EXCESS = 0.15
 # Time in which what is known of the stable version fades to 1/e, in seconds.
 BASELINE_MEMORY = 1.0
+# Part of the stable upstreams, the slowest ones, that say nothing of their version's times, and how
+# many there have to be for that; and answers below which one is forgotten.
+SLOWEST_PART = 0.1
+MIN_SOURCES = 5
+FADED = 0.01
 # Answers of the stable version that give its times a meaning.
 MIN_BASELINE = 20
 # Part of the stable version's answers that take longer than what counts as slow; and how many
@@ -72,13 +77,12 @@
         """Return what shows that the version is bad, for operators; empty where nothing does."""
 
 
-class _Baseline:
-    """What the stable version does on one route."""
+class _Counts:
+    """What one stable upstream does on one route."""
 
-    __slots__ = ("added_at", "answered", "failed", "times")
+    __slots__ = ("answered", "failed", "times")
 
     def __init__(self):
-        self.added_at = 0.0
         self.answered = 0.0
         self.failed = 0.0
         self.times = [0.0] * BUCKETS
@@ -94,21 +98,59 @@
         for bucket, count in enumerate(increment.times):
             self.times[bucket] += count
 
+    def slowness(self) -> float:
+        """Return the mean bucket of its times."""
+        total = sum(self.times)
+        return sum(bucket * count for bucket, count in enumerate(self.times)) / total if total else 0.0
+
+
+class _Baseline:
+    """What the stable version does on one route.
+
+    The slowest upstreams say nothing of its times: beside one that is slow for a reason of its
+    own a version that is as slow would not stand out.
+    """
+
+    __slots__ = ("_sources", "added_at")
+
+    def __init__(self):
+        self.added_at = 0.0
+        self._sources: dict[str, _Counts] = {}
+
+    def fade(self, factor: float) -> None:
+        for name, counts in list(self._sources.items()):
+            counts.fade(factor)
+            if counts.answered < FADED:
+                del self._sources[name]
+
+    def add(self, increment: Increment) -> None:
+        self._sources.setdefault(increment.source, _Counts()).add(increment)
+
+    def _times(self) -> list[float]:
+        """Return the times of all upstreams but the slowest, by bucket."""
+        sources = sorted(self._sources.values(), key=_Counts.slowness)
+        if len(sources) >= MIN_SOURCES:
+            del sources[-ceil(SLOWEST_PART * len(sources)) :]
+        return [sum(counts) for counts in zip(*(source.times for source in sources), strict=True)]
+
     def failing(self) -> float:
         """Return the share of failures that is still good."""
-        return _bound(self.failed + PRIOR * PRIOR_SHARE, self.answered + PRIOR)
+        failed = sum(counts.failed for counts in self._sources.values())
+        answered = sum(counts.answered for counts in self._sources.values())
+        return _bound(failed + PRIOR * PRIOR_SHARE, answered + PRIOR)
 
     def slow(self) -> tuple[int, float] | None:
         """Return the bucket from which an answer is slow, and the share of slow ones that is still good."""
-        total = sum(self.times)
+        times = self._times()
+        total = sum(times)
         if total < MIN_BASELINE:
             return None
         above, bucket = 0.0, BUCKETS - 1
-        while bucket > 0 and above + self.times[bucket] <= SLOW_PART * total:
-            above += self.times[bucket]
+        while bucket > 0 and above + times[bucket] <= SLOW_PART * total:
+            above += times[bucket]
             bucket -= 1
         first = max(time_bucket(SLOW_MIN), min(BUCKETS - 1, bucket + 1 + SLOW_BUCKETS))
-        return first, _bound(sum(self.times[first:]) + PRIOR * PRIOR_SHARE, total + PRIOR)
+        return first, _bound(sum(times[first:]) + PRIOR * PRIOR_SHARE, total + PRIOR)
 
 
 def _bound(count: float, total: float) -> float:
@@ -161,13 +203,14 @@
         elapsed = now - self._noted_at if self._noted_at is not None else 0.0
         self._noted_at = now
         factor = max(0.0, 1 - elapsed / BASELINE_MEMORY)
-        for increment in increments:
-            if not increment.upstream and increment.answered:
-                baseline = self._baselines.setdefault(increment.route, _Baseline())
-                # Without new answers what is known stays as it is: all traffic may be the canary's.
-                baseline.fade(factor)
-                baseline.add(increment)
-                baseline.added_at = now
+        stable = [increment for increment in increments if not increment.upstream and increment.answered]
+        # Without new answers what is known stays as it is: all traffic may be the canary's.
+        for route in {increment.route for increment in stable}:
+            baseline = self._baselines.setdefault(route, _Baseline())
+            baseline.fade(factor)
+            baseline.added_at = now
+        for increment in stable:
+            self._baselines[increment.route].add(increment)
         for increment in increments:
             if increment.upstream and increment.answered:
                 self._judge(increment, now)
--- a/packages/lanedock/lanedock/canary/evidence.py
+++ b/packages/lanedock/lanedock/canary/evidence.py
@@ -11,26 +11,29 @@
 
 
 class Increment:
-    """What is new of one route's requests to the stable upstreams, or to one canary upstream.
+    """What is new of one route's requests to one upstream.
 
     Parameters
     ----------
     route : str
     upstream : str
-        The canary's instance; empty for the stable ones.
+        The canary's instance; empty for a stable one.
 
     Attributes
     ----------
+    source : str
+        Daemon that has counted it: that of the upstream.
     sent, answered, failed : int
     times : list of int
         Answers that did not fail, by bucket of their time.
     """
 
-    __slots__ = ("answered", "failed", "route", "sent", "times", "upstream")
+    __slots__ = ("answered", "failed", "route", "sent", "source", "times", "upstream")
 
     def __init__(self, route: str, upstream: str):
         self.route = route
         self.upstream = upstream
+        self.source = ""
         self.sent = 0
         self.answered = 0
         self.failed = 0
@@ -98,17 +101,18 @@
         daemons : dict of str to DaemonState
             The freshest state of each daemon.
         """
-        increments: dict[tuple[str, str], Increment] = {}
+        increments: list[Increment] = []
         for name, state in daemons.items():
-            self._take_daemon(name, state, increments)
-        for increment in increments.values():
+            increments += self._take_daemon(name, state)
+        for increment in increments:
             (self.canary if increment.upstream else self.stable).add(increment)
-        return list(increments.values())
+        return increments
 
-    def _take_daemon(self, name: str, state: messages.DaemonState, increments: dict) -> None:
+    def _take_daemon(self, name: str, state: messages.DaemonState) -> list[Increment]:
         known = self._known.get(name)
         if known is not None and known[0] > state.incarnation:
-            return
+            return []
+        increments = []
         rows = known[1] if known is not None and known[0] == state.incarnation else {}
         for counts in state.canary_counts:
             if counts.number != self._number:
@@ -120,9 +124,10 @@
             if former is not None and (former.sent > counts.sent or former.answered > counts.answered):
                 # A state older than the one that is known.
                 continue
-            increment = increments.get(key)
-            if increment is None:
-                increment = increments[key] = Increment(*key)
+            increment = Increment(*key)
+            increment.source = name
             increment.add(counts, former)
+            increments.append(increment)
             rows[key] = counts
         self._known[name] = (state.incarnation, rows)
+        return increments
--- a/packages/lanedock/lanedock/canary/tests/test_analysis.py
+++ b/packages/lanedock/lanedock/canary/tests/test_analysis.py
@@ -32,6 +32,17 @@
                 return self.analysis.finding()
         return ""
 
+    def make_stable(self, source: str, rate: float, slow: float) -> Increment:
+        """Make what is new of one stable upstream, at a rate for each look."""
+        increment = self.make_at("", rate, slow)
+        increment.source = source
+        return increment
+
+    def make_at(self, upstream: str, rate: float, slow: float) -> Increment:
+        """Make what is new of an upstream at a rate for each look, which needs not be whole."""
+        count = int(rate) + (self.rng.random() < rate % 1)
+        return self._make(upstream, count, 0.004, slow)
+
     def _make(self, upstream: str, count: int, failing: float, slow: float) -> Increment:
         increment = Increment("read", upstream)
         increment.answered = increment.sent = count
@@ -86,3 +97,24 @@
 @pytest.mark.parametrize("seed", range(5))
 def test_a_bad_version_is_found_while_both_fail(seed):
     assert _Stream(seed).play(20, dict.fromkeys("abc", 0.5), stable=0.2)
+
+
+def _play_beside_a_slow_stable_upstream(seed: int, slow: float) -> str:
+    """Play a canary at 6 requests a second beside 50 to ten stable upstreams, of which one is three times slower."""
+    stream = _Stream(seed)
+    while stream.now < 20 and not stream.analysis.finding():
+        stream.now += LOOK
+        increments = [stream.make_stable(f"s{number}", 0.5, 1.0 if number else 3.0) for number in range(10)]
+        increments += [stream.make_at(name, 0.3, slow) for name in "ab"]
+        stream.analysis.note(increments, stream.now)
+    return stream.analysis.finding()
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_a_slow_version_is_found_beside_a_slow_stable_upstream(seed):
+    assert "slow" in _play_beside_a_slow_stable_upstream(seed, 3.0)
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_a_good_version_is_left_alone_beside_a_slow_stable_upstream(seed):
+    assert _play_beside_a_slow_stable_upstream(seed, 1.0) == ""
