Move headers, answer times and writing of answers into modules of their own

Header names stand in path/headers.py with their meaning; times to answers in routing/answer_times.py; what writes and closes an answer's body in path/answer_writer.py, which stood twice; what becomes of two tries at once in path/hedges.py. No behaviour is changed.

--- a/packages/lanedock-daemon/lanedock_daemon/path/caller.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller.py
@@ -14,25 +14,20 @@
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics, RequestLog, RequestLogger, Span, Tracer
 from lanedock_daemon.agent.view import Binding, LocalView
 from lanedock_daemon.path.dialect import Dialect, OwnDialect, RequestFacts
-from lanedock_daemon.path.http import (
+from lanedock_daemon.path.headers import (
     CALLER_HEADER,
     CLASS_HEADER,
     CODE_HEADER,
     OUTCOME_HEADER,
     PARENT_HEADER,
-    RETRY_AFTER,
     ROUTE_HEADER,
     SERVICE_HEADER,
     TRACE_HEADER,
     VERSION_HEADER,
-    Answer,
-    Outcome,
-    ReplayBody,
-    Request,
-    describe_end,
     public_headers,
     write_name,
 )
+from lanedock_daemon.path.http import RETRY_AFTER, Answer, Outcome, ReplayBody, Request, describe_end
 from lanedock_daemon.path.job import Job, Try
 from lanedock_daemon.path.pool import ConnectionPool
 from lanedock_daemon.path.service import StopTimeout
--- a/packages/lanedock-daemon/lanedock_daemon/path/connection.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/connection.py
@@ -11,17 +11,9 @@
 from lanedock.clock import monotonic
 from lanedock.errors import ErrorCode
 from lanedock_daemon.agent.attest import ALIVE_PATH
-from lanedock_daemon.path.http import (
-    HOP_HEADERS,
-    NEVER,
-    PACE_HEADER,
-    RETRY_AFTER,
-    Answer,
-    Body,
-    Outcome,
-    Request,
-    make_refusal,
-)
+from lanedock_daemon.path.answer_writer import close_pieces, write_pieces
+from lanedock_daemon.path.headers import HOP_HEADERS, PACE_HEADER
+from lanedock_daemon.path.http import NEVER, RETRY_AFTER, Answer, Body, Outcome, Request, make_refusal
 from lanedock_daemon.path.incoming import Exchange
 from lanedock_daemon.path.parser import MalformedMessage, Message, RequestReader
 from lanedock_daemon.path.service import StopTimeout
@@ -258,7 +250,7 @@
         finally:
             if answer is not None:
                 # Also where its turn never came: what its body holds is let go.
-                _close(answer.pieces)
+                close_pieces(answer.pieces)
             self._server.in_progress -= 1
             self._end(exchange)
             if exchange.done is not None:
@@ -342,29 +334,15 @@
         pieces = iter(answer.pieces)
         try:
             if has_body:
-                self._write_body(head, pieces, is_chunked)
+                write_pieces(self._conn, head, pieces, is_chunked)
             else:
                 self._conn.sendall(head)
         finally:
-            _close(pieces)
+            close_pieces(pieces)
         self._ends_by_close = False
         if not keep_alive:
             self._close_politely()
 
-    def _write_body(self, head: bytes, pieces, is_chunked: bool) -> None:
-        pending = head
-        for piece in pieces:
-            if not piece:
-                continue
-            if is_chunked:
-                piece = b"%x\r\n%b\r\n" % (len(piece), piece)
-            self._conn.sendall(pending + piece if pending else piece)
-            pending = b""
-        if is_chunked:
-            pending += b"0\r\n\r\n"
-        if pending:
-            self._conn.sendall(pending)
-
     def _close_politely(self) -> None:
         """End the connection for the caller; the reader takes what is still on its way.
 
@@ -396,12 +374,6 @@
             pass  # the caller has gone: nobody reads the refusal
 
 
-def _close(pieces) -> None:
-    close = getattr(pieces, "close", None)
-    if close is not None:
-        close()
-
-
 def _make_request(message: Message, body: Body) -> Request:
     listed = message.header("connection").lower()
     dropped = {name.strip() for name in listed.split(",")} if listed else ()
--- a/packages/lanedock-daemon/lanedock_daemon/path/dialect.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/dialect.py
@@ -10,7 +10,7 @@
 
 from lanedock.errors import ErrorCode
 from lanedock.membership import UpstreamReport
-from lanedock_daemon.path.http import (
+from lanedock_daemon.path.headers import (
     ATTEMPT_HEADER,
     CODE_HEADER,
     DEADLINE_HEADER,
@@ -18,9 +18,8 @@
     OUTCOME_HEADER,
     REQUEST_ID_HEADER,
     TRACE_HEADER,
-    Answer,
-    make_refusal,
 )
+from lanedock_daemon.path.http import Answer, make_refusal
 
 __all__ = ["AnswerFacts", "Dialect", "HealthFacts", "OwnDialect", "RequestFacts"]
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/parser.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/parser.py
@@ -6,7 +6,8 @@
 import httptools
 
 from lanedock.errors import ErrorCode, LanedockError
-from lanedock_daemon.path.http import PACE_HEADER, HeadersByName, read_int
+from lanedock_daemon.path.headers import PACE_HEADER, read_int
+from lanedock_daemon.path.http import HeadersByName
 
 __all__ = ["HEAD_LIMIT", "AnswerReader", "MalformedMessage", "MessageReader", "RequestReader"]
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/slot_gate.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/slot_gate.py
@@ -11,16 +11,15 @@
 from lanedock.telemetry import Metrics
 from lanedock_daemon.agent.view import Binding
 from lanedock_daemon.path.body_gate import BodyGate
-from lanedock_daemon.path.http import (
+from lanedock_daemon.path.headers import (
     CALLER_HEADER,
     CLASS_HEADER,
     PARENT_HEADER,
-    RETRY_AFTER,
     ROUTE_HEADER,
     SERVICE_HEADER,
-    Request,
     read_name,
 )
+from lanedock_daemon.path.http import RETRY_AFTER, Request
 from lanedock_daemon.path.service import StopTimeout
 
 __all__ = ["Slot", "SlotGate"]
@@ -104,12 +103,21 @@
             self.update_rate()
             self.limiter.admit_queued(monotonic())
 
-    def wait_to_arrive(self, deadline: float) -> bool:
-        """Wait until an admitted request may reach the application; False where it can't by its deadline."""
-        while wait := self.limiter.rate.arrive(monotonic()):
-            if monotonic() + wait >= deadline:
-                return False
-            gevent.sleep(min(wait, RATE_POLL[1]))
+    def wait_to_arrive(self, traffic_class: str, deadline: float) -> bool:
+        """Wait until an admitted request may reach the application.
+
+        False, with its slot given back, where it can't by its deadline.
+        """
+        may_arrive = False
+        try:
+            while wait := self.limiter.rate.arrive(monotonic()):
+                if monotonic() + wait >= deadline:
+                    return False
+                gevent.sleep(min(wait, RATE_POLL[1]))
+            may_arrive = True
+        finally:
+            if not may_arrive:
+                self.limiter.release(traffic_class, None, monotonic())
         return True
 
     def classify(self, request: Request, binding: Binding | None) -> str:
--- a/packages/lanedock-daemon/lanedock_daemon/path/suspicions.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/suspicions.py
@@ -3,7 +3,8 @@
 
 from lanedock.quarantine import MAX_CRASHES_KEPT, Fingerprint
 from lanedock.wire import messages
-from lanedock_daemon.path.http import CRASHES_HEADER, SUSPECT_HEADER, HeadersByName, read_name, write_name
+from lanedock_daemon.path.headers import CRASHES_HEADER, SUSPECT_HEADER, read_name, write_name
+from lanedock_daemon.path.http import HeadersByName
 
 __all__ = ["read_suspicions", "write_suspicions"]
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_body_gate.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_body_gate.py
@@ -8,8 +8,7 @@
 
 from lanedock.errors import ErrorCode
 from lanedock.wire import messages
-from lanedock_daemon.path.http import (
-    ASK_LIMIT,
+from lanedock_daemon.path.headers import (
     CLASS_HEADER,
     CODE_HEADER,
     DEADLINE_HEADER,
@@ -17,8 +16,8 @@
     ROUTE_HEADER,
     SERVICE_HEADER,
     TARGET_HEADER,
-    Outcome,
 )
+from lanedock_daemon.path.http import ASK_LIMIT, Outcome
 from lanedock_daemon.path.tests.chain import HOST, Gate, make_value, wait_until
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_deadlines.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_deadlines.py
@@ -28,15 +28,15 @@
 from lanedock.errors import ErrorCode
 from lanedock.wire import messages
 from lanedock_daemon.path.channel import Channel
-from lanedock_daemon.path.http import (
+from lanedock_daemon.path.headers import (
     CLASS_HEADER,
     CODE_HEADER,
     DEADLINE_HEADER,
     OUTCOME_HEADER,
     ROUTE_HEADER,
     SERVICE_HEADER,
-    Outcome,
 )
+from lanedock_daemon.path.http import Outcome
 from lanedock_daemon.path.tests.chain import HOST, make_value, parse_answer, read_all, wait_until
 
 TIMEOUT_MS = 300
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_names.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_names.py
@@ -8,7 +8,7 @@
 import pytest
 
 from lanedock.config import check_value
-from lanedock_daemon.path.http import read_name, write_name
+from lanedock_daemon.path.headers import read_name, write_name
 from lanedock_daemon.path.tests.chain import make_value
 
 NAMES = ["řeka", "café", " a b ", "a%2Fb", "a:b,c"]
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_urgency.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_urgency.py
@@ -4,15 +4,8 @@
 import gevent
 import pytest
 
-from lanedock_daemon.path.http import (
-    CALLER_HEADER,
-    CLASS_HEADER,
-    PARENT_HEADER,
-    ROUTE_HEADER,
-    SERVICE_HEADER,
-    EmptyBody,
-    Request,
-)
+from lanedock_daemon.path.headers import CALLER_HEADER, CLASS_HEADER, PARENT_HEADER, ROUTE_HEADER, SERVICE_HEADER
+from lanedock_daemon.path.http import EmptyBody, Request
 from lanedock_daemon.path.tests.chain import Gate, wait_until
 
 # In the chain's file "write" is more urgent than "read".
--- a/packages/lanedock-daemon/lanedock_daemon/path/tries.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tries.py
@@ -12,7 +12,7 @@
 from lanedock_daemon.path.answers import AnswerPieces, UpstreamAnswer
 from lanedock_daemon.path.dialect import Dialect
 from lanedock_daemon.path.exchange import Consent, PendingAnswer, note_late, send_request
-from lanedock_daemon.path.http import (
+from lanedock_daemon.path.headers import (
     ARRIVED_HEADER,
     ATTEMPT_HEADER,
     CODE_HEADER,
@@ -22,19 +22,16 @@
     LEAVING_HEADER,
     LOAD_HEADER,
     OUTCOME_HEADER,
-    RETRY_AFTER,
     RETURN_HEADER,
     START_BY_HEADER,
     TARGET_HEADER,
     TURN_HEADER,
     UPSTREAM_HEADER,
-    Answer,
-    Leaving,
-    Outcome,
-    Request,
     public_headers,
     read_int,
 )
+from lanedock_daemon.path.hedges import drop_unless, first_of
+from lanedock_daemon.path.http import RETRY_AFTER, Answer, Leaving, Outcome, Request
 from lanedock_daemon.path.job import Job, Try
 from lanedock_daemon.path.parser import MalformedMessage, Message
 from lanedock_daemon.path.pool import ConnectionPool, ExchangeError
@@ -111,13 +108,13 @@
             job.log.note(Event.REQUEST_SENT_AGAIN, sent=True, reason="late", budget=round(job.budget.left(now), 1))
             self._metrics.count(Metric.RETRIES)
             second = gevent.spawn(self.send, job, other, attempt + 1)
-            made = _first_of(first, second)
+            made = first_of(first, second)
             return made
         finally:
             for task in (first, second):
                 if task is not None:
                     # It may end with an answer before it is killed, as the chosen one did.
-                    task.link_value(lambda ended: _drop(ended.value, made))
+                    task.link_value(lambda ended: drop_unless(ended.value, made))
                     task.kill(block=False)
             if not pending.is_being_read:
                 # The task that was to read it has never run.
@@ -382,25 +379,6 @@
         return Try(Answer(head.status, head.reason, _strip(head), rest), True)
 
 
-def _first_of(first: gevent.Greenlet, second: gevent.Greenlet) -> Try:
-    """Return what became of two tries at once: the first that is final, or the one that says more."""
-    done = gevent.wait([first, second], count=1)[0].get()
-    if not done.is_final:
-        made = (second if first.ready() else first).get()
-        done = made if made.is_final or made.may_have_run else done
-    # Both were sent: what an application may have seen counts twice.
-    done.arrivals = 2
-    return done
-
-
-def _drop(outcome: Try | BaseException, chosen: Try | None) -> None:
-    """Close the answer that a try has come to, unless it is the chosen one."""
-    if isinstance(outcome, Try) and outcome is not chosen:
-        close = getattr(outcome.answer.pieces, "close", None)
-        if close is not None:
-            close()
-
-
 def _strip(head: Message) -> list[tuple[str, str]]:
     """Return an answer's headers without those between daemons or of one connection."""
     return public_headers(head.headers, _DAEMON_HEADERS)
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
@@ -17,7 +17,7 @@
 from lanedock_daemon.path.dialect import Dialect, OwnDialect, RequestFacts
 from lanedock_daemon.path.exchange import send_request
 from lanedock_daemon.path.hashed_body import hash_body
-from lanedock_daemon.path.http import (
+from lanedock_daemon.path.headers import (
     ARRIVED_HEADER,
     ATTEMPT_HEADER,
     CALLER_HEADER,
@@ -25,7 +25,6 @@
     KNOWN_LIMIT_HEADER,
     LEAVING_HEADER,
     LOAD_HEADER,
-    RETRY_AFTER,
     ROUTE_HEADER,
     SERVICE_HEADER,
     START_BY_HEADER,
@@ -34,6 +33,12 @@
     TURN_HEADER,
     UPSTREAM_HEADER,
     VERSION_HEADER,
+    public_headers,
+    read_int,
+    read_name,
+)
+from lanedock_daemon.path.http import (
+    RETRY_AFTER,
     Answer,
     BodyTimeout,
     Leaving,
@@ -41,9 +46,6 @@
     Request,
     describe_end,
     make_refusal,
-    public_headers,
-    read_int,
-    read_name,
 )
 from lanedock_daemon.path.parser import MalformedMessage
 from lanedock_daemon.path.pool import ConnectionPool, ExchangeError
@@ -205,24 +207,13 @@
                 return self._refuse_quarantined(hasher, log)
             wait = 0.0 if refusal is ErrorCode.DEADLINE else RETRY_AFTER
             return self._refuse(refusal, wait, log, meant=meant, incarnation=self._registration.upstream)
-        if not self._wait_to_arrive(traffic_class, deadline):
+        if not self._gate.wait_to_arrive(traffic_class, deadline):
             return self._refuse(ErrorCode.RATE_LIMITED, RETRY_AFTER, log, limit="rate")
         log.note(Event.REQUEST_ADMITTED, waited_ms=round(1000 * (monotonic() - started), 1), **self._gate.load())
         answer = self._pass_on(hashed, hasher, traffic_class, deadline, span, log)
         log.note(Event.REQUEST_DONE, status=answer.status, incarnation=meant)
         return answer
 
-    def _wait_to_arrive(self, traffic_class: str, deadline: float) -> bool:
-        """Wait until a request may reach the application; False, with its slot given back, where it can't."""
-        try:
-            may_arrive = self._gate.wait_to_arrive(deadline)
-        except BaseException:
-            self._gate.limiter.release(traffic_class, None, monotonic())
-            raise
-        if not may_arrive:
-            self._gate.limiter.release(traffic_class, None, monotonic())
-        return may_arrive
-
     def _refuse(self, code: ErrorCode, retry_after: float, log: RequestLog, **why: object) -> Answer:
         self._metrics.count(Metric.NOT_RUN)
         self._metrics.count(Metric.REFUSALS, 1, (code.code,))
--- a/packages/lanedock-daemon/lanedock_daemon/path/wsgi.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/wsgi.py
@@ -7,7 +7,8 @@
 from gevent import pywsgi, socket
 
 from lanedock_daemon.agent.attest import ALIVE_PATH
-from lanedock_daemon.path.http import HOP_HEADERS, NEVER, Body, Request
+from lanedock_daemon.path.headers import HOP_HEADERS
+from lanedock_daemon.path.http import NEVER, Body, Request
 from lanedock_daemon.path.service import HttpService
 
 __all__ = ["WsgiPathServer"]
--- a/packages/lanedock/lanedock/routing/balancer.py
+++ b/packages/lanedock/lanedock/routing/balancer.py
@@ -12,8 +12,8 @@
 import math
 from random import Random
 
-from lanedock.averages import MovingTime
 from lanedock.canary import Pool
+from lanedock.routing.answer_times import SMOOTHING, AnswerTimes
 from lanedock.routing.policy import BalancerPolicy
 from lanedock.routing.takers import Takers
 from lanedock.routing.upstream_stats import UpstreamStats, is_same_application, is_started_anew
@@ -23,19 +23,6 @@
 
 # Score of an upstream that has a trial request in progress already.
 _ON_TRIAL_SCORE = 1e6
-# Weight of the newest answer in the averages of time to answer.
-_SMOOTHING = 0.05
-# Least time, in seconds, after which an answer may count as late, and that before any
-# answer came.
-_HEDGE_DELAY_MIN = 0.05
-_HEDGE_DELAY_FIRST = 0.5
-# Least time to answer that is averaged, so that ratios of it have a meaning.
-_TIME_MIN = 0.001
-# Kinds of requests whose times are kept.
-_MAX_KINDS = 1024
-# Seconds for which the longest silence that a request explains is kept: it is looked for
-# among all kinds of requests.
-_LIMIT_KEPT = 0.1
 # Requests by which an upstream that keeps silent is taken to be more loaded.
 _SILENCE_LOAD = 4
 # Power of the slowness by which an upstream's load is scaled: by more than 1 the quick get
@@ -74,10 +61,7 @@
         self._policy = policy
         self._upstreams: dict[str, UpstreamStats] = {}
         self._takers = {pool: Takers([], zone) for pool in (Pool.STABLE, Pool.CANARY)}
-        self._times: dict[str, MovingTime] = {}
-        self._body_times: dict[str, MovingTime] = {}
-        self._limit = _HEDGE_DELAY_FIRST
-        self._limit_until = float("-inf")
+        self._times = AnswerTimes()
         self._turns_until = float("-inf")
 
     def __repr__(self) -> str:
@@ -137,31 +121,11 @@
 
     def hedge_delay(self, kind: str) -> float:
         """Return the time after which an answer is later than nearly all of its kind, in seconds."""
-        times = self._times.get(kind)
-        return max(_HEDGE_DELAY_MIN, times.tail) if times is not None else _HEDGE_DELAY_FIRST
+        return self._times.hedge_delay(kind)
 
     def body_late_after(self, kind: str) -> float:
         """Return the time from an answer's head to its last byte that hardly one of its kind exceeds, in seconds."""
-        times = self._body_times.get(kind)
-        return times.tail if times is not None else 0.0
-
-    def _note_body_time(self, kind: str, taken: float) -> None:
-        times = self._body_times.get(kind)
-        if times is not None:
-            times.note(taken)
-        elif taken:
-            if len(self._body_times) >= _MAX_KINDS:
-                self._body_times.clear()
-            self._body_times[kind] = MovingTime(taken, _SMOOTHING)
-
-    def _note_time(self, stats: UpstreamStats, kind: str, taken: float) -> None:
-        times = self._times.get(kind)
-        if times is None:
-            if len(self._times) >= _MAX_KINDS:
-                self._times.clear()
-            times = self._times[kind] = MovingTime(taken, _SMOOTHING, _TIME_MIN)
-        stats.slowness += _SMOOTHING * (taken / times.mean - stats.slowness)
-        times.note(taken)
+        return self._times.body_late_after(kind)
 
     def note_leaving(self, stats: UpstreamStats, is_application: bool = False) -> None:
         """Give an upstream no new work; its daemon has reported that it leaves.
@@ -273,7 +237,7 @@
             stats.slowness = 1.0
             if stats.cold_since is None:
                 return load - _UNKNOWN_BONUS
-        if stats.in_progress and stats.silence(now) > self._silence_limit(now):
+        if stats.in_progress and stats.silence(now) > self._times.silence_limit(now):
             load += _SILENCE_LOAD + stats.in_progress
         over = load / (stats.endpoint.slots or slots) - _NEARLY_FULL
         if over > 0:
@@ -294,14 +258,6 @@
             return 0.0
         return stats.others * math.exp((stats.reported_at - now) / self._policy.load_age)
 
-    def _silence_limit(self, now: float) -> float:
-        """Return the silence, in seconds, that no kind of request explains."""
-        if now >= self._limit_until:
-            self._limit_until = now + _LIMIT_KEPT
-            tails = [times.tail for times in self._times.values()]
-            self._limit = max(_HEDGE_DELAY_MIN, *tails) if tails else _HEDGE_DELAY_FIRST
-        return self._limit
-
     # ---------------------------------------------------------------- outcomes
 
     def begin(self, stats: UpstreamStats, now: float | None = None) -> None:
@@ -357,9 +313,9 @@
         stats.ended_at = now
         if taken is not None:
             stats.answered_at = now
-            self._note_time(stats, kind, taken)
+            stats.slowness += SMOOTHING * (self._times.note(kind, taken) - stats.slowness)
         if body_taken is not None:
-            self._note_body_time(kind, body_taken)
+            self._times.note_body(kind, body_taken)
         if not failed:
             stats.failures = 0
             stats.is_on_trial = False
