List endpoints for canaries only while one runs, and keep the whole share once

The leader listed all endpoints on each of its rounds though no canary ran; now it is asked for them where one does. FULL_SHARE stood in three modules. No behaviour is changed; the tests of canaries, control and the canary command pass.

--- a/packages/lanedock-daemon/lanedock_daemon/control/canaries.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/canaries.py
@@ -2,8 +2,9 @@
 """Canary releases at a control instance: operators' orders, and the leader's steps."""
 
 import time
+from collections.abc import Callable
 
-from lanedock.canary import CanaryController, CanaryPolicy, StartResult, StartVerdict, make_step
+from lanedock.canary import FULL_SHARE, CanaryController, CanaryPolicy, StartResult, StartVerdict, make_step
 from lanedock.clock import monotonic
 from lanedock.errors import ErrorCode
 from lanedock.rollout import FleetView
@@ -18,7 +19,6 @@
 ORDER_TIMEOUT = 3.0
 # Canaries in one reply.
 MAX_LISTED = 20
-_FULL_SHARE = 1000
 
 
 class _Order:
@@ -124,7 +124,7 @@
             return
         who = request.operator or "an operator"
         if request.action == messages.CANARY_PROMOTE:
-            step = make_step(record, messages.CANARY_RUNNING, _FULL_SHARE, f"promoted by {who}")
+            step = make_step(record, messages.CANARY_RUNNING, FULL_SHARE, f"promoted by {who}")
         else:
             step = make_step(record, messages.CANARY_ROLLED_BACK, 0, f"aborted by {who}")
         step.decided_at = time.time()
@@ -180,14 +180,14 @@
             messages.CANARY_COMPLETED: Event.CANARY_COMPLETED,
             messages.CANARY_ROLLED_BACK: Event.CANARY_ROLLED_BACK,
         }
-        self._metrics.gauge(Metric.CANARY_SHARE, record.share_permille / _FULL_SHARE, (step.service,))
+        self._metrics.gauge(Metric.CANARY_SHARE, record.share_permille / FULL_SHARE, (step.service,))
         self._events.emit(
             by_phase.get(step.phase, Event.CANARY_STEP),
             service=step.service,
             software=record.version,
             canary=step.number,
             step=step.step,
-            share=step.share_permille / _FULL_SHARE,
+            share=step.share_permille / FULL_SHARE,
             reason=step.reason,
             **self._figures(record),
         )
@@ -212,15 +212,17 @@
 
     # -------------------------------------------------------------------- lead
 
-    def advance(self, fleet: FleetView | None, endpoints: list[messages.Endpoint], now: float) -> bool:
+    def advance(
+        self, fleet: FleetView | None, list_endpoints: Callable[[], list[messages.Endpoint]], now: float
+    ) -> bool:
         """Decide on the canaries that run, as leader.
 
         Parameters
         ----------
         fleet : FleetView or None
             None where another replica leads.
-        endpoints : list of Endpoint
-            That are known here.
+        list_endpoints : callable
+            Returns those that are known here; asked while a canary runs.
         now : float
             Monotonic, seconds.
 
@@ -241,7 +243,7 @@
         if not self._state.running():
             return False
         self._controller.set_state(self._state)
-        commands = self._controller.decide(fleet.daemons(), endpoints, now, time.time())
+        commands = self._controller.decide(fleet.daemons(), list_endpoints(), now, time.time())
         proposed = [self._log.propose(command) for command in commands]
         return any(index is not None for index in proposed)
 
--- a/packages/lanedock-daemon/lanedock_daemon/control/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/service.py
@@ -367,7 +367,7 @@
         """Decide on the candidate and answer operators, as leader."""
         is_leader = self._leader.refresh(now)
         fleet = self._leader.fleet if is_leader else None
-        has_steps = self._canaries.advance(fleet, self._directory.endpoints(), now)
+        has_steps = self._canaries.advance(fleet, self._directory.endpoints, now)
         if not is_leader:
             return
         if self._leader.decide(now) or has_steps:
--- a/packages/lanedock/lanedock/canary/__init__.py
+++ b/packages/lanedock/lanedock/canary/__init__.py
@@ -6,9 +6,10 @@
 from lanedock.canary.counts import CanaryCounter
 from lanedock.canary.evidence import Evidence
 from lanedock.canary.pools import CanarySplit, Pool, assign_pools, classify
-from lanedock.canary.state import CanaryState, StartResult, StartVerdict
+from lanedock.canary.state import FULL_SHARE, CanaryState, StartResult, StartVerdict
 
 __all__ = [
+    "FULL_SHARE",
     "Analysis",
     "CanaryController",
     "CanaryCounter",
--- a/packages/lanedock/lanedock/canary/pools.py
+++ b/packages/lanedock/lanedock/canary/pools.py
@@ -6,13 +6,12 @@
 from math import ceil
 from random import Random
 
+from lanedock.canary.state import FULL_SHARE
 from lanedock.membership import UNKNOWN_VERSION
 from lanedock.wire import messages
 
 __all__ = ["CanarySplit", "Pool", "assign_pools", "classify"]
 
-_WHOLE = 1000
-
 
 class Pool(Enum):
     """The part that an upstream has in its service's traffic."""
@@ -65,7 +64,7 @@
             (endpoint.instance for endpoint in local if pools[endpoint.instance] is Pool.CANARY), key=_rank
         )
         stable = sum(pools[endpoint.instance] is Pool.STABLE for endpoint in local)
-        used = _choose(canaries, max(1, ceil(rule.share_permille * stable / _WHOLE)), rule)
+        used = _choose(canaries, max(1, ceil(rule.share_permille * stable / FULL_SHARE)), rule)
         for instance in canaries:
             if instance not in used:
                 pools[instance] = Pool.WITHHELD
@@ -74,7 +73,7 @@
 
 def _choose(canaries: list[str], count: int, rule: messages.CanaryRule) -> set[str]:
     """Return the canary's upstreams of a zone that get requests in a step."""
-    if count >= len(canaries) or rule.share_permille >= _WHOLE:
+    if count >= len(canaries) or rule.share_permille >= FULL_SHARE:
         return set(canaries)
     first = rule.step * count
     return {canaries[(first + offset) % len(canaries)] for offset in range(count)}
@@ -130,7 +129,7 @@
     def is_whole(self, service: str) -> bool:
         """Tell whether all requests of a service go to its canary."""
         rule = self.running(service)
-        return rule is not None and rule.share_permille >= _WHOLE
+        return rule is not None and rule.share_permille >= FULL_SHARE
 
     def take(self, service: str) -> bool:
         """Tell whether the next request of a service goes to its canary."""
@@ -140,7 +139,7 @@
         credit = self._credits.get(service)
         if credit is None:
             credit = self._rng.random()
-        credit += rule.share_permille / _WHOLE
+        credit += rule.share_permille / FULL_SHARE
         is_taken = credit >= 1
         self._credits[service] = credit - is_taken
         return is_taken
--- a/packages/lanedock/lanedock/canary/state.py
+++ b/packages/lanedock/lanedock/canary/state.py
@@ -19,6 +19,7 @@
 MAX_RECORDS = 200
 # Versions that are withheld in one service; the oldest are forgotten first.
 MAX_WITHHELD = 32
+# All of a service's requests, in thousandths.
 FULL_SHARE = 1000
 
 
