Look once more whether the application leaves after a request has waited for the rate

By reading: a request whose body was late could wait for the rate limit after the last look at whether the application leaves, and be passed on seconds into its drain; a stop of the process that came meanwhile was answered as unknown instead of not run. The wait is part of what comes before that look now. test_a_request_that_waits_for_the_rate_is_not_passed_on_once_the_application_leaves fails without it.

A limit of 0 and none were the same figure of the gauge; `upstream.is_rate_limited` tells them apart. Tests of the path's facts, body gate and documents pass.

--- a/packages/lanedock-daemon/lanedock_daemon/path/slot_gate.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/slot_gate.py
@@ -103,21 +103,12 @@
             self.update_rate()
             self.limiter.admit_queued(monotonic())
 
-    def wait_to_arrive(self, traffic_class: str, deadline: float) -> bool:
-        """Wait until an admitted request may reach the application.
-
-        False, with its slot given back, where it can't by its deadline.
-        """
-        may_arrive = False
-        try:
-            while wait := self.limiter.rate.arrive(monotonic()):
-                if monotonic() + wait >= deadline:
-                    return False
-                gevent.sleep(min(wait, RATE_POLL[1]))
-            may_arrive = True
-        finally:
-            if not may_arrive:
-                self.limiter.release(traffic_class, None, monotonic())
+    def wait_to_arrive(self, deadline: float) -> bool:
+        """Wait until an admitted request may reach the application; False where it can't by its deadline."""
+        while wait := self.limiter.rate.arrive(monotonic()):
+            if monotonic() + wait >= deadline:
+                return False
+            gevent.sleep(min(wait, RATE_POLL[1]))
         return True
 
     def classify(self, request: Request, binding: Binding | None) -> str:
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_advertised_facts.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_advertised_facts.py
@@ -196,3 +196,23 @@
     _offer(chain, OFFERED, 0.4)
     assert registration.advertised.rate == 1.0
     assert len(limited.arrivals) <= 2
+
+
+def test_a_request_that_waits_for_the_rate_is_not_passed_on_once_the_application_leaves(make_chain):
+    app = LimitedApplication()
+    chain = make_chain(app)
+    upstream = chain.upstreams[0]
+    registration = UpstreamRegistration("s", True, 1.0)
+    registration.beat(Heartbeat("a1", "s", 1, False, 4, 0.0), monotonic())
+    upstream.replace_registration(registration)
+    registration.advertised.note(4.0, monotonic())
+    upstream.side._gate.update_rate()
+    rate = upstream.limiter.rate
+    # Admitted ones whose bodies were late have used up what may arrive at once.
+    while not rate.arrive(monotonic()):
+        pass
+    task = gevent.spawn(chain.request, "GET")
+    wait_until(lambda: upstream.limiter.in_use)
+    registration.leave("a1")
+    assert task.get(timeout=10)[0] == 503
+    assert not app.arrivals
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
@@ -143,7 +143,9 @@
         span.end(**{"http.status_code": answer.status, "http.target": request.path})
         self._metrics.gauge(Metric.IN_PROGRESS, self._gate.limiter.in_use)
         self._metrics.gauge(Metric.QUEUED, self._gate.limiter.waiting)
-        self._metrics.gauge(Metric.RATE_LIMIT, self._registration.advertised.rate or 0.0)
+        rate = self._registration.advertised.rate
+        self._metrics.gauge(Metric.RATE_LIMIT, rate or 0.0)
+        self._metrics.gauge(Metric.IS_RATE_LIMITED, rate is not None)
         answer.headers.append((LOAD_HEADER, str(self.in_progress)))
         turn = self._gate.limiter.next_turn(monotonic())
         if turn:
@@ -198,17 +200,17 @@
             why.update(late=request.header(TARGET_HEADER) == "0", limit=refused.limit, **self._gate.bodies.load())
             return self._refuse(refused.code, refused.retry_after, log, **why)
         hashed = hash_body(request, hasher)
-        # It may have begun to leave while the request waited, or while its body was on its
-        # way: until the first piece is here nothing of it is passed on.
-        refusal = self._fetch(request, hashed, hasher, traffic_class, deadline) or self._registration.judge(meant)
+        # It may have begun to leave while the request waited, for its body or for the rate: until
+        # the first piece is here nothing of it is passed on.
+        refusal = self._wait_to_pass_on(request, hashed, hasher, traffic_class, deadline) or self._registration.judge(
+            meant
+        )
         if refusal is not None:
             self._gate.limiter.release(traffic_class, None, monotonic())
             if refusal is ErrorCode.QUARANTINED:
                 return self._refuse_quarantined(hasher, log)
             wait = 0.0 if refusal is ErrorCode.DEADLINE else RETRY_AFTER
             return self._refuse(refusal, wait, log, meant=meant, incarnation=self._registration.upstream)
-        if not self._gate.wait_to_arrive(traffic_class, deadline):
-            return self._refuse(ErrorCode.RATE_LIMITED, RETRY_AFTER, log, limit="rate")
         log.note(Event.REQUEST_ADMITTED, waited_ms=round(1000 * (monotonic() - started), 1), **self._gate.load())
         answer = self._pass_on(hashed, hasher, traffic_class, deadline, span, log)
         log.note(Event.REQUEST_DONE, status=answer.status, incarnation=meant)
@@ -220,18 +222,20 @@
         log.note(Event.REQUEST_REFUSED, code=code.code, retry_after_ms=round(1000 * retry_after), **why)
         return make_refusal(code, Outcome.NOT_RUN, retry_after)
 
-    def _fetch(
+    def _wait_to_pass_on(
         self, request: Request, hashed: Request, hasher: RequestHasher, traffic_class: str, deadline: float
     ) -> ErrorCode | None:
-        """Wait until the body begins to come; return why the request may not be passed on.
+        """Wait until the body begins to come, and the request may arrive by the rate limit.
 
-        Where it may be a quarantined one all of the body is waited for that tells them apart.
-        It may have become one while it waited.
+        Returns why it may not be passed on. Where it may be a quarantined one all of the body
+        is waited for that tells them apart. It may have become one while it waited.
         """
         try:
             self._gate.bodies.fetch(request, deadline)
             if not hasher.is_complete and self._quarantine.has_head(hasher.head):
                 hashed.body.hold(deadline)
+            if not self._gate.wait_to_arrive(deadline):
+                return ErrorCode.RATE_LIMITED
         except StopTimeout:
             return ErrorCode.DRAINING
         except BodyTimeout:
--- a/packages/lanedock/lanedock/telemetry/metrics.py
+++ b/packages/lanedock/lanedock/telemetry/metrics.py
@@ -54,8 +54,9 @@
     RATE_LIMIT = (
         "upstream.rate_limit",
         "g",
-        "Requests a second that the application advertises as its limit; 0: none.",
+        "Requests a second that the application advertises as its limit, if it does.",
     )
+    IS_RATE_LIMITED = ("upstream.is_rate_limited", "g", "1 where the application advertises a rate limit, else 0.")
     PASSED_ON = ("upstream.passed_on", "c", "Requests that were passed on to the application.")
     CANARY_SHARE = ("canary.share", "g", "Share of a service's requests that its canary gets, 0 to 1.", ("service",))
     CANARY_SENT = ("canary.sent", "c", "Requests sent while a canary runs, by part.", ("service", "part"))
