Let one health check without a rate limit not count as the application's word

By reading: a daemon that is started again asks the health check first. If that lacks the limit which the application's other answers state, the mesh's word and that of callers' daemons was refused from then on, until the first answer of a request. As many answers as end a limit have to lack it now. test_one_health_check_without_the_limit_does_not_keep_a_restarted_daemon_from_learning_it fails without it; tests of membership and of the path's facts pass.

--- a/packages/lanedock/lanedock/membership/advertised_rate.py
+++ b/packages/lanedock/lanedock/membership/advertised_rate.py
@@ -45,16 +45,15 @@
         now : float
             Seconds, of any steady clock.
         """
-        self._is_heard = True
         if rate is not None:
             self._stated_at = now
             self._lacking = 0
-        elif self.rate is None:
-            return False
         else:
             self._lacking += 1
+            # A health check alone, right after the daemon's start, may lack what answers state.
             if self._lacking < _ENDS_AFTER_ANSWERS or now - self._stated_at < _ENDS_AFTER:
                 return False
+        self._is_heard = True
         is_changed, self.rate = rate != self.rate, rate
         return is_changed
 
--- a/packages/lanedock/lanedock/membership/tests/test_advertised_rate.py
+++ b/packages/lanedock/lanedock/membership/tests/test_advertised_rate.py
@@ -113,3 +113,19 @@
     assert registration.leave("a1")
     registration.beat(Heartbeat("a1", "s", 9, False, 4, 0.0), 1.0)
     assert registration.judge("a1") is ErrorCode.DRAINING
+
+
+def test_one_health_check_without_the_limit_does_not_keep_a_restarted_daemon_from_learning_it():
+    held = AdvertisedRate()
+    held.note(None, 0.0)
+    assert held.adopt(1.5, 0.1)
+    held.note(None, 0.2)
+    assert held.rate == 1.5
+
+
+def test_a_limit_that_has_ended_is_not_taken_over_from_others_again():
+    held = AdvertisedRate()
+    held.note(16.0, 0.0)
+    held.note(None, 1.0)
+    assert held.note(None, 1.1) and held.rate is None
+    assert not held.adopt(16.0, 1.2)
