Log connections that are closed before their callers received all answers

Callers reported answers that were not received whole around SIGTERM to the daemon that had taken the requests. The record has no line that tells three hypotheses apart: an answer that the kernel had taken but not sent, an answer that broke off on its way to the daemon, and one that was still being written at the end of the stop.

CONNECTION_CUT (E505) names the reason, the written bytes that are not acknowledged, the unread bytes and the requests in progress, for each connection that this process closes too early. ANSWER_LOST names the request where an answer's body breaks off. Nothing else changes: what is closed, and when, is as before.

--- a/packages/lanedock-daemon/lanedock_daemon/path/attempts.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/attempts.py
@@ -379,7 +379,7 @@
 
         def end(broke_off: bool) -> None:
             if broke_off:
-                self._events.emit(Event.ANSWER_LOST, upstream=stats.endpoint.instance)
+                self._events.emit(Event.ANSWER_LOST, upstream=stats.endpoint.instance, request=context.log.request_id)
             is_whole = head.is_complete and not (failed or broke_off)
             known_body_time = monotonic() - started - taken if is_whole else None
             self._note_end(
--- a/packages/lanedock-daemon/lanedock_daemon/path/channel.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/channel.py
@@ -10,6 +10,8 @@
 
 import _socket
 import struct
+from fcntl import ioctl
+from termios import FIONREAD, TIOCOUTQ
 
 from gevent import get_hub, getcurrent
 from gevent.socket import wait_write
@@ -106,6 +108,25 @@
             return False
         return False
 
+    def count_unsent_bytes(self) -> int:
+        """Return how many written bytes the peer has not acknowledged; an unacknowledged end of the stream counts as 1.
+
+        Returns 0 if the connection is broken or the system can't tell.
+        """
+        return self._read_queue_size(TIOCOUTQ)
+
+    def count_unread_bytes(self) -> int:
+        """Return how many received bytes have not been read; 0 if the system can't tell."""
+        return self._read_queue_size(FIONREAD)
+
+    def _read_queue_size(self, request: int) -> int:
+        if self._is_closed:
+            return 0
+        try:
+            return struct.unpack("i", ioctl(self._sock.fileno(), request, bytes(4)))[0]
+        except OSError:
+            return 0
+
     # ------------------------------------------------------------------ reading
 
     def recv(self, size: int) -> bytes:
--- a/packages/lanedock-daemon/lanedock_daemon/path/connection.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/connection.py
@@ -74,6 +74,8 @@
         # Whether the head of an answer announced `connection: close`.
         self._has_announced_close = False
         self._is_closing = False
+        # Why this process ends the connection; empty if the caller does.
+        self._end_reason = ""
         # Whether the answer being written has no length, so that its end is the end of the connection.
         self._is_answer_close_delimited = False
 
@@ -100,11 +102,21 @@
         finally:
             if self._is_answer_close_delimited:
                 self._conn.reset_on_close()
+            self._report_cut()
             self._cancel_exchanges()
             self._conn.close()
 
-    def expire(self) -> None:
-        """End the connection because its time limit has passed."""
+    def _report_cut(self) -> None:
+        """Log that this process closes the connection before its caller has received all answers."""
+        unsent = self._conn.count_unsent_bytes()
+        if self._end_reason and (unsent or self._exchanges):
+            self._server.log_cut_connection(
+                self._end_reason, unsent, self._conn.count_unread_bytes(), len(self._exchanges)
+            )
+
+    def expire(self, reason: str) -> None:
+        """End the connection; `reason` is logged if answers are cut."""
+        self._end_reason = reason
         self._greenlet.kill(_Expired, block=False)
 
     def is_idle(self) -> bool:
@@ -114,7 +126,7 @@
     def end_if_idle(self) -> None:
         """End the connection unless a request is in progress; called while the server stops."""
         if self.is_idle() or (self._is_closing and self.expires_at <= monotonic()):
-            self.expire()
+            self.expire("stop")
 
     def force_answers(self) -> int:
         """Force an answer to each request that has none yet, and return their number."""
@@ -246,9 +258,11 @@
             # The caller has disconnected, or the answer's body broke off: cut the connection,
             # so that the caller doesn't take a partial answer for a complete one.
             self._is_closing = True
+            self._end_reason = "broken answer"
             self._greenlet.kill(block=False)
         except Exception as exc:
             self._is_closing = True
+            self._end_reason = "error"
             self._greenlet.kill(block=False)
             self._server.log_unexpected_error(exc)
         finally:
@@ -358,7 +372,7 @@
         self._conn.shutdown(plain_socket.SHUT_WR)
         if self._open_exchange is None and self._server.is_over_connection_limit() and not self._server.is_stopping:
             # Another caller needs the connection slot, and hardly any input can be in transit.
-            self._greenlet.kill(_Expired, block=False)
+            self.expire("connection limit")
 
     def _refuse_malformed(self, exc: MalformedMessage) -> None:
         """Refuse a malformed request, and discard all further input."""
--- a/packages/lanedock-daemon/lanedock_daemon/path/server.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/server.py
@@ -111,7 +111,7 @@
         """
         for connection in self._connections:
             if connection.is_idle():
-                connection.expire()
+                connection.expire("connection limit")
                 return
 
     @property
@@ -131,6 +131,12 @@
         """Log an unexpected exception of a request handler."""
         self._events.emit(Event.UNEXPECTED, error=repr(exc))
 
+    def log_cut_connection(self, reason: str, unsent: int, unread: int, requests: int) -> None:
+        """Log that a connection is closed before its caller has received all answers; sizes are in bytes."""
+        self._events.emit(
+            Event.CONNECTION_CUT, server=self.name, reason=reason, unsent=unsent, unread=unread, requests=requests
+        )
+
     def _sweep(self) -> None:
         while True:
             gevent.sleep(SWEEP_INTERVAL)
@@ -138,7 +144,7 @@
             now = monotonic()
             for connection in list(self._connections):
                 if connection.expires_at < now:
-                    connection.expire()
+                    connection.expire("time limit")
                 elif self.is_stopping:
                     connection.end_if_idle()
 
--- a/packages/lanedock/lanedock/telemetry/events.py
+++ b/packages/lanedock/lanedock/telemetry/events.py
@@ -224,6 +224,14 @@
         "The connections to an address received no data, so it may be unreachable; idle connections were closed.",
         "Check the upstream named and the network path to it.",
     )
+    CONNECTION_CUT = (
+        505,
+        logging.WARNING,
+        "A caller's connection was closed although the caller had not received all of its answers; the fields give the "
+        "reason, the bytes written but not acknowledged (`unsent`), the bytes received but not read (`unread`) and the "
+        "requests in progress.",
+        "For the reason `stop`: raise `stop_grace_s` together with the platform's grace period.",
+    )
     REACHED = (503, logging.INFO, "An unreachable upstream is reachable again.", "None.")
 
     REQUEST_ROUTED = (
