Add failing tests of answers that are cut when a connection ends

What callers see: status 200, some kB, then a reset. Rounds of planned stops of real processes, under callers that use their connections until the process is gone, reproduce the report; tests of one server do so for each way in which it ends a connection.

--- /dev/null
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_delivery.py
@@ -0,0 +1,231 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Tests that callers receive written answers whole, however their connection ends.
+
+They guard against answers that the kernel has taken but the caller has not received when the
+connection is closed: input that is unread then, or arrives later, resets the connection, and what
+was not sent yet is lost.
+"""
+
+import json
+
+import gevent
+import pytest
+from gevent import socket
+
+from lanedock.kernel import StopPlan
+from lanedock.settings import Address
+from lanedock.telemetry import EventLogger, configure_logging
+from lanedock_daemon.path import connection
+from lanedock_daemon.path.http import Answer
+from lanedock_daemon.path.server import PathServer
+from lanedock_daemon.path.tests.chain import HOST, wait_until
+
+# Longer than what a caller with the smallest receive buffer takes, shorter than a send buffer.
+BODY = b"." * 60_000
+RECEIVE_BUFFER = 4096
+# Seconds.
+STOP_LIMIT = 4.0
+TIMEOUT = 3.0
+READING_PAUSE = 0.3
+
+
+class _Side:
+    """Answers with `BODY`, or briefly if the path is /short."""
+
+    def __init__(self):
+        self.begun: list[str] = []
+
+    def handle(self, request) -> Answer:
+        self.begun.append(request.path)
+        body = b"ok" if request.path == "/short" else BODY
+        return Answer(200, "OK", [("content-length", str(len(body)))], [body])
+
+
+class _Limits:
+    """Limits for callers: the timeouts of heads and of idle connections, in milliseconds."""
+
+    def __init__(self, header_timeout_ms: int = 60_000, idle_timeout_ms: int = 60_000):
+        self.header_timeout_ms = header_timeout_ms
+        self.idle_timeout_ms = idle_timeout_ms
+        self.body_bytes = 1_000_000
+
+
+@pytest.fixture
+def make_server():
+    servers = []
+
+    def make(limit: float = STOP_LIMIT, **options) -> PathServer:
+        server = PathServer("s", Address(HOST, 0), _Side(), StopPlan(0.0, limit), EventLogger("s"), **options)
+        server.start(None)
+        servers.append(server)
+        return server
+
+    yield make
+    for server in servers:
+        server.stop()
+
+
+@pytest.fixture
+def make_caller():
+    callers = []
+
+    def make(server: PathServer) -> socket.socket:
+        conn = socket.socket()
+        conn.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
+        conn.settimeout(TIMEOUT)
+        conn.connect((HOST, server.port))
+        callers.append(conn)
+        return conn
+
+    yield make
+    for conn in callers:
+        conn.close()
+
+
+def _request(path: str, headers: str = "") -> bytes:
+    return f"GET {path} HTTP/1.1\r\nhost: h\r\n{headers}\r\n".encode()
+
+
+def _send_unread_request(server: PathServer, conn, *following: bytes, headers: str = "") -> None:
+    """Send a request with a long answer, and wait until the answer has been written but not received."""
+    before = len(server.side.begun)
+    conn.sendall(_request("/long", headers) + b"".join(following))
+    wait_until(lambda: len(server.side.begun) > before and not server.in_progress)
+
+
+def _read_to_end(conn) -> bytes:
+    """Return what is received until the connection ends in any way, or nothing more comes."""
+    got = b""
+    try:
+        while more := conn.recv(RECEIVE_BUFFER):
+            got += more
+    except OSError:
+        pass
+    return got
+
+
+def _keep_sending(conn) -> None:
+    """Send more requests until the connection is closed."""
+    try:
+        for _ in range(4):
+            conn.sendall(_request("/short"))
+            gevent.sleep(READING_PAUSE / 4)
+    except OSError:
+        pass
+
+
+def _end_by_stop(server: PathServer, conn) -> None:
+    _send_unread_request(server, conn)
+    gevent.spawn(server.stop)
+
+
+def _end_by_request(server: PathServer, conn) -> None:
+    _send_unread_request(server, conn, headers="connection: close\r\n")
+
+
+def _end_by_malformed_request(server: PathServer, conn) -> None:
+    _send_unread_request(server, conn, b"no HTTP\r\n\r\n")
+
+
+def _end_by_connection_limit(server: PathServer, conn) -> None:
+    server._max_connections = 0
+    _send_unread_request(server, conn)
+
+
+def _end_oldest_idle(server: PathServer, conn) -> None:
+    _send_unread_request(server, conn)
+    server._max_connections = 0
+    socket.create_connection((HOST, server.port), timeout=TIMEOUT).close()
+
+
+def _end_by_idle_timeout(server: PathServer, conn) -> None:
+    _set_limits(server, idle_timeout_ms=1)
+    _send_unread_request(server, conn)
+
+
+def _end_by_head_timeout(server: PathServer, conn) -> None:
+    _set_limits(server, header_timeout_ms=1)
+    _send_unread_request(server, conn, b"GET /unfinished")
+
+
+def _set_limits(server: PathServer, **limits: int) -> None:
+    server._get_limits = lambda: _Limits(**limits)
+    wait_until(lambda: server.limits is not None)
+
+
+# The ways in which the server ends a connection.
+_ENDS = {
+    "stop": _end_by_stop,
+    "announced close": _end_by_request,
+    "malformed request": _end_by_malformed_request,
+    "connection limit": _end_by_connection_limit,
+    "room for another caller": _end_oldest_idle,
+    "idle timeout": _end_by_idle_timeout,
+    "head timeout": _end_by_head_timeout,
+}
+
+
+@pytest.mark.parametrize("end", _ENDS)
+def test_answer_is_not_cut_at_a_caller_that_reads_slowly_and_sends_on(make_server, make_caller, monkeypatch, end):
+    monkeypatch.setattr(connection, "LINGER_TIMEOUT", READING_PAUSE / 10)
+    server = make_server()
+    conn = make_caller(server)
+    _ENDS[end](server, conn)
+    # Longer than the sweep's interval.
+    gevent.sleep(1.2)
+    sending = gevent.spawn(_keep_sending, conn)
+    gevent.sleep(READING_PAUSE)
+    head, _, body = _read_to_end(conn).partition(b"\r\n\r\n")
+    sending.kill()
+    assert head.startswith(b"HTTP/1.1 200")
+    assert body[: len(BODY)] == BODY
+
+
+def test_request_that_arrives_when_an_idle_connection_is_closed_is_answered(make_server, make_caller):
+    server = make_server()
+    conn = make_caller(server)
+    conn.sendall(_request("/short"))
+    assert b"ok" in conn.recv(RECEIVE_BUFFER)
+    # Nothing else runs in between: the request is in the kernel's buffer when the server stops.
+    conn.sendall(_request("/short"))
+    stopping = gevent.spawn(server.stop)
+    got = _read_to_end(conn)
+    assert b"\r\nconnection: close\r\n" in got
+    assert got.endswith(b"ok")
+    stopping.get(timeout=2 * TIMEOUT)
+
+
+def test_stop_announces_the_close_to_a_caller_that_sends_at_short_intervals(make_server, make_caller):
+    server = make_server()
+    conn = make_caller(server)
+    conn.sendall(_request("/short"))
+    assert b"ok" in conn.recv(RECEIVE_BUFFER)
+    stopping = gevent.spawn(server.stop)
+    gevent.sleep(0.05)
+    conn.sendall(_request("/short"))
+    assert b"\r\nconnection: close\r\n" in _read_to_end(conn)
+    stopping.get(timeout=2 * TIMEOUT)
+
+
+def test_stop_waits_until_the_last_answer_has_arrived(make_server, make_caller):
+    server = make_server()
+    conn = make_caller(server)
+    _send_unread_request(server, conn, headers="connection: close\r\n")
+    stopping = gevent.spawn(server.stop)
+    gevent.sleep(2 * connection.LINGER_TIMEOUT)
+    assert not stopping.ready()
+    assert _read_to_end(conn).endswith(BODY)
+    stopping.get(timeout=2 * TIMEOUT)
+
+
+def test_connections_cut_at_the_end_of_a_stop_are_logged_with_their_unsent_bytes(make_server, make_caller, capfd):
+    writer = configure_logging("info")
+    server = make_server(limit=READING_PAUSE)
+    conn = make_caller(server)
+    _send_unread_request(server, conn)
+    gevent.spawn(server.stop).get(timeout=TIMEOUT)
+    writer.flush()
+    lines = [json.loads(line) for line in capfd.readouterr().out.splitlines()]
+    (cut,) = [line for line in lines if line["message"] == "CONNECTION_CUT"]
+    assert (cut["reason"], cut["requests"]) == ("stop", 0)
+    assert len(BODY) // 2 < cut["unsent"] < len(BODY)
--- a/tests/crashing_application.py
+++ b/tests/crashing_application.py
@@ -7,6 +7,7 @@
 import threading
 import time
 
+from keepalive_callers import make_body
 from platform_processes import APP_PORT, CONTROL_PORT, OUTBOUND_PORT, call
 
 from lanedock_platform.tests.beats import make_beat
@@ -211,14 +212,14 @@
             return False
         time.sleep(self.work)
         request_id = headers["x-request-id"]
-        status = "200 OK"
+        status, answer = "200 OK", make_body(path)
         if makes_call and self._call(path.removeprefix(CALL_PATH_PREFIX), f"{request_id}-1") != 200:
             status = "500 A call has failed"
         fields = (
             f"X-Request-Id: {request_id}\r\nX-Server-Stamp: {incarnation}\r\n"
-            f"{self._advertise(incarnation)}Content-Length: 2"
+            f"{self._advertise(incarnation)}Content-Length: {len(answer)}"
         )
-        conn.sendall(f"HTTP/1.1 {status}\r\n{fields}\r\n\r\nok".encode())
+        conn.sendall(f"HTTP/1.1 {status}\r\n{fields}\r\n\r\n".encode() + answer)
         return True
 
     def _call(self, path: str, request_id: str) -> int:
--- /dev/null
+++ b/tests/keepalive_callers.py
@@ -0,0 +1,258 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Callers that use their connections until these end, and an account of what they received on them."""
+
+import re
+import socket
+import threading
+import time
+from random import Random
+
+__all__ = ["CallerKind", "ConnectionRecord", "KeepAliveCaller", "SentRequest", "make_body"]
+
+HOST_HEADER = "shop.example"
+READ_TIMEOUT = 10.0  # seconds without data after which a caller gives up its connection
+RECONNECT_DELAY = 0.05  # seconds
+# Seconds after the last byte of a request within which its connection may end without the request having been read.
+CROSSING_TIME = 0.2
+_LENGTH = re.compile(rb"\r\ncontent-length: (\d+)", re.IGNORECASE)
+_CLOSE = re.compile(rb"\r\nconnection: close", re.IGNORECASE)
+_BODY_SIZE = re.compile(r"/bytes-(\d+)$")
+
+
+def make_body(path: str) -> bytes:
+    """Return the body of the answer to a path, whose last part may state its length in bytes."""
+    match = _BODY_SIZE.search(path)
+    if match is None:
+        return b"ok"
+    size = int(match.group(1))
+    line = path.encode() + b"\n"
+    return (line * (size // len(line) + 1))[:size]
+
+
+class CallerKind:
+    """How a caller uses its connections.
+
+    Parameters
+    ----------
+    outstanding : int
+        Number of requests that are sent without waiting for their answers.
+    answer_bytes : int
+        Maximum length of an answer's body.
+    receive_buffer : int or None
+        Size of the socket's receive buffer in bytes; None for the system's default.
+    read_rate : float
+        Bytes per second at which answers are read; 0 for no limit.
+    upload_bytes : int
+        Length of the body of each request; 0 for requests without a body.
+    think_time : float
+        Maximum seconds between an answer and the next request.
+    """
+
+    __slots__ = ("answer_bytes", "outstanding", "read_rate", "receive_buffer", "think_time", "upload_bytes")
+
+    def __init__(self, outstanding=1, answer_bytes=60_000, receive_buffer=None, read_rate=0.0, upload_bytes=0, think=0):
+        self.outstanding = outstanding
+        self.answer_bytes = answer_bytes
+        self.receive_buffer = receive_buffer
+        self.read_rate = read_rate
+        self.upload_bytes = upload_bytes
+        self.think_time = think
+
+    def __repr__(self) -> str:
+        return f"<CallerKind {' '.join(f'{name}={getattr(self, name)}' for name in self.__slots__)}>"
+
+
+class SentRequest:
+    """A request whose last byte was sent at a monotonic time in seconds."""
+
+    __slots__ = ("path", "sent_at")
+
+    def __init__(self, path: str):
+        self.path = path
+        self.sent_at = 0.0
+
+
+class ConnectionRecord:
+    """What a caller sent and received on one connection.
+
+    Attributes
+    ----------
+    sent : list of SentRequest
+    statuses : list of int
+        Statuses of the answers that were received whole.
+    announced_close : bool
+        Whether the last whole answer announced the end of the connection.
+    wrong : str
+        Description of an answer with the body of another request.
+    partial : bytes
+        Received bytes of an answer that was not received whole.
+    ended_at : float
+        Monotonic time in seconds; 0 while the connection is open.
+    reason : str
+        How the connection ended.
+    """
+
+    __slots__ = ("announced_close", "ended_at", "partial", "reason", "sent", "statuses", "wrong")
+
+    def __init__(self):
+        self.sent: list[SentRequest] = []
+        self.statuses: list[int] = []
+        self.announced_close = False
+        self.partial = b""
+        self.ended_at = 0.0
+        self.reason = self.wrong = ""
+
+    def find_fault(self, arrived: set[str], started_at: float = 0.0) -> str | None:
+        """Describe the request that got no whole answer although it was owed one; None if there is none.
+
+        Parameters
+        ----------
+        arrived : set of str
+            Paths of the requests that applications received.
+        started_at : float
+            Monotonic time in seconds of the stop, from which times are given.
+        """
+        if self.wrong:
+            return self.wrong
+        if not self.ended_at or len(self.statuses) >= len(self.sent) or self.announced_close:
+            return None
+        request = self.sent[len(self.statuses)]
+        sent_at, ended_at = request.sent_at - started_at, self.ended_at - started_at
+        place = f"{request.path} sent at {sent_at:.3f} s, connection ended at {ended_at:.3f} s ({self.reason})"
+        if self.partial:
+            return f"answer cut after {len(self.partial)} bytes: {place}, begins {self.partial[:15]}"
+        if not request.sent_at:
+            return None  # not sent completely
+        if request.path in arrived:
+            return f"no answer though passed on: {place}"
+        if self.ended_at - request.sent_at > CROSSING_TIME:
+            return f"no answer: {place}"
+        return None
+
+    def has_crossed_close(self) -> bool:
+        """Return whether the connection ended, without an announcement, while a request was on its way."""
+        return bool(self.ended_at and len(self.statuses) < len(self.sent) and not self.announced_close)
+
+
+class KeepAliveCaller(threading.Thread):
+    """Sends requests on one connection after another, each of them until the daemon ends it.
+
+    Parameters
+    ----------
+    address : tuple of (str, int)
+    kind : CallerKind
+    seed : int
+    name : str
+        Part of the paths of the requests.
+    is_stopped : threading.Event
+        Ends the caller.
+    """
+
+    def __init__(self, address: tuple[str, int], kind: CallerKind, seed: int, name: str, is_stopped: threading.Event):
+        super().__init__(daemon=True)
+        self.records: list[ConnectionRecord] = []
+        self._address = address
+        self._kind = kind
+        self._rng = Random(seed)
+        self._name = name
+        self._is_stopped = is_stopped
+        self._number = 0
+
+    def run(self) -> None:
+        """Use connections until the caller is stopped; a connection in use is used until it ends."""
+        while not self._is_stopped.is_set():
+            try:
+                conn = self._connect()
+            except OSError:
+                self._is_stopped.wait(RECONNECT_DELAY)
+                continue
+            record = ConnectionRecord()
+            self.records.append(record)
+            with conn:
+                try:
+                    self._use(conn, record)
+                except OSError as exc:
+                    record.reason = record.reason or repr(exc)
+                    self._read_rest(conn, record)
+            record.ended_at = record.ended_at or time.monotonic()
+
+    def _connect(self) -> socket.socket:
+        conn = socket.socket()
+        try:
+            if self._kind.receive_buffer is not None:
+                conn.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self._kind.receive_buffer)
+            conn.settimeout(READ_TIMEOUT)
+            conn.connect(self._address)
+            conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        except OSError:
+            conn.close()
+            raise
+        return conn
+
+    def _use(self, conn: socket.socket, record: ConnectionRecord) -> None:
+        while True:
+            while len(record.sent) - len(record.statuses) < self._kind.outstanding:
+                if self._is_stopped.is_set() and len(record.sent) == len(record.statuses):
+                    record.reason = "ended by the caller"
+                    return
+                if self._is_stopped.is_set():
+                    break
+                self._send(conn, record)
+                if self._rng.random() < 1 / self._kind.outstanding:
+                    break
+            if not self._receive(conn, record):
+                record.reason = "end of stream"
+                return
+
+    def _send(self, conn: socket.socket, record: ConnectionRecord) -> None:
+        if self._kind.think_time:
+            time.sleep(self._rng.uniform(0, self._kind.think_time))
+        self._number += 1
+        size = self._rng.randrange(self._kind.answer_bytes)
+        prefix = "a/b" if self._kind.upload_bytes else "c"
+        request = SentRequest(f"/{prefix}/{self._name}/{self._number}/bytes-{size}")
+        method = "POST" if self._kind.upload_bytes else "GET"
+        body = b"." * self._kind.upload_bytes
+        headers = f"Host: {HOST_HEADER}\r\nX-Request-Id: {self._name}-{self._number}\r\nX-Deadline-Ms: 5000\r\n"
+        headers += f"Content-Length: {len(body)}\r\n" if body else ""
+        record.sent.append(request)
+        conn.sendall(f"{method} {request.path} HTTP/1.1\r\n{headers}\r\n".encode() + body)
+        request.sent_at = time.monotonic()
+
+    def _receive(self, conn: socket.socket, record: ConnectionRecord) -> bool:
+        """Read once; return False at the end of the stream."""
+        size = 4096 if self._kind.read_rate else 65536
+        data = conn.recv(size)
+        if not data:
+            return False
+        record.partial += data
+        _take_answers(record)
+        if self._kind.read_rate:
+            time.sleep(len(data) / self._kind.read_rate)
+        return True
+
+    def _read_rest(self, conn: socket.socket, record: ConnectionRecord) -> None:
+        """Read what was received before the connection broke."""
+        record.ended_at = time.monotonic()
+        try:
+            while self._receive(conn, record):
+                pass
+        except OSError:
+            pass
+
+
+def _take_answers(record: ConnectionRecord) -> None:
+    """Move the whole answers from the received bytes to the list of statuses."""
+    while (head_end := record.partial.find(b"\r\n\r\n")) >= 0:
+        head = record.partial[:head_end]
+        length = int(_LENGTH.search(head).group(1))
+        end = head_end + 4 + length
+        if len(record.partial) < end:
+            return
+        status = int(head.split(b" ")[1])
+        path = record.sent[len(record.statuses)].path
+        if status == 200 and record.partial[head_end + 4 : end] != make_body(path):
+            record.wrong = f"{path} got the body of another request: {record.partial[head_end + 4 :][:40]}"
+        record.statuses.append(status)
+        record.announced_close = bool(_CLOSE.search(head))
+        record.partial = record.partial[end:]
--- a/tests/platform_processes.py
+++ b/tests/platform_processes.py
@@ -9,6 +9,7 @@
 import json
 import os
 import re
+import shutil
 import socket
 import subprocess
 import sys
@@ -195,6 +196,8 @@
                     pass  # the daemon is not listening
 
     draining: frozenset = frozenset()
+    # Whether the processes' settings state a grace time for stops.
+    has_grace = True
 
     def zone(self, ip: str) -> str:
         """Return the availability zone of an instance; the instances of each role are assigned round-robin."""
@@ -207,6 +210,8 @@
         text = text.replace('{{#seeds}}"{{.}}"{{,}}{{/seeds}}', seeds)
         # Optional setting of deployments with canary releases, which these tests leave at its default.
         text = re.sub(r"\{\{#(bounds\.exposureShare)\}\}.*?\{\{/\1\}\}", "", text, flags=re.DOTALL)
+        if not self.has_grace:
+            text = re.sub(r'"stop_grace_s": .*?,\n', "", text)
         values = {
             "node": f"{role}-{ip}".replace(".", "-"),
             "zone": self.zone(ip),
@@ -253,6 +258,10 @@
         role = "control" if ip in self.controls else "daemon"
         self.start_process(ip, self.make_settings(role, ip, False))
 
+    def wipe(self, ip: str) -> None:
+        """Remove the data of a control instance that doesn't run."""
+        shutil.rmtree(self.folder / f"data-{ip}")
+
     def stop(self) -> None:
         self._stop_event.set()
         for process in self.processes.values():
--- /dev/null
+++ b/tests/stop_rounds.py
@@ -0,0 +1,233 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Rounds of planned stops under callers that use their connections until the process is gone.
+
+To run 20 rounds of each scenario by hand: ``python tests/stop_rounds.py --rounds 20``. The seed determines
+the callers, the signals and their times; the timing of the processes still differs between runs.
+"""
+
+import signal
+import sys
+import tempfile
+import threading
+import time
+from pathlib import Path
+from random import Random
+
+import typer
+
+TESTS = Path(__file__).parent
+if __name__ == "__main__":
+    # The import paths that pytest sets up.
+    sys.path[:0] = [str(TESTS), str(TESTS.parent / "platform")]
+
+from crash_mesh import CrashMesh, make_routes  # noqa: E402
+from keepalive_callers import CallerKind, KeepAliveCaller  # noqa: E402
+from platform_processes import OUTBOUND_PORT  # noqa: E402
+
+__all__ = ["SCENARIOS", "Scenario", "StopRounds"]
+
+DAEMONS = 6
+CALLERS_PER_DAEMON = 6
+# Seconds of load before the first signal, and after which a process that gets SIGTERM has to be gone.
+LOAD_TIME = 0.7
+END_TIME = 12.0
+
+ORDERLY = [
+    CallerKind(),
+    CallerKind(think=0.05),
+    CallerKind(outstanding=3, answer_bytes=200_000),
+    CallerKind(answer_bytes=600_000, read_rate=1.5e6),
+    CallerKind(upload_bytes=300_000, answer_bytes=1000),
+    CallerKind(upload_bytes=5_000, answer_bytes=1000),
+]
+PIPELINING = [
+    CallerKind(outstanding=5, receive_buffer=4096, read_rate=200_000.0),
+    CallerKind(outstanding=5, receive_buffer=4096, read_rate=60_000.0),
+    CallerKind(outstanding=5, receive_buffer=16384),
+    CallerKind(outstanding=5, receive_buffer=4096, read_rate=400_000.0, answer_bytes=20_000),
+    CallerKind(outstanding=2, receive_buffer=4096, read_rate=30_000.0, answer_bytes=30_000),
+    CallerKind(outstanding=3, upload_bytes=60_000, answer_bytes=20_000, receive_buffer=4096, read_rate=60_000.0),
+]
+
+
+class Scenario:
+    """One kind of planned stop.
+
+    Parameters
+    ----------
+    kinds : list of CallerKind
+    stopped : int
+        Number of daemons that are stopped, a moment apart.
+    signals : tuple of signal.Signals
+        Sent to each stopped process, a moment apart; SIGSTOP pauses it for a moment.
+    has_grace : bool
+        Whether the setting `stop_grace_s` is given.
+    wipes_control : bool
+        Whether a control instance is killed at the same time and restarts without its data.
+    """
+
+    __slots__ = ("has_grace", "kinds", "signals", "stopped", "wipes_control")
+
+    def __init__(self, kinds, stopped=1, signals=(signal.SIGTERM,), has_grace=True, wipes_control=False):
+        self.kinds = kinds
+        self.stopped = stopped
+        self.signals = signals
+        self.has_grace = has_grace
+        self.wipes_control = wipes_control
+
+
+_SERIES = (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
+_PAUSE = (signal.SIGTERM, signal.SIGSTOP)
+SCENARIOS = {
+    "orderly": Scenario(ORDERLY),
+    "orderly-signals": Scenario(ORDERLY, signals=_SERIES),
+    "orderly-pause": Scenario(ORDERLY, signals=_PAUSE),
+    "orderly-three": Scenario(ORDERLY, stopped=3, wipes_control=True),
+    "orderly-all": Scenario(ORDERLY, stopped=DAEMONS),
+    "orderly-no-grace": Scenario(ORDERLY, has_grace=False),
+    "pipelining": Scenario(PIPELINING),
+    "pipelining-no-grace": Scenario(PIPELINING, has_grace=False),
+    "pipelining-signals": Scenario(PIPELINING, signals=_SERIES),
+    "pipelining-three": Scenario(PIPELINING, stopped=3, wipes_control=True),
+}
+
+
+class RoundResult:
+    """What callers saw in one round.
+
+    Attributes
+    ----------
+    faults : list of str
+        Requests that were owed an answer and got none.
+    answers : int
+        Number of whole answers.
+    crossed : int
+        Number of connections that ended without an announcement while a request was on its way.
+    """
+
+    __slots__ = ("answers", "crossed", "faults")
+
+    def __init__(self, faults: list[str], answers: int, crossed: int):
+        self.faults = faults
+        self.answers = answers
+        self.crossed = crossed
+
+    def __repr__(self) -> str:
+        return f"<RoundResult answers={self.answers} crossed={self.crossed} faults={len(self.faults)}>"
+
+
+class StopRounds:
+    """A mesh of real processes whose daemons are stopped round by round.
+
+    Parameters
+    ----------
+    folder : Path
+        Folder for settings, logs and data.
+    seed : int
+    scenario : Scenario
+    """
+
+    def __init__(self, folder: Path, seed: int, scenario: Scenario):
+        self._rng = Random(seed)
+        self._scenario = scenario
+        self.mesh = CrashMesh(folder, 0.0, DAEMONS)
+        self._round = 0
+
+    def start(self) -> None:
+        """Start the mesh, and wait until its daemons serve."""
+        mesh = self.mesh
+        mesh.has_grace = self._scenario.has_grace
+        mesh.start()
+        assert mesh.put(make_routes(4, 0, timeoutS=5, targetLatencyS=1)) == 200
+        mesh.wait_all_ready()
+
+    def run_round(self) -> RoundResult:
+        """Stop the scenario's daemons under load, restart them, and return what callers saw."""
+        self._round += 1
+        stopped = self._rng.sample(self.mesh.daemons, self._scenario.stopped)
+        is_over = threading.Event()
+        callers = [self._make_caller(ip, number, is_over) for ip in stopped for number in range(CALLERS_PER_DAEMON)]
+        for caller in callers:
+            caller.start()
+        time.sleep(LOAD_TIME)
+        started_at = time.monotonic()
+        if self._scenario.wipes_control:
+            self._wipe_control()
+        stops = [threading.Thread(target=self._stop, args=(ip, self._rng.getrandbits(32))) for ip in stopped]
+        for stop in stops:
+            stop.start()
+            time.sleep(self._rng.uniform(0.0, 0.3))
+        for stop in stops:
+            stop.join()
+        is_over.set()
+        for caller in callers:
+            caller.join()
+        result = self._judge([record for caller in callers for record in caller.records], started_at)
+        self._restart(stopped)
+        return result
+
+    def _make_caller(self, ip: str, number: int, is_over: threading.Event) -> KeepAliveCaller:
+        kind = self._scenario.kinds[number % len(self._scenario.kinds)]
+        name = f"{self._round}-{ip}-{number}"
+        return KeepAliveCaller((ip, OUTBOUND_PORT), kind, self._rng.getrandbits(32), name, is_over)
+
+    def _stop(self, ip: str, seed: int) -> None:
+        rng = Random(seed)
+        process = self.mesh.processes[ip]
+        for number in self._scenario.signals:
+            process.send_signal(number)
+            if number is signal.SIGSTOP:
+                time.sleep(rng.uniform(0.3, 1.0))
+                process.send_signal(signal.SIGCONT)
+            time.sleep(rng.uniform(0.0, 0.4))
+        process.wait(END_TIME)
+
+    def _wipe_control(self) -> None:
+        ip = self.mesh.controls[0]
+        process = self.mesh.processes[ip]
+        process.kill()
+        process.wait()
+        self.mesh.wipe(ip)
+        self.mesh.start_process(ip, self.mesh.make_settings("control", ip, False))
+
+    def _judge(self, records, started_at: float) -> RoundResult:
+        arrived = {path for app in self.mesh.applications.values() for _, path, _ in list(app.arrivals)}
+        faults = [fault for record in records if (fault := record.find_fault(arrived, started_at))]
+        return RoundResult(
+            faults,
+            sum(len(record.statuses) for record in records),
+            sum(record.has_crossed_close() for record in records),
+        )
+
+    def _restart(self, stopped: list[str]) -> None:
+        for ip in stopped:
+            self.mesh.start_process(ip, self.mesh.make_settings("daemon", ip, False))
+        self.mesh.wait_all_ready()
+
+
+def main(scenario: str = "", rounds: int = 20, seed: int = 0) -> None:
+    """Run rounds of one scenario or of all; the exit code is 1 if any request got no answer."""
+    failed = 0
+    for name in [scenario] if scenario else SCENARIOS:
+        folder = Path(tempfile.mkdtemp(prefix=f"stops-{name}-"))
+        stops = StopRounds(folder, seed, SCENARIOS[name])
+        answers = crossed = 0
+        faults: list[str] = []
+        try:
+            stops.start()
+            for _ in range(rounds):
+                result = stops.run_round()
+                answers += result.answers
+                crossed += result.crossed
+                faults += result.faults
+        finally:
+            stops.mesh.stop()
+        failed += bool(faults)
+        print(f"{name}: {rounds} rounds, {answers} answers, {crossed} crossed, {len(faults)} faults ({folder})")
+        for fault in faults[:12]:
+            print(f"    {fault}", flush=True)
+    raise typer.Exit(int(failed > 0))
+
+
+if __name__ == "__main__":
+    typer.run(main)
