Close connections only after their callers have received all answers

Callers that pipeline requests or read slowly got a status, some kB and a reset around a planned stop of the daemon that they used.

The cause: the server counted an answer as given once the kernel had taken it, and closed the connection as idle (stop, idle timeout, room for another caller) or a fixed second after the last answer (announced close, refusal of a malformed message), or at once (connection limit). Input that was unread then, or that came later, reset the connection, and what was unsent was lost. Class: the end of a write taken for the receipt of its bytes.

Now one place ends connections. Only a connection whose caller has acknowledged everything, and from which nothing waits to be read, counts as idle. After a last answer the sending side ends, and input is discarded until the caller has received all and a second has passed, has closed its side, or has acknowledged nothing for 30 s. While the server stops, a connection that was used in the last 0.1 s isn't idle: its next answer announces the close. A stop waits for deliveries until its deadline, and logs what it cuts then.

The deadline of a connection that is closing is no longer kept in `expires_at`; the test that looked there checks that the connection ends in time though its caller sends on.

--- a/packages/lanedock-daemon/lanedock_daemon/path/channel.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/channel.py
@@ -168,6 +168,11 @@
             self._timeout = previous_timeout
         return self._is_readable
 
+    def expire_wait(self) -> None:
+        """Time out the read that another greenlet waits in, if there is one."""
+        if self._reader is not None:
+            self._set_timer(monotonic())
+
     def _wait_readable(self) -> bool:
         """Wait until the socket is readable; return False if the timeout or deadline passed first."""
         if self._is_closed:
--- a/packages/lanedock-daemon/lanedock_daemon/path/connection.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/connection.py
@@ -12,6 +12,7 @@
 from lanedock.errors import ErrorCode
 from lanedock_daemon.agent.reachability import ALIVE_PATH
 from lanedock_daemon.path.answer_writer import close_pieces, write_pieces
+from lanedock_daemon.path.delivery import DELIVERY_TIMEOUT, Delivery
 from lanedock_daemon.path.headers import HOP_HEADERS, PACE_HEADER
 from lanedock_daemon.path.http import DEFAULT_RETRY_AFTER, NEVER, Answer, Body, Outcome, Request, make_refusal
 from lanedock_daemon.path.incoming import Exchange
@@ -28,10 +29,12 @@
 MAX_PIPELINED = 32
 # Unread bytes of a body above which reading from the connection pauses.
 MAX_READ_AHEAD_BYTES = 256 * 1024
-# Seconds for which input is still read and discarded after the last answer. Data that
-# arrives at a closed socket resets the connection, and the answer may be lost with it:
-# a caller that sent 40 kB after a refusal got a broken pipe instead of the refusal.
+# Seconds for which input is still discarded after the caller has received the last answer. Data that
+# arrives at a closed socket resets the connection, and some systems discard what the caller has not read.
 LINGER_TIMEOUT = 1.0
+# Seconds for which a stopping server keeps a connection that was just used: the caller's next request
+# gets an answer that announces the close, instead of meeting it.
+IDLE_CLOSE_DELAY = 0.1
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n"
 _REASONS = {
     400: "Bad Request",
@@ -44,7 +47,7 @@
 
 
 class _Expired(gevent.GreenletExit):
-    """Ends the reader of a connection that has exceeded its time limit."""
+    """Ends the reader of a connection that has exceeded its time limit, or that nobody needs any more."""
 
 
 class Connection:
@@ -66,6 +69,7 @@
         self.expires_at = monotonic() + IDLE_TIMEOUT
         self._server = server
         self._conn = conn
+        self._delivery = Delivery(conn)
         self._reader = RequestReader(conn)
         self._greenlet = getcurrent()
         self._exchanges: deque[Exchange] = deque()
@@ -74,6 +78,8 @@
         # Whether the head of an answer announced `connection: close`.
         self._has_announced_close = False
         self._is_closing = False
+        self._linger_timeout = LINGER_TIMEOUT
+        self._idle_since = monotonic()
         # Why this process ends the connection; empty if the caller does.
         self._end_reason = ""
         # Whether the answer being written has no length, so that its end is the end of the connection.
@@ -84,35 +90,54 @@
     def run(self) -> None:
         """Read requests and start processing them until the connection ends."""
         try:
-            self._read()
-        except MalformedMessage as exc:
-            # Requests before the malformed one, possibly in the same packet, still get their answers.
-            self._start_complete_requests()
-            self._await_complete_exchanges()
-            self._refuse_malformed(exc)
-        except _Expired:
-            # A request may have been read after the connection was found idle.
-            self._start_complete_requests()
-            self._await_complete_exchanges()
-            if self._reader.is_in_head and not (self._exchanges or self._is_closing):
-                self._refuse_malformed(MalformedMessage("the request head was not received within the time limit", 408))
+            self._serve()
+            self._await_delivery()
         except (OSError, gevent.GreenletExit):
             # The caller has disconnected, or an incomplete answer is cut so that it doesn't look complete.
             pass
         finally:
             if self._is_answer_close_delimited:
                 self._conn.reset_on_close()
-            self._report_cut()
+            if self._end_reason:
+                self.report_cut(self._end_reason)
             self._cancel_exchanges()
             self._conn.close()
 
-    def _report_cut(self) -> None:
-        """Log that this process closes the connection before its caller has received all answers."""
+    def _serve(self) -> None:
+        """Read requests until the last answer is written or the connection ends."""
+        try:
+            self._read()
+        except MalformedMessage as exc:
+            # Requests before the malformed one, possibly in the same packet, still get their answers.
+            self._answer_complete_requests()
+            self._refuse_malformed(exc)
+        except _Expired:
+            # A request may have been read after the connection was found idle.
+            self._answer_complete_requests()
+            if self._reader.is_in_head and not (self._exchanges or self._is_closing):
+                self._refuse_malformed(MalformedMessage("the request head was not received within the time limit", 408))
+
+    def _await_delivery(self) -> None:
+        """End the sending side, and discard input until the caller has received all answers."""
+        if not self._is_closing:
+            if self._exchanges or self._delivery.is_complete():
+                return
+            self._end_sending()
+        while True:
+            try:
+                if not self._delivery.linger(self._linger_timeout):
+                    self._end_reason = "not received"
+                return
+            except _Expired:
+                continue  # scheduled before the last answer was written
+
+    def report_cut(self, reason: str) -> None:
+        """Log if the caller has not received all answers, when this process closes the connection."""
         unsent = self._conn.count_unsent_bytes()
-        if self._end_reason and (unsent or self._exchanges):
-            self._server.log_cut_connection(
-                self._end_reason, unsent, self._conn.count_unread_bytes(), len(self._exchanges)
-            )
+        if self._is_closing and unsent:
+            unsent -= 1  # the end of the stream
+        if unsent or self._exchanges:
+            self._server.log_cut_connection(reason, unsent, self._conn.count_unread_bytes(), len(self._exchanges))
 
     def expire(self, reason: str) -> None:
         """End the connection; `reason` is logged if answers are cut."""
@@ -120,14 +145,25 @@
         self._greenlet.kill(_Expired, block=False)
 
     def is_idle(self) -> bool:
-        """Return whether no request is in progress or being read, and the connection isn't closing."""
-        return not (self._exchanges or self._reader.is_in_head or self._reader.has_head() or self._is_closing)
+        """Return whether no request is in progress or has arrived, and the caller has received all answers."""
+        return not self._is_busy() and self._conn.is_clean() and self._delivery.is_complete()
+
+    def _is_busy(self) -> bool:
+        """Return whether a request is in progress or being read, or the connection is closing."""
+        return bool(self._exchanges or self._reader.is_in_head or self._reader.has_head() or self._is_closing)
 
     def end_if_idle(self) -> None:
-        """End the connection unless a request is in progress; called while the server stops."""
-        if self.is_idle() or (self._is_closing and self.expires_at <= monotonic()):
+        """End the connection unless it is in use; called while the server stops."""
+        if self.is_idle() and monotonic() >= self._idle_since + IDLE_CLOSE_DELAY:
             self.expire("stop")
 
+    def end_if_expired(self, now: float) -> None:
+        """End the connection if its time limit has passed; an idle one, if its caller receives nothing more."""
+        if now <= self.expires_at or self._is_closing:
+            return
+        if self._is_busy() or not self._delivery.is_in_progress(now):
+            self.expire("time limit")
+
     def force_answers(self) -> int:
         """Force an answer to each request that has none yet, and return their number."""
         unanswered = [exchange for exchange in self._exchanges if not exchange.is_answered]
@@ -138,10 +174,7 @@
     def _read(self) -> None:
         reader = self._reader
         self._update_expiry()
-        while reader.receive():
-            if self._is_closing:
-                self._discard_read_ahead()
-                continue
+        while self._receive():
             # Before new requests start, since one of them may replace the open exchange.
             if self._open_exchange is not None:
                 self._update_open_body()
@@ -152,9 +185,18 @@
                 self._has_room.wait()
                 self._start_read_requests()
                 self._update_expiry()
-        if reader.is_in_head:
+        if reader.is_in_head and not self._is_closing:
             raise ConnectionError("the connection ended before the end of a request head")
 
+    def _receive(self) -> bool:
+        """Wait for data; return False at the end of the stream, and once the last answer is written."""
+        try:
+            return not self._is_closing and self._reader.receive() and not self._is_closing
+        except TimeoutError:
+            if not self._is_closing:
+                raise
+            return False
+
     def _start_read_requests(self) -> None:
         """Start the requests whose heads were read, as far as the connection's state permits."""
         reader = self._reader
@@ -169,8 +211,7 @@
         If they were started, they would run and never be answered. The body of the open
         exchange is still received until the answer has ended.
         """
-        is_body_wanted = self._open_exchange is not None and not self._is_closing
-        self._reader.discard_read_ahead(self._open_exchange.message if is_body_wanted else None)
+        self._reader.discard_read_ahead(self._open_exchange.message if self._open_exchange is not None else None)
 
     def _may_start_request(self) -> bool:
         if self._has_announced_close:
@@ -184,8 +225,16 @@
         if self._open_exchange.message.is_complete:
             self._open_exchange = None
 
+    def _answer_complete_requests(self) -> None:
+        """Answer the requests that were read completely, once nothing more is read."""
+        self.expires_at = NEVER
+        self._start_complete_requests()
+        for exchange in list(self._exchanges):
+            if exchange is not self._open_exchange:
+                exchange.done = Signal()
+                exchange.done.wait()
+
     def _start_complete_requests(self) -> None:
-        """Start the requests that were read completely, once nothing more is read."""
         if self._open_exchange is not None:
             self._update_open_body()
         while self._reader.has_head() and not self._has_announced_close:
@@ -203,7 +252,7 @@
 
     def _update_expiry(self) -> None:
         if self._is_closing:
-            return  # the linger timeout is fixed
+            return
         now = monotonic()
         header_timeout, idle_timeout = self._server.read_timeouts()
         if self._open_exchange is not None:
@@ -213,6 +262,7 @@
         elif self._exchanges:
             self.expires_at = NEVER
         else:
+            self._idle_since = now
             self.expires_at = now + idle_timeout
 
     def _start_request(self, message: Message) -> None:
@@ -316,13 +366,6 @@
         if not self._exchanges:
             self._update_expiry()
 
-    def _await_complete_exchanges(self) -> None:
-        """Wait until the requests that were read completely are answered."""
-        for exchange in list(self._exchanges):
-            if exchange is not self._open_exchange:
-                exchange.done = Signal()
-                exchange.done.wait(timeout=BODY_TIMEOUT)
-
     def _cancel_exchanges(self) -> None:
         """Cancel all requests in progress."""
         exchanges, self._exchanges = self._exchanges, deque()
@@ -359,37 +402,31 @@
             close_pieces(pieces)
         self._is_answer_close_delimited = False
         if not keep_alive:
-            self._begin_lingering_close()
-
-    def _begin_lingering_close(self) -> None:
-        """Shut down the sending side; the reader discards what the caller still sends.
+            self._end_sending()
 
-        The connection ends when the caller has closed its side, or after `LINGER_TIMEOUT`.
-        """
+    def _end_sending(self) -> None:
+        """End the sending side after the last answer; the reader discards what the caller still sends."""
         self._is_closing = True
-        self._has_room.set()
-        self.expires_at = monotonic() + LINGER_TIMEOUT
+        self.expires_at = NEVER
+        if self._server.is_over_connection_limit() and not self._server.is_stopping:
+            # Another caller needs the connection slot.
+            self._linger_timeout = 0.0
         self._conn.shutdown(plain_socket.SHUT_WR)
-        if self._open_exchange is None and self._server.is_over_connection_limit() and not self._server.is_stopping:
-            # Another caller needs the connection slot, and hardly any input can be in transit.
-            self.expire("connection limit")
+        self._has_room.set()
+        self._conn.expire_wait()
 
     def _refuse_malformed(self, exc: MalformedMessage) -> None:
-        """Refuse a malformed request, and discard all further input."""
+        """Refuse a malformed request."""
+        if self._has_announced_close:
+            return
         # Part of an open body may already have been passed on.
         outcome = Outcome.NOT_RUN if self._open_exchange is None else Outcome.UNKNOWN
         answer = make_refusal(exc.code, outcome, 0.0, str(exc))
         answer.status, answer.reason = exc.status, _REASONS[exc.status]
         message = Message()
         message.version = "1.1"
-        try:
-            self._conn.settimeout(LINGER_TIMEOUT)
-            if not self._has_announced_close:
-                self._write_answer(answer, message, keep_alive=False)
-            while self._conn.recv(65536):
-                pass
-        except (OSError, gevent.GreenletExit):
-            pass  # the caller has disconnected
+        self._conn.settimeout(DELIVERY_TIMEOUT)
+        self._write_answer(answer, message, keep_alive=False)
 
 
 def _make_request(message: Message, body: Body) -> Request:
--- a/packages/lanedock-daemon/lanedock_daemon/path/server.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/server.py
@@ -72,6 +72,8 @@
     def stop(self) -> None:
         super().stop()
         self._sweeper.kill()
+        for connection in self._connections:
+            connection.report_cut("stop")
 
     def _force_final_answers(self) -> None:
         """Force answers to all unanswered requests.
@@ -143,9 +145,8 @@
             self.limits = self._get_limits()
             now = monotonic()
             for connection in list(self._connections):
-                if connection.expires_at < now:
-                    connection.expire("time limit")
-                elif self.is_stopping:
+                connection.end_if_expired(now)
+                if self.is_stopping:
                     connection.end_if_idle()
 
     def _accept(self, conn, address) -> None:
