Accept the connections in the listen queue before a listener closes

A caller that connected just before a stop got a reset without a byte: the kernel had made the connection, the server hadn't accepted it, and closing the listener resets what is in its queue.

A server accepts what is in the queue, and then closes the listener; requests on these connections are served as on others, and their answers announce the close.

--- a/packages/lanedock-daemon/lanedock_daemon/path/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/service.py
@@ -92,7 +92,19 @@
     def _close(self) -> None:
         """Accept no new connections; open ones are closed after their next answer."""
         self.is_stopping = True
-        self._server.close()
+        if self._server.started:
+            self._accept_queued()
+            self._server.close()
+
+    def _accept_queued(self) -> None:
+        """Accept the connections in the listen queue; closing the listener would reset them."""
+        try:
+            while (accepted := self._server.do_read()) is not None:
+                self._server.do_handle(*accepted)
+        except OSError as exc:
+            self._events.emit(Event.UNEXPECTED, error=repr(exc))
+        # Lets the handlers start, so that the server doesn't find itself idle before.
+        gevent.sleep(0)
 
     def _force_final_answers(self) -> None:
         """Answer all requests still in progress; does nothing unless a subclass can do so."""
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_delivery.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_delivery.py
@@ -229,3 +229,14 @@
     (cut,) = [line for line in lines if line["message"] == "CONNECTION_CUT"]
     assert (cut["reason"], cut["requests"]) == ("stop", 0)
     assert len(BODY) // 2 < cut["unsent"] < len(BODY)
+
+
+def test_connection_in_the_listen_queue_is_served_when_the_server_stops(make_server, make_caller):
+    server = make_server()
+    # Nothing else runs in between: the kernel has made the connection, and the server has not accepted it.
+    conn = make_caller(server)
+    conn.sendall(_request("/short"))
+    server.begin_stop()
+    got = _read_to_end(conn)
+    assert b"\r\nconnection: close\r\n" in got
+    assert got.endswith(b"ok")
