Let answers before a broken one reach their caller

An answer that breaks off in its body ends its connection. The connection was closed at once, so that answers before it that were written and not received yet were lost as soon as their caller sent on: the same cause as in the stop, in one more place that closes connections.

The sending side ends after the part, which its length or the missing last chunk shows to be one, and the connection lingers like any other. Only an answer whose end is the end of its connection is still cut by a reset.

--- a/packages/lanedock-daemon/lanedock_daemon/path/connection.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/connection.py
@@ -305,15 +305,10 @@
             if self._exchanges and not self._is_closing:
                 self._write_answer(answer, message, self._may_keep_open(exchange, answer))
         except (OSError, gevent.GreenletExit):
-            # The caller has disconnected, or the answer's body broke off: cut the connection,
-            # so that the caller doesn't take a partial answer for a complete one.
-            self._is_closing = True
-            self._end_reason = "broken answer"
-            self._greenlet.kill(block=False)
+            # The caller has disconnected, or the answer's body broke off.
+            self._break_off("broken answer")
         except Exception as exc:
-            self._is_closing = True
-            self._end_reason = "error"
-            self._greenlet.kill(block=False)
+            self._break_off("error")
             self._server.log_unexpected_error(exc)
         finally:
             if answer is not None:
@@ -415,6 +410,19 @@
         self._has_room.set()
         self._conn.expire_wait()
 
+    def _break_off(self, reason: str) -> None:
+        """End the connection after an incomplete answer, which the caller must not take for a complete one."""
+        self._end_reason = reason
+        if not self._is_answer_close_delimited:
+            try:
+                # Answers before the incomplete one still reach the caller.
+                self._end_sending()
+                return
+            except OSError:
+                pass  # the caller has disconnected
+        self._is_closing = True
+        self._greenlet.kill(block=False)
+
     def _refuse_malformed(self, exc: MalformedMessage) -> None:
         """Refuse a malformed request."""
         if self._has_announced_close:
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_delivery.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_delivery.py
@@ -30,17 +30,24 @@
 
 
 class _Side:
-    """Answers with `BODY`, or briefly if the path is /short."""
+    """Answers with `BODY`, briefly if the path is /short, and with a part of a body if it is /broken."""
 
     def __init__(self):
         self.begun: list[str] = []
 
     def handle(self, request) -> Answer:
         self.begun.append(request.path)
+        if request.path == "/broken":
+            return Answer(200, "OK", [("content-length", "100")], _break_off())
         body = b"ok" if request.path == "/short" else BODY
         return Answer(200, "OK", [("content-length", str(len(body)))], [body])
 
 
+def _break_off():
+    yield b"part"
+    raise ConnectionError("the answer broke off")
+
+
 class _Limits:
     """Limits for callers: the timeouts of heads and of idle connections, in milliseconds."""
 
@@ -127,6 +134,10 @@
     _send_unread_request(server, conn, b"no HTTP\r\n\r\n")
 
 
+def _end_by_broken_answer(server: PathServer, conn) -> None:
+    _send_unread_request(server, conn, _request("/broken"))
+
+
 def _end_by_connection_limit(server: PathServer, conn) -> None:
     server._max_connections = 0
     _send_unread_request(server, conn)
@@ -157,6 +168,7 @@
 _ENDS = {
     "stop": _end_by_stop,
     "announced close": _end_by_request,
+    "broken answer": _end_by_broken_answer,
     "malformed request": _end_by_malformed_request,
     "connection limit": _end_by_connection_limit,
     "room for another caller": _end_oldest_idle,
