Split the connection's module by job

`path/connection.py` had grown to 437 lines: the head of an answer is made in `answer_writer.py`, callers' messages become requests in `caller_messages.py`, and the server answers a request itself (size limit, end of a stop, the side).

--- /dev/null
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller_messages.py
@@ -0,0 +1,33 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Conversion of callers' messages to requests, and the refusal of malformed ones."""
+
+from lanedock_daemon.path.headers import HOP_HEADERS
+from lanedock_daemon.path.http import Answer, Body, Request, make_refusal
+from lanedock_daemon.path.parser import MalformedMessage, Message
+
+__all__ = ["make_request", "refuse_malformed"]
+
+_REASONS = {
+    400: "Bad Request",
+    408: "Request Timeout",
+    413: "Content Too Large",
+    414: "URI Too Long",
+    431: "Request Header Fields Too Large",
+    501: "Not Implemented",
+}
+
+
+def make_request(message: Message, body: Body) -> Request:
+    """Make the request that a caller's message describes, without hop-by-hop headers."""
+    connection_header = message.header("connection").lower()
+    dropped = {name.strip() for name in connection_header.split(",")} if connection_header else ()
+    headers = [pair for pair in message.headers if pair[0] not in HOP_HEADERS and pair[0] not in dropped]
+    host = message.header("host").rpartition(":")[0] or message.header("host")
+    return Request(message.method, message.target, host.lower(), headers, body)
+
+
+def refuse_malformed(exc: MalformedMessage, outcome: str) -> Answer:
+    """Make the refusal of a malformed message; `outcome` is one of `Outcome`."""
+    answer = make_refusal(exc.code, outcome, 0.0, str(exc))
+    answer.status, answer.reason = exc.status, _REASONS[exc.status]
+    return answer
--- a/packages/lanedock-daemon/lanedock_daemon/path/connection.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/connection.py
@@ -9,15 +9,13 @@
 from gevent.event import Event as Signal
 
 from lanedock.clock import monotonic
-from lanedock.errors import ErrorCode
-from lanedock_daemon.agent.reachability import ALIVE_PATH
-from lanedock_daemon.path.answer_writer import close_pieces, write_pieces
+from lanedock_daemon.path.answer_writer import close_pieces, make_head, write_pieces
+from lanedock_daemon.path.caller_messages import refuse_malformed
 from lanedock_daemon.path.delivery import DELIVERY_TIMEOUT, Delivery
-from lanedock_daemon.path.headers import HOP_HEADERS, PACE_HEADER
-from lanedock_daemon.path.http import DEFAULT_RETRY_AFTER, NEVER, Answer, Body, Outcome, Request, make_refusal
+from lanedock_daemon.path.headers import PACE_HEADER
+from lanedock_daemon.path.http import NEVER, Answer, Outcome
 from lanedock_daemon.path.incoming import Exchange
 from lanedock_daemon.path.parser import MalformedMessage, Message, RequestReader
-from lanedock_daemon.path.service import StopTimeout
 
 __all__ = ["Connection"]
 
@@ -36,14 +34,6 @@
 # gets an answer that announces the close, instead of meeting it.
 IDLE_CLOSE_DELAY = 0.1
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n"
-_REASONS = {
-    400: "Bad Request",
-    408: "Request Timeout",
-    413: "Content Too Large",
-    414: "URI Too Long",
-    431: "Request Header Fields Too Large",
-    501: "Not Implemented",
-}
 
 
 class _Expired(gevent.GreenletExit):
@@ -296,7 +286,7 @@
         self._server.in_progress += 1
         answer = None
         try:
-            answer = self._get_answer(message, exchange.body)
+            answer = self._server.answer(message, exchange.body)
             exchange.is_answered = True
             if self._exchanges and self._exchanges[0] is not exchange:
                 exchange.turn = Signal()
@@ -319,21 +309,6 @@
             if exchange.done is not None:
                 exchange.done.set()
 
-    def _get_answer(self, message: Message, body: Body) -> Answer:
-        if message.target == ALIVE_PATH:
-            return Answer(200, "OK", [("content-length", "0")], [])
-        limits = self._server.limits
-        if limits is not None and body.length is not None and body.length > limits.body_bytes:
-            return make_refusal(ErrorCode.BODY_TOO_LONG, Outcome.NOT_RUN)
-        if self._server.is_past_deadline():
-            # This process is stopping and has sent its last answers; a request read now would not be answered.
-            return make_refusal(ErrorCode.DRAINING, Outcome.NOT_RUN, DEFAULT_RETRY_AFTER)
-        try:
-            return self._server.side.handle(_make_request(message, body))
-        except StopTimeout:
-            # The side was interrupted: the request may have run.
-            return make_refusal(ErrorCode.ANSWER_LOST, Outcome.UNKNOWN)
-
     def _may_keep_open(self, exchange: Exchange, answer: Answer) -> bool:
         """Return whether the connection stays open after a request's answer."""
         if not exchange.message.keep_alive:
@@ -371,32 +346,19 @@
 
     def _write_answer(self, answer: Answer, message: Message, keep_alive: bool) -> None:
         """Write an answer; its head is sent together with the first piece of its body."""
-        lines = [f"HTTP/1.1 {answer.status} {answer.reason}"]
-        has_length = False
-        for name, value in answer.headers:
-            has_length = has_length or name == "content-length"
-            lines.append(f"{name}: {value}")
-        has_body = message.method != "HEAD" and answer.status not in (204, 304)
-        is_chunked = has_body and not has_length and message.version == "1.1"
-        if is_chunked:
-            lines.append("transfer-encoding: chunked")
-        elif not has_length and has_body:
-            keep_alive = False
-            self._is_answer_close_delimited = True
-        if not keep_alive:
-            self._has_announced_close = True
-            lines.append("connection: close")
-        head = ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+        head = make_head(answer, message, keep_alive)
+        self._is_answer_close_delimited = head.is_close_delimited
+        self._has_announced_close = self._has_announced_close or head.announces_close
         pieces = iter(answer.pieces)
         try:
-            if has_body:
-                write_pieces(self._conn, head, pieces, is_chunked)
+            if head.has_body:
+                write_pieces(self._conn, head.data, pieces, head.is_chunked)
             else:
-                self._conn.sendall(head)
+                self._conn.sendall(head.data)
         finally:
             close_pieces(pieces)
         self._is_answer_close_delimited = False
-        if not keep_alive:
+        if head.announces_close:
             self._end_sending()
 
     def _end_sending(self) -> None:
@@ -429,17 +391,7 @@
             return
         # Part of an open body may already have been passed on.
         outcome = Outcome.NOT_RUN if self._open_exchange is None else Outcome.UNKNOWN
-        answer = make_refusal(exc.code, outcome, 0.0, str(exc))
-        answer.status, answer.reason = exc.status, _REASONS[exc.status]
         message = Message()
         message.version = "1.1"
         self._conn.settimeout(DELIVERY_TIMEOUT)
-        self._write_answer(answer, message, keep_alive=False)
-
-
-def _make_request(message: Message, body: Body) -> Request:
-    connection_header = message.header("connection").lower()
-    dropped = {name.strip() for name in connection_header.split(",")} if connection_header else ()
-    headers = [pair for pair in message.headers if pair[0] not in HOP_HEADERS and pair[0] not in dropped]
-    host = message.header("host").rpartition(":")[0] or message.header("host")
-    return Request(message.method, message.target, host.lower(), headers, body)
+        self._write_answer(refuse_malformed(exc, outcome), message, keep_alive=False)
--- a/packages/lanedock-daemon/lanedock_daemon/path/server.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/server.py
@@ -10,13 +10,18 @@
 from gevent.server import StreamServer
 
 from lanedock.clock import monotonic
+from lanedock.errors import ErrorCode
 from lanedock.kernel import Kernel, StopPlan
 from lanedock.settings import Address
 from lanedock.telemetry import Event, EventLogger
+from lanedock_daemon.agent.reachability import ALIVE_PATH
+from lanedock_daemon.path.caller_messages import make_request
 from lanedock_daemon.path.channel import Channel
 from lanedock_daemon.path.connection import IDLE_TIMEOUT, Connection
+from lanedock_daemon.path.http import DEFAULT_RETRY_AFTER, Answer, Body, Outcome, make_refusal
 from lanedock_daemon.path.incoming import Worker
-from lanedock_daemon.path.service import HttpService
+from lanedock_daemon.path.parser import Message
+from lanedock_daemon.path.service import HttpService, StopTimeout
 
 __all__ = ["PathServer"]
 
@@ -121,10 +126,25 @@
         """Whether the process is stopping, so that answers in progress may be cut."""
         return self._plan.is_begun
 
-    def is_past_deadline(self) -> bool:
+    def _is_past_deadline(self) -> bool:
         """Return whether the process is stopping and the deadline for final answers has passed."""
         return self._plan.is_begun and monotonic() >= self._plan.deadline
 
+    def answer(self, message: Message, body: Body) -> Answer:
+        """Process a caller's request and return its answer, whose body may still have to come."""
+        if message.target == ALIVE_PATH:
+            return Answer(200, "OK", [("content-length", "0")], [])
+        if self.limits is not None and body.length is not None and body.length > self.limits.body_bytes:
+            return make_refusal(ErrorCode.BODY_TOO_LONG, Outcome.NOT_RUN)
+        if self._is_past_deadline():
+            # This process is stopping and has sent its last answers; a request read now would not be answered.
+            return make_refusal(ErrorCode.DRAINING, Outcome.NOT_RUN, DEFAULT_RETRY_AFTER)
+        try:
+            return self.side.handle(make_request(message, body))
+        except StopTimeout:
+            # The side was interrupted: the request may have run.
+            return make_refusal(ErrorCode.ANSWER_LOST, Outcome.UNKNOWN)
+
     def acquire_worker(self) -> Worker:
         """Return an idle worker, or a new one."""
         return self._idle_workers.pop() if self._idle_workers else Worker(self._idle_workers)
