Count the bytes of a head by what they are, not by reads

Callers whose upload's head arrived in two parts got 431 if the second part came with 32 kB of the body or more: a head that had begun in an earlier read was charged with all that a read brought. An upstream's answer cut so was lost (502). Any network cuts heads so. Besides, headers that trickled were counted twice, and a line that never ends, in a head or in a trailer, was kept without a limit by connections of callers.

Class: a limit that counts by reads. Now the parser's callbacks count the target and the header lines; and reads that complete no part of a message, whose bytes the parser keeps, are counted from the first on, and made no larger than what is left of the limit. A head, a trailer, or blank lines between messages take at most the limit and one read of memory.

Looked at besides: an upload's length is compared as declared, the pace and the room on the link count bytes of bodies.

--- a/packages/lanedock-daemon/lanedock_daemon/path/parser.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/parser.py
@@ -14,6 +14,8 @@
 # Maximum bytes per read from a connection.
 RECEIVE_SIZE = 64 * 1024
 MAX_HEAD_BYTES = 32 * 1024
+# The colon, the space and the line end of a header line.
+HEADER_DELIMITER_BYTES = 4
 _BODILESS_STATUSES = (204, 304)
 # Cache of header names as received, mapped to lower-case strings; its size is bounded.
 _MAX_CACHED_NAMES = 256
@@ -89,6 +91,10 @@
         self._heads: deque[Message] = deque()
         self._current: Message | None = None
         self._head_bytes = 0
+        # Bytes of the reads since the one that completed the last part of a message: the parser keeps
+        # them, be they of a head, of a trailer or between messages.
+        self._pending_bytes = 0
+        self._has_completed_part = False
         self._start_line_text = b""
         self.is_in_head = False
 
@@ -101,25 +107,28 @@
         self._current = Message()
         self._head_bytes = 0
         self._start_line_text = b""
-        self.is_in_head = True
+        self.is_in_head = self._has_completed_part = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self._head_bytes += len(name) + len(value)
+        self._head_bytes += len(name) + len(value) + HEADER_DELIMITER_BYTES
         if self._head_bytes > MAX_HEAD_BYTES:
             raise MalformedMessage(f"the head is longer than {MAX_HEAD_BYTES} bytes", 431)
         self._current.headers.append((_HEADER_NAMES.get(name) or _decode_name(name), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
         self.is_in_head = False
+        self._has_completed_part = True
         self._current.keep_alive = self._parser.should_keep_alive()
         self._current.version = self._parser.get_http_version()
         self._finish_head(self._current)
         self._heads.append(self._current)
 
     def on_body(self, body: bytes) -> None:
+        self._has_completed_part = True
         self._current.pieces.append(body)
 
     def on_message_complete(self) -> None:
+        self._has_completed_part = True
         self._current.is_complete = True
 
     def _finish_head(self, message: Message) -> None:
@@ -141,8 +150,6 @@
                 if self.is_in_head:
                     raise ConnectionError("the connection ended before the end of a message head")
                 return None
-            if self.is_in_head and self._head_bytes > MAX_HEAD_BYTES:
-                raise MalformedMessage(f"the head is longer than {MAX_HEAD_BYTES} bytes", 431)
         return self._heads.popleft()
 
     def has_head(self) -> bool:
@@ -187,19 +194,32 @@
         return False
 
     def _receive(self) -> bool:
-        data = self.conn.recv(RECEIVE_SIZE)
+        is_unfinished = self.is_in_head or self._pending_bytes
+        data = self.conn.recv(MAX_HEAD_BYTES - self._pending_bytes if is_unfinished else RECEIVE_SIZE)
         if not data:
             return False
-        if self.is_in_head:
-            # Counts header data that the parser buffers, too.
-            self._head_bytes += len(data)
+        self._has_completed_part = False
+        if not self._feed(data):
+            return True
+        self._pending_bytes = 0 if self._has_completed_part else self._pending_bytes + len(data)
+        if self._pending_bytes >= MAX_HEAD_BYTES:
+            raise MalformedMessage(f"a head or trailer is longer than {MAX_HEAD_BYTES} bytes", 431)
+        return True
+
+    def _feed(self, data: bytes) -> bool:
+        """Parse data; return False if it is invalid and can be ignored.
+
+        Raises
+        ------
+        MalformedMessage
+        """
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as exc:
             raise MalformedMessage("upgrades are not supported", 501) from exc
         except httptools.HttpParserError as exc:
             if self._tolerates_parse_error():
-                return True
+                return False
             cause = exc.__context__
             if isinstance(cause, MalformedMessage):
                 raise cause from None
@@ -217,6 +237,7 @@
         self._start_line_text += url
         if len(self._start_line_text) > MAX_HEAD_BYTES:
             raise MalformedMessage(f"the request target is longer than {MAX_HEAD_BYTES} bytes", 414)
+        self._head_bytes += len(url)
 
     def _finish_head(self, message: Message) -> None:
         message.method = self._parser.get_method().decode("latin-1")
@@ -295,6 +316,7 @@
         if self._parser.get_status_code() < 200:
             # An interim answer; the final one follows.
             self.is_in_head = False
+            self._has_completed_part = True
             self.got_continue = True
             self.body_pace = parse_int(self._current.header(PACE_HEADER))
             return
