Limit the time of a head from its beginning

A caller that trickled a head, a byte at a time, kept its connection for as long as it liked: each read renewed the time limit, although the operators' file promises a maximum time to receive a head once it has begun. In a stop such connections are waited for until its deadline.

Class: a time limit that is renewed by each read. The limit now belongs to the head: it is set when a head begins, and not again for the same one. The new test fails before (no answer while the head trickles for 5 s at a limit of 0.2 s), and gets 408 now. The limit of a body that stalls goes on from read to read, as each brings a part of it; the request's own deadline holds for all of it.

--- a/packages/lanedock-daemon/lanedock_daemon/path/connection.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/connection.py
@@ -64,6 +64,8 @@
         self._greenlet = getcurrent()
         self._exchanges: deque[Exchange] = deque()
         self._open_exchange: Exchange | None = None
+        # The unfinished head to which the time limit belongs.
+        self._timed_head: Message | None = None
         self._has_room = Signal()
         # Whether the head of an answer announced `connection: close`.
         self._has_announced_close = False
@@ -218,19 +220,16 @@
     def _answer_complete_requests(self) -> None:
         """Answer the requests that were read completely, once nothing more is read."""
         self.expires_at = NEVER
-        self._start_complete_requests()
-        for exchange in list(self._exchanges):
-            if exchange is not self._open_exchange:
-                exchange.done = Signal()
-                exchange.done.wait()
-
-    def _start_complete_requests(self) -> None:
         if self._open_exchange is not None:
             self._update_open_body()
         while self._reader.has_head() and not self._has_announced_close:
             message = self._reader.next_head()
             if message.is_complete:
                 self._start_request(message)
+        for exchange in list(self._exchanges):
+            if exchange is not self._open_exchange:
+                exchange.done = Signal()
+                exchange.done.wait()
 
     def _must_pause_reading(self) -> bool:
         if len(self._exchanges) >= MAX_PIPELINED or self._reader.has_head():
@@ -248,7 +247,9 @@
         if self._open_exchange is not None:
             self.expires_at = now + BODY_TIMEOUT
         elif self._reader.is_in_head:
-            self.expires_at = now + header_timeout
+            if self._reader.unfinished_head is not self._timed_head:
+                self._timed_head = self._reader.unfinished_head
+                self.expires_at = now + header_timeout
         elif self._exchanges:
             self.expires_at = NEVER
         else:
--- a/packages/lanedock-daemon/lanedock_daemon/path/parser.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/parser.py
@@ -152,6 +152,11 @@
                 return None
         return self._heads.popleft()
 
+    @property
+    def unfinished_head(self) -> Message | None:
+        """The message whose head has begun and not ended."""
+        return self._current if self.is_in_head else None
+
     def has_head(self) -> bool:
         """Return whether a complete head is buffered."""
         return bool(self._heads)
--- a/packages/lanedock-daemon/lanedock_daemon/path/server.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/server.py
@@ -25,7 +25,7 @@
 
 __all__ = ["PathServer"]
 
-# Seconds without new data after which an unfinished head is refused, unless the limits in force say otherwise.
+# Seconds after its beginning at which an unfinished head is refused, unless the limits in force say otherwise.
 HEAD_TIMEOUT = 10.0
 BACKLOG = 1024
 # Seconds between checks for expired connections and new limits.
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_framing.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_framing.py
@@ -75,6 +75,25 @@
     assert parse_answer(chain.send(b"GET /x HTTP/1.1\r\nHos"))[0] == 408
 
 
+def test_head_that_trickles_is_refused_at_its_time_limit(make_chain, monkeypatch):
+    monkeypatch.setattr(server, "HEAD_TIMEOUT", 0.2)
+    monkeypatch.setattr(server, "SWEEP_INTERVAL", 0.05)
+    chain = make_chain(None)
+    with chain.connect() as conn:
+        conn.sendall(b"GET /x HTTP/1.1\r\nX: ")
+
+        def trickle() -> None:
+            for _ in range(100):
+                conn.sendall(b".")
+                gevent.sleep(0.05)
+
+        trickling = gevent.spawn(trickle)
+        got = conn.recv(65536)
+        assert not trickling.ready()
+        trickling.kill()
+    assert parse_answer(got)[0] == 408
+
+
 def test_a_long_stream_is_passed_on_in_bounded_memory(make_chain):
     size = 32 * 1024 * 1024
 
