Stop daemons under callers that keep their connections in the soak

The soak now ends with such a stop, in a scenario drawn by its seed (one to six daemons, signals in series, a pause, a control instance that restarts without its data), while changes go on; no request may be cut. Requests that crash applications end 3 s before it.

A planted mistake, a daemon that closes connections as soon as their last answer is written, is found by two rounds of the pipelining callers.

--- a/tests/crash_mesh.py
+++ b/tests/crash_mesh.py
@@ -153,7 +153,7 @@
         for thread in self._threads:
             thread.join()
 
-    def served_fraction(self, since: float) -> float:
-        """Return the fraction of the requests sent since a monotonic time in seconds that got status 200."""
-        statuses = [status for at, status in self.results if at >= since]
+    def served_fraction(self, since: float, until: float = float("inf")) -> float:
+        """Return the fraction of the requests sent between two monotonic times in seconds that got status 200."""
+        statuses = [status for at, status in self.results if since <= at <= until]
         return statuses.count(200) / len(statuses)
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -2,7 +2,8 @@
 """Soak test: injects sequential and overlapping faults under requests, crashing requests and changes.
 
 Processes are suspended, paused, killed and stopped as planned; applications crash, are replaced, and
-advertise rate limits and draining in their responses; zones are partitioned.
+advertise rate limits and draining in their responses; zones are partitioned. At the end daemons are
+stopped as planned under callers that use their connections until the process is gone, while changes go on.
 
 To run 50 seeds by hand: ``python tests/soak.py --seeds 50``. The seed determines the faults and their
 order; the timing of the processes still differs between runs.
@@ -35,6 +36,7 @@
 )
 from crashing_application import POISON  # noqa: E402
 from platform_processes import read_version  # noqa: E402
+from stop_rounds import GRACE, SCENARIOS, StopRounds  # noqa: E402
 
 __all__ = ["Soak"]
 
@@ -44,6 +46,8 @@
 # are measured: a killed daemon has to start and discover its application first.
 RECOVERY_TIME = 8.0
 MEASURED_RECOVERY_TIME = 3.0
+# Seconds after the last crashing request until no application is restarting any more.
+CALM_TIME = 3.0
 # At most 1 / LIMITED_DIVISOR of the applications limit their rate at once: the others carry the load.
 LIMITED_DIVISOR = 3
 ISOLATED_ZONE, OTHER_ZONES = "z0", ["z1", "z2"]
@@ -111,7 +115,10 @@
         self.findings: list[str] = []
         self._rng = Random(seed)
         self._mesh = CrashMesh(folder, self._rng.choice([0.0, 0.05, 0.15]), daemons, is_partitionable=True)
+        self._mesh.grace = GRACE
         self._stop_event = threading.Event()
+        # Set when no more requests that crash applications are sent.
+        self._calm_event = threading.Event()
         self._acknowledged: list[tuple[float, int]] = []
         self._faults = [
             self._suspend,
@@ -148,12 +155,17 @@
             self._inject_faults(time.monotonic() + seconds)
             time.sleep(RECOVERY_TIME)
             since = time.monotonic() - MEASURED_RECOVERY_TIME
+            until = time.monotonic()
+            self._calm_event.set()
+            time.sleep(CALM_TIME)
+            self._stop_under_callers()
             self._stop_event.set()
             for task in tasks:
                 task.join()
             harmless.stop()
-            self._check_results(harmless, since)
+            self._check_results(harmless, since, until)
         finally:
+            self._calm_event.set()
             self._stop_event.set()
             mesh.stop()
         return self.findings
@@ -240,12 +252,12 @@
     def _send_crashing_requests(self, seed: int) -> None:
         """Send crashing requests one after the other, each repeatedly for 4 to 25 s and at random daemons."""
         rng = Random(seed)
-        while not self._stop_event.is_set():
+        while not self._calm_event.is_set():
             name = f"{POISON}-{len(self._crashing_requests)}"
             request = rng.choice([("GET", f"/c/{name}", b""), ("POST", f"/a/b/{name}", b"1")])
             self._crashing_requests.append(request)
             until = time.monotonic() + rng.uniform(4.0, 25.0)
-            while time.monotonic() < until and not self._stop_event.wait(rng.uniform(0.02, 0.3)):
+            while time.monotonic() < until and not self._calm_event.wait(rng.uniform(0.02, 0.3)):
                 self._mesh.send(rng.randrange(len(self._mesh.daemons)), *request)
 
     def _send_writes(self, seed: int) -> None:
@@ -285,11 +297,16 @@
 
     # ------------------------------------------------------------------ judging
 
-    def _check_results(self, harmless: BackgroundLoad, since: float) -> None:
-        if harmless.served_fraction(since) < MIN_SERVED_FRACTION:
-            self.findings.append(
-                f"{harmless.served_fraction(since):.3f} of the harmless requests were served after recovery"
-            )
+    def _stop_under_callers(self) -> None:
+        """Stop daemons as planned in a random scenario; no request may be cut."""
+        scenario = SCENARIOS[self._rng.choice([name for name, one in SCENARIOS.items() if one.has_grace])]
+        result = StopRounds(self._mesh, self._rng.getrandbits(32), scenario).run_round()
+        self.findings += result.faults
+
+    def _check_results(self, harmless: BackgroundLoad, since: float, until: float) -> None:
+        served = harmless.served_fraction(since, until)
+        if served < MIN_SERVED_FRACTION:
+            self.findings.append(f"{served:.3f} of the harmless requests were served after recovery")
         runs: dict[str, list[tuple[float, str]]] = {}
         for ip, app in self._mesh.applications.items():
             for at, path, _ in app.arrivals:
--- a/tests/stop_rounds.py
+++ b/tests/stop_rounds.py
@@ -27,7 +27,7 @@
 
 from lanedock_daemon.stops import make_stop_plan  # noqa: E402
 
-__all__ = ["SCENARIOS", "Scenario", "StopRounds"]
+__all__ = ["GRACE", "SCENARIOS", "Scenario", "StopRounds", "start_mesh"]
 
 DAEMONS = 6
 # Callers of each daemon.
@@ -145,32 +145,36 @@
         (self.outlasted if has_outlasted else self.faults).append(fault)
 
 
+def start_mesh(folder: Path, scenario: Scenario) -> CrashMesh:
+    """Start a mesh for a scenario, and wait until its daemons serve."""
+    mesh = CrashMesh(folder, 0.0, DAEMONS)
+    mesh.grace = GRACE if scenario.has_grace else None
+    try:
+        mesh.start_ready(make_routes(4, 0, timeoutS=5, targetLatencyS=1))
+    except BaseException:
+        mesh.stop()
+        raise
+    return mesh
+
+
 class StopRounds:
-    """A mesh of real processes whose daemons are stopped round by round.
+    """Stops of the daemons of a mesh of real processes, round by round.
 
     Parameters
     ----------
-    folder : Path
-        Folder for settings, logs and data.
+    mesh : CrashMesh
+        Its daemons serve.
     seed : int
     scenario : Scenario
     """
 
-    def __init__(self, folder: Path, seed: int, scenario: Scenario):
+    def __init__(self, mesh: CrashMesh, seed: int, scenario: Scenario):
+        self.mesh = mesh
         self._rng = Random(seed)
         self._scenario = scenario
-        self.mesh = CrashMesh(folder, 0.0, DAEMONS)
-        self.mesh.grace = GRACE if scenario.has_grace else None
         self._stopped_at: dict[str, float] = {}
         self._round = 0
 
-    def start(self) -> None:
-        """Start the mesh, and wait until its daemons serve."""
-        mesh = self.mesh
-        mesh.start()
-        assert mesh.put(make_routes(4, 0, timeoutS=5, targetLatencyS=1)) == 200
-        mesh.wait_all_ready()
-
     def run_round(self) -> RoundResult:
         """Stop the scenario's daemons under load, restart them, and return what callers saw."""
         self._round += 1
@@ -210,7 +214,7 @@
                 time.sleep(rng.uniform(0.3, 1.0))
                 process.send_signal(signal.SIGCONT)
             time.sleep(rng.uniform(0.0, 0.4))
-        process.wait(GRACE)
+        process.wait(self.mesh.grace or GRACE)
 
     def _wipe_control(self) -> None:
         ip = self.mesh.controls[0]
@@ -243,12 +247,12 @@
     failed = 0
     for name in [scenario] if scenario else SCENARIOS:
         folder = Path(tempfile.mkdtemp(prefix=f"stops-{name}-"))
-        stops = StopRounds(folder, seed, SCENARIOS[name])
+        mesh = start_mesh(folder, SCENARIOS[name])
+        stops = StopRounds(mesh, seed, SCENARIOS[name])
         answers = crossed = 0
         faults: list[str] = []
         outlasted: list[str] = []
         try:
-            stops.start()
             for _ in range(rounds):
                 result = stops.run_round()
                 answers += result.answers
@@ -256,7 +260,7 @@
                 faults += result.faults
                 outlasted += result.outlasted
         finally:
-            stops.mesh.stop()
+            mesh.stop()
         failed += bool(faults)
         print(
             f"{name}: {rounds} rounds, {answers} answers, {crossed} crossed, {len(outlasted)} outlasted the stop, "
--- a/tests/test_stop_rounds.py
+++ b/tests/test_stop_rounds.py
@@ -2,16 +2,18 @@
 """Short rounds of planned stops under load; longer ones are run by hand (see `stop_rounds.py`)."""
 
 import pytest
-from stop_rounds import SCENARIOS, StopRounds
+from hooks.early_close import EARLY_CLOSE_VARIABLE
+from platform_processes import HOOKS
+from stop_rounds import SCENARIOS, StopRounds, start_mesh
 
 
 def _run(folder, name: str, rounds: int) -> list[str]:
-    stops = StopRounds(folder, 1, SCENARIOS[name])
+    mesh = start_mesh(folder, SCENARIOS[name])
     try:
-        stops.start()
+        stops = StopRounds(mesh, 1, SCENARIOS[name])
         return [fault for _ in range(rounds) for fault in stops.run_round().faults]
     finally:
-        stops.mesh.stop()
+        mesh.stop()
 
 
 @pytest.mark.parametrize("name", ["pipelining", "pipelining-three"])
@@ -22,3 +24,9 @@
 @pytest.mark.parametrize("name", ["orderly-signals", "orderly-three"])
 def test_stop_cuts_no_answer_of_callers_that_wait_for_each_answer(tmp_path, name):
     assert _run(tmp_path, name, 1) == []
+
+
+def test_daemon_that_closes_connections_too_early_is_found(tmp_path, monkeypatch):
+    monkeypatch.syspath_prepend(str(HOOKS))
+    monkeypatch.setenv(EARLY_CLOSE_VARIABLE, "1")
+    assert any("answer cut" in fault for fault in _run(tmp_path, "pipelining", 2))
