Linger above the connection limit while a caller still uploads

A refusal to a caller that still sent its body, on a server with more connections than it keeps, ended with a broken pipe: since connections close once their answers are received, such a connection closed as soon as the refusal was, with more of the body on its way. Found by reading the diff; the new test failed with EPIPE. The connection lingers like any other where a body is still to come, as it did before.

A caller that disconnects in the middle of an answer is no longer logged as a connection that this process cut.

--- a/packages/lanedock-daemon/lanedock_daemon/path/connection.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/connection.py
@@ -367,8 +367,8 @@
         """End the sending side after the last answer; the reader discards what the caller still sends."""
         self._is_closing = True
         self.expires_at = NEVER
-        if self._server.is_over_connection_limit() and not self._server.is_stopping:
-            # Another caller needs the connection slot.
+        if self._open_exchange is None and self._server.is_over_connection_limit() and not self._server.is_stopping:
+            # Another caller needs the connection slot, and hardly any input can be in transit.
             self._linger_timeout = 0.0
         self._conn.shutdown(plain_socket.SHUT_WR)
         self._has_room.set()
@@ -376,11 +376,11 @@
 
     def _break_off(self, reason: str) -> None:
         """End the connection after an incomplete answer, which the caller must not take for a complete one."""
-        self._end_reason = reason
         if not self._is_answer_close_delimited:
             try:
                 # Answers before the incomplete one still reach the caller.
                 self._end_sending()
+                self._end_reason = reason
                 return
             except OSError:
                 pass  # the caller has disconnected
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_delivery.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_delivery.py
@@ -244,6 +244,16 @@
     assert server.side.begun == ["/long", "/short"]
 
 
+def test_refusal_above_the_connection_limit_reaches_a_caller_that_still_uploads(make_server, make_caller):
+    server = make_server(max_connections=0)
+    conn = make_caller(server)
+    conn.sendall(b"POST /short HTTP/1.1\r\nhost: h\r\ncontent-length: 1000000\r\n\r\n")
+    for _ in range(5):
+        conn.sendall(b"." * 10_000)
+        gevent.sleep(READING_PAUSE / 5)
+    assert _read_to_end(conn).endswith(b"ok")
+
+
 def test_connections_cut_at_the_end_of_a_stop_are_logged_with_their_unsent_bytes(make_server, make_caller, capfd):
     writer = configure_logging("info")
     server = make_server(limit=READING_PAUSE)
