--- a/packages/lanedock/lanedock/canary/analysis.py
+++ b/packages/lanedock/lanedock/canary/analysis.py
@@ -303,9 +303,10 @@
             for route, chart in charts.items():
                 if chart.exceeds(alarm, has_one_upstream):
                     return f"{chart.bad} of {chart.seen} answers of {route} {verb}"
+        routes = next(iter(self._slow_charts)) if len(self._slow_charts) == 1 else "all routes"
         for chart in (self._slow_answers, self._very_slow_answers):
             if chart.exceeds(SLOW_ALARM, has_one_upstream):
-                return f"{chart.bad} of {chart.seen} answers of all routes were slow"
+                return f"{chart.bad} of {chart.seen} answers of {routes} were slow"
         return ""
 
     def missing_proof(self, is_late: bool) -> str:
--- a/packages/lanedock/lanedock/canary/tests/test_analysis.py
+++ b/packages/lanedock/lanedock/canary/tests/test_analysis.py
@@ -118,3 +118,9 @@
 @pytest.mark.parametrize("seed", range(8))
 def test_a_good_version_has_no_finding_beside_a_slow_stable_upstream(seed):
     assert _play_beside_a_slow_stable_upstream(seed, 1.0) == ""
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_finding_on_a_slow_version_names_the_only_route(seed):
+    finding = _Stream(seed).play(20, {"a": 0.004, "b": 0.004, "c": 0.004}, slow=8.0, rate=1)
+    assert finding.endswith("answers of read were slow")
