Split the request path's package by side

Cause: lanedock_daemon/path had 30 modules in one folder, with eight levels of imports, and new parts on either side would have had no place of their own.

Change: path/http (reading and writing HTTP), path/shared (what both sides use), path/caller and path/upstream. Modules keep their names but for http.py, which is http/messages.py now. Packages import one way: caller, upstream -> shared -> http. No behaviour changes.

--- a/packages/lanedock-daemon/lanedock_daemon/agent/discovery.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/discovery.py
@@ -19,11 +19,11 @@
 from lanedock.telemetry import Event, EventLogger
 from lanedock_daemon.agent.registration import Registrar
 from lanedock_daemon.agent.view import LocalView
-from lanedock_daemon.path.dialect import Dialect, HealthFacts
-from lanedock_daemon.path.exchange import exchange
-from lanedock_daemon.path.http import EmptyBody, Request
-from lanedock_daemon.path.parser import MalformedMessage
-from lanedock_daemon.path.pool import ConnectionPool, ExchangeError
+from lanedock_daemon.path.http.messages import EmptyBody, Request
+from lanedock_daemon.path.http.parser import MalformedMessage
+from lanedock_daemon.path.shared.dialect import Dialect, HealthFacts
+from lanedock_daemon.path.shared.exchange import exchange
+from lanedock_daemon.path.shared.pool import ConnectionPool, ExchangeError
 
 __all__ = ["ApplicationDiscovery"]
 
--- a/packages/lanedock-daemon/lanedock_daemon/agent/registration.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/registration.py
@@ -17,7 +17,7 @@
 from lanedock.membership import Heartbeat, Incarnation, UpstreamRegistration, UpstreamReport
 from lanedock.telemetry import Event, EventLogger
 from lanedock.wire import messages
-from lanedock_daemon.path.http import Answer, Outcome, Request, make_refusal, read_whole
+from lanedock_daemon.path.http.messages import Answer, Outcome, Request, make_refusal, read_whole
 
 __all__ = [
     "MAX_BODY",
--- a/packages/lanedock-daemon/lanedock_daemon/agent/tests/test_registration.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/tests/test_registration.py
@@ -16,8 +16,8 @@
 from lanedock.settings import Address
 from lanedock.telemetry import EventLogger
 from lanedock_daemon.agent.registration import Registrar, RegistrationHandler
-from lanedock_daemon.path.http import Body, Request
-from lanedock_daemon.path.server import PathServer
+from lanedock_daemon.path.http.messages import Body, Request
+from lanedock_daemon.path.http.server import PathServer
 
 HOST = "127.0.0.1"
 BODY = json.dumps({"service": "s", "sequence": 4}).encode()
--- a/packages/lanedock-daemon/lanedock_daemon/interface.py
+++ b/packages/lanedock-daemon/lanedock_daemon/interface.py
@@ -9,7 +9,7 @@
 
 from lanedock.errors import ErrorCode, LanedockError
 from lanedock.settings import Settings
-from lanedock_daemon.path.dialect import Dialect, OwnDialect
+from lanedock_daemon.path.shared.dialect import Dialect, OwnDialect
 
 __all__ = ["Interface", "OwnInterface"]
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/attempts.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller/attempts.py
@@ -9,10 +9,10 @@
 from lanedock.quarantine import Fingerprint, Quarantine
 from lanedock.routing import UpstreamStats
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics
-from lanedock_daemon.path.answers import AnswerPieces, UpstreamAnswer
-from lanedock_daemon.path.dialect import Dialect
-from lanedock_daemon.path.exchange import ContinueWait, PendingAnswer, handle_late_answer, send_request
-from lanedock_daemon.path.headers import (
+from lanedock_daemon.path.caller.hedging import choose_result, close_unless_chosen
+from lanedock_daemon.path.caller.prober import UpstreamProber
+from lanedock_daemon.path.caller.request_context import AttemptResult, RequestContext
+from lanedock_daemon.path.http.headers import (
     ATTEMPT_HEADER,
     CODE_HEADER,
     DEADLINE_HEADER,
@@ -30,13 +30,13 @@
     parse_int,
     public_headers,
 )
-from lanedock_daemon.path.hedging import choose_result, close_unless_chosen
-from lanedock_daemon.path.http import DEFAULT_RETRY_AFTER, Answer, Leaving, Outcome, Request
-from lanedock_daemon.path.parser import MalformedMessage, Message
-from lanedock_daemon.path.pool import ConnectionPool, ExchangeError
-from lanedock_daemon.path.prober import UpstreamProber
-from lanedock_daemon.path.request_context import AttemptResult, RequestContext
-from lanedock_daemon.path.suspicions import read_suspicions
+from lanedock_daemon.path.http.messages import DEFAULT_RETRY_AFTER, Answer, Leaving, Outcome, Request
+from lanedock_daemon.path.http.parser import MalformedMessage, Message
+from lanedock_daemon.path.shared.answers import AnswerPieces, UpstreamAnswer
+from lanedock_daemon.path.shared.dialect import Dialect
+from lanedock_daemon.path.shared.exchange import ContinueWait, PendingAnswer, handle_late_answer, send_request
+from lanedock_daemon.path.shared.pool import ConnectionPool, ExchangeError
+from lanedock_daemon.path.shared.suspicions import read_suspicions
 
 __all__ = ["AttemptSender"]
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/caller.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller/caller.py
@@ -13,9 +13,9 @@
 from lanedock.routing import choose_service
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics, RequestLog, RequestLogger, Span, Tracer
 from lanedock_daemon.agent.view import Binding, LocalView
-from lanedock_daemon.path.attempts import AttemptSender
-from lanedock_daemon.path.dialect import Dialect, OwnDialect, RequestFacts
-from lanedock_daemon.path.headers import (
+from lanedock_daemon.path.caller.attempts import AttemptSender
+from lanedock_daemon.path.caller.request_context import AttemptResult, RequestContext
+from lanedock_daemon.path.http.headers import (
     CALLER_HEADER,
     CLASS_HEADER,
     CODE_HEADER,
@@ -28,10 +28,10 @@
     encode_name,
     public_headers,
 )
-from lanedock_daemon.path.http import DEFAULT_RETRY_AFTER, Answer, Outcome, ReplayBody, Request, outcome_label
-from lanedock_daemon.path.pool import ConnectionPool
-from lanedock_daemon.path.request_context import AttemptResult, RequestContext
-from lanedock_daemon.path.service import StopTimeout
+from lanedock_daemon.path.http.messages import DEFAULT_RETRY_AFTER, Answer, Outcome, ReplayBody, Request, outcome_label
+from lanedock_daemon.path.http.service import StopTimeout
+from lanedock_daemon.path.shared.dialect import Dialect, OwnDialect, RequestFacts
+from lanedock_daemon.path.shared.pool import ConnectionPool
 
 __all__ = ["CallerSide"]
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/hedging.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller/hedging.py
@@ -3,8 +3,8 @@
 
 import gevent
 
-from lanedock_daemon.path.answer_writer import close_pieces
-from lanedock_daemon.path.request_context import AttemptResult
+from lanedock_daemon.path.caller.request_context import AttemptResult
+from lanedock_daemon.path.http.answer_writer import close_pieces
 
 __all__ = ["choose_result", "close_unless_chosen"]
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/prober.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller/prober.py
@@ -11,7 +11,7 @@
 
 from lanedock.routing import Balancer, UpstreamStats
 from lanedock.telemetry import Event, EventLogger
-from lanedock_daemon.path.pool import ConnectionPool, ExchangeError
+from lanedock_daemon.path.shared.pool import ConnectionPool, ExchangeError
 
 __all__ = ["UpstreamProber"]
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/request_context.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller/request_context.py
@@ -7,7 +7,7 @@
 from lanedock.limits import RetryBudget
 from lanedock.routing import Balancer, UpstreamStats
 from lanedock.telemetry import RequestLog
-from lanedock_daemon.path.http import Answer, Request
+from lanedock_daemon.path.http.messages import Answer, Request
 
 __all__ = ["AttemptResult", "RequestContext"]
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_request_context.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller/tests/test_request_context.py
@@ -4,8 +4,8 @@
 import pytest
 
 from lanedock.config import Route
-from lanedock_daemon.path.http import EmptyBody, ReplayBody, Request
-from lanedock_daemon.path.request_context import RequestContext
+from lanedock_daemon.path.caller.request_context import RequestContext
+from lanedock_daemon.path.http.messages import EmptyBody, ReplayBody, Request
 
 
 class _Balancer:
--- /dev/null
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/__init__.py
@@ -0,0 +1,2 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Reading and writing HTTP: messages, connections and servers of the request path."""
--- a/packages/lanedock-daemon/lanedock_daemon/path/answer_writer.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/answer_writer.py
@@ -1,8 +1,8 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """Writing answers piece by piece, and releasing the resources of their bodies."""
 
-from lanedock_daemon.path.http import Answer
-from lanedock_daemon.path.parser import Message
+from lanedock_daemon.path.http.messages import Answer
+from lanedock_daemon.path.http.parser import Message
 
 __all__ = ["AnswerHead", "close_pieces", "make_head", "write_pieces"]
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/caller_messages.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/caller_messages.py
@@ -1,9 +1,9 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """Conversion of callers' messages to requests, and the refusal of malformed ones."""
 
-from lanedock_daemon.path.headers import HOP_HEADERS
-from lanedock_daemon.path.http import Answer, Body, Request, make_refusal
-from lanedock_daemon.path.parser import MalformedMessage, Message
+from lanedock_daemon.path.http.headers import HOP_HEADERS
+from lanedock_daemon.path.http.messages import Answer, Body, Request, make_refusal
+from lanedock_daemon.path.http.parser import MalformedMessage, Message
 
 __all__ = ["make_request", "refuse_malformed"]
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/channel.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/channel.py
@@ -17,7 +17,7 @@
 from gevent.socket import wait_write
 
 from lanedock.clock import monotonic
-from lanedock_daemon.path.http import NEVER
+from lanedock_daemon.path.http.messages import NEVER
 
 __all__ = ["Channel"]
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/connection.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
@@ -9,13 +9,13 @@
 from gevent.event import Event as Signal
 
 from lanedock.clock import monotonic
-from lanedock_daemon.path.answer_writer import close_pieces, make_head, write_pieces
-from lanedock_daemon.path.caller_messages import refuse_malformed
-from lanedock_daemon.path.delivery import DELIVERY_TIMEOUT, POLL, Delivery
-from lanedock_daemon.path.headers import PACE_HEADER
-from lanedock_daemon.path.http import NEVER, Answer, Outcome
-from lanedock_daemon.path.incoming import Exchange
-from lanedock_daemon.path.parser import MalformedMessage, Message, RequestReader
+from lanedock_daemon.path.http.answer_writer import close_pieces, make_head, write_pieces
+from lanedock_daemon.path.http.caller_messages import refuse_malformed
+from lanedock_daemon.path.http.delivery import DELIVERY_TIMEOUT, POLL, Delivery
+from lanedock_daemon.path.http.headers import PACE_HEADER
+from lanedock_daemon.path.http.incoming import Exchange
+from lanedock_daemon.path.http.messages import NEVER, Answer, Outcome
+from lanedock_daemon.path.http.parser import MalformedMessage, Message, RequestReader
 
 __all__ = ["Connection"]
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/delivery.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/delivery.py
@@ -7,7 +7,7 @@
 """
 
 from lanedock.clock import monotonic
-from lanedock_daemon.path.channel import Channel
+from lanedock_daemon.path.http.channel import Channel
 
 __all__ = ["Delivery"]
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/incoming.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/incoming.py
@@ -6,9 +6,9 @@
 from gevent.event import Event as Signal
 
 from lanedock.clock import monotonic
-from lanedock_daemon.path.http import NEVER, Body, BodyBroken, BodyTimeout
-from lanedock_daemon.path.parser import Message
-from lanedock_daemon.path.service import StopTimeout
+from lanedock_daemon.path.http.messages import NEVER, Body, BodyBroken, BodyTimeout
+from lanedock_daemon.path.http.parser import Message
+from lanedock_daemon.path.http.service import StopTimeout
 
 __all__ = ["CallerDisconnected", "Exchange", "Worker"]
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/http.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/messages.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable
 
 from lanedock.errors import ErrorCode, LanedockError
-from lanedock_daemon.path.headers import CODE_HEADER, OUTCOME_HEADER, RETRY_AFTER_MS_HEADER
+from lanedock_daemon.path.http.headers import CODE_HEADER, OUTCOME_HEADER, RETRY_AFTER_MS_HEADER
 
 __all__ = [
     "DEFAULT_RETRY_AFTER",
--- a/packages/lanedock-daemon/lanedock_daemon/path/parser.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/parser.py
@@ -6,8 +6,8 @@
 import httptools
 
 from lanedock.errors import ErrorCode, LanedockError
-from lanedock_daemon.path.headers import PACE_HEADER, parse_int
-from lanedock_daemon.path.http import HeadersByName
+from lanedock_daemon.path.http.headers import PACE_HEADER, parse_int
+from lanedock_daemon.path.http.messages import HeadersByName
 
 __all__ = ["MAX_HEAD_BYTES", "AnswerReader", "MalformedMessage", "MessageReader", "RequestReader"]
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/server.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/server.py
@@ -1,7 +1,7 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """The HTTP server of the request path, based on gevent's sockets and httptools' parser.
 
-gevent's WSGI server is kept in `lanedock_daemon.path.wsgi` as the baseline. It costs
+gevent's WSGI server is kept in `lanedock_daemon.path.http.wsgi` as the baseline. It costs
 several times as much per hop, and it can't detect that a caller has disconnected.
 """
 
@@ -15,13 +15,13 @@
 from lanedock.settings import Address
 from lanedock.telemetry import Event, EventLogger
 from lanedock_daemon.agent.reachability import ALIVE_PATH
-from lanedock_daemon.path.caller_messages import make_request
-from lanedock_daemon.path.channel import Channel
-from lanedock_daemon.path.connection import IDLE_TIMEOUT, Connection
-from lanedock_daemon.path.http import DEFAULT_RETRY_AFTER, Answer, Body, Outcome, make_refusal
-from lanedock_daemon.path.incoming import Worker
-from lanedock_daemon.path.parser import Message
-from lanedock_daemon.path.service import HttpService, StopTimeout
+from lanedock_daemon.path.http.caller_messages import make_request
+from lanedock_daemon.path.http.channel import Channel
+from lanedock_daemon.path.http.connection import IDLE_TIMEOUT, Connection
+from lanedock_daemon.path.http.incoming import Worker
+from lanedock_daemon.path.http.messages import DEFAULT_RETRY_AFTER, Answer, Body, Outcome, make_refusal
+from lanedock_daemon.path.http.parser import Message
+from lanedock_daemon.path.http.service import HttpService, StopTimeout
 
 __all__ = ["PathServer"]
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/wsgi.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/wsgi.py
@@ -1,15 +1,15 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """The request path on gevent's WSGI server: the baseline for benchmarks.
 
-Kept for comparison; deployments use `lanedock_daemon.path.server`.
+Kept for comparison; deployments use `lanedock_daemon.path.http.server`.
 """
 
 from gevent import pywsgi, socket
 
 from lanedock_daemon.agent.reachability import ALIVE_PATH
-from lanedock_daemon.path.headers import HOP_HEADERS
-from lanedock_daemon.path.http import NEVER, Body, Request
-from lanedock_daemon.path.service import HttpService
+from lanedock_daemon.path.http.headers import HOP_HEADERS
+from lanedock_daemon.path.http.messages import NEVER, Body, Request
+from lanedock_daemon.path.http.service import HttpService
 
 __all__ = ["WsgiPathServer"]
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/answers.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/shared/answers.py
@@ -4,10 +4,10 @@
 from errno import EHOSTUNREACH, ENETUNREACH, ETIMEDOUT
 
 from lanedock.errors import ErrorCode
-from lanedock_daemon.path.http import BodyBroken, BodyTimeout, Outcome
-from lanedock_daemon.path.parser import AnswerReader, MalformedMessage, Message
-from lanedock_daemon.path.pool import ConnectionPool, ExchangeError
-from lanedock_daemon.path.service import StopTimeout
+from lanedock_daemon.path.http.messages import BodyBroken, BodyTimeout, Outcome
+from lanedock_daemon.path.http.parser import AnswerReader, MalformedMessage, Message
+from lanedock_daemon.path.http.service import StopTimeout
+from lanedock_daemon.path.shared.pool import ConnectionPool, ExchangeError
 
 __all__ = ["AnswerPieces", "ExchangeGuard", "UpstreamAnswer", "make_failure"]
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/dialect.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/shared/dialect.py
@@ -10,7 +10,7 @@
 
 from lanedock.errors import ErrorCode
 from lanedock.membership import UpstreamReport
-from lanedock_daemon.path.headers import (
+from lanedock_daemon.path.http.headers import (
     ATTEMPT_HEADER,
     CODE_HEADER,
     DEADLINE_HEADER,
@@ -19,7 +19,7 @@
     REQUEST_ID_HEADER,
     TRACE_HEADER,
 )
-from lanedock_daemon.path.http import Answer, make_refusal
+from lanedock_daemon.path.http.messages import Answer, make_refusal
 
 __all__ = ["AnswerFacts", "Dialect", "HealthFacts", "OwnDialect", "RequestFacts"]
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/exchange.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/shared/exchange.py
@@ -6,11 +6,11 @@
 from lanedock.clock import monotonic
 from lanedock.errors import ErrorCode
 from lanedock.telemetry import Event, EventLogger
-from lanedock_daemon.path.answers import ExchangeGuard, UpstreamAnswer, make_failure
-from lanedock_daemon.path.http import MAX_PIECE_BYTES, Body, BodyTimeout, Outcome, Request
-from lanedock_daemon.path.parser import AnswerReader
-from lanedock_daemon.path.pool import ConnectionPool, ExchangeError
-from lanedock_daemon.path.service import StopTimeout
+from lanedock_daemon.path.http.messages import MAX_PIECE_BYTES, Body, BodyTimeout, Outcome, Request
+from lanedock_daemon.path.http.parser import AnswerReader
+from lanedock_daemon.path.http.service import StopTimeout
+from lanedock_daemon.path.shared.answers import ExchangeGuard, UpstreamAnswer, make_failure
+from lanedock_daemon.path.shared.pool import ConnectionPool, ExchangeError
 
 __all__ = ["ContinueWait", "Pacer", "PendingAnswer", "exchange", "handle_late_answer", "send_request"]
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/pool.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/shared/pool.py
@@ -3,16 +3,16 @@
 
 geventhttpclient resends a request by itself when a pooled connection turns out to be
 closed, which is not allowed for requests that must not be repeated. So connections are
-pooled here, and `lanedock_daemon.path.exchange` sends and reads over them.
+pooled here, and `lanedock_daemon.path.shared.exchange` sends and reads over them.
 """
 
 import socket
 from weakref import WeakKeyDictionary
 
 from lanedock.errors import ErrorCode, LanedockError
-from lanedock_daemon.path.channel import Channel
-from lanedock_daemon.path.http import Outcome
-from lanedock_daemon.path.parser import AnswerReader
+from lanedock_daemon.path.http.channel import Channel
+from lanedock_daemon.path.http.messages import Outcome
+from lanedock_daemon.path.http.parser import AnswerReader
 from lanedock_daemon.sockets import open_connection
 
 __all__ = ["ConnectionPool", "ExchangeError"]
--- a/packages/lanedock-daemon/lanedock_daemon/path/suspicions.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/shared/suspicions.py
@@ -3,8 +3,8 @@
 
 from lanedock.quarantine import MAX_STORED_CRASHES, Fingerprint
 from lanedock.wire import messages
-from lanedock_daemon.path.headers import CRASHES_HEADER, SUSPECT_HEADER, decode_name, encode_name
-from lanedock_daemon.path.http import HeadersByName
+from lanedock_daemon.path.http.headers import CRASHES_HEADER, SUSPECT_HEADER, decode_name, encode_name
+from lanedock_daemon.path.http.messages import HeadersByName
 
 __all__ = ["read_suspicions", "write_suspicions"]
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_pacer.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/shared/tests/test_pacer.py
@@ -5,7 +5,7 @@
 
 from lanedock.limits import AdmissionRequest, BodyAdmission
 from lanedock.limits.tests.link import BODY, CLASSES, FAR, NARROW, WIDE
-from lanedock_daemon.path.exchange import MAX_PIECE_BYTES, PACED_PIECE_SIZE, Pacer
+from lanedock_daemon.path.shared.exchange import MAX_PIECE_BYTES, PACED_PIECE_SIZE, Pacer
 
 
 def test_pieces_are_sent_at_the_requested_pace():
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/chain.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/chain.py
@@ -15,10 +15,10 @@
 from lanedock.telemetry import EventLogger, NullMetrics, NullTracer
 from lanedock.wire import messages
 from lanedock_daemon.agent import LocalView
-from lanedock_daemon.path.caller import CallerSide
-from lanedock_daemon.path.pool import ConnectionPool
-from lanedock_daemon.path.server import PathServer
-from lanedock_daemon.path.upstream import UpstreamSide
+from lanedock_daemon.path.caller.caller import CallerSide
+from lanedock_daemon.path.http.server import PathServer
+from lanedock_daemon.path.shared.pool import ConnectionPool
+from lanedock_daemon.path.upstream.upstream import UpstreamSide
 
 __all__ = ["Application", "Chain", "Gate", "make_value", "parse_answer"]
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_body_gate.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_body_gate.py
@@ -8,7 +8,7 @@
 
 from lanedock.errors import ErrorCode
 from lanedock.wire import messages
-from lanedock_daemon.path.headers import (
+from lanedock_daemon.path.http.headers import (
     CLASS_HEADER,
     CODE_HEADER,
     DEADLINE_HEADER,
@@ -17,7 +17,7 @@
     SERVICE_HEADER,
     TARGET_HEADER,
 )
-from lanedock_daemon.path.http import MAX_UNSOLICITED_BODY_BYTES, Outcome
+from lanedock_daemon.path.http.messages import MAX_UNSOLICITED_BODY_BYTES, Outcome
 from lanedock_daemon.path.tests.chain import HOST, Gate, make_value, wait_until
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_closing.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_closing.py
@@ -25,10 +25,10 @@
 from lanedock.kernel import StopPlan
 from lanedock.settings import Address
 from lanedock.telemetry import EventLogger
-from lanedock_daemon.path import connection
-from lanedock_daemon.path.http import Answer, Outcome, make_refusal
-from lanedock_daemon.path.server import PathServer
-from lanedock_daemon.path.service import POLL
+from lanedock_daemon.path.http import connection
+from lanedock_daemon.path.http.messages import Answer, Outcome, make_refusal
+from lanedock_daemon.path.http.server import PathServer
+from lanedock_daemon.path.http.service import POLL
 from lanedock_daemon.path.tests.chain import HOST, read_all, wait_until
 
 HALF = b"." * 10_000
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_crowds.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_crowds.py
@@ -11,8 +11,8 @@
 from lanedock.kernel import StopPlan
 from lanedock.settings import Address
 from lanedock.telemetry import EventLogger
-from lanedock_daemon.path.http import Answer
-from lanedock_daemon.path.server import PathServer
+from lanedock_daemon.path.http.messages import Answer
+from lanedock_daemon.path.http.server import PathServer
 from lanedock_daemon.path.tests.chain import HOST, read_all, wait_until
 
 MAX_KEPT = 8
@@ -68,7 +68,7 @@
 from lanedock.kernel import StopPlan
 from lanedock.settings import Address
 from lanedock.telemetry import EventLogger
-from lanedock_daemon.path.server import PathServer
+from lanedock_daemon.path.http.server import PathServer
 from lanedock_daemon.path.tests.test_crowds import _Side
 server = PathServer("s", Address("127.0.0.1", 0), _Side(), StopPlan(0.0, 1.0), EventLogger("s"), max_connections=16)
 server.start(None)
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_deadlines.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_deadlines.py
@@ -21,8 +21,8 @@
 from lanedock.clock import monotonic
 from lanedock.errors import ErrorCode
 from lanedock.wire import messages
-from lanedock_daemon.path.channel import Channel
-from lanedock_daemon.path.headers import (
+from lanedock_daemon.path.http.channel import Channel
+from lanedock_daemon.path.http.headers import (
     CLASS_HEADER,
     CODE_HEADER,
     DEADLINE_HEADER,
@@ -30,7 +30,7 @@
     ROUTE_HEADER,
     SERVICE_HEADER,
 )
-from lanedock_daemon.path.http import Outcome
+from lanedock_daemon.path.http.messages import Outcome
 from lanedock_daemon.path.tests.chain import HOST, make_value, parse_answer, read_all, wait_until
 
 TIMEOUT_MS = 300
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_delivery.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_delivery.py
@@ -15,9 +15,9 @@
 from lanedock.kernel import StopPlan
 from lanedock.settings import Address
 from lanedock.telemetry import EventLogger, configure_logging
-from lanedock_daemon.path import connection
-from lanedock_daemon.path.http import Answer
-from lanedock_daemon.path.server import PathServer
+from lanedock_daemon.path.http import connection
+from lanedock_daemon.path.http.messages import Answer
+from lanedock_daemon.path.http.server import PathServer
 from lanedock_daemon.path.tests.chain import HOST, wait_until
 
 # Longer than what a caller with the smallest receive buffer takes, shorter than a send buffer.
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_framing.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_framing.py
@@ -7,7 +7,7 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from lanedock_daemon.path import server
+from lanedock_daemon.path.http import server
 from lanedock_daemon.path.tests.chain import parse_answer, wait_until
 
 HOST_LINE = b"Host: h\r\n"
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_names.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_names.py
@@ -8,7 +8,7 @@
 import pytest
 
 from lanedock.config import check_generated_config
-from lanedock_daemon.path.headers import decode_name, encode_name
+from lanedock_daemon.path.http.headers import decode_name, encode_name
 from lanedock_daemon.path.tests.chain import make_value
 
 NAMES = ["řeka", "café", " a b ", "a%2Fb", "a:b,c"]
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_promises.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_promises.py
@@ -13,7 +13,7 @@
 from lanedock.limits import AdmissionRequest
 from lanedock.settings import Address
 from lanedock.telemetry import EventLogger
-from lanedock_daemon.path.server import PathServer
+from lanedock_daemon.path.http.server import PathServer
 from lanedock_daemon.path.tests.chain import Gate, make_value, put_in_force, wait_until
 
 OK = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_silence.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_silence.py
@@ -5,7 +5,7 @@
 import pytest
 
 from lanedock.wire import messages
-from lanedock_daemon.path.attempts import ANSWER_BUFFER_LIMIT
+from lanedock_daemon.path.caller.attempts import ANSWER_BUFFER_LIMIT
 from lanedock_daemon.path.tests.chain import HOST, wait_until
 from lanedock_daemon.tests.proxies import SilencingProxy
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_stop_times.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_stop_times.py
@@ -14,8 +14,8 @@
 from lanedock.kernel import StopPlan
 from lanedock.settings import Address
 from lanedock.telemetry import EventLogger, NullMetrics, NullTracer
-from lanedock_daemon.path.caller import CallerSide
-from lanedock_daemon.path.server import PathServer
+from lanedock_daemon.path.caller.caller import CallerSide
+from lanedock_daemon.path.http.server import PathServer
 from lanedock_daemon.path.tests.chain import HOST, parse_answer, read_all, wait_until
 
 # Seconds from the head of an answer to its last byte, and from the start of a stop to its deadline.
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_urgency.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_urgency.py
@@ -4,8 +4,14 @@
 import gevent
 import pytest
 
-from lanedock_daemon.path.headers import CALLER_HEADER, CLASS_HEADER, PARENT_CLASS_HEADER, ROUTE_HEADER, SERVICE_HEADER
-from lanedock_daemon.path.http import EmptyBody, Request
+from lanedock_daemon.path.http.headers import (
+    CALLER_HEADER,
+    CLASS_HEADER,
+    PARENT_CLASS_HEADER,
+    ROUTE_HEADER,
+    SERVICE_HEADER,
+)
+from lanedock_daemon.path.http.messages import EmptyBody, Request
 from lanedock_daemon.path.tests.chain import Gate, wait_until
 
 # In the configuration of the chain, "write" is more urgent than "read".
--- a/packages/lanedock-daemon/lanedock_daemon/path/body_gate.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream/body_gate.py
@@ -7,9 +7,9 @@
 from lanedock.errors import ErrorCode
 from lanedock.limits import MAX_LINK_QUEUE_TIME, AdmissionRequest, BodyAdmission, BodyTransfer, Refused, SlotLimiter
 from lanedock.telemetry import Metric, Metrics
-from lanedock_daemon.path.buffered_body import BufferedBody
-from lanedock_daemon.path.http import DEFAULT_RETRY_AFTER, Body, Request
-from lanedock_daemon.path.service import StopTimeout
+from lanedock_daemon.path.http.messages import DEFAULT_RETRY_AFTER, Body, Request
+from lanedock_daemon.path.http.service import StopTimeout
+from lanedock_daemon.path.upstream.buffered_body import BufferedBody
 
 __all__ = ["BodyGate"]
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/buffered_body.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream/buffered_body.py
@@ -4,7 +4,7 @@
 from abc import abstractmethod
 from collections import deque
 
-from lanedock_daemon.path.http import NEVER, Body
+from lanedock_daemon.path.http.messages import NEVER, Body
 
 __all__ = ["BufferedBody"]
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/crashes.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream/crashes.py
@@ -9,8 +9,8 @@
 from lanedock.membership import Incarnation, UpstreamRegistration
 from lanedock.quarantine import Fingerprint, Quarantine, RecentlyServed, RequestHasher, Run, RunRegistry
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics
-from lanedock_daemon.path.pool import ConnectionPool
-from lanedock_daemon.path.service import StopTimeout
+from lanedock_daemon.path.http.service import StopTimeout
+from lanedock_daemon.path.shared.pool import ConnectionPool
 from lanedock_daemon.sockets import open_connection
 
 __all__ = ["CrashDetector"]
--- a/packages/lanedock-daemon/lanedock_daemon/path/hashed_body.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream/hashed_body.py
@@ -2,8 +2,8 @@
 """A request body whose data updates the request's fingerprint as it is read."""
 
 from lanedock.quarantine import RequestHasher
-from lanedock_daemon.path.buffered_body import BufferedBody
-from lanedock_daemon.path.http import MAX_PIECE_BYTES, Body, Request
+from lanedock_daemon.path.http.messages import MAX_PIECE_BYTES, Body, Request
+from lanedock_daemon.path.upstream.buffered_body import BufferedBody
 
 __all__ = ["HashedBody", "hash_body"]
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/slot_gate.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream/slot_gate.py
@@ -10,8 +10,7 @@
 from lanedock.membership import UpstreamRegistration
 from lanedock.telemetry import Metrics
 from lanedock_daemon.agent.view import Binding
-from lanedock_daemon.path.body_gate import BodyGate
-from lanedock_daemon.path.headers import (
+from lanedock_daemon.path.http.headers import (
     CALLER_HEADER,
     CLASS_HEADER,
     PARENT_CLASS_HEADER,
@@ -19,8 +18,9 @@
     SERVICE_HEADER,
     decode_name,
 )
-from lanedock_daemon.path.http import DEFAULT_RETRY_AFTER, Request
-from lanedock_daemon.path.service import StopTimeout
+from lanedock_daemon.path.http.messages import DEFAULT_RETRY_AFTER, Request
+from lanedock_daemon.path.http.service import StopTimeout
+from lanedock_daemon.path.upstream.body_gate import BodyGate
 
 __all__ = ["Slot", "SlotGate"]
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream/upstream.py
@@ -11,13 +11,7 @@
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics, RequestLog, RequestLogger, Tracer
 from lanedock_daemon.agent.registration import Registrar
 from lanedock_daemon.agent.view import LocalView
-from lanedock_daemon.path.answers import AnswerPieces
-from lanedock_daemon.path.canary_account import CanaryAccount
-from lanedock_daemon.path.crashes import CrashDetector
-from lanedock_daemon.path.dialect import Dialect, OwnDialect, RequestFacts
-from lanedock_daemon.path.exchange import send_request
-from lanedock_daemon.path.hashed_body import hash_body
-from lanedock_daemon.path.headers import (
+from lanedock_daemon.path.http.headers import (
     ATTEMPT_HEADER,
     CALLER_HEADER,
     DEADLINE_HEADER,
@@ -37,7 +31,7 @@
     parse_int,
     public_headers,
 )
-from lanedock_daemon.path.http import (
+from lanedock_daemon.path.http.messages import (
     DEFAULT_RETRY_AFTER,
     Answer,
     BodyTimeout,
@@ -47,12 +41,18 @@
     make_refusal,
     outcome_label,
 )
-from lanedock_daemon.path.parser import MalformedMessage
-from lanedock_daemon.path.pool import ConnectionPool, ExchangeError
-from lanedock_daemon.path.service import StopTimeout
-from lanedock_daemon.path.slot_gate import Slot, SlotGate
-from lanedock_daemon.path.suspicions import write_suspicions
-from lanedock_daemon.path.work import Work
+from lanedock_daemon.path.http.parser import MalformedMessage
+from lanedock_daemon.path.http.service import StopTimeout
+from lanedock_daemon.path.shared.answers import AnswerPieces
+from lanedock_daemon.path.shared.dialect import Dialect, OwnDialect, RequestFacts
+from lanedock_daemon.path.shared.exchange import send_request
+from lanedock_daemon.path.shared.pool import ConnectionPool, ExchangeError
+from lanedock_daemon.path.shared.suspicions import write_suspicions
+from lanedock_daemon.path.upstream.canary_account import CanaryAccount
+from lanedock_daemon.path.upstream.crashes import CrashDetector
+from lanedock_daemon.path.upstream.hashed_body import hash_body
+from lanedock_daemon.path.upstream.slot_gate import Slot, SlotGate
+from lanedock_daemon.path.upstream.work import Work
 
 __all__ = ["UpstreamSide"]
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/work.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream/work.py
@@ -2,11 +2,11 @@
 """The state of a request while the application of its upstream runs it."""
 
 from lanedock.quarantine import Fingerprint, RequestHasher
-from lanedock_daemon.path.crashes import CrashDetector
-from lanedock_daemon.path.http import Body, Outcome
-from lanedock_daemon.path.pool import ExchangeError
-from lanedock_daemon.path.service import StopTimeout
-from lanedock_daemon.path.slot_gate import Slot
+from lanedock_daemon.path.http.messages import Body, Outcome
+from lanedock_daemon.path.http.service import StopTimeout
+from lanedock_daemon.path.shared.pool import ExchangeError
+from lanedock_daemon.path.upstream.crashes import CrashDetector
+from lanedock_daemon.path.upstream.slot_gate import Slot
 
 __all__ = ["Work"]
 
--- a/packages/lanedock-daemon/lanedock_daemon/roles.py
+++ b/packages/lanedock-daemon/lanedock_daemon/roles.py
@@ -13,12 +13,12 @@
 from lanedock_daemon.agent.discovery import ApplicationDiscovery
 from lanedock_daemon.agent.registration import Registrar
 from lanedock_daemon.interface import Interface, OwnInterface
-from lanedock_daemon.path.caller import CallerSide
-from lanedock_daemon.path.crashes import CrashDetector
-from lanedock_daemon.path.http import Answer, Request
-from lanedock_daemon.path.pool import ConnectionPool
-from lanedock_daemon.path.server import PathServer
-from lanedock_daemon.path.upstream import UpstreamSide
+from lanedock_daemon.path.caller.caller import CallerSide
+from lanedock_daemon.path.http.messages import Answer, Request
+from lanedock_daemon.path.http.server import PathServer
+from lanedock_daemon.path.shared.pool import ConnectionPool
+from lanedock_daemon.path.upstream.crashes import CrashDetector
+from lanedock_daemon.path.upstream.upstream import UpstreamSide
 from lanedock_daemon.sessions import DrainRequested, ReportDue
 from lanedock_daemon.stops import DRAIN_SETTLE, make_stop_plan
 
@@ -153,7 +153,7 @@
     def add_server(name: str, address, side) -> None:
         closes_last = name in CLOSE_LAST
         if settings.http_server == "wsgi":
-            from lanedock_daemon.path.wsgi import WsgiPathServer
+            from lanedock_daemon.path.http.wsgi import WsgiPathServer
 
             # Has the same interface, and is the baseline of benchmarks.
             kernel.add(WsgiPathServer(name, address, side, plan, events, closes_last))
--- a/packages/lanedock-daemon/lanedock_daemon/run.py
+++ b/packages/lanedock-daemon/lanedock_daemon/run.py
@@ -28,7 +28,7 @@
 )
 from lanedock.telemetry.log import LineWriter
 from lanedock_daemon.interface import Interface, OwnInterface
-from lanedock_daemon.path.http import Answer
+from lanedock_daemon.path.http.messages import Answer
 from lanedock_daemon.signals import EarlySignals
 from lanedock_daemon.stops import make_stop_plan
 
@@ -132,7 +132,7 @@
 
 
 def _add_metrics(kernel: Kernel, settings: Settings, metrics: TextMetrics, events: EventLogger) -> None:
-    from lanedock_daemon.path.server import PathServer
+    from lanedock_daemon.path.http.server import PathServer
 
     # A stop plan of its own, without time: no caller's request depends on this server.
     kernel.add(PathServer("metrics", settings.metrics, _MetricsHandler(metrics), StopPlan(), events))
@@ -183,7 +183,7 @@
     address = settings.control.operators
     if address is None:
         return
-    from lanedock_daemon.path.server import PathServer
+    from lanedock_daemon.path.http.server import PathServer
 
     side = interface.make_operators_handler(control, settings)
     kernel.add(PathServer("operators", address, side, plan, events))
--- a/packages/lanedock-daemon/lanedock_daemon/tests/stopping.py
+++ b/packages/lanedock-daemon/lanedock_daemon/tests/stopping.py
@@ -11,7 +11,7 @@
 from lanedock.telemetry import EventLogger, NullMetrics, NullTracer
 from lanedock.wire import messages
 from lanedock_daemon.framed import FramedTransport
-from lanedock_daemon.path.http import MAX_UNSOLICITED_BODY_BYTES
+from lanedock_daemon.path.http.messages import MAX_UNSOLICITED_BODY_BYTES
 from lanedock_daemon.path.tests.chain import HOST, Application, Gate, Upstream, make_value, put_in_force, wait_until
 from lanedock_daemon.roles import add_daemon
 
--- a/packages/lanedock-daemon/lanedock_daemon/tests/test_stop_arrivals.py
+++ b/packages/lanedock-daemon/lanedock_daemon/tests/test_stop_arrivals.py
@@ -6,7 +6,7 @@
 from lanedock.kernel import StopPlan
 from lanedock.settings import Address
 from lanedock.telemetry import EventLogger
-from lanedock_daemon.path.server import PathServer
+from lanedock_daemon.path.http.server import PathServer
 from lanedock_daemon.path.tests.chain import HOST, wait_until
 from lanedock_daemon.tests.stopping import (
     GRACE,
--- a/tests/hooks/early_close.py
+++ b/tests/hooks/early_close.py
@@ -13,7 +13,7 @@
     """Make all written answers count as received if the environment demands it."""
     if EARLY_CLOSE_VARIABLE not in os.environ:
         return
-    from lanedock_daemon.path.delivery import Delivery
+    from lanedock_daemon.path.http.delivery import Delivery
 
     Delivery.is_complete = lambda self: True
     Delivery.is_in_progress = lambda self, now: False
--- a/tools/bench_memory.py
+++ b/tools/bench_memory.py
@@ -16,7 +16,7 @@
 STEPS = {
     "bare Python": "pass",
     "gevent, patched": "from gevent import monkey; monkey.patch_all()",
-    "request path's parser, pool, server": "import lanedock_daemon.path.parser, gevent.server, gevent.socket",
+    "request path's parser, pool, server": "import lanedock_daemon.path.http.parser, gevent.server, gevent.socket",
     "protobuf and the wire messages": "import lanedock.wire",
     "grpclib and asyncio": "import grpclib.client, grpclib.server, lanedock.wire.lanedock_grpc",
     "settings with jsonschema": "import jsonschema, lanedock.settings",
