--- a/packages/lanedock/lanedock/wire/lanedock_grpc.py
+++ b/packages/lanedock/lanedock/wire/lanedock_grpc.py
@@ -174,3 +174,47 @@
             lanedock.wire.lanedock_pb2.CanaryRequest,
             lanedock.wire.lanedock_pb2.CanaryReply,
         )
+
+
+class QuotasBase(abc.ABC):
+
+    @abc.abstractmethod
+    async def Draw(self, stream: 'grpclib.server.Stream[lanedock.wire.lanedock_pb2.CreditRequest, lanedock.wire.lanedock_pb2.CreditReply]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def Customers(self, stream: 'grpclib.server.Stream[lanedock.wire.lanedock_pb2.CustomersRequest, lanedock.wire.lanedock_pb2.CustomersReply]') -> None:
+        pass
+
+    def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
+        return {
+            '/lanedock.v1.Quotas/Draw': grpclib.const.Handler(
+                self.Draw,
+                grpclib.const.Cardinality.STREAM_STREAM,
+                lanedock.wire.lanedock_pb2.CreditRequest,
+                lanedock.wire.lanedock_pb2.CreditReply,
+            ),
+            '/lanedock.v1.Quotas/Customers': grpclib.const.Handler(
+                self.Customers,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                lanedock.wire.lanedock_pb2.CustomersRequest,
+                lanedock.wire.lanedock_pb2.CustomersReply,
+            ),
+        }
+
+
+class QuotasStub:
+
+    def __init__(self, channel: grpclib.client.Channel) -> None:
+        self.Draw = grpclib.client.StreamStreamMethod(
+            channel,
+            '/lanedock.v1.Quotas/Draw',
+            lanedock.wire.lanedock_pb2.CreditRequest,
+            lanedock.wire.lanedock_pb2.CreditReply,
+        )
+        self.Customers = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/lanedock.v1.Quotas/Customers',
+            lanedock.wire.lanedock_pb2.CustomersRequest,
+            lanedock.wire.lanedock_pb2.CustomersReply,
+        )
