Read long answers ahead of their receivers on narrow links

Cause: an answer held its application's slot until its last byte was sent. On a narrow link a download of 90 kB takes longer to send than to make, so slots were taken by answers that only waited for the link.

The slot is released, and the run's result is recorded, when the application has sent its whole answer. A break is passed on after the pieces that came before it. A receiver that disconnects frees the memory and closes the application's connection. Other daemons read answers as before.

--- /dev/null
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_long_answers.py
@@ -0,0 +1,129 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Tests of long answers on narrow links, with real sockets.
+
+They guard against answers that hold the slots of an application while their receivers read. On a
+link of 2 Mbit/s a download of 90 kB takes 0.34 s to send; where the application works 0.18 s on it,
+three downloads occupied an upstream of three slots that could do twice as much.
+"""
+
+import gevent
+import pytest
+from gevent import socket
+
+from lanedock_daemon.path.tests.chain import HOST, Chain, make_value, read_all, wait_until
+
+SLOTS = 2
+# More than the buffers of the connections below hold, less than is read ahead of one answer.
+ANSWER = bytes(range(256)) * 3200
+BUFFER_BYTES = 16 * 1024
+NARROW, WIDE = 1_250_000.0, 1_250_001.0
+TIMEOUT = 10.0
+
+
+def _answer(conn, head: str, body: bytes) -> bytes:
+    return b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%b" % (len(ANSWER), ANSWER)
+
+
+def _answer_without_length(conn, head: str, body: bytes) -> bytes:
+    chunks = b"%x\r\n%b\r\n0\r\n\r\n" % (len(ANSWER), ANSWER)
+    return b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n" + chunks
+
+
+def _make_chain(make_chain, script, link_rate: float | None) -> Chain:
+    chain = make_chain(script, value=make_value(slots=SLOTS, queue=SLOTS), link_rate=link_rate)
+    for server in (chain.entry, chain.upstreams[0].server):
+        # Inherited by the connections that it accepts.
+        server._server.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, BUFFER_BYTES)
+    return chain
+
+
+def _begin_slow_request(chain: Chain, path: str) -> socket.socket:
+    """Send a request whose sender doesn't read the answer yet."""
+    conn = socket.socket()
+    conn.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
+    conn.settimeout(TIMEOUT)
+    conn.connect((HOST, chain.entry.port))
+    conn.sendall(f"GET {path} HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n".encode())
+    return conn
+
+
+@pytest.mark.parametrize("script", [_answer, _answer_without_length])
+def test_slots_are_free_while_slow_receivers_read(make_chain, script):
+    chain = _make_chain(make_chain, script, NARROW)
+    limiter = chain.upstreams[0].limiter
+    conns = []
+    for number in range(3 * SLOTS):
+        # Each of them needs a slot, and no receiver reads.
+        conns.append(_begin_slow_request(chain, f"/{number}"))
+        wait_until(lambda: chain.applications[0].runs.total() == len(conns) and not limiter.in_use)
+    for conn in conns:
+        data = read_all(conn)
+        assert data.startswith(b"HTTP/1.1 200 ")
+        assert ANSWER[:BUFFER_BYTES] in data and ANSWER[-BUFFER_BYTES:] in data
+    wait_until(lambda: not chain.upstreams[0].server.in_progress)
+    assert not chain.upstreams[0].side._read_ahead.used
+
+
+@pytest.mark.parametrize("link_rate", [None, WIDE])
+def test_an_answer_holds_its_slot_until_it_is_received_on_links_that_are_not_narrow(make_chain, link_rate):
+    """Memory must be used for answers only where the operators have said that the link is narrow."""
+    chain = _make_chain(make_chain, _answer, link_rate)
+    limiter = chain.upstreams[0].limiter
+    conn = _begin_slow_request(chain, "/x")
+    wait_until(lambda: limiter.in_use == 1)
+    gevent.sleep(0.2)
+    assert limiter.in_use == 1
+    assert read_all(conn).endswith(ANSWER[-BUFFER_BYTES:])
+    wait_until(lambda: not limiter.in_use)
+
+
+def test_a_receiver_that_disconnects_frees_the_memory_and_ends_the_answer(make_chain):
+    cut = []
+
+    def script(conn, head, body):
+        try:
+            conn.sendall(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n")
+            while True:
+                conn.sendall(b"10000\r\n" + bytes(65536) + b"\r\n")
+        except OSError:
+            cut.append(head)
+            raise
+
+    chain = _make_chain(make_chain, script, NARROW)
+    upstream = chain.upstreams[0]
+    conn = _begin_slow_request(chain, "/x")
+    wait_until(lambda: upstream.side._read_ahead.used > 512 * 1024)
+    assert upstream.limiter.in_use == 1
+    conn.close()
+    wait_until(lambda: cut and not upstream.limiter.in_use and not upstream.server.in_progress)
+    assert not upstream.side._read_ahead.used
+
+
+def test_an_answer_that_breaks_off_stays_broken_for_its_receiver(make_chain):
+    """The receiver must not take what was read before the break for the whole answer."""
+
+    def script(conn, head, body):
+        conn.sendall(_answer(conn, head, body)[:-BUFFER_BYTES])
+
+    chain = _make_chain(make_chain, script, NARROW)
+    conn = _begin_slow_request(chain, "/x")
+    wait_until(lambda: chain.applications[0].runs["/x"] and not chain.upstreams[0].limiter.in_use)
+    data = read_all(conn)
+    assert data.startswith(b"HTTP/1.1 200 ")
+    body = data.partition(b"\r\n\r\n")[2]
+    assert len(body) == len(ANSWER) - BUFFER_BYTES
+    assert ANSWER.startswith(body)
+
+
+def test_a_stop_waits_for_an_answer_that_was_read_ahead(make_chain):
+    """The application has ended its answer, but the receiver has not got it: the process must not end yet."""
+    chain = _make_chain(make_chain, _answer, NARROW)
+    upstream = chain.upstreams[0]
+    conn = _begin_slow_request(chain, "/x")
+    wait_until(lambda: chain.applications[0].runs["/x"] and not upstream.limiter.in_use)
+    stop = gevent.spawn(upstream.server.stop)
+    gevent.sleep(0.1)
+    assert not stop.ready()
+    assert read_all(conn).endswith(ANSWER[-BUFFER_BYTES:])
+    stop.join(TIMEOUT)
+    assert stop.ready()
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream/upstream.py
@@ -5,7 +5,7 @@
 
 from lanedock.clock import monotonic, running_time
 from lanedock.errors import ErrorCode
-from lanedock.limits import AdmissionRequest
+from lanedock.limits import MAX_PACED_RATE, AdmissionRequest
 from lanedock.membership import UpstreamRegistration, UpstreamReport, read_rate
 from lanedock.quarantine import Fingerprint, RequestHasher
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics, RequestLog, RequestLogger, Tracer
@@ -51,6 +51,7 @@
 from lanedock_daemon.path.upstream.canary_account import CanaryAccount
 from lanedock_daemon.path.upstream.crashes import CrashDetector
 from lanedock_daemon.path.upstream.hashed_body import hash_body
+from lanedock_daemon.path.upstream.read_ahead import ReadAhead, ReadAheadMemory, is_long_answer
 from lanedock_daemon.path.upstream.slot_gate import Slot, SlotGate
 from lanedock_daemon.path.upstream.work import Work
 
@@ -115,6 +116,9 @@
         )
         self._tracer: Tracer = tracer
         self._gate = SlotGate(self._registration, metrics, link_rate)
+        is_narrow = link_rate is not None and link_rate <= MAX_PACED_RATE
+        # None where the link is not known to be narrow: answers are then read as they are sent.
+        self._read_ahead = ReadAheadMemory() if is_narrow else None
         view.set_slot_limiter(self._gate.limiter)
 
     @property
@@ -270,7 +274,10 @@
     def _pass_on(
         self, request: Request, hasher: RequestHasher, traffic_class: str, deadline: float, span, log: RequestLog
     ) -> Answer:
-        """Send a request to the application, and hold its slot until the end of the answer."""
+        """Send a request to the application, and hold its slot until the application has sent its answer.
+
+        On a narrow link the application's answer ends before its receiver has got it.
+        """
         started = monotonic()
         slot = Slot(self._gate.limiter, traffic_class, log.route, started)
         if started >= deadline:
@@ -341,6 +348,8 @@
                 work.end_abandoned()
 
         rest = AnswerPieces(response, end, first, deadline - started)
+        if self._read_ahead is not None and is_long_answer(head):
+            rest = ReadAhead(rest, head, self._read_ahead)
         return Answer(head.status, head.reason, headers, rest)
 
     def _note_report(self, report: UpstreamReport) -> None:
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream/work.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream/work.py
@@ -14,7 +14,9 @@
 class Work:
     """A request that the application runs, with the slot that it holds.
 
-    Exactly one of the ``end_*`` methods has to be called when the run ends.
+    Exactly one of the ``end_*`` methods has to be called when the run ends: when the application's
+    answer has ended. Where long answers are read ahead, their receivers may get them later; what
+    becomes of an answer after the application has sent it says nothing about the application.
 
     Parameters
     ----------
--- a/packages/lanedock/lanedock/limits/__init__.py
+++ b/packages/lanedock/lanedock/limits/__init__.py
@@ -2,7 +2,8 @@
 """Limits on requests: slots and their shares, request rates, bodies in flight, retry budgets and admission."""
 
 from lanedock.limits.admission import AdmissionRateLimiter
-from lanedock.limits.bodies import BodyAdmission
+from lanedock.limits.answer_link import LONG_ANSWER_BYTES
+from lanedock.limits.bodies import MAX_PACED_RATE, BodyAdmission
 from lanedock.limits.body_transfer import MAX_LINK_QUEUE_TIME, BodyTransfer
 from lanedock.limits.call_kinds import CallKinds
 from lanedock.limits.first_attempts import FirstAttempts
@@ -12,7 +13,9 @@
 from lanedock.limits.slots import Refused, SlotLimiter
 
 __all__ = [
+    "LONG_ANSWER_BYTES",
     "MAX_LINK_QUEUE_TIME",
+    "MAX_PACED_RATE",
     "AdmissionRateLimiter",
     "AdmissionRequest",
     "BodyAdmission",
--- a/packages/lanedock/lanedock/limits/bodies.py
+++ b/packages/lanedock/lanedock/limits/bodies.py
@@ -14,7 +14,7 @@
 from lanedock.limits.queue import AdmissionQueue, AdmissionRequest
 from lanedock.limits.slots import Refused
 
-__all__ = ["BodyAdmission"]
+__all__ = ["MAX_PACED_RATE", "BodyAdmission"]
 
 # Bytes that may be in flight before a rate has been observed: what a link of 1 Gbit/s
 # delivers in 1 ms, about the time in which a sender receives its permission.
@@ -39,9 +39,9 @@
 # queue on the link counts as short: half of the queue allowed. Here and in `_byte_limit`, the
 # least delay is taken into account so that slow, distant senders don't look like a narrow link.
 _SHORT_QUEUE_TIME = MAX_LINK_QUEUE_TIME / 2
-# Rate up to which a link's bodies are paced, in bytes per second (10 Mbit/s). On such a link a
-# body of 60 kB that is sent at once delays short calls for longer than their timeouts.
-_MAX_PACED_RATE = 1_250_000.0
+# Rate up to which a link's bodies and long answers are paced, in bytes per second (10 Mbit/s). On
+# such a link a body of 60 kB that is sent at once delays short calls for longer than their timeouts.
+MAX_PACED_RATE = 1_250_000.0
 # Fraction of a paced link that all bodies together take; the rest is left to short messages.
 _PACED_FRACTION = 0.9
 # Factor applied to an estimated wait, which is a mean, before it is compared with the time
@@ -67,7 +67,7 @@
     def __init__(self, queue: int, classes: dict[str, TrafficClass], link_rate: float | None = None):
         self._queue = AdmissionQueue(queue, classes)
         self._link_rate = float("inf") if link_rate is None else link_rate
-        self._is_paced = self._link_rate <= _MAX_PACED_RATE
+        self._is_paced = self._link_rate <= MAX_PACED_RATE
         self._admitted: dict[BodyTransfer, None] = {}
         self._delivery_rate = DeliveryRate()
         # Least delay until a body's first bytes, in seconds: an estimate of the round trip. At
