Read the load that applications state

Applications state their running and waiting requests, their slots and the time that work takes at the moment. Nothing read them but the slots of a health check, and there the last figure was taken for the slots although it may be the pace: a backend of 7 slots at a pace of 250 % registered with 250 slots until its next heartbeat.

ApplicationLoad is a field of UpstreamReport. Invalid figures leave it as it is and are logged at most every 10 s. lanedock's own header is taken out of what callers get. Nothing decides by the load yet.

Tests: membership, platform, agent, path/tests/test_advertised_facts.py and tests/test_documents.py pass.

--- a/packages/lanedock-daemon/lanedock_daemon/agent/registration.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/registration.py
@@ -43,7 +43,7 @@
 # Maps each state of an application to whether it is draining.
 _STATES = {"ready": False, "draining": True}
 SOURCE = "heartbeat"
-# Seconds between two log lines about an unreadable rate limit, which every answer may repeat.
+# Seconds between two log lines about an unreadable rate limit or load, which every answer may repeat.
 UNREADABLE_INTERVAL = 10.0
 
 
@@ -80,6 +80,7 @@
         self._on_rival = on_rival
         self._events = events
         self._unreadable_at = 0.0
+        self._unreadable_load_at = 0.0
 
     def process_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Accept a heartbeat.
@@ -143,6 +144,9 @@
         if report.unreadable and now >= self._unreadable_at:
             self._unreadable_at = now + UNREADABLE_INTERVAL
             self._events.emit(Event.RATE_LIMIT_UNREADABLE, upstream=incarnation.upstream, value=report.unreadable)
+        if report.unreadable_load and now >= self._unreadable_load_at:
+            self._unreadable_load_at = now + UNREADABLE_INTERVAL
+            self._events.emit(Event.LOAD_UNREADABLE, upstream=incarnation.upstream, value=report.unreadable_load)
         registration = self._registration
         revision = registration.revision
         if registration.note_report(report, incarnation, now):
--- a/packages/lanedock-daemon/lanedock_daemon/path/shared/dialect.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/shared/dialect.py
@@ -27,6 +27,8 @@
 DRAIN_HEADER = "x-upstream-draining"
 # In answers of an application: requests per second that it accepts from all callers together.
 RATE_LIMIT_HEADER = "x-upstream-rate-limit"
+# In answers of an application: its load, see `lanedock.membership.read_load`.
+APPLICATION_LOAD_HEADER = "x-upstream-load"
 # Identifies the customer who sends a request (RFC 9110, section 11.6.2).
 CUSTOMER_HEADER = "authorization"
 
@@ -167,7 +169,13 @@
 
     request_names = frozenset((ATTEMPT_HEADER, DEADLINE_HEADER, TRACE_HEADER))
     # Headers that only a daemon may set are removed from applications' answers.
-    answer_names = HOP_HEADERS | {OUTCOME_HEADER, CODE_HEADER, DRAIN_HEADER, RATE_LIMIT_HEADER}
+    answer_names = HOP_HEADERS | {
+        OUTCOME_HEADER,
+        CODE_HEADER,
+        DRAIN_HEADER,
+        RATE_LIMIT_HEADER,
+        APPLICATION_LOAD_HEADER,
+    }
 
     def read_request(self, headers: list[tuple[str, str]]) -> RequestFacts:
         facts = RequestFacts()
@@ -186,7 +194,8 @@
         return AnswerFacts(report=self._read_report(headers))
 
     def read_health(self, status: int, headers: list[tuple[str, str]]) -> HealthFacts:
-        return HealthFacts(status == 200, report=self._read_report(headers))
+        report = self._read_report(headers)
+        return HealthFacts(status == 200, slots=report.load.slots if report.load is not None else 0, report=report)
 
     def _read_report(self, headers: list[tuple[str, str]]) -> UpstreamReport:
         report = UpstreamReport()
@@ -195,6 +204,8 @@
                 report.is_draining = report.is_draining or bool(value)
             elif name == RATE_LIMIT_HEADER:
                 report.note_rate(value)
+            elif name == APPLICATION_LOAD_HEADER:
+                report.note_load(value)
         return report
 
     def request_headers(self, left_ms: int, upstream: str, caller: str, attempt: int) -> list[tuple[str, str]]:
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_advertised_facts.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_advertised_facts.py
@@ -4,7 +4,7 @@
 import gevent
 import pytest
 
-from lanedock.clock import monotonic
+from lanedock.clock import monotonic, running_time
 from lanedock.membership import Heartbeat, UpstreamRegistration
 from lanedock_daemon.path.tests.chain import Chain, Gate, make_value, parse_answer, wait_until
 
@@ -216,3 +216,18 @@
     registration.leave("a1")
     assert task.get(timeout=10)[0] == 503
     assert not app.arrivals
+
+
+def test_a_stated_load_reaches_the_registration_and_no_caller(make_chain):
+    stating = LimitedApplication("x-upstream-load: 1,0,7,250")
+    chain = make_chain(stating)
+    status, head, _ = chain.request("GET")
+    assert status == 200 and "x-upstream-load" not in head
+    load = chain.upstreams[0].side._registration.current_load(running_time())
+    assert (load.slots, load.pace) == (7, 2.5)
+
+
+def test_events_of_unreadable_loads_are_bounded(make_chain, caplog):
+    chain = make_chain(LimitedApplication("x-upstream-load: full"))
+    assert {chain.request("GET")[0] for _ in range(5)} == {200}
+    assert sum(record.msg["message"] == "LOAD_UNREADABLE" for record in caplog.records) == 1
--- a/packages/lanedock/lanedock/membership/__init__.py
+++ b/packages/lanedock/lanedock/membership/__init__.py
@@ -2,6 +2,7 @@
 """Membership of the mesh: platform lists, registrations, and the endpoints derived from them."""
 
 from lanedock.membership.advertised_rate import AdvertisedRate
+from lanedock.membership.application_load import ApplicationLoad, read_load
 from lanedock.membership.changes import EndpointChanges
 from lanedock.membership.core import Instance, InstanceState, PlatformList, parse_instances
 from lanedock.membership.directory import Directory
@@ -15,6 +16,7 @@
 __all__ = [
     "UNKNOWN_VERSION",
     "AdvertisedRate",
+    "ApplicationLoad",
     "Directory",
     "EndpointChanges",
     "EndpointRegistry",
@@ -31,5 +33,6 @@
     "incarnation_of",
     "make_platform_list",
     "parse_instances",
+    "read_load",
     "read_rate",
 ]
--- a/packages/lanedock/lanedock/membership/registration.py
+++ b/packages/lanedock/lanedock/membership/registration.py
@@ -24,6 +24,7 @@
 
 from lanedock.errors import ErrorCode
 from lanedock.membership.advertised_rate import AdvertisedRate
+from lanedock.membership.application_load import ApplicationLoad
 from lanedock.membership.heartbeat import UNKNOWN_VERSION, Heartbeat
 from lanedock.membership.incarnation import Incarnation
 from lanedock.membership.upstream_report import UpstreamReport
@@ -36,6 +37,9 @@
 MAX_HEARTBEAT_DELAY = 1.0
 # Number of ended incarnations to remember, so that their delayed heartbeats are ignored.
 MAX_ENDED_INCARNATIONS = 64
+# Seconds for which a stated load applies. Loads change many times a second, and an application that
+# gets no requests states none.
+LOAD_EXPIRY = 2.0
 
 
 class UpstreamRegistration:
@@ -84,6 +88,8 @@
         self.version = ""
         self.advertised = AdvertisedRate()
         self.cold_until = 0.0
+        self._load: ApplicationLoad | None = None
+        self._load_stated_at = float("-inf")
         self.rival: Heartbeat | None = None
         self._rival_first_seen_at = 0.0
         self._other_start: Heartbeat | None = None
@@ -247,6 +253,7 @@
         self.incarnation = incarnation
         self.is_leaving = False
         self.advertised = AdvertisedRate()
+        self._load = None
         self._sequence = -1
         self.revision += 1
 
@@ -380,6 +387,9 @@
         """
         if not incarnation.may_equal(self.incarnation):
             return False
+        if report.load is not None:
+            self._load = report.load
+            self._load_stated_at = now
         if report.unreadable:
             self.advertised.note_unreadable(now)
             return False
@@ -431,6 +441,13 @@
             return ErrorCode.DRAINING
         return None
 
+    def current_load(self, now: float) -> ApplicationLoad | None:
+        """Return the load that the application stated last, or None if that is too long ago.
+
+        `now` is in seconds of `lanedock.clock.running_time`.
+        """
+        return self._load if now - self._load_stated_at <= LOAD_EXPIRY else None
+
     def cold_left(self, now: float) -> float:
         """Return the remaining warm-up time of the application, in seconds."""
         return max(0.0, self.cold_until - now)
--- a/packages/lanedock/lanedock/telemetry/events.py
+++ b/packages/lanedock/lanedock/telemetry/events.py
@@ -208,6 +208,12 @@
         "use.",
         "Correct the application: `value` is what it sends, truncated.",
     )
+    LOAD_UNREADABLE = (
+        417,
+        logging.WARNING,
+        "The local application states a load that is not three or four figures in their ranges; it is ignored.",
+        "Correct the application: `value` is what it sends, truncated.",
+    )
     SEEDS_CHANGED = (409, logging.INFO, "The control instances named in the settings have changed.", "None.")
 
     ANSWER_LOST = (501, logging.WARNING, "The outcome of a request is unknown.", "Check the upstream named.")
