Send long answers over narrow links one by one

Cause: long answers were written at once. They shared the link and all came late, and short messages waited behind them in the kernel's buffers.

Change: AnswerLink decides which long answer is sent next, by traffic class and then by target time, at 0.9 of the link's rate in pieces that take 20 ms at most. An answer has a turn only while one of its pieces is ready, so a slow receiver delays no other, and an answer that ends leaves no turn taken. PacedAnswer waits for the turns. One AnswerLink is made for each process from upstream.link_mbps where it is at most 10 Mbit/s; the upstream's side and the server for callers share it. Answers to the application beside the daemon don't pass the link and aren't paced.

--- a/packages/lanedock-daemon/lanedock_daemon/path/caller/caller.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller/caller.py
@@ -1,6 +1,7 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """The caller's side of the request path: routes requests, chooses upstreams, and retries."""
 
+from copy import copy
 from itertools import count
 from random import Random
 
@@ -8,7 +9,7 @@
 from lanedock.config import Route
 from lanedock.errors import ErrorCode
 from lanedock.kernel import StopPlan
-from lanedock.limits import FirstAttempts
+from lanedock.limits import LONG_ANSWER_BYTES, AnswerTransfer, FirstAttempts
 from lanedock.quarantine import Fingerprint, RequestHasher
 from lanedock.routing import choose_service
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics, RequestLog, RequestLogger, Span, Tracer
@@ -31,6 +32,7 @@
 from lanedock_daemon.path.http.messages import DEFAULT_RETRY_AFTER, Answer, Outcome, ReplayBody, Request, outcome_label
 from lanedock_daemon.path.http.service import StopTimeout
 from lanedock_daemon.path.shared.dialect import Dialect, OwnDialect, RequestFacts
+from lanedock_daemon.path.shared.paced_answer import LinkTurns, answer_length, is_long_answer
 from lanedock_daemon.path.shared.pool import ConnectionPool
 
 __all__ = ["CallerSide"]
@@ -159,6 +161,16 @@
         self._attempts = AttemptSender(pool, self._dialect, events, metrics, view.quarantine)
         self._rng = rng or Random()
         self._ages = FirstAttempts()
+        self._turns: LinkTurns | None = None
+
+    def paced_by(self, turns: LinkTurns) -> "CallerSide":
+        """Return a side that shares all state with this one, and sends long answers by the turns of a narrow link.
+
+        This one stays for the application beside the daemon, whose answers don't pass the link.
+        """
+        paced = copy(self)
+        paced._turns = turns
+        return paced
 
     def handle(self, request: Request) -> Answer:
         """Send a caller's request to an upstream, and return the answer."""
@@ -225,7 +237,16 @@
         context.is_suspect = suspect is not None
         max_overloads = MAX_OVERLOADS_RETRIED if age else MAX_OVERLOADS
         # An earlier hop already retries this request; retries here, too, would multiply the load.
-        return self._send(context, _Progress(route, max_overloads), may_retry=not facts.was_retried)
+        answer = self._send(context, _Progress(route, max_overloads), may_retry=not facts.was_retried)
+        return answer if self._turns is None else self._pace(answer, context, binding)
+
+    def _pace(self, answer: Answer, context: RequestContext, binding: Binding) -> Answer:
+        """Let a long answer with a body wait for its turns on the daemon's narrow link."""
+        if answer.pieces and context.request.method != "HEAD" and is_long_answer(answer.headers):
+            order = (binding.config.traffic_classes[context.route.traffic_class].priority,)
+            transfer = AnswerTransfer(order, context.target_time, LONG_ANSWER_BYTES, monotonic())
+            answer.pieces = self._turns.pace(answer.pieces, transfer, answer_length(answer.headers))
+        return answer
 
     def _find_suspect(self, request: Request, facts: RequestFacts) -> Fingerprint | None:
         """Return the fingerprint of a request that is suspected of crashes.
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/answer_writer.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/answer_writer.py
@@ -4,7 +4,7 @@
 from lanedock_daemon.path.http.messages import Answer
 from lanedock_daemon.path.http.parser import Message
 
-__all__ = ["AnswerHead", "close_pieces", "make_head", "write_pieces"]
+__all__ = ["AnswerHead", "attach_pieces", "close_pieces", "make_head", "write_pieces"]
 
 _BODILESS_STATUSES = (204, 304)
 
@@ -85,6 +85,13 @@
         conn.sendall(pending)
 
 
+def attach_pieces(pieces, conn) -> None:
+    """Tell an answer's body to which connection it is written, if it has an `attach` method."""
+    attach = getattr(pieces, "attach", None)
+    if attach is not None:
+        attach(conn)
+
+
 def close_pieces(pieces) -> None:
     """Release the resources of an answer's body, if it has a `close` method."""
     close = getattr(pieces, "close", None)
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
@@ -9,7 +9,7 @@
 from gevent.event import Event as Signal
 
 from lanedock.clock import monotonic
-from lanedock_daemon.path.http.answer_writer import close_pieces, make_head, write_pieces
+from lanedock_daemon.path.http.answer_writer import attach_pieces, close_pieces, make_head, write_pieces
 from lanedock_daemon.path.http.caller_messages import refuse_malformed
 from lanedock_daemon.path.http.delivery import DELIVERY_TIMEOUT, POLL, Delivery
 from lanedock_daemon.path.http.headers import PACE_HEADER
@@ -352,6 +352,7 @@
         self._is_answer_close_delimited = head.is_close_delimited
         self._has_announced_close = self._has_announced_close or head.announces_close
         pieces = iter(answer.pieces)
+        attach_pieces(pieces, self._conn)
         try:
             if head.has_body:
                 write_pieces(self._conn, head.data, pieces, head.is_chunked)
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream/read_ahead.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream/read_ahead.py
@@ -10,30 +10,17 @@
 import gevent
 from gevent.event import Event as Signal
 
-from lanedock.limits import LONG_ANSWER_BYTES
-from lanedock_daemon.path.http.headers import parse_int
 from lanedock_daemon.path.http.messages import MAX_PIECE_BYTES
 from lanedock_daemon.path.http.parser import Message
 from lanedock_daemon.path.shared.answers import AnswerPieces
 
-__all__ = ["ReadAhead", "ReadAheadMemory", "answer_length", "is_long_answer"]
+__all__ = ["ReadAhead", "ReadAheadMemory"]
 
 # Bytes of one answer, and of all answers of a daemon, that are read ahead at most.
 MAX_ANSWER_BYTES = 1024 * 1024
 MAX_TOTAL_BYTES = 8 * 1024 * 1024
 
 
-def answer_length(head: Message) -> int | None:
-    """Return the length of an answer's body that its head states, in bytes; None if it states none."""
-    return parse_int(head.header("content-length"))
-
-
-def is_long_answer(head: Message) -> bool:
-    """Return whether an answer is over `LONG_ANSWER_BYTES` long, or of unknown length."""
-    length = answer_length(head)
-    return length is None or length > LONG_ANSWER_BYTES
-
-
 class ReadAheadMemory:
     """The memory for the answers of one daemon that are read ahead.
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream/upstream.py
@@ -5,12 +5,12 @@
 
 from lanedock.clock import monotonic, running_time
 from lanedock.errors import ErrorCode
-from lanedock.limits import MAX_PACED_RATE, AdmissionRequest
+from lanedock.limits import LONG_ANSWER_BYTES, AdmissionRequest, AnswerLink, AnswerTransfer, is_narrow_link
 from lanedock.membership import UpstreamRegistration, UpstreamReport, read_rate
 from lanedock.quarantine import Fingerprint, RequestHasher
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics, RequestLog, RequestLogger, Tracer
 from lanedock_daemon.agent.registration import Registrar
-from lanedock_daemon.agent.view import LocalView
+from lanedock_daemon.agent.view import Binding, LocalView
 from lanedock_daemon.path.http.headers import (
     ATTEMPT_HEADER,
     CALLER_HEADER,
@@ -46,12 +46,13 @@
 from lanedock_daemon.path.shared.answers import AnswerPieces
 from lanedock_daemon.path.shared.dialect import Dialect, OwnDialect, RequestFacts
 from lanedock_daemon.path.shared.exchange import send_request
+from lanedock_daemon.path.shared.paced_answer import LinkTurns, answer_length, is_long_answer
 from lanedock_daemon.path.shared.pool import ConnectionPool, ExchangeError
 from lanedock_daemon.path.shared.suspicions import write_suspicions
 from lanedock_daemon.path.upstream.canary_account import CanaryAccount
 from lanedock_daemon.path.upstream.crashes import CrashDetector
 from lanedock_daemon.path.upstream.hashed_body import hash_body
-from lanedock_daemon.path.upstream.read_ahead import ReadAhead, ReadAheadMemory, is_long_answer
+from lanedock_daemon.path.upstream.read_ahead import ReadAhead, ReadAheadMemory
 from lanedock_daemon.path.upstream.slot_gate import Slot, SlotGate
 from lanedock_daemon.path.upstream.work import Work
 
@@ -83,6 +84,8 @@
         Takes over what answers state about the application itself.
     link_rate : float, optional
         Rate of the daemon's link, in bytes per second, if known.
+    turns : LinkTurns, optional
+        Turns of the process's long answers on a narrow link; shared with the caller's side.
     """
 
     def __init__(
@@ -99,6 +102,7 @@
         crashes=None,
         registrar: Registrar | None = None,
         link_rate: float | None = None,
+        turns: LinkTurns | None = None,
     ):
         self._requests: RequestLogger = requests or RequestLogger(events, 0)
         self._dialect: Dialect = dialect or OwnDialect()
@@ -116,9 +120,11 @@
         )
         self._tracer: Tracer = tracer
         self._gate = SlotGate(self._registration, metrics, link_rate)
-        is_narrow = link_rate is not None and link_rate <= MAX_PACED_RATE
-        # None where the link is not known to be narrow: answers are then read as they are sent.
-        self._read_ahead = ReadAheadMemory() if is_narrow else None
+        if turns is None and is_narrow_link(link_rate):
+            turns = LinkTurns(AnswerLink(link_rate))
+        # None where the link is not known to be narrow: answers are then read and sent as they come.
+        self._turns = turns
+        self._read_ahead = ReadAheadMemory()
         view.set_slot_limiter(self._gate.limiter)
 
     @property
@@ -220,10 +226,21 @@
             wait = 0.0 if refusal is ErrorCode.DEADLINE else DEFAULT_RETRY_AFTER
             return self._refuse(refusal, wait, log, meant=expected, incarnation=self._registration.upstream)
         log.note(Event.REQUEST_ADMITTED, waited_ms=round(1000 * (monotonic() - started), 1), **self._gate.load())
-        answer = self._pass_on(hashed, hasher, traffic_class, deadline, span, log)
+        transfer = self._make_transfer(traffic_class, admission, binding)
+        answer = self._pass_on(hashed, hasher, traffic_class, deadline, span, log, transfer)
         log.note(Event.REQUEST_DONE, status=answer.status, incarnation=expected)
         return answer
 
+    def _make_transfer(
+        self, traffic_class: str, admission: AdmissionRequest, binding: Binding | None
+    ) -> AnswerTransfer | None:
+        """Return the place of a request's answer in the order on a narrow link, or None if answers aren't paced."""
+        if self._turns is None:
+            return None
+        known = binding.config.traffic_classes.get(traffic_class) if binding is not None else None
+        order = (known.priority if known is not None else float("inf"),)
+        return AnswerTransfer(order, admission.target_or_deadline, LONG_ANSWER_BYTES, monotonic())
+
     def _refuse(self, code: ErrorCode, retry_after: float, log: RequestLog, **why: object) -> Answer:
         self._metrics.count(Metric.NOT_RUN)
         self._metrics.count(Metric.REFUSALS, 1, (code.code,))
@@ -272,7 +289,14 @@
         return self._refuse(ErrorCode.QUARANTINED, remaining, log, suspect=suspect)
 
     def _pass_on(
-        self, request: Request, hasher: RequestHasher, traffic_class: str, deadline: float, span, log: RequestLog
+        self,
+        request: Request,
+        hasher: RequestHasher,
+        traffic_class: str,
+        deadline: float,
+        span,
+        log: RequestLog,
+        transfer: AnswerTransfer | None,
     ) -> Answer:
         """Send a request to the application, and hold its slot until the application has sent its answer.
 
@@ -337,7 +361,7 @@
             raise
         if head.is_complete:
             work.end_served()
-            return Answer(head.status, head.reason, headers, [*first, *head.pieces])
+            return self._pace(Answer(head.status, head.reason, headers, [*first, *head.pieces]), transfer)
 
         def end(broke_off: bool) -> None:
             if broke_off:
@@ -348,9 +372,15 @@
                 work.end_abandoned()
 
         rest = AnswerPieces(response, end, first, deadline - started)
-        if self._read_ahead is not None and is_long_answer(head):
+        if self._turns is not None and is_long_answer(headers):
             rest = ReadAhead(rest, head, self._read_ahead)
-        return Answer(head.status, head.reason, headers, rest)
+        return self._pace(Answer(head.status, head.reason, headers, rest), transfer)
+
+    def _pace(self, answer: Answer, transfer: AnswerTransfer | None) -> Answer:
+        """Let a long answer with a body wait for its turns on a narrow link."""
+        if transfer is not None and answer.pieces and is_long_answer(answer.headers):
+            answer.pieces = self._turns.pace(answer.pieces, transfer, answer_length(answer.headers))
+        return answer
 
     def _note_report(self, report: UpstreamReport) -> None:
         """Apply what an answer states about the application, from now on."""
--- a/packages/lanedock-daemon/lanedock_daemon/roles.py
+++ b/packages/lanedock-daemon/lanedock_daemon/roles.py
@@ -5,7 +5,7 @@
 
 from lanedock.clock import monotonic
 from lanedock.kernel import Kernel, Service, StopPlan
-from lanedock.limits import SavingBudget, WindowBudget
+from lanedock.limits import AnswerLink, SavingBudget, WindowBudget, is_narrow_link
 from lanedock.membership import UpstreamRegistration
 from lanedock.settings import Settings
 from lanedock.telemetry import EventLogger, Metrics, RequestLogger, Tracer
@@ -16,6 +16,7 @@
 from lanedock_daemon.path.caller.caller import CallerSide
 from lanedock_daemon.path.http.messages import Answer, Request
 from lanedock_daemon.path.http.server import PathServer
+from lanedock_daemon.path.shared.paced_answer import LinkTurns
 from lanedock_daemon.path.shared.pool import ConnectionPool
 from lanedock_daemon.path.upstream.crashes import CrashDetector
 from lanedock_daemon.path.upstream.upstream import UpstreamSide
@@ -144,6 +145,8 @@
     kernel.add(agent)
     requests = RequestLogger(events, settings.log_sample)
     kernel.add(_TotalsService(requests))
+    link_rate = _find_link_rate(settings)
+    turns = LinkTurns(AnswerLink(link_rate)) if is_narrow_link(link_rate) else None
     caller = CallerSide(view, ConnectionPool(), events, metrics, tracer, dialect, requests=requests, plan=plan)
 
     max_kept_connections = (
@@ -165,7 +168,7 @@
     if settings.daemon.ready is not None:
         add_server("ready", settings.daemon.ready, _ReadinessHandler(view))
     if settings.entry is not None:
-        add_server("entry", settings.entry.listen, caller)
+        add_server("entry", settings.entry.listen, caller if turns is None else caller.paced_by(turns))
     if settings.upstream is not None:
         cfg = settings.upstream
         application = (cfg.application.host, cfg.application.port)
@@ -178,7 +181,6 @@
             settings.name, application, pool, registration, view.quarantine, on_change, events, metrics
         )
         parts = (events, metrics, tracer, dialect, requests, crashes)
-        link_rate = None if cfg.link_mbps is None else cfg.link_mbps * BYTES_PER_MBIT
         if cfg.registration is not None:
             discovery = ApplicationDiscovery(view, application, dialect, on_change, events)
             registrar = Registrar(
@@ -195,13 +197,20 @@
         else:
             registrar = Registrar(registration, lambda: None, lambda: None, events)
         agent.set_registrar(registrar)
-        side = UpstreamSide(cfg.service, application, view, pool, *parts, registrar, link_rate)
+        side = UpstreamSide(cfg.service, application, view, pool, *parts, registrar, link_rate, turns)
         if cfg.egress is not None:
             add_server("egress", cfg.egress, caller)
         add_server("upstream", cfg.listen, side)
     kernel.add(DrainService(agent, view, plan))
 
 
+def _find_link_rate(settings: Settings) -> float | None:
+    """Return the rate of the instance's link, in bytes per second, if the settings give it."""
+    if settings.upstream is None or settings.upstream.link_mbps is None:
+        return None
+    return settings.upstream.link_mbps * BYTES_PER_MBIT
+
+
 def _make_registration(settings: Settings) -> UpstreamRegistration | None:
     cfg = settings.upstream
     if cfg is None:
--- a/packages/lanedock/lanedock/limits/__init__.py
+++ b/packages/lanedock/lanedock/limits/__init__.py
@@ -2,8 +2,8 @@
 """Limits on requests: slots and their shares, request rates, bodies in flight, retry budgets and admission."""
 
 from lanedock.limits.admission import AdmissionRateLimiter
-from lanedock.limits.answer_link import LONG_ANSWER_BYTES
-from lanedock.limits.bodies import MAX_PACED_RATE, BodyAdmission
+from lanedock.limits.answer_link import LONG_ANSWER_BYTES, AnswerLink, AnswerTransfer, is_narrow_link
+from lanedock.limits.bodies import BodyAdmission
 from lanedock.limits.body_transfer import MAX_LINK_QUEUE_TIME, BodyTransfer
 from lanedock.limits.call_kinds import CallKinds
 from lanedock.limits.first_attempts import FirstAttempts
@@ -15,9 +15,10 @@
 __all__ = [
     "LONG_ANSWER_BYTES",
     "MAX_LINK_QUEUE_TIME",
-    "MAX_PACED_RATE",
     "AdmissionRateLimiter",
     "AdmissionRequest",
+    "AnswerLink",
+    "AnswerTransfer",
     "BodyAdmission",
     "BodyTransfer",
     "CallKinds",
@@ -29,4 +30,5 @@
     "SavingBudget",
     "SlotLimiter",
     "WindowBudget",
+    "is_narrow_link",
 ]
--- a/packages/lanedock/lanedock/limits/bodies.py
+++ b/packages/lanedock/lanedock/limits/bodies.py
@@ -14,7 +14,7 @@
 from lanedock.limits.queue import AdmissionQueue, AdmissionRequest
 from lanedock.limits.slots import Refused
 
-__all__ = ["MAX_PACED_RATE", "BodyAdmission"]
+__all__ = ["MAX_PACED_RATE", "PACED_FRACTION", "BodyAdmission"]
 
 # Bytes that may be in flight before a rate has been observed: what a link of 1 Gbit/s
 # delivers in 1 ms, about the time in which a sender receives its permission.
@@ -42,8 +42,8 @@
 # Rate up to which a link's bodies and long answers are paced, in bytes per second (10 Mbit/s). On
 # such a link a body of 60 kB that is sent at once delays short calls for longer than their timeouts.
 MAX_PACED_RATE = 1_250_000.0
-# Fraction of a paced link that all bodies together take; the rest is left to short messages.
-_PACED_FRACTION = 0.9
+# Fraction of a paced link that all bodies, or all long answers, together take; the rest is left to short messages.
+PACED_FRACTION = 0.9
 # Factor applied to an estimated wait, which is a mean, before it is compared with the time
 # available, as in the slot limiter.
 _WAIT_MARGIN = 1.5
@@ -186,7 +186,7 @@
         if not self._is_paced:
             return float("inf")
         sending = sum(other.is_begun and not other.is_overtaken for other in self._admitted)
-        return _PACED_FRACTION * self._link_rate / sending
+        return PACED_FRACTION * self._link_rate / sending
 
     def note(self, transfer: BodyTransfer, size: int, now: float) -> None:
         """Record that `size` bytes of a body have arrived."""
