Identify customers by their keys on the request path

Cause: the configuration has customers, but no daemon asks a request for a key or tells an application whose request it is.

The name and the priority travel in x-lanedock-customer and x-lanedock-customer-priority; keys and names that a caller sent are removed on both sides. The quarantine's fingerprint has the customer's name.

--- a/packages/lanedock-daemon/lanedock_daemon/path/caller/caller.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller/caller.py
@@ -14,6 +14,7 @@
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics, RequestLog, RequestLogger, Span, Tracer
 from lanedock_daemon.agent.view import Binding, LocalView
 from lanedock_daemon.path.caller.attempts import AttemptSender
+from lanedock_daemon.path.caller.identity import Identity, identify
 from lanedock_daemon.path.caller.request_context import AttemptResult, RequestContext
 from lanedock_daemon.path.http.headers import (
     CALLER_HEADER,
@@ -156,6 +157,10 @@
         self._metrics = metrics
         self._tracer = tracer
         self._dialect = dialect or OwnDialect()
+        # Request headers that aren't passed on where the version has customers.
+        self._customer_request_names = (
+            self._dialect.request_names | self._dialect.key_names | self._dialect.customer_names
+        )
         self._attempts = AttemptSender(pool, self._dialect, events, metrics, view.quarantine)
         self._rng = rng or Random()
         self._ages = FirstAttempts()
@@ -202,6 +207,12 @@
             return self._refuse(ErrorCode.NO_ROUTE)
         log.route = route.name
         deadline_ms = route.deadline_ms if facts.deadline_ms is None else min(route.deadline_ms, facts.deadline_ms)
+        identity = identify(binding.config.customers, route, facts, self._dialect)
+        if identity.is_refused:
+            log.note(
+                Event.REQUEST_REFUSED, code=ErrorCode.KEY_UNKNOWN.code, target=request.path, version=binding.number
+            )
+            return self._refuse(ErrorCode.KEY_UNKNOWN)
         age = self._ages.note(route.name, facts.deadline_ms)
         log.age, log.target = age / 1000, route.target_ms / 1000
         log.note(
@@ -214,20 +225,22 @@
             target_ms=route.target_ms,
             caller_waits_ms=facts.deadline_ms,
             age_ms=age,
+            **identity.log_fields(),
         )
-        suspect = self._find_suspect(request, facts)
+        suspect = self._find_suspect(request, identity)
         left = self._view.quarantine.time_left(suspect, started) if suspect is not None else 0.0
         if left:
             log.note(Event.REQUEST_REFUSED, code=ErrorCode.QUARANTINED.code, suspect=suspect)
             return self._refuse(ErrorCode.QUARANTINED, left)
-        headers = self._make_headers(request, binding, route, span)
+        headers = self._make_headers(request, binding, route, identity, span)
         context = self._make_context(request, binding, route, headers, started + deadline_ms / 1000, age / 1000, log)
+        context.customer = identity.customer
         context.is_suspect = suspect is not None
         max_overloads = MAX_OVERLOADS_RETRIED if age else MAX_OVERLOADS
         # An earlier hop already retries this request; retries here, too, would multiply the load.
         return self._send(context, _Progress(route, max_overloads), may_retry=not facts.was_retried)
 
-    def _find_suspect(self, request: Request, facts: RequestFacts) -> Fingerprint | None:
+    def _find_suspect(self, request: Request, identity: Identity) -> Fingerprint | None:
         """Return the fingerprint of a request that is suspected of crashes.
 
         Returns None for a request that isn't suspected, and for one with a body, because the
@@ -235,7 +248,8 @@
         """
         if not self._view.quarantine.size or request.body.length != 0:
             return None
-        fingerprint = RequestHasher(request.method, request.host, request.target, facts.customer).fingerprint()
+        customer = identity.fingerprint_customer
+        fingerprint = RequestHasher(request.method, request.host, request.target, customer).fingerprint()
         return fingerprint if self._view.quarantine.count(fingerprint) else None
 
     def _refuse(self, code: ErrorCode, retry_after: float = 0.0, detail: str = "") -> Answer:
@@ -338,9 +352,13 @@
         self._metrics.gauge(Metric.RETRY_BUDGET, left, (context.service.name,))
         return may_spend
 
-    def _make_headers(self, request: Request, binding: Binding, route: Route, span: Span) -> list[tuple[str, str]]:
+    def _make_headers(
+        self, request: Request, binding: Binding, route: Route, identity: Identity, span: Span
+    ) -> list[tuple[str, str]]:
         """Make the headers that are sent with every attempt."""
-        headers = public_headers(request.headers, self._dialect.request_names)
+        has_customers = binding.config.customers is not None
+        removed = self._customer_request_names if has_customers else self._dialect.request_names
+        headers = public_headers(request.headers, removed) + identity.make_headers()
         headers.append((CLASS_HEADER, encode_name(route.traffic_class)))
         headers.append((ROUTE_HEADER, encode_name(route.name)))
         headers.append((VERSION_HEADER, str(binding.number)))
--- a/packages/lanedock-daemon/lanedock_daemon/path/caller/request_context.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller/request_context.py
@@ -2,7 +2,7 @@
 """State shared by all attempts at one request, and the result of each attempt."""
 
 from lanedock.canary import Pool
-from lanedock.config import Route, Service
+from lanedock.config import Customer, Route, Service
 from lanedock.errors import ErrorCode
 from lanedock.limits import RetryBudget
 from lanedock.routing import Balancer, UpstreamStats
@@ -72,6 +72,8 @@
 
     Attributes
     ----------
+    customer : Customer or None
+        Customer who sent the request; None if it is from none.
     is_suspect : bool
         Whether upstreams have crashed while they ran the request. A suspect request is
         never sent to two upstreams at once.
@@ -93,6 +95,7 @@
     __slots__ = (
         "balancer",
         "budget",
+        "customer",
         "deadline",
         "goes_to_canary",
         "headers",
@@ -129,6 +132,7 @@
         self.deadline = deadline
         self.target_time = target_time
         self.log = log
+        self.customer: Customer | None = None
         self.is_suspect = False
         self.is_rate_limited = False
         self.start_by: float | None = None
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/headers.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/headers.py
@@ -11,6 +11,8 @@
     "CLASS_HEADER",
     "CODE_HEADER",
     "CRASHES_HEADER",
+    "CUSTOMER_HEADER",
+    "CUSTOMER_PRIORITY_HEADER",
     "DEADLINE_HEADER",
     "HOP_HEADERS",
     "KNOWN_LIMIT_HEADER",
@@ -70,6 +72,9 @@
 ROUTE_HEADER = "x-lanedock-route"
 # The calling service.
 CALLER_HEADER = "x-lanedock-caller"
+# The name of the customer who sent the request, and the priority of the request by its customer.
+CUSTOMER_HEADER = "x-lanedock-customer"
+CUSTOMER_PRIORITY_HEADER = "x-lanedock-customer-priority"
 # On a refusal: milliseconds after which the request may be retried.
 RETRY_AFTER_MS_HEADER = "x-lanedock-retry-after-ms"
 # On the daemon's answer for an application that crashed during the request: the request's
--- a/packages/lanedock-daemon/lanedock_daemon/path/shared/dialect.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/shared/dialect.py
@@ -18,6 +18,7 @@
     OUTCOME_HEADER,
     REQUEST_ID_HEADER,
     TRACE_HEADER,
+    encode_name,
 )
 from lanedock_daemon.path.http.messages import Answer, make_refusal
 
@@ -28,7 +29,11 @@
 # In answers of an application: requests per second that it accepts from all callers together.
 RATE_LIMIT_HEADER = "x-upstream-rate-limit"
 # Identifies the customer who sends a request (RFC 9110, section 11.6.2).
-CUSTOMER_HEADER = "authorization"
+CREDENTIALS_HEADER = "authorization"
+# Scheme of credentials that are a customer's key (RFC 6750); schemes are not case-sensitive.
+KEY_SCHEME = "bearer"
+# Names the customer to the application.
+CUSTOMER_NAME_HEADER = "x-request-customer"
 
 
 class RequestFacts:
@@ -124,10 +129,17 @@
         Request headers that lanedock sets itself and doesn't pass on as received.
     answer_names : frozenset of str
         Headers of applications' answers that are not passed on to callers.
+    key_names : frozenset of str
+        Request headers with a customer's key.
+    customer_names : frozenset of str
+        Request headers that name a customer to the application. These and those of `key_names`
+        are not passed on as received where the version has customers.
     """
 
     request_names: frozenset = frozenset()
     answer_names: frozenset = frozenset()
+    key_names: frozenset = frozenset()
+    customer_names: frozenset = frozenset()
 
     @abstractmethod
     def read_request(self, headers: list[tuple[str, str]]) -> RequestFacts:
@@ -137,8 +149,14 @@
     def read_answer(self, status: int, headers: list[tuple[str, str]], request_id: str) -> AnswerFacts:
         """Decode the headers of an application's answer."""
 
+    def read_key(self, credentials: str) -> str:
+        """Return the key in the credentials of a request; empty if there is none."""
+        return credentials
+
     @abstractmethod
-    def request_headers(self, left_ms: int, upstream: str, caller: str, attempt: int) -> list[tuple[str, str]]:
+    def request_headers(
+        self, left_ms: int, upstream: str, caller: str, attempt: int, customer: str = ""
+    ) -> list[tuple[str, str]]:
         """Make the headers for an application.
 
         Parameters
@@ -151,6 +169,8 @@
             Service that sent the request; empty if the caller is no service of the mesh.
         attempt : int
             Number of the attempt, starting at 1.
+        customer : str
+            Name of the customer who sent the request; empty if it is from none.
         """
 
     def read_health(self, status: int, headers: list[tuple[str, str]]) -> HealthFacts:
@@ -168,6 +188,8 @@
     request_names = frozenset((ATTEMPT_HEADER, DEADLINE_HEADER, TRACE_HEADER))
     # Headers that only a daemon may set are removed from applications' answers.
     answer_names = HOP_HEADERS | {OUTCOME_HEADER, CODE_HEADER, DRAIN_HEADER, RATE_LIMIT_HEADER}
+    key_names = frozenset((CREDENTIALS_HEADER,))
+    customer_names = frozenset((CUSTOMER_NAME_HEADER,))
 
     def read_request(self, headers: list[tuple[str, str]]) -> RequestFacts:
         facts = RequestFacts()
@@ -178,7 +200,7 @@
                 facts.request_id = value
             elif name == ATTEMPT_HEADER:
                 facts.was_retried = value not in ("", "1")
-            elif name == CUSTOMER_HEADER:
+            elif name == CREDENTIALS_HEADER:
                 facts.customer = value
         return facts
 
@@ -197,5 +219,21 @@
                 report.note_rate(value)
         return report
 
-    def request_headers(self, left_ms: int, upstream: str, caller: str, attempt: int) -> list[tuple[str, str]]:
-        return [(ATTEMPT_HEADER, str(attempt)), (DEADLINE_HEADER, str(left_ms))]
+    def read_key(self, credentials: str) -> str:
+        scheme, _, key = credentials.partition(" ")
+        return key.strip() if scheme.lower() == KEY_SCHEME else ""
+
+    def request_headers(
+        self, left_ms: int, upstream: str, caller: str, attempt: int, customer: str = ""
+    ) -> list[tuple[str, str]]:
+        headers = [(ATTEMPT_HEADER, str(attempt)), (DEADLINE_HEADER, str(left_ms))]
+        if customer:
+            headers.append((CUSTOMER_NAME_HEADER, encode_name(customer)))
+        return headers
+
+    def make_refusal(self, code: ErrorCode, outcome: str, retry_after: float = 0.0, detail: str = "") -> Answer:
+        answer = make_refusal(code, outcome, retry_after, detail)
+        if code is ErrorCode.KEY_UNKNOWN:
+            # Required in an answer with this status (RFC 9110, section 15.5.2).
+            answer.headers.append(("www-authenticate", "Bearer"))
+        return answer
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream/upstream.py
@@ -2,6 +2,7 @@
 """The upstream's side of the request path: every request to an application passes through it."""
 
 import math
+from collections.abc import Container
 
 from lanedock.clock import monotonic, running_time
 from lanedock.errors import ErrorCode
@@ -14,6 +15,7 @@
 from lanedock_daemon.path.http.headers import (
     ATTEMPT_HEADER,
     CALLER_HEADER,
+    CUSTOMER_HEADER,
     DEADLINE_HEADER,
     KNOWN_LIMIT_HEADER,
     LEAVING_HEADER,
@@ -103,6 +105,9 @@
         self._dialect: Dialect = dialect or OwnDialect()
         self._registration = view.upstream or UpstreamRegistration(service, False, 1.0)
         self._registrar = registrar or Registrar(self._registration, lambda: None, lambda: None, events)
+        self._customer_request_names = frozenset(
+            (*_REPLACED_HEADERS, *self._dialect.key_names, *self._dialect.customer_names)
+        )
         self._service = service
         self._application = application
         self._view = view
@@ -185,7 +190,8 @@
             is_served_here = service == self._service and self._service in binding.config.services
         if not is_served_here:
             return self._refuse(ErrorCode.NOT_HELD, DEFAULT_RETRY_AFTER, log, service=service)
-        hasher = RequestHasher(request.method, request.host, request.target, facts.customer, request.body.length)
+        customer = decode_name(request.header(CUSTOMER_HEADER)) or facts.customer
+        hasher = RequestHasher(request.method, request.host, request.target, customer, request.body.length)
         if hasher.is_complete and self._is_quarantined(hasher):
             return self._refuse_quarantined(hasher, log)
         self._gate.configure(binding)
@@ -392,7 +398,8 @@
         return answer
 
     def _make_headers(self, request: Request, remaining: float, span) -> list[tuple[str, str]]:
-        headers = public_headers(request.headers, _REPLACED_HEADERS)
+        customer = decode_name(request.header(CUSTOMER_HEADER))
+        headers = public_headers(request.headers, self._list_removed_names(customer))
         left_ms = max(1, int(remaining * 1000))
         attempt = request.header(ATTEMPT_HEADER)
         headers += self._dialect.request_headers(
@@ -400,11 +407,23 @@
             request.header(UPSTREAM_HEADER) or self._registration.upstream,
             decode_name(request.header(CALLER_HEADER)),
             int(attempt) if attempt.isdigit() else 1,
+            customer,
         )
         if span.traceparent:
             headers.append((TRACE_HEADER, span.traceparent))
         return headers
 
+    def _list_removed_names(self, customer: str) -> Container[str]:
+        """Return the request headers that aren't passed on.
+
+        The caller's daemon has removed keys and names of customers already, unless its version has
+        no customers yet. Then the application must not take a name that a caller sent for a customer's.
+        """
+        binding = self._view.bind()
+        if not customer and (binding is None or binding.config.customers is None):
+            return _REPLACED_HEADERS
+        return self._customer_request_names
+
 
 def _read_monotonic_time(request: Request, name: str, started: float) -> float | None:
     """Return the monotonic time, in seconds, that a header states in milliseconds after `started`; None if absent."""
--- a/packages/lanedock/lanedock/config/customers.py
+++ b/packages/lanedock/lanedock/config/customers.py
@@ -130,8 +130,9 @@
 
 
 def digest_key(key: str) -> bytes:
-    """Return the digest by which a key is looked up and shown; bytes that aren't UTF-8 are surrogate escapes."""
-    return blake2b(key.encode("utf-8", "surrogateescape"), digest_size=_DIGEST_BYTES, person=_PERSONALIZATION).digest()
+    """Return the digest by which a key is looked up and shown."""
+    # A header's value that isn't UTF-8 has surrogates, which no key of a customer has.
+    return blake2b(key.encode("utf-8", "surrogatepass"), digest_size=_DIGEST_BYTES, person=_PERSONALIZATION).digest()
 
 
 def _read_entry(item: dict) -> _Entry:
--- a/packages/lanedock/lanedock/config/load.py
+++ b/packages/lanedock/lanedock/config/load.py
@@ -28,6 +28,7 @@
 # Control characters (category Cc) could end a header line; a lone surrogate can't be encoded in UTF-8.
 _FORBIDDEN_CHARACTERS = r"\x00-\x1f\x7f-\x9f\ud800-\udfff"
 _NAME = re.compile(f"[^{_FORBIDDEN_CHARACTERS}]+")
+_KEY = re.compile(r"[^\ud800-\udfff]+")
 _HEALTH_PATH = re.compile(rf"[^{_FORBIDDEN_CHARACTERS}\s]*")
 
 
@@ -303,9 +304,10 @@
                 findings.append(Finding(ErrorCode.SCHEMA, message, document.place(f"/{key}/{number}/health_path")))
     for number, item in enumerate(document.value.get("customers", ())):
         for position, key in enumerate(item.get("keys", ())):
-            if not key:
+            if not _KEY.fullmatch(key):
+                message = f"a key of customer {item['name'][:80]!r} is empty or has a lone surrogate"
                 place = document.place(f"/customers/{number}/keys/{position}")
-                findings.append(Finding(ErrorCode.SCHEMA, f"a key of customer {item['name']!r} is empty", place))
+                findings.append(Finding(ErrorCode.SCHEMA, message, place))
     return findings
 
 
--- a/packages/lanedock/lanedock/config/tests/test_customers.py
+++ b/packages/lanedock/lanedock/config/tests/test_customers.py
@@ -62,6 +62,8 @@
         ),
         ([{"name": "a"}, {"name": "a"}], ErrorCode.DUPLICATE_NAME, "/customers/1/name"),
         ([{"name": "a", "keys": [""]}], ErrorCode.SCHEMA, "/customers/0/keys/0"),
+        ([{"name": "a", "keys": ["a b"]}], ErrorCode.SCHEMA, "/customers/0/keys/0"),
+        ([{"name": "a", "keys": ["a\ud800"]}], ErrorCode.SCHEMA, "/customers/0/keys/0"),
         ([{"name": "a", "rate": -1}], ErrorCode.SCHEMA, "/customers/0/rate"),
         ([{"name": "a", "rate": "1"}], ErrorCode.SCHEMA, "/customers/0/rate"),
         ([{"name": "a", "rate": 1, "burst": -1}], ErrorCode.SCHEMA, "/customers/0/burst"),
@@ -122,6 +124,7 @@
     ("customer", "place"),
     [
         ({"name": "a", "keys": [""]}, "/customers/0/keys/0"),
+        ({"name": "a", "keys": ["\udfff"]}, "/customers/0/keys/0"),
         ({"name": ""}, "/customers/0/name"),
         ({"name": "a\n"}, "/customers/0/name"),
         ({"name": "a" * 1025}, "/customers/0/name"),
--- a/packages/lanedock/lanedock/findings/__init__.py
+++ b/packages/lanedock/lanedock/findings/__init__.py
@@ -2,7 +2,7 @@
 """Findings with positions, and readers for JSON with comments and for fields of received objects."""
 
 from lanedock.findings.core import Finding, FindingsError, Place
-from lanedock.findings.fields import MAX_COUNT, FieldReader, is_number
+from lanedock.findings.fields import MAX_COUNT, FieldReader, is_number, is_text
 from lanedock.findings.jsonc import Document, read_document, read_text
 
 __all__ = [
@@ -13,6 +13,7 @@
     "FindingsError",
     "Place",
     "is_number",
+    "is_text",
     "read_document",
     "read_text",
 ]
--- a/packages/lanedock/lanedock/findings/fields.py
+++ b/packages/lanedock/lanedock/findings/fields.py
@@ -7,7 +7,7 @@
 from lanedock.errors import ErrorCode
 from lanedock.findings.core import Finding, FindingsError, Place
 
-__all__ = ["MAX_COUNT", "FieldReader", "is_number"]
+__all__ = ["MAX_COUNT", "FieldReader", "is_number", "is_text"]
 
 # Maximum number of characters of an invalid value in a message; the beginning is enough to identify it.
 _MAX_SHOWN_LENGTH = 60
@@ -35,18 +35,22 @@
         JSON pointer (RFC 6901) to the object.
     findings : list of Finding
         List to which findings are appended; shared by all readers of one input.
+    hides_values : bool
+        Whether findings show the type of an invalid value instead of the value, because the
+        object may contain secrets.
     """
 
-    __slots__ = ("_name_suffix", "_path", "_source", "_value", "findings")
+    __slots__ = ("_hides_values", "_name_suffix", "_path", "_source", "_value", "findings")
 
-    def __init__(self, source: str, value: object, path: str, findings: list[Finding]):
+    def __init__(self, source: str, value: object, path: str, findings: list[Finding], hides_values: bool = False):
         self._source = source
+        self._hides_values = hides_values
         self.findings = findings
         self._path = path
         self._name_suffix = ""
         self._value = value if isinstance(value, dict) else {}
         if not isinstance(value, dict):
-            self._add(path, f"expected an object, got {_abbreviate(value)}")
+            self._add(path, f"expected an object, got {_show(value, hides_values)}")
         elif isinstance(value.get("name"), str):
             self._name_suffix = f" of {value['name']!r}"
 
@@ -83,7 +87,7 @@
     def text(self, name: str, default: object = _REQUIRED) -> str:
         """Return a string that can be encoded in UTF-8."""
         value = self._get(name, default)
-        return value if _is_text(value) else self._refuse(name, "a string", "")
+        return value if is_text(value) else self._refuse(name, "a string", "")
 
     def choice(self, name: str, known: dict, default: object = _REQUIRED) -> object:
         """Return the value to which `known` maps the field's string."""
@@ -110,20 +114,23 @@
 
     def object(self, name: str) -> "FieldReader":
         """Return a reader of a nested object."""
-        return type(self)(self._source, self._get(name), f"{self._path}/{name}", self.findings)
+        return type(self)(self._source, self._get(name), f"{self._path}/{name}", self.findings, self._hides_values)
 
-    def objects(self, name: str, has_own_findings: bool = False) -> list["FieldReader"]:
+    def objects(self, name: str, has_own_findings: bool = False, hides_values: bool = False) -> list["FieldReader"]:
         """Return a reader for each object in a list.
 
-        With `has_own_findings`, each reader collects its findings in a list of its own.
+        With `has_own_findings`, each reader collects its findings in a list of its own. With
+        `hides_values`, neither the readers' findings nor one about the list show values.
         """
         value = self._get(name)
+        hides_values = hides_values or self._hides_values
         if not isinstance(value, list):
-            return self._refuse(name, "a list", [])
-        return [
-            type(self)(self._source, item, f"{self._path}/{name}/{number}", [] if has_own_findings else self.findings)
-            for number, item in enumerate(value)
-        ]
+            return self._refuse(name, "a list", [], hides_values)
+        readers = []
+        for number, item in enumerate(value):
+            findings = [] if has_own_findings else self.findings
+            readers.append(type(self)(self._source, item, f"{self._path}/{name}/{number}", findings, hides_values))
+        return readers
 
     def check(self, name: str, is_met: bool, expected: str) -> None:
         """Add a finding about a field that was read, unless its condition is met."""
@@ -134,8 +141,9 @@
         value = self._value.get(name, default)
         return None if value is _REQUIRED else value
 
-    def _refuse(self, name: str, expected: str, fallback):
-        found = _abbreviate(self._value[name]) if name in self._value else "nothing"
+    def _refuse(self, name: str, expected: str, fallback, hides_value: bool = False):
+        hides_value = hides_value or self._hides_values
+        found = _show(self._value[name], hides_value) if name in self._value else "nothing"
         self._add(f"{self._path}/{name}", f"{name}{self._name_suffix}: expected {expected}, got {found}")
         return fallback
 
@@ -148,7 +156,7 @@
     return isinstance(value, (int, float)) and not isinstance(value, bool) and -_MAX_NUMBER <= value <= _MAX_NUMBER
 
 
-def _is_text(value: object) -> bool:
+def is_text(value: object) -> bool:
     """Return whether a value is a string without lone surrogates, which JSON escapes can produce."""
     if not isinstance(value, str):
         return False
@@ -159,6 +167,10 @@
     return True
 
 
+def _show(value: object, hides_value: bool) -> str:
+    return f"a value of type {type(value).__name__}" if hides_value else _abbreviate(value)
+
+
 def _abbreviate(value: object) -> str:
     """Return a value as ASCII for a message, truncated to `_MAX_SHOWN_LENGTH`."""
     text = ascii(value)
