--- /dev/null
+++ b/packages/lanedock/lanedock/quota/tests/__init__.py
@@ -0,0 +1,2 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Tests of this subpackage."""
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -26,6 +26,7 @@
     "kernel": {"clock", "errors"},
     "limits": {"config", "errors", "averages"},
     "quarantine": {"wire"},
+    "quota": {"wire"},
     "membership": {"errors", "findings", "wire"},
     "rollout": {"canary", "config", "errors", "findings", "membership", "wire"},
     "routing": {"canary", "config", "membership", "wire", "averages"},
