Carry requests for credits over both transports

Cause: daemons have to ask control instances for credits on the request path. The stream for versions is no place for it: it may lead to a relay, and its messages go through the control task.

Change: Transport.open_quota_stream, QuotaStream, QuotaSession and CreditsRequested; gRPC serves the service Quotas, framed connections have the purpose byte Q, both at the control instances' address. Control instances close a stream without a request for 30 s. serve_control takes the task that grants credits; nothing passes one yet.

--- a/packages/lanedock-daemon/lanedock_daemon/framed.py
+++ b/packages/lanedock-daemon/lanedock_daemon/framed.py
@@ -12,11 +12,13 @@
 from lanedock.settings import Address
 from lanedock.wire import messages
 from lanedock_daemon.framed_links import PURPOSE_REPLICAS, FramedLinks, serve_replica
+from lanedock_daemon.framed_quotas import PURPOSE_QUOTAS, FramedQuotaStream, serve_quotas
 from lanedock_daemon.frames import FrameWriter, connect, exchange_frames, set_socket_options
 from lanedock_daemon.sessions import ChildArrived, ChildLeft, ChildReported
 from lanedock_daemon.transport import (
     Listener,
     PeerLinks,
+    QuotaStream,
     Session,
     SourceEnded,
     SourceSent,
@@ -129,16 +131,23 @@
     def open_source(self, owner: TaskService, address: Address) -> SourceStream:
         return _FramedSource(owner, address, self._client_context())
 
+    def open_quota_stream(self, address: Address, on_reply, on_end) -> QuotaStream:
+        return FramedQuotaStream(address, on_reply, on_end, self._client_context())
+
     def peer_links(self, addresses: dict[str, Address]) -> PeerLinks:
         return FramedLinks(addresses, self._client_context())
 
     def serve_daemons(self, owner: TaskService, address: Address) -> Listener:
-        return self._serve(owner, address, {_PURPOSE_DAEMONS: _serve_daemon})
+        return self._serve(address, {_PURPOSE_DAEMONS: (_serve_daemon, owner)})
 
-    def serve_control(self, owner: TaskService, address: Address) -> Listener:
-        return self._serve(owner, address, {_PURPOSE_DAEMONS: _serve_daemon, PURPOSE_REPLICAS: serve_replica})
+    def serve_control(self, owner: TaskService, address: Address, quotas: TaskService | None = None) -> Listener:
+        handlers = {_PURPOSE_DAEMONS: (_serve_daemon, owner), PURPOSE_REPLICAS: (serve_replica, owner)}
+        if quotas is not None:
+            handlers[PURPOSE_QUOTAS] = (serve_quotas, quotas)
+        return self._serve(address, handlers)
 
-    def _serve(self, owner: TaskService, address: Address, handlers: dict) -> Listener:
+    def _serve(self, address: Address, handlers: dict) -> Listener:
+        """Accept connections; `handlers` maps a purpose to a function and to the task that it posts to."""
         context = self._server_context()
 
         def accept(conn, peer) -> None:
@@ -146,7 +155,7 @@
                 set_socket_options(conn)
                 if context is not None:
                     conn = context.wrap_socket(conn, server_side=True)
-                handler = handlers.get(conn.recv(1))
+                handler, owner = handlers.get(conn.recv(1), (None, None))
                 if handler is not None:
                     handler(owner, conn)
             except OSError:
--- a/packages/lanedock-daemon/lanedock_daemon/tests/test_framed.py
+++ b/packages/lanedock-daemon/lanedock_daemon/tests/test_framed.py
@@ -20,6 +20,10 @@
     free_port,
 )
 from lanedock_daemon.tests.proxies import SilencingProxy
+from lanedock_daemon.tests.quota_streams import (
+    check_credits_are_requested_and_granted,
+    check_unreachable_instance_ends_the_stream,
+)
 from lanedock_daemon.transport import SourceEnded
 
 
@@ -126,3 +130,11 @@
     in the middle of it.
     """
     check_slow_link_delivers_long_message(*slow_link)
+
+
+def test_credits_are_requested_and_granted():
+    check_credits_are_requested_and_granted(FramedTransport(None))
+
+
+def test_unreachable_instance_ends_the_quota_stream():
+    check_unreachable_instance_ends_the_stream(FramedTransport(None))
--- a/packages/lanedock-daemon/lanedock_daemon/tests/test_grpc.py
+++ b/packages/lanedock-daemon/lanedock_daemon/tests/test_grpc.py
@@ -27,6 +27,10 @@
     check_silent_link_is_replaced,
     free_port,
 )
+from lanedock_daemon.tests.quota_streams import (
+    check_credits_are_requested_and_granted,
+    check_unreachable_instance_ends_the_stream,
+)
 from lanedock_daemon.tests.proxies import SilencingProxy
 
 
@@ -110,3 +114,11 @@
 
 def test_a_slow_link_is_not_replaced_while_a_long_message_arrives(slow_link):
     check_slow_link_delivers_long_message(*slow_link)
+
+
+def test_credits_are_requested_and_granted(transport):
+    check_credits_are_requested_and_granted(transport)
+
+
+def test_unreachable_instance_ends_the_quota_stream(transport):
+    check_unreachable_instance_ends_the_stream(transport)
--- a/packages/lanedock-daemon/lanedock_daemon/transport.py
+++ b/packages/lanedock-daemon/lanedock_daemon/transport.py
@@ -15,10 +15,14 @@
 __all__ = [
     "CONFIRMATIONS",
     "CONNECT_TIMEOUT",
+    "QUOTA_IDLE_LIMIT",
     "SILENCE_LIMIT",
+    "CreditsRequested",
     "Listener",
     "PeerLinks",
     "PeerMessageArrived",
+    "QuotaSession",
+    "QuotaStream",
     "Session",
     "SourceEnded",
     "SourceSent",
@@ -37,6 +41,9 @@
 # limit, daemons that all reconnect wait up to 0.8 s longer for control instances that have a
 # leader again. A round trip takes at most tens of milliseconds, also between regions.
 CONNECT_TIMEOUT = 0.2
+# Seconds without a request after which a control instance closes a daemon's quota stream, as its
+# daemon may be gone without a reset. Daemons close streams that they don't use after a third of this.
+QUOTA_IDLE_LIMIT = 30.0
 
 
 class PeerMessageArrived:
@@ -137,6 +144,57 @@
         """End the stream; may be called from any greenlet."""
 
 
+class QuotaStream(ABC):
+    """A daemon's stream to a control instance, over which it requests credits.
+
+    Parameters
+    ----------
+    address : Address
+    on_reply : callable
+        Takes the stream and a CreditReply. Must not block.
+    on_end : callable
+        Takes the stream and the reason, a str; called once. Must not block.
+    """
+
+    def __init__(self, address: Address, on_reply, on_end):
+        self.address = address
+        self._on_reply = on_reply
+        self._on_end = on_end
+
+    def __repr__(self) -> str:
+        return f"<{type(self).__name__} {self.address}>"
+
+    @abstractmethod
+    def open(self) -> None:
+        """Start connecting."""
+
+    @abstractmethod
+    def send(self, request: messages.CreditRequest) -> None:
+        """Queue a request to be sent, also while the stream is connecting; may be called from any greenlet."""
+
+    @abstractmethod
+    def close(self) -> None:
+        """End the stream; `on_end` is called afterwards."""
+
+
+class QuotaSession(ABC):
+    """A control instance's side of one daemon's quota stream."""
+
+    @abstractmethod
+    def send(self, reply: messages.CreditReply) -> None:
+        """Queue a reply to be sent; may be called from any greenlet."""
+
+
+class CreditsRequested:
+    """A daemon requests credits."""
+
+    __slots__ = ("request", "session")
+
+    def __init__(self, session: QuotaSession, request: messages.CreditRequest):
+        self.session = session
+        self.request = request
+
+
 class PeerLinks(ABC):
     """Links to other control replicas, by name."""
 
@@ -178,6 +236,10 @@
     def open_source(self, owner: TaskService, address: Address) -> SourceStream:
         """Make a stream from a source, without opening it."""
 
+    @abstractmethod
+    def open_quota_stream(self, address: Address, on_reply, on_end) -> QuotaStream:
+        """Make a stream to a control instance for credits, without opening it; see `QuotaStream`."""
+
     @abstractmethod
     def peer_links(self, addresses: dict[str, Address]) -> PeerLinks:
         """Make links to other replicas, without starting them."""
@@ -193,9 +255,16 @@
         """
 
     @abstractmethod
-    def serve_control(self, owner: TaskService, address: Address) -> Listener:
+    def serve_control(self, owner: TaskService, address: Address, quotas: TaskService | None = None) -> Listener:
         """Accept daemons' streams, other replicas' messages, and all other calls to a control instance.
 
+        Parameters
+        ----------
+        owner : TaskService
+        address : Address
+        quotas : TaskService, optional
+            Receives CreditsRequested and CustomersRequested; without it, no credits are served.
+
         Raises
         ------
         LanedockError
