Grant credits at control instances and request them at daemons

Cause: the cores of quotas are decisions only. Nothing asks a control instance for credits, grants them, or tells the others what was granted.

Change: quota/service.py is a task beside the control task: leads, follows or grants alone by the replica's state, reads the customers of the accepted version, reports to the other instances as PeerMessage.quota_report. quota/client.py sends all needs of one moment in one message to the leader, the own zone's instance, then the others, for 0.25 s each; quota/gate.py makes a request wait for 0.6 s at most. Codes LD3018 (429) and LD3019 (503), events E550 to E554, metrics quota.*. A leader's replica knows when it sent what each follower answered last. TaskService takes no tick. Control instances listed in the settings announce their zones while a customer has a quota.

Without a customer with a rate, neither side has a connection, a tick or a message. The caller's side does not use the gate yet: the customer of a request is not known.

The service, the client and the gate have no tests yet.

--- a/packages/lanedock-daemon/lanedock_daemon/agent/search.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/search.py
@@ -77,6 +77,10 @@
         self._control = sorted(known, key=lambda address: zones.get(address, "") != self._zone)
         self._position = self._control.index(current) if current in self._control else 0
 
+    def control_instances(self) -> list[Address]:
+        """Return the known control instances, the own zone's first."""
+        return self._control
+
     def address(self) -> Address:
         """Return the address of the source to connect to."""
         if self._relay is not None:
--- a/packages/lanedock-daemon/lanedock_daemon/agent/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/service.py
@@ -105,6 +105,10 @@
         """Set the registrar, which receives the mesh's information on this daemon's application."""
         self._registrar = registrar
 
+    def control_instances(self) -> list[Address]:
+        """Return the known control instances, the own zone's first."""
+        return self._search.control_instances()
+
     # ------------------------------------------------------------------- start
 
     def on_start(self, kernel: Kernel) -> None:
--- a/packages/lanedock-daemon/lanedock_daemon/control/directories.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/directories.py
@@ -29,6 +29,9 @@
 # All daemons have to refuse a request within 3 s of its third crash. A request with three crashes,
 # of 90 bytes each (quarantine/tests/test_core.py), takes 135 bytes/s to each other control instance.
 SUSPICION_REPEAT_INTERVAL = 2.0
+# Interval, in seconds, at which control instances that are listed in the settings announce their zones,
+# while a customer has a quota. Until its zone is known, an instance counts as a zone of its own.
+ZONE_INTERVAL = 1.0
 
 
 class ControlDirectory(ABC):
@@ -93,6 +96,9 @@
     def apply_instance_list(self, instances: list[Instance], now: float) -> None:
         """Apply the platform's list of instances."""
 
+    def announce_zone(self, now: float) -> None:
+        """Tell the other control instances this one's zone at intervals, where no other message does."""
+
     def complete_admission(self, session: Session) -> None:
         """Send further information to a daemon that was just admitted."""
 
@@ -121,8 +127,8 @@
     Parameters
     ----------
     cfg : ControlSettings
-    name : str
-        Name of this replica.
+    name, zone : str
+        Name and zone of this replica.
     task : TaskService
         Receives `ListRead` messages.
     events : EventLogger
@@ -136,6 +142,7 @@
         self,
         cfg: ControlSettings,
         name: str,
+        zone: str,
         task: TaskService,
         events: EventLogger,
         sessions: DaemonSessions,
@@ -147,6 +154,9 @@
         super().__init__(self._directory, sessions, links, log, quarantine)
         self._suspicion_outbox = quarantine.add_outbox()
         self._next_repeat_at = 0.0
+        self._zone = zone
+        self._zones: dict[str, str] = {}
+        self._next_announcement_at = 0.0
         self._cfg = cfg
         self._others = [replica for replica in cfg.replicas if replica != name]
         self._task = task
@@ -165,6 +175,15 @@
         if self._reader is not None:
             self._reader.stop()
 
+    @property
+    def zones(self) -> dict[str, str]:
+        return self._zones
+
+    def announce_zone(self, now: float) -> None:
+        if now >= self._next_announcement_at:
+            self._next_announcement_at = now + ZONE_INTERVAL
+            self._send_to_all(messages.PeerMessage(endpoint_report=messages.EndpointReport(zone=self._zone)))
+
     def apply_instance_list(self, instances: list[Instance], now: float) -> None:
         self._directory.apply_instance_list(instances, now)
 
@@ -204,6 +223,9 @@
             self._send_to_all(_make_report(suspicions))
 
     def receive(self, message: messages.PeerMessage, now: float) -> None:
+        if message.endpoint_report.zone:
+            self._zones[replica_name(message.sender)] = message.endpoint_report.zone
+            return
         suspicions = message.endpoint_report.suspicions
         self._quarantine.merge(suspicions, now)
         missed = self._quarantine.clearances_missing_from(suspicions, now)
--- a/packages/lanedock-daemon/lanedock_daemon/control/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/service.py
@@ -34,6 +34,8 @@
 )
 from lanedock_daemon.control.submissions import Submission, SubmissionQueue, log_applied_entry, make_submit_command
 from lanedock_daemon.control.traffic import ControlTraffic, MeteredLinks
+from lanedock_daemon.quota.requests import QuotaReportArrived, VersionAccepted
+from lanedock_daemon.quota.service import QuotaService
 from lanedock_daemon.sessions import ChildArrived, ChildLeft, ChildReported, SeedsChanged
 from lanedock_daemon.transport import PeerMessageArrived
 
@@ -76,6 +78,7 @@
         self._queries = QueryQueue(self.address_of, self._name)
         self._reads = ReadQueue()
         self._reporter = FleetReporter()
+        self._quotas = QuotaService(settings.zone, events)
         self._known_leader = ""
         self._sent_versions = None
         self._plan_revision = 0
@@ -126,12 +129,14 @@
             replica, self._storage, self._links.send, self._events, self._metrics, cfg.compact_bytes
         )
         self._directory = self._make_directory()
+        self._quotas.attach(self._log, self._links, lambda: self._directory.zones, self._leader_address)
         self._leader = RolloutLeader(self._log, self._policy, self._submissions)
         policy = CanaryPolicy(cfg.canary_share, cfg.canary_slack)
         self._canaries = CanaryRequestHandler(self._log, policy, self._leader_address, self._events, self._metrics)
         self._log.process_ready()
         self._refresh_source()
-        self._server = transport.serve_control(self, cfg.listen)
+        self._quotas.start(kernel)
+        self._server = transport.serve_control(self, cfg.listen, self._quotas)
         self._links.start()
         self._directory.start(kernel)
 
@@ -139,7 +144,7 @@
         shared = (self._sessions, self._links, self._log, self._quarantine)
         if self._is_seeded:
             return RegisteredDirectory(self._settings.zone, *shared)
-        return ListedDirectory(self._cfg, self._name, self, self._events, *shared)
+        return ListedDirectory(self._cfg, self._name, self._settings.zone, self, self._events, *shared)
 
     def _first_voters(self) -> list[str]:
         """Return the names of the initial voters."""
@@ -164,6 +169,7 @@
         self._events.emit(Event.SEEDS_CHANGED, seeds=",".join(names))
 
     def on_stop(self) -> None:
+        self._quotas.stop()
         self._directory.stop()
         self._submissions.abandon_all()
         self._canaries.abandon_all()
@@ -188,6 +194,8 @@
         self._announce_leader()
         self._sessions.send_heartbeats(now, *self._measure_freshness(now))
         self._directory.tick(now)
+        if self._quotas.is_active:
+            self._directory.announce_zone(now)
         self._quarantine.expire(now)
         self._traffic.emit(now)
         self._advance()
@@ -203,6 +211,8 @@
             self._directory.receive(message, now)
         elif body == "fleet_request":
             self._reporter.restart()
+        elif body == "quota_report":
+            self._quotas.post(QuotaReportArrived(message))
         else:
             self._log.replica.step(message, now)
 
@@ -339,6 +349,8 @@
         source = make_version_source(state)
         self._sessions.set_versions(source)
         if source.accepted is not None:
+            # Before the version is sent: the quotas are known by the time that a daemon uses it.
+            self._quotas.post(VersionAccepted(source.accepted))
             window = source.accepted.group("").get("endpoint_window_ms")
             if window is not None:
                 self._directory.set_window(window / 1000)
--- a/packages/lanedock-daemon/lanedock_daemon/control/tests/test_suspicions.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/tests/test_suspicions.py
@@ -109,7 +109,7 @@
         log = SimpleNamespace(replica=SimpleNamespace(me=name, term=1))
         sessions = SimpleNamespace(distributor=SimpleNamespace(known_daemons=lambda: ()))
         cfg = SimpleNamespace(replicas=dict.fromkeys(self.quarantines))
-        return ListedDirectory(cfg, name, None, None, sessions, self, log, self.quarantines[name])
+        return ListedDirectory(cfg, name, "z", None, None, sessions, self, log, self.quarantines[name])
 
     def send(self, batch: list) -> None:
         """Stand in for the links."""
--- a/packages/lanedock-daemon/lanedock_daemon/path/caller/caller.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller/caller.py
@@ -32,6 +32,7 @@
 from lanedock_daemon.path.http.service import StopTimeout
 from lanedock_daemon.path.shared.dialect import Dialect, OwnDialect, RequestFacts
 from lanedock_daemon.path.shared.pool import ConnectionPool
+from lanedock_daemon.quota.gate import QuotaGate
 
 __all__ = ["CallerSide"]
 
@@ -136,6 +137,8 @@
         Logs the decisions on single requests.
     plan : StopPlan, optional
         Stop plan of the process.
+    quotas : QuotaGate, optional
+        Admits requests of customers with a rate. Default: customers' rates aren't enforced.
     """
 
     def __init__(
@@ -149,8 +152,10 @@
         rng: Random | None = None,
         requests: RequestLogger | None = None,
         plan: StopPlan | None = None,
+        quotas: QuotaGate | None = None,
     ):
         self._plan = plan or StopPlan()
+        self._quotas = quotas
         self._requests = requests or RequestLogger(events, 0)
         self._view = view
         self._metrics = metrics
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/messages.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/messages.py
@@ -258,6 +258,7 @@
     ErrorCode.UPSTREAM_CRASHED: (502, "Bad Gateway"),
     ErrorCode.CONNECT_FAILED: (503, "Service Unavailable"),
     ErrorCode.BODY_TOO_LONG: (413, "Content Too Large"),
+    ErrorCode.QUOTA_EXCEEDED: (429, "Too Many Requests"),
 }
 _UNAVAILABLE = (503, "Service Unavailable")
 
--- a/packages/lanedock-daemon/lanedock_daemon/roles.py
+++ b/packages/lanedock-daemon/lanedock_daemon/roles.py
@@ -7,6 +7,7 @@
 from lanedock.kernel import Kernel, Service, StopPlan
 from lanedock.limits import SavingBudget, WindowBudget
 from lanedock.membership import UpstreamRegistration
+from lanedock.quota import CreditAccount
 from lanedock.settings import Settings
 from lanedock.telemetry import EventLogger, Metrics, RequestLogger, Tracer
 from lanedock_daemon.agent import AgentService, LocalView
@@ -19,6 +20,8 @@
 from lanedock_daemon.path.shared.pool import ConnectionPool
 from lanedock_daemon.path.upstream.crashes import CrashDetector
 from lanedock_daemon.path.upstream.upstream import UpstreamSide
+from lanedock_daemon.quota.client import QuotaClient
+from lanedock_daemon.quota.gate import QuotaGate
 from lanedock_daemon.sessions import DrainRequested, ReportDue
 from lanedock_daemon.stops import DRAIN_SETTLE, make_stop_plan
 
@@ -144,7 +147,20 @@
     kernel.add(agent)
     requests = RequestLogger(events, settings.log_sample)
     kernel.add(_TotalsService(requests))
-    caller = CallerSide(view, ConnectionPool(), events, metrics, tracer, dialect, requests=requests, plan=plan)
+    account = CreditAccount()
+    client = QuotaClient(settings.zone, account, agent.control_instances, view, events)
+    kernel.add(client)
+    caller = CallerSide(
+        view,
+        ConnectionPool(),
+        events,
+        metrics,
+        tracer,
+        dialect,
+        requests=requests,
+        plan=plan,
+        quotas=QuotaGate(account, client, metrics),
+    )
 
     max_kept_connections = (
         settings.max_descriptors // DESCRIPTORS_PER_KEPT_CONNECTION if settings.max_descriptors else None
--- a/packages/lanedock/lanedock/consensus/core.py
+++ b/packages/lanedock/lanedock/consensus/core.py
@@ -74,15 +74,19 @@
         Newest heartbeat round that the replica has answered.
     acked_at : float
         Monotonic time, in seconds, of its last reply; minus infinity if none.
+    reached_at : float
+        Monotonic time, in seconds, at which the newest round that it has answered began; minus
+        infinity if none.
     """
 
-    __slots__ = ("acked_at", "match_index", "next_index", "probe")
+    __slots__ = ("acked_at", "match_index", "next_index", "probe", "reached_at")
 
     def __init__(self, next_index: int):
         self.next_index = next_index
         self.match_index = 0
         self.probe = 0
         self.acked_at = float("-inf")
+        self.reached_at = float("-inf")
 
     def __repr__(self) -> str:
         return f"<Progress match={self.match_index} next={self.next_index}>"
--- a/packages/lanedock/lanedock/consensus/leadership.py
+++ b/packages/lanedock/lanedock/consensus/leadership.py
@@ -7,6 +7,9 @@
 
 __all__ = ["Leadership"]
 
+# Seconds for which the start of a round is kept for followers that answer after a quorum has.
+_ROUND_RETENTION = 1.0
+
 
 class Leadership:
     """Follower progress, heartbeat rounds and lease of a leader during one term.
@@ -76,6 +79,21 @@
         heard_at = progress.acked_at if progress else self._started_at
         return now - max(heard_at, self._started_at)
 
+    def note_reply(self, progress: Progress, probe: int, now: float) -> None:
+        """Record a follower's reply to a round."""
+        progress.acked_at = now
+        progress.probe = max(progress.probe, probe)
+        progress.reached_at = max(progress.reached_at, self._sent_at.get(probe, float("-inf")))
+
+    def unreached_time(self, replica: str, now: float) -> float:
+        """Return the time, in seconds, since this leader sent what a replica has answered last.
+
+        Infinite if it has answered nothing. A replica that hears nothing else has heard no leader
+        for at most this time, whereas its replies may take long.
+        """
+        progress = self._progress.get(replica)
+        return now - progress.reached_at if progress else float("inf")
+
     def confirm(self, membership: messages.Membership) -> int:
         """Return the newest round that a quorum has answered, and renew the lease from its start time."""
         confirmed = quorum_value(membership, self._probe_of)
@@ -83,7 +101,8 @@
         if sent_at is not None:
             lease = sent_at + self._timing.election_min * self._timing.lease_fraction
             self.lease_until = max(self.lease_until, lease)
-            self._sent_at = {probe: at for probe, at in self._sent_at.items() if probe >= confirmed}
+            oldest = sent_at - _ROUND_RETENTION
+            self._sent_at = {probe: at for probe, at in self._sent_at.items() if probe >= confirmed or at > oldest}
         return confirmed
 
     def _probe_of(self, replica: str) -> int:
--- a/packages/lanedock/lanedock/consensus/replica.py
+++ b/packages/lanedock/lanedock/consensus/replica.py
@@ -162,6 +162,15 @@
             return 0.0
         return now - self._last_leader_at if self._last_leader_at is not None else NEVER_LED
 
+    def unreached_time(self, replica: str, now: float) -> float:
+        """Return the time, in seconds, since this leader sent what a replica has answered last.
+
+        Infinite if the replica has answered nothing, or if this one does not lead.
+        """
+        if self._replication is None:
+            return float("inf")
+        return self._replication.leadership.unreached_time(replica, now)
+
     def can_vote(self) -> bool:
         """Return whether this replica is a voter."""
         return self._state.can_vote()
--- a/packages/lanedock/lanedock/consensus/replication.py
+++ b/packages/lanedock/lanedock/consensus/replication.py
@@ -107,8 +107,7 @@
         if progress is None:
             return False
         last_index = self._state.log.last_index
-        progress.acked_at = now
-        progress.probe = max(progress.probe, reply.probe)
+        self.leadership.note_reply(progress, reply.probe, now)
         if reply.accepted:
             progress.match_index = max(progress.match_index, reply.match_index)
             progress.next_index = max(progress.next_index, progress.match_index + 1)
--- a/packages/lanedock/lanedock/consensus/tests/test_replica.py
+++ b/packages/lanedock/lanedock/consensus/tests/test_replica.py
@@ -77,6 +77,31 @@
     assert all(29.0 < node.replica.leader_silence(cluster.now) < 40.0 for node in cluster.nodes.values())
 
 
+def test_a_leader_knows_for_how_long_each_follower_may_have_heard_no_leader():
+    """Guards against a follower that grants quotas alone while the leader takes it for connected.
+
+    Messages of a follower don't show that it hears the leader: only its replies do, from the
+    time at which the leader sent what they answer.
+    """
+    cluster = Cluster(NAMES, seed=2)
+    leader = _elect(cluster)
+    follower, other = (node for node in cluster.nodes.values() if node is not leader)
+    cluster.propose(leader, b"x")
+    cluster.run(5)
+    for node in (follower, other):
+        silence = node.replica.leader_silence(cluster.now)
+        assert silence <= leader.replica.unreached_time(node.id, cluster.now) < 0.3
+    cluster.isolate(follower.id[0])
+    cluster.run(2)
+    assert follower.replica.leader_silence(cluster.now) <= leader.replica.unreached_time(follower.id, cluster.now)
+    assert 2.0 <= leader.replica.unreached_time(follower.id, cluster.now) < 2.3
+    assert leader.replica.unreached_time(other.id, cluster.now) < 0.3
+    cluster.heal()
+    cluster.run(0.5)
+    assert leader.replica.unreached_time(follower.id, cluster.now) < 0.3
+    assert follower.replica.unreached_time(leader.id, cluster.now) == float("inf")
+
+
 def test_the_former_leader_is_reelected_without_delay_after_all_replicas_crash():
     cluster = Cluster(NAMES, seed=2)
     old = _lead_and_crash_all(cluster)
--- a/packages/lanedock/lanedock/errors.py
+++ b/packages/lanedock/lanedock/errors.py
@@ -189,6 +189,16 @@
         "The request has no key of a customer, and its route is not public. Not run.",
         "Send a key that the version in force holds.",
     )
+    QUOTA_EXCEEDED = (
+        "LD3018",
+        "The customer's quota is used up. Not run.",
+        "Retry after the time given; `lanedock customers` shows the limit and its use.",
+    )
+    QUOTA_UNAVAILABLE = (
+        "LD3019",
+        "No control instance answered whether the customer's quota allows the request. Not run.",
+        "Retry after the time given; check that the daemon can reach the control instances.",
+    )
     NOT_HELD = (
         "LD3011",
         "The daemon's version does not hold the service that the request names.",
--- a/packages/lanedock/lanedock/kernel/core.py
+++ b/packages/lanedock/lanedock/kernel/core.py
@@ -122,11 +122,12 @@
 
     Parameters
     ----------
-    tick : float
-        Interval between calls of `on_tick`, in seconds; longer while messages are handled.
+    tick : float or None
+        Interval between calls of `on_tick`, in seconds; longer while messages are handled. None
+        for no calls. A subclass may change it in `on_messages`.
     """
 
-    def __init__(self, tick: float):
+    def __init__(self, tick: float | None):
         self._tick = tick
         self._mailbox: Queue = Queue()
         self._task = None
@@ -158,15 +159,16 @@
         # delay ticks, and with them a leader's heartbeats, by as much.
         next_tick = monotonic()
         while True:
+            timeout = None if self._tick is None else max(0.0, next_tick - monotonic())
             try:
-                batch = [self._mailbox.get(timeout=max(0.0, next_tick - monotonic()))]
+                batch = [self._mailbox.get(timeout=timeout)]
             except Empty:
                 batch = []
             while not self._mailbox.empty():
                 batch.append(self._mailbox.get_nowait())
             if batch:
                 self.on_messages(batch)
-            if monotonic() >= next_tick:
+            if self._tick is not None and monotonic() >= next_tick:
                 next_tick = monotonic() + self._tick
                 self.on_tick()
 
--- a/packages/lanedock/lanedock/kernel/tests/test_core.py
+++ b/packages/lanedock/lanedock/kernel/tests/test_core.py
@@ -108,6 +108,21 @@
         return time.time() - (3600 if self._calls > 5 else 0)
 
 
+def test_a_task_without_a_tick_only_handles_messages_until_it_sets_one(monkeypatch):
+    """A service whose feature is not in use must not wake the process."""
+    kernel = Kernel()
+    adder = Adder()
+    adder._tick = None
+    monkeypatch.setattr(Adder, "on_messages", lambda self, batch: setattr(self, "_tick", 0.01))
+    kernel.add(adder)
+    kernel.start()
+    gevent.sleep(0.05)
+    assert adder.ticks == 0
+    adder.post(1)
+    _wait_until(lambda: adder.ticks > 2)
+    kernel.stop()
+
+
 def test_a_backward_step_of_the_wall_clock_does_not_delay_ticks(monkeypatch):
     # Otherwise a backward step of the wall clock stops a leader's heartbeats, and another leader
     # is elected.
--- a/packages/lanedock/lanedock/telemetry/events.py
+++ b/packages/lanedock/lanedock/telemetry/events.py
@@ -316,6 +316,39 @@
         "None.",
     )
 
+    QUOTA_REACHED = (
+        550,
+        logging.INFO,
+        "A customer's requests have reached its quota at this control instance, which grants credits; the fields give "
+        "the customer and its limit.",
+        "Compare with `lanedock customers`; raise the customer's `rate` or `burst` if it should be served more.",
+    )
+    QUOTA_FREE = (
+        551,
+        logging.INFO,
+        "A customer's requests are within its quota again; the field gives how long they were beyond it.",
+        "None.",
+    )
+    QUOTA_ALONE = (
+        552,
+        logging.WARNING,
+        "The control instance hears no leader and grants credits alone, from its zone's share of each quota.",
+        "Check the other control instances and the network between them.",
+    )
+    QUOTA_LED = (
+        553,
+        logging.INFO,
+        "The control instance no longer grants credits alone: it hears a leader, or leads.",
+        "None.",
+    )
+    QUOTA_UNAVAILABLE = (
+        554,
+        logging.WARNING,
+        "No control instance grants this daemon credits, or one does again (`is_granted`); meanwhile requests of "
+        "customers with a rate are refused with LD3019.",
+        "Check the network between this daemon and the control instances.",
+    )
+
     def __init__(self, number: int, level: int, meaning: str, remedy: str):
         self.number = number
         self.level = level
--- a/packages/lanedock/lanedock/telemetry/metrics.py
+++ b/packages/lanedock/lanedock/telemetry/metrics.py
@@ -79,6 +79,9 @@
         "Answers that failed while a canary runs, by part.",
         ("service", "part"),
     )
+    QUOTA_GRANTED = ("quota.granted", "c", "Requests admitted with a credit, by customer.", ("customer",))
+    QUOTA_REFUSED = ("quota.refused", "c", "Requests refused for their customer's quota.", ("customer",))
+    QUOTA_WAIT = ("quota.wait", "ms", "Time for which a request waited for a credit.")
     EJECTED = ("config.ejected", "c", "Ejections of upstreams.")
 
     def __init__(self, path: str, kind: str, meaning: str, labels: tuple = ()):
