--- a/packages/lanedock-daemon/lanedock_daemon/quota/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/quota/service.py
@@ -11,7 +11,6 @@
 from lanedock.quota import Quota, QuotaLedger
 from lanedock.telemetry import Event, EventLogger
 from lanedock.wire import messages
-from lanedock_daemon.control.replicated_log import ReplicatedLog
 from lanedock_daemon.quota.customers import CustomerReader
 from lanedock_daemon.quota.peers import count_instances, count_silent_instances
 from lanedock_daemon.quota.pressure import QuotaPressure
@@ -26,8 +25,8 @@
 # Seconds without a leader after which this instance grants credits alone. Longer than the silence
 # after which a leader reserves the share of a zone, so that both never grant the same credits.
 LEADERLESS_LIMIT = 0.8
-# Seconds between two ticks above which this process was paused. What it has not heard meanwhile
-# says nothing then, so the time without a leader counts from the end of the pause.
+# Seconds without a tick above which this process was paused. That it has heard no leader meanwhile
+# says nothing, so the time without a leader counts from the end of the pause.
 PAUSE_LIMIT = 0.5
 # Seconds after which a daemon may ask again for a customer that this instance doesn't know.
 UNKNOWN_RETRY_AFTER = 0.5
@@ -65,8 +64,8 @@
         self._customers: dict[str, Customer] = {}
         self._limited: dict[str, Quota] = {}
         self._role = _Role.FOLLOWER
-        self._ticked_at = float("-inf")
-        self._awake_since = 0.0
+        self._ran_at = float("-inf")
+        self._resumed_at = float("-inf")
         self._handlers = {
             CreditsRequested: self._on_credits,
             QuotaReportArrived: self._on_report,
@@ -76,7 +75,7 @@
 
     def attach(
         self,
-        log: ReplicatedLog,
+        log,
         links: PeerLinks,
         zones: Callable[[], dict[str, str]],
         leader_address: Callable[[], str],
@@ -110,9 +109,6 @@
 
     def on_tick(self) -> None:
         now = monotonic()
-        if now - self._ticked_at > PAUSE_LIMIT:
-            self._awake_since = now
-        self._ticked_at = now
         self._refresh_role(now)
         self._refresh_zones(now)
         self._report(now)
@@ -133,11 +129,14 @@
 
     def _refresh_role(self, now: float) -> bool:
         """Update the role; return whether credits may be granted."""
+        if now - self._ran_at > PAUSE_LIMIT:
+            self._resumed_at = now
+        self._ran_at = now
         if self._log.is_broken:
             role = _Role.FOLLOWER
         elif self._log.is_current_leader:
             role = _Role.LEADER
-        elif min(self._log.replica.leader_silence(now), now - self._awake_since) >= LEADERLESS_LIMIT:
+        elif min(self._log.replica.leader_silence(now), now - self._resumed_at) >= LEADERLESS_LIMIT:
             role = _Role.ALONE
         else:
             role = _Role.FOLLOWER
