--- a/packages/lanedock-daemon/lanedock_daemon/control/tests/test_suspicions.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/tests/test_suspicions.py
@@ -7,7 +7,7 @@
 
 from lanedock.membership import EndpointRegistry
 from lanedock.quarantine import Quarantine, RequestHasher
-from lanedock_daemon.control.directories import ListedDirectory
+from lanedock_daemon.control.directories import ZONE_INTERVAL, ListedDirectory
 from lanedock_daemon.control.endpoints import EndpointExchange
 
 REQUEST = RequestHasher("GET", "shop.example", "/x", "", 0).fingerprint()
@@ -103,30 +103,43 @@
         self.is_cut = False
         self.sent = 0
         self.quarantines = {name: Quarantine() for name in NAMES[:2]}
-        self._directories = {name: self._make(name) for name in self.quarantines}
+        self.directories = {name: self._make(name) for name in self.quarantines}
 
     def _make(self, name: str) -> ListedDirectory:
         log = SimpleNamespace(replica=SimpleNamespace(me=name, term=1))
         sessions = SimpleNamespace(distributor=SimpleNamespace(known_daemons=lambda: ()))
         cfg = SimpleNamespace(replicas=dict.fromkeys(self.quarantines))
-        return ListedDirectory(cfg, name, "z", None, None, sessions, self, log, self.quarantines[name])
+        return ListedDirectory(cfg, name, f"zone-{name}", None, None, sessions, self, log, self.quarantines[name])
 
     def send(self, batch: list) -> None:
         """Stand in for the links."""
         self.sent += len(batch)
         for message in batch:
             if not self.is_cut:
-                self._directories[message.receiver].receive(message, self.now)
+                self.directories[message.receiver].receive(message, self.now)
 
     def run(self, seconds: float) -> None:
         until = self.now + seconds
         while self.now < until:
             self.now += TICK
-            for directory in self._directories.values():
+            for directory in self.directories.values():
                 directory.tick(self.now)
                 directory.advance(self.now)
 
 
+def test_listed_instances_announce_their_zones_while_asked_to():
+    """Guards against zones' shares of quotas that are unknown where control instances are listed in the settings."""
+    mesh = _ListedMesh()
+    mesh.run(10.0)
+    sent = mesh.sent
+    first, second = mesh.directories.values()
+    for _ in range(100):
+        mesh.now += TICK
+        first.announce_zone(mesh.now)
+    assert second.zones == {NAMES[0]: f"zone-{NAMES[0]}"} and first.zones == {}
+    assert mesh.sent - sent <= 100 * TICK / ZONE_INTERVAL + 1
+
+
 def test_listed_instances_repeat_suspicions_lost_on_the_link():
     """Guards against suspicions that are lost on the link and never repeated."""
     mesh = _ListedMesh()
