--- a/packages/lanedock-daemon/lanedock_daemon/path/caller/caller.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller/caller.py
@@ -35,6 +35,7 @@
 from lanedock_daemon.path.shared.dialect import Dialect, OwnDialect, RequestFacts
 from lanedock_daemon.path.shared.paced_answer import LinkTurns, answer_length, is_long_answer
 from lanedock_daemon.path.shared.pool import ConnectionPool
+from lanedock_daemon.quota.gate import QuotaGate
 
 __all__ = ["CallerSide"]
 
@@ -139,6 +140,8 @@
         Logs the decisions on single requests.
     plan : StopPlan, optional
         Stop plan of the process.
+    quotas : QuotaGate, optional
+        Admits requests of customers with a rate. Default: customers' rates aren't enforced.
     """
 
     def __init__(
@@ -152,8 +155,10 @@
         rng: Random | None = None,
         requests: RequestLogger | None = None,
         plan: StopPlan | None = None,
+        quotas: QuotaGate | None = None,
     ):
         self._plan = plan or StopPlan()
+        self._quotas = quotas
         self._requests = requests or RequestLogger(events, 0)
         self._view = view
         self._metrics = metrics
