Enforce customers' quotas at the caller's side

Cause: the request's customer is known now, and nothing limits its requests.

Change: after the identity and the quarantine are checked and before a service is chosen, a request of a customer with a rate takes one credit for all its attempts. One that ends not run gives it back.

--- a/packages/lanedock-daemon/lanedock_daemon/path/caller/caller.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller/caller.py
@@ -5,11 +5,12 @@
 from random import Random
 
 from lanedock.clock import monotonic
-from lanedock.config import Route
+from lanedock.config import Customer, Route
 from lanedock.errors import ErrorCode
 from lanedock.kernel import StopPlan
 from lanedock.limits import FirstAttempts
 from lanedock.quarantine import Fingerprint, RequestHasher
+from lanedock.quota import Taken
 from lanedock.routing import choose_service
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics, RequestLog, RequestLogger, Span, Tracer
 from lanedock_daemon.agent.view import Binding, LocalView
@@ -33,7 +34,7 @@
 from lanedock_daemon.path.http.service import StopTimeout
 from lanedock_daemon.path.shared.dialect import Dialect, OwnDialect, RequestFacts
 from lanedock_daemon.path.shared.pool import ConnectionPool
-from lanedock_daemon.quota.gate import QuotaGate
+from lanedock_daemon.quota.gate import QuotaGate, QuotaRefusal
 
 __all__ = ["CallerSide"]
 
@@ -237,13 +238,40 @@
         if left:
             log.note(Event.REQUEST_REFUSED, code=ErrorCode.QUARANTINED.code, suspect=suspect)
             return self._refuse(ErrorCode.QUARANTINED, left)
+        deadline = started + deadline_ms / 1000
+        credit = self._take_credit(identity.customer, deadline, log)
+        if isinstance(credit, QuotaRefusal):
+            return self._refuse(credit.code, credit.retry_after)
         headers = self._make_headers(request, binding, route, identity, span)
-        context = self._make_context(request, binding, route, headers, started + deadline_ms / 1000, age / 1000, log)
+        context = self._make_context(request, binding, route, headers, deadline, age / 1000, log)
         context.customer = identity.customer
         context.is_suspect = suspect is not None
         max_overloads = MAX_OVERLOADS_RETRIED if age else MAX_OVERLOADS
         # An earlier hop already retries this request; retries here, too, would multiply the load.
-        return self._send(context, _Progress(route, max_overloads), may_retry=not facts.was_retried)
+        answer = self._send(context, _Progress(route, max_overloads), may_retry=not facts.was_retried)
+        if credit is not None and _outcome(answer) == Outcome.NOT_RUN:
+            self._quotas.give_back(identity.customer, credit)
+        return answer
+
+    def _take_credit(self, customer: Customer | None, deadline: float, log: RequestLog) -> Taken | QuotaRefusal | None:
+        """Take a credit for a request of a customer with a rate; None if the request needs none.
+
+        Called once for a request: its further attempts take no credit. Waits for the credit where
+        none is at hand. `deadline` is a monotonic time, in seconds.
+        """
+        if customer is None or not customer.rate or self._quotas is None:
+            return None
+        began_at = monotonic()
+        credit = self._quotas.admit(customer, deadline)
+        if isinstance(credit, QuotaRefusal):
+            log.note(
+                Event.REQUEST_REFUSED,
+                code=credit.code.code,
+                customer=customer.name,
+                retry_after_ms=round(1000 * credit.retry_after),
+                waited_ms=round(1000 * (monotonic() - began_at), 1),
+            )
+        return credit
 
     def _find_suspect(self, request: Request, identity: Identity) -> Fingerprint | None:
         """Return the fingerprint of a request that is suspected of crashes.
