Choose upstreams by load probes before the request

A caller knows an upstream's load from its own last answer there. With 90 callers and paces that change within 0.6 s that is too old: the answers to other callers, and the pace at the moment, are not in it.

Where settings give upstream.load_port, and the application states a pace or the link is at most 10 Mbit/s, a daemon publishes the port with its endpoint and answers LoadProbe with LoadReply over UDP. A caller's daemon probes three random upstreams of its zone, waits 5 ms at most (twice the observed round trip if that is more, 30 ms at most), and takes the one with the least expected time to an answer. Replies serve two requests within 20 ms; requests sent since a probe count. Without replies the statistics decide, and upstreams that miss replies keep their share by lot. After two misses a reply is not waited for. Which upstreams may get a request at all is decided as before; services without a load_port are not touched. LoadReply.link_wait_ms is 0 until UpstreamSide states it.

Tests: routing, membership, settings, path/tests/test_load_probes.py, path/caller, agent/tests/test_load_port.py and test_registration.py, tests/test_documents.py pass. In an earlier run of library, path, agent and platform together test_a_heartbeat_is_acknowledged failed once (400 for 204); it passed alone and with routing and path/caller.

--- a/packages/lanedock-daemon/lanedock_daemon/agent/report.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/report.py
@@ -7,6 +7,7 @@
 from lanedock.quarantine import Quarantine
 from lanedock.settings import Settings
 from lanedock.wire import messages
+from lanedock_daemon.agent.load_port import published_load_port
 from lanedock_daemon.agent.view import LocalView
 
 __all__ = ["SourceReport", "StateReport"]
@@ -123,6 +124,7 @@
         endpoint.ClearField("rate_limit")
         if registration.advertised.published is not None:
             endpoint.rate_limit = registration.advertised.published
+        endpoint.load_port = published_load_port(self._settings.upstream, registration)
         endpoint.cold_ms = int(1000 * registration.cold_left(running_time()))
         endpoint.revision = revision
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/caller/caller.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller/caller.py
@@ -14,6 +14,7 @@
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics, RequestLog, RequestLogger, Span, Tracer
 from lanedock_daemon.agent.view import Binding, LocalView
 from lanedock_daemon.path.caller.attempts import AttemptSender
+from lanedock_daemon.path.caller.load_prober import LoadProber
 from lanedock_daemon.path.caller.request_context import AttemptResult, RequestContext
 from lanedock_daemon.path.http.headers import (
     CALLER_HEADER,
@@ -157,6 +158,7 @@
         self._tracer = tracer
         self._dialect = dialect or OwnDialect()
         self._attempts = AttemptSender(pool, self._dialect, events, metrics, view.quarantine)
+        self._load_prober = LoadProber(metrics)
         self._rng = rng or Random()
         self._ages = FirstAttempts()
 
@@ -303,6 +305,10 @@
                 context.log.note(Event.REQUEST_TRY_ENDED, service=context.service.name, reason="the process stops")
                 return progress.failure or self._refuse_stopping(now)
             context.start_by = self._plan.start_by(needed)
+            choice = context.balancer.probed_choice
+            if choice is not None:
+                self._load_prober.probe(choice, context.plan_probes(now), context.deadline - now)
+                now = monotonic()
             upstream = context.choose(now)
             if upstream is None:
                 known = len(context.balancer)
--- a/packages/lanedock-daemon/lanedock_daemon/path/caller/request_context.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller/request_context.py
@@ -5,8 +5,8 @@
 from lanedock.config import Route, Service
 from lanedock.errors import ErrorCode
 from lanedock.limits import RetryBudget
-from lanedock.routing import Balancer, UpstreamStats
-from lanedock.telemetry import RequestLog
+from lanedock.routing import Balancer, ProbePlan, UpstreamStats
+from lanedock.telemetry import Event, RequestLog
 from lanedock_daemon.path.http.messages import Answer, Request
 
 __all__ = ["AttemptResult", "RequestContext"]
@@ -136,6 +136,21 @@
         self.goes_to_canary = False
         self.prefers_canary = False
 
+    def plan_probes(self, now: float) -> ProbePlan:
+        """Select the upstreams to probe before `choose`; `now` is a monotonic time, in seconds."""
+        pool = Pool.CANARY if self._is_for_canary() else Pool.STABLE
+        return self.balancer.plan_probes(now, frozenset(self.tried), pool)
+
+    def _is_for_canary(self) -> bool:
+        return self.prefers_canary or (self.goes_to_canary and not self.tried)
+
+    def _note_compared(self, stats: UpstreamStats) -> None:
+        """Log the replies to load probes by which an upstream was chosen, if any."""
+        choice = self.balancer.probed_choice
+        if choice is not None and choice.compared:
+            expected = {name: round(1000 * time, 1) for name, time in choice.compared}
+            self.log.note(Event.LOADS_COMPARED, upstream=stats.endpoint.instance, expected_ms=expected)
+
     def choose(self, now: float, may_wait: bool = True) -> UpstreamStats | None:
         """Choose an upstream that has not been tried yet, and add it to `tried`.
 
@@ -157,11 +172,13 @@
         # such responses 90 kB.
         is_long = self.route.upload or self.route.download or self.request.body.is_long
         tried = frozenset(self.tried)
+        slots, target = self.service.slots, self.target_time
         stats = None
-        if self.prefers_canary or (self.goes_to_canary and not tried):
-            stats = self.balancer.choose(self.service.slots, now, tried, is_long, Pool.CANARY, may_wait=False)
+        if self._is_for_canary():
+            stats = self.balancer.choose(slots, now, tried, is_long, Pool.CANARY, may_wait=False, target_time=target)
         if stats is None:
-            stats = self.balancer.choose(self.service.slots, now, tried, is_long, may_wait=may_wait)
+            stats = self.balancer.choose(slots, now, tried, is_long, may_wait=may_wait, target_time=target)
         if stats is not None:
+            self._note_compared(stats)
             self.tried.add(stats.endpoint.instance)
         return stats
--- a/packages/lanedock-daemon/lanedock_daemon/path/caller/tests/test_request_context.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller/tests/test_request_context.py
@@ -11,7 +11,7 @@
 class _Balancer:
     """Records whether an upstream was chosen for a request with a long body."""
 
-    def choose(self, slots, now, excluded, is_long, may_wait=True):
+    def choose(self, slots, now, excluded, is_long, may_wait=True, target_time=None):
         self.is_long = is_long
 
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream/upstream.py
@@ -9,6 +9,7 @@
 from lanedock.membership import UpstreamRegistration, UpstreamReport, read_rate
 from lanedock.quarantine import Fingerprint, RequestHasher
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics, RequestLog, RequestLogger, Tracer
+from lanedock.wire import messages
 from lanedock_daemon.agent.registration import Registrar
 from lanedock_daemon.agent.view import LocalView
 from lanedock_daemon.path.http.headers import (
@@ -122,6 +123,22 @@
         """Number of requests in progress or waiting."""
         return self._gate.in_progress
 
+    def measure_load(self) -> messages.LoadReply:
+        """Return the present load for the reply to a load probe."""
+        binding = self._view.bind()
+        if binding is not None:
+            self._gate.configure(binding)
+        limiter, bodies = self._gate.limiter, self._gate.bodies
+        load = self._registration.current_load(running_time())
+        return messages.LoadReply(
+            upstream=self._registration.upstream,
+            in_use=limiter.in_use,
+            waiting=limiter.waiting + bodies.waiting,
+            slots=limiter.slots,
+            pace_percent=round(100 * load.pace) if load is not None and load.pace is not None else 0,
+            service_ms=round(1000 * limiter.mean_service_time),
+        )
+
     def handle(self, request: Request) -> Answer:
         """Answer a request from another daemon."""
         self._metrics.count(Metric.REQUESTS)
@@ -148,6 +165,8 @@
         rate = self._registration.advertised.rate
         self._metrics.gauge(Metric.RATE_LIMIT, rate or 0.0)
         self._metrics.gauge(Metric.IS_RATE_LIMITED, rate is not None)
+        load = self._registration.current_load(running_time())
+        self._metrics.gauge(Metric.PACE, load.pace if load is not None and load.pace is not None else 1.0)
         answer.headers.append((LOAD_HEADER, str(self.in_progress)))
         send_delay = self._gate.limiter.next_send_delay(monotonic())
         if send_delay:
--- a/packages/lanedock-daemon/lanedock_daemon/roles.py
+++ b/packages/lanedock-daemon/lanedock_daemon/roles.py
@@ -7,10 +7,11 @@
 from lanedock.kernel import Kernel, Service, StopPlan
 from lanedock.limits import SavingBudget, WindowBudget
 from lanedock.membership import UpstreamRegistration
-from lanedock.settings import Settings
+from lanedock.settings import Address, Settings
 from lanedock.telemetry import EventLogger, Metrics, RequestLogger, Tracer
 from lanedock_daemon.agent import AgentService, LocalView
 from lanedock_daemon.agent.discovery import ApplicationDiscovery
+from lanedock_daemon.agent.load_port import published_load_port
 from lanedock_daemon.agent.registration import Registrar
 from lanedock_daemon.interface import Interface, OwnInterface
 from lanedock_daemon.path.caller.caller import CallerSide
@@ -18,6 +19,7 @@
 from lanedock_daemon.path.http.server import PathServer
 from lanedock_daemon.path.shared.pool import ConnectionPool
 from lanedock_daemon.path.upstream.crashes import CrashDetector
+from lanedock_daemon.path.upstream.load_responder import LoadResponder
 from lanedock_daemon.path.upstream.upstream import UpstreamSide
 from lanedock_daemon.sessions import DrainRequested, ReportDue
 from lanedock_daemon.stops import DRAIN_SETTLE, make_stop_plan
@@ -196,6 +198,14 @@
             registrar = Registrar(registration, lambda: None, lambda: None, events)
         agent.set_registrar(registrar)
         side = UpstreamSide(cfg.service, application, view, pool, *parts, registrar, link_rate)
+        if cfg.load_port is not None:
+            kernel.add(
+                LoadResponder(
+                    Address(cfg.listen.host, cfg.load_port),
+                    lambda: published_load_port(cfg, registration) != 0,
+                    side.measure_load,
+                )
+            )
         if cfg.egress is not None:
             add_server("egress", cfg.egress, caller)
         add_server("upstream", cfg.listen, side)
--- a/packages/lanedock/lanedock/limits/slots.py
+++ b/packages/lanedock/lanedock/limits/slots.py
@@ -265,6 +265,11 @@
         """Return the service time that few requests of a kind exceed, in seconds."""
         return self._service_times.tail(kind)
 
+    @property
+    def mean_service_time(self) -> float:
+        """Mean service time of all requests, in seconds; 0 before any has ended."""
+        return self._service_times.mean or 0.0
+
     def _has_room(self, traffic_class: str, now: float) -> bool:
         if self.rate.wait(now):
             return False
--- a/packages/lanedock/lanedock/membership/registration.py
+++ b/packages/lanedock/lanedock/membership/registration.py
@@ -72,6 +72,8 @@
         from the mesh, until it is known.
     advertised : AdvertisedRate
         Rate limit of the current incarnation.
+    has_stated_pace : bool
+        Whether the current incarnation has stated how long work takes at the moment.
     cold_until : float
         Time at which the application's warm-up ends, in seconds of `lanedock.clock.running_time`.
     rival : Heartbeat or None
@@ -88,6 +90,7 @@
         self.version = ""
         self.advertised = AdvertisedRate()
         self.cold_until = 0.0
+        self.has_stated_pace = False
         self._load: ApplicationLoad | None = None
         self._load_stated_at = float("-inf")
         self.rival: Heartbeat | None = None
@@ -254,6 +257,7 @@
         self.is_leaving = False
         self.advertised = AdvertisedRate()
         self._load = None
+        self.has_stated_pace = False
         self._sequence = -1
         self.revision += 1
 
@@ -390,6 +394,9 @@
         if report.load is not None:
             self._load = report.load
             self._load_stated_at = now
+            if report.load.pace is not None and not self.has_stated_pace:
+                self.has_stated_pace = True
+                self.revision += 1
         if report.unreadable:
             self.advertised.note_unreadable(now)
             return False
--- a/packages/lanedock/lanedock/routing/balancer.py
+++ b/packages/lanedock/lanedock/routing/balancer.py
@@ -1,8 +1,8 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """Load balancing: which upstream instances may get a request, and the statistics by which one is chosen.
 
-An `UpstreamChoice` orders those that may get it. An upstream's own load report is not used,
-because it may lag or mislead.
+An `UpstreamChoice` orders those that may get it: by the caller's statistics, or by load probes
+where upstreams answer them.
 """
 
 from random import Random
@@ -10,8 +10,10 @@
 from lanedock.canary import Pool
 from lanedock.routing.answer_times import SMOOTHING, AnswerTimes
 from lanedock.routing.available_upstreams import AvailableUpstreams
+from lanedock.routing.load_sample import ProbePlan
 from lanedock.routing.policy import BalancerPolicy
 from lanedock.routing.power_of_two import PowerOfTwoChoice
+from lanedock.routing.probed_choice import ProbedChoice
 from lanedock.routing.upstream_choice import UpstreamChoice
 from lanedock.routing.upstream_stats import UpstreamStats, is_same_application, was_restarted
 from lanedock.wire import messages
@@ -28,6 +30,11 @@
         Availability zone of the caller.
     rng : random.Random
     policy : BalancerPolicy
+
+    Attributes
+    ----------
+    probed_choice : ProbedChoice or None
+        Choice by load probes; None while no upstream answers them.
     """
 
     def __init__(self, zone: str, rng: Random, policy: BalancerPolicy):
@@ -37,7 +44,9 @@
         self._upstreams: dict[str, UpstreamStats] = {}
         self._available = {pool: AvailableUpstreams([], zone) for pool in (Pool.STABLE, Pool.CANARY)}
         self._times = AnswerTimes()
-        self._choice: UpstreamChoice = PowerOfTwoChoice(rng, policy, self._times)
+        self._statistics = PowerOfTwoChoice(rng, policy, self._times)
+        self._choice: UpstreamChoice = self._statistics
+        self.probed_choice: ProbedChoice | None = None
         self._rate_limited_until = float("-inf")
 
     def __repr__(self) -> str:
@@ -71,12 +80,20 @@
             upstream.pool = pools.get(endpoint.instance, Pool.STABLE)
             upstreams[endpoint.instance] = upstream
         self._upstreams = upstreams
+        self._set_choice(any(endpoint.load_port for endpoint in endpoints))
         accepting = [
             stats for stats in upstreams.values() if not (stats.endpoint.leaving or stats.is_application_leaving)
         ]
         for pool in self._available:
             self._available[pool] = AvailableUpstreams([stats for stats in accepting if stats.pool is pool], self._zone)
 
+    def _set_choice(self, are_probed: bool) -> None:
+        """Choose by load probes if any upstream answers them, else by statistics."""
+        if not are_probed:
+            self._choice, self.probed_choice = self._statistics, None
+        elif self.probed_choice is None:
+            self._choice = self.probed_choice = ProbedChoice(self._rng, self._policy, self._statistics)
+
     def _make_stats(
         self, endpoint: messages.Endpoint, former: UpstreamStats | None, is_first: bool, now: float
     ) -> UpstreamStats:
@@ -139,6 +156,7 @@
         is_long: bool = False,
         pool: Pool = Pool.STABLE,
         may_wait: bool = True,
+        target_time: float | None = None,
     ) -> UpstreamStats | None:
         """Choose an upstream for a request; the caller of this method then calls `begin`.
 
@@ -158,23 +176,37 @@
             Whether to choose an upstream whose advertised rate limit permits no request yet
             if no upstream's limit permits one. Its daemon decides whether the request can
             wait there.
+        target_time : float, optional
+            Monotonic time, in seconds, until which the answer is wanted.
 
         Returns
         -------
         UpstreamStats or None
             None if no upstream is available.
         """
-        available = self._available[pool]
-        usable = (
-            self._select_usable(available.local, excluded, now),
-            self._select_usable(available.remote, excluded, now),
-        )
+        usable = self._list_usable(pool, excluded, now)
         permitted = [self._select_permitted(upstreams, now) for upstreams in usable]
-        chosen = self._choice.choose(*permitted, slots, now, is_long)
+        chosen = self._choice.choose(*permitted, slots, now, is_long, target_time)
         if chosen is None and may_wait:
             return _select_first_permitted([*usable[0], *usable[1]])
         return chosen
 
+    def plan_probes(self, now: float, excluded: frozenset = frozenset(), pool: Pool = Pool.STABLE) -> ProbePlan:
+        """Select the upstreams to probe before the choice for a request; parameters as in `choose`.
+
+        Must not be called while `probed_choice` is None.
+        """
+        permitted = [self._select_permitted(upstreams, now) for upstreams in self._list_usable(pool, excluded, now)]
+        return self.probed_choice.plan_probes(*permitted, now)
+
+    def _list_usable(self, pool: Pool, excluded: frozenset, now: float) -> tuple[list, list]:
+        """Return the upstreams of the own zone and of other zones that may get a request."""
+        available = self._available[pool]
+        return (
+            self._select_usable(available.local, excluded, now),
+            self._select_usable(available.remote, excluded, now),
+        )
+
     def _select_usable(self, upstreams: list[UpstreamStats], excluded: frozenset, now: float) -> list[UpstreamStats]:
         usable = [
             stats
--- a/packages/lanedock/lanedock/routing/power_of_two.py
+++ b/packages/lanedock/lanedock/routing/power_of_two.py
@@ -70,17 +70,17 @@
         is_long: bool = False,
         target_time: float | None = None,
     ) -> UpstreamStats | None:
-        best_local = self._pick_less_loaded(local, slots, now)
-        best_remote = self._pick_less_loaded(remote, slots, now)
+        best_local = self.pick(local, slots, now)
+        best_remote = self.pick(remote, slots, now)
         if best_local is None or best_remote is None:
             return best_local or best_remote
-        return self._compare_zones(best_local, best_remote, slots, now, is_long)
+        return self.compare_zones(best_local, best_remote, slots, now, is_long)
 
-    def _compare_zones(
+    def compare_zones(
         self, local: UpstreamStats, remote: UpstreamStats, slots: int, now: float, is_long: bool
     ) -> UpstreamStats:
         """Return the better one of a local and a remote upstream; the local one unless it is much worse."""
-        local_score = self._score(local, slots, now)
+        local_score = self.score(local, slots, now)
         policy = self._policy
         spill, penalty = policy.spill, policy.zone_penalty
         if is_long:
@@ -91,19 +91,20 @@
             margin = min(margin, _FASTER_REMOTE_MARGIN)
         elif local_score < spill * slots:
             return local
-        if self._score(remote, slots, now) + margin < local_score:
+        if self.score(remote, slots, now) + margin < local_score:
             return remote
         return local
 
-    def _pick_less_loaded(self, usable: list[UpstreamStats], slots: int, now: float) -> UpstreamStats | None:
+    def pick(self, usable: list[UpstreamStats], slots: int, now: float) -> UpstreamStats | None:
+        """Return the less loaded one of two random upstreams; None if there are none."""
         if not usable:
             return None
         if len(usable) == 1:
             return usable[0]
         first, second = self._rng.sample(usable, 2)
-        return first if self._score(first, slots, now) <= self._score(second, slots, now) else second
+        return first if self.score(first, slots, now) <= self.score(second, slots, now) else second
 
-    def _score(self, stats: UpstreamStats, slots: int, now: float) -> float:
+    def score(self, stats: UpstreamStats, slots: int, now: float) -> float:
         """Return an upstream's load score: its estimated requests in progress, scaled up if it is cold or slow."""
         if stats.is_on_trial and stats.in_progress:
             return _TRIAL_IN_PROGRESS_SCORE
--- a/packages/lanedock/lanedock/routing/upstream_stats.py
+++ b/packages/lanedock/lanedock/routing/upstream_stats.py
@@ -3,6 +3,7 @@
 
 from lanedock.canary import Pool
 from lanedock.membership import incarnation_of
+from lanedock.routing.load_sample import LoadSample
 from lanedock.routing.send_times import SendTimes
 from lanedock.wire import messages
 
@@ -41,6 +42,8 @@
         Whether its application has reported that it leaves. Later reports don't revoke this.
     send_times : SendTimes
         Times at which requests may be sent, if it limits their rate.
+    sample : LoadSample or None
+        Its newest load probe; None if it has never been probed.
     """
 
     __slots__ = (
@@ -61,6 +64,7 @@
         "other_requests",
         "pool",
         "reported_at",
+        "sample",
         "send_times",
         "slowness",
     )
@@ -85,6 +89,7 @@
         self.slowness = 1.0
         self.is_application_leaving = False
         self.send_times = SendTimes()
+        self.sample: LoadSample | None = None
 
     def __repr__(self) -> str:
         return f"<UpstreamStats {self.endpoint.instance} in_progress={self.in_progress} others={self.other_requests}>"
--- a/packages/lanedock/lanedock/settings/core.py
+++ b/packages/lanedock/lanedock/settings/core.py
@@ -129,7 +129,7 @@
 class UpstreamSettings(_Section):
     """Settings of an upstream's daemon; names and units as in the schema."""
 
-    __slots__ = ("application", "egress", "heartbeat_s", "link_mbps", "listen", "registration", "service")
+    __slots__ = ("application", "egress", "heartbeat_s", "link_mbps", "listen", "load_port", "registration", "service")
 
 
 class Settings(_Section):
--- a/packages/lanedock/lanedock/telemetry/metrics.py
+++ b/packages/lanedock/lanedock/telemetry/metrics.py
@@ -65,6 +65,13 @@
         "Requests a second that the application advertises as its limit, if it does.",
     )
     IS_RATE_LIMITED = ("upstream.is_rate_limited", "g", "1 where the application advertises a rate limit, else 0.")
+    PROBES_SENT = ("probe.sent", "c", "Load probes sent.")
+    PROBES_LOST = ("probe.lost", "c", "Load probes that were not answered in time.")
+    PACE = (
+        "upstream.pace",
+        "g",
+        "Time that work takes at the application, as a multiple of the usual time; 1 if it does not state it.",
+    )
     PASSED_ON = ("upstream.passed_on", "c", "Requests that were passed on to the application.")
     CANARY_SHARE = ("canary.share", "g", "Share of a service's requests that its canary gets, 0 to 1.", ("service",))
     CANARY_SENT = (
