Probe other zones where the local answer would be late

Requests went to other zones by the caller's statistics alone, while the load of the local upstreams was known from their replies.

After the local replies, up to three upstreams of other zones are probed if the best local one promises its answer later than the request's target, or later than twice the time of a free upstream (for long answers 1 + long_spill times, link wait included). They are compared with the round trip added and the policy's zone penalty, in service times. Without replies from other zones the statistics compare them as before.

The expected time grows with the requests ahead per slot to the power of Sakasegawa's approximation while slots are free.

Tests: routing, path/caller and path/tests/test_load_probes.py pass.

--- a/packages/lanedock-daemon/lanedock_daemon/path/caller/caller.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller/caller.py
@@ -305,9 +305,8 @@
                 context.log.note(Event.REQUEST_TRY_ENDED, service=context.service.name, reason="the process stops")
                 return progress.failure or self._refuse_stopping(now)
             context.start_by = self._plan.start_by(needed)
-            choice = context.balancer.probed_choice
-            if choice is not None:
-                self._load_prober.probe(choice, context.plan_probes(now), context.deadline - now)
+            if context.balancer.probed_choice is not None:
+                self._load_prober.prepare_choice(context, now)
                 now = monotonic()
             upstream = context.choose(now)
             if upstream is None:
--- a/packages/lanedock-daemon/lanedock_daemon/path/caller/load_prober.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller/load_prober.py
@@ -12,6 +12,7 @@
 from lanedock.routing import ProbedChoice, ProbePlan, UpstreamStats
 from lanedock.telemetry import Metric, Metrics
 from lanedock.wire import messages
+from lanedock_daemon.path.caller.request_context import RequestContext
 
 __all__ = ["LoadProber"]
 
@@ -93,6 +94,23 @@
             sock.close()
         self._readers, self._sockets = [], {}
 
+    def prepare_choice(self, context: RequestContext, now: float) -> None:
+        """Probe upstreams for a request: those of the own zone, then those of other zones if the answer would be late.
+
+        Parameters
+        ----------
+        context : RequestContext
+            Its balancer must have a `probed_choice`.
+        now : float
+            Monotonic time, in seconds.
+        """
+        left = context.deadline - now
+        choice = context.balancer.probed_choice
+        self.probe(choice, context.plan_probes(now), left)
+        # Meanwhile the last upstream that answers probes may have left.
+        if context.balancer.probed_choice is choice:
+            self.probe(choice, context.plan_zone_probes(monotonic()), left)
+
     def probe(self, choice: ProbedChoice, plan: ProbePlan, left: float) -> None:
         """Send the probes of a plan, and wait until all replies have come or the time for them is over.
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/caller/request_context.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller/request_context.py
@@ -141,6 +141,17 @@
         pool = Pool.CANARY if self._is_for_canary() else Pool.STABLE
         return self.balancer.plan_probes(now, frozenset(self.tried), pool)
 
+    def plan_zone_probes(self, now: float) -> ProbePlan:
+        """Select the upstreams of other zones to probe once the local ones have replied; see `plan_probes`."""
+        pool = Pool.CANARY if self._is_for_canary() else Pool.STABLE
+        return self.balancer.plan_zone_probes(now, frozenset(self.tried), self._is_long(), pool, self.target_time)
+
+    def _is_long(self) -> bool:
+        # Where a service has routes with long request or response bodies, they make up most of
+        # the bytes sent between availability zones: on average, such uploads have 60 kB and
+        # such responses 90 kB.
+        return self.route.upload or self.route.download or self.request.body.is_long
+
     def _is_for_canary(self) -> bool:
         return self.prefers_canary or (self.goes_to_canary and not self.tried)
 
@@ -167,10 +178,7 @@
             None if no upstream is left.
         """
         may_wait = may_wait and not self.is_rate_limited
-        # Where a service has routes with long request or response bodies, they make up most of
-        # the bytes sent between availability zones: on average, such uploads have 60 kB and
-        # such responses 90 kB.
-        is_long = self.route.upload or self.route.download or self.request.body.is_long
+        is_long = self._is_long()
         tried = frozenset(self.tried)
         slots, target = self.service.slots, self.target_time
         stats = None
--- a/packages/lanedock/lanedock/routing/balancer.py
+++ b/packages/lanedock/lanedock/routing/balancer.py
@@ -199,6 +199,18 @@
         permitted = [self._select_permitted(upstreams, now) for upstreams in self._list_usable(pool, excluded, now)]
         return self.probed_choice.plan_probes(*permitted, now)
 
+    def plan_zone_probes(
+        self,
+        now: float,
+        excluded: frozenset = frozenset(),
+        is_long: bool = False,
+        pool: Pool = Pool.STABLE,
+        target_time: float | None = None,
+    ) -> ProbePlan:
+        """Select the upstreams of other zones to probe once the local ones have replied; see `plan_probes`."""
+        permitted = [self._select_permitted(upstreams, now) for upstreams in self._list_usable(pool, excluded, now)]
+        return self.probed_choice.plan_zone_probes(*permitted, now, is_long, target_time)
+
     def _list_usable(self, pool: Pool, excluded: frozenset, now: float) -> tuple[list, list]:
         """Return the upstreams of the own zone and of other zones that may get a request."""
         available = self._available[pool]
--- a/packages/lanedock/lanedock/routing/policy.py
+++ b/packages/lanedock/lanedock/routing/policy.py
@@ -32,6 +32,12 @@
     long_spill, long_zone_penalty : float
         The same for requests with long bodies. Some waiting is accepted for them to save
         traffic between zones.
+    probes, remote_probes : int
+        Upstreams that are probed for a request: those of its zone, and further ones in other zones if
+        no local one promises an answer in time.
+    late_answer : float
+        Expected time to an answer of the best local upstream, as a multiple of the time that a free one
+        takes, from which upstreams of other zones are probed.
     """
 
     __slots__ = (
@@ -39,10 +45,13 @@
         "eject_failures",
         "eject_max",
         "eject_min",
+        "late_answer",
         "load_age",
         "long_spill",
         "long_zone_penalty",
         "max_ejected",
+        "probes",
+        "remote_probes",
         "slow_start",
         "spill",
         "zone_penalty",
@@ -61,6 +70,9 @@
         zone_penalty=0.25,
         long_spill=2.25,
         long_zone_penalty=0.75,
+        probes=3,
+        remote_probes=3,
+        late_answer=2.0,
     ):
         self.load_age = load_age
         self.slow_start = slow_start
@@ -73,6 +85,9 @@
         self.zone_penalty = zone_penalty
         self.long_spill = long_spill
         self.long_zone_penalty = long_zone_penalty
+        self.probes = probes
+        self.remote_probes = remote_probes
+        self.late_answer = late_answer
 
     def __repr__(self) -> str:
         return f"<BalancerPolicy spill={self.spill} eject_failures={self.eject_failures}>"
--- a/packages/lanedock/lanedock/routing/probed_choice.py
+++ b/packages/lanedock/lanedock/routing/probed_choice.py
@@ -7,6 +7,7 @@
 caller and long compared with a round trip.
 """
 
+import math
 from random import Random
 
 from lanedock.routing.load_sample import LoadSample, ProbePlan
@@ -18,8 +19,6 @@
 
 __all__ = ["ProbedChoice"]
 
-# Upstreams that are probed for a request.
-PROBES = 3
 # Shortest and longest time limit of the wait for replies, in seconds. The limit is twice the observed
 # round trip between these.
 MIN_WAIT, MAX_WAIT = 0.005, 0.03
@@ -28,6 +27,8 @@
 PACE_BOUNDS = (0.2, 5.0)
 # Service time assumed where no reply states one, in seconds. It only matters compared with round trips.
 _DEFAULT_SERVICE_TIME = 0.05
+# Expected time, in seconds, at an upstream that already has a trial request in progress after its ejection.
+_TRIAL_TIME = 1000.0
 # Consecutive unanswered probes from which on a request does not wait for an upstream's reply, and the
 # shortest interval between two probes of it, in seconds.
 _MAX_AWAITED_MISSES = 2
@@ -48,8 +49,6 @@
     policy : BalancerPolicy
     statistics : PowerOfTwoChoice
         Used where there are no replies.
-    probes : int
-        Upstreams that are probed for a request.
 
     Attributes
     ----------
@@ -58,16 +57,15 @@
         times to an answer, in seconds.
     """
 
-    def __init__(self, rng: Random, policy: BalancerPolicy, statistics: PowerOfTwoChoice, probes: int = PROBES):
+    def __init__(self, rng: Random, policy: BalancerPolicy, statistics: PowerOfTwoChoice):
         self._rng = rng
         self._policy = policy
         self._statistics = statistics
-        self._probes = probes
         self._round_trips: dict[str, float] = {}
         self.compared: list[tuple[str, float]] = []
 
     def __repr__(self) -> str:
-        return f"<ProbedChoice probes={self._probes}>"
+        return f"<ProbedChoice probes={self._policy.probes}>"
 
     # ------------------------------------------------------------------ probes
 
@@ -75,9 +73,50 @@
         """Select the upstreams to probe for a request; parameters as in `choose`."""
         if len(local) + len(remote) < 2:
             return ProbePlan([], [])
-        return self._plan_among(local or remote, now)
+        return self._plan_among(local or remote, self._policy.probes, now)
 
-    def _plan_among(self, upstreams: list[UpstreamStats], now: float) -> ProbePlan:
+    def plan_zone_probes(
+        self,
+        local: list[UpstreamStats],
+        remote: list[UpstreamStats],
+        now: float,
+        is_long: bool = False,
+        target_time: float | None = None,
+    ) -> ProbePlan:
+        """Select the upstreams of other zones to probe once the local ones have replied; parameters as in `choose`.
+
+        There are none unless the best local upstream promises an answer too late.
+        """
+        replied = _list_replied(local, now)
+        if not replied or not remote:
+            return ProbePlan([], [])
+        usual = _mean_service_time(replied)
+        best, expected = self._find_earliest(replied, usual, now, is_long)
+        if not self._is_late(best, expected, usual, now, is_long, target_time):
+            return ProbePlan([], [])
+        return self._plan_among(remote, self._policy.remote_probes, now)
+
+    def _is_late(
+        self,
+        stats: UpstreamStats,
+        expected: float,
+        usual: float,
+        now: float,
+        is_long: bool,
+        target_time: float | None,
+    ) -> bool:
+        """Return whether the answer that a local upstream promises is late enough to consider other zones."""
+        # A request that is late already is late in any zone.
+        if target_time is not None and now < target_time < now + expected:
+            return True
+        free = usual + self._round_trip(stats)
+        return expected > free * (1 + self._policy.long_spill if is_long else self._policy.late_answer)
+
+    def _round_trip(self, stats: UpstreamStats) -> float:
+        """Return the observed round trip to the zone of an upstream, in seconds; 0 if none was observed."""
+        return self._round_trips.get(stats.endpoint.zone, 0.0)
+
+    def _plan_among(self, upstreams: list[UpstreamStats], probes: int, now: float) -> ProbePlan:
         plan = ProbePlan([], [])
         others, shared = [], 0
         for stats in upstreams:
@@ -86,13 +125,13 @@
                 continue
             if sample is None or not sample.can_serve(now):
                 others.append(stats)
-            elif shared < self._probes:
+            elif shared < probes:
                 shared += 1
                 sample.uses += 1
                 if sample.number is not None:
                     plan.awaited.append(sample.number)
         wanted = [stats for stats in others if _is_worth_probing(stats.sample, now)]
-        plan.targets = self._rng.sample(wanted, min(self._probes - shared, len(wanted)))
+        plan.targets = self._rng.sample(wanted, min(probes - shared, len(wanted)))
         return plan
 
     def note_probe(self, stats: UpstreamStats, number: int, now: float) -> bool:
@@ -144,28 +183,47 @@
         target_time: float | None = None,
     ) -> UpstreamStats | None:
         self.compared = []
-        best = self._choose_replied(local or remote, slots, now, is_long)
-        if best is None:
-            return self._statistics.choose(local, remote, slots, now, is_long)
-        other = self._statistics.pick(remote, slots, now) if local else None
-        if other is not None:
-            best = self._statistics.compare_zones(best, other, slots, now, is_long)
-        if best.sample is not None:
-            best.sample.note_request()
-        return best
-
-    def _choose_replied(
-        self, upstreams: list[UpstreamStats], slots: int, now: float, is_long: bool
-    ) -> UpstreamStats | None:
-        """Return the best of the upstreams that have replied; None if none has.
-
-        It is one of the others with the probability of a random choice, if the statistics show no
-        higher load for it.
-        """
-        replied = [stats for stats in upstreams if stats.sample is not None and stats.sample.is_usable(now)]
+        upstreams, others = (local, remote) if local else (remote, local)
+        replied = _list_replied(upstreams, now)
+        if not replied:
+            chosen = self._statistics.choose(local, remote, slots, now, is_long)
+        else:
+            usual = _mean_service_time(replied)
+            best, expected = self._find_earliest(replied, usual, now, is_long)
+            chosen = self._draw_silent(upstreams, best, slots, now)
+            if chosen is best and others and self._is_late(best, expected, usual, now, is_long, target_time):
+                chosen = self._compare_zones(best, expected, usual, others, slots, now, is_long)
+        if chosen is not None and chosen.sample is not None:
+            chosen.sample.note_request()
+        return chosen
+
+    def _compare_zones(
+        self,
+        local: UpstreamStats,
+        expected: float,
+        usual: float,
+        remote: list[UpstreamStats],
+        slots: int,
+        now: float,
+        is_long: bool,
+    ) -> UpstreamStats:
+        """Return the better one of the best local upstream and the best one of other zones."""
+        replied = _list_replied(remote, now)
         if not replied:
-            return None
-        best = self._find_earliest(replied, now, is_long)
+            other = self._statistics.pick(remote, slots, now)
+            return self._statistics.compare_zones(local, other, slots, now, is_long)
+        other, time = self._find_earliest(replied, usual, now, is_long)
+        policy = self._policy
+        margin = (policy.long_zone_penalty if is_long else policy.zone_penalty) * usual
+        return other if time + margin < expected else local
+
+    def _draw_silent(
+        self, upstreams: list[UpstreamStats], best: UpstreamStats, slots: int, now: float
+    ) -> UpstreamStats:
+        """Return one of the upstreams that answer no probes with the probability of a random choice, else `best`.
+
+        It is returned only if the statistics show no higher load for it.
+        """
         silent = [stats for stats in upstreams if not stats.endpoint.load_port or _is_silent(stats)]
         if silent and self._rng.random() * len(upstreams) < len(silent):
             other = self._statistics.pick(silent, slots, now)
@@ -173,13 +231,14 @@
                 return other
         return best
 
-    def _find_earliest(self, replied: list[UpstreamStats], now: float, is_long: bool) -> UpstreamStats:
-        """Return the upstream with the least expected time to an answer."""
-        known = [stats.sample.reply.service_ms for stats in replied if stats.sample.reply.service_ms]
-        usual = sum(known) / len(known) / 1000 if known else _DEFAULT_SERVICE_TIME
+    def _find_earliest(
+        self, replied: list[UpstreamStats], usual: float, now: float, is_long: bool
+    ) -> tuple[UpstreamStats, float]:
+        """Return the upstream with the least expected time to an answer, and this time in seconds."""
         times = [self._expect(stats, usual, now, is_long) for stats in replied]
         self.compared += [(stats.endpoint.instance, time) for stats, time in zip(replied, times, strict=True)]
-        return replied[times.index(min(times))]
+        least = min(times)
+        return replied[times.index(least)], least
 
     def _expect(self, stats: UpstreamStats, usual: float, now: float, is_long: bool) -> float:
         """Return the expected time to an answer of an upstream that has replied, in seconds.
@@ -187,18 +246,41 @@
         `usual` is the service time assumed where the reply states none.
         """
         if stats.is_on_trial and stats.in_progress:
-            return float("inf")
+            return _TRIAL_TIME
         reply = stats.sample.reply
-        ahead = reply.in_use + reply.waiting + stats.sample.sent
+        queue = _estimate_queue(reply.in_use + reply.waiting + stats.sample.sent, max(1, reply.slots))
         pace = min(max(reply.pace_percent / 100, PACE_BOUNDS[0]), PACE_BOUNDS[1]) if reply.pace_percent else 1.0
         service_time = reply.service_ms / 1000 or usual
-        expected = (ahead / max(1, reply.slots) + 1) * service_time * pace
+        expected = (queue + 1) * service_time * pace
         if stats.cold_since is not None:
             warmth = (now - stats.cold_since) / stats.cold_duration
             expected /= min(1.0, max(self._policy.cold_weight, warmth))
         if is_long:
             expected += reply.link_wait_ms / 1000
-        return expected + self._round_trips.get(stats.endpoint.zone, 0.0)
+        return expected + self._round_trip(stats)
+
+
+def _estimate_queue(ahead: int, slots: int) -> float:
+    """Return the time until a request gets a slot, as a multiple of the service time.
+
+    With all slots in use it is the requests ahead for each slot. Below, it follows the approximation
+    of waiting times in a queue with several servers by Sakasegawa (1977): requests on the way there
+    and those of other callers may take the free slots first, but with several slots this is rare.
+    Without this, a slow upstream with few requests would be taken before a fast one with some more.
+    """
+    usage = ahead / slots
+    return usage ** (math.sqrt(2 * (slots + 1)) - 1) if usage < 1 else usage
+
+
+def _list_replied(upstreams: list[UpstreamStats], now: float) -> list[UpstreamStats]:
+    """Return the upstreams whose replies may be used."""
+    return [stats for stats in upstreams if stats.sample is not None and stats.sample.is_usable(now)]
+
+
+def _mean_service_time(replied: list[UpstreamStats]) -> float:
+    """Return the mean of the service times in replies, in seconds, at the usual pace."""
+    known = [stats.sample.reply.service_ms for stats in replied if stats.sample.reply.service_ms]
+    return sum(known) / len(known) / 1000 if known else _DEFAULT_SERVICE_TIME
 
 
 def _is_worth_probing(sample: LoadSample | None, now: float) -> bool:
--- a/packages/lanedock/lanedock/routing/tests/test_probed_choice.py
+++ b/packages/lanedock/lanedock/routing/tests/test_probed_choice.py
@@ -275,3 +275,82 @@
     mesh.endpoints["a"] = restarted
     mesh.publish(1.001)
     assert mesh.stats("a").sample is None
+
+
+# ---------------------------------------------------------------------- zones
+
+
+def _probe_zones(mesh: _Mesh, now: float, **options) -> list[str]:
+    """Send the probes of a request to its zone and then to other zones; return those of other zones."""
+    mesh.probe(now)
+    choice = mesh.balancer.probed_choice
+    plan = mesh.balancer.plan_zone_probes(now + ROUND_TRIP, **options)
+    for number, stats in enumerate(plan.targets, 10_000):
+        choice.note_probe(stats, number, now)
+        choice.note_reply(stats, mesh.replies[stats.endpoint.instance], 0.01, now + 0.01)
+    return [stats.endpoint.instance for stats in plan.targets]
+
+
+@pytest.mark.parametrize(
+    ("load", "options", "is_probed"),
+    [
+        ({"in_use": 6}, {}, False),
+        ({"in_use": 7}, {}, False),
+        ({"in_use": 7, "waiting": 1}, {}, True),
+        ({"in_use": 1, "pace_percent": 250}, {}, True),
+        ({"in_use": 1}, {"target_time": 1.2}, True),
+        ({"in_use": 1}, {"target_time": 1.3}, False),
+        ({"in_use": 1}, {"target_time": 0.9}, False),
+        # Long answers between zones are expensive, so they wait longer.
+        ({"in_use": 7, "waiting": 1}, {"is_long": True}, False),
+        ({"in_use": 1, "link_wait_ms": 900}, {"is_long": True}, True),
+    ],
+)
+def test_other_zones_are_probed_only_if_the_local_answer_would_be_late(load, options, is_probed):
+    mesh = _Mesh("ab", "xyzw")
+    mesh.replies |= {name: mesh.make_reply(name, **load) for name in "ab"}
+    assert (len(_probe_zones(mesh, 1.0, **options)) > 0) is is_probed
+
+
+@pytest.mark.parametrize(
+    ("local", "remote", "is_remote"),
+    [
+        # 0.25 s x (1 + 8 / 7) here, against 0.25 s and the round trip of 0.01 s.
+        ({"in_use": 8}, {"in_use": 0}, True),
+        ({"in_use": 8}, {"in_use": 8}, False),
+        ({"in_use": 8}, {"in_use": 7}, False),
+    ],
+)
+def test_upstream_of_another_zone_is_chosen_if_it_answers_earlier_by_the_penalty(local, remote, is_remote):
+    mesh = _Mesh("ab", "xy")
+    mesh.replies |= {name: mesh.make_reply(name, **local) for name in "ab"}
+    mesh.replies |= {name: mesh.make_reply(name, **remote) for name in "xy"}
+    _probe_zones(mesh, 1.0)
+    assert (mesh.choose(1.011) in "xy") is is_remote
+
+
+def test_way_to_another_zone_counts():
+    mesh = _Mesh("ab", "x")
+    mesh.replies |= {name: mesh.make_reply(name, 8, service_ms=10) for name in "ab"}
+    mesh.replies["x"] = mesh.make_reply("x", service_ms=10)
+    _probe_zones(mesh, 1.0)
+    # 10 ms x (1 + 8 / 7) here, against 10 ms and a round trip of 10 ms.
+    assert mesh.choose(1.011) in "ab"
+
+
+def test_without_replies_of_other_zones_the_statistics_compare_the_zones():
+    # Guards against a full zone that keeps its requests while datagrams to other zones are lost.
+    mesh = _Mesh("ab", "x")
+    mesh.replies |= {name: mesh.make_reply(name, 20) for name in "ab"}
+    for name in "ab":
+        for _ in range(20):
+            mesh.balancer.begin(mesh.stats(name), 0.9)
+    mesh.probe(1.0)
+    assert mesh.choose(1.001) == "x"
+
+
+def test_upstreams_of_other_zones_are_probed_at_once_where_the_zone_has_none():
+    mesh = _Mesh("", "xy")
+    mesh.replies["x"].in_use = 5
+    assert sorted(mesh.probe(1.0)) == ["x", "y"]
+    assert mesh.choose(1.001) == "y"
