--- a/packages/lanedock-daemon/lanedock_daemon/path/caller/caller.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller/caller.py
@@ -17,6 +17,7 @@
 from lanedock_daemon.agent.view import Binding, LocalView
 from lanedock_daemon.path.caller.attempts import AttemptSender
 from lanedock_daemon.path.caller.identity import Identity, identify
+from lanedock_daemon.path.caller.load_prober import LoadProber
 from lanedock_daemon.path.caller.request_context import AttemptResult, RequestContext
 from lanedock_daemon.path.http.headers import (
     CALLER_HEADER,
@@ -170,6 +171,7 @@
             self._dialect.request_names | self._dialect.key_names | self._dialect.customer_names
         )
         self._attempts = AttemptSender(pool, self._dialect, events, metrics, view.quarantine)
+        self._load_prober = LoadProber(metrics)
         self._rng = rng or Random()
         self._ages = FirstAttempts()
         self._turns: LinkTurns | None = None
@@ -370,6 +372,9 @@
                 context.log.note(Event.REQUEST_TRY_ENDED, service=context.service.name, reason="the process stops")
                 return progress.failure or self._refuse_stopping(now)
             context.start_by = self._plan.start_by(needed)
+            if context.balancer.probed_choice is not None:
+                self._load_prober.prepare_choice(context, now)
+                now = monotonic()
             upstream = context.choose(now)
             if upstream is None:
                 known = len(context.balancer)
--- a/packages/lanedock-daemon/lanedock_daemon/roles.py
+++ b/packages/lanedock-daemon/lanedock_daemon/roles.py
@@ -8,10 +8,11 @@
 from lanedock.limits import AnswerLink, SavingBudget, WindowBudget, is_narrow_link
 from lanedock.membership import UpstreamRegistration
 from lanedock.quota import CreditAccount
-from lanedock.settings import Settings
+from lanedock.settings import Address, Settings
 from lanedock.telemetry import EventLogger, Metrics, RequestLogger, Tracer
 from lanedock_daemon.agent import AgentService, LocalView
 from lanedock_daemon.agent.discovery import ApplicationDiscovery
+from lanedock_daemon.agent.load_port import published_load_port
 from lanedock_daemon.agent.registration import Registrar
 from lanedock_daemon.interface import Interface, OwnInterface
 from lanedock_daemon.path.caller.caller import CallerSide
@@ -20,6 +21,7 @@
 from lanedock_daemon.path.shared.paced_answer import LinkTurns
 from lanedock_daemon.path.shared.pool import ConnectionPool
 from lanedock_daemon.path.upstream.crashes import CrashDetector
+from lanedock_daemon.path.upstream.load_responder import LoadResponder
 from lanedock_daemon.path.upstream.upstream import UpstreamSide
 from lanedock_daemon.quota.client import QuotaClient
 from lanedock_daemon.quota.gate import QuotaGate
@@ -214,6 +216,14 @@
             registrar = Registrar(registration, lambda: None, lambda: None, events)
         agent.set_registrar(registrar)
         side = UpstreamSide(cfg.service, application, view, pool, *parts, registrar, link_rate, turns)
+        if cfg.load_port is not None:
+            kernel.add(
+                LoadResponder(
+                    Address(cfg.listen.host, cfg.load_port),
+                    lambda: published_load_port(cfg, registration) != 0,
+                    side.measure_load,
+                )
+            )
         if cfg.egress is not None:
             add_server("egress", cfg.egress, caller)
         add_server("upstream", cfg.listen, side)
