Order an upstream's queue by the customer's priority

Cause: requests carry their customer's priority, but an upstream compares only traffic classes and target times, so a large customer keeps more urgent ones waiting.

Change: the admission queue has groups by customer's priority and class, for slots and for bodies. Among requests of equal priority and class, a full queue evicts those of the customer that holds or awaits most; the newcomer counts, so that two customers don't evict each other in turn. Requests of no customer count as those of one who holds nothing. Calls have the most urgent priority among the requests that their application works on. SlotLimiter.release takes the request that acquired the slot.

--- a/packages/lanedock-daemon/lanedock_daemon/agent/view.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/view.py
@@ -166,6 +166,13 @@
         known = [classes[name] for name in self._slot_limiter.classes_in_use() if name in classes]
         return min(known, key=lambda item: item.priority).name if known else ""
 
+    def inherited_customer_priority(self) -> int | None:
+        """Return the most urgent customers' priority among the application's requests in progress; None without any.
+
+        The application's own calls inherit it, as they inherit the traffic class.
+        """
+        return None if self._slot_limiter is None else self._slot_limiter.most_urgent_customer_priority()
+
     def set_budget_factory(self, make_budget) -> None:
         """Set the factory of retry budgets, called without arguments."""
         self._make_budget = make_budget
--- a/packages/lanedock-daemon/lanedock_daemon/path/caller/caller.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller/caller.py
@@ -20,6 +20,7 @@
     CALLER_HEADER,
     CLASS_HEADER,
     CODE_HEADER,
+    CUSTOMER_PRIORITY_HEADER,
     OUTCOME_HEADER,
     PARENT_CLASS_HEADER,
     ROUTE_HEADER,
@@ -359,6 +360,10 @@
         has_customers = binding.config.customers is not None
         removed = self._customer_request_names if has_customers else self._dialect.request_names
         headers = public_headers(request.headers, removed) + identity.make_headers()
+        if has_customers and identity.customer is None:
+            priority = self._view.inherited_customer_priority()
+            if priority is not None:
+                headers.append((CUSTOMER_PRIORITY_HEADER, str(priority)))
         headers.append((CLASS_HEADER, encode_name(route.traffic_class)))
         headers.append((ROUTE_HEADER, encode_name(route.name)))
         headers.append((VERSION_HEADER, str(binding.number)))
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_customers.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_customers.py
@@ -7,7 +7,11 @@
 from lanedock.clock import monotonic
 from lanedock.errors import ErrorCode
 from lanedock.quarantine import MAX_CRASHES, RequestHasher
+from lanedock.telemetry import EventLogger, NullMetrics, NullTracer
+from lanedock_daemon.path.caller.caller import CallerSide
 from lanedock_daemon.path.http.headers import CUSTOMER_HEADER, CUSTOMER_PRIORITY_HEADER
+from lanedock_daemon.path.http.messages import EmptyBody, Request
+from lanedock_daemon.path.shared.pool import ConnectionPool
 from lanedock_daemon.path.tests.chain import Gate, make_value, put_in_force, read_all, wait_until
 
 KEY, SECOND_KEY, OTHER_KEY = "k-5b1f0c77", "k-77d31a90", "k-e2900a4d"
@@ -208,3 +212,76 @@
     received = _received(chain)
     assert received.get("x-request-customer") == ("ann" if has_caller_customers else None)
     assert "authorization" not in received
+
+
+class _PostGate(Gate):
+    """Holds `POST` requests, and answers others at once."""
+
+    def __call__(self, conn, head: str, body: bytes) -> bytes | None:
+        if head.startswith("POST"):
+            return super().__call__(conn, head, body)
+        return b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+
+
+def _record_priorities(upstream) -> list[str | None]:
+    """Return a list that grows by the priority that each request to an upstream's daemon states."""
+    seen: list[str | None] = []
+    handle = upstream.side.handle
+
+    def record(request: Request):
+        seen.append(dict(request.headers).get(CUSTOMER_PRIORITY_HEADER))
+        return handle(request)
+
+    upstream.side.handle = record
+    return seen
+
+
+@pytest.mark.parametrize(("customers", "expected"), [(CUSTOMERS, [None, "1", "0", None]), (None, [None] * 4)])
+def test_a_call_inherits_the_most_urgent_priority_that_its_application_works_on(make_chain, customers, expected):
+    gate = _PostGate()
+    chain = make_chain(gate, value=_make_value(customers, public=("get",)))
+    upstream = chain.upstreams[0]
+    upstream.view.apply_endpoints(chain.view.whole_update())
+    egress = CallerSide(upstream.view, ConnectionPool(), EventLogger("egress"), NullMetrics(), NullTracer())
+    priorities = []
+
+    def call() -> None:
+        seen = _record_priorities(upstream)
+        assert egress.handle(Request("GET", "/call", "h", [("host", "h")], EmptyBody())).status == 200
+        priorities.append(seen[-1])
+
+    call()
+    asked = []
+    for key in (OTHER_KEY, KEY):
+        asked.append(gevent.spawn(chain.request, "POST", headers=_bearer(key)))
+        wait_until(lambda: len(gate.begun) == len(asked))
+        call()
+    gate.opened.set()
+    assert [task.get()[0] for task in asked] == [200, 200]
+    wait_until(lambda: not upstream.limiter.in_use)
+    call()
+    assert priorities == expected
+
+
+def test_customers_hold_no_slot_after_requests_that_were_cancelled_refused_or_served(make_chain):
+    """Guards against a customer whose requests are evicted first for ever, since an ended one still counts."""
+    gate = Gate()
+    chain = make_chain(gate, value=_make_value(public=("get",)))
+    limiter = chain.upstreams[0].limiter
+    slots = 4
+    with chain.connect() as abandoned, chain.connect() as waiting:
+        head = f"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n{_bearer(KEY)}\r\n".encode()
+        abandoned.sendall(head)
+        asked = [gevent.spawn(chain.request, "POST", headers=_bearer(OTHER_KEY)) for _ in range(slots - 1)]
+        wait_until(lambda: limiter.in_use == slots)
+        assert [limiter._customers.count(name) for name in ("ann", "bob")] == [1, slots - 1]
+        assert limiter.most_urgent_customer_priority() == 0
+        waiting.sendall(head)
+        wait_until(lambda: limiter.waiting == 1)
+    wait_until(lambda: not limiter.waiting and limiter.in_use == slots - 1)
+    assert limiter.most_urgent_customer_priority() == 1
+    gate.opened.set()
+    assert [task.get()[0] for task in asked] == [200] * (slots - 1)
+    wait_until(lambda: not limiter.in_use)
+    assert limiter.most_urgent_customer_priority() is None
+    assert [limiter._customers.count(name) for name in ("ann", "bob")] == [0, 0]
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream/slot_gate.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream/slot_gate.py
@@ -147,7 +147,7 @@
             refused = self.bodies.enter(request, traffic_class, admission) or self._acquire(traffic_class, admission)
             if refused is not None or self.bodies.begin(request):
                 return refused
-            self.limiter.release(traffic_class, None, monotonic())
+            self.limiter.release(traffic_class, None, monotonic(), request=admission)
 
     def _acquire(self, traffic_class: str, admission: AdmissionRequest) -> Refused | None:
         """Acquire a slot, waiting for it if necessary."""
@@ -175,7 +175,7 @@
     def _leave_queue(self, queued: QueuedRequest, traffic_class: str) -> None:
         """Release a request's place in the queue, or the slot that it has just been given."""
         if not (queued.is_evicted or self.limiter.cancel(queued)):
-            self.limiter.release(traffic_class, None, monotonic())
+            self.limiter.release(traffic_class, None, monotonic(), request=queued.request)
 
 
 class Slot:
@@ -190,11 +190,14 @@
         Kind of request under which the service time is recorded, such as its route's name.
     started : float
         Monotonic time, in seconds, at which the application got the request.
+    request : AdmissionRequest
+        The request that acquired the slot.
     """
 
-    __slots__ = ("_is_released", "_kind", "_limiter", "_started", "_traffic_class")
+    __slots__ = ("_is_released", "_kind", "_limiter", "_request", "_started", "_traffic_class")
 
-    def __init__(self, limiter: SlotLimiter, traffic_class: str, kind: str, started: float):
+    def __init__(self, limiter: SlotLimiter, traffic_class: str, kind: str, started: float, request: AdmissionRequest):
+        self._request = request
         self._kind = kind
         self._limiter = limiter
         self._traffic_class = traffic_class
@@ -206,4 +209,4 @@
         if not self._is_released:
             self._is_released = True
             now = monotonic()
-            self._limiter.release(self._traffic_class, now - self._started, now, self._kind)
+            self._limiter.release(self._traffic_class, now - self._started, now, self._kind, self._request)
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream/upstream.py
@@ -16,6 +16,7 @@
     ATTEMPT_HEADER,
     CALLER_HEADER,
     CUSTOMER_HEADER,
+    CUSTOMER_PRIORITY_HEADER,
     DEADLINE_HEADER,
     KNOWN_LIMIT_HEADER,
     LEAVING_HEADER,
@@ -190,8 +191,9 @@
             is_served_here = service == self._service and self._service in binding.config.services
         if not is_served_here:
             return self._refuse(ErrorCode.NOT_HELD, DEFAULT_RETRY_AFTER, log, service=service)
-        customer = decode_name(request.header(CUSTOMER_HEADER)) or facts.customer
-        hasher = RequestHasher(request.method, request.host, request.target, customer, request.body.length)
+        customer = decode_name(request.header(CUSTOMER_HEADER))
+        identity = customer or facts.customer
+        hasher = RequestHasher(request.method, request.host, request.target, identity, request.body.length)
         if hasher.is_complete and self._is_quarantined(hasher):
             return self._refuse_quarantined(hasher, log)
         self._gate.configure(binding)
@@ -202,7 +204,8 @@
         target_time = _read_monotonic_time(request, TARGET_HEADER, started)
         log.route = decode_name(request.header(ROUTE_HEADER))
         start_by = _read_monotonic_time(request, START_BY_HEADER, started)
-        admission = AdmissionRequest(deadline, target_time, log.route, start_by)
+        priority = parse_int(request.header(CUSTOMER_PRIORITY_HEADER)) or 0
+        admission = AdmissionRequest(deadline, target_time, log.route, start_by, customer, priority)
         refused = self._gate.reserve(request, traffic_class, admission)
         log.waited = monotonic() - started
         if refused is not None:
@@ -213,16 +216,16 @@
         # The application may have begun to leave while the request waited for its body or for the
         # rate limit, so this is checked again; nothing of the request has been passed on yet.
         refusal = self._wait_to_pass_on(
-            request, hashed, hasher, traffic_class, deadline
+            request, hashed, hasher, traffic_class, admission
         ) or self._registration.refusal_code(expected)
         if refusal is not None:
-            self._gate.limiter.release(traffic_class, None, monotonic())
+            self._gate.limiter.release(traffic_class, None, monotonic(), request=admission)
             if refusal is ErrorCode.QUARANTINED:
                 return self._refuse_quarantined(hasher, log)
             wait = 0.0 if refusal is ErrorCode.DEADLINE else DEFAULT_RETRY_AFTER
             return self._refuse(refusal, wait, log, meant=expected, incarnation=self._registration.upstream)
         log.note(Event.REQUEST_ADMITTED, waited_ms=round(1000 * (monotonic() - started), 1), **self._gate.load())
-        answer = self._pass_on(hashed, hasher, traffic_class, deadline, span, log)
+        answer = self._pass_on(hashed, hasher, traffic_class, admission, span, log)
         log.note(Event.REQUEST_DONE, status=answer.status, incarnation=expected)
         return answer
 
@@ -233,7 +236,12 @@
         return make_refusal(code, Outcome.NOT_RUN, retry_after)
 
     def _wait_to_pass_on(
-        self, request: Request, hashed: Request, hasher: RequestHasher, traffic_class: str, deadline: float
+        self,
+        request: Request,
+        hashed: Request,
+        hasher: RequestHasher,
+        traffic_class: str,
+        admission: AdmissionRequest,
     ) -> ErrorCode | None:
         """Wait until the body begins to come and the rate limit lets the request pass.
 
@@ -245,6 +253,7 @@
         ErrorCode or None
             Why the request may not be passed on; None if it may.
         """
+        deadline = admission.deadline
         try:
             self._gate.bodies.fetch(request, deadline)
             if not hasher.is_complete and self._quarantine.has_head(hasher.head):
@@ -256,7 +265,7 @@
         except BodyTimeout:
             return ErrorCode.DEADLINE
         except BaseException:
-            self._gate.limiter.release(traffic_class, None, monotonic())
+            self._gate.limiter.release(traffic_class, None, monotonic(), request=admission)
             raise
         return ErrorCode.QUARANTINED if self._is_quarantined(hasher) else None
 
@@ -274,11 +283,17 @@
         return self._refuse(ErrorCode.QUARANTINED, remaining, log, suspect=suspect)
 
     def _pass_on(
-        self, request: Request, hasher: RequestHasher, traffic_class: str, deadline: float, span, log: RequestLog
+        self,
+        request: Request,
+        hasher: RequestHasher,
+        traffic_class: str,
+        admission: AdmissionRequest,
+        span,
+        log: RequestLog,
     ) -> Answer:
         """Send a request to the application, and hold its slot until the end of the answer."""
-        started = monotonic()
-        slot = Slot(self._gate.limiter, traffic_class, log.route, started)
+        started, deadline = monotonic(), admission.deadline
+        slot = Slot(self._gate.limiter, traffic_class, log.route, started, admission)
         if started >= deadline:
             slot.release()
             return self._refuse(ErrorCode.DEADLINE, 0.0, log)
--- a/packages/lanedock/lanedock/limits/bodies.py
+++ b/packages/lanedock/lanedock/limits/bodies.py
@@ -53,7 +53,7 @@
     """Decides when bodies may be sent to one daemon.
 
     Does no I/O and reads no clock; times are monotonic, in seconds. Bodies wait in the same
-    order as requests that wait for slots: by class, then by target time.
+    order as requests that wait for slots: by customer's priority, then by class, then by target time.
 
     Parameters
     ----------
@@ -65,7 +65,7 @@
     """
 
     def __init__(self, queue: int, classes: dict[str, TrafficClass], link_rate: float | None = None):
-        self._queue = AdmissionQueue(queue, classes)
+        self._queue = AdmissionQueue(queue, classes, self._count_admitted)
         self._link_rate = float("inf") if link_rate is None else link_rate
         self._is_paced = self._link_rate <= _MAX_PACED_RATE
         self._admitted: dict[BodyTransfer, None] = {}
@@ -261,14 +261,17 @@
         """
         if self.waiting:
             self._delivery_rate.mark_link_limited()
-        for name in self._queue.list_classes():
-            while self._queue.has_queued(name):
+        for group in self._queue.list_groups():
+            while self._queue.has_queued(group):
                 if not self._may_admit(now):
                     return
-                transfer = self._queue.pop_first(name)
+                transfer = self._queue.pop_first(group)
                 self._admit(transfer, now)
                 transfer.on_decided()
 
+    def _count_admitted(self, customer: str) -> int:
+        return sum(transfer.request.customer == customer for transfer in self._admitted)
+
     def _admit(self, transfer: BodyTransfer, now: float) -> None:
         if not self._has_room(now):
             self._probe_at = now + self._probe_interval
--- a/packages/lanedock/lanedock/limits/slots.py
+++ b/packages/lanedock/lanedock/limits/slots.py
@@ -9,6 +9,7 @@
 
 from lanedock.config import TrafficClass
 from lanedock.errors import ErrorCode
+from lanedock.limits.customer_use import CustomerUse
 from lanedock.limits.queue import AdmissionQueue, AdmissionRequest, QueuedRequest
 from lanedock.limits.rate import RateLimiter
 from lanedock.limits.service_times import ServiceTimes
@@ -16,6 +17,9 @@
 
 __all__ = ["Refused", "SlotLimiter"]
 
+# Stands for a request that is released without being named: one of no customer.
+_NO_CUSTOMER = AdmissionRequest(float("inf"))
+
 # Service time assumed before any request has ended: a fixed time, in seconds, for a request
 # without a target time, else a fraction of the time to its target. Without it, an upstream
 # that starts under load would admit a whole queue of requests that end late.
@@ -85,7 +89,8 @@
     def __init__(self, slots: int, queue: int, classes: dict[str, TrafficClass], rng: Random | None = None):
         self._rng = rng or Random()
         self._shares = SlotShares(slots, classes)
-        self._queue = AdmissionQueue(queue, classes)
+        self._customers = CustomerUse()
+        self._queue = AdmissionQueue(queue, classes, self._customers.count)
         self._service_times = ServiceTimes()
         self.rate = RateLimiter()
         self._full_since: float | None = None
@@ -117,6 +122,10 @@
         """Return the classes of the requests in progress."""
         return self._shares.classes_in_use()
 
+    def most_urgent_customer_priority(self) -> int | None:
+        """Return the most urgent customers' priority among the requests in progress; None if there are none."""
+        return self._customers.most_urgent_priority(self.in_use)
+
     def configure(self, slots: int, queue: int, classes: dict[str, TrafficClass]) -> None:
         """Apply the limits of another configuration version; requests in progress and in the queue are kept."""
         self._shares.configure(slots, classes)
@@ -149,7 +158,7 @@
             # Queued requests take new tokens before this request does.
             self.admit_queued(now)
         if now < request.start_by and self._has_room(traffic_class, now):
-            self._take_slot(traffic_class, now)
+            self._take_slot(traffic_class, request, now)
             return None
         refused = self.check_admission(traffic_class, request, now)
         if refused is not None:
@@ -191,7 +200,14 @@
             return Refused(ErrorCode.RATE_LIMITED, retry_after, "rate")
         return Refused(ErrorCode.OVERLOADED, retry_after)
 
-    def release(self, traffic_class: str, duration: float | None, now: float, kind: str = "") -> None:
+    def release(
+        self,
+        traffic_class: str,
+        duration: float | None,
+        now: float,
+        kind: str = "",
+        request: AdmissionRequest = _NO_CUSTOMER,
+    ) -> None:
         """Release a slot, and admit queued requests.
 
         Parameters
@@ -203,22 +219,27 @@
             Monotonic, seconds.
         kind : str
             Kind of the request, such as its route's name.
+        request : AdmissionRequest, optional
+            The request that acquired the slot; may be left out if it is of no customer and has no
+            customer's priority.
         """
         if duration is not None:
             self._service_times.note(traffic_class, kind, duration)
         else:
             self.rate.refund()
         self._shares.release(traffic_class)
+        self._customers.release(request)
         self.admit_queued(now)
         if self.in_use < self.slots:
             self._full_since = None
 
     def admit_queued(self, now: float) -> None:
         """Admit the queued requests for which there is room."""
-        for name in self._queue.list_classes():
-            while self._queue.has_queued(name) and self._has_room(name, now):
-                queued = self._queue.pop_first(name)
-                self._take_slot(name, now)
+        for group in self._queue.list_groups():
+            traffic_class = group[1]
+            while self._queue.has_queued(group) and self._has_room(traffic_class, now):
+                queued = self._queue.pop_first(group)
+                self._take_slot(traffic_class, queued.request, now)
                 queued.on_decided()
 
     def cancel(self, queued: QueuedRequest) -> bool:
@@ -270,9 +291,10 @@
             return False
         return self._shares.has_room(traffic_class, self._service_times.class_mean(traffic_class), now)
 
-    def _take_slot(self, traffic_class: str, now: float) -> None:
+    def _take_slot(self, traffic_class: str, request: AdmissionRequest, now: float) -> None:
         self.rate.admit()
         self._shares.take(traffic_class, now)
+        self._customers.take(request)
         if self.in_use >= self.slots and self._full_since is None:
             self._full_since = now
 
