Test tenants with the platform's processes

Change: one test with the platform's real processes (keys, forged names, a shared key, the list removed again), and the command line never prints local variables.

--- a/packages/lanedock-cli/lanedock_cli/app.py
+++ b/packages/lanedock-cli/lanedock_cli/app.py
@@ -57,6 +57,8 @@
 app = typer.Typer(
     no_args_is_help=True,
     rich_markup_mode=None,
+    # Local variables may hold customers' keys.
+    pretty_exceptions_show_locals=False,
     help="Applies configurations to a lanedock mesh, each as a whole, and shows the version in force on each daemon.",
     epilog=f"--control or ${CONTROL_VARIABLE} gives the addresses of the control instances.",
 )
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -38,6 +38,40 @@
     assert not [name for name in seen if name.startswith("x-lanedock")]
 
 
+def test_request_runs_for_the_tenant_whose_key_it_has(platform):
+    tenants = [
+        {"name": "řeka", "apiKeys": ["k-1", "k-2"], "priority": 0},
+        {"name": "bob", "apiKeys": ["k-3"], "burst": 5},
+    ]
+    first = {**make_configuration(4, 0), "tenants": tenants}
+    assert platform.put(first) == 200
+    got = platform.get()
+    assert got["tenants"] == sorted(tenants, key=lambda tenant: tenant["name"])
+    assert "public" not in got["routes"][0]
+    platform.wait_all_ready()
+    for key in ("", "k-4", "Bearer k-1"):
+        status, headers, _ = platform.request(platform.daemons[0], "id-1", {"X-Key": key, "X-Tenant-Id": "bob"})
+        assert (status, "retry-after" in headers) == (401, False)
+    for key in ("k-2", "k-3"):
+        assert platform.request(platform.daemons[0], f"id-{key}", {"X-Key": key, "X-Tenant-Id": "eve"})[0] == 200
+    seen = [head for app in platform.applications.values() for head in app.received_headers]
+    names = {head["x-request-id"]: head["x-tenant-id"].encode("latin-1").decode() for head in seen}
+    assert names == {"id-k-2": "řeka", "id-k-3": "bob"}
+    assert not any("x-key" in head for head in seen)
+    shared = [*tenants, {"name": "eve", "apiKeys": ["k-3"]}]
+    assert platform.put({**make_configuration(5, 4), "tenants": shared}) == 400
+    # Without the list, keys and names pass as before.
+    assert platform.put(make_configuration(6, 4)) == 200
+    wait_for(lambda: platform.request(platform.daemons[0], "id-6", {"X-Key": "k-9", "X-Tenant-Id": "eve"})[0] == 200)
+    (last,) = [
+        head
+        for app in platform.applications.values()
+        for head in app.received_headers
+        if head["x-request-id"] == "id-6"
+    ]
+    assert (last["x-key"], last["x-tenant-id"]) == ("k-9", "eve")
+
+
 def test_concurrent_resent_and_outdated_configurations_are_answered_consistently(platform):
     assert platform.put(make_configuration(4, 0)) == 200
     racing = [make_configuration(9, 4, timeoutS=1.1), make_configuration(9, 4, timeoutS=1.2)]
