Refuse requests whose long answers a narrow link can't deliver in time

Cause: where more long answers are asked for than a link bears, all are worked on and all come late.

Change: AnswerAdmission estimates the delivery of a request's answer before the request waits for its body or a slot: from the observed lengths of its route (64 kB before any, for a route marked download), the answers admitted before, and the expected end of the work. It is refused as not run, LD3005, limit "link", if it or an admitted answer of its order would be late. A request that is alone on the link is always admitted, so that its length is observed; one past its target only then. Receivers that read slowly count with what they read. Answers that can't come in time any more go last and don't count.

--- a/packages/lanedock-daemon/lanedock_daemon/path/shared/paced_answer.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/shared/paced_answer.py
@@ -55,7 +55,9 @@
     def __repr__(self) -> str:
         return f"<LinkTurns {self.link!r}>"
 
-    def pace(self, pieces: Iterable[bytes], transfer: AnswerTransfer, length: int | None) -> "PacedAnswer":
+    def pace(
+        self, pieces: Iterable[bytes], transfer: AnswerTransfer, length: int | None, on_whole=None
+    ) -> "PacedAnswer":
         """Return the pieces of an answer so that they are sent by the turns of the link.
 
         Parameters
@@ -65,9 +67,11 @@
             Ended by the returned answer's `close`.
         length : int or None
             Length of the answer in bytes, if known.
+        on_whole : callable, optional
+            Called with the length, in bytes, once the whole answer has been handed out.
         """
         self.link.add(transfer)
-        return PacedAnswer(pieces, transfer, length, self)
+        return PacedAnswer(pieces, transfer, length, self, on_whole)
 
     def wait(self, transfer: AnswerTransfer, size: int, signal: Signal) -> int:
         """Wait for an answer's turn; return how many of the `size` bytes at hand may be sent."""
@@ -109,9 +113,19 @@
     length : int or None
         Length of the answer in bytes, if known.
     turns : LinkTurns
+    on_whole : callable, optional
+        See `LinkTurns.pace`.
     """
 
-    def __init__(self, pieces: Iterable[bytes], transfer: AnswerTransfer, length: int | None, turns: LinkTurns):
+    def __init__(
+        self,
+        pieces: Iterable[bytes],
+        transfer: AnswerTransfer,
+        length: int | None,
+        turns: LinkTurns,
+        on_whole=None,
+    ):
+        self._on_whole = on_whole
         self._pieces: Iterator[bytes] = iter(pieces)
         self._transfer = transfer
         self._turns = turns
@@ -134,7 +148,7 @@
     def __next__(self) -> bytes:
         try:
             while not self._rest:
-                self._rest = next(self._pieces)
+                self._rest = self._read_next()
             if self._is_first:
                 self._is_first = False
                 size = min(FIRST_PIECE_BYTES, len(self._rest))
@@ -149,6 +163,15 @@
         piece, self._rest = self._rest[:size], self._rest[size:]
         return piece
 
+    def _read_next(self) -> bytes:
+        try:
+            return next(self._pieces)
+        except StopIteration:
+            on_whole, self._on_whole = self._on_whole, None
+            if on_whole is not None:
+                on_whole(self._transfer.sent)
+            raise
+
     def close(self) -> None:
         """Release what the answer holds: the receiver has disconnected, or has got the whole answer."""
         self._turns.link.end(self._transfer)
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream/slot_gate.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream/slot_gate.py
@@ -1,5 +1,5 @@
 # SPDX-License-Identifier: BSD-3-Clause
-"""Admits requests to an application: reserves capacity on the daemon's link for the body, and a slot."""
+"""Admits requests to an application: reserves capacity on the daemon's link for body and answer, and a slot."""
 
 import gevent
 from gevent.event import Event as Signal
@@ -20,6 +20,8 @@
 )
 from lanedock_daemon.path.http.messages import DEFAULT_RETRY_AFTER, Request
 from lanedock_daemon.path.http.service import StopTimeout
+from lanedock_daemon.path.shared.paced_answer import LinkTurns
+from lanedock_daemon.path.upstream.answer_gate import AnswerGate
 from lanedock_daemon.path.upstream.body_gate import BodyGate
 
 __all__ = ["Slot", "SlotGate"]
@@ -34,7 +36,7 @@
 
 
 class SlotGate:
-    """Admits requests to the slots of one application, and their bodies to the daemon's link.
+    """Admits requests to the slots of one application, and their bodies and long answers to the daemon's link.
 
     Parameters
     ----------
@@ -43,15 +45,25 @@
     metrics : Metrics
     link_rate : float, optional
         Rate of the daemon's link, in bytes per second, if known.
+    turns : LinkTurns, optional
+        Turns of long answers on the daemon's link, if it is narrow.
 
     Attributes
     ----------
     limiter : SlotLimiter
     bodies : BodyGate
+    answers : AnswerGate
     """
 
-    def __init__(self, registration: UpstreamRegistration, metrics: Metrics, link_rate: float | None = None):
+    def __init__(
+        self,
+        registration: UpstreamRegistration,
+        metrics: Metrics,
+        link_rate: float | None = None,
+        turns: LinkTurns | None = None,
+    ):
         self.limiter = SlotLimiter(1, 0, {})
+        self.answers = AnswerGate(self.limiter, turns)
         self.bodies = BodyGate(self.limiter, metrics, link_rate)
         self._registration = registration
         self._calls = CallKinds()
@@ -90,6 +102,7 @@
         queue = slots * QUEUE_PER_SLOT if is_reported else service.queue
         self.limiter.configure(slots, queue, classes)
         self.bodies.configure(queue, classes)
+        self.answers.configure(binding)
 
     def update_rate(self) -> None:
         """Apply the rate limit that the application advertises."""
@@ -141,8 +154,12 @@
 
         Capacity on the link comes first, because a slot must not be held while other bodies are
         transferred. The body is requested when both are reserved. If other bodies have taken the
-        link meanwhile, the slot is released and the request waits again.
+        link meanwhile, the slot is released and the request waits again. A request whose long
+        answer the link can't deliver in time is refused before it waits for anything.
         """
+        refused = self.answers.enter(request, traffic_class, admission)
+        if refused is not None:
+            return refused
         while True:
             refused = self.bodies.enter(request, traffic_class, admission) or self._acquire(traffic_class, admission)
             if refused is not None or self.bodies.begin(request):
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream/upstream.py
@@ -5,12 +5,12 @@
 
 from lanedock.clock import monotonic, running_time
 from lanedock.errors import ErrorCode
-from lanedock.limits import LONG_ANSWER_BYTES, AdmissionRequest, AnswerLink, AnswerTransfer, is_narrow_link
+from lanedock.limits import AdmissionRequest, AnswerLink, is_narrow_link
 from lanedock.membership import UpstreamRegistration, UpstreamReport, read_rate
 from lanedock.quarantine import Fingerprint, RequestHasher
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics, RequestLog, RequestLogger, Tracer
 from lanedock_daemon.agent.registration import Registrar
-from lanedock_daemon.agent.view import Binding, LocalView
+from lanedock_daemon.agent.view import LocalView
 from lanedock_daemon.path.http.headers import (
     ATTEMPT_HEADER,
     CALLER_HEADER,
@@ -46,7 +46,7 @@
 from lanedock_daemon.path.shared.answers import AnswerPieces
 from lanedock_daemon.path.shared.dialect import Dialect, OwnDialect, RequestFacts
 from lanedock_daemon.path.shared.exchange import send_request
-from lanedock_daemon.path.shared.paced_answer import LinkTurns, answer_length, is_long_answer
+from lanedock_daemon.path.shared.paced_answer import LinkTurns, is_long_answer
 from lanedock_daemon.path.shared.pool import ConnectionPool, ExchangeError
 from lanedock_daemon.path.shared.suspicions import write_suspicions
 from lanedock_daemon.path.upstream.canary_account import CanaryAccount
@@ -119,11 +119,10 @@
             service, application, pool, self._registration, view.quarantine, lambda: None, events, metrics
         )
         self._tracer: Tracer = tracer
-        self._gate = SlotGate(self._registration, metrics, link_rate)
         if turns is None and is_narrow_link(link_rate):
             turns = LinkTurns(AnswerLink(link_rate))
-        # None where the link is not known to be narrow: answers are then read and sent as they come.
-        self._turns = turns
+        # Without turns, where the link is not known to be narrow, answers are read and sent as they come.
+        self._gate = SlotGate(self._registration, metrics, link_rate, turns)
         self._read_ahead = ReadAheadMemory()
         view.set_slot_limiter(self._gate.limiter)
 
@@ -132,6 +131,16 @@
         """Number of requests in progress or waiting."""
         return self._gate.in_progress
 
+    def link_wait(self, now: float) -> float:
+        """Return the seconds for which admitted long answers occupy the link; 0 unless it is known to be narrow.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time, in seconds.
+        """
+        return self._gate.answers.link_wait(now)
+
     def handle(self, request: Request) -> Answer:
         """Answer a request from another daemon."""
         self._metrics.count(Metric.REQUESTS)
@@ -148,6 +157,7 @@
             raise
         finally:
             self._gate.bodies.leave(request)
+            self._gate.answers.leave(request)
         self._requests.end(log, answer.status >= 400)
         taken = monotonic() - started
         self._metrics.time(Metric.LATENCY, taken)
@@ -212,6 +222,7 @@
         if refused is not None:
             why = {"waited_ms": round(1000 * log.waited, 1), **self._gate.load()}
             why.update(late=request.header(TARGET_HEADER) == "0", limit=refused.limit, **self._gate.bodies.load())
+            why.update(self._gate.answers.load())
             return self._refuse(refused.code, refused.retry_after, log, **why)
         hashed = hash_body(request, hasher)
         # The application may have begun to leave while the request waited for its body or for the
@@ -226,21 +237,11 @@
             wait = 0.0 if refusal is ErrorCode.DEADLINE else DEFAULT_RETRY_AFTER
             return self._refuse(refusal, wait, log, meant=expected, incarnation=self._registration.upstream)
         log.note(Event.REQUEST_ADMITTED, waited_ms=round(1000 * (monotonic() - started), 1), **self._gate.load())
-        transfer = self._make_transfer(traffic_class, admission, binding)
-        answer = self._pass_on(hashed, hasher, traffic_class, deadline, span, log, transfer)
+        answer = self._pass_on(hashed, hasher, traffic_class, deadline, span, log)
+        answer = self._gate.answers.pace(answer, request, traffic_class, admission)
         log.note(Event.REQUEST_DONE, status=answer.status, incarnation=expected)
         return answer
 
-    def _make_transfer(
-        self, traffic_class: str, admission: AdmissionRequest, binding: Binding | None
-    ) -> AnswerTransfer | None:
-        """Return the place of a request's answer in the order on a narrow link, or None if answers aren't paced."""
-        if self._turns is None:
-            return None
-        known = binding.config.traffic_classes.get(traffic_class) if binding is not None else None
-        order = (known.priority if known is not None else float("inf"),)
-        return AnswerTransfer(order, admission.target_or_deadline, LONG_ANSWER_BYTES, monotonic())
-
     def _refuse(self, code: ErrorCode, retry_after: float, log: RequestLog, **why: object) -> Answer:
         self._metrics.count(Metric.NOT_RUN)
         self._metrics.count(Metric.REFUSALS, 1, (code.code,))
@@ -289,14 +290,7 @@
         return self._refuse(ErrorCode.QUARANTINED, remaining, log, suspect=suspect)
 
     def _pass_on(
-        self,
-        request: Request,
-        hasher: RequestHasher,
-        traffic_class: str,
-        deadline: float,
-        span,
-        log: RequestLog,
-        transfer: AnswerTransfer | None,
+        self, request: Request, hasher: RequestHasher, traffic_class: str, deadline: float, span, log: RequestLog
     ) -> Answer:
         """Send a request to the application, and hold its slot until the application has sent its answer.
 
@@ -361,7 +355,7 @@
             raise
         if head.is_complete:
             work.end_served()
-            return self._pace(Answer(head.status, head.reason, headers, [*first, *head.pieces]), transfer)
+            return Answer(head.status, head.reason, headers, [*first, *head.pieces])
 
         def end(broke_off: bool) -> None:
             if broke_off:
@@ -372,15 +366,9 @@
                 work.end_abandoned()
 
         rest = AnswerPieces(response, end, first, deadline - started)
-        if self._turns is not None and is_long_answer(headers):
+        if self._gate.answers.is_active and is_long_answer(headers):
             rest = ReadAhead(rest, head, self._read_ahead)
-        return self._pace(Answer(head.status, head.reason, headers, rest), transfer)
-
-    def _pace(self, answer: Answer, transfer: AnswerTransfer | None) -> Answer:
-        """Let a long answer with a body wait for its turns on a narrow link."""
-        if transfer is not None and answer.pieces and is_long_answer(answer.headers):
-            answer.pieces = self._turns.pace(answer.pieces, transfer, answer_length(answer.headers))
-        return answer
+        return Answer(head.status, head.reason, headers, rest)
 
     def _note_report(self, report: UpstreamReport) -> None:
         """Apply what an answer states about the application, from now on."""
--- a/packages/lanedock/lanedock/averages.py
+++ b/packages/lanedock/lanedock/averages.py
@@ -1,7 +1,7 @@
 # SPDX-License-Identifier: BSD-3-Clause
-"""Moving averages of durations and of their mean deviation."""
+"""Moving averages: of durations and of their mean deviation, and of any value by kind."""
 
-__all__ = ["TAIL_DEVIATIONS", "MovingTime"]
+__all__ = ["TAIL_DEVIATIONS", "MeansByKind", "MovingTime"]
 
 # Number of mean deviations above the mean beyond which a duration counts as late. In a
 # long-tailed distribution a few percent of the durations exceed it.
@@ -52,3 +52,38 @@
         deviation = abs(duration - self.mean)
         self.mean = max(self._min_mean, self.mean + self._smoothing * (duration - self.mean))
         self.deviation += self._smoothing * (deviation - self.deviation)
+
+
+class MeansByKind:
+    """Exponential moving averages of a value, one for each kind of request.
+
+    Parameters
+    ----------
+    smoothing : float
+        Weight of the newest value, 0 to 1.
+    max_kinds : int
+        Kinds that are kept; bounds memory.
+    """
+
+    __slots__ = ("_max_kinds", "_means", "_smoothing")
+
+    def __init__(self, smoothing: float, max_kinds: int = 1024):
+        self._smoothing = smoothing
+        self._max_kinds = max_kinds
+        self._means: dict[str, float] = {}
+
+    def __repr__(self) -> str:
+        return f"<MeansByKind kinds={len(self._means)}>"
+
+    def get(self, kind: str) -> float | None:
+        """Return the mean of a kind; None if none of its values is known."""
+        return self._means.get(kind)
+
+    def note(self, kind: str, value: float, first_mean: float | None = None) -> None:
+        """Add a value; the mean before the first one is `first_mean`, or that value if left out."""
+        mean = self._means.get(kind)
+        if mean is None:
+            if len(self._means) >= self._max_kinds:
+                self._means.clear()
+            mean = value if first_mean is None else first_mean
+        self._means[kind] = mean + self._smoothing * (value - mean)
--- a/packages/lanedock/lanedock/limits/__init__.py
+++ b/packages/lanedock/lanedock/limits/__init__.py
@@ -2,6 +2,7 @@
 """Limits on requests: slots and their shares, request rates, bodies in flight, retry budgets and admission."""
 
 from lanedock.limits.admission import AdmissionRateLimiter
+from lanedock.limits.answer_admission import AnswerAdmission
 from lanedock.limits.answer_link import LONG_ANSWER_BYTES, AnswerLink, AnswerTransfer, is_narrow_link
 from lanedock.limits.bodies import BodyAdmission
 from lanedock.limits.body_transfer import MAX_LINK_QUEUE_TIME, BodyTransfer
@@ -17,6 +18,7 @@
     "MAX_LINK_QUEUE_TIME",
     "AdmissionRateLimiter",
     "AdmissionRequest",
+    "AnswerAdmission",
     "AnswerLink",
     "AnswerTransfer",
     "BodyAdmission",
--- a/packages/lanedock/lanedock/limits/answer_link.py
+++ b/packages/lanedock/lanedock/limits/answer_link.py
@@ -23,10 +23,12 @@
 # Time by which a turn may be late without loss for the link, in seconds: the event loop wakes some
 # milliseconds late on a busy machine. After an idle time this lets one more piece onto the link.
 _MAX_CATCH_UP = 0.02
-# Longest time without a piece, in seconds, of an answer that has begun, and the bytes that it gets
-# then before its turn. Receivers end answers that are silent for 1 s.
+# Longest time without a piece, in seconds, of an answer that its receiver passes on already, and the
+# bytes that it gets then before its turn. Daemons keep an answer until they have 64 kB of it; from
+# then on they end it, as a fault of its upstream, if it is silent for 1 s.
 _MAX_SILENCE = 0.5
 _KEEP_ALIVE_BYTES = 512
+_PASSED_ON_BYTES = 64 * 1024
 # An answer that isn't acknowledged gets no further turn while this much of it is on its way: some
 # pieces, and what the link carries within this time, in seconds. The time covers a round trip
 # between zones and the 40 ms for which receivers delay acknowledgements.
@@ -145,7 +147,7 @@
 
     def is_silent(self, now: float) -> bool:
         """Return whether the answer has got no piece for so long that its receiver would soon end it."""
-        return now - self._served_at >= _MAX_SILENCE
+        return self._sent > _PASSED_ON_BYTES and now - self._served_at >= _MAX_SILENCE
 
     def bytes_within(self, horizon: float, now: float) -> float:
         """Return the bytes that the link carries of this answer within `horizon` seconds, if nothing else is sent.
@@ -223,8 +225,12 @@
         return iter(self._transfers)
 
     def busy_time(self, now: float) -> float:
-        """Return the seconds for which all answers, those that are expected included, occupy the link."""
-        remaining = sum(transfer.bytes_within(_BUSY_HORIZON, now) for transfer in self._transfers)
+        """Return the seconds for which the answers, those that are expected included, occupy the link.
+
+        Answers that can't come in time don't count: others are sent before them.
+        """
+        useful = (transfer for transfer in self._transfers if not transfer.is_hopeless(now, self.rate))
+        remaining = sum(transfer.bytes_within(_BUSY_HORIZON, now) for transfer in useful)
         return self.occupied_time(now) + remaining / self.rate
 
     def occupied_time(self, now: float) -> float:
--- a/packages/lanedock/lanedock/limits/slots.py
+++ b/packages/lanedock/lanedock/limits/slots.py
@@ -261,6 +261,11 @@
         """
         return self._expiry(request, now)
 
+    def expected_end(self, traffic_class: str, request: AdmissionRequest, now: float) -> float:
+        """Return the time at which the application is expected to have worked on a request that arrives now."""
+        wait = 0.0 if self._has_room(traffic_class, now) else self._estimate_wait(traffic_class, request, now)
+        return now + wait + (self._service_times.kind_mean(request.kind) or 0.0)
+
     def tail_service_time(self, kind: str) -> float:
         """Return the service time that few requests of a kind exceed, in seconds."""
         return self._service_times.tail(kind)
