Let estimated waits follow the pace that an application states

The slot limiter estimated waits from an average over some ten requests. For a pace that changes by 2.5 for 0.6 s that is late twice: it admitted what could not be served in time, and then refused what could.

Service times are kept at the usual pace and multiplied by the present one. Without stated paces all times are as before.

--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream/slot_gate.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream/slot_gate.py
@@ -4,7 +4,7 @@
 import gevent
 from gevent.event import Event as Signal
 
-from lanedock.clock import monotonic
+from lanedock.clock import monotonic, running_time
 from lanedock.errors import ErrorCode
 from lanedock.limits import AdmissionRequest, CallKinds, QueuedRequest, Refused, SlotLimiter
 from lanedock.membership import UpstreamRegistration
@@ -74,6 +74,7 @@
     def configure(self, binding: Binding | None) -> None:
         """Apply the limits of the current version and those that the application reports."""
         self.update_rate()
+        self.update_pace()
         number = binding.number if binding is not None else 0
         key = (number, self._registration.slots, self._registration.service)
         if self._configured == key:
@@ -95,6 +96,11 @@
         """Apply the rate limit that the application advertises."""
         self.limiter.rate.configure(self._registration.advertised.rate, monotonic())
 
+    def update_pace(self) -> None:
+        """Apply the pace that the application states."""
+        load = self._registration.current_load(running_time())
+        self.limiter.pace.state(load.pace if load is not None else None)
+
     def _admit_by_rate(self) -> None:
         """Admit queued requests as the rate limit allows, until none waits.
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream/upstream.py
@@ -129,14 +129,14 @@
         if binding is not None:
             self._gate.configure(binding)
         limiter, bodies = self._gate.limiter, self._gate.bodies
-        load = self._registration.current_load(running_time())
+        self._gate.update_pace()
         return messages.LoadReply(
             upstream=self._registration.upstream,
             in_use=limiter.in_use,
             waiting=limiter.waiting + bodies.waiting,
             slots=limiter.slots,
-            pace_percent=round(100 * load.pace) if load is not None and load.pace is not None else 0,
-            service_ms=round(1000 * limiter.mean_service_time),
+            pace_percent=round(100 * limiter.pace.factor) if limiter.pace.is_stated else 0,
+            service_ms=round(1000 * limiter.usual_service_time),
         )
 
     def handle(self, request: Request) -> Answer:
@@ -165,8 +165,7 @@
         rate = self._registration.advertised.rate
         self._metrics.gauge(Metric.RATE_LIMIT, rate or 0.0)
         self._metrics.gauge(Metric.IS_RATE_LIMITED, rate is not None)
-        load = self._registration.current_load(running_time())
-        self._metrics.gauge(Metric.PACE, load.pace if load is not None and load.pace is not None else 1.0)
+        self._metrics.gauge(Metric.PACE, self._gate.limiter.pace.factor)
         answer.headers.append((LOAD_HEADER, str(self.in_progress)))
         send_delay = self._gate.limiter.next_send_delay(monotonic())
         if send_delay:
@@ -366,6 +365,7 @@
         """Apply what an answer states about the application, from now on."""
         self._registrar.note_report(report, self._registration.incarnation)
         self._gate.update_rate()
+        self._gate.update_pace()
         is_registered = bool(self._registration.upstream)
         if report.is_draining and not (is_registered or self._view.is_draining):
             # An application without an id can't be distinguished from its next incarnation, so the drain
--- a/packages/lanedock/lanedock/limits/slots.py
+++ b/packages/lanedock/lanedock/limits/slots.py
@@ -9,6 +9,7 @@
 
 from lanedock.config import TrafficClass
 from lanedock.errors import ErrorCode
+from lanedock.limits.pace import StatedPace
 from lanedock.limits.queue import AdmissionQueue, AdmissionRequest, QueuedRequest
 from lanedock.limits.rate import RateLimiter
 from lanedock.limits.service_times import ServiceTimes
@@ -266,9 +267,14 @@
         return self._service_times.tail(kind)
 
     @property
-    def mean_service_time(self) -> float:
-        """Mean service time of all requests, in seconds; 0 before any has ended."""
-        return self._service_times.mean or 0.0
+    def pace(self) -> StatedPace:
+        """The pace that the application states."""
+        return self._service_times.pace
+
+    @property
+    def usual_service_time(self) -> float:
+        """Mean service time of all requests at the application's usual pace, in seconds; 0 before any has ended."""
+        return self._service_times.usual_mean
 
     def _has_room(self, traffic_class: str, now: float) -> bool:
         if self.rate.wait(now):
