--- a/packages/lanedock-daemon/lanedock_daemon/path/caller/request_context.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller/request_context.py
@@ -160,7 +160,7 @@
         choice = self.balancer.probed_choice
         if choice is not None and choice.compared:
             expected = {name: round(1000 * time, 1) for name, time in choice.compared}
-            self.log.note(Event.LOADS_COMPARED, upstream=stats.endpoint.instance, expected_ms=expected)
+            self.log.note(Event.REQUEST_LOADS_COMPARED, upstream=stats.endpoint.instance, expected_ms=expected)
 
     def choose(self, now: float, may_wait: bool = True) -> UpstreamStats | None:
         """Choose an upstream that has not been tried yet, and add it to `tried`.
--- a/packages/lanedock/lanedock/telemetry/events.py
+++ b/packages/lanedock/lanedock/telemetry/events.py
@@ -270,7 +270,7 @@
         "The caller was answered, or has closed the connection.",
         "See `outcome`: not-run, unknown, or answered by the upstream.",
     )
-    LOADS_COMPARED = (
+    REQUEST_LOADS_COMPARED = (
         515,
         logging.INFO,
         "An upstream was chosen by load probes; `expected_ms` gives, by upstream, the time to an answer that its reply "
--- a/tests/platform_processes.py
+++ b/tests/platform_processes.py
@@ -25,6 +25,7 @@
 
 HOOKS = Path(__file__).parent / "hooks"
 ROOT = Path(__file__).parent.parent
+LOAD_PORT = 17601
 MESH_PORT, CONTROL_PORT, READY_PORT, INBOUND_PORT, OUTBOUND_PORT, APP_PORT = 17600, 17620, 17625, 17624, 17629, 17628
 METRICS_PORT = 9464
 TIMEOUT = 30.0  # seconds
@@ -66,9 +67,12 @@
     ----------
     received_headers : list of dict
         Headers of each request, with names in lower case.
+    load : str
+        Load stated in responses; empty for none.
     """
 
     daemon_threads = True
+    load = ""
 
     def __init__(self, ip: str, upstream: str, version: str = "v1", is_failing: bool = False):
         self.upstream = upstream
@@ -110,6 +114,8 @@
         self.send_response(500 if self.server.is_failing else 200)
         self.send_header("X-Request-Id", self.headers["X-Request-Id"])
         self.send_header("X-Server-Stamp", self.server.upstream)
+        if self.server.load:
+            self.send_header("X-Server-Load", self.server.load)
         self.send_header("Content-Length", str(len(body)))
         self.end_headers()
         self.wfile.write(body)
@@ -217,6 +223,7 @@
             "zone": self.zone(ip),
             "ip": ip,
             "portRange.0": MESH_PORT,
+            "portRange.1": LOAD_PORT,
             "listen.control": f"{ip}:{CONTROL_PORT}",
             "listen.ready": f"{ip}:{READY_PORT}",
             "listen.inbound": f"{ip}:{INBOUND_PORT}",
