Read replies that came while the caller's process was busy

A daemon that had no processor time for 5 ms found its wait over before it had read the replies in its socket, and chose by statistics. The socket is now read once more when a wait is over.

Tests: path/tests/test_load_probes.py and tests/test_load_probes.py pass.

--- a/packages/lanedock-daemon/lanedock_daemon/path/caller/load_prober.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller/load_prober.py
@@ -133,7 +133,10 @@
         if not waiter.numbers:
             return
         zones = {self._probes[number].stats.endpoint.zone for number in waiter.numbers}
-        waiter.done.wait(min(choice.wait_limit(zones), MAX_WAIT_SHARE * left))
+        if not waiter.done.wait(min(choice.wait_limit(zones), MAX_WAIT_SHARE * left)):
+            # Where this process was late itself, replies are there that have not been read.
+            for sock in self._sockets.values():
+                self._read_replies(sock)
         for number in waiter.numbers:
             self._note_missed(number)
 
@@ -159,17 +162,26 @@
         sock = self._sockets.get(family)
         if sock is None:
             sock = self._sockets[family] = socket.socket(family, socket.SOCK_DGRAM)
+            sock.setblocking(False)
             self._readers.append(gevent.spawn(self._receive, sock))
         return sock
 
     def _receive(self, sock: socket.socket) -> None:
         """Receive replies until the socket is closed."""
+        while True:
+            socket.wait_read(sock.fileno())
+            if not self._read_replies(sock):
+                gevent.sleep(RETRY_INTERVAL)
+
+    def _read_replies(self, sock: socket.socket) -> bool:
+        """Read the replies that have come; return False if the socket has failed."""
         while True:
             try:
                 data, address = sock.recvfrom(MAX_DATAGRAM)
+            except BlockingIOError:
+                return True
             except OSError:
-                gevent.sleep(RETRY_INTERVAL)
-                continue
+                return False
             try:
                 reply = messages.LoadReply.FromString(data)
             except DecodeError:
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_load_probes.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_load_probes.py
@@ -7,7 +7,7 @@
 import pytest
 from gevent import socket
 
-from lanedock.clock import running_time
+from lanedock.clock import monotonic, running_time
 from lanedock.membership import Heartbeat, UpstreamRegistration
 from lanedock.settings import Address
 from lanedock.wire import messages
@@ -156,6 +156,31 @@
     assert registration.has_stated_pace
 
 
+def test_replies_that_came_while_the_process_was_busy_are_used(make_probed_chain):
+    chain, _ = make_probed_chain(_pass_through, _pass_through)
+    prober, choice = _prober(chain), chain.view.balancer(SERVICE).probed_choice
+    plan = chain.view.balancer(SERVICE).plan_probes(monotonic())
+
+    class _Replying:
+        """Replies to all probes when the wait is over."""
+
+        def wait(self, timeout: float) -> bool:
+            gevent.sleep(0.05)
+            return False
+
+        def set(self) -> None:
+            pass
+
+    prober._open(HOST)
+    for reader in prober._readers:
+        reader.kill()
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr("lanedock_daemon.path.caller.load_prober.Signal", _Replying)
+        prober.probe(choice, plan, 10.0)
+    assert len(plan.targets) == 2
+    assert all(stats.sample.reply is not None and not stats.sample.misses for stats in plan.targets)
+
+
 def test_expired_probes_are_forgotten(make_probed_chain, monkeypatch):
     chain, responders = make_probed_chain(_pass_through, _pass_through)
     responders.silent = {"u0", "u1"}
