--- a/packages/lanedock-daemon/lanedock_daemon/path/caller/caller.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller/caller.py
@@ -291,7 +291,8 @@
     def _pace(self, answer: Answer, context: RequestContext, binding: Binding) -> Answer:
         """Let a long answer with a body wait for its turns on the daemon's narrow link."""
         if answer.pieces and context.request.method != "HEAD" and is_long_answer(answer.headers):
-            order = (binding.config.traffic_classes[context.route.traffic_class].priority,)
+            customer_priority = context.customer.priority if context.customer is not None else 0
+            order = (customer_priority, binding.config.traffic_classes[context.route.traffic_class].priority)
             transfer = AnswerTransfer(order, context.target_time, LONG_ANSWER_BYTES, monotonic())
             answer.pieces = self._turns.pace(answer.pieces, transfer, answer_length(answer.headers))
         return answer
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream/answer_gate.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream/answer_gate.py
@@ -72,7 +72,7 @@
         if self._turns is None or now >= admission.deadline:
             return None
         ready_at = self._limiter.expected_end(traffic_class, admission, now)
-        transfer = self._admission.admit(self._order(traffic_class), admission, ready_at, now)
+        transfer = self._admission.admit(self._order(traffic_class, admission), admission, ready_at, now)
         if isinstance(transfer, Refused):
             delay = self._limiter.retry_delay(admission, now, transfer.retry_after)
             return Refused(transfer.code, max(delay, transfer.retry_after), transfer.limit)
@@ -109,8 +109,8 @@
             self._admission.note_length(kind, length)
 
     def _make_transfer(self, traffic_class: str, admission: AdmissionRequest) -> AnswerTransfer:
-        order = self._order(traffic_class)
+        order = self._order(traffic_class, admission)
         return AnswerTransfer(order, admission.target_or_deadline, LONG_ANSWER_BYTES, monotonic(), admission.kind)
 
-    def _order(self, traffic_class: str) -> tuple:
-        return (self._priorities.get(traffic_class, float("inf")),)
+    def _order(self, traffic_class: str, admission: AdmissionRequest) -> tuple:
+        return (admission.customer_priority, self._priorities.get(traffic_class, float("inf")))
