--- a/packages/lanedock/lanedock/quota/credits.py
+++ b/packages/lanedock/lanedock/quota/credits.py
@@ -9,7 +9,7 @@
 from lanedock.quota.ledger import CREDIT_LIFETIME
 from lanedock.wire import messages
 
-__all__ = ["CreditAccount", "Exhausted", "MustWait", "Taken"]
+__all__ = ["ANSWER_TIMEOUT", "CreditAccount", "Exhausted", "MustWait", "Taken"]
 
 # A daemon asks ahead for the credits that it uses in this time, in seconds.
 AHEAD_TIME = 0.1
--- a/packages/lanedock/lanedock/quota/ledger.py
+++ b/packages/lanedock/lanedock/quota/ledger.py
@@ -7,7 +7,7 @@
 from lanedock.quota.shares import SMOOTHING_TIME, RecentCount, ZoneShares, least_share
 from lanedock.wire import messages
 
-__all__ = ["CREDIT_LIFETIME", "Grant", "QuotaLedger"]
+__all__ = ["ALONE_AFTER", "CREDIT_LIFETIME", "SILENT_AFTER", "Grant", "QuotaLedger", "QuotaUsage"]
 
 # Seconds after which a credit ends, counted by its daemon from the request for it. Credits granted in this
 # time before a window of 5 s may be used within the window: rate x 0.4, of the allowed excess of rate x 0.5.
@@ -21,12 +21,18 @@
 _AHEAD_TOKENS_PART = 0.5
 # Seconds between two reports. Also sent without grants, so that others notice lost reports.
 REPORT_INTERVAL = 0.25
-# Seconds for which the leader may rely on what it knows of silent instances: an instance counts as silent
-# 0.6 s after the leader's last message that it answered, and grants on its own 0.8 s after that message.
-SILENCE_VALIDITY = 0.2
+# Seconds after which an instance counts as silent for the leader, from the sending of the leader's last message
+# that it answered; and after which it grants on its own, from the receipt of the last message of a leader.
+SILENT_AFTER = 0.6
+ALONE_AFTER = 0.8
+# Seconds for which the leader may rely on what it knows of silent instances.
+SILENCE_VALIDITY = ALONE_AFTER - SILENT_AFTER
 # Seconds without a report after which an instance takes its knowledge of the use for outdated: on granting on
 # its own, and on leading, which begins only after an election.
 _MAX_REPORT_AGE, _MAX_REPORT_AGE_OF_LEADER = 1.5, 3.0
+# Seconds after which an instance that grants on its own takes no more than an equal share, so that a leader that
+# doesn't know its share may rely on that; and the same for this leader, which may have noticed earlier.
+_ALONE_TIME, _ALONE_TIME_OF_OTHERS = 300.0, 310.0
 # Seconds for which a quota that was removed is still granted from: daemons may serve by the version before.
 _REMOVED_QUOTA_TIME = 5.0
 # Longest time, in seconds, by which retry times exceed the time at which the next credit is due.
@@ -60,6 +66,32 @@
         return f"<Grant credits={self.credits} retry_after={self.retry_after:.3f}>"
 
 
+class QuotaUsage:
+    """Use of a customer's quota, for operators.
+
+    Parameters
+    ----------
+    by_zone : dict of str to int
+        Credits that the leader granted to each zone's daemons over the last `SMOOTHING_TIME`.
+    refused : int
+        Requests for which no credit was granted, since this instance began to grant.
+    """
+
+    __slots__ = ("by_zone", "refused")
+
+    def __init__(self, by_zone: dict[str, int], refused: int):
+        self.by_zone = by_zone
+        self.refused = refused
+
+    def __repr__(self) -> str:
+        return f"<QuotaUsage by_zone={self.by_zone} refused={self.refused}>"
+
+    @property
+    def granted_per_s(self) -> float:
+        """Credits granted per second, recent mean."""
+        return sum(self.by_zone.values()) / SMOOTHING_TIME
+
+
 class _Mode(Enum):
     """What an instance grants from."""
 
@@ -174,6 +206,9 @@
         # Zones that were silent before this instance knew of their use: their shares aren't known.
         self._unknown_zones: set[str] = set()
         self._silence_checked_at = float("-inf")
+        # Time since when this instance grants on its own, and whether it does so for long.
+        self._alone_since = float("inf")
+        self._is_long_alone = False
         # Time since when this instance knows of all use; None if it doesn't.
         self._known_since: float | None = None
         self._sequence = 0
@@ -244,14 +279,28 @@
     def set_silent_instances(self, silent_by_zone: dict[str, int], now: float) -> None:
         """Set the number of silent control instances of each zone; called by a leader at least every 0.1 s.
 
-        An instance is silent from 0.6 s after the leader sent the last message *that the
-        instance answered*. Its own messages are no sign that it hears the leader: where one
+        An instance is silent from `SILENT_AFTER` after the leader sent the last message *that
+        the instance answered*. Its own messages are no sign that it hears the leader: where one
         direction of a link is cut off, it would grant on its own while the leader grants its share.
         For the same reason a new leader takes all other instances for silent until they answer it.
+        A connection that the instance's host refuses counts as an answer: no instance runs there, and
+        one that starts grants nothing on its own for `ALONE_AFTER`.
         """
         self._silence_checked_at = now
         if self._mode is _Mode.LEADING:
             self._set_silent({zone: count for zone, count in silent_by_zone.items() if count > 0}, now, now)
+            self._assume_equal_shares(now)
+
+    def _assume_equal_shares(self, now: float) -> None:
+        """Reserve no more than equal shares for zones that have been silent for long."""
+        aged = {zone for zone in self._unknown_zones if now >= self._silent_since[zone] + _ALONE_TIME_OF_OTHERS}
+        if not aged:
+            return
+        self._unknown_zones -= aged
+        for book in self._books.values():
+            for zone in aged:
+                book.shares.hold_equal(zone, self._zones())
+        self._apply_parts(now)
 
     def _set_silent(self, silent: dict[str, int], as_of: float, now: float) -> None:
         if silent == self._silent:
@@ -301,15 +350,17 @@
         self._mode = _Mode.FOLLOWING
 
     def stand_alone(self, now: float) -> None:
-        """Begin to grant from this instance's own part: called 0.8 s after it last heard a leader.
+        """Begin to grant from this instance's own part: called `ALONE_AFTER` after it last heard a leader.
 
-        Must not be called while this instance hears a leader or holds a lease itself.
+        The start of the instance, and the end of its own lease, count as having heard one. Must not
+        be called while this instance hears a leader or holds a lease itself.
         """
         if self._mode is _Mode.ALONE:
             return
         if now - self._reported_at > _MAX_REPORT_AGE:
             self._known_since = now
         self._mode = _Mode.ALONE
+        self._alone_since, self._is_long_alone = now, False
         self._begin(now)
 
     def _begin(self, now: float) -> None:
@@ -343,7 +394,10 @@
         is_known = self._is_known(now) and self._known_until(now) >= book.added_at + SMOOTHING_TIME
         if not is_known or self._unknown_zones:
             return least_share(len(self._instances)) / instances
-        return book.shares.bounds(self._zone, self._known_until(now), self._zones())[0] / instances
+        share = book.shares.bounds(self._zone, self._known_until(now), self._zones())[0]
+        if self._is_long_alone:
+            share = min(share, 1 / len(self._instances))
+        return share / instances
 
     def _leader_part(self, book: _Book) -> float:
         if not self._silent:
@@ -378,6 +432,9 @@
             return Grant(0, _NO_GRANT_RETRY if needed else 0.0)
         if self._mode is _Mode.LEADING and now > self._silence_checked_at + SILENCE_VALIDITY:
             self._set_silent(self._all_others(), now, now)
+        if self._mode is _Mode.ALONE and not self._is_long_alone and now >= self._alone_since + _ALONE_TIME:
+            self._is_long_alone = True
+            self._apply_parts(now)
         if not book.part:
             return Grant(0, _NO_GRANT_RETRY if needed else 0.0)
         grant = book.grant(needed, ahead, now)
@@ -395,6 +452,11 @@
             book.shares.window.add(zone, credits, now)
             self._uses[customer, zone] = self._uses.get((customer, zone), 0) + credits
 
+    def usage(self, customer: str, now: float) -> QuotaUsage | None:
+        """Return the recent use of a customer's quota; None if it has none."""
+        book = self._find(customer, now)
+        return QuotaUsage(book.shares.window.sums(now), book.refused) if book is not None else None
+
     # ----------------------------------------------------------------- reports
 
     def is_report_due(self, now: float) -> bool:
--- a/packages/lanedock/lanedock/quota/shares.py
+++ b/packages/lanedock/lanedock/quota/shares.py
@@ -147,6 +147,10 @@
         added = {zone: self.bounds(zone, held_since[zone], zones) for zone in held_since if zone not in self._held}
         self._held.update(added)
 
+    def hold_equal(self, zone: str, zones: list[str]) -> None:
+        """Hold an equal share for a zone whose share isn't known, until it is held no more."""
+        self._held[zone] = (1 / len(zones), 1 / len(zones))
+
     def bounds(self, zone: str, now: float, zones: list[str]) -> tuple[float, float]:
         """Return the smallest and the greatest share of a zone over the last seconds before a time."""
         held = self._held.get(zone)
--- a/packages/lanedock/lanedock/quota/tests/fleet.py
+++ b/packages/lanedock/lanedock/quota/tests/fleet.py
@@ -8,18 +8,25 @@
 
 from collections import deque
 
-from lanedock.quota import CreditAccount, Exhausted, Quota, QuotaLedger, Taken
+from lanedock.quota import (
+    ALONE_AFTER,
+    ANSWER_TIMEOUT,
+    SILENT_AFTER,
+    CreditAccount,
+    Exhausted,
+    Quota,
+    QuotaLedger,
+    Taken,
+)
 from lanedock.quota.tests.network import Network, Process
 from lanedock.wire import messages
 
 __all__ = ["ControlInstance", "Daemon", "Fleet"]
 
 HEARTBEAT, SUPPORT, LEASE = 0.15, 1.0, 0.9
-# Seconds without an answer after which an instance is silent, and without a leader after which it grants alone.
-SILENT_AFTER, ALONE_AFTER = 0.6, 0.8
 CONTROL_TICK, ACCOUNT_TICK = 0.05, 0.05
-# Seconds: for one control instance's answer; for a request's credit; without asking an instance that was silent.
-ANSWER_TIMEOUT, CREDIT_TIMEOUT, AVOID_TIME = 0.25, 0.6, 1.0
+# Seconds: for a request's credit; without asking an instance that did not answer.
+CREDIT_TIMEOUT, AVOID_TIME = 0.6, 1.0
 WINDOW = 5.0
 
 
@@ -55,7 +62,9 @@
         self.leader = ""
         self.leads = False
         self.lease_until = 0.0
+        # Times of the newest heartbeats that others answered, and of those answered or refused by their hosts.
         self.answered: dict[str, float] = {}
+        self.heard: dict[str, float] = {}
         self.after(self.network.rng.uniform(0.0, HEARTBEAT), self._beat)
         self.after(CONTROL_TICK, self._tick)
 
@@ -92,7 +101,7 @@
             voter.leads = False
         self.leads, self.leader = True, self.name
         self.lease_until = self.now + LEASE
-        self.answered = {}
+        self.answered, self.heard = {}, {}
 
     def is_current_leader(self) -> bool:
         return self.leads and self.now < self.lease_until
@@ -117,10 +126,16 @@
         self.update()
         self.send(sender, HeartbeatAnswer(message.term, message.sent_at))
 
+    def note_refused(self, receiver: str, message) -> None:
+        """Take an instance that has ended for one that hears this leader: it grants nothing."""
+        if isinstance(message, Heartbeat) and self.is_up and self.leads and message.term == self.term:
+            self.heard[receiver] = max(message.sent_at, self.heard.get(receiver, 0.0))
+
     def _note_answer(self, sender: str, message: HeartbeatAnswer) -> None:
         if not self.leads or message.term != self.term:
             return
         self.answered[sender] = max(message.sent_at, self.answered.get(sender, 0.0))
+        self.heard[sender] = max(message.sent_at, self.heard.get(sender, 0.0))
         times = sorted([self.now, *self.answered.values()], reverse=True)
         quorum = len(self.fleet.controls) // 2 + 1
         if len(times) >= quorum:
@@ -144,7 +159,7 @@
     def _silent(self) -> dict[str, int]:
         silent: dict[str, int] = {}
         for name in self.others():
-            if self.now >= self.answered.get(name, float("-inf")) + SILENT_AFTER:
+            if self.now >= self.heard.get(name, float("-inf")) + SILENT_AFTER:
                 zone = self.fleet.controls[name].zone
                 silent[zone] = silent.get(zone, 0) + 1
         return silent
--- a/packages/lanedock/lanedock/quota/tests/network.py
+++ b/packages/lanedock/lanedock/quota/tests/network.py
@@ -42,6 +42,9 @@
         """Process a message."""
         raise NotImplementedError
 
+    def note_refused(self, receiver: str, message) -> None:
+        """Process that a message wasn't taken, as no process listens at the receiver's address."""
+
     def send(self, receiver: str, message) -> None:
         """Send a message, which may be lost or late."""
         self.network.send(self, self.network.processes[receiver], message)
@@ -140,8 +143,10 @@
     def _arrive(self, link: tuple[str, str], receiver: Process, incarnation: int, message) -> None:
         if link in self.held:
             self.held[link].append((receiver, incarnation, message))
-        elif incarnation == receiver.incarnation:
+        elif receiver.is_up and incarnation == receiver.incarnation:
             receiver.deliver(link[0], message)
+        elif not receiver.is_up and (receiver.name, link[0]) not in self.cut:
+            self.at(self.now + REMOTE_DELAY, self.processes[link[0]].note_refused, receiver.name, message)
 
     def links(self, names: set[str], outgoing=True, incoming=True) -> set[tuple[str, str]]:
         """Return the links between these processes and all others."""
--- a/packages/lanedock/lanedock/quota/tests/test_invariant.py
+++ b/packages/lanedock/lanedock/quota/tests/test_invariant.py
@@ -6,7 +6,7 @@
 import pytest
 from hypothesis import HealthCheck, Phase, settings
 from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule, run_state_machine_as_test
+from hypothesis.stateful import RuleBasedStateMachine, initialize, rule, run_state_machine_as_test
 
 from lanedock.quota import CreditAccount, Quota, QuotaLedger, ledger
 from lanedock.quota.tests.fleet import ControlInstance, Daemon, Fleet
@@ -46,6 +46,11 @@
 
     # ------------------------------------------------------------------- load
 
+    def _begin(self, is_recovered):
+        """Let a fault occur in a fleet without others, or beside those that there are."""
+        if is_recovered:
+            self.recover()
+
     def _press(self, customer, times, seconds, zone=""):
         names = [name for name, daemon in self.fleet.daemons.items() if zone in ("", daemon.zone)]
         rate = times * QUOTAS[customer].rate / len(names)
@@ -79,30 +84,41 @@
             link for link in links if not only_controls or set(link) <= self.fleet.controls.keys()
         }
 
-    @rule(zone=zones, customer=large_customers, directions=directions, has_use=st.booleans())
-    def cut_zone(self, zone, customer, directions, has_use):
+    @rule(
+        zone=zones,
+        customer=large_customers,
+        directions=directions,
+        has_use=st.booleans(),
+        is_recovered=st.booleans(),
+    )
+    def cut_zone(self, zone, customer, directions, has_use, is_recovered):
         """Cut a zone off that has most of the use, or a usual part of it, while all zones go on."""
+        self._begin(is_recovered)
         if has_use:
             self._press(customer, 1.2, 11.0, zone)
         processes = self.fleet.network.processes
         self._cut({name for name, process in processes.items() if process.zone == zone}, *directions)
         self._press(customer, 3.0, 7.0)
 
-    @rule(number=st.integers(0, 3), customer=large_customers, directions=directions)
-    def cut_control_instance(self, number, customer, directions):
+    @rule(number=st.integers(0, 3), customer=large_customers, directions=directions, is_recovered=st.booleans())
+    def cut_control_instance(self, number, customer, directions, is_recovered):
         """Cut a control instance off from the others; daemons still reach it."""
+        self._begin(is_recovered)
         self._cut({f"c{number % len(self.fleet.controls)}"}, *directions, only_controls=True)
         self._press(customer, 3.0, 4.0)
 
-    @precondition(lambda self: self.fleet.leader() is not None)
     @rule(
         customer=large_customers,
         way=st.sampled_from(["cut", "kill", "restart", "suspend"]),
         seconds=st.sampled_from([1.8, 3.0]),
+        is_recovered=st.booleans(),
     )
-    def change_leader(self, customer, way, seconds):
+    def change_leader(self, customer, way, seconds, is_recovered):
         """Use a burst up, end the leader, and send another burst to the next one."""
+        self._begin(is_recovered)
         leader = self.fleet.leader()
+        if leader is None:
+            return
         self._burst(customer)
         self.fleet.run(0.3)
         if way == "cut":
@@ -118,18 +134,26 @@
         self._burst(customer)
         self._press(customer, 2.0, 2.0)
 
-    @precondition(lambda self: self.fleet.leader() is not None)
-    @rule(customer=large_customers, seconds=st.sampled_from([0.3, 0.7, 1.2]))
-    def suspend_leader(self, customer, seconds):
+    @rule(customer=large_customers, seconds=st.sampled_from([0.3, 0.7, 1.2]), is_recovered=st.booleans())
+    def suspend_leader(self, customer, seconds, is_recovered):
         """Suspend the leader for about as long as its lease, or as others wait for it."""
+        self._begin(is_recovered)
         leader = self.fleet.leader()
+        if leader is None:
+            return
         leader.pause()
         self._press(customer, 3.0, seconds)
         leader.resume()
 
-    @rule(customer=large_customers, delay=st.sampled_from([0.0005, 0.002]), seconds=st.sampled_from([0.3, 1.0, 10.0]))
-    def suspend_daemons_with_credits(self, customer, delay, seconds):
+    @rule(
+        customer=large_customers,
+        delay=st.sampled_from([0.0005, 0.002]),
+        seconds=st.sampled_from([0.3, 1.0, 10.0]),
+        is_recovered=st.booleans(),
+    )
+    def suspend_daemons_with_credits(self, customer, delay, seconds, is_recovered):
         """Suspend all daemons while the answers to a burst are on their way within a zone, or between zones."""
+        self._begin(is_recovered)
         self._burst(customer)
         self.fleet.run(delay)
         for daemon in self.fleet.daemons.values():
@@ -140,9 +164,10 @@
         self._burst(customer)
         self._press(customer, 2.0, 4.0)
 
-    @rule(customer=large_customers, seconds=st.sampled_from([0.3, 0.5, 3.0, 10.0]))
-    def hold_answers(self, customer, seconds):
+    @rule(customer=large_customers, seconds=st.sampled_from([0.3, 0.5, 3.0, 10.0]), is_recovered=st.booleans())
+    def hold_answers(self, customer, seconds, is_recovered):
         """Deliver the answers to a burst late."""
+        self._begin(is_recovered)
         network = self.fleet.network
         network.hold(network.links(set(self.fleet.daemons), outgoing=False))
         self._burst(customer)
--- a/packages/lanedock/lanedock/quota/tests/test_ledger.py
+++ b/packages/lanedock/lanedock/quota/tests/test_ledger.py
@@ -259,6 +259,24 @@
     assert _draw(ledger, 31.0, silent={"b": 1}) == 37
 
 
+def test_long_silence_costs_a_leader_without_knowledge_an_equal_share_only():
+    """With one machine missing from the start on, three eighths of each limit would be granted for ever."""
+    ledger = _make()
+    ledger.lead(0.0)
+    for step in range(3120):
+        ledger.set_silent_instances({"b": 1}, step / 10)
+    _draw(ledger, 312.0, silent={"b": 1})
+    assert _draw(ledger, 313.0, silent={"b": 1}) == 75
+
+
+def test_instance_alone_for_long_takes_no_more_than_an_equal_share():
+    leader, follower = _make_leader(), _make("b")
+    _use(leader, [follower], "b", 0, 20)
+    follower.stand_alone(21.0)
+    follower.grant("x", "b", 1000, 0, 321.0)
+    assert follower.grant("x", "b", 1000, 0, 322.0).credits == 25
+
+
 def test_followers_reserve_shares_of_zones_that_the_leader_reported_silent():
     """Otherwise two zones would grant alone from shares that add up to more than 1, one cut off before the other."""
     leader, follower = _make_leader(), _make("c")
@@ -291,6 +309,18 @@
     assert not leader.make_report(1.25).uses
 
 
+def test_usage_has_the_credits_by_zone_and_the_refusals():
+    leader = _make_leader()
+    _draw(leader, 5.0, needed=40, zone="a")
+    _draw(leader, 5.0, needed=20, zone="b")
+    _draw(leader, 5.0, needed=1000, zone="b")
+    usage = leader.usage("x", 5.0)
+    assert usage.by_zone == {"a": 40, "b": 160}
+    assert (usage.granted_per_s, usage.refused) == (20.0, 860)
+    assert not leader.usage("x", 30.0).by_zone
+    assert leader.usage("y", 5.0) is None
+
+
 def test_reports_are_due_at_intervals_and_when_silence_changes():
     leader = _make_leader()
     leader.make_report(1.0)
--- a/tools/model.py
+++ b/tools/model.py
@@ -50,6 +50,7 @@
     "two daemons, racing submissions": _rollout(1, 2, 6, 2),
     "canary, two daemons": Search("canary.pml", DAEMONS=2, STEPS=4),
     "canary, three daemons": Search("canary.pml", DAEMONS=3, STEPS=3),
+    "quota, two leaders": Search("quota.pml", STEPS=8),
 }
 MUTANTS = {
     "NO_QUORUM": _rollout(2, 1, 4, 1),
@@ -65,6 +66,12 @@
     "canary FORMER_STEP": Search("canary.pml", DAEMONS=2, STEPS=4),
     "canary NO_FLOOR": Search("canary.pml", DAEMONS=2, STEPS=4),
     "canary REACHED": Search("canary.pml", DAEMONS=2, STEPS=4),
+    "quota ANSWER_TIME": Search("quota.pml", STEPS=8),
+    "quota ANY_MESSAGE": Search("quota.pml", STEPS=8),
+    "quota NEW_LEADER_TRUSTS": Search("quota.pml", STEPS=8),
+    "quota NO_WAIT": Search("quota.pml", STEPS=8),
+    "quota OLD_LOOK": Search("quota.pml", STEPS=8),
+    "quota REACHED": Search("quota.pml", STEPS=8),
 }
 
 
