Follow the ledger for customers that were removed

Cause: the ledger grants from a removed quota for 5 s, as daemons may serve by the version before, but the service refused the customer at once. While no customer has a quota, the service has no ticks, and did not notice that another instance led.

Change: only customers that the accepted version has without a rate are granted what they need; all others are the ledger's decision. Without quotas the role ends, so that buckets are empty when there is one again.

--- a/packages/lanedock-daemon/lanedock_daemon/quota/client.py
+++ b/packages/lanedock-daemon/lanedock_daemon/quota/client.py
@@ -145,7 +145,7 @@
         if not self._is_flush_due:
             self._is_flush_due = True
             gevent.spawn(self._flush)
-        if self._watch_task is None:
+        if self._watch_task is None or self._watch_task.ready():
             self._used_at = monotonic()
             self._apply_version()
             self._watch_task = gevent.spawn(self._watch)
--- a/packages/lanedock-daemon/lanedock_daemon/quota/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/quota/service.py
@@ -28,10 +28,9 @@
 # Seconds without a tick above which this process was paused. That it has heard no leader meanwhile
 # says nothing, so the time without a leader counts from the end of the pause.
 PAUSE_LIMIT = 0.5
-# Longest retry time, in seconds: with rates far below one request a day, it would not fit the message.
-MAX_RETRY_AFTER = 86_400.0
-# Seconds after which a daemon may ask again for a customer that this instance doesn't know.
-UNKNOWN_RETRY_AFTER = 0.5
+# Shortest and longest retry time, in seconds. A refusal is stated by a time of at least one millisecond;
+# a time for rates far below one request a day would not fit the message.
+MIN_RETRY_AFTER, MAX_RETRY_AFTER = 0.001, 86_400.0
 
 
 class _Role(Enum):
@@ -131,6 +130,9 @@
         self._usage.keep(self._limited)
         self._ledger.configure(self._limited, now)
         self._tick = TICK if self._limited else None
+        if not self._limited:
+            # Without ticks, changes of the leader would go unnoticed until there is a quota again.
+            self._set_role(_Role.FOLLOWER, now)
 
     def _refresh_role(self, now: float) -> bool:
         """Update the role; return whether credits may be granted."""
@@ -194,31 +196,26 @@
         item.session.send(reply)
 
     def _grant(self, need: messages.CreditNeed, zone: str, now: float) -> messages.CreditGrant:
-        """Grant credits for one customer."""
+        """Grant credits for one customer.
+
+        A customer without a quota gets what it needs: the version of the daemon still has the quota.
+        """
         customer = need.customer
         quota = self._limited.get(customer)
-        if quota is None:
-            return self._grant_unlimited(need)
+        if quota is None and customer in self._customers:
+            return messages.CreditGrant(customer=customer, credits=need.needed)
         if need.returned:
             self._ledger.give_back(customer, zone, need.returned, now)
         granted = self._ledger.grant(customer, zone, need.needed, need.ahead, now)
         refused = max(0, need.needed - granted.credits)
-        self._usage.note(customer, zone, granted.credits - need.returned, refused, now)
-        retry_after_ms = 0
-        if refused:
-            retry_after = min(granted.retry_after, MAX_RETRY_AFTER)
-            retry_after_ms = max(1, round(1000 * retry_after))
-            self._pressure.note_refused(customer, retry_after, now, rate=quota.rate, burst=quota.burst)
-        return messages.CreditGrant(customer=customer, credits=granted.credits, retry_after_ms=retry_after_ms)
-
-    def _grant_unlimited(self, need: messages.CreditNeed) -> messages.CreditGrant:
-        """Grant credits for a customer without a quota, which the daemon's version still has.
-
-        A customer that the accepted version lacks gets none: its keys are void.
-        """
-        if need.customer in self._customers:
-            return messages.CreditGrant(customer=need.customer, credits=need.needed)
-        return messages.CreditGrant(customer=need.customer, retry_after_ms=round(1000 * UNKNOWN_RETRY_AFTER))
+        retry_after = min(max(granted.retry_after, MIN_RETRY_AFTER), MAX_RETRY_AFTER) if refused else 0.0
+        if quota is not None:
+            self._usage.note(customer, zone, granted.credits - need.returned, refused, now)
+            if refused:
+                self._pressure.note_refused(customer, retry_after, now, rate=quota.rate, burst=quota.burst)
+        return messages.CreditGrant(
+            customer=customer, credits=granted.credits, retry_after_ms=round(1000 * retry_after)
+        )
 
     # ------------------------------------------------------------------ reports
 
--- a/packages/lanedock-daemon/lanedock_daemon/quota/tests/test_service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/quota/tests/test_service.py
@@ -263,6 +263,26 @@
     assert grant.credits == 0 and grant.retry_after_ms > 0
 
 
+def test_a_removed_customer_is_granted_credits_while_daemons_may_have_the_version_before(granter):
+    granter.lead()
+    granter.run(1.0)
+    granter.accept(2, [{"name": "d", "keys": ["k"], "rate": 1}])
+    assert granter.ask(_need(1)).grants[0].credits == 1
+    granter.run(6.0)
+    assert granter.ask(_need(1)).grants[0].credits == 0
+
+
+def test_a_leader_that_had_no_quotas_for_a_time_begins_with_empty_buckets(granter):
+    """Another instance may have led meanwhile, which is not noticed without ticks."""
+    granter.lead()
+    granter.run(2.0)
+    granter.accept(2, None)
+    granter.now += 1.0
+    granter.accept(3, CUSTOMERS)
+    granter.run(TICK)
+    assert granter.ask(_need(50)).grants[0].credits <= 100 * TICK + 1
+
+
 def test_a_lowered_limit_is_in_force_at_once(granter):
     granter.lead()
     granter.run(5.0)
