Admit calls first at upstreams with few slots

Cause: at an upstream whose slots are short, calls wait behind requests of more urgent classes. A refused call fails a request that has held a slot of its own upstream, and whatever its other calls have used is lost, too.

Change: where an upstream has at most 8 slots, calls are admitted before all requests that have not begun (CALL_PRIORITY). With more slots the order is as before.

Tests of limits, urgency and customers pass.

--- a/packages/lanedock-daemon/lanedock_daemon/agent/view.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/view.py
@@ -171,7 +171,8 @@
 
         The application's own calls inherit it, as they inherit the traffic class.
         """
-        return None if self._slot_limiter is None else self._slot_limiter.most_urgent_customer_priority()
+        priority = None if self._slot_limiter is None else self._slot_limiter.most_urgent_customer_priority()
+        return None if priority is None else max(0, priority)
 
     def set_budget_factory(self, make_budget) -> None:
         """Set the factory of retry budgets, called without arguments."""
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream/slot_gate.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream/slot_gate.py
@@ -6,17 +6,19 @@
 
 from lanedock.clock import monotonic, running_time
 from lanedock.errors import ErrorCode
-from lanedock.limits import AdmissionRequest, CallKinds, QueuedRequest, Refused, SlotLimiter
+from lanedock.limits import CALL_PRIORITY, AdmissionRequest, CallKinds, QueuedRequest, Refused, SlotLimiter
 from lanedock.membership import UpstreamRegistration
 from lanedock.telemetry import Metrics
 from lanedock_daemon.agent.view import Binding
 from lanedock_daemon.path.http.headers import (
     CALLER_HEADER,
     CLASS_HEADER,
+    CUSTOMER_PRIORITY_HEADER,
     PARENT_CLASS_HEADER,
     ROUTE_HEADER,
     SERVICE_HEADER,
     decode_name,
+    parse_int,
 )
 from lanedock_daemon.path.http.messages import DEFAULT_RETRY_AFTER, Request
 from lanedock_daemon.path.http.service import StopTimeout
@@ -31,6 +33,9 @@
 # Queue length per slot, for an application that reports its number of slots or whose service
 # is not configured.
 QUEUE_PER_SLOT = 2
+# Slots up to which an upstream admits calls first. With more, the requests that wait for a refused call
+# hold a small part of them, and calls go by the class of the requests for which they are made.
+FEW_SLOTS = 8
 # Shortest and longest interval, in seconds, between checks whether the rate limit lets a request pass.
 RATE_POLL_INTERVALS = (0.005, 0.5)
 
@@ -155,6 +160,16 @@
             return own
         return parent.name
 
+    def customer_priority(self, request: Request) -> int:
+        """Return the customer's priority with which a request is admitted.
+
+        Where an upstream has few slots, calls go first: a request whose call is refused has held a
+        slot of its own upstream in vain, and so have its other calls.
+        """
+        if self.limiter.slots <= FEW_SLOTS and self._calls.is_call(request.header(ROUTE_HEADER)):
+            return CALL_PRIORITY
+        return parse_int(request.header(CUSTOMER_PRIORITY_HEADER)) or 0
+
     def reserve(self, request: Request, traffic_class: str, admission: AdmissionRequest) -> Refused | None:
         """Reserve capacity on the link and a slot, waiting for both if necessary.
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream/upstream.py
@@ -17,7 +17,6 @@
     ATTEMPT_HEADER,
     CALLER_HEADER,
     CUSTOMER_HEADER,
-    CUSTOMER_PRIORITY_HEADER,
     DEADLINE_HEADER,
     KNOWN_LIMIT_HEADER,
     LEAVING_HEADER,
@@ -243,7 +242,7 @@
         target_time = _read_monotonic_time(request, TARGET_HEADER, started)
         log.route = decode_name(request.header(ROUTE_HEADER))
         start_by = _read_monotonic_time(request, START_BY_HEADER, started)
-        priority = parse_int(request.header(CUSTOMER_PRIORITY_HEADER)) or 0
+        priority = self._gate.customer_priority(request)
         admission = AdmissionRequest(deadline, target_time, log.route, start_by, customer, priority)
         refused = self._gate.reserve(request, traffic_class, admission)
         log.waited = monotonic() - started
--- a/packages/lanedock/lanedock/limits/__init__.py
+++ b/packages/lanedock/lanedock/limits/__init__.py
@@ -8,12 +8,13 @@
 from lanedock.limits.body_transfer import MAX_LINK_QUEUE_TIME, BodyTransfer
 from lanedock.limits.call_kinds import CallKinds
 from lanedock.limits.first_attempts import FirstAttempts
-from lanedock.limits.queue import AdmissionRequest, QueuedRequest
+from lanedock.limits.queue import CALL_PRIORITY, AdmissionRequest, QueuedRequest
 from lanedock.limits.rate import RateLimiter
 from lanedock.limits.retries import RetryBudget, SavingBudget, WindowBudget
 from lanedock.limits.slots import Refused, SlotLimiter
 
 __all__ = [
+    "CALL_PRIORITY",
     "LONG_ANSWER_BYTES",
     "MAX_LINK_QUEUE_TIME",
     "AdmissionRateLimiter",
--- a/packages/lanedock/lanedock/limits/call_kinds.py
+++ b/packages/lanedock/lanedock/limits/call_kinds.py
@@ -26,6 +26,10 @@
     def __repr__(self) -> str:
         return f"<CallKinds known={sum(count >= _MIN_REQUESTS for count in self._foreign_counts.values())}>"
 
+    def is_call(self, kind: str) -> bool:
+        """Return whether requests of a kind are calls."""
+        return self._foreign_counts.get(kind, 0) >= _MIN_REQUESTS
+
     def note(self, kind: str, is_from_own_service: bool) -> bool:
         """Count a request.
 
--- a/packages/lanedock/lanedock/limits/queue.py
+++ b/packages/lanedock/lanedock/limits/queue.py
@@ -6,7 +6,10 @@
 
 from lanedock.config import TrafficClass
 
-__all__ = ["AdmissionQueue", "AdmissionRequest", "QueuedRequest"]
+__all__ = ["CALL_PRIORITY", "AdmissionQueue", "AdmissionRequest", "QueuedRequest"]
+
+# Customer's priority of calls that are admitted before all requests that have not begun.
+CALL_PRIORITY = -1
 
 
 class AdmissionRequest:
