Take the times of quotas from their cores

Cause: the times after which an instance counts as silent, grants alone or is taken for unanswering stood twice, in the cores and in the daemon, and have to agree.

Change: SILENT_AFTER, ALONE_AFTER and ANSWER_TIMEOUT of lanedock.quota are used.

--- a/packages/lanedock-daemon/lanedock_daemon/quota/client.py
+++ b/packages/lanedock-daemon/lanedock_daemon/quota/client.py
@@ -8,7 +8,7 @@
 
 from lanedock.clock import monotonic
 from lanedock.kernel import Kernel, Service
-from lanedock.quota import CreditAccount
+from lanedock.quota import ANSWER_TIMEOUT, CreditAccount
 from lanedock.settings import Address
 from lanedock.telemetry import Event, EventLogger
 from lanedock.wire import messages
@@ -21,8 +21,6 @@
 
 # Seconds for which a request waits for a credit at most.
 WAIT_LIMIT = 0.6
-# Seconds for which one control instance is waited for before the next one is asked.
-ANSWER_LIMIT = 0.25
 # Seconds until instances are asked again, once all of them have failed or declined. For 0.8 s after a
 # leader ended, no instance grants credits, and each declines within a round trip. Requests that arrive
 # meanwhile wait for the same time: with a round for each of them, a daemon that gets 100 requests a
@@ -262,7 +260,7 @@
         silent = {
             batch.stream: None
             for batch in self._batches.values()
-            if batch.stream is not None and now >= batch.sent_at + ANSWER_LIMIT
+            if batch.stream is not None and now >= batch.sent_at + ANSWER_TIMEOUT
         }
         for stream in silent:
             self._fail(stream, now)
--- a/packages/lanedock-daemon/lanedock_daemon/quota/peers.py
+++ b/packages/lanedock-daemon/lanedock_daemon/quota/peers.py
@@ -5,13 +5,10 @@
 from collections.abc import Callable, Iterable
 
 from lanedock.consensus.core import replica_name
+from lanedock.quota import SILENT_AFTER
 
 __all__ = ["count_instances", "count_silent_instances"]
 
-# Seconds after a leader's last message that an instance answered from which the leader reserves its
-# share. Shorter than the time after which the instance grants alone, by more than clocks may differ.
-SILENCE_LIMIT = 0.6
-
 
 def count_instances(replicas: Iterable[str], me: str, zone: str, zones: dict[str, str]) -> dict[str, int]:
     """Return the number of control instances in each zone.
@@ -45,7 +42,7 @@
         Takes an id; returns the seconds since the leader sent what this instance answered last.
     """
     others = set(replicas) - {me}
-    return dict(Counter(_zone_of(replica, zones) for replica in others if unreached_time(replica) >= SILENCE_LIMIT))
+    return dict(Counter(_zone_of(replica, zones) for replica in others if unreached_time(replica) >= SILENT_AFTER))
 
 
 def _zone_of(replica: str, zones: dict[str, str]) -> str:
--- a/packages/lanedock-daemon/lanedock_daemon/quota/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/quota/service.py
@@ -8,7 +8,7 @@
 from lanedock.config import Customer
 from lanedock.errors import ErrorCode
 from lanedock.kernel import TaskService
-from lanedock.quota import Quota, QuotaLedger
+from lanedock.quota import ALONE_AFTER, Quota, QuotaLedger
 from lanedock.telemetry import Event, EventLogger
 from lanedock.wire import messages
 from lanedock_daemon.quota.customers import CustomerReader
@@ -22,9 +22,6 @@
 
 # Seconds between two checks of the role, the peers and the report while a customer has a quota.
 TICK = 0.05
-# Seconds without a leader after which this instance grants credits alone. Longer than the silence
-# after which a leader reserves the share of a zone, so that both never grant the same credits.
-LEADERLESS_LIMIT = 0.8
 # Seconds without a tick above which this process was paused. That it has heard no leader meanwhile
 # says nothing, so the time without a leader counts from the end of the pause.
 PAUSE_LIMIT = 0.5
@@ -143,7 +140,7 @@
             role = _Role.FOLLOWER
         elif self._log.is_current_leader:
             role = _Role.LEADER
-        elif min(self._log.replica.leader_silence(now), now - self._resumed_at) >= LEADERLESS_LIMIT:
+        elif min(self._log.replica.leader_silence(now), now - self._resumed_at) >= ALONE_AFTER:
             role = _Role.ALONE
         else:
             role = _Role.FOLLOWER
--- a/packages/lanedock-daemon/lanedock_daemon/quota/tests/test_peers.py
+++ b/packages/lanedock-daemon/lanedock_daemon/quota/tests/test_peers.py
@@ -1,7 +1,8 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """Tests of the numbers of control instances by zone."""
 
-from lanedock_daemon.quota.peers import SILENCE_LIMIT, count_instances, count_silent_instances
+from lanedock.quota import SILENT_AFTER
+from lanedock_daemon.quota.peers import count_instances, count_silent_instances
 
 REPLICAS = ["a@1", "b@1", "c@1", "d@2"]
 ZONES = {"a": "z1", "b": "z1", "c": "z2", "d": "z3"}
@@ -22,5 +23,5 @@
 
 
 def test_an_instance_is_silent_once_it_has_answered_nothing_sent_recently():
-    times = {"b@1": SILENCE_LIMIT, "c@1": SILENCE_LIMIT - 0.01, "d@2": float("inf")}
+    times = {"b@1": SILENT_AFTER, "c@1": SILENT_AFTER - 0.01, "d@2": float("inf")}
     assert count_silent_instances(REPLICAS, "a@1", ZONES, times.__getitem__) == {"z1": 1, "z3": 1}
--- a/packages/lanedock-daemon/lanedock_daemon/quota/tests/test_service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/quota/tests/test_service.py
@@ -7,12 +7,13 @@
 
 from lanedock.config import split_config
 from lanedock.errors import ErrorCode
+from lanedock.quota import ALONE_AFTER
 from lanedock.telemetry import Event
 from lanedock.wire import messages
 from lanedock_daemon.path.tests.chain import make_value
 from lanedock_daemon.quota import service as service_module
 from lanedock_daemon.quota.requests import CustomersRequested, QuotaReportArrived, VersionAccepted
-from lanedock_daemon.quota.service import LEADERLESS_LIMIT, PAUSE_LIMIT, TICK, QuotaService
+from lanedock_daemon.quota.service import PAUSE_LIMIT, TICK, QuotaService
 from lanedock_daemon.transport import CreditsRequested
 
 ME, OTHER, THIRD = "a@1", "b@1", "c@1"
@@ -167,7 +168,7 @@
     granter.leader_address = ""
     # No leader was heard for half a second: it may still live.
     assert granter.ask(_need(1)).code == ErrorCode.NOT_LEADER.code
-    granter.run(LEADERLESS_LIMIT)
+    granter.run(ALONE_AFTER)
     granted = granter.draw(10.0)
     # Three zones, of which each has at least half of an equal share.
     assert 0.9 * (10 * 100 / 6) <= granted <= (10 * 100 + 50) / 3
@@ -184,12 +185,12 @@
 def test_an_instance_that_was_paused_first_listens_for_a_leader(granter):
     """A resumed instance has heard nothing, since it did not run. The others were served by a leader."""
     granter.follow()
-    granter.run(1.0 - LEADERLESS_LIMIT)
+    granter.run(1.0 - ALONE_AFTER)
     granter.now += 30.0
     assert PAUSE_LIMIT < 30.0
     granter.service.on_tick()
     assert granter.ask(_need(1)).code == ErrorCode.NOT_LEADER.code
-    granter.run(LEADERLESS_LIMIT - TICK)
+    granter.run(ALONE_AFTER - TICK)
     assert granter.ask(_need(1)).code == ErrorCode.NOT_LEADER.code
     granter.run(2 * TICK)
     assert granter.ask(_need(1)).code == ""
