Take a refused connection for the answer of an ended instance

Cause: where the process of a control instance ends, the leader left its share to it as if it were cut off. With three instances, each customer had two thirds of its limit until the instance was back.

Change: links of the framed transport tell when a host last refused a connection, and the leader takes that for an answer, as docs/design/quotas.md says. gRPC links try at most once a second and tell nothing. The leader looks at silence before a grant where a tick is late.

--- a/packages/lanedock-daemon/lanedock_daemon/control/traffic.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/traffic.py
@@ -82,3 +82,6 @@
 
     def note_heard(self, sender: str, now: float) -> None:
         self._links.note_heard(sender, now)
+
+    def refused_at(self, name: str) -> float:
+        return self._links.refused_at(name)
--- a/packages/lanedock-daemon/lanedock_daemon/framed_links.py
+++ b/packages/lanedock-daemon/lanedock_daemon/framed_links.py
@@ -40,6 +40,7 @@
         self.heard_at = monotonic()
         self.last_sent_at = monotonic()
         self._confirmed_at: float | None = None
+        self.refused_at = float("-inf")
         self.task = None
 
     def put(self, data: bytes) -> None:
@@ -58,6 +59,8 @@
             opened_at = monotonic()
             try:
                 self._exchange(opened_at)
+            except ConnectionRefusedError:
+                self.refused_at = opened_at
             except OSError:
                 pass  # the peer cannot be reached: retried below
             lifetime = monotonic() - opened_at
@@ -136,6 +139,10 @@
             if link is not None:
                 link.put(message.SerializeToString())
 
+    def refused_at(self, name: str) -> float:
+        link = self._links.get(name)
+        return link.refused_at if link is not None else float("-inf")
+
     def note_heard(self, sender: str, now: float) -> None:
         link = self._links.get(replica_name(sender))
         if link is not None:
--- a/packages/lanedock-daemon/lanedock_daemon/quota/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/quota/service.py
@@ -6,6 +6,7 @@
 
 from lanedock.clock import monotonic
 from lanedock.config import Customer
+from lanedock.consensus.core import replica_name
 from lanedock.errors import ErrorCode
 from lanedock.kernel import TaskService
 from lanedock.quota import ALONE_AFTER, Quota, QuotaLedger
@@ -62,7 +63,7 @@
         self._customers: dict[str, Customer] = {}
         self._limited: dict[str, Quota] = {}
         self._role = _Role.FOLLOWER
-        self._ran_at = float("-inf")
+        self._ran_at = self._refreshed_at = float("-inf")
         self._resumed_at = float("-inf")
         self._handlers = {
             CreditsRequested: self._on_credits,
@@ -168,10 +169,15 @@
 
     def _refresh_zones(self, now: float) -> None:
         """Tell the ledger which control instances there are, and which of them are silent."""
+        self._refreshed_at = now
         replica, replicas, zones = self._log.replica, self._replicas(), self._zones()
         self._ledger.set_zones(count_instances(replicas, replica.me, self._zone, zones), now)
-        silent = count_silent_instances(replicas, replica.me, zones, lambda other: replica.unreached_time(other, now))
-        self._ledger.set_silent_instances(silent, now)
+
+        def unreached_time(other: str) -> float:
+            # Where connections are refused, no process runs that could grant.
+            return min(replica.unreached_time(other, now), now - self._links.refused_at(replica_name(other)))
+
+        self._ledger.set_silent_instances(count_silent_instances(replicas, replica.me, zones, unreached_time), now)
 
     def _replicas(self) -> list[str]:
         membership = self._log.replica.membership
@@ -183,6 +189,9 @@
         now = monotonic()
         request = item.request
         may_grant = self._refresh_role(now)
+        if may_grant and now - self._refreshed_at >= TICK:
+            # A tick is late. On old information, the ledger would take all other instances for silent.
+            self._refresh_zones(now)
         reply = messages.CreditReply(number=request.number)
         if self._role is not _Role.ALONE:
             reply.leader_address = self._leader_address()
--- a/packages/lanedock-daemon/lanedock_daemon/quota/tests/test_framed_quotas.py
+++ b/packages/lanedock-daemon/lanedock_daemon/quota/tests/test_framed_quotas.py
@@ -43,7 +43,10 @@
         self.leader = leader
         self.service = QuotaService("z", EventLogger(replica.me))
         self.service.attach(
-            log, SimpleNamespace(send=lambda batch: None), dict, lambda: str(self.leader) if self.leader else ""
+            log,
+            SimpleNamespace(send=lambda batch: None, refused_at=lambda name: float("-inf")),
+            dict,
+            lambda: str(self.leader) if self.leader else "",
         )
         self.service.start(None)
         self.service.post(VersionAccepted(split_config({**make_value(), "customers": [CUSTOMER]})))
--- a/packages/lanedock-daemon/lanedock_daemon/quota/tests/test_service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/quota/tests/test_service.py
@@ -59,10 +59,11 @@
         self.log = SimpleNamespace(replica=_Replica(self), is_broken=False, is_current_leader=False)
         self.log.replica.heard_at = self.now
         self.leader_address = ""
+        self.refused: dict[str, float] = {}
         self.service = QuotaService("z1", self)
         self.service.attach(
             self.log,
-            SimpleNamespace(send=self.sent.extend),
+            SimpleNamespace(send=self.sent.extend, refused_at=lambda name: self.refused.get(name, float("-inf"))),
             lambda: {"a": "z1", "b": "z2", "c": "z3"},
             lambda: self.leader_address,
         )
@@ -220,6 +221,27 @@
     assert granter.draw(10.0) < 0.95 * whole
 
 
+def test_a_late_tick_does_not_make_the_leader_reserve_the_shares_of_all_others(granter):
+    granter.lead()
+    granter.run(5.0)
+    granter.now += 0.3
+    assert granter.ask(_need(50)).grants[0].credits == 50
+    granter.now += 0.3
+    assert granter.ask(_need(30)).grants[0].credits >= 29
+
+
+def test_the_share_of_an_instance_whose_process_ended_is_not_reserved(granter):
+    """Its host refuses connections, so that nobody there grants. Otherwise each customer loses a zone's share."""
+    granter.lead()
+    granter.run(15.0)
+    granter.draw(1.0)
+    whole = granter.draw(5.0)
+    granter.log.replica.unreached = {THIRD: float("inf")}
+    granter.refused["c"] = granter.now + 100.0
+    granter.draw(1.0)
+    assert granter.draw(5.0) >= 0.98 * whole
+
+
 def test_the_leader_reports_to_all_others_and_a_follower_reports_nothing(granter):
     granter.lead()
     granter.run(2.0)
--- a/packages/lanedock-daemon/lanedock_daemon/tests/test_framed.py
+++ b/packages/lanedock-daemon/lanedock_daemon/tests/test_framed.py
@@ -5,6 +5,7 @@
 import pytest
 from gevent import socket
 
+from lanedock.clock import monotonic
 from lanedock.settings import Address
 from lanedock.wire import messages
 from lanedock_daemon import framed_links
@@ -132,6 +133,21 @@
     check_slow_link_delivers_long_message(*slow_link)
 
 
+def test_links_tell_when_a_host_refuses_connections():
+    """Guards against a leader that takes an ended process for one that is cut off, and leaves it a part of quotas."""
+    listening, ended = (Address("127.0.0.1", free_port()) for _ in range(2))
+    listener = FramedTransport(None).serve_control(Owner(), listening)
+    links = FramedTransport(None).peer_links({})
+    attempted_at = monotonic()
+    names = [str(listening), str(ended)]
+    with gevent.Timeout(5):
+        while links.refused_at(names[1]) < attempted_at:
+            links.send([messages.PeerMessage(sender="me", receiver=name) for name in names])
+            gevent.sleep(0.01)
+    assert links.refused_at(names[0]) == links.refused_at("127.0.0.1:1") == float("-inf")
+    listener.close()
+
+
 def test_credits_are_requested_and_granted():
     check_credits_are_requested_and_granted(FramedTransport(None))
 
--- a/packages/lanedock-daemon/lanedock_daemon/transport.py
+++ b/packages/lanedock-daemon/lanedock_daemon/transport.py
@@ -210,6 +210,14 @@
     def note_heard(self, sender: str, now: float) -> None:
         """Record that a message of a replica was received at `now`, monotonic, in seconds."""
 
+    def refused_at(self, name: str) -> float:
+        """Return when a replica's host last refused a connection, as no process listens there.
+
+        Monotonic time, in seconds, at which the connection was attempted. Minus infinity if none
+        was refused, or if the transport doesn't try often enough to tell.
+        """
+        return float("-inf")
+
 
 class Listener(ABC):
     """An address at which connections are accepted."""
