--- a/packages/lanedock/lanedock/quota/tests/fleet.py
+++ b/packages/lanedock/lanedock/quota/tests/fleet.py
@@ -2,12 +2,13 @@
 """Simulated control instances and daemons with quotas, in virtual time.
 
 The ledgers and accounts are the production classes. Elections are those of the replicated log in short:
-a replica supports no other leader for 1 s after it heard one or voted, and a leader acts for 0.9 s after
-sending a heartbeat that a quorum answered.
+a replica supports no other leader for `Timing.election_min` after it heard one or voted, and a leader acts
+for 0.9 of this after sending a heartbeat that a quorum answered.
 """
 
 from collections import deque
 
+from lanedock.consensus import Timing
 from lanedock.quota import (
     ALONE_AFTER,
     ANSWER_TIMEOUT,
@@ -23,7 +24,6 @@
 
 __all__ = ["ControlInstance", "Daemon", "Fleet"]
 
-HEARTBEAT, SUPPORT, LEASE = 0.15, 1.0, 0.9
 CONTROL_TICK, ACCOUNT_TICK = 0.05, 0.05
 # Seconds: for a request's credit; without asking an instance that did not answer.
 CREDIT_TIMEOUT, AVOID_TIME = 0.6, 1.0
@@ -58,14 +58,15 @@
         self.ledger.set_zones(self.fleet.instances_by_zone(), self.now)
         self.ledger.configure(dict(self.fleet.quotas), self.now)
         self.supports_until = self.heard_leader_at = self.now
-        self.supports_until += SUPPORT
+        self.timing = self.fleet.timing
+        self.supports_until += self.timing.election_min
         self.leader = ""
         self.leads = False
         self.lease_until = 0.0
         # Times of the newest heartbeats that others answered, and of those answered or refused by their hosts.
         self.answered: dict[str, float] = {}
         self.heard: dict[str, float] = {}
-        self.after(self.network.rng.uniform(0.0, HEARTBEAT), self._beat)
+        self.after(self.network.rng.uniform(0.0, self.timing.heartbeat), self._beat)
         self.after(CONTROL_TICK, self._tick)
 
     # ------------------------------------------------------------- the log
@@ -78,12 +79,17 @@
             for name in self.others():
                 self.send(name, Heartbeat(self.term, self.now))
             if len(self.fleet.controls) == 1:
-                self.lease_until = self.now + LEASE
-            self.after(HEARTBEAT, self._beat)
+                self.lease_until = self.now + self._lease
+            self.after(self.timing.heartbeat, self._beat)
         else:
             if self.now >= self.supports_until:
                 self._stand()
-            self.after(HEARTBEAT if self.leads else self.network.rng.uniform(0.05, 0.4), self._beat)
+            delay = self.network.rng.uniform(0.05, 0.4) * self.timing.election_min
+            self.after(self.timing.heartbeat if self.leads else delay, self._beat)
+
+    @property
+    def _lease(self) -> float:
+        return self.timing.election_min * self.timing.lease_fraction
 
     def _stand(self) -> None:
         """Begin to lead if a quorum supports it; the votes are taken in one moment."""
@@ -97,10 +103,10 @@
             return
         term = max(voter.term for voter in voters) + 1
         for voter in voters:
-            voter.term, voter.supports_until = term, self.now + SUPPORT
+            voter.term, voter.supports_until = term, self.now + self.timing.election_min
             voter.leads = False
         self.leads, self.leader = True, self.name
-        self.lease_until = self.now + LEASE
+        self.lease_until = self.now + self._lease
         self.answered, self.heard = {}, {}
 
     def is_current_leader(self) -> bool:
@@ -122,7 +128,7 @@
             return
         self.term, self.leader, self.leads = message.term, sender, False
         self.heard_leader_at = self.now
-        self.supports_until = self.now + SUPPORT
+        self.supports_until = self.now + self.timing.election_min
         self.update()
         self.send(sender, HeartbeatAnswer(message.term, message.sent_at))
 
@@ -139,7 +145,7 @@
         times = sorted([self.now, *self.answered.values()], reverse=True)
         quorum = len(self.fleet.controls) // 2 + 1
         if len(times) >= quorum:
-            self.lease_until = max(self.lease_until, times[quorum - 1] + LEASE)
+            self.lease_until = max(self.lease_until, times[quorum - 1] + self._lease)
 
     # ---------------------------------------------------------- the quotas
 
@@ -148,11 +154,11 @@
         if self.is_current_leader():
             self.ledger.lead(self.now)
             self.ledger.set_silent_instances(self._silent(), self.now)
-        elif self.now < self.heard_leader_at + ALONE_AFTER or self.leads:
-            # A leader without a lease hasn't heard the others, which may have another leader by now.
+            return
+        # A leader without a lease hasn't heard the others, which may have another leader by now.
+        heard_at = max(self.heard_leader_at, self.lease_until)
+        if self.now < heard_at + ALONE_AFTER:
             self.ledger.follow(self.now)
-            if self.leads and self.now >= self.lease_until + ALONE_AFTER:
-                self.ledger.stand_alone(self.now)
         else:
             self.ledger.stand_alone(self.now)
 
@@ -174,7 +180,9 @@
 
     def _serve(self, sender: str, request: messages.CreditRequest) -> None:
         self.update()
-        reply = messages.CreditReply(number=request.number, leader_address=self.leader)
+        # Daemons of other zones must not go on asking an instance that grants its own part only.
+        leader = "" if self.ledger.is_alone else self.leader
+        reply = messages.CreditReply(number=request.number, leader_address=leader)
         if not self.ledger.is_granting:
             reply.code = "not granting"
         for need in request.needs if self.ledger.is_granting else ():
@@ -290,8 +298,7 @@
         asked_at = self.asked_at.pop(reply.number, None)
         if asked_at is None:
             return  # to a request before the restart
-        if reply.leader_address:
-            self.leader = reply.leader_address
+        self.leader = reply.leader_address
         is_awaited = self.asked is not None and reply.number == self.asked[0]
         if reply.code:
             if is_awaited:
@@ -327,9 +334,11 @@
         seed: int,
         control_class=ControlInstance,
         daemon_class=Daemon,
+        election_min=1.0,
     ):
-        """Create processes; `controls` and `daemons` are the zones of each."""
+        """Create processes; `controls` and `daemons` are the zones of each, `election_min` is in seconds."""
         self.network = Network(seed)
+        self.timing = Timing.for_election(election_min)
         self.quotas = dict(quotas)
         # Times from which quotas were in force, and their values, by customer.
         self.history = {name: [(0.0, quota)] for name, quota in quotas.items()}
--- a/packages/lanedock/lanedock/quota/tests/test_invariant.py
+++ b/packages/lanedock/lanedock/quota/tests/test_invariant.py
@@ -38,9 +38,9 @@
 
     control_class, daemon_class = ControlInstance, Daemon
 
-    @initialize(controls=st.sampled_from(CONTROLS), seed=st.integers(0, 1000))
-    def begin(self, controls, seed):
-        self.fleet = Fleet(controls, DAEMONS, QUOTAS, seed, self.control_class, self.daemon_class)
+    @initialize(controls=st.sampled_from(CONTROLS), seed=st.integers(0, 1000), election_min=st.sampled_from([0.3, 1.0]))
+    def begin(self, controls, seed, election_min):
+        self.fleet = Fleet(controls, DAEMONS, QUOTAS, seed, self.control_class, self.daemon_class, election_min)
         self.limits = {name: [(0.0, quota)] for name, quota in QUOTAS.items()}
         self.fleet.run(FILL_TIME)
 
--- a/tools/bench_quota.py
+++ b/tools/bench_quota.py
@@ -45,10 +45,11 @@
     control_class: type = ControlInstance
     daemon_class: type = Daemon
 
-    def make_fleet(self, quota: Quota, daemons: int, seed: int) -> Fleet:
+    def make_fleet(self, quota: Quota, cfg, seed: int) -> Fleet:
         """Create the processes."""
-        zones = [ZONES[number % len(ZONES)] for number in range(daemons)]
-        return Fleet(ZONES, zones, {CUSTOMER: quota}, seed, self.control_class, self.daemon_class)
+        zones = [ZONES[number % len(ZONES)] for number in range(cfg.daemons)]
+        quotas = {CUSTOMER: quota}
+        return Fleet(ZONES, zones, quotas, seed, self.control_class, self.daemon_class, cfg.election)
 
     @abstractmethod
     def granter(self, fleet: Fleet) -> ControlInstance:
@@ -259,7 +260,7 @@
 
     def __init__(self, way: Way, failure: str, cfg, seed: int, times: float):
         self.quota = Quota(cfg.rate, cfg.burst)
-        self.fleet = way.make_fleet(self.quota, cfg.daemons, seed)
+        self.fleet = way.make_fleet(self.quota, cfg, seed)
         rates = _rates(self.fleet, times * self.quota.rate)
         self.fleet.run(5.0)
         self.fleet.press(CUSTOMER, rates, SETTLE)
@@ -306,6 +307,7 @@
     parser.add_argument("--daemons", type=int, default=79)
     parser.add_argument("--rate", type=float, default=138.0, help="requests per second")
     parser.add_argument("--burst", type=float, default=138.0)
+    parser.add_argument("--election", type=float, default=0.3, help="minimum election timeout, in seconds")
     parser.add_argument("--out", type=Path, help="file for the results as JSON")
     cfg = parser.parse_args()
     results: dict[str, dict] = {}
