Name no leader once one's own lease has ended

Cause: a former leader that was cut off named itself until it granted alone, so that daemons went on asking it.

Change: only a leader with its lease names itself; a follower names the leader that it hears.

Result: quota, tests/test_quotas.py, tests/test_quota_cuts.py and tests/test_documents.py pass.

--- a/packages/lanedock-daemon/lanedock_daemon/quota/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/quota/service.py
@@ -193,7 +193,8 @@
             # A tick is late. On old information, the ledger would take all other instances for silent.
             self._refresh_zones(now)
         reply = messages.CreditReply(number=request.number)
-        if self._role is not _Role.ALONE:
+        if self._role is _Role.LEADER or (not may_grant and self._log.replica.leader != self._log.replica.me):
+            # Not a leader whose lease has ended: daemons would go on asking it.
             reply.leader_address = self._leader_address()
         if not may_grant:
             reply.code = ErrorCode.NOT_LEADER.code
--- a/packages/lanedock-daemon/lanedock_daemon/quota/tests/test_service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/quota/tests/test_service.py
@@ -163,6 +163,16 @@
     assert granter.ask(_need(1)).code == ErrorCode.NOT_LEADER.code
 
 
+def test_a_leader_whose_lease_has_ended_does_not_name_itself(granter):
+    """Otherwise the daemons of other zones go on asking a former leader that is cut off from a quorum."""
+    granter.lead()
+    granter.run(1.0)
+    granter.log.is_current_leader = False
+    granter.log.replica.heard_at = granter.now
+    reply = granter.ask(_need(1))
+    assert (reply.code, reply.leader_address) == (ErrorCode.NOT_LEADER.code, "")
+
+
 def test_an_instance_without_a_leader_grants_alone_from_its_zones_part(granter):
     granter.follow()
     granter.run(0.5)
