--- a/packages/lanedock-daemon/lanedock_daemon/quota/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/quota/service.py
@@ -6,9 +6,10 @@
 
 from lanedock.clock import monotonic
 from lanedock.config import Customer
+from lanedock.consensus.core import replica_name
 from lanedock.errors import ErrorCode
 from lanedock.kernel import TaskService
-from lanedock.quota import Quota, QuotaLedger
+from lanedock.quota import ALONE_AFTER, Quota, QuotaLedger
 from lanedock.telemetry import Event, EventLogger
 from lanedock.wire import messages
 from lanedock_daemon.quota.customers import CustomerReader
@@ -22,9 +23,6 @@
 
 # Seconds between two checks of the role, the peers and the report while a customer has a quota.
 TICK = 0.05
-# Seconds without a leader after which this instance grants credits alone. Longer than the silence
-# after which a leader reserves the share of a zone, so that both never grant the same credits.
-LEADERLESS_LIMIT = 0.8
 # Seconds without a tick above which this process was paused. That it has heard no leader meanwhile
 # says nothing, so the time without a leader counts from the end of the pause.
 PAUSE_LIMIT = 0.5
@@ -65,7 +63,7 @@
         self._customers: dict[str, Customer] = {}
         self._limited: dict[str, Quota] = {}
         self._role = _Role.FOLLOWER
-        self._ran_at = float("-inf")
+        self._ran_at = self._refreshed_at = float("-inf")
         self._resumed_at = float("-inf")
         self._handlers = {
             CreditsRequested: self._on_credits,
@@ -143,7 +141,7 @@
             role = _Role.FOLLOWER
         elif self._log.is_current_leader:
             role = _Role.LEADER
-        elif min(self._log.replica.leader_silence(now), now - self._resumed_at) >= LEADERLESS_LIMIT:
+        elif min(self._log.replica.leader_silence(now), now - self._resumed_at) >= ALONE_AFTER:
             role = _Role.ALONE
         else:
             role = _Role.FOLLOWER
@@ -171,10 +169,15 @@
 
     def _refresh_zones(self, now: float) -> None:
         """Tell the ledger which control instances there are, and which of them are silent."""
+        self._refreshed_at = now
         replica, replicas, zones = self._log.replica, self._replicas(), self._zones()
         self._ledger.set_zones(count_instances(replicas, replica.me, self._zone, zones), now)
-        silent = count_silent_instances(replicas, replica.me, zones, lambda other: replica.unreached_time(other, now))
-        self._ledger.set_silent_instances(silent, now)
+
+        def unreached_time(other: str) -> float:
+            # Where connections are refused, no process runs that could grant.
+            return min(replica.unreached_time(other, now), now - self._links.refused_at(replica_name(other)))
+
+        self._ledger.set_silent_instances(count_silent_instances(replicas, replica.me, zones, unreached_time), now)
 
     def _replicas(self) -> list[str]:
         membership = self._log.replica.membership
@@ -186,8 +189,12 @@
         now = monotonic()
         request = item.request
         may_grant = self._refresh_role(now)
+        if may_grant and now - self._refreshed_at >= TICK:
+            # A tick is late. On old information, the ledger would take all other instances for silent.
+            self._refresh_zones(now)
         reply = messages.CreditReply(number=request.number)
-        if self._role is not _Role.ALONE:
+        if self._role is _Role.LEADER or (not may_grant and self._log.replica.leader != self._log.replica.me):
+            # Not a leader whose lease has ended: daemons would go on asking it.
             reply.leader_address = self._leader_address()
         if not may_grant:
             reply.code = ErrorCode.NOT_LEADER.code
--- a/packages/lanedock-daemon/lanedock_daemon/quota/tests/test_service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/quota/tests/test_service.py
@@ -7,12 +7,13 @@
 
 from lanedock.config import split_config
 from lanedock.errors import ErrorCode
+from lanedock.quota import ALONE_AFTER
 from lanedock.telemetry import Event
 from lanedock.wire import messages
 from lanedock_daemon.path.tests.chain import make_value
 from lanedock_daemon.quota import service as service_module
 from lanedock_daemon.quota.requests import CustomersRequested, QuotaReportArrived, VersionAccepted
-from lanedock_daemon.quota.service import LEADERLESS_LIMIT, PAUSE_LIMIT, TICK, QuotaService
+from lanedock_daemon.quota.service import PAUSE_LIMIT, TICK, QuotaService
 from lanedock_daemon.transport import CreditsRequested
 
 ME, OTHER, THIRD = "a@1", "b@1", "c@1"
@@ -58,10 +59,11 @@
         self.log = SimpleNamespace(replica=_Replica(self), is_broken=False, is_current_leader=False)
         self.log.replica.heard_at = self.now
         self.leader_address = ""
+        self.refused: dict[str, float] = {}
         self.service = QuotaService("z1", self)
         self.service.attach(
             self.log,
-            SimpleNamespace(send=self.sent.extend),
+            SimpleNamespace(send=self.sent.extend, refused_at=lambda name: self.refused.get(name, float("-inf"))),
             lambda: {"a": "z1", "b": "z2", "c": "z3"},
             lambda: self.leader_address,
         )
@@ -161,13 +163,23 @@
     assert granter.ask(_need(1)).code == ErrorCode.NOT_LEADER.code
 
 
+def test_a_leader_whose_lease_has_ended_does_not_name_itself(granter):
+    """Otherwise the daemons of other zones go on asking a former leader that is cut off from a quorum."""
+    granter.lead()
+    granter.run(1.0)
+    granter.log.is_current_leader = False
+    granter.log.replica.heard_at = granter.now
+    reply = granter.ask(_need(1))
+    assert (reply.code, reply.leader_address) == (ErrorCode.NOT_LEADER.code, "")
+
+
 def test_an_instance_without_a_leader_grants_alone_from_its_zones_part(granter):
     granter.follow()
     granter.run(0.5)
     granter.leader_address = ""
     # No leader was heard for half a second: it may still live.
     assert granter.ask(_need(1)).code == ErrorCode.NOT_LEADER.code
-    granter.run(LEADERLESS_LIMIT)
+    granter.run(ALONE_AFTER)
     granted = granter.draw(10.0)
     # Three zones, of which each has at least half of an equal share.
     assert 0.9 * (10 * 100 / 6) <= granted <= (10 * 100 + 50) / 3
@@ -184,12 +196,12 @@
 def test_an_instance_that_was_paused_first_listens_for_a_leader(granter):
     """A resumed instance has heard nothing, since it did not run. The others were served by a leader."""
     granter.follow()
-    granter.run(1.0 - LEADERLESS_LIMIT)
+    granter.run(1.0 - ALONE_AFTER)
     granter.now += 30.0
     assert PAUSE_LIMIT < 30.0
     granter.service.on_tick()
     assert granter.ask(_need(1)).code == ErrorCode.NOT_LEADER.code
-    granter.run(LEADERLESS_LIMIT - TICK)
+    granter.run(ALONE_AFTER - TICK)
     assert granter.ask(_need(1)).code == ErrorCode.NOT_LEADER.code
     granter.run(2 * TICK)
     assert granter.ask(_need(1)).code == ""
@@ -219,6 +231,27 @@
     assert granter.draw(10.0) < 0.95 * whole
 
 
+def test_a_late_tick_does_not_make_the_leader_reserve_the_shares_of_all_others(granter):
+    granter.lead()
+    granter.run(5.0)
+    granter.now += 0.3
+    assert granter.ask(_need(50)).grants[0].credits == 50
+    granter.now += 0.3
+    assert granter.ask(_need(30)).grants[0].credits >= 29
+
+
+def test_the_share_of_an_instance_whose_process_ended_is_not_reserved(granter):
+    """Its host refuses connections, so that nobody there grants. Otherwise each customer loses a zone's share."""
+    granter.lead()
+    granter.run(15.0)
+    granter.draw(1.0)
+    whole = granter.draw(5.0)
+    granter.log.replica.unreached = {THIRD: float("inf")}
+    granter.refused["c"] = granter.now + 100.0
+    granter.draw(1.0)
+    assert granter.draw(5.0) >= 0.98 * whole
+
+
 def test_the_leader_reports_to_all_others_and_a_follower_reports_nothing(granter):
     granter.lead()
     granter.run(2.0)
