Keep a customer's entry while an answer to its need is on its way

Cause: CreditAccount.make_needs removed the entry of a customer without credits and without recent use, also between its need and the answer. The next needs of another customer, or the check every 0.05 s, came first for most customers; the credits or the refusal were lost, and the request asked again in a loop for up to 0.6 s.

The two new cases of test_credits failed before.

Change: an entry is kept for the lifetime of the credits that were asked for.

--- a/packages/lanedock/lanedock/quota/credits.py
+++ b/packages/lanedock/lanedock/quota/credits.py
@@ -73,6 +73,7 @@
     __slots__ = (
         "ahead_asked",
         "ahead_until",
+        "asked_until",
         "batches",
         "needed",
         "noted_at",
@@ -88,6 +89,8 @@
         self.needed = self.returned = 0
         # Credits asked ahead, and the time until which an answer is expected.
         self.ahead_asked, self.ahead_until = 0, now
+        # Time until which the answer to the last need may come; the holding is kept until then.
+        self.asked_until = now
         # Time until which requests are refused without asking, and the retry time of the next refusal.
         self.refused_until = self.retry_at = float("-inf")
         # Credits used per second, and the time of this average.
@@ -116,6 +119,12 @@
         """Return the credits used per second, recent mean."""
         return self.use * math.exp((self.noted_at - now) / _USE_TIME)
 
+    def is_idle(self, now: float) -> bool:
+        """Return whether nothing is held, expected or known of the customer."""
+        if self.batches or now < max(self.asked_until, self.refused_until):
+            return False
+        return self.mean_use(now) < _MIN_USE
+
     def return_ending(self, now: float) -> None:
         """Set credits aside for the granter that end soon."""
         for batch in list(self.batches):
@@ -233,7 +242,7 @@
             ahead = holding.ahead(now)
             if holding.needed or ahead or holding.returned:
                 needs.append(_make_need(customer, holding, ahead, now))
-            elif not holding.batches and now >= holding.refused_until and holding.mean_use(now) < _MIN_USE:
+            elif holding.is_idle(now):
                 del self._holdings[customer]
         self._has_needs = False
         return needs
@@ -264,6 +273,7 @@
 def _make_need(customer: str, holding: _Holding, ahead: int, now: float) -> messages.CreditNeed:
     need = messages.CreditNeed(customer=customer, needed=holding.needed, ahead=ahead, returned=holding.returned)
     holding.needed = holding.returned = 0
+    holding.asked_until = now + CREDIT_LIFETIME
     if ahead:
         holding.ahead_asked, holding.ahead_until = ahead, now + ANSWER_TIMEOUT
     return need
--- a/packages/lanedock/lanedock/quota/tests/test_credits.py
+++ b/packages/lanedock/lanedock/quota/tests/test_credits.py
@@ -163,3 +163,15 @@
     assert account.held("x", 0.0) == 0
     account.add_grants(_grant(3), 0.0, 0.0)
     assert account.held("x", 0.0) == 0
+
+
+@pytest.mark.parametrize(("grants", "kind"), [(_grant(1), Taken), (_grant(retry_ms=500), Exhausted)])
+def test_answer_is_not_lost_when_needs_of_others_are_made_before_it_comes(grants, kind):
+    """Otherwise the request asks again until it gives up, and each credit that it was granted is lost."""
+    account = _make()
+    account.take("x", 0.0)
+    account.make_needs(0.0)
+    account.take("y", 0.001)
+    account.make_needs(0.001)
+    account.add_grants(grants, 0.002, 0.0)
+    assert isinstance(account.take("x", 0.002), kind)
