--- a/packages/lanedock/lanedock/quota/core.py
+++ b/packages/lanedock/lanedock/quota/core.py
@@ -9,11 +9,6 @@
 # small burst could not use its rate, as the bucket would overflow between the messages of its daemons.
 _MIN_CAPACITY_CREDITS = 1.0
 _MIN_CAPACITY_TIME = 0.05
-# Requests above the burst that a limit allows at once: callers' requests arrive in groups, and a customer far
-# below a small limit would be refused for them. Part of the 20 requests by which any limit may be exceeded
-# within 5 s; of larger limits the messages between daemons and control instances need that part themselves.
-_ALLOWANCE = 10.0
-_ALLOWANCE_RATE_PART = 0.1
 # A sum of many small refills may be short of a token by a rounding error.
 _ROUNDING = 1e-9
 
@@ -46,7 +41,6 @@
     def capacity(self, part: float = 1.0) -> float:
         """Return the capacity, in credits, of the bucket of an instance that grants this part of the quota."""
         whole = max(self.burst, _MIN_CAPACITY_CREDITS + _MIN_CAPACITY_TIME * self.rate)
-        whole += max(0.0, _ALLOWANCE - _ALLOWANCE_RATE_PART * self.rate)
         return max(_MIN_CAPACITY_CREDITS, whole * part)
 
     def admitted(self, seconds: float) -> float:
--- a/packages/lanedock/lanedock/quota/tests/test_core.py
+++ b/packages/lanedock/lanedock/quota/tests/test_core.py
@@ -14,9 +14,7 @@
         (Quota(100, 100), 1.0, 100),
         (Quota(100, 100), 0.25, 25),
         (Quota(100, 0), 1.0, 6),  # a small burst doesn't keep the rate from being used
-        (Quota(5, 5), 1.0, 14.5),  # a small limit allows a group of requests at once
-        (Quota(2, 2), 0.1, 1.18),
-        (Quota(2, 2), 0.05, 1),  # a small part can still grant
+        (Quota(2, 2), 0.1, 1),  # a small part can still grant
     ],
 )
 def test_capacity(quota, part, capacity):
--- a/packages/lanedock/lanedock/quota/tests/test_ledger.py
+++ b/packages/lanedock/lanedock/quota/tests/test_ledger.py
@@ -124,8 +124,7 @@
 def test_lower_limit_applies_at_once():
     ledger = _make_leader()
     ledger.configure({"x": Quota(10, 20)}, 10.0)
-    # The burst, and the 9 requests above it that so small a limit allows.
-    assert _draw(ledger, 10.0) == 29
+    assert _draw(ledger, 10.0) == 20
     assert _draw(ledger, 11.0) == 10
 
 
