Expect a refusal where an upstream's queue is full

With three slots and paces of 0.5 to 1.5 the fastest upstreams promised the earliest answer until their queues were full, and then refused.

The expected time doubles from two waiting requests for each slot on, which is the queue of an application that reports its slots.

--- a/packages/lanedock/lanedock/routing/probed_choice.py
+++ b/packages/lanedock/lanedock/routing/probed_choice.py
@@ -29,6 +29,10 @@
 _DEFAULT_SERVICE_TIME = 0.05
 # Expected time, in seconds, at an upstream that already has a trial request in progress after its ejection.
 _TRIAL_TIME = 1000.0
+# Waiting requests for each slot from which on an upstream's queue counts as full, and the factor on its
+# expected time: most likely it refuses the request, and the next attempt starts with another choice.
+_FULL_QUEUE = 2
+_FULL_QUEUE_FACTOR = 2.0
 # Consecutive unanswered probes from which on a request does not wait for an upstream's reply, and the
 # shortest interval between two probes of it, in seconds.
 _MAX_AWAITED_MISSES = 2
@@ -252,6 +256,8 @@
         pace = min(max(reply.pace_percent / 100, PACE_BOUNDS[0]), PACE_BOUNDS[1]) if reply.pace_percent else 1.0
         service_time = reply.service_ms / 1000 or usual
         expected = (queue + 1) * service_time * pace
+        if reply.waiting + stats.sample.sent >= _FULL_QUEUE * reply.slots:
+            expected *= _FULL_QUEUE_FACTOR
         if stats.cold_since is not None:
             warmth = (now - stats.cold_since) / stats.cold_duration
             expected /= min(1.0, max(self._policy.cold_weight, warmth))
--- a/packages/lanedock/lanedock/routing/tests/test_probed_choice.py
+++ b/packages/lanedock/lanedock/routing/tests/test_probed_choice.py
@@ -93,6 +93,8 @@
         ({"in_use": 2, "pace_percent": 250}, {"in_use": 5}),
         ({"in_use": 2, "service_ms": 600}, {"in_use": 5}),
         ({"in_use": 3, "slots": 3}, {"in_use": 5}),
+        # Its queue is full, so it would refuse the request.
+        ({"in_use": 7, "waiting": 14, "pace_percent": 50}, {"in_use": 7, "waiting": 8}),
     ],
 )
 def test_the_upstream_with_the_least_expected_time_is_chosen(worse, better):
