Choose upstreams for long answers by the waits for their links

Cause: once slots are free while answers wait for a narrow link, the requests in progress no longer show which upstream delivers a long answer first.

Change: a daemon on a narrow link states x-lanedock-link-ms in its answers and refusals, the time for which admitted long answers occupy the link. The caller's balancer keeps it (UpstreamStats.link_wait), lets it drain in real time, and adds 0.1 s for each long answer it asks for until the next statement. For download routes, and routes whose answers over narrow links were observed to be long on average, 0.1 s of wait counts as one request in the load score. A local upstream whose wait exceeds half of the time left to the target has no room: the best local link is taken, or another zone's if none has room and it waits less.

--- a/packages/lanedock-daemon/lanedock_daemon/path/caller/attempts.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller/attempts.py
@@ -19,6 +19,7 @@
     HOP_HEADERS,
     KNOWN_LIMIT_HEADER,
     LEAVING_HEADER,
+    LINK_WAIT_HEADER,
     LOAD_HEADER,
     OUTCOME_HEADER,
     REACHED_APPLICATION_HEADER,
@@ -173,6 +174,7 @@
             slowness=round(stats.slowness, 2),
             software=stats.endpoint.version,
             pool=stats.pool.value,
+            link_wait_ms=round(1000 * stats.link_wait(started)) if stats.has_narrow_link else None,
         )
         continue_wait = None
         if request.body.needs_continue:
@@ -181,7 +183,7 @@
                 late_after,
                 lambda: handle_late_answer(self._pool, stats.address, started, self._events, stats.endpoint.instance),
             )
-        balancer.begin(stats, started)
+        balancer.begin(stats, started, context.has_long_answer)
         try:
             return send_request(
                 self._pool, stats.address, request, sent, context.deadline + REFUSAL_GRACE, continue_wait
@@ -211,6 +213,9 @@
         head = response.message
         load = parse_int(head.header(LOAD_HEADER))
         balancer.add_send_time(stats, (parse_int(head.header(SEND_DELAY_HEADER)) or 0) / 1000, monotonic())
+        link_wait_ms = parse_int(head.header(LINK_WAIT_HEADER))
+        if link_wait_ms is not None:
+            balancer.note_link_wait(stats, link_wait_ms / 1000, monotonic())
         leaving = head.header(LEAVING_HEADER)
         if leaving:
             balancer.note_leaving(stats, leaving == Leaving.APPLICATION)
@@ -346,6 +351,9 @@
             self._read_refusal(response)
             return AttemptResult(self._make_unknown_outcome(code, ""), True, may_have_run=True)
         failed = head.status >= 500
+        length = parse_int(head.header("content-length"))
+        if length is not None and not failed and context.request.method != "HEAD":
+            balancer.note_answer_length(route.name, length, stats)
         self._metrics.count(Metric.TRIES, 1, (stats.endpoint.service, "failed" if failed else "answered"))
         pieces: list[bytes] = []
         body_taken = 0.0
--- a/packages/lanedock-daemon/lanedock_daemon/path/caller/request_context.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller/request_context.py
@@ -136,6 +136,11 @@
         self.goes_to_canary = False
         self.prefers_canary = False
 
+    @property
+    def has_long_answer(self) -> bool:
+        """Whether the request's answer is probably long, by its route or by the answers observed."""
+        return self.route.download or self.balancer.has_long_answers(self.route.name)
+
     def choose(self, now: float, may_wait: bool = True) -> UpstreamStats | None:
         """Choose an upstream that has not been tried yet, and add it to `tried`.
 
@@ -157,11 +162,17 @@
         # such responses 90 kB.
         is_long = self.route.upload or self.route.download or self.request.body.is_long
         tried = frozenset(self.tried)
+        # Within which a long answer on a narrow link should come.
+        time_left = self.target_time - now if self.has_long_answer else None
         stats = None
         if self.prefers_canary or (self.goes_to_canary and not tried):
-            stats = self.balancer.choose(self.service.slots, now, tried, is_long, Pool.CANARY, may_wait=False)
+            stats = self.balancer.choose(
+                self.service.slots, now, tried, is_long, Pool.CANARY, may_wait=False, time_left=time_left
+            )
         if stats is None:
-            stats = self.balancer.choose(self.service.slots, now, tried, is_long, may_wait=may_wait)
+            stats = self.balancer.choose(
+                self.service.slots, now, tried, is_long, may_wait=may_wait, time_left=time_left
+            )
         if stats is not None:
             self.tried.add(stats.endpoint.instance)
         return stats
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/headers.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/headers.py
@@ -15,6 +15,7 @@
     "HOP_HEADERS",
     "KNOWN_LIMIT_HEADER",
     "LEAVING_HEADER",
+    "LINK_WAIT_HEADER",
     "LOAD_HEADER",
     "OUTCOME_HEADER",
     "PACE_HEADER",
@@ -54,6 +55,9 @@
 # Milliseconds to wait before the next request to a rate-limited upstream; absent if requests
 # may be sent at once.
 SEND_DELAY_HEADER = "x-lanedock-turn-ms"
+# From a daemon on a narrow link: milliseconds for which the long answers that it has admitted
+# occupy the link.
+LINK_WAIT_HEADER = "x-lanedock-link-ms"
 # The incarnation of the application that the request is addressed to.
 UPSTREAM_HEADER = "x-lanedock-upstream"
 # Milliseconds left until the target time, which counts from the caller's first attempt;
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream/upstream.py
@@ -17,6 +17,7 @@
     DEADLINE_HEADER,
     KNOWN_LIMIT_HEADER,
     LEAVING_HEADER,
+    LINK_WAIT_HEADER,
     LOAD_HEADER,
     REACHED_APPLICATION_HEADER,
     ROUTE_HEADER,
@@ -172,6 +173,8 @@
         send_delay = self._gate.limiter.next_send_delay(monotonic())
         if send_delay:
             answer.headers.append((SEND_DELAY_HEADER, str(math.ceil(1000 * send_delay))))
+        if self._gate.answers.is_active:
+            answer.headers.append((LINK_WAIT_HEADER, str(math.ceil(1000 * self.link_wait(monotonic())))))
         if self._registration.is_leaving:
             answer.headers.append((LEAVING_HEADER, Leaving.APPLICATION))
         elif self._view.is_draining:
--- a/packages/lanedock/lanedock/routing/balancer.py
+++ b/packages/lanedock/lanedock/routing/balancer.py
@@ -12,6 +12,7 @@
 import math
 from random import Random
 
+from lanedock.averages import MeansByKind
 from lanedock.canary import Pool
 from lanedock.routing.answer_times import SMOOTHING, AnswerTimes
 from lanedock.routing.available_upstreams import AvailableUpstreams
@@ -43,6 +44,17 @@
 _MUCH_SLOWER = 1.6
 # Requests by which the load of a much faster remote upstream has to be lower to be chosen.
 _FASTER_REMOTE_MARGIN = 1.0
+# Mean length of a kind's answers, in bytes, above which they count as long.
+_LONG_ANSWER_BYTES = 16 * 1024
+# Weight of the newest length in its mean.
+_LENGTH_SMOOTHING = 0.05
+# Wait for an upstream's link, in seconds, that counts as one request in progress, and that a request
+# for a long answer is assumed to add until the upstream states its wait again: an answer of 64 kB
+# on a link of 5 Mbit/s.
+_LINK_TIME_PER_ANSWER = 0.1
+# Fraction of the time left to a request's target that its answer may wait for the link; the rest is
+# for the work and for sending the answer itself.
+_LINK_WAIT_FRACTION = 0.5
 
 
 class Balancer:
@@ -63,6 +75,7 @@
         self._upstreams: dict[str, UpstreamStats] = {}
         self._available = {pool: AvailableUpstreams([], zone) for pool in (Pool.STABLE, Pool.CANARY)}
         self._times = AnswerTimes()
+        self._answer_lengths = MeansByKind(_LENGTH_SMOOTHING)
         self._rate_limited_until = float("-inf")
 
     def __repr__(self) -> str:
@@ -164,6 +177,7 @@
         is_long: bool = False,
         pool: Pool = Pool.STABLE,
         may_wait: bool = True,
+        time_left: float | None = None,
     ) -> UpstreamStats | None:
         """Choose an upstream for a request; the caller of this method then calls `begin`.
 
@@ -183,6 +197,9 @@
             Whether to choose an upstream whose advertised rate limit permits no request yet
             if no upstream's limit permits one. Its daemon decides whether the request can
             wait there.
+        time_left : float, optional
+            For a request with a long answer: seconds until its target time. Upstreams on narrow
+            links are then compared by the waits for their links, too.
 
         Returns
         -------
@@ -195,10 +212,15 @@
             self._select_usable(available.remote, excluded, now),
         )
         local, remote = (
-            self._pick_less_loaded(self._select_permitted(upstreams, now), slots, now) for upstreams in usable
+            self._pick_less_loaded(self._select_permitted(upstreams, now), slots, now, time_left is not None)
+            for upstreams in usable
         )
         if remote is None or local is None:
             return local or remote or (_select_first_permitted([*usable[0], *usable[1]]) if may_wait else None)
+        if time_left is not None:
+            other = self._find_link_with_room(local, remote, usable[0], now, time_left)
+            if other is not None:
+                return other
         local_score = self._score(local, slots, now)
         policy = self._policy
         spill, penalty = policy.spill, policy.zone_penalty
@@ -232,13 +254,35 @@
             return usable
         return [stats for stats in usable if stats.send_times.is_open(now)]
 
-    def _pick_less_loaded(self, usable: list[UpstreamStats], slots: int, now: float) -> UpstreamStats | None:
+    def _find_link_with_room(
+        self, local: UpstreamStats, remote: UpstreamStats, local_ones: list[UpstreamStats], now: float, time_left: float
+    ) -> UpstreamStats | None:
+        """Return the upstream for a long answer that has no room in time on the link of the local upstream.
+
+        Returns None if the local upstream's link has room, or if no other link is occupied for less time.
+        """
+        longest_wait = _LINK_WAIT_FRACTION * max(0.0, time_left)
+        if local.link_wait(now) <= longest_wait:
+            return None
+        permitted = self._select_permitted(local_ones, now)
+        best = min(permitted, key=lambda stats: stats.link_wait(now))
+        if best.link_wait(now) <= longest_wait or best.link_wait(now) <= remote.link_wait(now):
+            return best
+        return remote
+
+    def _pick_less_loaded(
+        self, usable: list[UpstreamStats], slots: int, now: float, has_long_answer: bool = False
+    ) -> UpstreamStats | None:
         if not usable:
             return None
         if len(usable) == 1:
             return usable[0]
         first, second = self._rng.sample(usable, 2)
-        return first if self._score(first, slots, now) <= self._score(second, slots, now) else second
+        first_score, second_score = self._score(first, slots, now), self._score(second, slots, now)
+        if has_long_answer:
+            first_score += first.link_wait(now) / _LINK_TIME_PER_ANSWER
+            second_score += second.link_wait(now) / _LINK_TIME_PER_ANSWER
+        return first if first_score <= second_score else second
 
     def _score(self, stats: UpstreamStats, slots: int, now: float) -> float:
         """Return an upstream's load score: its estimated requests in progress, scaled up if it is cold or slow."""
@@ -272,8 +316,10 @@
 
     # ---------------------------------------------------------------- outcomes
 
-    def begin(self, stats: UpstreamStats, now: float | None = None) -> None:
+    def begin(self, stats: UpstreamStats, now: float | None = None, has_long_answer: bool = False) -> None:
         """Record that a request is sent to an upstream."""
+        if has_long_answer and now is not None and stats.link_free_at is not None:
+            stats.link_free_at = max(now, stats.link_free_at) + _LINK_TIME_PER_ANSWER
         if now is not None and not stats.in_progress:
             stats.busy_since = now
         stats.in_progress += 1
@@ -344,6 +390,19 @@
             return False
         return self._eject(stats, now)
 
+    def note_link_wait(self, stats: UpstreamStats, wait: float, now: float) -> None:
+        """Record for how many seconds long answers occupy an upstream's link, as its daemon states."""
+        stats.link_free_at = now + wait
+
+    def note_answer_length(self, kind: str, length: int, stats: UpstreamStats) -> None:
+        """Record the length of an answer, in bytes; only answers over narrow links count."""
+        if stats.has_narrow_link:
+            self._answer_lengths.note(kind, length)
+
+    def has_long_answers(self, kind: str) -> bool:
+        """Return whether the answers observed of a kind of request are long."""
+        return (self._answer_lengths.get(kind) or 0.0) > _LONG_ANSWER_BYTES
+
     def add_send_time(self, stats: UpstreamStats, wait: float, now: float) -> None:
         """Record when an upstream's advertised rate limit permits the next request; see `SendTimes.note`."""
         stats.send_times.note(wait, now)
--- a/packages/lanedock/lanedock/routing/tests/test_balancer.py
+++ b/packages/lanedock/lanedock/routing/tests/test_balancer.py
@@ -368,3 +368,81 @@
     balancer.set_endpoints([_endpoint("a")], 1.0)
     assert balancer.choose(10, 1.0) is stats
     assert (stats.pool, stats.in_progress) == (Pool.STABLE, 1)
+
+
+def _choose_long(balancer, now=0.0, time_left=2.0):
+    """Choose an upstream for a long answer."""
+    return balancer.choose(4, now, is_long=True, time_left=time_left)
+
+
+def test_a_long_answer_goes_where_the_link_is_free_first():
+    """Slots are free while answers wait for a narrow link, so the load alone would not show it."""
+    balancer = _balancer(_endpoint("a"), _endpoint("b"))
+    first = _choose_long(balancer)
+    balancer.note_link_wait(first, 0.8, 0.0)
+    for _ in range(5):
+        assert _choose_long(balancer) is not first
+    # Other requests aren't affected.
+    assert {balancer.choose(4, 0.0).endpoint.instance for _ in range(20)} == {"a", "b"}
+
+
+def test_a_links_wait_drains_in_real_time():
+    balancer = _balancer(_endpoint("a"))
+    stats = _choose_long(balancer)
+    assert stats.link_wait(0.0) == 0.0
+    balancer.begin(stats, 0.0, True)
+    # The link isn't known to be narrow.
+    assert stats.link_wait(0.0) == 0.0
+    balancer.note_link_wait(stats, 0.8, 1.0)
+    assert [stats.link_wait(now) for now in (1.0, 1.5, 3.0)] == pytest.approx([0.8, 0.3, 0.0])
+
+
+def test_long_answers_are_spread_between_two_statements_of_the_wait():
+    """Otherwise all requests of a moment would go to the upstream that stated the least."""
+    balancer = _balancer(*(_endpoint(name) for name in "abc"))
+    chosen = Counter()
+    for name in "abc":
+        balancer.note_link_wait(balancer.choose(4, 0.0, frozenset("abc") - {name}), 0.1 * (name != "a"), 0.0)
+    for _ in range(30):
+        stats = _choose_long(balancer)
+        balancer.begin(stats, 0.0, True)
+        chosen[stats.endpoint.instance] += 1
+    assert max(chosen.values()) <= 14
+
+
+@pytest.mark.parametrize(
+    ("local_wait", "remote_wait", "zone"),
+    [
+        (0.9, 0.0, "here"),  # has room in time: traffic between zones is saved
+        (1.1, 0.2, "there"),
+        (1.5, 1.8, "here"),  # neither has room
+    ],
+)
+def test_another_zone_gets_a_long_answer_if_no_local_link_has_room_in_time(local_wait, remote_wait, zone):
+    balancer = _balancer(*(_endpoint(name, zone) for name, zone in (("a", "here"), ("b", "here"), ("c", "there"))))
+    for name in "abc":
+        stats = balancer.choose(4, 0.0, frozenset("abc") - {name})
+        balancer.note_link_wait(stats, remote_wait if name == "c" else local_wait, 0.0)
+    assert _choose_long(balancer).endpoint.zone == zone
+
+
+def test_a_local_link_with_room_is_found_among_all():
+    """The two upstreams that are compared may both have no room while a third one has."""
+    balancer = _balancer(*(_endpoint(name, zone) for name, zone in (*((n, "here") for n in "abcdef"), ("r", "there"))))
+    for name in "abcdef":
+        stats = balancer.choose(4, 0.0, frozenset("abcdefr") - {name})
+        balancer.note_link_wait(stats, 1.5 if name != "d" else 0.0, 0.0)
+    assert {_choose_long(balancer).endpoint.instance for _ in range(20)} == {"d"}
+
+
+def test_observed_lengths_show_which_kinds_have_long_answers():
+    balancer = _balancer(_endpoint("a"))
+    stats = balancer.choose(4, 0.0)
+    balancer.note_answer_length("get", 90_000, stats)
+    # Lengths matter on narrow links only.
+    assert not balancer.has_long_answers("get")
+    balancer.note_link_wait(stats, 0.0, 0.0)
+    balancer.note_answer_length("get", 90_000, stats)
+    balancer.note_answer_length("list", 400, stats)
+    assert balancer.has_long_answers("get")
+    assert not balancer.has_long_answers("list")
--- a/packages/lanedock/lanedock/routing/upstream_stats.py
+++ b/packages/lanedock/lanedock/routing/upstream_stats.py
@@ -41,6 +41,9 @@
         Whether its application has reported that it leaves. Later reports don't revoke this.
     send_times : SendTimes
         Times at which requests may be sent, if it limits their rate.
+    link_free_at : float or None
+        Monotonic time until which long answers occupy its link, by what its daemon last stated and
+        by this caller's requests since then. None if the link isn't known to be narrow.
     """
 
     __slots__ = (
@@ -58,6 +61,7 @@
         "is_application_leaving",
         "is_on_trial",
         "is_unreachable",
+        "link_free_at",
         "other_requests",
         "pool",
         "reported_at",
@@ -85,10 +89,20 @@
         self.slowness = 1.0
         self.is_application_leaving = False
         self.send_times = SendTimes()
+        self.link_free_at: float | None = None
 
     def __repr__(self) -> str:
         return f"<UpstreamStats {self.endpoint.instance} in_progress={self.in_progress} others={self.other_requests}>"
 
+    @property
+    def has_narrow_link(self) -> bool:
+        """Whether its daemon has stated how long its link is occupied."""
+        return self.link_free_at is not None
+
+    def link_wait(self, now: float) -> float:
+        """Return for how long its link is still occupied by long answers, in seconds."""
+        return 0.0 if self.link_free_at is None else max(0.0, self.link_free_at - now)
+
     def silence(self, now: float) -> float:
         """Return for how long it has requests in progress and has answered none, in seconds."""
         if not self.in_progress or not self.busy_since:
