--- a/packages/lanedock-cli/lanedock_cli/explain.py
+++ b/packages/lanedock-cli/lanedock_cli/explain.py
@@ -151,12 +151,30 @@
     return missing
 
 
+def describe_link_limits(lines: list[LogLine]) -> list[str]:
+    """Describe the links that made an upstream's daemon refuse the request, and what occupied them."""
+    described = []
+    for line in lines:
+        fields = line.fields
+        if fields["message"] != Event.REQUEST_REFUSED.name or fields.get("limit") != "link":
+            continue
+        loads = []
+        if fields.get("link_ms") is not None:
+            loads.append(f"long answers occupy it for {fields['link_ms']} ms")
+        if fields.get("body_bytes"):
+            loads.append(f"{fields['body_bytes']} bytes of request bodies are in flight")
+        described.append(f"the link of {line.process} was the limit: {'; '.join(loads) or 'no load is logged'}")
+    return described
+
+
 def print_timeline(timeline: RequestTimeline, console: Console) -> None:
     """Print the request's lines, its error codes, the gaps, and the context."""
     for line in timeline.lines:
         console.print(line.text(), markup=False, highlight=False, soft_wrap=True)
     for code in timeline.codes:
         console.print(f"{code.code}: {code.meaning} {code.remedy}", markup=False, highlight=False, soft_wrap=True)
+    for text in describe_link_limits(timeline.lines):
+        console.print(text, markup=False, highlight=False, soft_wrap=True)
     for text in timeline.missing:
         console.print(f"missing: {text}", markup=False, highlight=False, soft_wrap=True)
     if timeline.context:
--- a/packages/lanedock-cli/lanedock_cli/tests/test_explain.py
+++ b/packages/lanedock-cli/lanedock_cli/tests/test_explain.py
@@ -13,7 +13,7 @@
 
 from lanedock.telemetry import Event, EventLogger, RequestLogger
 from lanedock.telemetry.log import configure_logging
-from lanedock_cli.explain import collect_timeline
+from lanedock_cli.explain import collect_timeline, describe_link_limits
 
 
 class _Process:
@@ -88,3 +88,26 @@
     (line,) = collect_timeline("id-1", [caller.path]).lines
     microsecond = 1e-6
     assert before - microsecond <= line.time.timestamp() <= after
+
+
+@pytest.mark.parametrize(
+    ("fields", "expected"),
+    [
+        ({"limit": "slots", "link_ms": 900, "body_bytes": 0}, []),
+        (
+            {"limit": "link", "link_ms": 900, "body_bytes": 0},
+            ["the link of upstream was the limit: long answers occupy it for 900 ms"],
+        ),
+        (
+            {"limit": "link", "body_bytes": 5000},
+            ["the link of upstream was the limit: 5000 bytes of request bodies are in flight"],
+        ),
+    ],
+)
+def test_a_link_that_was_the_limit_is_named(processes, fields, expected):
+    """Code LD3005 alone reads as if slots were short, and operators would add slots."""
+    _, upstream = processes
+    upstream.note(Event.REQUEST_REFUSED, code="LD3005", **fields)
+    upstream.end()
+    lines = collect_timeline("id-1", [upstream.path]).lines
+    assert describe_link_limits(lines) == expected
--- a/packages/lanedock-daemon/lanedock_daemon/path/shared/paced_answer.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/shared/paced_answer.py
@@ -9,6 +9,7 @@
 
 from lanedock.clock import monotonic
 from lanedock.limits import LONG_ANSWER_BYTES, AnswerLink, AnswerTransfer
+from lanedock.telemetry import Metric, Metrics, NullMetrics
 from lanedock_daemon.path.http.answer_writer import close_pieces
 from lanedock_daemon.path.http.channel import Channel
 from lanedock_daemon.path.http.delivery import Delivery
@@ -41,14 +42,16 @@
     Parameters
     ----------
     link : AnswerLink
+    metrics : Metrics, optional
 
     Attributes
     ----------
     link : AnswerLink
     """
 
-    def __init__(self, link: AnswerLink):
+    def __init__(self, link: AnswerLink, metrics: Metrics | None = None):
         self.link = link
+        self._metrics: Metrics = metrics or NullMetrics()
         self._timer = None
         self._fires_at = float("inf")
 
@@ -71,7 +74,20 @@
             Called with the length, in bytes, once the whole answer has been handed out.
         """
         self.link.add(transfer)
-        return PacedAnswer(pieces, transfer, length, self, on_whole)
+        answer = PacedAnswer(pieces, transfer, length, self, on_whole)
+        self._note_load()
+        return answer
+
+    def end(self, transfer: AnswerTransfer) -> None:
+        """Remove an answer that was sent, or that is not wanted."""
+        self.link.end(transfer)
+        self._note_load()
+
+    def _note_load(self) -> None:
+        # An idle link is not occupied, though the last piece may still be on its way.
+        wait = self.link.busy_time(monotonic()) if any(True for _ in self.link) else 0.0
+        self._metrics.gauge(Metric.LINK_QUEUE, self.link.queued)
+        self._metrics.gauge(Metric.LINK_WAIT, wait)
 
     def wait(self, transfer: AnswerTransfer, size: int, signal: Signal) -> int:
         """Wait for an answer's turn; return how many of the `size` bytes at hand may be sent."""
@@ -158,7 +174,7 @@
                 size = self._turns.wait(self._transfer, len(self._rest), self._has_turn)
         except BaseException:
             # Also at the end of the answer, and when the receiver disconnects during a wait.
-            self._turns.link.end(self._transfer)
+            self._turns.end(self._transfer)
             raise
         piece, self._rest = self._rest[:size], self._rest[size:]
         return piece
@@ -174,7 +190,7 @@
 
     def close(self) -> None:
         """Release what the answer holds: the receiver has disconnected, or has got the whole answer."""
-        self._turns.link.end(self._transfer)
+        self._turns.end(self._transfer)
         self._rest = b""
         close_pieces(self._pieces)
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/shared/tests/test_paced_answer.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/shared/tests/test_paced_answer.py
@@ -9,6 +9,7 @@
 import pytest
 
 from lanedock.limits import AnswerLink, AnswerTransfer
+from lanedock.telemetry import TextMetrics
 from lanedock_daemon.path.shared.paced_answer import FIRST_PIECE_BYTES, LinkTurns, answer_length, is_long_answer
 
 # Bytes per second; answers get 0.9 of it. A piece has 8 kB at most.
@@ -124,3 +125,15 @@
 )
 def test_long_answers(headers, length, is_long):
     assert (answer_length(headers), is_long_answer(headers)) == (length, is_long)
+
+
+def test_the_metrics_show_the_load_and_that_it_has_ended():
+    """A gauge that kept its last value would show a full link for hours after the last download."""
+    metrics = TextMetrics()
+    turns = LinkTurns(AnswerLink(RATE), metrics)
+    answer = _pace(turns, [PIECE], length=len(PIECE))
+    assert f"lanedock_upstream_link_queue {len(PIECE)}\n" in metrics.render()
+    with gevent.Timeout(TIMEOUT):
+        assert b"".join(answer) == PIECE
+    assert "lanedock_upstream_link_queue 0\n" in metrics.render()
+    assert "lanedock_upstream_link_wait 0\n" in metrics.render()
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_long_answers.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_long_answers.py
@@ -13,7 +13,7 @@
 from lanedock.clock import monotonic
 from lanedock.errors import ErrorCode
 from lanedock.limits import AnswerLink, AnswerTransfer
-from lanedock.telemetry import EventLogger, NullMetrics, NullTracer
+from lanedock.telemetry import Event, EventLogger, NullMetrics, NullTracer
 from lanedock_daemon.path.shared.paced_answer import LinkTurns
 from lanedock_daemon.path.tests.chain import HOST, Chain, Gate, make_value, read_all, wait_until
 from lanedock_daemon.path.upstream.upstream import UpstreamSide
@@ -202,14 +202,18 @@
 
 
 @pytest.mark.parametrize(("method", "body"), [("GET", b""), ("POST", bytes(20_000))])
-def test_a_request_whose_answer_the_link_cannot_deliver_in_time_is_refused_before_it_runs(make_chain, method, body):
+def test_a_request_whose_answer_the_link_cannot_deliver_in_time_is_refused_before_it_runs(
+    make_chain, caplog, method, body
+):
     """Its answer would come late after the application has worked on it; refused, it can go elsewhere."""
     value = make_value(slots=SLOTS, queue=SLOTS)
     for route in value["routes"]:
-        route.update(download=True, deadline_ms=10_000, target_ms=500)
+        # Of one class: a more urgent answer would go first.
+        route.update(download=True, deadline_ms=10_000, target_ms=500, traffic_class="read")
     gate = Gate()
-    # The link needs 0.7 s for the length assumed of the first answer.
-    chain = make_chain(gate, value=value, link_rate=100_000.0)
+    # The link needs 0.36 s for the length assumed of each answer.
+    chain = make_chain(gate, value=value, link_rate=200_000.0)
+    caplog.set_level("INFO")
     link = chain.upstreams[0].side._gate.answers._turns.link
     first = gevent.spawn(chain.request, "GET", "/first")
     wait_until(lambda: gate.begun == ["/first"])
@@ -218,6 +222,9 @@
     assert "x-request-outcome: not-run" in head and f"x-request-code: {ErrorCode.OVERLOADED.code}" in head
     assert "retry-after:" in head
     assert not chain.runs("/x")
+    (refused,) = [record.msg for record in caplog.records if record.msg["message"] == Event.REQUEST_REFUSED.name]
+    assert refused["limit"] == "link"
+    assert refused["link_ms"] > 300
     gate.opened.set()
     assert first.get(timeout=TIMEOUT)[0] == 200
     # The first answer was short after all; nothing of it is left on the link.
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream/answer_gate.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream/answer_gate.py
@@ -84,7 +84,7 @@
         """Record that a request has been answered; from now on its answer only counts while it is being sent."""
         transfer = self._expected.pop(request, None)
         if transfer is not None and not transfer.has_begun:
-            self._turns.link.end(transfer)
+            self._turns.end(transfer)
 
     def pace(self, answer: Answer, request: Request, traffic_class: str, admission: AdmissionRequest) -> Answer:
         """Let a long answer of the application wait for its turns on a narrow link, and record its length."""
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream/upstream.py
@@ -121,7 +121,7 @@
         )
         self._tracer: Tracer = tracer
         if turns is None and is_narrow_link(link_rate):
-            turns = LinkTurns(AnswerLink(link_rate))
+            turns = LinkTurns(AnswerLink(link_rate), metrics)
         # Without turns, where the link is not known to be narrow, answers are read and sent as they come.
         self._gate = SlotGate(self._registration, metrics, link_rate, turns)
         self._read_ahead = ReadAheadMemory()
--- a/packages/lanedock-daemon/lanedock_daemon/roles.py
+++ b/packages/lanedock-daemon/lanedock_daemon/roles.py
@@ -146,7 +146,7 @@
     requests = RequestLogger(events, settings.log_sample)
     kernel.add(_TotalsService(requests))
     link_rate = _find_link_rate(settings)
-    turns = LinkTurns(AnswerLink(link_rate)) if is_narrow_link(link_rate) else None
+    turns = LinkTurns(AnswerLink(link_rate), metrics) if is_narrow_link(link_rate) else None
     caller = CallerSide(view, ConnectionPool(), events, metrics, tracer, dialect, requests=requests, plan=plan)
 
     max_kept_connections = (
--- a/packages/lanedock/lanedock/telemetry/events.py
+++ b/packages/lanedock/lanedock/telemetry/events.py
@@ -273,8 +273,9 @@
     REQUEST_REFUSED = (
         521,
         logging.INFO,
-        "An upstream's daemon refused a request before forwarding it; the fields give the limit (slots, or link rate) "
-        "and the load.",
+        "An upstream's daemon refused a request before forwarding it; the fields give the limit (slots, rate or link) "
+        "and the load. On a narrow link `answer_bytes` and `link_ms` are the bytes of its long answers and the time "
+        "for which those admitted occupy it.",
         "If the slots are exhausted, add upstreams; if the link is, add upstreams or a faster link.",
     )
     UPSTREAM_CRASHED = (
--- a/packages/lanedock/lanedock/telemetry/metrics.py
+++ b/packages/lanedock/lanedock/telemetry/metrics.py
@@ -65,6 +65,12 @@
         "Requests a second that the application advertises as its limit, if it does.",
     )
     IS_RATE_LIMITED = ("upstream.is_rate_limited", "g", "1 where the application advertises a rate limit, else 0.")
+    LINK_QUEUE = (
+        "upstream.link_queue",
+        "g",
+        "Bytes of long answers that wait for a narrow link or are being sent over it.",
+    )
+    LINK_WAIT = ("upstream.link_wait", "g", "Seconds for which admitted long answers occupy a narrow link.")
     PASSED_ON = ("upstream.passed_on", "c", "Requests that were passed on to the application.")
     CANARY_SHARE = ("canary.share", "g", "Share of a service's requests that its canary gets, 0 to 1.", ("service",))
     CANARY_SENT = (
