Bound the influence of one huge answer on the admission of its route

Cause: a trial of the path's tests with paced answers showed it. One answer of 50 MB became the average length of its route, and all other requests of the route were refused unless they were alone on the link.

Change: lengths count with 1 MB at most, and an average begins with what was expected before the first answer: 64 kB for a route marked download, else 0.

Tests: lanedock/limits, test_long_answers.py and test_crashes.py passed; test_crashes.py also with all answers paced (a trial).

--- a/packages/lanedock/lanedock/limits/answer_admission.py
+++ b/packages/lanedock/lanedock/limits/answer_admission.py
@@ -12,6 +12,9 @@
 # Weight of the newest length in a kind's moving average: lengths of one route differ by a factor of
 # ten, so the average is taken over some twenty answers.
 _SMOOTHING = 0.05
+# Length with which a longer answer counts in the average, in bytes. One answer of 50 MB would
+# otherwise make all others of its route be refused unless they are alone on the link.
+_MAX_COUNTED_BYTES = 1024 * 1024
 # Shortest retry time, in seconds: about that of one long answer on the widest of narrow links.
 # Callers that came back after less would be refused again and again.
 _MIN_RETRY_TIME = 0.05
@@ -42,8 +45,8 @@
 
     def note_length(self, kind: str, length: int) -> None:
         """Record the length of an answer, in bytes."""
-        # One short answer doesn't show that a route marked for long ones has none.
-        self._lengths.note(kind, length, self.expected_length(kind) or length)
+        # One answer doesn't decide: the average begins with what was expected before any.
+        self._lengths.note(kind, min(length, _MAX_COUNTED_BYTES), self.expected_length(kind))
 
     def expected_length(self, kind: str) -> float:
         """Return the average length of a kind's answers, in bytes; 0 if it is unknown and not marked as long."""
