Test which servers of a daemon pace long answers

The test guards against answers to the application beside the daemon that wait for a link which they don't pass, and against pacing of links over 10 Mbit/s. The settings admit entry or upstream, not both in one process, so no daemon paces answers of its entry server today; CallerSide.paced_by is used once they do.

--- a/packages/lanedock-daemon/lanedock_daemon/tests/test_roles.py
+++ b/packages/lanedock-daemon/lanedock_daemon/tests/test_roles.py
@@ -1,13 +1,17 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """Tests of the order in which a daemon stops."""
 
+import json
+
 import gevent
 import pytest
 
-from lanedock.kernel import StopPlan
+from lanedock.kernel import Kernel, StopPlan
+from lanedock.settings import load_settings
+from lanedock.telemetry import EventLogger, NullMetrics, NullTracer
 from lanedock_daemon.agent import LocalView
 from lanedock_daemon.path.tests.chain import Chain
-from lanedock_daemon.roles import UPSTREAM_DRAIN, DrainService
+from lanedock_daemon.roles import UPSTREAM_DRAIN, DrainService, add_daemon
 from lanedock_daemon.sessions import DrainRequested
 
 
@@ -45,3 +49,24 @@
         assert chain.request("GET")[0] == 200
     finally:
         chain.stop()
+
+
+@pytest.mark.parametrize(("link_mbps", "is_paced"), [(None, False), (10.001, False), (10, True)])
+def test_long_answers_are_paced_on_links_given_as_narrow(tmp_path, link_mbps, is_paced):
+    """Answers to the calls of the application beside the daemon don't pass the link, and must not wait for it."""
+    upstream = {"service": "s", "listen": "127.0.0.1:3", "application": "127.0.0.1:1", "egress": "127.0.0.1:2"}
+    if link_mbps is not None:
+        upstream["link_mbps"] = link_mbps
+    path = tmp_path / "d.jsonc"
+    settings = {
+        "name": "d",
+        "zone": "z",
+        "transport": "framed",
+        "daemon": {"control": ["127.0.0.1:4"]},
+        "upstream": upstream,
+    }
+    path.write_text(json.dumps(settings), encoding="utf-8")
+    kernel = Kernel()
+    add_daemon(kernel, load_settings(str(path)), EventLogger("d"), NullMetrics(), NullTracer())
+    assert kernel.find("egress").side._turns is None
+    assert kernel.find("upstream").side._gate.answers.is_active is is_paced
