Ignore answers for credits that come too late

An answer whose credits had ended by then still made the daemon refuse until the retry time that it named, counted from its arrival. It has no effect now.

--- a/packages/lanedock/lanedock/quota/credits.py
+++ b/packages/lanedock/lanedock/quota/credits.py
@@ -249,12 +249,14 @@
             Time of the `make_needs` whose needs are answered. The credits end `CREDIT_LIFETIME` later.
         """
         expires_at = asked_at + CREDIT_LIFETIME
+        if now >= expires_at:
+            return
         for grant in grants:
             holding = self._holdings.get(grant.customer)
             if holding is None:
                 continue
             holding.ahead_asked = 0
-            if grant.credits and now < expires_at:
+            if grant.credits:
                 holding.batches.append([expires_at, grant.credits])
             refused_until = now + grant.retry_after_ms / 1000 if grant.retry_after_ms else float("-inf")
             if refused_until != holding.refused_until:
--- a/packages/lanedock/lanedock/quota/tests/test_credits.py
+++ b/packages/lanedock/lanedock/quota/tests/test_credits.py
@@ -86,6 +86,14 @@
     assert account.held("x", 1.0) == 0
 
 
+def test_answer_that_comes_too_late_refuses_nothing():
+    account = _make()
+    account.take("x", 0.0)
+    account.make_needs(0.0)
+    account.add_grants(_grant(0, retry_ms=500), CREDIT_LIFETIME, 0.0)
+    assert isinstance(account.take("x", CREDIT_LIFETIME), MustWait)
+
+
 def test_credits_that_end_first_are_taken_first():
     account = _make_with(1, now=0.1)
     account.add_grants(_grant(1), 0.15, 0.0)
