--- a/packages/lanedock/lanedock/routing/probed_choice.py
+++ b/packages/lanedock/lanedock/routing/probed_choice.py
@@ -242,7 +242,9 @@
         times = [self._expect(stats, usual, now, is_long) for stats in replied]
         self.compared += [(stats.endpoint.instance, time) for stats, time in zip(replied, times, strict=True)]
         least = min(times)
-        return replied[times.index(least)], least
+        # Idle upstreams often promise the same time; the first one listed must not get all requests.
+        earliest = [stats for stats, time in zip(replied, times, strict=True) if time == least]
+        return (earliest[0] if len(earliest) == 1 else self._rng.choice(earliest)), least
 
     def _expect(self, stats: UpstreamStats, usual: float, now: float, is_long: bool) -> float:
         """Return the expected time to an answer of an upstream that has replied, in seconds.
--- a/packages/lanedock/lanedock/routing/tests/test_probed_choice.py
+++ b/packages/lanedock/lanedock/routing/tests/test_probed_choice.py
@@ -103,6 +103,12 @@
     assert {mesh.request(float(second)) for second in range(10)} == {"b"}
 
 
+def test_upstreams_that_promise_the_same_time_get_equal_shares():
+    mesh = _Mesh("abcd")
+    chosen = Counter(mesh.request(float(second)) for second in range(400))
+    assert min(chosen.values()) >= 70 and len(chosen) == 4
+
+
 def test_pace_that_is_out_of_bounds_neither_attracts_nor_repels_without_limit():
     # Guards against an application that states a wrong pace and gets all requests, or none at any load.
     mesh = _Mesh("ab")
