Let the service time of an upstream without requests expire

Cause: the choice by load probes trusts the service time that an upstream's daemon states. One whose first requests were slow promised a later answer than the others, got no request for it, and was never measured again. Shown by a test of real daemons, which waited 30 s for one request to the upstream in two of three runs.

Change: a daemon states no service time where no request is in progress and none has ended for 10 s; its caller then assumes that of the others.

--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream/upstream.py
@@ -144,14 +144,15 @@
             self._gate.configure(binding)
         limiter, bodies = self._gate.limiter, self._gate.bodies
         self._gate.update_pace()
+        now = monotonic()
         return messages.LoadReply(
             upstream=self._registration.upstream,
             in_use=limiter.in_use,
             waiting=limiter.waiting + bodies.waiting,
             slots=limiter.slots,
             pace_percent=round(100 * limiter.pace.factor) if limiter.pace.is_stated else 0,
-            service_ms=round(1000 * limiter.usual_service_time),
-            link_wait_ms=round(1000 * self.link_wait(monotonic())),
+            service_ms=round(1000 * limiter.usual_service_time(now)),
+            link_wait_ms=round(1000 * self.link_wait(now)),
         )
 
     def link_wait(self, now: float) -> float:
--- a/packages/lanedock/lanedock/limits/slots.py
+++ b/packages/lanedock/lanedock/limits/slots.py
@@ -38,6 +38,8 @@
 # Upper bound of the estimated wait in a retry delay, in seconds; the estimate is infinite where
 # the application accepts no requests at all.
 _MAX_RETRY_WAIT = 5.0
+# Seconds without a request after which measured service times say nothing about the present.
+_SERVICE_TIME_EXPIRY = 10.0
 # Range of the random factor on retry delays, so that callers that were refused together don't
 # retry together.
 _RETRY_SPREAD = (0.5, 1.5)
@@ -95,6 +97,8 @@
         self._service_times = ServiceTimes()
         self.rate = RateLimiter()
         self._full_since: float | None = None
+        # When the service time of a request was measured last.
+        self._measured_at = float("-inf")
 
     def __repr__(self) -> str:
         return f"<SlotLimiter {self._shares!r} {self._queue!r}>"
@@ -226,6 +230,7 @@
         """
         if duration is not None:
             self._service_times.note(traffic_class, kind, duration)
+            self._measured_at = now
         else:
             self.rate.refund()
         self._shares.release(traffic_class)
@@ -297,9 +302,15 @@
         """The pace that the application states."""
         return self._service_times.pace
 
-    @property
-    def usual_service_time(self) -> float:
-        """Mean service time of all requests at the application's usual pace, in seconds; 0 before any has ended."""
+    def usual_service_time(self, now: float) -> float:
+        """Return the mean service time of all requests at the application's usual pace, in seconds.
+
+        It is 0 before any request has ended, and where none is in progress and none has ended for
+        `_SERVICE_TIME_EXPIRY`: an upstream that was slow once, and gets no request for it, would never
+        be measured again.
+        """
+        if not self.in_use and now - self._measured_at > _SERVICE_TIME_EXPIRY:
+            return 0.0
         return self._service_times.usual_mean
 
     def _has_room(self, traffic_class: str, now: float) -> bool:
