Survive a quota report that comes before the membership is known

Callers saw nothing of it, but the process of a control instance ended: a joining instance heard the leader's report that names silent zones before it knew any zone, and divided by their number.

The new test of the ledger failed the same way.

Change: until an instance knows the membership, it takes all use for unknown and reads nothing else from a report; each report names the silent zones again.

--- a/packages/lanedock/lanedock/quota/ledger.py
+++ b/packages/lanedock/lanedock/quota/ledger.py
@@ -490,10 +490,14 @@
         """
         if self.is_granting:
             return
-        if report.sequence != self._sequence + 1 or now - self._reported_at > _MAX_REPORT_AGE_OF_LEADER:
+        is_gap = report.sequence != self._sequence + 1 or now - self._reported_at > _MAX_REPORT_AGE_OF_LEADER
+        if is_gap or not self._instances:
             self._forget(now)
         self._sequence = report.sequence
         self._reported_at = now
+        if not self._instances:
+            # Without the membership there are no zones whose shares a report could tell.
+            return
         silent = {use.zone: use.credits for use in report.uses if use.customer == _SILENT_MARK}
         self._set_silent(silent, now, now)
         for use in report.uses:
--- a/packages/lanedock/lanedock/quota/tests/test_ledger.py
+++ b/packages/lanedock/lanedock/quota/tests/test_ledger.py
@@ -335,3 +335,18 @@
     leader = _make_leader()
     leader.set_silent_instances({"b": 1}, 1.0)
     assert list(leader.make_report(1.0).uses) == [messages.QuotaUse(customer="", zone="b", credits=1)]
+
+
+def test_report_that_names_a_silent_zone_before_the_membership_is_known_is_survived():
+    """An instance that has just started hears the leader before it knows the zones; its process ended by it."""
+    ledger = QuotaLedger("a")
+    ledger.configure({"x": Quota(100, 100)}, 0.0)
+    report = messages.QuotaReport(sequence=5, uses=[messages.QuotaUse(zone="b", credits=1)])
+    ledger.apply_report(report, 0.1)
+    ledger.set_zones({"a": 1, "b": 1}, 0.2)
+    report.sequence = 6
+    ledger.apply_report(report, 0.3)
+    ledger.stand_alone(1.2)
+    # The zones' shares of the use aren't known, so it grants from the smallest share that a zone may have.
+    granted = sum(ledger.grant("x", "a", 1, 0, 1.2 + 0.01 * step).credits for step in range(101))
+    assert 0 < granted <= 50
