Give a small service's canary upstreams the load of stable ones

Callers saw a version that fails under load get all requests of a small service: its trial showed nothing. One canary upstream in each zone was the least, so that with 4 stable upstreams in 3 zones a trial at a share of 0.08 to 0.3 gave each canary upstream 0.1 to 0.4 of a stable one's load, and the fault appeared with all of the traffic on it.

The upstreams of a step are now counted for the service: one up to one and a half times a stable upstream's load, then as many as the share needs, taken from all zones in turn. With 30 upstreams in 3 zones each zone still has one.

The new test fails on the former code (four of four cases: three upstreams in place of one or two); the other tests of the canary are as before.

--- a/packages/lanedock/lanedock/canary/pools.py
+++ b/packages/lanedock/lanedock/canary/pools.py
@@ -12,6 +12,10 @@
 
 __all__ = ["CanarySplit", "Pool", "assign_pools", "classify"]
 
+# Load of a stable upstream, as a multiple, up to which a single canary upstream serves the whole share. With less
+# than a usual load each, two of them would not show a fault that occurs under load.
+MAX_SINGLE_LOAD = 1.5
+
 
 class Pool(Enum):
     """The part of its service's traffic that an upstream serves; `WITHHELD` upstreams get none."""
@@ -40,8 +44,8 @@
     """Return the pool of each upstream of a service.
 
     Only so many canary upstreams get requests that each has the load of a stable upstream,
-    because some faults appear only under load. Each step selects the next upstreams in each
-    availability zone, the same ones on all daemons.
+    because some faults appear only under load. Each step selects the next upstreams, from all
+    availability zones in turn, the same ones on all daemons.
 
     Parameters
     ----------
@@ -58,25 +62,39 @@
         return {}
     pools = {endpoint.instance: classify(rule, endpoint.version) for endpoint in endpoints}
     staying = [endpoint for endpoint in endpoints if not endpoint.leaving]
-    for zone in {endpoint.zone for endpoint in staying}:
-        local = [endpoint for endpoint in staying if endpoint.zone == zone]
-        canaries = sorted(
-            (endpoint.instance for endpoint in local if pools[endpoint.instance] is Pool.CANARY), key=_hash_instance
-        )
-        stable = sum(pools[endpoint.instance] is Pool.STABLE for endpoint in local)
-        used = _select_canaries(canaries, max(1, ceil(rule.share_permille * stable / FULL_SHARE)), rule)
-        for instance in canaries:
-            if instance not in used:
-                pools[instance] = Pool.WITHHELD
+    stable = sum(pools[endpoint.instance] is Pool.STABLE for endpoint in staying)
+    canaries = [endpoint for endpoint in staying if pools[endpoint.instance] is Pool.CANARY]
+    used = _select_canaries(canaries, _count_needed(rule.share_permille * stable / FULL_SHARE), rule)
+    for endpoint in canaries:
+        if endpoint.instance not in used:
+            pools[endpoint.instance] = Pool.WITHHELD
     return pools
 
 
-def _select_canaries(canaries: list[str], count: int, rule: messages.CanaryRule) -> set[str]:
-    """Return the canary upstreams of a zone that get requests in the rule's step."""
+def _count_needed(load: float) -> int:
+    """Return how many canary upstreams a share needs that is the load of `load` stable upstreams."""
+    return 1 if load <= MAX_SINGLE_LOAD else ceil(load)
+
+
+def _select_canaries(canaries: list[messages.Endpoint], count: int, rule: messages.CanaryRule) -> set[str]:
+    """Return the canary upstreams that get requests in the rule's step."""
     if count >= len(canaries) or rule.share_permille >= FULL_SHARE:
-        return set(canaries)
+        return {endpoint.instance for endpoint in canaries}
+    ring = _interleave_zones(canaries)
     first = rule.step * count
-    return {canaries[(first + offset) % len(canaries)] for offset in range(count)}
+    return {ring[(first + offset) % len(ring)] for offset in range(count)}
+
+
+def _interleave_zones(canaries: list[messages.Endpoint]) -> list[str]:
+    """Return the instances in an order in which any part has each zone's upstreams in about their proportion."""
+    by_zone: dict[str, list[str]] = {}
+    for endpoint in canaries:
+        by_zone.setdefault(endpoint.zone, []).append(endpoint.instance)
+    places = []
+    for zone, instances in by_zone.items():
+        for number, instance in enumerate(sorted(instances, key=_hash_instance)):
+            places.append(((number + 0.5) / len(instances), zone, instance))
+    return [instance for _, _, instance in sorted(places)]
 
 
 def _hash_instance(instance: str) -> bytes:
--- a/packages/lanedock/lanedock/canary/tests/test_pools.py
+++ b/packages/lanedock/lanedock/canary/tests/test_pools.py
@@ -59,6 +59,19 @@
     assert len(seen) == 30
 
 
+@pytest.mark.parametrize(("share", "count"), [(80, 1), (250, 1), (330, 1), (500, 2)])
+def test_canary_upstreams_of_a_small_service_get_the_load_of_stable_ones(share, count):
+    # One upstream in each of three zones would get a third of that load, and hide a fault that occurs under load.
+    endpoints = _endpoints(4, 4)
+    seen = set()
+    for step in range(1, 5):
+        pools = assign_pools(_rule(share=share, step=step), endpoints)
+        used = {instance for instance, pool in pools.items() if pool is Pool.CANARY}
+        assert len(used) == count
+        seen |= used
+    assert len(seen) == 4
+
+
 def test_the_full_share_uses_all_canary_upstreams():
     pools = assign_pools(_rule(share=1000), _endpoints(6, 20))
     assert sum(pool is Pool.CANARY for pool in pools.values()) == 20
