Count the modelled answers at the upstreams' daemons

The model of canary releases counted an answer at the daemon of its caller, so that each source of the stable version's counts mixed all of its upstreams. The product counts at the daemon beside the application (CanaryAccount). A comparison by upstream can't be shown on such a model: a slow stable upstream was no slower than the others in it. Found by the trace of a case whose likelihood by upstream was far below the one computed from the speeds: spreads of 4.3 to 5.4 half buckets by "upstream" where the model draws 3.5.

Now daemon n counts for upstream n, as it does beside it.

--- a/tools/bench_canary.py
+++ b/tools/bench_canary.py
@@ -210,6 +210,9 @@
         self.controller = CanaryController(self.state, CanaryPolicy(), make_analysis)
         self.endpoints = [self._endpoint(f"old{number}", "v1", number) for number in range(self.upstreams)]
         self.speed = {f"{kind}{n}": self.rng.choice(SPEEDS) for kind in ("old", "new") for n in range(self.upstreams)}
+        # Each upstream has a daemon beside it, which counts its answers.
+        names = [f"{kind}{number}" for kind in ("old", "new") for number in range(self.upstreams)]
+        self.beside = dict(zip(names, self.daemons, strict=False))
         self.grey = self._choose_grey()
         self.known = {daemon.state.daemon: daemon.report() for daemon in self.daemons}
         self.in_transit: deque = deque()
@@ -289,15 +292,16 @@
             self.outcome.total += 1
             pool = Pool.CANARY if is_canary else Pool.STABLE
             upstream = self.rng.choice(members[pool] or [f"new{n}" for n in range(self.upstreams)])
-            self._answer(daemon, route, upstream, is_canary, members, now)
+            self._answer(route, upstream, is_canary, members, now)
 
     def _assign_pools(self) -> dict[Pool, list[str]]:
         pools = assign_pools(self.state.rule(SERVICE), self.endpoints)
         return {pool: [name for name, assigned in pools.items() if assigned is pool] for pool in Pool}
 
-    def _answer(self, daemon: Daemon, route: str, upstream: str, is_canary: bool, members: dict, now: float) -> None:
+    def _answer(self, route: str, upstream: str, is_canary: bool, members: dict, now: float) -> None:
         name = upstream if is_canary else ""
-        daemon.counter.note_sent(SERVICE, route, name)
+        counter = self.beside[upstream].counter
+        counter.note_sent(SERVICE, route, name)
         failing, factor = self._get_disturbances(upstream, now)
         if is_canary:
             self.outcome.canary += 1
@@ -311,7 +315,7 @@
                 failing = 1.0 if self.case.slow == 1 else failing
         taken = factor * WORK * self.rng.lognormvariate(0, SPREAD) / self.speed[upstream]
         failed = self.rng.random() < failing
-        self._send(now + taken, lambda _: daemon.counter.note_answer(SERVICE, route, name, failed, taken), None)
+        self._send(now + taken, lambda _: counter.note_answer(SERVICE, route, name, failed, taken), None)
 
     def _get_disturbances(self, upstream: str, now: float) -> tuple[float, float]:
         """Return the share of failures and the factor of durations that the version does not cause."""
