Log the answers by upstream at each step of a canary

A version that is slow and upstreams that are slow looked alike in the leader's log: the step events gave sums over all upstreams (compared_times, slow_answers, two ratios), so that neither "half of the answers on each upstream" nor "all answers of one upstream" could be read from them.

CANARY_EVIDENCE (E326) gives, for each upstream of both versions at each step, answers, failures, compared and slow answers, and the geometric mean and spread of the times; twelve upstreams of each version at most. Decisions are as before. The answers are kept by upstream, window of two seconds and route; windows are merged in pairs when there are 16, so that a canary of hours takes no more memory.

Tests of the canary package, the model, the commands and the documents pass.

--- a/packages/lanedock-daemon/lanedock_daemon/control/canaries.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/canaries.py
@@ -2,6 +2,7 @@
 """Canary releases at a control instance: requests from operators, and steps decided by the leader."""
 
 import time
+from collections import Counter
 from collections.abc import Callable
 
 from lanedock.canary import FULL_SHARE, CanaryController, CanaryPolicy, StartResult, StartVerdict, make_step
@@ -19,6 +20,8 @@
 COMMAND_TIMEOUT = 3.0
 # Maximum number of canaries in one reply.
 MAX_LISTED_CANARIES = 20
+# Maximum number of upstreams of each version whose answers are logged at a step.
+MAX_LOGGED_UPSTREAMS = 12
 
 
 class _PendingCommand:
@@ -191,6 +194,23 @@
             reason=step.reason,
             **self._request_counts(record),
         )
+        self._log_evidence(step, record)
+
+    def _log_evidence(self, step: messages.CanaryStep, record: messages.CanaryRecord) -> None:
+        """Log what the decision rests on by upstream, where this replica leads: the first ones of each version."""
+        if self._controller is None:
+            return
+        logged = Counter()
+        for summary in self._controller.upstream_summaries(record):
+            logged[summary.is_canary] += 1
+            if logged[summary.is_canary] <= MAX_LOGGED_UPSTREAMS:
+                self._events.emit(
+                    Event.CANARY_EVIDENCE,
+                    service=step.service,
+                    canary=step.number,
+                    step=step.step,
+                    **summary.fields(),
+                )
 
     def _request_counts(self, record: messages.CanaryRecord) -> dict[str, float]:
         """Return the counts of a canary and the figures of its comparison; empty where another replica leads."""
--- a/packages/lanedock/lanedock/canary/analysis.py
+++ b/packages/lanedock/lanedock/canary/analysis.py
@@ -18,6 +18,8 @@
 
 from lanedock.canary.counts import BUCKETS, time_bucket
 from lanedock.canary.evidence import Increment
+from lanedock.canary.summaries import UpstreamSummary, find_slow_buckets, summarize
+from lanedock.canary.windows import UpstreamWindows
 
 __all__ = ["Analysis", "CusumAnalysis"]
 
@@ -103,6 +105,10 @@
         """Return the figures of the comparison, for the log."""
         return {}
 
+    def summaries(self) -> list[UpstreamSummary]:
+        """Return summaries of the upstreams' answers, for the log."""
+        return []
+
 
 class _Counts:
     """Decaying counts of one stable upstream on one route."""
@@ -241,6 +247,9 @@
     """Compares the shares of failures and of slow answers with the stable version's, by route and over all routes."""
 
     def __init__(self):
+        self._stable = UpstreamWindows()
+        self._canary = UpstreamWindows()
+        self._begun_at: float | None = None
         self._failure_proof = _Proof()
         self._slow_proof = _Proof()
         self._slow_answers = _Chart()
@@ -270,6 +279,20 @@
         for increment in increments:
             if increment.upstream and increment.answered:
                 self._judge(increment, now)
+            if increment.answered:
+                self._add_to_windows(increment, now)
+
+    def _add_to_windows(self, increment: Increment, now: float) -> None:
+        if self._begun_at is None:
+            self._begun_at = now
+        windows = self._canary if increment.upstream else self._stable
+        is_compared = not increment.upstream or now - self._first_at >= WARM_UP
+        times = increment.times if is_compared else None
+        windows.add(increment.upstream or increment.source, increment, times, now - self._begun_at)
+
+    def summaries(self) -> list[UpstreamSummary]:
+        slow_buckets = find_slow_buckets(self._stable.sum_all())
+        return summarize(self._canary, True, slow_buckets) + summarize(self._stable, False, slow_buckets)
 
     def _judge(self, increment: Increment, now: float) -> None:
         baseline = self._baselines.setdefault(increment.route, _Baseline())
--- a/packages/lanedock/lanedock/canary/controller.py
+++ b/packages/lanedock/lanedock/canary/controller.py
@@ -11,6 +11,7 @@
 from lanedock.canary.evidence import Evidence
 from lanedock.canary.pools import Pool, classify
 from lanedock.canary.state import FULL_SHARE, CanaryState
+from lanedock.canary.summaries import UpstreamSummary
 from lanedock.wire import messages
 
 __all__ = ["CanaryController", "CanaryPolicy"]
@@ -338,6 +339,11 @@
         run = self._runs.get(record.number)
         return run.analysis.figures() if run is not None else {}
 
+    def upstream_summaries(self, record: messages.CanaryRecord) -> list[UpstreamSummary]:
+        """Return summaries of the answers of a canary's upstreams and the stable ones, for the log."""
+        run = self._runs.get(record.number)
+        return run.analysis.summaries() if run is not None else []
+
     def progress(self, record: messages.CanaryRecord, now: float) -> messages.CanaryProgress:
         """Return the progress of a canary, for operators."""
         progress = messages.CanaryProgress(record=record)
--- a/packages/lanedock/lanedock/canary/counts.py
+++ b/packages/lanedock/lanedock/canary/counts.py
@@ -5,7 +5,7 @@
 
 from lanedock.wire import messages
 
-__all__ = ["BUCKETS", "BUCKET_RATIO", "CanaryCounter", "time_bucket"]
+__all__ = ["BUCKETS", "BUCKET_RATIO", "CanaryCounter", "bucket_time", "time_bucket"]
 
 # Lower bound of the second time bucket, in seconds; the ratio of the bounds of successive
 # buckets; and the number of buckets.
@@ -24,6 +24,11 @@
     return min(BUCKETS - 1, 1 + int(2 * log2(seconds / _FIRST_BOUND)))
 
 
+def bucket_time(bucket: float) -> float:
+    """Return the time in the middle of a bucket, in seconds; buckets may be averaged before."""
+    return _FIRST_BOUND * BUCKET_RATIO ** (bucket - 0.5)
+
+
 class _Row:
     __slots__ = ("answered", "failed", "sent", "times")
 
--- a/packages/lanedock/lanedock/telemetry/events.py
+++ b/packages/lanedock/lanedock/telemetry/events.py
@@ -128,6 +128,12 @@
         "Check the version; if the duration was too short, start the release again with a longer one.",
     )
     CANARY_FOLLOWED = (325, logging.INFO, "The daemon applies new canary rules.", "None.")
+    CANARY_EVIDENCE = (
+        326,
+        logging.INFO,
+        "An upstream's answers up to a step of a canary: failures, slow answers, and the mean and spread of its times.",
+        "Compare the upstreams of both versions: a bad version is worse on each of its upstreams.",
+    )
 
     SOURCE_FOUND = (401, logging.INFO, "The daemon has connected to a source of versions.", "None.")
     SOURCE_LOST = (
