Compare a canary's upstreams instead of its pooled answers

Callers saw a version that is slow in half of its answers get all requests of a small service while some stable upstreams were slow, and good versions taken back while some of their own upstreams were slow; the same for failures beside failing stable upstreams.

Cause: answers of all upstreams of a version were pooled before they were compared, so that a slow upstream and a slow version looked alike, and the decision fell on half of the answers that the allowed requests would have given.

Change: Bayes factors by upstream for slow answers and for failures, against stable upstreams' locations, spreads and failure rates; the trial spends the allowed requests, sparingly while its upstreams are cold, and ends at 0.75 of the duration.

--- a/packages/lanedock/lanedock/canary/controller.py
+++ b/packages/lanedock/lanedock/canary/controller.py
@@ -16,21 +16,30 @@
 
 __all__ = ["CanaryController", "CanaryPolicy"]
 
-# Fractions of a canary's duration: from when the ramp may start, from when it starts even if a bad
-# version would get more requests than allowed, and until when the ramp has to be finished.
-RAMP_START = 0.5
-RAMP_START_OVER_BUDGET = 0.65
-RAMP_DEADLINE = 0.85
-# Fraction of the allowed share that the trial uses; the rest is for the ramp.
-TRIAL_FRACTION = 0.8
-# Fraction of the allowed slack that the trial uses in addition.
-TRIAL_SLACK_FRACTION = 0.5
-# The same, and the factor of the share, for a trial that goes on for want of proof.
-LATE_TRIAL_SLACK_FRACTION = 0.8
-LATE_TRIAL_FACTOR = 1.5
-# Share while the trial is over its budget, and share of the ramp, in thousandths.
-REDUCED_SHARE = 20
-RAMP_SHARE = 300
+# Fractions of a canary's duration between which the trial ends. The later it ends, the later a version may turn bad
+# and still be detected before it gets all requests.
+EARLIEST_TRIAL_END, LATEST_TRIAL_END = 0.5, 0.75
+# Fraction of the duration after which a canary without proof is rolled back.
+LATEST_DECISION = 0.85
+# Shortest time, as a fraction of the duration, in which proof may still be found after the trial's end.
+MIN_EXTENSION = 0.05
+# Seconds that the ramp and the full share take, usually and at least.
+MOVE_TIME = 3.5
+MIN_MOVE_TIME = 2.6
+# Fraction of the allowed requests that the trial may use.
+TRIAL_FRACTION = 0.95
+# Requests up to which the trial seeks evidence at more than the policy's share, and the seconds in which it seeks them.
+TRIAL_REQUESTS = 250
+TRIAL_TIME = 3.0
+# Seconds that the last answers of the trial take to be counted.
+ANSWER_TIME = 0.5
+# Fraction of the policy's share that the canary gets while its upstreams are cold.
+WARM_UP_FRACTION = 0.5
+# Fraction of the policy's share that the trial of a service with many requests uses.
+POLICY_FRACTION = 0.8
+# Bounds of the trial's share, and the share of the ramp, in thousandths.
+MIN_TRIAL_SHARE, MAX_TRIAL_SHARE = 20, 330
+RAMP_SHARE = 400
 # Seconds after which the trial continues with other upstreams of the canary.
 ROTATION_INTERVAL = 1.0
 # Seconds for which the canary is observed at the share of the ramp, and then at the full share.
@@ -40,10 +49,15 @@
 DRAIN_TIMEOUT = 2.0
 # Answers of a canary that are required before its ramp.
 MIN_ANSWERS = 20
-# Slots that the canary needs before its ramp, as a fraction of the stable version's, and the
-# lower fraction that is enough from `RAMP_START_OVER_BUDGET` on.
+# Slots that the canary needs before its ramp, as a fraction of the stable version's, and the lower fraction that is
+# enough once the trial could have ended a while ago.
 CAPACITY_FRACTION = 0.9
 CAPACITY_FRACTION_LATE = 0.6
+# Log Bayes factor by which the evidence against a version has to stay below its limits at the trial's end; there is
+# time to find more proof, so that the margin falls to 0 until the last decision.
+EARLY_MARGIN = -4.0
+# The same where a bad version could not get more requests than are allowed: it may exceed the limits.
+HARMLESS_MARGIN = 3.0
 # Seconds between two evaluations of the evidence.
 EVALUATION_INTERVAL = 0.1
 # Seconds after which a step that was not applied is proposed again.
@@ -74,8 +88,8 @@
 
     @property
     def trial_share(self) -> int:
-        """Share of requests in the trial, in thousandths."""
-        return max(1, int(FULL_SHARE * self.share * TRIAL_FRACTION))
+        """Share of requests in the trial of a service with many requests, in thousandths."""
+        return max(1, int(FULL_SHARE * self.share * POLICY_FRACTION))
 
 
 class _CanaryRun:
@@ -86,6 +100,7 @@
         "begun_at",
         "confirmed_at",
         "evidence",
+        "is_step_cold",
         "number",
         "proposed",
         "proposed_at",
@@ -107,6 +122,7 @@
         self.proposed = -1
         self.proposed_at = 0.0
         self.waits_for = ""
+        self.is_step_cold = True
 
     def note_step(self, record: messages.CanaryRecord, revision: int, now: float) -> None:
         """Record which step is in force."""
@@ -219,6 +235,8 @@
             age = min(max(0.0, wall - record.started_at), record.duration_ms / 1000)
             run = self._runs[record.number] = _CanaryRun(record, self._make_analysis(), now - age)
         run.note_step(record, self._state.revision, now)
+        if record.step:
+            run.analysis.begin_trial(now)
         run.analysis.note(run.evidence.take(daemons), now)
         if run.confirmed_at is None and all(state.canary_revision >= run.revision for state in daemons.values()):
             run.confirmed_at = now
@@ -237,11 +255,11 @@
         elapsed_fraction = 1000 * (now - run.begun_at) / record.duration_ms
         if record.share_permille >= FULL_SHARE:
             return self._judge_full(record, run, capacity, elapsed_fraction, now)
-        if elapsed_fraction >= RAMP_DEADLINE:
-            reason = f"no proof in time that it is good: {run.waits_for}"
-            return make_step(record, messages.CANARY_ROLLED_BACK, 0, reason)
         if record.share_permille >= RAMP_SHARE:
             return self._judge_ramp(record, run, now)
+        if elapsed_fraction >= _last_decision(record):
+            reason = f"no proof in time that it is good: {run.waits_for}"
+            return make_step(record, messages.CANARY_ROLLED_BACK, 0, reason)
         return self._judge_trial(record, run, capacity, elapsed_fraction, now)
 
     def _judge_trial(self, record, run: _CanaryRun, capacity: _Capacity, elapsed_fraction: float, now: float):
@@ -249,57 +267,53 @@
         if not capacity.canary:
             run.waits_for = "no upstream of the version takes work"
             return None
-        share = self._trial_share(record, run, now)
-        slack_fraction = TRIAL_SLACK_FRACTION
-        if elapsed_fraction >= RAMP_START:
-            share, slack_fraction = min(RAMP_SHARE, int(LATE_TRIAL_FACTOR * share)), LATE_TRIAL_SLACK_FRACTION
+        is_cold = run.analysis.is_warming_up(now)
+        share = self._trial_share(record, run, elapsed_fraction, now)
         if not record.step:
             return make_step(record, running, share, "trial")
-        run.waits_for = self._find_obstacle(run, capacity, elapsed_fraction, now)
+        run.waits_for = self._find_obstacle(record, run, capacity, elapsed_fraction, now)
         if not run.waits_for:
             return make_step(record, running, RAMP_SHARE, "ramp")
-        if now - run.step_at < ROTATION_INTERVAL:
+        if run.is_step_cold == is_cold and now - run.step_at < ROTATION_INTERVAL:
             return None
-        if self._is_over_budget(run, slack_fraction):
-            share = min(share, REDUCED_SHARE)
+        run.is_step_cold = is_cold
         return make_step(record, running, share, "trial")
 
-    def _find_obstacle(self, run: _CanaryRun, capacity: _Capacity, elapsed_fraction: float, now: float) -> str:
+    def _find_obstacle(self, record, run: _CanaryRun, capacity: _Capacity, elapsed_fraction: float, now: float) -> str:
         """Return the reason why the ramp can't start yet; empty if it can."""
-        if elapsed_fraction < RAMP_START:
+        if elapsed_fraction < _trial_end(record):
             return "trial"
         if run.evidence.canary.answered < MIN_ANSWERS:
             return f"{run.evidence.canary.answered} answers of {MIN_ANSWERS}"
-        is_late = elapsed_fraction >= RAMP_START_OVER_BUDGET
+        is_late = elapsed_fraction >= (_trial_end(record) + _last_decision(record)) / 2
         needed = (CAPACITY_FRACTION_LATE if is_late else CAPACITY_FRACTION) * capacity.stable
         if capacity.canary < needed:
             return f"{capacity.canary} slots of {needed:.0f}"
-        if not is_late and not self._ramp_fits_budget(run, elapsed_fraction, now):
-            return "the ramp would cost more requests than a bad version may get"
-        if is_late and self._rest_fits_budget(run, elapsed_fraction, now):
-            return ""
-        return run.analysis.missing_proof(is_late)
-
-    def _trial_share(self, record, run: _CanaryRun, now: float) -> int:
-        """Return the share of the trial, in thousandths; the fewer requests a service gets, the higher it is."""
-        expected = run.rate(now) * RAMP_START * record.duration_ms / 1000
-        if not expected:
-            return self._policy.trial_share
-        extra = TRIAL_SLACK_FRACTION * self._policy.slack / expected
-        return min(RAMP_SHARE, self._policy.trial_share + int(FULL_SHARE * extra))
-
-    def _is_over_budget(self, run: _CanaryRun, slack_fraction: float) -> bool:
-        """Return whether the trial has got more requests than its budget."""
-        seen = run.evidence.stable.answered + run.evidence.canary.sent
-        return run.evidence.canary.sent > self._policy.share * seen + slack_fraction * self._policy.slack
+        margin = (
+            EARLY_MARGIN * (_last_decision(record) - elapsed_fraction) / (_last_decision(record) - _trial_end(record))
+        )
+        if self._rest_fits_budget(run, elapsed_fraction, now):
+            margin = HARMLESS_MARGIN
+        return run.analysis.missing_proof(margin)
 
-    def _ramp_fits_budget(self, run: _CanaryRun, elapsed_fraction: float, now: float) -> bool:
-        rate = run.rate(now)
-        elapsed = now - run.begun_at
-        remaining = elapsed / elapsed_fraction - elapsed
-        allowed = self._allowed_requests(run, remaining * rate)
-        ramp_requests = rate * (RAMP_DURATION * RAMP_SHARE / FULL_SHARE + FULL_SHARE_DURATION)
-        return run.evidence.canary.sent + ramp_requests <= allowed
+    def _trial_share(self, record, run: _CanaryRun, elapsed_fraction: float, now: float) -> int:
+        """Return the share of the trial, in thousandths.
+
+        It seeks evidence quickly, but spreads the allowed requests over the trial if they are few.
+        """
+        share = self._policy.trial_share
+        if run.analysis.is_warming_up(now):
+            return max(1, int(WARM_UP_FRACTION * share))
+        rate = max(1.0, run.rate(now))
+        sent = run.evidence.canary.sent
+        if sent < TRIAL_REQUESTS:
+            share = max(share, FULL_SHARE * TRIAL_REQUESTS / (rate * TRIAL_TIME))
+        seconds = record.duration_ms / 1000
+        left = max(ROTATION_INTERVAL, (_trial_end(record) - elapsed_fraction) * seconds - ANSWER_TIME)
+        expected = (1 - elapsed_fraction) * seconds * rate
+        budget = TRIAL_FRACTION * self._allowed_requests(run, expected) - sent
+        affordable = FULL_SHARE * budget / (rate * left)
+        return int(max(MIN_TRIAL_SHARE, min(MAX_TRIAL_SHARE, share, affordable)))
 
     def _rest_fits_budget(self, run: _CanaryRun, elapsed_fraction: float, now: float) -> bool:
         """Return whether a bad version may get all requests that are still expected."""
@@ -361,6 +375,17 @@
         return progress
 
 
+def _trial_end(record: messages.CanaryRecord) -> float:
+    """Return the fraction of a canary's duration at which its trial may end."""
+    return min(LATEST_TRIAL_END, max(EARLIEST_TRIAL_END, 1 - 1000 * MOVE_TIME / record.duration_ms))
+
+
+def _last_decision(record: messages.CanaryRecord) -> float:
+    """Return the fraction of a canary's duration at which it is rolled back without proof."""
+    last = min(LATEST_DECISION, 1 - 1000 * MIN_MOVE_TIME / record.duration_ms)
+    return max(_trial_end(record) + MIN_EXTENSION, last)
+
+
 def make_step(record: messages.CanaryRecord, phase: int, share: int, reason: str) -> messages.CanaryStep:
     """Return the step that follows the one in force; `share` is in thousandths."""
     return messages.CanaryStep(
--- a/packages/lanedock/lanedock/canary/windows.py
+++ b/packages/lanedock/lanedock/canary/windows.py
@@ -1,10 +1,15 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """Answers of a service's upstreams by upstream, window of time and route."""
 
-from lanedock.canary.counts import BUCKETS
+from lanedock.canary.counts import BUCKETS, time_bucket
 from lanedock.canary.evidence import Increment
 
-__all__ = ["AnswerCounts", "UpstreamWindows"]
+__all__ = ["FIRST_BUCKET", "AnswerCounts", "UpstreamWindows"]
+
+# Time, in seconds, below which differences don't count, as they vary with process scheduling; and its bucket, in which
+# all shorter times are kept.
+MIN_COMPARED_TIME = 0.05
+FIRST_BUCKET = time_bucket(MIN_COMPARED_TIME)
 
 # Initial length of a window, in seconds.
 WINDOW_LENGTH = 2.0
@@ -20,7 +25,7 @@
     answered, failed : int
         Answers, and the failures among them.
     times : list of int
-        Number of answers in each time bucket, of those whose times are compared.
+        Number of answers in each time bucket, of those whose times are compared; none before `FIRST_BUCKET`.
     """
 
     __slots__ = ("answered", "failed", "times")
@@ -38,7 +43,8 @@
         self.answered += answered
         self.failed += failed
         if times is not None:
-            self.times = [former + new for former, new in zip(self.times, times, strict=True)]
+            clamped = [0] * FIRST_BUCKET + [sum(times[: FIRST_BUCKET + 1])] + times[FIRST_BUCKET + 1 :]
+            self.times = [former + new for former, new in zip(self.times, clamped, strict=True)]
 
 
 class UpstreamWindows:
--- a/tests/test_canary_model.py
+++ b/tests/test_canary_model.py
@@ -70,6 +70,39 @@
     assert _exceed_exposure(outcomes) == 0
 
 
+@pytest.mark.parametrize(
+    "name",
+    [
+        "half is 3 times slower",
+        "half is 3 times slower, a fifth of the canary slow",
+        "half is 3 times slower, grey stable upstreams",
+        "fails 0.2, grey stable upstreams",
+        "fails 0.35 on one route of five",
+        "fails 0.35 after 8 s",
+        "fails 0.35 under load",
+    ],
+)
+def test_bad_version_of_a_small_service_is_not_taken_for_bad_upstreams(name):
+    assert _exceed_exposure(_simulate_small_service((CASES | UNEVEN_CASES)[name], 5)) == 0
+
+
+def test_version_with_all_answers_slower_of_a_small_service_is_not_promoted():
+    assert _exceed_exposure(_simulate_small_service(UNEVEN_CASES["all are 3 times slower"], 20)) == 0
+
+
+def test_version_with_half_of_the_answers_twice_as_slow_of_a_small_service_is_not_promoted():
+    assert _exceed_exposure(_simulate_small_service(CASES["half is 2 times slower"], 20)) == 0
+
+
+def test_version_that_fails_a_tenth_of_a_small_services_requests_is_not_promoted():
+    assert _exceed_exposure(_simulate_small_service(CASES["fails 0.1"], 20)) == 0
+
+
+def test_good_version_of_a_small_service_completes_while_answers_are_lost_everywhere():
+    outcomes = _simulate_small_service(CASES["good, answers lost everywhere"], 20)
+    assert sum(outcome.phase != messages.CANARY_COMPLETED for outcome in outcomes) <= 1
+
+
 def test_slow_version_of_a_small_service_is_not_promoted_beside_slow_stable_upstreams():
     case = UNEVEN_CASES["half is 3 times slower, a fifth of the stable slow"]
     assert _exceed_exposure(_simulate_small_service(case, 5)) == 0
--- a/tools/bench_canary.py
+++ b/tools/bench_canary.py
@@ -79,7 +79,7 @@
         share = {part: self._failed[part] / self._answered[part] for part in self._answered}
         return "too many failures" if share["canary"] > share[""] + self.EXCESS else ""
 
-    def missing_proof(self, is_late: bool) -> str:
+    def missing_proof(self, margin: float) -> str:
         return ""
 
 
@@ -138,11 +138,19 @@
     Case("fails 0.35, answers lost everywhere", failing=0.35, trouble="lost answers"),
 ]
 
-# Upstreams of one version are slow for a while, whichever is better.
+# Upstreams of one version are slow for a while, or fail, whichever version is better.
 UNEVEN_CASES = [
     Case("good, a fifth of the stable slow", trouble="slow stable"),
     Case("good, a fifth of the canary slow", trouble="slow canary"),
     Case("half is 3 times slower, a fifth of the stable slow", failing=0.5, slow=3, trouble="slow stable"),
+    Case("half is 3 times slower, a fifth of the canary slow", failing=0.5, slow=3, trouble="slow canary"),
+    Case("half is 3 times slower, grey stable upstreams", failing=0.5, slow=3, trouble="grey stable"),
+    Case("half is 3 times slower, a grey canary upstream", failing=0.5, slow=3, trouble="grey canary"),
+    Case("all are 3 times slower", failing=1.0, slow=3),
+    Case("all are 3 times slower, a fifth of the stable slow", failing=1.0, slow=3, trouble="slow stable"),
+    Case("fails 0.2, grey stable upstreams", failing=0.2, trouble="grey stable"),
+    Case("fails 0.2, a grey canary upstream", failing=0.2, trouble="grey canary"),
+    Case("fails 0.35, a fifth of the stable slow", failing=0.35, trouble="slow stable"),
 ]
 
 
