--- a/packages/lanedock/lanedock/canary/charts.py
+++ b/packages/lanedock/lanedock/canary/charts.py
@@ -13,7 +13,7 @@
 
 from math import log, sqrt
 
-__all__ = ["FailureBaseline", "FailureChart", "log_likelihood_ratio"]
+__all__ = ["FailureBaseline", "FailureChart"]
 
 # Log-likelihood ratio from which a version counts as bad: by chance a good version reaches it in one of a
 # thousand cases.
@@ -73,7 +73,7 @@
         return EXCESS if now - self._added_at <= BASELINE_MAX_AGE else EXCESS_WITHOUT_BASELINE
 
 
-def log_likelihood_ratio(good: int, bad: int, allowed: float, excess: float) -> float:
+def _log_likelihood_ratio(good: int, bad: int, allowed: float, excess: float) -> float:
     """Return the evidence of a bad version in numbers of answers; positive if it speaks against the version."""
     bad_share = allowed + (1 - allowed) * excess
     return bad * log(bad_share / allowed) + good * log((1 - bad_share) / (1 - allowed))
@@ -97,7 +97,7 @@
 
     def add(self, upstream: str, good: int, failed: int, baseline: FailureBaseline, now: float) -> None:
         """Add an upstream's answers."""
-        gain = log_likelihood_ratio(good, failed, baseline.allowed(), baseline.excess(now))
+        gain = _log_likelihood_ratio(good, failed, baseline.allowed(), baseline.excess(now))
         self._contributions[upstream] = self._contributions.get(upstream, 0.0) + gain
         self.seen += good + failed
         self.failed += failed
