Compare versions of services whose answers are all short

No version of a service whose answers all take under 50 ms would have been promoted: since the comparison by upstream, routes with mostly short times were left out, so that nothing was left to compare, and the limits ask for proof.

Where no route has longer times, short ones count as equal, as before: a version has to stay under 50 ms to be no slower.

--- a/packages/lanedock/lanedock/canary/answer_times.py
+++ b/packages/lanedock/lanedock/canary/answer_times.py
@@ -164,7 +164,8 @@
             for bucket, count in enumerate(counts.times):
                 if not count:
                     continue
-                table = self._find_table(route, times, fault, bucket == FIRST_BUCKET)
+                is_bound = bucket == FIRST_BUCKET and not self._fit.is_short
+                table = self._find_table(route, times, fault, is_bound)
                 first = 2 * bucket + 1 - effect + MAX_DIFFERENCE
                 column = table[first : first - LOCATIONS : -1]
                 if sums is None:
--- a/packages/lanedock/lanedock/canary/stable_times.py
+++ b/packages/lanedock/lanedock/canary/stable_times.py
@@ -70,7 +70,9 @@
         known = [(count, 2 * bucket + 1) for bucket, count in enumerate(times) if bucket > FIRST_BUCKET]
         self._known_total = sum(count * time for count, time in known)
         self._known_squares = sum(count * time**2 for count, time in known)
-        self.impute(SHORTEST, USUAL_SPREAD)
+        short = 2 * FIRST_BUCKET + 1
+        self.total = self._known_total + self._short * short
+        self.squares = self._known_squares + self._short * short**2
 
     def impute(self, mean: float, spread: float) -> None:
         """Take the expectations of the short times, if all times are normally distributed."""
@@ -125,13 +127,19 @@
         Distribution of the times of each route that has enough answers.
     centre : float
         Median of the locations of the upstreams.
+    is_short : bool
+        Whether all routes' times are mostly too short to be compared. They then count as equal, so that a version
+        shows only that it doesn't exceed them.
     """
 
     def __init__(self, windows: UpstreamWindows):
         self.routes: dict[str, RouteTimes] = {}
         self.centre = float(BUCKETS)
         self._effects: dict[int, int] = {}
-        compared = _find_compared_routes(windows)
+        compared = _find_compared_routes(windows, MAX_SHORT_FRACTION)
+        self.is_short = not compared
+        if self.is_short:
+            compared = _find_compared_routes(windows, 1.0)
         cells = [
             _Cell(upstream, number, {route: counts for route, counts in routes.items() if route in compared})
             for upstream, numbers in windows.upstreams.items()
@@ -160,6 +168,8 @@
         for _ in range(FIT_PASSES):
             offsets = _fit_offsets(cells, counts, offsets)
             spreads, common = _fit_spreads(cells, counts, offsets)
+            if self.is_short:
+                continue
             for cell in cells:
                 cell.impute(offsets, spreads)
         shrinkage = _find_shrinkage(offsets, counts, common)
@@ -181,12 +191,12 @@
             self._effects[number] = round(effect**3 / (effect**2 + error**2))
 
 
-def _find_compared_routes(windows: UpstreamWindows) -> set[str]:
-    """Return the routes that have enough answers, and not mostly such as are too short to be compared."""
+def _find_compared_routes(windows: UpstreamWindows, max_short: float) -> set[str]:
+    """Return the routes that have enough answers, and no more than a fraction of them in the first bucket."""
     routes = set()
     for route, counts in windows.sum_all().items():
         total = sum(counts.times)
-        if total >= MIN_ROUTE_ANSWERS and counts.times[FIRST_BUCKET] <= MAX_SHORT_FRACTION * total:
+        if total >= MIN_ROUTE_ANSWERS and counts.times[FIRST_BUCKET] <= max_short * total:
             routes.add(route)
     return routes
 
--- a/packages/lanedock/lanedock/canary/tests/test_answer_times.py
+++ b/packages/lanedock/lanedock/canary/tests/test_answer_times.py
@@ -51,6 +51,16 @@
     assert comparison.excess() > 0
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize(("factor", "is_held_back"), [(0.05, False), (5.0, True)])
+def test_a_service_whose_answers_are_all_short_gets_a_version_that_is_no_slower(seed, factor, is_held_back):
+    population = Population(seed)
+    for number in range(3):
+        population.add(f"old{number}", 20, factor=0.05)
+        population.add(f"new{number}", 8, factor=factor)
+    assert (_compare(population).excess() > 0) is is_held_back
+
+
 def test_nothing_is_concluded_from_few_answers():
     population = Population(0)
     population.add("old0", 20)
