Never write log lines to a file that reuses a closed descriptor

Cause: LineWriter kept the number of a descriptor that its caller owns. test_summary.py and test_delivery.py left their writers at the root logger, and their files were closed. The number then belonged to the next connection, so later lines were written into it.

Change: the writer has a duplicate of the descriptor and closes it itself. The root logger is restored after each test, which replaces two copies of that in tests. A daemon logs to standard output, which nothing closes (by reading).

--- a/conftest.py
+++ b/conftest.py
@@ -1,10 +1,16 @@
 # SPDX-License-Identifier: BSD-3-Clause
-"""Marks the tests listed in KNOWN-RED.txt as expected failures: strict ones, but for those that fail sometimes."""
+"""Hooks and fixtures for all tests.
 
+The tests listed in KNOWN-RED.txt are marked as expected failures: strict ones, but for those that fail sometimes.
+"""
+
+import logging
 from pathlib import Path
 
 import pytest
 
+from lanedock.telemetry.log import LineWriter
+
 LIST = Path(__file__).parent / "KNOWN-RED.txt"
 # Begin of the observed failure of a test that does not fail in each run, so that CI can't depend on it.
 SOMETIMES = "sometimes: "
@@ -59,3 +65,15 @@
         terminalreporter.section("known red")
         for report in failed:
             terminalreporter.line(f"{report.nodeid}: {report.wasxfail}")
+
+
+@pytest.fixture(autouse=True)
+def restore_logging():
+    """Restore the root logger after each test, so that a log file of one test gets no lines of the next."""
+    root = logging.getLogger()
+    handlers, level = list(root.handlers), root.level
+    yield
+    for handler in root.handlers:
+        if isinstance(handler, LineWriter) and handler not in handlers:
+            handler.close()
+    root.handlers[:], root.level = handlers, level
--- a/packages/lanedock-cli/lanedock_cli/tests/test_explain.py
+++ b/packages/lanedock-cli/lanedock_cli/tests/test_explain.py
@@ -44,19 +44,17 @@
     def close(self):
         self._logger.handlers.clear()
         self._logger.propagate = True
+        self._handler.close()
         self._file.close()
 
 
 @pytest.fixture
 def processes(tmp_path):
     """Make the processes of a caller and of an upstream."""
-    root = logging.getLogger()
-    before = (list(root.handlers), root.level)
     pair = [_Process("caller", tmp_path), _Process("upstream", tmp_path)]
     yield pair
     for process in pair:
         process.close()
-    root.handlers[:], root.level = before
 
 
 @pytest.mark.parametrize("late", ["caller", "upstream"])
--- a/packages/lanedock/lanedock/telemetry/log.py
+++ b/packages/lanedock/lanedock/telemetry/log.py
@@ -103,14 +103,15 @@
     Parameters
     ----------
     descriptor : int
-        File descriptor, such as that of a pipe.
+        File descriptor, such as that of a pipe. It may be closed after this call: the writer has a duplicate, since the
+        system gives the number of a closed descriptor to the next file or connection.
     """
 
     def __init__(self, descriptor: int):
         super().__init__()
-        self._descriptor = descriptor
+        self._descriptor: int | None = os.dup(descriptor)
         self._poll = select.poll()
-        self._poll.register(descriptor, select.POLLOUT)
+        self._poll.register(self._descriptor, select.POLLOUT)
         self._pending: deque[bytes] = deque()
         self._dropped = 0
 
@@ -133,7 +134,10 @@
             self.flush()
 
     def flush(self) -> None:
-        """Write buffered lines until the descriptor would block."""
+        """Write buffered lines until the descriptor would block; drop them after `close`."""
+        if self._descriptor is None:
+            self._dropped += len(self._pending)
+            self._pending.clear()
         while self._pending:
             if not any(mask & select.POLLOUT for _, mask in self._poll.poll(0)):
                 return
@@ -148,6 +152,14 @@
                 self._dropped += len(batch)
                 return
 
+    def close(self) -> None:
+        """Write the buffered lines that can be written at once, and close the descriptor."""
+        if self._descriptor is not None:
+            self.flush()
+            os.close(self._descriptor)
+            self._descriptor = None
+        super().close()
+
     @property
     def left_out(self) -> int:
         """Number of lines dropped since the start."""
--- a/packages/lanedock/lanedock/telemetry/tests/test_log.py
+++ b/packages/lanedock/lanedock/telemetry/tests/test_log.py
@@ -10,7 +10,7 @@
 from lanedock.telemetry.metrics import MAX_LABELS
 
 
-def _read(descriptor: int) -> list[dict]:
+def _read_bytes(descriptor: int) -> bytes:
     os.set_blocking(descriptor, False)
     data = b""
     try:
@@ -18,14 +18,16 @@
             data += piece
     except BlockingIOError:
         pass
-    return [json.loads(line) for line in data.splitlines()]
+    return data
+
+
+def _read(descriptor: int) -> list[dict]:
+    return [json.loads(line) for line in _read_bytes(descriptor).splitlines()]
 
 
 def _log_to_pipe(body) -> list[dict]:
     """Call `body` with logging to a pipe that is read only afterwards; return the lines that were written."""
     reader, writer = os.pipe()
-    root = logging.getLogger()
-    before = (list(root.handlers), root.level)
     try:
         handler = configure_logging("info", writer)
         body(handler)
@@ -33,7 +35,6 @@
         handler.flush()
         return lines + _read(reader)
     finally:
-        root.handlers[:], root.level = before
         os.close(reader)
         os.close(writer)
 
@@ -50,6 +51,35 @@
     assert 0 < len(lines) < 20 * MAX_PENDING_LINES
 
 
+def test_a_writer_never_writes_to_a_file_that_reuses_its_closed_descriptor():
+    """Guards against log lines within the data of a connection that got the number of a closed log file."""
+    reader, writer = os.pipe()
+    other_reader, other_writer = os.pipe()
+    handler = LineWriter(writer)
+    # The number of the closed descriptor now belongs to another pipe.
+    os.dup2(other_writer, writer)
+    try:
+        handler.emit(logging.makeLogRecord({"msg": "line"}))
+        assert _read_bytes(other_reader) == b""
+        assert _read_bytes(reader) == b"line\n"
+    finally:
+        handler.close()
+        for descriptor in (reader, writer, other_reader, other_writer):
+            os.close(descriptor)
+
+
+def test_a_closed_writer_releases_its_descriptor_and_drops_lines():
+    reader, writer = os.pipe()
+    handler = LineWriter(writer)
+    os.close(writer)
+    handler.close()
+    handler.emit(logging.makeLogRecord({"msg": "line"}))
+    # The end of the file shows that nothing holds the pipe open.
+    assert os.read(reader, 1) == b""
+    assert handler.left_out == 1
+    os.close(reader)
+
+
 def test_lines_beyond_the_rate_limit_are_dropped_and_reported():
     def flood(handler: LineWriter) -> None:
         events = EventLogger("p", 5)
