Wait for the lines of all processes in the test of explanations

Cause: each process writes its lines about requests every 0.25 s. The test waited for one line of the upstream's daemon (REQUEST_DONE) and checked lines of the caller's daemon, which may be written later.

Evidence: with the caller's daemon suspended by SIGSTOP for 3 s after the answer, the test as it was fails with the same text: REQUEST_DONE and UPSTREAM_CRASHED, no line of the caller's daemon.

Change: the test waits for the last line of both processes, within the same time limit; its checks stay. The test of a refused request has the same fault and the same change.

After: with the daemon suspended it passes (1 of 1). The file passes 3 of 3 times beside 8 busy processes.

--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -21,8 +21,12 @@
         yield Operator(local_mesh, tmp_path)
 
 
-def _explain(mesh: LocalMesh, request: str, expected: str) -> str:
-    """Run ``lanedock explain`` until its output holds the expected text; returns the output."""
+def _explain(mesh: LocalMesh, request: str, *expected: str) -> str:
+    """Run ``lanedock explain`` until its output holds the expected texts; returns the output.
+
+    Each process writes its lines about requests at intervals of its own, so one of them may already be readable while
+    those of the others aren't.
+    """
     logs = [str(process.log_path) for process in mesh.processes]
     line = [sys.executable, "-m", "lanedock_cli.app", "explain", request, *logs]
     texts = []
@@ -31,9 +35,9 @@
         completed = subprocess.run(line, capture_output=True, text=True, check=False, timeout=60)
         assert "Traceback" not in completed.stderr, completed.stderr
         texts.append(completed.stdout)
-        return expected in completed.stdout
+        return all(text in completed.stdout for text in expected)
 
-    mesh.wait_for(has_expected_text, f"{expected} for {request}")
+    mesh.wait_for(has_expected_text, f"{', '.join(expected)} for {request}")
     print(texts[-1])
     return texts[-1]
 
@@ -52,7 +56,7 @@
         sent = [f"busy-{number}" for number in range(8)]
         codes = list(pool.map(lambda name: _send(slow_operator.mesh, "POST", "/sightings", name), sent))
     refused = sent[codes.index(503)]
-    text = _explain(slow_operator.mesh, refused, "REQUEST_REFUSED")
+    text = _explain(slow_operator.mesh, refused, "REQUEST_REFUSED", "REQUEST_ANSWERED")
     assert "LD3005" in text and "in_use=1 slots=1 waiting=0 queue=0" in text
     assert "outcome=not-run status=503" in text
     # The events of both processes are listed in the order in which they happened.
@@ -67,7 +71,7 @@
         _wait_until_admitted(slow_operator.mesh)
         slow_operator.mesh._stand_ins.kill()
         assert job.result() in (502, 504)
-    text = _explain(slow_operator.mesh, "lost-1", "REQUEST_DONE")
+    text = _explain(slow_operator.mesh, "lost-1", "REQUEST_DONE", "REQUEST_ANSWERED")
     assert "LD3008" in text and "outcome=unknown" in text
     assert "sightings-0" in text
 
