Send requests to upstreams that have not been measured of late

For 30 s one of four upstreams got none of some 500 requests.

Cause: after 10 s without requests an upstream's daemon states no service time, so that one that was slow once is measured again. The caller assumed the mean of the other replies for it, which is never the least unless all are equal. Requests that come one by one go to the least.

Evidence: expected times in REQUEST_LOADS_COMPARED of a run that waited for 22 s, in ms: 28 at this upstream and 5 to 12 at the others until 10 s; then 7.6 beside 5.1 and 10.1, and 5.8 beside 4.8 and 6.8.

Change: the least service time of the compared replies is assumed. A stated pace still counts. Without probes, power-of-two choices prefer unmeasured upstreams already.

--- a/packages/lanedock/lanedock/routing/probed_choice.py
+++ b/packages/lanedock/lanedock/routing/probed_choice.py
@@ -239,24 +239,27 @@
         self, replied: list[UpstreamStats], usual: float, now: float, is_long: bool
     ) -> tuple[UpstreamStats, float]:
         """Return the upstream with the least expected time to an answer, and this time in seconds."""
-        times = [self._expect(stats, usual, now, is_long) for stats in replied]
+        # An upstream that states no service time hasn't been measured of late. With a longer one than the least that
+        # others state, it would get no request that could measure it.
+        unmeasured = min(_list_service_times(replied), default=usual)
+        times = [self._expect(stats, unmeasured, now, is_long) for stats in replied]
         self.compared += [(stats.endpoint.instance, time) for stats, time in zip(replied, times, strict=True)]
         least = min(times)
         # Idle upstreams often promise the same time; the first one listed must not get all requests.
         earliest = [stats for stats, time in zip(replied, times, strict=True) if time == least]
         return (earliest[0] if len(earliest) == 1 else self._rng.choice(earliest)), least
 
-    def _expect(self, stats: UpstreamStats, usual: float, now: float, is_long: bool) -> float:
+    def _expect(self, stats: UpstreamStats, unmeasured: float, now: float, is_long: bool) -> float:
         """Return the expected time to an answer of an upstream that has replied, in seconds.
 
-        `usual` is the service time assumed where the reply states none.
+        `unmeasured` is the service time assumed where the reply states none, in seconds.
         """
         if stats.is_on_trial and stats.in_progress:
             return _TRIAL_TIME
         reply = stats.sample.reply
         queue = _estimate_queue(reply.in_use + reply.waiting + stats.sample.sent, max(1, reply.slots))
         pace = min(max(reply.pace_percent / 100, PACE_BOUNDS[0]), PACE_BOUNDS[1]) if reply.pace_percent else 1.0
-        service_time = reply.service_ms / 1000 or usual
+        service_time = reply.service_ms / 1000 or unmeasured
         expected = (queue + 1) * service_time * pace
         if reply.waiting + stats.sample.sent >= _FULL_QUEUE * reply.slots:
             expected *= _FULL_QUEUE_FACTOR
@@ -287,8 +290,13 @@
 
 def _mean_service_time(replied: list[UpstreamStats]) -> float:
     """Return the mean of the service times in replies, in seconds, at the usual pace."""
-    known = [stats.sample.reply.service_ms for stats in replied if stats.sample.reply.service_ms]
-    return sum(known) / len(known) / 1000 if known else _DEFAULT_SERVICE_TIME
+    known = _list_service_times(replied)
+    return sum(known) / len(known) if known else _DEFAULT_SERVICE_TIME
+
+
+def _list_service_times(replied: list[UpstreamStats]) -> list[float]:
+    """Return the service times that replies state, in seconds, at the usual pace."""
+    return [stats.sample.reply.service_ms / 1000 for stats in replied if stats.sample.reply.service_ms]
 
 
 def _is_worth_probing(sample: LoadSample | None, now: float) -> bool:
--- a/packages/lanedock/lanedock/routing/tests/test_probed_choice.py
+++ b/packages/lanedock/lanedock/routing/tests/test_probed_choice.py
@@ -109,6 +109,21 @@
     assert min(chosen.values()) >= 70 and len(chosen) == 4
 
 
+def test_upstream_that_has_not_been_measured_of_late_gets_requests():
+    # Guards against an upstream that was slow once, and then gets no request as long as the others differ.
+    mesh = _Mesh("abcd")
+    for name, service_ms in zip("abcd", (22, 23, 24, 0), strict=True):
+        mesh.replies[name] = mesh.make_reply(name, service_ms=service_ms)
+    assert "d" in {mesh.request(float(second)) for second in range(20)}
+
+
+def test_upstream_that_states_a_slow_pace_is_avoided_though_it_has_not_been_measured_of_late():
+    mesh = _Mesh("abcd")
+    for name, service_ms in zip("abcd", (22, 23, 24, 0), strict=True):
+        mesh.replies[name] = mesh.make_reply(name, service_ms=service_ms, pace_percent=250 if name == "d" else 100)
+    assert "d" not in {mesh.request(float(second)) for second in range(20)}
+
+
 def test_pace_that_is_out_of_bounds_neither_attracts_nor_repels_without_limit():
     # Guards against an application that states a wrong pace and gets all requests, or none at any load.
     mesh = _Mesh("ab")
