--- a/packages/lanedock-daemon/lanedock_daemon/tests/stopping.py
+++ b/packages/lanedock-daemon/lanedock_daemon/tests/stopping.py
@@ -146,7 +146,7 @@
         """Send a request, from which the other daemon learns the response time of its application."""
         self.other.opened.set()
         answer = self.read(self.begin(server, make_request("/first", close=True)))
-        assert answer.startswith(b"HTTP/1.1 200")
+        assert answer.startswith(b"HTTP/1.1 200"), answer
         self.other.opened.clear()
 
     def note_time(self, taken: float) -> None:
