--- a/tests/links.py
+++ b/tests/links.py
@@ -109,7 +109,12 @@
         return link
 
     async def accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        source, host, port = (await reader.readline()).decode().split()
+        line = await reader.readline()
+        if not line.endswith(b"\n"):
+            # The process ended, or gave up, before it named its target.
+            writer.close()
+            return
+        source, host, port = line.decode().split()
         link = self._get_link(frozenset((source, host)))
         link.conns.add(writer)
         other = None
