Take the normal distribution from the standard library in the comparisons

The comparison of times had the cumulative distribution and the density of the normal distribution twice each; statistics.NormalDist serves both modules now. The analysis counts slow answers in one place, and the tests of both comparisons share the update of a population. No behaviour changes; the tests keep their assertions.

--- a/packages/lanedock/lanedock/canary/analysis.py
+++ b/packages/lanedock/lanedock/canary/analysis.py
@@ -168,11 +168,14 @@
         return f"{failed} of {answered} answers of {_name_routes(list(counts))} failed"
 
     def _describe_times(self) -> str:
-        counts = self._canary.sum_all()
-        compared, slow = count_slow(counts, find_slow_buckets(self._stable.sum_all()))
-        routes = [route for route, answers in counts.items() if sum(answers.times)]
+        compared, slow = self._count_slow()
+        routes = [route for route, answers in self._canary.sum_all().items() if sum(answers.times)]
         return f"{slow} of {compared} answers of {_name_routes(routes)} were slow"
 
+    def _count_slow(self) -> tuple[int, int]:
+        """Return the numbers of the canary's compared and slow answers."""
+        return count_slow(self._canary.sum_all(), find_slow_buckets(self._stable.sum_all()))
+
     def figures(self) -> dict[str, float]:
         comparisons: tuple[Comparison, ...] = (self._failures, self._times)
         figures: dict[str, float] = {}
@@ -180,7 +183,7 @@
             for group, ratio in comparison.ratios.items():
                 figures[group.name] = round(ratio, 1)
                 figures[f"{group.name}_limit"] = group.limit
-        compared, slow = count_slow(self._canary.sum_all(), find_slow_buckets(self._stable.sum_all()))
+        compared, slow = self._count_slow()
         return {"compared_times": compared, "slow_answers": slow, **figures}
 
     def summaries(self) -> list[UpstreamSummary]:
--- a/packages/lanedock/lanedock/canary/answer_times.py
+++ b/packages/lanedock/lanedock/canary/answer_times.py
@@ -14,9 +14,10 @@
 Kass, R. E. and Raftery, A. E., "Bayes Factors", Journal of the American Statistical Association 90, 1995.
 """
 
-from math import erf, exp, log, pi, sqrt
+from math import exp, log
+from statistics import NormalDist
 
-from lanedock.canary.comparison import Comparison, FaultGroup, log_mean_exp
+from lanedock.canary.comparison import Comparison, FaultGroup, add_pairwise, log_mean_exp
 from lanedock.canary.counts import BUCKET_RATIO, BUCKETS
 from lanedock.canary.stable_times import RouteTimes, StableTimes
 from lanedock.canary.windows import FIRST_BUCKET, AnswerCounts, UpstreamWindows
@@ -118,7 +119,7 @@
 
 def _marginalize(stable: list[float], canary: list[float]) -> float:
     """Return the log likelihood of both versions' times over all candidates of the common location."""
-    return log_mean_exp([former + latter for former, latter in zip(stable, canary, strict=True)])
+    return log_mean_exp(add_pairwise(stable, canary))
 
 
 class _Likelihoods:
@@ -134,7 +135,7 @@
         """Return the log likelihood of all upstreams' times by the candidates."""
         sums = [0.0] * len(self._centres)
         for upstream in windows.upstreams.values():
-            sums = [total + value for total, value in zip(sums, self._measure(upstream, fault), strict=True)]
+            sums = add_pairwise(sums, self._measure(upstream, fault))
         return sums
 
     def _measure(self, windows: dict[int, dict[str, AnswerCounts]], fault: SlowFault) -> list[float]:
@@ -148,7 +149,7 @@
             if logs is None:
                 continue
             if later is not None:
-                logs = [former + latter for former, latter in zip(logs, later.with_jumps(), strict=True)]
+                logs = add_pairwise(logs, later.with_jumps())
             later = _ScaledVector(logs)
         if later is None:
             return [0.0] * len(self._centres)
@@ -206,9 +207,7 @@
 
 
 def _make_table(times: RouteTimes, fault: SlowFault, is_bound: bool) -> list[float]:
-    def cumulative(difference: float) -> float:
-        return 0.5 * (1 + erf((difference - times.offset) / (times.spread * sqrt(2))))
-
+    cumulative = NormalDist(times.offset, times.spread).cdf
     differences = range(-MAX_DIFFERENCE, MAX_DIFFERENCE + 1)
     if is_bound:
         usual = [cumulative(d + 1) for d in differences]
@@ -223,12 +222,12 @@
 
 def _make_prior() -> list[float]:
     """Return the density of an upstream's location minus the common one, for `-LOCATIONS` to `LOCATIONS`."""
-    spread = 2 * log(UPSTREAM_FACTOR) / log(BUCKET_RATIO)
+    density = NormalDist(0, 2 * log(UPSTREAM_FACTOR) / log(BUCKET_RATIO)).pdf
     slow = OUTLIER_SHARE * SLOW_OUTLIER_SHARE / OUTLIER_REACH
     fast = OUTLIER_SHARE * (1 - SLOW_OUTLIER_SHARE) / OUTLIER_REACH
     prior = []
     for difference in range(-LOCATIONS, LOCATIONS + 1):
-        usual = (1 - OUTLIER_SHARE) * exp(-0.5 * (difference / spread) ** 2) / (spread * sqrt(2 * pi))
+        usual = (1 - OUTLIER_SHARE) * density(difference)
         outlying = 0.0
         if difference and abs(difference) <= OUTLIER_REACH:
             outlying = slow if difference > 0 else fast
--- a/packages/lanedock/lanedock/canary/comparison.py
+++ b/packages/lanedock/lanedock/canary/comparison.py
@@ -6,7 +6,7 @@
 
 from lanedock.canary.windows import UpstreamWindows
 
-__all__ = ["Comparison", "FaultGroup", "log_mean_exp"]
+__all__ = ["Comparison", "FaultGroup", "add_pairwise", "log_mean_exp"]
 
 
 class FaultGroup:
@@ -74,6 +74,11 @@
         return max(ratio - group.limit for group, ratio in self.ratios.items())
 
 
+def add_pairwise(values: list[float], others: list[float]) -> list[float]:
+    """Return the sums of the numbers at the same places of two lists of the same length."""
+    return [value + other for value, other in zip(values, others, strict=True)]
+
+
 def log_mean_exp(logs: list[float]) -> float:
     """Return the logarithm of the mean of the exponentials of some numbers."""
     largest = max(logs)
--- a/packages/lanedock/lanedock/canary/failures.py
+++ b/packages/lanedock/lanedock/canary/failures.py
@@ -15,7 +15,7 @@
 from collections.abc import Callable
 from math import exp, log, sqrt
 
-from lanedock.canary.comparison import Comparison, FaultGroup, log_mean_exp
+from lanedock.canary.comparison import Comparison, FaultGroup, add_pairwise, log_mean_exp
 from lanedock.canary.windows import AnswerCounts, UpstreamWindows
 
 __all__ = ["FailureComparison"]
@@ -97,7 +97,7 @@
         """Return the log likelihoods of all answers of an upstream without a fault."""
         sums = [0.0] * len(RATES)
         for route, (good, failed) in _sum_counts(windows, lambda window, route: True).items():
-            sums = _add(sums, self.measure(route, good, failed, 0.0))
+            sums = add_pairwise(sums, self.measure(route, good, failed, 0.0))
         return sums
 
 
@@ -109,7 +109,7 @@
     def __init__(self, windows: dict[int, dict[str, AnswerCounts]], log_shares: list[float], likelihoods: _Likelihoods):
         self._windows = windows
         self._likelihoods = likelihoods
-        self._logs = _add(log_shares, likelihoods.measure_all(windows))
+        self._logs = add_pairwise(log_shares, likelihoods.measure_all(windows))
         self._none = log_mean_exp(self._logs)
 
     def select(self, affects: Callable[[int, str], bool]) -> dict[str, tuple[int, int]]:
@@ -144,10 +144,6 @@
     return shares
 
 
-def _add(values: list[float], others: list[float]) -> list[float]:
-    return [value + other for value, other in zip(values, others, strict=True)]
-
-
 def _sum_counts(
     windows: dict[int, dict[str, AnswerCounts]], affects: Callable[[int, str], bool]
 ) -> dict[str, tuple[int, int]]:
--- a/packages/lanedock/lanedock/canary/stable_times.py
+++ b/packages/lanedock/lanedock/canary/stable_times.py
@@ -4,8 +4,8 @@
 Times are logarithms, in half buckets: an answer in bucket `b` has the time `2 b + 1`.
 """
 
-from math import erf, exp, pi, sqrt
-from statistics import median
+from math import sqrt
+from statistics import NormalDist, median
 
 from lanedock.canary.counts import BUCKETS
 from lanedock.canary.windows import FIRST_BUCKET, AnswerCounts, UpstreamWindows
@@ -36,6 +36,7 @@
 MIN_SHRUNK_ROUTES = 4
 # Error of a median relative to that of a mean.
 MEDIAN_ERROR = 1.25
+_STANDARD_NORMAL = NormalDist()
 
 
 class RouteTimes:
@@ -77,8 +78,8 @@
     def impute(self, mean: float, spread: float) -> None:
         """Take the expectations of the short times, if all times are normally distributed."""
         edge = (SHORTEST - mean) / spread
-        share = max(MIN_SHARE, 0.5 * (1 + erf(edge / sqrt(2))))
-        hazard = exp(-0.5 * edge**2) / sqrt(2 * pi) / share
+        share = max(MIN_SHARE, _STANDARD_NORMAL.cdf(edge))
+        hazard = _STANDARD_NORMAL.pdf(edge) / share
         time = max(SHORTEST - MAX_IMPUTED_DISTANCE * spread, mean - spread * hazard)
         variance = max(0.0, spread**2 * (1 - edge * hazard - hazard**2))
         self.total = self._known_total + self._short * time
--- a/packages/lanedock/lanedock/canary/tests/_populations.py
+++ b/packages/lanedock/lanedock/canary/tests/_populations.py
@@ -2,7 +2,9 @@
 """Simulated answers of a service's upstreams, for the tests of the comparisons."""
 
 import random
+from typing import TypeVar
 
+from lanedock.canary.comparison import Comparison
 from lanedock.canary.counts import time_bucket
 from lanedock.canary.evidence import Increment
 from lanedock.canary.windows import WINDOW_LENGTH, UpstreamWindows
@@ -10,6 +12,8 @@
 # Median and standard deviation of the logarithm of the times in seconds.
 MEDIAN, SPREAD = 0.16, 0.6
 
+ComparisonT = TypeVar("ComparisonT", bound=Comparison)
+
 
 class Population:
     """Upstreams of both versions with their answers.
@@ -53,3 +57,8 @@
                 seconds *= 3.0 if self.rng.random() < slow else 1.0
                 increment.times[time_bucket(seconds)] += 1
             target.add(upstream, increment, increment.times, number * WINDOW_LENGTH)
+
+    def compare(self, comparison: ComparisonT) -> ComparisonT:
+        """Update a comparison with the answers of both versions, and return it."""
+        comparison.update(self.stable, self.canary)
+        return comparison
--- a/packages/lanedock/lanedock/canary/tests/test_answer_times.py
+++ b/packages/lanedock/lanedock/canary/tests/test_answer_times.py
@@ -22,16 +22,10 @@
     return population
 
 
-def _compare(population: Population) -> TimeComparison:
-    comparison = TimeComparison()
-    comparison.update(population.stable, population.canary)
-    return comparison
-
-
 @pytest.mark.parametrize("seed", SEEDS)
 @pytest.mark.parametrize("trouble", [{}, {"slow_stable": 3.0}, {"slow_canary": 3.0}])
 def test_one_slow_upstream_of_either_version_does_not_hold_a_good_version_back(seed, trouble):
-    comparison = _compare(_make_population(seed, **trouble))
+    comparison = _make_population(seed, **trouble).compare(TimeComparison())
     assert comparison.excess() <= 0
     assert not comparison.is_alarming()
 
@@ -39,14 +33,14 @@
 @pytest.mark.parametrize("seed", SEEDS)
 @pytest.mark.parametrize("trouble", [{}, {"slow_stable": 3.0}, {"slow_canary": 3.0}])
 def test_a_version_slow_in_half_of_its_answers_is_held_back_beside_a_slow_upstream(seed, trouble):
-    comparison = _compare(_make_population(seed, slow_share=0.5, **trouble))
+    comparison = _make_population(seed, slow_share=0.5, **trouble).compare(TimeComparison())
     assert comparison.ratios[PART_SLOWER] > 0
     assert comparison.excess() > 0
 
 
 @pytest.mark.parametrize("seed", SEEDS)
 def test_a_version_slow_in_all_answers_is_told_from_one_slow_in_a_part(seed):
-    comparison = _compare(_make_population(seed, all_factor=4.0))
+    comparison = _make_population(seed, all_factor=4.0).compare(TimeComparison())
     assert comparison.ratios[ALL_SLOWER] > max(0, comparison.ratios[PART_SLOWER])
     assert comparison.excess() > 0
 
@@ -58,21 +52,21 @@
     for number in range(3):
         population.add(f"old{number}", 20, factor=0.05)
         population.add(f"new{number}", 8, factor=factor)
-    assert (_compare(population).excess() > 0) is is_held_back
+    assert (population.compare(TimeComparison()).excess() > 0) is is_held_back
 
 
 def test_nothing_is_concluded_from_few_answers():
     population = Population(0)
     population.add("old0", 20)
     population.add("new0", 2, factor=8.0)
-    assert set(_compare(population).ratios.values()) == {0.0}
+    assert set(population.compare(TimeComparison()).ratios.values()) == {0.0}
 
 
 def test_nothing_is_concluded_on_a_route_without_stable_answers():
     population = Population(0)
     population.add("old0", 20)
     population.add("new0", 20, factor=8.0, route="write")
-    assert _compare(population).ratios[SLIGHTLY_SLOWER] == 0.0
+    assert population.compare(TimeComparison()).ratios[SLIGHTLY_SLOWER] == 0.0
 
 
 def test_routes_that_differ_are_not_taken_for_a_slow_version():
@@ -83,7 +77,7 @@
         # The canary gets mostly requests of the slower route.
         population.add(f"new{number}", 2)
         population.add(f"new{number}", 6, factor=6.0, route="report")
-    assert _compare(population).excess() <= 0
+    assert population.compare(TimeComparison()).excess() <= 0
 
 
 def test_fit_of_the_stable_version_finds_routes_locations_and_moments():
--- a/packages/lanedock/lanedock/canary/tests/test_failures.py
+++ b/packages/lanedock/lanedock/canary/tests/test_failures.py
@@ -19,12 +19,6 @@
     return population
 
 
-def _compare(population: Population) -> FailureComparison:
-    comparison = FailureComparison()
-    comparison.update(population.stable, population.canary)
-    return comparison
-
-
 @pytest.mark.parametrize("seed", SEEDS)
 @pytest.mark.parametrize(
     ("stable", "canary"),
@@ -35,7 +29,7 @@
     ],
 )
 def test_one_failing_upstream_of_either_version_does_not_hold_a_good_version_back(seed, stable, canary):
-    comparison = _compare(_make_population(seed, stable, canary))
+    comparison = _make_population(seed, stable, canary).compare(FailureComparison())
     assert comparison.ratios[FAILING] <= FAILING.limit
     assert not comparison.is_alarming()
 
@@ -43,7 +37,7 @@
 @pytest.mark.parametrize("seed", SEEDS)
 @pytest.mark.parametrize("stable", [(0.004,) * 4, (0.5, 0.004, 0.004, 0.004)])
 def test_a_version_that_fails_on_each_upstream_is_held_back_beside_a_failing_stable_one(seed, stable):
-    comparison = _compare(_make_population(seed, stable, (0.2,) * 4))
+    comparison = _make_population(seed, stable, (0.2,) * 4).compare(FailureComparison())
     assert comparison.ratios[FAILING] > 0
     assert comparison.excess() > 0
 
@@ -54,7 +48,7 @@
     for number in range(4):
         population.add(f"new{number}", 8, windows=range(4))
         population.add(f"new{number}", 5, failing=0.5, windows=(4,))
-    comparison = _compare(population)
+    comparison = population.compare(FailureComparison())
     assert comparison.ratios[FAILING_LATELY] > comparison.ratios[FAILING]
     assert comparison.ratios[FAILING_LATELY] > FAILING_LATELY.limit
 
@@ -66,7 +60,7 @@
         for route in ("read", "write"):
             population.add(f"old{number}", 10, route=route)
             population.add(f"new{number}", 4, route=route, failing=0.4 if route == "write" else 0.004)
-    comparison = _compare(population)
+    comparison = population.compare(FailureComparison())
     assert comparison.ratios[FAILING_ON_ROUTE] > comparison.ratios[FAILING]
     assert comparison.excess() > 0
 
@@ -78,8 +72,8 @@
         for route, share in (("read", 0.004), ("write", 0.3)):
             population.add(f"old{number}", 20, route=route, failing=share)
             population.add(f"new{number}", 5, route=route, failing=share)
-    assert not _compare(population).is_alarming()
+    assert not population.compare(FailureComparison()).is_alarming()
 
 
 def test_nothing_is_concluded_without_answers_of_the_canary():
-    assert set(_compare(_make_population(0, (0.004,), ())).ratios.values()) == {0.0}
+    assert set(_make_population(0, (0.004,), ()).compare(FailureComparison()).ratios.values()) == {0.0}
