Log what a stop does to the requests in progress

The record of an incident could not tell who had ended a request around SIGTERM, when, and how late the signal was handled. All decisions on requests that end during a stop are logged now; their last line states when they were read and when they ended since the stop began. CONNECTION_CUT names the targets of the requests it cuts and its time in the stop, STOPPING how long after the signal it comes.

The new test of the log fails without the change, as the lines have no such fields.

--- a/packages/lanedock-daemon/lanedock_daemon/path/caller/caller.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller/caller.py
@@ -38,6 +38,7 @@
 from lanedock_daemon.path.shared.dialect import Dialect, OwnDialect, RequestFacts
 from lanedock_daemon.path.shared.paced_answer import LinkTurns, answer_length, is_long_answer
 from lanedock_daemon.path.shared.pool import ConnectionPool
+from lanedock_daemon.path.shared.stop_fields import STOP_DEADLINE_REASON, describe_stop
 from lanedock_daemon.quota.gate import QuotaGate, QuotaRefusal
 
 __all__ = ["CallerSide"]
@@ -196,19 +197,32 @@
         try:
             answer = self._process(request, facts, span, started, log)
         except BaseException as exc:
-            self._requests.totals.note("caller", log.route, "cancelled", monotonic() - started)
-            log.note(Event.REQUEST_ANSWERED, outcome="cancelled", reason=type(exc).__name__)
+            now = monotonic()
+            self._requests.totals.note("caller", log.route, "cancelled", now - started)
+            log.note(
+                Event.REQUEST_ANSWERED,
+                outcome="cancelled",
+                reason=type(exc).__name__,
+                **describe_stop(self._plan, started, now),
+            )
             self._metrics.count(Metric.OUTCOMES, 1, ("", "cancelled"))
             self._requests.end(log, True)
             raise
-        taken = monotonic() - started
+        now = monotonic()
+        taken = now - started
         self._metrics.time(Metric.LATENCY, taken)
         span.end(**{"http.status_code": answer.status, "http.target": request.path})
         outcome = _outcome(answer)
         self._requests.totals.note("caller", log.route, _classify_end(answer, taken, log), taken)
-        log.note(Event.REQUEST_ANSWERED, outcome=outcome, status=answer.status, code=_header(answer, CODE_HEADER))
+        log.note(
+            Event.REQUEST_ANSWERED,
+            outcome=outcome,
+            status=answer.status,
+            code=_header(answer, CODE_HEADER),
+            **describe_stop(self._plan, started, now),
+        )
         self._metrics.count(Metric.OUTCOMES, 1, (log.route, outcome))
-        self._requests.end(log, answer.status >= 400)
+        self._requests.end(log, answer.status >= 400, self._plan.is_begun)
         return answer
 
     def _process(self, request: Request, facts: RequestFacts, span: Span, started: float, log: RequestLog) -> Answer:
@@ -358,6 +372,7 @@
             return self._attempt_until_final(context, progress, may_retry)
         except StopTimeout:
             # The request may have been sent; callees catch StopTimeout themselves where it certainly was not.
+            context.log.note(Event.REQUEST_TRY_ENDED, service=context.service.name, reason=STOP_DEADLINE_REASON)
             return self._dialect.make_refusal(ErrorCode.ANSWER_LOST, Outcome.UNKNOWN)
 
     def _attempt_until_final(self, context: RequestContext, progress: _Progress, may_retry: bool) -> Answer:
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
@@ -129,7 +129,8 @@
         if self._is_closing and unsent:
             unsent -= 1  # the end of the stream
         if unsent or self._exchanges:
-            self._server.log_cut_connection(reason, unsent, self._conn.count_unread_bytes(), len(self._exchanges))
+            targets = [exchange.message.target for exchange in self._exchanges]
+            self._server.log_cut_connection(reason, unsent, self._conn.count_unread_bytes(), targets)
 
     def expire(self, reason: str) -> None:
         """End the connection; `reason` is logged if answers are cut."""
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/server.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/server.py
@@ -28,6 +28,9 @@
 # Seconds after its beginning at which an unfinished head is refused, unless the limits in force say otherwise.
 HEAD_TIMEOUT = 10.0
 BACKLOG = 1024
+# Targets in a log line, and characters of each.
+MAX_LOGGED_TARGETS = 4
+MAX_LOGGED_TARGET = 80
 # Seconds between checks for expired connections and new limits.
 SWEEP_INTERVAL = 1.0
 
@@ -153,10 +156,26 @@
         """Log an unexpected exception of a request handler."""
         self._events.emit(Event.UNEXPECTED, error=repr(exc))
 
-    def log_cut_connection(self, reason: str, unsent: int, unread: int, requests: int) -> None:
-        """Log that a connection is closed before its caller has received all answers; sizes are in bytes."""
+    def log_cut_connection(self, reason: str, unsent: int, unread: int, targets: list[str]) -> None:
+        """Log that a connection is closed before its caller has received all answers.
+
+        Parameters
+        ----------
+        reason : str
+        unsent, unread : int
+            Sizes in bytes.
+        targets : list of str
+            Targets of the requests in progress.
+        """
         self._events.emit(
-            Event.CONNECTION_CUT, server=self.name, reason=reason, unsent=unsent, unread=unread, requests=requests
+            Event.CONNECTION_CUT,
+            server=self.name,
+            reason=reason,
+            unsent=unsent,
+            unread=unread,
+            requests=len(targets),
+            targets=" ".join(target[:MAX_LOGGED_TARGET] for target in targets[:MAX_LOGGED_TARGETS]),
+            stop_ms=round(1000 * self._plan.elapsed(monotonic())),
         )
 
     def _sweep(self) -> None:
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream/upstream.py
@@ -6,6 +6,7 @@
 
 from lanedock.clock import monotonic, running_time
 from lanedock.errors import ErrorCode
+from lanedock.kernel import StopPlan
 from lanedock.limits import AdmissionRequest, AnswerLink, is_narrow_link
 from lanedock.membership import UpstreamRegistration, UpstreamReport, read_rate
 from lanedock.quarantine import Fingerprint, RequestHasher
@@ -51,6 +52,7 @@
 from lanedock_daemon.path.shared.exchange import send_request
 from lanedock_daemon.path.shared.paced_answer import LinkTurns, is_long_answer
 from lanedock_daemon.path.shared.pool import ConnectionPool, ExchangeError
+from lanedock_daemon.path.shared.stop_fields import STOP_DEADLINE_REASON, describe_stop
 from lanedock_daemon.path.shared.suspicions import write_suspicions
 from lanedock_daemon.path.upstream.canary_account import CanaryAccount
 from lanedock_daemon.path.upstream.crashes import CrashDetector
@@ -89,6 +91,8 @@
         Rate of the daemon's link, in bytes per second, if known.
     turns : LinkTurns, optional
         Turns of the process's long answers on a narrow link; shared with the caller's side.
+    plan : StopPlan, optional
+        Stop plan of the process.
     """
 
     def __init__(
@@ -106,7 +110,9 @@
         registrar: Registrar | None = None,
         link_rate: float | None = None,
         turns: LinkTurns | None = None,
+        plan: StopPlan | None = None,
     ):
+        self._plan = plan or StopPlan()
         self._requests: RequestLogger = requests or RequestLogger(events, 0)
         self._dialect: Dialect = dialect or OwnDialect()
         self._registration = view.upstream or UpstreamRegistration(service, False, 1.0)
@@ -175,15 +181,21 @@
         try:
             answer = self._admit(request, facts, span, started, log)
         except BaseException as exc:
-            self._requests.totals.note("upstream", log.route, "cancelled", monotonic() - started, log.waited)
-            log.note(Event.REQUEST_DONE, outcome="cancelled", reason=type(exc).__name__)
+            now = monotonic()
+            self._requests.totals.note("upstream", log.route, "cancelled", now - started, log.waited)
+            log.note(
+                Event.REQUEST_DONE,
+                outcome="cancelled",
+                reason=type(exc).__name__,
+                **describe_stop(self._plan, started, now),
+            )
             self._requests.end(log, True)
             raise
         finally:
             self._gate.bodies.leave(request)
             self._gate.answers.leave(request)
-        self._requests.end(log, answer.status >= 400)
         taken = monotonic() - started
+        self._requests.end(log, answer.status >= 400, self._plan.is_begun)
         self._metrics.time(Metric.LATENCY, taken)
         self._requests.totals.note("upstream", log.route, outcome_label(answer, "done"), taken, log.waited)
         span.end(**{"http.status_code": answer.status, "http.target": request.path})
@@ -267,7 +279,8 @@
         log.note(Event.REQUEST_ADMITTED, waited_ms=round(1000 * (monotonic() - started), 1), **self._gate.load())
         answer = self._pass_on(hashed, hasher, traffic_class, admission, span, log)
         answer = self._gate.answers.pace(answer, request, traffic_class, admission)
-        log.note(Event.REQUEST_DONE, status=answer.status, incarnation=expected)
+        stop = describe_stop(self._plan, started, monotonic())
+        log.note(Event.REQUEST_DONE, status=answer.status, incarnation=expected, **stop)
         return answer
 
     def _refuse(self, code: ErrorCode, retry_after: float, log: RequestLog, **why: object) -> Answer:
@@ -361,6 +374,7 @@
         except StopTimeout:
             # The process stops before the first bytes of the answer have come.
             work.end_abandoned()
+            log.note(Event.REQUEST_TRY_ENDED, service=self._service, reason=STOP_DEADLINE_REASON)
             lost = ExchangeError(ErrorCode.ANSWER_LOST, Outcome.UNKNOWN, "no answer before this process stopped")
             return self._on_lost(lost, log)
         except BaseException:
--- a/packages/lanedock-daemon/lanedock_daemon/roles.py
+++ b/packages/lanedock-daemon/lanedock_daemon/roles.py
@@ -215,7 +215,7 @@
         else:
             registrar = Registrar(registration, lambda: None, lambda: None, events)
         agent.set_registrar(registrar)
-        side = UpstreamSide(cfg.service, application, view, pool, *parts, registrar, link_rate, turns)
+        side = UpstreamSide(cfg.service, application, view, pool, *parts, registrar, link_rate, turns, plan)
         if cfg.load_port is not None:
             kernel.add(
                 LoadResponder(
--- a/packages/lanedock-daemon/lanedock_daemon/run.py
+++ b/packages/lanedock-daemon/lanedock_daemon/run.py
@@ -9,6 +9,7 @@
 import gevent
 from gevent.event import Event as Signal
 
+from lanedock.clock import monotonic
 from lanedock.errors import LanedockError
 from lanedock.findings import FindingsError
 from lanedock.kernel import Kernel, StopPlan
@@ -199,9 +200,9 @@
     writer,
     early: EarlySignals,
 ) -> int:
-    stopping = Signal()
+    stopping = _StopSignal()
     for number in (signal.SIGTERM, signal.SIGINT):
-        gevent.signal_handler(number, stopping.set)
+        gevent.signal_handler(number, stopping.note)
     gevent.signal_handler(signal.SIGHUP, reloader.reload)
     if early.must_stop:
         events.emit(Event.STOPPED)
@@ -218,8 +219,8 @@
         reloader.reload()
     flusher = gevent.spawn(_flush, metrics, writer)
     watcher = gevent.spawn(reloader.watch)
-    failure = _wait(kernel, stopping)
-    events.emit(Event.STOPPING)
+    failure = _wait(kernel, stopping.received)
+    events.emit(Event.STOPPING, after_ms=stopping.age_ms())
     kernel.stop()
     flusher.kill()
     watcher.kill()
@@ -247,6 +248,32 @@
         metrics.flush()
 
 
+class _StopSignal:
+    """The signal that stops the process.
+
+    Attributes
+    ----------
+    received : gevent.event.Event
+        Set once the signal is noted.
+    """
+
+    __slots__ = ("_noted_at", "received")
+
+    def __init__(self):
+        self.received = Signal()
+        self._noted_at: float | None = None
+
+    def note(self) -> None:
+        """Note the first signal; later ones have no effect."""
+        if self._noted_at is None:
+            self._noted_at = monotonic()
+            self.received.set()
+
+    def age_ms(self) -> int:
+        """Return the milliseconds since the signal was noted; 0 if the process stops without one."""
+        return 0 if self._noted_at is None else round(1000 * (monotonic() - self._noted_at))
+
+
 class _Reloader:
     """Applies the settings that may change while the process runs: the named control instances.
 
--- a/packages/lanedock-daemon/lanedock_daemon/tests/test_stops.py
+++ b/packages/lanedock-daemon/lanedock_daemon/tests/test_stops.py
@@ -193,3 +193,21 @@
     assert process.returncode == 0
     assert [output.count(f'"{event}"') for event in ("STOPPING", "RELOADED", "STOPPED")] == [1, 1, 1]
     unfinished.join(timeout=LONG)
+
+
+def test_log_of_a_request_during_a_stop_states_when_it_was_read_and_who_ended_it(make_daemon, caplog):
+    caplog.set_level("INFO")
+    daemon = make_daemon()
+    daemon.learn_times("egress")
+    sent = daemon.begin("egress", make_request("/x"))
+    wait_until(lambda: "/x" in daemon.other.begun)
+    daemon.stop()
+    daemon.read(sent)
+    daemon.stopping.get(timeout=LONG)
+    lines = [record.msg for record in caplog.records if isinstance(record.msg, dict)]
+    answered = [line for line in lines if line["message"] == "REQUEST_ANSWERED" and "stop_ended_ms" in line]
+    assert [line["outcome"] for line in answered] == ["unknown"]
+    assert answered[0]["stop_read_ms"] <= 0 < answered[0]["stop_ended_ms"]
+    errors = [line["error"] for line in lines if line["message"] == "ANSWER_LOST"]
+    assert len(errors) == 1
+    assert errors[0].endswith("no answer before this process stopped")
--- a/packages/lanedock/lanedock/kernel/stop_plan.py
+++ b/packages/lanedock/lanedock/kernel/stop_plan.py
@@ -59,6 +59,10 @@
         if not self.is_begun:
             self.deadline = now + self._limit
 
+    def elapsed(self, now: float) -> float:
+        """Return the seconds from the start of the shutdown to `now`; negative before it, 0 without a shutdown."""
+        return now - (self.deadline - self._limit) if self.is_begun else 0.0
+
     def allows(self, needed: float, now: float) -> bool:
         """Return whether work that takes `needed` seconds is expected to end by the deadline."""
         is_after_linger = self.is_begun and not self.remaining_linger(now)
--- a/packages/lanedock/lanedock/telemetry/events.py
+++ b/packages/lanedock/lanedock/telemetry/events.py
@@ -15,7 +15,13 @@
     """
 
     STARTED = (101, logging.INFO, "The process has started and accepts requests.", "None.")
-    STOPPING = (102, logging.INFO, "The process was asked to stop; it finishes the requests in progress.", "None.")
+    STOPPING = (
+        102,
+        logging.INFO,
+        "The process was asked to stop; it finishes the requests in progress. `after_ms` is the time since it "
+        "noted the signal.",
+        "If `after_ms` is long, the process gets too little processor time, or the signal came while it started.",
+    )
     STOPPED = (103, logging.INFO, "The process has stopped.", "None.")
     NO_AUTHENTICATION = (
         105,
@@ -240,8 +246,8 @@
         505,
         logging.WARNING,
         "A caller's connection was closed although the caller had not received all of its answers; the fields give the "
-        "reason, the bytes written but not acknowledged (`unsent`), the bytes received but not read (`unread`) and the "
-        "requests in progress.",
+        "reason, the bytes written but not acknowledged (`unsent`), the bytes received but not read (`unread`), the "
+        "requests in progress, the targets of the first ones and, if the process is stopping, the time since then.",
         "For the reason `stop`: raise `stop_grace_s` together with the platform's grace period.",
     )
     REACHED = (503, logging.INFO, "An unreachable upstream is reachable again.", "None.")
@@ -273,7 +279,8 @@
     REQUEST_ANSWERED = (
         514,
         logging.INFO,
-        "The caller was answered, or has closed the connection.",
+        "The caller was answered, or has closed the connection. If the process is stopping, `stop_read_ms` and "
+        "`stop_ended_ms` are when the request was read and when it ended, in milliseconds since the stop began.",
         "See `outcome`: not-run, unknown, or answered by the upstream.",
     )
     REQUEST_LOADS_COMPARED = (
@@ -332,7 +339,8 @@
     REQUEST_DONE = (
         522,
         logging.INFO,
-        "The application answered or refused the request, or its answer was lost.",
+        "The application answered or refused the request, or its answer was lost. `stop_read_ms` and `stop_ended_ms` "
+        "are as for E514.",
         "None.",
     )
 
--- a/packages/lanedock/lanedock/telemetry/requests.py
+++ b/packages/lanedock/lanedock/telemetry/requests.py
@@ -2,8 +2,9 @@
 """Logs of the decisions made for single requests.
 
 Decisions are kept in memory until the request ends. All decisions of failed
-requests are logged. Successful requests are sampled by a hash of their id, so
-that every process chooses the same ones.
+requests are logged, and all decisions of requests that end while the process
+stops. Other successful requests are sampled by a hash of their id, so that every
+process chooses the same ones.
 """
 
 import zlib
@@ -93,9 +94,9 @@
         """Return a new log for a request."""
         return RequestLog(request_id, now)
 
-    def end(self, log: RequestLog, failed: bool) -> None:
-        """Log a request's decisions if it failed or is sampled."""
-        if failed or self._is_sampled(log.request_id):
+    def end(self, log: RequestLog, failed: bool, during_stop: bool = False) -> None:
+        """Log a request's decisions if it failed, is sampled, or ended while the process stops."""
+        if failed or during_stop or self._is_sampled(log.request_id):
             log.write(self._events, failed)
 
     def emit_totals(self) -> None:
