Add failing tests of requests that outlast a stop

Callers saw requests end without an answer around a planned stop while an application worked on them. The rounds of stops have a scenario in which eight of twelve daemons stop in two groups 1.1 s apart, callers keep their connections until the process is gone, and 15% of the answers take 2.2 of the 2.5 s that their routes allow.

The four tests beside it show each position without timing.

--- a/packages/lanedock-daemon/lanedock_daemon/tests/test_stop_arrivals.py
+++ b/packages/lanedock-daemon/lanedock_daemon/tests/test_stop_arrivals.py
@@ -1,11 +1,13 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """Tests of which requests that arrive while a daemon stops are served, and which are refused."""
 
+import gevent
 import pytest
 
 from lanedock.kernel import StopPlan
 from lanedock.settings import Address
 from lanedock.telemetry import EventLogger
+from lanedock_daemon.path.http.connection import IDLE_CLOSE_DELAY
 from lanedock_daemon.path.http.server import PathServer
 from lanedock_daemon.path.tests.chain import HOST, wait_until
 from lanedock_daemon.tests.stopping import (
@@ -70,6 +72,65 @@
     assert daemon.other.begun == ([] if outcome else ["/x"])
 
 
+def test_a_request_that_may_outlast_the_stop_is_refused_once_callers_should_have_gone(make_daemon):
+    # The application's own work keeps its daemon from closing the server that callers use, too.
+    daemon = make_daemon()
+    daemon.note_time(GRACE / 60)
+    daemon.other.opened.set()
+    work = daemon.begin("upstream", make_daemon_request("/own"))
+    wait_until(lambda: daemon.own.begun)
+    sent = daemon.begin("egress", make_request("/first"))
+    wait_until(lambda: sent.received)
+    daemon.other.opened.clear()
+    daemon.stop()
+    wait_until(lambda: not is_listening(daemon.ports["upstream"]))
+    sent.send_more(make_request("/x"))
+    assert read_outcomes(daemon.read(sent)) == ["", "not-run"]
+    assert "/x" not in daemon.other.begun
+    daemon.own.opened.set()
+    assert daemon.read(work).startswith(b"HTTP/1.1 200")
+
+
+def test_an_upstreams_daemon_passes_on_no_request_that_may_outlast_its_own_stop(make_daemon):
+    daemon = make_daemon()
+    daemon.stop()
+    answer = daemon.read(daemon.begin("upstream", make_daemon_request("/x")))
+    assert read_outcomes(answer) == ["not-run"]
+    assert not daemon.stopping.ready()
+    assert not daemon.own.begun
+
+
+def test_a_queued_request_that_may_outlast_the_stop_of_the_upstreams_daemon_is_not_passed_on(make_daemon):
+    daemon = make_daemon()
+    work = daemon.begin("upstream", make_daemon_request("/own"))
+    wait_until(lambda: daemon.own.begun)
+    sent = daemon.begin("upstream", make_daemon_request("/x"))
+    wait_until(lambda: daemon.kernel.find("upstream").side.in_progress == 2)
+    daemon.stop()
+    daemon.own.opened.set()
+    assert daemon.read(work).startswith(b"HTTP/1.1 200")
+    assert read_outcomes(daemon.read(sent)) == ["not-run"]
+    assert daemon.own.begun == ["/own"]
+
+
+def test_the_last_answers_of_the_linger_time_announce_the_close_to_callers_that_pause(make_daemon):
+    daemon = make_daemon(is_entry=True)
+    daemon.note_time(GRACE / 60)
+    daemon.other.opened.set()
+    sent = daemon.begin("entry", make_request("/first"))
+    wait_until(lambda: sent.received)
+    daemon.stop()
+    while not sent.ready():
+        # Longer than the time for which a connection that was just used is kept.
+        gevent.sleep(2 * IDLE_CLOSE_DELAY)
+        if not sent.ready():
+            sent.send_more(make_request("/x"))
+            gevent.sleep(IDLE_CLOSE_DELAY)
+    answers = daemon.read(sent).split(b"HTTP/1.1 ")
+    assert b"\r\nconnection: close\r\n" in answers[-1]
+    assert not any(b"\r\nconnection: close\r\n" in answer for answer in answers[:-1])
+
+
 def test_a_stop_does_not_shorten_the_deadline_sent_to_an_application(make_daemon):
     daemon = make_daemon(is_entry=True)
     daemon.other.opened.set()
--- a/tests/crashing_application.py
+++ b/tests/crashing_application.py
@@ -6,6 +6,7 @@
 import struct
 import threading
 import time
+from random import random
 
 from keepalive_callers import make_body
 from platform_processes import APP_PORT, CONTROL_PORT, OUTBOUND_PORT, call
@@ -48,6 +49,10 @@
     advertised_limits : list of tuple of (float, str, float or None)
         Monotonic time in seconds, incarnation, and the rate limit in requests per second that
         responses advertise from then on.
+    ended : list of tuple of (float, str)
+        Monotonic time in seconds and path of each request whose processing has ended.
+    slow_share : float
+        Share of the harmless requests that take `slow_work` seconds instead of `work`.
     drain_advertised_at : dict of str to float
         Monotonic time in seconds of the first response of an incarnation that advertised draining.
     """
@@ -61,6 +66,9 @@
         self._rate_limit: float | None = None
         self._advertises_drain = False
         self.work = work
+        self.slow_share = 0.0
+        self.slow_work = work
+        self.ended: list[tuple[float, str]] = []
         self._ip = ip
         self._name = upstream
         self._incarnation_number = 0
@@ -210,7 +218,8 @@
             time.sleep(self.crash_after)
             self.crash(incarnation)
             return False
-        time.sleep(self.work)
+        time.sleep(self.slow_work if random() < self.slow_share else self.work)
+        self.ended.append((time.monotonic(), path))
         request_id = headers["x-request-id"]
         status, answer = "200 OK", make_body(path)
         if makes_call and self._call(path.removeprefix(CALL_PATH_PREFIX), f"{request_id}-1") != 200:
--- a/tests/keepalive_callers.py
+++ b/tests/keepalive_callers.py
@@ -7,7 +7,7 @@
 import time
 from random import Random
 
-__all__ = ["CallerKind", "ConnectionRecord", "KeepAliveCaller", "SentRequest", "make_body"]
+__all__ = ["CallerKind", "ConnectionRecord", "KeepAliveCaller", "OwnAnswer", "SentRequest", "make_body"]
 
 HOST_HEADER = "shop.example"
 READ_TIMEOUT = 10.0  # seconds without data after which a caller gives up its connection
@@ -16,6 +16,8 @@
 CROSSING_TIME = 0.2
 _LENGTH = re.compile(rb"\r\ncontent-length: (\d+)", re.IGNORECASE)
 _CLOSE = re.compile(rb"\r\nconnection: close", re.IGNORECASE)
+# Present in each answer of an application.
+_STAMP = re.compile(rb"\r\nx-server-stamp:", re.IGNORECASE)
 _BODY_SIZE = re.compile(r"/bytes-(\d+)$")
 
 
@@ -72,6 +74,17 @@
         self.sent_at = 0.0
 
 
+class OwnAnswer:
+    """A daemon's own answer, which no application gave, received at a monotonic time in seconds."""
+
+    __slots__ = ("at", "request", "status")
+
+    def __init__(self, request: SentRequest, status: int):
+        self.request = request
+        self.status = status
+        self.at = time.monotonic()
+
+
 class ConnectionRecord:
     """What a caller sent and received on one connection.
 
@@ -80,6 +93,7 @@
     sent : list of SentRequest
     statuses : list of int
         Statuses of the answers that were received whole.
+    own_answers : list of OwnAnswer
     announced_close : bool
         Whether the last whole answer announced the end of the connection.
     wrong : str
@@ -92,11 +106,12 @@
         How the connection ended.
     """
 
-    __slots__ = ("announced_close", "ended_at", "partial", "reason", "sent", "statuses", "wrong")
+    __slots__ = ("announced_close", "ended_at", "own_answers", "partial", "reason", "sent", "statuses", "wrong")
 
     def __init__(self):
         self.sent: list[SentRequest] = []
         self.statuses: list[int] = []
+        self.own_answers: list[OwnAnswer] = []
         self.announced_close = False
         self.partial = b""
         self.ended_at = 0.0
@@ -250,7 +265,10 @@
         if len(record.partial) < end:
             return
         status = int(head.split(b" ")[1])
-        path = record.sent[len(record.statuses)].path
+        request = record.sent[len(record.statuses)]
+        path = request.path
+        if not _STAMP.search(head):
+            record.own_answers.append(OwnAnswer(request, status))
         if status == 200 and record.partial[head_end + 4 : end] != make_body(path):
             record.wrong = f"{path} got the body of another request: {record.partial[head_end + 4 :][:40]}"
         record.statuses.append(status)
--- a/tests/stop_rounds.py
+++ b/tests/stop_rounds.py
@@ -22,7 +22,7 @@
     sys.path[:0] = [str(TESTS), str(TESTS.parent / "platform")]
 
 from crash_mesh import CrashMesh, make_routes  # noqa: E402
-from keepalive_callers import CallerKind, ConnectionRecord, KeepAliveCaller  # noqa: E402
+from keepalive_callers import CallerKind, ConnectionRecord, KeepAliveCaller, OwnAnswer  # noqa: E402
 from platform_processes import OUTBOUND_PORT  # noqa: E402
 
 from lanedock_daemon.stops import make_stop_plan  # noqa: E402
@@ -33,6 +33,9 @@
 # Callers of each daemon.
 CALLERS = 6
 GRACE = 6.0  # seconds
+# Seconds that an application works on a slow request, and those that routes allow for one.
+SLOW_WORK = 2.2
+TIME_LIMIT = 2.5
 STOP_TIMEOUT_MS = 2000  # the setting's default
 # Seconds of load before the first signal.
 LOAD_TIME = 0.7
@@ -53,6 +56,15 @@
     CallerKind(outstanding=2, receive_buffer=4096, read_rate=30_000.0, answer_bytes=30_000),
     CallerKind(outstanding=3, upload_bytes=60_000, answer_bytes=20_000, receive_buffer=4096, read_rate=60_000.0),
 ]
+# Short requests, as most are, of callers that pipeline and of callers that wait for each answer.
+SHORT = [
+    CallerKind(outstanding=3, answer_bytes=3000),
+    CallerKind(outstanding=2, answer_bytes=3000, think=0.1),
+    CallerKind(answer_bytes=3000),
+    CallerKind(answer_bytes=3000, think=0.2),
+    CallerKind(upload_bytes=1000, answer_bytes=3000),
+    CallerKind(upload_bytes=1000, answer_bytes=3000, think=0.1),
+]
 
 
 class Scenario:
@@ -69,11 +81,43 @@
         Whether the setting `stop_grace_s` is given.
     wipes_control : bool
         Whether a control instance is killed at the same time and restarts without its data.
+    gap : float
+        Seconds between the stops of two groups of daemons; 0 to stop all within a moment.
+    group : int
+        Number of daemons of a group.
+    slow_share : float
+        Share of the requests that applications work on for `SLOW_WORK` from the first stop on.
+    daemons : int
     """
 
-    __slots__ = ("has_grace", "kinds", "signals", "stopped", "wipes_control")
-
-    def __init__(self, kinds, stopped=1, signals=(signal.SIGTERM,), has_grace=True, wipes_control=False):
+    __slots__ = (
+        "daemons",
+        "gap",
+        "group",
+        "has_grace",
+        "kinds",
+        "signals",
+        "slow_share",
+        "stopped",
+        "wipes_control",
+    )
+
+    def __init__(
+        self,
+        kinds,
+        stopped=1,
+        signals=(signal.SIGTERM,),
+        has_grace=True,
+        wipes_control=False,
+        gap=0.0,
+        group=1,
+        slow_share=0.0,
+        daemons=DAEMONS,
+    ):
+        self.gap = gap
+        self.group = group
+        self.slow_share = slow_share
+        self.daemons = daemons
         self.kinds = kinds
         self.stopped = stopped
         self.signals = signals
@@ -94,9 +138,57 @@
     "pipelining-no-grace": Scenario(PIPELINING, has_grace=False),
     "pipelining-signals": Scenario(PIPELINING, signals=_SERIES),
     "pipelining-three": Scenario(PIPELINING, stopped=3, wipes_control=True),
+    "overlapping-slow": Scenario(SHORT, stopped=8, gap=1.1, group=4, slow_share=0.15, daemons=12),
 }
 
 
+class Runs:
+    """When applications worked on requests.
+
+    Parameters
+    ----------
+    applications : iterable of CrashingApplication
+    """
+
+    __slots__ = ("_ends", "_starts")
+
+    def __init__(self, applications):
+        self._starts: dict[str, list[float]] = {}
+        self._ends: dict[str, list[float]] = {}
+        for application in applications:
+            for at, path, _ in list(application.arrivals):
+                self._starts.setdefault(path, []).append(at)
+            for at, path in list(application.ended):
+                self._ends.setdefault(path, []).append(at)
+
+    @property
+    def paths(self) -> set[str]:
+        """Paths of the requests that applications received."""
+        return set(self._starts)
+
+    def last_end(self, path: str) -> float:
+        """Return the monotonic time, in seconds, until which applications worked on a request.
+
+        Returns 0 if none received it, and infinity if one still works on it.
+        """
+        starts, ends = self._starts.get(path, []), self._ends.get(path, [])
+        return max(ends, default=0.0) if len(starts) == len(ends) else float("inf")
+
+    def find_replaced(self, answer: OwnAnswer, stopped_at: float) -> str | None:
+        """Describe a daemon's own answer to a request that an application was working on; None if it is allowed.
+
+        Allowed are the end of the route's time limit, and an answer in the last sixth of the grace time to a request
+        that was sent in its first half.
+        """
+        sent_at, at = answer.request.sent_at - stopped_at, answer.at - stopped_at
+        if self.last_end(answer.request.path) <= answer.at or at - sent_at >= TIME_LIMIT:
+            return None
+        if sent_at <= GRACE / 2 and at >= GRACE * 5 / 6:
+            return None
+        place = f"{answer.request.path} sent at {sent_at:.3f} s, answered at {at:.3f} s"
+        return f"answered {answer.status} while an application worked: {place}"
+
+
 class RoundResult:
     """What callers saw in one round.
 
@@ -110,11 +202,14 @@
         Number of connections that ended without an announcement while a request was on its way.
     outlasted : list of str
         Answers whose callers read so slowly that the stop ended first.
+    refused : int
+        Number of requests that a daemon answered itself and no application received.
     """
 
-    __slots__ = ("answers", "crossed", "faults", "outlasted")
+    __slots__ = ("answers", "crossed", "faults", "outlasted", "refused")
 
     def __init__(self):
+        self.refused = 0
         self.faults: list[str] = []
         self.outlasted: list[str] = []
         self.answers = 0
@@ -123,14 +218,13 @@
     def __repr__(self) -> str:
         return f"<RoundResult answers={self.answers} crossed={self.crossed} faults={len(self.faults)}>"
 
-    def add(self, record: ConnectionRecord, arrived: set[str], stopped_at: float, limit: float) -> None:
+    def add(self, record: ConnectionRecord, runs: "Runs", stopped_at: float, limit: float) -> None:
         """Add what a caller saw on one connection.
 
         Parameters
         ----------
         record : ConnectionRecord
-        arrived : set of str
-            Paths of the requests that applications received.
+        runs : Runs
         stopped_at : float
             Monotonic time, in seconds, of the first signal to the daemon.
         limit : float
@@ -138,7 +232,9 @@
         """
         self.answers += len(record.statuses)
         self.crossed += record.has_crossed_close()
-        fault = record.find_fault(arrived, stopped_at)
+        self.refused += sum(runs.last_end(answer.request.path) == 0.0 for answer in record.own_answers)
+        self.faults += filter(None, (runs.find_replaced(answer, stopped_at) for answer in record.own_answers))
+        fault = record.find_fault(runs.paths, stopped_at)
         if fault is None:
             return
         has_outlasted = bool(record.partial) and record.ended_at >= stopped_at + limit
@@ -147,10 +243,14 @@
 
 def start_mesh(folder: Path, scenario: Scenario) -> CrashMesh:
     """Start a mesh for a scenario, and wait until its daemons serve."""
-    mesh = CrashMesh(folder, 0.0, DAEMONS)
+    mesh = CrashMesh(folder, 0.0, scenario.daemons)
     mesh.grace = GRACE if scenario.has_grace else None
     try:
-        mesh.start_ready(make_routes(4, 0, timeoutS=5, targetLatencyS=1))
+        value = make_routes(4, 0, timeoutS=5, targetLatencyS=1)
+        if scenario.slow_share:
+            for route in value["routes"]:
+                route["timeoutS"] = TIME_LIMIT
+        mesh.start_ready(value)
     except BaseException:
         mesh.stop()
         raise
@@ -187,18 +287,27 @@
         if self._scenario.wipes_control:
             self._wipe_control()
         stops = [threading.Thread(target=self._stop, args=(ip, self._rng.getrandbits(32))) for ip in stopped]
-        for stop in stops:
+        self._set_slow_share(self._scenario.slow_share)
+        for number, stop in enumerate(stops, 1):
             stop.start()
-            time.sleep(self._rng.uniform(0.0, 0.3))
+            if not self._scenario.gap:
+                time.sleep(self._rng.uniform(0.0, 0.3))
+            elif number % self._scenario.group == 0:
+                time.sleep(self._scenario.gap)
         for stop in stops:
             stop.join()
         is_over.set()
+        self._set_slow_share(0.0)
         for _, caller in callers:
             caller.join()
         result = self._judge(callers)
         self._restart(stopped)
         return result
 
+    def _set_slow_share(self, share: float) -> None:
+        for application in self.mesh.applications.values():
+            application.slow_share, application.slow_work = share, SLOW_WORK
+
     def _make_caller(self, ip: str, number: int, is_over: threading.Event) -> KeepAliveCaller:
         kind = self._scenario.kinds[number % len(self._scenario.kinds)]
         name = f"{self._round}-{ip}-{number}"
@@ -225,7 +334,7 @@
         self.mesh.start_process(ip, self.mesh.make_settings("control", ip, False))
 
     def _judge(self, callers: list[tuple[str, KeepAliveCaller]]) -> RoundResult:
-        arrived = {path for app in self.mesh.applications.values() for _, path, _ in list(app.arrivals)}
+        runs = Runs(self.mesh.applications.values())
         result = RoundResult()
         plan = make_stop_plan(
             SimpleNamespace(stop_grace_s=self.mesh.grace, stop_timeout_ms=STOP_TIMEOUT_MS, daemon=True)
@@ -233,7 +342,7 @@
         plan.begin(0.0)
         for ip, caller in callers:
             for record in caller.records:
-                result.add(record, arrived, self._stopped_at[ip], plan.cut_at)
+                result.add(record, runs, self._stopped_at[ip], plan.cut_at)
         return result
 
     def _restart(self, stopped: list[str]) -> None:
@@ -249,7 +358,7 @@
         folder = Path(tempfile.mkdtemp(prefix=f"stops-{name}-"))
         mesh = start_mesh(folder, SCENARIOS[name])
         stops = StopRounds(mesh, seed, SCENARIOS[name])
-        answers = crossed = 0
+        answers = crossed = refused = 0
         faults: list[str] = []
         outlasted: list[str] = []
         try:
@@ -257,14 +366,15 @@
                 result = stops.run_round()
                 answers += result.answers
                 crossed += result.crossed
+                refused += result.refused
                 faults += result.faults
                 outlasted += result.outlasted
         finally:
             mesh.stop()
         failed += bool(faults)
         print(
-            f"{name}: {rounds} rounds, {answers} answers, {crossed} crossed, {len(outlasted)} outlasted the stop, "
-            f"{len(faults)} faults ({folder})",
+            f"{name}: {rounds} rounds, {answers} answers, {refused} refused, {crossed} crossed, "
+            f"{len(outlasted)} outlasted the stop, {len(faults)} faults ({folder})",
             flush=True,
         )
         for fault in faults[:12] + outlasted[:3]:
--- a/tests/test_stop_rounds.py
+++ b/tests/test_stop_rounds.py
@@ -26,6 +26,10 @@
     assert _run(tmp_path, name, 1) == []
 
 
+def test_stop_breaks_off_no_request_that_its_application_works_on(tmp_path):
+    assert _run(tmp_path, "overlapping-slow", 2) == []
+
+
 def test_daemon_that_closes_connections_too_early_is_found(tmp_path, monkeypatch):
     monkeypatch.syspath_prepend(str(HOOKS))
     monkeypatch.setenv(EARLY_CLOSE_VARIABLE, "1")
