Refuse requests that may outlast a stop once callers are asked to leave

Callers saw requests end with a final answer of the daemon's own (502, outcome unknown), 5.2 s after SIGTERM, while an application worked on them. Among them were POSTs that can't be repeated.

Cause: during a stop a request was started if its route's usual time, doubled after the linger time, was left until the deadline for answers. The usual time is an estimate from earlier minutes and no bound; an upstream that is cold, slow or full exceeds it. Most such requests come through a server that callers share with the application beside the daemon: it closes last, so as long as one request to that application lasts, callers' connections stay open, and requests are started until 4 s and later.

Change: from one second before the linger time ends, an attempt starts only if its own time limit, and the usual time of the answer's body, end before the deadline. That holds wherever the request waits then (a queue, an application, another daemon, a retry), since all of it ends by the time limit. Everything else is refused at once as not run, with a time to come back. Calls that only the application makes are still judged by their usual time: they belong to requests in progress, which fail without them.

Two tests asserted the former rule on routes with a limit of 20 s. They now state the caller's time, and assert the refusal without it; that calls are served is asserted with and without other callers.

--- a/packages/lanedock-daemon/lanedock_daemon/path/caller/caller.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller/caller.py
@@ -177,6 +177,17 @@
         self._rng = rng or Random()
         self._ages = FirstAttempts()
         self._turns: LinkTurns | None = None
+        self._is_for_calls = False
+
+    def for_calls(self) -> "CallerSide":
+        """Return a side that shares all state with this one, for calls that the application beside the daemon makes.
+
+        They belong to requests in progress, which fail without them, so in a stop they are served if they are
+        expected to end in time.
+        """
+        side = copy(self)
+        side._is_for_calls = True
+        return side
 
     def paced_by(self, turns: LinkTurns) -> "CallerSide":
         """Return a side that shares all state with this one, and sends long answers by the turns of a narrow link.
@@ -328,7 +339,7 @@
         return self._dialect.make_refusal(code, Outcome.NOT_RUN, retry_after, detail)
 
     def _refuse_stopping(self, now: float) -> Answer:
-        """Refuse a request that is unlikely to end before this process stops.
+        """Refuse a request that may not end before this process stops.
 
         The retry delay lasts until this process no longer takes callers' connections.
         """
@@ -383,9 +394,9 @@
             if now >= context.deadline:
                 return progress.failure or self._refuse(ErrorCode.DEADLINE)
             # The deadline limits the time until the head of the answer; the body may take longer.
-            needed = min(context.balancer.hedge_delay(route.name), context.deadline - now)
-            needed += context.balancer.body_late_delay(route.name)
-            if not self._plan.allows(needed, now):
+            body_time = context.balancer.body_late_delay(route.name)
+            needed = min(context.balancer.hedge_delay(route.name), context.deadline - now) + body_time
+            if not self._may_start(needed, context.deadline + body_time, now):
                 context.log.note(Event.REQUEST_TRY_ENDED, service=context.service.name, reason="the process stops")
                 return progress.failure or self._refuse_stopping(now)
             context.start_by = self._plan.start_by(needed)
@@ -415,6 +426,20 @@
             body.rewind()
             self._metrics.count(Metric.RETRIES)
 
+    def _may_start(self, needed: float, time_limit: float, now: float) -> bool:
+        """Return whether an attempt may start in view of the process's stop.
+
+        Parameters
+        ----------
+        needed : float
+            Seconds that the attempt is expected to take.
+        time_limit, now : float
+            Monotonic times, in seconds; the attempt ends by `time_limit` at the latest.
+        """
+        if self._is_for_calls or not self._plan.is_leaving(now):
+            return self._plan.allows(needed, now)
+        return self._plan.is_in_time(time_limit)
+
     def _spend_retry(self, context: RequestContext, is_charged: bool) -> bool:
         """Charge another attempt to the retry budget; return whether the budget allows it.
 
--- a/packages/lanedock-daemon/lanedock_daemon/roles.py
+++ b/packages/lanedock-daemon/lanedock_daemon/roles.py
@@ -4,7 +4,7 @@
 import gevent
 
 from lanedock.clock import monotonic
-from lanedock.kernel import Kernel, Service, StopPlan
+from lanedock.kernel import NOTICE_TIME, Kernel, Service, StopPlan
 from lanedock.limits import AnswerLink, SavingBudget, WindowBudget, is_narrow_link
 from lanedock.membership import UpstreamRegistration
 from lanedock.quota import CreditAccount
@@ -30,11 +30,6 @@
 
 __all__ = ["DrainService", "add_daemon"]
 
-# Seconds at the end of the linger time during which the upstream accepts no new work. Nearly
-# all requests in progress end within it, and the server waits for the rest. If the upstream
-# drained for the whole linger time (3 s of 6 s of grace), it would be unavailable for 3.9 s of
-# a restart instead of 1.9 s.
-UPSTREAM_DRAIN = 1.0
 # Idle connections from callers are kept open up to the process's maximum number of descriptors
 # divided by this: each request in progress takes two more descriptors.
 DESCRIPTORS_PER_KEPT_CONNECTION = 4
@@ -53,9 +48,10 @@
 class DrainService(Service):
     """Announces, as the first step of a stop, that the process accepts no new work.
 
-    Callers are told first, as they take seconds to switch to another instance. Other daemons
+    Readiness probes are told first, as callers take seconds to switch to another instance. Other daemons
     are told last that the upstream accepts no new work, as they learn it within a tenth of a
-    second; until then the upstream continues to serve.
+    second; until then the upstream continues to serve. If it drained for the whole linger time, it would be
+    unavailable for much longer.
 
     Parameters
     ----------
@@ -79,10 +75,9 @@
         """Tell callers, then other daemons; servers begin to stop once this returns."""
         self._plan.begin(monotonic())
         self._view.is_stopping = True
-        linger = self._plan.linger
-        gevent.sleep(max(0.0, linger - UPSTREAM_DRAIN))
+        gevent.sleep(max(0.0, self._plan.remaining_linger(monotonic()) - NOTICE_TIME))
         self._agent.post(DrainRequested())
-        gevent.sleep(max(DRAIN_SETTLE, min(linger, UPSTREAM_DRAIN)))
+        gevent.sleep(max(DRAIN_SETTLE, self._plan.remaining_linger(monotonic())))
 
     def stop(self) -> None:
         """Do nothing: `begin_stop` has done all the work."""
@@ -225,7 +220,7 @@
                 )
             )
         if cfg.egress is not None:
-            add_server("egress", cfg.egress, caller)
+            add_server("egress", cfg.egress, caller if settings.daemon.any_service else caller.for_calls())
         add_server("upstream", cfg.listen, side)
     kernel.add(DrainService(agent, view, plan))
 
--- a/packages/lanedock-daemon/lanedock_daemon/tests/stopping.py
+++ b/packages/lanedock-daemon/lanedock_daemon/tests/stopping.py
@@ -83,6 +83,8 @@
         Whether it is an entry daemon; otherwise it is an upstream's daemon.
     other : Gate, optional
         Controls the application behind the other daemon.
+    any_service : bool
+        Whether callers may use the server for calls, too.
 
     Attributes
     ----------
@@ -90,7 +92,8 @@
         Control the application beside this daemon, and the one behind the other daemon.
     """
 
-    def __init__(self, folder, is_entry: bool = False, other=None, **settings):
+    def __init__(self, folder, is_entry: bool = False, other=None, any_service: bool = True, **settings):
+        self._any_service = any_service
         value = make_value(slots=1)
         for route in value["routes"]:
             route["deadline_ms"] = int(LONG * 1000)
@@ -119,7 +122,7 @@
             "name": "d",
             "zone": "z",
             "transport": "framed",
-            "daemon": {"control": [f"{HOST}:1"], "any_service": True, "ready": address["ready"], **limits},
+            "daemon": {"control": [f"{HOST}:1"], "any_service": self._any_service, "ready": address["ready"], **limits},
             **settings,
         }
         upstream = {
--- a/packages/lanedock-daemon/lanedock_daemon/tests/test_roles.py
+++ b/packages/lanedock-daemon/lanedock_daemon/tests/test_roles.py
@@ -6,12 +6,12 @@
 import gevent
 import pytest
 
-from lanedock.kernel import Kernel, StopPlan
+from lanedock.kernel import NOTICE_TIME, Kernel, StopPlan
 from lanedock.settings import load_settings
 from lanedock.telemetry import EventLogger, NullMetrics, NullTracer
 from lanedock_daemon.agent import LocalView
 from lanedock_daemon.path.tests.chain import Chain
-from lanedock_daemon.roles import UPSTREAM_DRAIN, DrainService, add_daemon
+from lanedock_daemon.roles import DrainService, add_daemon
 from lanedock_daemon.sessions import DrainRequested
 
 
@@ -28,7 +28,7 @@
         self.was_stopping.append(self.view.is_stopping)
 
 
-@pytest.mark.parametrize("linger", [0.0, UPSTREAM_DRAIN + 0.2])
+@pytest.mark.parametrize("linger", [0.0, NOTICE_TIME + 0.2])
 def test_a_stopping_daemon_tells_callers_before_its_upstream_drains(linger):
     view = LocalView("z", 10.0)
     agent = _Agent(view)
--- a/packages/lanedock-daemon/lanedock_daemon/tests/test_stop_arrivals.py
+++ b/packages/lanedock-daemon/lanedock_daemon/tests/test_stop_arrivals.py
@@ -22,6 +22,9 @@
     read_outcomes,
 )
 
+# Time limit with which a request that arrives after the linger time surely ends in time.
+TIME_LIMIT_HEADER = f"x-request-deadline-ms: {round(1000 * GRACE / 10)}\r\n"
+
 
 @pytest.mark.parametrize("server", ["entry", "egress"])
 def test_a_request_that_cannot_end_before_the_process_does_is_refused_at_once(make_daemon, server):
@@ -37,8 +40,9 @@
     assert not daemon.other.begun
 
 
-def test_calls_of_an_application_are_served_while_it_has_requests_in_progress(make_daemon):
-    daemon = make_daemon()
+@pytest.mark.parametrize(("any_service", "headers"), [(False, ""), (True, TIME_LIMIT_HEADER)])
+def test_calls_of_an_application_are_served_while_it_has_requests_in_progress(make_daemon, any_service, headers):
+    daemon = make_daemon(any_service=any_service)
     # Makes the route known as fast: too little time is left for a slow one.
     daemon.note_time(GRACE / 60)
     daemon.other.opened.set()
@@ -46,20 +50,29 @@
     wait_until(lambda: daemon.own.begun)
     daemon.stop()
     wait_until(lambda: not is_listening(daemon.ports["upstream"]))
-    call = daemon.begin("egress", make_request("/call", close=True))
+    call = daemon.begin("egress", make_request("/call", close=True, headers=headers))
     assert daemon.read(call).startswith(b"HTTP/1.1 200")
     daemon.own.opened.set()
     assert daemon.read(sent).startswith(b"HTTP/1.1 200")
 
 
-@pytest.mark.parametrize("taken,status,outcome", [(0.01, b"200", ""), (GRACE, b"503", "not-run")])
+@pytest.mark.parametrize(
+    ("taken", "headers", "status", "outcome"),
+    [
+        (GRACE / 60, TIME_LIMIT_HEADER, b"200", ""),
+        (GRACE, TIME_LIMIT_HEADER, b"200", ""),
+        # However short it usually is, a request with a long time limit may outlast the stop.
+        (GRACE / 60, "", b"503", "not-run"),
+        (GRACE, "", b"503", "not-run"),
+    ],
+)
 def test_a_request_on_an_open_connection_during_a_stop_is_answered_and_the_connection_closed(
-    make_daemon, taken, status, outcome
+    make_daemon, taken, headers, status, outcome
 ):
     daemon = make_daemon(is_entry=True)
     daemon.other.opened.set()
     daemon.note_time(taken)
-    request = make_request("/x")
+    request = make_request("/x", headers=headers)
     sent = daemon.begin("entry", request[:20])
     wait_until(lambda: any(not one.is_idle() for one in daemon.kernel.find("entry")._connections))
     daemon.stop()
@@ -124,9 +137,10 @@
         # Longer than the time for which a connection that was just used is kept.
         gevent.sleep(2 * IDLE_CLOSE_DELAY)
         if not sent.ready():
-            sent.send_more(make_request("/x"))
+            sent.send_more(make_request("/x", headers=TIME_LIMIT_HEADER))
             gevent.sleep(IDLE_CLOSE_DELAY)
-    answers = daemon.read(sent).split(b"HTTP/1.1 ")
+    answers = daemon.read(sent).split(b"HTTP/1.1 ")[1:]
+    assert all(answer.startswith(b"200 ") for answer in answers)
     assert b"\r\nconnection: close\r\n" in answers[-1]
     assert not any(b"\r\nconnection: close\r\n" in answer for answer in answers[:-1])
 
--- a/packages/lanedock/lanedock/kernel/__init__.py
+++ b/packages/lanedock/lanedock/kernel/__init__.py
@@ -5,6 +5,6 @@
 """
 
 from lanedock.kernel.core import Kernel, KernelError, Service, TaskService
-from lanedock.kernel.stop_plan import StopPlan
+from lanedock.kernel.stop_plan import NOTICE_TIME, StopPlan
 
-__all__ = ["Kernel", "KernelError", "Service", "StopPlan", "TaskService"]
+__all__ = ["NOTICE_TIME", "Kernel", "KernelError", "Service", "StopPlan", "TaskService"]
--- a/packages/lanedock/lanedock/kernel/stop_plan.py
+++ b/packages/lanedock/lanedock/kernel/stop_plan.py
@@ -7,6 +7,9 @@
 # answers may still end; connections are closed after it. A hundred final answers take
 # 0.04 s on one CPU core.
 FINAL_ANSWER_TIME = 0.2
+# Seconds at the end of the linger time in which those who still send requests are asked to use another
+# instance.
+NOTICE_TIME = 1.0
 # Multiple of its expected duration that work beginning after the linger time must have left
 # until the deadline. The few requests that take longer than expected would otherwise get
 # their final answer while they still run.
@@ -68,6 +71,17 @@
         is_after_linger = self.is_begun and not self.remaining_linger(now)
         return now + needed * (POST_LINGER_MARGIN if is_after_linger else 1.0) <= self.deadline
 
+    def is_leaving(self, now: float) -> bool:
+        """Return whether callers are asked to use another instance: from `NOTICE_TIME` before the linger time ends."""
+        return self.is_begun and self.remaining_linger(now) <= NOTICE_TIME
+
+    def is_in_time(self, time_limit: float) -> bool:
+        """Return whether work that ends by `time_limit` (monotonic, in seconds) at the latest ends by the deadline.
+
+        Other than an expected duration, this also holds for work that starts on a cold, slow or full upstream.
+        """
+        return time_limit <= self.deadline
+
     def start_by(self, needed: float) -> float | None:
         """Return the latest start time of work that takes `needed` seconds; None before the shutdown."""
         return self.deadline - needed if self.is_begun else None
--- a/packages/lanedock/lanedock/kernel/tests/test_stop_plan.py
+++ b/packages/lanedock/lanedock/kernel/tests/test_stop_plan.py
@@ -9,6 +9,8 @@
     plan = StopPlan(3.0, 5.0)
     assert not plan.is_begun
     assert plan.allows(1e9, 0.0)
+    assert plan.is_in_time(1e9)
+    assert not plan.is_leaving(0.0)
     assert plan.start_by(1.0) is None
     assert plan.remaining_linger(0.0) == 0.0
 
@@ -47,3 +49,31 @@
     plan = StopPlan(0.5, 0.2)
     plan.begin(100.0)
     assert plan.deadline == 100.5
+
+
+def test_notice_is_given_in_the_last_second_of_the_linger_time():
+    plan = StopPlan(3.0, 5.0)
+    plan.begin(100.0)
+    assert not plan.is_leaving(101.9)
+    assert plan.is_leaving(102.0)
+    assert plan.is_leaving(104.0)
+
+
+def test_notice_is_given_at_once_without_a_linger_time():
+    plan = StopPlan(0.0, 2.0)
+    plan.begin(100.0)
+    assert plan.is_leaving(100.0)
+
+
+def test_work_is_in_time_if_its_time_limit_is_not_after_the_deadline():
+    plan = StopPlan(3.0, 5.0)
+    plan.begin(100.0)
+    assert plan.is_in_time(105.0)
+    assert not plan.is_in_time(105.1)
+
+
+def test_the_time_since_the_start_of_the_shutdown_is_negative_before_it():
+    plan = StopPlan(3.0, 5.0)
+    assert plan.elapsed(99.0) == 0.0
+    plan.begin(100.0)
+    assert (plan.elapsed(99.0), plan.elapsed(102.5)) == (-1.0, 2.5)
