Refuse requests at an upstream's daemon that may outlast its own stop

Callers would see a request end as unknown 5.2 s after SIGTERM to the daemon beside the application that works on it, also if their own daemon stops a moment later and could wait on.

Cause: until 2 s after SIGTERM the daemon beside an application passed requests on whatever time they had, and one that waited for a slot, its body or the rate limit was passed on at any time in the stop. What the application had not answered by the deadline of the stop was broken off. Nothing compared the request's time limit with that deadline, so two overlapping stops each kept a plan of their own.

Change: such a request is refused as not run, on arrival and again before it is passed on; the other daemon sends it to another upstream, which costs neither the retry budget nor the caller. A service with one upstream and time limits above 5.2 s is refused for up to 2 s more of a restart.

Evidence: reproduced in tests only; the record doesn't show whether the daemon beside the application was stopping. Both tests fail without the change: the request is passed on and gets 'unknown', or its answer.

--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream/upstream.py
@@ -251,6 +251,8 @@
         deadline = _read_monotonic_time(request, DEADLINE_HEADER, started)
         if deadline is None:
             deadline = started + DEFAULT_RETRY_AFTER
+        if not self._plan.is_in_time(deadline):
+            return self._refuse(ErrorCode.DRAINING, DEFAULT_RETRY_AFTER, log, reason="it may outlast the daemon's stop")
         traffic_class = self._gate.classify(request, binding)
         target_time = _read_monotonic_time(request, TARGET_HEADER, started)
         log.route = decode_name(request.header(ROUTE_HEADER))
@@ -265,11 +267,13 @@
             why.update(self._gate.answers.load())
             return self._refuse(refused.code, refused.retry_after, log, **why)
         hashed = hash_body(request, hasher)
-        # The application may have begun to leave while the request waited for its body or for the
-        # rate limit, so this is checked again; nothing of the request has been passed on yet.
+        # The application or this process may have begun to leave while the request waited for its slot, its
+        # body or the rate limit, so this is checked again; nothing of the request has been passed on yet.
         refusal = self._wait_to_pass_on(
             request, hashed, hasher, traffic_class, admission
         ) or self._registration.refusal_code(expected)
+        if refusal is None and not self._plan.is_in_time(deadline):
+            refusal = ErrorCode.DRAINING
         if refusal is not None:
             self._gate.limiter.release(traffic_class, None, monotonic(), request=admission)
             if refusal is ErrorCode.QUARANTINED:
