--- a/packages/lanedock/lanedock/telemetry/log.py
+++ b/packages/lanedock/lanedock/telemetry/log.py
@@ -103,13 +103,16 @@
     Parameters
     ----------
     descriptor : int
-        File descriptor, such as that of a pipe. It may be closed after this call: the writer has a duplicate, since the
+        File descriptor, such as that of a pipe.
+    is_kept_open : bool
+        Whether the descriptor stays open as long as the writer. Otherwise the writer has a duplicate, since the
         system gives the number of a closed descriptor to the next file or connection.
     """
 
-    def __init__(self, descriptor: int):
+    def __init__(self, descriptor: int, is_kept_open: bool = False):
         super().__init__()
-        self._descriptor: int | None = os.dup(descriptor)
+        self._is_duplicate = not is_kept_open
+        self._descriptor: int | None = descriptor if is_kept_open else os.dup(descriptor)
         self._poll = select.poll()
         self._poll.register(self._descriptor, select.POLLOUT)
         self._pending: deque[bytes] = deque()
@@ -153,10 +156,11 @@
                 return
 
     def close(self) -> None:
-        """Write the buffered lines that can be written at once, and close the descriptor."""
+        """Write the buffered lines that can be written at once, and close the writer's duplicate of the descriptor."""
         if self._descriptor is not None:
             self.flush()
-            os.close(self._descriptor)
+            if self._is_duplicate:
+                os.close(self._descriptor)
             self._descriptor = None
         super().close()
 
@@ -181,7 +185,11 @@
     LineWriter
         The handler, which the caller has to flush at intervals.
     """
-    writer = LineWriter(sys.stdout.fileno() if descriptor is None else descriptor)
+    if descriptor is None:
+        # Not a duplicate: platforms that intercept system calls see only what is written to standard output itself.
+        writer = LineWriter(sys.stdout.fileno(), is_kept_open=True)
+    else:
+        writer = LineWriter(descriptor)
     writer.setFormatter(_make_formatter())
     root = logging.getLogger()
     root.handlers[:] = [writer]
--- a/packages/lanedock/lanedock/telemetry/tests/test_log.py
+++ b/packages/lanedock/lanedock/telemetry/tests/test_log.py
@@ -4,6 +4,7 @@
 import json
 import logging
 import os
+import sys
 
 from lanedock.telemetry import Event, EventLogger, Metric, RequestLogger, TextMetrics
 from lanedock.telemetry.log import MAX_PENDING_LINES, LineWriter, configure_logging
@@ -80,6 +81,21 @@
     os.close(reader)
 
 
+def test_lines_for_standard_output_are_written_to_its_own_descriptor(monkeypatch):
+    """Guards against lines that a platform which watches standard output doesn't see."""
+    reader, writer = os.pipe()
+    with os.fdopen(writer, "w") as output:
+        monkeypatch.setattr(sys, "stdout", output)
+        written, write = [], os.write
+        monkeypatch.setattr(os, "write", lambda descriptor, data: written.append(descriptor) or write(descriptor, data))
+        handler = configure_logging("info")
+        handler.emit(logging.makeLogRecord({"msg": "line"}))
+        handler.close()
+        assert written == [writer]
+        os.fstat(writer)  # still open
+    os.close(reader)
+
+
 def test_lines_beyond_the_rate_limit_are_dropped_and_reported():
     def flood(handler: LineWriter) -> None:
         events = EventLogger("p", 5)
