Announce the close of callers' connections in the last second of the linger time

Callers with a request on its way met the close of a connection that had been idle for a moment, without a byte, right after the linger time. They can't tell that from a lost request, and many sent POSTs.

Cause: an answer announced the close of its connection only once its server had stopped accepting, and at that moment all idle connections were closed. Callers that pause between requests got no answer that announced it.

Change: servers that callers use (the entry server, and the one for calls where any service may be called) announce the close from one second before the linger time ends, when other daemons are asked to leave, too. Requests that have arrived behind an answer are still served on the same connection. Servers for the application alone give no notice, as its calls go on until they are closed.

--- a/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
@@ -321,6 +321,8 @@
             return False
         # Requests already in progress are still answered; the last answer closes the connection.
         must_close = answer.ends_connection or self._server.is_stopping or self._server.is_over_connection_limit()
+        # Requests that have arrived behind this one are still served.
+        must_close = must_close or (self._server.is_leaving() and not self._reader.has_head())
         return not must_close or len(self._exchanges) > 1
 
     def _finish_exchange(self, exchange: Exchange) -> None:
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/server.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/server.py
@@ -44,6 +44,10 @@
         Returns the `CallerLimits` in force, or None.
     max_connections : int, optional
         Number of open connections above which connections are closed after their answers.
+    gives_notice : bool
+        Whether answers announce the close of their connections in the notice time of a stop. Callers that pause
+        between requests would otherwise meet the close of an idle connection with a request on its way, and could
+        not tell it from a lost one.
 
     Attributes
     ----------
@@ -61,8 +65,10 @@
         get_limits=lambda: None,
         max_connections=None,
         closes_last: bool = False,
+        gives_notice: bool = False,
     ):
         self._max_connections = max_connections
+        self._gives_notice = gives_notice
         super().__init__(name, address, side, plan, events, closes_last)
         self.limits = None
         self._get_limits = get_limits
@@ -129,6 +135,10 @@
         """Whether the process is stopping, so that answers in progress may be cut."""
         return self._plan.is_begun
 
+    def is_leaving(self) -> bool:
+        """Return whether answers announce the close of their connections because the process stops soon."""
+        return self._gives_notice and self._plan.is_leaving(monotonic())
+
     def _is_past_deadline(self) -> bool:
         """Return whether the process is stopping and the deadline for final answers has passed."""
         return self._plan.is_begun and monotonic() >= self._plan.deadline
--- a/packages/lanedock-daemon/lanedock_daemon/roles.py
+++ b/packages/lanedock-daemon/lanedock_daemon/roles.py
@@ -166,7 +166,7 @@
         settings.max_descriptors // DESCRIPTORS_PER_KEPT_CONNECTION if settings.max_descriptors else None
     )
 
-    def add_server(name: str, address, side) -> None:
+    def add_server(name: str, address, side, serves_callers: bool = False) -> None:
         closes_last = name in CLOSE_LAST
         if settings.http_server == "wsgi":
             from lanedock_daemon.path.http.wsgi import WsgiPathServer
@@ -174,14 +174,15 @@
             # Has the same interface, and is the baseline of benchmarks.
             kernel.add(WsgiPathServer(name, address, side, plan, events, closes_last))
         else:
+            options = {"closes_last": closes_last, "gives_notice": serves_callers}
             kernel.add(
-                PathServer(name, address, side, plan, events, view.caller_limits, max_kept_connections, closes_last)
+                PathServer(name, address, side, plan, events, view.caller_limits, max_kept_connections, **options)
             )
 
     if settings.daemon.ready is not None:
         add_server("ready", settings.daemon.ready, _ReadinessHandler(view))
     if settings.entry is not None:
-        add_server("entry", settings.entry.listen, caller if turns is None else caller.paced_by(turns))
+        add_server("entry", settings.entry.listen, caller if turns is None else caller.paced_by(turns), True)
     if settings.upstream is not None:
         cfg = settings.upstream
         application = (cfg.application.host, cfg.application.port)
@@ -220,7 +221,8 @@
                 )
             )
         if cfg.egress is not None:
-            add_server("egress", cfg.egress, caller if settings.daemon.any_service else caller.for_calls())
+            any_service = settings.daemon.any_service
+            add_server("egress", cfg.egress, caller if any_service else caller.for_calls(), any_service)
         add_server("upstream", cfg.listen, side)
     kernel.add(DrainService(agent, view, plan))
 
--- a/packages/lanedock/lanedock/telemetry/log.py
+++ b/packages/lanedock/lanedock/telemetry/log.py
@@ -185,11 +185,9 @@
     LineWriter
         The handler, which the caller has to flush at intervals.
     """
-    if descriptor is None:
-        # Not a duplicate: platforms that intercept system calls see only what is written to standard output itself.
-        writer = LineWriter(sys.stdout.fileno(), is_kept_open=True)
-    else:
-        writer = LineWriter(descriptor)
+    is_standard = descriptor is None
+    # Not a duplicate: platforms that intercept system calls see only what is written to standard output itself.
+    writer = LineWriter(sys.stdout.fileno() if is_standard else descriptor, is_kept_open=is_standard)
     writer.setFormatter(_make_formatter())
     root = logging.getLogger()
     root.handlers[:] = [writer]
