Count a stop that is signalled during the start from the signal

A process that got SIGTERM while its services started began its stop at the end of the start, and then served callers for half of the grace time. On an instance with little processor time its deadline for answers so came later than the grace time allows, and the process could be killed with requests in progress.

Cause: the signal was handled once the start was over, and the plan of the stop counted from there. Such a process has never been ready, so it has no callers to serve meanwhile.

Change: the handlers of the process's beginning note the time of the signal until the start is over. The plan counts from it, and there is no linger time.

That such processes lost requests is not shown.

--- a/packages/lanedock-daemon/lanedock_daemon/run.py
+++ b/packages/lanedock-daemon/lanedock_daemon/run.py
@@ -89,12 +89,13 @@
     metrics = _make_metrics(settings, text)
     tracer = _make_tracer(settings)
     interface = interface or OwnInterface()
-    kernel = _make_kernel(settings, initialize, events, metrics, tracer, interface)
+    plan = make_stop_plan(settings)
+    kernel = _make_kernel(settings, initialize, events, metrics, tracer, interface, plan)
     reloader = _Reloader(kernel, path, stamp, settings, events, is_generated)
     if text is not None:
         _add_metrics(kernel, settings, text, events)
     try:
-        return _run(kernel, settings, events, metrics, tracer, reloader, writer, early)
+        return _run(kernel, plan, settings, events, metrics, tracer, reloader, writer, early)
     finally:
         early.ignore_signals()
         writer.flush()
@@ -145,13 +146,14 @@
     return OtelTracer(settings.trace.file, settings.name, settings.trace.sample, Random())
 
 
-def _make_kernel(settings: Settings, initialize: bool, events, metrics, tracer, interface: Interface) -> Kernel:
+def _make_kernel(
+    settings: Settings, initialize: bool, events, metrics, tracer, interface: Interface, plan: StopPlan
+) -> Kernel:
     """Assemble the services of the process's roles.
 
     Only the modules of these roles are imported, as a daemon's memory is limited.
     """
     kernel = Kernel()
-    plan = make_stop_plan(settings)
     _add_transport(kernel, settings)
     if settings.control is not None:
         from lanedock_daemon.control import ControlService
@@ -192,6 +194,7 @@
 
 def _run(
     kernel: Kernel,
+    plan: StopPlan,
     settings: Settings,
     events,
     metrics: Metrics,
@@ -200,10 +203,6 @@
     writer,
     early: EarlySignals,
 ) -> int:
-    stopping = _StopSignal()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        gevent.signal_handler(number, stopping.note)
-    gevent.signal_handler(signal.SIGHUP, reloader.reload)
     if early.must_stop:
         events.emit(Event.STOPPED)
         return 0
@@ -212,6 +211,13 @@
     except LanedockError as exc:
         events.emit(Event.UNEXPECTED, error=exc)
         return EXIT_FAILED
+    stopping = _StopSignal()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, stopping.note)
+    gevent.signal_handler(signal.SIGHUP, reloader.reload)
+    if early.must_stop:
+        plan.begin(early.stopped_at, has_callers=False)
+        stopping.note(early.stopped_at)
     if settings.tls is None:
         events.emit(Event.NO_AUTHENTICATION)
     events.emit(Event.STARTED, zone=settings.zone)
@@ -263,10 +269,16 @@
         self.received = Signal()
         self._noted_at: float | None = None
 
-    def note(self) -> None:
-        """Note the first signal; later ones have no effect."""
+    def note(self, at: float | None = None) -> None:
+        """Note the first signal; later ones have no effect.
+
+        Parameters
+        ----------
+        at : float, optional
+            Monotonic time, in seconds, at which it came; by default now.
+        """
         if self._noted_at is None:
-            self._noted_at = monotonic()
+            self._noted_at = monotonic() if at is None else at
             self.received.set()
 
     def age_ms(self) -> int:
--- a/packages/lanedock-daemon/lanedock_daemon/signals.py
+++ b/packages/lanedock-daemon/lanedock_daemon/signals.py
@@ -10,6 +10,8 @@
 import sys
 from typing import NoReturn
 
+from lanedock.clock import monotonic
+
 __all__ = ["EarlySignals", "end_process"]
 
 _STOPS = (signal.SIGTERM, signal.SIGINT)
@@ -20,22 +22,28 @@
 
     Attributes
     ----------
-    must_stop : bool
-        Whether SIGTERM or SIGINT was received.
+    stopped_at : float or None
+        Monotonic time, in seconds, at which SIGTERM or SIGINT was received first; None before.
     must_reload : bool
         Whether SIGHUP was received.
     """
 
-    __slots__ = ("must_reload", "must_stop")
+    __slots__ = ("must_reload", "stopped_at")
 
     def __init__(self):
-        self.must_stop = self.must_reload = False
+        self.must_reload = False
+        self.stopped_at: float | None = None
         for number in _STOPS:
             signal.signal(number, self._note_stop)
         signal.signal(signal.SIGHUP, self._note_reload)
 
     def __repr__(self) -> str:
-        return f"<EarlySignals stop={self.must_stop} reload={self.must_reload}>"
+        return f"<EarlySignals stopped_at={self.stopped_at} reload={self.must_reload}>"
+
+    @property
+    def must_stop(self) -> bool:
+        """Whether SIGTERM or SIGINT was received."""
+        return self.stopped_at is not None
 
     def ignore_signals(self) -> None:
         """Ignore signals from now on: the interpreter removes their handlers while it shuts down."""
@@ -43,7 +51,8 @@
             signal.signal(number, signal.SIG_IGN)
 
     def _note_stop(self, number, frame) -> None:
-        self.must_stop = True
+        if self.stopped_at is None:
+            self.stopped_at = monotonic()
 
     def _note_reload(self, number, frame) -> None:
         self.must_reload = True
--- a/packages/lanedock-daemon/lanedock_daemon/tests/test_stops.py
+++ b/packages/lanedock-daemon/lanedock_daemon/tests/test_stops.py
@@ -14,6 +14,7 @@
 import signal
 import subprocess
 import sys
+from datetime import datetime
 from types import SimpleNamespace
 
 import pytest
@@ -40,6 +41,9 @@
     read_outcomes,
 )
 
+# Format of the times of log lines.
+TIME_FORMAT = "%Y-%m-%d %H:%M:%S,%f"
+
 
 def _is_waiting(daemon: StoppingDaemon) -> bool:
     return daemon.upstream.limiter.waiting == 1
@@ -179,6 +183,30 @@
     return str(path)
 
 
+def test_stop_that_is_signalled_during_the_start_counts_from_the_signal_and_serves_no_callers(tmp_path):
+    ready, entry = free_ports(2)
+    path = _write_entry_settings(tmp_path, ready, entry)
+    # The signal comes while the services start, and half a second before they have started.
+    program = (
+        "import os, signal, time\n"
+        "from lanedock.kernel import Kernel\n"
+        "start = Kernel.start\n"
+        "def start_late(kernel):\n"
+        "    start(kernel)\n"
+        "    os.kill(os.getpid(), signal.SIGTERM)\n"
+        "    time.sleep(0.5)\n"
+        "Kernel.start = start_late\n"
+        "from lanedock_daemon.app import run\n"
+        "run()\n"
+    )
+    done = subprocess.run([sys.executable, "-c", program, "--settings", path], stdout=subprocess.PIPE, timeout=LONG)
+    lines = {line["message"]: line for line in map(json.loads, done.stdout.decode().splitlines())}
+    assert done.returncode == 0
+    assert lines["STOPPING"]["after_ms"] >= 500
+    begun, ended = (datetime.strptime(lines[name]["time"], TIME_FORMAT) for name in ("STOPPING", "STOPPED"))
+    assert (ended - begun).total_seconds() < GRACE / 2
+
+
 def test_end_of_the_interpreter_does_not_delay_the_end_of_a_stopped_process(tmp_path):
     ready, entry = free_ports(2)
     path = _write_entry_settings(tmp_path, ready, entry)
--- a/packages/lanedock/lanedock/kernel/stop_plan.py
+++ b/packages/lanedock/lanedock/kernel/stop_plan.py
@@ -57,10 +57,15 @@
         """Monotonic time at which connections are closed, even with answers in progress."""
         return self.deadline + FINAL_ANSWER_TIME
 
-    def begin(self, now: float) -> None:
-        """Begin the shutdown and set its deadline; later calls have no effect."""
+    def begin(self, now: float, has_callers: bool = True) -> None:
+        """Begin the shutdown and set its deadline; later calls have no effect.
+
+        Without callers, which a process that has not finished its start can't have, there is no linger time.
+        """
         if not self.is_begun:
             self.deadline = now + self._limit
+            if not has_callers:
+                self.linger = 0.0
 
     def elapsed(self, now: float) -> float:
         """Return the seconds from the start of the shutdown to `now`; negative before it, 0 without a shutdown."""
--- a/packages/lanedock/lanedock/kernel/tests/test_stop_plan.py
+++ b/packages/lanedock/lanedock/kernel/tests/test_stop_plan.py
@@ -77,3 +77,9 @@
     assert plan.elapsed(99.0) == 0.0
     plan.begin(100.0)
     assert (plan.elapsed(99.0), plan.elapsed(102.5)) == (-1.0, 2.5)
+
+
+def test_a_shutdown_without_callers_has_no_linger_time():
+    plan = StopPlan(3.0, 5.0)
+    plan.begin(100.0, has_callers=False)
+    assert (plan.remaining_linger(100.0), plan.deadline) == (0.0, 105.0)
