--- a/packages/lanedock-daemon/lanedock_daemon/path/caller/caller.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller/caller.py
@@ -18,7 +18,8 @@
 from lanedock_daemon.path.caller.attempts import AttemptSender
 from lanedock_daemon.path.caller.identity import Identity, identify
 from lanedock_daemon.path.caller.load_prober import LoadProber
-from lanedock_daemon.path.caller.request_context import AttemptResult, RequestContext
+from lanedock_daemon.path.caller.progress import AttemptProgress
+from lanedock_daemon.path.caller.request_context import RequestContext
 from lanedock_daemon.path.http.headers import (
     CALLER_HEADER,
     CLASS_HEADER,
@@ -47,12 +48,6 @@
 RETRIED_ATTEMPT = 2
 # Bodies up to this many bytes are kept until the answer comes, so that they can be sent again.
 REPLAY_LIMIT = 64 * 1024
-# Factor on a route's `max_attempts`, which limits attempts that reach an application. The product
-# limits all attempts, except those refused for a rate limit.
-ATTEMPTS_PER_ARRIVAL = 2
-# Upstreams that may refuse a request because of their advertised rate limits. Such a refusal
-# says nothing about other upstreams, and each one tells this daemon the limit only once.
-MAX_RATE_LIMIT_REFUSALS = 4
 # Upstreams that may refuse a request because of their load. When two upstreams chosen for their
 # low load refuse, the others are most likely full, too, and more attempts only add to the load.
 # A request that the caller retries has met such refusals before.
@@ -60,73 +55,6 @@
 MAX_OVERLOADS_RETRIED = 1
 
 
-class _Progress:
-    """Outcome of the attempts at one request so far.
-
-    Parameters
-    ----------
-    route : Route
-    max_overloads : int
-        Number of upstreams that may refuse the request because of their load.
-
-    Attributes
-    ----------
-    failure : Answer or None
-        Answer to return if no other attempt succeeds.
-    arrivals : int
-        Number of applications that may have received the request.
-    """
-
-    __slots__ = (
-        "_attempts_left",
-        "_max_arrivals",
-        "_max_overloads",
-        "_may_have_run",
-        "_overload_refusals",
-        "_rate_limit_refusals",
-        "arrivals",
-        "failure",
-    )
-
-    def __init__(self, route: Route, max_overloads: int):
-        self.failure: Answer | None = None
-        self.arrivals = 0
-        self._may_have_run = False
-        self._overload_refusals = 0
-        self._rate_limit_refusals = 0
-        self._attempts_left = route.max_attempts * ATTEMPTS_PER_ARRIVAL
-        self._max_arrivals = route.max_attempts
-        self._max_overloads = max_overloads
-
-    def add(self, result: AttemptResult) -> None:
-        """Record the result of an attempt that is not final."""
-        self._may_have_run = self._may_have_run or result.may_have_run
-        # A refusal before the application got the request must not hide that an earlier
-        # attempt may have run.
-        if self.failure is None or result.may_have_run or not self._may_have_run:
-            self.failure = result.answer
-        self.arrivals += result.arrivals
-        self._overload_refusals += result.code is ErrorCode.OVERLOADED
-        if result.code is ErrorCode.RATE_LIMITED:
-            self._rate_limit_refusals += 1
-        else:
-            self._attempts_left -= 1
-
-    def choose_answer(self, result: AttemptResult) -> Answer:
-        """Return the answer to the caller after a final result.
-
-        A final refusal doesn't replace the failure of an earlier attempt that may have run.
-        """
-        is_refusal = result.code is not None
-        return self.failure if is_refusal and self._may_have_run else result.answer
-
-    def is_exhausted(self) -> bool:
-        """Return whether another attempt is not allowed or unlikely to succeed."""
-        if self._attempts_left <= 0 or self._rate_limit_refusals >= MAX_RATE_LIMIT_REFUSALS:
-            return True
-        return self.arrivals >= self._max_arrivals or self._overload_refusals >= self._max_overloads
-
-
 class CallerSide:
     """Sends callers' requests to upstreams.
 
@@ -288,7 +216,7 @@
         context.is_suspect = suspect is not None
         max_overloads = MAX_OVERLOADS_RETRIED if age else MAX_OVERLOADS
         # An earlier hop already retries this request; retries here, too, would multiply the load.
-        answer = self._send(context, _Progress(route, max_overloads), may_retry=not facts.was_retried)
+        answer = self._send(context, AttemptProgress(route, max_overloads), may_retry=not facts.was_retried)
         if credit is not None and _outcome(answer) == Outcome.NOT_RUN:
             self._quotas.give_back(identity.customer, credit)
         return answer if self._turns is None else self._pace(answer, context, binding)
@@ -377,7 +305,7 @@
             context.prefers_canary = self._view.canaries.has_full_share(service.name)
         return context
 
-    def _send(self, context: RequestContext, progress: _Progress, may_retry: bool) -> Answer:
+    def _send(self, context: RequestContext, progress: AttemptProgress, may_retry: bool) -> Answer:
         """Return the answer, or an unknown outcome if the process stops first."""
         try:
             return self._attempt_until_final(context, progress, may_retry)
@@ -386,7 +314,7 @@
             context.log.note(Event.REQUEST_TRY_ENDED, service=context.service.name, reason=STOP_DEADLINE_REASON)
             return self._dialect.make_refusal(ErrorCode.ANSWER_LOST, Outcome.UNKNOWN)
 
-    def _attempt_until_final(self, context: RequestContext, progress: _Progress, may_retry: bool) -> Answer:
+    def _attempt_until_final(self, context: RequestContext, progress: AttemptProgress, may_retry: bool) -> Answer:
         """Send a request to one upstream after another until one answers or no further attempt is allowed."""
         route, body = context.route, context.request.body
         for attempt in count(1):
--- a/tests/test_stop_rounds.py
+++ b/tests/test_stop_rounds.py
@@ -4,7 +4,8 @@
 import pytest
 from hooks.early_close import EARLY_CLOSE_VARIABLE
 from platform_processes import HOOKS
-from stop_rounds import SCENARIOS, StopRounds, start_mesh
+from stop_rounds import StopRounds, start_mesh
+from stop_scenarios import SCENARIOS
 
 
 def _run(folder, name: str, rounds: int) -> list[str]:
