Let callers refused at the end of a stop come back as soon as it is over

Callers whose requests are refused in the last second of the linger time were told to wait for a second or more, though another instance could serve them at once.

Cause: the delay was a second at least, the default where nothing is known. Here the time until this process takes no connections is known.

Change: the delay is that time, and 0.1 s at least.

--- a/packages/lanedock-daemon/lanedock_daemon/path/caller/caller.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller/caller.py
@@ -53,6 +53,8 @@
 # A request that the caller retries has met such refusals before.
 MAX_OVERLOADS = 2
 MAX_OVERLOADS_RETRIED = 1
+# Seconds after which a caller may retry a request that is refused at the end of a stop.
+MIN_STOP_RETRY_AFTER = 0.1
 
 
 class CallerSide:
@@ -269,9 +271,10 @@
     def _refuse_stopping(self, now: float) -> Answer:
         """Refuse a request that may not end before this process stops.
 
-        The retry delay lasts until this process no longer takes callers' connections.
+        The retry delay lasts until this process no longer takes callers' connections; another instance can serve the
+        request sooner.
         """
-        answer = self._refuse(ErrorCode.DRAINING, max(DEFAULT_RETRY_AFTER, self._plan.remaining_linger(now)))
+        answer = self._refuse(ErrorCode.DRAINING, max(MIN_STOP_RETRY_AFTER, self._plan.remaining_linger(now)))
         answer.ends_connection = True
         return answer
 
