--- a/packages/lanedock-daemon/lanedock_daemon/roles.py
+++ b/packages/lanedock-daemon/lanedock_daemon/roles.py
@@ -182,7 +182,9 @@
     if settings.daemon.ready is not None:
         add_server("ready", settings.daemon.ready, _ReadinessHandler(view))
     if settings.entry is not None:
-        add_server("entry", settings.entry.listen, caller if turns is None else caller.paced_by(turns), True)
+        add_server(
+            "entry", settings.entry.listen, caller if turns is None else caller.paced_by(turns), serves_callers=True
+        )
     if settings.upstream is not None:
         cfg = settings.upstream
         application = (cfg.application.host, cfg.application.port)
@@ -222,7 +224,7 @@
             )
         if cfg.egress is not None:
             any_service = settings.daemon.any_service
-            add_server("egress", cfg.egress, caller if any_service else caller.for_calls(), any_service)
+            add_server("egress", cfg.egress, caller if any_service else caller.for_calls(), serves_callers=any_service)
         add_server("upstream", cfg.listen, side)
     kernel.add(DrainService(agent, view, plan))
 
--- a/packages/lanedock/lanedock/kernel/stop_plan.py
+++ b/packages/lanedock/lanedock/kernel/stop_plan.py
@@ -83,7 +83,7 @@
     def is_in_time(self, time_limit: float) -> bool:
         """Return whether work that ends by `time_limit` (monotonic, in seconds) at the latest ends by the deadline.
 
-        Other than an expected duration, this also holds for work that starts on a cold, slow or full upstream.
+        Unlike an expected duration, this also holds for work that starts on a cold, slow or full upstream.
         """
         return time_limit <= self.deadline
 
