--- a/packages/lanedock/lanedock/kernel/stop_plan.py
+++ b/packages/lanedock/lanedock/kernel/stop_plan.py
@@ -95,4 +95,4 @@
         """Return the remaining time, in seconds, for which callers are served; 0 before the shutdown."""
         if not self.is_begun:
             return 0.0
-        return max(0.0, self.deadline - self._limit + self.linger - now)
+        return max(0.0, self.linger - self.elapsed(now))
