--- a/review/1/case.py
+++ b/review/1/case.py
@@ -10,6 +10,7 @@
 import asyncio
 import json
 import os
+import signal
 import socket
 import struct
 import sys
@@ -265,12 +266,14 @@
 
 def main() -> int:
     record = Record()
+    # A run that is ended from outside ends its processes, too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     platform = None
     try:
         platform = Platform(["lists"] * DAEMONS)
         return 1 if asyncio.run(run(platform, record)) else 0
-    except (CannotRunError, OSError) as exc:
-        print(f"couldn't run: {exc}")
+    except Exception as exc:
+        print(f"couldn't run: {exc!r}")
         return 2
     finally:
         if platform is not None:
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -8,6 +8,7 @@
 
 import json
 import os
+import signal
 import sys
 import threading
 import time
@@ -164,6 +165,8 @@
 
 
 def main() -> int:
+    # A run that is ended from outside ends its processes, too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     platform = None
     with (HERE / "record.txt").open("w", encoding="utf-8") as record:
         began_at = time.monotonic()
@@ -176,8 +179,8 @@
         try:
             platform = Platform(SERVICES)
             return 1 if run(platform, note) else 0
-        except (CannotRunError, OSError) as exc:
-            print(f"couldn't run: {exc}")
+        except Exception as exc:
+            print(f"couldn't run: {exc!r}")
             return 2
         finally:
             if platform is not None:
