Keep a connection's error for its reader, whoever saw it first

Cause: the kernel reports a socket's error once. The check whether an application has crashed peeked at connections on which answers were being read, met the reset and dropped it; the reader then got the end of the stream, which ends such an answer. A write on the connection (the rest of a request's body beside an early answer) took the error in the same way.

Change: a channel keeps the first error of a read or write and raises it to every later reader, after the data that came before. EPIPE doesn't count: the stream had ended before. The look at liveness asks poll, which takes nothing.

--- a/packages/lanedock-daemon/lanedock_daemon/path/http/channel.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/channel.py
@@ -6,14 +6,19 @@
 path data has hardly ever arrived when it is read. So `Channel` waits before each
 read, keeps the read watcher active between reads, and uses one timer for all
 waits of a connection.
+
+The kernel reports an error of a socket only once, to whoever looks first, and the end of the stream to
+everybody after that. So a channel keeps the error for all later readers.
 """
 
 import _socket
 import struct
 from fcntl import ioctl
+from select import POLLIN
 from termios import FIONREAD, TIOCOUTQ
 
 from gevent import get_hub, getcurrent
+from gevent.monkey import get_original
 from gevent.socket import wait_write
 
 from lanedock.clock import monotonic
@@ -24,6 +29,8 @@
 _READ_EVENT = 1
 # Value of SO_LINGER: enabled, 0 s. Closing the socket then sends a reset.
 _ABORTIVE_CLOSE = struct.pack("ii", 1, 0)
+# The system's own poll, which returns at once; gevent's would switch to other greenlets.
+_poll = get_original("select", "poll")
 _READY = object()
 _EXPIRED = object()
 _CLOSED = object()
@@ -40,6 +47,7 @@
 
     __slots__ = (
         "_deadline",
+        "_error",
         "_expires_at",
         "_fires_at",
         "_is_closed",
@@ -67,6 +75,7 @@
         self._reader = None
         self._is_readable = False
         self._is_closed = False
+        self._error: OSError | None = None
 
     def __repr__(self) -> str:
         return f"<Channel fd={self._sock.fileno()}>"
@@ -95,18 +104,15 @@
     def is_clean(self) -> bool:
         """Return whether the connection is open and has no unread data.
 
-        A readable connection was closed by the peer or has unread data. Unread data hides a
+        A readable connection was closed by the peer, has failed or has unread data. Unread data hides a
         close that follows it: the kernel still delivers a process's last bytes after its end.
+        Takes nothing from the reader, neither data nor an error.
         """
-        if self._is_readable or self._is_closed:
+        if self._is_readable or self._is_closed or self._error is not None:
             return False
-        try:
-            self._sock.recv(1, _socket.MSG_PEEK)
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
-        return False
+        poller = _poll()
+        poller.register(self._sock.fileno(), POLLIN)
+        return not poller.poll(0)
 
     def count_unsent_bytes(self) -> int:
         """Return how many written bytes the peer has not acknowledged; an unacknowledged end of the stream counts as 1.
@@ -136,7 +142,8 @@
         ------
         TimeoutError
         OSError
-            The connection broke, or was closed during the wait.
+            The connection broke, whether a read or a write noticed it first, or was closed during the wait.
+            Data that arrived before is returned first.
         """
         is_in_time = True
         if self._is_readable:
@@ -145,12 +152,24 @@
             is_in_time = self._wait_readable()
         while True:
             try:
-                return self._sock.recv(size)
+                return self._read(size)
             except BlockingIOError:
                 if not is_in_time:
                     raise TimeoutError("timed out") from None
                 is_in_time = self._wait_readable()
 
+    def _read(self, size: int) -> bytes:
+        try:
+            data = self._sock.recv(size)
+        except BlockingIOError:
+            raise
+        except OSError as exc:
+            self._error = exc
+            raise
+        if not data and self._error is not None:
+            raise OSError(*self._error.args)
+        return data
+
     def wait(self, timeout: float) -> bool:
         """Wait for data or the end of the stream; return False if neither came within the timeout.
 
@@ -247,13 +266,23 @@
         TimeoutError
         OSError
         """
-        try:
-            sent = self._sock.send(data)
-        except BlockingIOError:
-            sent = 0
+        sent = self._write(data)
         if sent < len(data):
             self._send_rest(memoryview(data)[sent:])
 
+    def _write(self, data) -> int:
+        """Write without waiting, and return how many bytes were written."""
+        try:
+            return self._sock.send(data)
+        except BlockingIOError:
+            return 0
+        except BrokenPipeError:
+            # The peer had ended its stream, or this side has, so the data received is whole.
+            raise
+        except OSError as exc:
+            self._error = exc
+            raise
+
     def _send_rest(self, rest: memoryview) -> None:
         while rest:
             timeout = self._timeout
@@ -262,10 +291,7 @@
                 if timeout <= 0:
                     raise TimeoutError("timed out")
             wait_write(self._sock.fileno(), timeout, TimeoutError("timed out"))
-            try:
-                rest = rest[self._sock.send(rest) :]
-            except BlockingIOError:
-                continue
+            rest = rest[self._write(rest) :]
 
     def close(self) -> None:
         """Close the connection; a greenlet that waits in a read gets a `ConnectionError`."""
