Raise an error when an answer is read after this side closed it

No caller is known to have got such an answer: by reading, nothing reads one again.

Change: an answer that was closed before its end raises ConnectionError, also where it is read ahead. The daemon beside the application logs ANSWER_LOST with the request's id and the error where an answer breaks off after its head was passed on; before, only the caller's daemon did, without the error, so the logs could not tell which side saw what.

--- a/packages/lanedock-daemon/lanedock_daemon/path/caller/attempts.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller/attempts.py
@@ -377,9 +377,12 @@
                 Answer(head.status, head.reason, _strip_daemon_headers(head), [*pieces, *head.pieces]), True
             )
 
-        def end(broke_off: bool) -> None:
+        def end(exc: Exception | None) -> None:
+            broke_off = exc is not None
             if broke_off:
-                self._events.emit(Event.ANSWER_LOST, upstream=stats.endpoint.instance, request=context.log.request_id)
+                self._events.emit(
+                    Event.ANSWER_LOST, upstream=stats.endpoint.instance, request=context.log.request_id, error=exc
+                )
             is_whole = head.is_complete and not (failed or broke_off)
             known_body_time = monotonic() - started - taken if is_whole else None
             self._note_end(
--- a/packages/lanedock-daemon/lanedock_daemon/path/shared/answers.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/shared/answers.py
@@ -41,11 +41,13 @@
         Raises
         ------
         OSError, MalformedMessage
-            If the answer breaks off.
+            If the answer breaks off, or was closed before its end.
         """
         if self.message.pieces:
             return self.message.pieces.popleft()
         if self._reader is None:
+            if not self.message.is_complete:
+                raise ConnectionError("the answer was closed before its end")
             return b""
         piece = self._reader.next_piece(self.message)
         if self.message.is_complete:
@@ -117,7 +119,7 @@
     ----------
     response : UpstreamAnswer
     on_end : callable
-        Called exactly once at the end, with a bool: whether the body broke off.
+        Called exactly once at the end: with the exception if the body broke off, else with None.
     first : list of bytes
         Pieces that have been read already.
     silence : float
@@ -139,22 +141,22 @@
         try:
             piece = self._response.read()
         except (OSError, MalformedMessage) as exc:
-            self._finish(True)
+            self._finish(exc)
             raise ConnectionError(f"the answer broke off: {exc}") from exc
         if not piece:
-            self._finish(False)
+            self._finish()
             raise StopIteration
         return piece
 
     def close(self) -> None:
         """Stop reading: the receiver has disconnected, or has got the whole answer."""
-        self._finish(False)
+        self._finish()
 
-    def _finish(self, broke_off: bool) -> None:
+    def _finish(self, exc: Exception | None = None) -> None:
         self._response.close()
         on_end, self._on_end = self._on_end, None
         if on_end is not None:
-            on_end(broke_off)
+            on_end(exc)
 
 
 class ExchangeGuard:
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_resets.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_resets.py
@@ -14,6 +14,8 @@
 
 from lanedock_daemon.path.http.channel import Channel
 from lanedock_daemon.path.http.parser import AnswerReader
+from lanedock_daemon.path.shared.answers import AnswerPieces, UpstreamAnswer
+from lanedock_daemon.path.shared.pool import ConnectionPool
 from lanedock_daemon.path.tests.chain import HOST, Chain, make_value, wait_until
 
 ABORTIVE = struct.pack("ii", 1, 0)
@@ -131,6 +133,21 @@
     assert b"".join(pieces) == PART
 
 
+def test_an_answer_that_this_side_closes_does_not_look_whole(pair):
+    channel, far = pair
+    far.sendall(STATUS + b"\r\n" + PART)
+    reader = AnswerReader(channel)
+    pool = ConnectionPool()
+    ends = []
+    pieces = AnswerPieces(UpstreamAnswer(reader, reader.next_head(), pool, (HOST, 1)), ends.append, [], 1.0)
+    assert next(pieces) == PART
+    pieces.close()
+    for _ in range(2):
+        with pytest.raises(ConnectionError):
+            next(pieces)
+    assert ends == [None]
+
+
 class _ResettingScript:
     """Answers without a length with `size` bytes; then resets the connection and has another look at it."""
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream/read_ahead.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream/read_ahead.py
@@ -118,6 +118,8 @@
         if self._is_closed:
             return
         self._is_closed = True
+        if self._read or not self._has_ended:
+            self._failure = self._failure or ConnectionError("the answer was closed before its end")
         self._read.clear()
         self._release(self._held)
         # If the answer has not ended, this closes the application's connection, which ends the task.
@@ -139,9 +141,12 @@
                 self._held += len(piece)
                 self._memory.change(len(piece))
                 self._has_piece.set()
-        except Exception as exc:
+        except BaseException as exc:
             # Raised again for the receiver, after the pieces that came before.
-            self._failure = exc
+            if not isinstance(exc, Exception):
+                self._failure = self._failure or ConnectionError(f"the answer is no longer read: {exc!r}")
+                raise
+            self._failure = self._failure or exc
         finally:
             self._has_ended = True
             self._has_piece.set()
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream/tests/test_read_ahead.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream/tests/test_read_ahead.py
@@ -129,6 +129,21 @@
     assert not memory.used
 
 
+@pytest.mark.parametrize("is_killed", [False, True])
+def test_an_answer_that_is_ended_by_this_side_does_not_look_whole(is_killed):
+    answer, pieces, _ = _make(ReadAheadMemory())
+    pieces.queue.put(b"one")
+    _settle()
+    if is_killed:
+        answer._task.kill()
+        assert next(answer) == b"one"
+    else:
+        answer.close()
+    for _ in range(2):
+        with pytest.raises(ConnectionError):
+            next(answer)
+
+
 def test_a_receiver_that_waits_is_woken_by_the_end():
     answer, pieces, _ = _make(ReadAheadMemory())
     received = gevent.spawn(list, answer)
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream/upstream.py
@@ -415,8 +415,9 @@
             work.end_served()
             return Answer(head.status, head.reason, headers, [*first, *head.pieces])
 
-        def end(broke_off: bool) -> None:
-            if broke_off:
+        def end(exc: Exception | None) -> None:
+            if exc is not None:
+                self._events.emit(Event.ANSWER_LOST, request=log.request_id, error=exc)
                 work.end_lost()
             elif head.is_complete:
                 work.end_served()
