Reset the connection of an unfinished answer that ends with it when the process ends

What callers saw: a caller of HTTP/1.0, whose answer ends with the connection, got the orderly end of a connection, and so a part of an answer that looked whole, when the daemon's process was killed or reached the end of its stop in the midst of it.

Cause: the reset was set only in the handling of an answer that breaks off. When a process ends, the kernel closes its connections, in order.

Change: such a connection is set to be reset before its answer is written, and to be closed in order once it is written.

--- a/packages/lanedock-daemon/lanedock_daemon/path/http/channel.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/channel.py
@@ -27,8 +27,9 @@
 __all__ = ["Channel"]
 
 _READ_EVENT = 1
-# Value of SO_LINGER: enabled, 0 s. Closing the socket then sends a reset.
+# Values of SO_LINGER: with a time of 0 s, closing the socket sends a reset.
 _ABORTIVE_CLOSE = struct.pack("ii", 1, 0)
+_ORDERLY_CLOSE = struct.pack("ii", 0, 0)
 # The system's own poll, which returns at once; gevent's would switch to other greenlets.
 _poll = get_original("select", "poll")
 _READY = object()
@@ -93,9 +94,13 @@
         self._timeout = None
         self._deadline = deadline
 
-    def reset_on_close(self) -> None:
-        """Make `close` reset the connection, so that the peer doesn't take its end for the end of a message."""
-        self._sock.setsockopt(_socket.SOL_SOCKET, _socket.SO_LINGER, _ABORTIVE_CLOSE)
+    def reset_on_close(self, is_reset: bool = True) -> None:
+        """Set whether a close resets the connection, so that the peer doesn't take its end for the end of a message.
+
+        Applies to the end of the process, too.
+        """
+        value = _ABORTIVE_CLOSE if is_reset else _ORDERLY_CLOSE
+        self._sock.setsockopt(_socket.SOL_SOCKET, _socket.SO_LINGER, value)
 
     def shutdown(self, how: int) -> None:
         """Shut down one direction, as `socket.socket.shutdown` does."""
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
@@ -88,8 +88,6 @@
             # The caller has disconnected, or an incomplete answer is cut so that it doesn't look complete.
             pass
         finally:
-            if self._is_answer_close_delimited:
-                self._conn.reset_on_close()
             if self._end_reason:
                 self.report_cut(self._end_reason)
             self._cancel_exchanges()
@@ -352,7 +350,10 @@
     def _write_answer(self, answer: Answer, message: Message, keep_alive: bool) -> None:
         """Write an answer; its head is sent together with the first piece of its body."""
         head = make_head(answer, message, keep_alive)
-        self._is_answer_close_delimited = head.is_close_delimited
+        if head.is_close_delimited:
+            # Until the whole answer is written, its connection must not end in order, not even with the process.
+            self._conn.reset_on_close()
+            self._is_answer_close_delimited = True
         self._has_announced_close = self._has_announced_close or head.announces_close
         pieces = iter(answer.pieces)
         attach_pieces(pieces, self._conn)
@@ -363,7 +364,9 @@
                 self._conn.sendall(head.data)
         finally:
             close_pieces(pieces)
-        self._is_answer_close_delimited = False
+        if head.is_close_delimited:
+            self._conn.reset_on_close(False)
+            self._is_answer_close_delimited = False
         if head.announces_close:
             self._end_sending()
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_resets.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_resets.py
@@ -7,6 +7,9 @@
 
 import socket as plain_socket
 import struct
+import subprocess
+import sys
+from contextlib import nullcontext
 
 import gevent
 import pytest
@@ -219,3 +222,48 @@
     data = make_chain(script).send(b"GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
     assert data.startswith(b"HTTP/1.1 200 ")
     assert data.endswith(b"0\r\n\r\n")
+
+
+# A server whose answers never end; it prints its port.
+ENDLESS_SERVER = """
+import gevent
+from lanedock.kernel import StopPlan
+from lanedock.settings import Address
+from lanedock.telemetry import EventLogger
+from lanedock_daemon.path.http.messages import Answer
+from lanedock_daemon.path.http.server import PathServer
+
+class Side:
+    def handle(self, request):
+        return Answer(200, "OK", [], self.pieces())
+
+    def pieces(self):
+        while True:
+            yield b"." * 100
+            gevent.sleep(0.01)
+
+server = PathServer("s", Address("127.0.0.1", 0), Side(), StopPlan(), EventLogger("s"))
+server.start(None)
+print(server.port, flush=True)
+gevent.sleep(60)
+"""
+
+
+@pytest.mark.parametrize("version", ["1.0", "1.1"])
+def test_an_answer_that_the_end_of_the_process_cuts_does_not_look_whole(version):
+    process = subprocess.Popen([sys.executable, "-c", ENDLESS_SERVER], stdout=subprocess.PIPE)
+    try:
+        port = int(process.stdout.readline())
+        with socket.create_connection((HOST, port), timeout=10) as conn:
+            conn.sendall(f"GET / HTTP/{version}\r\nHost: h\r\n\r\n".encode())
+            data = conn.recv(65536)
+            process.kill()
+            with pytest.raises(ConnectionResetError) if version == "1.0" else nullcontext():
+                while more := conn.recv(65536):
+                    data += more
+    finally:
+        process.kill()
+        process.wait()
+        process.stdout.close()
+    assert data.startswith(b"HTTP/1.1 200 ")
+    assert not data.endswith(b"0\r\n\r\n")
