Match a prefix that ends with a slash only by what begins with it

Cause: the route table compared prefixes and paths without their last slashes, and the two checks that find equal prefixes did the same, each by itself.

Change: one definition, config.matches_prefix, which the table asks; only routes with equal prefixes are refused as shadowed or ambiguous, since all others match different paths. A prefix without a slash at its end still matches whole segments.

--- a/packages/lanedock/lanedock/config/__init__.py
+++ b/packages/lanedock/lanedock/config/__init__.py
@@ -5,6 +5,7 @@
 from lanedock.config.customers import Customer, CustomerTable
 from lanedock.config.diff import Difference, compare
 from lanedock.config.load import check_document, check_generated_config, decode_config, load_config
+from lanedock.config.prefix import matches_prefix
 from lanedock.config.tree import (
     MESH_GROUP,
     ConfigTree,
@@ -37,6 +38,7 @@
     "is_customer_group",
     "is_service_group",
     "load_config",
+    "matches_prefix",
     "pack_groups",
     "split_config",
     "unpack_groups",
--- a/packages/lanedock/lanedock/config/core.py
+++ b/packages/lanedock/lanedock/config/core.py
@@ -177,7 +177,7 @@
     host : str
         Host to match, stored in lower case; ``*`` matches any host.
     path : str
-        Path prefix, matched by whole segments.
+        Path prefix; see `lanedock.config.matches_prefix`.
     methods : tuple of str
         HTTP methods to match; empty matches any method.
     service : str
--- a/packages/lanedock/lanedock/config/load.py
+++ b/packages/lanedock/lanedock/config/load.py
@@ -218,12 +218,12 @@
     if len({route.name for route in config.routes}) < len(config.routes):
         return False
     hosts = {route.host for route in added}
-    keys = {(route.host, route.path.rstrip("/")) for route in added}
+    keys = {(route.host, route.path) for route in added}
     taken = set()
     for route in config.routes:
         if route.host not in hosts:
             continue
-        key = (route.host, route.path.rstrip("/"))
+        key = (route.host, route.path)
         if key not in keys:
             continue
         for method in set(route.methods) or {"*"}:
@@ -360,11 +360,11 @@
 
 
 def _check_shadowed_routes(document: Document) -> list[Finding]:
-    """Find routes that match the same host, path and method as an earlier route."""
+    """Find routes with the host, the prefix and a method of an earlier route, which would get no requests by them."""
     findings = []
     taken = {}
     for number, item in enumerate(document.value["routes"]):
-        key = (item.get("host", "*").lower(), item["path"].rstrip("/"))
+        key = (item.get("host", "*").lower(), item["path"])
         methods = set(item.get("methods", ())) or {"*"}
         for other_name, other_methods in taken.get(key, ()):
             overlap = ("*" in methods and "*" in other_methods) or methods & other_methods
