Bound what is read before an answer's head by bytes and by its deadline

What callers saw: an upstream that sends interim answers without end, or garbage behind one, hung the daemon beside it and all callers of that daemon; not one other greenlet ran while the bytes kept coming.

Cause: a channel past its deadline still returned whatever had arrived, without waiting, so that a reader who loops on bytes that complete nothing never waited and never ended. Nothing counted interim answers, and the end of one was taken for the end of the answer, behind which invalid bytes are ignored.

Change: after the deadline a channel returns what had arrived at the first such read and no more. Interim answers before one answer may have 32 KiB together, as a head may. Only a final answer ends the answer.

--- a/packages/lanedock-daemon/lanedock_daemon/path/http/channel.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/channel.py
@@ -53,6 +53,7 @@
         "_fires_at",
         "_is_closed",
         "_is_readable",
+        "_late_bytes",
         "_loop",
         "_reader",
         "_sock",
@@ -77,6 +78,8 @@
         self._is_readable = False
         self._is_closed = False
         self._error: OSError | None = None
+        # Bytes that may still be read after the deadline; None before the first such read.
+        self._late_bytes: int | None = None
 
     def __repr__(self) -> str:
         return f"<Channel fd={self._sock.fileno()}>"
@@ -89,10 +92,11 @@
     def set_deadline(self, deadline: float) -> None:
         """Set a common deadline for all later waits, in monotonic seconds. Clears the timeout.
 
-        Data that has arrived by then can still be read.
+        Data that has arrived by then can still be read, but nothing that keeps arriving.
         """
         self._timeout = None
         self._deadline = deadline
+        self._late_bytes = None
 
     def reset_on_close(self, is_reset: bool = True) -> None:
         """Set whether a close resets the connection, so that the peer doesn't take its end for the end of a message.
@@ -150,12 +154,14 @@
             The connection broke, whether a read or a write noticed it first, or was closed during the wait.
             Data that arrived before is returned first.
         """
-        is_in_time = True
         if self._is_readable:
             self._is_readable = False
+            is_in_time = self._deadline == NEVER or monotonic() < self._deadline
         else:
             is_in_time = self._wait_readable()
         while True:
+            if not is_in_time and self._deadline != NEVER:
+                return self._read_late(size)
             try:
                 return self._read(size)
             except BlockingIOError:
@@ -163,6 +169,20 @@
                     raise TimeoutError("timed out") from None
                 is_in_time = self._wait_readable()
 
+    def _read_late(self, size: int) -> bytes:
+        """Read after the deadline, up to what had arrived at the first such read."""
+        if self._late_bytes is None:
+            # One more, which shows the end of the stream or an error behind the data.
+            self._late_bytes = self.count_unread_bytes() + 1
+        if not self._late_bytes:
+            raise TimeoutError("timed out")
+        try:
+            data = self._read(min(size, self._late_bytes))
+        except BlockingIOError:
+            raise TimeoutError("timed out") from None
+        self._late_bytes -= len(data)
+        return data
+
     def _read(self, size: int) -> bytes:
         try:
             data = self._sock.recv(size)
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/parser.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/parser.py
@@ -16,6 +16,8 @@
 MAX_HEAD_BYTES = 32 * 1024
 # The colon, the space and the line end of a header line.
 HEADER_DELIMITER_BYTES = 4
+# Bytes of an interim answer besides its headers and reason.
+INTERIM_DELIMITER_BYTES = len(b"HTTP/1.1 100 \r\n\r\n")
 _BODILESS_STATUSES = (204, 304)
 # Cache of header names as received, mapped to lower-case strings; its size is bounded.
 _MAX_CACHED_NAMES = 256
@@ -276,6 +278,8 @@
     body_pace: int | None = None
     is_body_unsent = False
     may_be_passed_on = False
+    # Bytes of the interim answers before the final one.
+    _interim_bytes = 0
     _is_answer_complete = False
     _has_trailing_bytes = False
 
@@ -283,11 +287,13 @@
         """Prepare for the answer to the next request."""
         self.method = method
         self.may_be_passed_on = False
+        self._interim_bytes = 0
         self._is_answer_complete = False
 
     def on_message_complete(self) -> None:
         super().on_message_complete()
-        self._is_answer_complete = True
+        # The end of an interim answer is not the end of the answer.
+        self._is_answer_complete = self._is_answer_complete or self._parser.get_status_code() >= 200
 
     def _tolerates_parse_error(self) -> bool:
         """Accept invalid bytes after a complete answer: they only make the connection unfit for reuse."""
@@ -322,6 +328,9 @@
             # An interim answer; the final one follows.
             self.is_in_head = False
             self._has_completed_part = True
+            self._interim_bytes += self._head_bytes + len(self._start_line_text) + INTERIM_DELIMITER_BYTES
+            if self._interim_bytes > MAX_HEAD_BYTES:
+                raise MalformedMessage(f"the interim answers are longer than {MAX_HEAD_BYTES} bytes", 431)
             self.got_continue = True
             self.body_pace = parse_int(self._current.header(PACE_HEADER))
             return
--- /dev/null
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_endless_bytes.py
@@ -0,0 +1,165 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Tests of peers that send bytes without end until their connection is closed.
+
+They guard against reads that end only when the bytes do, and against memory that grows with them.
+"""
+
+import hashlib
+
+import gevent
+import pytest
+from gevent import socket
+from gevent.server import StreamServer
+
+from lanedock.clock import monotonic
+from lanedock.wire import messages as wire
+from lanedock_daemon.path.http.channel import Channel
+from lanedock_daemon.path.tests.chain import HOST, wait_until
+from lanedock_daemon.path.tests.flooding import Flood
+
+# Seconds after which a test fails that waits for an end.
+WAIT_LIMIT_S = 20.0
+OK = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+CHUNKED = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+# Bytes that are no answer: a beginning, and what follows without end.
+ANSWERS = {
+    "status line": (b"HTTP/1.1 200 ", b"a"),
+    "header name": (b"HTTP/1.1 200 OK\r\n", b"a"),
+    "header value": (b"HTTP/1.1 200 OK\r\nx-a: ", b"a"),
+    "headers": (b"HTTP/1.1 200 OK\r\n", b"x-a: b\r\n"),
+    "interim answers": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    "interim answers with headers": (b"", b"HTTP/1.1 103 Early Hints\r\nlink: a\r\n\r\n"),
+    "garbage": (b"", b"garbage"),
+    "garbage behind an interim answer": (b"HTTP/1.1 100 Continue\r\n\r\n", b"garbage"),
+    "blank lines": (b"", b"\r\n"),
+    "chunk size": (CHUNKED, b"0"),
+    "chunk extension": (CHUNKED + b"1;", b"a"),
+    "garbage behind a chunk": (CHUNKED + b"1\r\na\r\n", b"garbage"),
+    "trailers": (CHUNKED + b"0\r\n", b"x-a: b\r\n"),
+}
+LONG_BODY = b"." * 60_000
+LONG_DOWNLOAD = 8 * 1024 * 1024
+# Bytes; the system's buffers of a connection hold less.
+MORE_THAN_BUFFERS = 16 * 1024 * 1024
+
+
+def _check_cut(flood: Flood) -> None:
+    """Wait until the floods have ended, and check that the other side has closed their connections."""
+    try:
+        wait_until(lambda: flood.has_ended, WAIT_LIMIT_S)
+        assert flood.was_cut
+    finally:
+        flood.stop()
+
+
+@pytest.mark.parametrize("position", ANSWERS)
+def test_bytes_without_end_from_an_application_end_its_connection_and_give_a_failure(make_chain, position):
+    flood = Flood(*ANSWERS[position])
+    chain = make_chain(flood)
+    with gevent.Timeout(WAIT_LIMIT_S):
+        status, head, _ = chain.request("GET")
+    assert status == 502
+    assert "x-request-outcome: unknown" in head and "x-request-code: LD3008" in head
+    _check_cut(flood)
+
+
+@pytest.mark.parametrize("position", ANSWERS)
+def test_a_repeatable_request_that_got_bytes_without_end_is_served_elsewhere(make_chain, position):
+    flood = Flood(*ANSWERS[position])
+    chain = make_chain(flood, None)
+    with gevent.Timeout(WAIT_LIMIT_S):
+        while not flood.is_started:
+            assert chain.request("GET")[0] == 200
+    _check_cut(flood)
+
+
+def test_other_requests_are_served_beside_bytes_without_end(make_chain):
+    flood = Flood(*ANSWERS["interim answers"])
+    chain = make_chain(lambda conn, head, body: flood(conn, head, body) if " /flood " in head else OK)
+    with gevent.Timeout(WAIT_LIMIT_S):
+        floods = [gevent.spawn(chain.request, "GET", "/flood") for _ in range(3)]
+        statuses = [chain.request("GET")[0] for _ in range(50)]
+        gevent.joinall(floods, raise_error=True)
+    assert set(statuses) == {200}
+    _check_cut(flood)
+
+
+def test_a_long_download_that_its_caller_reads_is_passed_on(make_chain):
+    flood = Flood(b"HTTP/1.1 200 OK\r\n\r\n", b".", limit=LONG_DOWNLOAD)
+    data = make_chain(flood).send(b"GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+    assert len(data) > LONG_DOWNLOAD and data.endswith(b"0\r\n\r\n")
+
+
+@pytest.mark.parametrize(
+    ("first", "block", "body", "status"),
+    [
+        (*ANSWERS["headers"], b"", 502),
+        (*ANSWERS["interim answers"], b"", 502),
+        # Nothing of a long body is passed on before the other daemon has asked for it.
+        (*ANSWERS["headers"], LONG_BODY, 503),
+        (*ANSWERS["interim answers"], LONG_BODY, 503),
+    ],
+)
+def test_bytes_without_end_from_a_daemon_end_its_connection(make_chain, first, block, body, status):
+    flood = Flood(first, block)
+    daemon = StreamServer((HOST, 0), lambda conn, address: conn.recv(65536) and flood.start(conn))
+    daemon.start()
+    chain = make_chain(None)
+    update = wire.EndpointUpdate(whole=True)
+    update.changed.add(instance="u0", service="s", zone="z", host=HOST, port=daemon.server_port, incarnation=2)
+    chain.view.apply_endpoints(update)
+    with gevent.Timeout(WAIT_LIMIT_S):
+        assert chain.request("POST" if body else "GET", body=body)[0] == status
+    _check_cut(flood)
+    daemon.stop(timeout=0)
+
+
+# What a caller may send without end: a beginning, and what follows.
+HEAD = b"POST /x HTTP/1.1\r\nHost: h\r\n"
+REQUESTS = {
+    "target": (b"GET /", b"a"),
+    "method": (b"", b"A"),
+    "header name": (HEAD, b"a"),
+    "header value": (HEAD + b"x-a: ", b"a"),
+    "headers": (HEAD, b"x-a: b\r\n"),
+    "blank lines": (b"", b"\r\n"),
+    "garbage": (b"", b"\0\1"),
+    "chunk size": (HEAD + b"transfer-encoding: chunked\r\n\r\n", b"0"),
+    "chunk extension": (HEAD + b"transfer-encoding: chunked\r\n\r\n1;", b"a"),
+    "trailers": (HEAD + b"transfer-encoding: chunked\r\n\r\n0\r\n", b"x-a: b\r\n"),
+    "chunks": (HEAD + b"transfer-encoding: chunked\r\n\r\n", b"400\r\n" + b"a" * 1024 + b"\r\n"),
+    "body": (HEAD + b"content-length: 1000000000000\r\n\r\n", b"a"),
+}
+
+
+@pytest.mark.parametrize("position", REQUESTS)
+def test_bytes_without_end_from_a_caller_end_its_connection_and_delay_no_other(make_chain, position):
+    # Input behind the last answer is discarded for a second, in which any number of bytes may come.
+    flood = Flood(*REQUESTS[position], limit=10**15)
+    chain = make_chain(None)
+    flood.start(chain.connect())
+    with gevent.Timeout(WAIT_LIMIT_S):
+        statuses = [chain.request("GET")[0] for _ in range(20)]
+    assert set(statuses) == {200}
+    _check_cut(flood)
+
+
+def test_bytes_that_keep_arriving_after_the_deadline_are_not_read():
+    listener = socket.create_server((HOST, 0))
+    near = socket.create_connection(listener.getsockname())
+    far, _ = listener.accept()
+    flood = Flood(b"", b".", limit=MORE_THAN_BUFFERS)
+    flood.start(far)
+    channel = Channel(near)
+    wait_until(channel.count_unread_bytes)
+    channel.set_deadline(monotonic())
+    read = 0
+    with pytest.raises(TimeoutError):
+        # Slower than the bytes come, as a parser is.
+        while data := channel.recv(100):
+            read += len(data)
+            hashlib.sha256(bytes(10_000))
+    assert 0 < read < MORE_THAN_BUFFERS
+    channel.close()
+    listener.close()
+    _check_cut(flood)
