Don't suspect a crash where this side closes the connection of a malformed answer

Beside bytes without end: an answer that is no HTTP counted as a broken connection of the application. Its callers waited 30 ms for a check whether the application had ended, and the request became one of the suspects of the next crash.

Cause: every error of an exchange but lateness counted as the end of the connection by the other side.

Change: a malformed answer is an abandoned run, before its head was passed on and after.

--- a/packages/lanedock-daemon/lanedock_daemon/path/shared/answers.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/shared/answers.py
@@ -211,5 +211,7 @@
         reason = "no answer before this process stopped"
     elif is_late:
         code, reason = ErrorCode.ANSWER_TIMEOUT, "no answer before the deadline"
-    is_broken = not (is_stop or is_late or is_unreachable or is_body_late)
+    # Malformed messages say nothing about the connection: this side closes it.
+    is_malformed = isinstance(exc, MalformedMessage)
+    is_broken = not (is_stop or is_late or is_unreachable or is_body_late or is_malformed)
     return ExchangeError(code, Outcome.UNKNOWN, f"{address}: {reason}", is_unreachable, is_body_late, is_broken)
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_endless_bytes.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_endless_bytes.py
@@ -16,6 +16,7 @@
 from lanedock_daemon.path.http.channel import Channel
 from lanedock_daemon.path.tests.chain import HOST, wait_until
 from lanedock_daemon.path.tests.flooding import Flood
+from lanedock_daemon.path.upstream.crashes import CrashDetector
 
 # Seconds after which a test fails that waits for an end.
 WAIT_LIMIT_S = 20.0
@@ -52,8 +53,16 @@
         flood.stop()
 
 
+@pytest.fixture
+def lost_runs(monkeypatch):
+    """The runs that were counted as lost with their connections, as in a crash of the application."""
+    runs = []
+    monkeypatch.setattr(CrashDetector, "note_lost", lambda self, run: runs.append(run) or False)
+    return runs
+
+
 @pytest.mark.parametrize("position", ANSWERS)
-def test_bytes_without_end_from_an_application_end_its_connection_and_give_a_failure(make_chain, position):
+def test_bytes_without_end_from_an_application_end_its_connection_and_give_a_failure(make_chain, lost_runs, position):
     flood = Flood(*ANSWERS[position])
     chain = make_chain(flood)
     with gevent.Timeout(WAIT_LIMIT_S):
@@ -61,6 +70,7 @@
     assert status == 502
     assert "x-request-outcome: unknown" in head and "x-request-code: LD3008" in head
     _check_cut(flood)
+    assert not lost_runs
 
 
 @pytest.mark.parametrize("position", ANSWERS)
@@ -84,6 +94,16 @@
     _check_cut(flood)
 
 
+def test_a_body_that_turns_into_bytes_without_end_is_broken_for_its_caller(make_chain, lost_runs):
+    whole_chunk = b"%x\r\n%b\r\n" % (300_000, b"." * 300_000)
+    flood = Flood(CHUNKED + whole_chunk, b"garbage")
+    data = make_chain(flood).send(b"GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+    assert data.startswith(b"HTTP/1.1 200 ")
+    assert not data.endswith(b"0\r\n\r\n")
+    _check_cut(flood)
+    assert not lost_runs
+
+
 def test_a_long_download_that_its_caller_reads_is_passed_on(make_chain):
     flood = Flood(b"HTTP/1.1 200 OK\r\n\r\n", b".", limit=LONG_DOWNLOAD)
     data = make_chain(flood).send(b"GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream/upstream.py
@@ -418,7 +418,7 @@
         def end(exc: Exception | None) -> None:
             if exc is not None:
                 self._events.emit(Event.ANSWER_LOST, request=log.request_id, error=exc)
-                work.end_lost()
+                work.end_broken_off(exc)
             elif head.is_complete:
                 work.end_served()
             else:
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream/work.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream/work.py
@@ -3,6 +3,7 @@
 
 from lanedock.quarantine import Fingerprint, RequestHasher
 from lanedock_daemon.path.http.messages import Body, Outcome
+from lanedock_daemon.path.http.parser import MalformedMessage
 from lanedock_daemon.path.http.service import StopTimeout
 from lanedock_daemon.path.shared.pool import ExchangeError
 from lanedock_daemon.path.upstream.crashes import CrashDetector
@@ -74,6 +75,14 @@
             self._crashes.report_suspect(self._run)
         return hasher.fingerprint()
 
+    def end_broken_off(self, exc: Exception) -> None:
+        """End a run whose answer broke off after its head was passed on."""
+        if isinstance(exc, MalformedMessage):
+            # This side closes the connection; it says nothing about the application's process.
+            self.end_abandoned()
+        else:
+            self.end_lost()
+
     def end_failed(self, exc: ExchangeError) -> Fingerprint | None:
         """End a run that got no answer.
 
