Bound the bodies of refusals and failures that are collected

What callers saw: a failure whose body has no end was collected until the route's deadline, 355 MB in a second, in the daemon of its caller; a refusal whose body trickles held back the next attempt for as long.

Cause: the body of a refusal or failure is read whole before another attempt, and nothing bounded it but the deadline.

Change: such a body, and that of a health check's answer, may have 64 KiB, as much as an answer that is read whole to be retried, and 0.3 s where another attempt waits for it. One that exceeds them counts as broken off: the connection is closed, a refusal is still a refusal by its head, a failure is an unknown outcome, and a repeatable request is tried elsewhere.

--- a/packages/lanedock-daemon/lanedock_daemon/path/caller/attempts.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller/attempts.py
@@ -32,7 +32,7 @@
 )
 from lanedock_daemon.path.http.messages import DEFAULT_RETRY_AFTER, Answer, Leaving, Outcome, Request
 from lanedock_daemon.path.http.parser import MalformedMessage, Message
-from lanedock_daemon.path.shared.answers import AnswerPieces, UpstreamAnswer
+from lanedock_daemon.path.shared.answers import REFUSAL_BODY_TIMEOUT, AnswerPieces, UpstreamAnswer
 from lanedock_daemon.path.shared.dialect import Dialect
 from lanedock_daemon.path.shared.exchange import ContinueWait, PendingAnswer, handle_late_answer, send_request
 from lanedock_daemon.path.shared.pool import ConnectionPool, ExchangeError
@@ -315,12 +315,12 @@
                 gevent.spawn(self._prober.run, balancer, stats)
 
     def _read_refusal(self, response: UpstreamAnswer) -> bytes | None:
-        """Read the short body of a refusal; return None if it breaks off.
+        """Read the short body of a refusal; return None if it breaks off, is late or is too long.
 
         For a refusal by a daemon the head is enough.
         """
         try:
-            return response.read_all()
+            return response.read_all(REFUSAL_BODY_TIMEOUT)
         except (OSError, MalformedMessage):
             return None
         finally:
--- a/packages/lanedock-daemon/lanedock_daemon/path/shared/answers.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/shared/answers.py
@@ -3,18 +3,24 @@
 
 from errno import EHOSTUNREACH, ENETUNREACH, ETIMEDOUT
 
+from lanedock.clock import monotonic
 from lanedock.errors import ErrorCode
 from lanedock_daemon.path.http.messages import BodyBroken, BodyTimeout, Outcome
 from lanedock_daemon.path.http.parser import AnswerReader, MalformedMessage, Message
 from lanedock_daemon.path.http.service import StopTimeout
 from lanedock_daemon.path.shared.pool import ConnectionPool, ExchangeError
 
-__all__ = ["AnswerPieces", "ExchangeGuard", "UpstreamAnswer", "make_failure"]
+__all__ = ["REFUSAL_BODY_TIMEOUT", "AnswerPieces", "ExchangeGuard", "UpstreamAnswer", "make_failure"]
 
-# Shortest read timeout, in seconds, of an answer whose head has been passed on; the timeout is
+# Shortest time limit, in seconds, of each piece of an answer whose head has been passed on; the limit is
 # otherwise the time that the request had left. 1 s leaves time to retransmit lost packets. With
 # 30 s, connections that fell silent within an answer held their slots for 30 s.
 MIN_READ_TIMEOUT = 1.0
+# Bytes of a body that is collected rather than passed on: of a refusal, a failure, or the answer of a health check.
+MAX_COLLECTED_BYTES = 64 * 1024
+# Seconds for the body of a refusal or of a failure that is not the final answer, which is short and follows its head;
+# covers one retransmission. Another attempt waits for it.
+REFUSAL_BODY_TIMEOUT = 0.3
 
 
 class UpstreamAnswer:
@@ -72,12 +78,26 @@
         with ExchangeGuard(self._reader, self._address):
             return [self.read()]
 
-    def read_all(self) -> bytes:
-        """Return the whole body."""
-        pieces = []
-        while piece := self.read():
-            pieces.append(piece)
-        return b"".join(pieces)
+    def read_all(self, timeout: float | None = None) -> bytes:
+        """Return the whole body.
+
+        Parameters
+        ----------
+        timeout : float, optional
+            Seconds for the rest of the body; by default the deadline stays as it is.
+
+        Raises
+        ------
+        OSError, MalformedMessage
+            If the body breaks off, is late, or is longer than `MAX_COLLECTED_BYTES`.
+        """
+        if timeout is not None and self._reader is not None:
+            self._reader.conn.set_deadline(monotonic() + timeout)
+        pieces = self.read_prefix(MAX_COLLECTED_BYTES)
+        body = b"".join(pieces)
+        if len(body) > MAX_COLLECTED_BYTES:
+            raise MalformedMessage(f"the body is longer than {MAX_COLLECTED_BYTES} bytes")
+        return body
 
     def read_prefix(self, limit: int) -> list[bytes]:
         """Read pieces of the body until it ends or they exceed `limit` bytes."""
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_endless_bytes.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_endless_bytes.py
@@ -14,6 +14,7 @@
 from lanedock.clock import monotonic
 from lanedock.wire import messages as wire
 from lanedock_daemon.path.http.channel import Channel
+from lanedock_daemon.path.shared.dialect import AnswerFacts, OwnDialect
 from lanedock_daemon.path.tests.chain import HOST, wait_until
 from lanedock_daemon.path.tests.flooding import Flood
 from lanedock_daemon.path.upstream.crashes import CrashDetector
@@ -38,10 +39,19 @@
     "garbage behind a chunk": (CHUNKED + b"1\r\na\r\n", b"garbage"),
     "trailers": (CHUNKED + b"0\r\n", b"x-a: b\r\n"),
 }
+FAILURE = b"HTTP/1.1 503 Service Unavailable\r\n"
+# Failures whose bodies don't end.
+FAILURES = {
+    "no length": (FAILURE + b"\r\n", b"a"),
+    "length": (FAILURE + b"content-length: 1000000000000\r\n\r\n", b"a"),
+    "chunks": (FAILURE + b"transfer-encoding: chunked\r\n\r\n", b"400\r\n" + b"a" * 1024 + b"\r\n"),
+}
+REFUSAL = FAILURE + b"x-request-outcome: not-run\r\nx-request-code: LD3005\r\nx-retry-after-ms: 10\r\n\r\n"
 LONG_BODY = b"." * 60_000
 LONG_DOWNLOAD = 8 * 1024 * 1024
 # Bytes; the system's buffers of a connection hold less.
 MORE_THAN_BUFFERS = 16 * 1024 * 1024
+UNKNOWN = b"HTTP/1.1 502 Bad Gateway\r\nx-request-outcome: unknown\r\nx-request-code: LD3008\r\n\r\n"
 
 
 def _check_cut(flood: Flood) -> None:
@@ -61,9 +71,9 @@
     return runs
 
 
-@pytest.mark.parametrize("position", ANSWERS)
+@pytest.mark.parametrize("position", [*ANSWERS, *FAILURES])
 def test_bytes_without_end_from_an_application_end_its_connection_and_give_a_failure(make_chain, lost_runs, position):
-    flood = Flood(*ANSWERS[position])
+    flood = Flood(*{**ANSWERS, **FAILURES}[position])
     chain = make_chain(flood)
     with gevent.Timeout(WAIT_LIMIT_S):
         status, head, _ = chain.request("GET")
@@ -73,9 +83,9 @@
     assert not lost_runs
 
 
-@pytest.mark.parametrize("position", ANSWERS)
+@pytest.mark.parametrize("position", [*ANSWERS, *FAILURES])
 def test_a_repeatable_request_that_got_bytes_without_end_is_served_elsewhere(make_chain, position):
-    flood = Flood(*ANSWERS[position])
+    flood = Flood(*{**ANSWERS, **FAILURES}[position])
     chain = make_chain(flood, None)
     with gevent.Timeout(WAIT_LIMIT_S):
         while not flood.is_started:
@@ -110,9 +120,32 @@
     assert len(data) > LONG_DOWNLOAD and data.endswith(b"0\r\n\r\n")
 
 
+class _RefusingDialect(OwnDialect):
+    """Takes each failure of the application for a refusal."""
+
+    def read_answer(self, status: int, headers: list[tuple[str, str]], request_id: str) -> AnswerFacts:
+        return AnswerFacts(was_refused=status == 503)
+
+
+@pytest.mark.parametrize("position", FAILURES)
+def test_a_refusal_without_end_by_an_application_is_a_refusal(make_chain, position):
+    flood = Flood(*FAILURES[position])
+    chain = make_chain(flood)
+    chain.upstreams[0].side._dialect = _RefusingDialect()
+    with gevent.Timeout(WAIT_LIMIT_S):
+        status, head, _ = chain.request("POST")
+    assert status == 503 and "x-request-outcome: not-run" in head
+    _check_cut(flood)
+
+
 @pytest.mark.parametrize(
     ("first", "block", "body", "status"),
     [
+        (REFUSAL, b"a", b"", 503),
+        (REFUSAL, b"a", LONG_BODY, 503),
+        (UNKNOWN, b"a", b"", 502),
+        (UNKNOWN, b"a", LONG_BODY, 502),
+        (*FAILURES["chunks"], b"", 502),
         (*ANSWERS["headers"], b"", 502),
         (*ANSWERS["interim answers"], b"", 502),
         # Nothing of a long body is passed on before the other daemon has asked for it.
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream/upstream.py
@@ -47,7 +47,7 @@
 )
 from lanedock_daemon.path.http.parser import MalformedMessage
 from lanedock_daemon.path.http.service import StopTimeout
-from lanedock_daemon.path.shared.answers import AnswerPieces
+from lanedock_daemon.path.shared.answers import REFUSAL_BODY_TIMEOUT, AnswerPieces
 from lanedock_daemon.path.shared.dialect import Dialect, OwnDialect, RequestFacts
 from lanedock_daemon.path.shared.exchange import send_request
 from lanedock_daemon.path.shared.paced_answer import LinkTurns, is_long_answer
@@ -467,7 +467,7 @@
     def _on_refused(self, response, work: Work, is_other_incarnation: bool, log: RequestLog) -> Answer:
         """Answer a request that the application refused and will not run."""
         try:
-            response.read_all()
+            response.read_all(REFUSAL_BODY_TIMEOUT)
         except (OSError, MalformedMessage):
             pass  # the head says all that is needed
         finally:
