Limit the time of each piece of a body, not of each read

What callers saw: a body whose bytes keep coming without bringing any part of it, such as a chunk extension that trickles, held its caller and its slot for as long as they came.

Cause: once the head of an answer is passed on, its time limit began anew with each read.

Change: the limit is a deadline for the next piece.

A long download that its caller reads is passed on as before (test_a_long_download_that_its_caller_reads_is_passed_on).

--- a/packages/lanedock-daemon/lanedock_daemon/path/shared/answers.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/shared/answers.py
@@ -31,13 +31,14 @@
     message : Message
     """
 
-    __slots__ = ("_address", "_pool", "_reader", "message")
+    __slots__ = ("_address", "_pool", "_reader", "_silence", "message")
 
     def __init__(self, reader: AnswerReader, message: Message, pool: ConnectionPool, address: tuple[str, int]):
         self.message = message
         self._reader: AnswerReader | None = reader
         self._pool = pool
         self._address = address
+        self._silence: float | None = None
         if message.is_complete:
             self._release_connection()
 
@@ -55,6 +56,9 @@
             if not self.message.is_complete:
                 raise ConnectionError("the answer was closed before its end")
             return b""
+        if self._silence is not None:
+            # For the whole piece: bytes that bring none don't extend it.
+            self._reader.conn.set_deadline(monotonic() + self._silence)
         piece = self._reader.next_piece(self.message)
         if self.message.is_complete:
             self._release_connection()
@@ -108,9 +112,8 @@
         return pieces
 
     def lift_deadline(self, silence: float) -> None:
-        """Replace the deadline by a timeout of `silence` seconds, or more, between two reads."""
-        if self._reader is not None:
-            self._reader.conn.settimeout(max(MIN_READ_TIMEOUT, silence))
+        """Replace the deadline by a time limit of `silence` seconds, or more, for each piece of the body."""
+        self._silence = max(MIN_READ_TIMEOUT, silence)
 
     def _release_connection(self) -> None:
         """Return the connection to the pool, or close it, after the end of the answer."""
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_endless_bytes.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_endless_bytes.py
@@ -15,7 +15,7 @@
 from lanedock.wire import messages as wire
 from lanedock_daemon.path.http.channel import Channel
 from lanedock_daemon.path.shared.dialect import AnswerFacts, OwnDialect
-from lanedock_daemon.path.tests.chain import HOST, wait_until
+from lanedock_daemon.path.tests.chain import HOST, make_value, wait_until
 from lanedock_daemon.path.tests.flooding import Flood
 from lanedock_daemon.path.upstream.crashes import CrashDetector
 
@@ -120,6 +120,26 @@
     assert len(data) > LONG_DOWNLOAD and data.endswith(b"0\r\n\r\n")
 
 
+def test_bytes_that_trickle_without_a_piece_end_an_answer(make_chain):
+    ended = gevent.event.Event()
+
+    def script(conn, head: str, body: bytes) -> None:
+        conn.sendall(CHUNKED + b"%x\r\n%b\r\n1;" % (300_000, b"." * 300_000))
+        try:
+            while True:
+                conn.sendall(b"a")
+                gevent.sleep(0.02)
+        finally:
+            ended.set()
+
+    chain = make_chain(script, value=make_value())
+    with gevent.Timeout(WAIT_LIMIT_S):
+        data = chain.send(b"GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+        ended.wait()
+    assert data.startswith(b"HTTP/1.1 200 ")
+    assert not data.endswith(b"0\r\n\r\n")
+
+
 class _RefusingDialect(OwnDialect):
     """Takes each failure of the application for a refusal."""
 
