Limit the time of bodies that are collected whole

What callers saw: nothing yet, by reading. An operator's call or a heartbeat whose body trickles was read for as long as a byte came each 30 s, up to 16 MB; each such call held a greenlet and its part of the body.

Cause: the length of such a body was bounded, its time was not.

Change: a body that has not come whole after 30 s is refused with 408 and the new code LD3020 (not run).

--- a/packages/lanedock-daemon/lanedock_daemon/agent/tests/test_registration.py
+++ b/packages/lanedock-daemon/lanedock_daemon/agent/tests/test_registration.py
@@ -16,7 +16,7 @@
 from lanedock.settings import Address
 from lanedock.telemetry import EventLogger
 from lanedock_daemon.agent.registration import Registrar, RegistrationHandler
-from lanedock_daemon.path.http.messages import Body, Request
+from lanedock_daemon.path.http.messages import NEVER, Body, Request
 from lanedock_daemon.path.http.server import PathServer
 
 HOST = "127.0.0.1"
@@ -71,7 +71,7 @@
 class _Endless(Body):
     length = None
 
-    def read(self, size: int) -> bytes:
+    def read(self, size: int, deadline: float = NEVER) -> bytes:
         return b" " * size
 
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/messages.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/messages.py
@@ -5,6 +5,7 @@
 from abc import ABC, abstractmethod
 from collections.abc import Iterable
 
+from lanedock.clock import monotonic
 from lanedock.errors import ErrorCode, LanedockError
 from lanedock_daemon.path.http.headers import CODE_HEADER, OUTCOME_HEADER, RETRY_AFTER_MS_HEADER
 
@@ -38,6 +39,9 @@
 # Seconds after which callers may retry if no better estimate is available.
 DEFAULT_RETRY_AFTER = 1.0
 
+# Seconds for a body that is collected, however steadily it comes.
+WHOLE_BODY_TIMEOUT = 30.0
+
 # A deadline, in monotonic seconds, that never passes.
 NEVER = float("inf")
 
@@ -120,12 +124,14 @@
     Raises
     ------
     LanedockError
-        `ErrorCode.BODY_TOO_LONG`: the body is longer than `limit`.
+        `ErrorCode.BODY_TOO_LONG`: the body is longer than `limit`. `ErrorCode.BODY_LATE`: it has not come whole
+        within `WHOLE_BODY_TIMEOUT`.
     OSError
         The caller disconnected before the end of the body.
     """
+    deadline = monotonic() + WHOLE_BODY_TIMEOUT
     pieces, size = [], 0
-    while piece := body.read(MAX_PIECE_BYTES):
+    while piece := _read_in_time(body, deadline):
         pieces.append(piece)
         size += len(piece)
         if size > limit:
@@ -133,6 +139,17 @@
     return b"".join(pieces)
 
 
+def _read_in_time(body: Body, deadline: float) -> bytes:
+    """Return the next piece of a body; raise `ErrorCode.BODY_LATE` after the deadline, also if one is there."""
+    try:
+        piece = body.read(MAX_PIECE_BYTES, deadline)
+    except BodyTimeout as exc:
+        raise LanedockError(ErrorCode.BODY_LATE, str(exc)) from exc
+    if piece and monotonic() >= deadline:
+        raise LanedockError(ErrorCode.BODY_LATE, f"the body has not come whole within {WHOLE_BODY_TIMEOUT:g} s")
+    return piece
+
+
 class ReplayBody(Body):
     """A body that keeps the data read, so that a short body can be sent again.
 
@@ -258,6 +275,7 @@
     ErrorCode.UPSTREAM_CRASHED: (502, "Bad Gateway"),
     ErrorCode.CONNECT_FAILED: (503, "Service Unavailable"),
     ErrorCode.BODY_TOO_LONG: (413, "Content Too Large"),
+    ErrorCode.BODY_LATE: (408, "Request Timeout"),
     ErrorCode.QUOTA_EXCEEDED: (429, "Too Many Requests"),
 }
 _UNAVAILABLE = (503, "Service Unavailable")
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_endless_bytes.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_endless_bytes.py
@@ -12,10 +12,17 @@
 from gevent.server import StreamServer
 
 from lanedock.clock import monotonic
+from lanedock.errors import ErrorCode, LanedockError
+from lanedock.kernel import StopPlan
+from lanedock.settings import Address
+from lanedock.telemetry import EventLogger
 from lanedock.wire import messages as wire
+from lanedock_daemon.path.http import messages
 from lanedock_daemon.path.http.channel import Channel
+from lanedock_daemon.path.http.messages import Answer, Body, EmptyBody, read_whole
+from lanedock_daemon.path.http.server import PathServer
 from lanedock_daemon.path.shared.dialect import AnswerFacts, OwnDialect
-from lanedock_daemon.path.tests.chain import HOST, make_value, wait_until
+from lanedock_daemon.path.tests.chain import HOST, make_value, parse_answer, read_all, wait_until
 from lanedock_daemon.path.tests.flooding import Flood
 from lanedock_daemon.path.upstream.crashes import CrashDetector
 
@@ -236,3 +243,51 @@
     channel.close()
     listener.close()
     _check_cut(flood)
+
+
+class _SteadyBody(Body):
+    """A body whose bytes come one by one, without end."""
+
+    def read(self, size: int, deadline: float = messages.NEVER) -> bytes:
+        gevent.sleep(0.005)
+        return b"a"
+
+
+def test_a_body_that_is_collected_is_refused_when_it_does_not_end_in_time(monkeypatch):
+    monkeypatch.setattr(messages, "WHOLE_BODY_TIMEOUT", 0.1)
+    with gevent.Timeout(WAIT_LIMIT_S), pytest.raises(LanedockError) as caught:
+        read_whole(_SteadyBody(), 10**9)
+    assert caught.value.code is ErrorCode.BODY_LATE
+    assert read_whole(EmptyBody(), 1) == b""
+
+
+class _CollectingSide:
+    """Collects the bodies of requests."""
+
+    def handle(self, request) -> Answer:
+        try:
+            body = read_whole(request.body, 10**9)
+        except LanedockError as exc:
+            return messages.make_refusal(exc.code, messages.Outcome.NOT_RUN)
+        return Answer(200, "OK", [("content-length", str(len(body)))], [body])
+
+
+@pytest.mark.parametrize("is_silent", [False, True])
+def test_a_collected_body_that_is_late_gets_a_refusal(monkeypatch, is_silent):
+    monkeypatch.setattr(messages, "WHOLE_BODY_TIMEOUT", 0.2)
+    server = PathServer("s", Address(HOST, 0), _CollectingSide(), StopPlan(), EventLogger("s"))
+    server.start(None)
+    with gevent.Timeout(WAIT_LIMIT_S), socket.create_connection((HOST, server.port)) as conn:
+        conn.sendall(b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n.")
+        sending = None if is_silent else gevent.spawn(_trickle, conn)
+        status, head, _ = parse_answer(read_all(conn))
+        if sending is not None:
+            sending.kill()
+    server.stop()
+    assert status == 408 and "x-request-code: LD3020" in head
+
+
+def _trickle(conn) -> None:
+    while True:
+        conn.sendall(b".")
+        gevent.sleep(0.01)
--- a/packages/lanedock/lanedock/errors.py
+++ b/packages/lanedock/lanedock/errors.py
@@ -199,6 +199,11 @@
         "No control instance answered whether the customer's quota allows the request. Not run.",
         "Retry after the time given; check that the daemon can reach the control instances.",
     )
+    BODY_LATE = (
+        "LD3020",
+        "The request's body has not come whole in time. Not run.",
+        "Send the body at once, over a connection that is fast enough.",
+    )
     NOT_HELD = (
         "LD3011",
         "The daemon's version does not hold the service that the request names.",
