Let blank lines not renew the time limit of an idle connection

What callers saw: nothing yet, by reading.

Cause: the limit of an idle connection began anew whenever bytes came, though they begin no request.

Change: it begins when the connection becomes idle.

--- a/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
@@ -72,6 +72,8 @@
         self._is_closing = False
         self._linger_timeout = LINGER_TIMEOUT
         self._idle_since = monotonic()
+        # Whether the time limit of an idle connection runs, which blank lines don't renew.
+        self._is_idle_timed = False
         # Why this process ends the connection; empty if the caller does.
         self._end_reason = ""
         # Whether the answer being written has no length, so that its end is the end of the connection.
@@ -252,7 +254,8 @@
                 self.expires_at = now + header_timeout
         elif self._exchanges:
             self.expires_at = NEVER
-        else:
+        elif not self._is_idle_timed:
+            self._is_idle_timed = True
             self._idle_since = now
             self.expires_at = now + idle_timeout
 
@@ -262,6 +265,7 @@
         if not message.is_complete:
             self._open_exchange = exchange
         self._exchanges.append(exchange)
+        self._is_idle_timed = False
         self._server.acquire_worker().assign(exchange)
 
     def notify_body_read(self) -> None:
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_endless_bytes.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_endless_bytes.py
@@ -224,6 +224,21 @@
     _check_cut(flood)
 
 
+def test_blank_lines_do_not_keep_an_idle_connection_open():
+    class Limits:
+        header_timeout_ms, idle_timeout_ms, body_bytes = 60_000, 500, 1000
+
+    server = PathServer("s", Address(HOST, 0), None, StopPlan(), EventLogger("s"), Limits)
+    server.start(None)
+    wait_until(lambda: server.limits is not None)
+    conn = socket.create_connection((HOST, server.port))
+    with gevent.Timeout(WAIT_LIMIT_S), conn, pytest.raises(OSError):
+        while True:
+            conn.sendall(b"\r\n")
+            gevent.sleep(0.05)
+    server.stop()
+
+
 def test_bytes_that_keep_arriving_after_the_deadline_are_not_read():
     listener = socket.create_server((HOST, 0))
     near = socket.create_connection(listener.getsockname())
