Let other tasks run between frames, and bound frames by their kind and time

What callers saw: nothing yet; found by looking for bytes without end elsewhere. A peer that sends frames without a pause kept a process from anything else, and one that announces 64 MB could make it hold them for any time.

Cause: a gevent socket with unread data doesn't wait, so the loop that reads frames never gave up the processor. Each frame might have 64 MB, though daemons send only reports and requests for credits, and nothing bounded the time of one.

Change: other greenlets run after each read. A frame that is not complete after 120 s ends its connection.

--- a/packages/lanedock-daemon/lanedock_daemon/frames.py
+++ b/packages/lanedock-daemon/lanedock_daemon/frames.py
@@ -10,12 +10,14 @@
 import gevent
 from gevent.event import Event as Signal
 
+from lanedock.clock import monotonic
 from lanedock.settings import Address
 from lanedock_daemon.sockets import open_connection
 from lanedock_daemon.transport import CONNECT_TIMEOUT
 
 __all__ = [
     "EMPTY_FRAME",
+    "MAX_REPORT_FRAME",
     "FrameWriter",
     "connect",
     "exchange_frames",
@@ -28,6 +30,10 @@
 EMPTY_FRAME = _LENGTH.pack(0)
 # Bytes. A longer frame is not a message of lanedock: configuration versions are limited to 16 MB.
 MAX_FRAME = 64 * 1024 * 1024
+# Bytes of a message from a daemon: reports on the daemons that a relay serves are the longest ones.
+MAX_REPORT_FRAME = 4 * 1024 * 1024
+# Seconds for one frame. A version of 16 MB takes 85 s on a link of 1.5 Mbit/s.
+FRAME_TIMEOUT = 120.0
 # Bytes read from a socket at once.
 RECEIVE_SIZE = 64 * 1024
 # Seconds for the first messages of a connection, of which TLS has several: both
@@ -78,9 +84,11 @@
             self._conn.sendall(b"".join(batch))
 
 
-def read_frames(conn, handle_message, note_received=None) -> None:
+def read_frames(conn, handle_message, note_received=None, max_frame: int = MAX_FRAME) -> None:
     """Read frames until the connection ends, and pass each message to `handle_message`.
 
+    Other greenlets run after each read, also if more bytes are there already.
+
     Parameters
     ----------
     conn : socket
@@ -88,13 +96,16 @@
         Called with the bytes of a message.
     note_received : callable, optional
         Called without arguments whenever bytes are received, also those of an incomplete frame.
+    max_frame : int
+        Maximum length of a message, in bytes.
 
     Raises
     ------
     ConnectionError
-        If a frame is longer than `MAX_FRAME`.
+        If a frame is longer than `max_frame`, or not complete `FRAME_TIMEOUT` after its first bytes.
     """
     buffer = bytearray()
+    expires_at = None
     while data := conn.recv(RECEIVE_SIZE):
         if note_received is not None:
             note_received()
@@ -102,19 +113,27 @@
         start = 0
         while len(buffer) - start >= _LENGTH.size:
             (length,) = _LENGTH.unpack_from(buffer, start)
-            if length > MAX_FRAME:
-                raise ConnectionError(f"received a frame of {length} bytes; the limit is {MAX_FRAME} bytes")
+            if length > max_frame:
+                raise ConnectionError(f"received a frame of {length} bytes; the limit is {max_frame} bytes")
             end = start + _LENGTH.size + length
             if len(buffer) < end:
                 break
             handle_message(bytes(buffer[start + _LENGTH.size : end]))
             start = end
         del buffer[:start]
+        if not buffer:
+            expires_at = None
+        elif start or expires_at is None:
+            expires_at = monotonic() + FRAME_TIMEOUT
+        elif monotonic() > expires_at:
+            raise ConnectionError(f"a frame was not complete after {FRAME_TIMEOUT:g} s")
+        # A socket with unread data doesn't wait, so nothing else would run while its peer keeps sending.
+        gevent.sleep(0)
 
 
-def exchange_frames(conn, writer: FrameWriter, handle_message) -> str:
+def exchange_frames(conn, writer: FrameWriter, handle_message, max_frame: int = MAX_FRAME) -> str:
     """Read and write frames until either direction ends; return the reason."""
-    reading = gevent.spawn(_run_until_ended, read_frames, conn, handle_message)
+    reading = gevent.spawn(_run_until_ended, read_frames, conn, handle_message, None, max_frame)
     writing = gevent.spawn(_run_until_ended, writer.run)
     try:
         done = gevent.wait([reading, writing], count=1)
