Let other tasks run between load probes

What callers saw: nothing yet; found by looking for bytes without end elsewhere. Load probes that come faster than they are answered kept a daemon from anything else, its callers' requests included.

Cause: as with frames, a gevent socket with unread datagrams doesn't wait. The replies to a daemon's own probes were read in a loop without an end, too.

Change: other greenlets run after each probe, and after 64 replies.

--- a/packages/lanedock-daemon/lanedock_daemon/path/caller/load_prober.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller/load_prober.py
@@ -27,6 +27,8 @@
 MAX_WAIT_SHARE = 0.1
 # Seconds until the next read after a failed one.
 RETRY_INTERVAL = 0.1
+# Replies that are read before other greenlets run again, if more are there already.
+MAX_REPLIES = 64
 
 
 class _Waiter:
@@ -174,8 +176,8 @@
                 gevent.sleep(RETRY_INTERVAL)
 
     def _read_replies(self, sock: socket.socket) -> bool:
-        """Read the replies that have come; return False if the socket has failed."""
-        while True:
+        """Read the replies that have come, up to `MAX_REPLIES`; return False if the socket has failed."""
+        for _ in range(MAX_REPLIES):
             try:
                 data, address = sock.recvfrom(MAX_DATAGRAM)
             except BlockingIOError:
@@ -187,6 +189,7 @@
             except DecodeError:
                 continue
             self._note_reply(reply, address[:2])
+        return True
 
     def _note_reply(self, reply: messages.LoadReply, address: tuple[str, int]) -> None:
         """Hand a reply to its choice, unless it is not from the address that was probed."""
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream/load_responder.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream/load_responder.py
@@ -61,6 +61,8 @@
         while True:
             try:
                 self._answer(*self._socket.recvfrom(MAX_DATAGRAM))
+                # A socket with unread datagrams doesn't wait, so nothing else would run while they keep coming.
+                gevent.sleep(0)
             except OSError:
                 gevent.sleep(RETRY_INTERVAL)
 
--- a/packages/lanedock-daemon/lanedock_daemon/tests/test_endless_messages.py
+++ b/packages/lanedock-daemon/lanedock_daemon/tests/test_endless_messages.py
@@ -5,18 +5,22 @@
 """
 
 import struct
+import subprocess
+import sys
 
 import gevent
 import pytest
 from gevent import socket
 
 from lanedock.settings import Address
+from lanedock.wire import messages
 from lanedock_daemon import frames
 from lanedock_daemon.framed import FramedTransport
 from lanedock_daemon.framed_links import PURPOSE_REPLICAS
 from lanedock_daemon.framed_quotas import PURPOSE_QUOTAS
 from lanedock_daemon.frames import MAX_FRAME, MAX_REPORT_FRAME, read_frames
 from lanedock_daemon.path.tests.flooding import Flood
+from lanedock_daemon.path.upstream.load_responder import LoadResponder
 from lanedock_daemon.tests.links import Owner, free_port
 
 HOST = "127.0.0.1"
@@ -99,3 +103,42 @@
         conn.sendall(data[start : start + size])
         gevent.sleep(0.005)
     conn.close()
+
+
+# Sends datagrams to a port of this machine until it is ended.
+DATAGRAM_FLOOD = """
+import socket, sys
+sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+sock.connect(("127.0.0.1", int(sys.argv[1])))
+while True:
+    try:
+        sock.send(b"\\x08\\x01")
+    except OSError:
+        pass
+"""
+
+
+def test_other_greenlets_run_while_load_probes_come_without_end():
+    answered = 0
+
+    def measure() -> messages.LoadReply:
+        nonlocal answered
+        answered += 1
+        return messages.LoadReply()
+
+    responder = LoadResponder(Address(HOST, free_port()), lambda: True, measure)
+    responder.start(None)
+    floods = [subprocess.Popen([sys.executable, "-c", DATAGRAM_FLOOD, str(responder.port)]) for _ in range(2)]
+    try:
+        with gevent.Timeout(WAIT_LIMIT_S):
+            while answered < 1000:
+                gevent.sleep(0)
+        # While the datagrams keep coming, this greenlet runs between any two.
+        before = answered
+        gevent.sleep(0)
+        assert answered - before < 100
+    finally:
+        for flood in floods:
+            flood.kill()
+            flood.wait()
+        responder.stop()
