Split the headers of requests to an application from the upstream's side

The headers with which a request is passed on, and which ones of the caller's are left out, are a class of their own now; nothing else changes.

--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream/upstream.py
@@ -2,7 +2,6 @@
 """The upstream's side of the request path: every request to an application passes through it."""
 
 import math
-from collections.abc import Container
 
 from lanedock.clock import monotonic, running_time
 from lanedock.errors import ErrorCode
@@ -15,8 +14,6 @@
 from lanedock_daemon.agent.registration import Registrar
 from lanedock_daemon.agent.view import LocalView
 from lanedock_daemon.path.http.headers import (
-    ATTEMPT_HEADER,
-    CALLER_HEADER,
     CUSTOMER_HEADER,
     DEADLINE_HEADER,
     KNOWN_LIMIT_HEADER,
@@ -58,14 +55,12 @@
 from lanedock_daemon.path.upstream.crashes import CrashDetector
 from lanedock_daemon.path.upstream.hashed_body import hash_body
 from lanedock_daemon.path.upstream.read_ahead import ReadAhead, ReadAheadMemory
+from lanedock_daemon.path.upstream.request_headers import RequestHeaders
 from lanedock_daemon.path.upstream.slot_gate import Slot, SlotGate
 from lanedock_daemon.path.upstream.work import Work
 
 __all__ = ["UpstreamSide"]
 
-# Headers that this side sets itself and therefore doesn't pass on.
-_REPLACED_HEADERS = (ATTEMPT_HEADER, DEADLINE_HEADER, TRACE_HEADER)
-
 
 class UpstreamSide:
     """Passes requests on to the application, within its limits.
@@ -117,9 +112,7 @@
         self._dialect: Dialect = dialect or OwnDialect()
         self._registration = view.upstream or UpstreamRegistration(service, False, 1.0)
         self._registrar = registrar or Registrar(self._registration, lambda: None, lambda: None, events)
-        self._customer_request_names = frozenset(
-            (*_REPLACED_HEADERS, *self._dialect.key_names, *self._dialect.customer_names)
-        )
+        self._request_headers = RequestHeaders(self._dialect, view, self._registration)
         self._service = service
         self._application = application
         self._view = view
@@ -358,7 +351,7 @@
         if started >= deadline:
             slot.release()
             return self._refuse(ErrorCode.DEADLINE, 0.0, log)
-        headers = self._make_headers(request, deadline - started, span)
+        headers = self._request_headers.make(request, deadline - started, span)
         account = self._make_account(log.route)
         if account is not None:
             account.note_sent()
@@ -478,33 +471,6 @@
         answer.headers.append((REACHED_APPLICATION_HEADER, "1"))
         return answer
 
-    def _make_headers(self, request: Request, remaining: float, span) -> list[tuple[str, str]]:
-        customer = decode_name(request.header(CUSTOMER_HEADER))
-        headers = public_headers(request.headers, self._list_removed_names(customer))
-        left_ms = max(1, int(remaining * 1000))
-        attempt = request.header(ATTEMPT_HEADER)
-        headers += self._dialect.request_headers(
-            left_ms,
-            request.header(UPSTREAM_HEADER) or self._registration.upstream,
-            decode_name(request.header(CALLER_HEADER)),
-            int(attempt) if attempt.isdigit() else 1,
-            customer,
-        )
-        if span.traceparent:
-            headers.append((TRACE_HEADER, span.traceparent))
-        return headers
-
-    def _list_removed_names(self, customer: str) -> Container[str]:
-        """Return the request headers that aren't passed on.
-
-        The caller's daemon has removed keys and names of customers already, unless its version has
-        no customers yet. Then the application must not take a name that a caller sent for a customer's.
-        """
-        binding = self._view.bind()
-        if not customer and (binding is None or binding.config.customers is None):
-            return _REPLACED_HEADERS
-        return self._customer_request_names
-
 
 def _read_monotonic_time(request: Request, name: str, started: float) -> float | None:
     """Return the monotonic time, in seconds, that a header states in milliseconds after `started`; None if absent."""
