Name the limit of frames from daemons for what it limits

MAX_REPORT_FRAME also bounds requests for credits, which are no reports: it is MAX_DAEMON_FRAME now. Nothing else changes.

Measured: the tests of endless messages, of the framed transport and of quotas pass.

--- a/packages/lanedock-daemon/lanedock_daemon/framed.py
+++ b/packages/lanedock-daemon/lanedock_daemon/framed.py
@@ -13,7 +13,7 @@
 from lanedock.wire import messages
 from lanedock_daemon.framed_links import PURPOSE_REPLICAS, FramedLinks, serve_replica
 from lanedock_daemon.framed_quotas import PURPOSE_QUOTAS, FramedQuotaStream, serve_quotas
-from lanedock_daemon.frames import MAX_REPORT_FRAME, FrameWriter, connect, exchange_frames, set_socket_options
+from lanedock_daemon.frames import MAX_DAEMON_FRAME, FrameWriter, connect, exchange_frames, set_socket_options
 from lanedock_daemon.sessions import ChildArrived, ChildLeft, ChildReported
 from lanedock_daemon.transport import (
     Listener,
@@ -184,7 +184,7 @@
         has_arrived = True
 
     try:
-        exchange_frames(conn, writer, handle_message, MAX_REPORT_FRAME)
+        exchange_frames(conn, writer, handle_message, MAX_DAEMON_FRAME)
     finally:
         if has_arrived:
             owner.post(ChildLeft(session))
--- a/packages/lanedock-daemon/lanedock_daemon/framed_quotas.py
+++ b/packages/lanedock-daemon/lanedock_daemon/framed_quotas.py
@@ -6,7 +6,7 @@
 from lanedock.kernel import TaskService
 from lanedock.settings import Address
 from lanedock.wire import messages
-from lanedock_daemon.frames import MAX_REPORT_FRAME, FrameWriter, connect, exchange_frames
+from lanedock_daemon.frames import MAX_DAEMON_FRAME, FrameWriter, connect, exchange_frames
 from lanedock_daemon.transport import QUOTA_IDLE_LIMIT, CreditsRequested, QuotaSession, QuotaStream
 
 __all__ = ["PURPOSE_QUOTAS", "FramedQuotaStream", "serve_quotas"]
@@ -79,4 +79,4 @@
     def handle_message(data: bytes) -> None:
         owner.post(CreditsRequested(session, messages.CreditRequest.FromString(data)))
 
-    exchange_frames(conn, writer, handle_message, MAX_REPORT_FRAME)
+    exchange_frames(conn, writer, handle_message, MAX_DAEMON_FRAME)
--- a/packages/lanedock-daemon/lanedock_daemon/frames.py
+++ b/packages/lanedock-daemon/lanedock_daemon/frames.py
@@ -17,7 +17,7 @@
 
 __all__ = [
     "EMPTY_FRAME",
-    "MAX_REPORT_FRAME",
+    "MAX_DAEMON_FRAME",
     "FrameWriter",
     "connect",
     "exchange_frames",
@@ -30,8 +30,8 @@
 EMPTY_FRAME = _LENGTH.pack(0)
 # Bytes. A longer frame is not a message of lanedock: configuration versions are limited to 16 MB.
 MAX_FRAME = 64 * 1024 * 1024
-# Bytes of a message from a daemon: reports on the daemons that a relay serves are the longest ones.
-MAX_REPORT_FRAME = 4 * 1024 * 1024
+# Bytes of a message from a daemon, of which reports on the daemons that a relay serves are the longest.
+MAX_DAEMON_FRAME = 4 * 1024 * 1024
 # Seconds for one frame. A version of 16 MB takes 85 s on a link of 1.5 Mbit/s.
 FRAME_TIMEOUT = 120.0
 # Bytes read from a socket at once.
--- a/packages/lanedock-daemon/lanedock_daemon/tests/test_endless_messages.py
+++ b/packages/lanedock-daemon/lanedock_daemon/tests/test_endless_messages.py
@@ -18,7 +18,7 @@
 from lanedock_daemon.framed import FramedTransport
 from lanedock_daemon.framed_links import PURPOSE_REPLICAS
 from lanedock_daemon.framed_quotas import PURPOSE_QUOTAS
-from lanedock_daemon.frames import MAX_FRAME, MAX_REPORT_FRAME, read_frames
+from lanedock_daemon.frames import MAX_DAEMON_FRAME, MAX_FRAME, read_frames
 from lanedock_daemon.path.tests.flooding import Flood
 from lanedock_daemon.path.upstream.load_responder import LoadResponder
 from lanedock_daemon.tests.links import Owner, free_port
@@ -62,7 +62,7 @@
 
 
 @pytest.mark.parametrize(
-    ("purpose", "limit"), [(b"D", MAX_REPORT_FRAME), (PURPOSE_QUOTAS, MAX_REPORT_FRAME), (PURPOSE_REPLICAS, MAX_FRAME)]
+    ("purpose", "limit"), [(b"D", MAX_DAEMON_FRAME), (PURPOSE_QUOTAS, MAX_DAEMON_FRAME), (PURPOSE_REPLICAS, MAX_FRAME)]
 )
 def test_a_frame_that_is_longer_than_its_kind_of_message_ends_the_connection(address, purpose, limit):
     with socket.create_connection((address.host, address.port)) as conn, gevent.Timeout(WAIT_LIMIT_S):
