--- a/tools/bench_endless.py
+++ b/tools/bench_endless.py
@@ -16,7 +16,6 @@
 import subprocess
 import sys
 import tempfile
-import time
 from pathlib import Path
 
 from lanedock.testing.mesh import LocalMesh
@@ -118,10 +117,14 @@
         self.port = self._listener.getsockname()[1]
         self._pid = os.fork()
         if not self._pid:
-            os.setpgid(0, 0)
-            # Ended processes are not waited for.
-            signal.signal(signal.SIGCHLD, signal.SIG_IGN)
-            self._serve(first, block * (1 + 50_000 // len(block)))
+            try:
+                os.setpgid(0, 0)
+                # Ended processes are not waited for.
+                signal.signal(signal.SIGCHLD, signal.SIG_IGN)
+                self._serve(first, block * (1 + 50_000 // len(block)))
+            finally:
+                # Otherwise an error would unwind the parent's code, which ends the mesh.
+                os._exit(1)
 
     def _serve(self, first: bytes, block: bytes) -> None:
         while True:
@@ -139,9 +142,8 @@
             os._exit(0)
 
     def stop(self) -> None:
-        os.killpg(self._pid, 9)
+        os.killpg(self._pid, signal.SIGKILL)
         os.waitpid(self._pid, 0)
-        time.sleep(0.1)
 
 
 def _start_flooder(mesh: LocalMesh, kind: tuple[bytes, bytes]) -> _Flooder:
