Log which answers left the process, and which requests went with their caller

REQUEST_ANSWERED is written when an answer is made. Whether it was written and received wasn't logged, nor the requests cancelled with a connection that its caller ended, nor which of two concurrent attempts was given up.

CONNECTION_CUT names the ids of all requests whose answers the caller has not received, also of answers that were made and never written. CALLER_DISCONNECTED (E506) names those cancelled with a connection that its caller ended. REQUEST_TRY_ENDED with the outcome `abandoned` names an attempt cancelled while its upstream may work.

--- a/packages/lanedock-daemon/lanedock_daemon/path/caller/attempts.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller/attempts.py
@@ -97,7 +97,7 @@
         if self._wait_for_answer(context, stats, pending, hedge_delay) or monotonic() >= context.deadline:
             return self._finish_attempt(context, stats, pending, started)
         pending.handle_late_answer(started, self._events, stats.endpoint.instance)
-        first = second = result = None
+        first = second = other = result = None
         try:
             first = gevent.spawn(self._finish_attempt, context, stats, pending, started)
             now = monotonic()
@@ -114,8 +114,10 @@
             result = choose_result(first, second)
             return result
         finally:
-            for task in (first, second):
+            for task, task_stats in ((first, stats), (second, other)):
                 if task is not None:
+                    if not task.ready():
+                        self._log_end(context, task_stats, "abandoned")
                     # The attempt may have ended with an answer, like the chosen one, before it is killed.
                     task.link_value(lambda ended: close_unless_chosen(ended.value, result))
                     task.kill(block=False)
@@ -241,8 +243,10 @@
         self._quarantine.merge(suspicions, monotonic())
         return self._quarantine.count(Fingerprint(suspicions[0].head, suspicions[0].whole))
 
-    def _note_try(self, context: RequestContext, stats, outcome: str, code: ErrorCode | None, status: int = 0) -> None:
-        """Log and count an attempt whose answer is not passed on."""
+    def _log_end(
+        self, context: RequestContext, stats, outcome: str, code: ErrorCode | None = None, status: int = 0
+    ) -> None:
+        """Log an attempt whose answer is not passed on."""
         context.log.note(
             Event.REQUEST_TRY_ENDED,
             upstream=stats.endpoint.instance,
@@ -251,6 +255,10 @@
             code=code.code if code else "",
             status=status,
         )
+
+    def _note_try(self, context: RequestContext, stats, outcome: str, code: ErrorCode | None, status: int = 0) -> None:
+        """Log and count an attempt whose answer is not passed on."""
+        self._log_end(context, stats, outcome, code, status)
         self._metrics.count(Metric.TRIES, 1, (stats.endpoint.service, outcome))
 
     def _make_unknown_outcome(self, code: ErrorCode, detail: str) -> Answer:
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/channel.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/channel.py
@@ -44,6 +44,11 @@
     ----------
     conn : gevent.socket.socket
         Connected socket; the channel takes over its descriptor.
+
+    Attributes
+    ----------
+    written : int
+        Number of bytes written, that is, handed to the kernel.
     """
 
     __slots__ = (
@@ -60,6 +65,7 @@
         "_timeout",
         "_timer",
         "_watcher",
+        "written",
     )
 
     def __init__(self, conn):
@@ -80,6 +86,7 @@
         self._error: OSError | None = None
         # Bytes that may still be read after the deadline; None before the first such read.
         self._late_bytes: int | None = None
+        self.written = 0
 
     def __repr__(self) -> str:
         return f"<Channel fd={self._sock.fileno()}>"
@@ -298,7 +305,7 @@
     def _write(self, data) -> int:
         """Write without waiting, and return how many bytes were written."""
         try:
-            return self._sock.send(data)
+            size = self._sock.send(data)
         except BlockingIOError:
             return 0
         except BrokenPipeError:
@@ -307,6 +314,8 @@
         except OSError as exc:
             self._error = exc
             raise
+        self.written += size
+        return size
 
     def _send_rest(self, rest: memoryview) -> None:
         while rest:
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
@@ -12,7 +12,7 @@
 from lanedock_daemon.path.http.answer_writer import attach_pieces, close_pieces, make_head, write_pieces
 from lanedock_daemon.path.http.caller_messages import refuse_malformed
 from lanedock_daemon.path.http.delivery import DELIVERY_TIMEOUT, POLL, Delivery
-from lanedock_daemon.path.http.headers import PACE_HEADER
+from lanedock_daemon.path.http.headers import PACE_HEADER, REQUEST_ID_HEADER
 from lanedock_daemon.path.http.incoming import Exchange
 from lanedock_daemon.path.http.messages import NEVER, Answer, Outcome
 from lanedock_daemon.path.http.parser import MalformedMessage, Message, RequestReader
@@ -78,20 +78,25 @@
         self._end_reason = ""
         # Whether the answer being written has no length, so that its end is the end of the connection.
         self._is_answer_close_delimited = False
+        # Ids of the requests whose answers were made and can't be written any more.
+        self._unwritten: list[str] = []
 
     # ------------------------------------------------------------------ reading
 
     def run(self) -> None:
         """Read requests and start processing them until the connection ends."""
+        how = "end of stream"
         try:
             self._serve()
             self._await_delivery()
-        except (OSError, gevent.GreenletExit):
+        except (OSError, gevent.GreenletExit) as exc:
             # The caller has disconnected, or an incomplete answer is cut so that it doesn't look complete.
-            pass
+            how = repr(exc)
         finally:
             if self._end_reason:
                 self.report_cut(self._end_reason)
+            else:
+                self._report_disconnect(how)
             self._cancel_exchanges()
             self._conn.close()
 
@@ -128,9 +133,20 @@
         unsent = self._conn.count_unsent_bytes()
         if self._is_closing and unsent:
             unsent -= 1  # the end of the stream
-        if unsent or self._exchanges:
+        if unsent or self._exchanges or self._unwritten:
+            ids = self._delivery.list_unreceived(unsent) + self._list_unanswered()
             targets = [exchange.message.target for exchange in self._exchanges]
-            self._server.log_cut_connection(reason, unsent, self._conn.count_unread_bytes(), targets)
+            self._server.log_cut_connection(reason, unsent, self._conn.count_unread_bytes(), targets, ids)
+
+    def _report_disconnect(self, how: str) -> None:
+        """Log if the caller has ended the connection with requests that have no answer."""
+        if self._exchanges or self._unwritten:
+            answered = len(self._unwritten) + sum(exchange.is_answered for exchange in self._exchanges)
+            self._server.log_disconnected_caller(how, answered, self._list_unanswered())
+
+    def _list_unanswered(self) -> list[str]:
+        """Return the ids of the requests whose answers were not written."""
+        return self._unwritten + [exchange.message.header(REQUEST_ID_HEADER) for exchange in self._exchanges]
 
     def expire(self, reason: str) -> None:
         """End the connection; `reason` is logged if answers are cut."""
@@ -299,6 +315,9 @@
             # The connection may have ended while waiting.
             if self._exchanges and not self._is_closing:
                 self._write_answer(answer, message, self._may_keep_open(exchange, answer))
+                self._delivery.note_answer(message.header(REQUEST_ID_HEADER))
+            elif self._exchanges:
+                self._unwritten.append(message.header(REQUEST_ID_HEADER))
         except (OSError, gevent.GreenletExit):
             # The caller has disconnected, or the answer's body broke off.
             self._break_off("broken answer")
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/delivery.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/delivery.py
@@ -6,6 +6,8 @@
 reset, and what was not acknowledged is lost (RFC 9112, 9.6).
 """
 
+from collections import deque
+
 from lanedock.clock import monotonic
 from lanedock_daemon.path.http.channel import Channel
 
@@ -16,6 +18,8 @@
 # Seconds between two looks at the kernel's send buffer; nothing notifies of an empty one.
 POLL = 0.05
 DISCARD_SIZE = 64 * 1024
+# Answers whose ends are remembered; more can hardly stand in the kernel's send buffer.
+MAX_REMEMBERED_ANSWERS = 64
 
 
 class Delivery:
@@ -26,16 +30,33 @@
     conn : Channel
     """
 
-    __slots__ = ("_conn", "_progress_at", "_unsent")
+    __slots__ = ("_answers", "_conn", "_progress_at", "_unsent")
 
     def __init__(self, conn: Channel):
         self._conn = conn
+        # Request ids of the last answers, and the number of bytes that were written when each was whole.
+        self._answers: deque[tuple[str, int]] = deque(maxlen=MAX_REMEMBERED_ANSWERS)
         self._unsent = 0
         self._progress_at = 0.0
 
     def __repr__(self) -> str:
         return f"<Delivery unsent={self._unsent}>"
 
+    def note_answer(self, request_id: str) -> None:
+        """Record that the answer to a request has been written whole."""
+        self._answers.append((request_id, self._conn.written))
+
+    def list_unreceived(self, unsent: int) -> list[str]:
+        """Return the ids of the requests whose answers the peer has not acknowledged whole.
+
+        Parameters
+        ----------
+        unsent : int
+            Number of written bytes that the peer has not acknowledged.
+        """
+        received = self._conn.written - unsent
+        return [request_id for request_id, end in self._answers if end > received]
+
     def is_complete(self) -> bool:
         """Return whether the peer has acknowledged everything."""
         return not self._conn.count_unsent_bytes()
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/server.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/server.py
@@ -31,6 +31,9 @@
 # Targets in a log line, and characters of each.
 MAX_LOGGED_TARGETS = 4
 MAX_LOGGED_TARGET = 80
+# Request ids in a log line, and characters of each.
+MAX_LOGGED_IDS = 8
+MAX_LOGGED_ID = 64
 # Seconds between checks for expired connections and new limits.
 SWEEP_INTERVAL = 1.0
 
@@ -166,7 +169,7 @@
         """Log an unexpected exception of a request handler."""
         self._events.emit(Event.UNEXPECTED, error=repr(exc))
 
-    def log_cut_connection(self, reason: str, unsent: int, unread: int, targets: list[str]) -> None:
+    def log_cut_connection(self, reason: str, unsent: int, unread: int, targets: list[str], ids: list[str]) -> None:
         """Log that a connection is closed before its caller has received all answers.
 
         Parameters
@@ -176,6 +179,8 @@
             Sizes in bytes.
         targets : list of str
             Targets of the requests in progress.
+        ids : list of str
+            Ids of the requests whose answers the caller has not received.
         """
         self._events.emit(
             Event.CONNECTION_CUT,
@@ -185,6 +190,29 @@
             unread=unread,
             requests=len(targets),
             targets=" ".join(target[:MAX_LOGGED_TARGET] for target in targets[:MAX_LOGGED_TARGETS]),
+            ids=_join_ids(ids),
+            stop_ms=round(1000 * self._plan.elapsed(monotonic())),
+        )
+
+    def log_disconnected_caller(self, how: str, answered: int, ids: list[str]) -> None:
+        """Log that a caller has ended its connection before all of its requests were answered.
+
+        Parameters
+        ----------
+        how : str
+            What this process saw: the end of the stream or an error.
+        answered : int
+            Number of the requests whose answers were made and not written.
+        ids : list of str
+            Ids of the requests.
+        """
+        self._events.emit(
+            Event.CALLER_DISCONNECTED,
+            server=self.name,
+            how=how,
+            requests=len(ids),
+            answered=answered,
+            ids=_join_ids(ids),
             stop_ms=round(1000 * self._plan.elapsed(monotonic())),
         )
 
@@ -208,3 +236,8 @@
             connection.run()
         finally:
             del self._connections[connection]
+
+
+def _join_ids(ids: list[str]) -> str:
+    """Return the first request ids for a log line."""
+    return " ".join(request_id[:MAX_LOGGED_ID] for request_id in ids[:MAX_LOGGED_IDS])
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_delivery.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_delivery.py
@@ -30,13 +30,15 @@
 
 
 class _Side:
-    """Answers with `BODY`, briefly if the path is /short, and with a part of a body if it is /broken."""
+    """Answers with `BODY`, briefly if the path is /short, with a part of a body if it is /broken, never if /waiting."""
 
     def __init__(self):
         self.begun: list[str] = []
 
     def handle(self, request) -> Answer:
         self.begun.append(request.path)
+        if request.path == "/waiting":
+            gevent.sleep(TIMEOUT)
         if request.path == "/broken":
             return Answer(200, "OK", [("content-length", "100")], _break_off())
         body = b"ok" if request.path == "/short" else BODY
@@ -111,6 +113,14 @@
     return got
 
 
+def _read_line(writer, capfd, message: str) -> dict:
+    """Return the only log line of a kind."""
+    writer.flush()
+    lines = [json.loads(line) for line in capfd.readouterr().out.splitlines()]
+    (line,) = [line for line in lines if line["message"] == message]
+    return line
+
+
 def _keep_sending(conn) -> None:
     """Send more requests until the connection is closed."""
     try:
@@ -258,15 +268,37 @@
     writer = configure_logging("info")
     server = make_server(limit=READING_PAUSE)
     conn = make_caller(server)
-    _send_unread_request(server, conn)
+    _send_unread_request(server, conn, headers="x-request-id: r1\r\n")
     gevent.spawn(server.stop).get(timeout=TIMEOUT)
-    writer.flush()
-    lines = [json.loads(line) for line in capfd.readouterr().out.splitlines()]
-    (cut,) = [line for line in lines if line["message"] == "CONNECTION_CUT"]
-    assert (cut["reason"], cut["requests"]) == ("stop", 0)
+    cut = _read_line(writer, capfd, "CONNECTION_CUT")
+    assert (cut["reason"], cut["requests"], cut["ids"]) == ("stop", 0, "r1")
     assert len(BODY) // 2 < cut["unsent"] < len(BODY)
 
 
+def test_answers_that_a_caller_has_received_are_not_named_as_cut(make_server, make_caller, capfd):
+    writer = configure_logging("info")
+    server = make_server(limit=READING_PAUSE)
+    conn = make_caller(server)
+    conn.sendall(_request("/short", "x-request-id: r0\r\n"))
+    assert conn.recv(RECEIVE_BUFFER).endswith(b"ok")
+    _send_unread_request(server, conn, headers="x-request-id: r1\r\n")
+    gevent.spawn(server.stop).get(timeout=TIMEOUT)
+    assert _read_line(writer, capfd, "CONNECTION_CUT")["ids"] == "r1"
+
+
+def test_requests_that_are_cancelled_because_their_caller_disconnects_are_logged(make_server, make_caller, capfd):
+    writer = configure_logging("info")
+    server = make_server()
+    begun = server.side.begun
+    conn = make_caller(server)
+    conn.sendall(_request("/waiting", "x-request-id: r1\r\n") + _request("/short", "x-request-id: r2\r\n"))
+    wait_until(lambda: len(begun) == 2)
+    conn.close()
+    wait_until(lambda: not server.in_progress)
+    line = _read_line(writer, capfd, "CALLER_DISCONNECTED")
+    assert (line["requests"], line["answered"], line["ids"]) == (2, 1, "r1 r2")
+
+
 def test_connection_in_the_listen_queue_is_served_when_the_server_stops(make_server, make_caller):
     server = make_server()
     # Nothing else runs in between: the kernel has made the connection, and the server has not accepted it.
--- a/packages/lanedock/lanedock/telemetry/events.py
+++ b/packages/lanedock/lanedock/telemetry/events.py
@@ -247,9 +247,18 @@
         logging.WARNING,
         "A caller's connection was closed although the caller had not received all of its answers; the fields give the "
         "reason, the bytes written but not acknowledged (`unsent`), the bytes received but not read (`unread`), the "
-        "requests in progress, the targets of the first ones and, if the process is stopping, the time since then.",
+        "requests in progress, the targets of the first ones, the ids of the requests without a received answer and, "
+        "if the process is stopping, the time since then.",
         "For the reason `stop`: raise `stop_grace_s` together with the platform's grace period.",
     )
+    CALLER_DISCONNECTED = (
+        506,
+        logging.INFO,
+        "A caller ended its connection, or its sending side, before all of its requests were answered, and they were "
+        "cancelled; the fields give how, the number of requests, how many had an answer that was not written, "
+        "their ids and, if the process is stopping, the time since then.",
+        "None if the caller gave up. Otherwise look for what ended the connection between it and this process.",
+    )
     REACHED = (503, logging.INFO, "An unreachable upstream is reachable again.", "None.")
 
     REQUEST_ROUTED = (
@@ -267,7 +276,8 @@
     REQUEST_TRY_ENDED = (
         512,
         logging.INFO,
-        "A try ended without a final answer.",
+        "A try ended without a final answer. With the outcome `abandoned` it was cancelled while its upstream may have "
+        "worked, since another try was answered or the caller left.",
         "Look up `code` in the error codes; check the upstream named.",
     )
     REQUEST_SENT_AGAIN = (
