Answer a malformed message behind two requests that end together

What callers saw: two pipelined requests and malformed bytes behind them; if the second answer was ready and waited for its turn, both were answered, and then nothing came: no 400, no end of the connection. The daemon kept the connection for good, and a stop waited for it until its end.

Cause: the reader waited for the requests one by one and asked to be notified of each end only when it came to it. The second one had ended by then. Class: a wait for an event that has passed.

Change: it asks for all of them before it waits.

--- a/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
@@ -244,10 +244,11 @@
             message = self._reader.next_head()
             if message.is_complete:
                 self._start_request(message)
-        for exchange in list(self._exchanges):
-            if exchange is not self._open_exchange:
-                exchange.done = Signal()
-                exchange.done.wait()
+        pending = [exchange for exchange in self._exchanges if exchange is not self._open_exchange]
+        for exchange in pending:
+            exchange.done = Signal()
+        for exchange in pending:
+            exchange.done.wait()
 
     def _must_pause_reading(self) -> bool:
         if len(self._exchanges) >= MAX_PIPELINED or self._reader.has_head():
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_closing.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_closing.py
@@ -13,6 +13,8 @@
   the connection's time limit, and nothing reads the body any more.
 - The caller gets only a 400 for a well-formed request and a malformed one in the same packet,
   because the parser's error ends the reader before the first request starts.
+- Of two requests before a malformed one, the second ends just after the first, before the reader waits for its end. The
+  reader then waits forever: the caller gets no 400, and the connection stays open.
 """
 
 import gevent
@@ -79,6 +81,26 @@
         server.stop()
 
 
+class _WaitingSide:
+    """Answers /wait once `opened` is set, and others at once.
+
+    Attributes
+    ----------
+    begun : list of str
+        Paths of the received requests.
+    """
+
+    def __init__(self):
+        self.begun: list[str] = []
+        self.opened = Event()
+
+    def handle(self, request) -> Answer:
+        self.begun.append(request.path)
+        if request.path == "/wait":
+            self.opened.wait()
+        return Answer(200, "OK", [("content-length", "0")], [])
+
+
 class _RefusingSide:
     """Refuses all requests."""
 
@@ -225,6 +247,18 @@
     assert side.begun == ["/a"]
 
 
+def test_two_requests_that_end_together_before_a_malformed_one_do_not_leave_the_connection_open(make_server):
+    side = _WaitingSide()
+    server = make_server(side)
+    with socket.create_connection((HOST, server.port), timeout=TIMEOUT) as conn:
+        conn.sendall(_request("/wait") + _request("/b") + b"no HTTP\r\n\r\n")
+        # The second answer waits for its turn behind the first one.
+        wait_until(lambda: side.begun == ["/wait", "/b"])
+        side.opened.set()
+        answers = read_all(conn).split(b"HTTP/1.1 ")[1:]
+    assert [answer[:3] for answer in answers] == [b"200", b"200", b"400"]
+
+
 # Data in the same packet as the end of a body, data sent after it, and the expected statuses.
 _FOLLOWING = {
     "a malformed request": (b"no HTTP\r\n\r\n", b"", [b"200", b"400"]),
