Let the failure of one of two concurrent attempts not cancel the other

What callers saw: a repeatable request got an application's 500 while another application worked on it. A request whose answer is late is sent to a second upstream; whichever ended first with a final result counted, and a failure was one. The work of the other upstream was broken off, and a request that it would have served failed. So the more upstreams fail quickly, the more of the requests at sound ones failed, too.

Cause: an application's failure was taken for the outcome of the request, as it is where one upstream has it. Class: the result of a part taken for that of the whole.

Change: success ends the other attempt; a failure, an unknown outcome or a refusal waits for the other one's result, and the best of both is returned. The other attempt ends by the same time limit.

--- a/packages/lanedock-daemon/lanedock_daemon/path/caller/attempts.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller/attempts.py
@@ -87,7 +87,7 @@
     def send_hedged(self, context: RequestContext, stats: UpstreamStats, attempt: int) -> AttemptResult:
         """Send a request, and send it to a second upstream if the answer is later than nearly all others.
 
-        The first final result counts; the other attempt is cancelled.
+        The first success counts, and the other attempt is cancelled; see `choose_result`.
         """
         started = monotonic()
         pending = self._begin_attempt(context, stats, attempt, started)
--- a/packages/lanedock-daemon/lanedock_daemon/path/caller/hedging.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller/hedging.py
@@ -10,19 +10,26 @@
 
 
 def choose_result(first: gevent.Greenlet, second: gevent.Greenlet) -> AttemptResult:
-    """Return the result of the attempt that ends first with a final result.
+    """Return the better result of two concurrent attempts.
 
-    If neither result is final, the one whose request may have run is preferred.
+    Success is returned at once. A failure or refusal at one upstream says nothing about the other one, which may be
+    working on the request, so the other attempt's result is awaited.
     """
-    result = gevent.wait([first, second], count=1)[0].get()
-    if not result.is_final:
-        other = (second if first.ready() else first).get()
-        result = other if other.is_final or other.may_have_run else result
+    earlier = gevent.wait([first, second], count=1)[0]
+    result = earlier.get()
+    if not result.is_success:
+        later = second if earlier is first else first
+        result = max(result, later.get(), key=_rank)
     # Both attempts were sent, so two applications may have received the request.
     result.arrivals = 2
     return result
 
 
+def _rank(result: AttemptResult) -> tuple[bool, bool, bool]:
+    """Return the sort key of a result: above a refusal an unknown outcome, an application's failure, and success."""
+    return result.is_success, result.is_final and not result.is_refusal, result.may_have_run
+
+
 def close_unless_chosen(outcome: AttemptResult | BaseException, chosen: AttemptResult | None) -> None:
     """Close the answer of an attempt, unless the attempt is the chosen one."""
     if isinstance(outcome, AttemptResult) and outcome is not chosen:
--- a/packages/lanedock-daemon/lanedock_daemon/path/caller/progress.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller/progress.py
@@ -73,8 +73,7 @@
 
         A final refusal doesn't replace the failure of an earlier attempt that may have run.
         """
-        is_refusal = result.code is not None
-        return self.failure if is_refusal and self._may_have_run else result.answer
+        return self.failure if result.is_refusal and self._may_have_run else result.answer
 
     def is_exhausted(self) -> bool:
         """Return whether another attempt is not allowed or unlikely to succeed."""
--- a/packages/lanedock-daemon/lanedock_daemon/path/caller/request_context.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller/request_context.py
@@ -49,6 +49,16 @@
         self.arrivals = int(has_arrived)
         self.may_have_run = may_have_run
 
+    @property
+    def is_refusal(self) -> bool:
+        """Whether the upstream's daemon refused the request, which was not run."""
+        return self.code is not None
+
+    @property
+    def is_success(self) -> bool:
+        """Whether an application answered, and its answer states no failure of its own."""
+        return self.is_final and not self.is_refusal and self.answer.status < 500
+
 
 class RequestContext:
     """State shared by all attempts at one request.
