Start pipelined requests early in a stop, and read on while others wait

What callers saw: from SIGTERM on, a request behind an unanswered one of its connection waited until its caller had received that answer, for seconds, though nothing else was in its way, and the daemon read nothing more from the connection. The users' callers give up a repeatable request that a daemon has not read after a second or a third of their time, and its connection with it: requests that an application worked on ended without an answer. The daemon noticed neither that nor any other end of the connection, as it didn't read.

Class: a protection for few that holds up all, with nobody told.

Change: requests start together until the notice unless the caller was seen to receive slowly; later, and for slow readers, one after the other as before. Reading goes on while requests wait, so the caller's end is noticed at once.

--- a/packages/lanedock-daemon/lanedock_daemon/path/http/channel.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/channel.py
@@ -210,13 +210,8 @@
         timeout : float
             Seconds.
         """
-        if self._is_readable:
-            return True
-        previous_timeout, self._timeout = self._timeout, max(0.0, timeout)
-        try:
-            self._is_readable = self._wait_readable()
-        finally:
-            self._timeout = previous_timeout
+        if not self._is_readable:
+            self._is_readable = self._wait_readable(max(0.0, timeout))
         return self._is_readable
 
     def expire_wait(self) -> None:
@@ -224,14 +219,19 @@
         if self._reader is not None:
             self._set_timer(monotonic())
 
-    def _wait_readable(self) -> bool:
-        """Wait until the socket is readable; return False if the timeout or deadline passed first."""
+    def _wait_readable(self, timeout: float | None = None) -> bool:
+        """Wait until the socket is readable; return False if the timeout or deadline passed first.
+
+        A `timeout` replaces the one of the channel, which writes by other greenlets use meanwhile.
+        """
         if self._is_closed:
             raise ConnectionError("the connection was closed")
         if not self._watcher.active:
             self._watcher.start(self._on_readable)
-        if self._timeout is not None:
-            self._set_timer(monotonic() + self._timeout)
+        if timeout is None:
+            timeout = self._timeout
+        if timeout is not None:
+            self._set_timer(monotonic() + timeout)
         elif self._deadline == NEVER:
             self._expires_at = NEVER
         elif self._deadline <= monotonic():
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
@@ -23,7 +23,7 @@
 IDLE_TIMEOUT = 300.0
 # Seconds without new data after which a connection with an unfinished body ends.
 BODY_TIMEOUT = 30.0
-# Requests of one connection that are processed concurrently; reading pauses at this number.
+# Requests of one connection that are processed or wait for their start; reading pauses at this number.
 MAX_PIPELINED = 32
 # Unread bytes of a body above which reading from the connection pauses.
 MAX_READ_AHEAD_BYTES = 256 * 1024
@@ -199,7 +199,12 @@
             raise ConnectionError("the connection ended before the end of a request head")
 
     def _receive(self) -> bool:
-        """Wait for data; return False at the end of the stream, and once the last answer is written."""
+        """Wait for data; return False at the end of the stream, and once the last answer is written.
+
+        While requests wait for their start, the wait ends after `POLL`: nothing notifies of a delivery.
+        """
+        if self._reader.has_head() and not self._conn.wait(POLL):
+            return not self._is_closing
         try:
             return not self._is_closing and self._reader.receive() and not self._is_closing
         except TimeoutError:
@@ -226,8 +231,13 @@
     def _may_start_request(self) -> bool:
         if self._has_announced_close:
             return False
+        if not self._server.is_process_stopping:
+            return True
         # The end of the process may cut what the caller has not received, and the answers queued after it.
-        return not self._server.is_process_stopping or (not self._exchanges and self._delivery.is_complete())
+        is_slow = self._delivery.is_slow(monotonic())
+        if self._exchanges and (is_slow or not self._server.may_pipeline()):
+            return False
+        return self._delivery.is_complete()
 
     def _update_open_body(self) -> None:
         """Notify the reader of the open body that more data may have arrived."""
@@ -251,7 +261,7 @@
             exchange.done.wait()
 
     def _must_pause_reading(self) -> bool:
-        if len(self._exchanges) >= MAX_PIPELINED or self._reader.has_head():
+        if len(self._exchanges) + self._reader.count_heads() >= MAX_PIPELINED or self._reader.has_head_without_body():
             return True
         # Reading resumes once the consumer has read the buffered pieces.
         return (
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/delivery.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/delivery.py
@@ -17,6 +17,9 @@
 DELIVERY_TIMEOUT = 30.0
 # Seconds between two looks at the kernel's send buffer; nothing notifies of an empty one.
 POLL = 0.05
+# Seconds after which a peer that has not acknowledged everything counts as a slow reader; covers an acknowledgement
+# that the peer's system delays.
+PROMPT_TIME = 0.1
 DISCARD_SIZE = 64 * 1024
 # Answers whose ends are remembered; more can hardly stand in the kernel's send buffer.
 MAX_REMEMBERED_ANSWERS = 64
@@ -30,7 +33,7 @@
     conn : Channel
     """
 
-    __slots__ = ("_answers", "_conn", "_progress_at", "_unsent")
+    __slots__ = ("_answers", "_conn", "_incomplete_since", "_is_slow", "_progress_at", "_unsent")
 
     def __init__(self, conn: Channel):
         self._conn = conn
@@ -38,6 +41,8 @@
         self._answers: deque[tuple[str, int]] = deque(maxlen=MAX_REMEMBERED_ANSWERS)
         self._unsent = 0
         self._progress_at = 0.0
+        self._incomplete_since: float | None = None
+        self._is_slow = False
 
     def __repr__(self) -> str:
         return f"<Delivery unsent={self._unsent}>"
@@ -61,6 +66,21 @@
         """Return whether the peer has acknowledged everything."""
         return not self._conn.count_unsent_bytes()
 
+    def is_slow(self, now: float) -> bool:
+        """Return whether calls have found the same bytes unacknowledged for more than `PROMPT_TIME`.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        """
+        if self.is_complete():
+            self._incomplete_since = None
+        elif self._incomplete_since is None:
+            self._incomplete_since = now
+        self._is_slow = self._is_slow or now - (self._incomplete_since or now) > PROMPT_TIME
+        return self._is_slow
+
     def is_in_progress(self, now: float) -> bool:
         """Return whether bytes are unacknowledged, and the peer still receives them.
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/parser.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/parser.py
@@ -163,6 +163,14 @@
         """Return whether a complete head is buffered."""
         return bool(self._heads)
 
+    def count_heads(self) -> int:
+        """Return the number of complete heads that are buffered."""
+        return len(self._heads)
+
+    def has_head_without_body(self) -> bool:
+        """Return whether a complete head is buffered whose body has not been received whole."""
+        return bool(self._heads) and not self._heads[-1].is_complete
+
     def has_unread_data(self) -> bool:
         """Return whether data of a further message was received."""
         return bool(self._heads) or self.is_in_head
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/server.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/server.py
@@ -138,6 +138,10 @@
         """Whether the process is stopping, so that answers in progress may be cut."""
         return self._plan.is_begun
 
+    def may_pipeline(self) -> bool:
+        """Return whether requests may start behind unanswered ones of their connections: not late in a stop."""
+        return not self._plan.is_leaving(monotonic())
+
     def is_leaving(self) -> bool:
         """Return whether answers announce the close of their connections because the process stops soon."""
         return self._gives_notice and self._plan.is_leaving(monotonic())
--- a/tests/stop_scenarios.py
+++ b/tests/stop_scenarios.py
@@ -34,6 +34,15 @@
     CallerKind(upload_bytes=1000, answer_bytes=3000),
     CallerKind(upload_bytes=1000, answer_bytes=3000, think=0.1),
 ]
+# Callers of services that call others, as above.
+CALLING = [
+    CallerKind(outstanding=4, answer_bytes=3000, needs_call=True),
+    CallerKind(outstanding=2, answer_bytes=3000, needs_call=True),
+    CallerKind(outstanding=4, answer_bytes=3000),
+    CallerKind(answer_bytes=3000, needs_call=True, think=0.2),
+    CallerKind(upload_bytes=1000, answer_bytes=3000),
+    CallerKind(upload_bytes=1000, answer_bytes=3000, think=0.1),
+]
 
 
 class Scenario:
@@ -57,10 +66,13 @@
     slow_share : float
         Share of the requests that applications work on for `SLOW_WORK` from the first stop on (see `stop_rounds`).
     daemons : int
+    ends_applications : bool
+        Whether the application beside each daemon leaves and ends before the daemon is stopped, and starts again.
     """
 
     __slots__ = (
         "daemons",
+        "ends_applications",
         "gap",
         "group",
         "has_grace",
@@ -82,7 +94,9 @@
         group=1,
         slow_share=0.0,
         daemons=DAEMONS,
+        ends_applications=False,
     ):
+        self.ends_applications = ends_applications
         self.gap = gap
         self.group = group
         self.slow_share = slow_share
@@ -108,4 +122,10 @@
     "pipelining-signals": Scenario(PIPELINING, signals=_SERIES),
     "pipelining-three": Scenario(PIPELINING, stopped=3, wipes_control=True),
     "overlapping-slow": Scenario(SHORT, stopped=8, gap=1.1, group=4, slow_share=0.15, daemons=12),
+    "overlapping-calls": Scenario(
+        CALLING, stopped=8, gap=0.7, group=4, slow_share=0.15, daemons=12, wipes_control=True
+    ),
+    "replaced": Scenario(
+        CALLING, stopped=8, gap=0.7, group=4, slow_share=0.15, daemons=12, wipes_control=True, ends_applications=True
+    ),
 }
