--- a/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
@@ -136,13 +136,13 @@
         if unsent or self._exchanges or self._unwritten:
             ids = self._delivery.list_unreceived(unsent) + self._list_unanswered()
             targets = [exchange.message.target for exchange in self._exchanges]
-            self._server.log_cut_connection(reason, unsent, self._conn.count_unread_bytes(), targets, ids)
+            self._server.log.log_cut(reason, unsent, self._conn.count_unread_bytes(), targets, ids)
 
     def _report_disconnect(self, how: str) -> None:
         """Log if the caller has ended the connection with requests that have no answer."""
         if self._exchanges or self._unwritten:
             answered = len(self._unwritten) + sum(exchange.is_answered for exchange in self._exchanges)
-            self._server.log_disconnected_caller(how, answered, self._list_unanswered())
+            self._server.log.log_disconnect(how, answered, self._list_unanswered())
 
     def _list_unanswered(self) -> list[str]:
         """Return the ids of the requests whose answers were not written."""
@@ -261,7 +261,7 @@
             exchange.done.wait()
 
     def _must_pause_reading(self) -> bool:
-        if len(self._exchanges) + self._reader.count_heads() >= MAX_PIPELINED or self._reader.has_head_without_body():
+        if len(self._exchanges) + self._reader.count_heads() >= MAX_PIPELINED or self._reader.has_incomplete_message():
             return True
         # Reading resumes once the consumer has read the buffered pieces.
         return (
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/parser.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/parser.py
@@ -167,8 +167,8 @@
         """Return the number of complete heads that are buffered."""
         return len(self._heads)
 
-    def has_head_without_body(self) -> bool:
-        """Return whether a complete head is buffered whose body has not been received whole."""
+    def has_incomplete_message(self) -> bool:
+        """Return whether a head is buffered whose body has not been received whole."""
         return bool(self._heads) and not self._heads[-1].is_complete
 
     def has_unread_data(self) -> bool:
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/server.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/server.py
@@ -18,6 +18,7 @@
 from lanedock_daemon.path.http.caller_messages import make_request
 from lanedock_daemon.path.http.channel import Channel
 from lanedock_daemon.path.http.connection import IDLE_TIMEOUT, Connection
+from lanedock_daemon.path.http.connection_log import ConnectionLog
 from lanedock_daemon.path.http.incoming import Worker
 from lanedock_daemon.path.http.messages import DEFAULT_RETRY_AFTER, Answer, Body, Outcome, make_refusal
 from lanedock_daemon.path.http.parser import Message
@@ -28,12 +29,6 @@
 # Seconds after its beginning at which an unfinished head is refused, unless the limits in force say otherwise.
 HEAD_TIMEOUT = 10.0
 BACKLOG = 1024
-# Targets in a log line, and characters of each.
-MAX_LOGGED_TARGETS = 4
-MAX_LOGGED_TARGET = 80
-# Request ids in a log line, and characters of each.
-MAX_LOGGED_IDS = 8
-MAX_LOGGED_ID = 64
 # Seconds between checks for expired connections and new limits.
 SWEEP_INTERVAL = 1.0
 
@@ -56,6 +51,7 @@
     ----------
     limits : CallerLimits or None
         Limits in force at the last sweep.
+    log : ConnectionLog
     """
 
     def __init__(
@@ -74,6 +70,7 @@
         self._gives_notice = gives_notice
         super().__init__(name, address, side, plan, events, closes_last)
         self.limits = None
+        self.log = ConnectionLog(name, plan, events)
         self._get_limits = get_limits
         self._connections: dict[Connection, None] = {}
         self._sweeper = None
@@ -173,53 +170,6 @@
         """Log an unexpected exception of a request handler."""
         self._events.emit(Event.UNEXPECTED, error=repr(exc))
 
-    def log_cut_connection(self, reason: str, unsent: int, unread: int, targets: list[str], ids: list[str]) -> None:
-        """Log that a connection is closed before its caller has received all answers.
-
-        Parameters
-        ----------
-        reason : str
-        unsent, unread : int
-            Sizes in bytes.
-        targets : list of str
-            Targets of the requests in progress.
-        ids : list of str
-            Ids of the requests whose answers the caller has not received.
-        """
-        self._events.emit(
-            Event.CONNECTION_CUT,
-            server=self.name,
-            reason=reason,
-            unsent=unsent,
-            unread=unread,
-            requests=len(targets),
-            targets=" ".join(target[:MAX_LOGGED_TARGET] for target in targets[:MAX_LOGGED_TARGETS]),
-            ids=_join_ids(ids),
-            stop_ms=round(1000 * self._plan.elapsed(monotonic())),
-        )
-
-    def log_disconnected_caller(self, how: str, answered: int, ids: list[str]) -> None:
-        """Log that a caller has ended its connection before all of its requests were answered.
-
-        Parameters
-        ----------
-        how : str
-            What this process saw: the end of the stream or an error.
-        answered : int
-            Number of the requests whose answers were made and not written.
-        ids : list of str
-            Ids of the requests.
-        """
-        self._events.emit(
-            Event.CALLER_DISCONNECTED,
-            server=self.name,
-            how=how,
-            requests=len(ids),
-            answered=answered,
-            ids=_join_ids(ids),
-            stop_ms=round(1000 * self._plan.elapsed(monotonic())),
-        )
-
     def _sweep(self) -> None:
         while True:
             gevent.sleep(SWEEP_INTERVAL)
@@ -240,8 +190,3 @@
             connection.run()
         finally:
             del self._connections[connection]
-
-
-def _join_ids(ids: list[str]) -> str:
-    """Return the first request ids for a log line."""
-    return " ".join(request_id[:MAX_LOGGED_ID] for request_id in ids[:MAX_LOGGED_IDS])
