Count a request's time from when it was read

What callers saw: nothing; an application did. A pipelined request that waited in a stop was passed on with the whole time that its caller had stated, however long it had waited, and was worked on when the caller had given up.

Cause: the time began with the worker, not with the request.

Change: a message states when its head was read, and the caller's side counts from then.

--- a/packages/lanedock-daemon/lanedock_daemon/path/caller/caller.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller/caller.py
@@ -131,7 +131,8 @@
     def handle(self, request: Request) -> Answer:
         """Send a caller's request to an upstream, and return the answer."""
         self._metrics.count(Metric.REQUESTS)
-        started = monotonic()
+        # The caller's time goes on while its request waits for its start.
+        started = request.read_at
         span = self._tracer.start(f"{request.method} caller", request.header(TRACE_HEADER))
         facts = self._dialect.read_request(request.headers)
         log = self._requests.begin(facts.request_id, started)
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/caller_messages.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/caller_messages.py
@@ -23,7 +23,9 @@
     dropped = {name.strip() for name in connection_header.split(",")} if connection_header else ()
     headers = [pair for pair in message.headers if pair[0] not in HOP_HEADERS and pair[0] not in dropped]
     host = message.header("host").rpartition(":")[0] or message.header("host")
-    return Request(message.method, message.target, host.lower(), headers, body)
+    request = Request(message.method, message.target, host.lower(), headers, body)
+    request.read_at = message.read_at
+    return request
 
 
 def refuse_malformed(exc: MalformedMessage, outcome: str) -> Answer:
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/messages.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/messages.py
@@ -212,9 +212,11 @@
     ----------
     headers : list of tuple of (str, str)
         Names in lower case; without hop-by-hop headers.
+    read_at : float
+        Monotonic time, in seconds, at which the request was read; it may have waited since then.
     """
 
-    __slots__ = ("body", "host", "method", "path", "target")
+    __slots__ = ("body", "host", "method", "path", "read_at", "target")
 
     def __init__(self, method: str, target: str, host: str, headers: list[tuple[str, str]], body: Body):
         super().__init__(headers)
@@ -223,6 +225,7 @@
         self.path = target.partition("?")[0]
         self.host = host
         self.body = body
+        self.read_at = monotonic()
 
     def __repr__(self) -> str:
         return f"<Request {self.method} {self.target}>"
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/parser.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/parser.py
@@ -5,6 +5,7 @@
 
 import httptools
 
+from lanedock.clock import monotonic
 from lanedock.errors import ErrorCode, LanedockError
 from lanedock_daemon.path.http.headers import PACE_HEADER, parse_int
 from lanedock_daemon.path.http.messages import HeadersByName
@@ -50,6 +51,8 @@
         Parts of the body that were received but not consumed yet.
     is_complete : bool
         Whether the body was received to its end.
+    read_at : float
+        Monotonic time, in seconds, at which the head was read.
     """
 
     __slots__ = (
@@ -57,6 +60,7 @@
         "keep_alive",
         "method",
         "pieces",
+        "read_at",
         "reason",
         "status",
         "target",
@@ -73,6 +77,7 @@
         self.status = 0
         self.reason = ""
         self.version = ""
+        self.read_at = 0.0
 
     def count_unread_bytes(self) -> int:
         """Return the number of received body bytes that were not consumed yet."""
@@ -122,6 +127,7 @@
         self._has_completed_part = True
         self._current.keep_alive = self._parser.should_keep_alive()
         self._current.version = self._parser.get_http_version()
+        self._current.read_at = monotonic()
         self._finish_head(self._current)
         self._heads.append(self._current)
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_pipelined_stop.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_pipelined_stop.py
@@ -7,12 +7,15 @@
   requests that are not begun, and with the connection those that an upstream works on.
 - The end of a caller's connection isn't noticed while requests wait on it, and upstreams work on for nobody.
 - A caller that reads slowly gets its requests started together, and the end of the process cuts their answers.
+- A request that waited gets its whole time from its start on, and an upstream works on it when its caller has gone.
 """
 
 import gevent
 import pytest
 from gevent import socket
+from gevent.event import Event
 
+from lanedock.clock import monotonic
 from lanedock.kernel import StopPlan
 from lanedock.kernel.stop_plan import NOTICE_TIME
 from lanedock.settings import Address
@@ -30,23 +33,29 @@
 
 
 class _Side:
-    """Answers /wait-N when it is cancelled at the latest, /long with `BODY`, and others at once.
+    """Answers /wait-N once `opened` is set, /long with `BODY`, and others at once.
 
     Attributes
     ----------
     begun, cancelled : list of str
         Paths of the requests.
+    read_at, begun_at : dict of str to float
+        Monotonic times, in seconds, by path.
     """
 
     def __init__(self):
+        self.opened = Event()
         self.begun: list[str] = []
         self.cancelled: list[str] = []
+        self.read_at: dict[str, float] = {}
+        self.begun_at: dict[str, float] = {}
 
     def handle(self, request) -> Answer:
         self.begun.append(request.path)
+        self.read_at[request.path], self.begun_at[request.path] = request.read_at, monotonic()
         if request.path.startswith("/wait"):
             try:
-                gevent.sleep(EARLY[1])
+                self.opened.wait()
             except gevent.GreenletExit:
                 self.cancelled.append(request.path)
                 raise
@@ -101,6 +110,33 @@
     wait_until(lambda: side.cancelled == side.begun)
 
 
+def test_time_for_which_a_request_waits_counts_as_its_callers_time(make_chain):
+    waited_ms, deadline_ms = 600, 1000
+    chain = make_chain(None)
+    side = chain.entry.side
+    handle = side.handle
+
+    def handle_late(request) -> Answer:
+        request.read_at -= waited_ms / 1000
+        return handle(request)
+
+    side.handle = handle_late
+    chain.request("GET", headers=f"x-request-deadline-ms: {deadline_ms}\r\n")
+    (head,) = chain.applications[0].heads
+    left_ms = next(int(line.split(":")[1]) for line in head.lower().split("\r\n") if "deadline-ms" in line)
+    assert left_ms <= deadline_ms - waited_ms
+
+
+def test_request_is_read_when_it_arrives_although_it_waits_behind_another(make_stopping):
+    side, conn = make_stopping(LATE)
+    conn.sendall(_request("/wait-0") + _request("/b"))
+    wait_until(lambda: side.begun == ["/wait-0"])
+    gevent.sleep(3 * PROMPT_TIME)
+    side.opened.set()
+    wait_until(lambda: side.begun == ["/wait-0", "/b"])
+    assert side.begun_at["/b"] - side.read_at["/b"] >= 3 * PROMPT_TIME
+
+
 def test_requests_of_a_slow_reader_start_one_at_a_time_in_a_stop(make_stopping):
     side, conn = make_stopping(EARLY)
     conn.sendall(_request("/long"))
