Split the stored log's format and its system calls from the storage

The storage held the record format, the system calls and the order of durable writes in one file, and its tests could only make a sync fail. records.py holds the format now, disk.py the system calls behind an abstract class and the files that are replaced as a whole, so that a test can fail each call.

The one that made a sync fail by a function replaces the system calls instead; its checks are the same.

--- a/packages/lanedock/lanedock/consensus/__init__.py
+++ b/packages/lanedock/lanedock/consensus/__init__.py
@@ -3,8 +3,9 @@
 
 from lanedock.consensus.core import Ready, ReplicaRole, Timing
 from lanedock.consensus.log import LogSnapshot, RaftLog
+from lanedock.consensus.records import HardState, Restored, StorageError
 from lanedock.consensus.replica import RaftReplica
-from lanedock.consensus.storage import FileStorage, HardState, LogStorage, Restored, StorageError
+from lanedock.consensus.storage import FileStorage, LogStorage
 
 __all__ = [
     "FileStorage",
--- a/packages/lanedock/lanedock/consensus/tests/test_storage.py
+++ b/packages/lanedock/lanedock/consensus/tests/test_storage.py
@@ -1,19 +1,31 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """Tests of the log on disk: torn tails, corruption and disk failures."""
 
-import os
+import errno
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from lanedock.consensus import FileStorage, HardState, LogSnapshot, StorageError
+from lanedock.consensus.disk import OsDisk
 from lanedock.errors import ErrorCode
 from lanedock.wire import messages
 
 MEMBERSHIP = messages.Membership(voters=["a@1"])
 
 
+class FullDisk(OsDisk):
+    """The system's disk, whose syncs fail while it is full."""
+
+    is_full = False
+
+    def sync(self, descriptor: int) -> None:
+        if self.is_full:
+            raise OSError(errno.ENOSPC, "No space left on device")
+        super().sync(descriptor)
+
+
 def _entries(*terms: int) -> list[messages.LogEntry]:
     return [messages.LogEntry(term=term, index=index, payload=b"x" * 20) for index, term in enumerate(terms, 1)]
 
@@ -74,20 +86,14 @@
 
 
 def test_writes_are_refused_after_a_failed_sync(folder):
-    sync_failures = []
-
-    def sync(descriptor):
-        if sync_failures:
-            raise OSError(28, "No space left on device")
-        os.fsync(descriptor)
-
-    storage = FileStorage(str(folder), sync)
+    disk = FullDisk()
+    storage = FileStorage(str(folder), disk)
     storage.restore()
-    sync_failures.append(True)
+    disk.is_full = True
     with pytest.raises(StorageError) as raised:
         storage.save(None, _entries(5))
     assert raised.value.code is ErrorCode.DISK_FAILED
-    sync_failures.clear()
+    disk.is_full = False
     with pytest.raises(StorageError):
         storage.save(None, _entries(5))
 
