Cut zeros and records without meaning from the end of a log instead of applying them

A loss of power can leave such a tail where an append was not synced; the replica then started without its entries, its vote and the membership. An empty entry, or one behind a gap, damaged the log likewise.

On this change three cases with 9, 18 and 4096 zeros and six with other such records fail; all pass now.

--- a/packages/lanedock/lanedock/consensus/records.py
+++ b/packages/lanedock/lanedock/consensus/records.py
@@ -4,6 +4,8 @@
 import struct
 import zlib
 
+from google.protobuf.message import DecodeError
+
 from lanedock.consensus.log import LogSnapshot, RaftLog
 from lanedock.errors import LanedockError
 from lanedock.wire import messages
@@ -95,40 +97,60 @@
 def unpack_log(data: bytes) -> tuple[Restored | None, int]:
     """Return the log that the records before the first bad one make up, and the byte position at which they end.
 
-    The log is None where the first record is not a snapshot.
+    A record is bad if it is incomplete, fails its checksum, or has no meaning at its place. The log is
+    None where the first record is not a snapshot.
     """
-    records, end = _unpack_records(data)
-    if not records or records[0][0] != _KIND_SNAPSHOT:
-        return None, end
-    restored = _replay(records)
-    restored.truncated_bytes = len(data) - end
-    return restored, end
-
-
-def _unpack_records(data: bytes) -> tuple[list[tuple[int, bytes]], int]:
-    records = []
+    restored = None
     position = 0
-    while position + _HEADER.size <= len(data):
-        length, checksum, kind = _HEADER.unpack_from(data, position)
-        start = position + _HEADER.size
-        payload = data[start : start + length]
-        if length > _MAX_RECORD_BYTES or len(payload) < length or zlib.crc32(payload, kind) != checksum:
+    while (record := _unpack_record(data, position)) is not None:
+        kind, payload, end = record
+        try:
+            restored = _apply_record(restored, kind, payload)
+        except (DecodeError, ValueError, struct.error):
             break
-        records.append((kind, payload))
-        position = start + length
-    return records, position
-
-
-def _replay(records: list[tuple[int, bytes]]) -> Restored:
-    hard_state = HardState()
-    log = RaftLog(LogSnapshot(0, 0, messages.Membership(), b""), [])
-    for kind, payload in records:
-        if kind == _KIND_ENTRY:
-            log.append(messages.LogEntry.FromString(payload))
-        elif kind == _KIND_HARD_STATE:
-            (term,) = _HARD_STATE.unpack_from(payload)
-            hard_state = HardState(term, payload[_HARD_STATE.size :].decode())
-        else:
-            request = messages.SnapshotRequest.FromString(payload)
-            log.reset(LogSnapshot(request.last_index, request.last_term, request.membership, request.state))
-    return Restored(hard_state, log)
+        position = end
+    if restored is not None:
+        restored.truncated_bytes = len(data) - position
+    return restored, position
+
+
+def _unpack_record(data: bytes, position: int) -> tuple[int, bytes, int] | None:
+    """Return the kind and payload of the record at a position, and its end; None if it is incomplete or damaged."""
+    start = position + _HEADER.size
+    if start > len(data):
+        return None
+    length, checksum, kind = _HEADER.unpack_from(data, position)
+    payload = data[start : start + length]
+    if length > _MAX_RECORD_BYTES or len(payload) < length or zlib.crc32(payload, kind) != checksum:
+        return None
+    return kind, payload, start + length
+
+
+def _apply_record(restored: Restored | None, kind: int, payload: bytes) -> Restored:
+    """Return the log after a further record.
+
+    Raises
+    ------
+    ValueError, DecodeError, struct.error
+        The record has no meaning at its place.
+    """
+    if restored is None:
+        if kind != _KIND_SNAPSHOT:
+            raise ValueError("the first record is not a snapshot")
+        return Restored(HardState(), RaftLog(_unpack_snapshot(payload), []))
+    if kind == _KIND_ENTRY:
+        entry = messages.LogEntry.FromString(payload)
+        if not restored.log.snapshot.index < entry.index <= restored.log.last_index + 1:
+            raise ValueError(f"entry {entry.index} does not follow {restored.log!r}")
+        restored.log.append(entry)
+    elif kind == _KIND_HARD_STATE:
+        (term,) = _HARD_STATE.unpack_from(payload)
+        restored.hard_state = HardState(term, payload[_HARD_STATE.size :].decode())
+    else:
+        raise ValueError(f"a record of kind {kind} behind the first one")
+    return restored
+
+
+def _unpack_snapshot(payload: bytes) -> LogSnapshot:
+    request = messages.SnapshotRequest.FromString(payload)
+    return LogSnapshot(request.last_index, request.last_term, request.membership, request.state)
--- a/packages/lanedock/lanedock/consensus/tests/test_storage.py
+++ b/packages/lanedock/lanedock/consensus/tests/test_storage.py
@@ -2,6 +2,8 @@
 """Tests of the log on disk: torn tails, corruption and disk failures."""
 
 import errno
+import struct
+import zlib
 
 import pytest
 from hypothesis import given, settings
@@ -68,6 +70,42 @@
     assert _restore(folder)[1].log.last_index == 4
 
 
+@pytest.mark.parametrize("length", [9, 18, 4096])
+def test_zeros_behind_the_records_do_not_empty_the_log(folder, length):
+    # A loss of power can leave zeros where an append was not synced.
+    with open(folder / "log", "ab") as file:
+        file.write(bytes(length))
+    _, restored = _restore(folder)
+    assert [entry.term for entry in restored.log.entries] == [1, 1, 2]
+    assert restored.log.membership() == MEMBERSHIP
+    assert restored.truncated_bytes == length
+
+
+def _record(kind: int, payload: bytes) -> bytes:
+    return struct.pack(">IIB", len(payload), zlib.crc32(payload, kind), kind) + payload
+
+
+@pytest.mark.parametrize(
+    "record",
+    [
+        _record(7, b"of an unknown kind"),
+        _record(2, b"short"),
+        _record(3, messages.SnapshotRequest(last_index=9).SerializeToString()),
+        _record(1, messages.LogEntry(term=2, index=9).SerializeToString()),
+        _record(1, b""),
+        _record(1, b"\xff\xff"),
+    ],
+    ids=["unknown kind", "short hard state", "second snapshot", "entry behind a gap", "empty entry", "no entry"],
+)
+def test_a_record_that_has_no_meaning_at_its_place_ends_the_log(folder, record):
+    with open(folder / "log", "ab") as file:
+        file.write(record)
+    _, restored = _restore(folder)
+    assert [entry.term for entry in restored.log.entries] == [1, 1, 2]
+    assert (restored.hard_state.term, restored.log.membership()) == (3, MEMBERSHIP)
+    assert restored.truncated_bytes == len(record)
+
+
 @pytest.mark.parametrize("position", [10, 60, -3])
 def test_a_flipped_bit_in_synced_data_raises_log_corrupt(folder, position):
     data = bytearray((folder / "log").read_bytes())
