Sync what a start restores before anything rests on it

A start returned the term, the vote and the entries that stood in the file, and synced only if it had cut something. After a kill between a write and its sync, or after a failed sync, these bytes need not be on disk. The replica then voted and acknowledged by them, and a loss of power took them back: a second vote in a term, or an acknowledged entry gone. A second sync of the same file doesn't help: after an error the system counts the pages as written.

restore writes the identity and the log to new files, syncs these, renames them and syncs the folder before it returns, so that it believes only what is on disk. A torn tail is left out of the new file, so nothing is truncated any more. New folders have their entry in the parent folder synced.

--- a/packages/lanedock/lanedock/consensus/disk.py
+++ b/packages/lanedock/lanedock/consensus/disk.py
@@ -6,6 +6,9 @@
 
 __all__ = ["Disk", "DurableFolder", "OsDisk"]
 
+# Suffix of the file that holds a file's new content until it takes the file's place.
+NEW_SUFFIX = ".new"
+
 
 class Disk(ABC):
     """System calls on files. Each raises `OSError` where the system refuses it."""
@@ -14,6 +17,10 @@
     def read(self, path: str) -> bytes:
         """Return the whole content of a file."""
 
+    @abstractmethod
+    def is_folder(self, path: str) -> bool:
+        """Return whether a folder of this path exists."""
+
     @abstractmethod
     def make_folder(self, path: str) -> None:
         """Make a folder in an existing one."""
@@ -37,10 +44,6 @@
     def close(self, descriptor: int) -> None:
         """Close a descriptor."""
 
-    @abstractmethod
-    def truncate(self, descriptor: int, length: int) -> None:
-        """Cut an open file to a length in bytes."""
-
     @abstractmethod
     def rename(self, path: str, new_path: str) -> None:
         """Rename a file, replacing the file at the new path."""
@@ -57,6 +60,9 @@
         with open(path, "rb") as file:
             return file.read()
 
+    def is_folder(self, path: str) -> bool:
+        return os.path.isdir(path)
+
     def make_folder(self, path: str) -> None:
         os.mkdir(path)
 
@@ -72,9 +78,6 @@
     def close(self, descriptor: int) -> None:
         os.close(descriptor)
 
-    def truncate(self, descriptor: int, length: int) -> None:
-        os.ftruncate(descriptor, length)
-
     def rename(self, path: str, new_path: str) -> None:
         os.replace(path, new_path)
 
@@ -105,30 +108,33 @@
         return os.path.join(self._path, name)
 
     def create(self) -> None:
-        """Make the folder and its missing parents."""
+        """Make the folder and its missing parents, and sync the entry of each."""
         missing = []
         path = os.path.abspath(self._path)
-        while not os.path.isdir(path):
+        while not self._disk.is_folder(path):
             missing.append(path)
             path = os.path.dirname(path)
         for path in reversed(missing):
             self._disk.make_folder(path)
+            self._sync_entries(os.path.dirname(path))
 
     def read(self, name: str) -> bytes:
         """Return the content of a file."""
         return self._disk.read(self.path_of(name))
 
-    def replace(self, name: str, data: bytes) -> None:
-        """Replace a file by a new one that is synced first, and sync the folder."""
-        path = self.path_of(name + ".new")
+    def stage(self, name: str, data: bytes) -> None:
+        """Write the new content of a file beside it, and sync that. The file itself is not touched."""
+        path = self.path_of(name + NEW_SUFFIX)
         descriptor = self._disk.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC)
         try:
             self.write(descriptor, data)
             self._disk.sync(descriptor)
         finally:
             self._disk.close(descriptor)
-        self._disk.rename(path, self.path_of(name))
-        self.sync()
+
+    def put_in_place(self, name: str) -> None:
+        """Put the staged content of a file in its place. It is there for good once the folder is synced."""
+        self._disk.rename(self.path_of(name + NEW_SUFFIX), self.path_of(name))
 
     def write(self, descriptor: int, data: bytes) -> None:
         """Write all of the data to an open file."""
--- a/packages/lanedock/lanedock/consensus/storage.py
+++ b/packages/lanedock/lanedock/consensus/storage.py
@@ -7,7 +7,7 @@
 - ``log`` holds records: a snapshot first, then hard states and entries. It is
   replaced as a whole by writing ``log.new`` and renaming that;
 - ``synced`` holds the length of ``log`` that is known to be synced. A bad record
-  beyond that length is a torn tail and is truncated; one within it is
+  beyond that length is a torn tail and is dropped; one within it is
   corruption and an error.
 """
 
@@ -40,12 +40,13 @@
 
     @abstractmethod
     def restore(self) -> Restored:
-        """Return the stored hard state and log.
+        """Return the stored hard state and log, once they are synced.
 
         Raises
         ------
         StorageError
-            `ErrorCode.LOG_CORRUPT` if the stored data is unreadable or corrupt.
+            `ErrorCode.LOG_CORRUPT` if the stored data is unreadable or corrupt,
+            `ErrorCode.DISK_FAILED` if it can't be synced.
         """
 
     @abstractmethod
@@ -117,7 +118,9 @@
         """
         self._folder.create()
         self.replace(LogSnapshot(0, 0, membership, b""), HardState(), [])
-        self._folder.replace("identity", replica.encode())
+        self._folder.stage("identity", replica.encode())
+        self._folder.put_in_place("identity")
+        self._folder.sync()
 
     # ------------------------------------------------------------------ reading
 
@@ -129,12 +132,20 @@
             raise StorageError(
                 ErrorCode.LOG_CORRUPT, f"bad record at byte {end} of the log; {synced} bytes were synced"
             )
-        self._open(end)
-        if end < len(data):
-            self._disk.truncate(self._descriptor, end)
-            self._run_write(lambda: self._disk.sync(self._descriptor))
+        identity = self._folder.read("identity")
+        self._run_write(lambda: self._rewrite(identity, restored))
         return restored
 
+    def _rewrite(self, identity: bytes, restored: Restored) -> None:
+        """Write what was read to new files and sync these.
+
+        What a file holds need not be on disk: the process that wrote it may have ended before its sync, or
+        after a failed one, which a later sync of the same file does not repeat.
+        """
+        self._folder.stage("identity", identity)
+        self._folder.put_in_place("identity")
+        self._replace(pack_log(restored.log.snapshot, restored.hard_state, restored.log.entries))
+
     def _read_log(self) -> bytes:
         try:
             return self._folder.read("log")
@@ -195,7 +206,9 @@
         # Resets the synced length first, so that after a crash the new file is not checked
         # against the old file's length.
         self._save_synced_length(0)
-        self._folder.replace("log", data)
+        self._folder.stage("log", data)
+        self._folder.put_in_place("log")
+        self._folder.sync()
         self.close()
         self._open(len(data))
         self._save_synced_length(len(data))
--- a/packages/lanedock/lanedock/consensus/tests/simulated_disk.py
+++ b/packages/lanedock/lanedock/consensus/tests/simulated_disk.py
@@ -192,10 +192,6 @@
         self.calls.append("close")
         del self._open[descriptor]
 
-    def truncate(self, descriptor: int, length: int) -> None:
-        self._call("truncate")
-        self._open[descriptor][1].truncate(length)
-
     def rename(self, path: str, new_path: str) -> None:
         self._call("rename")
         self._files[new_path] = self._find(path)
--- /dev/null
+++ b/packages/lanedock/lanedock/consensus/tests/test_disk_failures.py
@@ -0,0 +1,178 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Tests of the storage on a disk whose calls fail one after the other, and which loses power."""
+
+import errno
+from random import Random
+
+import pytest
+
+from lanedock.consensus import FileStorage, HardState, LogSnapshot, StorageError
+from lanedock.consensus.tests.simulated_disk import PowerLoss, SimulatedDisk
+from lanedock.wire import messages
+
+MEMBERSHIP = messages.Membership(voters=["a@1", "b@1", "c@1"])
+FOLDER = "/data/control"
+POWER_LOSSES = (PowerLoss.SYNCED, PowerLoss.ALL, PowerLoss.TORN)
+ERRORS = (errno.ENOSPC, errno.EIO)
+
+
+def _entries(first: int, last: int, term: int) -> list[messages.LogEntry]:
+    return [messages.LogEntry(term=term, index=index, payload=b"x" * 90) for index in range(first, last + 1)]
+
+
+class State:
+    """What a log holds: its snapshot's index, its hard state, and its entries' indices and terms."""
+
+    __slots__ = ("entries", "snapshot", "term", "voted_for")
+
+    def __init__(self, snapshot: int = 0, term: int = 0, voted_for: str = "", entries: tuple = ()):
+        self.snapshot = snapshot
+        self.term = term
+        self.voted_for = voted_for
+        self.entries = entries
+
+    def __repr__(self) -> str:
+        return f"<State {self.snapshot} term={self.term} {self.voted_for} {self.entries}>"
+
+    def __eq__(self, other) -> bool:
+        return repr(self) == repr(other)
+
+    @classmethod
+    def of(cls, restored) -> "State":
+        entries = tuple((entry.index, entry.term) for entry in restored.log.entries)
+        assert restored.log.membership() == MEMBERSHIP
+        hard_state = restored.hard_state
+        return cls(restored.log.snapshot.index, hard_state.term, hard_state.voted_for, entries)
+
+
+class Save:
+    """A step that appends a hard state and entries."""
+
+    def __init__(self, hard_state: HardState | None, entries: list[messages.LogEntry]):
+        self._hard_state = hard_state
+        self._entries = entries
+
+    def run(self, storage: FileStorage) -> None:
+        storage.save(self._hard_state, self._entries)
+
+    def results(self, before: State) -> list[State]:
+        """Return the states after each record of the step; the last one is that of the whole step."""
+        state = before
+        states = []
+        if self._hard_state is not None:
+            state = State(state.snapshot, self._hard_state.term, self._hard_state.voted_for, state.entries)
+            states.append(state)
+        for entry in self._entries:
+            kept = tuple(item for item in state.entries if item[0] < entry.index)
+            state = State(state.snapshot, state.term, state.voted_for, (*kept, (entry.index, entry.term)))
+            states.append(state)
+        return states
+
+
+class Compact:
+    """A step that replaces the log by a snapshot and the entries after it."""
+
+    def __init__(self, index: int, hard_state: HardState, entries: list[messages.LogEntry]):
+        self._index = index
+        self._hard_state = hard_state
+        self._entries = entries
+
+    def run(self, storage: FileStorage) -> None:
+        storage.replace(LogSnapshot(self._index, 1, MEMBERSHIP, b"state" * 20), self._hard_state, self._entries)
+
+    def results(self, before: State) -> list[State]:
+        entries = tuple((entry.index, entry.term) for entry in self._entries)
+        return [State(self._index, self._hard_state.term, self._hard_state.voted_for, entries)]
+
+
+STEPS = (
+    Save(HardState(1, "b@1"), []),
+    Save(None, _entries(1, 3, 1)),
+    Save(HardState(2, ""), _entries(3, 5, 2)),
+    Compact(4, HardState(2, ""), _entries(5, 5, 2)),
+    Save(HardState(3, "a@1"), _entries(6, 7, 3)),
+)
+
+
+class Replica:
+    """Runs the steps on a disk, and checks each state that is restored against what was acknowledged."""
+
+    def __init__(self):
+        self.disk = SimulatedDisk("/")
+        self.storage = FileStorage(FOLDER, self.disk)
+        self.acknowledged: State | None = None
+        self.possible: list[State] = []
+
+    def run(self) -> None:
+        """Run the steps that are not acknowledged yet."""
+        self.open()
+        done = 0 if self.acknowledged is None else self._count_done()
+        for step in STEPS[done:]:
+            self.possible = [self.acknowledged, *step.results(self.acknowledged)]
+            step.run(self.storage)
+            self.acknowledged = self.possible[-1]
+            self.possible = [self.acknowledged]
+
+    def _count_done(self) -> int:
+        state = State()
+        for number, step in enumerate(STEPS):
+            if state == self.acknowledged:
+                return number
+            state = step.results(state)[-1]
+        return len(STEPS)
+
+    def open(self) -> None:
+        """Open the folder as a start does, and check what it holds."""
+        if not self.storage.read_identity():
+            assert self.acknowledged is None
+            self.storage.initialize("a@1", MEMBERSHIP)
+        assert self.storage.read_identity() == "a@1"
+        restored = State.of(self.storage.restore())
+        if self.acknowledged is not None:
+            assert restored in self.possible, f"{restored} was restored, {self.possible} possible"
+        # What a start has restored, votes and acknowledgements rest on.
+        self.acknowledged = restored
+        self.possible = [restored]
+
+    def restart(self) -> None:
+        self.storage = FileStorage(FOLDER, self.disk)
+
+
+def _kill_at_sync(disk: SimulatedDisk) -> None:
+    """Make the next sync end the process before it has any effect."""
+
+    def sync(descriptor: int) -> None:
+        del disk.sync
+        raise KeyboardInterrupt
+
+    disk.sync = sync
+
+
+def _fail_next_sync(disk: SimulatedDisk) -> None:
+    """Make the next sync fail; the pages that it should have written count as written."""
+
+    def sync(descriptor: int) -> None:
+        del disk.sync
+        disk.fail_from, disk.fail_until = len(disk.calls), len(disk.calls) + 1
+        disk.sync(descriptor)
+
+    disk.sync = sync
+
+
+@pytest.mark.parametrize("loss", POWER_LOSSES)
+@pytest.mark.parametrize("interrupt", [_kill_at_sync, _fail_next_sync])
+def test_a_vote_and_entries_that_a_start_restores_are_synced(interrupt, loss):
+    # A start believed bytes that a former process had written and not synced.
+    replica = Replica()
+    replica.run()
+    interrupt(replica.disk)
+    step = Save(HardState(4, "c@1"), _entries(8, 8, 4))
+    with pytest.raises((KeyboardInterrupt, StorageError)):
+        step.run(replica.storage)
+    replica.possible = [replica.acknowledged, *step.results(replica.acknowledged)]
+    replica.restart()
+    replica.open()
+    assert (replica.acknowledged.term, replica.acknowledged.voted_for) == (4, "c@1")
+    replica.disk.lose_power(loss, Random(1))
+    replica.restart()
+    replica.open()
