Keep the synced length in place, and tell by an id which log it belongs to

The file that holds the synced length was emptied at each write and written anew. On a full disk it stayed empty, and with it the check that tells a torn tail from a synced record gone bad was gone. The length 0 that was to be written before a new log was put in place was not synced: after a loss of power the file could hold the former log's length, and each later start refused the shorter, sound log as corrupt.

The length is written in place, without truncating the file. Each log has an id of its own in its first record, and a length of another log counts as unknown, so no order between the two files is needed. Logs without an id are checked by the former format of the file, as a test shows.

--- a/packages/lanedock/lanedock/consensus/disk.py
+++ b/packages/lanedock/lanedock/consensus/disk.py
@@ -33,6 +33,10 @@
     def write(self, descriptor: int, data: bytes) -> int:
         """Write at the descriptor's position; return the number of bytes written, which may be fewer."""
 
+    @abstractmethod
+    def write_at(self, descriptor: int, data: bytes, position: int) -> int:
+        """Write at a byte position of an open file; return the number of bytes written."""
+
     @abstractmethod
     def sync(self, descriptor: int) -> None:
         """Return once all data of an open file, or the entries of an open folder, are on disk.
@@ -72,6 +76,9 @@
     def write(self, descriptor: int, data: bytes) -> int:
         return os.write(descriptor, data)
 
+    def write_at(self, descriptor: int, data: bytes, position: int) -> int:
+        return os.pwrite(descriptor, data, position)
+
     def sync(self, descriptor: int) -> None:
         os.fsync(descriptor)
 
--- a/packages/lanedock/lanedock/consensus/records.py
+++ b/packages/lanedock/lanedock/consensus/records.py
@@ -52,14 +52,17 @@
     hard_state : HardState
     log : RaftLog
     truncated_bytes : int
-        Length, in bytes, of a torn tail that was truncated.
+        Length, in bytes, of a torn tail that was dropped.
+    log_id : bytes
+        Id of the file; empty for a log written before logs had one.
     """
 
-    __slots__ = ("hard_state", "log", "truncated_bytes")
+    __slots__ = ("hard_state", "log", "log_id", "truncated_bytes")
 
-    def __init__(self, hard_state: HardState, log: RaftLog, truncated_bytes: int = 0):
+    def __init__(self, hard_state: HardState, log: RaftLog, truncated_bytes: int = 0, log_id: bytes = b""):
         self.hard_state = hard_state
         self.log = log
+        self.log_id = log_id
         self.truncated_bytes = truncated_bytes
 
     def __repr__(self) -> str:
@@ -81,15 +84,19 @@
     return _pack(_KIND_ENTRY, entry.SerializeToString())
 
 
-def _pack_snapshot(snapshot: LogSnapshot) -> bytes:
-    request = messages.SnapshotRequest(last_index=snapshot.index, last_term=snapshot.term, state=snapshot.state)
+def _pack_snapshot(snapshot: LogSnapshot, log_id: bytes) -> bytes:
+    request = messages.SnapshotRequest(
+        last_index=snapshot.index, last_term=snapshot.term, state=snapshot.state, log_id=log_id
+    )
     request.membership.CopyFrom(snapshot.membership)
     return _pack(_KIND_SNAPSHOT, request.SerializeToString())
 
 
-def pack_log(snapshot: LogSnapshot, hard_state: HardState, entries: list[messages.LogEntry]) -> bytes:
-    """Return the content of a whole log."""
-    parts = [_pack_snapshot(snapshot), pack_hard_state(hard_state)]
+def pack_log(
+    snapshot: LogSnapshot, hard_state: HardState, entries: list[messages.LogEntry], log_id: bytes = b""
+) -> bytes:
+    """Return the content of a whole log, which carries its id in the first record."""
+    parts = [_pack_snapshot(snapshot, log_id), pack_hard_state(hard_state)]
     parts += [pack_entry(entry) for entry in entries]
     return b"".join(parts)
 
@@ -137,7 +144,7 @@
     if restored is None:
         if kind != _KIND_SNAPSHOT:
             raise ValueError("the first record is not a snapshot")
-        return Restored(HardState(), RaftLog(_unpack_snapshot(payload), []))
+        return _unpack_snapshot(payload)
     if kind == _KIND_ENTRY:
         entry = messages.LogEntry.FromString(payload)
         if not restored.log.snapshot.index < entry.index <= restored.log.last_index + 1:
@@ -151,6 +158,7 @@
     return restored
 
 
-def _unpack_snapshot(payload: bytes) -> LogSnapshot:
+def _unpack_snapshot(payload: bytes) -> Restored:
     request = messages.SnapshotRequest.FromString(payload)
-    return LogSnapshot(request.last_index, request.last_term, request.membership, request.state)
+    snapshot = LogSnapshot(request.last_index, request.last_term, request.membership, request.state)
+    return Restored(HardState(), RaftLog(snapshot, []), log_id=request.log_id)
--- a/packages/lanedock/lanedock/consensus/storage.py
+++ b/packages/lanedock/lanedock/consensus/storage.py
@@ -6,9 +6,9 @@
 - ``identity`` holds the id of the replica that owns the folder;
 - ``log`` holds records: a snapshot first, then hard states and entries. It is
   replaced as a whole by writing ``log.new`` and renaming that;
-- ``synced`` holds the length of ``log`` that is known to be synced. A bad record
-  beyond that length is a torn tail and is dropped; one within it is
-  corruption and an error.
+- ``synced`` holds the length of ``log`` that is known to be synced, and the id of
+  that log. A bad record beyond that length is a torn tail and is dropped; one
+  within it is corruption and an error.
 """
 
 import os
@@ -32,7 +32,12 @@
 
 __all__ = ["FileStorage", "LogStorage"]
 
-_SYNCED_LENGTH = struct.Struct(">QI")  # synced length in bytes, CRC-32 of the packed length
+# Length of the ids that logs get, in bytes.
+LOG_ID_BYTES = 8
+_SYNCED_LENGTH = struct.Struct(">Q8sI")  # synced length in bytes, id of the log, CRC-32 of both
+_CHECKSUM = struct.Struct(">I")
+# Synced length and checksum, as written before logs had an id.
+_SYNCED_LENGTH_WITHOUT_ID = struct.Struct(">QI")
 
 
 class LogStorage(ABC):
@@ -89,6 +94,8 @@
         self._disk = disk or OsDisk()
         self._folder = DurableFolder(folder, self._disk)
         self._descriptor: int | None = None
+        self._synced_descriptor: int | None = None
+        self._log_id = b""
         self._size = 0
         self._failed = False
 
@@ -126,8 +133,8 @@
 
     def restore(self) -> Restored:
         data = self._read_log()
-        synced = self._read_synced()
         restored, end = unpack_log(data)
+        synced = self._read_synced(restored.log_id if restored is not None else b"")
         if end < synced or restored is None:
             raise StorageError(
                 ErrorCode.LOG_CORRUPT, f"bad record at byte {end} of the log; {synced} bytes were synced"
@@ -144,7 +151,7 @@
         """
         self._folder.stage("identity", identity)
         self._folder.put_in_place("identity")
-        self._replace(pack_log(restored.log.snapshot, restored.hard_state, restored.log.entries))
+        self._replace(restored.log.snapshot, restored.hard_state, restored.log.entries)
 
     def _read_log(self) -> bytes:
         try:
@@ -152,16 +159,25 @@
         except OSError as exc:
             raise StorageError(ErrorCode.LOG_CORRUPT, str(exc)) from exc
 
-    def _read_synced(self) -> int:
+    def _read_synced(self, log_id: bytes) -> int:
         """Return the length, in bytes, of the log that is known to be synced; 0 if unknown."""
         try:
-            length, checksum = _SYNCED_LENGTH.unpack(self._folder.read("synced"))
-        except (OSError, struct.error):
+            data = self._folder.read("synced")
+        except OSError:
             return 0
-        return length if zlib.crc32(struct.pack(">Q", length)) == checksum else 0
+        if len(data) == _SYNCED_LENGTH.size:
+            length, synced_id, checksum = _SYNCED_LENGTH.unpack(data)
+        elif len(data) == _SYNCED_LENGTH_WITHOUT_ID.size:
+            length, checksum = _SYNCED_LENGTH_WITHOUT_ID.unpack(data)
+            synced_id = b""
+        else:
+            return 0
+        is_valid = zlib.crc32(data[: -_CHECKSUM.size]) == checksum
+        return length if is_valid and synced_id == log_id else 0
 
     def _open(self, end: int) -> None:
         self._descriptor = self._disk.open(self._folder.path_of("log"), os.O_WRONLY | os.O_APPEND)
+        self._synced_descriptor = self._disk.open(self._folder.path_of("synced"), os.O_WRONLY | os.O_CREAT)
         self._size = end
 
     # ------------------------------------------------------------------ writing
@@ -172,17 +188,18 @@
         self._run_write(lambda: self._append(b"".join(parts)))
 
     def replace(self, snapshot: LogSnapshot, hard_state: HardState, entries: list[messages.LogEntry]) -> None:
-        data = pack_log(snapshot, hard_state, entries)
-        self._run_write(lambda: self._replace(data))
+        self._run_write(lambda: self._replace(snapshot, hard_state, entries))
 
     def size(self) -> int:
         return self._size if self._descriptor is not None else 0
 
     def close(self) -> None:
         """Close the log."""
-        if self._descriptor is not None:
-            descriptor, self._descriptor = self._descriptor, None
-            self._disk.close(descriptor)
+        descriptors = (self._descriptor, self._synced_descriptor)
+        self._descriptor = self._synced_descriptor = None
+        for descriptor in descriptors:
+            if descriptor is not None:
+                self._disk.close(descriptor)
 
     def _run_write(self, write) -> None:
         """Run a write; after a failure refuse all later ones, as the data on disk is then unknown."""
@@ -202,22 +219,20 @@
         self._size += len(data)
         self._save_synced_length(self._size)
 
-    def _replace(self, data: bytes) -> None:
-        # Resets the synced length first, so that after a crash the new file is not checked
-        # against the old file's length.
-        self._save_synced_length(0)
+    def _replace(self, snapshot: LogSnapshot, hard_state: HardState, entries: list[messages.LogEntry]) -> None:
+        # With an id of its own, the new file is never checked against the synced length of another one,
+        # whichever of the two files a loss of power keeps.
+        log_id = os.urandom(LOG_ID_BYTES)
+        data = pack_log(snapshot, hard_state, entries, log_id)
         self._folder.stage("log", data)
         self._folder.put_in_place("log")
         self._folder.sync()
         self.close()
+        self._log_id = log_id
         self._open(len(data))
         self._save_synced_length(len(data))
 
     def _save_synced_length(self, length: int) -> None:
-        """Record the synced length. It is not synced itself: its loss only weakens the check."""
-        packed = struct.pack(">Q", length)
-        descriptor = self._disk.open(self._folder.path_of("synced"), os.O_WRONLY | os.O_CREAT | os.O_TRUNC)
-        try:
-            self._folder.write(descriptor, packed + struct.pack(">I", zlib.crc32(packed)))
-        finally:
-            self._disk.close(descriptor)
+        """Record the synced length in place, without further space. It is not synced: its loss weakens a check."""
+        packed = struct.pack(">Q", length) + self._log_id
+        self._disk.write_at(self._synced_descriptor, packed + _CHECKSUM.pack(zlib.crc32(packed)), 0)
--- a/packages/lanedock/lanedock/consensus/tests/simulated_disk.py
+++ b/packages/lanedock/lanedock/consensus/tests/simulated_disk.py
@@ -132,6 +132,15 @@
         self._call("read")
         return bytes(self._find(path).cached)
 
+    def overwrite(self, path: str, data: bytes) -> bytes:
+        """Replace what a file holds, on disk, too; return its former content."""
+        file = self._find(path)
+        former = bytes(file.cached)
+        file.cached = bytearray(data)
+        file.dirty = [(0, len(data))]
+        file.sync()
+        return former
+
     def make_folder(self, path: str) -> None:
         self._call("make_folder")
         self._folders.add(path)
--- a/packages/lanedock/lanedock/consensus/tests/test_disk_failures.py
+++ b/packages/lanedock/lanedock/consensus/tests/test_disk_failures.py
@@ -2,12 +2,17 @@
 """Tests of the storage on a disk whose calls fail one after the other, and which loses power."""
 
 import errno
+import os
+import struct
+import zlib
 from random import Random
 
 import pytest
 
 from lanedock.consensus import FileStorage, HardState, LogSnapshot, StorageError
+from lanedock.consensus.records import pack_log
 from lanedock.consensus.tests.simulated_disk import PowerLoss, SimulatedDisk
+from lanedock.errors import ErrorCode
 from lanedock.wire import messages
 
 MEMBERSHIP = messages.Membership(voters=["a@1", "b@1", "c@1"])
@@ -176,3 +181,75 @@
     replica.disk.lose_power(loss, Random(1))
     replica.restart()
     replica.open()
+
+
+def _lose_power_after_renaming(replica: Replica) -> None:
+    """Compact the log, and lose power with the new log and the former content of the other files on disk."""
+    disk = replica.disk
+    rename = disk.rename
+
+    def rename_and_sync(path: str, new_path: str) -> None:
+        rename(path, new_path)
+        disk.sync(disk.open(FOLDER, os.O_RDONLY))
+        raise KeyboardInterrupt
+
+    disk.rename = rename_and_sync
+    with pytest.raises(KeyboardInterrupt):
+        Compact(7, HardState(3, "a@1"), []).run(replica.storage)
+    disk.rename = rename
+    replica.possible = [State(7, 3, "a@1")]
+    disk.lose_power(PowerLoss.SYNCED, Random(1))
+    replica.restart()
+
+
+def test_the_synced_length_of_a_former_log_does_not_refuse_its_shorter_successor():
+    # The length that was reset before a new log was put in place was not synced.
+    replica = Replica()
+    replica.run()
+    replica.disk.sync(replica.disk.open(f"{FOLDER}/synced", os.O_WRONLY))
+    _lose_power_after_renaming(replica)
+    replica.open()
+
+
+@pytest.mark.parametrize("number", range(5))
+@pytest.mark.parametrize("error", ERRORS)
+def test_a_refused_write_does_not_remove_the_synced_length(error, number):
+    # The length was emptied when it was opened for writing, and stayed empty on a full disk.
+    replica = Replica()
+    replica.run()
+    disk = replica.disk
+    disk.error = error
+    disk.fail_from, disk.fail_until = len(disk.calls) + number, 10**9
+    step = Save(None, _entries(8, 8, 3))
+    try:
+        step.run(replica.storage)
+    except StorageError:
+        replica.possible += step.results(replica.acknowledged)
+    else:
+        replica.possible = step.results(replica.acknowledged)
+    disk.fail_until = 0
+    damaged = bytearray(disk.read(f"{FOLDER}/log"))
+    damaged[200] ^= 1
+    sound = disk.overwrite(f"{FOLDER}/log", damaged)
+    replica.restart()
+    with pytest.raises(StorageError) as raised:
+        replica.storage.restore()
+    assert raised.value.code is ErrorCode.LOG_CORRUPT
+    disk.overwrite(f"{FOLDER}/log", sound)
+    replica.restart()
+    replica.open()
+
+
+def test_a_log_that_was_written_before_logs_had_ids_is_checked_by_its_synced_length(tmp_path):
+    storage = FileStorage(str(tmp_path))
+    storage.initialize("a@1", MEMBERSHIP)
+    storage.close()
+    log = pack_log(LogSnapshot(0, 0, MEMBERSHIP, b""), HardState(2, "b@1"), _entries(1, 3, 1))
+    length = struct.pack(">Q", len(log))
+    (tmp_path / "synced").write_bytes(length + struct.pack(">I", zlib.crc32(length)))
+    (tmp_path / "log").write_bytes(log[:-30])
+    with pytest.raises(StorageError) as raised:
+        FileStorage(str(tmp_path)).restore()
+    assert raised.value.code is ErrorCode.LOG_CORRUPT
+    (tmp_path / "log").write_bytes(log)
+    assert State.of(FileStorage(str(tmp_path)).restore()) == State(0, 2, "b@1", ((1, 1), (2, 1), (3, 1)))
