Report a refused system call as a failure of the disk, and restore the log after one

A read that failed for now (EIO) was reported as a corrupt log, which tells the operator to replace the instance; a synced length that could not be read counted as none. The writes of identity and the making of the folder raised a bare OSError, which ended the start with a traceback instead of a code. A storage that had refused one write refused all later ones: a passing condition was kept as a permanent one. A staged file that did not fit kept the space that it had taken, and a replacement that failed before it touched the log ended its use.

Each system call goes through one place that turns an OSError into LD4002 with the call and the file, such as 'write .../log: No space left on device'. After a failed write the storage has to be restored: it reads back what the files hold and writes that to new files, as at a start. A replacement that fails while it is staged frees its space and leaves the log in use. The entries of all parent folders are synced when a folder is made, as an earlier call may have made them and failed before its sync.

The tests fail each call that the steps of a replica's life make, in turn, with ENOSPC and EIO, for 1, 2 or 5 calls, then go on, or lose power with what was synced, everything or a torn part kept: about 90 calls, 18 cases.

--- a/packages/lanedock/lanedock/consensus/__init__.py
+++ b/packages/lanedock/lanedock/consensus/__init__.py
@@ -2,8 +2,9 @@
 """A replicated log: pure consensus core and its durable storage."""
 
 from lanedock.consensus.core import Ready, ReplicaRole, Timing
+from lanedock.consensus.errors import StorageError
 from lanedock.consensus.log import LogSnapshot, RaftLog
-from lanedock.consensus.records import HardState, Restored, StorageError
+from lanedock.consensus.records import HardState, Restored
 from lanedock.consensus.replica import RaftReplica
 from lanedock.consensus.storage import FileStorage, LogStorage
 
--- a/packages/lanedock/lanedock/consensus/disk.py
+++ b/packages/lanedock/lanedock/consensus/disk.py
@@ -3,8 +3,12 @@
 
 import os
 from abc import ABC, abstractmethod
+from contextlib import contextmanager
 
-__all__ = ["Disk", "DurableFolder", "OsDisk"]
+from lanedock.consensus.errors import StorageError
+from lanedock.errors import ErrorCode
+
+__all__ = ["Disk", "DurableFolder", "OpenFile", "OsDisk"]
 
 # Suffix of the file that holds a file's new content until it takes the file's place.
 NEW_SUFFIX = ".new"
@@ -92,10 +96,66 @@
         os.remove(path)
 
 
-class DurableFolder:
-    """A folder whose files are replaced as a whole.
+@contextmanager
+def _reporting(call: str, path: str):
+    """Turn a refused system call into a `StorageError` that names the call and the file."""
+    try:
+        yield
+    except OSError as exc:
+        raise StorageError(ErrorCode.DISK_FAILED, f"{call} {path}: {exc.strerror or exc}") from exc
+
 
-    All methods raise `OSError`.
+class OpenFile:
+    """An open file, whose calls raise `StorageError`.
+
+    Parameters
+    ----------
+    path : str
+    flags : int
+        Of `os.open`.
+    disk : Disk
+    """
+
+    def __init__(self, path: str, flags: int, disk: Disk):
+        self._path = path
+        self._disk = disk
+        with _reporting("open", path):
+            self._descriptor = disk.open(path, flags)
+
+    def __repr__(self) -> str:
+        return f"<OpenFile {self._path}>"
+
+    def __enter__(self) -> "OpenFile":
+        return self
+
+    def __exit__(self, *exc) -> None:
+        self.close()
+
+    def write(self, data: bytes) -> None:
+        """Write all of the data."""
+        view = memoryview(data)
+        with _reporting("write", self._path):
+            while view:
+                view = view[self._disk.write(self._descriptor, view) :]
+
+    def write_at(self, data: bytes, position: int) -> None:
+        """Write a few bytes at a byte position."""
+        with _reporting("write", self._path):
+            self._disk.write_at(self._descriptor, data, position)
+
+    def sync(self) -> None:
+        """Return once what was written is on disk."""
+        with _reporting("sync", self._path):
+            self._disk.sync(self._descriptor)
+
+    def close(self) -> None:
+        """Close the file."""
+        with _reporting("close", self._path):
+            self._disk.close(self._descriptor)
+
+
+class DurableFolder:
+    """A folder whose files are replaced as a whole. All methods raise `StorageError`.
 
     Parameters
     ----------
@@ -110,52 +170,73 @@
     def __repr__(self) -> str:
         return f"<DurableFolder {self._path}>"
 
-    def path_of(self, name: str) -> str:
-        """Return the path of a file in the folder."""
+    def _path_of(self, name: str) -> str:
         return os.path.join(self._path, name)
 
     def create(self) -> None:
-        """Make the folder and its missing parents, and sync the entry of each."""
-        missing = []
-        path = os.path.abspath(self._path)
-        while not self._disk.is_folder(path):
-            missing.append(path)
-            path = os.path.dirname(path)
-        for path in reversed(missing):
-            self._disk.make_folder(path)
-            self._sync_entries(os.path.dirname(path))
+        """Make the folder and its missing parents, and sync the entries of all parents.
 
-    def read(self, name: str) -> bytes:
-        """Return the content of a file."""
-        return self._disk.read(self.path_of(name))
+        Also of those that exist: an earlier call may have made them and failed before it had synced them.
+        """
+        path = os.path.abspath(self._path)
+        parents = []
+        while (parent := os.path.dirname(path)) != path:
+            parents.append((parent, path))
+            path = parent
+        for parent, path in reversed(parents):
+            if not self._disk.is_folder(path):
+                with _reporting("mkdir", path):
+                    self._disk.make_folder(path)
+            self._sync_parent(parent)
+
+    def _sync_parent(self, path: str) -> None:
+        try:
+            self._sync_entries(path)
+        except StorageError as exc:
+            # A folder that this process may not open is not one that it has made.
+            if not isinstance(exc.__cause__, PermissionError):
+                raise
+
+    def read(self, name: str) -> bytes | None:
+        """Return the content of a file; None if there is no such file."""
+        path = self._path_of(name)
+        with _reporting("read", path):
+            try:
+                return self._disk.read(path)
+            except FileNotFoundError:
+                return None
+
+    def open(self, name: str, flags: int) -> OpenFile:
+        """Open a file of the folder."""
+        return OpenFile(self._path_of(name), flags, self._disk)
 
     def stage(self, name: str, data: bytes) -> None:
         """Write the new content of a file beside it, and sync that. The file itself is not touched."""
-        path = self.path_of(name + NEW_SUFFIX)
-        descriptor = self._disk.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC)
         try:
-            self.write(descriptor, data)
-            self._disk.sync(descriptor)
-        finally:
-            self._disk.close(descriptor)
+            with self.open(name + NEW_SUFFIX, os.O_WRONLY | os.O_CREAT | os.O_TRUNC) as file:
+                file.write(data)
+                file.sync()
+        except StorageError:
+            self._remove_staged(name)
+            raise
+
+    def _remove_staged(self, name: str) -> None:
+        """Free the space of a file that could not be staged."""
+        try:
+            self._disk.remove(self._path_of(name + NEW_SUFFIX))
+        except OSError:
+            pass  # the error that led here is raised; the next attempt empties the file
 
     def put_in_place(self, name: str) -> None:
         """Put the staged content of a file in its place. It is there for good once the folder is synced."""
-        self._disk.rename(self.path_of(name + NEW_SUFFIX), self.path_of(name))
-
-    def write(self, descriptor: int, data: bytes) -> None:
-        """Write all of the data to an open file."""
-        view = memoryview(data)
-        while view:
-            view = view[self._disk.write(descriptor, view) :]
+        path = self._path_of(name)
+        with _reporting("rename", path):
+            self._disk.rename(path + NEW_SUFFIX, path)
 
     def sync(self) -> None:
         """Sync the folder's entries."""
         self._sync_entries(self._path)
 
     def _sync_entries(self, path: str) -> None:
-        descriptor = self._disk.open(path, os.O_RDONLY)
-        try:
-            self._disk.sync(descriptor)
-        finally:
-            self._disk.close(descriptor)
+        with OpenFile(path, os.O_RDONLY, self._disk) as folder:
+            folder.sync()
--- a/packages/lanedock/lanedock/consensus/records.py
+++ b/packages/lanedock/lanedock/consensus/records.py
@@ -7,10 +7,9 @@
 from google.protobuf.message import DecodeError
 
 from lanedock.consensus.log import LogSnapshot, RaftLog
-from lanedock.errors import LanedockError
 from lanedock.wire import messages
 
-__all__ = ["HardState", "Restored", "StorageError", "pack_entry", "pack_hard_state", "pack_log", "unpack_log"]
+__all__ = ["HardState", "Restored", "pack_entry", "pack_hard_state", "pack_log", "unpack_log"]
 
 _HEADER = struct.Struct(">IIB")  # length of the payload, CRC-32 of kind and payload, kind
 _HARD_STATE = struct.Struct(">Q")  # term; the id of the voted-for replica follows
@@ -20,10 +19,6 @@
 _MAX_RECORD_BYTES = 64 * 1024 * 1024
 
 
-class StorageError(LanedockError):
-    """The log cannot be written, or the stored log is corrupt."""
-
-
 class HardState:
     """Term and vote of a replica, which have to be persistent in addition to its log.
 
--- a/packages/lanedock/lanedock/consensus/tests/simulated_disk.py
+++ b/packages/lanedock/lanedock/consensus/tests/simulated_disk.py
@@ -99,12 +99,20 @@
                     self._sync_entry(path)
             for file in [*self._files.values(), *self._durable_files.values()]:
                 file.tear(rng)
-        self._folders = set(self._durable_folders)
-        self._files = dict(self._durable_files)
+        self._folders = {path for path in self._durable_folders if self._is_reachable(path)}
+        self._files = {path: file for path, file in self._durable_files.items() if self._is_reachable(path)}
         for file in self._files.values():
             file.lose_cache()
         self._open = {}
 
+    def _is_reachable(self, path: str) -> bool:
+        """Return whether all parents of a path are on disk."""
+        while path != (parent := os.path.dirname(path)):
+            path = parent
+            if path not in self._durable_folders:
+                return False
+        return True
+
     def _sync_all(self) -> None:
         self._durable_folders = set(self._folders)
         self._durable_files = dict(self._files)
--- a/packages/lanedock/lanedock/consensus/tests/test_disk_failures.py
+++ b/packages/lanedock/lanedock/consensus/tests/test_disk_failures.py
@@ -99,6 +99,9 @@
 )
 
 
+FINAL_STATE = State(4, 3, "a@1", ((5, 2), (6, 3), (7, 3)))
+
+
 class Replica:
     """Runs the steps on a disk, and checks each state that is restored against what was acknowledged."""
 
@@ -121,9 +124,10 @@
     def _count_done(self) -> int:
         state = State()
         for number, step in enumerate(STEPS):
-            if state == self.acknowledged:
+            results = step.results(state)
+            if self.acknowledged in (state, *results[:-1]):
                 return number
-            state = step.results(state)[-1]
+            state = results[-1]
         return len(STEPS)
 
     def open(self) -> None:
@@ -143,6 +147,93 @@
         self.storage = FileStorage(FOLDER, self.disk)
 
 
+def _count_calls() -> int:
+    replica = Replica()
+    replica.run()
+    return len(replica.disk.calls)
+
+
+def _run_until_failure(number: int, error: int, count: int) -> Replica:
+    """Run the steps until the call with a number fails; `count` calls fail in a row."""
+    replica = Replica()
+    replica.disk.error = error
+    replica.disk.fail_from, replica.disk.fail_until = number, number + count
+    try:
+        replica.run()
+    except StorageError as exc:
+        assert exc.code is ErrorCode.DISK_FAILED
+        assert not isinstance(exc.__cause__, StorageError)
+    return replica
+
+
+@pytest.mark.parametrize("error", ERRORS)
+@pytest.mark.parametrize("count", [1, 2, 5])
+def test_a_storage_is_written_again_after_any_call_was_refused(count, error):
+    # A refused write was kept as a permanent failure.
+    for number in range(_count_calls()):
+        replica = _run_until_failure(number, error, count)
+        for _ in range(count):
+            try:
+                replica.run()
+                break
+            except StorageError as exc:
+                assert exc.code is ErrorCode.DISK_FAILED
+        else:
+            replica.run()
+        assert replica.acknowledged == FINAL_STATE
+        replica.disk.lose_power(PowerLoss.SYNCED, Random(number))
+        replica.restart()
+        replica.open()
+        assert replica.acknowledged == FINAL_STATE
+
+
+@pytest.mark.parametrize("loss", POWER_LOSSES)
+@pytest.mark.parametrize("is_retried", [False, True], ids=["at once", "after a retry"])
+@pytest.mark.parametrize("error", ERRORS)
+def test_a_loss_of_power_after_a_refused_call_takes_nothing_that_was_acknowledged(error, is_retried, loss):
+    for number in range(_count_calls()):
+        replica = _run_until_failure(number, error, 1)
+        if is_retried:
+            replica.open()
+        replica.disk.lose_power(loss, Random(number))
+        replica.disk.fail_until = 0
+        replica.restart()
+        replica.open()
+        replica.run()
+        assert replica.acknowledged == FINAL_STATE
+
+
+def test_a_read_that_fails_is_not_reported_as_corruption():
+    replica = Replica()
+    replica.run()
+    for number in range(3):
+        replica.restart()
+        disk = replica.disk
+        disk.error = errno.EIO
+        disk.fail_from, disk.fail_until = len(disk.calls) + number, len(disk.calls) + number + 1
+        with pytest.raises(StorageError) as raised:
+            replica.storage.read_identity()
+            replica.storage.restore()
+        assert raised.value.code is ErrorCode.DISK_FAILED
+        assert "read" in str(raised.value)
+
+
+def test_a_replacement_that_finds_no_space_leaves_the_log_usable_and_takes_none():
+    replica = Replica()
+    replica.run()
+    step = Compact(7, HardState(3, "a@1"), [])
+    for number in range(3):
+        replica.disk.fail_from, replica.disk.fail_until = len(replica.disk.calls) + number, 10**9
+        with pytest.raises(StorageError):
+            step.run(replica.storage)
+        replica.disk.fail_until = 0
+        assert replica.storage.is_usable
+        replica.storage.save(None, _entries(8, 8, 3))
+    replica.possible = Save(None, _entries(8, 8, 3)).results(replica.acknowledged)
+    replica.restart()
+    replica.open()
+
+
 def _kill_at_sync(disk: SimulatedDisk) -> None:
     """Make the next sync end the process before it has any effect."""
 
--- a/packages/lanedock/lanedock/consensus/tests/test_storage.py
+++ b/packages/lanedock/lanedock/consensus/tests/test_storage.py
@@ -123,7 +123,7 @@
         _restore(folder)
 
 
-def test_writes_are_refused_after_a_failed_sync(folder):
+def test_writes_are_refused_after_a_failed_sync_until_the_log_is_restored(folder):
     disk = FullDisk()
     storage = FileStorage(str(folder), disk)
     storage.restore()
@@ -134,6 +134,11 @@
     disk.is_full = False
     with pytest.raises(StorageError):
         storage.save(None, _entries(5))
+    with pytest.raises(StorageError):
+        storage.replace(LogSnapshot(0, 0, MEMBERSHIP, b""), HardState(), [])
+    last_index = storage.restore().log.last_index
+    storage.save(None, [messages.LogEntry(term=5, index=last_index + 1)])
+    assert _restore(folder)[1].log.last_index == last_index + 1
 
 
 def test_a_snapshot_replaces_the_log(folder):
