Let a leader that cannot write resign, and the others elect at once

A replica can resign: it gives up leadership and drops what it has not saved. It reports that its disk refuses writes (DiskReport), and a replica of the same term whose lease holder it was waits no longer, as it does for a leader whose process is known to have ended. A replica that resigned never leads that term again, so a late report ends no later lease. A replica that is built again while its process runs is given what was applied and when a leader was last heard; otherwise it would seem never to have heard one, and grant quotas as if it were cut off.

Ten seeds show the election within 0.5 s, below the time for which a follower supports no other leader. Without handle_resignation there is no leader by then.

--- a/packages/lanedock/lanedock/consensus/replica.py
+++ b/packages/lanedock/lanedock/consensus/replica.py
@@ -54,6 +54,11 @@
         Silence, in seconds, after which a learner replaces a voter. If None, the
         set of replica names is fixed and a learner only replaces its own
         earlier incarnation.
+    applied : int
+        Index of the last entry that the state machine has applied already, as it does
+        when a replica's storage was restored while its process ran on.
+    leader_heard_at : float, optional
+        Monotonic time, in seconds, at which a leader was last known.
     """
 
     def __init__(
@@ -67,15 +72,17 @@
         now: float,
         contacts: tuple[str, ...] = (),
         replace_after: float | None = None,
+        applied: int = 0,
+        leader_heard_at: float | None = None,
     ):
-        self._state = ReplicaState(me, log, term, voted_for)
+        self._state = ReplicaState(me, log, term, voted_for, applied)
         self._timing = timing
         self._election = ElectionState(me, log.leader_of(term), timing, rng, now)
         self._candidacy = Candidacy(self._state, self._election)
         self._joining = Joining(self._state, self._election, contacts, rng)
         self._changes = MembershipChanges(self._state, timing, replace_after)
         self._replication: LogReplication | None = None
-        self._last_leader_at: float | None = None
+        self._last_leader_at = leader_heard_at
         if not self.can_vote():
             # Other replicas may be waiting for the lease of this replica's earlier incarnation,
             # so the first admission request is sent at once.
@@ -162,6 +169,11 @@
             return 0.0
         return now - self._last_leader_at if self._last_leader_at is not None else NEVER_LED
 
+    @property
+    def leader_heard_at(self) -> float | None:
+        """Monotonic time, in seconds, at which a leader was last known; see `leader_silence`."""
+        return self._last_leader_at
+
     def unreached_time(self, replica: str, now: float) -> float:
         """Return the time, in seconds, since this leader sent what a replica has answered last.
 
@@ -235,6 +247,37 @@
         else:
             state.ready.failed_reads.append(token)
 
+    def resign(self, now: float) -> None:
+        """Give up leadership or a candidacy, and drop the pending work, as it can't be saved."""
+        state = self._state
+        state.role = ReplicaRole.FOLLOWER
+        state.leader = ""
+        self._end_leadership(now)
+        state.reads.clear(self.me)
+        state.ready = Ready()
+
+    def handle_resignation(self, sender: str, term: int, now: float) -> None:
+        """Stop waiting for the lease of a replica that no longer leads.
+
+        A replica that has resigned never leads its term again, so a late message does no harm.
+
+        Parameters
+        ----------
+        sender : str
+            Id of the replica that resigned.
+        term : int
+            The term in which it did.
+        now : float
+            Monotonic time in seconds.
+        """
+        if term != self.term or sender == self.me:
+            return
+        if sender == self._election.lease_holder:
+            self._election.end_lease(now)
+        if sender == self._state.leader:
+            self._state.leader = ""
+            self._state.fail_reads()
+
     def compact(self, snapshot: LogSnapshot) -> None:
         """Drop the log entries that a saved snapshot covers."""
         self.log.compact(snapshot)
--- a/packages/lanedock/lanedock/consensus/state.py
+++ b/packages/lanedock/lanedock/consensus/state.py
@@ -20,6 +20,8 @@
     term : int
     voted_for : str
         Id of the replica that got the vote in this term; empty if none did.
+    applied : int
+        Index of the last entry that the state machine has applied already.
 
     Attributes
     ----------
@@ -54,15 +56,15 @@
         "voted_for",
     )
 
-    def __init__(self, me: str, log: RaftLog, term: int, voted_for: str):
+    def __init__(self, me: str, log: RaftLog, term: int, voted_for: str, applied: int = 0):
         self.me = me
         self.log = log
         self.term = term
         self.voted_for = voted_for
         self.role = ReplicaRole.FOLLOWER
         self.leader = ""
-        self.commit_index = log.snapshot.index
-        self.delivered = log.snapshot.index
+        self.commit_index = max(log.snapshot.index, applied)
+        self.delivered = self.commit_index
         self.persisted = log.last_index
         self.membership = log.membership()
         self.reads = ReadQueue()
--- a/packages/lanedock/lanedock/consensus/tests/replicas.py
+++ b/packages/lanedock/lanedock/consensus/tests/replicas.py
@@ -19,9 +19,16 @@
         self.disk = [LogSnapshot(0, 0, membership, b""), [], 0, ""]
         self.replica = None
         self.applied: list[tuple[int, bytes]] = []
+        self.is_full = False
+        self.is_suspended = False
         self.start()
 
     def start(self) -> None:
+        self.is_suspended = False
+        self._restore(None, 0)
+        self.applied = _decode(self.replica.log.snapshot.state)
+
+    def _restore(self, leader_heard_at: float | None, applied: int) -> None:
         snapshot, entries, term, voted_for = self.disk
         contacts = tuple(name for name in self.cluster.names if name != replica_name(self.id))
         self.replica = RaftReplica(
@@ -33,8 +40,46 @@
             self.cluster.rng,
             self.cluster.now,
             contacts,
+            applied=applied,
+            leader_heard_at=leader_heard_at,
         )
-        self.applied = _decode(snapshot.state)
+
+    def free(self) -> None:
+        """Give the disk space again; a suspended replica goes on from what its disk holds."""
+        self.is_full = False
+        if self.replica is None or not self.is_suspended:
+            return
+        self.is_suspended = False
+        applied = self.applied[-1][0] if self.applied else 0
+        if self.disk[0].index > applied:
+            self.applied = _decode(self.disk[0].state)
+            applied = self.disk[0].index
+        self._restore(self.replica.leader_heard_at, applied)
+
+    def _suspend(self, ready) -> None:
+        """Resign because a write was refused; the disk may or may not hold what was written."""
+        if self.cluster.rng.random() < 0.5:
+            self._sync(ready)
+        self.is_suspended = True
+        self.replica.resign(self.cluster.now)
+        for name in self.cluster.names:
+            if name != replica_name(self.id):
+                message = messages.PeerMessage(sender=self.id, term=self.replica.term)
+                message.receiver = self.cluster.nodes[name].id
+                message.disk_report.error = "full"
+                self.cluster.send([message])
+
+    def step(self, message: messages.PeerMessage) -> None:
+        if message.WhichOneof("body") == "disk_report":
+            self.replica.handle_resignation(message.sender, message.term, self.cluster.now)
+        elif not self.is_suspended:
+            self.replica.step(message, self.cluster.now)
+            self.process_ready()
+
+    def tick(self) -> None:
+        if not self.is_suspended:
+            self.replica.tick(self.cluster.now)
+            self.process_ready()
 
     def crash(self) -> None:
         self.replica = None
@@ -47,6 +92,9 @@
             if ready.must_sync():
                 if self.cluster.is_crash_due(self):
                     return
+                if self.is_full:
+                    self._suspend(ready)
+                    return
                 self._sync(ready)
                 self.replica.mark_persisted(self.replica.log.last_index, self.cluster.now)
             self.cluster.send(ready.messages_after_sync)
@@ -129,8 +177,7 @@
         node = self.nodes[replica_name(message.receiver)]
         if link in self.cut or node.replica is None:
             return
-        node.replica.step(message, self.now)
-        node.process_ready()
+        node.step(message)
 
     def run(self, seconds: float, step: float = 0.05) -> None:
         """Advance the clock by `seconds`, delivering all messages in order."""
@@ -146,8 +193,7 @@
         self.now += step
         for node in self.nodes.values():
             if node.replica is not None:
-                node.replica.tick(self.now)
-                node.process_ready()
+                node.tick()
 
     def isolate(self, name: str) -> None:
         """Drop all messages between a replica and the others."""
--- a/packages/lanedock/lanedock/consensus/tests/test_replica.py
+++ b/packages/lanedock/lanedock/consensus/tests/test_replica.py
@@ -248,6 +248,75 @@
     assert all(token != 8 for _, token, _ in cluster.reads)
 
 
+@pytest.mark.parametrize("seed", range(10))
+def test_the_others_elect_at_once_when_the_disk_of_the_leader_is_full(seed):
+    # The others waited until the lease of the leader had run out unheard.
+    cluster = Cluster(NAMES, seed)
+    old = _elect(cluster)
+    old.is_full = True
+    cluster.propose(old, b"x")
+    assert not old.replica.is_leader(cluster.now)
+    # Less than the time for which a follower supports no other leader, in steps of a round trip.
+    cluster.run(0.5, step=0.005)
+    (leader,) = cluster.leaders()
+    assert leader is not old
+    cluster.propose(leader, b"y")
+    cluster.run(0.5)
+    old.free()
+    cluster.run(2.5)
+    assert all(_payloads(node)[-1] == b"y" for node in cluster.nodes.values())
+    assert len({tuple(_payloads(node)) for node in cluster.nodes.values()}) == 1
+
+
+def test_a_resignation_that_arrives_late_does_not_end_the_lease_of_a_later_term():
+    cluster = Cluster(NAMES, seed=3)
+    old = _elect(cluster)
+    term = old.replica.term
+    for node in cluster.nodes.values():
+        node.crash()
+        node.start()
+    cluster.run(5)
+    (leader,) = cluster.leaders()
+    assert leader.replica.term > term
+    follower = next(node for node in cluster.nodes.values() if node is not leader)
+    follower.replica.handle_resignation(leader.id, term, cluster.now)
+    assert follower.replica.leader == leader.id
+    follower.replica.handle_resignation(leader.id, leader.replica.term, cluster.now)
+    assert not follower.replica.leader
+
+
+def test_a_replica_whose_disk_is_full_neither_votes_nor_acknowledges():
+    cluster = Cluster(NAMES, seed=4)
+    leader = _elect(cluster)
+    first, second = (node for node in cluster.nodes.values() if node is not leader)
+    for node in (first, second):
+        node.is_full = True
+    index = cluster.propose(leader, b"x")
+    cluster.run(5)
+    assert leader.replica.commit_index < index
+    assert not cluster.leaders()
+    assert not any(first.id == message.sender for message in cluster.wire)
+    first.free()
+    cluster.run(5)
+    (new,) = cluster.leaders()
+    cluster.propose(new, b"y")
+    cluster.run(1)
+    assert _payloads(new)[-1] == b"y"
+
+
+def test_silence_counts_on_after_a_disk_was_full():
+    # A replica that had just heard the leader would otherwise grant quotas as if it were cut off.
+    cluster = Cluster(NAMES, seed=5)
+    leader = _elect(cluster)
+    follower = next(node for node in cluster.nodes.values() if node is not leader)
+    follower.is_full = True
+    cluster.propose(leader, b"x")
+    cluster.run(0.3)
+    assert follower.is_suspended
+    follower.free()
+    assert follower.replica.leader_silence(cluster.now) < 1.0
+
+
 class ReplicaMachine(RuleBasedStateMachine):
     """Loss, doubling, reordering, cuts, crashes, restarts and a lost disk."""
 
--- a/packages/lanedock/lanedock/consensus/tests/test_walk.py
+++ b/packages/lanedock/lanedock/consensus/tests/test_walk.py
@@ -154,3 +154,34 @@
 @pytest.mark.parametrize("seed", range(80))
 def test_walk(seed):
     Walk(seed).run()
+
+
+class FullDiskWalk(Walk):
+    """A walk on which disks refuse writes for a time, also several at once."""
+
+    def __init__(self, seed: int):
+        super().__init__(seed)
+        self.actions += [self.fill, self.free, self.free_all]
+        self.weights += [1.5, 1.5, 0.4]
+
+    def alive(self):
+        return [node for node in super().alive() if not node.is_suspended]
+
+    def fill(self) -> None:
+        self.rng.choice(list(self.cluster.nodes.values())).is_full = True
+
+    def free(self) -> None:
+        self.rng.choice(list(self.cluster.nodes.values())).free()
+
+    def free_all(self) -> None:
+        for node in self.cluster.nodes.values():
+            node.free()
+
+    def settle(self) -> None:
+        self.free_all()
+        super().settle()
+
+
+@pytest.mark.parametrize("seed", range(60))
+def test_walk_with_full_disks(seed):
+    FullDiskWalk(seed).run()
