Take part again once the disk of a control instance takes writes

A refused write says 'not now'. The code took it for 'never': a flag that nothing clears stopped the replica, the storage refused every later call, and the process neither tried again nor ended. The log shows one E204 on each of the two leaders and nothing after it.

While its disk refuses writes, a control instance now stops what rests on a write: it resigns, steps no message of the consensus, votes for nobody and acknowledges nothing. Operators are refused at once with LD4002 and the failed call, and the command line tries the next instance. Daemons are told in heartbeats that no leader is known, so that they move to an instance that has one; the others stay, as endpoints, quarantines and their exchange between control instances rest on no write. E204 is logged once. The storage is opened again after 0.1 s, then at up to 1 s, by the path that a start takes; then the replica is built from it, keeps what was applied, and catches up from the leader (E209 with the time, gauge log.disk_outage, a line in 'lanedock status' from reports to the other instances).

A start takes the same way: it waits for the disk instead of ending, without a listener, and ends at SIGTERM. A first start so keeps in mind that it sets the mesh up; before, it ended, and the next one requested admission where nobody votes. Compaction that finds no space for a second log leaves the first one in use, logs E210, and is tried again after 10 s.

Weighed: to write the state in memory to a new file (its log may be ahead of what was sent and of what was applied), and to end the process (the zone loses its directory, and ends are counted). The path of a start is the only one whose result rests on what was read back and synced.

--- a/packages/lanedock-cli/lanedock_cli/client.py
+++ b/packages/lanedock-cli/lanedock_cli/client.py
@@ -21,6 +21,8 @@
 RETRY_INTERVAL = 0.2
 # Services of the read-only calls, by method; those that are not named belong to `OperatorsStub`.
 _STUBS = {"Customers": QuotasStub}
+# Codes of an instance that answers from its own state, as there is no leader or as its disk refuses writes.
+_UNCONFIRMED = (ErrorCode.NO_LEADER.code, ErrorCode.DISK_FAILED.code)
 _CALL_ERRORS = (OSError, GRPCError, ProtocolError, StreamTerminatedError, asyncio.TimeoutError)
 
 
@@ -79,7 +81,7 @@
                         break
                 if reply is None or reply.code == ErrorCode.NOT_LEADER.code:
                     continue
-                if reply.code != ErrorCode.NO_LEADER.code:
+                if reply.code not in _UNCONFIRMED:
                     return reply
                 fallback = reply
             if time.monotonic() >= deadline or fallback is not None:
@@ -132,6 +134,9 @@
             elif attempt.code == ErrorCode.NOT_LEADER.code:
                 leader = Address.parse(attempt.leader_address) if attempt.leader_address else None
                 position += 1
+            elif attempt.code == ErrorCode.DISK_FAILED.code:
+                reply = attempt
+                position += 1
             elif attempt.answer == messages.ANSWER_NOT_KNOWN:
                 may_have_run = True
                 reply = attempt
--- a/packages/lanedock-cli/lanedock_cli/render.py
+++ b/packages/lanedock-cli/lanedock_cli/render.py
@@ -114,7 +114,14 @@
         "daemons": daemons,
         "missing": list(reply.missing),
         "replicas": [
-            {"replica": item.replica, "leader": item.leader, "reachable": item.reachable} for item in reply.replicas
+            {
+                "replica": item.replica,
+                "leader": item.leader,
+                "reachable": item.reachable,
+                "disk_error": item.disk_error or None,
+                "disk_outage_s": item.disk_outage_ms / 1000,
+            }
+            for item in reply.replicas
         ],
     }
 
@@ -130,6 +137,12 @@
         role = "leader" if item.leader else "reachable" if item.reachable else "silent"
         replicas.append(f"{item.replica} {role}")
     console.print("control: " + ", ".join(replicas), highlight=False)
+    for item in reply.replicas:
+        if item.disk_error:
+            outage = item.disk_outage_ms / 1000
+            console.print(
+                f"disk of {item.replica} refuses writes for {outage:.0f} s: {item.disk_error}", highlight=False
+            )
     table = Table("zone", "daemon", "service", "in force", "staged", "note", box=None, header_style="bold")
     for state in reply.daemons:
         table.add_row(
--- a/packages/lanedock-daemon/lanedock_daemon/control/distribution.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/distribution.py
@@ -169,6 +169,11 @@
         if read is not None:
             self._pending_floors += [(session, floor) for session, floor in read.floors if session in self._sessions]
 
+    def fail_reads(self) -> None:
+        """Return the floors of all reads to the pending ones, as no read is answered any more."""
+        for token in list(self._floor_reads):
+            self.fail_read(token)
+
     # ------------------------------------------------------------ attestations
 
     def request_attestations(self, unconnected: list[messages.Endpoint], now: float) -> None:
--- a/packages/lanedock-daemon/lanedock_daemon/control/replicated_log.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/replicated_log.py
@@ -1,61 +1,29 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """Driver of the consensus core: saves entries, sends messages and applies committed entries."""
 
-import secrets
-
-import gevent
+from collections.abc import Callable
 
 from lanedock.canary import StartResult
 from lanedock.clock import monotonic
-from lanedock.consensus import FileStorage, HardState, LogSnapshot, RaftReplica, ReplicaRole, StorageError
+from lanedock.consensus import (
+    FileStorage,
+    HardState,
+    LogSnapshot,
+    RaftReplica,
+    ReplicaRole,
+    Restored,
+    StorageError,
+)
 from lanedock.errors import ErrorCode
 from lanedock.rollout import MeshState, SubmitResult
-from lanedock.telemetry import Event, EventLogger, Metric, Metrics
+from lanedock.telemetry import Event, Metric, Metrics
 from lanedock.wire import messages
+from lanedock_daemon.control.disk_thread import run_in_thread
 
-__all__ = ["AppliedEntry", "ReplicatedLog", "open_storage"]
-
-FIRST_INCARNATION = "1"
+__all__ = ["AppliedEntry", "ReplicatedLog"]
 
-
-def open_storage(storage: FileStorage, name: str, names: list[str], initial: bool, events: EventLogger) -> str:
-    """Check that the data folder belongs to this replica, and initialize a new folder.
-
-    Parameters
-    ----------
-    storage : FileStorage
-    name : str
-    names : list of str
-        Names of all initial voters.
-    initial : bool
-        Whether a new folder starts as a voter. Given only once, when the mesh
-        is set up: a replica that lost its disk must not vote under its former
-        id, so without `initial` a new folder joins under a new incarnation.
-
-    Returns
-    -------
-    str
-        The replica's id.
-
-    Raises
-    ------
-    StorageError
-        The folder belongs to another replica, or cannot be read.
-    """
-    replica = storage.read_identity()
-    if replica:
-        if replica.partition("@")[0] != name:
-            raise StorageError(ErrorCode.FOREIGN_FOLDER, f"the data folder belongs to replica {replica}, not to {name}")
-        return replica
-    if initial:
-        replica = f"{name}@{FIRST_INCARNATION}"
-        membership = messages.Membership(voters=[f"{other}@{FIRST_INCARNATION}" for other in names])
-    else:
-        replica = f"{name}@{secrets.token_hex(4)}"
-        membership = messages.Membership()
-        events.emit(Event.JOINING, replica=replica)
-    storage.initialize(replica, membership)
-    return replica
+# Seconds until a compaction is tried again for which the disk had no space.
+COMPACTION_RETRY_INTERVAL = 10.0
 
 
 class AppliedEntry:
@@ -85,7 +53,11 @@
 
     Parameters
     ----------
-    replica : RaftReplica
+    make_replica : callable
+        Takes a Restored, the index of the last applied entry, and the time at which a leader was last
+        known (monotonic, in seconds) or None; returns the RaftReplica.
+    restored : Restored
+        The log as restored from `storage`.
     storage : FileStorage
     send : callable
         Takes a list of PeerMessage.
@@ -93,20 +65,39 @@
     metrics : Metrics
     compact_bytes : int
         Size of the log on disk, in bytes, at which it is compacted.
+
+    Attributes
+    ----------
+    replica : RaftReplica
+    state : MeshState
+    is_suspended : bool
+        Whether the replica takes no part in consensus, as its disk refuses writes.
     """
 
-    def __init__(self, replica: RaftReplica, storage: FileStorage, send, events, metrics: Metrics, compact_bytes: int):
-        self.replica = replica
-        self.state = MeshState.restore(replica.log.snapshot.state)
+    def __init__(
+        self,
+        make_replica: Callable[[Restored, int, float | None], RaftReplica],
+        restored: Restored,
+        storage: FileStorage,
+        send,
+        events,
+        metrics: Metrics,
+        compact_bytes: int,
+    ):
+        self._make_replica = make_replica
+        self.replica = make_replica(restored, restored.log.snapshot.index, None)
+        self.state = MeshState.restore(restored.log.snapshot.state)
         self.confirmed_reads: list[int] = []
         self.failed_reads: list[int] = []
-        self.is_broken = False
-        self._applied = replica.log.snapshot.index
+        self.is_suspended = False
+        self._applied = restored.log.snapshot.index
+        self._applied_entries: list[AppliedEntry] = []
         self._storage = storage
         self._send = send
         self._events = events
         self._metrics = metrics
         self._compact_bytes = compact_bytes
+        self._compact_at = 0.0
         self._waiting_reads: list[tuple[int, int]] = []
         self._was_leader = False
         self._known_membership = b""
@@ -123,21 +114,55 @@
         """Propose a command; returns its index, or None where this replica does not lead."""
         return self.replica.propose(command.SerializeToString(), monotonic())
 
-    def process_ready(self) -> list[AppliedEntry]:
-        """Save, send and apply everything that the core has ready.
+    def suspend(self, now: float) -> None:
+        """Stop taking part in consensus; what the core has ready is dropped, as nothing of it was saved."""
+        self.is_suspended = True
+        self.replica.resign(now)
+        self.confirmed_reads = []
+        self.failed_reads = []
+        self._waiting_reads = []
+        self._report_role()
 
-        Returns
-        -------
-        list of AppliedEntry
-            The entries applied. A snapshot from the leader replaces `state`
-            without adding entries to this list.
+    def resume(self, restored: Restored) -> None:
+        """Take part in consensus again, by what the storage holds. What was applied stays applied.
 
         Raises
         ------
         StorageError
-            The disk failed; the replica must stop taking part.
+            `ErrorCode.LOG_CORRUPT` if entries are missing that were applied.
+        """
+        log = restored.log
+        if log.last_index < self._applied:
+            raise StorageError(
+                ErrorCode.LOG_CORRUPT, f"the log ends at entry {log.last_index}, entry {self._applied} was applied"
+            )
+        if log.snapshot.index > self._applied:
+            self._install_snapshot(log.snapshot)
+        former = self.replica
+        self.replica = self._make_replica(restored, self._applied, former.leader_heard_at)
+        self.replica.contacts = former.contacts
+        self.is_suspended = False
+
+    def _install_snapshot(self, snapshot: LogSnapshot) -> None:
+        self.state = MeshState.restore(snapshot.state)
+        self._applied = snapshot.index
+
+    def take_applied(self) -> list[AppliedEntry]:
+        """Return the entries applied since the last call.
+
+        A snapshot from the leader replaces `state` without adding entries.
+        """
+        applied, self._applied_entries = self._applied_entries, []
+        return applied
+
+    def process_ready(self) -> None:
+        """Save, send and apply everything that the core has ready.
+
+        Raises
+        ------
+        StorageError
+            The disk refused a write; the replica has to be suspended.
         """
-        applied = []
         while True:
             ready = self.replica.take_ready()
             self._send(ready.messages_before_sync)
@@ -145,9 +170,9 @@
                 self._sync(ready)
             self._send(ready.messages_after_sync)
             if ready.snapshot is not None:
-                self.state = MeshState.restore(ready.snapshot.state)
-                self._applied = ready.snapshot.index
-            applied += [self._apply(entry) for entry in ready.committed]
+                self._install_snapshot(ready.snapshot)
+            for entry in ready.committed:
+                self._apply(entry)
             self._waiting_reads += ready.reads
             self.failed_reads += ready.failed_reads
             if not (ready.messages_before_sync or ready.messages_after_sync or ready.committed or ready.must_sync()):
@@ -155,7 +180,6 @@
         self._release_reads()
         self._report_role()
         self._compact()
-        return [entry for entry in applied if entry is not None]
 
     def _sync(self, ready) -> None:
         replica = self.replica
@@ -163,19 +187,18 @@
         hard_state = HardState(replica.term, replica.voted_for)
         started = monotonic()
         if ready.snapshot is not None:
-            _run_in_thread(self._storage.replace, ready.snapshot, hard_state, ready.entries)
+            run_in_thread(self._storage.replace, ready.snapshot, hard_state, ready.entries)
         else:
-            _run_in_thread(self._storage.save, hard_state if ready.hard_state_changed else None, ready.entries)
+            run_in_thread(self._storage.save, hard_state if ready.hard_state_changed else None, ready.entries)
         now = monotonic()
         self._metrics.time(Metric.SYNC, now - started)
         replica.mark_persisted(last_index, now)
 
-    def _apply(self, entry: messages.LogEntry) -> AppliedEntry | None:
+    def _apply(self, entry: messages.LogEntry) -> None:
         self._applied = entry.index
-        if not entry.payload:
-            return None
-        command = messages.Command.FromString(entry.payload)
-        return AppliedEntry(entry.index, command, self.state.apply(command))
+        if entry.payload:
+            command = messages.Command.FromString(entry.payload)
+            self._applied_entries.append(AppliedEntry(entry.index, command, self.state.apply(command)))
 
     def _release_reads(self) -> None:
         waiting = []
@@ -207,32 +230,18 @@
         log = self.replica.log
         if self._storage.size() < self._compact_bytes or log.membership_index() > self._applied:
             return
-        if self._applied == log.snapshot.index:
+        if self._applied == log.snapshot.index or monotonic() < self._compact_at:
             return
         snapshot = LogSnapshot(self._applied, log.term_at(self._applied), log.membership(), self.state.snapshot())
-        self.replica.compact(snapshot)
         hard_state = HardState(self.replica.term, self.replica.voted_for)
-        _run_in_thread(self._storage.replace, snapshot, hard_state, list(log.entries))
+        entries = log.between(snapshot.index + 1, log.last_index)
+        try:
+            run_in_thread(self._storage.replace, snapshot, hard_state, entries)
+        except StorageError as exc:
+            if not self._storage.is_usable:
+                raise
+            self._compact_at = monotonic() + COMPACTION_RETRY_INTERVAL
+            self._events.emit(Event.COMPACTION_FAILED, error=exc)
+            return
+        self.replica.compact(snapshot)
         self._events.emit(Event.COMPACTED, index=snapshot.index, bytes=self._storage.size())
-
-
-def _run_in_thread(write, *args) -> None:
-    """Run a disk write in a thread of gevent's pool, so that other greenlets keep running.
-
-    Raises
-    ------
-    StorageError
-        Raised by the write. The thread returns the error instead of raising
-        it, as the pool would print the traceback.
-    """
-    failure = gevent.get_hub().threadpool.apply(_return_error, (write, *args))
-    if failure is not None:
-        raise failure
-
-
-def _return_error(write, *args) -> StorageError | None:
-    try:
-        write(*args)
-    except StorageError as exc:
-        return exc
-    return None
--- a/packages/lanedock-daemon/lanedock_daemon/control/requests.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/requests.py
@@ -6,6 +6,7 @@
 from gevent.queue import Queue
 
 from lanedock.config import ConfigTree
+from lanedock.errors import ErrorCode
 from lanedock.membership import Instance
 from lanedock.wire import messages
 
@@ -136,10 +137,13 @@
         None where no version was accepted yet, or none is confirmed.
     is_confirmed : bool
         False where no quorum confirmed the read in time.
+    code : ErrorCode
+        Why the read is not confirmed.
     """
 
-    __slots__ = ("is_confirmed", "tree")
+    __slots__ = ("code", "is_confirmed", "tree")
 
-    def __init__(self, tree: ConfigTree | None, is_confirmed: bool):
+    def __init__(self, tree: ConfigTree | None, is_confirmed: bool, code: ErrorCode = ErrorCode.NO_LEADER):
         self.tree = tree
         self.is_confirmed = is_confirmed
+        self.code = code
--- a/packages/lanedock-daemon/lanedock_daemon/control/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/service.py
@@ -1,27 +1,29 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """The control task, which owns the replica and the parts that act on its replicated state."""
 
-import random
-
 from lanedock.canary import CanaryPolicy
 from lanedock.clock import monotonic
-from lanedock.consensus import FileStorage, RaftReplica, StorageError, Timing
+from lanedock.consensus import FileStorage, StorageError
 from lanedock.consensus.core import replica_name
+from lanedock.consensus.replica import NEVER_LED
 from lanedock.errors import ErrorCode
 from lanedock.kernel import Kernel, TaskService
 from lanedock.quarantine import Quarantine
-from lanedock.rollout import RolloutPolicy, SubmitResult, Verdict
+from lanedock.rollout import RolloutPolicy, SubmitResult
 from lanedock.settings import Address, Settings
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics
 from lanedock.wire import messages
 from lanedock_daemon.control.canaries import CanaryRequestHandler
 from lanedock_daemon.control.directories import ControlDirectory, ListedDirectory, RegisteredDirectory
+from lanedock_daemon.control.disk_reports import DiskReporter, DiskReports
 from lanedock_daemon.control.distribution import DaemonSessions, make_version_source
 from lanedock_daemon.control.leader import FleetReporter, RolloutLeader
 from lanedock_daemon.control.quarantine_queries import answer_operator
 from lanedock_daemon.control.queries import QueryQueue
 from lanedock_daemon.control.reads import ReadQueue
-from lanedock_daemon.control.replicated_log import AppliedEntry, ReplicatedLog, open_storage
+from lanedock_daemon.control.refusals import LOG_REQUESTS, REFUSED_REQUESTS, make_submit_refusal, refuse
+from lanedock_daemon.control.replica_factory import ReplicaFactory
+from lanedock_daemon.control.replicated_log import AppliedEntry, ReplicatedLog
 from lanedock_daemon.control.requests import (
     CanaryRequested,
     HistoryRequested,
@@ -32,7 +34,9 @@
     StatusRequested,
     SubmitRequested,
 )
-from lanedock_daemon.control.submissions import Submission, SubmissionQueue, log_applied_entry, make_submit_command
+from lanedock_daemon.control.storage_opening import OpenedStorage, StorageOpener
+from lanedock_daemon.control.storage_recovery import StorageLost, StorageRecovery, StorageReopened
+from lanedock_daemon.control.submissions import SubmissionQueue, log_applied_entry, submit
 from lanedock_daemon.control.traffic import ControlTraffic, MeteredLinks
 from lanedock_daemon.quota.requests import QuotaReportArrived, VersionAccepted
 from lanedock_daemon.quota.service import QuotaService
@@ -72,10 +76,12 @@
         self._quarantine = Quarantine()
         self._sessions = DaemonSessions(self._cfg, metrics, self._quarantine, self._traffic)
         self._submissions = SubmissionQueue(metrics)
-        self._is_seeded = self._cfg.seeds is not None
+        self._seeds = self._cfg.seeds
+        self._is_seeded = self._seeds is not None
         # A replica that is found through seeds is named by its address.
         self._name = str(self._cfg.listen) if self._is_seeded else settings.name
-        self._queries = QueryQueue(self.address_of, self._name)
+        self._disks = DiskReports()
+        self._queries = QueryQueue(self.address_of, self._name, self._disks)
         self._reads = ReadQueue()
         self._reporter = FleetReporter()
         self._quotas = QuotaService(settings.zone, events)
@@ -83,6 +89,8 @@
         self._sent_versions = None
         self._plan_revision = 0
         self._storage: FileStorage | None = None
+        # None until the storage could be opened.
+        self._log: ReplicatedLog | None = None
         self._handlers = {
             PeerMessageArrived: self._on_peer,
             ChildArrived: self._on_child_arrived,
@@ -97,48 +105,64 @@
             CanaryRequested: lambda item: self._canaries.handle(item, self._directory.endpoints(), monotonic()),
             ReadRequested: lambda item: self._reads.enqueue(item.call, monotonic()),
             SeedsChanged: lambda item: self._on_seeds(item.control),
+            StorageReopened: self._on_reopened,
+            StorageLost: self._on_storage_lost,
         }
 
     # ------------------------------------------------------------------- start
 
     def on_start(self, kernel: Kernel) -> None:
+        self._kernel = kernel
         cfg = self._cfg
-        transport = kernel.find("transport")
-        self._storage = FileStorage(cfg.data_folder)
         first = self._first_voters()
-        initial = self._initial or cfg.bootstrap
-        replica_id = open_storage(self._storage, self._name, first, initial and self._name in first, self._events)
-        restored = self._storage.restore()
-        if restored.truncated_bytes:
-            self._events.emit(Event.TAIL_CUT, bytes=restored.truncated_bytes)
-        others = {name: self.address_of(name) for name in first if name != self._name}
-        hard_state = restored.hard_state
-        replica = RaftReplica(
-            replica_id,
-            restored.log,
-            hard_state.term,
-            hard_state.voted_for,
-            Timing.for_election(cfg.election_ms / 1000),
-            random.Random(),
-            monotonic(),
-            tuple(others),
-            cfg.replace_after_ms / 1000 if self._is_seeded else None,
-        )
+        is_initial = (self._initial or cfg.bootstrap) and self._name in first
+        self._storage = FileStorage(cfg.data_folder)
+        opener = StorageOpener(self._storage, self._name, first, is_initial)
+        self._recovery = StorageRecovery(opener, self, self._events, self._metrics)
+        try:
+            opened = self._recovery.open()
+        except StorageError as exc:
+            if exc.code is not ErrorCode.DISK_FAILED:
+                raise
+            # Without a listener, daemons and replicas are refused at once. Ending instead would end
+            # again at each start, and lose whether this is the first start of the mesh.
+            self._recovery.begin(exc, monotonic())
+            return
+        self._begin(opened)
+
+    def _begin(self, opened: OpenedStorage) -> None:
+        """Start the replica and all that rests on it, once the storage can be written."""
+        cfg = self._cfg
+        transport = self._kernel.find("transport")
+        if opened.is_joining:
+            self._events.emit(Event.JOINING, replica=opened.replica)
+        self._log_truncation(opened)
+        others = {name: self.address_of(name) for name in self._first_voters() if name != self._name}
         self._links = MeteredLinks(transport.peer_links(others), self._traffic)
         self._log = ReplicatedLog(
-            replica, self._storage, self._links.send, self._events, self._metrics, cfg.compact_bytes
+            ReplicaFactory(opened.replica, tuple(others), cfg).make,
+            opened.restored,
+            self._storage,
+            self._links.send,
+            self._events,
+            self._metrics,
+            cfg.compact_bytes,
         )
+        self._disk_reporter = DiskReporter(self._recovery, self._disks, self._log, self._links)
         self._directory = self._make_directory()
         self._quotas.attach(self._log, self._links, lambda: self._directory.zones, self._leader_address)
         self._leader = RolloutLeader(self._log, self._policy, self._submissions)
         policy = CanaryPolicy(cfg.canary_share, cfg.canary_slack)
         self._canaries = CanaryRequestHandler(self._log, policy, self._leader_address, self._events, self._metrics)
-        self._log.process_ready()
-        self._refresh_source()
-        self._quotas.start(kernel)
+        self._process_log()
+        self._quotas.start(self._kernel)
         self._server = transport.serve_control(self, cfg.listen, self._quotas)
         self._links.start()
-        self._directory.start(kernel)
+        self._directory.start(self._kernel)
+
+    def _log_truncation(self, opened: OpenedStorage) -> None:
+        if opened.restored.truncated_bytes:
+            self._events.emit(Event.TAIL_CUT, bytes=opened.restored.truncated_bytes)
 
     def _make_directory(self) -> ControlDirectory:
         shared = (self._sessions, self._links, self._log, self._quarantine)
@@ -149,7 +173,7 @@
     def _first_voters(self) -> list[str]:
         """Return the names of the initial voters."""
         if self._is_seeded:
-            return [str(address) for address in self._cfg.seeds]
+            return [str(address) for address in self._seeds]
         return list(self._cfg.replicas)
 
     def address_of(self, name: str) -> Address | None:
@@ -164,33 +188,51 @@
 
     def _on_seeds(self, seeds: list[Address]) -> None:
         """Replace the seeds, which a new replica asks for admission."""
+        self._seeds = seeds
+        if self._log is None:
+            return
         names = [str(address) for address in seeds if str(address) != self._name]
         self._log.replica.contacts = tuple(names)
         self._events.emit(Event.SEEDS_CHANGED, seeds=",".join(names))
 
     def on_stop(self) -> None:
+        self._recovery.stop()
+        if self._log is None:
+            return
         self._quotas.stop()
         self._directory.stop()
         self._submissions.abandon_all()
         self._canaries.abandon_all()
         self._sessions.close()
         self._server.close()
-        self._storage.close()
+        if not self._recovery.is_active:
+            self._storage.close()
 
     # ---------------------------------------------------------------- messages
 
     def on_messages(self, batch: list[object]) -> None:
-        if self._log.is_broken:
-            return
         for item in batch:
-            self._handlers[type(item)](item)
-        self._advance()
+            if self._must_refuse(item):
+                refuse(item, self._recovery.error)
+            else:
+                self._handlers[type(item)](item)
+        if self._log is not None:
+            self._advance()
+
+    def _must_refuse(self, item) -> bool:
+        """Return whether a request of an operator needs what a disk that refuses writes can't give."""
+        if not self._recovery.is_active:
+            return False
+        return isinstance(item, REFUSED_REQUESTS if self._log is not None else LOG_REQUESTS)
 
     def on_tick(self) -> None:
-        if self._log.is_broken:
-            return
         now = monotonic()
-        self._log.replica.tick(now)
+        self._recovery.measure(now)
+        if self._log is None:
+            return
+        self._disk_reporter.report(now)
+        if not self._log.is_suspended:
+            self._log.replica.tick(now)
         self._announce_leader()
         self._sessions.send_heartbeats(now, *self._measure_freshness(now))
         self._directory.tick(now)
@@ -213,7 +255,10 @@
             self._reporter.restart()
         elif body == "quota_report":
             self._quotas.post(QuotaReportArrived(message))
-        else:
+        elif body == "disk_report":
+            self._disks.receive(message.sender, message.disk_report, now)
+            self._log.replica.handle_resignation(message.sender, message.term, now)
+        elif not self._log.is_suspended:
             self._log.replica.step(message, now)
 
     def _on_fleet_report(self, message, now: float) -> None:
@@ -230,8 +275,13 @@
         self._known_leader = leader
 
     def _measure_freshness(self, now: float) -> tuple[int, float]:
-        """Return the number of the newest accepted version known here, and the seconds since a leader was heard."""
-        return self._log.state.accepted_version.number, self._log.replica.leader_silence(now)
+        """Return the number of the newest accepted version known here, and the seconds since a leader was heard.
+
+        While the disk refuses writes, none counts as heard, so that daemons move to an instance that has
+        a leader. Those that find none stay for the endpoints, which rest on no write.
+        """
+        silence = NEVER_LED if self._log.is_suspended else self._log.replica.leader_silence(now)
+        return self._log.state.accepted_version.number, silence
 
     def _on_child_arrived(self, item: ChildArrived) -> None:
         freshness = self._measure_freshness(monotonic())
@@ -255,51 +305,26 @@
 
     def refuse_unless_leading(self, request: messages.SubmitRequest) -> messages.SubmitReply | None:
         """Return a refusal that names the leader, or None where this replica leads."""
+        if self._recovery.is_active:
+            return make_submit_refusal(request, ErrorCode.DISK_FAILED, self._recovery.error)
         if self._log.is_current_leader:
             return None
-        return messages.SubmitReply(
-            answer=messages.ANSWER_NOT_KNOWN,
-            code=ErrorCode.NOT_LEADER.code,
-            message=ErrorCode.NOT_LEADER.meaning,
-            version=request.version,
-            leader_address=self._leader_address(),
-        )
-
-    def _settle_time(self) -> float | None:
-        settle = self._cfg.settle_ms
-        return None if settle is None else settle / 1000
+        refusal = make_submit_refusal(request, ErrorCode.NOT_LEADER)
+        refusal.leader_address = self._leader_address()
+        return refusal
 
     def _on_submit(self, item: SubmitRequested) -> None:
-        version = item.tree.version
-        submission = Submission(item.call, item.request, version, monotonic(), self._settle_time())
         refusal = self.refuse_unless_leading(item.request)
         if refusal is not None:
             item.call.finish(refusal)
             return
-        result = self._log.state.evaluate_submission(version)
-        if result.verdict is Verdict.KNOWN:
-            self._submissions.add_waiting(submission)
-            return
-        # The log decides on every other verdict: a refusal, too, must come
-        # from a leader that a quorum still follows.
-        base = self._log.state.tree(self._log.state.accepted_version.number)
-        command = make_submit_command(item, self._cfg.rollout == "direct", base)
-        index = self._log.propose(command)
-        if index is None:
-            # The lease ended after the check above.
-            item.call.finish(submission.reply(messages.ANSWER_NOT_KNOWN, ErrorCode.OUTCOME_NOT_KNOWN))
-            return
-        self._submissions.add_proposed(submission, index)
+        submit(item, self._cfg, self._log, self._submissions)
 
     # ----------------------------------------------------------------- advance
 
     def _advance(self) -> None:
         """Process the log, then send everything that has become due."""
-        try:
-            self._process_log()
-        except StorageError as exc:
-            self._stop_after_storage_error(exc)
-            return
+        self._process_log()
         now = monotonic()
         self._directory.broadcast(now)
         self._sessions.flush()
@@ -309,14 +334,23 @@
         self._queries.advance(self._log, self._leader.fleet, now)
 
     def _process_log(self) -> None:
+        if self._log.is_suspended:
+            return
         now = monotonic()
         for token in (self._sessions.next_read(now), self._reads.next_read(now)):
             if token is not None:
                 self._log.replica.request_read(token, now)
-        for entry in self._log.process_ready():
+        failure = None
+        try:
+            self._log.process_ready()
+        except StorageError as exc:
+            failure = exc
+        for entry in self._log.take_applied():
             self._on_applied(entry)
         self._refresh_source()
         self._answer_reads()
+        if failure is not None:
+            self._suspend(failure)
 
     def _answer_reads(self) -> None:
         accepted = self._log.state.accepted_version.number
@@ -383,11 +417,7 @@
         if not is_leader:
             return
         if self._leader.decide(now) or has_steps:
-            try:
-                self._process_log()
-            except StorageError as exc:
-                self._stop_after_storage_error(exc)
-                return
+            self._process_log()
             self._sessions.flush()
         self._leader.answer()
 
@@ -396,15 +426,40 @@
         address = self.address_of(leader) if leader else None
         return str(address) if address else ""
 
-    def _stop_after_storage_error(self, exc: StorageError) -> None:
-        """Stop taking part, as the content of the disk is not known after a storage error."""
-        self._log.is_broken = True
-        event = Event.LOG_CORRUPT if exc.code is ErrorCode.LOG_CORRUPT else Event.DISK_FAILED
-        self._events.emit(event, error=exc)
+    # -------------------------------------------------------------------- disk
+
+    def _suspend(self, exc: StorageError) -> None:
+        """Stop all that rests on a write, refuse what waits for it, and notify the other replicas."""
+        now = monotonic()
+        self._recovery.begin(exc, now)
+        self._log.suspend(now)
         self._submissions.abandon_all()
         self._canaries.abandon_all()
-        self._queries.abandon_all()
         self._reads.abandon_all()
-        self._sessions.close()
-        # Refuse daemons and operators rather than let them wait.
-        self._server.close()
+        self._sessions.fail_reads()
+        self._sessions.expedite_heartbeats()
+        self._disk_reporter.report(now)
+
+    def _on_reopened(self, item: StorageReopened) -> None:
+        """Take part again, or begin to."""
+        opened = item.opened
+        if self._log is None:
+            self._begin(opened)
+        else:
+            try:
+                self._log.resume(opened.restored)
+            except StorageError as exc:
+                self._recovery.begin(exc, monotonic())
+                return
+            self._log_truncation(opened)
+            self._sessions.expedite_heartbeats()
+        if self._log.is_suspended:
+            return
+        now = monotonic()
+        self._recovery.end(now)
+        self._disk_reporter.report_end(now)
+
+    def _on_storage_lost(self, item: StorageLost) -> None:
+        """End the process where nothing is served yet; a running one goes on serving endpoints."""
+        if self._log is None:
+            raise item.error
--- a/packages/lanedock-daemon/lanedock_daemon/control/submissions.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/submissions.py
@@ -7,12 +7,13 @@
 from lanedock.config import ConfigTree, Version
 from lanedock.errors import ErrorCode
 from lanedock.rollout import RolloutProgress, SubmitResult, Verdict, fill_content
+from lanedock.settings import ControlSettings
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics
 from lanedock.wire import messages
-from lanedock_daemon.control.replicated_log import AppliedEntry
+from lanedock_daemon.control.replicated_log import AppliedEntry, ReplicatedLog
 from lanedock_daemon.control.requests import Call, SubmitRequested
 
-__all__ = ["Submission", "SubmissionQueue", "log_applied_entry", "make_submit_command"]
+__all__ = ["Submission", "SubmissionQueue", "log_applied_entry", "submit"]
 
 # Minimum interval between two progress reports to one operator, in seconds: a person does not
 # notice more frequent updates.
@@ -24,7 +25,7 @@
 _RECORDED_VERDICTS = (Verdict.STAGING, Verdict.KNOWN)
 
 
-def make_submit_command(item: SubmitRequested, is_direct: bool, base: ConfigTree | None) -> messages.Command:
+def _make_submit_command(item: SubmitRequested, is_direct: bool, base: ConfigTree | None) -> messages.Command:
     """Return the log command that submits a version.
 
     Parameters
@@ -281,6 +282,26 @@
     return reply
 
 
+def submit(item: SubmitRequested, cfg: ControlSettings, log: ReplicatedLog, submissions: SubmissionQueue) -> None:
+    """Propose a submitted version as leader, and let its operator wait for the outcome."""
+    version = item.tree.version
+    settle_time = None if cfg.settle_ms is None else cfg.settle_ms / 1000
+    submission = Submission(item.call, item.request, version, monotonic(), settle_time)
+    result = log.state.evaluate_submission(version)
+    if result.verdict is Verdict.KNOWN:
+        submissions.add_waiting(submission)
+        return
+    # The log decides on every other verdict: a refusal, too, must come
+    # from a leader that a quorum still follows.
+    base = log.state.tree(log.state.accepted_version.number)
+    index = log.propose(_make_submit_command(item, cfg.rollout == "direct", base))
+    if index is None:
+        # The lease ended after the caller's check.
+        item.call.finish(submission.reply(messages.ANSWER_NOT_KNOWN, ErrorCode.OUTCOME_NOT_KNOWN))
+        return
+    submissions.add_proposed(submission, index)
+
+
 def log_applied_entry(events: EventLogger, entry: AppliedEntry, accepted: int) -> None:
     """Log the result of an applied entry that submits, accepts or aborts a version.
 
--- a/packages/lanedock-daemon/lanedock_daemon/quota/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/quota/service.py
@@ -137,7 +137,7 @@
         if now - self._ran_at > PAUSE_LIMIT:
             self._resumed_at = now
         self._ran_at = now
-        if self._log.is_broken:
+        if self._log.is_suspended:
             role = _Role.FOLLOWER
         elif self._log.is_current_leader:
             role = _Role.LEADER
--- a/packages/lanedock-daemon/lanedock_daemon/quota/tests/test_framed_quotas.py
+++ b/packages/lanedock-daemon/lanedock_daemon/quota/tests/test_framed_quotas.py
@@ -38,7 +38,7 @@
             leader_silence=lambda now: 0.0,
             unreached_time=lambda replica, now: 0.0,
         )
-        log = SimpleNamespace(replica=replica, is_broken=False, is_current_leader=is_leader)
+        log = SimpleNamespace(replica=replica, is_suspended=False, is_current_leader=is_leader)
         self.address = Address("127.0.0.1", free_port())
         self.leader = leader
         self.service = QuotaService("z", EventLogger(replica.me))
--- a/packages/lanedock-daemon/lanedock_daemon/quota/tests/test_service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/quota/tests/test_service.py
@@ -56,7 +56,7 @@
         self.events: list[tuple] = []
         self.sent: list[messages.PeerMessage] = []
         self.replies: list[messages.CreditReply] = []
-        self.log = SimpleNamespace(replica=_Replica(self), is_broken=False, is_current_leader=False)
+        self.log = SimpleNamespace(replica=_Replica(self), is_suspended=False, is_current_leader=False)
         self.log.replica.heard_at = self.now
         self.leader_address = ""
         self.refused: dict[str, float] = {}
@@ -217,7 +217,7 @@
 def test_an_instance_whose_disk_failed_grants_nothing(granter):
     granter.follow()
     granter.run(5.0)
-    granter.log.is_broken = True
+    granter.log.is_suspended = True
     assert granter.ask(_need(1)).code == ErrorCode.NOT_LEADER.code
 
 
--- a/packages/lanedock/lanedock/errors.py
+++ b/packages/lanedock/lanedock/errors.py
@@ -217,8 +217,9 @@
     )
     DISK_FAILED = (
         "LD4002",
-        "Writing or syncing the log failed.",
-        "Free disk space or replace the disk, then restart the control instance.",
+        "The disk of the control instance refuses a call, so that it takes no part in changes.",
+        "Try another control instance. Free disk space, after which the instance recovers by itself; replace the disk "
+        "if the error stays.",
     )
     FOREIGN_FOLDER = (
         "LD4003",
--- a/packages/lanedock/lanedock/telemetry/events.py
+++ b/packages/lanedock/lanedock/telemetry/events.py
@@ -66,8 +66,10 @@
     DISK_FAILED = (
         204,
         logging.CRITICAL,
-        "The disk failed; the replica no longer participates in consensus.",
-        "Replace the disk, then the control instance.",
+        "The disk has refused a call, which `error` names. The control instance neither leads nor votes, refuses "
+        "changes, and tries again up to ten times a second; E209 follows once it participates again.",
+        "Free disk space if there is none left: the instance needs no restart. If the error is one of input and "
+        "output, or stays, replace the disk and then the control instance.",
     )
     LOG_CORRUPT = (
         205,
@@ -83,6 +85,19 @@
         "None.",
     )
     COMPACTED = (208, logging.INFO, "The log was compacted into a snapshot.", "None.")
+    DISK_RECOVERED = (
+        209,
+        logging.WARNING,
+        "The disk takes writes again, and the control instance participates. `outage_ms` is the time for which it "
+        "did not.",
+        "None; if this recurs, give the data folder more space, or replace the disk.",
+    )
+    COMPACTION_FAILED = (
+        210,
+        logging.WARNING,
+        "The disk has no space for the compacted log beside the present one, which stays in use.",
+        "Free disk space; the compaction is tried again.",
+    )
 
     SUBMITTED = (301, logging.INFO, "A version is being staged.", "None.")
     ACCEPTED = (302, logging.INFO, "A version is accepted and committed.", "None.")
--- a/packages/lanedock/lanedock/telemetry/metrics.py
+++ b/packages/lanedock/lanedock/telemetry/metrics.py
@@ -49,6 +49,7 @@
     TERM = ("log.term", "g", "The replicated log's term.")
     COMMIT = ("log.commit", "g", "Index of the newest committed entry.")
     SYNC = ("log.sync", "ms", "Time to sync the log to disk.")
+    DISK_OUTAGE = ("log.disk_outage", "g", "Seconds since the disk refused a write; 0 while it can be written.")
     SOURCE_AGE = ("config.source_age", "g", "Seconds since the daemon's source was last heard.")
     STALENESS = ("config.staleness", "g", "Seconds since the source has heard from the leader, as it says.")
     BEHIND = (
