Let doctor check that a disk has space for a second log

A start and a compaction write the whole log beside the present one, so a data folder needs twice the length at which the log is compacted. 'lanedock doctor' wrote a few kilobytes only and reported a nearly full disk as good. It names the free space now, and fails below that.

--- a/packages/lanedock-cli/lanedock_cli/doctor.py
+++ b/packages/lanedock-cli/lanedock_cli/doctor.py
@@ -2,6 +2,7 @@
 """Checks of an instance's environment before its process starts, based on its settings."""
 
 import os
+import shutil
 import socket
 import tempfile
 import time
@@ -56,6 +57,8 @@
         checks.append(_check_peer(name, address))
     if settings.control is not None:
         checks.append(_check_folder(settings.control.data_folder))
+        if os.path.isdir(settings.control.data_folder):
+            checks.append(_check_space(settings.control.data_folder, settings.control.compact_bytes))
         checks.append(_check_platform_list(settings.control.platform_list))
     if settings.tls is not None:
         checks.append(_check_tls(settings))
@@ -134,6 +137,17 @@
     )
 
 
+def _check_space(path: str, compact_bytes: int) -> Check:
+    """Check that two logs fit, as a start and a compaction write the whole log beside the present one."""
+    needed = 2 * compact_bytes
+    try:
+        free = shutil.disk_usage(path).free
+    except OSError as exc:
+        return Check("free space", False, f"{path}: {exc.strerror}", ErrorCode.DISK_FAILED)
+    detail = f"{path} has {free / 1e6:.0f} MB free; the log needs {needed / 1e6:.0f} MB"
+    return Check("free space", free >= needed, detail, None if free >= needed else ErrorCode.DISK_FAILED)
+
+
 def _check_platform_list(address: str) -> Check:
     try:
         instances = make_platform_list(address).read()
