Open a gRPC link again after a call that was ended in the middle of a message

Found while passing errors that are kept as permanent ones were looked for: the task of a link between control instances caught four kinds of errors of a call and ended at a fifth, ProtocolError, which grpclib raises when the stream has ended meanwhile. Nothing started it again, so that replica got no message any more until a restart. The daemons' streams caught it already.

--- a/packages/lanedock-daemon/lanedock_daemon/control/grpc_links.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/grpc_links.py
@@ -4,7 +4,7 @@
 import asyncio
 import random
 
-from grpclib.exceptions import GRPCError, StreamTerminatedError
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
 from lanedock.clock import monotonic
 from lanedock.consensus.core import replica_name
@@ -50,7 +50,7 @@
             opened_at = monotonic()
             try:
                 await self._send_queued()
-            except (TimeoutError, OSError, GRPCError, StreamTerminatedError):
+            except (TimeoutError, OSError, GRPCError, ProtocolError, StreamTerminatedError):
                 pass
             delay = RECONNECT_MIN if monotonic() - opened_at > RECONNECT_MAX else min(delay * 2, RECONNECT_MAX)
             await asyncio.sleep(random.uniform(0, delay))
