Read changed settings again that could not be read for now

Found while passing errors that are kept as permanent ones were looked for: the state of the settings file was noted before it was read, so a change whose read failed (no descriptor left, an error of the disk) was never applied, and a control instance kept seeds that had been replaced. Settings with findings are read once, as before.

--- a/packages/lanedock-daemon/lanedock_daemon/run.py
+++ b/packages/lanedock-daemon/lanedock_daemon/run.py
@@ -10,7 +10,7 @@
 from gevent.event import Event as Signal
 
 from lanedock.clock import monotonic
-from lanedock.errors import LanedockError
+from lanedock.errors import ErrorCode, LanedockError
 from lanedock.findings import FindingsError
 from lanedock.kernel import Kernel, StopPlan
 from lanedock.settings import Settings, load_settings
@@ -307,6 +307,7 @@
         self, kernel: Kernel, path: str, stamp: tuple, settings: Settings, events: EventLogger, is_generated: bool
     ):
         self._is_generated = is_generated
+        self._is_unreadable = False
         self._kernel = kernel
         self._path = path
         self._settings = settings
@@ -314,10 +315,10 @@
         self._stamp = stamp
 
     def watch(self) -> None:
-        """Reload whenever the file has changed without a signal."""
+        """Reload whenever the file has changed without a signal, and again while it can't be read."""
         while True:
             gevent.sleep(RELOAD_INTERVAL)
-            if _read_stamp(self._path) != self._stamp:
+            if self._is_unreadable or _read_stamp(self._path) != self._stamp:
                 self.reload()
 
     def reload(self) -> None:
@@ -326,8 +327,11 @@
         try:
             new = load_settings(self._path, self._is_generated)
         except FindingsError as exc:
-            self._events.emit(Event.RELOAD_REFUSED, error=exc)
+            was_unreadable, self._is_unreadable = self._is_unreadable, exc.code is ErrorCode.FILE_UNREADABLE
+            if not (was_unreadable and self._is_unreadable):
+                self._events.emit(Event.RELOAD_REFUSED, error=exc)
             return
+        self._is_unreadable = False
         self._events.emit(Event.RELOADED, path=self._path)
         old = self._settings
         if new.daemon is not None and old.daemon is not None and new.daemon.control != old.daemon.control:
