--- a/tests/soak.py
+++ b/tests/soak.py
@@ -2,13 +2,15 @@
 """Soak test: injects sequential and overlapping faults under requests, crashing requests and changes.
 
 Processes are suspended, paused, killed and stopped as planned; applications crash, are replaced, and
-advertise rate limits and draining in their responses; zones are partitioned. At the end daemons are
-stopped as planned under callers that use their connections until the process is gone, while changes go on.
+advertise rate limits and draining in their responses; zones are partitioned; a disk is full for a time.
+At the end daemons are stopped as planned under callers that use their connections until the process is
+gone, while changes go on.
 
 To run 50 seeds by hand: ``python tests/soak.py --seeds 50``. The seed determines the faults and their
 order; the timing of the processes still differs between runs.
 """
 
+import resource
 import signal
 import sys
 import tempfile
@@ -130,7 +132,7 @@
             self._replace_several,
             self._partition_zones,
         ]
-        self._faults += [self._limit, self._drain_by_responses]
+        self._faults += [self._limit, self._drain_by_responses, self._fill_disk]
         self._limit_slots = threading.Semaphore(daemons // LIMITED_DIVISOR)
         self._partitions = ZonePartitions(self._mesh)
         self._crashing_requests: list[tuple[str, str, bytes]] = []
@@ -248,6 +250,19 @@
         rng = Random(seed)
         self._partitions.partition_for(rng.choice(OTHER_ZONES), rng.uniform(0.3, 6.0))
 
+    def _fill_disk(self, seed: int) -> None:
+        """Let the control instance that other faults hit write to no file for a time; its log lines are lost, too."""
+        pid = self._mesh.processes[self._mesh.controls[0]].pid
+        self._limit_files(pid, 1)
+        time.sleep(Random(seed).uniform(0.3, 6.0))
+        self._limit_files(pid, resource.RLIM_INFINITY)
+
+    def _limit_files(self, pid: int, size: int) -> None:
+        try:
+            resource.prlimit(pid, resource.RLIMIT_FSIZE, (size, resource.RLIM_INFINITY))
+        except ProcessLookupError:
+            pass  # another fault has ended the process; the next one has no limit
+
     # -------------------------------------------------------------------- load
 
     def _send_crashing_requests(self, seed: int) -> None:
