--- a/packages/lanedock-daemon/lanedock_daemon/control/tests/test_replicated_log.py
+++ b/packages/lanedock-daemon/lanedock_daemon/control/tests/test_replicated_log.py
@@ -2,18 +2,19 @@
 """Tests of the replicated log's driver on a disk in memory."""
 
 import errno
-from random import Random
+from types import SimpleNamespace
 
 import pytest
 
 from lanedock.clock import monotonic
-from lanedock.consensus import FileStorage, RaftReplica, StorageError, Timing
+from lanedock.consensus import FileStorage, StorageError
 from lanedock.consensus.tests.simulated_disk import SimulatedDisk
 from lanedock.errors import ErrorCode
 from lanedock.rollout import MeshState
 from lanedock.telemetry import Event, NullMetrics
 from lanedock.wire import messages
 from lanedock_daemon.control import replicated_log
+from lanedock_daemon.control.replica_factory import ReplicaFactory
 from lanedock_daemon.control.replicated_log import ReplicatedLog
 from lanedock_daemon.control.storage_opening import StorageOpener
 
@@ -40,24 +41,9 @@
         self.events = Events()
         self.sent: list[messages.PeerMessage] = []
         opened = self.opener.open()
-
-        def make_replica(restored, applied: int, leader_heard_at: float | None) -> RaftReplica:
-            hard_state = restored.hard_state
-            timing = Timing.for_election(0.01)
-            return RaftReplica(
-                opened.replica,
-                restored.log,
-                hard_state.term,
-                hard_state.voted_for,
-                timing,
-                Random(1),
-                monotonic(),
-                applied=applied,
-                leader_heard_at=leader_heard_at,
-            )
-
+        factory = ReplicaFactory(opened.replica, (), SimpleNamespace(election_ms=10, seeds=None))
         self.log = ReplicatedLog(
-            make_replica, opened.restored, self.storage, self.sent.extend, self.events, NullMetrics(), compact_bytes
+            factory.make, opened.restored, self.storage, self.sent.extend, self.events, NullMetrics(), compact_bytes
         )
 
     def fill(self, count: int = NEVER) -> None:
