Count only requests sent after an ejection as trials of the upstream

What callers saw: one burst of failures took an upstream away for up to half a minute where one second is meant.

Cause: after an ejection each failure counted as a failed trial, also that of a request that had been sent before, and each doubled the time. Of ten requests in progress that fail within 10 ms the third ejected the upstream, and the seven others ejected it again. A success of such a request ended the trial in the same way, and a request sent before a probe had reached an unreachable upstream made it unreachable again. Class: a result credited to a state that began after its request.

Change: an upstream's statistics hold the time of its last ejection or successful probe; results of requests sent before count towards neither ejection, trial nor reachability.

Evidence: five of the new cases fail on the code before (run there without the new argument): the three of one burst of 4, 10 and 40, the success from before the ejection, and the probe. The tests of routing, hedging and the promises pass.

--- a/packages/lanedock-daemon/lanedock_daemon/path/caller/attempts.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller/attempts.py
@@ -189,14 +189,14 @@
                 self._pool, stats.address, request, sent, context.deadline + REFUSAL_GRACE, continue_wait
             )
         except ExchangeError as exc:
-            return self._on_failed(context, stats, exc)
+            return self._on_failed(context, stats, exc, started)
         except BaseException:
             balancer.end(stats, False, monotonic())
             raise
 
-    def _on_failed(self, context: RequestContext, stats, exc: ExchangeError) -> AttemptResult:
+    def _on_failed(self, context: RequestContext, stats, exc: ExchangeError, started: float) -> AttemptResult:
         """Record an attempt that got no answer, and return its result."""
-        self._note_end(context.balancer, stats, failed=not exc.is_body_late, unreachable=exc.is_unreachable)
+        self._note_end(context.balancer, stats, started, failed=not exc.is_body_late, unreachable=exc.is_unreachable)
         self._note_try(context, stats, exc.outcome, exc.code)
         return self._on_lost(exc, stats, context.route, context.request)
 
@@ -206,7 +206,7 @@
         try:
             response = pending.read()
         except ExchangeError as exc:
-            return self._on_failed(context, stats, exc)
+            return self._on_failed(context, stats, exc, started)
         except BaseException:
             balancer.end(stats, False, monotonic())
             raise
@@ -220,11 +220,11 @@
         outcome = head.header(OUTCOME_HEADER)
         if outcome == Outcome.NOT_RUN:
             self._note_try(context, stats, Outcome.NOT_RUN, ErrorCode.find(head.header(CODE_HEADER)))
-            return self._on_refused(response, balancer, stats, load)
+            return self._on_refused(response, balancer, stats, load, started)
         is_lost = outcome == Outcome.UNKNOWN
         if (is_lost or head.status == 503) and route.repeatable:
             # Recorded before the body is read, because the caller may disconnect during the read.
-            self._note_end(balancer, stats, failed=True, load=load)
+            self._note_end(balancer, stats, started, failed=True, load=load)
             self._note_try(context, stats, Outcome.UNKNOWN, ErrorCode.find(head.header(CODE_HEADER)), head.status)
             body = self._read_refusal(response)
             answer = Answer(head.status, head.reason, _strip_daemon_headers(head), [body or b""])
@@ -280,12 +280,12 @@
         answer = self._make_unknown_outcome(exc.code, str(exc))
         return AttemptResult(answer, not route.repeatable, may_have_run=True)
 
-    def _on_refused(self, response, balancer, stats, load) -> AttemptResult:
+    def _on_refused(self, response, balancer, stats, load, started: float) -> AttemptResult:
         """Handle a refusal by the upstream's daemon; the request has not run."""
         head = response.message
         code = ErrorCode.find(head.header(CODE_HEADER)) or ErrorCode.OVERLOADED
         is_fault = code not in _FAULTLESS_REFUSALS
-        self._note_end(balancer, stats, failed=is_fault, load=load)
+        self._note_end(balancer, stats, started, failed=is_fault, load=load)
         if code is ErrorCode.NOT_HELD:
             # The address was reassigned, or another incarnation of the application uses it;
             # the mesh's view doesn't show that yet, but will soon.
@@ -302,6 +302,7 @@
         self,
         balancer,
         stats,
+        started: float,
         failed: bool,
         load=None,
         taken=None,
@@ -309,7 +310,7 @@
         kind: str = "",
         body_taken=None,
     ) -> None:
-        if balancer.end(stats, failed, monotonic(), load, taken, unreachable, kind, body_taken):
+        if balancer.end(stats, failed, monotonic(), load, taken, unreachable, kind, body_taken, sent_at=started):
             self._metrics.count(Metric.EJECTED)
             self._events.emit(
                 Event.EJECTED,
@@ -349,7 +350,7 @@
         if is_lost:
             code = ErrorCode.find(head.header(CODE_HEADER)) or ErrorCode.ANSWER_LOST
             self._note_crashes(head)
-            self._note_end(balancer, stats, failed=True, load=load)
+            self._note_end(balancer, stats, started, failed=True, load=load)
             self._note_try(context, stats, Outcome.UNKNOWN, code)
             self._read_refusal(response)
             return AttemptResult(self._make_unknown_outcome(code, ""), True, may_have_run=True)
@@ -366,7 +367,7 @@
                 is_late = monotonic() >= context.deadline
                 code = ErrorCode.ANSWER_TIMEOUT if is_late else ErrorCode.ANSWER_LOST
                 self._note_end(
-                    balancer, stats, failed or not is_late, load, taken if is_late else None, kind=route.name
+                    balancer, stats, started, failed or not is_late, load, taken if is_late else None, kind=route.name
                 )
                 self._note_try(context, stats, Outcome.UNKNOWN, code)
                 return AttemptResult(self._make_unknown_outcome(code, str(exc)), not route.repeatable, True, True)
@@ -379,7 +380,14 @@
             # A quick failure must not make an upstream look fast.
             known_time, known_body_time = (None, None) if failed else (taken, body_taken)
             self._note_end(
-                balancer, stats, failed=failed, load=load, taken=known_time, kind=route.name, body_taken=known_body_time
+                balancer,
+                stats,
+                started,
+                failed=failed,
+                load=load,
+                taken=known_time,
+                kind=route.name,
+                body_taken=known_body_time,
             )
             return AttemptResult(
                 Answer(head.status, head.reason, _strip_daemon_headers(head), [*pieces, *head.pieces]), True
@@ -396,6 +404,7 @@
             self._note_end(
                 balancer,
                 stats,
+                started,
                 failed=failed or broke_off,
                 load=load,
                 taken=taken,
--- a/packages/lanedock-daemon/lanedock_daemon/path/caller/prober.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller/prober.py
@@ -9,6 +9,7 @@
 
 import gevent
 
+from lanedock.clock import monotonic
 from lanedock.routing import Balancer, UpstreamStats
 from lanedock.telemetry import Event, EventLogger
 from lanedock_daemon.path.shared.pool import ConnectionPool, ExchangeError
@@ -44,9 +45,9 @@
                 return
             if self._try_connect(stats.address):
                 self._events.emit(Event.REACHED, upstream=stats.endpoint.instance, failed_probes=stats.failed_probes)
-                balancer.note_probe(stats, True)
+                balancer.note_probe(stats, True, monotonic())
                 return
-            balancer.note_probe(stats, False)
+            balancer.note_probe(stats, False, monotonic())
             interval = min(2 * interval, MAX_INTERVAL)
 
     def _try_connect(self, address: tuple[str, int]) -> bool:
--- a/packages/lanedock/lanedock/routing/balancer.py
+++ b/packages/lanedock/lanedock/routing/balancer.py
@@ -257,6 +257,7 @@
         unreachable: bool = False,
         kind: str = "",
         body_taken: float | None = None,
+        sent_at: float | None = None,
     ) -> bool:
         """Record the end of a request.
 
@@ -282,6 +283,8 @@
             Seconds from the answer's head until its last byte was passed on; left out if
             the body was not complete. Kept apart from `taken`: a long body or a caller that
             reads slowly makes neither the upstream slow nor the answer late.
+        sent_at : float, optional
+            Monotonic time, in seconds, at which the request was sent; left out if its result counts in any case.
 
         Returns
         -------
@@ -298,6 +301,8 @@
             stats.slowness += SMOOTHING * (self._times.note(kind, taken) - stats.slowness)
         if body_taken is not None:
             self._times.note_body(kind, body_taken)
+        if sent_at is not None and sent_at < stats.counted_since:
+            return False
         if not failed:
             stats.failures = 0
             stats.is_on_trial = False
@@ -316,10 +321,11 @@
         stats.send_times.note(wait, now)
         self._rate_limited_until = max(self._rate_limited_until, stats.send_times.limited_until)
 
-    def note_probe(self, stats: UpstreamStats, is_reached: bool) -> None:
-        """Record whether a probe could connect to an unreachable upstream."""
+    def note_probe(self, stats: UpstreamStats, is_reached: bool, now: float) -> None:
+        """Record whether a probe could connect to an unreachable upstream; `now` is a monotonic time, in seconds."""
         if is_reached:
             stats.is_unreachable = False
+            stats.counted_since = now
             stats.failed_probes = stats.failures = 0
         else:
             stats.failed_probes += 1
@@ -336,6 +342,7 @@
         stats.ejected_until = now + duration * self._rng.uniform(0.75, 1.25)
         stats.ejections += 1
         stats.failures = 0
+        stats.counted_since = now
         # After its ejection it gets one request at a time until one succeeds.
         stats.is_on_trial = True
         return True
--- a/packages/lanedock/lanedock/routing/tests/test_balancer.py
+++ b/packages/lanedock/lanedock/routing/tests/test_balancer.py
@@ -104,6 +104,52 @@
     assert any(balancer.choose(10, 2.0) is bad for _ in range(40))
 
 
+@pytest.mark.parametrize("concurrent", [4, 10, 40])
+def test_one_burst_of_failures_ejects_an_upstream_once_for_the_shortest_time(concurrent):
+    # Guards against failures of requests that were sent before an ejection and count as failed trials after it.
+    balancer = _balancer(*map(_endpoint, "abcd"))
+    bad = balancer._upstreams["a"]
+    for _ in range(concurrent):
+        balancer.begin(bad, 1.0)
+    ejections = [balancer.end(bad, True, 1.2 + 0.001 * number, sent_at=1.0) for number in range(concurrent)]
+    assert sum(ejections) == 1
+    assert bad.ejected_until < 1.2 + 0.001 * concurrent + 1.25
+    assert bad.ejections == 1
+
+
+def test_a_request_sent_before_an_ejection_does_not_end_the_trial_after_it():
+    balancer = _balancer(*map(_endpoint, "abcd"))
+    bad = balancer._upstreams["a"]
+    balancer.begin(bad, 0.9)
+    for _ in range(3):
+        balancer.begin(bad, 1.0)
+        balancer.end(bad, True, 1.1, sent_at=1.0)
+    balancer.end(bad, False, 1.2, sent_at=0.9)
+    assert bad.is_on_trial
+    assert bad.ejections == 1
+
+
+def test_a_trial_that_fails_ejects_an_upstream_for_longer():
+    balancer = _balancer(*map(_endpoint, "abcd"))
+    bad = balancer._upstreams["a"]
+    for sent_at in (1.0, 1.0, 1.0, 3.0):
+        balancer.begin(bad, sent_at)
+        balancer.end(bad, True, sent_at + 0.1, sent_at=sent_at)
+    assert 1.5 <= bad.ejected_until - 3.1 <= 2.5
+
+
+def test_a_request_sent_before_a_successful_probe_does_not_make_the_upstream_unreachable():
+    # Guards against an upstream that is reachable again and gets no requests because of the connections from before.
+    balancer = _balancer(*map(_endpoint, "ab"))
+    lost = balancer._upstreams["a"]
+    for _ in range(2):
+        balancer.begin(lost, 1.0)
+    assert balancer.end(lost, True, 1.7, unreachable=True, sent_at=1.0)
+    balancer.note_probe(lost, True, 1.8)
+    assert not balancer.end(lost, True, 1.9, unreachable=True, sent_at=1.0)
+    assert not lost.is_unreachable
+
+
 def test_ejections_never_remove_all_upstreams_of_a_service():
     balancer = _balancer(*map(_endpoint, "abcd"))
     for _ in range(200):
@@ -251,7 +297,7 @@
     assert balancer.end(lost, True, 0.0, unreachable=True)
     # Unlike an ejection, this does not end with time.
     assert all(balancer.choose(10, 1000.0) is not lost for _ in range(20))
-    balancer.note_probe(lost, True)
+    balancer.note_probe(lost, True, 0.5)
     assert any(balancer.choose(10, 1000.0) is lost for _ in range(20))
 
 
@@ -262,7 +308,7 @@
         balancer.end(stats, True, 0.0, unreachable=True)
     assert balancer.choose(10, 0.0) is not None
     for stats in list(balancer._upstreams.values()):
-        balancer.note_probe(stats, False)
+        balancer.note_probe(stats, False, 0.5)
     assert balancer.choose(10, 0.0) is None
 
 
--- a/packages/lanedock/lanedock/routing/upstream_stats.py
+++ b/packages/lanedock/lanedock/routing/upstream_stats.py
@@ -34,6 +34,9 @@
         Ratio of its answer times to those of all upstreams; 1 on average.
     is_on_trial : bool
         Whether it was ejected and no request has succeeded since.
+    counted_since : float
+        Monotonic time of its last ejection or of the probe that reached it again. The results of requests that
+        were sent before concern its former state and count towards neither ejection nor trial.
     is_unreachable : bool
         Whether a connection to its daemon has failed and no probe has succeeded since.
     failed_probes : int
@@ -51,6 +54,7 @@
         "busy_since",
         "cold_duration",
         "cold_since",
+        "counted_since",
         "ejected_until",
         "ejections",
         "ended_at",
@@ -80,6 +84,7 @@
         self.ejections = 0
         self.ejected_until = 0.0
         self.is_on_trial = False
+        self.counted_since = float("-inf")
         self.is_unreachable = False
         self.failed_probes = 0
         self.cold_since = cold_since
