Count cancelled requests as neither successes nor failures of the upstream

What callers saw: an upstream that hangs stayed in load balancing. A request that its caller gave up, that lost against a hedged one, or whose body did not come was recorded as a success: it cleared the consecutive failures before it and ended a trial after an ejection.

Cause: the end of such a request was recorded by the same call as an answer, with "not failed".

Change: Balancer.cancel records the end alone. Refusals by a daemon still count as before.

Evidence: the new test fails on the code before, where the end of a cancelled request is recorded as it was. Tests of routing, hedging, ended attempts, bodies and deadlines pass.

--- a/packages/lanedock-daemon/lanedock_daemon/path/caller/attempts.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller/attempts.py
@@ -124,14 +124,14 @@
             if not pending.is_being_read:
                 # The task that should read the answer has never run.
                 pending.close()
-                context.balancer.end(stats, False, monotonic())
+                context.balancer.cancel(stats, monotonic())
 
     def _wait_for_answer(self, context: RequestContext, stats, pending: PendingAnswer, timeout: float) -> bool:
         """Wait for the first bytes of an answer, and return whether they came within `timeout` seconds."""
         try:
             return pending.wait(timeout)
         except BaseException:
-            context.balancer.end(stats, False, monotonic())
+            context.balancer.cancel(stats, monotonic())
             raise
 
     def send(self, context: RequestContext, stats: UpstreamStats, attempt: int) -> AttemptResult:
@@ -191,12 +191,15 @@
         except ExchangeError as exc:
             return self._on_failed(context, stats, exc, started)
         except BaseException:
-            balancer.end(stats, False, monotonic())
+            balancer.cancel(stats, monotonic())
             raise
 
     def _on_failed(self, context: RequestContext, stats, exc: ExchangeError, started: float) -> AttemptResult:
         """Record an attempt that got no answer, and return its result."""
-        self._note_end(context.balancer, stats, started, failed=not exc.is_body_late, unreachable=exc.is_unreachable)
+        if exc.is_body_late:
+            context.balancer.cancel(stats, monotonic())
+        else:
+            self._note_end(context.balancer, stats, started, failed=True, unreachable=exc.is_unreachable)
         self._note_try(context, stats, exc.outcome, exc.code)
         return self._on_lost(exc, stats, context.route, context.request)
 
@@ -208,7 +211,7 @@
         except ExchangeError as exc:
             return self._on_failed(context, stats, exc, started)
         except BaseException:
-            balancer.end(stats, False, monotonic())
+            balancer.cancel(stats, monotonic())
             raise
         head = response.message
         load = parse_int(head.header(LOAD_HEADER))
@@ -373,7 +376,7 @@
                 return AttemptResult(self._make_unknown_outcome(code, str(exc)), not route.repeatable, True, True)
             except BaseException:
                 response.close()
-                balancer.end(stats, False, monotonic())
+                balancer.cancel(stats, monotonic())
                 raise
             body_taken = monotonic() - started - taken
         if head.is_complete:
--- a/packages/lanedock/lanedock/routing/balancer.py
+++ b/packages/lanedock/lanedock/routing/balancer.py
@@ -316,6 +316,18 @@
             return False
         return self._eject(stats, now)
 
+    def cancel(self, stats: UpstreamStats, now: float) -> None:
+        """Record that a request is no longer awaited; it tells nothing about the upstream.
+
+        Parameters
+        ----------
+        stats : UpstreamStats
+        now : float
+            Monotonic time, in seconds.
+        """
+        stats.in_progress -= 1
+        stats.ended_at = now
+
     def add_send_time(self, stats: UpstreamStats, wait: float, now: float) -> None:
         """Record when an upstream's advertised rate limit permits the next request; see `SendTimes.note`."""
         stats.send_times.note(wait, now)
--- a/packages/lanedock/lanedock/routing/tests/test_balancer.py
+++ b/packages/lanedock/lanedock/routing/tests/test_balancer.py
@@ -150,6 +150,22 @@
     assert not lost.is_unreachable
 
 
+def test_a_cancelled_request_neither_ends_a_trial_nor_hides_failures():
+    # Guards against an upstream that hangs and counts as sound because its requests are cancelled.
+    balancer = _balancer(*map(_endpoint, "abcd"))
+    bad = balancer._upstreams["a"]
+    for number in range(3):
+        balancer.begin(bad, 1.0)
+        balancer.begin(bad, 1.0)
+        balancer.cancel(bad, 1.1)
+        assert balancer.end(bad, True, 1.1, sent_at=1.0) == (number == 2)
+    balancer.begin(bad, 4.0)
+    balancer.cancel(bad, 4.1)
+    assert bad.is_on_trial
+    assert bad.ejections == 1
+    assert bad.in_progress == 0
+
+
 def test_ejections_never_remove_all_upstreams_of_a_service():
     balancer = _balancer(*map(_endpoint, "abcd"))
     for _ in range(200):
