Discard late answers to other requests instead of ending the request in progress

What callers saw: 502 (LD3008, unknown) in place of the answer of a backend that worked on their request, and its work cut.

Cause: a late second answer to an earlier request, in the place where the next answer was due, ended the connection with the request in progress on it. Class: a request that is ended by something that belongs to another one.

Change: the daemon beside the application discards such an answer (E507) and awaits the request's own until its deadline. The connection is not reused.

--- a/packages/lanedock-daemon/lanedock_daemon/path/http/parser.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/parser.py
@@ -304,6 +304,22 @@
         self._interim_bytes = 0
         self._is_answer_complete = False
 
+    def skip(self, message: Message) -> None:
+        """Discard the rest of an answer to another request, and prepare for the answer that is due.
+
+        Raises
+        ------
+        MalformedMessage
+            Nothing more can be read after the answer.
+        OSError
+        """
+        while self.next_piece(message):
+            pass
+        if self._has_trailing_bytes or not message.keep_alive:
+            raise MalformedMessage("nothing can be read behind an answer to another request")
+        self._interim_bytes = 0
+        self._is_answer_complete = self.has_head()
+
     def on_message_complete(self) -> None:
         super().on_message_complete()
         # The end of an interim answer is not the end of the answer.
--- a/packages/lanedock-daemon/lanedock_daemon/path/shared/exchange.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/shared/exchange.py
@@ -7,7 +7,7 @@
 from lanedock.errors import ErrorCode
 from lanedock.telemetry import Event, EventLogger
 from lanedock_daemon.path.http.messages import MAX_PIECE_BYTES, Body, BodyTimeout, Outcome, Request
-from lanedock_daemon.path.http.parser import AnswerReader
+from lanedock_daemon.path.http.parser import AnswerReader, Message
 from lanedock_daemon.path.http.service import StopTimeout
 from lanedock_daemon.path.shared.answers import ExchangeGuard, UpstreamAnswer, make_failure
 from lanedock_daemon.path.shared.pool import ConnectionPool, ExchangeError
@@ -98,13 +98,14 @@
         Whether `read` has been called, which closes the connection if it fails.
     """
 
-    __slots__ = ("_address", "_deadline", "_pool", "_reader", "is_being_read")
+    __slots__ = ("_address", "_deadline", "_has_skipped", "_pool", "_reader", "is_being_read")
 
     def __init__(self, pool: ConnectionPool, address: tuple[str, int], reader: AnswerReader, deadline: float):
         self._pool = pool
         self._address = address
         self._reader = reader
         self._deadline = deadline
+        self._has_skipped = False
         self.is_being_read = False
 
     def wait(self, timeout: float) -> bool:
@@ -127,15 +128,50 @@
         ExchangeError
             If no head comes by the deadline, or the connection fails.
         """
-        reader, address = self._reader, self._address
+        return self.accept(self.read_head())
+
+    def read_head(self) -> Message:
+        """Read the head of the next answer on the connection, which may belong to another request.
+
+        Raises
+        ------
+        ExchangeError
+            If no head comes by the deadline, or the connection fails.
+        """
         self.is_being_read = True
-        with ExchangeGuard(reader, address):
-            reader.conn.set_deadline(self._deadline)
-            message = reader.next_head()
-            if message is None:
-                raise ConnectionError("the upstream closed the connection before the answer")
-            self._pool.record_answer_start(address, monotonic())
-            return UpstreamAnswer(reader, message, self._pool, address)
+        with ExchangeGuard(self._reader, self._address):
+            self._reader.conn.set_deadline(self._deadline)
+            return self._next_head()
+
+    def skip(self, message: Message) -> Message:
+        """Discard an answer to another request, and read the head of the next one.
+
+        An application may answer an earlier request of the connection once more; closing the connection would break
+        off the request in progress.
+
+        Raises
+        ------
+        ExchangeError
+            As for `read_head`, or nothing can be read behind the answer.
+        """
+        with ExchangeGuard(self._reader, self._address):
+            self._reader.skip(message)
+            self._has_skipped = True
+            return self._next_head()
+
+    def _next_head(self) -> Message:
+        message = self._reader.next_head()
+        if message is None:
+            raise ConnectionError("the upstream closed the connection before the answer")
+        return message
+
+    def accept(self, message: Message) -> UpstreamAnswer:
+        """Return the answer whose head was read; its body still has to be read."""
+        if self._has_skipped:
+            # More answers to other requests may follow, so the connection is not reused.
+            message.keep_alive = False
+        self._pool.record_answer_start(self._address, monotonic())
+        return UpstreamAnswer(self._reader, message, self._pool, self._address)
 
     def close(self) -> None:
         """Cancel the request by closing the connection; its answer is no longer awaited."""
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream/upstream.py
@@ -42,11 +42,11 @@
     make_refusal,
     outcome_label,
 )
-from lanedock_daemon.path.http.parser import MalformedMessage
+from lanedock_daemon.path.http.parser import MalformedMessage, Message
 from lanedock_daemon.path.http.service import StopTimeout
 from lanedock_daemon.path.shared.answers import REFUSAL_BODY_TIMEOUT, AnswerPieces
-from lanedock_daemon.path.shared.dialect import Dialect, OwnDialect, RequestFacts
-from lanedock_daemon.path.shared.exchange import send_request
+from lanedock_daemon.path.shared.dialect import AnswerFacts, Dialect, OwnDialect, RequestFacts
+from lanedock_daemon.path.shared.exchange import PendingAnswer, send_request
 from lanedock_daemon.path.shared.paced_answer import LinkTurns, is_long_answer
 from lanedock_daemon.path.shared.pool import ConnectionPool, ExchangeError
 from lanedock_daemon.path.shared.stop_fields import STOP_DEADLINE_REASON, describe_stop
@@ -363,7 +363,8 @@
             tail = min(self._gate.limiter.tail_service_time(log.route), deadline - started)
             if not pending.wait(tail):
                 pending.handle_late_answer(started, self._events, self._registration.upstream)
-            response = pending.read()
+            message, facts = self._read_own_answer(pending, log)
+            response = pending.accept(message)
         except ExchangeError as exc:
             if account is not None and exc.outcome != Outcome.NOT_RUN:
                 account.note_answer(exc.code is not ErrorCode.ANSWER_TIMEOUT, monotonic() - started)
@@ -382,12 +383,6 @@
             work.end_abandoned()
             raise
         head = response.message
-        facts = self._dialect.read_answer(head.status, head.headers, log.request_id)
-        if facts.is_foreign:
-            response.close()
-            work.end_abandoned()
-            foreign = ExchangeError(ErrorCode.ANSWER_LOST, Outcome.UNKNOWN, "the application answered another request")
-            return self._on_lost(foreign, log)
         self._registration.note_answer(running_time())
         # A report by an earlier incarnation of the application doesn't apply to the registered one.
         if not facts.is_other_incarnation and advertised is self._registration.advertised:
@@ -422,6 +417,16 @@
             rest = ReadAhead(rest, head, self._read_ahead)
         return Answer(head.status, head.reason, headers, rest)
 
+    def _read_own_answer(self, pending: PendingAnswer, log: RequestLog) -> tuple[Message, AnswerFacts]:
+        """Read the head of a request's answer, and discard late answers to other requests before it."""
+        message = pending.read_head()
+        facts = self._dialect.read_answer(message.status, message.headers, log.request_id)
+        while facts.is_foreign:
+            self._events.emit(Event.ANSWER_DISCARDED, request=log.request_id, status=message.status)
+            message = pending.skip(message)
+            facts = self._dialect.read_answer(message.status, message.headers, log.request_id)
+        return message, facts
+
     def _note_report(self, report: UpstreamReport) -> None:
         """Apply what an answer states about the application, from now on."""
         self._registrar.note_report(report, self._registration.incarnation)
--- a/packages/lanedock/lanedock/telemetry/events.py
+++ b/packages/lanedock/lanedock/telemetry/events.py
@@ -274,6 +274,13 @@
         "their ids and, if the process is stopping, the time since then.",
         "None if the caller gave up. Otherwise look for what ended the connection between it and this process.",
     )
+    ANSWER_DISCARDED = (
+        507,
+        logging.INFO,
+        "The application sent an answer to another request in the place of this request's answer. It was discarded; "
+        "the request's own answer is awaited.",
+        "Check the application: it answers requests twice, or late.",
+    )
     REACHED = (503, logging.INFO, "An unreachable upstream is reachable again.", "None.")
 
     REQUEST_ROUTED = (
