Count a request's answer only for the canary that ran when it began

What operators would see: a canary judged by answers to requests of the one before.

Cause: answers were counted for the service's canary that runs when they come. Class: a result credited to a state that began after its request, found by looking for the cause of repeated ejections elsewhere.

Change: the account of a request keeps the canary's number and counts only for it.

Evidence: the new test fails on the code before (2 answered and 1 failed of 1 sent). Tests of the upstream's side and of canaries pass. By reading, quotas give credits back only until these end, load probes and reports carry numbers, and statistics of a restarted upstream are new objects, so that these don't have the fault.

--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream/canary_account.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream/canary_account.py
@@ -25,12 +25,13 @@
         Name of the request's route.
     """
 
-    __slots__ = ("_canary", "_counter", "_metrics", "_pool", "_route", "_service")
+    __slots__ = ("_canary", "_counter", "_metrics", "_number", "_pool", "_route", "_service")
 
     def __init__(self, view: LocalView, registration: UpstreamRegistration, metrics: Metrics, route: str):
         self._counter = view.canary_counter
         self._metrics = metrics
         self._service = registration.service
+        self._number = self._counter.number(self._service)
         self._route = route
         self._pool = classify(view.canaries.rule(self._service), registration.version)
         self._canary = view.instance if self._pool is Pool.CANARY else ""
@@ -41,7 +42,12 @@
         self._metrics.count(Metric.CANARY_SENT, 1, (self._service, self._pool.value))
 
     def note_answer(self, failed: bool, taken: float) -> None:
-        """Count the answer, or the lack of one, after `taken` seconds of work."""
+        """Count the answer, or the lack of one, after `taken` seconds of work.
+
+        Not counted once the canary that ran when the request began has ended: another one would be judged by it.
+        """
+        if self._counter.number(self._service) != self._number:
+            return
         self._counter.note_answer(self._service, self._route, self._canary, failed, taken)
         if failed:
             self._metrics.count(Metric.CANARY_FAILED, 1, (self._service, self._pool.value))
--- a/packages/lanedock/lanedock/canary/counts.py
+++ b/packages/lanedock/lanedock/canary/counts.py
@@ -66,6 +66,10 @@
         """Return whether a canary of a service is running."""
         return service in self._numbers
 
+    def number(self, service: str) -> int | None:
+        """Return the number of a service's running canary; None if none is running."""
+        return self._numbers.get(service)
+
     def note_sent(self, service: str, route: str, canary: str) -> None:
         """Count a request that is sent to a canary upstream, or to a stable one if `canary` is empty."""
         row = self._find(service, route, canary)
