Report only dropped log lines as left out, and count failures apart

What operators saw: LOG_LIMITED (E110) stated lines as left out that were written. A record of lost requests could therefore not show whether a line was missing.

Cause: lines of an event were counted together, and reported against the lower limit of the event's level, also those of failed requests that had passed by the higher one; and failures used up the limit of successes. Lines dropped in the last second of a process were never reported.

Change: failures are counted apart, what is dropped is counted where it is dropped, and it is reported each second and at the end of the process.

Evidence: on the code before, 120 failures of one event in a second are all written, and 70 are reported as left out (run with the clock replaced). The new cases check written and reported lines against each other; they need report_dropped, which the code before lacks.

--- a/packages/lanedock-daemon/lanedock_daemon/run.py
+++ b/packages/lanedock-daemon/lanedock_daemon/run.py
@@ -98,6 +98,7 @@
         return _run(kernel, plan, settings, events, metrics, tracer, reloader, writer, early)
     finally:
         early.ignore_signals()
+        events.report_dropped()
         writer.flush()
 
 
@@ -223,7 +224,7 @@
     events.emit(Event.STARTED, zone=settings.zone)
     if early.must_reload:
         reloader.reload()
-    flusher = gevent.spawn(_flush, metrics, writer)
+    flusher = gevent.spawn(_flush, metrics, events, writer)
     watcher = gevent.spawn(reloader.watch)
     failure = _wait(kernel, stopping.received)
     events.emit(Event.STOPPING, after_ms=stopping.age_ms())
@@ -245,13 +246,14 @@
     return kernel.failure if kernel.failed in done else None
 
 
-def _flush(metrics: Metrics, writer: LineWriter) -> None:
+def _flush(metrics: Metrics, events: EventLogger, writer: LineWriter) -> None:
     """Flush the metrics and the buffered log lines at their intervals."""
     while True:
         for _ in range(LOG_FLUSHES):
             gevent.sleep(METRICS_INTERVAL / LOG_FLUSHES)
             writer.flush()
         metrics.flush()
+        events.report_dropped()
 
 
 class _StopSignal:
--- a/packages/lanedock/lanedock/telemetry/log.py
+++ b/packages/lanedock/lanedock/telemetry/log.py
@@ -31,14 +31,16 @@
         Name of the logger, usually the name of the process.
     lines_per_second : int
         Maximum lines per second of one event; further lines are counted and dropped. Failures
-        (level warning and above) may have four times as many.
+        (level warning and above) are counted apart and may have four times as many.
     """
 
     def __init__(self, name: str, lines_per_second: int = DEFAULT_LINES_PER_SECOND):
         self._logger = logging.getLogger(name)
         self._limit = lines_per_second
         self._second = 0
-        self._counts: dict[Event, int] = {}
+        # Lines of the current second by event, those of failures apart.
+        self._counts: dict[tuple[Event, bool], int] = {}
+        self._dropped: dict[Event, int] = {}
 
     def __repr__(self) -> str:
         return f"<EventLogger {self._logger.name}>"
@@ -81,17 +83,22 @@
         second = int(monotonic())
         if second != self._second:
             self._second = second
-            counts, self._counts = self._counts, {}
-            self._report_dropped_lines(counts)
-        count = self._counts.get(event, 0) + 1
-        self._counts[event] = count
-        return count <= self._limit * (FAILURE_FACTOR if level >= logging.WARNING else 1)
-
-    def _report_dropped_lines(self, counts: dict[Event, int]) -> None:
-        for event, count in counts.items():
-            limit = self._limit * (FAILURE_FACTOR if event.level >= logging.WARNING else 1)
-            if count > limit and self._logger.isEnabledFor(Event.LOG_LIMITED.level):
-                self._write(Event.LOG_LIMITED, {"limited": event.name, "left_out": count - limit})
+            self._counts.clear()
+            self.report_dropped()
+        is_failure = level >= logging.WARNING
+        count = self._counts.get((event, is_failure), 0) + 1
+        self._counts[event, is_failure] = count
+        if count <= self._limit * (FAILURE_FACTOR if is_failure else 1):
+            return True
+        self._dropped[event] = self._dropped.get(event, 0) + 1
+        return False
+
+    def report_dropped(self) -> None:
+        """Log how many lines of each event were dropped since the last report."""
+        dropped, self._dropped = self._dropped, {}
+        if self._logger.isEnabledFor(Event.LOG_LIMITED.level):
+            for event, count in dropped.items():
+                self._write(Event.LOG_LIMITED, {"limited": event.name, "left_out": count})
 
 
 class LineWriter(logging.Handler):
--- a/packages/lanedock/lanedock/telemetry/tests/test_log.py
+++ b/packages/lanedock/lanedock/telemetry/tests/test_log.py
@@ -6,7 +6,9 @@
 import os
 import sys
 
-from lanedock.telemetry import Event, EventLogger, Metric, RequestLogger, TextMetrics
+import pytest
+
+from lanedock.telemetry import Event, EventLogger, Metric, RequestLogger, TextMetrics, log
 from lanedock.telemetry.log import MAX_PENDING_LINES, LineWriter, configure_logging
 from lanedock.telemetry.metrics import MAX_LABELS
 
@@ -52,6 +54,27 @@
     assert 0 < len(lines) < 20 * MAX_PENDING_LINES
 
 
+@pytest.mark.parametrize(
+    ("failures", "successes", "left_out"), [(120, 0, []), (250, 0, [50]), (0, 60, [10]), (120, 50, []), (240, 80, [70])]
+)
+def test_only_lines_that_were_dropped_are_reported_as_left_out(monkeypatch, failures, successes, left_out):
+    # Guards against failures that pass by their own limit and are reported as dropped, or use up that of successes.
+    monkeypatch.setattr(log, "monotonic", lambda: 7.0)
+
+    def fill(handler: LineWriter) -> None:
+        events = EventLogger("p")
+        for number in range(failures):
+            events.emit_decision(Event.REQUEST_ANSWERED, 0.0, True, {"number": number})
+        for number in range(successes):
+            events.emit_decision(Event.REQUEST_ANSWERED, 0.0, False, {"number": number})
+        events.report_dropped()
+
+    lines = _log_to_pipe(fill)
+    assert [line["left_out"] for line in lines if line["message"] == "LOG_LIMITED"] == left_out
+    written = sum(line["message"] == "REQUEST_ANSWERED" for line in lines)
+    assert written + sum(left_out) == failures + successes
+
+
 def test_a_writer_never_writes_to_a_file_that_reuses_its_closed_descriptor():
     """Guards against log lines within the data of a connection that got the number of a closed log file."""
     reader, writer = os.pipe()
