Log what a stop does to each request, at its caller

Reports of requests without a whole answer around SIGTERM could not be traced: REQUEST_ANSWERED says that an answer was made, not what became of it, and shares its limit of 50 lines a second with all other requests; connections end without a line in a stop; a request that was read and not begun has no line at all; a process that is killed leaves nothing about the requests in progress.

Each request now has a small record of its times, its answer and where it was sent, which costs some attribute writes. Once the stop begins each server logs, once for each request that was in progress then or is read later, how it ended at its caller (REQUEST_END): received, cut, caller left (end of stream or reset), or not begun. The acknowledgment is looked for every 25 ms and before each request, so that no answer is forgotten among many. Further lines state when the notice began, when listeners and connections were closed, and the sums of each server that had a request.

- These lines have a limit of their own (4000 a second of an event), which no setting and no other line reduces.
- In a stop the log is written every 25 ms.
At its end the process waits 0.1 s in all for a reader of the log.
- Lines that a writer drops because nothing reads the log are reported by LOG_LIMITED, which E110 promised and nothing did.
- A caller that resets its connection is named as such, also where a worker noticed it first; that was an error's text or `GreenletExit()`.
An answer without a length that this process breaks off counts as cut by it (E505).
- 32 instead of 64 answers of a connection are remembered, since each takes more space.

--- a/packages/lanedock-daemon/lanedock_daemon/path/caller/attempts.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller/attempts.py
@@ -184,6 +184,7 @@
                 lambda: handle_late_answer(self._pool, stats.address, started, self._events, stats.endpoint.instance),
             )
         balancer.begin(stats, started)
+        request.trace.note_sent(stats.endpoint.instance)
         try:
             return send_request(
                 self._pool, stats.address, request, sent, context.deadline + REFUSAL_GRACE, continue_wait
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/caller_messages.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/caller_messages.py
@@ -4,6 +4,7 @@
 from lanedock_daemon.path.http.headers import HOP_HEADERS
 from lanedock_daemon.path.http.messages import Answer, Body, Request, make_refusal
 from lanedock_daemon.path.http.parser import MalformedMessage, Message
+from lanedock_daemon.path.http.request_trace import RequestTrace
 
 __all__ = ["make_request", "refuse_malformed"]
 
@@ -17,13 +18,13 @@
 }
 
 
-def make_request(message: Message, body: Body) -> Request:
+def make_request(message: Message, body: Body, trace: RequestTrace) -> Request:
     """Make the request that a caller's message describes, without hop-by-hop headers."""
     connection_header = message.header("connection").lower()
     dropped = {name.strip() for name in connection_header.split(",")} if connection_header else ()
     headers = [pair for pair in message.headers if pair[0] not in HOP_HEADERS and pair[0] not in dropped]
     host = message.header("host").rpartition(":")[0] or message.header("host")
-    request = Request(message.method, message.target, host.lower(), headers, body)
+    request = Request(message.method, message.target, host.lower(), headers, body, trace)
     request.read_at = message.read_at
     return request
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/channel.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/channel.py
@@ -130,6 +130,14 @@
         poller.register(self._sock.fileno(), POLLIN)
         return not poller.poll(0)
 
+    def is_connected(self) -> bool:
+        """Return whether the connection is established, at least in one direction, and neither reset nor closed."""
+        try:
+            self._sock.getpeername()
+        except OSError:
+            return False
+        return True
+
     def count_unsent_bytes(self) -> int:
         """Return how many written bytes the peer has not acknowledged; an unacknowledged end of the stream counts as 1.
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
@@ -1,6 +1,7 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """HTTP/1.1 connections from callers: pipelining, response order and closing."""
 
+import errno
 import socket as plain_socket
 from collections import deque
 
@@ -16,6 +17,8 @@
 from lanedock_daemon.path.http.incoming import Exchange
 from lanedock_daemon.path.http.messages import NEVER, Answer, Outcome
 from lanedock_daemon.path.http.parser import MalformedMessage, Message, RequestReader
+from lanedock_daemon.path.http.request_trace import RequestTrace
+from lanedock_daemon.path.http.stop_log import RequestEnd
 
 __all__ = ["Connection"]
 
@@ -47,6 +50,8 @@
     ----------
     server : PathServer
     conn : Channel
+    address : tuple
+        Host and port of the caller.
 
     Attributes
     ----------
@@ -55,10 +60,11 @@
         than a timer for each wait.
     """
 
-    def __init__(self, server, conn):
+    def __init__(self, server, conn, address=("", 0)):
         self.expires_at = monotonic() + IDLE_TIMEOUT
         self._server = server
         self._conn = conn
+        self._address = address
         self._delivery = Delivery(conn)
         self._reader = RequestReader(conn)
         self._greenlet = getcurrent()
@@ -78,8 +84,12 @@
         self._end_reason = ""
         # Whether the answer being written has no length, so that its end is the end of the connection.
         self._is_answer_close_delimited = False
-        # Ids of the requests whose answers were made and can't be written any more.
-        self._unwritten: list[str] = []
+        # Requests whose answers were made and can't be written any more.
+        self._unwritten: list[RequestTrace] = []
+        # Whether a worker found that the caller has reset the connection.
+        self._is_reset = False
+        # Whether the end of the connection has been logged, in a stop.
+        self._is_end_logged = False
 
     # ------------------------------------------------------------------ reading
 
@@ -91,12 +101,12 @@
             self._await_delivery()
         except (OSError, gevent.GreenletExit) as exc:
             # The caller has disconnected, or an incomplete answer is cut so that it doesn't look complete.
-            how = repr(exc)
+            how = _describe(exc)
         finally:
             if self._end_reason:
                 self.report_cut(self._end_reason)
             else:
-                self._report_disconnect(how)
+                self._report_disconnect("reset" if self._is_reset else how)
             self._cancel_exchanges()
             self._conn.close()
 
@@ -130,23 +140,58 @@
 
     def report_cut(self, reason: str) -> None:
         """Log if the caller has not received all answers, when this process closes the connection."""
-        unsent = self._conn.count_unsent_bytes()
-        if self._is_closing and unsent:
-            unsent -= 1  # the end of the stream
+        unsent = self._count_unsent_bytes()
         if unsent or self._exchanges or self._unwritten:
-            ids = self._delivery.list_unreceived(unsent) + self._list_unanswered()
+            unreceived = [trace.request_id for trace in self._delivery.list_unreceived(unsent)]
+            ids = unreceived + self._list_unanswered()
             targets = [exchange.message.target for exchange in self._exchanges]
             self._server.log.log_cut(reason, unsent, self._conn.count_unread_bytes(), targets, ids)
+        self._log_ends(RequestEnd.CUT, reason)
+
+    def log_received(self) -> None:
+        """Log the requests whose answers the caller has received since the last call; used while the process stops."""
+        if not self._delivery.has_answers():
+            return
+        for trace in self._delivery.take_received(self._count_unsent_bytes()):
+            self._server.stop_log.log_request(trace, RequestEnd.RECEIVED)
+
+    def forget_received(self) -> None:
+        """Leave out the requests whose answers the caller received before the stop; called when it begins."""
+        if self._delivery.has_answers():
+            self._delivery.take_received(self._count_unsent_bytes())
+
+    def _count_unsent_bytes(self) -> int:
+        """Return how many bytes of answers the caller has not acknowledged."""
+        unsent = self._conn.count_unsent_bytes()
+        # The last one is the end of the stream.
+        return unsent - 1 if self._is_closing and unsent else unsent
+
+    def _log_ends(self, end: str, how: str) -> None:
+        """Log how the requests without a received answer end with the connection, if the process is stopping."""
+        stop_log = self._server.stop_log
+        if not stop_log.is_active:
+            return
+        self.log_received()
+        unreceived = self._delivery.list_unreceived(self._count_unsent_bytes())
+        for trace in [*unreceived, *self._unwritten, *(exchange.trace for exchange in self._exchanges)]:
+            stop_log.log_request(trace, end, how)
+        self._log_not_begun()
+        if not self._is_end_logged:
+            self._is_end_logged = True
+            stop_log.log_connection(self._address, how)
 
     def _report_disconnect(self, how: str) -> None:
-        """Log if the caller has ended the connection with requests that have no answer."""
+        """Log if the caller has ended the connection with requests that have no answer; in a stop, log all ends."""
         if self._exchanges or self._unwritten:
             answered = len(self._unwritten) + sum(exchange.is_answered for exchange in self._exchanges)
             self._server.log.log_disconnect(how, answered, self._list_unanswered())
+        self._log_ends(RequestEnd.CALLER_LEFT, how)
 
     def _list_unanswered(self) -> list[str]:
         """Return the ids of the requests whose answers were not written."""
-        return self._unwritten + [exchange.message.header(REQUEST_ID_HEADER) for exchange in self._exchanges]
+        return [trace.request_id for trace in self._unwritten] + [
+            exchange.trace.request_id for exchange in self._exchanges
+        ]
 
     def expire(self, reason: str) -> None:
         """End the connection; `reason` is logged if answers are cut."""
@@ -226,8 +271,20 @@
         If they were started, they would run and never be answered. The body of the open
         exchange is still received until the answer has ended.
         """
+        self._log_not_begun()
         self._reader.discard_read_ahead(self._open_exchange.message if self._open_exchange is not None else None)
 
+    def _log_not_begun(self) -> None:
+        """Log the requests that were read behind the last answer."""
+        for message in self._reader.list_heads():
+            self._log_message_not_begun(message)
+
+    def _log_message_not_begun(self, message: Message) -> None:
+        if self._server.stop_log.is_active and not message.is_reported:
+            message.is_reported = True
+            trace = RequestTrace(message.header(REQUEST_ID_HEADER), message.read_at)
+            self._server.stop_log.log_request(trace, RequestEnd.NOT_BEGUN)
+
     def _may_start_request(self) -> bool:
         if self._has_announced_close:
             return False
@@ -254,6 +311,8 @@
             message = self._reader.next_head()
             if message.is_complete:
                 self._start_request(message)
+            else:
+                self._log_message_not_begun(message)
         pending = [exchange for exchange in self._exchanges if exchange is not self._open_exchange]
         for exchange in pending:
             exchange.done = Signal()
@@ -288,6 +347,8 @@
 
     def _start_request(self, message: Message) -> None:
         """Assign a request to a worker."""
+        if self._server.stop_log.is_active:
+            self.log_received()
         exchange = Exchange(self, message)
         if not message.is_complete:
             self._open_exchange = exchange
@@ -318,21 +379,25 @@
         self._server.in_progress += 1
         answer = None
         try:
-            answer = self._server.answer(message, exchange.body)
-            exchange.is_answered = True
+            answer = self._server.answer(message, exchange.body, exchange.trace)
+            exchange.note_answer(answer)
             if self._exchanges and self._exchanges[0] is not exchange:
                 exchange.turn = Signal()
                 exchange.turn.wait()
             # The connection may have ended while waiting.
             if self._exchanges and not self._is_closing:
                 self._write_answer(answer, message, self._may_keep_open(exchange, answer))
-                self._delivery.note_answer(message.header(REQUEST_ID_HEADER))
+                self._delivery.note_answer(exchange.trace)
             elif self._exchanges:
-                self._unwritten.append(message.header(REQUEST_ID_HEADER))
+                self._unwritten.append(exchange.trace)
         except (OSError, gevent.GreenletExit):
             # The caller has disconnected, or the answer's body broke off.
+            if exchange in self._exchanges:
+                self._unwritten.append(exchange.trace)
             self._break_off("broken answer")
         except Exception as exc:
+            if exchange in self._exchanges:
+                self._unwritten.append(exchange.trace)
             self._break_off("error")
             self._server.log_unexpected_error(exc)
         finally:
@@ -424,7 +489,11 @@
                 self._end_reason = reason
                 return
             except OSError:
-                pass  # the caller has disconnected
+                self._is_reset = True
+        elif self._conn.is_connected():
+            self._end_reason = reason
+        else:
+            self._is_reset = True
         self._is_closing = True
         self._greenlet.kill(block=False)
 
@@ -438,3 +507,10 @@
         message.version = "1.1"
         self._conn.settimeout(DELIVERY_TIMEOUT)
         self._write_answer(refuse_malformed(exc, outcome), message, keep_alive=False)
+
+
+def _describe(exc: BaseException) -> str:
+    """Describe the error by which a connection ended; one whose caller has reset it may report ENOTCONN."""
+    if isinstance(exc, ConnectionResetError | BrokenPipeError) or getattr(exc, "errno", None) == errno.ENOTCONN:
+        return "reset"
+    return repr(exc)
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/delivery.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/delivery.py
@@ -10,6 +10,7 @@
 
 from lanedock.clock import monotonic
 from lanedock_daemon.path.http.channel import Channel
+from lanedock_daemon.path.http.request_trace import RequestTrace
 
 __all__ = ["Delivery"]
 
@@ -22,7 +23,7 @@
 PROMPT_TIME = 0.1
 DISCARD_SIZE = 64 * 1024
 # Answers whose ends are remembered; more can hardly stand in the kernel's send buffer.
-MAX_REMEMBERED_ANSWERS = 64
+MAX_REMEMBERED_ANSWERS = 32
 
 
 class Delivery:
@@ -37,8 +38,8 @@
 
     def __init__(self, conn: Channel):
         self._conn = conn
-        # Request ids of the last answers, and the number of bytes that were written when each was whole.
-        self._answers: deque[tuple[str, int]] = deque(maxlen=MAX_REMEMBERED_ANSWERS)
+        # Requests of the last answers that were written whole.
+        self._answers: deque[RequestTrace] = deque(maxlen=MAX_REMEMBERED_ANSWERS)
         self._unsent = 0
         self._progress_at = 0.0
         self._incomplete_since: float | None = None
@@ -47,20 +48,33 @@
     def __repr__(self) -> str:
         return f"<Delivery unsent={self._unsent}>"
 
-    def note_answer(self, request_id: str) -> None:
+    def note_answer(self, trace: RequestTrace) -> None:
         """Record that the answer to a request has been written whole."""
-        self._answers.append((request_id, self._conn.written))
+        trace.written_at = monotonic()
+        trace.end = self._conn.written
+        self._answers.append(trace)
 
-    def list_unreceived(self, unsent: int) -> list[str]:
-        """Return the ids of the requests whose answers the peer has not acknowledged whole.
+    def list_unreceived(self, unsent: int) -> list[RequestTrace]:
+        """Return the requests whose answers the peer has not acknowledged whole.
 
         Parameters
         ----------
         unsent : int
-            Number of written bytes that the peer has not acknowledged.
+            Number of written bytes that the peer has not acknowledged, without the end of the stream.
         """
         received = self._conn.written - unsent
-        return [request_id for request_id, end in self._answers if end > received]
+        return [trace for trace in self._answers if trace.end > received]
+
+    def has_answers(self) -> bool:
+        """Return whether written answers are remembered that `take_received` has not returned."""
+        return bool(self._answers)
+
+    def take_received(self, unsent: int) -> list[RequestTrace]:
+        """Return the requests whose answers the peer has acknowledged whole, each once; see `list_unreceived`."""
+        received = []
+        while self._answers and self._answers[0].end <= self._conn.written - unsent:
+            received.append(self._answers.popleft())
+        return received
 
     def is_complete(self) -> bool:
         """Return whether the peer has acknowledged everything."""
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/incoming.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/incoming.py
@@ -6,14 +6,18 @@
 from gevent.event import Event as Signal
 
 from lanedock.clock import monotonic
-from lanedock_daemon.path.http.messages import NEVER, Body, BodyBroken, BodyTimeout
+from lanedock_daemon.path.http.headers import OUTCOME_HEADER, REQUEST_ID_HEADER
+from lanedock_daemon.path.http.messages import NEVER, Answer, Body, BodyBroken, BodyTimeout
 from lanedock_daemon.path.http.parser import Message
+from lanedock_daemon.path.http.request_trace import RequestTrace
 from lanedock_daemon.path.http.service import StopTimeout
 
 __all__ = ["CallerDisconnected", "Exchange", "Worker"]
 
 # Idle workers kept for reuse, since requests end while others start. Further ones end after their request.
 MAX_IDLE_WORKERS = 32
+# Lowest status of answers that state an outcome.
+MIN_ERROR_STATUS = 400
 
 
 class CallerDisconnected(gevent.GreenletExit):
@@ -102,11 +106,14 @@
     message : Message
     """
 
-    __slots__ = ("body", "connection", "done", "is_answered", "message", "turn", "wants_continue", "worker")
+    __slots__ = ("body", "connection", "done", "is_answered", "message", "trace", "turn", "wants_continue", "worker")
 
     def __init__(self, connection, message: Message):
         self.connection = connection
         self.message = message
+        self.trace = RequestTrace(message.header(REQUEST_ID_HEADER), message.read_at)
+        self.trace.begun_at = monotonic()
+        self.trace.is_reported = message.is_reported
         self.body = _StreamedBody(message, connection.notify_body_read, self._request_continue)
         self.wants_continue = False
         self.worker: Worker | None = None
@@ -114,6 +121,14 @@
         self.done: Signal | None = None
         self.is_answered = False
 
+    def note_answer(self, answer: Answer) -> None:
+        """Record that the answer was made."""
+        self.is_answered = True
+        outcome = ""
+        if answer.status >= MIN_ERROR_STATUS:
+            outcome = next((value for name, value in answer.headers if name == OUTCOME_HEADER), "")
+        self.trace.note_answer(answer.status, outcome, monotonic())
+
     def _request_continue(self) -> None:
         self.wants_continue = True
         self.connection.send_continue()
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/messages.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/messages.py
@@ -8,6 +8,7 @@
 from lanedock.clock import monotonic
 from lanedock.errors import ErrorCode, LanedockError
 from lanedock_daemon.path.http.headers import CODE_HEADER, OUTCOME_HEADER, RETRY_AFTER_MS_HEADER
+from lanedock_daemon.path.http.request_trace import RequestTrace
 
 __all__ = [
     "DEFAULT_RETRY_AFTER",
@@ -214,11 +215,20 @@
         Names in lower case; without hop-by-hop headers.
     read_at : float
         Monotonic time, in seconds, at which the request was read; it may have waited since then.
+    trace : RequestTrace
     """
 
-    __slots__ = ("body", "host", "method", "path", "read_at", "target")
-
-    def __init__(self, method: str, target: str, host: str, headers: list[tuple[str, str]], body: Body):
+    __slots__ = ("body", "host", "method", "path", "read_at", "target", "trace")
+
+    def __init__(
+        self,
+        method: str,
+        target: str,
+        host: str,
+        headers: list[tuple[str, str]],
+        body: Body,
+        trace: RequestTrace | None = None,
+    ):
         super().__init__(headers)
         self.method = method
         self.target = target
@@ -226,6 +236,7 @@
         self.host = host
         self.body = body
         self.read_at = monotonic()
+        self.trace = trace or RequestTrace()
 
     def __repr__(self) -> str:
         return f"<Request {self.method} {self.target}>"
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/parser.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/parser.py
@@ -53,10 +53,13 @@
         Whether the body was received to its end.
     read_at : float
         Monotonic time, in seconds, at which the head was read.
+    is_reported : bool
+        Whether the log of a stop states that the request was not begun.
     """
 
     __slots__ = (
         "is_complete",
+        "is_reported",
         "keep_alive",
         "method",
         "pieces",
@@ -78,6 +81,7 @@
         self.reason = ""
         self.version = ""
         self.read_at = 0.0
+        self.is_reported = False
 
     def count_unread_bytes(self) -> int:
         """Return the number of received body bytes that were not consumed yet."""
@@ -169,6 +173,10 @@
         """Return whether a complete head is buffered."""
         return bool(self._heads)
 
+    def list_heads(self) -> list[Message]:
+        """Return the messages whose complete heads are buffered."""
+        return list(self._heads)
+
     def count_heads(self) -> int:
         """Return the number of complete heads that are buffered."""
         return len(self._heads)
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/server.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/server.py
@@ -22,7 +22,9 @@
 from lanedock_daemon.path.http.incoming import Worker
 from lanedock_daemon.path.http.messages import DEFAULT_RETRY_AFTER, Answer, Body, Outcome, make_refusal
 from lanedock_daemon.path.http.parser import Message
+from lanedock_daemon.path.http.request_trace import RequestTrace
 from lanedock_daemon.path.http.service import HttpService, StopTimeout
+from lanedock_daemon.path.http.stop_log import StopLog
 
 __all__ = ["PathServer"]
 
@@ -31,6 +33,8 @@
 BACKLOG = 1024
 # Seconds between checks for expired connections and new limits.
 SWEEP_INTERVAL = 1.0
+# Seconds between two looks at which answers callers have received, in a stop.
+RECEIPT_INTERVAL = 0.025
 
 
 class PathServer(HttpService):
@@ -52,6 +56,7 @@
     limits : CallerLimits or None
         Limits in force at the last sweep.
     log : ConnectionLog
+    stop_log : StopLog
     """
 
     def __init__(
@@ -71,10 +76,12 @@
         super().__init__(name, address, side, plan, events, closes_last)
         self.limits = None
         self.log = ConnectionLog(name, plan, events)
+        self.stop_log = StopLog(name, plan, events)
         self._get_limits = get_limits
         self._connections: dict[Connection, None] = {}
         self._sweeper = None
         self._idle_workers: list[Worker] = []
+        self._has_ended = False
 
     def _make_server(self, listener: tuple[str, int]) -> StreamServer:
         return StreamServer(listener, self._accept, backlog=BACKLOG)
@@ -82,12 +89,20 @@
     def start(self, kernel: Kernel) -> None:
         super().start(kernel)
         self._sweeper = gevent.spawn(self._sweep)
+        self._plan.call_at_begin(self._begin_receipt_watch)
+
+    def _accept_queued(self) -> int:
+        accepted = super()._accept_queued()
+        self.stop_log.log_listener_closed(accepted)
+        return accepted
 
     def stop(self) -> None:
         super().stop()
         self._sweeper.kill()
         for connection in self._connections:
             connection.report_cut("stop")
+        self.stop_log.log_summary(len(self._connections))
+        self._has_ended = True
 
     def _force_final_answers(self) -> None:
         """Force answers to all unanswered requests.
@@ -147,7 +162,7 @@
         """Return whether the process is stopping and the deadline for final answers has passed."""
         return self._plan.is_begun and monotonic() >= self._plan.deadline
 
-    def answer(self, message: Message, body: Body) -> Answer:
+    def answer(self, message: Message, body: Body, trace: RequestTrace) -> Answer:
         """Process a caller's request and return its answer, whose body may still have to come."""
         if message.target == ALIVE_PATH:
             return Answer(200, "OK", [("content-length", "0")], [])
@@ -157,7 +172,7 @@
             # This process is stopping and has sent its last answers; a request read now would not be answered.
             return make_refusal(ErrorCode.DRAINING, Outcome.NOT_RUN, DEFAULT_RETRY_AFTER)
         try:
-            return self.side.handle(make_request(message, body))
+            return self.side.handle(make_request(message, body, trace))
         except StopTimeout:
             # The side was interrupted: the request may have run.
             return make_refusal(ErrorCode.ANSWER_LOST, Outcome.UNKNOWN)
@@ -180,11 +195,30 @@
                 if self.is_stopping:
                     connection.end_if_idle()
 
+    def _begin_receipt_watch(self) -> None:
+        for connection in self._connections:
+            connection.forget_received()
+        gevent.spawn(self._watch_receipts)
+
+    def _watch_receipts(self) -> None:
+        """Log which answers callers have received while the process stops, also after `stop` if connections are left.
+
+        Logs, too, when the notice begins.
+        """
+        is_noticed = not self._gives_notice
+        while self._connections or not self._has_ended:
+            if not is_noticed and self.is_leaving():
+                is_noticed = True
+                self.stop_log.log_notice()
+            for connection in list(self._connections):
+                connection.log_received()
+            gevent.sleep(RECEIPT_INTERVAL)
+
     def _accept(self, conn, address) -> None:
         conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         if self.is_over_connection_limit():
             self._end_oldest_idle()
-        connection = Connection(self, Channel(conn))
+        connection = Connection(self, Channel(conn), address)
         self._connections[connection] = None
         try:
             connection.run()
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/service.py
@@ -96,15 +96,18 @@
             self._accept_queued()
             self._server.close()
 
-    def _accept_queued(self) -> None:
-        """Accept the connections in the listen queue; closing the listener would reset them."""
+    def _accept_queued(self) -> int:
+        """Accept the connections in the listen queue, which closing the listener would reset; return their number."""
+        count = 0
         try:
             while (accepted := self._server.do_read()) is not None:
                 self._server.do_handle(*accepted)
+                count += 1
         except OSError as exc:
             self._events.emit(Event.UNEXPECTED, error=repr(exc))
         # Lets the handlers start, so that the server doesn't find itself idle before.
         gevent.sleep(0)
+        return count
 
     def _force_final_answers(self) -> None:
         """Answer all requests still in progress; does nothing unless a subclass can do so."""
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream/upstream.py
@@ -356,6 +356,7 @@
         if account is not None:
             account.note_sent()
         self._metrics.count(Metric.PASSED_ON)
+        request.trace.note_sent(self._registration.upstream)
         advertised = self._registration.advertised
         work = Work(self._crashes, hasher, slot, request.body, deadline)
         try:
--- a/packages/lanedock-daemon/lanedock_daemon/run.py
+++ b/packages/lanedock-daemon/lanedock_daemon/run.py
@@ -41,6 +41,10 @@
 METRICS_INTERVAL = 1.0
 # Flushes of the log for each flush of the metrics.
 LOG_FLUSHES = 4
+# Seconds between two flushes of the log in a stop, which may end by SIGKILL.
+STOP_FLUSH_INTERVAL = 0.025
+# Seconds for which the end of the process waits for a reader of the log.
+LAST_FLUSH_TIMEOUT = 0.1
 # Seconds between two checks for a settings file that changed without a signal.
 RELOAD_INTERVAL = 1.0
 
@@ -99,7 +103,8 @@
     finally:
         early.ignore_signals()
         events.report_dropped()
-        writer.flush()
+        events.report_unwritten(writer)
+        writer.flush(LAST_FLUSH_TIMEOUT)
 
 
 def _read_stamp(path: str) -> tuple[int, int]:
@@ -225,6 +230,7 @@
     if early.must_reload:
         reloader.reload()
     flusher = gevent.spawn(_flush, metrics, events, writer)
+    plan.call_at_begin(lambda: gevent.spawn(_flush_in_stop, writer))
     watcher = gevent.spawn(reloader.watch)
     failure = _wait(kernel, stopping.received)
     events.emit(Event.STOPPING, after_ms=stopping.age_ms())
@@ -236,7 +242,7 @@
     if failure is not None:
         events.emit(Event.UNEXPECTED, error=repr(failure))
         return EXIT_FAILED
-    events.emit(Event.STOPPED)
+    events.emit(Event.STOPPED, stop_ms=round(1000 * plan.elapsed(monotonic())))
     return 0
 
 
@@ -254,6 +260,14 @@
             writer.flush()
         metrics.flush()
         events.report_dropped()
+        events.report_unwritten(writer)
+
+
+def _flush_in_stop(writer: LineWriter) -> None:
+    """Flush the buffered log lines often, until the process ends."""
+    while True:
+        writer.flush()
+        gevent.sleep(STOP_FLUSH_INTERVAL)
 
 
 class _StopSignal:
--- a/packages/lanedock-daemon/lanedock_daemon/tests/test_stops.py
+++ b/packages/lanedock-daemon/lanedock_daemon/tests/test_stops.py
@@ -264,3 +264,30 @@
     errors = [line["error"] for line in lines if line["message"] == "ANSWER_LOST"]
     assert len(errors) == 1
     assert errors[0].endswith("no answer before this process stopped")
+
+
+@pytest.mark.parametrize("server", ["entry", "egress", "upstream"])
+def test_log_of_a_stop_states_what_became_of_a_request_at_its_caller(make_daemon, caplog, server):
+    # Guards against a stop whose log says that an answer was made, and not what became of it.
+    caplog.set_level("INFO")
+    daemon = make_daemon(is_entry=server == "entry")
+    request = make_request("/x", headers="x-request-id: id-1\r\n")
+    if server == "upstream":
+        request = make_daemon_request("/x").replace(b"\r\n\r\n", b"\r\nx-request-id: id-1\r\n\r\n", 1)
+    else:
+        daemon.learn_times(server)
+    gate = daemon.own if server == "upstream" else daemon.other
+    sent = daemon.begin(server, request)
+    wait_until(lambda: "/x" in gate.begun)
+    daemon.stop()
+    daemon.read(sent)
+    daemon.stopping.get(timeout=LONG)
+    lines = [record.msg for record in caplog.records if isinstance(record.msg, dict)]
+    (end,) = [line for line in lines if line["message"] == "REQUEST_END"]
+    assert (end["request"], end["server"], end["end"], end["stage"]) == ("id-1", server, "received", "answered")
+    # The application beside the daemon has not registered.
+    assert (end["outcome"], end["upstream"]) == ("unknown", "" if server == "upstream" else "u0")
+    assert end["read_ms"] <= 0 < end["answered_ms"] <= end["ended_ms"]
+    summaries = {line["server"]: line for line in lines if line["message"] == "STOP_SUMMARY"}
+    assert list(summaries) == [server]
+    assert [summaries[server][name] for name in ("read", "unknown", "received", "cut")] == [1, 1, 1, 0]
--- a/packages/lanedock/lanedock/kernel/stop_plan.py
+++ b/packages/lanedock/lanedock/kernel/stop_plan.py
@@ -43,6 +43,7 @@
         self.linger = linger
         self.deadline = _NEVER
         self._limit = max(linger, limit)
+        self._callbacks: list = []
 
     def __repr__(self) -> str:
         return f"<StopPlan linger={self.linger} limit={self._limit} deadline={self.deadline}>"
@@ -66,6 +67,15 @@
             self.deadline = now + self._limit
             if not has_callers:
                 self.linger = 0.0
+            for callback in self._callbacks:
+                callback()
+
+    def call_at_begin(self, callback) -> None:
+        """Call a function without arguments once the shutdown begins; at once if it has begun."""
+        if self.is_begun:
+            callback()
+        else:
+            self._callbacks.append(callback)
 
     def elapsed(self, now: float) -> float:
         """Return the seconds from the start of the shutdown to `now`; negative before it, 0 without a shutdown."""
--- a/packages/lanedock/lanedock/telemetry/events.py
+++ b/packages/lanedock/lanedock/telemetry/events.py
@@ -22,7 +22,12 @@
         "noted the signal.",
         "If `after_ms` is long, the process gets too little processor time, or the signal came while it started.",
     )
-    STOPPED = (103, logging.INFO, "The process has stopped.", "None.")
+    STOPPED = (
+        103,
+        logging.INFO,
+        "The process has stopped. `stop_ms` is the time since the stop began.",
+        "None.",
+    )
     NO_AUTHENTICATION = (
         105,
         logging.WARNING,
@@ -33,7 +38,8 @@
     LOG_LIMITED = (
         110,
         logging.WARNING,
-        "Log lines of an event were dropped in the last second: they were too many, or nothing reads the log.",
+        "Log lines of an event were dropped in the last second: they were too many, or, if `limited` is empty, nothing "
+        "read the log.",
         "Raise `log_lines_per_second` temporarily if the lines are needed.",
     )
     RELOADED = (108, logging.INFO, "The settings were reloaded.", "None.")
@@ -281,6 +287,42 @@
         "the request's own answer is awaited.",
         "Check the application: it answers requests twice, or late.",
     )
+    REQUEST_END = (
+        508,
+        logging.INFO,
+        "What became of a request at its caller; one line for each request that a stop of the process touches. `end`: "
+        "received (its caller's system has acknowledged the whole answer), cut (this process closed the connection "
+        "before), caller left, or not begun (read behind the last answer of its connection). `stage` is how far it had "
+        "come, `upstream` where it was sent last. Times are in milliseconds since the stop began.",
+        "For cut: see `how`, and E505. For caller left: look at the caller, or at what lies between.",
+    )
+    CONNECTION_ENDED = (
+        509,
+        logging.INFO,
+        "A caller's connection has ended while the process stops; `how` is why this process closed it, or how its "
+        "caller did.",
+        "None.",
+    )
+    LISTENER_CLOSED = (
+        516,
+        logging.INFO,
+        "A server accepts no more connections because the process stops; `accepted` are those of its queue.",
+        "None.",
+    )
+    STOP_SUMMARY = (
+        517,
+        logging.INFO,
+        "What a stop did to the requests of a server that were in progress when it began, or were read since (`read`): "
+        "how many an application answered, were refused or have an unknown outcome, and how many of the answers were "
+        "received, cut or left by callers. `open_connections` end with the process.",
+        "Look for the E508 lines of those that were cut.",
+    )
+    NOTICE_BEGUN = (
+        518,
+        logging.INFO,
+        "The notice time of a stop has begun: a server's answers announce the close of their connections.",
+        "None.",
+    )
     REACHED = (503, logging.INFO, "An unreachable upstream is reachable again.", "None.")
 
     REQUEST_ROUTED = (
--- a/packages/lanedock/lanedock/telemetry/log.py
+++ b/packages/lanedock/lanedock/telemetry/log.py
@@ -16,6 +16,10 @@
 # Maximum lines per second of one event. Failures may have four times as many.
 DEFAULT_LINES_PER_SECOND = 50
 FAILURE_FACTOR = 4
+# Decisions on requests that end in a stop may have this many times as many, since all of them are logged.
+STOP_FACTOR = 20
+# Maximum lines per second of one event about what a stop does to requests and connections. More than a process answers.
+STOP_LINES_PER_SECOND = 4000
 # Maximum number of buffered lines; beyond it the oldest are dropped.
 MAX_PENDING_LINES = 2000
 # Maximum size of a write that does not block on a writable pipe, in bytes (POSIX, PIPE_BUF).
@@ -31,27 +35,31 @@
         Name of the logger, usually the name of the process.
     lines_per_second : int
         Maximum lines per second of one event; further lines are counted and dropped. Failures
-        (level warning and above) are counted apart and may have four times as many.
+        (level warning and above) are counted apart and may have four times as many, decisions of a stop twenty times.
+        Lines of `emit_in_stop` have a limit of their own.
     """
 
     def __init__(self, name: str, lines_per_second: int = DEFAULT_LINES_PER_SECOND):
         self._logger = logging.getLogger(name)
         self._limit = lines_per_second
         self._second = 0
-        # Lines of the current second by event, those of failures apart.
-        self._counts: dict[tuple[Event, bool], int] = {}
+        # Lines of the current second by event and limit.
+        self._counts: dict[tuple[Event, int], int] = {}
         self._dropped: dict[Event, int] = {}
+        # Lines that were dropped by writers, as far as they are reported.
+        self._reported_unwritten = 0
 
     def __repr__(self) -> str:
         return f"<EventLogger {self._logger.name}>"
 
     def emit(self, event: Event, **fields: object) -> None:
         """Log an event."""
-        if not self._logger.isEnabledFor(event.level) or not self._admit_line(event, event.level):
-            return
-        self._write(event, fields)
+        if self._logger.isEnabledFor(event.level) and self._admit(event, self._limit * _find_factor(event)):
+            self._write(event, fields)
 
-    def emit_decision(self, event: Event, decided_at: float, failed: bool, fields: dict) -> None:
+    def emit_decision(
+        self, event: Event, decided_at: float, failed: bool, fields: dict, during_stop: bool = False
+    ) -> None:
         """Log a decision that was made earlier.
 
         Parameters
@@ -63,11 +71,18 @@
             Whether the request failed; the line then has the higher limit of failures.
         fields : dict
             Fields of the line.
+        during_stop : bool
+            Whether the request ended while the process stops; the line then has the limit of such lines.
         """
-        limiting_level = logging.WARNING if failed else event.level
-        if self._logger.isEnabledFor(event.level) and self._admit_line(event, limiting_level):
+        factor = STOP_FACTOR if during_stop else FAILURE_FACTOR if failed else _find_factor(event)
+        if self._logger.isEnabledFor(event.level) and self._admit(event, self._limit * factor):
             self._write(event, fields, decided_at)
 
+    def emit_in_stop(self, event: Event, **fields: object) -> None:
+        """Log what a stop of the process does, within a limit that other lines don't share."""
+        if self._logger.isEnabledFor(event.level) and self._admit(event, STOP_LINES_PER_SECOND):
+            self._write(event, fields)
+
     def _write(self, event: Event, fields: dict, decided_at: float | None = None) -> None:
         line = {"message": event.name, "event": f"E{event.number}", "process": self._logger.name}
         for key, value in fields.items():
@@ -78,17 +93,16 @@
             record.created = decided_at
         self._logger.handle(record)
 
-    def _admit_line(self, event: Event, level: int) -> bool:
-        """Count a line of an event and tell whether it is within the limit of the current second."""
+    def _admit(self, event: Event, limit: int) -> bool:
+        """Count a line of an event and tell whether it is within a limit of the current second."""
         second = int(monotonic())
         if second != self._second:
             self._second = second
             self._counts.clear()
             self.report_dropped()
-        is_failure = level >= logging.WARNING
-        count = self._counts.get((event, is_failure), 0) + 1
-        self._counts[event, is_failure] = count
-        if count <= self._limit * (FAILURE_FACTOR if is_failure else 1):
+        count = self._counts.get((event, limit), 0) + 1
+        self._counts[event, limit] = count
+        if count <= limit:
             return True
         self._dropped[event] = self._dropped.get(event, 0) + 1
         return False
@@ -100,6 +114,18 @@
             for event, count in dropped.items():
                 self._write(Event.LOG_LIMITED, {"limited": event.name, "left_out": count})
 
+    def report_unwritten(self, writer: "LineWriter") -> None:
+        """Log how many lines, of any event, a writer dropped since the last report because nothing reads the log."""
+        count = writer.left_out - self._reported_unwritten
+        if count and self._logger.isEnabledFor(Event.LOG_LIMITED.level):
+            self._reported_unwritten = writer.left_out
+            self._write(Event.LOG_LIMITED, {"limited": "", "left_out": count})
+
+
+def _find_factor(event: Event) -> int:
+    """Return the factor on the limit of an event's lines."""
+    return FAILURE_FACTOR if event.level >= logging.WARNING else 1
+
 
 class LineWriter(logging.Handler):
     """Logging handler that writes lines to a file descriptor without blocking.
@@ -143,13 +169,20 @@
         if not is_on_request or record.levelno >= logging.WARNING or len(self._pending) >= MAX_PENDING_LINES // 4:
             self.flush()
 
-    def flush(self) -> None:
-        """Write buffered lines until the descriptor would block; drop them after `close`."""
+    def flush(self, timeout: float = 0.0) -> None:
+        """Write buffered lines until the descriptor would block; drop them after `close`.
+
+        Parameters
+        ----------
+        timeout : float
+            Seconds for which the call waits, in all, until the descriptor takes more.
+        """
+        until = monotonic() + timeout
         if self._descriptor is None:
             self._dropped += len(self._pending)
             self._pending.clear()
         while self._pending:
-            if not any(mask & select.POLLOUT for _, mask in self._poll.poll(0)):
+            if not any(mask & select.POLLOUT for _, mask in self._poll.poll(1000 * max(0.0, until - monotonic()))):
                 return
             batch, size = [], 0
             while self._pending and size + len(self._pending[0]) <= MAX_ATOMIC_WRITE_BYTES:
--- a/packages/lanedock/lanedock/telemetry/requests.py
+++ b/packages/lanedock/lanedock/telemetry/requests.py
@@ -63,11 +63,11 @@
             # receiver's reaction, although both decisions may be less than 0.1 ms apart.
             self._decisions.append((event, time(), monotonic() - self._started, fields))
 
-    def write(self, events: EventLogger, failed: bool) -> None:
+    def write(self, events: EventLogger, failed: bool, during_stop: bool = False) -> None:
         """Log all decisions, each with the time at which it was made."""
         for event, decided_at, elapsed, fields in self._decisions:
             line = {"request": self.request_id, "after_ms": round(1000 * elapsed, 1), **fields}
-            events.emit_decision(event, decided_at, failed, line)
+            events.emit_decision(event, decided_at, failed, line, during_stop)
 
 
 class RequestLogger:
@@ -97,7 +97,7 @@
     def end(self, log: RequestLog, failed: bool, during_stop: bool = False) -> None:
         """Log a request's decisions if it failed, is sampled, or ended while the process stops."""
         if failed or during_stop or self._is_sampled(log.request_id):
-            log.write(self._events, failed)
+            log.write(self._events, failed, during_stop)
 
     def emit_totals(self) -> None:
         """Log the totals since the last call."""
--- a/packages/lanedock/lanedock/telemetry/tests/test_log.py
+++ b/packages/lanedock/lanedock/telemetry/tests/test_log.py
@@ -75,6 +75,90 @@
     assert written + sum(left_out) == failures + successes
 
 
+def test_lines_of_a_stop_have_a_limit_of_their_own(monkeypatch):
+    # Guards against requests without a line because other lines of the same second used up the limit.
+    monkeypatch.setattr(log, "monotonic", lambda: 7.0)
+    count = log.DEFAULT_LINES_PER_SECOND * log.FAILURE_FACTOR
+
+    def fill(handler: LineWriter) -> None:
+        events = EventLogger("p", lines_per_second=1)
+        for number in range(count):
+            events.emit(Event.REQUEST_END, number=number)
+        for number in range(count):
+            events.emit_in_stop(Event.REQUEST_END, number=number)
+        events.report_dropped()
+
+    lines = _log_to_pipe(fill)
+    assert [line["number"] for line in lines if line["message"] == "REQUEST_END"] == [0, *range(count)]
+    assert [line["left_out"] for line in lines if line["message"] == "LOG_LIMITED"] == [count - 1]
+
+
+def test_lines_of_a_stop_are_bounded(monkeypatch):
+    monkeypatch.setattr(log, "monotonic", lambda: 7.0)
+    monkeypatch.setattr(log, "STOP_LINES_PER_SECOND", 10)
+
+    def fill(handler: LineWriter) -> None:
+        events = EventLogger("p")
+        for number in range(25):
+            events.emit_in_stop(Event.REQUEST_END, number=number)
+        events.report_dropped()
+
+    lines = _log_to_pipe(fill)
+    assert [line["message"] for line in lines] == ["REQUEST_END"] * 10 + ["LOG_LIMITED"]
+    assert lines[-1]["left_out"] == 15
+
+
+def test_lines_that_are_dropped_because_nothing_reads_the_log_are_reported_once():
+    reader, writer = os.pipe()
+    try:
+        handler = configure_logging("info", writer)
+        events = EventLogger("p", 10**9)
+        events.report_unwritten(handler)
+        for number in range(2 * MAX_PENDING_LINES):
+            events.emit(Event.ANSWER_LOST, number=number, error="x" * 200)
+        lines = _read(reader)
+        dropped = handler.left_out
+        for _ in range(3):
+            events.report_unwritten(handler)
+        handler.flush()
+        while more := _read(reader):
+            lines += more
+            handler.flush()
+    finally:
+        os.close(reader)
+        os.close(writer)
+    assert dropped > 0
+    reports = [(line["limited"], line["left_out"]) for line in lines if line["message"] == "LOG_LIMITED"]
+    # The first report takes the place of one more line.
+    assert reports == [("", dropped), ("", 1)]
+    assert len(lines) - len(reports) + dropped + 1 == 2 * MAX_PENDING_LINES
+
+
+def test_the_last_flush_waits_no_longer_than_its_timeout_for_a_slow_reader(monkeypatch):
+    # Guards against a wait for each batch of lines, which adds up to seconds at the end of the process.
+    now = 0.0
+    waits = []
+
+    class SlowReader:
+        def poll(self, timeout: float) -> list:
+            nonlocal now
+            waits.append(timeout)
+            now += 0.06
+            return [(0, log.select.POLLOUT)] if timeout else []
+
+    def fill(handler: LineWriter) -> None:
+        events = EventLogger("p", 10**9)
+        for number in range(100):
+            events.emit_in_stop(Event.REQUEST_END, request=f"id-{number}", text="x" * 3000)
+        poll, handler._poll = handler._poll, SlowReader()
+        handler.flush(0.1)
+        handler._poll = poll
+
+    monkeypatch.setattr(log, "monotonic", lambda: now)
+    _log_to_pipe(fill)
+    assert len(waits) == 3 and waits[0] == 100 and waits[-1] == 0
+
+
 def test_a_writer_never_writes_to_a_file_that_reuses_its_closed_descriptor():
     """Guards against log lines within the data of a connection that got the number of a closed log file."""
     reader, writer = os.pipe()
