Show in the command line how a stop went and how requests ended in it

`lanedock explain` states in words how a request ended at its caller and when, and no longer takes the line on its end for a missing answer. `lanedock explain-stop PROCESS LOGS...` prints each stop of a process: the signal, the notice, the listeners, the sums, the requests whose callers have not received their answers, and the lines that are missing, such as STOPPED if the process was ended early.

--- a/packages/lanedock-cli/lanedock_cli/app.py
+++ b/packages/lanedock-cli/lanedock_cli/app.py
@@ -44,6 +44,7 @@
     quarantine_value,
     status_value,
 )
+from lanedock_cli.stops import collect_stops, print_stop
 from lanedock_cli.summary import print_summary, summarize
 from lanedock_cli.traces import print_traces
 
@@ -292,6 +293,20 @@
         raise typer.Exit(EXIT_FAILED)
 
 
+@app.command(epilog="example: lanedock explain-stop entry-nbo-a-0 logs/entry-nbo-a-0.log")
+def explain_stop(
+    process: Annotated[str, typer.Argument(help="Name of the process.", metavar="PROCESS")],
+    files: Annotated[list[Path], typer.Argument(help="Its logs.", metavar="FILE...")],
+) -> None:
+    """Print how the stops of a process went: times, sums, requests without a received answer, missing lines."""
+    stops = collect_stops(process, files)
+    for stop in stops:
+        print_stop(stop, _console)
+    if not stops:
+        print(f"no line states that {process} was asked to stop: it was ended at once, or its log is not given")
+        raise typer.Exit(EXIT_FAILED)
+
+
 @app.command(epilog="example: lanedock summary logs/*.log --every 2")
 def summary(
     files: Annotated[list[Path], typer.Argument(help="Logs of daemons.", metavar="FILE...")],
--- a/packages/lanedock-cli/lanedock_cli/explain.py
+++ b/packages/lanedock-cli/lanedock_cli/explain.py
@@ -15,6 +15,18 @@
 # Other lines of the same processes are shown if they are at most this long before or after the request.
 CONTEXT_SPAN = timedelta(seconds=2)
 MAX_CONTEXT_LINES = 30
+# Texts for the ends and stages that a line REQUEST_END states.
+_ENDS = {
+    "received": "its caller has received the whole answer",
+    "cut": "this process closed the connection before its caller had the whole answer",
+    "caller left": "its caller ended the connection before it had the whole answer",
+    "not begun": "read behind the last answer of its connection, and not begun",
+}
+_STAGES = {
+    "waiting": "it had been sent to no application",
+    "sent": "an application may have been working on it",
+    "answered": "its answer had been made",
+}
 _REQUEST_EVENTS = {
     f"E{event.number}" for event in Event if event.name.startswith("REQUEST_") or event in (Event.ANSWER_LOST,)
 }
@@ -44,15 +56,34 @@
 
     def text(self) -> str:
         """Format the line for a terminal."""
-        fields = " ".join(
-            f"{key}={value}" for key, value in self.fields.items() if key not in _COMMON_FIELDS and value != ""
-        )
+        fields = self.describe_fields()
         after = self.fields.get("after_ms")
         offset = f"+{after:g} ms" if after is not None else ""
         return (
             f"{self.time:%H:%M:%S.%f}"[:-3] + f"  {self.process:<18} {offset:>11}  {self.fields['message']}  {fields}"
         )
 
+    def describe_fields(self) -> str:
+        """Format the fields that not each line has."""
+        return " ".join(
+            f"{key}={value}" for key, value in self.fields.items() if key not in _COMMON_FIELDS and value != ""
+        )
+
+    def describe_end(self) -> str:
+        """Describe, for a line REQUEST_END, how the request ended at its caller, and when."""
+        fields = self.fields
+        how = f" ({fields['how']})" if fields.get("how") else ""
+        stage = _STAGES.get(fields.get("stage"), "")
+        if fields.get("upstream"):
+            stage += f" (sent last to {fields['upstream']})"
+        if fields.get("status"):
+            outcome = fields.get("outcome") or "by an application"
+            stage += f", status {fields['status']}, {outcome}"
+        if fields.get("stage") == "answered" and fields.get("written_ms") is None:
+            stage += ", and not been written whole"
+        end = _ENDS.get(fields.get("end"), fields.get("end"))
+        return f"{end}{how}, {fields.get('ended_ms')} ms after the stop of {self.process} began; {stage}"
+
 
 class RequestTimeline:
     """Lines, error codes and gaps that the logs hold for one request.
@@ -142,7 +173,10 @@
             text = f"no line of {upstream}: the request succeeded there, its log is not given, or the process ended"
             if text not in missing:
                 missing.append(text)
-    if lines[-1].fields["message"] not in (Event.REQUEST_ANSWERED.name, Event.REQUEST_DONE.name):
+    decisions = [line for line in lines if line.fields["message"] != Event.REQUEST_END.name]
+    if not decisions:
+        missing.append("no line states a decision on the request: it ended before one was made, or a log is not given")
+    elif decisions[-1].fields["message"] not in (Event.REQUEST_ANSWERED.name, Event.REQUEST_DONE.name):
         missing.append("no line says how the request was answered: the process ended first, or its log is not given")
     limited = [line for line in context if line.event == _LOG_LIMITED_EVENT]
     missing += [
@@ -171,6 +205,10 @@
     """Print the request's lines, its error codes, the gaps, and the context."""
     for line in timeline.lines:
         console.print(line.text(), markup=False, highlight=False, soft_wrap=True)
+    for line in timeline.lines:
+        if line.fields["message"] == Event.REQUEST_END.name:
+            text = f"at the server {line.fields.get('server')}: {line.describe_end()}"
+            console.print(text, markup=False, highlight=False, soft_wrap=True)
     for code in timeline.codes:
         console.print(f"{code.code}: {code.meaning} {code.remedy}", markup=False, highlight=False, soft_wrap=True)
     for text in describe_link_limits(timeline.lines):
