Begin no request on a connection whose answer has broken off

A request that waited on its connection in a stop could begin after an answer before it had broken off and the sending side had ended: it ran, and its caller got no answer.

Only an announced close kept requests from beginning, not one without an announcement. A reader that is paused (the waiting request's body has not arrived whole) starts what waits once it is woken. The bytes not yet acknowledged usually kept it from that, because the end of the stream counts as one. It began if the caller's system acknowledged the end of the stream before the reader ran.

The test treats everything as acknowledged. Before the change it failed with ['/break', '/x'] begun instead of ['/break']. Both places that start requests now check for both kinds of close.

--- a/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
@@ -285,8 +285,12 @@
             trace = RequestTrace(message.header(REQUEST_ID_HEADER), message.read_at)
             self._server.stop_log.log_request(trace, RequestEnd.NOT_BEGUN)
 
+    def _has_last_answer(self) -> bool:
+        """Return whether no request that begins now could be answered."""
+        return self._has_announced_close or self._is_closing
+
     def _may_start_request(self) -> bool:
-        if self._has_announced_close:
+        if self._has_last_answer():
             return False
         if not self._server.is_process_stopping:
             return True
@@ -307,7 +311,7 @@
         self.expires_at = NEVER
         if self._open_exchange is not None:
             self._update_open_body()
-        while self._reader.has_head() and not self._has_announced_close:
+        while self._reader.has_head() and not self._has_last_answer():
             message = self._reader.next_head()
             if message.is_complete:
                 self._start_request(message)
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_closing.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_closing.py
@@ -28,6 +28,7 @@
 from lanedock.settings import Address
 from lanedock.telemetry import EventLogger
 from lanedock_daemon.path.http import connection
+from lanedock_daemon.path.http.delivery import Delivery
 from lanedock_daemon.path.http.messages import Answer, Outcome, make_refusal
 from lanedock_daemon.path.http.server import PathServer
 from lanedock_daemon.path.http.service import POLL
@@ -296,3 +297,45 @@
         answer = read_all(conn)
     assert answer.startswith(b"HTTP/1.1 400")
     assert b"\r\nx-request-outcome: unknown\r\n" in answer
+
+
+class _BreakingSide:
+    """Breaks off the answer to /break once `opened` is set; answers others at once.
+
+    Attributes
+    ----------
+    begun : list of str
+        Paths of the received requests.
+    """
+
+    def __init__(self):
+        self.begun: list[str] = []
+        self.opened = Event()
+
+    def handle(self, request) -> Answer:
+        self.begun.append(request.path)
+        if request.path != "/break":
+            return Answer(200, "OK", [("content-length", "0")], [])
+        return Answer(200, "OK", [("content-length", "100")], self._break_off())
+
+    def _break_off(self):
+        yield b"part"
+        self.opened.wait()
+        raise ConnectionError("the answer broke off")
+
+
+def test_no_waiting_request_starts_behind_an_answer_that_breaks_off_in_a_stop(make_server, monkeypatch):
+    # A request that waited ran without an answer if the caller acknowledged the end of the stream at once.
+    monkeypatch.setattr(Delivery, "is_complete", lambda delivery: True)
+    side = _BreakingSide()
+    server = make_server(side, closes_last=True)
+    with socket.create_connection((HOST, server.port), timeout=TIMEOUT) as conn:
+        _begin_stop_during_head(server, conn, _request("/break"))
+        wait_until(lambda: side.begun == ["/break"])
+        conn.sendall(UPLOAD_OF_4_BYTES + b"bo")
+        (open_connection,) = server._connections
+        wait_until(lambda: open_connection._reader.has_incomplete_message())
+        side.opened.set()
+        read_all(conn)
+    wait_until(lambda: open_connection not in server._connections)
+    assert side.begun == ["/break"]
