Answer requests whose handler fails unexpectedly, and keep their connections

A caller whose request met an unexpected exception got no answer. Its connection ended, and the requests in progress behind it on the connection were cancelled.

The exception reached the connection, which can only end there. The server now logs it (UNEXPECTED) and answers 502 with outcome unknown, as the request may have been passed on. Later requests keep their connection and their answers. An OSError still ends the connection: there it means that the caller has gone.

Before the change the new test got no answer at all, instead of 502 and 200.

--- a/packages/lanedock-daemon/lanedock_daemon/path/http/server.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/server.py
@@ -176,6 +176,12 @@
         except StopTimeout:
             # The side was interrupted: the request may have run.
             return make_refusal(ErrorCode.ANSWER_LOST, Outcome.UNKNOWN)
+        except OSError:
+            raise
+        except Exception as exc:
+            # Without an answer, the connection would end, and with it the other requests on it.
+            self.log_unexpected_error(exc)
+            return make_refusal(ErrorCode.ANSWER_LOST, Outcome.UNKNOWN)
 
     def acquire_worker(self) -> Worker:
         """Return an idle worker, or a new one."""
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_closing.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_closing.py
@@ -339,3 +339,33 @@
         read_all(conn)
     wait_until(lambda: open_connection not in server._connections)
     assert side.begun == ["/break"]
+
+
+class _FailingSide(_WaitingSide):
+    """Raises an unexpected exception for /fail; answers others as its base class."""
+
+    def handle(self, request) -> Answer:
+        if request.path == "/fail":
+            raise ValueError("unexpected")
+        return super().handle(request)
+
+
+def test_unexpected_error_of_a_request_ends_no_other_request_of_its_connection(make_server):
+    # The connection ended without an answer to the failed request, and those in progress behind it were cancelled.
+    side = _FailingSide()
+    server = make_server(side)
+    with socket.create_connection((HOST, server.port), timeout=TIMEOUT) as conn:
+        conn.sendall(_request("/fail") + _request("/wait"))
+        gevent.sleep(2 * POLL)
+        side.opened.set()
+        answers = _read_until_answers(conn, 2)
+    assert [answer[:3] for answer in answers] == [b"502", b"200"]
+    assert b"\r\nx-request-outcome: unknown\r\n" in answers[0]
+
+
+def _read_until_answers(conn, count: int) -> list[bytes]:
+    """Return the answers received until the last of them has begun or the connection ends."""
+    got = b""
+    while got.count(b"HTTP/1.1 ") < count and (more := conn.recv(65536)):
+        got += more
+    return got.split(b"HTTP/1.1 ")[1:]
