Begin no request behind one of HTTP/1.0 that has no answer yet

A caller of HTTP/1.0 that keeps its connection and sends requests without waiting could lose all but the first: they ran, and the connection ended with the first answer.

An answer of unknown length is written in chunks to a caller of HTTP/1.1, and ends with the connection for a caller of HTTP/1.0. Whether an answer has a length is known only when its head arrives, so what stands behind it waits until then. If the connection goes on, it begins; otherwise it has not run.

Before the change the new test had begun ['/wait', '/b'], and only the answer to /wait arrived.

--- a/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
@@ -292,6 +292,8 @@
     def _may_start_request(self) -> bool:
         if self._has_last_answer():
             return False
+        if self._exchanges and self._exchanges[-1].message.version != "1.1":
+            return False  # an answer without a length would be delimited by the end of the connection
         if not self._server.is_process_stopping:
             return True
         # The end of the process may cut what the caller has not received, and the answers queued after it.
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_closing.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_closing.py
@@ -369,3 +369,26 @@
     while got.count(b"HTTP/1.1 ") < count and (more := conn.recv(65536)):
         got += more
     return got.split(b"HTTP/1.1 ")[1:]
+
+
+class _UnboundedSide(_WaitingSide):
+    """Answers as its base class, without a length."""
+
+    def handle(self, request) -> Answer:
+        super().handle(request)
+        return Answer(200, "OK", [], [b"ok"])
+
+
+def test_no_request_starts_behind_one_whose_answer_may_end_the_connection(make_server):
+    # A caller of HTTP/1.0 gets an answer without a length up to the end of the connection: what ran behind it was lost.
+    side = _UnboundedSide()
+    server = make_server(side)
+    with socket.create_connection((HOST, server.port), timeout=TIMEOUT) as conn:
+        for path in ("/wait", "/b"):
+            conn.sendall(f"GET {path} HTTP/1.0\r\nhost: h\r\nconnection: keep-alive\r\n\r\n".encode())
+        wait_until(lambda: side.begun)
+        gevent.sleep(2 * POLL)
+        side.opened.set()
+        got = read_all(conn)
+    assert got.endswith(b"\r\n\r\nok")
+    assert side.begun == ["/wait"]
