End an idle connection only if it still is idle when its end begins

A caller whose request arrived between the decision to end its idle connection and the end itself could lose it:

- It was not read, and the connection was reset.
- Its head had been read and its body was still to come: it was cancelled, although it may have been passed on.

The decision takes effect in the connection's greenlet, later by the callbacks that are due before it, which is long on a busy daemon. The reader now looks again when it is interrupted. If data has arrived or a request is in progress within its time limits, it reads on, however often it is interrupted. Otherwise it closes without anything running in between.

All four cases of the new tests failed before: three ended without an answer, one with a reset.

--- a/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
@@ -113,17 +113,37 @@
     def _serve(self) -> None:
         """Read requests until the last answer is written or the connection ends."""
         try:
-            self._read()
+            self._read_until_end()
         except MalformedMessage as exc:
             # Requests before the malformed one, possibly in the same packet, still get their answers.
             self._answer_complete_requests()
             self._refuse_malformed(exc)
         except _Expired:
-            # A request may have been read after the connection was found idle.
             self._answer_complete_requests()
             if self._reader.is_in_head and not (self._exchanges or self._is_closing):
                 self._refuse_malformed(MalformedMessage("the request head was not received within the time limit", 408))
 
+    def _read_until_end(self) -> None:
+        """Read requests until the connection ends.
+
+        Raises
+        ------
+        _Expired
+            The connection is not needed any more, or its time limit has passed.
+        """
+        while True:
+            try:
+                self._read()
+                return
+            except _Expired:
+                if self._must_end():
+                    raise
+                self._end_reason = ""
+
+    def _must_end(self) -> bool:
+        """Return whether the reason to end the connection holds still: data may have arrived since `expire`."""
+        return monotonic() > self.expires_at if self._is_busy() else self._conn.is_clean()
+
     def _await_delivery(self) -> None:
         """End the sending side, and discard input until the caller has received all answers."""
         if not self._is_closing:
@@ -194,7 +214,7 @@
         ]
 
     def expire(self, reason: str) -> None:
-        """End the connection; `reason` is logged if answers are cut."""
+        """Schedule the end of the connection, unless data arrives before; `reason` is logged if answers are cut."""
         self._end_reason = reason
         self._greenlet.kill(_Expired, block=False)
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_closing.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_closing.py
@@ -392,3 +392,52 @@
         got = read_all(conn)
     assert got.endswith(b"\r\n\r\nok")
     assert side.begun == ["/wait"]
+
+
+def _expire_in_use(open_connection) -> None:
+    """Schedule the ends that a connection that was idle gets from the stop and from the sweep."""
+    open_connection.expire("stop")
+    open_connection.expire("stop")
+
+
+def test_request_that_is_read_while_its_idle_connection_is_ended_twice_is_answered(make_server):
+    # The second end interrupted the wait for the answer.
+    side = _WaitingSide()
+    server = make_server(side)
+    with socket.create_connection((HOST, server.port), timeout=TIMEOUT) as conn:
+        conn.sendall(_request("/wait"))
+        wait_until(lambda: side.begun)
+        (open_connection,) = server._connections
+        _expire_in_use(open_connection)
+        gevent.sleep(2 * POLL)
+        side.opened.set()
+        assert conn.recv(65536).startswith(b"HTTP/1.1 200")
+
+
+@pytest.mark.parametrize("size", [0, 2])
+def test_request_whose_body_arrives_while_its_idle_connection_is_ended_is_answered(make_server, size):
+    # The request was cancelled if its head had been read and its body had not.
+    side = _ReadingSide()
+    server = make_server(side)
+    with socket.create_connection((HOST, server.port), timeout=TIMEOUT) as conn:
+        conn.sendall(UPLOAD_OF_4_BYTES + b"body"[:size])
+        wait_until(lambda: any(open_connection._open_exchange for open_connection in server._connections))
+        (open_connection,) = server._connections
+        open_connection.expire("stop")
+        gevent.sleep(2 * POLL)
+        conn.sendall(b"body"[size:])
+        assert conn.recv(65536).startswith(b"HTTP/1.1 200")
+    assert side.received == b"body"
+
+
+def test_request_that_arrives_when_its_idle_connection_is_ended_is_answered(make_server):
+    # A request in the kernel's buffer was not read, and its connection was reset.
+    server = make_server(_WaitingSide())
+    with socket.create_connection((HOST, server.port), timeout=TIMEOUT) as conn:
+        conn.sendall(_request("/a"))
+        assert conn.recv(65536).startswith(b"HTTP/1.1 200")
+        (open_connection,) = server._connections
+        open_connection.expire("stop")
+        # Nothing else runs in between.
+        conn.sendall(_request("/b"))
+        assert conn.recv(65536).startswith(b"HTTP/1.1 200")
