Discard unread input before the process ends

A caller that received an answer slowly, and had sent more behind its request, could lose the answer with the end of a stopping process, although the process had written all of it.

The kernel delivers what a process has written after its end, unless the connection has unread input: then it is reset, and what is on its way is lost. In a stop, requests wait until the earlier answers are received, and reading is paused while a waiting request's body is incomplete or 32 requests wait. So input stood unread at the end.

The server now discards the input of the connections that are left when its time is over, and the channel passes on no data from then on. Answers can still be written until the end. Input that arrives after the end of the process still resets the connection.

--- a/packages/lanedock-daemon/lanedock_daemon/path/http/channel.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/channel.py
@@ -24,9 +24,12 @@
 from lanedock.clock import monotonic
 from lanedock_daemon.path.http.messages import NEVER
 
-__all__ = ["Channel"]
+__all__ = ["DISCARD_SIZE", "Channel"]
 
 _READ_EVENT = 1
+DISCARD_SIZE = 64 * 1024
+# Reads of `DISCARD_SIZE` bytes for which input is discarded at once; a receive buffer holds little more.
+MAX_DISCARD_READS = 100
 # Values of SO_LINGER: with a time of 0 s, closing the socket sends a reset.
 _ABORTIVE_CLOSE = struct.pack("ii", 1, 0)
 _ORDERLY_CLOSE = struct.pack("ii", 0, 0)
@@ -53,6 +56,7 @@
 
     __slots__ = (
         "_deadline",
+        "_discards_input",
         "_error",
         "_expires_at",
         "_fires_at",
@@ -83,6 +87,7 @@
         self._reader = None
         self._is_readable = False
         self._is_closed = False
+        self._discards_input = False
         self._error: OSError | None = None
         # Bytes that may still be read after the deadline; None before the first such read.
         self._late_bytes: int | None = None
@@ -208,8 +213,27 @@
             raise
         if not data and self._error is not None:
             raise OSError(*self._error.args)
+        if data and self._discards_input:
+            raise BlockingIOError
         return data
 
+    @property
+    def discards_input(self) -> bool:
+        """Whether reads return no data any more, only the end of the stream."""
+        return self._discards_input
+
+    def discard_input(self) -> None:
+        """Discard the unread input, and what later reads get: a close with unread input resets the connection."""
+        self._discards_input = True
+        try:
+            for _ in range(MAX_DISCARD_READS):
+                if not self._sock.recv(DISCARD_SIZE):
+                    return
+        except BlockingIOError:
+            pass
+        except OSError as exc:
+            self._error = exc
+
     def wait(self, timeout: float) -> bool:
         """Wait for data or the end of the stream; return False if neither came within the timeout.
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
@@ -263,6 +263,15 @@
         if reader.is_in_head and not self._is_closing:
             raise ConnectionError("the connection ended before the end of a request head")
 
+    def discard_input(self) -> None:
+        """Discard all input from now on, so that the end of the process cuts no answer on its way.
+
+        A connection without an answer or a request in progress still reads: its first request is refused.
+        """
+        if self._conn.written or self._exchanges:
+            self._conn.discard_input()
+            self._has_room.set()
+
     def _receive(self) -> bool:
         """Wait for data; return False at the end of the stream, and once the last answer is written.
 
@@ -346,6 +355,8 @@
             exchange.done.wait()
 
     def _must_pause_reading(self) -> bool:
+        if self._conn.discards_input:
+            return False
         if len(self._exchanges) + self._reader.count_heads() >= MAX_PIPELINED or self._reader.has_incomplete_message():
             return True
         # Reading resumes once the consumer has read the buffered pieces.
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/delivery.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/delivery.py
@@ -9,7 +9,7 @@
 from collections import deque
 
 from lanedock.clock import monotonic
-from lanedock_daemon.path.http.channel import Channel
+from lanedock_daemon.path.http.channel import DISCARD_SIZE, Channel
 from lanedock_daemon.path.http.request_trace import RequestTrace
 
 __all__ = ["Delivery"]
@@ -21,7 +21,6 @@
 # Seconds after which a peer that has not acknowledged everything counts as a slow reader; covers an acknowledgement
 # that the peer's system delays.
 PROMPT_TIME = 0.1
-DISCARD_SIZE = 64 * 1024
 # Answers whose ends are remembered; more can hardly stand in the kernel's send buffer.
 MAX_REMEMBERED_ANSWERS = 32
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/server.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/server.py
@@ -101,6 +101,7 @@
         self._sweeper.kill()
         for connection in self._connections:
             connection.report_cut("stop")
+            connection.discard_input()
         self.stop_log.log_summary(len(self._connections))
         self._has_ended = True
 
