Keep a new connection for its first request while a server stops

A caller that had just connected to a stopping daemon could be disconnected without an answer, when its first request took more than 0.1 s.

A connection accepted from the listen queue counted as idle from its acceptance, and an idle connection is closed after 0.1 s, a time meant for callers that have just received an answer and may send their next request. A new connection is made for a request that is on its way. It is kept for 0.5 s, which covers one lost packet. A stop may end that much later, and still by its deadline.

Before the change, a request sent 0.4 s after the stop's begin on a connection from the listen queue met the closed connection.

--- a/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
@@ -36,6 +36,9 @@
 # Seconds for which a stopping server keeps a connection that was just used: the caller's next request
 # gets an answer that announces the close, instead of meeting it.
 IDLE_CLOSE_DELAY = 0.1
+# Seconds for which it keeps a new connection without a request: covers the first request's way on a slow link, or the
+# retransmission of its packet.
+UNUSED_CLOSE_DELAY = 0.5
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n"
 
 
@@ -228,7 +231,8 @@
 
     def end_if_idle(self) -> None:
         """End the connection unless it is in use; called while the server stops."""
-        if self.is_idle() and monotonic() >= self._idle_since + IDLE_CLOSE_DELAY:
+        delay = IDLE_CLOSE_DELAY if self._conn.written else UNUSED_CLOSE_DELAY
+        if self.is_idle() and monotonic() >= self._idle_since + delay:
             self.expire("stop")
 
     def end_if_expired(self, now: float) -> None:
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_delivery.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_delivery.py
@@ -308,3 +308,26 @@
     got = _read_to_end(conn)
     assert b"\r\nconnection: close\r\n" in got
     assert got.endswith(b"ok")
+
+
+def test_request_on_a_connection_that_a_stopping_server_has_just_accepted_is_answered(
+    make_server, make_caller, monkeypatch
+):
+    # A connection without a request was closed as an idle one, when its first request was on its way.
+    monkeypatch.setattr(connection, "UNUSED_CLOSE_DELAY", TIMEOUT)
+    server = make_server()
+    conn = make_caller(server)
+    stopping = gevent.spawn(server.stop)
+    gevent.sleep(4 * connection.IDLE_CLOSE_DELAY)
+    conn.sendall(_request("/short"))
+    got = _read_to_end(conn)
+    assert b"\r\nconnection: close\r\n" in got
+    assert got.endswith(b"ok")
+    stopping.get(timeout=2 * TIMEOUT)
+
+
+def test_stop_does_not_wait_for_connections_that_stay_unused(make_server, make_caller):
+    server = make_server()
+    conn = make_caller(server)
+    gevent.spawn(server.stop).get(timeout=TIMEOUT)
+    assert _read_to_end(conn) == b""
