Let requests before malformed input wait as others do in a stop

A caller that received an answer slowly in a stop, and had sent a whole request and malformed input behind it, could have that request run and its answer cut by the end of the process.

In a stop, a request begins only once its caller has received the earlier answers. Malformed input ended the reading and started all that was read without this check. The check now holds there, too, and is repeated until it allows the request, as its outcome changes without a notification.

Before the change the new test had begun ['/long', '/short'] while /long was being received.

--- a/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
@@ -347,6 +347,10 @@
         if self._open_exchange is not None:
             self._update_open_body()
         while self._reader.has_head() and not self._has_last_answer():
+            if not self._may_start_request():
+                # Nothing notifies of a delivery.
+                gevent.sleep(POLL)
+                continue
             message = self._reader.next_head()
             if message.is_complete:
                 self._start_request(message)
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_delivery.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_delivery.py
@@ -331,3 +331,18 @@
     conn = make_caller(server)
     gevent.spawn(server.stop).get(timeout=TIMEOUT)
     assert _read_to_end(conn) == b""
+
+
+def test_request_before_malformed_input_waits_in_a_stop_until_its_caller_has_received_earlier_answers(
+    make_server, make_caller
+):
+    # Malformed input started the requests that waited, and the end of the process could cut their answers.
+    server = make_server(closes_last=True)
+    conn = make_caller(server)
+    _send_unread_request(server, conn)
+    server.begin_stop()
+    conn.sendall(_request("/short") + b"no HTTP\r\n\r\n")
+    gevent.sleep(READING_PAUSE)
+    assert server.side.begun == ["/long"]
+    got = _read_to_end(conn)
+    assert [answer[:3] for answer in got.split(b"HTTP/1.1 ")[1:]] == [b"200", b"200", b"400"]
