Interrupt a connection's reader only while it reads

A caller whose whole request and malformed input behind it arrived just when its idle connection was to be ended got no answer, and its request was cancelled.

The end was thrown into the connection's greenlet wherever that waited: also while it waited for the answers before a refusal, where nothing handles it. The check whether the connection still has to end and the interruption now are one step, and it is taken only while the greenlet reads requests. Waits for answers and for their delivery can't be interrupted by it, so they need no handling of it any more.

Before the change the new test got no answer instead of 200 and 400.

--- a/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
@@ -6,7 +6,7 @@
 from collections import deque
 
 import gevent
-from gevent import getcurrent
+from gevent import get_hub, getcurrent
 from gevent.event import Event as Signal
 
 from lanedock.clock import monotonic
@@ -71,6 +71,8 @@
         self._delivery = Delivery(conn)
         self._reader = RequestReader(conn)
         self._greenlet = getcurrent()
+        # Whether the greenlet reads requests, so that it can be interrupted.
+        self._is_reading = False
         self._exchanges: deque[Exchange] = deque()
         self._open_exchange: Exchange | None = None
         # The unfinished head to which the time limit belongs.
@@ -116,7 +118,11 @@
     def _serve(self) -> None:
         """Read requests until the last answer is written or the connection ends."""
         try:
-            self._read_until_end()
+            self._is_reading = True
+            try:
+                self._read()
+            finally:
+                self._is_reading = False
         except MalformedMessage as exc:
             # Requests before the malformed one, possibly in the same packet, still get their answers.
             self._answer_complete_requests()
@@ -126,40 +132,14 @@
             if self._reader.is_in_head and not (self._exchanges or self._is_closing):
                 self._refuse_malformed(MalformedMessage("the request head was not received within the time limit", 408))
 
-    def _read_until_end(self) -> None:
-        """Read requests until the connection ends.
-
-        Raises
-        ------
-        _Expired
-            The connection is not needed any more, or its time limit has passed.
-        """
-        while True:
-            try:
-                self._read()
-                return
-            except _Expired:
-                if self._must_end():
-                    raise
-                self._end_reason = ""
-
-    def _must_end(self) -> bool:
-        """Return whether the reason to end the connection holds still: data may have arrived since `expire`."""
-        return monotonic() > self.expires_at if self._is_busy() else self._conn.is_clean()
-
     def _await_delivery(self) -> None:
         """End the sending side, and discard input until the caller has received all answers."""
         if not self._is_closing:
             if self._exchanges or self._delivery.is_complete():
                 return
             self._end_sending()
-        while True:
-            try:
-                if not self._delivery.linger(self._linger_timeout):
-                    self._end_reason = "not received"
-                return
-            except _Expired:
-                continue  # scheduled before the last answer was written
+        if not self._delivery.linger(self._linger_timeout):
+            self._end_reason = "not received"
 
     def report_cut(self, reason: str) -> None:
         """Log if the caller has not received all answers, when this process closes the connection."""
@@ -218,8 +198,14 @@
 
     def expire(self, reason: str) -> None:
         """Schedule the end of the connection, unless data arrives before; `reason` is logged if answers are cut."""
-        self._end_reason = reason
-        self._greenlet.kill(_Expired, block=False)
+        get_hub().loop.run_callback(self._end_reading, reason)
+
+    def _end_reading(self, reason: str) -> None:
+        """End the connection if it still is read and the reason still holds: data may have arrived since `expire`."""
+        must_end = monotonic() > self.expires_at if self._is_busy() else self._conn.is_clean()
+        if self._is_reading and must_end:
+            self._end_reason = reason
+            self._greenlet.throw(_Expired)
 
     def is_idle(self) -> bool:
         """Return whether no request is in progress or has arrived, and the caller has received all answers."""
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_closing.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_closing.py
@@ -441,3 +441,18 @@
         # Nothing else runs in between.
         conn.sendall(_request("/b"))
         assert conn.recv(65536).startswith(b"HTTP/1.1 200")
+
+
+def test_request_before_malformed_input_is_answered_when_its_idle_connection_is_ended(make_server):
+    # The end of the connection, scheduled while it was idle, interrupted the wait for the answer.
+    side = _WaitingSide()
+    server = make_server(side)
+    with socket.create_connection((HOST, server.port), timeout=TIMEOUT) as conn:
+        conn.sendall(_request("/wait") + b"no HTTP\r\n\r\n")
+        wait_until(lambda: side.begun)
+        (open_connection,) = server._connections
+        open_connection.expire("stop")
+        gevent.sleep(2 * POLL)
+        side.opened.set()
+        answers = _read_until_answers(conn, 2)
+    assert [answer[:3] for answer in answers] == [b"200", b"400"]
