Read what arrives while a request is being sent

What callers saw: 502 or 504 (unknown outcome) in place of the application's answer. (1) A late extra answer to an earlier request, or an interim answer, that arrived between two pieces of a body ended the body; the application waited for the rest until the deadline. (2) An application that answered early and didn't read the rest of a long body: the write waited for its window, or met the reset behind the answer, and the answer was not looked at.

Cause: anything readable was taken for the answer without being read, and only between pieces; a write that failed ended the exchange. Class: the sending of a request that knows nothing of what arrives meanwhile.

Change: the writer of a request parses what has arrived, goes on after interim answers, discards answers to other requests and stops at the request's own. A wait for the peer's window ends when there is something to read (Channel.send_some). A failed write leaves the result to the reader, which delivers an answer that arrived before the failure, or reports the failure.

--- a/packages/lanedock-daemon/lanedock_daemon/path/http/channel.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/channel.py
@@ -19,7 +19,7 @@
 
 from gevent import get_hub, getcurrent
 from gevent.monkey import get_original
-from gevent.socket import wait_write
+from gevent.socket import wait, wait_write
 
 from lanedock.clock import monotonic
 from lanedock_daemon.path.http.messages import NEVER
@@ -27,6 +27,7 @@
 __all__ = ["DISCARD_SIZE", "Channel"]
 
 _READ_EVENT = 1
+_READ_OR_WRITE_EVENT = 3
 DISCARD_SIZE = 64 * 1024
 # Reads of `DISCARD_SIZE` bytes for which input is discarded at once; a receive buffer holds little more.
 MAX_DISCARD_READS = 100
@@ -359,6 +360,32 @@
             wait_write(self._sock.fileno(), timeout, TimeoutError("timed out"))
             rest = rest[self._write(rest) :]
 
+    def send_some(self, data: memoryview) -> int:
+        """Write a part of `data`, and return how many bytes were written.
+
+        If the kernel takes none, wait until it does, or until there is something to read, and return 0.
+
+        Raises
+        ------
+        TimeoutError
+            Without an `errno` if the deadline passed.
+        OSError
+        """
+        size = self._write(data)
+        if size:
+            return size
+        timeout = self._timeout
+        if self._deadline != NEVER:
+            timeout = self._deadline - monotonic()
+            if timeout <= 0:
+                raise TimeoutError("timed out")
+        watcher = self._loop.io(self._sock.fileno(), _READ_OR_WRITE_EVENT)
+        try:
+            wait(watcher, timeout, TimeoutError("timed out"))
+        finally:
+            watcher.close()
+        return 0
+
     def close(self) -> None:
         """Close the connection; a greenlet that waits in a read gets a `ConnectionError`."""
         if self._is_closed:
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/parser.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/parser.py
@@ -293,6 +293,8 @@
         Whether the answer arrived before the request's body was sent completely.
     may_be_passed_on : bool
         Whether enough of the request was sent that the peer may have passed on a part of it.
+    has_skipped : bool
+        Whether an answer to another request was discarded.
     """
 
     method = ""
@@ -300,6 +302,7 @@
     body_pace: int | None = None
     is_body_unsent = False
     may_be_passed_on = False
+    has_skipped = False
     # Bytes of the interim answers before the final one.
     _interim_bytes = 0
     _is_answer_complete = False
@@ -309,6 +312,7 @@
         """Prepare for the answer to the next request."""
         self.method = method
         self.may_be_passed_on = False
+        self.has_skipped = False
         self._interim_bytes = 0
         self._is_answer_complete = False
 
@@ -321,6 +325,7 @@
             Nothing more can be read after the answer.
         OSError
         """
+        self.has_skipped = True
         while self.next_piece(message):
             pass
         if self._has_trailing_bytes or not message.keep_alive:
@@ -328,6 +333,21 @@
         self._interim_bytes = 0
         self._is_answer_complete = self.has_head()
 
+    def receive_early(self) -> bool:
+        """Parse what has arrived, without waiting; return whether a head is buffered or the stream has ended.
+
+        Interim answers and a part of a head don't count: the rest of the request is still due.
+
+        Raises
+        ------
+        MalformedMessage
+        OSError
+        """
+        while not (self.has_head() or self.conn.is_clean()):
+            if not self._receive():
+                return True
+        return self.has_head()
+
     def on_message_complete(self) -> None:
         super().on_message_complete()
         # The end of an interim answer is not the end of the answer.
--- a/packages/lanedock-daemon/lanedock_daemon/path/shared/exchange.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/shared/exchange.py
@@ -1,6 +1,8 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """Exchanges over pooled connections: a request is sent, and httptools' parser reads its answer."""
 
+from collections.abc import Callable
+
 import gevent
 
 from lanedock.clock import monotonic
@@ -16,6 +18,7 @@
 
 # Piece size, in bytes, of a paced body: 28 ms on a link of 2.3 Mbit/s.
 PACED_PIECE_SIZE = 8 * 1024
+IsForeign = Callable[[Message], bool]
 _WITH_BODY = ("POST", "PUT", "PATCH")
 
 
@@ -98,14 +101,13 @@
         Whether `read` has been called, which closes the connection if it fails.
     """
 
-    __slots__ = ("_address", "_deadline", "_has_skipped", "_pool", "_reader", "is_being_read")
+    __slots__ = ("_address", "_deadline", "_pool", "_reader", "is_being_read")
 
     def __init__(self, pool: ConnectionPool, address: tuple[str, int], reader: AnswerReader, deadline: float):
         self._pool = pool
         self._address = address
         self._reader = reader
         self._deadline = deadline
-        self._has_skipped = False
         self.is_being_read = False
 
     def wait(self, timeout: float) -> bool:
@@ -156,7 +158,6 @@
         """
         with ExchangeGuard(self._reader, self._address):
             self._reader.skip(message)
-            self._has_skipped = True
             return self._next_head()
 
     def _next_head(self) -> Message:
@@ -167,7 +168,7 @@
 
     def accept(self, message: Message) -> UpstreamAnswer:
         """Return the answer whose head was read; its body still has to be read."""
-        if self._has_skipped:
+        if self._reader.has_skipped:
             # More answers to other requests may follow, so the connection is not reused.
             message.keep_alive = False
         self._pool.record_answer_start(self._address, monotonic())
@@ -204,6 +205,7 @@
     headers: list[tuple[str, str]],
     deadline: float,
     continue_wait: ContinueWait | None = None,
+    is_foreign: IsForeign | None = None,
 ) -> PendingAnswer:
     """Send a request over a pooled connection.
 
@@ -219,6 +221,9 @@
         first pieces are passed on.
     continue_wait : ContinueWait, optional
         If given, the body is sent only when the other side requests it.
+    is_foreign : callable, optional
+        Returns whether an answer, of which it gets the head, belongs to another request. Such an answer
+        doesn't end the request's body.
 
     Raises
     ------
@@ -237,7 +242,7 @@
     reader.begin(request.method)
     with ExchangeGuard(reader, address):
         reader.conn.set_deadline(deadline)
-        _send(reader, request, headers, deadline, continue_wait)
+        _send(_RequestWriter(reader, is_foreign), request, headers, deadline, continue_wait)
     return PendingAnswer(pool, address, reader, deadline)
 
 
@@ -259,15 +264,73 @@
     return send_request(pool, address, request, headers, monotonic() + timeout).read()
 
 
+class _RequestWriter:
+    """Writes a request until all of it is sent or its answer has begun.
+
+    Parameters
+    ----------
+    reader : AnswerReader
+    is_foreign : callable or None
+        See `send_request`.
+    """
+
+    __slots__ = ("_is_foreign", "reader")
+
+    def __init__(self, reader: AnswerReader, is_foreign: IsForeign | None):
+        self.reader = reader
+        self._is_foreign = is_foreign
+
+    def write(self, data: bytes) -> bool:
+        """Write bytes of the request; return False if the rest is not needed or can't be sent.
+
+        A connection that breaks may have delivered the answer before, so the reader of the answer reports the
+        failure.
+
+        Raises
+        ------
+        TimeoutError
+            If the deadline passed.
+        OSError, MalformedMessage
+            What has arrived is no answer.
+        """
+        self.reader.may_be_passed_on = True
+        rest = memoryview(data)
+        while rest:
+            try:
+                rest = rest[self.reader.conn.send_some(rest) :]
+            except OSError as exc:
+                if exc.errno is None:
+                    raise
+                self.reader.is_body_unsent = True
+                return False
+            if rest and self.has_answer():
+                return False
+        return True
+
+    def has_answer(self) -> bool:
+        """Return whether the answer has begun, or the stream has ended, before the whole request was sent.
+
+        The connection can't be reused then, because the other side may still wait for the rest.
+        """
+        reader = self.reader
+        while reader.receive_early():
+            heads = reader.list_heads()
+            if not heads or self._is_foreign is None or not self._is_foreign(heads[0]):
+                reader.is_body_unsent = True
+                return True
+            reader.skip(reader.next_head())
+        return False
+
+
 def _send(
-    reader: AnswerReader,
+    writer: _RequestWriter,
     request: Request,
     headers: list[tuple[str, str]],
     deadline: float,
     continue_wait: ContinueWait | None,
 ) -> None:
     """Write a request; the head and a small body are sent in one piece."""
-    conn, body = reader.conn, request.body
+    reader, body = writer.reader, request.body
     lines = [f"{request.method} {request.target} HTTP/1.1"]
     lines += [f"{name}: {value}" for name, value in headers if name != "content-length"]
     if body.length is None:
@@ -278,20 +341,19 @@
         lines.append("expect: 100-continue")
     head = ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
     if body.length == 0:
-        reader.may_be_passed_on = True
-        conn.sendall(head)
+        writer.write(head)
         return
     if continue_wait is not None:
-        conn.sendall(head)
+        reader.conn.sendall(head)
         if not continue_wait.wait(reader):
             reader.is_body_unsent = True
             return
         head = b""
     pacer = Pacer(reader.body_pace if continue_wait is not None else None, monotonic())
     if body.length is None:
-        _send_chunked(reader, head, body, deadline, pacer)
+        _send_chunked(writer, head, body, deadline, pacer)
     else:
-        _send_counted(reader, head, body, deadline, pacer)
+        _send_counted(writer, head, body, deadline, pacer)
 
 
 def _read_piece(body: Body, size: int, deadline: float) -> bytes:
@@ -308,39 +370,33 @@
     return piece
 
 
-def _send_counted(reader: AnswerReader, head: bytes, body: Body, deadline: float, pacer: Pacer) -> None:
+def _send_counted(writer: _RequestWriter, head: bytes, body: Body, deadline: float, pacer: Pacer) -> None:
     bytes_left = body.length
     while bytes_left > 0:
         piece = _read_piece(body, min(pacer.piece_size, bytes_left), deadline)
         if not piece:
             raise ConnectionError(f"the request body ended {bytes_left} bytes before its declared length")
-        if bytes_left < body.length and not reader.conn.is_clean():
-            # The other side has answered early and doesn't need the rest of the body. The
-            # connection can't be reused, because the other side may still wait for the rest.
-            reader.is_body_unsent = True
+        if bytes_left < body.length and writer.has_answer():
+            return
+        if not writer.write(head + piece if head else piece):
             return
-        reader.may_be_passed_on = True
-        reader.conn.sendall(head + piece if head else piece)
         head = b""
         bytes_left -= len(piece)
         if bytes_left:
             pacer.pause(len(piece))
 
 
-def _send_chunked(reader: AnswerReader, head: bytes, body: Body, deadline: float, pacer: Pacer) -> None:
+def _send_chunked(writer: _RequestWriter, head: bytes, body: Body, deadline: float, pacer: Pacer) -> None:
     """Write a body in chunks; the head is sent together with the first chunk.
 
     If the head were sent earlier, the application might start the request although its sender,
     whose body was never requested, reports it as not run.
     """
-    conn = reader.conn
     while piece := _read_piece(body, pacer.piece_size, deadline):
-        if not head and not conn.is_clean():
-            reader.is_body_unsent = True
+        if not head and writer.has_answer():
+            return
+        if not writer.write(b"%b%x\r\n%b\r\n" % (head, len(piece), piece)):
             return
-        reader.may_be_passed_on = True
-        conn.sendall(b"%b%x\r\n%b\r\n" % (head, len(piece), piece))
         head = b""
         pacer.pause(len(piece))
-    reader.may_be_passed_on = True
-    conn.sendall(head + b"0\r\n\r\n")
+    writer.write(head + b"0\r\n\r\n")
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream/upstream.py
@@ -360,7 +360,14 @@
         advertised = self._registration.advertised
         work = Work(self._crashes, hasher, slot, request.body, deadline)
         try:
-            pending = send_request(self._pool, self._application, request, headers, deadline)
+            pending = send_request(
+                self._pool,
+                self._application,
+                request,
+                headers,
+                deadline,
+                is_foreign=lambda message: self._read_facts(message, log).is_foreign,
+            )
             tail = min(self._gate.limiter.tail_service_time(log.route), deadline - started)
             if not pending.wait(tail):
                 pending.handle_late_answer(started, self._events, self._registration.upstream)
@@ -421,13 +428,17 @@
     def _read_own_answer(self, pending: PendingAnswer, log: RequestLog) -> tuple[Message, AnswerFacts]:
         """Read the head of a request's answer, and discard late answers to other requests before it."""
         message = pending.read_head()
-        facts = self._dialect.read_answer(message.status, message.headers, log.request_id)
-        while facts.is_foreign:
-            self._events.emit(Event.ANSWER_DISCARDED, request=log.request_id, status=message.status)
+        while (facts := self._read_facts(message, log)).is_foreign:
             message = pending.skip(message)
-            facts = self._dialect.read_answer(message.status, message.headers, log.request_id)
         return message, facts
 
+    def _read_facts(self, message: Message, log: RequestLog) -> AnswerFacts:
+        """Read what an answer's head states, and log an answer to another request, which is discarded."""
+        facts = self._dialect.read_answer(message.status, message.headers, log.request_id)
+        if facts.is_foreign:
+            self._events.emit(Event.ANSWER_DISCARDED, request=log.request_id, status=message.status)
+        return facts
+
     def _note_report(self, report: UpstreamReport) -> None:
         """Apply what an answer states about the application, from now on."""
         self._registrar.note_report(report, self._registration.incarnation)
