--- a/packages/lanedock-daemon/lanedock_daemon/path/http/channel.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/channel.py
@@ -69,6 +69,7 @@
         "_sock",
         "_timeout",
         "_timer",
+        "_user_timeout_ms",
         "_watcher",
         "written",
     )
@@ -93,6 +94,7 @@
         # Bytes that may still be read after the deadline; None before the first such read.
         self._late_bytes: int | None = None
         self.written = 0
+        self._user_timeout_ms: int | None = None
 
     def __repr__(self) -> str:
         return f"<Channel fd={self._sock.fileno()}>"
@@ -111,6 +113,15 @@
         self._deadline = deadline
         self._late_bytes = None
 
+    def set_user_timeout(self, timeout_ms: int) -> None:
+        """Set after how many milliseconds without an acknowledgement the kernel ends the connection; 0 for its default.
+
+        The kernel also ends the connection of a peer that acknowledges everything and whose window stays closed.
+        """
+        if timeout_ms != self._user_timeout_ms:
+            self._user_timeout_ms = timeout_ms
+            self._sock.setsockopt(_socket.IPPROTO_TCP, _socket.TCP_USER_TIMEOUT, timeout_ms)
+
     def reset_on_close(self, is_reset: bool = True) -> None:
         """Set whether a close resets the connection, so that the peer doesn't take its end for the end of a message.
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/shared/exchange.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/shared/exchange.py
@@ -12,7 +12,7 @@
 from lanedock_daemon.path.http.parser import AnswerReader, Message
 from lanedock_daemon.path.http.service import StopTimeout
 from lanedock_daemon.path.shared.answers import ExchangeGuard, UpstreamAnswer, make_failure
-from lanedock_daemon.path.shared.pool import ConnectionPool, ExchangeError
+from lanedock_daemon.path.shared.pool import USER_TIMEOUT_MS, ConnectionPool, ExchangeError
 
 __all__ = ["ContinueWait", "Pacer", "PendingAnswer", "exchange", "handle_late_answer", "send_request"]
 
@@ -242,6 +242,7 @@
     reader.begin(request.method)
     with ExchangeGuard(reader, address):
         reader.conn.set_deadline(deadline)
+        reader.conn.set_user_timeout(USER_TIMEOUT_MS)
         _send(_RequestWriter(reader, is_foreign), request, headers, deadline, continue_wait)
     return PendingAnswer(pool, address, reader, deadline)
 
@@ -349,6 +350,9 @@
             reader.is_body_unsent = True
             return
         head = b""
+    if body.needs_continue:
+        # The deadline limits how late the body may be read.
+        reader.conn.set_user_timeout(0)
     pacer = Pacer(reader.body_pace if continue_wait is not None else None, monotonic())
     if body.length is None:
         _send_chunked(writer, head, body, deadline, pacer)
--- a/packages/lanedock-daemon/lanedock_daemon/path/shared/pool.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/shared/pool.py
@@ -15,14 +15,15 @@
 from lanedock_daemon.path.http.parser import AnswerReader
 from lanedock_daemon.sockets import open_connection
 
-__all__ = ["ConnectionPool", "ExchangeError"]
+__all__ = ["USER_TIMEOUT_MS", "ConnectionPool", "ExchangeError"]
 
 # Seconds. Round trips between zones take milliseconds; a peer that has not accepted by then
 # is down or unreachable, and the request's deadline leaves time for another upstream.
 CONNECT_TIMEOUT = 0.3
 # A peer that acknowledges no data for this time is considered unreachable. It covers
 # several round trips between zones and two retransmissions (the kernel sends the first
-# after 200 ms, the second 400 ms later).
+# after 200 ms, the second 400 ms later). Long bodies are exempt: a peer that reads them late closes its
+# window, which the kernel treats alike.
 USER_TIMEOUT_MS = 700
 # 1 s is the smallest keepalive time and interval that the kernel accepts.
 KEEPALIVE_S = 1
@@ -115,7 +116,9 @@
             message = f"{address}: {exc}"
             raise ExchangeError(ErrorCode.CONNECT_FAILED, Outcome.NOT_RUN, message, True) from exc
         _set_socket_options(conn)
-        reader = AnswerReader(Channel(conn))
+        channel = Channel(conn)
+        channel.set_user_timeout(USER_TIMEOUT_MS)
+        reader = AnswerReader(channel)
         self._addresses[reader] = address
         return reader
 
@@ -175,7 +178,6 @@
     """Disable Nagle's algorithm, and detect peers that become unreachable without a reset."""
     tcp = socket.IPPROTO_TCP
     conn.setsockopt(tcp, socket.TCP_NODELAY, 1)
-    conn.setsockopt(tcp, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
     conn.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     conn.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_S)
     conn.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_S)
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_early_answers.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_early_answers.py
@@ -1,5 +1,5 @@
 # SPDX-License-Identifier: BSD-3-Clause
-"""Tests of applications that answer before they have read a request."""
+"""Tests of applications that answer before they have read a request, or that read it late."""
 
 import struct
 
@@ -93,6 +93,25 @@
     assert "x-request-outcome: unknown" in head.lower()
 
 
+def test_body_that_the_application_reads_late_is_not_broken_off(make_chain):
+    def serve(conn) -> bool:
+        data = _read_head(conn)
+        gevent.sleep(2.5)
+        left = len(LONG_BODY) - len(data.partition(b"\r\n\r\n")[2])
+        while left:
+            piece = conn.recv(1_000_000)
+            if not piece:
+                return False
+            left -= len(piece)
+        conn.sendall(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok")
+        return True
+
+    chain = make_chain(None, value=_make_value())
+    chain.applications[0]._serve_one = serve
+    status, _, body = _upload(chain, LONG_BODY)
+    assert (status, body) == (200, b"ok")
+
+
 @pytest.mark.parametrize("is_chunked", [False, True])
 def test_interim_answer_does_not_end_the_body(make_chain, is_chunked):
     def serve(conn) -> bool:
