Count attempts that a stop ends as no failures of the upstream

What was seen: ejections (E502) of healthy upstreams in the last second of a stop, which look like faults of the upstreams in a report.

Cause: an attempt that the final answers of the stop end was recorded as failed, unless it ended before its hedge delay. Class: a result credited to what it tells nothing about.

Change: ExchangeError.is_local covers the end by this process's stop beside a late or broken body; such attempts are recorded as cancelled.

Evidence: the new test (four POSTs in progress) found four failures recorded on the code before, and passes.

--- a/packages/lanedock-daemon/lanedock_daemon/path/caller/attempts.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller/attempts.py
@@ -197,7 +197,7 @@
 
     def _on_failed(self, context: RequestContext, stats, exc: ExchangeError, started: float) -> AttemptResult:
         """Record an attempt that got no answer, and return its result."""
-        if exc.is_body_late:
+        if exc.is_local:
             context.balancer.cancel(stats, monotonic())
         else:
             self._note_end(context.balancer, stats, started, failed=True, unreachable=exc.is_unreachable)
--- a/packages/lanedock-daemon/lanedock_daemon/path/shared/answers.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/shared/answers.py
@@ -220,7 +220,7 @@
     # With these errors the kernel gave up because the other side acknowledged no sent data.
     is_unreachable = isinstance(exc, OSError) and exc.errno in (ETIMEDOUT, EHOSTUNREACH, ENETUNREACH)
     is_late = isinstance(exc, TimeoutError) and not is_unreachable
-    is_body_late = isinstance(exc, (BodyTimeout, BodyBroken))
+    is_local = is_stop or isinstance(exc, (BodyTimeout, BodyBroken))
     if not may_be_passed_on:
         # A daemon that has to request the body passes nothing on before it has some of the body.
         code, reason = ErrorCode.CONNECT_FAILED, f"{exc!r} before the request was passed on"
@@ -228,7 +228,7 @@
             code, reason = ErrorCode.DRAINING, "request not passed on before this process stopped"
         elif is_late:
             code, reason = ErrorCode.DEADLINE, "request not passed on before its deadline"
-        return ExchangeError(code, Outcome.NOT_RUN, f"{address}: {reason}", is_unreachable, is_body_late)
+        return ExchangeError(code, Outcome.NOT_RUN, f"{address}: {reason}", is_unreachable, is_local)
     code, reason = ErrorCode.ANSWER_LOST, repr(exc)
     if is_stop:
         reason = "no answer before this process stopped"
@@ -236,5 +236,5 @@
         code, reason = ErrorCode.ANSWER_TIMEOUT, "no answer before the deadline"
     # Malformed messages say nothing about the connection: this side closes it.
     is_malformed = isinstance(exc, MalformedMessage)
-    is_broken = not (is_stop or is_late or is_unreachable or is_body_late or is_malformed)
-    return ExchangeError(code, Outcome.UNKNOWN, f"{address}: {reason}", is_unreachable, is_body_late, is_broken)
+    is_broken = not (is_local or is_late or is_unreachable or is_malformed)
+    return ExchangeError(code, Outcome.UNKNOWN, f"{address}: {reason}", is_unreachable, is_local, is_broken)
--- a/packages/lanedock-daemon/lanedock_daemon/path/shared/pool.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/shared/pool.py
@@ -39,8 +39,8 @@
         One of `Outcome`.
     is_unreachable : bool
         Whether the peer is known to be unreachable.
-    is_body_late : bool
-        Whether the request's body was late or broke off, which is not the peer's fault.
+    is_local : bool
+        Whether the peer is not at fault: the request's body was late or broke off, or this process stops.
     is_broken : bool
         Whether the connection broke at the peer while the request may have been in progress there.
     """
@@ -51,14 +51,14 @@
         outcome: str,
         message: str = "",
         is_unreachable: bool = False,
-        is_body_late: bool = False,
+        is_local: bool = False,
         is_broken: bool = False,
     ):
         super().__init__(code, message)
         self.is_broken = is_broken
         self.outcome = outcome
         self.is_unreachable = is_unreachable
-        self.is_body_late = is_body_late
+        self.is_local = is_local
 
 
 class ConnectionPool:
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_ended_attempts.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_ended_attempts.py
@@ -5,6 +5,8 @@
 
 - A caller that disconnects during its upload must not count as a failure of the upstream, which
   would be ejected after several of them.
+- Attempts that the stop of this process ends must not count as failures; an ejection in a stop would
+  look like a fault of the upstream.
 - If two upstreams answer a hedged request with more than 64 kB each in the same turn of the event
   loop, the answer that is not chosen must be closed; otherwise it counts as in progress for ever.
 """
@@ -13,7 +15,7 @@
 import pytest
 from gevent.event import Event
 
-from lanedock_daemon.path.tests.chain import read_all, wait_until
+from lanedock_daemon.path.tests.chain import Gate, read_all, wait_until
 
 WAIT_LIMIT_S = 5.0
 
@@ -47,3 +49,16 @@
     upstreams = chain.view.balancer("s")._upstreams.values()
     wait_until(lambda: not any(stats.in_progress for stats in upstreams), WAIT_LIMIT_S)
     wait_until(lambda: not any(upstream.limiter.in_use for upstream in chain.upstreams), WAIT_LIMIT_S)
+
+
+def test_attempts_that_the_stop_of_the_process_ends_are_not_counted_as_upstream_failures(make_chain):
+    gate = Gate()
+    chain = make_chain(gate)
+    callers = [gevent.spawn(chain.request, "POST", f"/{number}", b"x") for number in range(4)]
+    wait_until(lambda: len(gate.begun) == len(callers), WAIT_LIMIT_S)
+    stats = next(iter(chain.view.balancer("s")._upstreams.values()))
+    # After the hedge delay the end of an attempt is recorded with its outcome.
+    gevent.sleep(1.2 * chain.view.balancer("s").hedge_delay("post"))
+    chain.entry._force_final_answers()
+    assert [caller.get()[0] for caller in callers] == [502] * len(callers)
+    assert not (stats.failures or stats.ejections or stats.in_progress)
