Reuse no connection that its peer is about to close

What callers saw: 502 (LD3008, unknown) for a request that must not be repeated and was written to a pooled connection at the moment at which the application closed it as idle.

Cause: the pool reused connections until it saw them closed; the time in the application's Keep-Alive header was not read.

Change: a connection is reused for four fifths of that time. Connections of peers that state none are reused as before: a request that meets such a close stays unknown.

--- a/packages/lanedock-daemon/lanedock_daemon/path/shared/answers.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/shared/answers.py
@@ -1,11 +1,12 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """Answers read from pooled connections, and errors that state the outcome if no answer comes."""
 
+import re
 from errno import EHOSTUNREACH, ENETUNREACH, ETIMEDOUT
 
 from lanedock.clock import monotonic
 from lanedock.errors import ErrorCode
-from lanedock_daemon.path.http.messages import BodyBroken, BodyTimeout, Outcome
+from lanedock_daemon.path.http.messages import NEVER, BodyBroken, BodyTimeout, Outcome
 from lanedock_daemon.path.http.parser import AnswerReader, MalformedMessage, Message
 from lanedock_daemon.path.http.service import StopTimeout
 from lanedock_daemon.path.shared.pool import ConnectionPool, ExchangeError
@@ -21,6 +22,7 @@
 # Seconds for the body of a refusal or of a failure that is not the final answer, which is short and follows its head;
 # covers one retransmission. Another attempt waits for it.
 REFUSAL_BODY_TIMEOUT = 0.3
+_KEEP_ALIVE_TIMEOUT = re.compile(r"\btimeout=(\d{1,6})\b", re.IGNORECASE)
 
 
 class UpstreamAnswer:
@@ -121,7 +123,7 @@
         if reader is None:
             return
         if self.message.keep_alive and not (reader.has_unread_data() or reader.is_body_unsent):
-            self._pool.put(self._address, reader)
+            self._pool.put(self._address, reader, _read_idle_time(self.message))
         else:
             reader.conn.close()
 
@@ -132,6 +134,12 @@
             reader.conn.close()
 
 
+def _read_idle_time(message: Message) -> float:
+    """Return the seconds after which the peer closes the connection if it is idle; infinite if it states none."""
+    match = _KEEP_ALIVE_TIMEOUT.search(message.header("keep-alive"))
+    return int(match[1]) if match else NEVER
+
+
 class AnswerPieces:
     """Iterator over the pieces of an answer's body, as they come.
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/shared/pool.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/shared/pool.py
@@ -9,9 +9,10 @@
 import socket
 from weakref import WeakKeyDictionary
 
+from lanedock.clock import monotonic
 from lanedock.errors import ErrorCode, LanedockError
 from lanedock_daemon.path.http.channel import Channel
-from lanedock_daemon.path.http.messages import Outcome
+from lanedock_daemon.path.http.messages import NEVER, Outcome
 from lanedock_daemon.path.http.parser import AnswerReader
 from lanedock_daemon.sockets import open_connection
 
@@ -28,6 +29,9 @@
 # 1 s is the smallest keepalive time and interval that the kernel accepts.
 KEEPALIVE_S = 1
 KEEPALIVE_PROBES = 2
+# Part of the time after which a peer closes an idle connection in which the connection is still used: a
+# request that meets the close may have run.
+USED_IDLE_PART = 0.8
 
 
 class ExchangeError(LanedockError):
@@ -97,8 +101,8 @@
         """
         idle = self._idle.get(address)
         while idle:
-            reader = idle.pop()
-            if reader.conn.is_clean():
+            reader, expires_at = idle.pop()
+            if monotonic() < expires_at and reader.conn.is_clean():
                 return reader
             reader.conn.close()
         return self.connect(address, timeout)
@@ -122,11 +126,19 @@
         self._addresses[reader] = address
         return reader
 
-    def put(self, address: tuple[str, int], reader: AnswerReader) -> None:
-        """Return a connection to the pool after its answer was read to the end."""
+    def put(self, address: tuple[str, int], reader: AnswerReader, idle_time: float = NEVER) -> None:
+        """Return a connection to the pool after its answer was read to the end.
+
+        Parameters
+        ----------
+        address : tuple of (str, int)
+        reader : AnswerReader
+        idle_time : float
+            Seconds after which the peer closes the connection if it is idle.
+        """
         idle = self._idle.setdefault(address, [])
         if len(idle) < self._max_idle:
-            idle.append(reader)
+            idle.append((reader, monotonic() + USED_IDLE_PART * idle_time))
         else:
             reader.conn.close()
 
@@ -165,7 +177,7 @@
 
     def close_idle(self, address: tuple[str, int]) -> None:
         """Close the idle connections to an address."""
-        for reader in self._idle.pop(address, ()):
+        for reader, _ in self._idle.pop(address, ()):
             reader.conn.close()
 
     def close(self) -> None:
--- /dev/null
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_requests_in_progress.py
@@ -0,0 +1,89 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Tests of events during a request, or behind its answer, that must not end it: its caller would get 502 for it."""
+
+import gevent
+import pytest
+
+from lanedock.clock import monotonic
+from lanedock_daemon.path.tests.chain import Gate, wait_until
+
+OK = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+
+
+def _eject(chain) -> None:
+    balancer = chain.view.balancer("s")
+    for stats in balancer._upstreams.values():
+        balancer._eject(stats, monotonic())
+        chain.pool.close_idle(stats.address)
+
+
+def _stop_upstream(chain) -> None:
+    gevent.spawn(chain.upstreams[0].server.stop)
+
+
+def _stop_entry(chain) -> None:
+    gevent.spawn(chain.entry.stop)
+
+
+def _stop_both(chain) -> None:
+    _stop_upstream(chain)
+    _stop_entry(chain)
+
+
+def _report_late(chain) -> None:
+    for pool, address in (
+        (chain.pool, ("127.0.0.1", chain.upstreams[0].server.port)),
+        (chain.upstreams[0].pool, chain.applications[0].address),
+    ):
+        pool.handle_late_answer(address, monotonic())
+
+
+def _drain(chain) -> None:
+    chain.upstreams[0].view.is_draining = True
+
+
+@pytest.mark.parametrize("method", ["GET", "POST"])
+@pytest.mark.parametrize("event", [_eject, _stop_upstream, _stop_entry, _stop_both, _report_late, _drain])
+def test_request_in_progress_gets_the_answer_of_its_application(make_chain, event, method):
+    gate = Gate()
+    chain = make_chain(gate)
+    caller = gevent.spawn(chain.request, method, "/x", b"x" if method == "POST" else b"")
+    wait_until(lambda: gate.begun)
+    event(chain)
+    gevent.sleep(0.1)
+    gate.opened.set()
+    status, _, body = caller.get(timeout=5)
+    assert (status, body) == (200, b"ok")
+    assert (gate.begun, gate.cut) == (["/x"], [])
+
+
+@pytest.mark.parametrize("delay", [0.0, 0.05], ids=["with the answer", "later"])
+@pytest.mark.parametrize("extra", [b"\0\1garbage", OK, OK[:20]], ids=["garbage", "answer", "part of an answer"])
+def test_bytes_behind_an_answer_end_neither_it_nor_the_next_request(make_chain, extra, delay):
+    def script(conn, head: str, body: bytes) -> bytes:
+        if not delay:
+            return OK + extra
+        gevent.spawn_later(delay, conn.sendall, extra)
+        return OK
+
+    chain = make_chain(script)
+    for number in range(3):
+        assert chain.request("POST", f"/{number}", b"x")[::2] == (200, b"ok")
+        gevent.sleep(2 * delay)
+    assert [chain.runs(f"/{number}") for number in range(3)] == [1, 1, 1]
+
+
+def test_connection_that_the_application_is_about_to_close_is_not_reused(make_chain):
+    """The application closes idle connections after two seconds; a request that meets the close would be unknown."""
+    last_at: dict = {}
+
+    def script(conn, head: str, body: bytes) -> bytes | None:
+        is_closing = monotonic() - last_at.get(conn, monotonic()) > 1.8
+        last_at[conn] = monotonic()
+        return None if is_closing else OK.replace(b"\r\n\r\n", b"\r\nkeep-alive: timeout=2, max=100\r\n\r\n")
+
+    chain = make_chain(script)
+    for number, wait in enumerate((0.0, 0.0, 1.85)):
+        gevent.sleep(wait)
+        assert chain.request("POST", f"/{number}", b"x")[::2] == (200, b"ok")
+    assert len(chain.applications[0].connections) == 2
