Give final answers also in processes that get no time at the deadline

Callers of a process that was starved or suspended across the deadline of its stop had their connections closed without an answer. The loop of HttpService.stop ended once the time for final answers was over, and killed the task that makes them. Both were due at the same moment when the process got time again.

The wait now ends only after the final answers were made, and leaves time to write them: 0.2 s, not beyond 0.2 s before the end of the grace time, and 0.1 s at least. If they are late, answers that have arrived are passed on before. The first step of a stop no longer waits for new work after the deadline.

--- a/packages/lanedock-daemon/lanedock_daemon/path/http/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/service.py
@@ -16,6 +16,12 @@
 
 # Interval, in seconds, between checks whether a stopping server is idle.
 POLL = 0.02
+# Delay of the final answers, in seconds, from which on the process is taken to have got no time at the deadline.
+LATE = 0.02
+# Number of pauses before late final answers, and their length in seconds. What has arrived meanwhile is read in
+# the first one, and passed on in the others.
+LATE_PAUSES = 3
+LATE_PAUSE = 0.01
 
 
 class StopTimeout(gevent.GreenletExit):
@@ -58,6 +64,9 @@
         self._events = events
         self._closes_last = closes_last
         self._final_answers: gevent.Greenlet | None = None
+        self._must_force_answers = True
+        # When the wait for the requests in progress ends; not known until their final answers are made.
+        self._cut_at = float("inf")
         self._server: StreamServer | None = None
 
     @abstractmethod
@@ -85,7 +94,7 @@
         if self._final_answers is None:
             now = monotonic()
             self._plan.begin(now)
-            self._final_answers = gevent.spawn_later(max(0.0, self._plan.deadline - now), self._force_final_answers)
+            self._final_answers = gevent.spawn_later(max(0.0, self._plan.deadline - now), self._give_final_answers)
         if not self._closes_last:
             self._close()
 
@@ -109,6 +118,17 @@
         gevent.sleep(0)
         return count
 
+    def _give_final_answers(self) -> None:
+        """Answer all requests in progress, once; if it is late, after passing on the answers that have arrived."""
+        if not self._must_force_answers:
+            return
+        self._must_force_answers = False
+        if monotonic() > self._plan.deadline + LATE:
+            for _ in range(LATE_PAUSES):
+                gevent.sleep(LATE_PAUSE)
+        self._force_final_answers()
+        self._cut_at = self._plan.cut_after(monotonic())
+
     def _force_final_answers(self) -> None:
         """Answer all requests still in progress; does nothing unless a subclass can do so."""
 
@@ -116,7 +136,10 @@
         """Accept no new connections, and wait until the requests in progress have ended."""
         self.begin_stop()
         self._close()
-        while not self._is_idle() and monotonic() < self._plan.cut_at:
+        while not self._is_idle() and monotonic() < self._cut_at:
+            # The timer of the final answers doesn't count time in which the instance is suspended.
+            if monotonic() >= self._plan.deadline:
+                self._give_final_answers()
             gevent.sleep(POLL)
         self._final_answers.kill()
         if self.in_progress:
--- a/packages/lanedock-daemon/lanedock_daemon/roles.py
+++ b/packages/lanedock-daemon/lanedock_daemon/roles.py
@@ -77,7 +77,9 @@
         self._view.is_stopping = True
         gevent.sleep(max(0.0, self._plan.remaining_linger(monotonic()) - NOTICE_TIME))
         self._agent.post(DrainRequested())
-        gevent.sleep(max(DRAIN_SETTLE, self._plan.remaining_linger(monotonic())))
+        now = monotonic()
+        # A process that got no time until the deadline has none left for new work to arrive.
+        gevent.sleep(max(0.0, min(self._plan.deadline - now, max(DRAIN_SETTLE, self._plan.remaining_linger(now)))))
 
     def stop(self) -> None:
         """Do nothing: `begin_stop` has done all the work."""
--- a/packages/lanedock-daemon/lanedock_daemon/tests/stopping.py
+++ b/packages/lanedock-daemon/lanedock_daemon/tests/stopping.py
@@ -29,6 +29,7 @@
     "make_daemon_request",
     "make_request",
     "read_outcomes",
+    "write_entry_settings",
 ]
 
 # Grace time of a stop, in seconds; callers are served during half of it.
@@ -199,6 +200,15 @@
     return True
 
 
+def write_entry_settings(folder, ready: int, entry: int) -> str:
+    """Write the settings of an entry daemon that finds no control instance; returns their path."""
+    limits = {"control": [f"{HOST}:1"], "ready": f"{HOST}:{ready}"}
+    settings = {"name": "d", "zone": "z", "transport": "framed", "stop_grace_s": GRACE, "daemon": limits}
+    path = folder / "d.jsonc"
+    path.write_text(json.dumps({**settings, "entry": {"listen": f"{HOST}:{entry}"}}), encoding="utf-8")
+    return str(path)
+
+
 class SilentSide:
     """A request handler that never answers."""
 
--- /dev/null
+++ b/packages/lanedock-daemon/lanedock_daemon/tests/test_stop_delays.py
@@ -0,0 +1,122 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Tests of stops of processes that get no processor time for a while.
+
+They guard against requests that are cut without an answer. A process that is starved or suspended across the
+deadline of its stop notices the deadline and the end of the time for final answers at the same moment.
+"""
+
+import signal
+import subprocess
+import sys
+import time
+
+import gevent
+import pytest
+from gevent import socket
+
+from lanedock.clock import monotonic
+from lanedock.kernel import StopPlan
+from lanedock.settings import Address
+from lanedock.telemetry import EventLogger
+from lanedock_daemon.path.http.messages import Answer
+from lanedock_daemon.path.http.server import PathServer
+from lanedock_daemon.path.tests.chain import HOST, wait_until
+from lanedock_daemon.tests.stopping import (
+    GRACE,
+    LONG,
+    SentRequests,
+    free_ports,
+    is_listening,
+    make_request,
+    read_outcomes,
+    write_entry_settings,
+)
+
+# Seconds from the start of a stop to its deadline.
+LIMIT = 0.3
+
+
+class _ApplicationSide:
+    """A request handler whose attempt, a greenlet, waits for an application's data on a connection."""
+
+    def __init__(self):
+        self.requests = 0
+        self.application, self._conn = socket.socketpair()
+
+    def handle(self, request) -> Answer:
+        self.requests += 1
+        data = gevent.spawn(self._conn.recv, 100).get()
+        return Answer(200, "OK", [("content-length", str(len(data)))], [data])
+
+
+def _begin(server: PathServer) -> SentRequests:
+    sent = SentRequests((HOST, server.port), make_request("/x"))
+    wait_until(lambda: server.side.requests)
+    return sent
+
+
+@pytest.mark.parametrize("is_in_begin", [False, True])
+def test_final_answer_is_given_although_the_process_gets_no_time_at_the_deadline(is_in_begin):
+    plan = StopPlan(0.0, LIMIT)
+    server = PathServer("s", Address(HOST, 0), _ApplicationSide(), plan, EventLogger("d"))
+    server.start(None)
+    sent = _begin(server)
+    if is_in_begin:
+        plan.begin(monotonic())
+    else:
+        server.begin_stop()
+    time.sleep(4 * LIMIT)
+    server.stop()
+    sent.join(timeout=LONG)
+    assert read_outcomes(sent.received) == ["unknown"]
+
+
+def test_answer_that_arrives_while_the_process_gets_no_time_is_passed_on_after_the_deadline():
+    side = _ApplicationSide()
+    server = PathServer("s", Address(HOST, 0), side, StopPlan(0.0, LIMIT), EventLogger("d"))
+    server.start(None)
+    sent = _begin(server)
+    stopping = gevent.spawn(server.stop)
+    gevent.sleep(LIMIT / 3)
+    side.application.sendall(b"done")
+    time.sleep(4 * LIMIT)
+    stopping.join(timeout=LONG)
+    sent.join(timeout=LONG)
+    assert sent.received.startswith(b"HTTP/1.1 200")
+    assert sent.received.endswith(b"done")
+
+
+_PROGRAM = """
+import sys, time
+from gevent import monkey
+monkey.patch_all()
+from lanedock_daemon.path.caller.caller import CallerSide
+CallerSide.handle = lambda side, request: time.sleep(600)
+from lanedock_daemon.app import run
+run()
+"""
+
+
+@pytest.mark.parametrize("is_serving", [True, False])
+def test_final_answer_is_given_by_a_process_that_is_suspended_across_the_deadline(tmp_path, is_serving):
+    ready, entry = free_ports(2)
+    path = write_entry_settings(tmp_path, ready, entry)
+    process = subprocess.Popen([sys.executable, "-c", _PROGRAM, "--settings", path], stdout=subprocess.PIPE)
+    try:
+        wait_until(lambda: is_listening(entry))
+        sent = SentRequests((HOST, entry), make_request("/x"))
+        gevent.sleep(0.2)
+        process.send_signal(signal.SIGTERM)
+        # The first moment is before the servers close, the second after it.
+        suspended_after = GRACE * (0.4 if is_serving else 0.6)
+        gevent.sleep(suspended_after)
+        process.send_signal(signal.SIGSTOP)
+        gevent.sleep(0.9 * GRACE - suspended_after)
+        process.send_signal(signal.SIGCONT)
+        output = process.communicate(timeout=LONG)[0].decode()
+    finally:
+        process.kill()
+        process.wait()
+    sent.join(timeout=LONG)
+    assert read_outcomes(sent.received) == ["unknown"], output
+    assert process.returncode == 0
--- a/packages/lanedock-daemon/lanedock_daemon/tests/test_stops.py
+++ b/packages/lanedock-daemon/lanedock_daemon/tests/test_stops.py
@@ -39,6 +39,7 @@
     make_daemon_request,
     make_request,
     read_outcomes,
+    write_entry_settings,
 )
 
 # Format of the times of log lines.
@@ -174,18 +175,9 @@
     assert read_outcomes(sent.received) == ["unknown"]
 
 
-def _write_entry_settings(folder, ready: int, entry: int) -> str:
-    """Write the settings of an entry daemon that finds no control instance; returns their path."""
-    limits = {"control": [f"{HOST}:1"], "ready": f"{HOST}:{ready}"}
-    settings = {"name": "d", "zone": "z", "transport": "framed", "stop_grace_s": GRACE, "daemon": limits}
-    path = folder / "d.jsonc"
-    path.write_text(json.dumps({**settings, "entry": {"listen": f"{HOST}:{entry}"}}), encoding="utf-8")
-    return str(path)
-
-
 def test_stop_that_is_signalled_during_the_start_counts_from_the_signal_and_serves_no_callers(tmp_path):
     ready, entry = free_ports(2)
-    path = _write_entry_settings(tmp_path, ready, entry)
+    path = write_entry_settings(tmp_path, ready, entry)
     # The signal comes while the services start, and half a second before they have started.
     program = (
         "import os, signal, time\n"
@@ -209,7 +201,7 @@
 
 def test_end_of_the_interpreter_does_not_delay_the_end_of_a_stopped_process(tmp_path):
     ready, entry = free_ports(2)
-    path = _write_entry_settings(tmp_path, ready, entry)
+    path = write_entry_settings(tmp_path, ready, entry)
     program = (
         "import atexit, runpy, time; atexit.register(time.sleep, 600); "
         "runpy.run_module('lanedock_daemon.app', run_name='__main__')"
@@ -228,7 +220,7 @@
 
 def test_signals_during_a_stop_neither_end_nor_delay_the_process(tmp_path):
     ready, entry = free_ports(2)
-    path = _write_entry_settings(tmp_path, ready, entry)
+    path = write_entry_settings(tmp_path, ready, entry)
     process = subprocess.Popen(
         [sys.executable, "-m", "lanedock_daemon.app", "--settings", path], stdout=subprocess.PIPE
     )
--- a/packages/lanedock/lanedock/kernel/stop_plan.py
+++ b/packages/lanedock/lanedock/kernel/stop_plan.py
@@ -7,6 +7,10 @@
 # answers may still end; connections are closed after it. A hundred final answers take
 # 0.04 s on one CPU core.
 FINAL_ANSWER_TIME = 0.2
+# Seconds after the deadline at which the time for writing late final answers ends, as the process may be killed
+# soon after, and the least time that they get.
+LATE_CUT_TIME = 0.6
+MIN_ANSWER_TIME = 0.1
 # Seconds at the end of the linger time in which those who still send requests are asked to use another
 # instance.
 NOTICE_TIME = 1.0
@@ -55,9 +59,17 @@
 
     @property
     def cut_at(self) -> float:
-        """Monotonic time at which connections are closed, even with answers in progress."""
+        """Monotonic time at which connections are closed, even with answers in progress, unless the process is late."""
         return self.deadline + FINAL_ANSWER_TIME
 
+    def cut_after(self, answered_at: float) -> float:
+        """Return when connections are closed whose final answers were made at `answered_at`, possibly late.
+
+        A process that gets no time at the deadline still needs time to write the answers.
+        """
+        late_cut = min(answered_at + FINAL_ANSWER_TIME, self.deadline + LATE_CUT_TIME)
+        return max(self.cut_at, late_cut, answered_at + MIN_ANSWER_TIME)
+
     def begin(self, now: float, has_callers: bool = True) -> None:
         """Begin the shutdown and set its deadline; later calls have no effect.
 
--- a/packages/lanedock/lanedock/kernel/tests/test_stop_plan.py
+++ b/packages/lanedock/lanedock/kernel/tests/test_stop_plan.py
@@ -2,7 +2,7 @@
 """Tests of the shared shutdown deadline of a process."""
 
 from lanedock.kernel import StopPlan
-from lanedock.kernel.stop_plan import FINAL_ANSWER_TIME
+from lanedock.kernel.stop_plan import FINAL_ANSWER_TIME, LATE_CUT_TIME, MIN_ANSWER_TIME
 
 
 def test_all_work_is_allowed_before_the_shutdown():
@@ -23,6 +23,15 @@
     assert plan.cut_at == 105.0 + FINAL_ANSWER_TIME
 
 
+def test_late_final_answers_get_time_to_be_written():
+    plan = StopPlan(3.0, 5.0)
+    plan.begin(100.0)
+    assert plan.cut_after(105.0) == plan.cut_at
+    assert plan.cut_after(105.3) == 105.3 + FINAL_ANSWER_TIME
+    assert plan.cut_after(105.45) == 105.0 + LATE_CUT_TIME
+    assert plan.cut_after(108.0) == 108.0 + MIN_ANSWER_TIME
+
+
 def test_work_that_ends_by_the_deadline_is_allowed_during_the_linger_time():
     plan = StopPlan(3.0, 5.0)
     plan.begin(100.0)
