Stop all services by the plan when one of them fails to stop

Callers had their connections closed without an answer if any service of the process raised an exception in its stop: the exception ended Kernel.stop, and with it the process, before the servers had waited for their requests.

Kernel.stop now catches the exceptions of each step, goes on with the other services and returns them. The process logs each as UNEXPECTED and ends with exit code 1.

--- a/packages/lanedock-daemon/lanedock_daemon/run.py
+++ b/packages/lanedock-daemon/lanedock_daemon/run.py
@@ -234,13 +234,16 @@
     watcher = gevent.spawn(reloader.watch)
     failure = _wait(kernel, stopping.received)
     events.emit(Event.STOPPING, after_ms=stopping.age_ms())
-    kernel.stop()
+    failures = kernel.stop()
     flusher.kill()
     watcher.kill()
     metrics.flush()
     tracer.close()
     if failure is not None:
-        events.emit(Event.UNEXPECTED, error=repr(failure))
+        failures.insert(0, failure)
+    for exc in failures:
+        events.emit(Event.UNEXPECTED, error=repr(exc))
+    if failures:
         return EXIT_FAILED
     events.emit(Event.STOPPED, stop_ms=round(1000 * plan.elapsed(monotonic())))
     return 0
--- a/packages/lanedock-daemon/lanedock_daemon/tests/test_stop_delays.py
+++ b/packages/lanedock-daemon/lanedock_daemon/tests/test_stop_delays.py
@@ -1,8 +1,9 @@
 # SPDX-License-Identifier: BSD-3-Clause
-"""Tests of stops of processes that get no processor time for a while.
+"""Tests of stops of processes that get no processor time for a while, or whose services fail to stop.
 
 They guard against requests that are cut without an answer. A process that is starved or suspended across the
-deadline of its stop notices the deadline and the end of the time for final answers at the same moment.
+deadline of its stop notices the deadline and the end of the time for final answers at the same moment. An exception
+of one service would end the stop of all.
 """
 
 import signal
@@ -87,25 +88,38 @@
 
 
 _PROGRAM = """
-import sys, time
+import time
 from gevent import monkey
 monkey.patch_all()
 from lanedock_daemon.path.caller.caller import CallerSide
 CallerSide.handle = lambda side, request: time.sleep(600)
+{change}
 from lanedock_daemon.app import run
 run()
 """
 
 
-@pytest.mark.parametrize("is_serving", [True, False])
-def test_final_answer_is_given_by_a_process_that_is_suspended_across_the_deadline(tmp_path, is_serving):
+def _start(folder, change: str = "") -> tuple[subprocess.Popen, SentRequests]:
+    """Start an entry daemon whose requests take longer than its stop, and send a request."""
     ready, entry = free_ports(2)
-    path = write_entry_settings(tmp_path, ready, entry)
-    process = subprocess.Popen([sys.executable, "-c", _PROGRAM, "--settings", path], stdout=subprocess.PIPE)
+    path = write_entry_settings(folder, ready, entry)
+    program = _PROGRAM.format(change=change)
+    process = subprocess.Popen([sys.executable, "-c", program, "--settings", path], stdout=subprocess.PIPE)
     try:
         wait_until(lambda: is_listening(entry))
         sent = SentRequests((HOST, entry), make_request("/x"))
         gevent.sleep(0.2)
+    except BaseException:
+        process.kill()
+        process.wait()
+        raise
+    return process, sent
+
+
+@pytest.mark.parametrize("is_serving", [True, False])
+def test_final_answer_is_given_by_a_process_that_is_suspended_across_the_deadline(tmp_path, is_serving):
+    process, sent = _start(tmp_path)
+    try:
         process.send_signal(signal.SIGTERM)
         # The first moment is before the servers close, the second after it.
         suspended_after = GRACE * (0.4 if is_serving else 0.6)
@@ -120,3 +134,24 @@
     sent.join(timeout=LONG)
     assert read_outcomes(sent.received) == ["unknown"], output
     assert process.returncode == 0
+
+
+@pytest.mark.parametrize("step", ["begin_stop", "stop"])
+def test_failure_of_one_service_to_stop_cuts_no_request_and_is_logged(tmp_path, step):
+    change = f"""
+from lanedock_daemon.roles import DrainService
+def fail(service):
+    raise OSError("refused")
+DrainService.{step} = fail
+"""
+    process, sent = _start(tmp_path, change)
+    try:
+        process.terminate()
+        output = process.communicate(timeout=LONG)[0].decode()
+    finally:
+        process.kill()
+        process.wait()
+    sent.join(timeout=LONG)
+    assert read_outcomes(sent.received) == ["unknown"], output
+    assert "OSError('refused')" in output
+    assert process.returncode == 1
--- a/packages/lanedock/lanedock/kernel/core.py
+++ b/packages/lanedock/lanedock/kernel/core.py
@@ -2,6 +2,7 @@
 """Service registry of a process, and base classes of services."""
 
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 
 import gevent
 from gevent.event import Event
@@ -104,17 +105,27 @@
             self.failure = exc
             self.failed.set()
 
-    def stop(self) -> None:
-        """Stop all started services in reverse order.
+    def stop(self) -> list[Exception]:
+        """Stop all started services in reverse order; return the exceptions of those that failed to.
 
         `Service.begin_stop` is called on all of them first. Otherwise services that
         are stopped later would accept work, while the first ones stop, that they have no
-        time left to finish.
+        time left to finish. The failure of one doesn't keep the others from finishing their work.
         """
+        failures: list[Exception] = []
         for service in reversed(self._started):
-            service.begin_stop()
+            _call(service.begin_stop, failures)
         while self._started:
-            self._started.pop().stop()
+            _call(self._started.pop().stop, failures)
+        return failures
+
+
+def _call(step: Callable[[], None], failures: list[Exception]) -> None:
+    """Run a step of a stop; add its exception to the failures."""
+    try:
+        step()
+    except Exception as exc:
+        failures.append(exc)
 
 
 class TaskService(Service):
--- a/packages/lanedock/lanedock/kernel/tests/test_core.py
+++ b/packages/lanedock/lanedock/kernel/tests/test_core.py
@@ -73,6 +73,26 @@
     assert calls == ["+a", "+b", "~b", "~a", "-b", "-a"]
 
 
+class _Failing(Recorder):
+    """Fails when it prepares to stop and when it stops."""
+
+    def begin_stop(self) -> None:
+        raise OSError("begin")
+
+    def stop(self) -> None:
+        raise OSError("stop")
+
+
+def test_failure_of_one_service_to_stop_leaves_the_stop_of_the_others_whole():
+    calls, kernel = [], Kernel()
+    for make, name in ((Recorder, "a"), (_Failing, "b"), (Recorder, "c")):
+        kernel.add(make(name, calls))
+    kernel.start()
+    failures = kernel.stop()
+    assert calls == ["+a", "+b", "+c", "~c", "~a", "-c", "-a"]
+    assert [str(exc) for exc in failures] == ["begin", "stop"]
+
+
 def test_duplicate_and_unknown_service_names_raise_kernel_errors():
     kernel = Kernel()
     kernel.add(Recorder("a", []))
