Count a stop from signals that come while the event loop is blocked

Callers could have their requests cut without an answer by SIGKILL if SIGTERM came while a call blocked the event loop of the process, such as the reading of a large settings file: the loop noticed the signal after the call, and the plan of the stop counted from there, so that it was longer than the grace time by as much.

The handler of the interpreter, which records signals from the start of the process on, stays now: it runs between two instructions, and a blocking system call is interrupted for it. The interpreter's wake-up descriptor wakes the loop. A process that is suspended or gets no processor time still counts from when it runs again.

--- a/packages/lanedock-daemon/lanedock_daemon/run.py
+++ b/packages/lanedock-daemon/lanedock_daemon/run.py
@@ -217,13 +217,11 @@
     except LanedockError as exc:
         events.emit(Event.UNEXPECTED, error=exc)
         return EXIT_FAILED
-    stopping = _StopSignal()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        gevent.signal_handler(number, stopping.note)
+    stopping = _StopSignal(early)
     gevent.signal_handler(signal.SIGHUP, reloader.reload)
     if early.must_stop:
         plan.begin(early.stopped_at, has_callers=False)
-        stopping.note(early.stopped_at)
+        stopping.received.set()
     if settings.tls is None:
         events.emit(Event.NO_AUTHENTICATION)
     events.emit(Event.STARTED, zone=settings.zone)
@@ -233,6 +231,8 @@
     plan.call_at_begin(lambda: gevent.spawn(_flush_in_stop, writer))
     watcher = gevent.spawn(reloader.watch)
     failure = _wait(kernel, stopping.received)
+    if early.must_stop:
+        plan.begin(early.stopped_at)
     events.emit(Event.STOPPING, after_ms=stopping.age_ms())
     failures = kernel.stop()
     flusher.kill()
@@ -274,35 +274,41 @@
 
 
 class _StopSignal:
-    """The signal that stops the process.
+    """Wakes the event loop once a stop signal was recorded.
+
+    A signal watcher of the event loop would notice the signal only after a call that blocks the loop, and the stop
+    would take longer than the grace time by as much.
+
+    Parameters
+    ----------
+    early : EarlySignals
 
     Attributes
     ----------
     received : gevent.event.Event
-        Set once the signal is noted.
+        Set once the process has to stop.
     """
 
-    __slots__ = ("_noted_at", "received")
+    __slots__ = ("_early", "_reader", "_watcher", "_writer", "received")
 
-    def __init__(self):
+    def __init__(self, early: EarlySignals):
         self.received = Signal()
-        self._noted_at: float | None = None
-
-    def note(self, at: float | None = None) -> None:
-        """Note the first signal; later ones have no effect.
-
-        Parameters
-        ----------
-        at : float, optional
-            Monotonic time, in seconds, at which it came; by default now.
-        """
-        if self._noted_at is None:
-            self._noted_at = monotonic() if at is None else at
+        self._early = early
+        self._reader, self._writer = os.pipe()
+        for descriptor in (self._reader, self._writer):
+            os.set_blocking(descriptor, False)
+        self._watcher = gevent.get_hub().loop.io(self._reader, 1)
+        self._watcher.start(self._check)
+        early.wake_at_signals(self._writer)
+
+    def _check(self) -> None:
+        os.read(self._reader, 4096)
+        if self._early.must_stop:
             self.received.set()
 
     def age_ms(self) -> int:
-        """Return the milliseconds since the signal was noted; 0 if the process stops without one."""
-        return 0 if self._noted_at is None else round(1000 * (monotonic() - self._noted_at))
+        """Return the milliseconds since the signal was recorded; 0 if the process stops without one."""
+        return round(1000 * (monotonic() - self._early.stopped_at)) if self._early.must_stop else 0
 
 
 class _Reloader:
--- a/packages/lanedock-daemon/lanedock_daemon/signals.py
+++ b/packages/lanedock-daemon/lanedock_daemon/signals.py
@@ -1,5 +1,5 @@
 # SPDX-License-Identifier: BSD-3-Clause
-"""Signals that arrive while a process starts or ends, and its end.
+"""The signals of a process, when they arrived, and its end.
 
 Imports only small modules, so that handlers are installed early: without one, SIGHUP ends the
 process. Importing this module takes 5 ms, and a daemon's other imports 0.6 s.
@@ -20,6 +20,8 @@
 class EarlySignals:
     """Records the signals of a process from now on, until other handlers replace these.
 
+    The handlers run between two instructions of the interpreter, also while the event loop is blocked.
+
     Attributes
     ----------
     stopped_at : float or None
@@ -45,6 +47,10 @@
         """Whether SIGTERM or SIGINT was received."""
         return self.stopped_at is not None
 
+    def wake_at_signals(self, descriptor: int) -> None:
+        """Write a byte to a non-blocking descriptor at each signal from now on."""
+        signal.set_wakeup_fd(descriptor, warn_on_full_buffer=False)
+
     def ignore_signals(self) -> None:
         """Ignore signals from now on: the interpreter removes their handlers while it shuts down."""
         for number in (*_STOPS, signal.SIGHUP):
--- a/packages/lanedock-daemon/lanedock_daemon/tests/test_stop_delays.py
+++ b/packages/lanedock-daemon/lanedock_daemon/tests/test_stop_delays.py
@@ -6,6 +6,7 @@
 of one service would end the stop of all.
 """
 
+import json
 import signal
 import subprocess
 import sys
@@ -155,3 +156,26 @@
     assert read_outcomes(sent.received) == ["unknown"], output
     assert "OSError('refused')" in output
     assert process.returncode == 1
+
+
+def test_stop_counts_from_a_signal_that_comes_while_the_event_loop_is_blocked(tmp_path):
+    change = """
+import os, signal
+from gevent.monkey import get_original
+def block(side, request):
+    os.kill(os.getpid(), signal.SIGTERM)
+    get_original("time", "sleep")(0.5)
+    time.sleep(600)
+CallerSide.handle = block
+"""
+    process, sent = _start(tmp_path, change)
+    try:
+        output = process.communicate(timeout=LONG)[0].decode()
+    finally:
+        process.kill()
+        process.wait()
+    sent.join(timeout=LONG)
+    lines = {line["message"]: line for line in map(json.loads, output.splitlines())}
+    assert lines["STOPPING"]["after_ms"] >= 500
+    assert read_outcomes(sent.received) == ["unknown"]
+    assert process.returncode == 0
