--- a/packages/lanedock-daemon/lanedock_daemon/tests/test_stop_delays.py
+++ b/packages/lanedock-daemon/lanedock_daemon/tests/test_stop_delays.py
@@ -6,7 +6,9 @@
 of one service would end the stop of all.
 """
 
+import contextlib
 import json
+import os
 import signal
 import subprocess
 import sys
@@ -100,12 +102,12 @@
 """
 
 
-def _start(folder, change: str = "") -> tuple[subprocess.Popen, SentRequests]:
+def _start(folder, change: str = "", output: int = subprocess.PIPE) -> tuple[subprocess.Popen, SentRequests]:
     """Start an entry daemon whose requests take longer than its stop, and send a request."""
     ready, entry = free_ports(2)
     path = write_entry_settings(folder, ready, entry)
     program = _PROGRAM.format(change=change)
-    process = subprocess.Popen([sys.executable, "-c", program, "--settings", path], stdout=subprocess.PIPE)
+    process = subprocess.Popen([sys.executable, "-c", program, "--settings", path], stdout=output)
     try:
         wait_until(lambda: is_listening(entry))
         sent = SentRequests((HOST, entry), make_request("/x"))
@@ -179,3 +181,24 @@
     assert lines["STOPPING"]["after_ms"] >= 500
     assert read_outcomes(sent.received) == ["unknown"]
     assert process.returncode == 0
+
+
+def test_log_that_nobody_reads_does_not_hold_a_stop(tmp_path):
+    reader, writer = os.pipe()
+    os.set_blocking(writer, False)
+    with contextlib.suppress(BlockingIOError):
+        while True:
+            os.write(writer, b"." * 4096)
+    os.set_blocking(writer, True)
+    process, sent = _start(tmp_path, output=writer)
+    try:
+        process.terminate()
+        process.wait(timeout=GRACE)
+    finally:
+        process.kill()
+        process.wait()
+        os.close(reader)
+        os.close(writer)
+    sent.join(timeout=LONG)
+    assert read_outcomes(sent.received) == ["unknown"]
+    assert process.returncode == 0
