Play planned stops with shaped links, stalled processes and faulty applications

The rounds of stops ran on plain loopback connections, with processes that always got the processor and applications that were slow at most. A relay gives connections delay, bandwidth, small windows and late or reset ends; processes are stopped for up to 0.8 s or get a part of the processor; applications are full, fail in bursts, answer late a second time, or end and start again under their id; callers leave, give up, or end their sending side.

A request counts as in progress at its application until the call that it makes has ended, which is stricter than before.

--- a/tests/crash_mesh.py
+++ b/tests/crash_mesh.py
@@ -5,7 +5,9 @@
 import time
 
 from crashing_application import CrashingApplication
+from faulty_application import Faults, FaultyApplication
 from platform_processes import OUTBOUND_PORT, PlatformProcesses, call
+from shaped_links import LinkShape
 
 from lanedock_platform.tests.test_translation import make_configuration
 
@@ -49,13 +51,31 @@
     daemons : int
     is_partitionable : bool
         Whether zones can be partitioned from one another.
+    zones : int
+        Number of zones, and of control instances.
+    shape : LinkShape or None
+        Shape of the links between instances; None for plain loopback connections.
+    faults : Faults or None
+        What the applications do wrong; None for no faults but crashes.
     """
 
-    def __init__(self, folder, crash_after: float, daemons: int = DAEMONS, is_partitionable: bool = False):
-        super().__init__(folder, daemons, ZONES, is_partitionable)
+    def __init__(
+        self,
+        folder,
+        crash_after: float,
+        daemons: int = DAEMONS,
+        is_partitionable: bool = False,
+        zones: int = ZONES,
+        shape: LinkShape | None = None,
+        faults: Faults | None = None,
+    ):
+        super().__init__(folder, daemons, zones, is_partitionable, zones, shape)
         self._crash_after = crash_after
+        self._faults = faults
 
     def make_application(self, ip: str, number: int) -> CrashingApplication:
+        if self._faults is not None:
+            return FaultyApplication(ip, f"i-{number}", self._faults, number)
         return CrashingApplication(ip, f"i-{number}", crash_after=self._crash_after)
 
     def start_heartbeats(self) -> None:
--- a/tests/crashing_application.py
+++ b/tests/crashing_application.py
@@ -13,7 +13,7 @@
 
 from lanedock_platform.tests.beats import make_beat
 
-__all__ = ["CALL_PATH_PREFIX", "POISON", "CrashingApplication"]
+__all__ = ["CALL_PATH_PREFIX", "POISON", "CrashingApplication", "reset_connection"]
 
 # Value of SO_LINGER that is enabled with a timeout of 0: `close` resets the connection.
 _LINGER_RESET = struct.pack("ii", 1, 0)
@@ -86,6 +86,9 @@
         """Upstream id of the current incarnation."""
         return f"{self._name}.{self._incarnation_number}"
 
+    # Further fields of heartbeats.
+    _beat_fields: dict = {}
+
     def _start(self) -> None:
         with self._lock:
             self._incarnation_number += 1
@@ -141,7 +144,7 @@
         listener.shutdown(socket.SHUT_RDWR)
         listener.close()
         for conn in conns:
-            _reset(conn)
+            reset_connection(conn)
         threading.Timer(RESTART_DELAY, self._start_unless_stopped).start()
         return True
 
@@ -165,7 +168,7 @@
                     continue
                 self._sequence += 1
                 path, state = f"/Instances.Heartbeat/{self.upstream}", "draining" if self._is_draining else "ready"
-                body = make_beat(state, self._sequence)
+                body = make_beat(state, self._sequence, **self._beat_fields)
             try:
                 call(self._ip, CONTROL_PORT, "POST", path, json.dumps(body).encode())
             except OSError:
@@ -185,7 +188,7 @@
             if is_up:
                 threading.Thread(target=self._serve, args=(conn, incarnation), daemon=True).start()
             else:
-                _reset(conn)
+                reset_connection(conn)
 
     def _serve(self, conn: socket.socket, incarnation: str) -> None:
         try:
@@ -212,25 +215,41 @@
         if headers.get("x-expect-instance", incarnation) != incarnation:
             conn.sendall(b"HTTP/1.1 421 Misdirected\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
             return True
-        self.arrivals.append((time.monotonic(), path, incarnation))
+        begun_at = time.monotonic()
+        self.arrivals.append((begun_at, path, incarnation))
         makes_call = path.startswith(CALL_PATH_PREFIX)
         if (POISON in path and not makes_call) or body.endswith(POISON.encode()):
             time.sleep(self.crash_after)
             self.crash(incarnation)
             return False
-        time.sleep(self.slow_work if random() < self.slow_share else self.work)
-        self.ended.append((time.monotonic(), path))
         request_id = headers["x-request-id"]
         status, answer = "200 OK", make_body(path)
-        if makes_call and self._call(path.removeprefix(CALL_PATH_PREFIX), f"{request_id}-1") != 200:
-            status = "500 A call has failed"
+        try:
+            if not self._work(conn):
+                status = "500 Failed"
+            elif makes_call and self._call(path.removeprefix(CALL_PATH_PREFIX), f"{request_id}-1") != 200:
+                status = "500 A call has failed"
+        finally:
+            self._note_end(path, incarnation, begun_at)
         fields = (
             f"X-Request-Id: {request_id}\r\nX-Server-Stamp: {incarnation}\r\n"
             f"{self._advertise(incarnation)}Content-Length: {len(answer)}"
         )
-        conn.sendall(f"HTTP/1.1 {status}\r\n{fields}\r\n\r\n".encode() + answer)
+        self._send_answer(conn, f"HTTP/1.1 {status}\r\n{fields}\r\n\r\n".encode() + answer)
         return True
 
+    def _work(self, conn: socket.socket) -> bool:
+        """Work on a request; returns whether it succeeds."""
+        time.sleep(self.slow_work if random() < self.slow_share else self.work)
+        return True
+
+    def _note_end(self, path: str, incarnation: str, begun_at: float) -> None:
+        """Record that the work on a request has ended, which began at a monotonic time in seconds."""
+        self.ended.append((time.monotonic(), path))
+
+    def _send_answer(self, conn: socket.socket, answer: bytes) -> None:
+        conn.sendall(answer)
+
     def _call(self, path: str, request_id: str) -> int:
         """Send a nested request through the local daemon; returns its status, or 0 without a response."""
         headers = {"Host": "shop.example", "X-Request-Id": request_id, "X-Deadline-Ms": "1000"}
@@ -259,7 +278,7 @@
     return body
 
 
-def _reset(conn: socket.socket) -> None:
+def reset_connection(conn: socket.socket) -> None:
     """Close a connection with a TCP reset."""
     try:
         conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET)
--- a/tests/hooks/suspendable_clocks.py
+++ b/tests/hooks/suspendable_clocks.py
@@ -6,9 +6,13 @@
 times a second, so a long gap between two reads indicates that the process was stopped.
 """
 
+import os
 import time
 
-__all__ = ["install"]
+__all__ = ["KEEP_CLOCKS_VARIABLE", "install"]
+
+# Environment variable; if it is set, clocks run on in a process that is stopped.
+KEEP_CLOCKS_VARIABLE = "LANEDOCK_TEST_KEEP_CLOCKS"
 
 # Seconds between two clock reads above which the process is considered to have been stopped.
 _SUSPENSION_THRESHOLD = 0.7
@@ -31,6 +35,8 @@
 
 
 def install() -> None:
-    """Patch the monotonic clock functions of this process."""
+    """Patch the monotonic clock functions of this process, unless the environment forbids it."""
+    if KEEP_CLOCKS_VARIABLE in os.environ:
+        return
     time.monotonic = _monotonic
     time.clock_gettime = _clock_gettime
--- a/tests/keepalive_callers.py
+++ b/tests/keepalive_callers.py
@@ -7,6 +7,8 @@
 import time
 from random import Random
 
+from shaped_links import connect_through
+
 __all__ = ["CallerKind", "ConnectionRecord", "FailedAnswer", "KeepAliveCaller", "SentRequest", "make_body"]
 
 HOST_HEADER = "shop.example"
@@ -14,6 +16,8 @@
 RECONNECT_DELAY = 0.05  # seconds
 # Seconds after the last byte of a request within which its connection may end without the request having been read.
 CROSSING_TIME = 0.2
+# Maximum seconds between a request and the leaving of its caller.
+LEAVING_TIME = 0.05
 _LENGTH = re.compile(rb"\r\ncontent-length: (\d+)", re.IGNORECASE)
 _CLOSE = re.compile(rb"\r\nconnection: close", re.IGNORECASE)
 # Present in each answer of an application.
@@ -50,10 +54,22 @@
         Maximum seconds between an answer and the next request.
     needs_call : bool
         Whether the application makes a call for each request.
+    give_up : float
+        Seconds without an answer after which the caller leaves; 0 to wait for `READ_TIMEOUT`.
+    leaving_share : float
+        Share of the requests after which the caller leaves without waiting for the answer.
+    follows_close : bool
+        Whether the caller uses another connection once an answer announces the close of this one.
+    ending_share : float
+        Share of the requests after which the caller ends its sending side and waits for the answers.
     """
 
     __slots__ = (
         "answer_bytes",
+        "ending_share",
+        "follows_close",
+        "give_up",
+        "leaving_share",
         "needs_call",
         "outstanding",
         "read_rate",
@@ -71,7 +87,15 @@
         upload_bytes=0,
         think=0,
         needs_call=False,
+        give_up=0.0,
+        leaving_share=0.0,
+        follows_close=False,
+        ending_share=0.0,
     ):
+        self.give_up = give_up
+        self.leaving_share = leaving_share
+        self.follows_close = follows_close
+        self.ending_share = ending_share
         self.needs_call = needs_call
         self.outstanding = outstanding
         self.answer_bytes = answer_bytes
@@ -127,11 +151,27 @@
         Monotonic time in seconds; 0 while the connection is open.
     reason : str
         How the connection ended.
+    has_left : bool
+        Whether the caller closed it without waiting for its answers.
+    has_ended_sending : bool
+        Whether the caller ended its sending side while it waited for answers.
     """
 
-    __slots__ = ("announced_close", "ended_at", "failures", "partial", "reason", "sent", "statuses", "wrong")
+    __slots__ = (
+        "announced_close",
+        "ended_at",
+        "failures",
+        "has_ended_sending",
+        "has_left",
+        "partial",
+        "reason",
+        "sent",
+        "statuses",
+        "wrong",
+    )
 
     def __init__(self):
+        self.has_left = self.has_ended_sending = False
         self.sent: list[SentRequest] = []
         self.statuses: list[int] = []
         self.failures: list[FailedAnswer] = []
@@ -152,7 +192,7 @@
         """
         if self.wrong:
             return self.wrong
-        if not self.ended_at or len(self.statuses) >= len(self.sent) or self.announced_close:
+        if self.has_left or not self.ended_at or len(self.statuses) >= len(self.sent) or self.announced_close:
             return None
         request = self.sent[len(self.statuses)]
         sent_at, ended_at = request.sent_at - started_at, self.ended_at - started_at
@@ -169,7 +209,8 @@
 
     def has_crossed_close(self) -> bool:
         """Return whether the connection ended, without an announcement, while a request was on its way."""
-        return bool(self.ended_at and len(self.statuses) < len(self.sent) and not self.announced_close)
+        has_open_request = len(self.statuses) < len(self.sent) and not self.announced_close
+        return bool(self.ended_at and has_open_request and not self.has_left)
 
 
 class KeepAliveCaller(threading.Thread):
@@ -184,10 +225,21 @@
         Part of the paths of the requests.
     is_stopped : threading.Event
         Ends the caller.
+    route : tuple of (str, str) or None
+        Address of the relay through which it connects, and its own IP address; None to connect directly.
     """
 
-    def __init__(self, address: tuple[str, int], kind: CallerKind, seed: int, name: str, is_stopped: threading.Event):
+    def __init__(
+        self,
+        address: tuple[str, int],
+        kind: CallerKind,
+        seed: int,
+        name: str,
+        is_stopped: threading.Event,
+        route: tuple[str, str] | None = None,
+    ):
         super().__init__(daemon=True)
+        self._route = route
         self.records: list[ConnectionRecord] = []
         self._address = address
         self._kind = kind
@@ -220,7 +272,11 @@
             if self._kind.receive_buffer is not None:
                 conn.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self._kind.receive_buffer)
             conn.settimeout(READ_TIMEOUT)
-            conn.connect(self._address)
+            if self._route is None:
+                conn.connect(self._address)
+            else:
+                connect_through(conn, *self._route, self._address)
+            conn.settimeout(self._kind.give_up or READ_TIMEOUT)
             conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         except OSError:
             conn.close()
@@ -229,18 +285,44 @@
 
     def _use(self, conn: socket.socket, record: ConnectionRecord) -> None:
         while True:
-            while len(record.sent) - len(record.statuses) < self._kind.outstanding:
+            if record.has_ended_sending and len(record.sent) == len(record.statuses):
+                record.reason = "ended by the caller"
+                return
+            while not record.has_ended_sending and len(record.sent) - len(record.statuses) < self._kind.outstanding:
                 if self._is_stopped.is_set() and len(record.sent) == len(record.statuses):
                     record.reason = "ended by the caller"
                     return
                 if self._is_stopped.is_set():
                     break
                 self._send(conn, record)
+                if self._leaves(conn, record):
+                    break
                 if self._rng.random() < 1 / self._kind.outstanding:
                     break
-            if not self._receive(conn, record):
+            if record.has_left:
+                record.reason = "left by the caller"
+                return
+            try:
+                has_received = self._receive(conn, record)
+            except TimeoutError:
+                record.has_left = bool(self._kind.give_up)
+                raise
+            if not has_received:
                 record.reason = "end of stream"
                 return
+            if self._kind.follows_close and record.announced_close:
+                record.reason = "ended by the caller"
+                return
+
+    def _leaves(self, conn: socket.socket, record: ConnectionRecord) -> bool:
+        """Leave, or end the sending side, behind a share of the requests; return whether no more are sent."""
+        if self._kind.leaving_share and self._rng.random() < self._kind.leaving_share:
+            time.sleep(self._rng.uniform(0, LEAVING_TIME))
+            record.has_left = True
+        elif self._kind.ending_share and self._rng.random() < self._kind.ending_share:
+            conn.shutdown(socket.SHUT_WR)
+            record.has_ended_sending = True
+        return record.has_left or record.has_ended_sending
 
     def _send(self, conn: socket.socket, record: ConnectionRecord) -> None:
         if self._kind.think_time:
--- a/tests/platform_processes.py
+++ b/tests/platform_processes.py
@@ -19,7 +19,9 @@
 from pathlib import Path
 
 from hooks.severable_links import RELAY_VARIABLE, SOURCE_VARIABLE
+from hooks.suspendable_clocks import KEEP_CLOCKS_VARIABLE
 from links import RelayProcess
+from shaped_links import LinkShape, ShapedRelay
 
 from lanedock_platform.tests.beats import make_beat
 
@@ -135,7 +137,7 @@
 
 
 class PlatformProcesses:
-    """Three control instances, and daemons with one backend each.
+    """Control instances, and daemons with one backend each.
 
     Parameters
     ----------
@@ -145,18 +147,38 @@
         Numbers of daemons and availability zones.
     is_partitionable : bool
         Whether zones can be partitioned from one another.
+    controls : int
+        Number of control instances.
+    shape : LinkShape or None
+        Shape of the links between instances; None for plain loopback connections.
     """
 
-    def __init__(self, folder: Path, daemons: int = 2, zones: int = 1, is_partitionable: bool = False):
+    def __init__(
+        self,
+        folder: Path,
+        daemons: int = 2,
+        zones: int = 1,
+        is_partitionable: bool = False,
+        controls: int = 3,
+        shape: LinkShape | None = None,
+    ):
         self.folder = folder
         self._zones = zones
         self._reservation, network = _reserve_network()
-        self.controls = [f"{network}.{number}" for number in (1, 2, 3)]
+        self.controls = [f"{network}.{number}" for number in range(1, 1 + controls)]
         self.daemons = [f"{network}.{11 + number}" for number in range(daemons)]
         self.processes: dict[str, subprocess.Popen] = {}
         self.applications: dict[str, Application] = {}
         self._stop_event = threading.Event()
+        self.caller_ip = f"{network}.252"
         self._relay = RelayProcess(f"{network}.253") if is_partitionable else None
+        if shape is not None:
+            self._relay = ShapedRelay(f"{network}.253", shape)
+
+    @property
+    def relay_address(self) -> str | None:
+        """Host and port of the relay; None without one."""
+        return self._relay and self._relay.address
 
     def start(self) -> None:
         for ip in self.controls:
@@ -255,6 +277,8 @@
         if self._relay is not None:
             hooked_paths = os.pathsep.join([str(HOOKS), paths])
             env |= {"PYTHONPATH": hooked_paths, RELAY_VARIABLE: self._relay.address, SOURCE_VARIABLE: ip}
+            if isinstance(self._relay, ShapedRelay):
+                env[KEEP_CLOCKS_VARIABLE] = "1"
         with open(self.folder / f"{ip}.log", "ab") as log:
             line = [sys.executable, str(ROOT / "platform" / "start.py")]
             self.processes[ip] = subprocess.Popen(line, env=env, stdout=log, stderr=log)
--- /dev/null
+++ b/tests/round_results.py
@@ -0,0 +1,176 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""What callers saw in a round of planned stops, compared with the work of the applications."""
+
+import re
+from pathlib import Path
+
+from keepalive_callers import ConnectionRecord, FailedAnswer
+
+__all__ = ["GRACE", "RoundResult", "Runs", "find_log_lines"]
+
+GRACE = 6.0  # seconds
+GATEWAY_TIMEOUT = 504
+# Seconds after which callers may give up a request that nobody works on, and its connection.
+GIVE_UP_TIME = 1.0
+_PATH = re.compile(r"/([^/ ]+)/(\d+)/bytes-\d+")
+
+
+def find_log_lines(folder: Path, fault: str) -> list[str]:
+    """Return the lines of the processes' logs about the request of a fault and about its calls."""
+    match = _PATH.search(fault)
+    if match is None:
+        return []
+    request_id = f"{match.group(1)}-{match.group(2)}"
+    pattern = re.compile(rf"{re.escape(request_id)}(-1)?\b(?!-)")
+    return [
+        f"{path.stem}: {line}"
+        for path in sorted(folder.glob("*.log"))
+        for line in path.read_text(encoding="utf-8", errors="replace").splitlines()
+        if pattern.search(line)
+    ]
+
+
+class Runs:
+    """When applications worked on requests.
+
+    Parameters
+    ----------
+    applications : iterable of CrashingApplication
+    """
+
+    __slots__ = ("_ends", "_starts")
+
+    def __init__(self, applications):
+        self._starts: dict[str, list[float]] = {}
+        self._ends: dict[str, list[float]] = {}
+        for application in applications:
+            for at, path, _ in list(application.arrivals):
+                self._starts.setdefault(path, []).append(at)
+            for at, path in list(application.ended):
+                self._ends.setdefault(path, []).append(at)
+
+    @property
+    def paths(self) -> set[str]:
+        """Paths of the requests that applications received."""
+        return set(self._starts)
+
+    def first_start(self, path: str) -> float:
+        """Return the monotonic time, in seconds, at which the first application received a request; 0 if none did."""
+        return min(self._starts.get(path, []), default=0.0)
+
+    def last_end(self, path: str) -> float:
+        """Return the monotonic time, in seconds, until which applications worked on a request.
+
+        Returns 0 if none received it, and infinity if one still works on it.
+        """
+        starts, ends = self._starts.get(path, []), self._ends.get(path, [])
+        return max(ends, default=0.0) if len(starts) == len(ends) else float("inf")
+
+    def find_replaced(self, answer: FailedAnswer, stopped_at: float, time_limit: float) -> str | None:
+        """Describe a failure in place of the answer of an application that was working; None if it is allowed.
+
+        Allowed are 504 and another application's failure at the end of the time limit, and an answer in the last
+        sixth of the grace time to a request that was sent in its first half.
+
+        Parameters
+        ----------
+        answer : FailedAnswer
+        stopped_at : float
+            Monotonic time, in seconds, of the first signal to the daemon.
+        time_limit : float
+            Shortest time limit of the routes, in seconds.
+        """
+        sent_at, at = answer.request.sent_at - stopped_at, answer.at - stopped_at
+        if self.last_end(answer.request.path) <= answer.at:
+            return None
+        # The daemon may have read the request before its caller notes that it is sent.
+        is_at_limit = answer.at - answer.request.begun_at >= time_limit
+        if is_at_limit and (answer.status == GATEWAY_TIMEOUT or not answer.is_own):
+            return None
+        if sent_at <= GRACE / 2 and at >= GRACE * 5 / 6:
+            return None
+        place = f"{answer.request.path} sent at {sent_at:.3f} s, answered at {at:.3f} s"
+        return f"answered {answer.status} while an application worked: {place}"
+
+
+class RoundResult:
+    """What callers saw in one round.
+
+    Attributes
+    ----------
+    faults : list of str
+        Requests that were owed an answer and got none.
+    answers : int
+        Number of whole answers.
+    crossed : int
+        Number of connections that ended without an announcement while a request was on its way.
+    outlasted : list of str
+        Answers whose callers read so slowly that the stop ended first.
+    refused : int
+        Number of requests that a daemon answered itself and no application received.
+    after_end_of_sending : list of str
+        As `faults`, on connections whose callers had ended their sending side.
+    killed : list of str
+        Addresses of the daemons that outlasted the grace time.
+    waits : list of float
+        Seconds from the last byte of each request sent after the first signal until an application received it.
+    """
+
+    __slots__ = ("after_end_of_sending", "answers", "crossed", "faults", "killed", "outlasted", "refused", "waits")
+
+    def __init__(self):
+        self.after_end_of_sending: list[str] = []
+        self.killed: list[str] = []
+        self.refused = 0
+        self.waits: list[float] = []
+        self.faults: list[str] = []
+        self.outlasted: list[str] = []
+        self.answers = 0
+        self.crossed = 0
+
+    def __str__(self) -> str:
+        return (
+            f"{self.answers} answers, {self.refused} refused, {self.crossed} crossed, "
+            f"{len(self.outlasted)} outlasted the stop, {len(self.faults)} faults, "
+            f"{len(self.after_end_of_sending)} after the end of sending, {len(self.killed)} killed, "
+            f"{len(self.waits)} sent in the stop waited {max(self.waits, default=0.0):.2f} s at most, "
+            f"{sum(wait > GIVE_UP_TIME for wait in self.waits)} of them over {GIVE_UP_TIME:g} s"
+        )
+
+    def __repr__(self) -> str:
+        return f"<RoundResult {self}>"
+
+    def extend(self, other: "RoundResult") -> None:
+        """Add the result of another round."""
+        for name in self.__slots__:
+            setattr(self, name, getattr(self, name) + getattr(other, name))
+
+    def add(self, record: ConnectionRecord, runs: Runs, stopped_at: float, limit: float, time_limit: float) -> None:
+        """Add what a caller saw on one connection.
+
+        Parameters
+        ----------
+        record : ConnectionRecord
+        runs : Runs
+        stopped_at : float
+            Monotonic time, in seconds, of the first signal to the daemon.
+        limit : float
+            Seconds of a stop after which the daemon doesn't wait for slow readers any more.
+        time_limit : float
+            Shortest time limit of the routes, in seconds.
+        """
+        self.answers += len(record.statuses)
+        self.crossed += record.has_crossed_close()
+        self.refused += sum(answer.is_own and not runs.last_end(answer.request.path) for answer in record.failures)
+        faults = self.after_end_of_sending if record.has_ended_sending else self.faults
+        faults += filter(None, (runs.find_replaced(answer, stopped_at, time_limit) for answer in record.failures))
+        self.waits += [
+            start - request.sent_at
+            for request in record.sent
+            if request.sent_at >= stopped_at and (start := runs.first_start(request.path))
+        ]
+        fault = record.find_fault(runs.paths, stopped_at)
+        if fault is None:
+            return
+        has_outlasted = bool(record.partial) and record.ended_at >= stopped_at + limit
+        (self.outlasted if has_outlasted else faults).append(fault)
--- a/tests/stop_scenarios.py
+++ b/tests/stop_scenarios.py
@@ -3,7 +3,10 @@
 
 import signal
 
+from faulty_application import Faults
 from keepalive_callers import CallerKind
+from shaped_links import LinkShape
+from stalls import Stalls
 
 __all__ = ["SCENARIOS", "Scenario"]
 
@@ -43,6 +46,17 @@
     CallerKind(upload_bytes=1000, answer_bytes=3000),
     CallerKind(upload_bytes=1000, answer_bytes=3000, think=0.1),
 ]
+# Callers that leave, give up after a third of their time, return after pauses, or follow the announced close.
+LEAVING = [
+    CallerKind(outstanding=3, answer_bytes=3000, needs_call=True, leaving_share=0.05),
+    CallerKind(answer_bytes=3000, needs_call=True, give_up=0.5),
+    CallerKind(answer_bytes=3000, needs_call=True, think=0.8),
+    CallerKind(answer_bytes=20_000, think=0.1, follows_close=True),
+    CallerKind(upload_bytes=20_000, answer_bytes=3000, follows_close=True, think=0.05),
+    CallerKind(upload_bytes=1000, answer_bytes=3000, outstanding=2, leaving_share=0.02),
+    CallerKind(outstanding=2, answer_bytes=3000, ending_share=0.1, think=0.05),
+    CallerKind(outstanding=4, answer_bytes=30_000, receive_buffer=4096, read_rate=200_000.0),
+]
 
 
 class Scenario:
@@ -68,19 +82,37 @@
     daemons : int
     ends_applications : bool
         Whether the application beside each daemon leaves and ends before the daemon is stopped, and starts again.
+    callers : int
+        Callers of each stopped daemon.
+    zones : int
+        Number of zones, and of control instances.
+    time_limits : tuple of float
+        Time limits of the routes in seconds, in turn; empty for those of `stop_rounds`.
+    shape : LinkShape or None
+        Shape of the links between instances, and to callers; None for plain loopback connections.
+    stalls : Stalls or None
+        How the stopped daemons and some others are kept from running; None if they aren't.
+    faults : Faults or None
+        What the applications do wrong from the first stop on.
     """
 
     __slots__ = (
+        "callers",
         "daemons",
         "ends_applications",
+        "faults",
         "gap",
         "group",
         "has_grace",
         "kinds",
+        "shape",
         "signals",
         "slow_share",
+        "stalls",
         "stopped",
+        "time_limits",
         "wipes_control",
+        "zones",
     )
 
     def __init__(
@@ -95,7 +127,19 @@
         slow_share=0.0,
         daemons=DAEMONS,
         ends_applications=False,
+        callers=6,
+        zones=3,
+        time_limits=(),
+        shape=None,
+        stalls=None,
+        faults=None,
     ):
+        self.callers = callers
+        self.zones = zones
+        self.time_limits = time_limits
+        self.shape = shape
+        self.stalls = stalls
+        self.faults = faults
         self.ends_applications = ends_applications
         self.gap = gap
         self.group = group
@@ -129,3 +173,41 @@
         CALLING, stopped=8, gap=0.7, group=4, slow_share=0.15, daemons=12, wipes_control=True, ends_applications=True
     ),
 }
+
+_LINK = LinkShape(delay=(0.003, 0.03), rate=187_500.0, window=8192)
+_HELD_LINK = LinkShape(
+    delay=(0.003, 0.03), rate=187_500.0, window=4096, held_share=0.05, hold_time=0.3, late_share=0.01
+)
+_RESETTING_LINK = LinkShape(delay=(0.003, 0.03), rate=187_500.0, window=8192, reset_overtakes=True)
+_PAUSES = Stalls(pause=(0.05, 0.8), gap=(0.1, 1.2))
+_QUOTA = Stalls(quota=0.5)
+_ALL_FAULTS = Faults(
+    room=12, failing_share=1 / 3, slow_factor=(8, 30), late_share=0.1, idle_timeout=1.0, restart_gap=4.0
+)
+_ZONES = {"daemons": 13, "zones": 4, "time_limits": (1.2, 1.5), "stopped": 4, "gap": 0.7, "group": 2}
+SCENARIOS |= {
+    "network": Scenario(CALLING, shape=_LINK, **_ZONES),
+    "network-held": Scenario(CALLING, shape=_HELD_LINK, **_ZONES),
+    "network-resets": Scenario(CALLING, shape=_RESETTING_LINK, **_ZONES),
+    "network-large": Scenario(ORDERLY + PIPELINING, shape=_HELD_LINK, callers=12, **_ZONES),
+    "machine": Scenario(CALLING, stalls=_PAUSES, **_ZONES),
+    "machine-quota": Scenario(CALLING, stalls=_QUOTA, callers=10, **_ZONES),
+    "far-end-full": Scenario(CALLING, faults=Faults(room=3), callers=10, **_ZONES),
+    "far-end-bursts": Scenario(CALLING, faults=Faults(failing_share=1 / 3, slow_factor=(8, 30)), **_ZONES),
+    "far-end-late": Scenario(CALLING, faults=Faults(late_share=0.3, idle_timeout=0.3), **_ZONES),
+    "far-end-restarts": Scenario(CALLING, faults=Faults(restart_gap=2.0), **_ZONES),
+    "callers": Scenario(LEAVING, callers=8, **_ZONES),
+    "mixed": Scenario(
+        LEAVING, shape=_LINK, stalls=_PAUSES, faults=_ALL_FAULTS, callers=8, **(_ZONES | {"stopped": 7, "group": 3})
+    ),
+    "mixed-held": Scenario(
+        CALLING + LEAVING,
+        shape=_HELD_LINK,
+        stalls=_QUOTA,
+        faults=_ALL_FAULTS,
+        callers=8,
+        ends_applications=True,
+        signals=(signal.SIGHUP, signal.SIGTERM, signal.SIGHUP),
+        **(_ZONES | {"stopped": 5}),
+    ),
+}
