--- a/tests/test_stop_rounds.py
+++ b/tests/test_stop_rounds.py
@@ -31,6 +31,11 @@
     assert _run(tmp_path, "overlapping-slow", 2) == []
 
 
+@pytest.mark.parametrize("name", ["network", "machine", "far-end-late"])
+def test_stop_loses_no_request_beside_slow_links_stalled_processes_or_late_answers(tmp_path, name):
+    assert _run(tmp_path, name, 1) == []
+
+
 def test_daemon_that_closes_connections_too_early_is_found(tmp_path, monkeypatch):
     monkeypatch.syspath_prepend(str(HOOKS))
     monkeypatch.setenv(EARLY_CLOSE_VARIABLE, "1")
