--- a/tests/stop_rounds.py
+++ b/tests/stop_rounds.py
@@ -143,8 +143,10 @@
         process = self.mesh.processes[ip]
         if self._scenario.ends_applications:
             self.mesh.applications[ip].replace(DRAIN_TIME)
-        self._stopped_at[ip] = time.monotonic()
+        self._stopped_at.pop(ip, None)
         for number in self._scenario.signals:
+            if number is signal.SIGTERM:
+                self._stopped_at.setdefault(ip, time.monotonic())
             process.send_signal(number)
             if number is signal.SIGSTOP:
                 time.sleep(rng.uniform(0.3, 1.0))
