--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_stop_log.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_stop_log.py
@@ -51,9 +51,15 @@
                 return Answer(200, "OK", [], self._break_off())
             case "/failed":
                 raise ValueError("failed")
+            case "/spoilt":
+                return Answer(200, "OK", [("content-length", "100")], self._fail())
         body = BODY if request.path == "/long" else b"ok"
         return Answer(200, "OK", [("content-length", str(len(body)))], [body])
 
+    def _fail(self):
+        yield b"part"
+        raise ValueError("failed")
+
     def _break_off(self):
         yield b"part"
         self.opened.wait()
@@ -195,7 +201,7 @@
 
 @pytest.mark.parametrize(
     ("path", "version", "how"),
-    [("/broken", "1.1", "broken answer"), ("/endless", "1.0", "broken answer"), ("/failed", "1.1", "error")],
+    [("/broken", "1.1", "broken answer"), ("/endless", "1.0", "broken answer"), ("/spoilt", "1.1", "error")],
 )
 def test_an_answer_that_the_process_breaks_off_is_reported_as_cut(make_server, lines, path, version, how):
     server = make_server(linger=LONG)
@@ -210,6 +216,16 @@
     assert (line["end"], line["how"]) == ("cut", how)
 
 
+def test_a_request_whose_handler_fails_is_reported_with_its_unknown_outcome(make_server, lines):
+    server = make_server(linger=LONG)
+    _begin_linger(server)
+    with _connect(server, _request("/failed")) as conn:
+        wait_until(lambda: lines.read("REQUEST_END"))
+        assert conn.recv(65536).startswith(b"HTTP/1.1 502 ")
+    (line,) = lines.wait_for_ends()
+    assert (line["end"], line["status"], line["outcome"]) == ("received", 502, "unknown")
+
+
 def test_a_request_behind_the_last_answer_is_reported_as_not_begun(make_server, lines):
     server = make_server()
     with _begin(server, _request("/wait")) as conn:
