Let no other greenlet run while a log line is written

A connection's end could be cut between its log line and the cancellation of its requests, and two flushes at a time could block the process on a log that nobody reads.

Cause: the writer of log lines asked the patched poll whether its descriptor takes more, and gevent's poll lets other greenlets run. So each line written at once was a point at which others changed the state of whatever logged it. The platform's program isn't patched and isn't affected. Class: a step that others can enter.

Change: the writer uses the system's poll, which returns at once. The end of a server goes through a copy of its connections, and the end of a connection cancels its requests whatever becomes of the log line.

--- a/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
@@ -108,12 +108,14 @@
             # The caller has disconnected, or an incomplete answer is cut so that it doesn't look complete.
             how = _describe(exc)
         finally:
-            if self._end_reason:
-                self.report_cut(self._end_reason)
-            else:
-                self._report_disconnect("reset" if self._is_reset else how)
-            self._cancel_exchanges()
-            self._conn.close()
+            try:
+                if self._end_reason:
+                    self.report_cut(self._end_reason)
+                else:
+                    self._report_disconnect("reset" if self._is_reset else how)
+            finally:
+                self._cancel_exchanges()
+                self._conn.close()
 
     def _serve(self) -> None:
         """Read requests until the last answer is written or the connection ends."""
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/server.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/server.py
@@ -99,7 +99,7 @@
     def stop(self) -> None:
         super().stop()
         self._sweeper.kill()
-        for connection in self._connections:
+        for connection in list(self._connections):
             connection.report_cut("stop")
             connection.discard_input()
         self.stop_log.log_summary(len(self._connections))
--- a/packages/lanedock/lanedock/telemetry/log.py
+++ b/packages/lanedock/lanedock/telemetry/log.py
@@ -8,6 +8,8 @@
 from collections import deque
 from datetime import datetime
 
+from gevent.monkey import get_original
+
 from lanedock.clock import monotonic
 from lanedock.telemetry.events import Event
 
@@ -24,6 +26,8 @@
 MAX_PENDING_LINES = 2000
 # Maximum size of a write that does not block on a writable pipe, in bytes (POSIX, PIPE_BUF).
 MAX_ATOMIC_WRITE_BYTES = 4096
+# The system's own poll: gevent's lets other greenlets run, in the middle of whatever logs a line.
+_poll = get_original("select", "poll")
 
 
 class EventLogger:
@@ -146,7 +150,7 @@
         super().__init__()
         self._is_duplicate = not is_kept_open
         self._descriptor: int | None = descriptor if is_kept_open else os.dup(descriptor)
-        self._poll = select.poll()
+        self._poll = _poll()
         self._poll.register(self._descriptor, select.POLLOUT)
         self._pending: deque[bytes] = deque()
         self._dropped = 0
--- a/packages/lanedock/lanedock/telemetry/tests/test_log.py
+++ b/packages/lanedock/lanedock/telemetry/tests/test_log.py
@@ -4,6 +4,7 @@
 import json
 import logging
 import os
+import subprocess
 import sys
 
 import pytest
@@ -245,3 +246,26 @@
     assert 'lanedock_requests_latency_seconds_bucket{le="0.4"} 1' in lines
     assert 'lanedock_requests_latency_seconds_bucket{le="+Inf"} 2' in lines
     assert "lanedock_requests_latency_seconds_count 2" in lines
+
+
+@pytest.mark.parametrize(
+    "call", ["lines.handle(logging.makeLogRecord({'msg': 'line'}))", "lines.flush()"], ids=["line", "flush"]
+)
+def test_no_other_greenlet_runs_while_a_line_is_written(call):
+    # Guards against log lines in the middle of a step during which others must not change its state. Tests aren't
+    # patched as the program is, so this runs in a process of its own.
+    program = f"""
+from gevent import monkey
+monkey.patch_all()
+import logging, os, gevent
+from lanedock.telemetry.log import LineWriter
+reader, writer = os.pipe()
+lines = LineWriter(writer)
+lines._pending.append(b"x")
+others = []
+gevent.spawn(others.append, 1)
+{call}
+print(others)
+"""
+    found = subprocess.run([sys.executable, "-c", program], capture_output=True, text=True, timeout=30)
+    assert found.stdout == "[]\n", found.stderr
