Refuse no malformed input on a connection whose answer has broken off

What callers saw: an answer on its way was reset if a later one broke off and malformed input followed: the refusal met the ended sending side, and the connection closed without waiting until the answers before had arrived.

--- a/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
@@ -532,7 +532,7 @@
 
     def _refuse_malformed(self, exc: MalformedMessage) -> None:
         """Refuse a malformed request."""
-        if self._has_announced_close:
+        if self._has_last_answer():
             return
         # Part of an open body may already have been passed on.
         outcome = Outcome.NOT_RUN if self._open_exchange is None else Outcome.UNKNOWN
