End a request whose answer turns out invalid behind an extra answer

What callers saw: a wait until the deadline (504) in place of 502 at once. Once the head of the own answer stood behind a discarded one, invalid bytes in its body were taken for bytes behind it.

--- a/packages/lanedock-daemon/lanedock_daemon/path/http/parser.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/parser.py
@@ -331,7 +331,7 @@
         if self._has_trailing_bytes or not message.keep_alive:
             raise MalformedMessage("nothing can be read behind an answer to another request")
         self._interim_bytes = 0
-        self._is_answer_complete = self.has_head()
+        self._is_answer_complete = self.has_head() and self._heads[-1].is_complete
 
     def receive_early(self) -> bool:
         """Parse what has arrived, without waiting; return whether a head is buffered or the stream has ended.
