Count what this process or the caller ends as no failure of a canary

A request that the daemon's own stop ended, or whose caller left within its body, counted as failed by the canary's version, so that rolling restarts spoke against a good one. Class: a result credited to what it tells nothing about.

--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream/upstream.py
@@ -374,7 +374,7 @@
             message, facts = self._read_own_answer(pending, log)
             response = pending.accept(message)
         except ExchangeError as exc:
-            if account is not None and exc.outcome != Outcome.NOT_RUN:
+            if account is not None and exc.outcome != Outcome.NOT_RUN and not exc.is_local:
                 account.note_answer(exc.code is not ErrorCode.ANSWER_TIMEOUT, monotonic() - started)
             return self._on_lost(exc, log, work.end_failed(exc))
         except StopTimeout:
