End a stop in time if its final answers fail, and note failures of a failed start

If the final answers raised, a server's stop would have waited until SIGKILL. What fails to stop after a failed start is noted on the exception.

--- a/packages/lanedock-daemon/lanedock_daemon/path/http/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/service.py
@@ -126,8 +126,10 @@
         if monotonic() > self._plan.deadline + LATE:
             for _ in range(LATE_PAUSES):
                 gevent.sleep(LATE_PAUSE)
-        self._force_final_answers()
-        self._cut_at = self._plan.cut_after(monotonic())
+        try:
+            self._force_final_answers()
+        finally:
+            self._cut_at = self._plan.cut_after(monotonic())
 
     def _force_final_answers(self) -> None:
         """Answer all requests still in progress; does nothing unless a subclass can do so."""
--- a/packages/lanedock/lanedock/kernel/core.py
+++ b/packages/lanedock/lanedock/kernel/core.py
@@ -94,8 +94,9 @@
         for service in list(self._services.values()):
             try:
                 service.start(self)
-            except BaseException:
-                self.stop()
+            except BaseException as exc:
+                for failure in self.stop():
+                    exc.add_note(f"a service that had started failed to stop: {failure!r}")
                 raise
             self._started.append(service)
 
