--- a/tests/round_results.py
+++ b/tests/round_results.py
@@ -156,8 +156,9 @@
         return f"<RoundResult {self}>"
 
     def set_unread_apart(self, folder: Path) -> None:
-        """Move requests without an answer that no process's log in a folder names from the faults to `unread`."""
+        """Move requests without an answer that neither an application nor a log in a folder knows to `unread`."""
         for faults in (self.faults, self.after_end_of_sending):
+            # A request that an application received has another text.
             unread = [fault for fault in faults if fault.startswith("no answer:") and not find_log_lines(folder, fault)]
             self.unread += unread
             faults[:] = [fault for fault in faults if fault not in unread]
--- a/tests/stop_rounds.py
+++ b/tests/stop_rounds.py
@@ -172,6 +172,8 @@
         runs = Runs(self.mesh.applications.values())
         result = RoundResult()
         result.killed, self._killed = self._killed, []
+        if self._scenario.stalls is None:
+            result.faults += [f"{ip} outlasted its grace time" for ip in result.killed]
         plan = make_stop_plan(
             SimpleNamespace(stop_grace_s=self.mesh.grace, stop_timeout_ms=STOP_TIMEOUT_MS, daemon=True)
         )
