Note an answer that can't be written where its connection is broken off

Both callers of Connection._break_off recorded the request's trace in the same two lines before; the step does it now. The comment on recorded signals said that others replace all handlers, which holds for SIGHUP only. Behaviour stays.

--- a/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
@@ -425,13 +425,9 @@
                 self._unwritten.append(exchange.trace)
         except (OSError, gevent.GreenletExit):
             # The caller has disconnected, or the answer's body broke off.
-            if exchange in self._exchanges:
-                self._unwritten.append(exchange.trace)
-            self._break_off("broken answer")
+            self._break_off(exchange, "broken answer")
         except Exception as exc:
-            if exchange in self._exchanges:
-                self._unwritten.append(exchange.trace)
-            self._break_off("error")
+            self._break_off(exchange, "error")
             self._server.log_unexpected_error(exc)
         finally:
             if answer is not None:
@@ -513,8 +509,10 @@
         self._has_room.set()
         self._conn.expire_wait()
 
-    def _break_off(self, reason: str) -> None:
+    def _break_off(self, exchange: Exchange, reason: str) -> None:
         """End the connection after an incomplete answer, which the caller must not take for a complete one."""
+        if exchange in self._exchanges:
+            self._unwritten.append(exchange.trace)
         if not self._is_answer_close_delimited:
             try:
                 # Answers before the incomplete one still reach the caller.
--- a/packages/lanedock-daemon/lanedock_daemon/signals.py
+++ b/packages/lanedock-daemon/lanedock_daemon/signals.py
@@ -18,7 +18,7 @@
 
 
 class EarlySignals:
-    """Records the signals of a process from now on, until other handlers replace these.
+    """Records the signals of a process from now on; the event loop handles SIGHUP once it runs.
 
     The handlers run between two instructions of the interpreter, also while the event loop is blocked.
 
