Show that an application's 503 is replaced by 502 if its body is long or late

A caller of a repeatable route gets 502, outcome unknown, where its application answered 503 with a body of more than 64 KB, or with one that isn't whole 0.3 s after its head, in a stop as at any time. On a route that isn't repeatable the 503 arrives.

Cause: AttemptSender._finish_attempt reads the body of a 503 before it tries another upstream, with the limits of refusals, and takes a body that exceeds them for one that broke off.

Not mended: passing such an answer on would also pass on failures whose bodies don't end, which their tests forbid, so it takes a decision on how long a failure may be.

--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_whole_answers.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_whole_answers.py
@@ -68,3 +68,16 @@
         with pytest.raises(ConnectionResetError):
             while conn.recv(65536):
                 pass
+
+
+@pytest.mark.parametrize("pause", [0.0, 0.4], ids=["long", "slow"])
+def test_whole_failure_of_an_application_is_not_replaced_by_one_of_the_daemons(make_chain, pause):
+    body = b"." * (4 if pause else 100_000)
+
+    def script(conn, head, request_body):
+        conn.sendall(b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: %d\r\n\r\n" % len(body) + body[:2])
+        gevent.sleep(pause)
+        return body[2:]
+
+    with gevent.Timeout(TIMEOUT):
+        assert make_chain(script).request("GET")[::2] == (503, body)
