Take a connection only once the first bytes of a request's body are there

A daemon took a pooled connection, checked it, and then waited for the first bytes of the request's body. If the other side closed the connection during that wait, or sent bytes that are no answer, or a late answer to a former request, the request was written to it and got 502 (or a former request's answer), though nothing of it had been sent before.

Now the first piece of the body is read before a connection is taken, unless the other side has to request the body. What happens on idle connections meanwhile is found by the pool's check.

--- a/packages/lanedock-daemon/lanedock_daemon/path/shared/exchange.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/shared/exchange.py
@@ -235,15 +235,21 @@
         raise ExchangeError(
             ErrorCode.DEADLINE, Outcome.NOT_RUN, f"{address}: the deadline passed before the request was sent"
         )
+    first = b""
     try:
+        if continue_wait is None and request.body.length != 0:
+            # Before a connection is taken: the peer may close one during the wait, or send bytes that belong to no
+            # request.
+            first = _read_piece(request.body, MAX_PIECE_BYTES, deadline)
+            timeout = deadline - monotonic()
         reader = pool.get(address, timeout)
-    except StopTimeout as exc:
+    except (StopTimeout, OSError) as exc:
         raise make_failure(address, exc, False) from exc
     reader.begin(request.method)
     with ExchangeGuard(reader, address):
         reader.conn.set_deadline(deadline)
         reader.conn.set_user_timeout(USER_TIMEOUT_MS)
-        _send(_RequestWriter(reader, is_foreign), request, headers, deadline, continue_wait)
+        _send(_RequestWriter(reader, is_foreign), request, headers, deadline, continue_wait, first)
     return PendingAnswer(pool, address, reader, deadline)
 
 
@@ -329,8 +335,9 @@
     headers: list[tuple[str, str]],
     deadline: float,
     continue_wait: ContinueWait | None,
+    first: bytes,
 ) -> None:
-    """Write a request; the head and a small body are sent in one piece."""
+    """Write a request, of whose body `first` has been read; the head and a small body are sent in one piece."""
     reader, body = writer.reader, request.body
     lines = [f"{request.method} {request.target} HTTP/1.1"]
     lines += [f"{name}: {value}" for name, value in headers if name != "content-length"]
@@ -355,9 +362,9 @@
         reader.conn.set_user_timeout(0)
     pacer = Pacer(reader.body_pace if continue_wait is not None else None, monotonic())
     if body.length is None:
-        _send_chunked(writer, head, body, deadline, pacer)
+        _send_chunked(writer, head, body, deadline, pacer, first)
     else:
-        _send_counted(writer, head, body, deadline, pacer)
+        _send_counted(writer, head, body, deadline, pacer, first)
 
 
 def _read_piece(body: Body, size: int, deadline: float) -> bytes:
@@ -374,10 +381,10 @@
     return piece
 
 
-def _send_counted(writer: _RequestWriter, head: bytes, body: Body, deadline: float, pacer: Pacer) -> None:
+def _send_counted(writer: _RequestWriter, head: bytes, body: Body, deadline: float, pacer: Pacer, first: bytes) -> None:
     bytes_left = body.length
     while bytes_left > 0:
-        piece = _read_piece(body, min(pacer.piece_size, bytes_left), deadline)
+        piece, first = first or _read_piece(body, min(pacer.piece_size, bytes_left), deadline), b""
         if not piece:
             raise ConnectionError(f"the request body ended {bytes_left} bytes before its declared length")
         if bytes_left < body.length and writer.has_answer():
@@ -390,13 +397,14 @@
             pacer.pause(len(piece))
 
 
-def _send_chunked(writer: _RequestWriter, head: bytes, body: Body, deadline: float, pacer: Pacer) -> None:
+def _send_chunked(writer: _RequestWriter, head: bytes, body: Body, deadline: float, pacer: Pacer, first: bytes) -> None:
     """Write a body in chunks; the head is sent together with the first chunk.
 
     If the head were sent earlier, the application might start the request although its sender,
     whose body was never requested, reports it as not run.
     """
-    while piece := _read_piece(body, pacer.piece_size, deadline):
+    while piece := first or _read_piece(body, pacer.piece_size, deadline):
+        first = b""
         if not head and writer.has_answer():
             return
         if not writer.write(b"%b%x\r\n%b\r\n" % (head, len(piece), piece)):
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_requests_in_progress.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_requests_in_progress.py
@@ -3,9 +3,13 @@
 
 import gevent
 import pytest
+from gevent import socket
 
 from lanedock.clock import monotonic
-from lanedock_daemon.path.tests.chain import Gate, wait_until
+from lanedock_daemon.path.http.messages import NEVER, Body, EmptyBody, Request
+from lanedock_daemon.path.shared.exchange import exchange
+from lanedock_daemon.path.shared.pool import ConnectionPool
+from lanedock_daemon.path.tests.chain import Application, Gate, wait_until
 
 OK = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
 
@@ -87,3 +91,32 @@
         gevent.sleep(wait)
         assert chain.request("POST", f"/{number}", b"x")[::2] == (200, b"ok")
     assert len(chain.applications[0].connections) == 2
+
+
+@pytest.mark.parametrize("end", [b"garbage", OK, b""], ids=["garbage", "answer", "close"])
+@pytest.mark.parametrize("is_chunked", [False, True], ids=["length", "chunked"])
+def test_event_on_an_idle_connection_ends_no_request_whose_body_is_awaited(end, is_chunked):
+    application = Application(lambda conn, head, body: OK)
+    pool = ConnectionPool()
+    try:
+        for _ in range(2):
+            exchange(pool, application.address, Request("POST", "/", "h", [], EmptyBody()), [], 5.0).read_all()
+
+        class Late(Body):
+            length = None if is_chunked else 1
+            pieces = [b"x"]
+
+            def read(self, size: int, deadline: float = NEVER) -> bytes:
+                if not self.pieces:
+                    return b""
+                conn = application.connections[0]
+                conn.sendall(end) if end else conn.shutdown(socket.SHUT_WR)
+                gevent.sleep(0.05)
+                return self.pieces.pop()
+
+        answer = exchange(pool, application.address, Request("POST", "/", "h", [], Late()), [], 5.0)
+        assert (answer.message.status, answer.read_all()) == (200, b"ok")
+        assert len(application.connections) == 2
+    finally:
+        pool.close()
+        application.server.stop(timeout=0)
