Find the answer to a request behind bytes that are no answer

Callers got 502 (LD3008) for a request that its application worked on, when the application had sent bytes behind its former answer on the connection so late that they came while the request was in progress: the parser failed on them, and the connection was closed, by which most applications drop the request.

The own answer is looked for behind them, and is accepted only with the id of the request. The connection isn't used again. The same bytes may have been sent in place of the answer; so the own answer is awaited only as long as nearly all answers of the route take (the measured tail of its service times), and the outcome is unknown afterwards, as before, and no crash is suspected. E507 is logged with the status 0.

--- a/packages/lanedock-daemon/lanedock_daemon/path/shared/exchange.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/shared/exchange.py
@@ -9,8 +9,9 @@
 from lanedock.errors import ErrorCode
 from lanedock.telemetry import Event, EventLogger
 from lanedock_daemon.path.http.messages import MAX_PIECE_BYTES, Body, BodyTimeout, Outcome, Request
-from lanedock_daemon.path.http.parser import AnswerReader, Message
+from lanedock_daemon.path.http.parser import AnswerReader, MalformedMessage, Message
 from lanedock_daemon.path.http.service import StopTimeout
+from lanedock_daemon.path.shared.answer_recovery import RecoveringAnswerReader
 from lanedock_daemon.path.shared.answers import ExchangeGuard, UpstreamAnswer, make_failure
 from lanedock_daemon.path.shared.pool import USER_TIMEOUT_MS, ConnectionPool, ExchangeError
 
@@ -90,7 +91,7 @@
     ----------
     pool : ConnectionPool
     address : tuple of (str, int)
-    reader : AnswerReader
+    reader : RecoveringAnswerReader
     deadline : float
         Monotonic time, in seconds, until which the answer has to be read, except for parts
         after its first pieces have been passed on.
@@ -103,7 +104,7 @@
 
     __slots__ = ("_address", "_deadline", "_pool", "_reader", "is_being_read")
 
-    def __init__(self, pool: ConnectionPool, address: tuple[str, int], reader: AnswerReader, deadline: float):
+    def __init__(self, pool: ConnectionPool, address: tuple[str, int], reader: RecoveringAnswerReader, deadline: float):
         self._pool = pool
         self._address = address
         self._reader = reader
@@ -142,7 +143,8 @@
         """
         self.is_being_read = True
         with ExchangeGuard(self._reader, self._address):
-            self._reader.conn.set_deadline(self._deadline)
+            has_discarded = self._reader.has_discarded
+            self._reader.conn.set_deadline(self._reader.recovery_deadline if has_discarded else self._deadline)
             return self._next_head()
 
     def skip(self, message: Message) -> Message:
@@ -161,16 +163,37 @@
             return self._next_head()
 
     def _next_head(self) -> Message:
-        message = self._reader.next_head()
-        if message is None:
-            raise ConnectionError("the upstream closed the connection before the answer")
+        try:
+            message = self._reader.next_head()
+            if message is None:
+                raise ConnectionError("the upstream closed the connection before the answer")
+        except OSError as exc:
+            if self._reader.has_discarded and monotonic() < self._deadline:
+                raise MalformedMessage("no answer behind bytes that are none") from exc
+            raise
         return message
 
+    def limit_recovery(self, seconds: float) -> None:
+        """Limit how long the answer is awaited from now on behind bytes that are none, which may stand for it."""
+        self._reader.recovery_deadline = min(self._deadline, monotonic() + seconds)
+
+    @property
+    def has_discarded(self) -> bool:
+        """Whether bytes that are no answer were discarded before the answer."""
+        return self._reader.has_discarded
+
+    def is_unidentified(self, message: Message) -> bool:
+        """Return whether an answer can't be told from the bytes before it, as it doesn't state the request's id."""
+        return self._reader.is_unidentified(message)
+
     def accept(self, message: Message) -> UpstreamAnswer:
         """Return the answer whose head was read; its body still has to be read."""
         if self._reader.has_skipped:
             # More answers to other requests may follow, so the connection is not reused.
             message.keep_alive = False
+        if self._reader.has_discarded:
+            self._reader.conn.set_deadline(self._deadline)
+        self._reader.note_own_answer(message)
         self._pool.record_answer_start(self._address, monotonic())
         return UpstreamAnswer(self._reader, message, self._pool, self._address)
 
@@ -206,6 +229,7 @@
     deadline: float,
     continue_wait: ContinueWait | None = None,
     is_foreign: IsForeign | None = None,
+    request_id: str = "",
 ) -> PendingAnswer:
     """Send a request over a pooled connection.
 
@@ -224,6 +248,8 @@
     is_foreign : callable, optional
         Returns whether an answer, of which it gets the head, belongs to another request. Such an answer
         doesn't end the request's body.
+    request_id : str
+        Id that the answer is expected to state; empty if it may state none.
 
     Raises
     ------
@@ -245,7 +271,7 @@
         reader = pool.get(address, timeout)
     except (StopTimeout, OSError) as exc:
         raise make_failure(address, exc, False) from exc
-    reader.begin(request.method)
+    reader.begin_request(request.method, request_id)
     with ExchangeGuard(reader, address):
         reader.conn.set_deadline(deadline)
         reader.conn.set_user_timeout(USER_TIMEOUT_MS)
@@ -276,14 +302,14 @@
 
     Parameters
     ----------
-    reader : AnswerReader
+    reader : RecoveringAnswerReader
     is_foreign : callable or None
         See `send_request`.
     """
 
     __slots__ = ("_is_foreign", "reader")
 
-    def __init__(self, reader: AnswerReader, is_foreign: IsForeign | None):
+    def __init__(self, reader: RecoveringAnswerReader, is_foreign: IsForeign | None):
         self.reader = reader
         self._is_foreign = is_foreign
 
@@ -322,12 +348,17 @@
         reader = self.reader
         while reader.receive_early():
             heads = reader.list_heads()
-            if not heads or self._is_foreign is None or not self._is_foreign(heads[0]):
+            if not (heads and self._belongs_to_another(heads[0])):
                 reader.is_body_unsent = True
                 return True
             reader.skip(reader.next_head())
         return False
 
+    def _belongs_to_another(self, message: Message) -> bool:
+        if self.reader.is_unidentified(message):
+            return True
+        return self._is_foreign is not None and self._is_foreign(message)
+
 
 def _send(
     writer: _RequestWriter,
--- a/packages/lanedock-daemon/lanedock_daemon/path/shared/pool.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/shared/pool.py
@@ -13,7 +13,7 @@
 from lanedock.errors import ErrorCode, LanedockError
 from lanedock_daemon.path.http.channel import Channel
 from lanedock_daemon.path.http.messages import NEVER, Outcome
-from lanedock_daemon.path.http.parser import AnswerReader
+from lanedock_daemon.path.shared.answer_recovery import RecoveringAnswerReader
 from lanedock_daemon.sockets import open_connection
 
 __all__ = ["USER_TIMEOUT_MS", "ConnectionPool", "ExchangeError"]
@@ -85,13 +85,13 @@
         self._connect_timeout = connect_timeout
         self._idle: dict[tuple[str, int], list] = {}
         # All open connections, in use or idle.
-        self._addresses: WeakKeyDictionary[AnswerReader, tuple[str, int]] = WeakKeyDictionary()
+        self._addresses: WeakKeyDictionary[RecoveringAnswerReader, tuple[str, int]] = WeakKeyDictionary()
         self._heard_at: dict[tuple[str, int], float] = {}
 
     def __repr__(self) -> str:
         return f"<ConnectionPool idle={sum(map(len, self._idle.values()))}>"
 
-    def get(self, address: tuple[str, int], timeout: float) -> AnswerReader:
+    def get(self, address: tuple[str, int], timeout: float) -> RecoveringAnswerReader:
         """Return the reader of an idle connection, or of a new one.
 
         Raises
@@ -107,7 +107,7 @@
             reader.conn.close()
         return self.connect(address, timeout)
 
-    def connect(self, address: tuple[str, int], timeout: float = CONNECT_TIMEOUT) -> AnswerReader:
+    def connect(self, address: tuple[str, int], timeout: float = CONNECT_TIMEOUT) -> RecoveringAnswerReader:
         """Open a new connection and return its reader.
 
         Raises
@@ -122,17 +122,17 @@
         _set_socket_options(conn)
         channel = Channel(conn)
         channel.set_user_timeout(USER_TIMEOUT_MS)
-        reader = AnswerReader(channel)
+        reader = RecoveringAnswerReader(channel)
         self._addresses[reader] = address
         return reader
 
-    def put(self, address: tuple[str, int], reader: AnswerReader, idle_time: float = NEVER) -> None:
+    def put(self, address: tuple[str, int], reader: RecoveringAnswerReader, idle_time: float = NEVER) -> None:
         """Return a connection to the pool after its answer was read to the end.
 
         Parameters
         ----------
         address : tuple of (str, int)
-        reader : AnswerReader
+        reader : RecoveringAnswerReader
         idle_time : float
             Seconds after which the peer closes the connection if it is idle.
         """
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream/upstream.py
@@ -367,8 +367,10 @@
                 headers,
                 deadline,
                 is_foreign=lambda message: self._read_facts(message, log).is_foreign,
+                request_id=log.request_id,
             )
             tail = min(self._gate.limiter.tail_service_time(log.route), deadline - started)
+            pending.limit_recovery(tail)
             if not pending.wait(tail):
                 pending.handle_late_answer(started, self._events, self._registration.upstream)
             message, facts = self._read_own_answer(pending, log)
@@ -426,10 +428,12 @@
         return Answer(head.status, head.reason, headers, rest)
 
     def _read_own_answer(self, pending: PendingAnswer, log: RequestLog) -> tuple[Message, AnswerFacts]:
-        """Read the head of a request's answer, and discard late answers to other requests before it."""
+        """Read the head of a request's answer, and discard what belongs to other requests, or to none, before it."""
         message = pending.read_head()
-        while (facts := self._read_facts(message, log)).is_foreign:
+        while (facts := self._read_facts(message, log)).is_foreign or pending.is_unidentified(message):
             message = pending.skip(message)
+        if pending.has_discarded:
+            self._events.emit(Event.ANSWER_DISCARDED, request=log.request_id, status=0)
         return message, facts
 
     def _read_facts(self, message: Message, log: RequestLog) -> AnswerFacts:
--- a/packages/lanedock/lanedock/telemetry/events.py
+++ b/packages/lanedock/lanedock/telemetry/events.py
@@ -283,9 +283,9 @@
     ANSWER_DISCARDED = (
         507,
         logging.INFO,
-        "The application sent an answer to another request in the place of this request's answer. It was discarded; "
-        "the request's own answer is awaited.",
-        "Check the application: it answers requests twice, or late.",
+        "The application sent an answer to another request in the place of this request's answer, or bytes that are no "
+        "answer (`status` is 0). They were discarded; the request's own answer is awaited.",
+        "Check the application: it answers requests twice, or late, or sends bytes behind its answers.",
     )
     REQUEST_END = (
         508,
