Reuse connections to daemons for four fifths of their idle time only

A daemon's server closes an idle connection after the idle time of the version in force, or 300 s, and states no Keep-Alive. So other daemons used their pooled connections until the close; a request that crosses it gets 502, though nobody has read it, and a POST can't be repeated.

The pool of the caller's side now takes the idle time of its own version for that of the other daemons, whose servers apply the same limits; so four fifths of it are used, as for stated times. The same holds for the connection that a successful probe of an unreachable daemon leaves. An answer's own Keep-Alive still comes first. Ruled out: a Keep-Alive header in the servers' answers, which costs bytes in each and states whole seconds only.

Three tests; the two through a chain of daemons fail on the code before (the connection is reused 0.85 s after the last answer, with an idle time of 1 s; the third is of the new parameter of the prober). The crossing itself was not run. test_hedging, test_deadlines, test_silence, test_resets and the caller's own tests pass.

--- a/packages/lanedock-daemon/lanedock_daemon/path/caller/attempts.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller/attempts.py
@@ -1,6 +1,8 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """Single attempts to send a request to an upstream, and the interpretation of their results."""
 
+from collections.abc import Callable
+
 import gevent
 
 from lanedock.clock import monotonic
@@ -72,17 +74,26 @@
     metrics : Metrics
     quarantine : Quarantine
         Records the upstream crashes that upstreams' daemons report with their answers.
+    idle_time : callable
+        Returns the seconds after which daemons close idle connections.
     """
 
     def __init__(
-        self, pool: ConnectionPool, dialect: Dialect, events: EventLogger, metrics: Metrics, quarantine: Quarantine
+        self,
+        pool: ConnectionPool,
+        dialect: Dialect,
+        events: EventLogger,
+        metrics: Metrics,
+        quarantine: Quarantine,
+        idle_time: Callable[[], float],
     ):
+        self._idle_time = idle_time
         self._quarantine = quarantine
         self._pool = pool
         self._dialect = dialect
         self._events = events
         self._metrics = metrics
-        self._prober = UpstreamProber(pool, events)
+        self._prober = UpstreamProber(pool, events, idle_time)
 
     def send_hedged(self, context: RequestContext, stats: UpstreamStats, attempt: int) -> AttemptResult:
         """Send a request, and send it to a second upstream if the answer is later than nearly all others.
@@ -187,7 +198,13 @@
         request.trace.note_sent(stats.endpoint.instance)
         try:
             return send_request(
-                self._pool, stats.address, request, sent, context.deadline + REFUSAL_GRACE, continue_wait
+                self._pool,
+                stats.address,
+                request,
+                sent,
+                context.deadline + REFUSAL_GRACE,
+                continue_wait,
+                idle_time=self._idle_time(),
             )
         except ExchangeError as exc:
             return self._on_failed(context, stats, exc, started)
--- a/packages/lanedock-daemon/lanedock_daemon/path/caller/caller.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller/caller.py
@@ -20,6 +20,7 @@
 from lanedock_daemon.path.caller.load_prober import LoadProber
 from lanedock_daemon.path.caller.progress import AttemptProgress
 from lanedock_daemon.path.caller.request_context import RequestContext
+from lanedock_daemon.path.http.connection import IDLE_TIMEOUT
 from lanedock_daemon.path.http.headers import (
     CALLER_HEADER,
     CLASS_HEADER,
@@ -102,7 +103,7 @@
         self._customer_request_names = (
             self._dialect.request_names | self._dialect.key_names | self._dialect.customer_names
         )
-        self._attempts = AttemptSender(pool, self._dialect, events, metrics, view.quarantine)
+        self._attempts = AttemptSender(pool, self._dialect, events, metrics, view.quarantine, self._read_idle_time)
         self._load_prober = LoadProber(metrics)
         self._rng = rng or Random()
         self._ages = FirstAttempts()
@@ -279,6 +280,11 @@
         answer.ends_connection = True
         return answer
 
+    def _read_idle_time(self) -> float:
+        """Return the seconds after which daemons close idle connections; they apply the same limits as this one."""
+        limits = self._view.caller_limits()
+        return IDLE_TIMEOUT if limits is None else limits.idle_timeout_ms / 1000
+
     # ---------------------------------------------------------------- attempts
 
     def _make_context(
--- a/packages/lanedock-daemon/lanedock_daemon/path/caller/prober.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller/prober.py
@@ -6,6 +6,7 @@
 """
 
 import random
+from collections.abc import Callable
 
 import gevent
 
@@ -30,10 +31,13 @@
     pool : ConnectionPool
         Receives the connection of the successful probe.
     events : EventLogger
+    idle_time : callable
+        Returns the seconds after which daemons close idle connections.
     """
 
-    def __init__(self, pool: ConnectionPool, events: EventLogger):
+    def __init__(self, pool: ConnectionPool, events: EventLogger, idle_time: Callable[[], float]):
         self._pool = pool
+        self._idle_time = idle_time
         self._events = events
 
     def run(self, balancer: Balancer, stats: UpstreamStats) -> None:
@@ -55,5 +59,5 @@
             reader = self._pool.connect(address)
         except ExchangeError:
             return False
-        self._pool.put(address, reader)
+        self._pool.put(address, reader, self._idle_time())
         return True
--- a/packages/lanedock-daemon/lanedock_daemon/path/shared/answers.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/shared/answers.py
@@ -28,15 +28,32 @@
 class UpstreamAnswer:
     """An answer whose head has been read and whose body may still have to be read.
 
+    Parameters
+    ----------
+    reader : AnswerReader
+    message : Message
+    pool : ConnectionPool
+    address : tuple of (str, int)
+    idle_time : float
+        See `send_request`.
+
     Attributes
     ----------
     message : Message
     """
 
-    __slots__ = ("_address", "_pool", "_reader", "_silence", "message")
+    __slots__ = ("_address", "_idle_time", "_pool", "_reader", "_silence", "message")
 
-    def __init__(self, reader: AnswerReader, message: Message, pool: ConnectionPool, address: tuple[str, int]):
+    def __init__(
+        self,
+        reader: AnswerReader,
+        message: Message,
+        pool: ConnectionPool,
+        address: tuple[str, int],
+        idle_time: float = NEVER,
+    ):
         self.message = message
+        self._idle_time = idle_time
         self._reader: AnswerReader | None = reader
         self._pool = pool
         self._address = address
@@ -123,7 +140,7 @@
         if reader is None:
             return
         if self.message.keep_alive and not (reader.has_unread_data() or reader.is_body_unsent):
-            self._pool.put(self._address, reader, _read_idle_time(self.message))
+            self._pool.put(self._address, reader, _read_idle_time(self.message, self._idle_time))
         else:
             reader.conn.close()
 
@@ -134,10 +151,10 @@
             reader.conn.close()
 
 
-def _read_idle_time(message: Message) -> float:
-    """Return the seconds after which the peer closes the connection if it is idle; infinite if it states none."""
+def _read_idle_time(message: Message, default: float) -> float:
+    """Return the seconds after which the peer closes the connection if it is idle; `default` if it states none."""
     match = _KEEP_ALIVE_TIMEOUT.search(message.header("keep-alive"))
-    return int(match[1]) if match else NEVER
+    return int(match[1]) if match else default
 
 
 class AnswerPieces:
--- a/packages/lanedock-daemon/lanedock_daemon/path/shared/exchange.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/shared/exchange.py
@@ -8,7 +8,7 @@
 from lanedock.clock import monotonic
 from lanedock.errors import ErrorCode
 from lanedock.telemetry import Event, EventLogger
-from lanedock_daemon.path.http.messages import MAX_PIECE_BYTES, Body, BodyTimeout, Outcome, Request
+from lanedock_daemon.path.http.messages import MAX_PIECE_BYTES, NEVER, Body, BodyTimeout, Outcome, Request
 from lanedock_daemon.path.http.parser import AnswerReader, MalformedMessage, Message
 from lanedock_daemon.path.http.service import StopTimeout
 from lanedock_daemon.path.shared.answer_recovery import RecoveringAnswerReader
@@ -95,6 +95,8 @@
     deadline : float
         Monotonic time, in seconds, until which the answer has to be read, except for parts
         after its first pieces have been passed on.
+    idle_time : float
+        See `send_request`.
 
     Attributes
     ----------
@@ -102,13 +104,21 @@
         Whether `read` has been called, which closes the connection if it fails.
     """
 
-    __slots__ = ("_address", "_deadline", "_pool", "_reader", "is_being_read")
+    __slots__ = ("_address", "_deadline", "_idle_time", "_pool", "_reader", "is_being_read")
 
-    def __init__(self, pool: ConnectionPool, address: tuple[str, int], reader: RecoveringAnswerReader, deadline: float):
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        address: tuple[str, int],
+        reader: RecoveringAnswerReader,
+        deadline: float,
+        idle_time: float,
+    ):
         self._pool = pool
         self._address = address
         self._reader = reader
         self._deadline = deadline
+        self._idle_time = idle_time
         self.is_being_read = False
 
     def wait(self, timeout: float) -> bool:
@@ -195,7 +205,7 @@
             self._reader.conn.set_deadline(self._deadline)
         self._reader.note_own_answer(message)
         self._pool.record_answer_start(self._address, monotonic())
-        return UpstreamAnswer(self._reader, message, self._pool, self._address)
+        return UpstreamAnswer(self._reader, message, self._pool, self._address, self._idle_time)
 
     def close(self) -> None:
         """Cancel the request by closing the connection; its answer is no longer awaited."""
@@ -230,6 +240,7 @@
     continue_wait: ContinueWait | None = None,
     is_foreign: IsForeign | None = None,
     request_id: str = "",
+    idle_time: float = NEVER,
 ) -> PendingAnswer:
     """Send a request over a pooled connection.
 
@@ -250,6 +261,8 @@
         doesn't end the request's body.
     request_id : str
         Id that the answer is expected to state; empty if it may state none.
+    idle_time : float
+        Seconds after which the peer closes an idle connection, unless its answer states another time.
 
     Raises
     ------
@@ -276,7 +289,7 @@
         reader.conn.set_deadline(deadline)
         reader.conn.set_user_timeout(USER_TIMEOUT_MS)
         _send(_RequestWriter(reader, is_foreign), request, headers, deadline, continue_wait, first)
-    return PendingAnswer(pool, address, reader, deadline)
+    return PendingAnswer(pool, address, reader, deadline, idle_time)
 
 
 def exchange(
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_requests_in_progress.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_requests_in_progress.py
@@ -6,6 +6,9 @@
 from gevent import socket
 
 from lanedock.clock import monotonic
+from lanedock.config import CallerLimits
+from lanedock.telemetry import EventLogger
+from lanedock_daemon.path.caller.prober import UpstreamProber
 from lanedock_daemon.path.http.messages import NEVER, Body, EmptyBody, Request
 from lanedock_daemon.path.shared.exchange import exchange
 from lanedock_daemon.path.shared.pool import ConnectionPool
@@ -120,3 +123,31 @@
     finally:
         pool.close()
         application.server.stop(timeout=0)
+
+
+@pytest.mark.parametrize("method", ["GET", "POST"])
+def test_connection_that_another_daemon_is_about_to_close_as_idle_is_not_reused(make_chain, method, monkeypatch):
+    """A request that meets the close of a daemon's server would be unknown, though nobody has read it."""
+    chain = make_chain(None)
+    limits = CallerLimits(idle_timeout_ms=1000)
+    monkeypatch.setattr(chain.view, "caller_limits", lambda: limits)
+    connected = []
+    connect = chain.pool.connect
+    monkeypatch.setattr(chain.pool, "connect", lambda *args: connected.append(args) or connect(*args))
+    for wait in (0.0, 0.1, 0.85):
+        gevent.sleep(wait)
+        assert chain.request(method)[::2] == (200, b"ok")
+    assert len(connected) == 2
+
+
+def test_connection_of_a_probe_that_another_daemon_is_about_to_close_is_not_used():
+    application = Application()
+    pool = ConnectionPool()
+    try:
+        assert UpstreamProber(pool, EventLogger("test"), lambda: 0.1)._try_connect(application.address)
+        gevent.sleep(0.09)
+        pool.get(application.address, 1.0).conn.close()
+        wait_until(lambda: len(application.connections) == 2)
+    finally:
+        pool.close()
+        application.server.stop(timeout=0)
