Round the deadline of the next daemon up to a millisecond

The time left that a daemon hands to the next one was rounded down, so the next daemon's own 504 came up to 1 ms before the caller's deadline, and replaced an answer that came in that millisecond. It is rounded up now; this side's deadline binds as before. Applications are handed 1 ms less than the daemon beside them has left, which is what they were handed before, so that their own 504 comes in time. By reading: the target time and the time to start by stay rounded down; the first only orders the queue, the second bounds the start of a request, and an earlier bound refuses without having passed anything on.

The new test compares both values of 20 requests with the caller's deadline. It failed before (0.2 ms early in the first request). test_deadlines, test_promises, test_stop_times, test_urgency, test_advertised_facts, test_body_gate, test_customers, test_extra_answers, test_translation and tests/test_platform.py pass.

--- a/packages/lanedock-daemon/lanedock_daemon/path/caller/attempts.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller/attempts.py
@@ -2,6 +2,7 @@
 """Single attempts to send a request to an upstream, and the interpretation of their results."""
 
 from collections.abc import Callable
+from math import ceil
 
 import gevent
 
@@ -165,7 +166,8 @@
         sent = [
             *context.headers,
             (ATTEMPT_HEADER, str(attempt)),
-            (DEADLINE_HEADER, str(max(1, int(left * 1000)))),
+            # Rounded up: the daemon's own answer at its deadline must not come before this side's.
+            (DEADLINE_HEADER, str(max(1, ceil(left * 1000)))),
         ]
         if context.target_time < context.deadline:
             sent.append((TARGET_HEADER, str(max(0, int((context.target_time - started) * 1000)))))
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_deadlines.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_deadlines.py
@@ -21,6 +21,7 @@
 from lanedock.clock import monotonic
 from lanedock.errors import ErrorCode
 from lanedock.wire import messages
+from lanedock_daemon.path.caller.attempts import AttemptSender
 from lanedock_daemon.path.http.channel import Channel
 from lanedock_daemon.path.http.headers import (
     CLASS_HEADER,
@@ -218,3 +219,33 @@
     assert channel.recv(100) == b"next"
     channel.close()
     far.close()
+
+
+def test_deadline_of_the_next_daemon_is_not_before_the_callers_and_that_of_the_application_not_after(
+    make_chain, monkeypatch
+):
+    """The next daemon's own 504 would replace an answer that comes in time."""
+    attempts, received = [], []
+    begin_attempt = AttemptSender._begin_attempt
+
+    def begin(sender, context, stats, attempt, started):
+        attempts.append((started, context.deadline))
+        return begin_attempt(sender, context, stats, attempt, started)
+
+    monkeypatch.setattr(AttemptSender, "_begin_attempt", begin)
+    chain = make_chain(None, value=_make_value())
+    handle = chain.upstreams[0].side.handle
+
+    def record(request):
+        received.append(int(request.header(DEADLINE_HEADER)))
+        return handle(request)
+
+    monkeypatch.setattr(chain.upstreams[0].side, "handle", record)
+    for _ in range(20):
+        assert chain.request("POST")[0] == 200
+    heads = [head.lower() for head in chain.applications[0].heads]
+    passed_on = [int(head.partition(f"{DEADLINE_HEADER}: ")[2].partition("\r\n")[0]) for head in heads]
+    assert len(attempts) == len(received) == len(passed_on) == 20
+    for (started, deadline), daemon_ms, application_ms in zip(attempts, received, passed_on, strict=True):
+        assert started + daemon_ms / 1000 >= deadline - 1e-6
+        assert started + application_ms / 1000 <= deadline
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream/request_headers.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream/request_headers.py
@@ -21,6 +21,9 @@
 
 __all__ = ["RequestHeaders"]
 
+# By how much a daemon's deadline may lie after the caller's: daemons round up, and the application's own answer at its
+# deadline has to come in time.
+DEADLINE_ROUNDING_MS = 1
 # Headers that the upstream's side sets itself and therefore doesn't pass on.
 _REPLACED_HEADERS = (ATTEMPT_HEADER, DEADLINE_HEADER, TRACE_HEADER)
 
@@ -48,7 +51,7 @@
         """Make the headers of a request that has `remaining` seconds left."""
         customer = decode_name(request.header(CUSTOMER_HEADER))
         headers = public_headers(request.headers, self._list_removed_names(customer))
-        left_ms = max(1, int(remaining * 1000))
+        left_ms = max(1, int(remaining * 1000) - DEADLINE_ROUNDING_MS)
         attempt = request.header(ATTEMPT_HEADER)
         headers += self._dialect.request_headers(
             left_ms,
