Deliver an early answer while the caller is slow with its body

An application that answered before it had all of a request's body, while the caller sent no more of it, was heard only when the next piece came; if none came by the deadline, its caller got an unknown outcome in place of the answer.

A wait for more of a body now looks each 50 ms whether the answer has begun, also at the caller's daemon.

The new test's four cases (length or chunked; the application stays or closes) fail on the code before, with no answer within 3 s, and pass now. test_deadlines, test_body_gate, test_cancellation, test_narrow_link, test_bytes_before_answers, test_requests_in_progress, test_extra_answers and the upstream's own tests pass.

--- a/packages/lanedock-daemon/lanedock_daemon/path/shared/exchange.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/shared/exchange.py
@@ -19,6 +19,11 @@
 
 # Piece size, in bytes, of a paced body: 28 ms on a link of 2.3 Mbit/s.
 PACED_PIECE_SIZE = 8 * 1024
+# Seconds after which a wait for more of a body looks whether the answer has begun.
+ANSWER_POLL = 0.05
+# Seconds before the deadline from which on it doesn't look: another daemon answers then because the body is late, which
+# is not that daemon's fault. As long as the grace time that a daemon gets beyond the caller's deadline.
+LAST_LOOK = 0.05
 IsForeign = Callable[[Message], bool]
 _WITH_BODY = ("POST", "PUT", "PATCH")
 
@@ -425,14 +430,40 @@
     return piece
 
 
+def _read_next_piece(writer: _RequestWriter, body: Body, size: int, deadline: float) -> bytes | None:
+    """Return the next piece of a body of which a part may have been sent; None if the answer begins before it comes.
+
+    Raises
+    ------
+    BodyTimeout
+        If the deadline has passed.
+    """
+    piece = None
+    while piece is None:
+        look_at = monotonic() + ANSWER_POLL
+        try:
+            piece = body.read(size, look_at if look_at < deadline - LAST_LOOK else deadline)
+        except BodyTimeout:
+            now = monotonic()
+            if now >= deadline:
+                raise
+            if now >= deadline - LAST_LOOK:
+                continue
+        if writer.has_answer():
+            return None
+    if monotonic() >= deadline:
+        raise BodyTimeout("the request body was not passed on before the deadline")
+    return piece
+
+
 def _send_counted(writer: _RequestWriter, head: bytes, body: Body, deadline: float, pacer: Pacer, first: bytes) -> None:
     bytes_left = body.length
     while bytes_left > 0:
-        piece, first = first or _read_piece(body, min(pacer.piece_size, bytes_left), deadline), b""
+        piece, first = first or _read_next_piece(writer, body, min(pacer.piece_size, bytes_left), deadline), b""
+        if piece is None:
+            return
         if not piece:
             raise ConnectionError(f"the request body ended {bytes_left} bytes before its declared length")
-        if bytes_left < body.length and writer.has_answer():
-            return
         if not writer.write(head + piece if head else piece):
             return
         head = b""
@@ -447,12 +478,11 @@
     If the head were sent earlier, the application might start the request although its sender,
     whose body was never requested, reports it as not run.
     """
-    while piece := first or _read_piece(body, pacer.piece_size, deadline):
+    while piece := first or _read_next_piece(writer, body, pacer.piece_size, deadline):
         first = b""
-        if not head and writer.has_answer():
-            return
         if not writer.write(b"%b%x\r\n%b\r\n" % (head, len(piece), piece)):
             return
         head = b""
         pacer.pause(len(piece))
-    writer.write(head + b"0\r\n\r\n")
+    if piece is not None:
+        writer.write(head + b"0\r\n\r\n")
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_early_answers.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_early_answers.py
@@ -136,3 +136,25 @@
         conn.sendall(pieces[1])
         status, _, body = parse_answer(read_all(conn))
     assert (status, body) == (200, b"ok")
+
+
+@pytest.mark.parametrize("is_chunked", [False, True])
+@pytest.mark.parametrize("end", [_stay_open, _close])
+def test_early_answer_reaches_a_caller_that_is_slow_with_its_body(make_chain, is_chunked, end):
+    def serve(conn) -> bool:
+        data = _read_head(conn)
+        while b"abc" not in data:
+            data += conn.recv(1024)
+        gevent.sleep(0.1)
+        conn.sendall(ANSWER)
+        end(conn)
+        return False
+
+    chain = make_chain(None, value=_make_value())
+    chain.applications[0]._serve_one = serve
+    framing = b"transfer-encoding: chunked" if is_chunked else b"content-length: 60000"
+    with chain.connect() as conn, gevent.Timeout(3):
+        conn.sendall(b"POST /x HTTP/1.1\r\nhost: h\r\n" + framing + b"\r\n\r\n")
+        conn.sendall(b"3\r\nabc\r\n" if is_chunked else b"abc")
+        status, _, body = parse_answer(read_all(conn))
+    assert (status, body) == (413, b"no")
