--- a/packages/lanedock-daemon/lanedock_daemon/path/shared/exchange.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/shared/exchange.py
@@ -8,9 +8,10 @@
 from lanedock.clock import monotonic
 from lanedock.errors import ErrorCode
 from lanedock.telemetry import Event, EventLogger
-from lanedock_daemon.path.http.messages import MAX_PIECE_BYTES, Body, BodyTimeout, Outcome, Request
-from lanedock_daemon.path.http.parser import AnswerReader, Message
+from lanedock_daemon.path.http.messages import MAX_PIECE_BYTES, NEVER, Body, BodyTimeout, Outcome, Request
+from lanedock_daemon.path.http.parser import AnswerReader, MalformedMessage, Message
 from lanedock_daemon.path.http.service import StopTimeout
+from lanedock_daemon.path.shared.answer_recovery import RecoveringAnswerReader
 from lanedock_daemon.path.shared.answers import ExchangeGuard, UpstreamAnswer, make_failure
 from lanedock_daemon.path.shared.pool import USER_TIMEOUT_MS, ConnectionPool, ExchangeError
 
@@ -18,6 +19,11 @@
 
 # Piece size, in bytes, of a paced body: 28 ms on a link of 2.3 Mbit/s.
 PACED_PIECE_SIZE = 8 * 1024
+# Seconds after which a wait for more of a body looks whether the answer has begun.
+ANSWER_POLL = 0.05
+# Seconds before the deadline from which on it doesn't look: another daemon answers then because the body is late, which
+# is not that daemon's fault. As long as the grace time that a daemon gets beyond the caller's deadline.
+LAST_LOOK = 0.05
 IsForeign = Callable[[Message], bool]
 _WITH_BODY = ("POST", "PUT", "PATCH")
 
@@ -90,10 +96,12 @@
     ----------
     pool : ConnectionPool
     address : tuple of (str, int)
-    reader : AnswerReader
+    reader : RecoveringAnswerReader
     deadline : float
         Monotonic time, in seconds, until which the answer has to be read, except for parts
         after its first pieces have been passed on.
+    idle_time : float
+        See `send_request`.
 
     Attributes
     ----------
@@ -101,13 +109,21 @@
         Whether `read` has been called, which closes the connection if it fails.
     """
 
-    __slots__ = ("_address", "_deadline", "_pool", "_reader", "is_being_read")
+    __slots__ = ("_address", "_deadline", "_idle_time", "_pool", "_reader", "is_being_read")
 
-    def __init__(self, pool: ConnectionPool, address: tuple[str, int], reader: AnswerReader, deadline: float):
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        address: tuple[str, int],
+        reader: RecoveringAnswerReader,
+        deadline: float,
+        idle_time: float,
+    ):
         self._pool = pool
         self._address = address
         self._reader = reader
         self._deadline = deadline
+        self._idle_time = idle_time
         self.is_being_read = False
 
     def wait(self, timeout: float) -> bool:
@@ -142,7 +158,8 @@
         """
         self.is_being_read = True
         with ExchangeGuard(self._reader, self._address):
-            self._reader.conn.set_deadline(self._deadline)
+            has_discarded = self._reader.has_discarded
+            self._reader.conn.set_deadline(self._reader.recovery_deadline if has_discarded else self._deadline)
             return self._next_head()
 
     def skip(self, message: Message) -> Message:
@@ -161,18 +178,39 @@
             return self._next_head()
 
     def _next_head(self) -> Message:
-        message = self._reader.next_head()
-        if message is None:
-            raise ConnectionError("the upstream closed the connection before the answer")
+        try:
+            message = self._reader.next_head()
+            if message is None:
+                raise ConnectionError("the upstream closed the connection before the answer")
+        except OSError as exc:
+            if self._reader.has_discarded and monotonic() < self._deadline:
+                raise MalformedMessage("no answer behind bytes that are none") from exc
+            raise
         return message
 
+    def limit_recovery(self, seconds: float) -> None:
+        """Limit how long the answer is awaited from now on behind bytes that are none, which may stand for it."""
+        self._reader.recovery_deadline = min(self._deadline, monotonic() + seconds)
+
+    @property
+    def has_discarded(self) -> bool:
+        """Whether bytes that are no answer were discarded before the answer."""
+        return self._reader.has_discarded
+
+    def is_unidentified(self, message: Message) -> bool:
+        """Return whether an answer can't be told from the bytes before it, as it doesn't state the request's id."""
+        return self._reader.is_unidentified(message)
+
     def accept(self, message: Message) -> UpstreamAnswer:
         """Return the answer whose head was read; its body still has to be read."""
         if self._reader.has_skipped:
             # More answers to other requests may follow, so the connection is not reused.
             message.keep_alive = False
+        if self._reader.has_discarded:
+            self._reader.conn.set_deadline(self._deadline)
+        self._reader.note_own_answer(message)
         self._pool.record_answer_start(self._address, monotonic())
-        return UpstreamAnswer(self._reader, message, self._pool, self._address)
+        return UpstreamAnswer(self._reader, message, self._pool, self._address, self._idle_time)
 
     def close(self) -> None:
         """Cancel the request by closing the connection; its answer is no longer awaited."""
@@ -206,6 +244,8 @@
     deadline: float,
     continue_wait: ContinueWait | None = None,
     is_foreign: IsForeign | None = None,
+    request_id: str = "",
+    idle_time: float = NEVER,
 ) -> PendingAnswer:
     """Send a request over a pooled connection.
 
@@ -224,6 +264,10 @@
     is_foreign : callable, optional
         Returns whether an answer, of which it gets the head, belongs to another request. Such an answer
         doesn't end the request's body.
+    request_id : str
+        Id that the answer is expected to state; empty if it may state none.
+    idle_time : float
+        Seconds after which the peer closes an idle connection, unless its answer states another time.
 
     Raises
     ------
@@ -235,16 +279,22 @@
         raise ExchangeError(
             ErrorCode.DEADLINE, Outcome.NOT_RUN, f"{address}: the deadline passed before the request was sent"
         )
+    first = b""
     try:
+        if continue_wait is None and request.body.length != 0:
+            # Before a connection is taken: the peer may close one during the wait, or send bytes that belong to no
+            # request.
+            first = _read_piece(request.body, MAX_PIECE_BYTES, deadline)
+            timeout = deadline - monotonic()
         reader = pool.get(address, timeout)
-    except StopTimeout as exc:
+    except (StopTimeout, OSError) as exc:
         raise make_failure(address, exc, False) from exc
-    reader.begin(request.method)
+    reader.begin_request(request.method, request_id)
     with ExchangeGuard(reader, address):
         reader.conn.set_deadline(deadline)
         reader.conn.set_user_timeout(USER_TIMEOUT_MS)
-        _send(_RequestWriter(reader, is_foreign), request, headers, deadline, continue_wait)
-    return PendingAnswer(pool, address, reader, deadline)
+        _send(_RequestWriter(reader, is_foreign), request, headers, deadline, continue_wait, first)
+    return PendingAnswer(pool, address, reader, deadline, idle_time)
 
 
 def exchange(
@@ -270,14 +320,14 @@
 
     Parameters
     ----------
-    reader : AnswerReader
+    reader : RecoveringAnswerReader
     is_foreign : callable or None
         See `send_request`.
     """
 
     __slots__ = ("_is_foreign", "reader")
 
-    def __init__(self, reader: AnswerReader, is_foreign: IsForeign | None):
+    def __init__(self, reader: RecoveringAnswerReader, is_foreign: IsForeign | None):
         self.reader = reader
         self._is_foreign = is_foreign
 
@@ -316,12 +366,17 @@
         reader = self.reader
         while reader.receive_early():
             heads = reader.list_heads()
-            if not heads or self._is_foreign is None or not self._is_foreign(heads[0]):
+            if not (heads and self._belongs_to_another(heads[0])):
                 reader.is_body_unsent = True
                 return True
             reader.skip(reader.next_head())
         return False
 
+    def _belongs_to_another(self, message: Message) -> bool:
+        if self.reader.is_unidentified(message):
+            return True
+        return self._is_foreign is not None and self._is_foreign(message)
+
 
 def _send(
     writer: _RequestWriter,
@@ -329,8 +384,9 @@
     headers: list[tuple[str, str]],
     deadline: float,
     continue_wait: ContinueWait | None,
+    first: bytes,
 ) -> None:
-    """Write a request; the head and a small body are sent in one piece."""
+    """Write a request, of whose body `first` has been read; the head and a small body are sent in one piece."""
     reader, body = writer.reader, request.body
     lines = [f"{request.method} {request.target} HTTP/1.1"]
     lines += [f"{name}: {value}" for name, value in headers if name != "content-length"]
@@ -355,9 +411,9 @@
         reader.conn.set_user_timeout(0)
     pacer = Pacer(reader.body_pace if continue_wait is not None else None, monotonic())
     if body.length is None:
-        _send_chunked(writer, head, body, deadline, pacer)
+        _send_chunked(writer, head, body, deadline, pacer, first)
     else:
-        _send_counted(writer, head, body, deadline, pacer)
+        _send_counted(writer, head, body, deadline, pacer, first)
 
 
 def _read_piece(body: Body, size: int, deadline: float) -> bytes:
@@ -374,14 +430,40 @@
     return piece
 
 
-def _send_counted(writer: _RequestWriter, head: bytes, body: Body, deadline: float, pacer: Pacer) -> None:
+def _read_next_piece(writer: _RequestWriter, body: Body, size: int, deadline: float) -> bytes | None:
+    """Return the next piece of a body of which a part may have been sent; None if the answer begins before it comes.
+
+    Raises
+    ------
+    BodyTimeout
+        If the deadline has passed.
+    """
+    piece = None
+    while piece is None:
+        look_at = monotonic() + ANSWER_POLL
+        try:
+            piece = body.read(size, look_at if look_at < deadline - LAST_LOOK else deadline)
+        except BodyTimeout:
+            now = monotonic()
+            if now >= deadline:
+                raise
+            if now >= deadline - LAST_LOOK:
+                continue
+        if writer.has_answer():
+            return None
+    if monotonic() >= deadline:
+        raise BodyTimeout("the request body was not passed on before the deadline")
+    return piece
+
+
+def _send_counted(writer: _RequestWriter, head: bytes, body: Body, deadline: float, pacer: Pacer, first: bytes) -> None:
     bytes_left = body.length
     while bytes_left > 0:
-        piece = _read_piece(body, min(pacer.piece_size, bytes_left), deadline)
+        piece, first = first or _read_next_piece(writer, body, min(pacer.piece_size, bytes_left), deadline), b""
+        if piece is None:
+            return
         if not piece:
             raise ConnectionError(f"the request body ended {bytes_left} bytes before its declared length")
-        if bytes_left < body.length and writer.has_answer():
-            return
         if not writer.write(head + piece if head else piece):
             return
         head = b""
@@ -390,17 +472,17 @@
             pacer.pause(len(piece))
 
 
-def _send_chunked(writer: _RequestWriter, head: bytes, body: Body, deadline: float, pacer: Pacer) -> None:
+def _send_chunked(writer: _RequestWriter, head: bytes, body: Body, deadline: float, pacer: Pacer, first: bytes) -> None:
     """Write a body in chunks; the head is sent together with the first chunk.
 
     If the head were sent earlier, the application might start the request although its sender,
     whose body was never requested, reports it as not run.
     """
-    while piece := _read_piece(body, pacer.piece_size, deadline):
-        if not head and writer.has_answer():
-            return
+    while piece := first or _read_next_piece(writer, body, pacer.piece_size, deadline):
+        first = b""
         if not writer.write(b"%b%x\r\n%b\r\n" % (head, len(piece), piece)):
             return
         head = b""
         pacer.pause(len(piece))
-    writer.write(head + b"0\r\n\r\n")
+    if piece is not None:
+        writer.write(head + b"0\r\n\r\n")
