End only the request whose handler raises an OSError

Callers saw all requests in progress on a connection end without an answer when the handler of one raised an OSError that had nothing to do with the connection: PathServer.answer passed every OSError on, since one may come from the caller's own connection, and Connection.work ends the connection then. Now only BodyBroken is passed on, which is what a read of the request's body raises when its sender has gone; asking for the body (100 Continue) on a broken connection raises it, too, so that this isn't held against the upstream any more. Any other error is answered with 502, outcome unknown, as other unexpected exceptions are.

No handler of the tree is known to raise one. The test of unexpected errors takes three exceptions; with ConnectionResetError and BodyTimeout it failed before (no answer at all instead of 502 and 200). The two tests of the caller's own connection passed before, and hold the other side.

--- a/packages/lanedock-daemon/lanedock_daemon/path/http/incoming.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/incoming.py
@@ -131,7 +131,10 @@
 
     def _request_continue(self) -> None:
         self.wants_continue = True
-        self.connection.send_continue()
+        try:
+            self.connection.send_continue()
+        except OSError as exc:
+            raise BodyBroken("the connection broke before its body was asked for") from exc
 
     def cancel(self) -> None:
         """Schedule the cancellation of the request; no effect if it ends before."""
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/server.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/server.py
@@ -20,7 +20,7 @@
 from lanedock_daemon.path.http.connection import IDLE_TIMEOUT, Connection
 from lanedock_daemon.path.http.connection_log import ConnectionLog
 from lanedock_daemon.path.http.incoming import Worker
-from lanedock_daemon.path.http.messages import DEFAULT_RETRY_AFTER, Answer, Body, Outcome, make_refusal
+from lanedock_daemon.path.http.messages import DEFAULT_RETRY_AFTER, Answer, Body, BodyBroken, Outcome, make_refusal
 from lanedock_daemon.path.http.parser import Message
 from lanedock_daemon.path.http.request_trace import RequestTrace
 from lanedock_daemon.path.http.service import HttpService, StopTimeout
@@ -164,7 +164,13 @@
         return self._plan.is_begun and monotonic() >= self._plan.deadline
 
     def answer(self, message: Message, body: Body, trace: RequestTrace) -> Answer:
-        """Process a caller's request and return its answer, whose body may still have to come."""
+        """Process a caller's request and return its answer, whose body may still have to come.
+
+        Raises
+        ------
+        BodyBroken
+            The caller's connection broke; any other error is answered.
+        """
         if message.target == ALIVE_PATH:
             return Answer(200, "OK", [("content-length", "0")], [])
         if self.limits is not None and body.length is not None and body.length > self.limits.body_bytes:
@@ -177,7 +183,8 @@
         except StopTimeout:
             # The side was interrupted: the request may have run.
             return make_refusal(ErrorCode.ANSWER_LOST, Outcome.UNKNOWN)
-        except OSError:
+        except BodyBroken:
+            # The caller's connection has ended.
             raise
         except Exception as exc:
             # Without an answer, the connection would end, and with it the other requests on it.
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_closing.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_closing.py
@@ -29,7 +29,7 @@
 from lanedock.telemetry import EventLogger
 from lanedock_daemon.path.http import connection
 from lanedock_daemon.path.http.delivery import Delivery
-from lanedock_daemon.path.http.messages import Answer, Outcome, make_refusal
+from lanedock_daemon.path.http.messages import Answer, BodyBroken, BodyTimeout, Outcome, make_refusal
 from lanedock_daemon.path.http.server import PathServer
 from lanedock_daemon.path.http.service import POLL
 from lanedock_daemon.path.tests.chain import HOST, read_all, wait_until
@@ -342,17 +342,25 @@
 
 
 class _FailingSide(_WaitingSide):
-    """Raises an unexpected exception for /fail; answers others as its base class."""
+    """Raises an exception for /fail; answers others as its base class."""
+
+    def __init__(self, exc: BaseException):
+        super().__init__()
+        self._exc = exc
 
     def handle(self, request) -> Answer:
         if request.path == "/fail":
-            raise ValueError("unexpected")
+            raise self._exc
         return super().handle(request)
 
 
-def test_unexpected_error_of_a_request_ends_no_other_request_of_its_connection(make_server):
+_ERRORS = [ValueError("unexpected"), ConnectionResetError("a connection of its own"), BodyTimeout("its deadline")]
+
+
+@pytest.mark.parametrize("exc", _ERRORS, ids=repr)
+def test_unexpected_error_of_a_request_ends_no_other_request_of_its_connection(make_server, exc):
     # The connection ended without an answer to the failed request, and those in progress behind it were cancelled.
-    side = _FailingSide()
+    side = _FailingSide(exc)
     server = make_server(side)
     with socket.create_connection((HOST, server.port), timeout=TIMEOUT) as conn:
         conn.sendall(_request("/fail") + _request("/wait"))
@@ -363,6 +371,31 @@
     assert b"\r\nx-request-outcome: unknown\r\n" in answers[0]
 
 
+def test_request_whose_callers_connection_broke_ends_the_connection_without_an_answer(make_server):
+    server = make_server(_FailingSide(BodyBroken("the caller has gone")))
+    with socket.create_connection((HOST, server.port), timeout=TIMEOUT) as conn:
+        conn.sendall(_request("/fail"))
+        assert read_all(conn) == b""
+    wait_until(lambda: not server._connections)
+
+
+def test_body_whose_caller_can_not_be_asked_for_it_is_broken(make_server, monkeypatch):
+    # Taken for a failure of the request itself, it would be answered on a connection that can't be written to.
+    side = _ReadingSide()
+    server = make_server(side)
+    errors = []
+    monkeypatch.setattr(server, "log_unexpected_error", errors.append)
+    monkeypatch.setattr(connection.Connection, "send_continue", _raise_broken_pipe)
+    with socket.create_connection((HOST, server.port), timeout=TIMEOUT) as conn:
+        conn.sendall(UPLOAD_OF_4_BYTES[:-2] + b"expect: 100-continue\r\n\r\n")
+        assert read_all(conn) == b""
+    assert not errors
+
+
+def _raise_broken_pipe(open_connection) -> None:
+    raise BrokenPipeError
+
+
 def _read_until_answers(conn, count: int) -> list[bytes]:
     """Return the answers received until the last of them has begun or the connection ends."""
     got = b""
