Begin no request in a stop behind an answer that is written in part

A request that arrived early in a stop (before the notice) behind an answer that was streaming out was begun as soon as the caller had received what was written so far. When that answer broke off, its connection ended, and the one behind it, which an application worked on, had no way to be answered; its own application had not broken off. Now it waits until the answer before it is written whole, and isn't begun if that breaks off, so that callers send it again as not read.

Both new tests failed before (the request behind had begun). The tests of pipelining in stops (together early, one at a time for slow readers), of closing, delivery, the log of a stop and arrivals in a stop pass.

--- a/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
@@ -89,6 +89,8 @@
         self._end_reason = ""
         # Whether the answer being written has no length, so that its end is the end of the connection.
         self._is_answer_close_delimited = False
+        # Whether a part of an answer has been written and the rest is still to come.
+        self._is_writing_answer = False
         # Requests whose answers were made and can't be written any more.
         self._unwritten: list[RequestTrace] = []
         # Whether a worker found that the caller has reset the connection.
@@ -319,7 +321,9 @@
             return True
         # The end of the process may cut what the caller has not received, and the answers queued after it.
         is_slow = self._delivery.is_slow(monotonic())
-        if self._exchanges and (is_slow or not self._server.may_pipeline()):
+        # An answer that is being written may break off, and then ends the connection for those behind it.
+        may_pipeline = self._server.may_pipeline() and not (is_slow or self._is_writing_answer)
+        if self._exchanges and not may_pipeline:
             return False
         return self._delivery.is_complete()
 
@@ -419,7 +423,9 @@
                 exchange.turn.wait()
             # The connection may have ended while waiting.
             if self._exchanges and not self._is_closing:
+                self._is_writing_answer = True
                 self._write_answer(answer, message, self._may_keep_open(exchange, answer))
+                self._is_writing_answer = False
                 self._delivery.note_answer(exchange.trace)
             elif self._exchanges:
                 self._unwritten.append(exchange.trace)
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_pipelined_stop.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_pipelined_stop.py
@@ -7,6 +7,7 @@
   requests that are not begun, and with the connection those that an upstream works on.
 - The end of a caller's connection isn't noticed while requests wait on it, and upstreams work on for nobody.
 - A caller that reads slowly gets its requests started together, and the end of the process cuts their answers.
+- A request begins behind an answer that is being written, which breaks off and takes along the one behind it.
 - A request that waited gets its whole time from its start on, and an upstream works on it when its caller has gone.
 """
 
@@ -23,7 +24,7 @@
 from lanedock_daemon.path.http.delivery import PROMPT_TIME
 from lanedock_daemon.path.http.messages import Answer
 from lanedock_daemon.path.http.server import PathServer
-from lanedock_daemon.path.tests.chain import HOST, wait_until
+from lanedock_daemon.path.tests.chain import HOST, read_all, wait_until
 
 # Seconds of a stop's linger time and of its limit; those of a stop that is late in its linger time from the start on.
 EARLY, LATE = (10 * NOTICE_TIME, 12 * NOTICE_TIME), (NOTICE_TIME / 2, 12 * NOTICE_TIME)
@@ -35,6 +36,8 @@
 class _Side:
     """Answers /wait-N once `opened` is set, /long with `BODY`, and others at once.
 
+    Ends the answer to /stream, and breaks off the one to /break, once `opened` is set.
+
     Attributes
     ----------
     begun, cancelled : list of str
@@ -59,9 +62,23 @@
             except gevent.GreenletExit:
                 self.cancelled.append(request.path)
                 raise
+        if request.path == "/break":
+            return Answer(200, "OK", [("content-length", "100")], self._break_off())
+        if request.path == "/stream":
+            return Answer(200, "OK", [("content-length", "8")], self._stream())
         body = BODY if request.path == "/long" else b"ok"
         return Answer(200, "OK", [("content-length", str(len(body)))], [body])
 
+    def _stream(self):
+        yield b"part"
+        self.opened.wait()
+        yield b"rest"
+
+    def _break_off(self):
+        yield b"part"
+        self.opened.wait()
+        raise ConnectionError("the answer broke off")
+
 
 @pytest.fixture
 def make_stopping():
@@ -149,3 +166,31 @@
     wait_until(lambda: len(side.begun) > 1)
     gevent.sleep(3 * PROMPT_TIME)
     assert side.begun == ["/long", "/wait-0"]
+
+
+def test_no_request_starts_early_in_a_stop_behind_an_answer_that_is_being_written_and_breaks_off(make_stopping):
+    side, conn = make_stopping(EARLY)
+    conn.sendall(_request("/break"))
+    received = b""
+    while not received.endswith(b"part"):
+        received += conn.recv(65536)
+    conn.sendall(_request("/b"))
+    gevent.sleep(3 * PROMPT_TIME)
+    side.opened.set()
+    assert read_all(conn) == b""
+    assert side.begun == ["/break"]
+
+
+def test_request_that_waits_early_in_a_stop_behind_an_answer_that_is_being_written_is_served(make_stopping):
+    side, conn = make_stopping(EARLY)
+    conn.sendall(_request("/stream"))
+    received = b""
+    while not received.endswith(b"part"):
+        received += conn.recv(65536)
+    conn.sendall(_request("/b"))
+    gevent.sleep(3 * PROMPT_TIME)
+    assert side.begun == ["/stream"]
+    side.opened.set()
+    while not received.endswith(b"ok"):
+        received += conn.recv(65536)
+    assert side.begun == ["/stream", "/b"]
