Write 100 Continue and the final answer of a request in one order

The worker of the request before sent 100 Continue for the next one. With a full send buffer it waited, and the next request's own worker could write a final answer meanwhile, at its deadline or at that of a stop: the caller got it before the interim answer. A final answer that a stop forced while the request's own worker sent the line came into the middle of the line, so that the caller could read neither.

Now a request's own worker sends the line, woken when its turn has come; sending is bounded by the deadline of the read that waits for the body; and what is left of a line that was sent in part precedes the final answer. A request that was answered while it waited for its turn isn't asked for its body any more.

--- a/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
@@ -15,7 +15,7 @@
 from lanedock_daemon.path.http.delivery import DELIVERY_TIMEOUT, POLL, Delivery
 from lanedock_daemon.path.http.headers import PACE_HEADER, REQUEST_ID_HEADER
 from lanedock_daemon.path.http.incoming import Exchange
-from lanedock_daemon.path.http.messages import NEVER, Answer, Outcome
+from lanedock_daemon.path.http.messages import NEVER, Answer, BodyTimeout, Outcome
 from lanedock_daemon.path.http.parser import MalformedMessage, Message, RequestReader
 from lanedock_daemon.path.http.request_trace import RequestTrace
 from lanedock_daemon.path.http.stop_log import RequestEnd
@@ -89,6 +89,8 @@
         self._end_reason = ""
         # Whether the answer being written has no length, so that its end is the end of the connection.
         self._is_answer_close_delimited = False
+        # What is left of an interim answer that was sent in part; precedes the next answer.
+        self._rest_of_continue = b""
         # Whether a part of an answer has been written and the rest is still to come.
         self._is_writing_answer = False
         # Requests whose answers were made and can't be written any more.
@@ -397,16 +399,33 @@
         """Resume reading after the consumer has read a piece of a body."""
         self._has_room.set()
 
-    def send_continue(self) -> None:
-        """Send `100 Continue` for the request that is next to be answered, if its body is wanted.
+    def send_continue(self, exchange: Exchange, deadline: float) -> bool:
+        """Send `100 Continue` for a request if it is the next one to be answered; return whether it is.
 
-        Sent before its turn, the line would be part of the answer to an earlier request.
+        Sent before its turn, the line would be part of the answer to an earlier request. The request's own worker
+        sends it, so that its final answer can only follow.
+
+        Raises
+        ------
+        BodyTimeout
+            The line was not sent whole by the deadline; an answer is written behind its rest.
+        OSError
         """
-        if self._exchanges and self._exchanges[0].wants_continue:
-            self._exchanges[0].wants_continue = False
-            pace = self._exchanges[0].body.pace
-            header = b"" if pace == NEVER else b"%b: %d\r\n" % (PACE_HEADER.encode(), pace)
-            self._conn.sendall(_CONTINUE + header + b"\r\n")
+        if not self._exchanges or self._exchanges[0] is not exchange:
+            return False
+        pace = exchange.body.pace
+        header = b"" if pace == NEVER else b"%b: %d\r\n" % (PACE_HEADER.encode(), pace)
+        line = _CONTINUE + header + b"\r\n"
+        seconds = None if deadline == NEVER else max(0.0, deadline - monotonic())
+        written = self._conn.written
+        try:
+            with gevent.Timeout(seconds, BodyTimeout("the request body was not asked for before its deadline")):
+                self._conn.sendall(line)
+        except BaseException:
+            if self._conn.written > written:
+                self._rest_of_continue = line[self._conn.written - written :]
+            raise
+        return True
 
     # ---------------------------------------------------------------- answering
 
@@ -463,14 +482,10 @@
             self._exchanges.remove(exchange)
         except ValueError:
             return  # the connection has ended
-        if self._exchanges and self._exchanges[0].turn is not None:
-            self._exchanges[0].turn.set()
         self._has_room.set()
-        try:
-            self.send_continue()
-        except OSError:
-            pass  # the caller has disconnected; the connection's reader notices it, too
-        if not self._exchanges:
+        if self._exchanges:
+            self._exchanges[0].take_turn()
+        else:
             self._update_expiry()
 
     def _cancel_exchanges(self) -> None:
@@ -484,6 +499,8 @@
     def _write_answer(self, answer: Answer, message: Message, keep_alive: bool) -> None:
         """Write an answer; its head is sent together with the first piece of its body."""
         head = make_head(answer, message, keep_alive)
+        head.data = self._rest_of_continue + head.data
+        self._rest_of_continue = b""
         if head.is_close_delimited:
             # Until the whole answer is written, its connection must not end in order, not even with the process.
             self._conn.reset_on_close()
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/incoming.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/incoming.py
@@ -30,14 +30,16 @@
     Parameters
     ----------
     message : Message
-    on_read, on_continue_wanted : callable
-        Called without arguments: the first after each piece is read, the second once when
-        the body is first waited for while the sender waits for `100 Continue`.
+    on_read : callable
+        Called without arguments after each piece is read.
+    send_continue : callable
+        Called with the deadline of the read when the body is waited for while the sender waits for
+        `100 Continue`, until it returns True: that has been sent.
     """
 
-    def __init__(self, message: Message, on_read, on_continue_wanted):
+    def __init__(self, message: Message, on_read, send_continue):
         self._on_read = on_read
-        self._on_continue_wanted = on_continue_wanted
+        self._send_continue = send_continue
         self._message = message
         self._unread = b""
         self._arrival = None if message.is_complete else Signal()
@@ -72,9 +74,10 @@
                 return b""
             if self._is_broken:
                 raise BodyBroken("the connection ended before the end of the request body")
-            if self._wants_continue:
+            if self._wants_continue and self._send_continue(deadline):
+                # Data may have arrived meanwhile.
                 self._wants_continue = False
-                self._on_continue_wanted()
+                continue
             self._wait(deadline)
         self._on_read()
         return pieces.popleft()
@@ -106,7 +109,7 @@
     message : Message
     """
 
-    __slots__ = ("body", "connection", "done", "is_answered", "message", "trace", "turn", "wants_continue", "worker")
+    __slots__ = ("body", "connection", "done", "is_answered", "message", "trace", "turn", "worker")
 
     def __init__(self, connection, message: Message):
         self.connection = connection
@@ -114,8 +117,7 @@
         self.trace = RequestTrace(message.header(REQUEST_ID_HEADER), message.read_at)
         self.trace.begun_at = monotonic()
         self.trace.is_reported = message.is_reported
-        self.body = _StreamedBody(message, connection.notify_body_read, self._request_continue)
-        self.wants_continue = False
+        self.body = _StreamedBody(message, connection.notify_body_read, self._send_continue)
         self.worker: Worker | None = None
         self.turn: Signal | None = None
         self.done: Signal | None = None
@@ -129,13 +131,22 @@
             outcome = next((value for name, value in answer.headers if name == OUTCOME_HEADER), "")
         self.trace.note_answer(answer.status, outcome, monotonic())
 
-    def _request_continue(self) -> None:
-        self.wants_continue = True
+    def _send_continue(self, deadline: float) -> bool:
+        """Send `100 Continue` if it is this request's turn, and return whether it is."""
         try:
-            self.connection.send_continue()
+            return self.connection.send_continue(self, deadline)
+        except BodyTimeout:
+            raise
         except OSError as exc:
             raise BodyBroken("the connection broke before its body was asked for") from exc
 
+    def take_turn(self) -> None:
+        """Let the worker write the answer, or ask for the body, once all earlier answers are written."""
+        if self.turn is not None:
+            self.turn.set()
+        else:
+            self.body.notify_arrival()
+
     def cancel(self) -> None:
         """Schedule the cancellation of the request; no effect if it ends before."""
         if self.worker is not getcurrent():
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_closing.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_closing.py
@@ -392,7 +392,7 @@
     assert not errors
 
 
-def _raise_broken_pipe(open_connection) -> None:
+def _raise_broken_pipe(*_args) -> None:
     raise BrokenPipeError
 
 
