End no other request of a connection by an unexpected error where it need not

Planted errors showed what the requests of a connection get from one that isn't expected: - Reader (MemoryError): the connection closed at once, its requests were cancelled, and the error went to standard error only. Now those that have begun and were read whole are answered, the last answer announces the close, and the error is logged (UNEXPECTED). - A head that can't be encoded: the connection ended, though nothing was written. Now its request alone gets 502, outcome unknown. - An exception that is no Exception (a gevent.Timeout): its request was removed without an answer, and the next answer was written in its place, or into the body that it broke off. Now a handler's is answered with 502, and any other ends the connection. - Any other error within an answer ends the connection, as before: nothing can follow it.

A worker is acquired before the request is queued, so that none is queued without one.

--- a/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
@@ -10,12 +10,13 @@
 from gevent.event import Event as Signal
 
 from lanedock.clock import monotonic
-from lanedock_daemon.path.http.answer_writer import attach_pieces, close_pieces, make_head, write_pieces
+from lanedock.errors import ErrorCode
+from lanedock_daemon.path.http.answer_writer import AnswerHead, attach_pieces, close_pieces, make_head, write_pieces
 from lanedock_daemon.path.http.caller_messages import refuse_malformed
 from lanedock_daemon.path.http.delivery import DELIVERY_TIMEOUT, POLL, Delivery
 from lanedock_daemon.path.http.headers import PACE_HEADER, REQUEST_ID_HEADER
 from lanedock_daemon.path.http.incoming import Exchange
-from lanedock_daemon.path.http.messages import NEVER, Answer, BodyTimeout, Outcome
+from lanedock_daemon.path.http.messages import NEVER, Answer, BodyTimeout, Outcome, make_refusal
 from lanedock_daemon.path.http.parser import MalformedMessage, Message, RequestReader
 from lanedock_daemon.path.http.request_trace import RequestTrace
 from lanedock_daemon.path.http.stop_log import RequestEnd
@@ -89,6 +90,8 @@
         self._end_reason = ""
         # Whether the answer being written has no length, so that its end is the end of the connection.
         self._is_answer_close_delimited = False
+        # Whether nothing more can be read because of an unexpected error.
+        self._has_failed = False
         # What is left of an interim answer that was sent in part; precedes the next answer.
         self._rest_of_continue = b""
         # Whether a part of an answer has been written and the rest is still to come.
@@ -137,6 +140,15 @@
             self._answer_complete_requests()
             if self._reader.is_in_head and not (self._exchanges or self._is_closing):
                 self._refuse_malformed(MalformedMessage("the request head was not received within the time limit", 408))
+        except OSError:
+            raise
+        except Exception as exc:
+            # Nothing more can be read; what has begun still gets its answers.
+            self._server.log_unexpected_error(exc)
+            self._has_failed = True
+            self._end_reason = "error"
+            self.expires_at = NEVER
+            self._await_answers()
 
     def _await_delivery(self) -> None:
         """End the sending side, and discard input until the caller has received all answers."""
@@ -350,7 +362,11 @@
                 self._start_request(message)
             else:
                 self._log_message_not_begun(message)
-        pending = [exchange for exchange in self._exchanges if exchange is not self._open_exchange]
+        self._await_answers()
+
+    def _await_answers(self) -> None:
+        """Wait until the requests that have begun and were read completely are answered."""
+        pending = [exchange for exchange in self._exchanges if exchange.worker and exchange is not self._open_exchange]
         for exchange in pending:
             exchange.done = Signal()
         for exchange in pending:
@@ -388,12 +404,13 @@
         """Assign a request to a worker."""
         if self._server.stop_log.is_active:
             self.log_received()
+        worker = self._server.acquire_worker()
         exchange = Exchange(self, message)
         if not message.is_complete:
             self._open_exchange = exchange
         self._exchanges.append(exchange)
         self._is_idle_timed = False
-        self._server.acquire_worker().assign(exchange)
+        worker.assign(exchange)
 
     def notify_body_read(self) -> None:
         """Resume reading after the consumer has read a piece of a body."""
@@ -443,7 +460,7 @@
             # The connection may have ended while waiting.
             if self._exchanges and not self._is_closing:
                 self._is_writing_answer = True
-                self._write_answer(answer, message, self._may_keep_open(exchange, answer))
+                self._write_in_turn(exchange, answer)
                 self._is_writing_answer = False
                 self._delivery.note_answer(exchange.trace)
             elif self._exchanges:
@@ -451,9 +468,12 @@
         except (OSError, gevent.GreenletExit):
             # The caller has disconnected, or the answer's body broke off.
             self._break_off(exchange, "broken answer")
-        except Exception as exc:
+        except BaseException as exc:
+            # Otherwise the next answer on the connection would be taken for this one.
             self._break_off(exchange, "error")
             self._server.log_unexpected_error(exc)
+            if not isinstance(exc, Exception):
+                raise
         finally:
             if answer is not None:
                 # Also if the answer was never written: releases what its body holds.
@@ -473,6 +493,7 @@
         # Requests already in progress are still answered; the last answer closes the connection.
         must_close = answer.ends_connection or self._server.is_stopping or self._server.is_over_connection_limit()
         # Requests that have arrived behind this one are still served.
+        must_close = must_close or self._has_failed
         must_close = must_close or (self._server.is_leaving() and not self._reader.has_head())
         return not must_close or len(self._exchanges) > 1
 
@@ -496,9 +517,21 @@
         for exchange in exchanges:
             exchange.cancel()
 
-    def _write_answer(self, answer: Answer, message: Message, keep_alive: bool) -> None:
+    def _write_in_turn(self, exchange: Exchange, answer: Answer) -> None:
+        """Write the answer to a request whose turn has come; refuse the request if no head can be made of it."""
+        message = exchange.message
+        try:
+            head = make_head(answer, message, self._may_keep_open(exchange, answer))
+        except Exception as exc:
+            # Nothing of it was written, so that the requests behind it need not end.
+            self._server.log_unexpected_error(exc)
+            answer = make_refusal(ErrorCode.ANSWER_LOST, Outcome.UNKNOWN)
+            exchange.note_answer(answer)
+            head = make_head(answer, message, self._may_keep_open(exchange, answer))
+        self._write_answer(head, answer)
+
+    def _write_answer(self, head: AnswerHead, answer: Answer) -> None:
         """Write an answer; its head is sent together with the first piece of its body."""
-        head = make_head(answer, message, keep_alive)
         head.data = self._rest_of_continue + head.data
         self._rest_of_continue = b""
         if head.is_close_delimited:
@@ -560,7 +593,8 @@
         message = Message()
         message.version = "1.1"
         self._conn.settimeout(DELIVERY_TIMEOUT)
-        self._write_answer(refuse_malformed(exc, outcome), message, keep_alive=False)
+        answer = refuse_malformed(exc, outcome)
+        self._write_answer(make_head(answer, message, keep_alive=False), answer)
 
 
 def _describe(exc: BaseException) -> str:
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/server.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/server.py
@@ -186,7 +186,7 @@
         except BodyBroken:
             # The caller's connection has ended.
             raise
-        except Exception as exc:
+        except (Exception, gevent.Timeout) as exc:
             # Without an answer, the connection would end, and with it the other requests on it.
             self.log_unexpected_error(exc)
             return make_refusal(ErrorCode.ANSWER_LOST, Outcome.UNKNOWN)
@@ -195,8 +195,8 @@
         """Return an idle worker, or a new one."""
         return self._idle_workers.pop() if self._idle_workers else Worker(self._idle_workers)
 
-    def log_unexpected_error(self, exc: Exception) -> None:
-        """Log an unexpected exception of a request handler."""
+    def log_unexpected_error(self, exc: BaseException) -> None:
+        """Log an unexpected exception of a request handler or a connection."""
         self._events.emit(Event.UNEXPECTED, error=repr(exc))
 
     def _sweep(self) -> None:
