--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_stop_log.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_stop_log.py
@@ -168,6 +168,20 @@
     assert (summary["read"], summary["cut"], summary["open_connections"]) == (1, 1, 1)
 
 
+def test_a_half_closed_connection_is_reported_with_the_ids_of_its_requests(make_server, lines):
+    # Its caller may still wait for the answers: the lines let an operator find how often that happens.
+    server = make_server()
+    conn = _begin(server, _request("/wait"))
+    conn.shutdown(socket.SHUT_WR)
+    assert read_all(conn) == b""
+    (end,) = lines.wait_for_ends()
+    (disconnect,) = lines.read("CALLER_DISCONNECTED")
+    assert (disconnect["how"], disconnect["requests"], disconnect["answered"]) == ("end of stream", 1, 0)
+    assert disconnect["ids"] == end["request"] == "id-0"
+    assert (end["end"], end["how"]) == ("caller left", "end of stream")
+    assert end["ended_ms"] >= 0 and disconnect["stop_ms"] >= 0
+
+
 @pytest.mark.parametrize("is_reset", [False, True])
 def test_a_caller_that_leaves_is_told_apart_from_a_cut(make_server, lines, is_reset):
     server = make_server()
