Move the logging of how a connection's requests end to a module of its own

RequestEnds (path/http/request_ends.py) has the lines about received, cut, left and not begun requests; Delivery counts the unacknowledged bytes of answers without the end of the stream. Connection reads and answers.

--- a/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
@@ -14,12 +14,11 @@
 from lanedock_daemon.path.http.answer_writer import AnswerHead, attach_pieces, close_pieces, make_head, write_pieces
 from lanedock_daemon.path.http.caller_messages import refuse_malformed
 from lanedock_daemon.path.http.delivery import DELIVERY_TIMEOUT, POLL, Delivery
-from lanedock_daemon.path.http.headers import PACE_HEADER, REQUEST_ID_HEADER
+from lanedock_daemon.path.http.headers import PACE_HEADER
 from lanedock_daemon.path.http.incoming import Exchange
 from lanedock_daemon.path.http.messages import NEVER, Answer, BodyTimeout, Outcome, make_refusal
 from lanedock_daemon.path.http.parser import MalformedMessage, Message, RequestReader
-from lanedock_daemon.path.http.request_trace import RequestTrace
-from lanedock_daemon.path.http.stop_log import RequestEnd
+from lanedock_daemon.path.http.request_ends import RequestEnds
 
 __all__ = ["Connection"]
 
@@ -62,19 +61,21 @@
     expires_at : float
         Monotonic seconds after which the server's sweep ends the connection. Cheaper
         than a timer for each wait.
+    ends : RequestEnds
+        Logs how the requests end.
     """
 
     def __init__(self, server, conn, address=("", 0)):
         self.expires_at = monotonic() + IDLE_TIMEOUT
         self._server = server
         self._conn = conn
-        self._address = address
         self._delivery = Delivery(conn)
         self._reader = RequestReader(conn)
         self._greenlet = getcurrent()
         # Whether the greenlet reads requests, so that it can be interrupted.
         self._is_reading = False
         self._exchanges: deque[Exchange] = deque()
+        self.ends = RequestEnds(server.log, server.stop_log, address, conn, self._delivery, self._exchanges)
         self._open_exchange: Exchange | None = None
         # The unfinished head to which the time limit belongs.
         self._timed_head: Message | None = None
@@ -96,12 +97,8 @@
         self._rest_of_continue = b""
         # Whether a part of an answer has been written and the rest is still to come.
         self._is_writing_answer = False
-        # Requests whose answers were made and can't be written any more.
-        self._unwritten: list[RequestTrace] = []
         # Whether a worker found that the caller has reset the connection.
         self._is_reset = False
-        # Whether the end of the connection has been logged, in a stop.
-        self._is_end_logged = False
 
     # ------------------------------------------------------------------ reading
 
@@ -119,7 +116,7 @@
                 if self._end_reason:
                     self.report_cut(self._end_reason)
                 else:
-                    self._report_disconnect("reset" if self._is_reset else how)
+                    self.ends.log_disconnect("reset" if self._is_reset else how, self._reader.list_heads())
             finally:
                 self._cancel_exchanges()
                 self._conn.close()
@@ -160,59 +157,8 @@
             self._end_reason = "not received"
 
     def report_cut(self, reason: str) -> None:
-        """Log if the caller has not received all answers, when this process closes the connection."""
-        unsent = self._count_unsent_bytes()
-        if unsent or self._exchanges or self._unwritten:
-            unreceived = [trace.request_id for trace in self._delivery.list_unreceived(unsent)]
-            ids = unreceived + self._list_unanswered()
-            targets = [exchange.message.target for exchange in self._exchanges]
-            self._server.log.log_cut(reason, unsent, self._conn.count_unread_bytes(), targets, ids)
-        self._log_ends(RequestEnd.CUT, reason)
-
-    def log_received(self) -> None:
-        """Log the requests whose answers the caller has received since the last call; used while the process stops."""
-        if not self._delivery.has_answers():
-            return
-        for trace in self._delivery.take_received(self._count_unsent_bytes()):
-            self._server.stop_log.log_request(trace, RequestEnd.RECEIVED)
-
-    def forget_received(self) -> None:
-        """Leave out the requests whose answers the caller received before the stop; called when it begins."""
-        if self._delivery.has_answers():
-            self._delivery.take_received(self._count_unsent_bytes())
-
-    def _count_unsent_bytes(self) -> int:
-        """Return how many bytes of answers the caller has not acknowledged."""
-        unsent = self._conn.count_unsent_bytes()
-        # The last one is the end of the stream.
-        return unsent - 1 if self._is_closing and unsent else unsent
-
-    def _log_ends(self, end: str, how: str) -> None:
-        """Log how the requests without a received answer end with the connection, if the process is stopping."""
-        stop_log = self._server.stop_log
-        if not stop_log.is_active:
-            return
-        self.log_received()
-        unreceived = self._delivery.list_unreceived(self._count_unsent_bytes())
-        for trace in [*unreceived, *self._unwritten, *(exchange.trace for exchange in self._exchanges)]:
-            stop_log.log_request(trace, end, how)
-        self._log_not_begun()
-        if not self._is_end_logged:
-            self._is_end_logged = True
-            stop_log.log_connection(self._address, how)
-
-    def _report_disconnect(self, how: str) -> None:
-        """Log if the caller has ended the connection with requests that have no answer; in a stop, log all ends."""
-        if self._exchanges or self._unwritten:
-            answered = len(self._unwritten) + sum(exchange.is_answered for exchange in self._exchanges)
-            self._server.log.log_disconnect(how, answered, self._list_unanswered())
-        self._log_ends(RequestEnd.CALLER_LEFT, how)
-
-    def _list_unanswered(self) -> list[str]:
-        """Return the ids of the requests whose answers were not written."""
-        return [trace.request_id for trace in self._unwritten] + [
-            exchange.trace.request_id for exchange in self._exchanges
-        ]
+        """Log that this process closes the connection; see `RequestEnds.log_cut`."""
+        self.ends.log_cut(reason, self._reader.list_heads())
 
     def expire(self, reason: str) -> None:
         """Schedule the end of the connection, unless data arrives before; `reason` is logged if answers are cut."""
@@ -308,20 +254,9 @@
         If they were started, they would run and never be answered. The body of the open
         exchange is still received until the answer has ended.
         """
-        self._log_not_begun()
+        self.ends.log_not_begun(self._reader.list_heads())
         self._reader.discard_read_ahead(self._open_exchange.message if self._open_exchange is not None else None)
 
-    def _log_not_begun(self) -> None:
-        """Log the requests that were read behind the last answer."""
-        for message in self._reader.list_heads():
-            self._log_message_not_begun(message)
-
-    def _log_message_not_begun(self, message: Message) -> None:
-        if self._server.stop_log.is_active and not message.is_reported:
-            message.is_reported = True
-            trace = RequestTrace(message.header(REQUEST_ID_HEADER), message.read_at)
-            self._server.stop_log.log_request(trace, RequestEnd.NOT_BEGUN)
-
     def _has_last_answer(self) -> bool:
         """Return whether no request that begins now could be answered."""
         return self._has_announced_close or self._is_closing
@@ -361,7 +296,7 @@
             if message.is_complete:
                 self._start_request(message)
             else:
-                self._log_message_not_begun(message)
+                self.ends.log_not_begun([message])
         self._await_answers()
 
     def _await_answers(self) -> None:
@@ -403,7 +338,7 @@
     def _start_request(self, message: Message) -> None:
         """Assign a request to a worker."""
         if self._server.stop_log.is_active:
-            self.log_received()
+            self.ends.log_received()
         worker = self._server.acquire_worker()
         exchange = Exchange(self, message)
         if not message.is_complete:
@@ -464,7 +399,7 @@
                 self._is_writing_answer = False
                 self._delivery.note_answer(exchange.trace)
             elif self._exchanges:
-                self._unwritten.append(exchange.trace)
+                self.ends.note_unwritten(exchange.trace)
         except (OSError, gevent.GreenletExit):
             # The caller has disconnected, or the answer's body broke off.
             self._break_off(exchange, "broken answer")
@@ -511,7 +446,8 @@
 
     def _cancel_exchanges(self) -> None:
         """Cancel all requests in progress."""
-        exchanges, self._exchanges = self._exchanges, deque()
+        exchanges = list(self._exchanges)
+        self._exchanges.clear()
         if self._open_exchange is not None:
             self._open_exchange.body.mark_broken()
         for exchange in exchanges:
@@ -556,7 +492,7 @@
 
     def _end_sending(self) -> None:
         """End the sending side after the last answer; the reader discards what the caller still sends."""
-        self._is_closing = True
+        self._is_closing = self._delivery.is_stream_ended = True
         self.expires_at = NEVER
         if self._open_exchange is None and self._server.is_over_connection_limit() and not self._server.is_stopping:
             # Another caller needs the connection slot, and hardly any input can be in transit.
@@ -568,7 +504,7 @@
     def _break_off(self, exchange: Exchange, reason: str) -> None:
         """End the connection after an incomplete answer, which the caller must not take for a complete one."""
         if exchange in self._exchanges:
-            self._unwritten.append(exchange.trace)
+            self.ends.note_unwritten(exchange.trace)
         if not self._is_answer_close_delimited:
             try:
                 # Answers before the incomplete one still reach the caller.
@@ -581,7 +517,7 @@
             self._end_reason = reason
         else:
             self._is_reset = True
-        self._is_closing = True
+        self._is_closing = self._delivery.is_stream_ended = True
         self._greenlet.kill(block=False)
 
     def _refuse_malformed(self, exc: MalformedMessage) -> None:
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/delivery.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/delivery.py
@@ -31,9 +31,14 @@
     Parameters
     ----------
     conn : Channel
+
+    Attributes
+    ----------
+    is_stream_ended : bool
+        Whether the own sending side has ended, so that the end of the stream may be unacknowledged, too.
     """
 
-    __slots__ = ("_answers", "_conn", "_incomplete_since", "_is_slow", "_progress_at", "_unsent")
+    __slots__ = ("_answers", "_conn", "_incomplete_since", "_is_slow", "_progress_at", "_unsent", "is_stream_ended")
 
     def __init__(self, conn: Channel):
         self._conn = conn
@@ -43,6 +48,7 @@
         self._progress_at = 0.0
         self._incomplete_since: float | None = None
         self._is_slow = False
+        self.is_stream_ended = False
 
     def __repr__(self) -> str:
         return f"<Delivery unsent={self._unsent}>"
@@ -75,6 +81,11 @@
             received.append(self._answers.popleft())
         return received
 
+    def count_unsent_bytes(self) -> int:
+        """Return how many bytes of answers the peer has not acknowledged, without the end of the stream."""
+        unsent = self._conn.count_unsent_bytes()
+        return unsent - 1 if self.is_stream_ended and unsent else unsent
+
     def is_complete(self) -> bool:
         """Return whether the peer has acknowledged everything."""
         return not self._conn.count_unsent_bytes()
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/server.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/server.py
@@ -211,7 +211,7 @@
 
     def _begin_receipt_watch(self) -> None:
         for connection in self._connections:
-            connection.forget_received()
+            connection.ends.forget_received()
         gevent.spawn(self._watch_receipts)
 
     def _watch_receipts(self) -> None:
@@ -225,7 +225,7 @@
                 is_noticed = True
                 self.stop_log.log_notice()
             for connection in list(self._connections):
-                connection.log_received()
+                connection.ends.log_received()
             gevent.sleep(RECEIPT_INTERVAL)
 
     def _accept(self, conn, address) -> None:
