--- a/packages/lanedock-daemon/lanedock_daemon/path/http/answer_writer.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/answer_writer.py
@@ -1,11 +1,17 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """Writing answers piece by piece, and releasing the resources of their bodies."""
 
-from lanedock_daemon.path.http.messages import Answer
+import gevent
+
+from lanedock.clock import monotonic
+from lanedock_daemon.path.http.channel import Channel
+from lanedock_daemon.path.http.headers import PACE_HEADER
+from lanedock_daemon.path.http.messages import NEVER, Answer, BodyTimeout
 from lanedock_daemon.path.http.parser import Message
 
-__all__ = ["AnswerHead", "attach_pieces", "close_pieces", "make_head", "write_pieces"]
+__all__ = ["AnswerHead", "AnswerWriter", "attach_pieces", "close_pieces", "make_head", "write_pieces"]
 
+_CONTINUE = b"HTTP/1.1 100 Continue\r\n"
 _BODILESS_STATUSES = (204, 304)
 
 
@@ -85,6 +91,90 @@
         conn.sendall(pending)
 
 
+class AnswerWriter:
+    """Writes the answers of one connection, interim and final ones, one at a time.
+
+    Parameters
+    ----------
+    conn : Channel
+
+    Attributes
+    ----------
+    is_writing : bool
+        Whether an answer is being written, or was broken off.
+    is_close_delimited : bool
+        Whether that answer has no length, so that its end is the end of the connection.
+    """
+
+    __slots__ = ("_conn", "_rest_of_continue", "is_close_delimited", "is_writing")
+
+    def __init__(self, conn: Channel):
+        self._conn = conn
+        # What is left of an interim answer that was sent in part; precedes the next answer.
+        self._rest_of_continue = b""
+        self.is_writing = False
+        self.is_close_delimited = False
+
+    def __repr__(self) -> str:
+        return f"<AnswerWriter is_writing={self.is_writing}>"
+
+    def send_continue(self, pace: float, deadline: float) -> None:
+        """Send `100 Continue`.
+
+        Parameters
+        ----------
+        pace : float
+            Bytes per second at which the body is asked for; infinite for no limit.
+        deadline : float
+            Monotonic seconds.
+
+        Raises
+        ------
+        BodyTimeout
+            The line was not sent whole by the deadline; the next answer is written behind its rest.
+        OSError
+        """
+        header = b"" if pace == NEVER else b"%b: %d\r\n" % (PACE_HEADER.encode(), pace)
+        line = _CONTINUE + header + b"\r\n"
+        seconds = None if deadline == NEVER else max(0.0, deadline - monotonic())
+        written = self._conn.written
+        try:
+            with gevent.Timeout(seconds, BodyTimeout("the request body was not asked for before its deadline")):
+                self._conn.sendall(line)
+        except BaseException:
+            if self._conn.written > written:
+                self._rest_of_continue = line[self._conn.written - written :]
+            raise
+
+    def write(self, head: AnswerHead, answer: Answer) -> None:
+        """Write an answer; its head is sent together with the first piece of its body.
+
+        Raises
+        ------
+        OSError
+            The caller has disconnected, or the body broke off.
+        """
+        self.is_writing = True
+        data, self._rest_of_continue = self._rest_of_continue + head.data, b""
+        if head.is_close_delimited:
+            # Until the whole answer is written, its connection must not end in order, not even with the process.
+            self._conn.reset_on_close()
+            self.is_close_delimited = True
+        pieces = iter(answer.pieces)
+        attach_pieces(pieces, self._conn)
+        try:
+            if head.has_body:
+                write_pieces(self._conn, data, pieces, head.is_chunked)
+            else:
+                self._conn.sendall(data)
+        finally:
+            close_pieces(pieces)
+        if head.is_close_delimited:
+            self._conn.reset_on_close(False)
+            self.is_close_delimited = False
+        self.is_writing = False
+
+
 def attach_pieces(pieces, conn) -> None:
     """Tell an answer's body to which connection it is written, if it has an `attach` method."""
     attach = getattr(pieces, "attach", None)
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
@@ -11,21 +11,17 @@
 
 from lanedock.clock import monotonic
 from lanedock.errors import ErrorCode
-from lanedock_daemon.path.http.answer_writer import AnswerHead, attach_pieces, close_pieces, make_head, write_pieces
+from lanedock_daemon.path.http.answer_writer import AnswerHead, AnswerWriter, close_pieces, make_head
 from lanedock_daemon.path.http.caller_messages import refuse_malformed
 from lanedock_daemon.path.http.delivery import DELIVERY_TIMEOUT, POLL, Delivery
-from lanedock_daemon.path.http.headers import PACE_HEADER
 from lanedock_daemon.path.http.incoming import Exchange
-from lanedock_daemon.path.http.messages import NEVER, Answer, BodyTimeout, Outcome, make_refusal
+from lanedock_daemon.path.http.messages import Answer, Outcome, make_refusal
 from lanedock_daemon.path.http.parser import MalformedMessage, Message, RequestReader
 from lanedock_daemon.path.http.request_ends import RequestEnds
+from lanedock_daemon.path.http.time_limit import TimeLimit
 
 __all__ = ["Connection"]
 
-# Seconds for which an idle connection is kept unless the limits in force say otherwise.
-IDLE_TIMEOUT = 300.0
-# Seconds without new data after which a connection with an unfinished body ends.
-BODY_TIMEOUT = 30.0
 # Requests of one connection that are processed or wait for their start; reading pauses at this number.
 MAX_PIPELINED = 32
 # Unread bytes of a body above which reading from the connection pauses.
@@ -39,7 +35,6 @@
 # Seconds for which it keeps a new connection without a request: covers the first request's way on a slow link, or the
 # retransmission of its packet.
 UNUSED_CLOSE_DELAY = 0.5
-_CONTINUE = b"HTTP/1.1 100 Continue\r\n"
 
 
 class _Expired(gevent.GreenletExit):
@@ -58,18 +53,17 @@
 
     Attributes
     ----------
-    expires_at : float
-        Monotonic seconds after which the server's sweep ends the connection. Cheaper
-        than a timer for each wait.
     ends : RequestEnds
         Logs how the requests end.
     """
 
     def __init__(self, server, conn, address=("", 0)):
-        self.expires_at = monotonic() + IDLE_TIMEOUT
+        # The server's sweep looks at it; cheaper than a timer for each wait.
+        self._time_limit = TimeLimit()
         self._server = server
         self._conn = conn
         self._delivery = Delivery(conn)
+        self._writer = AnswerWriter(conn)
         self._reader = RequestReader(conn)
         self._greenlet = getcurrent()
         # Whether the greenlet reads requests, so that it can be interrupted.
@@ -77,26 +71,15 @@
         self._exchanges: deque[Exchange] = deque()
         self.ends = RequestEnds(server.log, server.stop_log, address, conn, self._delivery, self._exchanges)
         self._open_exchange: Exchange | None = None
-        # The unfinished head to which the time limit belongs.
-        self._timed_head: Message | None = None
         self._has_room = Signal()
         # Whether the head of an answer announced `connection: close`.
         self._has_announced_close = False
         self._is_closing = False
         self._linger_timeout = LINGER_TIMEOUT
-        self._idle_since = monotonic()
-        # Whether the time limit of an idle connection runs, which blank lines don't renew.
-        self._is_idle_timed = False
         # Why this process ends the connection; empty if the caller does.
         self._end_reason = ""
-        # Whether the answer being written has no length, so that its end is the end of the connection.
-        self._is_answer_close_delimited = False
         # Whether nothing more can be read because of an unexpected error.
         self._has_failed = False
-        # What is left of an interim answer that was sent in part; precedes the next answer.
-        self._rest_of_continue = b""
-        # Whether a part of an answer has been written and the rest is still to come.
-        self._is_writing_answer = False
         # Whether a worker found that the caller has reset the connection.
         self._is_reset = False
 
@@ -144,7 +127,7 @@
             self._server.log_unexpected_error(exc)
             self._has_failed = True
             self._end_reason = "error"
-            self.expires_at = NEVER
+            self._time_limit.lift()
             self._await_answers()
 
     def _await_delivery(self) -> None:
@@ -166,7 +149,7 @@
 
     def _end_reading(self, reason: str) -> None:
         """End the connection if it still is read and the reason still holds: data may have arrived since `expire`."""
-        must_end = monotonic() > self.expires_at if self._is_busy() else self._conn.is_clean()
+        must_end = monotonic() > self._time_limit.expires_at if self._is_busy() else self._conn.is_clean()
         if self._is_reading and must_end:
             self._end_reason = reason
             self._greenlet.throw(_Expired)
@@ -182,12 +165,12 @@
     def end_if_idle(self) -> None:
         """End the connection unless it is in use; called while the server stops."""
         delay = IDLE_CLOSE_DELAY if self._conn.written else UNUSED_CLOSE_DELAY
-        if self.is_idle() and monotonic() >= self._idle_since + delay:
+        if self.is_idle() and monotonic() >= self._time_limit.idle_since + delay:
             self.expire("stop")
 
     def end_if_expired(self, now: float) -> None:
         """End the connection if its time limit has passed; an idle one, if its caller receives nothing more."""
-        if now <= self.expires_at or self._is_closing:
+        if now <= self._time_limit.expires_at or self._is_closing:
             return
         if self._is_busy() or not self._delivery.is_in_progress(now):
             self.expire("time limit")
@@ -271,7 +254,7 @@
         # The end of the process may cut what the caller has not received, and the answers queued after it.
         is_slow = self._delivery.is_slow(monotonic())
         # An answer that is being written may break off, and then ends the connection for those behind it.
-        may_pipeline = self._server.may_pipeline() and not (is_slow or self._is_writing_answer)
+        may_pipeline = self._server.may_pipeline() and not (is_slow or self._writer.is_writing)
         if self._exchanges and not may_pipeline:
             return False
         return self._delivery.is_complete()
@@ -284,7 +267,7 @@
 
     def _answer_complete_requests(self) -> None:
         """Answer the requests that were read completely, once nothing more is read."""
-        self.expires_at = NEVER
+        self._time_limit.lift()
         if self._open_exchange is not None:
             self._update_open_body()
         while self._reader.has_head() and not self._has_last_answer():
@@ -320,20 +303,15 @@
     def _update_expiry(self) -> None:
         if self._is_closing:
             return
-        now = monotonic()
         header_timeout, idle_timeout = self._server.read_timeouts()
         if self._open_exchange is not None:
-            self.expires_at = now + BODY_TIMEOUT
+            self._time_limit.await_body()
         elif self._reader.is_in_head:
-            if self._reader.unfinished_head is not self._timed_head:
-                self._timed_head = self._reader.unfinished_head
-                self.expires_at = now + header_timeout
+            self._time_limit.await_head(self._reader.unfinished_head, header_timeout)
         elif self._exchanges:
-            self.expires_at = NEVER
-        elif not self._is_idle_timed:
-            self._is_idle_timed = True
-            self._idle_since = now
-            self.expires_at = now + idle_timeout
+            self._time_limit.lift()
+        else:
+            self._time_limit.await_request(idle_timeout)
 
     def _start_request(self, message: Message) -> None:
         """Assign a request to a worker."""
@@ -344,7 +322,7 @@
         if not message.is_complete:
             self._open_exchange = exchange
         self._exchanges.append(exchange)
-        self._is_idle_timed = False
+        self._time_limit.end_idle_time()
         worker.assign(exchange)
 
     def notify_body_read(self) -> None:
@@ -365,18 +343,7 @@
         """
         if not self._exchanges or self._exchanges[0] is not exchange:
             return False
-        pace = exchange.body.pace
-        header = b"" if pace == NEVER else b"%b: %d\r\n" % (PACE_HEADER.encode(), pace)
-        line = _CONTINUE + header + b"\r\n"
-        seconds = None if deadline == NEVER else max(0.0, deadline - monotonic())
-        written = self._conn.written
-        try:
-            with gevent.Timeout(seconds, BodyTimeout("the request body was not asked for before its deadline")):
-                self._conn.sendall(line)
-        except BaseException:
-            if self._conn.written > written:
-                self._rest_of_continue = line[self._conn.written - written :]
-            raise
+        self._writer.send_continue(exchange.body.pace, deadline)
         return True
 
     # ---------------------------------------------------------------- answering
@@ -394,9 +361,7 @@
                 exchange.turn.wait()
             # The connection may have ended while waiting.
             if self._exchanges and not self._is_closing:
-                self._is_writing_answer = True
                 self._write_in_turn(exchange, answer)
-                self._is_writing_answer = False
                 self._delivery.note_answer(exchange.trace)
             elif self._exchanges:
                 self.ends.note_unwritten(exchange.trace)
@@ -468,32 +433,15 @@
 
     def _write_answer(self, head: AnswerHead, answer: Answer) -> None:
         """Write an answer; its head is sent together with the first piece of its body."""
-        head.data = self._rest_of_continue + head.data
-        self._rest_of_continue = b""
-        if head.is_close_delimited:
-            # Until the whole answer is written, its connection must not end in order, not even with the process.
-            self._conn.reset_on_close()
-            self._is_answer_close_delimited = True
         self._has_announced_close = self._has_announced_close or head.announces_close
-        pieces = iter(answer.pieces)
-        attach_pieces(pieces, self._conn)
-        try:
-            if head.has_body:
-                write_pieces(self._conn, head.data, pieces, head.is_chunked)
-            else:
-                self._conn.sendall(head.data)
-        finally:
-            close_pieces(pieces)
-        if head.is_close_delimited:
-            self._conn.reset_on_close(False)
-            self._is_answer_close_delimited = False
+        self._writer.write(head, answer)
         if head.announces_close:
             self._end_sending()
 
     def _end_sending(self) -> None:
         """End the sending side after the last answer; the reader discards what the caller still sends."""
         self._is_closing = self._delivery.is_stream_ended = True
-        self.expires_at = NEVER
+        self._time_limit.lift()
         if self._open_exchange is None and self._server.is_over_connection_limit() and not self._server.is_stopping:
             # Another caller needs the connection slot, and hardly any input can be in transit.
             self._linger_timeout = 0.0
@@ -505,7 +453,7 @@
         """End the connection after an incomplete answer, which the caller must not take for a complete one."""
         if exchange in self._exchanges:
             self.ends.note_unwritten(exchange.trace)
-        if not self._is_answer_close_delimited:
+        if not self._writer.is_close_delimited:
             try:
                 # Answers before the incomplete one still reach the caller.
                 self._end_sending()
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/server.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/server.py
@@ -17,7 +17,7 @@
 from lanedock_daemon.agent.reachability import ALIVE_PATH
 from lanedock_daemon.path.http.caller_messages import make_request
 from lanedock_daemon.path.http.channel import Channel
-from lanedock_daemon.path.http.connection import IDLE_TIMEOUT, Connection
+from lanedock_daemon.path.http.connection import Connection
 from lanedock_daemon.path.http.connection_log import ConnectionLog
 from lanedock_daemon.path.http.incoming import Worker
 from lanedock_daemon.path.http.messages import DEFAULT_RETRY_AFTER, Answer, Body, BodyBroken, Outcome, make_refusal
@@ -25,6 +25,7 @@
 from lanedock_daemon.path.http.request_trace import RequestTrace
 from lanedock_daemon.path.http.service import HttpService, StopTimeout
 from lanedock_daemon.path.http.stop_log import StopLog
+from lanedock_daemon.path.http.time_limit import IDLE_TIMEOUT
 
 __all__ = ["PathServer"]
 
