--- a/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
@@ -10,22 +10,18 @@
 from gevent.event import Event as Signal
 
 from lanedock.clock import monotonic
-from lanedock_daemon.path.http.answer_writer import attach_pieces, close_pieces, make_head, write_pieces
+from lanedock.errors import ErrorCode
+from lanedock_daemon.path.http.answer_writer import AnswerHead, AnswerWriter, close_pieces, make_head
 from lanedock_daemon.path.http.caller_messages import refuse_malformed
 from lanedock_daemon.path.http.delivery import DELIVERY_TIMEOUT, POLL, Delivery
-from lanedock_daemon.path.http.headers import PACE_HEADER, REQUEST_ID_HEADER
 from lanedock_daemon.path.http.incoming import Exchange
-from lanedock_daemon.path.http.messages import NEVER, Answer, Outcome
+from lanedock_daemon.path.http.messages import Answer, Outcome, make_refusal
 from lanedock_daemon.path.http.parser import MalformedMessage, Message, RequestReader
-from lanedock_daemon.path.http.request_trace import RequestTrace
-from lanedock_daemon.path.http.stop_log import RequestEnd
+from lanedock_daemon.path.http.request_ends import RequestEnds
+from lanedock_daemon.path.http.time_limit import TimeLimit
 
 __all__ = ["Connection"]
 
-# Seconds for which an idle connection is kept unless the limits in force say otherwise.
-IDLE_TIMEOUT = 300.0
-# Seconds without new data after which a connection with an unfinished body ends.
-BODY_TIMEOUT = 30.0
 # Requests of one connection that are processed or wait for their start; reading pauses at this number.
 MAX_PIPELINED = 32
 # Unread bytes of a body above which reading from the connection pauses.
@@ -39,7 +35,6 @@
 # Seconds for which it keeps a new connection without a request: covers the first request's way on a slow link, or the
 # retransmission of its packet.
 UNUSED_CLOSE_DELAY = 0.5
-_CONTINUE = b"HTTP/1.1 100 Continue\r\n"
 
 
 class _Expired(gevent.GreenletExit):
@@ -58,43 +53,35 @@
 
     Attributes
     ----------
-    expires_at : float
-        Monotonic seconds after which the server's sweep ends the connection. Cheaper
-        than a timer for each wait.
+    ends : RequestEnds
+        Logs how the requests end.
     """
 
     def __init__(self, server, conn, address=("", 0)):
-        self.expires_at = monotonic() + IDLE_TIMEOUT
+        # The server's sweep looks at it; cheaper than a timer for each wait.
+        self._time_limit = TimeLimit()
         self._server = server
         self._conn = conn
-        self._address = address
         self._delivery = Delivery(conn)
+        self._writer = AnswerWriter(conn)
         self._reader = RequestReader(conn)
         self._greenlet = getcurrent()
         # Whether the greenlet reads requests, so that it can be interrupted.
         self._is_reading = False
         self._exchanges: deque[Exchange] = deque()
+        self.ends = RequestEnds(server.log, server.stop_log, address, conn, self._delivery, self._exchanges)
         self._open_exchange: Exchange | None = None
-        # The unfinished head to which the time limit belongs.
-        self._timed_head: Message | None = None
         self._has_room = Signal()
         # Whether the head of an answer announced `connection: close`.
         self._has_announced_close = False
         self._is_closing = False
         self._linger_timeout = LINGER_TIMEOUT
-        self._idle_since = monotonic()
-        # Whether the time limit of an idle connection runs, which blank lines don't renew.
-        self._is_idle_timed = False
         # Why this process ends the connection; empty if the caller does.
         self._end_reason = ""
-        # Whether the answer being written has no length, so that its end is the end of the connection.
-        self._is_answer_close_delimited = False
-        # Requests whose answers were made and can't be written any more.
-        self._unwritten: list[RequestTrace] = []
+        # Whether nothing more can be read because of an unexpected error.
+        self._has_failed = False
         # Whether a worker found that the caller has reset the connection.
         self._is_reset = False
-        # Whether the end of the connection has been logged, in a stop.
-        self._is_end_logged = False
 
     # ------------------------------------------------------------------ reading
 
@@ -112,7 +99,7 @@
                 if self._end_reason:
                     self.report_cut(self._end_reason)
                 else:
-                    self._report_disconnect("reset" if self._is_reset else how)
+                    self.ends.log_disconnect("reset" if self._is_reset else how, self._reader.list_heads())
             finally:
                 self._cancel_exchanges()
                 self._conn.close()
@@ -133,6 +120,15 @@
             self._answer_complete_requests()
             if self._reader.is_in_head and not (self._exchanges or self._is_closing):
                 self._refuse_malformed(MalformedMessage("the request head was not received within the time limit", 408))
+        except OSError:
+            raise
+        except Exception as exc:
+            # Nothing more can be read; what has begun still gets its answers.
+            self._server.log_unexpected_error(exc)
+            self._has_failed = True
+            self._end_reason = "error"
+            self._time_limit.lift()
+            self._await_answers()
 
     def _await_delivery(self) -> None:
         """End the sending side, and discard input until the caller has received all answers."""
@@ -144,59 +140,8 @@
             self._end_reason = "not received"
 
     def report_cut(self, reason: str) -> None:
-        """Log if the caller has not received all answers, when this process closes the connection."""
-        unsent = self._count_unsent_bytes()
-        if unsent or self._exchanges or self._unwritten:
-            unreceived = [trace.request_id for trace in self._delivery.list_unreceived(unsent)]
-            ids = unreceived + self._list_unanswered()
-            targets = [exchange.message.target for exchange in self._exchanges]
-            self._server.log.log_cut(reason, unsent, self._conn.count_unread_bytes(), targets, ids)
-        self._log_ends(RequestEnd.CUT, reason)
-
-    def log_received(self) -> None:
-        """Log the requests whose answers the caller has received since the last call; used while the process stops."""
-        if not self._delivery.has_answers():
-            return
-        for trace in self._delivery.take_received(self._count_unsent_bytes()):
-            self._server.stop_log.log_request(trace, RequestEnd.RECEIVED)
-
-    def forget_received(self) -> None:
-        """Leave out the requests whose answers the caller received before the stop; called when it begins."""
-        if self._delivery.has_answers():
-            self._delivery.take_received(self._count_unsent_bytes())
-
-    def _count_unsent_bytes(self) -> int:
-        """Return how many bytes of answers the caller has not acknowledged."""
-        unsent = self._conn.count_unsent_bytes()
-        # The last one is the end of the stream.
-        return unsent - 1 if self._is_closing and unsent else unsent
-
-    def _log_ends(self, end: str, how: str) -> None:
-        """Log how the requests without a received answer end with the connection, if the process is stopping."""
-        stop_log = self._server.stop_log
-        if not stop_log.is_active:
-            return
-        self.log_received()
-        unreceived = self._delivery.list_unreceived(self._count_unsent_bytes())
-        for trace in [*unreceived, *self._unwritten, *(exchange.trace for exchange in self._exchanges)]:
-            stop_log.log_request(trace, end, how)
-        self._log_not_begun()
-        if not self._is_end_logged:
-            self._is_end_logged = True
-            stop_log.log_connection(self._address, how)
-
-    def _report_disconnect(self, how: str) -> None:
-        """Log if the caller has ended the connection with requests that have no answer; in a stop, log all ends."""
-        if self._exchanges or self._unwritten:
-            answered = len(self._unwritten) + sum(exchange.is_answered for exchange in self._exchanges)
-            self._server.log.log_disconnect(how, answered, self._list_unanswered())
-        self._log_ends(RequestEnd.CALLER_LEFT, how)
-
-    def _list_unanswered(self) -> list[str]:
-        """Return the ids of the requests whose answers were not written."""
-        return [trace.request_id for trace in self._unwritten] + [
-            exchange.trace.request_id for exchange in self._exchanges
-        ]
+        """Log that this process closes the connection; see `RequestEnds.log_cut`."""
+        self.ends.log_cut(reason, self._reader.list_heads())
 
     def expire(self, reason: str) -> None:
         """Schedule the end of the connection, unless data arrives before; `reason` is logged if answers are cut."""
@@ -204,7 +149,7 @@
 
     def _end_reading(self, reason: str) -> None:
         """End the connection if it still is read and the reason still holds: data may have arrived since `expire`."""
-        must_end = monotonic() > self.expires_at if self._is_busy() else self._conn.is_clean()
+        must_end = monotonic() > self._time_limit.expires_at if self._is_busy() else self._conn.is_clean()
         if self._is_reading and must_end:
             self._end_reason = reason
             self._greenlet.throw(_Expired)
@@ -220,12 +165,12 @@
     def end_if_idle(self) -> None:
         """End the connection unless it is in use; called while the server stops."""
         delay = IDLE_CLOSE_DELAY if self._conn.written else UNUSED_CLOSE_DELAY
-        if self.is_idle() and monotonic() >= self._idle_since + delay:
+        if self.is_idle() and monotonic() >= self._time_limit.idle_since + delay:
             self.expire("stop")
 
     def end_if_expired(self, now: float) -> None:
         """End the connection if its time limit has passed; an idle one, if its caller receives nothing more."""
-        if now <= self.expires_at or self._is_closing:
+        if now <= self._time_limit.expires_at or self._is_closing:
             return
         if self._is_busy() or not self._delivery.is_in_progress(now):
             self.expire("time limit")
@@ -292,20 +237,9 @@
         If they were started, they would run and never be answered. The body of the open
         exchange is still received until the answer has ended.
         """
-        self._log_not_begun()
+        self.ends.log_not_begun(self._reader.list_heads())
         self._reader.discard_read_ahead(self._open_exchange.message if self._open_exchange is not None else None)
 
-    def _log_not_begun(self) -> None:
-        """Log the requests that were read behind the last answer."""
-        for message in self._reader.list_heads():
-            self._log_message_not_begun(message)
-
-    def _log_message_not_begun(self, message: Message) -> None:
-        if self._server.stop_log.is_active and not message.is_reported:
-            message.is_reported = True
-            trace = RequestTrace(message.header(REQUEST_ID_HEADER), message.read_at)
-            self._server.stop_log.log_request(trace, RequestEnd.NOT_BEGUN)
-
     def _has_last_answer(self) -> bool:
         """Return whether no request that begins now could be answered."""
         return self._has_announced_close or self._is_closing
@@ -319,7 +253,9 @@
             return True
         # The end of the process may cut what the caller has not received, and the answers queued after it.
         is_slow = self._delivery.is_slow(monotonic())
-        if self._exchanges and (is_slow or not self._server.may_pipeline()):
+        # An answer that is being written may break off, and then ends the connection for those behind it.
+        may_pipeline = self._server.may_pipeline() and not (is_slow or self._writer.is_writing)
+        if self._exchanges and not may_pipeline:
             return False
         return self._delivery.is_complete()
 
@@ -331,7 +267,7 @@
 
     def _answer_complete_requests(self) -> None:
         """Answer the requests that were read completely, once nothing more is read."""
-        self.expires_at = NEVER
+        self._time_limit.lift()
         if self._open_exchange is not None:
             self._update_open_body()
         while self._reader.has_head() and not self._has_last_answer():
@@ -343,8 +279,12 @@
             if message.is_complete:
                 self._start_request(message)
             else:
-                self._log_message_not_begun(message)
-        pending = [exchange for exchange in self._exchanges if exchange is not self._open_exchange]
+                self.ends.log_not_begun([message])
+        self._await_answers()
+
+    def _await_answers(self) -> None:
+        """Wait until the requests that have begun and were read completely are answered."""
+        pending = [exchange for exchange in self._exchanges if exchange.worker and exchange is not self._open_exchange]
         for exchange in pending:
             exchange.done = Signal()
         for exchange in pending:
@@ -363,46 +303,48 @@
     def _update_expiry(self) -> None:
         if self._is_closing:
             return
-        now = monotonic()
         header_timeout, idle_timeout = self._server.read_timeouts()
         if self._open_exchange is not None:
-            self.expires_at = now + BODY_TIMEOUT
+            self._time_limit.await_body()
         elif self._reader.is_in_head:
-            if self._reader.unfinished_head is not self._timed_head:
-                self._timed_head = self._reader.unfinished_head
-                self.expires_at = now + header_timeout
+            self._time_limit.await_head(self._reader.unfinished_head, header_timeout)
         elif self._exchanges:
-            self.expires_at = NEVER
-        elif not self._is_idle_timed:
-            self._is_idle_timed = True
-            self._idle_since = now
-            self.expires_at = now + idle_timeout
+            self._time_limit.lift()
+        else:
+            self._time_limit.await_request(idle_timeout)
 
     def _start_request(self, message: Message) -> None:
         """Assign a request to a worker."""
         if self._server.stop_log.is_active:
-            self.log_received()
+            self.ends.log_received()
+        worker = self._server.acquire_worker()
         exchange = Exchange(self, message)
         if not message.is_complete:
             self._open_exchange = exchange
         self._exchanges.append(exchange)
-        self._is_idle_timed = False
-        self._server.acquire_worker().assign(exchange)
+        self._time_limit.end_idle_time()
+        worker.assign(exchange)
 
     def notify_body_read(self) -> None:
         """Resume reading after the consumer has read a piece of a body."""
         self._has_room.set()
 
-    def send_continue(self) -> None:
-        """Send `100 Continue` for the request that is next to be answered, if its body is wanted.
+    def send_continue(self, exchange: Exchange, deadline: float) -> bool:
+        """Send `100 Continue` for a request if it is the next one to be answered; return whether it is.
+
+        Sent before its turn, the line would be part of the answer to an earlier request. The request's own worker
+        sends it, so that its final answer can only follow.
 
-        Sent before its turn, the line would be part of the answer to an earlier request.
+        Raises
+        ------
+        BodyTimeout
+            The line was not sent whole by the deadline; an answer is written behind its rest.
+        OSError
         """
-        if self._exchanges and self._exchanges[0].wants_continue:
-            self._exchanges[0].wants_continue = False
-            pace = self._exchanges[0].body.pace
-            header = b"" if pace == NEVER else b"%b: %d\r\n" % (PACE_HEADER.encode(), pace)
-            self._conn.sendall(_CONTINUE + header + b"\r\n")
+        if not self._exchanges or self._exchanges[0] is not exchange:
+            return False
+        self._writer.send_continue(exchange.body.pace, deadline)
+        return True
 
     # ---------------------------------------------------------------- answering
 
@@ -419,16 +361,19 @@
                 exchange.turn.wait()
             # The connection may have ended while waiting.
             if self._exchanges and not self._is_closing:
-                self._write_answer(answer, message, self._may_keep_open(exchange, answer))
+                self._write_in_turn(exchange, answer)
                 self._delivery.note_answer(exchange.trace)
             elif self._exchanges:
-                self._unwritten.append(exchange.trace)
+                self.ends.note_unwritten(exchange.trace)
         except (OSError, gevent.GreenletExit):
             # The caller has disconnected, or the answer's body broke off.
             self._break_off(exchange, "broken answer")
-        except Exception as exc:
+        except BaseException as exc:
+            # Otherwise the next answer on the connection would be taken for this one.
             self._break_off(exchange, "error")
             self._server.log_unexpected_error(exc)
+            if not isinstance(exc, Exception):
+                raise
         finally:
             if answer is not None:
                 # Also if the answer was never written: releases what its body holds.
@@ -448,6 +393,7 @@
         # Requests already in progress are still answered; the last answer closes the connection.
         must_close = answer.ends_connection or self._server.is_stopping or self._server.is_over_connection_limit()
         # Requests that have arrived behind this one are still served.
+        must_close = must_close or self._has_failed
         must_close = must_close or (self._server.is_leaving() and not self._reader.has_head())
         return not must_close or len(self._exchanges) > 1
 
@@ -457,51 +403,45 @@
             self._exchanges.remove(exchange)
         except ValueError:
             return  # the connection has ended
-        if self._exchanges and self._exchanges[0].turn is not None:
-            self._exchanges[0].turn.set()
         self._has_room.set()
-        try:
-            self.send_continue()
-        except OSError:
-            pass  # the caller has disconnected; the connection's reader notices it, too
-        if not self._exchanges:
+        if self._exchanges:
+            self._exchanges[0].take_turn()
+        else:
             self._update_expiry()
 
     def _cancel_exchanges(self) -> None:
         """Cancel all requests in progress."""
-        exchanges, self._exchanges = self._exchanges, deque()
+        exchanges = list(self._exchanges)
+        self._exchanges.clear()
         if self._open_exchange is not None:
             self._open_exchange.body.mark_broken()
         for exchange in exchanges:
             exchange.cancel()
 
-    def _write_answer(self, answer: Answer, message: Message, keep_alive: bool) -> None:
+    def _write_in_turn(self, exchange: Exchange, answer: Answer) -> None:
+        """Write the answer to a request whose turn has come; refuse the request if no head can be made of it."""
+        message = exchange.message
+        try:
+            head = make_head(answer, message, self._may_keep_open(exchange, answer))
+        except Exception as exc:
+            # Nothing of it was written, so that the requests behind it need not end.
+            self._server.log_unexpected_error(exc)
+            answer = make_refusal(ErrorCode.ANSWER_LOST, Outcome.UNKNOWN)
+            exchange.note_answer(answer)
+            head = make_head(answer, message, self._may_keep_open(exchange, answer))
+        self._write_answer(head, answer)
+
+    def _write_answer(self, head: AnswerHead, answer: Answer) -> None:
         """Write an answer; its head is sent together with the first piece of its body."""
-        head = make_head(answer, message, keep_alive)
-        if head.is_close_delimited:
-            # Until the whole answer is written, its connection must not end in order, not even with the process.
-            self._conn.reset_on_close()
-            self._is_answer_close_delimited = True
         self._has_announced_close = self._has_announced_close or head.announces_close
-        pieces = iter(answer.pieces)
-        attach_pieces(pieces, self._conn)
-        try:
-            if head.has_body:
-                write_pieces(self._conn, head.data, pieces, head.is_chunked)
-            else:
-                self._conn.sendall(head.data)
-        finally:
-            close_pieces(pieces)
-        if head.is_close_delimited:
-            self._conn.reset_on_close(False)
-            self._is_answer_close_delimited = False
+        self._writer.write(head, answer)
         if head.announces_close:
             self._end_sending()
 
     def _end_sending(self) -> None:
         """End the sending side after the last answer; the reader discards what the caller still sends."""
-        self._is_closing = True
-        self.expires_at = NEVER
+        self._is_closing = self._delivery.is_stream_ended = True
+        self._time_limit.lift()
         if self._open_exchange is None and self._server.is_over_connection_limit() and not self._server.is_stopping:
             # Another caller needs the connection slot, and hardly any input can be in transit.
             self._linger_timeout = 0.0
@@ -512,8 +452,8 @@
     def _break_off(self, exchange: Exchange, reason: str) -> None:
         """End the connection after an incomplete answer, which the caller must not take for a complete one."""
         if exchange in self._exchanges:
-            self._unwritten.append(exchange.trace)
-        if not self._is_answer_close_delimited:
+            self.ends.note_unwritten(exchange.trace)
+        if not self._writer.is_close_delimited:
             try:
                 # Answers before the incomplete one still reach the caller.
                 self._end_sending()
@@ -525,7 +465,7 @@
             self._end_reason = reason
         else:
             self._is_reset = True
-        self._is_closing = True
+        self._is_closing = self._delivery.is_stream_ended = True
         self._greenlet.kill(block=False)
 
     def _refuse_malformed(self, exc: MalformedMessage) -> None:
@@ -537,7 +477,8 @@
         message = Message()
         message.version = "1.1"
         self._conn.settimeout(DELIVERY_TIMEOUT)
-        self._write_answer(refuse_malformed(exc, outcome), message, keep_alive=False)
+        answer = refuse_malformed(exc, outcome)
+        self._write_answer(make_head(answer, message, keep_alive=False), answer)
 
 
 def _describe(exc: BaseException) -> str:
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/server.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/server.py
@@ -17,14 +17,15 @@
 from lanedock_daemon.agent.reachability import ALIVE_PATH
 from lanedock_daemon.path.http.caller_messages import make_request
 from lanedock_daemon.path.http.channel import Channel
-from lanedock_daemon.path.http.connection import IDLE_TIMEOUT, Connection
+from lanedock_daemon.path.http.connection import Connection
 from lanedock_daemon.path.http.connection_log import ConnectionLog
 from lanedock_daemon.path.http.incoming import Worker
-from lanedock_daemon.path.http.messages import DEFAULT_RETRY_AFTER, Answer, Body, Outcome, make_refusal
+from lanedock_daemon.path.http.messages import DEFAULT_RETRY_AFTER, Answer, Body, BodyBroken, Outcome, make_refusal
 from lanedock_daemon.path.http.parser import Message
 from lanedock_daemon.path.http.request_trace import RequestTrace
 from lanedock_daemon.path.http.service import HttpService, StopTimeout
 from lanedock_daemon.path.http.stop_log import StopLog
+from lanedock_daemon.path.http.time_limit import IDLE_TIMEOUT
 
 __all__ = ["PathServer"]
 
@@ -164,7 +165,13 @@
         return self._plan.is_begun and monotonic() >= self._plan.deadline
 
     def answer(self, message: Message, body: Body, trace: RequestTrace) -> Answer:
-        """Process a caller's request and return its answer, whose body may still have to come."""
+        """Process a caller's request and return its answer, whose body may still have to come.
+
+        Raises
+        ------
+        BodyBroken
+            The caller's connection broke; any other error is answered.
+        """
         if message.target == ALIVE_PATH:
             return Answer(200, "OK", [("content-length", "0")], [])
         if self.limits is not None and body.length is not None and body.length > self.limits.body_bytes:
@@ -177,9 +184,10 @@
         except StopTimeout:
             # The side was interrupted: the request may have run.
             return make_refusal(ErrorCode.ANSWER_LOST, Outcome.UNKNOWN)
-        except OSError:
+        except BodyBroken:
+            # The caller's connection has ended.
             raise
-        except Exception as exc:
+        except (Exception, gevent.Timeout) as exc:
             # Without an answer, the connection would end, and with it the other requests on it.
             self.log_unexpected_error(exc)
             return make_refusal(ErrorCode.ANSWER_LOST, Outcome.UNKNOWN)
@@ -188,8 +196,8 @@
         """Return an idle worker, or a new one."""
         return self._idle_workers.pop() if self._idle_workers else Worker(self._idle_workers)
 
-    def log_unexpected_error(self, exc: Exception) -> None:
-        """Log an unexpected exception of a request handler."""
+    def log_unexpected_error(self, exc: BaseException) -> None:
+        """Log an unexpected exception of a request handler or a connection."""
         self._events.emit(Event.UNEXPECTED, error=repr(exc))
 
     def _sweep(self) -> None:
@@ -204,7 +212,7 @@
 
     def _begin_receipt_watch(self) -> None:
         for connection in self._connections:
-            connection.forget_received()
+            connection.ends.forget_received()
         gevent.spawn(self._watch_receipts)
 
     def _watch_receipts(self) -> None:
@@ -218,7 +226,7 @@
                 is_noticed = True
                 self.stop_log.log_notice()
             for connection in list(self._connections):
-                connection.log_received()
+                connection.ends.log_received()
             gevent.sleep(RECEIPT_INTERVAL)
 
     def _accept(self, conn, address) -> None:
