--- a/packages/lanedock-daemon/lanedock_daemon/path/caller/caller.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller/caller.py
@@ -20,7 +20,6 @@
 from lanedock_daemon.path.caller.load_prober import LoadProber
 from lanedock_daemon.path.caller.progress import AttemptProgress
 from lanedock_daemon.path.caller.request_context import RequestContext
-from lanedock_daemon.path.http.connection import IDLE_TIMEOUT
 from lanedock_daemon.path.http.headers import (
     CALLER_HEADER,
     CLASS_HEADER,
@@ -37,6 +36,7 @@
 )
 from lanedock_daemon.path.http.messages import DEFAULT_RETRY_AFTER, Answer, Outcome, ReplayBody, Request, outcome_label
 from lanedock_daemon.path.http.service import StopTimeout
+from lanedock_daemon.path.http.time_limit import IDLE_TIMEOUT
 from lanedock_daemon.path.shared.dialect import Dialect, OwnDialect, RequestFacts
 from lanedock_daemon.path.shared.paced_answer import LinkTurns, answer_length, is_long_answer
 from lanedock_daemon.path.shared.pool import ConnectionPool
