Test 100 Continue where the request before would have sent it

The test of let the request before end before the next one waited for its body, so that the case in question, the earlier request's worker sending the line, was not run. It waits for that now, and a closed channel fails the stand-in's write as it fails a real one.

--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_continue.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_continue.py
@@ -75,7 +75,8 @@
             self.is_reached.set()
             return self._write(channel, data[: self._fitting_bytes]) if self._fitting_bytes else 0
         gevent.sleep(PAUSE)
-        return 0
+        # Fails if the channel was closed, as a write does.
+        return self._write(channel, b"")
 
 
 @pytest.fixture
@@ -119,6 +120,8 @@
     server = make_server(NEVER if is_forced else BODY_LIMIT)
     with socket.create_connection((HOST, server.port), timeout=TIMEOUT) as conn:
         conn.sendall(before + UPLOAD)
+        # The body is waited for before its turn has come.
+        wait_until(lambda: server.in_progress == (2 if before else 1))
         server.side.opened.set()
         assert buffer.is_reached.wait(TIMEOUT)
         if is_forced:
