Play stops beside services whose applications answer once more, late, or never

Change: two services; six of the nine applications of the first have the faults and call the second, whose four refuse half of the requests without running them; POSTs call as well. Six of 13 daemons in four zones stop in three overlapping pairs. far-end-late-few repeats 3 in 100 answers, far-end-late-many 30. far-end-silent loses 3 in 100 without closing the connection (only 504 at the time limit is allowed then) and sends bytes that are no answer behind 10 in 100.

--- a/tests/caller_kinds.py
+++ b/tests/caller_kinds.py
@@ -23,6 +23,8 @@
         Maximum seconds between an answer and the next request.
     needs_call : bool
         Whether the application makes a call for each request.
+    called_path : str
+        First part of the paths of these calls, which determines their route.
     give_up : float
         Seconds without an answer after which the caller leaves; 0 to wait for `READ_TIMEOUT`.
     leaving_share : float
@@ -35,6 +37,7 @@
 
     __slots__ = (
         "answer_bytes",
+        "called_path",
         "ending_share",
         "follows_close",
         "give_up",
@@ -60,7 +63,9 @@
         leaving_share=0.0,
         follows_close=False,
         ending_share=0.0,
+        called_path="c",
     ):
+        self.called_path = called_path
         self.give_up = give_up
         self.leaving_share = leaving_share
         self.follows_close = follows_close
--- a/tests/crash_mesh.py
+++ b/tests/crash_mesh.py
@@ -20,6 +20,7 @@
     "BackgroundLoad",
     "CrashMesh",
     "make_routes",
+    "make_routes_with_called_service",
 ]
 
 DAEMONS, ZONES = 6, 3
@@ -39,6 +40,13 @@
     return value
 
 
+def make_routes_with_called_service(version: int, base: int, **route) -> dict:
+    """Make a configuration as `make_routes` with a third route, for the paths below /d/, to the service s2."""
+    value = make_routes(version, base, **route)
+    value["routes"].append(value["routes"][1] | {"name": "r-called", "pathPrefix": "/d/", "service": "s2"})
+    return value
+
+
 class CrashMesh(PlatformProcesses):
     """Three zones with one control instance each, and daemons whose applications crash on some requests.
 
@@ -57,6 +65,10 @@
         Shape of the links between instances; None for plain loopback connections.
     faults : Faults or None
         What the applications do wrong; None for no faults but crashes.
+    called : int
+        Number of the last daemons, whose applications are of the service s2; those of the others are of s1.
+    called_faults : Faults or None
+        What the applications of s2 do wrong.
     """
 
     def __init__(
@@ -68,14 +80,22 @@
         zones: int = ZONES,
         shape: LinkShape | None = None,
         faults: Faults | None = None,
+        called: int = 0,
+        called_faults: Faults | None = None,
     ):
         super().__init__(folder, daemons, zones, is_partitionable, zones, shape)
         self._crash_after = crash_after
         self._faults = faults
+        self._called_faults = called_faults
+        self._called = frozenset(self.daemons[daemons - called :])
+
+    def service(self, ip: str) -> str:
+        return "s2" if ip in self._called else "s1"
 
     def make_application(self, ip: str, number: int) -> CrashingApplication:
-        if self._faults is not None:
-            return FaultyApplication(ip, f"i-{number}", self._faults, number)
+        faults = self._called_faults if ip in self._called else self._faults
+        if faults is not None:
+            return FaultyApplication(ip, f"i-{number}", faults, number)
         return CrashingApplication(ip, f"i-{number}", crash_after=self._crash_after)
 
     def start_heartbeats(self) -> None:
--- a/tests/crashing_application.py
+++ b/tests/crashing_application.py
@@ -13,7 +13,7 @@
 
 from lanedock_platform.tests.beats import make_beat
 
-__all__ = ["CALL_PATH_PREFIX", "POISON", "CrashingApplication", "reset_connection"]
+__all__ = ["CALL_PATH_PART", "POISON", "CrashingApplication", "reset_connection"]
 
 # Value of SO_LINGER that is enabled with a timeout of 0: `close` resets the connection.
 _LINGER_RESET = struct.pack("ii", 1, 0)
@@ -21,9 +21,10 @@
 RESTART_DELAY = 1.0
 # Requests with this text in the path, or at the end of the body, crash the application.
 POISON = "poison"
-# Requests with this path prefix call the rest of the path through the local daemon.
-CALL_PATH_PREFIX = "/c/calls"
+# Requests with this part in the path call the path behind it through the local daemon.
+CALL_PATH_PART = "/calls/"
 HEARTBEAT_INTERVAL = 0.3  # seconds
+_REFUSAL = b"HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 HEALTH_PATH = "/health"
 
 
@@ -215,9 +216,12 @@
         if headers.get("x-expect-instance", incarnation) != incarnation:
             conn.sendall(b"HTTP/1.1 421 Misdirected\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
             return True
+        if self._refuses():
+            conn.sendall(_REFUSAL)
+            return True
         begun_at = time.monotonic()
         self.arrivals.append((begun_at, path, incarnation))
-        makes_call = path.startswith(CALL_PATH_PREFIX)
+        _, makes_call, called_path = path.partition(CALL_PATH_PART)
         if (POISON in path and not makes_call) or body.endswith(POISON.encode()):
             time.sleep(self.crash_after)
             self.crash(incarnation)
@@ -227,10 +231,10 @@
         try:
             if not self._work(conn):
                 status = "500 Failed"
-            elif makes_call and self._call(path.removeprefix(CALL_PATH_PREFIX), f"{request_id}-1") != 200:
+            elif makes_call and self._call(f"/{called_path}", f"{request_id}-1") != 200:
                 status = "500 A call has failed"
         finally:
-            self._note_end(path, incarnation, begun_at)
+            self._note_end(conn, path, incarnation, begun_at)
         fields = (
             f"X-Request-Id: {request_id}\r\nX-Server-Stamp: {incarnation}\r\n"
             f"{self._advertise(incarnation)}Content-Length: {len(answer)}"
@@ -238,12 +242,16 @@
         self._send_answer(conn, f"HTTP/1.1 {status}\r\n{fields}\r\n\r\n".encode() + answer)
         return True
 
+    def _refuses(self) -> bool:
+        """Return whether the next request is refused without being run."""
+        return False
+
     def _work(self, conn: socket.socket) -> bool:
         """Work on a request; returns whether it succeeds."""
         time.sleep(self.slow_work if random() < self.slow_share else self.work)
         return True
 
-    def _note_end(self, path: str, incarnation: str, begun_at: float) -> None:
+    def _note_end(self, conn: socket.socket, path: str, incarnation: str, begun_at: float) -> None:
         """Record that the work on a request has ended, which began at a monotonic time in seconds."""
         self.ended.append((time.monotonic(), path))
 
--- a/tests/faulty_application.py
+++ b/tests/faulty_application.py
@@ -6,7 +6,7 @@
 import time
 from collections import deque
 from random import Random
-from weakref import WeakKeyDictionary
+from weakref import WeakKeyDictionary, WeakSet
 
 from crashing_application import CrashingApplication, reset_connection
 
@@ -14,6 +14,10 @@
 
 # Seconds in which an application fails in a burst, or is slow, before it does the other.
 _BURST_TIME = 0.7
+# Sent behind a whole answer; neither an answer nor the beginning of one.
+_INVALID_BYTES = b"\x00no answer\r\n\r\n"
+# Of so many applications with consecutive numbers, `Faults.afflicted` have faults.
+_GROUP = 5
 # Maximum seconds between the arrival of a request and a late second answer to the one before.
 _LATE_TIME = 0.03
 
@@ -35,13 +39,46 @@
         Seconds after which it closes an idle connection; 0 for never.
     restart_gap : float
         Seconds between its ends; it starts again under the same id. 0 for never.
+    refused_share : float
+        Share of the requests that it refuses without running them.
+    lost_share : float
+        Share of the answers that it never sends, while their connections stay open.
+    invalid_share : float
+        Share of the answers behind which it sends bytes that are no answer.
+    afflicted : int
+        Number of applications that have these faults of each `_GROUP`; the others have none.
     """
 
-    __slots__ = ("failing_share", "idle_timeout", "late_share", "restart_gap", "room", "slow_factor")
+    __slots__ = (
+        "afflicted",
+        "failing_share",
+        "idle_timeout",
+        "invalid_share",
+        "late_share",
+        "lost_share",
+        "refused_share",
+        "restart_gap",
+        "room",
+        "slow_factor",
+    )
 
     def __init__(
-        self, room=0, failing_share=0.0, slow_factor=(1.0, 1.0), late_share=0.0, idle_timeout=0.0, restart_gap=0.0
+        self,
+        room=0,
+        failing_share=0.0,
+        slow_factor=(1.0, 1.0),
+        late_share=0.0,
+        idle_timeout=0.0,
+        restart_gap=0.0,
+        refused_share=0.0,
+        lost_share=0.0,
+        invalid_share=0.0,
+        afflicted=_GROUP,
     ):
+        self.refused_share = refused_share
+        self.lost_share = lost_share
+        self.invalid_share = invalid_share
+        self.afflicted = afflicted
         self.room = room
         self.failing_share = failing_share
         self.slow_factor = slow_factor
@@ -56,24 +93,27 @@
 class FaultyApplication(CrashingApplication):
     """Backend with faults while `is_faulty` is set.
 
-    The end of a request that a reset of the application broke off counts from the reset.
+    The end of a request that a reset of the application broke off counts from the reset. The work on one whose
+    answer it never sends has no end.
 
     Parameters
     ----------
     ip, upstream : str
     faults : Faults
-    seed : int
+    number : int
+        Seed of its random decisions.
     """
 
-    def __init__(self, ip: str, upstream: str, faults: Faults, seed: int):
-        self._faults = faults
-        self._rng = Random(seed)
+    def __init__(self, ip: str, upstream: str, faults: Faults, number: int):
+        self._faults = faults if number % _GROUP < faults.afflicted else Faults()
+        self._rng = Random(number)
         self._running: set[socket.socket] = set()
         self._last_answers: WeakKeyDictionary[socket.socket, bytes] = WeakKeyDictionary()
+        self._losing: WeakSet[socket.socket] = WeakSet()
         self._terminations: dict[str, deque[float]] = {}
         self.is_faulty = False
         super().__init__(ip, upstream)
-        if faults.restart_gap:
+        if self._faults.restart_gap:
             threading.Thread(target=self._restart_often, daemon=True).start()
 
     @property
@@ -107,6 +147,9 @@
         finally:
             self._running.discard(conn)
 
+    def _refuses(self) -> bool:
+        return self.is_faulty and self._rng.random() < self._faults.refused_share
+
     def _work(self, conn: socket.socket) -> bool:
         if not self.is_faulty:
             time.sleep(self.work)
@@ -115,16 +158,25 @@
         if late is not None and self._rng.random() < self._faults.late_share:
             time.sleep(self._rng.uniform(0, _LATE_TIME))
             conn.sendall(late)
+        if self._rng.random() < self._faults.lost_share:
+            self._losing.add(conn)
+            while conn.recv(4096):
+                pass
+            raise ConnectionAbortedError("the answer is lost")
         if int(time.monotonic() / _BURST_TIME) % 2:
             time.sleep(self.work)
             return self._rng.random() >= self._faults.failing_share
         time.sleep(self.work * self._rng.uniform(*self._faults.slow_factor))
         return True
 
-    def _note_end(self, path: str, incarnation: str, begun_at: float) -> None:
+    def _note_end(self, conn: socket.socket, path: str, incarnation: str, begun_at: float) -> None:
         resets = [at for at in self._terminations.get(incarnation, ()) if at >= begun_at]
-        self.ended.append((min([time.monotonic(), *resets]), path))
+        if conn not in self._losing:
+            resets.append(time.monotonic())
+        if resets:
+            self.ended.append((min(resets), path))
 
     def _send_answer(self, conn: socket.socket, answer: bytes) -> None:
-        super()._send_answer(conn, answer)
+        has_invalid = self.is_faulty and self._rng.random() < self._faults.invalid_share
+        super()._send_answer(conn, answer + _INVALID_BYTES * has_invalid)
         self._last_answers[conn] = answer
--- a/tests/keepalive_callers.py
+++ b/tests/keepalive_callers.py
@@ -277,7 +277,9 @@
             time.sleep(self._rng.uniform(0, self._kind.think_time))
         self._number += 1
         size = self._rng.randrange(self._kind.answer_bytes)
-        prefix = "a/b" if self._kind.upload_bytes else "c/calls/c" if self._kind.needs_call else "c"
+        prefix = "a/b" if self._kind.upload_bytes else "c"
+        if self._kind.needs_call:
+            prefix += f"/calls/{self._kind.called_path}"
         request = SentRequest(f"/{prefix}/{self._name}/{self._number}/bytes-{size}")
         method = "POST" if self._kind.upload_bytes else "GET"
         body = b"." * self._kind.upload_bytes
--- a/tests/platform_processes.py
+++ b/tests/platform_processes.py
@@ -232,6 +232,10 @@
         instances = self.controls if ip in self.controls else self.daemons
         return f"z{instances.index(ip) % self._zones}"
 
+    def service(self, ip: str) -> str:
+        """Return the service of the backend of a daemon."""
+        return "s1"
+
     def make_settings(self, role: str, ip: str, bootstrap: bool) -> str:
         text = (ROOT / "deploy" / f"{role}.jsonc").read_text(encoding="utf-8")
         seeds = ", ".join(f'"{seed}:{CONTROL_PORT}"' for seed in self.controls)
@@ -251,7 +255,7 @@
             "listen.inbound": f"{ip}:{INBOUND_PORT}",
             "listen.outbound": f"{ip}:{OUTBOUND_PORT}",
             "appAddr": f"{ip}:{APP_PORT}",
-            "service": "s1",
+            "service": self.service(ip),
             "heartbeatS": 0.3,
             "limits.maxFds": 4100,
             "limits.linkMbps": 1000.0,
--- a/tests/round_results.py
+++ b/tests/round_results.py
@@ -2,17 +2,20 @@
 """What callers saw in a round of planned stops, compared with the work of the applications."""
 
 import re
+from collections import Counter
 from pathlib import Path
 
 from keepalive_callers import ConnectionRecord, FailedAnswer
 from shaped_links import LinkShape
 
-__all__ = ["GRACE", "RoundResult", "Runs", "find_log_lines"]
+__all__ = ["GRACE", "RoundResult", "Runs", "count_by_application", "find_log_lines"]
 
 GRACE = 6.0  # seconds
 GATEWAY_TIMEOUT = 504
 # Seconds after which callers may give up a request that nobody works on, and its connection.
 GIVE_UP_TIME = 1.0
+# Daemon that received a request, and the incarnations that worked on it.
+_RUN_BY = re.compile(r"/\d+-([\d.]+)-\d+/\d+/bytes-\d+.*, run by ([^,()]+)$")
 _PATH = re.compile(r"/([^/ ]+)/(\d+)/bytes-\d+")
 
 
@@ -31,6 +34,13 @@
     ]
 
 
+def count_by_application(faults: list[str]) -> list[tuple[str, str, int]]:
+    """Return, for the requests of faults that applications ran, the daemon, the applications and the number."""
+    matches = [match for fault in faults if (match := _RUN_BY.search(fault))]
+    counts = Counter(match.groups() for match in matches)
+    return [(ip, application, count) for (ip, application), count in sorted(counts.items())]
+
+
 class Runs:
     """When applications worked on requests.
 
@@ -39,14 +49,16 @@
     applications : iterable of CrashingApplication
     """
 
-    __slots__ = ("_ends", "_starts")
+    __slots__ = ("_ends", "_incarnations", "_starts")
 
     def __init__(self, applications):
         self._starts: dict[str, list[float]] = {}
         self._ends: dict[str, list[float]] = {}
+        self._incarnations: dict[str, list[str]] = {}
         for application in applications:
-            for at, path, _ in list(application.arrivals):
+            for at, path, incarnation in list(application.arrivals):
                 self._starts.setdefault(path, []).append(at)
+                self._incarnations.setdefault(path, []).append(incarnation)
             for at, path in list(application.ended):
                 self._ends.setdefault(path, []).append(at)
 
@@ -55,6 +67,11 @@
         """Paths of the requests that applications received."""
         return set(self._starts)
 
+    def describe(self, path: str) -> str:
+        """Return the end of a fault's description, which names the incarnations that received a request."""
+        incarnations = self._incarnations.get(path)
+        return f", run by {' '.join(incarnations)}" if incarnations else ""
+
     def first_start(self, path: str) -> float:
         """Return the monotonic time, in seconds, at which the first application received a request; 0 if none did."""
         return min(self._starts.get(path, []), default=0.0)
@@ -91,7 +108,7 @@
         if sent_at <= GRACE / 2 and at >= GRACE * 5 / 6:
             return None
         place = f"{answer.request.path} sent at {sent_at:.3f} s, answered at {at:.3f} s"
-        return f"answered {answer.status} while an application worked: {place}"
+        return f"answered {answer.status} while an application worked: {place}{self.describe(answer.request.path)}"
 
 
 class RoundResult:
@@ -213,4 +230,6 @@
             if request.path not in runs.paths and record.is_behind_another():
                 return
             has_outlasted = has_outlasted or record.ended_at - request.begun_at >= time_limit
+        request = record.open_request
+        fault += runs.describe(request.path) if request else ""
         (self.outlasted if has_outlasted else faults).append(fault)
--- a/tests/stop_rounds.py
+++ b/tests/stop_rounds.py
@@ -23,10 +23,10 @@
     # The import paths that pytest sets up.
     sys.path[:0] = [str(TESTS), str(TESTS.parent / "platform")]
 
-from crash_mesh import CrashMesh, make_routes  # noqa: E402
+from crash_mesh import CrashMesh, make_routes, make_routes_with_called_service  # noqa: E402
 from keepalive_callers import KeepAliveCaller  # noqa: E402
 from platform_processes import OUTBOUND_PORT  # noqa: E402
-from round_results import GRACE, RoundResult, Runs, find_log_lines  # noqa: E402
+from round_results import GRACE, RoundResult, Runs, count_by_application, find_log_lines  # noqa: E402
 from stop_scenarios import SCENARIOS, Scenario  # noqa: E402
 
 from lanedock_daemon.stops import make_stop_plan  # noqa: E402
@@ -54,10 +54,20 @@
 
 def start_mesh(folder: Path, scenario: Scenario) -> CrashMesh:
     """Start a mesh for a scenario, and wait until its daemons serve."""
-    mesh = CrashMesh(folder, 0.0, scenario.daemons, zones=scenario.zones, shape=scenario.shape, faults=scenario.faults)
+    mesh = CrashMesh(
+        folder,
+        0.0,
+        scenario.daemons,
+        zones=scenario.zones,
+        shape=scenario.shape,
+        faults=scenario.faults,
+        called=scenario.called,
+        called_faults=scenario.called_faults,
+    )
     mesh.grace = GRACE if scenario.has_grace else None
     try:
-        value = make_routes(4, 0, timeoutS=5, targetLatencyS=1)
+        make = make_routes_with_called_service if scenario.called else make_routes
+        value = make(4, 0, timeoutS=5, targetLatencyS=1)
         for route, limit in zip(value["routes"], cycle(_get_limits(scenario)), strict=False):
             route["timeoutS"] = limit
         mesh.start_ready(value)
@@ -191,10 +201,14 @@
         self.mesh.wait_all_ready()
 
 
-def main(scenario: str = "", rounds: int = 20, seed: int = 0, folder: str = "") -> None:
-    """Run rounds of one scenario or of all; the exit code is 1 if any request got no answer."""
+def main(scenario: str = "", rounds: int = 20, seed: int = 0, folder: str = "", callers: int = 0) -> None:
+    """Run rounds of one scenario or of all; the exit code is 1 if any request got no answer.
+
+    Each stopped daemon has as many callers as stated, or else as the scenario says.
+    """
     failed = 0
     for name in [scenario] if scenario else SCENARIOS:
+        SCENARIOS[name].callers = callers or SCENARIOS[name].callers
         logs = Path(tempfile.mkdtemp(prefix=f"stops-{name}-{seed}-", dir=folder or None))
         mesh = start_mesh(logs, SCENARIOS[name])
         stops = StopRounds(mesh, seed, SCENARIOS[name])
@@ -206,6 +220,8 @@
             mesh.stop()
         failed += bool(total.faults)
         print(f"{name}: {rounds} rounds, seed {seed}, {total} ({logs})", flush=True)
+        for ip, application, count in count_by_application(total.faults):
+            print(f"    {count} at {ip}, run by {application}", flush=True)
         for fault in total.faults[:12] + total.outlasted[:3] + total.after_end_of_sending[:3]:
             print(f"    {fault}", flush=True)
             for line in find_log_lines(logs, fault):
--- a/tests/stop_scenarios.py
+++ b/tests/stop_scenarios.py
@@ -46,6 +46,14 @@
     CallerKind(upload_bytes=1000, answer_bytes=3000),
     CallerKind(upload_bytes=1000, answer_bytes=3000, think=0.1),
 ]
+# Callers of a service that calls another one for each of their requests.
+CALLING_ANOTHER = [
+    CallerKind(outstanding=4, answer_bytes=3000, needs_call=True, called_path="d"),
+    CallerKind(outstanding=2, answer_bytes=3000, needs_call=True, called_path="d"),
+    CallerKind(answer_bytes=3000, needs_call=True, called_path="d", think=0.1),
+    CallerKind(upload_bytes=1000, answer_bytes=3000, needs_call=True, called_path="d"),
+    CallerKind(upload_bytes=1000, answer_bytes=3000, needs_call=True, called_path="d", think=0.1),
+]
 # Callers that leave, give up after a third of their time, return after pauses, or follow the announced close.
 LEAVING = [
     CallerKind(outstanding=3, answer_bytes=3000, needs_call=True, leaving_share=0.05),
@@ -94,9 +102,15 @@
         How the stopped daemons and some others are kept from running; None if they aren't.
     faults : Faults or None
         What the applications do wrong from the first stop on.
+    called : int
+        Number of daemons whose applications are of a second service, which those of the first call.
+    called_faults : Faults or None
+        What the applications of the second service do wrong.
     """
 
     __slots__ = (
+        "called",
+        "called_faults",
         "callers",
         "daemons",
         "ends_applications",
@@ -133,7 +147,11 @@
         shape=None,
         stalls=None,
         faults=None,
+        called=0,
+        called_faults=None,
     ):
+        self.called = called
+        self.called_faults = called_faults
         self.callers = callers
         self.zones = zones
         self.time_limits = time_limits
@@ -184,6 +202,8 @@
 _ALL_FAULTS = Faults(
     room=12, failing_share=1 / 3, slow_factor=(8, 30), late_share=0.1, idle_timeout=1.0, restart_gap=4.0
 )
+# Three of five applications of the first service have its faults.
+_TWO_SERVICES = {"called": 4, "called_faults": Faults(refused_share=0.5), "callers": 5}
 _ZONES = {"daemons": 13, "zones": 4, "time_limits": (1.2, 1.5), "stopped": 4, "gap": 0.7, "group": 2}
 SCENARIOS |= {
     "network": Scenario(CALLING, shape=_LINK, **_ZONES),
@@ -195,6 +215,21 @@
     "far-end-full": Scenario(CALLING, faults=Faults(room=3), callers=10, **_ZONES),
     "far-end-bursts": Scenario(CALLING, faults=Faults(failing_share=1 / 3, slow_factor=(8, 30)), **_ZONES),
     "far-end-late": Scenario(CALLING, faults=Faults(late_share=0.3, idle_timeout=0.3), **_ZONES),
+    "far-end-late-few": Scenario(
+        CALLING_ANOTHER,
+        faults=Faults(late_share=0.03, afflicted=3),
+        **(_ZONES | _TWO_SERVICES | {"stopped": 6}),
+    ),
+    "far-end-late-many": Scenario(
+        CALLING_ANOTHER,
+        faults=Faults(late_share=0.3, afflicted=3),
+        **(_ZONES | _TWO_SERVICES | {"stopped": 6}),
+    ),
+    "far-end-silent": Scenario(
+        CALLING_ANOTHER,
+        faults=Faults(lost_share=0.03, invalid_share=0.1, afflicted=3),
+        **(_ZONES | _TWO_SERVICES | {"stopped": 6}),
+    ),
     "far-end-restarts": Scenario(CALLING, faults=Faults(restart_gap=2.0), **_ZONES),
     "callers": Scenario(LEAVING, callers=8, **_ZONES),
     "mixed": Scenario(
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -19,7 +19,7 @@
 
 import pytest
 from crash_mesh import DAEMONS, MAX_ARRIVALS, MIN_SERVED_FRACTION, SEND_INTERVAL, BackgroundLoad, CrashMesh, make_routes
-from crashing_application import CALL_PATH_PREFIX, POISON, CrashingApplication
+from crashing_application import CALL_PATH_PART, POISON, CrashingApplication
 from platform_processes import read_metric, wait_for
 
 SEND_COUNT = 25
@@ -83,7 +83,7 @@
 def test_crashing_nested_call_is_quarantined_and_its_outer_request_is_not(make_mesh):
     """The outer request still runs, and its upstream answers that the nested call has failed."""
     mesh = make_mesh()
-    inner, outer = f"/c/{POISON}", f"{CALL_PATH_PREFIX}/c/{POISON}"
+    inner, outer = f"/c/{POISON}", f"/c{CALL_PATH_PART}c/{POISON}"
     since = mesh.crash_three_and_wait(("GET", outer))
     statuses = [mesh.send(number, "GET", outer) for number in range(SEND_COUNT)]
     assert statuses == [500] * SEND_COUNT
--- a/tests/test_stop_rounds.py
+++ b/tests/test_stop_rounds.py
@@ -36,6 +36,10 @@
     assert _run(tmp_path, name, 1) == []
 
 
+def test_stop_replaces_no_answer_of_applications_that_answer_earlier_requests_once_more(tmp_path):
+    assert _run(tmp_path, "far-end-late-many", 1) == []
+
+
 def test_daemon_that_closes_connections_too_early_is_found(tmp_path, monkeypatch):
     monkeypatch.syspath_prepend(str(HOOKS))
     monkeypatch.setenv(EARLY_CLOSE_VARIABLE, "1")
