Judge cut answers on shaped links by what reached the daemon

What was missed: a daemon that closes connections too early was not found behind slow links. A request that ended after its time limit counted as allowed there, whatever had ended it.

Change: that is allowed only if a daemon logs that it did not get the answer (E501). Otherwise only the end of the stop allows a cut, as without shaped links.

--- a/tests/round_results.py
+++ b/tests/round_results.py
@@ -12,6 +12,8 @@
 
 GRACE = 6.0  # seconds
 GATEWAY_TIMEOUT = 504
+# Log line of a daemon about an answer that did not reach it whole.
+_ANSWER_LOST = '"event": "E501"'
 # Seconds after which callers may give up a request that nobody works on, and its connection.
 GIVE_UP_TIME = 1.0
 # Daemon that received a request, and the incarnations that worked on it.
@@ -41,6 +43,11 @@
     return [(ip, application, count) for (ip, application), count in sorted(counts.items())]
 
 
+def _has_lost_answer(folder: Path, fault: str) -> bool:
+    """Return whether an answer to the request of a fault did not reach a daemon whole."""
+    return any(_ANSWER_LOST in line for line in find_log_lines(folder, fault))
+
+
 class Runs:
     """When applications worked on requests.
 
@@ -193,11 +200,12 @@
         limit: float,
         time_limit: float,
         shape: LinkShape | None = None,
+        folder: Path | None = None,
     ) -> None:
         """Add what a caller saw on one connection.
 
-        On a shaped link, a request may also end unanswered at its time limit, and one behind another if no application
-        received it.
+        On a shaped link, a request may also end without a whole answer at its time limit, if a daemon logs that it did
+        not get that answer, and one behind another if no application received it.
 
         Parameters
         ----------
@@ -210,6 +218,8 @@
         time_limit : float
             Shortest time limit of the routes, in seconds.
         shape : LinkShape or None
+        folder : Path or None
+            Folder of the processes' logs; needed with a shape.
         """
         self.answers += len(record.statuses)
         self.crossed += record.has_crossed_close()
@@ -224,12 +234,13 @@
         fault = record.find_fault(runs.paths, stopped_at)
         if fault is None:
             return
-        has_outlasted = bool(record.partial) and record.ended_at >= stopped_at + limit
+        has_outlasted = (bool(record.partial) or shape is not None) and record.ended_at >= stopped_at + limit
         if shape is not None and not record.wrong:
             request = record.open_request
             if request.path not in runs.paths and record.is_behind_another():
                 return
-            has_outlasted = has_outlasted or record.ended_at - request.begun_at >= time_limit
+            is_late = record.ended_at - request.begun_at >= time_limit
+            has_outlasted = has_outlasted or (is_late and _has_lost_answer(folder, fault))
         request = record.open_request
         fault += runs.describe(request.path) if request else ""
         (self.outlasted if has_outlasted else faults).append(fault)
--- a/tests/stop_rounds.py
+++ b/tests/stop_rounds.py
@@ -190,7 +190,15 @@
         plan.begin(0.0)
         for ip, caller in callers:
             for record in caller.records:
-                result.add(record, runs, self._stopped_at[ip], plan.cut_at, time_limit, self._scenario.shape)
+                result.add(
+                    record,
+                    runs,
+                    self._stopped_at[ip],
+                    plan.cut_at,
+                    time_limit,
+                    self._scenario.shape,
+                    self.mesh.folder,
+                )
         if self._scenario.shape is not None or self._scenario.stalls is not None:
             result.set_unread_apart(self.mesh.folder)
         return result
