Let the soak choose only stops that its mesh can play

Cause: it chose among all scenarios with a grace time and without slow requests.

Change: it chooses among the scenarios for its own number of daemons.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -41,7 +41,7 @@
 from stop_rounds import GRACE, StopRounds  # noqa: E402
 from stop_scenarios import SCENARIOS  # noqa: E402
 
-__all__ = ["Soak"]
+__all__ = ["Soak", "list_stop_scenarios"]
 
 # Seconds after a configuration is acknowledged from which no read may return an older version.
 READ_CONSISTENCY_DELAY = 2.0
@@ -97,6 +97,14 @@
         return self._mesh.zone(ip) == ISOLATED_ZONE and any(begin <= at <= end for begin, end in self._isolated_periods)
 
 
+def list_stop_scenarios() -> list[str]:
+    """Return the names of the kinds of planned stops that the soak's mesh can play.
+
+    The others need a mesh of their own: more daemons, shaped links, faulty applications or other time limits.
+    """
+    return [name for name, one in SCENARIOS.items() if one.has_grace and not one.slow_share and one.daemons <= DAEMONS]
+
+
 class Soak:
     """One run of the soak test.
 
@@ -315,9 +323,7 @@
 
     def _stop_under_callers(self) -> None:
         """Stop daemons as planned in a random scenario; no request may be cut."""
-        # A scenario with slow applications sets the time limits of the mesh's routes.
-        names = [name for name, one in SCENARIOS.items() if one.has_grace and not one.slow_share]
-        scenario = SCENARIOS[self._rng.choice(names)]
+        scenario = SCENARIOS[self._rng.choice(list_stop_scenarios())]
         result = StopRounds(self._mesh, self._rng.getrandbits(32), scenario).run_round()
         self.findings += result.faults
 
