Send only the rest of an interim answer that was written in part

A caller with a full receive buffer could get "HTTP/1.1 HTTP/1.1 100 Continue" and the rest of the line in front of its final answer: bytes that are no answer, behind which the answers of its other requests are lost.

Cause: a wait for more of a body ends each 50 ms to look for an early answer, and with it the sending of 100 Continue, whose rest precedes the final answer; the next look sent the whole line again.

The rest is sent on now, and forgotten once it is out. test_repeated_continue.py: one of its four cases failed before (the other three passed), all pass; test_continue.py passes.

--- a/packages/lanedock-daemon/lanedock_daemon/path/http/answer_writer.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/answer_writer.py
@@ -119,7 +119,7 @@
         return f"<AnswerWriter is_writing={self.is_writing}>"
 
     def send_continue(self, pace: float, deadline: float) -> None:
-        """Send `100 Continue`.
+        """Send `100 Continue`, or what is left of it after an earlier call.
 
         Parameters
         ----------
@@ -135,16 +135,17 @@
         OSError
         """
         header = b"" if pace == NEVER else b"%b: %d\r\n" % (PACE_HEADER.encode(), pace)
-        line = _CONTINUE + header + b"\r\n"
+        line = self._rest_of_continue or _CONTINUE + header + b"\r\n"
         seconds = None if deadline == NEVER else max(0.0, deadline - monotonic())
         written = self._conn.written
         try:
             with gevent.Timeout(seconds, BodyTimeout("the request body was not asked for before its deadline")):
                 self._conn.sendall(line)
         except BaseException:
-            if self._conn.written > written:
+            if self._rest_of_continue or self._conn.written > written:
                 self._rest_of_continue = line[self._conn.written - written :]
             raise
+        self._rest_of_continue = b""
 
     def write(self, head: AnswerHead, answer: Answer) -> None:
         """Write an answer; its head is sent together with the first piece of its body.
