Take no answer into a head that was cut before it

A caller could get the status of a cut head with the body of its own answer (500 as 200, and 200 as 500). Cause: a head that breaks off within its reason or a header's value reads on into the next one, whose id then is the right one. A status line in a reason, and behind discarded bytes in any value, ends the request with 502 now.

In the same search, bytes that begin like answers were not counted to the limit of 32 KB (772 KB were taken), and nine "HTTP/1." hid the answer behind them: what was taken for an answer counts once it turns out to be none, and answers are looked for by their status lines.

--- a/packages/lanedock-daemon/lanedock_daemon/path/shared/answer_recovery.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/shared/answer_recovery.py
@@ -1,13 +1,20 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """Finding the answer that is due behind bytes that belong to no request."""
 
+import re
+from itertools import islice
+
 from lanedock_daemon.path.http.headers import REQUEST_ID_HEADER
 from lanedock_daemon.path.http.messages import NEVER
 from lanedock_daemon.path.http.parser import MAX_HEAD_BYTES, AnswerReader, MalformedMessage, Message
 
 __all__ = ["RecoveringAnswerReader"]
 
-_ANSWER_START = b"HTTP/1."
+_STATUS_LINE = r"HTTP/1\.[01] [1-5][0-9][0-9]"
+_ANSWER_START = re.compile(_STATUS_LINE.encode())
+# Bytes of the beginning of an answer that may have come without the rest of it.
+_PARTIAL_START_BYTES = len(b"HTTP/1.1 20")
+_STATUS_LINE_TEXT = re.compile(_STATUS_LINE)
 # Places in the bytes of one read at which an answer is looked for.
 MAX_STARTS = 8
 
@@ -33,6 +40,8 @@
     _request_id = ""
     _has_former_id = False
     _discarded_bytes = 0
+    # Bytes in which an answer was found that may turn out to be none.
+    _taken_bytes = 0
     # Last bytes of the discarded ones, with which an answer may begin.
     _rest = b""
 
@@ -42,7 +51,7 @@
         self._request_id = request_id
         self.has_discarded = False
         self.recovery_deadline = NEVER
-        self._discarded_bytes = 0
+        self._discarded_bytes = self._taken_bytes = 0
         self._rest = b""
 
     def note_own_answer(self, message: Message) -> None:
@@ -55,10 +64,14 @@
 
     def _feed(self, data: bytes) -> bool:
         try:
-            return super()._feed(data)
+            is_valid = super()._feed(data)
         except MalformedMessage:
             if not self._may_discard():
                 raise
+        else:
+            if self.has_discarded:
+                self._taken_bytes += len(data)
+            return is_valid
         return self._discard(self._rest + data)
 
     def _may_discard(self) -> bool:
@@ -78,13 +91,13 @@
             self.has_discarded = self.has_skipped = True
             if self.recovery_deadline != NEVER:
                 self.conn.set_deadline(self.recovery_deadline)
-        start = data.find(_ANSWER_START)
-        for _ in range(MAX_STARTS):
+        self._note_discarded(self._taken_bytes)
+        self._taken_bytes = 0
+        starts = [match.start() for match in islice(_ANSWER_START.finditer(data), MAX_STARTS + 1)]
+        if len(starts) > MAX_STARTS:
+            raise MalformedMessage("the bytes before the answer can't be told from it")
+        for start in starts:
             self._restart()
-            if start < 0:
-                self._rest = data[1 - len(_ANSWER_START) :]
-                self._note_discarded(len(data))
-                return False
             try:
                 is_valid = super()._feed(data[start:])
             except MalformedMessage:
@@ -93,9 +106,24 @@
             else:
                 self._rest = b""
                 self._note_discarded(start)
+                self._taken_bytes = len(data) - start
                 return is_valid
-            start = data.find(_ANSWER_START, start + 1)
-        raise MalformedMessage("the bytes before the answer can't be told from it")
+        self._restart()
+        self._rest = data[-_PARTIAL_START_BYTES:]
+        self._note_discarded(len(data))
+        return False
+
+    def _finish_head(self, message: Message) -> None:
+        """Refuse a head that was cut, and into which the next one was read: its status would be taken for the other's.
+
+        On a connection without discarded bytes a header may quote a status line.
+        """
+        super()._finish_head(message)
+        texts = [message.reason]
+        if self.has_discarded:
+            texts += [value for _, value in message.headers]
+        if any(map(_STATUS_LINE_TEXT.search, texts)):
+            raise MalformedMessage("the head of an answer contains the beginning of another one")
 
     def _restart(self) -> None:
         """Replace the parser, which can't go on after invalid bytes."""
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_recovered_answers.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_recovered_answers.py
@@ -28,11 +28,24 @@
     return script
 
 
-@pytest.mark.parametrize("garbage", [b"", b"z"], ids=["alone", "behind garbage"])
-@pytest.mark.parametrize("cut", [b"HTTP/1.1 %d Ab", b"HTTP/1.1 %d Ab\r\nx-a: b"], ids=["reason", "value"])
-@pytest.mark.parametrize("cut_status,own_status", [(500, "200 OK"), (200, "500 Failed")])
-def test_status_of_a_cut_head_is_not_that_of_the_own_answer(make_chain, garbage, cut, cut_status, own_status):
-    chain = make_chain(_send_behind([garbage + cut % cut_status], own_status), value=_make_value())
+_CUT_IN_REASON = b"HTTP/1.1 %d Ab"
+_CUT_IN_VALUE = _CUT_IN_REASON + b"\r\nx-a: b"
+_STATUSES = [(500, "200 OK"), (200, "500 Failed")]
+
+
+@pytest.mark.parametrize("cut", [_CUT_IN_REASON, b"z" + _CUT_IN_REASON, b"z" + _CUT_IN_VALUE])
+@pytest.mark.parametrize("cut_status,own_status", _STATUSES)
+def test_status_of_a_cut_head_is_not_that_of_the_own_answer(make_chain, cut, cut_status, own_status):
+    _check_status_behind_cut_head(make_chain, cut, cut_status, own_status)
+
+
+@pytest.mark.parametrize("cut_status,own_status", _STATUSES)
+def test_status_of_a_head_that_is_cut_within_a_value_is_not_that_of_the_own_answer(make_chain, cut_status, own_status):
+    _check_status_behind_cut_head(make_chain, _CUT_IN_VALUE, cut_status, own_status)
+
+
+def _check_status_behind_cut_head(make_chain, cut: bytes, cut_status: int, own_status: str) -> None:
+    chain = make_chain(_send_behind([cut % cut_status], own_status), value=_make_value())
     _set_tail(chain, 2.0)
     chain.request("POST", "/0", b"", "x-request-id: a-0\r\n")
     status, _, body = chain.request("POST", "/1", b"", "x-request-id: a-1\r\n")
