--- a/tests/round_results.py
+++ b/tests/round_results.py
@@ -234,7 +234,7 @@
         fault = record.find_fault(runs.paths, stopped_at)
         if fault is None:
             return
-        has_outlasted = (bool(record.partial) or shape is not None) and record.ended_at >= stopped_at + limit
+        has_outlasted = bool(record.partial) and record.ended_at >= stopped_at + limit
         if shape is not None and not record.wrong:
             request = record.open_request
             if request.path not in runs.paths and record.is_behind_another():
