Log each request whose caller left, and how late the event loop runs

The log could not tell a daemon that reads late from one that does not look, or from a cancellation that is lost: CALLER_DISCONNECTED (E506) has only the time of the notice, and at most 50 lines a second.

REQUEST_CALLER_LEFT (E523) has one line a request and server, within the limit that the lines of stops have (4,000 a second): how long the caller's system had been silent (tcp_info, which gives the arrival of the end of the stream), what the request was doing, how often it had been sent, and when its work had ended. LOOP_LATE (E111) and the gauge process.loop_delay state how late the loop ran and what processor time the process got. emit_in_stop is now emit_each, as it serves both.

Tests of test_log.py follow the new names; their assertions are unchanged.

--- a/packages/lanedock-daemon/lanedock_daemon/path/http/channel.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/channel.py
@@ -34,6 +34,8 @@
 # Values of SO_LINGER: with a time of 0 s, closing the socket sends a reset.
 _ABORTIVE_CLOSE = struct.pack("ii", 1, 0)
 _ORDERLY_CLOSE = struct.pack("ii", 0, 0)
+# Layout of Linux's `tcp_info` (linux/tcp.h), up to the milliseconds since the last segment with an acknowledgement.
+_TCP_INFO = struct.Struct("8B13I")
 # The system's own poll, which returns at once; gevent's would switch to other greenlets.
 _poll = get_original("select", "poll")
 _READY = object()
@@ -166,6 +168,19 @@
         """Return how many received bytes have not been read; 0 if the system can't tell."""
         return self._read_queue_size(FIONREAD)
 
+    def silent_time(self) -> float | None:
+        """Return the seconds since the peer's last segment arrived; None if the system can't tell.
+
+        Each segment of an established connection acknowledges; one that resets it is not counted.
+        """
+        if self._is_closed:
+            return None
+        try:
+            info = self._sock.getsockopt(_socket.IPPROTO_TCP, _socket.TCP_INFO, _TCP_INFO.size)
+        except OSError:
+            return None
+        return _TCP_INFO.unpack(info)[-1] / 1000 if len(info) == _TCP_INFO.size else None
+
     def _read_queue_size(self, request: int) -> int:
         if self._is_closed:
             return 0
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
@@ -382,6 +382,8 @@
             self._finish_exchange(exchange)
             if exchange.done is not None:
                 exchange.done.set()
+            if exchange.on_end is not None:
+                exchange.on_end()
 
     def _may_keep_open(self, exchange: Exchange, answer: Answer) -> bool:
         """Return whether the connection stays open after a request's answer."""
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/connection_log.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/connection_log.py
@@ -4,6 +4,7 @@
 from lanedock.clock import monotonic
 from lanedock.kernel import StopPlan
 from lanedock.telemetry import Event, EventLogger
+from lanedock_daemon.path.http.request_trace import RequestTrace
 
 __all__ = ["ConnectionLog"]
 
@@ -84,6 +85,33 @@
             stop_ms=self._stop_ms(),
         )
 
+    def log_caller_left(self, trace: RequestTrace, stage: str, how: str, silent_time: float | None) -> None:
+        """Log that the caller of one request has left, once the work for it has ended here.
+
+        Parameters
+        ----------
+        trace : RequestTrace
+        stage : str
+            How far the request had come when that was noticed; one of `Stage`.
+        how : str
+            What this process saw.
+        silent_time : float or None
+            Seconds between the caller's last segment and the notice; None if unknown.
+        """
+        left_at = trace.caller_left_at
+        self._events.emit_each(
+            Event.REQUEST_CALLER_LEFT,
+            request=trace.request_id[:MAX_LOGGED_ID],
+            server=self._server,
+            how=how,
+            stage=stage,
+            upstream=trace.upstream,
+            attempts=trace.attempts,
+            silent_ms=None if silent_time is None else round(1000 * silent_time),
+            age_ms=round(1000 * (left_at - trace.read_at)),
+            ended_ms=round(1000 * (monotonic() - left_at)),
+        )
+
     def _stop_ms(self) -> int:
         return round(1000 * self._plan.elapsed(monotonic()))
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/incoming.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/incoming.py
@@ -1,6 +1,8 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """Incoming requests: streamed bodies, the order of answers, and the workers that process requests."""
 
+from collections.abc import Callable
+
 import gevent
 from gevent import get_hub, getcurrent
 from gevent.event import Event as Signal
@@ -107,9 +109,14 @@
     ----------
     connection : Connection
     message : Message
+
+    Attributes
+    ----------
+    on_end : callable or None
+        Called without arguments once the request's worker has ended its work.
     """
 
-    __slots__ = ("body", "connection", "done", "is_answered", "message", "trace", "turn", "worker")
+    __slots__ = ("body", "connection", "done", "is_answered", "message", "on_end", "trace", "turn", "worker")
 
     def __init__(self, connection, message: Message):
         self.connection = connection
@@ -121,6 +128,7 @@
         self.worker: Worker | None = None
         self.turn: Signal | None = None
         self.done: Signal | None = None
+        self.on_end: Callable[[], None] | None = None
         self.is_answered = False
 
     def note_answer(self, answer: Answer) -> None:
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/request_ends.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/request_ends.py
@@ -3,14 +3,16 @@
 
 from collections import deque
 from collections.abc import Iterable
+from functools import partial
 
+from lanedock.clock import monotonic
 from lanedock_daemon.path.http.channel import Channel
 from lanedock_daemon.path.http.connection_log import ConnectionLog
 from lanedock_daemon.path.http.delivery import Delivery
 from lanedock_daemon.path.http.headers import REQUEST_ID_HEADER
 from lanedock_daemon.path.http.incoming import Exchange
 from lanedock_daemon.path.http.parser import Message
-from lanedock_daemon.path.http.request_trace import RequestTrace
+from lanedock_daemon.path.http.request_trace import RequestTrace, Stage
 from lanedock_daemon.path.http.stop_log import RequestEnd, StopLog
 
 __all__ = ["RequestEnds"]
@@ -113,8 +115,23 @@
         if self._exchanges or self._unwritten:
             answered = len(self._unwritten) + sum(exchange.is_answered for exchange in self._exchanges)
             self._log.log_disconnect(how, answered, self._list_unanswered())
+        self._note_caller_left(how, not_begun)
         self._log_ends(RequestEnd.CALLER_LEFT, how, not_begun)
 
+    def _note_caller_left(self, how: str, not_begun: Iterable[Message]) -> None:
+        """Log the requests that were not begun, and have those in progress logged once their workers have ended."""
+        left_at, silent_time = monotonic(), self._conn.silent_time()
+        ended = [(trace, trace.stage) for trace in self._unwritten]
+        for message in not_begun:
+            ended.append((RequestTrace(message.header(REQUEST_ID_HEADER), message.read_at), Stage.NOT_BEGUN))
+        for trace, stage in ended:
+            trace.caller_left_at = left_at
+            self._log.log_caller_left(trace, stage, how, silent_time)
+        for exchange in self._exchanges:
+            trace = exchange.trace
+            trace.caller_left_at = left_at
+            exchange.on_end = partial(self._log.log_caller_left, trace, trace.stage, how, silent_time)
+
     def _log_ends(self, end: str, how: str, not_begun: Iterable[Message]) -> None:
         """Log how the requests without a received answer end with the connection, if the process is stopping."""
         if not self._stop_log.is_active:
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/request_trace.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/request_trace.py
@@ -1,5 +1,5 @@
 # SPDX-License-Identifier: BSD-3-Clause
-"""What has happened to one request of a caller, as far as the log of a stop states it."""
+"""What has happened to one request of a caller, as far as the lines about its end state it."""
 
 __all__ = ["RequestTrace", "Stage"]
 
@@ -7,6 +7,7 @@
 class Stage:
     """How far a request has come."""
 
+    NOT_BEGUN = "not begun"
     WAITING = "waiting"
     SENT = "sent"
     ANSWERED = "answered"
@@ -37,13 +38,19 @@
         Outcome that an answer of a daemon states; empty if an application gave the answer.
     upstream : str
         Instance to which it was sent last; empty if to none.
+    attempts : int
+        How often it was sent.
+    caller_left_at : float or None
+        Monotonic time, in seconds, at which it was noticed that the caller had ended the connection before the answer.
     is_reported : bool
         Whether its end has been logged.
     """
 
     __slots__ = (
         "answered_at",
+        "attempts",
         "begun_at",
+        "caller_left_at",
         "end",
         "is_reported",
         "outcome",
@@ -61,6 +68,8 @@
         self.begun_at: float | None = None
         self.answered_at: float | None = None
         self.written_at: float | None = None
+        self.caller_left_at: float | None = None
+        self.attempts = 0
         self.end = 0
         self.stage = Stage.WAITING
         self.status = 0
@@ -75,6 +84,7 @@
         """Record that the request is sent to an upstream's daemon, or to the application beside this one."""
         self.stage = Stage.SENT
         self.upstream = upstream
+        self.attempts += 1
 
     def note_answer(self, status: int, outcome: str, now: float) -> None:
         """Record that the answer was made; `now` is a monotonic time, in seconds."""
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/stop_log.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/stop_log.py
@@ -84,7 +84,7 @@
             self._ends[_KINDS.get(trace.outcome, "answered")] += 1
         if not trace.request_id:
             return
-        self._events.emit_in_stop(
+        self._events.emit_each(
             Event.REQUEST_END,
             request=trace.request_id,
             server=self._server,
@@ -103,13 +103,13 @@
 
     def log_notice(self) -> None:
         """Log that answers announce the close of their connections from now on."""
-        self._events.emit_in_stop(Event.NOTICE_BEGUN, server=self._server, stop_ms=self._stop_ms(monotonic()))
+        self._events.emit_each(Event.NOTICE_BEGUN, server=self._server, stop_ms=self._stop_ms(monotonic()))
 
     def log_connection(self, address: tuple, how: str) -> None:
         """Log that a connection has ended; `address` is the host and port of its other end."""
         if self.is_active:
             self._ends["connections"] += 1
-            self._events.emit_in_stop(
+            self._events.emit_each(
                 Event.CONNECTION_ENDED,
                 server=self._server,
                 peer=f"{address[0]}:{address[1]}",
@@ -120,7 +120,7 @@
     def log_listener_closed(self, accepted: int) -> None:
         """Log that the listener was closed; `accepted` connections of its queue were accepted before."""
         if self.is_active:
-            self._events.emit_in_stop(
+            self._events.emit_each(
                 Event.LISTENER_CLOSED, server=self._server, accepted=accepted, stop_ms=self._stop_ms(monotonic())
             )
 
@@ -130,7 +130,7 @@
         read = sum(ends[end] for end in _ENDS)
         if not (self.is_active and read):
             return
-        self._events.emit_in_stop(
+        self._events.emit_each(
             Event.STOP_SUMMARY,
             server=self._server,
             read=read,
--- a/packages/lanedock-daemon/lanedock_daemon/run.py
+++ b/packages/lanedock-daemon/lanedock_daemon/run.py
@@ -29,6 +29,7 @@
 )
 from lanedock.telemetry.log import LineWriter
 from lanedock_daemon.interface import Interface, OwnInterface
+from lanedock_daemon.loop_watch import LoopWatch
 from lanedock_daemon.path.http.messages import Answer
 from lanedock_daemon.signals import EarlySignals
 from lanedock_daemon.stops import make_stop_plan
@@ -230,6 +231,7 @@
     flusher = gevent.spawn(_flush, metrics, events, writer)
     plan.call_at_begin(lambda: gevent.spawn(_flush_in_stop, writer))
     watcher = gevent.spawn(reloader.watch)
+    loop_watch = gevent.spawn(LoopWatch(events, metrics).run)
     failure = _wait(kernel, stopping.received)
     if early.must_stop:
         plan.begin(early.stopped_at)
@@ -237,6 +239,7 @@
     failures = kernel.stop()
     flusher.kill()
     watcher.kill()
+    loop_watch.kill()
     metrics.flush()
     tracer.close()
     if failure is not None:
--- a/packages/lanedock/lanedock/telemetry/events.py
+++ b/packages/lanedock/lanedock/telemetry/events.py
@@ -42,6 +42,14 @@
         "read the log.",
         "Raise `log_lines_per_second` temporarily if the lines are needed.",
     )
+    LOOP_LATE = (
+        111,
+        logging.WARNING,
+        "The event loop has not run for a while: nothing was read, sent or noticed meanwhile. `late_ms` is for how "
+        "long, and `cpu_ms` the processor time of the process in that time.",
+        "If `cpu_ms` is far below `late_ms`, the process was suspended or got too little processor time; otherwise its "
+        "own work has blocked it.",
+    )
     RELOADED = (108, logging.INFO, "The settings were reloaded.", "None.")
     RELOAD_REFUSED = (
         109,
@@ -378,6 +386,16 @@
         "for which those admitted occupy it.",
         "If the slots are exhausted, add upstreams; if the link is, add upstreams or a faster link.",
     )
+    REQUEST_CALLER_LEFT = (
+        523,
+        logging.INFO,
+        "The caller of a request has ended its connection, or its sending side, before its answer was written; one "
+        "line for each request and server. `stage` is how far it had come, `attempts` how often it had been sent, "
+        "`upstream` where last. `age_ms` counts from when it was read until the end was noticed, `silent_ms` from when "
+        "the caller's system was last heard: at the end of a stream it is the time until that was noticed, at a reset "
+        "that time at most. `ended_ms` later its work had ended here, and its connection to the upstream was closed.",
+        "If `silent_ms` is over 500, look for E111 of the same process.",
+    )
     UPSTREAM_CRASHED = (
         540,
         logging.WARNING,
--- a/packages/lanedock/lanedock/telemetry/log.py
+++ b/packages/lanedock/lanedock/telemetry/log.py
@@ -20,8 +20,8 @@
 FAILURE_FACTOR = 4
 # Decisions on requests that end in a stop may have this many times as many, since all of them are logged.
 STOP_FACTOR = 20
-# Maximum lines per second of one event about what a stop does to requests and connections. More than a process answers.
-STOP_LINES_PER_SECOND = 4000
+# Maximum lines per second of one event that is logged for each request or connection. More than a process answers.
+REQUEST_LINES_PER_SECOND = 4000
 # Maximum number of buffered lines; beyond it the oldest are dropped.
 MAX_PENDING_LINES = 2000
 # Maximum size of a write that does not block on a writable pipe, in bytes (POSIX, PIPE_BUF).
@@ -40,7 +40,7 @@
     lines_per_second : int
         Maximum lines per second of one event; further lines are counted and dropped. Failures
         (level warning and above) are counted apart and may have four times as many, decisions of a stop twenty times.
-        Lines of `emit_in_stop` have a limit of their own.
+        Lines of `emit_each` have a limit of their own.
     """
 
     def __init__(self, name: str, lines_per_second: int = DEFAULT_LINES_PER_SECOND):
@@ -82,9 +82,9 @@
         if self._logger.isEnabledFor(event.level) and self._admit(event, self._limit * factor):
             self._write(event, fields, decided_at)
 
-    def emit_in_stop(self, event: Event, **fields: object) -> None:
-        """Log what a stop of the process does, within a limit that other lines don't share."""
-        if self._logger.isEnabledFor(event.level) and self._admit(event, STOP_LINES_PER_SECOND):
+    def emit_each(self, event: Event, **fields: object) -> None:
+        """Log an event of which each line counts, at any load, within a limit that other lines don't share."""
+        if self._logger.isEnabledFor(event.level) and self._admit(event, REQUEST_LINES_PER_SECOND):
             self._write(event, fields)
 
     def _write(self, event: Event, fields: dict, decided_at: float | None = None) -> None:
--- a/packages/lanedock/lanedock/telemetry/metrics.py
+++ b/packages/lanedock/lanedock/telemetry/metrics.py
@@ -97,6 +97,7 @@
     QUOTA_REFUSED = ("quota.refused", "c", "Requests refused for their customer's quota.", ("customer",))
     QUOTA_WAIT = ("quota.wait", "ms", "Time for which a request waited for a credit.")
     EJECTED = ("config.ejected", "c", "Ejections of upstreams.")
+    LOOP_DELAY = ("process.loop_delay", "g", "Longest time, in seconds, for which the event loop was late recently.")
 
     def __init__(self, path: str, kind: str, meaning: str, labels: tuple = ()):
         self.path = path
--- a/packages/lanedock/lanedock/telemetry/tests/test_log.py
+++ b/packages/lanedock/lanedock/telemetry/tests/test_log.py
@@ -86,7 +86,7 @@
         for number in range(count):
             events.emit(Event.REQUEST_END, number=number)
         for number in range(count):
-            events.emit_in_stop(Event.REQUEST_END, number=number)
+            events.emit_each(Event.REQUEST_END, number=number)
         events.report_dropped()
 
     lines = _log_to_pipe(fill)
@@ -96,12 +96,12 @@
 
 def test_lines_of_a_stop_are_bounded(monkeypatch):
     monkeypatch.setattr(log, "monotonic", lambda: 7.0)
-    monkeypatch.setattr(log, "STOP_LINES_PER_SECOND", 10)
+    monkeypatch.setattr(log, "REQUEST_LINES_PER_SECOND", 10)
 
     def fill(handler: LineWriter) -> None:
         events = EventLogger("p")
         for number in range(25):
-            events.emit_in_stop(Event.REQUEST_END, number=number)
+            events.emit_each(Event.REQUEST_END, number=number)
         events.report_dropped()
 
     lines = _log_to_pipe(fill)
@@ -150,7 +150,7 @@
     def fill(handler: LineWriter) -> None:
         events = EventLogger("p", 10**9)
         for number in range(100):
-            events.emit_in_stop(Event.REQUEST_END, request=f"id-{number}", text="x" * 3000)
+            events.emit_each(Event.REQUEST_END, request=f"id-{number}", text="x" * 3000)
         poll, handler._poll = handler._poll, SlowReader()
         handler.flush(0.1)
         handler._poll = poll
