Notice that a caller has left while nothing more of its connection is read

Callers that pipelined more than 32 requests, or whose body waited with more than 256 KiB unread, and left, went unnoticed: their requests were worked on, and waiting ones passed on, until they were answered.

Cause: the end of a stream was found only by the read that met it, behind all data before it, and reading pauses at these limits. Channel.has_peer_ended asks the kernel (POLLRDHUP), whatever lies unread; the reader does so ten times a second while it pauses.

The listed test had a body of 1 MB whose caller closes: there the end has not arrived.

--- a/packages/lanedock-daemon/lanedock_daemon/path/http/channel.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/channel.py
@@ -14,7 +14,7 @@
 import _socket
 import struct
 from fcntl import ioctl
-from select import POLLIN
+from select import POLLIN, POLLRDHUP
 from termios import FIONREAD, TIOCOUTQ
 
 from gevent import get_hub, getcurrent
@@ -60,6 +60,7 @@
     __slots__ = (
         "_deadline",
         "_discards_input",
+        "_end_poll",
         "_error",
         "_expires_at",
         "_fires_at",
@@ -95,6 +96,8 @@
         self._error: OSError | None = None
         # Bytes that may still be read after the deadline; None before the first such read.
         self._late_bytes: int | None = None
+        # Made at the first look for the peer's end.
+        self._end_poll = None
         self.written = 0
         self._user_timeout_ms: int | None = None
 
@@ -149,6 +152,19 @@
         poller.register(self._sock.fileno(), POLLIN)
         return not poller.poll(0)
 
+    def has_peer_ended(self) -> bool:
+        """Return whether the peer has ended its sending side or reset the connection, or this process has closed it.
+
+        The end counts from when it has arrived, also while unread data lies before it (POLLRDHUP, poll(2)). Takes
+        nothing from the reader, neither data nor an error.
+        """
+        if self._is_closed or self._error is not None:
+            return True
+        if self._end_poll is None:
+            self._end_poll = _poll()
+            self._end_poll.register(self._sock.fileno(), POLLRDHUP)
+        return bool(self._end_poll.poll(0))
+
     def is_connected(self) -> bool:
         """Return whether the connection is established, at least in one direction, and neither reset nor closed."""
         try:
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
@@ -14,7 +14,7 @@
 from lanedock_daemon.path.http.answer_writer import AnswerHead, AnswerWriter, close_pieces, make_head
 from lanedock_daemon.path.http.caller_messages import refuse_malformed
 from lanedock_daemon.path.http.delivery import DELIVERY_TIMEOUT, POLL, Delivery
-from lanedock_daemon.path.http.incoming import Exchange
+from lanedock_daemon.path.http.incoming import CallerDisconnected, Exchange
 from lanedock_daemon.path.http.messages import Answer, Outcome, make_refusal
 from lanedock_daemon.path.http.parser import MalformedMessage, Message, RequestReader
 from lanedock_daemon.path.http.request_ends import RequestEnds
@@ -29,6 +29,8 @@
 # Seconds for which input is still discarded after the caller has received the last answer. Data that
 # arrives at a closed socket resets the connection, and some systems discard what the caller has not read.
 LINGER_TIMEOUT = 1.0
+# Seconds between two looks for the end of a caller whose input isn't read; nothing notifies of it.
+END_POLL = 0.1
 # Seconds for which a stopping server keeps a connection that was just used: the caller's next request
 # gets an answer that announces the close, instead of meeting it.
 IDLE_CLOSE_DELAY = 0.1
@@ -91,6 +93,10 @@
         try:
             self._serve()
             self._await_delivery()
+        except CallerDisconnected:
+            how = "end of stream" if self._conn.is_connected() else "reset"
+            # A close with unread input resets the connection, and cuts answers that are still on their way.
+            self._conn.discard_input()
         except (OSError, gevent.GreenletExit) as exc:
             # The caller has disconnected, or an incomplete answer is cut so that it doesn't look complete.
             how = _describe(exc)
@@ -192,14 +198,26 @@
             self._start_read_requests()
             self._update_expiry()
             while not self._is_closing and self._must_pause_reading():
+                self.check_caller()
                 self._has_room.clear()
                 # Nothing notifies of a delivery, which requests wait for during a stop.
-                self._has_room.wait(POLL if self._server.is_process_stopping else None)
+                self._has_room.wait(POLL if self._server.is_process_stopping else END_POLL)
                 self._start_read_requests()
                 self._update_expiry()
         if reader.is_in_head and not self._is_closing:
             raise ConnectionError("the connection ended before the end of a request head")
 
+    def check_caller(self) -> None:
+        """Look whether the caller has left, which doesn't depend on reading what it has sent before.
+
+        Raises
+        ------
+        CallerDisconnected
+            The caller has ended the connection, or its sending side.
+        """
+        if self._conn.has_peer_ended():
+            raise CallerDisconnected
+
     def discard_input(self) -> None:
         """Discard all input from now on, so that the end of the process cuts no answer on its way.
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_callers_that_left.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_callers_that_left.py
@@ -32,8 +32,10 @@
 REFUSAL = f"HTTP/1.1 503 Unavailable\r\n{OUTCOME_HEADER}: not-run\r\n{CODE_HEADER}: LD3005\r\ncontent-length: 0\r\n\r\n"
 # Longer than a first attempt is waited for before the request is hedged, in seconds.
 HEDGE_TIME = 0.7
-# More than is read ahead of a body, in bytes.
-LONG_BODY = b"." * 1_000_000
+# More than is read ahead of a body, in bytes, and no more than a receive buffer takes besides.
+LONG_BODY = 350_000
+# More than both take, so that the end of the stream is held back by the caller's system.
+LONGEST_BODY = 1_000_000
 
 
 @pytest.fixture
@@ -55,6 +57,11 @@
     return "\r\n".join([*lines, "", ""]).encode()
 
 
+def _post(length: int) -> bytes:
+    """Return a request with a body of `length` bytes."""
+    return f"POST /left HTTP/1.1\r\nhost: h\r\ncontent-length: {length}\r\n\r\n".encode() + b"." * length
+
+
 def _connect(port: int, is_kept: bool):
     """Return a connection that has served a request, or one that waits in the listen queue."""
     if not is_kept:
@@ -196,9 +203,22 @@
     _check_body_that_waits(make_chain, gate, 100_000, is_reset)
 
 
-@pytest.mark.parametrize("is_reset", [False, True], ids=["closed", "reset"])
-def test_caller_that_leaves_while_its_long_body_waits_for_a_slot_is_noticed(make_chain, gate, is_reset):
-    _check_body_that_waits(make_chain, gate, len(LONG_BODY), is_reset)
+@pytest.mark.parametrize("length,is_reset", [(LONG_BODY, False), (LONG_BODY, True), (LONGEST_BODY, True)])
+def test_caller_that_leaves_while_its_long_body_waits_for_a_slot_is_noticed(make_chain, gate, length, is_reset):
+    _check_body_that_waits(make_chain, gate, length, is_reset)
+
+
+def test_end_that_the_callers_system_holds_back_behind_a_body_is_noticed_once_it_arrives(make_chain, gate):
+    chain = make_chain(gate, value=_make_value(slots=1, queue=4))
+    runs, waits = chain.connect(), chain.connect()
+    runs.sendall(_get("/runs"))
+    wait_until(lambda: gate.begun == ["/runs"])
+    waits.sendall(_post(LONGEST_BODY))
+    waits.close()
+    wait_until(lambda: chain.upstreams[0].limiter.waiting == 1)
+    runs.close()
+    # The application never answers by itself.
+    wait_until(lambda: _is_idle(chain))
 
 
 def _check_body_that_waits(make_chain, gate, length: int, is_reset: bool) -> None:
@@ -207,8 +227,7 @@
     runs, waits = chain.connect(), chain.connect()
     runs.sendall(_get("/runs"))
     wait_until(lambda: gate.begun == ["/runs"])
-    waits.sendall(f"POST /left HTTP/1.1\r\nhost: h\r\ncontent-length: {length}\r\n\r\n".encode())
-    waits.sendall(LONG_BODY[:length])
+    waits.sendall(_post(length))
     wait_until(lambda: limiter.waiting == 1)
     _leave(waits, is_reset)
     wait_until(lambda: limiter.waiting == 0)
