Notice that a caller has left once reading of its connection has ended

Of two GETs before malformed bytes, one went on at its application after the caller had closed, and the other reached the application then. The same held where reading had ended at the time limit of an unfinished head, or by an unexpected error.

Cause: as for paused reading, only a read met the end of the stream, and nothing is read after these ends.

--- a/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
@@ -95,6 +95,7 @@
             self._await_delivery()
         except CallerDisconnected:
             how = "end of stream" if self._conn.is_connected() else "reset"
+            self._end_reason = ""
             # A close with unread input resets the connection, and cuts answers that are still on their way.
             self._conn.discard_input()
         except (OSError, gevent.GreenletExit) as exc:
@@ -289,6 +290,7 @@
         if self._open_exchange is not None:
             self._update_open_body()
         while self._reader.has_head() and not self._has_last_answer():
+            self.check_caller()
             if not self._may_start_request():
                 # Nothing notifies of a delivery.
                 gevent.sleep(POLL)
@@ -301,12 +303,18 @@
         self._await_answers()
 
     def _await_answers(self) -> None:
-        """Wait until the requests that have begun and were read completely are answered."""
+        """Wait until the requests that have begun and were read completely are answered.
+
+        Raises
+        ------
+        CallerDisconnected
+        """
         pending = [exchange for exchange in self._exchanges if exchange.worker and exchange is not self._open_exchange]
         for exchange in pending:
             exchange.done = Signal()
         for exchange in pending:
-            exchange.done.wait()
+            while not exchange.done.wait(END_POLL):
+                self.check_caller()
 
     def _must_pause_reading(self) -> bool:
         if self._conn.discards_input:
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_callers_that_left.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_callers_that_left.py
@@ -245,3 +245,29 @@
     _leave(conn, is_reset)
     wait_until(lambda: _is_idle(chain) and len(gate.cut) == len(gate.begun))
     assert len(gate.begun) == 1
+
+
+def _expire(connection) -> None:
+    """Let the time limit of an unfinished head pass."""
+    connection._time_limit.expires_at = 0.0
+    connection.end_if_expired(monotonic())
+
+
+def _fail(connection) -> None:
+    """Let the reader of a connection fail."""
+    connection._greenlet.kill(MemoryError, block=False)
+
+
+@pytest.mark.parametrize("end_reading", [_expire, _fail])
+@pytest.mark.parametrize("is_reset", [False, True], ids=["closed", "reset"])
+def test_caller_that_leaves_once_reading_has_ended_is_noticed(make_chain, gate, is_reset, end_reading):
+    chain = make_chain(gate, value=_make_value(slots=1, queue=4))
+    conn = chain.connect()
+    conn.sendall(_get("/one") + _get("/two") + b"GET /unfinished")
+    wait_until(lambda: len(gate.begun) == 1 and chain.upstreams[0].limiter.waiting == 1)
+    (connection,) = chain.entry._connections
+    end_reading(connection)
+    wait_until(lambda: not connection._is_reading)
+    _leave(conn, is_reset)
+    wait_until(lambda: _is_idle(chain) and len(gate.cut) == len(gate.begun))
+    assert len(gate.begun) == 1
