Look whether the caller is still there before its request is begun, sent or sent again

Applications got requests whose callers had closed their connections over half a second before: all that had been given up while a daemon was suspended, starved or blocked. It is work for nobody, at the moment at which there is most of the other kind.

Cause: the end of the stream lies behind the request's data. A read returned the data, a worker began and sent, and only the next read met the end; the cancellation came milliseconds after the request had gone. The same race decided whether a request whose caller left was retried, hedged or given the slot that had just become free.

A request now carries check_caller, which asks the kernel whether its connection's other end has closed (POLLRDHUP; 0.7 us here), and raises what a cancellation raises. It is called where work for a caller begins (both sides), before a retry or a hedged request is charged, after the wait for a slot, a body or the rate, and last before the request, or a body that was asked for, is written. Registrations and operators' orders are still processed: they are reports, not work for their sender. A worker that finds its caller gone leaves the connection to its reader, which logs and ends it as before. Requests with a body keep their trace at the upstream's daemon.

--- a/packages/lanedock-daemon/lanedock_daemon/path/caller/attempts.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller/attempts.py
@@ -12,7 +12,7 @@
 from lanedock.quarantine import Fingerprint, Quarantine
 from lanedock.routing import UpstreamStats
 from lanedock.telemetry import Event, EventLogger, Metric, Metrics
-from lanedock_daemon.path.caller.hedging import choose_result, close_unless_chosen
+from lanedock_daemon.path.caller.hedging import choose_result, close_unless_chosen, get_result
 from lanedock_daemon.path.caller.prober import UpstreamProber
 from lanedock_daemon.path.caller.request_context import AttemptResult, RequestContext
 from lanedock_daemon.path.http.headers import (
@@ -111,11 +111,12 @@
         pending.handle_late_answer(started, self._events, stats.endpoint.instance)
         first = second = other = result = None
         try:
+            context.request.check_caller()
             first = gevent.spawn(self._finish_attempt, context, stats, pending, started)
             now = monotonic()
             other = context.choose(now, may_wait=False) if context.budget.available(now) >= 1 else None
             if other is None:
-                result = first.get()
+                result = get_result(first)
                 return result
             context.budget.spend(now)
             context.log.note(
--- a/packages/lanedock-daemon/lanedock_daemon/path/caller/caller.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller/caller.py
@@ -169,6 +169,7 @@
         return answer
 
     def _process(self, request: Request, facts: RequestFacts, span: Span, started: float, log: RequestLog) -> Answer:
+        request.check_caller()
         binding = self._view.bind()
         if binding is None:
             log.note(
@@ -383,6 +384,7 @@
 
         An attempt that reached no application is not charged to the budget.
         """
+        context.request.check_caller()
         now = monotonic()
         may_spend = not is_charged or context.budget.spend(now)
         left = context.budget.available(now)
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/caller_messages.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/caller_messages.py
@@ -2,9 +2,9 @@
 """Conversion of callers' messages to requests, and the refusal of malformed ones."""
 
 from lanedock_daemon.path.http.headers import HOP_HEADERS
-from lanedock_daemon.path.http.messages import Answer, Body, Request, make_refusal
-from lanedock_daemon.path.http.parser import MalformedMessage, Message
-from lanedock_daemon.path.http.request_trace import RequestTrace
+from lanedock_daemon.path.http.incoming import Exchange
+from lanedock_daemon.path.http.messages import Answer, Request, make_refusal
+from lanedock_daemon.path.http.parser import MalformedMessage
 
 __all__ = ["make_request", "refuse_malformed"]
 
@@ -18,13 +18,17 @@
 }
 
 
-def make_request(message: Message, body: Body, trace: RequestTrace) -> Request:
+def make_request(exchange: Exchange) -> Request:
     """Make the request that a caller's message describes, without hop-by-hop headers."""
+    message = exchange.message
     connection_header = message.header("connection").lower()
     dropped = {name.strip() for name in connection_header.split(",")} if connection_header else ()
     headers = [pair for pair in message.headers if pair[0] not in HOP_HEADERS and pair[0] not in dropped]
     host = message.header("host").rpartition(":")[0] or message.header("host")
-    request = Request(message.method, message.target, host.lower(), headers, body, trace)
+    check_caller = exchange.connection.check_caller
+    request = Request(
+        message.method, message.target, host.lower(), headers, exchange.body, exchange.trace, check_caller
+    )
     request.read_at = message.read_at
     return request
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
@@ -14,8 +14,8 @@
 from lanedock_daemon.path.http.answer_writer import AnswerHead, AnswerWriter, close_pieces, make_head
 from lanedock_daemon.path.http.caller_messages import refuse_malformed
 from lanedock_daemon.path.http.delivery import DELIVERY_TIMEOUT, POLL, Delivery
-from lanedock_daemon.path.http.incoming import CallerDisconnected, Exchange
-from lanedock_daemon.path.http.messages import Answer, Outcome, make_refusal
+from lanedock_daemon.path.http.incoming import Exchange
+from lanedock_daemon.path.http.messages import Answer, CallerDisconnected, Outcome, make_refusal
 from lanedock_daemon.path.http.parser import MalformedMessage, Message, RequestReader
 from lanedock_daemon.path.http.request_ends import RequestEnds
 from lanedock_daemon.path.http.time_limit import TimeLimit
@@ -315,6 +315,9 @@
         for exchange in pending:
             while not exchange.done.wait(END_POLL):
                 self.check_caller()
+        if pending:
+            # A request that ended because its caller has left has no answer, and none may follow it.
+            self.check_caller()
 
     def _must_pause_reading(self) -> bool:
         if self._conn.discards_input:
@@ -376,11 +379,10 @@
 
     def work(self, exchange: Exchange) -> None:
         """Process a request, and write its answer once all earlier ones are written."""
-        message = exchange.message
         self._server.in_progress += 1
-        answer = None
+        answer, has_caller = None, True
         try:
-            answer = self._server.answer(message, exchange.body, exchange.trace)
+            answer = self._server.answer(exchange)
             exchange.note_answer(answer)
             if self._exchanges and self._exchanges[0] is not exchange:
                 exchange.turn = Signal()
@@ -391,8 +393,12 @@
                 self._delivery.note_answer(exchange.trace)
             elif self._exchanges:
                 self.ends.note_unwritten(exchange.trace)
+        except CallerDisconnected:
+            # The reader meets the caller's end, too: it logs it and ends the connection with all of its requests.
+            has_caller = False
+            self._has_room.set()
         except (OSError, gevent.GreenletExit):
-            # The caller has disconnected, or the answer's body broke off.
+            # The answer's body broke off.
             self._break_off(exchange, "broken answer")
         except BaseException as exc:
             # Otherwise the next answer on the connection would be taken for this one.
@@ -405,7 +411,8 @@
                 # Also if the answer was never written: releases what its body holds.
                 close_pieces(answer.pieces)
             self._server.in_progress -= 1
-            self._finish_exchange(exchange)
+            if has_caller:
+                self._finish_exchange(exchange)
             if exchange.done is not None:
                 exchange.done.set()
             if exchange.on_end is not None:
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/incoming.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/incoming.py
@@ -9,12 +9,12 @@
 
 from lanedock.clock import monotonic
 from lanedock_daemon.path.http.headers import OUTCOME_HEADER, REQUEST_ID_HEADER
-from lanedock_daemon.path.http.messages import NEVER, Answer, Body, BodyBroken, BodyTimeout
+from lanedock_daemon.path.http.messages import NEVER, Answer, Body, BodyBroken, BodyTimeout, CallerDisconnected
 from lanedock_daemon.path.http.parser import Message
 from lanedock_daemon.path.http.request_trace import RequestTrace
 from lanedock_daemon.path.http.service import StopTimeout
 
-__all__ = ["CallerDisconnected", "Exchange", "Worker"]
+__all__ = ["Exchange", "Worker"]
 
 # Idle workers kept for reuse, since requests end while others start. Further ones end after their request.
 MAX_IDLE_WORKERS = 32
@@ -22,10 +22,6 @@
 MIN_ERROR_STATUS = 400
 
 
-class CallerDisconnected(gevent.GreenletExit):
-    """Raised in a worker to cancel its request because the caller closed the connection."""
-
-
 class _StreamedBody(Body):
     """A request's body that the connection's reader fills as data arrives.
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/messages.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/messages.py
@@ -3,7 +3,9 @@
 
 import json
 from abc import ABC, abstractmethod
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
+
+import gevent
 
 from lanedock.clock import monotonic
 from lanedock.errors import ErrorCode, LanedockError
@@ -19,6 +21,7 @@
     "Body",
     "BodyBroken",
     "BodyTimeout",
+    "CallerDisconnected",
     "EmptyBody",
     "HeadersByName",
     "Leaving",
@@ -47,6 +50,14 @@
 NEVER = float("inf")
 
 
+class CallerDisconnected(gevent.GreenletExit):
+    """Raised in a greenlet that works on a request to cancel it, because the caller has ended its connection."""
+
+
+def _assume_caller() -> None:
+    """Take the caller to be there, of a request that has none or whose connection can't be looked at."""
+
+
 class Outcome:
     """Whether a request that the application didn't answer may have run."""
 
@@ -216,9 +227,13 @@
     read_at : float
         Monotonic time, in seconds, at which the request was read; it may have waited since then.
     trace : RequestTrace
+    check_caller : callable
+        Raises `CallerDisconnected` if the caller has left, also where nobody has read that yet. To be called before
+        work for the request begins, and before it is sent: a process that was suspended, or got too little
+        processor time, finds requests and their callers' ends at once.
     """
 
-    __slots__ = ("body", "host", "method", "path", "read_at", "target", "trace")
+    __slots__ = ("body", "check_caller", "host", "method", "path", "read_at", "target", "trace")
 
     def __init__(
         self,
@@ -228,6 +243,7 @@
         headers: list[tuple[str, str]],
         body: Body,
         trace: RequestTrace | None = None,
+        check_caller: Callable[[], None] = _assume_caller,
     ):
         super().__init__(headers)
         self.method = method
@@ -237,6 +253,7 @@
         self.body = body
         self.read_at = monotonic()
         self.trace = trace or RequestTrace()
+        self.check_caller = check_caller
 
     def __repr__(self) -> str:
         return f"<Request {self.method} {self.target}>"
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/request_ends.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/request_ends.py
@@ -130,7 +130,11 @@
         for exchange in self._exchanges:
             trace = exchange.trace
             trace.caller_left_at = left_at
-            exchange.on_end = partial(self._log.log_caller_left, trace, trace.stage, how, silent_time)
+            log = partial(self._log.log_caller_left, trace, trace.stage, how, silent_time)
+            if exchange.worker is None:
+                log()
+            else:
+                exchange.on_end = log
 
     def _log_ends(self, end: str, how: str, not_begun: Iterable[Message]) -> None:
         """Log how the requests without a received answer end with the connection, if the process is stopping."""
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/server.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/server.py
@@ -19,10 +19,8 @@
 from lanedock_daemon.path.http.channel import Channel
 from lanedock_daemon.path.http.connection import Connection
 from lanedock_daemon.path.http.connection_log import ConnectionLog
-from lanedock_daemon.path.http.incoming import Worker
-from lanedock_daemon.path.http.messages import DEFAULT_RETRY_AFTER, Answer, Body, BodyBroken, Outcome, make_refusal
-from lanedock_daemon.path.http.parser import Message
-from lanedock_daemon.path.http.request_trace import RequestTrace
+from lanedock_daemon.path.http.incoming import Exchange, Worker
+from lanedock_daemon.path.http.messages import DEFAULT_RETRY_AFTER, Answer, BodyBroken, Outcome, make_refusal
 from lanedock_daemon.path.http.service import HttpService, StopTimeout
 from lanedock_daemon.path.http.stop_log import StopLog
 from lanedock_daemon.path.http.time_limit import IDLE_TIMEOUT
@@ -164,7 +162,7 @@
         """Return whether the process is stopping and the deadline for final answers has passed."""
         return self._plan.is_begun and monotonic() >= self._plan.deadline
 
-    def answer(self, message: Message, body: Body, trace: RequestTrace) -> Answer:
+    def answer(self, exchange: Exchange) -> Answer:
         """Process a caller's request and return its answer, whose body may still have to come.
 
         Raises
@@ -172,15 +170,16 @@
         BodyBroken
             The caller's connection broke; any other error is answered.
         """
-        if message.target == ALIVE_PATH:
+        if exchange.message.target == ALIVE_PATH:
             return Answer(200, "OK", [("content-length", "0")], [])
+        body = exchange.body
         if self.limits is not None and body.length is not None and body.length > self.limits.body_bytes:
             return make_refusal(ErrorCode.BODY_TOO_LONG, Outcome.NOT_RUN)
         if self._is_past_deadline():
             # This process is stopping and has sent its last answers; a request read now would not be answered.
             return make_refusal(ErrorCode.DRAINING, Outcome.NOT_RUN, DEFAULT_RETRY_AFTER)
         try:
-            return self.side.handle(make_request(message, body, trace))
+            return self.side.handle(make_request(exchange))
         except StopTimeout:
             # The side was interrupted: the request may have run.
             return make_refusal(ErrorCode.ANSWER_LOST, Outcome.UNKNOWN)
--- a/packages/lanedock-daemon/lanedock_daemon/path/shared/exchange.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/shared/exchange.py
@@ -273,6 +273,8 @@
     ------
     ExchangeError
         States what is known of the outcome.
+    CallerDisconnected
+        The request's caller has left, and nothing of its body was sent.
     """
     timeout = deadline - monotonic()
     if timeout <= 0:
@@ -291,6 +293,7 @@
         raise make_failure(address, exc, False) from exc
     reader.begin_request(request.method, request_id)
     with ExchangeGuard(reader, address):
+        request.check_caller()
         reader.conn.set_deadline(deadline)
         reader.conn.set_user_timeout(USER_TIMEOUT_MS)
         _send(_RequestWriter(reader, is_foreign), request, headers, deadline, continue_wait, first)
@@ -405,6 +408,7 @@
         if not continue_wait.wait(reader):
             reader.is_body_unsent = True
             return
+        request.check_caller()
         head = b""
     if body.needs_continue:
         # The deadline limits how late the body may be read.
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream/hashed_body.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream/hashed_body.py
@@ -56,4 +56,6 @@
     if request.body.length == 0:
         return request
     body = HashedBody(request.body, hasher)
-    return Request(request.method, request.target, request.host, request.headers, body)
+    return Request(
+        request.method, request.target, request.host, request.headers, body, request.trace, request.check_caller
+    )
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream/upstream.py
@@ -209,6 +209,7 @@
         return answer
 
     def _admit(self, request: Request, facts: RequestFacts, span, started: float, log: RequestLog) -> Answer:
+        request.check_caller()
         if self._view.is_draining:
             return self._refuse(ErrorCode.DRAINING, DEFAULT_RETRY_AFTER, log, reason="the daemon is draining")
         expected = request.header(UPSTREAM_HEADER)
@@ -311,6 +312,7 @@
                 hashed.body.buffer_hashed_part(deadline)
             if not self._gate.wait_for_rate(deadline):
                 return ErrorCode.RATE_LIMITED
+            request.check_caller()
         except StopTimeout:
             return ErrorCode.DRAINING
         except BodyTimeout:
