Take a value with a status line for a head that was cut within it

Callers got the status of one answer with the body of another (MIXED) if an application's head was cut within a header's value on a connection that stayed open, and the own answer followed: its status line was read as the rest of the value.

Cause: only a status line shows where an answer begins, and a value may contain one. It is now refused (502, unknown) on a connection that has had an answer, unless the request's id stands before it or an accepted answer of the connection had such a value under the same name; the first answer of a connection has nothing before it.

--- a/packages/lanedock-daemon/lanedock_daemon/path/shared/answer_recovery.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/shared/answer_recovery.py
@@ -19,6 +19,12 @@
 MAX_STARTS = 8
 
 
+def _has_status_line(text: str) -> bool:
+    """Return whether a text contains a status line."""
+    # Hardly any text contains the first part, and looking for that takes a fifth of the time.
+    return "HTTP/1." in text and _STATUS_LINE_TEXT.search(text) is not None
+
+
 class RecoveringAnswerReader(AnswerReader):
     """Reads answers, and discards bytes that are no answer before the one that is due.
 
@@ -39,6 +45,8 @@
     recovery_deadline = NEVER
     _request_id = ""
     _has_former_id = False
+    # Names of headers in which accepted answers of the connection quoted status lines; None before the first answer.
+    _quoting_names: set[str] | None = None
     _discarded_bytes = 0
     # Bytes in which an answer was found that may turn out to be none.
     _taken_bytes = 0
@@ -55,8 +63,12 @@
         self._rest = b""
 
     def note_own_answer(self, message: Message) -> None:
-        """Record whether the answer to the request states its id."""
-        self._has_former_id = bool(self._request_id) and message.header(REQUEST_ID_HEADER) == self._request_id
+        """Record whether the answer to the request states its id, and which headers quote a status line."""
+        if not self._request_id:
+            return
+        self._has_former_id = message.header(REQUEST_ID_HEADER) == self._request_id
+        quoting = {name for name, value in message.headers if _has_status_line(value)}
+        self._quoting_names = quoting | (self._quoting_names or set())
 
     def is_unidentified(self, message: Message) -> bool:
         """Return whether an answer behind discarded bytes doesn't state the id of the request."""
@@ -116,15 +128,25 @@
     def _finish_head(self, message: Message) -> None:
         """Refuse a head that was cut, and into which the next one was read: its status would be taken for the other's.
 
-        On a connection without discarded bytes a header may quote a status line.
+        A header may quote a status line, so a value with one is no sign by itself. It is none if the request's id
+        stands before it, or if an answer that was accepted on the connection had one under the same name: nothing
+        precedes the first answer of a connection.
         """
         super()._finish_head(message)
-        texts = [message.reason]
-        if self.has_discarded:
-            texts += [value for _, value in message.headers]
-        if any(map(_STATUS_LINE_TEXT.search, texts)):
+        if _has_status_line(message.reason) or self._has_foreign_status_line(message):
             raise MalformedMessage("the head of an answer contains the beginning of another one")
 
+    def _has_foreign_status_line(self, message: Message) -> bool:
+        """Return whether a value contains a status line that may be the one of the answer that is due."""
+        if not self.has_discarded and self._quoting_names is None:
+            return False
+        for name, value in message.headers:
+            if name == REQUEST_ID_HEADER and value == self._request_id and not self.has_discarded:
+                return False
+            if _has_status_line(value) and (self.has_discarded or name not in self._quoting_names):
+                return True
+        return False
+
     def _restart(self) -> None:
         """Replace the parser, which can't go on after invalid bytes."""
         self._parser = self._make_parser()
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_recovered_answers.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_recovered_answers.py
@@ -52,6 +52,24 @@
     assert status == 502 or (status, body) == (int(own_status[:3]), b"own")
 
 
+@pytest.mark.parametrize("is_behind_id", [False, True])
+def test_header_in_which_an_application_quotes_a_status_line_is_passed_on(make_chain, is_behind_id):
+    def script(conn, head: str, body: bytes) -> bytes:
+        own = _own_of(head)
+        start = own.index(b"content-length" if is_behind_id else b"x-request-id")
+        # With the id behind it, only a name that the connection's first answer had can be told from a cut head.
+        if is_behind_id and "/0 " in head:
+            return own
+        return own[:start] + b"x-from: HTTP/1.1 404 Not Found\r\n" + own[start:]
+
+    chain = make_chain(script, value=_make_value())
+    for number in range(3):
+        status, head, body = chain.request("POST", f"/{number}", b"", f"x-request-id: a-{number}\r\n")
+        assert (status, body) == (200, b"own")
+    assert "x-from: HTTP/1.1 404 Not Found" in head
+    assert len(chain.applications[0].connections) == 1
+
+
 def test_own_answer_behind_many_false_starts_is_found(make_chain):
     chain = make_chain(_send_behind([b"HTTP/1. " * 9]), value=_make_value())
     _set_tail(chain, 1.0)
