Give back the quota credit of a request whose caller left before it was sent

A customer whose callers gave up while their requests waited for a credit, a load probe or a connection lost the credit, although nothing had been sent.

Cause: credits were given back for answers that state that nothing ran; a cancellation has no answer. It is given back now if no attempt was made; the look before an attempt comes before it is counted. A request that was sent keeps its credit, as it may have run.

Found by listing what a cancellation frees.

--- a/packages/lanedock-daemon/lanedock_daemon/path/caller/attempts.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller/attempts.py
@@ -163,6 +163,7 @@
     ) -> PendingAnswer | AttemptResult:
         """Send a request to one upstream; return an `AttemptResult` instead if that fails."""
         request, balancer = context.request, context.balancer
+        request.check_caller()
         left = context.deadline - started
         sent = [
             *context.headers,
--- a/packages/lanedock-daemon/lanedock_daemon/path/caller/caller.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller/caller.py
@@ -34,7 +34,15 @@
     encode_name,
     public_headers,
 )
-from lanedock_daemon.path.http.messages import DEFAULT_RETRY_AFTER, Answer, Outcome, ReplayBody, Request, outcome_label
+from lanedock_daemon.path.http.messages import (
+    DEFAULT_RETRY_AFTER,
+    Answer,
+    CallerDisconnected,
+    Outcome,
+    ReplayBody,
+    Request,
+    outcome_label,
+)
 from lanedock_daemon.path.http.service import StopTimeout
 from lanedock_daemon.path.http.time_limit import IDLE_TIMEOUT
 from lanedock_daemon.path.shared.dialect import Dialect, OwnDialect, RequestFacts
@@ -221,7 +229,12 @@
         context.is_suspect = suspect is not None
         max_overloads = MAX_OVERLOADS_RETRIED if age else MAX_OVERLOADS
         # An earlier hop already retries this request; retries here, too, would multiply the load.
-        answer = self._send(context, AttemptProgress(route, max_overloads), may_retry=not facts.was_retried)
+        try:
+            answer = self._send(context, AttemptProgress(route, max_overloads), may_retry=not facts.was_retried)
+        except CallerDisconnected:
+            if credit is not None and not request.trace.attempts:
+                self._quotas.give_back(identity.customer, credit)
+            raise
         if credit is not None and _outcome(answer) == Outcome.NOT_RUN:
             self._quotas.give_back(identity.customer, credit)
         return answer if self._turns is None else self._pace(answer, context, binding)
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_quotas.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_quotas.py
@@ -8,7 +8,7 @@
 from lanedock.clock import monotonic
 from lanedock.telemetry import EventLogger, NullMetrics, NullTracer
 from lanedock_daemon.path.caller.caller import CallerSide
-from lanedock_daemon.path.tests.chain import Chain, make_value
+from lanedock_daemon.path.tests.chain import Chain, make_value, wait_until
 from lanedock_daemon.quota.tests.fakes import INSTANCES, QuotaDaemon, grant
 
 CUSTOMERS = [
@@ -84,6 +84,25 @@
     assert quotas.account.held("c", monotonic()) == 1
 
 
+def test_credit_of_a_request_whose_caller_left_before_it_was_sent_is_given_back(
+    make_limited_chain, quotas, monkeypatch
+):
+    chain = make_limited_chain()
+    conn = chain.connect()
+    admit = quotas.gate.admit
+
+    def admit_and_leave(*args):
+        credit = admit(*args)
+        conn.close()
+        return credit
+
+    monkeypatch.setattr(quotas.gate, "admit", admit_and_leave)
+    conn.sendall(b"GET /x HTTP/1.1\r\nhost: h\r\nauthorization: Bearer key-c\r\n\r\n")
+    wait_until(lambda: _needed(quotas) == 1 and not chain.entry.in_progress)
+    assert quotas.account.held("c", monotonic()) == 1
+    assert chain.runs() == 0
+
+
 @pytest.mark.parametrize("script", [None, lambda conn, head, body: None])
 def test_a_request_that_ran_or_may_have_run_gives_nothing_back(make_limited_chain, quotas, script):
     chain = make_limited_chain(script)
