Let the soak's callers leave in every state, and list who notices

The soak's callers waited for their answers, so it could not find what was done for callers that had left. Four threads now send GETs, 40 pipelined ones, with malformed bytes behind them, and uploads of 350 kB, and leave after 0 to 1 s by an end of the stream or a reset; more than three requests that reach applications over half a second later are a finding, partitions excused.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -2,7 +2,8 @@
 """Soak test: injects sequential and overlapping faults under requests, crashing requests and changes.
 
 Processes are suspended, paused, killed and stopped as planned; applications crash, are replaced, and
-advertise rate limits and draining in their responses; zones are partitioned; a disk is full for a time.
+advertise rate limits and draining in their responses; zones are partitioned; a disk is full for a time;
+callers leave while their requests are in every state.
 At the end daemons are stopped as planned under callers that use their connections until the process is
 gone, while changes go on.
 
@@ -37,6 +38,7 @@
     make_routes,
 )
 from crashing_application import POISON  # noqa: E402
+from leaving_callers import LeavingCallers  # noqa: E402
 from platform_processes import read_version  # noqa: E402
 from stop_rounds import GRACE, StopRounds  # noqa: E402
 from stop_scenarios import SCENARIOS  # noqa: E402
@@ -73,13 +75,17 @@
         # Start and end of each isolation in monotonic seconds; the end includes the time in which the zone
         # learns of the events that it missed.
         self._isolated_periods: list[tuple[float, float]] = []
+        # The same of each partition, of whatever zones.
+        self._periods: list[tuple[float, float]] = []
         self._isolated_since: float | None = None
 
     def partition_for(self, zone: str, seconds: float) -> None:
         """Partition `ISOLATED_ZONE` from another zone for a number of seconds."""
+        began_at = time.monotonic()
         self._update(lambda: self._partitioned.append(zone))
         time.sleep(seconds)
         self._update(lambda: self._partitioned.remove(zone))
+        self._periods.append((began_at, time.monotonic() + QUARANTINE_DELAY))
 
     def _update(self, change) -> None:
         with self._lock:
@@ -92,6 +98,10 @@
                 self._isolated_periods.append((self._isolated_since, time.monotonic() + QUARANTINE_DELAY))
                 self._isolated_since = None
 
+    def overlaps(self, begin: float, end: float) -> bool:
+        """Whether zones were partitioned at some time between two monotonic times in seconds."""
+        return any(begin <= period_end and period_begin <= end for period_begin, period_end in self._periods)
+
     def was_isolated(self, ip: str, at: float) -> bool:
         """Whether an instance could not learn of events in the other zones at a time in monotonic seconds."""
         return self._mesh.zone(ip) == ISOLATED_ZONE and any(begin <= at <= end for begin, end in self._isolated_periods)
@@ -124,6 +134,7 @@
 
     def __init__(self, folder: Path, seed: int, daemons: int = DAEMONS):
         self.findings: list[str] = []
+        self._seed = seed
         self._rng = Random(seed)
         self._mesh = CrashMesh(folder, self._rng.choice([0.0, 0.05, 0.15]), daemons, is_partitionable=True)
         self._mesh.grace = GRACE
@@ -157,6 +168,7 @@
             self._put(4, 0)
             mesh.wait_all_ready()
             harmless = BackgroundLoad(mesh, "/c/harmless-{caller}-{number}")
+            leaving = LeavingCallers(mesh.daemons, self._seed)
             tasks = [
                 threading.Thread(target=task, args=(self._rng.getrandbits(32),))
                 for task in (self._send_crashing_requests, self._send_writes, self._put_versions, self._check_reads)
@@ -164,6 +176,7 @@
             for task in tasks:
                 task.start()
             self._inject_faults(time.monotonic() + seconds)
+            leaving.stop()
             time.sleep(RECOVERY_TIME)
             since = time.monotonic() - MEASURED_RECOVERY_TIME
             until = time.monotonic()
@@ -175,6 +188,7 @@
                 task.join()
             harmless.stop()
             self._check_results(harmless, since, until)
+            self.findings += leaving.find_late_arrivals(mesh.applications.values(), self._partitions.overlaps)
         finally:
             self._calm_event.set()
             self._stop_event.set()
