Split the handling of an attempt's answer, and count the stand-ins' runs in one place

AttemptSender._pass_answer was 85 lines with four outcomes and a nested function; each outcome has a method of its own now, with the same calls in the same order.

--- a/packages/lanedock-daemon/lanedock_daemon/path/caller/attempts.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller/attempts.py
@@ -370,17 +370,11 @@
         time that the route allows.
         """
         head = response.message
-        route, balancer = context.route, context.balancer
         taken = monotonic() - started
         if is_lost:
-            code = ErrorCode.find(head.header(CODE_HEADER)) or ErrorCode.ANSWER_LOST
-            self._note_crashes(head)
-            self._note_end(balancer, stats, started, failed=True, load=load)
-            self._note_try(context, stats, Outcome.UNKNOWN, code)
-            self._read_refusal(response)
-            return AttemptResult(self._make_unknown_outcome(code, ""), True, may_have_run=True)
-        failed = head.status >= 500
-        self._metrics.count(Metric.TRIES, 1, (stats.endpoint.service, "failed" if failed else "answered"))
+            return self._on_answer_lost(response, context, stats, load, started)
+        outcome = "failed" if head.status >= 500 else "answered"
+        self._metrics.count(Metric.TRIES, 1, (stats.endpoint.service, outcome))
         pieces: list[bytes] = []
         body_taken = 0.0
         if not head.is_complete:
@@ -388,35 +382,73 @@
                 pieces = response.read_prefix(ANSWER_BUFFER_LIMIT)
             except (OSError, MalformedMessage) as exc:
                 response.close()
-                # A late body is not the upstream's fault: its head came in time, and the link may be slow.
-                is_late = monotonic() >= context.deadline
-                code = ErrorCode.ANSWER_TIMEOUT if is_late else ErrorCode.ANSWER_LOST
-                self._note_end(
-                    balancer, stats, started, failed or not is_late, load, taken if is_late else None, kind=route.name
-                )
-                self._note_try(context, stats, Outcome.UNKNOWN, code)
-                return AttemptResult(self._make_unknown_outcome(code, str(exc)), not route.repeatable, True, True)
+                return self._on_broken_off(exc, head, context, stats, load, started, taken)
             except BaseException:
                 response.close()
-                balancer.cancel(stats, monotonic())
+                context.balancer.cancel(stats, monotonic())
                 raise
             body_taken = monotonic() - started - taken
         if head.is_complete:
-            # A quick failure must not make an upstream look fast.
-            known_time, known_body_time = (None, None) if failed else (taken, body_taken)
-            self._note_end(
-                balancer,
-                stats,
-                started,
-                failed=failed,
-                load=load,
-                taken=known_time,
-                kind=route.name,
-                body_taken=known_body_time,
-            )
-            return AttemptResult(
-                Answer(head.status, head.reason, _strip_daemon_headers(head), [*pieces, *head.pieces]), True
-            )
+            return self._pass_whole(head, pieces, context, stats, load, started, taken, body_taken)
+        return self._pass_pieces(response, pieces, context, stats, load, started, taken)
+
+    def _on_answer_lost(self, response, context: RequestContext, stats, load, started: float) -> AttemptResult:
+        """Handle the statement of the upstream's daemon that the outcome is unknown."""
+        head = response.message
+        code = ErrorCode.find(head.header(CODE_HEADER)) or ErrorCode.ANSWER_LOST
+        self._note_crashes(head)
+        self._note_end(context.balancer, stats, started, failed=True, load=load)
+        self._note_try(context, stats, Outcome.UNKNOWN, code)
+        self._read_refusal(response)
+        return AttemptResult(self._make_unknown_outcome(code, ""), True, may_have_run=True)
+
+    def _on_broken_off(
+        self, exc: Exception, head: Message, context: RequestContext, stats, load, started: float, taken: float
+    ) -> AttemptResult:
+        """Handle an answer that broke off, or was late, before any of it was passed on."""
+        # A late body is not the upstream's fault: its head came in time, and the link may be slow.
+        is_late = monotonic() >= context.deadline
+        code = ErrorCode.ANSWER_TIMEOUT if is_late else ErrorCode.ANSWER_LOST
+        failed = head.status >= 500 or not is_late
+        known_time = taken if is_late else None
+        self._note_end(context.balancer, stats, started, failed, load, known_time, kind=context.route.name)
+        self._note_try(context, stats, Outcome.UNKNOWN, code)
+        return AttemptResult(self._make_unknown_outcome(code, str(exc)), not context.route.repeatable, True, True)
+
+    def _pass_whole(
+        self,
+        head: Message,
+        pieces: list[bytes],
+        context: RequestContext,
+        stats,
+        load,
+        started: float,
+        taken: float,
+        body_taken: float,
+    ) -> AttemptResult:
+        """Pass on an answer that has come whole."""
+        failed = head.status >= 500
+        # A quick failure must not make an upstream look fast.
+        known_time, known_body_time = (None, None) if failed else (taken, body_taken)
+        self._note_end(
+            context.balancer,
+            stats,
+            started,
+            failed=failed,
+            load=load,
+            taken=known_time,
+            kind=context.route.name,
+            body_taken=known_body_time,
+        )
+        body = [*pieces, *head.pieces]
+        return AttemptResult(Answer(head.status, head.reason, _strip_daemon_headers(head), body), True)
+
+    def _pass_pieces(
+        self, response, pieces: list[bytes], context: RequestContext, stats, load, started: float, taken: float
+    ) -> AttemptResult:
+        """Pass on an answer as it comes, of which `pieces` have come; its end is recorded then."""
+        head = response.message
+        failed = head.status >= 500
 
         def end(exc: Exception | None) -> None:
             broke_off = exc is not None
@@ -427,13 +459,13 @@
             is_whole = head.is_complete and not (failed or broke_off)
             known_body_time = monotonic() - started - taken if is_whole else None
             self._note_end(
-                balancer,
+                context.balancer,
                 stats,
                 started,
                 failed=failed or broke_off,
                 load=load,
                 taken=taken,
-                kind=route.name,
+                kind=context.route.name,
                 body_taken=known_body_time,
             )
 
--- a/packages/lanedock/lanedock/testing/mesh.py
+++ b/packages/lanedock/lanedock/testing/mesh.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 import time
+from collections import Counter
 from pathlib import Path
 
 __all__ = ["LocalMesh", "MeshProcess"]
@@ -340,6 +341,17 @@
 
     # ----------------------------------------------------------------- requests
 
+    def count_runs(self, prefix: str) -> Counter:
+        """Return how often each request id has run at the stand-in applications whose names begin with `prefix`."""
+        runs: Counter = Counter()
+        for name, (host, port) in self.applications.items():
+            if name.startswith(prefix):
+                conn = http.client.HTTPConnection(host, port, timeout=10)
+                conn.request("GET", "/.runs")
+                runs.update(json.loads(conn.getresponse().read()))
+                conn.close()
+        return runs
+
     def request(self, method: str, path: str, body: bytes = b"", entry: int = 0, headers: dict | None = None):
         """Send a request through the entry daemon with index `entry`.
 
--- a/tests/test_callers_that_leave.py
+++ b/tests/test_callers_that_leave.py
@@ -1,8 +1,6 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """Tests that real daemons, suspended for a while, pass on nothing for callers that have left meanwhile."""
 
-import http.client
-import json
 import os
 import signal
 import socket
@@ -26,18 +24,6 @@
     return conn
 
 
-def _list_runs(mesh) -> set[str]:
-    """Return the ids of the requests that applications have got."""
-    runs: set[str] = set()
-    for name, (host, port) in mesh.applications.items():
-        if name.startswith("checklists"):
-            conn = http.client.HTTPConnection(host, port, timeout=10)
-            conn.request("GET", "/.runs")
-            runs.update(json.loads(conn.getresponse().read()))
-            conn.close()
-    return runs
-
-
 def _suspend(processes: list) -> None:
     for process in processes:
         process.popen.send_signal(signal.SIGSTOP)
@@ -63,4 +49,4 @@
     # The caller that stayed is answered, from whatever upstream; what was sent before it has been read by then.
     assert stays.recv(65536).startswith(b"HTTP/1.1 ")
     mesh.wait_for(lambda: mesh.request("GET", "/checklists/x")[0] == 200, "requests are answered again")
-    assert sorted(run for run in _list_runs(mesh) if run.startswith("left")) == []
+    assert sorted(run for run in mesh.count_runs("checklists") if run.startswith("left")) == []
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -60,21 +60,10 @@
         return Counter(self.outcomes.values())
 
 
-def _count_executions(mesh) -> Counter:
-    executions: Counter = Counter()
-    for name, (host, port) in mesh.applications.items():
-        if name.startswith("sightings"):
-            conn = http.client.HTTPConnection(host, port, timeout=10)
-            conn.request("GET", "/.runs")
-            executions.update(json.loads(conn.getresponse().read()))
-            conn.close()
-    return executions
-
-
 def _check_outcomes(submitters: Submitters) -> Counter:
     """Stop the submitters, and check how often each submission ran against its outcome."""
     outcomes = submitters.stop()
-    executions = _count_executions(submitters.mesh)
+    executions = submitters.mesh.count_runs("sightings")
     assert set(outcomes) <= {"answered", "not-run", "unknown", "cut"}
     for request_id, outcome in submitters.outcomes.items():
         expected = {"answered": {1}, "not-run": {0}}.get(outcome, {0, 1})
@@ -100,9 +89,9 @@
         process.start()
         mesh.wait_listening(process)
         # The restarted upstream serves requests before the other one stops.
-        before = _count_total_executions(mesh, process.name)
+        before = mesh.count_runs(process.name).total()
         mesh.wait_for(
-            lambda name=process.name, count=before: _count_total_executions(mesh, name) > count,
+            lambda name=process.name, count=before: mesh.count_runs(name).total() > count,
             f"{process.name} serves again",
         )
     outcomes = _check_outcomes(submitters)
@@ -126,21 +115,12 @@
     mesh = submitters.mesh
     mesh.set_state("sightings-0", "leaving")
     time.sleep(2)
-    before = _count_total_executions(mesh, "sightings-0")
+    before = mesh.count_runs("sightings-0").total()
     submitters.wait_for_more(50)
-    assert _count_total_executions(mesh, "sightings-0") == before
+    assert mesh.count_runs("sightings-0").total() == before
     assert not _check_outcomes(submitters)["unknown"]
 
 
-def _count_total_executions(mesh, name: str) -> int:
-    host, port = mesh.applications[name]
-    conn = http.client.HTTPConnection(host, port, timeout=10)
-    conn.request("GET", "/.runs")
-    total = sum(json.loads(conn.getresponse().read()).values())
-    conn.close()
-    return total
-
-
 def test_requests_are_answered_during_version_changes_and_without_control_instances(submitters, operator):
     for version in range(2, 6):
         change = (lambda value: value["routes"].pop(0)) if version % 2 else None
