Explain the line about a caller that left, and take it for no decision

lanedock explain took REQUEST_CALLER_LEFT (E523), which follows a cancelled request's last decision, for one, and reported that no line says how the request was answered. It states in words now what the line holds. The new test failed before and passes.

--- a/packages/lanedock-cli/lanedock_cli/explain.py
+++ b/packages/lanedock-cli/lanedock_cli/explain.py
@@ -23,6 +23,7 @@
     "not begun": "read behind the last answer of its connection, and not begun",
 }
 _STAGES = {
+    "not begun": "it had not been begun",
     "waiting": "it had been sent to no application",
     "sent": "an application may have been working on it",
     "answered": "its answer had been made",
@@ -30,6 +31,8 @@
 _REQUEST_EVENTS = {
     f"E{event.number}" for event in Event if event.name.startswith("REQUEST_") or event in (Event.ANSWER_LOST,)
 }
+# Lines about a request's end at its caller, which state no decision on it.
+_END_MESSAGES = {Event.REQUEST_END.name, Event.REQUEST_CALLER_LEFT.name}
 _LOG_LIMITED_EVENT = f"E{Event.LOG_LIMITED.number}"
 _COMMON_FIELDS = ("time", "level", "message", "event", "process", "request", "after_ms")
 
@@ -70,12 +73,15 @@
         )
 
     def describe_end(self) -> str:
-        """Describe, for a line REQUEST_END, how the request ended at its caller, and when."""
+        """Describe, for a line about the request's end at its caller, how and when it ended."""
         fields = self.fields
         how = f" ({fields['how']})" if fields.get("how") else ""
         stage = _STAGES.get(fields.get("stage"), "")
         if fields.get("upstream"):
             stage += f" (sent last to {fields['upstream']})"
+        if fields["message"] == Event.REQUEST_CALLER_LEFT.name:
+            silent = f"noticed {fields.get('silent_ms')} ms after its system was last heard"
+            return f"its caller has left{how}, {silent}; {stage}, {fields.get('age_ms')} ms after it was read"
         if fields.get("status"):
             outcome = fields.get("outcome") or "by an application"
             stage += f", status {fields['status']}, {outcome}"
@@ -173,7 +179,7 @@
             text = f"no line of {upstream}: the request succeeded there, its log is not given, or the process ended"
             if text not in missing:
                 missing.append(text)
-    decisions = [line for line in lines if line.fields["message"] != Event.REQUEST_END.name]
+    decisions = [line for line in lines if line.fields["message"] not in _END_MESSAGES]
     if not decisions:
         missing.append("no line states a decision on the request: it ended before one was made, or a log is not given")
     elif decisions[-1].fields["message"] not in (Event.REQUEST_ANSWERED.name, Event.REQUEST_DONE.name):
@@ -206,7 +212,7 @@
     for line in timeline.lines:
         console.print(line.text(), markup=False, highlight=False, soft_wrap=True)
     for line in timeline.lines:
-        if line.fields["message"] == Event.REQUEST_END.name:
+        if line.fields["message"] in _END_MESSAGES:
             text = f"at the server {line.fields.get('server')}: {line.describe_end()}"
             console.print(text, markup=False, highlight=False, soft_wrap=True)
     for code in timeline.codes:
--- a/packages/lanedock-cli/lanedock_cli/tests/test_explain.py
+++ b/packages/lanedock-cli/lanedock_cli/tests/test_explain.py
@@ -109,3 +109,17 @@
     upstream.end()
     lines = collect_timeline("id-1", [upstream.path]).lines
     assert describe_link_limits(lines) == expected
+
+
+def test_request_whose_caller_left_is_explained_and_misses_no_line(processes):
+    """The line about the caller's end comes after the last decision, and states none."""
+    caller, _ = processes
+    caller.note(Event.REQUEST_ROUTED, route="r")
+    caller.note(Event.REQUEST_ANSWERED, outcome="cancelled")
+    fields = {"server": "entry", "how": "reset", "stage": "waiting", "silent_ms": 640, "age_ms": 3}
+    caller.note(Event.REQUEST_CALLER_LEFT, **fields)
+    caller.end()
+    timeline = collect_timeline("id-1", [caller.path])
+    assert not timeline.missing
+    text = timeline.lines[-1].describe_end()
+    assert "left (reset), noticed 640 ms after" in text and "it had been sent to no application" in text
