Check requests of callers that have left in the rounds of planned stops, too

Nothing done for callers that left, and no answer lost, pull apart at a stop, so both are checked in the same rounds now: more than three requests that reach applications over half a second after their callers had left are a fault, but on shaped links, which hold ends back. The soak and the rounds share the check.

--- a/tests/leaving_callers.py
+++ b/tests/leaving_callers.py
@@ -9,7 +9,7 @@
 
 from platform_processes import OUTBOUND_PORT
 
-__all__ = ["LeavingCallers"]
+__all__ = ["LeavingCallers", "find_late_arrivals"]
 
 # Seconds after a caller has left from which on its requests may not reach an application.
 MAX_DELAY = 0.5
@@ -53,27 +53,6 @@
         for thread in self._threads:
             thread.join()
 
-    def find_late_arrivals(self, applications, is_excused) -> list[str]:
-        """Describe the requests that reached applications late, if they are more than a few.
-
-        Parameters
-        ----------
-        applications : iterable of CrashingApplication
-        is_excused : callable
-            Returns whether an arrival at a monotonic time in seconds, after the caller left at another, is allowed.
-        """
-        late = []
-        for app in applications:
-            for at, path, _ in list(app.arrivals):
-                left_at = self.left_at.get(path)
-                if left_at is not None and at > left_at + MAX_DELAY and not is_excused(left_at, at):
-                    late.append(f"{path} {at - left_at:.3f} s")
-        if len(late) <= MAX_LATE:
-            return []
-        return [
-            f"{len(late)} requests of {len(self.left_at)} reached applications after their callers had left: {late}"
-        ]
-
     def _run(self, number: int, rng: Random) -> None:
         sent = 0
         while not self._is_stopped.wait(rng.uniform(0.05, 0.3)):
@@ -111,6 +90,28 @@
         return [path], _make_head("POST", path, LONG_BODY) + b"." * LONG_BODY
 
 
+def find_late_arrivals(left_at: dict[str, float], applications, is_excused=lambda left_at, at: False) -> list[str]:
+    """Describe the requests that reached applications long after their callers had left, if they are more than a few.
+
+    Parameters
+    ----------
+    left_at : dict of str to float
+        Monotonic time in seconds at which the caller of each path had closed its connection.
+    applications : iterable of CrashingApplication
+    is_excused : callable
+        Returns whether an arrival at a monotonic time in seconds, after the caller left at another, is allowed.
+    """
+    late = []
+    for app in applications:
+        for at, path, _ in list(app.arrivals):
+            closed_at = left_at.get(path)
+            if closed_at is not None and at > closed_at + MAX_DELAY and not is_excused(closed_at, at):
+                late.append(f"{path} {at - closed_at:.3f} s")
+    if len(late) <= MAX_LATE:
+        return []
+    return [f"{len(late)} requests of {len(left_at)} reached applications after their callers had left: {late}"]
+
+
 def _make_head(method: str, path: str, length: int = 0) -> bytes:
     lines = [f"{method} {path} HTTP/1.1", "Host: shop.example", f"X-Request-Id: {path[-16:]}", "X-Deadline-Ms: 3000"]
     if length:
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -38,7 +38,7 @@
     make_routes,
 )
 from crashing_application import POISON  # noqa: E402
-from leaving_callers import LeavingCallers  # noqa: E402
+from leaving_callers import LeavingCallers, find_late_arrivals  # noqa: E402
 from platform_processes import read_version  # noqa: E402
 from stop_rounds import GRACE, StopRounds  # noqa: E402
 from stop_scenarios import SCENARIOS  # noqa: E402
@@ -188,7 +188,8 @@
                 task.join()
             harmless.stop()
             self._check_results(harmless, since, until)
-            self.findings += leaving.find_late_arrivals(mesh.applications.values(), self._partitions.overlaps)
+            applications = mesh.applications.values()
+            self.findings += find_late_arrivals(leaving.left_at, applications, self._partitions.overlaps)
         finally:
             self._calm_event.set()
             self._stop_event.set()
--- a/tests/stop_rounds.py
+++ b/tests/stop_rounds.py
@@ -25,6 +25,7 @@
 
 from crash_mesh import CrashMesh, make_routes, make_routes_with_called_service  # noqa: E402
 from keepalive_callers import KeepAliveCaller  # noqa: E402
+from leaving_callers import find_late_arrivals  # noqa: E402
 from platform_processes import OUTBOUND_PORT  # noqa: E402
 from round_results import GRACE, RoundResult, Runs, count_by_application, find_log_lines  # noqa: E402
 from stop_scenarios import SCENARIOS, Scenario  # noqa: E402
@@ -199,6 +200,11 @@
                     self._scenario.shape,
                     self.mesh.folder,
                 )
+        if self._scenario.shape is None:
+            # Shaped links hold back a caller's end.
+            records = [record for _, caller in callers for record in caller.records if record.has_left]
+            left_at = {request.path: record.ended_at for record in records for request in record.sent}
+            result.faults += find_late_arrivals(left_at, self.mesh.applications.values())
         if self._scenario.shape is not None or self._scenario.stalls is not None:
             result.set_unread_apart(self.mesh.folder)
         return result
