--- a/review/fleet2.py
+++ b/review/fleet2.py
@@ -18,6 +18,7 @@
 import threading
 import time
 import tomllib
+import traceback
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
 
@@ -433,5 +434,8 @@
     except CannotRun as exc:
         print(f"could not run: {exc}")
         sys.exit(2)
+    except Exception:
+        traceback.print_exc()
+        sys.exit(2)
     print("held" if held else "BROKEN")
     sys.exit(0 if held else 1)
