--- a/review/8/case.py
+++ b/review/8/case.py
@@ -44,7 +44,7 @@
 
 
 def run() -> bool:
-    fleet = Fleet(CASE, ["lists", "lists", "sights", "sights"])
+    fleet = Fleet(CASE, ["lists"] * 4 + ["sights"] * 4)
     record = fleet.record
     services = ["lists", "sights"]
     routes = [make_route("r1", "/lists/", "lists"), make_route("r2", "/sights/", "sights")]
--- a/review/fleet2.py
+++ b/review/fleet2.py
@@ -241,7 +241,6 @@
         if not (ROOT / "target" / "app" / "start.py").exists():
             raise CannotRun("target/ is missing: the build of the deploy file was not run")
         self.record = Record(case / "record.txt")
-        self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         network = _free_network()
         self._zones = zones
         self.controls = [f"{network}.{1 + n}" for n in range(controls)]
@@ -252,6 +251,7 @@
         found = _free_ports(self.controls + self.daemons, len(names))
         self.ports = dict(zip(names, found, strict=True))
         self.app_port = self.ports["app"]
+        self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.processes: dict[str, subprocess.Popen] = {}
         self.backends: dict[str, Backend] = {}
         with open(ROOT / "deploy" / "system.toml", "rb") as file:
