--- a/conftest.py
+++ b/conftest.py
@@ -23,8 +23,8 @@
     Parameters
     ----------
     text : str
-        One line per test with four fields separated by bars: test id without parameters, command
-        and seed, observed failure, and issue. Lines that begin with # are ignored.
+        One line per test with four fields separated by bars: test id, with parameters if only these
+        fail, command and seed, observed failure, and issue. Lines that begin with # are ignored.
 
     Returns
     -------
@@ -52,7 +52,7 @@
     """
     known = config.stash[_KEY]
     for item in items:
-        cause = known.get(item.nodeid.partition("[")[0])
+        cause = known.get(item.nodeid) or known.get(item.nodeid.partition("[")[0])
         if cause is not None:
             is_strict = f"| {SOMETIMES}" not in cause
             item.add_marker(pytest.mark.xfail(reason=f"known red: {cause}", strict=is_strict))
--- a/packages/lanedock/lanedock/settings/core.py
+++ b/packages/lanedock/lanedock/settings/core.py
@@ -144,6 +144,7 @@
         "log_lines_per_second",
         "log_sample",
         "max_descriptors",
+        "memory_mb",
         "mesh_port",
         "metrics",
         "name",
--- a/tests/platform_processes.py
+++ b/tests/platform_processes.py
@@ -64,6 +64,10 @@
         Software version reported in heartbeats.
     is_failing : bool
         Whether all responses have status 500.
+    service : str
+        Service reported in heartbeats.
+    slots : int
+        Number of slots reported in heartbeats.
 
     Attributes
     ----------
@@ -76,22 +80,27 @@
     daemon_threads = True
     load = ""
 
-    def __init__(self, ip: str, upstream: str, version: str = "v1", is_failing: bool = False):
+    def __init__(
+        self, ip: str, upstream: str, version: str = "v1", is_failing: bool = False, service: str = "s1", slots: int = 4
+    ):
         self.upstream = upstream
+        self.service = service
+        self.slots = slots
         self.version = version
         self.is_failing = is_failing
         self.start_time_ms = time.time_ns() // 1_000_000
         self.received_headers: list[dict] = []
         self.sequence = 0
         self._heartbeat_lock = threading.Lock()
-        super().__init__((ip, APP_PORT), _Handler)
+        super().__init__((ip, APP_PORT), EchoHandler)
         threading.Thread(target=self.serve_forever, daemon=True).start()
 
     def send_heartbeat(self, state: str = "ready") -> int:
         # Sends one heartbeat at a time: none overtakes one with a lower sequence number.
         with self._heartbeat_lock:
             self.sequence += 1
-            body = make_beat(state, self.sequence, born=self.start_time_ms, version=self.version)
+            info = {"service": self.service, "slots": self.slots, "version": self.version}
+            body = make_beat(state, self.sequence, born=self.start_time_ms, **info)
             path = f"/Instances.Heartbeat/{self.upstream}"
             return call(self.server_address[0], CONTROL_PORT, "POST", path, json.dumps(body).encode())[0]
 
@@ -107,7 +116,9 @@
             self.sequence = 0
 
 
-class _Handler(BaseHTTPRequestHandler):
+class EchoHandler(BaseHTTPRequestHandler):
+    """Answers POST requests with their bodies."""
+
     protocol_version = "HTTP/1.1"
 
     def do_POST(self) -> None:
@@ -242,6 +253,7 @@
         text = text.replace('{{#seeds}}"{{.}}"{{,}}{{/seeds}}', seeds)
         # Optional setting of deployments with canary releases, which these tests leave at its default.
         text = re.sub(r"\{\{#(bounds\.exposureShare)\}\}.*?\{\{/\1\}\}", "", text, flags=re.DOTALL)
+        text = re.sub(r"\{\{[#/]limits\.memoryMb\}\}", "", text)
         if self.grace is None:
             text = re.sub(r'"stop_grace_s": .*?,\n', "", text)
         values = {
@@ -258,6 +270,7 @@
             "service": self.service(ip),
             "heartbeatS": 0.3,
             "limits.maxFds": 4100,
+            "limits.memoryMb": 300,
             "limits.linkMbps": 1000.0,
             "bootstrap": str(bootstrap).lower(),
             "dataDir": self.folder / f"data-{ip}",
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -21,7 +21,7 @@
 def test_each_entry_names_an_existing_test_with_command_finding_and_issue():
     for test, command, seen, issue in _read_entries():
         file, _, name = test.partition("::")
-        assert f"def {name}(" in (ROOT / file).read_text(encoding="utf-8")
+        assert f"def {name.partition('[')[0]}(" in (ROOT / file).read_text(encoding="utf-8")
         assert command
         assert seen
         assert issue
@@ -55,3 +55,18 @@
     completed = subprocess.run(line, cwd=tmp_path, capture_output=True, text=True, check=False, timeout=60)
     assert completed.returncode == code, completed.stdout
     assert shown in completed.stdout
+
+
+def test_entry_with_parameters_is_of_one_case_alone(tmp_path):
+    shutil.copy(ROOT / "conftest.py", tmp_path)
+    (tmp_path / "pyproject.toml").write_text("[tool.pytest.ini_options]\n", encoding="utf-8")
+    (tmp_path / "test_it.py").write_text(
+        "import pytest\n\n@pytest.mark.parametrize('x', [1, 2, 3])\ndef test_one(x):\n    assert x == 1\n",
+        encoding="utf-8",
+    )
+    (tmp_path / "KNOWN-RED.txt").write_text(
+        "test_it.py::test_one[2] | a command | because | issue 1\n", encoding="utf-8"
+    )
+    line = [sys.executable, "-m", "pytest", "-p", "no:cacheprovider"]
+    completed = subprocess.run(line, cwd=tmp_path, capture_output=True, text=True, check=False, timeout=60)
+    assert "1 failed, 1 passed, 1 xfailed" in completed.stdout
