Close the watchers of waiting writers before their descriptor

Cause: a write that waits for room had a watcher of its own. `Channel.close` closed the descriptor without it; the event loop aborts when it next changes that watcher, or watches the connection that got the number. Kills usually stop the watcher in the same pass, but a crowd's callbacks outlast one pass.

Evidence: a channel with a waiting writer and reader, closed, in a process of its own: on the code as found six of the eight cases fail, two by signal 6, the others with a writer that waits for a stranger's descriptor or fails with EBADF.

Change: the channel keeps the watchers of its writers, closes them before the descriptor, and wakes all greenlets that still wait. The wait for the outcome is one function for reads and writes.

It works since no watcher is left for a descriptor once it is closed. No other code waits on a number that it may close (load prober, signal pipe and gevent's sockets checked by reading).

--- a/packages/lanedock-daemon/lanedock_daemon/path/http/channel.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/channel.py
@@ -19,7 +19,6 @@
 
 from gevent import get_hub, getcurrent
 from gevent.monkey import get_original
-from gevent.socket import wait, wait_write
 
 from lanedock.clock import monotonic
 from lanedock_daemon.path.http.messages import NEVER
@@ -27,7 +26,8 @@
 __all__ = ["DISCARD_SIZE", "Channel"]
 
 _READ_EVENT = 1
-_READ_OR_WRITE_EVENT = 3
+_WRITE_EVENT = 2
+_READ_OR_WRITE_EVENT = _READ_EVENT | _WRITE_EVENT
 DISCARD_SIZE = 64 * 1024
 # Reads of `DISCARD_SIZE` bytes for which input is discarded at once; a receive buffer holds little more.
 MAX_DISCARD_READS = 100
@@ -74,6 +74,7 @@
         "_timer",
         "_user_timeout_ms",
         "_watcher",
+        "_writers",
         "written",
     )
 
@@ -90,6 +91,8 @@
         self._expires_at = NEVER
         self._fires_at = NEVER
         self._reader = None
+        # The greenlets that wait in a write, and their watchers.
+        self._writers: dict = {}
         self._is_readable = False
         self._is_closed = False
         self._discards_input = False
@@ -314,12 +317,8 @@
         else:
             self._set_timer(self._deadline)
         self._reader = getcurrent()
-        hub = self._reader.parent if self._reader.parent is not None else get_hub()
-        outcome = None
         try:
-            # A switch with any other value is an unrelated wake-up of this greenlet.
-            while outcome not in (_READY, _EXPIRED, _CLOSED):
-                outcome = hub.switch()
+            outcome = _switch_to_hub(self._reader)
         finally:
             self._reader = None
         if outcome is _CLOSED:
@@ -394,14 +393,46 @@
 
     def _send_rest(self, rest: memoryview) -> None:
         while rest:
-            timeout = self._timeout
-            if self._deadline != NEVER:
-                timeout = self._deadline - monotonic()
-                if timeout <= 0:
-                    raise TimeoutError("timed out")
-            wait_write(self._sock.fileno(), timeout, TimeoutError("timed out"))
+            self._wait_writable(_WRITE_EVENT)
             rest = rest[self._write(rest) :]
 
+    def _wait_writable(self, events: int) -> None:
+        """Wait until one of the events happens on the socket.
+
+        The channel owns the watcher: one that outlives its descriptor aborts the process when the event loop changes
+        it, or watches the connection that got the descriptor next.
+
+        Raises
+        ------
+        TimeoutError
+            Without an `errno`.
+        ConnectionError
+            The connection was closed before or during the wait.
+        """
+        if self._is_closed:
+            raise ConnectionError("the connection was closed")
+        timeout = self._timeout if self._deadline == NEVER else self._deadline - monotonic()
+        if timeout is not None and timeout <= 0:
+            raise TimeoutError("timed out")
+        writer = getcurrent()
+        watcher = self._writers[writer] = self._loop.io(self._sock.fileno(), events)
+        watcher.start(writer.switch, _READY)
+        timer = None
+        if timeout is not None:
+            timer = self._loop.timer(timeout)
+            timer.start(writer.switch, _EXPIRED)
+        try:
+            outcome = _switch_to_hub(writer)
+        finally:
+            del self._writers[writer]
+            watcher.close()
+            if timer is not None:
+                timer.close()
+        if outcome is _CLOSED:
+            raise ConnectionError("the connection was closed")
+        if outcome is _EXPIRED:
+            raise TimeoutError("timed out")
+
     def send_some(self, data: memoryview) -> int:
         """Write a part of `data`, and return how many bytes were written.
 
@@ -416,27 +447,36 @@
         size = self._write(data)
         if size:
             return size
-        timeout = self._timeout
-        if self._deadline != NEVER:
-            timeout = self._deadline - monotonic()
-            if timeout <= 0:
-                raise TimeoutError("timed out")
-        watcher = self._loop.io(self._sock.fileno(), _READ_OR_WRITE_EVENT)
-        try:
-            wait(watcher, timeout, TimeoutError("timed out"))
-        finally:
-            watcher.close()
+        self._wait_writable(_READ_OR_WRITE_EVENT)
         return 0
 
     def close(self) -> None:
-        """Close the connection; a greenlet that waits in a read gets a `ConnectionError`."""
+        """Close the connection; greenlets that wait in a read or a write get a `ConnectionError`."""
         if self._is_closed:
             return
         self._is_closed = True
         self._watcher.close()
         if self._timer is not None:
             self._timer.close()
+        for watcher in self._writers.values():
+            watcher.close()
         self._sock.close()
-        if self._reader is not None and self._reader is not getcurrent():
-            reader, self._reader = self._reader, None
-            self._loop.run_callback(reader.switch, _CLOSED)
+        if self._reader is not None or self._writers:
+            self._loop.run_callback(self._wake_after_close)
+
+    def _wake_after_close(self) -> None:
+        """Wake the greenlets that still wait; others may have been killed since the close."""
+        if self._reader is not None:
+            self._wake(_CLOSED)
+        for writer in list(self._writers):
+            if writer in self._writers:
+                writer.switch(_CLOSED)
+
+
+def _switch_to_hub(greenlet) -> object:
+    """Wait in the current greenlet for the outcome of a read or write; other wake-ups are unrelated to it."""
+    hub = greenlet.parent if greenlet.parent is not None else get_hub()
+    outcome = None
+    while outcome not in (_READY, _EXPIRED, _CLOSED):
+        outcome = hub.switch()
+    return outcome
