Hold heads of many lines and bodies of many chunks in few objects

Callers saw a process run out of memory with clients that sent requests of legal size: heads of very short lines, and bodies in chunks of a byte or two. Before that, other requests waited for seconds.

Cause: bounds counted bytes, not what they cost. A header line of four bytes was decoded into a tuple of two strings, some hundred and fifty bytes, as it was read; each chunk was an object of its own. 64 KiB of header lines were parsed in one run.

Evidence: 250 clients with 16 kB of an unfinished head took 109 MB, 40 clients with chunks of two bytes 147 MB, on the code as found (33 MB in calm).

Change: header lines behind the 64th stand in one byte string until the request begins, and looks at single headers of waiting requests decode none; the chunks of one read become one piece, and small pieces are joined; where heads are expected, at most 16 KiB are read at a time.

It works since what waits is held as bytes. Usage of the tests also prints the bytes that were not read.

--- a/packages/lanedock-daemon/lanedock_daemon/path/http/incoming.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/incoming.py
@@ -66,8 +66,7 @@
         return piece
 
     def _next_piece(self, deadline: float) -> bytes:
-        pieces = self._message.pieces
-        while not pieces:
+        while not self._message.pieces:
             if self._message.is_complete:
                 return b""
             if self._is_broken:
@@ -77,8 +76,9 @@
                 self._wants_continue = False
                 continue
             self._wait(deadline)
+        piece = self._message.take_piece()
         self._on_read()
-        return pieces.popleft()
+        return piece
 
     def _wait(self, deadline: float) -> None:
         """Wait until more data arrives or the body breaks off."""
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/parser.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/parser.py
@@ -2,6 +2,7 @@
 """Reading HTTP messages from connections with httptools' parser (llhttp in strict mode)."""
 
 from collections import deque
+from collections.abc import Iterator
 
 import httptools
 
@@ -14,6 +15,8 @@
 
 # Maximum bytes per read from a connection.
 RECEIVE_SIZE = 64 * 1024
+# The same where requests' heads are expected: other connections wait while thousands of header lines are parsed.
+HEAD_RECEIVE_SIZE = 16 * 1024
 MAX_HEAD_BYTES = 32 * 1024
 # The colon, the space and the line end of a header line.
 HEADER_DELIMITER_BYTES = 4
@@ -26,6 +29,13 @@
 _VERSIONS = ("1.0", "1.1")
 # Cache of header names as received, mapped to lower-case strings; its size is bounded.
 _MAX_CACHED_NAMES = 256
+# Header lines that are kept as decoded strings. Those after them stand in one byte string until they are needed: a line
+# of four bytes takes some hundred and fifty as strings.
+MAX_DECODED_LINES = 64
+# Parts of a body up to this size together, in bytes, are joined: as much as is copied for a small one.
+MAX_JOINED_BYTES = 4 * 1024
+# Memory of a message that waits to be begun, with its first header lines, without the bytes of its head.
+MESSAGE_BYTES = 8 * 1024
 _HEADER_NAMES: dict[bytes, str] = {}
 
 
@@ -54,9 +64,13 @@
     Attributes
     ----------
     headers : list of tuple of (str, str)
-        Names in lower case.
+        Names in lower case. The first look at it decodes all lines.
+    line_count, head_bytes : int
+        Number of header lines, and bytes of the head, that have been received.
     pieces : deque of bytes
         Parts of the body that were received but not consumed yet.
+    kept_bytes : int
+        Number of bytes of the body that its consumer keeps while it works on the message.
     is_complete : bool
         Whether the body was received to its end.
     read_at : float
@@ -66,9 +80,15 @@
     """
 
     __slots__ = (
+        "_decoded",
+        "_packed",
+        "_unread_bytes",
+        "head_bytes",
         "is_complete",
         "is_reported",
         "keep_alive",
+        "kept_bytes",
+        "line_count",
         "method",
         "pieces",
         "read_at",
@@ -79,8 +99,14 @@
     )
 
     def __init__(self):
-        super().__init__([])
+        self._decoded: list[tuple[str, str]] = []
+        self._packed = bytearray()
+        self._by_name = None
+        self.line_count = 0
+        self.head_bytes = 0
         self.pieces: deque[bytes] = deque()
+        self._unread_bytes = 0
+        self.kept_bytes = 0
         self.is_complete = False
         self.keep_alive = True
         self.method = ""
@@ -91,9 +117,56 @@
         self.read_at = 0.0
         self.is_reported = False
 
+    @property
+    def headers(self) -> list[tuple[str, str]]:
+        if self._packed:
+            self._decoded += self._iterate_packed()
+            self._packed = bytearray()
+        return self._decoded
+
+    def add_header(self, name: bytes, value: bytes) -> None:
+        """Add a header line as it was received."""
+        self.line_count += 1
+        if self.line_count <= MAX_DECODED_LINES or b"\n" in value:
+            self._decoded.append((_HEADER_NAMES.get(name) or _decode_name(name), value.decode("latin-1")))
+        else:
+            self._packed += b"%b:%b\n" % (name, value)
+
+    def iterate_headers(self) -> Iterator[tuple[str, str]]:
+        """Return the header lines one after the other, without keeping them decoded."""
+        yield from self._decoded
+        yield from self._iterate_packed()
+
+    def _iterate_packed(self) -> Iterator[tuple[str, str]]:
+        for line in bytes(self._packed).split(b"\n")[:-1]:
+            name, _, value = line.partition(b":")
+            yield _HEADER_NAMES.get(name) or _decode_name(name), value.decode("latin-1")
+
+    def find_header(self, name: str) -> str:
+        """Return the first value of a header; empty if it is absent. Keeps nothing decoded, unlike `header`."""
+        return next((value for known, value in self.iterate_headers() if known == name), "")
+
     def count_unread_bytes(self) -> int:
         """Return the number of received body bytes that were not consumed yet."""
-        return sum(len(piece) for piece in self.pieces)
+        return self._unread_bytes
+
+    def discard_pieces(self) -> None:
+        """Forget the parts of the body that were not consumed."""
+        self.pieces.clear()
+        self._unread_bytes = 0
+
+    def add_piece(self, piece: bytes) -> None:
+        """Add a part of the body; small ones are joined, since each object costs some fifty bytes more."""
+        self._unread_bytes += len(piece)
+        if self.pieces and len(self.pieces[-1]) + len(piece) <= MAX_JOINED_BYTES:
+            piece = self.pieces.pop() + piece
+        self.pieces.append(piece)
+
+    def take_piece(self) -> bytes:
+        """Return the next part of the body, and forget it."""
+        piece = self.pieces.popleft()
+        self._unread_bytes -= len(piece)
+        return piece
 
 
 class MessageReader:
@@ -109,6 +182,8 @@
         self._parser = self._make_parser()
         self._heads: deque[Message] = deque()
         self._current: Message | None = None
+        # Parts of the current message's body from the read that is being parsed.
+        self._parts: list[bytes] = []
         self._head_bytes = 0
         # Bytes of the reads since the one that completed the last part of a message: the parser keeps
         # them, be they of a head, of a trailer or between messages.
@@ -132,7 +207,7 @@
         self._head_bytes += len(name) + len(value) + HEADER_DELIMITER_BYTES
         if self._head_bytes > MAX_HEAD_BYTES:
             raise MalformedMessage(f"the head is longer than {MAX_HEAD_BYTES} bytes", 431)
-        self._current.headers.append((_HEADER_NAMES.get(name) or _decode_name(name), value.decode("latin-1")))
+        self._current.add_header(name, value)
 
     def on_headers_complete(self) -> None:
         self.is_in_head = False
@@ -140,17 +215,25 @@
         self._current.keep_alive = self._parser.should_keep_alive()
         self._current.version = self._parser.get_http_version()
         self._current.read_at = monotonic()
+        self._current.head_bytes = self._head_bytes
         self._finish_head(self._current)
         self._heads.append(self._current)
 
     def on_body(self, body: bytes) -> None:
         self._has_completed_part = True
-        self._current.pieces.append(body)
+        self._parts.append(body)
 
     def on_message_complete(self) -> None:
         self._has_completed_part = True
+        self._add_parts()
         self._current.is_complete = True
 
+    def _add_parts(self) -> None:
+        """Add what was read of a body to its message in one piece: it may have come in very many chunks."""
+        if self._parts:
+            self._current.add_piece(self._parts[0] if len(self._parts) == 1 else b"".join(self._parts))
+            self._parts.clear()
+
     def _finish_head(self, message: Message) -> None:
         """Copy the fields of the start line to the message, and check it."""
 
@@ -189,6 +272,16 @@
         """Return the number of complete heads that are buffered."""
         return len(self._heads)
 
+    def first_head(self) -> Message:
+        """Return the first message whose complete head is buffered, which stays there."""
+        return self._heads[0]
+
+    def count_held_bytes(self) -> int:
+        """Return the memory, in bytes, of the messages whose heads are buffered or have begun."""
+        size = sum(MESSAGE_BYTES + message.head_bytes for message in self._heads)
+        size += sum(message.count_unread_bytes() for message in self._heads)
+        return size + MESSAGE_BYTES + self._head_bytes + self._pending_bytes if self.is_in_head else size
+
     def has_incomplete_message(self) -> bool:
         """Return whether a head is buffered whose body has not been received whole."""
         return bool(self._heads) and not self._heads[-1].is_complete
@@ -201,7 +294,7 @@
         """Discard the buffered messages; the body of `kept` stays."""
         self._heads.clear()
         if self._current is not None and self._current is not kept:
-            self._current.pieces.clear()
+            self._current.discard_pieces()
 
     def receive(self) -> bool:
         """Wait for data and parse it; return False at the end of the stream."""
@@ -221,7 +314,7 @@
                 return b""
             if not self._receive():
                 self._handle_close_in_body(message)
-        return message.pieces.popleft()
+        return message.take_piece()
 
     def _handle_close_in_body(self, message: Message) -> None:
         raise ConnectionError("the connection ended before the end of a message body")
@@ -231,8 +324,10 @@
         return False
 
     def _receive(self) -> bool:
-        is_unfinished = self.is_in_head or self._pending_bytes
-        data = self.conn.recv(MAX_HEAD_BYTES - self._pending_bytes if is_unfinished else RECEIVE_SIZE)
+        size = self._receive_size()
+        if self.is_in_head or self._pending_bytes:
+            size = min(size, MAX_HEAD_BYTES - self._pending_bytes)
+        data = self.conn.recv(size)
         if not data:
             return False
         self._has_completed_part = False
@@ -243,6 +338,10 @@
             raise MalformedMessage(f"a head or trailer is longer than {MAX_HEAD_BYTES} bytes", 431)
         return True
 
+    def _receive_size(self) -> int:
+        """Return how many bytes the next read may return."""
+        return RECEIVE_SIZE
+
     def _feed(self, data: bytes) -> bool:
         """Parse data; return False if it is invalid and can be ignored.
 
@@ -261,6 +360,8 @@
             if isinstance(cause, MalformedMessage):
                 raise cause from None
             raise MalformedMessage(f"the message is not valid HTTP: {exc}") from exc
+        finally:
+            self._add_parts()
         return True
 
 
@@ -270,6 +371,10 @@
     def _make_parser(self):
         return httptools.HttpRequestParser(self)
 
+    def _receive_size(self) -> int:
+        is_in_body = self._current is not None and not (self.is_in_head or self._current.is_complete)
+        return RECEIVE_SIZE if is_in_body else HEAD_RECEIVE_SIZE
+
     def on_url(self, url: bytes) -> None:
         self._start_line_text += url
         if len(self._start_line_text) > MAX_HEAD_BYTES:
@@ -427,7 +532,7 @@
 def _check_framing(message: Message) -> None:
     """Refuse requests whose framing is ambiguous and that parsers could read differently (RFC 9112, 6.3)."""
     lengths, encodings, hosts = [], [], []
-    for name, value in message.headers:
+    for name, value in message.iterate_headers():
         if name == "host":
             hosts.append(value)
         elif name == "content-length":
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/request_ends.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/request_ends.py
@@ -82,7 +82,7 @@
         for message in messages:
             if not message.is_reported:
                 message.is_reported = True
-                trace = RequestTrace(message.header(REQUEST_ID_HEADER), message.read_at)
+                trace = RequestTrace(message.find_header(REQUEST_ID_HEADER), message.read_at)
                 self._stop_log.log_request(trace, RequestEnd.NOT_BEGUN)
 
     def log_cut(self, reason: str, not_begun: Iterable[Message]) -> None:
@@ -124,7 +124,7 @@
         left_at, silent_time = monotonic(), self._conn.silent_time()
         ended = [(trace, trace.stage) for trace in self._unwritten]
         for message in not_begun:
-            ended.append((RequestTrace(message.header(REQUEST_ID_HEADER), message.read_at), Stage.NOT_BEGUN))
+            ended.append((RequestTrace(message.find_header(REQUEST_ID_HEADER), message.read_at), Stage.NOT_BEGUN))
         for trace, stage in ended:
             trace.caller_left_at = left_at
             self._log.log_caller_left(trace, stage, how, silent_time)
--- a/packages/lanedock-daemon/lanedock_daemon/path/shared/answers.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/shared/answers.py
@@ -78,7 +78,7 @@
             If the answer breaks off, or was closed before its end.
         """
         if self.message.pieces:
-            return self.message.pieces.popleft()
+            return self.message.take_piece()
         if self._reader is None:
             if not self.message.is_complete:
                 raise ConnectionError("the answer was closed before its end")
--- a/tests/misbehaving_clients.py
+++ b/tests/misbehaving_clients.py
@@ -155,16 +155,20 @@
     ----------
     memory_bytes : int
         Resident memory, and what has arrived at its sockets and was not read.
+    unread_bytes : int
+        What has arrived and was not read.
     descriptors : int
     """
 
     def __init__(self, pid: int):
         self._pid = pid
         self.memory_bytes = 0
+        self.unread_bytes = 0
         self.descriptors = 0
 
     def __repr__(self) -> str:
-        return f"<Usage {self.memory_bytes / 1e6:.1f} MB, {self.descriptors} descriptors>"
+        unread = f"{self.unread_bytes / 1e6:.1f} MB unread at most"
+        return f"<Usage {self.memory_bytes / 1e6:.1f} MB, {unread}, {self.descriptors} descriptors>"
 
     def look(self) -> None:
         """Update the largest values."""
@@ -179,8 +183,9 @@
             if name in ("VmHWM", "VmRSS")
         }
         if sizes:
-            resident = sizes["VmRSS"] + _count_unread_bytes(links)
-            self.memory_bytes = max(self.memory_bytes, sizes["VmHWM"], resident)
+            unread = _count_unread_bytes(links)
+            self.unread_bytes = max(self.unread_bytes, unread)
+            self.memory_bytes = max(self.memory_bytes, sizes["VmHWM"], sizes["VmRSS"] + unread)
         self.descriptors = max(self.descriptors, len(links))
 
     def _read_links(self) -> set[str]:
