Bound what all connections hold by one budget of memory and descriptors

Callers saw a process run out of memory, or of descriptors, and end: under many pipelined heads to a slow application, many bodies that stopped just short of their end, and long answers that are read slowly.

Cause: every bound was one connection's and nothing bounded their sum; a process did not know its memory. Of pipelined bodies, the read-ahead of 256 KiB held for the last one alone; an operator's body was kept whole without a bound in sum.

Change: limits/resources.py (pure) sums up what connections hold, by cost; http/holding.py has the costs, http/resource_guard.py the decisions. Above half of the budget a connection reads one request at a time; a request without room waits behind others of its connection or is refused at once as not run (LD3021); connections that hold much for long get final answers and make room, or are cut if they take none. A planned stop spares what has begun. A connection without a descriptor is closed unread.

It works since admission is by the sum of what things cost.

--- a/packages/lanedock-cli/lanedock_cli/explain.py
+++ b/packages/lanedock-cli/lanedock_cli/explain.py
@@ -33,6 +33,13 @@
 }
 # Lines about a request's end at its caller, which state no decision on it.
 _END_MESSAGES = {Event.REQUEST_END.name, Event.REQUEST_CALLER_LEFT.name}
+# Lines after which no decision on the request follows.
+_FINAL_MESSAGES = {
+    Event.REQUEST_ANSWERED.name,
+    Event.REQUEST_DONE.name,
+    Event.REQUEST_OUT_OF_RESOURCES.name,
+    Event.CONNECTION_EVICTED.name,
+}
 _LOG_LIMITED_EVENT = f"E{Event.LOG_LIMITED.number}"
 _COMMON_FIELDS = ("time", "level", "message", "event", "process", "request", "after_ms")
 
@@ -131,7 +138,7 @@
         `ErrorCode.FILE_UNREADABLE`: a log is not readable.
     """
     all_lines = [line for path in paths for line in read_log(path)]
-    lines = [line for line in all_lines if line.request == request]
+    lines = [line for line in all_lines if _concerns(line, request)]
     lines.sort(key=lambda line: line.time)
     if not lines:
         return RequestTimeline([], [], [f"no line names {request}: it succeeded unsampled, or a log is not given"], [])
@@ -151,6 +158,13 @@
     return RequestTimeline(lines, context, _find_missing(lines, context), codes)
 
 
+def _concerns(line: LogLine, request: str) -> bool:
+    """Return whether a line is about a request: its own, or of the end of its connection for lack of resources."""
+    if line.fields["message"] == Event.CONNECTION_EVICTED.name:
+        return request in str(line.fields.get("ids", "")).split()
+    return line.request == request
+
+
 def read_log(path: Path) -> list[LogLine]:
     """Read a log of JSON objects, one a line; skips text before an object, such as a log collector's prefix."""
     try:
@@ -182,7 +196,7 @@
     decisions = [line for line in lines if line.fields["message"] not in _END_MESSAGES]
     if not decisions:
         missing.append("no line states a decision on the request: it ended before one was made, or a log is not given")
-    elif decisions[-1].fields["message"] not in (Event.REQUEST_ANSWERED.name, Event.REQUEST_DONE.name):
+    elif decisions[-1].fields["message"] not in _FINAL_MESSAGES:
         missing.append("no line says how the request was answered: the process ended first, or its log is not given")
     limited = [line for line in context if line.event == _LOG_LIMITED_EVENT]
     missing += [
--- a/packages/lanedock-cli/lanedock_cli/tests/test_explain.py
+++ b/packages/lanedock-cli/lanedock_cli/tests/test_explain.py
@@ -123,3 +123,22 @@
     assert not timeline.missing
     text = timeline.lines[-1].describe_end()
     assert "left (reset), noticed 640 ms after" in text and "it had been sent to no application" in text
+
+
+def test_request_refused_for_lack_of_resources_is_explained_and_misses_no_line(processes):
+    """No decision on the request follows its refusal."""
+    caller, _ = processes
+    caller.note(Event.REQUEST_OUT_OF_RESOURCES, code="LD3021", server="entry", held_bytes=118_000_000)
+    caller.end()
+    timeline = collect_timeline("id-1", [caller.path])
+    assert not timeline.missing
+    assert [code.code for code in timeline.codes] == ["LD3021"]
+
+
+def test_end_of_a_connection_that_made_room_is_a_line_of_each_of_its_requests(processes, tmp_path):
+    """Its line has the ids of several requests."""
+    path = tmp_path / "evicted.log"
+    fields = '"event": "E561", "process": "entry", "ids": "id-0 id-1", "held_bytes": 1'
+    path.write_text('{"time": "2026-12-07T04:00:00.000", "message": "CONNECTION_EVICTED", ' + fields + "}\n")
+    assert len(collect_timeline("id-1", [path]).lines) == 1
+    assert not collect_timeline("id-2", [path]).lines
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/caller_messages.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/caller_messages.py
@@ -1,12 +1,14 @@
 # SPDX-License-Identifier: BSD-3-Clause
 """Conversion of callers' messages to requests, and the refusal of malformed ones."""
 
-from lanedock_daemon.path.http.headers import HOP_HEADERS
+from lanedock.errors import ErrorCode
+from lanedock_daemon.path.http.answer_writer import close_pieces
+from lanedock_daemon.path.http.headers import CODE_HEADER, HOP_HEADERS
 from lanedock_daemon.path.http.incoming import Exchange
-from lanedock_daemon.path.http.messages import Answer, Request, make_refusal
+from lanedock_daemon.path.http.messages import DEFAULT_RETRY_AFTER, Answer, Outcome, Request, make_refusal
 from lanedock_daemon.path.http.parser import MalformedMessage
 
-__all__ = ["make_request", "refuse_malformed"]
+__all__ = ["make_request", "name_eviction", "refuse_malformed"]
 
 _REASONS = {
     400: "Bad Request",
@@ -38,3 +40,14 @@
     answer = make_refusal(exc.code, outcome, 0.0, str(exc))
     answer.status, answer.reason = exc.status, _REASONS[exc.status]
     return answer
+
+
+def name_eviction(answer: Answer) -> Answer:
+    """Return the answer to a request whose connection makes room for others.
+
+    A refusal that was forced states that the instance leaves, which is not the reason.
+    """
+    if (CODE_HEADER, ErrorCode.DRAINING.code) not in answer.headers:
+        return answer
+    close_pieces(answer.pieces)
+    return make_refusal(ErrorCode.RESOURCES_EXHAUSTED, Outcome.NOT_RUN, DEFAULT_RETRY_AFTER)
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
@@ -12,10 +12,19 @@
 from lanedock.clock import monotonic
 from lanedock.errors import ErrorCode
 from lanedock_daemon.path.http.answer_writer import AnswerHead, AnswerWriter, close_pieces, make_head
-from lanedock_daemon.path.http.caller_messages import refuse_malformed
+from lanedock_daemon.path.http.caller_messages import name_eviction, refuse_malformed
 from lanedock_daemon.path.http.delivery import DELIVERY_TIMEOUT, POLL, Delivery
+from lanedock_daemon.path.http.headers import REQUEST_ID_HEADER
+from lanedock_daemon.path.http.holding import ConnectionHolding, count_request_bytes
 from lanedock_daemon.path.http.incoming import Exchange
-from lanedock_daemon.path.http.messages import Answer, CallerDisconnected, Outcome, make_refusal
+from lanedock_daemon.path.http.messages import (
+    DEFAULT_RETRY_AFTER,
+    NEVER,
+    Answer,
+    CallerDisconnected,
+    Outcome,
+    make_refusal,
+)
 from lanedock_daemon.path.http.parser import MalformedMessage, Message, RequestReader
 from lanedock_daemon.path.http.request_ends import RequestEnds
 from lanedock_daemon.path.http.time_limit import TimeLimit
@@ -24,7 +33,7 @@
 
 # Requests of one connection that are processed or wait for their start; reading pauses at this number.
 MAX_PIPELINED = 32
-# Unread bytes of a body above which reading from the connection pauses.
+# Unread bytes of bodies above which reading from the connection pauses.
 MAX_READ_AHEAD_BYTES = 256 * 1024
 # Seconds for which input is still discarded after the caller has received the last answer. Data that
 # arrives at a closed socket resets the connection, and some systems discard what the caller has not read.
@@ -39,6 +48,18 @@
 UNUSED_CLOSE_DELAY = 0.5
 
 
+# Seconds in which a connection that makes room for others may still deliver the answers to its requests.
+EVICTION_TIMEOUT = 1.0
+
+
+class _Evicted(gevent.GreenletExit):
+    """Ends the reader of a connection that holds too much of the process's memory or descriptors."""
+
+
+class _RequestRefused(Exception):
+    """There is no room for the next request, which is refused; the connection ends."""
+
+
 class _Expired(gevent.GreenletExit):
     """Ends the reader of a connection that has exceeded its time limit, or that nobody needs any more."""
 
@@ -73,6 +94,9 @@
         self._exchanges: deque[Exchange] = deque()
         self.ends = RequestEnds(server.log, server.stop_log, address, conn, self._delivery, self._exchanges)
         self._open_exchange: Exchange | None = None
+        self._holding = ConnectionHolding(server.guard, self, self._reader, self._exchanges)
+        # Whether the connection has to end to make room for others.
+        self._is_evicted = False
         self._has_room = Signal()
         # Whether the head of an answer announced `connection: close`.
         self._has_announced_close = False
@@ -109,10 +133,17 @@
                     self.ends.log_disconnect("reset" if self._is_reset else how, self._reader.list_heads())
             finally:
                 self._cancel_exchanges()
+                self._holding.close()
                 self._conn.close()
 
     def _serve(self) -> None:
-        """Read requests until the last answer is written or the connection ends."""
+        """Read requests until the last answer is written, the connection ends, or it has to make room for others."""
+        try:
+            self._serve_requests()
+        except (_RequestRefused, _Evicted):
+            self._make_room()
+
+    def _serve_requests(self) -> None:
         try:
             self._is_reading = True
             try:
@@ -127,7 +158,7 @@
             self._answer_complete_requests()
             if self._reader.is_in_head and not (self._exchanges or self._is_closing):
                 self._refuse_malformed(MalformedMessage("the request head was not received within the time limit", 408))
-        except OSError:
+        except (OSError, _RequestRefused):
             raise
         except Exception as exc:
             # Nothing more can be read; what has begun still gets its answers.
@@ -137,13 +168,55 @@
             self._time_limit.lift()
             self._await_answers()
 
+    def _make_room(self) -> None:
+        """Answer the requests in progress at once, if their caller receives answers, and refuse what has not begun.
+
+        A caller that does not receive the answer that is being written is cut off.
+        """
+        has_unbegun = self._reader.has_head() or self._reader.is_in_head
+        self._is_evicted = True
+        self._time_limit.lift()
+        self._discard_read_ahead()
+        if self._writer.is_writing:
+            self._end_reason = "resources"
+            return
+        self.force_answers()
+        until = monotonic() + EVICTION_TIMEOUT
+        while self._exchanges and not self._is_closing:
+            self.check_caller()
+            if monotonic() >= until:
+                self._end_reason = "resources"
+                return
+            self._has_room.clear()
+            self._has_room.wait(END_POLL)
+        if has_unbegun and not self._has_last_answer():
+            self._refuse(make_refusal(ErrorCode.RESOURCES_EXHAUSTED, Outcome.NOT_RUN, DEFAULT_RETRY_AFTER))
+
+    def evict(self) -> dict:
+        """Schedule the end of the connection, to make room for others.
+
+        Returns
+        -------
+        dict
+            Fields for the log line.
+        """
+        get_hub().loop.run_callback(self._end_evicted)
+        return self.ends.describe()
+
+    def _end_evicted(self) -> None:
+        if self._is_reading:
+            self._greenlet.throw(_Evicted)
+        elif not self._greenlet.dead:
+            self._end_reason = self._end_reason or "resources"
+            self._greenlet.kill(block=False)
+
     def _await_delivery(self) -> None:
         """End the sending side, and discard input until the caller has received all answers."""
         if not self._is_closing:
             if self._exchanges or self._delivery.is_complete():
                 return
             self._end_sending()
-        if not self._delivery.linger(self._linger_timeout):
+        if not self._delivery.linger(self._linger_timeout, EVICTION_TIMEOUT if self._is_evicted else NEVER):
             self._end_reason = "not received"
 
     def report_cut(self, reason: str) -> None:
@@ -193,6 +266,7 @@
         reader = self._reader
         self._update_expiry()
         while self._receive():
+            self._holding.note_unread_input(0)
             # Before new requests start, since one of them may replace the open exchange.
             if self._open_exchange is not None:
                 self._update_open_body()
@@ -200,6 +274,7 @@
             self._update_expiry()
             while not self._is_closing and self._must_pause_reading():
                 self.check_caller()
+                self.update_unread_input()
                 self._has_room.clear()
                 # Nothing notifies of a delivery, which requests wait for during a stop.
                 self._has_room.wait(POLL if self._server.is_process_stopping else END_POLL)
@@ -219,6 +294,10 @@
         if self._conn.has_peer_ended():
             raise CallerDisconnected
 
+    def update_unread_input(self) -> None:
+        """Count what has arrived and was not read: it takes the process's memory, too."""
+        self._holding.note_unread_input(self._conn.count_unread_bytes())
+
     def discard_input(self) -> None:
         """Discard all input from now on, so that the end of the process cuts no answer on its way.
 
@@ -245,11 +324,28 @@
     def _start_read_requests(self) -> None:
         """Start the requests whose heads were read, as far as the connection's state permits."""
         reader = self._reader
-        while reader.has_head() and self._may_start_request():
+        while reader.has_head() and self._may_start_request() and self._has_resources():
             self._start_request(reader.next_head())
         if self._has_announced_close:
             self._discard_read_ahead()
 
+    def _has_resources(self) -> bool:
+        """Return whether there is room for the next request; behind others of its connection it may wait for some.
+
+        Raises
+        ------
+        _RequestRefused
+        """
+        message = self._reader.first_head()
+        if self._holding.may_begin(message):
+            return True
+        if self._exchanges:
+            return False
+        self._server.note_refused(
+            self.ends.caller, message.find_header(REQUEST_ID_HEADER), count_request_bytes(message)
+        )
+        raise _RequestRefused
+
     def _discard_read_ahead(self) -> None:
         """Discard buffered requests that follow the request with the last answer.
 
@@ -291,7 +387,7 @@
             self._update_open_body()
         while self._reader.has_head() and not self._has_last_answer():
             self.check_caller()
-            if not self._may_start_request():
+            if not (self._may_start_request() and self._has_resources()):
                 # Nothing notifies of a delivery.
                 gevent.sleep(POLL)
                 continue
@@ -324,10 +420,16 @@
             return False
         if len(self._exchanges) + self._reader.count_heads() >= MAX_PIPELINED or self._reader.has_incomplete_message():
             return True
-        # Reading resumes once the consumer has read the buffered pieces.
-        return (
-            self._open_exchange is not None and self._open_exchange.message.count_unread_bytes() > MAX_READ_AHEAD_BYTES
-        )
+        unread = self._holding.count_unread_body_bytes()
+        if self._server.guard.is_pressed() and self._is_busy_with_request():
+            # The rest of a body that is waited for must get on: its end is what releases memory.
+            return self._open_exchange is None or unread > 0
+        # Reading resumes once the consumers have read the buffered pieces.
+        return unread > MAX_READ_AHEAD_BYTES
+
+    def _is_busy_with_request(self) -> bool:
+        """Return whether a request is in progress or waits for its start."""
+        return bool(self._exchanges) or self._reader.has_head()
 
     def _update_expiry(self) -> None:
         if self._is_closing:
@@ -351,11 +453,13 @@
         if not message.is_complete:
             self._open_exchange = exchange
         self._exchanges.append(exchange)
+        self._holding.note_begun(exchange)
         self._time_limit.end_idle_time()
         worker.assign(exchange)
 
     def notify_body_read(self) -> None:
         """Resume reading after the consumer has read a piece of a body."""
+        self._holding.update()
         self._has_room.set()
 
     def send_continue(self, exchange: Exchange, deadline: float) -> bool:
@@ -383,6 +487,8 @@
         answer, has_caller = None, True
         try:
             answer = self._server.answer(exchange)
+            if self._is_evicted and not self._server.is_process_stopping:
+                answer = name_eviction(answer)
             exchange.note_answer(answer)
             if self._exchanges and self._exchanges[0] is not exchange:
                 exchange.turn = Signal()
@@ -428,7 +534,7 @@
         # Requests already in progress are still answered; the last answer closes the connection.
         must_close = answer.ends_connection or self._server.is_stopping or self._server.is_over_connection_limit()
         # Requests that have arrived behind this one are still served.
-        must_close = must_close or self._has_failed
+        must_close = must_close or self._has_failed or self._is_evicted
         must_close = must_close or (self._server.is_leaving() and not self._reader.has_head())
         return not must_close or len(self._exchanges) > 1
 
@@ -438,6 +544,7 @@
             self._exchanges.remove(exchange)
         except ValueError:
             return  # the connection has ended
+        self._holding.note_ended(exchange)
         self._has_room.set()
         if self._exchanges:
             self._exchanges[0].take_turn()
@@ -509,10 +616,13 @@
             return
         # Part of an open body may already have been passed on.
         outcome = Outcome.NOT_RUN if self._open_exchange is None else Outcome.UNKNOWN
+        self._refuse(refuse_malformed(exc, outcome))
+
+    def _refuse(self, answer: Answer) -> None:
+        """Write the refusal of a request that was not begun, as the last answer."""
         message = Message()
         message.version = "1.1"
         self._conn.settimeout(DELIVERY_TIMEOUT)
-        answer = refuse_malformed(exc, outcome)
         self._write_answer(make_head(answer, message, keep_alive=False), answer)
 
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/connection_log.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/connection_log.py
@@ -38,6 +38,11 @@
     def __repr__(self) -> str:
         return f"<ConnectionLog {self._server}>"
 
+    def describe(self, caller: tuple, ids: list[str]) -> dict:
+        """Return fields of a log line for a connection; `ids` are those of its requests in progress."""
+        shown = _join(ids, MAX_LOGGED_IDS, MAX_LOGGED_ID)
+        return {"server": self._server, "caller": caller[0], "requests": len(ids), "ids": shown}
+
     def log_cut(self, reason: str, unsent: int, unread: int, targets: list[str], ids: list[str]) -> None:
         """Log that a connection is closed before its caller has received all answers.
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/delivery.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/delivery.py
@@ -10,6 +10,7 @@
 
 from lanedock.clock import monotonic
 from lanedock_daemon.path.http.channel import DISCARD_SIZE, Channel
+from lanedock_daemon.path.http.messages import NEVER
 from lanedock_daemon.path.http.request_trace import RequestTrace
 
 __all__ = ["Delivery"]
@@ -119,11 +120,17 @@
         self._unsent = unsent
         return bool(unsent) and now - self._progress_at < DELIVERY_TIMEOUT
 
-    def linger(self, timeout: float) -> bool:
+    def linger(self, timeout: float, limit: float = NEVER) -> bool:
         """Discard input while the delivery is in progress, and for `timeout` seconds from then on.
 
         Returns early once the peer has ended its sending side. The own one has to be ended before.
 
+        Parameters
+        ----------
+        timeout : float
+        limit : float
+            Seconds after which it ends in any case.
+
         Returns
         -------
         bool
@@ -134,10 +141,13 @@
         OSError
             The connection broke.
         """
-        until = monotonic() + timeout
+        now = monotonic()
+        until, ends_at = now + timeout, now + limit
         self._conn.settimeout(POLL)
         while True:
             now = monotonic()
+            if now >= ends_at:
+                return self.is_complete()
             if self.is_in_progress(now):
                 until = now + timeout
             elif now >= until:
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/incoming.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/incoming.py
@@ -80,6 +80,9 @@
         self._on_read()
         return piece
 
+    def keep(self, size: int) -> None:
+        self._message.kept_bytes += size
+
     def _wait(self, deadline: float) -> None:
         """Wait until more data arrives or the body breaks off."""
         self._arrival.clear()
@@ -108,11 +111,24 @@
 
     Attributes
     ----------
+    held_bytes : int
+        Memory, in bytes, that the request is taken to hold, without its body.
     on_end : callable or None
         Called without arguments once the request's worker has ended its work.
     """
 
-    __slots__ = ("body", "connection", "done", "is_answered", "message", "on_end", "trace", "turn", "worker")
+    __slots__ = (
+        "body",
+        "connection",
+        "done",
+        "held_bytes",
+        "is_answered",
+        "message",
+        "on_end",
+        "trace",
+        "turn",
+        "worker",
+    )
 
     def __init__(self, connection, message: Message):
         self.connection = connection
@@ -121,6 +137,7 @@
         self.trace.begun_at = monotonic()
         self.trace.is_reported = message.is_reported
         self.body = _StreamedBody(message, connection.notify_body_read, self._send_continue)
+        self.held_bytes = 0
         self.worker: Worker | None = None
         self.turn: Signal | None = None
         self.done: Signal | None = None
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/messages.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/messages.py
@@ -116,6 +116,9 @@
             The caller disconnected before the end of the body.
         """
 
+    def keep(self, size: int) -> None:
+        """Record that the reader keeps `size` bytes that it has read, until the request's answer."""
+
 
 class EmptyBody(Body):
     """A body of zero bytes."""
@@ -149,6 +152,7 @@
                 raise BodyTimeout(f"the body has not come whole within {WHOLE_BODY_TIMEOUT:g} s")
             pieces.append(piece)
             size += len(piece)
+            body.keep(len(piece))
             if size > limit:
                 raise LanedockError(ErrorCode.BODY_TOO_LONG, f"the body is longer than the allowed {limit} bytes")
     except BodyTimeout as exc:
@@ -192,6 +196,7 @@
         if piece and not self.is_long:
             self._pieces.append(piece)
             self._position += 1
+            self._body.keep(len(piece))
         return piece
 
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/request_ends.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/request_ends.py
@@ -32,9 +32,14 @@
         Has the requests whose answers were written.
     exchanges : deque of Exchange
         The connection's requests in progress, as they are at each call.
+
+    Attributes
+    ----------
+    caller : tuple
+        Host and port of the caller.
     """
 
-    __slots__ = ("_address", "_conn", "_delivery", "_exchanges", "_is_logged", "_log", "_stop_log", "_unwritten")
+    __slots__ = ("_conn", "_delivery", "_exchanges", "_is_logged", "_log", "_stop_log", "_unwritten", "caller")
 
     def __init__(
         self,
@@ -47,7 +52,7 @@
     ):
         self._log = log
         self._stop_log = stop_log
-        self._address = address
+        self.caller = address
         self._conn = conn
         self._delivery = delivery
         self._exchanges = exchanges
@@ -57,7 +62,11 @@
         self._is_logged = False
 
     def __repr__(self) -> str:
-        return f"<RequestEnds {self._address}>"
+        return f"<RequestEnds {self.caller}>"
+
+    def describe(self) -> dict:
+        """Return fields of a log line that name the connection and its requests in progress."""
+        return self._log.describe(self.caller, self._list_unanswered())
 
     def note_unwritten(self, trace: RequestTrace) -> None:
         """Record that the answer to a request was made and can't be written whole any more."""
@@ -148,7 +157,7 @@
         self.log_not_begun(not_begun)
         if not self._is_logged:
             self._is_logged = True
-            self._stop_log.log_connection(self._address, how)
+            self._stop_log.log_connection(self.caller, how)
 
     def _list_unanswered(self) -> list[str]:
         """Return the ids of the requests whose answers were not written."""
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/server.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/server.py
@@ -12,6 +12,7 @@
 from lanedock.clock import monotonic
 from lanedock.errors import ErrorCode
 from lanedock.kernel import Kernel, StopPlan
+from lanedock.limits import ResourceBudget
 from lanedock.settings import Address
 from lanedock.telemetry import Event, EventLogger
 from lanedock_daemon.agent.reachability import ALIVE_PATH
@@ -21,6 +22,7 @@
 from lanedock_daemon.path.http.connection_log import ConnectionLog
 from lanedock_daemon.path.http.incoming import Exchange, Worker
 from lanedock_daemon.path.http.messages import DEFAULT_RETRY_AFTER, Answer, BodyBroken, Outcome, make_refusal
+from lanedock_daemon.path.http.resource_guard import ResourceGuard
 from lanedock_daemon.path.http.service import HttpService, StopTimeout
 from lanedock_daemon.path.http.stop_log import StopLog
 from lanedock_daemon.path.http.time_limit import IDLE_TIMEOUT
@@ -49,9 +51,12 @@
         Whether answers announce the close of their connections in the notice time of a stop. Callers that pause
         between requests would otherwise meet the close of an idle connection with a request on its way, and could
         not tell it from a lost one.
+    guard : ResourceGuard, optional
+        Bounds what the connections of all servers of the process hold; by default nothing does.
 
     Attributes
     ----------
+    guard : ResourceGuard
     limits : CallerLimits or None
         Limits in force at the last sweep.
     log : ConnectionLog
@@ -69,7 +74,9 @@
         max_connections=None,
         closes_last: bool = False,
         gives_notice: bool = False,
+        guard: ResourceGuard | None = None,
     ):
+        self.guard = guard or ResourceGuard(ResourceBudget(), plan, events)
         self._max_connections = max_connections
         self._gives_notice = gives_notice
         super().__init__(name, address, side, plan, events, closes_last)
@@ -199,12 +206,17 @@
         """Log an unexpected exception of a request handler or a connection."""
         self._events.emit(Event.UNEXPECTED, error=repr(exc))
 
+    def note_refused(self, caller: tuple, request_id: str, size: int) -> None:
+        """Log that a request was refused since there is no room for the bytes that it would hold."""
+        self.guard.note_refused(self.name, caller, request_id, size)
+
     def _sweep(self) -> None:
         while True:
             gevent.sleep(SWEEP_INTERVAL)
             self.limits = self._get_limits()
             now = monotonic()
             for connection in list(self._connections):
+                connection.update_unread_input()
                 connection.end_if_expired(now)
                 if self.is_stopping:
                     connection.end_if_idle()
@@ -229,6 +241,10 @@
             gevent.sleep(RECEIPT_INTERVAL)
 
     def _accept(self, conn, address) -> None:
+        if not self.guard.admit_connection(self.name, address):
+            # Nothing was read from it, so that its caller may send whatever it sent once more.
+            conn.close()
+            return
         conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         if self.is_over_connection_limit():
             self._end_oldest_idle()
--- /dev/null
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_resource_guard.py
@@ -0,0 +1,208 @@
+# SPDX-License-Identifier: BSD-3-Clause
+"""Tests that connections are admitted, paused and ended by what all of them hold, and what their callers see.
+
+They guard against clients that stay inside the limits of single requests and together exhaust a process, and against
+refusals that say "not run" of requests that have run.
+"""
+
+import gevent
+import pytest
+from gevent import socket
+from gevent.event import Event as Signal
+
+from lanedock.clock import monotonic
+from lanedock.errors import ErrorCode
+from lanedock.kernel import StopPlan
+from lanedock.limits import ResourceBudget
+from lanedock.settings import Address
+from lanedock.telemetry import EventLogger
+from lanedock_daemon.path.http import resource_guard
+from lanedock_daemon.path.http.holding import CONNECTION_BYTES, REQUEST_BYTES
+from lanedock_daemon.path.http.messages import Answer
+from lanedock_daemon.path.http.resource_guard import ResourceGuard
+from lanedock_daemon.path.http.server import PathServer
+from lanedock_daemon.path.tests.chain import HOST, read_all, wait_until
+
+GET = b"GET /%b HTTP/1.1\r\nhost: h\r\nx-request-id: %b\r\n\r\n"
+LAST_GET = GET.replace(b"host", b"connection: close\r\nhost")
+UPLOAD = b"POST /upload HTTP/1.1\r\nhost: h\r\ncontent-length: 1000\r\n\r\n" + b"." * 900
+LONG_BODY = bytes(20_000_000)
+# Room for four requests of which one may begin by the margin for large ones.
+FOUR_REQUESTS = 4 * (CONNECTION_BYTES + REQUEST_BYTES)
+GRACE = 2.0
+
+
+class _Side:
+    """Answers at once, when `release` is set (/wait), with a long body (/long), or once the body has come (/upload)."""
+
+    def __init__(self):
+        self.begun: list[str] = []
+        self.ended: list[str] = []
+        self.release = Signal()
+
+    def handle(self, request) -> Answer:
+        self.begun.append(request.path)
+        try:
+            if request.path == "/wait":
+                self.release.wait()
+            while request.body.read(100):
+                pass
+        finally:
+            self.ended.append(request.path)
+        body = LONG_BODY if request.path == "/long" else b"served"
+        return Answer(200, "OK", [("content-length", str(len(body)))], [body])
+
+
+class _Server:
+    """A server whose guard has a small budget."""
+
+    def __init__(self, max_size: float, max_descriptors: float):
+        self.side = _Side()
+        self.plan = StopPlan(0.0, GRACE)
+        events = EventLogger("s")
+        self.budget = ResourceBudget(max_size, max_descriptors)
+        guard = ResourceGuard(self.budget, self.plan, events)
+        self.server = PathServer("s", Address(HOST, 0), self.side, self.plan, events, guard=guard)
+        self.server.start(None)
+
+    def connect(self, data: bytes = b"") -> socket.socket:
+        conn = socket.create_connection((HOST, self.server.port), timeout=10)
+        conn.sendall(data)
+        return conn
+
+    def get(self, path: bytes = b"x") -> bytes:
+        """Return the bytes of one answer, refused or not."""
+        return read_all(self.connect(LAST_GET % (path, b"ordinary")))
+
+
+@pytest.fixture
+def make_server(monkeypatch):
+    """Return a function that starts a server; connections make room for others at any age."""
+    monkeypatch.setattr(resource_guard, "MIN_AGE", 0.0)
+    monkeypatch.setattr(resource_guard, "SELECTION_INTERVAL", 0.0)
+    servers = []
+
+    def make(max_size: float = FOUR_REQUESTS, max_descriptors: float = 1000) -> _Server:
+        servers.append(_Server(max_size, max_descriptors))
+        return servers[-1]
+
+    yield make
+    for one in servers:
+        one.side.release.set()
+        one.server.stop()
+
+
+def _is_refused_as_not_run(answer: bytes) -> bool:
+    return (
+        answer.startswith(b"HTTP/1.1 503 ")
+        and b"x-request-outcome: not-run" in answer
+        and ErrorCode.RESOURCES_EXHAUSTED.code.encode() in answer
+        and b"retry-after: " in answer
+        and b"connection: close" in answer
+    )
+
+
+def test_request_without_room_is_refused_at_once_as_not_run(make_server):
+    server = make_server(max_size=2 * REQUEST_BYTES)
+    assert _is_refused_as_not_run(server.get())
+    assert server.side.begun == []
+
+
+def test_request_is_served_when_others_have_released_their_room(make_server):
+    server = make_server(max_size=5 * (CONNECTION_BYTES + REQUEST_BYTES))
+    for _ in range(20):
+        assert server.get().endswith(b"served")
+    wait_until(lambda: server.budget.size == 0)
+
+
+def test_pipelined_request_without_room_waits_for_those_before_it(make_server):
+    server = make_server(max_size=5 * (CONNECTION_BYTES + REQUEST_BYTES))
+    conn = server.connect(b"".join(GET % (b"x", b"%d" % number) for number in range(4)) + LAST_GET % (b"x", b"4"))
+    assert read_all(conn).count(b"served") == 5
+
+
+def test_connection_reads_one_request_at_a_time_under_pressure(make_server):
+    server = make_server()
+    conn = server.connect(GET % (b"wait", b"0"))
+    wait_until(lambda: server.side.begun)
+    server.budget._max_size = 1.5 * server.budget.size
+    for number in range(19):
+        conn.sendall(GET % (b"x", b"%d" % number))
+        gevent.sleep(0.01)
+    conn.sendall(LAST_GET % (b"x", b"19"))
+    (connection,) = server.server._connections
+    assert connection._reader.count_heads() <= 1
+    server.budget._max_size = 10 * FOUR_REQUESTS
+    server.side.release.set()
+    assert read_all(conn).count(b"served") == 21
+
+
+def test_stalled_upload_makes_room_and_gets_a_final_answer(make_server):
+    server = make_server(max_size=5 * REQUEST_BYTES)
+    stalled = server.connect(UPLOAD)
+    wait_until(lambda: server.side.begun == ["/upload"])
+    assert server.get().endswith(b"served")
+    # The application may have got a part of it.
+    assert b"x-request-outcome: unknown" in read_all(stalled)
+    wait_until(lambda: "/upload" in server.side.ended)
+
+
+def test_unfinished_head_makes_room_and_is_refused_as_not_run(make_server):
+    server = make_server(max_size=5 * REQUEST_BYTES)
+    stalled = server.connect(GET[:-2] % (b"x", b"1") + b"a:\r\n" * 5_000)
+    wait_until(lambda: server.budget.size > REQUEST_BYTES // 2)
+    assert server.get().endswith(b"served")
+    assert _is_refused_as_not_run(read_all(stalled))
+    assert server.side.begun == ["/x"]
+
+
+def test_caller_that_does_not_read_its_answer_makes_room_and_is_cut_off(make_server):
+    server = make_server(max_size=5 * REQUEST_BYTES)
+    slow = server.connect(GET % (b"long", b"1"))
+    wait_until(lambda: server.side.ended == ["/long"])
+    gevent.sleep(0.05)
+    assert server.get().endswith(b"served")
+    wait_until(lambda: len(server.server._connections) == 0)
+    try:
+        assert len(read_all(slow)) < len(LONG_BODY)
+    except ConnectionResetError:
+        pass  # also shows that the answer is not whole
+
+
+def test_planned_stop_cuts_no_request_that_has_begun(make_server):
+    server = make_server(max_size=5 * REQUEST_BYTES)
+    begun = server.connect(LAST_GET % (b"wait", b"1"))
+    wait_until(lambda: server.side.begun == ["/wait"])
+    server.plan.begin(monotonic())
+    server.budget._max_size = server.budget.size // 2
+    (connection,) = server.server._connections
+    connection._holding.update()
+    gevent.sleep(0.05)
+    server.side.release.set()
+    assert read_all(begun).endswith(b"served")
+
+
+def test_connection_without_a_descriptor_is_closed_unread(make_server, monkeypatch):
+    server = make_server(10 * FOUR_REQUESTS, max_descriptors=8)
+    kept = [server.connect(GET % (b"wait", b"%d" % number)) for number in range(2)]
+    wait_until(lambda: len(server.side.begun) == 2)
+    monkeypatch.setattr(resource_guard, "MIN_AGE", 100.0)
+    idle = [server.connect() for _ in range(2)]
+    wait_until(lambda: server.budget.descriptors == 8)
+    refused = server.connect()
+    assert refused.recv(100) == b""
+    server.side.release.set()
+    for conn in (*kept, *idle):
+        conn.close()
+
+
+def test_evicted_connections_are_logged_with_what_they_held(make_server, caplog):
+    server = make_server(max_size=5 * REQUEST_BYTES)
+    stalled = server.connect(UPLOAD.replace(b"host", b"x-request-id: stalled-1\r\nhost"))
+    wait_until(lambda: server.side.begun == ["/upload"])
+    with caplog.at_level("INFO"):
+        assert server.get().endswith(b"served")
+    (line,) = (record.msg for record in caplog.records if "CONNECTION_EVICTED" in str(record.msg))
+    assert line["ids"] == "stalled-1"
+    assert line["held_bytes"] >= REQUEST_BYTES
+    stalled.close()
--- a/packages/lanedock-daemon/lanedock_daemon/roles.py
+++ b/packages/lanedock-daemon/lanedock_daemon/roles.py
@@ -17,6 +17,7 @@
 from lanedock_daemon.interface import Interface, OwnInterface
 from lanedock_daemon.path.caller.caller import CallerSide
 from lanedock_daemon.path.http.messages import Answer, Request
+from lanedock_daemon.path.http.resource_guard import ResourceGuard, make_resource_guard
 from lanedock_daemon.path.http.server import PathServer
 from lanedock_daemon.path.shared.paced_answer import LinkTurns
 from lanedock_daemon.path.shared.pool import ConnectionPool
@@ -132,12 +133,14 @@
     tracer: Tracer,
     interface: Interface | None = None,
     plan: StopPlan | None = None,
+    guard: ResourceGuard | None = None,
 ) -> None:
     """Add the services of an entry daemon or of an upstream's daemon to a kernel.
 
-    All servers and all requests of the process share one stop plan.
+    All servers and all requests of the process share one stop plan and one resource guard.
     """
     plan = plan or make_stop_plan(settings)
+    guard = guard or make_resource_guard(settings, plan, events, metrics)
     interface = interface or OwnInterface()
     dialect = interface.make_dialect()
     registration = _make_registration(settings)
@@ -176,9 +179,19 @@
             # Has the same interface, and is the baseline of benchmarks.
             kernel.add(WsgiPathServer(name, address, side, plan, events, closes_last))
         else:
-            options = {"closes_last": closes_last, "gives_notice": serves_callers}
             kernel.add(
-                PathServer(name, address, side, plan, events, view.caller_limits, max_kept_connections, **options)
+                PathServer(
+                    name,
+                    address,
+                    side,
+                    plan,
+                    events,
+                    view.caller_limits,
+                    max_kept_connections,
+                    closes_last=closes_last,
+                    gives_notice=serves_callers,
+                    guard=guard,
+                )
             )
 
     if settings.daemon.ready is not None:
--- a/packages/lanedock-daemon/lanedock_daemon/run.py
+++ b/packages/lanedock-daemon/lanedock_daemon/run.py
@@ -31,6 +31,7 @@
 from lanedock_daemon.interface import Interface, OwnInterface
 from lanedock_daemon.loop_watch import LoopWatch
 from lanedock_daemon.path.http.messages import Answer
+from lanedock_daemon.path.http.resource_guard import ResourceGuard, make_resource_guard
 from lanedock_daemon.signals import EarlySignals
 from lanedock_daemon.stops import make_stop_plan
 
@@ -95,12 +96,13 @@
     tracer = _make_tracer(settings)
     interface = interface or OwnInterface()
     plan = make_stop_plan(settings)
-    kernel = _make_kernel(settings, initialize, events, metrics, tracer, interface, plan)
-    reloader = _Reloader(kernel, path, stamp, settings, events, is_generated)
+    guard = make_resource_guard(settings, plan, events, metrics)
+    kernel = _make_kernel(settings, initialize, events, metrics, tracer, interface, plan, guard)
     if text is not None:
-        _add_metrics(kernel, settings, text, events)
+        _add_metrics(kernel, settings, text, events, guard)
+    reloader = _Reloader(kernel, path, stamp, settings, events, is_generated)
     try:
-        return _run(kernel, plan, settings, events, metrics, tracer, reloader, writer, early)
+        return _run(kernel, plan, settings, events, metrics, tracer, reloader, writer, early, guard)
     finally:
         early.ignore_signals()
         events.report_dropped()
@@ -140,11 +142,13 @@
         return Answer(200, "OK", headers, [body])
 
 
-def _add_metrics(kernel: Kernel, settings: Settings, metrics: TextMetrics, events: EventLogger) -> None:
+def _add_metrics(
+    kernel: Kernel, settings: Settings, metrics: TextMetrics, events: EventLogger, guard: ResourceGuard
+) -> None:
     from lanedock_daemon.path.http.server import PathServer
 
     # A stop plan of its own, without time: no caller's request depends on this server.
-    kernel.add(PathServer("metrics", settings.metrics, _MetricsHandler(metrics), StopPlan(), events))
+    kernel.add(PathServer("metrics", settings.metrics, _MetricsHandler(metrics), StopPlan(), events, guard=guard))
 
 
 def _make_tracer(settings: Settings) -> Tracer:
@@ -154,7 +158,14 @@
 
 
 def _make_kernel(
-    settings: Settings, initialize: bool, events, metrics, tracer, interface: Interface, plan: StopPlan
+    settings: Settings,
+    initialize: bool,
+    events,
+    metrics,
+    tracer,
+    interface: Interface,
+    plan: StopPlan,
+    guard: ResourceGuard,
 ) -> Kernel:
     """Assemble the services of the process's roles.
 
@@ -167,11 +178,11 @@
 
         control = ControlService(settings, initialize, events, metrics)
         kernel.add(control)
-        _add_operators(kernel, settings, control, interface, events, plan)
+        _add_operators(kernel, settings, control, interface, events, plan, guard)
     if settings.daemon is not None:
         from lanedock_daemon.roles import add_daemon
 
-        add_daemon(kernel, settings, events, metrics, tracer, interface, plan)
+        add_daemon(kernel, settings, events, metrics, tracer, interface, plan, guard)
     return kernel
 
 
@@ -188,7 +199,9 @@
     kernel.add(GrpcTransport(settings.tls))
 
 
-def _add_operators(kernel: Kernel, settings: Settings, control, interface: Interface, events, plan) -> None:
+def _add_operators(
+    kernel: Kernel, settings: Settings, control, interface: Interface, events, plan, guard: ResourceGuard
+) -> None:
     """Serve operators over HTTP if the settings have an address for it."""
     address = settings.control.operators
     if address is None:
@@ -196,7 +209,7 @@
     from lanedock_daemon.path.http.server import PathServer
 
     side = interface.make_operators_handler(control, settings)
-    kernel.add(PathServer("operators", address, side, plan, events))
+    kernel.add(PathServer("operators", address, side, plan, events, guard=guard))
 
 
 def _run(
@@ -209,6 +222,7 @@
     reloader: "_Reloader",
     writer,
     early: EarlySignals,
+    guard: ResourceGuard,
 ) -> int:
     if early.must_stop:
         events.emit(Event.STOPPED)
@@ -228,7 +242,7 @@
     events.emit(Event.STARTED, zone=settings.zone)
     if early.must_reload:
         reloader.reload()
-    flusher = gevent.spawn(_flush, metrics, events, writer)
+    flusher = gevent.spawn(_flush, metrics, events, writer, guard)
     plan.call_at_begin(lambda: gevent.spawn(_flush_in_stop, writer))
     watcher = gevent.spawn(reloader.watch)
     loop_watch = gevent.spawn(LoopWatch(events, metrics).run)
@@ -258,12 +272,13 @@
     return kernel.failure if kernel.failed in done else None
 
 
-def _flush(metrics: Metrics, events: EventLogger, writer: LineWriter) -> None:
+def _flush(metrics: Metrics, events: EventLogger, writer: LineWriter, guard: ResourceGuard) -> None:
     """Flush the metrics and the buffered log lines at their intervals."""
     while True:
         for _ in range(LOG_FLUSHES):
             gevent.sleep(METRICS_INTERVAL / LOG_FLUSHES)
             writer.flush()
+        guard.record_use()
         metrics.flush()
         events.report_dropped()
         events.report_unwritten(writer)
--- a/packages/lanedock/lanedock/errors.py
+++ b/packages/lanedock/lanedock/errors.py
@@ -204,6 +204,11 @@
         "The request's body has not come whole in time. Not run.",
         "Send the body at once, over a connection that is fast enough.",
     )
+    RESOURCES_EXHAUSTED = (
+        "LD3021",
+        "The process has no memory or descriptors left for the request. Not run.",
+        "Retry after the time given, at another instance if there is one; E561 names the connections that were ended.",
+    )
     NOT_HELD = (
         "LD3011",
         "The daemon's version does not hold the service that the request names.",
--- a/packages/lanedock/lanedock/limits/__init__.py
+++ b/packages/lanedock/lanedock/limits/__init__.py
@@ -10,6 +10,7 @@
 from lanedock.limits.first_attempts import FirstAttempts
 from lanedock.limits.queue import CALL_PRIORITY, AdmissionRequest, QueuedRequest
 from lanedock.limits.rate import RateLimiter
+from lanedock.limits.resources import Holding, ResourceBudget
 from lanedock.limits.retries import RetryBudget, SavingBudget, WindowBudget
 from lanedock.limits.slots import Refused, SlotLimiter
 
@@ -26,9 +27,11 @@
     "BodyTransfer",
     "CallKinds",
     "FirstAttempts",
+    "Holding",
     "QueuedRequest",
     "RateLimiter",
     "Refused",
+    "ResourceBudget",
     "RetryBudget",
     "SavingBudget",
     "SlotLimiter",
--- a/packages/lanedock/lanedock/telemetry/events.py
+++ b/packages/lanedock/lanedock/telemetry/events.py
@@ -436,6 +436,22 @@
         "None.",
     )
 
+    REQUEST_OUT_OF_RESOURCES = (
+        560,
+        logging.WARNING,
+        "A request was refused as not run (LD3021): all connections together hold too much of the process's memory or "
+        "descriptors. The fields give its caller, what it would have held and what all hold (`held_bytes`).",
+        "See E561 for what holds most; raise `memory_mb` or `max_descriptors`, or add instances.",
+    )
+    CONNECTION_EVICTED = (
+        561,
+        logging.WARNING,
+        "A caller's connection was ended since it held much of the process's memory or descriptors for long, and there "
+        "was no room for others (`needed`) or all held too much (`exceeded`). The fields give what it held, for how "
+        "long its oldest request has waited, and its requests in progress.",
+        "Look at the caller: one that stays inside the limits and sends or reads steadily is ended last.",
+    )
+
     QUOTA_REACHED = (
         550,
         logging.INFO,
--- a/packages/lanedock/lanedock/telemetry/metrics.py
+++ b/packages/lanedock/lanedock/telemetry/metrics.py
@@ -97,6 +97,10 @@
     QUOTA_REFUSED = ("quota.refused", "c", "Requests refused for their customer's quota.", ("customer",))
     QUOTA_WAIT = ("quota.wait", "ms", "Time for which a request waited for a credit.")
     EJECTED = ("config.ejected", "c", "Ejections of upstreams.")
+    HELD_BYTES = ("process.held_bytes", "g", "Memory that callers' connections are taken to hold, in bytes.")
+    HELD_DESCRIPTORS = ("process.held_descriptors", "g", "Descriptors that callers' connections are taken to hold.")
+    RESOURCE_REFUSALS = ("requests.resource_refusals", "c", "Requests refused for lack of memory or descriptors.")
+    RESOURCE_EVICTIONS = ("connections.evicted", "c", "Connections ended for lack of memory or descriptors.")
     LOOP_DELAY = ("process.loop_delay", "g", "Longest time, in seconds, for which the event loop was late recently.")
 
     def __init__(self, path: str, kind: str, meaning: str, labels: tuple = ()):
