Bound the receive buffers of the request path

With the budget in place, what had arrived and was not read still took up to 36 MB of a process with some 50 connections to upstreams, whose answers nobody read, and up to 209 MB of a control instance with 400 unfinished operators' calls, which exceeded its 96 MB. On the machines such bytes count as the process's memory.

Cause: the kernel lets a receive buffer grow to tens of megabytes (33 MB here) while its reader keeps up; when the reader stops, it stays full.

Change: accepted connections and those to upstreams have 64 KiB, which the kernel doubles. What waits unread at callers' connections counted in the budget before. An upload over 100 ms of round trip is limited to some 0.6 to 1.3 MB/s by it.

It works since a peer can't send more than the window.

--- a/packages/lanedock-daemon/lanedock_daemon/path/http/server.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/server.py
@@ -26,6 +26,7 @@
 from lanedock_daemon.path.http.service import HttpService, StopTimeout
 from lanedock_daemon.path.http.stop_log import StopLog
 from lanedock_daemon.path.http.time_limit import IDLE_TIMEOUT
+from lanedock_daemon.sockets import limit_receive_buffer
 
 __all__ = ["PathServer"]
 
@@ -38,6 +39,16 @@
 RECEIPT_INTERVAL = 0.025
 
 
+class _Listener(StreamServer):
+    """Accepts connections whose unread input is bounded."""
+
+    @classmethod
+    def get_listener(cls, address, backlog=None, family=None):
+        listener = super().get_listener(address, backlog, family)
+        limit_receive_buffer(listener)
+        return listener
+
+
 class PathServer(HttpService):
     """The default HTTP server. Parameters not listed here are those of `HttpService`.
 
@@ -90,7 +101,7 @@
         self._has_ended = False
 
     def _make_server(self, listener: tuple[str, int]) -> StreamServer:
-        return StreamServer(listener, self._accept, backlog=BACKLOG)
+        return _Listener(listener, self._accept, backlog=BACKLOG)
 
     def start(self, kernel: Kernel) -> None:
         super().start(kernel)
--- a/packages/lanedock-daemon/lanedock_daemon/path/shared/pool.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/shared/pool.py
@@ -115,7 +115,7 @@
         ExchangeError
         """
         try:
-            conn = open_connection(address, min(timeout, self._connect_timeout))
+            conn = open_connection(address, min(timeout, self._connect_timeout), has_limited_buffer=True)
         except OSError as exc:
             message = f"{address}: {exc}"
             raise ExchangeError(ErrorCode.CONNECT_FAILED, Outcome.NOT_RUN, message, True) from exc
--- a/packages/lanedock-daemon/lanedock_daemon/sockets.py
+++ b/packages/lanedock-daemon/lanedock_daemon/sockets.py
@@ -3,10 +3,21 @@
 
 from gevent import socket
 
-__all__ = ["open_connection"]
+__all__ = ["limit_receive_buffer", "open_connection"]
 
+# Receive buffer of a connection of the request path, which the kernel doubles for its own overhead. By default it
+# grows to megabytes, and bytes that have arrived and are not read take memory.
+RECEIVE_BUFFER_BYTES = 64 * 1024
 
-def open_connection(address: tuple[str, int], timeout: float | None = None) -> socket.socket:
+
+def limit_receive_buffer(sock: socket.socket) -> None:
+    """Bound the bytes that may wait unread at a socket, or at those accepted from it; before it connects."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+
+
+def open_connection(
+    address: tuple[str, int], timeout: float | None = None, has_limited_buffer: bool = False
+) -> socket.socket:
     """Connect to an address.
 
     A numeric host, as used throughout a mesh, is not resolved: gevent's resolver runs in a
@@ -18,6 +29,8 @@
     address : tuple of (str, int)
     timeout : float, optional
         Seconds, for connecting and for each later operation on the socket.
+    has_limited_buffer : bool
+        See `limit_receive_buffer`.
 
     Raises
     ------
@@ -28,6 +41,8 @@
         return socket.create_connection(address, timeout=timeout)
     conn = socket.socket(family, socket.SOCK_STREAM)
     try:
+        if has_limited_buffer:
+            limit_receive_buffer(conn)
         conn.settimeout(timeout)
         conn.connect(address)
     except BaseException:
