Apply the limits in force to callers' header lines and bodies in chunks

Callers' heads of up to 32 KiB and bodies in chunks of any length were passed on, whatever the version in force allowed, and a head just below 32 KiB was refused by the second daemon, to which it comes with added headers.

Cause: `limits.header_bytes` was read nowhere, `limits.body_bytes` only where a body states its length, and both daemons had the same bound for a head.

Change: callers' header lines beyond `header_bytes` are refused with 431, not run; the start line does not count. A body in chunks beyond `body_bytes` breaks off. Between daemons heads may be 4 KiB longer.

--- a/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
@@ -87,7 +87,7 @@
         self._conn = conn
         self._delivery = Delivery(conn)
         self._writer = AnswerWriter(conn)
-        self._reader = RequestReader(conn)
+        self._reader = RequestReader(conn, server.max_head_bytes)
         self._greenlet = getcurrent()
         # Whether the greenlet reads requests, so that it can be interrupted.
         self._is_reading = False
@@ -449,7 +449,7 @@
         if self._server.stop_log.is_active:
             self.ends.log_received()
         worker = self._server.acquire_worker()
-        exchange = Exchange(self, message)
+        exchange = Exchange(self, message, self._server.max_body_bytes())
         if not message.is_complete:
             self._open_exchange = exchange
         self._exchanges.append(exchange)
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/incoming.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/incoming.py
@@ -33,9 +33,12 @@
     send_continue : callable
         Called with the deadline of the read when the body is waited for while the sender waits for
         `100 Continue`, until it returns True: that has been sent.
+    max_bytes : float
+        Length above which the body breaks off; infinite for no limit.
     """
 
-    def __init__(self, message: Message, on_read, send_continue):
+    def __init__(self, message: Message, on_read, send_continue, max_bytes: float = NEVER):
+        self._bytes_left = max_bytes
         self._on_read = on_read
         self._send_continue = send_continue
         self._message = message
@@ -78,6 +81,9 @@
             self._wait(deadline)
         piece = self._message.take_piece()
         self._on_read()
+        self._bytes_left -= len(piece)
+        if self._bytes_left < 0:
+            raise BodyBroken("the request body is longer than the version in force allows")
         return piece
 
     def keep(self, size: int) -> None:
@@ -108,6 +114,8 @@
     ----------
     connection : Connection
     message : Message
+    max_body_bytes : float
+        Length of the body above which it breaks off.
 
     Attributes
     ----------
@@ -130,13 +138,13 @@
         "worker",
     )
 
-    def __init__(self, connection, message: Message):
+    def __init__(self, connection, message: Message, max_body_bytes: float = NEVER):
         self.connection = connection
         self.message = message
         self.trace = RequestTrace(message.header(REQUEST_ID_HEADER), message.read_at)
         self.trace.begun_at = monotonic()
         self.trace.is_reported = message.is_reported
-        self.body = _StreamedBody(message, connection.notify_body_read, self._send_continue)
+        self.body = _StreamedBody(message, connection.notify_body_read, self._send_continue, max_body_bytes)
         self.held_bytes = 0
         self.worker: Worker | None = None
         self.turn: Signal | None = None
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/parser.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/parser.py
@@ -177,6 +177,9 @@
     conn : Channel
     """
 
+    # Bytes of a head by its lines, and of what the parser keeps of one that is not complete.
+    _max_head_bytes = _max_pending_bytes = MAX_HEAD_BYTES
+
     def __init__(self, conn):
         self.conn = conn
         self._parser = self._make_parser()
@@ -205,8 +208,8 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self._head_bytes += len(name) + len(value) + HEADER_DELIMITER_BYTES
-        if self._head_bytes > MAX_HEAD_BYTES:
-            raise MalformedMessage(f"the head is longer than {MAX_HEAD_BYTES} bytes", 431)
+        if self._head_bytes > self._max_head_bytes:
+            raise MalformedMessage(f"the head is longer than {self._max_head_bytes} bytes", 431)
         self._current.add_header(name, value)
 
     def on_headers_complete(self) -> None:
@@ -326,7 +329,7 @@
     def _receive(self) -> bool:
         size = self._receive_size()
         if self.is_in_head or self._pending_bytes:
-            size = min(size, MAX_HEAD_BYTES - self._pending_bytes)
+            size = min(size, self._max_pending_bytes - self._pending_bytes)
         data = self.conn.recv(size)
         if not data:
             return False
@@ -334,8 +337,8 @@
         if not self._feed(data):
             return True
         self._pending_bytes = 0 if self._has_completed_part else self._pending_bytes + len(data)
-        if self._pending_bytes >= MAX_HEAD_BYTES:
-            raise MalformedMessage(f"a head or trailer is longer than {MAX_HEAD_BYTES} bytes", 431)
+        if self._pending_bytes >= self._max_pending_bytes:
+            raise MalformedMessage(f"a head or trailer is longer than {self._max_pending_bytes} bytes", 431)
         return True
 
     def _receive_size(self) -> int:
@@ -366,7 +369,23 @@
 
 
 class RequestReader(MessageReader):
-    """Reads requests from a caller's connection."""
+    """Reads requests from a caller's connection.
+
+    Parameters
+    ----------
+    conn : Channel
+    get_max_head_bytes : callable, optional
+        Returns how many bytes the head of the next request may have.
+    """
+
+    def __init__(self, conn, get_max_head_bytes=lambda: MAX_HEAD_BYTES):
+        super().__init__(conn)
+        self._get_max_head_bytes = get_max_head_bytes
+        self._max_pending_bytes = max(MAX_HEAD_BYTES, get_max_head_bytes())
+
+    def on_message_begin(self) -> None:
+        super().on_message_begin()
+        self._max_head_bytes = self._get_max_head_bytes()
 
     def _make_parser(self):
         return httptools.HttpRequestParser(self)
@@ -380,6 +399,8 @@
         if len(self._start_line_text) > MAX_HEAD_BYTES:
             raise MalformedMessage(f"the request target is longer than {MAX_HEAD_BYTES} bytes", 414)
         self._head_bytes += len(url)
+        # The limits in force count the header lines.
+        self._max_head_bytes = min(self._max_pending_bytes, self._max_head_bytes + len(url))
 
     def _finish_head(self, message: Message) -> None:
         message.method = self._parser.get_method().decode("latin-1")
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/server.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/server.py
@@ -21,7 +21,8 @@
 from lanedock_daemon.path.http.connection import Connection
 from lanedock_daemon.path.http.connection_log import ConnectionLog
 from lanedock_daemon.path.http.incoming import Exchange, Worker
-from lanedock_daemon.path.http.messages import DEFAULT_RETRY_AFTER, Answer, BodyBroken, Outcome, make_refusal
+from lanedock_daemon.path.http.messages import DEFAULT_RETRY_AFTER, NEVER, Answer, BodyBroken, Outcome, make_refusal
+from lanedock_daemon.path.http.parser import MAX_HEAD_BYTES
 from lanedock_daemon.path.http.resource_guard import ResourceGuard
 from lanedock_daemon.path.http.service import HttpService, StopTimeout
 from lanedock_daemon.path.http.stop_log import StopLog
@@ -33,6 +34,8 @@
 # Seconds after its beginning at which an unfinished head is refused, unless the limits in force say otherwise.
 HEAD_TIMEOUT = 10.0
 BACKLOG = 1024
+# Bytes by which the head of a request between daemons may be longer than one of a caller.
+ADDED_HEAD_BYTES = 4 * 1024
 # Seconds between checks for expired connections and new limits.
 SWEEP_INTERVAL = 1.0
 # Seconds between two looks at which answers callers have received, in a stop.
@@ -62,6 +65,8 @@
         Whether answers announce the close of their connections in the notice time of a stop. Callers that pause
         between requests would otherwise meet the close of an idle connection with a request on its way, and could
         not tell it from a lost one.
+    serves_callers : bool
+        Whether callers are served, whose heads the limits in force bound.
     guard : ResourceGuard, optional
         Bounds what the connections of all servers of the process hold; by default nothing does.
 
@@ -85,11 +90,13 @@
         max_connections=None,
         closes_last: bool = False,
         gives_notice: bool = False,
+        serves_callers: bool = False,
         guard: ResourceGuard | None = None,
     ):
         self.guard = guard or ResourceGuard(ResourceBudget(), plan, events)
         self._max_connections = max_connections
         self._gives_notice = gives_notice
+        self._serves_callers = serves_callers
         super().__init__(name, address, side, plan, events, closes_last)
         self.limits = None
         self.log = ConnectionLog(name, plan, events)
@@ -148,6 +155,16 @@
             return HEAD_TIMEOUT, IDLE_TIMEOUT
         return self.limits.header_timeout_ms / 1000, self.limits.idle_timeout_ms / 1000
 
+    def max_head_bytes(self) -> int:
+        """Return how many bytes a request's head may have; other daemons add headers to those that callers sent."""
+        if not self._serves_callers:
+            return MAX_HEAD_BYTES + ADDED_HEAD_BYTES
+        return MAX_HEAD_BYTES if self.limits is None else min(MAX_HEAD_BYTES, self.limits.header_bytes)
+
+    def max_body_bytes(self) -> float:
+        """Return how many bytes a request's body may have; infinite without a limit."""
+        return NEVER if self.limits is None else self.limits.body_bytes
+
     def is_over_connection_limit(self) -> bool:
         """Return whether more than `max_connections` connections are open."""
         return self._max_connections is not None and len(self._connections) > self._max_connections
@@ -191,7 +208,7 @@
         if exchange.message.target == ALIVE_PATH:
             return Answer(200, "OK", [("content-length", "0")], [])
         body = exchange.body
-        if self.limits is not None and body.length is not None and body.length > self.limits.body_bytes:
+        if body.length is not None and body.length > self.max_body_bytes():
             return make_refusal(ErrorCode.BODY_TOO_LONG, Outcome.NOT_RUN)
         if self._is_past_deadline():
             # This process is stopping and has sent its last answers; a request read now would not be answered.
--- a/packages/lanedock-daemon/lanedock_daemon/roles.py
+++ b/packages/lanedock-daemon/lanedock_daemon/roles.py
@@ -190,6 +190,7 @@
                     max_kept_connections,
                     closes_last=closes_last,
                     gives_notice=serves_callers,
+                    serves_callers=serves_callers or name == "egress",
                     guard=guard,
                 )
             )
