Split the HTTP reader: messages, requests and answers in a module each

Moved without a change of behaviour: no line of a method differs. Tests change their imports only; those of the path pass as before.

--- a/packages/lanedock-daemon/lanedock_daemon/path/caller/attempts.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/caller/attempts.py
@@ -34,7 +34,8 @@
     public_headers,
 )
 from lanedock_daemon.path.http.messages import DEFAULT_RETRY_AFTER, Answer, Leaving, Outcome, Request
-from lanedock_daemon.path.http.parser import MalformedMessage, Message
+from lanedock_daemon.path.http.parsed_message import Message
+from lanedock_daemon.path.http.parser import MalformedMessage
 from lanedock_daemon.path.shared.answer_pieces import AnswerPieces
 from lanedock_daemon.path.shared.answers import REFUSAL_BODY_TIMEOUT, UpstreamAnswer
 from lanedock_daemon.path.shared.dialect import Dialect
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/answer_writer.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/answer_writer.py
@@ -7,7 +7,7 @@
 from lanedock_daemon.path.http.channel import Channel
 from lanedock_daemon.path.http.headers import PACE_HEADER
 from lanedock_daemon.path.http.messages import NEVER, Answer, BodyTimeout
-from lanedock_daemon.path.http.parser import Message
+from lanedock_daemon.path.http.parsed_message import Message
 
 __all__ = ["AnswerHead", "AnswerWriter", "attach_pieces", "close_pieces", "make_head", "write_pieces"]
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
@@ -25,7 +25,8 @@
     Outcome,
     make_refusal,
 )
-from lanedock_daemon.path.http.parser import MalformedMessage, Message, RequestReader
+from lanedock_daemon.path.http.parsed_message import Message
+from lanedock_daemon.path.http.parser import MalformedMessage, RequestReader
 from lanedock_daemon.path.http.request_ends import RequestEnds
 from lanedock_daemon.path.http.time_limit import TimeLimit
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/holding.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/holding.py
@@ -6,7 +6,8 @@
 from lanedock.clock import monotonic
 from lanedock.limits import Holding
 from lanedock_daemon.path.http.incoming import Exchange
-from lanedock_daemon.path.http.parser import Message, RequestReader
+from lanedock_daemon.path.http.parsed_message import Message
+from lanedock_daemon.path.http.parser import RequestReader
 from lanedock_daemon.path.http.resource_guard import ResourceGuard
 
 __all__ = ["CONNECTION_BYTES", "ConnectionHolding", "count_request_bytes"]
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/incoming.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/incoming.py
@@ -10,7 +10,7 @@
 from lanedock.clock import monotonic
 from lanedock_daemon.path.http.headers import OUTCOME_HEADER, REQUEST_ID_HEADER
 from lanedock_daemon.path.http.messages import NEVER, Answer, Body, BodyBroken, BodyTimeout, CallerDisconnected
-from lanedock_daemon.path.http.parser import Message
+from lanedock_daemon.path.http.parsed_message import Message
 from lanedock_daemon.path.http.request_trace import RequestTrace
 from lanedock_daemon.path.http.service import StopTimeout
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/parser.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/parser.py
@@ -2,16 +2,14 @@
 """Reading HTTP messages from connections with httptools' parser (llhttp in strict mode)."""
 
 from collections import deque
-from collections.abc import Iterator
 
 import httptools
 
 from lanedock.clock import monotonic
 from lanedock.errors import ErrorCode, LanedockError
-from lanedock_daemon.path.http.headers import PACE_HEADER, parse_int
-from lanedock_daemon.path.http.messages import HeadersByName
+from lanedock_daemon.path.http.parsed_message import MESSAGE_BYTES, Message
 
-__all__ = ["MAX_HEAD_BYTES", "AnswerReader", "InvalidAnswerHead", "MalformedMessage", "MessageReader", "RequestReader"]
+__all__ = ["MAX_HEAD_BYTES", "MalformedMessage", "MessageReader", "RequestReader"]
 
 # Maximum bytes per read from a connection.
 RECEIVE_SIZE = 64 * 1024
@@ -20,30 +18,6 @@
 MAX_HEAD_BYTES = 32 * 1024
 # The colon, the space and the line end of a header line.
 HEADER_DELIMITER_BYTES = 4
-# Bytes of an interim answer besides its headers and reason.
-INTERIM_DELIMITER_BYTES = len(b"HTTP/1.1 100 \r\n\r\n")
-_BODILESS_STATUSES = (204, 304)
-# The first status (RFC 9110, 15), the interim answer that asks for a request's body, and the first final status.
-_FIRST_STATUS, _CONTINUE, _FIRST_FINAL_STATUS = 100, 100, 200
-# Versions of answers on these connections (RFC 9112, 2.3).
-_VERSIONS = ("1.0", "1.1")
-# Cache of header names as received, mapped to lower-case strings; its size is bounded.
-_MAX_CACHED_NAMES = 256
-# Header lines that are kept as decoded strings. Those after them stand in one byte string until they are needed: a line
-# of four bytes takes some hundred and fifty as strings.
-MAX_DECODED_LINES = 64
-# Parts of a body up to this size together, in bytes, are joined: as much as is copied for a small one.
-MAX_JOINED_BYTES = 4 * 1024
-# Memory of a message that waits to be begun, with its first header lines, without the bytes of its head.
-MESSAGE_BYTES = 8 * 1024
-_HEADER_NAMES: dict[bytes, str] = {}
-
-
-def _decode_name(name: bytes) -> str:
-    text = name.decode("latin-1").lower()
-    if len(_HEADER_NAMES) < _MAX_CACHED_NAMES:
-        _HEADER_NAMES[name] = text
-    return text
 
 
 class MalformedMessage(LanedockError):
@@ -54,121 +28,6 @@
         self.status = status
 
 
-class InvalidAnswerHead(MalformedMessage):
-    """The head of an answer can be read, but its status or version is none that an answer may have."""
-
-
-class Message(HeadersByName):
-    """A message, as far as it has been received.
-
-    Attributes
-    ----------
-    headers : list of tuple of (str, str)
-        Names in lower case. The first look at it decodes all lines.
-    line_count, head_bytes : int
-        Number of header lines, and bytes of the head, that have been received.
-    pieces : deque of bytes
-        Parts of the body that were received but not consumed yet.
-    kept_bytes : int
-        Number of bytes of the body that its consumer keeps while it works on the message.
-    is_complete : bool
-        Whether the body was received to its end.
-    read_at : float
-        Monotonic time, in seconds, at which the head was read.
-    is_reported : bool
-        Whether the log of a stop states that the request was not begun.
-    """
-
-    __slots__ = (
-        "_decoded",
-        "_packed",
-        "_unread_bytes",
-        "head_bytes",
-        "is_complete",
-        "is_reported",
-        "keep_alive",
-        "kept_bytes",
-        "line_count",
-        "method",
-        "pieces",
-        "read_at",
-        "reason",
-        "status",
-        "target",
-        "version",
-    )
-
-    def __init__(self):
-        self._decoded: list[tuple[str, str]] = []
-        self._packed = bytearray()
-        self._by_name = None
-        self.line_count = 0
-        self.head_bytes = 0
-        self.pieces: deque[bytes] = deque()
-        self._unread_bytes = 0
-        self.kept_bytes = 0
-        self.is_complete = False
-        self.keep_alive = True
-        self.method = ""
-        self.target = ""
-        self.status = 0
-        self.reason = ""
-        self.version = ""
-        self.read_at = 0.0
-        self.is_reported = False
-
-    @property
-    def headers(self) -> list[tuple[str, str]]:
-        if self._packed:
-            self._decoded += self._iterate_packed()
-            self._packed = bytearray()
-        return self._decoded
-
-    def add_header(self, name: bytes, value: bytes) -> None:
-        """Add a header line as it was received."""
-        self.line_count += 1
-        if self.line_count <= MAX_DECODED_LINES or b"\n" in value:
-            self._decoded.append((_HEADER_NAMES.get(name) or _decode_name(name), value.decode("latin-1")))
-        else:
-            self._packed += b"%b:%b\n" % (name, value)
-
-    def iterate_headers(self) -> Iterator[tuple[str, str]]:
-        """Return the header lines one after the other, without keeping them decoded."""
-        yield from self._decoded
-        yield from self._iterate_packed()
-
-    def _iterate_packed(self) -> Iterator[tuple[str, str]]:
-        for line in bytes(self._packed).split(b"\n")[:-1]:
-            name, _, value = line.partition(b":")
-            yield _HEADER_NAMES.get(name) or _decode_name(name), value.decode("latin-1")
-
-    def find_header(self, name: str) -> str:
-        """Return the first value of a header; empty if it is absent. Keeps nothing decoded, unlike `header`."""
-        return next((value for known, value in self.iterate_headers() if known == name), "")
-
-    def count_unread_bytes(self) -> int:
-        """Return the number of received body bytes that were not consumed yet."""
-        return self._unread_bytes
-
-    def discard_pieces(self) -> None:
-        """Forget the parts of the body that were not consumed."""
-        self.pieces.clear()
-        self._unread_bytes = 0
-
-    def add_piece(self, piece: bytes) -> None:
-        """Add a part of the body; small ones are joined, since each object costs some fifty bytes more."""
-        self._unread_bytes += len(piece)
-        if self.pieces and len(self.pieces[-1]) + len(piece) <= MAX_JOINED_BYTES:
-            piece = self.pieces.pop() + piece
-        self.pieces.append(piece)
-
-    def take_piece(self) -> bytes:
-        """Return the next part of the body, and forget it."""
-        piece = self.pieces.popleft()
-        self._unread_bytes -= len(piece)
-        return piece
-
-
 class MessageReader:
     """Reads successive messages from one connection.
 
@@ -412,144 +271,6 @@
             raise MalformedMessage("upgrades are not supported", 501)
 
 
-class AnswerReader(MessageReader):
-    """Reads answers from an upstream's connection.
-
-    Attributes
-    ----------
-    method : str
-        Method of the request whose answer is read: an answer to HEAD has no body.
-    got_continue : bool
-        Whether an interim answer has asked for the request's body.
-    body_pace : int or None
-        Bytes per second at which the interim answer asked for the body; None for no limit.
-    is_body_unsent : bool
-        Whether the answer arrived before the request's body was sent completely.
-    may_be_passed_on : bool
-        Whether enough of the request was sent that the peer may have passed on a part of it.
-    has_skipped : bool
-        Whether an answer to another request was discarded.
-    """
-
-    method = ""
-    got_continue = False
-    body_pace: int | None = None
-    is_body_unsent = False
-    may_be_passed_on = False
-    has_skipped = False
-    # Bytes of the interim answers before the final one.
-    _interim_bytes = 0
-    _is_answer_complete = False
-    _has_trailing_bytes = False
-
-    def begin(self, method: str) -> None:
-        """Prepare for the answer to the next request."""
-        self.method = method
-        self.may_be_passed_on = False
-        self.has_skipped = False
-        self._interim_bytes = 0
-        self._is_answer_complete = False
-
-    def skip(self, message: Message) -> None:
-        """Discard the rest of an answer to another request, and prepare for the answer that is due.
-
-        Raises
-        ------
-        MalformedMessage
-            Nothing more can be read after the answer.
-        OSError
-        """
-        self.has_skipped = True
-        while self.next_piece(message):
-            pass
-        if self._has_trailing_bytes or not message.keep_alive:
-            raise MalformedMessage("nothing can be read behind an answer to another request")
-        self._interim_bytes = 0
-        self._is_answer_complete = self.has_head() and self._heads[-1].is_complete
-
-    def receive_early(self) -> bool:
-        """Parse what has arrived, without waiting; return whether a head is buffered or the stream has ended.
-
-        Interim answers and a part of a head don't count: the rest of the request is still due.
-
-        Raises
-        ------
-        MalformedMessage
-        OSError
-        """
-        while not (self.has_head() or self.conn.is_clean()):
-            if not self._receive():
-                return True
-        return self.has_head()
-
-    def on_message_complete(self) -> None:
-        super().on_message_complete()
-        # The end of an interim answer is not the end of the answer.
-        self._is_answer_complete = self._is_answer_complete or self._parser.get_status_code() >= _FIRST_FINAL_STATUS
-
-    def _tolerates_parse_error(self) -> bool:
-        """Accept invalid bytes after a complete answer: they only make the connection unfit for reuse."""
-        self._has_trailing_bytes = self._is_answer_complete
-        return self._has_trailing_bytes
-
-    def has_unread_data(self) -> bool:
-        return self._has_trailing_bytes or super().has_unread_data()
-
-    def _make_parser(self):
-        return httptools.HttpResponseParser(self)
-
-    def wait_for_continue(self) -> bool:
-        """Wait until the peer asks for the body; return False if it answers without asking.
-
-        Raises
-        ------
-        MalformedMessage
-        OSError
-        """
-        self.got_continue = False
-        while not (self.got_continue or self.has_head()):
-            if not self._receive():
-                raise ConnectionError("the connection ended before an answer to the request")
-        return self.got_continue
-
-    def on_status(self, status: bytes) -> None:
-        self._start_line_text += status
-
-    def on_headers_complete(self) -> None:
-        status, version = self._parser.get_status_code(), self._parser.get_http_version()
-        if status < _FIRST_STATUS or version not in _VERSIONS:
-            raise InvalidAnswerHead(f"an answer with status {status:03d} in HTTP/{version}")
-        if status < _FIRST_FINAL_STATUS:
-            # An interim answer; the final one follows.
-            self.is_in_head = False
-            self._has_completed_part = True
-            self._interim_bytes += self._head_bytes + len(self._start_line_text) + INTERIM_DELIMITER_BYTES
-            if self._interim_bytes > MAX_HEAD_BYTES:
-                raise MalformedMessage(f"the interim answers are longer than {MAX_HEAD_BYTES} bytes", 431)
-            if status == _CONTINUE:
-                self.got_continue = True
-                self.body_pace = parse_int(self._current.header(PACE_HEADER))
-            return
-        super().on_headers_complete()
-
-    def _finish_head(self, message: Message) -> None:
-        message.status = self._parser.get_status_code()
-        message.reason = self._start_line_text.decode("latin-1")
-        if self.method == "HEAD" or message.status in _BODILESS_STATUSES:
-            message.is_complete = True
-            if message.status not in _BODILESS_STATUSES:
-                # The parser still expects the body that the headers describe, so it can't read another answer.
-                message.keep_alive = False
-
-    def _handle_close_in_body(self, message: Message) -> None:
-        """End a body without a length at the close of the connection; other bodies are incomplete."""
-        if message.header("content-length") or message.header("transfer-encoding"):
-            raise ConnectionError("the connection ended before the end of an answer's body")
-        message.is_complete = True
-        message.keep_alive = False
-        message.pieces.append(b"")
-
-
 def _check_framing(message: Message) -> None:
     """Refuse requests whose framing is ambiguous and that parsers could read differently (RFC 9112, 6.3)."""
     lengths, encodings, hosts = [], [], []
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/request_ends.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/request_ends.py
@@ -11,7 +11,7 @@
 from lanedock_daemon.path.http.delivery import Delivery
 from lanedock_daemon.path.http.headers import REQUEST_ID_HEADER
 from lanedock_daemon.path.http.incoming import Exchange
-from lanedock_daemon.path.http.parser import Message
+from lanedock_daemon.path.http.parsed_message import Message
 from lanedock_daemon.path.http.request_trace import RequestTrace, Stage
 from lanedock_daemon.path.http.stop_log import RequestEnd, StopLog
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/time_limit.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/time_limit.py
@@ -3,7 +3,7 @@
 
 from lanedock.clock import monotonic
 from lanedock_daemon.path.http.messages import NEVER
-from lanedock_daemon.path.http.parser import Message
+from lanedock_daemon.path.http.parsed_message import Message
 
 __all__ = ["IDLE_TIMEOUT", "TimeLimit"]
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/shared/answer_recovery.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/shared/answer_recovery.py
@@ -4,9 +4,11 @@
 import re
 from itertools import islice
 
+from lanedock_daemon.path.http.answer_reader import AnswerReader, InvalidAnswerHead
 from lanedock_daemon.path.http.headers import REQUEST_ID_HEADER
 from lanedock_daemon.path.http.messages import NEVER
-from lanedock_daemon.path.http.parser import MAX_HEAD_BYTES, AnswerReader, InvalidAnswerHead, MalformedMessage, Message
+from lanedock_daemon.path.http.parsed_message import Message
+from lanedock_daemon.path.http.parser import MAX_HEAD_BYTES, MalformedMessage
 
 __all__ = ["RecoveringAnswerReader"]
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/shared/answers.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/shared/answers.py
@@ -6,8 +6,10 @@
 
 from lanedock.clock import monotonic
 from lanedock.errors import ErrorCode
+from lanedock_daemon.path.http.answer_reader import AnswerReader
 from lanedock_daemon.path.http.messages import NEVER, BodyBroken, BodyTimeout, Outcome
-from lanedock_daemon.path.http.parser import AnswerReader, MalformedMessage, Message
+from lanedock_daemon.path.http.parsed_message import Message
+from lanedock_daemon.path.http.parser import MalformedMessage
 from lanedock_daemon.path.http.service import StopTimeout
 from lanedock_daemon.path.shared.pool import ConnectionPool, ExchangeError
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/shared/exchange.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/shared/exchange.py
@@ -8,8 +8,10 @@
 from lanedock.clock import monotonic
 from lanedock.errors import ErrorCode
 from lanedock.telemetry import Event, EventLogger
+from lanedock_daemon.path.http.answer_reader import AnswerReader
 from lanedock_daemon.path.http.messages import MAX_PIECE_BYTES, NEVER, Body, BodyTimeout, Outcome, Request
-from lanedock_daemon.path.http.parser import AnswerReader, MalformedMessage, Message
+from lanedock_daemon.path.http.parsed_message import Message
+from lanedock_daemon.path.http.parser import MalformedMessage
 from lanedock_daemon.path.http.service import StopTimeout
 from lanedock_daemon.path.shared.answer_recovery import RecoveringAnswerReader
 from lanedock_daemon.path.shared.answers import ExchangeGuard, UpstreamAnswer, make_failure
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_compact_messages.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_compact_messages.py
@@ -12,7 +12,8 @@
 from hypothesis import strategies as st
 
 from lanedock_daemon.path.http.channel import Channel
-from lanedock_daemon.path.http.parser import MAX_DECODED_LINES, MAX_HEAD_BYTES, MalformedMessage, RequestReader
+from lanedock_daemon.path.http.parsed_message import MAX_DECODED_LINES
+from lanedock_daemon.path.http.parser import MAX_HEAD_BYTES, MalformedMessage, RequestReader
 
 LINES = 4_000
 # None of them is a header that the parser looks at itself.
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_cut_messages.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_cut_messages.py
@@ -13,7 +13,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from lanedock_daemon.path.http.parser import MAX_HEAD_BYTES, RECEIVE_SIZE, AnswerReader, MalformedMessage, RequestReader
+from lanedock_daemon.path.http.answer_reader import AnswerReader
+from lanedock_daemon.path.http.parser import MAX_HEAD_BYTES, RECEIVE_SIZE, MalformedMessage, RequestReader
 from lanedock_daemon.path.tests.chain import parse_answer
 
 BODIES = [b"", b"." * 1000, b"." * 64 * 1024, b"." * 1024 * 1024]
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_invalid_statuses.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_invalid_statuses.py
@@ -12,8 +12,9 @@
 
 from lanedock.clock import monotonic
 from lanedock.telemetry import Event, EventLogger
+from lanedock_daemon.path.http.answer_reader import AnswerReader
 from lanedock_daemon.path.http.channel import Channel
-from lanedock_daemon.path.http.parser import AnswerReader, MalformedMessage
+from lanedock_daemon.path.http.parser import MalformedMessage
 from lanedock_daemon.path.tests.chain import HOST, make_value
 
 # Far below the deadline of the requests, to which they would be held otherwise.
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_resets.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_resets.py
@@ -15,8 +15,8 @@
 import pytest
 from gevent import socket
 
+from lanedock_daemon.path.http.answer_reader import AnswerReader
 from lanedock_daemon.path.http.channel import Channel
-from lanedock_daemon.path.http.parser import AnswerReader
 from lanedock_daemon.path.shared.answer_pieces import AnswerPieces
 from lanedock_daemon.path.shared.answers import UpstreamAnswer
 from lanedock_daemon.path.shared.pool import ConnectionPool
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream/read_ahead.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream/read_ahead.py
@@ -11,7 +11,7 @@
 from gevent.event import Event as Signal
 
 from lanedock_daemon.path.http.messages import MAX_PIECE_BYTES
-from lanedock_daemon.path.http.parser import Message
+from lanedock_daemon.path.http.parsed_message import Message
 from lanedock_daemon.path.shared.answer_pieces import AnswerCut, AnswerPieces
 
 __all__ = ["ReadAhead", "ReadAheadMemory"]
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream/tests/test_read_ahead.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream/tests/test_read_ahead.py
@@ -6,7 +6,7 @@
 from gevent.queue import Queue
 
 from lanedock_daemon.path.http.messages import MAX_PIECE_BYTES
-from lanedock_daemon.path.http.parser import Message
+from lanedock_daemon.path.http.parsed_message import Message
 from lanedock_daemon.path.upstream.read_ahead import ReadAhead, ReadAheadMemory
 
 PIECE = bytes(MAX_PIECE_BYTES)
--- a/packages/lanedock-daemon/lanedock_daemon/path/upstream/upstream.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/upstream/upstream.py
@@ -42,7 +42,8 @@
     make_refusal,
     outcome_label,
 )
-from lanedock_daemon.path.http.parser import MalformedMessage, Message
+from lanedock_daemon.path.http.parsed_message import Message
+from lanedock_daemon.path.http.parser import MalformedMessage
 from lanedock_daemon.path.http.service import StopTimeout
 from lanedock_daemon.path.shared.answer_pieces import AnswerPieces
 from lanedock_daemon.path.shared.answers import REFUSAL_BODY_TIMEOUT
