Report to the budget once for an ordinary request's arrival

Each read reported what the connection holds, although a request that begins reports itself. A read now reports only where it left something that waits: a head, or a part of a body.

Cause: the report was placed behind the read, before the request had begun. Behaviour is as before: the tests of the guard, of closing and of delivery pass.

--- a/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/connection.py
@@ -267,11 +267,11 @@
         reader = self._reader
         self._update_expiry()
         while self._receive():
-            self._holding.note_unread_input(0)
             # Before new requests start, since one of them may replace the open exchange.
             if self._open_exchange is not None:
                 self._update_open_body()
             self._start_read_requests()
+            self._holding.note_input_read()
             self._update_expiry()
             while not self._is_closing and self._must_pause_reading():
                 self.check_caller()
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/holding.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/holding.py
@@ -78,10 +78,16 @@
         return sum(exchange.message.count_unread_bytes() for exchange in self._exchanges)
 
     def note_unread_input(self, size: int) -> None:
-        """Set how many bytes have arrived that were not read, as reading is paused; 0 when it goes on."""
+        """Set how many bytes have arrived that were not read."""
         self._unread_input = size
         self.update()
 
+    def note_input_read(self) -> None:
+        """Record that what had arrived was read; a request that begins reports itself."""
+        self._unread_input = 0
+        if self._reader.has_unread_data() or self.count_unread_body_bytes():
+            self.update()
+
     def update(self) -> None:
         """Report to the guard what the connection holds now."""
         size = CONNECTION_BYTES + self._unread_input + self._reader.count_held_bytes() + self._request_bytes
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/parser.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/parser.py
@@ -140,9 +140,12 @@
 
     def count_held_bytes(self) -> int:
         """Return the memory, in bytes, of the messages whose heads are buffered or have begun."""
-        size = sum(MESSAGE_BYTES + message.head_bytes for message in self._heads)
-        size += sum(message.count_unread_bytes() for message in self._heads)
-        return size + MESSAGE_BYTES + self._head_bytes + self._pending_bytes if self.is_in_head else size
+        if not (self._heads or self.is_in_head):
+            return 0
+        size = MESSAGE_BYTES + self._head_bytes + self._pending_bytes if self.is_in_head else 0
+        for message in self._heads:
+            size += MESSAGE_BYTES + message.head_bytes + message.count_unread_bytes()
+        return size
 
     def has_incomplete_message(self) -> bool:
         """Return whether a head is buffered whose body has not been received whole."""
