Give connections 0.4 of the memory, and let two of a request's size suffice

By crowds ten times those of the tests (x86-64, 300 MB and 4,100 descriptors stated), 400 clients with pipelined heads of shortest lines at an upstream's door made a daemon reach 235 MB, 50 of them unread, with a budget of 118: what a line costs is more than its 512 bytes say, and the allocator keeps some. All other crowds stayed below that, but for 4,000 unfinished operators' calls (264 MB, 116 unread).

At the other end, with 64 MB stated the budget of 8 MB had no room for four of a single head of shortest lines, which is inside the limits.

Change: 0.4 of the memory beyond 64 MB, room for two of a request's size to begin, and `memory_mb` of at least 96, for which a head of 32 KiB of shortest lines has room.

--- a/packages/lanedock-daemon/lanedock_daemon/path/http/resource_guard.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/resource_guard.py
@@ -14,9 +14,11 @@
 
 # Memory that a process needs without connections: the interpreter, the configuration and the mesh.
 RESERVED_BYTES = 64_000_000
-# Part of the remaining memory that is given to connections: the allocator keeps some of what was released.
-BUDGET_SHARE = 0.5
-MIN_BUDGET_BYTES = 8_000_000
+# Part of the remaining memory that is given to connections. The rest is for what the allocator keeps of released
+# memory, and for receive buffers of connections to upstreams.
+BUDGET_SHARE = 0.4
+# Below this a single request with a head of the shortest lines would have no room.
+MIN_MEMORY_BYTES = 96_000_000
 BYTES_PER_MB = 1_000_000
 # Part of the descriptors that connections and their requests may use; the rest is for files and the mesh.
 DESCRIPTOR_SHARE = 0.75
@@ -136,7 +138,7 @@
 def make_resource_guard(settings: Settings, plan: StopPlan, events: EventLogger, metrics: Metrics) -> ResourceGuard:
     """Make the guard of a process from its settings; its memory is by default that of the machine."""
     memory = _machine_memory() if settings.memory_mb is None else settings.memory_mb * BYTES_PER_MB
-    max_size = max(MIN_BUDGET_BYTES, BUDGET_SHARE * (memory - RESERVED_BYTES))
+    max_size = BUDGET_SHARE * (max(memory, MIN_MEMORY_BYTES) - RESERVED_BYTES)
     budget = ResourceBudget(max_size)
     if settings.max_descriptors is not None:
         budget = ResourceBudget(max_size, DESCRIPTOR_SHARE * settings.max_descriptors)
--- a/packages/lanedock/lanedock/limits/resources.py
+++ b/packages/lanedock/lanedock/limits/resources.py
@@ -12,7 +12,7 @@
 # Part of the budget above which connections read one request at a time.
 PRESSURE_SHARE = 0.5
 # A request needs room for this many of its kind to begin, so that large ones leave room for ordinary ones.
-SIZE_MARGIN = 4
+SIZE_MARGIN = 2
 # Part of the budget to which an exceeded one is reduced, so that the next request does not exceed it again.
 RELIEF_SHARE = 0.9
 
