Accept the listen queue of a stopping server in parts

A crowd of 530 clients at a daemon that was stopped made it open 515 descriptors, 400 allowed, in one of seven runs of test_process_with_a_crowd_stops.

Cause: a server that closes its listener accepted its whole queue before any handler ran, and connections without room are closed only by their handlers. With a queue of 1,024 the process could run out of descriptors.

Evidence: with 400 queued connections and descriptors for 20, all were open at once; that test failed before. A yield alone was not enough, since the server's own watcher accepted beside the loop.

Change: the server stops accepting by itself first, and the handlers run after each 32 connections.

It works since each part's connections without room are closed before the next part is accepted.

--- a/packages/lanedock-daemon/lanedock_daemon/path/http/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/service.py
@@ -16,6 +16,8 @@
 
 # Interval, in seconds, between checks whether a stopping server is idle.
 POLL = 0.02
+# Queued connections that are accepted before their handlers run.
+ACCEPT_BATCH = 32
 # Delay of the final answers, in seconds, from which on the process is taken to have got no time at the deadline.
 LATE = 0.02
 # Number of pauses before late final answers, and their length in seconds. What has arrived meanwhile is read in
@@ -108,10 +110,14 @@
     def _accept_queued(self) -> int:
         """Accept the connections in the listen queue, which closing the listener would reset; return their number."""
         count = 0
+        self._server.stop_accepting()
         try:
             while (accepted := self._server.do_read()) is not None:
                 self._server.do_handle(*accepted)
                 count += 1
+                if count % ACCEPT_BATCH == 0:
+                    # Connections for which there is no room are closed by their handlers, and free their descriptors.
+                    gevent.sleep(0)
         except OSError as exc:
             self._events.emit(Event.UNEXPECTED, error=repr(exc))
         # Lets the handlers start, so that the server doesn't find itself idle before.
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_resource_guard.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_resource_guard.py
@@ -5,10 +5,13 @@
 refusals that say "not run" of requests that have run.
 """
 
+import os
+
 import gevent
 import pytest
 from gevent import socket
 from gevent.event import Event as Signal
+from gevent.monkey import get_original
 
 from lanedock.clock import monotonic
 from lanedock.errors import ErrorCode
@@ -32,6 +35,8 @@
 ONE_REQUEST = (SIZE_MARGIN + 1) * REQUEST_BYTES
 FOUR_REQUESTS = 4 * (CONNECTION_BYTES + REQUEST_BYTES)
 GRACE = 2.0
+# Connections that have descriptors, and those in the listen queue.
+MAX_KEPT, QUEUED = 20, 400
 
 
 class _Side:
@@ -198,6 +203,28 @@
         conn.close()
 
 
+def test_queued_connections_without_descriptors_are_not_accepted_all_at_once_in_a_stop(make_server):
+    server = make_server(10 * FOUR_REQUESTS, max_descriptors=MAX_KEPT)
+    # Blocking connects let no other greenlet run, so that they stay in the listen queue.
+    plain_socket = get_original("socket", "socket")
+    queued = [plain_socket() for _ in range(QUEUED)]
+    for conn in queued:
+        conn.connect((HOST, server.server.port))
+    before, most = len(os.listdir("/proc/self/fd")), 0
+    handle = server.server._server.do_handle
+
+    def handle_and_count(*accepted) -> None:
+        nonlocal most
+        handle(*accepted)
+        most = max(most, len(os.listdir("/proc/self/fd")))
+
+    server.server._server.do_handle = handle_and_count
+    server.server.begin_stop()
+    assert most - before <= QUEUED // 2
+    for conn in queued:
+        conn.close()
+
+
 def test_evicted_connections_are_logged_with_what_they_held(make_server, caplog):
     server = make_server(max_size=ONE_REQUEST)
     stalled = server.connect(UPLOAD.replace(b"host", b"x-request-id: stalled-1\r\nhost"))
