Count a connection's age from its request, not from its idle time

By reading the diff: a connection that was idle for seconds and then sent a request was taken to have made no progress for as long, so that under pressure its request, just begun, was among the first to make room.

Cause: the time of the last progress was set when a request ended, and not when an idle connection begins to hold something. Change: it is set then. The test fails before (the newer request is ended) and passes now, three runs; the others of the file pass as before.

--- a/packages/lanedock-daemon/lanedock_daemon/path/http/holding.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/holding.py
@@ -93,6 +93,9 @@
         size = CONNECTION_BYTES + self._unread_input + self._reader.count_held_bytes() + self._request_bytes
         for exchange in self._exchanges:
             size += exchange.message.count_unread_bytes() + exchange.message.kept_bytes
+        if self._holding.size <= CONNECTION_BYTES < size:
+            # The time for which it was idle before doesn't count.
+            self._holding.since = monotonic()
         self._holding.has_requests = bool(self._exchanges)
         self._guard.update(self._holding, size, 1 + REQUEST_DESCRIPTORS * len(self._exchanges))
 
--- a/packages/lanedock-daemon/lanedock_daemon/path/tests/test_resource_guard.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/tests/test_resource_guard.py
@@ -154,6 +154,26 @@
     wait_until(lambda: "/upload" in server.side.ended)
 
 
+def test_request_of_a_connection_that_was_idle_for_long_is_not_taken_for_an_old_one(make_server):
+    server = make_server(max_size=2 * CONNECTION_BYTES + (SIZE_MARGIN + 1) * REQUEST_BYTES)
+    idle = server.connect()
+    wait_until(lambda: len(server.server._connections) == 1)
+    gevent.sleep(0.05)
+    server.budget._max_size *= 2
+    older = server.connect(GET % (b"wait", b"older"))
+    wait_until(lambda: len(server.side.begun) == 1)
+    idle.sendall(GET % (b"wait", b"newer"))
+    wait_until(lambda: len(server.side.begun) == 2)
+    server.budget._max_size = server.budget.size + CONNECTION_BYTES + REQUEST_BYTES * 3 // 2
+    assert server.get().endswith(b"served")
+    # The older request got a final answer to make room; the newer one is still in progress.
+    assert b"x-request-outcome: unknown" in read_all(older)
+    assert server.side.ended.count("/wait") == 1
+    server.side.release.set()
+    assert idle.recv(100).startswith(b"HTTP/1.1 200 ")
+    idle.close()
+
+
 def test_unfinished_head_makes_room_and_is_refused_as_not_run(make_server):
     server = make_server(max_size=ONE_REQUEST)
     stalled = server.connect(GET[:-2] % (b"x", b"1") + b"a:\r\n" * 5_000)
