--- a/packages/lanedock-daemon/lanedock_daemon/path/http/holding.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/holding.py
@@ -13,9 +13,9 @@
 __all__ = ["CONNECTION_BYTES", "ConnectionHolding", "count_request_bytes"]
 
 # Memory of a connection without a request: its channel, parser and greenlet.
-CONNECTION_BYTES = 16 * 1024
-# Memory of a request in progress: its worker's stack, its state, a connection to an upstream, and a piece of a body.
-REQUEST_BYTES = 64 * 1024
+CONNECTION_BYTES = 12 * 1024
+# Memory of a request in progress: its worker's stack, its state, and a connection to an upstream.
+REQUEST_BYTES = 32 * 1024
 # Memory of a header line of a request in progress: a tuple with a name, in the lists and look-up tables of each step.
 HEADER_LINE_BYTES = 512
 # Times that the bytes of a head stand in memory while its request is passed on.
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/resource_guard.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/resource_guard.py
@@ -21,7 +21,7 @@
 MIN_MEMORY_BYTES = 96_000_000
 BYTES_PER_MB = 1_000_000
 # Part of the descriptors that connections and their requests may use; the rest is for files and the mesh.
-DESCRIPTOR_SHARE = 0.75
+DESCRIPTOR_SHARE = 0.85
 # Seconds without progress before which a connection does not make room for a request of another one: nearly all
 # requests end earlier.
 MIN_AGE = 2.0
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/server.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/server.py
@@ -24,7 +24,7 @@
 from lanedock_daemon.path.http.messages import DEFAULT_RETRY_AFTER, NEVER, Answer, BodyBroken, Outcome, make_refusal
 from lanedock_daemon.path.http.parser import MAX_HEAD_BYTES
 from lanedock_daemon.path.http.resource_guard import ResourceGuard
-from lanedock_daemon.path.http.service import HttpService, StopTimeout
+from lanedock_daemon.path.http.service import ACCEPT_BATCH, HttpService, StopTimeout
 from lanedock_daemon.path.http.stop_log import StopLog
 from lanedock_daemon.path.http.time_limit import IDLE_TIMEOUT
 from lanedock_daemon.sockets import limit_receive_buffer
@@ -43,7 +43,9 @@
 
 
 class _Listener(StreamServer):
-    """Accepts connections whose unread input is bounded."""
+    """Accepts connections whose unread input is bounded, a few at a time."""
+
+    max_accept = ACCEPT_BATCH
 
     @classmethod
     def get_listener(cls, address, backlog=None, family=None):
--- a/packages/lanedock-daemon/lanedock_daemon/path/http/service.py
+++ b/packages/lanedock-daemon/lanedock_daemon/path/http/service.py
@@ -12,12 +12,12 @@
 from lanedock.settings import Address
 from lanedock.telemetry import Event, EventLogger
 
-__all__ = ["HttpService", "StopTimeout"]
+__all__ = ["ACCEPT_BATCH", "HttpService", "StopTimeout"]
 
 # Interval, in seconds, between checks whether a stopping server is idle.
 POLL = 0.02
-# Queued connections that are accepted before their handlers run.
-ACCEPT_BATCH = 32
+# Connections that are accepted before their handlers run, which close those without room.
+ACCEPT_BATCH = 8
 # Delay of the final answers, in seconds, from which on the process is taken to have got no time at the deadline.
 LATE = 0.02
 # Number of pauses before late final answers, and their length in seconds. What has arrived meanwhile is read in
@@ -116,7 +116,6 @@
                 self._server.do_handle(*accepted)
                 count += 1
                 if count % ACCEPT_BATCH == 0:
-                    # Connections for which there is no room are closed by their handlers, and free their descriptors.
                     gevent.sleep(0)
         except OSError as exc:
             self._events.emit(Event.UNEXPECTED, error=repr(exc))
--- a/packages/lanedock/lanedock/limits/resources.py
+++ b/packages/lanedock/lanedock/limits/resources.py
@@ -9,8 +9,8 @@
 __all__ = ["Holding", "ResourceBudget"]
 
 _UNLIMITED = float("inf")
-# Part of the budget above which connections read one request at a time.
-PRESSURE_SHARE = 0.5
+# Part of the memory above which connections read one request at a time.
+PRESSURE_SHARE = 0.75
 # A request needs room for this many of its kind to begin, so that large ones leave room for ordinary ones.
 SIZE_MARGIN = 2
 # Part of the budget to which an exceeded one is reduced, so that the next request does not exceed it again.
@@ -104,8 +104,8 @@
         holding.descriptors = descriptors
 
     def is_pressed(self) -> bool:
-        """Return whether connections are to read one request at a time."""
-        return self.size > PRESSURE_SHARE * self._max_size or self.descriptors > PRESSURE_SHARE * self._max_descriptors
+        """Return whether connections are to read one request at a time, which holds back memory."""
+        return self.size > PRESSURE_SHARE * self._max_size
 
     def is_exceeded(self) -> bool:
         """Return whether the connections hold more than they may."""
